--- /dev/null
+++ b/include/currantbridge/clock.h
@@ -0,0 +1,32 @@
+#ifndef CURRANTBRIDGE_CLOCK_H
+#define CURRANTBRIDGE_CLOCK_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/*
+ * The runtime's clock.  Every module takes its time and its timers from a
+ * clock that it is given, so that a test can pause and advance them.
+ */
+typedef struct cb_clock cb_clock_t;
+typedef struct cb_timer cb_timer_t;
+typedef void (*cb_timer_fn_t)(void *user_data);
+
+cb_clock_t *cb_clock_new(GMainContext *context);
+cb_clock_t *cb_clock_new_paused(int64_t start_ms);
+void cb_clock_delete(cb_clock_t *clock);
+
+int64_t cb_clock_now_us(const cb_clock_t *clock);
+int64_t cb_clock_now_ms(const cb_clock_t *clock);
+int64_t cb_clock_wall_ms(const cb_clock_t *clock);
+
+void cb_clock_advance(cb_clock_t *clock, int64_t delta_ms);
+int64_t cb_clock_next_deadline_ms(const cb_clock_t *clock);
+
+cb_timer_t *cb_timer_new(cb_clock_t *clock, cb_timer_fn_t fn, void *user_data);
+void cb_timer_delete(cb_timer_t *timer);
+void cb_timer_start(cb_timer_t *timer, int64_t delay_ms);
+void cb_timer_stop(cb_timer_t *timer);
+int cb_timer_is_armed(const cb_timer_t *timer);
+
+#endif
--- /dev/null
+++ b/include/currantbridge/settings.h
@@ -0,0 +1,53 @@
+#ifndef CURRANTBRIDGE_SETTINGS_H
+#define CURRANTBRIDGE_SETTINGS_H
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * Settings files: one JSON object, read into a plain structure by a table
+ * that names each field, its type and its range.
+ */
+typedef enum cb_setting_type {
+	CB_SETTING_STRING,    /* char *, never empty */
+	CB_SETTING_ADDRESS,   /* char *, "IP:PORT" */
+	CB_SETTING_STRINGS,   /* char **, NULL-terminated */
+	CB_SETTING_ADDRESSES, /* char **, NULL-terminated, each "IP:PORT" */
+	CB_SETTING_INTEGER,   /* int64_t */
+	CB_SETTING_BOOLEAN,   /* gboolean */
+	CB_SETTING_TYPE_COUNT
+} cb_setting_type_t;
+
+typedef struct cb_setting {
+	const char *name;
+	cb_setting_type_t type;
+	size_t offset;
+	gboolean is_required;
+	int64_t min;
+	int64_t max;
+	/* Used when the field is absent; NULL leaves 0, FALSE or NULL. */
+	const char *default_text;
+	/* The words that a STRING may be, NULL-terminated; NULL: any. */
+	const char *const *choices;
+} cb_setting_t;
+
+typedef enum cb_settings_error {
+	CB_SETTINGS_ERROR_UNREADABLE,
+	CB_SETTINGS_ERROR_SYNTAX,
+	CB_SETTINGS_ERROR_FIELD,
+} cb_settings_error_t;
+
+#define CB_SETTINGS_ERROR cb_settings_error_quark()
+GQuark cb_settings_error_quark(void);
+
+gboolean cb_settings_load(const char *path, const cb_setting_t *table,
+			  size_t table_count, void *settings, GError **error);
+gboolean cb_settings_parse(const char *text, const cb_setting_t *table,
+			   size_t table_count, void *settings, GError **error);
+void cb_settings_clear(const cb_setting_t *table, size_t table_count,
+		       void *settings);
+
+gboolean cb_address_is_valid(const char *address);
+
+#endif
--- /dev/null
+++ b/src/libcurrantbridge/kernel/clock.c
@@ -0,0 +1,281 @@
+#include "currantbridge/clock.h"
+
+#define US_PER_MS 1000
+
+typedef struct cb_clock_vtable {
+	int64_t (*now_us)(const cb_clock_t *clock);
+	int64_t (*wall_ms)(const cb_clock_t *clock);
+	void (*deadline_changed)(cb_clock_t *clock);
+} cb_clock_vtable_t;
+
+struct cb_clock {
+	const cb_clock_vtable_t *vtable;
+	GSequence *armed;
+	uint64_t next_sequence;
+	int64_t paused_now_us;
+	GSource *source;
+};
+
+struct cb_timer {
+	cb_clock_t *clock;
+	cb_timer_fn_t fn;
+	void *user_data;
+	int64_t deadline_us;
+	uint64_t sequence;
+	GSequenceIter *position;
+};
+
+/* The main loop's source that fires the timers of a running clock. */
+typedef struct clock_source {
+	GSource source;
+	cb_clock_t *clock;
+} clock_source_t;
+
+/* Orders timers by deadline and, under one deadline, by when they began. */
+static int timer_compare_(const void *left, const void *right, void *unused)
+{
+	const cb_timer_t *a = left;
+	const cb_timer_t *b = right;
+
+	(void)unused;
+	if (a->deadline_us != b->deadline_us)
+		return a->deadline_us < b->deadline_us ? -1 : 1;
+	if (a->sequence != b->sequence)
+		return a->sequence < b->sequence ? -1 : 1;
+	return 0;
+}
+
+/* Returns the timer that fires next, or NULL when none is armed. */
+static cb_timer_t *first_armed_(const cb_clock_t *clock)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(clock->armed);
+
+	if (g_sequence_iter_is_end(first))
+		return NULL;
+	return g_sequence_get(first);
+}
+
+/* Fires one timer if its deadline is at or before `limit_us`. */
+static int fire_next_(cb_clock_t *clock, int64_t limit_us)
+{
+	cb_timer_t *timer = first_armed_(clock);
+
+	if (!timer || timer->deadline_us > limit_us)
+		return 0;
+	g_sequence_remove(timer->position);
+	timer->position = NULL;
+	timer->fn(timer->user_data);
+	return 1;
+}
+
+static int64_t running_now_us_(const cb_clock_t *clock)
+{
+	(void)clock;
+	return g_get_monotonic_time();
+}
+
+static int64_t running_wall_ms_(const cb_clock_t *clock)
+{
+	(void)clock;
+	return g_get_real_time() / US_PER_MS;
+}
+
+static void running_deadline_changed_(cb_clock_t *clock)
+{
+	cb_timer_t *timer = first_armed_(clock);
+
+	g_source_set_ready_time(clock->source, timer ? timer->deadline_us : -1);
+}
+
+/* Fires what is due; timers armed meanwhile wait for the next dispatch. */
+static gboolean clock_dispatch_(GSource *source, GSourceFunc fn, void *data)
+{
+	cb_clock_t *clock = ((clock_source_t *)source)->clock;
+	int64_t now_us = g_get_monotonic_time();
+
+	(void)fn;
+	(void)data;
+	while (fire_next_(clock, now_us))
+		;
+	running_deadline_changed_(clock);
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs clock_source_funcs = { .dispatch = clock_dispatch_ };
+
+static int64_t paused_now_us_(const cb_clock_t *clock)
+{
+	return clock->paused_now_us;
+}
+
+static int64_t paused_wall_ms_(const cb_clock_t *clock)
+{
+	return clock->paused_now_us / US_PER_MS;
+}
+
+static void paused_deadline_changed_(cb_clock_t *clock)
+{
+	(void)clock;
+}
+
+static const cb_clock_vtable_t running_vtable = {
+	.now_us = running_now_us_,
+	.wall_ms = running_wall_ms_,
+	.deadline_changed = running_deadline_changed_,
+};
+
+static const cb_clock_vtable_t paused_vtable = {
+	.now_us = paused_now_us_,
+	.wall_ms = paused_wall_ms_,
+	.deadline_changed = paused_deadline_changed_,
+};
+
+static cb_clock_t *clock_new_(const cb_clock_vtable_t *vtable)
+{
+	cb_clock_t *clock = g_new0(cb_clock_t, 1);
+
+	clock->vtable = vtable;
+	clock->armed = g_sequence_new(NULL);
+	return clock;
+}
+
+/*
+ * Makes a clock that follows the machine's monotonic time and fires its
+ * timers from `context`; NULL means the default context.
+ */
+cb_clock_t *cb_clock_new(GMainContext *context)
+{
+	cb_clock_t *clock = clock_new_(&running_vtable);
+
+	clock->source =
+		g_source_new(&clock_source_funcs, sizeof(clock_source_t));
+	((clock_source_t *)clock->source)->clock = clock;
+	g_source_set_name(clock->source, "cb-clock");
+	g_source_set_ready_time(clock->source, -1);
+	g_source_attach(clock->source, context);
+	return clock;
+}
+
+/*
+ * Makes a clock that stands at `start_ms` until cb_clock_advance() moves it.
+ */
+cb_clock_t *cb_clock_new_paused(int64_t start_ms)
+{
+	cb_clock_t *clock = clock_new_(&paused_vtable);
+
+	clock->paused_now_us = start_ms * US_PER_MS;
+	return clock;
+}
+
+/* Deletes a clock.  All its timers must have been deleted before. */
+void cb_clock_delete(cb_clock_t *clock)
+{
+	if (!clock)
+		return;
+	if (clock->source) {
+		g_source_destroy(clock->source);
+		g_source_unref(clock->source);
+	}
+	g_sequence_free(clock->armed);
+	g_free(clock);
+}
+
+/* Returns monotonic time in microseconds; its origin has no meaning. */
+int64_t cb_clock_now_us(const cb_clock_t *clock)
+{
+	return clock->vtable->now_us(clock);
+}
+
+/* Returns monotonic time in milliseconds; its origin has no meaning. */
+int64_t cb_clock_now_ms(const cb_clock_t *clock)
+{
+	return clock->vtable->now_us(clock) / US_PER_MS;
+}
+
+/* Returns milliseconds since 1970, for records that people read. */
+int64_t cb_clock_wall_ms(const cb_clock_t *clock)
+{
+	return clock->vtable->wall_ms(clock);
+}
+
+/*
+ * Moves a paused clock on by `delta_ms` (0 or more) and fires each timer
+ * that falls due at its own time, in order.
+ */
+void cb_clock_advance(cb_clock_t *clock, int64_t delta_ms)
+{
+	int64_t end_us = clock->paused_now_us + delta_ms * US_PER_MS;
+	cb_timer_t *timer;
+
+	g_assert(clock->vtable == &paused_vtable && delta_ms >= 0);
+	while ((timer = first_armed_(clock)) && timer->deadline_us <= end_us) {
+		if (timer->deadline_us > clock->paused_now_us)
+			clock->paused_now_us = timer->deadline_us;
+		fire_next_(clock, clock->paused_now_us);
+	}
+	clock->paused_now_us = end_us;
+}
+
+/* Returns when the next timer fires, in clock milliseconds, or -1. */
+int64_t cb_clock_next_deadline_ms(const cb_clock_t *clock)
+{
+	cb_timer_t *timer = first_armed_(clock);
+
+	if (!timer)
+		return -1;
+	return (timer->deadline_us + US_PER_MS - 1) / US_PER_MS;
+}
+
+/* Makes a stopped timer that calls `fn` with `user_data` when it fires. */
+cb_timer_t *cb_timer_new(cb_clock_t *clock, cb_timer_fn_t fn, void *user_data)
+{
+	cb_timer_t *timer = g_new0(cb_timer_t, 1);
+
+	timer->clock = clock;
+	timer->fn = fn;
+	timer->user_data = user_data;
+	return timer;
+}
+
+/* Stops and deletes a timer; NULL is allowed. */
+void cb_timer_delete(cb_timer_t *timer)
+{
+	if (!timer)
+		return;
+	cb_timer_stop(timer);
+	g_free(timer);
+}
+
+/*
+ * Arms a timer to fire once after `delay_ms` (negative counts as 0).  An
+ * armed timer is armed anew.
+ */
+void cb_timer_start(cb_timer_t *timer, int64_t delay_ms)
+{
+	cb_clock_t *clock = timer->clock;
+
+	if (timer->position)
+		g_sequence_remove(timer->position);
+	timer->deadline_us =
+		cb_clock_now_us(clock) + MAX(delay_ms, 0) * US_PER_MS;
+	timer->sequence = clock->next_sequence++;
+	timer->position = g_sequence_insert_sorted(clock->armed, timer,
+						   timer_compare_, NULL);
+	clock->vtable->deadline_changed(clock);
+}
+
+/* Disarms a timer; one that is not armed is left as it is. */
+void cb_timer_stop(cb_timer_t *timer)
+{
+	if (!timer->position)
+		return;
+	g_sequence_remove(timer->position);
+	timer->position = NULL;
+	timer->clock->vtable->deadline_changed(timer->clock);
+}
+
+/* Tells whether a timer is armed. */
+int cb_timer_is_armed(const cb_timer_t *timer)
+{
+	return timer->position != NULL;
+}
--- /dev/null
+++ b/src/test_libcurrantbridge/test_kernel.c
@@ -0,0 +1,271 @@
+#include "support_main.h"
+
+#include <string.h>
+
+#include "currantbridge/clock.h"
+#include "currantbridge/counters.h"
+#include "currantbridge/kernel.h"
+#include "currantbridge/settings.h"
+
+typedef struct fired {
+	cb_clock_t *clock;
+	GString *order;
+	cb_timer_t *timer;
+	char name;
+} fired_t;
+
+static void record_(void *user_data)
+{
+	fired_t *fired = user_data;
+
+	g_string_append_printf(fired->order, "%c%" G_GINT64_FORMAT " ",
+			       fired->name, cb_clock_now_ms(fired->clock));
+}
+
+/* Timers fire in order of deadline, each at its own time. */
+static void timers_fire_in_order(void)
+{
+	cb_clock_t *clock = cb_clock_new_paused(100);
+	GString *order = g_string_new(NULL);
+	fired_t fired[3];
+	const int64_t delay_ms[] = { 30, 10, 10 };
+	int i;
+
+	for (i = 0; i < 3; i++) {
+		fired[i] = (fired_t){ clock, order, NULL, (char)('a' + i) };
+		fired[i].timer = cb_timer_new(clock, record_, &fired[i]);
+		cb_timer_start(fired[i].timer, delay_ms[i]);
+	}
+	cb_clock_advance(clock, 9);
+	CU_ASSERT_STRING_EQUAL(order->str, "");
+	CU_ASSERT_EQUAL(cb_clock_next_deadline_ms(clock), 110);
+	cb_clock_advance(clock, 21);
+	CU_ASSERT_STRING_EQUAL(order->str, "b110 c110 a130 ");
+	CU_ASSERT_EQUAL(cb_clock_next_deadline_ms(clock), -1);
+	for (i = 0; i < 3; i++)
+		cb_timer_delete(fired[i].timer);
+	g_string_free(order, TRUE);
+	cb_clock_delete(clock);
+}
+
+static void stopped_timer_does_not_fire(void)
+{
+	cb_clock_t *clock = cb_clock_new_paused(0);
+	GString *order = g_string_new(NULL);
+	fired_t fired = { clock, order, NULL, 'a' };
+
+	fired.timer = cb_timer_new(clock, record_, &fired);
+	cb_timer_start(fired.timer, 5);
+	cb_timer_stop(fired.timer);
+	cb_clock_advance(clock, 10);
+	CU_ASSERT_STRING_EQUAL(order->str, "");
+	cb_timer_start(fired.timer, 5);
+	cb_timer_start(fired.timer, 7);
+	cb_clock_advance(clock, 10);
+	CU_ASSERT_STRING_EQUAL(order->str, "a17 ");
+	cb_timer_delete(fired.timer);
+	g_string_free(order, TRUE);
+	cb_clock_delete(clock);
+}
+
+static void counters_render_by_name(void)
+{
+	cb_counters_t *counters = cb_counters_new();
+	char *text;
+
+	cb_counter_add(cb_counters_counter(counters, "b", "r", "x"), 2);
+	cb_counter_add(cb_counters_counter(counters, "b", "r", "w"), 1);
+	cb_counter_set(cb_counters_gauge(counters, "a", NULL, NULL), 7);
+	cb_counter_add(cb_counters_counter(counters, "b", "r", "x"), 3);
+	text = cb_counters_render(counters);
+	CU_ASSERT_STRING_EQUAL(text, "# TYPE a gauge\na 7\n# TYPE b counter\n"
+				     "b{r=\"w\"} 1\nb{r=\"x\"} 5\n");
+	g_free(text);
+	cb_counters_delete(counters);
+}
+
+typedef struct example {
+	char *listen;
+	char **peers;
+	int64_t limit;
+	gboolean is_on;
+	char *level;
+} example_t;
+
+static const char *const level_words[] = { "low", "high", NULL };
+
+static const cb_setting_t example_table[] = {
+	{ "listen", CB_SETTING_ADDRESS, offsetof(example_t, listen), TRUE, 0, 0,
+	  NULL, NULL },
+	{ "peers", CB_SETTING_ADDRESSES, offsetof(example_t, peers), FALSE, 0,
+	  0, NULL, NULL },
+	{ "limit", CB_SETTING_INTEGER, offsetof(example_t, limit), FALSE, 1, 9,
+	  "3", NULL },
+	{ "is_on", CB_SETTING_BOOLEAN, offsetof(example_t, is_on), FALSE, 0, 0,
+	  "true", NULL },
+	{ "level", CB_SETTING_STRING, offsetof(example_t, level), FALSE, 0, 0,
+	  "low", level_words },
+};
+
+/* Each bad text gives an error that names the field and the reason. */
+static void settings_name_field_and_reason(void)
+{
+	static const struct {
+		const char *text;
+		const char *error;
+	} cases[] = {
+		{ "{\"listen\":\"127.0.0.1:1\"}", "" },
+		{ "{\"listen\":\"[::1]:80\",\"limit\":9}", "" },
+		{ "{}", "settings: listen: is required" },
+		{ "{\"listen\":\"host:80\"}",
+		  "settings: listen: must be IP:PORT" },
+		{ "{\"listen\":\"127.0.0.1:70000\"}",
+		  "settings: listen: must be IP:PORT" },
+		{ "{\"listen\":5}", "settings: listen: must be a string" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"limit\":10}",
+		  "settings: limit: must be from 1 to 9" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"limit\":\"3\"}",
+		  "settings: limit: must be a whole number" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"lmit\":1}",
+		  "settings: lmit: unknown field" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"is_on\":1}",
+		  "settings: is_on: must be true or false" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"peers\":[\"x\"]}",
+		  "settings: peers: each must be IP:PORT" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"level\":\"mid\"}",
+		  "settings: level: must be one of low, high" },
+		{ "[]", "settings: must be one JSON object" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		example_t example = { 0 };
+		GError *error = NULL;
+
+		cb_settings_parse(cases[i].text, example_table,
+				  G_N_ELEMENTS(example_table), &example,
+				  &error);
+		CU_ASSERT_STRING_EQUAL(error ? error->message : "",
+				       cases[i].error);
+		g_clear_error(&error);
+		cb_settings_clear(example_table, G_N_ELEMENTS(example_table),
+				  &example);
+	}
+}
+
+static void log_writes_both_formats(void)
+{
+	static const struct {
+		cb_log_format_t format;
+		const char *line;
+	} cases[] = {
+		{ CB_LOG_FORMAT_TEXT,
+		  "1970-01-01T00:00:01.005Z info 104 HTTP_LISTENING: the HTTP "
+		  "server accepts connections address=\"a\\\"b\" port=5\n" },
+		{ CB_LOG_FORMAT_JSON,
+		  "{\"time\":\"1970-01-01T00:00:01.005Z\",\"level\":\"info\","
+		  "\"event\":104,\"name\":\"HTTP_LISTENING\",\"message\":"
+		  "\"the HTTP server accepts connections\","
+		  "\"address\":\"a\\\"b\",\"port\":5}\n" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_clock_t *clock = cb_clock_new_paused(1005);
+		char text[512] = { 0 };
+		FILE *stream = fmemopen(text, sizeof(text), "w");
+		cb_log_t *log = cb_log_new(clock, stream, cases[i].format,
+					   CB_LOG_LEVEL_INFO);
+
+		cb_log_event(log, CB_EVENT_HTTP_LISTENING,
+			     CB_STR("address", "a\"b"), CB_INT("port", 5));
+		fclose(stream);
+		CU_ASSERT_STRING_EQUAL(text, cases[i].line);
+		cb_log_delete(log);
+		cb_clock_delete(clock);
+	}
+}
+
+typedef struct fake_service {
+	cb_service_t service;
+	GString *calls;
+	char name;
+} fake_service_t;
+
+static gboolean fake_start_(cb_service_t *service, GError **error)
+{
+	fake_service_t *fake = (fake_service_t *)service;
+
+	(void)error;
+	g_string_append_printf(fake->calls, "+%c", fake->name);
+	return TRUE;
+}
+
+static void fake_drain_(cb_service_t *service)
+{
+	fake_service_t *fake = (fake_service_t *)service;
+
+	g_string_append_printf(fake->calls, "-%c", fake->name);
+}
+
+static void fake_destroy_(cb_service_t *service)
+{
+	g_free(service);
+}
+
+static const cb_service_vtable_t fake_vtable = { fake_start_, fake_drain_,
+						 fake_destroy_ };
+
+static fake_service_t *fake_service_new_(GString *calls, char name)
+{
+	fake_service_t *fake = g_new0(fake_service_t, 1);
+
+	fake->service.vtable = &fake_vtable;
+	fake->calls = calls;
+	fake->name = name;
+	return fake;
+}
+
+/* A service drains only after all that were registered behind it. */
+static void kernel_drains_in_reverse(void)
+{
+	GString *calls = g_string_new(NULL);
+	cb_clock_t *clock = cb_clock_new_paused(0);
+	cb_kernel_t *kernel = cb_kernel_new(NULL, clock, NULL);
+	fake_service_t *a = fake_service_new_(calls, 'a');
+	fake_service_t *b = fake_service_new_(calls, 'b');
+
+	cb_kernel_register(kernel, "a", &a->service);
+	cb_kernel_register(kernel, "b", &b->service);
+	CU_ASSERT_PTR_EQUAL(cb_kernel_find(kernel, "b"), &b->service);
+	CU_ASSERT_PTR_NULL(cb_kernel_find(kernel, "c"));
+	CU_ASSERT_TRUE(cb_kernel_start(kernel, NULL));
+	cb_kernel_drain(kernel);
+	CU_ASSERT_STRING_EQUAL(calls->str, "+a+b-b");
+	CU_ASSERT_FALSE(cb_kernel_is_drained(kernel));
+	cb_kernel_drained(kernel, &b->service);
+	CU_ASSERT_STRING_EQUAL(calls->str, "+a+b-b-a");
+	cb_kernel_drained(kernel, &a->service);
+	CU_ASSERT_TRUE(cb_kernel_is_drained(kernel));
+	cb_kernel_delete(kernel);
+	cb_clock_delete(clock);
+	g_string_free(calls, TRUE);
+}
+
+static CU_TestInfo kernel_tests[] = {
+	{ "timers_fire_in_order", timers_fire_in_order },
+	{ "stopped_timer_does_not_fire", stopped_timer_does_not_fire },
+	{ "counters_render_by_name", counters_render_by_name },
+	{ "settings_name_field_and_reason", settings_name_field_and_reason },
+	{ "log_writes_both_formats", log_writes_both_formats },
+	{ "kernel_drains_in_reverse", kernel_drains_in_reverse },
+	CU_TEST_INFO_NULL
+};
+
+int main(void)
+{
+	CU_SuiteInfo suites[] = { { .pName = "kernel", .pTests = kernel_tests },
+				  CU_SUITE_INFO_NULL };
+
+	return support_run(suites);
+}
