--- /dev/null
+++ b/include/currantbridge/call.h
@@ -0,0 +1,90 @@
+#ifndef CURRANTBRIDGE_CALL_H
+#define CURRANTBRIDGE_CALL_H
+
+#include "currantbridge/command.h"
+#include "currantbridge/http_server.h"
+#include "currantbridge/refusal.h"
+#include "currantbridge/service_client.h"
+
+/*
+ * One call of a plain service.  A non-idempotent call is claimed with
+ * control before its first byte leaves, and its end recorded after.
+ */
+typedef struct cb_call cb_call_t;
+typedef struct cb_call_env cb_call_env_t;
+
+typedef enum cb_ledger_outcome {
+	CB_LEDGER_ANSWERED,
+	CB_LEDGER_UNAVAILABLE, /* surely not recorded */
+	CB_LEDGER_UNKNOWN,
+	CB_LEDGER_OUTCOME_COUNT
+} cb_ledger_outcome_t;
+
+/* Where claims are recorded: the control quorum, or a fake in tests. */
+typedef struct cb_ledger cb_ledger_t;
+
+typedef void (*cb_ledger_fn_t)(cb_ledger_outcome_t outcome,
+			       const cb_answer_t *answer, void *user_data);
+
+typedef struct cb_ledger_vtable {
+	/* Takes `command`, a claim or a claim's end. */
+	void (*submit)(cb_ledger_t *ledger, cb_command_t *command,
+		       int64_t timeout_ms, cb_ledger_fn_t done,
+		       void *user_data);
+} cb_ledger_vtable_t;
+
+struct cb_ledger {
+	const cb_ledger_vtable_t *vtable;
+};
+
+typedef struct cb_call_request {
+	const char *request;
+	const char *workspace;
+	const char *service;
+	gboolean is_idempotent;
+	const char *method;
+	const char *path;
+	const char *content_type;
+	GBytes *body;
+	const char *key;
+	int64_t deadline_ms; /* from now */
+} cb_call_request_t;
+
+typedef struct cb_call_end {
+	cb_refusal_t refusal; /* NONE: `answer` is the service's */
+	cb_executed_t executed;
+	int64_t retry_after_s;
+	gboolean is_replayed;
+	const cb_service_answer_t *answer;
+} cb_call_end_t;
+
+/* Called once, never before cb_call_start() has returned. */
+typedef void (*cb_call_ended_fn_t)(void *user_data, const cb_call_end_t *end);
+
+typedef struct cb_call_parts {
+	cb_clock_t *clock;
+	GRand *random;
+	cb_log_t *log;
+	cb_counters_t *counters;
+	cb_server_registry_t *registry;
+	cb_service_client_t *services;
+	cb_ledger_t *ledger;
+	const char *data_centre;
+	/* This entry instance with its incarnation, the owner of claims. */
+	const char *owner;
+} cb_call_parts_t;
+
+cb_call_env_t *cb_call_env_new(const cb_call_parts_t *parts);
+void cb_call_env_delete(cb_call_env_t *env);
+
+cb_call_t *cb_call_new(cb_call_env_t *env, const cb_call_request_t *request,
+		       cb_call_ended_fn_t ended, void *user_data);
+void cb_call_start(cb_call_t *call);
+/*
+ * The caller has gone.  An idempotent call is dropped; a claimed one runs
+ * on to its recorded end, then frees itself.
+ */
+void cb_call_abandon(cb_call_t *call);
+void cb_call_delete(cb_call_t *call);
+
+#endif
--- /dev/null
+++ b/include/currantbridge/contract.h
@@ -0,0 +1,46 @@
+#ifndef CURRANTBRIDGE_CONTRACT_H
+#define CURRANTBRIDGE_CONTRACT_H
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+#include <stdint.h>
+
+/*
+ * What the operators promise a workspace.  Every limit that its callers
+ * meet follows from its contract alone.
+ */
+typedef struct cb_contract_service {
+	char *name;
+	gboolean is_idempotent;
+} cb_contract_service_t;
+
+typedef struct cb_contract {
+	char *workspace;
+	char **keys;
+	char **models;
+	cb_contract_service_t *services;
+	size_t service_count;
+	int64_t guaranteed_tokens_per_s;
+	int64_t ceiling_tokens_per_s;
+	int64_t guaranteed_requests_per_s;
+	int64_t ceiling_requests_per_s;
+	int64_t concurrent_requests;
+	int64_t priority;
+	int64_t deadline_ms;
+	/* The revision that put it, and its canonical JSON text. */
+	uint64_t revision;
+	char *text;
+} cb_contract_t;
+
+#define CB_CONTRACT_ERROR cb_contract_error_quark()
+GQuark cb_contract_error_quark(void);
+
+/* The error's message is `contract: FIELD: REASON`. */
+cb_contract_t *cb_contract_parse(const char *text, GError **error);
+void cb_contract_delete(cb_contract_t *contract);
+gboolean cb_contract_has_model(const cb_contract_t *contract,
+			       const char *model);
+const cb_contract_service_t *cb_contract_find_service(
+	const cb_contract_t *contract, const char *name);
+
+#endif
--- /dev/null
+++ b/include/currantbridge/control_client.h
@@ -0,0 +1,65 @@
+#ifndef CURRANTBRIDGE_CONTROL_CLIENT_H
+#define CURRANTBRIDGE_CONTROL_CLIENT_H
+
+#include "currantbridge/command.h"
+#include "currantbridge/kernel.h"
+#include "currantbridge/view.h"
+
+/*
+ * An entry instance's session with control: keeps the view up to date,
+ * announces this instance, and carries claims.  It moves to another control
+ * instance when the present one is silent or not current.  A service of the
+ * kernel, named "control".
+ */
+typedef struct cb_control_client cb_control_client_t;
+
+typedef struct cb_control_client_options {
+	const char *const *control_addresses;
+	const char *name;
+	const char *address;
+	const char *data_centre;
+	uint64_t incarnation;
+	int64_t heartbeat_ms;
+	int64_t silence_ms;
+} cb_control_client_options_t;
+
+typedef enum cb_control_outcome {
+	CB_CONTROL_ANSWERED,
+	/* Surely not accepted: no session, or control has no leader. */
+	CB_CONTROL_UNAVAILABLE,
+	/* May have been accepted; repeat it under the same change ID. */
+	CB_CONTROL_UNKNOWN,
+	CB_CONTROL_OUTCOME_COUNT
+} cb_control_outcome_t;
+
+extern const char *const cb_control_outcome_string[CB_CONTROL_OUTCOME_COUNT];
+
+typedef void (*cb_control_done_fn_t)(cb_control_outcome_t outcome,
+				     const cb_answer_t *answer,
+				     void *user_data);
+
+cb_control_client_t *cb_control_client_new(
+	cb_kernel_t *kernel, cb_view_t *view,
+	const cb_control_client_options_t *options);
+
+/*
+ * Whether the view was once confirmed by a quorum since this process began:
+ * before that, nothing may be admitted.
+ */
+gboolean cb_control_client_is_confirmed(const cb_control_client_t *client);
+/* Milliseconds since control was last known to be current; -1: never. */
+int64_t cb_control_client_silence_ms(const cb_control_client_t *client);
+
+/*
+ * Submits a command (a claim, its end, a quarantine, this instance's
+ * state), resending it under its change ID to other control instances until
+ * answered or `timeout_ms` has passed.  Takes `command`; `done` is called
+ * exactly once, never before this returns.
+ */
+void cb_control_client_submit(cb_control_client_t *client,
+			      cb_command_t *command, int64_t timeout_ms,
+			      cb_control_done_fn_t done, void *user_data);
+/* Tells control that this instance leaves: no address answer names it. */
+void cb_control_client_leave(cb_control_client_t *client);
+
+#endif
--- /dev/null
+++ b/include/currantbridge/service_client.h
@@ -0,0 +1,67 @@
+#ifndef CURRANTBRIDGE_SERVICE_CLIENT_H
+#define CURRANTBRIDGE_SERVICE_CLIENT_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "currantbridge/engine_client.h"
+
+/* How calls reach a plain service; bound to HTTP or, in tests, to fakes. */
+typedef struct cb_service_client cb_service_client_t;
+
+typedef struct cb_service_request {
+	const char *request; /* the request ID */
+	const char *method;
+	const char *path; /* with query, as the service sees it */
+	const char *content_type;
+	GBytes *body;
+	const char *key;  /* idempotency key, or NULL */
+	uint64_t fencing; /* 0: none */
+} cb_service_request_t;
+
+typedef struct cb_service_answer {
+	uint32_t status;
+	char *content_type;
+	GBytes *body;
+} cb_service_answer_t;
+
+typedef struct cb_service_listener {
+	/*
+	 * Called once.  `answer` is set if `failure` is NONE; a listener that
+	 * keeps it copies it.
+	 */
+	void (*done)(void *user_data, cb_failure_t failure,
+		     const cb_service_answer_t *answer);
+	void *user_data;
+} cb_service_listener_t;
+
+typedef enum cb_fence_result {
+	CB_FENCE_NOT_EXECUTED, /* and older fencing numbers are now refused */
+	CB_FENCE_EXECUTED,
+	CB_FENCE_UNKNOWN, /* no answer, or the server checks no fencing */
+	CB_FENCE_RESULT_COUNT
+} cb_fence_result_t;
+
+typedef struct cb_fence_listener {
+	void (*done)(void *user_data, cb_fence_result_t result,
+		     const cb_service_answer_t *answer);
+	void *user_data;
+} cb_fence_listener_t;
+
+typedef struct cb_service_client_vtable {
+	cb_exchange_t *(*send)(cb_service_client_t *client, cb_server_t *server,
+			       const cb_service_request_t *request,
+			       const cb_service_listener_t *listener);
+	/* Asks a server that checks fencing whether it ran a key. */
+	cb_exchange_t *(*fence)(cb_service_client_t *client,
+				cb_server_t *server, const char *key,
+				uint64_t fencing,
+				const cb_fence_listener_t *listener);
+	void (*cancel)(cb_service_client_t *client, cb_exchange_t *exchange);
+} cb_service_client_vtable_t;
+
+struct cb_service_client {
+	const cb_service_client_vtable_t *vtable;
+};
+
+#endif
