--- a/include/currantbridge/replica.h
+++ b/include/currantbridge/replica.h
@@ -39,6 +39,9 @@
 
 extern const char *const cb_replica_outcome_string[CB_REPLICA_OUTCOME_COUNT];
 
+/* A longer command is refused as BUSY. */
+#define CB_REPLICA_MAX_COMMAND_BYTES (512 * 1024)
+
 typedef struct cb_replica_member {
 	char *name;
 	char *address; /* "IP:PORT" for messages between members */
@@ -47,7 +50,10 @@
 	char *disk_id;
 } cb_replica_member_t;
 
-/* Sends messages to other members; may lose, delay or reorder them. */
+/*
+ * Sends messages to other members; may lose, delay or reorder them.  The
+ * address is NULL for a sender whose address is not known.
+ */
 typedef struct cb_transport cb_transport_t;
 
 typedef struct cb_transport_vtable {
--- a/include/currantbridge/storage.h
+++ b/include/currantbridge/storage.h
@@ -5,12 +5,23 @@
 #include <stdint.h>
 
 /*
- * Where a replica keeps its term, vote, log and snapshot.  What `save` and
- * `append` were given is durable when their completion is called; a write
- * that fails reports the error and nothing after it completes.
+ * Where a replica keeps its term, vote, log and snapshot.  Calls complete in
+ * the order in which they were made; what a call was given is durable when
+ * it completes.  Once a write has failed, that call and all after it
+ * complete with the error.  Calls that wait when a storage is destroyed
+ * complete with the error G_IO_ERROR_CANCELLED.
  */
 typedef struct cb_storage cb_storage_t;
 
+#define CB_STORAGE_ERROR (cb_storage_error_quark())
+GQuark cb_storage_error_quark(void);
+
+typedef enum cb_storage_error {
+	CB_STORAGE_ERROR_IO,
+	CB_STORAGE_ERROR_CORRUPT,
+	CB_STORAGE_ERROR_LOCKED, /* another process uses the folder */
+} cb_storage_error_t;
+
 typedef struct cb_record {
 	uint64_t index;
 	uint64_t term;
@@ -64,5 +75,7 @@
 };
 
 cb_storage_t *cb_file_storage_new(const char *folder);
+void cb_storage_delete(cb_storage_t *storage);
+void cb_storage_content_clear(cb_storage_content_t *content);
 
 #endif
--- /dev/null
+++ b/src/libcurrantbridge/control/file_folder.c
@@ -0,0 +1,521 @@
+#include "private/file_folder.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include "private/file_format.h"
+#include "private/replica_message.h"
+
+#define FILE_MODE 0640
+#define FOLDER_MODE 0750
+
+struct cb_file_folder {
+	char *path;
+	char *log_path;
+	char *log_new_path;
+	char *snapshot_path;
+	char *snapshot_new_path;
+	char *lock_path;
+	int lock_fd;
+	int log_fd;
+	uint64_t log_size;
+	GByteArray *pending;
+	uint64_t syncs;
+	/* What the log holds, to write it anew after a snapshot. */
+	cb_vote_t vote;
+	gboolean has_vote;
+	uint64_t snapshot_index;
+	uint64_t snapshot_term;
+	GPtrArray *records;
+};
+
+static gboolean io_failed_(GError **error, const char *path, const char *action)
+{
+	int code = errno;
+
+	g_set_error(error, CB_STORAGE_ERROR, CB_STORAGE_ERROR_IO,
+		    "%s: %s failed: %s", path, action, g_strerror(code));
+	return FALSE;
+}
+
+/* Names the folder at `path`; nothing is touched before it is loaded. */
+cb_file_folder_t *cb_file_folder_new(const char *path)
+{
+	cb_file_folder_t *folder = g_new0(cb_file_folder_t, 1);
+
+	folder->path = g_strdup(path);
+	folder->log_path = g_build_filename(path, "log", NULL);
+	folder->log_new_path = g_build_filename(path, "log.new", NULL);
+	folder->snapshot_path = g_build_filename(path, "snapshot", NULL);
+	folder->snapshot_new_path =
+		g_build_filename(path, "snapshot.new", NULL);
+	folder->lock_path = g_build_filename(path, "lock", NULL);
+	folder->lock_fd = -1;
+	folder->log_fd = -1;
+	folder->pending = g_byte_array_new();
+	folder->records = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)cb_record_delete);
+	return folder;
+}
+
+/* Closes the files; NULL is allowed. */
+void cb_file_folder_delete(cb_file_folder_t *folder)
+{
+	if (!folder)
+		return;
+	if (folder->log_fd >= 0)
+		close(folder->log_fd);
+	if (folder->lock_fd >= 0)
+		close(folder->lock_fd);
+	g_byte_array_unref(folder->pending);
+	g_ptr_array_unref(folder->records);
+	g_free(folder->vote.voted_for);
+	g_free(folder->vote.disk_id);
+	g_free(folder->path);
+	g_free(folder->log_path);
+	g_free(folder->log_new_path);
+	g_free(folder->snapshot_path);
+	g_free(folder->snapshot_new_path);
+	g_free(folder->lock_path);
+	g_free(folder);
+}
+
+static gboolean write_all_(int fd, const char *path, const void *data,
+			   size_t size, GError **error)
+{
+	const char *next = data;
+
+	while (size) {
+		ssize_t written = write(fd, next, size);
+
+		if (written < 0 && errno == EINTR)
+			continue;
+		if (written < 0)
+			return io_failed_(error, path, "writing");
+		next += written;
+		size -= written;
+	}
+	return TRUE;
+}
+
+static gboolean sync_file_(cb_file_folder_t *folder, int fd, const char *path,
+			   GError **error)
+{
+	folder->syncs++;
+	if (fdatasync(fd) < 0)
+		return io_failed_(error, path, "fsync");
+	return TRUE;
+}
+
+/* Makes renamed and created files durable under their names. */
+static gboolean sync_folder_(cb_file_folder_t *folder, GError **error)
+{
+	int fd = open(folder->path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	gboolean is_synced;
+
+	if (fd < 0)
+		return io_failed_(error, folder->path, "opening");
+	folder->syncs++;
+	is_synced = fsync(fd) == 0;
+	if (!is_synced)
+		io_failed_(error, folder->path, "fsync");
+	close(fd);
+	return is_synced;
+}
+
+/* Writes a file under `new_path`, then puts it in the place of `path`. */
+static gboolean replace_file_(cb_file_folder_t *folder, const char *new_path,
+			      const char *path, const void *data, size_t size,
+			      GError **error)
+{
+	int fd = open(new_path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+		      FILE_MODE);
+	gboolean is_written;
+
+	if (fd < 0)
+		return io_failed_(error, new_path, "opening");
+	is_written = write_all_(fd, new_path, data, size, error) &&
+		     sync_file_(folder, fd, new_path, error);
+	close(fd);
+	if (!is_written)
+		return FALSE;
+	if (rename(new_path, path) < 0)
+		return io_failed_(error, path, "renaming");
+	return sync_folder_(folder, error);
+}
+
+static gboolean lock_(cb_file_folder_t *folder, GError **error)
+{
+	if (g_mkdir_with_parents(folder->path, FOLDER_MODE) < 0)
+		return io_failed_(error, folder->path, "creating");
+	folder->lock_fd = open(folder->lock_path, O_RDWR | O_CREAT | O_CLOEXEC,
+			       FILE_MODE);
+	if (folder->lock_fd < 0)
+		return io_failed_(error, folder->lock_path, "opening");
+	if (flock(folder->lock_fd, LOCK_EX | LOCK_NB) < 0) {
+		g_set_error(error, CB_STORAGE_ERROR, CB_STORAGE_ERROR_LOCKED,
+			    "%s: another process uses this folder",
+			    folder->path);
+		return FALSE;
+	}
+	return TRUE;
+}
+
+/* Reads a file that may be absent: `data` is then NULL. */
+static gboolean file_read_(const char *path, char **data, size_t *size,
+			   GError **error)
+{
+	GError *unreadable = NULL;
+
+	*data = NULL;
+	*size = 0;
+	if (g_file_get_contents(path, data, size, &unreadable))
+		return TRUE;
+	if (g_error_matches(unreadable, G_FILE_ERROR, G_FILE_ERROR_NOENT)) {
+		g_error_free(unreadable);
+		return TRUE;
+	}
+	g_set_error(error, CB_STORAGE_ERROR, CB_STORAGE_ERROR_IO, "%s",
+		    unreadable->message);
+	g_error_free(unreadable);
+	return FALSE;
+}
+
+static void vote_set_(cb_file_folder_t *folder, uint64_t term,
+		      const char *voted_for, const char *disk_id)
+{
+	char *former_vote = folder->vote.voted_for;
+	char *former_disk = folder->vote.disk_id;
+
+	folder->has_vote = TRUE;
+	folder->vote.term = term;
+	folder->vote.voted_for = g_strdup(voted_for ? voted_for : "");
+	folder->vote.disk_id = g_strdup(disk_id ? disk_id : "");
+	g_free(former_vote);
+	g_free(former_disk);
+}
+
+/* Reads "DISK_ID\0VOTED_FOR\0". */
+static gboolean vote_read_(cb_file_folder_t *folder,
+			   const cb_file_record_t *record)
+{
+	const char *end = record->data + record->size;
+	const char *disk_end = memchr(record->data, '\0', record->size);
+
+	if (!disk_end || disk_end + 1 >= end || end[-1])
+		return FALSE;
+	vote_set_(folder, record->term, disk_end + 1, record->data);
+	return TRUE;
+}
+
+static uint64_t last_index_(const cb_file_folder_t *folder)
+{
+	const cb_record_t *last;
+
+	if (!folder->records->len)
+		return 0;
+	last = folder->records->pdata[folder->records->len - 1];
+	return last->index;
+}
+
+/* Puts a record in place of those at or after its index. */
+static void record_put_(cb_file_folder_t *folder, cb_record_t *record)
+{
+	GPtrArray *records = folder->records;
+	const cb_record_t *first = records->len ? records->pdata[0] : NULL;
+
+	if (first && record->index <= last_index_(folder))
+		g_ptr_array_set_size(records,
+				     record->index <= first->index ?
+					     0 :
+					     record->index - first->index);
+	g_ptr_array_add(records, record);
+}
+
+static gboolean record_take_(const cb_file_record_t *record,
+			     const char **reason, void *user_data)
+{
+	cb_file_folder_t *folder = user_data;
+	GBytes *data;
+
+	if (record->kind == CB_FILE_KIND_VOTE) {
+		*reason = "the vote is malformed";
+		return vote_read_(folder, record);
+	}
+	*reason = "a record is missing before this one";
+	if (folder->records->len && record->index > last_index_(folder) + 1)
+		return FALSE;
+	data = g_bytes_new(record->data, record->size);
+	record_put_(folder, cb_record_new(record->index, record->term,
+					  record->kind, data));
+	g_bytes_unref(data);
+	return TRUE;
+}
+
+/*
+ * Drops the records that the snapshot covers, and all of them when they do
+ * not agree with it.
+ */
+static void records_cover_(cb_file_folder_t *folder)
+{
+	GPtrArray *records = folder->records;
+	const cb_record_t *first = records->len ? records->pdata[0] : NULL;
+	const cb_record_t *at;
+	uint64_t count;
+
+	if (!first || first->index > folder->snapshot_index)
+		return;
+	count = folder->snapshot_index - first->index + 1;
+	if (count > records->len) {
+		g_ptr_array_set_size(records, 0);
+		return;
+	}
+	at = records->pdata[count - 1];
+	if (at->term != folder->snapshot_term)
+		count = records->len;
+	g_ptr_array_remove_range(records, 0, count);
+}
+
+static gboolean snapshot_load_(cb_file_folder_t *folder,
+			       cb_storage_content_t *content, GError **error)
+{
+	gboolean is_read = TRUE;
+	size_t size;
+	char *data;
+
+	if (!file_read_(folder->snapshot_path, &data, &size, error))
+		return FALSE;
+	if (data)
+		is_read = cb_file_snapshot_decode(folder->snapshot_path, data,
+						  size, &content->snapshot,
+						  error);
+	folder->snapshot_index = content->snapshot.index;
+	folder->snapshot_term = content->snapshot.term;
+	g_free(data);
+	return is_read;
+}
+
+/* Opens the log for appending, without a torn last write. */
+static gboolean log_open_(cb_file_folder_t *folder, size_t size,
+			  size_t good_size, GError **error)
+{
+	folder->log_fd =
+		open(folder->log_path,
+		     O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FILE_MODE);
+	if (folder->log_fd < 0)
+		return io_failed_(error, folder->log_path, "opening");
+	if (good_size < size && ftruncate(folder->log_fd, good_size) < 0)
+		return io_failed_(error, folder->log_path, "truncating");
+	folder->log_size = good_size;
+	if (!good_size) {
+		if (!write_all_(folder->log_fd, folder->log_path, CB_LOG_MAGIC,
+				CB_FILE_MAGIC_BYTES, error))
+			return FALSE;
+		folder->log_size = CB_FILE_MAGIC_BYTES;
+	}
+	return sync_file_(folder, folder->log_fd, folder->log_path, error) &&
+	       sync_folder_(folder, error);
+}
+
+static gboolean log_check_(const cb_file_folder_t *folder, GError **error)
+{
+	const cb_record_t *first =
+		folder->records->len ? folder->records->pdata[0] : NULL;
+
+	if (folder->snapshot_index && !folder->has_vote) {
+		g_set_error(error, CB_STORAGE_ERROR, CB_STORAGE_ERROR_CORRUPT,
+			    "%s: offset 0: a snapshot is there, but the log "
+			    "holds no vote",
+			    folder->log_path);
+		return FALSE;
+	}
+	if (first && first->index != folder->snapshot_index + 1) {
+		g_set_error(
+			error, CB_STORAGE_ERROR, CB_STORAGE_ERROR_CORRUPT,
+			"%s: offset %d: the first record is %" G_GUINT64_FORMAT
+			", but the snapshot ends at %" G_GUINT64_FORMAT,
+			folder->log_path, CB_FILE_MAGIC_BYTES, first->index,
+			folder->snapshot_index);
+		return FALSE;
+	}
+	return TRUE;
+}
+
+static void content_fill_(const cb_file_folder_t *folder,
+			  cb_storage_content_t *content)
+{
+	uint32_t i;
+
+	content->is_blank = !folder->has_vote;
+	content->vote.term = folder->vote.term;
+	content->vote.voted_for = g_strdup(folder->vote.voted_for);
+	content->vote.disk_id = g_strdup(folder->vote.disk_id);
+	content->records = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)cb_record_delete);
+	for (i = 0; i < folder->records->len; i++)
+		g_ptr_array_add(content->records,
+				cb_record_copy(folder->records->pdata[i]));
+}
+
+/*
+ * Locks and reads the folder, which is created if absent, and cuts off a
+ * torn last write.
+ */
+gboolean cb_file_folder_load(cb_file_folder_t *folder,
+			     cb_storage_content_t *content, GError **error)
+{
+	gboolean is_read = FALSE;
+	char *data = NULL;
+	size_t good_size;
+	size_t size;
+
+	if (!lock_(folder, error) || !snapshot_load_(folder, content, error) ||
+	    !file_read_(folder->log_path, &data, &size, error))
+		goto out;
+	if (!cb_file_log_scan(folder->log_path, data, size, record_take_,
+			      folder, &good_size, error))
+		goto out;
+	records_cover_(folder);
+	if (!log_check_(folder, error) ||
+	    !log_open_(folder, size, good_size, error))
+		goto out;
+	content_fill_(folder, content);
+	is_read = TRUE;
+out:
+	g_free(data);
+	if (!is_read)
+		cb_storage_content_clear(content);
+	return is_read;
+}
+
+static void vote_encode_(GByteArray *out, uint64_t batch_offset,
+			 const cb_vote_t *vote)
+{
+	GByteArray *data = g_byte_array_new();
+	cb_file_record_t record = { .kind = CB_FILE_KIND_VOTE,
+				    .term = vote->term };
+	const char *disk_id = vote->disk_id ? vote->disk_id : "";
+	const char *voted_for = vote->voted_for ? vote->voted_for : "";
+
+	g_byte_array_append(data, (const uint8_t *)disk_id,
+			    strlen(disk_id) + 1);
+	g_byte_array_append(data, (const uint8_t *)voted_for,
+			    strlen(voted_for) + 1);
+	record.data = (const char *)data->data;
+	record.size = data->len;
+	cb_file_record_encode(out, batch_offset, &record);
+	g_byte_array_unref(data);
+}
+
+static void record_encode_(GByteArray *out, uint64_t batch_offset,
+			   const cb_record_t *record)
+{
+	size_t size;
+	cb_file_record_t encoded = {
+		.kind = record->kind,
+		.index = record->index,
+		.term = record->term,
+		.data = g_bytes_get_data(record->data, &size),
+	};
+
+	encoded.size = (uint32_t)size;
+	cb_file_record_encode(out, batch_offset, &encoded);
+}
+
+/* Gathers a vote for the next sync. */
+void cb_file_folder_vote(cb_file_folder_t *folder, const cb_vote_t *vote)
+{
+	vote_set_(folder, vote->term, vote->voted_for, vote->disk_id);
+	vote_encode_(folder->pending, folder->log_size, vote);
+}
+
+/* Gathers records for the next sync. */
+void cb_file_folder_append(cb_file_folder_t *folder, const GPtrArray *records)
+{
+	uint32_t i;
+
+	for (i = 0; i < records->len; i++) {
+		record_encode_(folder->pending, folder->log_size,
+			       records->pdata[i]);
+		record_put_(folder, cb_record_copy(records->pdata[i]));
+	}
+}
+
+/* Makes what was gathered durable, by one write and one fsync. */
+gboolean cb_file_folder_sync(cb_file_folder_t *folder, GError **error)
+{
+	GByteArray *pending = folder->pending;
+
+	if (!pending->len)
+		return TRUE;
+	if (!write_all_(folder->log_fd, folder->log_path, pending->data,
+			pending->len, error) ||
+	    !sync_file_(folder, folder->log_fd, folder->log_path, error))
+		return FALSE;
+	folder->log_size += pending->len;
+	g_byte_array_set_size(pending, 0);
+	return TRUE;
+}
+
+/* Writes the log anew, with what the snapshot does not cover. */
+static gboolean log_rewrite_(cb_file_folder_t *folder, GError **error)
+{
+	GByteArray *out = g_byte_array_new();
+	gboolean is_written;
+	uint32_t i;
+
+	g_byte_array_append(out, (const uint8_t *)CB_LOG_MAGIC,
+			    CB_FILE_MAGIC_BYTES);
+	vote_encode_(out, CB_FILE_MAGIC_BYTES, &folder->vote);
+	for (i = 0; i < folder->records->len; i++)
+		record_encode_(out, CB_FILE_MAGIC_BYTES,
+			       folder->records->pdata[i]);
+	is_written =
+		replace_file_(folder, folder->log_new_path, folder->log_path,
+			      out->data, out->len, error);
+	if (is_written) {
+		close(folder->log_fd);
+		folder->log_fd =
+			open(folder->log_path, O_WRONLY | O_APPEND | O_CLOEXEC);
+		folder->log_size = out->len;
+		if (folder->log_fd < 0)
+			is_written =
+				io_failed_(error, folder->log_path, "opening");
+	}
+	g_byte_array_unref(out);
+	return is_written;
+}
+
+/* Replaces the snapshot, then drops the records that it covers. */
+gboolean cb_file_folder_save_snapshot(cb_file_folder_t *folder,
+				      const cb_snapshot_t *snapshot,
+				      GError **error)
+{
+	GBytes *encoded;
+	gboolean is_written;
+
+	if (!cb_file_folder_sync(folder, error))
+		return FALSE;
+	encoded = cb_file_snapshot_encode(snapshot);
+	is_written = replace_file_(folder, folder->snapshot_new_path,
+				   folder->snapshot_path,
+				   g_bytes_get_data(encoded, NULL),
+				   g_bytes_get_size(encoded), error);
+	g_bytes_unref(encoded);
+	if (!is_written)
+		return FALSE;
+	folder->snapshot_index = snapshot->index;
+	folder->snapshot_term = snapshot->term;
+	records_cover_(folder);
+	return log_rewrite_(folder, error);
+}
+
+/* Returns how many fsyncs were made. */
+uint64_t cb_file_folder_syncs(const cb_file_folder_t *folder)
+{
+	return folder->syncs;
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/membership.c
@@ -0,0 +1,383 @@
+#include "private/replica.h"
+
+#include <string.h>
+
+/* How long a member that is to be added may take to tell its disk. */
+#define ADMISSION_TIMEOUTS 10
+/* A learner within this many records of the leader is caught up. */
+#define CAUGHT_UP_RECORDS 64
+/* An old disk silent for this many election timeouts may be replaced. */
+#define REPLACE_AFTER_TIMEOUTS 2
+
+/*
+ * Returns the members as of the record at `through` (which is applied or
+ * later), and the index that set them; the caller unrefs them.
+ */
+GPtrArray *cb_membership_at(const cb_replica_t *replica, uint64_t through,
+			    uint64_t *index)
+{
+	uint64_t i;
+
+	for (i = through; i > replica->snapshot.index; i--) {
+		const cb_record_t *record = cb_replica_log_get(replica->log, i);
+
+		if (record && record->kind == CB_RECORD_MEMBERS) {
+			*index = i;
+			return cb_members_decode(record->data);
+		}
+	}
+	*index = replica->snapshot.index;
+	if (replica->snapshot.members)
+		return cb_members_decode(replica->snapshot.members);
+	return cb_members_new();
+}
+
+/* Takes the newest members of the log, committed or not, as those in force. */
+void cb_membership_adopt(cb_replica_t *replica)
+{
+	GPtrArray *members =
+		cb_membership_at(replica, cb_replica_log_last(replica->log),
+				 &replica->members_index);
+	gboolean was_voter = replica->members && cb_replica_is_voter(replica);
+
+	if (!members)
+		members = cb_members_new();
+	if (replica->members)
+		g_ptr_array_unref(replica->members);
+	replica->members = members;
+	cb_peers_sync(replica);
+	if (cb_replica_leads(replica) ||
+	    was_voter == cb_replica_is_voter(replica))
+		return;
+	if (was_voter) {
+		cb_timer_stop(replica->election_timer);
+		cb_replica_set_role(replica, CB_REPLICA_ROLE_LEARNER);
+	} else {
+		cb_replica_set_role(replica, CB_REPLICA_ROLE_FOLLOWER);
+		cb_election_arm(replica);
+	}
+}
+
+/* Whether the one change of members at a time may begin. */
+static gboolean may_change_(const cb_replica_t *replica)
+{
+	return cb_replica_leads(replica) &&
+	       replica->committed >= replica->members_index &&
+	       replica->committed >= replica->term_start &&
+	       !replica->hand_over_to;
+}
+
+/* Proposes new members; takes them. */
+static uint64_t change_(cb_replica_t *replica, GPtrArray *members)
+{
+	GBytes *data = cb_members_encode(members);
+	uint64_t index = cb_proposal_append(replica, CB_RECORD_MEMBERS, data);
+
+	g_bytes_unref(data);
+	g_ptr_array_unref(members);
+	return index;
+}
+
+/* Admits a disk as a learner, in place of the name's former disk. */
+static uint64_t admit_(cb_replica_t *replica, const char *name,
+		       const char *address, const char *disk_id)
+{
+	GPtrArray *members = cb_members_copy(replica->members);
+
+	cb_members_remove(members, name);
+	cb_members_add(members, name, address, FALSE, disk_id);
+	return change_(replica, members);
+}
+
+/* Promotes one learner that has caught up, if there is one. */
+static void promote_(cb_replica_t *replica)
+{
+	int64_t since_ms =
+		cb_replica_now_ms(replica) - replica->election_timeout_ms;
+	uint32_t i;
+
+	for (i = 0; i < replica->peers->len; i++) {
+		const cb_peer_t *peer = replica->peers->pdata[i];
+		GPtrArray *members;
+
+		if (peer->is_voter || peer->heard_ms < since_ms ||
+		    !peer->match || peer->snapshot ||
+		    peer->match + CAUGHT_UP_RECORDS <
+			    cb_replica_log_last(replica->log) ||
+		    peer->match < replica->members_index)
+			continue;
+		members = cb_members_copy(replica->members);
+		cb_members_find(members, peer->name)->is_voter = TRUE;
+		change_(replica, members);
+		return;
+	}
+}
+
+static void probe_send_(cb_replica_t *replica, const char *name,
+			const char *address)
+{
+	cb_message_t *message = cb_message_new(CB_MESSAGE_PROBE);
+
+	message->term = replica->term;
+	cb_replica_send(replica, name, address, "", message);
+}
+
+/*
+ * Whether this member forms the group at the very first start: the first of
+ * the initial members does, as long as its disk is blank.
+ */
+gboolean cb_membership_forms_group(const cb_replica_t *replica)
+{
+	const cb_replica_member_t *first;
+
+	if (!replica->initial_members->len || replica->members->len ||
+	    cb_replica_log_last(replica->log))
+		return FALSE;
+	first = replica->initial_members->pdata[0];
+	return !strcmp(first->name, replica->name);
+}
+
+/* Writes the first members once every one of them has told its disk. */
+static void form_group_(cb_replica_t *replica)
+{
+	GPtrArray *members = cb_members_new();
+	GBytes *data;
+	uint32_t i;
+
+	for (i = 0; i < replica->initial_members->len; i++) {
+		const cb_replica_member_t *member =
+			replica->initial_members->pdata[i];
+		const char *disk_id =
+			strcmp(member->name, replica->name) ?
+				g_hash_table_lookup(replica->initial_disks,
+						    member->name) :
+				replica->disk_id;
+
+		if (!disk_id) {
+			g_ptr_array_unref(members);
+			return;
+		}
+		cb_members_add(members, member->name, member->address, TRUE,
+			       disk_id);
+	}
+	replica->term = 1;
+	cb_replica_save_vote(replica);
+	data = cb_members_encode(members);
+	cb_replica_log_append(replica->log,
+			      cb_record_new(1, 1, CB_RECORD_MEMBERS, data));
+	g_bytes_unref(data);
+	g_ptr_array_unref(members);
+	cb_replica_store_records(replica);
+	cb_membership_adopt(replica);
+	cb_timer_stop(replica->heartbeat_timer);
+	cb_timer_start(replica->election_timer, 0);
+}
+
+static void form_tick_(cb_replica_t *replica)
+{
+	uint32_t i;
+
+	g_hash_table_remove_all(replica->initial_disks);
+	for (i = 0; i < replica->initial_members->len; i++) {
+		const cb_replica_member_t *member =
+			replica->initial_members->pdata[i];
+
+		if (strcmp(member->name, replica->name))
+			probe_send_(replica, member->name, member->address);
+	}
+	form_group_(replica);
+}
+
+/* The work on members at each heartbeat. */
+void cb_membership_tick(cb_replica_t *replica)
+{
+	cb_admission_t *admission = replica->admission;
+
+	if (cb_membership_forms_group(replica)) {
+		form_tick_(replica);
+		return;
+	}
+	if (!cb_replica_leads(replica))
+		return;
+	if (admission && cb_replica_now_ms(replica) >= admission->deadline_ms)
+		cb_membership_drop_admission(replica, CB_REPLICA_BUSY);
+	else if (admission)
+		probe_send_(replica, admission->name, admission->address);
+	if (may_change_(replica))
+		promote_(replica);
+}
+
+/* Ends a wait for a new member's disk. */
+void cb_membership_drop_admission(cb_replica_t *replica,
+				  cb_replica_outcome_t outcome)
+{
+	cb_admission_t *admission = g_steal_pointer(&replica->admission);
+
+	if (!admission)
+		return;
+	cb_proposal_complete(replica, outcome, 0, NULL, admission->done,
+			     admission->user_data);
+	g_free(admission->name);
+	g_free(admission->address);
+	g_free(admission);
+}
+
+/* Tells another member which disk this one has, and whether it is blank. */
+void cb_membership_tell_disk(cb_replica_t *replica, const char *from)
+{
+	cb_message_t *reply = cb_message_new(CB_MESSAGE_PROBE_REPLY);
+
+	reply->term = replica->term;
+	reply->probe_reply.is_blank =
+		!replica->members->len && !cb_replica_log_last(replica->log);
+	reply->probe_reply.initial_digest =
+		cb_members_digest(replica->initial_members);
+	cb_replica_send(replica, from, NULL, "", reply);
+}
+
+/* Answers a probe. */
+void cb_membership_probe(cb_replica_t *replica, const char *from,
+			 const cb_message_t *message)
+{
+	(void)message;
+	cb_membership_tell_disk(replica, from);
+}
+
+static void admission_answer_(cb_replica_t *replica, const char *disk_id)
+{
+	cb_admission_t *admission = replica->admission;
+	const cb_replica_member_t *known =
+		cb_members_find(replica->members, admission->name);
+	uint64_t index;
+
+	if (known && !strcmp(known->disk_id, disk_id) &&
+	    !strcmp(known->address, admission->address)) {
+		cb_membership_drop_admission(replica, CB_REPLICA_COMMITTED);
+		return;
+	}
+	if (!may_change_(replica))
+		return;
+	if (known && !strcmp(known->disk_id, disk_id)) {
+		GPtrArray *members = cb_members_copy(replica->members);
+		cb_replica_member_t *moved =
+			cb_members_find(members, admission->name);
+
+		g_free(moved->address);
+		moved->address = g_strdup(admission->address);
+		index = change_(replica, members);
+	} else {
+		index = admit_(replica, admission->name, admission->address,
+			       disk_id);
+	}
+	cb_proposal_wait(replica, index, admission->done, admission->user_data);
+	replica->admission = NULL;
+	g_free(admission->name);
+	g_free(admission->address);
+	g_free(admission);
+}
+
+/* Admits a blank disk under a known name once the old one is silent. */
+static void replace_(cb_replica_t *replica, const char *name,
+		     const char *disk_id)
+{
+	int64_t bound_ms =
+		REPLACE_AFTER_TIMEOUTS * replica->election_timeout_ms;
+	const cb_peer_t *peer = cb_peer_find(replica, name);
+	int64_t now_ms = cb_replica_now_ms(replica);
+
+	if (!peer || !strcmp(peer->disk_id, disk_id) || !may_change_(replica))
+		return;
+	if (peer->heard_ms >= 0 && now_ms - peer->heard_ms < bound_ms)
+		return;
+	admit_(replica, name, peer->address, disk_id);
+}
+
+/* Takes in which disk another member has. */
+void cb_membership_probe_reply(cb_replica_t *replica, const char *from,
+			       const cb_message_t *message)
+{
+	const cb_probe_reply_t *reply = &message->probe_reply;
+
+	if (cb_membership_forms_group(replica)) {
+		if (!reply->is_blank ||
+		    reply->initial_digest !=
+			    cb_members_digest(replica->initial_members))
+			return;
+		g_hash_table_insert(replica->initial_disks, g_strdup(from),
+				    g_strdup(message->from_disk));
+		form_group_(replica);
+		return;
+	}
+	if (!cb_replica_leads(replica) || !*message->from_disk)
+		return;
+	if (replica->admission && !strcmp(replica->admission->name, from))
+		admission_answer_(replica, message->from_disk);
+	else if (reply->is_blank)
+		replace_(replica, from, message->from_disk);
+}
+
+/*
+ * Adds a member as a learner, which is promoted to a voter by itself once it
+ * has caught up.  BUSY: another change is under way, or the member did not
+ * answer; nothing was changed.
+ */
+void cb_replica_add_member(cb_replica_t *replica, const char *name,
+			   const char *address, cb_replica_done_fn_t done,
+			   void *user_data)
+{
+	cb_admission_t *admission;
+
+	if (!cb_replica_leads(replica)) {
+		cb_proposal_complete(replica, CB_REPLICA_NOT_LEADER, 0, NULL,
+				     done, user_data);
+		return;
+	}
+	if (replica->admission || !strcmp(name, replica->name)) {
+		cb_proposal_complete(replica, CB_REPLICA_BUSY, 0, NULL, done,
+				     user_data);
+		return;
+	}
+	admission = g_new0(cb_admission_t, 1);
+	admission->name = g_strdup(name);
+	admission->address = g_strdup(address);
+	admission->deadline_ms =
+		cb_replica_now_ms(replica) +
+		ADMISSION_TIMEOUTS * replica->election_timeout_ms;
+	admission->done = done;
+	admission->user_data = user_data;
+	replica->admission = admission;
+	probe_send_(replica, name, address);
+}
+
+/*
+ * Removes a member.  A name that is no member's counts as removed.  BUSY:
+ * another change is under way, or it is the last voter.
+ */
+void cb_replica_remove_member(cb_replica_t *replica, const char *name,
+			      cb_replica_done_fn_t done, void *user_data)
+{
+	const cb_replica_member_t *member;
+	GPtrArray *members;
+
+	if (!cb_replica_leads(replica)) {
+		cb_proposal_complete(replica, CB_REPLICA_NOT_LEADER, 0, NULL,
+				     done, user_data);
+		return;
+	}
+	member = cb_members_find(replica->members, name);
+	if (!member) {
+		cb_proposal_complete(replica, CB_REPLICA_COMMITTED,
+				     replica->applied, NULL, done, user_data);
+		return;
+	}
+	if (!may_change_(replica) ||
+	    (member->is_voter &&
+	     cb_members_voter_count(replica->members) == 1)) {
+		cb_proposal_complete(replica, CB_REPLICA_BUSY, 0, NULL, done,
+				     user_data);
+		return;
+	}
+	members = cb_members_copy(replica->members);
+	cb_members_remove(members, name);
+	cb_proposal_wait(replica, change_(replica, members), done, user_data);
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/proposal.c
@@ -0,0 +1,198 @@
+#include "private/replica.h"
+
+/* Appends a record of the leader's term; it is stored at the next flush. */
+uint64_t cb_proposal_append(cb_replica_t *replica, cb_record_kind_t kind,
+			    GBytes *data)
+{
+	uint64_t index = cb_replica_log_last(replica->log) + 1;
+
+	cb_replica_log_append(replica->log,
+			      cb_record_new(index, replica->term, kind, data));
+	if (kind == CB_RECORD_MEMBERS)
+		cb_membership_adopt(replica);
+	cb_replica_flush_soon(replica);
+	return index;
+}
+
+static cb_proposal_t *proposal_new_(cb_replica_done_fn_t done, void *user_data)
+{
+	cb_proposal_t *proposal = g_new0(cb_proposal_t, 1);
+
+	proposal->done = done;
+	proposal->user_data = user_data;
+	return proposal;
+}
+
+/* Queues the outcome of a call, told from the next flush. */
+void cb_proposal_complete(cb_replica_t *replica, cb_replica_outcome_t outcome,
+			  uint64_t index, GBytes *answer,
+			  cb_replica_done_fn_t done, void *user_data)
+{
+	cb_proposal_t *proposal = proposal_new_(done, user_data);
+
+	proposal->outcome = outcome;
+	proposal->index = index;
+	proposal->answer = answer ? g_bytes_ref(answer) : NULL;
+	g_queue_push_tail(&replica->completions, proposal);
+	cb_replica_flush_soon(replica);
+}
+
+/* Tells the queued outcomes, each exactly once. */
+void cb_proposal_run_completions(cb_replica_t *replica)
+{
+	cb_proposal_t *proposal;
+
+	while ((proposal = g_queue_pop_head(&replica->completions))) {
+		if (proposal->done)
+			proposal->done(proposal->outcome, proposal->index,
+				       proposal->answer, proposal->user_data);
+		g_clear_pointer(&proposal->answer, g_bytes_unref);
+		g_free(proposal);
+	}
+}
+
+/* Keeps a caller that waits for the record at `index`. */
+void cb_proposal_wait(cb_replica_t *replica, uint64_t index,
+		      cb_replica_done_fn_t done, void *user_data)
+{
+	cb_proposal_t *proposal = proposal_new_(done, user_data);
+
+	proposal->index = index;
+	g_queue_push_tail(&replica->proposals, proposal);
+}
+
+static void complete_and_free_(cb_replica_t *replica, cb_proposal_t *proposal,
+			       cb_replica_outcome_t outcome, uint64_t index,
+			       GBytes *answer)
+{
+	cb_proposal_complete(replica, outcome, index, answer, proposal->done,
+			     proposal->user_data);
+	g_free(proposal);
+}
+
+/* Answers the caller that waits for the record at `index`, if any does. */
+void cb_proposal_applied(cb_replica_t *replica, uint64_t index, GBytes *answer)
+{
+	cb_proposal_t *proposal = g_queue_peek_head(&replica->proposals);
+
+	if (!proposal || proposal->index != index)
+		return;
+	g_queue_pop_head(&replica->proposals);
+	complete_and_free_(replica, proposal, CB_REPLICA_COMMITTED, index,
+			   answer);
+}
+
+/* Answers all waiting callers when this member no longer leads. */
+void cb_proposal_abandon_all(cb_replica_t *replica)
+{
+	cb_proposal_t *proposal;
+
+	while ((proposal = g_queue_pop_head(&replica->proposals)))
+		complete_and_free_(replica, proposal, CB_REPLICA_UNKNOWN, 0,
+				   NULL);
+	while ((proposal = g_queue_pop_head(&replica->reads)))
+		complete_and_free_(replica, proposal, CB_REPLICA_UNKNOWN, 0,
+				   NULL);
+}
+
+/*
+ * Proposes a command of at most CB_REPLICA_MAX_COMMAND_BYTES.  `done` is
+ * called exactly once, never before this returns; its answer is that of the
+ * state machine and is given only with the outcome COMMITTED.
+ */
+void cb_replica_propose(cb_replica_t *replica, GBytes *command,
+			cb_replica_done_fn_t done, void *user_data)
+{
+	uint64_t index;
+
+	if (!cb_replica_leads(replica)) {
+		cb_proposal_complete(replica, CB_REPLICA_NOT_LEADER, 0, NULL,
+				     done, user_data);
+		return;
+	}
+	if (replica->proposals.length >= replica->max_waiting_proposals ||
+	    replica->hand_over_to ||
+	    g_bytes_get_size(command) > CB_REPLICA_MAX_COMMAND_BYTES) {
+		cb_proposal_complete(replica, CB_REPLICA_BUSY, 0, NULL, done,
+				     user_data);
+		return;
+	}
+	index = cb_proposal_append(replica, CB_RECORD_COMMAND, command);
+	cb_proposal_wait(replica, index, done, user_data);
+}
+
+/*
+ * Confirms with a majority that this member still leads.  The index told
+ * with the outcome COMMITTED is one that the state machine has applied, no
+ * older than the call; all calls of one loop turn share one round of
+ * messages.
+ */
+void cb_replica_confirm(cb_replica_t *replica, cb_replica_done_fn_t done,
+			void *user_data)
+{
+	cb_proposal_t *read;
+
+	if (!cb_replica_leads(replica)) {
+		cb_proposal_complete(replica, CB_REPLICA_NOT_LEADER, 0, NULL,
+				     done, user_data);
+		return;
+	}
+	if (replica->reads.length >= replica->max_waiting_proposals) {
+		cb_proposal_complete(replica, CB_REPLICA_BUSY, 0, NULL, done,
+				     user_data);
+		return;
+	}
+	read = proposal_new_(done, user_data);
+	read->round = replica->round + 1;
+	g_queue_push_tail(&replica->reads, read);
+	cb_replica_flush_soon(replica);
+}
+
+/* Begins the round that the newest waiting reads need, if any do. */
+void cb_read_begin_round(cb_replica_t *replica)
+{
+	cb_proposal_t *newest = g_queue_peek_tail(&replica->reads);
+
+	if (!newest || newest->round <= replica->round)
+		return;
+	replica->round = newest->round;
+	cb_replication_heartbeat(replica);
+	cb_read_check(replica);
+}
+
+/* Whether a majority of voters has answered in `round` or a later one. */
+static gboolean round_is_confirmed_(const cb_replica_t *replica, uint64_t round)
+{
+	uint32_t voters = cb_members_voter_count(replica->members);
+	uint32_t count = 0;
+	uint32_t i;
+
+	if (round > replica->round)
+		return FALSE;
+	if (cb_replica_is_voter(replica))
+		count++;
+	for (i = 0; i < replica->peers->len; i++) {
+		const cb_peer_t *peer = replica->peers->pdata[i];
+
+		if (peer->is_voter && peer->round >= round)
+			count++;
+	}
+	return count > voters / 2;
+}
+
+/* Answers the reads whose round is confirmed. */
+void cb_read_check(cb_replica_t *replica)
+{
+	cb_proposal_t *read;
+
+	/* Before that, this member may not know all that is committed. */
+	if (!cb_replica_leads(replica) ||
+	    replica->applied < replica->term_start)
+		return;
+	while ((read = g_queue_peek_head(&replica->reads)) &&
+	       round_is_confirmed_(replica, read->round)) {
+		g_queue_pop_head(&replica->reads);
+		complete_and_free_(replica, read, CB_REPLICA_COMMITTED,
+				   replica->applied, NULL);
+	}
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/replica_log.c
@@ -0,0 +1,157 @@
+#include "private/replica_log.h"
+
+#include "private/replica_message.h"
+
+/* What a record costs beside its data, in the size of the log. */
+#define RECORD_OVERHEAD_BYTES 48
+
+typedef struct log_entry {
+	cb_record_t *record;
+	uint64_t end_bytes; /* of all records ever, this one included */
+} log_entry_t;
+
+struct cb_replica_log {
+	/* The last record that is no longer held, and its term. */
+	uint64_t base_index;
+	uint64_t base_term;
+	uint64_t base_bytes;
+	GArray *entries; /* of log_entry_t */
+};
+
+static void entry_clear_(void *data)
+{
+	cb_record_delete(((log_entry_t *)data)->record);
+}
+
+/* Makes a log that begins after `base_index`. */
+cb_replica_log_t *cb_replica_log_new(uint64_t base_index, uint64_t base_term)
+{
+	cb_replica_log_t *log = g_new0(cb_replica_log_t, 1);
+
+	log->base_index = base_index;
+	log->base_term = base_term;
+	log->entries = g_array_new(FALSE, FALSE, sizeof(log_entry_t));
+	g_array_set_clear_func(log->entries, entry_clear_);
+	return log;
+}
+
+/* Deletes a log; NULL is allowed. */
+void cb_replica_log_delete(cb_replica_log_t *log)
+{
+	if (!log)
+		return;
+	g_array_unref(log->entries);
+	g_free(log);
+}
+
+/* Returns the index of the first record held, or the one to come. */
+uint64_t cb_replica_log_first(const cb_replica_log_t *log)
+{
+	return log->base_index + 1;
+}
+
+/* Returns the index of the last record. */
+uint64_t cb_replica_log_last(const cb_replica_log_t *log)
+{
+	return log->base_index + log->entries->len;
+}
+
+/* Returns the term of the last record. */
+uint64_t cb_replica_log_last_term(const cb_replica_log_t *log)
+{
+	uint64_t term = log->base_term;
+
+	cb_replica_log_term(log, cb_replica_log_last(log), &term);
+	return term;
+}
+
+static const log_entry_t *entry_get_(const cb_replica_log_t *log,
+				     uint64_t index)
+{
+	if (index <= log->base_index || index > cb_replica_log_last(log))
+		return NULL;
+	return &g_array_index(log->entries, log_entry_t,
+			      index - log->base_index - 1);
+}
+
+/* Finds the term at `index`; FALSE when that is not held (any more). */
+gboolean cb_replica_log_term(const cb_replica_log_t *log, uint64_t index,
+			     uint64_t *term)
+{
+	const log_entry_t *entry = entry_get_(log, index);
+
+	if (!entry && index != log->base_index)
+		return FALSE;
+	*term = entry ? entry->record->term : log->base_term;
+	return TRUE;
+}
+
+/* Returns the record at `index`, or NULL when it is not held. */
+const cb_record_t *cb_replica_log_get(const cb_replica_log_t *log,
+				      uint64_t index)
+{
+	const log_entry_t *entry = entry_get_(log, index);
+
+	return entry ? entry->record : NULL;
+}
+
+static uint64_t end_bytes_(const cb_replica_log_t *log, uint64_t index)
+{
+	const log_entry_t *entry = entry_get_(log, index);
+
+	return entry ? entry->end_bytes : log->base_bytes;
+}
+
+/* Returns the size of the held records after `after`, `last` included. */
+uint64_t cb_replica_log_bytes(const cb_replica_log_t *log, uint64_t after,
+			      uint64_t last)
+{
+	if (after >= last)
+		return 0;
+	return end_bytes_(log, last) - end_bytes_(log, after);
+}
+
+/* Adds the record that follows the last one; takes it. */
+void cb_replica_log_append(cb_replica_log_t *log, cb_record_t *record)
+{
+	uint64_t last = cb_replica_log_last(log);
+	log_entry_t entry = { .record = record };
+
+	g_assert(record->index == last + 1);
+	entry.end_bytes = end_bytes_(log, last) +
+			  g_bytes_get_size(record->data) +
+			  RECORD_OVERHEAD_BYTES;
+	g_array_append_val(log->entries, entry);
+}
+
+/* Drops the records from `from` on. */
+void cb_replica_log_truncate(cb_replica_log_t *log, uint64_t from)
+{
+	g_assert(from > log->base_index);
+	if (from <= cb_replica_log_last(log))
+		g_array_set_size(log->entries, from - log->base_index - 1);
+}
+
+/* Drops the records up to and including `through`. */
+void cb_replica_log_compact(cb_replica_log_t *log, uint64_t through)
+{
+	const log_entry_t *entry = entry_get_(log, through);
+	uint64_t count = through - log->base_index;
+
+	if (!entry)
+		return;
+	log->base_term = entry->record->term;
+	log->base_bytes = entry->end_bytes;
+	log->base_index = through;
+	g_array_remove_range(log->entries, 0, count);
+}
+
+/* Empties the log, which then begins after `base_index`. */
+void cb_replica_log_reset(cb_replica_log_t *log, uint64_t base_index,
+			  uint64_t base_term)
+{
+	g_array_set_size(log->entries, 0);
+	log->base_index = base_index;
+	log->base_term = base_term;
+	log->base_bytes = 0;
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/replication.c
@@ -0,0 +1,338 @@
+#include "private/replica.h"
+
+#include <string.h>
+
+/* Without progress for this many heartbeats, a peer is sent to anew. */
+#define RESEND_AFTER_HEARTBEATS 3
+
+static void peer_delete_(void *data)
+{
+	cb_peer_t *peer = data;
+
+	cb_snapshot_send_end(peer);
+	g_free(peer->name);
+	g_free(peer->address);
+	g_free(peer->disk_id);
+	g_free(peer);
+}
+
+/* Returns what is known of the member called `name`, or NULL. */
+cb_peer_t *cb_peer_find(const cb_replica_t *replica, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < replica->peers->len; i++) {
+		cb_peer_t *peer = replica->peers->pdata[i];
+
+		if (!strcmp(peer->name, name))
+			return peer;
+	}
+	return NULL;
+}
+
+static void peer_reset_(cb_replica_t *replica, cb_peer_t *peer)
+{
+	cb_snapshot_send_end(peer);
+	peer->heard_ms = -1;
+	peer->progress_ms = cb_replica_now_ms(replica);
+	peer->match = 0;
+	peer->next = cb_replica_log_last(replica->log) + 1;
+	peer->round = 0;
+	peer->is_probing = TRUE;
+	peer->is_probe_sent = FALSE;
+}
+
+static cb_peer_t *peer_new_(cb_replica_t *replica,
+			    const cb_replica_member_t *member)
+{
+	cb_peer_t *peer = g_new0(cb_peer_t, 1);
+
+	peer->name = g_strdup(member->name);
+	peer->disk_id = g_strdup(member->disk_id);
+	peer_reset_(replica, peer);
+	return peer;
+}
+
+/* Returns the known peer for a member's name and disk, out of the list. */
+static cb_peer_t *peer_steal_(cb_replica_t *replica,
+			      const cb_replica_member_t *member)
+{
+	cb_peer_t *peer = cb_peer_find(replica, member->name);
+	uint32_t i;
+
+	if (!peer || strcmp(peer->disk_id, member->disk_id))
+		return NULL;
+	g_ptr_array_find(replica->peers, peer, &i);
+	return g_ptr_array_steal_index(replica->peers, i);
+}
+
+/* Makes the list of peers follow the list of members. */
+void cb_peers_sync(cb_replica_t *replica)
+{
+	GPtrArray *peers = g_ptr_array_new_with_free_func(peer_delete_);
+	uint32_t i;
+
+	for (i = 0; i < replica->members->len; i++) {
+		const cb_replica_member_t *member = replica->members->pdata[i];
+		cb_peer_t *peer;
+
+		if (!strcmp(member->name, replica->name))
+			continue;
+		peer = replica->peers ? peer_steal_(replica, member) : NULL;
+		if (!peer)
+			peer = peer_new_(replica, member);
+		peer->is_voter = member->is_voter;
+		g_free(peer->address);
+		peer->address = g_strdup(member->address);
+		g_ptr_array_add(peers, peer);
+	}
+	if (replica->peers)
+		g_ptr_array_unref(replica->peers);
+	replica->peers = peers;
+}
+
+/* Becomes the leader of the present term. */
+void cb_replication_lead(cb_replica_t *replica)
+{
+	uint32_t i;
+
+	cb_timer_stop(replica->election_timer);
+	for (i = 0; i < replica->peers->len; i++) {
+		cb_peer_t *peer = replica->peers->pdata[i];
+
+		peer_reset_(replica, peer);
+		/* Its vote is young; it counts as heard for one timeout. */
+		if (peer->is_vote_granted)
+			peer->heard_ms = cb_replica_now_ms(replica);
+	}
+	replica->round = 0;
+	cb_replica_set_role(replica, CB_REPLICA_ROLE_LEADER);
+	cb_replica_set_leader(replica, replica->name);
+	replica->term_start = cb_proposal_append(replica, CB_RECORD_NOOP, NULL);
+	cb_timer_start(replica->heartbeat_timer, replica->heartbeat_ms);
+}
+
+static uint64_t prev_term_(const cb_replica_t *replica, uint64_t *prev)
+{
+	uint64_t term = 0;
+
+	/* Index 0 is equal everywhere, so it stands for an unknown one. */
+	if (!cb_replica_log_term(replica->log, *prev, &term))
+		*prev = 0;
+	return term;
+}
+
+static cb_message_t *append_new_(cb_replica_t *replica, uint64_t prev)
+{
+	cb_message_t *message = cb_message_new(CB_MESSAGE_APPEND);
+
+	message->term = replica->term;
+	message->append.prev_term = prev_term_(replica, &prev);
+	message->append.prev_index = prev;
+	message->append.committed = replica->committed;
+	message->append.round = replica->round;
+	return message;
+}
+
+/* Sends the next batch of records; FALSE when there is none. */
+static gboolean batch_send_(cb_replica_t *replica, cb_peer_t *peer)
+{
+	cb_message_t *message = append_new_(replica, peer->next - 1);
+	GPtrArray *records = message->append.records;
+	const cb_record_t *record;
+	size_t bytes = 0;
+
+	while (records->len < CB_APPEND_MAX_RECORDS &&
+	       (record = cb_replica_log_get(replica->log, peer->next))) {
+		bytes += g_bytes_get_size(record->data);
+		if (records->len && bytes > CB_APPEND_MAX_BYTES)
+			break;
+		g_ptr_array_add(records, cb_record_copy(record));
+		peer->next++;
+	}
+	if (!records->len) {
+		cb_message_delete(message);
+		return FALSE;
+	}
+	cb_replica_send(replica, peer->name, peer->address, peer->disk_id,
+			message);
+	return TRUE;
+}
+
+static gboolean window_is_open_(const cb_replica_t *replica,
+				const cb_peer_t *peer)
+{
+	uint64_t sent = peer->next - 1;
+
+	if (peer->is_probing)
+		return !peer->is_probe_sent;
+	return sent - peer->match < CB_IN_FLIGHT_MAX_RECORDS &&
+	       cb_replica_log_bytes(replica->log, peer->match, sent) <
+		       CB_IN_FLIGHT_MAX_BYTES;
+}
+
+/* Sends a peer what it lacks, as far as its window allows. */
+void cb_replication_send(cb_replica_t *replica, cb_peer_t *peer)
+{
+	if (peer->snapshot)
+		return;
+	if (peer->next < cb_replica_log_first(replica->log)) {
+		cb_snapshot_send_begin(replica, peer);
+		return;
+	}
+	if (peer->next - 1 == peer->match)
+		peer->progress_ms = cb_replica_now_ms(replica);
+	while (window_is_open_(replica, peer) && batch_send_(replica, peer))
+		peer->is_probe_sent = TRUE;
+}
+
+/* Sends every peer what it lacks. */
+void cb_replication_send_all(cb_replica_t *replica)
+{
+	uint32_t i;
+
+	for (i = 0; i < replica->peers->len; i++)
+		cb_replication_send(replica, replica->peers->pdata[i]);
+}
+
+/* Tells every peer that this member leads, with the round of reads. */
+void cb_replication_heartbeat(cb_replica_t *replica)
+{
+	uint32_t i;
+
+	for (i = 0; i < replica->peers->len; i++) {
+		cb_peer_t *peer = replica->peers->pdata[i];
+
+		cb_replica_send(replica, peer->name, peer->address,
+				peer->disk_id,
+				append_new_(replica, peer->match));
+	}
+}
+
+/* Sends anew to a peer whose answers have been missing. */
+static void peer_resend_(cb_replica_t *replica, cb_peer_t *peer)
+{
+	int64_t silent_ms = cb_replica_now_ms(replica) - peer->progress_ms;
+
+	if (silent_ms < RESEND_AFTER_HEARTBEATS * replica->heartbeat_ms)
+		return;
+	peer->progress_ms = cb_replica_now_ms(replica);
+	if (peer->snapshot) {
+		cb_snapshot_send_chunk(replica, peer);
+		return;
+	}
+	if (peer->is_probing) {
+		peer->next = MIN(peer->next, cb_replica_log_last(replica->log));
+		peer->next = MAX(peer->next, peer->match + 1);
+	} else if (peer->next > peer->match + 1) {
+		peer->next = peer->match + 1;
+		peer->is_probing = TRUE;
+	}
+	peer->is_probe_sent = FALSE;
+	cb_replication_send(replica, peer);
+}
+
+/* The leader's work at each heartbeat. */
+void cb_replication_tick(cb_replica_t *replica)
+{
+	uint32_t i;
+
+	if (!cb_election_hears_majority(replica)) {
+		cb_election_step_down(replica, replica->term);
+		return;
+	}
+	cb_replication_heartbeat(replica);
+	for (i = 0; i < replica->peers->len; i++)
+		peer_resend_(replica, replica->peers->pdata[i]);
+	cb_election_hand_over_step(replica);
+}
+
+static void append_refused_(cb_replica_t *replica, cb_peer_t *peer,
+			    const cb_append_reply_t *reply)
+{
+	/* An old refusal, or a heartbeat to a peer that lost nothing. */
+	if (reply->prev_index <= peer->match || peer->snapshot)
+		return;
+	peer->next = CLAMP(reply->index + 1, peer->match + 1,
+			   cb_replica_log_last(replica->log) + 1);
+	peer->is_probing = TRUE;
+	peer->is_probe_sent = FALSE;
+	cb_replication_send(replica, peer);
+}
+
+/* Takes in how far a peer has stored the log. */
+void cb_replication_append_reply(cb_replica_t *replica, cb_peer_t *peer,
+				 const cb_message_t *message)
+{
+	const cb_append_reply_t *reply = &message->append_reply;
+
+	peer->round = MAX(peer->round, MIN(reply->round, replica->round));
+	if (!reply->is_accepted) {
+		append_refused_(replica, peer, reply);
+		cb_read_check(replica);
+		return;
+	}
+	if (reply->prev_index + 1 >= cb_replica_log_first(replica->log) &&
+	    reply->prev_index)
+		peer->is_probing = FALSE;
+	if (reply->index > peer->match &&
+	    reply->index <= cb_replica_log_last(replica->log)) {
+		peer->match = reply->index;
+		peer->next = MAX(peer->next, peer->match + 1);
+		peer->progress_ms = cb_replica_now_ms(replica);
+		peer->is_probing = FALSE;
+	}
+	if (peer->snapshot && peer->match >= peer->snapshot->index)
+		cb_snapshot_send_end(peer);
+	cb_replication_advance(replica);
+	if (cb_replica_leads(replica)) {
+		cb_replication_send(replica, peer);
+		cb_election_hand_over_step(replica);
+	}
+}
+
+static int index_compare_(const void *left, const void *right)
+{
+	const uint64_t *a = left;
+	const uint64_t *b = right;
+
+	return *a < *b ? 1 : *a > *b ? -1 : 0;
+}
+
+/* Returns the highest index that a majority of voters has stored. */
+static uint64_t majority_index_(const cb_replica_t *replica)
+{
+	GArray *stored = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	uint64_t index = 0;
+	uint32_t i;
+
+	if (cb_replica_is_voter(replica))
+		g_array_append_val(stored, replica->durable);
+	for (i = 0; i < replica->peers->len; i++) {
+		const cb_peer_t *peer = replica->peers->pdata[i];
+
+		if (peer->is_voter)
+			g_array_append_val(stored, peer->match);
+	}
+	g_array_sort(stored, index_compare_);
+	if (stored->len)
+		index = g_array_index(stored, uint64_t, stored->len / 2);
+	g_array_unref(stored);
+	return index;
+}
+
+/* Commits what a majority has stored in this leader's own term. */
+void cb_replication_advance(cb_replica_t *replica)
+{
+	uint64_t index = majority_index_(replica);
+	uint64_t term = 0;
+
+	if (index > replica->committed &&
+	    cb_replica_log_term(replica->log, index, &term) &&
+	    term == replica->term)
+		cb_append_commit(replica, index);
+	if (cb_replica_leads(replica) && !cb_replica_is_voter(replica) &&
+	    replica->committed >= replica->members_index)
+		cb_election_step_down(replica, replica->term);
+	cb_read_check(replica);
+}
--- /dev/null
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -0,0 +1,236 @@
+#ifndef CURRANTBRIDGE_PRIVATE_REPLICA_H
+#define CURRANTBRIDGE_PRIVATE_REPLICA_H
+
+#include "currantbridge/replica.h"
+
+#include "private/members.h"
+#include "private/replica_log.h"
+#include "private/replica_message.h"
+
+/*
+ * What the modules of a replica share.  Each module is one job: election,
+ * replication (leader), append (follower), snapshot, membership, proposals
+ * and storage operations; replica.c joins them.
+ */
+
+/* Bounds of what is sent to one peer before it answers. */
+#define CB_APPEND_MAX_RECORDS 512
+#define CB_APPEND_MAX_BYTES (256 * 1024)
+#define CB_IN_FLIGHT_MAX_BYTES (1024 * 1024)
+#define CB_IN_FLIGHT_MAX_RECORDS 4096
+#define CB_SNAPSHOT_CHUNK_BYTES (256 * 1024)
+
+typedef enum cb_record_kind {
+	CB_RECORD_COMMAND,
+	CB_RECORD_NOOP,
+	CB_RECORD_MEMBERS,
+	CB_RECORD_KIND_COUNT
+} cb_record_kind_t;
+
+/* What the leader knows of another member. */
+typedef struct cb_peer {
+	char *name;
+	char *address;
+	char *disk_id;
+	gboolean is_voter;
+	int64_t heard_ms;    /* -1: not since this member leads */
+	int64_t progress_ms; /* when `match` last grew or a send began */
+	uint64_t match;
+	uint64_t next;
+	uint64_t round;
+	/* Until the first accepted append, one append is sent at a time. */
+	gboolean is_probing;
+	gboolean is_probe_sent;
+	gboolean is_vote_granted;
+	/* The snapshot being sent, or NULL. */
+	cb_snapshot_t *snapshot;
+	uint64_t snapshot_offset;
+	uint64_t snapshot_digest;
+} cb_peer_t;
+
+typedef struct cb_proposal {
+	uint64_t index;
+	uint64_t round; /* of a confirmed read */
+	cb_replica_outcome_t outcome;
+	GBytes *answer;
+	cb_replica_done_fn_t done;
+	void *user_data;
+} cb_proposal_t;
+
+/* A message that waits for a saved vote. */
+typedef struct cb_outgoing {
+	char *to;
+	char *address;
+	GBytes *bytes;
+} cb_outgoing_t;
+
+/* A snapshot on its way from the leader. */
+typedef struct cb_incoming {
+	uint64_t index;
+	uint64_t index_term;
+	uint64_t digest;
+	GByteArray *data;
+	gboolean is_storing;
+} cb_incoming_t;
+
+/* A member that cb_replica_add_member() asked for its disk. */
+typedef struct cb_admission {
+	char *name;
+	char *address;
+	int64_t deadline_ms;
+	cb_replica_done_fn_t done;
+	void *user_data;
+} cb_admission_t;
+
+struct cb_replica {
+	char *name;
+	char *address;
+	GPtrArray *initial_members;
+	int64_t heartbeat_ms;
+	int64_t election_timeout_ms;
+	uint64_t snapshot_every_bytes;
+	size_t max_waiting_proposals;
+	cb_clock_t *clock;
+	GRand *random;
+	cb_storage_t *storage;
+	cb_transport_t *transport;
+	cb_machine_t *machine;
+	cb_replica_listener_t listener;
+
+	gboolean is_started;
+	gboolean is_failed;
+	cb_replica_role_t role;
+	uint64_t term;
+	char *voted_for; /* a disk_id, or NULL */
+	char *disk_id;
+	char *leader;
+	int64_t leader_heard_ms;
+	cb_timer_t *election_timer;
+	cb_timer_t *heartbeat_timer;
+	cb_timer_t *flush_timer;
+
+	GPtrArray *members;
+	uint64_t members_index;
+	GPtrArray *peers; /* of cb_peer_t: the members but this one */
+	cb_admission_t *admission;
+	GHashTable *addresses;	   /* name -> address, as messages told */
+	GHashTable *initial_disks; /* name -> disk_id, at the first start */
+
+	cb_replica_log_t *log;
+	uint64_t handed;   /* given to the storage up to this */
+	uint64_t durable;  /* stored up to this */
+	uint64_t verified; /* follower: equal to the leader's up to this */
+	uint64_t committed;
+	uint64_t applied;
+	uint64_t term_start; /* leader: the index of its own first record */
+
+	GQueue operations; /* of operation_t: at the storage, in order */
+	uint32_t vote_saves;
+	GQueue outbox; /* of cb_outgoing_t */
+
+	GQueue proposals; /* by index */
+	GQueue reads;	  /* by round */
+	GQueue completions;
+	uint64_t round;
+
+	cb_snapshot_t snapshot;
+	gboolean is_saving_snapshot;
+	cb_incoming_t incoming;
+	char *hand_over_to; /* a voter's name */
+	int64_t hand_over_deadline_ms;
+};
+
+/* replica.c */
+int64_t cb_replica_now_ms(const cb_replica_t *replica);
+gboolean cb_replica_leads(const cb_replica_t *replica);
+gboolean cb_replica_is_voter(const cb_replica_t *replica);
+void cb_replica_set_role(cb_replica_t *replica, cb_replica_role_t role);
+void cb_replica_set_leader(cb_replica_t *replica, const char *name);
+void cb_replica_fail(cb_replica_t *replica, const GError *error);
+void cb_replica_send(cb_replica_t *replica, const char *to, const char *address,
+		     const char *to_disk, cb_message_t *message);
+void cb_outgoing_delete(void *data);
+void cb_replica_flush_soon(cb_replica_t *replica);
+
+/* replica_store.c: operations of the storage. */
+void cb_replica_save_vote(cb_replica_t *replica);
+void cb_replica_store_records(cb_replica_t *replica);
+void cb_replica_store_snapshot(cb_replica_t *replica);
+void cb_replica_truncate(cb_replica_t *replica, uint64_t from);
+void cb_replica_forget_operations(cb_replica_t *replica);
+
+/* election.c */
+void cb_election_arm(cb_replica_t *replica);
+void cb_election_arm_first(cb_replica_t *replica);
+void cb_election_timeout(cb_replica_t *replica);
+void cb_election_vote_saved(cb_replica_t *replica);
+void cb_election_step_down(cb_replica_t *replica, uint64_t term);
+void cb_election_vote_request(cb_replica_t *replica, const char *from,
+			      const cb_message_t *message);
+void cb_election_vote_reply(cb_replica_t *replica, cb_peer_t *peer,
+			    const cb_message_t *message);
+void cb_election_take_over(cb_replica_t *replica, const cb_message_t *message);
+void cb_election_hand_over_step(cb_replica_t *replica);
+gboolean cb_election_hears_majority(const cb_replica_t *replica);
+
+/* replication.c: the leader's side. */
+cb_peer_t *cb_peer_find(const cb_replica_t *replica, const char *name);
+void cb_peers_sync(cb_replica_t *replica);
+void cb_replication_lead(cb_replica_t *replica);
+void cb_replication_send(cb_replica_t *replica, cb_peer_t *peer);
+void cb_replication_send_all(cb_replica_t *replica);
+void cb_replication_heartbeat(cb_replica_t *replica);
+void cb_replication_tick(cb_replica_t *replica);
+void cb_replication_append_reply(cb_replica_t *replica, cb_peer_t *peer,
+				 const cb_message_t *message);
+void cb_replication_advance(cb_replica_t *replica);
+
+/* append.c: the follower's side. */
+void cb_append_receive(cb_replica_t *replica, const char *from,
+		       const cb_message_t *message);
+void cb_append_follow(cb_replica_t *replica, const char *from, uint64_t term);
+void cb_append_stored(cb_replica_t *replica);
+void cb_append_commit(cb_replica_t *replica, uint64_t committed);
+
+/* replica_snapshot.c */
+void cb_snapshot_take_if_due(cb_replica_t *replica);
+void cb_snapshot_stored(cb_replica_t *replica);
+void cb_snapshot_send_begin(cb_replica_t *replica, cb_peer_t *peer);
+void cb_snapshot_send_chunk(cb_replica_t *replica, cb_peer_t *peer);
+void cb_snapshot_send_end(cb_peer_t *peer);
+void cb_snapshot_receive(cb_replica_t *replica, const char *from,
+			 const cb_message_t *message);
+void cb_snapshot_reply_receive(cb_replica_t *replica, cb_peer_t *peer,
+			       const cb_message_t *message);
+void cb_snapshot_clear(cb_snapshot_t *snapshot);
+void cb_incoming_clear(cb_incoming_t *incoming);
+
+/* membership.c */
+void cb_membership_adopt(cb_replica_t *replica);
+gboolean cb_membership_forms_group(const cb_replica_t *replica);
+void cb_membership_tick(cb_replica_t *replica);
+void cb_membership_probe(cb_replica_t *replica, const char *from,
+			 const cb_message_t *message);
+void cb_membership_probe_reply(cb_replica_t *replica, const char *from,
+			       const cb_message_t *message);
+void cb_membership_tell_disk(cb_replica_t *replica, const char *from);
+void cb_membership_drop_admission(cb_replica_t *replica,
+				  cb_replica_outcome_t outcome);
+GPtrArray *cb_membership_at(const cb_replica_t *replica, uint64_t through,
+			    uint64_t *index);
+
+/* proposal.c */
+uint64_t cb_proposal_append(cb_replica_t *replica, cb_record_kind_t kind,
+			    GBytes *data);
+void cb_proposal_wait(cb_replica_t *replica, uint64_t index,
+		      cb_replica_done_fn_t done, void *user_data);
+void cb_proposal_complete(cb_replica_t *replica, cb_replica_outcome_t outcome,
+			  uint64_t index, GBytes *answer,
+			  cb_replica_done_fn_t done, void *user_data);
+void cb_proposal_applied(cb_replica_t *replica, uint64_t index, GBytes *answer);
+void cb_proposal_abandon_all(cb_replica_t *replica);
+void cb_proposal_run_completions(cb_replica_t *replica);
+void cb_read_begin_round(cb_replica_t *replica);
+void cb_read_check(cb_replica_t *replica);
+
+#endif
--- /dev/null
+++ b/src/libcurrantbridge/include/private/replica_message.h
@@ -0,0 +1,107 @@
+#ifndef CURRANTBRIDGE_PRIVATE_REPLICA_MESSAGE_H
+#define CURRANTBRIDGE_PRIVATE_REPLICA_MESSAGE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "currantbridge/storage.h"
+
+/* The messages between the members of a replicated log. */
+typedef enum cb_message_kind {
+	CB_MESSAGE_VOTE_REQUEST,
+	CB_MESSAGE_VOTE_REPLY,
+	CB_MESSAGE_APPEND,
+	CB_MESSAGE_APPEND_REPLY,
+	CB_MESSAGE_SNAPSHOT,
+	CB_MESSAGE_SNAPSHOT_REPLY,
+	CB_MESSAGE_TAKE_OVER,
+	CB_MESSAGE_PROBE,
+	CB_MESSAGE_PROBE_REPLY,
+	CB_MESSAGE_KIND_COUNT
+} cb_message_kind_t;
+
+extern const char *const cb_message_kind_string[CB_MESSAGE_KIND_COUNT];
+
+typedef struct cb_vote_request {
+	gboolean is_pre_vote; /* `term` is then the one to come */
+	gboolean is_hand_over;
+	uint64_t last_index;
+	uint64_t last_term;
+} cb_vote_request_t;
+
+typedef struct cb_vote_reply {
+	gboolean is_pre_vote;
+	gboolean is_granted;
+	uint64_t asked_term;
+} cb_vote_reply_t;
+
+typedef struct cb_append {
+	uint64_t prev_index;
+	uint64_t prev_term;
+	uint64_t committed;
+	uint64_t round;	    /* of confirmed reads */
+	GPtrArray *records; /* of cb_record_t */
+} cb_append_t;
+
+typedef struct cb_append_reply {
+	gboolean is_accepted;
+	uint64_t prev_index;
+	/* Accepted: durable here up to this; refused: where to try next. */
+	uint64_t index;
+	uint64_t round;
+} cb_append_reply_t;
+
+/* One piece of a snapshot; `digest` is of the whole data. */
+typedef struct cb_snapshot_chunk {
+	uint64_t index;
+	uint64_t index_term;
+	uint64_t size;
+	uint64_t offset;
+	uint64_t digest;
+	GBytes *members;
+	GBytes *data;
+} cb_snapshot_chunk_t;
+
+typedef struct cb_snapshot_reply {
+	uint64_t index;
+	uint64_t offset; /* of the piece wanted next */
+	gboolean is_stored;
+} cb_snapshot_reply_t;
+
+typedef struct cb_probe_reply {
+	gboolean is_blank;
+	uint64_t initial_digest;
+} cb_probe_reply_t;
+
+/*
+ * A member is known by its disk: a message names the disk it comes from and
+ * the one that it is meant for (empty where the sender does not know it).
+ */
+typedef struct cb_message {
+	cb_message_kind_t kind;
+	uint64_t term;
+	char *from_disk;
+	char *to_disk;
+	char *from_address;
+	union {
+		cb_vote_request_t vote_request;
+		cb_vote_reply_t vote_reply;
+		cb_append_t append;
+		cb_append_reply_t append_reply;
+		cb_snapshot_chunk_t snapshot;
+		cb_snapshot_reply_t snapshot_reply;
+		cb_probe_reply_t probe_reply;
+	};
+} cb_message_t;
+
+cb_message_t *cb_message_new(cb_message_kind_t kind);
+void cb_message_delete(cb_message_t *message);
+GBytes *cb_message_encode(const cb_message_t *message);
+cb_message_t *cb_message_decode(GBytes *bytes);
+
+cb_record_t *cb_record_new(uint64_t index, uint64_t term, uint32_t kind,
+			   GBytes *data);
+void cb_record_delete(cb_record_t *record);
+cb_record_t *cb_record_copy(const cb_record_t *record);
+
+#endif
--- /dev/null
+++ b/src/test_libcurrantbridge/support_group.c
@@ -0,0 +1,672 @@
+#include "support_group.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "private/replica.h"
+
+#define STEP_MS 10
+#define RETRY_MS 50
+
+/* What was ever committed, and who led when; kept across all crashes. */
+typedef struct history {
+	GHashTable *leaders; /* term -> "name/disk" */
+	GHashTable *chains;  /* index -> digest of all commands up to it */
+	GHashTable *first;   /* change ID -> index that took effect */
+	uint64_t next_change;
+} history_t;
+
+/* The state machine: a chain of digests, and the changes that took effect. */
+typedef struct node {
+	cb_transport_t transport;
+	cb_machine_t machine;
+	group_member_t *member;
+	uint64_t applied;
+	uint64_t chain;
+	GHashTable *changes; /* change ID -> index */
+} node_t;
+
+typedef struct envelope {
+	group_t *group;
+	uint32_t from;
+	uint32_t to;
+	GBytes *message;
+	cb_timer_t *timer;
+} envelope_t;
+
+static uint64_t *number_new_(uint64_t number)
+{
+	return g_memdup2(&number, sizeof(number));
+}
+
+static node_t *node_of_(const group_member_t *member)
+{
+	return member->node;
+}
+
+static history_t *history_of_(const group_t *group)
+{
+	return group->history;
+}
+
+/* Records that something that must hold does not. */
+void group_violation(group_t *group, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	g_ptr_array_add(group->violations, g_strdup_vprintf(format, args));
+	va_end(args);
+}
+
+/* Whether nothing was violated; prints the seed and the rest if not. */
+gboolean group_is_good(const group_t *group)
+{
+	uint32_t i;
+
+	for (i = 0; i < MIN(group->violations->len, 5); i++)
+		printf("    seed %" G_GUINT64_FORMAT ": %s\n", group->seed,
+		       (const char *)group->violations->pdata[i]);
+	return !group->violations->len;
+}
+
+/* Checks that the state at `index` is the one seen before, if any was. */
+static void chain_check_(node_t *node, uint64_t index, const char *what)
+{
+	history_t *history = history_of_(node->member->group);
+	const uint64_t *seen = g_hash_table_lookup(history->chains, &index);
+
+	if (!seen)
+		g_hash_table_insert(history->chains, number_new_(index),
+				    number_new_(node->chain));
+	else if (*seen != node->chain)
+		group_violation(node->member->group,
+				"%s %s other commands up to %" G_GUINT64_FORMAT,
+				node->member->name, what, index);
+}
+
+static GBytes *machine_apply_(cb_machine_t *machine, uint64_t index,
+			      GBytes *command)
+{
+	node_t *node = (node_t *)((char *)machine - offsetof(node_t, machine));
+	history_t *history = history_of_(node->member->group);
+	size_t size;
+	const char *data = g_bytes_get_data(command, &size);
+	char *id = g_strndup(data, size);
+	const uint64_t *answer;
+	GBytes *bytes;
+
+	if (index <= node->applied)
+		group_violation(node->member->group, "%s applied %u twice",
+				node->member->name, (unsigned int)index);
+	node->applied = index;
+	node->chain = XXH3_64bits_withSeed(data, size, node->chain ^ index);
+	chain_check_(node, index, "applied");
+	if (!g_hash_table_contains(node->changes, id))
+		g_hash_table_insert(node->changes, g_strdup(id),
+				    number_new_(index));
+	answer = g_hash_table_lookup(node->changes, id);
+	if (!g_hash_table_contains(history->first, id))
+		g_hash_table_insert(history->first, g_strdup(id),
+				    number_new_(*answer));
+	bytes = g_bytes_new(answer, sizeof(*answer));
+	g_free(id);
+	return bytes;
+}
+
+static GBytes *machine_snapshot_(cb_machine_t *machine)
+{
+	node_t *node = (node_t *)((char *)machine - offsetof(node_t, machine));
+	GString *text = g_string_new(NULL);
+	GHashTableIter iter;
+	void *key;
+	void *value;
+
+	g_string_append_printf(text, "%" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT,
+			       node->applied, node->chain);
+	g_hash_table_iter_init(&iter, node->changes);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		g_string_append_printf(text, " %s %" G_GUINT64_FORMAT,
+				       (char *)key, *(uint64_t *)value);
+	return g_string_free_to_bytes(text);
+}
+
+static gboolean machine_restore_(cb_machine_t *machine, uint64_t index,
+				 GBytes *snapshot, GError **error)
+{
+	node_t *node = (node_t *)((char *)machine - offsetof(node_t, machine));
+	char *text = g_strndup(g_bytes_get_data(snapshot, NULL),
+			       g_bytes_get_size(snapshot));
+	char **words = g_strsplit(text, " ", -1);
+	uint32_t i;
+
+	(void)error;
+	(void)index;
+	g_hash_table_remove_all(node->changes);
+	node->applied = g_ascii_strtoull(words[0], NULL, 10);
+	node->chain = g_ascii_strtoull(words[1], NULL, 10);
+	for (i = 2; words[i]; i += 2)
+		g_hash_table_insert(node->changes, g_strdup(words[i]),
+				    number_new_(g_ascii_strtoull(words[i + 1],
+								 NULL, 10)));
+	if (node->applied)
+		chain_check_(node, node->applied, "restored");
+	g_strfreev(words);
+	g_free(text);
+	return TRUE;
+}
+
+static const cb_machine_vtable_t machine_vtable = {
+	.apply = machine_apply_,
+	.snapshot = machine_snapshot_,
+	.restore = machine_restore_,
+};
+
+static void envelope_delete_(envelope_t *envelope)
+{
+	cb_timer_delete(envelope->timer);
+	g_bytes_unref(envelope->message);
+	g_free(envelope);
+}
+
+static GHashTable *envelopes_of_(group_t *group);
+
+static void deliver_(void *user_data)
+{
+	envelope_t *envelope = user_data;
+	group_t *group = envelope->group;
+	group_member_t *to = &group->members[envelope->to];
+
+	if (to->is_up && !group->cut[envelope->from][envelope->to])
+		cb_replica_receive(to->replica,
+				   group->members[envelope->from].name,
+				   envelope->message);
+	g_hash_table_remove(envelopes_of_(group), envelope);
+	envelope_delete_(envelope);
+}
+
+static void post_(group_t *group, uint32_t from, uint32_t to, GBytes *message)
+{
+	envelope_t *envelope;
+
+	if (group->cut[from][to] ||
+	    g_rand_int_range(group->random, 0, 1000) < group->loss_per_mille)
+		return;
+	envelope = g_new0(envelope_t, 1);
+	envelope->group = group;
+	envelope->from = from;
+	envelope->to = to;
+	envelope->message = g_bytes_ref(message);
+	envelope->timer = cb_timer_new(group->clock, deliver_, envelope);
+	g_hash_table_add(envelopes_of_(group), envelope);
+	cb_timer_start(envelope->timer,
+		       g_rand_int_range(group->random, 0,
+					group->delay_most_ms + 1));
+}
+
+static void transport_send_(cb_transport_t *transport, const char *to,
+			    const char *address, GBytes *message)
+{
+	node_t *node = (node_t *)transport;
+	group_t *group = node->member->group;
+	uint32_t from = (uint32_t)(node->member - group->members);
+	uint32_t i;
+
+	(void)to;
+	group->sent_bytes_most =
+		MAX(group->sent_bytes_most, g_bytes_get_size(message));
+	for (i = 0; i < group->size; i++) {
+		if (g_strcmp0(group->members[i].address, address))
+			continue;
+		post_(group, from, i, message);
+		if (g_rand_int_range(group->random, 0, 1000) <
+		    group->repeat_per_mille)
+			post_(group, from, i, message);
+	}
+}
+
+static const cb_transport_vtable_t transport_vtable = {
+	.send = transport_send_,
+};
+
+static void role_changed_(void *user_data)
+{
+	group_member_t *member = user_data;
+	history_t *history = history_of_(member->group);
+	uint64_t term = member->replica ? member->replica->term : 0;
+	const char *known;
+
+	if (!member->replica || !cb_replica_leads(member->replica))
+		return;
+	known = g_hash_table_lookup(history->leaders, &term);
+	if (!known)
+		g_hash_table_insert(history->leaders, number_new_(term),
+				    g_strdup(member->replica->disk_id));
+	else if (strcmp(known, member->replica->disk_id))
+		group_violation(member->group,
+				"two leaders in term %" G_GUINT64_FORMAT, term);
+}
+
+static void failed_(void *user_data, const GError *error)
+{
+	group_member_t *member = user_data;
+
+	(void)error;
+	member->has_failed = TRUE;
+}
+
+typedef struct private_part {
+	history_t history;
+	GHashTable *envelopes;
+} private_part_t;
+
+static GHashTable *envelopes_of_(group_t *group)
+{
+	return ((private_part_t *)group->history)->envelopes;
+}
+
+group_member_t *group_add(group_t *group)
+{
+	group_member_t *member = &group->members[group->size++];
+	node_t *node = g_new0(node_t, 1);
+
+	g_assert(group->size <= GROUP_MAX_MEMBERS);
+	member->group = group;
+	g_snprintf(member->name, sizeof(member->name), "m%u", group->size);
+	g_snprintf(member->address, sizeof(member->address), "127.0.0.1:%u",
+		   group->size);
+	member->disk = disk_new(group->clock, group->random);
+	node->transport.vtable = &transport_vtable;
+	node->machine.vtable = &machine_vtable;
+	node->member = member;
+	node->changes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	member->node = node;
+	return member;
+}
+
+/* Makes a group of `size` blank members that are not started. */
+group_t *group_new(uint64_t seed, uint32_t size)
+{
+	group_t *group = g_new0(group_t, 1);
+	private_part_t *part = g_new0(private_part_t, 1);
+	uint32_t i;
+
+	group->seed = seed;
+	group->clock = cb_clock_new_paused(1000);
+	group->random = g_rand_new_with_seed((uint32_t)seed);
+	group->initial_size = size;
+	group->delay_most_ms = 2;
+	group->snapshot_every_bytes = 2048;
+	group->violations = g_ptr_array_new_with_free_func(g_free);
+	part->history.leaders =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				      g_free);
+	part->history.chains =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				      g_free);
+	part->history.first =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	part->envelopes = g_hash_table_new(NULL, NULL);
+	group->history = part;
+	for (i = 0; i < size; i++)
+		group_add(group);
+	return group;
+}
+
+void group_delete(group_t *group)
+{
+	private_part_t *part = group->history;
+	GHashTableIter iter;
+	void *envelope;
+	uint32_t i;
+
+	for (i = 0; i < group->size; i++) {
+		group_member_t *member = &group->members[i];
+
+		group_crash(member);
+		disk_delete(member->disk);
+		g_hash_table_unref(node_of_(member)->changes);
+		g_free(member->node);
+	}
+	g_hash_table_iter_init(&iter, part->envelopes);
+	while (g_hash_table_iter_next(&iter, &envelope, NULL))
+		envelope_delete_(envelope);
+	g_hash_table_unref(part->envelopes);
+	g_hash_table_unref(part->history.leaders);
+	g_hash_table_unref(part->history.chains);
+	g_hash_table_unref(part->history.first);
+	g_free(part);
+	g_ptr_array_unref(group->violations);
+	g_rand_free(group->random);
+	cb_clock_delete(group->clock);
+	g_free(group);
+}
+
+void group_run(group_t *group, int64_t duration_ms)
+{
+	cb_clock_advance(group->clock, duration_ms);
+}
+
+void group_start(group_member_t *member)
+{
+	group_t *group = member->group;
+	node_t *node = node_of_(member);
+	cb_replica_member_t initial[GROUP_MAX_MEMBERS] = { 0 };
+	cb_replica_options_t options = {
+		.name = member->name,
+		.address = member->address,
+		.initial_members = initial,
+		.heartbeat_ms = 100,
+		.election_timeout_ms = 500,
+		.snapshot_every_bytes = group->snapshot_every_bytes,
+		.max_waiting_proposals = 1000,
+	};
+	cb_replica_listener_t listener = { .role_changed = role_changed_,
+					   .failed = failed_,
+					   .user_data = member };
+	GError *error = NULL;
+	uint32_t i;
+
+	if (member->is_up)
+		return;
+	for (i = 0; i < group->initial_size; i++) {
+		initial[i].name = group->members[i].name;
+		initial[i].address = group->members[i].address;
+	}
+	if (member - group->members < group->initial_size)
+		options.initial_member_count = group->initial_size;
+	node->applied = 0;
+	node->chain = 0;
+	g_hash_table_remove_all(node->changes);
+	member->has_failed = FALSE;
+	member->replica =
+		cb_replica_new(&options, group->clock, group->random,
+			       disk_storage(member->disk), &node->transport,
+			       &node->machine, &listener);
+	member->is_up = TRUE;
+	if (!cb_replica_start(member->replica, &error)) {
+		group_violation(group, "%s did not start: %s", member->name,
+				error->message);
+		g_error_free(error);
+	}
+}
+
+void group_start_all(group_t *group)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->size; i++)
+		group_start(&group->members[i]);
+}
+
+void group_crash(group_member_t *member)
+{
+	if (!member->is_up)
+		return;
+	member->is_up = FALSE;
+	cb_replica_delete(g_steal_pointer(&member->replica));
+	disk_crash(member->disk);
+}
+
+void group_blank(group_member_t *member)
+{
+	group_crash(member);
+	disk_make_blank(member->disk);
+}
+
+void group_heal(group_t *group)
+{
+	memset(group->cut, 0, sizeof(group->cut));
+}
+
+void group_cut_off(group_member_t *member, gboolean in, gboolean out)
+{
+	group_t *group = member->group;
+	uint32_t self = (uint32_t)(member - group->members);
+	uint32_t i;
+
+	for (i = 0; i < group->size; i++) {
+		if (i == self)
+			continue;
+		group->cut[i][self] = group->cut[i][self] || in;
+		group->cut[self][i] = group->cut[self][i] || out;
+	}
+}
+
+group_member_t *group_leader(group_t *group)
+{
+	group_member_t *leader = NULL;
+	uint32_t i;
+
+	for (i = 0; i < group->size; i++) {
+		group_member_t *member = &group->members[i];
+
+		if (member->is_up && cb_replica_leads(member->replica) &&
+		    (!leader || member->replica->term > leader->replica->term))
+			leader = member;
+	}
+	return leader;
+}
+
+group_member_t *group_wait_leader(group_t *group, int64_t bound_ms)
+{
+	group_member_t *leader;
+
+	for (; bound_ms > 0; bound_ms -= STEP_MS) {
+		leader = group_leader(group);
+		if (leader && cb_replica_is_current(leader->replica))
+			return leader;
+		group_run(group, STEP_MS);
+	}
+	return NULL;
+}
+
+typedef struct waiting_change {
+	group_t *group;
+	group_change_t *change;
+	cb_replica_done_fn_t done;
+	void *user_data;
+} waiting_change_t;
+
+/* Checks the answer: it is the same however often the change was sent. */
+static void change_done_(cb_replica_outcome_t outcome, uint64_t index,
+			 GBytes *answer, void *user_data)
+{
+	waiting_change_t *waiting = user_data;
+	group_t *group = waiting->group;
+	group_change_t *change = waiting->change;
+	uint64_t first;
+
+	if (outcome == CB_REPLICA_COMMITTED) {
+		memcpy(&first, g_bytes_get_data(answer, NULL), sizeof(first));
+		if (change->answer && change->answer != first)
+			group_violation(group, "two answers to %s", change->id);
+		change->answer = first;
+		group->acknowledged = MAX(group->acknowledged, index);
+		group->acknowledged_count++;
+	}
+	if (waiting->done)
+		waiting->done(outcome, index, answer, waiting->user_data);
+	g_free(waiting);
+}
+
+void group_propose(group_member_t *member, group_change_t *change,
+		   cb_replica_done_fn_t done, void *user_data)
+{
+	waiting_change_t *waiting = g_new0(waiting_change_t, 1);
+	GBytes *command;
+
+	if (!*change->id)
+		g_snprintf(change->id, sizeof(change->id),
+			   "change-%" G_GUINT64_FORMAT,
+			   history_of_(member->group)->next_change++);
+	command = g_bytes_new(change->id, strlen(change->id));
+	waiting->group = member->group;
+	waiting->change = change;
+	waiting->done = done;
+	waiting->user_data = user_data;
+	cb_replica_propose(member->replica, command, change_done_, waiting);
+	g_bytes_unref(command);
+}
+
+static void count_down_(cb_replica_outcome_t outcome, uint64_t index,
+			GBytes *answer, void *user_data)
+{
+	int32_t *state = user_data;
+
+	(void)index;
+	(void)answer;
+	*state = outcome == CB_REPLICA_COMMITTED ? 1 : -1;
+}
+
+gboolean group_commit_one(group_t *group, int64_t bound_ms)
+{
+	group_change_t change = { 0 };
+	int64_t end_ms = cb_clock_now_ms(group->clock) + bound_ms;
+	int32_t state = -1;
+
+	/* A call that waits is never left behind: it refers to this frame. */
+	while (state == 0 || cb_clock_now_ms(group->clock) < end_ms) {
+		group_member_t *leader = group_leader(group);
+
+		if (state == 1)
+			return TRUE;
+		if (state == -1 && leader) {
+			state = 0;
+			group_propose(leader, &change, count_down_, &state);
+		}
+		group_run(group, state == 0 ? 1 : STEP_MS);
+	}
+	return state == 1;
+}
+
+gboolean group_commit_many(group_t *group, uint32_t count, int64_t bound_ms)
+{
+	for (; count; count--)
+		if (!group_commit_one(group, bound_ms))
+			return FALSE;
+	return TRUE;
+}
+
+typedef struct waiting_read {
+	group_member_t *member;
+	uint64_t least;
+} waiting_read_t;
+
+static void read_done_(cb_replica_outcome_t outcome, uint64_t index,
+		       GBytes *answer, void *user_data)
+{
+	waiting_read_t *read = user_data;
+	group_t *group = read->member->group;
+
+	(void)answer;
+	if (outcome == CB_REPLICA_COMMITTED) {
+		group->read_count++;
+		if (index < read->least ||
+		    node_of_(read->member)->applied < read->least)
+			group_violation(
+				group,
+				"%s confirmed a read of %" G_GUINT64_FORMAT
+				" after %" G_GUINT64_FORMAT " was acknowledged",
+				read->member->name, index, read->least);
+	}
+	g_free(read);
+}
+
+/* A confirmed read must see all that was acknowledged before it. */
+void group_read(group_member_t *member)
+{
+	waiting_read_t *read = g_new0(waiting_read_t, 1);
+
+	read->member = member;
+	read->least = member->group->acknowledged;
+	cb_replica_confirm(member->replica, read_done_, read);
+}
+
+gboolean group_is_voter(group_t *group, const group_member_t *member)
+{
+	group_member_t *leader = group_leader(group);
+	const cb_replica_member_t *known;
+
+	if (!leader || !member->is_up ||
+	    leader->replica->committed < leader->replica->members_index ||
+	    leader->replica->committed < leader->replica->term_start)
+		return FALSE;
+	known = cb_members_find(leader->replica->members, member->name);
+	return known && known->is_voter &&
+	       !strcmp(known->disk_id, member->replica->disk_id);
+}
+
+uint64_t group_machine_applied(const group_member_t *member)
+{
+	return node_of_(member)->applied;
+}
+
+static gboolean is_equal_(group_t *group)
+{
+	group_member_t *leader = group_leader(group);
+	uint32_t i;
+
+	if (!leader || leader->replica->committed <
+			       cb_replica_log_last(leader->replica->log))
+		return FALSE;
+	for (i = 0; i < group->size; i++) {
+		group_member_t *member = &group->members[i];
+
+		if (!member->is_up ||
+		    !cb_members_find(leader->replica->members, member->name))
+			continue;
+		if (member->replica->applied != leader->replica->applied ||
+		    node_of_(member)->chain != node_of_(leader)->chain)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+gboolean group_wait_equal(group_t *group, int64_t bound_ms)
+{
+	for (; bound_ms > 0; bound_ms -= STEP_MS) {
+		if (is_equal_(group))
+			return TRUE;
+		group_run(group, STEP_MS);
+	}
+	return FALSE;
+}
+
+/* Equal terms at one index mean equal records there and before. */
+static void logs_compare_(group_t *group, const cb_replica_log_t *a,
+			  const cb_replica_log_t *b)
+{
+	uint64_t i = MIN(cb_replica_log_last(a), cb_replica_log_last(b));
+	uint64_t first = MAX(cb_replica_log_first(a), cb_replica_log_first(b));
+	gboolean must_match = FALSE;
+
+	for (; i >= first; i--) {
+		const cb_record_t *x = cb_replica_log_get(a, i);
+		const cb_record_t *y = cb_replica_log_get(b, i);
+		gboolean is_equal = x->term == y->term && x->kind == y->kind &&
+				    g_bytes_equal(x->data, y->data);
+
+		must_match = must_match || x->term == y->term;
+		if (must_match && !is_equal) {
+			group_violation(group,
+					"logs differ at %" G_GUINT64_FORMAT, i);
+			return;
+		}
+	}
+}
+
+void group_check_logs(group_t *group)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < group->size; i++)
+		for (k = 0; k < i; k++)
+			if (group->members[i].is_up && group->members[k].is_up)
+				logs_compare_(group,
+					      group->members[i].replica->log,
+					      group->members[k].replica->log);
+}
