--- a/src/libcurrantbridge/control/election.c
+++ b/src/libcurrantbridge/control/election.c
@@ -44,30 +44,36 @@
 		       replica->election_timeout_ms;
 }
 
+/* Gives up what only a leader holds. */
+static void leadership_end_(cb_replica_t *replica)
+{
+	cb_timer_stop(replica->heartbeat_timer);
+	g_clear_pointer(&replica->hand_over_to, g_free);
+	cb_membership_drop_admission(replica, CB_REPLICA_NOT_LEADER);
+	cb_proposal_abandon_all(replica);
+	cb_replica_store_records(replica);
+}
+
 /* Becomes a follower, of `term` if that is later than the present one. */
 void cb_election_step_down(cb_replica_t *replica, uint64_t term)
 {
 	gboolean has_led = cb_replica_leads(replica);
+	gboolean is_later = term > replica->term;
 
-	if (term > replica->term) {
+	cb_replica_set_role(replica, cb_replica_is_voter(replica) ?
+					     CB_REPLICA_ROLE_FOLLOWER :
+					     CB_REPLICA_ROLE_LEARNER);
+	if (has_led)
+		leadership_end_(replica);
+	if (is_later) {
 		replica->term = term;
 		g_clear_pointer(&replica->voted_for, g_free);
 		cb_replica_save_vote(replica);
-		replica->verified = 0;
-		cb_replica_set_leader(replica, NULL);
 	}
-	if (has_led) {
-		cb_timer_stop(replica->heartbeat_timer);
-		g_clear_pointer(&replica->hand_over_to, g_free);
-		cb_replica_set_leader(replica, NULL);
-		cb_membership_drop_admission(replica, CB_REPLICA_NOT_LEADER);
-		cb_proposal_abandon_all(replica);
-		cb_replica_store_records(replica);
+	if (has_led || is_later) {
 		replica->verified = 0;
+		cb_replica_set_leader(replica, NULL);
 	}
-	cb_replica_set_role(replica, cb_replica_is_voter(replica) ?
-					     CB_REPLICA_ROLE_FOLLOWER :
-					     CB_REPLICA_ROLE_LEARNER);
 	if (has_led || !cb_timer_is_armed(replica->election_timer))
 		cb_election_arm(replica);
 }
--- a/src/test_libcurrantbridge/support_group.c
+++ b/src/test_libcurrantbridge/support_group.c
@@ -635,6 +635,29 @@
 	return FALSE;
 }
 
+void group_check_change(group_t *group, const group_change_t *change)
+{
+	history_t *history = history_of_(group);
+	const uint64_t *first = g_hash_table_lookup(history->first, change->id);
+	group_member_t *leader = group_leader(group);
+	uint32_t i;
+
+	if (!change->answer)
+		return;
+	if (!first || *first != change->answer)
+		group_violation(group, "%s was answered by another index",
+				change->id);
+	for (i = 0; leader && i < group->size; i++) {
+		group_member_t *member = &group->members[i];
+
+		if (cb_members_find(leader->replica->members, member->name) &&
+		    !g_hash_table_contains(node_of_(member)->changes,
+					   change->id))
+			group_violation(group, "%s has lost %s", member->name,
+					change->id);
+	}
+}
+
 /* Equal terms at one index mean equal records there and before. */
 static void logs_compare_(group_t *group, const cb_replica_log_t *a,
 			  const cb_replica_log_t *b)
--- a/src/test_libcurrantbridge/support_group.h
+++ b/src/test_libcurrantbridge/support_group.h
@@ -83,6 +83,8 @@
 uint64_t group_machine_applied(const group_member_t *member);
 /* Whether all live members have applied the same, up to the last commit. */
 gboolean group_wait_equal(group_t *group, int64_t bound_ms);
+/* Checks that an acknowledged change took effect once, on every member. */
+void group_check_change(group_t *group, const group_change_t *change);
 /* Compares the logs of all live members. */
 void group_check_logs(group_t *group);
 
--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -36,6 +36,5 @@
 
 int main(void)
 {
-	g_set_prgname("test_replica_group");
 	return support_run(suites);
 }
