--- a/include/currantbridge/engine_client.h
+++ b/include/currantbridge/engine_client.h
@@ -28,6 +28,9 @@
 
 extern const char *const cb_failure_string[CB_FAILURE_COUNT];
 
+/* Whether the server may have run what was sent. */
+gboolean cb_failure_is_unknown(cb_failure_t failure);
+
 /* What is ordered from the engine that holds a layer range. */
 typedef struct cb_engine_order {
 	const char *request;
@@ -79,6 +82,11 @@
 	void *user_data;
 } cb_engine_listener_t;
 
+/*
+ * No call below calls its listener before it has returned, and each copies
+ * the texts that it keeps.  `cancel` and `drop` may be called from within a
+ * listener's functions; after `done` the exchange must not be used.
+ */
 typedef struct cb_engine_client_vtable {
 	/* An engine with the whole model: tokens come until the last one. */
 	cb_exchange_t *(*stream)(cb_engine_client_t *client,
--- a/include/currantbridge/generation.h
+++ b/include/currantbridge/generation.h
@@ -2,6 +2,7 @@
 #define CURRANTBRIDGE_GENERATION_H
 
 #include "currantbridge/engine_client.h"
+#include "currantbridge/history.h"
 #include "currantbridge/http_server.h"
 #include "currantbridge/refusal.h"
 
@@ -31,6 +32,7 @@
 } cb_generation_end_t;
 
 typedef struct cb_generation_sink {
+	/* May cancel or delete the generation. */
 	void (*token)(void *user_data, uint64_t index, const char *text);
 	/* Called once, never before cb_generation_start() has returned. */
 	void (*ended)(void *user_data, const cb_generation_end_t *end);
@@ -50,6 +52,7 @@
 	void (*quarantine)(void *user_data, const char *digest,
 			   int64_t until_wall_ms);
 	void *user_data;
+	cb_history_t *history; /* NULL: none is kept */
 } cb_generation_parts_t;
 
 /* What the generations of one entry instance share. */
--- /dev/null
+++ b/include/currantbridge/history.h
@@ -0,0 +1,58 @@
+#ifndef CURRANTBRIDGE_HISTORY_H
+#define CURRANTBRIDGE_HISTORY_H
+
+#include <glib.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "currantbridge/clock.h"
+
+/*
+ * A record of what happened to each request, from which a checker can tell
+ * whether any rule was broken.
+ */
+typedef struct cb_history cb_history_t;
+
+typedef enum cb_history_kind {
+	CB_HISTORY_ORDER,   /* an order, step or call leaves for a server */
+	CB_HISTORY_RUN,	    /* a server ran a layer range for one token */
+	CB_HISTORY_EFFECT,  /* a service executed a non-idempotent call */
+	CB_HISTORY_EPOCH,   /* an epoch begins, `token` is its first token */
+	CB_HISTORY_DELIVER, /* the caller got a token */
+	CB_HISTORY_END,	    /* the caller got its answer's end */
+	CB_HISTORY_LEAVING, /* a server was announced as leaving */
+	CB_HISTORY_KIND_COUNT
+} cb_history_kind_t;
+
+extern const char *const cb_history_kind_string[CB_HISTORY_KIND_COUNT];
+
+/* Fields that a kind does not use are 0 or NULL. */
+typedef struct cb_history_event {
+	cb_history_kind_t kind;
+	const char *request;
+	const char *workspace;
+	const char *server;
+	const char *key;
+	const char *text;
+	const char *refusal;
+	const char *executed;
+	uint64_t epoch;
+	uint64_t token;
+	uint32_t first_layer;
+	uint32_t last_layer;
+} cb_history_event_t;
+
+typedef struct cb_history_vtable {
+	void (*record)(cb_history_t *history, const cb_history_event_t *event);
+	void (*destroy)(cb_history_t *history);
+} cb_history_vtable_t;
+
+struct cb_history {
+	const cb_history_vtable_t *vtable;
+};
+
+cb_history_t *cb_history_new(cb_clock_t *clock, FILE *stream);
+void cb_history_delete(cb_history_t *history);
+void cb_history_record(cb_history_t *history, const cb_history_event_t *event);
+
+#endif
--- a/include/currantbridge/service_client.h
+++ b/include/currantbridge/service_client.h
@@ -48,6 +48,11 @@
 	void *user_data;
 } cb_fence_listener_t;
 
+/*
+ * No call below calls its listener before it has returned, and each copies
+ * the texts that it keeps.  A client never repeats a call by itself: not on
+ * another connection either.
+ */
 typedef struct cb_service_client_vtable {
 	cb_exchange_t *(*send)(cb_service_client_t *client, cb_server_t *server,
 			       const cb_service_request_t *request,
--- /dev/null
+++ b/src/libcurrantbridge/backend/router.c
@@ -0,0 +1,246 @@
+#include "private/router.h"
+
+#include <string.h>
+
+#include "private/digest.h"
+
+/* The cost of a stage is the time that one token is expected to take there. */
+#define SAME_DATA_CENTRE_US 600
+#define OTHER_DATA_CENTRE_US 4000
+#define UNKNOWN_LAYER_US 300
+/* Load is told apart in quarters of a server's capacity. */
+#define LOAD_STEPS 4
+/* Spreads digests over servers that cost about the same. */
+#define SPREAD_US 400
+#define PREFERRED_SHARE 4
+#define MAX_LAYERS 4096
+
+typedef struct hop {
+	int64_t cost_us; /* from here to the end of the model; -1: none */
+	cb_route_stage_t stage;
+} hop_t;
+
+/* Returns a server's load in quarters of its capacity. */
+static int64_t load_quarters_(const cb_server_t *server)
+{
+	int64_t running = server->reported_running + server->reported_queued +
+			  server->sent_since_report;
+
+	running = MAX(running, server->in_flight);
+	return running * LOAD_STEPS / MAX(server->capacity, 1);
+}
+
+/* Returns the expected time of one step or call on a server. */
+static int64_t server_cost_us_(const cb_route_query_t *query,
+			       const cb_server_t *server, int64_t unknown_us)
+{
+	gboolean is_near = !g_strcmp0(server->data_centre, query->data_centre);
+	int64_t step_us = server->step_us ? server->step_us : unknown_us;
+	int64_t load = load_quarters_(server);
+	uint64_t rank = cb_digest_rank(query->digest, server->name);
+	int64_t cost_us = step_us + step_us * load * load / LOAD_STEPS +
+			  (int64_t)(rank % SPREAD_US);
+
+	if (query->preferred &&
+	    g_hash_table_contains(query->preferred, server->name))
+		cost_us /= PREFERRED_SHARE;
+	return cost_us + (is_near ? SAME_DATA_CENTRE_US : OTHER_DATA_CENTRE_US);
+}
+
+static gboolean server_is_usable_(const cb_route_query_t *query,
+				  const cb_server_t *server)
+{
+	if (!cb_server_accepts(query->registry, server))
+		return FALSE;
+	return !query->filter || query->filter(server, query->user_data);
+}
+
+/* Takes one range into the table if it makes a cheaper way to the end. */
+static void hop_consider_(const cb_route_query_t *query, hop_t *hops,
+			  cb_server_t *server, const cb_layer_range_t *range)
+{
+	int64_t layers = range->last_layer - range->first_layer + 1;
+	const hop_t *rest = &hops[range->last_layer + 1];
+	hop_t *hop = &hops[range->first_layer];
+	int64_t cost_us;
+
+	if (rest->cost_us < 0)
+		return;
+	cost_us = rest->cost_us +
+		  server_cost_us_(query, server, layers * UNKNOWN_LAYER_US);
+	if (hop->cost_us >= 0 && hop->cost_us <= cost_us)
+		return;
+	hop->cost_us = cost_us;
+	hop->stage = (cb_route_stage_t){ .server = server,
+					 .first_layer = range->first_layer,
+					 .last_layer = range->last_layer };
+}
+
+static const cb_layer_range_t *range_find_(const cb_server_t *server,
+					   const char *model)
+{
+	unsigned int i;
+
+	for (i = 0; server->ranges && i < server->ranges->len; i++) {
+		const cb_layer_range_t *range =
+			g_ptr_array_index(server->ranges, i);
+
+		if (!strcmp(range->model, model))
+			return range;
+	}
+	return NULL;
+}
+
+static gboolean range_is_sound_(const cb_layer_range_t *range,
+				uint32_t layer_count)
+{
+	return range && range->layer_count == layer_count &&
+	       range->first_layer <= range->last_layer &&
+	       range->last_layer < layer_count;
+}
+
+/* Returns how many layers the model has, as most of its engines say. */
+static uint32_t layer_count_(const GPtrArray *engines, const char *model)
+{
+	uint32_t best = 0;
+	unsigned int best_votes = 0;
+	unsigned int i;
+	unsigned int j;
+
+	for (i = 0; i < engines->len; i++) {
+		const cb_layer_range_t *range =
+			range_find_(g_ptr_array_index(engines, i), model);
+		unsigned int votes = 0;
+
+		if (!range || range->layer_count > MAX_LAYERS ||
+		    range->layer_count == best)
+			continue;
+		for (j = 0; j < engines->len; j++) {
+			const cb_layer_range_t *other =
+				range_find_(g_ptr_array_index(engines, j),
+					    model);
+
+			votes += other &&
+				 other->layer_count == range->layer_count;
+		}
+		if (votes > best_votes) {
+			best = range->layer_count;
+			best_votes = votes;
+		}
+	}
+	return best;
+}
+
+/* Fills the table of cheapest ways, from the last layer to the first. */
+static void hops_fill_(const cb_route_query_t *query, hop_t *hops,
+		       uint32_t layer_count, const GPtrArray *engines,
+		       const char *model)
+{
+	GPtrArray *usable = g_ptr_array_new();
+	uint32_t layer;
+	unsigned int i;
+
+	for (i = 0; i < engines->len; i++)
+		if (server_is_usable_(query, g_ptr_array_index(engines, i)))
+			g_ptr_array_add(usable, g_ptr_array_index(engines, i));
+	for (layer = layer_count; layer > 0; layer--) {
+		hops[layer - 1].cost_us = -1;
+		for (i = 0; i < usable->len; i++) {
+			cb_server_t *server = g_ptr_array_index(usable, i);
+			const cb_layer_range_t *range =
+				range_find_(server, model);
+
+			if (range_is_sound_(range, layer_count) &&
+			    range->first_layer == layer - 1)
+				hop_consider_(query, hops, server, range);
+		}
+	}
+	g_ptr_array_unref(usable);
+}
+
+/*
+ * Chooses engines whose ranges, end to end, cover each layer of the model
+ * exactly once, for the least expected time of a token: links within this
+ * data centre first, then few stages and little load.  Returns an array of
+ * cb_route_stage_t in order, or NULL if no chain is complete.
+ */
+GArray *cb_router_chain(const cb_route_query_t *query, const char *model)
+{
+	const GPtrArray *engines = cb_server_engines(query->registry, model);
+	uint32_t layer_count;
+	uint32_t layer;
+	GArray *chain = NULL;
+	hop_t *hops;
+
+	if (!engines || !engines->len)
+		return NULL;
+	layer_count = layer_count_(engines, model);
+	if (!layer_count)
+		return NULL;
+	hops = g_new0(hop_t, layer_count + 1);
+	hops_fill_(query, hops, layer_count, engines, model);
+	if (hops[0].cost_us < 0)
+		goto out;
+	chain = g_array_new(FALSE, FALSE, sizeof(cb_route_stage_t));
+	for (layer = 0; layer < layer_count;) {
+		g_array_append_val(chain, hops[layer].stage);
+		layer = hops[layer].stage.last_layer + 1;
+	}
+out:
+	g_free(hops);
+	return chain;
+}
+
+/*
+ * Chooses an engine that holds exactly this range, to take over a session;
+ * NULL if there is none.
+ */
+cb_server_t *cb_router_stage(const cb_route_query_t *query, const char *model,
+			     uint32_t first_layer, uint32_t last_layer)
+{
+	const GPtrArray *engines = cb_server_engines(query->registry, model);
+	cb_server_t *best = NULL;
+	int64_t best_us = 0;
+	unsigned int i;
+
+	for (i = 0; engines && i < engines->len; i++) {
+		cb_server_t *server = g_ptr_array_index(engines, i);
+		const cb_layer_range_t *range = range_find_(server, model);
+		int64_t cost_us;
+
+		if (!range || range->first_layer != first_layer ||
+		    range->last_layer != last_layer ||
+		    !server_is_usable_(query, server))
+			continue;
+		cost_us = server_cost_us_(query, server, UNKNOWN_LAYER_US);
+		if (best && cost_us >= best_us)
+			continue;
+		best = server;
+		best_us = cost_us;
+	}
+	return best;
+}
+
+/* Chooses a server of a plain service by nearness and load, or NULL. */
+cb_server_t *cb_router_service(const cb_route_query_t *query,
+			       const char *service)
+{
+	const GPtrArray *servers = cb_server_services(query->registry, service);
+	cb_server_t *best = NULL;
+	int64_t best_us = 0;
+	unsigned int i;
+
+	for (i = 0; servers && i < servers->len; i++) {
+		cb_server_t *server = g_ptr_array_index(servers, i);
+		int64_t cost_us;
+
+		if (!server_is_usable_(query, server))
+			continue;
+		cost_us = server_cost_us_(query, server, UNKNOWN_LAYER_US);
+		if (best && cost_us >= best_us)
+			continue;
+		best = server;
+		best_us = cost_us;
+	}
+	return best;
+}
--- /dev/null
+++ b/src/libcurrantbridge/include/private/router.h
@@ -0,0 +1,34 @@
+#ifndef PRIVATE_ROUTER_H
+#define PRIVATE_ROUTER_H
+
+#include "currantbridge/server.h"
+
+/* Why a server is or is not to be used for one request. */
+typedef gboolean (*cb_router_filter_fn_t)(const cb_server_t *server,
+					  void *user_data);
+
+typedef struct cb_route_query {
+	const cb_server_registry_t *registry;
+	const char *data_centre; /* of this instance */
+	const char *digest;
+	/* NULL, or returns FALSE for a server that is not to be used. */
+	cb_router_filter_fn_t filter;
+	void *user_data;
+	/* Names of servers that hold the request's context, or NULL. */
+	GHashTable *preferred;
+} cb_route_query_t;
+
+/* One engine of a chain with the range that it runs. */
+typedef struct cb_route_stage {
+	cb_server_t *server;
+	uint32_t first_layer;
+	uint32_t last_layer;
+} cb_route_stage_t;
+
+GArray *cb_router_chain(const cb_route_query_t *query, const char *model);
+cb_server_t *cb_router_stage(const cb_route_query_t *query, const char *model,
+			     uint32_t first_layer, uint32_t last_layer);
+cb_server_t *cb_router_service(const cb_route_query_t *query,
+			       const char *service);
+
+#endif
--- /dev/null
+++ b/src/libcurrantbridge/request/digest.c
@@ -0,0 +1,47 @@
+#include "private/digest.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/*
+ * Returns the 128-bit XXH3 hash, as hex, of several texts and a body (NULL
+ * is allowed).  Each part is hashed with its length, so that no two lists
+ * of parts read the same.  g_free() it.
+ */
+char *cb_digest_text(const char *const *parts, size_t part_count, GBytes *body)
+{
+	XXH3_state_t *state = XXH3_createState();
+	XXH128_hash_t hash;
+	size_t i;
+
+	XXH3_128bits_reset(state);
+	for (i = 0; i < part_count; i++) {
+		uint64_t size = strlen(parts[i]);
+
+		XXH3_128bits_update(state, &size, sizeof(size));
+		XXH3_128bits_update(state, parts[i], size);
+	}
+	if (body) {
+		size_t size;
+		const void *data = g_bytes_get_data(body, &size);
+
+		if (size)
+			XXH3_128bits_update(state, data, size);
+	}
+	hash = XXH3_128bits_digest(state);
+	XXH3_freeState(state);
+	return g_strdup_printf("%016" G_GINT64_MODIFIER
+			       "x%016" G_GINT64_MODIFIER "x",
+			       hash.high64, hash.low64);
+}
+
+/*
+ * Returns the rank of `name` for a digest: the same on every instance, and
+ * spread evenly over the names (rendezvous hashing).
+ */
+uint64_t cb_digest_rank(const char *digest, const char *name)
+{
+	uint64_t seed = XXH3_64bits(digest, strlen(digest));
+
+	return XXH3_64bits_withSeed(name, strlen(name), seed);
+}
