Add contracts, the replicated state machine and the view

The session and entry modules need contracts, commands, the state machine and the view to build on. The state keeps its items in order of the revision that last changed them, removed ones as tombstones, so a difference costs what has changed; a view refuses stale, gapped and damaged updates as a whole.

--- a/include/currantbridge/command.h
+++ b/include/currantbridge/command.h
@@ -7,6 +7,12 @@
 #include "currantbridge/view.h"
 
 /* The commands of the replicated log, and their answers, as typed values. */
+
+/* A longer recorded answer is left out: only its outcome is kept. */
+#define CB_CLAIM_ANSWER_MAX_BYTES 65536
+/* The longest change ID, idempotency key, digest and name. */
+#define CB_COMMAND_TEXT_MAX_CHARS 256
+
 typedef enum cb_command_kind {
 	CB_COMMAND_CONTRACT_PUT,
 	CB_COMMAND_CONTRACT_REMOVE,
@@ -52,9 +58,20 @@
 	int64_t until_wall_ms;
 	/* Claims: name is the workspace. */
 	char *key;
-	char *digest;	  /* of method, path and body, as hex */
-	char *owner;	  /* the claiming entry instance, with incarnation */
-	uint64_t fencing; /* of the claim that is finished */
+	char *digest; /* of method, path and body, as hex */
+	char *owner;  /* the claiming entry instance: NAME/INCARNATION */
+	char *server; /* the backend server that will run it, or NULL */
+	/*
+	 * Of the claim that is finished.  A CLAIM by the holder itself that
+	 * gives its fencing number only names another server; it says that
+	 * the server named before surely did not run the call.
+	 */
+	uint64_t fencing;
+	/*
+	 * The claimant will ask the server by fencing whether an earlier
+	 * attempt of unknown outcome was executed, before it runs anything.
+	 */
+	gboolean proves_by_fencing;
 	cb_claim_result_t result;
 	GBytes *answer; /* recorded answer; NULL when over the size bound */
 } cb_command_t;
@@ -69,6 +86,7 @@
 	CB_ANSWER_RUNNING,  /* another attempt holds the claim */
 	CB_ANSWER_FINISHED, /* `result` and the recorded `answer` */
 	CB_ANSWER_DIGEST_DIFFERS,
+	CB_ANSWER_FULL, /* no room for a claim; nothing was recorded */
 	CB_ANSWER_KIND_COUNT
 } cb_answer_kind_t;
 
@@ -82,6 +100,16 @@
 	char *message;
 	uint64_t fencing;
 	char *owner;
+	/*
+	 * The backend server that the claim names; under `must_prove` the one
+	 * of the earlier attempt.
+	 */
+	char *server;
+	/*
+	 * Of CLAIMED: an earlier attempt may have been executed.  Nothing may
+	 * run before fencing has proved that it was not.
+	 */
+	gboolean must_prove;
 	cb_claim_result_t result;
 	GBytes *answer;
 	gboolean is_replayed; /* a resend of a change ID answered before */
--- a/include/currantbridge/contract.h
+++ b/include/currantbridge/contract.h
@@ -9,6 +9,14 @@
  * What the operators promise a workspace.  Every limit that its callers
  * meet follows from its contract alone.
  */
+#define CB_CONTRACT_WORKSPACE_MAX_CHARS 64
+#define CB_CONTRACT_KEY_MAX_CHARS 256
+#define CB_CONTRACT_MAX_KEYS 64
+#define CB_CONTRACT_MAX_MODELS 64
+#define CB_CONTRACT_MAX_SERVICES 64
+#define CB_CONTRACT_MAX_RATE_PER_S 1000000000
+#define CB_CONTRACT_MAX_TEXT_BYTES 65536
+
 typedef struct cb_contract_service {
 	char *name;
 	gboolean is_idempotent;
@@ -25,13 +33,18 @@
 	int64_t guaranteed_requests_per_s;
 	int64_t ceiling_requests_per_s;
 	int64_t concurrent_requests;
-	int64_t priority;
+	int64_t priority; /* 0 to 9, higher goes first */
 	int64_t deadline_ms;
 	/* The revision that put it, and its canonical JSON text. */
 	uint64_t revision;
 	char *text;
 } cb_contract_t;
 
+typedef enum cb_contract_error {
+	CB_CONTRACT_ERROR_SYNTAX,
+	CB_CONTRACT_ERROR_FIELD,
+} cb_contract_error_t;
+
 #define CB_CONTRACT_ERROR cb_contract_error_quark()
 GQuark cb_contract_error_quark(void);
 
--- /dev/null
+++ b/src/libcurrantbridge/control/aging.c
@@ -0,0 +1,93 @@
+#include "private/aging.h"
+
+typedef struct entry {
+	GList link;
+	char *name;
+	int64_t wall_ms;
+} entry_t;
+
+struct cb_aging {
+	GHashTable *entries; /* name to entry_t */
+	GQueue order;
+};
+
+static void entry_free_(void *data)
+{
+	entry_t *entry = data;
+
+	g_free(entry->name);
+	g_free(entry);
+}
+
+cb_aging_t *cb_aging_new(void)
+{
+	cb_aging_t *aging = g_new0(cb_aging_t, 1);
+
+	aging->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       entry_free_);
+	g_queue_init(&aging->order);
+	return aging;
+}
+
+void cb_aging_delete(cb_aging_t *aging)
+{
+	if (!aging)
+		return;
+	g_hash_table_unref(aging->entries);
+	g_free(aging);
+}
+
+/* Adds a name as the newest, also if it was there before. */
+void cb_aging_add(cb_aging_t *aging, const char *name, int64_t wall_ms)
+{
+	entry_t *entry = g_new0(entry_t, 1);
+
+	cb_aging_remove(aging, name);
+	entry->link.data = entry;
+	entry->name = g_strdup(name);
+	entry->wall_ms = wall_ms;
+	g_hash_table_insert(aging->entries, entry->name, entry);
+	g_queue_push_tail_link(&aging->order, &entry->link);
+}
+
+void cb_aging_remove(cb_aging_t *aging, const char *name)
+{
+	entry_t *entry = g_hash_table_lookup(aging->entries, name);
+
+	if (!entry)
+		return;
+	g_queue_unlink(&aging->order, &entry->link);
+	g_hash_table_remove(aging->entries, name);
+}
+
+unsigned int cb_aging_count(const cb_aging_t *aging)
+{
+	return aging->order.length;
+}
+
+/* Returns the name that was added first and its time, or NULL. */
+const char *cb_aging_oldest(const cb_aging_t *aging, int64_t *wall_ms)
+{
+	const entry_t *entry;
+
+	if (!aging->order.head)
+		return NULL;
+	entry = aging->order.head->data;
+	*wall_ms = entry->wall_ms;
+	return entry->name;
+}
+
+/* Calls `fn` for each name, the oldest first. */
+void cb_aging_foreach(const cb_aging_t *aging,
+		      void (*fn)(const char *name, int64_t wall_ms,
+				 void *user_data),
+		      void *user_data)
+{
+	const GList *link;
+
+	for (link = aging->order.head; link; link = link->next) {
+		const entry_t *entry = link->data;
+
+		fn(entry->name, entry->wall_ms, user_data);
+	}
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/changes.c
@@ -0,0 +1,184 @@
+#include "private/changes.h"
+
+#include <xxhash.h>
+
+#include "currantbridge/state.h"
+
+/* More than one is dropped for each that is added, so old ones run out. */
+#define DROPS_PER_NOTE 4
+
+typedef struct change {
+	GList link;
+	char *id;
+	uint64_t content; /* hash of what was asked for */
+	int64_t wall_ms;
+	GBytes *answer;
+} change_t;
+
+struct cb_changes {
+	GHashTable *by_id;
+	GQueue order;
+};
+
+static void change_free_(void *data)
+{
+	change_t *change = data;
+
+	g_free(change->id);
+	g_clear_pointer(&change->answer, g_bytes_unref);
+	g_free(change);
+}
+
+cb_changes_t *cb_changes_new(void)
+{
+	cb_changes_t *changes = g_new0(cb_changes_t, 1);
+
+	changes->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       change_free_);
+	g_queue_init(&changes->order);
+	return changes;
+}
+
+void cb_changes_delete(cb_changes_t *changes)
+{
+	if (!changes)
+		return;
+	g_hash_table_unref(changes->by_id);
+	g_free(changes);
+}
+
+/* Hashes a command without the leader's stamp, which differs in a resend. */
+static uint64_t content_hash_(const cb_command_t *command)
+{
+	cb_command_t unstamped = *command;
+	GBytes *bytes;
+	uint64_t hash;
+	gsize size;
+	const void *data;
+
+	unstamped.wall_ms = 0;
+	bytes = cb_command_encode(&unstamped);
+	data = g_bytes_get_data(bytes, &size);
+	hash = XXH3_64bits(data, size);
+	g_bytes_unref(bytes);
+	return hash;
+}
+
+/*
+ * Returns the first answer to the command's change ID, for the caller to
+ * delete, or NULL if the ID is new.  An ID that came with another change
+ * before is answered INVALID.
+ */
+cb_answer_t *cb_changes_find(const cb_changes_t *changes,
+			     const cb_command_t *command)
+{
+	const change_t *change =
+		g_hash_table_lookup(changes->by_id, command->change_id);
+	cb_answer_t *answer;
+
+	if (!change)
+		return NULL;
+	if (change->content != content_hash_(command)) {
+		answer = cb_answer_new(CB_ANSWER_INVALID);
+		answer->message = g_strdup("change: change_id: was used for "
+					   "another change");
+		return answer;
+	}
+	answer = cb_answer_decode(change->answer);
+	g_assert(answer);
+	answer->is_replayed = TRUE;
+	return answer;
+}
+
+static void change_add_(cb_changes_t *changes, change_t *change)
+{
+	change->link.data = change;
+	g_hash_table_insert(changes->by_id, change->id, change);
+	g_queue_push_tail_link(&changes->order, &change->link);
+}
+
+static void changes_trim_(cb_changes_t *changes, int64_t wall_ms)
+{
+	int drops;
+
+	for (drops = 0; drops < DROPS_PER_NOTE && changes->order.head;
+	     drops++) {
+		change_t *oldest = changes->order.head->data;
+
+		if (changes->order.length <= CB_STATE_CHANGE_KEEP_COUNT &&
+		    oldest->wall_ms + CB_STATE_CHANGE_KEEP_MS > wall_ms)
+			return;
+		g_queue_unlink(&changes->order, &oldest->link);
+		g_hash_table_remove(changes->by_id, oldest->id);
+	}
+}
+
+/* Keeps the first answer to a new change ID. */
+void cb_changes_note(cb_changes_t *changes, const cb_command_t *command,
+		     const cb_answer_t *answer, int64_t wall_ms)
+{
+	change_t *change = g_new0(change_t, 1);
+
+	change->id = g_strdup(command->change_id);
+	change->content = content_hash_(command);
+	change->wall_ms = wall_ms;
+	change->answer = cb_answer_encode(answer);
+	change_add_(changes, change);
+	changes_trim_(changes, wall_ms);
+}
+
+/* Packs all change IDs for a snapshot, the oldest first. */
+void cb_changes_pack(const cb_changes_t *changes, cb_pack_t *pack)
+{
+	const GList *link;
+
+	cb_pack_array(pack, changes->order.length);
+	for (link = changes->order.head; link; link = link->next) {
+		const change_t *change = link->data;
+
+		cb_pack_array(pack, 4);
+		cb_pack_string(pack, change->id);
+		cb_pack_uint(pack, change->content);
+		cb_pack_int(pack, change->wall_ms);
+		cb_pack_bytes(pack, change->answer);
+	}
+}
+
+static change_t *change_read_(const msgpack_object *object)
+{
+	change_t *change = g_new0(change_t, 1);
+	cb_answer_t *answer = NULL;
+	cb_fields_t fields;
+
+	cb_fields_open(&fields, object);
+	change->id = cb_fields_text(&fields);
+	change->content = cb_fields_uint(&fields);
+	change->wall_ms = cb_fields_int(&fields);
+	change->answer = cb_fields_bytes(&fields);
+	if (change->answer)
+		answer = cb_answer_decode(change->answer);
+	if (!answer || !cb_fields_end(&fields))
+		g_clear_pointer(&change, change_free_);
+	cb_answer_delete(answer);
+	return change;
+}
+
+/* Adds what cb_changes_pack() wrote; returns FALSE if it is malformed. */
+gboolean cb_changes_read(cb_changes_t *changes, const msgpack_object *object)
+{
+	cb_fields_t fields;
+
+	cb_fields_open(&fields, object);
+	while (fields.left) {
+		change_t *change = change_read_(cb_fields_object(&fields));
+
+		if (!change)
+			return FALSE;
+		if (g_hash_table_contains(changes->by_id, change->id)) {
+			change_free_(change);
+			return FALSE;
+		}
+		change_add_(changes, change);
+	}
+	return cb_fields_end(&fields);
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/claims.c
@@ -0,0 +1,381 @@
+#include "private/claims.h"
+
+#include <string.h>
+
+#include "currantbridge/state.h"
+
+/* More than one is dropped for each that is added, so old ones run out. */
+#define DROPS_PER_CLAIM 4
+
+typedef struct claim {
+	GList link;	   /* in `running` or `ended` */
+	GList answer_link; /* in `answered` while `answer` is set */
+	char *id;	   /* workspace, newline, key */
+	char *change_id;
+	char *digest;
+	char *owner;
+	char *server;
+	uint64_t fencing;
+	int64_t wall_ms; /* of the claim, or of its end */
+	gboolean is_ended;
+	/* Set until the holder has proved that no earlier attempt ran. */
+	gboolean must_prove;
+	cb_claim_result_t result;
+	GBytes *answer;
+} claim_t;
+
+struct cb_claims {
+	GHashTable *by_id;
+	GQueue running;	 /* by time of the claim */
+	GQueue ended;	 /* by time of the end */
+	GQueue answered; /* ended ones that still have their answer */
+	int64_t answer_bytes;
+	cb_owner_lives_fn_t owner_lives;
+	void *user_data;
+};
+
+static void claim_free_(void *data)
+{
+	claim_t *claim = data;
+
+	g_free(claim->id);
+	g_free(claim->change_id);
+	g_free(claim->digest);
+	g_free(claim->owner);
+	g_free(claim->server);
+	g_clear_pointer(&claim->answer, g_bytes_unref);
+	g_free(claim);
+}
+
+cb_claims_t *cb_claims_new(cb_owner_lives_fn_t owner_lives, void *user_data)
+{
+	cb_claims_t *claims = g_new0(cb_claims_t, 1);
+
+	claims->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      claim_free_);
+	g_queue_init(&claims->running);
+	g_queue_init(&claims->ended);
+	g_queue_init(&claims->answered);
+	claims->owner_lives = owner_lives;
+	claims->user_data = user_data;
+	return claims;
+}
+
+void cb_claims_delete(cb_claims_t *claims)
+{
+	if (!claims)
+		return;
+	g_hash_table_unref(claims->by_id);
+	g_free(claims);
+}
+
+/* Returns the number of claims, ended ones included. */
+size_t cb_claims_count(const cb_claims_t *claims)
+{
+	return g_hash_table_size(claims->by_id);
+}
+
+static char *claim_id_(const cb_command_t *command)
+{
+	return g_strconcat(command->name, "\n", command->key, NULL);
+}
+
+static void answer_drop_(cb_claims_t *claims, claim_t *claim)
+{
+	if (!claim->answer)
+		return;
+	g_queue_unlink(&claims->answered, &claim->answer_link);
+	claims->answer_bytes -= g_bytes_get_size(claim->answer);
+	g_clear_pointer(&claim->answer, g_bytes_unref);
+}
+
+static void answer_keep_(cb_claims_t *claims, claim_t *claim, GBytes *answer)
+{
+	claim_t *oldest;
+
+	answer_drop_(claims, claim);
+	if (!answer || g_bytes_get_size(answer) > CB_CLAIM_ANSWER_MAX_BYTES)
+		return;
+	claim->answer = g_bytes_ref(answer);
+	claims->answer_bytes += g_bytes_get_size(answer);
+	g_queue_push_tail_link(&claims->answered, &claim->answer_link);
+	while (claims->answer_bytes > CB_STATE_CLAIM_ANSWER_BYTES) {
+		oldest = claims->answered.head->data;
+		answer_drop_(claims, oldest);
+	}
+}
+
+static void claim_unlink_(cb_claims_t *claims, claim_t *claim)
+{
+	g_queue_unlink(claim->is_ended ? &claims->ended : &claims->running,
+		       &claim->link);
+}
+
+static void claim_link_(cb_claims_t *claims, claim_t *claim)
+{
+	g_queue_push_tail_link(claim->is_ended ? &claims->ended :
+						 &claims->running,
+			       &claim->link);
+}
+
+static void claim_remove_(cb_claims_t *claims, claim_t *claim)
+{
+	answer_drop_(claims, claim);
+	claim_unlink_(claims, claim);
+	g_hash_table_remove(claims->by_id, claim->id);
+}
+
+static void claim_end_(cb_claims_t *claims, claim_t *claim,
+		       cb_claim_result_t result, int64_t wall_ms)
+{
+	claim_unlink_(claims, claim);
+	claim->is_ended = TRUE;
+	claim->result = result;
+	claim->wall_ms = wall_ms;
+	claim_link_(claims, claim);
+}
+
+/* Drops ended claims that are too old or, when full, old enough. */
+static void ended_trim_(cb_claims_t *claims, int64_t wall_ms)
+{
+	int drops;
+
+	for (drops = 0; drops < DROPS_PER_CLAIM && claims->ended.head;
+	     drops++) {
+		claim_t *oldest = claims->ended.head->data;
+		int64_t age_ms = wall_ms - oldest->wall_ms;
+		gboolean is_full =
+			cb_claims_count(claims) >= CB_STATE_CLAIM_KEEP_COUNT;
+
+		if (age_ms < (is_full ? CB_STATE_CLAIM_KEEP_MIN_MS :
+					CB_STATE_CLAIM_KEEP_MS))
+			return;
+		claim_remove_(claims, oldest);
+	}
+}
+
+static cb_answer_t *claim_answer_(cb_answer_kind_t kind, const claim_t *claim)
+{
+	cb_answer_t *answer = cb_answer_new(kind);
+
+	answer->fencing = claim->fencing;
+	answer->owner = g_strdup(claim->owner);
+	answer->server = g_strdup(claim->server);
+	answer->must_prove = kind == CB_ANSWER_CLAIMED && claim->must_prove;
+	answer->result = claim->result;
+	if (kind == CB_ANSWER_FINISHED && claim->answer)
+		answer->answer = g_bytes_ref(claim->answer);
+	return answer;
+}
+
+/* Hands the claim to the command's owner under a new fencing number. */
+static void claim_hold_(cb_claims_t *claims, claim_t *claim,
+			const cb_command_t *command, uint64_t fencing,
+			int64_t wall_ms)
+{
+	g_free(claim->change_id);
+	g_free(claim->owner);
+	g_free(claim->server);
+	claim->change_id = g_strdup(command->change_id);
+	claim->owner = g_strdup(command->owner);
+	claim->server = g_strdup(command->server);
+	claim->fencing = fencing;
+	claim->wall_ms = wall_ms;
+	claim->is_ended = FALSE;
+	claim->result = CB_CLAIM_RESULT_UNKNOWN;
+	claim_link_(claims, claim);
+}
+
+static cb_answer_t *claim_new_(cb_claims_t *claims, const cb_command_t *command,
+			       uint64_t fencing, int64_t wall_ms)
+{
+	claim_t *claim;
+
+	if (cb_claims_count(claims) >= CB_STATE_CLAIM_KEEP_COUNT)
+		return cb_answer_new(CB_ANSWER_FULL);
+	claim = g_new0(claim_t, 1);
+	claim->link.data = claim;
+	claim->answer_link.data = claim;
+	claim->id = claim_id_(command);
+	claim->digest = g_strdup(command->digest);
+	g_hash_table_insert(claims->by_id, claim->id, claim);
+	claim_hold_(claims, claim, command, fencing, wall_ms);
+	return claim_answer_(CB_ANSWER_CLAIMED, claim);
+}
+
+/*
+ * Hands an ended claim on.  If its last end is not known, the claim keeps
+ * naming the server of that attempt until the new holder has proved it.
+ */
+static cb_answer_t *claim_again_(cb_claims_t *claims, claim_t *claim,
+				 const cb_command_t *command, uint64_t fencing,
+				 int64_t wall_ms)
+{
+	char *server;
+
+	claim->must_prove = claim->result == CB_CLAIM_RESULT_UNKNOWN;
+	server = claim->must_prove ? g_strdup(claim->server) :
+				     g_strdup(command->server);
+	claim_unlink_(claims, claim);
+	claim_hold_(claims, claim, command, fencing, wall_ms);
+	g_free(claim->server);
+	claim->server = server;
+	return claim_answer_(CB_ANSWER_CLAIMED, claim);
+}
+
+/* Answers for a claim that its holder has not ended. */
+static cb_answer_t *running_answer_(claim_t *claim, const cb_command_t *command)
+{
+	cb_answer_t *answer;
+
+	if (claim->fencing == command->fencing &&
+	    !strcmp(claim->owner, command->owner)) {
+		/* The holder turns to another server, or has its proof. */
+		claim->must_prove = FALSE;
+		g_free(claim->server);
+		claim->server = g_strdup(command->server);
+		return claim_answer_(CB_ANSWER_CLAIMED, claim);
+	}
+	if (g_strcmp0(claim->change_id, command->change_id))
+		return claim_answer_(CB_ANSWER_RUNNING, claim);
+	answer = claim_answer_(CB_ANSWER_CLAIMED, claim);
+	answer->is_replayed = TRUE;
+	return answer;
+}
+
+/*
+ * Takes a claim for the command's owner; `fencing` is the command's log
+ * index.  A claim whose holder is gone has ended with an unknown result.
+ */
+cb_answer_t *cb_claims_claim(cb_claims_t *claims, const cb_command_t *command,
+			     uint64_t fencing, int64_t wall_ms)
+{
+	gboolean is_resend;
+	claim_t *claim;
+	char *id;
+
+	ended_trim_(claims, wall_ms);
+	id = claim_id_(command);
+	claim = g_hash_table_lookup(claims->by_id, id);
+	g_free(id);
+	if (!claim)
+		return claim_new_(claims, command, fencing, wall_ms);
+	if (strcmp(claim->digest, command->digest))
+		return claim_answer_(CB_ANSWER_DIGEST_DIFFERS, claim);
+	if (!claim->is_ended &&
+	    !claims->owner_lives(claim->owner, claims->user_data))
+		claim_end_(claims, claim, CB_CLAIM_RESULT_UNKNOWN, wall_ms);
+	if (!claim->is_ended)
+		return running_answer_(claim, command);
+	is_resend = !g_strcmp0(claim->change_id, command->change_id);
+	if (!is_resend && (claim->result == CB_CLAIM_RESULT_NOT_EXECUTED ||
+			   (claim->result == CB_CLAIM_RESULT_UNKNOWN &&
+			    command->proves_by_fencing)))
+		return claim_again_(claims, claim, command, fencing, wall_ms);
+	return claim_answer_(CB_ANSWER_FINISHED, claim);
+}
+
+/*
+ * Records the end of a claim, for the holder of its latest fencing number
+ * only.  An unknown result may still become a known one, a known one never
+ * changes.
+ */
+cb_answer_t *cb_claims_finish(cb_claims_t *claims, const cb_command_t *command,
+			      int64_t wall_ms)
+{
+	char *id = claim_id_(command);
+	claim_t *claim = g_hash_table_lookup(claims->by_id, id);
+
+	g_free(id);
+	if (!claim)
+		return cb_answer_new(CB_ANSWER_NOT_FOUND);
+	if (claim->fencing != command->fencing)
+		return claim_answer_(CB_ANSWER_CONFLICT, claim);
+	if (claim->is_ended && claim->result == command->result)
+		return claim_answer_(CB_ANSWER_OK, claim);
+	if (claim->is_ended && claim->result != CB_CLAIM_RESULT_UNKNOWN)
+		return claim_answer_(CB_ANSWER_CONFLICT, claim);
+	claim_end_(claims, claim, command->result, wall_ms);
+	answer_keep_(claims, claim,
+		     command->result == CB_CLAIM_RESULT_EXECUTED ?
+			     command->answer :
+			     NULL);
+	return claim_answer_(CB_ANSWER_OK, claim);
+}
+
+static void claim_pack_(const claim_t *claim, cb_pack_t *pack)
+{
+	cb_pack_array(pack, 11);
+	cb_pack_string(pack, claim->id);
+	cb_pack_string(pack, claim->change_id);
+	cb_pack_string(pack, claim->digest);
+	cb_pack_string(pack, claim->owner);
+	cb_pack_string(pack, claim->server);
+	cb_pack_uint(pack, claim->fencing);
+	cb_pack_int(pack, claim->wall_ms);
+	cb_pack_bool(pack, claim->is_ended);
+	cb_pack_bool(pack, claim->must_prove);
+	cb_pack_uint(pack, claim->result);
+	cb_pack_bytes(pack, claim->answer);
+}
+
+/* Packs all claims for a snapshot, each queue in its order. */
+void cb_claims_pack(const cb_claims_t *claims, cb_pack_t *pack)
+{
+	const GList *link;
+
+	cb_pack_array(pack, cb_claims_count(claims));
+	for (link = claims->running.head; link; link = link->next)
+		claim_pack_(link->data, pack);
+	for (link = claims->ended.head; link; link = link->next)
+		claim_pack_(link->data, pack);
+}
+
+static claim_t *claim_read_(const msgpack_object *object)
+{
+	claim_t *claim = g_new0(claim_t, 1);
+	cb_fields_t fields;
+
+	cb_fields_open(&fields, object);
+	claim->link.data = claim;
+	claim->answer_link.data = claim;
+	claim->id = cb_fields_text(&fields);
+	claim->change_id = cb_fields_string(&fields);
+	claim->digest = cb_fields_text(&fields);
+	claim->owner = cb_fields_text(&fields);
+	claim->server = cb_fields_string(&fields);
+	claim->fencing = cb_fields_uint(&fields);
+	claim->wall_ms = cb_fields_int(&fields);
+	claim->is_ended = cb_fields_bool(&fields);
+	claim->must_prove = cb_fields_bool(&fields);
+	claim->result = cb_fields_enum(&fields, CB_CLAIM_RESULT_COUNT);
+	claim->answer = cb_fields_bytes(&fields);
+	if (!cb_fields_end(&fields))
+		g_clear_pointer(&claim, claim_free_);
+	return claim;
+}
+
+/* Adds what cb_claims_pack() wrote; returns FALSE if it is malformed. */
+gboolean cb_claims_read(cb_claims_t *claims, const msgpack_object *object)
+{
+	cb_fields_t fields;
+
+	cb_fields_open(&fields, object);
+	while (fields.left) {
+		claim_t *claim = claim_read_(cb_fields_object(&fields));
+		GBytes *answer;
+
+		if (!claim)
+			return FALSE;
+		if (g_hash_table_contains(claims->by_id, claim->id)) {
+			claim_free_(claim);
+			return FALSE;
+		}
+		answer = g_steal_pointer(&claim->answer);
+		g_hash_table_insert(claims->by_id, claim->id, claim);
+		claim_link_(claims, claim);
+		answer_keep_(claims, claim, answer);
+		g_clear_pointer(&answer, g_bytes_unref);
+	}
+	return cb_fields_end(&fields);
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/history.c
@@ -0,0 +1,155 @@
+#include "private/history.h"
+
+typedef struct entry {
+	GList order_link;
+	GList tombstone_link;
+	char *name;
+	cb_item_kind_t kind;
+	uint64_t revision;
+	gboolean is_removed;
+} entry_t;
+
+struct cb_history {
+	GHashTable *entries; /* a set of entry_t by kind and name */
+	GQueue order;	     /* by revision */
+	GQueue tombstones;   /* by revision */
+	unsigned int max_tombstones;
+	uint64_t floor;
+};
+
+static guint entry_hash_(const void *data)
+{
+	const entry_t *entry = data;
+
+	return g_str_hash(entry->name) + entry->kind;
+}
+
+static gboolean entry_equal_(const void *a, const void *b)
+{
+	const entry_t *left = a;
+	const entry_t *right = b;
+
+	return left->kind == right->kind &&
+	       g_str_equal(left->name, right->name);
+}
+
+static void entry_free_(void *data)
+{
+	entry_t *entry = data;
+
+	g_free(entry->name);
+	g_free(entry);
+}
+
+cb_history_t *cb_history_new(unsigned int max_tombstones)
+{
+	cb_history_t *history = g_new0(cb_history_t, 1);
+
+	history->entries = g_hash_table_new_full(entry_hash_, entry_equal_,
+						 entry_free_, NULL);
+	g_queue_init(&history->order);
+	g_queue_init(&history->tombstones);
+	history->max_tombstones = max_tombstones;
+	return history;
+}
+
+void cb_history_delete(cb_history_t *history)
+{
+	if (!history)
+		return;
+	g_hash_table_unref(history->entries);
+	g_free(history);
+}
+
+/* Returns the entry of an item, a new one if it has none. */
+static entry_t *entry_get_(cb_history_t *history, cb_item_kind_t kind,
+			   const char *name)
+{
+	entry_t wanted = { .kind = kind, .name = (char *)name };
+	entry_t *entry = g_hash_table_lookup(history->entries, &wanted);
+
+	if (entry)
+		return entry;
+	entry = g_new0(entry_t, 1);
+	entry->kind = kind;
+	entry->name = g_strdup(name);
+	entry->order_link.data = entry;
+	entry->tombstone_link.data = entry;
+	g_hash_table_add(history->entries, entry);
+	g_queue_push_tail_link(&history->order, &entry->order_link);
+	return entry;
+}
+
+static void tombstones_trim_(cb_history_t *history)
+{
+	entry_t *oldest;
+
+	while (history->tombstones.length > history->max_tombstones) {
+		oldest = history->tombstones.head->data;
+		history->floor = oldest->revision;
+		g_queue_unlink(&history->tombstones, &oldest->tombstone_link);
+		g_queue_unlink(&history->order, &oldest->order_link);
+		g_hash_table_remove(history->entries, oldest);
+	}
+}
+
+/* Notes a change, whose revision is no lower than any before. */
+void cb_history_note(cb_history_t *history, const cb_history_entry_t *change)
+{
+	entry_t *entry = entry_get_(history, change->kind, change->name);
+
+	g_queue_unlink(&history->order, &entry->order_link);
+	if (entry->is_removed)
+		g_queue_unlink(&history->tombstones, &entry->tombstone_link);
+	entry->revision = change->revision;
+	entry->is_removed = change->is_removed;
+	g_queue_push_tail_link(&history->order, &entry->order_link);
+	if (!entry->is_removed)
+		return;
+	g_queue_push_tail_link(&history->tombstones, &entry->tombstone_link);
+	tombstones_trim_(history);
+}
+
+/* Returns the lowest revision that a difference may begin at. */
+uint64_t cb_history_floor(const cb_history_t *history)
+{
+	return history->floor;
+}
+
+void cb_history_set_floor(cb_history_t *history, uint64_t floor)
+{
+	history->floor = floor;
+}
+
+/*
+ * Packs an array of the items that changed after `since`, in order, each
+ * with its value in `view`; removed ones only if asked for.  Returns their
+ * number.  The cost is in proportion to what changed.
+ */
+unsigned int cb_history_pack_since(const cb_history_t *history, uint64_t since,
+				   const cb_view_t *view, gboolean with_removed,
+				   cb_pack_t *pack)
+{
+	const GList *link = history->order.tail;
+	const GList *first = NULL;
+	unsigned int count = 0;
+
+	for (; link && ((entry_t *)link->data)->revision > since;
+	     link = link->prev) {
+		first = link;
+		count += with_removed || !((entry_t *)link->data)->is_removed;
+	}
+	cb_pack_array(pack, count);
+	for (link = first; link; link = link->next) {
+		const entry_t *entry = link->data;
+		const cb_item_t item = {
+			entry->kind, entry->name, entry->revision,
+			(void *)cb_view_find_item(view, entry->kind,
+						  entry->name)
+		};
+
+		if (with_removed || !entry->is_removed)
+			cb_item_pack(pack, &item);
+	}
+	return count;
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/item.c
@@ -0,0 +1,267 @@
+#include "private/item.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Returns the item name of a planned stop. */
+char *cb_stop_item_name(cb_stop_kind_t kind, const char *name)
+{
+	return g_strdup_printf("%s/%s", cb_stop_kind_string[kind], name);
+}
+
+static void stop_delete_(cb_stop_t *stop)
+{
+	g_free(stop->name);
+	g_free(stop);
+}
+
+static void instance_delete_(cb_instance_t *instance)
+{
+	g_free(instance->name);
+	g_free(instance->address);
+	g_free(instance->data_centre);
+	g_free(instance);
+}
+
+static void quarantine_delete_(cb_quarantine_t *quarantine)
+{
+	g_free(quarantine->digest);
+	g_free(quarantine);
+}
+
+/* Frees the value of an item; NULL is allowed. */
+void cb_item_value_delete(cb_item_kind_t kind, void *value)
+{
+	if (!value)
+		return;
+	switch (kind) {
+	case CB_ITEM_CONTRACT:
+		cb_contract_delete(value);
+		return;
+	case CB_ITEM_STOP:
+		stop_delete_(value);
+		return;
+	case CB_ITEM_INSTANCE:
+		instance_delete_(value);
+		return;
+	case CB_ITEM_QUARANTINE:
+		quarantine_delete_(value);
+		return;
+	case CB_ITEM_KIND_COUNT:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+/* Frees what the item holds. */
+void cb_item_clear(cb_item_t *item)
+{
+	cb_item_value_delete(item->kind, item->value);
+	g_free(item->name);
+	*item = (cb_item_t){ 0 };
+}
+
+static void value_pack_(cb_pack_t *pack, cb_item_kind_t kind, const void *value)
+{
+	const cb_contract_t *contract = value;
+	const cb_stop_t *stop = value;
+	const cb_instance_t *instance = value;
+	const cb_quarantine_t *quarantine = value;
+
+	switch (kind) {
+	case CB_ITEM_CONTRACT:
+		cb_pack_array(pack, 1);
+		cb_pack_string(pack, contract->text);
+		return;
+	case CB_ITEM_STOP:
+		cb_pack_array(pack, 2);
+		cb_pack_uint(pack, stop->kind);
+		cb_pack_string(pack, stop->name);
+		return;
+	case CB_ITEM_INSTANCE:
+		cb_pack_array(pack, 5);
+		cb_pack_string(pack, instance->name);
+		cb_pack_string(pack, instance->address);
+		cb_pack_string(pack, instance->data_centre);
+		cb_pack_uint(pack, instance->incarnation);
+		cb_pack_uint(pack, instance->state);
+		return;
+	case CB_ITEM_QUARANTINE:
+		cb_pack_array(pack, 2);
+		cb_pack_string(pack, quarantine->digest);
+		cb_pack_int(pack, quarantine->until_wall_ms);
+		return;
+	case CB_ITEM_KIND_COUNT:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+/* Encodes an item; a NULL `value` says that it was removed. */
+void cb_item_pack(cb_pack_t *pack, const cb_item_t *item)
+{
+	cb_pack_array(pack, 4);
+	cb_pack_uint(pack, item->kind);
+	cb_pack_string(pack, item->name);
+	cb_pack_uint(pack, item->revision);
+	if (item->value)
+		value_pack_(pack, item->kind, item->value);
+	else
+		cb_pack_string(pack, NULL);
+}
+
+static void *contract_read_(cb_fields_t *fields, const char *name)
+{
+	cb_contract_t *contract = NULL;
+	char *text = cb_fields_text(fields);
+
+	if (text)
+		contract = cb_contract_parse(text, NULL);
+	g_free(text);
+	if (contract && !strcmp(contract->workspace, name))
+		return contract;
+	cb_contract_delete(contract);
+	return NULL;
+}
+
+static void *stop_read_(cb_fields_t *fields, const char *name)
+{
+	cb_stop_t *stop = g_new0(cb_stop_t, 1);
+	char *item_name = NULL;
+
+	stop->kind = cb_fields_enum(fields, CB_STOP_KIND_COUNT);
+	stop->name = cb_fields_text(fields);
+	if (stop->name)
+		item_name = cb_stop_item_name(stop->kind, stop->name);
+	if (g_strcmp0(item_name, name)) {
+		stop_delete_(stop);
+		stop = NULL;
+	}
+	g_free(item_name);
+	return stop;
+}
+
+static void *instance_read_(cb_fields_t *fields, const char *name)
+{
+	cb_instance_t *instance = g_new0(cb_instance_t, 1);
+
+	instance->name = cb_fields_text(fields);
+	instance->address = cb_fields_text(fields);
+	instance->data_centre = cb_fields_text(fields);
+	instance->incarnation = cb_fields_uint(fields);
+	instance->state = cb_fields_enum(fields, CB_INSTANCE_STATE_COUNT);
+	if (!g_strcmp0(instance->name, name))
+		return instance;
+	instance_delete_(instance);
+	return NULL;
+}
+
+static void *quarantine_read_(cb_fields_t *fields, const char *name)
+{
+	cb_quarantine_t *quarantine = g_new0(cb_quarantine_t, 1);
+
+	quarantine->digest = cb_fields_text(fields);
+	quarantine->until_wall_ms = cb_fields_int(fields);
+	if (!g_strcmp0(quarantine->digest, name))
+		return quarantine;
+	quarantine_delete_(quarantine);
+	return NULL;
+}
+
+static void revision_set_(cb_item_t *item)
+{
+	switch (item->kind) {
+	case CB_ITEM_CONTRACT:
+		((cb_contract_t *)item->value)->revision = item->revision;
+		return;
+	case CB_ITEM_STOP:
+		((cb_stop_t *)item->value)->revision = item->revision;
+		return;
+	case CB_ITEM_INSTANCE:
+		((cb_instance_t *)item->value)->revision = item->revision;
+		return;
+	case CB_ITEM_QUARANTINE:
+		((cb_quarantine_t *)item->value)->revision = item->revision;
+		return;
+	case CB_ITEM_KIND_COUNT:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+static void *value_read_(const msgpack_object *object, cb_item_kind_t kind,
+			 const char *name)
+{
+	static void *(*const read[])(cb_fields_t * fields, const char *name) = {
+		[CB_ITEM_CONTRACT] = contract_read_,
+		[CB_ITEM_STOP] = stop_read_,
+		[CB_ITEM_INSTANCE] = instance_read_,
+		[CB_ITEM_QUARANTINE] = quarantine_read_,
+	};
+	cb_fields_t fields;
+	void *value;
+
+	cb_fields_open(&fields, object);
+	value = read[kind](&fields, name);
+	if (value && cb_fields_end(&fields))
+		return value;
+	cb_item_value_delete(kind, value);
+	return NULL;
+}
+
+/* Decodes an item; returns FALSE, with nothing to clear, if malformed. */
+gboolean cb_item_read(const msgpack_object *object, cb_item_t *item)
+{
+	const msgpack_object *value;
+	cb_fields_t fields;
+
+	*item = (cb_item_t){ 0 };
+	cb_fields_open(&fields, object);
+	item->kind = cb_fields_enum(&fields, CB_ITEM_KIND_COUNT);
+	item->name = cb_fields_text(&fields);
+	item->revision = cb_fields_uint(&fields);
+	value = cb_fields_object(&fields);
+	if (!cb_fields_end(&fields))
+		goto fail;
+	if (value->type == MSGPACK_OBJECT_NIL)
+		return TRUE;
+	item->value = value_read_(value, item->kind, item->name);
+	if (!item->value)
+		goto fail;
+	revision_set_(item);
+	return TRUE;
+
+fail:
+	cb_item_clear(item);
+	return FALSE;
+}
+
+/* Puts the hash before `body`, which it takes. */
+GBytes *cb_update_seal(GBytes *body)
+{
+	gsize size;
+	const void *data = g_bytes_get_data(body, &size);
+	uint64_t hash = GUINT64_TO_LE(XXH3_64bits(data, size));
+	uint8_t *sealed = g_malloc(sizeof(hash) + size);
+
+	memcpy(sealed, &hash, sizeof(hash));
+	memcpy(sealed + sizeof(hash), data, size);
+	g_bytes_unref(body);
+	return g_bytes_new_take(sealed, sizeof(hash) + size);
+}
+
+/* Returns what was sealed, or NULL if it is damaged. */
+GBytes *cb_update_unseal(GBytes *update)
+{
+	uint64_t hash;
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(update, &size);
+
+	if (size < sizeof(hash))
+		return NULL;
+	memcpy(&hash, data, sizeof(hash));
+	size -= sizeof(hash);
+	if (GUINT64_FROM_LE(hash) != XXH3_64bits(data + sizeof(hash), size))
+		return NULL;
+	return g_bytes_new_from_bytes(update, sizeof(hash), size);
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/state.c
@@ -0,0 +1,244 @@
+#include "currantbridge/state.h"
+
+#include <string.h>
+
+#include "private/state_data.h"
+
+/* Tells whether the claim's owner, "NAME/INCARNATION", is known to run. */
+static gboolean owner_lives_(const char *owner, void *user_data)
+{
+	const cb_state_t *state = user_data;
+	const char *slash = strrchr(owner, '/');
+	const cb_instance_t *instance;
+	guint64 incarnation;
+	char *name;
+
+	if (!slash || !g_ascii_string_to_unsigned(slash + 1, 10, 0, UINT64_MAX,
+						  &incarnation, NULL))
+		return FALSE;
+	name = g_strndup(owner, slash - owner);
+	instance = cb_view_find_item(state->view, CB_ITEM_INSTANCE, name);
+	g_free(name);
+	return instance && instance->incarnation == incarnation &&
+	       instance->state != CB_INSTANCE_SILENT;
+}
+
+static gboolean is_short_(const char *text)
+{
+	return !text || strlen(text) <= CB_COMMAND_TEXT_MAX_CHARS;
+}
+
+/* Checks what holds for every kind of command; returns NULL if it does. */
+static const char *fault_find_(const cb_command_t *command)
+{
+	gboolean is_claim = command->kind == CB_COMMAND_CLAIM ||
+			    command->kind == CB_COMMAND_CLAIM_FINISH;
+
+	if (!command->name || !*command->name)
+		return "change: name: is required";
+	if (!is_short_(command->name) || !is_short_(command->change_id) ||
+	    !is_short_(command->key) || !is_short_(command->digest) ||
+	    !is_short_(command->owner) || !is_short_(command->server) ||
+	    !is_short_(command->address) || !is_short_(command->data_centre))
+		return "change: a text is longer than 256 bytes";
+	if (is_claim && (!command->key || strchr(command->name, '\n')))
+		return "claim: key: is required";
+	if (command->kind != CB_COMMAND_CLAIM)
+		return NULL;
+	if (!command->digest || !command->owner || !command->change_id)
+		return "claim: digest, owner and change_id are required";
+	return NULL;
+}
+
+static cb_answer_t *claim_(cb_state_t *state, const cb_command_t *command,
+			   uint64_t index)
+{
+	cb_answer_t *answer;
+
+	if (owner_lives_(command->owner, state))
+		return cb_claims_claim(state->claims, command, index,
+				       state->wall_ms);
+	answer = cb_answer_new(CB_ANSWER_INVALID);
+	answer->message = g_strdup("claim: owner: is not an entry instance "
+				   "that is known to run");
+	return answer;
+}
+
+static cb_answer_t *claim_finish_(cb_state_t *state,
+				  const cb_command_t *command, uint64_t index)
+{
+	(void)index;
+	return cb_claims_finish(state->claims, command, state->wall_ms);
+}
+
+/* Whether the first answer to a change ID is kept. */
+static gboolean is_kept_(const cb_command_t *command)
+{
+	switch (command->kind) {
+	case CB_COMMAND_CONTRACT_PUT:
+	case CB_COMMAND_CONTRACT_REMOVE:
+	case CB_COMMAND_STOP_ANNOUNCE:
+	case CB_COMMAND_STOP_CANCEL:
+	case CB_COMMAND_QUARANTINE_ADD:
+	case CB_COMMAND_QUARANTINE_REMOVE:
+		return command->change_id != NULL;
+	default:
+		/* Incarnations and fencing numbers make these idempotent. */
+		return FALSE;
+	}
+}
+
+static cb_answer_t *command_apply_(cb_state_t *state,
+				   const cb_command_t *command, uint64_t index)
+{
+	static const cb_state_apply_fn_t apply[CB_COMMAND_KIND_COUNT] = {
+		[CB_COMMAND_CONTRACT_PUT] = cb_state_contract_put,
+		[CB_COMMAND_CONTRACT_REMOVE] = cb_state_contract_remove,
+		[CB_COMMAND_STOP_ANNOUNCE] = cb_state_stop_announce,
+		[CB_COMMAND_STOP_CANCEL] = cb_state_stop_cancel,
+		[CB_COMMAND_INSTANCE_UP] = cb_state_instance_up,
+		[CB_COMMAND_INSTANCE_STATE] = cb_state_instance_state,
+		[CB_COMMAND_QUARANTINE_ADD] = cb_state_quarantine_add,
+		[CB_COMMAND_QUARANTINE_REMOVE] = cb_state_quarantine_remove,
+		[CB_COMMAND_CLAIM] = claim_,
+		[CB_COMMAND_CLAIM_FINISH] = claim_finish_,
+	};
+	const char *fault = fault_find_(command);
+	cb_answer_t *answer;
+
+	if (fault) {
+		answer = cb_answer_new(CB_ANSWER_INVALID);
+		answer->message = g_strdup(fault);
+		return answer;
+	}
+	state->wall_ms = MAX(state->wall_ms, command->wall_ms);
+	if (!is_kept_(command))
+		return apply[command->kind](state, command, index);
+	answer = cb_changes_find(state->changes, command);
+	if (answer)
+		return answer;
+	answer = apply[command->kind](state, command, index);
+	cb_changes_note(state->changes, command, answer, state->wall_ms);
+	return answer;
+}
+
+static GBytes *machine_apply_(cb_machine_t *machine, uint64_t index,
+			      GBytes *bytes)
+{
+	cb_state_t *state = (cb_state_t *)machine;
+	cb_command_t *command = cb_command_decode(bytes);
+	cb_answer_t *answer;
+	GBytes *encoded;
+
+	if (command) {
+		answer = command_apply_(state, command, index);
+	} else {
+		answer = cb_answer_new(CB_ANSWER_INVALID);
+		answer->message = g_strdup("change: is malformed");
+	}
+	encoded = cb_answer_encode(answer);
+	cb_answer_delete(answer);
+	cb_command_delete(command);
+	return encoded;
+}
+
+static GBytes *machine_snapshot_(cb_machine_t *machine)
+{
+	return cb_state_snapshot((cb_state_t *)machine);
+}
+
+static gboolean machine_restore_(cb_machine_t *machine, uint64_t index,
+				 GBytes *snapshot, GError **error)
+{
+	(void)index;
+	return cb_state_restore((cb_state_t *)machine, snapshot, error);
+}
+
+static const cb_machine_vtable_t machine_vtable = {
+	.apply = machine_apply_,
+	.snapshot = machine_snapshot_,
+	.restore = machine_restore_,
+};
+
+/* Makes the parts of an empty state. */
+void cb_state_parts_new(cb_state_t *state)
+{
+	state->view = cb_view_new();
+	state->history = cb_history_new(CB_STATE_TOMBSTONE_KEEP_COUNT);
+	state->changes = cb_changes_new();
+	state->claims = cb_claims_new(owner_lives_, state);
+	state->silent = cb_aging_new();
+	state->quarantine = cb_aging_new();
+	state->wall_ms = 0;
+}
+
+void cb_state_parts_delete(cb_state_t *state)
+{
+	cb_aging_delete(state->quarantine);
+	cb_aging_delete(state->silent);
+	cb_claims_delete(state->claims);
+	cb_changes_delete(state->changes);
+	cb_history_delete(state->history);
+	cb_view_delete(state->view);
+}
+
+/* Makes an empty state at revision 0. */
+cb_state_t *cb_state_new(void)
+{
+	cb_state_t *state = g_new0(cb_state_t, 1);
+
+	state->machine.vtable = &machine_vtable;
+	cb_state_parts_new(state);
+	return state;
+}
+
+void cb_state_delete(cb_state_t *state)
+{
+	if (!state)
+		return;
+	cb_state_parts_delete(state);
+	g_free(state);
+}
+
+/* Returns the state machine that a replica drives. */
+cb_machine_t *cb_state_machine(cb_state_t *state)
+{
+	return &state->machine;
+}
+
+uint64_t cb_state_revision(const cb_state_t *state)
+{
+	return cb_view_revision(state->view);
+}
+
+/*
+ * Encodes what changed after `since` for cb_view_apply(), the whole
+ * configuration when `since` is 0 or too far back.  At the present revision
+ * the update is empty, and a view refuses it as stale.
+ */
+GBytes *cb_state_encode_update(const cb_state_t *state, uint64_t since)
+{
+	cb_pack_t pack;
+
+	if (since < cb_history_floor(state->history))
+		since = 0;
+	cb_pack_init(&pack);
+	cb_pack_array(&pack, 3);
+	cb_pack_uint(&pack, since);
+	cb_pack_uint(&pack, cb_state_revision(state));
+	cb_history_pack_since(state->history, since, state->view, since > 0,
+			      &pack);
+	return cb_update_seal(cb_pack_finish(&pack));
+}
+
+/* Returns the present configuration, which the state keeps up to date. */
+const cb_view_t *cb_state_view(const cb_state_t *state)
+{
+	return state->view;
+}
+
+/* Returns the number of claims, ended ones that are kept included. */
+size_t cb_state_claim_count(const cb_state_t *state)
+{
+	return cb_claims_count(state->claims);
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/state_snapshot.c
@@ -0,0 +1,138 @@
+#include "private/state_data.h"
+
+#define SNAPSHOT_VERSION 1
+
+G_DEFINE_QUARK(cb - state - error - quark, cb_state_error)
+
+static void aging_entry_pack_(const char *name, int64_t wall_ms,
+			      void *user_data)
+{
+	cb_pack_t *pack = user_data;
+
+	cb_pack_array(pack, 2);
+	cb_pack_string(pack, name);
+	cb_pack_int(pack, wall_ms);
+}
+
+static void aging_pack_(const cb_aging_t *aging, cb_pack_t *pack)
+{
+	cb_pack_array(pack, cb_aging_count(aging));
+	cb_aging_foreach(aging, aging_entry_pack_, pack);
+}
+
+/* Encodes the whole state. */
+GBytes *cb_state_snapshot(const cb_state_t *state)
+{
+	cb_pack_t pack;
+
+	cb_pack_init(&pack);
+	cb_pack_array(&pack, 9);
+	cb_pack_uint(&pack, SNAPSHOT_VERSION);
+	cb_pack_uint(&pack, cb_state_revision(state));
+	cb_pack_int(&pack, state->wall_ms);
+	cb_pack_uint(&pack, cb_history_floor(state->history));
+	cb_history_pack_since(state->history, 0, state->view, TRUE, &pack);
+	cb_changes_pack(state->changes, &pack);
+	cb_claims_pack(state->claims, &pack);
+	aging_pack_(state->silent, &pack);
+	aging_pack_(state->quarantine, &pack);
+	return cb_update_seal(cb_pack_finish(&pack));
+}
+
+static gboolean items_read_(cb_state_t *state, const msgpack_object *object)
+{
+	cb_history_entry_t change;
+	cb_fields_t fields;
+	cb_item_t item;
+
+	cb_fields_open(&fields, object);
+	while (fields.left) {
+		if (!cb_item_read(cb_fields_object(&fields), &item))
+			return FALSE;
+		change = (cb_history_entry_t){ item.kind, item.name,
+					       item.revision, !item.value };
+		cb_history_note(state->history, &change);
+		if (item.value)
+			cb_view_put_item(state->view, item.kind,
+					 g_steal_pointer(&item.value));
+		cb_item_clear(&item);
+	}
+	return cb_fields_end(&fields);
+}
+
+/* Reads what aging_pack_() wrote; each name must be an item of that kind. */
+static gboolean aging_read_(const cb_state_t *state, cb_aging_t *aging,
+			    cb_item_kind_t kind, const msgpack_object *object)
+{
+	cb_fields_t fields;
+	cb_fields_t entry;
+	gboolean is_read;
+	int64_t wall_ms;
+	char *name;
+
+	cb_fields_open(&fields, object);
+	while (fields.left) {
+		cb_fields_open(&entry, cb_fields_object(&fields));
+		name = cb_fields_text(&entry);
+		wall_ms = cb_fields_int(&entry);
+		is_read = cb_fields_end(&entry) &&
+			  cb_view_find_item(state->view, kind, name);
+		if (is_read)
+			cb_aging_add(aging, name, wall_ms);
+		g_free(name);
+		if (!is_read)
+			return FALSE;
+	}
+	return cb_fields_end(&fields);
+}
+
+/* Reads a snapshot into an empty state. */
+static gboolean snapshot_read_(cb_state_t *state, const msgpack_object *object)
+{
+	cb_fields_t fields;
+
+	cb_fields_open(&fields, object);
+	if (cb_fields_uint(&fields) != SNAPSHOT_VERSION)
+		return FALSE;
+	cb_view_set_revision(state->view, cb_fields_uint(&fields));
+	state->wall_ms = cb_fields_int(&fields);
+	cb_history_set_floor(state->history, cb_fields_uint(&fields));
+	return items_read_(state, cb_fields_object(&fields)) &&
+	       cb_changes_read(state->changes, cb_fields_object(&fields)) &&
+	       cb_claims_read(state->claims, cb_fields_object(&fields)) &&
+	       aging_read_(state, state->silent, CB_ITEM_INSTANCE,
+			   cb_fields_object(&fields)) &&
+	       aging_read_(state, state->quarantine, CB_ITEM_QUARANTINE,
+			   cb_fields_object(&fields)) &&
+	       cb_fields_end(&fields);
+}
+
+/*
+ * Replaces the whole state by a snapshot.  On failure the error is set and
+ * the state is as it was before.
+ */
+gboolean cb_state_restore(cb_state_t *state, GBytes *snapshot, GError **error)
+{
+	GBytes *body = cb_update_unseal(snapshot);
+	cb_state_t old = *state;
+	cb_state_t read;
+	gboolean is_read = FALSE;
+	cb_unpack_t unpack;
+
+	cb_state_parts_new(state);
+	if (body && cb_unpack_init(&unpack, body)) {
+		is_read = snapshot_read_(state, &unpack.unpacked.data);
+		cb_unpack_clear(&unpack);
+	}
+	g_clear_pointer(&body, g_bytes_unref);
+	read = *state;
+	if (is_read) {
+		cb_state_parts_delete(&old);
+		return TRUE;
+	}
+	*state = old;
+	cb_state_parts_delete(&read);
+	g_set_error(error, CB_STATE_ERROR, CB_STATE_ERROR_DAMAGED,
+		    "the snapshot of the state is damaged");
+	return FALSE;
+}
--- /dev/null
+++ b/src/libcurrantbridge/include/private/state_data.h
@@ -0,0 +1,55 @@
+#ifndef PRIVATE_STATE_DATA_H
+#define PRIVATE_STATE_DATA_H
+
+#include "currantbridge/state.h"
+#include "private/aging.h"
+#include "private/changes.h"
+#include "private/claims.h"
+#include "private/history.h"
+
+struct cb_state {
+	cb_machine_t machine;
+	cb_view_t *view;
+	cb_history_t *history;
+	cb_changes_t *changes;
+	cb_claims_t *claims;
+	cb_aging_t *silent;	/* instances, since when they are silent */
+	cb_aging_t *quarantine; /* digests, by when they were added */
+	/* The highest stamp of a leader so far: the state's only time. */
+	int64_t wall_ms;
+};
+
+void cb_state_parts_new(cb_state_t *state);
+void cb_state_parts_delete(cb_state_t *state);
+
+/* The commands that change the configuration, one function for each. */
+typedef cb_answer_t *(*cb_state_apply_fn_t)(cb_state_t *state,
+					    const cb_command_t *command,
+					    uint64_t index);
+
+cb_answer_t *cb_state_contract_put(cb_state_t *state,
+				   const cb_command_t *command, uint64_t index);
+cb_answer_t *cb_state_contract_remove(cb_state_t *state,
+				      const cb_command_t *command,
+				      uint64_t index);
+cb_answer_t *cb_state_stop_announce(cb_state_t *state,
+				    const cb_command_t *command,
+				    uint64_t index);
+cb_answer_t *cb_state_stop_cancel(cb_state_t *state,
+				  const cb_command_t *command, uint64_t index);
+cb_answer_t *cb_state_instance_up(cb_state_t *state,
+				  const cb_command_t *command, uint64_t index);
+cb_answer_t *cb_state_instance_state(cb_state_t *state,
+				     const cb_command_t *command,
+				     uint64_t index);
+cb_answer_t *cb_state_quarantine_add(cb_state_t *state,
+				     const cb_command_t *command,
+				     uint64_t index);
+cb_answer_t *cb_state_quarantine_remove(cb_state_t *state,
+					const cb_command_t *command,
+					uint64_t index);
+
+GBytes *cb_state_snapshot(const cb_state_t *state);
+gboolean cb_state_restore(cb_state_t *state, GBytes *snapshot, GError **error);
+
+#endif
