--- a/src/libcurrantbridge/control/claims.c
+++ b/src/libcurrantbridge/control/claims.c
@@ -260,7 +260,7 @@
 	g_free(id);
 	if (!claim)
 		return claim_new_(claims, command, fencing, wall_ms);
-	if (strcmp(claim->digest, command->digest))
+	if (strcmp(claim->digest, command->digest) != 0)
 		return claim_answer_(CB_ANSWER_DIGEST_DIFFERS, claim);
 	if (!claim->is_ended &&
 	    !claims->owner_lives(claim->owner, claims->user_data))
--- a/src/libcurrantbridge/control/state_config.c
+++ b/src/libcurrantbridge/control/state_config.c
@@ -100,7 +100,7 @@
 		g_error_free(error);
 		return answer;
 	}
-	if (strcmp(contract->workspace, command->name)) {
+	if (strcmp(contract->workspace, command->name) != 0) {
 		answer = invalid_("contract: workspace: is not the one that "
 				  "the change names");
 		goto refuse;
