--- a/include/currantbridge/control_client.h
+++ b/include/currantbridge/control_client.h
@@ -3,6 +3,7 @@
 
 #include "currantbridge/command.h"
 #include "currantbridge/kernel.h"
+#include "currantbridge/network.h"
 #include "currantbridge/view.h"
 
 /*
@@ -21,6 +22,9 @@
 	uint64_t incarnation;
 	int64_t heartbeat_ms;
 	int64_t silence_ms;
+	/* Not taken; NULL: TCP, and a generator of its own. */
+	cb_network_t *network;
+	GRand *random;
 } cb_control_client_options_t;
 
 typedef enum cb_control_outcome {
--- a/include/currantbridge/node.h
+++ b/include/currantbridge/node.h
@@ -3,6 +3,7 @@
 
 #include "currantbridge/command.h"
 #include "currantbridge/kernel.h"
+#include "currantbridge/network.h"
 #include "currantbridge/replica.h"
 #include "currantbridge/state.h"
 
@@ -18,12 +19,17 @@
 	/* For links from control and entry instances. */
 	const char *listen;
 	const char *data_folder;
+	/* None: a blank instance waits until it is added. */
 	const cb_replica_member_t *initial_members;
 	size_t initial_member_count;
 	int64_t heartbeat_ms;
 	int64_t election_timeout_ms;
 	int64_t silence_ms;
 	uint64_t snapshot_every_bytes;
+	/* Not taken; NULL: TCP, the data folder, a generator of its own. */
+	cb_network_t *network;
+	cb_storage_t *storage;
+	GRand *random;
 } cb_node_options_t;
 
 typedef enum cb_submit_outcome {
@@ -45,10 +51,15 @@
 typedef struct cb_session_status {
 	char *name;
 	char *control; /* the control instance that it is connected to */
+	uint64_t incarnation;
 	uint64_t revision_in_force;
 	int64_t heard_ms_ago;
 } cb_session_status_t;
 
+/* `sessions`, of cb_session_status_t, is valid during the call; or NULL. */
+typedef void (*cb_sessions_fn_t)(cb_submit_outcome_t outcome,
+				 const GPtrArray *sessions, void *user_data);
+
 cb_node_t *cb_node_new(cb_kernel_t *kernel, const cb_node_options_t *options);
 
 /* Proposes here or at the leader; `done` is called exactly once. */
@@ -65,5 +76,10 @@
 const cb_state_t *cb_node_state(const cb_node_t *node);
 /* Of cb_session_status_t; complete on the leader only. */
 const GPtrArray *cb_node_sessions(const cb_node_t *node);
+/* Asks the leader for its sessions; `done` is called exactly once. */
+void cb_node_fetch_sessions(cb_node_t *node, cb_sessions_fn_t done,
+			    void *user_data);
+/* The port that links are accepted on, once started. */
+uint16_t cb_node_port(const cb_node_t *node);
 
 #endif
--- /dev/null
+++ b/src/libcurrantbridge/control/control_client.c
@@ -0,0 +1,291 @@
+#include "currantbridge/control_client.h"
+
+#include <string.h>
+
+#include "private/control_client.h"
+
+#define LINK_QUEUE_MAX_BYTES (16 * 1024 * 1024)
+#define NEXT_MAX_MS 20
+#define RETRY_FIRST_MS 50
+#define RETRY_LONGEST_MS 1000
+#define DRAIN_FLUSH_MS 50
+
+/* Waits shortly for the next instance, longer once all have failed. */
+static void connect_later_(cb_control_client_t *client)
+{
+	int64_t delay_ms = g_rand_int_range(client->random, 0, NEXT_MAX_MS);
+
+	if (client->is_draining)
+		return;
+	if (client->failures_in_a_row >= client->address_count)
+		delay_ms += cb_backoff_next_ms(&client->backoff);
+	cb_timer_start(client->connect_timer, delay_ms);
+}
+
+/* Notes when control was last heard while its instance was current. */
+static void current_note_(cb_control_client_t *client)
+{
+	if (client->link && client->is_session_confirmed)
+		client->current_ms = cb_link_heard_ms(client->link);
+}
+
+/* Lets go of the session and turns to the next control instance. */
+static void session_end_(cb_control_client_t *client, cb_close_reason_t reason)
+{
+	cb_counters_t *counters = cb_kernel_counters(client->kernel);
+
+	current_note_(client);
+	cb_counter_add(cb_counters_counter(counters, "cb_control_lost_total",
+					   "reason",
+					   cb_close_reason_string[reason]),
+		       1);
+	cb_log_event(client->log, CB_EVENT_CONTROL_LOST,
+		     CB_STR("address",
+			    client->addresses[client->address_index]),
+		     CB_STR("reason", cb_close_reason_string[reason]));
+	g_clear_pointer(&client->link, cb_link_delete);
+	cb_timer_stop(client->confirm_timer);
+	client->is_session_confirmed = FALSE;
+	client->failures_in_a_row++;
+	client->address_index =
+		(client->address_index + 1) % client->address_count;
+	cb_client_submits_lost(client);
+	connect_later_(client);
+}
+
+static void link_ready_(void *user_data, const cb_hello_t *remote)
+{
+	cb_control_client_t *client = user_data;
+
+	if (remote->role != CB_ROLE_CONTROL) {
+		cb_link_goodbye(client->link, CB_CLOSE_WRONG_PEER);
+		return;
+	}
+	cb_log_event(client->log, CB_EVENT_CONTROL_CONNECTED,
+		     CB_STR("control", remote->name),
+		     CB_INT("revision", remote->revision));
+	cb_client_submits_send(client);
+}
+
+/* Notes a confirmed revision once the view has it. */
+static void confirmed_check_(cb_control_client_t *client)
+{
+	if (client->is_confirmed || !client->has_confirm_revision ||
+	    cb_view_revision(client->view) < client->confirm_revision)
+		return;
+	client->is_confirmed = TRUE;
+	cb_log_event(client->log, CB_EVENT_VIEW_CONFIRMED,
+		     CB_INT("revision", cb_view_revision(client->view)));
+}
+
+static void confirmed_receive_(cb_control_client_t *client,
+			       const cb_message_t *message)
+{
+	cb_timer_stop(client->confirm_timer);
+	client->is_session_confirmed = TRUE;
+	client->failures_in_a_row = 0;
+	cb_backoff_reset(&client->backoff);
+	if (!client->has_confirm_revision)
+		client->confirm_revision = message->number;
+	client->has_confirm_revision = TRUE;
+	confirmed_check_(client);
+}
+
+/* Puts an update in force and says which revision is in force now. */
+static void update_receive_(cb_control_client_t *client, GBytes *update)
+{
+	cb_counters_t *counters = cb_kernel_counters(client->kernel);
+	cb_view_outcome_t outcome = cb_view_apply(client->view, update);
+	cb_message_t message = { .kind = CB_MESSAGE_IN_FORCE };
+
+	cb_counter_add(cb_counters_counter(counters, "cb_view_updates_total",
+					   "outcome",
+					   cb_view_outcome_string[outcome]),
+		       1);
+	if (outcome != CB_VIEW_APPLIED)
+		cb_log_event(client->log, CB_EVENT_UPDATE_REFUSED,
+			     CB_STR("outcome",
+				    cb_view_outcome_string[outcome]));
+	if (outcome == CB_VIEW_MALFORMED) {
+		cb_link_goodbye(client->link, CB_CLOSE_MALFORMED);
+		return;
+	}
+	message.number = cb_view_revision(client->view);
+	message.code = outcome == CB_VIEW_GAP;
+	cb_link_send(client->link, &message);
+	confirmed_check_(client);
+}
+
+static void link_received_(void *user_data, const cb_message_t *message)
+{
+	cb_control_client_t *client = user_data;
+
+	switch (message->kind) {
+	case CB_MESSAGE_UPDATE:
+		if (message->body)
+			update_receive_(client, message->body);
+		return;
+	case CB_MESSAGE_CONFIRMED:
+		confirmed_receive_(client, message);
+		return;
+	case CB_MESSAGE_SUBMIT_ANSWER:
+		cb_client_submit_answer(client, message);
+		return;
+	default:
+		cb_link_goodbye(client->link, CB_CLOSE_MALFORMED);
+		return;
+	}
+}
+
+static void link_closed_(void *user_data, cb_close_reason_t reason)
+{
+	session_end_(user_data, reason);
+}
+
+static const cb_link_handler_t link_handler = {
+	.ready = link_ready_,
+	.received = link_received_,
+	.closed = link_closed_,
+};
+
+static void connect_timer_fired_(void *user_data)
+{
+	cb_control_client_t *client = user_data;
+	cb_link_options_t options = { .hello = &client->hello,
+				      .heartbeat_ms = client->heartbeat_ms,
+				      .silence_ms = client->silence_ms };
+	cb_connection_t *connection = client->network->vtable->connect(
+		client->network, client->addresses[client->address_index]);
+
+	client->hello.revision = cb_view_revision(client->view);
+	client->link = cb_link_new(client->clock, connection, &options,
+				   &link_handler, client);
+	cb_timer_start(client->confirm_timer, client->silence_ms);
+}
+
+/* The instance has not shown that it is current: tries another one. */
+static void confirm_timer_fired_(void *user_data)
+{
+	cb_control_client_t *client = user_data;
+
+	if (client->link)
+		cb_link_goodbye(client->link, CB_CLOSE_NOT_CURRENT);
+}
+
+static void drain_timer_fired_(void *user_data)
+{
+	cb_control_client_t *client = user_data;
+
+	cb_kernel_drained(client->kernel, &client->service);
+}
+
+static gboolean client_start_(cb_service_t *service, GError **error)
+{
+	cb_control_client_t *client = (cb_control_client_t *)service;
+
+	(void)error;
+	cb_timer_start(client->connect_timer, 0);
+	return TRUE;
+}
+
+static void client_drain_(cb_service_t *service)
+{
+	cb_control_client_t *client = (cb_control_client_t *)service;
+
+	client->is_draining = TRUE;
+	cb_timer_stop(client->connect_timer);
+	cb_client_submits_end(client);
+	if (client->link)
+		cb_link_goodbye(client->link, CB_CLOSE_STOPPING);
+	cb_timer_start(client->drain_timer, DRAIN_FLUSH_MS);
+}
+
+static void client_destroy_(cb_service_t *service)
+{
+	cb_control_client_t *client = (cb_control_client_t *)service;
+
+	cb_link_delete(client->link);
+	cb_timer_delete(client->connect_timer);
+	cb_timer_delete(client->confirm_timer);
+	cb_timer_delete(client->drain_timer);
+	g_hash_table_unref(client->submits);
+	if (client->owns_network)
+		client->network->vtable->destroy(client->network);
+	g_rand_free(client->random);
+	cb_hello_clear(&client->hello);
+	g_strfreev(client->addresses);
+	g_free(client);
+}
+
+static const cb_service_vtable_t client_vtable = {
+	.start = client_start_,
+	.drain = client_drain_,
+	.destroy = client_destroy_,
+};
+
+/*
+ * Makes the client of the control instances at one or more addresses, which
+ * the caller registers as "control".  It updates `view`, which must outlive
+ * it.
+ */
+cb_control_client_t *cb_control_client_new(
+	cb_kernel_t *kernel, cb_view_t *view,
+	const cb_control_client_options_t *options)
+{
+	cb_control_client_t *client = g_new0(cb_control_client_t, 1);
+
+	client->service.vtable = &client_vtable;
+	client->kernel = kernel;
+	client->clock = cb_kernel_clock(kernel);
+	client->log = cb_kernel_log(kernel);
+	client->view = view;
+	client->addresses = g_strdupv((char **)options->control_addresses);
+	client->address_count = g_strv_length(client->addresses);
+	client->hello.role = CB_ROLE_ENTRY;
+	client->hello.name = g_strdup(options->name);
+	client->hello.address = g_strdup(options->address);
+	client->hello.data_centre = g_strdup(options->data_centre);
+	client->hello.incarnation = options->incarnation;
+	client->heartbeat_ms = options->heartbeat_ms;
+	client->silence_ms = options->silence_ms;
+	client->current_ms = -1;
+	client->random =
+		options->random ? g_rand_copy(options->random) : g_rand_new();
+	client->owns_network = !options->network;
+	client->network = options->network;
+	if (!client->network)
+		client->network = cb_tcp_network_new(cb_kernel_context(kernel),
+						     LINK_QUEUE_MAX_BYTES);
+	client->address_index =
+		(size_t)g_rand_int_range(client->random, 0,
+					 (int)client->address_count);
+	client->connect_timer =
+		cb_timer_new(client->clock, connect_timer_fired_, client);
+	client->confirm_timer =
+		cb_timer_new(client->clock, confirm_timer_fired_, client);
+	client->drain_timer =
+		cb_timer_new(client->clock, drain_timer_fired_, client);
+	cb_backoff_init(&client->backoff, client->random, RETRY_FIRST_MS,
+			RETRY_LONGEST_MS);
+	client->submits = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						NULL, cb_client_submit_delete);
+	return client;
+}
+
+/* Tells whether a majority has confirmed the view since this began. */
+gboolean cb_control_client_is_confirmed(const cb_control_client_t *client)
+{
+	return client->is_confirmed;
+}
+
+/* Returns for how long control has not been known to be current; -1: ever. */
+int64_t cb_control_client_silence_ms(const cb_control_client_t *client)
+{
+	int64_t current_ms = client->current_ms;
+
+	if (client->link && client->is_session_confirmed)
+		current_ms = cb_link_heard_ms(client->link);
+	if (current_ms < 0)
+		return -1;
+	return cb_clock_now_ms(client->clock) - current_ms;
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/node_member.c
@@ -0,0 +1,208 @@
+#include "private/node.h"
+
+#define ROSTER_KEEP_MS (10 * 60 * 1000)
+
+/* Looks up the entry instances of the state by name. */
+static GHashTable *instances_by_name_(const cb_node_t *node)
+{
+	const GPtrArray *instances =
+		cb_view_instances(cb_state_view(node->state));
+	GHashTable *by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	unsigned int i;
+
+	for (i = 0; i < instances->len; i++) {
+		cb_instance_t *instance = g_ptr_array_index(instances, i);
+
+		g_hash_table_insert(by_name, instance->name, instance);
+	}
+	return by_name;
+}
+
+static void change_done_(cb_submit_outcome_t outcome, const cb_answer_t *answer,
+			 void *user_data)
+{
+	(void)outcome;
+	(void)answer;
+	(void)user_data;
+}
+
+/*
+ * Submits a change of membership.  Its change ID follows from what it
+ * changes, so that all control instances that see the need make one change.
+ */
+static void change_submit_(cb_node_t *node, cb_command_t *command,
+			   const char *verb, uint64_t revision)
+{
+	command->change_id = g_strdup_printf("%s/%s/%" G_GUINT64_FORMAT
+					     "/%" G_GUINT64_FORMAT,
+					     verb, command->name,
+					     command->incarnation, revision);
+	cb_node_submit(node, command, change_done_, NULL);
+}
+
+/* Submits that the instance of a session is up, unless the state says so. */
+static void session_announce_(cb_node_t *node, const cb_session_t *session,
+			      const cb_instance_t *known)
+{
+	const cb_hello_t *hello = &session->hello;
+	cb_command_t *command;
+
+	if (session->is_leaving)
+		return;
+	if (known && known->incarnation >= hello->incarnation &&
+	    known->state != CB_INSTANCE_SILENT)
+		return;
+	if (known && known->incarnation > hello->incarnation)
+		return;
+	command = cb_command_new(CB_COMMAND_INSTANCE_UP);
+	command->name = g_strdup(hello->name);
+	command->address = g_strdup(hello->address);
+	command->data_centre = g_strdup(hello->data_centre);
+	command->incarnation = hello->incarnation;
+	change_submit_(node, command, "up", known ? known->revision : 0);
+}
+
+/* Returns the present report of one session. */
+static cb_session_report_t *report_new_(const cb_node_t *node,
+					const cb_inbound_t *inbound)
+{
+	cb_session_report_t *report = g_new0(cb_session_report_t, 1);
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+
+	report->name = g_strdup(inbound->session->hello.name);
+	report->incarnation = inbound->session->hello.incarnation;
+	report->revision = inbound->session->held_revision;
+	report->heard_ms_ago =
+		(uint64_t)(now_ms - cb_link_heard_ms(inbound->link));
+	return report;
+}
+
+static void reports_send_(cb_node_t *node, const GPtrArray *reports)
+{
+	const char *leader = cb_replica_leader(node->replica);
+	cb_message_t message = { .kind = CB_MESSAGE_SESSION_REPORT };
+
+	if (!leader || cb_node_is_leader(node))
+		return;
+	message.body = cb_session_reports_encode(reports);
+	cb_peers_send(node->peers, leader, &message);
+	g_bytes_unref(message.body);
+}
+
+/*
+ * Reports this instance's sessions to the leader: all of them, or those
+ * that have changed since the last report.
+ */
+void cb_members_report(cb_node_t *node, gboolean whole)
+{
+	GPtrArray *reports =
+		g_ptr_array_new_with_free_func(cb_session_report_delete);
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+	GHashTableIter iter;
+	void *value;
+	unsigned int i;
+
+	g_hash_table_iter_init(&iter, node->inbounds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_inbound_t *inbound = value;
+
+		if (!inbound->session ||
+		    (!whole && !inbound->session->is_changed))
+			continue;
+		inbound->session->is_changed = FALSE;
+		g_ptr_array_add(reports, report_new_(node, inbound));
+	}
+	for (i = 0; i < reports->len; i++)
+		cb_roster_report(node->roster, node->name,
+				 g_ptr_array_index(reports, i), now_ms);
+	if (reports->len)
+		reports_send_(node, reports);
+	g_ptr_array_unref(reports);
+}
+
+/* Takes another control instance's report of its sessions. */
+void cb_members_receive_report(cb_node_t *node, const char *control,
+			       const cb_message_t *message)
+{
+	GPtrArray *reports = cb_session_reports_decode(message->body);
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+	unsigned int i;
+
+	if (!reports)
+		return;
+	for (i = 0; i < reports->len; i++)
+		cb_roster_report(node->roster, control,
+				 g_ptr_array_index(reports, i), now_ms);
+	g_ptr_array_unref(reports);
+}
+
+static void silence_submit_(cb_node_t *node, const cb_instance_t *instance)
+{
+	cb_command_t *command = cb_command_new(CB_COMMAND_INSTANCE_STATE);
+
+	cb_log_event(node->log, CB_EVENT_INSTANCE_FELL_SILENT,
+		     CB_STR("name", instance->name),
+		     CB_INT("incarnation", instance->incarnation));
+	command->name = g_strdup(instance->name);
+	command->incarnation = instance->incarnation;
+	command->instance_state = CB_INSTANCE_SILENT;
+	change_submit_(node, command, "silent", instance->revision);
+}
+
+/*
+ * On the leader, declares silent the instances that no control instance
+ * has heard within the bound.  A new leader gives each the whole bound to
+ * be reported.
+ */
+static void silence_check_(cb_node_t *node, const GPtrArray *instances)
+{
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+	int64_t bound_ms = node->silence_ms * CB_NODE_INSTANCE_SILENCES;
+	unsigned int i;
+
+	for (i = 0; i < instances->len; i++) {
+		const cb_instance_t *instance = g_ptr_array_index(instances, i);
+		const cb_roster_entry_t *entry =
+			cb_roster_find(node->roster, instance->name);
+		int64_t heard_ms = node->leader_since_ms;
+
+		if (instance->state == CB_INSTANCE_SILENT)
+			continue;
+		if (entry && entry->incarnation >= instance->incarnation)
+			heard_ms = MAX(heard_ms, entry->heard_ms);
+		if (now_ms - heard_ms >= bound_ms)
+			silence_submit_(node, instance);
+	}
+}
+
+/* Submits what the state lacks of the sessions' instances. */
+void cb_members_announce(cb_node_t *node)
+{
+	GHashTable *instances = instances_by_name_(node);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->inbounds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_session_t *session = ((cb_inbound_t *)value)->session;
+
+		if (session)
+			session_announce_(
+				node, session,
+				g_hash_table_lookup(instances,
+						    session->hello.name));
+	}
+	g_hash_table_unref(instances);
+}
+
+/* Brings membership up to date; called at each heartbeat. */
+void cb_members_tick(cb_node_t *node)
+{
+	cb_members_report(node, TRUE);
+	cb_members_announce(node);
+	if (cb_node_is_leader(node))
+		silence_check_(node,
+			       cb_view_instances(cb_state_view(node->state)));
+	cb_roster_forget(node->roster,
+			 cb_clock_now_ms(node->clock) - ROSTER_KEEP_MS);
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/node_request.c
@@ -0,0 +1,548 @@
+#include "private/node.h"
+
+const char *const cb_submit_outcome_string[CB_SUBMIT_OUTCOME_COUNT] = {
+	[CB_SUBMIT_ANSWERED] = "answered",
+	[CB_SUBMIT_NO_LEADER] = "no_leader",
+	[CB_SUBMIT_BUSY] = "busy",
+	[CB_SUBMIT_UNKNOWN] = "unknown",
+};
+
+static const cb_submit_outcome_t
+	outcome_of_replica_[CB_REPLICA_OUTCOME_COUNT] = {
+		[CB_REPLICA_COMMITTED] = CB_SUBMIT_ANSWERED,
+		[CB_REPLICA_NOT_LEADER] = CB_SUBMIT_NO_LEADER,
+		[CB_REPLICA_BUSY] = CB_SUBMIT_BUSY,
+		[CB_REPLICA_UNKNOWN] = CB_SUBMIT_UNKNOWN,
+	};
+
+/* Frees a request without calling its owner. */
+void cb_node_request_delete(void *request)
+{
+	cb_node_request_t *self = request;
+
+	cb_timer_delete(self->timer);
+	g_free(self->peer);
+	g_free(self);
+}
+
+/* Frees a request once its owner and the replica are done with it. */
+static void request_release_(cb_node_request_t *request)
+{
+	if (request->is_answered && !request->is_held)
+		g_hash_table_remove(request->node->requests, &request->id);
+}
+
+/* Calls the owner, once; `answer` or `sessions` may be NULL. */
+static void request_answer_(cb_node_request_t *request,
+			    cb_submit_outcome_t outcome, uint64_t index,
+			    const cb_answer_t *answer,
+			    const GPtrArray *sessions)
+{
+	if (request->is_answered)
+		return;
+	request->is_answered = TRUE;
+	cb_timer_stop(request->timer);
+	if (request->submit_done)
+		request->submit_done(outcome, answer, request->user_data);
+	else if (request->confirm_done)
+		request->confirm_done(outcome, index, request->user_data);
+	else if (request->sessions_done)
+		request->sessions_done(outcome, sessions, request->user_data);
+}
+
+static void request_timed_out_(void *user_data)
+{
+	cb_node_request_t *request = user_data;
+	const GPtrArray *sessions = NULL;
+
+	if (request->sessions_done &&
+	    request->late_outcome == CB_SUBMIT_ANSWERED)
+		sessions = cb_node_sessions(request->node);
+	request_answer_(request, request->late_outcome, 0, NULL, sessions);
+	request_release_(request);
+}
+
+static cb_node_request_t *request_new_(cb_node_t *node, void *user_data)
+{
+	cb_node_request_t *request = g_new0(cb_node_request_t, 1);
+
+	request->node = node;
+	request->id = ++node->next_id;
+	request->user_data = user_data;
+	request->timer = cb_timer_new(node->clock, request_timed_out_, request);
+	request->late_outcome = CB_SUBMIT_UNKNOWN;
+	g_hash_table_insert(node->requests, &request->id, request);
+	cb_timer_start(request->timer, CB_NODE_REQUEST_TIMEOUT_MS);
+	return request;
+}
+
+/* Answers a request from the loop. */
+static void request_fail_later_(cb_node_request_t *request,
+				cb_submit_outcome_t outcome)
+{
+	request->late_outcome = outcome;
+	cb_timer_start(request->timer, 0);
+}
+
+/* Sends a request to the leader, if there is one to send it to. */
+static void request_forward_(cb_node_request_t *request, cb_message_t *message)
+{
+	cb_node_t *node = request->node;
+	const char *leader = cb_replica_leader(node->replica);
+
+	message->id = request->id;
+	if (!leader || node->is_failed ||
+	    !cb_peers_send(node->peers, leader, message)) {
+		request_fail_later_(request, CB_SUBMIT_NO_LEADER);
+		return;
+	}
+	request->peer = g_strdup(leader);
+}
+
+/* Takes the replica's answer to a proposal. */
+static void proposal_done_(cb_replica_outcome_t outcome, uint64_t index,
+			   GBytes *bytes, void *user_data)
+{
+	cb_node_request_t *request = user_data;
+	cb_submit_outcome_t submitted = outcome_of_replica_[outcome];
+	cb_answer_t *answer = NULL;
+
+	request->is_held = FALSE;
+	if (request->node->is_destroyed)
+		return;
+	if (submitted == CB_SUBMIT_ANSWERED && bytes)
+		answer = cb_answer_decode(bytes);
+	if (submitted == CB_SUBMIT_ANSWERED && !answer)
+		answer = cb_answer_new(CB_ANSWER_OK);
+	request_answer_(request, submitted, index, answer, NULL);
+	cb_answer_delete(answer);
+	request_release_(request);
+}
+
+static void propose_(cb_node_request_t *request, cb_command_t *command)
+{
+	GBytes *bytes;
+
+	command->wall_ms = cb_clock_wall_ms(request->node->clock);
+	bytes = cb_command_encode(command);
+	request->is_held = TRUE;
+	cb_replica_propose(request->node->replica, bytes, proposal_done_,
+			   request);
+	g_bytes_unref(bytes);
+}
+
+/*
+ * Submits a command at the leader, wherever it is; takes `command`.  `done`
+ * is called exactly once, after this returns, unless the node is destroyed
+ * first.  CB_SUBMIT_UNKNOWN means that the answer was lost: the command may
+ * be submitted again under its change ID.
+ */
+void cb_node_submit(cb_node_t *node, cb_command_t *command, cb_submit_fn_t done,
+		    void *user_data)
+{
+	cb_message_t message = { .kind = CB_MESSAGE_SUBMIT };
+	cb_node_request_t *request = request_new_(node, user_data);
+
+	request->submit_done = done;
+	if (cb_node_is_leader(node)) {
+		propose_(request, command);
+	} else {
+		message.body = cb_command_encode(command);
+		request_forward_(request, &message);
+		g_bytes_unref(message.body);
+	}
+	cb_command_delete(command);
+}
+
+/* Adds a control instance as a learner; `done` as in cb_node_submit(). */
+void cb_node_add_member(cb_node_t *node, const char *name, const char *address,
+			cb_submit_fn_t done, void *user_data)
+{
+	cb_message_t message = { .kind = CB_MESSAGE_MEMBER_ADD,
+				 .name = (char *)name,
+				 .address = (char *)address };
+	cb_node_request_t *request = request_new_(node, user_data);
+
+	request->submit_done = done;
+	if (cb_node_is_leader(node)) {
+		request->is_held = TRUE;
+		cb_replica_add_member(node->replica, name, address,
+				      proposal_done_, request);
+	} else {
+		request_forward_(request, &message);
+	}
+}
+
+/* Removes a control instance; `done` as in cb_node_submit(). */
+void cb_node_remove_member(cb_node_t *node, const char *name,
+			   cb_submit_fn_t done, void *user_data)
+{
+	cb_message_t message = { .kind = CB_MESSAGE_MEMBER_REMOVE,
+				 .name = (char *)name };
+	cb_node_request_t *request = request_new_(node, user_data);
+
+	request->submit_done = done;
+	if (cb_node_is_leader(node)) {
+		request->is_held = TRUE;
+		cb_replica_remove_member(node->replica, name, proposal_done_,
+					 request);
+	} else {
+		request_forward_(request, &message);
+	}
+}
+
+static GPtrArray *statuses_from_reports_(const GPtrArray *reports);
+
+/*
+ * Asks the leader for the sessions of all entry instances; `done` is called
+ * exactly once, after this returns, unless the node is destroyed first.
+ */
+void cb_node_fetch_sessions(cb_node_t *node, cb_sessions_fn_t done,
+			    void *user_data)
+{
+	cb_message_t message = { .kind = CB_MESSAGE_SESSIONS };
+	cb_node_request_t *request = request_new_(node, user_data);
+
+	request->sessions_done = done;
+	if (cb_node_is_leader(node))
+		request_fail_later_(request, CB_SUBMIT_ANSWERED);
+	else
+		request_forward_(request, &message);
+}
+
+static void confirm_begin_(cb_node_t *node);
+
+/* Calls the waiters of the confirmation that has run. */
+static void confirm_finish_(cb_node_t *node, cb_submit_outcome_t outcome,
+			    uint64_t index)
+{
+	GArray *waiters = node->confirm_running;
+	unsigned int i;
+
+	node->confirm_running = NULL;
+	node->confirm_index = 0;
+	for (i = 0; i < waiters->len; i++) {
+		cb_confirm_waiter_t *waiter =
+			&g_array_index(waiters, cb_confirm_waiter_t, i);
+
+		waiter->done(outcome, index, waiter->user_data);
+	}
+	g_array_unref(waiters);
+	if (node->confirm_next->len && !node->confirm_running)
+		confirm_begin_(node);
+}
+
+/* Ends a confirmation once its index is applied here, or it took too long. */
+void cb_node_confirm_applied(cb_node_t *node)
+{
+	uint64_t index = node->confirm_index;
+
+	if (!node->confirm_running || !index)
+		return;
+	if (cb_replica_applied(node->replica) >= index)
+		confirm_finish_(node, CB_SUBMIT_ANSWERED, index);
+	else if (cb_clock_now_ms(node->clock) >= node->confirm_deadline_ms)
+		confirm_finish_(node, CB_SUBMIT_UNKNOWN, 0);
+}
+
+/* The leader's index is known, or the confirmation has failed. */
+static void confirm_answered_(cb_submit_outcome_t outcome, uint64_t index,
+			      void *user_data)
+{
+	cb_node_t *node = user_data;
+
+	if (outcome != CB_SUBMIT_ANSWERED || !index) {
+		confirm_finish_(node,
+				outcome == CB_SUBMIT_ANSWERED ?
+					CB_SUBMIT_NO_LEADER :
+					outcome,
+				0);
+		return;
+	}
+	node->confirm_index = index;
+	node->confirm_deadline_ms =
+		cb_clock_now_ms(node->clock) + CB_NODE_REQUEST_TIMEOUT_MS;
+	cb_node_confirm_applied(node);
+}
+
+static void replica_confirmed_(cb_replica_outcome_t outcome, uint64_t index,
+			       GBytes *answer, void *user_data)
+{
+	cb_node_request_t *request = user_data;
+
+	(void)answer;
+	request->is_held = FALSE;
+	if (request->node->is_destroyed)
+		return;
+	request_answer_(request, outcome_of_replica_[outcome], index, NULL,
+			NULL);
+	request_release_(request);
+}
+
+/* Begins one confirmation for all that wait. */
+static void confirm_begin_(cb_node_t *node)
+{
+	cb_message_t message = { .kind = CB_MESSAGE_CONFIRM };
+	cb_node_request_t *request = request_new_(node, node);
+
+	node->confirm_running = node->confirm_next;
+	node->confirm_next =
+		g_array_new(FALSE, FALSE, sizeof(cb_confirm_waiter_t));
+	request->confirm_done = confirm_answered_;
+	if (cb_node_is_leader(node)) {
+		request->is_held = TRUE;
+		cb_replica_confirm(node->replica, replica_confirmed_, request);
+	} else {
+		request_forward_(request, &message);
+	}
+}
+
+/*
+ * Calls back once a majority has confirmed an index no older than this
+ * call and this instance's state has applied it; otherwise with an outcome
+ * that is not CB_SUBMIT_ANSWERED.  Calls that come together share a round.
+ */
+void cb_node_confirm(cb_node_t *node, cb_confirm_fn_t done, void *user_data)
+{
+	cb_confirm_waiter_t waiter = { done, user_data };
+
+	g_array_append_val(node->confirm_next, waiter);
+	if (!node->confirm_running)
+		confirm_begin_(node);
+}
+
+/* A request of another control instance, to be answered on its link. */
+typedef struct served_request {
+	cb_node_t *node;
+	uint64_t inbound_id;
+	uint64_t id;
+} served_request_t;
+
+static served_request_t *served_new_(cb_inbound_t *inbound, uint64_t id)
+{
+	served_request_t *served = g_new0(served_request_t, 1);
+
+	served->node = inbound->node;
+	served->inbound_id = inbound->id;
+	served->id = id;
+	return served;
+}
+
+static void served_submit_done_(cb_submit_outcome_t outcome,
+				const cb_answer_t *answer, void *user_data)
+{
+	served_request_t *served = user_data;
+	cb_message_t message = { .kind = CB_MESSAGE_SUBMIT_ANSWER,
+				 .id = served->id,
+				 .code = outcome };
+
+	if (answer)
+		message.body = cb_answer_encode(answer);
+	cb_inbound_reply(served->node, served->inbound_id, &message);
+	g_clear_pointer(&message.body, g_bytes_unref);
+	g_free(served);
+}
+
+static void served_confirm_done_(cb_submit_outcome_t outcome, uint64_t index,
+				 void *user_data)
+{
+	served_request_t *served = user_data;
+	cb_message_t message = { .kind = CB_MESSAGE_CONFIRM_ANSWER,
+				 .id = served->id,
+				 .code = outcome,
+				 .number = index };
+
+	cb_inbound_reply(served->node, served->inbound_id, &message);
+	g_free(served);
+}
+
+/* Answers that this instance does not lead; it forwards nothing further. */
+static void refuse_(cb_inbound_t *inbound, const cb_message_t *message)
+{
+	cb_message_t answer = { .kind = CB_MESSAGE_SUBMIT_ANSWER,
+				.id = message->id,
+				.code = CB_SUBMIT_NO_LEADER };
+
+	if (message->kind == CB_MESSAGE_CONFIRM)
+		answer.kind = CB_MESSAGE_CONFIRM_ANSWER;
+	if (message->kind == CB_MESSAGE_SESSIONS)
+		answer.kind = CB_MESSAGE_SESSIONS_ANSWER;
+	cb_link_send(inbound->link, &answer);
+}
+
+static void sessions_serve_(cb_inbound_t *inbound, uint64_t id)
+{
+	cb_node_t *node = inbound->node;
+	cb_message_t answer = { .kind = CB_MESSAGE_SESSIONS_ANSWER,
+				.id = id,
+				.code = CB_SUBMIT_ANSWERED };
+	GPtrArray *reports =
+		cb_roster_encode(node->roster, cb_clock_now_ms(node->clock));
+
+	answer.body = cb_session_reports_encode(reports);
+	cb_link_send(inbound->link, &answer);
+	g_bytes_unref(answer.body);
+	g_ptr_array_unref(reports);
+}
+
+/* Serves a request that another instance sent to its leader. */
+void cb_node_request_serve(cb_inbound_t *inbound, const cb_message_t *message)
+{
+	cb_node_t *node = inbound->node;
+	cb_command_t *command;
+
+	if (!cb_node_is_leader(node)) {
+		refuse_(inbound, message);
+		return;
+	}
+	switch (message->kind) {
+	case CB_MESSAGE_SUBMIT:
+		command =
+			message->body ? cb_command_decode(message->body) : NULL;
+		if (command)
+			cb_node_submit(node, command, served_submit_done_,
+				       served_new_(inbound, message->id));
+		else
+			refuse_(inbound, message);
+		return;
+	case CB_MESSAGE_CONFIRM:
+		cb_node_confirm(node, served_confirm_done_,
+				served_new_(inbound, message->id));
+		return;
+	case CB_MESSAGE_MEMBER_ADD:
+		if (message->name && message->address)
+			cb_node_add_member(node, message->name,
+					   message->address,
+					   served_submit_done_,
+					   served_new_(inbound, message->id));
+		return;
+	case CB_MESSAGE_MEMBER_REMOVE:
+		if (message->name)
+			cb_node_remove_member(node, message->name,
+					      served_submit_done_,
+					      served_new_(inbound,
+							  message->id));
+		return;
+	case CB_MESSAGE_SESSIONS:
+		sessions_serve_(inbound, message->id);
+		return;
+	default:
+		return;
+	}
+}
+
+static void status_delete_(void *data)
+{
+	cb_session_status_t *status = data;
+
+	g_free(status->name);
+	g_free(status->control);
+	g_free(status);
+}
+
+static GPtrArray *statuses_from_reports_(const GPtrArray *reports)
+{
+	GPtrArray *statuses = g_ptr_array_new_with_free_func(status_delete_);
+	unsigned int i;
+
+	for (i = 0; i < reports->len; i++) {
+		const cb_session_report_t *report =
+			g_ptr_array_index(reports, i);
+		cb_session_status_t *status = g_new0(cb_session_status_t, 1);
+
+		status->name = g_strdup(report->name);
+		status->control = g_strdup(report->control);
+		status->incarnation = report->incarnation;
+		status->revision_in_force = report->revision;
+		status->heard_ms_ago = (int64_t)report->heard_ms_ago;
+		g_ptr_array_add(statuses, status);
+	}
+	return statuses;
+}
+
+/*
+ * Returns the sessions that this instance knows of, complete on the leader
+ * only; owned by the node and valid until the next call.
+ */
+const GPtrArray *cb_node_sessions(const cb_node_t *node)
+{
+	cb_node_t *self = (cb_node_t *)node;
+	GPtrArray *reports =
+		cb_roster_encode(node->roster, cb_clock_now_ms(node->clock));
+
+	g_clear_pointer(&self->session_statuses, g_ptr_array_unref);
+	self->session_statuses = statuses_from_reports_(reports);
+	g_ptr_array_unref(reports);
+	return node->session_statuses;
+}
+
+static void sessions_answer_(cb_node_request_t *request,
+			     cb_submit_outcome_t outcome, GBytes *body)
+{
+	GPtrArray *reports = cb_session_reports_decode(body);
+	GPtrArray *statuses = NULL;
+
+	if (reports)
+		statuses = statuses_from_reports_(reports);
+	else if (outcome == CB_SUBMIT_ANSWERED)
+		outcome = CB_SUBMIT_UNKNOWN;
+	request_answer_(request, outcome, 0, NULL, statuses);
+	g_clear_pointer(&statuses, g_ptr_array_unref);
+	g_clear_pointer(&reports, g_ptr_array_unref);
+}
+
+/* Takes the leader's answer to one of this instance's requests. */
+void cb_node_request_receive(cb_node_t *node, const cb_message_t *message)
+{
+	cb_node_request_t *request =
+		g_hash_table_lookup(node->requests, &message->id);
+	cb_submit_outcome_t outcome = CB_SUBMIT_UNKNOWN;
+	cb_answer_t *answer;
+
+	if (!request || !request->peer)
+		return;
+	if (message->code < CB_SUBMIT_OUTCOME_COUNT)
+		outcome = (cb_submit_outcome_t)message->code;
+	if (message->kind == CB_MESSAGE_SESSIONS_ANSWER) {
+		sessions_answer_(request, outcome, message->body);
+	} else {
+		answer = message->body ? cb_answer_decode(message->body) : NULL;
+		if (request->submit_done && outcome == CB_SUBMIT_ANSWERED &&
+		    !answer)
+			outcome = CB_SUBMIT_UNKNOWN;
+		request_answer_(request, outcome, message->number, answer,
+				NULL);
+		cb_answer_delete(answer);
+	}
+	request_release_(request);
+}
+
+/* The link to a leader has closed: the answers it owed are lost. */
+void cb_node_request_peer_closed(cb_node_t *node, const char *peer)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_node_request_t *request = value;
+
+		if (!g_strcmp0(request->peer, peer) && !request->is_answered)
+			request_fail_later_(request, CB_SUBMIT_UNKNOWN);
+	}
+}
+
+/* Ends what waits, at the end of a graceful stop. */
+void cb_node_request_fail_all(cb_node_t *node)
+{
+	GList *requests = g_hash_table_get_values(node->requests);
+	GList *item;
+
+	for (item = requests; item; item = item->next) {
+		cb_node_request_t *request = item->data;
+
+		if (!request->is_answered)
+			request_fail_later_(request, CB_SUBMIT_UNKNOWN);
+	}
+	g_list_free(requests);
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/peers.c
@@ -0,0 +1,169 @@
+#include "private/peers.h"
+
+#define RETRY_FIRST_MS 20
+#define RETRY_LONGEST_MS 500
+
+typedef struct peer {
+	cb_peers_t *peers;
+	char *name;
+	char *address;
+	cb_link_t *link;
+	cb_timer_t *retry_timer;
+	cb_backoff_t backoff;
+} peer_t;
+
+struct cb_peers {
+	cb_peers_options_t options;
+	cb_hello_t hello;
+	const cb_peers_handler_t *handler;
+	void *user_data;
+	GHashTable *by_name;
+	gboolean is_stopping;
+};
+
+static void peer_delete_(void *data)
+{
+	peer_t *peer = data;
+
+	cb_link_delete(peer->link);
+	cb_timer_delete(peer->retry_timer);
+	g_free(peer->name);
+	g_free(peer->address);
+	g_free(peer);
+}
+
+static void peer_ready_(void *user_data, const cb_hello_t *remote)
+{
+	peer_t *peer = user_data;
+
+	if (remote->role != CB_ROLE_CONTROL ||
+	    g_strcmp0(remote->name, peer->name)) {
+		cb_link_goodbye(peer->link, CB_CLOSE_WRONG_PEER);
+		return;
+	}
+	cb_backoff_reset(&peer->backoff);
+	cb_log_event(peer->peers->options.log, CB_EVENT_PEER_CONNECTED,
+		     CB_STR("peer", peer->name));
+}
+
+static void peer_received_(void *user_data, const cb_message_t *message)
+{
+	peer_t *peer = user_data;
+
+	peer->peers->handler->received(peer->peers->user_data, peer->name,
+				       message);
+}
+
+static void peer_closed_(void *user_data, cb_close_reason_t reason)
+{
+	peer_t *peer = user_data;
+	cb_peers_t *peers = peer->peers;
+	gboolean was_ready = cb_link_remote(peer->link)->name != NULL;
+
+	g_clear_pointer(&peer->link, cb_link_delete);
+	if (was_ready)
+		cb_log_event(peers->options.log, CB_EVENT_PEER_LOST,
+			     CB_STR("peer", peer->name),
+			     CB_STR("reason", cb_close_reason_string[reason]));
+	if (!peers->is_stopping)
+		cb_timer_start(peer->retry_timer,
+			       cb_backoff_next_ms(&peer->backoff));
+	peers->handler->closed(peers->user_data, peer->name);
+}
+
+static const cb_link_handler_t peer_link_handler = {
+	.ready = peer_ready_,
+	.received = peer_received_,
+	.closed = peer_closed_,
+};
+
+static void peer_connect_(void *user_data)
+{
+	peer_t *peer = user_data;
+	cb_peers_options_t *options = &peer->peers->options;
+	cb_connection_t *connection =
+		options->network->vtable->connect(options->network,
+						  peer->address);
+
+	peer->link = cb_link_new(options->clock, connection, &options->link,
+				 &peer_link_handler, peer);
+}
+
+/* Makes an empty set; the network and the generator are not taken. */
+cb_peers_t *cb_peers_new(const cb_peers_options_t *options,
+			 const cb_peers_handler_t *handler, void *user_data)
+{
+	cb_peers_t *peers = g_new0(cb_peers_t, 1);
+
+	peers->options = *options;
+	cb_hello_copy(&peers->hello, options->link.hello);
+	peers->options.link.hello = &peers->hello;
+	peers->handler = handler;
+	peers->user_data = user_data;
+	peers->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       peer_delete_);
+	return peers;
+}
+
+/* Closes every link and deletes the set; NULL is allowed. */
+void cb_peers_delete(cb_peers_t *peers)
+{
+	if (!peers)
+		return;
+	g_hash_table_unref(peers->by_name);
+	cb_hello_clear(&peers->hello);
+	g_free(peers);
+}
+
+/*
+ * Keeps a link to a control instance open from now on; another address than
+ * before replaces the link.
+ */
+void cb_peers_keep(cb_peers_t *peers, const char *name, const char *address)
+{
+	peer_t *peer = g_hash_table_lookup(peers->by_name, name);
+
+	if (peers->is_stopping)
+		return;
+	if (peer && g_str_equal(peer->address, address))
+		return;
+	peer = g_new0(peer_t, 1);
+	peer->peers = peers;
+	peer->name = g_strdup(name);
+	peer->address = g_strdup(address);
+	peer->retry_timer =
+		cb_timer_new(peers->options.clock, peer_connect_, peer);
+	cb_backoff_init(&peer->backoff, peers->options.random, RETRY_FIRST_MS,
+			RETRY_LONGEST_MS);
+	g_hash_table_replace(peers->by_name, peer->name, peer);
+	cb_timer_start(peer->retry_timer, 0);
+}
+
+/* Sends a message; FALSE when no link to that instance is ready. */
+gboolean cb_peers_send(cb_peers_t *peers, const char *name,
+		       const cb_message_t *message)
+{
+	peer_t *peer = g_hash_table_lookup(peers->by_name, name);
+
+	if (!peer || !peer->link || !cb_link_is_ready(peer->link))
+		return FALSE;
+	cb_link_send(peer->link, message);
+	return TRUE;
+}
+
+/* Closes every link with a reason and opens none again. */
+void cb_peers_goodbye(cb_peers_t *peers, cb_close_reason_t reason)
+{
+	GHashTableIter iter;
+	void *value;
+
+	peers->is_stopping = TRUE;
+	g_hash_table_iter_init(&iter, peers->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		peer_t *peer = value;
+
+		cb_timer_stop(peer->retry_timer);
+		if (peer->link)
+			cb_link_goodbye(peer->link, reason);
+	}
+}
--- /dev/null
+++ b/src/libcurrantbridge/control/roster.c
@@ -0,0 +1,128 @@
+#include "private/roster.h"
+
+struct cb_roster {
+	GTree *by_name;
+};
+
+static int name_compare_(const void *left, const void *right, void *unused)
+{
+	(void)unused;
+	return g_strcmp0(left, right);
+}
+
+static void entry_delete_(void *data)
+{
+	cb_roster_entry_t *entry = data;
+
+	g_free(entry->name);
+	g_free(entry->control);
+	g_free(entry);
+}
+
+/* Makes an empty roster. */
+cb_roster_t *cb_roster_new(void)
+{
+	cb_roster_t *roster = g_new0(cb_roster_t, 1);
+
+	roster->by_name =
+		g_tree_new_full(name_compare_, NULL, NULL, entry_delete_);
+	return roster;
+}
+
+/* Deletes a roster; NULL is allowed. */
+void cb_roster_delete(cb_roster_t *roster)
+{
+	if (!roster)
+		return;
+	g_tree_unref(roster->by_name);
+	g_free(roster);
+}
+
+static cb_roster_entry_t *entry_get_(cb_roster_t *roster, const char *name)
+{
+	cb_roster_entry_t *entry = g_tree_lookup(roster->by_name, name);
+
+	if (entry)
+		return entry;
+	entry = g_new0(cb_roster_entry_t, 1);
+	entry->name = g_strdup(name);
+	entry->heard_ms = INT64_MIN;
+	g_tree_insert(roster->by_name, entry->name, entry);
+	return entry;
+}
+
+/*
+ * Takes one session's report from a control instance.  Reports may come
+ * late: an older incarnation is ignored, and within an incarnation neither
+ * the revision nor the time last heard goes back.
+ */
+void cb_roster_report(cb_roster_t *roster, const char *control,
+		      const cb_session_report_t *report, int64_t now_ms)
+{
+	cb_roster_entry_t *entry = entry_get_(roster, report->name);
+	int64_t heard_ms =
+		now_ms - (int64_t)MIN(report->heard_ms_ago, G_MAXINT32);
+
+	if (report->incarnation < entry->incarnation)
+		return;
+	if (report->incarnation > entry->incarnation) {
+		entry->incarnation = report->incarnation;
+		entry->revision = 0;
+		entry->heard_ms = INT64_MIN;
+	}
+	entry->revision = MAX(entry->revision, report->revision);
+	if (heard_ms < entry->heard_ms)
+		return;
+	entry->heard_ms = heard_ms;
+	if (g_strcmp0(entry->control, control)) {
+		g_free(entry->control);
+		entry->control = g_strdup(control);
+	}
+}
+
+/* Drops the sessions that were last heard before a time. */
+void cb_roster_forget(cb_roster_t *roster, int64_t before_ms)
+{
+	GPtrArray *old = g_ptr_array_new();
+	GTreeNode *node = g_tree_node_first(roster->by_name);
+	unsigned int i;
+
+	for (; node; node = g_tree_node_next(node)) {
+		cb_roster_entry_t *entry = g_tree_node_value(node);
+
+		if (entry->heard_ms < before_ms)
+			g_ptr_array_add(old, entry->name);
+	}
+	for (i = 0; i < old->len; i++)
+		g_tree_remove(roster->by_name, g_ptr_array_index(old, i));
+	g_ptr_array_unref(old);
+}
+
+/* Returns what is known of one entry instance's session, or NULL. */
+const cb_roster_entry_t *cb_roster_find(const cb_roster_t *roster,
+					const char *name)
+{
+	return g_tree_lookup(roster->by_name, name);
+}
+
+/* Returns all sessions, by name, as cb_session_report_t; owned by the caller. */
+GPtrArray *cb_roster_encode(const cb_roster_t *roster, int64_t now_ms)
+{
+	GPtrArray *reports =
+		g_ptr_array_new_with_free_func(cb_session_report_delete);
+	GTreeNode *node = g_tree_node_first(roster->by_name);
+
+	for (; node; node = g_tree_node_next(node)) {
+		const cb_roster_entry_t *entry = g_tree_node_value(node);
+		cb_session_report_t *report = g_new0(cb_session_report_t, 1);
+
+		report->name = g_strdup(entry->name);
+		report->control = g_strdup(entry->control);
+		report->incarnation = entry->incarnation;
+		report->revision = entry->revision;
+		report->heard_ms_ago =
+			(uint64_t)MAX(now_ms - entry->heard_ms, 0);
+		g_ptr_array_add(reports, report);
+	}
+	return reports;
+}
--- /dev/null
+++ b/src/libcurrantbridge/include/private/message.h
@@ -0,0 +1,85 @@
+#ifndef PRIVATE_MESSAGE_H
+#define PRIVATE_MESSAGE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* The messages between the system's own processes. */
+#define CB_PROTOCOL_VERSION 1
+
+typedef enum cb_message_kind {
+	CB_MESSAGE_HELLO,
+	CB_MESSAGE_HEARTBEAT,
+	CB_MESSAGE_GOODBYE, /* code: a cb_close_reason_t */
+	/* Between control instances. */
+	CB_MESSAGE_REPLICA, /* body: a message of the replicated log */
+	CB_MESSAGE_CONFIRM,
+	CB_MESSAGE_CONFIRM_ANSWER, /* id, code: cb_submit_outcome_t, number */
+	CB_MESSAGE_MEMBER_ADD,	   /* id, name, address */
+	CB_MESSAGE_MEMBER_REMOVE,  /* id, name */
+	CB_MESSAGE_SESSION_REPORT, /* body; code: 1 when it names them all */
+	CB_MESSAGE_SESSIONS,
+	CB_MESSAGE_SESSIONS_ANSWER, /* id, code, body */
+	/* From either to a control instance, and back. */
+	CB_MESSAGE_SUBMIT,	  /* id, body: a command */
+	CB_MESSAGE_SUBMIT_ANSWER, /* id, code: cb_submit_outcome_t, body */
+	/* Between a control and an entry instance. */
+	CB_MESSAGE_UPDATE,    /* body: for cb_view_apply() */
+	CB_MESSAGE_CONFIRMED, /* number: a revision confirmed by a quorum */
+	CB_MESSAGE_IN_FORCE,  /* number: the revision held; code: 1 resends */
+	CB_MESSAGE_LEAVING,
+	CB_MESSAGE_KIND_COUNT
+} cb_message_kind_t;
+
+/* One message; fields that its kind does not use are 0 or NULL. */
+typedef struct cb_message {
+	cb_message_kind_t kind;
+	uint64_t id;
+	uint64_t code;
+	uint64_t number;
+	char *name;
+	char *address;
+	GBytes *body;
+} cb_message_t;
+
+typedef enum cb_role {
+	CB_ROLE_CONTROL,
+	CB_ROLE_ENTRY,
+	CB_ROLE_COUNT
+} cb_role_t;
+
+/* What each side says first on a new link. */
+typedef struct cb_hello {
+	uint64_t protocol;
+	cb_role_t role;
+	char *name;
+	char *address;
+	char *data_centre;
+	uint64_t incarnation;
+	uint64_t revision;
+	gboolean is_leaving;
+} cb_hello_t;
+
+/* An entry instance's session as control instances report it. */
+typedef struct cb_session_report {
+	char *name;
+	uint64_t incarnation;
+	uint64_t revision;
+	uint64_t heard_ms_ago;
+	char *control; /* NULL: the one that reports */
+} cb_session_report_t;
+
+GBytes *cb_message_encode(const cb_message_t *message);
+cb_message_t *cb_message_decode(const uint8_t *data, size_t size);
+void cb_message_delete(cb_message_t *message);
+
+GBytes *cb_hello_encode(const cb_hello_t *hello);
+gboolean cb_hello_decode(GBytes *bytes, cb_hello_t *hello);
+void cb_hello_copy(cb_hello_t *to, const cb_hello_t *from);
+void cb_hello_clear(cb_hello_t *hello);
+
+GBytes *cb_session_reports_encode(const GPtrArray *reports);
+GPtrArray *cb_session_reports_decode(GBytes *bytes);
+void cb_session_report_delete(void *report);
+
+#endif
--- /dev/null
+++ b/src/libcurrantbridge/include/private/node.h
@@ -0,0 +1,149 @@
+#ifndef PRIVATE_NODE_H
+#define PRIVATE_NODE_H
+
+#include "currantbridge/node.h"
+#include "private/link.h"
+#include "private/peers.h"
+#include "private/roster.h"
+
+/* How long a request to the leader may take, in milliseconds. */
+#define CB_NODE_REQUEST_TIMEOUT_MS 3000
+/* What a silent instance may be silent for, in silences of a link. */
+#define CB_NODE_INSTANCE_SILENCES 2
+
+/* An entry instance's session with this control instance. */
+typedef struct cb_session {
+	cb_hello_t hello;
+	/* The newest revision sent, and the newest known to be in force. */
+	uint64_t sent_revision;
+	uint64_t held_revision;
+	int64_t sent_ms;
+	gboolean needs_whole;
+	gboolean is_confirmed;
+	gboolean is_confirming;
+	gboolean is_leaving;
+	gboolean is_changed; /* since the last report to the leader */
+} cb_session_t;
+
+/* A link that another process opened; `session` is set for an entry's. */
+typedef struct cb_inbound {
+	cb_node_t *node;
+	uint64_t id;
+	cb_link_t *link;
+	cb_session_t *session;
+} cb_inbound_t;
+
+/* A call of the node's owner, waiting for the replica or the leader. */
+typedef struct cb_node_request {
+	cb_node_t *node;
+	uint64_t id;
+	char *peer; /* the leader asked; NULL while the replica holds it */
+	cb_timer_t *timer;
+	gboolean is_held; /* the replica will call back */
+	gboolean is_answered;
+	cb_submit_fn_t submit_done;
+	cb_confirm_fn_t confirm_done;
+	cb_sessions_fn_t sessions_done;
+	void *user_data;
+	cb_submit_outcome_t late_outcome;
+} cb_node_request_t;
+
+/* A waiter of cb_node_confirm(). */
+typedef struct cb_confirm_waiter {
+	cb_confirm_fn_t done;
+	void *user_data;
+} cb_confirm_waiter_t;
+
+typedef struct cb_node_transport {
+	cb_transport_t transport;
+	cb_node_t *node;
+} cb_node_transport_t;
+
+struct cb_node {
+	cb_service_t service;
+	cb_kernel_t *kernel;
+	cb_clock_t *clock;
+	cb_log_t *log;
+	char *name;
+	char *listen;
+	char *data_folder;
+	int64_t heartbeat_ms;
+	int64_t election_timeout_ms;
+	int64_t silence_ms;
+	GRand *random;
+	cb_network_t *network;
+	gboolean owns_network;
+	cb_storage_t *storage;
+	gboolean owns_storage;
+	cb_listener_t *listener;
+	cb_state_t *state;
+	cb_node_transport_t transport;
+	cb_replica_t *replica;
+	cb_peers_t *peers;
+	cb_roster_t *roster;
+	GPtrArray *session_statuses;
+	uint64_t next_id;
+	GHashTable *inbounds; /* by id */
+	GHashTable *requests; /* by id */
+	/* Waiters of the next confirmation and of the one that runs. */
+	GArray *confirm_next;
+	GArray *confirm_running;
+	uint64_t confirm_index;
+	int64_t confirm_deadline_ms;
+	cb_timer_t *tick_timer;
+	cb_timer_t *push_timer;
+	cb_timer_t *role_timer;
+	cb_timer_t *report_timer;
+	cb_timer_t *confirm_timer;
+	cb_timer_t *drain_timer;
+	int64_t drain_deadline_ms;
+	int64_t last_tick_ms;
+	int64_t leader_since_ms;
+	gboolean was_leader;
+	gboolean is_confirming_sessions;
+	gboolean has_new_session;
+	gboolean is_failed;
+	gboolean is_draining;
+	gboolean is_destroyed;
+	cb_counter_t *session_gauge;
+	cb_counter_t *push_counter;
+	cb_counter_t *push_bytes_counter;
+};
+
+gboolean cb_node_is_leader(const cb_node_t *node);
+cb_link_options_t cb_node_link_options(const cb_node_t *node,
+				       const cb_hello_t *hello);
+void cb_node_count_close(cb_node_t *node, cb_close_reason_t reason);
+
+/* Incoming links: node_inbound.c. */
+void cb_inbound_accept(cb_connection_t *connection, void *user_data);
+void cb_inbound_delete(void *inbound);
+cb_inbound_t *cb_inbound_find(cb_node_t *node, uint64_t id);
+void cb_inbound_reply(cb_node_t *node, uint64_t id,
+		      const cb_message_t *message);
+void cb_inbound_goodbye_all(cb_node_t *node, gboolean sessions_only,
+			    cb_close_reason_t reason);
+
+/* Requests to the replica or the leader: node_request.c. */
+void cb_node_request_delete(void *request);
+void cb_node_request_peer_closed(cb_node_t *node, const char *peer);
+void cb_node_request_receive(cb_node_t *node, const cb_message_t *message);
+void cb_node_request_serve(cb_inbound_t *inbound, const cb_message_t *message);
+void cb_node_request_fail_all(cb_node_t *node);
+void cb_node_confirm_applied(cb_node_t *node);
+
+/* Sessions of entry instances: node_session.c. */
+gboolean cb_session_open(cb_inbound_t *inbound, const cb_hello_t *hello);
+void cb_session_delete(cb_session_t *session);
+void cb_session_receive(cb_inbound_t *inbound, const cb_message_t *message);
+void cb_sessions_push(cb_node_t *node);
+void cb_sessions_confirm(cb_node_t *node);
+
+/* Membership of entry instances: node_member.c. */
+void cb_members_tick(cb_node_t *node);
+void cb_members_announce(cb_node_t *node);
+void cb_members_report(cb_node_t *node, gboolean whole);
+void cb_members_receive_report(cb_node_t *node, const char *control,
+			       const cb_message_t *message);
+
+#endif
--- /dev/null
+++ b/src/libcurrantbridge/include/private/peers.h
@@ -0,0 +1,33 @@
+#ifndef PRIVATE_PEERS_H
+#define PRIVATE_PEERS_H
+
+#include "currantbridge/log.h"
+#include "currantbridge/network.h"
+#include "private/link.h"
+
+/* The links that a control instance opens to the others, kept open. */
+typedef struct cb_peers cb_peers_t;
+
+typedef struct cb_peers_handler {
+	void (*received)(void *user_data, const char *peer,
+			 const cb_message_t *message);
+	void (*closed)(void *user_data, const char *peer);
+} cb_peers_handler_t;
+
+typedef struct cb_peers_options {
+	cb_clock_t *clock;
+	cb_log_t *log;
+	cb_network_t *network;
+	GRand *random;
+	cb_link_options_t link;
+} cb_peers_options_t;
+
+cb_peers_t *cb_peers_new(const cb_peers_options_t *options,
+			 const cb_peers_handler_t *handler, void *user_data);
+void cb_peers_delete(cb_peers_t *peers);
+void cb_peers_keep(cb_peers_t *peers, const char *name, const char *address);
+gboolean cb_peers_send(cb_peers_t *peers, const char *name,
+		       const cb_message_t *message);
+void cb_peers_goodbye(cb_peers_t *peers, cb_close_reason_t reason);
+
+#endif
--- /dev/null
+++ b/src/libcurrantbridge/include/private/roster.h
@@ -0,0 +1,32 @@
+#ifndef PRIVATE_ROSTER_H
+#define PRIVATE_ROSTER_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "private/message.h"
+
+/*
+ * What the leader knows of the sessions of all entry instances, from its
+ * own and from the other control instances' reports.  It does no I/O.
+ */
+typedef struct cb_roster cb_roster_t;
+
+typedef struct cb_roster_entry {
+	char *name;
+	char *control;
+	uint64_t incarnation;
+	uint64_t revision;
+	int64_t heard_ms;
+} cb_roster_entry_t;
+
+cb_roster_t *cb_roster_new(void);
+void cb_roster_delete(cb_roster_t *roster);
+void cb_roster_report(cb_roster_t *roster, const char *control,
+		      const cb_session_report_t *report, int64_t now_ms);
+void cb_roster_forget(cb_roster_t *roster, int64_t before_ms);
+const cb_roster_entry_t *cb_roster_find(const cb_roster_t *roster,
+					const char *name);
+GPtrArray *cb_roster_encode(const cb_roster_t *roster, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/libcurrantbridge/wire/tcp_network.c
@@ -0,0 +1,442 @@
+#include <gio/gio.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "currantbridge/network.h"
+#include "private/frame.h"
+
+#define READ_BYTES (64 * 1024)
+/* Reads of one connection in one turn of the loop, for fairness. */
+#define READS_A_TURN 8
+#define LISTEN_BACKLOG 512
+
+typedef struct tcp_network {
+	cb_network_t network;
+	GMainContext *context;
+	size_t max_queue_bytes;
+} tcp_network_t;
+
+typedef struct tcp_connection {
+	cb_connection_t connection;
+	grefcount references;
+	GMainContext *context;
+	GSocket *socket;
+	GSource *input;
+	GSource *output;
+	GSource *failure;
+	size_t max_queue_bytes;
+	gboolean is_connecting;
+	cb_frame_reader_t reader;
+	GByteArray *queue;
+	size_t queue_start;
+	const cb_connection_handler_t *handler;
+	void *user_data;
+} tcp_connection_t;
+
+struct cb_listener {
+	tcp_network_t *network;
+	GSocket *socket;
+	GSource *source;
+	cb_accept_fn_t accept;
+	void *user_data;
+};
+
+static void source_clear_(GSource **source)
+{
+	if (!*source)
+		return;
+	g_source_destroy(*source);
+	g_clear_pointer(source, g_source_unref);
+}
+
+static void tcp_close_(tcp_connection_t *tcp)
+{
+	source_clear_(&tcp->input);
+	source_clear_(&tcp->output);
+	source_clear_(&tcp->failure);
+	if (tcp->socket)
+		g_socket_close(tcp->socket, NULL);
+	g_clear_object(&tcp->socket);
+}
+
+static void tcp_unref_(tcp_connection_t *tcp)
+{
+	if (!g_ref_count_dec(&tcp->references))
+		return;
+	tcp_close_(tcp);
+	cb_frame_reader_clear(&tcp->reader);
+	g_byte_array_unref(tcp->queue);
+	g_main_context_unref(tcp->context);
+	g_free(tcp);
+}
+
+/* Closes the socket and tells the owner; nothing is told after this. */
+static void tcp_fail_(tcp_connection_t *tcp, cb_close_reason_t reason)
+{
+	const cb_connection_handler_t *handler = tcp->handler;
+
+	tcp_close_(tcp);
+	tcp->handler = NULL;
+	if (handler)
+		handler->closed(tcp->user_data, reason);
+}
+
+/* Hands out the whole frames that the reader holds. */
+static gboolean frames_deliver_(tcp_connection_t *tcp)
+{
+	cb_frame_outcome_t outcome = CB_FRAME_PARTIAL;
+	const uint8_t *data;
+	size_t size;
+
+	while (tcp->handler) {
+		outcome = cb_frame_reader_next(&tcp->reader, &data, &size);
+		if (outcome != CB_FRAME_WHOLE)
+			break;
+		tcp->handler->received(tcp->user_data, data, size);
+	}
+	if (!tcp->handler)
+		return FALSE;
+	if (outcome == CB_FRAME_PARTIAL)
+		return TRUE;
+	tcp_fail_(tcp, outcome == CB_FRAME_OVERSIZE ? CB_CLOSE_OVERSIZE :
+						      CB_CLOSE_MALFORMED);
+	return FALSE;
+}
+
+/* Reads once; FALSE when there is nothing more to read now. */
+static gboolean tcp_read_(tcp_connection_t *tcp)
+{
+	uint8_t data[READ_BYTES];
+	GError *error = NULL;
+	gboolean would_block;
+	gssize size;
+
+	size = g_socket_receive(tcp->socket, (char *)data, sizeof(data), NULL,
+				&error);
+	if (size > 0) {
+		cb_frame_reader_add(&tcp->reader, data, (size_t)size);
+		return frames_deliver_(tcp) && size == READ_BYTES;
+	}
+	would_block =
+		g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+	g_clear_error(&error);
+	if (!would_block)
+		tcp_fail_(tcp, CB_CLOSE_REMOTE);
+	return FALSE;
+}
+
+static gboolean input_ready_(GSocket *socket, GIOCondition condition,
+			     void *user_data)
+{
+	tcp_connection_t *tcp = user_data;
+	int reads;
+
+	(void)socket;
+	(void)condition;
+	g_ref_count_inc(&tcp->references);
+	for (reads = 0; reads < READS_A_TURN; reads++)
+		if (!tcp_read_(tcp))
+			break;
+	tcp_unref_(tcp);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Writes what the socket takes; FALSE when the connection failed. */
+static gboolean queue_write_(tcp_connection_t *tcp)
+{
+	GError *error = NULL;
+	gboolean would_block;
+	gssize size;
+
+	while (tcp->queue_start < tcp->queue->len) {
+		size = g_socket_send(tcp->socket,
+				     (const char *)tcp->queue->data +
+					     tcp->queue_start,
+				     tcp->queue->len - tcp->queue_start, NULL,
+				     &error);
+		if (size < 0) {
+			would_block = g_error_matches(error, G_IO_ERROR,
+						      G_IO_ERROR_WOULD_BLOCK);
+			g_clear_error(&error);
+			return would_block;
+		}
+		tcp->queue_start += (size_t)size;
+	}
+	g_byte_array_set_size(tcp->queue, 0);
+	tcp->queue_start = 0;
+	return TRUE;
+}
+
+static void output_watch_(tcp_connection_t *tcp);
+
+static void connect_finish_(tcp_connection_t *tcp)
+{
+	if (!g_socket_check_connect_result(tcp->socket, NULL)) {
+		tcp_fail_(tcp, CB_CLOSE_REFUSED);
+		return;
+	}
+	tcp->is_connecting = FALSE;
+	tcp->input = g_socket_create_source(tcp->socket, G_IO_IN, NULL);
+	g_source_set_callback(tcp->input, G_SOURCE_FUNC(input_ready_), tcp,
+			      NULL);
+	g_source_attach(tcp->input, tcp->context);
+	if (tcp->handler)
+		tcp->handler->opened(tcp->user_data);
+}
+
+static gboolean output_ready_(GSocket *socket, GIOCondition condition,
+			      void *user_data)
+{
+	tcp_connection_t *tcp = user_data;
+
+	(void)socket;
+	(void)condition;
+	g_ref_count_inc(&tcp->references);
+	if (tcp->is_connecting)
+		connect_finish_(tcp);
+	if (tcp->socket && !queue_write_(tcp))
+		tcp_fail_(tcp, CB_CLOSE_REMOTE);
+	if (tcp->socket && !tcp->queue->len)
+		source_clear_(&tcp->output);
+	tcp_unref_(tcp);
+	return G_SOURCE_CONTINUE;
+}
+
+static void output_watch_(tcp_connection_t *tcp)
+{
+	if (tcp->output)
+		return;
+	tcp->output = g_socket_create_source(tcp->socket, G_IO_OUT, NULL);
+	g_source_set_callback(tcp->output, G_SOURCE_FUNC(output_ready_), tcp,
+			      NULL);
+	g_source_attach(tcp->output, tcp->context);
+}
+
+static gboolean failure_report_(void *user_data)
+{
+	tcp_connection_t *tcp = user_data;
+
+	g_ref_count_inc(&tcp->references);
+	tcp_fail_(tcp, CB_CLOSE_REFUSED);
+	tcp_unref_(tcp);
+	return G_SOURCE_REMOVE;
+}
+
+static void tcp_set_handler_(cb_connection_t *connection,
+			     const cb_connection_handler_t *handler,
+			     void *user_data)
+{
+	tcp_connection_t *tcp = (tcp_connection_t *)connection;
+
+	tcp->handler = handler;
+	tcp->user_data = user_data;
+}
+
+/* Frames wait while the socket takes nothing, up to the queue's bound. */
+static gboolean tcp_send_(cb_connection_t *connection, const uint8_t *data,
+			  size_t size)
+{
+	tcp_connection_t *tcp = (tcp_connection_t *)connection;
+	size_t waiting = tcp->queue->len - tcp->queue_start;
+
+	if (!tcp->socket)
+		return FALSE;
+	if (waiting + size > tcp->max_queue_bytes)
+		return FALSE;
+	if (tcp->queue_start > tcp->max_queue_bytes) {
+		g_byte_array_remove_range(tcp->queue, 0,
+					  (guint)tcp->queue_start);
+		tcp->queue_start = 0;
+	}
+	cb_frame_append(tcp->queue, data, size);
+	output_watch_(tcp);
+	return TRUE;
+}
+
+static void tcp_destroy_(cb_connection_t *connection)
+{
+	tcp_connection_t *tcp = (tcp_connection_t *)connection;
+
+	tcp->handler = NULL;
+	/* What the socket takes at once still goes out. */
+	if (tcp->socket && !tcp->is_connecting)
+		queue_write_(tcp);
+	tcp_close_(tcp);
+	tcp_unref_(tcp);
+}
+
+static const cb_connection_vtable_t tcp_connection_vtable = {
+	.set_handler = tcp_set_handler_,
+	.send = tcp_send_,
+	.destroy = tcp_destroy_,
+};
+
+static tcp_connection_t *tcp_connection_new_(tcp_network_t *network,
+					     GSocket *socket)
+{
+	tcp_connection_t *tcp = g_new0(tcp_connection_t, 1);
+
+	tcp->connection.vtable = &tcp_connection_vtable;
+	g_ref_count_init(&tcp->references);
+	tcp->context = g_main_context_ref(network->context);
+	tcp->max_queue_bytes = network->max_queue_bytes;
+	tcp->socket = socket;
+	tcp->is_connecting = TRUE;
+	cb_frame_reader_init(&tcp->reader);
+	tcp->queue = g_byte_array_new();
+	if (!socket)
+		return tcp;
+	g_socket_set_blocking(socket, FALSE);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	return tcp;
+}
+
+/* Reads "IP:PORT"; NULL with an error when it is not that. */
+static GSocketAddress *address_parse_(const char *text, GError **error)
+{
+	GSocketConnectable *parsed = g_network_address_parse(text, 0, error);
+	GSocketAddress *address;
+
+	if (!parsed)
+		return NULL;
+	address = g_inet_socket_address_new_from_string(
+		g_network_address_get_hostname(G_NETWORK_ADDRESS(parsed)),
+		g_network_address_get_port(G_NETWORK_ADDRESS(parsed)));
+	g_object_unref(parsed);
+	if (!address)
+		g_set_error(error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+			    "%s is not IP:PORT", text);
+	return address;
+}
+
+static GSocket *socket_new_(GSocketAddress *address, GError **error)
+{
+	return g_socket_new(g_socket_address_get_family(address),
+			    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+}
+
+/* Begins a connection; its owner hears from the loop how it went. */
+static cb_connection_t *tcp_connect_(cb_network_t *network, const char *text)
+{
+	tcp_network_t *self = (tcp_network_t *)network;
+	GSocketAddress *address = address_parse_(text, NULL);
+	GSocket *socket = address ? socket_new_(address, NULL) : NULL;
+	tcp_connection_t *tcp = tcp_connection_new_(self, socket);
+	GError *error = NULL;
+
+	if (socket &&
+	    (g_socket_connect(socket, address, NULL, &error) ||
+	     g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING))) {
+		output_watch_(tcp);
+	} else {
+		tcp->failure = g_idle_source_new();
+		g_source_set_callback(tcp->failure, failure_report_, tcp, NULL);
+		g_source_attach(tcp->failure, self->context);
+	}
+	g_clear_error(&error);
+	g_clear_object(&address);
+	return &tcp->connection;
+}
+
+static gboolean accept_ready_(GSocket *socket, GIOCondition condition,
+			      void *user_data)
+{
+	cb_listener_t *listener = user_data;
+	GSocket *accepted = g_socket_accept(socket, NULL, NULL);
+	tcp_connection_t *tcp;
+
+	(void)condition;
+	if (!accepted)
+		return G_SOURCE_CONTINUE;
+	tcp = tcp_connection_new_(listener->network, accepted);
+	output_watch_(tcp);
+	listener->accept(&tcp->connection, listener->user_data);
+	return G_SOURCE_CONTINUE;
+}
+
+static cb_listener_t *tcp_listen_(cb_network_t *network, const char *text,
+				  cb_accept_fn_t accept, void *user_data,
+				  GError **error)
+{
+	GSocketAddress *address = address_parse_(text, error);
+	cb_listener_t *listener = NULL;
+	GSocket *socket;
+
+	if (!address)
+		return NULL;
+	socket = socket_new_(address, error);
+	if (!socket)
+		goto out;
+	g_socket_set_blocking(socket, FALSE);
+	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
+	if (!g_socket_bind(socket, address, TRUE, error) ||
+	    !g_socket_listen(socket, error)) {
+		g_object_unref(socket);
+		goto out;
+	}
+	listener = g_new0(cb_listener_t, 1);
+	listener->network = (tcp_network_t *)network;
+	listener->socket = socket;
+	listener->accept = accept;
+	listener->user_data = user_data;
+	listener->source = g_socket_create_source(socket, G_IO_IN, NULL);
+	g_source_set_callback(listener->source, G_SOURCE_FUNC(accept_ready_),
+			      listener, NULL);
+	g_source_attach(listener->source, listener->network->context);
+out:
+	g_object_unref(address);
+	return listener;
+}
+
+static void tcp_unlisten_(cb_network_t *network, cb_listener_t *listener)
+{
+	(void)network;
+	source_clear_(&listener->source);
+	g_socket_close(listener->socket, NULL);
+	g_object_unref(listener->socket);
+	g_free(listener);
+}
+
+static void tcp_network_destroy_(cb_network_t *network)
+{
+	tcp_network_t *self = (tcp_network_t *)network;
+
+	g_main_context_unref(self->context);
+	g_free(self);
+}
+
+static const cb_network_vtable_t tcp_network_vtable = {
+	.connect = tcp_connect_,
+	.listen = tcp_listen_,
+	.unlisten = tcp_unlisten_,
+	.destroy = tcp_network_destroy_,
+};
+
+/*
+ * Makes a network over TCP on `context`.  `max_queue_bytes` bounds what
+ * waits to be sent on one connection.
+ */
+cb_network_t *cb_tcp_network_new(GMainContext *context, size_t max_queue_bytes)
+{
+	tcp_network_t *self = g_new0(tcp_network_t, 1);
+
+	self->network.vtable = &tcp_network_vtable;
+	self->context = g_main_context_ref(context);
+	self->max_queue_bytes = max_queue_bytes;
+	return &self->network;
+}
+
+/* Returns the port that a TCP listener is bound to. */
+uint16_t cb_tcp_listener_port(const cb_listener_t *listener)
+{
+	GSocketAddress *address =
+		g_socket_get_local_address(listener->socket, NULL);
+	uint16_t port;
+
+	if (!address)
+		return 0;
+	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
+	g_object_unref(address);
+	return port;
+}
