--- /dev/null
+++ b/src/libcurrantbridge/backend/announcement.c
@@ -0,0 +1,221 @@
+#include "private/announcement.h"
+
+#include <string.h>
+
+#include "currantbridge/settings.h"
+#include "private/json_fields.h"
+
+#define MAX_CAPACITY 1000000
+#define MAX_LAYERS 100000
+#define MAX_MODELS 256
+#define MAX_SERVICES 256
+
+static void range_delete_(void *data)
+{
+	cb_layer_range_t *range = data;
+
+	g_free(range->model);
+	g_free(range);
+}
+
+/* Reads one of a few words into its index. */
+static gboolean word_read_(JsonObject *object, const char *field,
+			   const char *const *words, int word_count, int *index,
+			   GError **error)
+{
+	const char *word = NULL;
+	int i;
+
+	if (!cb_field_string(object, field, &word, error))
+		return FALSE;
+	if (!word)
+		return cb_field_refuse(error, field, "is required");
+	for (i = 0; i < word_count; i++) {
+		if (strcmp(words[i], word))
+			continue;
+		*index = i;
+		return TRUE;
+	}
+	return cb_field_refuse(error, field, "unknown word");
+}
+
+static gboolean required_string_(JsonObject *object, const char *field,
+				 char **value, GError **error)
+{
+	const char *text = NULL;
+
+	if (!cb_field_string(object, field, &text, error))
+		return FALSE;
+	if (!text)
+		return cb_field_refuse(error, field, "is required");
+	*value = g_strdup(text);
+	return TRUE;
+}
+
+/* Reads one element of `models`. */
+static gboolean range_read_(JsonNode *node, GPtrArray *ranges, GError **error)
+{
+	cb_layer_range_t *range;
+	JsonObject *object;
+	int64_t first = -1;
+	int64_t last = -1;
+	int64_t count = -1;
+
+	if (!JSON_NODE_HOLDS_OBJECT(node))
+		return cb_field_refuse(error, "models", "each is an object");
+	object = json_node_get_object(node);
+	if (!cb_field_integer(object, "first_layer", 0, MAX_LAYERS, &first,
+			      error) ||
+	    !cb_field_integer(object, "last_layer", 0, MAX_LAYERS, &last,
+			      error) ||
+	    !cb_field_integer(object, "layers", 1, MAX_LAYERS, &count, error))
+		return FALSE;
+	if (first < 0 || first > last || last >= count)
+		return cb_field_refuse(error, "models",
+				       "each needs first_layer <= last_layer "
+				       "< layers");
+	range = g_new0(cb_layer_range_t, 1);
+	range->first_layer = (uint32_t)first;
+	range->last_layer = (uint32_t)last;
+	range->layer_count = (uint32_t)count;
+	g_ptr_array_add(ranges, range);
+	return required_string_(object, "name", &range->model, error);
+}
+
+static gboolean ranges_read_(JsonObject *object,
+			     cb_announcement_t *announcement, GError **error)
+{
+	JsonArray *models = NULL;
+	unsigned int i;
+
+	if (!cb_field_array(object, "models", &models, error))
+		return FALSE;
+	if (!models || json_array_get_length(models) == 0)
+		return cb_field_refuse(error, "models", "is required");
+	if (json_array_get_length(models) > MAX_MODELS)
+		return cb_field_refuse(error, "models", "too many");
+	for (i = 0; i < json_array_get_length(models); i++) {
+		if (!range_read_(json_array_get_element(models, i),
+				 announcement->ranges, error))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static gboolean services_read_(JsonObject *object,
+			       cb_announcement_t *announcement, GError **error)
+{
+	JsonArray *services = NULL;
+	unsigned int i;
+
+	if (!cb_field_array(object, "services", &services, error))
+		return FALSE;
+	if (!services || json_array_get_length(services) == 0)
+		return cb_field_refuse(error, "services", "is required");
+	if (json_array_get_length(services) > MAX_SERVICES)
+		return cb_field_refuse(error, "services", "too many");
+	for (i = 0; i < json_array_get_length(services); i++) {
+		JsonNode *node = json_array_get_element(services, i);
+
+		if (!JSON_NODE_HOLDS_VALUE(node) ||
+		    json_node_get_value_type(node) != G_TYPE_STRING)
+			return cb_field_refuse(error, "services",
+					       "each is a string");
+		g_ptr_array_add(announcement->services,
+				g_strdup(json_node_get_string(node)));
+	}
+	return TRUE;
+}
+
+static gboolean load_read_(JsonObject *object, cb_announcement_t *announcement,
+			   GError **error)
+{
+	JsonNode *node = json_object_get_member(object, "load");
+	JsonObject *load;
+
+	if (!node)
+		return TRUE;
+	if (!JSON_NODE_HOLDS_OBJECT(node))
+		return cb_field_refuse(error, "load", "must be an object");
+	load = json_node_get_object(node);
+	return cb_field_integer(load, "running", 0, INT32_MAX,
+				&announcement->running, error) &&
+	       cb_field_integer(load, "queued", 0, INT32_MAX,
+				&announcement->queued, error);
+}
+
+static gboolean address_read_(JsonObject *object,
+			      cb_announcement_t *announcement, GError **error)
+{
+	if (!required_string_(object, "address", &announcement->address, error))
+		return FALSE;
+	if (!cb_address_is_valid(announcement->address))
+		return cb_field_refuse(error, "address", "must be IP:PORT");
+	return TRUE;
+}
+
+static gboolean fields_read_(JsonObject *object,
+			     cb_announcement_t *announcement, GError **error)
+{
+	static const char *const state_string[] = { "ready", "leaving" };
+	int64_t incarnation = -1;
+	int kind = 0;
+	int state = 0;
+
+	if (!required_string_(object, "name", &announcement->name, error) ||
+	    !address_read_(object, announcement, error) ||
+	    !required_string_(object, "data_centre", &announcement->data_centre,
+			      error) ||
+	    !word_read_(object, "kind", cb_server_kind_string,
+			CB_SERVER_KIND_COUNT, &kind, error) ||
+	    !word_read_(object, "state", state_string, 2, &state, error) ||
+	    !cb_field_integer(object, "incarnation", 0, INT64_MAX, &incarnation,
+			      error) ||
+	    !cb_field_boolean(object, "checks_fencing",
+			      &announcement->checks_fencing, error) ||
+	    !cb_field_integer(object, "capacity", 1, MAX_CAPACITY,
+			      &announcement->capacity, error) ||
+	    !load_read_(object, announcement, error))
+		return FALSE;
+	if (incarnation < 0)
+		return cb_field_refuse(error, "incarnation", "is required");
+	announcement->kind = (cb_server_kind_t)kind;
+	announcement->is_leaving = state == 1;
+	announcement->incarnation = (uint64_t)incarnation;
+	return kind == CB_SERVER_ENGINE ?
+		       ranges_read_(object, announcement, error) :
+		       services_read_(object, announcement, error);
+}
+
+/*
+ * Reads an announcement's JSON text.  Unknown fields are allowed, so that a
+ * newer backend server can announce itself.  The error is `FIELD: REASON`.
+ */
+cb_announcement_t *cb_announcement_parse(const char *text, GError **error)
+{
+	cb_announcement_t *announcement = g_new0(cb_announcement_t, 1);
+	JsonParser *parser = json_parser_new_immutable();
+	JsonObject *object;
+
+	announcement->capacity = 1;
+	announcement->ranges = g_ptr_array_new_with_free_func(range_delete_);
+	announcement->services = g_ptr_array_new_with_free_func(g_free);
+	object = cb_json_parse_object(parser, text, -1, error);
+	if (!object || !fields_read_(object, announcement, error))
+		g_clear_pointer(&announcement, cb_announcement_delete);
+	g_object_unref(parser);
+	return announcement;
+}
+
+/* Deletes an announcement; NULL is allowed. */
+void cb_announcement_delete(cb_announcement_t *announcement)
+{
+	if (!announcement)
+		return;
+	g_free(announcement->name);
+	g_free(announcement->address);
+	g_free(announcement->data_centre);
+	g_ptr_array_unref(announcement->ranges);
+	g_ptr_array_unref(announcement->services);
+	g_free(announcement);
+}
--- /dev/null
+++ b/src/libcurrantbridge/backend/registry.c
@@ -0,0 +1,485 @@
+#include "currantbridge/server.h"
+
+#include <string.h>
+
+#include "private/announcement.h"
+
+/* How often silence is looked for, as a part of the silence bound. */
+#define SWEEPS_PER_SILENCE 4
+/* A silent server without work in flight is forgotten after this long. */
+#define FORGET_MS 600000
+/* Failures in a row after which a server is suspect. */
+#define SUSPECT_FAILURES 2
+/* A suspect server gets one trial after this long. */
+#define SUSPECT_MS 1000
+#define STEP_SMOOTHING 8
+
+const char *const cb_server_kind_string[CB_SERVER_KIND_COUNT] = {
+	[CB_SERVER_ENGINE] = "engine",
+	[CB_SERVER_SERVICE] = "service",
+};
+
+const char *const cb_server_state_string[CB_SERVER_STATE_COUNT] = {
+	[CB_SERVER_READY] = "ready",
+	[CB_SERVER_LEAVING] = "leaving",
+	[CB_SERVER_SILENT] = "silent",
+	[CB_SERVER_SUSPECT] = "suspect",
+};
+
+/* A server with what only the registry knows of it. */
+typedef struct entry {
+	cb_server_t server;
+	gboolean said_leaving;
+	int64_t failures; /* in a row */
+	int64_t trial_at_ms;
+} entry_t;
+
+typedef struct watcher {
+	cb_server_changed_fn_t fn;
+	void *user_data;
+} watcher_t;
+
+struct cb_server_registry {
+	cb_clock_t *clock;
+	cb_log_t *log;
+	const cb_view_t *view;
+	int64_t silence_ms;
+	cb_timer_t *sweep;
+	GHashTable *by_name;	/* entry_t */
+	GHashTable *by_model;	/* GPtrArray of cb_server_t */
+	GHashTable *by_service; /* GPtrArray of cb_server_t */
+	GPtrArray *none;
+	GArray *watchers;
+	cb_counter_t *announcements;
+	cb_counter_t *refused;
+	cb_counter_t *states[CB_SERVER_STATE_COUNT];
+};
+
+static void entry_delete_(void *data)
+{
+	entry_t *entry = data;
+
+	g_free(entry->server.name);
+	g_free(entry->server.address);
+	g_free(entry->server.data_centre);
+	g_ptr_array_unref(entry->server.ranges);
+	g_strfreev(entry->server.services);
+	g_free(entry);
+}
+
+static void changed_(cb_server_registry_t *registry, const cb_server_t *server)
+{
+	unsigned int i;
+
+	for (i = 0; i < registry->watchers->len; i++) {
+		watcher_t *watcher =
+			&g_array_index(registry->watchers, watcher_t, i);
+
+		watcher->fn(server, watcher->user_data);
+	}
+}
+
+static void state_set_(cb_server_registry_t *registry, entry_t *entry,
+		       cb_server_state_t state)
+{
+	cb_server_t *server = &entry->server;
+
+	if (server->state == state)
+		return;
+	cb_counter_add(registry->states[server->state], -1);
+	cb_counter_add(registry->states[state], 1);
+	server->state = state;
+	cb_log_event(registry->log, CB_EVENT_SERVER_STATE,
+		     CB_STR("server", server->name),
+		     CB_STR("state", cb_server_state_string[state]));
+	changed_(registry, server);
+}
+
+/* Derives the state from what was announced, by the server or operators. */
+static void state_update_(cb_server_registry_t *registry, entry_t *entry)
+{
+	gboolean is_stopped = cb_view_is_stopped(registry->view, CB_STOP_SERVER,
+						 entry->server.name);
+	int64_t age_ms =
+		cb_clock_now_ms(registry->clock) - entry->server.reported_at_ms;
+
+	if (age_ms > registry->silence_ms)
+		state_set_(registry, entry, CB_SERVER_SILENT);
+	else if (entry->said_leaving || is_stopped)
+		state_set_(registry, entry, CB_SERVER_LEAVING);
+	else if (entry->failures >= SUSPECT_FAILURES)
+		state_set_(registry, entry, CB_SERVER_SUSPECT);
+	else
+		state_set_(registry, entry, CB_SERVER_READY);
+}
+
+static void index_remove_(GHashTable *index, cb_server_t *server)
+{
+	GHashTableIter iter;
+	void *list;
+
+	g_hash_table_iter_init(&iter, index);
+	while (g_hash_table_iter_next(&iter, NULL, &list))
+		g_ptr_array_remove(list, server);
+}
+
+static void index_add_(GHashTable *index, const char *key, cb_server_t *server)
+{
+	GPtrArray *list = g_hash_table_lookup(index, key);
+
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(index, g_strdup(key), list);
+	}
+	if (!g_ptr_array_find(list, server, NULL))
+		g_ptr_array_add(list, server);
+}
+
+static void forget_(cb_server_registry_t *registry, entry_t *entry)
+{
+	index_remove_(registry->by_model, &entry->server);
+	index_remove_(registry->by_service, &entry->server);
+	cb_counter_add(registry->states[entry->server.state], -1);
+	cb_log_event(registry->log, CB_EVENT_SERVER_FORGOTTEN,
+		     CB_STR("server", entry->server.name));
+	entry_delete_(entry);
+}
+
+static void sweep_(void *user_data)
+{
+	cb_server_registry_t *registry = user_data;
+	int64_t now_ms = cb_clock_now_ms(registry->clock);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, registry->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		entry_t *entry = value;
+
+		state_update_(registry, entry);
+		if (entry->server.in_flight == 0 &&
+		    now_ms - entry->server.reported_at_ms > FORGET_MS) {
+			g_hash_table_iter_remove(&iter);
+			forget_(registry, entry);
+		}
+	}
+	cb_timer_start(registry->sweep,
+		       registry->silence_ms / SWEEPS_PER_SILENCE);
+}
+
+static void view_changed_(void *user_data)
+{
+	cb_server_registry_t *registry = user_data;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, registry->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		state_update_(registry, value);
+}
+
+/*
+ * Makes an empty registry.  A server whose announcements have ceased for
+ * `silence_ms` gets no new work.  The view must outlive the registry; its
+ * watch is kept, so the view may not change after the registry's end.
+ */
+cb_server_registry_t *cb_server_registry_new(cb_clock_t *clock, cb_log_t *log,
+					     cb_counters_t *counters,
+					     const cb_view_t *view,
+					     int64_t silence_ms)
+{
+	cb_server_registry_t *registry = g_new0(cb_server_registry_t, 1);
+	int i;
+
+	registry->clock = clock;
+	registry->log = log;
+	registry->view = view;
+	registry->silence_ms = silence_ms;
+	registry->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	registry->by_model =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	registry->by_service =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	registry->none = g_ptr_array_new();
+	registry->watchers = g_array_new(FALSE, FALSE, sizeof(watcher_t));
+	registry->announcements =
+		cb_counters_counter(counters, "cb_announcements_total",
+				    "outcome", "accepted");
+	registry->refused =
+		cb_counters_counter(counters, "cb_announcements_total",
+				    "outcome", "refused");
+	for (i = 0; i < CB_SERVER_STATE_COUNT; i++)
+		registry->states[i] =
+			cb_counters_gauge(counters, "cb_backend_servers",
+					  "state", cb_server_state_string[i]);
+	registry->sweep = cb_timer_new(clock, sweep_, registry);
+	cb_timer_start(registry->sweep, silence_ms / SWEEPS_PER_SILENCE);
+	cb_view_watch((cb_view_t *)view, view_changed_, registry);
+	return registry;
+}
+
+/* Deletes the registry and its servers; NULL is allowed. */
+void cb_server_registry_delete(cb_server_registry_t *registry)
+{
+	GHashTableIter iter;
+	void *value;
+
+	if (!registry)
+		return;
+	cb_timer_delete(registry->sweep);
+	g_hash_table_iter_init(&iter, registry->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		entry_delete_(value);
+	g_hash_table_unref(registry->by_name);
+	g_hash_table_unref(registry->by_model);
+	g_hash_table_unref(registry->by_service);
+	g_ptr_array_unref(registry->none);
+	g_array_unref(registry->watchers);
+	g_free(registry);
+}
+
+static entry_t *entry_add_(cb_server_registry_t *registry, const char *name)
+{
+	entry_t *entry = g_new0(entry_t, 1);
+
+	entry->server.name = g_strdup(name);
+	entry->server.ranges = g_ptr_array_new();
+	entry->server.state = CB_SERVER_READY;
+	cb_counter_add(registry->states[CB_SERVER_READY], 1);
+	g_hash_table_insert(registry->by_name, entry->server.name, entry);
+	return entry;
+}
+
+/* Replaces what the server holds, in the record and in the indexes. */
+static void holdings_replace_(cb_server_registry_t *registry,
+			      cb_server_t *server,
+			      cb_announcement_t *announcement)
+{
+	unsigned int i;
+
+	index_remove_(registry->by_model, server);
+	index_remove_(registry->by_service, server);
+	g_ptr_array_unref(server->ranges);
+	server->ranges = g_ptr_array_ref(announcement->ranges);
+	g_strfreev(server->services);
+	server->services = g_new0(char *, announcement->services->len + 1);
+	for (i = 0; i < announcement->services->len; i++) {
+		const char *name = g_ptr_array_index(announcement->services, i);
+
+		server->services[i] = g_strdup(name);
+		index_add_(registry->by_service, name, server);
+	}
+	for (i = 0; i < server->ranges->len; i++) {
+		cb_layer_range_t *range = g_ptr_array_index(server->ranges, i);
+
+		index_add_(registry->by_model, range->model, server);
+	}
+}
+
+static gboolean range_equal_(const void *left, const void *right)
+{
+	const cb_layer_range_t *a = left;
+	const cb_layer_range_t *b = right;
+
+	return !strcmp(a->model, b->model) &&
+	       a->first_layer == b->first_layer &&
+	       a->last_layer == b->last_layer &&
+	       a->layer_count == b->layer_count;
+}
+
+/* Whether the server holds the same models or services as before. */
+static gboolean holdings_equal_(const cb_server_t *server,
+				const cb_announcement_t *announcement)
+{
+	unsigned int i;
+
+	if (!server->services ||
+	    server->ranges->len != announcement->ranges->len ||
+	    g_strv_length(server->services) != announcement->services->len)
+		return FALSE;
+	for (i = 0; i < server->ranges->len; i++) {
+		if (!range_equal_(g_ptr_array_index(server->ranges, i),
+				  g_ptr_array_index(announcement->ranges, i)))
+			return FALSE;
+	}
+	for (i = 0; i < announcement->services->len; i++) {
+		if (strcmp(server->services[i],
+			   g_ptr_array_index(announcement->services, i)))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static void text_replace_(char **place, const char *text)
+{
+	if (!g_strcmp0(*place, text))
+		return;
+	g_free(*place);
+	*place = g_strdup(text);
+}
+
+/* Takes an accepted announcement into the server's record. */
+static void entry_update_(cb_server_registry_t *registry, entry_t *entry,
+			  cb_announcement_t *announcement)
+{
+	cb_server_t *server = &entry->server;
+	gboolean is_new_process =
+		server->address &&
+		server->incarnation != announcement->incarnation;
+
+	text_replace_(&server->address, announcement->address);
+	text_replace_(&server->data_centre, announcement->data_centre);
+	server->kind = announcement->kind;
+	server->incarnation = announcement->incarnation;
+	server->checks_fencing = announcement->checks_fencing;
+	server->capacity = announcement->capacity;
+	server->reported_running = announcement->running;
+	server->reported_queued = announcement->queued;
+	server->reported_at_ms = cb_clock_now_ms(registry->clock);
+	server->sent_since_report = 0;
+	entry->said_leaving = announcement->is_leaving;
+	if (!holdings_equal_(server, announcement))
+		holdings_replace_(registry, server, announcement);
+	if (is_new_process) {
+		entry->failures = 0;
+		server->step_us = 0;
+		cb_log_event(registry->log, CB_EVENT_SERVER_RESTARTED,
+			     CB_STR("server", server->name),
+			     CB_INT("incarnation", server->incarnation));
+		changed_(registry, server);
+	}
+	state_update_(registry, entry);
+}
+
+/*
+ * Takes an announcement's JSON text.  With an outcome other than ACCEPTED
+ * the error says why, as `FIELD: REASON`.
+ */
+cb_announce_outcome_t cb_server_announce(cb_server_registry_t *registry,
+					 const char *text, GError **error)
+{
+	cb_announcement_t *announcement = cb_announcement_parse(text, error);
+	cb_announce_outcome_t outcome = CB_ANNOUNCE_ACCEPTED;
+	entry_t *entry;
+
+	if (!announcement) {
+		cb_counter_add(registry->refused, 1);
+		return CB_ANNOUNCE_MALFORMED;
+	}
+	entry = g_hash_table_lookup(registry->by_name, announcement->name);
+	if (entry && announcement->incarnation < entry->server.incarnation) {
+		cb_counter_add(registry->refused, 1);
+		g_set_error(error, g_quark_from_static_string("cb-announce"), 0,
+			    "incarnation: a newer process has announced itself "
+			    "under this name");
+		outcome = CB_ANNOUNCE_OLD_INCARNATION;
+		goto out;
+	}
+	if (!entry) {
+		entry = entry_add_(registry, announcement->name);
+		cb_log_event(registry->log, CB_EVENT_SERVER_ANNOUNCED,
+			     CB_STR("server", announcement->name),
+			     CB_STR("address", announcement->address));
+	}
+	cb_counter_add(registry->announcements, 1);
+	entry_update_(registry, entry, announcement);
+out:
+	cb_announcement_delete(announcement);
+	return outcome;
+}
+
+/* Returns the server called `name`, or NULL if it never announced itself. */
+cb_server_t *cb_server_find(const cb_server_registry_t *registry,
+			    const char *name)
+{
+	entry_t *entry = g_hash_table_lookup(registry->by_name, name);
+
+	return entry ? &entry->server : NULL;
+}
+
+/* Returns the engines that hold layers of `model`, whatever their state. */
+const GPtrArray *cb_server_engines(const cb_server_registry_t *registry,
+				   const char *model)
+{
+	const GPtrArray *list = g_hash_table_lookup(registry->by_model, model);
+
+	return list ? list : registry->none;
+}
+
+/* Returns the servers of the plain service, whatever their state. */
+const GPtrArray *cb_server_services(const cb_server_registry_t *registry,
+				    const char *service)
+{
+	const GPtrArray *list =
+		g_hash_table_lookup(registry->by_service, service);
+
+	return list ? list : registry->none;
+}
+
+/*
+ * Tells whether new work may be sent to the server.  A suspect one gets one
+ * request at a time, and that only some time after its last failure.
+ */
+gboolean cb_server_accepts(const cb_server_registry_t *registry,
+			   const cb_server_t *server)
+{
+	const entry_t *entry = (const entry_t *)server;
+
+	if (cb_view_is_stopped(registry->view, CB_STOP_SERVER, server->name))
+		return FALSE;
+	if (server->state == CB_SERVER_READY)
+		return TRUE;
+	return server->state == CB_SERVER_SUSPECT && server->in_flight == 0 &&
+	       cb_clock_now_ms(registry->clock) >= entry->trial_at_ms;
+}
+
+/* Calls `fn` whenever a server's state or incarnation has changed. */
+void cb_server_watch(cb_server_registry_t *registry, cb_server_changed_fn_t fn,
+		     void *user_data)
+{
+	watcher_t watcher = { fn, user_data };
+
+	g_array_append_val(registry->watchers, watcher);
+}
+
+/* Counts an attempt that is sent to the server. */
+void cb_server_begin(cb_server_t *server)
+{
+	server->sent_since_report++;
+	server->in_flight++;
+}
+
+/* Counts the end of an attempt that cb_server_begin() counted. */
+void cb_server_end(cb_server_t *server)
+{
+	g_assert(server->in_flight > 0);
+	server->in_flight--;
+}
+
+/* Notes a success; `step_us` above 0 is the time of one step or token. */
+void cb_server_succeeded(cb_server_registry_t *registry, cb_server_t *server,
+			 int64_t step_us)
+{
+	entry_t *entry = (entry_t *)server;
+
+	if (step_us > 0 && server->step_us > 0)
+		server->step_us += (step_us - server->step_us) / STEP_SMOOTHING;
+	else if (step_us > 0)
+		server->step_us = step_us;
+	if (entry->failures == 0)
+		return;
+	entry->failures = 0;
+	state_update_(registry, entry);
+}
+
+/* Notes a failure; several in a row make the server suspect. */
+void cb_server_failed(cb_server_registry_t *registry, cb_server_t *server)
+{
+	entry_t *entry = (entry_t *)server;
+
+	entry->failures++;
+	entry->trial_at_ms = cb_clock_now_ms(registry->clock) + SUSPECT_MS;
+	state_update_(registry, entry);
+}
--- /dev/null
+++ b/src/libcurrantbridge/http/json_fields.c
@@ -0,0 +1,109 @@
+#include "private/json_fields.h"
+
+G_DEFINE_QUARK(cb - field - error, cb_field_error)
+
+/*
+ * Parses `text` of `size_bytes` (-1: up to its end) as one JSON object, which
+ * stays the parser's.  Returns NULL and sets the error if it is anything else.
+ */
+JsonObject *cb_json_parse_object(JsonParser *parser, const char *text,
+				 int64_t size_bytes, GError **error)
+{
+	JsonNode *root;
+
+	if (!json_parser_load_from_data(parser, text, size_bytes, NULL)) {
+		g_set_error(error, CB_FIELD_ERROR, 0,
+			    "the body is not valid JSON");
+		return NULL;
+	}
+	root = json_parser_get_root(parser);
+	if (!root || !JSON_NODE_HOLDS_OBJECT(root)) {
+		g_set_error(error, CB_FIELD_ERROR, 0,
+			    "the body must be one JSON object");
+		return NULL;
+	}
+	return json_node_get_object(root);
+}
+
+/* Sets the error `FIELD: REASON`; returns FALSE, to be returned. */
+gboolean cb_field_refuse(GError **error, const char *field, const char *reason)
+{
+	g_set_error(error, CB_FIELD_ERROR, 0, "%s: %s", field, reason);
+	return FALSE;
+}
+
+static gboolean holds_(JsonNode *node, GType type)
+{
+	return JSON_NODE_HOLDS_VALUE(node) &&
+	       json_node_get_value_type(node) == type;
+}
+
+/*
+ * Reads a string that is not empty.  An absent field leaves `*value` as it
+ * is, so that a caller which needs it sets NULL before.
+ */
+gboolean cb_field_string(JsonObject *object, const char *field,
+			 const char **value, GError **error)
+{
+	JsonNode *node = json_object_get_member(object, field);
+
+	if (!node)
+		return TRUE;
+	if (!holds_(node, G_TYPE_STRING))
+		return cb_field_refuse(error, field, "must be a string");
+	if (!*json_node_get_string(node))
+		return cb_field_refuse(error, field, "must not be empty");
+	*value = json_node_get_string(node);
+	return TRUE;
+}
+
+/* Reads a whole number from `min` to `max`; an absent one is left as it is. */
+gboolean cb_field_integer(JsonObject *object, const char *field, int64_t min,
+			  int64_t max, int64_t *value, GError **error)
+{
+	JsonNode *node = json_object_get_member(object, field);
+	int64_t number;
+
+	if (!node)
+		return TRUE;
+	if (!holds_(node, G_TYPE_INT64))
+		return cb_field_refuse(error, field, "must be a whole number");
+	number = json_node_get_int(node);
+	if (number < min || number > max) {
+		g_set_error(error, CB_FIELD_ERROR, 0,
+			    "%s: must be from %" G_GINT64_FORMAT
+			    " to %" G_GINT64_FORMAT,
+			    field, min, max);
+		return FALSE;
+	}
+	*value = number;
+	return TRUE;
+}
+
+/* Reads true or false; an absent one is left as it is. */
+gboolean cb_field_boolean(JsonObject *object, const char *field,
+			  gboolean *value, GError **error)
+{
+	JsonNode *node = json_object_get_member(object, field);
+
+	if (!node)
+		return TRUE;
+	if (!holds_(node, G_TYPE_BOOLEAN))
+		return cb_field_refuse(error, field, "must be true or false");
+	*value = json_node_get_boolean(node);
+	return TRUE;
+}
+
+/* Reads an array; an absent one is left as it is. */
+gboolean cb_field_array(JsonObject *object, const char *field,
+			JsonArray **value, GError **error)
+{
+	JsonNode *node = json_object_get_member(object, field);
+
+	if (!node)
+		return TRUE;
+	if (!JSON_NODE_HOLDS_ARRAY(node))
+		return cb_field_refuse(error, field, "must be an array");
+	*value = json_node_get_array(node);
+	return TRUE;
+}
--- /dev/null
+++ b/src/libcurrantbridge/include/private/json_fields.h
@@ -0,0 +1,23 @@
+#ifndef PRIVATE_JSON_FIELDS_H
+#define PRIVATE_JSON_FIELDS_H
+
+#include <json-glib/json-glib.h>
+#include <stdint.h>
+
+/* Checked access to the fields of a JSON object from outside. */
+#define CB_FIELD_ERROR cb_field_error_quark()
+GQuark cb_field_error_quark(void);
+
+JsonObject *cb_json_parse_object(JsonParser *parser, const char *text,
+				 int64_t size_bytes, GError **error);
+gboolean cb_field_refuse(GError **error, const char *field, const char *reason);
+gboolean cb_field_string(JsonObject *object, const char *field,
+			 const char **value, GError **error);
+gboolean cb_field_integer(JsonObject *object, const char *field, int64_t min,
+			  int64_t max, int64_t *value, GError **error);
+gboolean cb_field_boolean(JsonObject *object, const char *field,
+			  gboolean *value, GError **error);
+gboolean cb_field_array(JsonObject *object, const char *field,
+			JsonArray **value, GError **error);
+
+#endif
