--- /dev/null
+++ b/src/libcurrantbridge/http/http_engine_client.c
@@ -0,0 +1,497 @@
+#include "private/http_clients.h"
+
+#include <string.h>
+
+#include "private/http_exchange.h"
+#include "private/json_fields.h"
+
+typedef struct engine_client {
+	cb_engine_client_t base;
+	cb_http_client_t *http;
+	JsonParser *parser;
+} engine_client_t;
+
+/* What an exchange with an engine is about, to match its answers. */
+typedef struct engine_exchange {
+	engine_client_t *client;
+	cb_engine_listener_t listener;
+	char *request;
+	uint64_t epoch;
+	/* The next one of a stream, the step's, or a move's next epoch. */
+	uint64_t token;
+	uint32_t first_layer;
+	uint32_t last_layer;
+	gboolean is_whole; /* the last token has come */
+	gboolean is_cancelled;
+	/* Of a move: the order, to be completed with `kv`, and its target. */
+	GString *order;
+	char *to;
+	cb_exchange_t *handle;
+} engine_exchange_t;
+
+static void engine_exchange_delete_(void *data)
+{
+	engine_exchange_t *exchange = data;
+
+	if (exchange->order)
+		g_string_free(exchange->order, TRUE);
+	g_free(exchange->to);
+	g_free(exchange->request);
+	g_free(exchange);
+}
+
+static engine_exchange_t *engine_exchange_new_(
+	cb_engine_client_t *client, const char *request, uint64_t epoch,
+	const cb_engine_listener_t *listener)
+{
+	engine_exchange_t *exchange = g_new0(engine_exchange_t, 1);
+
+	exchange->client = (engine_client_t *)client;
+	exchange->listener = *listener;
+	exchange->request = g_strdup(request);
+	exchange->epoch = epoch;
+	return exchange;
+}
+
+static void append_int_(GString *text, const char *field, uint64_t value)
+{
+	g_string_append_printf(text, ",\"%s\":%" G_GUINT64_FORMAT, field,
+			       value);
+}
+
+static void append_text_(GString *text, const char *field, const char *value)
+{
+	if (!value)
+		return;
+	g_string_append_printf(text, ",\"%s\":", field);
+	cb_json_append_string(text, value);
+}
+
+/* Begins an object with the fields that every order has. */
+static GString *object_begin_(const char *request, uint64_t epoch)
+{
+	GString *text = g_string_new("{\"request\":");
+
+	cb_json_append_string(text, request);
+	append_int_(text, "epoch", epoch);
+	return text;
+}
+
+static GString *order_text_(const cb_engine_order_t *order)
+{
+	GString *text = object_begin_(order->request, order->epoch);
+	uint64_t i;
+
+	append_int_(text, "fencing", order->fencing);
+	g_string_append_printf(text, ",\"priority\":%" G_GINT64_FORMAT,
+			       order->priority);
+	append_text_(text, "model", order->model);
+	append_int_(text, "first_layer", order->first_layer);
+	append_int_(text, "last_layer", order->last_layer);
+	append_text_(text, "prompt", order->prompt);
+	append_int_(text, "max_tokens", order->max_tokens);
+	g_string_append(text, ",\"delivered\":[");
+	for (i = 0; i < order->delivered_count; i++) {
+		if (i > 0)
+			g_string_append_c(text, ',');
+		cb_json_append_string(text, order->delivered[i]);
+	}
+	g_string_append_c(text, ']');
+	return text;
+}
+
+static GBytes *object_end_(GString *text)
+{
+	g_string_append_c(text, '}');
+	return g_string_free_to_bytes(text);
+}
+
+static cb_exchange_t *post_(engine_client_t *client, const char *address,
+			    const char *path, GBytes *body,
+			    const cb_http_listener_t *listener)
+{
+	cb_http_order_t order = {
+		.method = SOUP_METHOD_POST,
+		.address = address,
+		.path = path,
+		.content_type = "application/json",
+		.body = body,
+		.connection = CB_HTTP_CONNECTION_REUSED,
+	};
+	cb_exchange_t *exchange =
+		cb_http_exchange_start(client->http, &order, listener);
+
+	g_bytes_unref(body);
+	return exchange;
+}
+
+/* What a status other than 200 says, by docs/BACKEND.md. */
+static cb_failure_t failure_of_(engine_client_t *client,
+				const cb_http_answer_t *answer)
+{
+	cb_failure_t failure = CB_FAILURE_REFUSED;
+	const char *word = NULL;
+	JsonObject *object;
+	size_t size_bytes;
+	const char *text = g_bytes_get_data(answer->body, &size_bytes);
+
+	if (answer->status == SOUP_STATUS_OK)
+		return CB_FAILURE_NONE;
+	object = cb_json_parse_object(client->parser, text ? text : "",
+				      (int64_t)size_bytes, NULL);
+	if (!object || !cb_field_string(object, "error", &word, NULL) || !word)
+		return CB_FAILURE_MISMATCH;
+	if (!strcmp(word, "fenced"))
+		failure = CB_FAILURE_FENCED;
+	else if (!strcmp(word, "no_context"))
+		failure = CB_FAILURE_NO_CONTEXT;
+	return failure;
+}
+
+/*
+ * Reads a token's object; FALSE unless it answers this exchange.  The texts
+ * of `token` live in `object`.
+ */
+static gboolean token_read_(const engine_exchange_t *exchange,
+			    JsonObject *object, cb_engine_token_t *token)
+{
+	JsonNode *text = json_object_get_member(object, "text");
+	const char *request = NULL;
+	int64_t epoch = -1;
+	int64_t index = -1;
+	int64_t first_layer = exchange->first_layer;
+	int64_t last_layer = exchange->last_layer;
+
+	memset(token, 0, sizeof(*token));
+	if (!cb_field_string(object, "request", &request, NULL) ||
+	    !cb_field_integer(object, "epoch", 0, INT64_MAX, &epoch, NULL) ||
+	    !cb_field_integer(object, "token", 0, INT64_MAX, &index, NULL) ||
+	    !cb_field_integer(object, "first_layer", 0, UINT32_MAX,
+			      &first_layer, NULL) ||
+	    !cb_field_integer(object, "last_layer", 0, UINT32_MAX, &last_layer,
+			      NULL) ||
+	    !cb_field_string(object, "hidden", &token->hidden, NULL) ||
+	    !cb_field_boolean(object, "last", &token->is_last, NULL))
+		return FALSE;
+	if (text && JSON_NODE_HOLDS_VALUE(text))
+		token->text = json_node_get_string(text);
+	token->request = exchange->request;
+	token->epoch = (uint64_t)epoch;
+	token->token = (uint64_t)index;
+	token->first_layer = (uint32_t)first_layer;
+	token->last_layer = (uint32_t)last_layer;
+	return request && !strcmp(request, exchange->request) &&
+	       token->epoch == exchange->epoch &&
+	       token->token == exchange->token &&
+	       token->first_layer == exchange->first_layer &&
+	       token->last_layer == exchange->last_layer;
+}
+
+/* Hands a token's JSON text to the listener; FALSE on a mismatch. */
+static gboolean token_deliver_(engine_exchange_t *exchange, const char *text,
+			       size_t size_bytes)
+{
+	JsonObject *object = cb_json_parse_object(
+		exchange->client->parser, text, (int64_t)size_bytes, NULL);
+	cb_engine_token_t token;
+
+	if (!object || !token_read_(exchange, object, &token))
+		return FALSE;
+	exchange->is_whole = token.is_last;
+	exchange->token++;
+	exchange->listener.token(exchange->listener.user_data, &token);
+	return TRUE;
+}
+
+static gboolean stream_line_(void *user_data, const char *line,
+			     size_t size_bytes)
+{
+	engine_exchange_t *exchange = user_data;
+
+	if (exchange->is_whole)
+		return FALSE;
+	return token_deliver_(exchange, line, size_bytes);
+}
+
+static void stream_done_(void *user_data, cb_failure_t failure,
+			 const cb_http_answer_t *answer)
+{
+	engine_exchange_t *exchange = user_data;
+
+	if (failure == CB_FAILURE_NONE)
+		failure = failure_of_(exchange->client, answer);
+	if (failure == CB_FAILURE_NONE && !exchange->is_whole)
+		failure = CB_FAILURE_LOST;
+	exchange->listener.done(exchange->listener.user_data, failure);
+}
+
+static cb_exchange_t *engine_stream_(cb_engine_client_t *client,
+				     cb_server_t *server,
+				     const cb_engine_order_t *order,
+				     const cb_engine_listener_t *listener)
+{
+	engine_exchange_t *exchange = engine_exchange_new_(
+		client, order->request, order->epoch, listener);
+	cb_http_listener_t lines = {
+		.line = stream_line_,
+		.done = stream_done_,
+		.user_data = exchange,
+		.user_data_free = engine_exchange_delete_,
+	};
+
+	exchange->token = order->delivered_count;
+	exchange->first_layer = order->first_layer;
+	exchange->last_layer = order->last_layer;
+	return post_((engine_client_t *)client, server->address,
+		     "/engine/stream", object_end_(order_text_(order)), &lines);
+}
+
+/* Whether a 200 answer repeats the request and epoch of its exchange. */
+static gboolean echo_matches_(engine_exchange_t *exchange,
+			      const cb_http_answer_t *answer)
+{
+	size_t size_bytes;
+	const char *text = g_bytes_get_data(answer->body, &size_bytes);
+	JsonObject *object =
+		cb_json_parse_object(exchange->client->parser, text ? text : "",
+				     (int64_t)size_bytes, NULL);
+	const char *request = NULL;
+	int64_t epoch = -1;
+
+	return object && cb_field_string(object, "request", &request, NULL) &&
+	       cb_field_integer(object, "epoch", 0, INT64_MAX, &epoch, NULL) &&
+	       request && !strcmp(request, exchange->request) &&
+	       (uint64_t)epoch == exchange->epoch;
+}
+
+static void open_done_(void *user_data, cb_failure_t failure,
+		       const cb_http_answer_t *answer)
+{
+	engine_exchange_t *exchange = user_data;
+
+	if (failure == CB_FAILURE_NONE)
+		failure = failure_of_(exchange->client, answer);
+	if (failure == CB_FAILURE_NONE && !echo_matches_(exchange, answer))
+		failure = CB_FAILURE_MISMATCH;
+	exchange->listener.done(exchange->listener.user_data, failure);
+}
+
+static cb_exchange_t *engine_open_(cb_engine_client_t *client,
+				   cb_server_t *server,
+				   const cb_engine_order_t *order,
+				   const cb_engine_listener_t *listener)
+{
+	engine_exchange_t *exchange = engine_exchange_new_(
+		client, order->request, order->epoch, listener);
+	cb_http_listener_t whole = {
+		.done = open_done_,
+		.user_data = exchange,
+		.user_data_free = engine_exchange_delete_,
+	};
+
+	return post_((engine_client_t *)client, server->address, "/engine/open",
+		     object_end_(order_text_(order)), &whole);
+}
+
+static void step_done_(void *user_data, cb_failure_t failure,
+		       const cb_http_answer_t *answer)
+{
+	engine_exchange_t *exchange = user_data;
+	const char *text;
+	size_t size_bytes;
+
+	if (failure == CB_FAILURE_NONE)
+		failure = failure_of_(exchange->client, answer);
+	if (failure == CB_FAILURE_NONE) {
+		text = g_bytes_get_data(answer->body, &size_bytes);
+		if (!token_deliver_(exchange, text ? text : "", size_bytes))
+			failure = CB_FAILURE_MISMATCH;
+	}
+	if (!exchange->is_cancelled)
+		exchange->listener.done(exchange->listener.user_data, failure);
+}
+
+static cb_exchange_t *engine_step_(cb_engine_client_t *client,
+				   cb_server_t *server,
+				   const cb_engine_step_t *step,
+				   const cb_engine_listener_t *listener)
+{
+	engine_exchange_t *exchange = engine_exchange_new_(
+		client, step->request, step->epoch, listener);
+	GString *text = object_begin_(step->request, step->epoch);
+	cb_http_listener_t whole = {
+		.done = step_done_,
+		.user_data = exchange,
+		.user_data_free = engine_exchange_delete_,
+	};
+
+	exchange->token = step->token;
+	exchange->first_layer = step->first_layer;
+	exchange->last_layer = step->last_layer;
+	append_int_(text, "token", step->token);
+	append_int_(text, "first_layer", step->first_layer);
+	append_int_(text, "last_layer", step->last_layer);
+	append_text_(text, "hidden", step->hidden);
+	append_text_(text, "previous", step->previous);
+	return post_((engine_client_t *)client, server->address, "/engine/step",
+		     object_end_(text), &whole);
+}
+
+/* Takes the exported KV cache to the other server. */
+static void export_done_(void *user_data, cb_failure_t failure,
+			 const cb_http_answer_t *answer)
+{
+	engine_exchange_t *exchange = user_data;
+	JsonObject *object = NULL;
+	const char *kv = NULL;
+	const char *text;
+	size_t size_bytes;
+	GBytes *body;
+	cb_http_order_t order = {
+		.method = SOUP_METHOD_POST,
+		.address = exchange->to,
+		.path = "/engine/import",
+		.content_type = "application/json",
+		.connection = CB_HTTP_CONNECTION_REUSED,
+	};
+	cb_http_listener_t whole = {
+		.done = open_done_,
+		.user_data = exchange,
+		.user_data_free = engine_exchange_delete_,
+	};
+
+	if (failure == CB_FAILURE_NONE)
+		failure = failure_of_(exchange->client, answer);
+	if (failure == CB_FAILURE_NONE && echo_matches_(exchange, answer)) {
+		text = g_bytes_get_data(answer->body, &size_bytes);
+		object = cb_json_parse_object(exchange->client->parser, text,
+					      (int64_t)size_bytes, NULL);
+		cb_field_string(object, "kv", &kv, NULL);
+	}
+	if (!kv) {
+		if (failure == CB_FAILURE_NONE)
+			failure = CB_FAILURE_MISMATCH;
+		exchange->listener.done(exchange->listener.user_data, failure);
+		return;
+	}
+	append_text_(exchange->order, "kv", kv);
+	body = object_end_(g_steal_pointer(&exchange->order));
+	exchange->epoch = exchange->token;
+	order.body = body;
+	cb_http_exchange_continue(exchange->handle, &order, &whole);
+	g_bytes_unref(body);
+}
+
+static cb_exchange_t *engine_move_(cb_engine_client_t *client,
+				   cb_server_t *from, cb_server_t *to,
+				   const cb_engine_order_t *order,
+				   const cb_engine_listener_t *listener)
+{
+	/* The session was opened under the epoch before the order's. */
+	engine_exchange_t *exchange = engine_exchange_new_(
+		client, order->request, order->epoch - 1, listener);
+	cb_http_listener_t whole = {
+		.done = export_done_,
+		.user_data = exchange,
+		.user_data_free = engine_exchange_delete_,
+	};
+
+	exchange->token = order->epoch;
+	exchange->order = order_text_(order);
+	exchange->to = g_strdup(to->address);
+	exchange->handle = post_(
+		(engine_client_t *)client, from->address, "/engine/export",
+		object_end_(object_begin_(order->request, order->epoch - 1)),
+		&whole);
+	return exchange->handle;
+}
+
+static void probe_done_(void *user_data, cb_failure_t failure,
+			const cb_http_answer_t *answer)
+{
+	engine_exchange_t *exchange = user_data;
+
+	if (failure == CB_FAILURE_NONE && answer->status != SOUP_STATUS_OK)
+		failure = CB_FAILURE_REFUSED;
+	exchange->listener.done(exchange->listener.user_data, failure);
+}
+
+static cb_exchange_t *engine_probe_(cb_engine_client_t *client,
+				    cb_server_t *server,
+				    const cb_engine_listener_t *listener)
+{
+	engine_exchange_t *exchange =
+		engine_exchange_new_(client, "", 0, listener);
+	cb_http_order_t order = {
+		.method = SOUP_METHOD_GET,
+		.address = server->address,
+		.path = "/engine/health",
+		.connection = CB_HTTP_CONNECTION_FRESH,
+	};
+	cb_http_listener_t whole = {
+		.done = probe_done_,
+		.user_data = exchange,
+		.user_data_free = engine_exchange_delete_,
+	};
+
+	return cb_http_exchange_start(((engine_client_t *)client)->http, &order,
+				      &whole);
+}
+
+static void ignore_done_(void *user_data, cb_failure_t failure,
+			 const cb_http_answer_t *answer)
+{
+	(void)user_data;
+	(void)failure;
+	(void)answer;
+}
+
+static void engine_drop_(cb_engine_client_t *client, cb_server_t *server,
+			 const char *request, uint64_t epoch)
+{
+	cb_http_listener_t ignored = { .done = ignore_done_ };
+
+	post_((engine_client_t *)client, server->address, "/engine/cancel",
+	      object_end_(object_begin_(request, epoch)), &ignored);
+}
+
+static void engine_cancel_(cb_engine_client_t *client, cb_exchange_t *exchange)
+{
+	engine_exchange_t *ours = cb_http_exchange_user_data(exchange);
+
+	(void)client;
+	ours->is_cancelled = TRUE;
+	cb_http_exchange_cancel(exchange);
+}
+
+/* Makes the client that reaches engines over HTTP. */
+cb_engine_client_t *cb_http_engine_client_new(GMainContext *context)
+{
+	static const cb_engine_client_vtable_t vtable = {
+		.stream = engine_stream_,
+		.open = engine_open_,
+		.step = engine_step_,
+		.move = engine_move_,
+		.probe = engine_probe_,
+		.drop = engine_drop_,
+		.cancel = engine_cancel_,
+	};
+	engine_client_t *client = g_new0(engine_client_t, 1);
+
+	client->base.vtable = &vtable;
+	client->http = cb_http_client_new(context);
+	client->parser = json_parser_new_immutable();
+	return &client->base;
+}
+
+/* Deletes the client; its open exchanges are dropped.  NULL is allowed. */
+void cb_http_engine_client_delete(cb_engine_client_t *base)
+{
+	engine_client_t *client = (engine_client_t *)base;
+
+	if (!client)
+		return;
+	cb_http_client_delete(client->http);
+	g_object_unref(client->parser);
+	g_free(client);
+}
--- /dev/null
+++ b/src/libcurrantbridge/http/http_service_client.c
@@ -0,0 +1,226 @@
+#include "private/http_clients.h"
+
+#include <string.h>
+
+#include "private/http_exchange.h"
+#include "private/json_fields.h"
+
+
+typedef struct service_client {
+	cb_service_client_t base;
+	cb_http_client_t *http;
+} service_client_t;
+
+typedef struct service_exchange {
+	cb_service_listener_t listener;
+	cb_fence_listener_t fence;
+} service_exchange_t;
+
+/* Whether the answer is a refusal that says that nothing ran. */
+static cb_failure_t failure_of_(const cb_http_answer_t *answer)
+{
+	JsonParser *parser;
+	JsonObject *object;
+	const char *word = NULL;
+	const char *text;
+	size_t size_bytes;
+	cb_failure_t failure = CB_FAILURE_NONE;
+
+	if (answer->status != SOUP_STATUS_SERVICE_UNAVAILABLE &&
+	    answer->status != SOUP_STATUS_CONFLICT)
+		return CB_FAILURE_NONE;
+	parser = json_parser_new_immutable();
+	text = g_bytes_get_data(answer->body, &size_bytes);
+	object = cb_json_parse_object(parser, text ? text : "",
+				      (int64_t)size_bytes, NULL);
+	if (object)
+		cb_field_string(object, "error", &word, NULL);
+	if (answer->status == SOUP_STATUS_SERVICE_UNAVAILABLE &&
+	    !g_strcmp0(word, "busy"))
+		failure = CB_FAILURE_REFUSED;
+	if (answer->status == SOUP_STATUS_CONFLICT &&
+	    !g_strcmp0(word, "fenced"))
+		failure = CB_FAILURE_FENCED;
+	g_object_unref(parser);
+	return failure;
+}
+
+static void send_done_(void *user_data, cb_failure_t failure,
+		       const cb_http_answer_t *answer)
+{
+	service_exchange_t *exchange = user_data;
+	cb_service_answer_t told = { 0 };
+
+	if (failure == CB_FAILURE_NONE)
+		failure = failure_of_(answer);
+	if (failure != CB_FAILURE_NONE) {
+		exchange->listener.done(exchange->listener.user_data, failure,
+					NULL);
+		return;
+	}
+	told.status = answer->status;
+	told.content_type = (char *)answer->content_type;
+	told.body = answer->body;
+	exchange->listener.done(exchange->listener.user_data, CB_FAILURE_NONE,
+				&told);
+}
+
+/*
+ * Every call has a connection of its own: libsoup would resend a PUT or
+ * DELETE that failed on a reused one, and an idle connection may have gone
+ * silent unnoticed.
+ */
+static cb_exchange_t *service_send_(cb_service_client_t *client,
+				    cb_server_t *server,
+				    const cb_service_request_t *request,
+				    const cb_service_listener_t *listener)
+{
+	service_exchange_t *exchange = g_new0(service_exchange_t, 1);
+	cb_http_order_t order = {
+		.method = request->method,
+		.address = server->address,
+		.path = request->path,
+		.content_type = request->content_type,
+		.body = request->body,
+		.connection = CB_HTTP_CONNECTION_FRESH,
+	};
+	cb_http_listener_t whole = {
+		.done = send_done_,
+		.user_data = exchange,
+		.user_data_free = g_free,
+	};
+	SoupMessageHeaders *headers;
+	cb_exchange_t *handle;
+	char number[32];
+
+	exchange->listener = *listener;
+	handle = cb_http_exchange_start(((service_client_t *)client)->http,
+					&order, &whole);
+	headers = cb_http_exchange_headers(handle);
+	if (!headers)
+		return handle;
+	soup_message_headers_replace(headers, "X-Request-Id", request->request);
+	if (request->key)
+		soup_message_headers_replace(headers, "Idempotency-Key",
+					     request->key);
+	if (request->fencing) {
+		g_snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT,
+			   request->fencing);
+		soup_message_headers_replace(headers, "X-Fencing", number);
+	}
+	return handle;
+}
+
+/* Reads the answer to a fence; the body's bytes come back as an answer. */
+static cb_fence_result_t fence_read_(JsonObject *object,
+				     cb_service_answer_t *answer)
+{
+	const char *executed = NULL;
+	const char *type = NULL;
+	const char *body = "";
+	int64_t status = 0;
+
+	if (!cb_field_string(object, "executed", &executed, NULL) || !executed)
+		return CB_FENCE_UNKNOWN;
+	if (!strcmp(executed, "no"))
+		return CB_FENCE_NOT_EXECUTED;
+	if (strcmp(executed, "yes") ||
+	    !cb_field_integer(object, "status", 100, 599, &status, NULL) ||
+	    status == 0)
+		return CB_FENCE_UNKNOWN;
+	cb_field_string(object, "content_type", &type, NULL);
+	cb_field_string(object, "body", &body, NULL);
+	answer->status = (uint32_t)status;
+	answer->content_type = (char *)type;
+	answer->body = g_bytes_new(body, strlen(body));
+	return CB_FENCE_EXECUTED;
+}
+
+static void fence_done_(void *user_data, cb_failure_t failure,
+			const cb_http_answer_t *answer)
+{
+	service_exchange_t *exchange = user_data;
+	cb_fence_result_t result = CB_FENCE_UNKNOWN;
+	cb_service_answer_t told = { 0 };
+	JsonParser *parser = json_parser_new_immutable();
+	JsonObject *object = NULL;
+	const char *text;
+	size_t size_bytes;
+
+	if (failure == CB_FAILURE_NONE && answer->status == SOUP_STATUS_OK) {
+		text = g_bytes_get_data(answer->body, &size_bytes);
+		object = cb_json_parse_object(parser, text ? text : "",
+					      (int64_t)size_bytes, NULL);
+	}
+	if (object)
+		result = fence_read_(object, &told);
+	exchange->fence.done(exchange->fence.user_data, result,
+			     result == CB_FENCE_EXECUTED ? &told : NULL);
+	g_clear_pointer(&told.body, g_bytes_unref);
+	g_object_unref(parser);
+}
+
+static cb_exchange_t *service_fence_(cb_service_client_t *client,
+				     cb_server_t *server, const char *key,
+				     uint64_t fencing,
+				     const cb_fence_listener_t *listener)
+{
+	service_exchange_t *exchange = g_new0(service_exchange_t, 1);
+	GString *text = g_string_new("{\"key\":");
+	cb_http_order_t order = {
+		.method = SOUP_METHOD_POST,
+		.address = server->address,
+		.path = "/service/fence",
+		.content_type = "application/json",
+		.connection = CB_HTTP_CONNECTION_FRESH,
+	};
+	cb_http_listener_t whole = {
+		.done = fence_done_,
+		.user_data = exchange,
+		.user_data_free = g_free,
+	};
+	cb_exchange_t *handle;
+
+	exchange->fence = *listener;
+	cb_json_append_string(text, key);
+	g_string_append_printf(text, ",\"fencing\":%" G_GUINT64_FORMAT "}",
+			       fencing);
+	order.body = g_string_free_to_bytes(text);
+	handle = cb_http_exchange_start(((service_client_t *)client)->http,
+					&order, &whole);
+	g_bytes_unref(order.body);
+	return handle;
+}
+
+static void service_cancel_(cb_service_client_t *client,
+			    cb_exchange_t *exchange)
+{
+	(void)client;
+	cb_http_exchange_cancel(exchange);
+}
+
+/* Makes the client that reaches plain services over HTTP. */
+cb_service_client_t *cb_http_service_client_new(GMainContext *context)
+{
+	static const cb_service_client_vtable_t vtable = {
+		.send = service_send_,
+		.fence = service_fence_,
+		.cancel = service_cancel_,
+	};
+	service_client_t *client = g_new0(service_client_t, 1);
+
+	client->base.vtable = &vtable;
+	client->http = cb_http_client_new(context);
+	return &client->base;
+}
+
+/* Deletes the client; its open exchanges are dropped.  NULL is allowed. */
+void cb_http_service_client_delete(cb_service_client_t *base)
+{
+	service_client_t *client = (service_client_t *)base;
+
+	if (!client)
+		return;
+	cb_http_client_delete(client->http);
+	g_free(client);
+}
--- a/src/libcurrantbridge/http/json_fields.c
+++ b/src/libcurrantbridge/http/json_fields.c
@@ -107,3 +107,24 @@
 	*value = json_node_get_array(node);
 	return TRUE;
 }
+
+/* Appends `value` (UTF-8) as a JSON string with its quotes. */
+void cb_json_append_string(GString *text, const char *value)
+{
+	const char *plain = value;
+	const char *c;
+
+	g_string_append_c(text, '"');
+	for (c = value; *c; c++) {
+		if ((unsigned char)*c >= ' ' && *c != '"' && *c != '\\')
+			continue;
+		g_string_append_len(text, plain, c - plain);
+		if (*c == '"' || *c == '\\')
+			g_string_append_printf(text, "\\%c", *c);
+		else
+			g_string_append_printf(text, "\\u%04x", *c);
+		plain = c + 1;
+	}
+	g_string_append_len(text, plain, c - plain);
+	g_string_append_c(text, '"');
+}
--- a/src/libcurrantbridge/include/private/json_fields.h
+++ b/src/libcurrantbridge/include/private/json_fields.h
@@ -19,5 +19,6 @@
 			  gboolean *value, GError **error);
 gboolean cb_field_array(JsonObject *object, const char *field,
 			JsonArray **value, GError **error);
+void cb_json_append_string(GString *text, const char *value);
 
 #endif
