--- /dev/null
+++ b/include/currantbridge/entry.h
@@ -0,0 +1,34 @@
+#ifndef CURRANTBRIDGE_ENTRY_H
+#define CURRANTBRIDGE_ENTRY_H
+
+#include "currantbridge/control_client.h"
+#include "currantbridge/http_server.h"
+#include "currantbridge/kernel.h"
+#include "currantbridge/server.h"
+#include "currantbridge/view.h"
+
+/*
+ * An entry instance: serves callers and backend servers over HTTP.  A
+ * service of the kernel, named "entry", registered after "http" and
+ * "control".
+ */
+typedef struct cb_entry cb_entry_t;
+
+typedef struct cb_entry_options {
+	const char *name;
+	const char *address; /* that callers and backend servers use */
+	const char *data_centre;
+	uint64_t incarnation;
+	int64_t server_silence_ms;
+	int64_t announce_interval_ms;
+	int64_t max_body_bytes;
+	int64_t max_unread_bytes;
+	int64_t address_ttl_ms;
+	int64_t address_count;
+} cb_entry_options_t;
+
+cb_entry_t *cb_entry_new(cb_kernel_t *kernel, cb_http_server_t *http,
+			 cb_control_client_t *control, cb_view_t *view,
+			 const cb_entry_options_t *options);
+
+#endif
--- a/include/currantbridge/server.h
+++ b/include/currantbridge/server.h
@@ -81,6 +81,9 @@
 /* `text` is the JSON body of an announcement; see docs/BACKEND.md. */
 cb_announce_outcome_t cb_server_announce(cb_server_registry_t *registry,
 					 const char *text, GError **error);
+cb_server_t *cb_server_register(cb_server_registry_t *registry,
+				const char *text,
+				cb_announce_outcome_t *outcome, GError **error);
 cb_server_t *cb_server_find(const cb_server_registry_t *registry,
 			    const char *name);
 /* Arrays of cb_server_t owned by the registry, all states included. */
--- a/src/libcurrantbridge/backend/registry.c
+++ b/src/libcurrantbridge/backend/registry.c
@@ -354,27 +354,33 @@
 }
 
 /*
- * Takes an announcement's JSON text.  With an outcome other than ACCEPTED
- * the error says why, as `FIELD: REASON`.
+ * Takes an announcement's JSON text and returns the server.  When it is not
+ * accepted, returns NULL and the error says why, as `FIELD: REASON`.
+ * `outcome` may be NULL.
  */
-cb_announce_outcome_t cb_server_announce(cb_server_registry_t *registry,
-					 const char *text, GError **error)
+cb_server_t *cb_server_register(cb_server_registry_t *registry,
+				const char *text,
+				cb_announce_outcome_t *outcome, GError **error)
 {
 	cb_announcement_t *announcement = cb_announcement_parse(text, error);
-	cb_announce_outcome_t outcome = CB_ANNOUNCE_ACCEPTED;
-	entry_t *entry;
+	cb_announce_outcome_t ignored;
+	entry_t *entry = NULL;
 
+	outcome = outcome ? outcome : &ignored;
 	if (!announcement) {
 		cb_counter_add(registry->refused, 1);
-		return CB_ANNOUNCE_MALFORMED;
+		*outcome = CB_ANNOUNCE_MALFORMED;
+		return NULL;
 	}
+	*outcome = CB_ANNOUNCE_ACCEPTED;
 	entry = g_hash_table_lookup(registry->by_name, announcement->name);
 	if (entry && announcement->incarnation < entry->server.incarnation) {
 		cb_counter_add(registry->refused, 1);
 		g_set_error(error, g_quark_from_static_string("cb-announce"), 0,
 			    "incarnation: a newer process has announced itself "
 			    "under this name");
-		outcome = CB_ANNOUNCE_OLD_INCARNATION;
+		*outcome = CB_ANNOUNCE_OLD_INCARNATION;
+		entry = NULL;
 		goto out;
 	}
 	if (!entry) {
@@ -387,6 +393,16 @@
 	entry_update_(registry, entry, announcement);
 out:
 	cb_announcement_delete(announcement);
+	return entry ? &entry->server : NULL;
+}
+
+/* Like cb_server_register(), for those that need the outcome alone. */
+cb_announce_outcome_t cb_server_announce(cb_server_registry_t *registry,
+					 const char *text, GError **error)
+{
+	cb_announce_outcome_t outcome;
+
+	cb_server_register(registry, text, &outcome, error);
 	return outcome;
 }
 
--- /dev/null
+++ b/src/libcurrantbridge/http/completions.c
@@ -0,0 +1,342 @@
+#include <string.h>
+
+#include "private/caller.h"
+#include "private/completion_request.h"
+#include "private/completion_text.h"
+
+#define MS_PER_S 1000
+
+/* One completion: a caller's request, the generation, and the answer. */
+typedef struct completion {
+	cb_caller_t *caller;
+	cb_entry_t *entry;
+	cb_completion_request_t request;
+	cb_completion_text_t *text;
+	cb_generation_t *generation;
+	gboolean is_ended; /* the generation has */
+	gboolean is_begun; /* the stream's head is written */
+	gulong wrote_handler;
+	int64_t unread_bytes;
+	GSource *overflow;
+	GString *answer; /* of a request that is not streamed */
+	uint64_t token_count;
+} completion_t;
+
+static void completion_delete_(completion_t *completion)
+{
+	if (completion->overflow) {
+		g_source_destroy(completion->overflow);
+		g_source_unref(completion->overflow);
+	}
+	if (completion->wrote_handler)
+		g_signal_handler_disconnect(cb_caller_message(
+						    completion->caller),
+					    completion->wrote_handler);
+	if (completion->generation)
+		cb_generation_delete(completion->generation);
+	cb_caller_delete(completion->caller);
+	cb_completion_request_clear(&completion->request);
+	cb_completion_text_delete(completion->text);
+	if (completion->answer)
+		g_string_free(completion->answer, TRUE);
+	g_free(completion);
+}
+
+/* The exchange is over, by its end or because the caller went away. */
+static void gone_(void *user_data)
+{
+	completion_t *completion = user_data;
+
+	if (!completion->is_ended) {
+		cb_counter_add(completion->entry->abandoned, 1);
+		cb_generation_cancel(completion->generation);
+	}
+	completion_delete_(completion);
+}
+
+/* The caller has not read what it was sent: gives the request up. */
+static gboolean overflowed_(void *user_data)
+{
+	completion_t *completion = user_data;
+
+	if (!completion->is_ended)
+		cb_generation_cancel(completion->generation);
+	cb_caller_disconnect(completion->caller);
+	completion_delete_(completion);
+	return G_SOURCE_REMOVE;
+}
+
+static void overflow_begin_(completion_t *completion)
+{
+	cb_entry_t *entry = completion->entry;
+
+	if (completion->overflow)
+		return;
+	cb_counter_add(entry->refusals[CB_REFUSAL_CALLER_TOO_SLOW], 1);
+	cb_log_event(cb_kernel_log(entry->kernel), CB_EVENT_CALLER_TOO_SLOW,
+		     CB_STR("request", cb_caller_id(completion->caller)),
+		     CB_INT("unread_bytes", completion->unread_bytes));
+	completion->overflow = g_idle_source_new();
+	g_source_set_callback(completion->overflow, overflowed_, completion,
+			      NULL);
+	g_source_attach(completion->overflow, cb_kernel_context(entry->kernel));
+}
+
+static void wrote_(SoupServerMessage *message, unsigned int size_bytes,
+		   void *user_data)
+{
+	completion_t *completion = user_data;
+
+	(void)message;
+	completion->unread_bytes -= size_bytes;
+}
+
+/* Writes the head of a stream's answer. */
+static void stream_begin_(completion_t *completion)
+{
+	SoupServerMessage *message = cb_caller_message(completion->caller);
+	SoupMessageHeaders *headers =
+		soup_server_message_get_response_headers(message);
+
+	completion->is_begun = TRUE;
+	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
+	soup_message_headers_replace(headers, "Content-Type",
+				     "text/event-stream");
+	soup_message_headers_replace(headers, "Cache-Control", "no-cache");
+	soup_message_headers_set_encoding(headers,
+					  soup_server_message_get_http_version(
+						  message) == SOUP_HTTP_1_0 ?
+						  SOUP_ENCODING_EOF :
+						  SOUP_ENCODING_CHUNKED);
+	soup_message_body_set_accumulate(soup_server_message_get_response_body(
+						 message),
+					 FALSE);
+	completion->wrote_handler =
+		g_signal_connect(message, "wrote-body-data", G_CALLBACK(wrote_),
+				 completion);
+}
+
+/* Hands bytes of the stream to libsoup; takes `chunk`. */
+static void stream_write_(completion_t *completion, GString *chunk)
+{
+	SoupMessageBody *body = soup_server_message_get_response_body(
+		cb_caller_message(completion->caller));
+	GBytes *bytes = g_string_free_to_bytes(chunk);
+
+	completion->unread_bytes += (int64_t)g_bytes_get_size(bytes);
+	soup_message_body_append_bytes(body, bytes);
+	g_bytes_unref(bytes);
+	if (completion->unread_bytes >
+	    completion->entry->options.max_unread_bytes)
+		overflow_begin_(completion);
+	else
+		cb_caller_resume(completion->caller);
+}
+
+static void token_(void *user_data, uint64_t index, const char *token)
+{
+	completion_t *completion = user_data;
+	GString *chunk;
+
+	g_assert(index == completion->token_count);
+	completion->token_count++;
+	cb_caller_charge(completion->caller, 1);
+	cb_counter_add(completion->entry->tokens, 1);
+	if (!completion->request.is_streamed) {
+		g_string_append(completion->answer, token);
+		return;
+	}
+	if (!completion->is_begun)
+		stream_begin_(completion);
+	chunk = g_string_new(NULL);
+	cb_completion_text_token(completion->text, chunk, token);
+	stream_write_(completion, chunk);
+}
+
+static const char *finish_reason_(const completion_t *completion)
+{
+	return completion->token_count ==
+			       (uint64_t)completion->request.max_tokens ?
+		       "length" :
+		       "stop";
+}
+
+static void stream_end_(completion_t *completion, GString *chunk)
+{
+	stream_write_(completion, chunk);
+	soup_message_body_complete(soup_server_message_get_response_body(
+		cb_caller_message(completion->caller)));
+}
+
+/* Ends a stream that is under way with an error that its caller can read. */
+static void stream_fail_(completion_t *completion,
+			 const cb_caller_error_t *error)
+{
+	GString *chunk = g_string_new("event: error\ndata: ");
+	char *text = cb_error_text(error);
+
+	cb_counter_add(completion->entry->refusals[error->refusal], 1);
+	g_string_append_printf(chunk, "%s\n\n", text);
+	g_free(text);
+	stream_end_(completion, chunk);
+}
+
+/* Answers a request that is not streamed. */
+static void whole_answer_(completion_t *completion)
+{
+	SoupServerMessage *message = cb_caller_message(completion->caller);
+	GString *text = g_string_new(NULL);
+	size_t size_bytes;
+
+	cb_completion_text_whole(completion->text, text,
+				 completion->answer->str,
+				 finish_reason_(completion),
+				 completion->token_count);
+	size_bytes = text->len;
+	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
+	soup_server_message_set_response(message, "application/json",
+					 SOUP_MEMORY_TAKE,
+					 g_string_free(text, FALSE),
+					 size_bytes);
+	cb_caller_resume(completion->caller);
+}
+
+static void whole_stream_end_(completion_t *completion)
+{
+	GString *chunk = g_string_new(NULL);
+
+	if (!completion->is_begun)
+		stream_begin_(completion);
+	cb_completion_text_end(completion->text, chunk,
+			       finish_reason_(completion));
+	stream_end_(completion, chunk);
+}
+
+static void ended_(void *user_data, const cb_generation_end_t *end)
+{
+	completion_t *completion = user_data;
+	cb_caller_error_t error = {
+		.refusal = end->refusal,
+		.executed = end->executed,
+		.retry_after_s = end->retry_after_s,
+	};
+
+	completion->is_ended = TRUE;
+	if (end->refusal == CB_REFUSAL_NONE) {
+		if (completion->request.is_streamed)
+			whole_stream_end_(completion);
+		else
+			whole_answer_(completion);
+		return;
+	}
+	if (completion->is_begun) {
+		stream_fail_(completion, &error);
+		return;
+	}
+	cb_caller_refuse(completion->caller, &error);
+	cb_caller_resume(completion->caller);
+}
+
+static void generation_start_(completion_t *completion,
+			      const cb_contract_t *contract)
+{
+	cb_generation_request_t request = {
+		.request = cb_caller_request(completion->caller),
+		.workspace = contract->workspace,
+		.model = completion->request.model,
+		.prompt = completion->request.prompt,
+		.max_tokens = (uint64_t)completion->request.max_tokens,
+		.priority = contract->priority,
+		.deadline_ms = contract->deadline_ms,
+	};
+	cb_generation_sink_t sink = {
+		.token = token_,
+		.ended = ended_,
+		.user_data = completion,
+	};
+
+	completion->generation =
+		cb_generation_new(completion->entry->generations, &request,
+				  &sink);
+	cb_caller_suspend(completion->caller, gone_, completion);
+	cb_generation_start(completion->generation);
+}
+
+/* Reads the request's fields; FALSE after a refusal. */
+static gboolean request_read_(completion_t *completion,
+			      cb_completion_kind_t kind)
+{
+	cb_caller_error_t refused = { .refusal = CB_REFUSAL_MALFORMED };
+	SoupMessageBody *body = soup_server_message_get_request_body(
+		cb_caller_message(completion->caller));
+	GBytes *bytes = soup_message_body_flatten(body);
+	GError *error = NULL;
+	size_t size_bytes;
+	const char *text = g_bytes_get_data(bytes, &size_bytes);
+	gboolean is_read = cb_completion_request_parse(&completion->request,
+						       kind, text ? text : "",
+						       size_bytes, &error);
+
+	g_bytes_unref(bytes);
+	if (is_read)
+		return TRUE;
+	refused.detail = error->message;
+	cb_caller_refuse(completion->caller, &refused);
+	g_error_free(error);
+	return FALSE;
+}
+
+/* Checks the request against its contract; FALSE after a refusal. */
+static gboolean contract_allows_(completion_t *completion,
+				 const cb_contract_t *contract)
+{
+	cb_caller_error_t refused = { .refusal = CB_REFUSAL_MODEL_UNKNOWN };
+
+	if (cb_contract_has_model(contract, completion->request.model))
+		return cb_caller_take_ticket(completion->caller, contract);
+	cb_caller_refuse(completion->caller, &refused);
+	return FALSE;
+}
+
+static void handle_(cb_entry_t *entry, SoupServerMessage *message,
+		    cb_completion_kind_t kind)
+{
+	const cb_contract_t *contract;
+	cb_caller_t *caller = cb_caller_admit(entry, message, &contract);
+	completion_t *completion;
+
+	if (!caller)
+		return;
+	completion = g_new0(completion_t, 1);
+	completion->caller = caller;
+	completion->entry = entry;
+	if (!request_read_(completion, kind) ||
+	    !contract_allows_(completion, contract)) {
+		completion_delete_(completion);
+		return;
+	}
+	completion->text = cb_completion_text_new(
+		kind, cb_caller_id(caller), completion->request.model,
+		cb_clock_wall_ms(cb_kernel_clock(entry->kernel)) / MS_PER_S);
+	if (!completion->request.is_streamed)
+		completion->answer = g_string_new(NULL);
+	generation_start_(completion, contract);
+}
+
+/* Serves POST /v1/completions. */
+void cb_completions_handle(cb_entry_t *entry, SoupServerMessage *message,
+			   const char *path, GHashTable *query)
+{
+	(void)path;
+	(void)query;
+	handle_(entry, message, CB_COMPLETION_TEXT);
+}
+
+/* Serves POST /v1/chat/completions. */
+void cb_chat_completions_handle(cb_entry_t *entry, SoupServerMessage *message,
+				const char *path, GHashTable *query)
+{
+	(void)path;
+	(void)query;
+	handle_(entry, message, CB_COMPLETION_CHAT);
+}
--- /dev/null
+++ b/src/libcurrantbridge/http/entry.c
@@ -0,0 +1,302 @@
+#include "private/entry.h"
+
+#include <string.h>
+
+#include "private/caller.h"
+#include "private/http_clients.h"
+
+#define QUARANTINE_TIMEOUT_MS 10000
+
+/* A path that callers or backend servers use. */
+typedef struct route {
+	const char *path;
+	const char *method; /* NULL: any */
+	gboolean is_prefix; /* the handler gets what follows */
+	cb_entry_handler_t handle;
+} route_t;
+
+static const route_t routes[] = {
+	{ "/v1/completions", "POST", FALSE, cb_completions_handle },
+	{ "/v1/chat/completions", "POST", FALSE, cb_chat_completions_handle },
+	{ "/v1/services/", NULL, TRUE, cb_service_calls_handle },
+	{ "/v1/addresses", "GET", FALSE, cb_addresses_handle },
+	{ "/v1/backend/announce", "POST", FALSE, cb_announce_handle },
+};
+
+static const route_t *route_find_(const char *path)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
+		if (routes[i].is_prefix ?
+			    g_str_has_prefix(path, routes[i].path) :
+			    !strcmp(path, routes[i].path))
+			return &routes[i];
+	}
+	return NULL;
+}
+
+static void handle_(SoupServer *soup, SoupServerMessage *message,
+		    const char *path, GHashTable *query, void *user_data)
+{
+	cb_entry_t *entry = user_data;
+	const route_t *route = route_find_(path);
+	cb_caller_error_t refused = { .refusal = CB_REFUSAL_PATH_UNKNOWN };
+
+	(void)soup;
+	cb_counter_add(entry->requests, 1);
+	if (route &&
+	    (!route->method ||
+	     !strcmp(route->method, soup_server_message_get_method(message)))) {
+		route->handle(entry, message, path + strlen(route->path),
+			      query);
+		return;
+	}
+	if (route) {
+		refused.refusal = CB_REFUSAL_METHOD_NOT_ALLOWED;
+		soup_message_headers_replace(
+			soup_server_message_get_response_headers(message),
+			"Allow", route->method);
+	}
+	cb_entry_refuse(entry, message, &refused);
+}
+
+/* Why callers' requests are refused now, or NONE. */
+cb_refusal_t cb_entry_readiness(const cb_entry_t *entry)
+{
+	if (entry->is_refusing)
+		return CB_REFUSAL_LEAVING;
+	if (!cb_control_client_is_confirmed(entry->control))
+		return CB_REFUSAL_NOT_READY;
+	return CB_REFUSAL_NONE;
+}
+
+static void ready_handle_(SoupServer *soup, SoupServerMessage *message,
+			  const char *path, GHashTable *query, void *user_data)
+{
+	cb_entry_t *entry = user_data;
+	cb_refusal_t refusal = cb_entry_readiness(entry);
+
+	(void)soup;
+	(void)path;
+	(void)query;
+	if (entry->is_draining)
+		refusal = CB_REFUSAL_LEAVING;
+	if (refusal != CB_REFUSAL_NONE) {
+		cb_http_reply_error(message, cb_refusal_status[refusal],
+				    cb_refusal_string[refusal],
+				    cb_refusal_message[refusal], CB_EXECUTED_NO,
+				    0);
+		return;
+	}
+	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
+	soup_server_message_set_response(message, "text/plain",
+					 SOUP_MEMORY_STATIC, "ready\n", 6);
+}
+
+/* Tells the kernel once nothing keeps this instance any longer. */
+static void drain_check_(cb_entry_t *entry)
+{
+	if (!entry->is_refusing || entry->open > 0)
+		return;
+	cb_log_event(cb_kernel_log(entry->kernel), CB_EVENT_ENTRY_DRAINED);
+	cb_kernel_drained(entry->kernel, &entry->service);
+}
+
+/* Counts a caller's request that is under way. */
+void cb_entry_request_begins(cb_entry_t *entry)
+{
+	entry->open++;
+	cb_counter_set(entry->open_gauge, entry->open);
+}
+
+/* Counts the end of a caller's request. */
+void cb_entry_request_ends(cb_entry_t *entry)
+{
+	entry->open--;
+	cb_counter_set(entry->open_gauge, entry->open);
+	drain_check_(entry);
+}
+
+/* No caller holds an address answer that names this instance any longer. */
+static void ttl_over_(void *user_data)
+{
+	cb_entry_t *entry = user_data;
+
+	entry->is_refusing = TRUE;
+	drain_check_(entry);
+}
+
+static void entry_drain_(cb_service_t *service)
+{
+	cb_entry_t *entry = (cb_entry_t *)service;
+
+	entry->is_draining = TRUE;
+	cb_log_event(cb_kernel_log(entry->kernel), CB_EVENT_ENTRY_DRAINING,
+		     CB_INT("open", entry->open),
+		     CB_INT("ttl_ms", entry->options.address_ttl_ms));
+	cb_control_client_leave(entry->control);
+	cb_timer_start(entry->ttl_timer, entry->options.address_ttl_ms);
+}
+
+/* A planned stop of this very instance begins its drain. */
+static void view_changed_(void *user_data)
+{
+	cb_entry_t *entry = user_data;
+
+	if (entry->is_draining ||
+	    !cb_view_is_stopped(entry->view, CB_STOP_INSTANCE, entry->name))
+		return;
+	cb_log_event(cb_kernel_log(entry->kernel), CB_EVENT_STOP_ANNOUNCED,
+		     CB_STR("instance", entry->name));
+	cb_kernel_drain(entry->kernel);
+}
+
+static void quarantined_(cb_control_outcome_t outcome,
+			 const cb_answer_t *answer, void *user_data)
+{
+	cb_entry_t *entry = user_data;
+
+	(void)answer;
+	if (outcome != CB_CONTROL_ANSWERED)
+		cb_log_event(cb_kernel_log(entry->kernel),
+			     CB_EVENT_QUARANTINE_NOT_SHARED);
+}
+
+/* Has all entry instances refuse a digest. */
+static void quarantine_(void *user_data, const char *digest,
+			int64_t until_wall_ms)
+{
+	cb_entry_t *entry = user_data;
+	cb_command_t *command = cb_command_new(CB_COMMAND_QUARANTINE_ADD);
+
+	command->change_id = g_strdup_printf("%s-%08x%08x", entry->owner,
+					     g_rand_int(entry->random),
+					     g_rand_int(entry->random));
+	command->name = g_strdup(digest);
+	command->until_wall_ms = until_wall_ms;
+	cb_control_client_submit(entry->control, command, QUARANTINE_TIMEOUT_MS,
+				 quarantined_, entry);
+}
+
+static void entry_destroy_(cb_service_t *service)
+{
+	cb_entry_t *entry = (cb_entry_t *)service;
+
+	cb_timer_delete(entry->ttl_timer);
+	cb_generation_env_delete(entry->generations);
+	cb_call_env_delete(entry->calls);
+	cb_http_engine_client_delete(entry->engines);
+	cb_http_service_client_delete(entry->services);
+	cb_control_ledger_delete(entry->ledger);
+	cb_server_registry_delete(entry->registry);
+	cb_admission_delete(entry->admission);
+	g_rand_free(entry->random);
+	g_free(entry->name);
+	g_free(entry->address);
+	g_free(entry->data_centre);
+	g_free(entry->owner);
+	g_free(entry);
+}
+
+static const cb_service_vtable_t entry_vtable = {
+	.drain = entry_drain_,
+	.destroy = entry_destroy_,
+};
+
+/* Makes every counter at its start, so that each is served from then on. */
+static void counters_add_(cb_entry_t *entry)
+{
+	cb_counters_t *counters = cb_kernel_counters(entry->kernel);
+	int i;
+
+	for (i = CB_REFUSAL_NONE + 1; i < CB_REFUSAL_COUNT; i++)
+		entry->refusals[i] =
+			cb_counters_counter(counters, "cb_refusals_total",
+					    "reason", cb_refusal_string[i]);
+	entry->requests =
+		cb_counters_counter(counters, "cb_requests_total", NULL, NULL);
+	entry->tokens =
+		cb_counters_counter(counters, "cb_tokens_total", NULL, NULL);
+	entry->abandoned =
+		cb_counters_counter(counters, "cb_requests_abandoned_total",
+				    NULL, NULL);
+	entry->open_gauge =
+		cb_counters_gauge(counters, "cb_requests_open", NULL, NULL);
+}
+
+/* Makes the modules that decide about requests, bound to HTTP and control. */
+static void modules_add_(cb_entry_t *entry)
+{
+	cb_clock_t *clock = cb_kernel_clock(entry->kernel);
+	cb_log_t *log = cb_kernel_log(entry->kernel);
+	cb_counters_t *counters = cb_kernel_counters(entry->kernel);
+	GMainContext *context = cb_kernel_context(entry->kernel);
+	cb_generation_parts_t generation_parts = {
+		.clock = clock,
+		.random = entry->random,
+		.log = log,
+		.counters = counters,
+		.view = entry->view,
+		.data_centre = entry->data_centre,
+		.quarantine = quarantine_,
+		.user_data = entry,
+	};
+	cb_call_parts_t call_parts = {
+		.clock = clock,
+		.random = entry->random,
+		.log = log,
+		.counters = counters,
+		.data_centre = entry->data_centre,
+		.owner = entry->owner,
+	};
+
+	entry->registry =
+		cb_server_registry_new(clock, log, counters, entry->view,
+				       entry->options.server_silence_ms);
+	entry->admission = cb_admission_new(clock);
+	entry->engines = cb_http_engine_client_new(context);
+	entry->services = cb_http_service_client_new(context);
+	entry->ledger = cb_control_ledger_new(entry->control);
+	generation_parts.registry = entry->registry;
+	generation_parts.engines = entry->engines;
+	entry->generations = cb_generation_env_new(&generation_parts);
+	call_parts.registry = entry->registry;
+	call_parts.services = entry->services;
+	call_parts.ledger = entry->ledger;
+	entry->calls = cb_call_env_new(&call_parts);
+}
+
+/*
+ * Makes the entry instance's service and adds its paths to `http`.  The view
+ * must outlive it and is not updated after its end.
+ */
+cb_entry_t *cb_entry_new(cb_kernel_t *kernel, cb_http_server_t *http,
+			 cb_control_client_t *control, cb_view_t *view,
+			 const cb_entry_options_t *options)
+{
+	cb_entry_t *entry = g_new0(cb_entry_t, 1);
+	SoupServer *soup = cb_http_server_soup(http);
+
+	entry->service.vtable = &entry_vtable;
+	entry->kernel = kernel;
+	entry->http = http;
+	entry->control = control;
+	entry->view = view;
+	entry->options = *options;
+	entry->name = g_strdup(options->name);
+	entry->address = g_strdup(options->address);
+	entry->data_centre = g_strdup(options->data_centre);
+	entry->owner = g_strdup_printf("%s/%" G_GUINT64_FORMAT, options->name,
+				       options->incarnation);
+	entry->random = g_rand_new();
+	entry->ttl_timer =
+		cb_timer_new(cb_kernel_clock(kernel), ttl_over_, entry);
+	counters_add_(entry);
+	modules_add_(entry);
+	soup_server_remove_handler(soup, "/");
+	soup_server_add_handler(soup, NULL, handle_, entry, NULL);
+	soup_server_add_handler(soup, "/readyz", ready_handle_, entry, NULL);
+	cb_view_watch(view, view_changed_, entry);
+	return entry;
+}
--- a/src/libcurrantbridge/http/http_engine_client.c
+++ b/src/libcurrantbridge/http/http_engine_client.c
@@ -191,8 +191,9 @@
 static gboolean token_deliver_(engine_exchange_t *exchange, const char *text,
 			       size_t size_bytes)
 {
-	JsonObject *object = cb_json_parse_object(
-		exchange->client->parser, text, (int64_t)size_bytes, NULL);
+	JsonObject *object =
+		cb_json_parse_object(exchange->client->parser, text,
+				     (int64_t)size_bytes, NULL);
 	cb_engine_token_t token;
 
 	if (!object || !token_read_(exchange, object, &token))
@@ -230,8 +231,9 @@
 				     const cb_engine_order_t *order,
 				     const cb_engine_listener_t *listener)
 {
-	engine_exchange_t *exchange = engine_exchange_new_(
-		client, order->request, order->epoch, listener);
+	engine_exchange_t *exchange =
+		engine_exchange_new_(client, order->request, order->epoch,
+				     listener);
 	cb_http_listener_t lines = {
 		.line = stream_line_,
 		.done = stream_done_,
@@ -281,8 +283,9 @@
 				   const cb_engine_order_t *order,
 				   const cb_engine_listener_t *listener)
 {
-	engine_exchange_t *exchange = engine_exchange_new_(
-		client, order->request, order->epoch, listener);
+	engine_exchange_t *exchange =
+		engine_exchange_new_(client, order->request, order->epoch,
+				     listener);
 	cb_http_listener_t whole = {
 		.done = open_done_,
 		.user_data = exchange,
@@ -316,8 +319,9 @@
 				   const cb_engine_step_t *step,
 				   const cb_engine_listener_t *listener)
 {
-	engine_exchange_t *exchange = engine_exchange_new_(
-		client, step->request, step->epoch, listener);
+	engine_exchange_t *exchange =
+		engine_exchange_new_(client, step->request, step->epoch,
+				     listener);
 	GString *text = object_begin_(step->request, step->epoch);
 	cb_http_listener_t whole = {
 		.done = step_done_,
@@ -388,8 +392,9 @@
 				   const cb_engine_listener_t *listener)
 {
 	/* The session was opened under the epoch before the order's. */
-	engine_exchange_t *exchange = engine_exchange_new_(
-		client, order->request, order->epoch - 1, listener);
+	engine_exchange_t *exchange =
+		engine_exchange_new_(client, order->request, order->epoch - 1,
+				     listener);
 	cb_http_listener_t whole = {
 		.done = export_done_,
 		.user_data = exchange,
@@ -399,10 +404,11 @@
 	exchange->token = order->epoch;
 	exchange->order = order_text_(order);
 	exchange->to = g_strdup(to->address);
-	exchange->handle = post_(
-		(engine_client_t *)client, from->address, "/engine/export",
-		object_end_(object_begin_(order->request, order->epoch - 1)),
-		&whole);
+	exchange->handle = post_((engine_client_t *)client, from->address,
+				 "/engine/export",
+				 object_end_(object_begin_(order->request,
+							   order->epoch - 1)),
+				 &whole);
 	return exchange->handle;
 }
 
--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -40,10 +40,12 @@
 	cb_http_client_t *client = g_new0(cb_http_client_t, 1);
 
 	(void)context;
-	client->session = soup_session_new_with_options(
-		"max-conns", MAX_CONNECTIONS, "max-conns-per-host",
-		MAX_CONNECTIONS, "timeout", 0, "idle-timeout", IDLE_TIMEOUT_S,
-		"proxy-resolver", NULL, NULL);
+	client->session =
+		soup_session_new_with_options("max-conns", MAX_CONNECTIONS,
+					      "max-conns-per-host",
+					      MAX_CONNECTIONS, "timeout", 0,
+					      "idle-timeout", IDLE_TIMEOUT_S,
+					      "proxy-resolver", NULL, NULL);
 	client->open = g_hash_table_new(NULL, NULL);
 	return client;
 }
@@ -188,8 +190,8 @@
 			*failure = CB_FAILURE_MISMATCH;
 		return *failure == CB_FAILURE_NONE;
 	}
-	if (count < 0 && !g_error_matches(error, G_IO_ERROR,
-					  G_IO_ERROR_WOULD_BLOCK))
+	if (count < 0 &&
+	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
 		*failure = CB_FAILURE_LOST;
 	if (count < 0 && *failure == CB_FAILURE_NONE) {
 		g_error_free(error);
@@ -204,9 +206,9 @@
 	cb_exchange_t *exchange = user_data;
 	cb_failure_t failure = CB_FAILURE_NONE;
 	gboolean goes_on;
-	gboolean by_lines = exchange->listener.line &&
-			    soup_message_get_status(exchange->message) ==
-				    SOUP_STATUS_OK;
+	gboolean by_lines =
+		exchange->listener.line &&
+		soup_message_get_status(exchange->message) == SOUP_STATUS_OK;
 
 	(void)stream;
 	exchange->is_dispatching = TRUE;
@@ -250,7 +252,8 @@
 		G_POLLABLE_INPUT_STREAM(exchange->stream), NULL);
 	g_source_set_callback(exchange->readable,
 			      G_SOURCE_FUNC(answer_readable_), exchange, NULL);
-	g_source_attach(exchange->readable, g_main_context_get_thread_default());
+	g_source_attach(exchange->readable,
+			g_main_context_get_thread_default());
 }
 
 static void request_begins_(SoupMessage *message, void *user_data)
@@ -290,8 +293,9 @@
 		flags |= SOUP_MESSAGE_IDEMPOTENT;
 	soup_message_set_flags(exchange->message, flags);
 	if (order->body)
-		soup_message_set_request_body_from_bytes(
-			exchange->message, order->content_type, order->body);
+		soup_message_set_request_body_from_bytes(exchange->message,
+							 order->content_type,
+							 order->body);
 	g_signal_connect(exchange->message, "starting",
 			 G_CALLBACK(request_begins_), exchange);
 	exchange->is_sending = TRUE;
--- a/src/libcurrantbridge/http/http_service_client.c
+++ b/src/libcurrantbridge/http/http_service_client.c
@@ -5,7 +5,6 @@
 #include "private/http_exchange.h"
 #include "private/json_fields.h"
 
-
 typedef struct service_client {
 	cb_service_client_t base;
 	cb_http_client_t *http;
--- a/src/libcurrantbridge/http/json_fields.c
+++ b/src/libcurrantbridge/http/json_fields.c
@@ -1,7 +1,34 @@
 #include "private/json_fields.h"
 
+#include <string.h>
+
+#define MAX_DEPTH 64
+
 G_DEFINE_QUARK(cb - field - error, cb_field_error)
 
+/*
+ * Whether arrays and objects are nested no deeper than MAX_DEPTH: json-glib
+ * calls itself for each level, so that a deep text would exhaust the stack.
+ */
+static gboolean depth_is_bounded_(const char *text, size_t size_bytes)
+{
+	gboolean in_string = FALSE;
+	int depth = 0;
+	size_t i;
+
+	for (i = 0; i < size_bytes && depth <= MAX_DEPTH; i++) {
+		if (in_string && text[i] == '\\')
+			i++;
+		else if (text[i] == '"')
+			in_string = !in_string;
+		else if (!in_string && (text[i] == '[' || text[i] == '{'))
+			depth++;
+		else if (!in_string && (text[i] == ']' || text[i] == '}'))
+			depth--;
+	}
+	return depth <= MAX_DEPTH;
+}
+
 /*
  * Parses `text` of `size_bytes` (-1: up to its end) as one JSON object, which
  * stays the parser's.  Returns NULL and sets the error if it is anything else.
@@ -11,6 +38,13 @@
 {
 	JsonNode *root;
 
+	if (size_bytes < 0)
+		size_bytes = (int64_t)strlen(text);
+	if (!depth_is_bounded_(text, (size_t)size_bytes)) {
+		g_set_error(error, CB_FIELD_ERROR, 0,
+			    "the body is nested too deep");
+		return NULL;
+	}
 	if (!json_parser_load_from_data(parser, text, size_bytes, NULL)) {
 		g_set_error(error, CB_FIELD_ERROR, 0,
 			    "the body is not valid JSON");
