--- a/src/libcurrantbridge/wire/link.c
+++ b/src/libcurrantbridge/wire/link.c
@@ -151,12 +151,25 @@
 	g_bytes_unref(message.body);
 }
 
+/* Waits for whichever comes first: a heartbeat is due, or silence. */
+static void timer_start_(cb_link_t *link)
+{
+	int64_t now_ms = cb_clock_now_ms(link->clock);
+	int64_t silent_ms = link->heard_ms + link->silence_ms - now_ms;
+	int64_t due_ms = link->sent_ms + link->heartbeat_ms - now_ms;
+
+	if (!link->is_open)
+		due_ms = silent_ms;
+	cb_timer_start(link->timer, MAX(MIN(silent_ms, due_ms), 1));
+}
+
 static void connection_opened_(void *user_data)
 {
 	cb_link_t *link = user_data;
 
 	link->is_open = TRUE;
 	hello_send_(link);
+	timer_start_(link);
 }
 
 /* Takes the other side's hello, which must come first. */
@@ -256,18 +269,6 @@
 	.closed = connection_closed_,
 };
 
-/* Waits for whichever comes first: a heartbeat is due, or silence. */
-static void timer_start_(cb_link_t *link)
-{
-	int64_t now_ms = cb_clock_now_ms(link->clock);
-	int64_t silent_ms = link->heard_ms + link->silence_ms - now_ms;
-	int64_t due_ms = link->sent_ms + link->heartbeat_ms - now_ms;
-
-	if (!link->is_open)
-		due_ms = silent_ms;
-	cb_timer_start(link->timer, MAX(MIN(silent_ms, due_ms), 1));
-}
-
 static void timer_fired_(void *user_data)
 {
 	cb_message_t heartbeat = { .kind = CB_MESSAGE_HEARTBEAT };
