--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -150,6 +150,7 @@
 	if (is_leader && !node->was_leader)
 		node->leader_since_ms = cb_clock_now_ms(node->clock);
 	node->was_leader = is_leader;
+	cb_counter_set(node->leader_gauge, is_leader);
 	cb_log_event(
 		node->log, CB_EVENT_ROLE_CHANGED,
 		CB_STR("role",
@@ -378,6 +379,8 @@
 {
 	cb_counters_t *counters = cb_kernel_counters(node->kernel);
 
+	node->leader_gauge =
+		cb_counters_gauge(counters, "cb_control_leader", NULL, NULL);
 	node->session_gauge =
 		cb_counters_gauge(counters, "cb_sessions", NULL, NULL);
 	node->push_counter =
--- a/src/libcurrantbridge/control/node_request.c
+++ b/src/libcurrantbridge/control/node_request.c
@@ -8,7 +8,7 @@
 };
 
 static const cb_submit_outcome_t
-	outcome_of_replica_[CB_REPLICA_OUTCOME_COUNT] = {
+	replica_outcome_map[CB_REPLICA_OUTCOME_COUNT] = {
 		[CB_REPLICA_COMMITTED] = CB_SUBMIT_ANSWERED,
 		[CB_REPLICA_NOT_LEADER] = CB_SUBMIT_NO_LEADER,
 		[CB_REPLICA_BUSY] = CB_SUBMIT_BUSY,
@@ -104,7 +104,7 @@
 			   GBytes *bytes, void *user_data)
 {
 	cb_node_request_t *request = user_data;
-	cb_submit_outcome_t submitted = outcome_of_replica_[outcome];
+	cb_submit_outcome_t submitted = replica_outcome_map[outcome];
 	cb_answer_t *answer = NULL;
 
 	request->is_held = FALSE;
@@ -274,7 +274,7 @@
 	request->is_held = FALSE;
 	if (request->node->is_destroyed)
 		return;
-	request_answer_(request, outcome_of_replica_[outcome], index, NULL,
+	request_answer_(request, replica_outcome_map[outcome], index, NULL,
 			NULL);
 	request_release_(request);
 }
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -105,6 +105,7 @@
 	gboolean is_failed;
 	gboolean is_draining;
 	gboolean is_destroyed;
+	cb_counter_t *leader_gauge;
 	cb_counter_t *session_gauge;
 	cb_counter_t *push_counter;
 	cb_counter_t *push_bytes_counter;
--- /dev/null
+++ b/src/test_libcurrantbridge/support_network.c
@@ -0,0 +1,371 @@
+#include "support_network.h"
+
+#include <string.h>
+
+#define LATENCY_MS 1
+#define EVERY_PROCESS "*"
+
+typedef struct fake_connection {
+	cb_connection_t connection;
+	grefcount references;
+	support_hub_t *hub;
+	char *process;
+	struct fake_connection *other;
+	const cb_connection_handler_t *handler;
+	void *user_data;
+	gboolean is_closed;
+} fake_connection_t;
+
+typedef struct fake_network {
+	cb_network_t network;
+	support_hub_t *hub;
+	char *process;
+} fake_network_t;
+
+struct cb_listener {
+	fake_network_t *network;
+	char *address;
+	cb_accept_fn_t accept;
+	void *user_data;
+};
+
+typedef enum fake_event_kind {
+	FAKE_CONNECT,
+	FAKE_OPENED,
+	FAKE_FRAME,
+	FAKE_CLOSED,
+} fake_event_kind_t;
+
+typedef struct fake_event {
+	fake_event_kind_t kind;
+	int64_t due_ms;
+	fake_connection_t *target;
+	char *address;
+	GBytes *frame;
+	cb_close_reason_t reason;
+} fake_event_t;
+
+struct support_hub {
+	cb_clock_t *clock;
+	cb_timer_t *timer;
+	GQueue events;
+	GHashTable *networks;
+	GHashTable *listeners;
+	GHashTable *blocked;
+	uint64_t bytes;
+};
+
+static fake_connection_t *fake_ref_(fake_connection_t *fake)
+{
+	g_ref_count_inc(&fake->references);
+	return fake;
+}
+
+static void fake_unref_(fake_connection_t *fake)
+{
+	if (!g_ref_count_dec(&fake->references))
+		return;
+	if (fake->other)
+		fake_unref_(fake->other);
+	g_free(fake->process);
+	g_free(fake);
+}
+
+static gboolean pair_is_blocked_(const support_hub_t *hub, const char *from,
+				 const char *to)
+{
+	char *pair = g_strdup_printf("%s>%s", from, to);
+	gboolean is_blocked = g_hash_table_contains(hub->blocked, pair);
+
+	g_free(pair);
+	return is_blocked;
+}
+
+static gboolean is_blocked_(const support_hub_t *hub, const char *from,
+			    const char *to)
+{
+	return pair_is_blocked_(hub, from, to) ||
+	       pair_is_blocked_(hub, from, EVERY_PROCESS) ||
+	       pair_is_blocked_(hub, EVERY_PROCESS, to);
+}
+
+static void event_add_(support_hub_t *hub, fake_event_kind_t kind,
+		       fake_connection_t *target, GBytes *frame,
+		       cb_close_reason_t reason, const char *address)
+{
+	fake_event_t *event = g_new0(fake_event_t, 1);
+
+	event->kind = kind;
+	event->due_ms = cb_clock_now_ms(hub->clock) + LATENCY_MS;
+	event->target = fake_ref_(target);
+	event->frame = frame;
+	event->reason = reason;
+	event->address = g_strdup(address);
+	g_queue_push_tail(&hub->events, event);
+	if (!cb_timer_is_armed(hub->timer))
+		cb_timer_start(hub->timer, LATENCY_MS);
+}
+
+static void event_delete_(void *data)
+{
+	fake_event_t *event = data;
+
+	fake_unref_(event->target);
+	g_clear_pointer(&event->frame, g_bytes_unref);
+	g_free(event->address);
+	g_free(event);
+}
+
+/* Sends an event to the other end, unless that direction is blocked. */
+static void event_send_(fake_connection_t *from, fake_event_kind_t kind,
+			GBytes *frame, cb_close_reason_t reason)
+{
+	if (from->other &&
+	    !is_blocked_(from->hub, from->process, from->other->process))
+		event_add_(from->hub, kind, from->other, frame, reason, NULL);
+	else
+		g_clear_pointer(&frame, g_bytes_unref);
+}
+
+static void fake_set_handler_(cb_connection_t *connection,
+			      const cb_connection_handler_t *handler,
+			      void *user_data)
+{
+	fake_connection_t *fake = (fake_connection_t *)connection;
+
+	fake->handler = handler;
+	fake->user_data = user_data;
+}
+
+static gboolean fake_send_(cb_connection_t *connection, const uint8_t *data,
+			   size_t size)
+{
+	fake_connection_t *fake = (fake_connection_t *)connection;
+
+	fake->hub->bytes += size;
+	if (!fake->is_closed)
+		event_send_(fake, FAKE_FRAME, g_bytes_new(data, size),
+			    CB_CLOSE_REMOTE);
+	return TRUE;
+}
+
+static void fake_destroy_(cb_connection_t *connection)
+{
+	fake_connection_t *fake = (fake_connection_t *)connection;
+
+	fake->handler = NULL;
+	if (!fake->is_closed)
+		event_send_(fake, FAKE_CLOSED, NULL, CB_CLOSE_REMOTE);
+	fake->is_closed = TRUE;
+	fake_unref_(fake);
+}
+
+static const cb_connection_vtable_t fake_connection_vtable = {
+	.set_handler = fake_set_handler_,
+	.send = fake_send_,
+	.destroy = fake_destroy_,
+};
+
+static fake_connection_t *fake_new_(support_hub_t *hub, const char *process)
+{
+	fake_connection_t *fake = g_new0(fake_connection_t, 1);
+
+	fake->connection.vtable = &fake_connection_vtable;
+	g_ref_count_init(&fake->references);
+	fake->hub = hub;
+	fake->process = g_strdup(process);
+	return fake;
+}
+
+/* Joins a connection to a new one at the listener, if it can be reached. */
+static void connect_deliver_(support_hub_t *hub, fake_connection_t *from,
+			     const char *address)
+{
+	cb_listener_t *listener = g_hash_table_lookup(hub->listeners, address);
+	fake_connection_t *accepted;
+
+	if (!listener) {
+		event_add_(hub, FAKE_CLOSED, from, NULL, CB_CLOSE_REFUSED,
+			   NULL);
+		return;
+	}
+	if (is_blocked_(hub, from->process, listener->network->process) ||
+	    is_blocked_(hub, listener->network->process, from->process))
+		return;
+	accepted = fake_new_(hub, listener->network->process);
+	accepted->other = fake_ref_(from);
+	from->other = fake_ref_(accepted);
+	event_add_(hub, FAKE_OPENED, from, NULL, CB_CLOSE_REMOTE, NULL);
+	event_add_(hub, FAKE_OPENED, accepted, NULL, CB_CLOSE_REMOTE, NULL);
+	listener->accept(&accepted->connection, listener->user_data);
+}
+
+static void closed_deliver_(fake_connection_t *target, cb_close_reason_t reason)
+{
+	const cb_connection_handler_t *handler = target->handler;
+
+	target->is_closed = TRUE;
+	target->handler = NULL;
+	if (handler)
+		handler->closed(target->user_data, reason);
+}
+
+static void event_deliver_(support_hub_t *hub, const fake_event_t *event)
+{
+	fake_connection_t *target = event->target;
+	gsize size;
+	const uint8_t *data;
+
+	if (!target->handler)
+		return;
+	switch (event->kind) {
+	case FAKE_CONNECT:
+		connect_deliver_(hub, target, event->address);
+		return;
+	case FAKE_OPENED:
+		target->handler->opened(target->user_data);
+		return;
+	case FAKE_FRAME:
+		data = g_bytes_get_data(event->frame, &size);
+		target->handler->received(target->user_data, data, size);
+		return;
+	case FAKE_CLOSED:
+		closed_deliver_(target, event->reason);
+		return;
+	}
+}
+
+static void timer_fired_(void *user_data)
+{
+	support_hub_t *hub = user_data;
+	int64_t now_ms = cb_clock_now_ms(hub->clock);
+	fake_event_t *event = g_queue_peek_head(&hub->events);
+
+	while (event && event->due_ms <= now_ms) {
+		g_queue_pop_head(&hub->events);
+		event_deliver_(hub, event);
+		event_delete_(event);
+		event = g_queue_peek_head(&hub->events);
+	}
+	if (event)
+		cb_timer_start(hub->timer, event->due_ms - now_ms);
+}
+
+static cb_connection_t *fake_connect_(cb_network_t *network,
+				      const char *address)
+{
+	fake_network_t *self = (fake_network_t *)network;
+	fake_connection_t *fake = fake_new_(self->hub, self->process);
+
+	event_add_(self->hub, FAKE_CONNECT, fake, NULL, CB_CLOSE_REMOTE,
+		   address);
+	return &fake->connection;
+}
+
+static cb_listener_t *fake_listen_(cb_network_t *network, const char *address,
+				   cb_accept_fn_t accept, void *user_data,
+				   GError **error)
+{
+	fake_network_t *self = (fake_network_t *)network;
+	cb_listener_t *listener = g_new0(cb_listener_t, 1);
+
+	(void)error;
+	listener->network = self;
+	listener->address = g_strdup(address);
+	listener->accept = accept;
+	listener->user_data = user_data;
+	g_hash_table_insert(self->hub->listeners, listener->address, listener);
+	return listener;
+}
+
+static void fake_unlisten_(cb_network_t *network, cb_listener_t *listener)
+{
+	fake_network_t *self = (fake_network_t *)network;
+
+	g_hash_table_remove(self->hub->listeners, listener->address);
+	g_free(listener->address);
+	g_free(listener);
+}
+
+static void fake_network_keep_(cb_network_t *network)
+{
+	(void)network;
+}
+
+static const cb_network_vtable_t fake_network_vtable = {
+	.connect = fake_connect_,
+	.listen = fake_listen_,
+	.unlisten = fake_unlisten_,
+	.destroy = fake_network_keep_,
+};
+
+static void fake_network_free_(void *data)
+{
+	fake_network_t *network = data;
+
+	g_free(network->process);
+	g_free(network);
+}
+
+/* Makes a network that delivers after 1 ms of the clock. */
+support_hub_t *support_hub_new(cb_clock_t *clock)
+{
+	support_hub_t *hub = g_new0(support_hub_t, 1);
+
+	hub->clock = clock;
+	hub->timer = cb_timer_new(clock, timer_fired_, hub);
+	g_queue_init(&hub->events);
+	hub->networks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      fake_network_free_);
+	hub->listeners = g_hash_table_new(g_str_hash, g_str_equal);
+	hub->blocked =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return hub;
+}
+
+/* Deletes the network, after every process on it. */
+void support_hub_delete(support_hub_t *hub)
+{
+	cb_timer_delete(hub->timer);
+	g_queue_clear_full(&hub->events, event_delete_);
+	g_hash_table_unref(hub->networks);
+	g_hash_table_unref(hub->listeners);
+	g_hash_table_unref(hub->blocked);
+	g_free(hub);
+}
+
+/* Returns the network of the process, the same at each call. */
+cb_network_t *support_hub_network(support_hub_t *hub, const char *process)
+{
+	fake_network_t *network = g_hash_table_lookup(hub->networks, process);
+
+	if (network)
+		return &network->network;
+	network = g_new0(fake_network_t, 1);
+	network->network.vtable = &fake_network_vtable;
+	network->hub = hub;
+	network->process = g_strdup(process);
+	g_hash_table_insert(hub->networks, network->process, network);
+	return &network->network;
+}
+
+/* Blocks or opens the direction from one process to another. */
+void support_hub_block(support_hub_t *hub, const char *from, const char *to,
+		       gboolean is_blocked)
+{
+	char *pair = g_strdup_printf("%s>%s", from ? from : EVERY_PROCESS,
+				     to ? to : EVERY_PROCESS);
+
+	if (is_blocked) {
+		g_hash_table_add(hub->blocked, pair);
+		return;
+	}
+	g_hash_table_remove(hub->blocked, pair);
+	g_free(pair);
+}
+
+/* Returns the bytes of all frames sent so far. */
+uint64_t support_hub_bytes(const support_hub_t *hub)
+{
+	return hub->bytes;
+}
--- /dev/null
+++ b/src/test_libcurrantbridge/support_network.h
@@ -0,0 +1,32 @@
+#ifndef SUPPORT_NETWORK_H
+#define SUPPORT_NETWORK_H
+
+#include "currantbridge/network.h"
+#include "currantbridge/storage.h"
+
+/*
+ * A network in memory on a paused clock, for many processes in one.  A
+ * blocked direction loses what is sent and tells nobody: connections stay
+ * open and fall silent.
+ */
+typedef struct support_hub support_hub_t;
+
+support_hub_t *support_hub_new(cb_clock_t *clock);
+void support_hub_delete(support_hub_t *hub);
+/* The network of one process; it belongs to the hub. */
+cb_network_t *support_hub_network(support_hub_t *hub, const char *process);
+/* Blocks or opens one direction; NULL stands for every process. */
+void support_hub_block(support_hub_t *hub, const char *from, const char *to,
+		       gboolean is_blocked);
+uint64_t support_hub_bytes(const support_hub_t *hub);
+
+/* A storage in memory, which keeps its content when its owner ends. */
+typedef struct support_disk support_disk_t;
+
+support_disk_t *support_disk_new(cb_clock_t *clock);
+void support_disk_delete(support_disk_t *disk);
+cb_storage_t *support_disk_storage(support_disk_t *disk);
+/* Forgets completions that are due, as the end of a process does. */
+void support_disk_crash(support_disk_t *disk);
+
+#endif
