--- a/src/test_libcurrantbridge/support_disk.c
+++ b/src/test_libcurrantbridge/support_disk.c
@@ -1,202 +1,318 @@
-#include <string.h>
+#include "support_disk.h"
 
-#include "support_network.h"
+#include <gio/gio.h>
 
-#define SYNC_MS 1
+#include "private/replica_message.h"
 
-struct support_disk {
+typedef struct write {
+	cb_vote_t vote;
+	gboolean has_vote;
+	GPtrArray *records;
+	cb_snapshot_t snapshot;
+	cb_storage_done_fn_t done;
+	void *user_data;
+} write_t;
+
+struct disk {
 	cb_storage_t storage;
-	cb_clock_t *clock;
+	GRand *random;
 	cb_timer_t *timer;
-	GQueue waiting; /* of disk_done_t */
-	gboolean is_used;
+	GQueue waiting;	  /* of write_t */
+	uint32_t syncing; /* how many of them the present fsync covers */
+	int32_t sync_ms;
+	gboolean is_full;
+	uint64_t syncs;
 	cb_vote_t vote;
 	cb_snapshot_t snapshot;
 	GPtrArray *records;
 };
 
-typedef struct disk_done {
-	cb_storage_done_fn_t done;
-	void *user_data;
-} disk_done_t;
+static void vote_clear_(cb_vote_t *vote)
+{
+	g_clear_pointer(&vote->voted_for, g_free);
+	g_clear_pointer(&vote->disk_id, g_free);
+	vote->term = 0;
+}
 
-static void record_delete_(void *data)
+static cb_vote_t vote_copy_(const cb_vote_t *vote)
 {
-	cb_record_t *record = data;
+	return (cb_vote_t){ .term = vote->term,
+			    .voted_for = g_strdup(vote->voted_for),
+			    .disk_id = g_strdup(vote->disk_id) };
+}
 
-	g_clear_pointer(&record->data, g_bytes_unref);
-	g_free(record);
+static void snapshot_clear_(cb_snapshot_t *snapshot)
+{
+	g_clear_pointer(&snapshot->members, g_bytes_unref);
+	g_clear_pointer(&snapshot->data, g_bytes_unref);
+	snapshot->index = 0;
+	snapshot->term = 0;
 }
 
-static void *record_copy_(const void *data, void *unused)
+static cb_snapshot_t snapshot_copy_(const cb_snapshot_t *snapshot)
 {
-	const cb_record_t *record = data;
-	cb_record_t *copy = g_memdup2(record, sizeof(*record));
+	cb_snapshot_t copy = *snapshot;
 
-	(void)unused;
-	if (copy->data)
-		g_bytes_ref(copy->data);
+	if (copy.members)
+		g_bytes_ref(copy.members);
+	if (copy.data)
+		g_bytes_ref(copy.data);
 	return copy;
 }
 
-static void snapshot_copy_(cb_snapshot_t *to, const cb_snapshot_t *from)
+static GPtrArray *records_new_(void)
 {
-	*to = *from;
-	if (to->members)
-		g_bytes_ref(to->members);
-	if (to->data)
-		g_bytes_ref(to->data);
+	return g_ptr_array_new_with_free_func((GDestroyNotify)cb_record_delete);
 }
 
-static void done_later_(support_disk_t *disk, cb_storage_done_fn_t done,
-			void *user_data)
+static void write_delete_(void *data)
 {
-	disk_done_t *waiting = g_new0(disk_done_t, 1);
+	write_t *write = data;
 
-	waiting->done = done;
-	waiting->user_data = user_data;
-	disk->is_used = TRUE;
-	g_queue_push_tail(&disk->waiting, waiting);
-	if (!cb_timer_is_armed(disk->timer))
-		cb_timer_start(disk->timer, SYNC_MS);
+	vote_clear_(&write->vote);
+	snapshot_clear_(&write->snapshot);
+	if (write->records)
+		g_ptr_array_unref(write->records);
+	g_free(write);
 }
 
-static void timer_fired_(void *user_data)
+static void record_put_(disk_t *disk, const cb_record_t *record)
 {
-	support_disk_t *disk = user_data;
-	unsigned int count = disk->waiting.length;
+	const cb_record_t *first =
+		disk->records->len ? disk->records->pdata[0] : NULL;
 
-	while (count-- > 0 && disk->waiting.length) {
-		disk_done_t *waiting = g_queue_pop_head(&disk->waiting);
+	if (first && record->index < first->index + disk->records->len)
+		g_ptr_array_set_size(disk->records,
+				     record->index - first->index);
+	g_ptr_array_add(disk->records, cb_record_copy(record));
+}
+
+static void snapshot_put_(disk_t *disk, const cb_snapshot_t *snapshot)
+{
+	const cb_record_t *first =
+		disk->records->len ? disk->records->pdata[0] : NULL;
+	uint64_t count = 0;
 
-		if (waiting->done)
-			waiting->done(NULL, waiting->user_data);
-		g_free(waiting);
+	snapshot_clear_(&disk->snapshot);
+	disk->snapshot = snapshot_copy_(snapshot);
+	if (!first || first->index > snapshot->index)
+		return;
+	count = snapshot->index - first->index + 1;
+	if (count <= disk->records->len) {
+		const cb_record_t *at = disk->records->pdata[count - 1];
+
+		if (at->term != snapshot->term)
+			count = disk->records->len;
+	}
+	g_ptr_array_remove_range(disk->records, 0,
+				 MIN(count, disk->records->len));
+}
+
+/* Makes a write durable, of its records only the first `count`. */
+static void write_keep_(disk_t *disk, const write_t *write, uint32_t count)
+{
+	uint32_t i;
+
+	if (write->has_vote) {
+		vote_clear_(&disk->vote);
+		disk->vote = vote_copy_(&write->vote);
 	}
-	if (disk->waiting.length && !cb_timer_is_armed(disk->timer))
-		cb_timer_start(disk->timer, SYNC_MS);
+	for (i = 0; write->records && i < MIN(count, write->records->len); i++)
+		record_put_(disk, write->records->pdata[i]);
+	if (write->snapshot.index)
+		snapshot_put_(disk, &write->snapshot);
 }
 
-static gboolean disk_load_(cb_storage_t *storage, cb_storage_content_t *content,
-			   GError **error)
+static void sync_begin_(disk_t *disk)
 {
-	support_disk_t *disk = (support_disk_t *)storage;
+	if (disk->syncing || !disk->waiting.length)
+		return;
+	disk->syncing = disk->waiting.length;
+	cb_timer_start(disk->timer,
+		       g_rand_int_range(disk->random, 0, disk->sync_ms + 1));
+}
+
+static void sync_end_(void *user_data)
+{
+	disk_t *disk = user_data;
+	GError *full = disk->is_full ?
+			       g_error_new(CB_STORAGE_ERROR,
+					   CB_STORAGE_ERROR_IO, "disk full") :
+			       NULL;
+	GQueue ended = G_QUEUE_INIT;
+	write_t *write;
+
+	for (; disk->syncing; disk->syncing--)
+		g_queue_push_tail(&ended, g_queue_pop_head(&disk->waiting));
+	disk->syncs++;
+	while ((write = g_queue_pop_head(&ended))) {
+		if (!full)
+			write_keep_(disk, write, UINT32_MAX);
+		write->done(full, write->user_data);
+		write_delete_(write);
+	}
+	g_clear_error(&full);
+	sync_begin_(disk);
+}
+
+static write_t *write_new_(disk_t *disk, cb_storage_done_fn_t done,
+			   void *user_data)
+{
+	write_t *write = g_new0(write_t, 1);
+
+	write->done = done;
+	write->user_data = user_data;
+	g_queue_push_tail(&disk->waiting, write);
+	return write;
+}
+
+static gboolean load_(cb_storage_t *storage, cb_storage_content_t *content,
+		      GError **error)
+{
+	disk_t *disk = (disk_t *)storage;
+	uint32_t i;
 
 	(void)error;
-	memset(content, 0, sizeof(*content));
-	content->is_blank = !disk->is_used;
-	content->vote.term = disk->vote.term;
-	content->vote.voted_for = g_strdup(disk->vote.voted_for);
-	content->vote.disk_id = g_strdup(disk->vote.disk_id);
-	snapshot_copy_(&content->snapshot, &disk->snapshot);
-	content->records = g_ptr_array_copy(disk->records, record_copy_, NULL);
-	g_ptr_array_set_free_func(content->records, record_delete_);
+	content->is_blank = !disk->vote.disk_id;
+	content->vote = vote_copy_(&disk->vote);
+	content->snapshot = snapshot_copy_(&disk->snapshot);
+	content->records = records_new_();
+	for (i = 0; i < disk->records->len; i++)
+		g_ptr_array_add(content->records,
+				cb_record_copy(disk->records->pdata[i]));
 	return TRUE;
 }
 
-static void disk_save_vote_(cb_storage_t *storage, const cb_vote_t *vote,
-			    cb_storage_done_fn_t done, void *user_data)
+static void save_vote_(cb_storage_t *storage, const cb_vote_t *vote,
+		       cb_storage_done_fn_t done, void *user_data)
 {
-	support_disk_t *disk = (support_disk_t *)storage;
-	cb_vote_t old = disk->vote;
+	write_t *write = write_new_((disk_t *)storage, done, user_data);
 
-	disk->vote.term = vote->term;
-	disk->vote.voted_for = g_strdup(vote->voted_for);
-	disk->vote.disk_id = g_strdup(vote->disk_id);
-	g_free(old.voted_for);
-	g_free(old.disk_id);
-	done_later_(disk, done, user_data);
+	write->has_vote = TRUE;
+	write->vote = vote_copy_(vote);
+	sync_begin_((disk_t *)storage);
 }
 
-static void disk_append_(cb_storage_t *storage,
-			 const cb_record_t *const *records, size_t count,
-			 cb_storage_done_fn_t done, void *user_data)
+static void append_(cb_storage_t *storage, const cb_record_t *const *records,
+		    size_t count, cb_storage_done_fn_t done, void *user_data)
 {
-	support_disk_t *disk = (support_disk_t *)storage;
+	write_t *write = write_new_((disk_t *)storage, done, user_data);
 	size_t i;
 
-	while (count && disk->records->len) {
-		cb_record_t *last = g_ptr_array_index(disk->records,
-						      disk->records->len - 1);
-
-		if (last->index < records[0]->index)
-			break;
-		g_ptr_array_set_size(disk->records,
-				     (int)disk->records->len - 1);
-	}
+	write->records = records_new_();
 	for (i = 0; i < count; i++)
-		g_ptr_array_add(disk->records, record_copy_(records[i], NULL));
-	done_later_(disk, done, user_data);
+		g_ptr_array_add(write->records, cb_record_copy(records[i]));
+	sync_begin_((disk_t *)storage);
 }
 
-static void disk_save_snapshot_(cb_storage_t *storage,
-				const cb_snapshot_t *snapshot,
-				cb_storage_done_fn_t done, void *user_data)
+static void save_snapshot_(cb_storage_t *storage, const cb_snapshot_t *snapshot,
+			   cb_storage_done_fn_t done, void *user_data)
 {
-	support_disk_t *disk = (support_disk_t *)storage;
-	cb_snapshot_t old = disk->snapshot;
+	write_t *write = write_new_((disk_t *)storage, done, user_data);
 
-	snapshot_copy_(&disk->snapshot, snapshot);
-	g_clear_pointer(&old.members, g_bytes_unref);
-	g_clear_pointer(&old.data, g_bytes_unref);
-	while (disk->records->len) {
-		cb_record_t *first = g_ptr_array_index(disk->records, 0);
-
-		if (first->index > snapshot->index)
-			break;
-		g_ptr_array_remove_index(disk->records, 0);
-	}
-	done_later_(disk, done, user_data);
+	write->snapshot = snapshot_copy_(snapshot);
+	sync_begin_((disk_t *)storage);
 }
 
-static void disk_keep_(cb_storage_t *storage)
+static void destroy_(cb_storage_t *storage)
 {
-	support_disk_crash((support_disk_t *)storage);
+	(void)storage;
 }
 
-static const cb_storage_vtable_t disk_vtable = {
-	.load = disk_load_,
-	.save_vote = disk_save_vote_,
-	.append = disk_append_,
-	.save_snapshot = disk_save_snapshot_,
-	.destroy = disk_keep_,
+static const cb_storage_vtable_t vtable = {
+	.load = load_,
+	.save_vote = save_vote_,
+	.append = append_,
+	.save_snapshot = save_snapshot_,
+	.destroy = destroy_,
 };
 
-/* Makes a blank storage whose writes are durable after 1 ms of the clock. */
-support_disk_t *support_disk_new(cb_clock_t *clock)
+disk_t *disk_new(cb_clock_t *clock, GRand *random)
 {
-	support_disk_t *disk = g_new0(support_disk_t, 1);
+	disk_t *disk = g_new0(disk_t, 1);
 
-	disk->storage.vtable = &disk_vtable;
-	disk->clock = clock;
-	disk->timer = cb_timer_new(clock, timer_fired_, disk);
+	disk->storage.vtable = &vtable;
+	disk->random = random;
+	disk->timer = cb_timer_new(clock, sync_end_, disk);
+	disk->sync_ms = 5;
+	disk->records = records_new_();
 	g_queue_init(&disk->waiting);
-	disk->records = g_ptr_array_new_with_free_func(record_delete_);
 	return disk;
 }
 
-/* Deletes the storage and its content. */
-void support_disk_delete(support_disk_t *disk)
+void disk_delete(disk_t *disk)
 {
-	support_disk_crash(disk);
-	cb_timer_delete(disk->timer);
-	g_free(disk->vote.voted_for);
-	g_free(disk->vote.disk_id);
-	g_clear_pointer(&disk->snapshot.members, g_bytes_unref);
-	g_clear_pointer(&disk->snapshot.data, g_bytes_unref);
+	disk_crash(disk);
+	disk_make_blank(disk);
 	g_ptr_array_unref(disk->records);
+	cb_timer_delete(disk->timer);
 	g_free(disk);
 }
 
-/* Returns the storage, for as long as the disk lives. */
-cb_storage_t *support_disk_storage(support_disk_t *disk)
+cb_storage_t *disk_storage(disk_t *disk)
 {
 	return &disk->storage;
 }
 
-/* Drops the completions that wait; what was written stays. */
-void support_disk_crash(support_disk_t *disk)
+/* Called after the replica is gone, so that completions have no effect. */
+void disk_crash(disk_t *disk)
 {
-	g_queue_clear_full(&disk->waiting, g_free);
+	GError *cancelled = g_error_new(G_IO_ERROR, G_IO_ERROR_CANCELLED, "-");
+	int32_t kept = g_rand_int_range(disk->random, 0,
+					(int32_t)disk->waiting.length + 1);
+	gboolean may_keep = !disk->is_full;
+	write_t *write;
+
 	cb_timer_stop(disk->timer);
+	disk->syncing = 0;
+	while ((write = g_queue_pop_head(&disk->waiting))) {
+		if (kept > 0 && may_keep)
+			write_keep_(disk, write, UINT32_MAX);
+		else if (kept == 0 && may_keep && write->records)
+			write_keep_(disk, write,
+				    (uint32_t)g_rand_int_range(
+					    disk->random, 0,
+					    (int32_t)write->records->len));
+		kept--;
+		write->done(cancelled, write->user_data);
+		write_delete_(write);
+	}
+	g_error_free(cancelled);
+}
+
+void disk_make_blank(disk_t *disk)
+{
+	vote_clear_(&disk->vote);
+	snapshot_clear_(&disk->snapshot);
+	g_ptr_array_set_size(disk->records, 0);
+}
+
+void disk_set_full(disk_t *disk, gboolean is_full)
+{
+	disk->is_full = is_full;
+}
+
+void disk_set_sync_ms(disk_t *disk, int32_t most_ms)
+{
+	disk->sync_ms = most_ms;
+}
+
+uint64_t disk_bytes(const disk_t *disk)
+{
+	uint64_t bytes = 0;
+	uint32_t i;
+
+	if (disk->snapshot.data)
+		bytes += g_bytes_get_size(disk->snapshot.data);
+	for (i = 0; i < disk->records->len; i++) {
+		const cb_record_t *record = disk->records->pdata[i];
+
+		bytes += g_bytes_get_size(record->data);
+	}
+	return bytes;
+}
+
+uint64_t disk_syncs(const disk_t *disk)
+{
+	return disk->syncs;
 }
