Name the test program in its report

Cause: the program's name was null in the reports, so a failing program was counted twice. Change: take the name from the C library.

--- a/src/test_libcurrantbridge/support_main.c
+++ b/src/test_libcurrantbridge/support_main.c
@@ -1,6 +1,9 @@
+#define _GNU_SOURCE
+
 #include "support_main.h"
 
 #include <CUnit/Basic.h>
+#include <errno.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,8 +14,8 @@
 {
 	CU_pFailureRecord record;
 
-	printf("%s %s:%s.%s\n", failure ? "FAILED" : "passed", g_get_prgname(),
-	       suite->pName, test->pName);
+	printf("%s %s:%s.%s\n", failure ? "FAILED" : "passed",
+	       program_invocation_short_name, suite->pName, test->pName);
 	for (record = failure; record; record = record->pNext)
 		printf("    %s:%u: %s\n", record->strFileName,
 		       record->uiLineNumber, record->strCondition);
