Give the links' messages and the change history names of their own

Three modules took the same names, cb_message_ and cb_history_, so that no program which needs both could be linked. The links' messages are now cb_link_message_ and the state's history is cb_change_history_.

--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -79,7 +79,7 @@
 }
 
 static void confirmed_receive_(cb_control_client_t *client,
-			       const cb_message_t *message)
+			       const cb_link_message_t *message)
 {
 	cb_timer_stop(client->confirm_timer);
 	client->is_session_confirmed = TRUE;
@@ -96,7 +96,7 @@
 {
 	cb_counters_t *counters = cb_kernel_counters(client->kernel);
 	cb_view_outcome_t outcome = cb_view_apply(client->view, update);
-	cb_message_t message = { .kind = CB_MESSAGE_IN_FORCE };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_IN_FORCE };
 
 	cb_counter_add(cb_counters_counter(counters, "cb_view_updates_total",
 					   "outcome",
@@ -116,19 +116,19 @@
 	confirmed_check_(client);
 }
 
-static void link_received_(void *user_data, const cb_message_t *message)
+static void link_received_(void *user_data, const cb_link_message_t *message)
 {
 	cb_control_client_t *client = user_data;
 
 	switch (message->kind) {
-	case CB_MESSAGE_UPDATE:
+	case CB_LINK_MESSAGE_UPDATE:
 		if (message->body)
 			update_receive_(client, message->body);
 		return;
-	case CB_MESSAGE_CONFIRMED:
+	case CB_LINK_MESSAGE_CONFIRMED:
 		confirmed_receive_(client, message);
 		return;
-	case CB_MESSAGE_SUBMIT_ANSWER:
+	case CB_LINK_MESSAGE_SUBMIT_ANSWER:
 		cb_client_submit_answer(client, message);
 		return;
 	default:
--- a/src/libcurrantbridge/control/control_client_submit.c
+++ b/src/libcurrantbridge/control/control_client_submit.c
@@ -44,9 +44,9 @@
 static void submit_send_(cb_client_submit_t *submit)
 {
 	cb_control_client_t *client = submit->client;
-	cb_message_t message = { .kind = CB_MESSAGE_SUBMIT,
-				 .id = submit->id,
-				 .body = submit->command };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_SUBMIT,
+				      .id = submit->id,
+				      .body = submit->command };
 
 	if (!client->link || !cb_link_is_ready(client->link))
 		return;
@@ -112,7 +112,7 @@
 
 /* Takes the answer of the present session to a submission. */
 void cb_client_submit_answer(cb_control_client_t *client,
-			     const cb_message_t *message)
+			     const cb_link_message_t *message)
 {
 	cb_client_submit_t *submit =
 		g_hash_table_lookup(client->submits, &message->id);
@@ -195,7 +195,7 @@
  */
 void cb_control_client_leave(cb_control_client_t *client)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_LEAVING };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_LEAVING };
 
 	if (client->hello.is_leaving)
 		return;
--- a/src/libcurrantbridge/control/history.c
+++ b/src/libcurrantbridge/control/history.c
@@ -9,7 +9,7 @@
 	gboolean is_removed;
 } entry_t;
 
-struct cb_history {
+struct cb_change_history {
 	GHashTable *entries; /* a set of entry_t by kind and name */
 	GQueue order;	     /* by revision */
 	GQueue tombstones;   /* by revision */
@@ -41,9 +41,9 @@
 	g_free(entry);
 }
 
-cb_history_t *cb_history_new(unsigned int max_tombstones)
+cb_change_history_t *cb_change_history_new(unsigned int max_tombstones)
 {
-	cb_history_t *history = g_new0(cb_history_t, 1);
+	cb_change_history_t *history = g_new0(cb_change_history_t, 1);
 
 	history->entries = g_hash_table_new_full(entry_hash_, entry_equal_,
 						 entry_free_, NULL);
@@ -53,7 +53,7 @@
 	return history;
 }
 
-void cb_history_delete(cb_history_t *history)
+void cb_change_history_delete(cb_change_history_t *history)
 {
 	if (!history)
 		return;
@@ -62,7 +62,7 @@
 }
 
 /* Returns the entry of an item, a new one if it has none. */
-static entry_t *entry_get_(cb_history_t *history, cb_item_kind_t kind,
+static entry_t *entry_get_(cb_change_history_t *history, cb_item_kind_t kind,
 			   const char *name)
 {
 	entry_t wanted = { .kind = kind, .name = (char *)name };
@@ -80,7 +80,7 @@
 	return entry;
 }
 
-static void tombstones_trim_(cb_history_t *history)
+static void tombstones_trim_(cb_change_history_t *history)
 {
 	entry_t *oldest;
 
@@ -94,7 +94,8 @@
 }
 
 /* Notes a change, whose revision is no lower than any before. */
-void cb_history_note(cb_history_t *history, const cb_history_entry_t *change)
+void cb_change_history_note(cb_change_history_t *history,
+			    const cb_change_history_entry_t *change)
 {
 	entry_t *entry = entry_get_(history, change->kind, change->name);
 
@@ -111,12 +112,12 @@
 }
 
 /* Returns the lowest revision that a difference may begin at. */
-uint64_t cb_history_floor(const cb_history_t *history)
+uint64_t cb_change_history_floor(const cb_change_history_t *history)
 {
 	return history->floor;
 }
 
-void cb_history_set_floor(cb_history_t *history, uint64_t floor)
+void cb_change_history_set_floor(cb_change_history_t *history, uint64_t floor)
 {
 	history->floor = floor;
 }
@@ -126,9 +127,10 @@
  * with its value in `view`; removed ones only if asked for.  Returns their
  * number.  The cost is in proportion to what changed.
  */
-unsigned int cb_history_pack_since(const cb_history_t *history, uint64_t since,
-				   const cb_view_t *view, gboolean with_removed,
-				   cb_pack_t *pack)
+unsigned int cb_change_history_pack_since(const cb_change_history_t *history,
+					  uint64_t since, const cb_view_t *view,
+					  gboolean with_removed,
+					  cb_pack_t *pack)
 {
 	const GList *link = history->order.tail;
 	const GList *first = NULL;
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -68,7 +68,8 @@
 			    const char *address, GBytes *body)
 {
 	cb_node_t *node = ((cb_node_transport_t *)transport)->node;
-	cb_message_t message = { .kind = CB_MESSAGE_REPLICA, .body = body };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_REPLICA,
+				      .body = body };
 
 	if (address)
 		cb_peers_keep(node->peers, to, address);
@@ -120,9 +121,9 @@
 {
 	cb_node_t *node = user_data;
 
-	cb_members_report(node, FALSE);
+	cb_node_members_report(node, FALSE);
 	if (node->has_new_session)
-		cb_members_announce(node);
+		cb_node_members_announce(node);
 	node->has_new_session = FALSE;
 }
 
@@ -159,7 +160,7 @@
 		CB_STR("leader", cb_replica_leader(node->replica)));
 	members_keep_(node);
 	cb_sessions_confirm(node);
-	cb_members_report(node, TRUE);
+	cb_node_members_report(node, TRUE);
 }
 
 static void tick_timer_fired_(void *user_data)
@@ -177,7 +178,7 @@
 	members_keep_(node);
 	cb_node_confirm_applied(node);
 	cb_sessions_confirm(node);
-	cb_members_tick(node);
+	cb_node_members_tick(node);
 }
 
 static gboolean folder_make_(const char *folder, GError **error)
@@ -294,7 +295,7 @@
 };
 
 static void peer_received_(void *user_data, const char *peer,
-			   const cb_message_t *message)
+			   const cb_link_message_t *message)
 {
 	(void)peer;
 	cb_node_request_receive(user_data, message);
--- a/src/libcurrantbridge/control/node_inbound.c
+++ b/src/libcurrantbridge/control/node_inbound.c
@@ -7,7 +7,8 @@
 }
 
 /* Sends a message on an incoming link if it is still there. */
-void cb_inbound_reply(cb_node_t *node, uint64_t id, const cb_message_t *message)
+void cb_inbound_reply(cb_node_t *node, uint64_t id,
+		      const cb_link_message_t *message)
 {
 	cb_inbound_t *inbound = cb_inbound_find(node, id);
 
@@ -45,20 +46,20 @@
 }
 
 static void control_received_(cb_inbound_t *inbound,
-			      const cb_message_t *message)
+			      const cb_link_message_t *message)
 {
 	const char *name = cb_link_remote(inbound->link)->name;
 	cb_node_t *node = inbound->node;
 
-	if (message->kind == CB_MESSAGE_SESSION_REPORT)
-		cb_members_receive_report(node, name, message);
-	else if (message->kind != CB_MESSAGE_REPLICA)
+	if (message->kind == CB_LINK_MESSAGE_SESSION_REPORT)
+		cb_node_members_receive_report(node, name, message);
+	else if (message->kind != CB_LINK_MESSAGE_REPLICA)
 		cb_node_request_serve(inbound, message);
 	else if (message->body && !node->is_failed)
 		cb_replica_receive(node->replica, name, message->body);
 }
 
-static void inbound_received_(void *user_data, const cb_message_t *message)
+static void inbound_received_(void *user_data, const cb_link_message_t *message)
 {
 	cb_inbound_t *inbound = user_data;
 
--- a/src/libcurrantbridge/control/node_member.c
+++ b/src/libcurrantbridge/control/node_member.c
@@ -80,7 +80,7 @@
 static void reports_send_(cb_node_t *node, const GPtrArray *reports)
 {
 	const char *leader = cb_replica_leader(node->replica);
-	cb_message_t message = { .kind = CB_MESSAGE_SESSION_REPORT };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_SESSION_REPORT };
 
 	if (!leader || cb_node_is_leader(node))
 		return;
@@ -93,7 +93,7 @@
  * Reports this instance's sessions to the leader: all of them, or those
  * that have changed since the last report.
  */
-void cb_members_report(cb_node_t *node, gboolean whole)
+void cb_node_members_report(cb_node_t *node, gboolean whole)
 {
 	GPtrArray *reports =
 		g_ptr_array_new_with_free_func(cb_session_report_delete);
@@ -121,8 +121,8 @@
 }
 
 /* Takes another control instance's report of its sessions. */
-void cb_members_receive_report(cb_node_t *node, const char *control,
-			       const cb_message_t *message)
+void cb_node_members_receive_report(cb_node_t *node, const char *control,
+				    const cb_link_message_t *message)
 {
 	GPtrArray *reports = cb_session_reports_decode(message->body);
 	int64_t now_ms = cb_clock_now_ms(node->clock);
@@ -176,7 +176,7 @@
 }
 
 /* Submits what the state lacks of the sessions' instances. */
-void cb_members_announce(cb_node_t *node)
+void cb_node_members_announce(cb_node_t *node)
 {
 	GHashTable *instances = instances_by_name_(node);
 	GHashTableIter iter;
@@ -196,10 +196,10 @@
 }
 
 /* Brings membership up to date; called at each heartbeat. */
-void cb_members_tick(cb_node_t *node)
+void cb_node_members_tick(cb_node_t *node)
 {
-	cb_members_report(node, TRUE);
-	cb_members_announce(node);
+	cb_node_members_report(node, TRUE);
+	cb_node_members_announce(node);
 	if (cb_node_is_leader(node))
 		silence_check_(node,
 			       cb_view_instances(cb_state_view(node->state)));
--- a/src/libcurrantbridge/control/node_request.c
+++ b/src/libcurrantbridge/control/node_request.c
@@ -85,7 +85,8 @@
 }
 
 /* Sends a request to the leader, if there is one to send it to. */
-static void request_forward_(cb_node_request_t *request, cb_message_t *message)
+static void request_forward_(cb_node_request_t *request,
+			     cb_link_message_t *message)
 {
 	cb_node_t *node = request->node;
 	const char *leader = cb_replica_leader(node->replica);
@@ -140,7 +141,7 @@
 void cb_node_submit(cb_node_t *node, cb_command_t *command, cb_submit_fn_t done,
 		    void *user_data)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_SUBMIT };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_SUBMIT };
 	cb_node_request_t *request = request_new_(node, user_data);
 
 	request->submit_done = done;
@@ -158,9 +159,9 @@
 void cb_node_add_member(cb_node_t *node, const char *name, const char *address,
 			cb_submit_fn_t done, void *user_data)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_MEMBER_ADD,
-				 .name = (char *)name,
-				 .address = (char *)address };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_MEMBER_ADD,
+				      .name = (char *)name,
+				      .address = (char *)address };
 	cb_node_request_t *request = request_new_(node, user_data);
 
 	request->submit_done = done;
@@ -177,8 +178,8 @@
 void cb_node_remove_member(cb_node_t *node, const char *name,
 			   cb_submit_fn_t done, void *user_data)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_MEMBER_REMOVE,
-				 .name = (char *)name };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_MEMBER_REMOVE,
+				      .name = (char *)name };
 	cb_node_request_t *request = request_new_(node, user_data);
 
 	request->submit_done = done;
@@ -200,7 +201,7 @@
 void cb_node_fetch_sessions(cb_node_t *node, cb_sessions_fn_t done,
 			    void *user_data)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_SESSIONS };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_SESSIONS };
 	cb_node_request_t *request = request_new_(node, user_data);
 
 	request->sessions_done = done;
@@ -282,7 +283,7 @@
 /* Begins one confirmation for all that wait. */
 static void confirm_begin_(cb_node_t *node)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_CONFIRM };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_CONFIRM };
 	cb_node_request_t *request = request_new_(node, node);
 
 	node->confirm_running = node->confirm_next;
@@ -332,9 +333,9 @@
 				const cb_answer_t *answer, void *user_data)
 {
 	served_request_t *served = user_data;
-	cb_message_t message = { .kind = CB_MESSAGE_SUBMIT_ANSWER,
-				 .id = served->id,
-				 .code = outcome };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_SUBMIT_ANSWER,
+				      .id = served->id,
+				      .code = outcome };
 
 	if (answer)
 		message.body = cb_answer_encode(answer);
@@ -347,35 +348,35 @@
 				 void *user_data)
 {
 	served_request_t *served = user_data;
-	cb_message_t message = { .kind = CB_MESSAGE_CONFIRM_ANSWER,
-				 .id = served->id,
-				 .code = outcome,
-				 .number = index };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_CONFIRM_ANSWER,
+				      .id = served->id,
+				      .code = outcome,
+				      .number = index };
 
 	cb_inbound_reply(served->node, served->inbound_id, &message);
 	g_free(served);
 }
 
 /* Answers that this instance does not lead; it forwards nothing further. */
-static void refuse_(cb_inbound_t *inbound, const cb_message_t *message)
+static void refuse_(cb_inbound_t *inbound, const cb_link_message_t *message)
 {
-	cb_message_t answer = { .kind = CB_MESSAGE_SUBMIT_ANSWER,
-				.id = message->id,
-				.code = CB_SUBMIT_NO_LEADER };
+	cb_link_message_t answer = { .kind = CB_LINK_MESSAGE_SUBMIT_ANSWER,
+				     .id = message->id,
+				     .code = CB_SUBMIT_NO_LEADER };
 
-	if (message->kind == CB_MESSAGE_CONFIRM)
-		answer.kind = CB_MESSAGE_CONFIRM_ANSWER;
-	if (message->kind == CB_MESSAGE_SESSIONS)
-		answer.kind = CB_MESSAGE_SESSIONS_ANSWER;
+	if (message->kind == CB_LINK_MESSAGE_CONFIRM)
+		answer.kind = CB_LINK_MESSAGE_CONFIRM_ANSWER;
+	if (message->kind == CB_LINK_MESSAGE_SESSIONS)
+		answer.kind = CB_LINK_MESSAGE_SESSIONS_ANSWER;
 	cb_link_send(inbound->link, &answer);
 }
 
 static void sessions_serve_(cb_inbound_t *inbound, uint64_t id)
 {
 	cb_node_t *node = inbound->node;
-	cb_message_t answer = { .kind = CB_MESSAGE_SESSIONS_ANSWER,
-				.id = id,
-				.code = CB_SUBMIT_ANSWERED };
+	cb_link_message_t answer = { .kind = CB_LINK_MESSAGE_SESSIONS_ANSWER,
+				     .id = id,
+				     .code = CB_SUBMIT_ANSWERED };
 	GPtrArray *reports =
 		cb_roster_encode(node->roster, cb_clock_now_ms(node->clock));
 
@@ -386,7 +387,8 @@
 }
 
 /* Serves a request that another instance sent to its leader. */
-void cb_node_request_serve(cb_inbound_t *inbound, const cb_message_t *message)
+void cb_node_request_serve(cb_inbound_t *inbound,
+			   const cb_link_message_t *message)
 {
 	cb_node_t *node = inbound->node;
 	cb_command_t *command;
@@ -396,7 +398,7 @@
 		return;
 	}
 	switch (message->kind) {
-	case CB_MESSAGE_SUBMIT:
+	case CB_LINK_MESSAGE_SUBMIT:
 		command =
 			message->body ? cb_command_decode(message->body) : NULL;
 		if (command)
@@ -405,25 +407,25 @@
 		else
 			refuse_(inbound, message);
 		return;
-	case CB_MESSAGE_CONFIRM:
+	case CB_LINK_MESSAGE_CONFIRM:
 		cb_node_confirm(node, served_confirm_done_,
 				served_new_(inbound, message->id));
 		return;
-	case CB_MESSAGE_MEMBER_ADD:
+	case CB_LINK_MESSAGE_MEMBER_ADD:
 		if (message->name && message->address)
 			cb_node_add_member(node, message->name,
 					   message->address,
 					   served_submit_done_,
 					   served_new_(inbound, message->id));
 		return;
-	case CB_MESSAGE_MEMBER_REMOVE:
+	case CB_LINK_MESSAGE_MEMBER_REMOVE:
 		if (message->name)
 			cb_node_remove_member(node, message->name,
 					      served_submit_done_,
 					      served_new_(inbound,
 							  message->id));
 		return;
-	case CB_MESSAGE_SESSIONS:
+	case CB_LINK_MESSAGE_SESSIONS:
 		sessions_serve_(inbound, message->id);
 		return;
 	default:
@@ -492,7 +494,7 @@
 }
 
 /* Takes the leader's answer to one of this instance's requests. */
-void cb_node_request_receive(cb_node_t *node, const cb_message_t *message)
+void cb_node_request_receive(cb_node_t *node, const cb_link_message_t *message)
 {
 	cb_node_request_t *request =
 		g_hash_table_lookup(node->requests, &message->id);
@@ -503,7 +505,7 @@
 		return;
 	if (message->code < CB_SUBMIT_OUTCOME_COUNT)
 		outcome = (cb_submit_outcome_t)message->code;
-	if (message->kind == CB_MESSAGE_SESSIONS_ANSWER) {
+	if (message->kind == CB_LINK_MESSAGE_SESSIONS_ANSWER) {
 		sessions_answer_(request, outcome, message->body);
 	} else {
 		answer = message->body ? cb_answer_decode(message->body) : NULL;
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -73,7 +73,7 @@
 	cb_session_t *session = inbound->session;
 	cb_node_t *node = inbound->node;
 	uint64_t since = session->needs_whole ? 0 : session->held_revision;
-	cb_message_t message = { .kind = CB_MESSAGE_UPDATE };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_UPDATE };
 
 	if (!round->update || round->since != since) {
 		g_clear_pointer(&round->update, g_bytes_unref);
@@ -119,8 +119,9 @@
 				void *user_data)
 {
 	cb_node_t *node = user_data;
-	cb_message_t message = { .kind = CB_MESSAGE_CONFIRMED,
-				 .number = cb_state_revision(node->state) };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_CONFIRMED,
+				      .number =
+					      cb_state_revision(node->state) };
 	GHashTableIter iter;
 	void *value;
 
@@ -173,7 +174,7 @@
 
 /* Takes word of the revision that an entry instance has in force. */
 static void in_force_receive_(cb_inbound_t *inbound,
-			      const cb_message_t *message)
+			      const cb_link_message_t *message)
 {
 	cb_session_t *session = inbound->session;
 	cb_node_t *node = inbound->node;
@@ -200,9 +201,9 @@
 				 const cb_answer_t *answer, void *user_data)
 {
 	session_request_t *request = user_data;
-	cb_message_t message = { .kind = CB_MESSAGE_SUBMIT_ANSWER,
-				 .id = request->id,
-				 .code = outcome };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_SUBMIT_ANSWER,
+				      .id = request->id,
+				      .code = outcome };
 
 	if (answer)
 		message.body = cb_answer_encode(answer);
@@ -211,7 +212,8 @@
 	g_free(request);
 }
 
-static void submit_receive_(cb_inbound_t *inbound, const cb_message_t *message)
+static void submit_receive_(cb_inbound_t *inbound,
+			    const cb_link_message_t *message)
 {
 	cb_command_t *command =
 		message->body ? cb_command_decode(message->body) : NULL;
@@ -229,16 +231,16 @@
 }
 
 /* Takes a message on an entry instance's session. */
-void cb_session_receive(cb_inbound_t *inbound, const cb_message_t *message)
+void cb_session_receive(cb_inbound_t *inbound, const cb_link_message_t *message)
 {
 	switch (message->kind) {
-	case CB_MESSAGE_IN_FORCE:
+	case CB_LINK_MESSAGE_IN_FORCE:
 		in_force_receive_(inbound, message);
 		return;
-	case CB_MESSAGE_SUBMIT:
+	case CB_LINK_MESSAGE_SUBMIT:
 		submit_receive_(inbound, message);
 		return;
-	case CB_MESSAGE_LEAVING:
+	case CB_LINK_MESSAGE_LEAVING:
 		inbound->session->is_leaving = TRUE;
 		return;
 	default:
--- a/src/libcurrantbridge/control/peers.c
+++ b/src/libcurrantbridge/control/peers.c
@@ -46,7 +46,7 @@
 		     CB_STR("peer", peer->name));
 }
 
-static void peer_received_(void *user_data, const cb_message_t *message)
+static void peer_received_(void *user_data, const cb_link_message_t *message)
 {
 	peer_t *peer = user_data;
 
@@ -141,7 +141,7 @@
 
 /* Sends a message; FALSE when no link to that instance is ready. */
 gboolean cb_peers_send(cb_peers_t *peers, const char *name,
-		       const cb_message_t *message)
+		       const cb_link_message_t *message)
 {
 	peer_t *peer = g_hash_table_lookup(peers->by_name, name);
 
--- a/src/libcurrantbridge/control/state.c
+++ b/src/libcurrantbridge/control/state.c
@@ -164,7 +164,7 @@
 void cb_state_parts_new(cb_state_t *state)
 {
 	state->view = cb_view_new();
-	state->history = cb_history_new(CB_STATE_TOMBSTONE_KEEP_COUNT);
+	state->history = cb_change_history_new(CB_STATE_TOMBSTONE_KEEP_COUNT);
 	state->changes = cb_changes_new();
 	state->claims = cb_claims_new(owner_lives_, state);
 	state->silent = cb_aging_new();
@@ -178,7 +178,7 @@
 	cb_aging_delete(state->silent);
 	cb_claims_delete(state->claims);
 	cb_changes_delete(state->changes);
-	cb_history_delete(state->history);
+	cb_change_history_delete(state->history);
 	cb_view_delete(state->view);
 }
 
@@ -220,14 +220,14 @@
 {
 	cb_pack_t pack;
 
-	if (since < cb_history_floor(state->history))
+	if (since < cb_change_history_floor(state->history))
 		since = 0;
 	cb_pack_init(&pack);
 	cb_pack_array(&pack, 3);
 	cb_pack_uint(&pack, since);
 	cb_pack_uint(&pack, cb_state_revision(state));
-	cb_history_pack_since(state->history, since, state->view, since > 0,
-			      &pack);
+	cb_change_history_pack_since(state->history, since, state->view,
+				     since > 0, &pack);
 	return cb_update_seal(cb_pack_finish(&pack));
 }
 
--- a/src/libcurrantbridge/control/state_config.c
+++ b/src/libcurrantbridge/control/state_config.c
@@ -46,9 +46,9 @@
 static void item_put_(cb_state_t *state, cb_item_kind_t kind, const char *name,
 		      void *value, uint64_t index)
 {
-	const cb_history_entry_t change = { kind, name, index, FALSE };
+	const cb_change_history_entry_t change = { kind, name, index, FALSE };
 
-	cb_history_note(state->history, &change);
+	cb_change_history_note(state->history, &change);
 	cb_view_put_item(state->view, kind, value);
 	cb_view_set_revision(state->view, index);
 }
@@ -56,9 +56,9 @@
 static void item_remove_(cb_state_t *state, cb_item_kind_t kind,
 			 const char *name, uint64_t index)
 {
-	const cb_history_entry_t change = { kind, name, index, TRUE };
+	const cb_change_history_entry_t change = { kind, name, index, TRUE };
 
-	cb_history_note(state->history, &change);
+	cb_change_history_note(state->history, &change);
 	cb_view_remove_item(state->view, kind, name);
 	cb_view_set_revision(state->view, index);
 }
--- a/src/libcurrantbridge/control/state_snapshot.c
+++ b/src/libcurrantbridge/control/state_snapshot.c
@@ -30,8 +30,9 @@
 	cb_pack_uint(&pack, SNAPSHOT_VERSION);
 	cb_pack_uint(&pack, cb_state_revision(state));
 	cb_pack_int(&pack, state->wall_ms);
-	cb_pack_uint(&pack, cb_history_floor(state->history));
-	cb_history_pack_since(state->history, 0, state->view, TRUE, &pack);
+	cb_pack_uint(&pack, cb_change_history_floor(state->history));
+	cb_change_history_pack_since(state->history, 0, state->view, TRUE,
+				     &pack);
 	cb_changes_pack(state->changes, &pack);
 	cb_claims_pack(state->claims, &pack);
 	aging_pack_(state->silent, &pack);
@@ -41,7 +42,7 @@
 
 static gboolean items_read_(cb_state_t *state, const msgpack_object *object)
 {
-	cb_history_entry_t change;
+	cb_change_history_entry_t change;
 	cb_fields_t fields;
 	cb_item_t item;
 
@@ -49,9 +50,10 @@
 	while (fields.left) {
 		if (!cb_item_read(cb_fields_object(&fields), &item))
 			return FALSE;
-		change = (cb_history_entry_t){ item.kind, item.name,
-					       item.revision, !item.value };
-		cb_history_note(state->history, &change);
+		change = (cb_change_history_entry_t){ item.kind, item.name,
+						      item.revision,
+						      !item.value };
+		cb_change_history_note(state->history, &change);
 		if (item.value)
 			cb_view_put_item(state->view, item.kind,
 					 g_steal_pointer(&item.value));
@@ -96,7 +98,7 @@
 		return FALSE;
 	cb_view_set_revision(state->view, cb_fields_uint(&fields));
 	state->wall_ms = cb_fields_int(&fields);
-	cb_history_set_floor(state->history, cb_fields_uint(&fields));
+	cb_change_history_set_floor(state->history, cb_fields_uint(&fields));
 	return items_read_(state, cb_fields_object(&fields)) &&
 	       cb_changes_read(state->changes, cb_fields_object(&fields)) &&
 	       cb_claims_read(state->claims, cb_fields_object(&fields)) &&
--- a/src/libcurrantbridge/include/private/control_client.h
+++ b/src/libcurrantbridge/include/private/control_client.h
@@ -55,6 +55,6 @@
 void cb_client_submits_lost(cb_control_client_t *client);
 void cb_client_submits_end(cb_control_client_t *client);
 void cb_client_submit_answer(cb_control_client_t *client,
-			     const cb_message_t *message);
+			     const cb_link_message_t *message);
 
 #endif
--- a/src/libcurrantbridge/include/private/history.h
+++ b/src/libcurrantbridge/include/private/history.h
@@ -8,22 +8,24 @@
  * order.  A removed item leaves a tombstone; the oldest are dropped beyond a
  * bound, and differences can then no longer begin before them.
  */
-typedef struct cb_history cb_history_t;
+typedef struct cb_change_history cb_change_history_t;
 
-typedef struct cb_history_entry {
+typedef struct cb_change_history_entry {
 	cb_item_kind_t kind;
 	const char *name;
 	uint64_t revision;
 	gboolean is_removed;
-} cb_history_entry_t;
+} cb_change_history_entry_t;
 
-cb_history_t *cb_history_new(unsigned int max_tombstones);
-void cb_history_delete(cb_history_t *history);
-void cb_history_note(cb_history_t *history, const cb_history_entry_t *change);
-uint64_t cb_history_floor(const cb_history_t *history);
-void cb_history_set_floor(cb_history_t *history, uint64_t floor);
-unsigned int cb_history_pack_since(const cb_history_t *history, uint64_t since,
-				   const cb_view_t *view, gboolean with_removed,
-				   cb_pack_t *pack);
+cb_change_history_t *cb_change_history_new(unsigned int max_tombstones);
+void cb_change_history_delete(cb_change_history_t *history);
+void cb_change_history_note(cb_change_history_t *history,
+			    const cb_change_history_entry_t *change);
+uint64_t cb_change_history_floor(const cb_change_history_t *history);
+void cb_change_history_set_floor(cb_change_history_t *history, uint64_t floor);
+unsigned int cb_change_history_pack_since(const cb_change_history_t *history,
+					  uint64_t since, const cb_view_t *view,
+					  gboolean with_removed,
+					  cb_pack_t *pack);
 
 #endif
--- a/src/libcurrantbridge/include/private/link.h
+++ b/src/libcurrantbridge/include/private/link.h
@@ -2,7 +2,7 @@
 #define PRIVATE_LINK_H
 
 #include "currantbridge/network.h"
-#include "private/message.h"
+#include "private/link_message.h"
 
 /*
  * A link between two processes over one connection: each side says hello,
@@ -12,13 +12,13 @@
 typedef struct cb_link cb_link_t;
 
 /* The largest message, in bytes. */
-#define CB_MESSAGE_MAX_BYTES (64 * 1024 * 1024)
+#define CB_LINK_MESSAGE_MAX_BYTES (64 * 1024 * 1024)
 
 /* What a link tells its owner, who may delete it in any of them. */
 typedef struct cb_link_handler {
 	/* The other side's hello has come. */
 	void (*ready)(void *user_data, const cb_hello_t *remote);
-	void (*received)(void *user_data, const cb_message_t *message);
+	void (*received)(void *user_data, const cb_link_message_t *message);
 	/* Called at most once, and nothing after it. */
 	void (*closed)(void *user_data, cb_close_reason_t reason);
 } cb_link_handler_t;
@@ -33,7 +33,7 @@
 		       const cb_link_options_t *options,
 		       const cb_link_handler_t *handler, void *user_data);
 void cb_link_delete(cb_link_t *link);
-void cb_link_send(cb_link_t *link, const cb_message_t *message);
+void cb_link_send(cb_link_t *link, const cb_link_message_t *message);
 void cb_link_goodbye(cb_link_t *link, cb_close_reason_t reason);
 gboolean cb_link_is_ready(const cb_link_t *link);
 const cb_hello_t *cb_link_remote(const cb_link_t *link);
--- a/src/libcurrantbridge/include/private/message.h
+++ b/src/libcurrantbridge/include/private/link_message.h
@@ -1,5 +1,5 @@
-#ifndef PRIVATE_MESSAGE_H
-#define PRIVATE_MESSAGE_H
+#ifndef PRIVATE_LINK_MESSAGE_H
+#define PRIVATE_LINK_MESSAGE_H
 
 #include <glib.h>
 #include <stdint.h>
@@ -7,40 +7,40 @@
 /* The messages between the system's own processes. */
 #define CB_PROTOCOL_VERSION 1
 
-typedef enum cb_message_kind {
-	CB_MESSAGE_HELLO,
-	CB_MESSAGE_HEARTBEAT,
-	CB_MESSAGE_GOODBYE, /* code: a cb_close_reason_t */
+typedef enum cb_link_message_kind {
+	CB_LINK_MESSAGE_HELLO,
+	CB_LINK_MESSAGE_HEARTBEAT,
+	CB_LINK_MESSAGE_GOODBYE, /* code: a cb_close_reason_t */
 	/* Between control instances. */
-	CB_MESSAGE_REPLICA, /* body: a message of the replicated log */
-	CB_MESSAGE_CONFIRM,
-	CB_MESSAGE_CONFIRM_ANSWER, /* id, code: cb_submit_outcome_t, number */
-	CB_MESSAGE_MEMBER_ADD,	   /* id, name, address */
-	CB_MESSAGE_MEMBER_REMOVE,  /* id, name */
-	CB_MESSAGE_SESSION_REPORT, /* body; code: 1 when it names them all */
-	CB_MESSAGE_SESSIONS,
-	CB_MESSAGE_SESSIONS_ANSWER, /* id, code, body */
+	CB_LINK_MESSAGE_REPLICA, /* body: a message of the replicated log */
+	CB_LINK_MESSAGE_CONFIRM,
+	CB_LINK_MESSAGE_CONFIRM_ANSWER, /* id, code: cb_submit_outcome_t, number */
+	CB_LINK_MESSAGE_MEMBER_ADD,	/* id, name, address */
+	CB_LINK_MESSAGE_MEMBER_REMOVE, /* id, name */
+	CB_LINK_MESSAGE_SESSION_REPORT, /* body; code: 1 when it names them all */
+	CB_LINK_MESSAGE_SESSIONS,
+	CB_LINK_MESSAGE_SESSIONS_ANSWER, /* id, code, body */
 	/* From either to a control instance, and back. */
-	CB_MESSAGE_SUBMIT,	  /* id, body: a command */
-	CB_MESSAGE_SUBMIT_ANSWER, /* id, code: cb_submit_outcome_t, body */
+	CB_LINK_MESSAGE_SUBMIT,	       /* id, body: a command */
+	CB_LINK_MESSAGE_SUBMIT_ANSWER, /* id, code: cb_submit_outcome_t, body */
 	/* Between a control and an entry instance. */
-	CB_MESSAGE_UPDATE,    /* body: for cb_view_apply() */
-	CB_MESSAGE_CONFIRMED, /* number: a revision confirmed by a quorum */
-	CB_MESSAGE_IN_FORCE,  /* number: the revision held; code: 1 resends */
-	CB_MESSAGE_LEAVING,
-	CB_MESSAGE_KIND_COUNT
-} cb_message_kind_t;
+	CB_LINK_MESSAGE_UPDATE,	   /* body: for cb_view_apply() */
+	CB_LINK_MESSAGE_CONFIRMED, /* number: a revision confirmed by a quorum */
+	CB_LINK_MESSAGE_IN_FORCE, /* number: the revision held; code: 1 resends */
+	CB_LINK_MESSAGE_LEAVING,
+	CB_LINK_MESSAGE_KIND_COUNT
+} cb_link_message_kind_t;
 
 /* One message; fields that its kind does not use are 0 or NULL. */
 typedef struct cb_message {
-	cb_message_kind_t kind;
+	cb_link_message_kind_t kind;
 	uint64_t id;
 	uint64_t code;
 	uint64_t number;
 	char *name;
 	char *address;
 	GBytes *body;
-} cb_message_t;
+} cb_link_message_t;
 
 typedef enum cb_role {
 	CB_ROLE_CONTROL,
@@ -69,9 +69,9 @@
 	char *control; /* NULL: the one that reports */
 } cb_session_report_t;
 
-GBytes *cb_message_encode(const cb_message_t *message);
-cb_message_t *cb_message_decode(const uint8_t *data, size_t size);
-void cb_message_delete(cb_message_t *message);
+GBytes *cb_link_message_encode(const cb_link_message_t *message);
+cb_link_message_t *cb_link_message_decode(const uint8_t *data, size_t size);
+void cb_link_message_delete(cb_link_message_t *message);
 
 GBytes *cb_hello_encode(const cb_hello_t *hello);
 gboolean cb_hello_decode(GBytes *bytes, cb_hello_t *hello);
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -121,30 +121,32 @@
 void cb_inbound_delete(void *inbound);
 cb_inbound_t *cb_inbound_find(cb_node_t *node, uint64_t id);
 void cb_inbound_reply(cb_node_t *node, uint64_t id,
-		      const cb_message_t *message);
+		      const cb_link_message_t *message);
 void cb_inbound_goodbye_all(cb_node_t *node, gboolean sessions_only,
 			    cb_close_reason_t reason);
 
 /* Requests to the replica or the leader: node_request.c. */
 void cb_node_request_delete(void *request);
 void cb_node_request_peer_closed(cb_node_t *node, const char *peer);
-void cb_node_request_receive(cb_node_t *node, const cb_message_t *message);
-void cb_node_request_serve(cb_inbound_t *inbound, const cb_message_t *message);
+void cb_node_request_receive(cb_node_t *node, const cb_link_message_t *message);
+void cb_node_request_serve(cb_inbound_t *inbound,
+			   const cb_link_message_t *message);
 void cb_node_request_fail_all(cb_node_t *node);
 void cb_node_confirm_applied(cb_node_t *node);
 
 /* Sessions of entry instances: node_session.c. */
 gboolean cb_session_open(cb_inbound_t *inbound, const cb_hello_t *hello);
 void cb_session_delete(cb_session_t *session);
-void cb_session_receive(cb_inbound_t *inbound, const cb_message_t *message);
+void cb_session_receive(cb_inbound_t *inbound,
+			const cb_link_message_t *message);
 void cb_sessions_push(cb_node_t *node);
 void cb_sessions_confirm(cb_node_t *node);
 
 /* Membership of entry instances: node_member.c. */
-void cb_members_tick(cb_node_t *node);
-void cb_members_announce(cb_node_t *node);
-void cb_members_report(cb_node_t *node, gboolean whole);
-void cb_members_receive_report(cb_node_t *node, const char *control,
-			       const cb_message_t *message);
+void cb_node_members_tick(cb_node_t *node);
+void cb_node_members_announce(cb_node_t *node);
+void cb_node_members_report(cb_node_t *node, gboolean whole);
+void cb_node_members_receive_report(cb_node_t *node, const char *control,
+				    const cb_link_message_t *message);
 
 #endif
--- a/src/libcurrantbridge/include/private/peers.h
+++ b/src/libcurrantbridge/include/private/peers.h
@@ -10,7 +10,7 @@
 
 typedef struct cb_peers_handler {
 	void (*received)(void *user_data, const char *peer,
-			 const cb_message_t *message);
+			 const cb_link_message_t *message);
 	void (*closed)(void *user_data, const char *peer);
 } cb_peers_handler_t;
 
@@ -27,7 +27,7 @@
 void cb_peers_delete(cb_peers_t *peers);
 void cb_peers_keep(cb_peers_t *peers, const char *name, const char *address);
 gboolean cb_peers_send(cb_peers_t *peers, const char *name,
-		       const cb_message_t *message);
+		       const cb_link_message_t *message);
 void cb_peers_goodbye(cb_peers_t *peers, cb_close_reason_t reason);
 
 #endif
--- a/src/libcurrantbridge/include/private/roster.h
+++ b/src/libcurrantbridge/include/private/roster.h
@@ -4,7 +4,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-#include "private/message.h"
+#include "private/link_message.h"
 
 /*
  * What the leader knows of the sessions of all entry instances, from its
--- a/src/libcurrantbridge/include/private/state_data.h
+++ b/src/libcurrantbridge/include/private/state_data.h
@@ -10,7 +10,7 @@
 struct cb_state {
 	cb_machine_t machine;
 	cb_view_t *view;
-	cb_history_t *history;
+	cb_change_history_t *history;
 	cb_changes_t *changes;
 	cb_claims_t *claims;
 	cb_aging_t *silent;	/* instances, since when they are silent */
--- a/src/libcurrantbridge/wire/link.c
+++ b/src/libcurrantbridge/wire/link.c
@@ -116,7 +116,7 @@
  * Sends a message.  A link that is not open drops it; one whose queue is
  * full closes.
  */
-void cb_link_send(cb_link_t *link, const cb_message_t *message)
+void cb_link_send(cb_link_t *link, const cb_link_message_t *message)
 {
 	GBytes *bytes;
 	const uint8_t *data;
@@ -124,9 +124,9 @@
 
 	if (!link->connection || !link->is_open)
 		return;
-	bytes = cb_message_encode(message);
+	bytes = cb_link_message_encode(message);
 	data = g_bytes_get_data(bytes, &size);
-	if (size <= CB_MESSAGE_MAX_BYTES)
+	if (size <= CB_LINK_MESSAGE_MAX_BYTES)
 		bytes_send_(link, data, size);
 	else
 		link_fail_later_(link, CB_CLOSE_OVERSIZE);
@@ -136,7 +136,8 @@
 /* Tells the other side why the link closes now, then closes it. */
 void cb_link_goodbye(cb_link_t *link, cb_close_reason_t reason)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_GOODBYE, .code = reason };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_GOODBYE,
+				      .code = reason };
 
 	cb_link_send(link, &message);
 	link_fail_later_(link, reason);
@@ -144,7 +145,7 @@
 
 static void hello_send_(cb_link_t *link)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_HELLO };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_HELLO };
 
 	message.body = cb_hello_encode(&link->local);
 	cb_link_send(link, &message);
@@ -173,9 +174,9 @@
 }
 
 /* Takes the other side's hello, which must come first. */
-static void hello_receive_(cb_link_t *link, const cb_message_t *message)
+static void hello_receive_(cb_link_t *link, const cb_link_message_t *message)
 {
-	if (link->is_ready || message->kind != CB_MESSAGE_HELLO ||
+	if (link->is_ready || message->kind != CB_LINK_MESSAGE_HELLO ||
 	    !cb_hello_decode(message->body, &link->remote)) {
 		link_fail_(link, CB_CLOSE_MALFORMED);
 		return;
@@ -188,7 +189,7 @@
 	link->handler->ready(link->user_data, &link->remote);
 }
 
-static void goodbye_receive_(cb_link_t *link, const cb_message_t *message)
+static void goodbye_receive_(cb_link_t *link, const cb_link_message_t *message)
 {
 	cb_close_reason_t reason = CB_CLOSE_REMOTE;
 
@@ -199,19 +200,19 @@
 
 static void message_receive_(cb_link_t *link, const uint8_t *data, size_t size)
 {
-	cb_message_t *message = cb_message_decode(data, size);
+	cb_link_message_t *message = cb_link_message_decode(data, size);
 
 	if (!message) {
 		link_fail_(link, CB_CLOSE_MALFORMED);
 		return;
 	}
-	if (message->kind == CB_MESSAGE_GOODBYE)
+	if (message->kind == CB_LINK_MESSAGE_GOODBYE)
 		goodbye_receive_(link, message);
-	else if (!link->is_ready || message->kind == CB_MESSAGE_HELLO)
+	else if (!link->is_ready || message->kind == CB_LINK_MESSAGE_HELLO)
 		hello_receive_(link, message);
-	else if (message->kind != CB_MESSAGE_HEARTBEAT)
+	else if (message->kind != CB_LINK_MESSAGE_HEARTBEAT)
 		link->handler->received(link->user_data, message);
-	cb_message_delete(message);
+	cb_link_message_delete(message);
 }
 
 /* Gathers the parts of one message. */
@@ -227,7 +228,7 @@
 		link_fail_(link, CB_CLOSE_MALFORMED);
 		return;
 	}
-	if (parts->len + size > CB_MESSAGE_MAX_BYTES) {
+	if (parts->len + size > CB_LINK_MESSAGE_MAX_BYTES) {
 		link_fail_(link, CB_CLOSE_OVERSIZE);
 		return;
 	}
@@ -271,7 +272,7 @@
 
 static void timer_fired_(void *user_data)
 {
-	cb_message_t heartbeat = { .kind = CB_MESSAGE_HEARTBEAT };
+	cb_link_message_t heartbeat = { .kind = CB_LINK_MESSAGE_HEARTBEAT };
 	cb_link_t *link = user_data;
 	int64_t now_ms = cb_clock_now_ms(link->clock);
 
--- a/src/libcurrantbridge/wire/message.c
+++ b/src/libcurrantbridge/wire/link_message.c
@@ -1,4 +1,4 @@
-#include "private/message.h"
+#include "private/link_message.h"
 
 #include <msgpack.h>
 #include <string.h>
@@ -92,7 +92,7 @@
 }
 
 /* Encodes a message; the caller unrefs the bytes. */
-GBytes *cb_message_encode(const cb_message_t *message)
+GBytes *cb_link_message_encode(const cb_link_message_t *message)
 {
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
@@ -111,13 +111,14 @@
 }
 
 static gboolean message_read_(const msgpack_object *fields,
-			      cb_message_t *message)
+			      cb_link_message_t *message)
 {
 	uint64_t kind;
 
-	if (!number_read_(&fields[0], &kind) || kind >= CB_MESSAGE_KIND_COUNT)
+	if (!number_read_(&fields[0], &kind) ||
+	    kind >= CB_LINK_MESSAGE_KIND_COUNT)
 		return FALSE;
-	message->kind = (cb_message_kind_t)kind;
+	message->kind = (cb_link_message_kind_t)kind;
 	return number_read_(&fields[1], &message->id) &&
 	       number_read_(&fields[2], &message->code) &&
 	       number_read_(&fields[3], &message->number) &&
@@ -127,22 +128,22 @@
 }
 
 /* Decodes a message; NULL when the bytes are not exactly one. */
-cb_message_t *cb_message_decode(const uint8_t *data, size_t size)
+cb_link_message_t *cb_link_message_decode(const uint8_t *data, size_t size)
 {
-	cb_message_t *message = g_new0(cb_message_t, 1);
+	cb_link_message_t *message = g_new0(cb_link_message_t, 1);
 	const msgpack_object_array *array;
 	msgpack_unpacked unpacked;
 
 	msgpack_unpacked_init(&unpacked);
 	array = array_unpack_(&unpacked, data, size, MESSAGE_FIELDS);
 	if (!array || !message_read_(array->ptr, message))
-		g_clear_pointer(&message, cb_message_delete);
+		g_clear_pointer(&message, cb_link_message_delete);
 	msgpack_unpacked_destroy(&unpacked);
 	return message;
 }
 
 /* Deletes a message and its fields; NULL is allowed. */
-void cb_message_delete(cb_message_t *message)
+void cb_link_message_delete(cb_link_message_t *message)
 {
 	if (!message)
 		return;
--- a/src/test_libcurrantbridge/support_network.h
+++ b/src/test_libcurrantbridge/support_network.h
@@ -2,7 +2,6 @@
 #define SUPPORT_NETWORK_H
 
 #include "currantbridge/network.h"
-#include "currantbridge/storage.h"
 
 /*
  * A network in memory on a paused clock, for many processes in one.  A
@@ -20,13 +19,4 @@
 		       gboolean is_blocked);
 uint64_t support_hub_bytes(const support_hub_t *hub);
 
-/* A storage in memory, which keeps its content when its owner ends. */
-typedef struct support_disk support_disk_t;
-
-support_disk_t *support_disk_new(cb_clock_t *clock);
-void support_disk_delete(support_disk_t *disk);
-cb_storage_t *support_disk_storage(support_disk_t *disk);
-/* Forgets completions that are due, as the end of a process does. */
-void support_disk_crash(support_disk_t *disk);
-
 #endif
--- a/src/test_libcurrantbridge/test_link.c
+++ b/src/test_libcurrantbridge/test_link.c
@@ -38,7 +38,7 @@
 	((end_t *)user_data)->ready++;
 }
 
-static void end_received_(void *user_data, const cb_message_t *message)
+static void end_received_(void *user_data, const cb_link_message_t *message)
 {
 	end_t *end = user_data;
 
@@ -152,13 +152,13 @@
 	cb_hello_t hello = { .protocol = protocol,
 			     .role = (cb_role_t)role,
 			     .name = (char *)"raw" };
-	cb_message_t message = { .kind = CB_MESSAGE_HELLO };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_HELLO };
 	GByteArray *payload = g_byte_array_new();
 	GByteArray *out = g_byte_array_new();
 	GBytes *bytes;
 
 	message.body = cb_hello_encode(&hello);
-	bytes = cb_message_encode(&message);
+	bytes = cb_link_message_encode(&message);
 	g_byte_array_append(payload, (const uint8_t *)"\0", 1);
 	g_byte_array_append(payload, g_bytes_get_data(bytes, NULL),
 			    (guint)g_bytes_get_size(bytes));
@@ -286,7 +286,7 @@
 static void slow_reader_is_dropped(void)
 {
 	GBytes *frame = hello_frame_(CB_PROTOCOL_VERSION, CB_ROLE_ENTRY);
-	cb_message_t message = { .kind = CB_MESSAGE_UPDATE };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_UPDATE };
 	fixture_t fixture;
 	GSocket *raw;
 	int sent;
@@ -313,7 +313,7 @@
 /* Two ends keep an idle link for long, and pass a message in parts. */
 static void live_link_lasts(void)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_UPDATE };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_UPDATE };
 	size_t size = QUEUE_MAX_BYTES - 1024;
 	end_t opener = { 0 };
 	fixture_t fixture;
@@ -359,26 +359,26 @@
 /* Decoding changed bytes gives a message or none, never a fault. */
 static void changed_messages_are_survived(void)
 {
-	cb_message_t message = { .kind = CB_MESSAGE_MEMBER_ADD,
-				 .name = (char *)"control-1",
-				 .address = (char *)"127.0.0.1:9" };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_MEMBER_ADD,
+				      .name = (char *)"control-1",
+				      .address = (char *)"127.0.0.1:9" };
 	GRand *random = g_rand_new_with_seed(20261203);
 	GBytes *bytes;
 	int round;
 
 	message.body = g_bytes_new_static("body", 4);
-	bytes = cb_message_encode(&message);
+	bytes = cb_link_message_encode(&message);
 	for (round = 0; round < 20000; round++) {
 		gsize size;
 		const void *data = g_bytes_get_data(bytes, &size);
 		uint8_t *copy = g_memdup2(data, size);
-		cb_message_t *decoded;
+		cb_link_message_t *decoded;
 
 		copy[g_rand_int_range(random, 0, (int)size)] =
 			(uint8_t)g_rand_int_range(random, 0, 256);
 		size = (gsize)g_rand_int_range(random, 0, (int)size + 1);
-		decoded = cb_message_decode(copy, size);
-		cb_message_delete(decoded);
+		decoded = cb_link_message_decode(copy, size);
+		cb_link_message_delete(decoded);
 		g_free(copy);
 	}
 	g_bytes_unref(bytes);
