--- a/src/libcurrantbridge/control/election.c
+++ b/src/libcurrantbridge/control/election.c
@@ -241,10 +241,11 @@
 }
 
 /* Stands for election at once, as the present leader asks. */
-void cb_election_take_over(cb_replica_t *replica, const cb_message_t *message)
+void cb_election_take_over(cb_replica_t *replica, const char *from,
+			   const cb_message_t *message)
 {
 	if (message->term != replica->term || cb_replica_leads(replica) ||
-	    !cb_replica_is_voter(replica))
+	    g_strcmp0(replica->leader, from) || !cb_replica_is_voter(replica))
 		return;
 	candidate_begin_(replica, TRUE);
 }
--- a/src/libcurrantbridge/control/replica.c
+++ b/src/libcurrantbridge/control/replica.c
@@ -408,7 +408,7 @@
 		cb_snapshot_receive(replica, from, message);
 		break;
 	case CB_MESSAGE_TAKE_OVER:
-		cb_election_take_over(replica, message);
+		cb_election_take_over(replica, from, message);
 		break;
 	case CB_MESSAGE_VOTE_REPLY:
 	case CB_MESSAGE_APPEND_REPLY:
--- a/src/libcurrantbridge/control/replica_snapshot.c
+++ b/src/libcurrantbridge/control/replica_snapshot.c
@@ -254,8 +254,10 @@
 		return;
 	}
 	members = cb_members_decode(chunk->members);
-	if (!members)
+	if (!members || chunk->size > CB_SNAPSHOT_MAX_BYTES) {
+		g_clear_pointer(&members, g_ptr_array_unref);
 		return;
+	}
 	g_ptr_array_unref(members);
 	if (!incoming->data || incoming->index != chunk->index ||
 	    incoming->index_term != chunk->index_term ||
--- a/src/libcurrantbridge/include/private/replica.h
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -19,6 +19,7 @@
 #define CB_IN_FLIGHT_MAX_BYTES (1024 * 1024)
 #define CB_IN_FLIGHT_MAX_RECORDS 4096
 #define CB_SNAPSHOT_CHUNK_BYTES (256 * 1024)
+#define CB_SNAPSHOT_MAX_BYTES (1024 * 1024 * 1024)
 
 typedef enum cb_record_kind {
 	CB_RECORD_COMMAND,
@@ -169,7 +170,8 @@
 			      const cb_message_t *message);
 void cb_election_vote_reply(cb_replica_t *replica, cb_peer_t *peer,
 			    const cb_message_t *message);
-void cb_election_take_over(cb_replica_t *replica, const cb_message_t *message);
+void cb_election_take_over(cb_replica_t *replica, const char *from,
+			   const cb_message_t *message);
 void cb_election_hand_over_step(cb_replica_t *replica);
 gboolean cb_election_hears_majority(const cb_replica_t *replica);
 
--- a/src/test_libcurrantbridge/support_group.c
+++ b/src/test_libcurrantbridge/support_group.c
@@ -129,6 +129,15 @@
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		g_string_append_printf(text, " %s %" G_GUINT64_FORMAT,
 				       (char *)key, *(uint64_t *)value);
+	if (node->member->group->snapshot_padding_bytes) {
+		char *padding =
+			g_strnfill(node->member->group->snapshot_padding_bytes,
+				   'x');
+
+		if (!g_hash_table_contains(node->changes, padding))
+			g_string_append_printf(text, " %s 0", padding);
+		g_free(padding);
+	}
 	return g_string_free_to_bytes(text);
 }
 
--- a/src/test_libcurrantbridge/support_group.h
+++ b/src/test_libcurrantbridge/support_group.h
@@ -44,6 +44,7 @@
 	int32_t repeat_per_mille;
 	int32_t delay_most_ms;
 	uint64_t snapshot_every_bytes;
+	uint32_t snapshot_padding_bytes;
 	uint64_t acknowledged; /* the highest index told to a client */
 	uint32_t acknowledged_count;
 	uint32_t read_count;
--- a/src/test_libcurrantbridge/test_replica_seeds.c
+++ b/src/test_libcurrantbridge/test_replica_seeds.c
@@ -311,8 +311,7 @@
 {
 	int64_t end_ms = cb_clock_now_ms(run->group->clock) + RECOVERY_MS;
 
-	while (run->repairing &&
-	       cb_clock_now_ms(run->group->clock) < end_ms) {
+	while (run->repairing && cb_clock_now_ms(run->group->clock) < end_ms) {
 		if (group_is_voter(run->group, run->repairing))
 			run->repairing = NULL;
 		group_run(run->group, 10);
