Ask another member to stand when a leader hears no majority

A leader cut off from what it is sent, while what it sends still arrives, kept its followers waiting for one election timeout more after it stepped down. It now asks the most advanced voter to stand at once.

--- a/src/libcurrantbridge/control/election.c
+++ b/src/libcurrantbridge/control/election.c
@@ -267,10 +267,10 @@
 	return count > cb_members_voter_count(replica->members) / 2;
 }
 
-static cb_peer_t *most_advanced_voter_(const cb_replica_t *replica)
+/* Returns the most advanced voter that was heard since, or NULL. */
+static cb_peer_t *most_advanced_voter_(const cb_replica_t *replica,
+				       int64_t since_ms)
 {
-	int64_t since_ms =
-		cb_replica_now_ms(replica) - replica->election_timeout_ms;
 	cb_peer_t *best = NULL;
 	uint32_t i;
 
@@ -284,6 +284,28 @@
 	return best;
 }
 
+static void take_over_ask_(cb_replica_t *replica, const cb_peer_t *peer)
+{
+	cb_message_t *message = cb_message_new(CB_MESSAGE_TAKE_OVER);
+
+	message->term = replica->term;
+	cb_replica_send(replica, peer->name, peer->address, peer->disk_id,
+			message);
+}
+
+/*
+ * Ends the lead of a member that hears no majority.  What it sends may still
+ * arrive, so it asks another to stand at once.
+ */
+void cb_election_resign(cb_replica_t *replica)
+{
+	cb_peer_t *peer = most_advanced_voter_(replica, -1);
+
+	if (peer)
+		take_over_ask_(replica, peer);
+	cb_election_step_down(replica, replica->term);
+}
+
 /*
  * Hands leadership to the most advanced voter, for a planned stop.  Until
  * that has ended, or one election timeout has passed, proposals are refused.
@@ -294,7 +316,9 @@
 
 	if (!cb_replica_leads(replica) || replica->hand_over_to)
 		return;
-	peer = most_advanced_voter_(replica);
+	peer = most_advanced_voter_(replica,
+				    cb_replica_now_ms(replica) -
+					    replica->election_timeout_ms);
 	if (!peer)
 		return;
 	replica->hand_over_to = g_strdup(peer->name);
@@ -306,7 +330,6 @@
 /* Tells the chosen voter to stand once it has every record. */
 void cb_election_hand_over_step(cb_replica_t *replica)
 {
-	cb_message_t *message;
 	cb_peer_t *peer;
 
 	if (!replica->hand_over_to)
@@ -317,10 +340,6 @@
 		g_clear_pointer(&replica->hand_over_to, g_free);
 		return;
 	}
-	if (peer->match < cb_replica_log_last(replica->log))
-		return;
-	message = cb_message_new(CB_MESSAGE_TAKE_OVER);
-	message->term = replica->term;
-	cb_replica_send(replica, peer->name, peer->address, peer->disk_id,
-			message);
+	if (peer->match == cb_replica_log_last(replica->log))
+		take_over_ask_(replica, peer);
 }
--- a/src/libcurrantbridge/control/replication.c
+++ b/src/libcurrantbridge/control/replication.c
@@ -238,7 +238,7 @@
 	uint32_t i;
 
 	if (!cb_election_hears_majority(replica)) {
-		cb_election_step_down(replica, replica->term);
+		cb_election_resign(replica);
 		return;
 	}
 	cb_replication_heartbeat(replica);
--- a/src/libcurrantbridge/include/private/replica.h
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -166,6 +166,7 @@
 void cb_election_timeout(cb_replica_t *replica);
 void cb_election_vote_saved(cb_replica_t *replica);
 void cb_election_step_down(cb_replica_t *replica, uint64_t term);
+void cb_election_resign(cb_replica_t *replica);
 void cb_election_vote_request(cb_replica_t *replica, const char *from,
 			      const cb_message_t *message);
 void cb_election_vote_reply(cb_replica_t *replica, cb_peer_t *peer,
