--- a/include/currantbridge/http_server.h
+++ b/include/currantbridge/http_server.h
@@ -24,6 +24,7 @@
 
 cb_http_server_t *cb_http_server_new(cb_kernel_t *kernel, const char *address);
 SoupServer *cb_http_server_soup(cb_http_server_t *server);
+void cb_http_server_limit_body(cb_http_server_t *server, int64_t size_bytes);
 uint16_t cb_http_server_port(const cb_http_server_t *server);
 
 void cb_http_reply_json(SoupServerMessage *message, unsigned int status,
--- a/src/libcurrantbridge/http/caller.c
+++ b/src/libcurrantbridge/http/caller.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "private/http_message.h"
 #include "private/json_fields.h"
 
 #define BEARER "Bearer "
@@ -14,7 +15,7 @@
 	char *id;      /* as the caller knows the request */
 	char *request; /* as we and the backend servers know it: unique */
 	cb_ticket_t *ticket;
-	GSource *hangup;
+	cb_connection_t *connection;
 	gulong finished_handler;
 	cb_caller_gone_fn_t gone;
 	void *user_data;
@@ -125,6 +126,9 @@
 
 	caller->entry = entry;
 	caller->message = g_object_ref(message);
+	caller->connection = cb_message_connection(message);
+	if (caller->connection)
+		g_object_ref(caller->connection);
 	id_take_(caller);
 	cb_entry_request_begins(entry);
 	refusal = cb_entry_readiness(entry);
@@ -143,21 +147,14 @@
 	return NULL;
 }
 
-static void hangup_stop_(cb_caller_t *caller)
-{
-	if (!caller->hangup)
-		return;
-	g_source_destroy(caller->hangup);
-	g_source_unref(caller->hangup);
-	caller->hangup = NULL;
-}
-
 /* Deletes the caller's record; NULL is allowed. */
 void cb_caller_delete(cb_caller_t *caller)
 {
 	if (!caller)
 		return;
-	hangup_stop_(caller);
+	if (caller->connection)
+		cb_connection_unwatch(caller->connection);
+	g_clear_object(&caller->connection);
 	g_clear_signal_handler(&caller->finished_handler, caller->message);
 	cb_ticket_delete(caller->ticket);
 	cb_entry_request_ends(caller->entry);
@@ -194,34 +191,13 @@
 	cb_entry_refuse(caller->entry, caller->message, error);
 }
 
-/* Whether the other end has closed its side, without reading anything. */
-static gboolean socket_is_closed_(GSocket *socket)
-{
-	int flags = G_SOCKET_MSG_PEEK;
-	char byte;
-	GInputVector vector = { &byte, 1 };
-	gssize count = g_socket_receive_message(socket, NULL, &vector, 1, NULL,
-						NULL, &flags, NULL, NULL);
-
-	return count == 0;
-}
-
-static gboolean hung_up_(GSocket *socket, GIOCondition condition,
-			 void *user_data)
+static void hung_up_(void *user_data)
 {
 	cb_caller_t *caller = user_data;
-	cb_caller_gone_fn_t gone;
+	cb_caller_gone_fn_t gone = caller->gone;
 
-	if (!(condition & (G_IO_HUP | G_IO_ERR)) &&
-	    !socket_is_closed_(socket)) {
-		/* A further request waits: only an error is of interest now. */
-		hangup_stop_(caller);
-		return G_SOURCE_REMOVE;
-	}
-	gone = caller->gone;
 	cb_caller_disconnect(caller);
 	gone(caller->user_data);
-	return G_SOURCE_REMOVE;
 }
 
 static void finished_(SoupServerMessage *message, void *user_data)
@@ -242,21 +218,14 @@
 void cb_caller_suspend(cb_caller_t *caller, cb_caller_gone_fn_t gone,
 		       void *user_data)
 {
-	GSocket *socket = soup_server_message_get_socket(caller->message);
-
 	caller->gone = gone;
 	caller->user_data = user_data;
 	soup_server_message_pause(caller->message);
 	caller->finished_handler =
 		g_signal_connect(caller->message, "finished",
 				 G_CALLBACK(finished_), caller);
-	if (!socket)
-		return;
-	caller->hangup = g_socket_create_source(socket, G_IO_IN, NULL);
-	g_source_set_callback(caller->hangup, G_SOURCE_FUNC(hung_up_), caller,
-			      NULL);
-	g_source_attach(caller->hangup,
-			cb_kernel_context(caller->entry->kernel));
+	if (caller->connection)
+		cb_connection_watch(caller->connection, hung_up_, caller);
 }
 
 /* Lets libsoup write what the answer has so far. */
@@ -270,14 +239,12 @@
 {
 	GIOStream *stream;
 
-	hangup_stop_(caller);
 	g_clear_signal_handler(&caller->finished_handler, caller->message);
 	caller->gone = NULL;
 	stream = soup_server_message_steal_connection(caller->message);
-	if (!stream)
-		return;
-	g_io_stream_close(stream, NULL, NULL);
-	g_object_unref(stream);
+	if (caller->connection)
+		cb_connection_abort(caller->connection);
+	g_clear_object(&stream);
 }
 
 /* Returns the libsoup message. */
--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -294,6 +294,7 @@
 		cb_timer_new(cb_kernel_clock(kernel), ttl_over_, entry);
 	counters_add_(entry);
 	modules_add_(entry);
+	cb_http_server_limit_body(http, options->max_body_bytes);
 	soup_server_remove_handler(soup, "/");
 	soup_server_add_handler(soup, NULL, handle_, entry, NULL);
 	soup_server_add_handler(soup, "/readyz", ready_handle_, entry, NULL);
--- a/src/libcurrantbridge/http/http_server.c
+++ b/src/libcurrantbridge/http/http_server.c
@@ -3,12 +3,23 @@
 #include <string.h>
 
 #include "currantbridge/program.h"
+#include "currantbridge/refusal.h"
+#include "private/http_message.h"
+
+#define LISTEN_BACKLOG 1024
+/* Before connections are accepted again after a failure. */
+#define ACCEPT_RETRY_MS 100
 
 struct cb_http_server {
 	cb_service_t service;
 	cb_kernel_t *kernel;
 	char *address;
 	SoupServer *soup;
+	cb_http_guard_t guard;
+	cb_connection_pool_t *pool;
+	GSocket *listener;
+	GSource *acceptable;
+	cb_timer_t *accept_timer;
 	uint16_t port;
 };
 
@@ -53,59 +64,175 @@
 	(void)path;
 	(void)query;
 	(void)user_data;
-	cb_http_reply_error(message, SOUP_STATUS_NOT_FOUND, "unknown_path",
-			    "no such path", CB_EXECUTED_NO, 0);
+	cb_http_reply_error(message, cb_refusal_status[CB_REFUSAL_PATH_UNKNOWN],
+			    cb_refusal_string[CB_REFUSAL_PATH_UNKNOWN],
+			    cb_refusal_message[CB_REFUSAL_PATH_UNKNOWN],
+			    CB_EXECUTED_NO, 0);
+}
+
+static cb_counter_t *refusal_counter_(cb_counters_t *counters,
+				      cb_refusal_t refusal)
+{
+	return cb_counters_counter(counters, "cb_refusals_total", "reason",
+				   cb_refusal_string[refusal]);
+}
+
+static void connection_add_(cb_http_server_t *server, GSocket *socket)
+{
+	cb_connection_t *connection = cb_connection_new(server->pool, socket);
+	GSocketAddress *local = g_socket_get_local_address(socket, NULL);
+	GSocketAddress *remote = g_socket_get_remote_address(socket, NULL);
+
+	/* Without an address the other end has already gone. */
+	if (local && remote) {
+		cb_connection_name(connection, remote);
+		soup_server_accept_iostream(server->soup,
+					    cb_connection_stream(connection),
+					    local, remote, NULL);
+	}
+	g_clear_object(&local);
+	g_clear_object(&remote);
+	g_object_unref(connection);
+}
+
+static void accept_stop_(cb_http_server_t *server)
+{
+	if (!server->acceptable)
+		return;
+	g_source_destroy(server->acceptable);
+	g_source_unref(server->acceptable);
+	server->acceptable = NULL;
+}
+
+/* Takes waiting connections; each gets the stream that libsoup works on. */
+static gboolean accept_(GSocket *listener, GIOCondition condition,
+			void *user_data)
+{
+	cb_http_server_t *server = user_data;
+	GError *error = NULL;
+	GSocket *socket;
+
+	(void)condition;
+	while ((socket = g_socket_accept(listener, NULL, &error))) {
+		connection_add_(server, socket);
+		g_object_unref(socket);
+	}
+	if (!g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+		cb_log_event(cb_kernel_log(server->kernel),
+			     CB_EVENT_ACCEPT_FAILED,
+			     CB_STR("error", error->message));
+		accept_stop_(server);
+		cb_timer_start(server->accept_timer, ACCEPT_RETRY_MS);
+	}
+	g_error_free(error);
+	return G_SOURCE_CONTINUE;
+}
+
+static void accept_start_(void *user_data)
+{
+	cb_http_server_t *server = user_data;
+
+	server->acceptable =
+		g_socket_create_source(server->listener, G_IO_IN, NULL);
+	g_source_set_callback(server->acceptable, G_SOURCE_FUNC(accept_),
+			      server, NULL);
+	g_source_attach(server->acceptable, cb_kernel_context(server->kernel));
+}
+
+/* Binds and listens; sets `server->port`. */
+static gboolean listen_(cb_http_server_t *server, GSocketAddress *address,
+			GError **error)
+{
+	GSocketAddress *bound;
+
+	server->listener = g_socket_new(g_socket_address_get_family(address),
+					G_SOCKET_TYPE_STREAM,
+					G_SOCKET_PROTOCOL_TCP, error);
+	if (!server->listener)
+		return FALSE;
+	g_socket_set_blocking(server->listener, FALSE);
+	g_socket_set_listen_backlog(server->listener, LISTEN_BACKLOG);
+	if (!g_socket_bind(server->listener, address, TRUE, error) ||
+	    !g_socket_listen(server->listener, error))
+		return FALSE;
+	bound = g_socket_get_local_address(server->listener, error);
+	if (!bound)
+		return FALSE;
+	server->port =
+		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
+	g_object_unref(bound);
+	return TRUE;
 }
 
 static gboolean http_server_start_(cb_service_t *service, GError **error)
 {
 	cb_http_server_t *server = (cb_http_server_t *)service;
-	GSocketAddress *bound;
-	GSocketConnectable *wanted;
-	GSocketAddressEnumerator *addresses = NULL;
-	GSocketAddress *address = NULL;
+	GNetworkAddress *wanted;
+	GSocketAddress *address;
 	gboolean is_listening = FALSE;
-	GSList *uris;
 
-	wanted = g_network_address_parse(server->address, 0, error);
+	wanted = G_NETWORK_ADDRESS(
+		g_network_address_parse(server->address, 0, error));
 	if (!wanted)
 		return FALSE;
-	addresses = g_socket_connectable_enumerate(wanted);
-	address = g_socket_address_enumerator_next(addresses, NULL, error);
-	if (!address)
-		goto out;
-	if (!soup_server_listen(server->soup, address, 0, error))
-		goto out;
-	uris = soup_server_get_uris(server->soup);
-	server->port = (uint16_t)g_uri_get_port(uris->data);
-	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	address = g_inet_socket_address_new_from_string(
+		g_network_address_get_hostname(wanted),
+		g_network_address_get_port(wanted));
+	g_object_unref(wanted);
+	if (!address) {
+		g_set_error(error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+			    "%s is not IP:PORT", server->address);
+		return FALSE;
+	}
+	is_listening = listen_(server, address, error);
+	g_object_unref(address);
+	if (!is_listening)
+		return FALSE;
+	accept_start_(server);
 	cb_log_event(cb_kernel_log(server->kernel), CB_EVENT_HTTP_LISTENING,
 		     CB_STR("address", server->address),
 		     CB_INT("port", server->port));
-	is_listening = TRUE;
-out:
-	bound = address;
-	g_clear_object(&bound);
-	g_clear_object(&addresses);
-	g_object_unref(wanted);
-	return is_listening;
+	return TRUE;
 }
 
-/* Answers already begun have ended by now: the services on top drain first. */
+static void sent_(void *user_data)
+{
+	cb_http_server_t *server = user_data;
+
+	cb_kernel_drained(server->kernel, &server->service);
+}
+
+static void listener_close_(cb_http_server_t *server)
+{
+	accept_stop_(server);
+	cb_timer_stop(server->accept_timer);
+	if (server->listener)
+		g_socket_close(server->listener, NULL);
+	g_clear_object(&server->listener);
+}
+
+/*
+ * Answers already begun have ended by now, since the services on top drain
+ * first; their last bytes are waited for.
+ */
 static void http_server_drain_(cb_service_t *service)
 {
 	cb_http_server_t *server = (cb_http_server_t *)service;
 
+	listener_close_(server);
 	soup_server_disconnect(server->soup);
-	cb_kernel_drained(server->kernel, service);
+	cb_connection_pool_wait(server->pool, sent_, server);
 }
 
 static void http_server_destroy_(cb_service_t *service)
 {
 	cb_http_server_t *server = (cb_http_server_t *)service;
 
+	listener_close_(server);
 	soup_server_disconnect(server->soup);
 	g_object_unref(server->soup);
+	cb_connection_pool_delete(server->pool);
+	cb_timer_delete(server->accept_timer);
 	g_free(server->address);
 	g_free(server);
 }
@@ -123,12 +250,23 @@
 cb_http_server_t *cb_http_server_new(cb_kernel_t *kernel, const char *address)
 {
 	cb_http_server_t *server = g_new0(cb_http_server_t, 1);
+	cb_counters_t *counters = cb_kernel_counters(kernel);
+	cb_clock_t *clock = cb_kernel_clock(kernel);
 
 	server->service.vtable = &http_server_vtable;
 	server->kernel = kernel;
 	server->address = g_strdup(address);
+	server->pool = cb_connection_pool_new(cb_kernel_context(kernel), clock);
+	server->accept_timer = cb_timer_new(clock, accept_start_, server);
 	server->soup = soup_server_new("server-header",
 				       "currantbridge/" CB_VERSION, NULL);
+	server->guard.clock = clock;
+	server->guard.context = cb_kernel_context(kernel);
+	server->guard.header_invalid =
+		refusal_counter_(counters, CB_REFUSAL_HEADER_INVALID);
+	server->guard.body_too_large =
+		refusal_counter_(counters, CB_REFUSAL_BODY_TOO_LARGE);
+	cb_http_guard_attach(&server->guard, server->soup);
 	soup_server_add_handler(server->soup, NULL, not_found_handle_, server,
 				NULL);
 	soup_server_add_handler(server->soup, "/metrics", metrics_handle_,
@@ -138,6 +276,12 @@
 	return server;
 }
 
+/* Refuses bodies of more than `size_bytes` while they arrive; 0: none. */
+void cb_http_server_limit_body(cb_http_server_t *server, int64_t size_bytes)
+{
+	server->guard.max_body_bytes = size_bytes;
+}
+
 /* Returns the libsoup server, to add handlers to. */
 SoupServer *cb_http_server_soup(cb_http_server_t *server)
 {
--- /dev/null
+++ b/src/libcurrantbridge/include/private/http_message.h
@@ -0,0 +1,27 @@
+#ifndef PRIVATE_HTTP_MESSAGE_H
+#define PRIVATE_HTTP_MESSAGE_H
+
+#include <libsoup/soup.h>
+
+#include "currantbridge/clock.h"
+#include "currantbridge/counters.h"
+#include "private/http_connection.h"
+
+/*
+ * Guards the arrival of requests: a header that is not valid, incomplete or
+ * too slow, and a body that is too large, get the JSON error and its counter
+ * before any handler is asked.
+ */
+typedef struct cb_http_guard {
+	cb_clock_t *clock;
+	GMainContext *context;
+	cb_counter_t *header_invalid;
+	cb_counter_t *body_too_large;
+	int64_t max_body_bytes; /* 0: no bound */
+} cb_http_guard_t;
+
+void cb_http_guard_attach(cb_http_guard_t *guard, SoupServer *soup);
+void cb_connection_name(cb_connection_t *connection, GSocketAddress *remote);
+cb_connection_t *cb_message_connection(SoupServerMessage *message);
+
+#endif
