--- a/src/libcurrantbridge/http/http_connection.c
+++ b/src/libcurrantbridge/http/http_connection.c
@@ -34,6 +34,7 @@
 	gboolean is_broken;
 	gboolean is_reading_stopped;
 	uint64_t request_bytes;
+	uint64_t answer_bytes;
 	GSource *hangup;
 	cb_connection_fn_t gone;
 	void *gone_data;
@@ -452,6 +453,7 @@
 	}
 	count = MIN(count, MAX_PENDING_BYTES - connection->pending->len);
 	g_byte_array_append(connection->pending, buffer, (unsigned int)count);
+	connection->answer_bytes += count;
 	mark_dirty_(connection);
 	return (gssize)count;
 }
@@ -555,6 +557,7 @@
 void cb_connection_request_starts(cb_connection_t *connection)
 {
 	connection->request_bytes = 0;
+	connection->answer_bytes = 0;
 }
 
 /* Returns how many bytes came since the request was started. */
@@ -563,6 +566,12 @@
 	return connection->request_bytes;
 }
 
+/* Returns how many bytes of the request's answer were written. */
+uint64_t cb_connection_answer_bytes(const cb_connection_t *connection)
+{
+	return connection->answer_bytes;
+}
+
 /* Returns how many bytes wait for the socket. */
 uint64_t cb_connection_unsent_bytes(const cb_connection_t *connection)
 {
@@ -632,10 +641,15 @@
 	source_clear_(&connection->hangup);
 }
 
-/* Sends bytes past libsoup, which must have given the connection up. */
+/*
+ * Sends bytes past libsoup, which must have given the connection up.  On a
+ * connection that is closed already they are dropped.
+ */
 void cb_connection_send(cb_connection_t *connection, const char *data,
 			size_t size_bytes)
 {
+	if (connection->is_broken || connection->drained)
+		return;
 	g_byte_array_append(connection->pending, (const uint8_t *)data,
 			    (unsigned int)size_bytes);
 	mark_dirty_(connection);
--- a/src/libcurrantbridge/http/http_guard.c
+++ b/src/libcurrantbridge/http/http_guard.c
@@ -12,15 +12,25 @@
 /* A connection without a request is closed after this long. */
 #define IDLE_TIMEOUT_MS 300000
 
+/* A body must be whole this long after its header. */
+#define BODY_TIMEOUT_MS 60000
+
+/* How much of a request has come. */
+typedef enum stage {
+	STAGE_HEADER,
+	STAGE_BODY,
+	STAGE_OVER, /* whole, or answered before that */
+} stage_t;
+
 /* A request whose header or body is arriving. */
 typedef struct arrival {
 	cb_http_guard_t *guard;
 	SoupServerMessage *message; /* owns the arrival */
 	cb_connection_t *connection;
-	gboolean has_header;
+	stage_t stage;
 	uint64_t body_bytes;
 	int64_t idle_ms;
-	cb_timer_t *header_timer;
+	cb_timer_t *timer;
 	GSource *refusal;
 } arrival_t;
 
@@ -50,24 +60,58 @@
 	arrival->refusal = NULL;
 }
 
+static char *error_text_(cb_refusal_t refusal)
+{
+	return g_strdup_printf("{\"error\":{\"reason\":\"%s\",\"message\":"
+			       "\"%s\",\"executed\":\"no\"}}",
+			       cb_refusal_string[refusal],
+			       cb_refusal_message[refusal]);
+}
+
+/* Answers on a connection that libsoup has given up, or is about to. */
+static void raw_refuse_(cb_connection_t *connection, cb_refusal_t refusal)
+{
+	uint32_t status = cb_refusal_status[refusal];
+	char *text = error_text_(refusal);
+	char *answer = g_strdup_printf(
+		"HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+		"Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+		status, soup_status_get_phrase(status), strlen(text), text);
+
+	cb_connection_send(connection, answer, strlen(answer));
+	g_free(answer);
+	g_free(text);
+}
+
+/* Counts a request that did not come whole, and answers if libsoup did not. */
+static void arrival_end_(arrival_t *arrival)
+{
+	cb_http_guard_t *guard = arrival->guard;
+	cb_refusal_t refusal = CB_REFUSAL_HEADER_INVALID;
+
+	if (arrival->stage == STAGE_OVER || !arrival->connection ||
+	    cb_connection_request_bytes(arrival->connection) == 0)
+		return;
+	if (arrival->stage == STAGE_BODY)
+		refusal = CB_REFUSAL_MALFORMED;
+	cb_counter_add(refusal == CB_REFUSAL_MALFORMED ? guard->malformed :
+							 guard->header_invalid,
+		       1);
+	if (cb_connection_answer_bytes(arrival->connection) == 0)
+		raw_refuse_(arrival->connection, refusal);
+}
+
 static void arrival_delete_(void *data)
 {
 	arrival_t *arrival = data;
 
+	arrival_end_(arrival);
 	refusal_stop_(arrival);
-	cb_timer_delete(arrival->header_timer);
+	cb_timer_delete(arrival->timer);
 	g_clear_object(&arrival->connection);
 	g_free(arrival);
 }
 
-static char *error_text_(cb_refusal_t refusal)
-{
-	return g_strdup_printf("{\"error\":{\"reason\":\"%s\",\"message\":"
-			       "\"%s\",\"executed\":\"no\"}}",
-			       cb_refusal_string[refusal],
-			       cb_refusal_message[refusal]);
-}
-
 /*
  * Answers while the body still arrives.  libsoup answers only once it has
  * the whole body, so the connection is taken from it.
@@ -77,24 +121,18 @@
 	arrival_t *arrival = user_data;
 	SoupServerMessage *message = g_object_ref(arrival->message);
 	cb_connection_t *connection = g_object_ref(arrival->connection);
-	uint32_t status = cb_refusal_status[CB_REFUSAL_BODY_TOO_LARGE];
-	char *text = error_text_(CB_REFUSAL_BODY_TOO_LARGE);
-	char *answer = g_strdup_printf(
-		"HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
-		"Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-		status, soup_status_get_phrase(status), strlen(text), text);
 	GIOStream *stream;
 
 	refusal_stop_(arrival);
+	arrival->stage = STAGE_OVER;
+	cb_timer_stop(arrival->timer);
 	cb_counter_add(arrival->guard->body_too_large, 1);
 	stream = soup_server_message_steal_connection(message);
-	cb_connection_send(connection, answer, strlen(answer));
+	raw_refuse_(connection, CB_REFUSAL_BODY_TOO_LARGE);
 	g_io_stream_close(cb_connection_stream(connection), NULL, NULL);
 	g_clear_object(&stream);
 	g_object_unref(connection);
 	g_object_unref(message);
-	g_free(answer);
-	g_free(text);
 	return G_SOURCE_REMOVE;
 }
 
@@ -132,8 +170,9 @@
 	SoupMessageHeaders *response =
 		soup_server_message_get_response_headers(message);
 
-	arrival->has_header = TRUE;
-	cb_timer_stop(arrival->header_timer);
+	arrival->stage = STAGE_BODY;
+	if (arrival->connection)
+		cb_timer_start(arrival->timer, BODY_TIMEOUT_MS);
 	soup_message_headers_remove(response, "Content-Type");
 	soup_message_body_truncate(
 		soup_server_message_get_response_body(message));
@@ -144,8 +183,17 @@
 				    request));
 }
 
-/* Ends a connection whose header does not come to its end. */
-static void header_late_(void *user_data)
+static void got_body_(SoupServerMessage *message, void *user_data)
+{
+	arrival_t *arrival = user_data;
+
+	(void)message;
+	arrival->stage = STAGE_OVER;
+	cb_timer_stop(arrival->timer);
+}
+
+/* Ends a connection whose request does not come to its end. */
+static void late_(void *user_data)
 {
 	arrival_t *arrival = user_data;
 
@@ -154,7 +202,7 @@
 	    arrival->idle_ms >= IDLE_TIMEOUT_MS)
 		cb_connection_stop_reading(arrival->connection);
 	else
-		cb_timer_start(arrival->header_timer, HEADER_TIMEOUT_MS);
+		cb_timer_start(arrival->timer, HEADER_TIMEOUT_MS);
 }
 
 /* libsoup answers an invalid header itself, with the body found here. */
@@ -175,36 +223,19 @@
 	arrival->guard = user_data;
 	arrival->message = message;
 	arrival->connection = cb_message_connection(message);
-	arrival->header_timer =
-		cb_timer_new(arrival->guard->clock, header_late_, arrival);
+	arrival->timer = cb_timer_new(arrival->guard->clock, late_, arrival);
 	g_object_set_data_full(G_OBJECT(message), ARRIVAL_KEY, arrival,
 			       arrival_delete_);
 	error_prepare_(message);
 	g_signal_connect(message, "got-headers", G_CALLBACK(got_headers_),
 			 arrival);
 	g_signal_connect(message, "got-chunk", G_CALLBACK(got_chunk_), arrival);
+	g_signal_connect(message, "got-body", G_CALLBACK(got_body_), arrival);
 	if (!arrival->connection)
 		return;
 	g_object_ref(arrival->connection);
 	cb_connection_request_starts(arrival->connection);
-	cb_timer_start(arrival->header_timer, HEADER_TIMEOUT_MS);
-}
-
-/* Counts a request whose header never came to its end, or was not valid. */
-static void request_over_(SoupServer *soup, SoupServerMessage *message,
-			  void *user_data)
-{
-	arrival_t *arrival = g_object_get_data(G_OBJECT(message), ARRIVAL_KEY);
-
-	(void)soup;
-	(void)user_data;
-	if (!arrival || arrival->has_header)
-		return;
-	arrival->has_header = TRUE;
-	cb_timer_stop(arrival->header_timer);
-	if (arrival->connection &&
-	    cb_connection_request_bytes(arrival->connection) > 0)
-		cb_counter_add(arrival->guard->header_invalid, 1);
+	cb_timer_start(arrival->timer, HEADER_TIMEOUT_MS);
 }
 
 /* Guards all requests of a server; the guard must outlive it. */
@@ -212,8 +243,4 @@
 {
 	g_signal_connect(soup, "request-started", G_CALLBACK(request_started_),
 			 guard);
-	g_signal_connect(soup, "request-finished", G_CALLBACK(request_over_),
-			 guard);
-	g_signal_connect(soup, "request-aborted", G_CALLBACK(request_over_),
-			 guard);
 }
--- a/src/libcurrantbridge/http/http_server.c
+++ b/src/libcurrantbridge/http/http_server.c
@@ -266,6 +266,8 @@
 		refusal_counter_(counters, CB_REFUSAL_HEADER_INVALID);
 	server->guard.body_too_large =
 		refusal_counter_(counters, CB_REFUSAL_BODY_TOO_LARGE);
+	server->guard.malformed =
+		refusal_counter_(counters, CB_REFUSAL_MALFORMED);
 	cb_http_guard_attach(&server->guard, server->soup);
 	soup_server_add_handler(server->soup, NULL, not_found_handle_, server,
 				NULL);
--- a/src/libcurrantbridge/include/private/http_connection.h
+++ b/src/libcurrantbridge/include/private/http_connection.h
@@ -27,6 +27,7 @@
 GIOStream *cb_connection_stream(cb_connection_t *connection);
 void cb_connection_request_starts(cb_connection_t *connection);
 uint64_t cb_connection_request_bytes(const cb_connection_t *connection);
+uint64_t cb_connection_answer_bytes(const cb_connection_t *connection);
 uint64_t cb_connection_unsent_bytes(const cb_connection_t *connection);
 void cb_connection_stop_reading(cb_connection_t *connection);
 void cb_connection_watch(cb_connection_t *connection, cb_connection_fn_t gone,
--- a/src/libcurrantbridge/include/private/http_message.h
+++ b/src/libcurrantbridge/include/private/http_message.h
@@ -17,6 +17,7 @@
 	GMainContext *context;
 	cb_counter_t *header_invalid;
 	cb_counter_t *body_too_large;
+	cb_counter_t *malformed;
 	int64_t max_body_bytes; /* 0: no bound */
 } cb_http_guard_t;
 
