--- /dev/null
+++ b/src/libcurrantbridge/http/operator.c
@@ -0,0 +1,448 @@
+#include "private/operator.h"
+
+#include <string.h>
+
+/* Longer than the node's own bound on a change, so it seldom fires. */
+#define TASK_TIMEOUT_MS 10000
+/* A status answer does not wait so long for a quorum that is not there. */
+#define UNCONFIRMED_TIMEOUT_MS 1500
+#define MAX_BODY_BYTES CB_CONTRACT_MAX_TEXT_BYTES
+
+/* Counts a refusal and answers with its JSON error. */
+void cb_operator_refuse(cb_operator_t *api, SoupServerMessage *message,
+			unsigned int status, const char *reason,
+			const char *text, cb_executed_t executed)
+{
+	cb_counters_t *counters = cb_kernel_counters(api->kernel);
+	gboolean is_temporary = status == SOUP_STATUS_SERVICE_UNAVAILABLE;
+
+	cb_counter_add(cb_counters_counter(counters,
+					   "cb_operator_refusals_total",
+					   "reason", reason),
+		       1);
+	cb_log_event(cb_kernel_log(api->kernel), CB_EVENT_OPERATOR_REFUSED,
+		     CB_STR("reason", reason), CB_STR("message", text));
+	cb_http_reply_error(message, status, reason, text, executed,
+			    is_temporary ? 1 : 0);
+}
+
+static void operator_free_(cb_operator_t *api)
+{
+	g_hash_table_unref(api->tasks);
+	g_free(api);
+}
+
+/* Reports, once, that the drain is over. */
+static void drained_check_(cb_operator_t *api)
+{
+	if (!api->is_draining || api->is_drained ||
+	    g_hash_table_size(api->tasks))
+		return;
+	api->is_drained = TRUE;
+	cb_kernel_drained(api->kernel, &api->service);
+}
+
+/* Ends a task whose call of the node is over. */
+void cb_operator_task_delete(cb_operator_task_t *task)
+{
+	cb_operator_t *api = task->api;
+
+	g_clear_pointer(&task->timer, cb_timer_delete);
+	g_object_unref(task->message);
+	g_hash_table_remove(api->tasks, task);
+	g_free(task->name);
+	g_free(task->change_id);
+	g_free(task);
+	if (!api->is_destroyed)
+		drained_check_(api);
+	else if (!g_hash_table_size(api->tasks))
+		operator_free_(api);
+}
+
+/* Notes that the task's answer is set, and lets it leave. */
+static void task_answered_(cb_operator_task_t *task)
+{
+	task->is_answered = TRUE;
+	cb_timer_stop(task->timer);
+	soup_server_message_unpause(task->message);
+}
+
+static void task_expired_(void *user_data)
+{
+	cb_operator_task_t *task = user_data;
+
+	if (task->may_be_unconfirmed) {
+		task->read(task);
+		task_answered_(task);
+		return;
+	}
+	cb_operator_refuse(task->api, task->message,
+			   SOUP_STATUS_SERVICE_UNAVAILABLE, "timeout",
+			   "no answer from the control quorum yet; resend "
+			   "under the same change ID",
+			   task->read ? CB_EXECUTED_NO : CB_EXECUTED_UNKNOWN);
+	task_answered_(task);
+}
+
+/* Holds back the answer to `message` until the node calls back. */
+cb_operator_task_t *cb_operator_task_new(cb_operator_t *api,
+					 SoupServerMessage *message)
+{
+	cb_operator_task_t *task = g_new0(cb_operator_task_t, 1);
+
+	task->api = api;
+	task->message = g_object_ref(message);
+	task->timer =
+		cb_timer_new(cb_kernel_clock(api->kernel), task_expired_, task);
+	cb_timer_start(task->timer, TASK_TIMEOUT_MS);
+	g_hash_table_add(api->tasks, task);
+	soup_server_message_pause(message);
+	return task;
+}
+
+/* Answers a task with the JSON built; takes `body`. */
+void cb_operator_reply(cb_operator_task_t *task, unsigned int status,
+		       JsonBuilder *body)
+{
+	JsonNode *node = json_builder_get_root(body);
+
+	cb_http_reply_json(task->message, status, node);
+	json_node_unref(node);
+	g_object_unref(body);
+}
+
+static void confirmed_(cb_submit_outcome_t outcome, uint64_t index,
+		       void *user_data)
+{
+	cb_operator_task_t *task = user_data;
+
+	(void)index;
+	if (task->is_answered || task->api->is_destroyed)
+		goto out;
+	task->is_confirmed = outcome == CB_SUBMIT_ANSWERED;
+	if (task->is_confirmed || task->may_be_unconfirmed)
+		task->read(task);
+	else
+		cb_operator_refuse(task->api, task->message,
+				   SOUP_STATUS_SERVICE_UNAVAILABLE,
+				   "not_current",
+				   "this control instance cannot confirm its "
+				   "state with a majority",
+				   CB_EXECUTED_NO);
+	task_answered_(task);
+out:
+	cb_operator_task_delete(task);
+}
+
+/* Answers by `read` once this instance's state is known to be current. */
+void cb_operator_read(cb_operator_task_t *task, cb_operator_read_fn_t read)
+{
+	task->read = read;
+	if (task->may_be_unconfirmed)
+		cb_timer_start(task->timer, UNCONFIRMED_TIMEOUT_MS);
+	cb_node_confirm(task->api->node, confirmed_, task);
+}
+
+static void read_begin_(cb_operator_t *api, SoupServerMessage *message,
+			const char *name, cb_operator_read_fn_t read)
+{
+	cb_operator_task_t *task = cb_operator_task_new(api, message);
+
+	task->name = g_strdup(name);
+	cb_operator_read(task, read);
+}
+
+static void status_begin_(cb_operator_t *api, SoupServerMessage *message)
+{
+	cb_operator_task_t *task = cb_operator_task_new(api, message);
+
+	task->may_be_unconfirmed = TRUE;
+	cb_operator_read(task, cb_operator_status_read);
+}
+
+static void in_force_begin_(cb_operator_t *api, SoupServerMessage *message,
+			    GHashTable *query)
+{
+	const char *text = query ? g_hash_table_lookup(query, "revision") : "";
+	cb_operator_task_t *task;
+	guint64 revision;
+
+	if (!text || !g_ascii_string_to_unsigned(text, 10, 1, UINT64_MAX,
+						 &revision, NULL)) {
+		cb_operator_refuse(api, message, SOUP_STATUS_BAD_REQUEST,
+				   "malformed",
+				   "revision: must be a whole number above 0",
+				   CB_EXECUTED_NO);
+		return;
+	}
+	task = cb_operator_task_new(api, message);
+	task->revision = revision;
+	cb_operator_read(task, cb_operator_in_force_read);
+}
+
+static void method_refuse_(cb_operator_t *api, SoupServerMessage *message)
+{
+	cb_operator_refuse(api, message, SOUP_STATUS_METHOD_NOT_ALLOWED,
+			   "method_not_allowed",
+			   "the path does not take this method",
+			   CB_EXECUTED_NO);
+}
+
+static void path_refuse_(cb_operator_t *api, SoupServerMessage *message)
+{
+	cb_operator_refuse(api, message, SOUP_STATUS_NOT_FOUND, "path_unknown",
+			   "no such path", CB_EXECUTED_NO);
+}
+
+/*
+ * Splits what follows `prefix` in a path into at most two decoded parts.
+ * Returns their number, or -1 if the path does not fit.
+ */
+static int path_split_(const char *path, const char *prefix, char **parts)
+{
+	char **words;
+	int count;
+	int i;
+
+	path += strlen(prefix);
+	if (!*path || g_str_equal(path, "/"))
+		return 0;
+	if (*path != '/')
+		return -1;
+	words = g_strsplit(path + 1, "/", -1);
+	count = (int)g_strv_length(words);
+	if (count > 2)
+		count = -1;
+	for (i = 0; i < count; i++)
+		parts[i] = g_uri_unescape_string(words[i], NULL);
+	for (i = 0; i < count; i++)
+		if (!parts[i] || !*parts[i])
+			count = -1;
+	g_strfreev(words);
+	return count;
+}
+
+static void contracts_route_(cb_operator_t *api, SoupServerMessage *message,
+			     int part_count, char **parts)
+{
+	const char *method = soup_server_message_get_method(message);
+
+	if (part_count == 0 && g_str_equal(method, "GET"))
+		read_begin_(api, message, NULL, cb_operator_contracts_read);
+	else if (part_count == 0)
+		method_refuse_(api, message);
+	else if (part_count != 1)
+		path_refuse_(api, message);
+	else if (g_str_equal(method, "GET"))
+		read_begin_(api, message, parts[0], cb_operator_contract_read);
+	else if (g_str_equal(method, "PUT"))
+		cb_operator_contract_put(api, message, parts[0]);
+	else if (g_str_equal(method, "DELETE"))
+		cb_operator_contract_remove(api, message, parts[0]);
+	else
+		method_refuse_(api, message);
+}
+
+static void stops_route_(cb_operator_t *api, SoupServerMessage *message,
+			 int part_count, char **parts)
+{
+	const char *method = soup_server_message_get_method(message);
+
+	if (part_count == 0 && g_str_equal(method, "GET"))
+		read_begin_(api, message, NULL, cb_operator_stops_read);
+	else if (part_count == 0 && g_str_equal(method, "POST"))
+		cb_operator_stop_announce(api, message);
+	else if (part_count == 2 && g_str_equal(method, "DELETE"))
+		cb_operator_stop_cancel(api, message, parts[0], parts[1]);
+	else if (part_count == 1)
+		path_refuse_(api, message);
+	else
+		method_refuse_(api, message);
+}
+
+static void members_route_(cb_operator_t *api, SoupServerMessage *message,
+			   int part_count, char **parts)
+{
+	const char *method = soup_server_message_get_method(message);
+
+	if (part_count == 0 && g_str_equal(method, "GET"))
+		read_begin_(api, message, NULL, cb_operator_members_read);
+	else if (part_count == 0 && g_str_equal(method, "POST"))
+		cb_operator_member_add(api, message);
+	else if (part_count == 1 && g_str_equal(method, "DELETE"))
+		cb_operator_member_remove(api, message, parts[0]);
+	else if (part_count == 2)
+		path_refuse_(api, message);
+	else
+		method_refuse_(api, message);
+}
+
+typedef void (*route_fn_t)(cb_operator_t *api, SoupServerMessage *message,
+			   int part_count, char **parts);
+
+static void route_(cb_operator_t *api, SoupServerMessage *message,
+		   const char *path, const char *prefix, route_fn_t route)
+{
+	char *parts[2] = { NULL, NULL };
+	int part_count = path_split_(path, prefix, parts);
+
+	if (part_count < 0)
+		path_refuse_(api, message);
+	else
+		route(api, message, part_count, parts);
+	g_free(parts[0]);
+	g_free(parts[1]);
+}
+
+static void contracts_handle_(SoupServer *soup, SoupServerMessage *message,
+			      const char *path, GHashTable *query,
+			      void *user_data)
+{
+	(void)soup;
+	(void)query;
+	route_(user_data, message, path, "/v1/contracts", contracts_route_);
+}
+
+static void stops_handle_(SoupServer *soup, SoupServerMessage *message,
+			  const char *path, GHashTable *query, void *user_data)
+{
+	(void)soup;
+	(void)query;
+	route_(user_data, message, path, "/v1/stops", stops_route_);
+}
+
+static void members_handle_(SoupServer *soup, SoupServerMessage *message,
+			    const char *path, GHashTable *query,
+			    void *user_data)
+{
+	(void)soup;
+	(void)query;
+	route_(user_data, message, path, "/v1/members", members_route_);
+}
+
+static void status_handle_(SoupServer *soup, SoupServerMessage *message,
+			   const char *path, GHashTable *query, void *user_data)
+{
+	(void)soup;
+	(void)query;
+	if (!g_str_equal(path, "/v1/status"))
+		path_refuse_(user_data, message);
+	else if (soup_server_message_get_method(message) != SOUP_METHOD_GET)
+		method_refuse_(user_data, message);
+	else
+		status_begin_(user_data, message);
+}
+
+static void in_force_handle_(SoupServer *soup, SoupServerMessage *message,
+			     const char *path, GHashTable *query,
+			     void *user_data)
+{
+	(void)soup;
+	if (!g_str_equal(path, "/v1/in-force"))
+		path_refuse_(user_data, message);
+	else if (soup_server_message_get_method(message) != SOUP_METHOD_GET)
+		method_refuse_(user_data, message);
+	else
+		in_force_begin_(user_data, message, query);
+}
+
+/*
+ * Refuses a request before its body is read: when this instance leaves, or
+ * by the length that the body announces.
+ */
+static void length_check_(SoupServer *soup, SoupServerMessage *message,
+			  const char *path, GHashTable *query, void *user_data)
+{
+	SoupMessageHeaders *headers =
+		soup_server_message_get_request_headers(message);
+	SoupEncoding encoding = soup_message_headers_get_encoding(headers);
+	cb_operator_t *api = user_data;
+
+	(void)soup;
+	(void)path;
+	(void)query;
+	if (api->is_draining)
+		cb_operator_refuse(api, message,
+				   SOUP_STATUS_SERVICE_UNAVAILABLE, "leaving",
+				   "this control instance is leaving",
+				   CB_EXECUTED_NO);
+	else if (encoding == SOUP_ENCODING_CHUNKED)
+		cb_operator_refuse(api, message, SOUP_STATUS_LENGTH_REQUIRED,
+				   "length_required",
+				   "a body needs its Content-Length",
+				   CB_EXECUTED_NO);
+	else if (soup_message_headers_get_content_length(headers) >
+		 MAX_BODY_BYTES)
+		cb_operator_refuse(api, message,
+				   SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
+				   "body_too_large", "the body is too large",
+				   CB_EXECUTED_NO);
+}
+
+static gboolean operator_start_(cb_service_t *service, GError **error)
+{
+	static const struct {
+		const char *path;
+		SoupServerCallback handle;
+	} handlers[] = {
+		{ "/v1/contracts", contracts_handle_ },
+		{ "/v1/stops", stops_handle_ },
+		{ "/v1/members", members_handle_ },
+		{ "/v1/status", status_handle_ },
+		{ "/v1/in-force", in_force_handle_ },
+	};
+	cb_operator_t *api = (cb_operator_t *)service;
+	cb_service_t *http = cb_kernel_find(api->kernel, "http");
+	SoupServer *soup = cb_http_server_soup((cb_http_server_t *)http);
+	size_t i;
+
+	(void)error;
+	api->node = (cb_node_t *)cb_kernel_find(api->kernel, "node");
+	for (i = 0; i < G_N_ELEMENTS(handlers); i++) {
+		soup_server_add_handler(soup, handlers[i].path,
+					handlers[i].handle, api, NULL);
+		soup_server_add_early_handler(soup, handlers[i].path,
+					      length_check_, api, NULL);
+	}
+	return TRUE;
+}
+
+static void operator_drain_(cb_service_t *service)
+{
+	cb_operator_t *api = (cb_operator_t *)service;
+
+	api->is_draining = TRUE;
+	drained_check_(api);
+}
+
+/* A task that the node still holds outlives the service, without a timer. */
+static void operator_destroy_(cb_service_t *service)
+{
+	cb_operator_t *api = (cb_operator_t *)service;
+	cb_operator_task_t *task;
+	GHashTableIter iter;
+
+	api->is_destroyed = TRUE;
+	g_hash_table_iter_init(&iter, api->tasks);
+	while (g_hash_table_iter_next(&iter, (void **)&task, NULL))
+		g_clear_pointer(&task->timer, cb_timer_delete);
+	if (!g_hash_table_size(api->tasks))
+		operator_free_(api);
+}
+
+static const cb_service_vtable_t operator_vtable = {
+	.start = operator_start_,
+	.drain = operator_drain_,
+	.destroy = operator_destroy_,
+};
+
+/* Makes the operators' interface, which the caller registers. */
+cb_operator_t *cb_operator_new(cb_kernel_t *kernel)
+{
+	cb_operator_t *api = g_new0(cb_operator_t, 1);
+
+	api->service.vtable = &operator_vtable;
+	api->kernel = kernel;
+	api->tasks = g_hash_table_new(NULL, NULL);
+	return api;
+}
--- /dev/null
+++ b/src/libcurrantbridge/include/private/operator.h
@@ -0,0 +1,68 @@
+#ifndef PRIVATE_OPERATOR_H
+#define PRIVATE_OPERATOR_H
+
+#include "currantbridge/http_server.h"
+#include "currantbridge/node.h"
+#include "currantbridge/operator.h"
+
+struct cb_operator {
+	cb_service_t service;
+	cb_kernel_t *kernel;
+	cb_node_t *node;
+	GHashTable *tasks; /* a set of cb_operator_task_t */
+	gboolean is_draining;
+	gboolean is_drained;
+	gboolean is_destroyed;
+};
+
+/* One HTTP request that waits for the control quorum. */
+typedef struct cb_operator_task {
+	cb_operator_t *api;
+	SoupServerMessage *message;
+	cb_timer_t *timer; /* armed until it is answered */
+	/* Called when the state is confirmed to be current. */
+	void (*read)(struct cb_operator_task *task);
+	char *name; /* of the item or member, or NULL */
+	char *change_id;
+	uint64_t revision;
+	gboolean may_be_unconfirmed;
+	gboolean is_confirmed;
+	gboolean is_answered;
+} cb_operator_task_t;
+
+typedef void (*cb_operator_read_fn_t)(cb_operator_task_t *task);
+
+cb_operator_task_t *cb_operator_task_new(cb_operator_t *api,
+					 SoupServerMessage *message);
+void cb_operator_task_delete(cb_operator_task_t *task);
+void cb_operator_reply(cb_operator_task_t *task, unsigned int status,
+		       JsonBuilder *body);
+void cb_operator_refuse(cb_operator_t *api, SoupServerMessage *message,
+			unsigned int status, const char *reason,
+			const char *text, cb_executed_t executed);
+/* The answer "no such item" or, for a read, its JSON. */
+void cb_operator_read(cb_operator_task_t *task, cb_operator_read_fn_t read);
+
+void cb_operator_contracts_read(cb_operator_task_t *task);
+void cb_operator_contract_read(cb_operator_task_t *task);
+void cb_operator_stops_read(cb_operator_task_t *task);
+void cb_operator_members_read(cb_operator_task_t *task);
+void cb_operator_status_read(cb_operator_task_t *task);
+void cb_operator_in_force_read(cb_operator_task_t *task);
+
+void cb_operator_put_in_force(JsonBuilder *builder, const cb_node_t *node,
+			      uint64_t revision);
+
+/* Each changes something; `name` and `kind` are parts of the path. */
+void cb_operator_contract_put(cb_operator_t *api, SoupServerMessage *message,
+			      const char *name);
+void cb_operator_contract_remove(cb_operator_t *api, SoupServerMessage *message,
+				 const char *name);
+void cb_operator_stop_announce(cb_operator_t *api, SoupServerMessage *message);
+void cb_operator_stop_cancel(cb_operator_t *api, SoupServerMessage *message,
+			     const char *kind, const char *name);
+void cb_operator_member_add(cb_operator_t *api, SoupServerMessage *message);
+void cb_operator_member_remove(cb_operator_t *api, SoupServerMessage *message,
+			       const char *name);
+
+#endif
