--- a/include/currantbridge/call.h
+++ b/include/currantbridge/call.h
@@ -2,6 +2,7 @@
 #define CURRANTBRIDGE_CALL_H
 
 #include "currantbridge/command.h"
+#include "currantbridge/history.h"
 #include "currantbridge/http_server.h"
 #include "currantbridge/refusal.h"
 #include "currantbridge/service_client.h"
@@ -27,7 +28,10 @@
 			       const cb_answer_t *answer, void *user_data);
 
 typedef struct cb_ledger_vtable {
-	/* Takes `command`, a claim or a claim's end. */
+	/*
+	 * Takes `command`, a claim or a claim's end.  `done` is called exactly
+	 * once, never before this returns.
+	 */
 	void (*submit)(cb_ledger_t *ledger, cb_command_t *command,
 		       int64_t timeout_ms, cb_ledger_fn_t done,
 		       void *user_data);
@@ -70,12 +74,18 @@
 	cb_service_client_t *services;
 	cb_ledger_t *ledger;
 	const char *data_centre;
-	/* This entry instance with its incarnation, the owner of claims. */
+	/* This entry instance as NAME/INCARNATION, the owner of claims. */
 	const char *owner;
+	cb_history_t *history; /* NULL: none is kept */
 } cb_call_parts_t;
 
 cb_call_env_t *cb_call_env_new(const cb_call_parts_t *parts);
 void cb_call_env_delete(cb_call_env_t *env);
+/*
+ * Calls that are not over: running, or with an end that is not yet recorded.
+ * A graceful stop waits until there are none.
+ */
+size_t cb_call_env_pending(const cb_call_env_t *env);
 
 cb_call_t *cb_call_new(cb_call_env_t *env, const cb_call_request_t *request,
 		       cb_call_ended_fn_t ended, void *user_data);
@@ -85,6 +95,7 @@
  * on to its recorded end, then frees itself.
  */
 void cb_call_abandon(cb_call_t *call);
+/* After its end; what is left to be recorded goes on by itself. */
 void cb_call_delete(cb_call_t *call);
 
 #endif
