--- a/include/currantbridge/generation.h
+++ b/include/currantbridge/generation.h
@@ -48,7 +48,7 @@
 	cb_engine_client_t *engines;
 	const cb_view_t *view;
 	const char *data_centre;
-	/* Reports a digest to all entry instances; see quarantine.h. */
+	/* Reports a digest to all entry instances. */
 	void (*quarantine)(void *user_data, const char *digest,
 			   int64_t until_wall_ms);
 	void *user_data;
--- a/src/libcurrantbridge/include/private/attempt.h
+++ b/src/libcurrantbridge/include/private/attempt.h
@@ -3,7 +3,7 @@
 
 #include "currantbridge/generation.h"
 #include "private/progress.h"
-#include "private/quarantine.h"
+#include "private/suspects.h"
 #include "private/router.h"
 
 /*
@@ -31,7 +31,7 @@
 
 typedef struct cb_attempt_parts {
 	const cb_generation_parts_t *env;
-	cb_quarantine_t *quarantine;
+	cb_suspects_t *suspects;
 	const char *digest;
 	const char *workspace;
 	/* Its layer range is filled in for each stage. */
--- a/src/libcurrantbridge/request/generation.c
+++ b/src/libcurrantbridge/request/generation.c
@@ -25,7 +25,7 @@
 
 struct cb_generation_env {
 	cb_generation_parts_t parts;
-	cb_quarantine_t *quarantine;
+	cb_suspects_t *suspects;
 	cb_retry_budget_t *budget;
 	cb_progress_t open_progress;
 };
@@ -115,7 +115,7 @@
 	cb_generation_env_t *env = g_new0(cb_generation_env_t, 1);
 
 	env->parts = *parts;
-	env->quarantine = cb_quarantine_new(parts);
+	env->suspects = cb_suspects_new(parts);
 	env->budget = cb_retry_budget_new(parts->clock);
 	return env;
 }
@@ -125,7 +125,7 @@
 {
 	if (!env)
 		return;
-	cb_quarantine_delete(env->quarantine);
+	cb_suspects_delete(env->suspects);
 	cb_retry_budget_delete(env->budget);
 	g_free(env);
 }
@@ -168,8 +168,8 @@
 {
 	switch (refusal) {
 	case CB_REFUSAL_QUARANTINED:
-		return cb_quarantine_remaining_s(generation->env->quarantine,
-						 generation->digest);
+		return cb_suspects_remaining_s(generation->env->suspects,
+					       generation->digest);
 	case CB_REFUSAL_NO_SERVER:
 	case CB_REFUSAL_RETRIES_EXHAUSTED:
 		return next_report_s_(generation);
@@ -190,11 +190,11 @@
 		generation->may_have_run = TRUE;
 	if (refusal == CB_REFUSAL_NONE) {
 		cb_attempt_finish(generation->attempt);
-		cb_quarantine_passed(env->quarantine, generation->digest);
+		cb_suspects_passed(env->suspects, generation->digest);
 		cb_retry_budget_succeeded(env->budget, generation->workspace);
 	} else {
 		attempt_drop_(generation);
-		cb_quarantine_left(env->quarantine, generation->digest);
+		cb_suspects_left(env->suspects, generation->digest);
 		cb_log_event(env->parts.log, CB_EVENT_GENERATION_GIVEN_UP,
 			     CB_STR("request", generation->id),
 			     CB_STR("reason", cb_refusal_string[refusal]));
@@ -221,26 +221,25 @@
 {
 	const choice_t *choice = user_data;
 	const cb_generation_t *generation = choice->generation;
-	const cb_quarantine_t *quarantine = generation->env->quarantine;
+	const cb_suspects_t *suspects = generation->env->suspects;
 	const char *digest = generation->digest;
 
 	if (g_hash_table_contains(generation->excluded, server->name))
 		return FALSE;
 	if (choice->pass == PASS_TOGETHER)
-		return cb_quarantine_runs_on(quarantine, digest, server);
+		return cb_suspects_runs_on(suspects, digest, server);
 	if (choice->pass == PASS_ANY)
 		return TRUE;
-	if (generation->is_alone && !cb_quarantine_is_idle(quarantine, server))
+	if (generation->is_alone && !cb_suspects_is_idle(suspects, server))
 		return FALSE;
-	return cb_quarantine_may_share(quarantine, digest, server);
+	return cb_suspects_may_share(suspects, digest, server);
 }
 
 static GArray *chain_choose_(const cb_generation_t *generation)
 {
 	const cb_generation_parts_t *parts = &generation->env->parts;
-	gboolean is_untried =
-		cb_quarantine_is_untried(generation->env->quarantine,
-					 generation->digest);
+	gboolean is_untried = cb_suspects_is_untried(generation->env->suspects,
+						     generation->digest);
 	choice_t choice = { .generation = generation,
 			    .pass = is_untried ? PASS_TOGETHER : PASS_APART };
 	cb_route_query_t query = { .registry = parts->registry,
@@ -280,7 +279,7 @@
 
 	return (cb_attempt_parts_t){
 		.env = &env->parts,
-		.quarantine = env->quarantine,
+		.suspects = env->suspects,
 		.digest = generation->digest,
 		.workspace = generation->workspace,
 		.order = { .request = generation->id,
@@ -356,23 +355,23 @@
 static void plan_(void *user_data)
 {
 	cb_generation_t *generation = user_data;
-	cb_quarantine_verdict_t verdict =
-		cb_quarantine_admit(generation->env->quarantine,
-				    generation->digest);
+	cb_suspects_verdict_t verdict =
+		cb_suspects_admit(generation->env->suspects,
+				  generation->digest);
 	cb_attempt_parts_t parts;
 	GArray *chain;
 
-	if (verdict == CB_QUARANTINE_REFUSED) {
+	if (verdict == CB_SUSPECTS_REFUSED) {
 		end_(generation, CB_REFUSAL_QUARANTINED);
 		return;
 	}
-	if (verdict == CB_QUARANTINE_WAIT) {
+	if (verdict == CB_SUSPECTS_WAIT) {
 		cb_timer_start(generation->wake_timer, WAIT_POLL_MS);
 		return;
 	}
 	if (!budget_allows_(generation))
 		return;
-	generation->is_alone = verdict == CB_QUARANTINE_RUN_ALONE;
+	generation->is_alone = verdict == CB_SUSPECTS_RUN_ALONE;
 	chain = chain_choose_(generation);
 	if (!chain) {
 		chain_missing_(generation);
@@ -463,9 +462,8 @@
 	generation->may_have_run = TRUE;
 	generation->fruitless_attempts = 0;
 	g_hash_table_remove_all(generation->excluded);
-	cb_quarantine_progressed(generation->env->quarantine,
-				 generation->digest,
-				 generation->delivered->len);
+	cb_suspects_progressed(generation->env->suspects, generation->digest,
+			       generation->delivered->len);
 	record_(generation, CB_HISTORY_DELIVER, index, copy);
 	if (is_last || generation->delivered->len >= generation->max_tokens)
 		end_(generation, CB_REFUSAL_NONE);
@@ -491,8 +489,7 @@
 	if (failure->is_server_dead) {
 		cb_server_failed(env->parts.registry, failure->server);
 		if (failure->failure != CB_FAILURE_CONNECT)
-			cb_quarantine_server_died(env->quarantine,
-						  failure->server);
+			cb_suspects_server_died(env->suspects, failure->server);
 	}
 	if (failure->failure == CB_FAILURE_SILENT && !failure->is_server_dead)
 		generation->silent_attempts++;
@@ -594,7 +591,7 @@
 	if (generation->is_ended)
 		return;
 	generation->is_ended = TRUE;
-	cb_quarantine_left(generation->env->quarantine, generation->digest);
+	cb_suspects_left(generation->env->suspects, generation->digest);
 }
 
 /* Deletes a generation, cancelling it first; NULL is allowed. */
--- a/src/libcurrantbridge/request/quarantine.c
+++ b/src/libcurrantbridge/request/suspects.c
@@ -1,4 +1,4 @@
-#include "private/quarantine.h"
+#include "private/suspects.h"
 
 #include <string.h>
 
@@ -18,11 +18,11 @@
 #define CLEARING_TOKENS 4
 #define MAX_PROVEN_DIGESTS 16384
 
-const char *const cb_quarantine_verdict_string[CB_QUARANTINE_VERDICT_COUNT] = {
-	[CB_QUARANTINE_RUN] = "run",
-	[CB_QUARANTINE_RUN_ALONE] = "run_alone",
-	[CB_QUARANTINE_WAIT] = "wait",
-	[CB_QUARANTINE_REFUSED] = "refused",
+const char *const cb_suspects_verdict_string[CB_SUSPECTS_VERDICT_COUNT] = {
+	[CB_SUSPECTS_RUN] = "run",
+	[CB_SUSPECTS_RUN_ALONE] = "run_alone",
+	[CB_SUSPECTS_WAIT] = "wait",
+	[CB_SUSPECTS_REFUSED] = "refused",
 };
 
 /* What is known of a digest that is running, suspect or refused. */
@@ -45,7 +45,7 @@
 	int64_t at_ms;
 } death_t;
 
-struct cb_quarantine {
+struct cb_suspects {
 	cb_generation_parts_t parts;
 	GHashTable *records; /* digest to record_t */
 	GHashTable *running; /* server name to a table of digest to count */
@@ -55,9 +55,9 @@
 	cb_timer_t *verdict_timer;
 };
 
-static int64_t now_ms_(const cb_quarantine_t *quarantine)
+static int64_t now_ms_(const cb_suspects_t *suspects)
 {
-	return cb_clock_now_ms(quarantine->parts.clock);
+	return cb_clock_now_ms(suspects->parts.clock);
 }
 
 static void record_delete_(void *data)
@@ -76,41 +76,40 @@
 	g_free(death);
 }
 
-static record_t *record_find_(const cb_quarantine_t *quarantine,
-			      const char *digest)
+static record_t *record_find_(const cb_suspects_t *suspects, const char *digest)
 {
-	return g_hash_table_lookup(quarantine->records, digest);
+	return g_hash_table_lookup(suspects->records, digest);
 }
 
-static record_t *record_get_(cb_quarantine_t *quarantine, const char *digest)
+static record_t *record_get_(cb_suspects_t *suspects, const char *digest)
 {
-	record_t *record = record_find_(quarantine, digest);
+	record_t *record = record_find_(suspects, digest);
 
 	if (record)
 		return record;
 	record = g_new0(record_t, 1);
 	record->death_servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	g_hash_table_insert(quarantine->records, g_strdup(digest), record);
+	g_hash_table_insert(suspects->records, g_strdup(digest), record);
 	return record;
 }
 
 /* Forgets a digest that is neither running nor suspect any more. */
-static void record_sweep_(cb_quarantine_t *quarantine, const char *digest)
+static void record_sweep_(cb_suspects_t *suspects, const char *digest)
 {
-	record_t *record = record_find_(quarantine, digest);
+	record_t *record = record_find_(suspects, digest);
 
 	if (record && !record->running && !record->death_count)
-		g_hash_table_remove(quarantine->records, digest);
+		g_hash_table_remove(suspects->records, digest);
 }
 
-static void isolation_release_(cb_quarantine_t *quarantine, const char *digest)
+static void isolation_release_(cb_suspects_t *suspects, const char *digest)
 {
-	if (!g_strcmp0(quarantine->isolated, digest))
-		g_clear_pointer(&quarantine->isolated, g_free);
+	if (!g_strcmp0(suspects->isolated, digest))
+		g_clear_pointer(&suspects->isolated, g_free);
 }
 
-static void suspicion_clear_(cb_quarantine_t *quarantine, const char *digest,
+static void suspicion_clear_(cb_suspects_t *suspects, const char *digest,
 			     record_t *record)
 {
 	record->death_count = 0;
@@ -119,17 +118,17 @@
 	record->hold_until_ms = 0;
 	record->refused_until_wall_ms = 0;
 	g_hash_table_remove_all(record->death_servers);
-	isolation_release_(quarantine, digest);
+	isolation_release_(suspects, digest);
 }
 
 /* Whether servers that this digest did not run on failed with its own. */
-static gboolean has_common_cause_(const cb_quarantine_t *quarantine,
+static gboolean has_common_cause_(const cb_suspects_t *suspects,
 				  const record_t *record)
 {
 	unsigned int i;
 
-	for (i = 0; i < quarantine->deaths->len; i++) {
-		const death_t *death = g_ptr_array_index(quarantine->deaths, i);
+	for (i = 0; i < suspects->deaths->len; i++) {
+		const death_t *death = g_ptr_array_index(suspects->deaths, i);
 
 		if (!g_hash_table_contains(record->death_servers,
 					   death->server) &&
@@ -139,143 +138,143 @@
 	return FALSE;
 }
 
-static void refuse_(cb_quarantine_t *quarantine, const char *digest,
+static void refuse_(cb_suspects_t *suspects, const char *digest,
 		    record_t *record)
 {
 	int64_t until_ms =
-		cb_clock_wall_ms(quarantine->parts.clock) + QUARANTINE_MS;
+		cb_clock_wall_ms(suspects->parts.clock) + QUARANTINE_MS;
 
 	record->refused_until_wall_ms = until_ms;
-	isolation_release_(quarantine, digest);
-	cb_counter_add(cb_counters_counter(quarantine->parts.counters,
+	isolation_release_(suspects, digest);
+	cb_counter_add(cb_counters_counter(suspects->parts.counters,
 					   "cb_quarantined_total", NULL, NULL),
 		       1);
-	cb_log_event(quarantine->parts.log, CB_EVENT_REQUEST_QUARANTINED,
+	cb_log_event(suspects->parts.log, CB_EVENT_REQUEST_QUARANTINED,
 		     CB_STR("digest", digest),
 		     CB_INT("servers", record->death_count));
-	if (quarantine->parts.quarantine)
-		quarantine->parts.quarantine(quarantine->parts.user_data,
-					     digest, until_ms);
+	if (suspects->parts.quarantine)
+		suspects->parts.quarantine(suspects->parts.user_data, digest,
+					   until_ms);
 }
 
 /* Decides on an accused digest, its hold being over. */
-static void judge_(cb_quarantine_t *quarantine, const char *digest,
+static void judge_(cb_suspects_t *suspects, const char *digest,
 		   record_t *record)
 {
 	record->is_accused = FALSE;
 	if (record->death_count <= QUARANTINE_DEATHS &&
-	    has_common_cause_(quarantine, record))
+	    has_common_cause_(suspects, record))
 		record->needs_isolation = TRUE;
 	else
-		refuse_(quarantine, digest, record);
+		refuse_(suspects, digest, record);
 }
 
 /* Judges every accused digest whose hold is over. */
 static void verdicts_due_(void *user_data)
 {
-	cb_quarantine_t *quarantine = user_data;
-	int64_t now_ms = now_ms_(quarantine);
+	cb_suspects_t *suspects = user_data;
+	int64_t now_ms = now_ms_(suspects);
 	int64_t next_ms = INT64_MAX;
 	GHashTableIter iter;
 	void *digest;
 	void *value;
 
-	g_hash_table_iter_init(&iter, quarantine->records);
+	g_hash_table_iter_init(&iter, suspects->records);
 	while (g_hash_table_iter_next(&iter, &digest, &value)) {
 		record_t *record = value;
 
 		if (!record->is_accused)
 			continue;
 		if (record->hold_until_ms <= now_ms)
-			judge_(quarantine, digest, record);
+			judge_(suspects, digest, record);
 		else
 			next_ms = MIN(next_ms, record->hold_until_ms);
 	}
 	if (next_ms != INT64_MAX)
-		cb_timer_start(quarantine->verdict_timer, next_ms - now_ms);
+		cb_timer_start(suspects->verdict_timer, next_ms - now_ms);
 }
 
-/* Makes the quarantine of one entry instance; `parts` is copied. */
-cb_quarantine_t *cb_quarantine_new(const cb_generation_parts_t *parts)
+/* Makes the record of suspects of one entry instance; `parts` is copied. */
+cb_suspects_t *cb_suspects_new(const cb_generation_parts_t *parts)
 {
-	cb_quarantine_t *quarantine = g_new0(cb_quarantine_t, 1);
+	cb_suspects_t *suspects = g_new0(cb_suspects_t, 1);
 
-	quarantine->parts = *parts;
-	quarantine->records = g_hash_table_new_full(g_str_hash, g_str_equal,
-						    g_free, record_delete_);
-	quarantine->running =
+	suspects->parts = *parts;
+	suspects->records = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, record_delete_);
+	suspects->running =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_hash_table_unref);
-	quarantine->proven =
+	suspects->proven =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	quarantine->deaths = g_ptr_array_new_with_free_func(death_delete_);
-	quarantine->verdict_timer =
-		cb_timer_new(parts->clock, verdicts_due_, quarantine);
-	return quarantine;
+	suspects->deaths = g_ptr_array_new_with_free_func(death_delete_);
+	suspects->verdict_timer =
+		cb_timer_new(parts->clock, verdicts_due_, suspects);
+	return suspects;
 }
 
-/* Deletes a quarantine; NULL is allowed. */
-void cb_quarantine_delete(cb_quarantine_t *quarantine)
+/* Deletes it; NULL is allowed. */
+void cb_suspects_delete(cb_suspects_t *suspects)
 {
-	if (!quarantine)
+	if (!suspects)
 		return;
-	cb_timer_delete(quarantine->verdict_timer);
-	g_hash_table_unref(quarantine->records);
-	g_hash_table_unref(quarantine->running);
-	g_hash_table_unref(quarantine->proven);
-	g_ptr_array_unref(quarantine->deaths);
-	g_free(quarantine->isolated);
-	g_free(quarantine);
+	cb_timer_delete(suspects->verdict_timer);
+	g_hash_table_unref(suspects->records);
+	g_hash_table_unref(suspects->running);
+	g_hash_table_unref(suspects->proven);
+	g_ptr_array_unref(suspects->deaths);
+	g_free(suspects->isolated);
+	g_free(suspects);
 }
 
 /* Decides on a suspect whose hold is over and that is not running. */
-static cb_quarantine_verdict_t suspect_admit_(cb_quarantine_t *quarantine,
-					      const char *digest,
-					      record_t *record)
+static cb_suspects_verdict_t suspect_admit_(cb_suspects_t *suspects,
+					    const char *digest,
+					    record_t *record)
 {
 	if (!record->needs_isolation)
-		return CB_QUARANTINE_RUN;
-	if (quarantine->isolated && strcmp(quarantine->isolated, digest) != 0)
-		return CB_QUARANTINE_WAIT;
-	if (!quarantine->isolated)
-		quarantine->isolated = g_strdup(digest);
-	return CB_QUARANTINE_RUN_ALONE;
+		return CB_SUSPECTS_RUN;
+	if (suspects->isolated && strcmp(suspects->isolated, digest) != 0)
+		return CB_SUSPECTS_WAIT;
+	if (!suspects->isolated)
+		suspects->isolated = g_strdup(digest);
+	return CB_SUSPECTS_RUN_ALONE;
 }
 
 /*
  * Tells whether an attempt of a digest may begin now.  A caller that is to
  * wait asks again after a short while.
  */
-cb_quarantine_verdict_t cb_quarantine_admit(cb_quarantine_t *quarantine,
-					    const char *digest)
+cb_suspects_verdict_t cb_suspects_admit(cb_suspects_t *suspects,
+					const char *digest)
 {
-	record_t *record = record_find_(quarantine, digest);
-	int64_t wall_ms = cb_clock_wall_ms(quarantine->parts.clock);
+	record_t *record = record_find_(suspects, digest);
+	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
 
-	if (quarantine->parts.view &&
-	    cb_view_is_quarantined(quarantine->parts.view, digest, wall_ms))
-		return CB_QUARANTINE_REFUSED;
+	if (suspects->parts.view &&
+	    cb_view_is_quarantined(suspects->parts.view, digest, wall_ms))
+		return CB_SUSPECTS_REFUSED;
 	if (!record || !record->death_count)
-		return CB_QUARANTINE_RUN;
+		return CB_SUSPECTS_RUN;
 	if (record->refused_until_wall_ms > wall_ms)
-		return CB_QUARANTINE_REFUSED;
+		return CB_SUSPECTS_REFUSED;
 	if (record->refused_until_wall_ms ||
-	    now_ms_(quarantine) - record->last_death_ms > SUSPICION_MS) {
-		suspicion_clear_(quarantine, digest, record);
-		return CB_QUARANTINE_RUN;
+	    now_ms_(suspects) - record->last_death_ms > SUSPICION_MS) {
+		suspicion_clear_(suspects, digest, record);
+		return CB_SUSPECTS_RUN;
 	}
 	if (record->is_accused || record->running ||
-	    now_ms_(quarantine) < record->hold_until_ms)
-		return CB_QUARANTINE_WAIT;
-	return suspect_admit_(quarantine, digest, record);
+	    now_ms_(suspects) < record->hold_until_ms)
+		return CB_SUSPECTS_WAIT;
+	return suspect_admit_(suspects, digest, record);
 }
 
 /* Returns for how many seconds, 1 or more, a digest stays refused. */
-int64_t cb_quarantine_remaining_s(const cb_quarantine_t *quarantine,
-				  const char *digest)
+int64_t cb_suspects_remaining_s(const cb_suspects_t *suspects,
+				const char *digest)
 {
-	const record_t *record = record_find_(quarantine, digest);
-	int64_t wall_ms = cb_clock_wall_ms(quarantine->parts.clock);
+	const record_t *record = record_find_(suspects, digest);
+	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
 	int64_t remaining_ms = QUARANTINE_MS;
 
 	if (record && record->refused_until_wall_ms > wall_ms)
@@ -283,36 +282,36 @@
 	return (remaining_ms + MS_PER_S - 1) / MS_PER_S;
 }
 
-static GHashTable *server_digests_(const cb_quarantine_t *quarantine,
+static GHashTable *server_digests_(const cb_suspects_t *suspects,
 				   const cb_server_t *server)
 {
-	return g_hash_table_lookup(quarantine->running, server->name);
+	return g_hash_table_lookup(suspects->running, server->name);
 }
 
 /* Notes that an attempt of a digest begins on a server. */
-void cb_quarantine_begin(cb_quarantine_t *quarantine, const char *digest,
-			 const cb_server_t *server)
+void cb_suspects_begin(cb_suspects_t *suspects, const char *digest,
+		       const cb_server_t *server)
 {
-	GHashTable *digests = server_digests_(quarantine, server);
+	GHashTable *digests = server_digests_(suspects, server);
 	uintptr_t count;
 
 	if (!digests) {
 		digests = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						NULL);
-		g_hash_table_insert(quarantine->running, g_strdup(server->name),
+		g_hash_table_insert(suspects->running, g_strdup(server->name),
 				    digests);
 	}
 	count = (uintptr_t)g_hash_table_lookup(digests, digest);
 	g_hash_table_insert(digests, g_strdup(digest),
 			    GSIZE_TO_POINTER(count + 1));
-	record_get_(quarantine, digest)->running++;
+	record_get_(suspects, digest)->running++;
 }
 
 /* Notes that an attempt of a digest has ended on a server. */
-void cb_quarantine_end(cb_quarantine_t *quarantine, const char *digest,
-		       const cb_server_t *server)
+void cb_suspects_end(cb_suspects_t *suspects, const char *digest,
+		     const cb_server_t *server)
 {
-	GHashTable *digests = server_digests_(quarantine, server);
+	GHashTable *digests = server_digests_(suspects, server);
 	uintptr_t count = (uintptr_t)g_hash_table_lookup(digests, digest);
 
 	if (count > 1)
@@ -321,19 +320,19 @@
 	else
 		g_hash_table_remove(digests, digest);
 	if (!g_hash_table_size(digests))
-		g_hash_table_remove(quarantine->running, server->name);
-	record_find_(quarantine, digest)->running--;
-	record_sweep_(quarantine, digest);
+		g_hash_table_remove(suspects->running, server->name);
+	record_find_(suspects, digest)->running--;
+	record_sweep_(suspects, digest);
 }
 
 /*
  * Notes how far an attempt has come; past the place of the last death the
  * digest no longer needs a server alone.
  */
-void cb_quarantine_progressed(cb_quarantine_t *quarantine, const char *digest,
-			      uint64_t delivered_count)
+void cb_suspects_progressed(cb_suspects_t *suspects, const char *digest,
+			    uint64_t delivered_count)
 {
-	record_t *record = record_find_(quarantine, digest);
+	record_t *record = record_find_(suspects, digest);
 
 	if (!record)
 		return;
@@ -342,36 +341,36 @@
 	    delivered_count < record->delivered_at_death + CLEARING_TOKENS)
 		return;
 	record->needs_isolation = FALSE;
-	isolation_release_(quarantine, digest);
+	isolation_release_(suspects, digest);
 }
 
 /* Notes that a digest has finished whole, which clears it. */
-void cb_quarantine_passed(cb_quarantine_t *quarantine, const char *digest)
+void cb_suspects_passed(cb_suspects_t *suspects, const char *digest)
 {
-	record_t *record = record_find_(quarantine, digest);
+	record_t *record = record_find_(suspects, digest);
 
 	if (record && record->death_count)
-		suspicion_clear_(quarantine, digest, record);
-	if (g_hash_table_size(quarantine->proven) >= MAX_PROVEN_DIGESTS)
-		g_hash_table_remove_all(quarantine->proven);
-	g_hash_table_add(quarantine->proven, g_strdup(digest));
-	record_sweep_(quarantine, digest);
+		suspicion_clear_(suspects, digest, record);
+	if (g_hash_table_size(suspects->proven) >= MAX_PROVEN_DIGESTS)
+		g_hash_table_remove_all(suspects->proven);
+	g_hash_table_add(suspects->proven, g_strdup(digest));
+	record_sweep_(suspects, digest);
 }
 
 /* Notes that a request has ended without its answer. */
-void cb_quarantine_left(cb_quarantine_t *quarantine, const char *digest)
+void cb_suspects_left(cb_suspects_t *suspects, const char *digest)
 {
-	isolation_release_(quarantine, digest);
-	record_sweep_(quarantine, digest);
+	isolation_release_(suspects, digest);
+	record_sweep_(suspects, digest);
 }
 
-static gboolean death_is_new_(const cb_quarantine_t *quarantine,
+static gboolean death_is_new_(const cb_suspects_t *suspects,
 			      const cb_server_t *server)
 {
 	unsigned int i;
 
-	for (i = 0; i < quarantine->deaths->len; i++) {
-		const death_t *death = g_ptr_array_index(quarantine->deaths, i);
+	for (i = 0; i < suspects->deaths->len; i++) {
+		const death_t *death = g_ptr_array_index(suspects->deaths, i);
 
 		if (!strcmp(death->server, server->name) &&
 		    death->incarnation == server->incarnation)
@@ -380,25 +379,25 @@
 	return TRUE;
 }
 
-static void death_note_(cb_quarantine_t *quarantine, const cb_server_t *server)
+static void death_note_(cb_suspects_t *suspects, const cb_server_t *server)
 {
-	int64_t oldest_ms = now_ms_(quarantine) - SUSPICION_MS;
+	int64_t oldest_ms = now_ms_(suspects) - SUSPICION_MS;
 	death_t *death = g_new0(death_t, 1);
 
 	death->server = g_strdup(server->name);
 	death->incarnation = server->incarnation;
-	death->at_ms = now_ms_(quarantine);
-	g_ptr_array_add(quarantine->deaths, death);
-	while (((death_t *)g_ptr_array_index(quarantine->deaths, 0))->at_ms <
+	death->at_ms = now_ms_(suspects);
+	g_ptr_array_add(suspects->deaths, death);
+	while (((death_t *)g_ptr_array_index(suspects->deaths, 0))->at_ms <
 	       oldest_ms)
-		g_ptr_array_remove_index(quarantine->deaths, 0);
+		g_ptr_array_remove_index(suspects->deaths, 0);
 }
 
 /* Holds one death against one of the digests that it happened under. */
-static void charge_(cb_quarantine_t *quarantine, record_t *record,
+static void charge_(cb_suspects_t *suspects, record_t *record,
 		    const cb_server_t *server, unsigned int suspect_count)
 {
-	int64_t now_ms = now_ms_(quarantine);
+	int64_t now_ms = now_ms_(suspects);
 	gboolean was_suspect = record->death_count > 0;
 
 	record->death_count++;
@@ -421,66 +420,65 @@
  * failed.  Every digest that was running there becomes suspect; one that
  * was suspect before, and the only such there, is accused.
  */
-void cb_quarantine_server_died(cb_quarantine_t *quarantine,
-			       const cb_server_t *server)
+void cb_suspects_server_died(cb_suspects_t *suspects, const cb_server_t *server)
 {
-	GHashTable *digests = server_digests_(quarantine, server);
+	GHashTable *digests = server_digests_(suspects, server);
 	unsigned int suspect_count = 0;
 	GHashTableIter iter;
 	void *digest;
 
-	if (!death_is_new_(quarantine, server))
+	if (!death_is_new_(suspects, server))
 		return;
-	death_note_(quarantine, server);
+	death_note_(suspects, server);
 	if (!digests)
 		return;
-	cb_log_event(quarantine->parts.log, CB_EVENT_SERVER_DIED,
+	cb_log_event(suspects->parts.log, CB_EVENT_SERVER_DIED,
 		     CB_STR("server", server->name),
 		     CB_INT("requests", g_hash_table_size(digests)));
 	g_hash_table_iter_init(&iter, digests);
 	while (g_hash_table_iter_next(&iter, &digest, NULL))
 		suspect_count +=
-			record_find_(quarantine, digest)->death_count > 0;
+			record_find_(suspects, digest)->death_count > 0;
 	g_hash_table_iter_init(&iter, digests);
 	while (g_hash_table_iter_next(&iter, &digest, NULL))
-		charge_(quarantine, record_find_(quarantine, digest), server,
+		charge_(suspects, record_find_(suspects, digest), server,
 			suspect_count);
-	verdicts_due_(quarantine);
+	verdicts_due_(suspects);
 }
 
 /* Tells whether a digest may be placed beside what runs on a server. */
-gboolean cb_quarantine_may_share(const cb_quarantine_t *quarantine,
-				 const char *digest, const cb_server_t *server)
+gboolean cb_suspects_may_share(const cb_suspects_t *suspects,
+			       const char *digest, const cb_server_t *server)
 {
-	GHashTable *digests = server_digests_(quarantine, server);
+	GHashTable *digests = server_digests_(suspects, server);
 
-	return !digests || !quarantine->isolated ||
-	       !strcmp(quarantine->isolated, digest) ||
-	       !g_hash_table_contains(digests, quarantine->isolated);
+	return !digests || !suspects->isolated ||
+	       !strcmp(suspects->isolated, digest) ||
+	       !g_hash_table_contains(digests, suspects->isolated);
 }
 
 /* Tells whether a digest has an attempt on a server. */
-gboolean cb_quarantine_runs_on(const cb_quarantine_t *quarantine,
-			       const char *digest, const cb_server_t *server)
+gboolean cb_suspects_runs_on(const cb_suspects_t *suspects, const char *digest,
+			     const cb_server_t *server)
 {
-	GHashTable *digests = server_digests_(quarantine, server);
+	GHashTable *digests = server_digests_(suspects, server);
 
 	return digests && g_hash_table_contains(digests, digest);
 }
 
 /* Tells whether a digest is running here that has never yet finished. */
-gboolean cb_quarantine_is_untried(const cb_quarantine_t *quarantine,
-				  const char *digest)
+gboolean cb_suspects_is_untried(const cb_suspects_t *suspects,
+				const char *digest)
 {
-	const record_t *record = record_find_(quarantine, digest);
+	const record_t *record = record_find_(suspects, digest);
 
 	return record && record->running &&
-	       !g_hash_table_contains(quarantine->proven, digest);
+	       !g_hash_table_contains(suspects->proven, digest);
 }
 
 /* Tells whether this instance has nothing running on a server. */
-gboolean cb_quarantine_is_idle(const cb_quarantine_t *quarantine,
-			       const cb_server_t *server)
+gboolean cb_suspects_is_idle(const cb_suspects_t *suspects,
+			     const cb_server_t *server)
 {
-	return !server_digests_(quarantine, server);
+	return !server_digests_(suspects, server);
 }
