--- a/include/currantbridge/storage.h
+++ b/include/currantbridge/storage.h
@@ -75,6 +75,8 @@
 };
 
 cb_storage_t *cb_file_storage_new(const char *folder);
+/* How many fsyncs a storage of files has made. */
+uint64_t cb_file_storage_syncs(const cb_storage_t *storage);
 void cb_storage_delete(cb_storage_t *storage);
 void cb_storage_content_clear(cb_storage_content_t *content);
 
--- a/src/libcurrantbridge/control/file_storage.c
+++ b/src/libcurrantbridge/control/file_storage.c
@@ -41,6 +41,7 @@
 	GPtrArray *waiting; /* of job_t */
 	batch_t *batch;	    /* at the worker, or NULL */
 	GError *error;	    /* the first one; final */
+	uint64_t syncs;
 };
 
 static void job_delete_(void *data)
@@ -132,6 +133,7 @@
 	if (!storage)
 		return;
 	storage->batch = NULL;
+	storage->syncs = cb_file_folder_syncs(storage->folder);
 	if (batch->error && !storage->error)
 		storage->error = g_error_copy(batch->error);
 	jobs = g_ptr_array_ref(batch->jobs);
@@ -279,3 +281,12 @@
 	storage->waiting = g_ptr_array_new_with_free_func(job_delete_);
 	return &storage->base;
 }
+
+/*
+ * Returns how many fsyncs a storage of files has made.  While calls are
+ * under way the number may lag behind.
+ */
+uint64_t cb_file_storage_syncs(const cb_storage_t *storage)
+{
+	return ((const file_storage_t *)storage)->syncs;
+}
