--- a/include/currantbridge/replica.h
+++ b/include/currantbridge/replica.h
@@ -5,6 +5,8 @@
 #include <stdint.h>
 
 #include "currantbridge/clock.h"
+#include "currantbridge/counters.h"
+#include "currantbridge/log.h"
 #include "currantbridge/storage.h"
 
 /*
@@ -91,6 +93,9 @@
 	int64_t election_timeout_ms;
 	uint64_t snapshot_every_bytes;
 	size_t max_waiting_proposals;
+	/* Both may be NULL. */
+	cb_log_t *log;
+	cb_counters_t *counters;
 } cb_replica_options_t;
 
 /* Tells the owner of changes; any member of the table may be NULL. */
--- a/src/libcurrantbridge/control/append.c
+++ b/src/libcurrantbridge/control/append.c
@@ -8,6 +8,9 @@
 {
 	cb_message_t *reply = cb_message_new(CB_MESSAGE_APPEND_REPLY);
 
+	if (!is_accepted)
+		cb_replica_count(replica, CB_REPLICA_COUNT_APPEND_REFUSED);
+
 	reply->term = replica->term;
 	reply->append_reply.is_accepted = is_accepted;
 	reply->append_reply.prev_index = prev_index;
--- a/src/libcurrantbridge/control/election.c
+++ b/src/libcurrantbridge/control/election.c
@@ -120,6 +120,7 @@
 /* Votes for itself in the next term and asks the others. */
 static void candidate_begin_(cb_replica_t *replica, gboolean is_hand_over)
 {
+	cb_replica_count(replica, CB_REPLICA_COUNT_ELECTION);
 	cb_replica_set_role(replica, CB_REPLICA_ROLE_CANDIDATE);
 	cb_replica_set_leader(replica, NULL);
 	replica->term++;
@@ -137,6 +138,7 @@
 	if (!cb_replica_is_voter(replica) || cb_replica_leads(replica))
 		return;
 	cb_replica_set_leader(replica, NULL);
+	cb_replica_count(replica, CB_REPLICA_COUNT_PRE_VOTE);
 	cb_replica_set_role(replica, CB_REPLICA_ROLE_PRE_CANDIDATE);
 	votes_ask_(replica, TRUE, FALSE);
 	cb_election_arm(replica);
@@ -167,6 +169,9 @@
 {
 	cb_message_t *reply = cb_message_new(CB_MESSAGE_VOTE_REPLY);
 
+	if (!is_granted)
+		cb_replica_count(replica, CB_REPLICA_COUNT_VOTE_REFUSED);
+
 	reply->term = replica->term;
 	reply->vote_reply.is_pre_vote = asked->vote_request.is_pre_vote;
 	reply->vote_reply.is_granted = is_granted;
@@ -195,8 +200,10 @@
 		pre_vote_receive_(replica, from, message);
 		return;
 	}
-	if (hears_leader_(replica) && !request->is_hand_over)
+	if (hears_leader_(replica) && !request->is_hand_over) {
+		cb_replica_count(replica, CB_REPLICA_COUNT_VOTE_REFUSED);
 		return;
+	}
 	if (message->term > replica->term)
 		cb_election_step_down(replica, message->term);
 	is_granted = message->term == replica->term &&
@@ -301,6 +308,9 @@
 {
 	cb_peer_t *peer = most_advanced_voter_(replica, -1);
 
+	cb_replica_count(replica, CB_REPLICA_COUNT_NO_MAJORITY);
+	cb_log_event(replica->event_log, CB_EVENT_MAJORITY_LOST,
+		     CB_INT("term", replica->term));
 	if (peer)
 		take_over_ask_(replica, peer);
 	cb_election_step_down(replica, replica->term);
--- a/src/libcurrantbridge/control/membership.c
+++ b/src/libcurrantbridge/control/membership.c
@@ -108,6 +108,9 @@
 			continue;
 		members = cb_members_copy(replica->members);
 		cb_members_find(members, peer->name)->is_voter = TRUE;
+		cb_replica_count(replica, CB_REPLICA_COUNT_PROMOTED);
+		cb_log_event(replica->event_log, CB_EVENT_LEARNER_PROMOTED,
+			     CB_STR("member", peer->name));
 		change_(replica, members);
 		return;
 	}
@@ -169,6 +172,8 @@
 	g_ptr_array_unref(members);
 	cb_replica_store_records(replica);
 	cb_membership_adopt(replica);
+	cb_log_event(replica->event_log, CB_EVENT_GROUP_FORMED,
+		     CB_INT("members", replica->members->len));
 	cb_timer_stop(replica->heartbeat_timer);
 	cb_timer_start(replica->election_timer, 0);
 }
@@ -199,10 +204,12 @@
 	}
 	if (!cb_replica_leads(replica))
 		return;
-	if (admission && cb_replica_now_ms(replica) >= admission->deadline_ms)
+	if (admission && cb_replica_now_ms(replica) >= admission->deadline_ms) {
+		cb_replica_count(replica, CB_REPLICA_COUNT_NO_ANSWER);
 		cb_membership_drop_admission(replica, CB_REPLICA_BUSY);
-	else if (admission)
+	} else if (admission) {
 		probe_send_(replica, admission->name, admission->address);
+	}
 	if (may_change_(replica))
 		promote_(replica);
 }
@@ -289,6 +296,9 @@
 		return;
 	if (peer->heard_ms >= 0 && now_ms - peer->heard_ms < bound_ms)
 		return;
+	cb_replica_count(replica, CB_REPLICA_COUNT_DISK_REPLACED);
+	cb_log_event(replica->event_log, CB_EVENT_DISK_REPLACED,
+		     CB_STR("member", name), CB_STR("disk", disk_id));
 	admit_(replica, name, peer->address, disk_id);
 }
 
@@ -328,13 +338,15 @@
 	cb_admission_t *admission;
 
 	if (!cb_replica_leads(replica)) {
-		cb_proposal_complete(replica, CB_REPLICA_NOT_LEADER, 0, NULL,
-				     done, user_data);
+		cb_proposal_refuse(replica, CB_REPLICA_NOT_LEADER,
+				   CB_REPLICA_COUNT_NOT_LEADER, done,
+				   user_data);
 		return;
 	}
 	if (replica->admission || !strcmp(name, replica->name)) {
-		cb_proposal_complete(replica, CB_REPLICA_BUSY, 0, NULL, done,
-				     user_data);
+		cb_proposal_refuse(replica, CB_REPLICA_BUSY,
+				   CB_REPLICA_COUNT_MEMBERS_BUSY, done,
+				   user_data);
 		return;
 	}
 	admission = g_new0(cb_admission_t, 1);
@@ -360,8 +372,9 @@
 	GPtrArray *members;
 
 	if (!cb_replica_leads(replica)) {
-		cb_proposal_complete(replica, CB_REPLICA_NOT_LEADER, 0, NULL,
-				     done, user_data);
+		cb_proposal_refuse(replica, CB_REPLICA_NOT_LEADER,
+				   CB_REPLICA_COUNT_NOT_LEADER, done,
+				   user_data);
 		return;
 	}
 	member = cb_members_find(replica->members, name);
@@ -373,8 +386,9 @@
 	if (!may_change_(replica) ||
 	    (member->is_voter &&
 	     cb_members_voter_count(replica->members) == 1)) {
-		cb_proposal_complete(replica, CB_REPLICA_BUSY, 0, NULL, done,
-				     user_data);
+		cb_proposal_refuse(replica, CB_REPLICA_BUSY,
+				   CB_REPLICA_COUNT_MEMBERS_BUSY, done,
+				   user_data);
 		return;
 	}
 	members = cb_members_copy(replica->members);
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -348,6 +348,8 @@
 		.election_timeout_ms = options->election_timeout_ms,
 		.snapshot_every_bytes = options->snapshot_every_bytes,
 		.max_waiting_proposals = MAX_WAITING_PROPOSALS,
+		.log = node->log,
+		.counters = cb_kernel_counters(node->kernel),
 	};
 	cb_replica_listener_t listener = {
 		.role_changed = role_changed_,
--- a/src/libcurrantbridge/control/proposal.c
+++ b/src/libcurrantbridge/control/proposal.c
@@ -87,12 +87,33 @@
 {
 	cb_proposal_t *proposal;
 
-	while ((proposal = g_queue_pop_head(&replica->proposals)))
-		complete_and_free_(replica, proposal, CB_REPLICA_UNKNOWN, 0,
-				   NULL);
-	while ((proposal = g_queue_pop_head(&replica->reads)))
+	while ((proposal = g_queue_pop_head(&replica->proposals)) ||
+	       (proposal = g_queue_pop_head(&replica->reads))) {
+		cb_replica_count(replica, CB_REPLICA_COUNT_LEAD_LOST);
 		complete_and_free_(replica, proposal, CB_REPLICA_UNKNOWN, 0,
 				   NULL);
+	}
+}
+
+/* Refuses a call before anything was done for it. */
+void cb_proposal_refuse(cb_replica_t *replica, cb_replica_outcome_t outcome,
+			cb_replica_count_t reason, cb_replica_done_fn_t done,
+			void *user_data)
+{
+	cb_replica_count(replica, reason);
+	cb_proposal_complete(replica, outcome, 0, NULL, done, user_data);
+}
+
+/* Returns why a proposal is refused; CB_REPLICA_COUNTS when it is not. */
+static cb_replica_count_t refusal_(const cb_replica_t *replica, GBytes *command)
+{
+	if (replica->hand_over_to)
+		return CB_REPLICA_COUNT_HANDING_OVER;
+	if (replica->proposals.length >= replica->max_waiting_proposals)
+		return CB_REPLICA_COUNT_TOO_MANY;
+	if (g_bytes_get_size(command) > CB_REPLICA_MAX_COMMAND_BYTES)
+		return CB_REPLICA_COUNT_TOO_LARGE;
+	return CB_REPLICA_COUNTS;
 }
 
 /*
@@ -103,18 +124,18 @@
 void cb_replica_propose(cb_replica_t *replica, GBytes *command,
 			cb_replica_done_fn_t done, void *user_data)
 {
+	cb_replica_count_t refusal = refusal_(replica, command);
 	uint64_t index;
 
 	if (!cb_replica_leads(replica)) {
-		cb_proposal_complete(replica, CB_REPLICA_NOT_LEADER, 0, NULL,
-				     done, user_data);
+		cb_proposal_refuse(replica, CB_REPLICA_NOT_LEADER,
+				   CB_REPLICA_COUNT_NOT_LEADER, done,
+				   user_data);
 		return;
 	}
-	if (replica->proposals.length >= replica->max_waiting_proposals ||
-	    replica->hand_over_to ||
-	    g_bytes_get_size(command) > CB_REPLICA_MAX_COMMAND_BYTES) {
-		cb_proposal_complete(replica, CB_REPLICA_BUSY, 0, NULL, done,
-				     user_data);
+	if (refusal != CB_REPLICA_COUNTS) {
+		cb_proposal_refuse(replica, CB_REPLICA_BUSY, refusal, done,
+				   user_data);
 		return;
 	}
 	index = cb_proposal_append(replica, CB_RECORD_COMMAND, command);
@@ -133,13 +154,14 @@
 	cb_proposal_t *read;
 
 	if (!cb_replica_leads(replica)) {
-		cb_proposal_complete(replica, CB_REPLICA_NOT_LEADER, 0, NULL,
-				     done, user_data);
+		cb_proposal_refuse(replica, CB_REPLICA_NOT_LEADER,
+				   CB_REPLICA_COUNT_NOT_LEADER, done,
+				   user_data);
 		return;
 	}
 	if (replica->reads.length >= replica->max_waiting_proposals) {
-		cb_proposal_complete(replica, CB_REPLICA_BUSY, 0, NULL, done,
-				     user_data);
+		cb_proposal_refuse(replica, CB_REPLICA_BUSY,
+				   CB_REPLICA_COUNT_TOO_MANY, done, user_data);
 		return;
 	}
 	read = proposal_new_(done, user_data);
--- a/src/libcurrantbridge/control/replica.c
+++ b/src/libcurrantbridge/control/replica.c
@@ -232,6 +232,8 @@
 
 	replica->initial_members = cb_members_new();
 	options_take_(replica, options);
+	replica->event_log = options->log;
+	cb_replica_counts_init(replica, options->counters);
 	replica->clock = clock;
 	replica->random = random;
 	replica->storage = storage;
@@ -444,14 +446,19 @@
 	if (replica->is_failed || !replica->is_started)
 		return;
 	decoded = cb_message_decode(message);
-	if (!decoded)
+	if (!decoded) {
+		cb_replica_count(replica, CB_REPLICA_COUNT_MALFORMED);
 		return;
+	}
 	address_learn_(replica, from, decoded);
 	if (is_for_any_disk_(decoded) ||
-	    !strcmp(decoded->to_disk, replica->disk_id))
+	    !strcmp(decoded->to_disk, replica->disk_id)) {
 		message_receive_(replica, from, decoded);
-	else if (decoded->kind == CB_MESSAGE_APPEND)
-		cb_membership_tell_disk(replica, from);
+	} else {
+		cb_replica_count(replica, CB_REPLICA_COUNT_OTHER_DISK);
+		if (decoded->kind == CB_MESSAGE_APPEND)
+			cb_membership_tell_disk(replica, from);
+	}
 	cb_message_delete(decoded);
 }
 
--- a/src/libcurrantbridge/control/replica_snapshot.c
+++ b/src/libcurrantbridge/control/replica_snapshot.c
@@ -51,6 +51,7 @@
 	replica->snapshot.data =
 		replica->machine->vtable->snapshot(replica->machine);
 	g_ptr_array_unref(members);
+	cb_replica_count(replica, CB_REPLICA_COUNT_SNAPSHOT_TAKEN);
 	cb_replica_store_snapshot(replica);
 }
 
@@ -88,6 +89,7 @@
 {
 	const cb_snapshot_t *last = &replica->snapshot;
 
+	cb_replica_count(replica, CB_REPLICA_COUNT_SNAPSHOT_SENT);
 	peer->snapshot = g_new0(cb_snapshot_t, 1);
 	peer->snapshot->index = last->index;
 	peer->snapshot->term = last->term;
@@ -203,6 +205,9 @@
 	replica->committed = chunk->index;
 	replica->applied = chunk->index;
 	replica->incoming.is_storing = TRUE;
+	cb_replica_count(replica, CB_REPLICA_COUNT_SNAPSHOT_INSTALLED);
+	cb_log_event(replica->event_log, CB_EVENT_SNAPSHOT_INSTALLED,
+		     CB_INT("index", chunk->index));
 	cb_membership_adopt(replica);
 	cb_replica_store_snapshot(replica);
 	return TRUE;
--- a/src/libcurrantbridge/control/replication.c
+++ b/src/libcurrantbridge/control/replication.c
@@ -217,6 +217,8 @@
 	if (silent_ms < RESEND_AFTER_HEARTBEATS * replica->heartbeat_ms)
 		return;
 	peer->progress_ms = cb_replica_now_ms(replica);
+	if (peer->snapshot || peer->next > peer->match + 1)
+		cb_replica_count(replica, CB_REPLICA_COUNT_RESENT);
 	if (peer->snapshot) {
 		cb_snapshot_send_chunk(replica, peer);
 		return;
--- a/src/libcurrantbridge/include/private/replica.h
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -28,6 +28,31 @@
 	CB_RECORD_KIND_COUNT
 } cb_record_kind_t;
 
+/* One counter for each reason of a refusal, and for what is worth counting. */
+typedef enum cb_replica_count {
+	CB_REPLICA_COUNT_NOT_LEADER,
+	CB_REPLICA_COUNT_TOO_MANY,
+	CB_REPLICA_COUNT_TOO_LARGE,
+	CB_REPLICA_COUNT_HANDING_OVER,
+	CB_REPLICA_COUNT_MEMBERS_BUSY,
+	CB_REPLICA_COUNT_NO_ANSWER,
+	CB_REPLICA_COUNT_LEAD_LOST,
+	CB_REPLICA_COUNT_MALFORMED,
+	CB_REPLICA_COUNT_OTHER_DISK,
+	CB_REPLICA_COUNT_VOTE_REFUSED,
+	CB_REPLICA_COUNT_APPEND_REFUSED,
+	CB_REPLICA_COUNT_PRE_VOTE,
+	CB_REPLICA_COUNT_ELECTION,
+	CB_REPLICA_COUNT_NO_MAJORITY,
+	CB_REPLICA_COUNT_RESENT,
+	CB_REPLICA_COUNT_SNAPSHOT_TAKEN,
+	CB_REPLICA_COUNT_SNAPSHOT_SENT,
+	CB_REPLICA_COUNT_SNAPSHOT_INSTALLED,
+	CB_REPLICA_COUNT_DISK_REPLACED,
+	CB_REPLICA_COUNT_PROMOTED,
+	CB_REPLICA_COUNTS
+} cb_replica_count_t;
+
 /* What the leader knows of another member. */
 typedef struct cb_peer {
 	char *name;
@@ -97,6 +122,8 @@
 	cb_transport_t *transport;
 	cb_machine_t *machine;
 	cb_replica_listener_t listener;
+	cb_log_t *event_log; /* may be NULL */
+	cb_counter_t *counts[CB_REPLICA_COUNTS];
 
 	gboolean is_started;
 	gboolean is_failed;
@@ -153,6 +180,10 @@
 void cb_outgoing_delete(void *data);
 void cb_replica_flush_soon(cb_replica_t *replica);
 
+/* replica_count.c */
+void cb_replica_counts_init(cb_replica_t *replica, cb_counters_t *counters);
+void cb_replica_count(cb_replica_t *replica, cb_replica_count_t count);
+
 /* replica_store.c: operations of the storage. */
 void cb_replica_save_vote(cb_replica_t *replica);
 void cb_replica_store_records(cb_replica_t *replica);
@@ -230,6 +261,9 @@
 void cb_proposal_complete(cb_replica_t *replica, cb_replica_outcome_t outcome,
 			  uint64_t index, GBytes *answer,
 			  cb_replica_done_fn_t done, void *user_data);
+void cb_proposal_refuse(cb_replica_t *replica, cb_replica_outcome_t outcome,
+			cb_replica_count_t reason, cb_replica_done_fn_t done,
+			void *user_data);
 void cb_proposal_applied(cb_replica_t *replica, uint64_t index, GBytes *answer);
 void cb_proposal_abandon_all(cb_replica_t *replica);
 void cb_proposal_run_completions(cb_replica_t *replica);
