Serve operators on cb-control, with the leader's sessions in each answer

An answer named the missing entry instances from the sessions of the control instance asked, which are complete on the leader only. It now fetches the leader's, and says is_complete: false when they cannot be had. cb-control registers the interface.

--- a/src/cb-control/main.c
+++ b/src/cb-control/main.c
@@ -5,6 +5,7 @@
 #include "currantbridge/http_server.h"
 #include "currantbridge/kernel.h"
 #include "currantbridge/node.h"
+#include "currantbridge/operator.h"
 #include "currantbridge/program.h"
 
 /* Runs a control instance until it is stopped; returns the exit code. */
@@ -34,6 +35,8 @@
 
 	cb_kernel_register(kernel, "http", (cb_service_t *)server);
 	cb_kernel_register(kernel, "node", (cb_service_t *)node);
+	cb_kernel_register(kernel, "operator",
+			   (cb_service_t *)cb_operator_new(kernel));
 	exit_code = cb_kernel_run(kernel);
 	cb_kernel_delete(kernel);
 	cb_log_delete(log);
--- a/src/currantbridge/client.c
+++ b/src/currantbridge/client.c
@@ -7,7 +7,7 @@
 #include "currantbridge/operator.h"
 
 /* A control instance that is silent for so long is left for the next. */
-#define ATTEMPT_TIMEOUT_MS 3000
+#define ATTEMPT_TIMEOUT_MS 3500
 /* After a round in which nobody answered. */
 #define ROUND_DELAY_MS 100
 
@@ -219,7 +219,9 @@
 	unsigned int tries = 0;
 
 	do {
-		*reply = (client_reply_t){ 0 };
+		reply->status = 0;
+		reply->text = NULL;
+		reply->json = NULL;
 		outcome = attempt_run_(client, request, reply);
 		if (outcome == CLIENT_ANSWERED &&
 		    reply->status != SOUP_STATUS_SERVICE_UNAVAILABLE)
@@ -238,15 +240,14 @@
 
 void client_request_clear(client_request_t *request)
 {
-	g_free(request->path);
-	g_free(request->body);
-	g_free(request->change_id);
-	*request = (client_request_t){ 0 };
+	g_clear_pointer(&request->path, g_free);
+	g_clear_pointer(&request->body, g_free);
+	g_clear_pointer(&request->change_id, g_free);
 }
 
 void client_reply_clear(client_reply_t *reply)
 {
 	g_clear_pointer(&reply->json, json_node_unref);
-	g_free(reply->text);
-	*reply = (client_reply_t){ 0 };
+	g_clear_pointer(&reply->text, g_free);
+	reply->status = 0;
 }
--- a/src/libcurrantbridge/http/operator.c
+++ b/src/libcurrantbridge/http/operator.c
@@ -26,10 +26,15 @@
 			    is_temporary ? 1 : 0);
 }
 
-static void operator_free_(cb_operator_t *api)
+static void task_free_(void *data)
 {
-	g_hash_table_unref(api->tasks);
-	g_free(api);
+	cb_operator_task_t *task = data;
+
+	cb_timer_delete(task->timer);
+	g_object_unref(task->message);
+	g_free(task->name);
+	g_free(task->change_id);
+	g_free(task);
 }
 
 /* Reports, once, that the drain is over. */
@@ -47,20 +52,12 @@
 {
 	cb_operator_t *api = task->api;
 
-	g_clear_pointer(&task->timer, cb_timer_delete);
-	g_object_unref(task->message);
 	g_hash_table_remove(api->tasks, task);
-	g_free(task->name);
-	g_free(task->change_id);
-	g_free(task);
-	if (!api->is_destroyed)
-		drained_check_(api);
-	else if (!g_hash_table_size(api->tasks))
-		operator_free_(api);
+	drained_check_(api);
 }
 
 /* Notes that the task's answer is set, and lets it leave. */
-static void task_answered_(cb_operator_task_t *task)
+void cb_operator_task_answered(cb_operator_task_t *task)
 {
 	task->is_answered = TRUE;
 	cb_timer_stop(task->timer);
@@ -73,15 +70,16 @@
 
 	if (task->may_be_unconfirmed) {
 		task->read(task);
-		task_answered_(task);
+		cb_operator_task_answered(task);
 		return;
 	}
 	cb_operator_refuse(task->api, task->message,
 			   SOUP_STATUS_SERVICE_UNAVAILABLE, "timeout",
 			   "no answer from the control quorum yet; resend "
 			   "under the same change ID",
-			   task->read ? CB_EXECUTED_NO : CB_EXECUTED_UNKNOWN);
-	task_answered_(task);
+			   task->is_change ? CB_EXECUTED_UNKNOWN :
+					     CB_EXECUTED_NO);
+	cb_operator_task_answered(task);
 }
 
 /* Holds back the answer to `message` until the node calls back. */
@@ -111,16 +109,43 @@
 	g_object_unref(body);
 }
 
+static void sessions_fetched_(cb_submit_outcome_t outcome,
+			      const GPtrArray *sessions, void *user_data)
+{
+	cb_operator_task_t *task = user_data;
+
+	if (!task->is_answered) {
+		task->sessions =
+			outcome == CB_SUBMIT_ANSWERED ? sessions : NULL;
+		task->read(task);
+		cb_operator_task_answered(task);
+	}
+	cb_operator_task_delete(task);
+}
+
+/* Fetches the leader's sessions, answers by the task's `read` and ends it. */
+void cb_operator_answer_with_sessions(cb_operator_task_t *task)
+{
+	cb_node_fetch_sessions(task->api->node, sessions_fetched_, task);
+}
+
 static void confirmed_(cb_submit_outcome_t outcome, uint64_t index,
 		       void *user_data)
 {
 	cb_operator_task_t *task = user_data;
 
 	(void)index;
-	if (task->is_answered || task->api->is_destroyed)
-		goto out;
 	task->is_confirmed = outcome == CB_SUBMIT_ANSWERED;
-	if (task->is_confirmed || task->may_be_unconfirmed)
+	if (task->is_answered) {
+		cb_operator_task_delete(task);
+		return;
+	}
+	if (task->needs_sessions &&
+	    (task->is_confirmed || task->may_be_unconfirmed)) {
+		cb_operator_answer_with_sessions(task);
+		return;
+	}
+	if (task->is_confirmed)
 		task->read(task);
 	else
 		cb_operator_refuse(task->api, task->message,
@@ -129,8 +154,7 @@
 				   "this control instance cannot confirm its "
 				   "state with a majority",
 				   CB_EXECUTED_NO);
-	task_answered_(task);
-out:
+	cb_operator_task_answered(task);
 	cb_operator_task_delete(task);
 }
 
@@ -156,6 +180,7 @@
 {
 	cb_operator_task_t *task = cb_operator_task_new(api, message);
 
+	task->needs_sessions = TRUE;
 	task->may_be_unconfirmed = TRUE;
 	cb_operator_read(task, cb_operator_status_read);
 }
@@ -177,6 +202,7 @@
 	}
 	task = cb_operator_task_new(api, message);
 	task->revision = revision;
+	task->needs_sessions = TRUE;
 	cb_operator_read(task, cb_operator_in_force_read);
 }
 
@@ -415,19 +441,13 @@
 	drained_check_(api);
 }
 
-/* A task that the node still holds outlives the service, without a timer. */
+/* The node, which is destroyed next, calls no task back any more. */
 static void operator_destroy_(cb_service_t *service)
 {
 	cb_operator_t *api = (cb_operator_t *)service;
-	cb_operator_task_t *task;
-	GHashTableIter iter;
 
-	api->is_destroyed = TRUE;
-	g_hash_table_iter_init(&iter, api->tasks);
-	while (g_hash_table_iter_next(&iter, (void **)&task, NULL))
-		g_clear_pointer(&task->timer, cb_timer_delete);
-	if (!g_hash_table_size(api->tasks))
-		operator_free_(api);
+	g_hash_table_unref(api->tasks);
+	g_free(api);
 }
 
 static const cb_service_vtable_t operator_vtable = {
@@ -443,6 +463,6 @@
 
 	api->service.vtable = &operator_vtable;
 	api->kernel = kernel;
-	api->tasks = g_hash_table_new(NULL, NULL);
+	api->tasks = g_hash_table_new_full(NULL, NULL, task_free_, NULL);
 	return api;
 }
--- a/src/libcurrantbridge/http/operator_change.c
+++ b/src/libcurrantbridge/http/operator_change.c
@@ -95,20 +95,10 @@
 }
 
 /* Answers an accepted change, and tells apart where it is in force. */
-static void accepted_reply_(cb_operator_task_t *task, const cb_answer_t *answer)
+static void accepted_read_(cb_operator_task_t *task)
 {
-	cb_operator_t *api = task->api;
-	cb_counters_t *counters = cb_kernel_counters(api->kernel);
 	JsonBuilder *builder = json_builder_new();
 
-	cb_counter_add(cb_counters_counter(counters,
-					   "cb_operator_changes_total", NULL,
-					   NULL),
-		       1);
-	cb_log_event(cb_kernel_log(api->kernel), CB_EVENT_OPERATOR_ACCEPTED,
-		     CB_STR("name", task->name),
-		     CB_STR("change_id", task->change_id),
-		     CB_INT("revision", answer->revision));
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "accepted");
 	json_builder_add_boolean_value(builder, TRUE);
@@ -118,87 +108,114 @@
 		json_builder_set_member_name(builder, "change_id");
 		json_builder_add_string_value(builder, task->change_id);
 		json_builder_set_member_name(builder, "revision");
-		json_builder_add_int_value(builder, (gint64)answer->revision);
+		json_builder_add_int_value(builder, (gint64)task->revision);
 		json_builder_set_member_name(builder, "is_replayed");
-		json_builder_add_boolean_value(builder, answer->is_replayed);
-		cb_operator_put_in_force(builder, api->node, answer->revision);
+		json_builder_add_boolean_value(builder, task->is_replayed);
+		cb_operator_put_in_force(builder, task);
 	}
 	json_builder_end_object(builder);
 	cb_operator_reply(task, SOUP_STATUS_OK, builder);
 }
 
-static void answer_reply_(cb_operator_task_t *task, const cb_answer_t *answer)
+/* Notes an accepted change, then answers it with where it is in force. */
+static void accepted_(cb_operator_task_t *task, const cb_answer_t *answer)
 {
-	switch (answer->kind) {
-	case CB_ANSWER_OK:
-		accepted_reply_(task, answer);
-		return;
-	case CB_ANSWER_CONFLICT:
+	cb_operator_t *api = task->api;
+	cb_counters_t *counters = cb_kernel_counters(api->kernel);
+
+	cb_counter_add(cb_counters_counter(counters,
+					   "cb_operator_changes_total", NULL,
+					   NULL),
+		       1);
+	cb_log_event(cb_kernel_log(api->kernel), CB_EVENT_OPERATOR_ACCEPTED,
+		     CB_STR("name", task->name),
+		     CB_STR("change_id", task->change_id),
+		     CB_INT("revision", answer->revision));
+	task->revision = answer->revision;
+	task->is_replayed = answer->is_replayed;
+	cb_operator_answer_with_sessions(task);
+}
+
+/* Answers a change that was not accepted. */
+static void refused_reply_(cb_operator_task_t *task, const cb_answer_t *answer)
+{
+	const char *text = answer->message;
+
+	if (answer->kind == CB_ANSWER_CONFLICT)
 		conflict_reply_(task, answer);
-		return;
-	case CB_ANSWER_NOT_FOUND:
+	else if (answer->kind == CB_ANSWER_NOT_FOUND)
 		cb_operator_refuse(task->api, task->message,
 				   SOUP_STATUS_NOT_FOUND, "not_found",
-				   answer->message ? answer->message :
-						     "there is no such item",
+				   text ? text : "there is no such item",
 				   CB_EXECUTED_NO);
-		return;
-	default:
+	else
 		cb_operator_refuse(task->api, task->message,
 				   SOUP_STATUS_BAD_REQUEST, "invalid",
-				   answer->message ? answer->message :
-						     "the change is not valid",
+				   text ? text : "the change is not valid",
 				   CB_EXECUTED_NO);
-		return;
+}
+
+/* Answers a change that got no answer of the state machine. */
+static void unanswered_reply_(cb_operator_task_t *task,
+			      cb_submit_outcome_t outcome)
+{
+	const char *text = "the change may have been accepted; resend it "
+			   "under the same change ID";
+	cb_executed_t executed = CB_EXECUTED_UNKNOWN;
+
+	if (outcome == CB_SUBMIT_NO_LEADER) {
+		text = "no majority of control instances has a leader now";
+		executed = CB_EXECUTED_NO;
+	} else if (outcome == CB_SUBMIT_BUSY) {
+		text = "too many changes wait";
+		executed = CB_EXECUTED_NO;
 	}
+	cb_operator_refuse(task->api, task->message,
+			   SOUP_STATUS_SERVICE_UNAVAILABLE,
+			   cb_submit_outcome_string[outcome], text, executed);
 }
 
 static void submitted_(cb_submit_outcome_t outcome, const cb_answer_t *answer,
 		       void *user_data)
 {
 	cb_operator_task_t *task = user_data;
-	cb_operator_t *api = task->api;
 
-	if (task->is_answered || api->is_destroyed)
-		goto out;
-	switch (outcome) {
-	case CB_SUBMIT_ANSWERED:
-		answer_reply_(task, answer);
-		break;
-	case CB_SUBMIT_NO_LEADER:
-		cb_operator_refuse(api, task->message,
-				   SOUP_STATUS_SERVICE_UNAVAILABLE, "no_leader",
-				   "no majority of control instances has a "
-				   "leader now",
-				   CB_EXECUTED_NO);
-		break;
-	case CB_SUBMIT_BUSY:
-		cb_operator_refuse(api, task->message,
-				   SOUP_STATUS_SERVICE_UNAVAILABLE, "busy",
-				   "too many changes wait", CB_EXECUTED_NO);
-		break;
-	default:
-		cb_operator_refuse(api, task->message,
-				   SOUP_STATUS_SERVICE_UNAVAILABLE, "unknown",
-				   "the change may have been accepted; resend "
-				   "it under the same change ID",
-				   CB_EXECUTED_UNKNOWN);
-		break;
+	if (task->is_answered) {
+		cb_operator_task_delete(task);
+		return;
 	}
-	task->is_answered = TRUE;
-	cb_timer_stop(task->timer);
-	soup_server_message_unpause(task->message);
-out:
+	if (outcome == CB_SUBMIT_ANSWERED && answer->kind == CB_ANSWER_OK) {
+		accepted_(task, answer);
+		return;
+	}
+	if (outcome == CB_SUBMIT_ANSWERED)
+		refused_reply_(task, answer);
+	else
+		unanswered_reply_(task, outcome);
+	cb_operator_task_answered(task);
 	cb_operator_task_delete(task);
 }
 
+/* Makes the task of a change to the item `name`. */
+static cb_operator_task_t *change_task_new_(cb_operator_t *api,
+					    SoupServerMessage *message,
+					    const char *name)
+{
+	cb_operator_task_t *task = cb_operator_task_new(api, message);
+
+	task->is_change = TRUE;
+	task->read = accepted_read_;
+	task->name = g_strdup(name);
+	return task;
+}
+
 /* Submits a change whose answer goes to `message`; takes `command`. */
 static void change_begin_(cb_operator_t *api, SoupServerMessage *message,
 			  cb_command_t *command)
 {
-	cb_operator_task_t *task = cb_operator_task_new(api, message);
+	cb_operator_task_t *task =
+		change_task_new_(api, message, command->name);
 
-	task->name = g_strdup(command->name);
 	task->change_id = g_strdup(command->change_id);
 	cb_node_submit(api->node, command, submitted_, task);
 }
@@ -345,8 +362,7 @@
 
 	if (!body_read_(api, message, table, G_N_ELEMENTS(table), &body))
 		return;
-	task = cb_operator_task_new(api, message);
-	task->name = g_strdup(body.name);
+	task = change_task_new_(api, message, body.name);
 	cb_node_add_member(api->node, body.name, body.address, submitted_,
 			   task);
 	cb_settings_clear(table, G_N_ELEMENTS(table), &body);
@@ -356,8 +372,7 @@
 void cb_operator_member_remove(cb_operator_t *api, SoupServerMessage *message,
 			       const char *name)
 {
-	cb_operator_task_t *task = cb_operator_task_new(api, message);
+	cb_operator_task_t *task = change_task_new_(api, message, name);
 
-	task->name = g_strdup(name);
 	cb_node_remove_member(api->node, name, submitted_, task);
 }
--- a/src/libcurrantbridge/http/operator_read.c
+++ b/src/libcurrantbridge/http/operator_read.c
@@ -134,11 +134,11 @@
 	cb_operator_reply(task, SOUP_STATUS_OK, builder);
 }
 
-/* Gathers the sessions by the entry instance's name. */
-static GHashTable *sessions_by_name_(const cb_node_t *node)
+/* Gathers the leader's sessions by the entry instance's name. */
+static GHashTable *sessions_by_name_(const cb_operator_task_t *task)
 {
 	GHashTable *by_name = g_hash_table_new(g_str_hash, g_str_equal);
-	const GPtrArray *sessions = cb_node_sessions(node);
+	const GPtrArray *sessions = task->sessions;
 	unsigned int i;
 
 	for (i = 0; sessions && i < sessions->len; i++) {
@@ -149,23 +149,19 @@
 	return by_name;
 }
 
-static gboolean is_leader_(const cb_node_t *node)
-{
-	return cb_replica_role(cb_node_replica(node)) == CB_REPLICA_ROLE_LEADER;
-}
-
 /*
- * Adds which entry instances have `revision` in force.  Silent instances are
- * named apart.  Only the leader knows of all sessions.
+ * Adds which entry instances have the task's revision in force.  Silent
+ * instances are named apart.  Without the leader's sessions nothing counts
+ * as in force, and `is_complete` is false.
  */
-void cb_operator_put_in_force(JsonBuilder *builder, const cb_node_t *node,
-			      uint64_t revision)
+void cb_operator_put_in_force(JsonBuilder *builder,
+			      const cb_operator_task_t *task)
 {
 	const GPtrArray *instances =
-		cb_view_instances(cb_state_view(cb_node_state(node)));
+		cb_view_instances(cb_state_view(task_state_(task)));
 	GPtrArray *missing = g_ptr_array_new();
 	GPtrArray *silent = g_ptr_array_new();
-	GHashTable *sessions = sessions_by_name_(node);
+	GHashTable *sessions = sessions_by_name_(task);
 	unsigned int i;
 
 	for (i = 0; i < instances->len; i++) {
@@ -175,13 +171,15 @@
 
 		if (instance->state == CB_INSTANCE_SILENT)
 			g_ptr_array_add(silent, instance->name);
-		else if (!session || session->revision_in_force < revision)
+		else if (!session ||
+			 session->incarnation != instance->incarnation ||
+			 session->revision_in_force < task->revision)
 			g_ptr_array_add(missing, instance->name);
 	}
 	json_builder_set_member_name(builder, "in_force");
 	json_builder_begin_object(builder);
-	put_uint_(builder, "revision", revision);
-	put_bool_(builder, "is_complete", is_leader_(node));
+	put_uint_(builder, "revision", task->revision);
+	put_bool_(builder, "is_complete", task->sessions != NULL);
 	put_uint_(builder, "instances", instances->len - silent->len);
 	put_uint_(builder, "in_force",
 		  instances->len - silent->len - missing->len);
@@ -209,16 +207,16 @@
 	JsonBuilder *builder = json_builder_new();
 
 	json_builder_begin_object(builder);
-	cb_operator_put_in_force(builder, task->api->node, task->revision);
+	cb_operator_put_in_force(builder, task);
 	json_builder_end_object(builder);
 	cb_operator_reply(task, SOUP_STATUS_OK, builder);
 }
 
-static void put_instances_(JsonBuilder *builder, const cb_node_t *node)
+static void put_instances_(JsonBuilder *builder, const cb_operator_task_t *task)
 {
 	const GPtrArray *instances =
-		cb_view_instances(cb_state_view(cb_node_state(node)));
-	GHashTable *sessions = sessions_by_name_(node);
+		cb_view_instances(cb_state_view(task_state_(task)));
+	GHashTable *sessions = sessions_by_name_(task);
 	unsigned int i;
 
 	json_builder_set_member_name(builder, "instances");
@@ -271,8 +269,9 @@
 	put_uint_(builder, "stops", cb_view_stops(view)->len);
 	put_uint_(builder, "claims", cb_state_claim_count(state));
 	put_members_(builder, node);
-	put_instances_(builder, node);
-	cb_operator_put_in_force(builder, node, cb_state_revision(state));
+	put_instances_(builder, task);
+	task->revision = cb_state_revision(state);
+	cb_operator_put_in_force(builder, task);
 	json_builder_end_object(builder);
 	cb_operator_reply(task, SOUP_STATUS_OK, builder);
 }
--- a/src/libcurrantbridge/include/private/operator.h
+++ b/src/libcurrantbridge/include/private/operator.h
@@ -12,7 +12,6 @@
 	GHashTable *tasks; /* a set of cb_operator_task_t */
 	gboolean is_draining;
 	gboolean is_drained;
-	gboolean is_destroyed;
 };
 
 /* One HTTP request that waits for the control quorum. */
@@ -20,11 +19,16 @@
 	cb_operator_t *api;
 	SoupServerMessage *message;
 	cb_timer_t *timer; /* armed until it is answered */
-	/* Called when the state is confirmed to be current. */
+	/* Writes the answer, once what it needs is there. */
 	void (*read)(struct cb_operator_task *task);
+	/* The leader's, during `read`; NULL if they could not be had. */
+	const GPtrArray *sessions;
 	char *name; /* of the item or member, or NULL */
 	char *change_id;
 	uint64_t revision;
+	gboolean is_change;
+	gboolean is_replayed;
+	gboolean needs_sessions;
 	gboolean may_be_unconfirmed;
 	gboolean is_confirmed;
 	gboolean is_answered;
@@ -40,8 +44,9 @@
 void cb_operator_refuse(cb_operator_t *api, SoupServerMessage *message,
 			unsigned int status, const char *reason,
 			const char *text, cb_executed_t executed);
-/* The answer "no such item" or, for a read, its JSON. */
+void cb_operator_task_answered(cb_operator_task_t *task);
 void cb_operator_read(cb_operator_task_t *task, cb_operator_read_fn_t read);
+void cb_operator_answer_with_sessions(cb_operator_task_t *task);
 
 void cb_operator_contracts_read(cb_operator_task_t *task);
 void cb_operator_contract_read(cb_operator_task_t *task);
@@ -50,8 +55,8 @@
 void cb_operator_status_read(cb_operator_task_t *task);
 void cb_operator_in_force_read(cb_operator_task_t *task);
 
-void cb_operator_put_in_force(JsonBuilder *builder, const cb_node_t *node,
-			      uint64_t revision);
+void cb_operator_put_in_force(JsonBuilder *builder,
+			      const cb_operator_task_t *task);
 
 /* Each changes something; `name` and `kind` are parts of the path. */
 void cb_operator_contract_put(cb_operator_t *api, SoupServerMessage *message,
