Run nodes and clients under silent cuts, restarts and lost answers

Many control nodes and entries' clients run in one process on a paused clock. A session that does not acknowledge within the silence bound is now closed. A command is now sent only on a session whose control instance has shown that it is current, so that without a majority it is surely not accepted.

--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -64,7 +64,6 @@
 	cb_log_event(client->log, CB_EVENT_CONTROL_CONNECTED,
 		     CB_STR("control", remote->name),
 		     CB_INT("revision", remote->revision));
-	cb_client_submits_send(client);
 }
 
 /* Notes a confirmed revision once the view has it. */
@@ -89,6 +88,7 @@
 		client->confirm_revision = message->number;
 	client->has_confirm_revision = TRUE;
 	confirmed_check_(client);
+	cb_client_submits_send(client);
 }
 
 /* Puts an update in force and says which revision is in force now. */
--- a/src/libcurrantbridge/control/control_client_submit.c
+++ b/src/libcurrantbridge/control/control_client_submit.c
@@ -41,6 +41,10 @@
 		done(outcome, answer, user_data);
 }
 
+/*
+ * Sends only to an instance that has shown that it is current: one that is
+ * cut off would leave the fate of the command open.
+ */
 static void submit_send_(cb_client_submit_t *submit)
 {
 	cb_control_client_t *client = submit->client;
@@ -48,7 +52,8 @@
 				      .id = submit->id,
 				      .body = submit->command };
 
-	if (!client->link || !cb_link_is_ready(client->link))
+	if (!client->link || !client->is_session_confirmed ||
+	    !cb_link_is_ready(client->link))
 		return;
 	submit->is_sent = TRUE;
 	cb_link_send(client->link, &message);
@@ -72,7 +77,7 @@
 		       NULL);
 }
 
-/* Sends everything that waits, on a session that has just opened. */
+/* Sends everything that waits, on a session that was just confirmed. */
 void cb_client_submits_send(cb_control_client_t *client)
 {
 	GHashTableIter iter;
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -178,6 +178,7 @@
 	members_keep_(node);
 	cb_node_confirm_applied(node);
 	cb_sessions_confirm(node);
+	cb_sessions_check(node);
 	cb_node_members_tick(node);
 }
 
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -114,6 +114,28 @@
 	g_clear_pointer(&round.update, g_bytes_unref);
 }
 
+/*
+ * Closes the sessions that were sent an update and never said that it is
+ * in force, although they are not silent.
+ */
+void cb_sessions_check(cb_node_t *node)
+{
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->inbounds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_inbound_t *inbound = value;
+		cb_session_t *session = inbound->session;
+
+		if (session &&
+		    session->sent_revision > session->held_revision &&
+		    now_ms - session->sent_ms >= node->silence_ms)
+			cb_link_goodbye(inbound->link, CB_CLOSE_SILENT);
+	}
+}
+
 /* Tells the sessions that waited that the state here is current. */
 static void sessions_confirmed_(cb_submit_outcome_t outcome, uint64_t index,
 				void *user_data)
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -141,6 +141,7 @@
 			const cb_link_message_t *message);
 void cb_sessions_push(cb_node_t *node);
 void cb_sessions_confirm(cb_node_t *node);
+void cb_sessions_check(cb_node_t *node);
 
 /* Membership of entry instances: node_member.c. */
 void cb_node_members_tick(cb_node_t *node);
--- /dev/null
+++ b/src/test_libcurrantbridge/support_world.h
@@ -0,0 +1,75 @@
+#ifndef SUPPORT_WORLD_H
+#define SUPPORT_WORLD_H
+
+#include "currantbridge/control_client.h"
+#include "currantbridge/node.h"
+#include "support_disk.h"
+#include "support_network.h"
+
+/*
+ * Control nodes and entries' control clients in one process, each with its
+ * own kernel, on one paused clock and one network in memory.
+ */
+#define WORLD_NODES_MAX 5
+#define WORLD_CLIENTS_MAX 24
+#define WORLD_HEARTBEAT_MS 100
+#define WORLD_ELECTION_MS 500
+#define WORLD_SILENCE_MS 2000
+
+typedef struct world_node {
+	char *name;
+	char *address;
+	disk_t *disk;
+	cb_kernel_t *kernel;
+	cb_node_t *node;
+} world_node_t;
+
+typedef struct world_client {
+	char *name;
+	uint64_t incarnation;
+	cb_kernel_t *kernel;
+	cb_view_t *view;
+	cb_control_client_t *client;
+	/* Watched over the life of one process. */
+	uint64_t highest_revision;
+	int went_back;
+	int saw_silent;
+} world_client_t;
+
+typedef struct world {
+	cb_clock_t *clock;
+	GRand *random;
+	support_hub_t *hub;
+	size_t node_count;
+	size_t client_count;
+	world_node_t nodes[WORLD_NODES_MAX];
+	world_client_t clients[WORLD_CLIENTS_MAX];
+} world_t;
+
+typedef gboolean (*world_condition_fn_t)(world_t *world);
+
+/* What became of one submission. */
+typedef struct world_result {
+	int calls;
+	cb_control_outcome_t outcome;
+	cb_answer_kind_t kind;
+	uint64_t revision;
+} world_result_t;
+
+world_t *world_new(size_t node_count, size_t client_count, uint32_t seed);
+void world_delete(world_t *world);
+void world_node_start(world_t *world, size_t i);
+void world_node_stop(world_t *world, size_t i);
+void world_client_start(world_t *world, size_t i);
+void world_client_stop(world_t *world, size_t i);
+void world_isolate(world_t *world, const char *name, gboolean is_blocked);
+gboolean world_run_until(world_t *world, world_condition_fn_t condition,
+			 int64_t limit_ms);
+int world_leader(const world_t *world);
+gboolean world_is_converged(world_t *world);
+void world_put(world_t *world, size_t client, const char *workspace,
+	       const char *change_id, int64_t timeout_ms,
+	       world_result_t *result);
+const cb_instance_t *world_instance(const cb_view_t *view, const char *name);
+
+#endif
