--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -203,7 +203,7 @@
 }
 
 /* Waits for the end; returns the exit code, or -1 for a signal. */
-static int daemon_wait_(support_daemon_t *daemon)
+int support_daemon_wait(support_daemon_t *daemon)
 {
 	int exit_code = -1;
 
@@ -218,7 +218,7 @@
 int support_daemon_stop(support_daemon_t *daemon)
 {
 	support_daemon_signal(daemon, SIGTERM);
-	return daemon_wait_(daemon);
+	return support_daemon_wait(daemon);
 }
 
 /* Kills a daemon at once; one that does not run is left. */
@@ -227,7 +227,7 @@
 	if (!daemon->process)
 		return;
 	support_daemon_signal(daemon, SIGKILL);
-	daemon_wait_(daemon);
+	support_daemon_wait(daemon);
 }
 
 /* Erases the data folder of a daemon that does not run. */
--- a/test/support_daemons.h
+++ b/test/support_daemons.h
@@ -47,6 +47,7 @@
 
 void support_daemon_start(support_daemon_t *daemon);
 void support_daemon_signal(support_daemon_t *daemon, int signal_number);
+int support_daemon_wait(support_daemon_t *daemon);
 int support_daemon_stop(support_daemon_t *daemon);
 void support_daemon_kill(support_daemon_t *daemon);
 void support_daemon_erase(support_daemon_t *daemon);
