--- /dev/null
+++ b/src/test_libcurrantbridge/support_callers.h
@@ -0,0 +1,26 @@
+#ifndef SUPPORT_CALLERS_H
+#define SUPPORT_CALLERS_H
+
+#include "support_engines.h"
+
+/* One caller of a generation, with what it got. */
+typedef struct support_caller {
+	support_engines_t *engines;
+	cb_generation_t *generation;
+	char *prompt;
+	uint64_t max_tokens;
+	uint64_t token_count;
+	GString *text;
+	int64_t last_token_ms; /* -1: none yet */
+	int64_t worst_gap_ms;
+	gboolean is_ended;
+	int64_t ended_ms;
+	cb_generation_end_t end;
+} support_caller_t;
+
+support_caller_t *support_caller_new(support_entry_t *entry, const char *prompt,
+				     uint64_t max_tokens, int64_t deadline_ms);
+void support_caller_delete(support_caller_t *caller);
+gboolean support_caller_is_whole(const support_caller_t *caller);
+
+#endif
--- /dev/null
+++ b/src/test_libcurrantbridge/support_engines.c
@@ -0,0 +1,707 @@
+#include "support_engines.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define NETWORK_MS 1
+#define LATE_MS 400
+#define REPORT_MS 200
+#define SILENCE_MS 2000
+#define SHARE_MS 100
+#define PER_MILLE 1000
+
+typedef enum exchange_kind {
+	STREAM,
+	OPEN,
+	STEP,
+	MOVE,
+	PROBE
+} exchange_kind_t;
+
+typedef struct session {
+	uint64_t epoch;
+	uint64_t next_token;
+	uint64_t max_tokens;
+	char *prompt;
+	char *previous;
+} session_t;
+
+/* An exchange of one entry instance with one engine. */
+typedef struct exchange {
+	support_engines_t *engines;
+	support_engine_t *engine;
+	support_engine_t *from; /* of a move */
+	exchange_kind_t kind;
+	cb_engine_listener_t listener;
+	char *request;
+	uint64_t epoch;
+	uint64_t token;
+	uint64_t max_tokens;
+	uint32_t first_layer;
+	uint32_t last_layer;
+	char *prompt;
+	char *previous; /* text before `token` */
+	char *hidden;
+	char *text;
+	gboolean has_previous;
+	gboolean is_last;
+	gboolean is_deaf;   /* what was sent never arrives */
+	gboolean is_silent; /* no answer arrives */
+	gboolean is_closed;
+	cb_timer_t *arrival;
+	cb_timer_t *work; /* the engine computes */
+	cb_timer_t *answer;
+	cb_timer_t *end;
+	cb_failure_t failure;
+} exchange_t;
+
+static void exchange_delete_(void *data)
+{
+	exchange_t *exchange = data;
+
+	cb_timer_delete(exchange->arrival);
+	cb_timer_delete(exchange->work);
+	cb_timer_delete(exchange->answer);
+	cb_timer_delete(exchange->end);
+	g_free(exchange->request);
+	g_free(exchange->prompt);
+	g_free(exchange->previous);
+	g_free(exchange->hidden);
+	g_free(exchange->text);
+	g_free(exchange);
+}
+
+static void session_delete_(void *data)
+{
+	session_t *session = data;
+
+	g_free(session->prompt);
+	g_free(session->previous);
+	g_free(session);
+}
+
+static gboolean chance_(support_engines_t *engines, int per_mille)
+{
+	return per_mille &&
+	       g_rand_int_range(engines->random, 0, PER_MILLE) < per_mille;
+}
+
+static char *hash_(char *text)
+{
+	char *hash = g_strdup_printf(
+		"%08x", (uint32_t)(XXH3_64bits(text, strlen(text)) >> 32));
+
+	g_free(text);
+	return hash;
+}
+
+static char *hidden_first_(const char *prompt, uint64_t token,
+			   const char *previous)
+{
+	return hash_(g_strdup_printf("%s|%d|%s", prompt, (int)token,
+				     previous ? previous : ""));
+}
+
+/* Takes `hidden` through the layers of a range. */
+static char *layers_run_(char *hidden, uint32_t first, uint32_t last)
+{
+	uint32_t layer;
+
+	for (layer = first; layer <= last; layer++) {
+		char *text = g_strdup_printf("%s|%u", hidden, layer);
+
+		g_free(hidden);
+		hidden = hash_(text);
+	}
+	return hidden;
+}
+
+char *support_answer(const char *prompt, uint64_t token_count)
+{
+	GString *answer = g_string_new(NULL);
+	char *previous = NULL;
+	uint64_t token;
+
+	for (token = 0; token < token_count; token++) {
+		char *hidden =
+			layers_run_(hidden_first_(prompt, token, previous), 0,
+				    SUPPORT_LAYERS - 1);
+
+		g_free(previous);
+		previous = g_strconcat(hidden, " ", NULL);
+		g_string_append(answer, previous);
+		g_free(hidden);
+	}
+	g_free(previous);
+	return g_string_free(answer, FALSE);
+}
+
+static void end_(exchange_t *exchange, cb_failure_t failure)
+{
+	if (exchange->is_closed || cb_timer_is_armed(exchange->end))
+		return;
+	exchange->failure = failure;
+	cb_timer_start(exchange->end, NETWORK_MS);
+}
+
+static void end_due_(void *user_data)
+{
+	exchange_t *exchange = user_data;
+
+	if (exchange->is_closed || exchange->is_silent)
+		return;
+	exchange->is_closed = TRUE;
+	exchange->listener.done(exchange->listener.user_data,
+				exchange->failure);
+}
+
+/* Hands one token to the entry instance, changed by `fault`. */
+static void token_deliver_(exchange_t *exchange, int fault)
+{
+	cb_engine_token_t token = { .request = exchange->request,
+				    .epoch = exchange->epoch,
+				    .token = exchange->token,
+				    .first_layer = exchange->first_layer,
+				    .last_layer = exchange->last_layer,
+				    .hidden = exchange->hidden,
+				    .text = exchange->text,
+				    .is_last = exchange->is_last };
+
+	if (fault == 1)
+		token.request = "another";
+	if (fault == 2)
+		token.epoch--;
+	if (fault == 3)
+		token.token++;
+	if (fault == 4)
+		token.first_layer++;
+	exchange->listener.token(exchange->listener.user_data, &token);
+}
+
+static void work_begin_(exchange_t *exchange);
+
+static void answer_due_(void *user_data)
+{
+	exchange_t *exchange = user_data;
+	support_engines_t *engines = exchange->engines;
+
+	if (exchange->is_closed || exchange->is_silent)
+		return;
+	if (chance_(engines, engines->faults.crossed))
+		token_deliver_(exchange,
+			       g_rand_int_range(engines->random, 1, 5));
+	if (!exchange->is_closed)
+		token_deliver_(exchange, 0);
+	if (!exchange->is_closed && chance_(engines, engines->faults.duplicate))
+		token_deliver_(exchange, 0);
+	if (exchange->is_closed)
+		return;
+	if (exchange->kind == STEP || exchange->is_last) {
+		end_(exchange, CB_FAILURE_NONE);
+		return;
+	}
+	exchange->token++;
+	work_begin_(exchange);
+}
+
+static session_t *session_find_(const exchange_t *exchange)
+{
+	return g_hash_table_lookup(exchange->engine->sessions,
+				   exchange->request);
+}
+
+/* The engine has run its range for one token. */
+static void work_done_(void *user_data)
+{
+	exchange_t *exchange = user_data;
+	support_engines_t *engines = exchange->engines;
+	support_engine_t *engine = exchange->engine;
+	session_t *session = session_find_(exchange);
+	gboolean is_end = engine->last_layer == SUPPORT_LAYERS - 1;
+	cb_history_event_t event = { .kind = CB_HISTORY_RUN,
+				     .request = exchange->request,
+				     .server = engine->name,
+				     .epoch = exchange->epoch,
+				     .token = exchange->token,
+				     .first_layer = engine->first_layer,
+				     .last_layer = engine->last_layer };
+	char *hidden;
+
+	if (!engine->is_alive || !session || session->epoch != exchange->epoch)
+		return;
+	if (!engine->first_layer) {
+		g_free(exchange->hidden);
+		exchange->hidden =
+			hidden_first_(session->prompt, exchange->token,
+				      session->previous);
+	}
+	hidden = layers_run_(g_steal_pointer(&exchange->hidden),
+			     engine->first_layer, engine->last_layer);
+	session->next_token++;
+	g_clear_pointer(&exchange->text, g_free);
+	if (is_end) {
+		exchange->text = g_strconcat(hidden, " ", NULL);
+		exchange->is_last = session->next_token >= session->max_tokens;
+		g_free(hidden);
+		g_free(session->previous);
+		session->previous = g_strdup(exchange->text);
+	} else {
+		exchange->hidden = hidden;
+	}
+	event.text = exchange->text;
+	cb_history_record(engines->history, &event);
+	cb_timer_start(exchange->answer,
+		       chance_(engines, engines->faults.late) ? LATE_MS :
+								NETWORK_MS);
+}
+
+static void work_begin_(exchange_t *exchange)
+{
+	cb_timer_start(exchange->work, exchange->engine->step_ms);
+}
+
+/* Makes a session by an order; an older epoch is refused. */
+static gboolean session_open_(exchange_t *exchange)
+{
+	session_t *session = session_find_(exchange);
+
+	if (session && session->epoch > exchange->epoch)
+		return FALSE;
+	session = g_new0(session_t, 1);
+	session->epoch = exchange->epoch;
+	session->next_token = exchange->token;
+	session->max_tokens = exchange->max_tokens;
+	session->prompt = g_strdup(exchange->prompt);
+	session->previous = g_strdup(exchange->previous);
+	g_hash_table_insert(exchange->engine->sessions,
+			    g_strdup(exchange->request), session);
+	return TRUE;
+}
+
+static gboolean session_move_(exchange_t *exchange)
+{
+	session_t *old = g_hash_table_lookup(exchange->from->sessions,
+					     exchange->request);
+
+	return exchange->from->is_alive && old &&
+	       old->next_token == exchange->token && session_open_(exchange);
+}
+
+static void step_arrive_(exchange_t *exchange)
+{
+	session_t *session = session_find_(exchange);
+
+	if (!session || session->epoch < exchange->epoch ||
+	    session->next_token < exchange->token) {
+		end_(exchange, CB_FAILURE_NO_CONTEXT);
+		return;
+	}
+	if (session->epoch > exchange->epoch ||
+	    session->next_token > exchange->token) {
+		end_(exchange, CB_FAILURE_FENCED);
+		return;
+	}
+	if (exchange->has_previous) {
+		g_free(session->previous);
+		session->previous = g_strdup(exchange->previous);
+	}
+	work_begin_(exchange);
+}
+
+static gboolean is_killer_(const exchange_t *exchange)
+{
+	const char *crash_on = exchange->engines->crash_on;
+
+	return crash_on && exchange->prompt &&
+	       strstr(exchange->prompt, crash_on);
+}
+
+static void order_arrive_(exchange_t *exchange)
+{
+	gboolean is_open;
+
+	if (is_killer_(exchange)) {
+		support_engine_kill(exchange->engine);
+		return;
+	}
+	is_open = exchange->kind == MOVE ? session_move_(exchange) :
+					   session_open_(exchange);
+	if (!is_open)
+		end_(exchange, CB_FAILURE_FENCED);
+	else if (exchange->kind == STREAM)
+		work_begin_(exchange);
+	else
+		end_(exchange, CB_FAILURE_NONE);
+}
+
+/* What was sent has arrived at the engine. */
+static void arrive_(void *user_data)
+{
+	exchange_t *exchange = user_data;
+	support_engine_t *engine = exchange->engine;
+
+	if (exchange->is_closed || exchange->is_deaf || engine->is_silent)
+		return;
+	if (!engine->is_alive)
+		end_(exchange, CB_FAILURE_CONNECT);
+	else if (exchange->kind == PROBE)
+		end_(exchange, CB_FAILURE_NONE);
+	else if (exchange->kind == STEP)
+		step_arrive_(exchange);
+	else
+		order_arrive_(exchange);
+	if (exchange->kind != PROBE &&
+	    chance_(exchange->engines, exchange->engines->faults.lost))
+		end_(exchange, CB_FAILURE_LOST);
+}
+
+static support_engine_t *engine_find_(support_engines_t *engines,
+				      const cb_server_t *server)
+{
+	unsigned int i;
+
+	for (i = 0; i < engines->engines->len; i++) {
+		support_engine_t *engine =
+			g_ptr_array_index(engines->engines, i);
+
+		if (!strcmp(engine->name, server->name))
+			return engine;
+	}
+	g_assert_not_reached();
+}
+
+static exchange_t *exchange_new_(cb_engine_client_t *client,
+				 cb_server_t *server, exchange_kind_t kind,
+				 const cb_engine_listener_t *listener)
+{
+	support_engines_t *engines = ((support_entry_t *)client)->engines;
+	exchange_t *exchange = g_new0(exchange_t, 1);
+
+	exchange->engines = engines;
+	exchange->engine = engine_find_(engines, server);
+	exchange->kind = kind;
+	exchange->listener = *listener;
+	exchange->arrival = cb_timer_new(engines->clock, arrive_, exchange);
+	exchange->work = cb_timer_new(engines->clock, work_done_, exchange);
+	exchange->answer = cb_timer_new(engines->clock, answer_due_, exchange);
+	exchange->end = cb_timer_new(engines->clock, end_due_, exchange);
+	if (kind != PROBE && chance_(engines, engines->faults.silent)) {
+		exchange->is_deaf = g_rand_boolean(engines->random);
+		exchange->is_silent = !exchange->is_deaf;
+	}
+	g_ptr_array_add(engines->exchanges, exchange);
+	cb_timer_start(exchange->arrival, NETWORK_MS);
+	return exchange;
+}
+
+static exchange_t *order_new_(cb_engine_client_t *client, cb_server_t *server,
+			      exchange_kind_t kind,
+			      const cb_engine_order_t *order,
+			      const cb_engine_listener_t *listener)
+{
+	exchange_t *exchange = exchange_new_(client, server, kind, listener);
+	uint64_t count = order->delivered_count;
+
+	exchange->engine->orders++;
+	exchange->request = g_strdup(order->request);
+	exchange->epoch = order->epoch;
+	exchange->token = count;
+	exchange->max_tokens = order->max_tokens;
+	exchange->first_layer = order->first_layer;
+	exchange->last_layer = order->last_layer;
+	exchange->prompt = g_strdup(order->prompt);
+	exchange->previous =
+		count ? g_strdup(order->delivered[count - 1]) : NULL;
+	return exchange;
+}
+
+static cb_exchange_t *stream_(cb_engine_client_t *client, cb_server_t *server,
+			      const cb_engine_order_t *order,
+			      const cb_engine_listener_t *listener)
+{
+	return (cb_exchange_t *)order_new_(client, server, STREAM, order,
+					   listener);
+}
+
+static cb_exchange_t *open_(cb_engine_client_t *client, cb_server_t *server,
+			    const cb_engine_order_t *order,
+			    const cb_engine_listener_t *listener)
+{
+	return (cb_exchange_t *)order_new_(client, server, OPEN, order,
+					   listener);
+}
+
+static cb_exchange_t *move_(cb_engine_client_t *client, cb_server_t *from,
+			    cb_server_t *to, const cb_engine_order_t *order,
+			    const cb_engine_listener_t *listener)
+{
+	exchange_t *exchange = order_new_(client, to, MOVE, order, listener);
+
+	exchange->from = engine_find_(exchange->engines, from);
+	return (cb_exchange_t *)exchange;
+}
+
+static cb_exchange_t *step_(cb_engine_client_t *client, cb_server_t *server,
+			    const cb_engine_step_t *step,
+			    const cb_engine_listener_t *listener)
+{
+	exchange_t *exchange = exchange_new_(client, server, STEP, listener);
+
+	exchange->request = g_strdup(step->request);
+	exchange->epoch = step->epoch;
+	exchange->token = step->token;
+	exchange->first_layer = step->first_layer;
+	exchange->last_layer = step->last_layer;
+	exchange->hidden = g_strdup(step->hidden);
+	exchange->previous = g_strdup(step->previous);
+	exchange->has_previous = step->previous != NULL;
+	return (cb_exchange_t *)exchange;
+}
+
+static cb_exchange_t *probe_(cb_engine_client_t *client, cb_server_t *server,
+			     const cb_engine_listener_t *listener)
+{
+	return (cb_exchange_t *)exchange_new_(client, server, PROBE, listener);
+}
+
+static void drop_(cb_engine_client_t *client, cb_server_t *server,
+		  const char *request, uint64_t epoch)
+{
+	support_engines_t *engines = ((support_entry_t *)client)->engines;
+	support_engine_t *engine = engine_find_(engines, server);
+	session_t *session = g_hash_table_lookup(engine->sessions, request);
+
+	g_ptr_array_add(engines->drops, g_strdup(engine->name));
+	if (session && session->epoch <= epoch)
+		g_hash_table_remove(engine->sessions, request);
+}
+
+static void cancel_(cb_engine_client_t *client, cb_exchange_t *exchange)
+{
+	(void)client;
+	((exchange_t *)exchange)->is_closed = TRUE;
+}
+
+static const cb_engine_client_vtable_t client_vtable = {
+	.stream = stream_,
+	.open = open_,
+	.step = step_,
+	.move = move_,
+	.probe = probe_,
+	.drop = drop_,
+	.cancel = cancel_,
+};
+
+/* Has every engine that lives announce itself to every entry instance. */
+void support_engines_report(support_engines_t *engines)
+{
+	unsigned int i;
+	unsigned int j;
+
+	for (i = 0; i < engines->engines->len; i++) {
+		support_engine_t *engine =
+			g_ptr_array_index(engines->engines, i);
+		char *text = g_strdup_printf(
+			"{\"name\":\"%s\",\"address\":\"127.0.0.1:1\","
+			"\"data_centre\":\"%s\",\"kind\":\"engine\","
+			"\"incarnation\":%d,\"state\":\"%s\","
+			"\"checks_fencing\":true,\"capacity\":64,"
+			"\"load\":{\"running\":0,\"queued\":0},\"models\":"
+			"[{\"name\":\"" SUPPORT_MODEL "\",\"first_layer\":%u,"
+			"\"last_layer\":%u,\"layers\":%d}]}",
+			engine->name, engine->data_centre,
+			(int)engine->incarnation,
+			engine->is_leaving ? "leaving" : "ready",
+			engine->first_layer, engine->last_layer,
+			SUPPORT_LAYERS);
+
+		for (j = 0; j < engines->entries->len && engine->is_alive &&
+			    !engine->is_silent;
+		     j++) {
+			support_entry_t *entry =
+				g_ptr_array_index(engines->entries, j);
+
+			cb_server_announce(entry->registry, text, NULL);
+		}
+		g_free(text);
+	}
+	cb_timer_start(engines->report_timer, REPORT_MS);
+}
+
+static void report_due_(void *user_data)
+{
+	support_engines_report(user_data);
+}
+
+/* Control tells every entry instance what changed. */
+static void share_due_(void *user_data)
+{
+	support_engines_t *engines = user_data;
+	unsigned int i;
+
+	for (i = 0; i < engines->entries->len; i++) {
+		support_entry_t *entry = g_ptr_array_index(engines->entries, i);
+		GBytes *update =
+			cb_state_encode_update(engines->state,
+					       cb_view_revision(entry->view));
+
+		cb_view_apply(entry->view, update);
+		g_bytes_unref(update);
+	}
+}
+
+support_engines_t *support_engines_new(uint32_t seed)
+{
+	support_engines_t *engines = g_new0(support_engines_t, 1);
+
+	engines->clock = cb_clock_new_paused(1000);
+	engines->random = g_rand_new_with_seed(seed);
+	engines->engines = g_ptr_array_new();
+	engines->entries = g_ptr_array_new();
+	engines->exchanges = g_ptr_array_new_with_free_func(exchange_delete_);
+	engines->drops = g_ptr_array_new_with_free_func(g_free);
+	engines->report_timer =
+		cb_timer_new(engines->clock, report_due_, engines);
+	engines->share_timer =
+		cb_timer_new(engines->clock, share_due_, engines);
+	engines->state = cb_state_new();
+	engines->refused = g_ptr_array_new_with_free_func(g_free);
+	engines->stream = open_memstream(&engines->lines, &engines->size);
+	engines->history = cb_history_new(engines->clock, engines->stream);
+	cb_timer_start(engines->report_timer, 0);
+	return engines;
+}
+
+support_engine_t *support_engine_add(support_engines_t *engines,
+				     const char *name, const char *data_centre,
+				     uint32_t first_layer, uint32_t last_layer)
+{
+	support_engine_t *engine = g_new0(support_engine_t, 1);
+
+	engine->engines = engines;
+	engine->name = g_strdup(name);
+	engine->data_centre = g_strdup(data_centre);
+	engine->first_layer = first_layer;
+	engine->last_layer = last_layer;
+	engine->step_ms = 10;
+	engine->incarnation = 1;
+	engine->is_alive = TRUE;
+	engine->sessions = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, session_delete_);
+	g_ptr_array_add(engines->engines, engine);
+	return engine;
+}
+
+/* Puts a digest into the replicated list, shared after SHARE_MS. */
+static void quarantine_(void *user_data, const char *digest,
+			int64_t until_wall_ms)
+{
+	support_entry_t *entry = user_data;
+	support_engines_t *engines = entry->engines;
+	cb_machine_t *machine = cb_state_machine(engines->state);
+	cb_command_t *command = cb_command_new(CB_COMMAND_QUARANTINE_ADD);
+	GBytes *bytes;
+
+	command->name = g_strdup(digest);
+	command->until_wall_ms = until_wall_ms;
+	command->wall_ms = cb_clock_wall_ms(engines->clock);
+	bytes = cb_command_encode(command);
+	g_bytes_unref(machine->vtable->apply(machine, ++engines->index, bytes));
+	g_bytes_unref(bytes);
+	cb_command_delete(command);
+	g_ptr_array_add(engines->refused, g_strdup(digest));
+	cb_timer_start(engines->share_timer, SHARE_MS);
+}
+
+support_entry_t *support_entry_add(support_engines_t *engines)
+{
+	support_entry_t *entry = g_new0(support_entry_t, 1);
+	cb_generation_parts_t parts = { .clock = engines->clock,
+					.random = engines->random,
+					.engines = &entry->client,
+					.data_centre = "dc1",
+					.quarantine = quarantine_,
+					.user_data = entry,
+					.history = engines->history };
+
+	entry->client.vtable = &client_vtable;
+	entry->engines = engines;
+	entry->view = cb_view_new();
+	entry->counters = cb_counters_new();
+	entry->registry =
+		cb_server_registry_new(engines->clock, NULL, entry->counters,
+				       entry->view, SILENCE_MS);
+	parts.view = entry->view;
+	parts.counters = entry->counters;
+	parts.registry = entry->registry;
+	entry->env = cb_generation_env_new(&parts);
+	g_ptr_array_add(engines->entries, entry);
+	return entry;
+}
+
+static void entry_delete_(support_entry_t *entry)
+{
+	cb_generation_env_delete(entry->env);
+	cb_server_registry_delete(entry->registry);
+	cb_counters_delete(entry->counters);
+	cb_view_delete(entry->view);
+	g_free(entry);
+}
+
+char *support_engines_delete(support_engines_t *engines)
+{
+	char *lines;
+	unsigned int i;
+
+	for (i = 0; i < engines->entries->len; i++)
+		entry_delete_(g_ptr_array_index(engines->entries, i));
+	for (i = 0; i < engines->engines->len; i++) {
+		support_engine_t *engine =
+			g_ptr_array_index(engines->engines, i);
+
+		g_hash_table_unref(engine->sessions);
+		g_free(engine->name);
+		g_free(engine->data_centre);
+		g_free(engine);
+	}
+	g_ptr_array_unref(engines->exchanges);
+	g_ptr_array_unref(engines->engines);
+	g_ptr_array_unref(engines->entries);
+	g_ptr_array_unref(engines->drops);
+	g_ptr_array_unref(engines->refused);
+	cb_timer_delete(engines->report_timer);
+	cb_timer_delete(engines->share_timer);
+	cb_state_delete(engines->state);
+	cb_history_delete(engines->history);
+	fclose(engines->stream);
+	lines = engines->lines;
+	g_rand_free(engines->random);
+	cb_clock_delete(engines->clock);
+	g_free(engines);
+	return lines;
+}
+
+/* Ends an engine's process: its connections end, its sessions are gone. */
+void support_engine_kill(support_engine_t *engine)
+{
+	GPtrArray *exchanges = engine->engines->exchanges;
+	unsigned int i;
+
+	engine->is_alive = FALSE;
+	engine->deaths++;
+	g_hash_table_remove_all(engine->sessions);
+	for (i = 0; i < exchanges->len; i++) {
+		exchange_t *exchange = g_ptr_array_index(exchanges, i);
+
+		if (exchange->engine == engine)
+			end_(exchange, CB_FAILURE_LOST);
+	}
+}
+
+void support_engine_restart(support_engine_t *engine)
+{
+	engine->is_alive = TRUE;
+	engine->is_silent = FALSE;
+	engine->incarnation++;
+}
