--- /dev/null
+++ b/src/test_libcurrantbridge/test_state.c
@@ -0,0 +1,527 @@
+#include "support_main.h"
+#include "support_state.h"
+
+#include <string.h>
+
+#define DAY_MS (24 * 3600 * INT64_C(1000))
+
+/* Applies a command and checks its answer's kind and revision. */
+static void expect_(support_state_t *self, cb_command_t *command,
+		    cb_answer_kind_t kind, uint64_t revision)
+{
+	cb_answer_t *answer = support_apply(self, command);
+
+	CU_ASSERT_EQUAL(answer->kind, kind);
+	CU_ASSERT_EQUAL(answer->revision, revision);
+	cb_answer_delete(answer);
+}
+
+static void changes_compare_and_set(void)
+{
+	support_state_t *self = support_state_new();
+	const cb_contract_t *contract;
+	cb_answer_t *answer;
+
+	expect_(self, support_expecting(support_put("w", "k", 1), 7),
+		CB_ANSWER_CONFLICT, 0);
+	expect_(self, support_expecting(support_put("w", "k", 1), 0),
+		CB_ANSWER_OK, 2);
+	expect_(self, support_expecting(support_put("w", "k", 2), 0),
+		CB_ANSWER_CONFLICT, 2);
+	answer = support_apply(self, support_expecting(support_remove("w"), 1));
+	CU_ASSERT_EQUAL(answer->kind, CB_ANSWER_CONFLICT);
+	CU_ASSERT_EQUAL(answer->revision, 2);
+	CU_ASSERT_EQUAL(answer->expected_revision, 1);
+	CU_ASSERT_STRING_EQUAL(
+		answer->message,
+		"expected revision 1, the present revision is 2");
+	cb_answer_delete(answer);
+	expect_(self, support_expecting(support_put("w", "k", 3), 2),
+		CB_ANSWER_OK, 5);
+	contract = cb_view_contract(cb_state_view(self->state), "w");
+	CU_ASSERT_EQUAL(contract->guaranteed_requests_per_s, 3);
+	CU_ASSERT_EQUAL(contract->revision, 5);
+	expect_(self, support_expecting(support_remove("w"), 5), CB_ANSWER_OK,
+		6);
+	expect_(self, support_remove("w"), CB_ANSWER_NOT_FOUND, 0);
+	expect_(self, support_stop(CB_COMMAND_STOP_ANNOUNCE, "s"), CB_ANSWER_OK,
+		8);
+	expect_(self, support_stop(CB_COMMAND_STOP_ANNOUNCE, "s"), CB_ANSWER_OK,
+		8);
+	expect_(self,
+		support_expecting(support_stop(CB_COMMAND_STOP_CANCEL, "s"), 7),
+		CB_ANSWER_CONFLICT, 8);
+	expect_(self, support_stop(CB_COMMAND_STOP_CANCEL, "s"), CB_ANSWER_OK,
+		11);
+	expect_(self, support_stop(CB_COMMAND_STOP_CANCEL, "s"),
+		CB_ANSWER_NOT_FOUND, 0);
+	CU_ASSERT_EQUAL(cb_state_revision(self->state), 11);
+	support_state_delete(self);
+}
+
+/* Of two operators under one revision, one wins; resends change nothing. */
+static void one_of_two_racing_operators_wins(void)
+{
+	static const char *const id[] = { "a", "b" };
+	support_state_t *self = support_state_new();
+	GRand *random = g_rand_new_with_seed(7);
+	uint64_t revision = 0;
+	int round;
+
+	for (round = 0; round < 200; round++) {
+		cb_answer_kind_t first[2] = { CB_ANSWER_KIND_COUNT,
+					      CB_ANSWER_KIND_COUNT };
+		uint64_t won = 0;
+		int wins = 0;
+		int send;
+
+		for (send = 0; send < 8; send++) {
+			int who = send < 2 ? (round + send) % 2 :
+					     g_rand_int_range(random, 0, 2);
+			char *change_id =
+				g_strdup_printf("%s%d", id[who], round);
+			cb_command_t *put = support_expecting(
+				support_put("w", id[who], round + 1), revision);
+			cb_answer_t *answer =
+				support_apply(self,
+					      support_named(put, change_id));
+
+			if (first[who] == CB_ANSWER_KIND_COUNT) {
+				first[who] = answer->kind;
+				CU_ASSERT_FALSE(answer->is_replayed);
+				wins += answer->kind == CB_ANSWER_OK;
+				if (answer->kind == CB_ANSWER_OK)
+					won = answer->revision;
+			} else {
+				CU_ASSERT_EQUAL(answer->kind, first[who]);
+				CU_ASSERT_TRUE(answer->is_replayed);
+			}
+			CU_ASSERT_EQUAL(answer->revision, won);
+			cb_answer_delete(answer);
+			g_free(change_id);
+		}
+		CU_ASSERT_EQUAL(wins, 1);
+		CU_ASSERT_EQUAL(cb_state_revision(self->state), won);
+		revision = won;
+	}
+	g_rand_free(random);
+	support_state_delete(self);
+}
+
+/* A resend gets the first answer, whatever has changed since. */
+static void resend_gets_the_first_answer(void)
+{
+	support_state_t *self = support_state_new();
+	int i;
+
+	expect_(self, support_named(support_put("w", "k", 1), "1"),
+		CB_ANSWER_OK, 1);
+	expect_(self, support_named(support_remove("w"), "2"), CB_ANSWER_OK, 2);
+	expect_(self, support_named(support_put("w", "k", 1), "1"),
+		CB_ANSWER_OK, 1);
+	CU_ASSERT_PTR_NULL(cb_view_contract(cb_state_view(self->state), "w"));
+	expect_(self, support_named(support_put("w", "k", 2), "1"),
+		CB_ANSWER_INVALID, 0);
+	expect_(self, support_named(support_remove("w"), "3"),
+		CB_ANSWER_NOT_FOUND, 0);
+	expect_(self, support_put("w", "k", 1), CB_ANSWER_OK, 6);
+	expect_(self, support_named(support_remove("w"), "3"),
+		CB_ANSWER_NOT_FOUND, 0);
+	/* Once the time has passed, IDs run out with the next changes. */
+	self->wall_ms += CB_STATE_CHANGE_KEEP_MS;
+	for (i = 0; i < 2; i++) {
+		char *id = g_strdup_printf("later%d", i);
+
+		support_apply_kind(self,
+				   support_named(support_put("x", "x", 1), id));
+		g_free(id);
+	}
+	expect_(self, support_named(support_remove("w"), "3"), CB_ANSWER_OK,
+		10);
+	support_state_delete(self);
+}
+
+static void change_ids_are_bounded_by_count(void)
+{
+	support_state_t *self = support_state_new();
+	int i;
+
+	for (i = 0; i <= CB_STATE_CHANGE_KEEP_COUNT; i++) {
+		char *id = g_strdup_printf("%d", i);
+
+		support_apply_kind(self,
+				   support_named(support_remove("none"), id));
+		g_free(id);
+	}
+	expect_(self, support_put("none", "k", 1), CB_ANSWER_OK,
+		CB_STATE_CHANGE_KEEP_COUNT + 2);
+	expect_(self, support_named(support_remove("none"), "1"),
+		CB_ANSWER_NOT_FOUND, 0);
+	expect_(self, support_named(support_remove("none"), "0"), CB_ANSWER_OK,
+		CB_STATE_CHANGE_KEEP_COUNT + 4);
+	support_state_delete(self);
+}
+
+static void a_key_belongs_to_one_workspace(void)
+{
+	support_state_t *self = support_state_new();
+	const cb_view_t *view = cb_state_view(self->state);
+	cb_answer_t *answer;
+
+	expect_(self, support_put("a", "k", 1), CB_ANSWER_OK, 1);
+	answer = support_apply(self, support_put("b", "k", 1));
+	CU_ASSERT_EQUAL(answer->kind, CB_ANSWER_INVALID);
+	CU_ASSERT_STRING_EQUAL(answer->message,
+			       "contract: keys: workspace a holds one of them");
+	cb_answer_delete(answer);
+	expect_(self, support_put("a", "k", 2), CB_ANSWER_OK, 3);
+	expect_(self, support_put("a", "other", 1), CB_ANSWER_OK, 4);
+	expect_(self, support_put("b", "k", 1), CB_ANSWER_OK, 5);
+	CU_ASSERT_STRING_EQUAL(cb_view_contract_by_key(view, "k")->workspace,
+			       "b");
+	expect_(self, support_remove("b"), CB_ANSWER_OK, 6);
+	CU_ASSERT_PTR_NULL(cb_view_contract_by_key(view, "k"));
+	support_state_delete(self);
+}
+
+/* Commands that lack what they need are refused and change nothing. */
+static void faulty_commands_are_refused(void)
+{
+	support_state_t *self = support_state_new();
+	cb_machine_t *machine = cb_state_machine(self->state);
+	GBytes *garbage = g_bytes_new_static("\x93\x01", 2);
+	cb_command_t *command;
+	cb_answer_t *answer;
+	GBytes *reply;
+	char *text;
+	int kind;
+
+	for (kind = 0; kind < CB_COMMAND_KIND_COUNT; kind++)
+		expect_(self, cb_command_new((cb_command_kind_t)kind),
+			CB_ANSWER_INVALID, 0);
+	command = support_put("w", "k", 1);
+	g_free(command->name);
+	command->name = g_strdup("v");
+	expect_(self, command, CB_ANSWER_INVALID, 0);
+	text = g_strnfill(CB_COMMAND_TEXT_MAX_CHARS + 1, 'x');
+	expect_(self, support_stop(CB_COMMAND_STOP_ANNOUNCE, text),
+		CB_ANSWER_INVALID, 0);
+	g_free(text);
+	reply = machine->vtable->apply(machine, 99, garbage);
+	answer = cb_answer_decode(reply);
+	CU_ASSERT_EQUAL(answer->kind, CB_ANSWER_INVALID);
+	cb_answer_delete(answer);
+	g_bytes_unref(reply);
+	g_bytes_unref(garbage);
+	CU_ASSERT_EQUAL(cb_state_revision(self->state), 0);
+	support_state_delete(self);
+}
+
+/* Each step: who, in which incarnation, becomes what; and the answer. */
+static void instances_follow_their_incarnation(void)
+{
+	static const struct {
+		uint64_t incarnation;
+		int state; /* -1: up */
+		cb_answer_kind_t kind;
+		uint64_t revision;
+		cb_instance_state_t after;
+	} steps[] = {
+		{ 5, -1, CB_ANSWER_OK, 1, CB_INSTANCE_READY },
+		{ 5, -1, CB_ANSWER_OK, 1, CB_INSTANCE_READY },
+		{ 4, -1, CB_ANSWER_CONFLICT, 1, CB_INSTANCE_READY },
+		{ 4, CB_INSTANCE_SILENT, CB_ANSWER_CONFLICT, 1,
+		  CB_INSTANCE_READY },
+		{ 5, CB_INSTANCE_SILENT, CB_ANSWER_OK, 5, CB_INSTANCE_SILENT },
+		{ 5, CB_INSTANCE_SILENT, CB_ANSWER_OK, 5, CB_INSTANCE_SILENT },
+		{ 5, -1, CB_ANSWER_OK, 7, CB_INSTANCE_READY },
+		{ 5, CB_INSTANCE_LEAVING, CB_ANSWER_OK, 8,
+		  CB_INSTANCE_LEAVING },
+		{ 5, -1, CB_ANSWER_OK, 8, CB_INSTANCE_LEAVING },
+		{ 5, CB_INSTANCE_READY, CB_ANSWER_INVALID, 0,
+		  CB_INSTANCE_LEAVING },
+		{ 6, -1, CB_ANSWER_OK, 11, CB_INSTANCE_READY },
+		{ 5, CB_INSTANCE_SILENT, CB_ANSWER_CONFLICT, 11,
+		  CB_INSTANCE_READY },
+	};
+	support_state_t *self = support_state_new();
+	const GPtrArray *instances;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		cb_command_t *command =
+			steps[i].state < 0 ?
+				support_up("e", steps[i].incarnation) :
+				support_instance(
+					"e", steps[i].incarnation,
+					(cb_instance_state_t)steps[i].state);
+		const cb_instance_t *instance;
+
+		expect_(self, command, steps[i].kind, steps[i].revision);
+		instances = cb_view_instances(cb_state_view(self->state));
+		instance = g_ptr_array_index(instances, 0);
+		CU_ASSERT_EQUAL(instance->state, steps[i].after);
+	}
+	/* One that is silent for a day goes when another comes up. */
+	support_apply_kind(self, support_instance("e", 6, CB_INSTANCE_SILENT));
+	self->wall_ms += CB_STATE_SILENT_KEEP_MS - 1;
+	support_apply_kind(self, support_up("f", 1));
+	CU_ASSERT_EQUAL(cb_view_instances(cb_state_view(self->state))->len, 2);
+	self->wall_ms++;
+	support_apply_kind(self, support_up("g", 1));
+	CU_ASSERT_EQUAL(cb_view_instances(cb_state_view(self->state))->len, 2);
+	support_state_delete(self);
+}
+
+static void quarantine_has_an_end(void)
+{
+	support_state_t *self = support_state_new();
+	const cb_view_t *view = cb_state_view(self->state);
+	int i;
+
+	expect_(self, support_quarantine("d", 900), CB_ANSWER_INVALID, 0);
+	expect_(self, support_quarantine("d", 5000), CB_ANSWER_OK, 2);
+	expect_(self, support_quarantine("d", 4000), CB_ANSWER_OK, 2);
+	CU_ASSERT_TRUE(cb_view_is_quarantined(view, "d", 4999));
+	CU_ASSERT_FALSE(cb_view_is_quarantined(view, "d", 5000));
+	CU_ASSERT_FALSE(cb_view_is_quarantined(view, "e", 1000));
+	expect_(self, support_quarantine("d", 9 * DAY_MS), CB_ANSWER_OK, 4);
+	CU_ASSERT_FALSE(cb_view_is_quarantined(
+		view, "d", self->wall_ms + CB_STATE_QUARANTINE_KEEP_MS));
+	for (i = 0; i < CB_STATE_QUARANTINE_KEEP_COUNT; i++) {
+		char *digest = g_strdup_printf("%d", i);
+
+		support_apply_kind(self, support_quarantine(digest, DAY_MS));
+		g_free(digest);
+	}
+	CU_ASSERT_FALSE(cb_view_is_quarantined(view, "d", 1000));
+	CU_ASSERT_TRUE(cb_view_is_quarantined(view, "0", 1000));
+	self->wall_ms = DAY_MS;
+	support_apply_kind(self, support_quarantine("last", 2 * DAY_MS));
+	CU_ASSERT_FALSE(cb_view_is_quarantined(view, "0", 1000));
+	support_state_delete(self);
+}
+
+/* Contracts and stops as a plain table, to compare with. */
+#define NAME_COUNT 6
+
+typedef struct model {
+	uint64_t contract_revision[NAME_COUNT];
+	int contract_key[NAME_COUNT];
+	uint64_t stop_revision[NAME_COUNT];
+	uint64_t revision;
+} model_t;
+
+/* One random change, as numbers. */
+typedef struct change {
+	int kind; /* 0 and 1: put, 2: remove, 3: announce, 4: cancel */
+	int name;
+	int key;
+	gboolean has_expected;
+	uint64_t expected;
+} change_t;
+
+/* What the model says to a change; notes it when it is accepted. */
+static cb_answer_kind_t model_apply_(model_t *model, const change_t *change,
+				     uint64_t index)
+{
+	gboolean is_contract = change->kind <= 2;
+	uint64_t *present = is_contract ?
+				    &model->contract_revision[change->name] :
+				    &model->stop_revision[change->name];
+	int i;
+
+	if (change->has_expected && change->expected != *present)
+		return CB_ANSWER_CONFLICT;
+	if ((change->kind == 2 || change->kind == 4) && !*present)
+		return CB_ANSWER_NOT_FOUND;
+	if (change->kind == 3 && *present)
+		return CB_ANSWER_OK;
+	for (i = 0; change->kind < 2 && i < NAME_COUNT; i++)
+		if (i != change->name && model->contract_revision[i] &&
+		    model->contract_key[i] == change->key)
+			return CB_ANSWER_INVALID;
+	model->contract_key[change->name] =
+		is_contract ? change->key : model->contract_key[change->name];
+	*present = change->kind == 2 || change->kind == 4 ? 0 : index;
+	model->revision = index;
+	return CB_ANSWER_OK;
+}
+
+static cb_command_t *change_command_(const change_t *change)
+{
+	char name[] = { (char)('a' + change->name), '\0' };
+	char key[] = { (char)('A' + change->key), '\0' };
+	cb_command_t *command;
+
+	if (change->kind < 2)
+		command = support_put(name, key, 1);
+	else if (change->kind == 2)
+		command = support_remove(name);
+	else
+		command = support_stop(change->kind == 3 ?
+					       CB_COMMAND_STOP_ANNOUNCE :
+					       CB_COMMAND_STOP_CANCEL,
+				       name);
+	return change->has_expected ?
+		       support_expecting(command, change->expected) :
+		       command;
+}
+
+static gboolean view_equals_model_(const cb_view_t *view, const model_t *model)
+{
+	gboolean is_equal = cb_view_revision(view) == model->revision;
+	int i;
+
+	for (i = 0; i < NAME_COUNT; i++) {
+		char name[] = { (char)('a' + i), '\0' };
+		char key[] = { (char)('A' + model->contract_key[i]), '\0' };
+		const cb_contract_t *contract = cb_view_contract(view, name);
+
+		is_equal &= (contract ? contract->revision : 0) ==
+			    model->contract_revision[i];
+		is_equal &= !contract ||
+			    cb_view_contract_by_key(view, key) == contract;
+		is_equal &= cb_view_is_stopped(view, CB_STOP_SERVER, name) ==
+			    (model->stop_revision[i] > 0);
+	}
+	return is_equal;
+}
+
+/* Replaces the state by one restored from its snapshot, which is equal. */
+static gboolean snapshot_round_trip_(support_state_t *self)
+{
+	GBytes *snapshot = support_snapshot(self);
+	gboolean is_equal;
+	GBytes *again;
+
+	cb_state_delete(self->state);
+	self->state = cb_state_new();
+	is_equal = support_restore(self, snapshot);
+	again = support_snapshot(self);
+	is_equal &= g_bytes_equal(snapshot, again);
+	g_bytes_unref(again);
+	g_bytes_unref(snapshot);
+	return is_equal;
+}
+
+/* Runs random changes; a view follows by differences now and then. */
+static gboolean random_run_(uint32_t seed)
+{
+	GRand *random = g_rand_new_with_seed(seed);
+	support_state_t *self = support_state_new();
+	cb_view_t *view = cb_view_new();
+	model_t model = { 0 };
+	gboolean is_right = TRUE;
+	int step;
+
+	for (step = 0; step < 300 && is_right; step++) {
+		change_t change = {
+			.kind = g_rand_int_range(random, 0, 5),
+			.name = g_rand_int_range(random, 0, NAME_COUNT),
+			.key = g_rand_int_range(random, 0, NAME_COUNT),
+			.has_expected = g_rand_boolean(random),
+		};
+
+		change.expected = change.kind <= 2 ?
+					  model.contract_revision[change.name] :
+					  model.stop_revision[change.name];
+		if (g_rand_int_range(random, 0, 4) == 0)
+			change.expected = g_rand_int_range(random, 0, 9);
+		is_right &=
+			support_apply_kind(self, change_command_(&change)) ==
+			model_apply_(&model, &change, self->index);
+		is_right &=
+			view_equals_model_(cb_state_view(self->state), &model);
+		if (g_rand_int_range(random, 0, 20) == 0)
+			is_right &= snapshot_round_trip_(self);
+		if (g_rand_int_range(random, 0, 5) == 0) {
+			GBytes *update =
+				cb_state_encode_update(self->state,
+						       cb_view_revision(view));
+
+			cb_view_apply(view, update);
+			g_bytes_unref(update);
+			is_right &= view_equals_model_(view, &model);
+		}
+	}
+	if (!is_right)
+		printf("    seed %u, step %d\n", seed, step);
+	cb_view_delete(view);
+	support_state_delete(self);
+	g_rand_free(random);
+	return is_right;
+}
+
+static void random_changes_match_a_plain_model(void)
+{
+	gboolean is_right = TRUE;
+	uint32_t seed;
+
+	for (seed = 1; seed <= 100; seed++)
+		is_right &= random_run_(seed);
+	CU_ASSERT_TRUE(is_right);
+}
+
+/* Damaged snapshots are refused, and the state stays as it was. */
+static void damaged_snapshots_are_refused(void)
+{
+	support_state_t *self = support_state_new();
+	GRand *random = g_rand_new_with_seed(3);
+	GBytes *snapshot;
+	const uint8_t *data;
+	gsize size;
+	int i;
+
+	support_apply_kind(self, support_put("w", "k", 1));
+	support_apply_kind(self, support_up("e", 1));
+	support_apply_kind(self, support_claim("c", "e/1", "1"));
+	support_apply_kind(self, support_quarantine("d", DAY_MS));
+	support_apply_kind(self, support_named(support_remove("x"), "9"));
+	snapshot = support_snapshot(self);
+	data = g_bytes_get_data(snapshot, &size);
+	for (i = 0; i < 2000; i++) {
+		gsize cut = (gsize)g_rand_int_range(random, 0, (gint32)size);
+		gsize length = i < 1000 ? cut : size;
+		uint8_t *copy = g_memdup2(data, size);
+		GBytes *damaged;
+
+		if (length == size)
+			copy[g_rand_int_range(random, 0, size)] ^=
+				(uint8_t)(1 << g_rand_int_range(random, 0, 8));
+		damaged = g_bytes_new_take(copy, length);
+		CU_ASSERT_FALSE(support_restore(self, damaged));
+		g_bytes_unref(damaged);
+	}
+	CU_ASSERT_EQUAL(cb_state_revision(self->state), 4);
+	CU_ASSERT_EQUAL(cb_state_claim_count(self->state), 1);
+	CU_ASSERT_TRUE(support_restore(self, snapshot));
+	g_bytes_unref(snapshot);
+	g_rand_free(random);
+	support_state_delete(self);
+}
+
+static CU_TestInfo state_tests[] = {
+	{ "changes_compare_and_set", changes_compare_and_set },
+	{ "one_of_two_racing_operators_wins",
+	  one_of_two_racing_operators_wins },
+	{ "resend_gets_the_first_answer", resend_gets_the_first_answer },
+	{ "change_ids_are_bounded_by_count", change_ids_are_bounded_by_count },
+	{ "a_key_belongs_to_one_workspace", a_key_belongs_to_one_workspace },
+	{ "faulty_commands_are_refused", faulty_commands_are_refused },
+	{ "instances_follow_their_incarnation",
+	  instances_follow_their_incarnation },
+	{ "quarantine_has_an_end", quarantine_has_an_end },
+	{ "random_changes_match_a_plain_model",
+	  random_changes_match_a_plain_model },
+	{ "damaged_snapshots_are_refused", damaged_snapshots_are_refused },
+	CU_TEST_INFO_NULL
+};
+
+int main(void)
+{
+	CU_SuiteInfo suites[] = { { .pName = "state", .pTests = state_tests },
+				  CU_SUITE_INFO_NULL };
+
+	return support_run(suites);
+}
