--- a/src/test_libcurrantbridge/test_sessions.c
+++ b/src/test_libcurrantbridge/test_sessions.c
@@ -220,7 +220,7 @@
 	world_run_until(world, NULL, 500);
 	contract = cb_view_contract(world->clients[1].view, "handicap");
 	CU_ASSERT_PTR_NOT_NULL_FATAL(contract);
-	applied = contract->revision;
+	applied = contract ? contract->revision : 0;
 	CU_ASSERT_EQUAL(result.calls, 0);
 	world_run_until(world, NULL, 2 * WORLD_SILENCE_MS);
 	support_hub_block(world->hub, NULL, "entry1", FALSE);
@@ -229,7 +229,8 @@
 	CU_ASSERT_EQUAL(result.outcome, CB_CONTROL_ANSWERED);
 	CU_ASSERT_EQUAL(result.revision, applied);
 	contract = cb_view_contract(world->clients[1].view, "handicap");
-	CU_ASSERT_EQUAL(contract->revision, applied);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(contract);
+	CU_ASSERT_EQUAL(contract ? contract->revision : 0, applied);
 	world_delete(world);
 }
 
--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -137,7 +137,7 @@
 	static const support_bounds_t defaults = { 100, 500, 3000 };
 	support_group_t *group = g_new0(support_group_t, 1);
 	GString *members = g_string_new(NULL);
-	char **peers = g_new0(char *, control_count + 1);
+	GPtrArray *peers = g_ptr_array_new_with_free_func(g_free);
 	size_t i;
 
 	group->folder = g_dir_make_tmp("currantbridge-XXXXXX", NULL);
@@ -146,17 +146,18 @@
 	group->control = g_new0(support_daemon_t *, control_count);
 	group->control_count = control_count;
 	for (i = 0; i < control_count; i++) {
-		peers[i] = free_address_();
+		g_ptr_array_add(peers, free_address_());
 		g_string_append_printf(members, "%s\"control%zu=%s\"",
-				       i ? "," : "", i + 1, peers[i]);
+				       i ? "," : "", i + 1,
+				       (char *)g_ptr_array_index(peers, i));
 	}
 	for (i = 0; i < control_count; i++) {
 		group->control[i] =
-			control_new_(group, i + 1, peers[i], members->str,
-				     bounds ? bounds : &defaults);
+			control_new_(group, i + 1, g_ptr_array_index(peers, i),
+				     members->str, bounds ? bounds : &defaults);
 		support_daemon_start(group->control[i]);
 	}
-	g_strfreev(peers);
+	g_ptr_array_unref(peers);
 	g_string_free(members, TRUE);
 	return group;
 }
