--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -157,6 +157,7 @@
 	cb_connection_t *connection = client->network->vtable->connect(
 		client->network, client->addresses[client->address_index]);
 
+	cb_link_options_count(&options, cb_kernel_counters(client->kernel));
 	client->hello.revision = cb_view_revision(client->view);
 	client->link = cb_link_new(client->clock, connection, &options,
 				   &link_handler, client);
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -33,6 +33,7 @@
 				      .heartbeat_ms = node->heartbeat_ms,
 				      .silence_ms = node->silence_ms };
 
+	cb_link_options_count(&options, cb_kernel_counters(node->kernel));
 	return options;
 }
 
--- a/src/libcurrantbridge/include/private/link.h
+++ b/src/libcurrantbridge/include/private/link.h
@@ -1,6 +1,7 @@
 #ifndef PRIVATE_LINK_H
 #define PRIVATE_LINK_H
 
+#include "currantbridge/counters.h"
 #include "currantbridge/network.h"
 #include "private/link_message.h"
 
@@ -27,8 +28,12 @@
 	const cb_hello_t *hello;
 	int64_t heartbeat_ms;
 	int64_t silence_ms;
+	/* Bytes of frames with their lengths; either may be NULL. */
+	cb_counter_t *sent_counter;
+	cb_counter_t *received_counter;
 } cb_link_options_t;
 
+void cb_link_options_count(cb_link_options_t *options, cb_counters_t *counters);
 cb_link_t *cb_link_new(cb_clock_t *clock, cb_connection_t *connection,
 		       const cb_link_options_t *options,
 		       const cb_link_handler_t *handler, void *user_data);
--- a/src/libcurrantbridge/wire/link.c
+++ b/src/libcurrantbridge/wire/link.c
@@ -6,6 +6,8 @@
 #define PART_LAST 0
 #define PART_MORE 1
 #define PART_BYTES (256 * 1024)
+/* The length before each frame. */
+#define LENGTH_BYTES 4
 
 struct cb_link {
 	grefcount references;
@@ -17,6 +19,8 @@
 	int64_t silence_ms;
 	int64_t heard_ms;
 	int64_t sent_ms;
+	cb_counter_t *sent_counter;
+	cb_counter_t *received_counter;
 	cb_hello_t local;
 	cb_hello_t remote;
 	gboolean is_open;
@@ -90,6 +94,12 @@
 	cb_timer_start(link->close_timer, 0);
 }
 
+static void count_(cb_counter_t *counter, size_t frame_bytes)
+{
+	if (counter)
+		cb_counter_add(counter, (int64_t)(LENGTH_BYTES + frame_bytes));
+}
+
 /* Sends encoded bytes in as many frames as they need. */
 static void bytes_send_(cb_link_t *link, const uint8_t *data, size_t size)
 {
@@ -104,6 +114,7 @@
 		memcpy(frame + 1, data + start, part);
 		is_sent = link->connection->vtable->send(link->connection,
 							 frame, part + 1);
+		count_(link->sent_counter, part + 1);
 		start += part;
 	} while (is_sent && start < size);
 	link->sent_ms = cb_clock_now_ms(link->clock);
@@ -249,6 +260,7 @@
 		return;
 	g_ref_count_inc(&link->references);
 	link->heard_ms = cb_clock_now_ms(link->clock);
+	count_(link->received_counter, size);
 	frame_receive_(link, data, size);
 	link_unref_(link);
 }
@@ -287,6 +299,17 @@
 	timer_start_(link);
 }
 
+/* Counts the bytes of links made with these options among `counters`. */
+void cb_link_options_count(cb_link_options_t *options, cb_counters_t *counters)
+{
+	options->sent_counter =
+		cb_counters_counter(counters, "cb_link_bytes_total",
+				    "direction", "sent");
+	options->received_counter =
+		cb_counters_counter(counters, "cb_link_bytes_total",
+				    "direction", "received");
+}
+
 /*
  * Makes a link over a connection, which it takes.  A connection that does
  * not open within `silence_ms` counts as silent too.
@@ -304,6 +327,8 @@
 	link->user_data = user_data;
 	link->heartbeat_ms = options->heartbeat_ms;
 	link->silence_ms = options->silence_ms;
+	link->sent_counter = options->sent_counter;
+	link->received_counter = options->received_counter;
 	link->heard_ms = cb_clock_now_ms(clock);
 	link->sent_ms = link->heard_ms;
 	cb_hello_copy(&link->local, options->hello);
