Find requests that end their servers over all entry instances

A server's death under a digest is now a replicated report (suspect_add), kept with the quarantine list. Entry instances take turns with a suspect, and the digest with the most deaths is refused; several with as many run one at a time and alone, the least advanced first. Requests that have not run well yet wait for news right after a failure.

--- a/include/currantbridge/generation.h
+++ b/include/currantbridge/generation.h
@@ -48,7 +48,12 @@
 	cb_engine_client_t *engines;
 	const cb_view_t *view;
 	const char *data_centre;
-	/* Reports a digest to all entry instances. */
+	/* This entry instance, as `suspect` names it; NULL: unnamed. */
+	const char *instance;
+	/* Tells all entry instances that a server died under a digest. */
+	void (*suspect)(void *user_data, const char *digest,
+			const char *server);
+	/* Has all entry instances refuse a digest. */
 	void (*quarantine)(void *user_data, const char *digest,
 			   int64_t until_wall_ms);
 	void *user_data;
--- a/include/currantbridge/state.h
+++ b/include/currantbridge/state.h
@@ -16,6 +16,9 @@
 #define CB_STATE_CLAIM_ANSWER_BYTES (INT64_C(8) * 1024 * 1024)
 #define CB_STATE_TOMBSTONE_KEEP_COUNT 4096
 #define CB_STATE_QUARANTINE_KEEP_COUNT 1024
+/* How long, and how many, servers' deaths are held against a digest. */
+#define CB_STATE_SUSPECT_KEEP_MS (10 * 60 * 1000)
+#define CB_STATE_SUSPECT_MAX_DEATHS 16
 #define CB_STATE_QUARANTINE_KEEP_MS (24 * 3600 * INT64_C(1000))
 #define CB_STATE_SILENT_KEEP_MS (24 * 3600 * INT64_C(1000))
 
--- a/include/currantbridge/view.h
+++ b/include/currantbridge/view.h
@@ -79,5 +79,16 @@
 /* Whether a request digest (hex) is in quarantine at `wall_ms`. */
 gboolean cb_view_is_quarantined(const cb_view_t *view, const char *digest,
 				int64_t wall_ms);
+/* Until when a digest is in quarantine; 0: it is not on the list. */
+int64_t cb_view_quarantined_until(const cb_view_t *view, const char *digest);
+/*
+ * The servers that died under a digest, each as "SERVER REPORTER",
+ * NULL-terminated and valid until the next update; NULL if there are none.
+ */
+const char *const *cb_view_deaths(const cb_view_t *view, const char *digest,
+				  int64_t wall_ms);
+/* How many digests saw `least` servers or more die, `server` among them. */
+unsigned int cb_view_suspects_on(const cb_view_t *view, const char *server,
+				 unsigned int least, int64_t wall_ms);
 
 #endif
--- a/src/libcurrantbridge/backend/router.c
+++ b/src/libcurrantbridge/backend/router.c
@@ -10,8 +10,9 @@
 #define UNKNOWN_LAYER_US 300
 /* Load is told apart in quarters of a server's capacity. */
 #define LOAD_STEPS 4
-/* Spreads digests over servers that cost about the same. */
-#define SPREAD_US 400
+/* Spreads digests over servers whose costs differ by less than a quarter. */
+#define SPREAD_SHARE 4
+#define SPREAD_STEPS 1024
 #define PREFERRED_SHARE 4
 #define MAX_LAYERS 4096
 
@@ -38,8 +39,10 @@
 	int64_t step_us = server->step_us ? server->step_us : unknown_us;
 	int64_t load = load_quarters_(server);
 	uint64_t rank = cb_digest_rank(query->digest, server->name);
-	int64_t cost_us = step_us + step_us * load * load / LOAD_STEPS +
-			  (int64_t)(rank % SPREAD_US);
+	int64_t spread = (int64_t)(rank % SPREAD_STEPS);
+	int64_t cost_us = step_us + step_us * load * load / LOAD_STEPS;
+
+	cost_us += cost_us * spread / SPREAD_STEPS / SPREAD_SHARE;
 
 	if (query->preferred &&
 	    g_hash_table_contains(query->preferred, server->name))
@@ -57,7 +60,8 @@
 
 /* Takes one range into the table if it makes a cheaper way to the end. */
 static void hop_consider_(const cb_route_query_t *query, hop_t *hops,
-			  cb_server_t *server, const cb_layer_range_t *range)
+			  cb_server_t *server, const cb_layer_range_t *range,
+			  int64_t layer_us)
 {
 	int64_t layers = range->last_layer - range->first_layer + 1;
 	const hop_t *rest = &hops[range->last_layer + 1];
@@ -67,7 +71,7 @@
 	if (rest->cost_us < 0)
 		return;
 	cost_us = rest->cost_us +
-		  server_cost_us_(query, server, layers * UNKNOWN_LAYER_US);
+		  server_cost_us_(query, server, layers * layer_us);
 	if (hop->cost_us >= 0 && hop->cost_us <= cost_us)
 		return;
 	hop->cost_us = cost_us;
@@ -131,12 +135,32 @@
 	return best;
 }
 
+/* Returns the mean time of a layer on the engines where it is known. */
+static int64_t layer_us_(const GPtrArray *engines, const char *model)
+{
+	int64_t step_us = 0;
+	int64_t layers = 0;
+	unsigned int i;
+
+	for (i = 0; i < engines->len; i++) {
+		const cb_server_t *server = g_ptr_array_index(engines, i);
+		const cb_layer_range_t *range = range_find_(server, model);
+
+		if (!range || !server->step_us)
+			continue;
+		step_us += server->step_us;
+		layers += range->last_layer - range->first_layer + 1;
+	}
+	return layers ? MAX(step_us / layers, 1) : UNKNOWN_LAYER_US;
+}
+
 /* Fills the table of cheapest ways, from the last layer to the first. */
 static void hops_fill_(const cb_route_query_t *query, hop_t *hops,
 		       uint32_t layer_count, const GPtrArray *engines,
 		       const char *model)
 {
 	GPtrArray *usable = g_ptr_array_new();
+	int64_t layer_us = layer_us_(engines, model);
 	uint32_t layer;
 	unsigned int i;
 
@@ -152,7 +176,8 @@
 
 			if (range_is_sound_(range, layer_count) &&
 			    range->first_layer == layer - 1)
-				hop_consider_(query, hops, server, range);
+				hop_consider_(query, hops, server, range,
+					      layer_us);
 		}
 	}
 	g_ptr_array_unref(usable);
--- a/src/libcurrantbridge/control/command.c
+++ b/src/libcurrantbridge/control/command.c
@@ -14,6 +14,7 @@
 	[CB_COMMAND_INSTANCE_STATE] = "instance_state",
 	[CB_COMMAND_QUARANTINE_ADD] = "quarantine_add",
 	[CB_COMMAND_QUARANTINE_REMOVE] = "quarantine_remove",
+	[CB_COMMAND_SUSPECT_ADD] = "suspect_add",
 	[CB_COMMAND_CLAIM] = "claim",
 	[CB_COMMAND_CLAIM_FINISH] = "claim_finish",
 };
--- a/src/libcurrantbridge/control/item.c
+++ b/src/libcurrantbridge/control/item.c
@@ -26,6 +26,7 @@
 static void quarantine_delete_(cb_quarantine_t *quarantine)
 {
 	g_free(quarantine->digest);
+	g_strfreev(quarantine->deaths);
 	g_free(quarantine);
 }
 
@@ -67,6 +68,7 @@
 	const cb_stop_t *stop = value;
 	const cb_instance_t *instance = value;
 	const cb_quarantine_t *quarantine = value;
+	char **death;
 
 	switch (kind) {
 	case CB_ITEM_CONTRACT:
@@ -87,9 +89,12 @@
 		cb_pack_uint(pack, instance->state);
 		return;
 	case CB_ITEM_QUARANTINE:
-		cb_pack_array(pack, 2);
+		cb_pack_array(pack, 3 + g_strv_length(quarantine->deaths));
 		cb_pack_string(pack, quarantine->digest);
 		cb_pack_int(pack, quarantine->until_wall_ms);
+		cb_pack_int(pack, quarantine->suspect_until_wall_ms);
+		for (death = quarantine->deaths; *death; death++)
+			cb_pack_string(pack, *death);
 		return;
 	case CB_ITEM_KIND_COUNT:
 		break;
@@ -159,9 +164,20 @@
 static void *quarantine_read_(cb_fields_t *fields, const char *name)
 {
 	cb_quarantine_t *quarantine = g_new0(cb_quarantine_t, 1);
+	GStrvBuilder *deaths = g_strv_builder_new();
 
 	quarantine->digest = cb_fields_text(fields);
 	quarantine->until_wall_ms = cb_fields_int(fields);
+	quarantine->suspect_until_wall_ms = cb_fields_int(fields);
+	while (fields->left && !fields->is_bad) {
+		char *death = cb_fields_text(fields);
+
+		if (death)
+			g_strv_builder_add(deaths, death);
+		g_free(death);
+	}
+	quarantine->deaths = g_strv_builder_end(deaths);
+	g_strv_builder_unref(deaths);
 	if (!g_strcmp0(quarantine->digest, name))
 		return quarantine;
 	quarantine_delete_(quarantine);
--- a/src/libcurrantbridge/control/state.c
+++ b/src/libcurrantbridge/control/state.c
@@ -100,6 +100,7 @@
 		[CB_COMMAND_INSTANCE_STATE] = cb_state_instance_state,
 		[CB_COMMAND_QUARANTINE_ADD] = cb_state_quarantine_add,
 		[CB_COMMAND_QUARANTINE_REMOVE] = cb_state_quarantine_remove,
+		[CB_COMMAND_SUSPECT_ADD] = cb_state_suspect_add,
 		[CB_COMMAND_CLAIM] = claim_,
 		[CB_COMMAND_CLAIM_FINISH] = claim_finish_,
 	};
--- a/src/libcurrantbridge/control/state_config.c
+++ b/src/libcurrantbridge/control/state_config.c
@@ -306,7 +306,8 @@
 			return;
 		quarantine = cb_view_find_item(state->view, CB_ITEM_QUARANTINE,
 					       oldest);
-		if (quarantine->until_wall_ms > state->wall_ms &&
+		if (MAX(quarantine->until_wall_ms,
+			quarantine->suspect_until_wall_ms) > state->wall_ms &&
 		    cb_aging_count(state->quarantine) <
 			    CB_STATE_QUARANTINE_KEEP_COUNT)
 			return;
@@ -317,6 +318,30 @@
 	}
 }
 
+/* Copies what is known of a digest; `present` may be NULL. */
+static cb_quarantine_t *quarantine_copy_(const cb_quarantine_t *present,
+					 const char *digest, uint64_t index)
+{
+	cb_quarantine_t *quarantine = g_new0(cb_quarantine_t, 1);
+
+	if (present)
+		*quarantine = *present;
+	quarantine->digest = g_strdup(digest);
+	quarantine->deaths =
+		present ? g_strdupv(present->deaths) : g_new0(char *, 1);
+	quarantine->revision = index;
+	return quarantine;
+}
+
+static void quarantine_put_(cb_state_t *state, cb_quarantine_t *quarantine,
+			    uint64_t index)
+{
+	quarantine_trim_(state, index);
+	cb_aging_add(state->quarantine, quarantine->digest, state->wall_ms);
+	item_put_(state, CB_ITEM_QUARANTINE, quarantine->digest, quarantine,
+		  index);
+}
+
 /* Puts digest `name` into quarantine until a time, or prolongs it. */
 cb_answer_t *cb_state_quarantine_add(cb_state_t *state,
 				     const cb_command_t *command,
@@ -333,13 +358,51 @@
 		return revision_answer_(CB_ANSWER_OK, present->revision);
 	if (until_ms <= state->wall_ms)
 		return invalid_("quarantine: until_wall_ms: is over");
-	quarantine_trim_(state, index);
-	quarantine = g_new0(cb_quarantine_t, 1);
-	quarantine->digest = g_strdup(command->name);
+	quarantine = quarantine_copy_(present, command->name, index);
 	quarantine->until_wall_ms = until_ms;
-	quarantine->revision = index;
-	cb_aging_add(state->quarantine, command->name, state->wall_ms);
-	item_put_(state, CB_ITEM_QUARANTINE, command->name, quarantine, index);
+	quarantine_put_(state, quarantine, index);
+	return revision_answer_(CB_ANSWER_OK, index);
+}
+
+/* Returns the deaths with `death` after them. */
+static char **deaths_add_(char **deaths, const char *death)
+{
+	GStrvBuilder *builder = g_strv_builder_new();
+	char **longer;
+
+	g_strv_builder_addv(builder, (const char **)deaths);
+	g_strv_builder_add(builder, death);
+	longer = g_strv_builder_end(builder);
+	g_strv_builder_unref(builder);
+	g_strfreev(deaths);
+	return longer;
+}
+
+/* Notes that backend server `server` died as digest `name` ran there. */
+cb_answer_t *cb_state_suspect_add(cb_state_t *state,
+				  const cb_command_t *command, uint64_t index)
+{
+	const cb_quarantine_t *present =
+		cb_view_find_item(state->view, CB_ITEM_QUARANTINE,
+				  command->name);
+	cb_quarantine_t *quarantine;
+	char *death;
+
+	if (!command->server || !command->owner)
+		return invalid_("suspect: server and owner are required");
+	death = g_strdup_printf("%s %s", command->server, command->owner);
+	if (present &&
+	    (g_strv_length(present->deaths) >= CB_STATE_SUSPECT_MAX_DEATHS ||
+	     g_strv_contains((const char *const *)present->deaths, death))) {
+		g_free(death);
+		return revision_answer_(CB_ANSWER_OK, present->revision);
+	}
+	quarantine = quarantine_copy_(present, command->name, index);
+	quarantine->deaths = deaths_add_(quarantine->deaths, death);
+	quarantine->suspect_until_wall_ms =
+		state->wall_ms + CB_STATE_SUSPECT_KEEP_MS;
+	quarantine_put_(state, quarantine, index);
+	g_free(death);
 	return revision_answer_(CB_ANSWER_OK, index);
 }
 
--- a/src/libcurrantbridge/control/view.c
+++ b/src/libcurrantbridge/control/view.c
@@ -379,3 +379,58 @@
 
 	return quarantine && quarantine->until_wall_ms > wall_ms;
 }
+
+int64_t cb_view_quarantined_until(const cb_view_t *view, const char *digest)
+{
+	const cb_quarantine_t *quarantine =
+		cb_view_find_item(view, CB_ITEM_QUARANTINE, digest);
+
+	return quarantine ? quarantine->until_wall_ms : 0;
+}
+
+const char *const *cb_view_deaths(const cb_view_t *view, const char *digest,
+				  int64_t wall_ms)
+{
+	const cb_quarantine_t *quarantine =
+		cb_view_find_item(view, CB_ITEM_QUARANTINE, digest);
+
+	if (!quarantine || quarantine->suspect_until_wall_ms <= wall_ms)
+		return NULL;
+	return (const char *const *)quarantine->deaths;
+}
+
+/* Whether a digest saw `server` die, and `least` servers or more in all. */
+static gboolean is_suspect_on_(const cb_quarantine_t *quarantine,
+			       const char *server, unsigned int least)
+{
+	GHashTable *servers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	gboolean is_suspect;
+	char **death;
+
+	for (death = quarantine->deaths; *death; death++)
+		g_hash_table_add(servers,
+				 g_strndup(*death,
+					   strrchr(*death, ' ') - *death));
+	is_suspect = g_hash_table_contains(servers, server) &&
+		     g_hash_table_size(servers) >= least;
+	g_hash_table_unref(servers);
+	return is_suspect;
+}
+
+unsigned int cb_view_suspects_on(const cb_view_t *view, const char *server,
+				 unsigned int least, int64_t wall_ms)
+{
+	unsigned int count = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, view->items[CB_ITEM_QUARANTINE]);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cb_quarantine_t *quarantine = value;
+
+		if (quarantine->suspect_until_wall_ms > wall_ms)
+			count += is_suspect_on_(quarantine, server, least);
+	}
+	return count;
+}
--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -163,6 +163,22 @@
 			     CB_EVENT_QUARANTINE_NOT_SHARED);
 }
 
+/* Tells all entry instances that a server died under a digest. */
+static void suspect_(void *user_data, const char *digest, const char *server)
+{
+	cb_entry_t *entry = user_data;
+	cb_command_t *command = cb_command_new(CB_COMMAND_SUSPECT_ADD);
+
+	command->change_id = g_strdup_printf("%s-%08x%08x", entry->owner,
+					     g_rand_int(entry->random),
+					     g_rand_int(entry->random));
+	command->name = g_strdup(digest);
+	command->server = g_strdup(server);
+	command->owner = g_strdup(entry->owner);
+	cb_control_client_submit(entry->control, command, QUARANTINE_TIMEOUT_MS,
+				 quarantined_, entry);
+}
+
 /* Has all entry instances refuse a digest. */
 static void quarantine_(void *user_data, const char *digest,
 			int64_t until_wall_ms)
@@ -239,6 +255,8 @@
 		.counters = counters,
 		.view = entry->view,
 		.data_centre = entry->data_centre,
+		.instance = entry->owner,
+		.suspect = suspect_,
 		.quarantine = quarantine_,
 		.user_data = entry,
 	};
--- a/src/libcurrantbridge/include/private/item.h
+++ b/src/libcurrantbridge/include/private/item.h
@@ -15,7 +15,13 @@
 
 typedef struct cb_quarantine {
 	char *digest;
-	int64_t until_wall_ms;
+	int64_t until_wall_ms; /* 0: only suspect */
+	/*
+	 * The servers that died under it, each "SERVER REPORTER", and until
+	 * when they are held against it.
+	 */
+	char **deaths;
+	int64_t suspect_until_wall_ms;
 	uint64_t revision;
 } cb_quarantine_t;
 
--- a/src/libcurrantbridge/request/attempt.c
+++ b/src/libcurrantbridge/request/attempt.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#define PROBE_TIMEOUT_MS 250
+#define PROBE_TIMEOUT_MS 150
 /* A server that answers probes is given this many deadlines in a row. */
 #define ANSWERED_PROBES 1
 
@@ -163,10 +163,11 @@
 
 	attempt->probe = NULL;
 	cb_timer_stop(attempt->timer);
-	if (failure == CB_FAILURE_NONE)
-		probe_answered_(attempt);
-	else
+	if (failure == CB_FAILURE_CONNECT || failure == CB_FAILURE_LOST ||
+	    failure == CB_FAILURE_SILENT)
 		probe_failed_(attempt);
+	else
+		probe_answered_(attempt);
 }
 
 /* Asks on a fresh connection whether the stage's server lives. */
@@ -404,6 +405,20 @@
 		engines->vtable->step(engines, stage->server, &step, &listener);
 }
 
+/* Has the server that a session was moved away from drop it. */
+static void moved_from_release_(cb_attempt_t *attempt)
+{
+	cb_engine_client_t *engines = engines_(attempt);
+	cb_server_t *from = attempt->parts.move_from;
+
+	if (!from)
+		return;
+	engines->vtable->drop(engines, from, attempt->parts.order.request,
+			      attempt->parts.move_epoch);
+	cb_server_end(from);
+	attempt->parts.move_from = NULL;
+}
+
 static void open_token_(void *user_data, const cb_engine_token_t *token)
 {
 	stage_t *stage = user_data;
@@ -425,6 +440,8 @@
 	}
 	stage->is_open = TRUE;
 	attempt->is_accepted = TRUE;
+	if ((int)(stage - attempt->stages) == attempt->parts.move_stage)
+		moved_from_release_(attempt);
 	if (attempt->probed == stage)
 		probe_cancel_(attempt);
 	if (++attempt->open_count < attempt->stage_count) {
@@ -530,8 +547,6 @@
 /* Ends the attempt, telling each stage to drop its session at once. */
 void cb_attempt_delete(cb_attempt_t *attempt)
 {
-	cb_engine_client_t *engines;
-	cb_server_t *from;
 	unsigned int i;
 
 	if (!attempt)
@@ -539,14 +554,7 @@
 	quiesce_(attempt);
 	for (i = 0; i < attempt->stage_count; i++)
 		stage_release_(attempt, &attempt->stages[i]);
-	from = attempt->parts.move_from;
-	if (from) {
-		engines = engines_(attempt);
-		engines->vtable->drop(engines, from,
-				      attempt->parts.order.request,
-				      attempt->parts.move_epoch);
-		cb_server_end(from);
-	}
+	moved_from_release_(attempt);
 	cb_timer_delete(attempt->timer);
 	g_array_unref(attempt->parts.chain);
 	g_free(attempt->stages);
--- a/src/libcurrantbridge/request/generation.c
+++ b/src/libcurrantbridge/request/generation.c
@@ -48,11 +48,13 @@
 	GHashTable *excluded;  /* names of servers not to be tried next */
 	GHashTable *preferred; /* names of servers of the last chain */
 	gboolean is_alone;     /* to be kept apart from other work */
+	gboolean is_busy;      /* the last server had no room */
 	gboolean may_have_run;
 	unsigned int fruitless_attempts;
 	unsigned int silent_attempts;
 	int64_t waiting_since_ms; /* for a chain; -1: not waiting */
 	gboolean owes_budget;	  /* the next attempt is not yet paid for */
+	gboolean is_started;
 	gboolean is_ended;
 	cb_generation_end_t end;
 	cb_timer_t *deadline_timer;
@@ -65,7 +67,7 @@
 	PASS_TOGETHER, /* where the same content already runs */
 	PASS_APART,    /* by the rules for suspects */
 	PASS_ANY,      /* any server that was not excluded */
-	PASS_COUNT
+	PASS_AGAIN,    /* those that were excluded as well */
 } pass_t;
 
 typedef struct choice {
@@ -224,6 +226,8 @@
 	const cb_suspects_t *suspects = generation->env->suspects;
 	const char *digest = generation->digest;
 
+	if (choice->pass == PASS_AGAIN)
+		return TRUE;
 	if (g_hash_table_contains(generation->excluded, server->name))
 		return FALSE;
 	if (choice->pass == PASS_TOGETHER)
@@ -248,9 +252,10 @@
 				   .filter = server_fits_,
 				   .user_data = &choice,
 				   .preferred = generation->preferred };
+	pass_t last = generation->is_busy ? PASS_ANY : PASS_AGAIN;
 	GArray *chain = NULL;
 
-	for (; !chain && choice.pass < PASS_COUNT; choice.pass++)
+	for (; !chain && choice.pass <= last; choice.pass++)
 		chain = cb_router_chain(&query, generation->model);
 	return chain;
 }
@@ -316,19 +321,18 @@
 	cb_attempt_start(generation->attempt);
 }
 
-/* No chain covers the model: waits only if the answer may have begun. */
+/* No chain covers the model: waits only if the answer has begun. */
 static void chain_missing_(cb_generation_t *generation)
 {
 	int64_t now_ms = now_ms_(generation);
 
 	if (generation->waiting_since_ms < 0)
 		generation->waiting_since_ms = now_ms;
-	if (!generation->may_have_run ||
+	if (!generation->delivered->len ||
 	    now_ms - generation->waiting_since_ms >= MAX_CHAIN_WAIT_MS) {
 		end_(generation, CB_REFUSAL_NO_SERVER);
 		return;
 	}
-	g_hash_table_remove_all(generation->excluded);
 	cb_timer_start(generation->wake_timer, WAIT_POLL_MS);
 }
 
@@ -351,6 +355,19 @@
 	return FALSE;
 }
 
+/* Looks again after a while, if there is a chain to wait for. */
+static void wait_(cb_generation_t *generation)
+{
+	GArray *chain = chain_choose_(generation);
+
+	if (!chain) {
+		chain_missing_(generation);
+		return;
+	}
+	g_array_unref(chain);
+	cb_timer_start(generation->wake_timer, WAIT_POLL_MS);
+}
+
 /* Begins the next attempt, as soon as it may. */
 static void plan_(void *user_data)
 {
@@ -366,7 +383,7 @@
 		return;
 	}
 	if (verdict == CB_SUSPECTS_WAIT) {
-		cb_timer_start(generation->wake_timer, WAIT_POLL_MS);
+		wait_(generation);
 		return;
 	}
 	if (!budget_allows_(generation))
@@ -488,9 +505,12 @@
 		     CB_INT("server_dead", failure->is_server_dead));
 	if (failure->is_server_dead) {
 		cb_server_failed(env->parts.registry, failure->server);
+		cb_suspects_server_failed(env->suspects);
 		if (failure->failure != CB_FAILURE_CONNECT)
 			cb_suspects_server_died(env->suspects, failure->server);
 	}
+	generation->is_busy = failure->failure == CB_FAILURE_REFUSED &&
+			      !generation->delivered->len;
 	if (failure->failure == CB_FAILURE_SILENT && !failure->is_server_dead)
 		generation->silent_attempts++;
 	if (failure->is_server_dead || failure->failure == CB_FAILURE_SILENT ||
@@ -574,6 +594,8 @@
 /* Starts a generation; the first attempt begins at once. */
 void cb_generation_start(cb_generation_t *generation)
 {
+	generation->is_started = TRUE;
+	cb_suspects_joined(generation->env->suspects, generation->digest);
 	cb_timer_start(generation->deadline_timer, generation->deadline_ms);
 	plan_(generation);
 }
@@ -588,7 +610,7 @@
 	cb_timer_stop(generation->wake_timer);
 	cb_timer_stop(generation->end_timer);
 	attempt_drop_(generation);
-	if (generation->is_ended)
+	if (generation->is_ended || !generation->is_started)
 		return;
 	generation->is_ended = TRUE;
 	cb_suspects_left(generation->env->suspects, generation->digest);
--- a/src/libcurrantbridge/request/suspects.c
+++ b/src/libcurrantbridge/request/suspects.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "private/digest.h"
+
 #define MS_PER_S 1000
 /* How long a digest stays refused. */
 #define QUARANTINE_MS (10 * 60 * MS_PER_S)
@@ -9,6 +11,12 @@
 #define SUSPICION_MS (10 * 60 * MS_PER_S)
 /* A suspect that had not got a token yet waits for news of its copies. */
 #define FIRST_HOLD_MS 400
+/* How long news of a death takes from one entry instance to another. */
+#define NEWS_MS 200
+/* Between the turns of two entry instances with the same suspect. */
+#define TURN_MS 1000
+/* Over so many turns those spread that did not see it end a server. */
+#define LATE_TURNS 8
 /* How long after a second death other failures are waited for. */
 #define VERDICT_HOLD_MS 300
 /* Failures this far apart may have one cause. */
@@ -29,29 +37,32 @@
 typedef struct record {
 	unsigned int running; /* its attempts on servers, all together */
 	uint64_t delivered_count;
-	unsigned int death_count;
+	unsigned int death_count; /* as many as there are death_servers */
 	int64_t last_death_ms;
+	char *last_server;
 	uint64_t delivered_at_death;
 	int64_t hold_until_ms;
 	gboolean is_accused; /* the verdict is due at hold_until_ms */
 	gboolean needs_isolation;
+	gboolean died_alone;
+	unsigned int waiting; /* its requests that have not ended */
 	int64_t refused_until_wall_ms;
-	GHashTable *death_servers; /* names */
+	GHashTable *death_servers; /* each "NAME/INCARNATION" */
 } record_t;
 
 typedef struct death {
-	char *server;
-	uint64_t incarnation;
+	char *server; /* "NAME/INCARNATION" */
 	int64_t at_ms;
 } death_t;
 
 struct cb_suspects {
 	cb_generation_parts_t parts;
-	GHashTable *records; /* digest to record_t */
-	GHashTable *running; /* server name to a table of digest to count */
-	GHashTable *proven;  /* digests that finished */
-	GPtrArray *deaths;   /* of death_t */
-	char *isolated;	     /* the digest that runs alone, or NULL */
+	GHashTable *records;  /* digest to record_t */
+	GHashTable *running;  /* server name to a table of digest to count */
+	GHashTable *proven;   /* digests that finished */
+	GPtrArray *deaths;    /* of death_t */
+	int64_t failed_at_ms; /* when a server failed last */
+	char *isolated;	      /* the digest that runs alone, or NULL */
 	cb_timer_t *verdict_timer;
 };
 
@@ -65,6 +76,7 @@
 	record_t *record = data;
 
 	g_hash_table_unref(record->death_servers);
+	g_free(record->last_server);
 	g_free(record);
 }
 
@@ -99,7 +111,8 @@
 {
 	record_t *record = record_find_(suspects, digest);
 
-	if (record && !record->running && !record->death_count)
+	if (record && !record->running && !record->waiting &&
+	    !record->death_count)
 		g_hash_table_remove(suspects->records, digest);
 }
 
@@ -115,6 +128,7 @@
 	record->death_count = 0;
 	record->is_accused = FALSE;
 	record->needs_isolation = FALSE;
+	record->died_alone = FALSE;
 	record->hold_until_ms = 0;
 	record->refused_until_wall_ms = 0;
 	g_hash_table_remove_all(record->death_servers);
@@ -157,16 +171,84 @@
 					   until_ms);
 }
 
+/*
+ * Returns how many turns this entry instance lets pass before it runs a
+ * suspect: those that saw it end a server go first, in the order of their
+ * ranks, then the others.
+ */
+static unsigned int turn_(const cb_suspects_t *suspects, const char *digest,
+			  const char *const *reports)
+{
+	const char *ours = suspects->parts.instance;
+	gboolean is_reporter = FALSE;
+	unsigned int before = 0;
+	unsigned int count = 0;
+	uint64_t rank;
+
+	if (!ours)
+		return 0;
+	rank = cb_digest_rank(digest, ours);
+	for (; reports && *reports; reports++) {
+		const char *reporter = strrchr(*reports, ' ') + 1;
+
+		is_reporter |= !strcmp(reporter, ours);
+		before += cb_digest_rank(digest, reporter) < rank;
+		count++;
+	}
+	return is_reporter || !count ? before : count + rank % LATE_TURNS;
+}
+
+/*
+ * Returns when a suspect that had no token may run again.  Entry instances
+ * take turns, so that one learns what the run of another showed.
+ */
+static int64_t hold_until_(const cb_suspects_t *suspects, const char *digest)
+{
+	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
+	const char *const *reports =
+		cb_view_deaths(suspects->parts.view, digest, wall_ms);
+	int64_t hold_ms = FIRST_HOLD_MS;
+
+	hold_ms += TURN_MS * turn_(suspects, digest, reports);
+	return now_ms_(suspects) + hold_ms;
+}
+
+/* Whether another digest has as much against it as this one. */
+static gboolean has_rival_(const cb_suspects_t *suspects, const char *digest,
+			   const record_t *record)
+{
+	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
+	GHashTableIter iter;
+	void *other_digest;
+	void *value;
+
+	g_hash_table_iter_init(&iter, suspects->records);
+	while (g_hash_table_iter_next(&iter, &other_digest, &value)) {
+		const record_t *other = value;
+
+		if (strcmp(other_digest, digest) != 0 &&
+		    other->death_count >= record->death_count &&
+		    g_hash_table_contains(other->death_servers,
+					  record->last_server))
+			return TRUE;
+	}
+	return cb_view_suspects_on(suspects->parts.view, record->last_server,
+				   record->death_count, wall_ms) > 1;
+}
+
 /* Decides on an accused digest, its hold being over. */
 static void judge_(cb_suspects_t *suspects, const char *digest,
 		   record_t *record)
 {
 	record->is_accused = FALSE;
-	if (record->death_count <= QUARANTINE_DEATHS &&
-	    has_common_cause_(suspects, record))
-		record->needs_isolation = TRUE;
-	else
+	if (record->died_alone || (!has_common_cause_(suspects, record) &&
+				   !has_rival_(suspects, digest, record))) {
 		refuse_(suspects, digest, record);
+		return;
+	}
+	record->needs_isolation = TRUE;
+	if (!record->delivered_count)
+		record->hold_until_ms = hold_until_(suspects, digest);
 }
 
 /* Judges every accused digest whose hold is over. */
@@ -194,12 +276,73 @@
 		cb_timer_start(suspects->verdict_timer, next_ms - now_ms);
 }
 
+/* Notes a server that died under a digest; FALSE if it was noted before. */
+static gboolean death_add_(cb_suspects_t *suspects, record_t *record,
+			   const char *server)
+{
+	if (!g_hash_table_add(record->death_servers, g_strdup(server)))
+		return FALSE;
+	g_free(record->last_server);
+	record->last_server = g_strdup(server);
+	record->last_death_ms = now_ms_(suspects);
+	record->death_count = g_hash_table_size(record->death_servers);
+	return TRUE;
+}
+
+/* Accuses a digest: the verdict follows when other news may be in. */
+static void accuse_(cb_suspects_t *suspects, record_t *record)
+{
+	record->is_accused = TRUE;
+	record->hold_until_ms = now_ms_(suspects) + VERDICT_HOLD_MS;
+	cb_timer_start(suspects->verdict_timer, 0);
+}
+
+/* Takes in what other entry instances saw of a digest. */
+static void reports_merge_(cb_suspects_t *suspects, const char *digest,
+			   record_t *record)
+{
+	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
+	const char *const *reports =
+		cb_view_deaths(suspects->parts.view, digest, wall_ms);
+	gboolean is_new = FALSE;
+
+	if (record->refused_until_wall_ms)
+		return;
+	for (; reports && *reports; reports++) {
+		const char *end = strrchr(*reports, ' ');
+		char *server = g_strndup(*reports, end - *reports);
+
+		is_new |= death_add_(suspects, record, server);
+		g_free(server);
+	}
+	if (!is_new)
+		return;
+	if (record->death_count >= QUARANTINE_DEATHS && !record->is_accused)
+		accuse_(suspects, record);
+	else if (!record->delivered_count && !record->running)
+		record->hold_until_ms = hold_until_(suspects, digest);
+}
+
+/* The view has changed: its news of the digests that run here count. */
+static void view_changed_(void *user_data)
+{
+	cb_suspects_t *suspects = user_data;
+	GHashTableIter iter;
+	void *digest;
+	void *record;
+
+	g_hash_table_iter_init(&iter, suspects->records);
+	while (g_hash_table_iter_next(&iter, &digest, &record))
+		reports_merge_(suspects, digest, record);
+}
+
 /* Makes the record of suspects of one entry instance; `parts` is copied. */
 cb_suspects_t *cb_suspects_new(const cb_generation_parts_t *parts)
 {
 	cb_suspects_t *suspects = g_new0(cb_suspects_t, 1);
 
 	suspects->parts = *parts;
+	suspects->failed_at_ms = INT64_MIN / 2;
 	suspects->records = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, record_delete_);
 	suspects->running =
@@ -210,6 +353,7 @@
 	suspects->deaths = g_ptr_array_new_with_free_func(death_delete_);
 	suspects->verdict_timer =
 		cb_timer_new(parts->clock, verdicts_due_, suspects);
+	cb_view_watch((cb_view_t *)parts->view, view_changed_, suspects);
 	return suspects;
 }
 
@@ -227,6 +371,27 @@
 	g_free(suspects);
 }
 
+/*
+ * Whether another digest is to run alone first: the less of its answer it
+ * has, the more it is to be doubted.
+ */
+static gboolean must_queue_(const cb_suspects_t *suspects,
+			    const record_t *record)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, suspects->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const record_t *other = value;
+
+		if (other->needs_isolation && other->waiting &&
+		    other->delivered_count < record->delivered_count)
+			return TRUE;
+	}
+	return FALSE;
+}
+
 /* Decides on a suspect whose hold is over and that is not running. */
 static cb_suspects_verdict_t suspect_admit_(cb_suspects_t *suspects,
 					    const char *digest,
@@ -236,11 +401,34 @@
 		return CB_SUSPECTS_RUN;
 	if (suspects->isolated && strcmp(suspects->isolated, digest) != 0)
 		return CB_SUSPECTS_WAIT;
+	if (must_queue_(suspects, record))
+		return CB_SUSPECTS_WAIT;
 	if (!suspects->isolated)
 		suspects->isolated = g_strdup(digest);
 	return CB_SUSPECTS_RUN_ALONE;
 }
 
+/*
+ * Whether a server failed just now and the digest has not run well yet: it
+ * may be a copy of what ended that server, of which news is on its way.
+ */
+static gboolean is_news_awaited_(const cb_suspects_t *suspects,
+				 const char *digest)
+{
+	const record_t *record = record_find_(suspects, digest);
+
+	if (g_hash_table_contains(suspects->proven, digest) ||
+	    (record && record->delivered_count))
+		return FALSE;
+	return now_ms_(suspects) < suspects->failed_at_ms + NEWS_MS;
+}
+
+/* Notes that a server did not take a connection. */
+void cb_suspects_server_failed(cb_suspects_t *suspects)
+{
+	suspects->failed_at_ms = now_ms_(suspects);
+}
+
 /*
  * Tells whether an attempt of a digest may begin now.  A caller that is to
  * wait asks again after a short while.
@@ -251,11 +439,17 @@
 	record_t *record = record_find_(suspects, digest);
 	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
 
-	if (suspects->parts.view &&
-	    cb_view_is_quarantined(suspects->parts.view, digest, wall_ms))
+	if (cb_view_is_quarantined(suspects->parts.view, digest, wall_ms))
 		return CB_SUSPECTS_REFUSED;
+	if ((!record || !record->death_count) &&
+	    cb_view_deaths(suspects->parts.view, digest, wall_ms)) {
+		record = record_get_(suspects, digest);
+		reports_merge_(suspects, digest, record);
+		record->hold_until_ms = hold_until_(suspects, digest);
+	}
 	if (!record || !record->death_count)
-		return CB_SUSPECTS_RUN;
+		return is_news_awaited_(suspects, digest) ? CB_SUSPECTS_WAIT :
+							    CB_SUSPECTS_RUN;
 	if (record->refused_until_wall_ms > wall_ms)
 		return CB_SUSPECTS_REFUSED;
 	if (record->refused_until_wall_ms ||
@@ -275,11 +469,12 @@
 {
 	const record_t *record = record_find_(suspects, digest);
 	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
-	int64_t remaining_ms = QUARANTINE_MS;
+	int64_t until_ms =
+		cb_view_quarantined_until(suspects->parts.view, digest);
 
-	if (record && record->refused_until_wall_ms > wall_ms)
-		remaining_ms = record->refused_until_wall_ms - wall_ms;
-	return (remaining_ms + MS_PER_S - 1) / MS_PER_S;
+	if (record)
+		until_ms = MAX(until_ms, record->refused_until_wall_ms);
+	return (MAX(until_ms - wall_ms, 1) + MS_PER_S - 1) / MS_PER_S;
 }
 
 static GHashTable *server_digests_(const cb_suspects_t *suspects,
@@ -349,7 +544,8 @@
 {
 	record_t *record = record_find_(suspects, digest);
 
-	if (record && record->death_count)
+	record->waiting--;
+	if (record->death_count)
 		suspicion_clear_(suspects, digest, record);
 	if (g_hash_table_size(suspects->proven) >= MAX_PROVEN_DIGESTS)
 		g_hash_table_remove_all(suspects->proven);
@@ -357,35 +553,39 @@
 	record_sweep_(suspects, digest);
 }
 
+/* Notes a request that is to run, until it has passed or left. */
+void cb_suspects_joined(cb_suspects_t *suspects, const char *digest)
+{
+	record_get_(suspects, digest)->waiting++;
+}
+
 /* Notes that a request has ended without its answer. */
 void cb_suspects_left(cb_suspects_t *suspects, const char *digest)
 {
+	record_find_(suspects, digest)->waiting--;
 	isolation_release_(suspects, digest);
 	record_sweep_(suspects, digest);
 }
 
-static gboolean death_is_new_(const cb_suspects_t *suspects,
-			      const cb_server_t *server)
+static gboolean death_is_new_(const cb_suspects_t *suspects, const char *server)
 {
 	unsigned int i;
 
 	for (i = 0; i < suspects->deaths->len; i++) {
 		const death_t *death = g_ptr_array_index(suspects->deaths, i);
 
-		if (!strcmp(death->server, server->name) &&
-		    death->incarnation == server->incarnation)
+		if (!strcmp(death->server, server))
 			return FALSE;
 	}
 	return TRUE;
 }
 
-static void death_note_(cb_suspects_t *suspects, const cb_server_t *server)
+static void death_note_(cb_suspects_t *suspects, const char *server)
 {
 	int64_t oldest_ms = now_ms_(suspects) - SUSPICION_MS;
 	death_t *death = g_new0(death_t, 1);
 
-	death->server = g_strdup(server->name);
-	death->incarnation = server->incarnation;
+	death->server = g_strdup(server);
 	death->at_ms = now_ms_(suspects);
 	g_ptr_array_add(suspects->deaths, death);
 	while (((death_t *)g_ptr_array_index(suspects->deaths, 0))->at_ms <
@@ -394,24 +594,25 @@
 }
 
 /* Holds one death against one of the digests that it happened under. */
-static void charge_(cb_suspects_t *suspects, record_t *record,
-		    const cb_server_t *server, unsigned int suspect_count)
+static void charge_(cb_suspects_t *suspects, const char *digest,
+		    const char *server, unsigned int suspect_count)
 {
-	int64_t now_ms = now_ms_(suspects);
+	record_t *record = record_find_(suspects, digest);
 	gboolean was_suspect = record->death_count > 0;
 
-	record->death_count++;
-	record->last_death_ms = now_ms;
+	if (!death_add_(suspects, record, server))
+		return;
 	record->delivered_at_death = record->delivered_count;
-	g_hash_table_add(record->death_servers, g_strdup(server->name));
-	if (!was_suspect) {
-		if (!record->delivered_count)
-			record->hold_until_ms = now_ms + FIRST_HOLD_MS;
-	} else if (suspect_count > 1) {
+	record->died_alone = !g_strcmp0(suspects->isolated, digest);
+	if (suspects->parts.suspect)
+		suspects->parts.suspect(suspects->parts.user_data, digest,
+					server);
+	if (!record->delivered_count)
+		record->hold_until_ms = hold_until_(suspects, digest);
+	if (was_suspect && suspect_count > 1) {
 		record->needs_isolation = TRUE;
-	} else {
-		record->is_accused = TRUE;
-		record->hold_until_ms = now_ms + VERDICT_HOLD_MS;
+	} else if (was_suspect) {
+		accuse_(suspects, record);
 	}
 }
 
@@ -426,12 +627,15 @@
 	unsigned int suspect_count = 0;
 	GHashTableIter iter;
 	void *digest;
+	char *name = g_strdup_printf("%s/%" G_GUINT64_FORMAT, server->name,
+				     server->incarnation);
 
-	if (!death_is_new_(suspects, server))
-		return;
-	death_note_(suspects, server);
+	if (!death_is_new_(suspects, name))
+		goto out;
+	death_note_(suspects, name);
+	cb_suspects_server_failed(suspects);
 	if (!digests)
-		return;
+		goto out;
 	cb_log_event(suspects->parts.log, CB_EVENT_SERVER_DIED,
 		     CB_STR("server", server->name),
 		     CB_INT("requests", g_hash_table_size(digests)));
@@ -441,9 +645,9 @@
 			record_find_(suspects, digest)->death_count > 0;
 	g_hash_table_iter_init(&iter, digests);
 	while (g_hash_table_iter_next(&iter, &digest, NULL))
-		charge_(suspects, record_find_(suspects, digest), server,
-			suspect_count);
-	verdicts_due_(suspects);
+		charge_(suspects, digest, name, suspect_count);
+out:
+	g_free(name);
 }
 
 /* Tells whether a digest may be placed beside what runs on a server. */
--- a/src/test_libcurrantbridge/support_engines.c
+++ b/src/test_libcurrantbridge/support_engines.c
@@ -593,25 +593,42 @@
 	return engine;
 }
 
-/* Puts a digest into the replicated list, shared after SHARE_MS. */
-static void quarantine_(void *user_data, const char *digest,
-			int64_t until_wall_ms)
+/* Applies a command to the replicated state, shared after SHARE_MS. */
+static void command_apply_(support_engines_t *engines, cb_command_t *command)
 {
-	support_entry_t *entry = user_data;
-	support_engines_t *engines = entry->engines;
 	cb_machine_t *machine = cb_state_machine(engines->state);
-	cb_command_t *command = cb_command_new(CB_COMMAND_QUARANTINE_ADD);
 	GBytes *bytes;
 
-	command->name = g_strdup(digest);
-	command->until_wall_ms = until_wall_ms;
 	command->wall_ms = cb_clock_wall_ms(engines->clock);
 	bytes = cb_command_encode(command);
 	g_bytes_unref(machine->vtable->apply(machine, ++engines->index, bytes));
 	g_bytes_unref(bytes);
 	cb_command_delete(command);
-	g_ptr_array_add(engines->refused, g_strdup(digest));
-	cb_timer_start(engines->share_timer, SHARE_MS);
+	if (!cb_timer_is_armed(engines->share_timer))
+		cb_timer_start(engines->share_timer, SHARE_MS);
+}
+
+static void suspect_(void *user_data, const char *digest, const char *server)
+{
+	support_entry_t *entry = user_data;
+	cb_command_t *command = cb_command_new(CB_COMMAND_SUSPECT_ADD);
+
+	command->name = g_strdup(digest);
+	command->server = g_strdup(server);
+	command->owner = g_strdup(entry->name);
+	command_apply_(entry->engines, command);
+}
+
+static void quarantine_(void *user_data, const char *digest,
+			int64_t until_wall_ms)
+{
+	support_entry_t *entry = user_data;
+	cb_command_t *command = cb_command_new(CB_COMMAND_QUARANTINE_ADD);
+
+	command->name = g_strdup(digest);
+	command->until_wall_ms = until_wall_ms;
+	command_apply_(entry->engines, command);
+	g_ptr_array_add(entry->engines->refused, g_strdup(digest));
 }
 
 support_entry_t *support_entry_add(support_engines_t *engines)
@@ -621,6 +638,7 @@
 					.random = engines->random,
 					.engines = &entry->client,
 					.data_centre = "dc1",
+					.suspect = suspect_,
 					.quarantine = quarantine_,
 					.user_data = entry,
 					.history = engines->history };
@@ -628,6 +646,8 @@
 	entry->client.vtable = &client_vtable;
 	entry->engines = engines;
 	entry->view = cb_view_new();
+	entry->name = g_strdup_printf("entry-%u", engines->entries->len);
+	parts.instance = entry->name;
 	entry->counters = cb_counters_new();
 	entry->registry =
 		cb_server_registry_new(engines->clock, NULL, entry->counters,
@@ -646,6 +666,7 @@
 	cb_server_registry_delete(entry->registry);
 	cb_counters_delete(entry->counters);
 	cb_view_delete(entry->view);
+	g_free(entry->name);
 	g_free(entry);
 }
 
--- a/src/test_libcurrantbridge/support_engines.h
+++ b/src/test_libcurrantbridge/support_engines.h
@@ -32,6 +32,7 @@
 struct support_entry {
 	cb_engine_client_t client; /* first */
 	support_engines_t *engines;
+	char *name;
 	cb_view_t *view;
 	cb_server_registry_t *registry;
 	cb_counters_t *counters;
