Hand libsoup's writes from other threads to the loop

libsoup ends a chunked answer from a thread of GLib's pool, which wrote to the connection's buffer beside the loop and lost the flush (or crashed).

--- a/src/libcurrantbridge/http/http_connection.c
+++ b/src/libcurrantbridge/http/http_connection.c
@@ -263,17 +263,17 @@
 	socket_close_(user_data);
 }
 
-/* libsoup closes the connection: what waits is still sent. */
-static gboolean connection_close_(GIOStream *stream, GCancellable *cancellable,
-				  GError **error)
+static gboolean close_(void *user_data)
 {
-	cb_connection_t *connection = (cb_connection_t *)stream;
+	cb_connection_t *connection = user_data;
 	cb_connection_pool_t *pool = connection->pool;
 
-	(void)cancellable;
-	(void)error;
 	if (connection->is_lingering || g_socket_is_closed(connection->socket))
-		return TRUE;
+		return G_SOURCE_REMOVE;
+	if (connection->pending->len == 0 && connection->request_bytes == 0) {
+		socket_close_(connection);
+		return G_SOURCE_REMOVE;
+	}
 	cb_connection_unwatch(connection);
 	connection->is_lingering = TRUE;
 	g_ptr_array_add(pool->lingering, g_object_ref(connection));
@@ -281,6 +281,20 @@
 		cb_timer_new(pool->clock, linger_over_, connection);
 	cb_timer_start(connection->linger_timer, LINGER_MS);
 	mark_dirty_(connection);
+	return G_SOURCE_REMOVE;
+}
+
+/* libsoup closes the connection: what waits is still sent. */
+static gboolean connection_close_(GIOStream *stream, GCancellable *cancellable,
+				  GError **error)
+{
+	cb_connection_t *connection = (cb_connection_t *)stream;
+
+	(void)cancellable;
+	(void)error;
+	g_main_context_invoke_full(connection->pool->context,
+				   G_PRIORITY_DEFAULT, close_,
+				   g_object_ref(connection), g_object_unref);
 	return TRUE;
 }
 
@@ -458,12 +472,53 @@
 	return (gssize)count;
 }
 
+/* Bytes on their way to the loop's thread. */
+typedef struct late_write {
+	cb_connection_t *connection;
+	GBytes *bytes;
+} late_write_t;
+
+static gboolean late_write_(void *user_data)
+{
+	late_write_t *late = user_data;
+	size_t size_bytes;
+	const char *data = g_bytes_get_data(late->bytes, &size_bytes);
+
+	cb_connection_send(late->connection, data, size_bytes);
+	return G_SOURCE_REMOVE;
+}
+
+static void late_write_delete_(void *data)
+{
+	late_write_t *late = data;
+
+	g_object_unref(late->connection);
+	g_bytes_unref(late->bytes);
+	g_free(late);
+}
+
+/*
+ * libsoup ends a chunked answer from a thread of GLib's, with a write that
+ * may block.  The bytes are handed to the loop, which alone touches the
+ * connection; libsoup writes nothing more until this has returned.
+ */
 static gssize output_write_fn_(GOutputStream *stream, const void *buffer,
 			       size_t count, GCancellable *cancellable,
 			       GError **error)
 {
+	cb_connection_t *connection =
+		((connection_output_t *)stream)->connection;
+	late_write_t *late;
+
 	(void)cancellable;
-	return output_write_(stream, buffer, count, error);
+	(void)error;
+	late = g_new0(late_write_t, 1);
+	late->connection = g_object_ref(connection);
+	late->bytes = g_bytes_new(buffer, count);
+	g_main_context_invoke_full(connection->pool->context,
+				   G_PRIORITY_DEFAULT, late_write_, late,
+				   late_write_delete_);
+	return (gssize)count;
 }
 
 static gssize output_write_nonblocking_(GPollableOutputStream *stream,
