--- /dev/null
+++ b/test/support_entry.c
@@ -0,0 +1,493 @@
+#include "support_entry.h"
+
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fake_model.h"
+
+#define READY_LIMIT_MS 20000
+#define METRIC_LIMIT_MS 10000
+#define HTTP_TIMEOUT_S 5
+
+/* Sends a change to the first control instance; returns the status. */
+static unsigned int change_send_(support_group_t *group, const char *method,
+				 const char *path, const char *body)
+{
+	SoupSession *session =
+		soup_session_new_with_options("timeout", HTTP_TIMEOUT_S, NULL);
+	char *uri =
+		g_strdup_printf("http://%s%s", group->control[0]->http, path);
+	SoupMessage *message = soup_message_new(method, uri);
+	GBytes *bytes = g_bytes_new(body, strlen(body));
+	char *id = g_uuid_string_random();
+	unsigned int status = 0;
+
+	soup_message_headers_replace(soup_message_get_request_headers(message),
+				     "X-Change-Id", id);
+	soup_message_set_request_body_from_bytes(message, "application/json",
+						 bytes);
+	g_bytes_unref(bytes);
+	bytes = soup_session_send_and_read(session, message, NULL, NULL);
+	if (bytes)
+		status = soup_message_get_status(message);
+	g_clear_pointer(&bytes, g_bytes_unref);
+	g_object_unref(message);
+	g_object_unref(session);
+	g_free(id);
+	g_free(uri);
+	return status;
+}
+
+typedef struct contract_put {
+	support_group_t *group;
+	char *text;
+} contract_put_t;
+
+static gboolean is_put_(void *user_data)
+{
+	contract_put_t *put = user_data;
+
+	return change_send_(put->group, "PUT", "/v1/contracts/handicap",
+			    put->text) == SOUP_STATUS_OK;
+}
+
+/*
+ * Puts the contract of the workspace "handicap"; `limits` are its limiting
+ * fields as JSON members, NULL: wide ones.
+ */
+void support_contract_put(support_group_t *group, const char *limits)
+{
+	static const char wide[] = "\"guaranteed_tokens_per_s\":1000,"
+				   "\"ceiling_tokens_per_s\":1000000,"
+				   "\"guaranteed_requests_per_s\":500,"
+				   "\"ceiling_requests_per_s\":10000,"
+				   "\"concurrent_requests\":1000";
+	contract_put_t put = { .group = group };
+
+	put.text = g_strdup_printf(
+		"{\"workspace\":\"handicap\",\"keys\":[\"" SUPPORT_KEY
+		"\"],\"models\":[\"" SUPPORT_MODEL "\"],\"services\":[{"
+		"\"name\":\"bookings\",\"idempotent\":false}],"
+		"\"priority\":5,\"deadline_ms\":60000,%s}",
+		limits ? limits : wide);
+	g_assert(support_wait(is_put_, &put, READY_LIMIT_MS));
+	g_free(put.text);
+}
+
+/* Announces a planned stop of a backend server or an instance. */
+gboolean support_stop_announce(support_group_t *group, const char *kind,
+			       const char *name)
+{
+	char *body = g_strdup_printf("{\"kind\":\"%s\",\"name\":\"%s\"}", kind,
+				     name);
+	unsigned int status = change_send_(group, "POST", "/v1/stops", body);
+
+	g_free(body);
+	return status == SOUP_STATUS_OK;
+}
+
+/* Starts an entry instance; `more` are further settings as JSON members. */
+support_daemon_t *support_entry_start(support_group_t *group, const char *name,
+				      const char *more)
+{
+	char *http = g_strdup_printf("127.0.0.1:%u", support_free_port());
+	GString *settings = g_string_new(NULL);
+	support_daemon_t *entry;
+	size_t i;
+
+	g_string_printf(settings,
+			"{\"name\":\"%s\",\"listen\":\"%s\","
+			"\"data_centre\":\"dc1\",\"control\":[",
+			name, http);
+	for (i = 0; i < group->control_count; i++)
+		g_string_append_printf(settings, "%s\"%s\"", i ? "," : "",
+				       group->control[i]->peers);
+	g_string_append_printf(settings, "]%s%s}", more ? "," : "",
+			       more ? more : "");
+	entry = support_group_add(group, "cb-entry", name, http, settings->str);
+	support_daemon_start(entry);
+	g_string_free(settings, TRUE);
+	g_free(http);
+	return entry;
+}
+
+/*
+ * Starts a stand-in that announces itself to the entry instances (NULL
+ * ends them), with further arguments, separated by spaces.
+ */
+support_backend_t *support_backend_start(support_group_t *group,
+					 const char *name,
+					 support_daemon_t *const *entries,
+					 const char *arguments)
+{
+	support_backend_t *backend = g_new0(support_backend_t, 1);
+	GPtrArray *argv = g_ptr_array_new();
+	char **more = g_strsplit(arguments, " ", -1);
+	char *program =
+		g_build_filename(CB_PROGRAM_DIR, "cb-fake-backend", NULL);
+	GError *error = NULL;
+	size_t i;
+
+	backend->name = g_strdup(name);
+	backend->address = g_strdup_printf("127.0.0.1:%u", support_free_port());
+	backend->effects =
+		g_strdup_printf("%s/%s.effects", group->folder, name);
+	g_ptr_array_add(argv, program);
+	g_ptr_array_add(argv, (char *)"--name");
+	g_ptr_array_add(argv, backend->name);
+	g_ptr_array_add(argv, (char *)"--listen");
+	g_ptr_array_add(argv, backend->address);
+	g_ptr_array_add(argv, (char *)"--log");
+	g_ptr_array_add(argv, backend->effects);
+	for (i = 0; entries[i]; i++) {
+		g_ptr_array_add(argv, (char *)"--announce");
+		g_ptr_array_add(argv, entries[i]->http);
+	}
+	for (i = 0; more[i]; i++)
+		g_ptr_array_add(argv, more[i]);
+	g_ptr_array_add(argv, NULL);
+	backend->process =
+		g_subprocess_newv((const char *const *)argv->pdata,
+				  G_SUBPROCESS_FLAGS_STDERR_SILENCE, &error);
+	if (!backend->process)
+		g_error("%s: %s", program, error->message);
+	g_ptr_array_unref(argv);
+	g_strfreev(more);
+	g_free(program);
+	return backend;
+}
+
+/* Sends a signal to a stand-in that runs. */
+void support_backend_signal(support_backend_t *backend, int signal_number)
+{
+	g_subprocess_send_signal(backend->process, signal_number);
+}
+
+/* Waits for a stand-in's end; returns the exit code, or -1 for a signal. */
+int support_backend_wait(support_backend_t *backend)
+{
+	int exit_code = -1;
+
+	g_subprocess_wait(backend->process, NULL, NULL);
+	if (g_subprocess_get_if_exited(backend->process))
+		exit_code = g_subprocess_get_exit_status(backend->process);
+	g_clear_object(&backend->process);
+	return exit_code;
+}
+
+/* Kills a stand-in, if it runs, and frees its record. */
+void support_backend_delete(support_backend_t *backend)
+{
+	if (backend->process) {
+		support_backend_signal(backend, SIGKILL);
+		support_backend_wait(backend);
+	}
+	g_free(backend->name);
+	g_free(backend->address);
+	g_free(backend->effects);
+	g_free(backend);
+}
+
+/* Returns how many effects the stand-in has written down. */
+unsigned int support_backend_effects(const support_backend_t *backend)
+{
+	unsigned int count = 0;
+	char *text = NULL;
+	const char *c;
+
+	if (!g_file_get_contents(backend->effects, &text, NULL, NULL))
+		return 0;
+	for (c = text; (c = strchr(c, '\n')); c++)
+		count++;
+	g_free(text);
+	return count;
+}
+
+static gboolean is_ready_(void *user_data)
+{
+	support_daemon_t *entry = user_data;
+
+	return support_http("GET", entry->http, "/readyz", NULL, NULL) ==
+	       SOUP_STATUS_OK;
+}
+
+/* Waits until an entry instance admits requests. */
+gboolean support_wait_ready(support_daemon_t *entry)
+{
+	return support_wait(is_ready_, entry, READY_LIMIT_MS);
+}
+
+/* Waits until `count` backend servers are ready at an entry instance. */
+gboolean support_wait_servers(support_daemon_t *entry, int count)
+{
+	return support_wait_metric(entry->http,
+				   "cb_backend_servers{state=\"ready\"}",
+				   count);
+}
+
+/* Returns the value of a series at /metrics, or -1 if there is none. */
+int64_t support_metric(const char *address, const char *series)
+{
+	char *wanted = g_strdup_printf("\n%s ", series);
+	char *text = NULL;
+	const char *found;
+	int64_t value = -1;
+
+	if (support_http("GET", address, "/metrics", NULL, &text) ==
+		    SOUP_STATUS_OK &&
+	    (found = strstr(text, wanted)))
+		value = g_ascii_strtoll(found + strlen(wanted), NULL, 10);
+	g_free(text);
+	g_free(wanted);
+	return value;
+}
+
+typedef struct awaited_metric {
+	const char *address;
+	const char *series;
+	int64_t value;
+} awaited_metric_t;
+
+static gboolean metric_is_(void *user_data)
+{
+	awaited_metric_t *awaited = user_data;
+
+	return support_metric(awaited->address, awaited->series) ==
+	       awaited->value;
+}
+
+/* Waits until a series has a value. */
+gboolean support_wait_metric(const char *address, const char *series,
+			     int64_t value)
+{
+	awaited_metric_t awaited = { address, series, value };
+
+	return support_wait(metric_is_, &awaited, METRIC_LIMIT_MS);
+}
+
+/*
+ * Sends raw bytes, ends its side if wanted, and returns all that comes back
+ * until the other end closes or some seconds have passed.
+ */
+char *support_raw(const char *address, const char *request, size_t size_bytes,
+		  gboolean ends)
+{
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *connection;
+	GString *answer = g_string_new(NULL);
+	char buffer[4096];
+	GSocket *socket;
+	gssize count;
+
+	g_socket_client_set_timeout(client, HTTP_TIMEOUT_S);
+	connection =
+		g_socket_client_connect_to_host(client, address, 0, NULL, NULL);
+	g_assert(connection);
+	socket = g_socket_connection_get_socket(connection);
+	while (size_bytes > 0 &&
+	       (count = g_socket_send(socket, request, size_bytes, NULL,
+				      NULL)) > 0) {
+		request += count;
+		size_bytes -= (size_t)count;
+	}
+	if (ends)
+		g_socket_shutdown(socket, FALSE, TRUE, NULL);
+	while ((count = g_socket_receive(socket, buffer, sizeof(buffer), NULL,
+					 NULL)) > 0)
+		g_string_append_len(answer, buffer, count);
+	g_object_unref(connection);
+	g_object_unref(client);
+	return g_string_free(answer, FALSE);
+}
+
+static void stream_read_(support_stream_t *stream);
+
+static void stream_got_(GObject *body, GAsyncResult *result, void *user_data)
+{
+	support_stream_t *stream = user_data;
+	gssize count =
+		g_input_stream_read_finish(G_INPUT_STREAM(body), result, NULL);
+
+	if (count <= 0) {
+		stream->is_over = TRUE;
+		return;
+	}
+	g_string_append_len(stream->received, stream->buffer, count);
+	stream_read_(stream);
+}
+
+static void stream_read_(support_stream_t *stream)
+{
+	g_input_stream_read_async(stream->body, stream->buffer,
+				  sizeof(stream->buffer), G_PRIORITY_DEFAULT,
+				  stream->cancellable, stream_got_, stream);
+}
+
+static void stream_begun_(GObject *session, GAsyncResult *result,
+			  void *user_data)
+{
+	support_stream_t *stream = user_data;
+	SoupMessage *message =
+		soup_session_get_async_result_message(SOUP_SESSION(session),
+						      result);
+
+	stream->body =
+		soup_session_send_finish(SOUP_SESSION(session), result, NULL);
+	if (!stream->body) {
+		stream->is_over = TRUE;
+		return;
+	}
+	stream->status = soup_message_get_status(message);
+	stream_read_(stream);
+}
+
+/* Starts a streamed completion; the default loop carries it on. */
+support_stream_t *support_stream_start(const char *address, const char *prompt,
+				       unsigned int max_tokens)
+{
+	support_stream_t *stream = g_new0(support_stream_t, 1);
+	char *uri = g_strdup_printf("http://%s/v1/completions", address);
+	char *body = g_strdup_printf("{\"model\":\"" SUPPORT_MODEL
+				     "\",\"prompt\":\"%s\","
+				     "\"max_tokens\":%u,\"stream\":true}",
+				     prompt, max_tokens);
+	SoupMessage *message = soup_message_new("POST", uri);
+	GBytes *bytes = g_bytes_new_take(body, strlen(body));
+
+	stream->session = soup_session_new();
+	stream->cancellable = g_cancellable_new();
+	stream->prompt = g_strdup(prompt);
+	stream->max_tokens = max_tokens;
+	stream->received = g_string_new(NULL);
+	soup_message_headers_replace(soup_message_get_request_headers(message),
+				     "Authorization", "Bearer " SUPPORT_KEY);
+	soup_message_set_request_body_from_bytes(message, "application/json",
+						 bytes);
+	soup_session_send_async(stream->session, message, G_PRIORITY_DEFAULT,
+				stream->cancellable, stream_begun_, stream);
+	g_bytes_unref(bytes);
+	g_object_unref(message);
+	g_free(uri);
+	return stream;
+}
+
+/* Appends the text of one event of a stream; TRUE at its end. */
+static gboolean event_take_(const char *event, GString *text)
+{
+	JsonParser *parser = json_parser_new();
+	JsonObject *choice;
+	gboolean is_end = !strcmp(event, "data: [DONE]");
+
+	if (is_end || !g_str_has_prefix(event, "data: ") ||
+	    !json_parser_load_from_data(parser, event + strlen("data: "), -1,
+					NULL))
+		goto out;
+	choice = json_array_get_object_element(
+		json_object_get_array_member(
+			json_node_get_object(json_parser_get_root(parser)),
+			"choices"),
+		0);
+	g_string_append(text, json_object_get_string_member(choice, "text"));
+out:
+	g_object_unref(parser);
+	return is_end;
+}
+
+/* Whether the answer came whole, each token once and in order. */
+gboolean support_stream_is_whole(const support_stream_t *stream)
+{
+	char **events = g_strsplit(stream->received->str, "\n\n", -1);
+	GString *text = g_string_new(NULL);
+	GString *wanted = g_string_new(NULL);
+	char *previous = g_strdup("");
+	gboolean is_ended = FALSE;
+	gboolean is_whole;
+	unsigned int i;
+
+	for (i = 0; events[i]; i++)
+		is_ended = event_take_(events[i], text) || is_ended;
+	for (i = 0; i < stream->max_tokens; i++) {
+		char *token = fake_model_token(stream->prompt, i, previous,
+					       SUPPORT_LAYERS);
+
+		g_string_append(wanted, token);
+		g_free(previous);
+		previous = token;
+	}
+	is_whole = stream->is_over && is_ended &&
+		   stream->status == SOUP_STATUS_OK &&
+		   g_string_equal(text, wanted);
+	if (!is_whole)
+		printf("    stream %s: status %u, %zu bytes, over %d, end %d\n",
+		       stream->prompt, stream->status, stream->received->len,
+		       stream->is_over, is_ended);
+	g_free(previous);
+	g_string_free(text, TRUE);
+	g_string_free(wanted, TRUE);
+	g_strfreev(events);
+	return is_whole;
+}
+
+/* Returns how many events have come. */
+unsigned int support_stream_tokens(const support_stream_t *stream)
+{
+	const char *c = stream->received->str;
+	unsigned int count = 0;
+
+	for (; (c = strstr(c, "data: ")); c++)
+		count++;
+	return count;
+}
+
+static gboolean stream_is_over_(void *user_data)
+{
+	return ((support_stream_t *)user_data)->is_over;
+}
+
+/* Closes the caller's connection. */
+void support_stream_leave(support_stream_t *stream)
+{
+	g_cancellable_cancel(stream->cancellable);
+	support_wait(stream_is_over_, stream, METRIC_LIMIT_MS);
+	g_clear_object(&stream->body);
+	soup_session_abort(stream->session);
+}
+
+/* Leaves the stream and frees it. */
+void support_stream_delete(support_stream_t *stream)
+{
+	support_stream_leave(stream);
+	g_object_unref(stream->session);
+	g_object_unref(stream->cancellable);
+	g_string_free(stream->received, TRUE);
+	g_free(stream->prompt);
+	g_free(stream);
+}
+
+typedef struct awaited_streams {
+	support_stream_t **streams;
+	size_t count;
+} awaited_streams_t;
+
+static gboolean streams_are_over_(void *user_data)
+{
+	awaited_streams_t *awaited = user_data;
+	size_t i;
+
+	for (i = 0; i < awaited->count; i++) {
+		if (!awaited->streams[i]->is_over)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+/* Waits until all streams have ended, well or not. */
+gboolean support_wait_streams(support_stream_t **streams, size_t count,
+			      int64_t limit_ms)
+{
+	awaited_streams_t awaited = { streams, count };
+
+	return support_wait(streams_are_over_, &awaited, limit_ms);
+}
