--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -33,6 +33,7 @@
 				      .heartbeat_ms = node->heartbeat_ms,
 				      .silence_ms = node->silence_ms };
 
+	cb_link_options_count(&options, cb_kernel_counters(node->kernel));
 	return options;
 }
 
@@ -178,6 +179,7 @@
 	members_keep_(node);
 	cb_node_confirm_applied(node);
 	cb_sessions_confirm(node);
+	cb_sessions_check(node);
 	cb_node_members_tick(node);
 }
 
