Decode the replica's messages through the shared reader

The library allocates by the lengths that it reads, so that a message with a right digest and a wrong array length asked for 256 GiB under the address sanitizer. The codec and the member lists now use the reader that checks all lengths first, which also removes a second copy of it.

test_replica_message passes under the sanitizers; before, it aborted.

--- a/src/libcurrantbridge/control/members.c
+++ b/src/libcurrantbridge/control/members.c
@@ -1,9 +1,10 @@
 #include "private/members.h"
 
-#include <msgpack.h>
 #include <string.h>
 #include <xxhash.h>
 
+#include "private/pack.h"
+
 #define MEMBER_FIELD_COUNT 4
 
 static void member_delete_(void *data)
@@ -111,95 +112,63 @@
 	return count;
 }
 
-static void pack_text_(msgpack_packer *packer, const char *text)
-{
-	size_t length = strlen(text);
-
-	msgpack_pack_str(packer, length);
-	msgpack_pack_str_body(packer, text, length);
-}
-
 /* Encodes a list as msgpack. */
 GBytes *cb_members_encode(const GPtrArray *members)
 {
-	msgpack_sbuffer buffer;
-	msgpack_packer packer;
-	GBytes *bytes;
+	cb_pack_t pack;
 	uint32_t i;
 
-	msgpack_sbuffer_init(&buffer);
-	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, members->len);
+	cb_pack_init(&pack);
+	cb_pack_array(&pack, members->len);
 	for (i = 0; i < members->len; i++) {
 		const cb_replica_member_t *member = members->pdata[i];
 
-		msgpack_pack_array(&packer, MEMBER_FIELD_COUNT);
-		pack_text_(&packer, member->name);
-		pack_text_(&packer, member->address);
-		pack_text_(&packer, member->disk_id);
-		if (member->is_voter)
-			msgpack_pack_true(&packer);
-		else
-			msgpack_pack_false(&packer);
+		cb_pack_array(&pack, MEMBER_FIELD_COUNT);
+		cb_pack_string(&pack, member->name);
+		cb_pack_string(&pack, member->address);
+		cb_pack_string(&pack, member->disk_id);
+		cb_pack_bool(&pack, member->is_voter);
 	}
-	bytes = g_bytes_new(buffer.data, buffer.size);
-	msgpack_sbuffer_destroy(&buffer);
-	return bytes;
-}
-
-static char *text_read_(const msgpack_object *object)
-{
-	if (object->type != MSGPACK_OBJECT_STR)
-		return NULL;
-	return g_strndup(object->via.str.ptr, object->via.str.size);
+	return cb_pack_finish(&pack);
 }
 
 static gboolean member_read_(GPtrArray *members, const msgpack_object *object)
 {
-	const msgpack_object *field = object->via.array.ptr;
-	char *text[3] = { NULL, NULL, NULL };
-	gboolean is_read = FALSE;
-	int i;
-
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != MEMBER_FIELD_COUNT ||
-	    field[3].type != MSGPACK_OBJECT_BOOLEAN)
-		return FALSE;
-	for (i = 0; i < 3; i++)
-		text[i] = text_read_(&field[i]);
-	if (text[0] && text[1] && text[2]) {
-		cb_members_add(members, text[0], text[1], field[3].via.boolean,
-			       text[2]);
-		is_read = TRUE;
-	}
-	for (i = 0; i < 3; i++)
-		g_free(text[i]);
-	return is_read;
+	cb_fields_t fields;
+	gboolean is_voter;
+	char *name;
+	char *address;
+	char *disk_id;
+
+	cb_fields_open(&fields, object);
+	name = cb_fields_text(&fields);
+	address = cb_fields_text(&fields);
+	disk_id = cb_fields_text(&fields);
+	is_voter = cb_fields_bool(&fields);
+	if (cb_fields_end(&fields))
+		cb_members_add(members, name, address, is_voter, disk_id);
+	g_free(name);
+	g_free(address);
+	g_free(disk_id);
+	return cb_fields_end(&fields);
 }
 
 /* Decodes what cb_members_encode() made; NULL when it is malformed. */
 GPtrArray *cb_members_decode(GBytes *bytes)
 {
 	GPtrArray *members = cb_members_new();
-	gboolean is_read = FALSE;
-	msgpack_unpacked unpacked;
-	size_t size;
-	const char *data = g_bytes_get_data(bytes, &size);
-	size_t offset = 0;
-	uint32_t i;
-
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, data, size, &offset) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    offset != size || unpacked.data.type != MSGPACK_OBJECT_ARRAY)
-		goto out;
-	for (i = 0; i < unpacked.data.via.array.size; i++)
-		if (!member_read_(members, &unpacked.data.via.array.ptr[i]))
-			goto out;
-	is_read = TRUE;
-out:
-	msgpack_unpacked_destroy(&unpacked);
-	if (!is_read)
+	cb_fields_t fields = { .is_bad = TRUE };
+	cb_unpack_t unpack;
+
+	if (cb_unpack_init(&unpack, bytes)) {
+		cb_fields_open(&fields, &unpack.unpacked.data);
+		while (!fields.is_bad && fields.left)
+			fields.is_bad =
+				!member_read_(members,
+					      cb_fields_object(&fields));
+		cb_unpack_clear(&unpack);
+	}
+	if (fields.is_bad)
 		g_clear_pointer(&members, g_ptr_array_unref);
 	return members;
 }
--- a/src/libcurrantbridge/control/membership.c
+++ b/src/libcurrantbridge/control/membership.c
@@ -9,6 +9,14 @@
 /* An old disk silent for this many election timeouts may be replaced. */
 #define REPLACE_AFTER_TIMEOUTS 2
 
+/* Decodes members; a malformed list has none, so that nobody votes. */
+static GPtrArray *members_decode_(GBytes *bytes)
+{
+	GPtrArray *members = bytes ? cb_members_decode(bytes) : NULL;
+
+	return members ? members : cb_members_new();
+}
+
 /*
  * Returns the members as of the record at `through` (which is applied or
  * later), and the index that set them; the caller unrefs them.
@@ -23,13 +31,11 @@
 
 		if (record && record->kind == CB_RECORD_MEMBERS) {
 			*index = i;
-			return cb_members_decode(record->data);
+			return members_decode_(record->data);
 		}
 	}
 	*index = replica->snapshot.index;
-	if (replica->snapshot.members)
-		return cb_members_decode(replica->snapshot.members);
-	return cb_members_new();
+	return members_decode_(replica->snapshot.members);
 }
 
 /* Takes the newest members of the log, committed or not, as those in force. */
@@ -40,8 +46,6 @@
 				 &replica->members_index);
 	gboolean was_voter = replica->members && cb_replica_is_voter(replica);
 
-	if (!members)
-		members = cb_members_new();
 	if (replica->members)
 		g_ptr_array_unref(replica->members);
 	replica->members = members;
--- a/src/libcurrantbridge/control/replica_message.c
+++ b/src/libcurrantbridge/control/replica_message.c
@@ -1,9 +1,10 @@
 #include "private/replica_message.h"
 
-#include <msgpack.h>
 #include <string.h>
 #include <xxhash.h>
 
+#include "private/pack.h"
+
 /* A message is a digest of what follows, then one msgpack array. */
 #define DIGEST_BYTES 8
 #define MESSAGE_VERSION 1
@@ -89,97 +90,70 @@
 	g_free(message);
 }
 
-static void pack_text_(msgpack_packer *packer, const char *text)
-{
-	size_t length = text ? strlen(text) : 0;
-
-	msgpack_pack_str(packer, length);
-	msgpack_pack_str_body(packer, text ? text : "", length);
-}
-
-static void pack_bytes_(msgpack_packer *packer, GBytes *bytes)
-{
-	size_t size;
-	const void *data = g_bytes_get_data(bytes, &size);
-
-	msgpack_pack_bin(packer, size);
-	msgpack_pack_bin_body(packer, data ? data : "", size);
-}
-
-static void pack_boolean_(msgpack_packer *packer, gboolean value)
-{
-	if (value)
-		msgpack_pack_true(packer);
-	else
-		msgpack_pack_false(packer);
-}
-
-static void pack_append_(msgpack_packer *packer, const cb_append_t *append)
+static void pack_append_(cb_pack_t *pack, const cb_append_t *append)
 {
 	uint32_t i;
 
-	msgpack_pack_uint64(packer, append->prev_index);
-	msgpack_pack_uint64(packer, append->prev_term);
-	msgpack_pack_uint64(packer, append->committed);
-	msgpack_pack_uint64(packer, append->round);
-	msgpack_pack_array(packer, append->records->len);
+	cb_pack_uint(pack, append->prev_index);
+	cb_pack_uint(pack, append->prev_term);
+	cb_pack_uint(pack, append->committed);
+	cb_pack_uint(pack, append->round);
+	cb_pack_array(pack, append->records->len);
 	for (i = 0; i < append->records->len; i++) {
 		const cb_record_t *record = append->records->pdata[i];
 
-		msgpack_pack_array(packer, RECORD_FIELD_COUNT);
-		msgpack_pack_uint64(packer, record->term);
-		msgpack_pack_uint32(packer, record->kind);
-		pack_bytes_(packer, record->data);
+		cb_pack_array(pack, RECORD_FIELD_COUNT);
+		cb_pack_uint(pack, record->term);
+		cb_pack_uint(pack, record->kind);
+		cb_pack_bytes(pack, record->data);
 	}
 }
 
-static void pack_snapshot_(msgpack_packer *packer,
-			   const cb_snapshot_chunk_t *chunk)
+static void pack_snapshot_(cb_pack_t *pack, const cb_snapshot_chunk_t *chunk)
 {
-	msgpack_pack_uint64(packer, chunk->index);
-	msgpack_pack_uint64(packer, chunk->index_term);
-	msgpack_pack_uint64(packer, chunk->size);
-	msgpack_pack_uint64(packer, chunk->offset);
-	msgpack_pack_uint64(packer, chunk->digest);
-	pack_bytes_(packer, chunk->members);
-	pack_bytes_(packer, chunk->data);
+	cb_pack_uint(pack, chunk->index);
+	cb_pack_uint(pack, chunk->index_term);
+	cb_pack_uint(pack, chunk->size);
+	cb_pack_uint(pack, chunk->offset);
+	cb_pack_uint(pack, chunk->digest);
+	cb_pack_bytes(pack, chunk->members);
+	cb_pack_bytes(pack, chunk->data);
 }
 
-static void pack_body_(msgpack_packer *packer, const cb_message_t *message)
+static void pack_body_(cb_pack_t *pack, const cb_message_t *message)
 {
 	switch (message->kind) {
 	case CB_MESSAGE_VOTE_REQUEST:
-		pack_boolean_(packer, message->vote_request.is_pre_vote);
-		pack_boolean_(packer, message->vote_request.is_hand_over);
-		msgpack_pack_uint64(packer, message->vote_request.last_index);
-		msgpack_pack_uint64(packer, message->vote_request.last_term);
+		cb_pack_bool(pack, message->vote_request.is_pre_vote);
+		cb_pack_bool(pack, message->vote_request.is_hand_over);
+		cb_pack_uint(pack, message->vote_request.last_index);
+		cb_pack_uint(pack, message->vote_request.last_term);
 		break;
 	case CB_MESSAGE_VOTE_REPLY:
-		pack_boolean_(packer, message->vote_reply.is_pre_vote);
-		pack_boolean_(packer, message->vote_reply.is_granted);
-		msgpack_pack_uint64(packer, message->vote_reply.asked_term);
+		cb_pack_bool(pack, message->vote_reply.is_pre_vote);
+		cb_pack_bool(pack, message->vote_reply.is_granted);
+		cb_pack_uint(pack, message->vote_reply.asked_term);
 		break;
 	case CB_MESSAGE_APPEND:
-		pack_append_(packer, &message->append);
+		pack_append_(pack, &message->append);
 		break;
 	case CB_MESSAGE_APPEND_REPLY:
-		pack_boolean_(packer, message->append_reply.is_accepted);
-		msgpack_pack_uint64(packer, message->append_reply.prev_index);
-		msgpack_pack_uint64(packer, message->append_reply.index);
-		msgpack_pack_uint64(packer, message->append_reply.round);
+		cb_pack_bool(pack, message->append_reply.is_accepted);
+		cb_pack_uint(pack, message->append_reply.prev_index);
+		cb_pack_uint(pack, message->append_reply.index);
+		cb_pack_uint(pack, message->append_reply.round);
 		break;
 	case CB_MESSAGE_SNAPSHOT:
-		pack_snapshot_(packer, &message->snapshot);
+		pack_snapshot_(pack, &message->snapshot);
 		break;
 	case CB_MESSAGE_SNAPSHOT_REPLY:
-		msgpack_pack_uint64(packer, message->snapshot_reply.index);
-		msgpack_pack_uint64(packer, message->snapshot_reply.offset);
-		pack_boolean_(packer, message->snapshot_reply.is_stored);
+		cb_pack_uint(pack, message->snapshot_reply.index);
+		cb_pack_uint(pack, message->snapshot_reply.offset);
+		cb_pack_bool(pack, message->snapshot_reply.is_stored);
 		break;
 	case CB_MESSAGE_PROBE_REPLY:
-		pack_boolean_(packer, message->probe_reply.is_blank);
-		msgpack_pack_uint64(packer,
-				    message->probe_reply.initial_digest);
+		cb_pack_bool(pack, message->probe_reply.is_blank);
+		cb_pack_uint(pack, message->probe_reply.initial_digest);
 		break;
 	case CB_MESSAGE_TAKE_OVER:
 	case CB_MESSAGE_PROBE:
@@ -191,172 +165,125 @@
 /* Encodes a message for cb_message_decode(). */
 GBytes *cb_message_encode(const cb_message_t *message)
 {
-	msgpack_sbuffer buffer;
-	msgpack_packer packer;
 	uint64_t digest = 0;
-	GBytes *bytes;
-
-	msgpack_sbuffer_init(&buffer);
-	msgpack_sbuffer_write(&buffer, (const char *)&digest, DIGEST_BYTES);
-	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, HEADER_FIELD_COUNT +
-					    body_field_count[message->kind]);
-	msgpack_pack_uint32(&packer, MESSAGE_VERSION);
-	msgpack_pack_uint32(&packer, message->kind);
-	msgpack_pack_uint64(&packer, message->term);
-	pack_text_(&packer, message->from_disk);
-	pack_text_(&packer, message->to_disk);
-	pack_text_(&packer, message->from_address);
-	pack_body_(&packer, message);
-	digest = GUINT64_TO_LE(XXH3_64bits(buffer.data + DIGEST_BYTES,
-					   buffer.size - DIGEST_BYTES));
-	memcpy(buffer.data, &digest, DIGEST_BYTES);
-	bytes = g_bytes_new(buffer.data, buffer.size);
-	msgpack_sbuffer_destroy(&buffer);
-	return bytes;
-}
-
-/* Reads fields one after the other; the first wrong one ends it. */
-typedef struct field_reader {
-	const msgpack_object *next;
-	uint32_t left;
-	gboolean is_bad;
-} field_reader_t;
-
-static const msgpack_object *field_next_(field_reader_t *reader,
-					 msgpack_object_type type)
-{
-	const msgpack_object *object = reader->next;
-
-	if (reader->is_bad || !reader->left || object->type != type) {
-		reader->is_bad = TRUE;
-		return NULL;
-	}
-	reader->next++;
-	reader->left--;
-	return object;
+	cb_pack_t pack;
+
+	cb_pack_init(&pack);
+	msgpack_sbuffer_write(&pack.buffer, (const char *)&digest,
+			      DIGEST_BYTES);
+	cb_pack_array(&pack,
+		      HEADER_FIELD_COUNT + body_field_count[message->kind]);
+	cb_pack_uint(&pack, MESSAGE_VERSION);
+	cb_pack_uint(&pack, message->kind);
+	cb_pack_uint(&pack, message->term);
+	cb_pack_string(&pack, message->from_disk ? message->from_disk : "");
+	cb_pack_string(&pack, message->to_disk ? message->to_disk : "");
+	cb_pack_string(&pack,
+		       message->from_address ? message->from_address : "");
+	pack_body_(&pack, message);
+	digest = GUINT64_TO_LE(XXH3_64bits(pack.buffer.data + DIGEST_BYTES,
+					   pack.buffer.size - DIGEST_BYTES));
+	memcpy(pack.buffer.data, &digest, DIGEST_BYTES);
+	return cb_pack_finish(&pack);
 }
 
-static uint64_t read_number_(field_reader_t *reader)
+/* Reads bytes that must be there, though they may be none. */
+static GBytes *bytes_read_(cb_fields_t *fields)
 {
-	const msgpack_object *object =
-		field_next_(reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
+	GBytes *bytes = cb_fields_bytes(fields);
 
-	return object ? object->via.u64 : 0;
-}
-
-static gboolean read_boolean_(field_reader_t *reader)
-{
-	const msgpack_object *object =
-		field_next_(reader, MSGPACK_OBJECT_BOOLEAN);
-
-	return object ? object->via.boolean : FALSE;
-}
-
-static char *read_text_(field_reader_t *reader)
-{
-	const msgpack_object *object = field_next_(reader, MSGPACK_OBJECT_STR);
-
-	if (!object)
-		return NULL;
-	return g_strndup(object->via.str.ptr, object->via.str.size);
-}
-
-static GBytes *read_bytes_(field_reader_t *reader)
-{
-	const msgpack_object *object = field_next_(reader, MSGPACK_OBJECT_BIN);
-
-	if (!object)
-		return NULL;
-	return g_bytes_new(object->via.bin.ptr, object->via.bin.size);
+	if (!bytes)
+		fields->is_bad = TRUE;
+	return bytes;
 }
 
-static field_reader_t read_array_(field_reader_t *reader)
+/* Reads one record; NULL when it is malformed. */
+static cb_record_t *record_read_(const msgpack_object *object, uint64_t index)
 {
-	const msgpack_object *object =
-		field_next_(reader, MSGPACK_OBJECT_ARRAY);
-
-	if (!object)
-		return (field_reader_t){ .is_bad = TRUE };
-	return (field_reader_t){ .next = object->via.array.ptr,
-				 .left = object->via.array.size };
+	cb_record_t *record = NULL;
+	cb_fields_t fields;
+	uint64_t term;
+	uint32_t kind;
+	GBytes *data;
+
+	cb_fields_open(&fields, object);
+	term = cb_fields_uint(&fields);
+	kind = cb_fields_enum(&fields, UINT32_MAX);
+	data = bytes_read_(&fields);
+	if (cb_fields_end(&fields))
+		record = cb_record_new(index, term, kind, data);
+	g_clear_pointer(&data, g_bytes_unref);
+	return record;
 }
 
-static void read_append_(field_reader_t *reader, cb_append_t *append)
+static void read_append_(cb_fields_t *fields, cb_append_t *append)
 {
-	field_reader_t records;
+	cb_fields_t records;
 	uint64_t index;
 
-	append->prev_index = read_number_(reader);
-	append->prev_term = read_number_(reader);
-	append->committed = read_number_(reader);
-	append->round = read_number_(reader);
-	records = read_array_(reader);
+	append->prev_index = cb_fields_uint(fields);
+	append->prev_term = cb_fields_uint(fields);
+	append->committed = cb_fields_uint(fields);
+	append->round = cb_fields_uint(fields);
+	cb_fields_open(&records, cb_fields_object(fields));
 	index = append->prev_index;
 	while (!records.is_bad && records.left) {
-		field_reader_t fields = read_array_(&records);
-		uint64_t term = read_number_(&fields);
-		uint64_t kind = read_number_(&fields);
-		GBytes *data = read_bytes_(&fields);
+		cb_record_t *record =
+			record_read_(cb_fields_object(&records), ++index);
 
-		if (fields.is_bad || fields.left || kind > UINT32_MAX) {
+		if (record)
+			g_ptr_array_add(append->records, record);
+		else
 			records.is_bad = TRUE;
-		} else {
-			index++;
-			g_ptr_array_add(append->records,
-					cb_record_new(index, term,
-						      (uint32_t)kind, data));
-		}
-		g_clear_pointer(&data, g_bytes_unref);
 	}
-	reader->is_bad = reader->is_bad || records.is_bad;
+	fields->is_bad = fields->is_bad || records.is_bad;
 }
 
-static void read_snapshot_(field_reader_t *reader, cb_snapshot_chunk_t *chunk)
+static void read_snapshot_(cb_fields_t *fields, cb_snapshot_chunk_t *chunk)
 {
-	chunk->index = read_number_(reader);
-	chunk->index_term = read_number_(reader);
-	chunk->size = read_number_(reader);
-	chunk->offset = read_number_(reader);
-	chunk->digest = read_number_(reader);
-	chunk->members = read_bytes_(reader);
-	chunk->data = read_bytes_(reader);
+	chunk->index = cb_fields_uint(fields);
+	chunk->index_term = cb_fields_uint(fields);
+	chunk->size = cb_fields_uint(fields);
+	chunk->offset = cb_fields_uint(fields);
+	chunk->digest = cb_fields_uint(fields);
+	chunk->members = bytes_read_(fields);
+	chunk->data = bytes_read_(fields);
 }
 
-static void read_body_(field_reader_t *reader, cb_message_t *message)
+static void read_body_(cb_fields_t *fields, cb_message_t *message)
 {
 	switch (message->kind) {
 	case CB_MESSAGE_VOTE_REQUEST:
-		message->vote_request.is_pre_vote = read_boolean_(reader);
-		message->vote_request.is_hand_over = read_boolean_(reader);
-		message->vote_request.last_index = read_number_(reader);
-		message->vote_request.last_term = read_number_(reader);
+		message->vote_request.is_pre_vote = cb_fields_bool(fields);
+		message->vote_request.is_hand_over = cb_fields_bool(fields);
+		message->vote_request.last_index = cb_fields_uint(fields);
+		message->vote_request.last_term = cb_fields_uint(fields);
 		break;
 	case CB_MESSAGE_VOTE_REPLY:
-		message->vote_reply.is_pre_vote = read_boolean_(reader);
-		message->vote_reply.is_granted = read_boolean_(reader);
-		message->vote_reply.asked_term = read_number_(reader);
+		message->vote_reply.is_pre_vote = cb_fields_bool(fields);
+		message->vote_reply.is_granted = cb_fields_bool(fields);
+		message->vote_reply.asked_term = cb_fields_uint(fields);
 		break;
 	case CB_MESSAGE_APPEND:
-		read_append_(reader, &message->append);
+		read_append_(fields, &message->append);
 		break;
 	case CB_MESSAGE_APPEND_REPLY:
-		message->append_reply.is_accepted = read_boolean_(reader);
-		message->append_reply.prev_index = read_number_(reader);
-		message->append_reply.index = read_number_(reader);
-		message->append_reply.round = read_number_(reader);
+		message->append_reply.is_accepted = cb_fields_bool(fields);
+		message->append_reply.prev_index = cb_fields_uint(fields);
+		message->append_reply.index = cb_fields_uint(fields);
+		message->append_reply.round = cb_fields_uint(fields);
 		break;
 	case CB_MESSAGE_SNAPSHOT:
-		read_snapshot_(reader, &message->snapshot);
+		read_snapshot_(fields, &message->snapshot);
 		break;
 	case CB_MESSAGE_SNAPSHOT_REPLY:
-		message->snapshot_reply.index = read_number_(reader);
-		message->snapshot_reply.offset = read_number_(reader);
-		message->snapshot_reply.is_stored = read_boolean_(reader);
+		message->snapshot_reply.index = cb_fields_uint(fields);
+		message->snapshot_reply.offset = cb_fields_uint(fields);
+		message->snapshot_reply.is_stored = cb_fields_bool(fields);
 		break;
 	case CB_MESSAGE_PROBE_REPLY:
-		message->probe_reply.is_blank = read_boolean_(reader);
-		message->probe_reply.initial_digest = read_number_(reader);
+		message->probe_reply.is_blank = cb_fields_bool(fields);
+		message->probe_reply.initial_digest = cb_fields_uint(fields);
 		break;
 	case CB_MESSAGE_TAKE_OVER:
 	case CB_MESSAGE_PROBE:
@@ -367,54 +294,49 @@
 
 static cb_message_t *message_read_(const msgpack_object *object)
 {
-	field_reader_t reader = { .next = object->via.array.ptr };
 	cb_message_t *message;
-	uint64_t version;
-	uint64_t kind;
+	cb_fields_t fields;
+	uint32_t kind;
 
-	if (object->type != MSGPACK_OBJECT_ARRAY)
+	cb_fields_open(&fields, object);
+	if (cb_fields_uint(&fields) != MESSAGE_VERSION)
 		return NULL;
-	reader.left = object->via.array.size;
-	version = read_number_(&reader);
-	kind = read_number_(&reader);
-	if (reader.is_bad || version != MESSAGE_VERSION ||
-	    kind >= CB_MESSAGE_KIND_COUNT)
+	kind = cb_fields_enum(&fields, CB_MESSAGE_KIND_COUNT);
+	if (fields.is_bad)
 		return NULL;
 	message = cb_message_new((cb_message_kind_t)kind);
-	message->term = read_number_(&reader);
-	message->from_disk = read_text_(&reader);
-	message->to_disk = read_text_(&reader);
-	message->from_address = read_text_(&reader);
-	read_body_(&reader, message);
-	if (reader.is_bad || reader.left) {
-		cb_message_delete(message);
-		return NULL;
-	}
-	return message;
+	message->term = cb_fields_uint(&fields);
+	message->from_disk = cb_fields_text(&fields);
+	message->to_disk = cb_fields_text(&fields);
+	message->from_address = cb_fields_text(&fields);
+	read_body_(&fields, message);
+	if (cb_fields_end(&fields))
+		return message;
+	cb_message_delete(message);
+	return NULL;
 }
 
 /* Decodes a message; NULL when it is damaged or malformed. */
 cb_message_t *cb_message_decode(GBytes *bytes)
 {
 	cb_message_t *message = NULL;
-	msgpack_unpacked unpacked;
+	cb_unpack_t unpack;
 	uint64_t digest;
+	GBytes *body;
 	size_t size;
 	const char *data = g_bytes_get_data(bytes, &size);
-	size_t offset = 0;
 
 	if (size <= DIGEST_BYTES)
 		return NULL;
 	memcpy(&digest, data, DIGEST_BYTES);
-	data += DIGEST_BYTES;
-	size -= DIGEST_BYTES;
-	if (GUINT64_FROM_LE(digest) != XXH3_64bits(data, size))
+	if (GUINT64_FROM_LE(digest) !=
+	    XXH3_64bits(data + DIGEST_BYTES, size - DIGEST_BYTES))
 		return NULL;
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, data, size, &offset) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    offset == size)
-		message = message_read_(&unpacked.data);
-	msgpack_unpacked_destroy(&unpacked);
+	body = g_bytes_new_from_bytes(bytes, DIGEST_BYTES, size - DIGEST_BYTES);
+	if (cb_unpack_init(&unpack, body)) {
+		message = message_read_(&unpack.unpacked.data);
+		cb_unpack_clear(&unpack);
+	}
+	g_bytes_unref(body);
 	return message;
 }
