--- a/include/currantbridge/control_client.h
+++ b/include/currantbridge/control_client.h
@@ -63,6 +63,17 @@
 void cb_control_client_submit(cb_control_client_t *client,
 			      cb_command_t *command, int64_t timeout_ms,
 			      cb_control_done_fn_t done, void *user_data);
+/*
+ * Reports the limits that this instance wants lent, encoded; the answer to a
+ * report sent at `sent_ms` (clock milliseconds) comes to the grant function
+ * unless it is lost.  Without a session the report is dropped.
+ */
+typedef void (*cb_control_grant_fn_t)(GBytes *grant, int64_t sent_ms,
+				      void *user_data);
+void cb_control_client_on_grant(cb_control_client_t *client,
+				cb_control_grant_fn_t fn, void *user_data);
+void cb_control_client_report_demand(cb_control_client_t *client,
+				     GBytes *report);
 /* Tells control that this instance leaves: no address answer names it. */
 void cb_control_client_leave(cb_control_client_t *client);
 
--- a/include/currantbridge/server.h
+++ b/include/currantbridge/server.h
@@ -55,6 +55,7 @@
 	int64_t reported_at_ms;
 	int64_t sent_since_report;
 	int64_t in_flight; /* of this entry instance */
+	int64_t in_flight_at_report;
 	/* Smoothed time of one step or token, 0 before the first. */
 	int64_t step_us;
 	GPtrArray *ranges; /* of cb_layer_range_t */
@@ -99,6 +100,11 @@
 /* Brackets an attempt.  A server that is gone meanwhile stays allocated. */
 void cb_server_begin(cb_server_t *server);
 void cb_server_end(cb_server_t *server);
+/*
+ * Requests that the server is taken to have: what it reported, and what this
+ * instance has begun less what it has ended there since.
+ */
+int64_t cb_server_load(const cb_server_t *server);
 /* Reports how an attempt went, for the server's health. */
 void cb_server_succeeded(cb_server_registry_t *registry, cb_server_t *server,
 			 int64_t step_us);
--- a/src/libcurrantbridge/backend/registry.c
+++ b/src/libcurrantbridge/backend/registry.c
@@ -339,6 +339,7 @@
 	server->reported_queued = announcement->queued;
 	server->reported_at_ms = cb_clock_now_ms(registry->clock);
 	server->sent_since_report = 0;
+	server->in_flight_at_report = server->in_flight;
 	entry->said_leaving = announcement->is_leaving;
 	if (!holdings_equal_(server, announcement))
 		holdings_replace_(registry, server, announcement);
@@ -474,6 +475,14 @@
 	server->in_flight--;
 }
 
+int64_t cb_server_load(const cb_server_t *server)
+{
+	int64_t load = server->reported_running + server->reported_queued +
+		       server->in_flight - server->in_flight_at_report;
+
+	return MAX(load, server->in_flight);
+}
+
 /* Notes a success; `step_us` above 0 is the time of one step or token. */
 void cb_server_succeeded(cb_server_registry_t *registry, cb_server_t *server,
 			 int64_t step_us)
--- a/src/libcurrantbridge/backend/router.c
+++ b/src/libcurrantbridge/backend/router.c
@@ -23,11 +23,7 @@
 /* Returns a server's load in quarters of its capacity. */
 static int64_t load_quarters_(const cb_server_t *server)
 {
-	int64_t running = server->reported_running + server->reported_queued +
-			  server->sent_since_report;
-
-	running = MAX(running, server->in_flight);
-	return running * LOAD_STEPS / MAX(server->capacity, 1);
+	return cb_server_load(server) * LOAD_STEPS / MAX(server->capacity, 1);
 }
 
 /* Returns the expected time of one step or call on a server. */
--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -131,6 +131,12 @@
 	case CB_LINK_MESSAGE_SUBMIT_ANSWER:
 		cb_client_submit_answer(client, message);
 		return;
+	case CB_LINK_MESSAGE_GRANT:
+		if (message->body && client->grant_fn)
+			client->grant_fn(message->body,
+					 (int64_t)message->number,
+					 client->grant_data);
+		return;
 	default:
 		cb_link_goodbye(client->link, CB_CLOSE_MALFORMED);
 		return;
@@ -278,6 +284,28 @@
 	return client->is_confirmed;
 }
 
+/* Has `fn` called with each answer to a demand report. */
+void cb_control_client_on_grant(cb_control_client_t *client,
+				cb_control_grant_fn_t fn, void *user_data)
+{
+	client->grant_fn = fn;
+	client->grant_data = user_data;
+}
+
+/* Sends a demand report if there is a session that control has confirmed. */
+void cb_control_client_report_demand(cb_control_client_t *client,
+				     GBytes *report)
+{
+	cb_link_message_t message = {
+		.kind = CB_LINK_MESSAGE_DEMAND,
+		.number = (uint64_t)cb_clock_now_ms(client->clock),
+		.body = report,
+	};
+
+	if (client->link && client->is_session_confirmed)
+		cb_link_send(client->link, &message);
+}
+
 /* Returns for how long control has not been known to be current; -1: ever. */
 int64_t cb_control_client_silence_ms(const cb_control_client_t *client)
 {
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -282,6 +282,7 @@
 	g_clear_pointer(&node->confirm_running, g_array_unref);
 	if (node->owns_network)
 		node->network->vtable->destroy(node->network);
+	cb_lease_book_delete(node->lease_book);
 	g_rand_free(node->random);
 	g_free(node->name);
 	g_free(node->listen);
@@ -299,7 +300,10 @@
 			   const cb_link_message_t *message)
 {
 	(void)peer;
-	cb_node_request_receive(user_data, message);
+	if (message->kind == CB_LINK_MESSAGE_GRANT)
+		cb_node_grant_receive(user_data, message);
+	else
+		cb_node_request_receive(user_data, message);
 }
 
 static void peer_closed_(void *user_data, const char *peer)
--- a/src/libcurrantbridge/control/node_inbound.c
+++ b/src/libcurrantbridge/control/node_inbound.c
@@ -53,6 +53,8 @@
 
 	if (message->kind == CB_LINK_MESSAGE_SESSION_REPORT)
 		cb_node_members_receive_report(node, name, message);
+	else if (message->kind == CB_LINK_MESSAGE_DEMAND)
+		cb_node_demand_serve(inbound, message);
 	else if (message->kind != CB_LINK_MESSAGE_REPLICA)
 		cb_node_request_serve(inbound, message);
 	else if (message->body && !node->is_failed)
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -262,6 +262,9 @@
 	case CB_LINK_MESSAGE_SUBMIT:
 		submit_receive_(inbound, message);
 		return;
+	case CB_LINK_MESSAGE_DEMAND:
+		cb_node_demand_receive(inbound, message);
+		return;
 	case CB_LINK_MESSAGE_LEAVING:
 		inbound->session->is_leaving = TRUE;
 		return;
--- /dev/null
+++ b/src/libcurrantbridge/include/private/demand.h
@@ -0,0 +1,19 @@
+#ifndef PRIVATE_DEMAND_H
+#define PRIVATE_DEMAND_H
+
+#include "currantbridge/allocation.h"
+
+/* One workspace's line of a demand report, or of its answer. */
+typedef struct cb_demand_line {
+	char *workspace;
+	cb_demand_t demand; /* in an answer, `wanted` is what is granted */
+} cb_demand_line_t;
+
+GPtrArray *cb_demand_lines_new(void);
+void cb_demand_line_add(GPtrArray *lines, const char *workspace,
+			cb_demand_t demand);
+GBytes *cb_demand_lines_encode(const GPtrArray *lines);
+/* NULL when the bytes are not exactly one report. */
+GPtrArray *cb_demand_lines_decode(GBytes *bytes);
+
+#endif
--- a/src/libcurrantbridge/include/private/link_message.h
+++ b/src/libcurrantbridge/include/private/link_message.h
@@ -28,6 +28,13 @@
 	CB_LINK_MESSAGE_CONFIRMED, /* number: a revision confirmed by a quorum */
 	CB_LINK_MESSAGE_IN_FORCE, /* number: the revision held; code: 1 resends */
 	CB_LINK_MESSAGE_LEAVING,
+	/*
+	 * The limits that an entry instance wants lent, and the answer; the
+	 * number is the entry's time of sending in both.  Between control
+	 * instances the name is the entry's, and the id the session's.
+	 */
+	CB_LINK_MESSAGE_DEMAND,
+	CB_LINK_MESSAGE_GRANT,
 	CB_LINK_MESSAGE_KIND_COUNT
 } cb_link_message_kind_t;
 
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -1,6 +1,7 @@
 #ifndef PRIVATE_NODE_H
 #define PRIVATE_NODE_H
 
+#include "currantbridge/allocation.h"
 #include "currantbridge/node.h"
 #include "private/link.h"
 #include "private/peers.h"
@@ -82,6 +83,9 @@
 	cb_peers_t *peers;
 	cb_roster_t *roster;
 	GPtrArray *session_statuses;
+	/* What the leader has lent of the contracts' limits. */
+	cb_lease_book_t *lease_book;
+	int64_t lease_book_since_ms;
 	uint64_t next_id;
 	GHashTable *inbounds; /* by id */
 	GHashTable *requests; /* by id */
@@ -143,6 +147,13 @@
 void cb_sessions_confirm(cb_node_t *node);
 void cb_sessions_check(cb_node_t *node);
 
+/* Demand reports of entry instances: node_demand.c. */
+void cb_node_demand_receive(cb_inbound_t *inbound,
+			    const cb_link_message_t *report);
+void cb_node_demand_serve(cb_inbound_t *inbound,
+			  const cb_link_message_t *report);
+void cb_node_grant_receive(cb_node_t *node, const cb_link_message_t *grant);
+
 /* Membership of entry instances: node_member.c. */
 void cb_node_members_tick(cb_node_t *node);
 void cb_node_members_announce(cb_node_t *node);
--- a/src/libcurrantbridge/request/admission.c
+++ b/src/libcurrantbridge/request/admission.c
@@ -1,40 +1,96 @@
 #include "currantbridge/admission.h"
 
-#define US_PER_S 1000000
-/* A rate may be used this far ahead of an even flow. */
-#define BURST_S 1
-
-/* An allowance that fills at a rate and may go into debt. */
-typedef struct bucket {
-	double level;
-	int64_t filled_at_us;
-} bucket_t;
-
-typedef struct usage {
-	int64_t running;
-	bucket_t requests;
-	bucket_t tokens;
-	int64_t requests_per_s;
-	int64_t tokens_per_s;
-} usage_t;
+#include <string.h>
+
+#include "private/flow.h"
+
+/* No request waits longer than this for its beginning. */
+#define MAX_WAIT_MS 2000
+/* How often queues are looked at while something waits. */
+#define PUMP_INTERVAL_MS 10
+#define MS_PER_S 1000
+#define US_PER_MS 1000
 
 struct cb_admission {
-	cb_clock_t *clock;
-	GHashTable *by_workspace; /* usage_t */
+	cb_admission_parts_t parts;
+	GHashTable *flows; /* workspace -> cb_flow_t */
+	GHashTable *queues; /* workspace and target -> queue_t */
+	GPtrArray *waiting; /* of queue_t that are not empty */
+	cb_timer_t *pump_timer;
+	cb_counter_t *waiting_gauge;
+	double virtual_now;
+	gboolean is_pumping;
 };
 
+/* Requests of one workspace for one target, the first come first. */
+typedef struct queue {
+	cb_admission_t *admission;
+	cb_flow_t *flow;
+	char *target;
+	GQueue tickets;
+	cb_refusal_t blocked_by;
+} queue_t;
+
 struct cb_ticket {
-	usage_t *usage;
+	cb_admission_t *admission;
+	queue_t *queue;
+	GList link;
+	cb_ticket_state_t state;
+	uint64_t max_tokens;
+	uint64_t used_tokens;
+	int64_t submitted_ms;
+	int64_t begun_ms;
+	int64_t latest_ms;
+	cb_refusal_t refusal;
+	int64_t retry_after_s;
+	cb_ticket_changed_fn_t changed;
+	void *user_data;
 };
 
+const char *const cb_ticket_state_string[CB_TICKET_STATE_COUNT] = {
+	[CB_TICKET_RUNNING] = "running",
+	[CB_TICKET_WAITING] = "waiting",
+	[CB_TICKET_REFUSED] = "refused",
+};
+
+static int64_t now_ms_(const cb_admission_t *admission)
+{
+	return cb_clock_now_ms(admission->parts.clock);
+}
+
+static void pump_timer_fired_(void *user_data)
+{
+	cb_admission_pump(user_data);
+}
+
+static void flow_delete_(void *data)
+{
+	cb_flow_delete(data);
+}
+
+static void queue_delete_(void *data)
+{
+	queue_t *queue = data;
+
+	g_free(queue->target);
+	g_free(queue);
+}
+
 /* Makes an admission under which nothing runs yet. */
-cb_admission_t *cb_admission_new(cb_clock_t *clock)
+cb_admission_t *cb_admission_new(const cb_admission_parts_t *parts)
 {
 	cb_admission_t *admission = g_new0(cb_admission_t, 1);
 
-	admission->clock = clock;
-	admission->by_workspace =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	admission->parts = *parts;
+	admission->flows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 flow_delete_);
+	admission->queues = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, queue_delete_);
+	admission->waiting = g_ptr_array_new();
+	admission->pump_timer =
+		cb_timer_new(parts->clock, pump_timer_fired_, admission);
+	admission->waiting_gauge = cb_counters_gauge(
+		parts->counters, "cb_admission_waiting", NULL, NULL);
 	return admission;
 }
 
@@ -43,98 +99,305 @@
 {
 	if (!admission)
 		return;
-	g_hash_table_unref(admission->by_workspace);
+	cb_timer_delete(admission->pump_timer);
+	g_hash_table_unref(admission->queues);
+	g_hash_table_unref(admission->flows);
+	g_ptr_array_unref(admission->waiting);
 	g_free(admission);
 }
 
-/* Adds what has flowed in since the last fill; a rate of 0 has no limit. */
-static void bucket_fill_(bucket_t *bucket, int64_t per_s, int64_t now_us)
+static cb_flow_t *flow_get_(cb_admission_t *admission, const char *workspace)
+{
+	cb_flow_t *flow = g_hash_table_lookup(admission->flows, workspace);
+
+	if (flow)
+		return flow;
+	flow = cb_flow_new(workspace, cb_clock_now_us(admission->parts.clock));
+	g_hash_table_insert(admission->flows, flow->workspace, flow);
+	return flow;
+}
+
+static queue_t *queue_get_(cb_admission_t *admission, const char *workspace,
+			   const char *target)
+{
+	char *name = g_strdup_printf("%s\n%s", workspace, target);
+	queue_t *queue = g_hash_table_lookup(admission->queues, name);
+
+	if (queue) {
+		g_free(name);
+		return queue;
+	}
+	queue = g_new0(queue_t, 1);
+	queue->admission = admission;
+	queue->flow = flow_get_(admission, workspace);
+	queue->target = g_strdup(target);
+	g_queue_init(&queue->tickets);
+	g_hash_table_insert(admission->queues, name, queue);
+	return queue;
+}
+
+/* Brings a flow up to now, under the limits in force. */
+static void flow_refresh_(cb_admission_t *admission, cb_flow_t *flow)
+{
+	cb_amount_t limits = cb_share_table_limits(admission->parts.shares,
+						   flow->workspace);
+
+	cb_flow_refresh(flow, limits, cb_clock_now_us(admission->parts.clock));
+}
+
+/* A flow that was idle does not keep a claim on the past. */
+static void flow_activate_(cb_admission_t *admission, cb_flow_t *flow)
+{
+	if (!flow->running && !flow->waiting)
+		flow->virtual_service =
+			MAX(flow->virtual_service, admission->virtual_now);
+}
+
+/* Whether the first of a queue may begin now; notes what blocks it. */
+static gboolean queue_may_begin_(queue_t *queue, gboolean has_tokens)
+{
+	cb_admission_t *admission = queue->admission;
+
+	queue->blocked_by = cb_flow_blocked(queue->flow, has_tokens);
+	if (queue->blocked_by != CB_REFUSAL_NONE)
+		return FALSE;
+	if (admission->parts.free_slots(queue->target,
+					admission->parts.user_data) > 0)
+		return TRUE;
+	queue->blocked_by = CB_REFUSAL_OVERLOADED;
+	return FALSE;
+}
+
+static void ticket_begin_(cb_ticket_t *ticket)
+{
+	cb_flow_t *flow = ticket->queue->flow;
+
+	ticket->state = CB_TICKET_RUNNING;
+	ticket->begun_ms = now_ms_(ticket->admission);
+	ticket->admission->virtual_now = MAX(ticket->admission->virtual_now,
+					     flow->virtual_service);
+	cb_flow_begin(flow);
+}
+
+/* Refuses a ticket, with the time after which another try is worth it. */
+static void ticket_refuse_(cb_ticket_t *ticket)
 {
-	double most = (double)per_s * BURST_S;
+	int64_t wait_ms = cb_flow_wait_ms(ticket->queue->flow);
 
-	bucket->level += (double)per_s *
-			 (double)(now_us - bucket->filled_at_us) / US_PER_S;
-	bucket->filled_at_us = now_us;
-	if (bucket->level > most)
-		bucket->level = most;
+	ticket->state = CB_TICKET_REFUSED;
+	ticket->refusal = ticket->queue->blocked_by;
+	ticket->retry_after_s = (wait_ms + MS_PER_S - 1) / MS_PER_S;
+	ticket->retry_after_s = MAX(ticket->retry_after_s, 1);
 }
 
-/* Whole seconds until a bucket at `per_s` has reached `wanted` again. */
-static int64_t bucket_wait_s_(const bucket_t *bucket, int64_t per_s,
-			      double wanted)
+static void ticket_enqueue_(cb_ticket_t *ticket)
 {
-	double wait_s = (wanted - bucket->level) / (double)per_s;
+	cb_admission_t *admission = ticket->admission;
+	queue_t *queue = ticket->queue;
 
-	return wait_s <= 1 ? 1 : (int64_t)wait_s + 1;
+	ticket->state = CB_TICKET_WAITING;
+	ticket->link.data = ticket;
+	if (g_queue_is_empty(&queue->tickets))
+		g_ptr_array_add(admission->waiting, queue);
+	g_queue_push_tail_link(&queue->tickets, &ticket->link);
+	queue->flow->waiting++;
+	cb_counter_add(admission->waiting_gauge, 1);
+	if (!cb_timer_is_armed(admission->pump_timer))
+		cb_timer_start(admission->pump_timer, PUMP_INTERVAL_MS);
 }
 
-static usage_t *usage_get_(cb_admission_t *admission,
-			   const cb_contract_t *contract)
+static void ticket_dequeue_(cb_ticket_t *ticket)
 {
-	int64_t now_us = cb_clock_now_us(admission->clock);
-	usage_t *usage = g_hash_table_lookup(admission->by_workspace,
-					     contract->workspace);
+	cb_admission_t *admission = ticket->admission;
+	queue_t *queue = ticket->queue;
 
-	if (!usage) {
-		usage = g_new0(usage_t, 1);
-		usage->requests.level =
-			(double)contract->ceiling_requests_per_s;
-		usage->requests.filled_at_us = now_us;
-		usage->tokens.level = (double)contract->ceiling_tokens_per_s;
-		usage->tokens.filled_at_us = now_us;
-		g_hash_table_insert(admission->by_workspace,
-				    g_strdup(contract->workspace), usage);
+	g_queue_unlink(&queue->tickets, &ticket->link);
+	if (g_queue_is_empty(&queue->tickets))
+		g_ptr_array_remove(admission->waiting, queue);
+	queue->flow->waiting--;
+	cb_counter_add(admission->waiting_gauge, -1);
+}
+
+cb_ticket_t *cb_admission_submit(cb_admission_t *admission,
+				 const cb_admission_request_t *request,
+				 cb_ticket_changed_fn_t changed,
+				 void *user_data)
+{
+	cb_ticket_t *ticket = g_new0(cb_ticket_t, 1);
+	queue_t *queue = queue_get_(admission, request->contract->workspace,
+				    request->target);
+	cb_flow_t *flow = queue->flow;
+	int64_t longest_ms =
+		MIN(MAX_WAIT_MS, request->contract->deadline_ms / 2);
+
+	ticket->admission = admission;
+	ticket->queue = queue;
+	ticket->max_tokens = request->max_tokens;
+	ticket->submitted_ms = now_ms_(admission);
+	ticket->latest_ms = ticket->submitted_ms + longest_ms;
+	ticket->changed = changed;
+	ticket->user_data = user_data;
+	flow_activate_(admission, flow);
+	cb_flow_set_contract(flow, request->contract);
+	flow_refresh_(admission, flow);
+	if (g_queue_is_empty(&queue->tickets) &&
+	    queue_may_begin_(queue, ticket->max_tokens > 0)) {
+		ticket_begin_(ticket);
+		return ticket;
 	}
-	usage->requests_per_s = contract->ceiling_requests_per_s;
-	usage->tokens_per_s = contract->ceiling_tokens_per_s;
-	bucket_fill_(&usage->requests, usage->requests_per_s, now_us);
-	bucket_fill_(&usage->tokens, usage->tokens_per_s, now_us);
-	return usage;
-}
-
-/*
- * Admits a request of the contract's workspace or refuses it at once.  A
- * limit of 0 in the contract means that there is none.
- */
-cb_refusal_t cb_admission_admit(cb_admission_t *admission,
-				const cb_contract_t *contract,
-				cb_ticket_t **ticket, int64_t *retry_after_s)
-{
-	usage_t *usage = usage_get_(admission, contract);
-
-	*ticket = NULL;
-	*retry_after_s = 1;
-	if (contract->concurrent_requests > 0 &&
-	    usage->running >= contract->concurrent_requests)
-		return CB_REFUSAL_CONCURRENCY_LIMIT;
-	if (usage->requests_per_s > 0 && usage->requests.level < 1) {
-		*retry_after_s = bucket_wait_s_(&usage->requests,
-						usage->requests_per_s, 1);
-		return CB_REFUSAL_RATE_LIMIT;
+	flow->waiting++;
+	if (cb_flow_wait_ms(flow) > longest_ms)
+		ticket_refuse_(ticket);
+	flow->waiting--;
+	if (ticket->state != CB_TICKET_REFUSED)
+		ticket_enqueue_(ticket);
+	return ticket;
+}
+
+/* Refuses the tickets of a queue that can no longer begin in time. */
+static void queue_expire_(queue_t *queue, int64_t now_ms)
+{
+	cb_ticket_t *ticket;
+
+	while ((ticket = g_queue_peek_head(&queue->tickets)) &&
+	       ticket->latest_ms <= now_ms) {
+		ticket_refuse_(ticket);
+		ticket_dequeue_(ticket);
+		ticket->changed(ticket, ticket->user_data);
+	}
+}
+
+/* Whether `a` should begin before `b`. */
+static gboolean flow_is_before_(const cb_flow_t *a, const cb_flow_t *b)
+{
+	gboolean is_owed_a = cb_flow_is_within_guarantee(a);
+	gboolean is_owed_b = cb_flow_is_within_guarantee(b);
+
+	if (is_owed_a != is_owed_b)
+		return is_owed_a;
+	return a->virtual_service < b->virtual_service;
+}
+
+/* Returns the waiting queue whose first ticket should begin next. */
+static queue_t *queue_next_(cb_admission_t *admission)
+{
+	queue_t *best = NULL;
+	unsigned int i;
+
+	for (i = 0; i < admission->waiting->len; i++) {
+		queue_t *queue = g_ptr_array_index(admission->waiting, i);
+		cb_ticket_t *first = g_queue_peek_head(&queue->tickets);
+
+		if (!queue_may_begin_(queue, first->max_tokens > 0))
+			continue;
+		if (!best || flow_is_before_(queue->flow, best->flow))
+			best = queue;
 	}
-	if (usage->tokens_per_s > 0 && usage->tokens.level <= 0) {
-		*retry_after_s =
-			bucket_wait_s_(&usage->tokens, usage->tokens_per_s, 1);
-		return CB_REFUSAL_RATE_LIMIT;
+	return best;
+}
+
+static void queues_expire_(cb_admission_t *admission)
+{
+	int64_t now_ms = now_ms_(admission);
+	unsigned int i;
+
+	for (i = admission->waiting->len; i > 0; i--)
+		if (i <= admission->waiting->len)
+			queue_expire_(g_ptr_array_index(admission->waiting,
+							i - 1),
+				      now_ms);
+}
+
+static void waiting_refresh_(cb_admission_t *admission)
+{
+	unsigned int i;
+
+	for (i = 0; i < admission->waiting->len; i++) {
+		queue_t *queue = g_ptr_array_index(admission->waiting, i);
+
+		flow_refresh_(admission, queue->flow);
 	}
-	usage->requests.level--;
-	usage->running++;
-	*ticket = g_new0(cb_ticket_t, 1);
-	(*ticket)->usage = usage;
-	return CB_REFUSAL_NONE;
 }
 
-/* Charges tokens that have come; the workspace may go into debt. */
+void cb_admission_pump(cb_admission_t *admission)
+{
+	queue_t *queue;
+
+	if (admission->is_pumping)
+		return;
+	admission->is_pumping = TRUE;
+	waiting_refresh_(admission);
+	while ((queue = queue_next_(admission))) {
+		cb_ticket_t *ticket = g_queue_peek_head(&queue->tickets);
+
+		ticket_dequeue_(ticket);
+		ticket_begin_(ticket);
+		ticket->changed(ticket, ticket->user_data);
+	}
+	queues_expire_(admission);
+	admission->is_pumping = FALSE;
+	if (admission->waiting->len)
+		cb_timer_start(admission->pump_timer, PUMP_INTERVAL_MS);
+}
+
+cb_amount_t cb_admission_wanted(cb_admission_t *admission,
+				const char *workspace)
+{
+	return cb_flow_wanted(flow_get_(admission, workspace));
+}
+
+GPtrArray *cb_admission_active(cb_admission_t *admission)
+{
+	GPtrArray *names = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, admission->flows);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_flow_t *flow = value;
+
+		if (flow->running || flow->waiting)
+			g_ptr_array_add(names, flow->workspace);
+	}
+	return names;
+}
+
+cb_ticket_state_t cb_ticket_state(const cb_ticket_t *ticket)
+{
+	return ticket->state;
+}
+
+cb_refusal_t cb_ticket_refusal(const cb_ticket_t *ticket)
+{
+	return ticket->refusal;
+}
+
+int64_t cb_ticket_retry_after_s(const cb_ticket_t *ticket)
+{
+	return ticket->retry_after_s;
+}
+
 void cb_ticket_charge(cb_ticket_t *ticket, int64_t tokens)
 {
-	ticket->usage->tokens.level -= (double)tokens;
+	ticket->used_tokens += (uint64_t)tokens;
+	cb_flow_charge(ticket->queue->flow, tokens);
 }
 
-/* Ends an admitted request; NULL is allowed. */
+/* Ends a ticket in any state; NULL is allowed. */
 void cb_ticket_delete(cb_ticket_t *ticket)
 {
+	cb_admission_t *admission;
+
 	if (!ticket)
 		return;
-	ticket->usage->running--;
+	admission = ticket->admission;
+	if (ticket->state == CB_TICKET_WAITING)
+		ticket_dequeue_(ticket);
+	if (ticket->state == CB_TICKET_RUNNING)
+		cb_flow_end(ticket->queue->flow, ticket->max_tokens,
+			    ticket->used_tokens,
+			    now_ms_(admission) - ticket->begun_ms);
 	g_free(ticket);
+	if (admission->waiting->len)
+		cb_admission_pump(admission);
 }
