--- a/include/currantbridge/admission.h
+++ b/include/currantbridge/admission.h
@@ -42,6 +42,8 @@
 	/* What this instance may use of each contract. */
 	cb_share_table_t *shares;
 	cb_free_slots_fn_t free_slots;
+	/* Told when a request waits for more than this instance's share. */
+	void (*wants_more)(void *user_data);
 	void *user_data;
 } cb_admission_parts_t;
 
--- a/src/libcurrantbridge/http/caller.c
+++ b/src/libcurrantbridge/http/caller.c
@@ -15,6 +15,8 @@
 	char *id;      /* as the caller knows the request */
 	char *request; /* as we and the backend servers know it: unique */
 	cb_ticket_t *ticket;
+	cb_caller_decided_fn_t decided;
+	void *decided_data;
 	cb_connection_t *connection;
 	gulong finished_handler;
 	cb_caller_gone_fn_t gone;
@@ -164,19 +166,31 @@
 	g_free(caller);
 }
 
-/* Admits the request under its contract, or refuses it and returns FALSE. */
-gboolean cb_caller_take_ticket(cb_caller_t *caller,
-			       const cb_contract_t *contract)
+static void ticket_changed_(cb_ticket_t *ticket, void *user_data)
 {
-	int64_t retry_after_s;
-	cb_refusal_t refusal =
-		cb_admission_admit(caller->entry->admission, contract,
-				   &caller->ticket, &retry_after_s);
+	cb_caller_t *caller = user_data;
 
-	if (refusal == CB_REFUSAL_NONE)
-		return TRUE;
-	refuse_(caller->entry, caller->message, refusal, retry_after_s);
-	return FALSE;
+	caller->decided(caller->decided_data, cb_ticket_refusal(ticket),
+			cb_ticket_retry_after_s(ticket));
+}
+
+/*
+ * Submits the request to admission under its contract.  The caller must be
+ * suspended, since the decision may come later.
+ */
+void cb_caller_submit(cb_caller_t *caller,
+		      const cb_admission_request_t *request,
+		      cb_caller_decided_fn_t decided, void *user_data)
+{
+	cb_entry_t *entry = caller->entry;
+
+	caller->decided = decided;
+	caller->decided_data = user_data;
+	cb_share_keeper_refresh(entry->shares, request->contract);
+	caller->ticket = cb_admission_submit(entry->admission, request,
+					     ticket_changed_, caller);
+	if (cb_ticket_state(caller->ticket) != CB_TICKET_WAITING)
+		ticket_changed_(caller->ticket, caller);
 }
 
 /* Charges tokens that the request has used. */
--- a/src/libcurrantbridge/http/completions.c
+++ b/src/libcurrantbridge/http/completions.c
@@ -12,6 +12,7 @@
 	cb_entry_t *entry;
 	cb_completion_request_t request;
 	cb_completion_text_t *text;
+	char *workspace;
 	cb_generation_t *generation;
 	gboolean is_ended; /* the generation has */
 	gboolean is_begun; /* the stream's head is written */
@@ -37,6 +38,7 @@
 	cb_caller_delete(completion->caller);
 	cb_completion_request_clear(&completion->request);
 	cb_completion_text_delete(completion->text);
+	g_free(completion->workspace);
 	if (completion->answer)
 		g_string_free(completion->answer, TRUE);
 	g_free(completion);
@@ -49,7 +51,8 @@
 
 	if (!completion->is_ended) {
 		cb_counter_add(completion->entry->abandoned, 1);
-		cb_generation_cancel(completion->generation);
+		if (completion->generation)
+			cb_generation_cancel(completion->generation);
 	}
 	completion_delete_(completion);
 }
@@ -258,10 +261,31 @@
 	completion->generation =
 		cb_generation_new(completion->entry->generations, &request,
 				  &sink);
-	cb_caller_suspend(completion->caller, gone_, completion);
 	cb_generation_start(completion->generation);
 }
 
+/* Starts the generation, or tells the caller why it may not begin. */
+static void decided_(void *user_data, cb_refusal_t refusal,
+		     int64_t retry_after_s)
+{
+	completion_t *completion = user_data;
+	/* While the request waited, its contract may have changed. */
+	const cb_contract_t *contract =
+		cb_view_contract(completion->entry->view,
+				 completion->workspace);
+	cb_generation_end_t refused = { .refusal = refusal,
+					.executed = CB_EXECUTED_NO,
+					.retry_after_s = retry_after_s };
+
+	if (refusal == CB_REFUSAL_NONE && contract) {
+		generation_start_(completion, contract);
+		return;
+	}
+	if (refusal == CB_REFUSAL_NONE)
+		refused.refusal = CB_REFUSAL_KEY_UNKNOWN;
+	ended_(completion, &refused);
+}
+
 /* Reads the request's fields; FALSE after a refusal. */
 static gboolean request_read_(completion_t *completion,
 			      cb_completion_kind_t kind)
@@ -293,7 +317,7 @@
 	cb_caller_error_t refused = { .refusal = CB_REFUSAL_MODEL_UNKNOWN };
 
 	if (cb_contract_has_model(contract, completion->request.model))
-		return cb_caller_take_ticket(completion->caller, contract);
+		return TRUE;
 	cb_caller_refuse(completion->caller, &refused);
 	return FALSE;
 }
@@ -303,6 +327,7 @@
 {
 	const cb_contract_t *contract;
 	cb_caller_t *caller = cb_caller_admit(entry, message, &contract);
+	cb_admission_request_t admission;
 	completion_t *completion;
 
 	if (!caller)
@@ -320,7 +345,12 @@
 		cb_clock_wall_ms(cb_kernel_clock(entry->kernel)) / MS_PER_S);
 	if (!completion->request.is_streamed)
 		completion->answer = g_string_new(NULL);
-	generation_start_(completion, contract);
+	completion->workspace = g_strdup(contract->workspace);
+	admission.contract = contract;
+	admission.target = completion->request.model;
+	admission.max_tokens = (uint64_t)completion->request.max_tokens;
+	cb_caller_suspend(caller, gone_, completion);
+	cb_caller_submit(caller, &admission, decided_, completion);
 }
 
 /* Serves POST /v1/completions. */
--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "private/caller.h"
+#include "private/free_slots.h"
 #include "private/http_clients.h"
 
 #define QUARANTINE_TIMEOUT_MS 10000
@@ -190,6 +191,7 @@
 	cb_http_service_client_delete(entry->services);
 	cb_control_ledger_delete(entry->ledger);
 	cb_server_registry_delete(entry->registry);
+	cb_share_keeper_delete(entry->shares);
 	cb_admission_delete(entry->admission);
 	g_rand_free(entry->random);
 	g_free(entry->name);
@@ -225,6 +227,27 @@
 		cb_counters_gauge(counters, "cb_requests_open", NULL, NULL);
 }
 
+/*
+ * Returns how many more requests a model or service can take.  Where no
+ * server is known the request begins, so that it is refused for that.
+ */
+static int64_t free_slots_(const char *target, void *user_data)
+{
+	cb_entry_t *entry = user_data;
+	int64_t slots = cb_free_slots_model(entry->registry, target);
+
+	if (slots < 0)
+		slots = cb_free_slots_service(entry->registry, target);
+	return slots < 0 ? G_MAXINT32 : slots;
+}
+
+static void wants_more_(void *user_data)
+{
+	cb_entry_t *entry = user_data;
+
+	cb_share_keeper_report_soon(entry->shares);
+}
+
 /* Makes the modules that decide about requests, bound to HTTP and control. */
 static void modules_add_(cb_entry_t *entry)
 {
@@ -250,11 +273,24 @@
 		.data_centre = entry->data_centre,
 		.owner = entry->owner,
 	};
+	cb_admission_parts_t admission_parts = {
+		.clock = clock,
+		.counters = counters,
+		.free_slots = free_slots_,
+		.wants_more = wants_more_,
+		.user_data = entry,
+	};
 
 	entry->registry =
 		cb_server_registry_new(clock, log, counters, entry->view,
 				       entry->options.server_silence_ms);
-	entry->admission = cb_admission_new(clock);
+	entry->shares =
+		cb_share_keeper_new(entry->kernel, entry->control, entry->view,
+				    entry->name,
+				    (uint32_t)entry->options.address_count);
+	admission_parts.shares = cb_share_keeper_table(entry->shares);
+	entry->admission = cb_admission_new(&admission_parts);
+	cb_share_keeper_set_admission(entry->shares, entry->admission);
 	entry->engines = cb_http_engine_client_new(context);
 	entry->services = cb_http_service_client_new(context);
 	entry->ledger = cb_control_ledger_new(entry->control);
--- a/src/libcurrantbridge/http/service_calls.c
+++ b/src/libcurrantbridge/http/service_calls.c
@@ -9,6 +9,8 @@
 	cb_caller_t *caller;
 	cb_entry_t *entry;
 	cb_call_t *call;
+	char *workspace;
+	char *service;
 	gboolean is_ended;
 } service_call_t;
 
@@ -17,6 +19,8 @@
 	if (service_call->call && service_call->is_ended)
 		cb_call_delete(service_call->call);
 	cb_caller_delete(service_call->caller);
+	g_free(service_call->workspace);
+	g_free(service_call->service);
 	g_free(service_call);
 }
 
@@ -27,7 +31,8 @@
 
 	if (!service_call->is_ended) {
 		cb_counter_add(service_call->entry->abandoned, 1);
-		cb_call_abandon(service_call->call);
+		if (service_call->call)
+			cb_call_abandon(service_call->call);
 	}
 	service_call_delete_(service_call);
 }
@@ -91,7 +96,7 @@
 
 static void call_start_(service_call_t *service_call,
 			const cb_contract_t *contract,
-			const cb_contract_service_t *service, const char *key)
+			const cb_contract_service_t *service)
 {
 	SoupServerMessage *message = cb_caller_message(service_call->caller);
 	char *path = service_path_(message, "/v1/services/");
@@ -108,7 +113,9 @@
 			soup_server_message_get_request_headers(message),
 			"Content-Type"),
 		.body = body,
-		.key = key,
+		.key = soup_message_headers_get_one(
+			soup_server_message_get_request_headers(message),
+			"Idempotency-Key"),
 		.deadline_ms = contract->deadline_ms,
 	};
 
@@ -116,10 +123,35 @@
 					 ended_, service_call);
 	g_bytes_unref(body);
 	g_free(path);
-	cb_caller_suspend(service_call->caller, gone_, service_call);
 	cb_call_start(service_call->call);
 }
 
+/* Starts the call, or tells the caller why it may not begin. */
+static void decided_(void *user_data, cb_refusal_t refusal,
+		     int64_t retry_after_s)
+{
+	service_call_t *service_call = user_data;
+	/* While the request waited, its contract may have changed. */
+	const cb_contract_t *contract =
+		cb_view_contract(service_call->entry->view,
+				 service_call->workspace);
+	const cb_contract_service_t *service =
+		contract ? cb_contract_find_service(contract,
+						    service_call->service) :
+			   NULL;
+	cb_call_end_t refused = { .refusal = refusal,
+				  .executed = CB_EXECUTED_NO,
+				  .retry_after_s = retry_after_s };
+
+	if (refusal == CB_REFUSAL_NONE && service) {
+		call_start_(service_call, contract, service);
+		return;
+	}
+	if (refusal == CB_REFUSAL_NONE)
+		refused.refusal = CB_REFUSAL_SERVICE_UNKNOWN;
+	ended_(service_call, &refused);
+}
+
 static cb_refusal_t key_check_(const cb_contract_service_t *service,
 			       const char *key, const char **detail)
 {
@@ -143,6 +175,7 @@
 		"Idempotency-Key");
 	cb_caller_error_t refused = { .refusal = CB_REFUSAL_SERVICE_UNKNOWN };
 	const cb_contract_service_t *service;
+	cb_admission_request_t admission = { 0 };
 	service_call_t *service_call;
 	const cb_contract_t *contract;
 	cb_caller_t *caller = cb_caller_admit(entry, message, &contract);
@@ -157,7 +190,8 @@
 	service_call->entry = entry;
 	name = name_take_(path, &rest);
 	service = cb_contract_find_service(contract, name);
-	g_free(name);
+	service_call->service = name;
+	service_call->workspace = g_strdup(contract->workspace);
 	if (service)
 		refused.refusal = key_check_(service, key, &refused.detail);
 	if (refused.refusal != CB_REFUSAL_NONE) {
@@ -165,9 +199,8 @@
 		service_call_delete_(service_call);
 		return;
 	}
-	if (!cb_caller_take_ticket(caller, contract)) {
-		service_call_delete_(service_call);
-		return;
-	}
-	call_start_(service_call, contract, service, key);
+	admission.contract = contract;
+	admission.target = service_call->service;
+	cb_caller_suspend(caller, gone_, service_call);
+	cb_caller_submit(caller, &admission, decided_, service_call);
 }
--- a/src/libcurrantbridge/include/private/caller.h
+++ b/src/libcurrantbridge/include/private/caller.h
@@ -23,8 +23,15 @@
 			     const cb_contract_t **contract);
 void cb_caller_delete(cb_caller_t *caller);
 
-gboolean cb_caller_take_ticket(cb_caller_t *caller,
-			       const cb_contract_t *contract);
+/*
+ * Told once whether the request may begin, perhaps before the submission
+ * returns; under a refusal with the seconds until another try is worth it.
+ */
+typedef void (*cb_caller_decided_fn_t)(void *user_data, cb_refusal_t refusal,
+				       int64_t retry_after_s);
+void cb_caller_submit(cb_caller_t *caller,
+		      const cb_admission_request_t *request,
+		      cb_caller_decided_fn_t decided, void *user_data);
 void cb_caller_charge(cb_caller_t *caller, int64_t tokens);
 void cb_caller_refuse(cb_caller_t *caller, const cb_caller_error_t *error);
 void cb_caller_suspend(cb_caller_t *caller, cb_caller_gone_fn_t gone,
--- a/src/libcurrantbridge/include/private/entry.h
+++ b/src/libcurrantbridge/include/private/entry.h
@@ -5,6 +5,7 @@
 #include "currantbridge/call.h"
 #include "currantbridge/entry.h"
 #include "currantbridge/generation.h"
+#include "private/share_keeper.h"
 
 /* What the handlers of an entry instance share. */
 struct cb_entry {
@@ -20,6 +21,7 @@
 	cb_entry_options_t options;
 	GRand *random;
 	cb_server_registry_t *registry;
+	cb_share_keeper_t *shares;
 	cb_admission_t *admission;
 	cb_engine_client_t *engines;
 	cb_service_client_t *services;
--- a/src/libcurrantbridge/include/private/flow.h
+++ b/src/libcurrantbridge/include/private/flow.h
@@ -21,7 +21,11 @@
 	int64_t filled_us;
 	/* The contract's, for all instances. */
 	int64_t contract_guaranteed;
-	int64_t contract_ceiling;
+	int64_t contract_ceiling;  /* 0: no limit */
+	int64_t contract_requests; /* 0: no limit */
+	int64_t contract_concurrent;
+	/* Since when something waits; control may yet lend what is missing. */
+	int64_t waiting_since_us;
 	/* In force at this instance. */
 	cb_amount_t limits;
 	double guaranteed_tokens_per_s;
@@ -41,6 +45,8 @@
 void cb_flow_charge(cb_flow_t *flow, int64_t tokens);
 void cb_flow_end(cb_flow_t *flow, uint64_t reserved, uint64_t used,
 		 int64_t duration_ms);
+/* Notes that one more request waits. */
+void cb_flow_wait(cb_flow_t *flow, int64_t now_us);
 /* How long the last of the waiting requests will wait, as things go. */
 int64_t cb_flow_wait_ms(const cb_flow_t *flow);
 cb_amount_t cb_flow_wanted(const cb_flow_t *flow);
--- a/src/libcurrantbridge/include/private/share_keeper.h
+++ b/src/libcurrantbridge/include/private/share_keeper.h
@@ -22,5 +22,7 @@
 /* Brings a workspace's floor up to the present view, before it is used. */
 void cb_share_keeper_refresh(cb_share_keeper_t *keeper,
 			     const cb_contract_t *contract);
+/* Reports the demand shortly, rather than when the next report is due. */
+void cb_share_keeper_report_soon(cb_share_keeper_t *keeper);
 
 #endif
--- a/src/libcurrantbridge/request/admission.c
+++ b/src/libcurrantbridge/request/admission.c
@@ -13,7 +13,7 @@
 
 struct cb_admission {
 	cb_admission_parts_t parts;
-	GHashTable *flows; /* workspace -> cb_flow_t */
+	GHashTable *flows;  /* workspace -> cb_flow_t */
 	GHashTable *queues; /* workspace and target -> queue_t */
 	GPtrArray *waiting; /* of queue_t that are not empty */
 	cb_timer_t *pump_timer;
@@ -89,8 +89,9 @@
 	admission->waiting = g_ptr_array_new();
 	admission->pump_timer =
 		cb_timer_new(parts->clock, pump_timer_fired_, admission);
-	admission->waiting_gauge = cb_counters_gauge(
-		parts->counters, "cb_admission_waiting", NULL, NULL);
+	admission->waiting_gauge =
+		cb_counters_gauge(parts->counters, "cb_admission_waiting", NULL,
+				  NULL);
 	return admission;
 }
 
@@ -139,8 +140,8 @@
 /* Brings a flow up to now, under the limits in force. */
 static void flow_refresh_(cb_admission_t *admission, cb_flow_t *flow)
 {
-	cb_amount_t limits = cb_share_table_limits(admission->parts.shares,
-						   flow->workspace);
+	cb_amount_t limits =
+		cb_share_table_limits(admission->parts.shares, flow->workspace);
 
 	cb_flow_refresh(flow, limits, cb_clock_now_us(admission->parts.clock));
 }
@@ -174,8 +175,8 @@
 
 	ticket->state = CB_TICKET_RUNNING;
 	ticket->begun_ms = now_ms_(ticket->admission);
-	ticket->admission->virtual_now = MAX(ticket->admission->virtual_now,
-					     flow->virtual_service);
+	ticket->admission->virtual_now =
+		MAX(ticket->admission->virtual_now, flow->virtual_service);
 	cb_flow_begin(flow);
 }
 
@@ -200,8 +201,10 @@
 	if (g_queue_is_empty(&queue->tickets))
 		g_ptr_array_add(admission->waiting, queue);
 	g_queue_push_tail_link(&queue->tickets, &ticket->link);
-	queue->flow->waiting++;
+	cb_flow_wait(queue->flow, cb_clock_now_us(admission->parts.clock));
 	cb_counter_add(admission->waiting_gauge, 1);
+	if (queue->blocked_by != CB_REFUSAL_OVERLOADED)
+		admission->parts.wants_more(admission->parts.user_data);
 	if (!cb_timer_is_armed(admission->pump_timer))
 		cb_timer_start(admission->pump_timer, PUMP_INTERVAL_MS);
 }
@@ -245,7 +248,7 @@
 		ticket_begin_(ticket);
 		return ticket;
 	}
-	flow->waiting++;
+	cb_flow_wait(flow, cb_clock_now_us(admission->parts.clock));
 	if (cb_flow_wait_ms(flow) > longest_ms)
 		ticket_refuse_(ticket);
 	flow->waiting--;
--- a/src/libcurrantbridge/request/flow.c
+++ b/src/libcurrantbridge/request/flow.c
@@ -6,6 +6,8 @@
 #define BURST_S 0.25
 /* A guarantee that was not used lately is owed for so long. */
 #define GUARANTEE_S 1.0
+/* Within this time control answers a demand for more. */
+#define LENDING_US 200000
 /* Assumed of a workspace until its first requests have ended. */
 #define FIRST_STREAM_TOKENS_PER_S 30.0
 #define FIRST_DURATION_MS 1000.0
@@ -53,6 +55,8 @@
 {
 	flow->contract_guaranteed = contract->guaranteed_tokens_per_s;
 	flow->contract_ceiling = contract->ceiling_tokens_per_s;
+	flow->contract_requests = contract->ceiling_requests_per_s;
+	flow->contract_concurrent = contract->concurrent_requests;
 	flow->weight = MAX((double)contract->guaranteed_tokens_per_s, 1);
 }
 
@@ -67,9 +71,8 @@
 	flow->limits = limits;
 	flow->guaranteed_tokens_per_s = (double)flow->contract_guaranteed;
 	if (flow->contract_ceiling > 0)
-		flow->guaranteed_tokens_per_s *=
-			(double)limits.tokens_per_s /
-			(double)flow->contract_ceiling;
+		flow->guaranteed_tokens_per_s *= (double)limits.tokens_per_s /
+						 (double)flow->contract_ceiling;
 	fill_(&flow->request_level, (double)limits.requests_per_s, elapsed_s,
 	      BURST_S);
 	fill_(&flow->token_level, (double)limits.tokens_per_s, elapsed_s,
@@ -85,9 +88,9 @@
 
 	if (flow->running >= flow->limits.concurrent)
 		return CB_REFUSAL_CONCURRENCY_LIMIT;
-	if (flow->request_level < 1)
+	if (flow->contract_requests && flow->request_level < 1)
 		return CB_REFUSAL_RATE_LIMIT;
-	if (!has_tokens)
+	if (!has_tokens || !flow->contract_ceiling)
 		return CB_REFUSAL_NONE;
 	if (flow->token_level <= 0)
 		return CB_REFUSAL_RATE_LIMIT;
@@ -132,10 +135,25 @@
 			(double)used * MS_PER_S / (double)duration_ms);
 }
 
+void cb_flow_wait(cb_flow_t *flow, int64_t now_us)
+{
+	if (!flow->waiting)
+		flow->waiting_since_us = now_us;
+	flow->waiting++;
+}
+
+/*
+ * What runs now tells how fast the queue moves, but for the time that
+ * control may take to lend more.
+ */
 int64_t cb_flow_wait_ms(const cb_flow_t *flow)
 {
+	int64_t side_by_side = MAX(flow->running, 1);
+
+	if (flow->filled_us - flow->waiting_since_us < LENDING_US)
+		side_by_side = MAX(flow->running, flow->contract_concurrent);
 	return (int64_t)((double)flow->waiting * flow->duration_ms /
-			 (double)MAX(flow->running, 1));
+			 (double)side_by_side);
 }
 
 cb_amount_t cb_flow_wanted(const cb_flow_t *flow)
--- a/src/libcurrantbridge/request/share_keeper.c
+++ b/src/libcurrantbridge/request/share_keeper.c
@@ -5,6 +5,11 @@
 #include "private/demand.h"
 #include "private/rendezvous.h"
 
+/* Demand that rises is reported after this, to gather what comes at once. */
+#define SOON_MS 2
+/* The least time between two reports. */
+#define LEAST_INTERVAL_MS 20
+
 struct cb_share_keeper {
 	cb_control_client_t *control;
 	const cb_view_t *view;
@@ -12,7 +17,10 @@
 	uint32_t address_count;
 	cb_share_table_t *table;
 	cb_admission_t *admission;
+	cb_clock_t *clock;
 	cb_timer_t *report_timer;
+	int64_t reported_ms;
+	gboolean is_soon;
 	/* workspace -> revision of the view that its floor follows */
 	GHashTable *floors;
 	cb_counter_t *reports;
@@ -102,9 +110,22 @@
 	}
 	g_ptr_array_unref(active);
 	g_ptr_array_unref(lines);
+	keeper->reported_ms = cb_clock_now_ms(keeper->clock);
+	keeper->is_soon = FALSE;
 	cb_timer_start(keeper->report_timer, CB_DEMAND_INTERVAL_MS);
 }
 
+void cb_share_keeper_report_soon(cb_share_keeper_t *keeper)
+{
+	int64_t since_ms = cb_clock_now_ms(keeper->clock) - keeper->reported_ms;
+
+	if (keeper->is_soon)
+		return;
+	keeper->is_soon = TRUE;
+	cb_timer_start(keeper->report_timer,
+		       MAX(SOON_MS, LEAST_INTERVAL_MS - since_ms));
+}
+
 static void granted_(GBytes *grant, int64_t sent_ms, void *user_data)
 {
 	cb_share_keeper_t *keeper = user_data;
@@ -135,18 +156,20 @@
 	cb_counters_t *counters = cb_kernel_counters(kernel);
 	cb_clock_t *clock = cb_kernel_clock(kernel);
 
+	keeper->clock = clock;
 	keeper->control = control;
 	keeper->view = view;
 	keeper->instance = g_strdup(instance);
 	keeper->address_count = address_count;
 	keeper->table = cb_share_table_new(clock);
 	keeper->report_timer = cb_timer_new(clock, report_, keeper);
-	keeper->floors = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       g_free);
-	keeper->reports = cb_counters_counter(
-		counters, "cb_demand_reports_total", NULL, NULL);
-	keeper->grants = cb_counters_counter(
-		counters, "cb_demand_grants_total", NULL, NULL);
+	keeper->floors =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	keeper->reports =
+		cb_counters_counter(counters, "cb_demand_reports_total", NULL,
+				    NULL);
+	keeper->grants = cb_counters_counter(counters, "cb_demand_grants_total",
+					     NULL, NULL);
 	cb_control_client_on_grant(control, granted_, keeper);
 	return keeper;
 }
