--- a/src/test_libcurrantbridge/support_network.c
+++ b/src/test_libcurrantbridge/support_network.c
@@ -157,6 +157,7 @@
 	if (!fake->is_closed)
 		event_send_(fake, FAKE_CLOSED, NULL, CB_CLOSE_REMOTE);
 	fake->is_closed = TRUE;
+	g_clear_pointer(&fake->other, fake_unref_);
 	fake_unref_(fake);
 }
 
