Tell followers of a commit at once, not at the next heartbeat

A change came into force late on every session with a follower: the follower learned only at the leader's next heartbeat that the change was committed. The leader now tells its peers 5 ms after a commit, all commits of that time together.

--- a/src/libcurrantbridge/control/replica.c
+++ b/src/libcurrantbridge/control/replica.c
@@ -79,6 +79,7 @@
 	replica->is_failed = TRUE;
 	cb_timer_stop(replica->election_timer);
 	cb_timer_stop(replica->heartbeat_timer);
+	cb_timer_stop(replica->commit_timer);
 	g_queue_clear_full(&replica->outbox, cb_outgoing_delete);
 	cb_proposal_abandon_all(replica);
 	cb_replica_set_leader(replica, NULL);
@@ -188,6 +189,14 @@
 		cb_timer_start(replica->heartbeat_timer, replica->heartbeat_ms);
 }
 
+static void commit_timer_fired_(void *user_data)
+{
+	cb_replica_t *replica = user_data;
+
+	if (cb_replica_leads(replica))
+		cb_replication_heartbeat(replica);
+}
+
 static int64_t or_default_(int64_t value, int64_t default_value)
 {
 	return value > 0 ? value : default_value;
@@ -252,6 +261,8 @@
 		cb_timer_new(clock, election_timer_fired_, replica);
 	replica->heartbeat_timer =
 		cb_timer_new(clock, heartbeat_timer_fired_, replica);
+	replica->commit_timer =
+		cb_timer_new(clock, commit_timer_fired_, replica);
 	replica->flush_timer = cb_timer_new(clock, flush_, replica);
 	g_queue_init(&replica->operations);
 	g_queue_init(&replica->outbox);
@@ -276,6 +287,7 @@
 	cb_proposal_run_completions(replica);
 	cb_timer_delete(replica->election_timer);
 	cb_timer_delete(replica->heartbeat_timer);
+	cb_timer_delete(replica->commit_timer);
 	cb_timer_delete(replica->flush_timer);
 	g_queue_clear_full(&replica->outbox, cb_outgoing_delete);
 	cb_incoming_clear(&replica->incoming);
--- a/src/libcurrantbridge/control/replication.c
+++ b/src/libcurrantbridge/control/replication.c
@@ -4,6 +4,8 @@
 
 /* Without progress for this many heartbeats, a peer is sent to anew. */
 #define RESEND_AFTER_HEARTBEATS 3
+/* Commits are told to the peers together after this, not at a heartbeat. */
+#define COMMIT_TELL_MS 5
 
 static void peer_delete_(void *data)
 {
@@ -331,8 +333,11 @@
 
 	if (index > replica->committed &&
 	    cb_replica_log_term(replica->log, index, &term) &&
-	    term == replica->term)
+	    term == replica->term) {
 		cb_append_commit(replica, index);
+		if (!cb_timer_is_armed(replica->commit_timer))
+			cb_timer_start(replica->commit_timer, COMMIT_TELL_MS);
+	}
 	if (cb_replica_leads(replica) && !cb_replica_is_voter(replica) &&
 	    replica->committed >= replica->members_index)
 		cb_election_step_down(replica, replica->term);
--- a/src/libcurrantbridge/include/private/replica.h
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -135,6 +135,8 @@
 	int64_t leader_heard_ms;
 	cb_timer_t *election_timer;
 	cb_timer_t *heartbeat_timer;
+	/* Armed while a commit is not told to the peers. */
+	cb_timer_t *commit_timer;
 	cb_timer_t *flush_timer;
 
 	GPtrArray *members;
