--- /dev/null
+++ b/src/test_libcurrantbridge/test_call.c
@@ -0,0 +1,501 @@
+#include "support_main.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "support_history.h"
+#include "support_services.h"
+
+#define DEADLINE_MS 10000
+#define LONG_MS 60000
+
+/* One caller with one key, which it may send several times. */
+typedef struct caller {
+	support_services_t *services;
+	support_desk_t *desk;
+	cb_call_t *call;
+	char *key;
+	unsigned int sends;
+	gboolean is_ended;
+	int64_t ended_ms;
+	cb_call_end_t end;
+	char *answer;
+} caller_t;
+
+static support_services_t *services;
+static support_desk_t *desks[3];
+
+/* Begins a test with three entry instances and some servers. */
+static void set_up_(unsigned int server_count, gboolean checks_fencing)
+{
+	unsigned int i;
+
+	services = support_services_new(1);
+	for (i = 0; i < G_N_ELEMENTS(desks); i++)
+		desks[i] = support_desk_add(services);
+	for (i = 0; i < server_count; i++) {
+		char *name = g_strdup_printf("s%u", i);
+
+		support_service_add(services, name, checks_fencing);
+		g_free(name);
+	}
+	support_services_report(services);
+}
+
+static char *tear_down_check_(void)
+{
+	char *lines = support_services_delete(services);
+	char *fault = support_history_check(lines);
+
+	free(lines);
+	return fault;
+}
+
+static void tear_down_(void)
+{
+	char *fault = tear_down_check_();
+
+	CU_ASSERT_PTR_NULL(fault);
+	if (fault)
+		printf("    %s\n", fault);
+	g_free(fault);
+}
+
+static void ended_(void *user_data, const cb_call_end_t *end)
+{
+	caller_t *caller = user_data;
+	gsize size;
+
+	CU_ASSERT_FALSE(caller->is_ended);
+	caller->is_ended = TRUE;
+	caller->end = *end;
+	caller->ended_ms = cb_clock_now_ms(services->clock);
+	if (end->answer)
+		caller->answer =
+			g_strndup(g_bytes_get_data(end->answer->body, &size),
+				  g_bytes_get_size(end->answer->body));
+	cb_call_delete(caller->call);
+	caller->call = NULL;
+}
+
+/* Sends a call; a NULL key makes it an idempotent one. */
+static void send_(caller_t *caller, unsigned int desk, const char *key,
+		  const char *body, int64_t deadline_ms)
+{
+	char *request = g_strdup_printf("%s-%p-%u", key ? key : "r",
+					(void *)caller, caller->sends++);
+	cb_call_request_t wanted = { .request = request,
+				     .workspace = "w",
+				     .service = "booking",
+				     .is_idempotent = !key,
+				     .method = "POST",
+				     .path = "/lodge",
+				     .key = key,
+				     .deadline_ms = deadline_ms };
+
+	wanted.body = g_bytes_new(body, strlen(body));
+	caller->desk = desks[desk];
+	caller->is_ended = FALSE;
+	g_clear_pointer(&caller->answer, g_free);
+	caller->call = cb_call_new(desks[desk]->env, &wanted, ended_, caller);
+	cb_call_start(caller->call);
+	CU_ASSERT_FALSE(caller->is_ended);
+	g_bytes_unref(wanted.body);
+	g_free(request);
+}
+
+static void caller_check_(caller_t *caller, cb_refusal_t refusal,
+			  cb_executed_t executed, const char *answer,
+			  gboolean is_replayed)
+{
+	CU_ASSERT_TRUE(caller->is_ended);
+	CU_ASSERT_EQUAL(caller->end.refusal, refusal);
+	CU_ASSERT_EQUAL(caller->end.executed, executed);
+	CU_ASSERT_EQUAL(caller->end.is_replayed, is_replayed);
+	CU_ASSERT_STRING_EQUAL(caller->answer ? caller->answer : "", answer);
+	g_clear_pointer(&caller->answer, g_free);
+}
+
+static support_service_t *service_(unsigned int i)
+{
+	return g_ptr_array_index(services->services, i);
+}
+
+/* Whatever becomes of a server, an idempotent call is tried elsewhere. */
+static void idempotent_is_tried_elsewhere(void)
+{
+	static const support_call_faults_t faults[] = {
+		{ .lost_before = 700 },
+		{ .lost_after = 700 },
+		{ .silent = 700 },
+		{ .busy = 300 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		caller_t caller = { 0 };
+
+		set_up_(4, FALSE);
+		service_(0)->is_alive = FALSE;
+		services->faults = faults[i];
+		send_(&caller, 0, NULL, "lookup", LONG_MS);
+		cb_clock_advance(services->clock, LONG_MS);
+		caller_check_(&caller, CB_REFUSAL_NONE, CB_EXECUTED_YES,
+			      "lookup", FALSE);
+		tear_down_();
+	}
+}
+
+/* The same key gets the recorded answer; with another body it is refused. */
+static void same_key_is_replayed(void)
+{
+	caller_t caller = { 0 };
+
+	set_up_(2, FALSE);
+	send_(&caller, 0, "k", "one", DEADLINE_MS);
+	cb_clock_advance(services->clock, 500);
+	caller_check_(&caller, CB_REFUSAL_NONE, CB_EXECUTED_YES, "one", FALSE);
+	send_(&caller, 1, "k", "one", DEADLINE_MS);
+	cb_clock_advance(services->clock, 500);
+	caller_check_(&caller, CB_REFUSAL_NONE, CB_EXECUTED_YES, "one", TRUE);
+	send_(&caller, 2, "k", "two", DEADLINE_MS);
+	cb_clock_advance(services->clock, 500);
+	caller_check_(&caller, CB_REFUSAL_IDEMPOTENCY_KEY_REUSED,
+		      CB_EXECUTED_NO, "", FALSE);
+	CU_ASSERT_EQUAL(services->effects, 1);
+	tear_down_();
+}
+
+/* A resend during the first run waits for it, or is told to come back. */
+static void resend_waits_for_the_first(void)
+{
+	static const struct {
+		int64_t deadline_ms;
+		cb_refusal_t refusal;
+		cb_executed_t executed;
+	} cases[] = {
+		{ 5000, CB_REFUSAL_NONE, CB_EXECUTED_YES },
+		{ 500, CB_REFUSAL_IDEMPOTENCY_KEY_RUNNING,
+		  CB_EXECUTED_UNKNOWN },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		caller_t first = { 0 };
+		caller_t second = { 0 };
+		gboolean is_answered = cases[i].refusal == CB_REFUSAL_NONE;
+
+		set_up_(2, FALSE);
+		service_(0)->work_ms = 2000;
+		service_(1)->work_ms = 2000;
+		send_(&first, 0, "k", "one", DEADLINE_MS);
+		cb_clock_advance(services->clock, 100);
+		send_(&second, 1, "k", "one", cases[i].deadline_ms);
+		cb_clock_advance(services->clock, DEADLINE_MS);
+		caller_check_(&first, CB_REFUSAL_NONE, CB_EXECUTED_YES, "one",
+			      FALSE);
+		caller_check_(&second, cases[i].refusal, cases[i].executed,
+			      is_answered ? "one" : "", is_answered);
+		CU_ASSERT_EQUAL(second.end.retry_after_s, is_answered ? 0 : 1);
+		CU_ASSERT_EQUAL(services->effects, 1);
+		tear_down_();
+	}
+}
+
+/* Doubt is resolved by fencing, and only where the server checks it. */
+static void doubt_needs_fencing(void)
+{
+	static const struct {
+		gboolean checks_fencing;
+		support_call_faults_t faults;
+		cb_refusal_t refusal;
+		cb_executed_t executed;
+		const char *answer;
+		unsigned int effects;
+	} cases[] = {
+		{ FALSE,
+		  { .lost_before = 1000 },
+		  CB_REFUSAL_OUTCOME_UNKNOWN,
+		  CB_EXECUTED_UNKNOWN,
+		  "",
+		  0 },
+		{ FALSE,
+		  { .lost_after = 1000 },
+		  CB_REFUSAL_OUTCOME_UNKNOWN,
+		  CB_EXECUTED_UNKNOWN,
+		  "",
+		  1 },
+		{ TRUE,
+		  { .lost_after = 1000 },
+		  CB_REFUSAL_NONE,
+		  CB_EXECUTED_YES,
+		  "one",
+		  1 },
+		{ TRUE,
+		  { .lost_before = 1000 },
+		  CB_REFUSAL_RETRIES_EXHAUSTED,
+		  CB_EXECUTED_NO,
+		  "",
+		  0 },
+		{ TRUE,
+		  { .late = 1000 },
+		  CB_REFUSAL_RETRIES_EXHAUSTED,
+		  CB_EXECUTED_NO,
+		  "",
+		  0 },
+		{ TRUE,
+		  { .busy = 1000 },
+		  CB_REFUSAL_NO_SERVER,
+		  CB_EXECUTED_NO,
+		  "",
+		  0 },
+		{ TRUE,
+		  { .lost_before = 1000, .fence_lost = 1000 },
+		  CB_REFUSAL_OUTCOME_UNKNOWN,
+		  CB_EXECUTED_UNKNOWN,
+		  "",
+		  0 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		caller_t caller = { 0 };
+
+		set_up_(3, cases[i].checks_fencing);
+		services->faults = cases[i].faults;
+		send_(&caller, 0, "k", "one", LONG_MS);
+		cb_clock_advance(services->clock, LONG_MS);
+		caller_check_(&caller, cases[i].refusal, cases[i].executed,
+			      cases[i].answer, FALSE);
+		CU_ASSERT_EQUAL(services->effects, cases[i].effects);
+		CU_ASSERT_EQUAL(cb_call_env_pending(desks[0]->env), 0);
+		tear_down_();
+	}
+}
+
+/* The entry instance dies between a claim and its end. */
+static void lost_owner_is_taken_over_by_proof(void)
+{
+	static const struct {
+		gboolean checks_fencing;
+		int64_t killed_after_ms;
+		cb_refusal_t refusal;
+		const char *answer;
+		unsigned int effects;
+	} cases[] = {
+		{ FALSE, 15, CB_REFUSAL_OUTCOME_UNKNOWN, "", 0 },
+		{ FALSE, 25, CB_REFUSAL_OUTCOME_UNKNOWN, "", 1 },
+		{ TRUE, 15, CB_REFUSAL_NONE, "one", 1 },
+		{ TRUE, 25, CB_REFUSAL_NONE, "one", 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		caller_t caller = { 0 };
+
+		set_up_(3, cases[i].checks_fencing);
+		send_(&caller, 0, "k", "one", DEADLINE_MS);
+		cb_clock_advance(services->clock, cases[i].killed_after_ms);
+		support_desk_kill(desks[0]);
+		cb_clock_advance(services->clock, 3000);
+		CU_ASSERT_FALSE(caller.is_ended);
+		send_(&caller, 1, "k", "one", DEADLINE_MS);
+		cb_clock_advance(services->clock, DEADLINE_MS);
+		CU_ASSERT_EQUAL(caller.end.refusal, cases[i].refusal);
+		CU_ASSERT_STRING_EQUAL(caller.answer ? caller.answer : "",
+				       cases[i].answer);
+		CU_ASSERT_EQUAL(services->effects, cases[i].effects);
+		g_free(caller.answer);
+		tear_down_();
+	}
+}
+
+/* Without its record a call is not sent, and a lost claim is given back. */
+static void unrecorded_claim_is_not_sent(void)
+{
+	static const support_call_faults_t faults[] = {
+		{ .unavailable = 1000 },
+		{ .answer_lost = 1000 },
+		{ .not_submitted = 1000 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		caller_t caller = { 0 };
+
+		set_up_(2, FALSE);
+		services->faults = faults[i];
+		send_(&caller, 0, "k", "one", DEADLINE_MS);
+		cb_clock_advance(services->clock, 5000);
+		caller_check_(&caller, CB_REFUSAL_CONTROL_UNAVAILABLE,
+			      CB_EXECUTED_UNKNOWN, "", FALSE);
+		CU_ASSERT_EQUAL(services->effects, 0);
+		services->faults = (support_call_faults_t){ 0 };
+		cb_clock_advance(services->clock, 5000);
+		CU_ASSERT_EQUAL(cb_call_env_pending(desks[0]->env), 0);
+		send_(&caller, 1, "k", "one", DEADLINE_MS);
+		cb_clock_advance(services->clock, DEADLINE_MS);
+		caller_check_(&caller, CB_REFUSAL_NONE, CB_EXECUTED_YES, "one",
+			      FALSE);
+		tear_down_();
+	}
+}
+
+/* The caller goes: the call runs on, and its end is on record. */
+static void abandoned_call_is_recorded(void)
+{
+	caller_t caller = { 0 };
+
+	set_up_(2, FALSE);
+	send_(&caller, 0, "k", "one", DEADLINE_MS);
+	cb_clock_advance(services->clock, 25);
+	services->faults.unavailable = 1000;
+	cb_call_abandon(caller.call);
+	cb_clock_advance(services->clock, 2000);
+	CU_ASSERT_EQUAL(cb_call_env_pending(desks[0]->env), 1);
+	services->faults.unavailable = 0;
+	cb_clock_advance(services->clock, 10000);
+	CU_ASSERT_EQUAL(cb_call_env_pending(desks[0]->env), 0);
+	CU_ASSERT_FALSE(caller.is_ended);
+	send_(&caller, 1, "k", "one", DEADLINE_MS);
+	cb_clock_advance(services->clock, 500);
+	caller_check_(&caller, CB_REFUSAL_NONE, CB_EXECUTED_YES, "one", TRUE);
+	CU_ASSERT_EQUAL(services->effects, 1);
+	tear_down_();
+}
+
+/* A leaving server gets no call, and answers come late, not never. */
+static void leaving_server_gets_no_call(void)
+{
+	caller_t caller = { 0 };
+
+	set_up_(2, FALSE);
+	service_(0)->is_leaving = TRUE;
+	support_services_report(services);
+	send_(&caller, 0, "k", "one", DEADLINE_MS);
+	cb_clock_advance(services->clock, 500);
+	caller_check_(&caller, CB_REFUSAL_NONE, CB_EXECUTED_YES, "one", FALSE);
+	CU_ASSERT_EQUAL(service_(0)->calls, 0);
+	tear_down_();
+}
+
+/* Does what a seeded run calls for: deaths of servers and instances. */
+static void disturb_(caller_t *callers, size_t count)
+{
+	unsigned int desk =
+		(unsigned int)g_rand_int_range(services->random, 0, 3);
+	support_service_t *service = service_(
+		(unsigned int)g_rand_int_range(services->random, 0, 4));
+	size_t i;
+
+	switch (g_rand_int_range(services->random, 0, 12)) {
+	case 0:
+		support_desk_kill(desks[desk]);
+		for (i = 0; i < count; i++)
+			if (callers[i].desk == desks[desk] && callers[i].call) {
+				callers[i].call = NULL;
+				callers[i].is_ended = TRUE;
+			}
+		break;
+	case 1:
+		service->is_alive = FALSE;
+		break;
+	default:
+		service->is_alive = TRUE;
+	}
+}
+
+/* Resends what has ended without an answer, through any instance. */
+static void resend_(caller_t *caller)
+{
+	gboolean is_answered = caller->answer != NULL;
+	unsigned int desk =
+		(unsigned int)g_rand_int_range(services->random, 0, 3);
+
+	if (!caller->is_ended || is_answered || caller->sends > 6)
+		return;
+	send_(caller, desk, caller->key, caller->key, 3000);
+}
+
+static gboolean seed_runs_(uint32_t seed, unsigned int *answered)
+{
+	caller_t callers[10] = { 0 };
+	char *fault;
+	size_t i;
+	int step;
+
+	set_up_(2, TRUE);
+	support_service_add(services, "s2", FALSE);
+	support_service_add(services, "s3", FALSE);
+	support_services_report(services);
+	g_rand_set_seed(services->random, seed);
+	services->faults =
+		(support_call_faults_t){ 60, 60, 60, 30, 60, 60, 60, 100, 100 };
+	for (i = 0; i < G_N_ELEMENTS(callers); i++) {
+		callers[i].key = g_strdup_printf("key-%d", (int)i / 2);
+		callers[i].is_ended = TRUE;
+	}
+	for (step = 0; step < 200; step++) {
+		resend_(&callers[g_rand_int_range(services->random, 0, 10)]);
+		cb_clock_advance(services->clock,
+				 g_rand_int_range(services->random, 1, 200));
+		if (!g_rand_int_range(services->random, 0, 10))
+			disturb_(callers, G_N_ELEMENTS(callers));
+	}
+	cb_clock_advance(services->clock, 2 * LONG_MS);
+	for (i = 0; i < G_N_ELEMENTS(callers); i++) {
+		CU_ASSERT_TRUE(callers[i].is_ended);
+		*answered += callers[i].answer != NULL;
+		CU_ASSERT_TRUE(!callers[i].answer ||
+			       !strcmp(callers[i].answer, callers[i].key));
+		g_free(callers[i].answer);
+		g_free(callers[i].key);
+	}
+	fault = tear_down_check_();
+	if (fault)
+		printf("    seed %u: %s\n", seed, fault);
+	g_free(fault);
+	return !fault;
+}
+
+/* CB_SEEDS asks for more runs, CB_SEED for one seed alone. */
+static void seeded_runs_break_no_rule(void)
+{
+	const char *count = g_getenv("CB_SEEDS");
+	const char *only = g_getenv("CB_SEED");
+	uint32_t seeds = count ? (uint32_t)strtoul(count, NULL, 10) : 60;
+	uint32_t first = only ? (uint32_t)strtoul(only, NULL, 10) : 1;
+	uint32_t last = only ? first : seeds;
+	unsigned int answered = 0;
+	unsigned int broken = 0;
+	uint32_t seed;
+
+	for (seed = first; seed <= last; seed++)
+		broken += !seed_runs_(seed, &answered);
+	CU_ASSERT_EQUAL(broken, 0);
+	printf("    seeds %u to %u: %u broke a rule, %u of %u callers "
+	       "answered\n",
+	       first, last, broken, answered, (last - first + 1) * 10);
+}
+
+static CU_TestInfo call_tests[] = {
+	{ "idempotent_is_tried_elsewhere", idempotent_is_tried_elsewhere },
+	{ "same_key_is_replayed", same_key_is_replayed },
+	{ "resend_waits_for_the_first", resend_waits_for_the_first },
+	{ "doubt_needs_fencing", doubt_needs_fencing },
+	{ "lost_owner_is_taken_over_by_proof",
+	  lost_owner_is_taken_over_by_proof },
+	{ "unrecorded_claim_is_not_sent", unrecorded_claim_is_not_sent },
+	{ "abandoned_call_is_recorded", abandoned_call_is_recorded },
+	{ "leaving_server_gets_no_call", leaving_server_gets_no_call },
+	{ "seeded_runs_break_no_rule", seeded_runs_break_no_rule },
+	CU_TEST_INFO_NULL
+};
+
+int main(void)
+{
+	CU_SuiteInfo suites[] = { { .pName = "call", .pTests = call_tests },
+				  CU_SUITE_INFO_NULL };
+
+	return support_run(suites);
+}
