--- a/src/libcurrantbridge/http/completions.c
+++ b/src/libcurrantbridge/http/completions.c
@@ -77,6 +77,8 @@
 		     CB_STR("request", cb_caller_id(completion->caller)),
 		     CB_INT("unread_bytes", completion->unread_bytes));
 	completion->overflow = g_idle_source_new();
+	/* Below that it would wait for the very stream that it ends. */
+	g_source_set_priority(completion->overflow, G_PRIORITY_DEFAULT);
 	g_source_set_callback(completion->overflow, overflowed_, completion,
 			      NULL);
 	g_source_attach(completion->overflow, cb_kernel_context(entry->kernel));
--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -281,6 +281,7 @@
 	g_free(uri);
 	if (!exchange->message) {
 		exchange->readable = g_idle_source_new();
+		g_source_set_priority(exchange->readable, G_PRIORITY_DEFAULT);
 		g_source_set_callback(exchange->readable, never_sent_, exchange,
 				      NULL);
 		g_source_attach(exchange->readable,
