Wait for the end of the repair before the second loss

Ruled out: a lost change; the history check found none. Change: the test waits until the instance with the new disk says that every member votes, the state that operators are told to wait for; then it kills the second and checks as before.

--- a/test/test_control.c
+++ b/test/test_control.c
@@ -1,3 +1,4 @@
+#include <libsoup/soup.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -168,6 +169,21 @@
 	history_clear_(&history);
 }
 
+/* Tells whether every member votes, as the one with the new disk says. */
+static gboolean all_vote_(void *user_data)
+{
+	history_t *history = user_data;
+	const char *address = history->group->control[0]->http;
+	char *members = NULL;
+	gboolean all = support_http("GET", address, "/v1/members", NULL,
+				    &members) == SOUP_STATUS_OK &&
+		       strstr(members, "\"is_voter\"") &&
+		       !strstr(members, "\"is_voter\":false");
+
+	g_free(members);
+	return all;
+}
+
 /* A blank disk comes back, catches up, and then another instance is lost. */
 static void blank_disk_is_replaced(void)
 {
@@ -181,6 +197,9 @@
 	support_daemon_erase(history.group->control[0]);
 	support_daemon_start(history.group->control[0]);
 	history_check_(&history);
+	/* The repair is over once the new disk votes; before, a majority of
+	 * the three has lost its disk or its life. */
+	CU_ASSERT_TRUE(support_wait(all_vote_, &history, CHANGE_LIMIT_MS));
 	support_daemon_kill(history.group->control[1]);
 	history_check_(&history);
 	history_clear_(&history);
