--- a/src/libcurrantbridge/http/operator.c
+++ b/src/libcurrantbridge/http/operator.c
@@ -16,8 +16,7 @@
 	cb_counters_t *counters = cb_kernel_counters(api->kernel);
 	gboolean is_temporary = status == SOUP_STATUS_SERVICE_UNAVAILABLE;
 
-	cb_counter_add(cb_counters_counter(counters,
-					   "cb_operator_refusals_total",
+	cb_counter_add(cb_counters_counter(counters, "cb_refusals_total",
 					   "reason", reason),
 		       1);
 	cb_log_event(cb_kernel_log(api->kernel), CB_EVENT_OPERATOR_REFUSED,
@@ -167,6 +166,17 @@
 	cb_node_confirm(task->api->node, confirmed_, task);
 }
 
+/* Refuses a request, also one that reads, once this instance leaves. */
+static gboolean is_leaving_(cb_operator_t *api, SoupServerMessage *message)
+{
+	if (!api->is_draining)
+		return FALSE;
+	cb_operator_refuse(api, message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+			   "leaving", "this control instance is leaving",
+			   CB_EXECUTED_NO);
+	return TRUE;
+}
+
 static void read_begin_(cb_operator_t *api, SoupServerMessage *message,
 			const char *name, cb_operator_read_fn_t read)
 {
@@ -310,8 +320,11 @@
 		   const char *path, const char *prefix, route_fn_t route)
 {
 	char *parts[2] = { NULL, NULL };
-	int part_count = path_split_(path, prefix, parts);
+	int part_count;
 
+	if (is_leaving_(api, message))
+		return;
+	part_count = path_split_(path, prefix, parts);
 	if (part_count < 0)
 		path_refuse_(api, message);
 	else
@@ -351,6 +364,8 @@
 {
 	(void)soup;
 	(void)query;
+	if (is_leaving_(user_data, message))
+		return;
 	if (!g_str_equal(path, "/v1/status"))
 		path_refuse_(user_data, message);
 	else if (soup_server_message_get_method(message) != SOUP_METHOD_GET)
@@ -364,6 +379,8 @@
 			     void *user_data)
 {
 	(void)soup;
+	if (is_leaving_(user_data, message))
+		return;
 	if (!g_str_equal(path, "/v1/in-force"))
 		path_refuse_(user_data, message);
 	else if (soup_server_message_get_method(message) != SOUP_METHOD_GET)
@@ -372,39 +389,6 @@
 		in_force_begin_(user_data, message, query);
 }
 
-/*
- * Refuses a request before its body is read: when this instance leaves, or
- * by the length that the body announces.
- */
-static void length_check_(SoupServer *soup, SoupServerMessage *message,
-			  const char *path, GHashTable *query, void *user_data)
-{
-	SoupMessageHeaders *headers =
-		soup_server_message_get_request_headers(message);
-	SoupEncoding encoding = soup_message_headers_get_encoding(headers);
-	cb_operator_t *api = user_data;
-
-	(void)soup;
-	(void)path;
-	(void)query;
-	if (api->is_draining)
-		cb_operator_refuse(api, message,
-				   SOUP_STATUS_SERVICE_UNAVAILABLE, "leaving",
-				   "this control instance is leaving",
-				   CB_EXECUTED_NO);
-	else if (encoding == SOUP_ENCODING_CHUNKED)
-		cb_operator_refuse(api, message, SOUP_STATUS_LENGTH_REQUIRED,
-				   "length_required",
-				   "a body needs its Content-Length",
-				   CB_EXECUTED_NO);
-	else if (soup_message_headers_get_content_length(headers) >
-		 MAX_BODY_BYTES)
-		cb_operator_refuse(api, message,
-				   SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
-				   "body_too_large", "the body is too large",
-				   CB_EXECUTED_NO);
-}
-
 static gboolean operator_start_(cb_service_t *service, GError **error)
 {
 	static const struct {
@@ -419,16 +403,16 @@
 	};
 	cb_operator_t *api = (cb_operator_t *)service;
 	cb_service_t *http = cb_kernel_find(api->kernel, "http");
-	SoupServer *soup = cb_http_server_soup((cb_http_server_t *)http);
+	cb_http_server_t *server = (cb_http_server_t *)http;
+	SoupServer *soup = cb_http_server_soup(server);
 	size_t i;
 
 	(void)error;
+	cb_http_server_limit_body(server, MAX_BODY_BYTES);
 	api->node = (cb_node_t *)cb_kernel_find(api->kernel, "node");
 	for (i = 0; i < G_N_ELEMENTS(handlers); i++) {
 		soup_server_add_handler(soup, handlers[i].path,
 					handlers[i].handle, api, NULL);
-		soup_server_add_early_handler(soup, handlers[i].path,
-					      length_check_, api, NULL);
 	}
 	return TRUE;
 }
--- a/src/libcurrantbridge/http/operator_change.c
+++ b/src/libcurrantbridge/http/operator_change.c
@@ -67,8 +67,7 @@
 	cb_counters_t *counters = cb_kernel_counters(task->api->kernel);
 	JsonBuilder *builder = json_builder_new();
 
-	cb_counter_add(cb_counters_counter(counters,
-					   "cb_operator_refusals_total",
+	cb_counter_add(cb_counters_counter(counters, "cb_refusals_total",
 					   "reason", "conflict"),
 		       1);
 	json_builder_begin_object(builder);
--- a/src/libcurrantbridge/wire/pack.c
+++ b/src/libcurrantbridge/wire/pack.c
@@ -156,8 +156,7 @@
 		if (at >= size)
 			return FALSE;
 		head = shape_read_(data + at, size - at, &shape);
-		if (!head || shape.payload > size - at - head ||
-		    shape.children > size - at - head)
+		if (!head || shape.payload > size - at - head)
 			return FALSE;
 		at += head + shape.payload;
 		waiting[depth]--;
--- /dev/null
+++ b/test/test_operator.c
@@ -0,0 +1,446 @@
+#include <glib/gstdio.h>
+#include <libsoup/soup.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "currantbridge/contract.h"
+#include "currantbridge/operator.h"
+#include "currantbridge/program.h"
+#include "support_clients.h"
+#include "support_main.h"
+
+/*
+ * The operators' HTTP interface and command-line client against real control
+ * instances, with control clients of this process as entry instances.
+ */
+#define CLIENTS 3
+#define SILENCE_MS 1500
+#define START_LIMIT_MS 20000
+#define COMMAND_LIMIT_MS 30000
+#define WORDS_MAX 10
+
+static const support_bounds_t bounds = { 100, 500, SILENCE_MS };
+
+typedef struct fixture {
+	support_group_t *group;
+	support_clients_t *clients;
+	char *control;	/* all HTTP addresses, as --control takes them */
+	char *contract; /* path of a contract's file */
+} fixture_t;
+
+static void file_write_(const char *path, const char *text)
+{
+	CU_ASSERT_TRUE_FATAL(g_file_set_contents(path, text, -1, NULL));
+}
+
+static void fixture_init_(fixture_t *fixture)
+{
+	GString *control = g_string_new(NULL);
+	size_t i;
+
+	fixture->group = support_group_new(3, &bounds);
+	fixture->clients =
+		support_clients_new(fixture->group, CLIENTS, SILENCE_MS);
+	CU_ASSERT_TRUE_FATAL(support_clients_wait_confirmed(fixture->clients,
+							    START_LIMIT_MS));
+	for (i = 0; i < fixture->group->control_count; i++)
+		g_string_append_printf(control, "%s%s", i ? "," : "",
+				       fixture->group->control[i]->http);
+	fixture->control = g_string_free(control, FALSE);
+	fixture->contract =
+		g_build_filename(fixture->group->folder, "contract.json", NULL);
+	file_write_(fixture->contract,
+		    "{\"workspace\":\"w\",\"keys\":[\"k\"]}");
+}
+
+static void fixture_clear_(fixture_t *fixture)
+{
+	g_unlink(fixture->contract);
+	support_clients_delete(fixture->clients);
+	support_group_delete(fixture->group);
+	g_free(fixture->control);
+	g_free(fixture->contract);
+}
+
+/* One run of the command-line client. */
+typedef struct run {
+	int code;
+	char *out;
+	char *err;
+	gboolean is_done;
+} run_t;
+
+static void run_done_(GObject *source, GAsyncResult *result, void *user_data)
+{
+	run_t *run = user_data;
+
+	g_subprocess_communicate_utf8_finish(G_SUBPROCESS(source), result,
+					     &run->out, &run->err, NULL);
+	run->code = g_subprocess_get_exit_status(G_SUBPROCESS(source));
+	run->is_done = TRUE;
+}
+
+static gboolean run_is_done_(void *user_data)
+{
+	return ((run_t *)user_data)->is_done;
+}
+
+static void run_clear_(run_t *run)
+{
+	g_free(run->out);
+	g_free(run->err);
+}
+
+/*
+ * Runs the client with the words of `line`, where FILE stands for the
+ * contract's file; the entry instances go on meanwhile if `is_live`.
+ */
+static run_t run_line_(const fixture_t *fixture, const char *line,
+		       gboolean is_live)
+{
+	char *program = g_build_filename(CB_PROGRAM_DIR, "currantbridge", NULL);
+	char **words = g_strsplit(line, " ", WORDS_MAX);
+	GPtrArray *argv = g_ptr_array_new();
+	run_t run = { 0 };
+	GSubprocess *process;
+	char **word;
+
+	g_ptr_array_add(argv, program);
+	g_ptr_array_add(argv, (char *)"--control");
+	g_ptr_array_add(argv, fixture->control);
+	for (word = words; *word; word++)
+		g_ptr_array_add(argv, g_str_equal(*word, "FILE") ?
+					      fixture->contract :
+					      *word);
+	g_ptr_array_add(argv, NULL);
+	process = g_subprocess_newv((const char *const *)argv->pdata,
+				    G_SUBPROCESS_FLAGS_STDOUT_PIPE |
+					    G_SUBPROCESS_FLAGS_STDERR_PIPE,
+				    NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(process);
+	if (is_live) {
+		g_subprocess_communicate_utf8_async(process, NULL, NULL,
+						    run_done_, &run);
+		CU_ASSERT_TRUE_FATAL(
+			support_wait(run_is_done_, &run, COMMAND_LIMIT_MS));
+	} else {
+		g_subprocess_communicate_utf8(process, NULL, NULL, &run.out,
+					      &run.err, NULL);
+		run.code = g_subprocess_get_exit_status(process);
+	}
+	g_object_unref(process);
+	g_ptr_array_unref(argv);
+	g_strfreev(words);
+	g_free(program);
+	return run;
+}
+
+/* Runs a line and checks the exit code and a part of what was printed. */
+static void expect_(const fixture_t *fixture, const char *line, int code,
+		    const char *part)
+{
+	run_t run = run_line_(fixture, line, TRUE);
+	gboolean has_part = strstr(run.out, part) || strstr(run.err, part);
+
+	CU_ASSERT_EQUAL(run.code, code);
+	CU_ASSERT_TRUE(has_part);
+	if (run.code != code || !has_part)
+		printf("    %s: exit %d\n%s%s", line, run.code, run.out,
+		       run.err);
+	run_clear_(&run);
+}
+
+/* Returns the number of the first member `name` in a JSON text, or -1. */
+static gint64 number_find_(const char *text, const char *name)
+{
+	char *quoted = g_strdup_printf("\"%s\":", name);
+	const char *at = strstr(text, quoted);
+	gint64 number = -1;
+
+	if (at)
+		number = g_ascii_strtoll(at + strlen(quoted), NULL, 10);
+	g_free(quoted);
+	return number;
+}
+
+/* Puts the contract under a change ID and returns its revision, or -1. */
+static gint64 put_revision_(const fixture_t *fixture, const char *options)
+{
+	char *line =
+		g_strconcat("--json ", options, " contract put FILE", NULL);
+	run_t run = run_line_(fixture, line, TRUE);
+	gint64 revision = -1;
+
+	if (run.code == CB_EXIT_OK)
+		revision = number_find_(run.out, "revision");
+	else
+		printf("    %s: exit %d %s%s", line, run.code, run.out,
+		       run.err);
+	run_clear_(&run);
+	g_free(line);
+	return revision;
+}
+
+static void commands_tell_their_end(void)
+{
+	static const struct {
+		const char *line;
+		int code;
+		const char *part;
+	} cases[] = {
+		{ "contract list", CB_EXIT_OK, "WORKSPACE" },
+		{ "contract get w", CB_EXIT_FAILURE, "not_found" },
+		{ "contract put FILE --expect 99", CB_EXIT_CONFLICT,
+		  "expected revision 99, the present revision is 0" },
+		{ "contract put FILE --expect 0 --wait", CB_EXIT_OK,
+		  "in force on 3 of 3 entry instances" },
+		{ "--json contract put FILE --expect 0", CB_EXIT_CONFLICT,
+		  "\"expected_revision\":0,\"present_revision\":" },
+		{ "contract get w", CB_EXIT_OK, "\"deadline_ms\" : 60000" },
+		{ "contract put /nonexistent", CB_EXIT_USAGE, "nonexistent" },
+		{ "contract frob", CB_EXIT_USAGE, "the commands are" },
+		{ "stop announce server s1 --wait", CB_EXIT_OK,
+		  "in force on 3 of 3" },
+		{ "stop announce rack s1", CB_EXIT_USAGE,
+		  "must be server or instance" },
+		{ "stop list", CB_EXIT_OK, "s1" },
+		{ "stop cancel server s1", CB_EXIT_OK, "accepted" },
+		{ "stop cancel server s1", CB_EXIT_FAILURE, "not_found" },
+		{ "status", CB_EXIT_OK, "1 contracts, 0 stops" },
+		{ "--json status", CB_EXIT_OK, "\"is_confirmed\":true" },
+		{ "members list", CB_EXIT_OK, "leader" },
+		{ "config check FILE", CB_EXIT_OK, "\"priority\":5" },
+		{ "contract rm w", CB_EXIT_OK, "accepted" },
+		{ "contract rm w", CB_EXIT_FAILURE, "not_found" },
+	};
+	fixture_t fixture;
+	size_t i;
+
+	fixture_init_(&fixture);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		expect_(&fixture, cases[i].line, cases[i].code, cases[i].part);
+	file_write_(fixture.contract,
+		    "{\"workspace\":\"w\",\"keys\":[\"k\"],\"lmit\":1}");
+	expect_(&fixture, "contract put FILE", CB_EXIT_USAGE,
+		"contract: lmit: unknown field");
+	fixture_clear_(&fixture);
+}
+
+/* Reads one counter of a control instance's /metrics; 0 if absent. */
+static gint64 refusals_(const char *address, const char *reason)
+{
+	char *name =
+		g_strdup_printf("cb_refusals_total{reason=\"%s\"} ", reason);
+	char *metrics = NULL;
+	const char *at = NULL;
+	gint64 count = 0;
+
+	if (support_http("GET", address, "/metrics", NULL, &metrics) ==
+	    SOUP_STATUS_OK)
+		at = strstr(metrics, name);
+	if (at)
+		count = g_ascii_strtoll(at + strlen(name), NULL, 10);
+	g_free(metrics);
+	g_free(name);
+	return count;
+}
+
+/* Every refusal is JSON with its reason, says "no", and is counted once. */
+static void refusals_are_json_and_counted(void)
+{
+	static const char large[CB_CONTRACT_MAX_TEXT_BYTES + 2] = { 0 };
+	static const struct {
+		const char *method;
+		const char *path;
+		const char *change_id;
+		const char *expected;
+		const char *body;
+		size_t body_size;
+		unsigned int status;
+		const char *reason;
+		const char *part;
+	} cases[] = {
+		{ "PUT", "/v1/contracts/w", "1", NULL,
+		  "{\"workspace\":\"w\",\"keys\":[\"k\"],\"lmit\":1}", 0, 400,
+		  "invalid", "contract: lmit: unknown field" },
+		{ "PUT", "/v1/contracts/v", "2", NULL,
+		  "{\"workspace\":\"w\",\"keys\":[\"k\"]}", 0, 400, "invalid",
+		  "contract: workspace" },
+		{ "PUT", "/v1/contracts/w", NULL, NULL, "{}", 0, 400,
+		  "malformed", "X-Change-Id" },
+		{ "PUT", "/v1/contracts/w", "3", "x", "{}", 0, 400, "malformed",
+		  "X-Expected-Revision" },
+		{ "PUT", "/v1/contracts/w", "4", NULL, NULL, 0, 400,
+		  "malformed", "the body must be a contract" },
+		{ "PUT", "/v1/contracts/w", "5", NULL, large, sizeof(large) - 1,
+		  413, "body_too_large", "too large" },
+		{ "DELETE", "/v1/contracts/w", "6", "7", NULL, 0, 409,
+		  "conflict",
+		  "\"expected_revision\":7,\"present_revision\":0" },
+		{ "DELETE", "/v1/contracts/w", "7", NULL, NULL, 0, 404,
+		  "not_found", "no such item" },
+		{ "POST", "/v1/contracts/w", "8", NULL, "{}", 0, 405,
+		  "method_not_allowed", "method" },
+		{ "GET", "/v1/contracts/a/b", NULL, NULL, NULL, 0, 404,
+		  "path_unknown", "no such path" },
+		{ "POST", "/v1/stops", "9", NULL, "{\"kind\":\"rack\"}", 0, 400,
+		  "malformed", "kind: must be one of server, instance" },
+		{ "POST", "/v1/members", NULL, NULL,
+		  "{\"name\":\"c\",\"address\":\"host:1\"}", 0, 400,
+		  "malformed", "address: must be IP:PORT" },
+		{ "GET", "/v1/in-force", NULL, NULL, NULL, 0, 400, "malformed",
+		  "revision" },
+	};
+	SoupSession *session = soup_session_new();
+	fixture_t fixture;
+	const char *address;
+	size_t i;
+
+	fixture_init_(&fixture);
+	address = fixture.group->control[1]->http;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		gint64 before = refusals_(address, cases[i].reason);
+		char *uri =
+			g_strdup_printf("http://%s%s", address, cases[i].path);
+		SoupMessage *message = soup_message_new(cases[i].method, uri);
+		SoupMessageHeaders *headers =
+			soup_message_get_request_headers(message);
+		char *reason = g_strdup_printf("{\"error\":{\"reason\":\"%s\"",
+					       cases[i].reason);
+		GBytes *answer;
+		char *text;
+
+		if (cases[i].change_id)
+			soup_message_headers_replace(
+				headers, CB_OPERATOR_CHANGE_ID_HEADER,
+				cases[i].change_id);
+		if (cases[i].expected)
+			soup_message_headers_replace(
+				headers, CB_OPERATOR_EXPECTED_HEADER,
+				cases[i].expected);
+		if (cases[i].body) {
+			size_t size = cases[i].body_size ?
+					      cases[i].body_size :
+					      strlen(cases[i].body);
+			GBytes *body = g_bytes_new_static(cases[i].body, size);
+
+			soup_message_set_request_body_from_bytes(
+				message, "application/json", body);
+			g_bytes_unref(body);
+			if (cases[i].body_size)
+				soup_message_headers_set_expectations(
+					headers, SOUP_EXPECTATION_CONTINUE);
+		}
+		answer = soup_session_send_and_read(session, message, NULL,
+						    NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
+		text = g_strndup(g_bytes_get_size(answer) ?
+					 g_bytes_get_data(answer, NULL) :
+					 "",
+				 g_bytes_get_size(answer));
+		CU_ASSERT_EQUAL(soup_message_get_status(message),
+				cases[i].status);
+		CU_ASSERT_TRUE(g_str_has_prefix(text, reason));
+		CU_ASSERT_PTR_NOT_NULL(strstr(text, cases[i].part));
+		CU_ASSERT_PTR_NOT_NULL(strstr(text, "\"executed\":\"no\""));
+		CU_ASSERT_EQUAL(refusals_(address, cases[i].reason),
+				before + 1);
+		if (!strstr(text, cases[i].part))
+			printf("    case %zu: %s\n", i, text);
+		g_free(text);
+		g_bytes_unref(answer);
+		g_free(reason);
+		g_object_unref(message);
+		g_free(uri);
+	}
+	fixture_clear_(&fixture);
+	g_object_unref(session);
+}
+
+/* A resend under its change ID gets the first answer, leader lost or not. */
+static void a_lost_leader_is_retried_under_one_id(void)
+{
+	fixture_t fixture;
+	gint64 first;
+	int leader;
+
+	fixture_init_(&fixture);
+	leader = support_leader(fixture.group);
+	CU_ASSERT_TRUE_FATAL(leader >= 0);
+	first = put_revision_(&fixture, "--change-id a --expect 0");
+	CU_ASSERT_TRUE(first > 0);
+	support_daemon_kill(fixture.group->control[leader]);
+	CU_ASSERT_EQUAL(put_revision_(&fixture, "--change-id a --expect 0"),
+			first);
+	CU_ASSERT_TRUE(put_revision_(&fixture, "--change-id b") > first);
+	CU_ASSERT_EQUAL(put_revision_(&fixture, "--change-id a --expect 0"),
+			first);
+	expect_(&fixture, "contract put FILE --change-id c --expect 0",
+		CB_EXIT_CONFLICT, "the present revision is");
+	fixture_clear_(&fixture);
+}
+
+/* Without a majority nothing is accepted, and status says so. */
+static void no_majority_accepts_nothing(void)
+{
+	fixture_t fixture;
+	int leader;
+	int i;
+
+	fixture_init_(&fixture);
+	leader = support_leader(fixture.group);
+	CU_ASSERT_TRUE_FATAL(leader >= 0);
+	for (i = 0; i < 2; i++)
+		support_daemon_kill(fixture.group->control[(leader + i) % 3]);
+	expect_(&fixture, "--timeout-ms 4000 contract put FILE --change-id a",
+		CB_EXIT_UNAVAILABLE, "currantbridge:");
+	expect_(&fixture, "--timeout-ms 1000 contract list",
+		CB_EXIT_UNAVAILABLE, "no control instance answered");
+	expect_(&fixture, "status", CB_EXIT_OK, "NOT CONFIRMED");
+	support_daemon_start(fixture.group->control[leader]);
+	expect_(&fixture, "--timeout-ms 20000 contract put FILE --change-id a",
+		CB_EXIT_OK, "accepted at revision");
+	expect_(&fixture, "--timeout-ms 20000 status", CB_EXIT_OK,
+		"1 contracts");
+	fixture_clear_(&fixture);
+}
+
+/* While the entry instances do not run, --wait names them as missing. */
+static void wait_names_who_is_missing(void)
+{
+	fixture_t fixture;
+	run_t run;
+
+	fixture_init_(&fixture);
+	run = run_line_(&fixture, "--timeout-ms 800 contract put FILE --wait",
+			FALSE);
+	CU_ASSERT_EQUAL(run.code, CB_EXIT_UNAVAILABLE);
+	CU_ASSERT_PTR_NOT_NULL(strstr(run.out, "accepted at revision"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(run.out, "in force on 0 of 3"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(run.out, "  missing: "));
+	run_clear_(&run);
+	expect_(&fixture, "--timeout-ms 15000 contract put FILE --wait",
+		CB_EXIT_OK, "in force on 3 of 3");
+	fixture_clear_(&fixture);
+}
+
+static CU_TestInfo operator_tests[] = {
+	{ "commands_tell_their_end", commands_tell_their_end },
+	{ "refusals_are_json_and_counted", refusals_are_json_and_counted },
+	{ "a_lost_leader_is_retried_under_one_id",
+	  a_lost_leader_is_retried_under_one_id },
+	{ "no_majority_accepts_nothing", no_majority_accepts_nothing },
+	{ "wait_names_who_is_missing", wait_names_who_is_missing },
+	CU_TEST_INFO_NULL
+};
+
+int main(void)
+{
+	CU_SuiteInfo suites[] = { { .pName = "operator",
+				    .pTests = operator_tests },
+				  CU_SUITE_INFO_NULL };
+
+	cb_program_init();
+	return support_run(suites);
+}
