Parse a contract's JSON once

A contract was written out and parsed again to read it by the settings table, and its canonical text made anew from a text that was canonical. cb_settings_read() takes the parsed object, and the view keeps the text.

--- a/include/currantbridge/contract.h
+++ b/include/currantbridge/contract.h
@@ -50,6 +50,7 @@
 
 /* The error's message is `contract: FIELD: REASON`. */
 cb_contract_t *cb_contract_parse(const char *text, GError **error);
+cb_contract_t *cb_contract_parse_canonical(const char *text);
 void cb_contract_delete(cb_contract_t *contract);
 gboolean cb_contract_has_model(const cb_contract_t *contract,
 			       const char *model);
--- a/include/currantbridge/settings.h
+++ b/include/currantbridge/settings.h
@@ -2,6 +2,7 @@
 #define CURRANTBRIDGE_SETTINGS_H
 
 #include <glib.h>
+#include <json-glib/json-glib.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -45,6 +46,8 @@
 			  size_t table_count, void *settings, GError **error);
 gboolean cb_settings_parse(const char *text, const cb_setting_t *table,
 			   size_t table_count, void *settings, GError **error);
+gboolean cb_settings_read(JsonObject *object, const cb_setting_t *table,
+			  size_t table_count, void *settings, GError **error);
 void cb_settings_clear(const cb_setting_t *table, size_t table_count,
 		       void *settings);
 
--- a/src/libcurrantbridge/contract/contract.c
+++ b/src/libcurrantbridge/contract/contract.c
@@ -187,28 +187,19 @@
 static gboolean fields_read_(JsonObject *object, cb_contract_t *contract,
 			     GError **error)
 {
-	JsonNode *node = json_node_new(JSON_NODE_OBJECT);
 	GError *reason = NULL;
 	const char *message;
-	gboolean is_read;
-	char *text;
 
-	json_node_set_object(node, object);
-	text = json_to_string(node, FALSE);
-	is_read = cb_settings_parse(text, contract_table,
-				    G_N_ELEMENTS(contract_table), contract,
-				    &reason);
-	if (!is_read) {
-		message = reason->message;
-		if (g_str_has_prefix(message, SETTINGS_PREFIX))
-			message += strlen(SETTINGS_PREFIX);
-		g_set_error(error, CB_CONTRACT_ERROR, CB_CONTRACT_ERROR_FIELD,
-			    "contract: %s", message);
-		g_error_free(reason);
-	}
-	g_free(text);
-	json_node_unref(node);
-	return is_read;
+	if (cb_settings_read(object, contract_table,
+			     G_N_ELEMENTS(contract_table), contract, &reason))
+		return TRUE;
+	message = reason->message;
+	if (g_str_has_prefix(message, SETTINGS_PREFIX))
+		message += strlen(SETTINGS_PREFIX);
+	g_set_error(error, CB_CONTRACT_ERROR, CB_CONTRACT_ERROR_FIELD,
+		    "contract: %s", message);
+	g_error_free(reason);
+	return FALSE;
 }
 
 /*
@@ -351,12 +342,8 @@
 	return root;
 }
 
-/*
- * Reads and checks a contract.  Absent fields get their defaults; `text` of
- * the result has them all.  Returns NULL and sets the error
- * `contract: FIELD: REASON` when it is not valid.
- */
-cb_contract_t *cb_contract_parse(const char *text, GError **error)
+/* Reads and checks a contract, all but its canonical text. */
+static cb_contract_t *contract_read_(const char *text, GError **error)
 {
 	cb_contract_t *contract = NULL;
 	JsonNode *services = NULL;
@@ -370,24 +357,42 @@
 	object = json_node_get_object(root);
 	services = json_object_dup_member(object, SERVICES_FIELD);
 	json_object_remove_member(object, SERVICES_FIELD);
-	if (!fields_read_(object, contract, error))
-		goto fail;
-	if (services && !services_read_(services, contract, error))
-		goto fail;
-	if (!contract_check_(contract, error))
-		goto fail;
-	contract->text = contract_text_(contract);
-	goto out;
-
-fail:
-	cb_contract_delete(contract);
-	contract = NULL;
-out:
+	if (!fields_read_(object, contract, error) ||
+	    (services && !services_read_(services, contract, error)) ||
+	    !contract_check_(contract, error))
+		g_clear_pointer(&contract, cb_contract_delete);
 	g_clear_pointer(&services, json_node_unref);
 	json_node_unref(root);
 	return contract;
 }
 
+/*
+ * Reads and checks a contract.  Absent fields get their defaults; `text` of
+ * the result has them all.  Returns NULL and sets the error
+ * `contract: FIELD: REASON` when it is not valid.
+ */
+cb_contract_t *cb_contract_parse(const char *text, GError **error)
+{
+	cb_contract_t *contract = contract_read_(text, error);
+
+	if (contract)
+		contract->text = contract_text_(contract);
+	return contract;
+}
+
+/*
+ * Like cb_contract_parse(), for a text that is canonical already.  The whole
+ * configuration holds thousands of them.
+ */
+cb_contract_t *cb_contract_parse_canonical(const char *text)
+{
+	cb_contract_t *contract = contract_read_(text, NULL);
+
+	if (contract)
+		contract->text = g_strdup(text);
+	return contract;
+}
+
 /* Frees a contract; NULL is allowed. */
 void cb_contract_delete(cb_contract_t *contract)
 {
--- a/src/libcurrantbridge/control/item.c
+++ b/src/libcurrantbridge/control/item.c
@@ -121,7 +121,7 @@
 	char *text = cb_fields_text(fields);
 
 	if (text)
-		contract = cb_contract_parse(text, NULL);
+		contract = cb_contract_parse_canonical(text);
 	g_free(text);
 	if (contract && !strcmp(contract->workspace, name))
 		return contract;
--- a/src/libcurrantbridge/kernel/settings.c
+++ b/src/libcurrantbridge/kernel/settings.c
@@ -233,6 +233,16 @@
 	return TRUE;
 }
 
+/* Like cb_settings_parse(), from an object that is parsed already. */
+gboolean cb_settings_read(JsonObject *object, const cb_setting_t *table,
+			  size_t table_count, void *settings, GError **error)
+{
+	if (object_read_(object, table, table_count, settings, error))
+		return TRUE;
+	cb_settings_clear(table, table_count, settings);
+	return FALSE;
+}
+
 /*
  * Reads settings from JSON text into `settings`, which must be zeroed.  On
  * failure the error names the field and the reason, and `settings` is
@@ -258,10 +268,8 @@
 			    "settings: must be one JSON object");
 		goto out;
 	}
-	is_read = object_read_(json_node_get_object(root), table, table_count,
-			       settings, error);
-	if (!is_read)
-		cb_settings_clear(table, table_count, settings);
+	is_read = cb_settings_read(json_node_get_object(root), table,
+				   table_count, settings, error);
 out:
 	g_object_unref(parser);
 	return is_read;
