--- /dev/null
+++ b/test/bench_state.c
@@ -0,0 +1,179 @@
+#include <malloc.h>
+#include <stdio.h>
+
+#include "support_main.h"
+#include "support_state.h"
+
+/*
+ * Measures the state machine in this process, without log or network: time
+ * and memory against the number of contracts and of claims.  It prints
+ * figures and fails only when an answer is wrong, never by a time.
+ */
+#define CHANGES 1000
+
+static int64_t heap_bytes_(void)
+{
+	return (int64_t)mallinfo2().uordblks;
+}
+
+static double us_since_(int64_t start_us)
+{
+	return (double)(g_get_monotonic_time() - start_us);
+}
+
+/* Puts `count` contracts; returns microseconds for each. */
+static double contracts_put_(support_state_t *self, int count, int rate)
+{
+	int64_t start_us = g_get_monotonic_time();
+	int i;
+
+	for (i = 0; i < count; i++) {
+		char *name = g_strdup_printf("workspace-%d", i);
+		char *id = g_strdup_printf("change-%d-%d", i, rate);
+
+		CU_ASSERT_EQUAL(
+			support_apply_kind(self,
+					   support_named(support_put(name, name,
+								     rate),
+							 id)),
+			CB_ANSWER_OK);
+		g_free(id);
+		g_free(name);
+	}
+	return us_since_(start_us) / count;
+}
+
+/* Encodes and applies the update of each single change. */
+static void changes_measure_(support_state_t *self, cb_view_t *view)
+{
+	double encode_us = 0;
+	double apply_us = 0;
+	size_t bytes = 0;
+	int i;
+
+	for (i = 0; i < CHANGES; i++) {
+		GBytes *update;
+		int64_t start_us;
+
+		support_apply_kind(self, support_put("workspace-0",
+						     "workspace-0", i + 1));
+		start_us = g_get_monotonic_time();
+		update = cb_state_encode_update(self->state,
+						cb_view_revision(view));
+		encode_us += us_since_(start_us);
+		start_us = g_get_monotonic_time();
+		CU_ASSERT_EQUAL(cb_view_apply(view, update), CB_VIEW_APPLIED);
+		apply_us += us_since_(start_us);
+		bytes += g_bytes_get_size(update);
+		g_bytes_unref(update);
+	}
+	printf("      one change: encoded in %.1f us, applied in %.1f us, "
+	       "%zu bytes\n",
+	       encode_us / CHANGES, apply_us / CHANGES, bytes / CHANGES);
+}
+
+static void contracts_measure_(int count)
+{
+	int64_t heap = heap_bytes_();
+	support_state_t *self = support_state_new();
+	cb_view_t *view = cb_view_new();
+	double put_us = contracts_put_(self, count, 1);
+	int64_t state_bytes = (heap_bytes_() - heap) / count;
+	GBytes *snapshot;
+	GBytes *update;
+	int64_t start_us;
+	double encode_us;
+	double apply_us;
+
+	start_us = g_get_monotonic_time();
+	update = cb_state_encode_update(self->state, 0);
+	encode_us = us_since_(start_us);
+	heap = heap_bytes_();
+	start_us = g_get_monotonic_time();
+	CU_ASSERT_EQUAL(cb_view_apply(view, update), CB_VIEW_APPLIED);
+	apply_us = us_since_(start_us);
+	printf("    %d contracts: put in %.1f us, %" G_GINT64_FORMAT
+	       " bytes each with its change ID; view %" G_GINT64_FORMAT
+	       " bytes each\n",
+	       count, put_us, state_bytes, (heap_bytes_() - heap) / count);
+	printf("      whole update: %zu bytes, encoded in %.1f ms, applied in "
+	       "%.1f ms\n",
+	       g_bytes_get_size(update), encode_us / 1000, apply_us / 1000);
+	g_bytes_unref(update);
+	changes_measure_(self, view);
+	start_us = g_get_monotonic_time();
+	snapshot = support_snapshot(self);
+	encode_us = us_since_(start_us);
+	start_us = g_get_monotonic_time();
+	CU_ASSERT_TRUE(support_restore(self, snapshot));
+	printf("      snapshot: %zu bytes, taken in %.1f ms, restored in "
+	       "%.1f ms\n",
+	       g_bytes_get_size(snapshot), encode_us / 1000,
+	       us_since_(start_us) / 1000);
+	g_bytes_unref(snapshot);
+	cb_view_delete(view);
+	support_state_delete(self);
+}
+
+static void contracts(void)
+{
+	contracts_measure_(10);
+	contracts_measure_(480);
+	contracts_measure_(4800);
+}
+
+static void claims_measure_(int count)
+{
+	support_state_t *self = support_state_new();
+	int64_t heap = heap_bytes_();
+	int64_t start_us = g_get_monotonic_time();
+	GBytes *snapshot;
+	double pair_us;
+	int i;
+
+	support_apply_kind(self, support_up("entry-1", 1));
+	for (i = 0; i < count; i++) {
+		char *key = g_strdup_printf("2f1d8a9c-0000-4000-8000-%012d", i);
+
+		support_apply_kind(self, support_claim(key, "entry-1/1", key));
+		CU_ASSERT_EQUAL(
+			support_apply_kind(
+				self,
+				support_finish(key, self->index,
+					       CB_CLAIM_RESULT_EXECUTED,
+					       "{\"booking\":\"accepted\"}")),
+			CB_ANSWER_OK);
+		g_free(key);
+	}
+	pair_us = us_since_(start_us) / count;
+	heap = heap_bytes_() - heap;
+	start_us = g_get_monotonic_time();
+	snapshot = support_snapshot(self);
+	printf("    %d claims: claimed and finished in %.1f us, "
+	       "%" G_GINT64_FORMAT " bytes each; snapshot %zu bytes in "
+	       "%.1f ms\n",
+	       count, pair_us, heap / count, g_bytes_get_size(snapshot),
+	       us_since_(start_us) / 1000);
+	g_bytes_unref(snapshot);
+	support_state_delete(self);
+}
+
+static void claims(void)
+{
+	claims_measure_(500);
+	claims_measure_(5000);
+	claims_measure_(CB_STATE_CLAIM_KEEP_COUNT);
+}
+
+static CU_TestInfo bench_tests[] = { { "contracts", contracts },
+				     { "claims", claims },
+				     CU_TEST_INFO_NULL };
+
+int main(void)
+{
+	CU_SuiteInfo suites[] = { { .pName = "bench_state",
+				    .pTests = bench_tests },
+				  CU_SUITE_INFO_NULL };
+
+	return support_run(suites);
+}
