--- a/src/currantbridge/main.c
+++ b/src/currantbridge/main.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 #include "commands.h"
-#include "currantbridge/contract.h"
 #include "currantbridge/program.h"
 #include "currantbridge/settings.h"
 
@@ -36,27 +35,6 @@
 	{ "config", "check", 1, " FILE", TRUE, config_check_command },
 };
 
-/* config check FILE: a contract, or the settings of a daemon. */
-int config_check_command(client_t *client, const arguments_t *arguments)
-{
-	cb_contract_t *contract = NULL;
-	GError *error = NULL;
-	char *text = NULL;
-
-	(void)client;
-	if (g_file_get_contents(arguments->words[0], &text, NULL, &error))
-		contract = cb_contract_parse(text, &error);
-	g_free(text);
-	if (!contract) {
-		fprintf(stderr, "currantbridge: %s\n", error->message);
-		g_error_free(error);
-		return CB_EXIT_USAGE;
-	}
-	printf("%s\n", contract->text);
-	cb_contract_delete(contract);
-	return CB_EXIT_OK;
-}
-
 static int usage_(void)
 {
 	size_t i;
