--- a/test/bench_control.c
+++ b/test/bench_control.c
@@ -301,6 +301,8 @@
 			counter_sum_(metrics, "cb_link_bytes_total{");
 	spent.processor_ms =
 		process_ms_(g_subprocess_get_identifier(daemon->process));
+	spent.resident_kb =
+		resident_kb_(g_subprocess_get_identifier(daemon->process));
 	g_free(metrics);
 	return spent;
 }
