--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -33,6 +33,7 @@
 				      .heartbeat_ms = node->heartbeat_ms,
 				      .silence_ms = node->silence_ms };
 
+	cb_link_options_count(&options, cb_kernel_counters(node->kernel));
 	return options;
 }
 
@@ -282,6 +283,7 @@
 	g_clear_pointer(&node->confirm_running, g_array_unref);
 	if (node->owns_network)
 		node->network->vtable->destroy(node->network);
+	cb_lease_book_delete(node->lease_book);
 	g_rand_free(node->random);
 	g_free(node->name);
 	g_free(node->listen);
@@ -299,7 +301,10 @@
 			   const cb_link_message_t *message)
 {
 	(void)peer;
-	cb_node_request_receive(user_data, message);
+	if (message->kind == CB_LINK_MESSAGE_GRANT)
+		cb_node_grant_receive(user_data, message);
+	else
+		cb_node_request_receive(user_data, message);
 }
 
 static void peer_closed_(void *user_data, const char *peer)
@@ -349,6 +354,8 @@
 		.election_timeout_ms = options->election_timeout_ms,
 		.snapshot_every_bytes = options->snapshot_every_bytes,
 		.max_waiting_proposals = MAX_WAITING_PROPOSALS,
+		.log = node->log,
+		.counters = cb_kernel_counters(node->kernel),
 	};
 	cb_replica_listener_t listener = {
 		.role_changed = role_changed_,
