--- a/src/libcurrantbridge/http/completions.c
+++ b/src/libcurrantbridge/http/completions.c
@@ -3,6 +3,7 @@
 #include "private/caller.h"
 #include "private/completion_request.h"
 #include "private/completion_text.h"
+#include "private/event_stream.h"
 
 #define MS_PER_S 1000
 
@@ -13,25 +14,15 @@
 	cb_completion_request_t request;
 	cb_completion_text_t *text;
 	cb_generation_t *generation;
-	gboolean is_ended; /* the generation has */
-	gboolean is_begun; /* the stream's head is written */
-	gulong wrote_handler;
-	int64_t unread_bytes;
-	GSource *overflow;
-	GString *answer; /* of a request that is not streamed */
+	gboolean is_ended;	   /* the generation has */
+	cb_event_stream_t *stream; /* NULL before the first token */
+	GString *answer;	   /* of a request that is not streamed */
 	uint64_t token_count;
 } completion_t;
 
 static void completion_delete_(completion_t *completion)
 {
-	if (completion->overflow) {
-		g_source_destroy(completion->overflow);
-		g_source_unref(completion->overflow);
-	}
-	if (completion->wrote_handler)
-		g_signal_handler_disconnect(cb_caller_message(
-						    completion->caller),
-					    completion->wrote_handler);
+	cb_event_stream_delete(completion->stream);
 	if (completion->generation)
 		cb_generation_delete(completion->generation);
 	cb_caller_delete(completion->caller);
@@ -55,90 +46,36 @@
 }
 
 /* The caller has not read what it was sent: gives the request up. */
-static gboolean overflowed_(void *user_data)
+static void full_(void *user_data)
 {
 	completion_t *completion = user_data;
-
-	if (!completion->is_ended)
-		cb_generation_cancel(completion->generation);
-	cb_caller_disconnect(completion->caller);
-	completion_delete_(completion);
-	return G_SOURCE_REMOVE;
-}
-
-static void overflow_begin_(completion_t *completion)
-{
 	cb_entry_t *entry = completion->entry;
 
-	if (completion->overflow)
-		return;
 	cb_counter_add(entry->refusals[CB_REFUSAL_CALLER_TOO_SLOW], 1);
 	cb_log_event(cb_kernel_log(entry->kernel), CB_EVENT_CALLER_TOO_SLOW,
 		     CB_STR("request", cb_caller_id(completion->caller)),
-		     CB_INT("unread_bytes", completion->unread_bytes));
-	completion->overflow = g_idle_source_new();
-	/* Below that it would wait for the very stream that it ends. */
-	g_source_set_priority(completion->overflow, G_PRIORITY_DEFAULT);
-	g_source_set_callback(completion->overflow, overflowed_, completion,
-			      NULL);
-	g_source_attach(completion->overflow, cb_kernel_context(entry->kernel));
-}
-
-static void wrote_(SoupServerMessage *message, unsigned int size_bytes,
-		   void *user_data)
-{
-	completion_t *completion = user_data;
-
-	(void)message;
-	completion->unread_bytes -= size_bytes;
+		     CB_INT("unread_bytes",
+			    cb_event_stream_unread_bytes(completion->stream)));
+	if (!completion->is_ended)
+		cb_generation_cancel(completion->generation);
+	cb_caller_disconnect(completion->caller);
+	completion_delete_(completion);
 }
 
-/* Writes the head of a stream's answer. */
 static void stream_begin_(completion_t *completion)
 {
-	SoupServerMessage *message = cb_caller_message(completion->caller);
-	SoupMessageHeaders *headers =
-		soup_server_message_get_response_headers(message);
-
-	completion->is_begun = TRUE;
-	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
-	soup_message_headers_replace(headers, "Content-Type",
-				     "text/event-stream");
-	soup_message_headers_replace(headers, "Cache-Control", "no-cache");
-	soup_message_headers_set_encoding(headers,
-					  soup_server_message_get_http_version(
-						  message) == SOUP_HTTP_1_0 ?
-						  SOUP_ENCODING_EOF :
-						  SOUP_ENCODING_CHUNKED);
-	soup_message_body_set_accumulate(soup_server_message_get_response_body(
-						 message),
-					 FALSE);
-	completion->wrote_handler =
-		g_signal_connect(message, "wrote-body-data", G_CALLBACK(wrote_),
-				 completion);
-}
-
-/* Hands bytes of the stream to libsoup; takes `chunk`. */
-static void stream_write_(completion_t *completion, GString *chunk)
-{
-	SoupMessageBody *body = soup_server_message_get_response_body(
-		cb_caller_message(completion->caller));
-	GBytes *bytes = g_string_free_to_bytes(chunk);
-
-	completion->unread_bytes += (int64_t)g_bytes_get_size(bytes);
-	soup_message_body_append_bytes(body, bytes);
-	g_bytes_unref(bytes);
-	if (completion->unread_bytes >
-	    completion->entry->options.max_unread_bytes)
-		overflow_begin_(completion);
-	else
-		cb_caller_resume(completion->caller);
+	if (completion->stream)
+		return;
+	completion->stream =
+		cb_event_stream_new(completion->caller,
+				    completion->entry->options.max_unread_bytes,
+				    full_, completion);
 }
 
 static void token_(void *user_data, uint64_t index, const char *token)
 {
 	completion_t *completion = user_data;
-	GString *chunk;
+	GString *event = completion->entry->scratch;
 
 	g_assert(index == completion->token_count);
 	completion->token_count++;
@@ -148,11 +85,10 @@
 		g_string_append(completion->answer, token);
 		return;
 	}
-	if (!completion->is_begun)
-		stream_begin_(completion);
-	chunk = g_string_new(NULL);
-	cb_completion_text_token(completion->text, chunk, token);
-	stream_write_(completion, chunk);
+	stream_begin_(completion);
+	g_string_truncate(event, 0);
+	cb_completion_text_token(completion->text, event, token);
+	cb_event_stream_write(completion->stream, event);
 }
 
 static const char *finish_reason_(const completion_t *completion)
@@ -163,24 +99,18 @@
 		       "stop";
 }
 
-static void stream_end_(completion_t *completion, GString *chunk)
-{
-	stream_write_(completion, chunk);
-	soup_message_body_complete(soup_server_message_get_response_body(
-		cb_caller_message(completion->caller)));
-}
-
 /* Ends a stream that is under way with an error that its caller can read. */
 static void stream_fail_(completion_t *completion,
 			 const cb_caller_error_t *error)
 {
-	GString *chunk = g_string_new("event: error\ndata: ");
+	GString *event = completion->entry->scratch;
 	char *text = cb_error_text(error);
 
 	cb_counter_add(completion->entry->refusals[error->refusal], 1);
-	g_string_append_printf(chunk, "%s\n\n", text);
+	g_string_printf(event, "event: error\ndata: %s\n\n", text);
 	g_free(text);
-	stream_end_(completion, chunk);
+	cb_event_stream_write(completion->stream, event);
+	cb_event_stream_end(completion->stream);
 }
 
 /* Answers a request that is not streamed. */
@@ -205,13 +135,14 @@
 
 static void whole_stream_end_(completion_t *completion)
 {
-	GString *chunk = g_string_new(NULL);
+	GString *events = completion->entry->scratch;
 
-	if (!completion->is_begun)
-		stream_begin_(completion);
-	cb_completion_text_end(completion->text, chunk,
+	stream_begin_(completion);
+	g_string_truncate(events, 0);
+	cb_completion_text_end(completion->text, events,
 			       finish_reason_(completion));
-	stream_end_(completion, chunk);
+	cb_event_stream_write(completion->stream, events);
+	cb_event_stream_end(completion->stream);
 }
 
 static void ended_(void *user_data, const cb_generation_end_t *end)
@@ -231,7 +162,7 @@
 			whole_answer_(completion);
 		return;
 	}
-	if (completion->is_begun) {
+	if (completion->stream) {
 		stream_fail_(completion, &error);
 		return;
 	}
--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -208,6 +208,7 @@
 	cb_server_registry_delete(entry->registry);
 	cb_admission_delete(entry->admission);
 	g_rand_free(entry->random);
+	g_string_free(entry->scratch, TRUE);
 	g_free(entry->name);
 	g_free(entry->address);
 	g_free(entry->data_centre);
@@ -308,6 +309,7 @@
 	entry->owner = g_strdup_printf("%s/%" G_GUINT64_FORMAT, options->name,
 				       options->incarnation);
 	entry->random = g_rand_new();
+	entry->scratch = g_string_new(NULL);
 	entry->ttl_timer =
 		cb_timer_new(cb_kernel_clock(kernel), ttl_over_, entry);
 	counters_add_(entry);
--- /dev/null
+++ b/src/libcurrantbridge/http/event_stream.c
@@ -0,0 +1,160 @@
+#include "private/event_stream.h"
+
+#include "private/http_message.h"
+
+/*
+ * libsoup writes the head and the end of the answer.  The events between go
+ * to the connection right away: through libsoup each would cost a turn of
+ * the loop and three writes.
+ */
+struct cb_event_stream {
+	cb_caller_t *caller;
+	SoupServerMessage *message;
+	cb_connection_t *connection;
+	gboolean is_chunked;
+	gboolean is_head_written;
+	gboolean is_ended;
+	GString *waiting; /* for the head to be written */
+	gulong head_handler;
+	int64_t max_unread_bytes;
+	cb_event_stream_full_fn_t full;
+	void *user_data;
+	GSource *overflow;
+};
+
+static void events_send_(cb_event_stream_t *stream, const GString *events)
+{
+	if (events->len == 0)
+		return;
+	if (stream->is_chunked)
+		cb_connection_send_chunk(stream->connection, events->str,
+					 events->len);
+	else
+		cb_connection_send(stream->connection, events->str,
+				   events->len);
+}
+
+static void body_complete_(cb_event_stream_t *stream)
+{
+	soup_message_body_complete(
+		soup_server_message_get_response_body(stream->message));
+	cb_caller_resume(stream->caller);
+}
+
+static void head_written_(SoupServerMessage *message, void *user_data)
+{
+	cb_event_stream_t *stream = user_data;
+
+	(void)message;
+	stream->is_head_written = TRUE;
+	events_send_(stream, stream->waiting);
+	g_string_free(stream->waiting, TRUE);
+	stream->waiting = NULL;
+	if (stream->is_ended)
+		body_complete_(stream);
+}
+
+/*
+ * Begins the streamed answer of a suspended caller.  `full` is called when
+ * more than `max_unread_bytes` wait for the caller.
+ */
+cb_event_stream_t *cb_event_stream_new(cb_caller_t *caller,
+				       int64_t max_unread_bytes,
+				       cb_event_stream_full_fn_t full,
+				       void *user_data)
+{
+	cb_event_stream_t *stream = g_new0(cb_event_stream_t, 1);
+	SoupServerMessage *message = cb_caller_message(caller);
+	SoupMessageHeaders *headers =
+		soup_server_message_get_response_headers(message);
+
+	stream->caller = caller;
+	stream->message = message;
+	stream->connection = cb_message_connection(message);
+	stream->is_chunked =
+		soup_server_message_get_http_version(message) != SOUP_HTTP_1_0;
+	stream->waiting = g_string_new(NULL);
+	stream->max_unread_bytes = max_unread_bytes;
+	stream->full = full;
+	stream->user_data = user_data;
+	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
+	soup_message_headers_replace(headers, "Content-Type",
+				     "text/event-stream");
+	soup_message_headers_replace(headers, "Cache-Control", "no-cache");
+	soup_message_headers_set_encoding(headers,
+					  stream->is_chunked ?
+						  SOUP_ENCODING_CHUNKED :
+						  SOUP_ENCODING_EOF);
+	stream->head_handler =
+		g_signal_connect(message, "wrote-headers",
+				 G_CALLBACK(head_written_), stream);
+	cb_caller_resume(caller);
+	return stream;
+}
+
+/* Deletes the stream's record; NULL is allowed. */
+void cb_event_stream_delete(cb_event_stream_t *stream)
+{
+	if (!stream)
+		return;
+	if (stream->overflow) {
+		g_source_destroy(stream->overflow);
+		g_source_unref(stream->overflow);
+	}
+	g_signal_handler_disconnect(stream->message, stream->head_handler);
+	if (stream->waiting)
+		g_string_free(stream->waiting, TRUE);
+	g_free(stream);
+}
+
+/* Returns how many bytes wait for the caller to read. */
+int64_t cb_event_stream_unread_bytes(const cb_event_stream_t *stream)
+{
+	if (stream->waiting)
+		return (int64_t)stream->waiting->len;
+	return (int64_t)cb_connection_unsent_bytes(stream->connection);
+}
+
+static gboolean overflowed_(void *user_data)
+{
+	cb_event_stream_t *stream = user_data;
+
+	stream->full(stream->user_data);
+	return G_SOURCE_REMOVE;
+}
+
+/* Tells of the overflow from the loop, so that the owner may delete all. */
+static void overflow_begin_(cb_event_stream_t *stream)
+{
+	if (stream->overflow)
+		return;
+	stream->overflow = g_idle_source_new();
+	/* Below that it would wait for the very stream that it ends. */
+	g_source_set_priority(stream->overflow, G_PRIORITY_DEFAULT);
+	g_source_set_callback(stream->overflow, overflowed_, stream, NULL);
+	g_source_attach(stream->overflow,
+			cb_kernel_context(
+				cb_caller_entry(stream->caller)->kernel));
+}
+
+/* Sends whole events to the caller. */
+void cb_event_stream_write(cb_event_stream_t *stream, const GString *events)
+{
+	if (stream->overflow)
+		return;
+	if (stream->is_head_written)
+		events_send_(stream, events);
+	else
+		g_string_append_len(stream->waiting, events->str,
+				    (gssize)events->len);
+	if (cb_event_stream_unread_bytes(stream) > stream->max_unread_bytes)
+		overflow_begin_(stream);
+}
+
+/* Ends the answer. */
+void cb_event_stream_end(cb_event_stream_t *stream)
+{
+	stream->is_ended = TRUE;
+	if (stream->is_head_written)
+		body_complete_(stream);
+}
--- a/src/libcurrantbridge/http/http_connection.c
+++ b/src/libcurrantbridge/http/http_connection.c
@@ -11,6 +11,7 @@
 /* How long a closed connection may take to read the last answer. */
 #define LINGER_MS 2000
 #define LINGER_READ_BYTES 16384
+#define CHUNK_HEAD_BYTES 24
 
 struct cb_connection_pool {
 	GMainContext *context;
@@ -697,8 +698,8 @@
 }
 
 /*
- * Sends bytes past libsoup, which must have given the connection up.  On a
- * connection that is closed already they are dropped.
+ * Sends bytes past libsoup, which must have paused or given the connection
+ * up.  On a connection that is closed already they are dropped.
  */
 void cb_connection_send(cb_connection_t *connection, const char *data,
 			size_t size_bytes)
@@ -710,6 +711,18 @@
 	mark_dirty_(connection);
 }
 
+/* Sends bytes as one chunk of a chunked body. */
+void cb_connection_send_chunk(cb_connection_t *connection, const char *data,
+			      size_t size_bytes)
+{
+	char head[CHUNK_HEAD_BYTES];
+	int head_bytes = g_snprintf(head, sizeof(head), "%zx\r\n", size_bytes);
+
+	cb_connection_send(connection, head, (size_t)head_bytes);
+	cb_connection_send(connection, data, size_bytes);
+	cb_connection_send(connection, "\r\n", 2);
+}
+
 /* Closes the connection at once, whatever waits. */
 void cb_connection_abort(cb_connection_t *connection)
 {
--- a/src/libcurrantbridge/include/private/entry.h
+++ b/src/libcurrantbridge/include/private/entry.h
@@ -35,6 +35,7 @@
 	gboolean is_draining;
 	gboolean is_refusing; /* draining, and the addresses' TTL is over */
 	cb_timer_t *ttl_timer;
+	GString *scratch; /* for the text of one event */
 };
 
 /* A call's handler; `path` is what follows the path that it was added for. */
