--- a/bench/relay_client.c
+++ b/bench/relay_client.c
@@ -15,7 +15,7 @@
 	relay_process_t process;
 	cb_http_client_t *http;
 	cb_timer_t *timer;
-	char *address;
+	char **addresses;
 	char *path;
 	int streams;
 	int seconds;
@@ -102,14 +102,15 @@
 	cb_kernel_drain(client->process.kernel);
 }
 
-static void stream_open_(client_t *client)
+static void stream_open_(client_t *client, unsigned int number)
 {
 	static const char text[] =
 		"{\"model\":\"ruling\",\"prompt\":\"p\",\"request\":\"r\","
 		"\"epoch\":1,\"max_tokens\":1000000,\"stream\":true}";
 	cb_http_order_t order = {
 		.method = "POST",
-		.address = client->address,
+		.address = client->addresses[number %
+					     g_strv_length(client->addresses)],
 		.path = client->path,
 		.content_type = "application/json",
 		.connection = CB_HTTP_CONNECTION_FRESH,
@@ -134,8 +135,8 @@
 {
 	client_t client = { .streams = 100, .seconds = 10 };
 	const GOptionEntry entries[] = {
-		{ "address", 0, 0, G_OPTION_ARG_STRING, &client.address,
-		  "Relay", "" },
+		{ "address", 0, 0, G_OPTION_ARG_STRING_ARRAY, &client.addresses,
+		  "Relay; several share the streams", "" },
 		{ "path", 0, 0, G_OPTION_ARG_STRING, &client.path, "Path", "" },
 		{ "streams", 0, 0, G_OPTION_ARG_INT, &client.streams, "Streams",
 		  "" },
@@ -154,7 +155,7 @@
 	client.http = cb_http_client_new(NULL);
 	client.timer = cb_timer_new(client.process.clock, phase_over_, &client);
 	for (i = 0; i < client.streams; i++)
-		stream_open_(&client);
+		stream_open_(&client, (unsigned int)i);
 	cb_timer_start(client.timer, WARM_UP_MS);
 	exit_code = cb_kernel_run(client.process.kernel);
 	return exit_code;
--- a/bench/relay_source.c
+++ b/bench/relay_source.c
@@ -29,6 +29,7 @@
 	int64_t epoch;
 	int64_t max_tokens;
 	int64_t token;
+	int64_t due_ms;
 } stream_t;
 
 static void stream_over_(SoupServerMessage *message, void *user_data)
@@ -42,6 +43,15 @@
 	g_free(stream);
 }
 
+/* Keeps the rate though a timer may fire late. */
+static void next_token_(stream_t *stream)
+{
+	stream->due_ms += stream->source->token_ms;
+	cb_timer_start(stream->timer,
+		       stream->due_ms -
+			       cb_clock_now_ms(stream->source->process.clock));
+}
+
 static void token_send_(void *user_data)
 {
 	stream_t *stream = user_data;
@@ -60,7 +70,7 @@
 	if (is_last)
 		soup_message_body_complete(body);
 	else
-		cb_timer_start(stream->timer, stream->source->token_ms);
+		next_token_(stream);
 	soup_server_message_unpause(stream->message);
 }
 
@@ -98,8 +108,9 @@
 					 FALSE);
 	g_signal_connect(message, "finished", G_CALLBACK(stream_over_), stream);
 	soup_server_message_pause(message);
-	cb_timer_start(stream->timer,
-		       g_random_int_range(0, stream->source->token_ms + 1));
+	stream->due_ms = cb_clock_now_ms(stream->source->process.clock) -
+			 g_random_int_range(0, stream->source->token_ms);
+	next_token_(stream);
 }
 
 static void other_handle_(SoupServer *soup, SoupServerMessage *message,
--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -5,6 +5,7 @@
 #include "private/caller.h"
 #include "private/free_slots.h"
 #include "private/http_clients.h"
+#include "private/http_message.h"
 
 #define QUARANTINE_TIMEOUT_MS 10000
 
@@ -265,13 +266,28 @@
 	cb_share_keeper_report_soon(entry->shares);
 }
 
+static void turn_begin_(void *user_data)
+{
+	cb_connection_pool_turn_begin(user_data);
+}
+
+/* What engines sent in one read goes to the callers at once. */
+static void turn_end_(void *user_data)
+{
+	cb_connection_pool_turn_end(user_data);
+}
+
 /* Makes the modules that decide about requests, bound to HTTP and control. */
 static void modules_add_(cb_entry_t *entry)
 {
 	cb_clock_t *clock = cb_kernel_clock(entry->kernel);
 	cb_log_t *log = cb_kernel_log(entry->kernel);
 	cb_counters_t *counters = cb_kernel_counters(entry->kernel);
-	GMainContext *context = cb_kernel_context(entry->kernel);
+	cb_http_turn_t turn = {
+		.begin = turn_begin_,
+		.end = turn_end_,
+		.user_data = cb_http_server_pool(entry->http),
+	};
 	cb_generation_parts_t generation_parts = {
 		.clock = clock,
 		.random = entry->random,
@@ -310,8 +326,8 @@
 	admission_parts.shares = cb_share_keeper_table(entry->shares);
 	entry->admission = cb_admission_new(&admission_parts);
 	cb_share_keeper_set_admission(entry->shares, entry->admission);
-	entry->engines = cb_http_engine_client_new(context);
-	entry->services = cb_http_service_client_new(context);
+	entry->engines = cb_http_engine_client_new(&turn);
+	entry->services = cb_http_service_client_new();
 	entry->ledger = cb_control_ledger_new(entry->control);
 	generation_parts.registry = entry->registry;
 	generation_parts.engines = entry->engines;
--- a/src/libcurrantbridge/http/http_connection.c
+++ b/src/libcurrantbridge/http/http_connection.c
@@ -19,6 +19,8 @@
 	cb_clock_t *clock;
 	GSource *flush; /* ready while a connection has bytes to send */
 	GPtrArray *dirty;
+	GPtrArray *spare; /* an empty array, for the next turn */
+	gboolean is_in_turn;
 	GPtrArray *lingering;
 	cb_connection_fn_t idle;
 	void *idle_data;
@@ -122,26 +124,38 @@
 		linger_begin_(connection);
 }
 
-static gboolean pool_flush_(GSource *source, GSourceFunc fn, void *user_data)
+static void pool_flush_(cb_connection_pool_t *pool)
 {
-	cb_connection_pool_t *pool = user_data;
 	GPtrArray *dirty = pool->dirty;
 	unsigned int i;
 
-	(void)fn;
-	g_source_set_ready_time(source, -1);
-	pool->dirty = g_ptr_array_new_with_free_func(g_object_unref);
+	pool->dirty = pool->spare;
+	pool->spare = NULL;
+	if (!pool->dirty)
+		pool->dirty = g_ptr_array_new_with_free_func(g_object_unref);
 	for (i = 0; i < dirty->len; i++) {
 		cb_connection_t *connection = g_ptr_array_index(dirty, i);
 
 		connection->is_dirty = FALSE;
 		flush_(connection);
 	}
-	g_ptr_array_unref(dirty);
+	g_ptr_array_set_size(dirty, 0);
+	if (pool->spare)
+		g_ptr_array_unref(dirty);
+	else
+		pool->spare = dirty;
+}
+
+static gboolean flush_dispatch_(GSource *source, GSourceFunc fn,
+				void *user_data)
+{
+	(void)fn;
+	g_source_set_ready_time(source, -1);
+	pool_flush_(user_data);
 	return G_SOURCE_CONTINUE;
 }
 
-static GSourceFuncs flush_funcs = { .dispatch = pool_flush_ };
+static GSourceFuncs flush_funcs = { .dispatch = flush_dispatch_ };
 
 /* Stands for the callback that the source's dispatch is given the pool by. */
 static gboolean flush_unused_(void *user_data)
@@ -177,10 +191,28 @@
 		cb_connection_abort(g_ptr_array_index(pool->lingering, 0));
 	g_ptr_array_unref(pool->lingering);
 	g_ptr_array_unref(pool->dirty);
+	g_clear_pointer(&pool->spare, g_ptr_array_unref);
 	source_clear_(&pool->flush);
 	g_free(pool);
 }
 
+/*
+ * Brackets work that writes to connections: their bytes are sent at its end
+ * rather than in the next turn of the loop.
+ */
+void cb_connection_pool_turn_begin(cb_connection_pool_t *pool)
+{
+	pool->is_in_turn = TRUE;
+}
+
+/* Ends cb_connection_pool_turn_begin(). */
+void cb_connection_pool_turn_end(cb_connection_pool_t *pool)
+{
+	pool->is_in_turn = FALSE;
+	if (pool->dirty->len > 0)
+		pool_flush_(pool);
+}
+
 /* Calls `idle` once no connection lingers that was closed before. */
 void cb_connection_pool_wait(cb_connection_pool_t *pool,
 			     cb_connection_fn_t idle, void *user_data)
@@ -198,7 +230,7 @@
 	if (connection->is_dirty || connection->writable)
 		return;
 	connection->is_dirty = TRUE;
-	if (pool->dirty->len == 0)
+	if (pool->dirty->len == 0 && !pool->is_in_turn)
 		g_source_set_ready_time(pool->flush, 0);
 	g_ptr_array_add(pool->dirty, g_object_ref(connection));
 }
--- a/src/libcurrantbridge/http/http_engine_client.c
+++ b/src/libcurrantbridge/http/http_engine_client.c
@@ -482,7 +482,7 @@
 }
 
 /* Makes the client that reaches engines over HTTP. */
-cb_engine_client_t *cb_http_engine_client_new(GMainContext *context)
+cb_engine_client_t *cb_http_engine_client_new(const cb_http_turn_t *turn)
 {
 	static const cb_engine_client_vtable_t vtable = {
 		.stream = engine_stream_,
@@ -496,7 +496,7 @@
 	engine_client_t *client = g_new0(engine_client_t, 1);
 
 	client->base.vtable = &vtable;
-	client->http = cb_http_client_new(context);
+	client->http = cb_http_client_new(turn);
 	client->parser = json_parser_new_immutable();
 	return &client->base;
 }
--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -15,6 +15,7 @@
 struct cb_http_client {
 	SoupSession *session;
 	GHashTable *open; /* set of cb_exchange_t */
+	cb_http_turn_t turn;
 	uint8_t scratch[READ_BYTES];
 };
 
@@ -37,13 +38,14 @@
 
 /*
  * Makes a client whose exchanges have no timeouts of their own: whoever
- * started one cancels it.  No proxy is asked for.
+ * started one cancels it.  No proxy is asked for.  `turn` may be NULL.
  */
-cb_http_client_t *cb_http_client_new(GMainContext *context)
+cb_http_client_t *cb_http_client_new(const cb_http_turn_t *turn)
 {
 	cb_http_client_t *client = g_new0(cb_http_client_t, 1);
 
-	(void)context;
+	if (turn)
+		client->turn = *turn;
 	client->session =
 		soup_session_new_with_options("max-conns", MAX_CONNECTIONS,
 					      "max-conns-per-host",
@@ -178,6 +180,21 @@
 						CB_FAILURE_NONE;
 }
 
+/* Hands out whole lines, with what brackets such a turn. */
+static cb_failure_t turn_(cb_exchange_t *exchange)
+{
+	cb_http_client_t *client = exchange->client;
+	cb_http_turn_t turn = client->turn;
+	cb_failure_t failure;
+
+	if (turn.begin)
+		turn.begin(turn.user_data);
+	failure = lines_deliver_(exchange);
+	if (turn.end)
+		turn.end(turn.user_data);
+	return failure;
+}
+
 typedef enum read_outcome {
 	READ_MORE,  /* there may be more */
 	READ_BLOCK, /* nothing is there now */
@@ -244,7 +261,7 @@
 	exchange->is_dispatching = TRUE;
 	outcome = answer_read_(exchange, &failure);
 	if (failure == CB_FAILURE_NONE && by_lines)
-		failure = lines_deliver_(exchange);
+		failure = turn_(exchange);
 	exchange->is_dispatching = FALSE;
 	if (exchange->is_ended) {
 		exchange_free_if_unused_(exchange);
--- a/src/libcurrantbridge/http/http_server.c
+++ b/src/libcurrantbridge/http/http_server.c
@@ -278,6 +278,12 @@
 	return server;
 }
 
+/* Returns the pool of the connections that callers made. */
+cb_connection_pool_t *cb_http_server_pool(cb_http_server_t *server)
+{
+	return server->pool;
+}
+
 /* Refuses bodies of more than `size_bytes` while they arrive; 0: none. */
 void cb_http_server_limit_body(cb_http_server_t *server, int64_t size_bytes)
 {
--- a/src/libcurrantbridge/http/http_service_client.c
+++ b/src/libcurrantbridge/http/http_service_client.c
@@ -199,7 +199,7 @@
 }
 
 /* Makes the client that reaches plain services over HTTP. */
-cb_service_client_t *cb_http_service_client_new(GMainContext *context)
+cb_service_client_t *cb_http_service_client_new(void)
 {
 	static const cb_service_client_vtable_t vtable = {
 		.send = service_send_,
@@ -209,7 +209,7 @@
 	service_client_t *client = g_new0(service_client_t, 1);
 
 	client->base.vtable = &vtable;
-	client->http = cb_http_client_new(context);
+	client->http = cb_http_client_new(NULL);
 	return &client->base;
 }
 
--- a/src/libcurrantbridge/include/private/http_clients.h
+++ b/src/libcurrantbridge/include/private/http_clients.h
@@ -3,11 +3,12 @@
 
 #include "currantbridge/engine_client.h"
 #include "currantbridge/service_client.h"
+#include "private/http_exchange.h"
 
 /* The clients of backend servers over HTTP; see docs/BACKEND.md. */
-cb_engine_client_t *cb_http_engine_client_new(GMainContext *context);
+cb_engine_client_t *cb_http_engine_client_new(const cb_http_turn_t *turn);
 void cb_http_engine_client_delete(cb_engine_client_t *client);
-cb_service_client_t *cb_http_service_client_new(GMainContext *context);
+cb_service_client_t *cb_http_service_client_new(void);
 void cb_http_service_client_delete(cb_service_client_t *client);
 
 #endif
--- a/src/libcurrantbridge/include/private/http_exchange.h
+++ b/src/libcurrantbridge/include/private/http_exchange.h
@@ -44,7 +44,14 @@
 	GDestroyNotify user_data_free;
 } cb_http_listener_t;
 
-cb_http_client_t *cb_http_client_new(GMainContext *context);
+/* Called before and after the lines of one read are handed out. */
+typedef struct cb_http_turn {
+	void (*begin)(void *user_data);
+	void (*end)(void *user_data);
+	void *user_data;
+} cb_http_turn_t;
+
+cb_http_client_t *cb_http_client_new(const cb_http_turn_t *turn);
 void cb_http_client_delete(cb_http_client_t *client);
 
 cb_exchange_t *cb_http_exchange_start(cb_http_client_t *client,
--- a/src/libcurrantbridge/include/private/http_message.h
+++ b/src/libcurrantbridge/include/private/http_message.h
@@ -1,10 +1,9 @@
 #ifndef PRIVATE_HTTP_MESSAGE_H
 #define PRIVATE_HTTP_MESSAGE_H
 
-#include <libsoup/soup.h>
-
 #include "currantbridge/clock.h"
 #include "currantbridge/counters.h"
+#include "currantbridge/http_server.h"
 #include "private/http_connection.h"
 
 /*
@@ -23,6 +22,7 @@
 
 void cb_http_guard_attach(cb_http_guard_t *guard, SoupServer *soup);
 void cb_connection_name(cb_connection_t *connection, GSocketAddress *remote);
+cb_connection_pool_t *cb_http_server_pool(cb_http_server_t *server);
 cb_connection_t *cb_message_connection(SoupServerMessage *message);
 
 #endif
--- a/src/libcurrantbridge/kernel/clock.c
+++ b/src/libcurrantbridge/kernel/clock.c
@@ -14,6 +14,7 @@
 	uint64_t next_sequence;
 	int64_t paused_now_us;
 	GSource *source;
+	int64_t wake_us; /* when the source is next dispatched; -1: never */
 };
 
 struct cb_timer {
@@ -80,11 +81,25 @@
 	return g_get_real_time() / US_PER_MS;
 }
 
+static void wake_at_(cb_clock_t *clock, int64_t wake_us)
+{
+	clock->wake_us = wake_us;
+	g_source_set_ready_time(clock->source, wake_us);
+}
+
+/*
+ * Moves the wake-up only to an earlier time: each move wakes the loop up by
+ * a write of its own, and deadlines that are put off all the time are the
+ * common case.  A wake-up too early fires nothing and is set anew.
+ */
 static void running_deadline_changed_(cb_clock_t *clock)
 {
 	cb_timer_t *timer = first_armed_(clock);
 
-	g_source_set_ready_time(clock->source, timer ? timer->deadline_us : -1);
+	if (!timer)
+		return;
+	if (clock->wake_us < 0 || timer->deadline_us < clock->wake_us)
+		wake_at_(clock, timer->deadline_us);
 }
 
 /* Fires what is due; timers armed meanwhile wait for the next dispatch. */
@@ -92,12 +107,14 @@
 {
 	cb_clock_t *clock = ((clock_source_t *)source)->clock;
 	int64_t now_us = g_get_monotonic_time();
+	cb_timer_t *timer;
 
 	(void)fn;
 	(void)data;
 	while (fire_next_(clock, now_us))
 		;
-	running_deadline_changed_(clock);
+	timer = first_armed_(clock);
+	wake_at_(clock, timer ? timer->deadline_us : -1);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -151,7 +168,7 @@
 		g_source_new(&clock_source_funcs, sizeof(clock_source_t));
 	((clock_source_t *)clock->source)->clock = clock;
 	g_source_set_name(clock->source, "cb-clock");
-	g_source_set_ready_time(clock->source, -1);
+	wake_at_(clock, -1);
 	g_source_attach(clock->source, context);
 	return clock;
 }
