--- a/src/libcurrantbridge/include/private/http_connection.h
+++ b/src/libcurrantbridge/include/private/http_connection.h
@@ -20,6 +20,8 @@
 cb_connection_pool_t *cb_connection_pool_new(GMainContext *context,
 					     cb_clock_t *clock);
 void cb_connection_pool_delete(cb_connection_pool_t *pool);
+void cb_connection_pool_turn_begin(cb_connection_pool_t *pool);
+void cb_connection_pool_turn_end(cb_connection_pool_t *pool);
 void cb_connection_pool_wait(cb_connection_pool_t *pool,
 			     cb_connection_fn_t idle, void *user_data);
 
@@ -35,6 +37,8 @@
 void cb_connection_unwatch(cb_connection_t *connection);
 void cb_connection_send(cb_connection_t *connection, const char *data,
 			size_t size_bytes);
+void cb_connection_send_chunk(cb_connection_t *connection, const char *data,
+			      size_t size_bytes);
 void cb_connection_abort(cb_connection_t *connection);
 
 #endif
