--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 #include "private/caller.h"
+#include "private/free_slots.h"
 #include "private/http_clients.h"
+#include "private/http_message.h"
 
 #define QUARANTINE_TIMEOUT_MS 10000
 
@@ -206,8 +208,10 @@
 	cb_http_service_client_delete(entry->services);
 	cb_control_ledger_delete(entry->ledger);
 	cb_server_registry_delete(entry->registry);
+	cb_share_keeper_delete(entry->shares);
 	cb_admission_delete(entry->admission);
 	g_rand_free(entry->random);
+	g_string_free(entry->scratch, TRUE);
 	g_free(entry->name);
 	g_free(entry->address);
 	g_free(entry->data_centre);
@@ -241,13 +245,49 @@
 		cb_counters_gauge(counters, "cb_requests_open", NULL, NULL);
 }
 
+/*
+ * Returns how many more requests a model or service can take.  Where no
+ * server is known the request begins, so that it is refused for that.
+ */
+static int64_t free_slots_(const char *target, void *user_data)
+{
+	cb_entry_t *entry = user_data;
+	int64_t slots = cb_free_slots_model(entry->registry, target);
+
+	if (slots < 0)
+		slots = cb_free_slots_service(entry->registry, target);
+	return slots < 0 ? G_MAXINT32 : slots;
+}
+
+static void wants_more_(void *user_data)
+{
+	cb_entry_t *entry = user_data;
+
+	cb_share_keeper_report_soon(entry->shares);
+}
+
+static void turn_begin_(void *user_data)
+{
+	cb_connection_pool_turn_begin(user_data);
+}
+
+/* What engines sent in one read goes to the callers at once. */
+static void turn_end_(void *user_data)
+{
+	cb_connection_pool_turn_end(user_data);
+}
+
 /* Makes the modules that decide about requests, bound to HTTP and control. */
 static void modules_add_(cb_entry_t *entry)
 {
 	cb_clock_t *clock = cb_kernel_clock(entry->kernel);
 	cb_log_t *log = cb_kernel_log(entry->kernel);
 	cb_counters_t *counters = cb_kernel_counters(entry->kernel);
-	GMainContext *context = cb_kernel_context(entry->kernel);
+	cb_http_turn_t turn = {
+		.begin = turn_begin_,
+		.end = turn_end_,
+		.user_data = cb_http_server_pool(entry->http),
+	};
 	cb_generation_parts_t generation_parts = {
 		.clock = clock,
 		.random = entry->random,
@@ -268,13 +308,26 @@
 		.data_centre = entry->data_centre,
 		.owner = entry->owner,
 	};
+	cb_admission_parts_t admission_parts = {
+		.clock = clock,
+		.counters = counters,
+		.free_slots = free_slots_,
+		.wants_more = wants_more_,
+		.user_data = entry,
+	};
 
 	entry->registry =
 		cb_server_registry_new(clock, log, counters, entry->view,
 				       entry->options.server_silence_ms);
-	entry->admission = cb_admission_new(clock);
-	entry->engines = cb_http_engine_client_new(context);
-	entry->services = cb_http_service_client_new(context);
+	entry->shares =
+		cb_share_keeper_new(entry->kernel, entry->control, entry->view,
+				    entry->name,
+				    (uint32_t)entry->options.address_count);
+	admission_parts.shares = cb_share_keeper_table(entry->shares);
+	entry->admission = cb_admission_new(&admission_parts);
+	cb_share_keeper_set_admission(entry->shares, entry->admission);
+	entry->engines = cb_http_engine_client_new(&turn);
+	entry->services = cb_http_service_client_new();
 	entry->ledger = cb_control_ledger_new(entry->control);
 	generation_parts.registry = entry->registry;
 	generation_parts.engines = entry->engines;
@@ -308,6 +361,7 @@
 	entry->owner = g_strdup_printf("%s/%" G_GUINT64_FORMAT, options->name,
 				       options->incarnation);
 	entry->random = g_rand_new();
+	entry->scratch = g_string_new(NULL);
 	entry->ttl_timer =
 		cb_timer_new(cb_kernel_clock(kernel), ttl_over_, entry);
 	counters_add_(entry);
