--- a/src/cb-control/control_settings.c
+++ b/src/cb-control/control_settings.c
@@ -29,7 +29,7 @@
 	{ "silence_ms", CB_SETTING_INTEGER, FIELD(silence_ms), FALSE, 200,
 	  60000, "3000", NULL },
 	{ "snapshot_every_bytes", CB_SETTING_INTEGER,
-	  FIELD(snapshot_every_bytes), FALSE, 4096, G_MAXINT32, "1048576",
+	  FIELD(snapshot_every_bytes), FALSE, 4096, G_MAXINT32, "65536",
 	  NULL },
 	{ "log_level", CB_SETTING_STRING, FIELD(log_level), FALSE, 0, 0, "info",
 	  level_words },
