Refuse a disk of another group, and bound what is kept in memory

A data folder of another group could be admitted under a new name, and its committed records would then have been taken for this group's. The list of members now carries an ID drawn when the group is formed, and a disk that tells another one is refused.

--- a/src/libcurrantbridge/control/members.c
+++ b/src/libcurrantbridge/control/members.c
@@ -112,14 +112,15 @@
 	return count;
 }
 
-/* Encodes a list as msgpack. */
-GBytes *cb_members_encode(const GPtrArray *members)
+/* Encodes a list and the ID of its group as msgpack. */
+GBytes *cb_members_encode(const GPtrArray *members, const char *group_id)
 {
 	cb_pack_t pack;
 	uint32_t i;
 
 	cb_pack_init(&pack);
-	cb_pack_array(&pack, members->len);
+	cb_pack_array(&pack, members->len + 1);
+	cb_pack_string(&pack, group_id);
 	for (i = 0; i < members->len; i++) {
 		const cb_replica_member_t *member = members->pdata[i];
 
@@ -153,15 +154,20 @@
 	return cb_fields_end(&fields);
 }
 
-/* Decodes what cb_members_encode() made; NULL when it is malformed. */
-GPtrArray *cb_members_decode(GBytes *bytes)
+/*
+ * Decodes what cb_members_encode() made; NULL when it is malformed.  The
+ * group's ID is for the caller to free; `group_id` may be NULL.
+ */
+GPtrArray *cb_members_decode(GBytes *bytes, char **group_id)
 {
 	GPtrArray *members = cb_members_new();
 	cb_fields_t fields = { .is_bad = TRUE };
 	cb_unpack_t unpack;
+	char *id = NULL;
 
 	if (cb_unpack_init(&unpack, bytes)) {
 		cb_fields_open(&fields, &unpack.unpacked.data);
+		id = cb_fields_text(&fields);
 		while (!fields.is_bad && fields.left)
 			fields.is_bad =
 				!member_read_(members,
@@ -170,13 +176,16 @@
 	}
 	if (fields.is_bad)
 		g_clear_pointer(&members, g_ptr_array_unref);
+	if (group_id && members)
+		*group_id = g_steal_pointer(&id);
+	g_free(id);
 	return members;
 }
 
 /* Returns a digest of the list, by which two settings are compared. */
 uint64_t cb_members_digest(const GPtrArray *members)
 {
-	GBytes *bytes = cb_members_encode(members);
+	GBytes *bytes = cb_members_encode(members, "");
 	uint64_t digest = XXH3_64bits(g_bytes_get_data(bytes, NULL),
 				      g_bytes_get_size(bytes));
 
--- a/src/libcurrantbridge/control/membership.c
+++ b/src/libcurrantbridge/control/membership.c
@@ -10,19 +10,20 @@
 #define REPLACE_AFTER_TIMEOUTS 2
 
 /* Decodes members; a malformed list has none, so that nobody votes. */
-static GPtrArray *members_decode_(GBytes *bytes)
+static GPtrArray *members_decode_(GBytes *bytes, char **group_id)
 {
-	GPtrArray *members = bytes ? cb_members_decode(bytes) : NULL;
+	GPtrArray *members = bytes ? cb_members_decode(bytes, group_id) : NULL;
 
 	return members ? members : cb_members_new();
 }
 
 /*
  * Returns the members as of the record at `through` (which is applied or
- * later), and the index that set them; the caller unrefs them.
+ * later), and the index that set them; the caller unrefs them, and frees the
+ * group's ID, which may be NULL.
  */
 GPtrArray *cb_membership_at(const cb_replica_t *replica, uint64_t through,
-			    uint64_t *index)
+			    uint64_t *index, char **group_id)
 {
 	uint64_t i;
 
@@ -31,24 +32,26 @@
 
 		if (record && record->kind == CB_RECORD_MEMBERS) {
 			*index = i;
-			return members_decode_(record->data);
+			return members_decode_(record->data, group_id);
 		}
 	}
 	*index = replica->snapshot.index;
-	return members_decode_(replica->snapshot.members);
+	return members_decode_(replica->snapshot.members, group_id);
 }
 
 /* Takes the newest members of the log, committed or not, as those in force. */
 void cb_membership_adopt(cb_replica_t *replica)
 {
+	gboolean was_voter = cb_replica_is_voter(replica);
+	char *group_id = NULL;
 	GPtrArray *members =
 		cb_membership_at(replica, cb_replica_log_last(replica->log),
-				 &replica->members_index);
-	gboolean was_voter = replica->members && cb_replica_is_voter(replica);
+				 &replica->members_index, &group_id);
 
-	if (replica->members)
-		g_ptr_array_unref(replica->members);
+	g_ptr_array_unref(replica->members);
 	replica->members = members;
+	g_free(replica->group_id);
+	replica->group_id = group_id ? group_id : g_strdup("");
 	cb_peers_sync(replica);
 	if (cb_replica_leads(replica) ||
 	    was_voter == cb_replica_is_voter(replica))
@@ -74,7 +77,7 @@
 /* Proposes new members; takes them. */
 static uint64_t change_(cb_replica_t *replica, GPtrArray *members)
 {
-	GBytes *data = cb_members_encode(members);
+	GBytes *data = cb_members_encode(members, replica->group_id);
 	uint64_t index = cb_proposal_append(replica, CB_RECORD_MEMBERS, data);
 
 	g_bytes_unref(data);
@@ -148,6 +151,7 @@
 static void form_group_(cb_replica_t *replica)
 {
 	GPtrArray *members = cb_members_new();
+	char *group_id;
 	GBytes *data;
 	uint32_t i;
 
@@ -169,7 +173,9 @@
 	}
 	replica->term = 1;
 	cb_replica_save_vote(replica);
-	data = cb_members_encode(members);
+	group_id = cb_replica_draw_id(replica);
+	data = cb_members_encode(members, group_id);
+	g_free(group_id);
 	cb_replica_log_append(replica->log,
 			      cb_record_new(1, 1, CB_RECORD_MEMBERS, data));
 	g_bytes_unref(data);
@@ -243,6 +249,7 @@
 		!replica->members->len && !cb_replica_log_last(replica->log);
 	reply->probe_reply.initial_digest =
 		cb_members_digest(replica->initial_members);
+	reply->probe_reply.group_id = g_strdup(replica->group_id);
 	cb_replica_send(replica, from, NULL, "", reply);
 }
 
@@ -324,6 +331,10 @@
 	}
 	if (!cb_replica_leads(replica) || !*message->from_disk)
 		return;
+	if (*reply->group_id && strcmp(reply->group_id, replica->group_id)) {
+		cb_replica_count(replica, CB_REPLICA_COUNT_OTHER_GROUP);
+		return;
+	}
 	if (replica->admission && !strcmp(replica->admission->name, from))
 		admission_answer_(replica, message->from_disk);
 	else if (reply->is_blank)
@@ -332,8 +343,8 @@
 
 /*
  * Adds a member as a learner, which is promoted to a voter by itself once it
- * has caught up.  BUSY: another change is under way, or the member did not
- * answer; nothing was changed.
+ * has caught up.  BUSY: another change is under way, the member did not
+ * answer, or its disk is of another group; nothing was changed.
  */
 void cb_replica_add_member(cb_replica_t *replica, const char *name,
 			   const char *address, cb_replica_done_fn_t done,
--- a/src/libcurrantbridge/control/replica.c
+++ b/src/libcurrantbridge/control/replica.c
@@ -6,7 +6,7 @@
 #define DEFAULT_ELECTION_TIMEOUT_MS 500
 #define DEFAULT_SNAPSHOT_EVERY_BYTES (256 * 1024)
 #define DEFAULT_MAX_WAITING_PROPOSALS 4096
-#define DISK_ID_WORDS 4
+#define ID_WORDS 4
 #define MAX_LEARNT_ADDRESSES 64
 
 const char *const cb_replica_role_string[CB_REPLICA_ROLE_COUNT] = {
@@ -251,6 +251,7 @@
 	if (listener)
 		replica->listener = *listener;
 	replica->members = cb_members_new();
+	replica->group_id = g_strdup("");
 	cb_peers_sync(replica);
 	replica->log = cb_replica_log_new(0, 0);
 	replica->addresses =
@@ -301,20 +302,22 @@
 	g_free(replica->hand_over_to);
 	g_free(replica->voted_for);
 	g_free(replica->disk_id);
+	g_free(replica->group_id);
 	g_free(replica->leader);
 	g_free(replica->name);
 	g_free(replica->address);
 	g_free(replica);
 }
 
-/* Draws the identity of a blank disk. */
-static char *disk_id_new_(GRand *random)
+/* Draws the ID of a blank disk or of a new group. */
+char *cb_replica_draw_id(cb_replica_t *replica)
 {
 	GString *text = g_string_new(NULL);
 	int i;
 
-	for (i = 0; i < DISK_ID_WORDS; i++)
-		g_string_append_printf(text, "%08x", g_rand_int(random));
+	for (i = 0; i < ID_WORDS; i++)
+		g_string_append_printf(text, "%08x",
+				       g_rand_int(replica->random));
 	return g_string_free(text, FALSE);
 }
 
@@ -372,7 +375,7 @@
 	replica->is_started = TRUE;
 	if (!replica->disk_id || !*replica->disk_id) {
 		g_free(replica->disk_id);
-		replica->disk_id = disk_id_new_(replica->random);
+		replica->disk_id = cb_replica_draw_id(replica);
 		cb_replica_save_vote(replica);
 	}
 	cb_replica_set_role(replica, cb_replica_is_voter(replica) ?
--- a/src/libcurrantbridge/control/replica_count.c
+++ b/src/libcurrantbridge/control/replica_count.c
@@ -22,6 +22,7 @@
 	[CB_REPLICA_COUNT_HANDING_OVER] = REFUSAL("handing_over"),
 	[CB_REPLICA_COUNT_MEMBERS_BUSY] = REFUSAL("membership_change_pending"),
 	[CB_REPLICA_COUNT_NO_ANSWER] = REFUSAL("new_member_silent"),
+	[CB_REPLICA_COUNT_OTHER_GROUP] = REFUSAL("disk_of_another_group"),
 	[CB_REPLICA_COUNT_LEAD_LOST] = REFUSAL("lead_lost"),
 	[CB_REPLICA_COUNT_MALFORMED] = REFUSAL("malformed_message"),
 	[CB_REPLICA_COUNT_OTHER_DISK] = REFUSAL("other_disk"),
--- a/src/libcurrantbridge/control/replica_message.c
+++ b/src/libcurrantbridge/control/replica_message.c
@@ -29,7 +29,7 @@
 	[CB_MESSAGE_APPEND] = 5,       [CB_MESSAGE_APPEND_REPLY] = 4,
 	[CB_MESSAGE_SNAPSHOT] = 7,     [CB_MESSAGE_SNAPSHOT_REPLY] = 3,
 	[CB_MESSAGE_TAKE_OVER] = 0,    [CB_MESSAGE_PROBE] = 0,
-	[CB_MESSAGE_PROBE_REPLY] = 2,
+	[CB_MESSAGE_PROBE_REPLY] = 3,
 };
 
 /* Makes a record that shares `data`; NULL is taken as empty. */
@@ -84,6 +84,8 @@
 		g_clear_pointer(&message->snapshot.members, g_bytes_unref);
 		g_clear_pointer(&message->snapshot.data, g_bytes_unref);
 	}
+	if (message->kind == CB_MESSAGE_PROBE_REPLY)
+		g_free(message->probe_reply.group_id);
 	g_free(message->from_disk);
 	g_free(message->to_disk);
 	g_free(message->from_address);
@@ -154,6 +156,9 @@
 	case CB_MESSAGE_PROBE_REPLY:
 		cb_pack_bool(pack, message->probe_reply.is_blank);
 		cb_pack_uint(pack, message->probe_reply.initial_digest);
+		cb_pack_string(pack, message->probe_reply.group_id ?
+					     message->probe_reply.group_id :
+					     "");
 		break;
 	case CB_MESSAGE_TAKE_OVER:
 	case CB_MESSAGE_PROBE:
@@ -284,6 +289,7 @@
 	case CB_MESSAGE_PROBE_REPLY:
 		message->probe_reply.is_blank = cb_fields_bool(fields);
 		message->probe_reply.initial_digest = cb_fields_uint(fields);
+		message->probe_reply.group_id = cb_fields_text(fields);
 		break;
 	case CB_MESSAGE_TAKE_OVER:
 	case CB_MESSAGE_PROBE:
--- a/src/libcurrantbridge/control/replica_snapshot.c
+++ b/src/libcurrantbridge/control/replica_snapshot.c
@@ -4,6 +4,7 @@
 
 /* Records kept in memory after a snapshot, for members a little behind. */
 #define KEPT_RECORDS 1024
+#define KEPT_BYTES (1024 * 1024)
 
 /* Frees what a snapshot holds and zeroes it. */
 void cb_snapshot_clear(cb_snapshot_t *snapshot)
@@ -42,12 +43,13 @@
 
 	if (!is_due_(replica))
 		return;
-	members = cb_membership_at(replica, replica->applied, &index);
+	members = cb_membership_at(replica, replica->applied, &index, NULL);
 	cb_snapshot_clear(&replica->snapshot);
 	replica->snapshot.index = replica->applied;
 	cb_replica_log_term(replica->log, replica->applied,
 			    &replica->snapshot.term);
-	replica->snapshot.members = cb_members_encode(members);
+	replica->snapshot.members =
+		cb_members_encode(members, replica->group_id);
 	replica->snapshot.data =
 		replica->machine->vtable->snapshot(replica->machine);
 	g_ptr_array_unref(members);
@@ -68,14 +70,24 @@
 	cb_replica_send(replica, to, NULL, to_disk, reply);
 }
 
+/* Drops the records that a snapshot covers, but for the last few. */
+static void log_compact_(cb_replica_t *replica, uint64_t index)
+{
+	uint64_t through = index > KEPT_RECORDS ? index - KEPT_RECORDS : 0;
+
+	while (through < index &&
+	       cb_replica_log_bytes(replica->log, through, index) > KEPT_BYTES)
+		through++;
+	cb_replica_log_compact(replica->log, through);
+}
+
 /* The snapshot is durable: drops the records that it covers. */
 void cb_snapshot_stored(cb_replica_t *replica)
 {
 	uint64_t index = replica->snapshot.index;
 
 	replica->is_saving_snapshot = FALSE;
-	if (index > KEPT_RECORDS)
-		cb_replica_log_compact(replica->log, index - KEPT_RECORDS);
+	log_compact_(replica, index);
 	if (!replica->incoming.is_storing)
 		return;
 	replica->durable = MAX(replica->durable, index);
@@ -258,7 +270,7 @@
 					 chunk->index, 0, TRUE);
 		return;
 	}
-	members = cb_members_decode(chunk->members);
+	members = cb_members_decode(chunk->members, NULL);
 	if (!members || chunk->size > CB_SNAPSHOT_MAX_BYTES) {
 		g_clear_pointer(&members, g_ptr_array_unref);
 		return;
--- a/src/libcurrantbridge/include/private/members.h
+++ b/src/libcurrantbridge/include/private/members.h
@@ -3,7 +3,10 @@
 
 #include "currantbridge/replica.h"
 
-/* A list of members: a GPtrArray of cb_replica_member_t, sorted by name. */
+/*
+ * A list of members: a GPtrArray of cb_replica_member_t, sorted by name.  It
+ * is stored with the ID of the group, which is drawn when the group is formed.
+ */
 
 GPtrArray *cb_members_new(void);
 GPtrArray *cb_members_copy(const GPtrArray *members);
@@ -16,8 +19,8 @@
 					  const char *disk_id);
 uint32_t cb_members_voter_count(const GPtrArray *members);
 
-GBytes *cb_members_encode(const GPtrArray *members);
-GPtrArray *cb_members_decode(GBytes *bytes);
+GBytes *cb_members_encode(const GPtrArray *members, const char *group_id);
+GPtrArray *cb_members_decode(GBytes *bytes, char **group_id);
 uint64_t cb_members_digest(const GPtrArray *members);
 
 #endif
--- a/src/libcurrantbridge/include/private/replica.h
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -36,6 +36,7 @@
 	CB_REPLICA_COUNT_HANDING_OVER,
 	CB_REPLICA_COUNT_MEMBERS_BUSY,
 	CB_REPLICA_COUNT_NO_ANSWER,
+	CB_REPLICA_COUNT_OTHER_GROUP,
 	CB_REPLICA_COUNT_LEAD_LOST,
 	CB_REPLICA_COUNT_MALFORMED,
 	CB_REPLICA_COUNT_OTHER_DISK,
@@ -131,6 +132,7 @@
 	uint64_t term;
 	char *voted_for; /* a disk_id, or NULL */
 	char *disk_id;
+	char *group_id; /* empty until the first list of members is here */
 	char *leader;
 	int64_t leader_heard_ms;
 	cb_timer_t *election_timer;
@@ -179,6 +181,7 @@
 void cb_replica_fail(cb_replica_t *replica, const GError *error);
 void cb_replica_send(cb_replica_t *replica, const char *to, const char *address,
 		     const char *to_disk, cb_message_t *message);
+char *cb_replica_draw_id(cb_replica_t *replica);
 void cb_outgoing_delete(void *data);
 void cb_replica_flush_soon(cb_replica_t *replica);
 
@@ -253,7 +256,7 @@
 void cb_membership_drop_admission(cb_replica_t *replica,
 				  cb_replica_outcome_t outcome);
 GPtrArray *cb_membership_at(const cb_replica_t *replica, uint64_t through,
-			    uint64_t *index);
+			    uint64_t *index, char **group_id);
 
 /* proposal.c */
 uint64_t cb_proposal_append(cb_replica_t *replica, cb_record_kind_t kind,
--- a/src/libcurrantbridge/include/private/replica_message.h
+++ b/src/libcurrantbridge/include/private/replica_message.h
@@ -71,6 +71,7 @@
 typedef struct cb_probe_reply {
 	gboolean is_blank;
 	uint64_t initial_digest;
+	char *group_id; /* empty on a blank disk */
 } cb_probe_reply_t;
 
 /*
--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -197,6 +197,34 @@
 	group_end_(group);
 }
 
+/* A disk that holds another group's log is not admitted. */
+static void disk_of_another_group_is_refused(void)
+{
+	group_t *group = group_begin_(1, 3);
+	group_member_t *leader = group_leader(group);
+	cb_message_t *message = cb_message_new(CB_MESSAGE_PROBE_REPLY);
+	GArray *outcomes =
+		g_array_new(FALSE, FALSE, sizeof(cb_replica_outcome_t));
+	GBytes *bytes;
+
+	message->from_disk = g_strdup("another");
+	message->from_address = g_strdup("127.0.0.1:9");
+	message->probe_reply.group_id = g_strdup("another group");
+	bytes = cb_message_encode(message);
+	cb_replica_add_member(leader->replica, "m9", "127.0.0.1:9",
+			      outcome_note_, outcomes);
+	cb_replica_receive(leader->replica, "m9", bytes);
+	group_run(group, 6000);
+	CU_ASSERT_EQUAL(outcomes->len, 1);
+	CU_ASSERT_EQUAL(g_array_index(outcomes, cb_replica_outcome_t, 0),
+			CB_REPLICA_BUSY);
+	CU_ASSERT_EQUAL(cb_replica_members(leader->replica)->len, 3);
+	g_bytes_unref(bytes);
+	cb_message_delete(message);
+	g_array_unref(outcomes);
+	group_end_(group);
+}
+
 static void all_restart_after_300_changes(void)
 {
 	group_t *group = group_begin_(1, 3);
@@ -515,6 +543,8 @@
 	{ "blank_disk_does_not_vote", blank_disk_does_not_vote },
 	{ "every_disk_is_replaced_in_turn", every_disk_is_replaced_in_turn },
 	{ "live_member_is_not_replaced", live_member_is_not_replaced },
+	{ "disk_of_another_group_is_refused",
+	  disk_of_another_group_is_refused },
 	{ "all_restart_after_300_changes", all_restart_after_300_changes },
 	{ "member_is_added_and_removed", member_is_added_and_removed },
 	{ "one_membership_change_at_a_time", one_membership_change_at_a_time },
--- a/src/test_libcurrantbridge/test_replica_message.c
+++ b/src/test_libcurrantbridge/test_replica_message.c
@@ -33,7 +33,7 @@
 	} else if (kind == CB_MESSAGE_SNAPSHOT) {
 		message->snapshot.index = 300;
 		message->snapshot.size = 10;
-		message->snapshot.members = cb_members_encode(members);
+		message->snapshot.members = cb_members_encode(members, "group");
 		message->snapshot.data = g_bytes_ref(data);
 	}
 	g_ptr_array_unref(members);
