--- a/src/libcurrantbridge/control/replica.c
+++ b/src/libcurrantbridge/control/replica.c
@@ -6,7 +6,7 @@
 #define DEFAULT_ELECTION_TIMEOUT_MS 500
 #define DEFAULT_SNAPSHOT_EVERY_BYTES (256 * 1024)
 #define DEFAULT_MAX_WAITING_PROPOSALS 4096
-#define ID_WORDS 4
+#define ID_WORDS 2
 #define MAX_LEARNT_ADDRESSES 64
 
 const char *const cb_replica_role_string[CB_REPLICA_ROLE_COUNT] = {
--- a/src/test_libcurrantbridge/support_group.c
+++ b/src/test_libcurrantbridge/support_group.c
@@ -224,6 +224,7 @@
 
 	(void)to;
 	group->sent_count++;
+	group->sent_bytes += g_bytes_get_size(message);
 	group->sent_bytes_most =
 		MAX(group->sent_bytes_most, g_bytes_get_size(message));
 	for (i = 0; i < group->size; i++) {
--- a/src/test_libcurrantbridge/support_group.h
+++ b/src/test_libcurrantbridge/support_group.h
@@ -9,7 +9,7 @@
  * delays, repeats and cuts, disks that forget, and a record of everything
  * that must hold.  All chance comes from one seed.
  */
-#define GROUP_MAX_MEMBERS 8
+#define GROUP_MAX_MEMBERS 10
 
 typedef struct group group_t;
 typedef struct group_member group_member_t;
@@ -50,6 +50,7 @@
 	uint32_t read_count;
 	uint64_t sent_bytes_most; /* of one message */
 	uint64_t sent_count;
+	uint64_t sent_bytes;
 	GPtrArray *violations; /* of text */
 	void *history;	       /* private */
 };
--- a/src/test_libcurrantbridge/test_replica_recovery.c
+++ b/src/test_libcurrantbridge/test_replica_recovery.c
@@ -11,6 +11,7 @@
 #define DEFAULT_SEEDS 100
 #define MEDIAN_BOUND_MS 1000
 #define WORST_BOUND_MS 3000
+#define IDLE_BOUND_BYTES_PER_S 29000
 
 static int number_compare_(const void *left, const void *right)
 {
@@ -94,8 +95,33 @@
 	g_free(durations);
 }
 
+/* What the leader of an idle group sends and is sent, in bytes a second. */
+static void idle_group_sends_little(void)
+{
+	static const uint32_t sizes[] = { 3, 5, 9 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		group_t *group = group_new(1, sizes[i]);
+		uint64_t bytes;
+
+		group_start_all(group);
+		CU_ASSERT_PTR_NOT_NULL(group_wait_leader(group, 5000));
+		group_run(group, 5000);
+		bytes = group->sent_bytes;
+		group_run(group, 10000);
+		bytes = (group->sent_bytes - bytes) / 10;
+		printf("    %u members, idle: %" G_GUINT64_FORMAT
+		       " bytes a second at the leader\n",
+		       sizes[i], bytes);
+		CU_ASSERT_TRUE(bytes < IDLE_BOUND_BYTES_PER_S);
+		group_delete(group);
+	}
+}
+
 static CU_TestInfo tests[] = {
 	{ "lost_leader_is_replaced_in_time", lost_leader_is_replaced_in_time },
+	{ "idle_group_sends_little", idle_group_sends_little },
 	CU_TEST_INFO_NULL,
 };
 
