--- a/src/libcurrantbridge/control/file_folder.c
+++ b/src/libcurrantbridge/control/file_folder.c
@@ -373,7 +373,12 @@
 	size_t good_size;
 	size_t size;
 
-	if (!lock_(folder, error) || !snapshot_load_(folder, content, error) ||
+	if (!lock_(folder, error))
+		goto out;
+	/* What a crash left of a file that was not yet in its place. */
+	g_unlink(folder->log_new_path);
+	g_unlink(folder->snapshot_new_path);
+	if (!snapshot_load_(folder, content, error) ||
 	    !file_read_(folder->log_path, &data, &size, error))
 		goto out;
 	if (!cb_file_log_scan(folder->log_path, data, size, record_take_,
--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -498,6 +498,27 @@
 	group_delete(group);
 }
 
+/* The leader's own disk counts only once it has synced. */
+static void leader_counts_its_disk_when_synced(void)
+{
+	group_t *group = group_begin_(1, 3);
+	group_member_t *leader = group_leader(group);
+	group_change_t change = { 0 };
+	uint64_t last;
+
+	CU_ASSERT_TRUE(group_wait_equal(group, 1000));
+	group_cut_off(leader, TRUE, TRUE);
+	disk_set_sync_ms(leader->disk, 400);
+	group_propose(leader, &change, NULL, NULL);
+	group_run(group, 0);
+	last = cb_replica_log_last(leader->replica->log);
+	forge_stored_(leader, follower_(group), last);
+	CU_ASSERT_EQUAL(cb_replica_committed(leader->replica), last - 1);
+	group_run(group, 401);
+	CU_ASSERT_EQUAL(cb_replica_committed(leader->replica), last);
+	group_delete(group);
+}
+
 /* A record of a former term counts only under one of the leader's own. */
 static void former_terms_do_not_commit_alone(void)
 {
@@ -555,6 +576,8 @@
 	{ "outcomes_are_told_once", outcomes_are_told_once },
 	{ "proposals_share_an_fsync", proposals_share_an_fsync },
 	{ "answers_wait_for_the_disk", answers_wait_for_the_disk },
+	{ "leader_counts_its_disk_when_synced",
+	  leader_counts_its_disk_when_synced },
 	{ "former_terms_do_not_commit_alone",
 	  former_terms_do_not_commit_alone },
 	CU_TEST_INFO_NULL,
