--- a/src/libcurrantbridge/http/http_connection.c
+++ b/src/libcurrantbridge/http/http_connection.c
@@ -1,5 +1,6 @@
 #include "private/http_connection.h"
 
+#include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -11,12 +12,15 @@
 /* How long a closed connection may take to read the last answer. */
 #define LINGER_MS 2000
 #define LINGER_READ_BYTES 16384
+#define CHUNK_HEAD_BYTES 24
 
 struct cb_connection_pool {
 	GMainContext *context;
 	cb_clock_t *clock;
 	GSource *flush; /* ready while a connection has bytes to send */
 	GPtrArray *dirty;
+	GPtrArray *spare; /* an empty array, for the next turn */
+	gboolean is_in_turn;
 	GPtrArray *lingering;
 	cb_connection_fn_t idle;
 	void *idle_data;
@@ -120,26 +124,38 @@
 		linger_begin_(connection);
 }
 
-static gboolean pool_flush_(GSource *source, GSourceFunc fn, void *user_data)
+static void pool_flush_(cb_connection_pool_t *pool)
 {
-	cb_connection_pool_t *pool = user_data;
 	GPtrArray *dirty = pool->dirty;
 	unsigned int i;
 
-	(void)fn;
-	g_source_set_ready_time(source, -1);
-	pool->dirty = g_ptr_array_new_with_free_func(g_object_unref);
+	pool->dirty = pool->spare;
+	pool->spare = NULL;
+	if (!pool->dirty)
+		pool->dirty = g_ptr_array_new_with_free_func(g_object_unref);
 	for (i = 0; i < dirty->len; i++) {
 		cb_connection_t *connection = g_ptr_array_index(dirty, i);
 
 		connection->is_dirty = FALSE;
 		flush_(connection);
 	}
-	g_ptr_array_unref(dirty);
+	g_ptr_array_set_size(dirty, 0);
+	if (pool->spare)
+		g_ptr_array_unref(dirty);
+	else
+		pool->spare = dirty;
+}
+
+static gboolean flush_dispatch_(GSource *source, GSourceFunc fn,
+				void *user_data)
+{
+	(void)fn;
+	g_source_set_ready_time(source, -1);
+	pool_flush_(user_data);
 	return G_SOURCE_CONTINUE;
 }
 
-static GSourceFuncs flush_funcs = { .dispatch = pool_flush_ };
+static GSourceFuncs flush_funcs = { .dispatch = flush_dispatch_ };
 
 /* Stands for the callback that the source's dispatch is given the pool by. */
 static gboolean flush_unused_(void *user_data)
@@ -175,10 +191,28 @@
 		cb_connection_abort(g_ptr_array_index(pool->lingering, 0));
 	g_ptr_array_unref(pool->lingering);
 	g_ptr_array_unref(pool->dirty);
+	g_clear_pointer(&pool->spare, g_ptr_array_unref);
 	source_clear_(&pool->flush);
 	g_free(pool);
 }
 
+/*
+ * Brackets work that writes to connections: their bytes are sent at its end
+ * rather than in the next turn of the loop.
+ */
+void cb_connection_pool_turn_begin(cb_connection_pool_t *pool)
+{
+	pool->is_in_turn = TRUE;
+}
+
+/* Ends cb_connection_pool_turn_begin(). */
+void cb_connection_pool_turn_end(cb_connection_pool_t *pool)
+{
+	pool->is_in_turn = FALSE;
+	if (pool->dirty->len > 0)
+		pool_flush_(pool);
+}
+
 /* Calls `idle` once no connection lingers that was closed before. */
 void cb_connection_pool_wait(cb_connection_pool_t *pool,
 			     cb_connection_fn_t idle, void *user_data)
@@ -196,7 +230,7 @@
 	if (connection->is_dirty || connection->writable)
 		return;
 	connection->is_dirty = TRUE;
-	if (pool->dirty->len == 0)
+	if (pool->dirty->len == 0 && !pool->is_in_turn)
 		g_source_set_ready_time(pool->flush, 0);
 	g_ptr_array_add(pool->dirty, g_object_ref(connection));
 }
@@ -654,14 +688,14 @@
 static void hangup_source_add_(cb_connection_t *connection,
 			       GIOCondition condition);
 
-static gboolean hung_up_(GSocket *socket, GIOCondition condition,
-			 void *user_data)
+static gboolean hung_up_(int fd, GIOCondition condition, void *user_data)
 {
 	cb_connection_t *connection = user_data;
 	cb_connection_fn_t gone = connection->gone;
 	gboolean is_gone = (condition & (G_IO_HUP | G_IO_ERR)) ||
-			   is_closed_by_peer_(socket);
+			   is_closed_by_peer_(connection->socket);
 
+	(void)fd;
 	source_clear_(&connection->hangup);
 	if (is_gone)
 		gone(connection->gone_data);
@@ -674,7 +708,8 @@
 			       GIOCondition condition)
 {
 	connection->hangup =
-		g_socket_create_source(connection->socket, condition, NULL);
+		g_unix_fd_source_new(g_socket_get_fd(connection->socket),
+				     condition | G_IO_HUP | G_IO_ERR);
 	g_source_set_callback(connection->hangup, G_SOURCE_FUNC(hung_up_),
 			      connection, NULL);
 	g_source_attach(connection->hangup, connection->pool->context);
@@ -697,8 +732,8 @@
 }
 
 /*
- * Sends bytes past libsoup, which must have given the connection up.  On a
- * connection that is closed already they are dropped.
+ * Sends bytes past libsoup, which must have paused or given the connection
+ * up.  On a connection that is closed already they are dropped.
  */
 void cb_connection_send(cb_connection_t *connection, const char *data,
 			size_t size_bytes)
@@ -710,6 +745,18 @@
 	mark_dirty_(connection);
 }
 
+/* Sends bytes as one chunk of a chunked body. */
+void cb_connection_send_chunk(cb_connection_t *connection, const char *data,
+			      size_t size_bytes)
+{
+	char head[CHUNK_HEAD_BYTES];
+	int head_bytes = g_snprintf(head, sizeof(head), "%zx\r\n", size_bytes);
+
+	cb_connection_send(connection, head, (size_t)head_bytes);
+	cb_connection_send(connection, data, size_bytes);
+	cb_connection_send(connection, "\r\n", 2);
+}
+
 /* Closes the connection at once, whatever waits. */
 void cb_connection_abort(cb_connection_t *connection)
 {
