Let the state age by the steps between the leaders' stamps

Ages were measured against the highest stamp so far. One stamp of a clock that had leapt a year ahead would have ended every kept claim and change ID early, and then stopped all ageing for a year. Steps back now count as none and long ones as an hour.

--- a/include/currantbridge/state.h
+++ b/include/currantbridge/state.h
@@ -5,7 +5,14 @@
 #include "currantbridge/replica.h"
 #include "currantbridge/view.h"
 
-/* How long, by the leaders' clocks, and how many of each are kept. */
+/*
+ * The state's time is the sum of the steps between the leaders' stamps: a
+ * step back counts as none and a longer one as this, so that a clock which
+ * leaps neither ends everything at once nor stops the time.
+ */
+#define CB_STATE_STEP_MAX_MS (3600 * INT64_C(1000))
+
+/* How long, by that time, and how many of each are kept. */
 #define CB_STATE_CHANGE_KEEP_MS (24 * 3600 * INT64_C(1000))
 #define CB_STATE_CHANGE_KEEP_COUNT 20000
 #define CB_STATE_CLAIM_KEEP_MS (24 * 3600 * INT64_C(1000))
--- a/src/libcurrantbridge/control/aging.c
+++ b/src/libcurrantbridge/control/aging.c
@@ -3,7 +3,7 @@
 typedef struct entry {
 	GList link;
 	char *name;
-	int64_t wall_ms;
+	int64_t at_ms;
 } entry_t;
 
 struct cb_aging {
@@ -38,14 +38,14 @@
 }
 
 /* Adds a name as the newest, also if it was there before. */
-void cb_aging_add(cb_aging_t *aging, const char *name, int64_t wall_ms)
+void cb_aging_add(cb_aging_t *aging, const char *name, int64_t at_ms)
 {
 	entry_t *entry = g_new0(entry_t, 1);
 
 	cb_aging_remove(aging, name);
 	entry->link.data = entry;
 	entry->name = g_strdup(name);
-	entry->wall_ms = wall_ms;
+	entry->at_ms = at_ms;
 	g_hash_table_insert(aging->entries, entry->name, entry);
 	g_queue_push_tail_link(&aging->order, &entry->link);
 }
@@ -66,20 +66,20 @@
 }
 
 /* Returns the name that was added first and its time, or NULL. */
-const char *cb_aging_oldest(const cb_aging_t *aging, int64_t *wall_ms)
+const char *cb_aging_oldest(const cb_aging_t *aging, int64_t *at_ms)
 {
 	const entry_t *entry;
 
 	if (!aging->order.head)
 		return NULL;
 	entry = aging->order.head->data;
-	*wall_ms = entry->wall_ms;
+	*at_ms = entry->at_ms;
 	return entry->name;
 }
 
 /* Calls `fn` for each name, the oldest first. */
 void cb_aging_foreach(const cb_aging_t *aging,
-		      void (*fn)(const char *name, int64_t wall_ms,
+		      void (*fn)(const char *name, int64_t at_ms,
 				 void *user_data),
 		      void *user_data)
 {
@@ -88,6 +88,6 @@
 	for (link = aging->order.head; link; link = link->next) {
 		const entry_t *entry = link->data;
 
-		fn(entry->name, entry->wall_ms, user_data);
+		fn(entry->name, entry->at_ms, user_data);
 	}
 }
--- a/src/libcurrantbridge/control/changes.c
+++ b/src/libcurrantbridge/control/changes.c
@@ -11,7 +11,7 @@
 	GList link;
 	char *id;
 	uint64_t content; /* hash of what was asked for */
-	int64_t wall_ms;
+	int64_t at_ms;
 	GBytes *answer;
 } change_t;
 
@@ -97,7 +97,7 @@
 	g_queue_push_tail_link(&changes->order, &change->link);
 }
 
-static void changes_trim_(cb_changes_t *changes, int64_t wall_ms)
+static void changes_trim_(cb_changes_t *changes, int64_t at_ms)
 {
 	int drops;
 
@@ -106,7 +106,7 @@
 		change_t *oldest = changes->order.head->data;
 
 		if (changes->order.length <= CB_STATE_CHANGE_KEEP_COUNT &&
-		    oldest->wall_ms + CB_STATE_CHANGE_KEEP_MS > wall_ms)
+		    oldest->at_ms + CB_STATE_CHANGE_KEEP_MS > at_ms)
 			return;
 		g_queue_unlink(&changes->order, &oldest->link);
 		g_hash_table_remove(changes->by_id, oldest->id);
@@ -115,16 +115,16 @@
 
 /* Keeps the first answer to a new change ID. */
 void cb_changes_note(cb_changes_t *changes, const cb_command_t *command,
-		     const cb_answer_t *answer, int64_t wall_ms)
+		     const cb_answer_t *answer, int64_t at_ms)
 {
 	change_t *change = g_new0(change_t, 1);
 
 	change->id = g_strdup(command->change_id);
 	change->content = content_hash_(command);
-	change->wall_ms = wall_ms;
+	change->at_ms = at_ms;
 	change->answer = cb_answer_encode(answer);
 	change_add_(changes, change);
-	changes_trim_(changes, wall_ms);
+	changes_trim_(changes, at_ms);
 }
 
 /* Packs all change IDs for a snapshot, the oldest first. */
@@ -139,7 +139,7 @@
 		cb_pack_array(pack, 4);
 		cb_pack_string(pack, change->id);
 		cb_pack_uint(pack, change->content);
-		cb_pack_int(pack, change->wall_ms);
+		cb_pack_int(pack, change->at_ms);
 		cb_pack_bytes(pack, change->answer);
 	}
 }
@@ -153,7 +153,7 @@
 	cb_fields_open(&fields, object);
 	change->id = cb_fields_text(&fields);
 	change->content = cb_fields_uint(&fields);
-	change->wall_ms = cb_fields_int(&fields);
+	change->at_ms = cb_fields_int(&fields);
 	change->answer = cb_fields_bytes(&fields);
 	if (change->answer)
 		answer = cb_answer_decode(change->answer);
--- a/src/libcurrantbridge/control/claims.c
+++ b/src/libcurrantbridge/control/claims.c
@@ -16,7 +16,7 @@
 	char *owner;
 	char *server;
 	uint64_t fencing;
-	int64_t wall_ms; /* of the claim, or of its end */
+	int64_t at_ms; /* of the claim, or of its end */
 	gboolean is_ended;
 	/* Set until the holder has proved that no earlier attempt ran. */
 	gboolean must_prove;
@@ -126,24 +126,24 @@
 }
 
 static void claim_end_(cb_claims_t *claims, claim_t *claim,
-		       cb_claim_result_t result, int64_t wall_ms)
+		       cb_claim_result_t result, int64_t at_ms)
 {
 	claim_unlink_(claims, claim);
 	claim->is_ended = TRUE;
 	claim->result = result;
-	claim->wall_ms = wall_ms;
+	claim->at_ms = at_ms;
 	claim_link_(claims, claim);
 }
 
 /* Drops ended claims that are too old or, when full, old enough. */
-static void ended_trim_(cb_claims_t *claims, int64_t wall_ms)
+static void ended_trim_(cb_claims_t *claims, int64_t at_ms)
 {
 	int drops;
 
 	for (drops = 0; drops < DROPS_PER_CLAIM && claims->ended.head;
 	     drops++) {
 		claim_t *oldest = claims->ended.head->data;
-		int64_t age_ms = wall_ms - oldest->wall_ms;
+		int64_t age_ms = at_ms - oldest->at_ms;
 		gboolean is_full =
 			cb_claims_count(claims) >= CB_STATE_CLAIM_KEEP_COUNT;
 
@@ -171,7 +171,7 @@
 /* Hands the claim to the command's owner under a new fencing number. */
 static void claim_hold_(cb_claims_t *claims, claim_t *claim,
 			const cb_command_t *command, uint64_t fencing,
-			int64_t wall_ms)
+			int64_t at_ms)
 {
 	g_free(claim->change_id);
 	g_free(claim->owner);
@@ -180,14 +180,14 @@
 	claim->owner = g_strdup(command->owner);
 	claim->server = g_strdup(command->server);
 	claim->fencing = fencing;
-	claim->wall_ms = wall_ms;
+	claim->at_ms = at_ms;
 	claim->is_ended = FALSE;
 	claim->result = CB_CLAIM_RESULT_UNKNOWN;
 	claim_link_(claims, claim);
 }
 
 static cb_answer_t *claim_new_(cb_claims_t *claims, const cb_command_t *command,
-			       uint64_t fencing, int64_t wall_ms)
+			       uint64_t fencing, int64_t at_ms)
 {
 	claim_t *claim;
 
@@ -199,7 +199,7 @@
 	claim->id = claim_id_(command);
 	claim->digest = g_strdup(command->digest);
 	g_hash_table_insert(claims->by_id, claim->id, claim);
-	claim_hold_(claims, claim, command, fencing, wall_ms);
+	claim_hold_(claims, claim, command, fencing, at_ms);
 	return claim_answer_(CB_ANSWER_CLAIMED, claim);
 }
 
@@ -209,7 +209,7 @@
  */
 static cb_answer_t *claim_again_(cb_claims_t *claims, claim_t *claim,
 				 const cb_command_t *command, uint64_t fencing,
-				 int64_t wall_ms)
+				 int64_t at_ms)
 {
 	char *server;
 
@@ -217,7 +217,7 @@
 	server = claim->must_prove ? g_strdup(claim->server) :
 				     g_strdup(command->server);
 	claim_unlink_(claims, claim);
-	claim_hold_(claims, claim, command, fencing, wall_ms);
+	claim_hold_(claims, claim, command, fencing, at_ms);
 	g_free(claim->server);
 	claim->server = server;
 	return claim_answer_(CB_ANSWER_CLAIMED, claim);
@@ -248,30 +248,30 @@
  * index.  A claim whose holder is gone has ended with an unknown result.
  */
 cb_answer_t *cb_claims_claim(cb_claims_t *claims, const cb_command_t *command,
-			     uint64_t fencing, int64_t wall_ms)
+			     uint64_t fencing, int64_t at_ms)
 {
 	gboolean is_resend;
 	claim_t *claim;
 	char *id;
 
-	ended_trim_(claims, wall_ms);
+	ended_trim_(claims, at_ms);
 	id = claim_id_(command);
 	claim = g_hash_table_lookup(claims->by_id, id);
 	g_free(id);
 	if (!claim)
-		return claim_new_(claims, command, fencing, wall_ms);
+		return claim_new_(claims, command, fencing, at_ms);
 	if (strcmp(claim->digest, command->digest) != 0)
 		return claim_answer_(CB_ANSWER_DIGEST_DIFFERS, claim);
 	if (!claim->is_ended &&
 	    !claims->owner_lives(claim->owner, claims->user_data))
-		claim_end_(claims, claim, CB_CLAIM_RESULT_UNKNOWN, wall_ms);
+		claim_end_(claims, claim, CB_CLAIM_RESULT_UNKNOWN, at_ms);
 	if (!claim->is_ended)
 		return running_answer_(claim, command);
 	is_resend = !g_strcmp0(claim->change_id, command->change_id);
 	if (!is_resend && (claim->result == CB_CLAIM_RESULT_NOT_EXECUTED ||
 			   (claim->result == CB_CLAIM_RESULT_UNKNOWN &&
 			    command->proves_by_fencing)))
-		return claim_again_(claims, claim, command, fencing, wall_ms);
+		return claim_again_(claims, claim, command, fencing, at_ms);
 	return claim_answer_(CB_ANSWER_FINISHED, claim);
 }
 
@@ -281,7 +281,7 @@
  * changes.
  */
 cb_answer_t *cb_claims_finish(cb_claims_t *claims, const cb_command_t *command,
-			      int64_t wall_ms)
+			      int64_t at_ms)
 {
 	char *id = claim_id_(command);
 	claim_t *claim = g_hash_table_lookup(claims->by_id, id);
@@ -295,7 +295,7 @@
 		return claim_answer_(CB_ANSWER_OK, claim);
 	if (claim->is_ended && claim->result != CB_CLAIM_RESULT_UNKNOWN)
 		return claim_answer_(CB_ANSWER_CONFLICT, claim);
-	claim_end_(claims, claim, command->result, wall_ms);
+	claim_end_(claims, claim, command->result, at_ms);
 	answer_keep_(claims, claim,
 		     command->result == CB_CLAIM_RESULT_EXECUTED ?
 			     command->answer :
@@ -312,7 +312,7 @@
 	cb_pack_string(pack, claim->owner);
 	cb_pack_string(pack, claim->server);
 	cb_pack_uint(pack, claim->fencing);
-	cb_pack_int(pack, claim->wall_ms);
+	cb_pack_int(pack, claim->at_ms);
 	cb_pack_bool(pack, claim->is_ended);
 	cb_pack_bool(pack, claim->must_prove);
 	cb_pack_uint(pack, claim->result);
@@ -345,7 +345,7 @@
 	claim->owner = cb_fields_text(&fields);
 	claim->server = cb_fields_string(&fields);
 	claim->fencing = cb_fields_uint(&fields);
-	claim->wall_ms = cb_fields_int(&fields);
+	claim->at_ms = cb_fields_int(&fields);
 	claim->is_ended = cb_fields_bool(&fields);
 	claim->must_prove = cb_fields_bool(&fields);
 	claim->result = cb_fields_enum(&fields, CB_CLAIM_RESULT_COUNT);
--- a/src/libcurrantbridge/control/state.c
+++ b/src/libcurrantbridge/control/state.c
@@ -57,7 +57,7 @@
 
 	if (owner_lives_(command->owner, state))
 		return cb_claims_claim(state->claims, command, index,
-				       state->wall_ms);
+				       state->elapsed_ms);
 	answer = cb_answer_new(CB_ANSWER_INVALID);
 	answer->message = g_strdup("claim: owner: is not an entry instance "
 				   "that is known to run");
@@ -68,7 +68,7 @@
 				  const cb_command_t *command, uint64_t index)
 {
 	(void)index;
-	return cb_claims_finish(state->claims, command, state->wall_ms);
+	return cb_claims_finish(state->claims, command, state->elapsed_ms);
 }
 
 /* Whether the first answer to a change ID is kept. */
@@ -88,6 +88,16 @@
 	}
 }
 
+/* Takes a leader's stamp; the first one sets the clock. */
+static void time_advance_(cb_state_t *state, int64_t wall_ms)
+{
+	int64_t step_ms = wall_ms - state->wall_ms;
+
+	if (state->wall_ms > 0)
+		state->elapsed_ms += CLAMP(step_ms, 0, CB_STATE_STEP_MAX_MS);
+	state->wall_ms = wall_ms;
+}
+
 static cb_answer_t *command_apply_(cb_state_t *state,
 				   const cb_command_t *command, uint64_t index)
 {
@@ -112,14 +122,14 @@
 		answer->message = g_strdup(fault);
 		return answer;
 	}
-	state->wall_ms = MAX(state->wall_ms, command->wall_ms);
+	time_advance_(state, command->wall_ms);
 	if (!is_kept_(command))
 		return apply[command->kind](state, command, index);
 	answer = cb_changes_find(state->changes, command);
 	if (answer)
 		return answer;
 	answer = apply[command->kind](state, command, index);
-	cb_changes_note(state->changes, command, answer, state->wall_ms);
+	cb_changes_note(state->changes, command, answer, state->elapsed_ms);
 	return answer;
 }
 
@@ -171,6 +181,7 @@
 	state->silent = cb_aging_new();
 	state->quarantine = cb_aging_new();
 	state->wall_ms = 0;
+	state->elapsed_ms = 0;
 }
 
 void cb_state_parts_delete(cb_state_t *state)
--- a/src/libcurrantbridge/control/state_config.c
+++ b/src/libcurrantbridge/control/state_config.c
@@ -200,7 +200,7 @@
 	for (drops = 0; drops < DROPS_PER_CHANGE; drops++) {
 		oldest = cb_aging_oldest(state->silent, &since_ms);
 		if (!oldest ||
-		    since_ms + CB_STATE_SILENT_KEEP_MS > state->wall_ms)
+		    since_ms + CB_STATE_SILENT_KEEP_MS > state->elapsed_ms)
 			return;
 		name = g_strdup(oldest);
 		cb_aging_remove(state->silent, name);
@@ -220,7 +220,7 @@
 	copy->data_centre = g_strdup(instance->data_centre);
 	copy->revision = index;
 	if (copy->state == CB_INSTANCE_SILENT)
-		cb_aging_add(state->silent, copy->name, state->wall_ms);
+		cb_aging_add(state->silent, copy->name, state->elapsed_ms);
 	else
 		cb_aging_remove(state->silent, copy->name);
 	item_put_(state, CB_ITEM_INSTANCE, copy->name, copy, index);
--- a/src/libcurrantbridge/control/state_snapshot.c
+++ b/src/libcurrantbridge/control/state_snapshot.c
@@ -4,14 +4,13 @@
 
 G_DEFINE_QUARK(cb - state - error - quark, cb_state_error)
 
-static void aging_entry_pack_(const char *name, int64_t wall_ms,
-			      void *user_data)
+static void aging_entry_pack_(const char *name, int64_t at_ms, void *user_data)
 {
 	cb_pack_t *pack = user_data;
 
 	cb_pack_array(pack, 2);
 	cb_pack_string(pack, name);
-	cb_pack_int(pack, wall_ms);
+	cb_pack_int(pack, at_ms);
 }
 
 static void aging_pack_(const cb_aging_t *aging, cb_pack_t *pack)
@@ -26,10 +25,11 @@
 	cb_pack_t pack;
 
 	cb_pack_init(&pack);
-	cb_pack_array(&pack, 9);
+	cb_pack_array(&pack, 10);
 	cb_pack_uint(&pack, SNAPSHOT_VERSION);
 	cb_pack_uint(&pack, cb_state_revision(state));
 	cb_pack_int(&pack, state->wall_ms);
+	cb_pack_int(&pack, state->elapsed_ms);
 	cb_pack_uint(&pack, cb_change_history_floor(state->history));
 	cb_change_history_pack_since(state->history, 0, state->view, TRUE,
 				     &pack);
@@ -69,18 +69,18 @@
 	cb_fields_t fields;
 	cb_fields_t entry;
 	gboolean is_read;
-	int64_t wall_ms;
+	int64_t at_ms;
 	char *name;
 
 	cb_fields_open(&fields, object);
 	while (fields.left) {
 		cb_fields_open(&entry, cb_fields_object(&fields));
 		name = cb_fields_text(&entry);
-		wall_ms = cb_fields_int(&entry);
+		at_ms = cb_fields_int(&entry);
 		is_read = cb_fields_end(&entry) &&
 			  cb_view_find_item(state->view, kind, name);
 		if (is_read)
-			cb_aging_add(aging, name, wall_ms);
+			cb_aging_add(aging, name, at_ms);
 		g_free(name);
 		if (!is_read)
 			return FALSE;
@@ -98,6 +98,7 @@
 		return FALSE;
 	cb_view_set_revision(state->view, cb_fields_uint(&fields));
 	state->wall_ms = cb_fields_int(&fields);
+	state->elapsed_ms = cb_fields_int(&fields);
 	cb_change_history_set_floor(state->history, cb_fields_uint(&fields));
 	return items_read_(state, cb_fields_object(&fields)) &&
 	       cb_changes_read(state->changes, cb_fields_object(&fields)) &&
--- a/src/libcurrantbridge/include/private/claims.h
+++ b/src/libcurrantbridge/include/private/claims.h
@@ -18,9 +18,9 @@
 void cb_claims_delete(cb_claims_t *claims);
 size_t cb_claims_count(const cb_claims_t *claims);
 cb_answer_t *cb_claims_claim(cb_claims_t *claims, const cb_command_t *command,
-			     uint64_t fencing, int64_t wall_ms);
+			     uint64_t fencing, int64_t at_ms);
 cb_answer_t *cb_claims_finish(cb_claims_t *claims, const cb_command_t *command,
-			      int64_t wall_ms);
+			      int64_t at_ms);
 void cb_claims_pack(const cb_claims_t *claims, cb_pack_t *pack);
 gboolean cb_claims_read(cb_claims_t *claims, const msgpack_object *object);
 
--- a/src/libcurrantbridge/include/private/state_data.h
+++ b/src/libcurrantbridge/include/private/state_data.h
@@ -15,8 +15,9 @@
 	cb_claims_t *claims;
 	cb_aging_t *silent;	/* instances, since when they are silent */
 	cb_aging_t *quarantine; /* digests, by when they were added */
-	/* The highest stamp of a leader so far: the state's only time. */
-	int64_t wall_ms;
+	int64_t wall_ms;	/* the last stamp of a leader */
+	/* The sum of the steps between stamps, by which things age. */
+	int64_t elapsed_ms;
 };
 
 void cb_state_parts_new(cb_state_t *state);
--- a/src/test_libcurrantbridge/support_state.c
+++ b/src/test_libcurrantbridge/support_state.c
@@ -45,6 +45,18 @@
 	return kind;
 }
 
+void support_age(support_state_t *self, int64_t age_ms)
+{
+	while (age_ms > 0) {
+		int64_t step_ms = MIN(age_ms, CB_STATE_STEP_MAX_MS);
+
+		self->wall_ms += step_ms;
+		age_ms -= step_ms;
+		support_apply_kind(self,
+				   support_stop(CB_COMMAND_STOP_CANCEL, "-"));
+	}
+}
+
 GBytes *support_snapshot(const support_state_t *self)
 {
 	cb_machine_t *machine = cb_state_machine(self->state);
--- a/src/test_libcurrantbridge/support_state.h
+++ b/src/test_libcurrantbridge/support_state.h
@@ -19,6 +19,8 @@
 cb_answer_kind_t support_apply_kind(support_state_t *self,
 				    cb_command_t *command);
 
+/* Lets time pass, by commands that change nothing. */
+void support_age(support_state_t *self, int64_t age_ms);
 GBytes *support_snapshot(const support_state_t *self);
 gboolean support_restore(support_state_t *self, GBytes *snapshot);
 
