--- a/src/libcurrantbridge/http/operator_read.c
+++ b/src/libcurrantbridge/http/operator_read.c
@@ -25,33 +25,53 @@
 	return cb_node_state(task->api->node);
 }
 
-static void put_contract_(JsonBuilder *builder, const cb_contract_t *contract)
+/*
+ * Appends a contract as JSON.  Its text is JSON already, and its workspace
+ * has no character that JSON escapes.
+ */
+static void contract_append_(GString *text, const cb_contract_t *contract)
 {
-	json_builder_begin_object(builder);
-	put_text_(builder, "workspace", contract->workspace);
-	put_uint_(builder, "revision", contract->revision);
-	json_builder_set_member_name(builder, "contract");
-	json_builder_add_value(builder, json_from_string(contract->text, NULL));
-	json_builder_end_object(builder);
+	g_string_append_printf(text,
+			       "{\"workspace\":\"%s\",\"revision\":"
+			       "%" G_GUINT64_FORMAT ",\"contract\":",
+			       contract->workspace, contract->revision);
+	g_string_append(text, contract->text);
+	g_string_append_c(text, '}');
+}
+
+/* Answers with JSON that is text already; takes `text`. */
+static void text_reply_(cb_operator_task_t *task, GString *text)
+{
+	gsize size = text->len;
+
+	soup_server_message_set_status(task->message, SOUP_STATUS_OK, NULL);
+	soup_server_message_set_response(task->message, "application/json",
+					 SOUP_MEMORY_TAKE,
+					 g_string_free(text, FALSE), size);
 }
 
-/* GET /v1/contracts */
+/*
+ * GET /v1/contracts.  There may be thousands; the loop of a control instance
+ * must not be held up by building a tree of them.
+ */
 void cb_operator_contracts_read(cb_operator_task_t *task)
 {
 	const cb_state_t *state = task_state_(task);
 	const GPtrArray *contracts = cb_view_contracts(cb_state_view(state));
-	JsonBuilder *builder = json_builder_new();
+	GString *text = g_string_new(NULL);
 	unsigned int i;
 
-	json_builder_begin_object(builder);
-	put_uint_(builder, "revision", cb_state_revision(state));
-	json_builder_set_member_name(builder, "contracts");
-	json_builder_begin_array(builder);
-	for (i = 0; i < contracts->len; i++)
-		put_contract_(builder, g_ptr_array_index(contracts, i));
-	json_builder_end_array(builder);
-	json_builder_end_object(builder);
-	cb_operator_reply(task, SOUP_STATUS_OK, builder);
+	g_string_append_printf(text,
+			       "{\"revision\":%" G_GUINT64_FORMAT
+			       ",\"contracts\":[",
+			       cb_state_revision(state));
+	for (i = 0; i < contracts->len; i++) {
+		if (i > 0)
+			g_string_append_c(text, ',');
+		contract_append_(text, g_ptr_array_index(contracts, i));
+	}
+	g_string_append(text, "]}");
+	text_reply_(task, text);
 }
 
 /* GET /v1/contracts/WORKSPACE */
@@ -59,7 +79,7 @@
 {
 	const cb_contract_t *contract =
 		cb_view_contract(cb_state_view(task_state_(task)), task->name);
-	JsonBuilder *builder;
+	GString *text;
 
 	if (!contract) {
 		cb_operator_refuse(task->api, task->message,
@@ -68,9 +88,9 @@
 				   CB_EXECUTED_NO);
 		return;
 	}
-	builder = json_builder_new();
-	put_contract_(builder, contract);
-	cb_operator_reply(task, SOUP_STATUS_OK, builder);
+	text = g_string_new(NULL);
+	contract_append_(text, contract);
+	text_reply_(task, text);
 }
 
 /* GET /v1/stops */
