Say that a connection closes after its answer

The HTTP server accepts connections itself and hands them to libsoup, which keeps a connection open only while it listens itself. So it closed each one after its first answer, but the answer did not say so: a client that sent its next request on it got no answer and could not tell whether it had run. Answers now carry Connection: close.

Seen with a client that reuses its connection: the second request ended without an answer. In a trial, a listener of libsoup's own kept connections open, but left them behind when the client closed them.

--- a/src/libcurrantbridge/http/http_guard.c
+++ b/src/libcurrantbridge/http/http_guard.c
@@ -173,6 +173,8 @@
 	arrival->stage = STAGE_BODY;
 	if (arrival->connection)
 		cb_timer_start(arrival->timer, BODY_TIMEOUT_MS);
+	/* libsoup ends a connection that it has not accepted itself. */
+	soup_message_headers_replace(response, "Connection", "close");
 	soup_message_headers_remove(response, "Content-Type");
 	soup_message_body_truncate(
 		soup_server_message_get_response_body(message));
--- a/test/test_operator.c
+++ b/test/test_operator.c
@@ -437,6 +437,51 @@
 	fixture_clear_(&fixture);
 }
 
+/* Sends one request on a connection; returns what has come after 1 s. */
+static char *raw_ask_(GSocketConnection *connection, const char *path)
+{
+	GIOStream *stream = G_IO_STREAM(connection);
+	char *request =
+		g_strdup_printf("GET %s HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n",
+				path);
+	char answer[4096] = { 0 };
+	gssize size;
+
+	g_socket_set_timeout(g_socket_connection_get_socket(connection), 1);
+	g_output_stream_write_all(g_io_stream_get_output_stream(stream),
+				  request, strlen(request), NULL, NULL, NULL);
+	size = g_input_stream_read(g_io_stream_get_input_stream(stream), answer,
+				   sizeof(answer) - 1, NULL, NULL);
+	g_free(request);
+	return g_strndup(answer, MAX(size, 0));
+}
+
+/* A connection takes further requests, or the answer says that it closes. */
+static void a_connection_that_ends_says_so(void)
+{
+	GSocketClient *client = g_socket_client_new();
+	support_group_t *group = support_group_new(1, &bounds);
+	GSocketConnection *connection;
+	char *first;
+	char *second;
+
+	CU_ASSERT_TRUE_FATAL(support_wait_leader(group, START_LIMIT_MS));
+	connection =
+		g_socket_client_connect_to_host(client, group->control[0]->http,
+						0, NULL, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(connection);
+	first = raw_ask_(connection, "/v1/status");
+	second = raw_ask_(connection, "/v1/status");
+	CU_ASSERT_TRUE(g_str_has_prefix(first, "HTTP/1.1 200"));
+	CU_ASSERT_TRUE(strstr(first, "\r\nConnection: close\r\n") ||
+		       g_str_has_prefix(second, "HTTP/1.1 200"));
+	g_free(second);
+	g_free(first);
+	g_object_unref(connection);
+	g_object_unref(client);
+	support_group_delete(group);
+}
+
 static CU_TestInfo operator_tests[] = {
 	{ "commands_tell_their_end", commands_tell_their_end },
 	{ "refusals_are_json_and_counted", refusals_are_json_and_counted },
@@ -444,6 +489,7 @@
 	  a_lost_leader_is_retried_under_one_id },
 	{ "no_majority_accepts_nothing", no_majority_accepts_nothing },
 	{ "wait_names_who_is_missing", wait_names_who_is_missing },
+	{ "a_connection_that_ends_says_so", a_connection_that_ends_says_so },
 	CU_TEST_INFO_NULL
 };
 
