Show the confirmed status when any instance can confirm it

status printed what the first instance asked knew, also when that one alone was cut off. The client now asks the others as well before it shows an unconfirmed answer.

--- a/src/currantbridge/client.c
+++ b/src/currantbridge/client.c
@@ -67,6 +67,11 @@
 	return client->addresses[client->next];
 }
 
+unsigned int client_address_count(const client_t *client)
+{
+	return client->address_count;
+}
+
 /* Turns to the next control instance. */
 void client_next_address(client_t *client)
 {
--- a/src/currantbridge/client.h
+++ b/src/currantbridge/client.h
@@ -42,6 +42,7 @@
 void client_sleep(client_t *client, int64_t delay_ms);
 void client_next_address(client_t *client);
 const char *client_address(const client_t *client);
+unsigned int client_address_count(const client_t *client);
 
 void client_request_clear(client_request_t *request);
 void client_reply_clear(client_reply_t *reply);
--- a/src/currantbridge/run.c
+++ b/src/currantbridge/run.c
@@ -106,13 +106,43 @@
 	return status_exit_code_(reply->status);
 }
 
+/* Whether an instance answered that could not reach a majority. */
+static gboolean is_unconfirmed_(const client_reply_t *reply)
+{
+	JsonObject *root;
+
+	if (!reply->json || !JSON_NODE_HOLDS_OBJECT(reply->json))
+		return FALSE;
+	root = json_node_get_object(reply->json);
+	return json_object_has_member(root, "is_confirmed") &&
+	       !json_flag(root, "is_confirmed");
+}
+
+/* Asks the other instances too, while the answers are not confirmed. */
+static client_outcome_t read_ask_(client_t *client,
+				  const client_request_t *request,
+				  client_reply_t *reply)
+{
+	client_outcome_t outcome = client_ask(client, request, reply);
+	unsigned int tries;
+
+	for (tries = 1; tries < client_address_count(client) &&
+			outcome == CLIENT_ANSWERED && is_unconfirmed_(reply);
+	     tries++) {
+		client_reply_clear(reply);
+		client_next_address(client);
+		outcome = client_ask(client, request, reply);
+	}
+	return outcome;
+}
+
 /* Runs a read of `path`, which it takes, and prints it. */
 int read_run(client_t *client, const arguments_t *arguments, char *path,
 	     print_fn_t print)
 {
 	client_request_t request = { .method = "GET", .path = path };
 	client_reply_t reply;
-	client_outcome_t outcome = client_ask(client, &request, &reply);
+	client_outcome_t outcome = read_ask_(client, &request, &reply);
 	int code = CB_EXIT_OK;
 
 	if (outcome != CLIENT_ANSWERED || reply.status != SOUP_STATUS_OK ||
