--- a/src/test_libcurrantbridge/test_sessions.c
+++ b/src/test_libcurrantbridge/test_sessions.c
@@ -234,6 +234,23 @@
 	world_delete(world);
 }
 
+/* No answer comes in time for a change that was accepted: unknown. */
+static void lost_answer_is_unknown(void)
+{
+	world_t *world = world_new(3, 2, 9);
+	world_result_t result;
+
+	world_run_until(world, world_is_converged, START_LIMIT_MS);
+	support_hub_block(world->hub, NULL, "entry1", TRUE);
+	world_put(world, 0, "handicap", "once", 1000, &result);
+	world_run_until(world, NULL, 1500);
+	CU_ASSERT_EQUAL(result.calls, 1);
+	CU_ASSERT_EQUAL(result.outcome, CB_CONTROL_UNKNOWN);
+	CU_ASSERT_PTR_NOT_NULL(
+		cb_view_contract(world->clients[1].view, "handicap"));
+	world_delete(world);
+}
+
 /* Without a majority nothing is accepted, and no new entry is confirmed. */
 static void no_majority_confirms_nothing(void)
 {
@@ -441,6 +458,7 @@
 	{ "node_without_majority_is_left", node_without_majority_is_left },
 	{ "membership_follows_instances", membership_follows_instances },
 	{ "lost_answer_is_asked_again", lost_answer_is_asked_again },
+	{ "lost_answer_is_unknown", lost_answer_is_unknown },
 	{ "no_majority_confirms_nothing", no_majority_confirms_nothing },
 	{ "stopping_leader_hands_over", stopping_leader_hands_over },
 	{ "random_faults_lose_nothing", random_faults_lose_nothing },
