--- a/src/cb-control/main.c
+++ b/src/cb-control/main.c
@@ -7,6 +7,7 @@
 #include "currantbridge/node.h"
 #include "currantbridge/operator.h"
 #include "currantbridge/program.h"
+#include "currantbridge/restore.h"
 
 /* Runs a control instance until it is stopped; returns the exit code. */
 static int control_run_(const control_settings_t *settings)
@@ -44,13 +45,45 @@
 	return exit_code;
 }
 
+/* Makes the data folder a group of one from a copy; returns the exit code. */
+static int control_restore_(const control_settings_t *settings,
+			    const char *from_folder)
+{
+	cb_restore_options_t options = { .from_folder = from_folder,
+					 .to_folder = settings->data_folder,
+					 .name = settings->name,
+					 .address = settings->listen_peers };
+	GRand *random = g_rand_new();
+	cb_restored_t restored;
+	GError *error = NULL;
+	int exit_code = CB_EXIT_OK;
+
+	if (cb_restore(&options, random, &restored, &error)) {
+		printf("restored %u contracts at revision %" G_GUINT64_FORMAT
+		       "\n",
+		       restored.contract_count, restored.revision);
+	} else {
+		fprintf(stderr, "cb-control: %s\n", error->message);
+		g_error_free(error);
+		exit_code = CB_EXIT_FAILURE;
+	}
+	g_rand_free(random);
+	return exit_code;
+}
+
 int main(int argc, char **argv)
 {
 	char *config = NULL;
-	const GOptionEntry entries[] = { { "config", 'c', 0,
-					   G_OPTION_ARG_FILENAME, &config,
-					   "Settings file (JSON)", "FILE" },
-					 G_OPTION_ENTRY_NULL };
+	char *restore = NULL;
+	const GOptionEntry entries[] = {
+		{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &config,
+		  "Settings file (JSON)", "FILE" },
+		{ "restore", 0, 0, G_OPTION_ARG_FILENAME, &restore,
+		  "Fill a blank data folder from a "
+		  "copy and exit",
+		  "FOLDER" },
+		G_OPTION_ENTRY_NULL
+	};
 	control_settings_t settings = { 0 };
 	GError *error = NULL;
 	int exit_code;
@@ -70,9 +103,11 @@
 		g_error_free(error);
 		goto out;
 	}
-	exit_code = control_run_(&settings);
+	exit_code = restore ? control_restore_(&settings, restore) :
+			      control_run_(&settings);
 out:
 	control_settings_clear(&settings);
 	g_free(config);
+	g_free(restore);
 	return exit_code;
 }
--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -238,6 +238,43 @@
 	folder_erase_(daemon->folder);
 }
 
+/* Copies the data folder of a daemon that does not run; frees the path. */
+char *support_daemon_copy(support_daemon_t *daemon)
+{
+	char *copy = g_strdup_printf("%s.copy", daemon->folder);
+	GDir *dir = g_dir_open(daemon->folder, 0, NULL);
+	const char *name;
+
+	g_assert(!daemon->process && dir);
+	g_mkdir(copy, 0700);
+	while ((name = g_dir_read_name(dir))) {
+		char *from = g_build_filename(daemon->folder, name, NULL);
+		char *to = g_build_filename(copy, name, NULL);
+		char *data;
+		gsize size;
+
+		g_assert(g_file_get_contents(from, &data, &size, NULL));
+		g_assert(g_file_set_contents(to, data, (gssize)size, NULL));
+		g_free(data);
+		g_free(from);
+		g_free(to);
+	}
+	g_dir_close(dir);
+	return copy;
+}
+
+/* Runs cb-control --restore on the daemon's settings; its exit code. */
+int support_daemon_restore(support_daemon_t *daemon, const char *copy)
+{
+	g_assert(!daemon->process);
+	daemon->process =
+		g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_SILENCE |
+					 G_SUBPROCESS_FLAGS_STDERR_SILENCE,
+				 NULL, daemon->program, "--config",
+				 daemon->config, "--restore", copy, NULL);
+	return support_daemon_wait(daemon);
+}
+
 /*
  * Runs the default loop until the condition holds; FALSE after `limit_ms`.
  */
--- a/test/support_daemons.h
+++ b/test/support_daemons.h
@@ -51,6 +51,8 @@
 int support_daemon_stop(support_daemon_t *daemon);
 void support_daemon_kill(support_daemon_t *daemon);
 void support_daemon_erase(support_daemon_t *daemon);
+char *support_daemon_copy(support_daemon_t *daemon);
+int support_daemon_restore(support_daemon_t *daemon, const char *copy);
 
 gboolean support_wait(support_condition_fn_t condition, void *user_data,
 		      int64_t limit_ms);
--- a/test/test_control.c
+++ b/test/test_control.c
@@ -200,6 +200,37 @@
 	history_clear_(&history);
 }
 
+/*
+ * All disks are lost; one instance is restored from a copy and leads a
+ * group of one.  Views that are ahead of the copy go on from there.
+ */
+static void copy_restores_a_lost_group(void)
+{
+	support_daemon_t *first;
+	history_t history;
+	char *copy;
+	size_t i;
+	int k;
+
+	history_init_(&history, 3);
+	for (k = 0; k < 10; k++)
+		CU_ASSERT_TRUE(history_put_(&history));
+	history_check_(&history);
+	first = history.group->control[0];
+	support_daemon_kill(first);
+	copy = support_daemon_copy(first);
+	CU_ASSERT_EQUAL(support_daemon_restore(first, copy), CB_EXIT_FAILURE);
+	for (i = 0; i < 3; i++) {
+		support_daemon_kill(history.group->control[i]);
+		support_daemon_erase(history.group->control[i]);
+	}
+	CU_ASSERT_EQUAL(support_daemon_restore(first, copy), CB_EXIT_OK);
+	support_daemon_start(first);
+	history_check_(&history);
+	g_free(copy);
+	history_clear_(&history);
+}
+
 /* Settings that are wrong end the daemon with exit code 2. */
 static void wrong_settings_are_refused(void)
 {
@@ -237,6 +268,7 @@
 	{ "restart_of_all_keeps_changes", restart_of_all_keeps_changes },
 	{ "blank_disk_is_replaced", blank_disk_is_replaced },
 	{ "stopping_leader_hands_over", stopping_leader_hands_over },
+	{ "copy_restores_a_lost_group", copy_restores_a_lost_group },
 	{ "wrong_settings_are_refused", wrong_settings_are_refused },
 	CU_TEST_INFO_NULL
 };
