Keep sessions through an election

Every loss of a leader closed all sessions on the followers, which then opened them anew with each other: 370 needless reconnections at once. An instance now sends its clients away only after half the silence bound without a majority. Measurements and tests also check that no daemon has ended by itself, and CB_KEEP keeps a group's folder.

--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -133,12 +133,27 @@
 	cb_sessions_confirm(user_data);
 }
 
+/*
+ * Tells whether this instance has been cut off from the majority for longer
+ * than an election takes, so that its clients should go elsewhere.
+ */
+gboolean cb_node_is_cut_off(const cb_node_t *node)
+{
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+
+	if (node->is_failed)
+		return TRUE;
+	if (cb_replica_is_current(node->replica))
+		return FALSE;
+	return now_ms - node->current_ms >= node->silence_ms / 2;
+}
+
 /* Drops the sessions of an instance that is cut off from the majority. */
 static void currency_check_(cb_node_t *node)
 {
 	if (!node->is_failed && cb_replica_is_current(node->replica))
-		return;
-	if (!cb_counter_get(node->session_gauge))
+		node->current_ms = cb_clock_now_ms(node->clock);
+	if (!cb_node_is_cut_off(node) || !cb_counter_get(node->session_gauge))
 		return;
 	cb_log_event(node->log, CB_EVENT_NOT_CURRENT);
 	cb_inbound_goodbye_all(node, TRUE, CB_CLOSE_NOT_CURRENT);
@@ -208,6 +223,7 @@
 	cb_log_event(node->log, CB_EVENT_LINKS_LISTENING,
 		     CB_STR("address", node->listen));
 	node->last_tick_ms = cb_clock_now_ms(node->clock);
+	node->current_ms = node->last_tick_ms;
 	members_keep_(node);
 	cb_timer_start(node->tick_timer, node->heartbeat_ms);
 	return TRUE;
--- a/src/libcurrantbridge/control/node_inbound.c
+++ b/src/libcurrantbridge/control/node_inbound.c
@@ -37,7 +37,7 @@
 	}
 	if (remote->role != CB_ROLE_ENTRY)
 		return;
-	if (!cb_replica_is_current(node->replica)) {
+	if (cb_node_is_cut_off(node)) {
 		cb_link_goodbye(inbound->link, CB_CLOSE_NOT_CURRENT);
 		return;
 	}
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -102,6 +102,7 @@
 	cb_timer_t *drain_timer;
 	int64_t drain_deadline_ms;
 	int64_t last_tick_ms;
+	int64_t current_ms; /* when it last heard a majority */
 	uint64_t ticks;
 	int64_t leader_since_ms;
 	gboolean was_leader;
@@ -117,6 +118,7 @@
 };
 
 gboolean cb_node_is_leader(const cb_node_t *node);
+gboolean cb_node_is_cut_off(const cb_node_t *node);
 cb_link_options_t cb_node_link_options(const cb_node_t *node,
 				       const cb_hello_t *hello);
 void cb_node_count_close(cb_node_t *node, cb_close_reason_t reason);
--- a/test/bench_control.c
+++ b/test/bench_control.c
@@ -11,8 +11,8 @@
 
 /*
  * Measures the control instances as real processes on loopback, with the
- * daemon's default bounds.  CB_ROUNDS, CB_SESSIONS and CB_IDLE_S change the
- * amount; CB_TEST chooses one measurement.  It fails when a change is lost
+ * daemon's default bounds.  CB_ROUNDS, CB_CONTROL, CB_SESSIONS and CB_IDLE_S
+ * change the amount; CB_TEST chooses one measurement.  It fails when a change is lost
  * or a view goes back, never by a time.
  */
 #define SILENCE_MS 3000
@@ -363,6 +363,7 @@
 	for (i = 0; i < control_count; i++) {
 		spent_t end = control_spent_(bench.group->control[i]);
 
+		CU_ASSERT_TRUE(support_daemon_runs(bench.group->control[i]));
 		end.processor_ms -= begin[i].processor_ms;
 		end.link_bytes -= begin[i].link_bytes;
 		worst.processor_ms = MAX(worst.processor_ms, end.processor_ms);
@@ -385,6 +386,11 @@
 
 static void idle_sessions(void)
 {
+	if (g_getenv("CB_SESSIONS")) {
+		idle_measure_((size_t)amount_("CB_CONTROL", 3),
+			      (size_t)amount_("CB_SESSIONS", 20));
+		return;
+	}
 	idle_measure_(3, 1);
 	idle_measure_(3, 20);
 	idle_measure_(3, 200);
--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -162,7 +162,7 @@
 	return group;
 }
 
-/* Kills what still runs and erases the folder. */
+/* Kills what still runs and erases the folder, unless CB_KEEP is set. */
 void support_group_delete(support_group_t *group)
 {
 	size_t i;
@@ -170,7 +170,10 @@
 	g_ptr_array_unref(group->others);
 	for (i = 0; i < group->control_count; i++)
 		daemon_delete_(group->control[i]);
-	folder_erase_(group->folder);
+	if (g_getenv("CB_KEEP"))
+		printf("    kept %s\n", group->folder);
+	else
+		folder_erase_(group->folder);
 	g_free(group->control);
 	g_free(group->folder);
 	g_free(group);
@@ -196,6 +199,13 @@
 	g_free(log);
 }
 
+/* Tells whether a daemon that was started has not ended by itself. */
+gboolean support_daemon_runs(const support_daemon_t *daemon)
+{
+	return daemon->process &&
+	       g_subprocess_get_identifier(daemon->process) != NULL;
+}
+
 /* Sends a signal to a daemon that runs. */
 void support_daemon_signal(support_daemon_t *daemon, int signal_number)
 {
--- a/test/test_control.c
+++ b/test/test_control.c
@@ -42,7 +42,12 @@
 static void history_clear_(history_t *history)
 {
 	unsigned int i;
+	size_t k;
 
+	/* What the test has not ended itself must not have ended. */
+	for (k = 0; k < history->group->control_count; k++)
+		CU_ASSERT_TRUE(!history->group->control[k]->process ||
+			       support_daemon_runs(history->group->control[k]));
 	CU_ASSERT_EQUAL(support_clients_went_back(history->clients), 0);
 	support_clients_delete(history->clients);
 	support_group_delete(history->group);
