--- a/test/support_daemons.h
+++ b/test/support_daemons.h
@@ -46,11 +46,14 @@
 				    const char *settings);
 
 void support_daemon_start(support_daemon_t *daemon);
+gboolean support_daemon_runs(const support_daemon_t *daemon);
 void support_daemon_signal(support_daemon_t *daemon, int signal_number);
 int support_daemon_wait(support_daemon_t *daemon);
 int support_daemon_stop(support_daemon_t *daemon);
 void support_daemon_kill(support_daemon_t *daemon);
 void support_daemon_erase(support_daemon_t *daemon);
+char *support_daemon_copy(support_daemon_t *daemon);
+int support_daemon_restore(support_daemon_t *daemon, const char *copy);
 
 gboolean support_wait(support_condition_fn_t condition, void *user_data,
 		      int64_t limit_ms);
