--- a/src/test_libcurrantbridge/support_engines.c
+++ b/src/test_libcurrantbridge/support_engines.c
@@ -6,7 +6,7 @@
 
 #define NETWORK_MS 1
 #define LATE_MS 400
-#define REPORT_MS 200
+#define REPORT_MS 500
 #define SILENCE_MS 2000
 #define SHARE_MS 100
 #define PER_MILLE 1000
--- a/src/test_libcurrantbridge/support_services.c
+++ b/src/test_libcurrantbridge/support_services.c
@@ -12,11 +12,11 @@
 #define PER_MILLE 1000
 
 /* What a server that checks fencing knows of a key. */
-typedef struct key {
+typedef struct known_key {
 	uint64_t fencing;
 	gboolean is_executed;
 	char *body;
-} key_t_;
+} known_key_t;
 
 typedef enum event_kind {
 	SEND,
@@ -74,7 +74,7 @@
 
 static void key_delete_(void *data)
 {
-	g_free(((key_t_ *)data)->body);
+	g_free(((known_key_t *)data)->body);
 	g_free(data);
 }
 
@@ -114,12 +114,13 @@
 	end_(event, NETWORK_MS);
 }
 
-static key_t_ *key_get_(event_t *event)
+static known_key_t *key_get_(event_t *event)
 {
-	key_t_ *key = g_hash_table_lookup(event->service->keys, event->key);
+	known_key_t *key =
+		g_hash_table_lookup(event->service->keys, event->key);
 
 	if (!key) {
-		key = g_new0(key_t_, 1);
+		key = g_new0(known_key_t, 1);
 		g_hash_table_insert(event->service->keys, g_strdup(event->key),
 				    key);
 	}
@@ -160,7 +161,7 @@
 static void send_arrive_(event_t *event)
 {
 	support_service_t *service = event->service;
-	key_t_ *key;
+	known_key_t *key;
 
 	service->calls++;
 	if (service->checks_fencing && event->key) {
@@ -179,7 +180,7 @@
 
 static void fence_arrive_(event_t *event)
 {
-	key_t_ *key = key_get_(event);
+	known_key_t *key = key_get_(event);
 
 	key->fencing = MAX(key->fencing, event->fencing);
 	event->result =
