Judge a caller too slow only after sending what waits

The events of one turn were counted as unread before they were sent, so that a burst of tokens cut off a caller that reads. slow_caller_is_cut_off failed that way with max_unread_bytes 4096; it passes three times in a row now.

--- a/src/libcurrantbridge/http/event_stream.c
+++ b/src/libcurrantbridge/http/event_stream.c
@@ -147,6 +147,11 @@
 	else
 		g_string_append_len(stream->waiting, events->str,
 				    (gssize)events->len);
+	if (!stream->is_head_written ||
+	    cb_event_stream_unread_bytes(stream) <= stream->max_unread_bytes)
+		return;
+	/* Events of one turn wait for its end, read or not. */
+	cb_connection_flush(stream->connection);
 	if (cb_event_stream_unread_bytes(stream) > stream->max_unread_bytes)
 		overflow_begin_(stream);
 }
--- a/src/libcurrantbridge/http/http_connection.c
+++ b/src/libcurrantbridge/http/http_connection.c
@@ -745,6 +745,13 @@
 	mark_dirty_(connection);
 }
 
+/* Sends what waits now, as far as the socket takes it. */
+void cb_connection_flush(cb_connection_t *connection)
+{
+	if (!connection->writable)
+		flush_(connection);
+}
+
 /* Sends bytes as one chunk of a chunked body. */
 void cb_connection_send_chunk(cb_connection_t *connection, const char *data,
 			      size_t size_bytes)
--- a/src/libcurrantbridge/include/private/http_connection.h
+++ b/src/libcurrantbridge/include/private/http_connection.h
@@ -37,6 +37,7 @@
 void cb_connection_unwatch(cb_connection_t *connection);
 void cb_connection_send(cb_connection_t *connection, const char *data,
 			size_t size_bytes);
+void cb_connection_flush(cb_connection_t *connection);
 void cb_connection_send_chunk(cb_connection_t *connection, const char *data,
 			      size_t size_bytes);
 void cb_connection_abort(cb_connection_t *connection);
