--- a/src/libcurrantbridge/http/http_connection.c
+++ b/src/libcurrantbridge/http/http_connection.c
@@ -1,10 +1,11 @@
 #include "private/http_connection.h"
 
-#include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "private/poller.h"
+
 /* What may wait for the socket before libsoup is told to wait itself. */
 #define MAX_PENDING_BYTES 65536
 /* Bounds what the machine holds for an end that does not read. */
@@ -17,6 +18,7 @@
 struct cb_connection_pool {
 	GMainContext *context;
 	cb_clock_t *clock;
+	cb_poller_t *poller;
 	GSource *flush; /* ready while a connection has bytes to send */
 	GPtrArray *dirty;
 	GPtrArray *spare; /* an empty array, for the next turn */
@@ -39,7 +41,7 @@
 	gboolean is_reading_stopped;
 	uint64_t request_bytes;
 	uint64_t answer_bytes;
-	GSource *hangup;
+	cb_watch_t *hangup;
 	cb_connection_fn_t gone;
 	void *gone_data;
 	gboolean is_lingering;
@@ -172,6 +174,7 @@
 
 	pool->context = context;
 	pool->clock = clock;
+	pool->poller = cb_poller_new(context);
 	pool->dirty = g_ptr_array_new_with_free_func(g_object_unref);
 	pool->lingering = g_ptr_array_new_with_free_func(g_object_unref);
 	pool->flush = g_source_new(&flush_funcs, sizeof(GSource));
@@ -193,6 +196,7 @@
 	g_ptr_array_unref(pool->dirty);
 	g_clear_pointer(&pool->spare, g_ptr_array_unref);
 	source_clear_(&pool->flush);
+	cb_poller_delete(pool->poller);
 	g_free(pool);
 }
 
@@ -346,7 +350,7 @@
 {
 	cb_connection_t *connection = (cb_connection_t *)object;
 
-	source_clear_(&connection->hangup);
+	cb_watch_delete(connection->hangup);
 	source_clear_(&connection->writable);
 	source_clear_(&connection->drained);
 	cb_timer_delete(connection->linger_timer);
@@ -674,45 +678,14 @@
 	g_socket_shutdown(connection->socket, TRUE, FALSE, NULL);
 }
 
-/* Whether the other end has closed its side, without reading anything. */
-static gboolean is_closed_by_peer_(GSocket *socket)
-{
-	int flags = G_SOCKET_MSG_PEEK;
-	char byte;
-	GInputVector vector = { &byte, 1 };
-
-	return g_socket_receive_message(socket, NULL, &vector, 1, NULL, NULL,
-					&flags, NULL, NULL) == 0;
-}
-
-static void hangup_source_add_(cb_connection_t *connection,
-			       GIOCondition condition);
-
-static gboolean hung_up_(int fd, GIOCondition condition, void *user_data)
+static void hung_up_(unsigned int events, void *user_data)
 {
 	cb_connection_t *connection = user_data;
 	cb_connection_fn_t gone = connection->gone;
-	gboolean is_gone = (condition & (G_IO_HUP | G_IO_ERR)) ||
-			   is_closed_by_peer_(connection->socket);
-
-	(void)fd;
-	source_clear_(&connection->hangup);
-	if (is_gone)
-		gone(connection->gone_data);
-	else /* A further request waits: only a reset can be seen past it. */
-		hangup_source_add_(connection, 0);
-	return G_SOURCE_REMOVE;
-}
 
-static void hangup_source_add_(cb_connection_t *connection,
-			       GIOCondition condition)
-{
-	connection->hangup =
-		g_unix_fd_source_new(g_socket_get_fd(connection->socket),
-				     condition | G_IO_HUP | G_IO_ERR);
-	g_source_set_callback(connection->hangup, G_SOURCE_FUNC(hung_up_),
-			      connection, NULL);
-	g_source_attach(connection->hangup, connection->pool->context);
+	(void)events;
+	cb_connection_unwatch(connection);
+	gone(connection->gone_data);
 }
 
 /* Calls `gone` once when the other end closes the connection. */
@@ -722,13 +695,16 @@
 	cb_connection_unwatch(connection);
 	connection->gone = gone;
 	connection->gone_data = user_data;
-	hangup_source_add_(connection, G_IO_IN);
+	connection->hangup =
+		cb_watch_new(connection->pool->poller,
+			     g_socket_get_fd(connection->socket),
+			     CB_WATCH_CLOSED, hung_up_, connection);
 }
 
 /* Ends cb_connection_watch(). */
 void cb_connection_unwatch(cb_connection_t *connection)
 {
-	source_clear_(&connection->hangup);
+	g_clear_pointer(&connection->hangup, cb_watch_delete);
 }
 
 /*
--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -1,8 +1,9 @@
 #include "private/http_exchange.h"
 
-#include <glib-unix.h>
 #include <string.h>
 
+#include "private/poller.h"
+
 #define MAX_CONNECTIONS 65536
 /* Well under what middle boxes keep an idle connection for. */
 #define IDLE_TIMEOUT_S 20
@@ -16,6 +17,7 @@
 	SoupSession *session;
 	GHashTable *open; /* set of cb_exchange_t */
 	cb_http_turn_t turn;
+	cb_poller_t *poller;
 	uint8_t scratch[READ_BYTES];
 };
 
@@ -29,6 +31,7 @@
 	gboolean is_sending;
 	GInputStream *stream;
 	GSocket *socket; /* of a fresh connection */
+	cb_watch_t *watch;
 	GSource *readable;
 	GByteArray *received;
 	size_t scanned_bytes;
@@ -46,6 +49,7 @@
 
 	if (turn)
 		client->turn = *turn;
+	client->poller = cb_poller_new(g_main_context_get_thread_default());
 	client->session =
 		soup_session_new_with_options("max-conns", MAX_CONNECTIONS,
 					      "max-conns-per-host",
@@ -64,6 +68,7 @@
 		g_source_unref(exchange->readable);
 		exchange->readable = NULL;
 	}
+	g_clear_pointer(&exchange->watch, cb_watch_delete);
 	g_clear_object(&exchange->stream);
 	g_clear_object(&exchange->socket);
 	if (exchange->listener.user_data_free)
@@ -118,6 +123,7 @@
 	g_hash_table_unref(client->open);
 	soup_session_abort(client->session);
 	g_object_unref(client->session);
+	cb_poller_delete(client->poller);
 	g_free(client);
 }
 
@@ -245,7 +251,7 @@
 	for (reads = 0; reads < MAX_READS && outcome == READ_MORE; reads++)
 		outcome = answer_read_once_(exchange, failure);
 	if (outcome == READ_MORE)
-		g_source_set_ready_time(exchange->readable, 0);
+		cb_watch_call_again(exchange->watch);
 	return outcome;
 }
 
@@ -279,37 +285,33 @@
 	return answer_take_(user_data);
 }
 
-static gboolean socket_readable_(int fd, GIOCondition condition,
-				 void *user_data)
+static void socket_readable_(unsigned int events, void *user_data)
 {
-	cb_exchange_t *exchange = user_data;
-
-	(void)fd;
-	(void)condition;
-	g_source_set_ready_time(exchange->readable, -1);
-	return answer_take_(exchange);
+	(void)events;
+	answer_take_(user_data);
 }
 
 /*
- * A source on the bare socket costs a fraction of the one that libsoup's
+ * A watch of the bare socket costs a fraction of the source that libsoup's
  * stream makes, which has one more within it for each layer of streams.
  */
-static void readable_source_add_(cb_exchange_t *exchange)
+static void readable_watch_(cb_exchange_t *exchange)
 {
-	if (!exchange->socket) {
-		exchange->readable = g_pollable_input_stream_create_source(
-			G_POLLABLE_INPUT_STREAM(exchange->stream), NULL);
-		g_source_set_callback(exchange->readable,
-				      G_SOURCE_FUNC(answer_readable_), exchange,
-				      NULL);
+	if (exchange->socket) {
+		exchange->watch =
+			cb_watch_new(exchange->client->poller,
+				     g_socket_get_fd(exchange->socket),
+				     CB_WATCH_READABLE, socket_readable_,
+				     exchange);
+		cb_watch_call_again(exchange->watch);
 		return;
 	}
-	exchange->readable =
-		g_unix_fd_source_new(g_socket_get_fd(exchange->socket),
-				     G_IO_IN);
+	exchange->readable = g_pollable_input_stream_create_source(
+		G_POLLABLE_INPUT_STREAM(exchange->stream), NULL);
 	g_source_set_callback(exchange->readable,
-			      G_SOURCE_FUNC(socket_readable_), exchange, NULL);
-	g_source_set_ready_time(exchange->readable, 0);
+			      G_SOURCE_FUNC(answer_readable_), exchange, NULL);
+	g_source_attach(exchange->readable,
+			g_main_context_get_thread_default());
 }
 
 static void answer_begun_(GObject *session, GAsyncResult *result,
@@ -334,9 +336,7 @@
 						CB_FAILURE_CONNECT);
 		return;
 	}
-	readable_source_add_(exchange);
-	g_source_attach(exchange->readable,
-			g_main_context_get_thread_default());
+	readable_watch_(exchange);
 }
 
 static void request_begins_(SoupMessage *message, void *user_data)
