--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -263,11 +263,15 @@
 		exchange->listener.line &&
 		soup_message_get_status(exchange->message) == SOUP_STATUS_OK;
 	read_outcome_t outcome;
+	cb_failure_t lines;
 
 	exchange->is_dispatching = TRUE;
 	outcome = answer_read_(exchange, &failure);
-	if (failure == CB_FAILURE_NONE && by_lines)
-		failure = turn_(exchange);
+	/* What came before a loss is the answer's all the same. */
+	if (by_lines && failure != CB_FAILURE_MISMATCH) {
+		lines = turn_(exchange);
+		failure = lines == CB_FAILURE_NONE ? failure : lines;
+	}
 	exchange->is_dispatching = FALSE;
 	if (exchange->is_ended) {
 		exchange_free_if_unused_(exchange);
