--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -164,7 +164,7 @@
 	size_t start = 0;
 	uint8_t *end;
 
-	while (!exchange->is_ended &&
+	while (!exchange->is_ended && received->len > exchange->scanned_bytes &&
 	       (end = memchr(received->data + exchange->scanned_bytes, '\n',
 			     received->len - exchange->scanned_bytes))) {
 		const char *line = (const char *)received->data + start;
--- a/src/test_libcurrantbridge/test_http_clients.c
+++ b/src/test_libcurrantbridge/test_http_clients.c
@@ -18,7 +18,8 @@
 typedef struct script {
 	GSocketService *service;
 	const char *answer;
-	gboolean stays_open; /* after the answer */
+	gboolean stays_open;  /* after the answer */
+	gboolean dies_reused; /* closes at a connection's second request */
 	int connections;
 	int requests;
 	int closed; /* connections that the client has closed */
@@ -28,6 +29,7 @@
 typedef struct connection {
 	script_t *script;
 	GSocketConnection *stream;
+	int requests;
 	char buffer[4096];
 } connection_t;
 
@@ -43,6 +45,11 @@
 
 	if (count > 0 && strstr(connection->buffer, "\r\n\r\n")) {
 		script->requests++;
+		connection->requests++;
+	}
+	if (connection->requests == 2 && script->dies_reused)
+		count = 0;
+	if (count > 0 && strstr(connection->buffer, "\r\n\r\n")) {
 		g_output_stream_write_all(g_io_stream_get_output_stream(stream),
 					  script->answer,
 					  strlen(script->answer), NULL, NULL,
@@ -237,6 +244,69 @@
 	}
 }
 
+/*
+ * A server that loses what comes on a used connection gets each call once:
+ * libsoup would send a PUT again.
+ */
+static void used_connection_carries_no_second_call(void)
+{
+	cb_service_client_t *client = cb_http_service_client_new();
+	script_t script;
+	int again;
+
+	script_init_(&script, OK LENGTH("2", "ok"), TRUE);
+	script.dies_reused = TRUE;
+	for (again = 1; again <= 3; again++) {
+		told_t told = { 0 };
+		cb_service_request_t request = { .request = "r",
+						 .method = "PUT",
+						 .path = "/x" };
+		cb_service_listener_t listener = { service_done_, &told };
+
+		client->vtable->send(client, &script.server, &request,
+				     &listener);
+		settle_(&told.done);
+		CU_ASSERT_EQUAL(told.failure, CB_FAILURE_NONE);
+		CU_ASSERT_EQUAL(script.requests, again);
+	}
+	cb_http_service_client_delete(client);
+	script_clear_(&script);
+}
+
+/* A step goes on a used connection, and is lost with it: never sent again. */
+static void step_lost_on_used_connection_is_not_repeated(void)
+{
+	static const cb_failure_t failures[] = { CB_FAILURE_NONE,
+						 CB_FAILURE_LOST,
+						 CB_FAILURE_NONE };
+	cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+	cb_engine_step_t step = { .request = "r", .epoch = 2, .token = 3 };
+	script_t script;
+	int i;
+
+	script_init_(&script,
+		     OK LENGTH("92", "{\"request\":\"r\",\"epoch\":2,"
+				     "\"token\":3,\"first_layer\":0,"
+				     "\"last_layer\":0,\"text\":\"t\","
+				     "\"last\":false}  "),
+		     TRUE);
+	script.dies_reused = TRUE;
+	for (i = 0; i < 3; i++) {
+		told_t told = { .texts = g_string_new(NULL) };
+		cb_engine_listener_t listener = { token_, engine_done_, &told };
+
+		client->vtable->step(client, &script.server, &step, &listener);
+		settle_(&told.done);
+		CU_ASSERT_EQUAL(told.done, 1);
+		CU_ASSERT_EQUAL(told.failure, failures[i]);
+		CU_ASSERT_EQUAL(script.requests, i + 1);
+		CU_ASSERT_EQUAL(script.connections, i / 2 + 1);
+		g_string_free(told.texts, TRUE);
+	}
+	cb_http_engine_client_delete(client);
+	script_clear_(&script);
+}
+
 /* Each way in which a stream of tokens ends. */
 static void stream_answers_are_classified(void)
 {
@@ -360,6 +430,10 @@
 
 static CU_TestInfo http_clients_tests[] = {
 	{ "service_answers_are_classified", service_answers_are_classified },
+	{ "used_connection_carries_no_second_call",
+	  used_connection_carries_no_second_call },
+	{ "step_lost_on_used_connection_is_not_repeated",
+	  step_lost_on_used_connection_is_not_repeated },
 	{ "stream_answers_are_classified", stream_answers_are_classified },
 	{ "refused_connection_is_classified",
 	  refused_connection_is_classified },
