--- a/src/test_libcurrantbridge/support_main.c
+++ b/src/test_libcurrantbridge/support_main.c
@@ -1,5 +1,3 @@
-#define _GNU_SOURCE
-
 #include "support_main.h"
 
 #include <CUnit/Basic.h>
