--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -287,6 +287,7 @@
 		node->network->vtable->unlisten(node->network, node->listener);
 	cb_replica_delete(node->replica);
 	g_hash_table_unref(node->requests);
+	g_hash_table_unref(node->replies);
 	g_hash_table_unref(node->inbounds);
 	cb_peers_delete(node->peers);
 	timers_delete_(node);
@@ -448,6 +449,8 @@
 					       NULL, cb_inbound_delete);
 	node->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, cb_node_request_delete);
+	node->replies = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					      g_free, NULL);
 	node->confirm_next =
 		g_array_new(FALSE, FALSE, sizeof(cb_confirm_waiter_t));
 	timers_make_(node);
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -212,44 +212,18 @@
 		cb_sessions_push(node);
 }
 
-/* A command that an entry instance submitted on its session. */
-typedef struct session_request {
-	cb_node_t *node;
-	uint64_t inbound_id;
-	uint64_t id;
-} session_request_t;
-
-static void session_submit_done_(cb_submit_outcome_t outcome,
-				 const cb_answer_t *answer, void *user_data)
-{
-	session_request_t *request = user_data;
-	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_SUBMIT_ANSWER,
-				      .id = request->id,
-				      .code = outcome };
-
-	if (answer)
-		message.body = cb_answer_encode(answer);
-	cb_inbound_reply(request->node, request->inbound_id, &message);
-	g_clear_pointer(&message.body, g_bytes_unref);
-	g_free(request);
-}
-
 static void submit_receive_(cb_inbound_t *inbound,
 			    const cb_link_message_t *message)
 {
 	cb_command_t *command =
 		message->body ? cb_command_decode(message->body) : NULL;
-	session_request_t *request;
 
 	if (!command) {
 		cb_link_goodbye(inbound->link, CB_CLOSE_MALFORMED);
 		return;
 	}
-	request = g_new0(session_request_t, 1);
-	request->node = inbound->node;
-	request->inbound_id = inbound->id;
-	request->id = message->id;
-	cb_node_submit(inbound->node, command, session_submit_done_, request);
+	cb_node_submit(inbound->node, command, cb_reply_submit_done,
+		       cb_reply_new(inbound, message->id));
 }
 
 /* Takes a message on an entry instance's session. */
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -49,6 +49,13 @@
 	cb_submit_outcome_t late_outcome;
 } cb_node_request_t;
 
+/* Where the answer to a message of another process goes. */
+typedef struct cb_reply {
+	cb_node_t *node;
+	uint64_t inbound_id;
+	uint64_t id;
+} cb_reply_t;
+
 /* A waiter of cb_node_confirm(). */
 typedef struct cb_confirm_waiter {
 	cb_confirm_fn_t done;
@@ -89,6 +96,7 @@
 	uint64_t next_id;
 	GHashTable *inbounds; /* by id */
 	GHashTable *requests; /* by id */
+	GHashTable *replies;  /* the set of those under way */
 	/* Waiters of the next confirmation and of the one that runs. */
 	GArray *confirm_next;
 	GArray *confirm_running;
@@ -136,11 +144,16 @@
 void cb_node_request_delete(void *request);
 void cb_node_request_peer_closed(cb_node_t *node, const char *peer);
 void cb_node_request_receive(cb_node_t *node, const cb_link_message_t *message);
-void cb_node_request_serve(cb_inbound_t *inbound,
-			   const cb_link_message_t *message);
 void cb_node_request_fail_all(cb_node_t *node);
 void cb_node_confirm_applied(cb_node_t *node);
 
+/* Requests of other processes, and their answers: node_serve.c. */
+cb_reply_t *cb_reply_new(cb_inbound_t *inbound, uint64_t id);
+void cb_reply_submit_done(cb_submit_outcome_t outcome,
+			  const cb_answer_t *answer, void *user_data);
+void cb_node_request_serve(cb_inbound_t *inbound,
+			   const cb_link_message_t *message);
+
 /* Sessions of entry instances: node_session.c. */
 gboolean cb_session_open(cb_inbound_t *inbound, const cb_hello_t *hello);
 void cb_session_delete(cb_session_t *session);
