--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -197,6 +197,34 @@
 	group_end_(group);
 }
 
+/* A disk that holds another group's log is not admitted. */
+static void disk_of_another_group_is_refused(void)
+{
+	group_t *group = group_begin_(1, 3);
+	group_member_t *leader = group_leader(group);
+	cb_message_t *message = cb_message_new(CB_MESSAGE_PROBE_REPLY);
+	GArray *outcomes =
+		g_array_new(FALSE, FALSE, sizeof(cb_replica_outcome_t));
+	GBytes *bytes;
+
+	message->from_disk = g_strdup("another");
+	message->from_address = g_strdup("127.0.0.1:9");
+	message->probe_reply.group_id = g_strdup("another group");
+	bytes = cb_message_encode(message);
+	cb_replica_add_member(leader->replica, "m9", "127.0.0.1:9",
+			      outcome_note_, outcomes);
+	cb_replica_receive(leader->replica, "m9", bytes);
+	group_run(group, 6000);
+	CU_ASSERT_EQUAL(outcomes->len, 1);
+	CU_ASSERT_EQUAL(g_array_index(outcomes, cb_replica_outcome_t, 0),
+			CB_REPLICA_BUSY);
+	CU_ASSERT_EQUAL(cb_replica_members(leader->replica)->len, 3);
+	g_bytes_unref(bytes);
+	cb_message_delete(message);
+	g_array_unref(outcomes);
+	group_end_(group);
+}
+
 static void all_restart_after_300_changes(void)
 {
 	group_t *group = group_begin_(1, 3);
@@ -470,6 +498,27 @@
 	group_delete(group);
 }
 
+/* The leader's own disk counts only once it has synced. */
+static void leader_counts_its_disk_when_synced(void)
+{
+	group_t *group = group_begin_(1, 3);
+	group_member_t *leader = group_leader(group);
+	group_change_t change = { 0 };
+	uint64_t last;
+
+	CU_ASSERT_TRUE(group_wait_equal(group, 1000));
+	group_cut_off(leader, TRUE, TRUE);
+	disk_set_sync_ms(leader->disk, 400);
+	group_propose(leader, &change, NULL, NULL);
+	group_run(group, 0);
+	last = cb_replica_log_last(leader->replica->log);
+	forge_stored_(leader, follower_(group), last);
+	CU_ASSERT_EQUAL(cb_replica_committed(leader->replica), last - 1);
+	group_run(group, 401);
+	CU_ASSERT_EQUAL(cb_replica_committed(leader->replica), last);
+	group_delete(group);
+}
+
 /* A record of a former term counts only under one of the leader's own. */
 static void former_terms_do_not_commit_alone(void)
 {
@@ -515,6 +564,8 @@
 	{ "blank_disk_does_not_vote", blank_disk_does_not_vote },
 	{ "every_disk_is_replaced_in_turn", every_disk_is_replaced_in_turn },
 	{ "live_member_is_not_replaced", live_member_is_not_replaced },
+	{ "disk_of_another_group_is_refused",
+	  disk_of_another_group_is_refused },
 	{ "all_restart_after_300_changes", all_restart_after_300_changes },
 	{ "member_is_added_and_removed", member_is_added_and_removed },
 	{ "one_membership_change_at_a_time", one_membership_change_at_a_time },
@@ -525,6 +576,8 @@
 	{ "outcomes_are_told_once", outcomes_are_told_once },
 	{ "proposals_share_an_fsync", proposals_share_an_fsync },
 	{ "answers_wait_for_the_disk", answers_wait_for_the_disk },
+	{ "leader_counts_its_disk_when_synced",
+	  leader_counts_its_disk_when_synced },
 	{ "former_terms_do_not_commit_alone",
 	  former_terms_do_not_commit_alone },
 	CU_TEST_INFO_NULL,
