--- a/src/libcurrantbridge/control/restore.c
+++ b/src/libcurrantbridge/control/restore.c
@@ -12,7 +12,7 @@
  * are higher than all that the lost group can have given out.
  */
 #define INDEX_GAP 1000000000ULL
-#define DISK_ID_WORDS 4
+#define ID_WORDS 4
 
 static gboolean refuse_(GError **error, const char *folder, const char *reason)
 {
@@ -61,12 +61,13 @@
 	}
 }
 
-static char *disk_id_new_(GRand *random)
+/* Draws the ID of a disk or a group. */
+static char *id_new_(GRand *random)
 {
 	GString *text = g_string_new(NULL);
 	int i;
 
-	for (i = 0; i < DISK_ID_WORDS; i++)
+	for (i = 0; i < ID_WORDS; i++)
 		g_string_append_printf(text, "%08x", g_rand_int(random));
 	return g_string_free(text, FALSE);
 }
@@ -78,13 +79,14 @@
 			     GRand *random, GError **error)
 {
 	cb_machine_t *machine = cb_state_machine(state);
-	char *disk_id = disk_id_new_(random);
+	char *disk_id = id_new_(random);
+	char *group_id = id_new_(random);
 	cb_vote_t vote = { .term = snapshot->term, .disk_id = disk_id };
 	GPtrArray *members = cb_members_new();
 	gboolean is_written;
 
 	cb_members_add(members, options->name, options->address, TRUE, disk_id);
-	snapshot->members = cb_members_encode(members);
+	snapshot->members = cb_members_encode(members, group_id);
 	snapshot->data = machine->vtable->snapshot(machine);
 	cb_file_folder_vote(folder, &vote);
 	is_written = cb_file_folder_save_snapshot(folder, snapshot, error);
@@ -92,6 +94,7 @@
 	g_bytes_unref(snapshot->data);
 	g_ptr_array_unref(members);
 	g_free(disk_id);
+	g_free(group_id);
 	return is_written;
 }
 
