--- a/src/libcurrantbridge/control/restore.c
+++ b/src/libcurrantbridge/control/restore.c
@@ -61,8 +61,8 @@
 	}
 }
 
-/* Draws the ID of a disk or of a group. */
-static char *id_draw_(GRand *random)
+/* Draws the ID of a disk or a group. */
+static char *id_new_(GRand *random)
 {
 	GString *text = g_string_new(NULL);
 	int i;
@@ -79,9 +79,8 @@
 			     GRand *random, GError **error)
 {
 	cb_machine_t *machine = cb_state_machine(state);
-	char *disk_id = id_draw_(random);
-	/* The members of the lost group must not take this one for theirs. */
-	char *group_id = id_draw_(random);
+	char *disk_id = id_new_(random);
+	char *group_id = id_new_(random);
 	cb_vote_t vote = { .term = snapshot->term, .disk_id = disk_id };
 	GPtrArray *members = cb_members_new();
 	gboolean is_written;
@@ -94,8 +93,8 @@
 	g_bytes_unref(snapshot->members);
 	g_bytes_unref(snapshot->data);
 	g_ptr_array_unref(members);
-	g_free(group_id);
 	g_free(disk_id);
+	g_free(group_id);
 	return is_written;
 }
 
