--- a/src/test_libcurrantbridge/support_engines.c
+++ b/src/test_libcurrantbridge/support_engines.c
@@ -617,6 +617,7 @@
 	command->name = g_strdup(digest);
 	command->server = g_strdup(server);
 	command->owner = g_strdup(entry->name);
+	entry->engines->reports++;
 	command_apply_(entry->engines, command);
 }
 
--- a/src/test_libcurrantbridge/test_generation.c
+++ b/src/test_libcurrantbridge/test_generation.c
@@ -181,6 +181,7 @@
 					CB_SERVER_READY);
 	}
 	cb_clock_advance(engines->clock, LONG_MS);
+	CU_ASSERT_EQUAL(engines->reports, 0);
 	CU_ASSERT_TRUE(support_caller_is_whole(caller));
 	support_caller_delete(caller);
 	tear_down_();
