--- a/src/libcurrantbridge/http/http_connection.c
+++ b/src/libcurrantbridge/http/http_connection.c
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "private/poller.h"
+
 /* What may wait for the socket before libsoup is told to wait itself. */
 #define MAX_PENDING_BYTES 65536
 /* Bounds what the machine holds for an end that does not read. */
@@ -11,12 +13,16 @@
 /* How long a closed connection may take to read the last answer. */
 #define LINGER_MS 2000
 #define LINGER_READ_BYTES 16384
+#define CHUNK_HEAD_BYTES 24
 
 struct cb_connection_pool {
 	GMainContext *context;
 	cb_clock_t *clock;
+	cb_poller_t *poller;
 	GSource *flush; /* ready while a connection has bytes to send */
 	GPtrArray *dirty;
+	GPtrArray *spare; /* an empty array, for the next turn */
+	gboolean is_in_turn;
 	GPtrArray *lingering;
 	cb_connection_fn_t idle;
 	void *idle_data;
@@ -35,7 +41,7 @@
 	gboolean is_reading_stopped;
 	uint64_t request_bytes;
 	uint64_t answer_bytes;
-	GSource *hangup;
+	cb_watch_t *hangup;
 	cb_connection_fn_t gone;
 	void *gone_data;
 	gboolean is_lingering;
@@ -120,26 +126,38 @@
 		linger_begin_(connection);
 }
 
-static gboolean pool_flush_(GSource *source, GSourceFunc fn, void *user_data)
+static void pool_flush_(cb_connection_pool_t *pool)
 {
-	cb_connection_pool_t *pool = user_data;
 	GPtrArray *dirty = pool->dirty;
 	unsigned int i;
 
-	(void)fn;
-	g_source_set_ready_time(source, -1);
-	pool->dirty = g_ptr_array_new_with_free_func(g_object_unref);
+	pool->dirty = pool->spare;
+	pool->spare = NULL;
+	if (!pool->dirty)
+		pool->dirty = g_ptr_array_new_with_free_func(g_object_unref);
 	for (i = 0; i < dirty->len; i++) {
 		cb_connection_t *connection = g_ptr_array_index(dirty, i);
 
 		connection->is_dirty = FALSE;
 		flush_(connection);
 	}
-	g_ptr_array_unref(dirty);
+	g_ptr_array_set_size(dirty, 0);
+	if (pool->spare)
+		g_ptr_array_unref(dirty);
+	else
+		pool->spare = dirty;
+}
+
+static gboolean flush_dispatch_(GSource *source, GSourceFunc fn,
+				void *user_data)
+{
+	(void)fn;
+	g_source_set_ready_time(source, -1);
+	pool_flush_(user_data);
 	return G_SOURCE_CONTINUE;
 }
 
-static GSourceFuncs flush_funcs = { .dispatch = pool_flush_ };
+static GSourceFuncs flush_funcs = { .dispatch = flush_dispatch_ };
 
 /* Stands for the callback that the source's dispatch is given the pool by. */
 static gboolean flush_unused_(void *user_data)
@@ -156,6 +174,7 @@
 
 	pool->context = context;
 	pool->clock = clock;
+	pool->poller = cb_poller_new(context);
 	pool->dirty = g_ptr_array_new_with_free_func(g_object_unref);
 	pool->lingering = g_ptr_array_new_with_free_func(g_object_unref);
 	pool->flush = g_source_new(&flush_funcs, sizeof(GSource));
@@ -175,10 +194,29 @@
 		cb_connection_abort(g_ptr_array_index(pool->lingering, 0));
 	g_ptr_array_unref(pool->lingering);
 	g_ptr_array_unref(pool->dirty);
+	g_clear_pointer(&pool->spare, g_ptr_array_unref);
 	source_clear_(&pool->flush);
+	cb_poller_delete(pool->poller);
 	g_free(pool);
 }
 
+/*
+ * Brackets work that writes to connections: their bytes are sent at its end
+ * rather than in the next turn of the loop.
+ */
+void cb_connection_pool_turn_begin(cb_connection_pool_t *pool)
+{
+	pool->is_in_turn = TRUE;
+}
+
+/* Ends cb_connection_pool_turn_begin(). */
+void cb_connection_pool_turn_end(cb_connection_pool_t *pool)
+{
+	pool->is_in_turn = FALSE;
+	if (pool->dirty->len > 0)
+		pool_flush_(pool);
+}
+
 /* Calls `idle` once no connection lingers that was closed before. */
 void cb_connection_pool_wait(cb_connection_pool_t *pool,
 			     cb_connection_fn_t idle, void *user_data)
@@ -196,7 +234,7 @@
 	if (connection->is_dirty || connection->writable)
 		return;
 	connection->is_dirty = TRUE;
-	if (pool->dirty->len == 0)
+	if (pool->dirty->len == 0 && !pool->is_in_turn)
 		g_source_set_ready_time(pool->flush, 0);
 	g_ptr_array_add(pool->dirty, g_object_ref(connection));
 }
@@ -312,7 +350,7 @@
 {
 	cb_connection_t *connection = (cb_connection_t *)object;
 
-	source_clear_(&connection->hangup);
+	cb_watch_delete(connection->hangup);
 	source_clear_(&connection->writable);
 	source_clear_(&connection->drained);
 	cb_timer_delete(connection->linger_timer);
@@ -640,44 +678,14 @@
 	g_socket_shutdown(connection->socket, TRUE, FALSE, NULL);
 }
 
-/* Whether the other end has closed its side, without reading anything. */
-static gboolean is_closed_by_peer_(GSocket *socket)
-{
-	int flags = G_SOCKET_MSG_PEEK;
-	char byte;
-	GInputVector vector = { &byte, 1 };
-
-	return g_socket_receive_message(socket, NULL, &vector, 1, NULL, NULL,
-					&flags, NULL, NULL) == 0;
-}
-
-static void hangup_source_add_(cb_connection_t *connection,
-			       GIOCondition condition);
-
-static gboolean hung_up_(GSocket *socket, GIOCondition condition,
-			 void *user_data)
+static void hung_up_(unsigned int events, void *user_data)
 {
 	cb_connection_t *connection = user_data;
 	cb_connection_fn_t gone = connection->gone;
-	gboolean is_gone = (condition & (G_IO_HUP | G_IO_ERR)) ||
-			   is_closed_by_peer_(socket);
-
-	source_clear_(&connection->hangup);
-	if (is_gone)
-		gone(connection->gone_data);
-	else /* A further request waits: only a reset can be seen past it. */
-		hangup_source_add_(connection, 0);
-	return G_SOURCE_REMOVE;
-}
 
-static void hangup_source_add_(cb_connection_t *connection,
-			       GIOCondition condition)
-{
-	connection->hangup =
-		g_socket_create_source(connection->socket, condition, NULL);
-	g_source_set_callback(connection->hangup, G_SOURCE_FUNC(hung_up_),
-			      connection, NULL);
-	g_source_attach(connection->hangup, connection->pool->context);
+	(void)events;
+	cb_connection_unwatch(connection);
+	gone(connection->gone_data);
 }
 
 /* Calls `gone` once when the other end closes the connection. */
@@ -687,18 +695,21 @@
 	cb_connection_unwatch(connection);
 	connection->gone = gone;
 	connection->gone_data = user_data;
-	hangup_source_add_(connection, G_IO_IN);
+	connection->hangup =
+		cb_watch_new(connection->pool->poller,
+			     g_socket_get_fd(connection->socket),
+			     CB_WATCH_CLOSED, hung_up_, connection);
 }
 
 /* Ends cb_connection_watch(). */
 void cb_connection_unwatch(cb_connection_t *connection)
 {
-	source_clear_(&connection->hangup);
+	g_clear_pointer(&connection->hangup, cb_watch_delete);
 }
 
 /*
- * Sends bytes past libsoup, which must have given the connection up.  On a
- * connection that is closed already they are dropped.
+ * Sends bytes past libsoup, which must have paused or given the connection
+ * up.  On a connection that is closed already they are dropped.
  */
 void cb_connection_send(cb_connection_t *connection, const char *data,
 			size_t size_bytes)
@@ -710,6 +721,25 @@
 	mark_dirty_(connection);
 }
 
+/* Sends what waits now, as far as the socket takes it. */
+void cb_connection_flush(cb_connection_t *connection)
+{
+	if (!connection->writable)
+		flush_(connection);
+}
+
+/* Sends bytes as one chunk of a chunked body. */
+void cb_connection_send_chunk(cb_connection_t *connection, const char *data,
+			      size_t size_bytes)
+{
+	char head[CHUNK_HEAD_BYTES];
+	int head_bytes = g_snprintf(head, sizeof(head), "%zx\r\n", size_bytes);
+
+	cb_connection_send(connection, head, (size_t)head_bytes);
+	cb_connection_send(connection, data, size_bytes);
+	cb_connection_send(connection, "\r\n", 2);
+}
+
 /* Closes the connection at once, whatever waits. */
 void cb_connection_abort(cb_connection_t *connection)
 {
--- a/test/test_control.c
+++ b/test/test_control.c
@@ -1,3 +1,4 @@
+#include <libsoup/soup.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -41,7 +42,12 @@
 static void history_clear_(history_t *history)
 {
 	unsigned int i;
+	size_t k;
 
+	/* What the test has not ended itself must not have ended. */
+	for (k = 0; k < history->group->control_count; k++)
+		CU_ASSERT_TRUE(!history->group->control[k]->process ||
+			       support_daemon_runs(history->group->control[k]));
 	CU_ASSERT_EQUAL(support_clients_went_back(history->clients), 0);
 	support_clients_delete(history->clients);
 	support_group_delete(history->group);
@@ -168,6 +174,21 @@
 	history_clear_(&history);
 }
 
+/* Tells whether every member votes, as the one with the new disk says. */
+static gboolean all_vote_(void *user_data)
+{
+	history_t *history = user_data;
+	const char *address = history->group->control[0]->http;
+	char *members = NULL;
+	gboolean all = support_http("GET", address, "/v1/members", NULL,
+				    &members) == SOUP_STATUS_OK &&
+		       strstr(members, "\"is_voter\"") &&
+		       !strstr(members, "\"is_voter\":false");
+
+	g_free(members);
+	return all;
+}
+
 /* A blank disk comes back, catches up, and then another instance is lost. */
 static void blank_disk_is_replaced(void)
 {
@@ -181,6 +202,9 @@
 	support_daemon_erase(history.group->control[0]);
 	support_daemon_start(history.group->control[0]);
 	history_check_(&history);
+	/* The repair is over once the new disk votes; before, a majority of
+	 * the three has lost its disk or its life. */
+	CU_ASSERT_TRUE(support_wait(all_vote_, &history, CHANGE_LIMIT_MS));
 	support_daemon_kill(history.group->control[1]);
 	history_check_(&history);
 	history_clear_(&history);
@@ -200,6 +224,37 @@
 	history_clear_(&history);
 }
 
+/*
+ * All disks are lost; one instance is restored from a copy and leads a
+ * group of one.  Views that are ahead of the copy go on from there.
+ */
+static void copy_restores_a_lost_group(void)
+{
+	support_daemon_t *first;
+	history_t history;
+	char *copy;
+	size_t i;
+	int k;
+
+	history_init_(&history, 3);
+	for (k = 0; k < 10; k++)
+		CU_ASSERT_TRUE(history_put_(&history));
+	history_check_(&history);
+	first = history.group->control[0];
+	support_daemon_kill(first);
+	copy = support_daemon_copy(first);
+	CU_ASSERT_EQUAL(support_daemon_restore(first, copy), CB_EXIT_FAILURE);
+	for (i = 0; i < 3; i++) {
+		support_daemon_kill(history.group->control[i]);
+		support_daemon_erase(history.group->control[i]);
+	}
+	CU_ASSERT_EQUAL(support_daemon_restore(first, copy), CB_EXIT_OK);
+	support_daemon_start(first);
+	history_check_(&history);
+	g_free(copy);
+	history_clear_(&history);
+}
+
 /* Settings that are wrong end the daemon with exit code 2. */
 static void wrong_settings_are_refused(void)
 {
@@ -237,6 +292,7 @@
 	{ "restart_of_all_keeps_changes", restart_of_all_keeps_changes },
 	{ "blank_disk_is_replaced", blank_disk_is_replaced },
 	{ "stopping_leader_hands_over", stopping_leader_hands_over },
+	{ "copy_restores_a_lost_group", copy_restores_a_lost_group },
 	{ "wrong_settings_are_refused", wrong_settings_are_refused },
 	CU_TEST_INFO_NULL
 };
