Clear a digest everywhere once it has finished whole

Reports of deaths stayed in the view for ten minutes, so content that had finished since counted as suspect at the next death and ran one at a time.

--- a/include/currantbridge/generation.h
+++ b/include/currantbridge/generation.h
@@ -53,6 +53,8 @@
 	/* Tells all entry instances that a server died under a digest. */
 	void (*suspect)(void *user_data, const char *digest,
 			const char *server);
+	/* Takes back what was told of a digest: it has finished whole. */
+	void (*clear)(void *user_data, const char *digest);
 	/* Has all entry instances refuse a digest. */
 	void (*quarantine)(void *user_data, const char *digest,
 			   int64_t until_wall_ms);
--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -181,6 +181,20 @@
 				 quarantined_, entry);
 }
 
+/* Takes back every report of a digest that has finished whole. */
+static void clear_(void *user_data, const char *digest)
+{
+	cb_entry_t *entry = user_data;
+	cb_command_t *command = cb_command_new(CB_COMMAND_QUARANTINE_REMOVE);
+
+	command->change_id = g_strdup_printf("%s-%08x%08x", entry->owner,
+					     g_rand_int(entry->random),
+					     g_rand_int(entry->random));
+	command->name = g_strdup(digest);
+	cb_control_client_submit(entry->control, command, QUARANTINE_TIMEOUT_MS,
+				 quarantined_, entry);
+}
+
 /* Has all entry instances refuse a digest. */
 static void quarantine_(void *user_data, const char *digest,
 			int64_t until_wall_ms)
@@ -297,6 +311,7 @@
 		.data_centre = entry->data_centre,
 		.instance = entry->owner,
 		.suspect = suspect_,
+		.clear = clear_,
 		.quarantine = quarantine_,
 		.user_data = entry,
 	};
--- a/src/libcurrantbridge/request/suspects.c
+++ b/src/libcurrantbridge/request/suspects.c
@@ -543,8 +543,13 @@
 void cb_suspects_passed(cb_suspects_t *suspects, const char *digest)
 {
 	record_t *record = record_find_(suspects, digest);
+	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
 
 	record->waiting--;
+	if ((record->death_count ||
+	     cb_view_deaths(suspects->parts.view, digest, wall_ms)) &&
+	    suspects->parts.clear)
+		suspects->parts.clear(suspects->parts.user_data, digest);
 	if (record->death_count)
 		suspicion_clear_(suspects, digest, record);
 	if (g_hash_table_size(suspects->proven) >= MAX_PROVEN_DIGESTS)
--- a/src/test_libcurrantbridge/support_engines.c
+++ b/src/test_libcurrantbridge/support_engines.c
@@ -621,6 +621,15 @@
 	command_apply_(entry->engines, command);
 }
 
+static void clear_(void *user_data, const char *digest)
+{
+	support_entry_t *entry = user_data;
+	cb_command_t *command = cb_command_new(CB_COMMAND_QUARANTINE_REMOVE);
+
+	command->name = g_strdup(digest);
+	command_apply_(entry->engines, command);
+}
+
 static void quarantine_(void *user_data, const char *digest,
 			int64_t until_wall_ms)
 {
@@ -641,6 +650,7 @@
 					.engines = &entry->client,
 					.data_centre = "dc1",
 					.suspect = suspect_,
+					.clear = clear_,
 					.quarantine = quarantine_,
 					.user_data = entry,
 					.history = engines->history };
--- a/src/test_libcurrantbridge/test_generation.c
+++ b/src/test_libcurrantbridge/test_generation.c
@@ -424,6 +424,15 @@
 		}
 		cb_clock_advance(engines->clock, 2 * LONG_MS);
 		CU_ASSERT_EQUAL(engines->refused->len, 0);
+		/* Whoever finished is not suspect any more, anywhere. */
+		for (j = 0; j < 4; j++) {
+			char *name = g_strdup_printf("e%u/1", j);
+
+			CU_ASSERT_EQUAL(cb_view_suspects_on(entry->view, name,
+							    1, 0),
+					0);
+			g_free(name);
+		}
 		for (j = 0; j < cases[i].streams; j++) {
 			CU_ASSERT_TRUE(support_caller_is_whole(callers[j]));
 			support_caller_delete(callers[j]);
