--- a/bench/relay_source.c
+++ b/bench/relay_source.c
@@ -95,6 +95,9 @@
 		g_strdup(json_object_get_string_member(order, "request"));
 	stream->epoch = json_object_get_int_member(order, "epoch");
 	stream->max_tokens = json_object_get_int_member(order, "max_tokens");
+	if (json_object_has_member(order, "delivered"))
+		stream->token = json_array_get_length(
+			json_object_get_array_member(order, "delivered"));
 	stream->timer = cb_timer_new(stream->source->process.clock, token_send_,
 				     stream);
 	g_object_unref(parser);
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -234,6 +234,35 @@
 	world_clear_(&world);
 }
 
+static gboolean refuses_as_leaving_(void *user_data)
+{
+	support_daemon_t *entry = user_data;
+	char *answer = NULL;
+	gboolean is_so = support_http("POST", entry->http, "/v1/completions",
+				      "{}", &answer) == 503 &&
+			 strstr(answer, "\"leaving\"");
+
+	g_free(answer);
+	return is_so;
+}
+
+/* After the TTL new requests are refused while old streams run on. */
+static void drained_instance_refuses_new_work(void)
+{
+	support_stream_t *stream;
+	world_t world;
+
+	world_init_(&world, QUICK, WHOLE_ENGINE, 1);
+	stream = support_stream_start(world.entry->http, "s", 200);
+	CU_ASSERT_TRUE(streams_reach_(&stream, 1, 1));
+	support_daemon_signal(world.entry, SIGTERM);
+	CU_ASSERT_TRUE(support_wait(refuses_as_leaving_, world.entry, 3500));
+	CU_ASSERT_FALSE(stream->is_over);
+	CU_ASSERT_EQUAL(streams_end_(&stream, 1), 1);
+	CU_ASSERT_EQUAL(support_daemon_wait(world.entry), 0);
+	world_clear_(&world);
+}
+
 /* An announced stop of the instance itself begins the same drain. */
 static void announced_stop_drains_instance(void)
 {
@@ -398,6 +427,8 @@
 	{ "bad_requests_are_refused_and_counted",
 	  bad_requests_are_refused_and_counted },
 	{ "sigterm_cuts_no_stream", sigterm_cuts_no_stream },
+	{ "drained_instance_refuses_new_work",
+	  drained_instance_refuses_new_work },
 	{ "announced_stop_drains_instance", announced_stop_drains_instance },
 	{ "killed_engine_breaks_no_stream", killed_engine_breaks_no_stream },
 	{ "stopped_server_gets_no_new_work", stopped_server_gets_no_new_work },
