--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -162,7 +162,7 @@
 	return group;
 }
 
-/* Kills what still runs and erases the folder. */
+/* Kills what still runs and erases the folder, unless CB_KEEP is set. */
 void support_group_delete(support_group_t *group)
 {
 	size_t i;
@@ -170,7 +170,10 @@
 	g_ptr_array_unref(group->others);
 	for (i = 0; i < group->control_count; i++)
 		daemon_delete_(group->control[i]);
-	folder_erase_(group->folder);
+	if (g_getenv("CB_KEEP"))
+		printf("    kept %s\n", group->folder);
+	else
+		folder_erase_(group->folder);
 	g_free(group->control);
 	g_free(group->folder);
 	g_free(group);
@@ -196,6 +199,13 @@
 	g_free(log);
 }
 
+/* Tells whether a daemon that was started has not ended by itself. */
+gboolean support_daemon_runs(const support_daemon_t *daemon)
+{
+	return daemon->process &&
+	       g_subprocess_get_identifier(daemon->process) != NULL;
+}
+
 /* Sends a signal to a daemon that runs. */
 void support_daemon_signal(support_daemon_t *daemon, int signal_number)
 {
@@ -238,6 +248,43 @@
 	folder_erase_(daemon->folder);
 }
 
+/* Copies the data folder of a daemon that does not run; frees the path. */
+char *support_daemon_copy(support_daemon_t *daemon)
+{
+	char *copy = g_strdup_printf("%s.copy", daemon->folder);
+	GDir *dir = g_dir_open(daemon->folder, 0, NULL);
+	const char *name;
+
+	g_assert(!daemon->process && dir);
+	g_mkdir(copy, 0700);
+	while ((name = g_dir_read_name(dir))) {
+		char *from = g_build_filename(daemon->folder, name, NULL);
+		char *to = g_build_filename(copy, name, NULL);
+		char *data;
+		gsize size;
+
+		g_assert(g_file_get_contents(from, &data, &size, NULL));
+		g_assert(g_file_set_contents(to, data, (gssize)size, NULL));
+		g_free(data);
+		g_free(from);
+		g_free(to);
+	}
+	g_dir_close(dir);
+	return copy;
+}
+
+/* Runs cb-control --restore on the daemon's settings; its exit code. */
+int support_daemon_restore(support_daemon_t *daemon, const char *copy)
+{
+	g_assert(!daemon->process);
+	daemon->process =
+		g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_SILENCE |
+					 G_SUBPROCESS_FLAGS_STDERR_SILENCE,
+				 NULL, daemon->program, "--config",
+				 daemon->config, "--restore", copy, NULL);
+	return support_daemon_wait(daemon);
+}
+
 /*
  * Runs the default loop until the condition holds; FALSE after `limit_ms`.
  */
