--- a/src/libcurrantbridge/control/replica_snapshot.c
+++ b/src/libcurrantbridge/control/replica_snapshot.c
@@ -4,7 +4,7 @@
 
 /* Records kept in memory after a snapshot, for members a little behind. */
 #define KEPT_RECORDS 1024
-#define KEPT_BYTES (1024 * 1024)
+#define KEPT_MAX_BYTES (1024 * 1024)
 
 /* Frees what a snapshot holds and zeroes it. */
 void cb_snapshot_clear(cb_snapshot_t *snapshot)
@@ -74,9 +74,11 @@
 static void log_compact_(cb_replica_t *replica, uint64_t index)
 {
 	uint64_t through = index > KEPT_RECORDS ? index - KEPT_RECORDS : 0;
+	uint64_t kept_bytes =
+		MIN(replica->snapshot_every_bytes, (uint64_t)KEPT_MAX_BYTES);
 
 	while (through < index &&
-	       cb_replica_log_bytes(replica->log, through, index) > KEPT_BYTES)
+	       cb_replica_log_bytes(replica->log, through, index) > kept_bytes)
 		through++;
 	cb_replica_log_compact(replica->log, through);
 }
--- a/src/test_libcurrantbridge/support_group.c
+++ b/src/test_libcurrantbridge/support_group.c
@@ -311,6 +311,7 @@
 	group->delay_most_ms = 2;
 	group->snapshot_every_bytes = 2048;
 	group->violations = g_ptr_array_new_with_free_func(g_free);
+	group->counters = cb_counters_new();
 	part->history.leaders =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      g_free);
@@ -350,6 +351,7 @@
 	g_hash_table_unref(part->history.first);
 	g_free(part);
 	g_ptr_array_unref(group->violations);
+	cb_counters_delete(group->counters);
 	g_rand_free(group->random);
 	cb_clock_delete(group->clock);
 	g_free(group);
@@ -373,6 +375,7 @@
 		.election_timeout_ms = 500,
 		.snapshot_every_bytes = group->snapshot_every_bytes,
 		.max_waiting_proposals = 1000,
+		.counters = group->counters,
 	};
 	cb_replica_listener_t listener = { .role_changed = role_changed_,
 					   .failed = failed_,
@@ -610,9 +613,11 @@
 	       !strcmp(known->disk_id, member->replica->disk_id);
 }
 
-uint64_t group_machine_applied(const group_member_t *member)
+int64_t group_event_count(const group_t *group, const char *event)
 {
-	return node_of_(member)->applied;
+	return cb_counter_get(cb_counters_counter(group->counters,
+						  "cb_replica_events_total",
+						  "event", event));
 }
 
 static gboolean is_equal_(group_t *group)
--- a/src/test_libcurrantbridge/support_group.h
+++ b/src/test_libcurrantbridge/support_group.h
@@ -51,8 +51,9 @@
 	uint64_t sent_bytes_most; /* of one message */
 	uint64_t sent_count;
 	uint64_t sent_bytes;
-	GPtrArray *violations; /* of text */
-	void *history;	       /* private */
+	cb_counters_t *counters; /* of all members together */
+	GPtrArray *violations;	 /* of text */
+	void *history;		 /* private */
 };
 
 group_t *group_new(uint64_t seed, uint32_t size);
@@ -83,7 +84,8 @@
 		   cb_replica_done_fn_t done, void *user_data);
 void group_read(group_member_t *member);
 gboolean group_is_voter(group_t *group, const group_member_t *member);
-uint64_t group_machine_applied(const group_member_t *member);
+/* How often an event of cb_replica_events_total has come. */
+int64_t group_event_count(const group_t *group, const char *event);
 /* Whether all live members have applied the same, up to the last commit. */
 gboolean group_wait_equal(group_t *group, int64_t bound_ms);
 /* Checks that an acknowledged change took effect once, on every member. */
--- a/src/test_libcurrantbridge/test_replica_seeds.c
+++ b/src/test_libcurrantbridge/test_replica_seeds.c
@@ -383,6 +383,8 @@
 	uint64_t changes = 0;
 	uint64_t repairs = 0;
 	uint64_t reads = 0;
+	int64_t installs = 0;
+	int64_t elections = 0;
 	int64_t seed;
 	int64_t bad = 0;
 
@@ -398,6 +400,8 @@
 		changes += run.group->acknowledged_count;
 		reads += run.group->read_count;
 		repairs += run.repairs;
+		installs += group_event_count(run.group, "snapshot_installed");
+		elections += group_event_count(run.group, "election_begun");
 		CU_ASSERT_TRUE(run.group->sent_bytes_most < 1024 * 1024);
 		run_free_(&run);
 	}
@@ -406,8 +410,13 @@
 	       " answers, %" G_GUINT64_FORMAT
 	       " confirmed reads, %" G_GUINT64_FORMAT " replaced disks\n",
 	       count, first, bad, changes, reads, repairs);
+	printf("    %" G_GINT64_FORMAT " elections, %" G_GINT64_FORMAT
+	       " snapshots installed\n",
+	       elections, installs);
 	CU_ASSERT_EQUAL(bad, 0);
-	CU_ASSERT_TRUE(changes > 0 && reads > 0);
+	/* A few seeds meet every kind of event, or the test shows little. */
+	CU_ASSERT_TRUE(changes > 0 && reads > 0 && elections > 0);
+	CU_ASSERT_TRUE(count < DEFAULT_SEEDS || (repairs && installs));
 }
 
 static CU_TestInfo tests[] = {
