--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -498,6 +498,75 @@
 	group_delete(group);
 }
 
+/* Forges an append of `count` records of `term` after the index `prev`. */
+static void forge_append_(group_member_t *member, const group_member_t *from,
+			  uint64_t term, uint64_t prev, uint32_t count)
+{
+	cb_message_t *append = cb_message_new(CB_MESSAGE_APPEND);
+	uint32_t i;
+
+	append->term = term;
+	append->append.prev_index = prev;
+	cb_replica_log_term(member->replica->log, prev,
+			    &append->append.prev_term);
+	for (i = 1; i <= count; i++)
+		g_ptr_array_add(append->append.records,
+				cb_record_new(prev + i, term, CB_RECORD_NOOP,
+					      NULL));
+	forge_(member, from, append);
+}
+
+/* What replaces records is not durable because they were. */
+static void replaced_records_are_not_durable(void)
+{
+	int is_synced;
+
+	for (is_synced = 0; is_synced < 2; is_synced++) {
+		group_t *group = group_begin_(1, 3);
+		group_member_t *leader = group_leader(group);
+		group_member_t *member = follower_(group);
+		uint64_t term = leader->replica->term;
+		uint64_t last;
+		uint64_t syncs;
+
+		CU_ASSERT_TRUE(group_wait_equal(group, 1000));
+		group_cut_off(member, TRUE, TRUE);
+		group_run(group, 10);
+		last = cb_replica_log_last(member->replica->log);
+		disk_set_sync_ms(member->disk, 100);
+		syncs = disk_syncs(member->disk);
+		forge_append_(member, leader, term, last, 3);
+		if (is_synced)
+			group_run(group, 101);
+		forge_append_(member, leader, term + 1, last, 2);
+		while (disk_syncs(member->disk) == syncs)
+			group_run(group, 1);
+		CU_ASSERT_EQUAL(member->replica->durable, last);
+		group_run(group, 301);
+		CU_ASSERT_EQUAL(member->replica->durable, last + 2);
+		group_delete(group);
+	}
+}
+
+/* Whoever hears a leader does not even take over a later term. */
+static void vote_is_refused_while_a_leader_is_heard(void)
+{
+	group_t *group = group_begin_(1, 3);
+	group_member_t *leader = group_leader(group);
+	group_member_t *member = follower_(group);
+	uint64_t term = leader->replica->term;
+	cb_message_t *vote = cb_message_new(CB_MESSAGE_VOTE_REQUEST);
+
+	vote->term = term + 1;
+	vote->vote_request.last_index = G_MAXUINT32;
+	vote->vote_request.last_term = term + 1;
+	forge_(member, leader, vote);
+	CU_ASSERT_EQUAL(member->replica->term, term);
+	group_run(group, 1000);
+	CU_ASSERT_PTR_EQUAL(group_leader(group), leader);
+	group_end_(group);
+}
+
 /* The leader's own disk counts only once it has synced. */
 static void leader_counts_its_disk_when_synced(void)
 {
@@ -576,6 +645,10 @@
 	{ "outcomes_are_told_once", outcomes_are_told_once },
 	{ "proposals_share_an_fsync", proposals_share_an_fsync },
 	{ "answers_wait_for_the_disk", answers_wait_for_the_disk },
+	{ "replaced_records_are_not_durable",
+	  replaced_records_are_not_durable },
+	{ "vote_is_refused_while_a_leader_is_heard",
+	  vote_is_refused_while_a_leader_is_heard },
 	{ "leader_counts_its_disk_when_synced",
 	  leader_counts_its_disk_when_synced },
 	{ "former_terms_do_not_commit_alone",
