--- a/src/test_libcurrantbridge/support_engines.c
+++ b/src/test_libcurrantbridge/support_engines.c
@@ -6,7 +6,7 @@
 
 #define NETWORK_MS 1
 #define LATE_MS 400
-#define REPORT_MS 200
+#define REPORT_MS 500
 #define SILENCE_MS 2000
 #define SHARE_MS 100
 #define PER_MILLE 1000
@@ -617,6 +617,7 @@
 	command->name = g_strdup(digest);
 	command->server = g_strdup(server);
 	command->owner = g_strdup(entry->name);
+	entry->engines->reports++;
 	command_apply_(entry->engines, command);
 }
 
