--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <xxhash.h>
 
 #include "private/replica.h"
 #include "support_group.h"
@@ -516,6 +517,55 @@
 	forge_(member, from, append);
 }
 
+static void forge_snapshot_(group_member_t *member, const group_member_t *from,
+			    uint64_t term, uint64_t index)
+{
+	cb_message_t *message = cb_message_new(CB_MESSAGE_SNAPSHOT);
+	cb_snapshot_chunk_t *chunk = &message->snapshot;
+
+	message->term = term;
+	chunk->index = index;
+	chunk->index_term = term;
+	chunk->data = g_bytes_new_static("0 0", 3);
+	chunk->size = 3;
+	chunk->digest = XXH3_64bits("0 0", 3);
+	chunk->members = cb_members_encode(member->replica->members,
+					   member->replica->group_id);
+	forge_(member, from, message);
+}
+
+/*
+ * A snapshot takes the place of records that another history has there, and
+ * is acknowledged only when it is durable.
+ */
+static void snapshot_replaces_another_history(void)
+{
+	group_t *group = group_begin_(1, 3);
+	group_member_t *leader = group_leader(group);
+	group_member_t *member = follower_(group);
+	uint64_t term = leader->replica->term;
+	uint64_t last;
+	uint64_t sent;
+
+	CU_ASSERT_TRUE(group_wait_equal(group, 1000));
+	group_cut_off(member, TRUE, TRUE);
+	last = cb_replica_log_last(member->replica->log);
+	forge_append_(member, leader, term, last, 3);
+	group_run(group, 10);
+	disk_set_sync_ms(member->disk, 50);
+	sent = group->sent_count;
+	forge_snapshot_(member, leader, term + 1, last + 2);
+	forge_snapshot_(member, leader, term + 1, last + 2);
+	CU_ASSERT_EQUAL(group->sent_count, sent);
+	CU_ASSERT_EQUAL(cb_replica_log_last(member->replica->log), last + 2);
+	CU_ASSERT_EQUAL(cb_replica_log_last_term(member->replica->log),
+			term + 1);
+	group_run(group, 110);
+	CU_ASSERT_TRUE(group->sent_count > sent);
+	CU_ASSERT_EQUAL(member->replica->durable, last + 2);
+	group_delete(group);
+}
+
 /* What replaces records is not durable because they were. */
 static void replaced_records_are_not_durable(void)
 {
@@ -645,6 +695,8 @@
 	{ "outcomes_are_told_once", outcomes_are_told_once },
 	{ "proposals_share_an_fsync", proposals_share_an_fsync },
 	{ "answers_wait_for_the_disk", answers_wait_for_the_disk },
+	{ "snapshot_replaces_another_history",
+	  snapshot_replaces_another_history },
 	{ "replaced_records_are_not_durable",
 	  replaced_records_are_not_durable },
 	{ "vote_is_refused_while_a_leader_is_heard",
