--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -551,7 +551,9 @@
 	group_cut_off(member, TRUE, TRUE);
 	last = cb_replica_log_last(member->replica->log);
 	forge_append_(member, leader, term, last, 3);
-	group_run(group, 10);
+	/* The next term is durable before the snapshot comes. */
+	forge_append_(member, leader, term + 1, last, 0);
+	group_run(group, 20);
 	disk_set_sync_ms(member->disk, 50);
 	sent = group->sent_count;
 	forge_snapshot_(member, leader, term + 1, last + 2);
