Make an instance known as soon as its session is confirmed

Sessions that were open before there was a leader proposed their instances too early, and again only at the next heartbeat, 750 ms later; a change put meanwhile counted as in force on 0 of 0 instances. Keeping sessions through an election had made this common. They are now proposed when the session is confirmed.

--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -162,6 +162,8 @@
 		session->is_confirmed = TRUE;
 		cb_link_send(inbound->link, &message);
 	}
+	if (outcome == CB_SUBMIT_ANSWERED)
+		cb_node_members_announce(node);
 	cb_sessions_push(node);
 	cb_timer_start(node->confirm_timer, CONFIRM_RETRY_MS);
 }
--- a/src/test_libcurrantbridge/test_sessions.c
+++ b/src/test_libcurrantbridge/test_sessions.c
@@ -104,6 +104,28 @@
 	world_delete(world);
 }
 
+static gboolean all_are_confirmed_(world_t *world)
+{
+	size_t i;
+
+	for (i = 0; i < world->client_count; i++)
+		if (!cb_control_client_is_confirmed(world->clients[i].client))
+			return FALSE;
+	return TRUE;
+}
+
+/* Sessions that were there before the first leader are known with it. */
+static void confirmed_instances_are_known(void)
+{
+	world_t *world = world_new(3, 8, 10);
+
+	CU_ASSERT_TRUE(
+		world_run_until(world, all_are_confirmed_, START_LIMIT_MS));
+	CU_ASSERT_TRUE(
+		world_run_until(world, world_is_converged, IN_FORCE_GOAL_MS));
+	world_delete(world);
+}
+
 /* Cuts a node off without a word; everything goes on through the others. */
 static void silent_node_is_left(void)
 {
@@ -454,6 +476,7 @@
 
 static CU_TestInfo session_tests[] = {
 	{ "changes_reach_every_session", changes_reach_every_session },
+	{ "confirmed_instances_are_known", confirmed_instances_are_known },
 	{ "silent_node_is_left", silent_node_is_left },
 	{ "node_without_majority_is_left", node_without_majority_is_left },
 	{ "membership_follows_instances", membership_follows_instances },
