--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -162,6 +162,7 @@
 		session->is_confirmed = TRUE;
 		cb_link_send(inbound->link, &message);
 	}
+	/* There is a leader, so instances that are new can be announced. */
 	if (outcome == CB_SUBMIT_ANSWERED)
 		cb_node_members_announce(node);
 	cb_sessions_push(node);
