Leave a service time between effect and answer

Cause: test_effects passed with a lost connection taken for 'not run': the stand-in answered at once, so a killed service had either answered or not executed.

--- a/src/cb-fake-backend/fake_backend.h
+++ b/src/cb-fake-backend/fake_backend.h
@@ -20,6 +20,7 @@
 	char *service;
 	int capacity;
 	int token_ms;
+	int answer_ms;
 	char *crash_on;
 	int silent_after;
 	char *fencing;
--- a/src/cb-fake-backend/fake_service.c
+++ b/src/cb-fake-backend/fake_service.c
@@ -23,6 +23,7 @@
 	char *path;
 	char *key;
 	int64_t fencing;
+	gboolean is_executed;
 	cb_timer_t *timer;
 } call_t;
 
@@ -123,14 +124,20 @@
 					 strlen(answer));
 }
 
-static void call_finish_(void *user_data)
+/* Executes the call, then answers it after the time of --answer-ms. */
+static void call_timer_(void *user_data)
 {
 	call_t *call = user_data;
 
-	if (is_fenced_(call))
+	if (!call->is_executed && is_fenced_(call)) {
 		fake_refuse(call->message, SOUP_STATUS_CONFLICT, "fenced");
-	else
+	} else if (!call->is_executed) {
 		call_execute_(call);
+		call->is_executed = TRUE;
+		cb_timer_start(call->timer,
+			       call->plain->backend->options->answer_ms);
+		return;
+	}
 	call->plain->backend->running--;
 	if (!fake_backend_is_silent(call->plain->backend))
 		soup_server_message_unpause(call->message);
@@ -164,7 +171,7 @@
 		soup_message_headers_get_one(headers, "Idempotency-Key"));
 	call->fencing = fencing ? g_ascii_strtoll(fencing, NULL, 10) : 0;
 	call->timer = cb_timer_new(cb_kernel_clock(plain->backend->kernel),
-				   call_finish_, call);
+				   call_timer_, call);
 	plain->backend->running++;
 	soup_server_message_pause(message);
 	cb_timer_start(call->timer, plain->backend->options->token_ms);
--- a/src/cb-fake-backend/main.c
+++ b/src/cb-fake-backend/main.c
@@ -36,6 +36,8 @@
 	  "Requests that run at once (default 64)", "N" },
 	{ "token-ms", 0, 0, G_OPTION_ARG_INT, &options.token_ms,
 	  "Time of one token, step or call (default 30)", "MS" },
+	{ "answer-ms", 0, 0, G_OPTION_ARG_INT, &options.answer_ms,
+	  "Time from a call's effect to its answer (default 0)", "MS" },
 	{ "crash-on", 0, 0, G_OPTION_ARG_STRING, &options.crash_on,
 	  "Die on a prompt or body that holds TEXT", "TEXT" },
 	{ "silent-after", 0, 0, G_OPTION_ARG_INT, &options.silent_after,
@@ -75,6 +77,8 @@
 		return refuse_("capacity", "must be 1 or more");
 	if (options.token_ms < 0)
 		return refuse_("token-ms", "must be 0 or more");
+	if (options.answer_ms < 0)
+		return refuse_("answer-ms", "must be 0 or more");
 	if (options.fencing && strcmp(options.fencing, "yes") &&
 	    strcmp(options.fencing, "no"))
 		return refuse_("fencing", "must be yes or no");
--- a/test/test_effects.c
+++ b/test/test_effects.c
@@ -18,14 +18,14 @@
 #define INNOCENTS 40
 #define KILLER_SENDS 20
 #define MOST_LOST 3
-#define SIDE_BY_SIDE 20
+#define SIDE_BY_SIDE 6
 #define SENDS_MAX 8
 #define RESEND_MS 150
-#define KILL_INTERVAL_MS 250
+#define KILL_INTERVAL_MS 150
 #define CALL_LIMIT_MS 120000
-#define DEFAULT_CALLS 120
+#define DEFAULT_CALLS 300
 #define SETTINGS "\"address_ttl_ms\":500,\"silence_ms\":1500"
-#define SERVICE "--service bookings --token-ms 15 --fencing "
+#define SERVICE "--service bookings --token-ms 10 --answer-ms 40 --fencing "
 #define ENGINE "--model ruling --layers 4 --capacity 200 --token-ms 20 "
 
 typedef struct world {
