--- a/src/libcurrantbridge/request/suspects.c
+++ b/src/libcurrantbridge/request/suspects.c
@@ -45,6 +45,7 @@
 	gboolean is_accused; /* the verdict is due at hold_until_ms */
 	gboolean needs_isolation;
 	gboolean died_alone;
+	gboolean was_cleared; /* by its progress */
 	unsigned int waiting; /* its requests that have not ended */
 	int64_t refused_until_wall_ms;
 	GHashTable *death_servers; /* each "NAME/INCARNATION" */
@@ -520,9 +521,17 @@
 	record_sweep_(suspects, digest);
 }
 
+/* Takes back what all entry instances were told of a digest. */
+static void reports_clear_(cb_suspects_t *suspects, const char *digest)
+{
+	if (suspects->parts.clear)
+		suspects->parts.clear(suspects->parts.user_data, digest);
+}
+
 /*
- * Notes how far an attempt has come; past the place of the last death the
- * digest no longer needs a server alone.
+ * Notes how far an attempt has come.  What has passed the place of the last
+ * death did not cause it, and is cleared; but only once, so that content
+ * that ends each server a little later is found as well.
  */
 void cb_suspects_progressed(cb_suspects_t *suspects, const char *digest,
 			    uint64_t delivered_count)
@@ -532,11 +541,16 @@
 	if (!record)
 		return;
 	record->delivered_count = MAX(record->delivered_count, delivered_count);
-	if (!record->needs_isolation ||
+	if (!record->death_count || record->is_accused ||
 	    delivered_count < record->delivered_at_death + CLEARING_TOKENS)
 		return;
 	record->needs_isolation = FALSE;
 	isolation_release_(suspects, digest);
+	if (record->was_cleared)
+		return;
+	record->was_cleared = TRUE;
+	suspicion_clear_(suspects, digest, record);
+	reports_clear_(suspects, digest);
 }
 
 /* Notes that a digest has finished whole, which clears it. */
@@ -546,10 +560,9 @@
 	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
 
 	record->waiting--;
-	if ((record->death_count ||
-	     cb_view_deaths(suspects->parts.view, digest, wall_ms)) &&
-	    suspects->parts.clear)
-		suspects->parts.clear(suspects->parts.user_data, digest);
+	if (record->death_count ||
+	    cb_view_deaths(suspects->parts.view, digest, wall_ms))
+		reports_clear_(suspects, digest);
 	if (record->death_count)
 		suspicion_clear_(suspects, digest, record);
 	if (g_hash_table_size(suspects->proven) >= MAX_PROVEN_DIGESTS)
