--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <xxhash.h>
 
 #include "private/replica.h"
 #include "support_group.h"
@@ -498,6 +499,126 @@
 	group_delete(group);
 }
 
+/* Forges an append of `count` records of `term` after the index `prev`. */
+static void forge_append_(group_member_t *member, const group_member_t *from,
+			  uint64_t term, uint64_t prev, uint32_t count)
+{
+	cb_message_t *append = cb_message_new(CB_MESSAGE_APPEND);
+	uint32_t i;
+
+	append->term = term;
+	append->append.prev_index = prev;
+	cb_replica_log_term(member->replica->log, prev,
+			    &append->append.prev_term);
+	for (i = 1; i <= count; i++)
+		g_ptr_array_add(append->append.records,
+				cb_record_new(prev + i, term, CB_RECORD_NOOP,
+					      NULL));
+	forge_(member, from, append);
+}
+
+static void forge_snapshot_(group_member_t *member, const group_member_t *from,
+			    uint64_t term, uint64_t index)
+{
+	cb_message_t *message = cb_message_new(CB_MESSAGE_SNAPSHOT);
+	cb_snapshot_chunk_t *chunk = &message->snapshot;
+
+	message->term = term;
+	chunk->index = index;
+	chunk->index_term = term;
+	chunk->data = g_bytes_new_static("0 0", 3);
+	chunk->size = 3;
+	chunk->digest = XXH3_64bits("0 0", 3);
+	chunk->members = cb_members_encode(member->replica->members,
+					   member->replica->group_id);
+	forge_(member, from, message);
+}
+
+/*
+ * A snapshot takes the place of records that another history has there, and
+ * is acknowledged only when it is durable.
+ */
+static void snapshot_replaces_another_history(void)
+{
+	group_t *group = group_begin_(1, 3);
+	group_member_t *leader = group_leader(group);
+	group_member_t *member = follower_(group);
+	uint64_t term = leader->replica->term;
+	uint64_t last;
+	uint64_t sent;
+
+	CU_ASSERT_TRUE(group_wait_equal(group, 1000));
+	group_cut_off(member, TRUE, TRUE);
+	last = cb_replica_log_last(member->replica->log);
+	forge_append_(member, leader, term, last, 3);
+	/* The next term is durable before the snapshot comes. */
+	forge_append_(member, leader, term + 1, last, 0);
+	group_run(group, 20);
+	disk_set_sync_ms(member->disk, 50);
+	sent = group->sent_count;
+	forge_snapshot_(member, leader, term + 1, last + 2);
+	forge_snapshot_(member, leader, term + 1, last + 2);
+	CU_ASSERT_EQUAL(group->sent_count, sent);
+	CU_ASSERT_EQUAL(cb_replica_log_last(member->replica->log), last + 2);
+	CU_ASSERT_EQUAL(cb_replica_log_last_term(member->replica->log),
+			term + 1);
+	group_run(group, 110);
+	CU_ASSERT_TRUE(group->sent_count > sent);
+	CU_ASSERT_EQUAL(member->replica->durable, last + 2);
+	group_delete(group);
+}
+
+/* What replaces records is not durable because they were. */
+static void replaced_records_are_not_durable(void)
+{
+	int is_synced;
+
+	for (is_synced = 0; is_synced < 2; is_synced++) {
+		group_t *group = group_begin_(1, 3);
+		group_member_t *leader = group_leader(group);
+		group_member_t *member = follower_(group);
+		uint64_t term = leader->replica->term;
+		uint64_t last;
+		uint64_t syncs;
+
+		CU_ASSERT_TRUE(group_wait_equal(group, 1000));
+		group_cut_off(member, TRUE, TRUE);
+		group_run(group, 10);
+		last = cb_replica_log_last(member->replica->log);
+		disk_set_sync_ms(member->disk, 100);
+		syncs = disk_syncs(member->disk);
+		forge_append_(member, leader, term, last, 3);
+		if (is_synced)
+			group_run(group, 101);
+		forge_append_(member, leader, term + 1, last, 2);
+		while (disk_syncs(member->disk) == syncs)
+			group_run(group, 1);
+		CU_ASSERT_EQUAL(member->replica->durable, last);
+		group_run(group, 301);
+		CU_ASSERT_EQUAL(member->replica->durable, last + 2);
+		group_delete(group);
+	}
+}
+
+/* Whoever hears a leader does not even take over a later term. */
+static void vote_is_refused_while_a_leader_is_heard(void)
+{
+	group_t *group = group_begin_(1, 3);
+	group_member_t *leader = group_leader(group);
+	group_member_t *member = follower_(group);
+	uint64_t term = leader->replica->term;
+	cb_message_t *vote = cb_message_new(CB_MESSAGE_VOTE_REQUEST);
+
+	vote->term = term + 1;
+	vote->vote_request.last_index = G_MAXUINT32;
+	vote->vote_request.last_term = term + 1;
+	forge_(member, leader, vote);
+	CU_ASSERT_EQUAL(member->replica->term, term);
+	group_run(group, 1000);
+	CU_ASSERT_PTR_EQUAL(group_leader(group), leader);
+	group_end_(group);
+}
+
 /* The leader's own disk counts only once it has synced. */
 static void leader_counts_its_disk_when_synced(void)
 {
@@ -576,6 +697,12 @@
 	{ "outcomes_are_told_once", outcomes_are_told_once },
 	{ "proposals_share_an_fsync", proposals_share_an_fsync },
 	{ "answers_wait_for_the_disk", answers_wait_for_the_disk },
+	{ "snapshot_replaces_another_history",
+	  snapshot_replaces_another_history },
+	{ "replaced_records_are_not_durable",
+	  replaced_records_are_not_durable },
+	{ "vote_is_refused_while_a_leader_is_heard",
+	  vote_is_refused_while_a_leader_is_heard },
 	{ "leader_counts_its_disk_when_synced",
 	  leader_counts_its_disk_when_synced },
 	{ "former_terms_do_not_commit_alone",
