--- a/src/libcurrantbridge/include/private/suspects.h
+++ b/src/libcurrantbridge/include/private/suspects.h
@@ -39,7 +39,8 @@
 void cb_suspects_passed(cb_suspects_t *suspects, const char *digest);
 void cb_suspects_joined(cb_suspects_t *suspects, const char *digest);
 void cb_suspects_left(cb_suspects_t *suspects, const char *digest);
-void cb_suspects_server_failed(cb_suspects_t *suspects);
+void cb_suspects_server_failed(cb_suspects_t *suspects,
+			       const cb_server_t *server);
 void cb_suspects_server_died(cb_suspects_t *suspects,
 			     const cb_server_t *server);
 /* Whether work of `digest` may be placed there, other suspects in mind. */
--- a/src/libcurrantbridge/request/generation.c
+++ b/src/libcurrantbridge/request/generation.c
@@ -505,7 +505,7 @@
 		     CB_INT("server_dead", failure->is_server_dead));
 	if (failure->is_server_dead) {
 		cb_server_failed(env->parts.registry, failure->server);
-		cb_suspects_server_failed(env->suspects);
+		cb_suspects_server_failed(env->suspects, failure->server);
 		if (failure->failure != CB_FAILURE_CONNECT)
 			cb_suspects_server_died(env->suspects, failure->server);
 	}
--- a/src/libcurrantbridge/request/suspects.c
+++ b/src/libcurrantbridge/request/suspects.c
@@ -54,6 +54,7 @@
 typedef struct death {
 	char *server; /* "NAME/INCARNATION" */
 	int64_t at_ms;
+	gboolean is_charged; /* to the digests that were running there */
 } death_t;
 
 struct cb_suspects {
@@ -424,12 +425,6 @@
 	return now_ms_(suspects) < suspects->failed_at_ms + NEWS_MS;
 }
 
-/* Notes that a server did not take a connection. */
-void cb_suspects_server_failed(cb_suspects_t *suspects)
-{
-	suspects->failed_at_ms = now_ms_(suspects);
-}
-
 /*
  * Tells whether an attempt of a digest may begin now.  A caller that is to
  * wait asks again after a short while.
@@ -592,19 +587,29 @@
 	for (i = 0; i < suspects->deaths->len; i++) {
 		const death_t *death = g_ptr_array_index(suspects->deaths, i);
 
-		if (!strcmp(death->server, server))
+		if (death->is_charged && !strcmp(death->server, server))
 			return FALSE;
 	}
 	return TRUE;
 }
 
-static void death_note_(cb_suspects_t *suspects, const char *server)
+static void death_note_(cb_suspects_t *suspects, const char *server,
+			gboolean is_charged)
 {
 	int64_t oldest_ms = now_ms_(suspects) - SUSPICION_MS;
-	death_t *death = g_new0(death_t, 1);
+	death_t *death;
+	unsigned int n;
+
+	for (n = suspects->deaths->len; n > 0; n--) {
+		death = g_ptr_array_index(suspects->deaths, n - 1);
+		if (!strcmp(death->server, server))
+			g_ptr_array_remove_index(suspects->deaths, n - 1);
+	}
+	death = g_new0(death_t, 1);
 
 	death->server = g_strdup(server);
 	death->at_ms = now_ms_(suspects);
+	death->is_charged = is_charged;
 	g_ptr_array_add(suspects->deaths, death);
 	while (((death_t *)g_ptr_array_index(suspects->deaths, 0))->at_ms <
 	       oldest_ms)
@@ -634,6 +639,24 @@
 	}
 }
 
+static char *death_name_(const cb_server_t *server)
+{
+	return g_strdup_printf("%s/%" G_GUINT64_FORMAT, server->name,
+			       server->incarnation);
+}
+
+/* Notes that a fresh connection to a server failed. */
+void cb_suspects_server_failed(cb_suspects_t *suspects,
+			       const cb_server_t *server)
+{
+	char *name = death_name_(server);
+
+	suspects->failed_at_ms = now_ms_(suspects);
+	if (death_is_new_(suspects, name))
+		death_note_(suspects, name, FALSE);
+	g_free(name);
+}
+
 /*
  * Notes that a server died: its connections were lost and a fresh one
  * failed.  Every digest that was running there becomes suspect; one that
@@ -645,13 +668,11 @@
 	unsigned int suspect_count = 0;
 	GHashTableIter iter;
 	void *digest;
-	char *name = g_strdup_printf("%s/%" G_GUINT64_FORMAT, server->name,
-				     server->incarnation);
+	char *name = death_name_(server);
 
 	if (!death_is_new_(suspects, name))
 		goto out;
-	death_note_(suspects, name);
-	cb_suspects_server_failed(suspects);
+	death_note_(suspects, name, TRUE);
 	if (!digests)
 		goto out;
 	cb_log_event(suspects->parts.log, CB_EVENT_SERVER_DIED,
