--- a/src/libcurrantbridge/request/suspects.c
+++ b/src/libcurrantbridge/request/suspects.c
@@ -45,6 +45,7 @@
 	gboolean is_accused; /* the verdict is due at hold_until_ms */
 	gboolean needs_isolation;
 	gboolean died_alone;
+	gboolean was_cleared; /* by its progress */
 	unsigned int waiting; /* its requests that have not ended */
 	int64_t refused_until_wall_ms;
 	GHashTable *death_servers; /* each "NAME/INCARNATION" */
@@ -53,6 +54,7 @@
 typedef struct death {
 	char *server; /* "NAME/INCARNATION" */
 	int64_t at_ms;
+	gboolean is_charged; /* to the digests that were running there */
 } death_t;
 
 struct cb_suspects {
@@ -423,12 +425,6 @@
 	return now_ms_(suspects) < suspects->failed_at_ms + NEWS_MS;
 }
 
-/* Notes that a server did not take a connection. */
-void cb_suspects_server_failed(cb_suspects_t *suspects)
-{
-	suspects->failed_at_ms = now_ms_(suspects);
-}
-
 /*
  * Tells whether an attempt of a digest may begin now.  A caller that is to
  * wait asks again after a short while.
@@ -520,9 +516,17 @@
 	record_sweep_(suspects, digest);
 }
 
+/* Takes back what all entry instances were told of a digest. */
+static void reports_clear_(cb_suspects_t *suspects, const char *digest)
+{
+	if (suspects->parts.clear)
+		suspects->parts.clear(suspects->parts.user_data, digest);
+}
+
 /*
- * Notes how far an attempt has come; past the place of the last death the
- * digest no longer needs a server alone.
+ * Notes how far an attempt has come.  What has passed the place of the last
+ * death did not cause it, and is cleared; but only once, so that content
+ * that ends each server a little later is found as well.
  */
 void cb_suspects_progressed(cb_suspects_t *suspects, const char *digest,
 			    uint64_t delivered_count)
@@ -532,11 +536,16 @@
 	if (!record)
 		return;
 	record->delivered_count = MAX(record->delivered_count, delivered_count);
-	if (!record->needs_isolation ||
+	if (!record->death_count || record->is_accused ||
 	    delivered_count < record->delivered_at_death + CLEARING_TOKENS)
 		return;
 	record->needs_isolation = FALSE;
 	isolation_release_(suspects, digest);
+	if (record->was_cleared)
+		return;
+	record->was_cleared = TRUE;
+	suspicion_clear_(suspects, digest, record);
+	reports_clear_(suspects, digest);
 }
 
 /* Notes that a digest has finished whole, which clears it. */
@@ -546,10 +555,9 @@
 	int64_t wall_ms = cb_clock_wall_ms(suspects->parts.clock);
 
 	record->waiting--;
-	if ((record->death_count ||
-	     cb_view_deaths(suspects->parts.view, digest, wall_ms)) &&
-	    suspects->parts.clear)
-		suspects->parts.clear(suspects->parts.user_data, digest);
+	if (record->death_count ||
+	    cb_view_deaths(suspects->parts.view, digest, wall_ms))
+		reports_clear_(suspects, digest);
 	if (record->death_count)
 		suspicion_clear_(suspects, digest, record);
 	if (g_hash_table_size(suspects->proven) >= MAX_PROVEN_DIGESTS)
@@ -579,19 +587,29 @@
 	for (i = 0; i < suspects->deaths->len; i++) {
 		const death_t *death = g_ptr_array_index(suspects->deaths, i);
 
-		if (!strcmp(death->server, server))
+		if (death->is_charged && !strcmp(death->server, server))
 			return FALSE;
 	}
 	return TRUE;
 }
 
-static void death_note_(cb_suspects_t *suspects, const char *server)
+static void death_note_(cb_suspects_t *suspects, const char *server,
+			gboolean is_charged)
 {
 	int64_t oldest_ms = now_ms_(suspects) - SUSPICION_MS;
-	death_t *death = g_new0(death_t, 1);
+	death_t *death;
+	unsigned int n;
+
+	for (n = suspects->deaths->len; n > 0; n--) {
+		death = g_ptr_array_index(suspects->deaths, n - 1);
+		if (!strcmp(death->server, server))
+			g_ptr_array_remove_index(suspects->deaths, n - 1);
+	}
+	death = g_new0(death_t, 1);
 
 	death->server = g_strdup(server);
 	death->at_ms = now_ms_(suspects);
+	death->is_charged = is_charged;
 	g_ptr_array_add(suspects->deaths, death);
 	while (((death_t *)g_ptr_array_index(suspects->deaths, 0))->at_ms <
 	       oldest_ms)
@@ -621,6 +639,24 @@
 	}
 }
 
+static char *death_name_(const cb_server_t *server)
+{
+	return g_strdup_printf("%s/%" G_GUINT64_FORMAT, server->name,
+			       server->incarnation);
+}
+
+/* Notes that a fresh connection to a server failed. */
+void cb_suspects_server_failed(cb_suspects_t *suspects,
+			       const cb_server_t *server)
+{
+	char *name = death_name_(server);
+
+	suspects->failed_at_ms = now_ms_(suspects);
+	if (death_is_new_(suspects, name))
+		death_note_(suspects, name, FALSE);
+	g_free(name);
+}
+
 /*
  * Notes that a server died: its connections were lost and a fresh one
  * failed.  Every digest that was running there becomes suspect; one that
@@ -632,13 +668,11 @@
 	unsigned int suspect_count = 0;
 	GHashTableIter iter;
 	void *digest;
-	char *name = g_strdup_printf("%s/%" G_GUINT64_FORMAT, server->name,
-				     server->incarnation);
+	char *name = death_name_(server);
 
 	if (!death_is_new_(suspects, name))
 		goto out;
-	death_note_(suspects, name);
-	cb_suspects_server_failed(suspects);
+	death_note_(suspects, name, TRUE);
 	if (!digests)
 		goto out;
 	cb_log_event(suspects->parts.log, CB_EVENT_SERVER_DIED,
