--- a/src/libcurrantbridge/request/attempt.c
+++ b/src/libcurrantbridge/request/attempt.c
@@ -584,6 +584,7 @@
 		open_start_(attempt, i);
 }
 
+/* Begins the next token of a chain; a stream goes on by itself. */
 void cb_attempt_next(cb_attempt_t *attempt)
 {
 	if (!cb_attempt_is_stream(attempt))
@@ -598,26 +599,31 @@
 	probe_cancel_(attempt);
 }
 
+/* Tells whether one engine runs the whole model. */
 gboolean cb_attempt_is_stream(const cb_attempt_t *attempt)
 {
 	return attempt->stage_count == 1;
 }
 
+/* Tells whether an engine may have taken the order. */
 gboolean cb_attempt_is_accepted(const cb_attempt_t *attempt)
 {
 	return attempt->is_accepted;
 }
 
+/* Returns the epoch that the attempt runs under. */
 uint64_t cb_attempt_epoch(const cb_attempt_t *attempt)
 {
 	return attempt->parts.order.epoch;
 }
 
+/* Returns its stages, an array of cb_route_stage_t in order. */
 const GArray *cb_attempt_chain(const cb_attempt_t *attempt)
 {
 	return attempt->parts.chain;
 }
 
+/* Leaves the session of one stage alive when the attempt is deleted. */
 void cb_attempt_keep(cb_attempt_t *attempt, unsigned int stage)
 {
 	attempt->stages[stage].is_kept = TRUE;
