--- a/src/test_libcurrantbridge/support_engines.h
+++ b/src/test_libcurrantbridge/support_engines.h
@@ -63,7 +63,7 @@
 	cb_state_t *state; /* of the control instances */
 	uint64_t index;
 	unsigned int reports; /* of deaths */
-	GPtrArray *refused; /* digests put into quarantine */
+	GPtrArray *refused;   /* digests put into quarantine */
 	cb_timer_t *share_timer;
 	const char *crash_on; /* a prompt that holds it kills its engine */
 	cb_history_t *history;
