Wait for the ends of calls at a graceful stop

An entry instance that drained could exit while the end of a call whose caller had gone was not yet recorded; the key would then have been unknown. The wait is bounded by 35 s. Seen to pass: test/test_entry; no test holds this wait itself yet.

--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -7,6 +7,12 @@
 #include "private/http_clients.h"
 #include "private/http_message.h"
 
+/*
+ * How a graceful stop waits for the ends of calls to be recorded.  Past the
+ * last check they count as unknown.
+ */
+#define RECORD_CHECK_MS 100
+#define MAX_RECORD_CHECKS 350
 #define QUARANTINE_TIMEOUT_MS 10000
 
 /* A path that callers or backend servers use. */
@@ -101,6 +107,12 @@
 {
 	if (!entry->is_refusing || entry->open > 0)
 		return;
+	if (cb_call_env_pending(entry->calls) > 0 &&
+	    entry->record_checks++ < MAX_RECORD_CHECKS) {
+		cb_timer_start(entry->ttl_timer, RECORD_CHECK_MS);
+		return;
+	}
+	cb_timer_stop(entry->ttl_timer);
 	cb_log_event(cb_kernel_log(entry->kernel), CB_EVENT_ENTRY_DRAINED);
 	cb_kernel_drained(entry->kernel, &entry->service);
 }
--- a/src/libcurrantbridge/include/private/entry.h
+++ b/src/libcurrantbridge/include/private/entry.h
@@ -35,6 +35,7 @@
 	cb_counter_t *open_gauge;
 	int64_t open; /* callers' requests under way */
 	gboolean is_draining;
+	unsigned int record_checks; /* while ends are being recorded */
 	gboolean is_refusing; /* draining, and the addresses' TTL is over */
 	cb_timer_t *ttl_timer;
 	GString *scratch; /* for the text of one event */
