Read demand reports whose amounts are above zero

cause: MAX() evaluates its argument twice, so that reading each amount above zero took two fields of the line. Every report that asked for anything was malformed: control closed the session that sent it and lent nothing, so that entry instances lived on their floors (a tenth of each ceiling) and their sessions broke with each report. test_allocation drives the lease book without the encoding, and did not see it. change: the number is read once. test_demand encodes and decodes reports of 0 to 40 lines, with zeros, and negative amounts. test: both tests of test_demand failed before the change and pass after it.

--- a/src/libcurrantbridge/control/demand.c
+++ b/src/libcurrantbridge/control/demand.c
@@ -55,14 +55,21 @@
 	return cb_pack_finish(&pack);
 }
 
-/* Reads an amount; a negative one counts as 0. */
+/* Reads a number; a negative one counts as 0. */
+static int64_t number_read_(cb_fields_t *fields)
+{
+	int64_t number = cb_fields_int(fields);
+
+	return MAX(number, 0);
+}
+
 static cb_amount_t amount_read_(cb_fields_t *fields)
 {
 	cb_amount_t amount;
 
-	amount.tokens_per_s = MAX(cb_fields_int(fields), 0);
-	amount.requests_per_s = MAX(cb_fields_int(fields), 0);
-	amount.concurrent = MAX(cb_fields_int(fields), 0);
+	amount.tokens_per_s = number_read_(fields);
+	amount.requests_per_s = number_read_(fields);
+	amount.concurrent = number_read_(fields);
 	return amount;
 }
 
