--- a/bench/slopes.h
+++ b/bench/slopes.h
@@ -55,6 +55,7 @@
 void slopes_control_sessions(const slopes_output_t *output);
 void slopes_control_changes(const slopes_output_t *output);
 void slopes_control_claims(const slopes_output_t *output);
+void slopes_demand(const slopes_output_t *output);
 void slopes_contracts(const slopes_output_t *output);
 void slopes_servers(const slopes_output_t *output);
 void slopes_state(const slopes_output_t *output);
--- a/bench/slopes_main.c
+++ b/bench/slopes_main.c
@@ -15,6 +15,7 @@
 	{ "sessions", slopes_control_sessions },
 	{ "changes", slopes_control_changes },
 	{ "claims", slopes_control_claims },
+	{ "demand", slopes_demand },
 	{ "contracts", slopes_contracts },
 	{ "servers", slopes_servers },
 	{ "state", slopes_state },
--- a/bench/slopes_servers.c
+++ b/bench/slopes_servers.c
@@ -8,8 +8,8 @@
  * a connection of its own and at the real interval.
  */
 #define INTERVAL_MS 1000
-#define SETTLE_MS 2500
-#define MEASURE_MS 4000
+#define SETTLE_MS 1500
+#define MEASURE_MS 3000
 #define START_LIMIT_MS 10000
 #define MAX_SERVERS 400
 
