--- a/src/test_libcurrantbridge/test_demand.c
+++ b/src/test_libcurrantbridge/test_demand.c
@@ -32,6 +32,8 @@
 		bytes = cb_demand_lines_encode(lines);
 		read = cb_demand_lines_decode(bytes);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(read);
+		if (!read)
+			return;
 		CU_ASSERT_EQUAL_FATAL(read->len, count);
 		for (i = 0; i < count; i++) {
 			const cb_demand_line_t *line =
@@ -63,6 +65,8 @@
 	bytes = cb_demand_lines_encode(lines);
 	read = cb_demand_lines_decode(bytes);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(read);
+	if (!read)
+		return;
 	line = g_ptr_array_index(read, 0);
 	check_amount_(line->demand.wanted, expected.wanted);
 	check_amount_(line->demand.held, expected.held);
