Do not deny an earlier call under the same key

Cause: a resend under an idempotency key that was refused at the door (rate, concurrency, overload, not ready, leaving) was told executed "no", although an earlier call under the key may have run and nobody had asked control. Change: such a refusal says "unknown" where the request carries a key. Figures: the new check in test_entry fails without the change and passes with it.

--- a/src/libcurrantbridge/http/caller.c
+++ b/src/libcurrantbridge/http/caller.c
@@ -39,16 +39,39 @@
 	return g_string_free(text, FALSE);
 }
 
+/*
+ * Whether the request may repeat an earlier one under its idempotency key
+ * and is refused before control could say what became of that one.
+ */
+static gboolean may_have_run_before_(SoupServerMessage *message,
+				     cb_refusal_t refusal)
+{
+	if (!soup_message_headers_get_one(
+		    soup_server_message_get_request_headers(message),
+		    "Idempotency-Key"))
+		return FALSE;
+	return refusal == CB_REFUSAL_NOT_READY ||
+	       refusal == CB_REFUSAL_LEAVING ||
+	       refusal == CB_REFUSAL_RATE_LIMIT ||
+	       refusal == CB_REFUSAL_CONCURRENCY_LIMIT ||
+	       refusal == CB_REFUSAL_OVERLOADED;
+}
+
 /* Answers with an error and counts it. */
 void cb_entry_refuse(cb_entry_t *entry, SoupServerMessage *message,
 		     const cb_caller_error_t *error)
 {
+	cb_executed_t executed = error->executed;
+
+	if (executed == CB_EXECUTED_NO &&
+	    may_have_run_before_(message, error->refusal))
+		executed = CB_EXECUTED_UNKNOWN;
 	cb_counter_add(entry->refusals[error->refusal], 1);
 	cb_http_reply_error(message, cb_refusal_status[error->refusal],
 			    cb_refusal_string[error->refusal],
 			    error->detail ? error->detail :
 					    cb_refusal_message[error->refusal],
-			    error->executed, error->retry_after_s);
+			    executed, error->retry_after_s);
 }
 
 static void refuse_(cb_entry_t *entry, SoupServerMessage *message,
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -400,6 +400,11 @@
 /* Without a confirmed configuration everything is refused. */
 static void unconfirmed_instance_refuses(void)
 {
+	static const char keyed_call[] =
+		"POST /v1/services/bookings/lodge HTTP/1.1\r\n"
+		"Host: entry\r\nAuthorization: Bearer " SUPPORT_KEY "\r\n"
+		"Idempotency-Key: k\r\nContent-Length: 0\r\n"
+		"Connection: close\r\n\r\n";
 	support_group_t *group = support_group_new(1, NULL);
 	support_daemon_t *entry;
 	char *answer = NULL;
@@ -418,6 +423,12 @@
 		support_metric(entry->http,
 			       "cb_refusals_total{reason=\"not_ready\"}"),
 		1);
+	CU_ASSERT_PTR_NOT_NULL(answer ? strstr(answer, "\"executed\":\"no\"") :
+					NULL);
+	g_free(answer);
+	/* An earlier call under the key may have run: nobody was asked. */
+	answer = support_raw(entry->http, keyed_call, strlen(keyed_call), TRUE);
+	CU_ASSERT_PTR_NOT_NULL(strstr(answer, "\"executed\":\"unknown\""));
 	CU_ASSERT_EQUAL(support_daemon_stop(entry), 0);
 	g_free(answer);
 	support_group_delete(group);
