--- a/bench/slopes.h
+++ b/bench/slopes.h
@@ -51,6 +51,8 @@
 double slopes_bytes_per_s(slopes_spent_t begin, slopes_spent_t end);
 /* Lets the default loop run for so long. */
 void slopes_rest(int64_t rest_ms);
+/* Starts an entry instance of the group, with default settings. */
+support_daemon_t *slopes_entry_start(support_group_t *group);
 
 void slopes_control_sessions(const slopes_output_t *output);
 void slopes_control_changes(const slopes_output_t *output);
--- a/bench/slopes_contracts.c
+++ b/bench/slopes_contracts.c
@@ -25,22 +25,6 @@
 	int put;
 } fleet_t;
 
-static support_daemon_t *entry_start_(support_group_t *group)
-{
-	char *http = g_strdup_printf("127.0.0.1:%u", support_free_port());
-	char *settings =
-		g_strdup_printf("{\"name\":\"entry-a\",\"listen\":\"%s\","
-				"\"data_centre\":\"dc1\",\"control\":[\"%s\"]}",
-				http, group->control[0]->peers);
-	support_daemon_t *entry =
-		support_group_add(group, "cb-entry", "entry-a", http, settings);
-
-	support_daemon_start(entry);
-	g_free(settings);
-	g_free(http);
-	return entry;
-}
-
 static void fleet_init_(fleet_t *fleet)
 {
 	fleet->put = 0;
@@ -48,7 +32,7 @@
 	fleet->clients = support_clients_new(fleet->group, 1, SILENCE_MS);
 	if (!support_clients_wait_confirmed(fleet->clients, START_LIMIT_MS))
 		g_error("the session was not confirmed");
-	fleet->entry = entry_start_(fleet->group);
+	fleet->entry = slopes_entry_start(fleet->group);
 }
 
 static void fleet_clear_(fleet_t *fleet)
--- a/bench/slopes_process.c
+++ b/bench/slopes_process.c
@@ -113,3 +113,19 @@
 	g_main_loop_run(loop);
 	g_main_loop_unref(loop);
 }
+
+support_daemon_t *slopes_entry_start(support_group_t *group)
+{
+	char *http = g_strdup_printf("127.0.0.1:%u", support_free_port());
+	char *settings =
+		g_strdup_printf("{\"name\":\"entry-a\",\"listen\":\"%s\","
+				"\"data_centre\":\"dc1\",\"control\":[\"%s\"]}",
+				http, group->control[0]->peers);
+	support_daemon_t *entry =
+		support_group_add(group, "cb-entry", "entry-a", http, settings);
+
+	support_daemon_start(entry);
+	g_free(settings);
+	g_free(http);
+	return entry;
+}
--- a/bench/slopes_servers.c
+++ b/bench/slopes_servers.c
@@ -86,22 +86,6 @@
 	g_free(self->body);
 }
 
-static support_daemon_t *entry_start_(support_group_t *group)
-{
-	char *http = g_strdup_printf("127.0.0.1:%u", support_free_port());
-	char *settings =
-		g_strdup_printf("{\"name\":\"entry-a\",\"listen\":\"%s\","
-				"\"data_centre\":\"dc1\",\"control\":[\"%s\"]}",
-				http, group->control[0]->peers);
-	support_daemon_t *entry =
-		support_group_add(group, "cb-entry", "entry-a", http, settings);
-
-	support_daemon_start(entry);
-	g_free(settings);
-	g_free(http);
-	return entry;
-}
-
 static gboolean is_serving_(void *user_data)
 {
 	const support_daemon_t *daemon = user_data;
@@ -131,7 +115,7 @@
 {
 	static const int counts[] = { 50, 100, 200, MAX_SERVERS };
 	support_group_t *group = support_group_new(1, NULL);
-	support_daemon_t *entry = entry_start_(group);
+	support_daemon_t *entry = slopes_entry_start(group);
 	announcer_t *announcers = g_new0(announcer_t, MAX_SERVERS);
 	GRand *random = g_rand_new_with_seed(SLOPES_SEED);
 	unsigned int answered = 0;
