--- a/src/cb-load/load.h
+++ b/src/cb-load/load.h
@@ -69,7 +69,8 @@
 	uint64_t tokens;
 	GArray *first_token_us;
 	GArray *gaps_us;
-	GHashTable *refusals; /* reason -> uint64_t * */
+	GArray *longest_gap_us; /* of each request with two tokens or more */
+	GHashTable *refusals;	/* reason -> uint64_t * */
 } load_stats_t;
 
 void load_stats_init(load_stats_t *stats);
--- a/src/cb-load/run.c
+++ b/src/cb-load/run.c
@@ -1,6 +1,5 @@
-#include "load.h"
+#include "run.h"
 
-#include <json-glib/json-glib.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,47 +12,6 @@
 /* A caller without an answer waits so long before it tries again. */
 #define RETRY_MS 100
 #define MAX_SECONDS 3600
-#define US_PER_MS 1000
-
-typedef struct run_options {
-	char *entry;
-	char **workspaces; /* NAME=KEY */
-	char *model;
-	int concurrency;
-	double rate;
-	int seconds;
-	int max_tokens;
-	int used_tokens;
-	double abandon;
-	int layers;
-	int seed;
-	gboolean is_json;
-} run_options_t;
-
-typedef struct run run_t;
-
-typedef struct workspace {
-	run_t *run;
-	char *name;
-	char *key;
-	uint64_t turn;
-	load_stats_t stats;
-	cb_timer_t *arrival;
-} workspace_t;
-
-struct run {
-	const run_options_t *options;
-	GMainLoop *loop;
-	cb_clock_t *clock;
-	SoupSession *session;
-	load_addresses_t *addresses;
-	GRand *random;
-	GPtrArray *workspaces;
-	int64_t in_flight;
-	int64_t ends_ms;
-	gboolean has_ended;
-	cb_timer_t *end_timer;
-};
 
 /* One request of the load; frees itself when it has ended. */
 typedef struct shot {
@@ -65,9 +23,9 @@
 
 static void shot_start_(workspace_t *workspace);
 
-static gboolean is_closed_loop_(const run_t *run)
+static gboolean is_closed_loop_(const workspace_t *workspace)
 {
-	return run->options->rate <= 0;
+	return workspace->rate <= 0;
 }
 
 static void run_check_end_(run_t *run)
@@ -92,7 +50,7 @@
 
 	run->in_flight--;
 	shot_delete_(shot);
-	if (is_closed_loop_(run) && !run->has_ended)
+	if (is_closed_loop_(workspace) && !run->has_ended)
 		shot_start_(workspace);
 	run_check_end_(run);
 }
@@ -105,7 +63,7 @@
 	load_stats_add(&shot->workspace->stats, result);
 	if (!result->is_whole && !result->is_abandoned)
 		pause_ms = MAX(RETRY_MS, result->retry_after_s * 1000);
-	if (!is_closed_loop_(shot->workspace->run) ||
+	if (!is_closed_loop_(shot->workspace) ||
 	    shot->workspace->run->has_ended)
 		pause_ms = 0;
 	cb_timer_start(shot->retry, pause_ms);
@@ -169,7 +127,7 @@
 	if (run->has_ended)
 		return;
 	shot_start_(workspace);
-	gap_s = -log(1.0 - g_rand_double(run->random)) / run->options->rate;
+	gap_s = -log(1.0 - g_rand_double(run->random)) / workspace->rate;
 	cb_timer_start(workspace->arrival, (int64_t)(gap_s * 1000));
 }
 
@@ -189,6 +147,7 @@
 static gboolean workspace_add_(run_t *run, const char *text)
 {
 	const char *equals = strchr(text, '=');
+	const char *at = strchr(text, '@');
 	workspace_t *workspace;
 
 	if (!equals || equals == text || !equals[1])
@@ -196,7 +155,10 @@
 	workspace = g_new0(workspace_t, 1);
 	workspace->run = run;
 	workspace->name = g_strndup(text, equals - text);
-	workspace->key = g_strdup(equals + 1);
+	workspace->key = at ? g_strndup(equals + 1, at - equals - 1) :
+			      g_strdup(equals + 1);
+	workspace->rate =
+		at ? g_ascii_strtod(at + 1, NULL) : run->options->rate;
 	workspace->arrival = cb_timer_new(run->clock, arrival_, workspace);
 	load_stats_init(&workspace->stats);
 	g_ptr_array_add(run->workspaces, workspace);
@@ -214,130 +176,6 @@
 	g_free(workspace);
 }
 
-static double ms_(int64_t us)
-{
-	return (double)us / US_PER_MS;
-}
-
-static void print_table_(const char *name, load_stats_t *stats, double seconds)
-{
-	GHashTableIter iter;
-	void *reason;
-	void *count;
-
-	printf("%-12s %8" G_GUINT64_FORMAT " %8" G_GUINT64_FORMAT
-	       " %6" G_GUINT64_FORMAT " %6" G_GUINT64_FORMAT
-	       " %8" G_GUINT64_FORMAT " %9.1f %9.2f %9.2f %8.2f %8.2f\n",
-	       name, stats->started, stats->whole, stats->cut, stats->wrong,
-	       stats->abandoned, (double)stats->tokens / seconds,
-	       ms_(load_percentile(stats->first_token_us, 50)),
-	       ms_(load_percentile(stats->first_token_us, 95)),
-	       ms_(load_percentile(stats->gaps_us, 50)),
-	       ms_(load_percentile(stats->gaps_us, 95)));
-	g_hash_table_iter_init(&iter, stats->refusals);
-	while (g_hash_table_iter_next(&iter, &reason, &count))
-		printf("             %s: %" G_GUINT64_FORMAT "\n",
-		       (char *)reason, *(uint64_t *)count);
-}
-
-static JsonObject *report_object_(const char *name, load_stats_t *stats,
-				  double seconds)
-{
-	JsonObject *object = json_object_new();
-	JsonObject *refusals = json_object_new();
-	GHashTableIter iter;
-	void *reason;
-	void *count;
-
-	json_object_set_string_member(object, "workspace", name);
-	json_object_set_int_member(object, "started", (int64_t)stats->started);
-	json_object_set_int_member(object, "whole", (int64_t)stats->whole);
-	json_object_set_int_member(object, "cut", (int64_t)stats->cut);
-	json_object_set_int_member(object, "wrong", (int64_t)stats->wrong);
-	json_object_set_int_member(object, "refused", (int64_t)stats->refused);
-	json_object_set_int_member(object, "abandoned",
-				   (int64_t)stats->abandoned);
-	json_object_set_double_member(object, "tokens_per_s",
-				      (double)stats->tokens / seconds);
-	json_object_set_int_member(object, "first_token_p50_us",
-				   load_percentile(stats->first_token_us, 50));
-	json_object_set_int_member(object, "first_token_p95_us",
-				   load_percentile(stats->first_token_us, 95));
-	json_object_set_int_member(object, "gap_p50_us",
-				   load_percentile(stats->gaps_us, 50));
-	json_object_set_int_member(object, "gap_p95_us",
-				   load_percentile(stats->gaps_us, 95));
-	json_object_set_int_member(object, "gap_max_us",
-				   load_percentile(stats->gaps_us, 100));
-	g_hash_table_iter_init(&iter, stats->refusals);
-	while (g_hash_table_iter_next(&iter, &reason, &count))
-		json_object_set_int_member(refusals, reason, *(int64_t *)count);
-	json_object_set_object_member(object, "refusals", refusals);
-	return object;
-}
-
-static void print_json_(run_t *run, load_stats_t *all, double seconds)
-{
-	JsonArray *array = json_array_new();
-	JsonObject *root = json_object_new();
-	JsonNode *node = json_node_new(JSON_NODE_OBJECT);
-	unsigned int i;
-	char *text;
-
-	for (i = 0; i < run->workspaces->len; i++) {
-		workspace_t *workspace = g_ptr_array_index(run->workspaces, i);
-
-		json_array_add_object_element(array,
-					      report_object_(workspace->name,
-							     &workspace->stats,
-							     seconds));
-	}
-	json_object_set_array_member(root, "workspaces", array);
-	json_object_set_object_member(root, "all",
-				      report_object_("all", all, seconds));
-	json_object_set_double_member(root, "seconds", seconds);
-	json_object_set_int_member(root, "seed", run->options->seed);
-	json_node_take_object(node, root);
-	text = json_to_string(node, FALSE);
-	printf("%s\n", text);
-	g_free(text);
-	json_node_unref(node);
-}
-
-/* Prints the figures; returns the process's exit code. */
-static int run_report_(run_t *run, double seconds)
-{
-	load_stats_t all;
-	unsigned int i;
-	gboolean is_right;
-
-	load_stats_init(&all);
-	for (i = 0; i < run->workspaces->len; i++) {
-		workspace_t *workspace = g_ptr_array_index(run->workspaces, i);
-
-		load_stats_merge(&all, &workspace->stats);
-	}
-	if (run->options->is_json) {
-		print_json_(run, &all, seconds);
-	} else {
-		printf("%-12s %8s %8s %6s %6s %8s %9s %9s %9s %8s %8s\n",
-		       "workspace", "started", "whole", "cut", "wrong",
-		       "abandon", "tokens/s", "first p50", "first p95",
-		       "gap p50", "gap p95");
-		for (i = 0; i < run->workspaces->len; i++) {
-			workspace_t *workspace =
-				g_ptr_array_index(run->workspaces, i);
-
-			print_table_(workspace->name, &workspace->stats,
-				     seconds);
-		}
-		print_table_("all", &all, seconds);
-	}
-	is_right = !all.wrong && all.whole;
-	load_stats_clear(&all);
-	return is_right ? CB_EXIT_OK : CB_EXIT_FAILURE;
-}
-
 static void run_begin_(run_t *run)
 {
 	unsigned int i;
@@ -346,10 +184,11 @@
 	for (i = 0; i < run->workspaces->len; i++) {
 		workspace_t *workspace = g_ptr_array_index(run->workspaces, i);
 
-		if (!is_closed_loop_(run))
+		if (!is_closed_loop_(workspace))
 			arrival_(workspace);
-		for (j = 0;
-		     is_closed_loop_(run) && j < run->options->concurrency; j++)
+		for (j = 0; is_closed_loop_(workspace) &&
+			    j < run->options->concurrency;
+		     j++)
 			shot_start_(workspace);
 	}
 }
@@ -375,7 +214,7 @@
 	g_object_unref(run->session);
 	g_main_loop_unref(run->loop);
 	g_strfreev(entries);
-	return run_report_(run, (double)(ended_us - begin_us) / G_USEC_PER_SEC);
+	return run_report(run, (double)(ended_us - begin_us) / G_USEC_PER_SEC);
 }
 
 static gboolean options_check_(const run_options_t *options)
@@ -423,8 +262,9 @@
 		{ "entry", 0, 0, G_OPTION_ARG_STRING, &options.entry,
 		  "Entry instances to ask for addresses", "IP:PORT,..." },
 		{ "workspace", 0, 0, G_OPTION_ARG_STRING_ARRAY,
-		  &options.workspaces, "Workspace; may be repeated",
-		  "NAME=KEY" },
+		  &options.workspaces,
+		  "Workspace, with its requests a second; may be repeated",
+		  "NAME=KEY[@RATE]" },
 		{ "model", 0, 0, G_OPTION_ARG_STRING, &options.model, "Model",
 		  "NAME" },
 		{ "concurrency", 0, 0, G_OPTION_ARG_INT, &options.concurrency,
@@ -463,7 +303,8 @@
 	for (workspace = options.workspaces; *workspace; workspace++) {
 		if (workspace_add_(&run, *workspace))
 			continue;
-		fprintf(stderr, "cb-load: --workspace: must be NAME=KEY\n");
+		fprintf(stderr,
+			"cb-load: --workspace: must be NAME=KEY[@RATE]\n");
 		goto out;
 	}
 	exit_code = run_load_(&run);
--- a/src/cb-load/stats.c
+++ b/src/cb-load/stats.c
@@ -5,6 +5,7 @@
 	*stats = (load_stats_t){ 0 };
 	stats->first_token_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	stats->gaps_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	stats->longest_gap_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	stats->refusals =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -13,6 +14,7 @@
 {
 	g_array_unref(stats->first_token_us);
 	g_array_unref(stats->gaps_us);
+	g_array_unref(stats->longest_gap_us);
 	g_hash_table_unref(stats->refusals);
 }
 
@@ -36,6 +38,19 @@
 	return result->status ? "cut" : "no_answer";
 }
 
+static void longest_gap_add_(load_stats_t *stats, const GArray *gaps_us)
+{
+	int64_t longest_us = 0;
+	unsigned int i;
+
+	if (!gaps_us->len)
+		return;
+	for (i = 0; i < gaps_us->len; i++)
+		longest_us =
+			MAX(longest_us, g_array_index(gaps_us, int64_t, i));
+	g_array_append_val(stats->longest_gap_us, longest_us);
+}
+
 /* Adds the figures of one ended request. */
 void load_stats_add(load_stats_t *stats, const load_result_t *result)
 {
@@ -45,6 +60,7 @@
 				   result->first_token_us);
 	g_array_append_vals(stats->gaps_us, result->gaps_us->data,
 			    result->gaps_us->len);
+	longest_gap_add_(stats, result->gaps_us);
 	if (result->is_wrong)
 		stats->wrong++;
 	if (result->is_abandoned) {
@@ -80,6 +96,8 @@
 			    stats->first_token_us->len);
 	g_array_append_vals(into->gaps_us, stats->gaps_us->data,
 			    stats->gaps_us->len);
+	g_array_append_vals(into->longest_gap_us, stats->longest_gap_us->data,
+			    stats->longest_gap_us->len);
 	g_hash_table_iter_init(&iter, stats->refusals);
 	while (g_hash_table_iter_next(&iter, &reason, &count))
 		refusal_add_(into, reason, *(uint64_t *)count);
