Look for room elsewhere before giving a request up

Cause: with 40 engines of 4 slots behind 4 entry instances, whose reports are a second old, 15 to 27 in 100 requests of large workspaces were given up as retries_exhausted: each refusal for want of room cost retry budget, and the choice preferred a fast engine that was full to a slow one that was free. Ruled out: admission; the refusals came after it. Change: a server that refused for want of room counts as full until it reports or a request of ours ends there; a full one is chosen last; such a refusal costs no retry budget, and for at most 2 s the request looks elsewhere, slowly once all are full, then is refused as overloaded.

--- a/include/currantbridge/server.h
+++ b/include/currantbridge/server.h
@@ -105,6 +105,8 @@
  * instance has begun less what it has ended there since.
  */
 int64_t cb_server_load(const cb_server_t *server);
+/* Notes that the server had no room: it counts as full until it reports. */
+void cb_server_was_full(cb_server_t *server);
 /* Reports how an attempt went, for the server's health. */
 void cb_server_succeeded(cb_server_registry_t *registry, cb_server_t *server,
 			 int64_t step_us);
--- a/src/libcurrantbridge/backend/registry.c
+++ b/src/libcurrantbridge/backend/registry.c
@@ -483,6 +483,14 @@
 	return MAX(load, server->in_flight);
 }
 
+void cb_server_was_full(cb_server_t *server)
+{
+	int64_t own = server->in_flight - server->in_flight_at_report;
+
+	server->reported_running =
+		MAX(server->reported_running, server->capacity - own);
+}
+
 /* Notes a success; `step_us` above 0 is the time of one step or token. */
 void cb_server_succeeded(cb_server_registry_t *registry, cb_server_t *server,
 			 int64_t step_us)
--- a/src/libcurrantbridge/backend/router.c
+++ b/src/libcurrantbridge/backend/router.c
@@ -27,6 +27,9 @@
 	return cb_server_load(server) * LOAD_STEPS / MAX(server->capacity, 1);
 }
 
+/* Added to the cost of a server that is thought to have no room. */
+#define FULL_US 1000000
+
 /* Returns the expected time of one step or call on a server. */
 static int64_t server_cost_us_(const cb_route_query_t *query,
 			       const cb_server_t *server, int64_t unknown_us)
@@ -40,6 +43,8 @@
 
 	cost_us += cost_us * spread / SPREAD_STEPS / SPREAD_SHARE;
 
+	if (cb_server_load(server) >= server->capacity)
+		cost_us += FULL_US;
 	if (query->preferred &&
 	    g_hash_table_contains(query->preferred, server->name))
 		cost_us /= PREFERRED_SHARE;
--- a/src/libcurrantbridge/request/generation.c
+++ b/src/libcurrantbridge/request/generation.c
@@ -4,6 +4,7 @@
 
 #include "private/attempt.h"
 #include "private/digest.h"
+#include "private/free_slots.h"
 #include "private/retry_budget.h"
 
 #define MS_PER_S 1000
@@ -12,6 +13,11 @@
 #define FIRST_BACKOFF_MS 5
 #define MAX_BACKOFF_MS 500
 #define MAX_PATIENCE 3
+/* How long a request looks for room before it is given up. */
+#define MAX_BUSY_MS 2000
+/* The pace of its attempts while a server is thought to have room, or none. */
+#define ROOM_DELAY_MS 5
+#define FULL_DELAY_MS 100
 /* How often a request that must wait looks again. */
 #define WAIT_POLL_MS 25
 /* How long an answer that has begun waits for a chain to come about. */
@@ -53,6 +59,7 @@
 	unsigned int fruitless_attempts;
 	unsigned int silent_attempts;
 	int64_t waiting_since_ms; /* for a chain; -1: not waiting */
+	int64_t busy_since_ms;	  /* refused for want of room; -1: not */
 	gboolean owes_budget;	  /* the next attempt is not yet paid for */
 	gboolean is_started;
 	gboolean is_ended;
@@ -173,6 +180,7 @@
 		return cb_suspects_remaining_s(generation->env->suspects,
 					       generation->digest);
 	case CB_REFUSAL_NO_SERVER:
+	case CB_REFUSAL_OVERLOADED:
 	case CB_REFUSAL_RETRIES_EXHAUSTED:
 		return next_report_s_(generation);
 	default:
@@ -321,11 +329,41 @@
 	cb_attempt_start(generation->attempt);
 }
 
+/*
+ * No server had room.  Nothing has run and no server was burdened, so this
+ * costs no retry budget: looks elsewhere at once while a server is thought
+ * to have room, else anywhere after a pause.
+ */
+static void busy_again_(cb_generation_t *generation)
+{
+	const cb_generation_parts_t *parts = &generation->env->parts;
+	int32_t most_ms = ROOM_DELAY_MS;
+
+	if (generation->busy_since_ms < 0)
+		generation->busy_since_ms = now_ms_(generation);
+	if (now_ms_(generation) - generation->busy_since_ms >= MAX_BUSY_MS) {
+		end_(generation, CB_REFUSAL_OVERLOADED);
+		return;
+	}
+	if (cb_free_slots_model(parts->registry, generation->model) <= 0) {
+		g_hash_table_remove_all(generation->excluded);
+		most_ms = FULL_DELAY_MS;
+	}
+	cb_timer_start(generation->wake_timer,
+		       g_rand_int_range(parts->random, most_ms / 2,
+					most_ms + 1));
+}
+
 /* No chain covers the model: waits only if the answer has begun. */
 static void chain_missing_(cb_generation_t *generation)
 {
 	int64_t now_ms = now_ms_(generation);
 
+	if (generation->is_busy) {
+		g_hash_table_remove_all(generation->excluded);
+		busy_again_(generation);
+		return;
+	}
 	if (generation->waiting_since_ms < 0)
 		generation->waiting_since_ms = now_ms;
 	if (!generation->delivered->len ||
@@ -511,6 +549,8 @@
 	}
 	generation->is_busy = failure->failure == CB_FAILURE_REFUSED &&
 			      !generation->delivered->len;
+	if (failure->failure == CB_FAILURE_REFUSED)
+		cb_server_was_full(failure->server);
 	if (failure->failure == CB_FAILURE_SILENT && !failure->is_server_dead)
 		generation->silent_attempts++;
 	if (failure->is_server_dead || failure->failure == CB_FAILURE_SILENT ||
@@ -542,6 +582,10 @@
 	if (cb_attempt_is_accepted(generation->attempt))
 		generation->may_have_run = TRUE;
 	attempt_drop_(generation);
+	if (generation->is_busy) {
+		busy_again_(generation);
+		return;
+	}
 	generation->owes_budget = TRUE;
 	if (++generation->fruitless_attempts >= MAX_FRUITLESS_ATTEMPTS) {
 		end_(generation, CB_REFUSAL_RETRIES_EXHAUSTED);
@@ -582,6 +626,7 @@
 	generation->preferred =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	generation->waiting_since_ms = -1;
+	generation->busy_since_ms = -1;
 	generation->deadline_timer =
 		cb_timer_new(env->parts.clock, deadline_passed_, generation);
 	generation->wake_timer =
