Drop sessions only where there may be one, and with a time limit

Each refusal for want of room was followed by an order to drop a session that was never there; orders to a server that does not answer never ended, and libsoup looks through all of a session's messages at each event. Ruled out: a loop of ours (strace: some 80 exchanges a second, all to /engine/cancel). Change: no order to drop where the server did not take the request; such orders have a client of their own with a limit of 5 s.

--- a/src/libcurrantbridge/http/http_engine_client.c
+++ b/src/libcurrantbridge/http/http_engine_client.c
@@ -5,9 +5,13 @@
 #include "private/http_exchange.h"
 #include "private/json_fields.h"
 
+/* A server that does not answer is asked no longer to drop a request. */
+#define DROP_TIMEOUT_S 5
+
 typedef struct engine_client {
 	cb_engine_client_t base;
 	cb_http_client_t *http;
+	cb_http_client_t *drops; /* nobody waits for these: they time out */
 	JsonParser *parser;
 } engine_client_t;
 
@@ -467,9 +471,18 @@
 			 const char *request, uint64_t epoch)
 {
 	cb_http_listener_t ignored = { .done = ignore_done_ };
+	GBytes *body = object_end_(object_begin_(request, epoch));
+	cb_http_order_t order = {
+		.method = SOUP_METHOD_POST,
+		.address = server->address,
+		.path = "/engine/cancel",
+		.content_type = "application/json",
+		.body = body,
+	};
 
-	post_((engine_client_t *)client, server->address, "/engine/cancel",
-	      object_end_(object_begin_(request, epoch)), &ignored);
+	cb_http_exchange_start(((engine_client_t *)client)->drops, &order,
+			       &ignored);
+	g_bytes_unref(body);
 }
 
 static void engine_cancel_(cb_engine_client_t *client, cb_exchange_t *exchange)
@@ -497,6 +510,8 @@
 
 	client->base.vtable = &vtable;
 	client->http = cb_http_client_new(turn);
+	client->drops = cb_http_client_new(NULL);
+	cb_http_client_limit_silence(client->drops, DROP_TIMEOUT_S);
 	client->parser = json_parser_new_immutable();
 	return &client->base;
 }
@@ -508,6 +523,7 @@
 
 	if (!client)
 		return;
+	cb_http_client_delete(client->drops);
 	cb_http_client_delete(client->http);
 	g_object_unref(client->parser);
 	g_free(client);
--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -60,6 +60,12 @@
 	return client;
 }
 
+void cb_http_client_limit_silence(cb_http_client_t *client,
+				  unsigned int seconds)
+{
+	soup_session_set_timeout(client->session, seconds);
+}
+
 /* Frees what is not needed after the end was told. */
 static void exchange_release_(cb_exchange_t *exchange)
 {
--- a/src/libcurrantbridge/include/private/http_exchange.h
+++ b/src/libcurrantbridge/include/private/http_exchange.h
@@ -52,6 +52,9 @@
 } cb_http_turn_t;
 
 cb_http_client_t *cb_http_client_new(const cb_http_turn_t *turn);
+/* Has an exchange end that nothing moves for so many seconds. */
+void cb_http_client_limit_silence(cb_http_client_t *client,
+				  unsigned int seconds);
 void cb_http_client_delete(cb_http_client_t *client);
 
 cb_exchange_t *cb_http_exchange_start(cb_http_client_t *client,
--- a/src/libcurrantbridge/request/attempt.c
+++ b/src/libcurrantbridge/request/attempt.c
@@ -13,6 +13,7 @@
 	uint32_t last_layer;
 	cb_exchange_t *exchange;
 	gboolean is_open;
+	gboolean is_absent; /* its server did not take the order */
 	gboolean is_kept;
 } stage_t;
 
@@ -211,6 +212,9 @@
 
 	if (cb_failure_is_unknown(failure))
 		attempt->is_accepted = TRUE;
+	if (!stage->is_open &&
+	    (failure == CB_FAILURE_CONNECT || failure == CB_FAILURE_REFUSED))
+		stage->is_absent = TRUE;
 	if (index == attempt->parts.move_stage && !stage->is_open)
 		fail_(attempt, stage, failure, FALSE);
 	else if (failure == CB_FAILURE_CONNECT)
@@ -535,7 +539,7 @@
 	cb_engine_client_t *engines = engines_(attempt);
 	gboolean is_whole = attempt->is_finished && attempt->stage_count == 1;
 
-	if (!stage->is_kept && !is_whole)
+	if (!stage->is_kept && !stage->is_absent && !is_whole)
 		engines->vtable->drop(engines, stage->server,
 				      attempt->parts.order.request,
 				      attempt->parts.order.epoch);
--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -6,28 +6,45 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define HTTP_TIMEOUT_S 2
 #define POLL_US 2000
 #define US_PER_MS 1000
+#define FIRST_PORT 10000
+#define PORT_COUNT 22000
+/* Keeps test programs that run side by side apart. */
+#define PORTS_PER_PROCESS 61
 
-/* Returns a port of loopback that nothing listens on just now. */
-uint16_t support_free_port(void)
+static gboolean port_is_free_(uint16_t port)
 {
 	GSocket *socket =
 		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
 			     G_SOCKET_PROTOCOL_TCP, NULL);
-	GSocketAddress *any =
-		g_inet_socket_address_new_from_string("127.0.0.1", 0);
-	GSocketAddress *bound;
-	uint16_t port;
+	GSocketAddress *address =
+		g_inet_socket_address_new_from_string("127.0.0.1", port);
+	gboolean is_free = g_socket_bind(socket, address, FALSE, NULL);
 
-	g_assert(g_socket_bind(socket, any, FALSE, NULL));
-	bound = g_socket_get_local_address(socket, NULL);
-	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
-	g_object_unref(bound);
-	g_object_unref(any);
+	g_object_unref(address);
 	g_object_unref(socket);
+	return is_free;
+}
+
+/*
+ * Returns a port of loopback that nothing listens on just now.  It lies below
+ * those that the system gives to outgoing connections, so that none of these
+ * takes it while its daemon is down.
+ */
+uint16_t support_free_port(void)
+{
+	static uint32_t next;
+	uint16_t port;
+
+	if (!next)
+		next = (uint32_t)getpid() * PORTS_PER_PROCESS;
+	do {
+		port = (uint16_t)(FIRST_PORT + next++ % PORT_COUNT);
+	} while (!port_is_free_(port));
 	return port;
 }
 
