Count a refused attempt once, and let what is owed wait

A server that had refused counted as full less the refused attempt itself, so that one slot seemed free and requests tried again every few milliseconds. Small workspaces were refused by an estimate although they were within their guarantee. Ruled out: libsoup's cost of a request (perf shows a flat profile); the counters showed the attempts. Change: the refused attempt is left out; a workspace that has used less than its guarantee lately waits.

--- a/src/libcurrantbridge/backend/registry.c
+++ b/src/libcurrantbridge/backend/registry.c
@@ -485,7 +485,8 @@
 
 void cb_server_was_full(cb_server_t *server)
 {
-	int64_t own = server->in_flight - server->in_flight_at_report;
+	/* The attempt that was refused is still counted here, but ends now. */
+	int64_t own = server->in_flight - server->in_flight_at_report - 1;
 
 	server->reported_running =
 		MAX(server->reported_running, server->capacity - own);
--- a/src/libcurrantbridge/include/private/flow.h
+++ b/src/libcurrantbridge/include/private/flow.h
@@ -41,6 +41,8 @@
 /* NONE if one more request may begin now, else what stands against it. */
 cb_refusal_t cb_flow_blocked(const cb_flow_t *flow, gboolean has_tokens);
 gboolean cb_flow_is_within_guarantee(const cb_flow_t *flow);
+/* Whether less than the guarantee was used lately. */
+gboolean cb_flow_is_owed(const cb_flow_t *flow);
 void cb_flow_begin(cb_flow_t *flow);
 void cb_flow_charge(cb_flow_t *flow, int64_t tokens);
 void cb_flow_end(cb_flow_t *flow, uint64_t reserved, uint64_t used,
--- a/src/libcurrantbridge/request/admission.c
+++ b/src/libcurrantbridge/request/admission.c
@@ -249,7 +249,8 @@
 		return ticket;
 	}
 	cb_flow_wait(flow, cb_clock_now_us(admission->parts.clock));
-	if (cb_flow_wait_ms(flow) > longest_ms)
+	/* What is owed may wait: it goes first as soon as it may begin. */
+	if (cb_flow_wait_ms(flow) > longest_ms && !cb_flow_is_owed(flow))
 		ticket_refuse_(ticket);
 	flow->waiting--;
 	if (ticket->state != CB_TICKET_REFUSED)
--- a/src/libcurrantbridge/request/flow.c
+++ b/src/libcurrantbridge/request/flow.c
@@ -104,8 +104,12 @@
 {
 	double rate = (double)(flow->running + 1) * flow->stream_tokens_per_s;
 
-	return flow->guaranteed_level > 0 &&
-	       rate <= flow->guaranteed_tokens_per_s;
+	return cb_flow_is_owed(flow) && rate <= flow->guaranteed_tokens_per_s;
+}
+
+gboolean cb_flow_is_owed(const cb_flow_t *flow)
+{
+	return flow->contract_guaranteed && flow->guaranteed_level > 0;
 }
 
 void cb_flow_begin(cb_flow_t *flow)
