Count a model's layers in one pass over its engines

Cause: the count compared every engine with every other, for each attempt: 85,000 comparisons with 292 engines. Change: votes in a table.

--- a/src/libcurrantbridge/backend/router.c
+++ b/src/libcurrantbridge/backend/router.c
@@ -107,32 +107,28 @@
 /* Returns how many layers the model has, as most of its engines say. */
 static uint32_t layer_count_(const GPtrArray *engines, const char *model)
 {
-	uint32_t best = 0;
+	GHashTable *votes = g_hash_table_new(NULL, NULL);
 	unsigned int best_votes = 0;
+	uint32_t best = 0;
 	unsigned int i;
-	unsigned int j;
 
 	for (i = 0; i < engines->len; i++) {
 		const cb_layer_range_t *range =
 			range_find_(g_ptr_array_index(engines, i), model);
-		unsigned int votes = 0;
+		unsigned int count;
+		void *key;
 
-		if (!range || range->layer_count > MAX_LAYERS ||
-		    range->layer_count == best)
+		if (!range || range->layer_count > MAX_LAYERS)
 			continue;
-		for (j = 0; j < engines->len; j++) {
-			const cb_layer_range_t *other =
-				range_find_(g_ptr_array_index(engines, j),
-					    model);
-
-			votes += other &&
-				 other->layer_count == range->layer_count;
-		}
-		if (votes > best_votes) {
+		key = GUINT_TO_POINTER(range->layer_count);
+		count = GPOINTER_TO_UINT(g_hash_table_lookup(votes, key)) + 1;
+		g_hash_table_insert(votes, key, GUINT_TO_POINTER(count));
+		if (count > best_votes) {
+			best_votes = count;
 			best = range->layer_count;
-			best_votes = votes;
 		}
 	}
+	g_hash_table_unref(votes);
 	return best;
 }
 
