--- a/test/test_control.c
+++ b/test/test_control.c
@@ -17,6 +17,7 @@
 #define START_LIMIT_MS 20000
 #define CHANGE_LIMIT_MS 20000
 #define IN_FORCE_LIMIT_MS 15000
+#define RESTART_CHANGES 300
 
 static const support_bounds_t bounds = { 100, 500, SILENCE_MS };
 
@@ -161,7 +162,7 @@
 	int k;
 
 	history_init_(&history, 3);
-	for (k = 0; k < 40; k++)
+	for (k = 0; k < RESTART_CHANGES; k++)
 		CU_ASSERT_TRUE(history_put_(&history));
 	for (i = 0; i < 3; i++)
 		support_daemon_kill(history.group->control[i]);
