--- a/src/cb-fake-backend/fake_backend.c
+++ b/src/cb-fake-backend/fake_backend.c
@@ -7,11 +7,13 @@
 /* The exit code of a process that --crash-on has ended. */
 #define CRASH_EXIT_CODE 70
 
+/* Tells whether the backend has gone silent for good. */
 gboolean fake_backend_is_silent(fake_backend_t *backend)
 {
 	return backend->is_silent;
 }
 
+/* Counts an executed token or call; from --silent-after on it is silent. */
 void fake_backend_count(fake_backend_t *backend)
 {
 	int limit = backend->options->silent_after;
@@ -21,6 +23,7 @@
 		backend->is_silent = TRUE;
 }
 
+/* Ends the process at once if `text` holds the text of --crash-on. */
 void fake_backend_crash_on(const fake_backend_t *backend, const char *text)
 {
 	const char *mark = backend->options->crash_on;
@@ -29,6 +32,7 @@
 		_exit(CRASH_EXIT_CODE);
 }
 
+/* Returns an object as JSON text; the caller frees it. */
 char *fake_to_text(JsonObject *object)
 {
 	JsonNode *node = json_node_new(JSON_NODE_OBJECT);
@@ -40,6 +44,7 @@
 	return text;
 }
 
+/* Writes one JSON line to the effects' log, if there is one; takes `line`. */
 void fake_backend_log(fake_backend_t *backend, JsonObject *line)
 {
 	char *text;
@@ -53,6 +58,7 @@
 	json_object_unref(line);
 }
 
+/* Parses a request's JSON object, or answers 400 and returns NULL. */
 JsonObject *fake_request_parse(SoupServerMessage *message)
 {
 	SoupMessageBody *body = soup_server_message_get_request_body(message);
@@ -72,16 +78,19 @@
 	return object;
 }
 
+/* Returns a member's text, or NULL when it is absent. */
 const char *fake_member_string(JsonObject *object, const char *name)
 {
 	return json_object_get_string_member_with_default(object, name, NULL);
 }
 
+/* Returns a member's whole number, or 0 when it is absent. */
 int64_t fake_member_int(JsonObject *object, const char *name)
 {
 	return json_object_get_int_member_with_default(object, name, 0);
 }
 
+/* Answers with a JSON object, which it takes. */
 void fake_reply(SoupServerMessage *message, unsigned int status,
 		JsonObject *body)
 {
@@ -92,6 +101,7 @@
 	json_node_unref(node);
 }
 
+/* Answers with the word that says why nothing was run. */
 void fake_refuse(SoupServerMessage *message, unsigned int status,
 		 const char *error)
 {
--- a/src/cb-load/addresses.c
+++ b/src/cb-load/addresses.c
@@ -46,6 +46,7 @@
 	return book;
 }
 
+/* Deletes a book; no question may be under way. */
 void load_addresses_delete(load_addresses_t *book)
 {
 	g_strfreev(book->entries);
@@ -151,6 +152,7 @@
 	g_free(uri);
 }
 
+/* Gives an address for a workspace, at once if the last answer still holds. */
 void load_addresses_get(load_addresses_t *book, const char *workspace,
 			uint64_t turn, load_addresses_fn_t done,
 			void *user_data)
--- a/src/cb-load/stats.c
+++ b/src/cb-load/stats.c
@@ -1,5 +1,6 @@
 #include "load.h"
 
+/* Makes figures empty. */
 void load_stats_init(load_stats_t *stats)
 {
 	*stats = (load_stats_t){ 0 };
@@ -10,6 +11,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
+/* Frees what figures hold. */
 void load_stats_clear(load_stats_t *stats)
 {
 	g_array_unref(stats->first_token_us);
--- a/src/cb-load/stream.c
+++ b/src/cb-load/stream.c
@@ -260,6 +260,7 @@
 	return text;
 }
 
+/* Starts one streamed completion; it frees itself after `done`. */
 void load_stream_start(SoupSession *session, const load_request_t *request,
 		       load_token_fn_t token, load_done_fn_t done,
 		       void *user_data)
--- a/src/currantbridge/client.c
+++ b/src/currantbridge/client.c
@@ -43,6 +43,7 @@
 	return client;
 }
 
+/* Deletes a client; NULL is not allowed. */
 void client_delete(client_t *client)
 {
 	soup_session_abort(client->session);
@@ -67,6 +68,7 @@
 	return client->addresses[client->next];
 }
 
+/* Returns how many control instances the client may ask. */
 unsigned int client_address_count(const client_t *client)
 {
 	return client->address_count;
@@ -83,6 +85,7 @@
 	*(gboolean *)user_data = TRUE;
 }
 
+/* Waits for `delay_ms` on the loop. */
 void client_sleep(client_t *client, int64_t delay_ms)
 {
 	gboolean is_over = FALSE;
@@ -243,6 +246,7 @@
 	return worst;
 }
 
+/* Frees what a request holds. */
 void client_request_clear(client_request_t *request)
 {
 	g_clear_pointer(&request->path, g_free);
@@ -250,6 +254,7 @@
 	g_clear_pointer(&request->change_id, g_free);
 }
 
+/* Frees what a reply holds. */
 void client_reply_clear(client_reply_t *reply)
 {
 	g_clear_pointer(&reply->json, json_node_unref);
--- a/src/currantbridge/run.c
+++ b/src/currantbridge/run.c
@@ -9,16 +9,19 @@
 /* How often --wait asks which entry instances have the revision in force. */
 #define WAIT_POLL_MS 50
 
+/* Returns a member's whole number, or 0 when it is absent. */
 gint64 json_int(JsonObject *object, const char *name)
 {
 	return json_object_get_int_member_with_default(object, name, 0);
 }
 
+/* Returns a member's text, or an empty one when it is absent. */
 const char *json_text(JsonObject *object, const char *name)
 {
 	return json_object_get_string_member_with_default(object, name, "");
 }
 
+/* Returns a member's truth, or FALSE when it is absent. */
 gboolean json_flag(JsonObject *object, const char *name)
 {
 	return json_object_get_boolean_member_with_default(object, name, FALSE);
--- a/src/libcurrantbridge/backend/registry.c
+++ b/src/libcurrantbridge/backend/registry.c
@@ -475,6 +475,7 @@
 	server->in_flight--;
 }
 
+/* Returns the requests that the server is taken to have, 0 or more. */
 int64_t cb_server_load(const cb_server_t *server)
 {
 	int64_t load = server->reported_running + server->reported_queued +
@@ -483,6 +484,7 @@
 	return MAX(load, server->in_flight);
 }
 
+/* Counts the server as full until it reports or a request here ends. */
 void cb_server_was_full(cb_server_t *server)
 {
 	/* The attempt that was refused is still counted here, but ends now. */
--- a/src/libcurrantbridge/contract/allocation.c
+++ b/src/libcurrantbridge/contract/allocation.c
@@ -136,6 +136,10 @@
 	return limit - limit * CB_FLOOR_PER_MILLE / PER_MILLE;
 }
 
+/*
+ * Answers a demand with what may be used beside the floor for CB_LEASE_MS;
+ * nothing in the first CB_LEASE_MS of a leadership.
+ */
 cb_amount_t cb_lease_book_lend(cb_lease_book_t *book,
 			       const cb_contract_t *contract,
 			       const char *instance, cb_demand_t demand)
@@ -169,6 +173,7 @@
 	return granted;
 }
 
+/* Returns what is lent of a contract and has not expired. */
 cb_amount_t cb_lease_book_lent(cb_lease_book_t *book, const char *workspace)
 {
 	account_t *account = account_get_(book, workspace);
@@ -177,6 +182,7 @@
 	return account->lent;
 }
 
+/* Returns one instance's floor, when the address answer names `count`. */
 cb_amount_t cb_floor(const cb_contract_t *contract, uint32_t count)
 {
 	cb_amount_t floor_amount = { 0 };
--- a/src/libcurrantbridge/contract/share_table.c
+++ b/src/libcurrantbridge/contract/share_table.c
@@ -44,6 +44,7 @@
 	return share;
 }
 
+/* Sets the floor: that of one of `count` instances, or none. */
 void cb_share_table_set_floor(cb_share_table_t *table,
 			      const cb_contract_t *contract, uint32_t count,
 			      gboolean is_named)
@@ -53,6 +54,7 @@
 	share->floor = cb_floor(contract, is_named ? count : 0);
 }
 
+/* Takes a lease; one that was sent before the present one is dropped. */
 void cb_share_table_lease(cb_share_table_t *table, const char *workspace,
 			  cb_amount_t granted, int64_t sent_ms)
 {
@@ -65,6 +67,7 @@
 	share->expires_ms = expires_ms;
 }
 
+/* Returns what may be used now: tokens and requests a second, and at once. */
 cb_amount_t cb_share_table_limits(cb_share_table_t *table,
 				  const char *workspace)
 {
@@ -80,6 +83,7 @@
 	return limits;
 }
 
+/* Returns the demand to report for a total that is wanted. */
 cb_demand_t cb_share_table_demand(cb_share_table_t *table,
 				  const char *workspace, cb_amount_t wanted)
 {
--- a/src/libcurrantbridge/control/aging.c
+++ b/src/libcurrantbridge/control/aging.c
@@ -19,6 +19,7 @@
 	g_free(entry);
 }
 
+/* Makes an empty order of ages. */
 cb_aging_t *cb_aging_new(void)
 {
 	cb_aging_t *aging = g_new0(cb_aging_t, 1);
@@ -29,6 +30,7 @@
 	return aging;
 }
 
+/* Deletes an order of ages. */
 void cb_aging_delete(cb_aging_t *aging)
 {
 	if (!aging)
@@ -50,6 +52,7 @@
 	g_queue_push_tail_link(&aging->order, &entry->link);
 }
 
+/* Takes a name out, if it is there. */
 void cb_aging_remove(cb_aging_t *aging, const char *name)
 {
 	entry_t *entry = g_hash_table_lookup(aging->entries, name);
@@ -60,6 +63,7 @@
 	g_hash_table_remove(aging->entries, name);
 }
 
+/* Returns how many names are held. */
 unsigned int cb_aging_count(const cb_aging_t *aging)
 {
 	return aging->order.length;
--- a/src/libcurrantbridge/control/changes.c
+++ b/src/libcurrantbridge/control/changes.c
@@ -29,6 +29,7 @@
 	g_free(change);
 }
 
+/* Makes an empty table of change IDs. */
 cb_changes_t *cb_changes_new(void)
 {
 	cb_changes_t *changes = g_new0(cb_changes_t, 1);
@@ -39,6 +40,7 @@
 	return changes;
 }
 
+/* Deletes a table of change IDs. */
 void cb_changes_delete(cb_changes_t *changes)
 {
 	if (!changes)
--- a/src/libcurrantbridge/control/claims.c
+++ b/src/libcurrantbridge/control/claims.c
@@ -47,6 +47,7 @@
 	g_free(claim);
 }
 
+/* Makes an empty table of claims. */
 cb_claims_t *cb_claims_new(cb_owner_lives_fn_t owner_lives, void *user_data)
 {
 	cb_claims_t *claims = g_new0(cb_claims_t, 1);
@@ -61,6 +62,7 @@
 	return claims;
 }
 
+/* Deletes a table of claims. */
 void cb_claims_delete(cb_claims_t *claims)
 {
 	if (!claims)
--- a/src/libcurrantbridge/control/command.c
+++ b/src/libcurrantbridge/control/command.c
@@ -162,6 +162,7 @@
 	g_free(answer);
 }
 
+/* Encodes an answer; the caller unrefs the bytes. */
 GBytes *cb_answer_encode(const cb_answer_t *answer)
 {
 	cb_pack_t pack;
--- a/src/libcurrantbridge/control/demand.c
+++ b/src/libcurrantbridge/control/demand.c
@@ -86,6 +86,7 @@
 	return line->workspace && cb_fields_end(&fields);
 }
 
+/* Decodes a report; NULL when the bytes are not exactly one. */
 GPtrArray *cb_demand_lines_decode(GBytes *bytes)
 {
 	GPtrArray *lines = cb_demand_lines_new();
--- a/src/libcurrantbridge/control/history.c
+++ b/src/libcurrantbridge/control/history.c
@@ -41,6 +41,7 @@
 	g_free(entry);
 }
 
+/* Makes an empty history of changes, bounded in number. */
 cb_change_history_t *cb_change_history_new(unsigned int max_tombstones)
 {
 	cb_change_history_t *history = g_new0(cb_change_history_t, 1);
@@ -53,6 +54,7 @@
 	return history;
 }
 
+/* Deletes a history of changes. */
 void cb_change_history_delete(cb_change_history_t *history)
 {
 	if (!history)
@@ -117,6 +119,7 @@
 	return history->floor;
 }
 
+/* Sets the revision before which no difference can be told. */
 void cb_change_history_set_floor(cb_change_history_t *history, uint64_t floor)
 {
 	history->floor = floor;
--- a/src/libcurrantbridge/control/state.c
+++ b/src/libcurrantbridge/control/state.c
@@ -184,6 +184,7 @@
 	state->elapsed_ms = 0;
 }
 
+/* Frees what a state holds, before another content takes its place. */
 void cb_state_parts_delete(cb_state_t *state)
 {
 	cb_aging_delete(state->quarantine);
@@ -204,6 +205,7 @@
 	return state;
 }
 
+/* Deletes a state. */
 void cb_state_delete(cb_state_t *state)
 {
 	if (!state)
@@ -218,6 +220,7 @@
 	return &state->machine;
 }
 
+/* Returns the revision of the last change that entry instances need. */
 uint64_t cb_state_revision(const cb_state_t *state)
 {
 	return cb_view_revision(state->view);
--- a/src/libcurrantbridge/control/state_config.c
+++ b/src/libcurrantbridge/control/state_config.c
@@ -167,6 +167,7 @@
 	return answer;
 }
 
+/* Cancels an announced stop. */
 cb_answer_t *cb_state_stop_cancel(cb_state_t *state,
 				  const cb_command_t *command, uint64_t index)
 {
@@ -406,6 +407,7 @@
 	return revision_answer_(CB_ANSWER_OK, index);
 }
 
+/* Takes a digest out of quarantine. */
 cb_answer_t *cb_state_quarantine_remove(cb_state_t *state,
 					const cb_command_t *command,
 					uint64_t index)
--- a/src/libcurrantbridge/control/view.c
+++ b/src/libcurrantbridge/control/view.c
@@ -78,6 +78,7 @@
 	return view;
 }
 
+/* Deletes a view. */
 void cb_view_delete(cb_view_t *view)
 {
 	int kind;
@@ -156,6 +157,7 @@
 	g_clear_pointer(&view->sorted[kind], g_ptr_array_unref);
 }
 
+/* Takes an item out, if it is there. */
 void cb_view_remove_item(cb_view_t *view, cb_item_kind_t kind, const char *name)
 {
 	if (kind == CB_ITEM_CONTRACT)
@@ -164,6 +166,7 @@
 	g_clear_pointer(&view->sorted[kind], g_ptr_array_unref);
 }
 
+/* Sets the revision in force. */
 void cb_view_set_revision(cb_view_t *view, uint64_t revision)
 {
 	view->revision = revision;
@@ -289,11 +292,13 @@
 	return outcome;
 }
 
+/* Returns the revision in force; 0 before the first update. */
 uint64_t cb_view_revision(const cb_view_t *view)
 {
 	return view->revision;
 }
 
+/* Has `fn` called after each update that was applied. */
 void cb_view_watch(cb_view_t *view, cb_view_changed_fn_t fn, void *user_data)
 {
 	watcher_t watcher = { fn, user_data };
@@ -341,16 +346,19 @@
 	return *cache;
 }
 
+/* Returns all contracts; valid until the next update. */
 const GPtrArray *cb_view_contracts(const cb_view_t *view)
 {
 	return sorted_(view, CB_ITEM_CONTRACT);
 }
 
+/* Returns all entry instances; valid until the next update. */
 const GPtrArray *cb_view_instances(const cb_view_t *view)
 {
 	return sorted_(view, CB_ITEM_INSTANCE);
 }
 
+/* Returns all announced stops; valid until the next update. */
 const GPtrArray *cb_view_stops(const cb_view_t *view)
 {
 	return sorted_(view, CB_ITEM_STOP);
@@ -371,6 +379,7 @@
 	return is_stopped;
 }
 
+/* Tells whether a digest is in quarantine at `wall_ms`. */
 gboolean cb_view_is_quarantined(const cb_view_t *view, const char *digest,
 				int64_t wall_ms)
 {
@@ -380,6 +389,7 @@
 	return quarantine && quarantine->until_wall_ms > wall_ms;
 }
 
+/* Returns until when a digest is in quarantine, in wall ms; 0 if it is not. */
 int64_t cb_view_quarantined_until(const cb_view_t *view, const char *digest)
 {
 	const cb_quarantine_t *quarantine =
@@ -388,6 +398,7 @@
 	return quarantine ? quarantine->until_wall_ms : 0;
 }
 
+/* Returns the servers that died under a digest; NULL if it is not suspect. */
 const char *const *cb_view_deaths(const cb_view_t *view, const char *digest,
 				  int64_t wall_ms)
 {
@@ -418,6 +429,7 @@
 	return is_suspect;
 }
 
+/* Returns how many digests are suspect on a server. */
 unsigned int cb_view_suspects_on(const cb_view_t *view, const char *server,
 				 unsigned int least, int64_t wall_ms)
 {
--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -60,6 +60,7 @@
 	return client;
 }
 
+/* Has an exchange end that nothing moves for `seconds`. */
 void cb_http_client_limit_silence(cb_http_client_t *client,
 				  unsigned int seconds)
 {
--- a/src/libcurrantbridge/request/admission.c
+++ b/src/libcurrantbridge/request/admission.c
@@ -221,6 +221,10 @@
 	cb_counter_add(admission->waiting_gauge, -1);
 }
 
+/*
+ * Submits a request: it begins, waits, or is refused, as the ticket's state
+ * says.  The ticket is the caller's to delete.
+ */
 cb_ticket_t *cb_admission_submit(cb_admission_t *admission,
 				 const cb_admission_request_t *request,
 				 cb_ticket_changed_fn_t changed,
@@ -323,6 +327,7 @@
 	}
 }
 
+/* Begins what may begin now and refuses what has waited too long. */
 void cb_admission_pump(cb_admission_t *admission)
 {
 	queue_t *queue;
@@ -344,12 +349,17 @@
 		cb_timer_start(admission->pump_timer, PUMP_INTERVAL_MS);
 }
 
+/* Returns what a workspace would use if nothing limited it. */
 cb_amount_t cb_admission_wanted(cb_admission_t *admission,
 				const char *workspace)
 {
 	return cb_flow_wanted(flow_get_(admission, workspace));
 }
 
+/*
+ * Returns the names of workspaces with work running or waiting; the array is
+ * the caller's, the names are not.
+ */
 GPtrArray *cb_admission_active(cb_admission_t *admission)
 {
 	GPtrArray *names = g_ptr_array_new();
@@ -366,21 +376,25 @@
 	return names;
 }
 
+/* Returns a ticket's present state. */
 cb_ticket_state_t cb_ticket_state(const cb_ticket_t *ticket)
 {
 	return ticket->state;
 }
 
+/* Returns why a ticket was refused, or NONE. */
 cb_refusal_t cb_ticket_refusal(const cb_ticket_t *ticket)
 {
 	return ticket->refusal;
 }
 
+/* Returns in how many seconds another try is worth it, 1 or more. */
 int64_t cb_ticket_retry_after_s(const cb_ticket_t *ticket)
 {
 	return ticket->retry_after_s;
 }
 
+/* Charges tokens that have come; the workspace may go into debt. */
 void cb_ticket_charge(cb_ticket_t *ticket, int64_t tokens)
 {
 	ticket->used_tokens += (uint64_t)tokens;
--- a/src/libcurrantbridge/request/flow.c
+++ b/src/libcurrantbridge/request/flow.c
@@ -32,6 +32,7 @@
 	return flow;
 }
 
+/* Deletes a flow. */
 void cb_flow_delete(cb_flow_t *flow)
 {
 	g_free(flow->workspace);
@@ -82,6 +83,7 @@
 	flow->filled_us = now_us;
 }
 
+/* Returns NONE if one more request may begin, else the limit against it. */
 cb_refusal_t cb_flow_blocked(const cb_flow_t *flow, gboolean has_tokens)
 {
 	double rate = (double)(flow->running + 1) * flow->stream_tokens_per_s;
@@ -100,6 +102,7 @@
 	return CB_REFUSAL_NONE;
 }
 
+/* Tells whether one more stream would stay within the guarantee. */
 gboolean cb_flow_is_within_guarantee(const cb_flow_t *flow)
 {
 	double rate = (double)(flow->running + 1) * flow->stream_tokens_per_s;
@@ -107,17 +110,20 @@
 	return cb_flow_is_owed(flow) && rate <= flow->guaranteed_tokens_per_s;
 }
 
+/* Tells whether less than the guarantee was used lately. */
 gboolean cb_flow_is_owed(const cb_flow_t *flow)
 {
 	return flow->contract_guaranteed && flow->guaranteed_level > 0;
 }
 
+/* Counts a request that begins. */
 void cb_flow_begin(cb_flow_t *flow)
 {
 	flow->running++;
 	flow->request_level--;
 }
 
+/* Charges tokens against ceiling, guarantee and share. */
 void cb_flow_charge(cb_flow_t *flow, int64_t tokens)
 {
 	flow->token_level -= (double)tokens;
@@ -139,6 +145,7 @@
 			(double)used * MS_PER_S / (double)duration_ms);
 }
 
+/* Counts a request that waits, and since when any does. */
 void cb_flow_wait(cb_flow_t *flow, int64_t now_us)
 {
 	if (!flow->waiting)
@@ -160,6 +167,7 @@
 			 (double)side_by_side);
 }
 
+/* Returns what the running and waiting requests would use, and one more. */
 cb_amount_t cb_flow_wanted(const cb_flow_t *flow)
 {
 	int64_t requests = flow->running + flow->waiting;
--- a/src/libcurrantbridge/request/share_keeper.c
+++ b/src/libcurrantbridge/request/share_keeper.c
@@ -48,6 +48,7 @@
 	return is_named;
 }
 
+/* Works the floor out anew if the view has changed since. */
 void cb_share_keeper_refresh(cb_share_keeper_t *keeper,
 			     const cb_contract_t *contract)
 {
@@ -115,6 +116,7 @@
 	cb_timer_start(keeper->report_timer, CB_DEMAND_INTERVAL_MS);
 }
 
+/* Reports within some milliseconds, with what else has risen by then. */
 void cb_share_keeper_report_soon(cb_share_keeper_t *keeper)
 {
 	int64_t since_ms = cb_clock_now_ms(keeper->clock) - keeper->reported_ms;
@@ -187,6 +189,7 @@
 	g_free(keeper);
 }
 
+/* Returns the table of shares, owned by the keeper. */
 cb_share_table_t *cb_share_keeper_table(cb_share_keeper_t *keeper)
 {
 	return keeper->table;
--- a/src/libcurrantbridge/wire/pack.c
+++ b/src/libcurrantbridge/wire/pack.c
@@ -19,16 +19,19 @@
 	msgpack_pack_array(&pack->packer, count);
 }
 
+/* Adds a whole number of 0 or more. */
 void cb_pack_uint(cb_pack_t *pack, uint64_t value)
 {
 	msgpack_pack_uint64(&pack->packer, value);
 }
 
+/* Adds a whole number. */
 void cb_pack_int(cb_pack_t *pack, int64_t value)
 {
 	msgpack_pack_int64(&pack->packer, value);
 }
 
+/* Adds a truth value. */
 void cb_pack_bool(cb_pack_t *pack, gboolean value)
 {
 	if (value)
@@ -185,6 +188,7 @@
 	return FALSE;
 }
 
+/* Frees a message that was decoded. */
 void cb_unpack_clear(cb_unpack_t *unpack)
 {
 	msgpack_unpacked_destroy(&unpack->unpacked);
@@ -213,6 +217,7 @@
 	return fields->next++;
 }
 
+/* Reads a whole number of 0 or more. */
 uint64_t cb_fields_uint(cb_fields_t *fields)
 {
 	const msgpack_object *object = cb_fields_object(fields);
@@ -223,6 +228,7 @@
 	return 0;
 }
 
+/* Reads a whole number. */
 int64_t cb_fields_int(cb_fields_t *fields)
 {
 	const msgpack_object *object = cb_fields_object(fields);
@@ -236,6 +242,7 @@
 	return 0;
 }
 
+/* Reads a truth value. */
 gboolean cb_fields_bool(cb_fields_t *fields)
 {
 	const msgpack_object *object = cb_fields_object(fields);
