Take out what admission no longer uses

Cause: a last read of the whole change found state that is written and never read: requests sent since a report (a server's load is taken from what is in flight), the share of reserved tokens used, a ticket's time of submission, and a sum of leases that nobody asked for. Change: these are gone; behaviour stays as it is.

--- a/include/currantbridge/allocation.h
+++ b/include/currantbridge/allocation.h
@@ -54,8 +54,6 @@
 cb_amount_t cb_lease_book_lend(cb_lease_book_t *book,
 			       const cb_contract_t *contract,
 			       const char *instance, cb_demand_t demand);
-/* What is lent and has not expired, for a workspace. */
-cb_amount_t cb_lease_book_lent(cb_lease_book_t *book, const char *workspace);
 
 /* The floor of one of `count` instances, or nothing if `count` is 0. */
 cb_amount_t cb_floor(const cb_contract_t *contract, uint32_t count);
--- a/include/currantbridge/server.h
+++ b/include/currantbridge/server.h
@@ -53,7 +53,6 @@
 	int64_t reported_running;
 	int64_t reported_queued;
 	int64_t reported_at_ms;
-	int64_t sent_since_report;
 	int64_t in_flight; /* of this entry instance */
 	int64_t in_flight_at_report;
 	/* Smoothed time of one step or token, 0 before the first. */
--- a/src/libcurrantbridge/backend/registry.c
+++ b/src/libcurrantbridge/backend/registry.c
@@ -338,7 +338,6 @@
 	server->reported_running = announcement->running;
 	server->reported_queued = announcement->queued;
 	server->reported_at_ms = cb_clock_now_ms(registry->clock);
-	server->sent_since_report = 0;
 	server->in_flight_at_report = server->in_flight;
 	entry->said_leaving = announcement->is_leaving;
 	if (!holdings_equal_(server, announcement))
@@ -464,7 +463,6 @@
 /* Counts an attempt that is sent to the server. */
 void cb_server_begin(cb_server_t *server)
 {
-	server->sent_since_report++;
 	server->in_flight++;
 }
 
--- a/src/libcurrantbridge/contract/allocation.c
+++ b/src/libcurrantbridge/contract/allocation.c
@@ -173,15 +173,6 @@
 	return granted;
 }
 
-/* Returns what is lent of a contract and has not expired. */
-cb_amount_t cb_lease_book_lent(cb_lease_book_t *book, const char *workspace)
-{
-	account_t *account = account_get_(book, workspace);
-
-	account_settle_(account, cb_clock_now_ms(book->clock));
-	return account->lent;
-}
-
 /* Returns one instance's floor, when the address answer names `count`. */
 cb_amount_t cb_floor(const cb_contract_t *contract, uint32_t count)
 {
--- a/src/libcurrantbridge/include/private/flow.h
+++ b/src/libcurrantbridge/include/private/flow.h
@@ -12,8 +12,6 @@
 	/* Tokens a second of one stream, and how long a request lasts. */
 	double stream_tokens_per_s;
 	double duration_ms;
-	/* Used over reserved tokens of ended requests. */
-	double used_ratio;
 	/* Allowances that fill at a rate; tokens may go into debt. */
 	double request_level;
 	double token_level;
@@ -45,8 +43,7 @@
 gboolean cb_flow_is_owed(const cb_flow_t *flow);
 void cb_flow_begin(cb_flow_t *flow);
 void cb_flow_charge(cb_flow_t *flow, int64_t tokens);
-void cb_flow_end(cb_flow_t *flow, uint64_t reserved, uint64_t used,
-		 int64_t duration_ms);
+void cb_flow_end(cb_flow_t *flow, uint64_t used, int64_t duration_ms);
 /* Notes that one more request waits. */
 void cb_flow_wait(cb_flow_t *flow, int64_t now_us);
 /* How long the last of the waiting requests will wait, as things go. */
--- a/src/libcurrantbridge/request/admission.c
+++ b/src/libcurrantbridge/request/admission.c
@@ -38,7 +38,6 @@
 	cb_ticket_state_t state;
 	uint64_t max_tokens;
 	uint64_t used_tokens;
-	int64_t submitted_ms;
 	int64_t begun_ms;
 	int64_t latest_ms;
 	cb_refusal_t refusal;
@@ -240,8 +239,7 @@
 	ticket->admission = admission;
 	ticket->queue = queue;
 	ticket->max_tokens = request->max_tokens;
-	ticket->submitted_ms = now_ms_(admission);
-	ticket->latest_ms = ticket->submitted_ms + longest_ms;
+	ticket->latest_ms = now_ms_(admission) + longest_ms;
 	ticket->changed = changed;
 	ticket->user_data = user_data;
 	flow_activate_(admission, flow);
@@ -412,8 +410,7 @@
 	if (ticket->state == CB_TICKET_WAITING)
 		ticket_dequeue_(ticket);
 	if (ticket->state == CB_TICKET_RUNNING)
-		cb_flow_end(ticket->queue->flow, ticket->max_tokens,
-			    ticket->used_tokens,
+		cb_flow_end(ticket->queue->flow, ticket->used_tokens,
 			    now_ms_(admission) - ticket->begun_ms);
 	g_free(ticket);
 	if (admission->waiting->len)
--- a/src/libcurrantbridge/request/flow.c
+++ b/src/libcurrantbridge/request/flow.c
@@ -22,7 +22,6 @@
 	flow->workspace = g_strdup(workspace);
 	flow->stream_tokens_per_s = FIRST_STREAM_TOKENS_PER_S;
 	flow->duration_ms = FIRST_DURATION_MS;
-	flow->used_ratio = 1;
 	flow->weight = 1;
 	flow->filled_us = now_us;
 	/* The first request finds its allowance full. */
@@ -132,14 +131,10 @@
 }
 
 /* Ends a request that began, and learns from it. */
-void cb_flow_end(cb_flow_t *flow, uint64_t reserved, uint64_t used,
-		 int64_t duration_ms)
+void cb_flow_end(cb_flow_t *flow, uint64_t used, int64_t duration_ms)
 {
 	flow->running--;
 	smooth_(&flow->duration_ms, (double)MAX(duration_ms, 1));
-	if (!reserved)
-		return;
-	smooth_(&flow->used_ratio, (double)used / (double)reserved);
 	if (used && duration_ms > 0)
 		smooth_(&flow->stream_tokens_per_s,
 			(double)used * MS_PER_S / (double)duration_ms);
