--- a/include/currantbridge/command.h
+++ b/include/currantbridge/command.h
@@ -25,6 +25,7 @@
 	CB_COMMAND_SUSPECT_ADD, /* digest `name` was running as `server` died */
 	CB_COMMAND_CLAIM,
 	CB_COMMAND_CLAIM_FINISH,
+	CB_COMMAND_DOCUMENT_PUT, /* `text` under `document_version` */
 	CB_COMMAND_KIND_COUNT
 } cb_command_kind_t;
 
@@ -50,7 +51,8 @@
 	/* Stamped by the leader that proposes it. */
 	int64_t wall_ms;
 	char *name; /* workspace, server, instance or digest */
-	char *text; /* a contract's JSON text */
+	char *text; /* a contract's JSON text, or a document */
+	int64_t document_version;
 	cb_stop_kind_t stop_kind;
 	char *address;
 	char *data_centre;
--- a/include/currantbridge/control_client.h
+++ b/include/currantbridge/control_client.h
@@ -74,6 +74,10 @@
 				cb_control_grant_fn_t fn, void *user_data);
 void cb_control_client_report_demand(cb_control_client_t *client,
 				     GBytes *report);
+/* Backend servers, as cb_fleet_merge() takes them. */
+typedef void (*cb_control_fleet_fn_t)(GBytes *fleet, void *user_data);
+void cb_control_client_on_fleet(cb_control_client_t *client,
+				cb_control_fleet_fn_t fn, void *user_data);
 /* Tells control that this instance leaves: no address answer names it. */
 void cb_control_client_leave(cb_control_client_t *client);
 
--- /dev/null
+++ b/include/currantbridge/document.h
@@ -0,0 +1,137 @@
+#ifndef CURRANTBRIDGE_DOCUMENT_H
+#define CURRANTBRIDGE_DOCUMENT_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/*
+ * A deployment's configuration as one document under a rising version: the
+ * routes, the services behind them, the workspaces' keys and the limits on
+ * requests.  A document is never changed once it was decoded.
+ */
+
+typedef enum cb_route_kind {
+	CB_ROUTE_IDEMPOTENT,
+	CB_ROUTE_ONCE,	 /* may run at most once */
+	CB_ROUTE_STREAM, /* answered as events; at most once unless resumable */
+	CB_ROUTE_KIND_COUNT
+} cb_route_kind_t;
+
+/* A share of a route's requests. */
+typedef struct cb_route_split {
+	char *service;
+	uint32_t weight;
+} cb_route_split_t;
+
+typedef struct cb_route {
+	char *name;
+	char *host;
+	char *prefix; /* begins and ends with a slash */
+	cb_route_kind_t kind;
+	int64_t timeout_ms;
+	int64_t target_ms; /* for the whole answer, or a stream's first event */
+	int64_t gap_ms;	   /* the longest pause between events; 0: none said */
+	uint32_t priority; /* 0 is the most urgent */
+	GArray *splits;	   /* of cb_route_split_t */
+	uint32_t max_attempts;
+	gboolean is_public; /* needs no key */
+	gboolean is_resumable;
+} cb_route_t;
+
+/* A kind of accelerator that runs layers. */
+typedef struct cb_engine_kind {
+	char *name;
+	double memory_mb;
+	double pace;	  /* how many times longer a step takes */
+	double read_pace; /* how many times longer reading takes */
+} cb_engine_kind_t;
+
+/* What is known of the engines of a service that holds a model in layers. */
+typedef struct cb_engine_profile {
+	uint32_t layers;
+	double layer_mb;
+	double kv_token_bytes; /* of all layers */
+	double step_ms;
+	double per_sequence_ms;
+	double context_per_k_ms;
+	double read_tokens_per_s;
+	uint32_t stride; /* steps in a pass that writes */
+	uint32_t slots;
+	double load_s; /* of all layers */
+	uint32_t loads_at_once;
+	uint32_t usual_prompt_tokens;
+	uint32_t usual_answer_tokens;
+	GPtrArray *kinds; /* of cb_engine_kind_t */
+} cb_engine_profile_t;
+
+typedef struct cb_service_profile {
+	char *name;
+	uint32_t max_connections;
+	cb_engine_profile_t *engine; /* NULL: a plain service */
+} cb_service_profile_t;
+
+typedef struct cb_document_limits {
+	uint64_t max_header_bytes;
+	uint64_t max_body_bytes;
+	int64_t header_timeout_ms;
+	int64_t idle_timeout_ms;
+} cb_document_limits_t;
+
+typedef struct cb_document {
+	unsigned int refs;
+	int64_t version;
+	GPtrArray *routes;    /* of cb_route_t */
+	GHashTable *services; /* name to cb_service_profile_t */
+	GHashTable *keys;     /* key to the workspace's name */
+	GHashTable *hosts;    /* host to its routes, the longest prefix first */
+	gboolean has_workspaces;
+	cb_document_limits_t limits;
+} cb_document_t;
+
+/* How the text of a document is read; the deployment's interface binds it. */
+typedef struct cb_document_codec cb_document_codec_t;
+
+typedef struct cb_document_codec_vtable {
+	/* Returns NULL and says which field is wrong, and why. */
+	cb_document_t *(*decode)(const cb_document_codec_t *codec,
+				 const char *text, size_t size, GError **error);
+} cb_document_codec_vtable_t;
+
+struct cb_document_codec {
+	const cb_document_codec_vtable_t *vtable;
+};
+
+#define CB_DOCUMENT_ERROR (cb_document_error_quark())
+GQuark cb_document_error_quark(void);
+
+typedef enum cb_document_error {
+	CB_DOCUMENT_ERROR_INVALID,
+} cb_document_error_t;
+
+cb_document_t *cb_document_new(void);
+cb_document_t *cb_document_ref(cb_document_t *document);
+void cb_document_unref(cb_document_t *document);
+cb_route_t *cb_route_new(void);
+void cb_route_delete(void *route);
+cb_service_profile_t *cb_service_profile_new(const char *name);
+cb_engine_profile_t *cb_engine_profile_new(void);
+
+void cb_document_add_route(cb_document_t *document, cb_route_t *route);
+void cb_document_add_service(cb_document_t *document,
+			     cb_service_profile_t *service);
+gboolean cb_document_add_key(cb_document_t *document, const char *workspace,
+			     const char *key, GError **error);
+/* Checks what the parts say of each other; to be called once all are there. */
+gboolean cb_document_finish(cb_document_t *document, GError **error);
+
+const cb_route_t *cb_document_route(const cb_document_t *document,
+				    const char *host, const char *target);
+const char *cb_document_workspace(const cb_document_t *document,
+				  const char *key);
+const cb_service_profile_t *cb_document_service(const cb_document_t *document,
+						const char *name);
+const char *cb_route_pick(const cb_route_t *route, uint32_t draw);
+const cb_engine_kind_t *cb_engine_profile_kind(
+	const cb_engine_profile_t *engine, const char *name);
+
+#endif
--- /dev/null
+++ b/include/currantbridge/front.h
@@ -0,0 +1,44 @@
+#ifndef CURRANTBRIDGE_FRONT_H
+#define CURRANTBRIDGE_FRONT_H
+
+#include "currantbridge/control_client.h"
+#include "currantbridge/dialect.h"
+#include "currantbridge/document.h"
+#include "currantbridge/fleet.h"
+#include "currantbridge/kernel.h"
+
+/*
+ * The relay of an entry instance: serves callers by the routes of the
+ * configuration document, at the servers that control tells of.  A service of
+ * the kernel, named "front".
+ */
+typedef struct cb_front cb_front_t;
+
+typedef struct cb_front_options {
+	const char *name;
+	const char *listen; /* "IP:PORT", also what callers are told */
+	const char *data_centre;
+	const cb_document_codec_t *codec;
+	const cb_dialect_t *dialect;
+	/* The bound on second sends of all instances together. */
+	double retry_ratio;
+	double retry_extra;
+	int64_t retry_window_ms;
+	/* A graceful stop goes on for at least, and at most, so long. */
+	int64_t linger_ms;
+	int64_t grace_ms;
+} cb_front_options_t;
+
+cb_front_t *cb_front_new(cb_kernel_t *kernel, cb_control_client_t *control,
+			 cb_view_t *view, const cb_front_options_t *options);
+/* Whether callers should be sent here. */
+gboolean cb_front_is_ready(const cb_front_t *front);
+/*
+ * The addresses that a caller of this data centre should use, of char *,
+ * with this instance's own; the caller unrefs the array.
+ */
+GPtrArray *cb_front_addresses(const cb_front_t *front, const char *data_centre);
+const cb_document_t *cb_front_document(const cb_front_t *front);
+uint16_t cb_front_port(const cb_front_t *front);
+
+#endif
--- a/include/currantbridge/node.h
+++ b/include/currantbridge/node.h
@@ -2,6 +2,7 @@
 #define CURRANTBRIDGE_NODE_H
 
 #include "currantbridge/command.h"
+#include "currantbridge/fleet.h"
 #include "currantbridge/kernel.h"
 #include "currantbridge/network.h"
 #include "currantbridge/replica.h"
@@ -26,6 +27,13 @@
 	int64_t election_timeout_ms;
 	int64_t silence_ms;
 	uint64_t snapshot_every_bytes;
+	/* Backend servers not heard for this are silent; 0: none are heard. */
+	int64_t server_silence_ms;
+	/*
+	 * Control instances that a blank one asks to be added, each an
+	 * address that is also the name, NULL-terminated; NULL: none.
+	 */
+	const char *const *join_addresses;
 	/* Not taken; NULL: TCP, the data folder, a generator of its own. */
 	cb_network_t *network;
 	cb_storage_t *storage;
@@ -72,6 +80,23 @@
 void cb_node_remove_member(cb_node_t *node, const char *name,
 			   cb_submit_fn_t done, void *user_data);
 
+/* The backend servers that announced themselves here or elsewhere. */
+cb_fleet_t *cb_node_fleet(cb_node_t *node);
+gboolean cb_node_leads(const cb_node_t *node);
+/*
+ * Takes what a server says of itself.  `done` is called once, with
+ * CB_SUBMIT_ANSWERED when the word holds: a server that drains is told so only
+ * once that is committed.
+ */
+void cb_node_fleet_hear(cb_node_t *node, const cb_fleet_server_t *said,
+			cb_submit_fn_t done, void *user_data);
+/* As cb_node_fleet_hear(), for a server that says only that it leaves. */
+void cb_node_fleet_leave(cb_node_t *node, const char *server_id,
+			 cb_submit_fn_t done, void *user_data);
+/* Commits a document that was checked; it is answered once it holds. */
+void cb_node_put_document(cb_node_t *node, int64_t version, const char *text,
+			  size_t size, cb_submit_fn_t done, void *user_data);
+
 const cb_replica_t *cb_node_replica(const cb_node_t *node);
 const cb_state_t *cb_node_state(const cb_node_t *node);
 /* Of cb_session_status_t; complete on the leader only. */
--- a/include/currantbridge/replica.h
+++ b/include/currantbridge/replica.h
@@ -42,7 +42,7 @@
 extern const char *const cb_replica_outcome_string[CB_REPLICA_OUTCOME_COUNT];
 
 /* A longer command is refused as BUSY. */
-#define CB_REPLICA_MAX_COMMAND_BYTES (512 * 1024)
+#define CB_REPLICA_MAX_COMMAND_BYTES (5 * 1024 * 1024)
 
 typedef struct cb_replica_member {
 	char *name;
--- a/include/currantbridge/view.h
+++ b/include/currantbridge/view.h
@@ -45,6 +45,13 @@
 	uint64_t revision;
 } cb_stop_t;
 
+/* The deployment's configuration document, as its operator sent it. */
+typedef struct cb_document_text {
+	int64_t version;
+	char *text;
+	uint64_t revision;
+} cb_document_text_t;
+
 typedef enum cb_view_outcome {
 	CB_VIEW_APPLIED,
 	CB_VIEW_STALE, /* not newer than what is in force: dropped */
@@ -74,6 +81,8 @@
 const GPtrArray *cb_view_contracts(const cb_view_t *view);
 const GPtrArray *cb_view_instances(const cb_view_t *view);
 const GPtrArray *cb_view_stops(const cb_view_t *view);
+/* NULL before the first one. */
+const cb_document_text_t *cb_view_document(const cb_view_t *view);
 gboolean cb_view_is_stopped(const cb_view_t *view, cb_stop_kind_t kind,
 			    const char *name);
 /* Whether a request digest (hex) is in quarantine at `wall_ms`. */
--- /dev/null
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -0,0 +1,386 @@
+#include "currantbridge/fleet.h"
+
+#include <string.h>
+
+#include "private/pack.h"
+
+#define SERVER_FIELD_COUNT 13
+
+struct cb_fleet {
+	GHashTable *by_id;
+	GPtrArray *sorted; /* NULL until asked for */
+	cb_fleet_changed_fn_t changed;
+	void *user_data;
+};
+
+const char *const cb_fleet_state_string[CB_FLEET_STATE_COUNT] = {
+	[CB_FLEET_READY] = "ready",
+	[CB_FLEET_DRAINING] = "draining",
+	[CB_FLEET_SILENT] = "silent",
+	[CB_FLEET_GONE] = "gone",
+};
+
+const char *const cb_fleet_outcome_string[CB_FLEET_OUTCOME_COUNT] = {
+	[CB_FLEET_NEW] = "new",
+	[CB_FLEET_CHANGED] = "changed",
+	[CB_FLEET_SAME] = "same",
+	[CB_FLEET_STALE] = "stale",
+};
+
+static void server_clear_(cb_fleet_server_t *server)
+{
+	g_free(server->id);
+	g_free(server->service);
+	g_free(server->address);
+	g_free(server->data_centre);
+	g_free(server->kind);
+}
+
+static void server_delete_(void *server)
+{
+	server_clear_(server);
+	g_free(server);
+}
+
+/* Copies all but the marks of what was told. */
+static void server_copy_(cb_fleet_server_t *to, const cb_fleet_server_t *from)
+{
+	*to = *from;
+	to->id = g_strdup(from->id);
+	to->service = g_strdup(from->service);
+	to->address = g_strdup(from->address);
+	to->data_centre = g_strdup(from->data_centre);
+	to->kind = g_strdup(from->kind);
+}
+
+/* Makes an empty fleet. */
+cb_fleet_t *cb_fleet_new(void)
+{
+	cb_fleet_t *fleet = g_new0(cb_fleet_t, 1);
+
+	fleet->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     server_delete_);
+	return fleet;
+}
+
+/* Frees a fleet; NULL is allowed. */
+void cb_fleet_delete(cb_fleet_t *fleet)
+{
+	if (!fleet)
+		return;
+	g_clear_pointer(&fleet->sorted, g_ptr_array_unref);
+	g_hash_table_unref(fleet->by_id);
+	g_free(fleet);
+}
+
+/* Has `fn` called after each change. */
+void cb_fleet_watch(cb_fleet_t *fleet, cb_fleet_changed_fn_t fn,
+		    void *user_data)
+{
+	fleet->changed = fn;
+	fleet->user_data = user_data;
+}
+
+static void changed_(cb_fleet_t *fleet, cb_fleet_server_t *server)
+{
+	server->is_changed = TRUE;
+	if (fleet->changed)
+		fleet->changed(server, fleet->user_data);
+}
+
+/* Whether what is said comes after what is known of the same id. */
+static gboolean is_newer_(const cb_fleet_server_t *said,
+			  const cb_fleet_server_t *known)
+{
+	if (said->born_wall_ms != known->born_wall_ms)
+		return said->born_wall_ms > known->born_wall_ms;
+	return said->sequence > known->sequence;
+}
+
+/* Whether others need to hear of the difference at once. */
+static gboolean differs_(const cb_fleet_server_t *a, const cb_fleet_server_t *b)
+{
+	return a->state != b->state || a->born_wall_ms != b->born_wall_ms ||
+	       a->layer_from != b->layer_from || a->layer_to != b->layer_to ||
+	       a->slots != b->slots || (a->cold_ms > 0) != (b->cold_ms > 0) ||
+	       strcmp(a->address, b->address) != 0 ||
+	       strcmp(a->service, b->service) != 0 ||
+	       strcmp(a->data_centre, b->data_centre) != 0 ||
+	       g_strcmp0(a->kind, b->kind) != 0;
+}
+
+/*
+ * Settles who has an address, which one server may take over from another.
+ * FALSE when the one that speaks is the older one.
+ */
+static gboolean address_take_(cb_fleet_t *fleet, const cb_fleet_server_t *said)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_fleet_server_t *other = value;
+
+		if (!strcmp(other->id, said->id) ||
+		    strcmp(other->address, said->address) != 0 ||
+		    other->state == CB_FLEET_GONE)
+			continue;
+		if (other->born_wall_ms > said->born_wall_ms)
+			return FALSE;
+		other->state = CB_FLEET_GONE;
+		changed_(fleet, other);
+	}
+	return TRUE;
+}
+
+/*
+ * The state that follows: within one start, a server that drains or is gone
+ * does not become ready again.
+ */
+static cb_fleet_state_t state_next_(const cb_fleet_server_t *known,
+				    const cb_fleet_server_t *said)
+{
+	if (known->born_wall_ms != said->born_wall_ms)
+		return said->state;
+	if (known->state == CB_FLEET_GONE)
+		return CB_FLEET_GONE;
+	if (known->state == CB_FLEET_DRAINING && said->state == CB_FLEET_READY)
+		return CB_FLEET_DRAINING;
+	return said->state;
+}
+
+/*
+ * Takes what a server says of itself, or what another process heard of it,
+ * last heard at `now_ms`.
+ */
+cb_fleet_outcome_t cb_fleet_hear(cb_fleet_t *fleet,
+				 const cb_fleet_server_t *said, int64_t now_ms)
+{
+	cb_fleet_server_t *known = g_hash_table_lookup(fleet->by_id, said->id);
+	cb_fleet_server_t next;
+	gboolean is_changed = TRUE;
+
+	if (known && !is_newer_(said, known))
+		return CB_FLEET_STALE;
+	if (said->state != CB_FLEET_GONE && !address_take_(fleet, said))
+		return CB_FLEET_STALE;
+	server_copy_(&next, said);
+	next.heard_ms = now_ms;
+	if (known) {
+		next.state = state_next_(known, said);
+		is_changed = differs_(known, &next);
+		next.is_changed = known->is_changed;
+		/* The table's key is the ID that is there already. */
+		g_free(next.id);
+		next.id = g_steal_pointer(&known->id);
+		server_clear_(known);
+		*known = next;
+	} else {
+		known = g_new0(cb_fleet_server_t, 1);
+		*known = next;
+		g_hash_table_insert(fleet->by_id, known->id, known);
+		g_clear_pointer(&fleet->sorted, g_ptr_array_unref);
+	}
+	known->is_heard = TRUE;
+	if (!is_changed)
+		return CB_FLEET_SAME;
+	changed_(fleet, known);
+	return CB_FLEET_CHANGED;
+}
+
+/*
+ * Marks servers silent that were not heard for `silence_ms`, and forgets
+ * those not heard for `forget_ms`.
+ */
+void cb_fleet_expire(cb_fleet_t *fleet, int64_t now_ms, int64_t silence_ms,
+		     int64_t forget_ms)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_fleet_server_t *server = value;
+		int64_t age_ms = now_ms - server->heard_ms;
+
+		if (age_ms >= forget_ms) {
+			g_hash_table_iter_remove(&iter);
+			g_clear_pointer(&fleet->sorted, g_ptr_array_unref);
+		} else if (age_ms >= silence_ms &&
+			   server->state != CB_FLEET_GONE &&
+			   server->state != CB_FLEET_SILENT) {
+			server->state = CB_FLEET_SILENT;
+			changed_(fleet, server);
+		}
+	}
+}
+
+/* Returns a server by id, or NULL. */
+const cb_fleet_server_t *cb_fleet_find(const cb_fleet_t *fleet, const char *id)
+{
+	return g_hash_table_lookup(fleet->by_id, id);
+}
+
+static int id_compare_(const void *a, const void *b)
+{
+	const cb_fleet_server_t *left = *(const cb_fleet_server_t *const *)a;
+	const cb_fleet_server_t *right = *(const cb_fleet_server_t *const *)b;
+
+	return strcmp(left->id, right->id);
+}
+
+/* Returns all servers by id. */
+const GPtrArray *cb_fleet_servers(const cb_fleet_t *fleet)
+{
+	/* The list is a cache and no part of what the fleet says. */
+	GPtrArray **cache = (GPtrArray **)&fleet->sorted;
+	GHashTableIter iter;
+	void *value;
+
+	if (*cache)
+		return *cache;
+	*cache = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(*cache, value);
+	g_ptr_array_sort(*cache, id_compare_);
+	return *cache;
+}
+
+/* Returns the name of one start of a server, as planned stops name it. */
+char *cb_fleet_start_name(const cb_fleet_server_t *server)
+{
+	return g_strdup_printf("%s/%" G_GINT64_FORMAT, server->id,
+			       server->born_wall_ms);
+}
+
+static void server_pack_(cb_pack_t *pack, const cb_fleet_server_t *server,
+			 int64_t now_ms)
+{
+	cb_pack_array(pack, SERVER_FIELD_COUNT);
+	cb_pack_string(pack, server->id);
+	cb_pack_string(pack, server->service);
+	cb_pack_string(pack, server->address);
+	cb_pack_string(pack, server->data_centre);
+	cb_pack_string(pack, server->kind);
+	cb_pack_int(pack, server->born_wall_ms);
+	cb_pack_uint(pack, server->sequence);
+	cb_pack_uint(pack, server->state);
+	cb_pack_uint(pack, server->slots);
+	cb_pack_int(pack, server->cold_ms);
+	cb_pack_uint(pack, server->layer_from);
+	cb_pack_uint(pack, server->layer_to);
+	cb_pack_int(pack, MAX(now_ms - server->heard_ms, 0));
+}
+
+static gboolean is_told_(const cb_fleet_server_t *server, cb_fleet_part_t part)
+{
+	return part == CB_FLEET_ALL ||
+	       (part == CB_FLEET_ALL_CHANGED && server->is_changed) ||
+	       (part == CB_FLEET_ALL_HEARD && server->is_heard);
+}
+
+/* Encodes a part of the fleet, which then counts as told. */
+GBytes *cb_fleet_encode(cb_fleet_t *fleet, cb_fleet_part_t part, int64_t now_ms)
+{
+	GPtrArray *told = g_ptr_array_new();
+	GBytes *bytes = NULL;
+	GHashTableIter iter;
+	cb_pack_t pack;
+	unsigned int i;
+	void *value;
+
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (is_told_(value, part))
+			g_ptr_array_add(told, value);
+	if (!told->len)
+		goto out;
+	cb_pack_init(&pack);
+	cb_pack_array(&pack, told->len);
+	for (i = 0; i < told->len; i++) {
+		cb_fleet_server_t *server = told->pdata[i];
+
+		server_pack_(&pack, server, now_ms);
+		if (part == CB_FLEET_ALL_CHANGED)
+			server->is_changed = FALSE;
+		else if (part == CB_FLEET_ALL_HEARD)
+			server->is_heard = FALSE;
+	}
+	bytes = cb_pack_finish(&pack);
+out:
+	g_ptr_array_unref(told);
+	return bytes;
+}
+
+/* Decodes one server; returns the time since it was heard, or -1. */
+static int64_t server_read_(const msgpack_object *object,
+			    cb_fleet_server_t *server)
+{
+	cb_fields_t fields;
+	int64_t age_ms;
+
+	cb_fields_open(&fields, object);
+	server->id = cb_fields_text(&fields);
+	server->service = cb_fields_text(&fields);
+	server->address = cb_fields_text(&fields);
+	server->data_centre = cb_fields_text(&fields);
+	server->kind = cb_fields_string(&fields);
+	server->born_wall_ms = cb_fields_int(&fields);
+	server->sequence = cb_fields_uint(&fields);
+	server->state = cb_fields_enum(&fields, CB_FLEET_STATE_COUNT);
+	server->slots = (uint32_t)cb_fields_uint(&fields);
+	server->cold_ms = cb_fields_int(&fields);
+	server->layer_from = (uint32_t)cb_fields_uint(&fields);
+	server->layer_to = (uint32_t)cb_fields_uint(&fields);
+	age_ms = cb_fields_int(&fields);
+	return cb_fields_end(&fields) && age_ms >= 0 ? age_ms : -1;
+}
+
+/*
+ * Takes in a server that another process tells.  Silence is its own finding,
+ * not the server's word, so it is no newer than what is known.
+ */
+static void server_merge_(cb_fleet_t *fleet, const cb_fleet_server_t *told,
+			  int64_t heard_ms)
+{
+	cb_fleet_server_t *known = g_hash_table_lookup(fleet->by_id, told->id);
+
+	if (cb_fleet_hear(fleet, told, heard_ms) == CB_FLEET_STALE && known &&
+	    known->born_wall_ms == told->born_wall_ms &&
+	    known->sequence == told->sequence && known->state != told->state &&
+	    (told->state == CB_FLEET_GONE || (told->state == CB_FLEET_SILENT &&
+					      known->state != CB_FLEET_GONE))) {
+		known->state = told->state;
+		changed_(fleet, known);
+	}
+	known = g_hash_table_lookup(fleet->by_id, told->id);
+	if (known)
+		known->is_heard = FALSE;
+}
+
+/* Takes in what cb_fleet_encode() made elsewhere. */
+gboolean cb_fleet_merge(cb_fleet_t *fleet, GBytes *bytes, int64_t now_ms)
+{
+	gboolean is_valid = FALSE;
+	cb_unpack_t unpack;
+	cb_fields_t fields;
+
+	if (!cb_unpack_init(&unpack, bytes))
+		return FALSE;
+	cb_fields_open(&fields, &unpack.unpacked.data);
+	while (fields.left && !fields.is_bad) {
+		cb_fleet_server_t told = { 0 };
+		int64_t age_ms = server_read_(cb_fields_object(&fields), &told);
+
+		if (age_ms >= 0)
+			server_merge_(fleet, &told, now_ms - age_ms);
+		else
+			fields.is_bad = TRUE;
+		server_clear_(&told);
+	}
+	is_valid = !fields.is_bad;
+	cb_unpack_clear(&unpack);
+	return is_valid;
+}
--- /dev/null
+++ b/src/libcurrantbridge/backend/placement.c
@@ -0,0 +1,295 @@
+#include "currantbridge/placement.h"
+
+#include <math.h>
+#include <string.h>
+
+#define BYTES_PER_MB 1e6
+/*
+ * Tokens of requests that a server should have room for beside its layers,
+ * from the most to the least: the first with which a data centre holds
+ * REDUNDANT_COPIES is taken, else the first with which it holds one copy.
+ */
+static const double room_tokens[] = { 64000, 48000, 32000, 20000, 9000, 4000 };
+/* A quarter more than one copy covers the loss of any one server in most. */
+#define REDUNDANT_COPIES 1.25
+
+/* What is known of one data centre, or of all of them. */
+typedef struct area {
+	const cb_engine_profile_t *engine;
+	cb_placement_server_t *servers;
+	unsigned int count;
+	const char *data_centre; /* NULL: all */
+	double room;		 /* tokens */
+	uint32_t *holders;	 /* of each layer */
+	double *tokens;		 /* room at the holders of each layer */
+} area_t;
+
+static double token_layer_mb_(const cb_engine_profile_t *engine)
+{
+	return engine->kv_token_bytes / engine->layers / BYTES_PER_MB;
+}
+
+/* Returns how many layers fit beside room for `room` tokens; at least 1. */
+static uint32_t layers_for_(const cb_engine_profile_t *engine, double memory_mb,
+			    double room)
+{
+	double layers = floor(memory_mb / (engine->layer_mb +
+					   room * token_layer_mb_(engine)));
+	uint32_t most = cb_placement_most_layers(engine, memory_mb);
+
+	return (uint32_t)CLAMP(layers, MIN(1, most), most);
+}
+
+/* Returns how many layers a server's memory holds at most. */
+uint32_t cb_placement_most_layers(const cb_engine_profile_t *engine,
+				  double memory_mb)
+{
+	double most = floor(memory_mb / engine->layer_mb);
+
+	return (uint32_t)CLAMP(most, 0, engine->layers);
+}
+
+/* Returns for how many tokens a server has room beside so many layers. */
+double cb_placement_room_tokens(const cb_engine_profile_t *engine,
+				double memory_mb, uint32_t layers)
+{
+	double left_mb = memory_mb - layers * engine->layer_mb;
+
+	if (!layers || left_mb <= 0)
+		return 0;
+	return left_mb / (layers * token_layer_mb_(engine));
+}
+
+static gboolean is_in_(const area_t *area, const cb_placement_server_t *server)
+{
+	return !area->data_centre ||
+	       !strcmp(area->data_centre, server->data_centre);
+}
+
+/* Counts a server's layers in, or out with a sign of -1. */
+static void count_layers_(area_t *area, const cb_placement_server_t *server,
+			  int sign)
+{
+	double room = cb_placement_room_tokens(area->engine, server->memory_mb,
+					       server->to - server->from);
+	uint32_t i;
+
+	for (i = server->from; i < server->to; i++) {
+		area->holders[i] += (uint32_t)sign;
+		area->tokens[i] += sign * room;
+	}
+}
+
+/* Returns how many layers the area's servers hold with that room. */
+static double layers_with_room_(const area_t *area, double room)
+{
+	double sum = 0;
+	unsigned int i;
+
+	for (i = 0; i < area->count; i++)
+		if (is_in_(area, &area->servers[i]))
+			sum += layers_for_(area->engine,
+					   area->servers[i].memory_mb, room);
+	return sum;
+}
+
+/* Chooses how much room for requests the servers are to have. */
+static double room_choose_(const area_t *area)
+{
+	static const double copies[] = { REDUNDANT_COPIES, 1.0 };
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < G_N_ELEMENTS(copies); i++)
+		for (j = 0; j < G_N_ELEMENTS(room_tokens); j++)
+			if (layers_with_room_(area, room_tokens[j]) >=
+			    copies[i] * area->engine->layers)
+				return room_tokens[j];
+	return room_tokens[G_N_ELEMENTS(room_tokens) - 1];
+}
+
+static void area_open_(area_t *area)
+{
+	unsigned int i;
+
+	area->holders = g_new0(uint32_t, area->engine->layers);
+	area->tokens = g_new0(double, area->engine->layers);
+	for (i = 0; i < area->count; i++)
+		if (is_in_(area, &area->servers[i]))
+			count_layers_(area, &area->servers[i], 1);
+	area->room = room_choose_(area);
+}
+
+static void area_close_(area_t *area)
+{
+	g_free(area->holders);
+	g_free(area->tokens);
+}
+
+/* Finds the first run of layers without a holder; FALSE if there is none. */
+static gboolean gap_find_(const area_t *area, uint32_t *from, uint32_t *to)
+{
+	uint32_t layers = area->engine->layers;
+
+	for (*from = 0; *from < layers && area->holders[*from]; (*from)++)
+		;
+	for (*to = *from; *to < layers && !area->holders[*to]; (*to)++)
+		;
+	return *from < layers;
+}
+
+/* Gives a server a range, as planned and as counted. */
+static void move_(area_t *area, unsigned int index, uint32_t from, uint32_t to,
+		  GArray *moves)
+{
+	cb_placement_server_t *server = &area->servers[index];
+	cb_placement_move_t move = { index, from, to };
+
+	count_layers_(area, server, -1);
+	server->from = from;
+	server->to = to;
+	server->takes_orders = FALSE;
+	count_layers_(area, server, 1);
+	g_array_append_val(moves, move);
+}
+
+static uint32_t size_(const area_t *area, const cb_placement_server_t *server)
+{
+	return layers_for_(area->engine, server->memory_mb, area->room);
+}
+
+/* Finds the empty server that takes the most layers; -1: there is none. */
+static int empty_find_(const area_t *area)
+{
+	int best = -1;
+	unsigned int i;
+
+	for (i = 0; i < area->count; i++) {
+		const cb_placement_server_t *server = &area->servers[i];
+
+		if (!is_in_(area, server) || !server->takes_orders ||
+		    server->from != server->to || !size_(area, server))
+			continue;
+		if (best < 0 ||
+		    size_(area, server) > size_(area, &area->servers[best]))
+			best = (int)i;
+	}
+	return best;
+}
+
+/* Whether other servers of the area hold all that a server holds. */
+static gboolean is_spare_(const area_t *area,
+			  const cb_placement_server_t *server)
+{
+	uint32_t i;
+
+	for (i = server->from; i < server->to; i++)
+		if (area->holders[i] < 2)
+			return FALSE;
+	return server->from != server->to;
+}
+
+/*
+ * Finds the spare server to move into a gap: the smallest that fills it, or
+ * the largest; -1: there is none.
+ */
+static int spare_find_(const area_t *area, uint32_t gap)
+{
+	int best = -1;
+	uint32_t best_size = 0;
+	unsigned int i;
+
+	for (i = 0; i < area->count; i++) {
+		const cb_placement_server_t *server = &area->servers[i];
+		uint32_t size = size_(area, server);
+		gboolean is_better = best_size >= gap ?
+					     size >= gap && size < best_size :
+					     size > best_size;
+
+		if (is_in_(area, server) && server->takes_orders &&
+		    is_spare_(area, server) && is_better) {
+			best = (int)i;
+			best_size = size;
+		}
+	}
+	return best;
+}
+
+/* Puts an empty server where the holders have the least room. */
+static void double_thinnest_(area_t *area, int index, GArray *moves)
+{
+	uint32_t size = size_(area, &area->servers[index]);
+	uint32_t best = 0;
+	double best_sum = INFINITY;
+	uint32_t from;
+	uint32_t i;
+
+	for (from = 0; from + size <= area->engine->layers; from++) {
+		double sum = 0;
+
+		for (i = from; i < from + size; i++)
+			sum += area->tokens[i];
+		if (sum < best_sum) {
+			best_sum = sum;
+			best = from;
+		}
+	}
+	move_(area, (unsigned int)index, best, best + size, moves);
+}
+
+/* Puts a server over the start of a gap, whole within the model. */
+static void fill_(area_t *area, int index, uint32_t gap_from, GArray *moves)
+{
+	uint32_t layers = area->engine->layers;
+	uint32_t size = size_(area, &area->servers[index]);
+	uint32_t from = MIN(gap_from, layers - size);
+
+	move_(area, (unsigned int)index, from, from + size, moves);
+}
+
+/* Plans one area: gaps first, then the servers that are still empty. */
+static void area_plan_(area_t *area, gboolean doubles, GArray *moves)
+{
+	uint32_t from;
+	uint32_t to;
+	int index;
+
+	area_open_(area);
+	while (gap_find_(area, &from, &to)) {
+		index = empty_find_(area);
+		if (index < 0)
+			index = spare_find_(area, to - from);
+		if (index < 0)
+			break;
+		fill_(area, index, from, moves);
+	}
+	while (doubles && (index = empty_find_(area)) >= 0)
+		double_thinnest_(area, index, moves);
+	area_close_(area);
+}
+
+/*
+ * Plans each data centre by itself, so that a request's chain stays within
+ * one.  Then layers that no data centre holds are covered from any of them.
+ */
+GArray *cb_placement_plan(const cb_engine_profile_t *engine,
+			  const cb_placement_server_t *servers,
+			  unsigned int count)
+{
+	GArray *moves = g_array_new(FALSE, FALSE, sizeof(cb_placement_move_t));
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	area_t area = { .engine = engine, .count = count };
+	unsigned int i;
+
+	area.servers = g_memdup2(servers, count * sizeof(*servers));
+	for (i = 0; i < count; i++) {
+		area.data_centre = servers[i].data_centre;
+		if (g_hash_table_add(seen, (void *)area.data_centre))
+			area_plan_(&area, TRUE, moves);
+	}
+	area.data_centre = NULL;
+	area_plan_(&area, FALSE, moves);
+	g_hash_table_unref(seen);
+	g_free(area.servers);
+	return moves;
+}
--- /dev/null
+++ b/src/libcurrantbridge/backend/placer.c
@@ -0,0 +1,404 @@
+#include "currantbridge/placer.h"
+
+#include <string.h>
+
+#include "currantbridge/placement.h"
+
+#define TICK_MS 200
+/*
+ * Before any layer is held, servers are waited for as long as new ones come
+ * within this, so that the first plan knows the fleet: heartbeats come about
+ * once a second.
+ */
+#define SETTLE_MS 1500
+/* An order whose layers are not reported after this is looked into. */
+#define ORDER_TIMEOUT_MS 20000
+/* How soon a server that refused, or did not answer, is asked again. */
+#define REFUSED_RETRY_MS 500
+
+const char *const cb_order_outcome_string[CB_ORDER_OUTCOME_COUNT] = {
+	[CB_ORDER_ACCEPTED] = "accepted",
+	[CB_ORDER_REFUSED] = "refused",
+	[CB_ORDER_FENCED] = "fenced",
+	[CB_ORDER_LOST] = "lost",
+};
+
+/* What this leader knows of the orders to one start of a server. */
+typedef struct order_state {
+	cb_placer_t *placer;
+	char *start;
+	gboolean is_pending; /* ordered, and not reported as done */
+	gboolean is_asked;   /* an order or question waits for its answer */
+	gboolean knows_count;
+	gboolean is_orphan; /* forgotten while it is asked */
+	uint32_t from;
+	uint32_t to;
+	uint64_t accepted_orders;
+	int64_t ordered_ms;
+	int64_t not_before_ms;
+} order_state_t;
+
+struct cb_placer {
+	cb_service_t service;
+	cb_kernel_t *kernel;
+	cb_clock_t *clock;
+	cb_log_t *log;
+	cb_node_t *node;
+	const cb_document_codec_t *codec;
+	cb_engine_orders_t *orders;
+	cb_timer_t *timer;
+	cb_document_t *document;
+	uint64_t document_revision;
+	uint64_t term;
+	GHashTable *states; /* start to order_state_t */
+	unsigned int known_servers;
+	int64_t grown_ms; /* when a server was last new */
+};
+
+static void state_free_(order_state_t *state)
+{
+	g_free(state->start);
+	g_free(state);
+}
+
+/* Frees a state, or leaves that to the answer that it waits for. */
+static void state_forget_(void *data)
+{
+	order_state_t *state = data;
+
+	if (state->is_asked)
+		state->is_orphan = TRUE;
+	else
+		state_free_(state);
+}
+
+/* Takes the document in force, if it is another one than before. */
+static void document_follow_(cb_placer_t *placer)
+{
+	const cb_document_text_t *text =
+		cb_view_document(cb_state_view(cb_node_state(placer->node)));
+	cb_document_t *document;
+	GError *error = NULL;
+
+	if (!text || text->revision == placer->document_revision)
+		return;
+	placer->document_revision = text->revision;
+	document = placer->codec->vtable->decode(placer->codec, text->text,
+						 strlen(text->text), &error);
+	if (!document) {
+		cb_log_event(placer->log, CB_EVENT_DOCUMENT_UNREADABLE,
+			     CB_INT("version", text->version),
+			     CB_STR("reason", error->message));
+		g_error_free(error);
+		return;
+	}
+	cb_document_unref(placer->document);
+	placer->document = document;
+}
+
+/* Whether a server can be ordered to hold layers. */
+static gboolean is_candidate_(const cb_placer_t *placer,
+			      const cb_engine_profile_t *engine,
+			      const cb_fleet_server_t *server)
+{
+	const cb_view_t *view = cb_state_view(cb_node_state(placer->node));
+	gboolean is_stopped;
+	char *start;
+
+	if (server->state != CB_FLEET_READY ||
+	    !cb_engine_profile_kind(engine, server->kind))
+		return FALSE;
+	start = cb_fleet_start_name(server);
+	is_stopped = cb_view_is_stopped(view, CB_STOP_SERVER, start);
+	g_free(start);
+	return !is_stopped;
+}
+
+/* Returns what is known of the orders to a server, anew if need be. */
+static order_state_t *state_of_(cb_placer_t *placer,
+				const cb_fleet_server_t *server)
+{
+	char *start = cb_fleet_start_name(server);
+	order_state_t *state = g_hash_table_lookup(placer->states, start);
+
+	if (state) {
+		g_free(start);
+		return state;
+	}
+	state = g_new0(order_state_t, 1);
+	state->placer = placer;
+	state->start = start;
+	/* A server without layers has most likely accepted no order yet. */
+	state->knows_count = server->layer_from == server->layer_to;
+	g_hash_table_insert(placer->states, state->start, state);
+	return state;
+}
+
+/* Ends the wait for layers that the server now reports, or never will. */
+static void state_follow_(order_state_t *state, const cb_fleet_server_t *server,
+			  int64_t now_ms)
+{
+	if (!state->is_pending || state->is_asked)
+		return;
+	if (state->from == server->layer_from &&
+	    state->to == server->layer_to) {
+		state->is_pending = FALSE;
+	} else if (now_ms - state->ordered_ms >= ORDER_TIMEOUT_MS) {
+		state->is_pending = FALSE;
+		state->knows_count = FALSE;
+	}
+}
+
+static void reported_(const cb_engine_report_t *report, void *user_data)
+{
+	order_state_t *state = user_data;
+	cb_placer_t *placer = state->placer;
+
+	state->is_asked = FALSE;
+	if (state->is_orphan) {
+		state_free_(state);
+		return;
+	}
+	state->not_before_ms =
+		cb_clock_now_ms(placer->clock) + REFUSED_RETRY_MS;
+	if (!report || report->is_busy)
+		return;
+	state->knows_count = TRUE;
+	state->accepted_orders = report->accepted_orders;
+	state->not_before_ms = 0;
+}
+
+static void placed_(cb_order_outcome_t outcome, void *user_data)
+{
+	order_state_t *state = user_data;
+	cb_placer_t *placer = state->placer;
+
+	state->is_asked = FALSE;
+	if (state->is_orphan) {
+		state_free_(state);
+		return;
+	}
+	cb_log_event(placer->log, CB_EVENT_LAYERS_ANSWERED,
+		     CB_STR("server", state->start),
+		     CB_STR("outcome", cb_order_outcome_string[outcome]));
+	if (outcome == CB_ORDER_ACCEPTED) {
+		state->accepted_orders++;
+		return;
+	}
+	state->not_before_ms =
+		cb_clock_now_ms(placer->clock) + REFUSED_RETRY_MS;
+	state->knows_count = FALSE;
+	/* A lost one may still be carried out; its layers are waited for. */
+	state->is_pending = outcome == CB_ORDER_LOST;
+}
+
+/* Asks a server how many orders it has accepted. */
+static void ask_(cb_placer_t *placer, order_state_t *state, const char *address)
+{
+	state->is_asked = TRUE;
+	placer->orders->vtable->report(placer->orders, address, reported_,
+				       state);
+}
+
+static void order_(cb_placer_t *placer, order_state_t *state,
+		   const cb_fleet_server_t *server,
+		   const cb_placement_move_t *move)
+{
+	cb_layer_order_t order = {
+		.server_id = server->id,
+		.address = server->address,
+		.from = move->from,
+		.to = move->to,
+		.fencing = placer->term,
+		.expected_orders = state->accepted_orders,
+	};
+
+	state->from = move->from;
+	state->to = move->to;
+	state->is_pending = TRUE;
+	state->is_asked = TRUE;
+	state->ordered_ms = cb_clock_now_ms(placer->clock);
+	cb_log_event(placer->log, CB_EVENT_LAYERS_ORDERED,
+		     CB_STR("server", state->start),
+		     CB_STR("address", server->address),
+		     CB_INT("from", order.from), CB_INT("to", order.to),
+		     CB_INT("fence", order.fencing),
+		     CB_INT("orders", order.expected_orders));
+	placer->orders->vtable->place(placer->orders, &order, placed_, state);
+}
+
+/* Carries a move out, after asking the server where that is needed. */
+static void move_(cb_placer_t *placer, const cb_fleet_server_t *server,
+		  const cb_placement_move_t *move)
+{
+	order_state_t *state = state_of_(placer, server);
+
+	if (state->is_asked ||
+	    cb_clock_now_ms(placer->clock) < state->not_before_ms)
+		return;
+	if (state->knows_count)
+		order_(placer, state, server, move);
+	else
+		ask_(placer, state, server->address);
+}
+
+/* The servers of one service, as the placement takes them. */
+static GPtrArray *candidates_(cb_placer_t *placer,
+			      const cb_service_profile_t *service,
+			      GArray *inputs)
+{
+	const GPtrArray *all = cb_fleet_servers(cb_node_fleet(placer->node));
+	int64_t now_ms = cb_clock_now_ms(placer->clock);
+	GPtrArray *servers = g_ptr_array_new();
+	unsigned int i;
+
+	for (i = 0; i < all->len; i++) {
+		const cb_fleet_server_t *server = all->pdata[i];
+		cb_placement_server_t input;
+		order_state_t *state;
+
+		if (strcmp(server->service, service->name) != 0 ||
+		    !is_candidate_(placer, service->engine, server))
+			continue;
+		state = state_of_(placer, server);
+		state_follow_(state, server, now_ms);
+		input = (cb_placement_server_t){
+			.data_centre = server->data_centre,
+			.memory_mb = cb_engine_profile_kind(service->engine,
+							    server->kind)
+					     ->memory_mb,
+			.from = state->is_pending ? state->from :
+						    server->layer_from,
+			.to = state->is_pending ? state->to : server->layer_to,
+			.takes_orders = !state->is_pending && !state->is_asked,
+		};
+		g_ptr_array_add(servers, (void *)server);
+		g_array_append_val(inputs, input);
+	}
+	return servers;
+}
+
+/* Whether the fleet is still coming up, so that a plan would be too early. */
+static gboolean is_settling_(cb_placer_t *placer, const GArray *inputs)
+{
+	int64_t now_ms = cb_clock_now_ms(placer->clock);
+	unsigned int i;
+
+	if (inputs->len > placer->known_servers)
+		placer->grown_ms = now_ms;
+	placer->known_servers = MAX(placer->known_servers, inputs->len);
+	for (i = 0; i < inputs->len; i++) {
+		const cb_placement_server_t *input =
+			&g_array_index(inputs, cb_placement_server_t, i);
+
+		if (input->from != input->to)
+			return FALSE;
+	}
+	return now_ms - placer->grown_ms < SETTLE_MS;
+}
+
+static void service_place_(cb_placer_t *placer,
+			   const cb_service_profile_t *service)
+{
+	GArray *inputs =
+		g_array_new(FALSE, FALSE, sizeof(cb_placement_server_t));
+	GPtrArray *servers = candidates_(placer, service, inputs);
+	GArray *moves;
+	unsigned int i;
+
+	if (!is_settling_(placer, inputs)) {
+		moves = cb_placement_plan(service->engine,
+					  (cb_placement_server_t *)inputs->data,
+					  inputs->len);
+		for (i = 0; i < moves->len; i++) {
+			const cb_placement_move_t *move =
+				&g_array_index(moves, cb_placement_move_t, i);
+
+			move_(placer, servers->pdata[move->server], move);
+		}
+		g_array_unref(moves);
+	}
+	g_ptr_array_unref(servers);
+	g_array_unref(inputs);
+}
+
+/* Forgets what an earlier lead knew: other leaders may have ordered since. */
+static void lead_follow_(cb_placer_t *placer)
+{
+	uint64_t term = cb_replica_term(cb_node_replica(placer->node));
+
+	if (term == placer->term)
+		return;
+	placer->term = term;
+	g_hash_table_remove_all(placer->states);
+}
+
+static void timer_fired_(void *user_data)
+{
+	cb_placer_t *placer = user_data;
+	GHashTableIter iter;
+	void *value;
+
+	cb_timer_start(placer->timer, TICK_MS);
+	if (!cb_node_leads(placer->node))
+		return;
+	lead_follow_(placer);
+	document_follow_(placer);
+	if (!placer->document)
+		return;
+	g_hash_table_iter_init(&iter, placer->document->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((cb_service_profile_t *)value)->engine)
+			service_place_(placer, value);
+}
+
+static gboolean placer_start_(cb_service_t *service, GError **error)
+{
+	(void)error;
+	cb_timer_start(((cb_placer_t *)service)->timer, TICK_MS);
+	return TRUE;
+}
+
+static void placer_drain_(cb_service_t *service)
+{
+	cb_placer_t *placer = (cb_placer_t *)service;
+
+	cb_timer_stop(placer->timer);
+	cb_kernel_drained(placer->kernel, service);
+}
+
+static void placer_destroy_(cb_service_t *service)
+{
+	cb_placer_t *placer = (cb_placer_t *)service;
+
+	cb_timer_delete(placer->timer);
+	g_hash_table_unref(placer->states);
+	cb_document_unref(placer->document);
+	g_free(placer);
+}
+
+static const cb_service_vtable_t placer_vtable = {
+	.start = placer_start_,
+	.drain = placer_drain_,
+	.destroy = placer_destroy_,
+};
+
+/* Makes the placer, which the caller registers; takes none of its parts. */
+cb_placer_t *cb_placer_new(cb_kernel_t *kernel, cb_node_t *node,
+			   const cb_document_codec_t *codec,
+			   cb_engine_orders_t *orders)
+{
+	cb_placer_t *placer = g_new0(cb_placer_t, 1);
+
+	placer->service.vtable = &placer_vtable;
+	placer->kernel = kernel;
+	placer->clock = cb_kernel_clock(kernel);
+	placer->log = cb_kernel_log(kernel);
+	placer->node = node;
+	placer->codec = codec;
+	placer->orders = orders;
+	placer->timer = cb_timer_new(placer->clock, timer_fired_, placer);
+	placer->states = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       state_forget_);
+	return placer;
+}
--- /dev/null
+++ b/src/libcurrantbridge/contract/document.c
@@ -0,0 +1,324 @@
+#include "currantbridge/document.h"
+
+#include <string.h>
+
+G_DEFINE_QUARK(cb - document - error - quark, cb_document_error)
+
+static void split_clear_(void *split)
+{
+	g_free(((cb_route_split_t *)split)->service);
+}
+
+/* Makes a route without splits; the caller fills it in. */
+cb_route_t *cb_route_new(void)
+{
+	cb_route_t *route = g_new0(cb_route_t, 1);
+
+	route->splits = g_array_new(FALSE, FALSE, sizeof(cb_route_split_t));
+	g_array_set_clear_func(route->splits, split_clear_);
+	return route;
+}
+
+/* Frees a route. */
+void cb_route_delete(void *route)
+{
+	cb_route_t *self = route;
+
+	if (!self)
+		return;
+	g_free(self->name);
+	g_free(self->host);
+	g_free(self->prefix);
+	g_array_unref(self->splits);
+	g_free(self);
+}
+
+static void kind_delete_(void *kind)
+{
+	g_free(((cb_engine_kind_t *)kind)->name);
+	g_free(kind);
+}
+
+/* Makes a profile of engines without kinds; the caller fills it in. */
+cb_engine_profile_t *cb_engine_profile_new(void)
+{
+	cb_engine_profile_t *engine = g_new0(cb_engine_profile_t, 1);
+
+	engine->kinds = g_ptr_array_new_with_free_func(kind_delete_);
+	return engine;
+}
+
+/* Makes a service's profile, as one of a plain service. */
+cb_service_profile_t *cb_service_profile_new(const char *name)
+{
+	cb_service_profile_t *service = g_new0(cb_service_profile_t, 1);
+
+	service->name = g_strdup(name);
+	return service;
+}
+
+static void service_delete_(void *service)
+{
+	cb_service_profile_t *self = service;
+
+	if (self->engine) {
+		g_ptr_array_unref(self->engine->kinds);
+		g_free(self->engine);
+	}
+	g_free(self->name);
+	g_free(self);
+}
+
+static void routes_unref_(void *routes)
+{
+	g_ptr_array_unref(routes);
+}
+
+/* Makes an empty document, held once. */
+cb_document_t *cb_document_new(void)
+{
+	cb_document_t *document = g_new0(cb_document_t, 1);
+
+	document->refs = 1;
+	document->routes = g_ptr_array_new_with_free_func(cb_route_delete);
+	document->services = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, service_delete_);
+	document->keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	document->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						routes_unref_);
+	return document;
+}
+
+/* Holds a document once more. */
+cb_document_t *cb_document_ref(cb_document_t *document)
+{
+	document->refs++;
+	return document;
+}
+
+/* Lets a document go, and frees it with the last hold; NULL is allowed. */
+void cb_document_unref(cb_document_t *document)
+{
+	if (!document || --document->refs)
+		return;
+	g_hash_table_unref(document->hosts);
+	g_hash_table_unref(document->keys);
+	g_hash_table_unref(document->services);
+	g_ptr_array_unref(document->routes);
+	g_free(document);
+}
+
+/* Adds a route; takes it. */
+void cb_document_add_route(cb_document_t *document, cb_route_t *route)
+{
+	g_ptr_array_add(document->routes, route);
+}
+
+/* Adds a service, in place of one of its name; takes it. */
+void cb_document_add_service(cb_document_t *document,
+			     cb_service_profile_t *service)
+{
+	g_hash_table_replace(document->services, service->name, service);
+}
+
+static gboolean invalid_(GError **error, const char *field, const char *name,
+			 const char *reason)
+{
+	g_set_error(error, CB_DOCUMENT_ERROR, CB_DOCUMENT_ERROR_INVALID,
+		    "%s: %s: %s", field, name, reason);
+	return FALSE;
+}
+
+/* Gives a workspace a key; one that another workspace holds is refused. */
+gboolean cb_document_add_key(cb_document_t *document, const char *workspace,
+			     const char *key, GError **error)
+{
+	const char *holder = g_hash_table_lookup(document->keys, key);
+
+	document->has_workspaces = TRUE;
+	if (holder && strcmp(holder, workspace) != 0)
+		return invalid_(error, "workspace", workspace,
+				"holds a key of another workspace");
+	g_hash_table_replace(document->keys, g_strdup(key),
+			     g_strdup(workspace));
+	return TRUE;
+}
+
+static gboolean splits_check_(const cb_document_t *document,
+			      const cb_route_t *route, GError **error)
+{
+	uint64_t sum = 0;
+	unsigned int i;
+
+	for (i = 0; i < route->splits->len; i++) {
+		const cb_route_split_t *split =
+			&g_array_index(route->splits, cb_route_split_t, i);
+
+		if (!cb_document_service(document, split->service))
+			return invalid_(error, "route", route->name,
+					"names an unknown service");
+		sum += split->weight;
+	}
+	return sum ? TRUE :
+		     invalid_(error, "route", route->name, "has no weight");
+}
+
+static gboolean route_check_(const cb_document_t *document,
+			     const cb_route_t *route, GError **error)
+{
+	size_t length = strlen(route->prefix);
+
+	if (route->prefix[0] != '/' || route->prefix[length - 1] != '/')
+		return invalid_(error, "route", route->name,
+				"its prefix must begin and end with a slash");
+	if (route->timeout_ms <= 0)
+		return invalid_(error, "route", route->name,
+				"its time limit must be over 0");
+	if (!route->max_attempts)
+		return invalid_(error, "route", route->name,
+				"must allow an attempt");
+	return splits_check_(document, route, error);
+}
+
+static int prefix_compare_(const void *a, const void *b)
+{
+	const cb_route_t *left = *(const cb_route_t *const *)a;
+	const cb_route_t *right = *(const cb_route_t *const *)b;
+	size_t left_length = strlen(left->prefix);
+	size_t right_length = strlen(right->prefix);
+
+	if (left_length != right_length)
+		return left_length < right_length ? 1 : -1;
+	return strcmp(left->prefix, right->prefix);
+}
+
+/* Sorts a host's routes; FALSE if two have one prefix. */
+static gboolean host_finish_(GPtrArray *routes, GError **error)
+{
+	unsigned int i;
+
+	g_ptr_array_sort(routes, prefix_compare_);
+	for (i = 1; i < routes->len; i++) {
+		const cb_route_t *route = routes->pdata[i];
+
+		if (!prefix_compare_(&routes->pdata[i - 1], &routes->pdata[i]))
+			return invalid_(error, "route", route->name,
+					"has the host and prefix of another");
+	}
+	return TRUE;
+}
+
+/* Returns the list of a host's routes, which is made where it is missing. */
+static GPtrArray *host_routes_(cb_document_t *document, const char *host)
+{
+	char *name = g_ascii_strdown(host, -1);
+	GPtrArray *routes = g_hash_table_lookup(document->hosts, name);
+
+	if (routes) {
+		g_free(name);
+		return routes;
+	}
+	routes = g_ptr_array_new();
+	g_hash_table_insert(document->hosts, name, routes);
+	return routes;
+}
+
+/* Checks the document and prepares its look-ups. */
+gboolean cb_document_finish(cb_document_t *document, GError **error)
+{
+	GHashTableIter iter;
+	void *routes;
+	unsigned int i;
+
+	for (i = 0; i < document->routes->len; i++) {
+		cb_route_t *route = document->routes->pdata[i];
+		GPtrArray *same_host;
+
+		if (!route_check_(document, route, error))
+			return FALSE;
+		same_host = host_routes_(document, route->host);
+		g_ptr_array_add(same_host, route);
+	}
+	g_hash_table_iter_init(&iter, document->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &routes))
+		if (!host_finish_(routes, error))
+			return FALSE;
+	return TRUE;
+}
+
+/*
+ * Returns the route of a request: of its host's routes the one with the
+ * longest prefix of the target's path, or NULL.  A port in `host` and the
+ * case of its letters do not count.
+ */
+const cb_route_t *cb_document_route(const cb_document_t *document,
+				    const char *host, const char *target)
+{
+	size_t path_length = strcspn(target, "?");
+	size_t host_length = strcspn(host, ":");
+	char *name = g_ascii_strdown(host, (gssize)host_length);
+	const GPtrArray *routes = g_hash_table_lookup(document->hosts, name);
+	unsigned int i;
+
+	g_free(name);
+	for (i = 0; routes && i < routes->len; i++) {
+		const cb_route_t *route = routes->pdata[i];
+		size_t length = strlen(route->prefix);
+
+		if (length <= path_length &&
+		    !memcmp(route->prefix, target, length))
+			return route;
+	}
+	return NULL;
+}
+
+/* Returns the workspace that holds a key, or NULL. */
+const char *cb_document_workspace(const cb_document_t *document,
+				  const char *key)
+{
+	return g_hash_table_lookup(document->keys, key);
+}
+
+/* Returns a service's profile, or NULL. */
+const cb_service_profile_t *cb_document_service(const cb_document_t *document,
+						const char *name)
+{
+	return g_hash_table_lookup(document->services, name);
+}
+
+/* Returns the service that a draw from the whole range of 32 bits falls to. */
+const char *cb_route_pick(const cb_route_t *route, uint32_t draw)
+{
+	uint64_t sum = 0;
+	uint64_t at;
+	unsigned int i;
+
+	for (i = 0; i < route->splits->len; i++)
+		sum += g_array_index(route->splits, cb_route_split_t, i).weight;
+	at = ((uint64_t)draw * sum) >> 32;
+	for (i = 0; i < route->splits->len; i++) {
+		const cb_route_split_t *split =
+			&g_array_index(route->splits, cb_route_split_t, i);
+
+		if (at < split->weight)
+			return split->service;
+		at -= split->weight;
+	}
+	g_assert_not_reached();
+}
+
+/* Returns a kind of accelerator by name, or NULL. */
+const cb_engine_kind_t *cb_engine_profile_kind(
+	const cb_engine_profile_t *engine, const char *name)
+{
+	unsigned int i;
+
+	for (i = 0; name && i < engine->kinds->len; i++) {
+		const cb_engine_kind_t *kind = engine->kinds->pdata[i];
+
+		if (!strcmp(kind->name, name))
+			return kind;
+	}
+	return NULL;
+}
--- a/src/libcurrantbridge/control/command.c
+++ b/src/libcurrantbridge/control/command.c
@@ -2,7 +2,7 @@
 
 #include "private/pack.h"
 
-#define COMMAND_FIELD_COUNT 22
+#define COMMAND_FIELD_COUNT 23
 #define ANSWER_FIELD_COUNT 11
 
 const char *const cb_command_kind_string[CB_COMMAND_KIND_COUNT] = {
@@ -17,6 +17,7 @@
 	[CB_COMMAND_SUSPECT_ADD] = "suspect_add",
 	[CB_COMMAND_CLAIM] = "claim",
 	[CB_COMMAND_CLAIM_FINISH] = "claim_finish",
+	[CB_COMMAND_DOCUMENT_PUT] = "document_put",
 };
 
 const char *const cb_claim_result_string[CB_CLAIM_RESULT_COUNT] = {
@@ -78,6 +79,7 @@
 	cb_pack_int(&pack, command->wall_ms);
 	cb_pack_string(&pack, command->name);
 	cb_pack_string(&pack, command->text);
+	cb_pack_int(&pack, command->document_version);
 	cb_pack_uint(&pack, command->stop_kind);
 	cb_pack_string(&pack, command->address);
 	cb_pack_string(&pack, command->data_centre);
@@ -105,6 +107,7 @@
 	command->wall_ms = cb_fields_int(fields);
 	command->name = cb_fields_string(fields);
 	command->text = cb_fields_string(fields);
+	command->document_version = cb_fields_int(fields);
 	command->stop_kind = cb_fields_enum(fields, CB_STOP_KIND_COUNT);
 	command->address = cb_fields_string(fields);
 	command->data_centre = cb_fields_string(fields);
--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -137,6 +137,10 @@
 					 (int64_t)message->number,
 					 client->grant_data);
 		return;
+	case CB_LINK_MESSAGE_FLEET:
+		if (message->body && client->fleet_fn)
+			client->fleet_fn(message->body, client->fleet_data);
+		return;
 	default:
 		cb_link_goodbye(client->link, CB_CLOSE_MALFORMED);
 		return;
@@ -293,6 +297,14 @@
 	client->grant_data = user_data;
 }
 
+/* Has `fn` called with what control tells of the backend servers. */
+void cb_control_client_on_fleet(cb_control_client_t *client,
+				cb_control_fleet_fn_t fn, void *user_data)
+{
+	client->fleet_fn = fn;
+	client->fleet_data = user_data;
+}
+
 /* Sends a demand report if there is a session that control has confirmed. */
 void cb_control_client_report_demand(cb_control_client_t *client,
 				     GBytes *report)
--- a/src/libcurrantbridge/control/item.c
+++ b/src/libcurrantbridge/control/item.c
@@ -30,6 +30,12 @@
 	g_free(quarantine);
 }
 
+static void document_delete_(cb_document_text_t *document)
+{
+	g_free(document->text);
+	g_free(document);
+}
+
 /* Frees the value of an item; NULL is allowed. */
 void cb_item_value_delete(cb_item_kind_t kind, void *value)
 {
@@ -48,6 +54,9 @@
 	case CB_ITEM_QUARANTINE:
 		quarantine_delete_(value);
 		return;
+	case CB_ITEM_DOCUMENT:
+		document_delete_(value);
+		return;
 	case CB_ITEM_KIND_COUNT:
 		break;
 	}
@@ -68,6 +77,7 @@
 	const cb_stop_t *stop = value;
 	const cb_instance_t *instance = value;
 	const cb_quarantine_t *quarantine = value;
+	const cb_document_text_t *document = value;
 	char **death;
 
 	switch (kind) {
@@ -96,6 +106,11 @@
 		for (death = quarantine->deaths; *death; death++)
 			cb_pack_string(pack, *death);
 		return;
+	case CB_ITEM_DOCUMENT:
+		cb_pack_array(pack, 2);
+		cb_pack_int(pack, document->version);
+		cb_pack_string(pack, document->text);
+		return;
 	case CB_ITEM_KIND_COUNT:
 		break;
 	}
@@ -184,6 +199,18 @@
 	return NULL;
 }
 
+static void *document_read_(cb_fields_t *fields, const char *name)
+{
+	cb_document_text_t *document = g_new0(cb_document_text_t, 1);
+
+	document->version = cb_fields_int(fields);
+	document->text = cb_fields_text(fields);
+	if (document->text && !g_strcmp0(name, CB_DOCUMENT_ITEM_NAME))
+		return document;
+	document_delete_(document);
+	return NULL;
+}
+
 static void revision_set_(cb_item_t *item)
 {
 	switch (item->kind) {
@@ -199,6 +226,9 @@
 	case CB_ITEM_QUARANTINE:
 		((cb_quarantine_t *)item->value)->revision = item->revision;
 		return;
+	case CB_ITEM_DOCUMENT:
+		((cb_document_text_t *)item->value)->revision = item->revision;
+		return;
 	case CB_ITEM_KIND_COUNT:
 		break;
 	}
@@ -213,6 +243,7 @@
 		[CB_ITEM_STOP] = stop_read_,
 		[CB_ITEM_INSTANCE] = instance_read_,
 		[CB_ITEM_QUARANTINE] = quarantine_read_,
+		[CB_ITEM_DOCUMENT] = document_read_,
 	};
 	cb_fields_t fields;
 	void *value;
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -192,6 +192,7 @@
 		return;
 	currency_check_(node);
 	members_keep_(node);
+	cb_node_join_tick(node);
 	cb_node_confirm_applied(node);
 	cb_sessions_confirm(node);
 	cb_sessions_check(node);
@@ -226,6 +227,8 @@
 	node->current_ms = node->last_tick_ms;
 	members_keep_(node);
 	cb_timer_start(node->tick_timer, node->heartbeat_ms);
+	if (node->server_silence_ms)
+		cb_timer_start(node->fleet_timer, 0);
 	return TRUE;
 }
 
@@ -276,6 +279,7 @@
 	cb_timer_delete(node->report_timer);
 	cb_timer_delete(node->confirm_timer);
 	cb_timer_delete(node->drain_timer);
+	cb_timer_delete(node->fleet_timer);
 }
 
 static void node_destroy_(cb_service_t *service)
@@ -301,6 +305,8 @@
 	if (node->owns_network)
 		node->network->vtable->destroy(node->network);
 	cb_lease_book_delete(node->lease_book);
+	cb_fleet_delete(node->fleet);
+	g_strfreev(node->join_addresses);
 	g_rand_free(node->random);
 	g_free(node->name);
 	g_free(node->listen);
@@ -320,6 +326,8 @@
 	(void)peer;
 	if (message->kind == CB_LINK_MESSAGE_GRANT)
 		cb_node_grant_receive(user_data, message);
+	else if (message->kind == CB_LINK_MESSAGE_FLEET)
+		cb_node_fleet_receive(user_data, message);
 	else
 		cb_node_request_receive(user_data, message);
 }
@@ -453,13 +461,21 @@
 					      g_free, NULL);
 	node->confirm_next =
 		g_array_new(FALSE, FALSE, sizeof(cb_confirm_waiter_t));
+	node->join_addresses = g_strdupv((char **)options->join_addresses);
 	timers_make_(node);
+	cb_node_fleet_init(node, options->server_silence_ms);
 	counters_make_(node);
 	peers_make_(node);
 	replica_make_(node, options);
 	return node;
 }
 
+/* Tells whether this instance leads. */
+gboolean cb_node_leads(const cb_node_t *node)
+{
+	return cb_node_is_leader(node);
+}
+
 /* Returns the member of the replicated log. */
 const cb_replica_t *cb_node_replica(const cb_node_t *node)
 {
--- /dev/null
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -0,0 +1,185 @@
+#include "private/node.h"
+
+/* Heartbeats are told to the other control instances together, this often. */
+#define SHARE_INTERVAL_MS 250
+/* A change is told at once, with what comes within this. */
+#define CHANGE_DELAY_MS 5
+/* How often the silence of servers is looked at. */
+#define EXPIRE_INTERVAL_MS 500
+/* A server that left stays known for so long, against late heartbeats. */
+#define FORGET_MS 60000
+
+/* Sends a message to every other control instance. */
+static void peers_tell_(cb_node_t *node, const cb_link_message_t *message)
+{
+	const GPtrArray *members = cb_replica_members(node->replica);
+	unsigned int i;
+
+	for (i = 0; i < members->len; i++) {
+		const cb_replica_member_t *member = members->pdata[i];
+
+		if (!g_str_equal(member->name, node->name))
+			cb_peers_send(node->peers, member->name, message);
+	}
+}
+
+static void sessions_tell_(cb_node_t *node, const cb_link_message_t *message)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->inbounds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_inbound_t *inbound = value;
+
+		if (inbound->session && inbound->session->is_confirmed)
+			cb_link_send(inbound->link, message);
+	}
+}
+
+/* Tells an entry instance all servers, when its session is confirmed. */
+void cb_node_fleet_greet(cb_inbound_t *inbound)
+{
+	cb_node_t *node = inbound->node;
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_FLEET };
+
+	message.body = cb_fleet_encode(node->fleet, CB_FLEET_ALL,
+				       cb_clock_now_ms(node->clock));
+	if (!message.body)
+		return;
+	cb_link_send(inbound->link, &message);
+	g_bytes_unref(message.body);
+}
+
+/* Tells what has changed to entries, and heartbeats to control instances. */
+static void share_(cb_node_t *node)
+{
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_FLEET };
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+
+	message.body = cb_fleet_encode(node->fleet, CB_FLEET_ALL_HEARD, now_ms);
+	if (message.body) {
+		peers_tell_(node, &message);
+		g_bytes_unref(message.body);
+	}
+	message.body =
+		cb_fleet_encode(node->fleet, CB_FLEET_ALL_CHANGED, now_ms);
+	if (message.body) {
+		sessions_tell_(node, &message);
+		g_bytes_unref(message.body);
+	}
+}
+
+static void fleet_timer_fired_(void *user_data)
+{
+	cb_node_t *node = user_data;
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+
+	node->is_fleet_changed = FALSE;
+	if (now_ms - node->fleet_expired_ms >= EXPIRE_INTERVAL_MS) {
+		node->fleet_expired_ms = now_ms;
+		cb_fleet_expire(node->fleet, now_ms, node->server_silence_ms,
+				FORGET_MS);
+	}
+	share_(node);
+	cb_timer_start(node->fleet_timer, SHARE_INTERVAL_MS);
+}
+
+static void fleet_changed_(const cb_fleet_server_t *server, void *user_data)
+{
+	cb_node_t *node = user_data;
+
+	cb_log_event(node->log, CB_EVENT_FLEET_SERVER, CB_STR("id", server->id),
+		     CB_STR("address", server->address),
+		     CB_STR("state", cb_fleet_state_string[server->state]),
+		     CB_INT("layer_from", server->layer_from),
+		     CB_INT("layer_to", server->layer_to),
+		     CB_INT("sequence", server->sequence));
+	if (node->is_fleet_changed)
+		return;
+	node->is_fleet_changed = TRUE;
+	cb_timer_start(node->fleet_timer, CHANGE_DELAY_MS);
+}
+
+/* Makes the node's fleet and the timer that shares it. */
+void cb_node_fleet_init(cb_node_t *node, int64_t server_silence_ms)
+{
+	node->server_silence_ms = server_silence_ms;
+	node->fleet = cb_fleet_new();
+	cb_fleet_watch(node->fleet, fleet_changed_, node);
+	node->fleet_timer = cb_timer_new(node->clock, fleet_timer_fired_, node);
+}
+
+/* Takes what another control instance heard. */
+void cb_node_fleet_receive(cb_node_t *node, const cb_link_message_t *message)
+{
+	if (!message->body || !cb_fleet_merge(node->fleet, message->body,
+					      cb_clock_now_ms(node->clock)))
+		cb_log_event(node->log, CB_EVENT_FLEET_MALFORMED);
+}
+
+/* Returns the backend servers that this instance knows. */
+cb_fleet_t *cb_node_fleet(cb_node_t *node)
+{
+	return node->fleet;
+}
+
+/* Commits that a start of a server is to get nothing new. */
+static void stop_submit_(cb_node_t *node, const cb_fleet_server_t *server,
+			 cb_submit_fn_t done, void *user_data)
+{
+	char *start = cb_fleet_start_name(server);
+	cb_command_t *command;
+	cb_answer_t *answer;
+
+	if (cb_view_is_stopped(cb_state_view(node->state), CB_STOP_SERVER,
+			       start)) {
+		/* What this instance has applied is committed. */
+		g_free(start);
+		answer = cb_answer_new(CB_ANSWER_OK);
+		done(CB_SUBMIT_ANSWERED, answer, user_data);
+		cb_answer_delete(answer);
+		return;
+	}
+	command = cb_command_new(CB_COMMAND_STOP_ANNOUNCE);
+	command->stop_kind = CB_STOP_SERVER;
+	command->name = start;
+	cb_node_submit(node, command, done, user_data);
+}
+
+void cb_node_fleet_hear(cb_node_t *node, const cb_fleet_server_t *said,
+			cb_submit_fn_t done, void *user_data)
+{
+	cb_answer_t *answer;
+
+	cb_fleet_hear(node->fleet, said, cb_clock_now_ms(node->clock));
+	if (said->state != CB_FLEET_READY) {
+		stop_submit_(node, said, done, user_data);
+		return;
+	}
+	answer = cb_answer_new(CB_ANSWER_OK);
+	done(CB_SUBMIT_ANSWERED, answer, user_data);
+	cb_answer_delete(answer);
+}
+
+void cb_node_fleet_leave(cb_node_t *node, const char *server_id,
+			 cb_submit_fn_t done, void *user_data)
+{
+	const cb_fleet_server_t *known = cb_fleet_find(node->fleet, server_id);
+
+	if (known)
+		stop_submit_(node, known, done, user_data);
+	else
+		done(CB_SUBMIT_NO_LEADER, NULL, user_data);
+}
+
+void cb_node_put_document(cb_node_t *node, int64_t version, const char *text,
+			  size_t size, cb_submit_fn_t done, void *user_data)
+{
+	cb_command_t *command = cb_command_new(CB_COMMAND_DOCUMENT_PUT);
+
+	command->name = g_strdup("document");
+	command->document_version = version;
+	command->text = g_strndup(text, size);
+	cb_node_submit(node, command, done, user_data);
+}
--- a/src/libcurrantbridge/control/node_inbound.c
+++ b/src/libcurrantbridge/control/node_inbound.c
@@ -55,6 +55,10 @@
 		cb_node_members_receive_report(node, name, message);
 	else if (message->kind == CB_LINK_MESSAGE_DEMAND)
 		cb_node_demand_serve(inbound, message);
+	else if (message->kind == CB_LINK_MESSAGE_FLEET)
+		cb_node_fleet_receive(node, message);
+	else if (message->kind == CB_LINK_MESSAGE_JOIN)
+		cb_node_join_serve(inbound, message);
 	else if (message->kind != CB_LINK_MESSAGE_REPLICA)
 		cb_node_request_serve(inbound, message);
 	else if (message->body && !node->is_failed)
--- a/src/libcurrantbridge/control/state_config.c
+++ b/src/libcurrantbridge/control/state_config.c
@@ -418,3 +418,27 @@
 	item_remove_(state, CB_ITEM_QUARANTINE, command->name, index);
 	return revision_answer_(CB_ANSWER_OK, index);
 }
+
+/*
+ * Puts a configuration document in force.  One whose version is not above the
+ * present one changes nothing, whatever it says, and is answered as accepted:
+ * an operator that lost the answer sends the same again.
+ */
+cb_answer_t *cb_state_document_put(cb_state_t *state,
+				   const cb_command_t *command, uint64_t index)
+{
+	const cb_document_text_t *present = cb_view_document(state->view);
+	cb_document_text_t *document;
+
+	if (!command->text)
+		return invalid_("document: text: is required");
+	if (present && present->version >= command->document_version)
+		return revision_answer_(CB_ANSWER_OK, present->revision);
+	document = g_new0(cb_document_text_t, 1);
+	document->version = command->document_version;
+	document->text = g_strdup(command->text);
+	document->revision = index;
+	item_put_(state, CB_ITEM_DOCUMENT, CB_DOCUMENT_ITEM_NAME, document,
+		  index);
+	return revision_answer_(CB_ANSWER_OK, index);
+}
--- a/src/libcurrantbridge/control/view.c
+++ b/src/libcurrantbridge/control/view.c
@@ -57,6 +57,11 @@
 	cb_item_value_delete(CB_ITEM_QUARANTINE, value);
 }
 
+static void document_free_(void *value)
+{
+	cb_item_value_delete(CB_ITEM_DOCUMENT, value);
+}
+
 /* Makes an empty view at revision 0. */
 cb_view_t *cb_view_new(void)
 {
@@ -65,6 +70,7 @@
 		[CB_ITEM_STOP] = stop_free_,
 		[CB_ITEM_INSTANCE] = instance_free_,
 		[CB_ITEM_QUARANTINE] = quarantine_free_,
+		[CB_ITEM_DOCUMENT] = document_free_,
 	};
 	cb_view_t *view = g_new0(cb_view_t, 1);
 	int kind;
@@ -131,6 +137,8 @@
 		return g_strdup(((const cb_instance_t *)value)->name);
 	case CB_ITEM_QUARANTINE:
 		return g_strdup(((const cb_quarantine_t *)value)->digest);
+	case CB_ITEM_DOCUMENT:
+		return g_strdup(CB_DOCUMENT_ITEM_NAME);
 	case CB_ITEM_KIND_COUNT:
 		break;
 	}
@@ -364,6 +372,12 @@
 	return sorted_(view, CB_ITEM_STOP);
 }
 
+/* Returns the configuration document in force; NULL before the first. */
+const cb_document_text_t *cb_view_document(const cb_view_t *view)
+{
+	return cb_view_find_item(view, CB_ITEM_DOCUMENT, CB_DOCUMENT_ITEM_NAME);
+}
+
 /* Tells whether a planned stop of that server or instance is announced. */
 gboolean cb_view_is_stopped(const cb_view_t *view, cb_stop_kind_t kind,
 			    const char *name)
--- /dev/null
+++ b/src/libcurrantbridge/include/private/event_splitter.h
@@ -0,0 +1,21 @@
+#ifndef PRIVATE_EVENT_SPLITTER_H
+#define PRIVATE_EVENT_SPLITTER_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* Cuts a stream of server-sent events into whole events, bytes unchanged. */
+typedef struct cb_event_splitter {
+	GString *partial;
+} cb_event_splitter_t;
+
+/* `id` is -1 for an event without a number as its ID. */
+typedef void (*cb_event_fn_t)(void *user_data, int64_t id, const char *data,
+			      size_t size);
+
+void cb_event_splitter_init(cb_event_splitter_t *splitter);
+void cb_event_splitter_clear(cb_event_splitter_t *splitter);
+void cb_event_splitter_add(cb_event_splitter_t *splitter, const uint8_t *data,
+			   size_t size, cb_event_fn_t fn, void *user_data);
+
+#endif
--- a/src/libcurrantbridge/include/private/link_message.h
+++ b/src/libcurrantbridge/include/private/link_message.h
@@ -17,6 +17,7 @@
 	CB_LINK_MESSAGE_CONFIRM_ANSWER, /* id, code: cb_submit_outcome_t, number */
 	CB_LINK_MESSAGE_MEMBER_ADD,	/* id, name, address */
 	CB_LINK_MESSAGE_MEMBER_REMOVE, /* id, name */
+	CB_LINK_MESSAGE_JOIN,	       /* name, address: a blank instance */
 	CB_LINK_MESSAGE_SESSION_REPORT, /* body; code: 1 when it names them all */
 	CB_LINK_MESSAGE_SESSIONS,
 	CB_LINK_MESSAGE_SESSIONS_ANSWER, /* id, code, body */
@@ -35,6 +36,8 @@
 	 */
 	CB_LINK_MESSAGE_DEMAND,
 	CB_LINK_MESSAGE_GRANT,
+	/* To control and entry instances; body: for cb_fleet_merge(). */
+	CB_LINK_MESSAGE_FLEET,
 	CB_LINK_MESSAGE_KIND_COUNT
 } cb_link_message_kind_t;
 
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -2,6 +2,7 @@
 #define PRIVATE_NODE_H
 
 #include "currantbridge/allocation.h"
+#include "currantbridge/fleet.h"
 #include "currantbridge/node.h"
 #include "private/link.h"
 #include "private/peers.h"
@@ -79,6 +80,9 @@
 	int64_t election_timeout_ms;
 	int64_t silence_ms;
 	GRand *random;
+	char **join_addresses;
+	unsigned int join_next;
+	int64_t join_asked_ms;
 	cb_network_t *network;
 	gboolean owns_network;
 	cb_storage_t *storage;
@@ -93,6 +97,11 @@
 	/* What the leader has lent of the contracts' limits. */
 	cb_lease_book_t *lease_book;
 	int64_t lease_book_since_ms;
+	cb_fleet_t *fleet;
+	cb_timer_t *fleet_timer;
+	int64_t server_silence_ms;
+	int64_t fleet_expired_ms;
+	gboolean is_fleet_changed; /* the timer is set to tell it soon */
 	uint64_t next_id;
 	GHashTable *inbounds; /* by id */
 	GHashTable *requests; /* by id */
@@ -170,6 +179,16 @@
 			  const cb_link_message_t *report);
 void cb_node_grant_receive(cb_node_t *node, const cb_link_message_t *grant);
 
+/* Backend servers: node_fleet.c. */
+void cb_node_fleet_init(cb_node_t *node, int64_t server_silence_ms);
+void cb_node_fleet_greet(cb_inbound_t *inbound);
+void cb_node_fleet_receive(cb_node_t *node, const cb_link_message_t *message);
+
+/* Joining the group: node_join.c. */
+void cb_node_join_tick(cb_node_t *node);
+void cb_node_join_serve(cb_inbound_t *inbound,
+			const cb_link_message_t *message);
+
 /* Membership of entry instances: node_member.c. */
 void cb_node_members_tick(cb_node_t *node);
 void cb_node_members_announce(cb_node_t *node);
--- /dev/null
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -0,0 +1,52 @@
+#ifndef PRIVATE_SERVER_BOOK_H
+#define PRIVATE_SERVER_BOOK_H
+
+#include "currantbridge/chain.h"
+#include "currantbridge/clock.h"
+#include "currantbridge/dialect.h"
+#include "currantbridge/document.h"
+#include "currantbridge/fleet.h"
+#include "currantbridge/view.h"
+
+/*
+ * What an entry instance knows of the servers beside what they announce: its
+ * own requests there, the load they told, and how requests ended.  From that
+ * it chooses servers.
+ */
+typedef struct cb_server_book cb_server_book_t;
+
+typedef enum cb_book_outcome {
+	CB_BOOK_FOUND,
+	CB_BOOK_NO_SERVER, /* nobody serves it, or holds some of the layers */
+	CB_BOOK_NO_ROOM,
+} cb_book_outcome_t;
+
+/* What is to be served. */
+typedef struct cb_book_wish {
+	const cb_service_profile_t *service;
+	double tokens;
+	/* Servers that this request does not go to again: a set of IDs. */
+	GHashTable *tried;
+} cb_book_wish_t;
+
+cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
+				     const cb_view_t *view, GRand *random,
+				     const char *data_centre);
+void cb_server_book_delete(cb_server_book_t *book);
+
+/* Sets the servers on the way, of cb_relay_hop_t. */
+cb_book_outcome_t cb_server_book_choose(cb_server_book_t *book,
+					const cb_book_wish_t *wish,
+					GArray *hops);
+GArray *cb_relay_hops_new(void);
+
+void cb_server_book_begin(cb_server_book_t *book, const GArray *hops,
+			  double tokens);
+void cb_server_book_end(cb_server_book_t *book, const GArray *hops,
+			double tokens);
+void cb_server_book_load(cb_server_book_t *book, const char *id,
+			 int64_t running, int64_t waiting);
+void cb_server_book_failed(cb_server_book_t *book, const char *id);
+void cb_server_book_succeeded(cb_server_book_t *book, const GArray *hops);
+
+#endif
--- /dev/null
+++ b/src/libcurrantbridge/include/private/stream.h
@@ -0,0 +1,48 @@
+#ifndef PRIVATE_STREAM_H
+#define PRIVATE_STREAM_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* A TCP connection of plain bytes on the loop, and a port that accepts. */
+typedef struct cb_stream cb_stream_t;
+typedef struct cb_stream_listener cb_stream_listener_t;
+
+typedef enum cb_stream_end {
+	CB_STREAM_END_CLOSED,  /* the other side sends no more */
+	CB_STREAM_END_REFUSED, /* it could not be opened */
+	CB_STREAM_END_RESET,   /* it broke, or nothing acknowledges */
+} cb_stream_end_t;
+
+/* What a stream tells its owner, who may delete it in any of them. */
+typedef struct cb_stream_handler {
+	/* Of a stream that was connected; may be NULL. */
+	void (*opened)(void *user_data);
+	void (*received)(void *user_data, const uint8_t *data, size_t size);
+	/* Called at most once; after CLOSED, bytes may still be sent. */
+	void (*ended)(void *user_data, cb_stream_end_t end);
+	/* All that was queued has left; may be NULL. */
+	void (*emptied)(void *user_data);
+} cb_stream_handler_t;
+
+typedef void (*cb_stream_accept_fn_t)(int fd, void *user_data);
+
+cb_stream_t *cb_stream_connect(GMainContext *context, const char *address,
+			       const cb_stream_handler_t *handler,
+			       void *user_data);
+cb_stream_t *cb_stream_new(GMainContext *context, int fd,
+			   const cb_stream_handler_t *handler, void *user_data);
+void cb_stream_delete(cb_stream_t *stream);
+void cb_stream_reset(cb_stream_t *stream);
+void cb_stream_send(cb_stream_t *stream, const void *data, size_t size);
+void cb_stream_finish(cb_stream_t *stream);
+size_t cb_stream_unsent_bytes(const cb_stream_t *stream);
+
+cb_stream_listener_t *cb_stream_listen(GMainContext *context,
+				       const char *address,
+				       cb_stream_accept_fn_t accept,
+				       void *user_data, GError **error);
+void cb_stream_unlisten(cb_stream_listener_t *listener);
+uint16_t cb_stream_listener_port(const cb_stream_listener_t *listener);
+
+#endif
--- /dev/null
+++ b/src/libcurrantbridge/relay/front.c
@@ -0,0 +1,233 @@
+#include "currantbridge/front.h"
+
+#include <string.h>
+
+#include "private/front.h"
+
+#define DRAIN_CHECK_MS 50
+/* With fewer instances in a caller's data centre, all of them are named. */
+#define NEAR_ADDRESSES_MIN 2
+
+/* Puts the document of the view in force, if it is another one. */
+static void document_follow_(cb_front_t *front)
+{
+	const cb_document_text_t *text = cb_view_document(front->view);
+	cb_http1_limits_t limits;
+	cb_document_t *document;
+	GError *error = NULL;
+
+	if (!text || text->revision == front->document_revision)
+		return;
+	front->document_revision = text->revision;
+	document = front->codec->vtable->decode(front->codec, text->text,
+						strlen(text->text), &error);
+	if (!document) {
+		cb_log_event(front->log, CB_EVENT_DOCUMENT_UNREADABLE,
+			     CB_INT("version", text->version),
+			     CB_STR("reason", error->message));
+		g_error_free(error);
+		return;
+	}
+	cb_document_unref(front->document);
+	front->document = document;
+	limits = (cb_http1_limits_t){
+		.max_header_bytes = document->limits.max_header_bytes,
+		.max_body_bytes = document->limits.max_body_bytes,
+		.header_timeout_ms = document->limits.header_timeout_ms,
+		.idle_timeout_ms = document->limits.idle_timeout_ms,
+	};
+	cb_http1_server_limit(front->server, &limits);
+	cb_log_event(front->log, CB_EVENT_DOCUMENT_IN_FORCE,
+		     CB_INT("version", document->version),
+		     CB_INT("routes", document->routes->len));
+}
+
+static void view_changed_(void *user_data)
+{
+	cb_front_t *front = user_data;
+
+	document_follow_(front);
+	cb_retry_share_instances(front->retries,
+				 cb_view_instances(front->view)->len);
+}
+
+static void fleet_told_(GBytes *bytes, void *user_data)
+{
+	cb_front_t *front = user_data;
+
+	if (!cb_fleet_merge(front->fleet, bytes, cb_clock_now_ms(front->clock)))
+		cb_log_event(front->log, CB_EVENT_FLEET_MALFORMED);
+}
+
+static void fleet_changed_(const cb_fleet_server_t *server, void *user_data)
+{
+	cb_front_t *front = user_data;
+
+	cb_log_event(front->log, CB_EVENT_FLEET_SERVER,
+		     CB_STR("id", server->id),
+		     CB_STR("address", server->address),
+		     CB_STR("state", cb_fleet_state_string[server->state]),
+		     CB_INT("layer_from", server->layer_from),
+		     CB_INT("layer_to", server->layer_to),
+		     CB_INT("sequence", server->sequence));
+}
+
+static void request_(cb_http1_exchange_t *exchange, void *user_data)
+{
+	cb_relay_start(user_data, exchange);
+}
+
+static gboolean front_start_(cb_service_t *service, GError **error)
+{
+	cb_front_t *front = (cb_front_t *)service;
+
+	return cb_http1_server_listen(front->server, front->listen, error);
+}
+
+/* Ends the stop once nothing is open and callers had time to move on. */
+static void drain_timer_fired_(void *user_data)
+{
+	cb_front_t *front = user_data;
+	int64_t passed_ms =
+		cb_clock_now_ms(front->clock) - front->drain_since_ms;
+	gboolean is_quiet = !cb_http1_server_open(front->server);
+
+	if ((is_quiet && passed_ms >= front->linger_ms) ||
+	    passed_ms >= front->grace_ms) {
+		cb_log_event(front->log, CB_EVENT_ENTRY_DRAINED);
+		cb_kernel_drained(front->kernel, &front->service);
+		return;
+	}
+	cb_timer_start(front->drain_timer, DRAIN_CHECK_MS);
+}
+
+static void front_drain_(cb_service_t *service)
+{
+	cb_front_t *front = (cb_front_t *)service;
+
+	front->drain_since_ms = cb_clock_now_ms(front->clock);
+	cb_log_event(front->log, CB_EVENT_ENTRY_DRAINING,
+		     CB_INT("open", cb_http1_server_open(front->server)));
+	cb_control_client_leave(front->control);
+	cb_http1_server_drain(front->server);
+	cb_timer_start(front->drain_timer, DRAIN_CHECK_MS);
+}
+
+static void front_destroy_(cb_service_t *service)
+{
+	cb_front_t *front = (cb_front_t *)service;
+
+	g_hash_table_unref(front->relays);
+	cb_timer_delete(front->drain_timer);
+	cb_http1_server_delete(front->server);
+	cb_http1_client_delete(front->client);
+	cb_server_book_delete(front->book);
+	cb_fleet_delete(front->fleet);
+	cb_retry_share_delete(front->retries);
+	cb_document_unref(front->document);
+	g_rand_free(front->random);
+	g_free(front->listen);
+	g_free(front->data_centre);
+	g_free(front);
+}
+
+static const cb_service_vtable_t front_vtable = {
+	.start = front_start_,
+	.drain = front_drain_,
+	.destroy = front_destroy_,
+};
+
+/* Makes the relay, which the caller registers as "front". */
+cb_front_t *cb_front_new(cb_kernel_t *kernel, cb_control_client_t *control,
+			 cb_view_t *view, const cb_front_options_t *options)
+{
+	const cb_retry_bound_t bound = { options->retry_ratio,
+					 options->retry_extra,
+					 options->retry_window_ms };
+	cb_front_t *front = g_new0(cb_front_t, 1);
+
+	front->service.vtable = &front_vtable;
+	front->kernel = kernel;
+	front->clock = cb_kernel_clock(kernel);
+	front->log = cb_kernel_log(kernel);
+	front->counters = cb_kernel_counters(kernel);
+	front->control = control;
+	front->view = view;
+	front->listen = g_strdup(options->listen);
+	front->data_centre = g_strdup(options->data_centre);
+	front->codec = options->codec;
+	front->dialect = options->dialect;
+	front->linger_ms = options->linger_ms;
+	front->grace_ms = options->grace_ms;
+	front->server =
+		cb_http1_server_new(cb_kernel_context(kernel), front->clock,
+				    front->counters, request_, front);
+	front->client = cb_http1_client_new(cb_kernel_context(kernel),
+					    front->clock, front->counters);
+	front->random = g_rand_new();
+	front->fleet = cb_fleet_new();
+	cb_fleet_watch(front->fleet, fleet_changed_, front);
+	front->book = cb_server_book_new(front->clock, front->fleet, view,
+					 front->random, options->data_centre);
+	front->retries = cb_retry_share_new(front->clock, &bound);
+	front->relays = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					      cb_relay_delete, NULL);
+	front->drain_timer =
+		cb_timer_new(front->clock, drain_timer_fired_, front);
+	cb_view_watch(view, view_changed_, front);
+	cb_control_client_on_fleet(control, fleet_told_, front);
+	return front;
+}
+
+/* Tells whether requests are served: the document is in force, no stop. */
+gboolean cb_front_is_ready(const cb_front_t *front)
+{
+	return front->document && !front->drain_since_ms &&
+	       cb_control_client_is_confirmed(front->control);
+}
+
+/* Adds the addresses of the ready instances, of one data centre or of all. */
+static void addresses_add_(const cb_front_t *front, const char *data_centre,
+			   GPtrArray *addresses)
+{
+	const GPtrArray *instances = cb_view_instances(front->view);
+	unsigned int i;
+
+	for (i = 0; i < instances->len; i++) {
+		const cb_instance_t *instance = instances->pdata[i];
+
+		if (instance->state != CB_INSTANCE_READY ||
+		    (data_centre &&
+		     strcmp(instance->data_centre, data_centre) != 0))
+			continue;
+		if (front->drain_since_ms &&
+		    !strcmp(instance->address, front->listen))
+			continue;
+		g_ptr_array_add(addresses, g_strdup(instance->address));
+	}
+}
+
+GPtrArray *cb_front_addresses(const cb_front_t *front, const char *data_centre)
+{
+	GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
+
+	if (data_centre)
+		addresses_add_(front, data_centre, addresses);
+	if (addresses->len >= NEAR_ADDRESSES_MIN)
+		return addresses;
+	g_ptr_array_set_size(addresses, 0);
+	addresses_add_(front, NULL, addresses);
+	return addresses;
+}
+
+/* Returns the document in force, or NULL. */
+const cb_document_t *cb_front_document(const cb_front_t *front)
+{
+	return front->document;
+}
+
+/* Returns the port that callers connect to, once started. */
+uint16_t cb_front_port(const cb_front_t *front)
+{
+	return cb_http1_server_port(front->server);
+}
--- /dev/null
+++ b/src/libcurrantbridge/relay/relay.c
@@ -0,0 +1,625 @@
+#include <string.h>
+
+#include "private/event_splitter.h"
+#include "private/front.h"
+
+/*
+ * One relayed request, from its arrival to the end of its answer.  See
+ * docs/REQUESTS.md, "Relayed requests", for its states and outcomes.
+ */
+
+/* A kept connection idle for longer may be closing as the request leaves. */
+#define IDLE_ONCE_MAX_MS 1000
+#define IDLE_MAX_MS 4000
+/* Sends beyond the route's attempts, for those that surely did not run. */
+#define UNRUN_SENDS_MAX 4
+/* A stream counts as silent after so many of the longest pauses it may make. */
+#define SILENT_GAPS 3
+#define SILENT_DEFAULT_MS 1500
+/* Nothing is sent with less than this left: no answer could come in time. */
+#define LEFT_MIN_MS 5
+/* When callers refused for these reasons are asked to come back. */
+#define RETRY_NO_SERVER_MS 1000
+#define RETRY_NO_ROOM_MS 500
+/* Whole answers up to this are held until they are known to be complete. */
+#define HELD_MAX_BYTES (1024 * 1024)
+
+typedef struct relay {
+	cb_front_t *front;
+	cb_http1_exchange_t *exchange;
+	cb_document_t *document;
+	const cb_route_t *route;
+	const char *workspace;
+	const cb_service_profile_t *service;
+	cb_relay_ask_t ask;
+	int64_t deadline_ms;
+	cb_timer_t *deadline_timer;
+	cb_timer_t *silence_timer;
+	/* The attempt under way. */
+	cb_http1_call_t *call;
+	GArray *hops;
+	double tokens;
+	GHashTable *tried;
+	unsigned int sends;
+	unsigned int runs; /* attempts that ran, or may have */
+	uint32_t status;
+	gboolean is_events;
+	gboolean has_not_run;
+	char *fault; /* the server that the answer blames; NULL: none */
+	GString *answer_headers;
+	GByteArray *held;
+	cb_event_splitter_t splitter;
+	/* The answer to the caller. */
+	gboolean is_begun;
+	gboolean is_passing; /* it is no stream, and too large to be held */
+	gboolean is_resumed;
+	int64_t last_event;
+} relay_t;
+
+static void attempt_start_(relay_t *relay);
+
+static int64_t now_ms_(const relay_t *relay)
+{
+	return cb_clock_now_ms(relay->front->clock);
+}
+
+/* Whether the request may run more than once. */
+static gboolean is_repeatable_(const relay_t *relay)
+{
+	return relay->route->kind == CB_ROUTE_IDEMPOTENT ||
+	       (relay->route->kind == CB_ROUTE_STREAM &&
+		relay->route->is_resumable);
+}
+
+static void count_(cb_front_t *front, const char *name, const char *reason)
+{
+	cb_counter_add(cb_counters_counter(front->counters, name, "reason",
+					   reason),
+		       1);
+}
+
+/* Lets go of the attempt under way, which ends at its server. */
+static void attempt_drop_(relay_t *relay)
+{
+	cb_timer_stop(relay->silence_timer);
+	if (relay->call)
+		cb_http1_call_cancel(g_steal_pointer(&relay->call));
+	if (relay->hops->len) {
+		cb_server_book_end(relay->front->book, relay->hops,
+				   relay->tokens);
+		g_array_set_size(relay->hops, 0);
+	}
+	cb_event_splitter_clear(&relay->splitter);
+	g_byte_array_set_size(relay->held, 0);
+}
+
+/* Frees a request's state; its exchange has ended or is about to. */
+void cb_relay_delete(void *data)
+{
+	relay_t *relay = data;
+
+	attempt_drop_(relay);
+	cb_timer_delete(relay->deadline_timer);
+	cb_timer_delete(relay->silence_timer);
+	g_array_unref(relay->hops);
+	g_hash_table_unref(relay->tried);
+	g_byte_array_unref(relay->held);
+	if (relay->answer_headers)
+		g_string_free(relay->answer_headers, TRUE);
+	cb_document_unref(relay->document);
+	g_free(relay->fault);
+	g_free(relay);
+}
+
+/* Records how a request ends, while its exchange is still there. */
+static void end_note_(const relay_t *relay, uint32_t status, const char *reason)
+{
+	cb_front_t *front = relay->front;
+
+	cb_log_event(front->log, CB_EVENT_RELAY_ENDED,
+		     CB_STR("request", relay->ask.id),
+		     CB_STR("route", relay->route->name),
+		     CB_INT("status", status), CB_STR("reason", reason),
+		     CB_INT("attempts", relay->sends),
+		     CB_INT("last_event", relay->last_event),
+		     CB_INT("elapsed_ms",
+			    now_ms_(relay) - cb_http1_exchange_arrived_ms(
+						     relay->exchange)));
+	count_(front, "cb_relay_ended_total", reason);
+}
+
+static void relay_free_(relay_t *relay)
+{
+	g_hash_table_remove(relay->front->relays, relay);
+}
+
+/* Sends an answer of this instance's own. */
+static void own_reply_(cb_http1_exchange_t *exchange, uint32_t status,
+		       const char *reason, const char *executed,
+		       int64_t retry_after_ms)
+{
+	char *body = g_strdup_printf(
+		"{\"error\":{\"reason\":\"%s\",\"executed\":\"%s\"}}", reason,
+		executed);
+	GString *headers = g_string_new("Content-Type: application/json\r\n");
+
+	if (retry_after_ms)
+		g_string_append_printf(headers, "Retry-After: %d.%03d\r\n",
+				       (int)(retry_after_ms / 1000),
+				       (int)(retry_after_ms % 1000));
+	cb_http1_exchange_reply(exchange, status, headers->str, body,
+				strlen(body));
+	g_string_free(headers, TRUE);
+	g_free(body);
+}
+
+/* Refuses a request that no server was asked for. */
+static void refuse_(cb_front_t *front, cb_http1_exchange_t *exchange,
+		    const char *id, uint32_t status, const char *reason,
+		    int64_t retry_after_ms)
+{
+	cb_log_event(front->log, CB_EVENT_RELAY_REFUSED, CB_STR("request", id),
+		     CB_INT("status", status), CB_STR("reason", reason),
+		     CB_INT("retry_after_ms", retry_after_ms),
+		     CB_INT("version",
+			    front->document ? front->document->version : 0));
+	count_(front, "cb_relay_refused_total", reason);
+	own_reply_(exchange, status, reason, "no", retry_after_ms);
+}
+
+/*
+ * Gives a request up: at once, with what is known of its execution.  Where it
+ * surely did not run, the caller is told when to come back.
+ */
+static void give_up_(relay_t *relay, const char *reason, int64_t retry_after_ms)
+{
+	cb_http1_exchange_t *exchange = relay->exchange;
+	gboolean has_run = relay->runs > 0;
+	uint32_t status = has_run ? 502 : 503;
+
+	attempt_drop_(relay);
+	if (has_run && now_ms_(relay) >= relay->deadline_ms)
+		status = 504;
+	end_note_(relay, status, reason);
+	if (relay->is_begun)
+		cb_http1_exchange_abort(exchange);
+	else
+		own_reply_(exchange, status, reason, has_run ? "unknown" : "no",
+			   has_run ? 0 : retry_after_ms);
+	relay_free_(relay);
+}
+
+static void deadline_fired_(void *user_data)
+{
+	give_up_(user_data, "deadline", RETRY_NO_ROOM_MS);
+}
+
+/* How long a stream may be silent before it is looked for elsewhere. */
+static int64_t silence_ms_(const relay_t *relay)
+{
+	int64_t gap_ms = relay->route->gap_ms * SILENT_GAPS;
+
+	if (!gap_ms)
+		return SILENT_DEFAULT_MS;
+	return relay->last_event >= 0 ? gap_ms :
+					gap_ms + relay->route->target_ms;
+}
+
+static void silence_watch_(relay_t *relay)
+{
+	if (relay->route->kind == CB_ROUTE_STREAM && is_repeatable_(relay))
+		cb_timer_start(relay->silence_timer, silence_ms_(relay));
+}
+
+/* Marks the server at fault, where that is known. */
+static void blame_(relay_t *relay, const char *address)
+{
+	unsigned int i;
+
+	for (i = 0; i < relay->hops->len; i++) {
+		const cb_relay_hop_t *hop =
+			&g_array_index(relay->hops, cb_relay_hop_t, i);
+
+		if (address ? strcmp(hop->address, address) != 0 : i > 0)
+			continue;
+		g_hash_table_add(relay->tried, g_strdup(hop->id));
+		cb_server_book_failed(relay->front->book, hop->id);
+	}
+}
+
+/* Whether another attempt may follow the one that failed. */
+static gboolean may_retry_(relay_t *relay)
+{
+	if (relay->runs && !is_repeatable_(relay))
+		return FALSE;
+	if (relay->runs >= relay->route->max_attempts ||
+	    relay->sends >= relay->route->max_attempts + UNRUN_SENDS_MAX)
+		return FALSE;
+	if (relay->deadline_ms - now_ms_(relay) < LEFT_MIN_MS)
+		return FALSE;
+	return cb_retry_share_take(relay->front->retries, relay->service->name);
+}
+
+/*
+ * An attempt has failed.  `has_run` tells whether it ran or may have; the
+ * server at `fault` is at fault, NULL: the first one on the way.
+ */
+static void attempt_failed_(relay_t *relay, const char *result,
+			    gboolean has_run, const char *fault)
+{
+	const cb_relay_hop_t *first =
+		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+
+	cb_log_event(relay->front->log, CB_EVENT_RELAY_ATTEMPT_FAILED,
+		     CB_STR("request", relay->ask.id), CB_STR("result", result),
+		     CB_STR("server", first->id),
+		     CB_STR("address", first->address), CB_STR("fault", fault),
+		     CB_INT("status", relay->status),
+		     CB_INT("has_run", has_run),
+		     CB_INT("last_event", relay->last_event));
+	count_(relay->front, "cb_relay_attempts_failed_total", result);
+	relay->runs += has_run != 0;
+	blame_(relay, fault);
+	attempt_drop_(relay);
+	if (!may_retry_(relay)) {
+		give_up_(relay, result, RETRY_NO_ROOM_MS);
+		return;
+	}
+	if (relay->is_begun) {
+		relay->is_resumed = TRUE;
+		cb_log_event(relay->front->log, CB_EVENT_RELAY_RESUMED,
+			     CB_STR("request", relay->ask.id),
+			     CB_INT("last_event", relay->last_event));
+	}
+	attempt_start_(relay);
+}
+
+static void silence_fired_(void *user_data)
+{
+	attempt_failed_(user_data, "silent", TRUE, NULL);
+}
+
+/* Keeps the headers that the caller gets. */
+static void headers_keep_(relay_t *relay, const cb_http1_head_t *head)
+{
+	unsigned int i;
+
+	if (!relay->answer_headers)
+		relay->answer_headers = g_string_new(NULL);
+	g_string_truncate(relay->answer_headers, 0);
+	for (i = 0; i < head->headers->len; i++) {
+		const cb_http1_header_t *header =
+			&g_array_index(head->headers, cb_http1_header_t, i);
+
+		if (cb_http1_head_is_forwarded(head, header->name))
+			g_string_append_printf(relay->answer_headers,
+					       "%s: %s\r\n", header->name,
+					       header->value);
+	}
+}
+
+static gboolean head_(void *user_data, const cb_http1_head_t *head)
+{
+	relay_t *relay = user_data;
+	cb_front_t *front = relay->front;
+	const cb_relay_hop_t *first =
+		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+	cb_relay_word_t word = { .running = -1 };
+
+	relay->status = head->status;
+	front->dialect->vtable->read_word(front->dialect, head, relay->ask.id,
+					  &word);
+	if (!word.is_echo)
+		return FALSE;
+	if (word.running >= 0)
+		cb_server_book_load(front->book, first->id, word.running,
+				    word.waiting);
+	relay->has_not_run = word.has_not_run;
+	g_free(relay->fault);
+	relay->fault = g_strdup(word.fault_address);
+	if (word.has_not_run)
+		return TRUE;
+	relay->is_events =
+		relay->route->kind == CB_ROUTE_STREAM && head->status == 200;
+	if (relay->is_events)
+		cb_event_splitter_init(&relay->splitter);
+	if (!relay->is_begun)
+		headers_keep_(relay, head);
+	return TRUE;
+}
+
+/* Passes one whole event on; those that the caller has are dropped. */
+static void event_(void *user_data, int64_t id, const char *data, size_t size)
+{
+	relay_t *relay = user_data;
+
+	silence_watch_(relay);
+	if (id >= 0 && id <= relay->last_event)
+		return;
+	if (!relay->is_begun) {
+		relay->is_begun = TRUE;
+		cb_http1_exchange_begin(relay->exchange, relay->status,
+					relay->answer_headers->str);
+	}
+	if (id >= 0)
+		relay->last_event = id;
+	cb_http1_exchange_write(relay->exchange, data, size);
+}
+
+/*
+ * Holds an answer back until it is known to be whole; one that is too large
+ * for that is passed on as it comes.
+ */
+static void held_add_(relay_t *relay, const uint8_t *data, size_t size)
+{
+	if (relay->has_not_run)
+		return;
+	g_byte_array_append(relay->held, data, (unsigned int)size);
+	if (relay->held->len <= HELD_MAX_BYTES || relay->is_resumed)
+		return;
+	if (!relay->is_begun)
+		cb_http1_exchange_begin(relay->exchange, relay->status,
+					relay->answer_headers->str);
+	relay->is_begun = TRUE;
+	relay->is_passing = TRUE;
+	cb_http1_exchange_write(relay->exchange, relay->held->data,
+				relay->held->len);
+	g_byte_array_set_size(relay->held, 0);
+}
+
+static void data_(void *user_data, const uint8_t *data, size_t size)
+{
+	relay_t *relay = user_data;
+
+	if (relay->is_events)
+		cb_event_splitter_add(&relay->splitter, data, size, event_,
+				      relay);
+	else
+		held_add_(relay, data, size);
+}
+
+/* The stream has ended as complete. */
+static void events_done_(relay_t *relay)
+{
+	cb_http1_exchange_t *exchange = relay->exchange;
+	GString *rest = relay->splitter.partial;
+
+	if (rest->len && (relay->is_resumed || !relay->is_begun)) {
+		attempt_failed_(relay, "truncated", TRUE, NULL);
+		return;
+	}
+	if (!relay->is_begun)
+		cb_http1_exchange_begin(exchange, relay->status,
+					relay->answer_headers->str);
+	cb_http1_exchange_write(exchange, rest->str, rest->len);
+	cb_server_book_succeeded(relay->front->book, relay->hops);
+	end_note_(relay, relay->status, "complete");
+	cb_http1_exchange_end(exchange);
+	relay_free_(relay);
+}
+
+/* A whole answer is there: it is passed on, or another attempt follows. */
+static void answer_done_(relay_t *relay)
+{
+	cb_http1_exchange_t *exchange = relay->exchange;
+	uint32_t status = relay->status;
+
+	if (relay->has_not_run) {
+		attempt_failed_(relay, "not_run", FALSE, relay->fault);
+		return;
+	}
+	if (status >= 500 && is_repeatable_(relay) &&
+	    relay->runs + 1 < relay->route->max_attempts) {
+		attempt_failed_(relay, "server_error", TRUE, NULL);
+		return;
+	}
+	if (relay->is_passing) {
+		cb_http1_exchange_write(exchange, relay->held->data,
+					relay->held->len);
+		end_note_(relay, status, "complete");
+		cb_http1_exchange_end(exchange);
+		relay_free_(relay);
+		return;
+	}
+	if (relay->is_begun) {
+		/* A resumed stream can't go on with another kind of answer. */
+		attempt_failed_(relay, "server_error", TRUE, NULL);
+		return;
+	}
+	if (status < 500)
+		cb_server_book_succeeded(relay->front->book, relay->hops);
+	end_note_(relay, status, "complete");
+	cb_http1_exchange_reply(exchange, status, relay->answer_headers->str,
+				relay->held->data, relay->held->len);
+	relay_free_(relay);
+}
+
+static void done_(void *user_data, cb_http1_result_t result)
+{
+	relay_t *relay = user_data;
+
+	relay->call = NULL;
+	if (result != CB_HTTP1_COMPLETE)
+		attempt_failed_(relay, cb_http1_result_string[result],
+				result != CB_HTTP1_UNSENT, NULL);
+	else if (relay->is_events)
+		events_done_(relay);
+	else
+		answer_done_(relay);
+}
+
+static const cb_http1_call_handler_t call_handler = {
+	.head = head_,
+	.data = data_,
+	.done = done_,
+};
+
+/* How many tokens a request will hold at its end, as far as it tells. */
+static double tokens_(const relay_t *relay)
+{
+	const cb_relay_ask_t *ask = &relay->ask;
+	const cb_engine_profile_t *engine = relay->service->engine;
+	double answer = ask->hinted_answer_tokens;
+
+	if (!engine)
+		return 0;
+	if (answer <= 0)
+		answer = engine->usual_answer_tokens;
+	if (ask->most_answer_tokens)
+		answer = MIN(answer, ask->most_answer_tokens);
+	return (ask->prompt_tokens ? ask->prompt_tokens :
+				     engine->usual_prompt_tokens) +
+	       answer;
+}
+
+/* Sends the request to the servers chosen. */
+static void attempt_send_(relay_t *relay)
+{
+	cb_front_t *front = relay->front;
+	const cb_http1_head_t *head = cb_http1_exchange_head(relay->exchange);
+	const cb_relay_hop_t *first =
+		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+	cb_relay_send_t send = {
+		.server_id = first->id,
+		.workspace = relay->workspace,
+		.budget_ms = relay->deadline_ms - now_ms_(relay),
+		.last_event = relay->last_event,
+		.hops = relay->service->engine ? relay->hops : NULL,
+	};
+	GString *request = front->dialect->vtable->write_request(
+		front->dialect, head, cb_http1_exchange_body(relay->exchange),
+		&send);
+
+	relay->sends++;
+	relay->status = 0;
+	relay->is_events = FALSE;
+	relay->has_not_run = FALSE;
+	cb_server_book_begin(front->book, relay->hops, relay->tokens);
+	silence_watch_(relay);
+	relay->call =
+		cb_http1_client_call(front->client, first->address,
+				     head->method, request,
+				     is_repeatable_(relay) ? IDLE_MAX_MS :
+							     IDLE_ONCE_MAX_MS,
+				     &call_handler, relay);
+}
+
+/* Chooses servers and sends, or gives up at once. */
+static void attempt_start_(relay_t *relay)
+{
+	cb_front_t *front = relay->front;
+	const cb_book_wish_t wish = { relay->service, relay->tokens,
+				      relay->tried };
+
+	cb_book_outcome_t outcome =
+		cb_server_book_choose(front->book, &wish, relay->hops);
+
+	if (outcome != CB_BOOK_FOUND && g_hash_table_size(relay->tried)) {
+		/* One that failed before may do better than none. */
+		g_hash_table_remove_all(relay->tried);
+		outcome =
+			cb_server_book_choose(front->book, &wish, relay->hops);
+	}
+	switch (outcome) {
+	case CB_BOOK_FOUND:
+		attempt_send_(relay);
+		return;
+	case CB_BOOK_NO_SERVER:
+		give_up_(relay, "no_server", RETRY_NO_SERVER_MS);
+		return;
+	case CB_BOOK_NO_ROOM:
+		give_up_(relay, "no_room", RETRY_NO_ROOM_MS);
+		return;
+	}
+}
+
+/* The caller has closed: its request ends at the server too. */
+static void caller_gone_(void *user_data)
+{
+	end_note_(user_data, 0, "caller_gone");
+	relay_free_(user_data);
+}
+
+/* Returns the status that refuses a request, or 0 if it may go on. */
+static uint32_t refusal_find_(const cb_front_t *front, const cb_route_t *route,
+			      const cb_relay_ask_t *ask, const char **reason)
+{
+	if (!route) {
+		*reason = "no_route";
+		return 404;
+	}
+	if (!front->document->has_workspaces || route->is_public)
+		return 0;
+	if (ask->key && cb_document_workspace(front->document, ask->key))
+		return 0;
+	*reason = "unknown_key";
+	return 401;
+}
+
+static relay_t *relay_new_(cb_front_t *front, cb_http1_exchange_t *exchange,
+			   const cb_route_t *route, const cb_relay_ask_t *ask)
+{
+	relay_t *relay = g_new0(relay_t, 1);
+	int64_t limit_ms = route->timeout_ms;
+
+	if (ask->budget_ms > 0)
+		limit_ms = MIN(limit_ms, ask->budget_ms);
+	relay->front = front;
+	relay->exchange = exchange;
+	relay->document = cb_document_ref(front->document);
+	relay->route = route;
+	relay->ask = *ask;
+	relay->last_event = ask->last_event;
+	if (ask->key)
+		relay->workspace =
+			cb_document_workspace(front->document, ask->key);
+	relay->service =
+		cb_document_service(front->document,
+				    cb_route_pick(route,
+						  g_rand_int(front->random)));
+	relay->deadline_ms = cb_http1_exchange_arrived_ms(exchange) + limit_ms;
+	relay->deadline_timer =
+		cb_timer_new(front->clock, deadline_fired_, relay);
+	relay->silence_timer =
+		cb_timer_new(front->clock, silence_fired_, relay);
+	relay->hops = cb_relay_hops_new();
+	relay->held = g_byte_array_new();
+	relay->tried =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	relay->tokens = tokens_(relay);
+	return relay;
+}
+
+/* Serves a request from a caller, or refuses it. */
+void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange)
+{
+	const cb_http1_head_t *head = cb_http1_exchange_head(exchange);
+	const char *reason = NULL;
+	const cb_route_t *route;
+	cb_relay_ask_t ask = { .last_event = -1 };
+	relay_t *relay;
+	uint32_t status;
+
+	front->dialect->vtable->read_ask(front->dialect, head, &ask);
+	if (!front->document ||
+	    !cb_control_client_is_confirmed(front->control)) {
+		refuse_(front, exchange, ask.id, 503, "not_configured",
+			RETRY_NO_SERVER_MS);
+		return;
+	}
+	route = cb_document_route(front->document,
+				  cb_http1_head_find(head, "Host"),
+				  head->target);
+	status = refusal_find_(front, route, &ask, &reason);
+	if (status) {
+		refuse_(front, exchange, ask.id, status, reason, 0);
+		return;
+	}
+	relay = relay_new_(front, exchange, route, &ask);
+	g_hash_table_add(front->relays, relay);
+	cb_http1_exchange_own(exchange, caller_gone_, relay);
+	cb_retry_share_request(front->retries, relay->service->name);
+	cb_timer_start(relay->deadline_timer,
+		       MAX(relay->deadline_ms - now_ms_(relay), 0));
+	attempt_start_(relay);
+}
