--- a/include/currantbridge/chain.h
+++ b/include/currantbridge/chain.h
@@ -30,6 +30,9 @@
 typedef struct cb_chain_wish {
 	const char *data_centre; /* of the entry instance */
 	double tokens;		 /* that the request will hold at its end */
+	/* The first part, which is to stay as it is; `first_to` 0: any. */
+	unsigned int first_server;
+	uint32_t first_to;
 } cb_chain_wish_t;
 
 typedef enum cb_chain_outcome {
--- a/include/currantbridge/dialect.h
+++ b/include/currantbridge/dialect.h
@@ -26,7 +26,7 @@
 
 /* One engine on a request's way, with the layers that it runs. */
 typedef struct cb_relay_hop {
-	char *id;
+	char *id; /* of the server */
 	char *address;
 	uint32_t from;
 	uint32_t to;
--- a/include/currantbridge/engine_orders.h
+++ b/include/currantbridge/engine_orders.h
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <stdint.h>
 
+struct cb_relay_hop;
+
 /* How the engines of a deployment are told which layers to hold. */
 typedef struct cb_engine_orders cb_engine_orders_t;
 
@@ -33,8 +35,27 @@
 	gboolean is_busy; /* with an order */
 	uint32_t layer_from;
 	uint32_t layer_to;
+	/* Requests that wait for a server on their way, of cb_stall_t. */
+	const GArray *stalls;
 } cb_engine_report_t;
 
+typedef struct cb_stall {
+	char *request_id;
+	char *address; /* of the server that is waited for */
+} cb_stall_t;
+
+/* How the change of a request's way ended. */
+typedef enum cb_reroute_outcome {
+	CB_REROUTE_DONE,
+	CB_REROUTE_UNKNOWN_REQUEST,
+	CB_REROUTE_BAD_SERVER, /* one on the new way lacks its part, or room */
+	CB_REROUTE_LOST,
+} cb_reroute_outcome_t;
+
+/* `address` is the bad server's; NULL: not said. */
+typedef void (*cb_reroute_done_fn_t)(cb_reroute_outcome_t outcome,
+				     const char *address, void *user_data);
+
 typedef void (*cb_order_done_fn_t)(cb_order_outcome_t outcome, void *user_data);
 /* `report` is NULL when there was no answer. */
 typedef void (*cb_report_done_fn_t)(const cb_engine_report_t *report,
@@ -46,6 +67,12 @@
 		      cb_order_done_fn_t done, void *user_data);
 	void (*report)(cb_engine_orders_t *orders, const char *address,
 		       cb_report_done_fn_t done, void *user_data);
+	/* `hops`, of cb_relay_hop_t, begin as the present way does. */
+	void (*reroute)(cb_engine_orders_t *orders, const char *address,
+			const char *request_id, const GArray *hops,
+			cb_reroute_done_fn_t done, void *user_data);
+	/* Drops the call under way that `user_data` waits for, if any. */
+	void (*forget)(cb_engine_orders_t *orders, const void *user_data);
 } cb_engine_orders_vtable_t;
 
 /* The first member of each binding. */
--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -36,6 +36,8 @@
 	/* The layers that it holds, the end exclusive; equal: none. */
 	uint32_t layer_from;
 	uint32_t layer_to;
+	/* It was ordered to hold others; these take nothing new. */
+	gboolean is_moving;
 	int64_t heard_ms; /* this process's clock */
 	/* Not told yet: a change to entries, a heartbeat to control. */
 	gboolean is_changed;
@@ -70,6 +72,8 @@
 
 cb_fleet_outcome_t cb_fleet_hear(cb_fleet_t *fleet,
 				 const cb_fleet_server_t *said, int64_t now_ms);
+/* Notes that a server was ordered to hold other layers, or is not any more. */
+void cb_fleet_set_moving(cb_fleet_t *fleet, const char *id, gboolean is_moving);
 void cb_fleet_expire(cb_fleet_t *fleet, int64_t now_ms, int64_t silence_ms,
 		     int64_t forget_ms);
 
--- a/include/currantbridge/front.h
+++ b/include/currantbridge/front.h
@@ -4,6 +4,8 @@
 #include "currantbridge/control_client.h"
 #include "currantbridge/dialect.h"
 #include "currantbridge/document.h"
+#include "currantbridge/engine_orders.h"
+#include "currantbridge/http1_client.h"
 #include "currantbridge/fleet.h"
 #include "currantbridge/kernel.h"
 
@@ -20,6 +22,9 @@
 	const char *data_centre;
 	const cb_document_codec_t *codec;
 	const cb_dialect_t *dialect;
+	/* Neither is taken. */
+	cb_http1_client_t *client;
+	cb_engine_orders_t *orders;
 	/* The bound on second sends of all instances together. */
 	double retry_ratio;
 	double retry_extra;
--- a/include/currantbridge/kernel.h
+++ b/include/currantbridge/kernel.h
@@ -22,6 +22,8 @@
 	 * once, now or later, when none of its work is left.
 	 */
 	void (*drain)(cb_service_t *service);
+	/* Reads its settings again; may be NULL. */
+	void (*reload)(cb_service_t *service);
 	/* Frees the service.  Called in the reverse order of registration. */
 	void (*destroy)(cb_service_t *service);
 } cb_service_vtable_t;
--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -5,8 +5,10 @@
 
 /* A hop's own cost: passing a token on and waiting for the next pass. */
 #define HOP_MS 1.0
-/* What crossing to another data centre costs: its pipe is shared by all. */
+/* Crossing between engines: every token takes the pipe that all share. */
 #define CROSSING_MS 40.0
+/* The first engine in another data centre: only the request crosses. */
+#define FIRST_CROSSING_MS 2.0
 /* A server to be avoided is taken only where nobody else holds a layer. */
 #define AVOIDED_MS 10000.0
 /* Spreads requests over ways that are nearly as good. */
@@ -58,7 +60,7 @@
 	double cost = HOP_MS;
 
 	if (strcmp(from, servers[at].data_centre) != 0)
-		cost += CROSSING_MS;
+		cost += before < 0 ? FIRST_CROSSING_MS : CROSSING_MS;
 	if (servers[at].is_avoided)
 		cost += AVOIDED_MS;
 	return cost;
@@ -149,7 +151,11 @@
 
 	for (layer = 0; layer <= engine->layers; layer++)
 		steps[layer] = (step_t){ INFINITY, -1, 0 };
-	steps[0].cost = 0;
+	if (wish->first_to)
+		steps[wish->first_to] =
+			(step_t){ 0, (int)wish->first_server, 0 };
+	else
+		steps[0].cost = 0;
 	for (layer = 0; layer < engine->layers; layer++) {
 		if (isinf(steps[layer].cost))
 			continue;
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -4,7 +4,7 @@
 
 #include "private/pack.h"
 
-#define SERVER_FIELD_COUNT 13
+#define SERVER_FIELD_COUNT 14
 
 struct cb_fleet {
 	GHashTable *by_id;
@@ -102,7 +102,8 @@
 {
 	return a->state != b->state || a->born_wall_ms != b->born_wall_ms ||
 	       a->layer_from != b->layer_from || a->layer_to != b->layer_to ||
-	       a->slots != b->slots || (a->cold_ms > 0) != (b->cold_ms > 0) ||
+	       a->is_moving != b->is_moving || a->slots != b->slots ||
+	       (a->cold_ms > 0) != (b->cold_ms > 0) ||
 	       strcmp(a->address, b->address) != 0 ||
 	       strcmp(a->service, b->service) != 0 ||
 	       strcmp(a->data_centre, b->data_centre) != 0 ||
@@ -150,6 +151,19 @@
 	return said->state;
 }
 
+/*
+ * A server that was ordered to move says nothing of it: it counts as moving
+ * until its layers are others, or it has started anew.
+ */
+static gboolean is_moving_next_(const cb_fleet_server_t *known,
+				const cb_fleet_server_t *said)
+{
+	return (said->is_moving || known->is_moving) &&
+	       known->born_wall_ms == said->born_wall_ms &&
+	       known->layer_from == said->layer_from &&
+	       known->layer_to == said->layer_to;
+}
+
 /*
  * Takes what a server says of itself, or what another process heard of it,
  * last heard at `now_ms`.
@@ -169,6 +183,7 @@
 	next.heard_ms = now_ms;
 	if (known) {
 		next.state = state_next_(known, said);
+		next.is_moving = is_moving_next_(known, said);
 		is_changed = differs_(known, &next);
 		next.is_changed = known->is_changed;
 		/* The table's key is the ID that is there already. */
@@ -189,6 +204,17 @@
 	return CB_FLEET_CHANGED;
 }
 
+void cb_fleet_set_moving(cb_fleet_t *fleet, const char *id, gboolean is_moving)
+{
+	cb_fleet_server_t *known = g_hash_table_lookup(fleet->by_id, id);
+
+	if (!known || known->is_moving == is_moving)
+		return;
+	known->is_moving = is_moving;
+	known->is_heard = TRUE;
+	changed_(fleet, known);
+}
+
 /*
  * Marks servers silent that were not heard for `silence_ms`, and forgets
  * those not heard for `forget_ms`.
@@ -271,6 +297,7 @@
 	cb_pack_int(pack, server->cold_ms);
 	cb_pack_uint(pack, server->layer_from);
 	cb_pack_uint(pack, server->layer_to);
+	cb_pack_bool(pack, server->is_moving);
 	cb_pack_int(pack, MAX(now_ms - server->heard_ms, 0));
 }
 
@@ -334,10 +361,28 @@
 	server->cold_ms = cb_fields_int(&fields);
 	server->layer_from = (uint32_t)cb_fields_uint(&fields);
 	server->layer_to = (uint32_t)cb_fields_uint(&fields);
+	server->is_moving = cb_fields_bool(&fields);
 	age_ms = cb_fields_int(&fields);
 	return cb_fields_end(&fields) && age_ms >= 0 ? age_ms : -1;
 }
 
+/* Takes what another process found out about the same word of a server. */
+static void finding_take_(cb_fleet_t *fleet, cb_fleet_server_t *known,
+			  const cb_fleet_server_t *told)
+{
+	gboolean is_worse = told->state == CB_FLEET_GONE ||
+			    (told->state == CB_FLEET_SILENT &&
+			     known->state != CB_FLEET_GONE);
+
+	if ((!is_worse || known->state == told->state) &&
+	    known->is_moving == told->is_moving)
+		return;
+	if (is_worse)
+		known->state = told->state;
+	known->is_moving = told->is_moving;
+	changed_(fleet, known);
+}
+
 /*
  * Takes in a server that another process tells.  Silence is its own finding,
  * not the server's word, so it is no newer than what is known.
@@ -349,12 +394,8 @@
 
 	if (cb_fleet_hear(fleet, told, heard_ms) == CB_FLEET_STALE && known &&
 	    known->born_wall_ms == told->born_wall_ms &&
-	    known->sequence == told->sequence && known->state != told->state &&
-	    (told->state == CB_FLEET_GONE || (told->state == CB_FLEET_SILENT &&
-					      known->state != CB_FLEET_GONE))) {
-		known->state = told->state;
-		changed_(fleet, known);
-	}
+	    known->sequence == told->sequence)
+		finding_take_(fleet, known, told);
 	known = g_hash_table_lookup(fleet->by_id, told->id);
 	if (known)
 		known->is_heard = FALSE;
--- a/src/libcurrantbridge/backend/placement.c
+++ b/src/libcurrantbridge/backend/placement.c
@@ -9,9 +9,11 @@
  * from the most to the least: the first with which a data centre holds
  * REDUNDANT_COPIES is taken, else the first with which it holds one copy.
  */
-static const double room_tokens[] = { 64000, 48000, 32000, 20000, 9000, 4000 };
-/* A quarter more than one copy covers the loss of any one server in most. */
-#define REDUNDANT_COPIES 1.25
+static const double room_tokens[] = { 160000, 128000, 112000, 96000,
+				      80000,  64000,  48000,  32000,
+				      20000,  9000,   4000 };
+/* What is spare fills the gap that the loss of one server leaves. */
+#define REDUNDANT_COPIES 1.12
 
 /* What is known of one data centre, or of all of them. */
 typedef struct area {
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -146,6 +146,8 @@
 	} else if (now_ms - state->ordered_ms >= ORDER_TIMEOUT_MS) {
 		state->is_pending = FALSE;
 		state->knows_count = FALSE;
+		cb_fleet_set_moving(cb_node_fleet(state->placer->node),
+				    server->id, FALSE);
 	}
 }
 
@@ -218,6 +220,9 @@
 	state->is_pending = TRUE;
 	state->is_asked = TRUE;
 	state->ordered_ms = cb_clock_now_ms(placer->clock);
+	if (server->layer_from != server->layer_to)
+		cb_fleet_set_moving(cb_node_fleet(placer->node), server->id,
+				    TRUE);
 	cb_log_event(placer->log, CB_EVENT_LAYERS_ORDERED,
 		     CB_STR("server", state->start),
 		     CB_STR("address", server->address),
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -23,6 +23,7 @@
 	int64_t grace_ms;
 	cb_http1_server_t *server;
 	cb_http1_client_t *client;
+	cb_engine_orders_t *orders;
 	cb_fleet_t *fleet;
 	cb_server_book_t *book;
 	cb_retry_share_t *retries;
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -27,6 +27,8 @@
 	double tokens;
 	/* Servers that this request does not go to again: a set of IDs. */
 	GHashTable *tried;
+	/* The hop that the way is to begin with; NULL: any. */
+	const cb_relay_hop_t *first;
 } cb_book_wish_t;
 
 cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
@@ -46,6 +48,9 @@
 			double tokens);
 void cb_server_book_load(cb_server_book_t *book, const char *id,
 			 int64_t running, int64_t waiting);
+/* Notes the failure of the server at an address; FALSE: there is none. */
+gboolean cb_server_book_failed_at(cb_server_book_t *book, const char *address,
+				  GHashTable *tried);
 void cb_server_book_failed(cb_server_book_t *book, const char *id);
 void cb_server_book_succeeded(cb_server_book_t *book, const GArray *hops);
 
--- a/src/libcurrantbridge/kernel/kernel.c
+++ b/src/libcurrantbridge/kernel/kernel.c
@@ -210,23 +210,43 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static GSource *signal_watch_(cb_kernel_t *kernel, int signal_number)
+/* Has every service that can read its settings again. */
+static gboolean reload_received_(void *user_data)
+{
+	cb_kernel_t *kernel = user_data;
+	unsigned int i;
+
+	cb_log_event(kernel->log, CB_EVENT_PROCESS_RELOADING);
+	for (i = 0; i < kernel->registrations->len; i++) {
+		registration_t *registration =
+			g_ptr_array_index(kernel->registrations, i);
+
+		if (registration->service->vtable->reload)
+			registration->service->vtable->reload(
+				registration->service);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+static GSource *signal_watch_(cb_kernel_t *kernel, int signal_number,
+			      GSourceFunc received)
 {
 	GSource *source = g_unix_signal_source_new(signal_number);
 
-	g_source_set_callback(source, signal_received_, kernel, NULL);
+	g_source_set_callback(source, received, kernel, NULL);
 	g_source_attach(source, kernel->context);
 	return source;
 }
 
 /*
  * Starts the services and runs the loop until SIGTERM or SIGINT has been
- * followed by a whole graceful stop.  Returns the process's exit code.
+ * followed by a whole graceful stop.  SIGHUP has the settings read again.  Returns the process's exit code.
  */
 int cb_kernel_run(cb_kernel_t *kernel)
 {
-	GSource *terminate = signal_watch_(kernel, SIGTERM);
-	GSource *interrupt = signal_watch_(kernel, SIGINT);
+	GSource *terminate = signal_watch_(kernel, SIGTERM, signal_received_);
+	GSource *interrupt = signal_watch_(kernel, SIGINT, signal_received_);
+	GSource *hang_up = signal_watch_(kernel, SIGHUP, reload_received_);
 	GError *error = NULL;
 	int exit_code = EXIT_SUCCESS;
 
@@ -244,7 +264,9 @@
 out:
 	g_source_destroy(terminate);
 	g_source_destroy(interrupt);
+	g_source_destroy(hang_up);
 	g_source_unref(terminate);
 	g_source_unref(interrupt);
+	g_source_unref(hang_up);
 	return exit_code;
 }
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -120,7 +120,6 @@
 	g_hash_table_unref(front->relays);
 	cb_timer_delete(front->drain_timer);
 	cb_http1_server_delete(front->server);
-	cb_http1_client_delete(front->client);
 	cb_server_book_delete(front->book);
 	cb_fleet_delete(front->fleet);
 	cb_retry_share_delete(front->retries);
@@ -162,8 +161,8 @@
 	front->server =
 		cb_http1_server_new(cb_kernel_context(kernel), front->clock,
 				    front->counters, request_, front);
-	front->client = cb_http1_client_new(cb_kernel_context(kernel),
-					    front->clock, front->counters);
+	front->client = options->client;
+	front->orders = options->orders;
 	front->random = g_rand_new();
 	front->fleet = cb_fleet_new();
 	cb_fleet_watch(front->fleet, fleet_changed_, front);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -13,9 +13,16 @@
 #define IDLE_MAX_MS 4000
 /* Sends beyond the route's attempts, for those that surely did not run. */
 #define UNRUN_SENDS_MAX 4
-/* A stream counts as silent after so many of the longest pauses it may make. */
+/*
+ * A stream counts as silent after so many of the longest pauses it may make,
+ * or one pause after its first event was due.
+ */
 #define SILENT_GAPS 3
 #define SILENT_DEFAULT_MS 1500
+/* How long a server may take to say why a stream is silent. */
+#define ASK_TIMEOUT_MS 300
+/* Ways that a stream is sent before it is begun anew elsewhere. */
+#define REROUTES_MAX 4
 /* Nothing is sent with less than this left: no answer could come in time. */
 #define LEFT_MIN_MS 5
 /* When callers refused for these reasons are asked to come back. */
@@ -41,7 +48,9 @@
 	double tokens;
 	GHashTable *tried;
 	unsigned int sends;
-	unsigned int runs; /* attempts that ran, or may have */
+	unsigned int reroutes;
+	gboolean is_asking; /* a server about the stream's silence */
+	unsigned int runs;  /* attempts that ran, or may have */
 	uint32_t status;
 	gboolean is_events;
 	gboolean has_not_run;
@@ -82,6 +91,10 @@
 static void attempt_drop_(relay_t *relay)
 {
 	cb_timer_stop(relay->silence_timer);
+	if (relay->is_asking)
+		relay->front->orders->vtable->forget(relay->front->orders,
+						     relay);
+	relay->is_asking = FALSE;
 	if (relay->call)
 		cb_http1_call_cancel(g_steal_pointer(&relay->call));
 	if (relay->hops->len) {
@@ -191,22 +204,29 @@
 
 static void deadline_fired_(void *user_data)
 {
-	give_up_(user_data, "deadline", RETRY_NO_ROOM_MS);
+	relay_t *relay = user_data;
+
+	/* What is under way may have run. */
+	if (relay->call)
+		relay->runs++;
+	give_up_(relay, "deadline", RETRY_NO_ROOM_MS);
 }
 
 /* How long a stream may be silent before it is looked for elsewhere. */
 static int64_t silence_ms_(const relay_t *relay)
 {
-	int64_t gap_ms = relay->route->gap_ms * SILENT_GAPS;
+	const cb_route_t *route = relay->route;
 
-	if (!gap_ms)
+	if (!route->gap_ms)
 		return SILENT_DEFAULT_MS;
-	return relay->last_event >= 0 ? gap_ms :
-					gap_ms + relay->route->target_ms;
+	return relay->is_begun ? SILENT_GAPS * route->gap_ms :
+				 route->target_ms + route->gap_ms;
 }
 
 static void silence_watch_(relay_t *relay)
 {
+	if (relay->is_asking)
+		return;
 	if (relay->route->kind == CB_ROUTE_STREAM && is_repeatable_(relay))
 		cb_timer_start(relay->silence_timer, silence_ms_(relay));
 }
@@ -274,9 +294,126 @@
 	attempt_start_(relay);
 }
 
+static void reroute_(relay_t *relay);
+
+/* The stream goes on another way, from the same first server. */
+static void rerouted_(cb_reroute_outcome_t outcome, const char *address,
+		      void *user_data)
+{
+	relay_t *relay = user_data;
+	cb_front_t *front = relay->front;
+
+	relay->is_asking = FALSE;
+	if (outcome == CB_REROUTE_BAD_SERVER && address &&
+	    cb_server_book_failed_at(front->book, address, relay->tried) &&
+	    relay->reroutes < REROUTES_MAX) {
+		reroute_(relay);
+		return;
+	}
+	if (outcome != CB_REROUTE_DONE) {
+		attempt_failed_(relay, "silent", TRUE, address);
+		return;
+	}
+	cb_log_event(front->log, CB_EVENT_RELAY_REROUTED,
+		     CB_STR("request", relay->ask.id),
+		     CB_INT("last_event", relay->last_event));
+	silence_watch_(relay);
+}
+
+/* Asks the first server to send the stream another way. */
+static void reroute_(relay_t *relay)
+{
+	cb_front_t *front = relay->front;
+	GArray *hops = cb_relay_hops_new();
+	const cb_book_wish_t wish = {
+		.service = relay->service,
+		.tokens = relay->tokens,
+		.tried = relay->tried,
+		.first = &g_array_index(relay->hops, cb_relay_hop_t, 0),
+	};
+	cb_book_outcome_t outcome;
+
+	relay->reroutes++;
+	cb_server_book_end(front->book, relay->hops, relay->tokens);
+	outcome = cb_server_book_choose(front->book, &wish, hops);
+	if (outcome != CB_BOOK_FOUND) {
+		cb_server_book_begin(front->book, relay->hops, relay->tokens);
+		g_array_unref(hops);
+		attempt_failed_(relay, "silent", TRUE, NULL);
+		return;
+	}
+	g_array_unref(relay->hops);
+	relay->hops = hops;
+	cb_server_book_begin(front->book, relay->hops, relay->tokens);
+	relay->is_asking = TRUE;
+	cb_timer_start(relay->silence_timer, ASK_TIMEOUT_MS);
+	front->orders->vtable->reroute(
+		front->orders, g_array_index(hops, cb_relay_hop_t, 0).address,
+		relay->ask.id, hops, rerouted_, relay);
+}
+
+/* Finds the server that the stream waits for, as the first one reports. */
+static const char *stall_find_(const relay_t *relay,
+			       const cb_engine_report_t *report)
+{
+	unsigned int i;
+
+	for (i = 0; report->stalls && i < report->stalls->len; i++) {
+		const cb_stall_t *stall =
+			&g_array_index(report->stalls, cb_stall_t, i);
+
+		if (!g_strcmp0(stall->request_id, relay->ask.id))
+			return stall->address;
+	}
+	return NULL;
+}
+
+static void reported_(const cb_engine_report_t *report, void *user_data)
+{
+	relay_t *relay = user_data;
+	const char *address = report ? stall_find_(relay, report) : NULL;
+	const cb_relay_hop_t *first =
+		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+
+	relay->is_asking = FALSE;
+	if (!report) {
+		attempt_failed_(relay, "silent", TRUE, NULL);
+		return;
+	}
+	if (!address) {
+		/* It is only slow: another server would have it from the start. */
+		silence_watch_(relay);
+		return;
+	}
+	cb_log_event(relay->front->log, CB_EVENT_RELAY_STALLED,
+		     CB_STR("request", relay->ask.id),
+		     CB_STR("address", address),
+		     CB_INT("last_event", relay->last_event));
+	if (!strcmp(address, first->address) ||
+	    !cb_server_book_failed_at(relay->front->book, address,
+				      relay->tried)) {
+		attempt_failed_(relay, "silent", TRUE, address);
+		return;
+	}
+	reroute_(relay);
+}
+
+/* A stream is silent: the first server on its way is asked why. */
 static void silence_fired_(void *user_data)
 {
-	attempt_failed_(user_data, "silent", TRUE, NULL);
+	relay_t *relay = user_data;
+	cb_front_t *front = relay->front;
+
+	if (relay->is_asking || !relay->service->engine) {
+		attempt_failed_(relay, "silent", TRUE, NULL);
+		return;
+	}
+	relay->is_asking = TRUE;
+	cb_timer_start(relay->silence_timer, ASK_TIMEOUT_MS);
+	front->orders->vtable->report(
+		front->orders,
+		g_array_index(relay->hops, cb_relay_hop_t, 0).address,
+		reported_, relay);
 }
 
 /* Keeps the headers that the caller gets. */
@@ -508,8 +645,9 @@
 static void attempt_start_(relay_t *relay)
 {
 	cb_front_t *front = relay->front;
-	const cb_book_wish_t wish = { relay->service, relay->tokens,
-				      relay->tried };
+	const cb_book_wish_t wish = { .service = relay->service,
+				      .tokens = relay->tokens,
+				      .tried = relay->tried };
 
 	cb_book_outcome_t outcome =
 		cb_server_book_choose(front->book, &wish, relay->hops);
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -204,7 +204,7 @@
 				    .from = server->layer_from,
 				    .to = server->layer_to };
 
-	if (!kind || !layers) {
+	if (!kind || !layers || server->is_moving) {
 		input.to = input.from;
 		return input;
 	}
@@ -217,11 +217,30 @@
 	return input;
 }
 
+/* Sets the part that the way is to begin with; FALSE if it can't. */
+static gboolean first_find_(const GPtrArray *usable,
+			    const cb_relay_hop_t *first, cb_chain_wish_t *wish)
+{
+	unsigned int i;
+
+	for (i = 0; first && i < usable->len; i++) {
+		const cb_fleet_server_t *server = usable->pdata[i];
+
+		if (strcmp(server->id, first->id) != 0)
+			continue;
+		wish->first_server = i;
+		wish->first_to = first->to;
+		return TRUE;
+	}
+	return !first;
+}
+
 static cb_book_outcome_t chain_choose_(cb_server_book_t *book,
 				       const cb_book_wish_t *wish, GArray *hops)
 {
 	const cb_engine_profile_t *engine = wish->service->engine;
-	cb_chain_wish_t chain_wish = { book->data_centre, wish->tokens };
+	cb_chain_wish_t chain_wish = { .data_centre = book->data_centre,
+				       .tokens = wish->tokens };
 	GArray *parts = g_array_new(FALSE, FALSE, sizeof(cb_chain_part_t));
 	GPtrArray *usable = usable_(book, wish);
 	cb_chain_server_t *inputs = g_new0(cb_chain_server_t, usable->len + 1);
@@ -231,8 +250,11 @@
 
 	for (i = 0; i < usable->len; i++)
 		inputs[i] = engine_(book, engine, usable->pdata[i], sharers);
-	outcome = cb_chain_choose(engine, inputs, usable->len, &chain_wish,
-				  book->random, parts);
+	if (!first_find_(usable, wish->first, &chain_wish))
+		outcome = CB_CHAIN_NO_HOLDER;
+	else
+		outcome = cb_chain_choose(engine, inputs, usable->len,
+					  &chain_wish, book->random, parts);
 	for (i = 0; i < parts->len; i++) {
 		const cb_chain_part_t *part =
 			&g_array_index(parts, cb_chain_part_t, i);
@@ -311,6 +333,26 @@
 		cb_clock_now_ms(book->clock) + MIN(avoid_ms, AVOID_LONGEST_MS);
 }
 
+gboolean cb_server_book_failed_at(cb_server_book_t *book, const char *address,
+				  GHashTable *tried)
+{
+	const GPtrArray *all = cb_fleet_servers(book->fleet);
+	gboolean is_found = FALSE;
+	unsigned int i;
+
+	for (i = 0; i < all->len; i++) {
+		const cb_fleet_server_t *server = all->pdata[i];
+
+		if (server->state == CB_FLEET_GONE ||
+		    strcmp(server->address, address) != 0)
+			continue;
+		cb_server_book_failed(book, server->id);
+		g_hash_table_add(tried, g_strdup(server->id));
+		is_found = TRUE;
+	}
+	return is_found;
+}
+
 /* Notes that servers have served a request. */
 void cb_server_book_succeeded(cb_server_book_t *book, const GArray *hops)
 {
