--- a/include/currantbridge/chain.h
+++ b/include/currantbridge/chain.h
@@ -15,10 +15,11 @@
 	const char *data_centre;
 	uint32_t from;
 	uint32_t to;
-	double pace;	     /* how many times longer a step takes here */
-	double free_tokens;  /* room for tokens at all of its layers */
-	double running;	     /* requests that pass through it, as estimated */
-	gboolean is_avoided; /* only when there is no other way */
+	double pace;	      /* how many times longer a step takes here */
+	double free_tokens;   /* room for tokens at all of its layers */
+	double running;	      /* requests that pass through it, as estimated */
+	gboolean is_doubtful; /* control does not hear it any more */
+	gboolean is_avoided;  /* it failed lately and takes nothing now */
 } cb_chain_server_t;
 
 typedef struct cb_chain_part {
--- a/include/currantbridge/control_client.h
+++ b/include/currantbridge/control_client.h
@@ -78,6 +78,10 @@
 typedef void (*cb_control_fleet_fn_t)(GBytes *fleet, void *user_data);
 void cb_control_client_on_fleet(cb_control_client_t *client,
 				cb_control_fleet_fn_t fn, void *user_data);
+/* What entry instances have under way, as cb_usage_decode() takes it. */
+void cb_control_client_on_usage(cb_control_client_t *client,
+				cb_control_fleet_fn_t fn, void *user_data);
+void cb_control_client_tell_usage(cb_control_client_t *client, GBytes *usage);
 /* Tells control that this instance leaves: no address answer names it. */
 void cb_control_client_leave(cb_control_client_t *client);
 
--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -9,8 +9,8 @@
 #define CROSSING_MS 40.0
 /* The first engine in another data centre: only the request crosses. */
 #define FIRST_CROSSING_MS 2.0
-/* A server to be avoided is taken only where nobody else holds a layer. */
-#define AVOIDED_MS 10000.0
+/* A doubtful server is taken rather than two crossings, and not else. */
+#define DOUBTFUL_MS 60.0
 /* Spreads requests over ways that are nearly as good. */
 #define SPREAD 0.25
 /* A server whose room is nearly full costs up to this many times more. */
@@ -61,8 +61,8 @@
 
 	if (strcmp(from, servers[at].data_centre) != 0)
 		cost += before < 0 ? FIRST_CROSSING_MS : CROSSING_MS;
-	if (servers[at].is_avoided)
-		cost += AVOIDED_MS;
+	if (servers[at].is_doubtful)
+		cost += DOUBTFUL_MS;
 	return cost;
 }
 
@@ -117,7 +117,7 @@
 static gboolean has_room_(const cb_chain_server_t *server,
 			  const cb_chain_wish_t *wish)
 {
-	return server->free_tokens >= wish->tokens;
+	return !server->is_avoided && server->free_tokens >= wish->tokens;
 }
 
 /* Whether every layer has a holder, with or without room. */
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -170,6 +170,21 @@
 	state->not_before_ms = 0;
 }
 
+/* The server gives its present layers up: they take nothing new. */
+static void moving_note_(const order_state_t *state)
+{
+	cb_fleet_t *fleet = cb_node_fleet(state->placer->node);
+	char *id = g_strndup(state->start, (size_t)(strrchr(state->start, '/') -
+						    state->start));
+	const cb_fleet_server_t *server = cb_fleet_find(fleet, id);
+
+	if (server && server->layer_from != server->layer_to &&
+	    (server->layer_from != state->from ||
+	     server->layer_to != state->to))
+		cb_fleet_set_moving(fleet, id, TRUE);
+	g_free(id);
+}
+
 static void placed_(cb_order_outcome_t outcome, void *user_data)
 {
 	order_state_t *state = user_data;
@@ -185,13 +200,19 @@
 		     CB_STR("outcome", cb_order_outcome_string[outcome]));
 	if (outcome == CB_ORDER_ACCEPTED) {
 		state->accepted_orders++;
+		moving_note_(state);
 		return;
 	}
+	state->is_pending = FALSE;
+	/*
+	 * A lost order is given again at once: the count that it expects lets
+	 * only one of the two be carried out, whichever comes first.
+	 */
+	if (outcome == CB_ORDER_LOST)
+		return;
 	state->not_before_ms =
 		cb_clock_now_ms(placer->clock) + REFUSED_RETRY_MS;
 	state->knows_count = FALSE;
-	/* A lost one may still be carried out; its layers are waited for. */
-	state->is_pending = outcome == CB_ORDER_LOST;
 }
 
 /* Asks a server how many orders it has accepted. */
@@ -220,9 +241,6 @@
 	state->is_pending = TRUE;
 	state->is_asked = TRUE;
 	state->ordered_ms = cb_clock_now_ms(placer->clock);
-	if (server->layer_from != server->layer_to)
-		cb_fleet_set_moving(cb_node_fleet(placer->node), server->id,
-				    TRUE);
 	cb_log_event(placer->log, CB_EVENT_LAYERS_ORDERED,
 		     CB_STR("server", state->start),
 		     CB_STR("address", server->address),
--- /dev/null
+++ b/src/libcurrantbridge/backend/usage.c
@@ -0,0 +1,121 @@
+#include "private/usage.h"
+
+#include "private/pack.h"
+
+#define ENTRY_FIELD_COUNT 3
+
+/* Makes an empty usage. */
+cb_usage_t *cb_usage_new(void)
+{
+	cb_usage_t *usage = g_new0(cb_usage_t, 1);
+
+	usage->by_server =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return usage;
+}
+
+/* Frees a usage; NULL is allowed. */
+void cb_usage_delete(void *usage)
+{
+	cb_usage_t *self = usage;
+
+	if (!self)
+		return;
+	g_hash_table_unref(self->by_server);
+	g_free(self);
+}
+
+/* Adds to what is under way at a server. */
+void cb_usage_add(cb_usage_t *usage, const char *server_id,
+		  const cb_usage_entry_t *entry)
+{
+	cb_usage_entry_t *present =
+		g_hash_table_lookup(usage->by_server, server_id);
+
+	if (!present) {
+		present = g_new0(cb_usage_entry_t, 1);
+		g_hash_table_insert(usage->by_server, g_strdup(server_id),
+				    present);
+	}
+	present->running += entry->running;
+	present->token_layers += entry->token_layers;
+}
+
+/* Adds all of another usage. */
+void cb_usage_add_all(cb_usage_t *usage, const cb_usage_t *other)
+{
+	GHashTableIter iter;
+	void *server_id;
+	void *entry;
+
+	g_hash_table_iter_init(&iter, other->by_server);
+	while (g_hash_table_iter_next(&iter, &server_id, &entry))
+		cb_usage_add(usage, server_id, entry);
+}
+
+/* Returns what is under way at a server; nothing if it is not named. */
+cb_usage_entry_t cb_usage_find(const cb_usage_t *usage, const char *server_id)
+{
+	const cb_usage_entry_t *entry =
+		g_hash_table_lookup(usage->by_server, server_id);
+
+	return entry ? *entry : (cb_usage_entry_t){ 0 };
+}
+
+/* Encodes a usage; the caller unrefs the bytes. */
+GBytes *cb_usage_encode(const cb_usage_t *usage)
+{
+	GHashTableIter iter;
+	void *server_id;
+	cb_pack_t pack;
+	void *value;
+
+	cb_pack_init(&pack);
+	cb_pack_array(&pack, g_hash_table_size(usage->by_server));
+	g_hash_table_iter_init(&iter, usage->by_server);
+	while (g_hash_table_iter_next(&iter, &server_id, &value)) {
+		const cb_usage_entry_t *entry = value;
+
+		cb_pack_array(&pack, ENTRY_FIELD_COUNT);
+		cb_pack_string(&pack, server_id);
+		cb_pack_uint(&pack, entry->running);
+		cb_pack_uint(&pack, (uint64_t)MAX(entry->token_layers, 0));
+	}
+	return cb_pack_finish(&pack);
+}
+
+static gboolean entry_read_(cb_usage_t *usage, const msgpack_object *object)
+{
+	cb_usage_entry_t entry = { 0 };
+	cb_fields_t fields;
+	char *server_id;
+
+	cb_fields_open(&fields, object);
+	server_id = cb_fields_text(&fields);
+	entry.running = (uint32_t)cb_fields_uint(&fields);
+	entry.token_layers = (double)cb_fields_uint(&fields);
+	if (cb_fields_end(&fields))
+		cb_usage_add(usage, server_id, &entry);
+	g_free(server_id);
+	return cb_fields_end(&fields);
+}
+
+/* Decodes a usage. */
+cb_usage_t *cb_usage_decode(GBytes *bytes)
+{
+	cb_usage_t *usage;
+	cb_unpack_t unpack;
+	cb_fields_t fields;
+
+	if (!cb_unpack_init(&unpack, bytes))
+		return NULL;
+	usage = cb_usage_new();
+	cb_fields_open(&fields, &unpack.unpacked.data);
+	while (fields.left && !fields.is_bad)
+		if (!entry_read_(usage, cb_fields_object(&fields)))
+			fields.is_bad = TRUE;
+	if (fields.is_bad)
+		g_clear_pointer(&usage, cb_usage_delete);
+	cb_unpack_clear(&unpack);
+	return usage;
+}
--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -141,6 +141,10 @@
 		if (message->body && client->fleet_fn)
 			client->fleet_fn(message->body, client->fleet_data);
 		return;
+	case CB_LINK_MESSAGE_USAGE:
+		if (message->body && client->usage_fn)
+			client->usage_fn(message->body, client->usage_data);
+		return;
 	default:
 		cb_link_goodbye(client->link, CB_CLOSE_MALFORMED);
 		return;
@@ -305,6 +309,24 @@
 	client->fleet_data = user_data;
 }
 
+/* Has `fn` called with the sum of what entry instances have under way. */
+void cb_control_client_on_usage(cb_control_client_t *client,
+				cb_control_fleet_fn_t fn, void *user_data)
+{
+	client->usage_fn = fn;
+	client->usage_data = user_data;
+}
+
+/* Tells what this instance has under way, if there is a session. */
+void cb_control_client_tell_usage(cb_control_client_t *client, GBytes *usage)
+{
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_USAGE,
+				      .body = usage };
+
+	if (client->link && client->is_session_confirmed)
+		cb_link_send(client->link, &message);
+}
+
 /* Sends a demand report if there is a session that control has confirmed. */
 void cb_control_client_report_demand(cb_control_client_t *client,
 				     GBytes *report)
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -229,6 +229,8 @@
 	cb_timer_start(node->tick_timer, node->heartbeat_ms);
 	if (node->server_silence_ms)
 		cb_timer_start(node->fleet_timer, 0);
+	if (node->server_silence_ms)
+		cb_timer_start(node->usage_timer, 0);
 	return TRUE;
 }
 
@@ -280,6 +282,7 @@
 	cb_timer_delete(node->confirm_timer);
 	cb_timer_delete(node->drain_timer);
 	cb_timer_delete(node->fleet_timer);
+	cb_timer_delete(node->usage_timer);
 }
 
 static void node_destroy_(cb_service_t *service)
@@ -306,6 +309,7 @@
 		node->network->vtable->destroy(node->network);
 	cb_lease_book_delete(node->lease_book);
 	cb_fleet_delete(node->fleet);
+	g_hash_table_unref(node->peer_usages);
 	g_strfreev(node->join_addresses);
 	g_rand_free(node->random);
 	g_free(node->name);
@@ -323,11 +327,12 @@
 static void peer_received_(void *user_data, const char *peer,
 			   const cb_link_message_t *message)
 {
-	(void)peer;
 	if (message->kind == CB_LINK_MESSAGE_GRANT)
 		cb_node_grant_receive(user_data, message);
 	else if (message->kind == CB_LINK_MESSAGE_FLEET)
 		cb_node_fleet_receive(user_data, message);
+	else if (message->kind == CB_LINK_MESSAGE_USAGE)
+		cb_node_usage_receive(user_data, peer, message);
 	else
 		cb_node_request_receive(user_data, message);
 }
@@ -464,6 +469,7 @@
 	node->join_addresses = g_strdupv((char **)options->join_addresses);
 	timers_make_(node);
 	cb_node_fleet_init(node, options->server_silence_ms);
+	cb_node_usage_init(node);
 	counters_make_(node);
 	peers_make_(node);
 	replica_make_(node, options);
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -6,11 +6,16 @@
 #define CHANGE_DELAY_MS 5
 /* How often the silence of servers is looked at. */
 #define EXPIRE_INTERVAL_MS 500
+/*
+ * While a control instance is not linked, servers may announce themselves
+ * there: silence counts only once it has lasted this many times as long.
+ */
+#define APART_SILENCES 4
 /* A server that left stays known for so long, against late heartbeats. */
 #define FORGET_MS 60000
 
 /* Sends a message to every other control instance. */
-static void peers_tell_(cb_node_t *node, const cb_link_message_t *message)
+void cb_node_peers_tell(cb_node_t *node, const cb_link_message_t *message)
 {
 	const GPtrArray *members = cb_replica_members(node->replica);
 	unsigned int i;
@@ -23,7 +28,8 @@
 	}
 }
 
-static void sessions_tell_(cb_node_t *node, const cb_link_message_t *message)
+/* Sends a message to every entry instance with a confirmed session. */
+void cb_node_sessions_tell(cb_node_t *node, const cb_link_message_t *message)
 {
 	GHashTableIter iter;
 	void *value;
@@ -59,28 +65,57 @@
 
 	message.body = cb_fleet_encode(node->fleet, CB_FLEET_ALL_HEARD, now_ms);
 	if (message.body) {
-		peers_tell_(node, &message);
+		cb_node_peers_tell(node, &message);
 		g_bytes_unref(message.body);
 	}
 	message.body =
 		cb_fleet_encode(node->fleet, CB_FLEET_ALL_CHANGED, now_ms);
 	if (message.body) {
-		sessions_tell_(node, &message);
+		cb_node_sessions_tell(node, &message);
 		g_bytes_unref(message.body);
 	}
 }
 
+/* Whether every other control instance is linked to this one. */
+static gboolean is_whole_(const cb_node_t *node)
+{
+	const GPtrArray *members = cb_replica_members(node->replica);
+	unsigned int i;
+
+	for (i = 0; i < members->len; i++) {
+		const cb_replica_member_t *member = members->pdata[i];
+
+		if (!g_str_equal(member->name, node->name) &&
+		    !cb_peers_is_ready(node->peers, member->name))
+			return FALSE;
+	}
+	return members->len > 0;
+}
+
+/* Finds the servers that have fallen silent. */
+static void expire_(cb_node_t *node, int64_t now_ms)
+{
+	int64_t silence_ms = node->server_silence_ms;
+	gboolean was_stalled =
+		now_ms - node->fleet_expired_ms > 3 * EXPIRE_INTERVAL_MS;
+
+	/* One that did not run heard nobody, which says nothing of them. */
+	if (!is_whole_(node) || was_stalled)
+		node->whole_since_ms = now_ms;
+	node->fleet_expired_ms = now_ms;
+	if (now_ms - node->whole_since_ms < silence_ms)
+		silence_ms *= APART_SILENCES;
+	cb_fleet_expire(node->fleet, now_ms, silence_ms, FORGET_MS);
+}
+
 static void fleet_timer_fired_(void *user_data)
 {
 	cb_node_t *node = user_data;
 	int64_t now_ms = cb_clock_now_ms(node->clock);
 
 	node->is_fleet_changed = FALSE;
-	if (now_ms - node->fleet_expired_ms >= EXPIRE_INTERVAL_MS) {
-		node->fleet_expired_ms = now_ms;
-		cb_fleet_expire(node->fleet, now_ms, node->server_silence_ms,
-				FORGET_MS);
-	}
+	if (now_ms - node->fleet_expired_ms >= EXPIRE_INTERVAL_MS)
+		expire_(node, now_ms);
 	share_(node);
 	cb_timer_start(node->fleet_timer, SHARE_INTERVAL_MS);
 }
--- a/src/libcurrantbridge/control/node_inbound.c
+++ b/src/libcurrantbridge/control/node_inbound.c
@@ -57,6 +57,8 @@
 		cb_node_demand_serve(inbound, message);
 	else if (message->kind == CB_LINK_MESSAGE_FLEET)
 		cb_node_fleet_receive(node, message);
+	else if (message->kind == CB_LINK_MESSAGE_USAGE)
+		cb_node_usage_receive(node, name, message);
 	else if (message->kind == CB_LINK_MESSAGE_JOIN)
 		cb_node_join_serve(inbound, message);
 	else if (message->kind != CB_LINK_MESSAGE_REPLICA)
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -9,6 +9,7 @@
 	if (!session)
 		return;
 	cb_hello_clear(&session->hello);
+	cb_usage_delete(session->usage);
 	g_free(session);
 }
 
@@ -243,6 +244,9 @@
 	case CB_LINK_MESSAGE_DEMAND:
 		cb_node_demand_receive(inbound, message);
 		return;
+	case CB_LINK_MESSAGE_USAGE:
+		cb_node_usage_report(inbound, message);
+		return;
 	case CB_LINK_MESSAGE_LEAVING:
 		inbound->session->is_leaving = TRUE;
 		return;
--- /dev/null
+++ b/src/libcurrantbridge/control/node_usage.c
@@ -0,0 +1,118 @@
+#include "private/node.h"
+
+/* How often sums are told; entry instances tell theirs as often. */
+#define SHARE_INTERVAL_MS 200
+/* What another control instance told counts for so long. */
+#define PEER_KEEP_MS 1000
+
+/* What the sessions of one other control instance have under way. */
+typedef struct peer_usage {
+	cb_usage_t *usage;
+	int64_t told_ms;
+} peer_usage_t;
+
+static void peer_usage_delete_(void *data)
+{
+	peer_usage_t *peer = data;
+
+	cb_usage_delete(peer->usage);
+	g_free(peer);
+}
+
+/* Adds up the sessions of this instance. */
+static cb_usage_t *own_sum_(cb_node_t *node)
+{
+	cb_usage_t *sum = cb_usage_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->inbounds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cb_session_t *session = ((cb_inbound_t *)value)->session;
+
+		if (session && session->usage)
+			cb_usage_add_all(sum, session->usage);
+	}
+	return sum;
+}
+
+/* Adds what the other control instances told, and forgets what is old. */
+static void peers_add_(cb_node_t *node, cb_usage_t *sum)
+{
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->peer_usages);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_usage_t *peer = value;
+
+		if (now_ms - peer->told_ms > PEER_KEEP_MS)
+			g_hash_table_iter_remove(&iter);
+		else
+			cb_usage_add_all(sum, peer->usage);
+	}
+}
+
+static void tell_(cb_node_t *node, const cb_usage_t *usage,
+		  void (*tell)(cb_node_t *, const cb_link_message_t *))
+{
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_USAGE,
+				      .body = cb_usage_encode(usage) };
+
+	tell(node, &message);
+	g_bytes_unref(message.body);
+}
+
+static void usage_timer_fired_(void *user_data)
+{
+	cb_node_t *node = user_data;
+	cb_usage_t *sum = own_sum_(node);
+
+	cb_timer_start(node->usage_timer, SHARE_INTERVAL_MS);
+	tell_(node, sum, cb_node_peers_tell);
+	peers_add_(node, sum);
+	tell_(node, sum, cb_node_sessions_tell);
+	cb_usage_delete(sum);
+}
+
+/* Makes what sums up the usage of all entry instances. */
+void cb_node_usage_init(cb_node_t *node)
+{
+	node->peer_usages = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, peer_usage_delete_);
+	node->usage_timer = cb_timer_new(node->clock, usage_timer_fired_, node);
+}
+
+/* Takes the sum of another control instance's sessions. */
+void cb_node_usage_receive(cb_node_t *node, const char *control,
+			   const cb_link_message_t *message)
+{
+	cb_usage_t *usage = message->body ? cb_usage_decode(message->body) :
+					    NULL;
+	peer_usage_t *peer;
+
+	if (!usage) {
+		cb_log_event(node->log, CB_EVENT_FLEET_MALFORMED);
+		return;
+	}
+	peer = g_new0(peer_usage_t, 1);
+	peer->usage = usage;
+	peer->told_ms = cb_clock_now_ms(node->clock);
+	g_hash_table_replace(node->peer_usages, g_strdup(control), peer);
+}
+
+/* Takes what an entry instance has under way. */
+void cb_node_usage_report(cb_inbound_t *inbound,
+			  const cb_link_message_t *message)
+{
+	cb_usage_t *usage = message->body ? cb_usage_decode(message->body) :
+					    NULL;
+
+	if (!usage) {
+		cb_link_goodbye(inbound->link, CB_CLOSE_MALFORMED);
+		return;
+	}
+	cb_usage_delete(inbound->session->usage);
+	inbound->session->usage = usage;
+}
--- a/src/libcurrantbridge/control/peers.c
+++ b/src/libcurrantbridge/control/peers.c
@@ -151,6 +151,14 @@
 	return TRUE;
 }
 
+/* Tells whether there is a ready link to a control instance. */
+gboolean cb_peers_is_ready(const cb_peers_t *peers, const char *name)
+{
+	const peer_t *peer = g_hash_table_lookup(peers->by_name, name);
+
+	return peer && peer->link && cb_link_is_ready(peer->link);
+}
+
 /* Closes every link with a reason and opens none again. */
 void cb_peers_goodbye(cb_peers_t *peers, cb_close_reason_t reason)
 {
--- a/src/libcurrantbridge/include/private/control_client.h
+++ b/src/libcurrantbridge/include/private/control_client.h
@@ -48,6 +48,8 @@
 	int64_t current_ms; /* when control was last known to be current */
 	uint64_t next_id;
 	GHashTable *submits; /* by id */
+	cb_control_fleet_fn_t usage_fn;
+	void *usage_data;
 	cb_control_fleet_fn_t fleet_fn;
 	void *fleet_data;
 	cb_control_grant_fn_t grant_fn;
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -31,6 +31,8 @@
 	cb_document_t *document;
 	uint64_t document_revision;
 	GHashTable *relays; /* those under way */
+	cb_timer_t *usage_timer;
+	gboolean is_usage_empty;
 	cb_timer_t *drain_timer;
 	int64_t drain_since_ms; /* 0: not draining */
 };
--- a/src/libcurrantbridge/include/private/link_message.h
+++ b/src/libcurrantbridge/include/private/link_message.h
@@ -38,6 +38,8 @@
 	CB_LINK_MESSAGE_GRANT,
 	/* To control and entry instances; body: for cb_fleet_merge(). */
 	CB_LINK_MESSAGE_FLEET,
+	/* What entries have under way, and the sum; for cb_usage_decode(). */
+	CB_LINK_MESSAGE_USAGE,
 	CB_LINK_MESSAGE_KIND_COUNT
 } cb_link_message_kind_t;
 
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -7,6 +7,7 @@
 #include "private/link.h"
 #include "private/peers.h"
 #include "private/roster.h"
+#include "private/usage.h"
 
 /* How long a request to the leader may take, in milliseconds. */
 #define CB_NODE_REQUEST_TIMEOUT_MS 3000
@@ -25,6 +26,7 @@
 	gboolean is_confirming;
 	gboolean is_leaving;
 	gboolean is_changed; /* since the last report to the leader */
+	cb_usage_t *usage;   /* NULL: it told none */
 } cb_session_t;
 
 /* A link that another process opened; `session` is set for an entry's. */
@@ -101,6 +103,9 @@
 	cb_timer_t *fleet_timer;
 	int64_t server_silence_ms;
 	int64_t fleet_expired_ms;
+	int64_t whole_since_ms;	 /* all control instances are linked */
+	GHashTable *peer_usages; /* by control instance */
+	cb_timer_t *usage_timer;
 	gboolean is_fleet_changed; /* the timer is set to tell it soon */
 	uint64_t next_id;
 	GHashTable *inbounds; /* by id */
@@ -180,10 +185,19 @@
 void cb_node_grant_receive(cb_node_t *node, const cb_link_message_t *grant);
 
 /* Backend servers: node_fleet.c. */
+void cb_node_peers_tell(cb_node_t *node, const cb_link_message_t *message);
+void cb_node_sessions_tell(cb_node_t *node, const cb_link_message_t *message);
 void cb_node_fleet_init(cb_node_t *node, int64_t server_silence_ms);
 void cb_node_fleet_greet(cb_inbound_t *inbound);
 void cb_node_fleet_receive(cb_node_t *node, const cb_link_message_t *message);
 
+/* What entry instances have under way: node_usage.c. */
+void cb_node_usage_init(cb_node_t *node);
+void cb_node_usage_receive(cb_node_t *node, const char *control,
+			   const cb_link_message_t *message);
+void cb_node_usage_report(cb_inbound_t *inbound,
+			  const cb_link_message_t *message);
+
 /* Joining the group: node_join.c. */
 void cb_node_join_tick(cb_node_t *node);
 void cb_node_join_serve(cb_inbound_t *inbound,
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -7,6 +7,7 @@
 #include "currantbridge/document.h"
 #include "currantbridge/fleet.h"
 #include "currantbridge/view.h"
+#include "private/usage.h"
 
 /*
  * What an entry instance knows of the servers beside what they announce: its
@@ -46,6 +47,12 @@
 			  double tokens);
 void cb_server_book_end(cb_server_book_t *book, const GArray *hops,
 			double tokens);
+/* What this instance has under way; it is told to the others. */
+cb_usage_t *cb_server_book_usage(cb_server_book_t *book);
+/* Takes the sum over all instances, this one's last word included. */
+void cb_server_book_take_usage(cb_server_book_t *book, const cb_usage_t *sum);
+/* Notes that a server had no room, and for how long it is not asked. */
+void cb_server_book_full(cb_server_book_t *book, const char *address);
 void cb_server_book_load(cb_server_book_t *book, const char *id,
 			 int64_t running, int64_t waiting);
 /* Notes the failure of the server at an address; FALSE: there is none. */
--- /dev/null
+++ b/src/libcurrantbridge/include/private/usage.h
@@ -0,0 +1,32 @@
+#ifndef PRIVATE_USAGE_H
+#define PRIVATE_USAGE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/*
+ * What entry instances have under way at each backend server.  Each tells
+ * its own to control a few times a second, and gets the sum of all.
+ */
+typedef struct cb_usage {
+	GHashTable *by_server; /* ID to cb_usage_entry_t */
+} cb_usage_t;
+
+typedef struct cb_usage_entry {
+	uint32_t running;
+	/* Tokens that the requests will hold, times the layers they pass. */
+	double token_layers;
+} cb_usage_entry_t;
+
+cb_usage_t *cb_usage_new(void);
+void cb_usage_delete(void *usage);
+void cb_usage_add(cb_usage_t *usage, const char *server_id,
+		  const cb_usage_entry_t *entry);
+void cb_usage_add_all(cb_usage_t *usage, const cb_usage_t *other);
+cb_usage_entry_t cb_usage_find(const cb_usage_t *usage, const char *server_id);
+
+GBytes *cb_usage_encode(const cb_usage_t *usage);
+/* NULL if the bytes are malformed. */
+cb_usage_t *cb_usage_decode(GBytes *bytes);
+
+#endif
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -5,6 +5,8 @@
 #include "private/front.h"
 
 #define DRAIN_CHECK_MS 50
+/* How often this instance tells what it has under way. */
+#define USAGE_INTERVAL_MS 200
 /* With fewer instances in a caller's data centre, all of them are named. */
 #define NEAR_ADDRESSES_MIN 2
 
@@ -59,6 +61,36 @@
 		cb_log_event(front->log, CB_EVENT_FLEET_MALFORMED);
 }
 
+static void usage_told_(GBytes *bytes, void *user_data)
+{
+	cb_front_t *front = user_data;
+	cb_usage_t *sum = cb_usage_decode(bytes);
+
+	if (sum)
+		cb_server_book_take_usage(front->book, sum);
+	else
+		cb_log_event(front->log, CB_EVENT_FLEET_MALFORMED);
+	cb_usage_delete(sum);
+}
+
+/* Tells what is under way here; nothing twice in a row is told once. */
+static void usage_timer_fired_(void *user_data)
+{
+	cb_front_t *front = user_data;
+	cb_usage_t *usage = cb_server_book_usage(front->book);
+	gboolean is_empty = !g_hash_table_size(usage->by_server);
+	GBytes *bytes;
+
+	cb_timer_start(front->usage_timer, USAGE_INTERVAL_MS);
+	if (!is_empty || !front->is_usage_empty) {
+		bytes = cb_usage_encode(usage);
+		cb_control_client_tell_usage(front->control, bytes);
+		g_bytes_unref(bytes);
+	}
+	front->is_usage_empty = is_empty;
+	cb_usage_delete(usage);
+}
+
 static void fleet_changed_(const cb_fleet_server_t *server, void *user_data)
 {
 	cb_front_t *front = user_data;
@@ -81,6 +113,7 @@
 {
 	cb_front_t *front = (cb_front_t *)service;
 
+	cb_timer_start(front->usage_timer, USAGE_INTERVAL_MS);
 	return cb_http1_server_listen(front->server, front->listen, error);
 }
 
@@ -119,6 +152,7 @@
 
 	g_hash_table_unref(front->relays);
 	cb_timer_delete(front->drain_timer);
+	cb_timer_delete(front->usage_timer);
 	cb_http1_server_delete(front->server);
 	cb_server_book_delete(front->book);
 	cb_fleet_delete(front->fleet);
@@ -173,6 +207,9 @@
 					      cb_relay_delete, NULL);
 	front->drain_timer =
 		cb_timer_new(front->clock, drain_timer_fired_, front);
+	front->usage_timer =
+		cb_timer_new(front->clock, usage_timer_fired_, front);
+	cb_control_client_on_usage(control, usage_told_, front);
 	cb_view_watch(view, view_changed_, front);
 	cb_control_client_on_fleet(control, fleet_told_, front);
 	return front;
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -21,6 +21,8 @@
 #define SILENT_DEFAULT_MS 1500
 /* How long a server may take to say why a stream is silent. */
 #define ASK_TIMEOUT_MS 300
+/* A server that turns a request away by itself does so within this. */
+#define TURNED_AWAY_MS 500
 /* Ways that a stream is sent before it is begun anew elsewhere. */
 #define REROUTES_MAX 4
 /* Nothing is sent with less than this left: no answer could come in time. */
@@ -48,6 +50,7 @@
 	double tokens;
 	GHashTable *tried;
 	unsigned int sends;
+	int64_t sent_ms; /* the attempt under way */
 	unsigned int reroutes;
 	gboolean is_asking; /* a server about the stream's silence */
 	unsigned int runs;  /* attempts that ran, or may have */
@@ -247,6 +250,24 @@
 	}
 }
 
+/*
+ * Notes a request that was turned away: a server without room is asked again
+ * soon, one that answered late was waited for by another and is down.
+ */
+static void turned_away_(relay_t *relay)
+{
+	const char *address =
+		relay->fault ?
+			relay->fault :
+			g_array_index(relay->hops, cb_relay_hop_t, 0).address;
+
+	if (now_ms_(relay) - relay->sent_ms < TURNED_AWAY_MS)
+		cb_server_book_full(relay->front->book, address);
+	else
+		(void)cb_server_book_failed_at(relay->front->book, address,
+					       relay->tried);
+}
+
 /* Whether another attempt may follow the one that failed. */
 static gboolean may_retry_(relay_t *relay)
 {
@@ -279,7 +300,8 @@
 		     CB_INT("last_event", relay->last_event));
 	count_(relay->front, "cb_relay_attempts_failed_total", result);
 	relay->runs += has_run != 0;
-	blame_(relay, fault);
+	if (has_run || !relay->has_not_run)
+		blame_(relay, fault);
 	attempt_drop_(relay);
 	if (!may_retry_(relay)) {
 		give_up_(relay, result, RETRY_NO_ROOM_MS);
@@ -542,6 +564,7 @@
 	uint32_t status = relay->status;
 
 	if (relay->has_not_run) {
+		turned_away_(relay);
 		attempt_failed_(relay, "not_run", FALSE, relay->fault);
 		return;
 	}
@@ -628,6 +651,7 @@
 		&send);
 
 	relay->sends++;
+	relay->sent_ms = now_ms_(relay);
 	relay->status = 0;
 	relay->is_events = FALSE;
 	relay->has_not_run = FALSE;
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -7,9 +7,13 @@
 
 /* A server that failed is avoided for this, doubled with each failure. */
 #define AVOID_FIRST_MS 500
-#define AVOID_LONGEST_MS 8000
+#define AVOID_LONGEST_MS 4000
 /* A load that a server told counts for so long. */
 #define LOAD_AGE_MS 1000
+/* The others' usage counts for so long; it comes a few times a second. */
+#define USAGE_AGE_MS 1500
+/* A server that had no room is not asked again for this. */
+#define FULL_MS 250
 
 typedef struct note {
 	unsigned int running;
@@ -18,6 +22,9 @@
 	unsigned int failures; /* in a row */
 	int64_t load;
 	int64_t load_ms;
+	/* What this instance told last, and what the others have. */
+	cb_usage_entry_t told;
+	cb_usage_entry_t others;
 } note_t;
 
 struct cb_server_book {
@@ -27,6 +34,7 @@
 	GRand *random;
 	char *data_centre;
 	GHashTable *notes; /* by the server's ID */
+	int64_t usage_ms;  /* when the others' was last told */
 };
 
 /* Makes a book; it takes none of its parts. */
@@ -137,7 +145,7 @@
 {
 	const note_t *note = note_(book, server->id);
 	int64_t age_ms = cb_clock_now_ms(book->clock) - note->load_ms;
-	double load = note->running;
+	double load = note->running + note->others.running;
 	double slots = MAX(server->slots, 1);
 
 	if (note->load_ms && age_ms < LOAD_AGE_MS)
@@ -171,7 +179,7 @@
 	return best ? CB_BOOK_FOUND : CB_BOOK_NO_SERVER;
 }
 
-/* How many entry instances share the engines of this data centre. */
+/* How many entry instances share the servers. */
 static unsigned int sharers_(const cb_server_book_t *book)
 {
 	const GPtrArray *instances = cb_view_instances(book->view);
@@ -181,16 +189,32 @@
 	for (i = 0; i < instances->len; i++) {
 		const cb_instance_t *instance = instances->pdata[i];
 
-		count += instance->state == CB_INSTANCE_READY &&
-			 !strcmp(instance->data_centre, book->data_centre);
+		count += instance->state == CB_INSTANCE_READY;
 	}
 	return MAX(count, 1);
 }
 
 /*
- * Describes an engine to the choice of a chain.  The other instances of the
- * data centre are taken to have as much under way as this one.
+ * Returns what all instances have under way at a server.  While the others'
+ * is not known, they are taken to have as much as this one.
  */
+static cb_usage_entry_t under_way_(const cb_server_book_t *book,
+				   const note_t *note, unsigned int sharers)
+{
+	cb_usage_entry_t sum = { note->running, note->token_layers };
+	int64_t age_ms = cb_clock_now_ms(book->clock) - book->usage_ms;
+
+	if (!book->usage_ms || age_ms > USAGE_AGE_MS) {
+		sum.running *= sharers;
+		sum.token_layers *= sharers;
+		return sum;
+	}
+	sum.running += note->others.running;
+	sum.token_layers += note->others.token_layers;
+	return sum;
+}
+
+/* Describes an engine to the choice of a chain. */
 static cb_chain_server_t engine_(cb_server_book_t *book,
 				 const cb_engine_profile_t *engine,
 				 const cb_fleet_server_t *server,
@@ -200,6 +224,7 @@
 		cb_engine_profile_kind(engine, server->kind);
 	const note_t *note = note_(book, server->id);
 	uint32_t layers = server->layer_to - server->layer_from;
+	cb_usage_entry_t under_way = under_way_(book, note, sharers);
 	cb_chain_server_t input = { .data_centre = server->data_centre,
 				    .from = server->layer_from,
 				    .to = server->layer_to };
@@ -209,11 +234,12 @@
 		return input;
 	}
 	input.pace = kind->pace;
-	input.running = (double)note->running * sharers;
+	input.running = under_way.running;
 	input.free_tokens =
 		cb_placement_room_tokens(engine, kind->memory_mb, layers) -
-		note->token_layers * sharers / layers;
-	input.is_avoided = is_avoided_(book, server);
+		under_way.token_layers / layers;
+	input.is_doubtful = server->state == CB_FLEET_SILENT;
+	input.is_avoided = note->avoid_until_ms > cb_clock_now_ms(book->clock);
 	return input;
 }
 
@@ -312,6 +338,66 @@
 	count_(book, hops, tokens, -1);
 }
 
+cb_usage_t *cb_server_book_usage(cb_server_book_t *book)
+{
+	cb_usage_t *usage = cb_usage_new();
+	GHashTableIter iter;
+	void *value;
+	void *id;
+
+	g_hash_table_iter_init(&iter, book->notes);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		note_t *note = value;
+
+		note->told =
+			(cb_usage_entry_t){ note->running, note->token_layers };
+		if (note->running)
+			cb_usage_add(usage, id, &note->told);
+	}
+	return usage;
+}
+
+void cb_server_book_take_usage(cb_server_book_t *book, const cb_usage_t *sum)
+{
+	GHashTableIter iter;
+	void *value;
+	void *id;
+
+	book->usage_ms = cb_clock_now_ms(book->clock);
+	g_hash_table_iter_init(&iter, sum->by_server);
+	while (g_hash_table_iter_next(&iter, &id, &value))
+		(void)note_(book, id);
+	g_hash_table_iter_init(&iter, book->notes);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		note_t *note = value;
+
+		note->others = cb_usage_find(sum, id);
+		note->others.running -=
+			MIN(note->others.running, note->told.running);
+		note->others.token_layers =
+			MAX(note->others.token_layers - note->told.token_layers,
+			    0);
+	}
+}
+
+void cb_server_book_full(cb_server_book_t *book, const char *address)
+{
+	const GPtrArray *all = cb_fleet_servers(book->fleet);
+	int64_t until_ms = cb_clock_now_ms(book->clock) + FULL_MS;
+	unsigned int i;
+
+	for (i = 0; i < all->len; i++) {
+		const cb_fleet_server_t *server = all->pdata[i];
+		note_t *note;
+
+		if (server->state == CB_FLEET_GONE ||
+		    strcmp(server->address, address) != 0)
+			continue;
+		note = note_(book, server->id);
+		note->avoid_until_ms = MAX(note->avoid_until_ms, until_ms);
+	}
+}
+
 /* Notes the load that a server told with an answer. */
 void cb_server_book_load(cb_server_book_t *book, const char *id,
 			 int64_t running, int64_t waiting)
