--- a/src/libcurrantbridge/backend/usage.c
+++ b/src/libcurrantbridge/backend/usage.c
@@ -11,6 +11,8 @@
 
 	usage->by_server =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	usage->by_service =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return usage;
 }
 
@@ -22,6 +24,7 @@
 	if (!self)
 		return;
 	g_hash_table_unref(self->by_server);
+	g_hash_table_unref(self->by_service);
 	g_free(self);
 }
 
@@ -41,6 +44,32 @@
 	present->token_layers += entry->token_layers;
 }
 
+/* Adds to what was sent to a service. */
+void cb_usage_add_sends(cb_usage_t *usage, const char *service,
+			const cb_usage_sends_t *sends)
+{
+	cb_usage_sends_t *present =
+		g_hash_table_lookup(usage->by_service, service);
+
+	if (!present) {
+		present = g_new0(cb_usage_sends_t, 1);
+		g_hash_table_insert(usage->by_service, g_strdup(service),
+				    present);
+	}
+	present->requests += sends->requests;
+	present->retries += sends->retries;
+}
+
+/* Returns what was sent to a service; nothing if it is not named. */
+cb_usage_sends_t cb_usage_find_sends(const cb_usage_t *usage,
+				     const char *service)
+{
+	const cb_usage_sends_t *sends =
+		g_hash_table_lookup(usage->by_service, service);
+
+	return sends ? *sends : (cb_usage_sends_t){ 0 };
+}
+
 /* Adds all of another usage. */
 void cb_usage_add_all(cb_usage_t *usage, const cb_usage_t *other)
 {
@@ -51,6 +80,9 @@
 	g_hash_table_iter_init(&iter, other->by_server);
 	while (g_hash_table_iter_next(&iter, &server_id, &entry))
 		cb_usage_add(usage, server_id, entry);
+	g_hash_table_iter_init(&iter, other->by_service);
+	while (g_hash_table_iter_next(&iter, &server_id, &entry))
+		cb_usage_add_sends(usage, server_id, entry);
 }
 
 /* Returns what is under way at a server; nothing if it is not named. */
@@ -71,6 +103,7 @@
 	void *value;
 
 	cb_pack_init(&pack);
+	cb_pack_array(&pack, 2);
 	cb_pack_array(&pack, g_hash_table_size(usage->by_server));
 	g_hash_table_iter_init(&iter, usage->by_server);
 	while (g_hash_table_iter_next(&iter, &server_id, &value)) {
@@ -81,6 +114,16 @@
 		cb_pack_uint(&pack, entry->running);
 		cb_pack_uint(&pack, (uint64_t)MAX(entry->token_layers, 0));
 	}
+	cb_pack_array(&pack, g_hash_table_size(usage->by_service));
+	g_hash_table_iter_init(&iter, usage->by_service);
+	while (g_hash_table_iter_next(&iter, &server_id, &value)) {
+		const cb_usage_sends_t *sends = value;
+
+		cb_pack_array(&pack, ENTRY_FIELD_COUNT);
+		cb_pack_string(&pack, server_id);
+		cb_pack_uint(&pack, sends->requests);
+		cb_pack_uint(&pack, sends->retries);
+	}
 	return cb_pack_finish(&pack);
 }
 
@@ -100,6 +143,36 @@
 	return cb_fields_end(&fields);
 }
 
+static gboolean sends_read_(cb_usage_t *usage, const msgpack_object *object)
+{
+	cb_usage_sends_t sends = { 0 };
+	cb_fields_t fields;
+	char *service;
+
+	cb_fields_open(&fields, object);
+	service = cb_fields_text(&fields);
+	sends.requests = (uint32_t)cb_fields_uint(&fields);
+	sends.retries = (uint32_t)cb_fields_uint(&fields);
+	if (cb_fields_end(&fields))
+		cb_usage_add_sends(usage, service, &sends);
+	g_free(service);
+	return cb_fields_end(&fields);
+}
+
+/* Reads each element of an array; FALSE if one is malformed. */
+static gboolean list_read_(cb_usage_t *usage, const msgpack_object *object,
+			   gboolean (*read)(cb_usage_t *,
+					    const msgpack_object *))
+{
+	cb_fields_t fields;
+
+	cb_fields_open(&fields, object);
+	while (fields.left && !fields.is_bad)
+		if (!read(usage, cb_fields_object(&fields)))
+			fields.is_bad = TRUE;
+	return !fields.is_bad;
+}
+
 /* Decodes a usage. */
 cb_usage_t *cb_usage_decode(GBytes *bytes)
 {
@@ -111,10 +184,9 @@
 		return NULL;
 	usage = cb_usage_new();
 	cb_fields_open(&fields, &unpack.unpacked.data);
-	while (fields.left && !fields.is_bad)
-		if (!entry_read_(usage, cb_fields_object(&fields)))
-			fields.is_bad = TRUE;
-	if (fields.is_bad)
+	if (!list_read_(usage, cb_fields_object(&fields), entry_read_) ||
+	    !list_read_(usage, cb_fields_object(&fields), sends_read_) ||
+	    !cb_fields_end(&fields))
 		g_clear_pointer(&usage, cb_usage_delete);
 	cb_unpack_clear(&unpack);
 	return usage;
--- a/src/libcurrantbridge/control/node_usage.c
+++ b/src/libcurrantbridge/control/node_usage.c
@@ -88,8 +88,8 @@
 void cb_node_usage_receive(cb_node_t *node, const char *control,
 			   const cb_link_message_t *message)
 {
-	cb_usage_t *usage = message->body ? cb_usage_decode(message->body) :
-					    NULL;
+	cb_usage_t *usage =
+		message->body ? cb_usage_decode(message->body) : NULL;
 	peer_usage_t *peer;
 
 	if (!usage) {
@@ -106,8 +106,8 @@
 void cb_node_usage_report(cb_inbound_t *inbound,
 			  const cb_link_message_t *message)
 {
-	cb_usage_t *usage = message->body ? cb_usage_decode(message->body) :
-					    NULL;
+	cb_usage_t *usage =
+		message->body ? cb_usage_decode(message->body) : NULL;
 
 	if (!usage) {
 		cb_link_goodbye(inbound->link, CB_CLOSE_MALFORMED);
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -31,6 +31,8 @@
 	cb_document_t *document;
 	uint64_t document_revision;
 	GHashTable *relays; /* those under way */
+	GQueue waiting;	    /* of those, the ones that wait to be sent */
+	cb_timer_t *wait_timer;
 	cb_timer_t *usage_timer;
 	gboolean is_usage_empty;
 	cb_timer_t *drain_timer;
@@ -39,6 +41,8 @@
 
 /* Begins to serve one request: relay.c. */
 void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange);
+/* Tries those again that wait: relay.c; `user_data` is the front. */
+void cb_relay_retry_waiting(void *user_data);
 /* Ends a request without an answer, when the process ends. */
 void cb_relay_delete(void *relay);
 
--- a/src/libcurrantbridge/include/private/retry_share.h
+++ b/src/libcurrantbridge/include/private/retry_share.h
@@ -5,12 +5,14 @@
 #include <stdint.h>
 
 #include "currantbridge/clock.h"
+#include "private/usage.h"
 
 /*
  * Bounds the second sends of one entry instance to each service, so that
  * those of all instances together keep a common bound: in any window at most
- * a ratio of the requests plus a fixed number.  It needs no word of others,
- * so that it holds for an instance that is cut off.
+ * a ratio of the requests plus a fixed number.  While the others' counts are
+ * known, what is left of the bound is divided anew with each word of them;
+ * an instance that is cut off keeps to a small part of its own.
  */
 typedef struct cb_retry_share cb_retry_share_t;
 
@@ -27,4 +29,9 @@
 void cb_retry_share_request(cb_retry_share_t *share, const char *service);
 gboolean cb_retry_share_take(cb_retry_share_t *share, const char *service);
 
+/* Adds this instance's counts to what it tells. */
+void cb_retry_share_tell(cb_retry_share_t *share, cb_usage_t *usage);
+/* Takes the sum over all instances, this one's last word included. */
+void cb_retry_share_learn(cb_retry_share_t *share, const cb_usage_t *sum);
+
 #endif
--- a/src/libcurrantbridge/include/private/usage.h
+++ b/src/libcurrantbridge/include/private/usage.h
@@ -9,9 +9,16 @@
  * its own to control a few times a second, and gets the sum of all.
  */
 typedef struct cb_usage {
-	GHashTable *by_server; /* ID to cb_usage_entry_t */
+	GHashTable *by_server;	/* ID to cb_usage_entry_t */
+	GHashTable *by_service; /* name to cb_usage_sends_t */
 } cb_usage_t;
 
+/* What was sent to a service within the last window of the retry bound. */
+typedef struct cb_usage_sends {
+	uint32_t requests;
+	uint32_t retries;
+} cb_usage_sends_t;
+
 typedef struct cb_usage_entry {
 	uint32_t running;
 	/* Tokens that the requests will hold, times the layers they pass. */
@@ -23,6 +30,10 @@
 void cb_usage_add(cb_usage_t *usage, const char *server_id,
 		  const cb_usage_entry_t *entry);
 void cb_usage_add_all(cb_usage_t *usage, const cb_usage_t *other);
+void cb_usage_add_sends(cb_usage_t *usage, const char *service,
+			const cb_usage_sends_t *sends);
+cb_usage_sends_t cb_usage_find_sends(const cb_usage_t *usage,
+				     const char *service);
 cb_usage_entry_t cb_usage_find(const cb_usage_t *usage, const char *server_id);
 
 GBytes *cb_usage_encode(const cb_usage_t *usage);
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -66,10 +66,12 @@
 	cb_front_t *front = user_data;
 	cb_usage_t *sum = cb_usage_decode(bytes);
 
-	if (sum)
-		cb_server_book_take_usage(front->book, sum);
-	else
+	if (!sum) {
 		cb_log_event(front->log, CB_EVENT_FLEET_MALFORMED);
+		return;
+	}
+	cb_server_book_take_usage(front->book, sum);
+	cb_retry_share_learn(front->retries, sum);
 	cb_usage_delete(sum);
 }
 
@@ -78,10 +80,13 @@
 {
 	cb_front_t *front = user_data;
 	cb_usage_t *usage = cb_server_book_usage(front->book);
-	gboolean is_empty = !g_hash_table_size(usage->by_server);
+	gboolean is_empty;
 	GBytes *bytes;
 
 	cb_timer_start(front->usage_timer, USAGE_INTERVAL_MS);
+	cb_retry_share_tell(front->retries, usage);
+	is_empty = !g_hash_table_size(usage->by_server) &&
+		   !g_hash_table_size(usage->by_service);
 	if (!is_empty || !front->is_usage_empty) {
 		bytes = cb_usage_encode(usage);
 		cb_control_client_tell_usage(front->control, bytes);
@@ -153,6 +158,7 @@
 	g_hash_table_unref(front->relays);
 	cb_timer_delete(front->drain_timer);
 	cb_timer_delete(front->usage_timer);
+	cb_timer_delete(front->wait_timer);
 	cb_http1_server_delete(front->server);
 	cb_server_book_delete(front->book);
 	cb_fleet_delete(front->fleet);
@@ -207,6 +213,9 @@
 					      cb_relay_delete, NULL);
 	front->drain_timer =
 		cb_timer_new(front->clock, drain_timer_fired_, front);
+	g_queue_init(&front->waiting);
+	front->wait_timer =
+		cb_timer_new(front->clock, cb_relay_retry_waiting, front);
 	front->usage_timer =
 		cb_timer_new(front->clock, usage_timer_fired_, front);
 	cb_control_client_on_usage(control, usage_told_, front);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -30,6 +30,19 @@
 /* When callers refused for these reasons are asked to come back. */
 #define RETRY_NO_SERVER_MS 1000
 #define RETRY_NO_ROOM_MS 500
+/*
+ * Waiting for what may come soon: a start of the system, layers that are being
+ * loaded, room that ends of streams give back.  The callers' answer would be
+ * late by as much, or they come back later than that.
+ */
+#define WAIT_SERVER_MS 1000
+#define WAIT_ROOM_MS 250
+#define WAIT_MIDWAY_MS 1200
+#define WAIT_STEP_MS 10
+/* No request waits for more than this part of its time. */
+#define WAIT_SHARE 4
+/* The time of a request that does not say how long its caller waits. */
+#define BUDGET_DEFAULT_MS 30000
 /* Whole answers up to this are held until they are known to be complete. */
 #define HELD_MAX_BYTES (1024 * 1024)
 
@@ -42,6 +55,8 @@
 	const cb_service_profile_t *service;
 	cb_relay_ask_t ask;
 	int64_t deadline_ms;
+	gboolean is_waiting;   /* in the front's queue */
+	int64_t wait_since_ms; /* 0: it did not wait for this attempt */
 	cb_timer_t *deadline_timer;
 	cb_timer_t *silence_timer;
 	/* The attempt under way. */
@@ -65,6 +80,7 @@
 	gboolean is_begun;
 	gboolean is_passing; /* it is no stream, and too large to be held */
 	gboolean is_resumed;
+	gboolean is_retry; /* the next send is one more of the same request */
 	int64_t last_event;
 } relay_t;
 
@@ -115,6 +131,8 @@
 	relay_t *relay = data;
 
 	attempt_drop_(relay);
+	if (relay->is_waiting)
+		g_queue_remove(&relay->front->waiting, relay);
 	cb_timer_delete(relay->deadline_timer);
 	cb_timer_delete(relay->silence_timer);
 	g_array_unref(relay->hops);
@@ -134,7 +152,7 @@
 
 	cb_log_event(front->log, CB_EVENT_RELAY_ENDED,
 		     CB_STR("request", relay->ask.id),
-		     CB_STR("route", relay->route->name),
+		     CB_STR("route", relay->route ? relay->route->name : NULL),
 		     CB_INT("status", status), CB_STR("reason", reason),
 		     CB_INT("attempts", relay->sends),
 		     CB_INT("last_event", relay->last_event),
@@ -276,9 +294,7 @@
 	if (relay->runs >= relay->route->max_attempts ||
 	    relay->sends >= relay->route->max_attempts + UNRUN_SENDS_MAX)
 		return FALSE;
-	if (relay->deadline_ms - now_ms_(relay) < LEFT_MIN_MS)
-		return FALSE;
-	return cb_retry_share_take(relay->front->retries, relay->service->name);
+	return relay->deadline_ms - now_ms_(relay) >= LEFT_MIN_MS;
 }
 
 /*
@@ -307,6 +323,7 @@
 		give_up_(relay, result, RETRY_NO_ROOM_MS);
 		return;
 	}
+	relay->is_retry = TRUE;
 	if (relay->is_begun) {
 		relay->is_resumed = TRUE;
 		cb_log_event(relay->front->log, CB_EVENT_RELAY_RESUMED,
@@ -665,34 +682,80 @@
 				     &call_handler, relay);
 }
 
-/* Chooses servers and sends, or gives up at once. */
-static void attempt_start_(relay_t *relay)
+/* How long a request may wait for what it lacks. */
+static int64_t wait_most_ms_(const relay_t *relay, int64_t bound_ms)
+{
+	int64_t whole_ms = relay->deadline_ms -
+			   cb_http1_exchange_arrived_ms(relay->exchange);
+
+	return MIN(bound_ms, whole_ms / WAIT_SHARE);
+}
+
+/*
+ * Lets a request wait for what it lacks, for a short while: then it is given
+ * up, so that its caller can come back in time.
+ */
+static void wait_(relay_t *relay, const char *reason, int64_t bound_ms,
+		  int64_t retry_after_ms)
 {
 	cb_front_t *front = relay->front;
+	int64_t now_ms = now_ms_(relay);
+
+	if (!relay->wait_since_ms)
+		relay->wait_since_ms = now_ms;
+	if (now_ms - relay->wait_since_ms >= wait_most_ms_(relay, bound_ms)) {
+		give_up_(relay, reason, retry_after_ms);
+		return;
+	}
+	relay->is_waiting = TRUE;
+	g_queue_push_tail(&front->waiting, relay);
+	if (!cb_timer_is_armed(front->wait_timer))
+		cb_timer_start(front->wait_timer, WAIT_STEP_MS);
+}
+
+/* Chooses servers for the next attempt. */
+static cb_book_outcome_t servers_choose_(relay_t *relay)
+{
+	cb_server_book_t *book = relay->front->book;
 	const cb_book_wish_t wish = { .service = relay->service,
 				      .tokens = relay->tokens,
 				      .tried = relay->tried };
-
 	cb_book_outcome_t outcome =
-		cb_server_book_choose(front->book, &wish, relay->hops);
+		cb_server_book_choose(book, &wish, relay->hops);
 
 	if (outcome != CB_BOOK_FOUND && g_hash_table_size(relay->tried)) {
 		/* One that failed before may do better than none. */
 		g_hash_table_remove_all(relay->tried);
-		outcome =
-			cb_server_book_choose(front->book, &wish, relay->hops);
+		outcome = cb_server_book_choose(book, &wish, relay->hops);
 	}
-	switch (outcome) {
+	return outcome;
+}
+
+/* Chooses servers and sends, or waits, or gives up. */
+static void attempt_start_(relay_t *relay)
+{
+	int64_t bound_ms = relay->is_begun ? WAIT_MIDWAY_MS : WAIT_ROOM_MS;
+
+	switch (servers_choose_(relay)) {
 	case CB_BOOK_FOUND:
-		attempt_send_(relay);
-		return;
+		break;
 	case CB_BOOK_NO_SERVER:
-		give_up_(relay, "no_server", RETRY_NO_SERVER_MS);
+		wait_(relay, "no_server", MAX(bound_ms, WAIT_SERVER_MS),
+		      RETRY_NO_SERVER_MS);
 		return;
 	case CB_BOOK_NO_ROOM:
-		give_up_(relay, "no_room", RETRY_NO_ROOM_MS);
+		wait_(relay, "no_room", bound_ms, RETRY_NO_ROOM_MS);
+		return;
+	}
+	if (relay->is_retry &&
+	    !cb_retry_share_take(relay->front->retries, relay->service->name)) {
+		g_array_set_size(relay->hops, 0);
+		wait_(relay, "no_retry_left", bound_ms, RETRY_NO_ROOM_MS);
 		return;
 	}
+	relay->is_retry = FALSE;
+	relay->wait_since_ms = 0;
+	attempt_send_(relay);
 }
 
 /* The caller has closed: its request ends at the server too. */
@@ -718,28 +781,19 @@
 	return 401;
 }
 
-static relay_t *relay_new_(cb_front_t *front, cb_http1_exchange_t *exchange,
-			   const cb_route_t *route, const cb_relay_ask_t *ask)
+static relay_t *relay_new_(cb_front_t *front, cb_http1_exchange_t *exchange)
 {
 	relay_t *relay = g_new0(relay_t, 1);
-	int64_t limit_ms = route->timeout_ms;
 
-	if (ask->budget_ms > 0)
-		limit_ms = MIN(limit_ms, ask->budget_ms);
 	relay->front = front;
 	relay->exchange = exchange;
-	relay->document = cb_document_ref(front->document);
-	relay->route = route;
-	relay->ask = *ask;
-	relay->last_event = ask->last_event;
-	if (ask->key)
-		relay->workspace =
-			cb_document_workspace(front->document, ask->key);
-	relay->service =
-		cb_document_service(front->document,
-				    cb_route_pick(route,
-						  g_rand_int(front->random)));
-	relay->deadline_ms = cb_http1_exchange_arrived_ms(exchange) + limit_ms;
+	front->dialect->vtable->read_ask(front->dialect,
+					 cb_http1_exchange_head(exchange),
+					 &relay->ask);
+	relay->last_event = relay->ask.last_event;
+	relay->deadline_ms = cb_http1_exchange_arrived_ms(exchange) +
+			     (relay->ask.budget_ms > 0 ? relay->ask.budget_ms :
+							 BUDGET_DEFAULT_MS);
 	relay->deadline_timer =
 		cb_timer_new(front->clock, deadline_fired_, relay);
 	relay->silence_timer =
@@ -748,40 +802,95 @@
 	relay->held = g_byte_array_new();
 	relay->tried =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	relay->tokens = tokens_(relay);
 	return relay;
 }
 
-/* Serves a request from a caller, or refuses it. */
-void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange)
+/* Finds the request's route and workspace; FALSE when it was refused. */
+static gboolean route_(relay_t *relay)
 {
+	cb_front_t *front = relay->front;
+	cb_http1_exchange_t *exchange = relay->exchange;
 	const cb_http1_head_t *head = cb_http1_exchange_head(exchange);
-	const char *reason = NULL;
-	const cb_route_t *route;
-	cb_relay_ask_t ask = { .last_event = -1 };
-	relay_t *relay;
-	uint32_t status;
-
-	front->dialect->vtable->read_ask(front->dialect, head, &ask);
-	if (!front->document ||
-	    !cb_control_client_is_confirmed(front->control)) {
-		refuse_(front, exchange, ask.id, 503, "not_configured",
-			RETRY_NO_SERVER_MS);
-		return;
-	}
-	route = cb_document_route(front->document,
+	const cb_route_t *route =
+		cb_document_route(front->document,
 				  cb_http1_head_find(head, "Host"),
 				  head->target);
-	status = refusal_find_(front, route, &ask, &reason);
+	const char *reason = NULL;
+	uint32_t status = refusal_find_(front, route, &relay->ask, &reason);
+
 	if (status) {
-		refuse_(front, exchange, ask.id, status, reason, 0);
-		return;
+		refuse_(front, exchange, relay->ask.id, status, reason, 0);
+		relay_free_(relay);
+		return FALSE;
 	}
-	relay = relay_new_(front, exchange, route, &ask);
-	g_hash_table_add(front->relays, relay);
-	cb_http1_exchange_own(exchange, caller_gone_, relay);
+	relay->document = cb_document_ref(front->document);
+	relay->route = route;
+	if (relay->ask.key)
+		relay->workspace =
+			cb_document_workspace(front->document, relay->ask.key);
+	relay->service =
+		cb_document_service(front->document,
+				    cb_route_pick(route,
+						  g_rand_int(front->random)));
+	relay->deadline_ms =
+		MIN(relay->deadline_ms,
+		    cb_http1_exchange_arrived_ms(exchange) + route->timeout_ms);
+	relay->tokens = tokens_(relay);
 	cb_retry_share_request(front->retries, relay->service->name);
 	cb_timer_start(relay->deadline_timer,
 		       MAX(relay->deadline_ms - now_ms_(relay), 0));
-	attempt_start_(relay);
+	return TRUE;
+}
+
+/* Goes on with a request that is not sent yet. */
+static void relay_step_(relay_t *relay)
+{
+	cb_front_t *front = relay->front;
+
+	if (!relay->route && (!front->document ||
+			      !cb_control_client_is_confirmed(front->control)))
+		wait_(relay, "not_configured", WAIT_SERVER_MS,
+		      RETRY_NO_SERVER_MS);
+	else if (relay->route || route_(relay))
+		attempt_start_(relay);
+}
+
+/* The most urgent first, and within that the one that came first. */
+static int urgency_compare_(const void *a, const void *b, void *user_data)
+{
+	const relay_t *left = a;
+	const relay_t *right = b;
+	uint32_t left_rank = left->route ? left->route->priority : 0;
+	uint32_t right_rank = right->route ? right->route->priority : 0;
+
+	(void)user_data;
+	if (left_rank != right_rank)
+		return left_rank < right_rank ? -1 : 1;
+	return left->deadline_ms < right->deadline_ms ?
+		       -1 :
+		       left->deadline_ms > right->deadline_ms;
+}
+
+void cb_relay_retry_waiting(void *user_data)
+{
+	cb_front_t *front = user_data;
+	unsigned int left = front->waiting.length;
+
+	g_queue_sort(&front->waiting, urgency_compare_, NULL);
+	while (left-- && front->waiting.length) {
+		relay_t *relay = g_queue_pop_head(&front->waiting);
+
+		relay->is_waiting = FALSE;
+		relay_step_(relay);
+	}
+}
+
+/* Serves a request from a caller, or refuses it. */
+void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange)
+{
+	relay_t *relay = relay_new_(front, exchange);
+
+	g_hash_table_add(front->relays, relay);
+	cb_http1_exchange_own(exchange, caller_gone_, relay);
+	relay_step_(relay);
 }
