--- a/include/currantbridge/command.h
+++ b/include/currantbridge/command.h
@@ -25,6 +25,8 @@
 	CB_COMMAND_SUSPECT_ADD, /* digest `name` was running as `server` died */
 	CB_COMMAND_CLAIM,
 	CB_COMMAND_CLAIM_FINISH,
+	CB_COMMAND_SERVER_NOTE, /* `answer`: the record of server `name` */
+	CB_COMMAND_SERVER_FORGET,
 	CB_COMMAND_DOCUMENT_PUT, /* `text` under `document_version` */
 	CB_COMMAND_KIND_COUNT
 } cb_command_kind_t;
@@ -76,7 +78,8 @@
 	 */
 	gboolean proves_by_fencing;
 	cb_claim_result_t result;
-	GBytes *answer; /* recorded answer; NULL when over the size bound */
+	/* A recorded answer, NULL when over the size bound; or a record. */
+	GBytes *answer;
 } cb_command_t;
 
 typedef enum cb_answer_kind {
--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -42,6 +42,7 @@
 	/* Not told yet: a change to entries, a heartbeat to control. */
 	gboolean is_changed;
 	gboolean is_heard;
+	gboolean is_noted; /* in the replicated state, as it is */
 } cb_fleet_server_t;
 
 typedef enum cb_fleet_outcome {
@@ -77,6 +78,8 @@
 void cb_fleet_expire(cb_fleet_t *fleet, int64_t now_ms, int64_t silence_ms,
 		     int64_t forget_ms);
 
+/* Notes whether the replicated state has each server as it is now. */
+void cb_fleet_set_noted(cb_fleet_t *fleet, const char *id, gboolean is_noted);
 const cb_fleet_server_t *cb_fleet_find(const cb_fleet_t *fleet, const char *id);
 /* All of them, by id; valid until the next change. */
 const GPtrArray *cb_fleet_servers(const cb_fleet_t *fleet);
@@ -86,6 +89,8 @@
 /* NULL when there is nothing to tell. */
 GBytes *cb_fleet_encode(cb_fleet_t *fleet, cb_fleet_part_t part,
 			int64_t now_ms);
+/* One server, as cb_fleet_merge() takes it, heard at the time of merging. */
+GBytes *cb_fleet_encode_server(const cb_fleet_server_t *server);
 /* FALSE, with nothing changed, when the bytes are malformed. */
 gboolean cb_fleet_merge(cb_fleet_t *fleet, GBytes *bytes, int64_t now_ms);
 
--- a/include/currantbridge/kernel.h
+++ b/include/currantbridge/kernel.h
@@ -47,6 +47,7 @@
 cb_service_t *cb_kernel_find(const cb_kernel_t *kernel, const char *name);
 
 gboolean cb_kernel_start(cb_kernel_t *kernel, GError **error);
+void cb_kernel_reload(cb_kernel_t *kernel);
 void cb_kernel_drain(cb_kernel_t *kernel);
 void cb_kernel_drained(cb_kernel_t *kernel, cb_service_t *service);
 gboolean cb_kernel_is_drained(const cb_kernel_t *kernel);
--- a/include/currantbridge/view.h
+++ b/include/currantbridge/view.h
@@ -52,6 +52,13 @@
 	uint64_t revision;
 } cb_document_text_t;
 
+/* A backend server as it was last noted, for processes that start. */
+typedef struct cb_server_note {
+	char *id;
+	GBytes *record; /* for cb_fleet_merge() */
+	uint64_t revision;
+} cb_server_note_t;
+
 typedef enum cb_view_outcome {
 	CB_VIEW_APPLIED,
 	CB_VIEW_STALE, /* not newer than what is in force: dropped */
@@ -81,6 +88,7 @@
 const GPtrArray *cb_view_contracts(const cb_view_t *view);
 const GPtrArray *cb_view_instances(const cb_view_t *view);
 const GPtrArray *cb_view_stops(const cb_view_t *view);
+const GPtrArray *cb_view_servers(const cb_view_t *view);
 /* NULL before the first one. */
 const cb_document_text_t *cb_view_document(const cb_view_t *view);
 gboolean cb_view_is_stopped(const cb_view_t *view, cb_stop_kind_t kind,
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -84,6 +84,7 @@
 static void changed_(cb_fleet_t *fleet, cb_fleet_server_t *server)
 {
 	server->is_changed = TRUE;
+	server->is_noted = FALSE;
 	if (fleet->changed)
 		fleet->changed(server, fleet->user_data);
 }
@@ -186,6 +187,7 @@
 		next.is_moving = is_moving_next_(known, said);
 		is_changed = differs_(known, &next);
 		next.is_changed = known->is_changed;
+		next.is_noted = known->is_noted;
 		/* The table's key is the ID that is there already. */
 		g_free(next.id);
 		next.id = g_steal_pointer(&known->id);
@@ -204,6 +206,14 @@
 	return CB_FLEET_CHANGED;
 }
 
+void cb_fleet_set_noted(cb_fleet_t *fleet, const char *id, gboolean is_noted)
+{
+	cb_fleet_server_t *known = g_hash_table_lookup(fleet->by_id, id);
+
+	if (known)
+		known->is_noted = is_noted;
+}
+
 void cb_fleet_set_moving(cb_fleet_t *fleet, const char *id, gboolean is_moving)
 {
 	cb_fleet_server_t *known = g_hash_table_lookup(fleet->by_id, id);
@@ -341,6 +351,16 @@
 	return bytes;
 }
 
+GBytes *cb_fleet_encode_server(const cb_fleet_server_t *server)
+{
+	cb_pack_t pack;
+
+	cb_pack_init(&pack);
+	cb_pack_array(&pack, 1);
+	server_pack_(&pack, server, server->heard_ms);
+	return cb_pack_finish(&pack);
+}
+
 /* Decodes one server; returns the time since it was heard, or -1. */
 static int64_t server_read_(const msgpack_object *object,
 			    cb_fleet_server_t *server)
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -11,6 +11,8 @@
  * once a second.
  */
 #define SETTLE_MS 1500
+/* A process that has just started may not have heard all servers yet. */
+#define HEAR_ALL_MS 3000
 /* An order whose layers are not reported after this is looked into. */
 #define ORDER_TIMEOUT_MS 20000
 /* How soon a server that refused, or did not answer, is asked again. */
@@ -53,6 +55,7 @@
 	GHashTable *states; /* start to order_state_t */
 	unsigned int known_servers;
 	int64_t grown_ms; /* when a server was last new */
+	int64_t started_ms;
 };
 
 static void state_free_(order_state_t *state)
@@ -315,7 +318,7 @@
 			&g_array_index(inputs, cb_placement_server_t, i);
 
 		if (input->from != input->to)
-			return FALSE;
+			return now_ms - placer->started_ms < HEAR_ALL_MS;
 	}
 	return now_ms - placer->grown_ms < SETTLE_MS;
 }
@@ -377,8 +380,11 @@
 
 static gboolean placer_start_(cb_service_t *service, GError **error)
 {
+	cb_placer_t *placer = (cb_placer_t *)service;
+
 	(void)error;
-	cb_timer_start(((cb_placer_t *)service)->timer, TICK_MS);
+	placer->started_ms = cb_clock_now_ms(placer->clock);
+	cb_timer_start(placer->timer, TICK_MS);
 	return TRUE;
 }
 
--- a/src/libcurrantbridge/control/command.c
+++ b/src/libcurrantbridge/control/command.c
@@ -17,6 +17,8 @@
 	[CB_COMMAND_SUSPECT_ADD] = "suspect_add",
 	[CB_COMMAND_CLAIM] = "claim",
 	[CB_COMMAND_CLAIM_FINISH] = "claim_finish",
+	[CB_COMMAND_SERVER_NOTE] = "server_note",
+	[CB_COMMAND_SERVER_FORGET] = "server_forget",
 	[CB_COMMAND_DOCUMENT_PUT] = "document_put",
 };
 
--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -4,6 +4,8 @@
 
 #include "private/control_client.h"
 
+/* A control instance that is up answers sooner, even from afar. */
+#define CONNECT_TIMEOUT_MS 300
 #define LINK_QUEUE_MAX_BYTES (16 * 1024 * 1024)
 #define NEXT_MAX_MS 20
 #define RETRY_FIRST_MS 50
@@ -61,6 +63,7 @@
 		cb_link_goodbye(client->link, CB_CLOSE_WRONG_PEER);
 		return;
 	}
+	cb_timer_start(client->confirm_timer, client->silence_ms);
 	cb_log_event(client->log, CB_EVENT_CONTROL_CONNECTED,
 		     CB_STR("control", remote->name),
 		     CB_INT("revision", remote->revision));
@@ -175,7 +178,8 @@
 	client->hello.revision = cb_view_revision(client->view);
 	client->link = cb_link_new(client->clock, connection, &options,
 				   &link_handler, client);
-	cb_timer_start(client->confirm_timer, client->silence_ms);
+	cb_timer_start(client->confirm_timer,
+		       MIN(client->silence_ms, CONNECT_TIMEOUT_MS));
 }
 
 /* The instance has not shown that it is current: tries another one. */
--- a/src/libcurrantbridge/control/item.c
+++ b/src/libcurrantbridge/control/item.c
@@ -30,6 +30,13 @@
 	g_free(quarantine);
 }
 
+static void server_delete_(cb_server_note_t *server)
+{
+	g_free(server->id);
+	g_clear_pointer(&server->record, g_bytes_unref);
+	g_free(server);
+}
+
 static void document_delete_(cb_document_text_t *document)
 {
 	g_free(document->text);
@@ -54,6 +61,9 @@
 	case CB_ITEM_QUARANTINE:
 		quarantine_delete_(value);
 		return;
+	case CB_ITEM_SERVER:
+		server_delete_(value);
+		return;
 	case CB_ITEM_DOCUMENT:
 		document_delete_(value);
 		return;
@@ -78,6 +88,7 @@
 	const cb_instance_t *instance = value;
 	const cb_quarantine_t *quarantine = value;
 	const cb_document_text_t *document = value;
+	const cb_server_note_t *server = value;
 	char **death;
 
 	switch (kind) {
@@ -106,6 +117,11 @@
 		for (death = quarantine->deaths; *death; death++)
 			cb_pack_string(pack, *death);
 		return;
+	case CB_ITEM_SERVER:
+		cb_pack_array(pack, 2);
+		cb_pack_string(pack, server->id);
+		cb_pack_bytes(pack, server->record);
+		return;
 	case CB_ITEM_DOCUMENT:
 		cb_pack_array(pack, 2);
 		cb_pack_int(pack, document->version);
@@ -199,6 +215,18 @@
 	return NULL;
 }
 
+static void *server_read_(cb_fields_t *fields, const char *name)
+{
+	cb_server_note_t *server = g_new0(cb_server_note_t, 1);
+
+	server->id = cb_fields_text(fields);
+	server->record = cb_fields_bytes(fields);
+	if (server->record && !g_strcmp0(server->id, name))
+		return server;
+	server_delete_(server);
+	return NULL;
+}
+
 static void *document_read_(cb_fields_t *fields, const char *name)
 {
 	cb_document_text_t *document = g_new0(cb_document_text_t, 1);
@@ -226,6 +254,9 @@
 	case CB_ITEM_QUARANTINE:
 		((cb_quarantine_t *)item->value)->revision = item->revision;
 		return;
+	case CB_ITEM_SERVER:
+		((cb_server_note_t *)item->value)->revision = item->revision;
+		return;
 	case CB_ITEM_DOCUMENT:
 		((cb_document_text_t *)item->value)->revision = item->revision;
 		return;
@@ -243,6 +274,7 @@
 		[CB_ITEM_STOP] = stop_read_,
 		[CB_ITEM_INSTANCE] = instance_read_,
 		[CB_ITEM_QUARANTINE] = quarantine_read_,
+		[CB_ITEM_SERVER] = server_read_,
 		[CB_ITEM_DOCUMENT] = document_read_,
 	};
 	cb_fields_t fields;
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -108,6 +108,64 @@
 	cb_fleet_expire(node->fleet, now_ms, silence_ms, FORGET_MS);
 }
 
+/* Takes in what the replicated state notes, once after the start. */
+static void notes_read_(cb_node_t *node)
+{
+	const GPtrArray *notes = cb_view_servers(cb_state_view(node->state));
+	unsigned int i;
+
+	if (node->is_fleet_read || !cb_replica_is_current(node->replica))
+		return;
+	node->is_fleet_read = TRUE;
+	for (i = 0; i < notes->len; i++)
+		cb_node_fleet_merge(
+			node, ((cb_server_note_t *)notes->pdata[i])->record);
+}
+
+static void note_done_(cb_submit_outcome_t outcome, const cb_answer_t *answer,
+		       void *user_data)
+{
+	cb_node_t *node = user_data;
+
+	(void)answer;
+	/* What was not committed is noted again, all of it. */
+	if (outcome != CB_SUBMIT_ANSWERED)
+		node->was_noting = FALSE;
+}
+
+/* Has the state note a server as it is, or forget one that is gone. */
+static void note_submit_(cb_node_t *node, const cb_fleet_server_t *server)
+{
+	gboolean is_gone = server->state == CB_FLEET_GONE;
+	cb_command_t *command = cb_command_new(
+		is_gone ? CB_COMMAND_SERVER_FORGET : CB_COMMAND_SERVER_NOTE);
+
+	command->name = g_strdup(server->id);
+	if (is_gone)
+		command->text = cb_fleet_start_name(server);
+	else
+		command->answer = cb_fleet_encode_server(server);
+	cb_node_submit(node, command, note_done_, node);
+}
+
+/* On the leader, has the state note what has changed. */
+static void notes_submit_(cb_node_t *node)
+{
+	const GPtrArray *servers = cb_fleet_servers(node->fleet);
+	gboolean leads = cb_node_is_leader(node) && node->is_fleet_read;
+	unsigned int i;
+
+	for (i = 0; leads && i < servers->len; i++) {
+		const cb_fleet_server_t *server = servers->pdata[i];
+
+		if (server->is_noted && node->was_noting)
+			continue;
+		cb_fleet_set_noted(node->fleet, server->id, TRUE);
+		note_submit_(node, server);
+	}
+	node->was_noting = leads;
+}
+
 static void fleet_timer_fired_(void *user_data)
 {
 	cb_node_t *node = user_data;
@@ -116,6 +174,8 @@
 	node->is_fleet_changed = FALSE;
 	if (now_ms - node->fleet_expired_ms >= EXPIRE_INTERVAL_MS)
 		expire_(node, now_ms);
+	notes_read_(node);
+	notes_submit_(node);
 	share_(node);
 	cb_timer_start(node->fleet_timer, SHARE_INTERVAL_MS);
 }
@@ -145,12 +205,18 @@
 	node->fleet_timer = cb_timer_new(node->clock, fleet_timer_fired_, node);
 }
 
+/* Takes in what another process, or the state, tells of servers. */
+void cb_node_fleet_merge(cb_node_t *node, GBytes *record)
+{
+	if (!cb_fleet_merge(node->fleet, record, cb_clock_now_ms(node->clock)))
+		cb_log_event(node->log, CB_EVENT_FLEET_MALFORMED);
+}
+
 /* Takes what another control instance heard. */
 void cb_node_fleet_receive(cb_node_t *node, const cb_link_message_t *message)
 {
-	if (!message->body || !cb_fleet_merge(node->fleet, message->body,
-					      cb_clock_now_ms(node->clock)))
-		cb_log_event(node->log, CB_EVENT_FLEET_MALFORMED);
+	if (message->body)
+		cb_node_fleet_merge(node, message->body);
 }
 
 /* Returns the backend servers that this instance knows. */
--- a/src/libcurrantbridge/control/state.c
+++ b/src/libcurrantbridge/control/state.c
@@ -113,6 +113,8 @@
 		[CB_COMMAND_SUSPECT_ADD] = cb_state_suspect_add,
 		[CB_COMMAND_CLAIM] = claim_,
 		[CB_COMMAND_CLAIM_FINISH] = claim_finish_,
+		[CB_COMMAND_SERVER_NOTE] = cb_state_server_note,
+		[CB_COMMAND_SERVER_FORGET] = cb_state_server_forget,
 		[CB_COMMAND_DOCUMENT_PUT] = cb_state_document_put,
 	};
 	const char *fault = fault_find_(command);
--- a/src/libcurrantbridge/control/state_config.c
+++ b/src/libcurrantbridge/control/state_config.c
@@ -442,3 +442,38 @@
 		  index);
 	return revision_answer_(CB_ANSWER_OK, index);
 }
+
+/* Notes a backend server's record, for processes that start later. */
+cb_answer_t *cb_state_server_note(cb_state_t *state,
+				  const cb_command_t *command, uint64_t index)
+{
+	cb_server_note_t *note;
+
+	if (!command->answer)
+		return invalid_("server: record: is required");
+	note = g_new0(cb_server_note_t, 1);
+	note->id = g_strdup(command->name);
+	note->record = g_bytes_ref(command->answer);
+	note->revision = index;
+	item_put_(state, CB_ITEM_SERVER, command->name, note, index);
+	return revision_answer_(CB_ANSWER_OK, index);
+}
+
+/*
+ * Forgets a backend server that is gone for good, with the planned stop of
+ * its start, named by `text`, which has done its work.
+ */
+cb_answer_t *cb_state_server_forget(cb_state_t *state,
+				    const cb_command_t *command, uint64_t index)
+{
+	char *stop = command->text ?
+			     cb_stop_item_name(CB_STOP_SERVER, command->text) :
+			     NULL;
+
+	if (cb_view_find_item(state->view, CB_ITEM_SERVER, command->name))
+		item_remove_(state, CB_ITEM_SERVER, command->name, index);
+	if (stop && cb_view_find_item(state->view, CB_ITEM_STOP, stop))
+		item_remove_(state, CB_ITEM_STOP, stop, index);
+	g_free(stop);
+	return revision_answer_(CB_ANSWER_OK, index);
+}
--- a/src/libcurrantbridge/control/view.c
+++ b/src/libcurrantbridge/control/view.c
@@ -57,6 +57,11 @@
 	cb_item_value_delete(CB_ITEM_QUARANTINE, value);
 }
 
+static void server_free_(void *value)
+{
+	cb_item_value_delete(CB_ITEM_SERVER, value);
+}
+
 static void document_free_(void *value)
 {
 	cb_item_value_delete(CB_ITEM_DOCUMENT, value);
@@ -70,6 +75,7 @@
 		[CB_ITEM_STOP] = stop_free_,
 		[CB_ITEM_INSTANCE] = instance_free_,
 		[CB_ITEM_QUARANTINE] = quarantine_free_,
+		[CB_ITEM_SERVER] = server_free_,
 		[CB_ITEM_DOCUMENT] = document_free_,
 	};
 	cb_view_t *view = g_new0(cb_view_t, 1);
@@ -137,6 +143,8 @@
 		return g_strdup(((const cb_instance_t *)value)->name);
 	case CB_ITEM_QUARANTINE:
 		return g_strdup(((const cb_quarantine_t *)value)->digest);
+	case CB_ITEM_SERVER:
+		return g_strdup(((const cb_server_note_t *)value)->id);
 	case CB_ITEM_DOCUMENT:
 		return g_strdup(CB_DOCUMENT_ITEM_NAME);
 	case CB_ITEM_KIND_COUNT:
@@ -372,6 +380,12 @@
 	return sorted_(view, CB_ITEM_STOP);
 }
 
+/* Returns the notes on backend servers; valid until the next update. */
+const GPtrArray *cb_view_servers(const cb_view_t *view)
+{
+	return sorted_(view, CB_ITEM_SERVER);
+}
+
 /* Returns the configuration document in force; NULL before the first. */
 const cb_document_text_t *cb_view_document(const cb_view_t *view)
 {
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -25,6 +25,7 @@
 	cb_http1_client_t *client;
 	cb_engine_orders_t *orders;
 	cb_fleet_t *fleet;
+	gboolean has_servers; /* what the view notes was taken in */
 	cb_server_book_t *book;
 	cb_retry_share_t *retries;
 	GRand *random;
--- a/src/libcurrantbridge/include/private/item.h
+++ b/src/libcurrantbridge/include/private/item.h
@@ -10,6 +10,7 @@
 	CB_ITEM_STOP,	    /* named "KIND/NAME" */
 	CB_ITEM_INSTANCE,   /* named by the instance */
 	CB_ITEM_QUARANTINE, /* named by the digest */
+	CB_ITEM_SERVER,	    /* named by the backend server */
 	CB_ITEM_DOCUMENT,   /* there is one, CB_DOCUMENT_ITEM_NAME */
 	CB_ITEM_KIND_COUNT
 } cb_item_kind_t;
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -103,6 +103,8 @@
 	cb_timer_t *fleet_timer;
 	int64_t server_silence_ms;
 	int64_t fleet_expired_ms;
+	gboolean is_fleet_read;	 /* what the state notes was taken in */
+	gboolean was_noting;	 /* led at the last round of notes */
 	int64_t whole_since_ms;	 /* all control instances are linked */
 	GHashTable *peer_usages; /* by control instance */
 	cb_timer_t *usage_timer;
@@ -188,6 +190,7 @@
 void cb_node_peers_tell(cb_node_t *node, const cb_link_message_t *message);
 void cb_node_sessions_tell(cb_node_t *node, const cb_link_message_t *message);
 void cb_node_fleet_init(cb_node_t *node, int64_t server_silence_ms);
+void cb_node_fleet_merge(cb_node_t *node, GBytes *record);
 void cb_node_fleet_greet(cb_inbound_t *inbound);
 void cb_node_fleet_receive(cb_node_t *node, const cb_link_message_t *message);
 
--- a/src/libcurrantbridge/include/private/state_data.h
+++ b/src/libcurrantbridge/include/private/state_data.h
@@ -53,6 +53,11 @@
 cb_answer_t *cb_state_suspect_add(cb_state_t *state,
 				  const cb_command_t *command, uint64_t index);
 
+cb_answer_t *cb_state_server_note(cb_state_t *state,
+				  const cb_command_t *command, uint64_t index);
+cb_answer_t *cb_state_server_forget(cb_state_t *state,
+				    const cb_command_t *command,
+				    uint64_t index);
 cb_answer_t *cb_state_document_put(cb_state_t *state,
 				   const cb_command_t *command, uint64_t index);
 
--- a/src/libcurrantbridge/kernel/kernel.c
+++ b/src/libcurrantbridge/kernel/kernel.c
@@ -211,9 +211,8 @@
 }
 
 /* Has every service that can read its settings again. */
-static gboolean reload_received_(void *user_data)
+void cb_kernel_reload(cb_kernel_t *kernel)
 {
-	cb_kernel_t *kernel = user_data;
 	unsigned int i;
 
 	cb_log_event(kernel->log, CB_EVENT_PROCESS_RELOADING);
@@ -225,6 +224,11 @@
 			registration->service->vtable->reload(
 				registration->service);
 	}
+}
+
+static gboolean reload_received_(void *user_data)
+{
+	cb_kernel_reload(user_data);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -44,21 +44,40 @@
 		     CB_INT("routes", document->routes->len));
 }
 
-static void view_changed_(void *user_data)
+static void fleet_told_(GBytes *bytes, void *user_data)
 {
 	cb_front_t *front = user_data;
 
-	document_follow_(front);
-	cb_retry_share_instances(front->retries,
-				 cb_view_instances(front->view)->len);
+	if (!cb_fleet_merge(front->fleet, bytes, cb_clock_now_ms(front->clock)))
+		cb_log_event(front->log, CB_EVENT_FLEET_MALFORMED);
 }
 
-static void fleet_told_(GBytes *bytes, void *user_data)
+/*
+ * Takes in the servers that the view notes, once after the start: control
+ * tells of changes as they come, but may itself have just started.
+ */
+static void servers_read_(cb_front_t *front)
+{
+	const GPtrArray *notes = cb_view_servers(front->view);
+	unsigned int i;
+
+	if (front->has_servers)
+		return;
+	front->has_servers = TRUE;
+	for (i = 0; i < notes->len; i++)
+		fleet_told_(((cb_server_note_t *)notes->pdata[i])->record,
+			    front);
+}
+
+static void view_changed_(void *user_data)
 {
 	cb_front_t *front = user_data;
 
-	if (!cb_fleet_merge(front->fleet, bytes, cb_clock_now_ms(front->clock)))
-		cb_log_event(front->log, CB_EVENT_FLEET_MALFORMED);
+	servers_read_(front);
+
+	document_follow_(front);
+	cb_retry_share_instances(front->retries,
+				 cb_view_instances(front->view)->len);
 }
 
 static void usage_told_(GBytes *bytes, void *user_data)
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -153,6 +153,8 @@
 	cb_log_event(front->log, CB_EVENT_RELAY_ENDED,
 		     CB_STR("request", relay->ask.id),
 		     CB_STR("route", relay->route ? relay->route->name : NULL),
+		     CB_STR("target",
+			    cb_http1_exchange_head(relay->exchange)->target),
 		     CB_INT("status", status), CB_STR("reason", reason),
 		     CB_INT("attempts", relay->sends),
 		     CB_INT("last_event", relay->last_event),
--- a/src/test_libcurrantbridge/support_world.c
+++ b/src/test_libcurrantbridge/support_world.c
@@ -19,6 +19,7 @@
 		.election_timeout_ms = WORLD_ELECTION_MS,
 		.silence_ms = WORLD_SILENCE_MS,
 		.snapshot_every_bytes = 1 << 20,
+		.server_silence_ms = world->server_silence_ms,
 		.network = support_hub_network(world->hub, self->name),
 		.storage = disk_storage(self->disk),
 		.random = random,
@@ -114,10 +115,18 @@
 
 /* Makes nodes and clients and starts them all. */
 world_t *world_new(size_t node_count, size_t client_count, uint32_t seed)
+{
+	return world_new_hearing(node_count, client_count, seed, 0);
+}
+
+world_t *world_new_hearing(size_t node_count, size_t client_count,
+			   uint32_t seed, int64_t server_silence_ms)
 {
 	world_t *world = g_new0(world_t, 1);
 	size_t i;
 
+	world->server_silence_ms = server_silence_ms;
+
 	world->clock = cb_clock_new_paused(1000);
 	world->random = g_rand_new_with_seed(seed);
 	world->hub = support_hub_new(world->clock);
--- a/src/test_libcurrantbridge/support_world.h
+++ b/src/test_libcurrantbridge/support_world.h
@@ -40,6 +40,7 @@
 	cb_clock_t *clock;
 	GRand *random;
 	support_hub_t *hub;
+	int64_t server_silence_ms; /* 0: nodes hear no backend servers */
 	size_t node_count;
 	size_t client_count;
 	world_node_t nodes[WORLD_NODES_MAX];
@@ -57,6 +58,9 @@
 } world_result_t;
 
 world_t *world_new(size_t node_count, size_t client_count, uint32_t seed);
+/* As world_new(), with nodes that hear backend servers. */
+world_t *world_new_hearing(size_t node_count, size_t client_count,
+			   uint32_t seed, int64_t server_silence_ms);
 void world_delete(world_t *world);
 void world_node_start(world_t *world, size_t i);
 void world_node_stop(world_t *world, size_t i);
--- a/src/test_libcurrantbridge/test_kernel.c
+++ b/src/test_libcurrantbridge/test_kernel.c
@@ -213,8 +213,19 @@
 	g_free(service);
 }
 
-static const cb_service_vtable_t fake_vtable = { fake_start_, fake_drain_,
-						 fake_destroy_ };
+static void fake_reload_(cb_service_t *service)
+{
+	fake_service_t *fake = (fake_service_t *)service;
+
+	g_string_append_printf(fake->calls, "~%c", fake->name);
+}
+
+static const cb_service_vtable_t fake_vtable = {
+	.start = fake_start_,
+	.drain = fake_drain_,
+	.reload = fake_reload_,
+	.destroy = fake_destroy_,
+};
 
 static fake_service_t *fake_service_new_(GString *calls, char name)
 {
@@ -252,6 +263,24 @@
 	g_string_free(calls, TRUE);
 }
 
+/* Every service reads its settings again, in the order of registration. */
+static void kernel_reloads_each_service(void)
+{
+	GString *calls = g_string_new(NULL);
+	cb_clock_t *clock = cb_clock_new_paused(0);
+	cb_kernel_t *kernel = cb_kernel_new(NULL, clock, NULL);
+
+	cb_kernel_register(kernel, "a",
+			   &fake_service_new_(calls, 'a')->service);
+	cb_kernel_register(kernel, "b",
+			   &fake_service_new_(calls, 'b')->service);
+	cb_kernel_reload(kernel);
+	CU_ASSERT_STRING_EQUAL(calls->str, "~a~b");
+	cb_kernel_delete(kernel);
+	cb_clock_delete(clock);
+	g_string_free(calls, TRUE);
+}
+
 static CU_TestInfo kernel_tests[] = {
 	{ "timers_fire_in_order", timers_fire_in_order },
 	{ "stopped_timer_does_not_fire", stopped_timer_does_not_fire },
@@ -259,6 +288,7 @@
 	{ "settings_name_field_and_reason", settings_name_field_and_reason },
 	{ "log_writes_both_formats", log_writes_both_formats },
 	{ "kernel_drains_in_reverse", kernel_drains_in_reverse },
+	{ "kernel_reloads_each_service", kernel_reloads_each_service },
 	CU_TEST_INFO_NULL
 };
 
