Reroute within a data centre only, ask silent streams sooner, follow slow servers

Streams through a slow server were late for 8 s, as nobody knew of it. Log lines are written without a JSON tree.

--- a/include/currantbridge/chain.h
+++ b/include/currantbridge/chain.h
@@ -34,6 +34,8 @@
 	/* The first part, which is to stay as it is; `first_to` 0: any. */
 	unsigned int first_server;
 	uint32_t first_to;
+	/* The way may not change its data centre, at any price. */
+	gboolean forbids_crossing;
 } cb_chain_wish_t;
 
 typedef enum cb_chain_outcome {
--- a/include/currantbridge/engine_orders.h
+++ b/include/currantbridge/engine_orders.h
@@ -32,7 +32,8 @@
 /* What a server reports of itself when asked. */
 typedef struct cb_engine_report {
 	uint64_t accepted_orders;
-	gboolean is_busy; /* with an order */
+	gboolean is_busy;      /* with an order */
+	uint32_t slow_percent; /* how many times slower than usual; 100: not */
 	uint32_t layer_from;
 	uint32_t layer_to;
 	/* Requests that wait for a server on their way, of cb_stall_t. */
--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -38,6 +38,8 @@
 	uint32_t layer_to;
 	/* It was ordered to hold others; these take nothing new. */
 	gboolean is_moving;
+	/* How many times longer than usual its work takes, in hundredths. */
+	uint32_t slow_percent;
 	int64_t heard_ms; /* this process's clock */
 	/* Not told yet: a change to entries, a heartbeat to control. */
 	gboolean is_changed;
@@ -75,6 +77,9 @@
 				 const cb_fleet_server_t *said, int64_t now_ms);
 /* Notes that a server was ordered to hold other layers, or is not any more. */
 void cb_fleet_set_moving(cb_fleet_t *fleet, const char *id, gboolean is_moving);
+/* Notes how slow a server reports to be; 100 is usual. */
+void cb_fleet_set_slow(cb_fleet_t *fleet, const char *id,
+		       uint32_t slow_percent);
 void cb_fleet_expire(cb_fleet_t *fleet, int64_t now_ms, int64_t silence_ms,
 		     int64_t forget_ms);
 
--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -5,12 +5,15 @@
 
 /* A hop's own cost: passing a token on and waiting for the next pass. */
 #define HOP_MS 1.0
-/* Crossing between engines: every token takes the pipe that all share. */
-#define CROSSING_MS 40.0
+/*
+ * Crossing between engines: the pipe that all share carries some 20 MB for a
+ * request, one after another, so that a few dozen a second fill it.
+ */
+#define CROSSING_MS 400.0
 /* The first engine in another data centre: only the request crosses. */
 #define FIRST_CROSSING_MS 2.0
 /* A doubtful server is taken rather than two crossings, and not else. */
-#define DOUBTFUL_MS 60.0
+#define DOUBTFUL_MS 600.0
 /* Spreads requests over ways that are nearly as good. */
 #define SPREAD 0.25
 /* A server whose room is nearly full costs up to this many times more. */
@@ -59,8 +62,10 @@
 		before < 0 ? wish->data_centre : servers[before].data_centre;
 	double cost = HOP_MS;
 
-	if (strcmp(from, servers[at].data_centre) != 0)
-		cost += before < 0 ? FIRST_CROSSING_MS : CROSSING_MS;
+	if (strcmp(from, servers[at].data_centre) != 0 && before >= 0)
+		cost += wish->forbids_crossing ? INFINITY : CROSSING_MS;
+	else if (strcmp(from, servers[at].data_centre) != 0)
+		cost += FIRST_CROSSING_MS;
 	if (servers[at].is_doubtful)
 		cost += DOUBTFUL_MS;
 	return cost;
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -4,7 +4,9 @@
 
 #include "private/pack.h"
 
-#define SERVER_FIELD_COUNT 14
+#define SERVER_FIELD_COUNT 15
+/* Slowness that differs by less is not told. */
+#define SLOW_STEP_PERCENT 20
 
 struct cb_fleet {
 	GHashTable *by_id;
@@ -185,6 +187,9 @@
 	if (known) {
 		next.state = state_next_(known, said);
 		next.is_moving = is_moving_next_(known, said);
+		if (known->born_wall_ms == said->born_wall_ms &&
+		    !said->slow_percent)
+			next.slow_percent = known->slow_percent;
 		is_changed = differs_(known, &next);
 		next.is_changed = known->is_changed;
 		next.is_noted = known->is_noted;
@@ -206,6 +211,22 @@
 	return CB_FLEET_CHANGED;
 }
 
+void cb_fleet_set_slow(cb_fleet_t *fleet, const char *id, uint32_t slow_percent)
+{
+	cb_fleet_server_t *known = g_hash_table_lookup(fleet->by_id, id);
+	uint32_t present;
+
+	if (!known)
+		return;
+	present = known->slow_percent ? known->slow_percent : 100;
+	if (MAX(present, slow_percent) - MIN(present, slow_percent) <
+	    SLOW_STEP_PERCENT)
+		return;
+	known->slow_percent = slow_percent;
+	known->is_heard = TRUE;
+	changed_(fleet, known);
+}
+
 void cb_fleet_set_noted(cb_fleet_t *fleet, const char *id, gboolean is_noted)
 {
 	cb_fleet_server_t *known = g_hash_table_lookup(fleet->by_id, id);
@@ -308,6 +329,7 @@
 	cb_pack_uint(pack, server->layer_from);
 	cb_pack_uint(pack, server->layer_to);
 	cb_pack_bool(pack, server->is_moving);
+	cb_pack_uint(pack, server->slow_percent);
 	cb_pack_int(pack, MAX(now_ms - server->heard_ms, 0));
 }
 
@@ -382,6 +404,7 @@
 	server->layer_from = (uint32_t)cb_fields_uint(&fields);
 	server->layer_to = (uint32_t)cb_fields_uint(&fields);
 	server->is_moving = cb_fields_bool(&fields);
+	server->slow_percent = (uint32_t)cb_fields_uint(&fields);
 	age_ms = cb_fields_int(&fields);
 	return cb_fields_end(&fields) && age_ms >= 0 ? age_ms : -1;
 }
@@ -395,11 +418,13 @@
 			     known->state != CB_FLEET_GONE);
 
 	if ((!is_worse || known->state == told->state) &&
-	    known->is_moving == told->is_moving)
+	    known->is_moving == told->is_moving &&
+	    known->slow_percent == told->slow_percent)
 		return;
 	if (is_worse)
 		known->state = told->state;
 	known->is_moving = told->is_moving;
+	known->slow_percent = told->slow_percent;
 	changed_(fleet, known);
 }
 
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -15,6 +15,8 @@
 #define HEAR_ALL_MS 3000
 /* An order whose layers are not reported after this is looked into. */
 #define ORDER_TIMEOUT_MS 20000
+/* Each engine is asked this often whether it has turned slow. */
+#define ASK_INTERVAL_MS 2000
 /* How soon a server that refused, or did not answer, is asked again. */
 #define REFUSED_RETRY_MS 500
 
@@ -38,6 +40,8 @@
 	uint64_t accepted_orders;
 	int64_t ordered_ms;
 	int64_t not_before_ms;
+	int64_t asked_ms;    /* when it was last asked for a report */
+	gboolean is_checked; /* asked for its pace alone */
 } order_state_t;
 
 struct cb_placer {
@@ -154,6 +158,23 @@
 	}
 }
 
+/* Returns the ID of the server whose start a state is of; to be freed. */
+static char *state_server_(const order_state_t *state)
+{
+	const char *slash = strrchr(state->start, '/');
+
+	return g_strndup(state->start, (size_t)(slash - state->start));
+}
+
+/* Tells the entry instances when a server has turned slow, or is not any more. */
+static void slow_note_(const order_state_t *state, uint32_t slow_percent)
+{
+	char *id = state_server_(state);
+
+	cb_fleet_set_slow(cb_node_fleet(state->placer->node), id, slow_percent);
+	g_free(id);
+}
+
 static void reported_(const cb_engine_report_t *report, void *user_data)
 {
 	order_state_t *state = user_data;
@@ -164,9 +185,13 @@
 		state_free_(state);
 		return;
 	}
-	state->not_before_ms =
-		cb_clock_now_ms(placer->clock) + REFUSED_RETRY_MS;
-	if (!report || report->is_busy)
+	if (!state->is_checked)
+		state->not_before_ms =
+			cb_clock_now_ms(placer->clock) + REFUSED_RETRY_MS;
+	state->is_checked = FALSE;
+	if (report)
+		slow_note_(state, report->slow_percent);
+	if (!report || report->is_busy || state->is_pending)
 		return;
 	state->knows_count = TRUE;
 	state->accepted_orders = report->accepted_orders;
@@ -177,8 +202,7 @@
 static void moving_note_(const order_state_t *state)
 {
 	cb_fleet_t *fleet = cb_node_fleet(state->placer->node);
-	char *id = g_strndup(state->start, (size_t)(strrchr(state->start, '/') -
-						    state->start));
+	char *id = state_server_(state);
 	const cb_fleet_server_t *server = cb_fleet_find(fleet, id);
 
 	if (server && server->layer_from != server->layer_to &&
@@ -222,6 +246,7 @@
 static void ask_(cb_placer_t *placer, order_state_t *state, const char *address)
 {
 	state->is_asked = TRUE;
+	state->asked_ms = cb_clock_now_ms(placer->clock);
 	placer->orders->vtable->report(placer->orders, address, reported_,
 				       state);
 }
@@ -268,6 +293,22 @@
 		ask_(placer, state, server->address);
 }
 
+/* Asks a server now and then whether it has turned slow. */
+static void pace_check_(cb_placer_t *placer, order_state_t *state,
+			const cb_fleet_server_t *server)
+{
+	int64_t now_ms = cb_clock_now_ms(placer->clock);
+
+	if (state->is_asked || server->layer_from == server->layer_to)
+		return;
+	if (!state->asked_ms)
+		state->asked_ms = now_ms;
+	if (now_ms - state->asked_ms < ASK_INTERVAL_MS)
+		return;
+	state->is_checked = TRUE;
+	ask_(placer, state, server->address);
+}
+
 /* The servers of one service, as the placement takes them. */
 static GPtrArray *candidates_(cb_placer_t *placer,
 			      const cb_service_profile_t *service,
@@ -300,6 +341,7 @@
 		};
 		g_ptr_array_add(servers, (void *)server);
 		g_array_append_val(inputs, input);
+		pace_check_(placer, state, server);
 	}
 	return servers;
 }
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -30,6 +30,7 @@
 	GHashTable *tried;
 	/* The hop that the way is to begin with; NULL: any. */
 	const cb_relay_hop_t *first;
+	gboolean forbids_crossing; /* between data centres on the way */
 } cb_book_wish_t;
 
 cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
--- a/src/libcurrantbridge/kernel/log.c
+++ b/src/libcurrantbridge/kernel/log.c
@@ -1,7 +1,7 @@
 #include "currantbridge/log.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
+#include <time.h>
 
 struct cb_log {
 	cb_clock_t *clock;
@@ -73,15 +73,17 @@
 	g_assert_not_reached();
 }
 
+/* Formats a time as ISO 8601 in UTC; free it. */
 static char *time_format_(int64_t wall_ms)
 {
-	GDateTime *time = g_date_time_new_from_unix_utc(wall_ms / 1000);
-	char *day = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
-	char *text = g_strdup_printf("%s.%03dZ", day, (int)(wall_ms % 1000));
-
-	g_free(day);
-	g_date_time_unref(time);
-	return text;
+	time_t seconds = (time_t)(wall_ms / 1000);
+	struct tm parts;
+
+	gmtime_r(&seconds, &parts);
+	return g_strdup_printf("%04d-%02d-%02dT%02d:%02d:%02d.%03dZ",
+			       parts.tm_year + 1900, parts.tm_mon + 1,
+			       parts.tm_mday, parts.tm_hour, parts.tm_min,
+			       parts.tm_sec, (int)(wall_ms % 1000));
 }
 
 static void write_text_(cb_log_t *log, const event_info_t *info,
@@ -105,32 +107,49 @@
 	fputc('\n', log->stream);
 }
 
+/* Appends a JSON string; bytes that are not UTF-8 are replaced. */
+static void json_string_append_(GString *line, const char *text)
+{
+	char *valid = g_utf8_validate(text, -1, NULL) ?
+			      NULL :
+			      g_utf8_make_valid(text, -1);
+	const char *c;
+
+	g_string_append_c(line, '"');
+	for (c = valid ? valid : text; *c; c++) {
+		if (*c == '"' || *c == '\\')
+			g_string_append_c(line, '\\');
+		if ((unsigned char)*c < ' ')
+			g_string_append_printf(line, "\\u%04x", *c);
+		else
+			g_string_append_c(line, *c);
+	}
+	g_string_append_c(line, '"');
+	g_free(valid);
+}
+
+/* One line a log event is by far the most JSON that a daemon writes. */
 static void write_json_(cb_log_t *log, const event_info_t *info,
 			const char *time, const cb_log_field_t *field)
 {
-	JsonObject *object = json_object_new();
-	JsonNode *node = json_node_new(JSON_NODE_OBJECT);
-	char *text;
-
-	json_object_set_string_member(object, "time", time);
-	json_object_set_string_member(object, "level",
-				      cb_log_level_string[info->level]);
-	json_object_set_int_member(object, "event", info->event);
-	json_object_set_string_member(object, "name", info->name);
-	json_object_set_string_member(object, "message", info->message);
+	GString *line = g_string_sized_new(512);
+
+	g_string_append_printf(line,
+			       "{\"time\":\"%s\",\"level\":\"%s\",\"event\":%d,"
+			       "\"name\":\"%s\",\"message\":\"%s\"",
+			       time, cb_log_level_string[info->level],
+			       (int)info->event, info->name, info->message);
 	for (; field->name; field++) {
+		g_string_append_printf(line, ",\"%s\":", field->name);
 		if (field->text)
-			json_object_set_string_member(object, field->name,
-						      field->text);
+			json_string_append_(line, field->text);
 		else
-			json_object_set_int_member(object, field->name,
-						   field->number);
+			g_string_append_printf(line, "%" G_GINT64_FORMAT,
+					       field->number);
 	}
-	json_node_take_object(node, object);
-	text = json_to_string(node, FALSE);
-	fprintf(log->stream, "%s\n", text);
-	g_free(text);
-	json_node_unref(node);
+	g_string_append(line, "}\n");
+	fwrite(line->str, 1, line->len, log->stream);
+	g_string_free(line, TRUE);
 }
 
 /*
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -14,10 +14,10 @@
 /* Sends beyond the route's attempts, for those that surely did not run. */
 #define UNRUN_SENDS_MAX 4
 /*
- * A stream counts as silent after so many of the longest pauses it may make,
- * or one pause after its first event was due.
+ * A stream counts as silent after so much of the longest pause it may make,
+ * or when its first event is due.
  */
-#define SILENT_GAPS 3
+#define SILENT_GAPS_PERCENT 150
 #define SILENT_DEFAULT_MS 1500
 /* How long a server may take to say why a stream is silent. */
 #define ASK_TIMEOUT_MS 300
@@ -242,8 +242,8 @@
 
 	if (!route->gap_ms)
 		return SILENT_DEFAULT_MS;
-	return relay->is_begun ? SILENT_GAPS * route->gap_ms :
-				 route->target_ms + route->gap_ms;
+	return relay->is_begun ? route->gap_ms * SILENT_GAPS_PERCENT / 100 :
+				 route->target_ms;
 }
 
 static void silence_watch_(relay_t *relay)
@@ -371,6 +371,11 @@
 		.tokens = relay->tokens,
 		.tried = relay->tried,
 		.first = &g_array_index(relay->hops, cb_relay_hop_t, 0),
+		/*
+		 * All tokens so far would cross again: a way within another
+		 * data centre reads them sooner.
+		 */
+		.forbids_crossing = TRUE,
 	};
 	cb_book_outcome_t outcome;
 
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -233,7 +233,7 @@
 		input.to = input.from;
 		return input;
 	}
-	input.pace = kind->pace;
+	input.pace = kind->pace * MAX(server->slow_percent, 100) / 100;
 	input.running = under_way.running;
 	input.free_tokens =
 		cb_placement_room_tokens(engine, kind->memory_mb, layers) -
@@ -266,7 +266,9 @@
 {
 	const cb_engine_profile_t *engine = wish->service->engine;
 	cb_chain_wish_t chain_wish = { .data_centre = book->data_centre,
-				       .tokens = wish->tokens };
+				       .tokens = wish->tokens,
+				       .forbids_crossing =
+					       wish->forbids_crossing };
 	GArray *parts = g_array_new(FALSE, FALSE, sizeof(cb_chain_part_t));
 	GPtrArray *usable = usable_(book, wish);
 	cb_chain_server_t *inputs = g_new0(cb_chain_server_t, usable->len + 1);
--- a/src/test_libcurrantbridge/test_document.c
+++ b/src/test_libcurrantbridge/test_document.c
@@ -57,8 +57,9 @@
 
 	CU_ASSERT_TRUE(cb_document_finish(document, NULL));
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		const cb_route_t *route = cb_document_route(
-			document, cases[i].host, cases[i].target);
+		const cb_route_t *route =
+			cb_document_route(document, cases[i].host,
+					  cases[i].target);
 
 		CU_ASSERT_EQUAL(g_strcmp0(route ? route->name : NULL,
 					  cases[i].route),
@@ -224,9 +225,9 @@
 		const char *text;
 		const char *in_force;
 	} steps[] = {
-		{ 0, 7, "seven", "seven" },   { 1, 7, "seven", "seven" },
-		{ 2, 7, "other", "seven" },   { 1, 3, "three", "seven" },
-		{ 0, 40, "forty", "forty" },  { 2, 41, "next", "next" },
+		{ 0, 7, "seven", "seven" },  { 1, 7, "seven", "seven" },
+		{ 2, 7, "other", "seven" },  { 1, 3, "three", "seven" },
+		{ 0, 40, "forty", "forty" }, { 2, 41, "next", "next" },
 		{ 1, 40, "forty", "next" },
 	};
 	world_t *world = world_new(3, 4, 11);
--- a/src/test_libcurrantbridge/test_fleet.c
+++ b/src/test_libcurrantbridge/test_fleet.c
@@ -252,7 +252,8 @@
 	world_run_until(world, NULL, TOLD_LIMIT_MS);
 	CU_ASSERT_EQUAL(outcome, CB_SUBMIT_ANSWERED);
 	for (i = 0; i < 6; i++) {
-		CU_ASSERT_TRUE(is_known_(listeners[i].fleet, CB_FLEET_DRAINING));
+		CU_ASSERT_TRUE(
+			is_known_(listeners[i].fleet, CB_FLEET_DRAINING));
 		CU_ASSERT_TRUE(cb_view_is_stopped(world->clients[i].view,
 						  CB_STOP_SERVER, "a/10"));
 		cb_fleet_delete(listeners[i].fleet);
--- a/src/test_libcurrantbridge/test_http1_parse.c
+++ b/src/test_libcurrantbridge/test_http1_parse.c
@@ -47,15 +47,15 @@
 	  CB_HTTP1_INVALID, 0, 0, FALSE },
 	{ "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 1\r\n\r\n",
 	  CB_HTTP1_INVALID, 0, 0, FALSE },
-	{ "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n", CB_HTTP1_INVALID, 0,
-	  0, FALSE },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n", CB_HTTP1_INVALID,
+	  0, 0, FALSE },
 	{ "GET / HTTP/1.1\r\nHost: h\nA: b\r\n\r\n", CB_HTTP1_INVALID, 0, 0,
 	  FALSE },
-	{ "GET / HTTP/1.1\r\nHost: h\r\nA: b\rc\r\n\r\n", CB_HTTP1_INVALID, 0, 0,
-	  FALSE },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nA: b\rc\r\n\r\n", CB_HTTP1_INVALID, 0,
+	  0, FALSE },
 	{ "GET / HTTP/1.1\r\n\r\n", CB_HTTP1_INVALID, 0, 0, FALSE },
-	{ "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", CB_HTTP1_INVALID, 0, 0,
-	  FALSE },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", CB_HTTP1_INVALID, 0,
+	  0, FALSE },
 	{ "GET  / HTTP/1.1\r\nHost: h\r\n\r\n", CB_HTTP1_INVALID, 0, 0, FALSE },
 	{ "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n", CB_HTTP1_INVALID, 0, 0,
 	  FALSE },
@@ -72,9 +72,10 @@
 		const request_case_t *c = &request_cases[i];
 		cb_http1_head_t head;
 		size_t used = 0;
-		cb_http1_outcome_t outcome = cb_http1_request_parse(
-			&head, (const uint8_t *)c->text, strlen(c->text),
-			MAX_BYTES, &used);
+		cb_http1_outcome_t outcome =
+			cb_http1_request_parse(&head, (const uint8_t *)c->text,
+					       strlen(c->text), MAX_BYTES,
+					       &used);
 
 		CU_ASSERT_EQUAL(outcome, c->outcome);
 		if (outcome != c->outcome)
@@ -103,12 +104,11 @@
 			CB_HTTP1_INVALID);
 	while (text->len < MAX_BYTES) {
 		g_string_append_c(text, 'x');
-		CU_ASSERT_EQUAL(
-			cb_http1_request_parse(&head,
-					       (const uint8_t *)text->str,
-					       text->len, MAX_BYTES, &used),
-			text->len < MAX_BYTES ? CB_HTTP1_PARTIAL :
-						CB_HTTP1_OVERSIZE);
+		CU_ASSERT_EQUAL(cb_http1_request_parse(
+					&head, (const uint8_t *)text->str,
+					text->len, MAX_BYTES, &used),
+				text->len < MAX_BYTES ? CB_HTTP1_PARTIAL :
+							CB_HTTP1_OVERSIZE);
 	}
 	g_string_free(text, TRUE);
 }
@@ -148,9 +148,11 @@
 		const answer_case_t *c = &answer_cases[i];
 		cb_http1_head_t head;
 		size_t used = 0;
-		cb_http1_outcome_t outcome = cb_http1_answer_parse(
-			&head, c->method, (const uint8_t *)c->text,
-			strlen(c->text), MAX_BYTES, &used);
+		cb_http1_outcome_t outcome =
+			cb_http1_answer_parse(&head, c->method,
+					      (const uint8_t *)c->text,
+					      strlen(c->text), MAX_BYTES,
+					      &used);
 
 		CU_ASSERT_EQUAL(outcome, c->outcome);
 		if (outcome != CB_HTTP1_WHOLE)
@@ -186,8 +188,8 @@
 	  NULL, NULL },
 	{ CB_HTTP1_FRAMING_CHUNKED, 0, "0x5\r\nhello\r\n", CB_HTTP1_INVALID,
 	  NULL, NULL },
-	{ CB_HTTP1_FRAMING_CHUNKED, 0, "5 \r\nhello\r\n", CB_HTTP1_INVALID, NULL,
-	  NULL },
+	{ CB_HTTP1_FRAMING_CHUNKED, 0, "5 \r\nhello\r\n", CB_HTTP1_INVALID,
+	  NULL, NULL },
 	{ CB_HTTP1_FRAMING_CHUNKED, 0, "fffffffff\r\n", CB_HTTP1_INVALID, NULL,
 	  NULL },
 	{ CB_HTTP1_FRAMING_CHUNKED, 0, "5\nhello\r\n", CB_HTTP1_INVALID, NULL,
@@ -213,9 +215,10 @@
 	cb_http1_body_init(&body, &head);
 	*taken = 0;
 	while (outcome == CB_HTTP1_PARTIAL && *taken < size) {
-		outcome = cb_http1_body_read(
-			&body, (const uint8_t *)c->text + *taken,
-			MIN(step, size - *taken), &used, gather_, got);
+		outcome = cb_http1_body_read(&body,
+					     (const uint8_t *)c->text + *taken,
+					     MIN(step, size - *taken), &used,
+					     gather_, got);
 		*taken += used;
 	}
 	cb_http1_body_clear(&body);
@@ -302,17 +305,15 @@
 	int round;
 
 	for (round = 0; round < 20000; round++) {
-		const request_case_t *c =
-			&request_cases[g_rand_int_range(
-				random, 0, G_N_ELEMENTS(request_cases))];
+		const request_case_t *c = &request_cases[g_rand_int_range(
+			random, 0, G_N_ELEMENTS(request_cases))];
 		GString *text = g_string_new(c->text);
 		int changes = g_rand_int_range(random, 1, 6);
 		cb_http1_head_t head;
 		size_t used = 0;
 
 		while (changes--)
-			text->str[g_rand_int_range(random, 0,
-						   (int)text->len)] =
+			text->str[g_rand_int_range(random, 0, (int)text->len)] =
 				(char)g_rand_int_range(random, 0, 256);
 		if (cb_http1_request_parse(&head, (const uint8_t *)text->str,
 					   text->len, MAX_BYTES,
