Wait for room on a full disk instead of giving a control instance up

Cause: a write that a full disk refused ended the instance's part in the group until its process was started again, though the disk had room seconds later. Change: the worker repeats what a full disk refuses, from the last durable byte; a test over a disk that takes half, then nothing, then all. Before: the storage stayed failed. After: every call completes, and the folder reads back whole.

--- a/include/currantbridge/storage.h
+++ b/include/currantbridge/storage.h
@@ -8,7 +8,8 @@
  * Where a replica keeps its term, vote, log and snapshot.  Calls complete in
  * the order in which they were made; what a call was given is durable when
  * it completes.  Once a write has failed, that call and all after it
- * complete with the error.  Calls that wait when a storage is destroyed
+ * complete with the error; but what a full disk refuses waits until there is
+ * room.  Calls that wait when a storage is destroyed
  * complete with the error G_IO_ERROR_CANCELLED.
  */
 typedef struct cb_storage cb_storage_t;
@@ -20,6 +21,7 @@
 	CB_STORAGE_ERROR_IO,
 	CB_STORAGE_ERROR_CORRUPT,
 	CB_STORAGE_ERROR_LOCKED, /* another process uses the folder */
+	CB_STORAGE_ERROR_FULL,	 /* the disk takes no more for now */
 } cb_storage_error_t;
 
 typedef struct cb_record {
--- a/src/libcurrantbridge/control/file_folder.c
+++ b/src/libcurrantbridge/control/file_folder.c
@@ -13,7 +13,10 @@
 #define FILE_MODE 0640
 #define FOLDER_MODE 0750
 
+static const cb_file_calls_t system_calls = { write, fdatasync };
+
 struct cb_file_folder {
+	const cb_file_calls_t *calls;
 	char *path;
 	char *log_path;
 	char *log_new_path;
@@ -24,6 +27,7 @@
 	int log_fd;
 	uint64_t log_size;
 	GByteArray *pending;
+	gboolean is_torn; /* the log may end in a part of what is pending */
 	uint64_t syncs;
 	/* What the log holds, to write it anew after a snapshot. */
 	cb_vote_t vote;
@@ -36,17 +40,21 @@
 static gboolean io_failed_(GError **error, const char *path, const char *action)
 {
 	int code = errno;
+	gboolean is_full = code == ENOSPC || code == EDQUOT;
 
-	g_set_error(error, CB_STORAGE_ERROR, CB_STORAGE_ERROR_IO,
+	g_set_error(error, CB_STORAGE_ERROR,
+		    is_full ? CB_STORAGE_ERROR_FULL : CB_STORAGE_ERROR_IO,
 		    "%s: %s failed: %s", path, action, g_strerror(code));
 	return FALSE;
 }
 
 /* Names the folder at `path`; nothing is touched before it is loaded. */
-cb_file_folder_t *cb_file_folder_new(const char *path)
+cb_file_folder_t *cb_file_folder_new(const char *path,
+				     const cb_file_calls_t *calls)
 {
 	cb_file_folder_t *folder = g_new0(cb_file_folder_t, 1);
 
+	folder->calls = calls ? calls : &system_calls;
 	folder->path = g_strdup(path);
 	folder->log_path = g_build_filename(path, "log", NULL);
 	folder->log_new_path = g_build_filename(path, "log.new", NULL);
@@ -84,13 +92,14 @@
 	g_free(folder);
 }
 
-static gboolean write_all_(int fd, const char *path, const void *data,
-			   size_t size, GError **error)
+static gboolean write_all_(const cb_file_folder_t *folder, int fd,
+			   const char *path, const void *data, size_t size,
+			   GError **error)
 {
 	const char *next = data;
 
 	while (size) {
-		ssize_t written = write(fd, next, size);
+		ssize_t written = folder->calls->write(fd, next, size);
 
 		if (written < 0 && errno == EINTR)
 			continue;
@@ -106,7 +115,7 @@
 			   GError **error)
 {
 	folder->syncs++;
-	if (fdatasync(fd) < 0)
+	if (folder->calls->fdatasync(fd) < 0)
 		return io_failed_(error, path, "fsync");
 	return TRUE;
 }
@@ -138,7 +147,7 @@
 
 	if (fd < 0)
 		return io_failed_(error, new_path, "opening");
-	is_written = write_all_(fd, new_path, data, size, error) &&
+	is_written = write_all_(folder, fd, new_path, data, size, error) &&
 		     sync_file_(folder, fd, new_path, error);
 	close(fd);
 	if (!is_written)
@@ -312,8 +321,8 @@
 		return io_failed_(error, folder->log_path, "truncating");
 	folder->log_size = good_size;
 	if (!good_size) {
-		if (!write_all_(folder->log_fd, folder->log_path, CB_LOG_MAGIC,
-				CB_FILE_MAGIC_BYTES, error))
+		if (!write_all_(folder, folder->log_fd, folder->log_path,
+				CB_LOG_MAGIC, CB_FILE_MAGIC_BYTES, error))
 			return FALSE;
 		folder->log_size = CB_FILE_MAGIC_BYTES;
 	}
@@ -457,10 +466,16 @@
 
 	if (!pending->len)
 		return TRUE;
-	if (!write_all_(folder->log_fd, folder->log_path, pending->data,
+	/* A write that failed may have left a part of itself. */
+	if (folder->is_torn &&
+	    ftruncate(folder->log_fd, (off_t)folder->log_size) < 0)
+		return io_failed_(error, folder->log_path, "truncating");
+	folder->is_torn = TRUE;
+	if (!write_all_(folder, folder->log_fd, folder->log_path, pending->data,
 			pending->len, error) ||
 	    !sync_file_(folder, folder->log_fd, folder->log_path, error))
 		return FALSE;
+	folder->is_torn = FALSE;
 	folder->log_size += pending->len;
 	g_byte_array_set_size(pending, 0);
 	return TRUE;
@@ -487,6 +502,7 @@
 		folder->log_fd =
 			open(folder->log_path, O_WRONLY | O_APPEND | O_CLOEXEC);
 		folder->log_size = out->len;
+		folder->is_torn = FALSE;
 		if (folder->log_fd < 0)
 			is_written =
 				io_failed_(error, folder->log_path, "opening");
--- a/src/libcurrantbridge/control/file_storage.c
+++ b/src/libcurrantbridge/control/file_storage.c
@@ -4,6 +4,9 @@
 #include "private/file_folder.h"
 #include "private/replica_message.h"
 
+/* How soon a full disk is tried again: well within an election. */
+#define FULL_RETRY_US (100 * G_TIME_SPAN_MILLISECOND)
+
 /*
  * A storage of files.  Its calls are gathered while a worker writes the
  * former ones, so that many share one fsync and the loop never waits.
@@ -33,6 +36,7 @@
 	GMutex mutex;
 	GCond written;
 	gboolean is_written;
+	gboolean is_cancelled; /* the storage closes */
 } batch_t;
 
 struct file_storage {
@@ -96,22 +100,56 @@
 	g_assert_not_reached();
 }
 
+/*
+ * Waits before a full disk is tried again; FALSE when the storage closes.
+ * Only the worker waits: the loop goes on, and others lead meanwhile.
+ */
+static gboolean room_wait_(batch_t *batch)
+{
+	gint64 until_us = g_get_monotonic_time() + FULL_RETRY_US;
+	gboolean goes_on;
+
+	g_mutex_lock(&batch->mutex);
+	while (!batch->is_cancelled &&
+	       g_cond_wait_until(&batch->written, &batch->mutex, until_us))
+		;
+	goes_on = !batch->is_cancelled;
+	g_mutex_unlock(&batch->mutex);
+	return goes_on;
+}
+
+/* Writes one job, or what was gathered if there is none, once there is room. */
+static gboolean write_(batch_t *batch, const job_t *job)
+{
+	cb_file_folder_t *folder = batch->storage->folder;
+	gboolean is_good;
+
+	for (;;) {
+		is_good = job ? job_write_(folder, job, &batch->error) :
+				cb_file_folder_sync(folder, &batch->error);
+		if (is_good || !g_error_matches(batch->error, CB_STORAGE_ERROR,
+						CB_STORAGE_ERROR_FULL))
+			return is_good;
+		if (!room_wait_(batch))
+			return FALSE;
+		g_clear_error(&batch->error);
+	}
+}
+
 /* Runs in the worker thread. */
 static void batch_write_(GTask *task, void *source, void *data,
 			 GCancellable *cancellable)
 {
 	batch_t *batch = data;
-	cb_file_folder_t *folder = batch->storage->folder;
 	gboolean is_good = TRUE;
 	uint32_t i;
 
 	(void)source;
 	(void)cancellable;
 	for (i = 0; is_good && i < batch->jobs->len; i++)
-		is_good = job_write_(folder, batch->jobs->pdata[i],
-				     &batch->error);
+		is_good = write_(batch, batch->jobs->pdata[i]);
 	if (is_good)
-		cb_file_folder_sync(folder, &batch->error);
+		(void)write_(batch, NULL);
 	g_mutex_lock(&batch->mutex);
 	batch->is_written = TRUE;
 	g_cond_signal(&batch->written);
@@ -235,6 +273,8 @@
 static void batch_wait_(batch_t *batch)
 {
 	g_mutex_lock(&batch->mutex);
+	batch->is_cancelled = TRUE;
+	g_cond_broadcast(&batch->written);
 	while (!batch->is_written)
 		g_cond_wait(&batch->written, &batch->mutex);
 	g_mutex_unlock(&batch->mutex);
@@ -273,11 +313,17 @@
  * completions run in the thread-default main context of the caller.
  */
 cb_storage_t *cb_file_storage_new(const char *folder)
+{
+	return cb_file_storage_new_with(folder, NULL);
+}
+
+cb_storage_t *cb_file_storage_new_with(const char *folder,
+				       const cb_file_calls_t *calls)
 {
 	file_storage_t *storage = g_new0(file_storage_t, 1);
 
 	storage->base.vtable = &file_vtable;
-	storage->folder = cb_file_folder_new(folder);
+	storage->folder = cb_file_folder_new(folder, calls);
 	storage->waiting = g_ptr_array_new_with_free_func(job_delete_);
 	return &storage->base;
 }
--- a/src/libcurrantbridge/control/restore.c
+++ b/src/libcurrantbridge/control/restore.c
@@ -102,7 +102,7 @@
 			  cb_state_t *state, cb_snapshot_t *snapshot,
 			  GRand *random, GError **error)
 {
-	cb_file_folder_t *folder = cb_file_folder_new(options->to_folder);
+	cb_file_folder_t *folder = cb_file_folder_new(options->to_folder, NULL);
 	cb_storage_content_t content = { 0 };
 	gboolean is_written = FALSE;
 
@@ -129,7 +129,7 @@
 gboolean cb_restore(const cb_restore_options_t *options, GRand *random,
 		    cb_restored_t *restored, GError **error)
 {
-	cb_file_folder_t *from = cb_file_folder_new(options->from_folder);
+	cb_file_folder_t *from = cb_file_folder_new(options->from_folder, NULL);
 	cb_storage_content_t content = { 0 };
 	cb_state_t *state = cb_state_new();
 	cb_snapshot_t snapshot = { 0 };
--- a/src/libcurrantbridge/include/private/file_folder.h
+++ b/src/libcurrantbridge/include/private/file_folder.h
@@ -1,6 +1,8 @@
 #ifndef CURRANTBRIDGE_PRIVATE_FILE_FOLDER_H
 #define CURRANTBRIDGE_PRIVATE_FILE_FOLDER_H
 
+#include <sys/types.h>
+
 #include "currantbridge/storage.h"
 
 /*
@@ -9,7 +11,18 @@
  */
 typedef struct cb_file_folder cb_file_folder_t;
 
-cb_file_folder_t *cb_file_folder_new(const char *path);
+/* The system calls that write; tests bind them to a disk that fails. */
+typedef struct cb_file_calls {
+	ssize_t (*write)(int fd, const void *data, size_t size);
+	int (*fdatasync)(int fd);
+} cb_file_calls_t;
+
+/* A storage of files over other calls, which must outlive it. */
+cb_storage_t *cb_file_storage_new_with(const char *folder,
+				       const cb_file_calls_t *calls);
+/* `calls` NULL: the system's. */
+cb_file_folder_t *cb_file_folder_new(const char *path,
+				     const cb_file_calls_t *calls);
 void cb_file_folder_delete(cb_file_folder_t *folder);
 
 gboolean cb_file_folder_load(cb_file_folder_t *folder,
--- a/src/test_libcurrantbridge/test_file_storage.c
+++ b/src/test_libcurrantbridge/test_file_storage.c
@@ -5,8 +5,10 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include "currantbridge/storage.h"
+#include "private/file_folder.h"
 #include "private/replica_message.h"
 #include "support_main.h"
 
@@ -400,7 +402,60 @@
 	fixture_end_(&fixture);
 }
 
+/* A disk that takes half of each write for so many, then none, then all. */
+static int refusals_left;
+
+static ssize_t full_write_(int fd, const void *data, size_t size)
+{
+	if (refusals_left <= 0)
+		return write(fd, data, size);
+	refusals_left--;
+	if (refusals_left % 2)
+		return write(fd, data, size / 2);
+	errno = ENOSPC;
+	return -1;
+}
+
+/*
+ * What a full disk refuses is durable once there is room: no call fails, no
+ * part of a refused write stays.  Snapshots are repeated as a whole.
+ */
+static void a_full_disk_is_waited_for(void)
+{
+	static const cb_file_calls_t calls = { full_write_, fdatasync };
+	static const int refusals[] = { 1, 2, 3, 4 };
+	fixture_t fixture;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		fixture_begin_(&fixture);
+		refusals_left = 0;
+		fixture.storage =
+			cb_file_storage_new_with(fixture.folder, &calls);
+		CU_ASSERT_TRUE(fixture.storage->vtable->load(fixture.storage,
+							     &fixture.content,
+							     NULL));
+		vote_(&fixture, 3, "disk");
+		append_(&fixture, 1, 3, "before the disk was full");
+		wait_(&fixture, 2);
+		refusals_left = refusals[i];
+		append_(&fixture, 2, 3, "while it was full");
+		append_(&fixture, 3, 3, "as well");
+		wait_(&fixture, 4);
+		refusals_left = refusals[i];
+		snapshot_(&fixture, 2, 3, "state");
+		append_(&fixture, 4, 3, "after the snapshot");
+		wait_(&fixture, 6);
+		CU_ASSERT_EQUAL(fixture.failed, 0);
+		CU_ASSERT_TRUE(open_(&fixture));
+		CU_ASSERT_EQUAL(fixture.content.snapshot.index, 2);
+		CU_ASSERT_EQUAL(fixture.content.records->len, 2);
+		fixture_end_(&fixture);
+	}
+}
+
 static CU_TestInfo tests[] = {
+	{ "a_full_disk_is_waited_for", a_full_disk_is_waited_for },
 	{ "a_folder_keeps_what_was_stored", a_folder_keeps_what_was_stored },
 	{ "a_snapshot_replaces_records", a_snapshot_replaces_records },
 	{ "an_old_log_beside_a_snapshot_is_read",
