Let entries learn the control instances, and the group replace its dead voters

Cause: entries knew only the seeds of their start, which may all be replaced, and each replaced machine stayed a voter: after three, five live voters of eight bore no loss. A voter that was removed while it was away had no way back.

--- a/include/currantbridge/replica.h
+++ b/include/currantbridge/replica.h
@@ -150,5 +150,7 @@
 /* Whether this member has heard from a majority (or the leader) lately. */
 gboolean cb_replica_is_current(const cb_replica_t *replica);
 const GPtrArray *cb_replica_members(const cb_replica_t *replica);
+/* On the leader: for how long a member was not heard; else 0. */
+int64_t cb_replica_silence_ms(const cb_replica_t *replica, const char *name);
 
 #endif
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -247,8 +247,8 @@
 }
 
 /*
- * Marks servers silent that were not heard for `silence_ms`, and forgets
- * those not heard for `forget_ms`.
+ * Marks servers silent that were not heard for `silence_ms`, and gone after
+ * `forget_ms`; after twice that they are forgotten.
  */
 void cb_fleet_expire(cb_fleet_t *fleet, int64_t now_ms, int64_t silence_ms,
 		     int64_t forget_ms)
@@ -261,7 +261,10 @@
 		cb_fleet_server_t *server = value;
 		int64_t age_ms = now_ms - server->heard_ms;
 
-		if (age_ms >= forget_ms) {
+		if (age_ms >= forget_ms && server->state != CB_FLEET_GONE) {
+			server->state = CB_FLEET_GONE;
+			changed_(fleet, server);
+		} else if (age_ms >= 2 * forget_ms) {
 			g_hash_table_iter_remove(&iter);
 			g_clear_pointer(&fleet->sorted, g_ptr_array_unref);
 		} else if (age_ms >= silence_ms &&
--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -119,6 +119,40 @@
 	confirmed_check_(client);
 }
 
+/*
+ * Takes the control instances of today: those of the settings may all have
+ * been replaced by the time that this session ends.
+ */
+static void controls_receive_(cb_control_client_t *client,
+			      const cb_link_message_t *message)
+{
+	char *present = g_strdup(client->addresses[client->address_index]);
+	char **told = message->body ? cb_addresses_decode(message->body) : NULL;
+	GStrvBuilder *builder;
+	char **address;
+	size_t i;
+
+	if (!told) {
+		g_free(present);
+		return;
+	}
+	builder = g_strv_builder_new();
+	g_strv_builder_addv(builder, (const char **)told);
+	for (address = client->configured; *address; address++)
+		if (!g_strv_contains((const char *const *)told, *address))
+			g_strv_builder_add(builder, *address);
+	g_strfreev(client->addresses);
+	client->addresses = g_strv_builder_end(builder);
+	client->address_count = g_strv_length(client->addresses);
+	client->address_index = 0;
+	for (i = 0; i < client->address_count; i++)
+		if (g_str_equal(client->addresses[i], present))
+			client->address_index = i;
+	g_strv_builder_unref(builder);
+	g_strfreev(told);
+	g_free(present);
+}
+
 static void link_received_(void *user_data, const cb_link_message_t *message)
 {
 	cb_control_client_t *client = user_data;
@@ -144,6 +178,9 @@
 		if (message->body && client->fleet_fn)
 			client->fleet_fn(message->body, client->fleet_data);
 		return;
+	case CB_LINK_MESSAGE_CONTROLS:
+		controls_receive_(client, message);
+		return;
 	case CB_LINK_MESSAGE_USAGE:
 		if (message->body && client->usage_fn)
 			client->usage_fn(message->body, client->usage_data);
@@ -233,6 +270,7 @@
 	g_rand_free(client->random);
 	cb_hello_clear(&client->hello);
 	g_strfreev(client->addresses);
+	g_strfreev(client->configured);
 	g_free(client);
 }
 
@@ -258,7 +296,8 @@
 	client->clock = cb_kernel_clock(kernel);
 	client->log = cb_kernel_log(kernel);
 	client->view = view;
-	client->addresses = g_strdupv((char **)options->control_addresses);
+	client->configured = g_strdupv((char **)options->control_addresses);
+	client->addresses = g_strdupv(client->configured);
 	client->address_count = g_strv_length(client->addresses);
 	client->hello.role = CB_ROLE_ENTRY;
 	client->hello.name = g_strdup(options->name);
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -193,6 +193,7 @@
 	currency_check_(node);
 	members_keep_(node);
 	cb_node_join_tick(node);
+	cb_node_controls_tick(node);
 	cb_node_confirm_applied(node);
 	cb_sessions_confirm(node);
 	cb_sessions_check(node);
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -162,6 +162,7 @@
 			continue;
 		session->is_confirmed = TRUE;
 		cb_link_send(inbound->link, &message);
+		cb_node_controls_greet(inbound);
 		cb_node_fleet_greet(inbound);
 	}
 	/* There is a leader, so instances that are new can be announced. */
--- a/src/libcurrantbridge/control/replica.c
+++ b/src/libcurrantbridge/control/replica.c
@@ -520,6 +520,16 @@
 		       replica->election_timeout_ms;
 }
 
+int64_t cb_replica_silence_ms(const cb_replica_t *replica, const char *name)
+{
+	const cb_peer_t *peer = cb_peer_find(replica, name);
+	int64_t heard_ms = replica->led_ms;
+
+	if (!peer || !cb_replica_leads(replica))
+		return 0;
+	return cb_replica_now_ms(replica) - MAX(heard_ms, peer->heard_ms);
+}
+
 /* Returns the members in force, of cb_replica_member_t, sorted by name. */
 const GPtrArray *cb_replica_members(const cb_replica_t *replica)
 {
--- a/src/libcurrantbridge/control/replication.c
+++ b/src/libcurrantbridge/control/replication.c
@@ -108,6 +108,7 @@
 			peer->heard_ms = cb_replica_now_ms(replica);
 	}
 	replica->round = 0;
+	replica->led_ms = cb_replica_now_ms(replica);
 	cb_replica_set_role(replica, CB_REPLICA_ROLE_LEADER);
 	cb_replica_set_leader(replica, replica->name);
 	replica->term_start = cb_proposal_append(replica, CB_RECORD_NOOP, NULL);
--- a/src/libcurrantbridge/include/private/control_client.h
+++ b/src/libcurrantbridge/include/private/control_client.h
@@ -24,7 +24,8 @@
 	cb_clock_t *clock;
 	cb_log_t *log;
 	cb_view_t *view;
-	char **addresses;
+	char **configured; /* addresses of the settings */
+	char **addresses;  /* those, and what control has told */
 	size_t address_count;
 	size_t address_index;
 	size_t failures_in_a_row;
--- a/src/libcurrantbridge/include/private/link_message.h
+++ b/src/libcurrantbridge/include/private/link_message.h
@@ -40,6 +40,8 @@
 	CB_LINK_MESSAGE_FLEET,
 	/* What entries have under way, and the sum; for cb_usage_decode(). */
 	CB_LINK_MESSAGE_USAGE,
+	/* To an entry: body: for cb_addresses_decode(). */
+	CB_LINK_MESSAGE_CONTROLS,
 	CB_LINK_MESSAGE_KIND_COUNT
 } cb_link_message_kind_t;
 
@@ -90,6 +92,10 @@
 void cb_hello_copy(cb_hello_t *to, const cb_hello_t *from);
 void cb_hello_clear(cb_hello_t *hello);
 
+/* Addresses of control instances, as a NULL-terminated array. */
+GBytes *cb_addresses_encode(const char *const *addresses);
+char **cb_addresses_decode(GBytes *bytes);
+
 GBytes *cb_session_reports_encode(const GPtrArray *reports);
 GPtrArray *cb_session_reports_decode(GBytes *bytes);
 void cb_session_report_delete(void *report);
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -85,6 +85,7 @@
 	char **join_addresses;
 	unsigned int join_next;
 	int64_t join_asked_ms;
+	uint64_t told_members; /* a digest of those told to entries */
 	cb_network_t *network;
 	gboolean owns_network;
 	cb_storage_t *storage;
@@ -203,6 +204,8 @@
 
 /* Joining the group: node_join.c. */
 void cb_node_join_tick(cb_node_t *node);
+void cb_node_controls_tick(cb_node_t *node);
+void cb_node_controls_greet(cb_inbound_t *inbound);
 void cb_node_join_serve(cb_inbound_t *inbound,
 			const cb_link_message_t *message);
 
--- a/src/libcurrantbridge/include/private/replica.h
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -150,6 +150,7 @@
 
 	cb_replica_log_t *log;
 	uint64_t handed;   /* given to the storage up to this */
+	int64_t led_ms;	   /* when this member last became the leader */
 	uint64_t durable;  /* stored up to this */
 	uint64_t verified; /* follower: equal to the leader's up to this */
 	uint64_t committed;
--- a/src/libcurrantbridge/wire/link_message.c
+++ b/src/libcurrantbridge/wire/link_message.c
@@ -204,3 +204,41 @@
 	cb_unpack_clear(&unpack);
 	return reports;
 }
+
+/* Encodes addresses; the caller unrefs the bytes. */
+GBytes *cb_addresses_encode(const char *const *addresses)
+{
+	cb_pack_t pack;
+
+	cb_pack_init(&pack);
+	cb_pack_array(&pack, g_strv_length((char **)addresses));
+	for (; *addresses; addresses++)
+		cb_pack_string(&pack, *addresses);
+	return cb_pack_finish(&pack);
+}
+
+/* Decodes addresses; returns NULL if the bytes are malformed. */
+char **cb_addresses_decode(GBytes *bytes)
+{
+	GStrvBuilder *builder;
+	cb_unpack_t unpack;
+	cb_fields_t fields;
+	char **addresses = NULL;
+
+	if (!cb_unpack_init(&unpack, bytes))
+		return NULL;
+	builder = g_strv_builder_new();
+	cb_fields_open(&fields, &unpack.unpacked.data);
+	while (fields.left && !fields.is_bad) {
+		char *address = cb_fields_text(&fields);
+
+		if (address)
+			g_strv_builder_add(builder, address);
+		g_free(address);
+	}
+	if (!fields.is_bad)
+		addresses = g_strv_builder_end(builder);
+	g_strv_builder_unref(builder);
+	cb_unpack_clear(&unpack);
+	return addresses;
+}
--- a/src/test_libcurrantbridge/test_fleet.c
+++ b/src/test_libcurrantbridge/test_fleet.c
@@ -127,7 +127,9 @@
 	CU_ASSERT_EQUAL(hear_(fleet, &second, SILENCE_MS + 1),
 			CB_FLEET_CHANGED);
 	CU_ASSERT_EQUAL(cb_fleet_find(fleet, "a")->state, CB_FLEET_READY);
-	cb_fleet_expire(fleet, 20 * SILENCE_MS, SILENCE_MS, 10 * SILENCE_MS);
+	cb_fleet_expire(fleet, 15 * SILENCE_MS, SILENCE_MS, 10 * SILENCE_MS);
+	CU_ASSERT_EQUAL(cb_fleet_find(fleet, "a")->state, CB_FLEET_GONE);
+	cb_fleet_expire(fleet, 22 * SILENCE_MS, SILENCE_MS, 10 * SILENCE_MS);
 	CU_ASSERT_PTR_NULL(cb_fleet_find(fleet, "a"));
 	cb_fleet_delete(fleet);
 }
