--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -30,6 +30,9 @@
 /* When callers refused for these reasons are asked to come back. */
 #define RETRY_NO_SERVER_MS 1000
 #define RETRY_NO_ROOM_MS 500
+#define RETRY_STOPPING_MS 100
+/* Streams take some 3 to 5 s, of the 8 s that a stop may last. */
+#define STOPPING_STREAMS_MS 2500
 /*
  * Waiting for what may come soon: a start of the system, layers that are being
  * loaded, room that ends of streams give back.  The callers' answer would be
@@ -812,6 +815,17 @@
 	return relay;
 }
 
+/*
+ * Whether a stream would most likely outlast this instance, which stops: its
+ * caller has other addresses by now, and loses less time by using one.
+ */
+static gboolean is_too_late_(const cb_front_t *front, const cb_route_t *route)
+{
+	return front->drain_since_ms && route->kind == CB_ROUTE_STREAM &&
+	       cb_clock_now_ms(front->clock) - front->drain_since_ms >=
+		       STOPPING_STREAMS_MS;
+}
+
 /* Finds the request's route and workspace; FALSE when it was refused. */
 static gboolean route_(relay_t *relay)
 {
@@ -824,9 +838,16 @@
 				  head->target);
 	const char *reason = NULL;
 	uint32_t status = refusal_find_(front, route, &relay->ask, &reason);
+	int64_t retry_after_ms = 0;
 
+	if (!status && is_too_late_(front, route)) {
+		status = 503;
+		reason = "stopping";
+		retry_after_ms = RETRY_STOPPING_MS;
+	}
 	if (status) {
-		refuse_(front, exchange, relay->ask.id, status, reason, 0);
+		refuse_(front, exchange, relay->ask.id, status, reason,
+			retry_after_ms);
 		relay_free_(relay);
 		return FALSE;
 	}
