Place around engines that have turned very slow

Change: an engine at three times its usual pace or more counts as holding nothing to the placement, until it is better again.

--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -15,6 +15,8 @@
 #define HEAR_ALL_MS 3000
 /* An order whose layers are not reported after this is looked into. */
 #define ORDER_TIMEOUT_MS 20000
+/* An engine this much slower than usual holds up every chain through it. */
+#define SLOW_LOST_PERCENT 300
 /* Each engine is asked this often whether it has turned slow. */
 #define ASK_INTERVAL_MS 2000
 /* How soon a server that refused, or did not answer, is asked again. */
@@ -339,9 +341,12 @@
 			.to = state->is_pending ? state->to : server->layer_to,
 			.takes_orders = !state->is_pending && !state->is_asked,
 		};
+		pace_check_(placer, state, server);
+		/* Another is to hold its layers as long as it is that slow. */
+		if (server->slow_percent >= SLOW_LOST_PERCENT)
+			continue;
 		g_ptr_array_add(servers, (void *)server);
 		g_array_append_val(inputs, input);
-		pace_check_(placer, state, server);
 	}
 	return servers;
 }
