--- a/include/currantbridge/chain.h
+++ b/include/currantbridge/chain.h
@@ -15,9 +15,10 @@
 	const char *data_centre;
 	uint32_t from;
 	uint32_t to;
-	double pace;	      /* how many times longer a step takes here */
-	double free_tokens;   /* room for tokens at all of its layers */
-	double running;	      /* requests that pass through it, as estimated */
+	double pace;	    /* how many times longer a step takes here */
+	double free_tokens; /* room for tokens at all of its layers */
+	double running;	    /* requests that pass through it, as estimated */
+	uint32_t slots;	    /* requests at once, as the first engine; 0: any */
 	gboolean is_doubtful; /* control does not hear it any more */
 	gboolean is_avoided;  /* it failed lately and takes nothing now */
 } cb_chain_server_t;
--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -14,6 +14,8 @@
 #define FIRST_CROSSING_MS 2.0
 /* A doubtful server is taken rather than two crossings, and not else. */
 #define DOUBTFUL_MS 600.0
+/* What a first engine costs whose slots are all taken: requests queue there. */
+#define SLOTS_MS 40.0
 /* Spreads requests over ways that are nearly as good. */
 #define SPREAD 0.25
 /* A server whose room is nearly full costs up to this many times more. */
@@ -104,6 +106,8 @@
 		cost += FIRST_CROSSING_MS;
 	else if (before >= 0 && ways->centres[before] != ways->centres[at])
 		cost += ways->wish->forbids_crossing ? INFINITY : CROSSING_MS;
+	if (before < 0 && server->slots)
+		cost += SLOTS_MS * server->running / server->slots;
 	if (server->is_doubtful)
 		cost += DOUBTFUL_MS;
 	return cost;
@@ -191,6 +195,12 @@
 	return TRUE;
 }
 
+/* Whether a request may begin at an engine. */
+static gboolean has_slot_(const cb_chain_server_t *server)
+{
+	return !server->slots || server->running < server->slots;
+}
+
 /* Sets the ways to no layer at all, or to the end of the first part. */
 static void ways_begin_(ways_t *ways)
 {
@@ -222,7 +232,8 @@
 		for (i = 0; i < count; i++)
 			if (ways->servers[i].from <= layer &&
 			    layer < ways->servers[i].to &&
-			    has_room_(&ways->servers[i], ways->wish))
+			    has_room_(&ways->servers[i], ways->wish) &&
+			    (layer || has_slot_(&ways->servers[i])))
 				extend_(ways, layer, centre, i, costs[i]);
 	}
 }
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -235,6 +235,7 @@
 	}
 	input.pace = kind->pace * MAX(server->slow_percent, 100) / 100;
 	input.running = under_way.running;
+	input.slots = server->slots;
 	input.free_tokens =
 		cb_placement_room_tokens(engine, kind->memory_mb, layers) -
 		under_way.token_layers / layers;
