--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "currantbridge/log.h"
+
 /*
  * The backend servers that have announced themselves, as far as this process
  * knows.  It is soft state: each control instance tells the others and the
@@ -88,6 +90,8 @@
 const cb_fleet_server_t *cb_fleet_find(const cb_fleet_t *fleet, const char *id);
 /* All of them, by id; valid until the next change. */
 const GPtrArray *cb_fleet_servers(const cb_fleet_t *fleet);
+/* Writes what is known of a server as event FLEET_SERVER. */
+void cb_fleet_log(cb_log_t *log, const cb_fleet_server_t *server);
 /* Names one start of a server: "ID/BORN". */
 char *cb_fleet_start_name(const cb_fleet_server_t *server);
 
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -315,6 +315,21 @@
 			       server->born_wall_ms);
 }
 
+void cb_fleet_log(cb_log_t *log, const cb_fleet_server_t *server)
+{
+	cb_log_event(log, CB_EVENT_FLEET_SERVER, CB_STR("id", server->id),
+		     CB_STR("address", server->address),
+		     CB_STR("service", server->service),
+		     CB_STR("data_centre", server->data_centre),
+		     CB_STR("state", cb_fleet_state_string[server->state]),
+		     CB_INT("layer_from", server->layer_from),
+		     CB_INT("layer_to", server->layer_to),
+		     CB_INT("moving", server->is_moving),
+		     CB_INT("slow_percent", server->slow_percent),
+		     CB_INT("born_wall_ms", server->born_wall_ms),
+		     CB_INT("sequence", server->sequence));
+}
+
 static void server_pack_(cb_pack_t *pack, const cb_fleet_server_t *server,
 			 int64_t now_ms)
 {
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -184,12 +184,7 @@
 {
 	cb_node_t *node = user_data;
 
-	cb_log_event(node->log, CB_EVENT_FLEET_SERVER, CB_STR("id", server->id),
-		     CB_STR("address", server->address),
-		     CB_STR("state", cb_fleet_state_string[server->state]),
-		     CB_INT("layer_from", server->layer_from),
-		     CB_INT("layer_to", server->layer_to),
-		     CB_INT("sequence", server->sequence));
+	cb_fleet_log(node->log, server);
 	if (node->is_fleet_changed)
 		return;
 	node->is_fleet_changed = TRUE;
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -14,6 +14,8 @@
 #define USAGE_AGE_MS 1500
 /* A server that had no room is not asked again for this. */
 #define FULL_MS 250
+/* One that turns requests away again and again is down rather than full. */
+#define FULL_DOUBLINGS 3
 
 typedef struct note {
 	unsigned int running;
@@ -386,7 +388,7 @@
 void cb_server_book_full(cb_server_book_t *book, const char *address)
 {
 	const GPtrArray *all = cb_fleet_servers(book->fleet);
-	int64_t until_ms = cb_clock_now_ms(book->clock) + FULL_MS;
+	int64_t now_ms = cb_clock_now_ms(book->clock);
 	unsigned int i;
 
 	for (i = 0; i < all->len; i++) {
@@ -397,7 +399,13 @@
 		    strcmp(server->address, address) != 0)
 			continue;
 		note = note_(book, server->id);
-		note->avoid_until_ms = MAX(note->avoid_until_ms, until_ms);
+		/* Several that leave together count as one refusal. */
+		if (note->avoid_until_ms > now_ms)
+			continue;
+		note->avoid_until_ms =
+			now_ms +
+			(FULL_MS << MIN(note->failures, FULL_DOUBLINGS));
+		note->failures++;
 	}
 }
 
