Pack documents, read settings again, cut off callers that do not read

A document of 1,613 routes is half a megabyte; each version went whole to 8 control and 117 entry instances over 14 Mbit/s, so that entries had it 2 to 3.5 s after the acknowledgement. Settings were said to be read again and were not.

--- a/include/currantbridge/command.h
+++ b/include/currantbridge/command.h
@@ -27,7 +27,8 @@
 	CB_COMMAND_CLAIM_FINISH,
 	CB_COMMAND_SERVER_NOTE, /* `answer`: the record of server `name` */
 	CB_COMMAND_SERVER_FORGET,
-	CB_COMMAND_DOCUMENT_PUT, /* `text` under `document_version` */
+	/* `answer`: from cb_document_pack(), under `document_version` */
+	CB_COMMAND_DOCUMENT_PUT,
 	CB_COMMAND_KIND_COUNT
 } cb_command_kind_t;
 
@@ -53,7 +54,7 @@
 	/* Stamped by the leader that proposes it. */
 	int64_t wall_ms;
 	char *name; /* workspace, server, instance or digest */
-	char *text; /* a contract's JSON text, or a document */
+	char *text; /* a contract's JSON text */
 	int64_t document_version;
 	cb_stop_kind_t stop_kind;
 	char *address;
@@ -78,7 +79,10 @@
 	 */
 	gboolean proves_by_fencing;
 	cb_claim_result_t result;
-	/* A recorded answer, NULL when over the size bound; or a record. */
+	/*
+	 * A recorded answer, NULL when over the size bound; a server's
+	 * record; or a document.
+	 */
 	GBytes *answer;
 } cb_command_t;
 
--- a/include/currantbridge/control_client.h
+++ b/include/currantbridge/control_client.h
@@ -54,6 +54,10 @@
 /* Milliseconds since control was last known to be current; -1: never. */
 int64_t cb_control_client_silence_ms(const cb_control_client_t *client);
 
+/* Takes other addresses of control instances than those of the start. */
+void cb_control_client_configure(cb_control_client_t *client,
+				 const char *const *control_addresses);
+
 /*
  * Submits a command (a claim, its end, a quarantine, this instance's
  * state), resending it under its change ID to other control instances until
--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -101,6 +101,10 @@
 	const cb_document_codec_vtable_t *vtable;
 };
 
+/* Unpacks and decodes a document of the replicated state. */
+cb_document_t *cb_document_decode(const cb_document_codec_t *codec,
+				  GBytes *packed, GError **error);
+
 #define CB_DOCUMENT_ERROR (cb_document_error_quark())
 GQuark cb_document_error_quark(void);
 
@@ -108,6 +112,14 @@
 	CB_DOCUMENT_ERROR_INVALID,
 } cb_document_error_t;
 
+/*
+ * A document's text, compressed: hundreds of routes that differ in little pass
+ * over slow links many times.
+ */
+GBytes *cb_document_pack(const char *text, size_t size);
+/* Returns the text with a final zero; NULL if it is damaged or too large. */
+char *cb_document_unpack(GBytes *packed, size_t *size);
+
 cb_document_t *cb_document_new(void);
 cb_document_t *cb_document_ref(cb_document_t *document);
 void cb_document_unref(cb_document_t *document);
--- a/include/currantbridge/node.h
+++ b/include/currantbridge/node.h
@@ -80,6 +80,8 @@
 void cb_node_remove_member(cb_node_t *node, const char *name,
 			   cb_submit_fn_t done, void *user_data);
 
+/* Takes other instances to ask, should this one have to be added. */
+void cb_node_configure_join(cb_node_t *node, const char *const *addresses);
 /* The backend servers that announced themselves here or elsewhere. */
 cb_fleet_t *cb_node_fleet(cb_node_t *node);
 gboolean cb_node_leads(const cb_node_t *node);
--- a/include/currantbridge/view.h
+++ b/include/currantbridge/view.h
@@ -48,7 +48,7 @@
 /* The deployment's configuration document, as its operator sent it. */
 typedef struct cb_document_text {
 	int64_t version;
-	char *text;
+	GBytes *packed; /* for cb_document_unpack() */
 	uint64_t revision;
 } cb_document_text_t;
 
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -5,6 +5,8 @@
 #include "currantbridge/placement.h"
 
 #define TICK_MS 200
+/* Profiles of engines change rarely; documents may come in storms. */
+#define DOCUMENT_INTERVAL_MS 2000
 /*
  * Before any layer is held, servers are waited for as long as new ones come
  * within this, so that the first plan knows the fleet: heartbeats come about
@@ -57,6 +59,7 @@
 	cb_timer_t *timer;
 	cb_document_t *document;
 	uint64_t document_revision;
+	int64_t document_ms; /* when it was last read */
 	uint64_t term;
 	GHashTable *states; /* start to order_state_t */
 	unsigned int known_servers;
@@ -84,16 +87,19 @@
 /* Takes the document in force, if it is another one than before. */
 static void document_follow_(cb_placer_t *placer)
 {
+	int64_t now_ms = cb_clock_now_ms(placer->clock);
 	const cb_document_text_t *text =
 		cb_view_document(cb_state_view(cb_node_state(placer->node)));
 	cb_document_t *document;
 	GError *error = NULL;
 
-	if (!text || text->revision == placer->document_revision)
+	if (!text || text->revision == placer->document_revision ||
+	    (placer->document &&
+	     now_ms - placer->document_ms < DOCUMENT_INTERVAL_MS))
 		return;
+	placer->document_ms = now_ms;
 	placer->document_revision = text->revision;
-	document = placer->codec->vtable->decode(placer->codec, text->text,
-						 strlen(text->text), &error);
+	document = cb_document_decode(placer->codec, text->packed, &error);
 	if (!document) {
 		cb_log_event(placer->log, CB_EVENT_DOCUMENT_UNREADABLE,
 			     CB_INT("version", text->version),
--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -120,26 +120,20 @@
 }
 
 /*
- * Takes the control instances of today: those of the settings may all have
- * been replaced by the time that this session ends.
+ * Makes the list of addresses of those told by control and those of the
+ * settings; the present one stays the present one.
  */
-static void controls_receive_(cb_control_client_t *client,
-			      const cb_link_message_t *message)
+static void addresses_make_(cb_control_client_t *client)
 {
 	char *present = g_strdup(client->addresses[client->address_index]);
-	char **told = message->body ? cb_addresses_decode(message->body) : NULL;
-	GStrvBuilder *builder;
+	GStrvBuilder *builder = g_strv_builder_new();
 	char **address;
 	size_t i;
 
-	if (!told) {
-		g_free(present);
-		return;
-	}
-	builder = g_strv_builder_new();
-	g_strv_builder_addv(builder, (const char **)told);
+	g_strv_builder_addv(builder, (const char **)client->told);
 	for (address = client->configured; *address; address++)
-		if (!g_strv_contains((const char *const *)told, *address))
+		if (!g_strv_contains((const char *const *)client->told,
+				     *address))
 			g_strv_builder_add(builder, *address);
 	g_strfreev(client->addresses);
 	client->addresses = g_strv_builder_end(builder);
@@ -149,10 +143,33 @@
 		if (g_str_equal(client->addresses[i], present))
 			client->address_index = i;
 	g_strv_builder_unref(builder);
-	g_strfreev(told);
 	g_free(present);
 }
 
+/*
+ * Takes the control instances of today: those of the settings may all have
+ * been replaced by the time that this session ends.
+ */
+static void controls_receive_(cb_control_client_t *client,
+			      const cb_link_message_t *message)
+{
+	char **told = message->body ? cb_addresses_decode(message->body) : NULL;
+
+	if (!told)
+		return;
+	g_strfreev(client->told);
+	client->told = told;
+	addresses_make_(client);
+}
+
+void cb_control_client_configure(cb_control_client_t *client,
+				 const char *const *control_addresses)
+{
+	g_strfreev(client->configured);
+	client->configured = g_strdupv((char **)control_addresses);
+	addresses_make_(client);
+}
+
 static void link_received_(void *user_data, const cb_link_message_t *message)
 {
 	cb_control_client_t *client = user_data;
@@ -271,6 +288,7 @@
 	cb_hello_clear(&client->hello);
 	g_strfreev(client->addresses);
 	g_strfreev(client->configured);
+	g_strfreev(client->told);
 	g_free(client);
 }
 
@@ -297,6 +315,7 @@
 	client->log = cb_kernel_log(kernel);
 	client->view = view;
 	client->configured = g_strdupv((char **)options->control_addresses);
+	client->told = g_new0(char *, 1);
 	client->addresses = g_strdupv(client->configured);
 	client->address_count = g_strv_length(client->addresses);
 	client->hello.role = CB_ROLE_ENTRY;
--- a/src/libcurrantbridge/control/item.c
+++ b/src/libcurrantbridge/control/item.c
@@ -39,7 +39,7 @@
 
 static void document_delete_(cb_document_text_t *document)
 {
-	g_free(document->text);
+	g_clear_pointer(&document->packed, g_bytes_unref);
 	g_free(document);
 }
 
@@ -125,7 +125,7 @@
 	case CB_ITEM_DOCUMENT:
 		cb_pack_array(pack, 2);
 		cb_pack_int(pack, document->version);
-		cb_pack_string(pack, document->text);
+		cb_pack_bytes(pack, document->packed);
 		return;
 	case CB_ITEM_KIND_COUNT:
 		break;
@@ -232,8 +232,8 @@
 	cb_document_text_t *document = g_new0(cb_document_text_t, 1);
 
 	document->version = cb_fields_int(fields);
-	document->text = cb_fields_text(fields);
-	if (document->text && !g_strcmp0(name, CB_DOCUMENT_ITEM_NAME))
+	document->packed = cb_fields_bytes(fields);
+	if (document->packed && !g_strcmp0(name, CB_DOCUMENT_ITEM_NAME))
 		return document;
 	document_delete_(document);
 	return NULL;
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -1,3 +1,4 @@
+#include "currantbridge/document.h"
 #include "private/node.h"
 
 /* Heartbeats are told to the other control instances together, this often. */
@@ -276,6 +277,6 @@
 
 	command->name = g_strdup("document");
 	command->document_version = version;
-	command->text = g_strndup(text, size);
+	command->answer = cb_document_pack(text, size);
 	cb_node_submit(node, command, done, user_data);
 }
--- a/src/libcurrantbridge/control/node_join.c
+++ b/src/libcurrantbridge/control/node_join.c
@@ -171,3 +171,9 @@
 	cb_node_sessions_tell(node, &message);
 	g_bytes_unref(message.body);
 }
+
+void cb_node_configure_join(cb_node_t *node, const char *const *addresses)
+{
+	g_strfreev(node->join_addresses);
+	node->join_addresses = g_strdupv((char **)addresses);
+}
--- a/src/libcurrantbridge/control/state_config.c
+++ b/src/libcurrantbridge/control/state_config.c
@@ -430,13 +430,13 @@
 	const cb_document_text_t *present = cb_view_document(state->view);
 	cb_document_text_t *document;
 
-	if (!command->text)
+	if (!command->answer)
 		return invalid_("document: text: is required");
 	if (present && present->version >= command->document_version)
 		return revision_answer_(CB_ANSWER_OK, present->revision);
 	document = g_new0(cb_document_text_t, 1);
 	document->version = command->document_version;
-	document->text = g_strdup(command->text);
+	document->packed = g_bytes_ref(command->answer);
 	document->revision = index;
 	item_put_(state, CB_ITEM_DOCUMENT, CB_DOCUMENT_ITEM_NAME, document,
 		  index);
--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -169,15 +169,26 @@
 	g_free(body);
 }
 
+/* Cuts a caller off that does not read: what it lets wait takes memory. */
+static void slow_check_(link_t *link)
+{
+	if (cb_stream_unsent_bytes(link->stream) <= UNSENT_MAX_BYTES)
+		return;
+	count_(link->server, "caller_too_slow");
+	link_gone_(link);
+}
+
 static void timer_fired_(void *user_data)
 {
 	link_t *link = user_data;
 
-	if (link->step == LINK_HEAD && link->in->len)
+	if (link->step == LINK_SERVING)
+		slow_check_(link);
+	else if (link->step == LINK_HEAD && link->in->len)
 		link_refuse_(link, 408, "header_timeout");
 	else if (link->step == LINK_BODY)
 		link_refuse_(link, 408, "body_timeout");
-	else if (link->step != LINK_SERVING)
+	else
 		link_drop_(link);
 }
 
@@ -538,8 +549,9 @@
 	g_string_append(chunk, "\r\n");
 	cb_stream_send(stream, chunk->str, chunk->len);
 	g_string_free(chunk, TRUE);
+	/* From the loop: the owner is still at work on this exchange. */
 	if (cb_stream_unsent_bytes(stream) > UNSENT_MAX_BYTES)
-		count_(exchange->link->server, "caller_too_slow");
+		cb_timer_start(exchange->link->timer, 0);
 }
 
 /* Ends an answer that was begun, as complete. */
--- a/src/libcurrantbridge/include/private/control_client.h
+++ b/src/libcurrantbridge/include/private/control_client.h
@@ -25,7 +25,8 @@
 	cb_log_t *log;
 	cb_view_t *view;
 	char **configured; /* addresses of the settings */
-	char **addresses;  /* those, and what control has told */
+	char **told;	   /* and those that control told */
+	char **addresses;  /* both */
 	size_t address_count;
 	size_t address_index;
 	size_t failures_in_a_row;
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -21,8 +21,7 @@
 	if (!text || text->revision == front->document_revision)
 		return;
 	front->document_revision = text->revision;
-	document = front->codec->vtable->decode(front->codec, text->text,
-						strlen(text->text), &error);
+	document = cb_document_decode(front->codec, text->packed, &error);
 	if (!document) {
 		cb_log_event(front->log, CB_EVENT_DOCUMENT_UNREADABLE,
 			     CB_INT("version", text->version),
--- a/src/test_libcurrantbridge/test_document.c
+++ b/src/test_libcurrantbridge/test_document.c
@@ -175,6 +175,33 @@
 	cb_route_delete(route);
 }
 
+/* A text comes back as it was, much smaller on the way; damage is noticed. */
+static void texts_are_packed(void)
+{
+	GString *text = g_string_new(NULL);
+	GBytes *packed;
+	GBytes *cut;
+	char *unpacked;
+	size_t size;
+	int i;
+
+	for (i = 0; i < 1600; i++)
+		g_string_append_printf(
+			text, "{\"name\":\"r-%x\",\"host\":\"h%d.example\"},",
+			i * 7919, i % 9);
+	packed = cb_document_pack(text->str, text->len);
+	CU_ASSERT_TRUE(g_bytes_get_size(packed) * 4 < text->len);
+	unpacked = cb_document_unpack(packed, &size);
+	CU_ASSERT_EQUAL(size, text->len);
+	CU_ASSERT_STRING_EQUAL(unpacked, text->str);
+	cut = g_bytes_new_from_bytes(packed, 0, g_bytes_get_size(packed) - 9);
+	CU_ASSERT_PTR_NULL(cb_document_unpack(cut, &size));
+	g_bytes_unref(cut);
+	g_bytes_unref(packed);
+	g_free(unpacked);
+	g_string_free(text, TRUE);
+}
+
 typedef struct put_result {
 	int calls;
 	cb_submit_outcome_t outcome;
@@ -209,8 +236,16 @@
 static gboolean has_text_(const cb_view_t *view, const char *text)
 {
 	const cb_document_text_t *document = cb_view_document(view);
-
-	return document && !strcmp(document->text, text);
+	gboolean has = FALSE;
+	char *unpacked;
+	size_t size;
+
+	if (!document)
+		return FALSE;
+	unpacked = cb_document_unpack(document->packed, &size);
+	has = unpacked && size == strlen(text) && !strcmp(unpacked, text);
+	g_free(unpacked);
+	return has;
 }
 
 /*
@@ -283,6 +318,7 @@
 	{ "key_of_two_workspaces_is_refused",
 	  key_of_two_workspaces_is_refused },
 	{ "splits_follow_their_weights", splits_follow_their_weights },
+	{ "texts_are_packed", texts_are_packed },
 	{ "highest_version_is_in_force", highest_version_is_in_force },
 	{ "document_survives_a_restart_of_all",
 	  document_survives_a_restart_of_all },
