Let many instances spend retries that are less than one each

Change: parts add up to one. The test with 117 instances failed before; with it all cases keep the common bound.

--- a/src/libcurrantbridge/relay/retry_share.c
+++ b/src/libcurrantbridge/relay/retry_share.c
@@ -158,13 +158,21 @@
 	while (g_hash_table_iter_next(&iter, &service, NULL)) {
 		counts_t *counts = counts_(share, service);
 		cb_usage_sends_t sends = cb_usage_find_sends(sum, service);
+		double allowance;
 		double left =
 			KNOWN_PART * (share->bound.extra +
 				      share->bound.ratio * sends.requests) -
 			sends.retries;
 
-		counts->allowance =
-			MAX(left, 0) / (ROUNDS_AHEAD * share->instances);
+		allowance = MAX(left, 0) / (ROUNDS_AHEAD * share->instances);
+		/*
+		 * With many instances a round allows each less than one: parts
+		 * add up to one, which the part for those alone covers.
+		 */
+		if (allowance < 1)
+			allowance =
+				MIN(allowance + MIN(counts->allowance, 1), 1);
+		counts->allowance = allowance;
 		counts->learned_ms = cb_clock_now_ms(share->clock);
 	}
 }
--- a/src/test_libcurrantbridge/test_retry_share.c
+++ b/src/test_libcurrantbridge/test_retry_share.c
@@ -4,7 +4,7 @@
 
 #define WINDOW_MS 10000
 #define TELL_MS 200
-#define INSTANCES 20
+#define INSTANCES_MAX 120
 
 static const cb_retry_bound_t bound = { 0.2, 450, WINDOW_MS };
 
@@ -13,6 +13,7 @@
  * load that would retry all it can.
  */
 typedef struct crowd_case {
+	unsigned int instances;
 	unsigned int lag;
 	unsigned int requests_a_round; /* of each instance */
 	unsigned int cut_off;	       /* instances that hear of nobody */
@@ -20,13 +21,15 @@
 } crowd_case_t;
 
 static const crowd_case_t crowd_cases[] = {
-	{ 1, 1, 0, 400 }, { 2, 1, 0, 400 }, { 2, 0, 0, 250 }, { 1, 4, 0, 700 },
-	{ 1, 1, 5, 300 }, { 1, 0, 20, 80 }, { 3, 1, 0, 400 }, { 3, 0, 0, 250 },
+	{ 20, 1, 1, 0, 400 },  { 20, 2, 1, 0, 400 },   { 20, 2, 0, 0, 250 },
+	{ 20, 1, 4, 0, 700 },  { 20, 1, 1, 5, 300 },   { 20, 1, 0, 20, 80 },
+	{ 20, 3, 1, 0, 400 },  { 20, 3, 0, 0, 250 },   { 117, 2, 1, 0, 900 },
+	{ 117, 3, 0, 0, 250 }, { 117, 3, 0, 20, 250 },
 };
 
 typedef struct crowd {
 	cb_clock_t *clock;
-	cb_retry_share_t *shares[INSTANCES];
+	cb_retry_share_t *shares[INSTANCES_MAX];
 	cb_usage_t *sums[4]; /* the last ones, the newest first */
 	unsigned int requests[WINDOW_MS / TELL_MS * 4];
 	unsigned int retries[WINDOW_MS / TELL_MS * 4];
@@ -39,7 +42,7 @@
 	unsigned int i;
 	unsigned int k;
 
-	for (i = 0; i < INSTANCES; i++) {
+	for (i = 0; i < c->instances; i++) {
 		for (k = 0; k < c->requests_a_round; k++)
 			cb_retry_share_request(crowd->shares[i], "s");
 		crowd->requests[round] += c->requests_a_round;
@@ -53,13 +56,13 @@
 	cb_usage_t *sum = cb_usage_new();
 	unsigned int i;
 
-	for (i = 0; i < INSTANCES; i++)
+	for (i = 0; i < c->instances; i++)
 		cb_retry_share_tell(crowd->shares[i], sum);
 	cb_usage_delete(crowd->sums[3]);
 	for (i = 3; i > 0; i--)
 		crowd->sums[i] = crowd->sums[i - 1];
 	crowd->sums[0] = sum;
-	for (i = c->cut_off; i < INSTANCES; i++)
+	for (i = c->cut_off; i < c->instances; i++)
 		if (crowd->sums[c->lag])
 			cb_retry_share_learn(crowd->shares[i],
 					     crowd->sums[c->lag]);
@@ -98,10 +101,10 @@
 		const crowd_case_t *c = &crowd_cases[n];
 		crowd_t crowd = { .clock = cb_clock_new_paused(1000) };
 
-		for (i = 0; i < INSTANCES; i++) {
+		for (i = 0; i < c->instances; i++) {
 			crowd.shares[i] =
 				cb_retry_share_new(crowd.clock, &bound);
-			cb_retry_share_instances(crowd.shares[i], INSTANCES);
+			cb_retry_share_instances(crowd.shares[i], c->instances);
 		}
 		for (round = 0; round < rounds; round++) {
 			round_send_(&crowd, c, round);
@@ -109,7 +112,7 @@
 			cb_clock_advance(crowd.clock, TELL_MS);
 		}
 		windows_check_(&crowd, rounds, c->retries_least);
-		for (i = 0; i < INSTANCES; i++)
+		for (i = 0; i < c->instances; i++)
 			cb_retry_share_delete(crowd.shares[i]);
 		for (i = 0; i < 4; i++)
 			cb_usage_delete(crowd.sums[i]);
