--- a/src/libcurrantbridge/include/private/json_fields.h
+++ b/include/currantbridge/json_fields.h
@@ -1,5 +1,5 @@
-#ifndef PRIVATE_JSON_FIELDS_H
-#define PRIVATE_JSON_FIELDS_H
+#ifndef CURRANTBRIDGE_JSON_FIELDS_H
+#define CURRANTBRIDGE_JSON_FIELDS_H
 
 #include <json-glib/json-glib.h>
 #include <stdint.h>
--- a/src/libcurrantbridge/backend/announcement.c
+++ b/src/libcurrantbridge/backend/announcement.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "currantbridge/settings.h"
-#include "private/json_fields.h"
+#include "currantbridge/json_fields.h"
 
 #define MAX_CAPACITY 1000000
 #define MAX_LAYERS 100000
--- a/src/libcurrantbridge/http/addresses.c
+++ b/src/libcurrantbridge/http/addresses.c
@@ -1,5 +1,5 @@
 #include "private/caller.h"
-#include "private/json_fields.h"
+#include "currantbridge/json_fields.h"
 #include "private/rendezvous.h"
 
 /* Appends the instances' addresses as a JSON array. */
--- a/src/libcurrantbridge/http/caller.c
+++ b/src/libcurrantbridge/http/caller.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "private/http_message.h"
-#include "private/json_fields.h"
+#include "currantbridge/json_fields.h"
 
 #define BEARER "Bearer "
 #define ID_HEADER "X-Request-Id"
--- a/src/libcurrantbridge/http/completion_request.c
+++ b/src/libcurrantbridge/http/completion_request.c
@@ -1,6 +1,6 @@
 #include "private/completion_request.h"
 
-#include "private/json_fields.h"
+#include "currantbridge/json_fields.h"
 
 /* Turns one chat message into a line of the prompt. */
 static gboolean message_read_(JsonNode *node, GString *prompt, GError **error)
--- a/src/libcurrantbridge/http/completion_text.c
+++ b/src/libcurrantbridge/http/completion_text.c
@@ -1,6 +1,6 @@
 #include "private/completion_text.h"
 
-#include "private/json_fields.h"
+#include "currantbridge/json_fields.h"
 
 /* What differs between the two kinds of completion. */
 typedef struct shape {
--- a/src/libcurrantbridge/http/http_engine_client.c
+++ b/src/libcurrantbridge/http/http_engine_client.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "private/http_exchange.h"
-#include "private/json_fields.h"
+#include "currantbridge/json_fields.h"
 
 /* A server that does not answer is asked no longer to drop a request. */
 #define DROP_TIMEOUT_S 5
--- a/src/libcurrantbridge/http/http_service_client.c
+++ b/src/libcurrantbridge/http/http_service_client.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "private/http_exchange.h"
-#include "private/json_fields.h"
+#include "currantbridge/json_fields.h"
 
 typedef struct service_client {
 	cb_service_client_t base;
--- a/src/libcurrantbridge/http/json_fields.c
+++ b/src/libcurrantbridge/http/json_fields.c
@@ -1,4 +1,4 @@
-#include "private/json_fields.h"
+#include "currantbridge/json_fields.h"
 
 #include <string.h>
 
--- a/src/test_libcurrantbridge/test_entry_fields.c
+++ b/src/test_libcurrantbridge/test_entry_fields.c
@@ -7,7 +7,7 @@
 #include "currantbridge/state.h"
 #include "private/completion_request.h"
 #include "private/completion_text.h"
-#include "private/json_fields.h"
+#include "currantbridge/json_fields.h"
 #include "private/rendezvous.h"
 
 /* Each bad body gives an error that names the field and the reason. */
