--- a/include/currantbridge/json_fields.h
+++ b/include/currantbridge/json_fields.h
@@ -8,6 +8,8 @@
 #define CB_FIELD_ERROR cb_field_error_quark()
 GQuark cb_field_error_quark(void);
 
+/* FALSE: a parser could exhaust the stack over `size_bytes` of this text. */
+gboolean cb_json_depth_is_bounded(const char *text, size_t size_bytes);
 JsonObject *cb_json_parse_object(JsonParser *parser, const char *text,
 				 int64_t size_bytes, GError **error);
 gboolean cb_field_refuse(GError **error, const char *field, const char *reason);
--- a/src/libcurrantbridge/http/json_fields.c
+++ b/src/libcurrantbridge/http/json_fields.c
@@ -10,7 +10,7 @@
  * Whether arrays and objects are nested no deeper than MAX_DEPTH: json-glib
  * calls itself for each level, so that a deep text would exhaust the stack.
  */
-static gboolean depth_is_bounded_(const char *text, size_t size_bytes)
+gboolean cb_json_depth_is_bounded(const char *text, size_t size_bytes)
 {
 	gboolean in_string = FALSE;
 	int depth = 0;
@@ -40,7 +40,7 @@
 
 	if (size_bytes < 0)
 		size_bytes = (int64_t)strlen(text);
-	if (!depth_is_bounded_(text, (size_t)size_bytes)) {
+	if (!cb_json_depth_is_bounded(text, (size_t)size_bytes)) {
 		g_set_error(error, CB_FIELD_ERROR, 0,
 			    "the body is nested too deep");
 		return NULL;
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -10,6 +10,9 @@
 #define SERVICES "\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}]"
 #define ROUTE_REST "\"kind\":\"safe\",\"maxAttempts\":2"
 
+/* As many levels as a body of the largest size may have. */
+#define DEEP_LEVELS (4 * 1024 * 1024)
+
 typedef struct document_case {
 	const char *text;
 	const char *error; /* NULL: it is valid */
@@ -57,6 +60,26 @@
 	  "workspace: b: holds a key of another workspace" },
 };
 
+/* Nesting that would exhaust the stack of the parser is refused before. */
+static void deep_texts_are_refused(void)
+{
+	const cb_document_codec_t *codec = platform_document_codec();
+	GString *text = g_string_new("{\"version\":7,\"routes\":");
+	GError *error = NULL;
+	size_t i;
+
+	for (i = 0; i < DEEP_LEVELS; i++)
+		g_string_append_c(text, '[');
+	CU_ASSERT_PTR_NULL(
+		codec->vtable->decode(codec, text->str, text->len, &error));
+	CU_ASSERT_PTR_NOT_NULL(error);
+	if (error)
+		CU_ASSERT_STRING_EQUAL(error->message,
+				       "body: is nested too deep");
+	g_clear_error(&error);
+	g_string_free(text, TRUE);
+}
+
 static void documents_are_checked(void)
 {
 	const cb_document_codec_t *codec = platform_document_codec();
@@ -303,6 +326,7 @@
 
 static CU_TestInfo platform_tests[] = {
 	{ "documents_are_checked", documents_are_checked },
+	{ "deep_texts_are_refused", deep_texts_are_refused },
 	{ "documents_fill_the_types", documents_fill_the_types },
 	{ "heartbeats_are_checked", heartbeats_are_checked },
 	{ "requests_are_written_for_servers",
