Say once how an answer begins and whether a server is stopped

Three places of the relay began the caller's answer each with its own check, the server book and the placer built a start's name to look a planned stop up, and three cases of test_placement spelled the same engine out. Behaviour and expectations are the same.

--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "currantbridge/log.h"
+#include "currantbridge/view.h"
 
 /*
  * The backend servers that have announced themselves, as far as this process
@@ -94,6 +95,9 @@
 void cb_fleet_log(cb_log_t *log, const cb_fleet_server_t *server);
 /* Names one start of a server: "ID/BORN". */
 char *cb_fleet_start_name(const cb_fleet_server_t *server);
+/* Whether a planned stop of this start of a server is committed. */
+gboolean cb_fleet_is_stopped(const cb_fleet_server_t *server,
+			     const cb_view_t *view);
 
 /* NULL when there is nothing to tell. */
 GBytes *cb_fleet_encode(cb_fleet_t *fleet, cb_fleet_part_t part,
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -315,6 +315,16 @@
 			       server->born_wall_ms);
 }
 
+gboolean cb_fleet_is_stopped(const cb_fleet_server_t *server,
+			     const cb_view_t *view)
+{
+	char *start = cb_fleet_start_name(server);
+	gboolean is_stopped = cb_view_is_stopped(view, CB_STOP_SERVER, start);
+
+	g_free(start);
+	return is_stopped;
+}
+
 void cb_fleet_log(cb_log_t *log, const cb_fleet_server_t *server)
 {
 	cb_log_event(log, CB_EVENT_FLEET_SERVER, CB_STR("id", server->id),
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -117,16 +117,11 @@
 			      const cb_fleet_server_t *server)
 {
 	const cb_view_t *view = cb_state_view(cb_node_state(placer->node));
-	gboolean is_stopped;
-	char *start;
 
 	if (server->state != CB_FLEET_READY ||
 	    !cb_engine_profile_kind(engine, server->kind))
 		return FALSE;
-	start = cb_fleet_start_name(server);
-	is_stopped = cb_view_is_stopped(view, CB_STOP_SERVER, start);
-	g_free(start);
-	return !is_stopped;
+	return !cb_fleet_is_stopped(server, view);
 }
 
 /* Returns what is known of the orders to a server, anew if need be. */
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -73,7 +73,6 @@
 	cb_front_t *front = user_data;
 
 	servers_read_(front);
-
 	document_follow_(front);
 	cb_retry_share_instances(front->retries,
 				 cb_view_instances(front->view)->len);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -144,6 +144,16 @@
 	return TRUE;
 }
 
+/* Begins the caller's answer, unless that was done by an earlier attempt. */
+static void answer_begin_(cb_relay_t *relay)
+{
+	if (relay->is_begun)
+		return;
+	relay->is_begun = TRUE;
+	cb_http1_exchange_begin(relay->exchange, relay->status,
+				relay->answer_headers->str);
+}
+
 /* Passes one whole event on; those that the caller has are dropped. */
 static void event_(void *user_data, int64_t id, const char *data, size_t size)
 {
@@ -152,11 +162,7 @@
 	cb_relay_watch_silence(relay);
 	if (id >= 0 && id <= relay->last_event)
 		return;
-	if (!relay->is_begun) {
-		relay->is_begun = TRUE;
-		cb_http1_exchange_begin(relay->exchange, relay->status,
-					relay->answer_headers->str);
-	}
+	answer_begin_(relay);
 	if (id >= 0)
 		relay->last_event = id;
 	cb_http1_exchange_write(relay->exchange, data, size);
@@ -173,10 +179,7 @@
 	g_byte_array_append(relay->held, data, (unsigned int)size);
 	if (relay->held->len <= HELD_MAX_BYTES || relay->is_resumed)
 		return;
-	if (!relay->is_begun)
-		cb_http1_exchange_begin(relay->exchange, relay->status,
-					relay->answer_headers->str);
-	relay->is_begun = TRUE;
+	answer_begin_(relay);
 	relay->is_passing = TRUE;
 	cb_http1_exchange_write(relay->exchange, relay->held->data,
 				relay->held->len);
@@ -204,9 +207,7 @@
 		cb_relay_attempt_failed(relay, "truncated", TRUE, NULL);
 		return;
 	}
-	if (!relay->is_begun)
-		cb_http1_exchange_begin(exchange, relay->status,
-					relay->answer_headers->str);
+	answer_begin_(relay);
 	cb_http1_exchange_write(exchange, rest->str, rest->len);
 	cb_server_book_succeeded(relay->front->book, relay->hops);
 	cb_relay_note_end(relay, relay->status, "complete");
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -106,18 +106,12 @@
 			   const cb_book_wish_t *wish,
 			   const cb_fleet_server_t *server)
 {
-	gboolean is_stopped;
-	char *start;
-
 	if (strcmp(server->service, wish->service->name) != 0 ||
 	    (server->state != CB_FLEET_READY &&
 	     server->state != CB_FLEET_SILENT) ||
 	    g_hash_table_contains(wish->tried, server->id))
 		return FALSE;
-	start = cb_fleet_start_name(server);
-	is_stopped = cb_view_is_stopped(book->view, CB_STOP_SERVER, start);
-	g_free(start);
-	return !is_stopped;
+	return !cb_fleet_is_stopped(server, book->view);
 }
 
 static GPtrArray *usable_(const cb_server_book_t *book,
--- a/src/test_libcurrantbridge/test_placement.c
+++ b/src/test_libcurrantbridge/test_placement.c
@@ -301,6 +301,13 @@
 		.pace = 1, .free_tokens = (room)                        \
 	}
 
+/* Holds the first half, with this many of its 8 slots taken. */
+#define FIRST(its_pace, taken)                                      \
+	{                                                           \
+		.data_centre = "a", .to = 40, .pace = (its_pace),   \
+		.free_tokens = 9000, .running = (taken), .slots = 8 \
+	}
+
 static const chain_case_t chain_cases[] = {
 	{ "a whole chain elsewhere, rather than one that crosses midway",
 	  { ENGINE("a", 0, 40, 9000), ENGINE("b", 40, 80, 9000),
@@ -334,49 +341,19 @@
 	  CB_CHAIN_NO_ROOM,
 	  { -1 } },
 	{ "begins where a slot is free, and goes on where it is much cheaper",
-	  { { .data_centre = "a",
-	      .to = 40,
-	      .pace = 1,
-	      .free_tokens = 9000,
-	      .running = 8,
-	      .slots = 8 },
-	    { .data_centre = "a",
-	      .to = 40,
-	      .pace = 9,
-	      .free_tokens = 9000,
-	      .running = 7,
-	      .slots = 8 },
-	    ENGINE("a", 40, 80, 9000) },
+	  { FIRST(1, 8), FIRST(9, 7), ENGINE("a", 40, 80, 9000) },
 	  3,
 	  { .data_centre = "a", .tokens = 900 },
 	  CB_CHAIN_FOUND,
 	  { 1, 0, 2, -1 } },
 	{ "no further hop for engines that cost about the same",
-	  { { .data_centre = "a",
-	      .to = 40,
-	      .pace = 1,
-	      .free_tokens = 9000,
-	      .running = 8,
-	      .slots = 8 },
-	    { .data_centre = "a",
-	      .to = 40,
-	      .pace = 1,
-	      .free_tokens = 9000,
-	      .running = 7,
-	      .slots = 8 },
-	    ENGINE("a", 40, 80, 9000) },
+	  { FIRST(1, 8), FIRST(1, 7), ENGINE("a", 40, 80, 9000) },
 	  3,
 	  { .data_centre = "a", .tokens = 900 },
 	  CB_CHAIN_FOUND,
 	  { 1, 2, -1 } },
 	{ "nobody with a slot to begin at",
-	  { { .data_centre = "a",
-	      .to = 40,
-	      .pace = 1,
-	      .free_tokens = 9000,
-	      .running = 8,
-	      .slots = 8 },
-	    ENGINE("a", 40, 80, 9000) },
+	  { FIRST(1, 8), ENGINE("a", 40, 80, 9000) },
 	  2,
 	  { .data_centre = "a", .tokens = 900 },
 	  CB_CHAIN_NO_ROOM,
