--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -206,6 +206,7 @@
 	int fd = g_open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 	g_assert(!daemon->process && fd >= 0);
+	g_subprocess_launcher_take_stdout_fd(launcher, dup(fd));
 	g_subprocess_launcher_take_stderr_fd(launcher, fd);
 	daemon->process =
 		g_subprocess_launcher_spawn(launcher, &error, daemon->program,
