Logs never wait, are bounded, and name their instance; histograms

Failed requests are warnings, served ones have an event of their own (513); both name the way and the document's version. cb_relay_elapsed_ms and cb_relay_first_event_ms are histograms. Tests: four in test_kernel, unread_logs_delay_nothing on the real entry.

--- a/include/currantbridge/counters.h
+++ b/include/currantbridge/counters.h
@@ -4,9 +4,11 @@
 #include <glib.h>
 #include <stdint.h>
 
-/* A set of named counters and gauges, rendered as Prometheus text. */
+/* A set of named counters, gauges and histograms, as Prometheus text. */
 typedef struct cb_counters cb_counters_t;
 typedef struct cb_counter cb_counter_t;
+/* Durations in buckets: each is known to within a factor of 2.5. */
+typedef struct cb_histogram cb_histogram_t;
 
 cb_counters_t *cb_counters_new(void);
 void cb_counters_delete(cb_counters_t *counters);
@@ -15,10 +17,14 @@
 				  const char *label, const char *value);
 cb_counter_t *cb_counters_gauge(cb_counters_t *counters, const char *name,
 				const char *label, const char *value);
+cb_histogram_t *cb_counters_histogram(cb_counters_t *counters, const char *name,
+				      const char *label, const char *value);
 char *cb_counters_render(const cb_counters_t *counters);
 
 void cb_counter_add(cb_counter_t *counter, int64_t amount);
 void cb_counter_set(cb_counter_t *counter, int64_t value);
 int64_t cb_counter_get(const cb_counter_t *counter);
 
+void cb_histogram_add(cb_histogram_t *histogram, int64_t value_ms);
+
 #endif
--- a/include/currantbridge/log.h
+++ b/include/currantbridge/log.h
@@ -3,11 +3,15 @@
 
 #include <glib.h>
 #include <stdint.h>
-#include <stdio.h>
 
 #include "currantbridge/clock.h"
+#include "currantbridge/counters.h"
 
-/* Numbered events, written as text or as JSON lines. */
+/*
+ * Numbered events, written as text or as JSON lines.  Writing never waits:
+ * an event that comes too often in a second, or for which a slow reader has
+ * left no room, is left out, counted, and told of in a line of its own.
+ */
 typedef struct cb_log cb_log_t;
 
 typedef enum cb_log_level {
@@ -61,9 +65,11 @@
 		     (const cb_log_field_t[]){ \
 			     __VA_OPT__(__VA_ARGS__, ){ .name = NULL } })
 
-cb_log_t *cb_log_new(cb_clock_t *clock, FILE *stream, cb_log_format_t format,
+cb_log_t *cb_log_new(cb_clock_t *clock, int fd, cb_log_format_t format,
 		     cb_log_level_t lowest_level);
 void cb_log_delete(cb_log_t *log);
+void cb_log_name(cb_log_t *log, const char *instance);
+void cb_log_count(cb_log_t *log, cb_counters_t *counters);
 void cb_log_write(cb_log_t *log, cb_event_t event,
 		  const cb_log_field_t *fields);
 
--- a/src/cb-control/main.c
+++ b/src/cb-control/main.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <unistd.h>
 #include <string.h>
 
 #include "control_settings.h"
@@ -13,9 +14,9 @@
 static int control_run_(const control_settings_t *settings)
 {
 	cb_clock_t *clock = cb_clock_new(NULL);
-	cb_log_t *log =
-		cb_log_new(clock, stderr, control_settings_log_format(settings),
-			   control_settings_log_level(settings));
+	cb_log_t *log = cb_log_new(clock, STDERR_FILENO,
+				   control_settings_log_format(settings),
+				   control_settings_log_level(settings));
 	cb_kernel_t *kernel = cb_kernel_new(NULL, clock, log);
 	cb_node_options_t options = {
 		.name = settings->name,
--- a/src/cb-entry/main.c
+++ b/src/cb-entry/main.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <unistd.h>
 
 #include "currantbridge/control_client.h"
 #include "currantbridge/entry.h"
@@ -47,8 +48,9 @@
 static int serve_(const settings_t *settings)
 {
 	cb_clock_t *clock = cb_clock_new(NULL);
-	cb_log_t *log = cb_log_new(clock, stderr, settings_log_format(settings),
-				   settings_log_level(settings));
+	cb_log_t *log =
+		cb_log_new(clock, STDERR_FILENO, settings_log_format(settings),
+			   settings_log_level(settings));
 	cb_kernel_t *kernel = cb_kernel_new(NULL, clock, log);
 	uint64_t incarnation = (uint64_t)cb_clock_wall_ms(clock);
 	cb_view_t *view = services_register_(kernel, settings, incarnation);
--- a/src/cb-fake-backend/fake_backend.h
+++ b/src/cb-fake-backend/fake_backend.h
@@ -1,6 +1,7 @@
 #ifndef FAKE_BACKEND_H
 #define FAKE_BACKEND_H
 
+#include <stdio.h>
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 
--- a/src/cb-fake-backend/main.c
+++ b/src/cb-fake-backend/main.c
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include "fake_backend.h"
 
 #include <string.h>
@@ -101,7 +103,7 @@
 static int backend_run_(FILE *effects)
 {
 	cb_clock_t *clock = cb_clock_new(NULL);
-	cb_log_t *log = cb_log_new(clock, stderr, CB_LOG_FORMAT_TEXT,
+	cb_log_t *log = cb_log_new(clock, STDERR_FILENO, CB_LOG_FORMAT_TEXT,
 				   CB_LOG_LEVEL_INFO);
 	cb_kernel_t *kernel = cb_kernel_new(NULL, clock, log);
 	fake_backend_t backend = {
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -53,6 +53,8 @@
 /* Whether the request may run more than once. */
 gboolean cb_relay_is_repeatable(const cb_relay_t *relay);
 void cb_relay_count(cb_front_t *front, const char *name, const char *reason);
+/* Returns the servers on the way with their layers, as text; free it. */
+char *cb_relay_way(const cb_relay_t *relay);
 /* Lets go of the attempt under way, which ends at its server. */
 void cb_relay_drop_attempt(cb_relay_t *relay);
 /* Records how the request ends, while its exchange is still there. */
--- a/src/libcurrantbridge/kernel/counters.c
+++ b/src/libcurrantbridge/kernel/counters.c
@@ -8,8 +8,25 @@
 	int64_t value;
 };
 
+/*
+ * The upper bounds of a histogram's buckets, in ms: from an answer of a plain
+ * service to the longest time that a request may have.
+ */
+static const int64_t bucket_bounds_ms[] = { 1,	  2,	5,     10,    20,
+					    50,	  100,	200,   500,   1000,
+					    2000, 5000, 10000, 20000, 50000 };
+#define BUCKET_COUNT G_N_ELEMENTS(bucket_bounds_ms)
+
+struct cb_histogram {
+	char *name;
+	char *label;			  /* `label="value"`, or "" */
+	int64_t counts[BUCKET_COUNT + 1]; /* the last one has no bound */
+	int64_t sum_ms;
+};
+
 struct cb_counters {
 	GTree *by_series;
+	GTree *histograms; /* by series too */
 };
 
 static void counter_delete_(void *data)
@@ -22,6 +39,15 @@
 	g_free(counter);
 }
 
+static void histogram_delete_(void *data)
+{
+	cb_histogram_t *histogram = data;
+
+	g_free(histogram->name);
+	g_free(histogram->label);
+	g_free(histogram);
+}
+
 static int series_compare_(const void *left, const void *right, void *unused)
 {
 	(void)unused;
@@ -35,6 +61,8 @@
 
 	counters->by_series =
 		g_tree_new_full(series_compare_, NULL, g_free, counter_delete_);
+	counters->histograms = g_tree_new_full(series_compare_, NULL, g_free,
+					       histogram_delete_);
 	return counters;
 }
 
@@ -44,6 +72,7 @@
 	if (!counters)
 		return;
 	g_tree_unref(counters->by_series);
+	g_tree_unref(counters->histograms);
 	g_free(counters);
 }
 
@@ -87,6 +116,30 @@
 	return series_get_(counters, name, label, value, "gauge");
 }
 
+/*
+ * Returns the histogram `name`, added if absent, like cb_counters_counter().
+ * The set owns it.
+ */
+cb_histogram_t *cb_counters_histogram(cb_counters_t *counters, const char *name,
+				      const char *label, const char *value)
+{
+	char *pair = label ? g_strdup_printf("%s=\"%s\"", label, value) :
+			     g_strdup("");
+	char *series = g_strdup_printf("%s{%s}", name, pair);
+	cb_histogram_t *histogram = g_tree_lookup(counters->histograms, series);
+
+	if (histogram) {
+		g_free(series);
+		g_free(pair);
+		return histogram;
+	}
+	histogram = g_new0(cb_histogram_t, 1);
+	histogram->name = g_strdup(name);
+	histogram->label = pair;
+	g_tree_insert(counters->histograms, series, histogram);
+	return histogram;
+}
+
 typedef struct render_state {
 	GString *text;
 	const char *last_name;
@@ -106,12 +159,48 @@
 	return FALSE;
 }
 
+static gboolean render_histogram_(void *key, void *value, void *user_data)
+{
+	render_state_t *state = user_data;
+	const cb_histogram_t *histogram = value;
+	const char *comma = *histogram->label ? "," : "";
+	int64_t count = 0;
+	size_t i;
+
+	(void)key;
+	if (g_strcmp0(state->last_name, histogram->name))
+		g_string_append_printf(state->text, "# TYPE %s histogram\n",
+				       histogram->name);
+	state->last_name = histogram->name;
+	for (i = 0; i <= BUCKET_COUNT; i++) {
+		count += histogram->counts[i];
+		g_string_append_printf(state->text, "%s_bucket{%s%sle=\"",
+				       histogram->name, histogram->label,
+				       comma);
+		if (i < BUCKET_COUNT)
+			g_string_append_printf(state->text, "%" G_GINT64_FORMAT,
+					       bucket_bounds_ms[i]);
+		else
+			g_string_append(state->text, "+Inf");
+		g_string_append_printf(state->text,
+				       "\"} %" G_GINT64_FORMAT "\n", count);
+	}
+	g_string_append_printf(state->text,
+			       "%s_sum{%s} %" G_GINT64_FORMAT "\n"
+			       "%s_count{%s} %" G_GINT64_FORMAT "\n",
+			       histogram->name, histogram->label,
+			       histogram->sum_ms, histogram->name,
+			       histogram->label, count);
+	return FALSE;
+}
+
 /* Returns all series as Prometheus text; the caller frees it. */
 char *cb_counters_render(const cb_counters_t *counters)
 {
 	render_state_t state = { .text = g_string_new(NULL) };
 
 	g_tree_foreach(counters->by_series, render_series_, &state);
+	g_tree_foreach(counters->histograms, render_histogram_, &state);
 	return g_string_free(state.text, FALSE);
 }
 
@@ -132,3 +221,14 @@
 {
 	return counter->value;
 }
+
+/* Adds one duration to a histogram. */
+void cb_histogram_add(cb_histogram_t *histogram, int64_t value_ms)
+{
+	size_t i = 0;
+
+	while (i < BUCKET_COUNT && value_ms > bucket_bounds_ms[i])
+		i++;
+	histogram->counts[i]++;
+	histogram->sum_ms += value_ms;
+}
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -82,24 +82,52 @@
 	g_free(relay);
 }
 
+/* Returns the servers on the way with their layers, as text; free it. */
+char *cb_relay_way(const cb_relay_t *relay)
+{
+	GString *way = g_string_new(NULL);
+	unsigned int i;
+
+	for (i = 0; i < relay->hops->len; i++) {
+		const cb_relay_hop_t *hop =
+			&g_array_index(relay->hops, cb_relay_hop_t, i);
+
+		g_string_append_printf(way, "%s%s", i ? " " : "", hop->address);
+		if (hop->to)
+			g_string_append_printf(way, "=%u-%u", hop->from,
+					       hop->to);
+	}
+	return g_string_free(way, FALSE);
+}
+
 /* Records how a request ends, while its exchange is still there. */
 void cb_relay_note_end(const cb_relay_t *relay, uint32_t status,
 		       const char *reason)
 {
 	cb_front_t *front = relay->front;
+	gboolean is_served = status >= 200 && status < 300;
+	int64_t elapsed_ms = cb_relay_now_ms(relay) -
+			     cb_http1_exchange_arrived_ms(relay->exchange);
+	char *way = cb_relay_way(relay);
 
-	cb_log_event(front->log, CB_EVENT_RELAY_ENDED,
+	cb_log_event(front->log,
+		     is_served ? CB_EVENT_RELAY_SERVED : CB_EVENT_RELAY_ENDED,
 		     CB_STR("request", relay->ask.id),
 		     CB_STR("route", relay->route ? relay->route->name : NULL),
 		     CB_STR("target",
 			    cb_http1_exchange_head(relay->exchange)->target),
 		     CB_INT("status", status), CB_STR("reason", reason),
-		     CB_INT("attempts", relay->sends),
+		     CB_INT("attempts", relay->sends), CB_STR("way", way),
 		     CB_INT("last_event", relay->last_event),
-		     CB_INT("elapsed_ms", cb_relay_now_ms(relay) -
-						  cb_http1_exchange_arrived_ms(
-							  relay->exchange)));
+		     CB_INT("version",
+			    relay->document ? relay->document->version : 0),
+		     CB_INT("elapsed_ms", elapsed_ms));
 	cb_relay_count(front, "cb_relay_ended_total", reason);
+	cb_histogram_add(cb_counters_histogram(front->counters,
+					       "cb_relay_elapsed_ms", "outcome",
+					       is_served ? "served" : "failed"),
+			 elapsed_ms);
+	g_free(way);
 }
 
 void cb_relay_free(cb_relay_t *relay)
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -68,14 +68,18 @@
 {
 	const cb_relay_hop_t *first =
 		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+	char *way = cb_relay_way(relay);
 
 	cb_log_event(relay->front->log, CB_EVENT_RELAY_ATTEMPT_FAILED,
 		     CB_STR("request", relay->ask.id), CB_STR("result", result),
 		     CB_STR("server", first->id),
 		     CB_STR("address", first->address), CB_STR("fault", fault),
 		     CB_INT("status", relay->status),
-		     CB_INT("has_run", has_run),
-		     CB_INT("last_event", relay->last_event));
+		     CB_INT("has_run", has_run), CB_STR("way", way),
+		     CB_INT("last_event", relay->last_event),
+		     CB_INT("sent_before_ms",
+			    cb_relay_now_ms(relay) - relay->sent_ms));
+	g_free(way);
 	cb_relay_count(relay->front, "cb_relay_attempts_failed_total", result);
 	relay->runs += has_run != 0;
 	if (has_run || !relay->has_not_run)
@@ -150,6 +154,11 @@
 	if (relay->is_begun)
 		return;
 	relay->is_begun = TRUE;
+	cb_histogram_add(cb_counters_histogram(relay->front->counters,
+					       "cb_relay_first_event_ms", NULL,
+					       NULL),
+			 cb_relay_now_ms(relay) -
+				 cb_http1_exchange_arrived_ms(relay->exchange));
 	cb_http1_exchange_begin(relay->exchange, relay->status,
 				relay->answer_headers->str);
 }
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -41,6 +41,7 @@
 {
 	cb_relay_t *relay = user_data;
 	cb_front_t *front = relay->front;
+	char *way;
 
 	relay->is_asking = FALSE;
 	if (outcome == CB_REROUTE_BAD_SERVER && address &&
@@ -53,9 +54,11 @@
 		cb_relay_attempt_failed(relay, "silent", TRUE, address);
 		return;
 	}
+	way = cb_relay_way(relay);
 	cb_log_event(front->log, CB_EVENT_RELAY_REROUTED,
-		     CB_STR("request", relay->ask.id),
+		     CB_STR("request", relay->ask.id), CB_STR("way", way),
 		     CB_INT("last_event", relay->last_event));
+	g_free(way);
 	cb_relay_watch_silence(relay);
 }
 
--- a/src/test_libcurrantbridge/test_kernel.c
+++ b/src/test_libcurrantbridge/test_kernel.c
@@ -1,6 +1,9 @@
 #include "support_main.h"
 
+#include <fcntl.h>
+#include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "currantbridge/clock.h"
 #include "currantbridge/counters.h"
@@ -166,26 +169,238 @@
 		  "{\"time\":\"1970-01-01T00:00:01.005Z\",\"level\":\"info\","
 		  "\"event\":104,\"name\":\"HTTP_LISTENING\",\"message\":"
 		  "\"the HTTP server accepts connections\","
-		  "\"address\":\"a\\\"b\",\"port\":5}\n" },
+		  "\"instance\":\"e1\",\"address\":\"a\\\"b\",\"port\":5}\n" },
 	};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		cb_clock_t *clock = cb_clock_new_paused(1005);
 		char text[512] = { 0 };
-		FILE *stream = fmemopen(text, sizeof(text), "w");
-		cb_log_t *log = cb_log_new(clock, stream, cases[i].format,
-					   CB_LOG_LEVEL_INFO);
+		int pipe_fds[2];
+		cb_log_t *log;
 
+		CU_ASSERT_EQUAL_FATAL(pipe(pipe_fds), 0);
+		log = cb_log_new(clock, pipe_fds[1], cases[i].format,
+				 CB_LOG_LEVEL_INFO);
+		cb_log_name(log, "e1");
 		cb_log_event(log, CB_EVENT_HTTP_LISTENING,
 			     CB_STR("address", "a\"b"), CB_INT("port", 5));
-		fclose(stream);
+		CU_ASSERT_TRUE(read(pipe_fds[0], text, sizeof(text) - 1) > 0);
 		CU_ASSERT_STRING_EQUAL(text, cases[i].line);
 		cb_log_delete(log);
+		close(pipe_fds[0]);
+		close(pipe_fds[1]);
 		cb_clock_delete(clock);
 	}
 }
 
+/* A log into a pipe that is read when the test likes. */
+typedef struct log_fixture {
+	cb_clock_t *clock;
+	cb_counters_t *counters;
+	cb_log_t *log;
+	int reader;
+	int writer;
+	GString *text; /* what was read */
+} log_fixture_t;
+
+static void log_fixture_begin_(log_fixture_t *fixture)
+{
+	int pipe_fds[2];
+
+	CU_ASSERT_EQUAL_FATAL(pipe(pipe_fds), 0);
+	fixture->reader = pipe_fds[0];
+	fixture->writer = pipe_fds[1];
+	CU_ASSERT_EQUAL(fcntl(fixture->reader, F_SETFL, O_NONBLOCK), 0);
+	fixture->clock = cb_clock_new_paused(0);
+	fixture->counters = cb_counters_new();
+	fixture->log = cb_log_new(fixture->clock, fixture->writer,
+				  CB_LOG_FORMAT_JSON, CB_LOG_LEVEL_INFO);
+	cb_log_count(fixture->log, fixture->counters);
+	fixture->text = g_string_new(NULL);
+}
+
+static void log_fixture_end_(log_fixture_t *fixture)
+{
+	cb_log_delete(fixture->log);
+	cb_counters_delete(fixture->counters);
+	cb_clock_delete(fixture->clock);
+	close(fixture->reader);
+	close(fixture->writer);
+	g_string_free(fixture->text, TRUE);
+}
+
+/* Reads what is there, and lets the log write what it has kept. */
+static void log_fixture_read_(log_fixture_t *fixture)
+{
+	char piece[4096];
+	ssize_t size;
+
+	do {
+		cb_clock_advance(fixture->clock, 100);
+		while ((size = read(fixture->reader, piece, sizeof(piece))) > 0)
+			g_string_append_len(fixture->text, piece, size);
+		cb_clock_advance(fixture->clock, 100);
+		size = read(fixture->reader, piece, sizeof(piece));
+		if (size > 0)
+			g_string_append_len(fixture->text, piece, size);
+	} while (size > 0);
+}
+
+static int64_t log_fixture_dropped_(const log_fixture_t *fixture,
+				    const char *reason)
+{
+	return cb_counter_get(cb_counters_counter(fixture->counters,
+						  "cb_log_lines_dropped_total",
+						  "reason", reason));
+}
+
+static int64_t lines_with_(const GString *text, const char *part)
+{
+	const char *at = text->str;
+	int64_t count = 0;
+
+	while ((at = strstr(at, part))) {
+		at += strlen(part);
+		count++;
+	}
+	return count;
+}
+
+/* Returns the sum of the numbers that follow `part`. */
+static int64_t numbers_sum_(const GString *text, const char *part)
+{
+	const char *at = text->str;
+	int64_t sum = 0;
+
+	while ((at = strstr(at, part))) {
+		at += strlen(part);
+		sum += g_ascii_strtoll(at, NULL, 10);
+	}
+	return sum;
+}
+
+#define NAME(event) "\"name\":\"" event "\""
+
+/* Each event has its own rate, and what it leaves out is told. */
+static void log_bounds_its_rate(void)
+{
+	log_fixture_t fixture;
+	int i;
+
+	log_fixture_begin_(&fixture);
+	for (i = 0; i < 250; i++)
+		cb_log_event(fixture.log, CB_EVENT_PEER_LOST);
+	cb_log_event(fixture.log, CB_EVENT_PEER_CONNECTED);
+	CU_ASSERT_EQUAL(log_fixture_dropped_(&fixture, "rate"), 50);
+	cb_clock_advance(fixture.clock, 1000);
+	cb_log_event(fixture.log, CB_EVENT_PEER_LOST);
+	log_fixture_read_(&fixture);
+	CU_ASSERT_EQUAL(lines_with_(fixture.text, NAME("PEER_LOST")), 201);
+	CU_ASSERT_EQUAL(lines_with_(fixture.text, NAME("PEER_CONNECTED")), 1);
+	CU_ASSERT_EQUAL(lines_with_(fixture.text, "\"limited\":\"PEER_LOST\","
+						  "\"left_out\":50}"),
+			1);
+	log_fixture_end_(&fixture);
+}
+
+/* Writes `count` lines of an event, as fast as its rate allows. */
+static void log_fixture_write_(log_fixture_t *fixture, cb_event_t event,
+			       int count)
+{
+	char *text = g_strnfill(1000, 'x');
+	int i;
+
+	for (i = 0; i < count; i++) {
+		cb_log_event(fixture->log, event, CB_STR("text", text));
+		cb_clock_advance(fixture->clock, 10);
+	}
+	g_free(text);
+}
+
+/*
+ * A reader that has stopped costs lines, those of lower levels first, and no
+ * time: this test would not end.  The lines that are missing are told.
+ */
+static void log_never_waits(void)
+{
+	enum {
+		LINES = 500
+	};
+	log_fixture_t fixture;
+	int64_t routine;
+	int64_t dropped;
+
+	log_fixture_begin_(&fixture);
+	log_fixture_write_(&fixture, CB_EVENT_PEER_CONNECTED, LINES);
+	routine = log_fixture_dropped_(&fixture, "no_room");
+	CU_ASSERT_TRUE(routine > 0);
+	log_fixture_write_(&fixture, CB_EVENT_PEER_LOST, 50);
+	CU_ASSERT_EQUAL(log_fixture_dropped_(&fixture, "no_room"), routine);
+	log_fixture_write_(&fixture, CB_EVENT_PEER_LOST, LINES);
+	dropped = log_fixture_dropped_(&fixture, "no_room");
+	CU_ASSERT_TRUE(dropped > routine);
+	log_fixture_read_(&fixture);
+	log_fixture_write_(&fixture, CB_EVENT_PEER_CONNECTED, 1);
+	log_fixture_read_(&fixture);
+	CU_ASSERT_EQUAL(lines_with_(fixture.text, NAME("PEER_LOST")) +
+				lines_with_(fixture.text,
+					    NAME("PEER_CONNECTED")) +
+				dropped,
+			2 * LINES + 50 + 1);
+	CU_ASSERT_EQUAL(numbers_sum_(fixture.text, "\"dropped\":"), dropped);
+	CU_ASSERT_EQUAL(log_fixture_dropped_(&fixture, "rate"), 0);
+	log_fixture_end_(&fixture);
+}
+
+/* A reader that is gone for good: lines are counted, and nothing ends. */
+static void log_bears_a_gone_reader(void)
+{
+	log_fixture_t fixture;
+
+	signal(SIGPIPE, SIG_IGN);
+	log_fixture_begin_(&fixture);
+	close(fixture.reader);
+	fixture.reader = -1;
+	log_fixture_write_(&fixture, CB_EVENT_PEER_LOST, 3);
+	cb_clock_advance(fixture.clock, 100);
+	CU_ASSERT_EQUAL(log_fixture_dropped_(&fixture, "no_room") +
+				log_fixture_dropped_(&fixture, "reader_gone"),
+			3);
+	log_fixture_end_(&fixture);
+}
+
+/* Buckets count what is at most their bound, each with those below it. */
+static void histograms_render_buckets(void)
+{
+	cb_counters_t *counters = cb_counters_new();
+	cb_histogram_t *histogram =
+		cb_counters_histogram(counters, "cb_h_ms", "outcome", "served");
+	const char *const parts[] = {
+		"# TYPE cb_h_ms histogram\n",
+		"cb_h_ms_bucket{outcome=\"served\",le=\"1\"} 1\n",
+		"cb_h_ms_bucket{outcome=\"served\",le=\"100\"} 2\n",
+		"cb_h_ms_bucket{outcome=\"served\",le=\"50000\"} 3\n",
+		"cb_h_ms_bucket{outcome=\"served\",le=\"+Inf\"} 4\n",
+		"cb_h_ms_sum{outcome=\"served\"} 70201\n",
+		"cb_h_ms_count{outcome=\"served\"} 4\n",
+	};
+	const int64_t values_ms[] = { 0, 100, 101, 70000 };
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(values_ms); i++)
+		cb_histogram_add(histogram, values_ms[i]);
+	CU_ASSERT_PTR_EQUAL(cb_counters_histogram(counters, "cb_h_ms",
+						  "outcome", "served"),
+			    histogram);
+	text = cb_counters_render(counters);
+	for (i = 0; i < G_N_ELEMENTS(parts); i++)
+		CU_ASSERT_PTR_NOT_NULL(strstr(text, parts[i]));
+	g_free(text);
+	cb_counters_delete(counters);
+}
+
 typedef struct fake_service {
 	cb_service_t service;
 	GString *calls;
@@ -287,6 +502,10 @@
 	{ "counters_render_by_name", counters_render_by_name },
 	{ "settings_name_field_and_reason", settings_name_field_and_reason },
 	{ "log_writes_both_formats", log_writes_both_formats },
+	{ "log_bounds_its_rate", log_bounds_its_rate },
+	{ "log_never_waits", log_never_waits },
+	{ "log_bears_a_gone_reader", log_bears_a_gone_reader },
+	{ "histograms_render_buckets", histograms_render_buckets },
 	{ "kernel_drains_in_reverse", kernel_drains_in_reverse },
 	{ "kernel_reloads_each_service", kernel_reloads_each_service },
 	CU_TEST_INFO_NULL
--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -22,6 +22,9 @@
 #define HEADER_MAX_BYTES 512
 #define HEADER_TIMEOUT_MS 300
 
+/* Their lines are many times what a pipe and the log itself may keep. */
+#define UNREAD_REQUESTS 3000
+
 #define SERVER_ID "i-1"
 #define SERVER_BODY "the answer of the server"
 
@@ -715,6 +718,82 @@
 	fixture_end_(&fixture);
 }
 
+/* Sums the numbers that follow `part` in the log. */
+static int64_t numbers_sum_(const char *text, const char *part)
+{
+	int64_t sum = 0;
+
+	while ((text = strstr(text, part))) {
+		text += strlen(part);
+		sum += g_ascii_strtoll(text, NULL, 10);
+	}
+	return sum;
+}
+
+/* Reads the log to its end, which comes when its process has ended. */
+static char *log_read_(int fd)
+{
+	GString *text = g_string_new(NULL);
+	char piece[ANSWER_MAX_BYTES];
+	ssize_t size;
+
+	while ((size = read(fd, piece, sizeof(piece))) > 0)
+		g_string_append_len(text, piece, size);
+	close(fd);
+	return g_string_free(text, FALSE);
+}
+
+static void *log_reader_(void *data)
+{
+	return log_read_(GPOINTER_TO_INT(data));
+}
+
+/*
+ * An entry whose log nobody reads serves every request, and afterwards the
+ * lines that are there and those that are told as missing make up all.
+ */
+static void unread_logs_delay_nothing(void)
+{
+	fixture_t fixture;
+	GThread *reader;
+	int64_t lines = 0;
+	char *log;
+	char *at;
+	int log_fd;
+	int fd;
+	int i;
+
+	fixture_serve_(&fixture);
+	support_daemon_kill(fixture.entry);
+	g_setenv("CURRANTBRIDGE_NODE_FILE", fixture.entry->config, TRUE);
+	log_fd = support_daemon_start_unread(fixture.entry);
+	CU_ASSERT_TRUE_FATAL(
+		support_wait(is_served_, &fixture, START_LIMIT_MS));
+	fd = connect_(fixture.front);
+	for (i = 0; i < UNREAD_REQUESTS; i++) {
+		char *answer;
+
+		write_all_(fd, START HEAD KEY "\r\n",
+			   strlen(START HEAD KEY "\r\n"));
+		answer = message_read_(fd);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
+		CU_ASSERT_EQUAL(status_(answer), 200);
+		g_free(answer);
+	}
+	close(fd);
+	reader = g_thread_new("log", log_reader_, GINT_TO_POINTER(log_fd));
+	CU_ASSERT_EQUAL(support_daemon_stop(fixture.entry), 0);
+	log = g_thread_join(reader);
+	for (at = log; (at = strstr(at, "\"name\":\"RELAY_SERVED\"")); at++)
+		lines++;
+	CU_ASSERT_TRUE(lines < UNREAD_REQUESTS);
+	CU_ASSERT_TRUE(lines + numbers_sum_(log, "\"left_out\":") +
+			       numbers_sum_(log, "\"dropped\":") >=
+		       UNREAD_REQUESTS);
+	g_free(log);
+	fixture_end_(&fixture);
+}
+
 static CU_TestInfo program_tests[] = {
 	{ "requests_are_served", requests_are_served },
 	{ "bad_calls_change_nothing", bad_calls_change_nothing },
@@ -722,6 +801,7 @@
 	{ "leaving_servers_get_nothing", leaving_servers_get_nothing },
 	{ "acknowledged_documents_last", acknowledged_documents_last },
 	{ "entries_stop_gracefully", entries_stop_gracefully },
+	{ "unread_logs_delay_nothing", unread_logs_delay_nothing },
 	CU_TEST_INFO_NULL
 };
 
--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -15,6 +15,8 @@
 #define PORT_COUNT 22000
 /* Keeps test programs that run side by side apart. */
 #define PORTS_PER_PROCESS 61
+/* Two pages: a daemon fills it with its first lines. */
+#define UNREAD_PIPE_BYTES 8192
 
 static gboolean port_is_free_(uint16_t port)
 {
@@ -196,8 +198,8 @@
 	g_free(group);
 }
 
-/* Starts a daemon that does not run; its log goes on in NAME.log. */
-void support_daemon_start(support_daemon_t *daemon)
+/* Starts a daemon whose standard output is `out_fd`, which is taken. */
+static void daemon_start_(support_daemon_t *daemon, int out_fd)
 {
 	GSubprocessLauncher *launcher =
 		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
@@ -206,7 +208,8 @@
 	int fd = g_open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 	g_assert(!daemon->process && fd >= 0);
-	g_subprocess_launcher_take_stdout_fd(launcher, dup(fd));
+	g_subprocess_launcher_take_stdout_fd(launcher,
+					     out_fd >= 0 ? out_fd : dup(fd));
 	g_subprocess_launcher_take_stderr_fd(launcher, fd);
 	daemon->process =
 		g_subprocess_launcher_spawn(launcher, &error, daemon->program,
@@ -217,6 +220,26 @@
 	g_free(log);
 }
 
+/* Starts a daemon that does not run; its log goes on in NAME.log. */
+void support_daemon_start(support_daemon_t *daemon)
+{
+	daemon_start_(daemon, -1);
+}
+
+/*
+ * The same, with standard output in a pipe of a few KB that nobody reads
+ * until the test does; returns the end to read from.
+ */
+int support_daemon_start_unread(support_daemon_t *daemon)
+{
+	int fds[2];
+
+	g_assert(!pipe2(fds, O_CLOEXEC));
+	g_assert(fcntl(fds[1], F_SETPIPE_SZ, UNREAD_PIPE_BYTES) > 0);
+	daemon_start_(daemon, fds[1]);
+	return fds[0];
+}
+
 /* Tells whether a daemon that was started has not ended by itself. */
 gboolean support_daemon_runs(const support_daemon_t *daemon)
 {
--- a/test/support_daemons.h
+++ b/test/support_daemons.h
@@ -46,6 +46,7 @@
 				    const char *settings);
 
 void support_daemon_start(support_daemon_t *daemon);
+int support_daemon_start_unread(support_daemon_t *daemon);
 gboolean support_daemon_runs(const support_daemon_t *daemon);
 void support_daemon_signal(support_daemon_t *daemon, int signal_number);
 int support_daemon_wait(support_daemon_t *daemon);
