--- a/src/currantbridge/commands.h
+++ b/src/currantbridge/commands.h
@@ -29,6 +29,7 @@
 int members_remove_command(client_t *client, const arguments_t *arguments);
 int members_list_command(client_t *client, const arguments_t *arguments);
 int config_check_command(client_t *client, const arguments_t *arguments);
+int explain_command(client_t *client, const arguments_t *arguments);
 
 /* Prints the JSON body of a read, or the error, and returns the exit code. */
 typedef void (*print_fn_t)(JsonObject *root);
--- a/src/currantbridge/main.c
+++ b/src/currantbridge/main.c
@@ -13,7 +13,7 @@
 	const char *group;
 	const char *verb; /* or NULL */
 	unsigned int word_count;
-	const char *words;
+	const char *words; /* the last one may come again after "..." */
 	gboolean is_local; /* asks no control instance */
 	command_fn_t run;
 } command_t;
@@ -33,6 +33,7 @@
 	{ "members", "remove", 1, " NAME", FALSE, members_remove_command },
 	{ "members", "list", 0, "", FALSE, members_list_command },
 	{ "config", "check", 1, " FILE", TRUE, config_check_command },
+	{ "explain", NULL, 2, " REQUEST FILE...", TRUE, explain_command },
 };
 
 static int usage_(void)
@@ -58,7 +59,9 @@
 	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
 		command = &commands[i];
 		word_count = (command->verb ? 2 : 1) + (int)command->word_count;
-		if (argc - 1 != word_count ||
+		if (argc - 1 < word_count ||
+		    (argc - 1 > word_count &&
+		     !g_str_has_suffix(command->words, "...")) ||
 		    strcmp(argv[1], command->group) != 0)
 			continue;
 		if (!command->verb || !strcmp(argv[2], command->verb))
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -161,6 +161,7 @@
 		    int64_t retry_after_ms)
 {
 	cb_log_event(front->log, CB_EVENT_RELAY_REFUSED, CB_STR("request", id),
+		     CB_STR("target", cb_http1_exchange_head(exchange)->target),
 		     CB_INT("status", status), CB_STR("reason", reason),
 		     CB_INT("retry_after_ms", retry_after_ms),
 		     CB_INT("version",
