Doubts about engines are shared, and those that do not answer replaced at once

Change: what an entry tells of its usage says which servers failed it within a second. A chain avoids those that two others doubt; the leader asks them at once, and places around one that does not answer (708, ENGINE_LOST) until a heartbeat of it comes. Test: doubted_engines_are_placed_around (failed before: layers were missing). The protocol's version is 2: what usage holds has changed.

--- a/include/currantbridge/node.h
+++ b/include/currantbridge/node.h
@@ -84,6 +84,8 @@
 void cb_node_configure_join(cb_node_t *node, const char *const *addresses);
 /* The backend servers that announced themselves here or elsewhere. */
 cb_fleet_t *cb_node_fleet(cb_node_t *node);
+/* Whether entry instances saw requests fail at a server within a second. */
+gboolean cb_node_is_doubted(const cb_node_t *node, const char *server_id);
 gboolean cb_node_leads(const cb_node_t *node);
 /*
  * Takes what a server says of itself.  `done` is called once, with
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -21,6 +21,11 @@
 #define SLOW_LOST_PERCENT 300
 /* Each engine is asked this often whether it has turned slow. */
 #define ASK_INTERVAL_MS 2000
+/*
+ * An engine that entry instances doubt is asked this often, and is lost if it
+ * does not answer within that time: stalled streams wait for its layers.
+ */
+#define ASK_DOUBTED_MS 300
 /* How soon a server that refused, or did not answer, is asked again. */
 #define REFUSED_RETRY_MS 500
 
@@ -44,8 +49,11 @@
 	uint64_t accepted_orders;
 	int64_t ordered_ms;
 	int64_t not_before_ms;
-	int64_t asked_ms;    /* when it was last asked for a report */
-	gboolean is_checked; /* asked for its pace alone */
+	int64_t asked_ms;	/* when it was last asked for a report */
+	gboolean is_checked;	/* asked for its pace alone */
+	gboolean is_unanswered; /* it did not answer the last question */
+	int64_t doubted_ms;	/* since when; 0: it is not doubted */
+	int64_t lost_ms;	/* when it was found to be lost; 0: it is not */
 } order_state_t;
 
 struct cb_placer {
@@ -192,6 +200,7 @@
 		state->not_before_ms =
 			cb_clock_now_ms(placer->clock) + REFUSED_RETRY_MS;
 	state->is_checked = FALSE;
+	state->is_unanswered = !report;
 	if (report)
 		slow_note_(state, report->slow_percent);
 	if (!report || report->is_busy || state->is_pending)
@@ -312,6 +321,41 @@
 	ask_(placer, state, server->address);
 }
 
+/*
+ * Whether an engine is lost: entry instances doubt it and it does not answer.
+ * Its heartbeats would tell that some seconds later; one that comes after all
+ * says that it is there.
+ */
+static gboolean lost_follow_(cb_placer_t *placer, order_state_t *state,
+			     const cb_fleet_server_t *server)
+{
+	int64_t now_ms = cb_clock_now_ms(placer->clock);
+	int64_t waited_ms = now_ms - state->asked_ms;
+
+	if (state->lost_ms && server->heard_ms > state->lost_ms)
+		state->lost_ms = 0;
+	if (!cb_node_is_doubted(placer->node, server->id))
+		state->doubted_ms = 0;
+	else if (!state->doubted_ms)
+		state->doubted_ms = now_ms;
+	if (state->lost_ms || !state->doubted_ms)
+		return state->lost_ms != 0;
+	if (state->is_asked ? waited_ms >= ASK_DOUBTED_MS :
+			      state->is_unanswered &&
+				      state->asked_ms >= state->doubted_ms) {
+		state->lost_ms = now_ms;
+		cb_log_event(placer->log, CB_EVENT_ENGINE_LOST,
+			     CB_STR("server", state->start),
+			     CB_STR("address", server->address),
+			     CB_INT("waited_ms", waited_ms));
+	} else if (!state->is_asked && (state->asked_ms < state->doubted_ms ||
+					waited_ms >= ASK_DOUBTED_MS)) {
+		state->is_checked = TRUE;
+		ask_(placer, state, server->address);
+	}
+	return state->lost_ms != 0;
+}
+
 /* The servers of one service, as the placement takes them. */
 static GPtrArray *candidates_(cb_placer_t *placer,
 			      const cb_service_profile_t *service,
@@ -343,6 +387,8 @@
 			.takes_orders = !state->is_pending && !state->is_asked,
 		};
 		pace_check_(placer, state, server);
+		if (lost_follow_(placer, state, server))
+			continue;
 		/* Another is to hold its layers as long as it is that slow. */
 		if (server->slow_percent >= SLOW_LOST_PERCENT)
 			continue;
--- a/src/libcurrantbridge/backend/usage.c
+++ b/src/libcurrantbridge/backend/usage.c
@@ -2,7 +2,8 @@
 
 #include "private/pack.h"
 
-#define ENTRY_FIELD_COUNT 3
+#define ENTRY_FIELD_COUNT 4
+#define SENDS_FIELD_COUNT 3
 
 /* Makes an empty usage. */
 cb_usage_t *cb_usage_new(void)
@@ -42,6 +43,7 @@
 	}
 	present->running += entry->running;
 	present->token_layers += entry->token_layers;
+	present->doubters += entry->doubters;
 }
 
 /* Adds to what was sent to a service. */
@@ -113,13 +115,14 @@
 		cb_pack_string(&pack, server_id);
 		cb_pack_uint(&pack, entry->running);
 		cb_pack_uint(&pack, (uint64_t)MAX(entry->token_layers, 0));
+		cb_pack_uint(&pack, entry->doubters);
 	}
 	cb_pack_array(&pack, g_hash_table_size(usage->by_service));
 	g_hash_table_iter_init(&iter, usage->by_service);
 	while (g_hash_table_iter_next(&iter, &server_id, &value)) {
 		const cb_usage_sends_t *sends = value;
 
-		cb_pack_array(&pack, ENTRY_FIELD_COUNT);
+		cb_pack_array(&pack, SENDS_FIELD_COUNT);
 		cb_pack_string(&pack, server_id);
 		cb_pack_uint(&pack, sends->requests);
 		cb_pack_uint(&pack, sends->retries);
@@ -137,6 +140,7 @@
 	server_id = cb_fields_text(&fields);
 	entry.running = (uint32_t)cb_fields_uint(&fields);
 	entry.token_layers = (double)cb_fields_uint(&fields);
+	entry.doubters = (uint32_t)cb_fields_uint(&fields);
 	if (cb_fields_end(&fields))
 		cb_usage_add(usage, server_id, &entry);
 	g_free(server_id);
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -311,6 +311,7 @@
 	cb_lease_book_delete(node->lease_book);
 	cb_fleet_delete(node->fleet);
 	g_hash_table_unref(node->peer_usages);
+	cb_usage_delete(node->usage_sum);
 	g_strfreev(node->join_addresses);
 	g_rand_free(node->random);
 	g_free(node->name);
--- a/src/libcurrantbridge/control/node_usage.c
+++ b/src/libcurrantbridge/control/node_usage.c
@@ -73,7 +73,8 @@
 	tell_(node, sum, cb_node_peers_tell);
 	peers_add_(node, sum);
 	tell_(node, sum, cb_node_sessions_tell);
-	cb_usage_delete(sum);
+	cb_usage_delete(node->usage_sum);
+	node->usage_sum = sum;
 }
 
 /* Makes what sums up the usage of all entry instances. */
@@ -81,9 +82,20 @@
 {
 	node->peer_usages = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, peer_usage_delete_);
+	node->usage_sum = cb_usage_new();
 	node->usage_timer = cb_timer_new(node->clock, usage_timer_fired_, node);
 }
 
+/*
+ * Whether entry instances saw requests fail at a server within a second: more
+ * than one of them, which may be the one that is cut off.
+ */
+gboolean cb_node_is_doubted(const cb_node_t *node, const char *server_id)
+{
+	return cb_usage_find(node->usage_sum, server_id).doubters >=
+	       CB_USAGE_DOUBTERS_MIN;
+}
+
 /* Takes the sum of another control instance's sessions. */
 void cb_node_usage_receive(cb_node_t *node, const char *control,
 			   const cb_link_message_t *message)
--- a/src/libcurrantbridge/include/private/link_message.h
+++ b/src/libcurrantbridge/include/private/link_message.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 /* The messages between the system's own processes. */
-#define CB_PROTOCOL_VERSION 1
+#define CB_PROTOCOL_VERSION 2
 
 typedef enum cb_link_message_kind {
 	CB_LINK_MESSAGE_HELLO,
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -108,6 +108,7 @@
 	gboolean was_noting;	 /* led at the last round of notes */
 	int64_t whole_since_ms;	 /* all control instances are linked */
 	GHashTable *peer_usages; /* by control instance */
+	cb_usage_t *usage_sum;	 /* over all entry instances, as last told */
 	cb_timer_t *usage_timer;
 	gboolean is_fleet_changed; /* the timer is set to tell it soon */
 	uint64_t next_id;
--- a/src/libcurrantbridge/include/private/usage.h
+++ b/src/libcurrantbridge/include/private/usage.h
@@ -23,8 +23,13 @@
 	uint32_t running;
 	/* Tokens that the requests will hold, times the layers they pass. */
 	double token_layers;
+	/* Instances with a request that failed there within a second. */
+	uint32_t doubters;
 } cb_usage_entry_t;
 
+/* So many doubt a server whose own state, not one instance's, is in doubt. */
+#define CB_USAGE_DOUBTERS_MIN 2
+
 cb_usage_t *cb_usage_new(void);
 void cb_usage_delete(void *usage);
 void cb_usage_add(cb_usage_t *usage, const char *server_id,
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -8,6 +8,8 @@
 /* A server that failed is avoided for this, doubled with each failure. */
 #define AVOID_FIRST_MS 500
 #define AVOID_LONGEST_MS 4000
+/* So long after a failure there this instance doubts a server. */
+#define DOUBT_MS 1000
 /* A load that a server told counts for so long. */
 #define LOAD_AGE_MS 1000
 /* The others' usage counts for so long; it comes a few times a second. */
@@ -22,6 +24,7 @@
 	double token_layers; /* reserved by this instance's requests */
 	int64_t avoid_until_ms;
 	unsigned int failures; /* in a row */
+	int64_t failed_ms;     /* the last one; 0: none */
 	int64_t load;
 	int64_t load_ms;
 	/* What this instance told last, and what the others have. */
@@ -197,7 +200,8 @@
 static cb_usage_entry_t under_way_(const cb_server_book_t *book,
 				   const note_t *note, unsigned int sharers)
 {
-	cb_usage_entry_t sum = { note->running, note->token_layers };
+	cb_usage_entry_t sum = { .running = note->running,
+				 .token_layers = note->token_layers };
 	int64_t age_ms = cb_clock_now_ms(book->clock) - book->usage_ms;
 
 	if (!book->usage_ms || age_ms > USAGE_AGE_MS) {
@@ -236,7 +240,9 @@
 		cb_placement_room_tokens(engine, kind->memory_mb, layers) -
 		under_way.token_layers / layers;
 	input.is_doubtful = server->state == CB_FLEET_SILENT;
-	input.is_avoided = note->avoid_until_ms > cb_clock_now_ms(book->clock);
+	input.is_avoided =
+		note->avoid_until_ms > cb_clock_now_ms(book->clock) ||
+		note->others.doubters >= CB_USAGE_DOUBTERS_MIN;
 	return input;
 }
 
@@ -339,6 +345,7 @@
 
 cb_usage_t *cb_server_book_usage(cb_server_book_t *book)
 {
+	int64_t now_ms = cb_clock_now_ms(book->clock);
 	cb_usage_t *usage = cb_usage_new();
 	GHashTableIter iter;
 	void *value;
@@ -348,9 +355,13 @@
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
 		note_t *note = value;
 
-		note->told =
-			(cb_usage_entry_t){ note->running, note->token_layers };
-		if (note->running)
+		note->told = (cb_usage_entry_t){
+			.running = note->running,
+			.token_layers = note->token_layers,
+			.doubters = note->failed_ms &&
+				    now_ms - note->failed_ms < DOUBT_MS,
+		};
+		if (note->running || note->told.doubters)
 			cb_usage_add(usage, id, &note->told);
 	}
 	return usage;
@@ -373,6 +384,8 @@
 		note->others = cb_usage_find(sum, id);
 		note->others.running -=
 			MIN(note->others.running, note->told.running);
+		note->others.doubters -=
+			MIN(note->others.doubters, note->told.doubters);
 		note->others.token_layers =
 			MAX(note->others.token_layers - note->told.token_layers,
 			    0);
@@ -420,8 +433,9 @@
 	int64_t avoid_ms = AVOID_FIRST_MS << MIN(note->failures, 4);
 
 	note->failures++;
+	note->failed_ms = cb_clock_now_ms(book->clock);
 	note->avoid_until_ms =
-		cb_clock_now_ms(book->clock) + MIN(avoid_ms, AVOID_LONGEST_MS);
+		note->failed_ms + MIN(avoid_ms, AVOID_LONGEST_MS);
 }
 
 gboolean cb_server_book_failed_at(cb_server_book_t *book, const char *address,
--- a/src/test_libcurrantbridge/test_placer.c
+++ b/src/test_libcurrantbridge/test_placer.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "currantbridge/placer.h"
+#include "private/usage.h"
 #include "support_world.h"
 
 /*
@@ -28,6 +29,7 @@
 		uint32_t to;
 		uint64_t accepted;
 		uint32_t slow_percent;
+		gboolean is_dead; /* it neither answers nor announces itself */
 	} engines[ENGINES];
 	/* How the next orders are answered; ACCEPTED after these. */
 	const cb_order_outcome_t *outcomes;
@@ -85,7 +87,7 @@
 	};
 
 	fixture->reports++;
-	done(&report, user_data);
+	done(fixture->engines[engine].is_dead ? NULL : &report, user_data);
 }
 
 static const cb_engine_orders_vtable_t orders_vtable = {
@@ -144,6 +146,8 @@
 			.layer_to = fixture->engines[i].to,
 		};
 
+		if (fixture->engines[i].is_dead)
+			continue;
 		said.id = g_strdup_printf("engine%u", i);
 		said.address = g_strdup_printf("10.1.0.1:%u", i);
 		cb_node_fleet_hear(fixture->world->nodes[0].node, &said,
@@ -207,7 +211,8 @@
 	for (i = 0; i < ENGINES; i++)
 		for (k = fixture->engines[i].from;
 		     k < fixture->engines[i].to &&
-		     fixture->engines[i].slow_percent <= USUAL_PACE_PERCENT;
+		     fixture->engines[i].slow_percent <= USUAL_PACE_PERCENT &&
+		     !fixture->engines[i].is_dead;
 		     k++)
 			held[k] = TRUE;
 	for (k = 0; k < LAYERS; k++)
@@ -315,12 +320,74 @@
 	CU_ASSERT_TRUE(alone > 0);
 }
 
+/* Entry instances tell how many of them doubt an engine. */
+static void doubt_(fixture_t *fixture, unsigned int engine, uint32_t doubters)
+{
+	const cb_usage_entry_t entry = { .doubters = doubters };
+	cb_usage_t *usage = cb_usage_new();
+	char *id = g_strdup_printf("engine%u", engine);
+	GBytes *bytes;
+
+	cb_usage_add(usage, id, &entry);
+	bytes = cb_usage_encode(usage);
+	cb_control_client_tell_usage(fixture->world->clients[0].client, bytes);
+	g_bytes_unref(bytes);
+	g_free(id);
+	cb_usage_delete(usage);
+}
+
+/*
+ * An engine that does not answer is placed around as soon as several entry
+ * instances doubt it, long before its heartbeats are missed; neither doubts
+ * nor one lost answer alone do that.
+ */
+static void doubted_engines_are_placed_around(void)
+{
+	static const struct {
+		uint32_t doubters;
+		gboolean is_dead;
+		gboolean is_replaced;
+	} cases[] = {
+		{ 2, TRUE, TRUE },  { 7, TRUE, TRUE },	 { 1, TRUE, FALSE },
+		{ 0, TRUE, FALSE }, { 7, FALSE, FALSE },
+	};
+	size_t n;
+
+	for (n = 0; n < G_N_ELEMENTS(cases); n++) {
+		unsigned int needed = 0; /* engines that others replace */
+		unsigned int dead;
+
+		for (dead = 0; dead < ENGINES; dead++) {
+			fixture_t fixture;
+			unsigned int before;
+
+			fixture_begin_(&fixture, TRUE);
+			run_(&fixture, 10);
+			fixture.engines[dead].is_dead = cases[n].is_dead;
+			before = fixture.placed->len;
+			doubt_(&fixture, dead, cases[n].doubters);
+			run_(&fixture, 1);
+			needed += fixture.placed->len > before;
+			if (cases[n].is_replaced)
+				CU_ASSERT_TRUE(is_whole_(&fixture));
+			doubt_(&fixture, dead, 0);
+			fixture.engines[dead].is_dead = FALSE;
+			run_(&fixture, 5);
+			CU_ASSERT_TRUE(is_whole_(&fixture));
+			fixture_end_(&fixture);
+		}
+		CU_ASSERT_EQUAL(needed > 0, cases[n].is_replaced);
+	}
+}
+
 static CU_TestInfo placer_tests[] = {
 	{ "first_orders_wait_for_the_fleet", first_orders_wait_for_the_fleet },
 	{ "nothing_is_ordered_without_a_document",
 	  nothing_is_ordered_without_a_document },
 	{ "failed_orders_are_given_again", failed_orders_are_given_again },
 	{ "slow_engines_are_placed_around", slow_engines_are_placed_around },
+	{ "doubted_engines_are_placed_around",
+	  doubted_engines_are_placed_around },
 	CU_TEST_INFO_NULL
 };
 
--- a/src/test_libcurrantbridge/test_retry_share.c
+++ b/src/test_libcurrantbridge/test_retry_share.c
@@ -122,8 +122,8 @@
 
 static void usage_is_told_and_summed(void)
 {
-	static const cb_usage_entry_t one = { 2, 1500 };
-	static const cb_usage_entry_t other = { 1, 500 };
+	static const cb_usage_entry_t one = { 2, 1500, 1 };
+	static const cb_usage_entry_t other = { 1, 500, 0 };
 	static const cb_usage_sends_t sends = { 10, 3 };
 	cb_usage_t *sum = cb_usage_new();
 	cb_usage_t *usage = cb_usage_new();
@@ -141,6 +141,7 @@
 	cb_usage_add_all(sum, told);
 	cb_usage_add_all(sum, told);
 	CU_ASSERT_EQUAL(cb_usage_find(sum, "a").running, 4);
+	CU_ASSERT_EQUAL(cb_usage_find(sum, "a").doubters, 2);
 	CU_ASSERT_EQUAL(cb_usage_find(sum, "b").token_layers, 1000);
 	CU_ASSERT_EQUAL(cb_usage_find(sum, "c").running, 0);
 	CU_ASSERT_EQUAL(cb_usage_find_sends(sum, "s").retries, 6);
