--- a/include/currantbridge/control_client.h
+++ b/include/currantbridge/control_client.h
@@ -20,6 +20,13 @@
 	const char *address;
 	const char *data_centre;
 	uint64_t incarnation;
+	/*
+	 * Takes a later incarnation when control knows this name at this address
+	 * under one: the clock has gone back since the process before this one.
+	 * Only for a process that listens at the address, so that no other can,
+	 * and that owns nothing under its incarnation.
+	 */
+	gboolean renews_incarnation;
 	int64_t heartbeat_ms;
 	int64_t silence_ms;
 	/* Not taken; NULL: TCP, and a generator of its own. */
--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -94,6 +94,32 @@
 	cb_client_submits_send(client);
 }
 
+/*
+ * Opens another session under a later incarnation when control takes this
+ * process for an older one than that which it replaces.
+ */
+static void incarnation_check_(cb_control_client_t *client)
+{
+	const GPtrArray *instances = cb_view_instances(client->view);
+	cb_hello_t *hello = &client->hello;
+	unsigned int i;
+
+	for (i = 0; client->renews_incarnation && i < instances->len; i++) {
+		const cb_instance_t *known = instances->pdata[i];
+
+		if (strcmp(known->name, hello->name) != 0 ||
+		    g_strcmp0(known->address, hello->address) != 0 ||
+		    known->incarnation <= hello->incarnation)
+			continue;
+		cb_log_event(client->log, CB_EVENT_INCARNATION_RENEWED,
+			     CB_INT("known", known->incarnation),
+			     CB_INT("own", hello->incarnation));
+		hello->incarnation = known->incarnation + 1;
+		cb_link_goodbye(client->link, CB_CLOSE_REPLACED);
+		return;
+	}
+}
+
 /* Puts an update in force and says which revision is in force now. */
 static void update_receive_(cb_control_client_t *client, GBytes *update)
 {
@@ -117,6 +143,7 @@
 	message.code = outcome == CB_VIEW_GAP;
 	cb_link_send(client->link, &message);
 	confirmed_check_(client);
+	incarnation_check_(client);
 }
 
 /*
@@ -323,6 +350,7 @@
 	client->hello.address = g_strdup(options->address);
 	client->hello.data_centre = g_strdup(options->data_centre);
 	client->hello.incarnation = options->incarnation;
+	client->renews_incarnation = options->renews_incarnation;
 	client->heartbeat_ms = options->heartbeat_ms;
 	client->silence_ms = options->silence_ms;
 	client->current_ms = -1;
--- a/src/libcurrantbridge/include/private/control_client.h
+++ b/src/libcurrantbridge/include/private/control_client.h
@@ -31,6 +31,7 @@
 	size_t address_index;
 	size_t failures_in_a_row;
 	cb_hello_t hello;
+	gboolean renews_incarnation;
 	int64_t heartbeat_ms;
 	int64_t silence_ms;
 	GRand *random;
--- a/src/test_libcurrantbridge/support_world.c
+++ b/src/test_libcurrantbridge/support_world.c
@@ -80,6 +80,7 @@
 		.address = "127.0.0.1:1",
 		.data_centre = "dc1",
 		.incarnation = ++self->incarnation,
+		.renews_incarnation = TRUE,
 		.heartbeat_ms = WORLD_SILENCE_MS / 4,
 		.silence_ms = WORLD_SILENCE_MS,
 		.network = support_hub_network(world->hub, self->name),
--- a/src/test_libcurrantbridge/test_sessions.c
+++ b/src/test_libcurrantbridge/test_sessions.c
@@ -9,6 +9,8 @@
 /* A change is in force everywhere within this, whatever one node does. */
 /* Seeds of each case of a group that wakes up. */
 #define WAKE_SEEDS 30
+/* What a process has begun with before its clock goes back. */
+#define CLOCK_INCARNATION 1000
 /* All members vote so long after the first leader is there. */
 #define FORMED_MS 3000
 #define IN_FORCE_LIMIT_MS 15000
@@ -539,6 +541,46 @@
 	CU_ASSERT_EQUAL(late, 0);
 }
 
+/* Whether the second client's view has the first entry ready as it is now. */
+static gboolean first_is_back_(world_t *world)
+{
+	const cb_instance_t *instance =
+		world_instance(world->clients[1].view, "entry1");
+
+	return instance && instance->state == CB_INSTANCE_READY &&
+	       instance->incarnation > CLOCK_INCARNATION;
+}
+
+/*
+ * An entry instance whose clock has gone back before its restart is in the
+ * addresses again, also after it had said that it leaves.
+ */
+static void clocks_that_go_back_keep_nobody_out(void)
+{
+	unsigned int leaves;
+
+	for (leaves = 0; leaves < 2; leaves++) {
+		world_t *world = world_new(3, 2, 6 + leaves);
+
+		world->clients[0].incarnation = CLOCK_INCARNATION - 1;
+		world_client_stop(world, 0);
+		world_client_start(world, 0);
+		CU_ASSERT_TRUE(world_run_until(world, world_is_converged,
+					       START_LIMIT_MS));
+		if (leaves) {
+			cb_control_client_leave(world->clients[0].client);
+			CU_ASSERT_TRUE(
+				world_run_until(world, first_is_leaving_, 200));
+		}
+		world_client_stop(world, 0);
+		world->clients[0].incarnation = 10;
+		world_client_start(world, 0);
+		CU_ASSERT_TRUE(world_run_until(world, first_is_back_,
+					       IN_FORCE_LIMIT_MS));
+		world_delete(world);
+	}
+}
+
 static CU_TestInfo session_tests[] = {
 	{ "changes_reach_every_session", changes_reach_every_session },
 	{ "confirmed_instances_are_known", confirmed_instances_are_known },
@@ -550,6 +592,8 @@
 	{ "no_majority_confirms_nothing", no_majority_confirms_nothing },
 	{ "stopping_leader_hands_over", stopping_leader_hands_over },
 	{ "random_faults_lose_nothing", random_faults_lose_nothing },
+	{ "clocks_that_go_back_keep_nobody_out",
+	  clocks_that_go_back_keep_nobody_out },
 	{ "woken_groups_lead_soon", woken_groups_lead_soon },
 	CU_TEST_INFO_NULL
 };
