Sockets of the platform's connections are watched by epoll

Cause: perf of an entry with 100 streams: two thirds of its time went into GLib's main loop, which passes every socket to poll() at every wake-up. Change: wire/stream uses the poller that the product's own interface has (one source for all sockets), which learns to watch for room to write.

--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -47,7 +47,7 @@
 };
 
 struct cb_http1_client {
-	GMainContext *context;
+	cb_poller_t *poller;
 	cb_clock_t *clock;
 	cb_counter_t *opened;
 	GHashTable *idle; /* address to GQueue of link_t, newest first */
@@ -291,7 +291,7 @@
 {
 	cb_http1_client_t *client = g_new0(cb_http1_client_t, 1);
 
-	client->context = context;
+	client->poller = cb_poller_new(context);
 	client->clock = clock;
 	if (counters)
 		client->opened =
@@ -318,6 +318,7 @@
 	g_list_free(links);
 	g_hash_table_unref(client->idle);
 	g_hash_table_unref(client->links);
+	cb_poller_delete(client->poller);
 	g_free(client);
 }
 
@@ -344,7 +345,7 @@
 	link->client = client;
 	link->address = g_strdup(address);
 	link->timer = cb_timer_new(client->clock, timer_fired_, link);
-	link->stream = cb_stream_connect(client->context, address,
+	link->stream = cb_stream_connect(client->poller, address,
 					 &stream_handler, link);
 	g_hash_table_add(client->links, link);
 	/* One that failed at once is told from the loop, as others are. */
--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -46,7 +46,7 @@
 };
 
 struct cb_http1_server {
-	GMainContext *context;
+	cb_poller_t *poller;
 	cb_clock_t *clock;
 	cb_counters_t *counters;
 	cb_http1_request_fn_t request;
@@ -341,8 +341,7 @@
 	link->server = server;
 	link->in = g_byte_array_new();
 	link->timer = cb_timer_new(server->clock, timer_fired_, link);
-	link->stream =
-		cb_stream_new(server->context, fd, &stream_handler, link);
+	link->stream = cb_stream_new(server->poller, fd, &stream_handler, link);
 	g_hash_table_add(server->links, link);
 	cb_timer_start(link->timer, server->limits.idle_timeout_ms);
 }
@@ -358,7 +357,7 @@
 {
 	cb_http1_server_t *server = g_new0(cb_http1_server_t, 1);
 
-	server->context = context;
+	server->poller = cb_poller_new(context);
 	server->clock = clock;
 	server->counters = counters;
 	server->request = request;
@@ -387,6 +386,7 @@
 		link_free_(link);
 	}
 	g_hash_table_unref(server->links);
+	cb_poller_delete(server->poller);
 	g_free(server);
 }
 
@@ -395,7 +395,7 @@
 				GError **error)
 {
 	cb_stream_listener_t *listener =
-		cb_stream_listen(server->context, address, accepted_, server,
+		cb_stream_listen(server->poller, address, accepted_, server,
 				 error);
 
 	if (!listener)
--- a/src/libcurrantbridge/include/private/stream.h
+++ b/src/libcurrantbridge/include/private/stream.h
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "private/poller.h"
+
 /* A TCP connection of plain bytes on the loop, and a port that accepts. */
 typedef struct cb_stream cb_stream_t;
 typedef struct cb_stream_listener cb_stream_listener_t;
@@ -27,10 +29,10 @@
 
 typedef void (*cb_stream_accept_fn_t)(int fd, void *user_data);
 
-cb_stream_t *cb_stream_connect(GMainContext *context, const char *address,
+cb_stream_t *cb_stream_connect(cb_poller_t *poller, const char *address,
 			       const cb_stream_handler_t *handler,
 			       void *user_data);
-cb_stream_t *cb_stream_new(GMainContext *context, int fd,
+cb_stream_t *cb_stream_new(cb_poller_t *poller, int fd,
 			   const cb_stream_handler_t *handler, void *user_data);
 void cb_stream_delete(cb_stream_t *stream);
 void cb_stream_reset(cb_stream_t *stream);
@@ -38,8 +40,7 @@
 void cb_stream_finish(cb_stream_t *stream);
 size_t cb_stream_unsent_bytes(const cb_stream_t *stream);
 
-cb_stream_listener_t *cb_stream_listen(GMainContext *context,
-				       const char *address,
+cb_stream_listener_t *cb_stream_listen(cb_poller_t *poller, const char *address,
 				       cb_stream_accept_fn_t accept,
 				       void *user_data, GError **error);
 void cb_stream_unlisten(cb_stream_listener_t *listener);
--- a/src/libcurrantbridge/kernel/poller.c
+++ b/src/libcurrantbridge/kernel/poller.c
@@ -16,6 +16,7 @@
 struct cb_watch {
 	cb_poller_t *poller;
 	int fd;
+	unsigned int events;
 	gboolean is_deleted;
 	gboolean is_again;
 	cb_watch_fn_t fn;
@@ -35,6 +36,8 @@
 		return;
 	if (ready & EPOLLIN)
 		events |= CB_WATCH_READABLE;
+	if (ready & EPOLLOUT)
+		events |= CB_WATCH_WRITABLE;
 	if (ready & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
 		events |= CB_WATCH_CLOSED;
 	watch->fn(events, watch->user_data);
@@ -110,6 +113,20 @@
 	g_free(poller);
 }
 
+static void epoll_set_(cb_watch_t *watch, int operation)
+{
+	struct epoll_event event = { .data.ptr = watch };
+
+	if (watch->events & CB_WATCH_READABLE)
+		event.events |= EPOLLIN;
+	if (watch->events & CB_WATCH_WRITABLE)
+		event.events |= EPOLLOUT;
+	if (watch->events & CB_WATCH_CLOSED)
+		event.events |= EPOLLRDHUP;
+	/* An fd that cannot be watched is found out by whoever uses it. */
+	epoll_ctl(watch->poller->fd, operation, watch->fd, &event);
+}
+
 /*
  * Watches `fd` until the watch is deleted, which must come before the fd is
  * closed.  One fd is watched once at a time.
@@ -118,21 +135,25 @@
 			 cb_watch_fn_t fn, void *user_data)
 {
 	cb_watch_t *watch = g_new0(cb_watch_t, 1);
-	struct epoll_event event = { .data.ptr = watch };
 
 	watch->poller = poller;
 	watch->fd = fd;
 	watch->fn = fn;
 	watch->user_data = user_data;
-	if (events & CB_WATCH_READABLE)
-		event.events |= EPOLLIN;
-	if (events & CB_WATCH_CLOSED)
-		event.events |= EPOLLRDHUP;
-	/* An fd that cannot be watched is found out by whoever uses it. */
-	epoll_ctl(poller->fd, EPOLL_CTL_ADD, fd, &event);
+	watch->events = events;
+	epoll_set_(watch, EPOLL_CTL_ADD);
 	return watch;
 }
 
+/* Watches for other events from now on. */
+void cb_watch_change(cb_watch_t *watch, unsigned int events)
+{
+	if (watch->events == events)
+		return;
+	watch->events = events;
+	epoll_set_(watch, EPOLL_CTL_MOD);
+}
+
 /* Has the watch called in the next turn of the loop. */
 void cb_watch_call_again(cb_watch_t *watch)
 {
--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -21,8 +21,7 @@
 #define KEEPALIVE_PROBES 3
 
 struct cb_stream {
-	GSource *source;
-	gpointer tag;
+	cb_watch_t *watch; /* NULL once the socket is broken */
 	int fd;
 	unsigned int refs;
 	gboolean is_connecting;
@@ -36,38 +35,12 @@
 };
 
 struct cb_stream_listener {
-	GSource *source;
+	cb_watch_t *watch;
 	int fd;
 	cb_stream_accept_fn_t accept;
 	void *user_data;
 };
 
-/* A source that only waits for a descriptor; its owner reads what is ready. */
-typedef struct fd_source {
-	GSource source;
-	gpointer tag;
-} fd_source_t;
-
-static gboolean fd_dispatch_(GSource *source, GSourceFunc callback,
-			     gpointer user_data)
-{
-	(void)source;
-	return callback(user_data);
-}
-
-static GSourceFuncs fd_source_funcs = { .dispatch = fd_dispatch_ };
-
-static GSource *fd_watch_(GMainContext *context, int fd, GIOCondition events,
-			  GSourceFunc fn, void *user_data, gpointer *tag)
-{
-	GSource *source = g_source_new(&fd_source_funcs, sizeof(fd_source_t));
-
-	*tag = g_source_add_unix_fd(source, fd, events);
-	g_source_set_callback(source, fn, user_data, NULL);
-	g_source_attach(source, context);
-	return source;
-}
-
 static void option_set_(int fd, int level, int name, int value)
 {
 	/* A connection without the option still works, only less closely. */
@@ -112,13 +85,14 @@
 
 static void events_update_(cb_stream_t *stream)
 {
-	GIOCondition events = 0;
+	unsigned int events = 0;
 
 	if (!stream->has_ended && !stream->is_connecting)
-		events |= G_IO_IN;
+		events |= CB_WATCH_READABLE;
 	if (stream->is_connecting || cb_stream_unsent_bytes(stream))
-		events |= G_IO_OUT;
-	g_source_modify_unix_fd(stream->source, stream->tag, events);
+		events |= CB_WATCH_WRITABLE;
+	if (stream->watch)
+		cb_watch_change(stream->watch, events);
 }
 
 static void end_(cb_stream_t *stream, cb_stream_end_t end)
@@ -133,7 +107,7 @@
 /* Stops watching a broken socket, which would be ready for ever. */
 static void break_(cb_stream_t *stream, cb_stream_end_t end)
 {
-	g_source_destroy(stream->source);
+	g_clear_pointer(&stream->watch, cb_watch_delete);
 	end_(stream, end);
 }
 
@@ -211,28 +185,25 @@
 	return !stream->is_deleted;
 }
 
-static gboolean ready_(gpointer user_data)
+static void ready_(unsigned int events, void *user_data)
 {
 	cb_stream_t *stream = user_data;
-	GIOCondition events =
-		g_source_query_unix_fd(stream->source, stream->tag);
 
 	stream->refs++;
 	if (stream->is_connecting && !opened_(stream))
 		goto out;
-	if (events & G_IO_OUT)
+	if (events & CB_WATCH_WRITABLE)
 		write_(stream);
 	if (!stream->is_deleted && !stream->has_ended &&
-	    (events & (G_IO_IN | G_IO_HUP | G_IO_ERR)))
+	    (events & (CB_WATCH_READABLE | CB_WATCH_CLOSED)))
 		read_(stream);
-	else if (!stream->is_deleted && (events & (G_IO_HUP | G_IO_ERR)))
-		g_source_destroy(stream->source);
+	else if (!stream->is_deleted && (events & CB_WATCH_CLOSED))
+		g_clear_pointer(&stream->watch, cb_watch_delete);
 out:
 	unref_(stream);
-	return G_SOURCE_CONTINUE;
 }
 
-static cb_stream_t *stream_new_(GMainContext *context, int fd,
+static cb_stream_t *stream_new_(cb_poller_t *poller, int fd,
 				gboolean is_connecting,
 				const cb_stream_handler_t *handler,
 				void *user_data)
@@ -245,25 +216,26 @@
 	stream->out = g_byte_array_new();
 	stream->handler = handler;
 	stream->user_data = user_data;
-	stream->source =
-		fd_watch_(context, fd, is_connecting ? G_IO_OUT : G_IO_IN,
-			  ready_, stream, &stream->tag);
+	stream->watch = cb_watch_new(poller, fd,
+				     is_connecting ? CB_WATCH_WRITABLE :
+						     CB_WATCH_READABLE,
+				     ready_, stream);
 	return stream;
 }
 
 /* Takes an accepted socket; `handler` must outlive the stream. */
-cb_stream_t *cb_stream_new(GMainContext *context, int fd,
+cb_stream_t *cb_stream_new(cb_poller_t *poller, int fd,
 			   const cb_stream_handler_t *handler, void *user_data)
 {
 	options_set_(fd);
-	return stream_new_(context, fd, FALSE, handler, user_data);
+	return stream_new_(poller, fd, FALSE, handler, user_data);
 }
 
 /*
  * Opens a connection to "IP:PORT".  Returns NULL if that failed at once, with
  * no call of the handler.
  */
-cb_stream_t *cb_stream_connect(GMainContext *context, const char *address,
+cb_stream_t *cb_stream_connect(cb_poller_t *poller, const char *address,
 			       const cb_stream_handler_t *handler,
 			       void *user_data)
 {
@@ -281,7 +253,7 @@
 		close(fd);
 		return NULL;
 	}
-	return stream_new_(context, fd, TRUE, handler, user_data);
+	return stream_new_(poller, fd, TRUE, handler, user_data);
 }
 
 /* Closes the connection and frees it; the handler is not called again. */
@@ -291,8 +263,7 @@
 		return;
 	stream->is_deleted = TRUE;
 	stream->has_ended = TRUE;
-	g_source_destroy(stream->source);
-	g_source_unref(stream->source);
+	cb_watch_delete(stream->watch);
 	close(stream->fd);
 	unref_(stream);
 }
@@ -322,7 +293,7 @@
 		return;
 	g_byte_array_append(stream->out, (const uint8_t *)data + sent,
 			    (unsigned int)(size - (size_t)sent));
-	if (was_empty && !g_source_is_destroyed(stream->source))
+	if (was_empty)
 		events_update_(stream);
 }
 
@@ -340,15 +311,15 @@
 	return stream->out->len - stream->out_start;
 }
 
-static gboolean accept_ready_(gpointer user_data)
+static void accept_ready_(unsigned int events, void *user_data)
 {
 	cb_stream_listener_t *listener = user_data;
 	int fd =
 		accept4(listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
+	(void)events;
 	if (fd >= 0)
 		listener->accept(fd, listener->user_data);
-	return G_SOURCE_CONTINUE;
 }
 
 static gboolean refuse_(GError **error, const char *address, int fd)
@@ -363,15 +334,13 @@
 }
 
 /* Accepts connections at "IP:PORT"; port 0 takes a free one. */
-cb_stream_listener_t *cb_stream_listen(GMainContext *context,
-				       const char *address,
+cb_stream_listener_t *cb_stream_listen(cb_poller_t *poller, const char *address,
 				       cb_stream_accept_fn_t accept,
 				       void *user_data, GError **error)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	cb_stream_listener_t *listener;
 	struct sockaddr_in at;
-	gpointer tag;
 
 	errno = EINVAL;
 	if (fd < 0 || !address_read_(address, &at)) {
@@ -388,8 +357,8 @@
 	listener->fd = fd;
 	listener->accept = accept;
 	listener->user_data = user_data;
-	listener->source =
-		fd_watch_(context, fd, G_IO_IN, accept_ready_, listener, &tag);
+	listener->watch = cb_watch_new(poller, fd, CB_WATCH_READABLE,
+				       accept_ready_, listener);
 	return listener;
 }
 
@@ -398,8 +367,7 @@
 {
 	if (!listener)
 		return;
-	g_source_destroy(listener->source);
-	g_source_unref(listener->source);
+	cb_watch_delete(listener->watch);
 	close(listener->fd);
 	g_free(listener);
 }
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -41,6 +41,7 @@
 
 struct fixture {
 	world_t *world;
+	cb_poller_t *poller; /* of servers and caller */
 	cb_http1_client_t *client;
 	cb_front_t *front;
 	cb_stream_listener_t *listeners[SERVERS];
@@ -211,7 +212,8 @@
 	link->fixture = at->fixture;
 	link->server = at->server;
 	link->in = g_string_new(NULL);
-	link->stream = cb_stream_new(NULL, fd, &server_handler, link);
+	link->stream =
+		cb_stream_new(link->fixture->poller, fd, &server_handler, link);
 	g_ptr_array_add(at->fixture->links, link);
 }
 
@@ -248,8 +250,8 @@
 
 		accepts[i] = (accept_at_t){ fixture, i };
 		fixture->listeners[i] =
-			cb_stream_listen(NULL, "127.0.0.1:0", server_accept_,
-					 &accepts[i], NULL);
+			cb_stream_listen(fixture->poller, "127.0.0.1:0",
+					 server_accept_, &accepts[i], NULL);
 		said.id = g_strdup_printf("server%u", i);
 		said.address = g_strdup_printf("127.0.0.1:%u",
 					       cb_stream_listener_port(
@@ -299,6 +301,7 @@
 			->vtable->start((cb_service_t *)fixture->front, NULL));
 	CU_ASSERT_TRUE(
 		world_run_until(fixture->world, is_ready_, START_LIMIT_MS));
+	fixture->poller = cb_poller_new(NULL);
 	servers_start_(fixture);
 	if (has_document)
 		cb_node_put_document(fixture->world->nodes[0].node, 1, "d", 1,
@@ -320,6 +323,7 @@
 	g_ptr_array_unref(fixture->requests);
 	g_array_unref(fixture->served_by);
 	g_string_free(fixture->answer, TRUE);
+	cb_poller_delete(fixture->poller);
 	world_delete(fixture->world);
 }
 
@@ -350,8 +354,8 @@
 	cb_stream_delete(fixture->caller);
 	g_string_truncate(fixture->answer, 0);
 	fixture->caller_ended = FALSE;
-	fixture->caller =
-		cb_stream_connect(NULL, address, &caller_handler, fixture);
+	fixture->caller = cb_stream_connect(fixture->poller, address,
+					    &caller_handler, fixture);
 	cb_stream_send(fixture->caller, text, strlen(text));
 	g_free(address);
 }
