Data centres that could hold all layers do so after any change

Change: neighbours of a gap grow into it if that leaves them room for 32,000 tokens; else all engines of the data centre share the layers anew, in their order. A silent engine that may still serve is told to the planner, which then leaves the others where they are.

--- a/src/libcurrantbridge/backend/placement.c
+++ b/src/libcurrantbridge/backend/placement.c
@@ -15,6 +15,12 @@
 /* What is spare fills the gap that the loss of one server leaves. */
 #define REDUNDANT_COPIES 1.12
 
+/*
+ * Neighbours of a gap grow into it only if that leaves them this room, some
+ * 35 requests of 900 tokens each: otherwise all servers share the layers anew.
+ */
+#define GROWN_ROOM_TOKENS 32000
+
 /* What is known of one data centre, or of all of them. */
 typedef struct area {
 	const cb_engine_profile_t *engine;
@@ -64,8 +70,9 @@
 
 static gboolean is_in_(const area_t *area, const cb_placement_server_t *server)
 {
-	return !area->data_centre ||
-	       !strcmp(area->data_centre, server->data_centre);
+	return !server->is_doubtful &&
+	       (!area->data_centre ||
+		!strcmp(area->data_centre, server->data_centre));
 }
 
 /* Counts a server's layers in, or out with a sign of -1. */
@@ -110,15 +117,23 @@
 	return room_tokens[G_N_ELEMENTS(room_tokens) - 1];
 }
 
-static void area_open_(area_t *area)
+/* Counts the holders of each layer anew. */
+static void area_count_(area_t *area)
 {
 	unsigned int i;
 
-	area->holders = g_new0(uint32_t, area->engine->layers);
-	area->tokens = g_new0(double, area->engine->layers);
+	memset(area->holders, 0, area->engine->layers * sizeof(uint32_t));
+	memset(area->tokens, 0, area->engine->layers * sizeof(double));
 	for (i = 0; i < area->count; i++)
 		if (is_in_(area, &area->servers[i]))
 			count_layers_(area, &area->servers[i], 1);
+}
+
+static void area_open_(area_t *area)
+{
+	area->holders = g_new0(uint32_t, area->engine->layers);
+	area->tokens = g_new0(double, area->engine->layers);
+	area_count_(area);
 	area->room = room_choose_(area);
 }
 
@@ -249,25 +264,188 @@
 	move_(area, (unsigned int)index, from, from + size, moves);
 }
 
-/* Plans one area: gaps first, then the servers that are still empty. */
-static void area_plan_(area_t *area, gboolean doubles, GArray *moves)
+/* Whether requests may still find a server for some layers of a gap. */
+static gboolean is_doubtful_(const area_t *area, uint32_t from, uint32_t to)
+{
+	unsigned int i;
+
+	for (i = 0; i < area->count; i++) {
+		const cb_placement_server_t *server = &area->servers[i];
+
+		if (server->is_doubtful && server->from < to &&
+		    from < server->to &&
+		    (!area->data_centre ||
+		     !strcmp(area->data_centre, server->data_centre)))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* The room of a server that held so many layers; 0: there is no server. */
+static double room_at_(const area_t *area, int index, uint32_t layers)
+{
+	return index < 0 ?
+		       0 :
+		       cb_placement_room_tokens(area->engine,
+						area->servers[index].memory_mb,
+						layers);
+}
+
+/* Finds the server with the most room that ends, or begins, at a layer. */
+static int neighbour_find_(const area_t *area, uint32_t layer, gboolean is_end)
+{
+	double best_room = 0;
+	int best = -1;
+	unsigned int i;
+
+	for (i = 0; i < area->count; i++) {
+		const cb_placement_server_t *server = &area->servers[i];
+		double room =
+			room_at_(area, (int)i, server->to - server->from + 1);
+
+		if (!is_in_(area, server) || !server->takes_orders ||
+		    server->from == server->to ||
+		    (is_end ? server->to : server->from) != layer ||
+		    room <= best_room)
+			continue;
+		best_room = room;
+		best = (int)i;
+	}
+	return best;
+}
+
+/*
+ * Lets the servers on both sides of a gap grow into it, layer by layer the
+ * one with more room; FALSE, with nothing planned, if they have too little.
+ */
+static gboolean gap_grow_(area_t *area, uint32_t from, uint32_t to,
+			  GArray *moves)
+{
+	int left = neighbour_find_(area, from, TRUE);
+	int right = neighbour_find_(area, to, FALSE);
+	uint32_t left_from = left < 0 ? 0 : area->servers[left].from;
+	uint32_t right_to = right < 0 ? 0 : area->servers[right].to;
+	uint32_t left_to = from;
+	uint32_t right_from = to;
+
+	while (left_to < right_from) {
+		double left_room =
+			room_at_(area, left, left_to + 1 - left_from);
+		double right_room =
+			room_at_(area, right, right_to + 1 - right_from);
+
+		if (MAX(left_room, right_room) < GROWN_ROOM_TOKENS)
+			return FALSE;
+		if (left_room >= right_room)
+			left_to++;
+		else
+			right_from--;
+	}
+	if (left_to > from)
+		move_(area, (unsigned int)left, left_from, left_to, moves);
+	if (right_from < to)
+		move_(area, (unsigned int)right, right_from, right_to, moves);
+	return TRUE;
+}
+
+static int from_compare_(const void *left, const void *right, void *user_data)
+{
+	const area_t *area = user_data;
+	const cb_placement_server_t *a =
+		&area->servers[*(const unsigned int *)left];
+	const cb_placement_server_t *b =
+		&area->servers[*(const unsigned int *)right];
+
+	if (a->from != b->from)
+		return a->from < b->from ? -1 : 1;
+	return (a->to > b->to) - (a->to < b->to);
+}
+
+/*
+ * Shares the layers among all servers anew, each near where it was; FALSE,
+ * with nothing planned, if they don't hold a copy, or some take no order now.
+ * No request's chain passes an area with a gap, so that none is cut; where a
+ * doubtful server may close the gap after all, nothing is shared.
+ */
+static gboolean area_share_(area_t *area, GArray *moves)
+{
+	GArray *order = g_array_new(FALSE, FALSE, sizeof(unsigned int));
+	gboolean is_possible = !is_doubtful_(area, 0, area->engine->layers);
+	uint32_t sum = 0;
+	uint32_t from = 0;
+	unsigned int i;
+
+	for (i = 0; i < area->count; i++) {
+		const cb_placement_server_t *server = &area->servers[i];
+
+		if (!is_in_(area, server) || !size_(area, server))
+			continue;
+		is_possible &= server->takes_orders;
+		sum += size_(area, server);
+		g_array_append_val(order, i);
+	}
+	is_possible &= sum >= area->engine->layers;
+	g_array_sort_with_data(order, from_compare_, area);
+	for (i = 0; is_possible && i < order->len; i++) {
+		unsigned int index = g_array_index(order, unsigned int, i);
+		uint32_t to = MIN(from + size_(area, &area->servers[index]),
+				  area->engine->layers);
+
+		if (from == to)
+			break;
+		if (area->servers[index].from != from ||
+		    area->servers[index].to != to)
+			move_(area, index, from, to, moves);
+		from = to;
+	}
+	g_array_unref(order);
+	return is_possible;
+}
+
+/*
+ * Fills the gaps of an area with servers that are empty or spare, or by the
+ * growth of their neighbours; FALSE if one is left.
+ */
+static gboolean gaps_fill_(area_t *area, GArray *moves)
 {
 	uint32_t from;
 	uint32_t to;
-	int index;
 
-	area_open_(area);
 	while (gap_find_(area, &from, &to)) {
-		index = empty_find_(area);
+		int index = empty_find_(area);
+
 		if (index < 0)
 			index = spare_find_(area, to - from);
-		if (index < 0)
-			break;
-		fill_(area, index, from, moves);
+		if (index >= 0)
+			fill_(area, index, from, moves);
+		else if (is_doubtful_(area, from, to) ||
+			 !gap_grow_(area, from, to, moves))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+/* Plans one area: gaps first, then the servers that are still empty. */
+static void area_plan_(area_t *area, gboolean doubles, GArray *moves)
+{
+	const size_t size = area->count * sizeof(*area->servers);
+	cb_placement_server_t *before = g_memdup2(area->servers, size);
+	unsigned int move_count = moves->len;
+	int index;
+
+	area_open_(area);
+	if (!gaps_fill_(area, moves) && doubles) {
+		/* What was planned so far would be in the way. */
+		memcpy(area->servers, before, size);
+		g_array_set_size(moves, move_count);
+		area_count_(area);
+		if (!area_share_(area, moves))
+			(void)gaps_fill_(area, moves);
 	}
 	while (doubles && (index = empty_find_(area)) >= 0)
 		double_thinnest_(area, index, moves);
 	area_close_(area);
+	g_free(before);
 }
 
 /*
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -132,6 +132,17 @@
 	return !cb_fleet_is_stopped(server, view);
 }
 
+/* Whether requests may still pass a server that control does not hear. */
+static gboolean is_doubtful_(const cb_placer_t *placer,
+			     const cb_fleet_server_t *server)
+{
+	const cb_view_t *view = cb_state_view(cb_node_state(placer->node));
+
+	return server->state == CB_FLEET_SILENT &&
+	       server->layer_from != server->layer_to &&
+	       !cb_fleet_is_stopped(server, view);
+}
+
 /* Returns what is known of the orders to a server, anew if need be. */
 static order_state_t *state_of_(cb_placer_t *placer,
 				const cb_fleet_server_t *server)
@@ -371,8 +382,21 @@
 		cb_placement_server_t input;
 		order_state_t *state;
 
-		if (strcmp(server->service, service->name) != 0 ||
-		    !is_candidate_(placer, service->engine, server))
+		if (strcmp(server->service, service->name) != 0)
+			continue;
+		if (is_doubtful_(placer, server) &&
+		    !state_of_(placer, server)->lost_ms) {
+			input = (cb_placement_server_t){
+				.data_centre = server->data_centre,
+				.from = server->layer_from,
+				.to = server->layer_to,
+				.is_doubtful = TRUE,
+			};
+			g_ptr_array_add(servers, (void *)server);
+			g_array_append_val(inputs, input);
+			continue;
+		}
+		if (!is_candidate_(placer, service->engine, server))
 			continue;
 		state = state_of_(placer, server);
 		state_follow_(state, server, now_ms);
