Slow engines keep their data centre from being shared anew

Change: an engine that is very slow is told to the planner as one that may still serve: a spare engine takes its layers, as before, and nothing else.

--- a/include/currantbridge/placement.h
+++ b/include/currantbridge/placement.h
@@ -21,9 +21,9 @@
 	/* FALSE: an order is under way, so that no other is given. */
 	gboolean takes_orders;
 	/*
-	 * No heartbeat came for a while, but requests may still pass it: it is
-	 * given nothing, and its layers are left to it as far as others would
-	 * have to give theirs up.
+	 * It is very slow, or no heartbeat came for a while, but requests may
+	 * still pass it: it is given nothing, and its layers are left to it as
+	 * far as others would have to give theirs up.
 	 */
 	gboolean is_doubtful;
 } cb_placement_server_t;
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -367,6 +367,21 @@
 	return state->lost_ms != 0;
 }
 
+/* Adds a server that requests may still pass, but that is given nothing. */
+static void doubtful_add_(GPtrArray *servers, GArray *inputs,
+			  const cb_fleet_server_t *server)
+{
+	const cb_placement_server_t input = {
+		.data_centre = server->data_centre,
+		.from = server->layer_from,
+		.to = server->layer_to,
+		.is_doubtful = TRUE,
+	};
+
+	g_ptr_array_add(servers, (void *)server);
+	g_array_append_val(inputs, input);
+}
+
 /* The servers of one service, as the placement takes them. */
 static GPtrArray *candidates_(cb_placer_t *placer,
 			      const cb_service_profile_t *service,
@@ -386,14 +401,7 @@
 			continue;
 		if (is_doubtful_(placer, server) &&
 		    !state_of_(placer, server)->lost_ms) {
-			input = (cb_placement_server_t){
-				.data_centre = server->data_centre,
-				.from = server->layer_from,
-				.to = server->layer_to,
-				.is_doubtful = TRUE,
-			};
-			g_ptr_array_add(servers, (void *)server);
-			g_array_append_val(inputs, input);
+			doubtful_add_(servers, inputs, server);
 			continue;
 		}
 		if (!is_candidate_(placer, service->engine, server))
@@ -413,9 +421,11 @@
 		pace_check_(placer, state, server);
 		if (lost_follow_(placer, state, server))
 			continue;
-		/* Another is to hold its layers as long as it is that slow. */
-		if (server->slow_percent >= SLOW_LOST_PERCENT)
+		/* A spare one is to hold its layers as long as it is that slow. */
+		if (server->slow_percent >= SLOW_LOST_PERCENT) {
+			doubtful_add_(servers, inputs, server);
 			continue;
+		}
 		g_ptr_array_add(servers, (void *)server);
 		g_array_append_val(inputs, input);
 	}
