--- a/test/platform/bench_front.c
+++ b/test/platform/bench_front.c
@@ -1,5 +1,3 @@
-#define _GNU_SOURCE
-
 #include <arpa/inet.h>
 #include <glib.h>
 #include <netinet/in.h>
--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -46,6 +46,7 @@
 	int listener;
 	char *address;
 	GThread *thread;
+	GPtrArray *callers; /* of GThread, one a connection */
 	GMutex lock;
 	GPtrArray *requests; /* of char: the heads, in order */
 } server_t;
@@ -203,7 +204,8 @@
 		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
 		call[0] = server;
 		call[1] = GINT_TO_POINTER(fd);
-		g_thread_unref(g_thread_new("serve", server_serve_, call));
+		g_ptr_array_add(server->callers,
+				g_thread_new("serve", server_serve_, call));
 	}
 	return NULL;
 }
@@ -217,6 +219,7 @@
 	at.sin_port = htons(port);
 	inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
 	server->address = g_strdup_printf("127.0.0.1:%d", (int)port);
+	server->callers = g_ptr_array_new();
 	server->requests = g_ptr_array_new_with_free_func(g_free);
 	g_mutex_init(&server->lock);
 	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -228,11 +231,19 @@
 	server->thread = g_thread_new("accept", server_accept_, server);
 }
 
+/* Ends the stand-in, whose callers have ended before. */
 static void server_end_(server_t *server)
 {
+	unsigned int i;
+
 	shutdown(server->listener, SHUT_RDWR);
 	g_thread_join(server->thread);
 	close(server->listener);
+	for (i = 0; i < server->callers->len; i++)
+		g_thread_join(server->callers->pdata[i]);
+	g_ptr_array_unref(server->callers);
+	g_ptr_array_unref(server->requests);
+	g_mutex_clear(&server->lock);
 	g_free(server->address);
 }
 
@@ -378,15 +389,20 @@
 	return status;
 }
 
-static gboolean is_served_(void *user_data)
+/* Whether a request just now gets that status. */
+static gboolean answers_(fixture_t *fixture, unsigned int status)
 {
-	fixture_t *fixture = user_data;
 	char *answer = exchange_(fixture->front,
 				 "GET /a/x HTTP/1.1\r\n" HEAD KEY "\r\n");
-	gboolean is_served = status_(answer) == 200;
+	gboolean is_so = status_(answer) == status;
 
 	g_free(answer);
-	return is_served;
+	return is_so;
+}
+
+static gboolean is_served_(void *user_data)
+{
+	return answers_(user_data, 200);
 }
 
 /* Brings the whole up to the first answer of the server. */
@@ -610,13 +626,7 @@
 
 static gboolean is_refused_(void *user_data)
 {
-	fixture_t *fixture = user_data;
-	char *answer = exchange_(fixture->front,
-				 "GET /a/x HTTP/1.1\r\n" HEAD KEY "\r\n");
-	gboolean is_refused = status_(answer) == 503;
-
-	g_free(answer);
-	return is_refused;
+	return answers_(user_data, 503);
 }
 
 /* A server that says it leaves gets nothing new once that is acknowledged. */
--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <unistd.h>
 
 #define HTTP_TIMEOUT_S 2
@@ -198,6 +199,13 @@
 	g_free(group);
 }
 
+/* Ends a daemon with the test, also where that is broken off. */
+static void end_with_parent_(void *unused)
+{
+	(void)unused;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 /* Starts a daemon whose standard output is `out_fd`, which is taken. */
 static void daemon_start_(support_daemon_t *daemon, int out_fd)
 {
@@ -211,6 +219,8 @@
 	g_subprocess_launcher_take_stdout_fd(launcher,
 					     out_fd >= 0 ? out_fd : dup(fd));
 	g_subprocess_launcher_take_stderr_fd(launcher, fd);
+	g_subprocess_launcher_set_child_setup(launcher, end_with_parent_, NULL,
+					      NULL);
 	daemon->process =
 		g_subprocess_launcher_spawn(launcher, &error, daemon->program,
 					    "--config", daemon->config, NULL);
