--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -69,7 +69,8 @@
 	uint64_t document_revision;
 	int64_t document_ms; /* when it was last read */
 	uint64_t term;
-	GHashTable *states; /* start to order_state_t */
+	GHashTable *states;  /* start to order_state_t */
+	GHashTable *missing; /* "SERVICE/DATA CENTRE" to the count last told */
 	unsigned int known_servers;
 	int64_t grown_ms; /* when a server was last new */
 	int64_t started_ms;
@@ -451,6 +452,75 @@
 	return now_ms - placer->grown_ms < SETTLE_MS;
 }
 
+/* Counts the layers that no server of a data centre offers to requests. */
+static unsigned int missing_count_(const GPtrArray *servers, uint32_t layers,
+				   const char *data_centre)
+{
+	gboolean *held = g_new0(gboolean, layers);
+	unsigned int missing = 0;
+	unsigned int i;
+	uint32_t k;
+
+	for (i = 0; i < servers->len; i++) {
+		const cb_fleet_server_t *server = servers->pdata[i];
+
+		if (strcmp(server->data_centre, data_centre) != 0 ||
+		    server->is_moving)
+			continue;
+		for (k = server->layer_from; k < MIN(server->layer_to, layers);
+		     k++)
+			held[k] = TRUE;
+	}
+	for (k = 0; k < layers; k++)
+		missing += !held[k];
+	g_free(held);
+	return missing;
+}
+
+/* Tells when a data centre has lost layers, and when it has them again. */
+static void missing_tell_(cb_placer_t *placer,
+			  const cb_service_profile_t *service,
+			  const char *data_centre, unsigned int missing)
+{
+	char *key = g_strdup_printf("%s/%s", service->name, data_centre);
+	unsigned int told =
+		GPOINTER_TO_UINT(g_hash_table_lookup(placer->missing, key));
+
+	cb_counter_set(cb_counters_gauge(cb_kernel_counters(placer->kernel),
+					 "cb_layers_missing", "data_centre",
+					 data_centre),
+		       missing);
+	if (missing == told) {
+		g_free(key);
+		return;
+	}
+	g_hash_table_insert(placer->missing, key, GUINT_TO_POINTER(missing));
+	cb_log_event(placer->log, CB_EVENT_LAYERS_MISSING,
+		     CB_STR("service", service->name),
+		     CB_STR("data_centre", data_centre),
+		     CB_INT("missing", missing));
+}
+
+/* Follows what each data centre lacks. */
+static void missing_follow_(cb_placer_t *placer,
+			    const cb_service_profile_t *service,
+			    const GPtrArray *servers)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	unsigned int i;
+
+	for (i = 0; i < servers->len; i++) {
+		const cb_fleet_server_t *server = servers->pdata[i];
+
+		if (g_hash_table_add(seen, server->data_centre))
+			missing_tell_(placer, service, server->data_centre,
+				      missing_count_(servers,
+						     service->engine->layers,
+						     server->data_centre));
+	}
+	g_hash_table_unref(seen);
+}
+
 static void service_place_(cb_placer_t *placer,
 			   const cb_service_profile_t *service)
 {
@@ -460,6 +530,7 @@
 	GArray *moves;
 	unsigned int i;
 
+	missing_follow_(placer, service, servers);
 	if (!is_settling_(placer, inputs)) {
 		moves = cb_placement_plan(service->engine,
 					  (cb_placement_server_t *)inputs->data,
@@ -485,6 +556,7 @@
 		return;
 	placer->term = term;
 	g_hash_table_remove_all(placer->states);
+	g_hash_table_remove_all(placer->missing);
 }
 
 static void timer_fired_(void *user_data)
@@ -530,6 +602,7 @@
 
 	cb_timer_delete(placer->timer);
 	g_hash_table_unref(placer->states);
+	g_hash_table_unref(placer->missing);
 	cb_document_unref(placer->document);
 	g_free(placer);
 }
@@ -555,6 +628,8 @@
 	placer->codec = codec;
 	placer->orders = orders;
 	placer->timer = cb_timer_new(placer->clock, timer_fired_, placer);
+	placer->missing =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	placer->states = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       state_forget_);
 	return placer;
--- a/src/test_libcurrantbridge/test_placer.c
+++ b/src/test_libcurrantbridge/test_placer.c
@@ -380,12 +380,32 @@
 	}
 }
 
+/* The leader tells what is missing while an engine is gone, and its end. */
+static void missing_layers_are_counted(void)
+{
+	fixture_t fixture;
+	cb_counter_t *gauge;
+
+	fixture_begin_(&fixture, TRUE);
+	gauge = cb_counters_gauge(cb_kernel_counters(
+					  fixture.world->nodes[0].kernel),
+				  "cb_layers_missing", "data_centre", "dc1");
+	engines_announce_(&fixture, 1);
+	world_run_until(fixture.world, NULL, 1000);
+	CU_ASSERT_EQUAL(cb_counter_get(gauge), LAYERS);
+	run_(&fixture, 10);
+	CU_ASSERT_TRUE(is_whole_(&fixture));
+	CU_ASSERT_EQUAL(cb_counter_get(gauge), 0);
+	fixture_end_(&fixture);
+}
+
 static CU_TestInfo placer_tests[] = {
 	{ "first_orders_wait_for_the_fleet", first_orders_wait_for_the_fleet },
 	{ "nothing_is_ordered_without_a_document",
 	  nothing_is_ordered_without_a_document },
 	{ "failed_orders_are_given_again", failed_orders_are_given_again },
 	{ "slow_engines_are_placed_around", slow_engines_are_placed_around },
+	{ "missing_layers_are_counted", missing_layers_are_counted },
 	{ "doubted_engines_are_placed_around",
 	  doubted_engines_are_placed_around },
 	CU_TEST_INFO_NULL
