--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -477,6 +477,27 @@
 	return missing;
 }
 
+/* Shows how many layers are missing of "SERVICE/DATA CENTRE". */
+static void missing_show_(cb_placer_t *placer, const char *of,
+			  unsigned int missing)
+{
+	cb_counter_set(cb_counters_gauge(cb_kernel_counters(placer->kernel),
+					 "cb_layers_missing", "of", of),
+		       missing);
+}
+
+/* Forgets what was told: only the leader knows what is missing. */
+static void missing_forget_(cb_placer_t *placer)
+{
+	GHashTableIter iter;
+	void *of;
+
+	g_hash_table_iter_init(&iter, placer->missing);
+	while (g_hash_table_iter_next(&iter, &of, NULL))
+		missing_show_(placer, of, 0);
+	g_hash_table_remove_all(placer->missing);
+}
+
 /* Tells when a data centre has lost layers, and when it has them again. */
 static void missing_tell_(cb_placer_t *placer,
 			  const cb_service_profile_t *service,
@@ -486,10 +507,7 @@
 	unsigned int told =
 		GPOINTER_TO_UINT(g_hash_table_lookup(placer->missing, key));
 
-	cb_counter_set(cb_counters_gauge(cb_kernel_counters(placer->kernel),
-					 "cb_layers_missing", "data_centre",
-					 data_centre),
-		       missing);
+	missing_show_(placer, key, missing);
 	if (missing == told) {
 		g_free(key);
 		return;
@@ -556,7 +574,7 @@
 		return;
 	placer->term = term;
 	g_hash_table_remove_all(placer->states);
-	g_hash_table_remove_all(placer->missing);
+	missing_forget_(placer);
 }
 
 static void timer_fired_(void *user_data)
@@ -566,8 +584,10 @@
 	void *value;
 
 	cb_timer_start(placer->timer, TICK_MS);
-	if (!cb_node_leads(placer->node))
+	if (!cb_node_leads(placer->node)) {
+		missing_forget_(placer);
 		return;
+	}
 	lead_follow_(placer);
 	document_follow_(placer);
 	if (!placer->document)
--- a/src/test_libcurrantbridge/test_placer.c
+++ b/src/test_libcurrantbridge/test_placer.c
@@ -389,7 +389,7 @@
 	fixture_begin_(&fixture, TRUE);
 	gauge = cb_counters_gauge(cb_kernel_counters(
 					  fixture.world->nodes[0].kernel),
-				  "cb_layers_missing", "data_centre", "dc1");
+				  "cb_layers_missing", "of", "s/dc1");
 	engines_announce_(&fixture, 1);
 	world_run_until(fixture.world, NULL, 1000);
 	CU_ASSERT_EQUAL(cb_counter_get(gauge), LAYERS);
