A process that ends waits once for a slow reader of its log

Found in the last reading: it waited 0.2 s for each 4 KB that a slow reader took, up to 13 s for all that may be kept; a graceful stop has 8 s.

--- a/src/libcurrantbridge/kernel/log_writer.c
+++ b/src/libcurrantbridge/kernel/log_writer.c
@@ -46,7 +46,7 @@
 	g_byte_array_set_size(writer->kept, 0);
 }
 
-/* Writes what goes through, waiting for at most `wait_ms` at each step. */
+/* Writes what goes through, after waiting for at most `wait_ms`. */
 static void flush_(cb_log_writer_t *writer, int wait_ms)
 {
 	size_t done = 0;
@@ -62,6 +62,7 @@
 		if (size <= 0)
 			break;
 		done += (size_t)size;
+		wait_ms = 0;
 	}
 	if (done)
 		g_byte_array_remove_range(writer->kept, 0, (unsigned int)done);
