--- a/src/libcurrantbridge/kernel/log.c
+++ b/src/libcurrantbridge/kernel/log.c
@@ -62,6 +62,7 @@
 	cb_counter_t *left_out; /* these three are NULL before cb_log_count() */
 	cb_counter_t *dropped;
 	cb_counter_t *lost;
+	int64_t lost_counted;
 };
 
 static void left_out_tell_(void *user_data);
@@ -102,25 +103,25 @@
 	log->instance = g_strdup(instance);
 }
 
+static cb_counter_t *drops_counter_(cb_counters_t *counters, const char *reason)
+{
+	return counters ? cb_counters_counter(counters,
+					      "cb_log_lines_dropped_total",
+					      "reason", reason) :
+			  NULL;
+}
+
 /*
  * Counts the lines that are not written in `counters`, until it is called
  * again with others; NULL: they are no longer counted.
  */
 void cb_log_count(cb_log_t *log, cb_counters_t *counters)
 {
-	static const char name[] = "cb_log_lines_dropped_total";
-
 	if (!log)
 		return;
-	log->left_out = counters ? cb_counters_counter(counters, name, "reason",
-						       "rate") :
-				   NULL;
-	log->dropped = counters ? cb_counters_counter(counters, name, "reason",
-						      "no_room") :
-				  NULL;
-	log->lost = counters ? cb_counters_counter(counters, name, "reason",
-						   "reader_gone") :
-			       NULL;
+	log->left_out = drops_counter_(counters, "rate");
+	log->dropped = drops_counter_(counters, "no_room");
+	log->lost = drops_counter_(counters, "reader_gone");
 }
 
 static const event_info_t *event_find_(cb_event_t event)
@@ -226,7 +227,7 @@
 {
 	GString *line = g_string_sized_new(LINE_USUAL_BYTES);
 	char *time = time_format_(cb_clock_wall_ms(log->clock));
-	int64_t lost = cb_log_writer_lost(log->writer);
+	int64_t lost;
 	gboolean is_taken;
 
 	if (log->format == CB_LOG_FORMAT_JSON)
@@ -234,7 +235,10 @@
 	else
 		append_text_(line, info, time, fields);
 	is_taken = cb_log_writer_add(log->writer, line->str, line->len, weight);
-	counter_add_(log->lost, cb_log_writer_lost(log->writer) - lost);
+	/* Some may also have gone by the writer's timer since the last line. */
+	lost = cb_log_writer_lost(log->writer);
+	counter_add_(log->lost, lost - log->lost_counted);
+	log->lost_counted = lost;
 	g_string_free(line, TRUE);
 	g_free(time);
 	return is_taken;
--- a/src/test_libcurrantbridge/test_kernel.c
+++ b/src/test_libcurrantbridge/test_kernel.c
@@ -220,12 +220,20 @@
 	fixture->text = g_string_new(NULL);
 }
 
+/* The reader goes for good. */
+static void log_fixture_close_(log_fixture_t *fixture)
+{
+	close(fixture->reader);
+	fixture->reader = -1;
+}
+
 static void log_fixture_end_(log_fixture_t *fixture)
 {
 	cb_log_delete(fixture->log);
 	cb_counters_delete(fixture->counters);
 	cb_clock_delete(fixture->clock);
-	close(fixture->reader);
+	if (fixture->reader >= 0)
+		close(fixture->reader);
 	close(fixture->writer);
 	g_string_free(fixture->text, TRUE);
 }
@@ -360,8 +368,7 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	log_fixture_begin_(&fixture);
-	close(fixture.reader);
-	fixture.reader = -1;
+	log_fixture_close_(&fixture);
 	log_fixture_write_(&fixture, CB_EVENT_PEER_LOST, 3);
 	cb_clock_advance(fixture.clock, 100);
 	CU_ASSERT_EQUAL(log_fixture_dropped_(&fixture, "no_room") +
@@ -370,6 +377,24 @@
 	log_fixture_end_(&fixture);
 }
 
+/* Lines that were kept when the reader went are counted as well. */
+static void log_counts_lines_lost_with_their_reader(void)
+{
+	log_fixture_t fixture;
+
+	signal(SIGPIPE, SIG_IGN);
+	log_fixture_begin_(&fixture);
+	cb_log_event(fixture.log, CB_EVENT_PEER_LOST);
+	cb_log_event(fixture.log, CB_EVENT_PEER_LOST);
+	cb_log_event(fixture.log, CB_EVENT_PEER_LOST);
+	log_fixture_close_(&fixture);
+	cb_clock_advance(fixture.clock, 100);
+	cb_log_event(fixture.log, CB_EVENT_PEER_LOST);
+	CU_ASSERT_EQUAL(log_fixture_dropped_(&fixture, "reader_gone"), 2);
+	CU_ASSERT_EQUAL(log_fixture_dropped_(&fixture, "no_room"), 1);
+	log_fixture_end_(&fixture);
+}
+
 /* Buckets count what is at most their bound, each with those below it. */
 static void histograms_render_buckets(void)
 {
@@ -505,6 +530,8 @@
 	{ "log_bounds_its_rate", log_bounds_its_rate },
 	{ "log_never_waits", log_never_waits },
 	{ "log_bears_a_gone_reader", log_bears_a_gone_reader },
+	{ "log_counts_lines_lost_with_their_reader",
+	  log_counts_lines_lost_with_their_reader },
 	{ "histograms_render_buckets", histograms_render_buckets },
 	{ "kernel_drains_in_reverse", kernel_drains_in_reverse },
 	{ "kernel_reloads_each_service", kernel_reloads_each_service },
