--- a/src/cb-control/main.c
+++ b/src/cb-control/main.c
@@ -1,6 +1,6 @@
 #include <stdio.h>
-#include <unistd.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "control_settings.h"
 #include "currantbridge/http_server.h"
--- a/src/cb-fake-backend/fake_backend.h
+++ b/src/cb-fake-backend/fake_backend.h
@@ -1,9 +1,9 @@
 #ifndef FAKE_BACKEND_H
 #define FAKE_BACKEND_H
 
-#include <stdio.h>
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
+#include <stdio.h>
 
 #include "currantbridge/http_server.h"
 #include "currantbridge/kernel.h"
--- a/src/cb-fake-backend/main.c
+++ b/src/cb-fake-backend/main.c
@@ -1,8 +1,7 @@
-#include <unistd.h>
-
 #include "fake_backend.h"
 
 #include <string.h>
+#include <unistd.h>
 
 #include "currantbridge/program.h"
 #include "currantbridge/settings.h"
--- a/src/libcurrantbridge/backend/placement.c
+++ b/src/libcurrantbridge/backend/placement.c
@@ -68,11 +68,17 @@
 	return left_mb / (layers * token_layer_mb_(engine));
 }
 
+static gboolean stands_in_(const area_t *area,
+			   const cb_placement_server_t *server)
+{
+	return !area->data_centre ||
+	       !strcmp(area->data_centre, server->data_centre);
+}
+
+/* Whether a server of the area counts for the plan. */
 static gboolean is_in_(const area_t *area, const cb_placement_server_t *server)
 {
-	return !server->is_doubtful &&
-	       (!area->data_centre ||
-		!strcmp(area->data_centre, server->data_centre));
+	return !server->is_doubtful && stands_in_(area, server);
 }
 
 /* Counts a server's layers in, or out with a sign of -1. */
@@ -273,9 +279,7 @@
 		const cb_placement_server_t *server = &area->servers[i];
 
 		if (server->is_doubtful && server->from < to &&
-		    from < server->to &&
-		    (!area->data_centre ||
-		     !strcmp(area->data_centre, server->data_centre)))
+		    from < server->to && stands_in_(area, server))
 			return TRUE;
 	}
 	return FALSE;
@@ -362,44 +366,52 @@
 }
 
 /*
- * Shares the layers among all servers anew, each near where it was; FALSE,
- * with nothing planned, if they don't hold a copy, or some take no order now.
- * No request's chain passes an area with a gap, so that none is cut; where a
- * doubtful server may close the gap after all, nothing is shared.
+ * Whether the layers may be shared among all servers of an area anew: they
+ * hold a copy, all take an order now, and no doubtful one may still serve.
  */
-static gboolean area_share_(area_t *area, GArray *moves)
+static gboolean may_share_(const area_t *area)
 {
-	GArray *order = g_array_new(FALSE, FALSE, sizeof(unsigned int));
-	gboolean is_possible = !is_doubtful_(area, 0, area->engine->layers);
 	uint32_t sum = 0;
-	uint32_t from = 0;
 	unsigned int i;
 
 	for (i = 0; i < area->count; i++) {
 		const cb_placement_server_t *server = &area->servers[i];
+		uint32_t size = is_in_(area, server) ? size_(area, server) : 0;
 
-		if (!is_in_(area, server) || !size_(area, server))
-			continue;
-		is_possible &= server->takes_orders;
-		sum += size_(area, server);
-		g_array_append_val(order, i);
+		if (size && !server->takes_orders)
+			return FALSE;
+		sum += size;
 	}
-	is_possible &= sum >= area->engine->layers;
+	return sum >= area->engine->layers &&
+	       !is_doubtful_(area, 0, area->engine->layers);
+}
+
+/*
+ * Shares the layers among all servers anew, each near where it was.  No
+ * request's chain passes an area with a gap, so that none is cut.
+ */
+static void area_share_(area_t *area, GArray *moves)
+{
+	GArray *order = g_array_new(FALSE, FALSE, sizeof(unsigned int));
+	uint32_t from = 0;
+	unsigned int i;
+
+	for (i = 0; i < area->count; i++)
+		if (is_in_(area, &area->servers[i]) &&
+		    size_(area, &area->servers[i]))
+			g_array_append_val(order, i);
 	g_array_sort_with_data(order, from_compare_, area);
-	for (i = 0; is_possible && i < order->len; i++) {
+	for (i = 0; from < area->engine->layers; i++) {
 		unsigned int index = g_array_index(order, unsigned int, i);
-		uint32_t to = MIN(from + size_(area, &area->servers[index]),
-				  area->engine->layers);
+		const cb_placement_server_t *server = &area->servers[index];
+		uint32_t to =
+			MIN(from + size_(area, server), area->engine->layers);
 
-		if (from == to)
-			break;
-		if (area->servers[index].from != from ||
-		    area->servers[index].to != to)
+		if (server->from != from || server->to != to)
 			move_(area, index, from, to, moves);
 		from = to;
 	}
 	g_array_unref(order);
-	return is_possible;
 }
 
 /*
@@ -431,16 +443,17 @@
 	const size_t size = area->count * sizeof(*area->servers);
 	cb_placement_server_t *before = g_memdup2(area->servers, size);
 	unsigned int move_count = moves->len;
+	gboolean may_share;
 	int index;
 
 	area_open_(area);
-	if (!gaps_fill_(area, moves) && doubles) {
+	may_share = doubles && may_share_(area);
+	if (!gaps_fill_(area, moves) && may_share) {
 		/* What was planned so far would be in the way. */
 		memcpy(area->servers, before, size);
 		g_array_set_size(moves, move_count);
 		area_count_(area);
-		if (!area_share_(area, moves))
-			(void)gaps_fill_(area, moves);
+		area_share_(area, moves);
 	}
 	while (doubles && (index = empty_find_(area)) >= 0)
 		double_thinnest_(area, index, moves);
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -507,11 +507,11 @@
 	unsigned int told =
 		GPOINTER_TO_UINT(g_hash_table_lookup(placer->missing, key));
 
-	missing_show_(placer, key, missing);
 	if (missing == told) {
 		g_free(key);
 		return;
 	}
+	missing_show_(placer, key, missing);
 	g_hash_table_insert(placer->missing, key, GUINT_TO_POINTER(missing));
 	cb_log_event(placer->log, CB_EVENT_LAYERS_MISSING,
 		     CB_STR("service", service->name),
--- a/src/libcurrantbridge/explain/explain.c
+++ b/src/libcurrantbridge/explain/explain.c
@@ -30,11 +30,16 @@
 static const char *const server_fields[] = { "address", "fault", "server",
 					     "id" };
 
-/* Events of any process, in the time of a request, that may have caused it. */
-static const char *const global_names[] = { "DOCUMENT_ACCEPTED",
-					    "DOCUMENT_REFUSED",
-					    "LAYERS_ORDERED",
-					    "LAYERS_ANSWERED" };
+/* Events that matter by whichever process they are written. */
+static const struct {
+	const char *name;
+	gboolean is_of_server; /* only if the request was sent to that server */
+} global_events[] = {
+	{ "DOCUMENT_ACCEPTED", FALSE },
+	{ "DOCUMENT_REFUSED", FALSE },
+	{ "LAYERS_ORDERED", TRUE },
+	{ "LAYERS_ANSWERED", TRUE },
+};
 
 static const char *text_(const entry_t *entry, const char *field)
 {
@@ -144,12 +149,15 @@
 	g_strfreev(hops);
 }
 
-static int time_compare_(const void *left, const void *right)
+/* Takes a line behind those of its time and before; a log is in order. */
+static void entry_add_(GPtrArray *entries, entry_t *entry)
 {
-	const entry_t *a = *(entry_t *const *)left;
-	const entry_t *b = *(entry_t *const *)right;
+	unsigned int at = entries->len;
 
-	return (a->wall_ms > b->wall_ms) - (a->wall_ms < b->wall_ms);
+	while (at > 0 &&
+	       ((entry_t *)entries->pdata[at - 1])->wall_ms > entry->wall_ms)
+		at--;
+	g_ptr_array_insert(entries, (int)at, entry);
 }
 
 /* Keeps a line if it is one of the request. */
@@ -171,8 +179,7 @@
 	if (!explain->own->len || entry->wall_ms > explain->last_ms)
 		explain->last_ms = entry->wall_ms;
 	involve_all_(explain, entry);
-	g_ptr_array_add(explain->own, entry);
-	g_ptr_array_sort(explain->own, time_compare_);
+	entry_add_(explain->own, entry);
 }
 
 static gboolean is_involved_(const cb_explain_t *explain, const char *name)
@@ -191,25 +198,18 @@
 	return FALSE;
 }
 
-static gboolean is_global_(const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(global_names); i++)
-		if (!strcmp(name, global_names[i]))
-			return TRUE;
-	return FALSE;
-}
-
 /* Whether a line that is none of the request may tell why it ended so. */
 static gboolean matters_(const cb_explain_t *explain, const entry_t *entry)
 {
-	if (*text_(entry, "request") ||
-	    entry->wall_ms < explain->first_ms - BEFORE_MS ||
+	size_t i;
+
+	if (entry->wall_ms < explain->first_ms - BEFORE_MS ||
 	    entry->wall_ms > explain->last_ms + AFTER_MS)
 		return FALSE;
-	if (is_global_(entry->name))
-		return entry->name[0] == 'D' || names_server_(explain, entry);
+	for (i = 0; i < G_N_ELEMENTS(global_events); i++)
+		if (!strcmp(entry->name, global_events[i].name))
+			return !global_events[i].is_of_server ||
+			       names_server_(explain, entry);
 	if (!is_involved_(explain, entry->instance))
 		return FALSE;
 	/* Of the fleet, which changes all the time, only its own servers. */
@@ -231,8 +231,7 @@
 		entry_delete_(entry);
 		return;
 	}
-	g_ptr_array_add(explain->context, entry);
-	g_ptr_array_sort(explain->context, time_compare_);
+	entry_add_(explain->context, entry);
 }
 
 /* Whether any line names the request. */
@@ -283,20 +282,28 @@
 					 text_(failed, "address");
 }
 
-/* How much a word on a server explains its failure; 0: nothing. */
-static int trouble_(const entry_t *entry)
+/* What a word on a server tells of its failure; the later explain more. */
+typedef enum trouble {
+	TROUBLE_NONE,
+	TROUBLE_STARTED,
+	TROUBLE_SLOW,
+	TROUBLE_NOT_READY,
+} trouble_t;
+
+static trouble_t trouble_(const entry_t *entry)
 {
 	if (strcmp(text_(entry, "state"), "ready") != 0)
-		return 3;
+		return TROUBLE_NOT_READY;
 	if (number_(entry, "slow_percent") > 100)
-		return 2;
-	return number_(entry, "sequence") <= 1;
+		return TROUBLE_SLOW;
+	return number_(entry, "sequence") <= 1 ? TROUBLE_STARTED : TROUBLE_NONE;
 }
 
 /* Adds what the fleet knew of a server other than that it was ready. */
 static void server_append_(GString *cause, const cb_explain_t *explain,
 			   const char *address)
 {
+	trouble_t trouble = TROUBLE_NONE;
 	const entry_t *found = NULL;
 	unsigned int i;
 
@@ -306,16 +313,18 @@
 		if (strcmp(entry->name, "FLEET_SERVER") != 0 ||
 		    strcmp(text_(entry, "address"), address) != 0)
 			continue;
-		if (trouble_(entry) > (found ? trouble_(found) : 0))
-			found = entry;
+		if (trouble_(entry) <= trouble)
+			continue;
+		found = entry;
+		trouble = trouble_(entry);
 	}
-	if (!found)
+	if (trouble == TROUBLE_NONE)
 		g_string_append(cause, "; the fleet knew of no trouble there");
-	else if (trouble_(found) == 3)
+	else if (trouble == TROUBLE_NOT_READY)
 		g_string_append_printf(cause, "; %s knew it as %s from %s on",
 				       found->instance, text_(found, "state"),
 				       found->time);
-	else if (trouble_(found) == 2)
+	else if (trouble == TROUBLE_SLOW)
 		g_string_append_printf(cause,
 				       "; it took %" G_GINT64_FORMAT
 				       "%% of its usual time from %s on",
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -13,6 +13,10 @@
 	cb_clock_t *clock;
 	cb_log_t *log;
 	cb_counters_t *counters;
+	/* Of the counters, as each request adds to them. */
+	cb_histogram_t *served_ms;
+	cb_histogram_t *failed_ms;
+	cb_histogram_t *first_event_ms;
 	cb_control_client_t *control;
 	cb_view_t *view;
 	char *listen;
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -50,6 +50,7 @@
 } cb_relay_t;
 
 int64_t cb_relay_now_ms(const cb_relay_t *relay);
+int64_t cb_relay_elapsed_ms(const cb_relay_t *relay);
 /* Whether the request may run more than once. */
 gboolean cb_relay_is_repeatable(const cb_relay_t *relay);
 void cb_relay_count(cb_front_t *front, const char *name, const char *reason);
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -201,6 +201,15 @@
 	front->clock = cb_kernel_clock(kernel);
 	front->log = cb_kernel_log(kernel);
 	front->counters = cb_kernel_counters(kernel);
+	front->served_ms =
+		cb_counters_histogram(front->counters, "cb_relay_elapsed_ms",
+				      "outcome", "served");
+	front->failed_ms =
+		cb_counters_histogram(front->counters, "cb_relay_elapsed_ms",
+				      "outcome", "failed");
+	front->first_event_ms =
+		cb_counters_histogram(front->counters,
+				      "cb_relay_first_event_ms", NULL, NULL);
 	front->control = control;
 	front->view = view;
 	front->listen = g_strdup(options->listen);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -27,6 +27,13 @@
 	return cb_clock_now_ms(relay->front->clock);
 }
 
+/* How long ago the request came. */
+int64_t cb_relay_elapsed_ms(const cb_relay_t *relay)
+{
+	return cb_relay_now_ms(relay) -
+	       cb_http1_exchange_arrived_ms(relay->exchange);
+}
+
 /* Whether the request may run more than once. */
 gboolean cb_relay_is_repeatable(const cb_relay_t *relay)
 {
@@ -106,8 +113,7 @@
 {
 	cb_front_t *front = relay->front;
 	gboolean is_served = status >= 200 && status < 300;
-	int64_t elapsed_ms = cb_relay_now_ms(relay) -
-			     cb_http1_exchange_arrived_ms(relay->exchange);
+	int64_t elapsed_ms = cb_relay_elapsed_ms(relay);
 	char *way = cb_relay_way(relay);
 
 	cb_log_event(front->log,
@@ -123,9 +129,7 @@
 			    relay->document ? relay->document->version : 0),
 		     CB_INT("elapsed_ms", elapsed_ms));
 	cb_relay_count(front, "cb_relay_ended_total", reason);
-	cb_histogram_add(cb_counters_histogram(front->counters,
-					       "cb_relay_elapsed_ms", "outcome",
-					       is_served ? "served" : "failed"),
+	cb_histogram_add(is_served ? front->served_ms : front->failed_ms,
 			 elapsed_ms);
 	g_free(way);
 }
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -154,11 +154,8 @@
 	if (relay->is_begun)
 		return;
 	relay->is_begun = TRUE;
-	cb_histogram_add(cb_counters_histogram(relay->front->counters,
-					       "cb_relay_first_event_ms", NULL,
-					       NULL),
-			 cb_relay_now_ms(relay) -
-				 cb_http1_exchange_arrived_ms(relay->exchange));
+	cb_histogram_add(relay->front->first_event_ms,
+			 cb_relay_elapsed_ms(relay));
 	cb_http1_exchange_begin(relay->exchange, relay->status,
 				relay->answer_headers->str);
 }
--- a/test/platform/bench_front.c
+++ b/test/platform/bench_front.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -9,6 +8,7 @@
 #include <unistd.h>
 
 #include "currantbridge/program.h"
+#include "support_sockets.h"
 
 /*
  * The two ends of a relay of event streams, each a process of its own with a
@@ -36,31 +36,6 @@
 static int64_t failures; /* streams that ended early */
 static gboolean is_over;
 
-static void address_read_(struct sockaddr_in *address)
-{
-	const char *colon = strrchr(options.address, ':');
-	char *ip =
-		g_strndup(options.address, (size_t)(colon - options.address));
-
-	*address = (struct sockaddr_in){ .sin_family = AF_INET };
-	address->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	inet_pton(AF_INET, ip, &address->sin_addr);
-	g_free(ip);
-}
-
-static gboolean send_all_(int fd, const char *data, size_t size)
-{
-	while (size) {
-		ssize_t sent = send(fd, data, size, MSG_NOSIGNAL);
-
-		if (sent <= 0)
-			return FALSE;
-		data += sent;
-		size -= (size_t)sent;
-	}
-	return TRUE;
-}
-
 /* Reads one request without a body; FALSE at the end of the connection. */
 static gboolean request_read_(int fd, char *head)
 {
@@ -90,7 +65,7 @@
 				     "Content-Type: text/event-stream\r\n"
 				     "Transfer-Encoding: chunked\r\n\r\n",
 				     id_size, id ? id + strlen(mark) : "");
-	gboolean is_sent = send_all_(fd, text, strlen(text));
+	gboolean is_sent = support_socket_send(fd, text, strlen(text));
 	int64_t i;
 
 	g_free(text);
@@ -101,9 +76,9 @@
 		snprintf(event, sizeof(event),
 			 "%x\r\nid: %06d\ndata: %0*d\n\n\r\n", EVENT_BYTES,
 			 (int)i, EVENT_BYTES - 19, 7);
-		is_sent = send_all_(fd, event, strlen(event));
+		is_sent = support_socket_send(fd, event, strlen(event));
 	}
-	return is_sent && send_all_(fd, "0\r\n\r\n", 5);
+	return is_sent && support_socket_send(fd, "0\r\n\r\n", 5);
 }
 
 static void *source_serve_(void *data)
@@ -120,15 +95,11 @@
 
 static int source_run_(void)
 {
-	struct sockaddr_in address;
-	int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int listener = support_socket_listen(options.address);
 	int on = 1;
 	int fd;
 
-	address_read_(&address);
-	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(listener, (struct sockaddr *)&address, sizeof(address)) ||
-	    listen(listener, SOMAXCONN)) {
+	if (listener < 0) {
 		perror(options.address);
 		return CB_EXIT_FAILURE;
 	}
@@ -163,21 +134,20 @@
 
 static void *client_stream_(void *data)
 {
-	struct sockaddr_in address;
 	char *request = g_strdup_printf(
 		"POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %p\r\n"
 		"Authorization: Bearer key\r\nContent-Length: 0\r\n\r\n",
 		options.path, data);
 
-	address_read_(&address);
 	while (!g_atomic_int_get(&is_over)) {
-		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		gboolean is_whole = !connect(fd, (struct sockaddr *)&address,
-					     sizeof(address)) &&
-				    send_all_(fd, request, strlen(request)) &&
-				    answer_read_(fd);
-
-		close(fd);
+		int fd = support_socket_connect(options.address);
+		gboolean is_whole =
+			fd >= 0 &&
+			support_socket_send(fd, request, strlen(request)) &&
+			answer_read_(fd);
+
+		if (fd >= 0)
+			close(fd);
 		if (!is_whole && !g_atomic_int_get(&is_over)) {
 			g_atomic_pointer_add(&failures, 1);
 			g_usleep(100 * 1000);
--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -1,5 +1,3 @@
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -8,6 +6,7 @@
 
 #include "support_daemons.h"
 #include "support_main.h"
+#include "support_sockets.h"
 
 /*
  * The two programs of the platform's folder as real processes: a group of
@@ -62,35 +61,21 @@
 	server_t server;
 } fixture_t;
 
-static int connect_(const char *address)
+/* Bounds how long a read may wait. */
+static void limit_set_(int fd)
 {
-	const char *colon = strrchr(address, ':');
-	char *ip = g_strndup(address, (size_t)(colon - address));
 	struct timeval limit = { .tv_sec = ANSWER_LIMIT_S };
-	struct sockaddr_in to = { .sin_family = AF_INET };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-	to.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	inet_pton(AF_INET, ip, &to.sin_addr);
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-	if (connect(fd, (struct sockaddr *)&to, sizeof(to))) {
-		close(fd);
-		fd = -1;
-	}
-	g_free(ip);
-	return fd;
 }
 
-static void write_all_(int fd, const char *text, size_t size)
+static int connect_(const char *address)
 {
-	while (size) {
-		ssize_t sent = send(fd, text, size, MSG_NOSIGNAL);
+	int fd = support_socket_connect(address);
 
-		if (sent <= 0)
-			return;
-		text += sent;
-		size -= (size_t)sent;
-	}
+	if (fd >= 0)
+		limit_set_(fd);
+	return fd;
 }
 
 /* Returns the size that a head states for its body. */
@@ -132,7 +117,7 @@
 	char *answer = NULL;
 
 	if (fd >= 0) {
-		write_all_(fd, text, strlen(text));
+		support_socket_send(fd, text, strlen(text));
 		answer = message_read_(fd);
 		close(fd);
 	}
@@ -184,7 +169,7 @@
 		g_mutex_lock(&server->lock);
 		g_ptr_array_add(server->requests, request);
 		g_mutex_unlock(&server->lock);
-		write_all_(fd, answer, strlen(answer));
+		support_socket_send(fd, answer, strlen(answer));
 	}
 	close(fd);
 	g_free(data);
@@ -198,10 +183,9 @@
 
 	while ((fd = accept4(server->listener, NULL, NULL, SOCK_CLOEXEC)) >=
 	       0) {
-		struct timeval limit = { .tv_sec = ANSWER_LIMIT_S };
 		void **call = g_new0(void *, 2);
 
-		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+		limit_set_(fd);
 		call[0] = server;
 		call[1] = GINT_TO_POINTER(fd);
 		g_ptr_array_add(server->callers,
@@ -212,22 +196,13 @@
 
 static void server_begin_(server_t *server)
 {
-	struct sockaddr_in at = { .sin_family = AF_INET };
-	uint16_t port = support_free_port();
-	int reuse = 1;
-
-	at.sin_port = htons(port);
-	inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
-	server->address = g_strdup_printf("127.0.0.1:%d", (int)port);
+	server->address =
+		g_strdup_printf("127.0.0.1:%d", (int)support_free_port());
 	server->callers = g_ptr_array_new();
 	server->requests = g_ptr_array_new_with_free_func(g_free);
 	g_mutex_init(&server->lock);
-	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	setsockopt(server->listener, SOL_SOCKET, SO_REUSEADDR, &reuse,
-		   sizeof(reuse));
-	CU_ASSERT_FATAL(
-		!bind(server->listener, (struct sockaddr *)&at, sizeof(at)) &&
-		!listen(server->listener, SOMAXCONN));
+	server->listener = support_socket_listen(server->address);
+	CU_ASSERT_FATAL(server->listener >= 0);
 	server->thread = g_thread_new("accept", server_accept_, server);
 }
 
@@ -456,7 +431,7 @@
 		char *answer;
 		const char *asked;
 
-		write_all_(fd, request, strlen(request));
+		support_socket_send(fd, request, strlen(request));
 		answer = message_read_(fd);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
 		CU_ASSERT_EQUAL(status_(answer), 200);
@@ -707,7 +682,8 @@
 	fixture_serve_(&fixture);
 	fd = connect_(fixture.front);
 	support_daemon_signal(fixture.entry, SIGHUP);
-	write_all_(fd, START HEAD KEY "\r\n", strlen(START HEAD KEY "\r\n"));
+	support_socket_send(fd, START HEAD KEY "\r\n",
+			    strlen(START HEAD KEY "\r\n"));
 	answer = message_read_(fd);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
 	CU_ASSERT_EQUAL(status_(answer), 200);
@@ -716,7 +692,8 @@
 	do {
 		g_usleep(G_TIME_SPAN_MILLISECOND);
 	} while (call_status_(fixture.ready, "GET", "/v1/ready", "") == 200);
-	write_all_(fd, START HEAD KEY "\r\n", strlen(START HEAD KEY "\r\n"));
+	support_socket_send(fd, START HEAD KEY "\r\n",
+			    strlen(START HEAD KEY "\r\n"));
 	answer = message_read_(fd);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
 	CU_ASSERT_EQUAL(status_(answer), 200);
@@ -783,8 +760,8 @@
 	for (i = 0; i < UNREAD_REQUESTS; i++) {
 		char *answer;
 
-		write_all_(fd, START HEAD KEY "\r\n",
-			   strlen(START HEAD KEY "\r\n"));
+		support_socket_send(fd, START HEAD KEY "\r\n",
+				    strlen(START HEAD KEY "\r\n"));
 		answer = message_read_(fd);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
 		CU_ASSERT_EQUAL(status_(answer), 200);
