A large answer that breaks off is not joined with another server's

Cause: is_body_streamed stays set when an attempt fails after its first MiB was forwarded, so the next attempt's body was appended to that part and the whole ended as complete (MIXED). A body that is partly sent can't be continued by another server's: such a request is not retried, and its answer is aborted.

test_relay:large_answer_is_not_joined_with_another failed before (bytes of the second answer, a final chunk, two requests) and passes now.

test_http_clients: connections that outlived a scripted server counted their close on its former stack frame. They now end uncounted; all six pass in a Debug build, which aborted before.

--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -64,6 +64,9 @@
 {
 	if (relay->run_count && !cb_relay_is_repeatable(relay))
 		return FALSE;
+	/* Another server's body can't continue one that is partly sent. */
+	if (relay->is_body_streamed)
+		return FALSE;
 	if (relay->run_count >= relay->route->max_attempts ||
 	    relay->send_count >= relay->route->max_attempts + NOT_RUN_SENDS_MAX)
 		return FALSE;
--- a/src/test_libcurrantbridge/test_http_clients.c
+++ b/src/test_libcurrantbridge/test_http_clients.c
@@ -26,11 +26,12 @@
 	int request_count;
 	/* Number of connections that the client has closed. */
 	int closed_count;
-	cb_server_t target; /* address that the client is given */
+	GPtrArray *connections; /* open connections: connection_t */
+	cb_server_t target;	/* address that the client is given */
 } scripted_server_t;
 
 typedef struct connection {
-	scripted_server_t *server;
+	scripted_server_t *server; /* NULL once the server was cleared */
 	GSocketConnection *stream;
 	int request_count;
 	char buffer[4096];
@@ -38,6 +39,15 @@
 
 static void request_read_(connection_t *connection);
 
+static void connection_close_(connection_t *connection)
+{
+	if (connection->server)
+		g_ptr_array_remove(connection->server->connections, connection);
+	g_io_stream_close(G_IO_STREAM(connection->stream), NULL, NULL);
+	g_object_unref(connection->stream);
+	g_free(connection);
+}
+
 static void request_answer_(GObject *input, GAsyncResult *result,
 			    void *user_data)
 {
@@ -47,6 +57,10 @@
 	gssize count =
 		g_input_stream_read_finish(G_INPUT_STREAM(input), result, NULL);
 
+	if (!server) {
+		connection_close_(connection);
+		return;
+	}
 	if (count > 0 && strstr(connection->buffer, "\r\n\r\n")) {
 		server->request_count++;
 		connection->request_count++;
@@ -64,9 +78,7 @@
 		return;
 	}
 	server->closed_count += count <= 0;
-	g_io_stream_close(stream, NULL, NULL);
-	g_object_unref(connection->stream);
-	g_free(connection);
+	connection_close_(connection);
 }
 
 static void request_read_(connection_t *connection)
@@ -89,6 +101,7 @@
 	connection->server = user_data;
 	connection->server->connection_count++;
 	connection->stream = g_object_ref(stream);
+	g_ptr_array_add(connection->server->connections, connection);
 	request_read_(connection);
 	return TRUE;
 }
@@ -104,6 +117,7 @@
 	memset(server, 0, sizeof(*server));
 	server->answer = answer;
 	server->stays_open = stays_open;
+	server->connections = g_ptr_array_new();
 	server->service = g_socket_service_new();
 	CU_ASSERT_TRUE_FATAL(g_socket_listener_add_address(
 		G_SOCKET_LISTENER(server->service), any, G_SOCKET_TYPE_STREAM,
@@ -119,8 +133,14 @@
 	g_object_unref(loopback);
 }
 
+/* Connections that outlive the server end without being counted. */
 static void scripted_server_clear_(scripted_server_t *server)
 {
+	unsigned int i;
+
+	for (i = 0; i < server->connections->len; i++)
+		((connection_t *)server->connections->pdata[i])->server = NULL;
+	g_ptr_array_unref(server->connections);
 	g_socket_service_stop(server->service);
 	g_socket_listener_close(G_SOCKET_LISTENER(server->service));
 	g_object_unref(server->service);
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -677,6 +677,57 @@
 	fixture_clear_(&fixture);
 }
 
+#define LARGE_BODY_BYTES 1500000
+#define LARGE_BODY_SENT_BYTES 1200000
+
+/* Returns a complete answer head and `size` bytes `fill`; to be freed. */
+static char *large_answer_make_(char fill, size_t size)
+{
+	char *body = g_strnfill(size, fill);
+	char *answer = g_strdup_printf("HTTP/1.1 200 OK\r\nId: 7\r\n"
+				       "Content-Length: %u\r\n\r\n%s",
+				       LARGE_BODY_BYTES, body);
+
+	g_free(body);
+	return answer;
+}
+
+/*
+ * A large answer that breaks off after its first part was forwarded must end
+ * the caller's answer early.  Guards against the answer of another attempt
+ * being appended to that part, and against an end that looks complete.
+ */
+static void large_answer_is_not_joined_with_another(void)
+{
+	script_t scripts[2];
+	fixture_t fixture;
+	int iteration;
+	char *first = large_answer_make_('a', LARGE_BODY_SENT_BYTES);
+	char *second = large_answer_make_('b', LARGE_BODY_BYTES);
+
+	scripts[0] = (script_t){ first, END_CLOSE };
+	scripts[1] = (script_t){ second, END_KEEP };
+	fixture_init_(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	request_send_(&fixture, IDEMPOTENT_REQUEST);
+	for (iteration = 0;
+	     iteration < LOOP_ITERATIONS_MAX && !fixture.caller_ended;
+	     iteration++) {
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		g_usleep(LOOP_SLEEP_US);
+	}
+	CU_ASSERT_TRUE(fixture.caller_ended);
+	CU_ASSERT_TRUE(g_str_has_prefix(fixture.answer->str, "HTTP/1.1 200 "));
+	CU_ASSERT_PTR_NULL(strstr(fixture.answer->str, "bb"));
+	CU_ASSERT_PTR_NULL(strstr(fixture.answer->str, "\r\n0\r\n\r\n"));
+	CU_ASSERT_EQUAL(fixture.requests->len, 1);
+	fixture_clear_(&fixture);
+	g_free(first);
+	g_free(second);
+}
+
 /*
  * Requests before the first document must wait for it, but only for a part of
  * their time (here 500 ms), so that the caller can retry in time.
@@ -756,6 +807,8 @@
 	  disconnected_caller_cancels_at_server },
 	{ "reset_stream_resumes_at_another_server",
 	  reset_stream_resumes_at_another_server },
+	{ "large_answer_is_not_joined_with_another",
+	  large_answer_is_not_joined_with_another },
 	{ "requests_wait_briefly_for_document",
 	  requests_wait_briefly_for_document },
 	{ "draining_instance_refuses_streams",
