--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -1,6 +1,7 @@
 #ifndef PRIVATE_RELAY_H
 #define PRIVATE_RELAY_H
 
+#include "private/event_pace.h"
 #include "private/event_splitter.h"
 #include "private/front.h"
 
@@ -65,6 +66,9 @@
 	gboolean is_next_send_retry;
 	/* ID of the last event sent to the caller; -1 before the first. */
 	int64_t last_event;
+	/* When the answer was begun, from the arrival; -1: not begun. */
+	int64_t first_event_ms;
+	cb_event_pace_t pace; /* times of the events sent to the caller */
 } cb_relay_t;
 
 int64_t cb_relay_now_ms(const cb_relay_t *relay);
--- /dev/null
+++ b/src/libcurrantbridge/relay/event_pace.c
@@ -0,0 +1,77 @@
+#include "private/event_pace.h"
+
+#include <math.h>
+
+/* Weights of a new gap in the smoothed gap and in the smoothed deviation. */
+#define GAP_WEIGHT 0.125
+#define DEVIATION_WEIGHT 0.25
+
+/* A silence of the usual gap and so many deviations is unusual. */
+#define SILENCE_DEVIATIONS 4
+#define SILENCE_MIN_MS 50
+/*
+ * Percentage of the allowed pause after which a stream is checked at the
+ * latest: the rest is for finding the cause and moving the stream.
+ */
+#define FIRST_CHECK_PERCENT 60
+/* The same for the interval of later checks, which is doubled each time. */
+#define LATER_CHECK_PERCENT 150
+
+/* Updates the smoothed gap, as TCP smooths round-trip times. */
+static void gap_smooth_(cb_event_pace_t *pace, int64_t gap_ms)
+{
+	double difference_ms = (double)gap_ms - pace->gap_ms;
+
+	if (!pace->gap_ms) {
+		pace->gap_ms = (double)gap_ms;
+		pace->deviation_ms = (double)gap_ms / 2;
+		return;
+	}
+	pace->gap_ms += GAP_WEIGHT * difference_ms;
+	pace->deviation_ms +=
+		DEVIATION_WEIGHT * (fabs(difference_ms) - pace->deviation_ms);
+}
+
+void cb_event_pace_add(cb_event_pace_t *pace, int64_t now_ms)
+{
+	int64_t gap_ms = now_ms - pace->last_ms;
+
+	if (pace->last_ms && gap_ms <= 0)
+		return;
+	if (pace->last_ms) {
+		if (gap_ms > pace->longest_gap_ms) {
+			pace->longest_gap_ms = gap_ms;
+			pace->longest_gap_cause = pace->current_cause;
+		}
+		gap_smooth_(pace, gap_ms);
+	}
+	pace->current_cause = NULL;
+	pace->check_count = 0;
+	pace->last_ms = now_ms;
+}
+
+void cb_event_pace_set_cause(cb_event_pace_t *pace, const char *cause)
+{
+	pace->current_cause = cause;
+}
+
+int64_t cb_event_pace_silence_ms(const cb_event_pace_t *pace,
+				 int64_t allowed_gap_ms)
+{
+	int64_t first_ms = allowed_gap_ms * FIRST_CHECK_PERCENT / 100;
+	int64_t max_ms = allowed_gap_ms * LATER_CHECK_PERCENT / 100;
+
+	if (pace->gap_ms)
+		first_ms = CLAMP((int64_t)(pace->gap_ms +
+					   SILENCE_DEVIATIONS *
+						   pace->deviation_ms),
+				 SILENCE_MIN_MS, MAX(first_ms, SILENCE_MIN_MS));
+	if (!pace->check_count)
+		return first_ms;
+	return MIN(first_ms << MIN(pace->check_count - 1, 8), max_ms);
+}
+
+void cb_event_pace_count_check(cb_event_pace_t *pace)
+{
+	pace->check_count++;
+}
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -137,7 +137,10 @@
 		     CB_INT("last_event", relay->last_event),
 		     CB_INT("version",
 			    relay->document ? relay->document->version : 0),
-		     CB_INT("elapsed_ms", elapsed_ms));
+		     CB_INT("elapsed_ms", elapsed_ms),
+		     CB_INT("first_event_ms", relay->first_event_ms),
+		     CB_INT("longest_gap_ms", relay->pace.longest_gap_ms),
+		     CB_STR("gap_cause", relay->pace.longest_gap_cause));
 	cb_relay_count_reason(front, "cb_relay_ended_total", reason);
 	cb_histogram_add(is_served ? front->served_ms : front->failed_ms,
 			 elapsed_ms);
@@ -340,6 +343,7 @@
 							  exchange),
 						  &relay->request_info);
 	relay->last_event = relay->request_info.last_event;
+	relay->first_event_ms = -1;
 	relay->deadline_ms = cb_http1_exchange_arrived_ms(exchange) +
 			     (relay->request_info.budget_ms > 0 ?
 				      relay->request_info.budget_ms :
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -108,6 +108,7 @@
 		return;
 	}
 	relay->is_next_send_retry = TRUE;
+	cb_event_pace_set_cause(&relay->pace, result);
 	if (relay->is_answer_begun) {
 		relay->is_stream_resumed = TRUE;
 		cb_log_event(relay->front->log, CB_EVENT_RELAY_RESUMED,
@@ -177,8 +178,8 @@
 	if (relay->is_answer_begun)
 		return;
 	relay->is_answer_begun = TRUE;
-	cb_histogram_add(relay->front->first_event_ms,
-			 cb_relay_elapsed_ms(relay));
+	relay->first_event_ms = cb_relay_elapsed_ms(relay);
+	cb_histogram_add(relay->front->first_event_ms, relay->first_event_ms);
 	cb_http1_exchange_begin(relay->exchange, relay->status,
 				relay->answer_headers->str);
 }
@@ -189,12 +190,15 @@
 {
 	cb_relay_t *relay = user_data;
 
-	cb_relay_start_silence_timer(relay);
-	if (id >= 0 && id <= relay->last_event)
+	if (id >= 0 && id <= relay->last_event) {
+		cb_relay_start_silence_timer(relay);
 		return;
+	}
 	answer_begin_(relay);
 	if (id >= 0)
 		relay->last_event = id;
+	cb_event_pace_add(&relay->pace, cb_relay_now_ms(relay));
+	cb_relay_start_silence_timer(relay);
 	cb_http1_exchange_write(relay->exchange, data, size);
 }
 
