Streams leave a lost engine at the first sign of it, and read again only there

Cause: a stream that lost an engine waited 1.5 times its allowed pause before its first engine was asked, each stream for itself, and its new chain differed in most hops, so that all layers were read again. Engines with a failure of any kind were not used at all: with one holder of most layers in a data centre, one lost answer closed the data centre for up to 4 s.

Changes, which one log shows to depend on each other: - A stream is checked after 60% of its allowed pause, later if its usual gaps (smoothed, four deviations) are longer; its first event after 40% of its time. Requests for one engine's report share a call (engine_reports). - What one report or refused connection shows to be lost is left by all streams of the instance at once. An engine that a rejection names is asked: one that refuses connections is lost. - A new chain of a running stream keeps the engines that hold its KV cache unless reading again elsewhere costs less (chain: kept parts). - A failure without proof of a loss makes an engine doubtful: used where no other chain exists. Full engines may go on with what they run.

--- a/include/currantbridge/chain.h
+++ b/include/currantbridge/chain.h
@@ -19,7 +19,14 @@
 	uint32_t from; /* first layer that the engine holds */
 	/* one past the last layer; equal to `from` if there are no layers */
 	uint32_t to;
-	double pace; /* relative step time; 2 is twice as slow as 1 */
+	double pace;	  /* relative step time; 2 is twice as slow as 1 */
+	double read_pace; /* relative time to read a prompt */
+	/*
+	 * The layers that the engine already runs for the request, whose KV
+	 * cache it holds; empty if both are equal.
+	 */
+	uint32_t kept_from;
+	uint32_t kept_to;
 	/* free KV cache, in tokens that fit on every layer of the server */
 	double free_tokens;
 	/* estimated number of requests on the server's chain */
@@ -31,10 +38,13 @@
 	 * heartbeats.
 	 */
 	gboolean is_silent;
+	/* Whether the engine gets no new requests for now: full or lost. */
+	gboolean is_avoided;
 	/*
-	 * Whether the server failed recently and gets no new requests for now.
+	 * Whether requests failed at the engine recently, for a reason that is
+	 * not known: it is used only where no other chain exists.
 	 */
-	gboolean is_avoided;
+	gboolean is_doubtful;
 } cb_chain_server_t;
 
 /* The layers that one engine of a chain runs. */
@@ -56,6 +66,11 @@
 	 */
 	unsigned int first_server;
 	uint32_t first_to;
+	/*
+	 * Whether the request is under way: an engine that does not keep the
+	 * layers that it runs for the request reads all its tokens again.
+	 */
+	gboolean reads_again;
 	/* Whether all engines of the chain must be in one data centre. */
 	gboolean forbids_crossing;
 } cb_chain_criteria_t;
--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#define MS_PER_S 1000.0
 /* Cost of any hop: sending a token on and waiting for the next pass. */
 #define HOP_COST_MS 1.0
 /*
@@ -18,6 +19,11 @@
 #define FIRST_CROSSING_COST_MS 2.0
 /* A silent server is used only where it saves two changes of data centre. */
 #define SILENT_SERVER_COST_MS 600.0
+/*
+ * Cost of an engine where requests failed recently: more than two changes of
+ * data centre.
+ */
+#define DOUBTFUL_SERVER_COST_MS 1000.0
 /*
  * Cost of a first engine whose slots are all in use, where requests queue; with
  * fewer in use it is proportionally less.
@@ -55,16 +61,20 @@
 	unsigned int *server_centres; /* number of each server's data centre */
 	unsigned int centre_count;
 	partial_chain_t *partials; /* (layers + 1) rows of centre_count */
+	/* For each server, the cost in ms of a step of one layer. */
+	double *step_costs_ms;
+	/* For each server, the cost in ms to read the request in one layer. */
+	double *read_costs_ms;
 } search_t;
 
-/* Returns the cost in ms of one layer at each server; to be freed. */
-static double *layer_costs_compute_(const cb_engine_profile_t *engine,
-				    const cb_chain_server_t *servers,
-				    unsigned int count,
-				    const cb_chain_criteria_t *criteria,
-				    GRand *random)
+/* Returns the cost in ms of a step of one layer at each server; to be freed. */
+static double *step_costs_compute_(const cb_engine_profile_t *engine,
+				   const cb_chain_server_t *servers,
+				   unsigned int count,
+				   const cb_chain_criteria_t *criteria,
+				   GRand *random)
 {
-	double *layer_costs_ms = g_new(double, count);
+	double *step_costs_ms = g_new(double, count);
 	double context_k = criteria->tokens / 1000;
 	unsigned int i;
 
@@ -79,13 +89,31 @@
 				criteria->tokens / server->free_tokens :
 				1;
 
-		layer_costs_ms[i] =
-			pass_ms * server->pace * engine->stride /
-			engine->layers *
-			(1 + FILL_COST_FACTOR * MIN(fill_ratio, 1)) *
-			(1 + COST_JITTER * g_rand_double(random));
+		step_costs_ms[i] = pass_ms * server->pace * engine->stride /
+				   engine->layers *
+				   (1 + FILL_COST_FACTOR * MIN(fill_ratio, 1)) *
+				   (1 + COST_JITTER * g_rand_double(random));
 	}
-	return layer_costs_ms;
+	return step_costs_ms;
+}
+
+/*
+ * Returns the time in ms that each server takes to read the request's tokens
+ * in one layer; 0 where the request begins.  The caller frees it.
+ */
+static double *read_costs_compute_(const cb_engine_profile_t *engine,
+				   const cb_chain_server_t *servers,
+				   unsigned int count,
+				   const cb_chain_criteria_t *criteria)
+{
+	double *read_costs_ms = g_new0(double, count);
+	unsigned int i;
+
+	for (i = 0; criteria->reads_again && i < count; i++)
+		read_costs_ms[i] = criteria->tokens * MS_PER_S /
+				   engine->read_tokens_per_s *
+				   servers[i].read_pace / engine->layers;
+	return read_costs_ms;
 }
 
 /* Assigns a number, from 0 on, to each data centre of the servers. */
@@ -135,6 +163,8 @@
 				   CROSSING_COST_MS;
 	if (before < 0 && server->slots)
 		cost_ms += FULL_SLOTS_COST_MS * server->running / server->slots;
+	if (server->is_doubtful)
+		cost_ms += DOUBTFUL_SERVER_COST_MS;
 	if (server->is_silent)
 		cost_ms += SILENT_SERVER_COST_MS;
 	return cost_ms;
@@ -159,9 +189,9 @@
 
 /* Extends a partial chain by one server, to each of the server's layers. */
 static void partial_chain_extend_(const search_t *search, uint32_t layer,
-				  unsigned int centre, unsigned int index,
-				  double layer_cost_ms)
+				  unsigned int centre, unsigned int index)
 {
+	const cb_chain_server_t *server = &search->servers[index];
 	const partial_chain_t *before =
 		partial_chain_at_(search, layer, centre);
 	double hop_cost_ms =
@@ -170,7 +200,12 @@
 
 	if (partial_chain_has_server_(search, layer, centre, (int)index))
 		return;
-	for (to = layer + 1; to <= search->servers[index].to; to++) {
+	for (to = layer + 1; to <= server->to; to++) {
+		gboolean is_kept =
+			layer == server->kept_from && to == server->kept_to;
+		double layer_cost_ms =
+			search->step_costs_ms[index] +
+			(is_kept ? 0 : search->read_costs_ms[index]);
 		partial_chain_t *partial =
 			partial_chain_at_(search, to,
 					  search->server_centres[index]);
@@ -262,8 +297,7 @@
 
 /* Extends the partial chains that end before a layer by each holder of it. */
 static void partial_chains_extend_(const search_t *search, uint32_t layer,
-				   unsigned int count,
-				   const double *layer_costs_ms)
+				   unsigned int count)
 {
 	unsigned int centre;
 	unsigned int i;
@@ -277,8 +311,7 @@
 			    server_is_usable_(&search->servers[i],
 					      search->criteria) &&
 			    (layer || server_has_slot_(&search->servers[i])))
-				partial_chain_extend_(search, layer, centre, i,
-						      layer_costs_ms[i]);
+				partial_chain_extend_(search, layer, centre, i);
 	}
 }
 
@@ -292,20 +325,22 @@
 			    .criteria = criteria,
 			    .layers = engine->layers };
 	gboolean is_found;
-	double *layer_costs_ms;
 	uint32_t layer;
 
 	if (!layers_are_held_(servers, count, engine->layers))
 		return CB_CHAIN_NO_HOLDER;
-	layer_costs_ms =
-		layer_costs_compute_(engine, servers, count, criteria, random);
+	search.step_costs_ms =
+		step_costs_compute_(engine, servers, count, criteria, random);
+	search.read_costs_ms =
+		read_costs_compute_(engine, servers, count, criteria);
 	centres_enumerate_(&search, count);
 	chain_search_init_(&search);
 	for (layer = 0; layer < engine->layers; layer++)
-		partial_chains_extend_(&search, layer, count, layer_costs_ms);
+		partial_chains_extend_(&search, layer, count);
 	is_found = parts_write_(&search, parts);
 	g_free(search.partials);
 	g_free(search.server_centres);
-	g_free(layer_costs_ms);
+	g_free(search.step_costs_ms);
+	g_free(search.read_costs_ms);
 	return is_found ? CB_CHAIN_FOUND : CB_CHAIN_NO_ROOM;
 }
--- /dev/null
+++ b/src/libcurrantbridge/include/private/engine_reports.h
@@ -0,0 +1,39 @@
+#ifndef PRIVATE_ENGINE_REPORTS_H
+#define PRIVATE_ENGINE_REPORTS_H
+
+#include "currantbridge/clock.h"
+#include "currantbridge/engine_orders.h"
+
+/*
+ * Requests reports from engines for the streams of an entry instance.  When an
+ * engine is lost, many streams fall silent at the same moment: requests for a
+ * report of the same engine share one call.
+ */
+typedef struct cb_engine_reports cb_engine_reports_t;
+
+typedef enum cb_report_result {
+	CB_REPORT_ANSWERED,
+	CB_REPORT_FAILED,  /* connection refused or reset, or no valid answer */
+	CB_REPORT_TIMEOUT, /* no answer in time */
+} cb_report_result_t;
+
+/* `report` is NULL unless `result` is CB_REPORT_ANSWERED. */
+typedef void (*cb_report_result_fn_t)(cb_report_result_t result,
+				      const cb_engine_report_t *report,
+				      void *user_data);
+
+cb_engine_reports_t *cb_engine_reports_new(cb_clock_t *clock,
+					   cb_engine_orders_t *orders);
+void cb_engine_reports_delete(cb_engine_reports_t *reports);
+/*
+ * Requests a report from the engine at `address`.  `fn` is called once, after
+ * this function has returned, unless cb_engine_reports_cancel() is called.
+ */
+void cb_engine_reports_request(cb_engine_reports_t *reports,
+			       const char *address, cb_report_result_fn_t fn,
+			       void *user_data);
+/* Drops the requests of `user_data`, if any, without calling their functions. */
+void cb_engine_reports_cancel(cb_engine_reports_t *reports,
+			      const void *user_data);
+
+#endif
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -4,9 +4,16 @@
 #include "currantbridge/front.h"
 #include "currantbridge/http1_client.h"
 #include "currantbridge/http1_server.h"
+#include "private/engine_reports.h"
 #include "private/retry_share.h"
 #include "private/server_book.h"
 
+/* A check of whether an engine still accepts connections. */
+typedef struct cb_engine_check {
+	cb_front_t *front;
+	char *address; /* the engine's address */
+} cb_engine_check_t;
+
 struct cb_front {
 	cb_service_t service;
 	cb_kernel_t *kernel;
@@ -31,6 +38,8 @@
 	cb_http1_server_t *server;
 	cb_http1_client_t *client;
 	cb_engine_orders_t *orders;
+	cb_engine_reports_t *reports;
+	GHashTable *engine_checks; /* set of cb_engine_check_t in progress */
 	cb_fleet_t *fleet;
 	/* Whether the servers recorded in the view were added to `fleet`. */
 	gboolean has_servers;
@@ -59,5 +68,7 @@
 void cb_relay_retry_waiting(void *user_data);
 /* Cancels any attempt in flight and frees the request; sends no answer. */
 void cb_relay_delete(void *relay);
+/* Frees a check of an engine; its report must not be pending. */
+void cb_engine_check_delete(void *check);
 
 #endif
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -5,6 +5,8 @@
 #include "private/event_splitter.h"
 #include "private/front.h"
 
+/* Result of an attempt whose engine or chain did not answer in time. */
+#define CB_RELAY_SILENT "silent"
 /* The usual Retry-After of a request that did not run. */
 #define CB_RELAY_RETRY_AFTER_MS 500
 
@@ -39,12 +41,10 @@
 	unsigned int send_count;
 	int64_t sent_ms; /* when the last attempt was sent */
 	unsigned int reroute_count;
-	/*
-	 * A report or reroute was requested from a server and is not answered
-	 * yet.
-	 */
-	gboolean is_order_pending;
-	unsigned int run_count; /* attempts that ran, or may have run */
+	gboolean is_report_pending;  /* waits for the first server's report */
+	gboolean is_reroute_pending; /* waits for the answer to a reroute */
+	int64_t reroute_sent_ms;     /* when the last reroute was sent */
+	unsigned int run_count;	     /* attempts that ran, or may have run */
 	/* HTTP status of the server's answer; 0 before the answer. */
 	uint32_t status;
 	gboolean is_event_stream;
@@ -104,5 +104,9 @@
 /* Functions for streams without events for too long, in relay_stall.c. */
 void cb_relay_start_silence_timer(cb_relay_t *relay);
 void cb_relay_silence_timer_fired(void *user_data);
+/* Moves all streams away from the engine at `address`, which is lost. */
+void cb_relay_move_streams(cb_front_t *front, const char *address);
+/* Moves the streams of the engine at `address` if it refuses connections. */
+void cb_relay_check_engine(cb_front_t *front, const char *address);
 
 #endif
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -30,9 +30,11 @@
 	/* Set of the IDs of the servers that must not be chosen. */
 	GHashTable *excluded_servers;
 	/*
-	 * Hop that the chain must begin with; NULL if any hop may be the first.
+	 * Hops (cb_relay_hop_t) through which the request runs: the new chain
+	 * begins with the first of them, and leaves others only for a reason.
+	 * NULL: the request begins anywhere.
 	 */
-	const cb_relay_hop_t *first_hop;
+	const GArray *running_hops;
 	/* Whether the chain must not pass from one data centre to another. */
 	gboolean forbids_crossing;
 } cb_book_criteria_t;
@@ -65,13 +67,13 @@
 void cb_server_book_record_load(cb_server_book_t *book, const char *id,
 				int64_t running, int64_t waiting);
 /*
- * Records a failure of the server at an address and adds it to `tried`.
+ * Records that the server at an address is lost and adds it to `tried`.
  * Returns FALSE if no server has that address.
  */
-gboolean cb_server_book_record_failure_at(cb_server_book_t *book,
-					  const char *address,
-					  GHashTable *tried);
-void cb_server_book_record_failure(cb_server_book_t *book, const char *id);
+gboolean cb_server_book_record_loss_at(cb_server_book_t *book,
+				       const char *address, GHashTable *tried);
+void cb_server_book_record_failure(cb_server_book_t *book, const char *id,
+				   gboolean may_be_lost);
 void cb_server_book_record_success(cb_server_book_t *book, const GArray *hops);
 
 #endif
--- /dev/null
+++ b/src/libcurrantbridge/relay/engine_reports.c
@@ -0,0 +1,146 @@
+#include "private/engine_reports.h"
+
+/* An engine in the same region answers in a few ms, or after a lost packet. */
+#define REPORT_TIMEOUT_MS 300
+
+typedef struct waiter {
+	cb_report_result_fn_t fn;
+	void *user_data;
+} waiter_t;
+
+/* A call for the report of one engine. */
+typedef struct report_call {
+	cb_engine_reports_t *reports;
+	char *address;
+	cb_timer_t *timer;
+	GArray *waiters; /* of waiter_t */
+} report_call_t;
+
+struct cb_engine_reports {
+	cb_clock_t *clock;
+	cb_engine_orders_t *orders;
+	GHashTable *calls; /* engine's address to report_call_t */
+	/* The call whose waiters' functions are being called, or NULL. */
+	report_call_t *ending_call;
+};
+
+static void report_call_delete_(void *data)
+{
+	report_call_t *call = data;
+
+	cb_timer_delete(call->timer);
+	g_array_unref(call->waiters);
+	g_free(call->address);
+	g_free(call);
+}
+
+/* Creates the reports; `clock` and `orders` must outlive them. */
+cb_engine_reports_t *cb_engine_reports_new(cb_clock_t *clock,
+					   cb_engine_orders_t *orders)
+{
+	cb_engine_reports_t *reports = g_new0(cb_engine_reports_t, 1);
+
+	reports->clock = clock;
+	reports->orders = orders;
+	reports->calls = g_hash_table_new(g_str_hash, g_str_equal);
+	return reports;
+}
+
+/* Drops all calls; NULL is allowed. */
+void cb_engine_reports_delete(cb_engine_reports_t *reports)
+{
+	GHashTableIter iter;
+	void *call;
+
+	if (!reports)
+		return;
+	g_hash_table_iter_init(&iter, reports->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &call)) {
+		reports->orders->vtable->cancel(reports->orders, call);
+		report_call_delete_(call);
+	}
+	g_hash_table_unref(reports->calls);
+	g_free(reports);
+}
+
+/* Calls the functions of a call's waiters and deletes the call. */
+static void report_call_end_(report_call_t *call, cb_report_result_t result,
+			     const cb_engine_report_t *report)
+{
+	cb_engine_reports_t *reports = call->reports;
+
+	g_hash_table_remove(reports->calls, call->address);
+	reports->ending_call = call;
+	/* Each function may cancel other waiters, which removes them. */
+	while (call->waiters->len) {
+		waiter_t waiter = g_array_index(call->waiters, waiter_t, 0);
+
+		g_array_remove_index(call->waiters, 0);
+		waiter.fn(result, report, waiter.user_data);
+	}
+	reports->ending_call = NULL;
+	report_call_delete_(call);
+}
+
+static void report_receive_(const cb_engine_report_t *report, void *user_data)
+{
+	report_call_end_(user_data,
+			 report ? CB_REPORT_ANSWERED : CB_REPORT_FAILED,
+			 report);
+}
+
+static void report_timer_fired_(void *user_data)
+{
+	report_call_t *call = user_data;
+
+	call->reports->orders->vtable->cancel(call->reports->orders, call);
+	report_call_end_(call, CB_REPORT_TIMEOUT, NULL);
+}
+
+void cb_engine_reports_request(cb_engine_reports_t *reports,
+			       const char *address, cb_report_result_fn_t fn,
+			       void *user_data)
+{
+	report_call_t *call = g_hash_table_lookup(reports->calls, address);
+	waiter_t waiter = { fn, user_data };
+
+	if (call) {
+		g_array_append_val(call->waiters, waiter);
+		return;
+	}
+	call = g_new0(report_call_t, 1);
+	call->reports = reports;
+	call->address = g_strdup(address);
+	call->waiters = g_array_new(FALSE, FALSE, sizeof(waiter_t));
+	g_array_append_val(call->waiters, waiter);
+	call->timer = cb_timer_new(reports->clock, report_timer_fired_, call);
+	g_hash_table_insert(reports->calls, call->address, call);
+	cb_timer_start(call->timer, REPORT_TIMEOUT_MS);
+	reports->orders->vtable->report(reports->orders, address,
+					report_receive_, call);
+}
+
+static void waiters_remove_(report_call_t *call, const void *user_data)
+{
+	unsigned int i = 0;
+
+	while (i < call->waiters->len)
+		if (g_array_index(call->waiters, waiter_t, i).user_data ==
+		    user_data)
+			g_array_remove_index(call->waiters, i);
+		else
+			i++;
+}
+
+void cb_engine_reports_cancel(cb_engine_reports_t *reports,
+			      const void *user_data)
+{
+	GHashTableIter iter;
+	void *call;
+
+	g_hash_table_iter_init(&iter, reports->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &call))
+		waiters_remove_(call, user_data);
+	if (reports->ending_call)
+		waiters_remove_(reports->ending_call, user_data);
+}
--- a/src/libcurrantbridge/relay/event_pace.c
+++ b/src/libcurrantbridge/relay/event_pace.c
@@ -8,13 +8,14 @@
 
 /* A silence of the usual gap and so many deviations is unusual. */
 #define SILENCE_DEVIATIONS 4
-#define SILENCE_MIN_MS 50
 /*
- * Percentage of the allowed pause after which a stream is checked at the
- * latest: the rest is for finding the cause and moving the stream.
+ * A stream is checked after a silence of this percentage of the allowed pause,
+ * later if its usual gaps are longer.  The rest of the pause is for finding the
+ * cause and moving the stream.
  */
-#define FIRST_CHECK_PERCENT 60
-/* The same for the interval of later checks, which is doubled each time. */
+#define CHECK_MIN_PERCENT 60
+#define CHECK_MAX_PERCENT 100
+/* The interval of further checks is doubled each time, up to this percentage. */
 #define LATER_CHECK_PERCENT 150
 
 /* Updates the smoothed gap, as TCP smooths round-trip times. */
@@ -58,17 +59,16 @@
 int64_t cb_event_pace_silence_ms(const cb_event_pace_t *pace,
 				 int64_t allowed_gap_ms)
 {
-	int64_t first_ms = allowed_gap_ms * FIRST_CHECK_PERCENT / 100;
-	int64_t max_ms = allowed_gap_ms * LATER_CHECK_PERCENT / 100;
+	int64_t usual_ms = (int64_t)(pace->gap_ms +
+				     SILENCE_DEVIATIONS * pace->deviation_ms);
+	int64_t first_ms =
+		CLAMP(usual_ms, allowed_gap_ms * CHECK_MIN_PERCENT / 100,
+		      allowed_gap_ms * CHECK_MAX_PERCENT / 100);
 
-	if (pace->gap_ms)
-		first_ms = CLAMP((int64_t)(pace->gap_ms +
-					   SILENCE_DEVIATIONS *
-						   pace->deviation_ms),
-				 SILENCE_MIN_MS, MAX(first_ms, SILENCE_MIN_MS));
 	if (!pace->check_count)
 		return first_ms;
-	return MIN(first_ms << MIN(pace->check_count - 1, 8), max_ms);
+	return MIN(first_ms << MIN(pace->check_count - 1, 8),
+		   allowed_gap_ms * LATER_CHECK_PERCENT / 100);
 }
 
 void cb_event_pace_count_check(cb_event_pace_t *pace)
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -231,6 +231,8 @@
 	cb_front_t *front = (cb_front_t *)service;
 
 	g_hash_table_unref(front->relays);
+	cb_engine_reports_delete(front->reports);
+	g_hash_table_unref(front->engine_checks);
 	cb_timer_delete(front->drain_timer);
 	cb_timer_delete(front->decode_timer);
 	cb_document_decoding_delete(front->decoding);
@@ -289,6 +291,10 @@
 				    front->counters, request_receive_, front);
 	front->client = options->client;
 	front->orders = options->orders;
+	front->reports = cb_engine_reports_new(front->clock, options->orders);
+	front->engine_checks =
+		g_hash_table_new_full(g_direct_hash, g_direct_equal,
+				      cb_engine_check_delete, NULL);
 	front->random = g_rand_new();
 	front->fleet = cb_fleet_new();
 	cb_fleet_watch(front->fleet, server_change_log_, front);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -59,10 +59,13 @@
 void cb_relay_cancel_attempt(cb_relay_t *relay)
 {
 	cb_timer_stop(relay->silence_timer);
-	if (relay->is_order_pending)
+	if (relay->is_report_pending)
+		cb_engine_reports_cancel(relay->front->reports, relay);
+	if (relay->is_reroute_pending)
 		relay->front->orders->vtable->cancel(relay->front->orders,
 						     relay);
-	relay->is_order_pending = FALSE;
+	relay->is_report_pending = FALSE;
+	relay->is_reroute_pending = FALSE;
 	if (relay->call)
 		cb_http1_call_cancel(g_steal_pointer(&relay->call));
 	if (relay->hops->len) {
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -24,7 +24,8 @@
  * Records the failure of the server at `address`, or of the first hop if that
  * is NULL.
  */
-static void server_failure_record_(cb_relay_t *relay, const char *address)
+static void server_failure_record_(cb_relay_t *relay, const char *address,
+				   gboolean may_be_lost)
 {
 	unsigned int i;
 
@@ -35,7 +36,8 @@
 		if (address ? strcmp(hop->address, address) != 0 : i > 0)
 			continue;
 		g_hash_table_add(relay->tried_servers, g_strdup(hop->id));
-		cb_server_book_record_failure(relay->front->book, hop->id);
+		cb_server_book_record_failure(relay->front->book, hop->id,
+					      may_be_lost);
 	}
 }
 
@@ -51,12 +53,13 @@
 			relay->failed_address :
 			g_array_index(relay->hops, cb_relay_hop_t, 0).address;
 
-	if (cb_relay_now_ms(relay) - relay->sent_ms < FAST_REJECTION_MAX_MS)
+	if (cb_relay_now_ms(relay) - relay->sent_ms < FAST_REJECTION_MAX_MS) {
 		cb_server_book_mark_full(relay->front->book, address);
-	else
-		(void)cb_server_book_record_failure_at(relay->front->book,
-						       address,
-						       relay->tried_servers);
+		if (relay->failed_address)
+			cb_relay_check_engine(relay->front, address);
+	} else
+		(void)cb_server_book_record_loss_at(relay->front->book, address,
+						    relay->tried_servers);
 }
 
 /* Returns whether another attempt may follow the failed attempt. */
@@ -101,7 +104,8 @@
 			      result);
 	relay->run_count += has_run != 0;
 	if (has_run || !relay->has_not_run)
-		server_failure_record_(relay, failed_address);
+		server_failure_record_(relay, failed_address,
+				       !strcmp(result, CB_RELAY_SILENT));
 	cb_relay_cancel_attempt(relay);
 	if (!retry_is_allowed_(relay)) {
 		cb_relay_give_up(relay, result, CB_RELAY_RETRY_AFTER_MS);
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -3,13 +3,13 @@
 #include <string.h>
 
 /*
- * A stream counts as silent after this percentage of the longest gap that its
- * route allows between events, or when its first event is due.
+ * A stream without a first event is checked after this percentage of the time
+ * in which its route wants that event.
  */
-#define SILENCE_GAP_PERCENT 150
+#define FIRST_EVENT_CHECK_PERCENT 40
 #define DEFAULT_SILENCE_MS 1500
-/* How long a server may take to answer a request for a report or reroute. */
-#define ORDER_TIMEOUT_MS 300
+/* How long an engine may take to carry out a reroute. */
+#define REROUTE_TIMEOUT_MS 300
 /* Reroutes of one request, after which a bad server fails the attempt. */
 #define REROUTES_MAX 4
 
@@ -20,20 +20,31 @@
 
 	if (!route->target_gap_ms)
 		return DEFAULT_SILENCE_MS;
-	return relay->is_answer_begun ?
-		       route->target_gap_ms * SILENCE_GAP_PERCENT / 100 :
-		       route->target_latency_ms;
+	if (!relay->is_answer_begun)
+		return route->target_latency_ms * FIRST_EVENT_CHECK_PERCENT /
+		       100;
+	return cb_event_pace_silence_ms(&relay->pace, route->target_gap_ms);
 }
 
-/* Restarts the silence timer of a stream that may be resumed elsewhere. */
+/* Returns whether the stream may be checked and moved to other engines. */
+static gboolean stream_is_watched_(const cb_relay_t *relay)
+{
+	return relay->route->kind == CB_ROUTE_STREAM &&
+	       cb_relay_is_repeatable(relay);
+}
+
+/*
+ * Restarts the silence timer of a stream that may be resumed elsewhere, after
+ * an event or a check.
+ */
 void cb_relay_start_silence_timer(cb_relay_t *relay)
 {
-	if (relay->is_order_pending)
+	if (relay->is_reroute_pending || !stream_is_watched_(relay))
 		return;
-	if (relay->route->kind == CB_ROUTE_STREAM &&
-	    cb_relay_is_repeatable(relay))
-		cb_timer_start(relay->silence_timer,
-			       silence_limit_compute_(relay));
+	if (relay->is_report_pending)
+		cb_engine_reports_cancel(relay->front->reports, relay);
+	relay->is_report_pending = FALSE;
+	cb_timer_start(relay->silence_timer, silence_limit_compute_(relay));
 }
 
 static void reroute_request_(cb_relay_t *relay);
@@ -46,24 +57,27 @@
 	cb_front_t *front = relay->front;
 	char *hops_text;
 
-	relay->is_order_pending = FALSE;
+	relay->is_reroute_pending = FALSE;
 	if (outcome == CB_REROUTE_BAD_SERVER && address &&
-	    cb_server_book_record_failure_at(front->book, address,
-					     relay->tried_servers) &&
+	    cb_server_book_record_loss_at(front->book, address,
+					  relay->tried_servers) &&
 	    relay->reroute_count < REROUTES_MAX) {
 		reroute_request_(relay);
 		return;
 	}
 	if (outcome != CB_REROUTE_DONE) {
-		cb_relay_attempt_failed(relay, "silent", TRUE, address);
+		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, address);
 		return;
 	}
 	hops_text = cb_relay_format_hops(relay);
 	cb_log_event(front->log, CB_EVENT_RELAY_REROUTED,
 		     CB_STR("request", relay->request_info.id),
 		     CB_STR("way", hops_text),
-		     CB_INT("last_event", relay->last_event));
+		     CB_INT("last_event", relay->last_event),
+		     CB_INT("silent_ms",
+			    cb_relay_now_ms(relay) - relay->pace.last_ms));
 	g_free(hops_text);
+	cb_event_pace_set_cause(&relay->pace, "rerouted");
 	cb_relay_start_silence_timer(relay);
 }
 
@@ -76,7 +90,7 @@
 		.service = relay->service,
 		.tokens = relay->expected_tokens,
 		.excluded_servers = relay->tried_servers,
-		.first_hop = &g_array_index(relay->hops, cb_relay_hop_t, 0),
+		.running_hops = relay->hops,
 		/*
 		 * All tokens so far would be sent between data centres again; a
 		 * chain within another data centre processes them sooner.
@@ -93,20 +107,95 @@
 		cb_server_book_begin_request(front->book, relay->hops,
 					     relay->expected_tokens);
 		g_array_unref(hops);
-		cb_relay_attempt_failed(relay, "silent", TRUE, NULL);
+		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, NULL);
 		return;
 	}
 	g_array_unref(relay->hops);
 	relay->hops = hops;
 	cb_server_book_begin_request(front->book, relay->hops,
 				     relay->expected_tokens);
-	relay->is_order_pending = TRUE;
-	cb_timer_start(relay->silence_timer, ORDER_TIMEOUT_MS);
+	relay->is_reroute_pending = TRUE;
+	relay->reroute_sent_ms = cb_relay_now_ms(relay);
+	cb_timer_start(relay->silence_timer, REROUTE_TIMEOUT_MS);
 	front->orders->vtable->reroute(
 		front->orders, g_array_index(hops, cb_relay_hop_t, 0).address,
 		relay->request_info.id, hops, reroute_answer_receive_, relay);
 }
 
+/* Returns whether a stream under way passes through the engine at `address`. */
+static gboolean stream_uses_engine_(const cb_relay_t *relay,
+				    const char *address)
+{
+	unsigned int i;
+
+	for (i = 0; i < relay->hops->len; i++)
+		if (!strcmp(g_array_index(relay->hops, cb_relay_hop_t, i)
+				    .address,
+			    address))
+			return TRUE;
+	return FALSE;
+}
+
+/*
+ * Moves a stream away from an engine that does not answer.  If that is its
+ * first one, the stream is resumed by another.
+ */
+static void stream_move_(cb_relay_t *relay, const char *address)
+{
+	const cb_relay_hop_t *first =
+		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+
+	cb_log_event(relay->front->log, CB_EVENT_RELAY_STALLED,
+		     CB_STR("request", relay->request_info.id),
+		     CB_STR("address", address),
+		     CB_INT("last_event", relay->last_event),
+		     CB_INT("silent_ms",
+			    cb_relay_now_ms(relay) - relay->pace.last_ms));
+	if (!strcmp(address, first->address) ||
+	    !cb_server_book_record_loss_at(relay->front->book, address,
+					   relay->tried_servers)) {
+		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, address);
+		return;
+	}
+	reroute_request_(relay);
+}
+
+/*
+ * Moves all streams that pass through an engine which is shown to be lost, not
+ * only the one that waits for it: the others will wait for it with their next
+ * token.
+ */
+void cb_relay_move_streams(cb_front_t *front, const char *address)
+{
+	GPtrArray *streams = g_ptr_array_new();
+	GHashTableIter iter;
+	unsigned int i;
+	void *value;
+
+	g_hash_table_iter_init(&iter, front->relays);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		cb_relay_t *relay = value;
+
+		if (relay->call && relay->route && stream_is_watched_(relay) &&
+		    !relay->is_reroute_pending &&
+		    stream_uses_engine_(relay, address))
+			g_ptr_array_add(streams, relay);
+	}
+	for (i = 0; i < streams->len; i++) {
+		cb_relay_t *relay = streams->pdata[i];
+
+		/* Ending one request may have ended others. */
+		if (!g_hash_table_contains(front->relays, relay) ||
+		    !relay->call || relay->is_reroute_pending)
+			continue;
+		if (relay->is_report_pending)
+			cb_engine_reports_cancel(front->reports, relay);
+		relay->is_report_pending = FALSE;
+		stream_move_(relay, address);
+	}
+	g_ptr_array_unref(streams);
+}
+
 /* Returns the server address that the reported stall waits for, or NULL. */
 static const char *stalled_address_find_(const cb_relay_t *relay,
 					 const cb_engine_report_t *report)
@@ -123,58 +212,120 @@
 	return NULL;
 }
 
-/* Called with the first server's report, or NULL if there was none. */
-static void report_receive_(const cb_engine_report_t *report, void *user_data)
+/* Called with the first server's report on a silent stream. */
+static void report_receive_(cb_report_result_t result,
+			    const cb_engine_report_t *report, void *user_data)
 {
 	cb_relay_t *relay = user_data;
-	const char *address =
-		report ? stalled_address_find_(relay, report) : NULL;
-	const cb_relay_hop_t *first =
-		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+	cb_front_t *front = relay->front;
+	char *address;
 
-	relay->is_order_pending = FALSE;
-	if (!report) {
-		cb_relay_attempt_failed(relay, "silent", TRUE, NULL);
+	relay->is_report_pending = FALSE;
+	if (result == CB_REPORT_TIMEOUT) {
+		/* The link to the engine may be slow, for this stream only. */
+		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, NULL);
 		return;
 	}
-	if (!address) {
+	if (result == CB_REPORT_FAILED) {
+		address = g_strdup(
+			g_array_index(relay->hops, cb_relay_hop_t, 0).address);
+		cb_relay_move_streams(front, address);
+		g_free(address);
+		return;
+	}
+	address = g_strdup(stalled_address_find_(relay, report));
+	if (address) {
+		cb_relay_move_streams(front, address);
+	} else {
 		/*
 		 * The stream is only slow; another server would start the
 		 * answer over.
 		 */
+		cb_event_pace_set_cause(&relay->pace, "slow");
+		cb_event_pace_count_check(&relay->pace);
 		cb_relay_start_silence_timer(relay);
-		return;
 	}
-	cb_log_event(relay->front->log, CB_EVENT_RELAY_STALLED,
-		     CB_STR("request", relay->request_info.id),
-		     CB_STR("address", address),
-		     CB_INT("last_event", relay->last_event));
-	if (!strcmp(address, first->address) ||
-	    !cb_server_book_record_failure_at(relay->front->book, address,
-					      relay->tried_servers)) {
-		cb_relay_attempt_failed(relay, "silent", TRUE, address);
-		return;
-	}
-	reroute_request_(relay);
+	g_free(address);
 }
 
 /*
- * Called when a stream or the answer to a pending order is overdue: requests a
- * report from the first server, or fails the attempt.
+ * Called when an event of a stream, or the answer to a reroute, is overdue:
+ * requests a report from the first server, or fails the attempt.
  */
 void cb_relay_silence_timer_fired(void *user_data)
 {
 	cb_relay_t *relay = user_data;
 	cb_front_t *front = relay->front;
+	const cb_relay_hop_t *first =
+		&g_array_index(relay->hops, cb_relay_hop_t, 0);
 
-	if (relay->is_order_pending || !relay->service->engine) {
-		cb_relay_attempt_failed(relay, "silent", TRUE, NULL);
+	if (relay->is_reroute_pending) {
+		relay->is_reroute_pending = FALSE;
+		front->orders->vtable->cancel(front->orders, relay);
+		if (relay->pace.last_ms > relay->reroute_sent_ms)
+			cb_relay_start_silence_timer(relay);
+		else
+			cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE,
+						NULL);
 		return;
 	}
-	relay->is_order_pending = TRUE;
-	cb_timer_start(relay->silence_timer, ORDER_TIMEOUT_MS);
-	front->orders->vtable->report(
-		front->orders,
-		g_array_index(relay->hops, cb_relay_hop_t, 0).address,
-		report_receive_, relay);
+	if (!relay->service->engine) {
+		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, NULL);
+		return;
+	}
+	relay->is_report_pending = TRUE;
+	cb_engine_reports_request(front->reports, first->address,
+				  report_receive_, relay);
+}
+
+/* Called with the report of an engine that may be lost. */
+static void suspect_report_receive_(cb_report_result_t result,
+				    const cb_engine_report_t *report,
+				    void *user_data)
+{
+	cb_engine_check_t *check = user_data;
+	cb_front_t *front = check->front;
+	char *address = g_steal_pointer(&check->address);
+
+	(void)report;
+	g_hash_table_remove(front->engine_checks, check);
+	if (result == CB_REPORT_FAILED)
+		cb_relay_move_streams(front, address);
+	g_free(address);
+}
+
+/*
+ * Checks an engine that another one named as the reason why it rejected a
+ * request: the engine may have stopped, or be short of memory.  If it refuses
+ * connections, the streams that pass through it are moved before they fall
+ * silent for long.
+ */
+void cb_relay_check_engine(cb_front_t *front, const char *address)
+{
+	cb_engine_check_t *check;
+	GHashTableIter iter;
+	gboolean is_used = FALSE;
+	void *value;
+
+	g_hash_table_iter_init(&iter, front->relays);
+	while (!is_used && g_hash_table_iter_next(&iter, &value, NULL))
+		is_used = ((cb_relay_t *)value)->call &&
+			  stream_uses_engine_(value, address);
+	if (!is_used)
+		return;
+	check = g_new0(cb_engine_check_t, 1);
+	check->front = front;
+	check->address = g_strdup(address);
+	g_hash_table_add(front->engine_checks, check);
+	cb_engine_reports_request(front->reports, address,
+				  suspect_report_receive_, check);
+}
+
+/* Frees a check of an engine; its report must not be pending. */
+void cb_engine_check_delete(void *data)
+{
+	cb_engine_check_t *check = data;
+
+	g_free(check->address);
+	g_free(check);
 }
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -31,11 +31,19 @@
 	 * the server.
 	 */
 	double token_layers;
+	/* Until when the server is doubtful after failures. */
 	int64_t avoid_until_ms;
+	/* Until when the server is not used because it was shown to be lost. */
+	int64_t lost_until_ms;
+	/* Until when the server is avoided because it had no free slot. */
+	int64_t full_until_ms;
 	/* Successive failures or rejections of requests. */
 	unsigned int failures_in_row;
-	/* Time of the last failure; 0 before the first. */
-	int64_t last_failure_ms;
+	/*
+	 * Time of the last failure by which the server may be lost; 0 before
+	 * the first.
+	 */
+	int64_t suspected_ms;
 	/* Requests running and waiting at the server, as it reported. */
 	int64_t reported_load;
 	/* Time of the report of `reported_load`; 0 before the first. */
@@ -154,9 +162,11 @@
 static gboolean server_is_avoided_(cb_server_book_t *book,
 				   const cb_fleet_server_t *server)
 {
+	const server_stats_t *stats = stats_get_(book, server->id);
+
 	return server->state == CB_FLEET_SILENT ||
-	       stats_get_(book, server->id)->avoid_until_ms >
-		       cb_clock_now_ms(book->clock);
+	       MAX(MAX(stats->avoid_until_ms, stats->lost_until_ms),
+		   stats->full_until_ms) > cb_clock_now_ms(book->clock);
 }
 
 /*
@@ -246,8 +256,10 @@
 static cb_chain_server_t chain_input_make_(cb_server_book_t *book,
 					   const cb_engine_profile_t *engine,
 					   const cb_fleet_server_t *server,
+					   const cb_relay_hop_t *kept_hop,
 					   unsigned int instance_count)
 {
+	int64_t now_ms = cb_clock_now_ms(book->clock);
 	const cb_engine_kind_t *kind =
 		cb_engine_profile_kind(engine, server->kind);
 	const server_stats_t *stats = stats_get_(book, server->id);
@@ -263,24 +275,46 @@
 	}
 	input.pace =
 		kind->step_time_factor * MAX(server->slow_percent, 100) / 100;
+	input.read_pace =
+		kind->read_time_factor * MAX(server->slow_percent, 100) / 100;
+	if (kept_hop) {
+		input.kept_from = kept_hop->layer_from;
+		input.kept_to = kept_hop->layer_to;
+	}
 	input.running = usage.running;
 	input.slots = server->slots;
 	input.free_tokens =
 		cb_placement_token_capacity(engine, kind->memory_mb, layers) -
 		usage.token_layers / layers;
 	input.is_silent = server->state == CB_FLEET_SILENT;
-	input.is_avoided =
-		stats->avoid_until_ms > cb_clock_now_ms(book->clock) ||
-		stats->others_usage.suspecting_instances >=
-			CB_USAGE_SUSPECTING_MIN;
+	/* A server without a free slot still runs what it has begun. */
+	input.is_avoided = stats->lost_until_ms > now_ms ||
+			   (stats->full_until_ms > now_ms && !kept_hop);
+	input.is_doubtful = stats->avoid_until_ms > now_ms ||
+			    stats->others_usage.suspecting_instances >=
+				    CB_USAGE_SUSPECTING_MIN;
 	return input;
 }
 
+/* Returns the hop of a chain at a server, or NULL. */
+static const cb_relay_hop_t *hop_find_(const GArray *hops, const char *id)
+{
+	unsigned int i;
+
+	for (i = 0; hops && i < hops->len; i++)
+		if (!strcmp(g_array_index(hops, cb_relay_hop_t, i).id, id))
+			return &g_array_index(hops, cb_relay_hop_t, i);
+	return NULL;
+}
+
 /* Sets the required first server; FALSE if it is not usable. */
 static gboolean first_server_find_(const GPtrArray *usable,
-				   const cb_relay_hop_t *first,
+				   const GArray *running_hops,
 				   cb_chain_criteria_t *criteria)
 {
+	const cb_relay_hop_t *first =
+		running_hops ? &g_array_index(running_hops, cb_relay_hop_t, 0) :
+			       NULL;
 	unsigned int i;
 
 	for (i = 0; first && i < usable->len; i++) {
@@ -303,6 +337,7 @@
 	cb_chain_criteria_t chain_criteria = {
 		.data_centre = book->data_centre,
 		.tokens = criteria->tokens,
+		.reads_again = criteria->running_hops != NULL,
 		.forbids_crossing = criteria->forbids_crossing
 	};
 	GArray *parts = g_array_new(FALSE, FALSE, sizeof(cb_chain_part_t));
@@ -312,10 +347,16 @@
 	cb_chain_outcome_t outcome;
 	unsigned int i;
 
-	for (i = 0; i < usable->len; i++)
-		inputs[i] = chain_input_make_(book, engine, usable->pdata[i],
+	for (i = 0; i < usable->len; i++) {
+		const cb_fleet_server_t *server = usable->pdata[i];
+
+		inputs[i] = chain_input_make_(book, engine, server,
+					      hop_find_(criteria->running_hops,
+							server->id),
 					      instance_count);
-	if (!first_server_find_(usable, criteria->first_hop, &chain_criteria))
+	}
+	if (!first_server_find_(usable, criteria->running_hops,
+				&chain_criteria))
 		outcome = CB_CHAIN_NO_HOLDER;
 	else
 		outcome = cb_chain_choose(engine, inputs, usable->len,
@@ -397,10 +438,9 @@
 		stats->reported_usage = (cb_usage_load_t){
 			.running = stats->running,
 			.token_layers = stats->token_layers,
-			.suspecting_instances =
-				stats->last_failure_ms &&
-				now_ms - stats->last_failure_ms <
-					SUSPECT_REPORT_MS,
+			.suspecting_instances = stats->suspected_ms &&
+						now_ms - stats->suspected_ms <
+							SUSPECT_REPORT_MS,
 		};
 		if (stats->running ||
 		    stats->reported_usage.suspecting_instances)
@@ -456,9 +496,9 @@
 		/*
 		 * Requests that are rejected together count as one rejection.
 		 */
-		if (stats->avoid_until_ms > now_ms)
+		if (stats->full_until_ms > now_ms)
 			continue;
-		stats->avoid_until_ms =
+		stats->full_until_ms =
 			now_ms + (FULL_AVOID_INITIAL_MS
 				  << MIN(stats->failures_in_row,
 					 FULL_AVOID_DOUBLINGS_MAX));
@@ -476,25 +516,30 @@
 	stats->load_reported_ms = cb_clock_now_ms(book->clock);
 }
 
-/* Records that a request failed at a server and avoids it for a while. */
-void cb_server_book_record_failure(cb_server_book_t *book, const char *id)
+/*
+ * Records that a request failed at a server, which is avoided for a while.
+ * `may_be_lost`: the other instances are told that the server may be lost.
+ */
+void cb_server_book_record_failure(cb_server_book_t *book, const char *id,
+				   gboolean may_be_lost)
 {
 	server_stats_t *stats = stats_get_(book, id);
+	int64_t now_ms = cb_clock_now_ms(book->clock);
 	int64_t avoid_ms = AVOID_INITIAL_MS << MIN(stats->failures_in_row, 4);
 
 	stats->failures_in_row++;
-	stats->last_failure_ms = cb_clock_now_ms(book->clock);
-	stats->avoid_until_ms =
-		stats->last_failure_ms + MIN(avoid_ms, AVOID_MAX_MS);
+	stats->avoid_until_ms = now_ms + MIN(avoid_ms, AVOID_MAX_MS);
+	if (may_be_lost)
+		stats->suspected_ms = now_ms;
 }
 
 /*
- * Records a failure of the server at an address and adds its ID to `tried`.
- * Returns FALSE if no server has that address.
+ * Records that the server at an address is lost, as another one or its own port
+ * shows, and adds its ID to `tried`.  Returns FALSE if no server has that
+ * address.
  */
-gboolean cb_server_book_record_failure_at(cb_server_book_t *book,
-					  const char *address,
-					  GHashTable *tried)
+gboolean cb_server_book_record_loss_at(cb_server_book_t *book,
+				       const char *address, GHashTable *tried)
 {
 	const GPtrArray *all = cb_fleet_servers(book->fleet);
 	gboolean is_found = FALSE;
@@ -502,11 +547,14 @@
 
 	for (i = 0; i < all->len; i++) {
 		const cb_fleet_server_t *server = all->pdata[i];
+		server_stats_t *stats;
 
 		if (server->state == CB_FLEET_GONE ||
 		    strcmp(server->address, address) != 0)
 			continue;
-		cb_server_book_record_failure(book, server->id);
+		cb_server_book_record_failure(book, server->id, TRUE);
+		stats = stats_get_(book, server->id);
+		stats->lost_until_ms = stats->avoid_until_ms;
 		g_hash_table_add(tried, g_strdup(server->id));
 		is_found = TRUE;
 	}
--- a/src/test_libcurrantbridge/test_event_pace.c
+++ b/src/test_libcurrantbridge/test_event_pace.c
@@ -64,9 +64,56 @@
 	}
 }
 
+#define ALLOWED_GAP_MS 200
+
+typedef struct silence_case {
+	const char *description; /* printed if the case fails */
+	int64_t gap_ms;		 /* gap between 20 events; 0: one event */
+	unsigned int checks;	 /* checks since the last event */
+	int64_t expected_ms;
+} silence_case_t;
+
+static const silence_case_t silence_cases[] = {
+	{ "before a second event", 0, 0, 120 },
+	{ "usual gaps far below the allowed pause", 40, 0, 120 },
+	{ "usual gaps near the allowed pause", 160, 0, 160 },
+	{ "usual gaps over the allowed pause", 400, 0, 200 },
+	{ "after a first check", 40, 1, 120 },
+	{ "after a second check", 40, 2, 240 },
+	{ "after many checks", 40, 60, 300 },
+};
+
+/*
+ * A stream must be checked early enough to be moved within the allowed pause,
+ * but one that is always slow must not be checked after each event.
+ */
+static void silence_depends_on_usual_gaps(void)
+{
+	size_t i;
+	unsigned int k;
+
+	for (i = 0; i < G_N_ELEMENTS(silence_cases); i++) {
+		const silence_case_t *c = &silence_cases[i];
+		cb_event_pace_t pace = { 0 };
+		int64_t silence_ms;
+
+		cb_event_pace_add(&pace, 1000);
+		for (k = 1; c->gap_ms && k < 20; k++)
+			cb_event_pace_add(&pace, 1000 + k * c->gap_ms);
+		for (k = 0; k < c->checks; k++)
+			cb_event_pace_count_check(&pace);
+		silence_ms = cb_event_pace_silence_ms(&pace, ALLOWED_GAP_MS);
+		CU_ASSERT_EQUAL(silence_ms, c->expected_ms);
+		if (silence_ms != c->expected_ms)
+			printf("    %s: %d ms\n", c->description,
+			       (int)silence_ms);
+	}
+}
+
 static CU_TestInfo event_pace_tests[] = {
 	{ "longest_gap_is_recorded_with_its_cause",
 	  longest_gap_is_recorded_with_its_cause },
+	{ "silence_depends_on_usual_gaps", silence_depends_on_usual_gaps },
 	CU_TEST_INFO_NULL
 };
 
--- a/src/test_libcurrantbridge/test_placement.c
+++ b/src/test_libcurrantbridge/test_placement.c
@@ -22,6 +22,7 @@
 	engine->layer_mb = 1750;
 	engine->kv_token_bytes = 459000;
 	engine->step_ms = 0.85;
+	engine->read_tokens_per_s = 252000;
 	engine->per_sequence_ms = 0.003;
 	engine->context_per_k_ms = 0.004;
 	engine->stride = 2;
@@ -481,6 +482,21 @@
 		.pace = 1, .free_tokens = (tokens)                     \
 	}
 
+/* An engine that already runs `first` to before `end` for the request. */
+#define KEPT_ENGINE(centre, its_pace, first, end)                        \
+	{                                                                \
+		.data_centre = (centre), .from = (first), .to = (end),   \
+		.pace = (its_pace), .read_pace = 1, .free_tokens = 9000, \
+		.kept_from = (first), .kept_to = (end)                   \
+	}
+
+/* An engine where requests failed recently. */
+#define DOUBTFUL_ENGINE(centre, first, end)                            \
+	{                                                              \
+		.data_centre = (centre), .from = (first), .to = (end), \
+		.pace = 1, .free_tokens = 9000, .is_doubtful = TRUE    \
+	}
+
 /* An engine with the first half of the layers and `taken` of 8 slots in use. */
 #define FIRST_ENGINE(its_pace, taken)                               \
 	{                                                           \
@@ -538,6 +554,52 @@
 	  { .data_centre = "a", .tokens = 900 },
 	  CB_CHAIN_NO_ROOM,
 	  { -1 } },
+	{ "a running request keeps an engine rather than read again on a "
+	  "faster one",
+	  { KEPT_ENGINE("a", 1, 0, 40),
+	    KEPT_ENGINE("a", 3, 40, 80),
+	    { .data_centre = "a",
+	      .from = 40,
+	      .to = 80,
+	      .pace = 1,
+	      .read_pace = 1,
+	      .free_tokens = 9000 } },
+	  3,
+	  { .data_centre = "a",
+	    .tokens = 900,
+	    .first_to = 40,
+	    .reads_again = TRUE },
+	  CB_CHAIN_FOUND,
+	  { 0, 1, -1 } },
+	{ "a running request leaves an engine that is very slow",
+	  { KEPT_ENGINE("a", 1, 0, 40),
+	    KEPT_ENGINE("a", 90, 40, 80),
+	    { .data_centre = "a",
+	      .from = 40,
+	      .to = 80,
+	      .pace = 1,
+	      .read_pace = 1,
+	      .free_tokens = 9000 } },
+	  3,
+	  { .data_centre = "a",
+	    .tokens = 900,
+	    .first_to = 40,
+	    .reads_again = TRUE },
+	  CB_CHAIN_FOUND,
+	  { 0, 2, -1 } },
+	{ "another data centre rather than a doubtful engine",
+	  { ENGINE("a", 0, 40, 9000), DOUBTFUL_ENGINE("a", 40, 80),
+	    ENGINE("b", 0, 40, 9000), ENGINE("b", 40, 80, 9000) },
+	  4,
+	  { .data_centre = "a", .tokens = 900 },
+	  CB_CHAIN_FOUND,
+	  { 2, 3, -1 } },
+	{ "a doubtful engine where there is no other",
+	  { ENGINE("a", 0, 40, 9000), DOUBTFUL_ENGINE("a", 40, 80) },
+	  2,
+	  { .data_centre = "a", .tokens = 900 },
+	  CB_CHAIN_FOUND,
+	  { 0, 1, -1 } },
 	{ "the given first part is kept",
 	  { ENGINE("a", 0, 40, 9000), ENGINE("a", 0, 40, 9000),
 	    ENGINE("a", 40, 80, 9000) },
