--- a/src/test_libcurrantbridge/test_event_pace.c
+++ b/src/test_libcurrantbridge/test_event_pace.c
@@ -65,11 +65,12 @@
 }
 
 #define ALLOWED_GAP_MS 200
+#define EVENT_COUNT 60
 
 typedef struct silence_case {
 	const char *description; /* printed if the case fails */
-	int64_t gap_ms;		 /* gap between 20 events; 0: one event */
-	unsigned int checks;	 /* checks since the last event */
+	int64_t gap_ms;	     /* gap between EVENT_COUNT events; 0: one event */
+	unsigned int checks; /* checks since the last event */
 	int64_t expected_ms;
 } silence_case_t;
 
@@ -98,7 +99,7 @@
 		int64_t silence_ms;
 
 		cb_event_pace_add(&pace, 1000);
-		for (k = 1; c->gap_ms && k < 20; k++)
+		for (k = 1; c->gap_ms && k < EVENT_COUNT; k++)
 			cb_event_pace_add(&pace, 1000 + k * c->gap_ms);
 		for (k = 0; k < c->checks; k++)
 			cb_event_pace_count_check(&pace);
--- a/src/test_libcurrantbridge/test_placement.c
+++ b/src/test_libcurrantbridge/test_placement.c
@@ -557,7 +557,7 @@
 	{ "a running request keeps an engine rather than read again on a "
 	  "faster one",
 	  { KEPT_ENGINE("a", 1, 0, 40),
-	    KEPT_ENGINE("a", 3, 40, 80),
+	    KEPT_ENGINE("a", 1.5, 40, 80),
 	    { .data_centre = "a",
 	      .from = 40,
 	      .to = 80,
