Servers that leave or turn away by their answers are left alone

A server that says in an answer that it is leaving gets no new requests of this instance, whatever its later heartbeats say; its next process does. The server's own notice tells the other instances. A server that answers 503 with Retry-After gets no new requests of this instance until then; as a later hop of a chain, whose requests come from another engine, it is still used. Where all servers of a service turn this instance away for longer than the request may wait, the caller is refused at once, with the shortest of these times.

Retry-After: seconds, with or without a fraction, of a 503; the longest of several; at most an hour; anything else (0, negative, a date, text) is ignored.

Tests: test_platform leaving_and_retry_after_are_read; test_relay leaving_server_gets_no_requests, server_that_turns_away_is_left_alone and requests_are_refused_while_all_servers_turn_away; the three fail without the records in answer_head_receive_().

--- a/include/currantbridge/chain.h
+++ b/include/currantbridge/chain.h
@@ -38,6 +38,8 @@
 	 * heartbeats.
 	 */
 	gboolean is_silent;
+	/* Whether the engine may not be the first one of a new chain. */
+	gboolean is_first_barred;
 	/* Whether the engine gets no new requests for now: full or lost. */
 	gboolean is_avoided;
 	/*
--- a/include/currantbridge/dialect.h
+++ b/include/currantbridge/dialect.h
@@ -37,9 +37,10 @@
 
 /* One server of a request's chain, with the layers that it runs. */
 typedef struct cb_relay_hop {
-	char *id;	     /* server ID */
-	char *address;	     /* "IP:PORT" */
-	uint32_t layer_from; /* first layer that the server runs */
+	char *id;	       /* server ID */
+	char *address;	       /* "IP:PORT" */
+	int64_t start_wall_ms; /* start of the server's process */
+	uint32_t layer_from;   /* first layer that the server runs */
 	/* One past the server's last layer; 0: the service has no layers. */
 	uint32_t layer_to;
 } cb_relay_hop_t;
@@ -66,6 +67,13 @@
 	int64_t running; /* requests running at the server; -1: not given */
 	/* Requests queued at the server; valid if `running` is given. */
 	int64_t waiting;
+	gboolean
+		is_leaving; /* the server will stop and wants no new requests */
+	/*
+	 * How long the server, which turned the request away, wants no requests
+	 * of this instance; 0: not given.
+	 */
+	int64_t retry_after_ms;
 } cb_relay_answer_info_t;
 
 typedef struct cb_dialect_vtable {
--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -272,7 +272,8 @@
 /* Whether an engine may be the first one of another request's chain. */
 static gboolean server_has_slot_(const cb_chain_server_t *server)
 {
-	return !server->slots || server->running < server->slots;
+	return !server->is_first_barred &&
+	       (!server->slots || server->running < server->slots);
 }
 
 /* Begins the search with an empty chain, or with the part to be kept. */
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -64,6 +64,21 @@
 void cb_server_book_update_usage(cb_server_book_t *book, const cb_usage_t *sum);
 /* Records that the server at an address had no free slot, to avoid it. */
 void cb_server_book_mark_full(cb_server_book_t *book, const char *address);
+/*
+ * Records that the process of a hop's server wants no requests of this instance
+ * for `away_ms`, or that it will stop.
+ */
+void cb_server_book_record_turned_away(cb_server_book_t *book,
+				       const cb_relay_hop_t *hop,
+				       int64_t away_ms);
+void cb_server_book_record_leaving(cb_server_book_t *book,
+				   const cb_relay_hop_t *hop);
+/*
+ * Returns the shortest time until a server of the service takes requests of
+ * this instance again, in ms; 0: one does now, or none turned it away.
+ */
+int64_t cb_server_book_turned_away_ms(const cb_server_book_t *book,
+				      const cb_service_profile_t *service);
 void cb_server_book_record_load(cb_server_book_t *book, const char *id,
 				int64_t running, int64_t waiting);
 /*
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -278,6 +278,21 @@
 	return outcome;
 }
 
+/*
+ * Gives up a request whose servers all turn this instance away for longer than
+ * it may wait; its caller gets the time after which one takes it.
+ */
+static gboolean turned_away_give_up_(cb_relay_t *relay, int64_t max_wait_ms)
+{
+	int64_t away_ms = cb_server_book_turned_away_ms(relay->front->book,
+							relay->service);
+
+	if (away_ms <= wait_limit_compute_(relay, max_wait_ms))
+		return FALSE;
+	cb_relay_give_up(relay, "turned_away", away_ms);
+	return TRUE;
+}
+
 /* Chooses servers and sends the request, queues it or gives it up. */
 void cb_relay_attempt_start(cb_relay_t *relay)
 {
@@ -288,11 +303,15 @@
 	case CB_BOOK_FOUND:
 		break;
 	case CB_BOOK_NO_SERVER:
+		if (turned_away_give_up_(relay, max_wait_ms))
+			return;
 		request_queue_(relay, "no_server",
 			       MAX(max_wait_ms, SERVER_WAIT_MAX_MS),
 			       NO_SERVER_RETRY_AFTER_MS);
 		return;
 	case CB_BOOK_NO_ROOM:
+		if (turned_away_give_up_(relay, max_wait_ms))
+			return;
 		request_queue_(relay, "no_room", max_wait_ms,
 			       CB_RELAY_RETRY_AFTER_MS);
 		return;
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -162,6 +162,11 @@
 		cb_server_book_record_load(front->book, first->id,
 					   answer_info.running,
 					   answer_info.waiting);
+	if (answer_info.is_leaving)
+		cb_server_book_record_leaving(front->book, first);
+	if (answer_info.retry_after_ms)
+		cb_server_book_record_turned_away(front->book, first,
+						  answer_info.retry_after_ms);
 	relay->has_not_run = answer_info.has_not_run;
 	g_free(relay->failed_address);
 	relay->failed_address = g_strdup(answer_info.failed_address);
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -37,6 +37,14 @@
 	int64_t lost_until_ms;
 	/* Until when the server is avoided because it had no free slot. */
 	int64_t full_until_ms;
+	/* Until when the server wants no requests of this instance. */
+	int64_t turned_away_until_ms;
+	/*
+	 * Start of the server process that turned this instance away, and of
+	 * the one that announced its stop in an answer; 0: none.
+	 */
+	int64_t turned_away_start_wall_ms;
+	int64_t leaving_start_wall_ms;
 	/* Successive failures or rejections of requests. */
 	unsigned int failures_in_row;
 	/*
@@ -128,11 +136,38 @@
 		     uint32_t from, uint32_t to)
 {
 	cb_relay_hop_t hop = { g_strdup(server->id), g_strdup(server->address),
-			       from, to };
+			       server->start_wall_ms, from, to };
 
 	g_array_append_val(hops, hop);
 }
 
+/*
+ * Returns for how long this process of a server wants no requests of this
+ * instance, in ms; 0: it takes them.
+ */
+static int64_t turned_away_ms_(const cb_server_book_t *book,
+			       const cb_fleet_server_t *server)
+{
+	const server_stats_t *stats =
+		g_hash_table_lookup(book->stats_by_id, server->id);
+
+	if (!stats || stats->turned_away_start_wall_ms != server->start_wall_ms)
+		return 0;
+	return MAX(stats->turned_away_until_ms - cb_clock_now_ms(book->clock),
+		   0);
+}
+
+/* Returns whether this process of a server announced its stop in an answer. */
+static gboolean server_is_leaving_(const cb_server_book_t *book,
+				   const cb_fleet_server_t *server)
+{
+	const server_stats_t *stats =
+		g_hash_table_lookup(book->stats_by_id, server->id);
+
+	return stats && stats->leaving_start_wall_ms &&
+	       stats->leaving_start_wall_ms == server->start_wall_ms;
+}
+
 /* Returns whether a new request may be sent to a server. */
 static gboolean server_is_usable_(const cb_server_book_t *book,
 				  const cb_book_criteria_t *criteria,
@@ -141,7 +176,9 @@
 	if (strcmp(server->service, criteria->service->name) != 0 ||
 	    (server->state != CB_FLEET_READY &&
 	     server->state != CB_FLEET_SILENT) ||
-	    g_hash_table_contains(criteria->excluded_servers, server->id))
+	    g_hash_table_contains(criteria->excluded_servers, server->id) ||
+	    server_is_leaving_(book, server) ||
+	    (!criteria->service->engine && turned_away_ms_(book, server)))
 		return FALSE;
 	return !cb_fleet_is_stopped(server, book->view);
 }
@@ -287,6 +324,7 @@
 		cb_placement_token_capacity(engine, kind->memory_mb, layers) -
 		usage.token_layers / layers;
 	input.is_silent = server->state == CB_FLEET_SILENT;
+	input.is_first_barred = turned_away_ms_(book, server) > 0;
 	/* A server without a free slot still runs what it has begun. */
 	input.is_avoided = stats->lost_until_ms > now_ms ||
 			   (stats->full_until_ms > now_ms && !kept_hop);
@@ -506,6 +544,55 @@
 	}
 }
 
+/*
+ * Records that a server's process wants no requests of this instance for
+ * `away_ms`.  A shorter time than one recorded before changes nothing.
+ */
+void cb_server_book_record_turned_away(cb_server_book_t *book,
+				       const cb_relay_hop_t *hop,
+				       int64_t away_ms)
+{
+	server_stats_t *stats = stats_get_(book, hop->id);
+	int64_t until_ms = cb_clock_now_ms(book->clock) + away_ms;
+
+	if (stats->turned_away_start_wall_ms != hop->start_wall_ms)
+		stats->turned_away_until_ms = 0;
+	stats->turned_away_start_wall_ms = hop->start_wall_ms;
+	stats->turned_away_until_ms =
+		MAX(stats->turned_away_until_ms, until_ms);
+}
+
+/* Records that a server's process announced its stop in an answer. */
+void cb_server_book_record_leaving(cb_server_book_t *book,
+				   const cb_relay_hop_t *hop)
+{
+	stats_get_(book, hop->id)->leaving_start_wall_ms = hop->start_wall_ms;
+}
+
+/*
+ * Returns the shortest time until a server of the service takes requests of
+ * this instance again, in ms; 0: one does now, or none turned it away.
+ */
+int64_t cb_server_book_turned_away_ms(const cb_server_book_t *book,
+				      const cb_service_profile_t *service)
+{
+	const GPtrArray *all = cb_fleet_servers(book->fleet);
+	int64_t shortest_ms = INT64_MAX;
+	unsigned int i;
+
+	for (i = 0; i < all->len; i++) {
+		const cb_fleet_server_t *server = all->pdata[i];
+
+		if (strcmp(server->service, service->name) != 0 ||
+		    server->state != CB_FLEET_READY ||
+		    server_is_leaving_(book, server) ||
+		    cb_fleet_is_stopped(server, book->view))
+			continue;
+		shortest_ms = MIN(shortest_ms, turned_away_ms_(book, server));
+	}
+	return shortest_ms == INT64_MAX ? 0 : shortest_ms;
+}
+
 /* Records the numbers of requests that a server reported in an answer. */
 void cb_server_book_record_load(cb_server_book_t *book, const char *id,
 				int64_t running, int64_t waiting)
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -97,12 +97,16 @@
 			      const cb_http1_head_t *answer, const char *id,
 			      cb_relay_answer_info_t *answer_info)
 {
+	const char *away = cb_http1_head_find(answer, "Away-Ms");
+
 	(void)dialect;
 	*answer_info = (cb_relay_answer_info_t){
 		.matches_request =
 			!g_strcmp0(cb_http1_head_find(answer, "Id"), id),
 		.has_not_run = cb_http1_head_find(answer, "Not-Run") != NULL,
 		.running = -1,
+		.is_leaving = cb_http1_head_find(answer, "Leaving") != NULL,
+		.retry_after_ms = away ? g_ascii_strtoll(away, NULL, 10) : 0,
 	};
 }
 
@@ -246,33 +250,39 @@
 
 static accept_context_t accept_contexts[SERVER_COUNT];
 
+/* Announces a server's process to the control instance. */
+static void server_announce_(fixture_t *fixture, unsigned int server,
+			     int64_t start_wall_ms, uint64_t sequence)
+{
+	cb_fleet_server_t heartbeat = { .service = (char *)"s",
+					.data_centre = (char *)"dc1",
+					.start_wall_ms = start_wall_ms,
+					.sequence = sequence,
+					.slots = 4 };
+
+	heartbeat.id = g_strdup_printf("server%u", server);
+	heartbeat.address =
+		g_strdup_printf("127.0.0.1:%u",
+				cb_stream_listener_port(
+					fixture->listeners[server]));
+	cb_node_server_announce(fixture->world->nodes[0].node, &heartbeat,
+				accepted_answer_check_, NULL);
+	g_free(heartbeat.id);
+	g_free(heartbeat.address);
+}
+
 /* Starts the servers and announces them to the control instance. */
 static void servers_start_(fixture_t *fixture)
 {
 	unsigned int i;
 
 	for (i = 0; i < SERVER_COUNT; i++) {
-		cb_fleet_server_t heartbeat = { .service = (char *)"s",
-						.data_centre = (char *)"dc1",
-						.start_wall_ms = 1,
-						.sequence = 1,
-						.slots = 4 };
-
 		accept_contexts[i] = (accept_context_t){ fixture, i };
 		fixture->listeners[i] =
 			cb_stream_listen(fixture->poller, "127.0.0.1:0",
 					 server_accept_, &accept_contexts[i],
 					 NULL);
-		heartbeat.id = g_strdup_printf("server%u", i);
-		heartbeat.address =
-			g_strdup_printf("127.0.0.1:%u",
-					cb_stream_listener_port(
-						fixture->listeners[i]));
-		cb_node_server_announce(fixture->world->nodes[0].node,
-					&heartbeat, accepted_answer_check_,
-					NULL);
-		g_free(heartbeat.id);
-		g_free(heartbeat.address);
+		server_announce_(fixture, i, 1, 1);
 	}
 }
 
@@ -679,6 +689,121 @@
 	fixture_clear_(&fixture);
 }
 
+#define LEAVING_ANSWER                               \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nLeaving: 1\r\n" \
+	"Content-Length: 2\r\n\r\nok"
+#define AWAY_MS 3000
+#define AWAY_ANSWER                                                  \
+	"HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\nAway-Ms: 3000\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define SCRIPTS_MAX 32
+#define LATER_REQUESTS 12
+
+/* Sends a request and returns the server that got it last; -1: no answer. */
+static int request_serve_(fixture_t *fixture)
+{
+	request_send_(fixture, IDEMPOTENT_REQUEST);
+	if (!loop_run_until_(fixture, 0, "ok") || !fixture->server_indexes->len)
+		return -1;
+	return (int)g_array_index(fixture->server_indexes, unsigned int,
+				  fixture->server_indexes->len - 1);
+}
+
+/* Returns whether one of the next LATER_REQUESTS requests reaches a server. */
+static gboolean requests_reach_server_(fixture_t *fixture, int server)
+{
+	gboolean is_reached = FALSE;
+	int i;
+
+	for (i = 0; i < LATER_REQUESTS; i++)
+		is_reached |= request_serve_(fixture) == server;
+	return is_reached;
+}
+
+/*
+ * A server that announces its stop in an answer must get no new requests, also
+ * after another heartbeat as ready, but those of its next process.
+ */
+static void leaving_server_gets_no_requests(void)
+{
+	script_t scripts[SCRIPTS_MAX];
+	fixture_t fixture;
+	int server;
+	size_t i;
+
+	for (i = 0; i < SCRIPTS_MAX; i++)
+		scripts[i] = (script_t){ i ? COMPLETE_ANSWER : LEAVING_ANSWER,
+					 END_KEEP };
+	fixture_init_(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = SCRIPTS_MAX;
+	server = request_serve_(&fixture);
+	CU_ASSERT_TRUE_FATAL(server >= 0);
+	server_announce_(&fixture, (unsigned int)server, 1, 2);
+	world_run_until(fixture.world, NULL, 1000);
+	CU_ASSERT_FALSE(requests_reach_server_(&fixture, server));
+	server_announce_(&fixture, (unsigned int)server, 2, 1);
+	world_run_until(fixture.world, NULL, 1000);
+	CU_ASSERT_TRUE(requests_reach_server_(&fixture, server));
+	fixture_clear_(&fixture);
+}
+
+/*
+ * A server that turns this instance away for a time must get no request until
+ * then; the request that it turned away is served by another server.
+ */
+static void server_that_turns_away_is_left_alone(void)
+{
+	script_t scripts[SCRIPTS_MAX];
+	fixture_t fixture;
+	unsigned int server;
+	size_t i;
+
+	for (i = 0; i < SCRIPTS_MAX; i++)
+		scripts[i] = (script_t){ i ? COMPLETE_ANSWER : AWAY_ANSWER,
+					 END_KEEP };
+	fixture_init_(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = SCRIPTS_MAX;
+	CU_ASSERT_TRUE(request_serve_(&fixture) >= 0);
+	CU_ASSERT_EQUAL(fixture.requests->len, 2);
+	server = g_array_index(fixture.server_indexes, unsigned int, 0);
+	world_run_until(fixture.world, NULL, AWAY_MS - 100);
+	CU_ASSERT_FALSE(requests_reach_server_(&fixture, (int)server));
+	world_run_until(fixture.world, NULL, 200);
+	CU_ASSERT_TRUE(requests_reach_server_(&fixture, (int)server));
+	fixture_clear_(&fixture);
+}
+
+/*
+ * Where every server turns this instance away for longer than a request may
+ * wait, the caller is told at once, with the time after which one takes it.
+ */
+static void requests_are_refused_while_all_servers_turn_away(void)
+{
+	script_t scripts[SCRIPTS_MAX];
+	fixture_t fixture;
+	size_t i;
+
+	for (i = 0; i < SCRIPTS_MAX; i++)
+		scripts[i] = (script_t){ AWAY_ANSWER, END_KEEP };
+	fixture_init_(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = SCRIPTS_MAX;
+	for (i = 0; i < 2; i++) {
+		request_send_(&fixture, IDEMPOTENT_REQUEST);
+		CU_ASSERT_TRUE(loop_run_until_(&fixture, 0, "turned_away"));
+		CU_ASSERT_TRUE(
+			g_str_has_prefix(fixture.answer->str, "HTTP/1.1 503 "));
+		CU_ASSERT_PTR_NOT_NULL(
+			strstr(fixture.answer->str, "Retry-After: "));
+		CU_ASSERT_PTR_NOT_NULL(
+			strstr(fixture.answer->str, "\"executed\":\"no\""));
+		CU_ASSERT_EQUAL(fixture.requests->len, SERVER_COUNT);
+	}
+	fixture_clear_(&fixture);
+}
+
 #define LARGE_BODY_BYTES 1500000
 #define LARGE_BODY_SENT_BYTES 1200000
 
@@ -809,6 +934,11 @@
 	  disconnected_caller_cancels_at_server },
 	{ "reset_stream_resumes_at_another_server",
 	  reset_stream_resumes_at_another_server },
+	{ "leaving_server_gets_no_requests", leaving_server_gets_no_requests },
+	{ "server_that_turns_away_is_left_alone",
+	  server_that_turns_away_is_left_alone },
+	{ "requests_are_refused_while_all_servers_turn_away",
+	  requests_are_refused_while_all_servers_turn_away },
 	{ "large_answer_is_not_joined_with_another",
 	  large_answer_is_not_joined_with_another },
 	{ "requests_wait_briefly_for_document",
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -311,8 +311,8 @@
 		"Last-Event-Id: 2\r\nContent-Length: 3\r\n\r\n";
 	const cb_dialect_t *dialect = platform_dialect();
 	cb_relay_hop_t hops[] = {
-		{ (char *)"i-1", (char *)"10.0.0.1:80", 0, 20 },
-		{ (char *)"i-2", (char *)"10.0.0.2:80", 20, 80 }
+		{ (char *)"i-1", (char *)"10.0.0.1:80", 1, 0, 20 },
+		{ (char *)"i-2", (char *)"10.0.0.2:80", 1, 20, 80 }
 	};
 	GArray *hop_array = g_array_new(FALSE, FALSE, sizeof(cb_relay_hop_t));
 	cb_relay_attempt_info_t attempt_info = { .server_id = "i-1",
@@ -391,6 +391,65 @@
 	}
 }
 
+/*
+ * Guards against notices of servers that are missed, and against invalid
+ * values that keep this instance away from a server.
+ */
+static void leaving_and_retry_after_are_read(void)
+{
+	static const struct {
+		const char *headers;
+		uint32_t status;
+		gboolean is_leaving;
+		int64_t retry_after_ms;
+	} cases[] = {
+		{ "", 503, FALSE, 0 },
+		{ "Server-Leaving: 1\r\n", 200, TRUE, 0 },
+		{ "server-leaving: 1\r\n", 500, TRUE, 0 },
+		{ "Server-Leaving: 0\r\n", 200, FALSE, 0 },
+		{ "Server-Leaving: true\r\n", 200, FALSE, 0 },
+		{ "Retry-After: 2\r\n", 503, FALSE, 2000 },
+		{ "Retry-After: 2\r\n", 200, FALSE, 0 },
+		{ "Retry-After: 2\r\n", 429, FALSE, 0 },
+		{ "Retry-After: 0.25\r\n", 503, FALSE, 250 },
+		{ "Retry-After: 0\r\n", 503, FALSE, 0 },
+		{ "Retry-After: -3\r\n", 503, FALSE, 0 },
+		{ "Retry-After: \r\n", 503, FALSE, 0 },
+		{ "Retry-After: soon\r\n", 503, FALSE, 0 },
+		{ "Retry-After: 2s\r\n", 503, FALSE, 0 },
+		{ "Retry-After: nan\r\n", 503, FALSE, 0 },
+		{ "Retry-After: Fri, 04 Dec 2026 06:00:00 GMT\r\n", 503, FALSE,
+		  0 },
+		{ "Retry-After: 99999999999999999999\r\n", 503, FALSE,
+		  3600000 },
+		{ "Retry-After: 1\r\nRetry-After: 3\r\nRetry-After: x\r\n", 503,
+		  FALSE, 3000 },
+	};
+	const cb_dialect_t *dialect = platform_dialect();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf("HTTP/1.1 %u X\r\n%s\r\n",
+					     cases[i].status, cases[i].headers);
+		cb_relay_answer_info_t answer_info;
+		cb_http1_head_t head;
+		size_t used;
+
+		cb_http1_answer_parse(&head, "GET", (const uint8_t *)text,
+				      strlen(text), 4096, &used);
+		dialect->vtable->read_answer_info(dialect, &head, "9",
+						  &answer_info);
+		CU_ASSERT_EQUAL(answer_info.is_leaving, cases[i].is_leaving);
+		CU_ASSERT_EQUAL(answer_info.retry_after_ms,
+				cases[i].retry_after_ms);
+		if (answer_info.retry_after_ms != cases[i].retry_after_ms)
+			printf("    %s: %d ms\n", cases[i].headers,
+			       (int)answer_info.retry_after_ms);
+		cb_http1_head_clear(&head);
+		g_free(text);
+	}
+}
+
 /* Control addresses must be the seeds' hosts with the internal port. */
 static void settings_are_loaded(void)
 {
@@ -428,6 +487,8 @@
 	{ "relay_headers_replace_caller_headers",
 	  relay_headers_replace_caller_headers },
 	{ "answer_headers_are_read", answer_headers_are_read },
+	{ "leaving_and_retry_after_are_read",
+	  leaving_and_retry_after_are_read },
 	{ "settings_are_loaded", settings_are_loaded },
 	CU_TEST_INFO_NULL
 };
