--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -54,6 +54,13 @@
 	const script_t *scripts; /* scripts, one for each request, in order */
 	unsigned int script_count;
 	unsigned int ended_connection_count;
+	/* Engine calls: the addresses asked for a report, and the reroutes. */
+	GPtrArray *report_addresses;
+	GPtrArray *reroutes; /* request ID and servers of each new chain */
+	/* The engine that is reported as lost, by its server index; or -1. */
+	int lost_server;
+	/* Callers that are still connected, beside `caller`. */
+	GPtrArray *other_callers;
 	/* The caller's connection and what it received. */
 	cb_stream_t *caller;
 	GString *answer; /* bytes received by the caller */
@@ -79,6 +86,7 @@
 			       const cb_relay_attempt_info_t *attempt_info)
 {
 	GString *text = g_string_new(NULL);
+	unsigned int i;
 
 	(void)dialect;
 	g_string_append_printf(
@@ -90,6 +98,11 @@
 		attempt_info->workspace ? attempt_info->workspace : "-",
 		(int)attempt_info->last_event, body->len);
 	g_string_append_len(text, (const char *)body->data, body->len);
+	for (i = 0; attempt_info->hops && i < attempt_info->hops->len; i++)
+		g_string_append_printf(text, "%s ",
+				       g_array_index(attempt_info->hops,
+						     cb_relay_hop_t, i)
+					       .id);
 	return text;
 }
 
@@ -105,6 +118,7 @@
 			!g_strcmp0(cb_http1_head_find(answer, "Id"), id),
 		.has_not_run = cb_http1_head_find(answer, "Not-Run") != NULL,
 		.running = -1,
+		.failed_address = cb_http1_head_find(answer, "Fault"),
 		.is_leaving = cb_http1_head_find(answer, "Leaving") != NULL,
 		.retry_after_ms = away ? g_ascii_strtoll(away, NULL, 10) : 0,
 	};
@@ -121,7 +135,9 @@
 		       cb_route_kind_t kind)
 {
 	cb_route_t *route = cb_route_new();
-	cb_route_split_t split = { g_strdup("s"), 1 };
+	cb_route_split_t split = {
+		g_strdup(g_str_has_prefix(prefix, "/engine") ? "e" : "s"), 1
+	};
 
 	route->name = g_strdup(prefix);
 	route->host = g_strdup("h");
@@ -136,6 +152,29 @@
 	cb_document_add_route(document, route);
 }
 
+#define ENGINE_LAYERS 2
+
+/* Adds service "e", whose engines of kind "k" hold ranges of layers. */
+static void engine_service_add_(cb_document_t *document)
+{
+	cb_service_profile_t *service = cb_service_profile_new("e");
+	cb_engine_kind_t *kind = g_new0(cb_engine_kind_t, 1);
+
+	kind->name = g_strdup("k");
+	kind->memory_mb = 10000;
+	kind->step_time_factor = 1;
+	kind->read_time_factor = 1;
+	service->engine = cb_engine_profile_new();
+	service->engine->layers = ENGINE_LAYERS;
+	service->engine->layer_mb = 100;
+	service->engine->kv_token_bytes = 2000;
+	service->engine->step_ms = 1;
+	service->engine->read_tokens_per_s = 1000;
+	service->engine->stride = 1;
+	g_ptr_array_add(service->engine->kinds, kind);
+	cb_document_add_service(document, service);
+}
+
 static cb_document_t *document_make_(const cb_document_codec_t *codec,
 				     const char *text, size_t size,
 				     GArray *route_texts, GError **error)
@@ -152,6 +191,8 @@
 	route_add_(document, "/safe/", CB_ROUTE_IDEMPOTENT);
 	route_add_(document, "/once/", CB_ROUTE_ONCE);
 	route_add_(document, "/stream/", CB_ROUTE_STREAM);
+	engine_service_add_(document);
+	route_add_(document, "/engine/", CB_ROUTE_STREAM);
 	CU_ASSERT_TRUE(cb_document_add_key(document, "w", "k", error));
 	return document;
 }
@@ -250,6 +291,135 @@
 
 static accept_context_t accept_contexts[SERVER_COUNT];
 
+/* Returns the address of a server; the caller frees it. */
+static char *server_address_(const fixture_t *fixture, unsigned int server)
+{
+	return g_strdup_printf("127.0.0.1:%u",
+			       cb_stream_listener_port(
+				       fixture->listeners[server]));
+}
+
+/*
+ * Announces a server as an engine: server 0 holds the first layer, the others
+ * the second one.
+ */
+static void engine_announce_(fixture_t *fixture, unsigned int server)
+{
+	cb_fleet_server_t heartbeat = { .service = (char *)"e",
+					.data_centre = (char *)"dc1",
+					.kind = (char *)"k",
+					.start_wall_ms = 2,
+					.sequence = 1,
+					.slots = 4,
+					.layer_from = server > 0,
+					.layer_to = (server > 0) + 1 };
+
+	heartbeat.id = g_strdup_printf("engine%u", server);
+	heartbeat.address = server_address_(fixture, server);
+	cb_node_server_announce(fixture->world->nodes[0].node, &heartbeat,
+				accepted_answer_check_, NULL);
+	g_free(heartbeat.id);
+	g_free(heartbeat.address);
+}
+
+/* Orders to engines that record the calls in a fixture. */
+typedef struct fake_orders {
+	cb_engine_orders_t base;
+	fixture_t *fixture;
+} fake_orders_t;
+
+/* A report or reroute that is answered from the main loop. */
+typedef struct engine_call {
+	fixture_t *fixture;
+	char *address;
+	cb_report_done_fn_t report_done;
+	cb_reroute_done_fn_t reroute_done;
+	void *user_data;
+} engine_call_t;
+
+/*
+ * Answers a call.  The lost engine gives no report; the others report that the
+ * request waits for it.
+ */
+static gboolean engine_call_answer_(void *data)
+{
+	engine_call_t *call = data;
+	int lost = call->fixture->lost_server;
+	char *lost_address =
+		lost < 0 ? NULL :
+			   server_address_(call->fixture, (unsigned int)lost);
+	cb_stall_t stall = { (char *)"7", lost_address };
+	GArray *stalls = g_array_new(FALSE, FALSE, sizeof(cb_stall_t));
+	const cb_engine_report_t report = { .slow_percent = 100,
+					    .stalls = stalls };
+
+	if (lost_address)
+		g_array_append_val(stalls, stall);
+	if (call->reroute_done)
+		call->reroute_done(CB_REROUTE_DONE, NULL, call->user_data);
+	else
+		call->report_done(g_strcmp0(call->address, lost_address) ?
+					  &report :
+					  NULL,
+				  call->user_data);
+	g_array_unref(stalls);
+	g_free(lost_address);
+	g_free(call->address);
+	g_free(call);
+	return G_SOURCE_REMOVE;
+}
+
+static engine_call_t *engine_call_new_(cb_engine_orders_t *orders,
+				       const char *address, void *user_data)
+{
+	engine_call_t *call = g_new0(engine_call_t, 1);
+
+	call->fixture = ((fake_orders_t *)orders)->fixture;
+	call->address = g_strdup(address);
+	call->user_data = user_data;
+	g_idle_add(engine_call_answer_, call);
+	return call;
+}
+
+static void report_request_(cb_engine_orders_t *orders, const char *address,
+			    cb_report_done_fn_t done, void *user_data)
+{
+	engine_call_t *call = engine_call_new_(orders, address, user_data);
+
+	call->report_done = done;
+	g_ptr_array_add(call->fixture->report_addresses, g_strdup(address));
+}
+
+static void reroute_request_(cb_engine_orders_t *orders, const char *address,
+			     const char *request_id, const GArray *hops,
+			     cb_reroute_done_fn_t done, void *user_data)
+{
+	engine_call_t *call = engine_call_new_(orders, address, user_data);
+	GString *text = g_string_new(request_id);
+	unsigned int i;
+
+	for (i = 0; i < hops->len; i++)
+		g_string_append_printf(
+			text, " %s", g_array_index(hops, cb_relay_hop_t, i).id);
+	call->reroute_done = done;
+	g_ptr_array_add(call->fixture->reroutes, g_string_free(text, FALSE));
+}
+
+/* No test cancels a call before its answer. */
+static void engine_call_cancel_(cb_engine_orders_t *orders,
+				const void *user_data)
+{
+	(void)orders;
+	(void)user_data;
+}
+
+static const cb_engine_orders_vtable_t orders_vtable = {
+	.report = report_request_,
+	.reroute = reroute_request_,
+	.cancel = engine_call_cancel_,
+};
+static fake_orders_t fake_orders = { .base = { &orders_vtable } };
+
 /* Announces a server's process to the control instance. */
 static void server_announce_(fixture_t *fixture, unsigned int server,
 			     int64_t start_wall_ms, uint64_t sequence)
@@ -261,10 +431,7 @@
 					.slots = 4 };
 
 	heartbeat.id = g_strdup_printf("server%u", server);
-	heartbeat.address =
-		g_strdup_printf("127.0.0.1:%u",
-				cb_stream_listener_port(
-					fixture->listeners[server]));
+	heartbeat.address = server_address_(fixture, server);
 	cb_node_server_announce(fixture->world->nodes[0].node, &heartbeat,
 				accepted_answer_check_, NULL);
 	g_free(heartbeat.id);
@@ -317,6 +484,12 @@
 	fixture->server_indexes =
 		g_array_new(FALSE, FALSE, sizeof(unsigned int));
 	fixture->answer = g_string_new(NULL);
+	fixture->report_addresses = g_ptr_array_new_with_free_func(g_free);
+	fixture->reroutes = g_ptr_array_new_with_free_func(g_free);
+	fixture->lost_server = -1;
+	fixture->other_callers = g_ptr_array_new();
+	fake_orders.fixture = fixture;
+	options.orders = &fake_orders.base;
 	fixture->client =
 		cb_http1_client_new(NULL, fixture->world->clock, NULL);
 	options.client = fixture->client;
@@ -340,6 +513,9 @@
 	unsigned int i;
 
 	cb_stream_delete(fixture->caller);
+	for (i = 0; i < fixture->other_callers->len; i++)
+		cb_stream_delete(fixture->other_callers->pdata[i]);
+	g_ptr_array_unref(fixture->other_callers);
 	((cb_service_t *)fixture->front)
 		->vtable->destroy((cb_service_t *)fixture->front);
 	cb_http1_client_delete(fixture->client);
@@ -349,6 +525,8 @@
 	g_ptr_array_unref(fixture->requests);
 	g_array_unref(fixture->server_indexes);
 	g_string_free(fixture->answer, TRUE);
+	g_ptr_array_unref(fixture->report_addresses);
+	g_ptr_array_unref(fixture->reroutes);
 	cb_poller_delete(fixture->poller);
 	world_delete(fixture->world);
 }
@@ -689,6 +867,130 @@
 	fixture_clear_(&fixture);
 }
 
+#define SCRIPTS_MAX 32
+#define FIRST_EVENT STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"
+#define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
+/* 60% of the route's target for the time between two events. */
+#define FIRST_CHECK_MS 120
+
+/* Returns the index of the engine that runs the last layer of a request. */
+static int second_engine_find_(const fixture_t *fixture)
+{
+	return strstr(fixture->requests->pdata[0], "engine1") ? 1 : 2;
+}
+
+/* Runs the main loop until `count` calls are recorded, for a while at most. */
+static gboolean calls_wait_(const GPtrArray *calls, unsigned int count)
+{
+	int iteration;
+
+	for (iteration = 0; iteration < LOOP_ITERATIONS_MAX / 10; iteration++) {
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		if (calls->len >= count)
+			return TRUE;
+		g_usleep(LOOP_SLEEP_US);
+	}
+	return FALSE;
+}
+
+/* Starts a fixture with three engines and one stream that has an event. */
+static void engine_stream_start_(fixture_t *fixture, const script_t *scripts,
+				 unsigned int script_count)
+{
+	unsigned int i;
+
+	fixture_init_(fixture, TRUE);
+	for (i = 0; i < SERVER_COUNT; i++)
+		engine_announce_(fixture, i);
+	world_run_until(fixture->world, NULL, 1000);
+	fixture->scripts = scripts;
+	fixture->script_count = script_count;
+	request_send_(fixture, ENGINE_REQUEST);
+	CU_ASSERT_TRUE_FATAL(loop_run_until_(fixture, 0, "id: 1"));
+}
+
+/* Checks that one reroute keeps the first engine and replaces the lost one. */
+static void reroute_check_(const fixture_t *fixture)
+{
+	char *expected = g_strdup_printf("7 engine0 engine%d",
+					 SERVER_COUNT - fixture->lost_server);
+
+	CU_ASSERT_TRUE_FATAL(calls_wait_(fixture->reroutes, 1));
+	CU_ASSERT_STRING_EQUAL(fixture->reroutes->pdata[0], expected);
+	g_free(expected);
+}
+
+/*
+ * A stream whose first engine reports that it waits for another one must be
+ * moved within the pause that its route allows, and keep its first engine.
+ */
+static void stalled_stream_is_moved(void)
+{
+	static const script_t scripts[] = { { FIRST_EVENT, END_HOLD } };
+	fixture_t fixture;
+
+	engine_stream_start_(&fixture, scripts, G_N_ELEMENTS(scripts));
+	fixture.lost_server = second_engine_find_(&fixture);
+	cb_clock_advance(fixture.world->clock, FIRST_CHECK_MS - 1);
+	CU_ASSERT_EQUAL(fixture.report_addresses->len, 0);
+	cb_clock_advance(fixture.world->clock, 1);
+	reroute_check_(&fixture);
+	CU_ASSERT_EQUAL(fixture.requests->len, 1);
+	fixture_clear_(&fixture);
+}
+
+/* A stream that is only slow stays where it is, and is checked less often. */
+static void slow_stream_stays(void)
+{
+	static const script_t scripts[] = { { FIRST_EVENT, END_HOLD } };
+	static const unsigned int expected_reports[] = { 1, 2, 2, 3 };
+	fixture_t fixture;
+	size_t i;
+
+	engine_stream_start_(&fixture, scripts, G_N_ELEMENTS(scripts));
+	for (i = 0; i < G_N_ELEMENTS(expected_reports); i++) {
+		cb_clock_advance(fixture.world->clock, FIRST_CHECK_MS);
+		(void)calls_wait_(fixture.reroutes, 1);
+		CU_ASSERT_EQUAL(fixture.report_addresses->len,
+				expected_reports[i]);
+	}
+	CU_ASSERT_EQUAL(fixture.reroutes->len, 0);
+	CU_ASSERT_EQUAL(fixture.requests->len, 1);
+	fixture_clear_(&fixture);
+}
+
+/*
+ * An engine that a rejection names and that refuses connections is lost: the
+ * streams that pass through it must be moved before they fall silent.
+ */
+static void rejection_moves_streams_of_lost_engine(void)
+{
+	script_t scripts[SCRIPTS_MAX];
+	fixture_t fixture;
+	char *rejection;
+	char *address;
+	size_t i;
+
+	for (i = 0; i < SCRIPTS_MAX; i++)
+		scripts[i] = (script_t){ FIRST_EVENT, END_HOLD };
+	engine_stream_start_(&fixture, scripts, SCRIPTS_MAX);
+	fixture.lost_server = second_engine_find_(&fixture);
+	address = server_address_(&fixture, (unsigned int)fixture.lost_server);
+	rejection = g_strdup_printf("HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\n"
+				    "Fault: %s\r\nContent-Length: 0\r\n\r\n",
+				    address);
+	scripts[1] = (script_t){ rejection, END_KEEP };
+	g_ptr_array_add(fixture.other_callers,
+			g_steal_pointer(&fixture.caller));
+	request_send_(&fixture, ENGINE_REQUEST);
+	reroute_check_(&fixture);
+	CU_ASSERT_STRING_EQUAL(fixture.report_addresses->pdata[0], address);
+	fixture_clear_(&fixture);
+	g_free(rejection);
+	g_free(address);
+}
+
 #define LEAVING_ANSWER                               \
 	"HTTP/1.1 200 OK\r\nId: 7\r\nLeaving: 1\r\n" \
 	"Content-Length: 2\r\n\r\nok"
@@ -696,7 +998,6 @@
 #define AWAY_ANSWER                                                  \
 	"HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\nAway-Ms: 3000\r\n" \
 	"Content-Length: 0\r\n\r\n"
-#define SCRIPTS_MAX 32
 #define LATER_REQUESTS 12
 
 /* Sends a request and returns the server that got it last; -1: no answer. */
@@ -934,6 +1235,10 @@
 	  disconnected_caller_cancels_at_server },
 	{ "reset_stream_resumes_at_another_server",
 	  reset_stream_resumes_at_another_server },
+	{ "stalled_stream_is_moved", stalled_stream_is_moved },
+	{ "slow_stream_stays", slow_stream_stays },
+	{ "rejection_moves_streams_of_lost_engine",
+	  rejection_moves_streams_of_lost_engine },
 	{ "leaving_server_gets_no_requests", leaving_server_gets_no_requests },
 	{ "server_that_turns_away_is_left_alone",
 	  server_that_turns_away_is_left_alone },
