Data centres hold half of their layers twice where memory allows

Change: 1.5 copies where each server still has room for 80,000 tokens of requests; otherwise as before.

Test: test_placement memory_is_shared_between_copies_and_requests.

--- a/src/libcurrantbridge/backend/placement.c
+++ b/src/libcurrantbridge/backend/placement.c
@@ -6,15 +6,27 @@
 #define BYTES_PER_MB 1e6
 /*
  * Choices for the KV cache, in tokens of requests, that each server reserves
- * beside its layers, in descending order.  The first one is used with which a
- * data centre can hold REDUNDANT_COPIES of the model, otherwise the first one
- * with which it can hold one copy.
+ * beside its layers, in descending order.
  */
 static const double reserve_choices_tokens[] = { 160000, 128000, 112000, 96000,
 						 80000,	 64000,	 48000,	 32000,
 						 20000,	 9000,	 4000 };
-/* More than one copy, so that spare servers can replace any lost server. */
-#define REDUNDANT_COPIES 1.12
+
+/* A number of copies of the model that a data centre is to hold. */
+typedef struct copies_choice {
+	double copies;
+	/* Least KV cache per server for which so many copies are chosen. */
+	double min_reserve_tokens;
+} copies_choice_t;
+
+/*
+ * The first choice that fits is used, with the largest reserve: half of the
+ * layers twice, where that leaves room for some 85 requests of 930 tokens in
+ * each; else enough that spare servers can replace any lost one; else one copy.
+ */
+static const copies_choice_t copies_choices[] = { { 1.5, 80000 },
+						  { 1.12, 0 },
+						  { 1.0, 0 } };
 
 /*
  * A neighbour of a gap extends into it only if it keeps this much KV cache,
@@ -125,19 +137,37 @@
 	return sum;
 }
 
+/*
+ * Returns the largest reserve with which the area holds the copies of a choice;
+ * 0 if there is none.
+ */
+static double reserve_find_(const area_t *area, const copies_choice_t *choice)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(reserve_choices_tokens); i++) {
+		double reserve_tokens = reserve_choices_tokens[i];
+
+		if (reserve_tokens < choice->min_reserve_tokens)
+			return 0;
+		if (area_layers_count_(area, reserve_tokens) >=
+		    choice->copies * area->engine->layers)
+			return reserve_tokens;
+	}
+	return 0;
+}
+
 /* Chooses how much KV cache each server of the area reserves. */
 static double reserve_choose_(const area_t *area)
 {
-	static const double copies_wanted[] = { REDUNDANT_COPIES, 1.0 };
 	size_t i;
-	size_t j;
-
-	for (i = 0; i < G_N_ELEMENTS(copies_wanted); i++)
-		for (j = 0; j < G_N_ELEMENTS(reserve_choices_tokens); j++)
-			if (area_layers_count_(area,
-					       reserve_choices_tokens[j]) >=
-			    copies_wanted[i] * area->engine->layers)
-				return reserve_choices_tokens[j];
+
+	for (i = 0; i < G_N_ELEMENTS(copies_choices); i++) {
+		double reserve_tokens = reserve_find_(area, &copies_choices[i]);
+
+		if (reserve_tokens > 0)
+			return reserve_tokens;
+	}
 	return reserve_choices_tokens[G_N_ELEMENTS(reserve_choices_tokens) - 1];
 }
 
--- a/src/test_libcurrantbridge/test_placement.c
+++ b/src/test_libcurrantbridge/test_placement.c
@@ -330,6 +330,55 @@
 	engine_delete_(engine);
 }
 
+#define REDUNDANT_CAPACITY_TOKENS 80000
+
+/*
+ * Where memory allows, half of the layers of a data centre must be held twice
+ * and each server keep room for requests: the loss of one server then stalls
+ * fewer of them.  A fleet with less memory must keep the room instead.
+ */
+static void memory_is_shared_between_copies_and_requests(void)
+{
+	static const struct {
+		double memory_mb;
+		unsigned int servers;
+		double min_copies;
+		double max_copies;
+	} cases[] = { { 36000, 8, 1.5, 1.8 }, { 36000, 6, 1.0, 1.3 } };
+	size_t i;
+	unsigned int k;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_engine_profile_t *engine = engine_new_();
+		GArray *servers = g_array_new(FALSE, FALSE,
+					      sizeof(cb_placement_server_t));
+		double copies = 0;
+
+		for (k = 0; k < cases[i].servers; k++)
+			server_add_(servers, "a", cases[i].memory_mb);
+		moves_carry_out_(engine, servers);
+		CU_ASSERT_EQUAL(missing_layers_count_(servers, NULL), 0);
+		for (k = 0; k < servers->len; k++) {
+			const cb_placement_server_t *server =
+				server_at_(servers, k);
+
+			copies += (double)(server->to - server->from) / LAYERS;
+			CU_ASSERT_TRUE(cb_placement_token_capacity(
+					       engine, server->memory_mb,
+					       server->to - server->from) >=
+				       REDUNDANT_CAPACITY_TOKENS);
+		}
+		CU_ASSERT_TRUE(copies >= cases[i].min_copies &&
+			       copies <= cases[i].max_copies);
+		if (copies < cases[i].min_copies ||
+		    copies > cases[i].max_copies)
+			printf("    %u servers: %.2f copies\n",
+			       cases[i].servers, copies);
+		g_array_unref(servers);
+		engine_delete_(engine);
+	}
+}
+
 /* Guards against moves of servers in use when a server is added. */
 static void new_server_replicates_and_moves_no_other(void)
 {
@@ -665,6 +714,8 @@
 	  gaps_without_spare_servers_are_filled },
 	{ "changing_fleets_hold_every_layer",
 	  changing_fleets_hold_every_layer },
+	{ "memory_is_shared_between_copies_and_requests",
+	  memory_is_shared_between_copies_and_requests },
 	{ "new_server_replicates_and_moves_no_other",
 	  new_server_replicates_and_moves_no_other },
 	{ "servers_with_an_order_get_no_other",
