What one instance learns of a lost engine, all know within some ms

Changes: - A refused connection shows that a server's process has ended: it is not tried again before its next process announces itself. The request reached no server, so its next send takes no retry. - Engines named by a rejection are asked whether streams use them or not, one call at a time. - A suspicion is reported within 5 ms, passed on within 5 ms more, at most every 50 ms. Instances whose streams use the suspect ask it themselves. An engine that the leader finds lost is silent for all instances at once. - A stream's further checks come 60 ms apart at first, since an engine's report is some 0.2 s old; a report that names an engine which the stream has left already moves nothing.

--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -113,6 +113,11 @@
 void cb_fleet_expire(cb_fleet_t *fleet, int64_t now_ms, int64_t silence_ms,
 		     int64_t forget_ms);
 
+/*
+ * Records that a ready server is lost, before its heartbeats are missed.  Its
+ * next heartbeat makes it ready again.
+ */
+void cb_fleet_set_silent(cb_fleet_t *fleet, const char *id);
 /* Records whether the replicated state has the server's current values. */
 void cb_fleet_set_recorded(cb_fleet_t *fleet, const char *id,
 			   gboolean is_recorded);
--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -34,6 +34,12 @@
  * over chains of similar cost.
  */
 #define COST_JITTER 0.25
+/*
+ * Largest random increase of the cost of reading again, as a multiple of it:
+ * the streams of a lost engine, which many instances move at the same moment,
+ * would otherwise all queue at the same one.
+ */
+#define READ_JITTER 3.0
 /* A layer costs up to this many times more as its server's memory fills up. */
 #define FILL_COST_FACTOR 3.0
 
@@ -104,7 +110,8 @@
 static double *read_costs_compute_(const cb_engine_profile_t *engine,
 				   const cb_chain_server_t *servers,
 				   unsigned int count,
-				   const cb_chain_criteria_t *criteria)
+				   const cb_chain_criteria_t *criteria,
+				   GRand *random)
 {
 	double *read_costs_ms = g_new0(double, count);
 	unsigned int i;
@@ -112,7 +119,8 @@
 	for (i = 0; criteria->reads_again && i < count; i++)
 		read_costs_ms[i] = criteria->tokens * MS_PER_S /
 				   engine->read_tokens_per_s *
-				   servers[i].read_pace / engine->layers;
+				   servers[i].read_pace / engine->layers *
+				   (1 + READ_JITTER * g_rand_double(random));
 	return read_costs_ms;
 }
 
@@ -333,7 +341,7 @@
 	search.step_costs_ms =
 		step_costs_compute_(engine, servers, count, criteria, random);
 	search.read_costs_ms =
-		read_costs_compute_(engine, servers, count, criteria);
+		read_costs_compute_(engine, servers, count, criteria, random);
 	centres_enumerate_(&search, count);
 	chain_search_init_(&search);
 	for (layer = 0; layer < engine->layers; layer++)
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -238,6 +238,17 @@
 	change_notify_(fleet, known);
 }
 
+void cb_fleet_set_silent(cb_fleet_t *fleet, const char *id)
+{
+	cb_fleet_server_t *known = g_hash_table_lookup(fleet->by_id, id);
+
+	if (!known || known->state != CB_FLEET_READY)
+		return;
+	known->state = CB_FLEET_SILENT;
+	known->is_unsent_to_control = TRUE;
+	change_notify_(fleet, known);
+}
+
 void cb_fleet_set_recorded(cb_fleet_t *fleet, const char *id,
 			   gboolean is_recorded)
 {
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -412,6 +412,7 @@
 			     CB_STR("server", state->start),
 			     CB_STR("address", server->address),
 			     CB_INT("waited_ms", waited_ms));
+		cb_fleet_set_silent(cb_node_fleet(placer->node), server->id);
 	} else if (!state->is_call_in_flight &&
 		   (state->report_requested_ms < state->suspected_since_ms ||
 		    waited_ms >= SUSPECT_REPORT_TIMEOUT_MS)) {
--- a/src/libcurrantbridge/control/node_usage.c
+++ b/src/libcurrantbridge/control/node_usage.c
@@ -5,6 +5,10 @@
  * as often.
  */
 #define SHARE_INTERVAL_MS 200
+/* Sums that tell of a server that may be lost are sent after this delay. */
+#define SUSPICION_SHARE_DELAY_MS 5
+/* Shortest interval of such sums. */
+#define SUSPICION_SHARE_INTERVAL_MS 50
 /* The last usage report of another control instance counts for this long. */
 #define PEER_USAGE_MAX_AGE_MS 1000
 
@@ -74,6 +78,7 @@
 	cb_usage_t *sum = own_usage_sum_(node);
 
 	cb_timer_start(node->usage_timer, SHARE_INTERVAL_MS);
+	node->usage_sent_ms = cb_clock_now_ms(node->clock);
 	usage_send_(node, sum, cb_node_peers_broadcast);
 	peer_usages_add_(node, sum);
 	usage_send_(node, sum, cb_node_sessions_broadcast);
@@ -101,12 +106,49 @@
 		       .suspecting_instances >= CB_USAGE_SUSPECTING_MIN;
 }
 
+/*
+ * Returns whether `usage` tells of more instances that suspect some server than
+ * the previous report of its sender, which may be NULL.
+ */
+static gboolean has_new_suspicion_(const cb_usage_t *usage,
+				   const cb_usage_t *previous)
+{
+	GHashTableIter iter;
+	void *value;
+	void *id;
+
+	g_hash_table_iter_init(&iter, usage->by_server);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		unsigned int known = previous ? cb_usage_find_load(previous, id)
+							.suspecting_instances :
+						0;
+
+		if (((cb_usage_load_t *)value)->suspecting_instances > known)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/*
+ * Sends the sums soon, since a report tells of a server that may be lost: the
+ * other instances are to stop using it.
+ */
+static void suspicion_share_soon_(cb_node_t *node)
+{
+	int64_t age_ms = cb_clock_now_ms(node->clock) - node->usage_sent_ms;
+
+	cb_timer_start(node->usage_timer,
+		       MAX(SUSPICION_SHARE_DELAY_MS,
+			   SUSPICION_SHARE_INTERVAL_MS - age_ms));
+}
+
 /* Receives the sum of usage over another control instance's sessions. */
 void cb_node_usage_receive_peer(cb_node_t *node, const char *control,
 				const cb_link_message_t *message)
 {
 	cb_usage_t *usage =
 		message->body ? cb_usage_decode(message->body) : NULL;
+	const peer_usage_t *previous;
 	peer_usage_t *peer;
 
 	if (!usage) {
@@ -116,6 +158,9 @@
 	peer = g_new0(peer_usage_t, 1);
 	peer->usage = usage;
 	peer->received_ms = cb_clock_now_ms(node->clock);
+	previous = g_hash_table_lookup(node->peer_usages, control);
+	if (has_new_suspicion_(usage, previous ? previous->usage : NULL))
+		suspicion_share_soon_(node);
 	g_hash_table_replace(node->peer_usages, g_strdup(control), peer);
 }
 
@@ -130,6 +175,8 @@
 		cb_link_goodbye(inbound->link, CB_CLOSE_MALFORMED);
 		return;
 	}
+	if (has_new_suspicion_(usage, inbound->session->usage))
+		suspicion_share_soon_(inbound->node);
 	cb_usage_delete(inbound->session->usage);
 	inbound->session->usage = usage;
 }
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -57,17 +57,24 @@
 	GQueue waiting;
 	cb_timer_t *wait_timer;
 	cb_timer_t *usage_timer;
-	gboolean was_usage_empty; /* the last usage report was empty */
+	int64_t usage_reported_ms; /* time of the last usage report */
+	gboolean was_usage_empty;  /* the last usage report was empty */
 	cb_timer_t *drain_timer;
 	int64_t drain_since_ms; /* start of the drain; 0: not draining */
 };
 
 /* Starts to relay one request; defined in relay.c. */
 void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange);
+/* Reports the usage of servers to control soon, not at the next interval. */
+void cb_front_report_usage_soon(cb_front_t *front);
 /* Retries the waiting requests; `user_data` is the cb_front_t. */
 void cb_relay_retry_waiting(void *user_data);
 /* Cancels any attempt in flight and frees the request; sends no answer. */
 void cb_relay_delete(void *relay);
+/* Returns whether a stream under way passes through the engine at `address`. */
+gboolean cb_relay_uses_engine(const cb_front_t *front, const char *address);
+/* Moves the streams of the engine at `address` if it refuses connections. */
+void cb_relay_check_engine(cb_front_t *front, const char *address);
 /* Frees a check of an engine; its report must not be pending. */
 void cb_engine_check_delete(void *check);
 
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -132,6 +132,7 @@
 	GHashTable *peer_usages; /* peer_usage_t by control instance */
 	/* Usage summed over all entry instances, as last sent to them. */
 	cb_usage_t *total_usage;
+	int64_t usage_sent_ms; /* time of the last sums of usage */
 	cb_timer_t *usage_timer;
 	/* Whether changes of `fleet` are to be sent soon. */
 	gboolean is_fleet_share_pending;
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -39,6 +39,8 @@
 	/* IDs of the servers where the request failed. */
 	GHashTable *tried_servers;
 	unsigned int send_count;
+	/* Whether an attempt was sent to a server, which may have received it. */
+	gboolean has_arrived;
 	int64_t sent_ms; /* when the last attempt was sent */
 	unsigned int reroute_count;
 	gboolean is_report_pending;  /* waits for the first server's report */
@@ -106,7 +108,5 @@
 void cb_relay_silence_timer_fired(void *user_data);
 /* Moves all streams away from the engine at `address`, which is lost. */
 void cb_relay_move_streams(cb_front_t *front, const char *address);
-/* Moves the streams of the engine at `address` if it refuses connections. */
-void cb_relay_check_engine(cb_front_t *front, const char *address);
 
 #endif
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -60,8 +60,13 @@
  * it.
  */
 cb_usage_t *cb_server_book_collect_usage(cb_server_book_t *book);
-/* Updates the other instances' usage from the sum of all last reports. */
-void cb_server_book_update_usage(cb_server_book_t *book, const cb_usage_t *sum);
+/*
+ * Updates the other instances' usage from the sum of all last reports.  Returns
+ * the addresses (char *) of servers that another instance has begun to suspect,
+ * or NULL; the caller unrefs them.
+ */
+GPtrArray *cb_server_book_update_usage(cb_server_book_t *book,
+				       const cb_usage_t *sum);
 /* Records that the server at an address had no free slot, to avoid it. */
 void cb_server_book_mark_full(cb_server_book_t *book, const char *address);
 /*
@@ -73,6 +78,9 @@
 				       int64_t away_ms);
 void cb_server_book_record_leaving(cb_server_book_t *book,
 				   const cb_relay_hop_t *hop);
+/* Records that the process of a hop's server has ended. */
+void cb_server_book_record_end(cb_server_book_t *book,
+			       const cb_relay_hop_t *hop);
 /*
  * Returns the shortest time until a server of the service takes requests of
  * this instance again, in ms; 0: one does now, or none turned it away.
--- a/src/libcurrantbridge/relay/engine_reports.c
+++ b/src/libcurrantbridge/relay/engine_reports.c
@@ -1,7 +1,7 @@
 #include "private/engine_reports.h"
 
 /* An engine in the same region answers in a few ms, or after a lost packet. */
-#define REPORT_TIMEOUT_MS 300
+#define REPORT_TIMEOUT_MS 200
 
 typedef struct waiter {
 	cb_report_result_fn_t fn;
--- a/src/libcurrantbridge/relay/event_pace.c
+++ b/src/libcurrantbridge/relay/event_pace.c
@@ -15,8 +15,15 @@
  */
 #define CHECK_MIN_PERCENT 60
 #define CHECK_MAX_PERCENT 100
-/* The interval of further checks is doubled each time, up to this percentage. */
+/*
+ * Interval of the first further checks: an engine's report shows what it knew
+ * some 0.2 s before.  After RECHECKS of them the interval is doubled each time,
+ * up to a percentage of the allowed pause.
+ */
+#define RECHECK_INTERVAL_MS 60
+#define RECHECKS 3
 #define LATER_CHECK_PERCENT 150
+#define MAX_DOUBLINGS 8
 
 /* Updates the smoothed gap, as TCP smooths round-trip times. */
 static void gap_smooth_(cb_event_pace_t *pace, int64_t gap_ms)
@@ -67,7 +74,10 @@
 
 	if (!pace->check_count)
 		return first_ms;
-	return MIN(first_ms << MIN(pace->check_count - 1, 8),
+	if (pace->check_count <= RECHECKS)
+		return RECHECK_INTERVAL_MS;
+	return MIN(RECHECK_INTERVAL_MS
+			   << MIN(pace->check_count - RECHECKS, MAX_DOUBLINGS),
 		   allowed_gap_ms * LATER_CHECK_PERCENT / 100);
 }
 
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -13,6 +13,10 @@
 #define DECODE_INTERVAL_MS 2
 /* How often this instance reports its usage to control. */
 #define USAGE_REPORT_INTERVAL_MS 200
+/* Delay of a report that tells of a server that may be lost. */
+#define SUSPICION_REPORT_DELAY_MS 5
+/* Shortest interval of such reports. */
+#define SUSPICION_REPORT_INTERVAL_MS 50
 /*
  * A caller whose data centre has fewer addresses gets those of all data
  * centres.
@@ -142,12 +146,19 @@
 {
 	cb_front_t *front = user_data;
 	cb_usage_t *sum = cb_usage_decode(bytes);
+	GPtrArray *suspects;
+	unsigned int i;
 
 	if (!sum) {
 		cb_log_event(front->log, CB_EVENT_FLEET_MALFORMED);
 		return;
 	}
-	cb_server_book_update_usage(front->book, sum);
+	suspects = cb_server_book_update_usage(front->book, sum);
+	for (i = 0; suspects && i < suspects->len; i++)
+		if (cb_relay_uses_engine(front, suspects->pdata[i]))
+			cb_relay_check_engine(front, suspects->pdata[i]);
+	if (suspects)
+		g_ptr_array_unref(suspects);
 	cb_retry_share_update(front->retries, sum);
 	cb_usage_delete(sum);
 }
@@ -161,6 +172,7 @@
 	GBytes *bytes;
 
 	cb_timer_start(front->usage_timer, USAGE_REPORT_INTERVAL_MS);
+	front->usage_reported_ms = cb_clock_now_ms(front->clock);
 	cb_retry_share_add_usage(front->retries, usage);
 	is_empty = !g_hash_table_size(usage->by_server) &&
 		   !g_hash_table_size(usage->by_service);
@@ -173,6 +185,20 @@
 	cb_usage_delete(usage);
 }
 
+/*
+ * Reports the usage soon, since it tells of a server that may be lost: the
+ * other instances are to stop using it.
+ */
+void cb_front_report_usage_soon(cb_front_t *front)
+{
+	int64_t age_ms =
+		cb_clock_now_ms(front->clock) - front->usage_reported_ms;
+
+	cb_timer_start(front->usage_timer,
+		       MAX(SUSPICION_REPORT_DELAY_MS,
+			   SUSPICION_REPORT_INTERVAL_MS - age_ms));
+}
+
 static void server_change_log_(const cb_fleet_server_t *server, void *user_data)
 {
 	cb_front_t *front = user_data;
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -11,6 +11,11 @@
 #define CONNECTION_IDLE_MAX_MS 4000
 /* Sends allowed beyond max_attempts, after attempts that did not run. */
 #define NOT_RUN_SENDS_MAX 4
+/*
+ * A connection that fails sooner was refused: no process listens at the
+ * address.  One that fails later was not answered.
+ */
+#define REFUSED_CONNECTION_MAX_MS 100
 /* A server that itself rejects a request answers within this time. */
 #define FAST_REJECTION_MAX_MS 500
 /*
@@ -62,6 +67,24 @@
 						    relay->tried_servers);
 }
 
+/*
+ * Records an attempt for which no connection could be made.  A refused one
+ * shows that the server's process has ended.
+ */
+static void unsent_attempt_record_(cb_relay_t *relay)
+{
+	const cb_relay_hop_t *first =
+		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+	cb_front_t *front = relay->front;
+
+	g_hash_table_add(relay->tried_servers, g_strdup(first->id));
+	if (cb_relay_now_ms(relay) - relay->sent_ms < REFUSED_CONNECTION_MAX_MS)
+		cb_server_book_record_end(front->book, first);
+	else
+		cb_server_book_record_failure(front->book, first->id, TRUE);
+	cb_front_report_usage_soon(front);
+}
+
 /* Returns whether another attempt may follow the failed attempt. */
 static gboolean retry_is_allowed_(cb_relay_t *relay)
 {
@@ -88,6 +111,7 @@
 	const cb_relay_hop_t *first =
 		&g_array_index(relay->hops, cb_relay_hop_t, 0);
 	char *hops_text = cb_relay_format_hops(relay);
+	gboolean is_sent;
 
 	cb_log_event(relay->front->log, CB_EVENT_RELAY_ATTEMPT_FAILED,
 		     CB_STR("request", relay->request_info.id),
@@ -103,7 +127,11 @@
 	cb_relay_count_reason(relay->front, "cb_relay_attempts_failed_total",
 			      result);
 	relay->run_count += has_run != 0;
-	if (has_run || !relay->has_not_run)
+	is_sent = strcmp(result, cb_http1_result_string[CB_HTTP1_UNSENT]) != 0;
+	relay->has_arrived |= is_sent;
+	if (!is_sent)
+		unsent_attempt_record_(relay);
+	else if (has_run || !relay->has_not_run)
 		server_failure_record_(relay, failed_address,
 				       !strcmp(result, CB_RELAY_SILENT));
 	cb_relay_cancel_attempt(relay);
@@ -111,7 +139,8 @@
 		cb_relay_give_up(relay, result, CB_RELAY_RETRY_AFTER_MS);
 		return;
 	}
-	relay->is_next_send_retry = TRUE;
+	/* A request that reached no server yet is not repeated. */
+	relay->is_next_send_retry = relay->has_arrived;
 	cb_event_pace_set_cause(&relay->pace, result);
 	if (relay->is_answer_begun) {
 		relay->is_stream_resumed = TRUE;
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -151,6 +151,7 @@
 		     CB_INT("last_event", relay->last_event),
 		     CB_INT("silent_ms",
 			    cb_relay_now_ms(relay) - relay->pace.last_ms));
+	cb_front_report_usage_soon(relay->front);
 	if (!strcmp(address, first->address) ||
 	    !cb_server_book_record_loss_at(relay->front->book, address,
 					   relay->tried_servers)) {
@@ -234,7 +235,8 @@
 		return;
 	}
 	address = g_strdup(stalled_address_find_(relay, report));
-	if (address) {
+	/* The report may be older than the last reroute. */
+	if (address && stream_uses_engine_(relay, address)) {
 		cb_relay_move_streams(front, address);
 	} else {
 		/*
@@ -289,11 +291,27 @@
 
 	(void)report;
 	g_hash_table_remove(front->engine_checks, check);
-	if (result == CB_REPORT_FAILED)
+	if (result == CB_REPORT_FAILED) {
+		cb_server_book_record_loss_at(front->book, address, NULL);
+		cb_front_report_usage_soon(front);
 		cb_relay_move_streams(front, address);
+	}
 	g_free(address);
 }
 
+gboolean cb_relay_uses_engine(const cb_front_t *front, const char *address)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, front->relays);
+	while (g_hash_table_iter_next(&iter, &value, NULL))
+		if (((cb_relay_t *)value)->call &&
+		    stream_uses_engine_(value, address))
+			return TRUE;
+	return FALSE;
+}
+
 /*
  * Checks an engine that another one named as the reason why it rejected a
  * request: the engine may have stopped, or be short of memory.  If it refuses
@@ -304,15 +322,12 @@
 {
 	cb_engine_check_t *check;
 	GHashTableIter iter;
-	gboolean is_used = FALSE;
 	void *value;
 
-	g_hash_table_iter_init(&iter, front->relays);
-	while (!is_used && g_hash_table_iter_next(&iter, &value, NULL))
-		is_used = ((cb_relay_t *)value)->call &&
-			  stream_uses_engine_(value, address);
-	if (!is_used)
-		return;
+	g_hash_table_iter_init(&iter, front->engine_checks);
+	while (g_hash_table_iter_next(&iter, &value, NULL))
+		if (!strcmp(((cb_engine_check_t *)value)->address, address))
+			return;
 	check = g_new0(cb_engine_check_t, 1);
 	check->front = front;
 	check->address = g_strdup(address);
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -37,6 +37,8 @@
 	int64_t lost_until_ms;
 	/* Until when the server is avoided because it had no free slot. */
 	int64_t full_until_ms;
+	/* Start of the server process that has ended; 0: none. */
+	int64_t ended_start_wall_ms;
 	/* Until when the server wants no requests of this instance. */
 	int64_t turned_away_until_ms;
 	/*
@@ -157,15 +159,19 @@
 		   0);
 }
 
-/* Returns whether this process of a server announced its stop in an answer. */
+/*
+ * Returns whether this process of a server announced its stop in an answer, or
+ * has ended.
+ */
 static gboolean server_is_leaving_(const cb_server_book_t *book,
 				   const cb_fleet_server_t *server)
 {
 	const server_stats_t *stats =
 		g_hash_table_lookup(book->stats_by_id, server->id);
 
-	return stats && stats->leaving_start_wall_ms &&
-	       stats->leaving_start_wall_ms == server->start_wall_ms;
+	return stats && server->start_wall_ms &&
+	       (stats->leaving_start_wall_ms == server->start_wall_ms ||
+		stats->ended_start_wall_ms == server->start_wall_ms);
 }
 
 /* Returns whether a new request may be sent to a server. */
@@ -487,9 +493,29 @@
 	return usage;
 }
 
-/* Sets the other instances' usage: the sum less this instance's last report. */
-void cb_server_book_update_usage(cb_server_book_t *book, const cb_usage_t *sum)
+/* Adds a server's address to the list, which is created if it is NULL. */
+static GPtrArray *suspect_add_(const cb_server_book_t *book,
+			       GPtrArray *suspects, const char *id)
+{
+	const cb_fleet_server_t *server = cb_fleet_find(book->fleet, id);
+
+	if (!server || server->state == CB_FLEET_GONE)
+		return suspects;
+	if (!suspects)
+		suspects = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(suspects, g_strdup(server->address));
+	return suspects;
+}
+
+/*
+ * Sets the other instances' usage: the sum less this instance's last report.
+ * Returns the addresses of the servers that another instance has begun to
+ * suspect, or NULL; the caller unrefs them.
+ */
+GPtrArray *cb_server_book_update_usage(cb_server_book_t *book,
+				       const cb_usage_t *sum)
 {
+	GPtrArray *suspects = NULL;
 	GHashTableIter iter;
 	void *value;
 	void *id;
@@ -501,6 +527,8 @@
 	g_hash_table_iter_init(&iter, book->stats_by_id);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
 		server_stats_t *stats = value;
+		unsigned int suspecting =
+			stats->others_usage.suspecting_instances;
 
 		stats->others_usage = cb_usage_find_load(sum, id);
 		stats->others_usage.running -=
@@ -513,7 +541,10 @@
 			MAX(stats->others_usage.token_layers -
 				    stats->reported_usage.token_layers,
 			    0);
+		if (!suspecting && stats->others_usage.suspecting_instances)
+			suspects = suspect_add_(book, suspects, id);
 	}
+	return suspects;
 }
 
 /* Records that the server at an address had no free slot, to avoid it. */
@@ -562,6 +593,19 @@
 		MAX(stats->turned_away_until_ms, until_ms);
 }
 
+/*
+ * Records that a server's process has ended: its port refused a connection.
+ * The server is not used before its next process announces itself.
+ */
+void cb_server_book_record_end(cb_server_book_t *book,
+			       const cb_relay_hop_t *hop)
+{
+	server_stats_t *stats = stats_get_(book, hop->id);
+
+	stats->ended_start_wall_ms = hop->start_wall_ms;
+	stats->suspected_ms = cb_clock_now_ms(book->clock);
+}
+
 /* Records that a server's process announced its stop in an answer. */
 void cb_server_book_record_leaving(cb_server_book_t *book,
 				   const cb_relay_hop_t *hop)
@@ -622,7 +666,7 @@
 
 /*
  * Records that the server at an address is lost, as another one or its own port
- * shows, and adds its ID to `tried`.  Returns FALSE if no server has that
+ * shows, and adds its ID to `tried` (NULL: to none).  Returns FALSE if no server has that
  * address.
  */
 gboolean cb_server_book_record_loss_at(cb_server_book_t *book,
@@ -642,7 +686,8 @@
 		cb_server_book_record_failure(book, server->id, TRUE);
 		stats = stats_get_(book, server->id);
 		stats->lost_until_ms = stats->avoid_until_ms;
-		g_hash_table_add(tried, g_strdup(server->id));
+		if (tried)
+			g_hash_table_add(tried, g_strdup(server->id));
 		is_found = TRUE;
 	}
 	return is_found;
--- a/src/test_libcurrantbridge/test_event_pace.c
+++ b/src/test_libcurrantbridge/test_event_pace.c
@@ -79,8 +79,10 @@
 	{ "usual gaps far below the allowed pause", 40, 0, 120 },
 	{ "usual gaps near the allowed pause", 160, 0, 160 },
 	{ "usual gaps over the allowed pause", 400, 0, 200 },
-	{ "after a first check", 40, 1, 120 },
-	{ "after a second check", 40, 2, 240 },
+	{ "after a first check", 40, 1, 60 },
+	{ "after a third check", 40, 3, 60 },
+	{ "after a fourth check", 40, 4, 120 },
+	{ "after a fifth check", 40, 5, 240 },
 	{ "after many checks", 40, 60, 300 },
 };
 
--- a/src/test_libcurrantbridge/test_placement.c
+++ b/src/test_libcurrantbridge/test_placement.c
@@ -703,6 +703,56 @@
 	engine_delete_(engine);
 }
 
+#define SPREAD_ENGINES 4
+#define SPREAD_STREAMS 400
+#define SPREAD_MAX_PERCENT 40
+
+/*
+ * When an engine is lost, many instances move its streams at the same moment
+ * and with the same information.  Guards against all of them choosing the same
+ * engine, which would read their prompts one after the other.
+ */
+static void moved_streams_are_spread_over_engines(void)
+{
+	cb_engine_profile_t *engine = engine_new_();
+	cb_chain_server_t servers[SPREAD_ENGINES + 1] = { KEPT_ENGINE("a", 1, 0,
+								      40) };
+	const cb_chain_criteria_t criteria = { .data_centre = "a",
+					       .tokens = 900,
+					       .first_to = 40,
+					       .reads_again = TRUE };
+	GArray *parts = g_array_new(FALSE, FALSE, sizeof(cb_chain_part_t));
+	GRand *random = g_rand_new_with_seed(7);
+	unsigned int chosen[SPREAD_ENGINES + 1] = { 0 };
+	unsigned int i;
+
+	for (i = 1; i <= SPREAD_ENGINES; i++)
+		servers[i] = (cb_chain_server_t){ .data_centre = "a",
+						  .from = 40,
+						  .to = 80,
+						  .pace = 4 + 0.5 * i,
+						  .read_pace = 4,
+						  .free_tokens = 9000,
+						  .running = 20 };
+	for (i = 0; i < SPREAD_STREAMS; i++) {
+		g_array_set_size(parts, 0);
+		CU_ASSERT_EQUAL_FATAL(cb_chain_choose(engine, servers,
+						      SPREAD_ENGINES + 1,
+						      &criteria, random, parts),
+				      CB_CHAIN_FOUND);
+		chosen[g_array_index(parts, cb_chain_part_t, 1).server]++;
+	}
+	for (i = 1; i <= SPREAD_ENGINES; i++) {
+		CU_ASSERT_TRUE(chosen[i] * 100 <=
+			       SPREAD_STREAMS * SPREAD_MAX_PERCENT);
+		if (chosen[i] * 100 > SPREAD_STREAMS * SPREAD_MAX_PERCENT)
+			printf("    engine %u: %u streams\n", i, chosen[i]);
+	}
+	g_rand_free(random);
+	g_array_unref(parts);
+	engine_delete_(engine);
+}
+
 static CU_TestInfo placement_tests[] = {
 	{ "empty_fleet_holds_a_copy_in_each_data_centre",
 	  empty_fleet_holds_a_copy_in_each_data_centre },
@@ -724,6 +774,8 @@
 	  small_data_centres_share_one_copy },
 	{ "chains_run_each_layer_once", chains_run_each_layer_once },
 	{ "chosen_chains_match_the_cases", chosen_chains_match_the_cases },
+	{ "moved_streams_are_spread_over_engines",
+	  moved_streams_are_spread_over_engines },
 	CU_TEST_INFO_NULL
 };
 
--- a/src/test_libcurrantbridge/test_placer.c
+++ b/src/test_libcurrantbridge/test_placer.c
@@ -358,6 +358,17 @@
 	cb_usage_delete(usage);
 }
 
+/* Returns whether the entry instances are told not to use an engine. */
+static gboolean engine_is_silent_(const fixture_t *fixture, unsigned int engine)
+{
+	char *id = g_strdup_printf("engine%u", engine);
+	const cb_fleet_server_t *server =
+		cb_fleet_find(cb_node_fleet(fixture->world->nodes[0].node), id);
+
+	g_free(id);
+	return server->state == CB_FLEET_SILENT;
+}
+
 /*
  * Guards against late replacement of a dead engine that several entry instances
  * suspect: it must not wait for missing heartbeats.  A live engine, or a dead
@@ -394,6 +405,8 @@
 			seconds_run_(&fixture, 1);
 			replaced +=
 				fixture.received_orders->len > orders_before;
+			CU_ASSERT_EQUAL(engine_is_silent_(&fixture, dead),
+					cases[n].is_replaced);
 			if (cases[n].is_replaced)
 				CU_ASSERT_TRUE(all_layers_are_held_(&fixture));
 			suspicion_report_(&fixture, dead, 0);
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "currantbridge/front.h"
+#include "private/front.h"
 #include "private/stream.h"
 #include "support_world.h"
 
@@ -520,7 +521,8 @@
 		->vtable->destroy((cb_service_t *)fixture->front);
 	cb_http1_client_delete(fixture->client);
 	for (i = 0; i < SERVER_COUNT; i++)
-		cb_stream_unlisten(fixture->listeners[i]);
+		if (fixture->listeners[i])
+			cb_stream_unlisten(fixture->listeners[i]);
 	g_ptr_array_unref(fixture->connections);
 	g_ptr_array_unref(fixture->requests);
 	g_array_unref(fixture->server_indexes);
@@ -872,6 +874,7 @@
 #define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
 /* 60% of the route's target for the time between two events. */
 #define FIRST_CHECK_MS 120
+#define RECHECK_MS 60
 
 /* Returns the index of the engine that runs the last layer of a request. */
 static int second_engine_find_(const fixture_t *fixture)
@@ -940,17 +943,47 @@
 	fixture_clear_(&fixture);
 }
 
+/*
+ * An engine's report may be older than the last reroute and still name the lost
+ * engine.  The stream, which has left that one, must stay where it is and still
+ * be checked.
+ */
+static void outdated_report_does_not_move_stream_again(void)
+{
+	static const script_t scripts[] = { { FIRST_EVENT, END_HOLD } };
+	fixture_t fixture;
+	unsigned int reports;
+
+	engine_stream_start_(&fixture, scripts, G_N_ELEMENTS(scripts));
+	fixture.lost_server = second_engine_find_(&fixture);
+	cb_clock_advance(fixture.world->clock, FIRST_CHECK_MS);
+	reroute_check_(&fixture);
+	(void)calls_wait_(fixture.reroutes, 2);
+	reports = fixture.report_addresses->len;
+	cb_clock_advance(fixture.world->clock, FIRST_CHECK_MS);
+	CU_ASSERT_TRUE(calls_wait_(fixture.report_addresses, reports + 1));
+	(void)calls_wait_(fixture.reroutes, 2);
+	cb_clock_advance(fixture.world->clock, RECHECK_MS);
+	CU_ASSERT_TRUE(calls_wait_(fixture.report_addresses, reports + 2));
+	(void)calls_wait_(fixture.reroutes, 2);
+	CU_ASSERT_EQUAL(fixture.reroutes->len, 1);
+	CU_ASSERT_EQUAL(fixture.requests->len, 1);
+	fixture_clear_(&fixture);
+}
+
 /* A stream that is only slow stays where it is, and is checked less often. */
 static void slow_stream_stays(void)
 {
 	static const script_t scripts[] = { { FIRST_EVENT, END_HOLD } };
-	static const unsigned int expected_reports[] = { 1, 2, 2, 3 };
+	/* Number of reports after FIRST_CHECK_MS and each RECHECK_MS more. */
+	static const unsigned int expected_reports[] = { 1, 2, 3, 4, 4, 5, 5 };
 	fixture_t fixture;
 	size_t i;
 
 	engine_stream_start_(&fixture, scripts, G_N_ELEMENTS(scripts));
 	for (i = 0; i < G_N_ELEMENTS(expected_reports); i++) {
-		cb_clock_advance(fixture.world->clock, FIRST_CHECK_MS);
+		cb_clock_advance(fixture.world->clock,
+				 i ? RECHECK_MS : FIRST_CHECK_MS);
 		(void)calls_wait_(fixture.reroutes, 1);
 		CU_ASSERT_EQUAL(fixture.report_addresses->len,
 				expected_reports[i]);
@@ -1021,6 +1054,52 @@
 	return is_reached;
 }
 
+/* Returns how many retries the instance has reported to control. */
+static uint32_t retries_count_(const fixture_t *fixture)
+{
+	cb_usage_t *usage = cb_usage_new();
+	uint32_t retries;
+
+	cb_retry_share_add_usage(fixture->front->retries, usage);
+	retries = cb_usage_find_sends(usage, "s").retries;
+	cb_usage_delete(usage);
+	return retries;
+}
+
+/* Returns how many attempts found no connection. */
+static int64_t unsent_attempts_count_(const fixture_t *fixture)
+{
+	return cb_counter_get(cb_counters_counter(
+		cb_kernel_counters(fixture->world->clients[0].kernel),
+		"cb_relay_attempts_failed_total", "reason", "unsent"));
+}
+
+/*
+ * A server whose port refuses a connection has ended: it must not be tried
+ * again before its next process announces itself, also after a long time.  The
+ * requests reached no server before, so no retry is taken from the budget.
+ */
+static void ended_server_is_tried_once(void)
+{
+	script_t scripts[SCRIPTS_MAX];
+	fixture_t fixture;
+	size_t i;
+
+	for (i = 0; i < SCRIPTS_MAX; i++)
+		scripts[i] = (script_t){ COMPLETE_ANSWER, END_KEEP };
+	fixture_init_(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = SCRIPTS_MAX;
+	cb_stream_unlisten(g_steal_pointer(&fixture.listeners[0]));
+	CU_ASSERT_FALSE(requests_reach_server_(&fixture, 0));
+	CU_ASSERT_EQUAL(unsent_attempts_count_(&fixture), 1);
+	world_run_until(fixture.world, NULL, 10000);
+	CU_ASSERT_FALSE(requests_reach_server_(&fixture, 0));
+	CU_ASSERT_EQUAL(unsent_attempts_count_(&fixture), 1);
+	CU_ASSERT_EQUAL(retries_count_(&fixture), 0);
+	fixture_clear_(&fixture);
+}
+
 /*
  * A server that announces its stop in an answer must get no new requests, also
  * after another heartbeat as ready, but those of its next process.
@@ -1236,9 +1315,12 @@
 	{ "reset_stream_resumes_at_another_server",
 	  reset_stream_resumes_at_another_server },
 	{ "stalled_stream_is_moved", stalled_stream_is_moved },
+	{ "outdated_report_does_not_move_stream_again",
+	  outdated_report_does_not_move_stream_again },
 	{ "slow_stream_stays", slow_stream_stays },
 	{ "rejection_moves_streams_of_lost_engine",
 	  rejection_moves_streams_of_lost_engine },
+	{ "ended_server_is_tried_once", ended_server_is_tried_once },
 	{ "leaving_server_gets_no_requests", leaving_server_gets_no_requests },
 	{ "server_that_turns_away_is_left_alone",
 	  server_that_turns_away_is_left_alone },
