Streams of slow engines are checked rarely

A stream whose checks found nothing lost in one gap is checked after 1.5 times the allowed pause in the next, then at doubled intervals; one normal gap ends that.

Test: test_event_pace slow_streams_are_checked_rarely, failed before.

--- a/src/libcurrantbridge/include/private/event_pace.h
+++ b/src/libcurrantbridge/include/private/event_pace.h
@@ -14,6 +14,8 @@
 	double gap_ms;	     /* smoothed gap between events; 0: unknown */
 	double deviation_ms; /* smoothed deviation from `gap_ms` */
 	int64_t longest_gap_ms; /* longest gap so far; 0: none */
+	/* Whether repeated checks in the gap before found nothing lost. */
+	gboolean is_slow;
 	/* Checks in the current gap that found nothing lost. */
 	unsigned int check_count;
 	/* What the longest gap was caused by; NULL: nothing known. */
--- a/src/libcurrantbridge/relay/event_pace.c
+++ b/src/libcurrantbridge/relay/event_pace.c
@@ -54,6 +54,7 @@
 		gap_smooth_(pace, gap_ms);
 	}
 	pace->current_cause = NULL;
+	pace->is_slow = pace->check_count >= RECHECKS;
 	pace->check_count = 0;
 	pace->last_ms = now_ms;
 }
@@ -72,6 +73,10 @@
 		CLAMP(usual_ms, allowed_gap_ms * CHECK_MIN_PERCENT / 100,
 		      allowed_gap_ms * CHECK_MAX_PERCENT / 100);
 
+	/* Further checks of a stream that was only slow would cost too much. */
+	if (pace->is_slow)
+		return (allowed_gap_ms * LATER_CHECK_PERCENT / 100)
+		       << MIN(pace->check_count, MAX_DOUBLINGS);
 	if (!pace->check_count)
 		return first_ms;
 	if (pace->check_count <= RECHECKS)
--- a/src/test_libcurrantbridge/test_event_pace.c
+++ b/src/test_libcurrantbridge/test_event_pace.c
@@ -113,10 +113,50 @@
 	}
 }
 
+/*
+ * A stream of an engine that is only slow must be checked rarely: each check
+ * costs a request to the engine.  One normal gap ends that.
+ */
+static void slow_streams_are_checked_rarely(void)
+{
+	static const struct {
+		/* Checks in the gap before, and in the current one. */
+		unsigned int checks_before;
+		unsigned int checks;
+		int64_t expected_ms;
+	} cases[] = { { 0, 0, 120 },
+		      { 2, 0, 120 },
+		      { 3, 0, 300 },
+		      { 3, 1, 600 },
+		      { 9, 2, 1200 } };
+	size_t i;
+	unsigned int k;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_event_pace_t pace = { 0 };
+
+		cb_event_pace_add(&pace, 1000);
+		cb_event_pace_add(&pace, 1040);
+		for (k = 0; k < cases[i].checks_before; k++)
+			cb_event_pace_count_check(&pace);
+		cb_event_pace_add(&pace, 1080);
+		for (k = 0; k < cases[i].checks; k++)
+			cb_event_pace_count_check(&pace);
+		CU_ASSERT_EQUAL(cb_event_pace_silence_ms(&pace, ALLOWED_GAP_MS),
+				cases[i].expected_ms);
+		cb_event_pace_add(&pace, 1120);
+		if (cases[i].checks < 3)
+			CU_ASSERT_EQUAL(
+				cb_event_pace_silence_ms(&pace, ALLOWED_GAP_MS),
+				120);
+	}
+}
+
 static CU_TestInfo event_pace_tests[] = {
 	{ "longest_gap_is_recorded_with_its_cause",
 	  longest_gap_is_recorded_with_its_cause },
 	{ "silence_depends_on_usual_gaps", silence_depends_on_usual_gaps },
+	{ "slow_streams_are_checked_rarely", slow_streams_are_checked_rarely },
 	CU_TEST_INFO_NULL
 };
 
