The engine that reports a loss is not suspected for it

Other instances were told to doubt it, and so the data centre stayed closed. The failure is recorded for the lost engine.

Test: test_relay only_lost_engine_is_suspected, failed before.

--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -47,7 +47,7 @@
 	cb_timer_start(relay->silence_timer, silence_limit_compute_(relay));
 }
 
-static void reroute_request_(cb_relay_t *relay);
+static void reroute_request_(cb_relay_t *relay, const char *lost_address);
 
 /* Called with the first server's answer to a request for a reroute. */
 static void reroute_answer_receive_(cb_reroute_outcome_t outcome,
@@ -62,7 +62,7 @@
 	    cb_server_book_record_loss_at(front->book, address,
 					  relay->tried_servers) &&
 	    relay->reroute_count < REROUTES_MAX) {
-		reroute_request_(relay);
+		reroute_request_(relay, address);
 		return;
 	}
 	if (outcome != CB_REROUTE_DONE) {
@@ -81,8 +81,11 @@
 	cb_relay_start_silence_timer(relay);
 }
 
-/* Requests that the first server sends the stream through another chain. */
-static void reroute_request_(cb_relay_t *relay)
+/*
+ * Requests that the first server sends the stream through another chain.
+ * Without one the attempt fails, by the fault of the server at `lost_address`.
+ */
+static void reroute_request_(cb_relay_t *relay, const char *lost_address)
 {
 	cb_front_t *front = relay->front;
 	GArray *hops = cb_relay_hops_new();
@@ -107,7 +110,8 @@
 		cb_server_book_begin_request(front->book, relay->hops,
 					     relay->expected_tokens);
 		g_array_unref(hops);
-		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, NULL);
+		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE,
+					lost_address);
 		return;
 	}
 	g_array_unref(relay->hops);
@@ -158,7 +162,7 @@
 		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, address);
 		return;
 	}
-	reroute_request_(relay);
+	reroute_request_(relay, address);
 }
 
 /*
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -897,14 +897,16 @@
 	return FALSE;
 }
 
-/* Starts a fixture with three engines and one stream that has an event. */
-static void engine_stream_start_(fixture_t *fixture, const script_t *scripts,
-				 unsigned int script_count)
+/* Starts a fixture with some engines and one stream that has an event. */
+static void engine_stream_start_with_(fixture_t *fixture,
+				      unsigned int engine_count,
+				      const script_t *scripts,
+				      unsigned int script_count)
 {
 	unsigned int i;
 
 	fixture_init_(fixture, TRUE);
-	for (i = 0; i < SERVER_COUNT; i++)
+	for (i = 0; i < engine_count; i++)
 		engine_announce_(fixture, i);
 	world_run_until(fixture->world, NULL, 1000);
 	fixture->scripts = scripts;
@@ -913,6 +915,45 @@
 	CU_ASSERT_TRUE_FATAL(loop_run_until_(fixture, 0, "id: 1"));
 }
 
+/* The same with three engines, of which two hold the last layer. */
+static void engine_stream_start_(fixture_t *fixture, const script_t *scripts,
+				 unsigned int script_count)
+{
+	engine_stream_start_with_(fixture, SERVER_COUNT, scripts, script_count);
+}
+
+/* Returns whether the instance tells the others that it suspects a server. */
+static gboolean server_is_suspected_(const fixture_t *fixture, const char *id)
+{
+	cb_usage_t *usage = cb_server_book_collect_usage(fixture->front->book);
+	gboolean is_suspected =
+		cb_usage_find_load(usage, id).suspecting_instances > 0;
+
+	cb_usage_delete(usage);
+	return is_suspected;
+}
+
+/*
+ * Where no engine can take over the layers of a lost one, the stream is resumed
+ * later or elsewhere.  Guards against its first engine, which has reported the
+ * loss, being suspected in place of the lost one.
+ */
+static void only_lost_engine_is_suspected(void)
+{
+	static const script_t scripts[] = { { FIRST_EVENT, END_HOLD } };
+	fixture_t fixture;
+
+	engine_stream_start_with_(&fixture, 2, scripts, G_N_ELEMENTS(scripts));
+	fixture.lost_server = 1;
+	cb_clock_advance(fixture.world->clock, FIRST_CHECK_MS);
+	CU_ASSERT_TRUE(calls_wait_(fixture.report_addresses, 1));
+	(void)calls_wait_(fixture.reroutes, 1);
+	CU_ASSERT_EQUAL(fixture.reroutes->len, 0);
+	CU_ASSERT_TRUE(server_is_suspected_(&fixture, "engine1"));
+	CU_ASSERT_FALSE(server_is_suspected_(&fixture, "engine0"));
+	fixture_clear_(&fixture);
+}
+
 /* Checks that one reroute keeps the first engine and replaces the lost one. */
 static void reroute_check_(const fixture_t *fixture)
 {
@@ -1317,6 +1358,7 @@
 	{ "stalled_stream_is_moved", stalled_stream_is_moved },
 	{ "outdated_report_does_not_move_stream_again",
 	  outdated_report_does_not_move_stream_again },
+	{ "only_lost_engine_is_suspected", only_lost_engine_is_suspected },
 	{ "slow_stream_stays", slow_stream_stays },
 	{ "rejection_moves_streams_of_lost_engine",
 	  rejection_moves_streams_of_lost_engine },
