Requests that meet a dark engine are sent elsewhere within their aim

Cause: a connection to an engine that does not answer was given up after 400 ms, and a request without an answer was checked after 40% of the time that its route wants a first event in; with 200 ms for the report, no such request could have its first event within 500 ms. Now 200 ms and 25%. The cause of a pause in the log stays "rerouted" or the failure when later checks find the stream only slow.

--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -7,7 +7,7 @@
 #include "private/stream.h"
 
 /* A server in the region answers in 1 ms; resending a packet takes longer. */
-#define CONNECT_TIMEOUT_MS 400
+#define CONNECT_TIMEOUT_MS 200
 /* Idle limit of a connection; a shorter Keep-Alive timeout takes precedence. */
 #define IDLE_MAX_MS 10000
 /* How long before the server's own idle timeout a connection is closed. */
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -6,7 +6,7 @@
  * A stream without a first event is checked after this percentage of the time
  * in which its route wants that event.
  */
-#define FIRST_EVENT_CHECK_PERCENT 40
+#define FIRST_EVENT_CHECK_PERCENT 25
 #define DEFAULT_SILENCE_MS 1500
 /* How long an engine may take to carry out a reroute. */
 #define REROUTE_TIMEOUT_MS 300
@@ -247,7 +247,8 @@
 		 * The stream is only slow; another server would start the
 		 * answer over.
 		 */
-		cb_event_pace_set_cause(&relay->pace, "slow");
+		if (!relay->pace.current_cause)
+			cb_event_pace_set_cause(&relay->pace, "slow");
 		cb_event_pace_count_check(&relay->pace);
 		cb_relay_start_silence_timer(relay);
 	}
