--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -13,6 +13,13 @@
 /* Reroutes of one request, after which a bad server fails the attempt. */
 #define REROUTES_MAX 4
 
+/* Returns how long a stream has been without an event, in ms. */
+static int64_t silence_compute_ms_(const cb_relay_t *relay)
+{
+	return cb_relay_now_ms(relay) -
+	       MAX(relay->pace.last_ms, relay->sent_ms);
+}
+
 /* Returns how long a stream may be without an event, in ms. */
 static int64_t silence_limit_compute_(const cb_relay_t *relay)
 {
@@ -74,8 +81,7 @@
 		     CB_STR("request", relay->request_info.id),
 		     CB_STR("way", hops_text),
 		     CB_INT("last_event", relay->last_event),
-		     CB_INT("silent_ms",
-			    cb_relay_now_ms(relay) - relay->pace.last_ms));
+		     CB_INT("silent_ms", silence_compute_ms_(relay)));
 	g_free(hops_text);
 	cb_event_pace_set_cause(&relay->pace, "rerouted");
 	cb_relay_start_silence_timer(relay);
@@ -153,8 +159,7 @@
 		     CB_STR("request", relay->request_info.id),
 		     CB_STR("address", address),
 		     CB_INT("last_event", relay->last_event),
-		     CB_INT("silent_ms",
-			    cb_relay_now_ms(relay) - relay->pace.last_ms));
+		     CB_INT("silent_ms", silence_compute_ms_(relay)));
 	cb_front_report_usage_soon(relay->front);
 	if (!strcmp(address, first->address) ||
 	    !cb_server_book_record_loss_at(relay->front->book, address,
