--- a/include/currantbridge/settings.h
+++ b/include/currantbridge/settings.h
@@ -16,6 +16,7 @@
 	CB_SETTING_STRINGS,   /* char **, NULL-terminated */
 	CB_SETTING_ADDRESSES, /* char **, NULL-terminated, each "IP:PORT" */
 	CB_SETTING_INTEGER,   /* int64_t */
+	CB_SETTING_NUMBER,    /* double, may have a fraction */
 	CB_SETTING_BOOLEAN,   /* gboolean */
 	CB_SETTING_TYPE_COUNT
 } cb_setting_type_t;
@@ -28,7 +29,7 @@
 	 * Whether the field must be given, an array with at least one element.
 	 */
 	gboolean is_required;
-	/* Smallest value of an INTEGER; `max` is the largest. */
+	/* Smallest value of an INTEGER or NUMBER; `max` is the largest. */
 	int64_t min;
 	int64_t max;
 	/*
--- a/src/libcurrantbridge/kernel/settings.c
+++ b/src/libcurrantbridge/kernel/settings.c
@@ -130,27 +130,48 @@
 	return FALSE;
 }
 
+/* Sets the error that a value is out of the setting's range. */
+static gboolean range_error_set_(const cb_setting_t *setting, GError **error)
+{
+	char *reason = g_strdup_printf("must be from %" G_GINT64_FORMAT
+				       " to %" G_GINT64_FORMAT,
+				       setting->min, setting->max);
+	field_error_set_(error, setting->name, reason);
+	g_free(reason);
+	return FALSE;
+}
+
 static gboolean integer_read_(const cb_setting_t *setting, JsonNode *node,
 			      int64_t *out, GError **error)
 {
 	int64_t value;
-	char *reason;
 
 	if (!JSON_NODE_HOLDS_VALUE(node) ||
 	    json_node_get_value_type(node) != G_TYPE_INT64)
 		return field_error_set_(error, setting->name,
 					"must be a whole number");
 	value = json_node_get_int(node);
-	if (value >= setting->min && value <= setting->max) {
-		*out = value;
-		return TRUE;
-	}
-	reason = g_strdup_printf("must be from %" G_GINT64_FORMAT
-				 " to %" G_GINT64_FORMAT,
-				 setting->min, setting->max);
-	field_error_set_(error, setting->name, reason);
-	g_free(reason);
-	return FALSE;
+	if (value < setting->min || value > setting->max)
+		return range_error_set_(setting, error);
+	*out = value;
+	return TRUE;
+}
+
+static gboolean number_read_(const cb_setting_t *setting, JsonNode *node,
+			     double *out, GError **error)
+{
+	double value;
+
+	if (!JSON_NODE_HOLDS_VALUE(node) ||
+	    (json_node_get_value_type(node) != G_TYPE_INT64 &&
+	     json_node_get_value_type(node) != G_TYPE_DOUBLE))
+		return field_error_set_(error, setting->name,
+					"must be a number");
+	value = json_node_get_double(node);
+	if (!(value >= (double)setting->min && value <= (double)setting->max))
+		return range_error_set_(setting, error);
+	*out = value;
+	return TRUE;
 }
 
 static gboolean boolean_read_(const cb_setting_t *setting, JsonNode *node,
@@ -179,6 +200,8 @@
 		return strings_read_(setting, node, member, error);
 	case CB_SETTING_INTEGER:
 		return integer_read_(setting, node, member, error);
+	case CB_SETTING_NUMBER:
+		return number_read_(setting, node, member, error);
 	case CB_SETTING_BOOLEAN:
 		return boolean_read_(setting, node, member, error);
 	case CB_SETTING_TYPE_COUNT:
@@ -210,6 +233,9 @@
 		*(int64_t *)member =
 			g_ascii_strtoll(setting->default_text, NULL, 10);
 		return TRUE;
+	case CB_SETTING_NUMBER:
+		*(double *)member = g_ascii_strtod(setting->default_text, NULL);
+		return TRUE;
 	case CB_SETTING_BOOLEAN:
 		*(gboolean *)member = !strcmp(setting->default_text, "true");
 		return TRUE;
--- a/src/test_libcurrantbridge/test_kernel.c
+++ b/src/test_libcurrantbridge/test_kernel.c
@@ -98,6 +98,7 @@
 	int64_t limit;
 	gboolean is_on;
 	char *level;
+	double ratio;
 } example_settings_t;
 
 static const char *const level_choices[] = { "low", "high", NULL };
@@ -113,6 +114,8 @@
 	  FALSE, 0, 0, "true", NULL },
 	{ "level", CB_SETTING_STRING, offsetof(example_settings_t, level),
 	  FALSE, 0, 0, "low", level_choices },
+	{ "ratio", CB_SETTING_NUMBER, offsetof(example_settings_t, ratio),
+	  FALSE, 0, 50, "0.5", NULL },
 };
 
 /* The error of each invalid text names the field and the reason. */
@@ -142,6 +145,12 @@
 		  "settings: peers: each must be IP:PORT" },
 		{ "{\"listen\":\"127.0.0.1:1\",\"level\":\"mid\"}",
 		  "settings: level: must be one of low, high" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"ratio\":47.17}", "" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"ratio\":47}", "" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"ratio\":50.5}",
+		  "settings: ratio: must be from 0 to 50" },
+		{ "{\"listen\":\"127.0.0.1:1\",\"ratio\":\"1\"}",
+		  "settings: ratio: must be a number" },
 		{ "[]", "settings: must be one JSON object" },
 	};
 	size_t i;
