--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -336,7 +336,7 @@
 	gboolean is_found;
 	uint32_t layer;
 
-	if (!layers_are_held_(servers, count, engine->layers))
+	if (!count || !layers_are_held_(servers, count, engine->layers))
 		return CB_CHAIN_NO_HOLDER;
 	search.step_costs_ms =
 		step_costs_compute_(engine, servers, count, criteria, random);
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -167,7 +167,9 @@
 			steps++;
 		cb_document_decoding_delete(decoding);
 		CU_ASSERT_EQUAL(steps, cases[i].steps);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(document);
+		CU_ASSERT_PTR_NOT_NULL(document);
+		if (!document)
+			return;
 		CU_ASSERT_EQUAL(document->version, 2);
 		CU_ASSERT_EQUAL(document->routes->len, MANY_ROUTES);
 		for (k = 0; k < MANY_ROUTES; k++) {
