Control: the cost of a heartbeat no longer grows with the fleet

By reading: each heartbeat, received or passed on by another control instance, compared its address with that of every server (3,000 servers: 7.5 million comparisons a second); the leader requested a report of each engine every 2 s (1,500 calls a second) and planned every 0.2 s whatever the size.

Change: the holder of an address is looked up; at most 120 routine reports a second, so that the interval grows from 240 engines on; plans at most every N / 5 ms for N servers, 0.2 s up to 1,000.

--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -10,6 +10,11 @@
 
 struct cb_fleet {
 	GHashTable *by_id;
+	/*
+	 * Address to the ID (char *) of the server that had it last.  That
+	 * server may have another address by now, or be removed.
+	 */
+	GHashTable *id_by_address;
 	GPtrArray *sorted; /* cache of cb_fleet_servers(), or NULL */
 	cb_fleet_changed_fn_t change_fn;
 	void *user_data;
@@ -60,6 +65,8 @@
 {
 	cb_fleet_t *fleet = g_new0(cb_fleet_t, 1);
 
+	fleet->id_by_address =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     server_delete_);
 	return fleet;
@@ -72,6 +79,7 @@
 		return;
 	g_clear_pointer(&fleet->sorted, g_ptr_array_unref);
 	g_hash_table_unref(fleet->by_id);
+	g_hash_table_unref(fleet->id_by_address);
 	g_free(fleet);
 }
 
@@ -117,6 +125,20 @@
 	       g_strcmp0(a->kind, b->kind) != 0;
 }
 
+/* Returns the server at an address that has not left, or NULL. */
+static cb_fleet_server_t *address_holder_find_(const cb_fleet_t *fleet,
+					       const char *address)
+{
+	const char *id = g_hash_table_lookup(fleet->id_by_address, address);
+	cb_fleet_server_t *server =
+		id ? g_hash_table_lookup(fleet->by_id, id) : NULL;
+
+	return server && server->state != CB_FLEET_GONE &&
+			       !strcmp(server->address, address) ?
+		       server :
+		       NULL;
+}
+
 /*
  * Assigns the reported address to its server and marks the previous holder as
  * gone.  Returns FALSE if the current holder started later.
@@ -124,22 +146,19 @@
 static gboolean address_assign_(cb_fleet_t *fleet,
 				const cb_fleet_server_t *report)
 {
-	GHashTableIter iter;
-	void *value;
+	cb_fleet_server_t *holder =
+		address_holder_find_(fleet, report->address);
 
-	g_hash_table_iter_init(&iter, fleet->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		cb_fleet_server_t *other = value;
-
-		if (!strcmp(other->id, report->id) ||
-		    strcmp(other->address, report->address) != 0 ||
-		    other->state == CB_FLEET_GONE)
-			continue;
-		if (other->start_wall_ms > report->start_wall_ms)
-			return FALSE;
-		other->state = CB_FLEET_GONE;
-		change_notify_(fleet, other);
+	if (holder && !strcmp(holder->id, report->id))
+		return TRUE;
+	if (holder && holder->start_wall_ms > report->start_wall_ms)
+		return FALSE;
+	if (holder) {
+		holder->state = CB_FLEET_GONE;
+		change_notify_(fleet, holder);
 	}
+	g_hash_table_replace(fleet->id_by_address, g_strdup(report->address),
+			     g_strdup(report->id));
 	return TRUE;
 }
 
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -4,7 +4,12 @@
 
 #include "currantbridge/placement.h"
 
+/*
+ * Interval of plans; with more servers than PLAN_SERVERS_PER_MS a millisecond
+ * of it, the interval is longer.
+ */
 #define PLAN_INTERVAL_MS 200
+#define PLAN_SERVERS_PER_MS 5
 /*
  * Shortest interval between two reads of the document: engine profiles change
  * rarely, but documents may change in bursts.
@@ -28,8 +33,13 @@
  * degraded, as it delays each of its chains.
  */
 #define DEGRADED_SLOW_PERCENT 300
-/* Interval of the reports that show whether an engine has become slow. */
+/*
+ * Interval of the reports that show whether an engine has become slow, and the
+ * most of them that the leader requests in a second: with more engines the
+ * interval is longer.
+ */
 #define REPORT_INTERVAL_MS 2000
+#define REPORTS_PER_S 120
 /*
  * Interval of the reports of an engine that entry instances suspect, and the
  * timeout after which it counts as lost: stalled streams wait for its layers.
@@ -366,6 +376,19 @@
 		report_request_(placer, state, server->address);
 }
 
+/* Returns how many servers the fleet has. */
+static unsigned int servers_count_(const cb_placer_t *placer)
+{
+	return cb_fleet_servers(cb_node_fleet(placer->node))->len;
+}
+
+/* Returns the interval of the routine reports of one engine, in ms. */
+static int64_t report_interval_compute_ms_(const cb_placer_t *placer)
+{
+	return MAX(REPORT_INTERVAL_MS,
+		   (int64_t)servers_count_(placer) * 1000 / REPORTS_PER_S);
+}
+
 /* Requests a report at intervals, which shows whether a server is slow. */
 static void routine_report_request_(cb_placer_t *placer, engine_state_t *state,
 				    const cb_fleet_server_t *server)
@@ -376,7 +399,8 @@
 		return;
 	if (!state->report_requested_ms)
 		state->report_requested_ms = now_ms;
-	if (now_ms - state->report_requested_ms < REPORT_INTERVAL_MS)
+	if (now_ms - state->report_requested_ms <
+	    report_interval_compute_ms_(placer))
 		return;
 	state->is_routine_report = TRUE;
 	report_request_(placer, state, server->address);
@@ -650,7 +674,9 @@
 	GHashTableIter iter;
 	void *value;
 
-	cb_timer_start(placer->timer, PLAN_INTERVAL_MS);
+	cb_timer_start(placer->timer,
+		       MAX(PLAN_INTERVAL_MS,
+			   servers_count_(placer) / PLAN_SERVERS_PER_MS));
 	if (!cb_node_leads(placer->node)) {
 		missing_gauges_reset_(placer);
 		return;
