Revert: an engine that is named as faulty and gives no report is lost

The refusals are after the final fault: not_configured 2,516 times, for up to 4 s. Not traced further; restarted instances suspect many engines that are full, and each suspicion is reported at once.

--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -73,7 +73,7 @@
 void cb_relay_delete(void *relay);
 /* Returns whether a stream under way passes through the engine at `address`. */
 gboolean cb_relay_uses_engine(const cb_front_t *front, const char *address);
-/* Moves the streams of the engine at `address` if it gives no report. */
+/* Moves the streams of the engine at `address` if it refuses connections. */
 void cb_relay_check_engine(cb_front_t *front, const char *address);
 /* Frees a check of an engine; its report must not be pending. */
 void cb_engine_check_delete(void *check);
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -301,7 +301,7 @@
 
 	(void)report;
 	g_hash_table_remove(front->engine_checks, check);
-	if (result != CB_REPORT_ANSWERED) {
+	if (result == CB_REPORT_FAILED) {
 		cb_server_book_record_loss_at(front->book, address, NULL);
 		cb_front_report_usage_soon(front);
 		cb_relay_move_streams(front, address);
@@ -324,9 +324,9 @@
 
 /*
  * Checks an engine that another one named as the reason why it rejected a
- * request, or that another instance suspects: the engine may have stopped, or
- * be short of memory.  If it gives no report either, it is lost, and the streams
- * that pass through it are moved before they fall silent for long.
+ * request: the engine may have stopped, or be short of memory.  If it refuses
+ * connections, the streams that pass through it are moved before they fall
+ * silent for long.
  */
 void cb_relay_check_engine(cb_front_t *front, const char *address)
 {
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -8,11 +8,6 @@
 /* How long a failed server is avoided, doubled with each failure. */
 #define AVOID_INITIAL_MS 500
 #define AVOID_MAX_MS 4000
-/*
- * How long a lost server is not used at least: control notices missing
- * heartbeats after some 3.6 s.
- */
-#define LOST_AVOID_MIN_MS 2000
 /* How long this instance reports a failed server as suspected. */
 #define SUSPECT_REPORT_MS 1000
 /* How long the load that a server reported is used. */
@@ -690,9 +685,7 @@
 			continue;
 		cb_server_book_record_failure(book, server->id, TRUE);
 		stats = stats_get_(book, server->id);
-		stats->lost_until_ms =
-			MAX(stats->avoid_until_ms,
-			    cb_clock_now_ms(book->clock) + LOST_AVOID_MIN_MS);
+		stats->lost_until_ms = stats->avoid_until_ms;
 		if (tried)
 			g_hash_table_add(tried, g_strdup(server->id));
 		is_found = TRUE;
