A refused connection keeps a server unused for 5 s at most

Cause, found in reading before the landing: a server with too many connections refuses some while it runs; its record would have kept this instance from using it for the rest of its process's life, and with all servers of a plain service so marked every request of that service would have been refused. Five seconds are more than control needs to notice missing heartbeats.

test_relay ended_server_is_tried_once asked for no second try after 10 s; it asks for none within 4.9 s and exactly one after 5 s.

--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -8,6 +8,11 @@
 /* How long a failed server is avoided, doubled with each failure. */
 #define AVOID_INITIAL_MS 500
 #define AVOID_MAX_MS 4000
+/*
+ * How long a server that refused a connection is not used; control notices
+ * missing heartbeats sooner.
+ */
+#define ENDED_AVOID_MS 5000
 /* How long this instance reports a failed server as suspected. */
 #define SUSPECT_REPORT_MS 1000
 /* How long the load that a server reported is used. */
@@ -37,8 +42,12 @@
 	int64_t lost_until_ms;
 	/* Until when the server is avoided because it had no free slot. */
 	int64_t full_until_ms;
-	/* Start of the server process that has ended; 0: none. */
+	/*
+	 * Start of the server process that refused a connection, 0: none, and
+	 * until when that process is taken for ended.
+	 */
 	int64_t ended_start_wall_ms;
+	int64_t ended_until_ms;
 	/* Until when the server wants no requests of this instance. */
 	int64_t turned_away_until_ms;
 	/*
@@ -171,7 +180,8 @@
 
 	return stats && server->start_wall_ms &&
 	       (stats->leaving_start_wall_ms == server->start_wall_ms ||
-		stats->ended_start_wall_ms == server->start_wall_ms);
+		(stats->ended_start_wall_ms == server->start_wall_ms &&
+		 stats->ended_until_ms > cb_clock_now_ms(book->clock)));
 }
 
 /* Returns whether a new request may be sent to a server. */
@@ -594,8 +604,9 @@
 }
 
 /*
- * Records that a server's process has ended: its port refused a connection.
- * The server is not used before its next process announces itself.
+ * Records that a server's process has most likely ended: its port refused a
+ * connection.  The server is not used before its next process announces itself,
+ * for ENDED_AVOID_MS at most: one with too many connections refuses some too.
  */
 void cb_server_book_record_end(cb_server_book_t *book,
 			       const cb_relay_hop_t *hop)
@@ -603,6 +614,7 @@
 	server_stats_t *stats = stats_get_(book, hop->id);
 
 	stats->ended_start_wall_ms = hop->start_wall_ms;
+	stats->ended_until_ms = cb_clock_now_ms(book->clock) + ENDED_AVOID_MS;
 	stats->suspected_ms = cb_clock_now_ms(book->clock);
 }
 
