Decoding: a decompressed document is not copied again

Cause: cb_document_decode() decompressed a document into a text of its own, which cb_document_decode_text() then copied whole before decoding it. Change: one static function decodes a text that it takes over; both public functions call it, and only the one whose caller keeps the text copies it. Two declarations broken over two lines have their comment above them, and the comment on REPORT_TIMEOUT_MS says what the time is.

--- a/include/currantbridge/dialect.h
+++ b/include/currantbridge/dialect.h
@@ -67,8 +67,8 @@
 	int64_t running; /* requests running at the server; -1: not given */
 	/* Requests queued at the server; valid if `running` is given. */
 	int64_t waiting;
-	gboolean
-		is_leaving; /* the server will stop and wants no new requests */
+	/* the server will stop and wants no new requests */
+	gboolean is_leaving;
 	/*
 	 * How long the server, which turned the request away, wants no requests
 	 * of this instance; 0: not given.
--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -38,8 +38,8 @@
 /* A route is immutable once it is in a document; documents may share it. */
 typedef struct cb_route {
 	unsigned int refs; /* number of documents that hold the route */
-	cb_text_digest_t
-		digest; /* digest of its text; 0: made without a text */
+	/* digest of its text; 0: made without a text */
+	cb_text_digest_t digest;
 	char *name;
 	char *host;
 	/* prefix of the request's path; begins and ends with a slash */
--- a/src/libcurrantbridge/contract/document_decoding.c
+++ b/src/libcurrantbridge/contract/document_decoding.c
@@ -117,18 +117,44 @@
 	return TRUE;
 }
 
+/* Decodes the whole of `text`, which it takes over. */
+static cb_document_t *owned_text_decode_(const cb_document_codec_t *codec,
+					 char *text, size_t size,
+					 cb_document_t *previous,
+					 GError **error)
+{
+	cb_document_decoding_t *decoding =
+		cb_document_decoding_new(codec, text, size, previous);
+	cb_document_t *document;
+
+	(void)cb_document_decoding_step(decoding, UINT32_MAX, &document, error);
+	cb_document_decoding_delete(decoding);
+	return document;
+}
+
 cb_document_t *cb_document_decode_text(const cb_document_codec_t *codec,
 				       const char *text, size_t size,
 				       cb_document_t *previous, GError **error)
 {
 	char *copy = g_malloc(size + 1);
-	cb_document_decoding_t *decoding;
-	cb_document_t *document;
 
 	memcpy(copy, text, size);
 	copy[size] = '\0';
-	decoding = cb_document_decoding_new(codec, copy, size, previous);
-	(void)cb_document_decoding_step(decoding, UINT32_MAX, &document, error);
-	cb_document_decoding_delete(decoding);
-	return document;
+	return owned_text_decode_(codec, copy, size, previous, error);
+}
+
+/* Decompresses and decodes a document; returns NULL with an error. */
+cb_document_t *cb_document_decode(const cb_document_codec_t *codec,
+				  GBytes *packed, cb_document_t *previous,
+				  GError **error)
+{
+	size_t size;
+	char *text = cb_document_unpack(packed, &size);
+
+	if (!text) {
+		g_set_error(error, CB_DOCUMENT_ERROR, CB_DOCUMENT_ERROR_INVALID,
+			    "document: is damaged");
+		return NULL;
+	}
+	return owned_text_decode_(codec, text, size, previous, error);
 }
--- a/src/libcurrantbridge/contract/document_text.c
+++ b/src/libcurrantbridge/contract/document_text.c
@@ -78,22 +78,3 @@
 	g_byte_array_append(output, (const uint8_t *)"", 1);
 	return (char *)g_byte_array_free(output, FALSE);
 }
-
-/* Decompresses and decodes a document; returns NULL with an error. */
-cb_document_t *cb_document_decode(const cb_document_codec_t *codec,
-				  GBytes *packed, cb_document_t *previous,
-				  GError **error)
-{
-	cb_document_t *document;
-	size_t size;
-	char *text = cb_document_unpack(packed, &size);
-
-	if (!text) {
-		g_set_error(error, CB_DOCUMENT_ERROR, CB_DOCUMENT_ERROR_INVALID,
-			    "document: is damaged");
-		return NULL;
-	}
-	document = cb_document_decode_text(codec, text, size, previous, error);
-	g_free(text);
-	return document;
-}
--- a/src/libcurrantbridge/relay/engine_reports.c
+++ b/src/libcurrantbridge/relay/engine_reports.c
@@ -1,6 +1,9 @@
 #include "private/engine_reports.h"
 
-/* An engine in the same region answers in a few ms, or after a lost packet. */
+/*
+ * Time after which a report is taken for lost: an engine in the same region
+ * answers in a few ms, unless a packet is lost and sent again.
+ */
 #define REPORT_TIMEOUT_MS 200
 
 typedef struct waiter {
