--- a/include/currantbridge/http1_head.h
+++ b/include/currantbridge/http1_head.h
@@ -22,8 +22,12 @@
 	CB_HTTP1_FRAMING_CHUNKED, /* a chunk of size 0 ends the body */
 	/* The end of the connection ends the body. */
 	CB_HTTP1_FRAMING_UNTIL_CLOSE,
+	CB_HTTP1_FRAMING_COUNT
 } cb_http1_framing_t;
 
+/* The name of each framing, for log lines. */
+extern const char *const cb_http1_framing_string[CB_HTTP1_FRAMING_COUNT];
+
 typedef struct cb_http1_head {
 	char *text; /* the copy of the head that the strings point into */
 	/* The method and target are set for a request only. */
--- a/src/libcurrantbridge/http1/http1_head.c
+++ b/src/libcurrantbridge/http1/http1_head.c
@@ -7,6 +7,13 @@
 /* Most digits of a Content-Length; keeps the value below 2^63. */
 #define CONTENT_LENGTH_DIGITS_MAX 18
 
+const char *const cb_http1_framing_string[CB_HTTP1_FRAMING_COUNT] = {
+	[CB_HTTP1_FRAMING_NONE] = "none",
+	[CB_HTTP1_FRAMING_LENGTH] = "length",
+	[CB_HTTP1_FRAMING_CHUNKED] = "chunked",
+	[CB_HTTP1_FRAMING_UNTIL_CLOSE] = "until_close",
+};
+
 /* Whether a byte is allowed in a method or a header name (RFC 9110). */
 static gboolean is_token_char_(char c)
 {
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -119,6 +119,12 @@
 	return g_string_free(hops_text, FALSE);
 }
 
+/* Returns the bytes received of an event that is not complete yet. */
+size_t cb_relay_unfinished_bytes(const cb_relay_t *relay)
+{
+	return relay->splitter.partial ? relay->splitter.partial->len : 0;
+}
+
 /* Logs and counts how a request ends, while its exchange still exists. */
 void cb_relay_record_end(const cb_relay_t *relay, uint32_t status,
 			 const char *reason)
@@ -137,7 +143,10 @@
 		     CB_INT("status", status), CB_STR("reason", reason),
 		     CB_INT("attempts", relay->send_count),
 		     CB_STR("way", hops_text),
+		     CB_STR("framing", relay->framing),
 		     CB_INT("last_event", relay->last_event),
+		     CB_INT("unfinished_bytes",
+			    (int64_t)cb_relay_unfinished_bytes(relay)),
 		     CB_INT("version",
 			    relay->document ? relay->document->version : 0),
 		     CB_INT("elapsed_ms", elapsed_ms),
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -120,7 +120,10 @@
 		     CB_STR("fault", failed_address),
 		     CB_INT("status", relay->status),
 		     CB_INT("has_run", has_run), CB_STR("way", hops_text),
+		     CB_STR("framing", relay->framing),
 		     CB_INT("last_event", relay->last_event),
+		     CB_INT("unfinished_bytes",
+			    (int64_t)cb_relay_unfinished_bytes(relay)),
 		     CB_INT("sent_before_ms",
 			    cb_relay_now_ms(relay) - relay->sent_ms));
 	g_free(hops_text);
@@ -182,6 +185,7 @@
 	cb_relay_answer_info_t answer_info = { .running = -1 };
 
 	relay->status = head->status;
+	relay->framing = cb_http1_framing_string[head->framing];
 	front->dialect->vtable->read_answer_info(front->dialect, head,
 						 relay->request_info.id,
 						 &answer_info);
@@ -393,6 +397,7 @@
 	relay->send_count++;
 	relay->sent_ms = cb_relay_now_ms(relay);
 	relay->status = 0;
+	relay->framing = NULL;
 	relay->is_event_stream = FALSE;
 	relay->has_not_run = FALSE;
 	cb_server_book_begin_request(front->book, relay->hops,
