--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -4,6 +4,7 @@
 
 #include "currantbridge/front.h"
 #include "private/front.h"
+#include "private/http1_body.h"
 #include "private/stream.h"
 #include "support_world.h"
 
@@ -148,7 +149,7 @@
 	route->target_latency_ms = 500;
 	route->target_gap_ms = 200;
 	route->max_attempts = 2;
-	route->is_resumable = TRUE;
+	route->is_resumable = !g_str_has_prefix(prefix, "/stream-once");
 	g_array_append_val(route->splits, split);
 	cb_document_add_route(document, route);
 }
@@ -192,6 +193,7 @@
 	route_add_(document, "/safe/", CB_ROUTE_IDEMPOTENT);
 	route_add_(document, "/once/", CB_ROUTE_ONCE);
 	route_add_(document, "/stream/", CB_ROUTE_STREAM);
+	route_add_(document, "/stream-once/", CB_ROUTE_STREAM);
 	engine_service_add_(document);
 	route_add_(document, "/engine/", CB_ROUTE_STREAM);
 	CU_ASSERT_TRUE(cb_document_add_key(document, "w", "k", error));
@@ -869,6 +871,227 @@
 	fixture_clear_(&fixture);
 }
 
+#define STREAM_REQUEST REQUEST("POST", "/stream/", "Content-Length: 0\r\n")
+#define STREAM_ONCE_REQUEST \
+	REQUEST("POST", "/stream-once/", "Content-Length: 0\r\n")
+#define UNFRAMED_HEAD "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\n\r\n"
+#define LENGTH_HEAD \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nContent-Length: 27\r\n\r\n"
+#define EVENT_1 "id: 1\ndata: a\n\n"
+#define EVENT_2 "id: 2\ndata: b\n\n"
+#define CUT_EVENT_2 "id: 2\ndata: "
+/* The rest of the stream after EVENT_1, as another server sends it. */
+#define REST_OF_STREAM STREAM_HEAD "f\r\n" EVENT_2 "\r\n0\r\n\r\n"
+
+/* What the caller gets at the end of its answer. */
+typedef enum answer_end {
+	ANSWER_COMPLETE,
+	ANSWER_BROKEN_OFF, /* the connection ends without the last chunk */
+	ANSWER_REFUSED,	   /* an error status */
+} answer_end_t;
+
+typedef struct stream_end_case {
+	const char *description; /* printed if the case fails */
+	const char *request;	 /* the caller's request */
+	script_t scripts[3];
+	unsigned int expected_sends; /* number of attempts at servers */
+	answer_end_t expected_end;
+	const char *expected_body; /* the body that the caller gets */
+} stream_end_case_t;
+
+static const stream_end_case_t stream_end_cases[] = {
+	{ "no length: closed after a whole event",
+	  STREAM_REQUEST,
+	  { { UNFRAMED_HEAD EVENT_1 EVENT_2, END_CLOSE } },
+	  1,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "no length: closed inside an event",
+	  STREAM_REQUEST,
+	  { { UNFRAMED_HEAD EVENT_1 CUT_EVENT_2, END_CLOSE },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "no length: closed between the two line ends after an event",
+	  STREAM_REQUEST,
+	  { { UNFRAMED_HEAD EVENT_1 "id: 2\ndata: b\n", END_CLOSE },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "no length: closed before the first event",
+	  STREAM_REQUEST,
+	  { { UNFRAMED_HEAD, END_CLOSE },
+	    { UNFRAMED_HEAD EVENT_1 EVENT_2, END_CLOSE } },
+	  2,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "no length: closed inside an event at every attempt",
+	  STREAM_REQUEST,
+	  { { UNFRAMED_HEAD EVENT_1 CUT_EVENT_2, END_CLOSE },
+	    { UNFRAMED_HEAD CUT_EVENT_2, END_CLOSE },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+	{ "no length: closed inside an event of a stream that can't be resumed",
+	  STREAM_ONCE_REQUEST,
+	  { { UNFRAMED_HEAD EVENT_1 CUT_EVENT_2, END_CLOSE },
+	    { REST_OF_STREAM, END_KEEP } },
+	  1,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+	{ "no length: closed in the first event, which can't be repeated",
+	  STREAM_ONCE_REQUEST,
+	  { { UNFRAMED_HEAD CUT_EVENT_2, END_CLOSE },
+	    { REST_OF_STREAM, END_KEEP } },
+	  1,
+	  ANSWER_REFUSED,
+	  NULL },
+	{ "no length: reset after a whole event",
+	  STREAM_REQUEST,
+	  { { UNFRAMED_HEAD EVENT_1, END_RESET },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "chunks: last chunk, after a whole event",
+	  STREAM_REQUEST,
+	  { { STREAM_HEAD "f\r\n" EVENT_1 "\r\n0\r\n\r\n", END_KEEP } },
+	  1,
+	  ANSWER_COMPLETE,
+	  EVENT_1 },
+	{ "chunks: last chunk, and no event at all",
+	  STREAM_REQUEST,
+	  { { STREAM_HEAD "0\r\n\r\n", END_KEEP } },
+	  1,
+	  ANSWER_COMPLETE,
+	  "" },
+	{ "chunks: last chunk, after an empty line more",
+	  STREAM_REQUEST,
+	  { { STREAM_HEAD "10\r\n" EVENT_1 "\n\r\n0\r\n\r\n", END_KEEP } },
+	  1,
+	  ANSWER_COMPLETE,
+	  EVENT_1 "\n" },
+	{ "chunks: last chunk, inside an event",
+	  STREAM_REQUEST,
+	  { { STREAM_HEAD "1b\r\n" EVENT_1 CUT_EVENT_2 "\r\n0\r\n\r\n",
+	      END_KEEP },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "chunks: closed between chunks",
+	  STREAM_REQUEST,
+	  { { STREAM_HEAD "f\r\n" EVENT_1 "\r\n", END_CLOSE },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "chunks: closed inside the last chunk",
+	  STREAM_REQUEST,
+	  { { STREAM_HEAD "f\r\n" EVENT_1 "\r\n0\r\n", END_CLOSE },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "length: reached inside an event",
+	  STREAM_REQUEST,
+	  { { LENGTH_HEAD EVENT_1 CUT_EVENT_2, END_KEEP },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "length: closed before it is reached",
+	  STREAM_REQUEST,
+	  { { LENGTH_HEAD EVENT_1, END_CLOSE }, { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+};
+
+static void body_append_(void *user_data, const uint8_t *data, size_t size)
+{
+	g_string_append_len(user_data, (const char *)data, (gssize)size);
+}
+
+/*
+ * Reads the caller's answer up to now: appends its body to `body`, and returns
+ * whether the answer is complete by its own framing.
+ */
+static gboolean answer_read_(const fixture_t *fixture, uint32_t *status,
+			     GString *body)
+{
+	const uint8_t *data = (const uint8_t *)fixture->answer->str;
+	cb_http1_parse_result_t result;
+	cb_http1_body_t reader;
+	cb_http1_head_t head;
+	size_t head_size = 0;
+	size_t body_size;
+
+	*status = 0;
+	if (cb_http1_answer_parse(&head, "POST", data, fixture->answer->len,
+				  65536, &head_size) != CB_HTTP1_PARSE_COMPLETE)
+		return FALSE;
+	*status = head.status;
+	cb_http1_body_init(&reader, &head);
+	result = cb_http1_body_read(&reader, data + head_size,
+				    fixture->answer->len - head_size,
+				    &body_size, body_append_, body);
+	cb_http1_body_clear(&reader);
+	cb_http1_head_clear(&head);
+	return result == CB_HTTP1_PARSE_COMPLETE;
+}
+
+/* Runs one case; FALSE: the caller got something else than expected. */
+static gboolean stream_end_case_run_(const stream_end_case_t *c)
+{
+	GString *body = g_string_new(NULL);
+	gboolean is_complete = FALSE;
+	gboolean is_as_expected;
+	uint32_t status = 0;
+	fixture_t fixture;
+	int iteration;
+
+	fixture_init_(&fixture, TRUE);
+	fixture.scripts = c->scripts;
+	fixture.script_count = G_N_ELEMENTS(c->scripts);
+	request_send_(&fixture, c->request);
+	for (iteration = 0; iteration < LOOP_ITERATIONS_MAX && !is_complete &&
+			    !fixture.caller_ended;
+	     iteration++) {
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		g_string_truncate(body, 0);
+		is_complete = answer_read_(&fixture, &status, body);
+		g_usleep(LOOP_SLEEP_US);
+	}
+	is_as_expected =
+		fixture.requests->len == c->expected_sends &&
+		is_complete == (c->expected_end != ANSWER_BROKEN_OFF) &&
+		fixture.caller_ended ==
+			(c->expected_end == ANSWER_BROKEN_OFF) &&
+		status == (c->expected_end == ANSWER_REFUSED ? 502 : 200) &&
+		(!c->expected_body || !strcmp(body->str, c->expected_body));
+	if (!is_as_expected)
+		printf("    %s: %u sends, status %u, %s, %s\n", c->description,
+		       fixture.requests->len, status,
+		       is_complete ? "complete" : "not complete", body->str);
+	fixture_clear_(&fixture);
+	g_string_free(body, TRUE);
+	return is_as_expected;
+}
+
+/* A stream that its server broke off must never end as complete. */
+static void broken_off_stream_does_not_end_as_complete(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(stream_end_cases); i++)
+		CU_ASSERT_TRUE(stream_end_case_run_(&stream_end_cases[i]));
+}
+
 #define SCRIPTS_MAX 256
 #define FIRST_EVENT STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"
 #define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
@@ -1359,6 +1582,8 @@
 	  disconnected_caller_cancels_at_server },
 	{ "reset_stream_resumes_at_another_server",
 	  reset_stream_resumes_at_another_server },
+	{ "broken_off_stream_does_not_end_as_complete",
+	  broken_off_stream_does_not_end_as_complete },
 	{ "stalled_stream_is_moved", stalled_stream_is_moved },
 	{ "outdated_report_does_not_move_stream_again",
 	  outdated_report_does_not_move_stream_again },
