A stream that ends inside an event was broken off, whatever its framing

Cause: stream_complete_() took the end of an answer by its HTTP framing for the end of the stream. An answer without a length ends with its connection, so one that its server broke off by closing the connection ended "complete"; the unfinished event was forwarded and the last chunk sent after it. The check for an unfinished event was made only for resumed streams and before the first event. Class of fault: the end of the transport is taken for the end of the message, though the message says itself where it ends. Change: one function decides whether a stream is whole, for every framing: not inside an event, and without a length at least one event. Otherwise the attempt has failed as truncated: the stream resumes after its last event if its route allows that, else the answer ends without its last chunk.

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -49,8 +49,7 @@
 	unsigned int run_count;	     /* attempts that ran, or may have run */
 	/* HTTP status of the server's answer; 0 before the answer. */
 	uint32_t status;
-	/* Framing of the server's answer, for log lines; NULL before the answer. */
-	const char *framing;
+	cb_http1_framing_t framing; /* of the server's answer, with `status` */
 	gboolean is_event_stream;
 	gboolean has_not_run; /* the server reported not running the request */
 	/* Address of the failed server that the answer names, or NULL. */
@@ -84,6 +83,8 @@
 			   const char *reason);
 /* Returns the chain as text, each hop with its layers; the caller frees it. */
 char *cb_relay_format_hops(const cb_relay_t *relay);
+/* Returns the framing of the server's answer; NULL: there is no answer yet. */
+const char *cb_relay_framing_text(const cb_relay_t *relay);
 /* Returns the bytes received of an event that is not complete yet. */
 size_t cb_relay_unfinished_bytes(const cb_relay_t *relay);
 /* Cancels the attempt in flight, if any, also at its server. */
--- a/src/libcurrantbridge/relay/event_splitter.c
+++ b/src/libcurrantbridge/relay/event_splitter.c
@@ -6,6 +6,7 @@
 void cb_event_splitter_init(cb_event_splitter_t *splitter)
 {
 	splitter->partial = g_string_new(NULL);
+	splitter->event_count = 0;
 }
 
 /* Frees the partial event; a cleared splitter is allowed. */
@@ -66,6 +67,18 @@
 
 		fn(user_data, event_id_parse_(event, length), event, length);
 		consumed += length;
+		splitter->event_count++;
 	}
 	g_string_erase(splitter->partial, 0, (gssize)consumed);
 }
+
+/*
+ * Returns whether the received bytes end inside an event.  Empty lines between
+ * events belong to none.
+ */
+gboolean cb_event_splitter_is_inside_event(const cb_event_splitter_t *splitter)
+{
+	const GString *partial = splitter->partial;
+
+	return strspn(partial->str, "\r\n") < partial->len;
+}
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -119,6 +119,12 @@
 	return g_string_free(hops_text, FALSE);
 }
 
+/* Returns the framing of the server's answer; NULL: there is no answer yet. */
+const char *cb_relay_framing_text(const cb_relay_t *relay)
+{
+	return relay->status ? cb_http1_framing_string[relay->framing] : NULL;
+}
+
 /* Returns the bytes received of an event that is not complete yet. */
 size_t cb_relay_unfinished_bytes(const cb_relay_t *relay)
 {
@@ -143,7 +149,7 @@
 		     CB_INT("status", status), CB_STR("reason", reason),
 		     CB_INT("attempts", relay->send_count),
 		     CB_STR("way", hops_text),
-		     CB_STR("framing", relay->framing),
+		     CB_STR("framing", cb_relay_framing_text(relay)),
 		     CB_INT("last_event", relay->last_event),
 		     CB_INT("unfinished_bytes",
 			    (int64_t)cb_relay_unfinished_bytes(relay)),
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -120,7 +120,7 @@
 		     CB_STR("fault", failed_address),
 		     CB_INT("status", relay->status),
 		     CB_INT("has_run", has_run), CB_STR("way", hops_text),
-		     CB_STR("framing", relay->framing),
+		     CB_STR("framing", cb_relay_framing_text(relay)),
 		     CB_INT("last_event", relay->last_event),
 		     CB_INT("unfinished_bytes",
 			    (int64_t)cb_relay_unfinished_bytes(relay)),
@@ -185,7 +185,7 @@
 	cb_relay_answer_info_t answer_info = { .running = -1 };
 
 	relay->status = head->status;
-	relay->framing = cb_http1_framing_string[head->framing];
+	relay->framing = head->framing;
 	front->dialect->vtable->read_answer_info(front->dialect, head,
 						 relay->request_info.id,
 						 &answer_info);
@@ -275,15 +275,32 @@
 		body_buffer_(relay, data, size);
 }
 
-/* Ends the caller's answer after a stream that the server has completed. */
-static void stream_complete_(cb_relay_t *relay)
+/*
+ * Returns whether a stream that has ended by its HTTP framing is whole.  One
+ * that ends inside an event was broken off, and so was one without an event
+ * whose end is only that of its connection.
+ */
+static gboolean stream_is_whole_(const cb_relay_t *relay)
+{
+	if (cb_event_splitter_is_inside_event(&relay->splitter))
+		return FALSE;
+	return relay->framing != CB_HTTP1_FRAMING_UNTIL_CLOSE ||
+	       relay->splitter.event_count;
+}
+
+/*
+ * Ends the caller's answer after a whole stream; the attempt has failed if its
+ * server broke the stream off.
+ */
+static void stream_end_handle_(cb_relay_t *relay)
 {
 	cb_http1_exchange_t *exchange = relay->exchange;
-	GString *partial = relay->splitter.partial;
+	const GString *partial = relay->splitter.partial;
 
-	if (partial->len &&
-	    (relay->is_stream_resumed || !relay->is_answer_begun)) {
-		cb_relay_attempt_failed(relay, "truncated", TRUE, NULL);
+	if (!stream_is_whole_(relay)) {
+		cb_relay_attempt_failed(
+			relay, cb_http1_result_string[CB_HTTP1_TRUNCATED], TRUE,
+			NULL);
 		return;
 	}
 	answer_begin_(relay);
@@ -343,7 +360,7 @@
 		cb_relay_attempt_failed(relay, cb_http1_result_string[result],
 					result != CB_HTTP1_UNSENT, NULL);
 	else if (relay->is_event_stream)
-		stream_complete_(relay);
+		stream_end_handle_(relay);
 	else
 		answer_complete_(relay);
 }
@@ -397,7 +414,6 @@
 	relay->send_count++;
 	relay->sent_ms = cb_relay_now_ms(relay);
 	relay->status = 0;
-	relay->framing = NULL;
 	relay->is_event_stream = FALSE;
 	relay->has_not_run = FALSE;
 	cb_server_book_begin_request(front->book, relay->hops,
