Tests: every way to end an answer, against every reader (one fails)

Change: a table of answers cut at 7 places, with a length, in chunks and without either, closed or reset (32 rows), played against calls of plain services, engine streams and steps (http/), and plain answers and streams of the relay (http1/), with the bytes in one piece and one by one.

--- a/src/test_libcurrantbridge/test_http_clients.c
+++ b/src/test_libcurrantbridge/test_http_clients.c
@@ -2,9 +2,11 @@
 
 #include <gio/gio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "currantbridge/program.h"
 #include "private/http_clients.h"
+#include "support_answers.h"
 
 /*
  * Tests the clients of backend servers against a server that sends fixed bytes:
@@ -22,6 +24,10 @@
 	gboolean stays_open;
 	/* Whether the server closes at a connection's second request. */
 	gboolean closes_on_reuse;
+	/* Whether the server resets a connection where it would close it. */
+	gboolean resets;
+	/* Whether the answer's bytes are sent one by one. */
+	gboolean sends_single_bytes;
 	int connection_count;
 	int request_count;
 	/* Number of connections that the client has closed. */
@@ -34,6 +40,7 @@
 	scripted_server_t *server; /* NULL once the server was cleared */
 	GSocketConnection *stream;
 	int request_count;
+	size_t sent_bytes; /* sent bytes of an answer sent one by one */
 	char buffer[4096];
 } connection_t;
 
@@ -41,6 +48,17 @@
 
 static void connection_close_(connection_t *connection)
 {
+	GSocket *socket = g_socket_connection_get_socket(connection->stream);
+	const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	/* Closing with unread bytes would reset the connection. */
+	while (g_socket_receive_with_blocking(socket, connection->buffer,
+					      sizeof(connection->buffer), FALSE,
+					      NULL, NULL) > 0)
+		;
+	if (connection->server && connection->server->resets)
+		(void)setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER,
+				 &linger, sizeof(linger));
 	if (connection->server)
 		g_ptr_array_remove(connection->server->connections, connection);
 	g_io_stream_close(G_IO_STREAM(connection->stream), NULL, NULL);
@@ -48,6 +66,26 @@
 	g_free(connection);
 }
 
+/* Sends the next byte of the answer, and closes after the last one. */
+static gboolean answer_byte_send_(void *user_data)
+{
+	connection_t *connection = user_data;
+	const char *answer =
+		connection->server ?
+			connection->server->answer + connection->sent_bytes :
+			"";
+
+	if (!*answer) {
+		connection_close_(connection);
+		return G_SOURCE_REMOVE;
+	}
+	g_output_stream_write_all(g_io_stream_get_output_stream(
+					  G_IO_STREAM(connection->stream)),
+				  answer, 1, NULL, NULL, NULL);
+	connection->sent_bytes++;
+	return G_SOURCE_CONTINUE;
+}
+
 static void request_answer_(GObject *input, GAsyncResult *result,
 			    void *user_data)
 {
@@ -67,6 +105,10 @@
 	}
 	if (connection->request_count == 2 && server->closes_on_reuse)
 		count = 0;
+	if (count > 0 && server->sends_single_bytes) {
+		g_idle_add(answer_byte_send_, connection);
+		return;
+	}
 	if (count > 0 && strstr(connection->buffer, "\r\n\r\n")) {
 		g_output_stream_write_all(g_io_stream_get_output_stream(stream),
 					  server->answer,
@@ -438,6 +480,179 @@
 	scripted_server_clear_(&server);
 }
 
+/* The readers that a table of answers is played against. */
+typedef struct reader_play {
+	unsigned int play_count;
+	unsigned int failure_count;
+	gboolean sends_single_bytes;
+} reader_play_t;
+
+/* Counts a play, and prints it if the reader got the end of the answer wrong. */
+static void play_count_(reader_play_t *play, const answer_end_row_t *row,
+			const char *reader, const result_record_t *record,
+			gboolean expects_whole)
+{
+	char *description = support_answer_describe(row);
+
+	play->play_count++;
+	if (record->done_count != 1 ||
+	    (record->failure == CB_FAILURE_NONE) != expects_whole) {
+		play->failure_count++;
+		printf("    %s: %s%s: taken for %s\n", reader, description,
+		       play->sends_single_bytes ? ", byte by byte" : "",
+		       record->failure == CB_FAILURE_NONE ? "whole" :
+							    "broken off");
+	}
+	g_free(description);
+}
+
+/* Starts a server that ends its answers as the row says. */
+static char *row_server_init_(scripted_server_t *server,
+			      const answer_end_row_t *row,
+			      const reader_play_t *play, const char *first,
+			      const char *second)
+{
+	char *answer =
+		support_answer_format(row, "Content-Type: text/plain\r\n",
+				      first, second);
+
+	scripted_server_init_(server, answer, FALSE);
+	server->resets = row->is_reset;
+	server->sends_single_bytes = play->sends_single_bytes;
+	return answer;
+}
+
+/* Runs the main loop until the exchange has ended. */
+static void loop_run_until_done_(const result_record_t *record)
+{
+	int64_t end_us =
+		g_get_monotonic_time() + EXCHANGE_TIMEOUT_MS * US_PER_MS;
+
+	while (!record->done_count && g_get_monotonic_time() < end_us)
+		g_main_context_iteration(NULL, FALSE);
+}
+
+static void service_answer_play_(const answer_end_row_t *row, void *user_data)
+{
+	reader_play_t *play = user_data;
+	cb_service_client_t *client = cb_http_service_client_new();
+	result_record_t record = { 0 };
+	cb_service_request_t request = { .request = "r",
+					 .method = "POST",
+					 .path = "/x" };
+	cb_service_listener_t listener = { service_end_record_, &record };
+	scripted_server_t server;
+	char *answer = row_server_init_(&server, row, play, "one", "other");
+
+	client->vtable->send(client, &server.target, &request, &listener);
+	loop_run_until_done_(&record);
+	play_count_(play, row, "call of a plain service", &record,
+		    support_answer_is_framed_whole(row));
+	cb_http_service_client_delete(client);
+	scripted_server_clear_(&server);
+	g_free(answer);
+}
+
+/*
+ * Returns whether an engine's answer is whole, or might be taken for that: the
+ * last token says so, even if the end of the chunks does not follow.
+ */
+static gboolean engine_answer_may_be_whole_(const answer_end_row_t *row)
+{
+	return row->cut == CUT_IN_TRAILERS ||
+	       (row->cut == CUT_NOWHERE && row->is_reset);
+}
+
+static void engine_stream_play_(const answer_end_row_t *row, void *user_data)
+{
+	reader_play_t *play = user_data;
+	cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+	result_record_t record = { .token_texts = g_string_new(NULL) };
+	cb_engine_order_t order = { .request = "r",
+				    .epoch = 2,
+				    .model = "m",
+				    .prompt = "p",
+				    .max_tokens = 5 };
+	cb_engine_listener_t listener = { token_record_, engine_end_record_,
+					  &record };
+	scripted_server_t server;
+	char *answer = row_server_init_(&server, row, play, LINE("0", "false"),
+					LINE("1", "true"));
+
+	client->vtable->stream(client, &server.target, &order, &listener);
+	loop_run_until_done_(&record);
+	play_count_(play, row, "engine stream", &record,
+		    engine_answer_may_be_whole_(row) ?
+			    record.failure == CB_FAILURE_NONE :
+			    row->cut == CUT_NOWHERE);
+	g_string_free(record.token_texts, TRUE);
+	cb_http_engine_client_delete(client);
+	scripted_server_clear_(&server);
+	g_free(answer);
+}
+
+static void engine_step_play_(const answer_end_row_t *row, void *user_data)
+{
+	reader_play_t *play = user_data;
+	cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+	result_record_t record = { .token_texts = g_string_new(NULL) };
+	cb_engine_step_t step = { .request = "r", .epoch = 2, .token = 3 };
+	cb_engine_listener_t listener = { token_record_, engine_end_record_,
+					  &record };
+	scripted_server_t server;
+	char *answer = row_server_init_(
+		&server, row, play,
+		"{\"request\":\"r\",\"epoch\":2,\"token\":3,",
+		"\"first_layer\":0,\"last_layer\":0,\"text\":\"t\","
+		"\"last\":false}");
+
+	client->vtable->step(client, &server.target, &step, &listener);
+	loop_run_until_done_(&record);
+	play_count_(play, row, "engine step", &record,
+		    engine_answer_may_be_whole_(row) ?
+			    record.failure == CB_FAILURE_NONE :
+			    row->cut == CUT_NOWHERE);
+	g_string_free(record.token_texts, TRUE);
+	cb_http_engine_client_delete(client);
+	scripted_server_clear_(&server);
+	g_free(answer);
+}
+
+/*
+ * Plays every way to end an answer against one reader, with the bytes in one
+ * piece and one by one.
+ */
+static void reader_play_(void (*fn)(const answer_end_row_t *, void *))
+{
+	reader_play_t play = { 0 };
+
+	support_answer_rows_play(fn, &play);
+	play.sends_single_bytes = TRUE;
+	support_answer_rows_play(fn, &play);
+	if (play.failure_count)
+		printf("    wrong: %u of %u plays\n", play.failure_count,
+		       play.play_count);
+	CU_ASSERT_EQUAL(play.failure_count, 0);
+}
+
+/* A cut answer of a plain service must not be taken for its whole answer. */
+static void cut_service_answer_is_not_whole(void)
+{
+	reader_play_(service_answer_play_);
+}
+
+/* A stream of tokens that is cut must not be taken for a whole one. */
+static void cut_engine_stream_is_not_whole(void)
+{
+	reader_play_(engine_stream_play_);
+}
+
+/* A cut answer to a step must not be taken for its token. */
+static void cut_engine_step_is_not_whole(void)
+{
+	reader_play_(engine_step_play_);
+}
+
 /*
  * A cancelled exchange must close its connection, so that the server stops, and
  * must not call its listener: before any answer, after the headers, and after
@@ -489,6 +704,9 @@
 	{ "stream_answers_are_classified", stream_answers_are_classified },
 	{ "refused_connection_is_classified",
 	  refused_connection_is_classified },
+	{ "cut_service_answer_is_not_whole", cut_service_answer_is_not_whole },
+	{ "cut_engine_stream_is_not_whole", cut_engine_stream_is_not_whole },
+	{ "cut_engine_step_is_not_whole", cut_engine_step_is_not_whole },
 	{ "cancelled_exchange_closes_its_connection",
 	  cancelled_exchange_closes_its_connection },
 	CU_TEST_INFO_NULL
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -6,6 +6,7 @@
 #include "private/front.h"
 #include "private/http1_body.h"
 #include "private/stream.h"
+#include "support_answers.h"
 #include "support_world.h"
 
 /*
@@ -41,6 +42,10 @@
 	unsigned int server; /* index of the server in the fixture */
 	cb_stream_t *stream; /* NULL once the connection was reset */
 	GString *received;   /* received bytes of the current request */
+	/* The answer that is sent byte by byte, and its sent bytes. */
+	const script_t *script;
+	size_t sent_bytes;
+	unsigned int byte_source; /* 0: no byte is left to be sent */
 } server_connection_t;
 
 struct fixture {
@@ -55,6 +60,8 @@
 	GArray *server_indexes;
 	const script_t *scripts; /* scripts, one for each request, in order */
 	unsigned int script_count;
+	/* Whether the servers send their answers byte by byte. */
+	gboolean sends_single_bytes;
 	unsigned int ended_connection_count;
 	/* Engine calls: the addresses asked for a report, and the reroutes. */
 	GPtrArray *report_addresses;
@@ -219,6 +226,30 @@
 					NULL, 10);
 }
 
+/* Ends an answer as its script says. */
+static void script_end_(server_connection_t *connection, const script_t *script)
+{
+	if (script->end == END_CLOSE)
+		cb_stream_shutdown_send(connection->stream);
+	else if (script->end == END_RESET)
+		cb_stream_reset(g_steal_pointer(&connection->stream));
+}
+
+/* Sends the next byte of an answer, or ends it. */
+static gboolean answer_byte_send_(void *user_data)
+{
+	server_connection_t *connection = user_data;
+	const char *text = connection->script->text + connection->sent_bytes++;
+
+	if (*text) {
+		cb_stream_send(connection->stream, text, 1);
+		return G_SOURCE_CONTINUE;
+	}
+	connection->byte_source = 0;
+	script_end_(connection, connection->script);
+	return G_SOURCE_REMOVE;
+}
+
 static void server_received_(void *user_data, const uint8_t *data, size_t size)
 {
 	server_connection_t *connection = user_data;
@@ -236,11 +267,15 @@
 	if (index >= fixture->script_count)
 		return;
 	script = &fixture->scripts[index];
+	if (fixture->sends_single_bytes) {
+		connection->script = script;
+		connection->sent_bytes = 0;
+		connection->byte_source =
+			g_idle_add(answer_byte_send_, connection);
+		return;
+	}
 	cb_stream_send(connection->stream, script->text, strlen(script->text));
-	if (script->end == END_CLOSE)
-		cb_stream_shutdown_send(connection->stream);
-	else if (script->end == END_RESET)
-		cb_stream_reset(g_steal_pointer(&connection->stream));
+	script_end_(connection, script);
 }
 
 static void server_ended_(void *user_data, cb_stream_end_t end)
@@ -279,6 +314,8 @@
 {
 	server_connection_t *connection = data;
 
+	if (connection->byte_source)
+		g_source_remove(connection->byte_source);
 	cb_stream_delete(connection->stream);
 	g_string_free(connection->received, TRUE);
 	g_free(connection);
@@ -1044,29 +1081,39 @@
 	return result == CB_HTTP1_PARSE_COMPLETE;
 }
 
+/* Runs the main loop until the caller's answer has ended, one way or other. */
+static gboolean answer_await_(fixture_t *fixture, uint32_t *status,
+			      GString *body)
+{
+	gboolean is_complete = FALSE;
+	int iteration;
+
+	for (iteration = 0; iteration < LOOP_ITERATIONS_MAX && !is_complete &&
+			    !fixture->caller_ended;
+	     iteration++) {
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		g_string_truncate(body, 0);
+		is_complete = answer_read_(fixture, status, body);
+		g_usleep(LOOP_SLEEP_US);
+	}
+	return is_complete;
+}
+
 /* Runs one case; FALSE: the caller got something else than expected. */
 static gboolean stream_end_case_run_(const stream_end_case_t *c)
 {
 	GString *body = g_string_new(NULL);
-	gboolean is_complete = FALSE;
+	gboolean is_complete;
 	gboolean is_as_expected;
 	uint32_t status = 0;
 	fixture_t fixture;
-	int iteration;
 
 	fixture_init_(&fixture, TRUE);
 	fixture.scripts = c->scripts;
 	fixture.script_count = G_N_ELEMENTS(c->scripts);
 	request_send_(&fixture, c->request);
-	for (iteration = 0; iteration < LOOP_ITERATIONS_MAX && !is_complete &&
-			    !fixture.caller_ended;
-	     iteration++) {
-		while (g_main_context_iteration(NULL, FALSE))
-			;
-		g_string_truncate(body, 0);
-		is_complete = answer_read_(&fixture, &status, body);
-		g_usleep(LOOP_SLEEP_US);
-	}
+	is_complete = answer_await_(&fixture, &status, body);
 	is_as_expected =
 		fixture.requests->len == c->expected_sends &&
 		is_complete == (c->expected_end != ANSWER_BROKEN_OFF) &&
@@ -1083,6 +1130,89 @@
 	return is_as_expected;
 }
 
+#define FIRST_PIECE "one"
+#define SECOND_PIECE "other"
+
+/* A table of answers that is played against the relay. */
+typedef struct relay_play {
+	unsigned int play_count;
+	unsigned int failure_count;
+	gboolean is_stream;
+	gboolean sends_single_bytes;
+} relay_play_t;
+
+/* Returns whether the relay should take an answer for whole. */
+static gboolean relay_answer_is_whole_(const answer_end_row_t *row,
+				       gboolean is_stream)
+{
+	if (!support_answer_is_framed_whole(row))
+		return FALSE;
+	return !is_stream || row->cut == CUT_BETWEEN_PIECES ||
+	       row->cut == CUT_NOWHERE;
+}
+
+/* Plays a row with a request that may run only once; see relay_play_t. */
+static void relay_answer_play_(const answer_end_row_t *row, void *user_data)
+{
+	relay_play_t *play = user_data;
+	const char *first = play->is_stream ? EVENT_1 : FIRST_PIECE;
+	const char *second = play->is_stream ? EVENT_2 : SECOND_PIECE;
+	char *text = support_answer_format(row, "Id: 7\r\nSeal: x\r\n", first,
+					   second);
+	char *description = support_answer_describe(row);
+	const script_t scripts[] = { { text,
+				       row->is_reset ? END_RESET : END_CLOSE },
+				     { COMPLETE_ANSWER, END_KEEP } };
+	gboolean expects_whole = relay_answer_is_whole_(row, play->is_stream);
+	GString *body = g_string_new(NULL);
+	gboolean is_complete;
+	uint32_t status = 0;
+	fixture_t fixture;
+
+	fixture_init_(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	fixture.sends_single_bytes = play->sends_single_bytes;
+	request_send_(&fixture,
+		      play->is_stream ? STREAM_ONCE_REQUEST : ONCE_REQUEST);
+	is_complete = answer_await_(&fixture, &status, body);
+	play->play_count++;
+	if (fixture.requests->len != 1 ||
+	    (is_complete && status == 200) != expects_whole ||
+	    (!is_complete && !fixture.caller_ended) ||
+	    (is_complete && status != 200 && status != 502)) {
+		play->failure_count++;
+		printf("    %s: %s%s: %u sends, status %u, %s: %s\n",
+		       play->is_stream ? "stream" : "plain answer", description,
+		       play->sends_single_bytes ? ", byte by byte" : "",
+		       fixture.requests->len, status,
+		       is_complete ? "complete" : "not complete", body->str);
+	}
+	fixture_clear_(&fixture);
+	g_string_free(body, TRUE);
+	g_free(description);
+	g_free(text);
+}
+
+/*
+ * Every way to end an answer, of a plain server and of a stream, with the bytes
+ * in one piece and one by one: what was cut must not reach the caller as whole,
+ * and a request that may run only once must not be sent again for it.
+ */
+static void cut_answer_is_not_forwarded_as_whole(void)
+{
+	relay_play_t play = { 0 };
+
+	for (play.is_stream = FALSE; play.is_stream <= TRUE; play.is_stream++)
+		for (play.sends_single_bytes = FALSE;
+		     play.sends_single_bytes <= TRUE; play.sends_single_bytes++)
+			support_answer_rows_play(relay_answer_play_, &play);
+	if (play.failure_count)
+		printf("    wrong: %u of %u plays\n", play.failure_count,
+		       play.play_count);
+	CU_ASSERT_EQUAL(play.failure_count, 0);
+}
+
 /* A stream that its server broke off must never end as complete. */
 static void broken_off_stream_does_not_end_as_complete(void)
 {
@@ -1582,6 +1712,8 @@
 	  disconnected_caller_cancels_at_server },
 	{ "reset_stream_resumes_at_another_server",
 	  reset_stream_resumes_at_another_server },
+	{ "cut_answer_is_not_forwarded_as_whole",
+	  cut_answer_is_not_forwarded_as_whole },
 	{ "broken_off_stream_does_not_end_as_complete",
 	  broken_off_stream_does_not_end_as_complete },
 	{ "stalled_stream_is_moved", stalled_stream_is_moved },
