--- a/src/test_libcurrantbridge/test_http_clients.c
+++ b/src/test_libcurrantbridge/test_http_clients.c
@@ -16,6 +16,8 @@
 #define QUIET_PERIOD_MS 200
 #define US_PER_MS 1000
 
+static cb_clock_t *test_clock;
+
 /* A server that answers each request with the same bytes. */
 typedef struct scripted_server {
 	GSocketService *service;
@@ -289,7 +291,8 @@
 	int call_number;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		cb_service_client_t *client = cb_http_service_client_new();
+		cb_service_client_t *client =
+			cb_http_service_client_new(NULL, test_clock);
 		scripted_server_t server;
 
 		scripted_server_init_(&server, cases[i].answer,
@@ -326,7 +329,8 @@
  */
 static void call_is_not_sent_on_used_connection(void)
 {
-	cb_service_client_t *client = cb_http_service_client_new();
+	cb_service_client_t *client =
+		cb_http_service_client_new(NULL, test_clock);
 	scripted_server_t server;
 	int call_number;
 
@@ -461,7 +465,8 @@
  */
 static void refused_connection_is_classified(void)
 {
-	cb_service_client_t *client = cb_http_service_client_new();
+	cb_service_client_t *client =
+		cb_http_service_client_new(NULL, test_clock);
 	cb_service_request_t request = { .request = "r",
 					 .method = "POST",
 					 .path = "/x" };
@@ -535,7 +540,8 @@
 static void service_answer_play_(const answer_end_row_t *row, void *user_data)
 {
 	reader_play_t *play = user_data;
-	cb_service_client_t *client = cb_http_service_client_new();
+	cb_service_client_t *client =
+		cb_http_service_client_new(NULL, test_clock);
 	result_record_t record = { 0 };
 	cb_service_request_t request = { .request = "r",
 					 .method = "POST",
@@ -717,7 +723,11 @@
 	CU_SuiteInfo suites[] = { { .pName = "http_clients",
 				    .pTests = http_clients_tests },
 				  CU_SUITE_INFO_NULL };
+	int exit_code;
 
 	cb_program_init();
-	return support_run(suites);
+	test_clock = cb_clock_new(NULL);
+	exit_code = support_run(suites);
+	cb_clock_delete(test_clock);
+	return exit_code;
 }
