A rejection that names no request proves nothing on a used connection

What callers saw: one request that may run only once ran on two servers, or was refused although it had run; only with real processes. Cause: the platform's dialect took an answer without a request id for the answer to the request in flight, if it said that a request was not run. A server that closes an idle connection, or rejects late, sends such an answer when the next request is already on its way: that request runs there and at the next server. Class of fault: an answer is attributed by its place on a connection. Change: such an answer counts only on a connection that carried no request before this one, where it can be about no other; else the outcome is unknown.

--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -56,5 +56,10 @@
 				      const cb_http1_call_handler_t *handler,
 				      void *user_data);
 void cb_http1_call_cancel(cb_http1_call_t *call);
+/*
+ * Returns whether the call's connection carried no request before this one.
+ * May be called until done() is called.
+ */
+gboolean cb_http1_call_is_first(const cb_http1_call_t *call);
 
 #endif
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -42,6 +42,8 @@
 	gboolean has_head; /* whether `head` and `body_reader` are set */
 	cb_http1_head_t head;
 	cb_http1_body_t body_reader;
+	gboolean
+		is_first; /* whether the connection carried no request before */
 	gboolean is_cancelled;
 	gboolean is_in_callback; /* whether `handler` may be running */
 	const cb_http1_call_handler_t *handler;
@@ -396,6 +398,7 @@
 	call->input = g_byte_array_new();
 	call->handler = handler;
 	call->user_data = user_data;
+	call->is_first = !connection;
 	call->connection =
 		connection ? connection : connection_open_(client, address);
 	call->connection->call = call;
@@ -411,3 +414,12 @@
 	if (!call->is_in_callback)
 		call_end_(call, CB_HTTP1_LOST);
 }
+
+/*
+ * Returns whether the call's connection carried no request before this one: an
+ * answer that names no request is then about this one.
+ */
+gboolean cb_http1_call_is_first(const cb_http1_call_t *call)
+{
+	return call->is_first;
+}
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -174,7 +174,21 @@
 	}
 }
 
-/* Handles an answer's head; FALSE: the answer is to another request. */
+/*
+ * Returns whether an answer is to the request in flight.  A server that did not
+ * run a request may omit its id; on a connection with an earlier request, such
+ * an answer may be about that one, and this one may still run.
+ */
+static gboolean answer_is_to_request_(const cb_relay_t *relay,
+				      const cb_relay_answer_info_t *answer_info)
+{
+	if (answer_info->matches_request)
+		return TRUE;
+	return answer_info->names_no_request && answer_info->has_not_run &&
+	       cb_http1_call_is_first(relay->call);
+}
+
+/* Handles an answer's head; FALSE: the answer may be to another request. */
 static gboolean answer_head_receive_(void *user_data,
 				     const cb_http1_head_t *head)
 {
@@ -189,9 +203,7 @@
 	front->dialect->vtable->read_answer_info(front->dialect, head,
 						 relay->request_info.id,
 						 &answer_info);
-	/* A server that did not run a request may omit the request's id. */
-	if (!answer_info.matches_request &&
-	    !(answer_info.names_no_request && answer_info.has_not_run))
+	if (!answer_is_to_request_(relay, &answer_info))
 		return FALSE;
 	if (answer_info.running >= 0)
 		cb_server_book_record_load(front->book, first->id,
