A server's refusal without its word that nothing ran is no promise

What callers saw: a request that may run only once was answered 503 although it had run; a caller that came back, as 503 allows, had it run a second time. Cause: a server's own answer was passed on unchanged. 408, 421, 429 and 503 tell callers that the request did not run, but a server says that only by its own header; one that is stopped or overloaded while it runs a request may answer 503. Class of fault: a status is passed on whose meaning is wider here than there. Change: without the server's word such an answer is a failed attempt that may have run: another attempt where that is allowed, else 502 with executed unknown.

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -7,6 +7,8 @@
 
 /* Result of an attempt whose engine or chain did not answer in time. */
 #define CB_RELAY_SILENT "silent"
+/* Result of an attempt that a server refused without saying that it did not run. */
+#define CB_RELAY_UNPROVED "unproved_refusal"
 /* The usual Retry-After of a request that did not run. */
 #define CB_RELAY_RETRY_AFTER_MS 500
 
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -174,6 +174,23 @@
 	}
 }
 
+/*
+ * Returns whether a server's answer has a status that callers take for a
+ * promise that the request did not run, though the server does not say so.
+ */
+static gboolean refusal_is_unproved_(const cb_relay_t *relay)
+{
+	switch (relay->status) {
+	case 408:
+	case 421:
+	case 429:
+	case 503:
+		return !relay->has_not_run;
+	default:
+		return FALSE;
+	}
+}
+
 /*
  * Returns whether an answer is to the request in flight.  A server that did not
  * run a request may omit its id; on a connection with an earlier request, such
@@ -264,7 +281,7 @@
  */
 static void body_buffer_(cb_relay_t *relay, const uint8_t *data, size_t size)
 {
-	if (relay->has_not_run)
+	if (relay->has_not_run || refusal_is_unproved_(relay))
 		return;
 	g_byte_array_append(relay->buffered_body, data, (unsigned int)size);
 	if (relay->buffered_body->len <= BUFFERED_BODY_MAX_BYTES ||
@@ -337,6 +354,10 @@
 					relay->failed_address);
 		return;
 	}
+	if (refusal_is_unproved_(relay)) {
+		cb_relay_attempt_failed(relay, CB_RELAY_UNPROVED, TRUE, NULL);
+		return;
+	}
 	if (status >= 500 && cb_relay_is_repeatable(relay) &&
 	    relay->run_count + 1 < relay->route->max_attempts) {
 		cb_relay_attempt_failed(relay, "server_error", TRUE, NULL);
