A stream whose events have no ids is not begun again in the same answer

Cause: an attempt that broke off was resumed after the last event with an id; events without one were forwarded but not counted, so the next server began at an earlier place, or at the beginning. Evidence: stream_without_ids_is_not_joined_with_another failed in 2 of 3 cases. Change: once an event with data and without an id was sent, the answer can't be resumed: it ends as broken off, and its silence moves it nowhere. One function says whether another server can go on with an answer. Conclusion: comments between events change nothing.

--- a/src/libcurrantbridge/include/private/event_splitter.h
+++ b/src/libcurrantbridge/include/private/event_splitter.h
@@ -18,6 +18,7 @@
 void cb_event_splitter_clear(cb_event_splitter_t *splitter);
 void cb_event_splitter_add(cb_event_splitter_t *splitter, const uint8_t *data,
 			   size_t size, cb_event_fn_t fn, void *user_data);
+gboolean cb_event_has_data(const char *event, size_t size);
 gboolean cb_event_splitter_is_inside_event(const cb_event_splitter_t *splitter);
 
 #endif
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -69,6 +69,8 @@
 	 * Whether the next send of the request counts against the retry budget.
 	 */
 	gboolean is_next_send_retry;
+	/* An event without an ID was sent: no server can resume after it. */
+	gboolean has_unnumbered_event;
 	/* ID of the last event sent to the caller; -1 before the first. */
 	int64_t last_event;
 	/* When the answer was begun, from the arrival; -1: not begun. */
@@ -80,6 +82,8 @@
 int64_t cb_relay_elapsed_ms(const cb_relay_t *relay);
 /* Whether the request may run more than once. */
 gboolean cb_relay_is_repeatable(const cb_relay_t *relay);
+/* Whether another server can go on with the answer to the request. */
+gboolean cb_relay_is_resumable(const cb_relay_t *relay);
 /* Adds 1 to the counter `name` with the label reason. */
 void cb_relay_count_reason(cb_front_t *front, const char *name,
 			   const char *reason);
--- a/src/libcurrantbridge/relay/event_splitter.c
+++ b/src/libcurrantbridge/relay/event_splitter.c
@@ -51,6 +51,24 @@
 	return -1;
 }
 
+/* Returns whether an event has a "data" line; a comment has none. */
+gboolean cb_event_has_data(const char *event, size_t size)
+{
+	static const char name[] = "data";
+	const size_t name_size = strlen(name);
+	const char *end = event + size;
+	const char *line = event;
+
+	while (line && (size_t)(end - line) >= name_size) {
+		const char *line_end = memchr(line, '\n', (size_t)(end - line));
+
+		if (!memcmp(line, name, name_size))
+			return TRUE;
+		line = line_end ? line_end + 1 : NULL;
+	}
+	return FALSE;
+}
+
 /* Adds received bytes and calls `fn` for each event that is now complete. */
 void cb_event_splitter_add(cb_event_splitter_t *splitter, const uint8_t *data,
 			   size_t size, cb_event_fn_t fn, void *user_data)
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -46,6 +46,17 @@
 		relay->route->is_resumable);
 }
 
+/*
+ * Returns whether another server can go on with the answer to the request.  It
+ * begins after the last event that has an ID, and can't continue a body that is
+ * partly sent.
+ */
+gboolean cb_relay_is_resumable(const cb_relay_t *relay)
+{
+	return cb_relay_is_repeatable(relay) && !relay->is_body_streamed &&
+	       !relay->has_unnumbered_event;
+}
+
 /* Adds 1 to the counter `name` with the label reason. */
 void cb_relay_count_reason(cb_front_t *front, const char *name,
 			   const char *reason)
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -88,10 +88,7 @@
 /* Returns whether another attempt may follow the failed attempt. */
 static gboolean retry_is_allowed_(cb_relay_t *relay)
 {
-	if (relay->run_count && !cb_relay_is_repeatable(relay))
-		return FALSE;
-	/* Another server's body can't continue one that is partly sent. */
-	if (relay->is_body_streamed)
+	if (relay->run_count && !cb_relay_is_resumable(relay))
 		return FALSE;
 	if (relay->run_count >= relay->route->max_attempts ||
 	    relay->send_count >= relay->route->max_attempts + NOT_RUN_SENDS_MAX)
@@ -270,6 +267,8 @@
 	answer_begin_(relay);
 	if (id >= 0)
 		relay->last_event = id;
+	else
+		relay->has_unnumbered_event |= cb_event_has_data(data, size);
 	cb_event_pace_add(&relay->pace, cb_relay_now_ms(relay));
 	cb_relay_start_silence_timer(relay);
 	cb_http1_exchange_write(relay->exchange, data, size);
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -37,7 +37,7 @@
 static gboolean stream_is_watched_(const cb_relay_t *relay)
 {
 	return relay->route->kind == CB_ROUTE_STREAM &&
-	       cb_relay_is_repeatable(relay);
+	       cb_relay_is_resumable(relay);
 }
 
 /*
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -1290,6 +1290,43 @@
 	g_free(text);
 }
 
+/*
+ * A server that resumes a stream is told the last event by its id.  A stream
+ * that broke off after an event without one must end there: another server would
+ * begin it again, and the caller would get its events twice.  Comments are no
+ * events.
+ */
+static void stream_without_ids_is_not_joined_with_another(void)
+{
+	static const stream_end_case_t cases[] = {
+		{ "an event without an id, then reset",
+		  STREAM_REQUEST,
+		  { { UNFRAMED_HEAD "data: a\n\n", END_RESET },
+		    { STREAM_HEAD "9\r\ndata: a\n\n\r\n0\r\n\r\n", END_KEEP } },
+		  1,
+		  ANSWER_BROKEN_OFF,
+		  "data: a\n\n" },
+		{ "an event without an id after one with an id, then reset",
+		  STREAM_REQUEST,
+		  { { UNFRAMED_HEAD EVENT_1 "data: b\n\n", END_RESET },
+		    { REST_OF_STREAM, END_KEEP } },
+		  1,
+		  ANSWER_BROKEN_OFF,
+		  EVENT_1 "data: b\n\n" },
+		{ "a comment after an event, then reset",
+		  STREAM_REQUEST,
+		  { { UNFRAMED_HEAD EVENT_1 ": alive\n\n", END_RESET },
+		    { REST_OF_STREAM, END_KEEP } },
+		  2,
+		  ANSWER_COMPLETE,
+		  EVENT_1 ": alive\n\n" EVENT_2 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		CU_ASSERT_TRUE(stream_end_case_run_(&cases[i]));
+}
+
 /*
  * Every way to end an answer, of a plain server and of a stream, with the bytes
  * in one piece and one by one: what was cut must not reach the caller as whole,
@@ -1814,6 +1851,8 @@
 	  reset_stream_resumes_at_another_server },
 	{ "cut_answer_is_not_forwarded_as_whole",
 	  cut_answer_is_not_forwarded_as_whole },
+	{ "stream_without_ids_is_not_joined_with_another",
+	  stream_without_ids_is_not_joined_with_another },
 	{ "broken_off_stream_does_not_end_as_complete",
 	  broken_off_stream_does_not_end_as_complete },
 	{ "stalled_stream_is_moved", stalled_stream_is_moved },
