Suspicions in quick succession no longer put off the report of the first

What happened: when servers are lost together, the reports that tell the other instances of it, and with them the sums by which retries are shared, did not come while suspicions lasted. Cause: cb_front_report_usage_soon() and suspicion_share_soon_() restarted the timer of the periodic report. Once a report is 50 ms old the delay is 5 ms, so suspicions less than 5 ms apart put it off without end; with 191 entries a control instance gets some hundred reports a second. Evidence: suspicions_in_quick_succession_are_reported: 0 reports in 300 ms; suspicions_in_quick_succession_are_shared: 0 sums in 300 ms. Change: cb_timer_start_sooner() arms a timer unless it fires sooner already.

--- a/include/currantbridge/clock.h
+++ b/include/currantbridge/clock.h
@@ -26,6 +26,7 @@
 cb_timer_t *cb_timer_new(cb_clock_t *clock, cb_timer_fn_t fn, void *user_data);
 void cb_timer_delete(cb_timer_t *timer);
 void cb_timer_start(cb_timer_t *timer, int64_t delay_ms);
+void cb_timer_start_sooner(cb_timer_t *timer, int64_t delay_ms);
 void cb_timer_stop(cb_timer_t *timer);
 int cb_timer_is_armed(const cb_timer_t *timer);
 
--- a/src/libcurrantbridge/control/node_usage.c
+++ b/src/libcurrantbridge/control/node_usage.c
@@ -137,9 +137,9 @@
 {
 	int64_t age_ms = cb_clock_now_ms(node->clock) - node->usage_sent_ms;
 
-	cb_timer_start(node->usage_timer,
-		       MAX(SUSPICION_SHARE_DELAY_MS,
-			   SUSPICION_SHARE_INTERVAL_MS - age_ms));
+	cb_timer_start_sooner(node->usage_timer,
+			      MAX(SUSPICION_SHARE_DELAY_MS,
+				  SUSPICION_SHARE_INTERVAL_MS - age_ms));
 }
 
 /* Receives the sum of usage over another control instance's sessions. */
--- a/src/libcurrantbridge/kernel/clock.c
+++ b/src/libcurrantbridge/kernel/clock.c
@@ -298,6 +298,16 @@
 	clock->vtable->deadline_changed(clock);
 }
 
+/* Arms a timer like cb_timer_start(), unless it already fires sooner. */
+void cb_timer_start_sooner(cb_timer_t *timer, int64_t delay_ms)
+{
+	int64_t deadline_us =
+		cb_clock_now_us(timer->clock) + MAX(delay_ms, 0) * US_PER_MS;
+
+	if (!timer->position || deadline_us < timer->deadline_us)
+		cb_timer_start(timer, delay_ms);
+}
+
 /* Disarms a timer; has no effect on one that is not armed. */
 void cb_timer_stop(cb_timer_t *timer)
 {
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -194,9 +194,9 @@
 	int64_t age_ms =
 		cb_clock_now_ms(front->clock) - front->usage_reported_ms;
 
-	cb_timer_start(front->usage_timer,
-		       MAX(SUSPICION_REPORT_DELAY_MS,
-			   SUSPICION_REPORT_INTERVAL_MS - age_ms));
+	cb_timer_start_sooner(front->usage_timer,
+			      MAX(SUSPICION_REPORT_DELAY_MS,
+				  SUSPICION_REPORT_INTERVAL_MS - age_ms));
 }
 
 static void server_change_log_(const cb_fleet_server_t *server, void *user_data)
--- a/src/test_libcurrantbridge/test_kernel.c
+++ b/src/test_libcurrantbridge/test_kernel.c
@@ -55,6 +55,27 @@
 	cb_clock_delete(clock);
 }
 
+/* A start that is to come sooner never puts a timer off. */
+static void sooner_start_does_not_put_timer_off(void)
+{
+	cb_clock_t *clock = cb_clock_new_paused(1000);
+	GString *firings = g_string_new(NULL);
+	test_timer_t test_timer = { clock, firings, NULL, 'a' };
+
+	test_timer.timer = cb_timer_new(clock, firing_record_, &test_timer);
+	cb_timer_start_sooner(test_timer.timer, 9);
+	cb_clock_advance(clock, 3);
+	cb_timer_start_sooner(test_timer.timer, 9);
+	cb_timer_start_sooner(test_timer.timer, 4);
+	cb_clock_advance(clock, 3);
+	cb_timer_start_sooner(test_timer.timer, 4);
+	cb_clock_advance(clock, 20);
+	CU_ASSERT_STRING_EQUAL(firings->str, "a1007 ");
+	cb_timer_delete(test_timer.timer);
+	g_string_free(firings, TRUE);
+	cb_clock_delete(clock);
+}
+
 /* A second start of a timer replaces the deadline of the first. */
 static void stopped_timer_does_not_fire(void)
 {
@@ -553,6 +574,8 @@
 
 static CU_TestInfo kernel_tests[] = {
 	{ "timers_fire_in_order", timers_fire_in_order },
+	{ "sooner_start_does_not_put_timer_off",
+	  sooner_start_does_not_put_timer_off },
 	{ "stopped_timer_does_not_fire", stopped_timer_does_not_fire },
 	{ "counters_render_sorted_by_name", counters_render_sorted_by_name },
 	{ "settings_errors_name_field_and_reason",
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -1766,6 +1766,37 @@
 	g_free(second);
 }
 
+/* Interval of suspicions, shorter than the delay of a report of one. */
+#define SUSPICION_INTERVAL_MS 3
+#define SUSPICIONS 100
+/* 300 ms of suspicions, each reported within 55 ms. */
+#define SUSPICION_REPORTS_MIN 5
+
+/*
+ * Servers that are lost together are suspected in quick succession: the report
+ * of the first must not be put off by each of the next.
+ */
+static void suspicions_in_quick_succession_are_reported(void)
+{
+	unsigned int report_count = 0;
+	int64_t last_ms;
+	fixture_t fixture;
+	int i;
+
+	fixture_init_(&fixture, TRUE);
+	last_ms = fixture.front->usage_reported_ms;
+	for (i = 0; i < SUSPICIONS; i++) {
+		cb_front_report_usage_soon(fixture.front);
+		cb_clock_advance(fixture.world->clock, SUSPICION_INTERVAL_MS);
+		report_count += fixture.front->usage_reported_ms != last_ms;
+		last_ms = fixture.front->usage_reported_ms;
+	}
+	CU_ASSERT_TRUE(report_count >= SUSPICION_REPORTS_MIN);
+	if (report_count < SUSPICION_REPORTS_MIN)
+		printf("    %u reports\n", report_count);
+	fixture_clear_(&fixture);
+}
+
 /*
  * Requests before the first document must wait for it, but only for a part of
  * their time (here 500 ms), so that the caller can retry in time.
@@ -1870,6 +1901,8 @@
 	  requests_are_refused_while_all_servers_turn_away },
 	{ "large_answer_is_not_joined_with_another",
 	  large_answer_is_not_joined_with_another },
+	{ "suspicions_in_quick_succession_are_reported",
+	  suspicions_in_quick_succession_are_reported },
 	{ "requests_wait_briefly_for_document",
 	  requests_wait_briefly_for_document },
 	{ "draining_instance_refuses_streams",
--- a/src/test_libcurrantbridge/test_sessions.c
+++ b/src/test_libcurrantbridge/test_sessions.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "private/usage.h"
 #include "support_main.h"
 #include "support_world.h"
 
@@ -632,6 +633,53 @@
 	}
 }
 
+static void usage_sum_count_(GBytes *bytes, void *user_data)
+{
+	(void)bytes;
+	(*(unsigned int *)user_data)++;
+}
+
+/* Interval of suspicions, shorter than the delay of a sum that tells of one. */
+#define SUSPICION_INTERVAL_MS 3
+#define SUSPICIONS 100
+/* 300 ms of suspicions, each passed on within 55 ms. */
+#define SUSPICION_SUMS_MIN 5
+
+/*
+ * Entry instances that lose many servers at once report suspicions in quick
+ * succession: the sum that tells the others of the first must not be put off by
+ * each of the next.
+ */
+static void suspicions_in_quick_succession_are_shared(void)
+{
+	world_t *world = world_new_with_servers(1, 1, 7, 60000);
+	cb_control_client_t *client = world->clients[0].client;
+	const cb_usage_load_t load = { .suspecting_instances = 1 };
+	cb_usage_t *usage = cb_usage_new();
+	unsigned int sum_count = 0;
+	int i;
+
+	CU_ASSERT_TRUE(
+		world_run_until(world, world_is_converged, START_LIMIT_MS));
+	cb_control_client_on_usage(client, usage_sum_count_, &sum_count);
+	for (i = 0; i < SUSPICIONS; i++) {
+		char *server = g_strdup_printf("server%d", i);
+		GBytes *bytes;
+
+		cb_usage_add_load(usage, server, &load);
+		bytes = cb_usage_encode(usage);
+		cb_control_client_report_usage(client, bytes);
+		g_bytes_unref(bytes);
+		g_free(server);
+		cb_clock_advance(world->clock, SUSPICION_INTERVAL_MS);
+	}
+	CU_ASSERT_TRUE(sum_count >= SUSPICION_SUMS_MIN);
+	if (sum_count < SUSPICION_SUMS_MIN)
+		printf("    %u sums\n", sum_count);
+	cb_usage_delete(usage);
+	world_delete(world);
+}
+
 static CU_TestInfo session_tests[] = {
 	{ "changes_reach_every_session", changes_reach_every_session },
 	{ "sessions_older_than_first_leader_are_recorded",
@@ -655,6 +703,8 @@
 	  entry_rejoins_after_clock_is_set_back },
 	{ "restarted_group_elects_leader_in_time",
 	  restarted_group_elects_leader_in_time },
+	{ "suspicions_in_quick_succession_are_shared",
+	  suspicions_in_quick_succession_are_shared },
 	CU_TEST_INFO_NULL
 };
 
