Soak: beside the platform's tests, and each of its checks shown to fail

More rows of service calls: an encoded body, two lengths, HEAD, 204, an interim answer; call_with_line_break_is_not_sent. Conclusion: no product code changed.

--- a/src/test_libcurrantbridge/test_http_clients.c
+++ b/src/test_libcurrantbridge/test_http_clients.c
@@ -284,6 +284,15 @@
 		{ "GET", "", FALSE, CB_FAILURE_LOST, 0 },
 		{ "POST", OK LENGTH("9", "part"), FALSE, CB_FAILURE_LOST, 0 },
 		{ "POST", CHUNKED "5\r\npa", FALSE, CB_FAILURE_LOST, 0 },
+		{ "POST", OK "Content-Encoding: gzip\r\n" LENGTH("2", "ok"),
+		  FALSE, CB_FAILURE_MISMATCH, 0 },
+		{ "POST", OK LENGTH("2\r\nContent-Length: 3", "ok"), FALSE,
+		  CB_FAILURE_MISMATCH, 0 },
+		{ "HEAD", OK LENGTH("2", ""), FALSE, CB_FAILURE_NONE, 200 },
+		{ "POST", "HTTP/1.1 103 Early\r\n\r\n" OK LENGTH("2", "ok"),
+		  FALSE, CB_FAILURE_NONE, 200 },
+		{ "POST", "HTTP/1.1 204 No\r\n\r\n", FALSE, CB_FAILURE_NONE,
+		  204 },
 		{ "POST", "HTTP/1.1 307 No\r\nLocation: /x\r\n" LENGTH("0", ""),
 		  FALSE, CB_FAILURE_NONE, 307 },
 	};
@@ -322,6 +331,44 @@
 	}
 }
 
+/*
+ * Text that would end a line of the request's head must not reach the server,
+ * which would read it as another header or request.
+ */
+static void call_with_line_break_is_not_sent(void)
+{
+	static const cb_service_request_t requests[] = {
+		{ .request = "r", .method = "POST", .path = "/x\r\nA: b" },
+		{ .request = "r", .method = "POST", .path = "/x y" },
+		{ .request = "r", .method = "POST\n", .path = "/x" },
+		{ .request = "r\r\nA: b", .method = "POST", .path = "/x" },
+		{ .request = "r",
+		  .method = "POST",
+		  .path = "/x",
+		  .key = "k\n" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(requests); i++) {
+		cb_service_client_t *client =
+			cb_http_service_client_new(NULL, test_clock);
+		result_record_t record = { 0 };
+		cb_service_listener_t listener = { service_end_record_,
+						   &record };
+		scripted_server_t server;
+
+		scripted_server_init_(&server, OK LENGTH("2", "ok"), FALSE);
+		client->vtable->send(client, &server.target, &requests[i],
+				     &listener);
+		loop_run_until_one_(&record.done_count);
+		CU_ASSERT_EQUAL(record.done_count, 1);
+		CU_ASSERT_EQUAL(record.failure, CB_FAILURE_CONNECT);
+		CU_ASSERT_EQUAL(server.connection_count, 0);
+		cb_http_service_client_delete(client);
+		scripted_server_clear_(&server);
+	}
+}
+
 /*
  * libsoup resends a PUT that fails on a reused connection, so the server could
  * run a call twice.  The server here closes connections at a second request;
@@ -703,6 +750,8 @@
 
 static CU_TestInfo http_clients_tests[] = {
 	{ "service_answers_are_classified", service_answers_are_classified },
+	{ "call_with_line_break_is_not_sent",
+	  call_with_line_break_is_not_sent },
 	{ "call_is_not_sent_on_used_connection",
 	  call_is_not_sent_on_used_connection },
 	{ "step_lost_on_used_connection_is_not_repeated",
--- a/test/soak/soak_server_main.c
+++ b/test/platform/soak/soak_server_main.c
@@ -130,7 +130,7 @@
 static gboolean slot_take_(server_t *server, int64_t budget_ms)
 {
 	int64_t end_us = g_get_monotonic_time() + budget_ms * 1000;
-	gboolean has_slot = server->running < SLOTS;
+	gboolean has_slot;
 
 	g_mutex_lock(&server->lock);
 	if (server->running >= SLOTS && server->waiting < QUEUE_MAX) {
--- a/test/soak/test_soak.c
+++ b/test/platform/soak/test_soak.c
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "soak.h"
 #include "support_main.h"
@@ -360,6 +361,98 @@
 	soak_clear_(&soak);
 }
 
+/* A record of requests that breaks one rule, or none. */
+typedef struct check_case {
+	const char *description; /* printed if the check fails */
+	soak_request_t request;
+	const char *effects; /* lines of the file of effects */
+	unsigned int expected_broken;
+} check_case_t;
+
+#define WHOLE_BODY "1 of i-00000001"
+
+static const check_case_t check_cases[] = {
+	{ "sound",
+	  { .id = "1", .key = "1", .status = 200, .body = (char *)WHOLE_BODY },
+	  "1 s i-00000001 /once/1\n",
+	  0 },
+	{ "refused and not run",
+	  { .id = "1", .key = "1", .status = 503 },
+	  "2 s i-00000001 /once/2\n",
+	  0 },
+	{ "an idempotent request that ran twice",
+	  { .id = "1",
+	    .key = "1",
+	    .kind = SOAK_IDEMPOTENT,
+	    .status = 200,
+	    .body = (char *)WHOLE_BODY },
+	  "1 s i-00000001 /safe/1\n1 s i-00000002 /safe/1\n",
+	  0 },
+	{ "ran twice",
+	  { .id = "1", .key = "1", .status = 200, .body = (char *)WHOLE_BODY },
+	  "1 s i-00000001 /once/1\n1 s i-00000002 /once/1\n",
+	  1 },
+	{ "ran though refused",
+	  { .id = "1", .key = "1", .status = 429 },
+	  "1 s i-00000001 /once/1\n",
+	  1 },
+	{ "ran again under its key",
+	  { .id = "2",
+	    .key = "1",
+	    .status = 200,
+	    .body = (char *)"2 of i-00000001" },
+	  "1 s i-00000001 /once/1\n2 s i-00000001 /once/1\n",
+	  1 },
+	{ "ran on another service",
+	  { .id = "1", .key = "1", .status = 502 },
+	  "1 t i-00000001 /once/1\n",
+	  1 },
+	{ "a success that is cut",
+	  { .id = "1",
+	    .key = "1",
+	    .status = 200,
+	    .body = (char *)"1 of i-0000" },
+	  "1 s i-00000001 /once/1\n",
+	  1 },
+	{ "a success of another request",
+	  { .id = "1",
+	    .key = "1",
+	    .status = 200,
+	    .body = (char *)"2 of i-00000001" },
+	  "1 s i-00000001 /once/1\n",
+	  1 },
+	{ "a success without a run",
+	  { .id = "1", .key = "1", .status = 200, .body = (char *)WHOLE_BODY },
+	  "",
+	  1 },
+};
+
+/* Each check of the soak must be able to fail. */
+static void checks_find_each_broken_rule(void)
+{
+	char *path = NULL;
+	size_t i;
+	int fd = g_file_open_tmp("soak-XXXXXX", &path, NULL);
+
+	CU_ASSERT_FATAL(fd >= 0);
+	close(fd);
+	for (i = 0; i < G_N_ELEMENTS(check_cases); i++) {
+		const check_case_t *c = &check_cases[i];
+		GPtrArray *requests = g_ptr_array_new();
+		unsigned int broken_count;
+
+		g_ptr_array_add(requests, (void *)&c->request);
+		CU_ASSERT_TRUE(g_file_set_contents(path, c->effects, -1, NULL));
+		broken_count = soak_check(requests, path);
+		CU_ASSERT_EQUAL(broken_count, c->expected_broken);
+		if (broken_count != c->expected_broken)
+			printf("    %s: %u\n", c->description, broken_count);
+		g_ptr_array_unref(requests);
+	}
+	(void)remove(path);
+	g_free(path);
+}
+
 /* Returns a number from the environment, or a default. */
 static int64_t number_from_environment_(const char *name, int64_t fallback)
 {
@@ -385,7 +478,9 @@
 		soak_play_((uint32_t)(seed + i), seconds);
 }
 
-static CU_TestInfo soak_tests[] = { { "promises_hold_while_processes_fail",
+static CU_TestInfo soak_tests[] = { { "checks_find_each_broken_rule",
+				      checks_find_each_broken_rule },
+				    { "promises_hold_while_processes_fail",
 				      promises_hold_while_processes_fail },
 				    CU_TEST_INFO_NULL };
 
--- a/test/platform/support_programs.c
+++ b/test/platform/support_programs.c
@@ -59,17 +59,24 @@
 	return NULL;
 }
 
+char *support_answer_read(int fd)
+{
+	char *answer = support_message_read(fd);
+
+	return answer ? answer : g_strdup("");
+}
+
 char *support_request_exchange(const char *address, const char *text)
 {
 	int fd = support_address_connect(address);
-	char *answer = NULL;
+	char *answer;
 
-	if (fd >= 0) {
-		support_socket_send(fd, text, strlen(text));
-		answer = support_message_read(fd);
-		close(fd);
-	}
-	return answer ? answer : g_strdup("");
+	if (fd < 0)
+		return g_strdup("");
+	support_socket_send(fd, text, strlen(text));
+	answer = support_answer_read(fd);
+	close(fd);
+	return answer;
 }
 
 unsigned int support_answer_status(const char *answer)
--- a/test/platform/support_programs.h
+++ b/test/platform/support_programs.h
@@ -11,6 +11,8 @@
 int support_address_connect(const char *address);
 /* Reads one message; NULL if the connection ends before its last byte. */
 char *support_message_read(int fd);
+/* Reads an answer; "" if the connection ends before its last byte. */
+char *support_answer_read(int fd);
 /* Sends `text` on a new connection; returns the answer, "" if there is none. */
 char *support_request_exchange(const char *address, const char *text);
 /* Returns the status of an answer, 0 if the answer is empty. */
--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -325,8 +325,8 @@
 		const char *relayed;
 
 		support_socket_send(fd, request, strlen(request));
-		answer = support_message_read(fd);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
+		answer = support_answer_read(fd);
+		CU_ASSERT_TRUE_FATAL(*answer != '\0');
 		CU_ASSERT_EQUAL(support_answer_status(answer), 200);
 		CU_ASSERT_PTR_NOT_NULL(
 			strstr(answer, "\r\nX-Server-Seal: seal\r\n"));
@@ -609,8 +609,8 @@
 	support_socket_send(fd, REQUEST_LINE COMMON_HEADERS KEY_HEADER "\r\n",
 			    strlen(REQUEST_LINE COMMON_HEADERS KEY_HEADER
 				   "\r\n"));
-	answer = support_message_read(fd);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
+	answer = support_answer_read(fd);
+	CU_ASSERT_TRUE_FATAL(*answer != '\0');
 	CU_ASSERT_EQUAL(support_answer_status(answer), 200);
 	g_free(answer);
 	support_daemon_signal(fixture.entry_daemon, SIGTERM);
@@ -621,8 +621,8 @@
 	support_socket_send(fd, REQUEST_LINE COMMON_HEADERS KEY_HEADER "\r\n",
 			    strlen(REQUEST_LINE COMMON_HEADERS KEY_HEADER
 				   "\r\n"));
-	answer = support_message_read(fd);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
+	answer = support_answer_read(fd);
+	CU_ASSERT_TRUE_FATAL(*answer != '\0');
 	CU_ASSERT_EQUAL(support_answer_status(answer), 200);
 	CU_ASSERT_PTR_NOT_NULL(strcasestr(answer, "\r\nConnection: close"));
 	g_free(answer);
@@ -690,8 +690,8 @@
 		support_socket_send(
 			fd, REQUEST_LINE COMMON_HEADERS KEY_HEADER "\r\n",
 			strlen(REQUEST_LINE COMMON_HEADERS KEY_HEADER "\r\n"));
-		answer = support_message_read(fd);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
+		answer = support_answer_read(fd);
+		CU_ASSERT_TRUE_FATAL(*answer != '\0');
 		CU_ASSERT_EQUAL(support_answer_status(answer), 200);
 		g_free(answer);
 	}
