--- /dev/null
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -0,0 +1,564 @@
+#include "support_relay.h"
+
+#include <CUnit/CUnit.h>
+#include <string.h>
+
+#define START_LIMIT_MS 10000
+#define LINGER_MS 6000
+#define GRACE_MS 8000
+
+/* A connection of the relay to a server. */
+typedef struct server_connection {
+	relay_fixture_t *fixture;
+	unsigned int server; /* index of the server in the fixture */
+	cb_stream_t *stream; /* NULL once the connection was reset */
+	GString *received;   /* received bytes of the current request */
+	/* The answer that is sent byte by byte, and its sent bytes. */
+	const relay_script_t *script;
+	size_t sent_bytes;
+	unsigned int byte_source; /* 0: no byte is left to be sent */
+} server_connection_t;
+
+static void request_info_read_(const cb_dialect_t *dialect,
+			       const cb_http1_head_t *head,
+			       cb_relay_request_info_t *request_info)
+{
+	const char *left = cb_http1_head_find(head, "Left");
+
+	(void)dialect;
+	request_info->id = cb_http1_head_find(head, "Id");
+	request_info->key = cb_http1_head_find(head, "Key");
+	request_info->budget_ms = left ? g_ascii_strtoll(left, NULL, 10) : 0;
+	request_info->last_event = -1;
+}
+
+static GString *request_write_(const cb_dialect_t *dialect,
+			       const cb_http1_head_t *head,
+			       const GByteArray *body,
+			       const cb_relay_attempt_info_t *attempt_info)
+{
+	GString *text = g_string_new(NULL);
+	unsigned int i;
+
+	(void)dialect;
+	g_string_append_printf(
+		text,
+		"%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nTo: %s\r\n"
+		"Workspace: %s\r\nAfter: %d\r\nContent-Length: %u\r\n\r\n",
+		head->method, head->target, cb_http1_head_find(head, "Id"),
+		attempt_info->server_id,
+		attempt_info->workspace ? attempt_info->workspace : "-",
+		(int)attempt_info->last_event, body->len);
+	g_string_append_len(text, (const char *)body->data, body->len);
+	for (i = 0; attempt_info->hops && i < attempt_info->hops->len; i++)
+		g_string_append_printf(text, "%s ",
+				       g_array_index(attempt_info->hops,
+						     cb_relay_hop_t, i)
+					       .id);
+	return text;
+}
+
+static void answer_info_read_(const cb_dialect_t *dialect,
+			      const cb_http1_head_t *answer, const char *id,
+			      cb_relay_answer_info_t *answer_info)
+{
+	const char *away = cb_http1_head_find(answer, "Away-Ms");
+
+	(void)dialect;
+	*answer_info = (cb_relay_answer_info_t){
+		.matches_request =
+			!g_strcmp0(cb_http1_head_find(answer, "Id"), id),
+		.names_no_request = !cb_http1_head_find(answer, "Id"),
+		.has_not_run = cb_http1_head_find(answer, "Not-Run") != NULL,
+		.running = -1,
+		.failed_address = cb_http1_head_find(answer, "Fault"),
+		.is_leaving = cb_http1_head_find(answer, "Leaving") != NULL,
+		.retry_after_ms = away ? g_ascii_strtoll(away, NULL, 10) : 0,
+	};
+}
+
+static const cb_dialect_vtable_t dialect_vtable = {
+	.read_request_info = request_info_read_,
+	.write_request = request_write_,
+	.read_answer_info = answer_info_read_,
+};
+static const cb_dialect_t dialect = { &dialect_vtable };
+
+static void route_add_(cb_document_t *document, const char *prefix,
+		       cb_route_kind_t kind)
+{
+	cb_route_t *route = cb_route_new();
+	cb_route_split_t split = {
+		g_strdup(g_str_has_prefix(prefix, "/engine") ? "e" : "s"), 1
+	};
+
+	route->name = g_strdup(prefix);
+	route->host = g_strdup("h");
+	route->prefix = g_strdup(prefix);
+	route->kind = kind;
+	route->timeout_ms = 4000;
+	route->target_latency_ms = 500;
+	route->target_gap_ms = 200;
+	route->max_attempts = 2;
+	route->is_resumable = !g_str_has_prefix(prefix, "/stream-once");
+	g_array_append_val(route->splits, split);
+	cb_document_add_route(document, route);
+}
+
+#define ENGINE_LAYERS 2
+
+/* Adds service "e", whose engines of kind "k" hold ranges of layers. */
+static void engine_service_add_(cb_document_t *document)
+{
+	cb_service_profile_t *service = cb_service_profile_new("e");
+	cb_engine_kind_t *kind = g_new0(cb_engine_kind_t, 1);
+
+	kind->name = g_strdup("k");
+	kind->memory_mb = 10000;
+	kind->step_time_factor = 1;
+	kind->read_time_factor = 1;
+	service->engine = cb_engine_profile_new();
+	service->engine->layers = ENGINE_LAYERS;
+	service->engine->layer_mb = 100;
+	service->engine->kv_token_bytes = 2000;
+	service->engine->step_ms = 1;
+	service->engine->read_tokens_per_s = 1000;
+	service->engine->stride = 1;
+	g_ptr_array_add(service->engine->kinds, kind);
+	cb_document_add_service(document, service);
+}
+
+static cb_document_t *document_make_(const cb_document_codec_t *codec,
+				     const char *text, size_t size,
+				     GArray *route_texts, GError **error)
+{
+	cb_document_t *document = cb_document_new();
+
+	(void)codec;
+	(void)text;
+	(void)size;
+	(void)route_texts;
+	document->version = 1;
+	document->limits = (cb_document_limits_t){ 4096, 1024, 3000, 15000 };
+	cb_document_add_service(document, cb_service_profile_new("s"));
+	route_add_(document, "/safe/", CB_ROUTE_IDEMPOTENT);
+	route_add_(document, "/once/", CB_ROUTE_ONCE);
+	route_add_(document, "/stream/", CB_ROUTE_STREAM);
+	route_add_(document, "/stream-once/", CB_ROUTE_STREAM);
+	engine_service_add_(document);
+	route_add_(document, "/engine/", CB_ROUTE_STREAM);
+	CU_ASSERT_TRUE(cb_document_add_key(document, "w", "k", error));
+	return document;
+}
+
+static const cb_document_codec_vtable_t codec_vtable = {
+	.open = document_make_
+};
+static const cb_document_codec_t codec = { &codec_vtable };
+
+/* Returns whether the received bytes contain a complete request. */
+static gboolean request_is_complete_(const GString *received)
+{
+	const char *end = strstr(received->str, "\r\n\r\n");
+	const char *length = strstr(received->str, "Content-Length: ");
+
+	if (!end)
+		return FALSE;
+	return !length ||
+	       strlen(end + 4) >=
+		       g_ascii_strtoull(length + strlen("Content-Length: "),
+					NULL, 10);
+}
+
+/* Ends an answer as its script says. */
+static void script_end_(server_connection_t *connection,
+			const relay_script_t *script)
+{
+	if (script->end == END_CLOSE)
+		cb_stream_shutdown_send(connection->stream);
+	else if (script->end == END_RESET)
+		cb_stream_reset(g_steal_pointer(&connection->stream));
+}
+
+/* Sends the next byte of an answer, or ends it. */
+static gboolean answer_byte_send_(void *user_data)
+{
+	server_connection_t *connection = user_data;
+	const char *text = connection->script->text + connection->sent_bytes++;
+
+	if (*text) {
+		cb_stream_send(connection->stream, text, 1);
+		return G_SOURCE_CONTINUE;
+	}
+	connection->byte_source = 0;
+	script_end_(connection, connection->script);
+	return G_SOURCE_REMOVE;
+}
+
+static void server_received_(void *user_data, const uint8_t *data, size_t size)
+{
+	server_connection_t *connection = user_data;
+	relay_fixture_t *fixture = connection->fixture;
+	unsigned int index = fixture->requests->len;
+	const relay_script_t *script;
+
+	g_string_append_len(connection->received, (const char *)data,
+			    (gssize)size);
+	if (!request_is_complete_(connection->received))
+		return;
+	g_ptr_array_add(fixture->requests, g_strdup(connection->received->str));
+	g_array_append_val(fixture->server_indexes, connection->server);
+	g_string_truncate(connection->received, 0);
+	if (index >= fixture->script_count)
+		return;
+	script = &fixture->scripts[index];
+	if (fixture->sends_single_bytes) {
+		connection->script = script;
+		connection->sent_bytes = 0;
+		connection->byte_source =
+			g_idle_add(answer_byte_send_, connection);
+		return;
+	}
+	cb_stream_send(connection->stream, script->text, strlen(script->text));
+	script_end_(connection, script);
+}
+
+static void server_ended_(void *user_data, cb_stream_end_t end)
+{
+	server_connection_t *connection = user_data;
+
+	(void)end;
+	connection->fixture->ended_connection_count++;
+}
+
+static const cb_stream_handler_t server_handler = {
+	.received = server_received_,
+	.ended = server_ended_,
+};
+
+/* The server that a listener belongs to. */
+typedef struct accept_context {
+	relay_fixture_t *fixture;
+	unsigned int server;
+} accept_context_t;
+
+static void server_accept_(int fd, void *user_data)
+{
+	const accept_context_t *context = user_data;
+	server_connection_t *connection = g_new0(server_connection_t, 1);
+
+	connection->fixture = context->fixture;
+	connection->server = context->server;
+	connection->received = g_string_new(NULL);
+	connection->stream = cb_stream_new(connection->fixture->poller, fd,
+					   &server_handler, connection);
+	g_ptr_array_add(context->fixture->connections, connection);
+}
+
+static void server_connection_free_(void *data)
+{
+	server_connection_t *connection = data;
+
+	if (connection->byte_source)
+		g_source_remove(connection->byte_source);
+	cb_stream_delete(connection->stream);
+	g_string_free(connection->received, TRUE);
+	g_free(connection);
+}
+
+void support_relay_accepted_check(cb_submit_outcome_t outcome,
+				  const cb_answer_t *answer, void *user_data)
+{
+	(void)answer;
+	(void)user_data;
+	CU_ASSERT_EQUAL(outcome, CB_SUBMIT_ANSWERED);
+}
+
+static accept_context_t accept_contexts[SERVER_COUNT];
+
+char *support_relay_server_address(const relay_fixture_t *fixture,
+				   unsigned int server)
+{
+	return g_strdup_printf("127.0.0.1:%u",
+			       cb_stream_listener_port(
+				       fixture->listeners[server]));
+}
+
+void support_relay_engine_announce(relay_fixture_t *fixture,
+				   unsigned int server)
+{
+	cb_fleet_server_t heartbeat = { .service = (char *)"e",
+					.data_centre = (char *)"dc1",
+					.kind = (char *)"k",
+					.start_wall_ms = 2,
+					.sequence = 1,
+					.slots = 4,
+					.layer_from = server > 0,
+					.layer_to = (server > 0) + 1 };
+
+	heartbeat.id = g_strdup_printf("engine%u", server);
+	heartbeat.address = support_relay_server_address(fixture, server);
+	cb_node_server_announce(fixture->world->nodes[0].node, &heartbeat,
+				support_relay_accepted_check, NULL);
+	g_free(heartbeat.id);
+	g_free(heartbeat.address);
+}
+
+/* Orders to engines that record the calls in a fixture. */
+typedef struct fake_orders {
+	cb_engine_orders_t base;
+	relay_fixture_t *fixture;
+} fake_orders_t;
+
+/* A report or reroute that is answered from the main loop. */
+typedef struct engine_call {
+	relay_fixture_t *fixture;
+	char *address;
+	cb_report_done_fn_t report_done;
+	cb_reroute_done_fn_t reroute_done;
+	void *user_data;
+} engine_call_t;
+
+/*
+ * Answers a call.  The lost engine gives no report; the others report that the
+ * request waits for it.
+ */
+static gboolean engine_call_answer_(void *data)
+{
+	engine_call_t *call = data;
+	int lost = call->fixture->lost_server;
+	char *lost_address =
+		lost < 0 ? NULL :
+			   support_relay_server_address(call->fixture,
+							(unsigned int)lost);
+	cb_stall_t stall = { (char *)"7", lost_address };
+	GArray *stalls = g_array_new(FALSE, FALSE, sizeof(cb_stall_t));
+	const cb_engine_report_t report = { .slow_percent = 100,
+					    .stalls = stalls };
+
+	if (lost_address)
+		g_array_append_val(stalls, stall);
+	if (call->reroute_done)
+		call->reroute_done(CB_REROUTE_DONE, NULL, call->user_data);
+	else
+		call->report_done(g_strcmp0(call->address, lost_address) ?
+					  &report :
+					  NULL,
+				  call->user_data);
+	g_array_unref(stalls);
+	g_free(lost_address);
+	g_free(call->address);
+	g_free(call);
+	return G_SOURCE_REMOVE;
+}
+
+static engine_call_t *engine_call_new_(cb_engine_orders_t *orders,
+				       const char *address, void *user_data)
+{
+	engine_call_t *call = g_new0(engine_call_t, 1);
+
+	call->fixture = ((fake_orders_t *)orders)->fixture;
+	call->address = g_strdup(address);
+	call->user_data = user_data;
+	g_idle_add(engine_call_answer_, call);
+	return call;
+}
+
+static void report_request_(cb_engine_orders_t *orders, const char *address,
+			    cb_report_done_fn_t done, void *user_data)
+{
+	engine_call_t *call = engine_call_new_(orders, address, user_data);
+
+	call->report_done = done;
+	g_ptr_array_add(call->fixture->report_addresses, g_strdup(address));
+}
+
+static void reroute_request_(cb_engine_orders_t *orders, const char *address,
+			     const char *request_id, const GArray *hops,
+			     cb_reroute_done_fn_t done, void *user_data)
+{
+	engine_call_t *call = engine_call_new_(orders, address, user_data);
+	GString *text = g_string_new(request_id);
+	unsigned int i;
+
+	for (i = 0; i < hops->len; i++)
+		g_string_append_printf(
+			text, " %s", g_array_index(hops, cb_relay_hop_t, i).id);
+	call->reroute_done = done;
+	g_ptr_array_add(call->fixture->reroutes, g_string_free(text, FALSE));
+}
+
+/* No test cancels a call before its answer. */
+static void engine_call_cancel_(cb_engine_orders_t *orders,
+				const void *user_data)
+{
+	(void)orders;
+	(void)user_data;
+}
+
+static const cb_engine_orders_vtable_t orders_vtable = {
+	.report = report_request_,
+	.reroute = reroute_request_,
+	.cancel = engine_call_cancel_,
+};
+static fake_orders_t fake_orders = { .base = { &orders_vtable } };
+
+void support_relay_server_announce(relay_fixture_t *fixture,
+				   unsigned int server, int64_t start_wall_ms,
+				   uint64_t sequence)
+{
+	cb_fleet_server_t heartbeat = { .service = (char *)"s",
+					.data_centre = (char *)"dc1",
+					.start_wall_ms = start_wall_ms,
+					.sequence = sequence,
+					.slots = 4 };
+
+	heartbeat.id = g_strdup_printf("server%u", server);
+	heartbeat.address = support_relay_server_address(fixture, server);
+	cb_node_server_announce(fixture->world->nodes[0].node, &heartbeat,
+				support_relay_accepted_check, NULL);
+	g_free(heartbeat.id);
+	g_free(heartbeat.address);
+}
+
+/* Starts the servers and announces them to the control instance. */
+static void servers_start_(relay_fixture_t *fixture)
+{
+	unsigned int i;
+
+	for (i = 0; i < SERVER_COUNT; i++) {
+		accept_contexts[i] = (accept_context_t){ fixture, i };
+		fixture->listeners[i] =
+			cb_stream_listen(fixture->poller, "127.0.0.1:0",
+					 server_accept_, &accept_contexts[i],
+					 NULL);
+		support_relay_server_announce(fixture, i, 1, 1);
+	}
+}
+
+static gboolean entry_is_ready_(world_t *world)
+{
+	return world_is_converged(world) &&
+	       cb_control_client_is_confirmed(world->clients[0].client);
+}
+
+void support_relay_init(relay_fixture_t *fixture, gboolean has_document)
+{
+	cb_front_options_t options = {
+		.name = "entry1",
+		.listen = "127.0.0.1:0",
+		.data_centre = "dc1",
+		.codec = &codec,
+		.dialect = &dialect,
+		.retry_ratio = 0.2,
+		.retry_extra = 100,
+		.retry_window_ms = 10000,
+		.linger_ms = LINGER_MS,
+		.grace_ms = GRACE_MS,
+	};
+	world_client_t *entry;
+
+	*fixture = (relay_fixture_t){ .world = world_new_with_servers(1, 1, 31,
+								      60000) };
+	entry = &fixture->world->clients[0];
+	fixture->connections =
+		g_ptr_array_new_with_free_func(server_connection_free_);
+	fixture->requests = g_ptr_array_new_with_free_func(g_free);
+	fixture->server_indexes =
+		g_array_new(FALSE, FALSE, sizeof(unsigned int));
+	fixture->answer = g_string_new(NULL);
+	fixture->report_addresses = g_ptr_array_new_with_free_func(g_free);
+	fixture->reroutes = g_ptr_array_new_with_free_func(g_free);
+	fixture->lost_server = -1;
+	fixture->other_callers = g_ptr_array_new();
+	fake_orders.fixture = fixture;
+	options.orders = &fake_orders.base;
+	fixture->client =
+		cb_http1_client_new(NULL, fixture->world->clock, NULL);
+	options.client = fixture->client;
+	fixture->front = cb_front_new(entry->kernel, entry->client, entry->view,
+				      &options);
+	CU_ASSERT_TRUE(
+		((cb_service_t *)fixture->front)
+			->vtable->start((cb_service_t *)fixture->front, NULL));
+	CU_ASSERT_TRUE(world_run_until(fixture->world, entry_is_ready_,
+				       START_LIMIT_MS));
+	fixture->poller = cb_poller_new(NULL);
+	servers_start_(fixture);
+	if (has_document)
+		cb_node_put_document(fixture->world->nodes[0].node, 1, "d", 1,
+				     support_relay_accepted_check, NULL);
+	world_run_until(fixture->world, NULL, 1000);
+}
+
+void support_relay_clear(relay_fixture_t *fixture)
+{
+	unsigned int i;
+
+	cb_stream_delete(fixture->caller);
+	for (i = 0; i < fixture->other_callers->len; i++)
+		cb_stream_delete(fixture->other_callers->pdata[i]);
+	g_ptr_array_unref(fixture->other_callers);
+	((cb_service_t *)fixture->front)
+		->vtable->destroy((cb_service_t *)fixture->front);
+	cb_http1_client_delete(fixture->client);
+	for (i = 0; i < SERVER_COUNT; i++)
+		if (fixture->listeners[i])
+			cb_stream_unlisten(fixture->listeners[i]);
+	g_ptr_array_unref(fixture->connections);
+	g_ptr_array_unref(fixture->requests);
+	g_array_unref(fixture->server_indexes);
+	g_string_free(fixture->answer, TRUE);
+	g_ptr_array_unref(fixture->report_addresses);
+	g_ptr_array_unref(fixture->reroutes);
+	cb_poller_delete(fixture->poller);
+	world_delete(fixture->world);
+}
+
+static void caller_received_(void *user_data, const uint8_t *data, size_t size)
+{
+	relay_fixture_t *fixture = user_data;
+
+	g_string_append_len(fixture->answer, (const char *)data, (gssize)size);
+}
+
+static void caller_ended_(void *user_data, cb_stream_end_t end)
+{
+	(void)end;
+	((relay_fixture_t *)user_data)->caller_ended = TRUE;
+}
+
+static const cb_stream_handler_t caller_handler = {
+	.received = caller_received_,
+	.ended = caller_ended_,
+};
+
+void support_relay_request_send(relay_fixture_t *fixture, const char *text)
+{
+	char *address =
+		g_strdup_printf("127.0.0.1:%u", cb_front_port(fixture->front));
+
+	cb_stream_delete(fixture->caller);
+	g_string_truncate(fixture->answer, 0);
+	fixture->caller_ended = FALSE;
+	fixture->caller = cb_stream_connect(fixture->poller, address,
+					    &caller_handler, fixture);
+	cb_stream_send(fixture->caller, text, strlen(text));
+	g_free(address);
+}
+
+gboolean support_relay_run_until(relay_fixture_t *fixture,
+				 unsigned int requests, const char *text)
+{
+	int iteration;
+
+	for (iteration = 0; iteration < LOOP_ITERATIONS_MAX; iteration++) {
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		if (text ? strstr(fixture->answer->str, text) != NULL :
+			   fixture->requests->len >= requests)
+			return TRUE;
+		g_usleep(LOOP_SLEEP_US);
+	}
+	return FALSE;
+}
--- /dev/null
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -0,0 +1,98 @@
+#ifndef SUPPORT_RELAY_H
+#define SUPPORT_RELAY_H
+
+#include "currantbridge/front.h"
+#include "private/front.h"
+#include "private/stream.h"
+#include "support_world.h"
+
+/* Fixture of the tests of the relay: see relay_fixture_t. */
+#define LOOP_ITERATIONS_MAX 4000
+#define LOOP_SLEEP_US 500
+#define SERVER_COUNT 3
+
+/* What a server does with its connection after the text of its script. */
+typedef enum relay_script_end {
+	END_KEEP,
+	END_CLOSE,
+	END_RESET,
+	END_HOLD, /* like END_KEEP, for an answer that is not complete */
+} relay_script_end_t;
+
+/* A server's reaction to one request. */
+typedef struct relay_script {
+	const char *text; /* text that the server sends to the relay */
+	relay_script_end_t end;
+} relay_script_t;
+
+/*
+ * An entry instance, a control instance, backend servers and a caller in one
+ * process, over real sockets and with a paused clock.
+ */
+typedef struct relay_fixture {
+	world_t *world;
+	cb_poller_t *poller; /* watches sockets of servers and caller */
+	cb_http1_client_t *client;
+	cb_front_t *front;
+	cb_stream_listener_t *listeners[SERVER_COUNT];
+	GPtrArray *connections; /* elements: server_connection_t */
+	/* The received requests as text, and the server index of each. */
+	GPtrArray *requests;
+	GArray *server_indexes;
+	const relay_script_t
+		*scripts; /* scripts, one for each request, in order */
+	unsigned int script_count;
+	/* Whether the servers send their answers byte by byte. */
+	gboolean sends_single_bytes;
+	unsigned int ended_connection_count;
+	/* Engine calls: the addresses asked for a report, and the reroutes. */
+	GPtrArray *report_addresses;
+	GPtrArray *reroutes; /* request ID and servers of each new chain */
+	/* The engine that is reported as lost, by its server index; or -1. */
+	int lost_server;
+	/* Callers that are still connected, beside `caller`. */
+	GPtrArray *other_callers;
+	/* The caller's connection and what it received. */
+	cb_stream_t *caller;
+	GString *answer; /* bytes received by the caller */
+	gboolean caller_ended;
+} relay_fixture_t;
+
+/* Starts everything; `has_document`: with a document in force. */
+void support_relay_init(relay_fixture_t *fixture, gboolean has_document);
+void support_relay_clear(relay_fixture_t *fixture);
+/* Announces a server's process to the control instance. */
+void support_relay_server_announce(relay_fixture_t *fixture,
+				   unsigned int server, int64_t start_wall_ms,
+				   uint64_t sequence);
+/*
+ * Announces a server as an engine: server 0 holds the first layer, the others
+ * the second one.
+ */
+void support_relay_engine_announce(relay_fixture_t *fixture,
+				   unsigned int server);
+/* Returns the address of a server; the caller frees it. */
+char *support_relay_server_address(const relay_fixture_t *fixture,
+				   unsigned int server);
+/* Sends a request on a new connection of the caller. */
+void support_relay_request_send(relay_fixture_t *fixture, const char *text);
+/*
+ * Runs the main loop until the answer contains `text` or, if that is NULL,
+ * until servers have received `requests` requests; FALSE: it did not happen.
+ */
+gboolean support_relay_run_until(relay_fixture_t *fixture,
+				 unsigned int requests, const char *text);
+/* Checks that control has answered a change. */
+void support_relay_accepted_check(cb_submit_outcome_t outcome,
+				  const cb_answer_t *answer, void *user_data);
+
+#define REQUEST(method, path, extra)                                             \
+	method " " path                                                          \
+	       " HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 2000\r\n" extra \
+	       "\r\n"
+#define COMPLETE_ANSWER \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nContent-Length: 2\r\n\r\nok"
+#define IDEMPOTENT_REQUEST REQUEST("GET", "/safe/a?b=%2f", "")
+#define ONCE_REQUEST REQUEST("POST", "/once/a", "Content-Length: 3\r\n") "abc"
+
+#endif
