Tests of engines' answers: one expectation for both readers, and stricter

Cause: read once more, the plays of engine streams and steps had the same expectation written twice, and in 12 of the 320 plays, where the last token has come and only the end of the framing is not clean, nothing but an end was asserted. Comments in the relay's fixture. Conclusion: no product code changed.

--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -6,7 +6,7 @@
 #include "private/stream.h"
 #include "support_world.h"
 
-/* Fixture of the tests of the relay: see relay_fixture_t. */
+/* Limits of a test's wait in the main loop, and the number of servers. */
 #define LOOP_ITERATIONS_MAX 4000
 #define LOOP_SLEEP_US 500
 #define SERVER_COUNT 3
@@ -39,8 +39,8 @@
 	/* The received requests as text, and the server index of each. */
 	GPtrArray *requests;
 	GArray *server_indexes;
-	const relay_script_t
-		*scripts; /* scripts, one for each request, in order */
+	/* The reactions to requests, one for each request, in order. */
+	const relay_script_t *scripts;
 	unsigned int script_count;
 	/* Whether the servers send their answers byte by byte. */
 	gboolean sends_single_bytes;
@@ -60,6 +60,7 @@
 
 /* Starts everything; `has_document`: with a document in force. */
 void support_relay_init(relay_fixture_t *fixture, gboolean has_document);
+/* Stops everything and frees what the fixture holds. */
 void support_relay_clear(relay_fixture_t *fixture);
 /* Announces a server's process to the control instance. */
 void support_relay_server_announce(relay_fixture_t *fixture,
--- a/src/test_libcurrantbridge/test_http_clients.c
+++ b/src/test_libcurrantbridge/test_http_clients.c
@@ -616,6 +616,25 @@
 	       (row->cut == CUT_NOWHERE && row->is_reset);
 }
 
+/*
+ * Counts a play of an engine's reader.  An answer that is taken for whole must
+ * have given all its tokens.
+ */
+static void engine_play_count_(reader_play_t *play, const answer_end_row_t *row,
+			       const char *reader,
+			       const result_record_t *record,
+			       const char *expected_texts)
+{
+	gboolean is_taken_for_whole = record->failure == CB_FAILURE_NONE;
+
+	if (is_taken_for_whole)
+		CU_ASSERT_STRING_EQUAL(record->token_texts->str,
+				       expected_texts);
+	play_count_(play, row, reader, record,
+		    engine_answer_may_be_whole_(row) ? is_taken_for_whole :
+						       row->cut == CUT_NOWHERE);
+}
+
 static void engine_stream_play_(const answer_end_row_t *row, void *user_data)
 {
 	reader_play_t *play = user_data;
@@ -634,10 +653,7 @@
 
 	client->vtable->stream(client, &server.target, &order, &listener);
 	loop_run_until_done_(&record);
-	play_count_(play, row, "engine stream", &record,
-		    engine_answer_may_be_whole_(row) ?
-			    record.failure == CB_FAILURE_NONE :
-			    row->cut == CUT_NOWHERE);
+	engine_play_count_(play, row, "engine stream", &record, "t0t1");
 	g_string_free(record.token_texts, TRUE);
 	cb_http_engine_client_delete(client);
 	scripted_server_clear_(&server);
@@ -661,10 +677,7 @@
 
 	client->vtable->step(client, &server.target, &step, &listener);
 	loop_run_until_done_(&record);
-	play_count_(play, row, "engine step", &record,
-		    engine_answer_may_be_whole_(row) ?
-			    record.failure == CB_FAILURE_NONE :
-			    row->cut == CUT_NOWHERE);
+	engine_play_count_(play, row, "engine step", &record, "t");
 	g_string_free(record.token_texts, TRUE);
 	cb_http_engine_client_delete(client);
 	scripted_server_clear_(&server);
--- a/src/test_libcurrantbridge/test_relay_streams.c
+++ b/src/test_libcurrantbridge/test_relay_streams.c
@@ -63,7 +63,7 @@
 typedef enum answer_end {
 	ANSWER_COMPLETE,
 	ANSWER_BROKEN_OFF, /* the connection ends without the last chunk */
-	ANSWER_REFUSED,	   /* an error status */
+	ANSWER_REFUSED,	   /* a whole answer with status 502 */
 } answer_end_t;
 
 typedef struct stream_end_case {
