Logs: what a silent attempt waited for, how late this instance was, and cut answers

RELAY_ATTEMPT_FAILED has awaited (event, report, reroute) and late_ms, the lateness of the timer that decided; RELAY_ENDED has is_cut, counted in cb_relay_cut_total{reason}. No decision changes; tests of the relay and of the clock pass as before.

--- a/include/currantbridge/clock.h
+++ b/include/currantbridge/clock.h
@@ -19,6 +19,8 @@
 int64_t cb_clock_now_us(const cb_clock_t *clock);
 int64_t cb_clock_now_ms(const cb_clock_t *clock);
 int64_t cb_clock_wall_ms(const cb_clock_t *clock);
+/* How late the last timer fired, in ms: this process was busy or stopped. */
+int64_t cb_clock_lateness_ms(const cb_clock_t *clock);
 
 void cb_clock_advance(cb_clock_t *clock, int64_t delta_ms);
 int64_t cb_clock_next_deadline_ms(const cb_clock_t *clock);
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -48,7 +48,12 @@
 	gboolean is_report_pending;  /* waits for the first server's report */
 	gboolean is_reroute_pending; /* waits for the answer to a reroute */
 	int64_t reroute_sent_ms;     /* when the last reroute was sent */
-	unsigned int run_count;	     /* attempts that ran, or may have run */
+	/*
+	 * What the attempt waited for in vain before it failed as silent: an
+	 * event, a report or a reroute.  NULL: it has not.
+	 */
+	const char *awaited;
+	unsigned int run_count; /* attempts that ran, or may have run */
 	/* HTTP status of the server's answer; 0 before the answer. */
 	uint32_t status;
 	cb_http1_framing_t framing; /* of the server's answer, with `status` */
--- a/src/libcurrantbridge/kernel/clock.c
+++ b/src/libcurrantbridge/kernel/clock.c
@@ -14,6 +14,7 @@
 	GSequence *armed_timers; /* sorted by timer_compare_() */
 	uint64_t next_start_number;
 	int64_t paused_now_us; /* the time of a paused clock */
+	int64_t lateness_us;   /* how late the last timer fired */
 	/* Main loop source that fires the timers; NULL in a paused clock. */
 	GSource *source;
 	/* Time at which the source is next dispatched; -1: never. */
@@ -72,6 +73,7 @@
 		return 0;
 	g_sequence_remove(timer->position);
 	timer->position = NULL;
+	clock->lateness_us = limit_us - timer->deadline_us;
 	timer->fn(timer->user_data);
 	return 1;
 }
@@ -228,6 +230,15 @@
 	return clock->vtable->wall_ms(clock);
 }
 
+/*
+ * Returns how late the last timer fired, in milliseconds: for how long this
+ * process was busy or stopped before.
+ */
+int64_t cb_clock_lateness_ms(const cb_clock_t *clock)
+{
+	return clock->lateness_us / US_PER_MS;
+}
+
 /*
  * Advances a paused clock by `delta_ms` (0 or more).  Timers that become due
  * fire in order, each with the clock at its deadline.
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -149,6 +149,7 @@
 	cb_front_t *front = relay->front;
 	gboolean is_served = status >= 200 && status < 300;
 	int64_t elapsed_ms = cb_relay_elapsed_ms(relay);
+	gboolean is_cut = status >= 500 && relay->is_answer_begun;
 	char *hops_text = cb_relay_format_hops(relay);
 
 	cb_log_event(front->log,
@@ -169,8 +170,11 @@
 		     CB_INT("elapsed_ms", elapsed_ms),
 		     CB_INT("first_event_ms", relay->first_event_ms),
 		     CB_INT("longest_gap_ms", relay->pace.longest_gap_ms),
-		     CB_STR("gap_cause", relay->pace.longest_gap_cause));
+		     CB_STR("gap_cause", relay->pace.longest_gap_cause),
+		     CB_INT("is_cut", is_cut));
 	cb_relay_count_reason(front, "cb_relay_ended_total", reason);
+	if (is_cut)
+		cb_relay_count_reason(front, "cb_relay_cut_total", reason);
 	cb_histogram_add(is_served ? front->served_ms : front->failed_ms,
 			 elapsed_ms);
 	g_free(hops_text);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -122,7 +122,13 @@
 		     CB_INT("unfinished_bytes",
 			    (int64_t)cb_relay_unfinished_bytes(relay)),
 		     CB_INT("sent_before_ms",
-			    cb_relay_now_ms(relay) - relay->sent_ms));
+			    cb_relay_now_ms(relay) - relay->sent_ms),
+		     CB_STR("awaited", relay->awaited),
+		     CB_INT("late_ms",
+			    relay->awaited ?
+				    cb_clock_lateness_ms(relay->front->clock) :
+				    0));
+	relay->awaited = NULL;
 	g_free(hops_text);
 	cb_relay_count_reason(relay->front, "cb_relay_attempts_failed_total",
 			      result);
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -56,6 +56,17 @@
 
 static void reroute_request_(cb_relay_t *relay, const char *lost_address);
 
+/*
+ * Ends an attempt that waited for `awaited` in vain, by the fault of the server
+ * at `address` (NULL: the first hop).
+ */
+static void silent_attempt_end_(cb_relay_t *relay, const char *awaited,
+				const char *address)
+{
+	relay->awaited = awaited;
+	cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, address);
+}
+
 /* Called with the first server's answer to a request for a reroute. */
 static void reroute_answer_receive_(cb_reroute_outcome_t outcome,
 				    const char *address, void *user_data)
@@ -73,7 +84,7 @@
 		return;
 	}
 	if (outcome != CB_REROUTE_DONE) {
-		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, address);
+		silent_attempt_end_(relay, "reroute", address);
 		return;
 	}
 	hops_text = cb_relay_format_hops(relay);
@@ -116,8 +127,7 @@
 		cb_server_book_begin_request(front->book, relay->hops,
 					     relay->expected_tokens);
 		g_array_unref(hops);
-		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE,
-					lost_address);
+		silent_attempt_end_(relay, "reroute", lost_address);
 		return;
 	}
 	g_array_unref(relay->hops);
@@ -164,7 +174,7 @@
 	if (!strcmp(address, first->address) ||
 	    !cb_server_book_record_loss_at(relay->front->book, address,
 					   relay->tried_servers)) {
-		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, address);
+		silent_attempt_end_(relay, "event", address);
 		return;
 	}
 	reroute_request_(relay, address);
@@ -233,7 +243,7 @@
 	relay->is_report_pending = FALSE;
 	if (result == CB_REPORT_TIMEOUT) {
 		/* The link to the engine may be slow, for this stream only. */
-		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, NULL);
+		silent_attempt_end_(relay, "report", NULL);
 		return;
 	}
 	if (result == CB_REPORT_FAILED) {
@@ -277,12 +287,11 @@
 		if (relay->pace.last_ms > relay->reroute_sent_ms)
 			cb_relay_start_silence_timer(relay);
 		else
-			cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE,
-						NULL);
+			silent_attempt_end_(relay, "reroute", NULL);
 		return;
 	}
 	if (!relay->service->engine) {
-		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, NULL);
+		silent_attempt_end_(relay, "event", NULL);
 		return;
 	}
 	relay->is_report_pending = TRUE;
