--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -3,9 +3,14 @@
 #include <CUnit/CUnit.h>
 #include <string.h>
 
+#include "private/http1_body.h"
+
 #define START_LIMIT_MS 10000
 #define LINGER_MS 6000
 #define GRACE_MS 8000
+/* Steps of a test's clock, after each of which sockets have time to be read. */
+#define PASS_TIME_STEP_MS 10
+#define PASS_TIME_ITERATIONS 4
 
 /* A connection of the relay to a server. */
 typedef struct server_connection {
@@ -208,6 +213,7 @@
 		return;
 	g_ptr_array_add(fixture->requests, g_strdup(connection->received->str));
 	g_array_append_val(fixture->server_indexes, connection->server);
+	g_ptr_array_add(fixture->request_connections, connection);
 	g_string_truncate(connection->received, 0);
 	if (index >= fixture->script_count)
 		return;
@@ -367,28 +373,32 @@
 static void report_request_(cb_engine_orders_t *orders, const char *address,
 			    cb_report_done_fn_t done, void *user_data)
 {
-	engine_call_t *call = engine_call_new_(orders, address, user_data);
+	relay_fixture_t *fixture = ((fake_orders_t *)orders)->fixture;
 
-	call->report_done = done;
-	g_ptr_array_add(call->fixture->report_addresses, g_strdup(address));
+	g_ptr_array_add(fixture->report_addresses, g_strdup(address));
+	if (!fixture->withholds_reports)
+		engine_call_new_(orders, address, user_data)->report_done =
+			done;
 }
 
 static void reroute_request_(cb_engine_orders_t *orders, const char *address,
 			     const char *request_id, const GArray *hops,
 			     cb_reroute_done_fn_t done, void *user_data)
 {
-	engine_call_t *call = engine_call_new_(orders, address, user_data);
+	relay_fixture_t *fixture = ((fake_orders_t *)orders)->fixture;
 	GString *text = g_string_new(request_id);
 	unsigned int i;
 
 	for (i = 0; i < hops->len; i++)
 		g_string_append_printf(
 			text, " %s", g_array_index(hops, cb_relay_hop_t, i).id);
-	call->reroute_done = done;
-	g_ptr_array_add(call->fixture->reroutes, g_string_free(text, FALSE));
+	g_ptr_array_add(fixture->reroutes, g_string_free(text, FALSE));
+	if (!fixture->withholds_reroutes)
+		engine_call_new_(orders, address, user_data)->reroute_done =
+			done;
 }
 
-/* No test cancels a call before its answer. */
+/* No test cancels a call that is going to be answered. */
 static void engine_call_cancel_(cb_engine_orders_t *orders,
 				const void *user_data)
 {
@@ -466,6 +476,7 @@
 	fixture->requests = g_ptr_array_new_with_free_func(g_free);
 	fixture->server_indexes =
 		g_array_new(FALSE, FALSE, sizeof(unsigned int));
+	fixture->request_connections = g_ptr_array_new();
 	fixture->answer = g_string_new(NULL);
 	fixture->report_addresses = g_ptr_array_new_with_free_func(g_free);
 	fixture->reroutes = g_ptr_array_new_with_free_func(g_free);
@@ -508,6 +519,7 @@
 	g_ptr_array_unref(fixture->connections);
 	g_ptr_array_unref(fixture->requests);
 	g_array_unref(fixture->server_indexes);
+	g_ptr_array_unref(fixture->request_connections);
 	g_string_free(fixture->answer, TRUE);
 	g_ptr_array_unref(fixture->report_addresses);
 	g_ptr_array_unref(fixture->reroutes);
@@ -547,6 +559,31 @@
 	g_free(address);
 }
 
+void support_relay_answer_continue(relay_fixture_t *fixture,
+				   unsigned int request, const char *text)
+{
+	server_connection_t *connection =
+		fixture->request_connections->pdata[request];
+
+	cb_stream_send(connection->stream, text, strlen(text));
+}
+
+void support_relay_pass_time(relay_fixture_t *fixture, int64_t duration_ms)
+{
+	int64_t passed_ms;
+	int i;
+
+	for (passed_ms = 0; passed_ms < duration_ms;
+	     passed_ms += PASS_TIME_STEP_MS) {
+		world_run_until(fixture->world, NULL, PASS_TIME_STEP_MS);
+		for (i = 0; i < PASS_TIME_ITERATIONS; i++) {
+			while (g_main_context_iteration(NULL, FALSE))
+				;
+			g_usleep(LOOP_SLEEP_US);
+		}
+	}
+}
+
 gboolean support_relay_run_until(relay_fixture_t *fixture,
 				 unsigned int requests, const char *text)
 {
@@ -562,3 +599,54 @@
 	}
 	return FALSE;
 }
+
+static void body_append_(void *user_data, const uint8_t *data, size_t size)
+{
+	g_string_append_len(user_data, (const char *)data, (gssize)size);
+}
+
+/*
+ * Reads the caller's answer up to now: appends its body to `body`, and returns
+ * whether the answer is complete by its own framing.
+ */
+static gboolean answer_read_(const relay_fixture_t *fixture, uint32_t *status,
+			     GString *body)
+{
+	const uint8_t *data = (const uint8_t *)fixture->answer->str;
+	cb_http1_parse_result_t result;
+	cb_http1_body_t reader;
+	cb_http1_head_t head;
+	size_t head_size = 0;
+	size_t body_size;
+
+	*status = 0;
+	if (cb_http1_answer_parse(&head, "POST", data, fixture->answer->len,
+				  65536, &head_size) != CB_HTTP1_PARSE_COMPLETE)
+		return FALSE;
+	*status = head.status;
+	cb_http1_body_init(&reader, &head);
+	result = cb_http1_body_read(&reader, data + head_size,
+				    fixture->answer->len - head_size,
+				    &body_size, body_append_, body);
+	cb_http1_body_clear(&reader);
+	cb_http1_head_clear(&head);
+	return result == CB_HTTP1_PARSE_COMPLETE;
+}
+
+gboolean support_relay_answer_await(relay_fixture_t *fixture, uint32_t *status,
+				    GString *body)
+{
+	gboolean is_complete = FALSE;
+	int iteration;
+
+	for (iteration = 0; iteration < LOOP_ITERATIONS_MAX && !is_complete &&
+			    !fixture->caller_ended;
+	     iteration++) {
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		g_string_truncate(body, 0);
+		is_complete = answer_read_(fixture, status, body);
+		g_usleep(LOOP_SLEEP_US);
+	}
+	return is_complete;
+}
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -39,6 +39,8 @@
 	/* The received requests as text, and the server index of each. */
 	GPtrArray *requests;
 	GArray *server_indexes;
+	/* The server's connection of each request, in support_relay.c. */
+	GPtrArray *request_connections;
 	/* The reactions to requests, one for each request, in order. */
 	const relay_script_t *scripts;
 	unsigned int script_count;
@@ -50,6 +52,9 @@
 	GPtrArray *reroutes; /* request ID and servers of each new chain */
 	/* The engine that is reported as lost, by its server index; or -1. */
 	int lost_server;
+	/* Whether the engines leave calls for reports and reroutes unanswered. */
+	gboolean withholds_reports;
+	gboolean withholds_reroutes;
 	/* Callers that are still connected, beside `caller`. */
 	GPtrArray *other_callers;
 	/* The caller's connection and what it received. */
@@ -77,12 +82,29 @@
 				   unsigned int server);
 /* Sends a request on a new connection of the caller. */
 void support_relay_request_send(relay_fixture_t *fixture, const char *text);
+/*
+ * Sends more of a server's answer to a request, which is given by its index in
+ * `requests`.
+ */
+void support_relay_answer_continue(relay_fixture_t *fixture,
+				   unsigned int request, const char *text);
+/*
+ * Advances the clock by `duration_ms` in small steps, and runs the main loop
+ * after each of them.
+ */
+void support_relay_pass_time(relay_fixture_t *fixture, int64_t duration_ms);
 /*
  * Runs the main loop until the answer contains `text` or, if that is NULL,
  * until servers have received `requests` requests; FALSE: it did not happen.
  */
 gboolean support_relay_run_until(relay_fixture_t *fixture,
 				 unsigned int requests, const char *text);
+/*
+ * Runs the main loop until the caller's answer has ended, one way or other.
+ * Returns whether it is complete by its own framing, with its status and body.
+ */
+gboolean support_relay_answer_await(relay_fixture_t *fixture, uint32_t *status,
+				    GString *body);
 /* Checks that control has answered a change. */
 void support_relay_accepted_check(cb_submit_outcome_t outcome,
 				  const cb_answer_t *answer, void *user_data);
--- /dev/null
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -0,0 +1,191 @@
+#include "support_main.h"
+
+#include <string.h>
+
+#include "support_relay.h"
+
+/*
+ * Tests streams whose server says nothing for a while and then goes on, over
+ * real sockets and with a paused clock.
+ */
+#define STREAM_HEAD \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define EVENT_1 "id: 1\ndata: a\n\n"
+#define EVENT_2 "id: 2\ndata: b\n\n"
+#define FIRST_EVENT STREAM_HEAD "f\r\n" EVENT_1 "\r\n"
+#define LAST_EVENT "f\r\n" EVENT_2 "\r\n0\r\n\r\n"
+#define WHOLE_BODY EVENT_1 EVENT_2
+#define STREAM_REQUEST REQUEST("POST", "/stream/", "Content-Length: 0\r\n")
+#define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
+/* The same with 600 ms for the whole answer. */
+#define SHORT_STREAM_REQUEST                                                    \
+	"POST /stream/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 600\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define SILENCE_MS 1200
+#define SILENCE_STEP_MS 10
+#define SHORT_SILENCE_MS 450
+
+/* Why no attempt may follow the silent one. */
+typedef enum obstacle {
+	OBSTACLE_NONE,	   /* there is a second attempt, silent as well */
+	OBSTACLE_BUDGET,   /* no retry is left in the common budget */
+	OBSTACLE_NO_OTHER, /* no other engine holds the first layer */
+} obstacle_t;
+
+/* The engine that is reported as lost. */
+typedef enum lost_engine {
+	LOST_NONE,
+	LOST_FIRST,  /* the first one of the chain refuses report calls */
+	LOST_SECOND, /* the first one reports that it waits for the second */
+} lost_engine_t;
+
+typedef struct silence_case {
+	const char *description; /* printed if the case fails */
+	const char *request;
+	unsigned int engine_count; /* 0: the servers have no layers */
+	obstacle_t obstacle;
+	gboolean withholds_reports;
+	lost_engine_t lost_engine;
+	gboolean withholds_reroutes;
+	int64_t silence_ms;
+	unsigned int expected_sends;
+} silence_case_t;
+
+static const silence_case_t silence_cases[] = {
+	{ "plain server, attempts used up", STREAM_REQUEST, 0, OBSTACLE_NONE,
+	  FALSE, LOST_NONE, FALSE, SILENCE_MS, 2 },
+	{ "plain server, no retry left", STREAM_REQUEST, 0, OBSTACLE_BUDGET,
+	  FALSE, LOST_NONE, FALSE, SILENCE_MS, 1 },
+	{ "plain server, no time to begin again", SHORT_STREAM_REQUEST, 0,
+	  OBSTACLE_NONE, FALSE, LOST_NONE, FALSE, SHORT_SILENCE_MS, 1 },
+	{ "engine without a report, no retry left", ENGINE_REQUEST, 3,
+	  OBSTACLE_BUDGET, TRUE, LOST_NONE, FALSE, SILENCE_MS, 1 },
+	{ "engine without a report, no other first engine", ENGINE_REQUEST, 3,
+	  OBSTACLE_NO_OTHER, TRUE, LOST_NONE, FALSE, SILENCE_MS, 1 },
+	{ "first engine refuses report calls, no other", ENGINE_REQUEST, 3,
+	  OBSTACLE_NO_OTHER, FALSE, LOST_FIRST, FALSE, SILENCE_MS, 1 },
+	{ "second engine is lost, reroute without an answer", ENGINE_REQUEST, 3,
+	  OBSTACLE_NO_OTHER, FALSE, LOST_SECOND, TRUE, SILENCE_MS, 1 },
+	{ "second engine is lost, no chain avoids it", ENGINE_REQUEST, 2,
+	  OBSTACLE_NO_OTHER, FALSE, LOST_SECOND, FALSE, SILENCE_MS, 1 },
+};
+
+/* Lets the time of a case's silence pass; its obstacle lasts all the while. */
+static void silence_pass_(relay_fixture_t *fixture, const silence_case_t *c)
+{
+	const char *service = c->engine_count ? "e" : "s";
+	int64_t passed_ms;
+
+	for (passed_ms = 0; passed_ms < c->silence_ms;
+	     passed_ms += SILENCE_STEP_MS) {
+		while (c->obstacle == OBSTACLE_BUDGET &&
+		       cb_retry_share_take_retry(fixture->front->retries,
+						 service))
+			;
+		support_relay_pass_time(fixture, SILENCE_STEP_MS);
+	}
+}
+
+/* Sets which engine of the chain in use is reported as lost. */
+static void lost_engine_set_(relay_fixture_t *fixture, lost_engine_t lost)
+{
+	if (lost == LOST_FIRST)
+		fixture->lost_server = 0;
+	else if (lost == LOST_SECOND)
+		fixture->lost_server =
+			strstr(fixture->requests->pdata[0], "engine1") ? 1 : 2;
+}
+
+/* Starts the fixture with a case's servers; their answers are continued. */
+static void silence_case_start_(relay_fixture_t *fixture,
+				const silence_case_t *c,
+				const relay_script_t *scripts)
+{
+	unsigned int i;
+
+	support_relay_init(fixture, TRUE);
+	for (i = 0; i < c->engine_count; i++)
+		support_relay_engine_announce(fixture, i);
+	world_run_until(fixture->world, NULL, 1000);
+	fixture->scripts = scripts;
+	fixture->script_count = 2;
+	fixture->withholds_reports = c->withholds_reports;
+	fixture->withholds_reroutes = c->withholds_reroutes;
+}
+
+/*
+ * Plays a case: the last server that was asked goes on after the silence, with
+ * the first event unless the caller has it.  FALSE: the caller did not get the
+ * whole answer.
+ */
+static gboolean silence_case_run_(const silence_case_t *c,
+				  gboolean has_first_event)
+{
+	const relay_script_t scripts[] = {
+		{ has_first_event ? FIRST_EVENT : "", END_HOLD },
+		{ "", END_HOLD },
+	};
+	GString *body = g_string_new(NULL);
+	gboolean is_complete;
+	gboolean is_as_expected;
+	uint32_t status = 0;
+	relay_fixture_t fixture;
+
+	silence_case_start_(&fixture, c, scripts);
+	support_relay_request_send(&fixture, c->request);
+	CU_ASSERT_TRUE_FATAL(
+		support_relay_run_until(&fixture, 1,
+					has_first_event ? EVENT_1 : NULL));
+	lost_engine_set_(&fixture, c->lost_engine);
+	silence_pass_(&fixture, c);
+	if (!fixture.caller_ended && fixture.requests->len) {
+		unsigned int last = fixture.requests->len - 1;
+
+		if (!has_first_event)
+			support_relay_answer_continue(&fixture, last,
+						      FIRST_EVENT);
+		else if (last)
+			support_relay_answer_continue(&fixture, last,
+						      STREAM_HEAD);
+		support_relay_answer_continue(&fixture, last, LAST_EVENT);
+	}
+	is_complete = support_relay_answer_await(&fixture, &status, body);
+	is_as_expected = is_complete && status == 200 &&
+			 fixture.requests->len == c->expected_sends &&
+			 !strcmp(body->str, WHOLE_BODY);
+	if (!is_as_expected)
+		printf("    %s, %s: %u sends, status %u, %s, %s\n",
+		       c->description,
+		       has_first_event ? "after an event" : "before any event",
+		       fixture.requests->len, status,
+		       is_complete ? "complete" : "not complete", body->str);
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+	return is_as_expected;
+}
+
+/* A silent server may go on: its answer must not be ended before. */
+static void silent_server_does_not_end_answer(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(silence_cases); i++) {
+		CU_ASSERT_TRUE(silence_case_run_(&silence_cases[i], FALSE));
+		CU_ASSERT_TRUE(silence_case_run_(&silence_cases[i], TRUE));
+	}
+}
+
+static CU_TestInfo relay_silence_tests[] = {
+	{ "silent_server_does_not_end_answer",
+	  silent_server_does_not_end_answer },
+	CU_TEST_INFO_NULL
+};
+
+int main(void)
+{
+	CU_SuiteInfo suites[] = { { .pName = "relay_silence",
+				    .pTests = relay_silence_tests },
+				  CU_SUITE_INFO_NULL };
+
+	return support_run(suites);
+}
--- a/src/test_libcurrantbridge/test_relay_streams.c
+++ b/src/test_libcurrantbridge/test_relay_streams.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "private/http1_body.h"
 #include "support_answers.h"
 #include "support_relay.h"
 
@@ -187,58 +186,6 @@
 	  EVENT_1 EVENT_2 },
 };
 
-static void body_append_(void *user_data, const uint8_t *data, size_t size)
-{
-	g_string_append_len(user_data, (const char *)data, (gssize)size);
-}
-
-/*
- * Reads the caller's answer up to now: appends its body to `body`, and returns
- * whether the answer is complete by its own framing.
- */
-static gboolean answer_read_(const relay_fixture_t *fixture, uint32_t *status,
-			     GString *body)
-{
-	const uint8_t *data = (const uint8_t *)fixture->answer->str;
-	cb_http1_parse_result_t result;
-	cb_http1_body_t reader;
-	cb_http1_head_t head;
-	size_t head_size = 0;
-	size_t body_size;
-
-	*status = 0;
-	if (cb_http1_answer_parse(&head, "POST", data, fixture->answer->len,
-				  65536, &head_size) != CB_HTTP1_PARSE_COMPLETE)
-		return FALSE;
-	*status = head.status;
-	cb_http1_body_init(&reader, &head);
-	result = cb_http1_body_read(&reader, data + head_size,
-				    fixture->answer->len - head_size,
-				    &body_size, body_append_, body);
-	cb_http1_body_clear(&reader);
-	cb_http1_head_clear(&head);
-	return result == CB_HTTP1_PARSE_COMPLETE;
-}
-
-/* Runs the main loop until the caller's answer has ended, one way or other. */
-static gboolean answer_await_(relay_fixture_t *fixture, uint32_t *status,
-			      GString *body)
-{
-	gboolean is_complete = FALSE;
-	int iteration;
-
-	for (iteration = 0; iteration < LOOP_ITERATIONS_MAX && !is_complete &&
-			    !fixture->caller_ended;
-	     iteration++) {
-		while (g_main_context_iteration(NULL, FALSE))
-			;
-		g_string_truncate(body, 0);
-		is_complete = answer_read_(fixture, status, body);
-		g_usleep(LOOP_SLEEP_US);
-	}
-	return is_complete;
-}
-
 /* Runs one case; FALSE: the caller got something else than expected. */
 static gboolean stream_end_case_run_(const stream_end_case_t *c)
 {
@@ -252,7 +199,7 @@
 	fixture.scripts = c->scripts;
 	fixture.script_count = G_N_ELEMENTS(c->scripts);
 	support_relay_request_send(&fixture, c->request);
-	is_complete = answer_await_(&fixture, &status, body);
+	is_complete = support_relay_answer_await(&fixture, &status, body);
 	is_as_expected =
 		fixture.requests->len == c->expected_sends &&
 		is_complete == (c->expected_end != ANSWER_BROKEN_OFF) &&
@@ -315,7 +262,7 @@
 	support_relay_request_send(&fixture, play->is_stream ?
 						     STREAM_ONCE_REQUEST :
 						     ONCE_REQUEST);
-	is_complete = answer_await_(&fixture, &status, body);
+	is_complete = support_relay_answer_await(&fixture, &status, body);
 	play->play_count++;
 	if (fixture.requests->len != 1 ||
 	    (is_complete && status == 200) != expects_whole ||
