Test of silent servers: the budget is empty all the while

Where a case has no retry left, the sum of all instances' counts refilled the budget in the middle of the silence. The case now has a budget that allows no retry at all.

--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -22,7 +22,6 @@
 	"POST /stream/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 600\r\n" \
 	"Content-Length: 0\r\n\r\n"
 #define SILENCE_MS 1200
-#define SILENCE_STEP_MS 10
 #define SHORT_SILENCE_MS 450
 
 /* Why no attempt may follow the silent one. */
@@ -70,20 +69,14 @@
 	  OBSTACLE_NO_OTHER, FALSE, LOST_SECOND, FALSE, SILENCE_MS, 1 },
 };
 
-/* Lets the time of a case's silence pass; its obstacle lasts all the while. */
-static void silence_pass_(relay_fixture_t *fixture, const silence_case_t *c)
+/* Replaces the retry budget by one that allows none. */
+static void retries_forbid_(relay_fixture_t *fixture)
 {
-	const char *service = c->engine_count ? "e" : "s";
-	int64_t passed_ms;
-
-	for (passed_ms = 0; passed_ms < c->silence_ms;
-	     passed_ms += SILENCE_STEP_MS) {
-		while (c->obstacle == OBSTACLE_BUDGET &&
-		       cb_retry_share_take_retry(fixture->front->retries,
-						 service))
-			;
-		support_relay_pass_time(fixture, SILENCE_STEP_MS);
-	}
+	const cb_retry_share_budget_t none = { .window_ms = 10000 };
+	cb_front_t *front = fixture->front;
+
+	cb_retry_share_delete(front->retries);
+	front->retries = cb_retry_share_new(front->clock, &none);
 }
 
 /* Sets which engine of the chain in use is reported as lost. */
@@ -107,6 +100,8 @@
 	for (i = 0; i < c->engine_count; i++)
 		support_relay_engine_announce(fixture, i);
 	world_run_until(fixture->world, NULL, 1000);
+	if (c->obstacle == OBSTACLE_BUDGET)
+		retries_forbid_(fixture);
 	fixture->scripts = scripts;
 	fixture->script_count = 2;
 	fixture->withholds_reports = c->withholds_reports;
@@ -137,7 +132,7 @@
 		support_relay_run_until(&fixture, 1,
 					has_first_event ? EVENT_1 : NULL));
 	lost_engine_set_(&fixture, c->lost_engine);
-	silence_pass_(&fixture, c);
+	support_relay_pass_time(&fixture, c->silence_ms);
 	if (!fixture.caller_ended && fixture.requests->len) {
 		unsigned int last = fixture.requests->len - 1;
 
