A silent server's attempt is left only for one that can take over

What callers saw: a stream whose server, or chain of engines, said nothing for 0.2 to 0.5 s was answered 502, or its connection was reset in the middle of the answer, with seconds of its time left, though the server went on a second later. Streams that may be resumed fared worst, since only they are watched.

Cause: silence was taken for loss. The attempt was cancelled first, and only then was it looked whether anything could follow: attempts of the route used up, no retry in the common budget, no server, no time. The answer was then ended, because of the silence alone.

Change: relay/silence decides, as a function without network, what follows for a silent server. An attempt is left only when another one is allowed, has a retry, a server and time; otherwise it is kept until the server goes on or breaks it off, or the request's time is over. While all servers of a service are silent, streams stay for 800 ms, so that a stall of the service gets no second wave. A reroute that failed leaves the stream on the chain that it had. An answer that has begun and has left a silent server waits for room until its deadline.

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -41,16 +41,22 @@
 	/* IDs of the servers where the request failed. */
 	GHashTable *tried_servers;
 	unsigned int send_count;
+	/* When the next attempt may be sent; 0: at once. */
+	int64_t next_send_ms;
 	/* Whether an attempt was sent to a server, which may have received it. */
 	gboolean has_arrived;
-	int64_t sent_ms; /* when the last attempt was sent */
-	unsigned int reroute_count;
+	int64_t sent_ms;	     /* when the last attempt was sent */
+	unsigned int reroute_count;  /* reroutes since the last event */
 	gboolean is_report_pending;  /* waits for the first server's report */
 	gboolean is_reroute_pending; /* waits for the answer to a reroute */
 	int64_t reroute_sent_ms;     /* when the last reroute was sent */
+	/* Chain before the reroute that is pending; NULL: none is. */
+	GArray *former_hops;
+	/* A server was left because it was silent; it may have been sound. */
+	gboolean has_left_silent;
 	/*
-	 * What the attempt waited for in vain before it failed as silent: an
-	 * event, a report or a reroute.  NULL: it has not.
+	 * What the attempt waited for in vain before it failed as silent, one
+	 * of cb_silence_sign_string.  NULL: it has not.
 	 */
 	const char *awaited;
 	unsigned int run_count; /* attempts that ran, or may have run */
@@ -89,11 +95,16 @@
 gboolean cb_relay_is_repeatable(const cb_relay_t *relay);
 /* Whether another server can go on with the answer to the request. */
 gboolean cb_relay_is_resumable(const cb_relay_t *relay);
+/* Whether the answer goes on until its deadline, as long as servers reject it. */
+gboolean cb_relay_must_go_on(const cb_relay_t *relay);
 /* Adds 1 to the counter `name` with the label reason. */
 void cb_relay_count_reason(cb_front_t *front, const char *name,
 			   const char *reason);
 /* Returns the chain as text, each hop with its layers; the caller frees it. */
 char *cb_relay_format_hops(const cb_relay_t *relay);
+/* Returns the hop at `address`, NULL: the first one; NULL if there is none. */
+const cb_relay_hop_t *cb_relay_find_hop(const cb_relay_t *relay,
+					const char *address);
 /* Returns the framing of the server's answer; NULL: there is no answer yet. */
 const char *cb_relay_framing_text(const cb_relay_t *relay);
 /* Returns the bytes received of an event that is not complete yet. */
@@ -117,9 +128,17 @@
 void cb_relay_attempt_send(cb_relay_t *relay);
 void cb_relay_attempt_failed(cb_relay_t *relay, const char *result,
 			     gboolean has_run, const char *failed_address);
+/*
+ * Whether another attempt may follow, after `more_runs` further runs and with
+ * at least `min_time_ms` left.
+ */
+gboolean cb_relay_may_retry(const cb_relay_t *relay, unsigned int more_runs,
+			    int64_t min_time_ms);
 double cb_relay_estimate_tokens(const cb_relay_t *relay);
 
 /* Functions for streams without events for too long, in relay_stall.c. */
+/* Drops the chain that a pending reroute leaves, once it is not needed. */
+void cb_relay_clear_former_hops(cb_relay_t *relay);
 void cb_relay_start_silence_timer(cb_relay_t *relay);
 void cb_relay_silence_timer_fired(void *user_data);
 /* Moves all streams away from the engine at `address`, which is lost. */
--- a/src/libcurrantbridge/include/private/retry_share.h
+++ b/src/libcurrantbridge/include/private/retry_share.h
@@ -31,6 +31,8 @@
 void cb_retry_share_count_request(cb_retry_share_t *share, const char *service);
 gboolean cb_retry_share_take_retry(cb_retry_share_t *share,
 				   const char *service);
+/* Returns whether a retry is left, without counting one. */
+gboolean cb_retry_share_has_retry(cb_retry_share_t *share, const char *service);
 
 /* Adds this instance's requests and retries to the usage it reports. */
 void cb_retry_share_add_usage(cb_retry_share_t *share, cb_usage_t *usage);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -84,6 +84,7 @@
 					   relay->expected_tokens);
 		g_array_set_size(relay->hops, 0);
 	}
+	cb_relay_clear_former_hops(relay);
 	cb_event_splitter_clear(&relay->splitter);
 	g_byte_array_set_size(relay->buffered_body, 0);
 }
@@ -256,12 +257,27 @@
 	cb_relay_give_up(relay, "deadline", CB_RELAY_RETRY_AFTER_MS);
 }
 
-/* Returns how long a request may wait, in ms: `max_wait_ms` at most. */
+/*
+ * Returns whether the answer has begun and its server was left while it was
+ * silent: that server's silence is no reason to end the answer before its
+ * deadline.
+ */
+gboolean cb_relay_must_go_on(const cb_relay_t *relay)
+{
+	return relay->has_left_silent && relay->is_answer_begun;
+}
+
+/*
+ * Returns how long a request may wait, in ms: `max_wait_ms` at most, unless its
+ * answer must go on.
+ */
 static int64_t wait_limit_compute_(const cb_relay_t *relay, int64_t max_wait_ms)
 {
 	int64_t total_time_ms = relay->deadline_ms -
 				cb_http1_exchange_arrived_ms(relay->exchange);
 
+	if (cb_relay_must_go_on(relay))
+		return total_time_ms;
 	return MIN(max_wait_ms, total_time_ms / WAIT_TIME_DIVISOR);
 }
 
@@ -329,6 +345,11 @@
 	int64_t max_wait_ms = relay->is_answer_begun ? RESUME_WAIT_MAX_MS :
 						       CAPACITY_WAIT_MAX_MS;
 
+	if (cb_relay_now_ms(relay) < relay->next_send_ms) {
+		request_queue_(relay, "no_room", max_wait_ms,
+			       CB_RELAY_RETRY_AFTER_MS);
+		return;
+	}
 	switch (servers_choose_(relay)) {
 	case CB_BOOK_FOUND:
 		break;
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -11,6 +11,8 @@
 #define CONNECTION_IDLE_MAX_MS 4000
 /* Sends allowed beyond max_attempts, after attempts that did not run. */
 #define NOT_RUN_SENDS_MAX 4
+/* Interval of further sends of an answer that is not given up for rejections. */
+#define LATER_SEND_INTERVAL_MS 250
 /*
  * A connection that fails sooner was refused: no process listens at the
  * address.  One that fails later was not answered.
@@ -26,11 +28,11 @@
 #define BUFFERED_BODY_MAX_BYTES (1024 * 1024)
 
 /*
- * Records the failure of the server at `address`, or of the first hop if that
- * is NULL.
+ * Returns the hop at `address`, or the first one if that is NULL.  Returns NULL
+ * if no hop has that address.
  */
-static void server_failure_record_(cb_relay_t *relay, const char *address,
-				   gboolean may_be_lost)
+const cb_relay_hop_t *cb_relay_find_hop(const cb_relay_t *relay,
+					const char *address)
 {
 	unsigned int i;
 
@@ -38,12 +40,22 @@
 		const cb_relay_hop_t *hop =
 			&g_array_index(relay->hops, cb_relay_hop_t, i);
 
-		if (address ? strcmp(hop->address, address) != 0 : i > 0)
-			continue;
-		g_hash_table_add(relay->tried_servers, g_strdup(hop->id));
-		cb_server_book_record_failure(relay->front->book, hop->id,
-					      may_be_lost);
+		if (!address || !strcmp(hop->address, address))
+			return hop;
 	}
+	return NULL;
+}
+
+/* Records the failure of the server at `address`, NULL: the first hop. */
+static void server_failure_record_(cb_relay_t *relay, const char *address,
+				   gboolean may_be_lost)
+{
+	const cb_relay_hop_t *hop = cb_relay_find_hop(relay, address);
+
+	if (!hop)
+		return;
+	g_hash_table_add(relay->tried_servers, g_strdup(hop->id));
+	cb_server_book_record_failure(relay->front->book, hop->id, may_be_lost);
 }
 
 /*
@@ -85,16 +97,29 @@
 	cb_front_report_usage_soon(front);
 }
 
-/* Returns whether another attempt may follow the failed attempt. */
-static gboolean retry_is_allowed_(cb_relay_t *relay)
+/* Returns whether the request was sent as often as rejections allow. */
+static gboolean sends_are_used_up_(const cb_relay_t *relay)
 {
-	if (relay->run_count && !cb_relay_is_resumable(relay))
+	return relay->send_count >=
+	       relay->route->max_attempts + NOT_RUN_SENDS_MAX;
+}
+
+/*
+ * Returns whether another attempt may follow, after `more_runs` further runs and
+ * with at least `min_time_ms` left.  An answer that has begun, and whose server
+ * was left while it was silent, is not given up for rejections by others.
+ */
+gboolean cb_relay_may_retry(const cb_relay_t *relay, unsigned int more_runs,
+			    int64_t min_time_ms)
+{
+	unsigned int run_count = relay->run_count + more_runs;
+
+	if (run_count && !cb_relay_is_resumable(relay))
 		return FALSE;
-	if (relay->run_count >= relay->route->max_attempts ||
-	    relay->send_count >= relay->route->max_attempts + NOT_RUN_SENDS_MAX)
+	if (run_count >= relay->route->max_attempts ||
+	    (sends_are_used_up_(relay) && !cb_relay_must_go_on(relay)))
 		return FALSE;
-	return relay->deadline_ms - cb_relay_now_ms(relay) >=
-	       SEND_TIME_LEFT_MIN_MS;
+	return relay->deadline_ms - cb_relay_now_ms(relay) >= min_time_ms;
 }
 
 /*
@@ -141,10 +166,13 @@
 		server_failure_record_(relay, failed_address,
 				       !strcmp(result, CB_RELAY_SILENT));
 	cb_relay_cancel_attempt(relay);
-	if (!retry_is_allowed_(relay)) {
+	if (!cb_relay_may_retry(relay, 0, SEND_TIME_LEFT_MIN_MS)) {
 		cb_relay_give_up(relay, result, CB_RELAY_RETRY_AFTER_MS);
 		return;
 	}
+	if (sends_are_used_up_(relay))
+		relay->next_send_ms =
+			cb_relay_now_ms(relay) + LATER_SEND_INTERVAL_MS;
 	/* A request that reached no server yet is not repeated. */
 	relay->is_next_send_retry = relay->has_arrived;
 	cb_event_pace_set_cause(&relay->pace, result);
@@ -271,6 +299,7 @@
 		return;
 	}
 	answer_begin_(relay);
+	relay->reroute_count = 0;
 	if (id >= 0)
 		relay->last_event = id;
 	else
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "private/silence.h"
+
 /*
  * A stream without a first event is checked after this percentage of the time
  * in which its route wants that event.
@@ -54,17 +56,163 @@
 	cb_timer_start(relay->silence_timer, silence_limit_compute_(relay));
 }
 
+/*
+ * Returns what the streams at other servers of the service show since this one
+ * fell silent.
+ */
+static cb_silence_peers_t peers_find_(const cb_relay_t *relay)
+{
+	int64_t now_ms = cb_relay_now_ms(relay);
+	int64_t silent_since_ms = now_ms - silence_compute_ms_(relay);
+	cb_silence_peers_t peers = CB_SILENCE_PEERS_UNKNOWN;
+	const char *server_id =
+		g_array_index(relay->hops, cb_relay_hop_t, 0).id;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, relay->front->relays);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		const cb_relay_t *peer = value;
+
+		if (!peer->call || peer->route->kind != CB_ROUTE_STREAM ||
+		    strcmp(peer->service->name, relay->service->name) != 0 ||
+		    !strcmp(g_array_index(peer->hops, cb_relay_hop_t, 0).id,
+			    server_id))
+			continue;
+		if (peer->pace.last_ms > silent_since_ms)
+			return CB_SILENCE_PEERS_HEARD;
+		if (silence_compute_ms_(peer) >= silence_limit_compute_(peer))
+			peers = CB_SILENCE_PEERS_SILENT;
+	}
+	return peers;
+}
+
+/*
+ * Returns whether another attempt can take over a stream from the server at
+ * `lost_address` (NULL: the first hop): it is allowed, has time to send an event
+ * within the route's target, a retry is left, and there is a server for it.
+ */
+static gboolean restart_is_possible_(const cb_relay_t *relay,
+				     const char *lost_address)
+{
+	const cb_relay_hop_t *lost_hop = cb_relay_find_hop(relay, lost_address);
+	cb_front_t *front = relay->front;
+	GHashTable *excluded_servers;
+	GArray *hops;
+	gboolean is_found;
+	GHashTableIter iter;
+	void *id;
+
+	if (!cb_relay_may_retry(relay, 1, relay->route->target_latency_ms) ||
+	    !cb_retry_share_has_retry(front->retries, relay->service->name))
+		return FALSE;
+	excluded_servers = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_iter_init(&iter, relay->tried_servers);
+	while (g_hash_table_iter_next(&iter, &id, NULL))
+		g_hash_table_add(excluded_servers, id);
+	if (lost_hop)
+		g_hash_table_add(excluded_servers, lost_hop->id);
+	hops = cb_relay_hops_new();
+	is_found =
+		cb_server_book_choose(front->book,
+				      &(cb_book_criteria_t){
+					      .service = relay->service,
+					      .tokens = relay->expected_tokens,
+					      .excluded_servers =
+						      excluded_servers },
+				      hops) == CB_BOOK_FOUND;
+	g_array_unref(hops);
+	g_hash_table_unref(excluded_servers);
+	return is_found;
+}
+
+/*
+ * Records that a kept attempt waits for its first server, which new requests
+ * then avoid; not while all servers of the service are silent.
+ */
+static void silence_record_(cb_relay_t *relay, const cb_silence_t *silence)
+{
+	if (silence->peers == CB_SILENCE_PEERS_SILENT ||
+	    (silence->sign != CB_SILENCE_EVENT_OVERDUE &&
+	     silence->sign != CB_SILENCE_NO_REPORT))
+		return;
+	cb_server_book_record_failure(
+		relay->front->book,
+		g_array_index(relay->hops, cb_relay_hop_t, 0).id, TRUE);
+}
+
+/* Keeps a silent attempt, and looks again later. */
+static void attempt_keep_(cb_relay_t *relay, const cb_silence_t *silence)
+{
+	if (!relay->pace.check_count) {
+		silence_record_(relay, silence);
+		cb_log_event(relay->front->log, CB_EVENT_RELAY_KEPT,
+			     CB_STR("request", relay->request_info.id),
+			     CB_STR("awaited",
+				    cb_silence_sign_string[silence->sign]),
+			     CB_INT("may_restart", silence->may_restart),
+			     CB_INT("last_event", relay->last_event),
+			     CB_INT("silent_ms", silence->silent_ms),
+			     CB_INT("late_ms",
+				    cb_clock_lateness_ms(relay->front->clock)));
+	}
+	if (!relay->pace.current_cause)
+		cb_event_pace_set_cause(&relay->pace, CB_RELAY_SILENT);
+	cb_event_pace_count_check(&relay->pace);
+	cb_relay_start_silence_timer(relay);
+}
+
+static void report_request_(cb_relay_t *relay);
 static void reroute_request_(cb_relay_t *relay, const char *lost_address);
 
 /*
- * Ends an attempt that waited for `awaited` in vain, by the fault of the server
- * at `address` (NULL: the first hop).
+ * Does what follows for a stream whose server is silent.  `lost_address` is the
+ * server that is waited for, NULL: the first hop.
  */
-static void silent_attempt_end_(cb_relay_t *relay, const char *awaited,
-				const char *address)
+static void silence_handle_(cb_relay_t *relay, cb_silence_sign_t sign,
+			    const char *lost_address)
+{
+	const cb_silence_t silence = {
+		.sign = sign,
+		.gives_reports = relay->service->engine != NULL,
+		.peers = peers_find_(relay),
+		.may_restart = restart_is_possible_(relay, lost_address),
+		.silent_ms = silence_compute_ms_(relay),
+	};
+
+	switch (cb_silence_decide(&silence)) {
+	case CB_SILENCE_ASK:
+		report_request_(relay);
+		break;
+	case CB_SILENCE_REROUTE:
+		reroute_request_(relay, lost_address);
+		break;
+	case CB_SILENCE_RESTART:
+		relay->awaited = cb_silence_sign_string[sign];
+		relay->has_left_silent = TRUE;
+		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE,
+					lost_address);
+		break;
+	case CB_SILENCE_WAIT:
+		attempt_keep_(relay, &silence);
+		break;
+	}
+}
+
+void cb_relay_clear_former_hops(cb_relay_t *relay)
+{
+	g_clear_pointer(&relay->former_hops, g_array_unref);
+}
+
+/* Returns a stream to the chain that it had before a reroute that failed. */
+static void former_hops_restore_(cb_relay_t *relay)
 {
-	relay->awaited = awaited;
-	cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, address);
+	cb_server_book_t *book = relay->front->book;
+
+	cb_server_book_end_request(book, relay->hops, relay->expected_tokens);
+	g_array_unref(relay->hops);
+	relay->hops = g_steal_pointer(&relay->former_hops);
+	cb_server_book_begin_request(book, relay->hops, relay->expected_tokens);
 }
 
 /* Called with the first server's answer to a request for a reroute. */
@@ -76,17 +224,17 @@
 	char *hops_text;
 
 	relay->is_reroute_pending = FALSE;
-	if (outcome == CB_REROUTE_BAD_SERVER && address &&
-	    cb_server_book_record_loss_at(front->book, address,
-					  relay->tried_servers) &&
-	    relay->reroute_count < REROUTES_MAX) {
-		reroute_request_(relay, address);
-		return;
-	}
 	if (outcome != CB_REROUTE_DONE) {
-		silent_attempt_end_(relay, "reroute", address);
+		former_hops_restore_(relay);
+		if (outcome == CB_REROUTE_BAD_SERVER && address &&
+		    cb_server_book_record_loss_at(front->book, address,
+						  relay->tried_servers))
+			silence_handle_(relay, CB_SILENCE_STALLED, address);
+		else
+			silence_handle_(relay, CB_SILENCE_NO_REROUTE, address);
 		return;
 	}
+	cb_relay_clear_former_hops(relay);
 	hops_text = cb_relay_format_hops(relay);
 	cb_log_event(front->log, CB_EVENT_RELAY_REROUTED,
 		     CB_STR("request", relay->request_info.id),
@@ -99,8 +247,8 @@
 }
 
 /*
- * Requests that the first server sends the stream through another chain.
- * Without one the attempt fails, by the fault of the server at `lost_address`.
+ * Requests that the first server sends the stream through another chain, since
+ * the server at `lost_address` is lost.
  */
 static void reroute_request_(cb_relay_t *relay, const char *lost_address)
 {
@@ -117,23 +265,23 @@
 		 */
 		.forbids_crossing = TRUE,
 	};
-	cb_book_outcome_t outcome;
+	cb_book_outcome_t outcome = CB_BOOK_NO_SERVER;
 
-	relay->reroute_count++;
 	cb_server_book_end_request(front->book, relay->hops,
 				   relay->expected_tokens);
-	outcome = cb_server_book_choose(front->book, &criteria, hops);
+	if (relay->reroute_count++ < REROUTES_MAX)
+		outcome = cb_server_book_choose(front->book, &criteria, hops);
+	cb_server_book_begin_request(front->book,
+				     outcome == CB_BOOK_FOUND ? hops :
+								relay->hops,
+				     relay->expected_tokens);
 	if (outcome != CB_BOOK_FOUND) {
-		cb_server_book_begin_request(front->book, relay->hops,
-					     relay->expected_tokens);
 		g_array_unref(hops);
-		silent_attempt_end_(relay, "reroute", lost_address);
+		silence_handle_(relay, CB_SILENCE_NO_REROUTE, lost_address);
 		return;
 	}
-	g_array_unref(relay->hops);
+	relay->former_hops = relay->hops;
 	relay->hops = hops;
-	cb_server_book_begin_request(front->book, relay->hops,
-				     relay->expected_tokens);
 	relay->is_reroute_pending = TRUE;
 	relay->reroute_sent_ms = cb_relay_now_ms(relay);
 	cb_timer_start(relay->silence_timer, REROUTE_TIMEOUT_MS);
@@ -142,20 +290,6 @@
 		relay->request_info.id, hops, reroute_answer_receive_, relay);
 }
 
-/* Returns whether a stream under way passes through the engine at `address`. */
-static gboolean stream_uses_engine_(const cb_relay_t *relay,
-				    const char *address)
-{
-	unsigned int i;
-
-	for (i = 0; i < relay->hops->len; i++)
-		if (!strcmp(g_array_index(relay->hops, cb_relay_hop_t, i)
-				    .address,
-			    address))
-			return TRUE;
-	return FALSE;
-}
-
 /*
  * Moves a stream away from an engine that does not answer.  If that is its
  * first one, the stream is resumed by another.
@@ -173,11 +307,10 @@
 	cb_front_report_usage_soon(relay->front);
 	if (!strcmp(address, first->address) ||
 	    !cb_server_book_record_loss_at(relay->front->book, address,
-					   relay->tried_servers)) {
-		silent_attempt_end_(relay, "event", address);
-		return;
-	}
-	reroute_request_(relay, address);
+					   relay->tried_servers))
+		silence_handle_(relay, CB_SILENCE_LOST, address);
+	else
+		silence_handle_(relay, CB_SILENCE_STALLED, address);
 }
 
 /*
@@ -198,7 +331,7 @@
 
 		if (relay->call && relay->route && stream_is_watched_(relay) &&
 		    !relay->is_reroute_pending &&
-		    stream_uses_engine_(relay, address))
+		    cb_relay_find_hop(relay, address))
 			g_ptr_array_add(streams, relay);
 	}
 	for (i = 0; i < streams->len; i++) {
@@ -243,7 +376,7 @@
 	relay->is_report_pending = FALSE;
 	if (result == CB_REPORT_TIMEOUT) {
 		/* The link to the engine may be slow, for this stream only. */
-		silent_attempt_end_(relay, "report", NULL);
+		silence_handle_(relay, CB_SILENCE_NO_REPORT, NULL);
 		return;
 	}
 	if (result == CB_REPORT_FAILED) {
@@ -255,7 +388,7 @@
 	}
 	address = g_strdup(stalled_address_find_(relay, report));
 	/* The report may be older than the last reroute. */
-	if (address && stream_uses_engine_(relay, address)) {
+	if (address && cb_relay_find_hop(relay, address)) {
 		cb_relay_move_streams(front, address);
 	} else {
 		/*
@@ -270,33 +403,44 @@
 	g_free(address);
 }
 
+/* Asks the first server of a silent stream for its report. */
+static void report_request_(cb_relay_t *relay)
+{
+	relay->is_report_pending = TRUE;
+	cb_engine_reports_request(
+		relay->front->reports,
+		g_array_index(relay->hops, cb_relay_hop_t, 0).address,
+		report_receive_, relay);
+}
+
 /*
- * Called when an event of a stream, or the answer to a reroute, is overdue:
- * requests a report from the first server, or fails the attempt.
+ * Ends the wait for the answer to a reroute.  If events have come since, the
+ * reroute is in effect.
  */
-void cb_relay_silence_timer_fired(void *user_data)
+static void reroute_time_out_(cb_relay_t *relay)
 {
-	cb_relay_t *relay = user_data;
-	cb_front_t *front = relay->front;
-	const cb_relay_hop_t *first =
-		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+	cb_engine_orders_t *orders = relay->front->orders;
 
-	if (relay->is_reroute_pending) {
-		relay->is_reroute_pending = FALSE;
-		front->orders->vtable->cancel(front->orders, relay);
-		if (relay->pace.last_ms > relay->reroute_sent_ms)
-			cb_relay_start_silence_timer(relay);
-		else
-			silent_attempt_end_(relay, "reroute", NULL);
-		return;
-	}
-	if (!relay->service->engine) {
-		silent_attempt_end_(relay, "event", NULL);
+	relay->is_reroute_pending = FALSE;
+	orders->vtable->cancel(orders, relay);
+	if (relay->pace.last_ms > relay->reroute_sent_ms) {
+		cb_relay_clear_former_hops(relay);
+		cb_relay_start_silence_timer(relay);
 		return;
 	}
-	relay->is_report_pending = TRUE;
-	cb_engine_reports_request(front->reports, first->address,
-				  report_receive_, relay);
+	former_hops_restore_(relay);
+	silence_handle_(relay, CB_SILENCE_NO_REROUTE, NULL);
+}
+
+/* Called when an event of a stream, or the answer to a reroute, is overdue. */
+void cb_relay_silence_timer_fired(void *user_data)
+{
+	cb_relay_t *relay = user_data;
+
+	if (relay->is_reroute_pending)
+		reroute_time_out_(relay);
+	else
+		silence_handle_(relay, CB_SILENCE_EVENT_OVERDUE, NULL);
 }
 
 /* Called with the report of an engine that may be lost. */
@@ -326,7 +470,7 @@
 	g_hash_table_iter_init(&iter, front->relays);
 	while (g_hash_table_iter_next(&iter, &value, NULL))
 		if (((cb_relay_t *)value)->call &&
-		    stream_uses_engine_(value, address))
+		    cb_relay_find_hop(value, address))
 			return TRUE;
 	return FALSE;
 }
--- a/src/libcurrantbridge/relay/retry_share.c
+++ b/src/libcurrantbridge/relay/retry_share.c
@@ -132,19 +132,33 @@
 	return slots_sum_(counts->retries) + 1 <= limit;
 }
 
+/* Returns whether the sum of all instances' counts is recent. */
+static gboolean sum_is_valid_(const cb_retry_share_t *share,
+			      const service_counts_t *counts)
+{
+	return counts->sum_received_ms &&
+	       cb_clock_now_ms(share->clock) - counts->sum_received_ms <=
+		       SUM_VALID_MS;
+}
+
+/* Returns whether a retry is left, without counting one. */
+gboolean cb_retry_share_has_retry(cb_retry_share_t *share, const char *service)
+{
+	const service_counts_t *counts = service_counts_get_(share, service);
+
+	return sum_is_valid_(share, counts) ?
+		       counts->allowance >= 1 :
+		       local_retry_is_allowed_(share, counts);
+}
+
 /* Counts one retry; returns FALSE, uncounted, if no retry is left. */
 gboolean cb_retry_share_take_retry(cb_retry_share_t *share, const char *service)
 {
 	service_counts_t *counts = service_counts_get_(share, service);
-	int64_t age_ms =
-		cb_clock_now_ms(share->clock) - counts->sum_received_ms;
-	gboolean is_sum_valid =
-		counts->sum_received_ms && age_ms <= SUM_VALID_MS;
 
-	if (is_sum_valid ? counts->allowance < 1 :
-			   !local_retry_is_allowed_(share, counts))
+	if (!cb_retry_share_has_retry(share, service))
 		return FALSE;
-	if (is_sum_valid)
+	if (sum_is_valid_(share, counts))
 		counts->allowance -= 1;
 	counts->retries[counts->slot % SLOT_COUNT]++;
 	return TRUE;
--- /dev/null
+++ b/src/libcurrantbridge/relay/silence.c
@@ -0,0 +1,43 @@
+#include "private/silence.h"
+
+/*
+ * While all servers of a service are silent, streams stay where they are for
+ * this long.  Callers leave a stream that is silent for 2 s.
+ */
+#define SERVICE_STALL_MS 800
+
+const char *const cb_silence_sign_string[CB_SILENCE_SIGN_COUNT] = {
+	[CB_SILENCE_EVENT_OVERDUE] = "event", [CB_SILENCE_NO_REPORT] = "report",
+	[CB_SILENCE_LOST] = "lost",	      [CB_SILENCE_STALLED] = "stalled",
+	[CB_SILENCE_NO_REROUTE] = "reroute",  [CB_SILENCE_WORKING] = "working",
+};
+
+/* Decides on a server of which nothing shows whether it is lost. */
+static cb_silence_action_t unproved_loss_decide_(const cb_silence_t *silence)
+{
+	if (!silence->may_restart)
+		return CB_SILENCE_WAIT;
+	if (silence->peers == CB_SILENCE_PEERS_SILENT &&
+	    silence->silent_ms < SERVICE_STALL_MS)
+		return CB_SILENCE_WAIT;
+	return CB_SILENCE_RESTART;
+}
+
+cb_silence_action_t cb_silence_decide(const cb_silence_t *silence)
+{
+	switch (silence->sign) {
+	case CB_SILENCE_EVENT_OVERDUE:
+		return silence->gives_reports ? CB_SILENCE_ASK :
+						unproved_loss_decide_(silence);
+	case CB_SILENCE_NO_REPORT:
+		return unproved_loss_decide_(silence);
+	case CB_SILENCE_LOST:
+	case CB_SILENCE_NO_REROUTE:
+		return silence->may_restart ? CB_SILENCE_RESTART :
+					      CB_SILENCE_WAIT;
+	case CB_SILENCE_STALLED:
+		return CB_SILENCE_REROUTE;
+	default:
+		return CB_SILENCE_WAIT;
+	}
+}
--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -170,9 +170,119 @@
 	}
 }
 
+/* The time that streams wait while all servers of their service are silent. */
+#define SERVICE_STALL_MS 800
+/* The longest time between two checks of a silent stream. */
+#define LATEST_CHECK_MS 300
+
+/* Starts `count` streams, each at a server of its own, that have one event. */
+static void streams_start_(relay_fixture_t *fixture,
+			   const relay_script_t *scripts, unsigned int count)
+{
+	unsigned int i;
+
+	support_relay_init(fixture, TRUE);
+	fixture->scripts = scripts;
+	fixture->script_count = count;
+	for (i = 0; i < count; i++) {
+		if (i)
+			g_ptr_array_add(fixture->other_callers,
+					g_steal_pointer(&fixture->caller));
+		support_relay_request_send(fixture, STREAM_REQUEST);
+		CU_ASSERT_TRUE_FATAL(
+			support_relay_run_until(fixture, 0, EVENT_1));
+	}
+}
+
+/*
+ * While all servers of a service are silent, each stream must stay for a while: a
+ * second wave of attempts would meet the servers as they go on.
+ */
+static void stalled_service_gets_no_second_wave(void)
+{
+	static const relay_script_t scripts[] = {
+		{ FIRST_EVENT, END_HOLD },
+		{ FIRST_EVENT, END_HOLD },
+	};
+	relay_fixture_t fixture;
+
+	streams_start_(&fixture, scripts, G_N_ELEMENTS(scripts));
+	CU_ASSERT_NOT_EQUAL(g_array_index(fixture.server_indexes, unsigned int,
+					  0),
+			    g_array_index(fixture.server_indexes, unsigned int,
+					  1));
+	support_relay_pass_time(&fixture, SERVICE_STALL_MS - 50);
+	CU_ASSERT_EQUAL(fixture.requests->len, 2);
+	support_relay_pass_time(&fixture, LATEST_CHECK_MS);
+	CU_ASSERT_TRUE(fixture.requests->len > 2);
+	support_relay_clear(&fixture);
+}
+
+/* Once another server is heard, a silent stream must not wait any longer. */
+static void silent_stream_moves_once_other_server_is_heard(void)
+{
+	static const relay_script_t scripts[] = {
+		{ FIRST_EVENT, END_HOLD },
+		{ FIRST_EVENT, END_HOLD },
+	};
+	relay_fixture_t fixture;
+
+	streams_start_(&fixture, scripts, G_N_ELEMENTS(scripts));
+	support_relay_pass_time(&fixture, 300);
+	CU_ASSERT_EQUAL(fixture.requests->len, 2);
+	support_relay_answer_continue(&fixture, 1, "f\r\n" EVENT_2 "\r\n");
+	support_relay_pass_time(&fixture, LATEST_CHECK_MS);
+	CU_ASSERT_EQUAL(fixture.requests->len, 3);
+	support_relay_clear(&fixture);
+}
+
+/*
+ * A stream that left a silent server must not be cut because other servers
+ * reject it for a while.
+ */
+static void rejections_do_not_cut_stream_that_left_silent_server(void)
+{
+	static const relay_script_t rejection = {
+		"HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\n"
+		"Content-Length: 0\r\n\r\n",
+		END_KEEP
+	};
+	relay_script_t scripts[] = { { FIRST_EVENT, END_HOLD },
+				     rejection,
+				     rejection,
+				     rejection,
+				     rejection,
+				     rejection,
+				     rejection,
+				     rejection,
+				     { STREAM_HEAD LAST_EVENT, END_KEEP } };
+	GString *body = g_string_new(NULL);
+	relay_fixture_t fixture;
+	uint32_t status = 0;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 0, EVENT_1));
+	support_relay_pass_time(&fixture, 1500);
+	CU_ASSERT_TRUE(support_relay_answer_await(&fixture, &status, body));
+	CU_ASSERT_EQUAL(status, 200);
+	CU_ASSERT_STRING_EQUAL(body->str, WHOLE_BODY);
+	CU_ASSERT_EQUAL(fixture.requests->len, G_N_ELEMENTS(scripts));
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+}
+
 static CU_TestInfo relay_silence_tests[] = {
 	{ "silent_server_does_not_end_answer",
 	  silent_server_does_not_end_answer },
+	{ "stalled_service_gets_no_second_wave",
+	  stalled_service_gets_no_second_wave },
+	{ "silent_stream_moves_once_other_server_is_heard",
+	  silent_stream_moves_once_other_server_is_heard },
+	{ "rejections_do_not_cut_stream_that_left_silent_server",
+	  rejections_do_not_cut_stream_that_left_silent_server },
 	CU_TEST_INFO_NULL
 };
 
