Overdue timers wait for the bytes that have arrived meanwhile

What callers could see: after an instance was busy or stopped for some 100 ms, a report or an event that had arrived in time counted as missing, since timers fired before the sockets were read; a stream was then taken for silent, an answer for too late (504), an idle connection was closed on a request that was already there.

Cause: the clock's source comes first in the loop's order, so that in the first iteration after a pause all overdue timers fired before any socket was read.

Change: timers that are overdue by 10 ms or more are put off once, to the next iteration; the sockets are read in between. Sockets that are always ready can't hold timers up, since the second dispatch fires them.

Evidence: overdue_timer_fires_after_arrived_bytes failed before (the timer fired first), and passes now; ready_sockets_do_not_stop_timers passes before and after. Whether a pause of an instance was part of what the users saw is not shown.

--- a/src/libcurrantbridge/kernel/clock.c
+++ b/src/libcurrantbridge/kernel/clock.c
@@ -1,6 +1,8 @@
 #include "currantbridge/clock.h"
 
 #define US_PER_MS 1000
+/* From this lateness on, sockets are read before an overdue timer fires. */
+#define OVERDUE_US (10 * US_PER_MS)
 
 typedef struct cb_clock_vtable {
 	int64_t (*now_us)(const cb_clock_t *clock);
@@ -19,6 +21,8 @@
 	GSource *source;
 	/* Time at which the source is next dispatched; -1: never. */
 	int64_t wake_us;
+	/* Overdue timers were put off to the next iteration of the loop. */
+	gboolean has_put_off;
 };
 
 struct cb_timer {
@@ -111,6 +115,22 @@
 		wake_time_set_(clock, timer->deadline_us);
 }
 
+/*
+ * Puts off timers that are overdue, once, since the process was busy or stopped:
+ * the sockets are read in the same iteration, and may bring what a timer waits
+ * for.  Returns FALSE if the timers are to fire now.
+ */
+static gboolean overdue_timers_put_off_(cb_clock_t *clock, int64_t now_us)
+{
+	const cb_timer_t *timer = earliest_timer_find_(clock);
+
+	clock->has_put_off = !clock->has_put_off && timer &&
+			     now_us - timer->deadline_us >= OVERDUE_US;
+	if (clock->has_put_off)
+		wake_time_set_(clock, now_us);
+	return clock->has_put_off;
+}
+
 /*
  * Fires the timers that are due when the dispatch begins.  Timers armed
  * meanwhile wait for the next dispatch.
@@ -123,6 +143,8 @@
 
 	(void)fn;
 	(void)data;
+	if (overdue_timers_put_off_(clock, now_us))
+		return G_SOURCE_CONTINUE;
 	while (due_timer_fire_(clock, now_us))
 		;
 	timer = earliest_timer_find_(clock);
