A stream whose later engine has ended is not kept until its caller leaves

Change: an engine that a stream waits for is asked for its report; if it refuses calls over 50 ms, with none answered in between, it has ended, and an attempt that nothing can follow then fails. A silent engine accepts calls, so its streams stay. For the first engine of a chain there is no such rule: its end resets the connection. RELAY_STALLED is logged once for each silence.

--- a/src/libcurrantbridge/include/private/engine_reports.h
+++ b/src/libcurrantbridge/include/private/engine_reports.h
@@ -32,6 +32,15 @@
 void cb_engine_reports_request(cb_engine_reports_t *reports,
 			       const char *address, cb_report_result_fn_t fn,
 			       void *user_data);
+/*
+ * Whether all calls of the engine at `address` were refused, of which there were
+ * some in the last second over 50 ms or longer: its process has ended.
+ */
+gboolean cb_engine_reports_has_ended(const cb_engine_reports_t *reports,
+				     const char *address);
+/* Whether a call refused by the engine now would show more than the last did. */
+gboolean cb_engine_reports_is_check_due(const cb_engine_reports_t *reports,
+					const char *address);
 /* Drops the requests of `user_data`, if any, without calling their functions. */
 void cb_engine_reports_cancel(cb_engine_reports_t *reports,
 			      const void *user_data);
--- a/src/libcurrantbridge/include/private/silence.h
+++ b/src/libcurrantbridge/include/private/silence.h
@@ -8,8 +8,8 @@
  * Decides what follows when the server of a stream says nothing.  Silence is not
  * loss: a sound server may pause and go on, and its connection tells if it ends.
  * An attempt is therefore left only for another one that can take over, and is
- * otherwise kept until its server goes on or breaks it off, or the request's
- * time is over.  These decisions do no I/O and keep no state.
+ * otherwise kept until its server goes on or breaks it off, an engine that it needs
+ * is shown to have ended, or the request's time is over.  These decisions do no I/O and keep no state.
  */
 
 /* What is known of the silent server. */
@@ -38,6 +38,7 @@
 	CB_SILENCE_ASK,	    /* ask the server for its report */
 	CB_SILENCE_REROUTE, /* let the server avoid the engine it waits for */
 	CB_SILENCE_RESTART, /* leave the attempt, and resume elsewhere */
+	CB_SILENCE_FAIL, /* the attempt has failed with an engine that ended */
 } cb_silence_action_t;
 
 typedef struct cb_silence {
@@ -46,6 +47,8 @@
 	cb_silence_peers_t peers;
 	/* Another attempt is allowed, and has a server, a retry and time. */
 	gboolean may_restart;
+	/* The engine that the server waits for is shown to have ended. */
+	gboolean has_ended;
 	int64_t silent_ms; /* since the last event, or since the request */
 } cb_silence_t;
 
--- a/src/libcurrantbridge/relay/engine_reports.c
+++ b/src/libcurrantbridge/relay/engine_reports.c
@@ -5,6 +5,13 @@
  * answers in a few ms, unless a packet is lost and sent again.
  */
 #define REPORT_TIMEOUT_MS 200
+/*
+ * An engine that refuses calls for this long has ended: one with too many
+ * connections refuses some of them only.
+ */
+#define REFUSAL_PROOF_MS 50
+/* How long after the last refusal an engine is taken for ended. */
+#define REFUSAL_VALID_MS 1000
 
 typedef struct waiter {
 	cb_report_result_fn_t fn;
@@ -19,10 +26,17 @@
 	GArray *waiters; /* of waiter_t */
 } report_call_t;
 
+/* The refusals of an engine's calls that followed each other. */
+typedef struct refusals {
+	int64_t first_ms;
+	int64_t last_ms;
+} refusals_t;
+
 struct cb_engine_reports {
 	cb_clock_t *clock;
 	cb_engine_orders_t *orders;
-	GHashTable *calls; /* engine's address to report_call_t */
+	GHashTable *calls;    /* engine's address to report_call_t */
+	GHashTable *refusals; /* engine's address to refusals_t */
 	/* The call whose waiters' functions are being called, or NULL. */
 	report_call_t *ending_call;
 };
@@ -46,6 +60,8 @@
 	reports->clock = clock;
 	reports->orders = orders;
 	reports->calls = g_hash_table_new(g_str_hash, g_str_equal);
+	reports->refusals =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return reports;
 }
 
@@ -63,9 +79,55 @@
 		report_call_delete_(call);
 	}
 	g_hash_table_unref(reports->calls);
+	g_hash_table_unref(reports->refusals);
 	g_free(reports);
 }
 
+/* Records whether an engine refused a call; anything else ends the series. */
+static void refusal_record_(cb_engine_reports_t *reports, const char *address,
+			    gboolean is_refused)
+{
+	int64_t now_ms = cb_clock_now_ms(reports->clock);
+	refusals_t *refusals = g_hash_table_lookup(reports->refusals, address);
+
+	if (!is_refused) {
+		g_hash_table_remove(reports->refusals, address);
+		return;
+	}
+	if (!refusals) {
+		refusals = g_new0(refusals_t, 1);
+		refusals->first_ms = now_ms;
+		g_hash_table_insert(reports->refusals, g_strdup(address),
+				    refusals);
+	} else if (now_ms - refusals->last_ms > REFUSAL_VALID_MS) {
+		refusals->first_ms = now_ms;
+	}
+	refusals->last_ms = now_ms;
+}
+
+gboolean cb_engine_reports_has_ended(const cb_engine_reports_t *reports,
+				     const char *address)
+{
+	const refusals_t *refusals =
+		g_hash_table_lookup(reports->refusals, address);
+
+	return refusals &&
+	       refusals->last_ms - refusals->first_ms >= REFUSAL_PROOF_MS &&
+	       cb_clock_now_ms(reports->clock) - refusals->last_ms <=
+		       REFUSAL_VALID_MS;
+}
+
+gboolean cb_engine_reports_is_check_due(const cb_engine_reports_t *reports,
+					const char *address)
+{
+	const refusals_t *refusals =
+		g_hash_table_lookup(reports->refusals, address);
+
+	return !refusals ||
+	       cb_clock_now_ms(reports->clock) - refusals->last_ms >=
+		       REFUSAL_PROOF_MS;
+}
+
 /* Calls the functions of a call's waiters and deletes the call. */
 static void report_call_end_(report_call_t *call, cb_report_result_t result,
 			     const cb_engine_report_t *report)
@@ -73,6 +135,7 @@
 	cb_engine_reports_t *reports = call->reports;
 
 	g_hash_table_remove(reports->calls, call->address);
+	refusal_record_(reports, call->address, result == CB_REPORT_FAILED);
 	reports->ending_call = call;
 	/* Each function may cancel other waiters, which removes them. */
 	while (call->waiters->len) {
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -177,6 +177,9 @@
 		.gives_reports = relay->service->engine != NULL,
 		.peers = peers_find_(relay),
 		.may_restart = restart_is_possible_(relay, lost_address),
+		.has_ended = lost_address &&
+			     cb_engine_reports_has_ended(relay->front->reports,
+							 lost_address),
 		.silent_ms = silence_compute_ms_(relay),
 	};
 
@@ -188,13 +191,18 @@
 		reroute_request_(relay, lost_address);
 		break;
 	case CB_SILENCE_RESTART:
+	case CB_SILENCE_FAIL:
 		relay->awaited = cb_silence_sign_string[sign];
-		relay->has_left_silent = TRUE;
+		relay->has_left_silent |= !silence.has_ended;
 		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE,
 					lost_address);
 		break;
 	case CB_SILENCE_WAIT:
 		attempt_keep_(relay, &silence);
+		if (lost_address &&
+		    cb_engine_reports_is_check_due(relay->front->reports,
+						   lost_address))
+			cb_relay_check_engine(relay->front, lost_address);
 		break;
 	}
 }
@@ -299,11 +307,12 @@
 	const cb_relay_hop_t *first =
 		&g_array_index(relay->hops, cb_relay_hop_t, 0);
 
-	cb_log_event(relay->front->log, CB_EVENT_RELAY_STALLED,
-		     CB_STR("request", relay->request_info.id),
-		     CB_STR("address", address),
-		     CB_INT("last_event", relay->last_event),
-		     CB_INT("silent_ms", silence_compute_ms_(relay)));
+	if (!relay->pace.check_count)
+		cb_log_event(relay->front->log, CB_EVENT_RELAY_STALLED,
+			     CB_STR("request", relay->request_info.id),
+			     CB_STR("address", address),
+			     CB_INT("last_event", relay->last_event),
+			     CB_INT("silent_ms", silence_compute_ms_(relay)));
 	cb_front_report_usage_soon(relay->front);
 	if (!strcmp(address, first->address) ||
 	    !cb_server_book_record_loss_at(relay->front->book, address,
--- a/src/libcurrantbridge/relay/silence.c
+++ b/src/libcurrantbridge/relay/silence.c
@@ -32,9 +32,13 @@
 	case CB_SILENCE_NO_REPORT:
 		return unproved_loss_decide_(silence);
 	case CB_SILENCE_LOST:
-	case CB_SILENCE_NO_REROUTE:
+		/* If the server has ended, its connection is reset as well. */
 		return silence->may_restart ? CB_SILENCE_RESTART :
 					      CB_SILENCE_WAIT;
+	case CB_SILENCE_NO_REROUTE:
+		if (silence->may_restart)
+			return CB_SILENCE_RESTART;
+		return silence->has_ended ? CB_SILENCE_FAIL : CB_SILENCE_WAIT;
 	case CB_SILENCE_STALLED:
 		return CB_SILENCE_REROUTE;
 	default:
--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -374,11 +374,18 @@
 			    cb_report_done_fn_t done, void *user_data)
 {
 	relay_fixture_t *fixture = ((fake_orders_t *)orders)->fixture;
+	char *silent_address =
+		fixture->lost_server_is_silent ?
+			support_relay_server_address(
+				fixture, (unsigned int)fixture->lost_server) :
+			NULL;
 
 	g_ptr_array_add(fixture->report_addresses, g_strdup(address));
-	if (!fixture->withholds_reports)
+	if (!fixture->withholds_reports &&
+	    g_strcmp0(address, silent_address) != 0)
 		engine_call_new_(orders, address, user_data)->report_done =
 			done;
+	g_free(silent_address);
 }
 
 static void reroute_request_(cb_engine_orders_t *orders, const char *address,
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -52,6 +52,8 @@
 	GPtrArray *reroutes; /* request ID and servers of each new chain */
 	/* The engine that is reported as lost, by its server index; or -1. */
 	int lost_server;
+	/* Whether it leaves its own report calls unanswered, or refuses them. */
+	gboolean lost_server_is_silent;
 	/* Whether the engines leave calls for reports and reroutes unanswered. */
 	gboolean withholds_reports;
 	gboolean withholds_reroutes;
--- a/src/test_libcurrantbridge/test_engine_reports.c
+++ b/src/test_libcurrantbridge/test_engine_reports.c
@@ -177,7 +177,96 @@
 	}
 }
 
+/* The end of one call, at a time. */
+typedef struct call_step {
+	int64_t after_ms; /* since the step before */
+	call_end_t end;
+} call_step_t;
+
+typedef struct ended_case {
+	const char *description; /* printed if the case fails */
+	call_step_t steps[3];
+	unsigned int step_count;
+	int64_t later_ms; /* when it is asked, after the last step */
+	gboolean expected;
+} ended_case_t;
+
+static const ended_case_t ended_cases[] = {
+	{ "never called", { { 0 } }, 0, 0, FALSE },
+	{ "refused once", { { 0, END_FAILURE } }, 1, 0, FALSE },
+	{ "refused twice at once",
+	  { { 0, END_FAILURE }, { 5, END_FAILURE } },
+	  2,
+	  0,
+	  FALSE },
+	{ "refused for 60 ms",
+	  { { 0, END_FAILURE }, { 60, END_FAILURE } },
+	  2,
+	  0,
+	  TRUE },
+	{ "refused long ago",
+	  { { 0, END_FAILURE }, { 60, END_FAILURE } },
+	  2,
+	  1500,
+	  FALSE },
+	{ "refused twice, long apart",
+	  { { 0, END_FAILURE }, { 1500, END_FAILURE } },
+	  2,
+	  0,
+	  FALSE },
+	{ "answered between refusals",
+	  { { 0, END_FAILURE }, { 30, END_ANSWER }, { 30, END_FAILURE } },
+	  3,
+	  0,
+	  FALSE },
+	{ "silent after refusals",
+	  { { 0, END_FAILURE }, { 60, END_FAILURE }, { 0, END_SILENCE } },
+	  3,
+	  0,
+	  FALSE },
+};
+
+/* A sound engine that refuses some calls must not be taken for ended. */
+static void engine_has_ended_if_it_refuses_all_calls(void)
+{
+	const cb_engine_report_t report = { .slow_percent = 100 };
+	size_t i;
+	unsigned int k;
+
+	for (i = 0; i < G_N_ELEMENTS(ended_cases); i++) {
+		const ended_case_t *c = &ended_cases[i];
+		fake_orders_t orders = { .base = { &orders_vtable } };
+		cb_clock_t *clock = cb_clock_new_paused(START_WALL_MS);
+		cb_engine_reports_t *reports =
+			cb_engine_reports_new(clock, &orders.base);
+		waiter_t waiter = { .reports = reports };
+		gboolean has_ended;
+
+		for (k = 0; k < c->step_count; k++) {
+			cb_clock_advance(clock, c->steps[k].after_ms);
+			cb_engine_reports_request(reports, "e", result_receive_,
+						  &waiter);
+			if (c->steps[k].end == END_SILENCE)
+				cb_clock_advance(clock, REPORT_TIMEOUT_MS);
+			else
+				orders.done(c->steps[k].end == END_ANSWER ?
+						    &report :
+						    NULL,
+					    orders.user_data);
+		}
+		cb_clock_advance(clock, c->later_ms);
+		has_ended = cb_engine_reports_has_ended(reports, "e");
+		CU_ASSERT_EQUAL(has_ended, c->expected);
+		if (has_ended != c->expected)
+			printf("    %s\n", c->description);
+		cb_engine_reports_delete(reports);
+		cb_clock_delete(clock);
+	}
+}
+
 static CU_TestInfo engine_reports_tests[] = {
+	{ "engine_has_ended_if_it_refuses_all_calls",
+	  engine_has_ended_if_it_refuses_all_calls },
 	{ "requests_of_one_engine_share_a_call",
 	  requests_of_one_engine_share_a_call },
 	CU_TEST_INFO_NULL
