A caller that pauses gets the rest of its answer

What callers saw: a caller that had not read its answer to the end was cut off 1 s after the answer's end, if the connection was to be closed (a request with Connection: close, or any answer of an instance that stops), or after the idle timeout, if it was kept. A whole answer was lost with it, as far as it was longer than the sockets' buffers. An instance that stops did not count such an answer as open either, and ended before it was sent.

Cause: silence of a caller was taken for its loss. The timers of the last 1 s and of idle connections run from the answer's end, whether or not its bytes are sent.

Change: while bytes of an answer wait, the connection stays as long as the caller reads some of them within 5 s (its socket's own limit is 3 s without an acknowledged byte), and the request counts as open.

--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -17,6 +17,8 @@
  * is still sending can read that answer.
  */
 #define LINGER_MS 1000
+/* A caller that reads nothing of its answer for so long is disconnected. */
+#define UNREAD_MAX_MS 5000
 /* A caller with more unsent bytes than this is disconnected as too slow. */
 #define UNSENT_MAX_BYTES (1024 * 1024)
 
@@ -34,8 +36,10 @@
 	cb_stream_t *stream;
 	cb_timer_t *timer; /* timeout; while serving, the slow-caller check */
 	connection_state_t state;
-	GByteArray *input;  /* bytes received and not parsed yet */
-	gboolean has_ended; /* unused */
+	GByteArray *input; /* bytes received and not parsed yet */
+	/* The unsent bytes of a whole answer at the last check, and since when. */
+	size_t unsent_bytes;
+	int64_t unsent_since_ms;
 	/* Request in progress and its answer, or NULL. */
 	cb_http1_exchange_t *exchange;
 } connection_t;
@@ -194,6 +198,24 @@
 	connection_disconnect_(connection);
 }
 
+/*
+ * Returns whether the connection stays open for the rest of an answer: the
+ * caller has read some of it since the last check, or may only be pausing.
+ */
+static gboolean answer_is_awaited_(connection_t *connection)
+{
+	int64_t now_ms = cb_clock_now_ms(connection->server->clock);
+	size_t unsent_bytes = cb_stream_unsent_bytes(connection->stream);
+
+	if (unsent_bytes != connection->unsent_bytes) {
+		connection->unsent_bytes = unsent_bytes;
+		connection->unsent_since_ms = now_ms;
+		return TRUE;
+	}
+	return unsent_bytes &&
+	       now_ms - connection->unsent_since_ms < UNREAD_MAX_MS;
+}
+
 /* Called on a timeout of the connection, or to check for a slow caller. */
 static void connection_timer_fired_(void *user_data)
 {
@@ -201,6 +223,12 @@
 
 	if (connection->state == CONNECTION_SERVING)
 		slow_caller_check_(connection);
+	else if (!connection->input->len && answer_is_awaited_(connection))
+		cb_timer_start(
+			connection->timer,
+			connection->state == CONNECTION_LINGERING ?
+				LINGER_MS :
+				connection->server->limits.idle_timeout_ms);
 	else if (connection->state == CONNECTION_RECEIVING_HEAD &&
 		 connection->input->len)
 		request_refuse_(connection, 408, "header_timeout");
@@ -468,10 +496,24 @@
 	server->is_draining = TRUE;
 }
 
-/* Returns how many requests are being received or answered. */
+/*
+ * Returns how many requests are being received or answered; those whose answer
+ * is not sent to the end count.
+ */
 unsigned int cb_http1_server_count_requests(const cb_http1_server_t *server)
 {
-	return server->open_requests;
+	unsigned int count = server->open_requests;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, server->connections);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		const connection_t *connection = value;
+
+		count += !connection->exchange &&
+			 cb_stream_unsent_bytes(connection->stream);
+	}
+	return count;
 }
 
 /* Returns the request's head. */
--- /dev/null
+++ b/src/test_libcurrantbridge/test_http1_server.c
@@ -0,0 +1,259 @@
+#include "support_main.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "currantbridge/http1_server.h"
+
+/*
+ * Tests what a caller's connection does while its answer is on the way, over
+ * real sockets and with a paused clock.
+ */
+#define START_MS 1000000
+/* More than the sockets' buffers hold. */
+#define LONG_ANSWER_BYTES ((size_t)16 * 1024 * 1024)
+#define RECEIVE_BUFFER_BYTES 4096
+#define SHORT_IDLE_TIMEOUT_MS 800
+/* The silence of a caller that reads on afterwards, and of one that never does. */
+#define CALLER_SILENCE_MS 1500
+#define CALLER_LOST_MS 30000
+#define STEP_MS 100
+#define LOOP_ITERATIONS_MAX 4000
+#define LOOP_SLEEP_US 500
+
+/* A server and one caller, whose socket is read by hand. */
+typedef struct server_fixture {
+	cb_clock_t *clock;
+	cb_http1_server_t *server;
+	int caller_fd;
+	size_t answer_bytes;  /* length of each answer's body */
+	gboolean holds_first; /* the first request is answered later */
+	cb_http1_exchange_t *held;
+	unsigned int request_count;
+	unsigned int disconnect_count;
+} server_fixture_t;
+
+static void answer_send_(const server_fixture_t *fixture,
+			 cb_http1_exchange_t *exchange)
+{
+	char *body = g_malloc0(fixture->answer_bytes + 1);
+
+	cb_http1_exchange_reply(exchange, 200, NULL, body,
+				fixture->answer_bytes);
+	g_free(body);
+}
+
+static void caller_disconnected_(void *user_data)
+{
+	server_fixture_t *fixture = user_data;
+
+	fixture->disconnect_count++;
+	fixture->held = NULL;
+}
+
+static void request_receive_(cb_http1_exchange_t *exchange, void *user_data)
+{
+	server_fixture_t *fixture = user_data;
+
+	fixture->request_count++;
+	if (!fixture->holds_first || fixture->request_count > 1) {
+		answer_send_(fixture, exchange);
+		return;
+	}
+	fixture->held = exchange;
+	cb_http1_exchange_set_disconnect_fn(exchange, caller_disconnected_,
+					    fixture);
+}
+
+static void fixture_init_(server_fixture_t *fixture)
+{
+	const int buffer_bytes = RECEIVE_BUFFER_BYTES;
+	struct sockaddr_in address = { .sin_family = AF_INET };
+
+	*fixture = (server_fixture_t){ .answer_bytes = 2 };
+	fixture->clock = cb_clock_new_paused(START_MS);
+	fixture->server = cb_http1_server_new(NULL, fixture->clock, NULL,
+					      request_receive_, fixture);
+	CU_ASSERT_TRUE_FATAL(
+		cb_http1_server_listen(fixture->server, "127.0.0.1:0", NULL));
+	fixture->caller_fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_TRUE_FATAL(fixture->caller_fd >= 0);
+	(void)setsockopt(fixture->caller_fd, SOL_SOCKET, SO_RCVBUF,
+			 &buffer_bytes, sizeof(buffer_bytes));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(cb_http1_server_port(fixture->server));
+	CU_ASSERT_EQUAL_FATAL(connect(fixture->caller_fd,
+				      (struct sockaddr *)&address,
+				      sizeof(address)),
+			      0);
+}
+
+static void fixture_clear_(server_fixture_t *fixture)
+{
+	close(fixture->caller_fd);
+	cb_http1_server_delete(fixture->server);
+	cb_clock_delete(fixture->clock);
+}
+
+static void loop_run_(void)
+{
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		g_usleep(LOOP_SLEEP_US);
+	}
+}
+
+/* Advances the clock in steps, after each of which sockets are served. */
+static void time_pass_(const server_fixture_t *fixture, int64_t duration_ms)
+{
+	int64_t passed_ms;
+
+	for (passed_ms = 0; passed_ms < duration_ms; passed_ms += STEP_MS) {
+		cb_clock_advance(fixture->clock, STEP_MS);
+		loop_run_();
+	}
+}
+
+/* Sends bytes as far as the server takes them; returns how many it took. */
+static size_t bytes_send_(const server_fixture_t *fixture, const char *data,
+			  size_t size)
+{
+	size_t total = 0;
+	int i;
+
+	for (i = 0; i < LOOP_ITERATIONS_MAX && total < size; i++) {
+		ssize_t sent = send(fixture->caller_fd, data + total,
+				    size - total, MSG_DONTWAIT | MSG_NOSIGNAL);
+
+		total += (size_t)MAX(sent, 0);
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		if (sent < 0)
+			g_usleep(LOOP_SLEEP_US);
+	}
+	loop_run_();
+	return total;
+}
+
+/*
+ * Reads until `size` bytes have come or the connection has ended, and counts
+ * the occurrences of `text` (NULL: none).  Returns the bytes received.
+ */
+static size_t bytes_receive_(const server_fixture_t *fixture, size_t size,
+			     const char *text, unsigned int *count)
+{
+	GString *received = g_string_new(NULL);
+	const char *next = NULL;
+	size_t total;
+	int idle = 0;
+
+	while (received->len < size && idle < LOOP_ITERATIONS_MAX) {
+		char buffer[16384];
+		ssize_t got = recv(fixture->caller_fd, buffer, sizeof(buffer),
+				   MSG_DONTWAIT);
+
+		if (!got || (got < 0 && errno != EAGAIN))
+			break;
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		if (got > 0) {
+			g_string_append_len(received, buffer, got);
+			idle = 0;
+			continue;
+		}
+		idle++;
+		g_usleep(LOOP_SLEEP_US);
+	}
+	next = received->str;
+	while (text && (next = strstr(next, text))) {
+		(*count)++;
+		next += strlen(text);
+	}
+	total = received->len;
+	g_string_free(received, TRUE);
+	return total;
+}
+
+typedef struct reader_case {
+	const char *description; /* printed if the case fails */
+	const char *request;
+	int64_t idle_timeout_ms;
+	gboolean is_draining;
+	int64_t silence_ms;
+	gboolean expects_whole;
+} reader_case_t;
+
+#define CLOSE_REQUEST "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+#define KEEP_REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+static const reader_case_t reader_cases[] = {
+	{ "the caller asks for the close", CLOSE_REQUEST, 15000, FALSE,
+	  CALLER_SILENCE_MS, TRUE },
+	{ "the instance stops", KEEP_REQUEST, 15000, TRUE, CALLER_SILENCE_MS,
+	  TRUE },
+	{ "the connection is kept, with a short idle timeout", KEEP_REQUEST,
+	  SHORT_IDLE_TIMEOUT_MS, FALSE, CALLER_SILENCE_MS, TRUE },
+	{ "the caller never reads on", CLOSE_REQUEST, 15000, FALSE,
+	  CALLER_LOST_MS, FALSE },
+};
+
+static gboolean reader_case_run_(const reader_case_t *c)
+{
+	cb_http1_limits_t limits = { .max_header_bytes = 4096,
+				     .max_body_bytes = 4096,
+				     .header_timeout_ms = 3000,
+				     .idle_timeout_ms = c->idle_timeout_ms };
+	server_fixture_t fixture;
+	gboolean is_counted;
+	size_t received;
+
+	fixture_init_(&fixture);
+	fixture.answer_bytes = LONG_ANSWER_BYTES;
+	cb_http1_server_set_limits(fixture.server, &limits);
+	if (c->is_draining)
+		cb_http1_server_drain(fixture.server);
+	(void)bytes_send_(&fixture, c->request, strlen(c->request));
+	CU_ASSERT_EQUAL(fixture.request_count, 1);
+	time_pass_(&fixture, c->silence_ms);
+	is_counted = cb_http1_server_count_requests(fixture.server) == 1;
+	received = bytes_receive_(&fixture, LONG_ANSWER_BYTES, NULL, NULL);
+	fixture_clear_(&fixture);
+	if ((received >= LONG_ANSWER_BYTES) == c->expects_whole &&
+	    is_counted == c->expects_whole)
+		return TRUE;
+	printf("    %s: %zu of %zu bytes came, the request %s as open\n",
+	       c->description, received, LONG_ANSWER_BYTES,
+	       is_counted ? "counts" : "doesn't count");
+	return FALSE;
+}
+
+/*
+ * A caller may fall silent for a while and read on: neither a timeout nor a stop
+ * of the instance may cut the answer that it has not read yet.
+ */
+static void unread_answer_is_not_cut(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(reader_cases); i++)
+		CU_ASSERT_TRUE(reader_case_run_(&reader_cases[i]));
+}
+
+static CU_TestInfo http1_server_tests[] = { { "unread_answer_is_not_cut",
+					      unread_answer_is_not_cut },
+					    CU_TEST_INFO_NULL };
+
+int main(void)
+{
+	CU_SuiteInfo suites[] = { { .pName = "http1_server",
+				    .pTests = http1_server_tests },
+				  CU_SUITE_INFO_NULL };
+
+	return support_run(suites);
+}
