A stop ends no request without an answer

What callers saw: at the end of the time that an instance has for its stop (grace_s), a request that it had read and passed on, or that waited for a server, was closed without a byte of an answer. The same happened to requests that arrived after the end of the drain, while the process still took leave of control: they were even sent to a server first.

Cause: at the end of a drain the requests under way were freed with the instance, and nothing answered them; the listener went on accepting requests.

Change: when the drain ends, each request under way gets 503 if it was not sent, 502 if it may have run, and is broken off if its answer has begun; requests after that are refused with 503. Each is logged with the reason "stopping".

--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -61,6 +61,8 @@
 	gboolean was_usage_empty;  /* the last usage report was empty */
 	cb_timer_t *drain_timer;
 	int64_t drain_since_ms; /* start of the drain; 0: not draining */
+	/* The drain has ended: no request is started. */
+	gboolean has_drained;
 };
 
 /* Starts to relay one request; defined in relay.c. */
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "private/front.h"
+#include "private/relay.h"
 
 #define DRAIN_CHECK_INTERVAL_MS 50
 /*
@@ -206,9 +207,21 @@
 	cb_fleet_log(front->log, server);
 }
 
+/* Starts to relay a request; an instance that is about to end refuses it. */
 static void request_receive_(cb_http1_exchange_t *exchange, void *user_data)
 {
-	cb_relay_start(user_data, exchange);
+	static const char headers[] = "Content-Type: application/json\r\n"
+				      "Retry-After: 0.100\r\n";
+	static const char body[] = "{\"error\":{\"reason\":\"stopping\","
+				   "\"executed\":\"no\"}}";
+	cb_front_t *front = user_data;
+
+	if (!front->has_drained) {
+		cb_relay_start(front, exchange);
+		return;
+	}
+	cb_relay_count_reason(front, "cb_relay_refused_total", "stopping");
+	cb_http1_exchange_reply(exchange, 503, headers, body, strlen(body));
 }
 
 static gboolean caller_listener_start_(cb_service_t *service, GError **error)
@@ -219,6 +232,29 @@
 	return cb_http1_server_listen(front->server, front->listen, error);
 }
 
+/*
+ * Ends the requests that are still under way when the time for a drain is over:
+ * each caller gets an answer, or its answer is broken off.
+ */
+static void open_requests_give_up_(cb_front_t *front)
+{
+	GList *relays = g_hash_table_get_keys(front->relays);
+	GList *item;
+
+	for (item = relays; item; item = item->next) {
+		cb_relay_t *relay = item->data;
+
+		/* Ending one request may have ended others. */
+		if (!g_hash_table_contains(front->relays, relay))
+			continue;
+		/* The attempt in flight may have run at its server. */
+		if (relay->call)
+			relay->run_count++;
+		cb_relay_give_up(relay, "stopping", CB_RELAY_RETRY_AFTER_MS);
+	}
+	g_list_free(relays);
+}
+
 /*
  * Ends the drain once no request is open and callers have had linger_ms to
  * learn other addresses, after grace_ms at the latest.
@@ -232,6 +268,8 @@
 
 	if ((is_idle && draining_ms >= front->linger_ms) ||
 	    draining_ms >= front->grace_ms) {
+		front->has_drained = TRUE;
+		open_requests_give_up_(front);
 		cb_log_event(front->log, CB_EVENT_ENTRY_DRAINED);
 		cb_kernel_service_drained(front->kernel, &front->service);
 		return;
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -660,6 +660,92 @@
 		strstr(fixture.answer->str, "Connection: close\r\n"));
 	support_relay_clear(&fixture);
 }
+
+typedef struct stop_case {
+	const char *description; /* printed if the case fails */
+	const char *request;
+	relay_script_t script;
+	const char *expected_text;
+} stop_case_t;
+
+/* Requests that are under way at the end of the time for a stop. */
+static const stop_case_t stop_cases[] = {
+	{ "a call without an answer",
+	  ONCE_REQUEST,
+	  { "", END_HOLD },
+	  "HTTP/1.1 502 " },
+	{ "a call with a part of its answer",
+	  IDEMPOTENT_REQUEST,
+	  { "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 9\r\n\r\npart",
+	    END_HOLD },
+	  "HTTP/1.1 502 " },
+	{ "a call that waits for a server",
+	  REQUEST("GET", "/engine/", ""),
+	  { NULL, END_KEEP },
+	  "HTTP/1.1 503 " },
+};
+
+/* A call that is open until the end. */
+#define LONG_REQUEST                                                            \
+	"POST /once/b HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 4000\r\n" \
+	"Content-Length: 0\r\n\r\n"
+/* When that one and the case's one arrive, and the time until the end. */
+#define OPEN_ARRIVAL_MS 5500
+#define LATE_ARRIVAL_MS 2300
+#define STOP_MS 300
+
+/*
+ * Stops the instance while a case's request is under way, and sends one more
+ * request after the end.  Returns whether all of them were answered.
+ */
+static gboolean stop_case_run_(const stop_case_t *c)
+{
+	const relay_script_t scripts[] = { { "", END_HOLD }, c->script };
+	unsigned int sends = c->script.text ? 2 : 1;
+	relay_fixture_t fixture;
+	cb_service_t *service;
+	gboolean is_answered;
+
+	support_relay_init(&fixture, TRUE);
+	/* There is no engine, and a stream would be refused at once. */
+	((cb_route_t *)cb_document_route(cb_front_document(fixture.front), "h",
+					 "/engine/"))
+		->kind = CB_ROUTE_IDEMPOTENT;
+	fixture.scripts = scripts;
+	fixture.script_count = sends;
+	service = (cb_service_t *)fixture.front;
+	service->vtable->drain(service);
+	world_run_until(fixture.world, NULL, OPEN_ARRIVAL_MS);
+	support_relay_request_send(&fixture, LONG_REQUEST);
+	CU_ASSERT_TRUE(support_relay_run_until(&fixture, 1, NULL));
+	g_ptr_array_add(fixture.other_callers,
+			g_steal_pointer(&fixture.caller));
+	world_run_until(fixture.world, NULL, LATE_ARRIVAL_MS);
+	support_relay_request_send(&fixture, c->request);
+	CU_ASSERT_TRUE(support_relay_run_until(&fixture, sends, NULL));
+	support_relay_pass_time(&fixture, STOP_MS);
+	is_answered = support_relay_run_until(&fixture, 0, c->expected_text);
+	support_relay_request_send(&fixture, ONCE_REQUEST);
+	is_answered &= support_relay_run_until(&fixture, 0, "HTTP/1.1 503 ");
+	is_answered &= fixture.requests->len == sends;
+	support_relay_clear(&fixture);
+	return is_answered;
+}
+
+/* A stop must not end a request that was read without an answer to it. */
+static void stop_leaves_no_request_without_answer(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(stop_cases); i++) {
+		gboolean is_answered = stop_case_run_(&stop_cases[i]);
+
+		CU_ASSERT_TRUE(is_answered);
+		if (!is_answered)
+			printf("    %s\n", stop_cases[i].description);
+	}
+}
+
 static CU_TestInfo relay_tests[] = {
 	{ "answers_report_what_servers_did", answers_report_what_servers_did },
 	{ "refusal_without_proof_is_no_promise",
@@ -686,6 +772,8 @@
 	  requests_wait_briefly_for_document },
 	{ "draining_instance_refuses_streams",
 	  draining_instance_refuses_streams },
+	{ "stop_leaves_no_request_without_answer",
+	  stop_leaves_no_request_without_answer },
 	CU_TEST_INFO_NULL
 };
 
