Pipelined requests are answered without nested calls

What callers could see: requests that wait on a connection behind one that takes long were answered within each other's calls. 10,000 small ones, which fit into the 256 KiB that may wait, used 5 to 6 MB of the 8 MB of stack of an optimised build; a debug build ended with a stack overflow, and all requests of the instance with it.

Cause: the end of an answer parsed the next request, whose refusal ended an answer.

Change: the rest of the input is parsed from the main loop, one request a turn.

Evidence: pipelined_requests_do_not_exhaust_stack ended with a stack overflow before under the sanitizers, and passes now; in an optimised build it failed before with 5 MB of stack (not with 8 MB), and passes now with 2 MB. Not shown to be what the users saw.

--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -36,7 +36,8 @@
 	cb_stream_t *stream;
 	cb_timer_t *timer; /* timeout; while serving, the slow-caller check */
 	connection_state_t state;
-	GByteArray *input; /* bytes received and not parsed yet */
+	GByteArray *input;	     /* bytes received and not parsed yet */
+	gboolean has_unparsed_input; /* the timer parses `input` */
 	/* The unsent bytes of a whole answer at the last check, and since when. */
 	size_t unsent_bytes;
 	int64_t unsent_since_ms;
@@ -216,13 +217,20 @@
 	       now_ms - connection->unsent_since_ms < UNREAD_MAX_MS;
 }
 
-/* Called on a timeout of the connection, or to check for a slow caller. */
+static void input_parse_(connection_t *connection, gboolean input_was_empty);
+
+/*
+ * Called on a timeout of the connection, to parse input that waits, or to check
+ * for a slow caller.
+ */
 static void connection_timer_fired_(void *user_data)
 {
 	connection_t *connection = user_data;
 
 	if (connection->state == CONNECTION_SERVING)
 		slow_caller_check_(connection);
+	else if (connection->has_unparsed_input)
+		input_parse_(connection, TRUE);
 	else if (!connection->input->len && answer_is_awaited_(connection))
 		cb_timer_start(
 			connection->timer,
@@ -361,9 +369,11 @@
 	return exchange_create_(connection, &head);
 }
 
-/* Parses the input received so far. */
+/* Parses the input received so far, up to the end of one request. */
 static void input_parse_(connection_t *connection, gboolean input_was_empty)
 {
+	input_was_empty |= connection->has_unparsed_input;
+	connection->has_unparsed_input = FALSE;
 	if (connection->state == CONNECTION_RECEIVING_HEAD &&
 	    !head_receive_(connection, input_was_empty))
 		return;
@@ -562,7 +572,10 @@
 	g_string_free(text, TRUE);
 }
 
-/* Frees an exchange, then closes its connection or parses the next request. */
+/*
+ * Frees an exchange, then closes its connection or has the next request parsed
+ * from the main loop.
+ */
 static void exchange_finish_(cb_http1_exchange_t *exchange)
 {
 	connection_t *connection = exchange->connection;
@@ -579,8 +592,11 @@
 	connection->state = CONNECTION_RECEIVING_HEAD;
 	cb_timer_start(connection->timer,
 		       connection->server->limits.idle_timeout_ms);
-	if (connection->input->len)
-		input_parse_(connection, TRUE);
+	if (!connection->input->len)
+		return;
+	/* Parsing it here would nest the calls of all pipelined requests. */
+	connection->has_unparsed_input = TRUE;
+	cb_timer_start(connection->timer, 0);
 }
 
 /* Sends a complete answer. */
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -746,6 +746,47 @@
 	}
 }
 
+/* Requests of which many fit into the input that waits behind another. */
+#define SMALL_REQUEST "GET / HTTP/1.1\r\nHost:h\r\n\r\n"
+#define PIPELINED_REQUESTS 10000
+
+/*
+ * Requests that wait behind one that takes long must be refused one after the
+ * other, without a nested call for each of them.
+ */
+static void pipelined_requests_do_not_exhaust_stack(void)
+{
+	static const relay_script_t script = { "", END_HOLD };
+	GString *text = g_string_new(ONCE_REQUEST);
+	relay_fixture_t fixture;
+	const char *next;
+	unsigned int count = 0;
+	int i;
+
+	for (i = 0; i < PIPELINED_REQUESTS; i++)
+		g_string_append(text, SMALL_REQUEST);
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = &script;
+	fixture.script_count = 1;
+	support_relay_request_send(&fixture, text->str);
+	CU_ASSERT_TRUE(support_relay_run_until(&fixture, 1, NULL));
+	support_relay_pass_time(&fixture, 100);
+	support_relay_answer_continue(&fixture, 0, COMPLETE_ANSWER);
+	for (i = 0; i < PIPELINED_REQUESTS / 100 && count < PIPELINED_REQUESTS;
+	     i++) {
+		support_relay_pass_time(&fixture, 10);
+		count = 0;
+		next = fixture.answer->str;
+		while ((next = strstr(next, "HTTP/1.1 404 "))) {
+			count++;
+			next++;
+		}
+	}
+	CU_ASSERT_EQUAL(count, PIPELINED_REQUESTS);
+	support_relay_clear(&fixture);
+	g_string_free(text, TRUE);
+}
+
 static CU_TestInfo relay_tests[] = {
 	{ "answers_report_what_servers_did", answers_report_what_servers_did },
 	{ "refusal_without_proof_is_no_promise",
@@ -774,6 +815,8 @@
 	  draining_instance_refuses_streams },
 	{ "stop_leaves_no_request_without_answer",
 	  stop_leaves_no_request_without_answer },
+	{ "pipelined_requests_do_not_exhaust_stack",
+	  pipelined_requests_do_not_exhaust_stack },
 	CU_TEST_INFO_NULL
 };
 
