Test: streams out of step must see the stall of their service (fails)

All servers of a service fall silent at once. The last events of its streams came at different times before, and the stream with the earlier one takes the later event of the other for a sign that the other server goes on: it is sent a second time after 120 to 300 ms, the second wave that the wait of 800 ms is meant to prevent. The existing test has both last events at the same millisecond.

--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -310,6 +310,46 @@
 	g_string_free(body, TRUE);
 }
 
+/* The pace of the streams below, and by how much they are out of step. */
+#define PACE_MS 100
+#define STEP_DIFFERENCE_MS 50
+#define PACED_EVENTS 3
+
+/* Sends a stream's next event. */
+static void event_send_(relay_fixture_t *fixture, unsigned int request,
+			unsigned int id)
+{
+	char *text = g_strdup_printf("f\r\nid: %u\ndata: a\n\n\r\n", id);
+
+	support_relay_answer_continue(fixture, request, text);
+	g_free(text);
+}
+
+/*
+ * The last events before a stall of a service come at different times: none of
+ * them shows that a server goes on while others are silent.
+ */
+static void stall_is_seen_by_streams_out_of_step(void)
+{
+	static const relay_script_t scripts[] = {
+		{ FIRST_EVENT, END_HOLD },
+		{ FIRST_EVENT, END_HOLD },
+	};
+	relay_fixture_t fixture;
+	unsigned int id;
+
+	streams_start_(&fixture, scripts, G_N_ELEMENTS(scripts));
+	for (id = 2; id < 2 + PACED_EVENTS; id++) {
+		support_relay_pass_time(&fixture, PACE_MS - STEP_DIFFERENCE_MS);
+		event_send_(&fixture, 0, id);
+		support_relay_pass_time(&fixture, STEP_DIFFERENCE_MS);
+		event_send_(&fixture, 1, id);
+	}
+	support_relay_pass_time(&fixture, SERVICE_STALL_MS - PACE_MS);
+	CU_ASSERT_EQUAL(fixture.requests->len, 2);
+	support_relay_clear(&fixture);
+}
+
 static CU_TestInfo relay_silence_tests[] = {
 	{ "silent_server_does_not_end_answer",
 	  silent_server_does_not_end_answer },
@@ -321,6 +361,8 @@
 	  silent_stream_moves_once_other_server_is_heard },
 	{ "rejections_do_not_cut_stream_that_left_silent_server",
 	  rejections_do_not_cut_stream_that_left_silent_server },
+	{ "stall_is_seen_by_streams_out_of_step",
+	  stall_is_seen_by_streams_out_of_step },
 	CU_TEST_INFO_NULL
 };
 
