Test: a silent stream must not be checked all the time (fails)

The first check of a stream without an event comes after a quarter of its route's target latency. With a target of 0 to 3 ms that is 0 ms, also for each further check: an attempt that is kept is checked in every turn of the loop until its first event.

--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -350,6 +350,38 @@
 	support_relay_clear(&fixture);
 }
 
+/* Returns the document's route of the streams. */
+static cb_route_t *stream_route_(const relay_fixture_t *fixture)
+{
+	return (cb_route_t *)cb_document_route(cb_front_document(
+						       fixture->front),
+					       "h", "/stream/");
+}
+
+/* A silent stream must not be checked again and again at the same moment. */
+static void stream_without_target_latency_is_not_checked_at_once(void)
+{
+	static const int64_t latencies_ms[] = { 500, 3, 0 };
+	static const relay_script_t script = { "", END_HOLD };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(latencies_ms); i++) {
+		cb_clock_t *clock;
+		relay_fixture_t fixture;
+
+		support_relay_init(&fixture, TRUE);
+		clock = fixture.world->clock;
+		stream_route_(&fixture)->target_latency_ms = latencies_ms[i];
+		fixture.scripts = &script;
+		fixture.script_count = 1;
+		support_relay_request_send(&fixture, STREAM_REQUEST);
+		CU_ASSERT_TRUE(support_relay_run_until(&fixture, 1, NULL));
+		CU_ASSERT_TRUE(cb_clock_next_deadline_ms(clock) >
+			       cb_clock_now_ms(clock));
+		support_relay_clear(&fixture);
+	}
+}
+
 static CU_TestInfo relay_silence_tests[] = {
 	{ "silent_server_does_not_end_answer",
 	  silent_server_does_not_end_answer },
@@ -363,6 +395,8 @@
 	  rejections_do_not_cut_stream_that_left_silent_server },
 	{ "stall_is_seen_by_streams_out_of_step",
 	  stall_is_seen_by_streams_out_of_step },
+	{ "stream_without_target_latency_is_not_checked_at_once",
+	  stream_without_target_latency_is_not_checked_at_once },
 	CU_TEST_INFO_NULL
 };
 
