--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -21,6 +21,9 @@
 #define SHORT_STREAM_REQUEST                                                    \
 	"POST /stream/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 600\r\n" \
 	"Content-Length: 0\r\n\r\n"
+#define PATIENT_STREAM_REQUEST                                                   \
+	"POST /stream/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 4000\r\n" \
+	"Content-Length: 0\r\n\r\n"
 #define SILENCE_MS 1200
 #define SHORT_SILENCE_MS 450
 /* When a silent stream is checked, and again; 60% of the allowed pause. */
@@ -382,6 +385,44 @@
 	}
 }
 
+/* Callers leave a stream that is silent for so long. */
+#define CALLER_PATIENCE_MS 2000
+#define LONG_GAP_MS 500
+
+/*
+ * A stream that was kept through one silence must be moved in the next one
+ * before its caller leaves.
+ */
+static void second_silence_is_noticed_before_caller_leaves(void)
+{
+	static const relay_script_t scripts[] = {
+		{ FIRST_EVENT, END_HOLD },
+		{ FIRST_EVENT, END_HOLD },
+	};
+	relay_fixture_t fixture;
+	unsigned int i;
+
+	support_relay_init(&fixture, TRUE);
+	stream_route_(&fixture)->target_gap_ms = LONG_GAP_MS;
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	for (i = 0; i < G_N_ELEMENTS(scripts); i++) {
+		if (i)
+			g_ptr_array_add(fixture.other_callers,
+					g_steal_pointer(&fixture.caller));
+		support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+		CU_ASSERT_TRUE_FATAL(
+			support_relay_run_until(&fixture, 0, EVENT_1));
+	}
+	support_relay_pass_time(&fixture, SERVICE_STALL_MS - 100);
+	CU_ASSERT_EQUAL(fixture.requests->len, 2);
+	for (i = 0; i < G_N_ELEMENTS(scripts); i++)
+		event_send_(&fixture, i, 2);
+	support_relay_pass_time(&fixture, CALLER_PATIENCE_MS);
+	CU_ASSERT_EQUAL(fixture.requests->len, 4);
+	support_relay_clear(&fixture);
+}
+
 static CU_TestInfo relay_silence_tests[] = {
 	{ "silent_server_does_not_end_answer",
 	  silent_server_does_not_end_answer },
@@ -397,6 +438,8 @@
 	  stall_is_seen_by_streams_out_of_step },
 	{ "stream_without_target_latency_is_not_checked_at_once",
 	  stream_without_target_latency_is_not_checked_at_once },
+	{ "second_silence_is_noticed_before_caller_leaves",
+	  second_silence_is_noticed_before_caller_leaves },
 	CU_TEST_INFO_NULL
 };
 
