A request sent ahead does not cut the answer before it

What callers saw: a caller that sent its next request before it had the answer to the last one was disconnected once that next request was longer than 256 KiB, though up to 4 MiB are allowed. The request being served was cancelled at its server, and ended without an answer or a refusal.

Cause: what waits in memory behind a request was bounded by ending the connection.

Change: what is over the bound stays in the socket until the request is answered. A caller that leaves meanwhile is still noticed.

Evidence: pipelined_body_does_not_cut_answer failed before (disconnected, no answer to either request) and passes now, also with the sanitizers. Not shown to be what the users saw.

--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -8,8 +8,8 @@
 #include "private/stream.h"
 
 /*
- * Maximum bytes buffered behind the request being served; a caller that sends
- * more is disconnected.
+ * With more bytes than this buffered behind the request being served, the rest
+ * stays in the socket until the request is answered.
  */
 #define PIPELINED_MAX_BYTES (256 * 1024)
 /*
@@ -392,7 +392,7 @@
 	if (connection->state != CONNECTION_SERVING)
 		input_parse_(connection, input_was_empty);
 	else if (connection->input->len > PIPELINED_MAX_BYTES)
-		connection_disconnect_(connection);
+		cb_stream_set_paused(connection->stream, TRUE);
 }
 
 /*
@@ -583,6 +583,7 @@
 
 	exchange_delete_(exchange);
 	connection->exchange = NULL;
+	cb_stream_set_paused(connection->stream, FALSE);
 	if (closes_connection) {
 		connection->state = CONNECTION_LINGERING;
 		cb_stream_shutdown_send(connection->stream);
--- a/src/libcurrantbridge/include/private/stream.h
+++ b/src/libcurrantbridge/include/private/stream.h
@@ -40,6 +40,7 @@
 void cb_stream_reset(cb_stream_t *stream);
 void cb_stream_send(cb_stream_t *stream, const void *data, size_t size);
 void cb_stream_shutdown_send(cb_stream_t *stream);
+void cb_stream_set_paused(cb_stream_t *stream, gboolean is_paused);
 size_t cb_stream_unsent_bytes(const cb_stream_t *stream);
 
 cb_stream_listener_t *cb_stream_listen(cb_poller_t *poller, const char *address,
--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -29,6 +29,7 @@
 	/* The owner has deleted the stream: no more callbacks. */
 	gboolean is_deleted;
 	gboolean has_ended;    /* receiving has ended */
+	gboolean is_paused;    /* received bytes stay in the socket */
 	gboolean is_finishing; /* shut down sending once the queue is empty */
 	GByteArray *queue;     /* bytes to be sent to the peer */
 	size_t queue_start;    /* offset in `queue` of the first unsent byte */
@@ -94,7 +95,8 @@
 	unsigned int events = 0;
 
 	if (!stream->has_ended && !stream->is_connecting)
-		events |= CB_WATCH_READABLE;
+		events |=
+			stream->is_paused ? CB_WATCH_CLOSED : CB_WATCH_READABLE;
 	if (stream->is_connecting || cb_stream_unsent_bytes(stream))
 		events |= CB_WATCH_WRITABLE;
 	if (stream->watch)
@@ -317,6 +319,18 @@
 		(void)shutdown(stream->fd, SHUT_WR);
 }
 
+/*
+ * Pauses or resumes receiving.  While it is paused, the peer can send as much as
+ * the socket holds; once it has shut down sending, receiving goes on.
+ */
+void cb_stream_set_paused(cb_stream_t *stream, gboolean is_paused)
+{
+	if (stream->is_paused == is_paused)
+		return;
+	stream->is_paused = is_paused;
+	watch_events_update_(stream);
+}
+
 /* Returns the number of bytes in the send queue. */
 size_t cb_stream_unsent_bytes(const cb_stream_t *stream)
 {
--- a/src/test_libcurrantbridge/test_http1_server.c
+++ b/src/test_libcurrantbridge/test_http1_server.c
@@ -39,7 +39,7 @@
 static void answer_send_(const server_fixture_t *fixture,
 			 cb_http1_exchange_t *exchange)
 {
-	char *body = g_malloc0(fixture->answer_bytes + 1);
+	char *body = g_strnfill(fixture->answer_bytes, 'x');
 
 	cb_http1_exchange_reply(exchange, 200, NULL, body,
 				fixture->answer_bytes);
@@ -98,13 +98,14 @@
 	cb_clock_delete(fixture->clock);
 }
 
-static void loop_run_(void)
+static void loop_run_(const server_fixture_t *fixture)
 {
 	int i;
 
 	for (i = 0; i < 4; i++) {
 		while (g_main_context_iteration(NULL, FALSE))
 			;
+		cb_clock_advance(fixture->clock, 0);
 		g_usleep(LOOP_SLEEP_US);
 	}
 }
@@ -116,7 +117,7 @@
 
 	for (passed_ms = 0; passed_ms < duration_ms; passed_ms += STEP_MS) {
 		cb_clock_advance(fixture->clock, STEP_MS);
-		loop_run_();
+		loop_run_(fixture);
 	}
 }
 
@@ -137,7 +138,7 @@
 		if (sent < 0)
 			g_usleep(LOOP_SLEEP_US);
 	}
-	loop_run_();
+	loop_run_(fixture);
 	return total;
 }
 
@@ -245,9 +246,50 @@
 		CU_ASSERT_TRUE(reader_case_run_(&reader_cases[i]));
 }
 
-static CU_TestInfo http1_server_tests[] = { { "unread_answer_is_not_cut",
-					      unread_answer_is_not_cut },
-					    CU_TEST_INFO_NULL };
+/* More than may wait in memory behind a request that is being answered. */
+#define LONG_BODY_BYTES ((size_t)3 * 1024 * 1024)
+
+/*
+ * A request that a caller sends before it has the answer to its last one must
+ * not end that answer, however long it is.
+ */
+static void pipelined_body_does_not_cut_answer(void)
+{
+	GString *text = g_string_new(KEEP_REQUEST);
+	char *body = g_strnfill(LONG_BODY_BYTES, 'x');
+	server_fixture_t fixture;
+	unsigned int count = 0;
+	size_t sent;
+
+	g_string_append_printf(text,
+			       "POST / HTTP/1.1\r\nHost: h\r\n"
+			       "Content-Length: %zu\r\n\r\n%s",
+			       LONG_BODY_BYTES, body);
+	fixture_init_(&fixture);
+	fixture.holds_first = TRUE;
+	sent = bytes_send_(&fixture, text->str, text->len);
+	CU_ASSERT_EQUAL(fixture.disconnect_count, 0);
+	if (fixture.held) {
+		answer_send_(&fixture, fixture.held);
+		loop_run_(&fixture);
+		sent += bytes_send_(&fixture, text->str + sent,
+				    text->len - sent);
+		CU_ASSERT_EQUAL(sent, text->len);
+		(void)bytes_receive_(&fixture, LONG_ANSWER_BYTES,
+				     "HTTP/1.1 200 ", &count);
+	}
+	CU_ASSERT_EQUAL(count, 2);
+	fixture_clear_(&fixture);
+	g_string_free(text, TRUE);
+	g_free(body);
+}
+
+static CU_TestInfo http1_server_tests[] = {
+	{ "unread_answer_is_not_cut", unread_answer_is_not_cut },
+	{ "pipelined_body_does_not_cut_answer",
+	  pipelined_body_does_not_cut_answer },
+	CU_TEST_INFO_NULL
+};
 
 int main(void)
 {
