Test: a stream that left a silent server must not be refused (fails)

A stream without an event leaves its silent server for another one, which the record of servers names as free. That one and the others reject it within 10 ms; after six sends its caller gets 502, 130 ms after the request came and with 1.9 s of its time left, though the silent server would have gone on. A stream that has begun is sent again until its deadline in the same place.

--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -423,6 +423,39 @@
 	support_relay_clear(&fixture);
 }
 
+/* A stream without an event that left a silent server must not be refused. */
+static void rejections_do_not_refuse_stream_that_left_silent_server(void)
+{
+	static const relay_script_t rejection = {
+		"HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\n"
+		"Content-Length: 0\r\n\r\n",
+		END_KEEP
+	};
+	const relay_script_t scripts[] = { { "", END_HOLD },
+					   rejection,
+					   rejection,
+					   rejection,
+					   rejection,
+					   rejection,
+					   { FIRST_EVENT LAST_EVENT,
+					     END_KEEP } };
+	GString *body = g_string_new(NULL);
+	relay_fixture_t fixture;
+	uint32_t status = 0;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
+	support_relay_pass_time(&fixture, 1500);
+	CU_ASSERT_TRUE(support_relay_answer_await(&fixture, &status, body));
+	CU_ASSERT_EQUAL(status, 200);
+	CU_ASSERT_STRING_EQUAL(body->str, WHOLE_BODY);
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+}
+
 static CU_TestInfo relay_silence_tests[] = {
 	{ "silent_server_does_not_end_answer",
 	  silent_server_does_not_end_answer },
@@ -440,6 +473,8 @@
 	  stream_without_target_latency_is_not_checked_at_once },
 	{ "second_silence_is_noticed_before_caller_leaves",
 	  second_silence_is_noticed_before_caller_leaves },
+	{ "rejections_do_not_refuse_stream_that_left_silent_server",
+	  rejections_do_not_refuse_stream_that_left_silent_server },
 	CU_TEST_INFO_NULL
 };
 
