A stream that left a silent server is not refused for rejections by others

What callers saw: a stream without an event left its silent server, others rejected it, and after six sends its caller got 502 within 130 ms, with 1.9 s of its time left; the silent server would have gone on.

Change: the rule for answers that have begun holds for all requests that left a silent server: they are sent again, each 250 ms after six sends, until the deadline.

rejections_do_not_refuse_stream_that_left_silent_server failed before and passes now.

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -52,7 +52,10 @@
 	int64_t reroute_sent_ms;     /* when the last reroute was sent */
 	/* Chain before the reroute that is pending; NULL: none is. */
 	GArray *former_hops;
-	/* A server was left because it was silent; it may have been sound. */
+	/*
+	 * A server was left because it was silent, and may have been sound:
+	 * that is no reason to end the request before its deadline.
+	 */
 	gboolean has_left_silent;
 	/*
 	 * What the attempt waited for in vain before it failed as silent, one
@@ -95,8 +98,6 @@
 gboolean cb_relay_is_repeatable(const cb_relay_t *relay);
 /* Whether another server can go on with the answer to the request. */
 gboolean cb_relay_is_resumable(const cb_relay_t *relay);
-/* Whether the answer goes on until its deadline, as long as servers reject it. */
-gboolean cb_relay_must_go_on(const cb_relay_t *relay);
 /* Adds 1 to the counter `name` with the label reason. */
 void cb_relay_count_reason(cb_front_t *front, const char *name,
 			   const char *reason);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -258,25 +258,15 @@
 }
 
 /*
- * Returns whether the answer has begun and its server was left while it was
- * silent: that server's silence is no reason to end the answer before its
- * deadline.
- */
-gboolean cb_relay_must_go_on(const cb_relay_t *relay)
-{
-	return relay->has_left_silent && relay->is_answer_begun;
-}
-
-/*
- * Returns how long a request may wait, in ms: `max_wait_ms` at most, unless its
- * answer must go on.
+ * Returns how long a request may wait, in ms: `max_wait_ms` at most, unless it
+ * has left a silent server.
  */
 static int64_t wait_limit_compute_(const cb_relay_t *relay, int64_t max_wait_ms)
 {
 	int64_t total_time_ms = relay->deadline_ms -
 				cb_http1_exchange_arrived_ms(relay->exchange);
 
-	if (cb_relay_must_go_on(relay))
+	if (relay->has_left_silent)
 		return total_time_ms;
 	return MIN(max_wait_ms, total_time_ms / WAIT_TIME_DIVISOR);
 }
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -11,7 +11,7 @@
 #define CONNECTION_IDLE_MAX_MS 4000
 /* Sends allowed beyond max_attempts, after attempts that did not run. */
 #define NOT_RUN_SENDS_MAX 4
-/* Interval of further sends of an answer that is not given up for rejections. */
+/* Interval of further sends of a request that is not given up for rejections. */
 #define LATER_SEND_INTERVAL_MS 250
 /*
  * A connection that fails sooner was refused: no process listens at the
@@ -117,7 +117,7 @@
 	if (run_count && !cb_relay_is_resumable(relay))
 		return FALSE;
 	if (run_count >= relay->route->max_attempts ||
-	    (sends_are_used_up_(relay) && !cb_relay_must_go_on(relay)))
+	    (sends_are_used_up_(relay) && !relay->has_left_silent))
 		return FALSE;
 	return relay->deadline_ms - cb_relay_now_ms(relay) >= min_time_ms;
 }
