Streams are checked every 20 ms at most

A stream of a route with a target latency of 0 to 3 ms was due for a check at once, and again in every turn of the loop while its attempt was kept: a quarter of the target is 0 ms. Checks are 20 ms apart at least.

--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -10,6 +10,8 @@
  */
 #define FIRST_EVENT_CHECK_PERCENT 25
 #define DEFAULT_SILENCE_MS 1500
+/* Shortest time between two checks of a stream. */
+#define CHECK_INTERVAL_MIN_MS 20
 /* How long an engine may take to carry out a reroute. */
 #define REROUTE_TIMEOUT_MS 300
 /* Reroutes of one request, after which a bad server fails the attempt. */
@@ -26,13 +28,17 @@
 static int64_t silence_limit_compute_(const cb_relay_t *relay)
 {
 	const cb_route_t *route = relay->route;
+	int64_t limit_ms;
 
 	if (!route->target_gap_ms)
-		return DEFAULT_SILENCE_MS;
-	if (!relay->is_answer_begun)
-		return route->target_latency_ms * FIRST_EVENT_CHECK_PERCENT /
-		       100;
-	return cb_event_pace_silence_ms(&relay->pace, route->target_gap_ms);
+		limit_ms = DEFAULT_SILENCE_MS;
+	else if (!relay->is_answer_begun)
+		limit_ms = route->target_latency_ms *
+			   FIRST_EVENT_CHECK_PERCENT / 100;
+	else
+		limit_ms = cb_event_pace_silence_ms(&relay->pace,
+						    route->target_gap_ms);
+	return MAX(limit_ms, CHECK_INTERVAL_MIN_MS);
 }
 
 /* Returns whether the stream may be checked and moved to other engines. */
