A stream that was kept while silent does not count as slow

What callers saw: a stream that was kept through a silence with three checks counted as slow afterwards. Its next silence was looked at after 0.75 s and 2.25 s (target gap 500 ms), so that it was not moved before its caller left after 2 s, though another server was there.

Cause: every check that did not move a stream counted as a sign that its server works slowly. Only a report of the server shows that, and only these checks count now.

--- a/src/libcurrantbridge/include/private/event_pace.h
+++ b/src/libcurrantbridge/include/private/event_pace.h
@@ -14,10 +14,12 @@
 	double gap_ms;	     /* smoothed gap between events; 0: unknown */
 	double deviation_ms; /* smoothed deviation from `gap_ms` */
 	int64_t longest_gap_ms; /* longest gap so far; 0: none */
-	/* Whether repeated checks in the gap before found nothing lost. */
+	/* Whether the server worked at repeated checks in the gap before. */
 	gboolean is_slow;
-	/* Checks in the current gap that found nothing lost. */
+	/* Checks in the current gap that did not move the stream. */
 	unsigned int check_count;
+	/* Of these, the checks by which the server works on the stream. */
+	unsigned int working_count;
 	/* What the longest gap was caused by; NULL: nothing known. */
 	const char *longest_gap_cause;
 	/* What the current gap is caused by; NULL: nothing known. */
@@ -39,7 +41,16 @@
  */
 int64_t cb_event_pace_silence_ms(const cb_event_pace_t *pace,
 				 int64_t allowed_gap_ms);
-/* Records that a check in the current gap found nothing lost. */
-void cb_event_pace_count_check(cb_event_pace_t *pace);
+/*
+ * Returns the same for the first check after an event; other streams of the
+ * service that are not stalled have one within this time.
+ */
+int64_t cb_event_pace_first_check_ms(const cb_event_pace_t *pace,
+				     int64_t allowed_gap_ms);
+/*
+ * Records a check in the current gap that did not move the stream;
+ * `is_working`: its server works on it, and is only slow.
+ */
+void cb_event_pace_count_check(cb_event_pace_t *pace, gboolean is_working);
 
 #endif
--- a/src/libcurrantbridge/relay/event_pace.c
+++ b/src/libcurrantbridge/relay/event_pace.c
@@ -54,8 +54,9 @@
 		gap_smooth_(pace, gap_ms);
 	}
 	pace->current_cause = NULL;
-	pace->is_slow = pace->check_count >= RECHECKS;
+	pace->is_slow = pace->working_count >= RECHECKS;
 	pace->check_count = 0;
+	pace->working_count = 0;
 	pace->last_ms = now_ms;
 }
 
@@ -64,21 +65,25 @@
 	pace->current_cause = cause;
 }
 
-int64_t cb_event_pace_silence_ms(const cb_event_pace_t *pace,
-				 int64_t allowed_gap_ms)
+int64_t cb_event_pace_first_check_ms(const cb_event_pace_t *pace,
+				     int64_t allowed_gap_ms)
 {
 	int64_t usual_ms = (int64_t)(pace->gap_ms +
 				     SILENCE_DEVIATIONS * pace->deviation_ms);
-	int64_t first_ms =
-		CLAMP(usual_ms, allowed_gap_ms * CHECK_MIN_PERCENT / 100,
-		      allowed_gap_ms * CHECK_MAX_PERCENT / 100);
 
+	return CLAMP(usual_ms, allowed_gap_ms * CHECK_MIN_PERCENT / 100,
+		     allowed_gap_ms * CHECK_MAX_PERCENT / 100);
+}
+
+int64_t cb_event_pace_silence_ms(const cb_event_pace_t *pace,
+				 int64_t allowed_gap_ms)
+{
 	/* Further checks of a stream that was only slow would cost too much. */
 	if (pace->is_slow)
 		return (allowed_gap_ms * LATER_CHECK_PERCENT / 100)
 		       << MIN(pace->check_count, MAX_DOUBLINGS);
 	if (!pace->check_count)
-		return first_ms;
+		return cb_event_pace_first_check_ms(pace, allowed_gap_ms);
 	if (pace->check_count <= RECHECKS)
 		return RECHECK_INTERVAL_MS;
 	return MIN(RECHECK_INTERVAL_MS
@@ -86,7 +91,8 @@
 		   allowed_gap_ms * LATER_CHECK_PERCENT / 100);
 }
 
-void cb_event_pace_count_check(cb_event_pace_t *pace)
+void cb_event_pace_count_check(cb_event_pace_t *pace, gboolean is_working)
 {
 	pace->check_count++;
+	pace->working_count += is_working != 0;
 }
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -164,7 +164,7 @@
 	}
 	if (!relay->pace.current_cause)
 		cb_event_pace_set_cause(&relay->pace, CB_RELAY_SILENT);
-	cb_event_pace_count_check(&relay->pace);
+	cb_event_pace_count_check(&relay->pace, FALSE);
 	cb_relay_start_silence_timer(relay);
 }
 
@@ -412,7 +412,7 @@
 		 */
 		if (!relay->pace.current_cause)
 			cb_event_pace_set_cause(&relay->pace, "slow");
-		cb_event_pace_count_check(&relay->pace);
+		cb_event_pace_count_check(&relay->pace, TRUE);
 		cb_relay_start_silence_timer(relay);
 	}
 	g_free(address);
--- a/src/test_libcurrantbridge/test_event_pace.c
+++ b/src/test_libcurrantbridge/test_event_pace.c
@@ -104,7 +104,7 @@
 		for (k = 1; c->gap_ms && k < EVENT_COUNT; k++)
 			cb_event_pace_add(&pace, 1000 + k * c->gap_ms);
 		for (k = 0; k < c->checks; k++)
-			cb_event_pace_count_check(&pace);
+			cb_event_pace_count_check(&pace, TRUE);
 		silence_ms = cb_event_pace_silence_ms(&pace, ALLOWED_GAP_MS);
 		CU_ASSERT_EQUAL(silence_ms, c->expected_ms);
 		if (silence_ms != c->expected_ms)
@@ -138,10 +138,10 @@
 		cb_event_pace_add(&pace, 1000);
 		cb_event_pace_add(&pace, 1040);
 		for (k = 0; k < cases[i].checks_before; k++)
-			cb_event_pace_count_check(&pace);
+			cb_event_pace_count_check(&pace, TRUE);
 		cb_event_pace_add(&pace, 1080);
 		for (k = 0; k < cases[i].checks; k++)
-			cb_event_pace_count_check(&pace);
+			cb_event_pace_count_check(&pace, TRUE);
 		CU_ASSERT_EQUAL(cb_event_pace_silence_ms(&pace, ALLOWED_GAP_MS),
 				cases[i].expected_ms);
 		cb_event_pace_add(&pace, 1120);
