An event from before the stall is no sign that other servers go on

When all servers of a service fall silent together, the last events of its streams came at different times. The stream with the earlier one took the later event of another for a sign of life, and was sent a second time after 120 to 300 ms: the wave that the wait of 800 ms is meant to prevent.

Change: another server counts as heard if one of its streams had an event after this stream's next one was due; while there are such streams and none had one, the service counts as silent.

stall_is_seen_by_streams_out_of_step failed before and passes now.

--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -41,6 +41,21 @@
 	return MAX(limit_ms, CHECK_INTERVAL_MIN_MS);
 }
 
+/*
+ * Returns the time at which the next event of a stream was due: another stream
+ * that got one later was not stalled by the same cause.
+ */
+static int64_t event_due_compute_(const cb_relay_t *relay)
+{
+	int64_t last_ms = MAX(relay->pace.last_ms, relay->sent_ms);
+
+	if (!relay->is_answer_begun || !relay->route->target_gap_ms)
+		return last_ms + silence_limit_compute_(relay);
+	return last_ms +
+	       cb_event_pace_first_check_ms(&relay->pace,
+					    relay->route->target_gap_ms);
+}
+
 /* Returns whether the stream may be checked and moved to other engines. */
 static gboolean stream_is_watched_(const cb_relay_t *relay)
 {
@@ -63,13 +78,12 @@
 }
 
 /*
- * Returns what the streams at other servers of the service show since this one
- * fell silent.
+ * Returns what the streams at other servers of the service show since this one's
+ * next event was due.
  */
 static cb_silence_peers_t peers_find_(const cb_relay_t *relay)
 {
-	int64_t now_ms = cb_relay_now_ms(relay);
-	int64_t silent_since_ms = now_ms - silence_compute_ms_(relay);
+	int64_t due_ms = event_due_compute_(relay);
 	cb_silence_peers_t peers = CB_SILENCE_PEERS_UNKNOWN;
 	const char *server_id =
 		g_array_index(relay->hops, cb_relay_hop_t, 0).id;
@@ -85,10 +99,9 @@
 		    !strcmp(g_array_index(peer->hops, cb_relay_hop_t, 0).id,
 			    server_id))
 			continue;
-		if (peer->pace.last_ms > silent_since_ms)
+		if (peer->pace.last_ms > due_ms)
 			return CB_SILENCE_PEERS_HEARD;
-		if (silence_compute_ms_(peer) >= silence_limit_compute_(peer))
-			peers = CB_SILENCE_PEERS_SILENT;
+		peers = CB_SILENCE_PEERS_SILENT;
 	}
 	return peers;
 }
