--- a/src/libcurrantbridge/include/private/silence.h
+++ b/src/libcurrantbridge/include/private/silence.h
@@ -28,9 +28,10 @@
 
 /* What this instance's other streams of the service show meanwhile. */
 typedef enum cb_silence_peers {
-	CB_SILENCE_PEERS_UNKNOWN, /* no other server has a stream that shows it */
-	CB_SILENCE_PEERS_HEARD,	  /* another server has sent an event since */
-	CB_SILENCE_PEERS_SILENT, /* all streams at other servers are silent */
+	CB_SILENCE_PEERS_UNKNOWN, /* there are none at other servers */
+	/* Another server sent an event after this one's next was due. */
+	CB_SILENCE_PEERS_HEARD,
+	CB_SILENCE_PEERS_SILENT, /* no other server did */
 } cb_silence_peers_t;
 
 typedef enum cb_silence_action {
