A silent engine is not counted as killed by its requests

What callers saw: a sound request of the product's own interface (completions) was refused as one that crashes servers, and so was all content of the same digest for ten minutes, after two engines had said nothing for 0.3 s each while they had it. An engine that goes on after a pause of a second is sound.

Cause: silence was taken for death. When no answer came to the order nor, within 150 ms, to a check on a new connection, the engine counted as dead, and its death was counted against the content of the requests it ran.

Change: an engine whose order and check got no answer at all is left as before, but no death is counted; a lost connection and a failed one still are.

--- a/src/libcurrantbridge/include/private/attempt.h
+++ b/src/libcurrantbridge/include/private/attempt.h
@@ -17,6 +17,8 @@
 	cb_server_t *server;
 	/* Whether a new connection to the server failed as well. */
 	gboolean is_server_dead;
+	/* Whether that one got no answer; its process may still run. */
+	gboolean is_probe_silent;
 } cb_attempt_failure_t;
 
 /*
--- a/src/libcurrantbridge/request/attempt.c
+++ b/src/libcurrantbridge/request/attempt.c
@@ -49,6 +49,7 @@
 	cb_exchange_t *probe;
 	stage_t *probed_stage;
 	cb_failure_t probe_cause; /* the failure that led to the probe */
+	gboolean is_probe_silent; /* the last probe was not answered in time */
 	/* probes answered since the last sign of progress */
 	unsigned int answered_probe_count;
 };
@@ -103,7 +104,9 @@
 {
 	cb_attempt_failure_t end = { .failure = failure,
 				     .server = stage->server,
-				     .is_server_dead = is_server_dead };
+				     .is_server_dead = is_server_dead,
+				     .is_probe_silent =
+					     attempt->is_probe_silent };
 
 	exchanges_cancel_(attempt);
 	attempt->listener.failed(attempt->listener.user_data, &end);
@@ -178,6 +181,7 @@
 	cb_attempt_t *attempt = user_data;
 
 	attempt->probe = NULL;
+	attempt->is_probe_silent = failure == CB_FAILURE_SILENT;
 	cb_timer_stop(attempt->progress_timer);
 	if (failure == CB_FAILURE_CONNECT || failure == CB_FAILURE_LOST ||
 	    failure == CB_FAILURE_SILENT)
@@ -198,6 +202,7 @@
 		return;
 	attempt->probed_stage = stage;
 	attempt->probe_cause = failure;
+	attempt->is_probe_silent = FALSE;
 	cb_timer_start(attempt->progress_timer, PROBE_TIMEOUT_MS);
 	attempt->probe =
 		engines->vtable->probe(engines, stage->server, &listener);
@@ -216,6 +221,7 @@
 	}
 	engines->vtable->cancel(engines, attempt->probe);
 	attempt->probe = NULL;
+	attempt->is_probe_silent = TRUE;
 	probe_failed_(attempt);
 }
 
--- a/src/libcurrantbridge/request/generation.c
+++ b/src/libcurrantbridge/request/generation.c
@@ -600,7 +600,10 @@
 	if (failure->is_server_dead) {
 		cb_server_record_failure(env->parts.registry, failure->server);
 		cb_suspects_server_failed(env->suspects, failure->server);
-		if (failure->failure != CB_FAILURE_CONNECT)
+		/* A server that only says nothing may go on. */
+		if (failure->failure != CB_FAILURE_CONNECT &&
+		    (failure->failure != CB_FAILURE_SILENT ||
+		     !failure->is_probe_silent))
 			cb_suspects_server_died(env->suspects, failure->server);
 	}
 	generation->had_no_slot = failure->failure == CB_FAILURE_REFUSED &&
--- a/src/test_libcurrantbridge/test_generation.c
+++ b/src/test_libcurrantbridge/test_generation.c
@@ -424,6 +424,62 @@
 	CU_ASSERT_TRUE(max_deaths <= 3);
 }
 
+/*
+ * Runs a request while each engine falls silent as it gets the request, and goes
+ * on after `silence_ms`.  Returns whether the caller has the whole answer and
+ * nothing is quarantined.
+ */
+static gboolean silences_run_(int64_t silence_ms)
+{
+	int64_t silent_until_ms[6] = { 0 };
+	support_caller_t *caller;
+	gboolean is_as_expected;
+	int64_t passed_ms;
+	unsigned int i;
+
+	set_up_(0);
+	full_engines_add_(G_N_ELEMENTS(silent_until_ms));
+	/* Earlier answers show how fast the engines usually are. */
+	caller = support_caller_new(entry, "earlier", 60, DEADLINE_MS);
+	cb_clock_advance(engines->clock, ANSWER_WAIT_MS);
+	support_caller_delete(caller);
+	for (i = 0; i < G_N_ELEMENTS(silent_until_ms); i++)
+		engine_get_(i)->order_count = 0;
+	caller = support_caller_new(entry, "sound", 60, DEADLINE_MS);
+	for (passed_ms = 0; passed_ms < ANSWER_WAIT_MS; passed_ms++) {
+		for (i = 0; i < G_N_ELEMENTS(silent_until_ms); i++) {
+			support_engine_t *engine = engine_get_(i);
+
+			if (engine->order_count && !silent_until_ms[i])
+				silent_until_ms[i] = passed_ms + silence_ms;
+			engine->is_silent = passed_ms < silent_until_ms[i];
+		}
+		cb_clock_advance(engines->clock, 1);
+	}
+	is_as_expected = support_caller_has_full_answer(caller) &&
+			 !engines->quarantined_digests->len;
+	if (!is_as_expected)
+		printf("    silent for %d ms: refusal %s, %u quarantined\n",
+		       (int)silence_ms, cb_refusal_string[caller->end.refusal],
+		       engines->quarantined_digests->len);
+	support_caller_delete(caller);
+	tear_down_();
+	return is_as_expected;
+}
+
+/*
+ * An engine that says nothing for a while is not dead: its requests must not be
+ * taken for ones that crash their servers.
+ */
+static void silent_engines_quarantine_nothing(void)
+{
+	static const int64_t silences_ms[] = { 300, 600, 1000, 1600 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(silences_ms); i++)
+		CU_ASSERT_TRUE(silences_run_(silences_ms[i]));
+}
+
 /*
  * Guards against quarantine of the requests that happened to run on several
  * servers that failed at about the same time, as when a rack loses power.
@@ -585,6 +641,8 @@
 	{ "session_moves_off_leaving_server",
 	  session_moves_off_leaving_server },
 	{ "crashing_request_is_quarantined", crashing_request_is_quarantined },
+	{ "silent_engines_quarantine_nothing",
+	  silent_engines_quarantine_nothing },
 	{ "simultaneous_server_failures_quarantine_nothing",
 	  simultaneous_server_failures_quarantine_nothing },
 	{ "seeded_runs_break_no_rule", seeded_runs_break_no_rule },
