A silent service's call is left only if a retry is left

What callers saw: an idempotent call of a plain service (the product's own interface) was refused as retries_exhausted after 1 s, though the server went on a moment later. With 200 calls under way at a server that paused for 1.5 s, 100 were refused.

The attempt was cancelled first, and only then was it looked whether a retry was left.

Change: the retry is taken first; without one the attempt is kept until its answer or the call's deadline. A refused retry no longer counts as an attempt.

Evidence: silent_service_does_not_end_calls, 100 of 200 calls answered before, 200 now.

--- a/src/libcurrantbridge/request/call.c
+++ b/src/libcurrantbridge/request/call.c
@@ -219,8 +219,11 @@
 /* Takes a retry from the budget; returns FALSE if none is allowed. */
 gboolean cb_call_retry_take(cb_call_t *call)
 {
-	return ++call->attempt_count < MAX_ATTEMPTS &&
-	       cb_retry_budget_take(call->env->budget, call->request.workspace);
+	if (call->attempt_count + 1 >= MAX_ATTEMPTS ||
+	    !cb_retry_budget_take(call->env->budget, call->request.workspace))
+		return FALSE;
+	call->attempt_count++;
+	return TRUE;
 }
 
 static gboolean server_is_allowed_(const cb_server_t *server, void *user_data)
@@ -283,14 +286,9 @@
 
 static void idempotent_call_send_(cb_call_t *call);
 
-/*
- * Retries an idempotent call on another server, within the limit of attempts
- * and the retry budget.
- */
-static void idempotent_call_failed_(cb_call_t *call, cb_failure_t failure)
+/* Records a failed attempt of an idempotent call. */
+static void idempotent_failure_record_(cb_call_t *call, cb_failure_t failure)
 {
-	cb_executed_t executed;
-
 	cb_timer_stop(call->wait_timer);
 	cb_call_retry_count(call, cb_failure_string[failure]);
 	if (cb_failure_is_unknown(failure))
@@ -299,6 +297,17 @@
 		cb_server_record_failure(call->env->parts.registry,
 					 call->server);
 	g_hash_table_add(call->excluded, g_strdup(call->server->name));
+}
+
+/*
+ * Retries an idempotent call on another server, within the limit of attempts
+ * and the retry budget.
+ */
+static void idempotent_call_failed_(cb_call_t *call, cb_failure_t failure)
+{
+	cb_executed_t executed;
+
+	idempotent_failure_record_(call, failure);
 	executed = call->may_have_run ? CB_EXECUTED_UNKNOWN : CB_EXECUTED_NO;
 	if (!cb_call_retry_take(call))
 		cb_call_end_refused(call, CB_REFUSAL_RETRIES_EXHAUSTED,
@@ -326,19 +335,38 @@
 	cb_call_end_answered(call, answer, FALSE);
 }
 
+static void idempotent_call_timed_out_(cb_call_t *call);
+
+/* Starts to wait for the answer to an attempt. */
+static void idempotent_answer_await_(cb_call_t *call)
+{
+	unsigned int doublings =
+		MIN(call->timed_out_attempts, MAX_TIMEOUT_DOUBLINGS);
+
+	cb_call_wait(call,
+		     MAX(cb_progress_timeout_ms(&call->env->progress),
+			 MIN_ANSWER_TIMEOUT_MS)
+			     << doublings,
+		     idempotent_call_timed_out_);
+}
+
+/* Leaves a silent server, unless no other attempt may follow: it may go on. */
 static void idempotent_call_timed_out_(cb_call_t *call)
 {
+	if (!cb_call_retry_take(call)) {
+		idempotent_answer_await_(call);
+		return;
+	}
 	cb_call_exchange_cancel(call);
 	call->timed_out_attempts++;
-	idempotent_call_failed_(call, CB_FAILURE_SILENT);
+	idempotent_failure_record_(call, CB_FAILURE_SILENT);
+	idempotent_call_send_(call);
 }
 
 static void idempotent_call_send_(cb_call_t *call)
 {
 	cb_executed_t executed =
 		call->may_have_run ? CB_EXECUTED_UNKNOWN : CB_EXECUTED_NO;
-	unsigned int doublings =
-		MIN(call->timed_out_attempts, MAX_TIMEOUT_DOUBLINGS);
 	cb_server_t *server = cb_call_server_choose(call);
 
 	if (!server && call->may_have_run) {
@@ -351,11 +379,7 @@
 		return;
 	}
 	call->sent_at_us = cb_clock_now_us(call->env->parts.clock);
-	cb_call_wait(call,
-		     MAX(cb_progress_timeout_ms(&call->env->progress),
-			 MIN_ANSWER_TIMEOUT_MS)
-			     << doublings,
-		     idempotent_call_timed_out_);
+	idempotent_answer_await_(call);
 	cb_call_send(call, server, idempotent_call_done_);
 }
 
--- a/src/test_libcurrantbridge/test_call.c
+++ b/src/test_libcurrantbridge/test_call.c
@@ -151,6 +151,41 @@
 	}
 }
 
+/* More calls than the workspace's retries, and a server that is slow for once. */
+#define SILENT_CALLS 200
+#define EARLIER_CALLS 10
+#define SILENCE_MS 1500
+
+/* A server that goes on after a silence must answer the calls that it has. */
+static void silent_service_does_not_end_calls(void)
+{
+	caller_t callers[SILENT_CALLS] = { { 0 } };
+	caller_t earlier = { 0 };
+	unsigned int answered = 0;
+	unsigned int i;
+
+	set_up_(1, FALSE);
+	/* Earlier calls show how fast the server usually is. */
+	for (i = 0; i < EARLIER_CALLS; i++) {
+		call_send_(&earlier, 0, NULL, "lookup", LONG_DEADLINE_MS);
+		cb_clock_advance(services->clock, DEADLINE_MS);
+		caller_check_(&earlier, CB_REFUSAL_NONE, CB_EXECUTED_YES,
+			      "lookup", FALSE);
+	}
+	service_get_(0)->work_ms = SILENCE_MS;
+	for (i = 0; i < SILENT_CALLS; i++)
+		call_send_(&callers[i], 0, NULL, "lookup", LONG_DEADLINE_MS);
+	cb_clock_advance(services->clock, LONG_DEADLINE_MS);
+	for (i = 0; i < SILENT_CALLS; i++) {
+		answered += callers[i].end.refusal == CB_REFUSAL_NONE;
+		g_free(callers[i].answer);
+	}
+	CU_ASSERT_EQUAL(answered, SILENT_CALLS);
+	if (answered < SILENT_CALLS)
+		printf("    %u of %u calls answered\n", answered, SILENT_CALLS);
+	tear_down_();
+}
+
 /*
  * A second call with the same key and body is answered from the record and
  * not executed again; with another body it is refused.
@@ -538,6 +573,8 @@
 static CU_TestInfo call_tests[] = {
 	{ "idempotent_call_is_retried_on_other_server",
 	  idempotent_call_is_retried_on_other_server },
+	{ "silent_service_does_not_end_calls",
+	  silent_service_does_not_end_calls },
 	{ "recorded_answer_is_replayed_for_same_key",
 	  recorded_answer_is_replayed_for_same_key },
 	{ "resend_waits_for_running_call", resend_waits_for_running_call },
