Tests of answers that never end, failing

What callers see: a server that sends without end holds a request until its time is over, and in some cases fills the memory of the instance. The servers of the relay's fixture can send without end.

--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -21,7 +21,8 @@
 	/* The answer that is sent byte by byte, and its sent bytes. */
 	const relay_script_t *script;
 	size_t sent_bytes;
-	unsigned int byte_source; /* 0: no byte is left to be sent */
+	unsigned int byte_source;  /* 0: no byte is left to be sent */
+	endless_sender_t *endless; /* sends an answer without end; or NULL */
 } server_connection_t;
 
 static void request_info_read_(const cb_dialect_t *dialect,
@@ -200,6 +201,29 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* Answers a request that has no script; see relay_fixture_t. */
+static void unscripted_request_answer_(server_connection_t *connection,
+				       const char *request)
+{
+	relay_fixture_t *fixture = connection->fixture;
+
+	if (!fixture->endless_unit || connection->endless)
+		return;
+	if (strstr(request, " " OTHER_PATH " ")) {
+		cb_stream_send(connection->stream, COMPLETE_ANSWER,
+			       strlen(COMPLETE_ANSWER));
+		return;
+	}
+	cb_stream_send(connection->stream, fixture->endless_begin,
+		       strlen(fixture->endless_begin));
+	connection->endless =
+		support_endless_sender_new(connection->stream,
+					   fixture->endless_unit,
+					   fixture->endless_piece_bytes,
+					   &fixture->endless_sent_bytes);
+	fixture->endless_count++;
+}
+
 static void server_received_(void *user_data, const uint8_t *data, size_t size)
 {
 	server_connection_t *connection = user_data;
@@ -215,8 +239,11 @@
 	g_array_append_val(fixture->server_indexes, connection->server);
 	g_ptr_array_add(fixture->request_connections, connection);
 	g_string_truncate(connection->received, 0);
-	if (index >= fixture->script_count)
+	if (index >= fixture->script_count) {
+		unscripted_request_answer_(connection,
+					   fixture->requests->pdata[index]);
 		return;
+	}
 	script = &fixture->scripts[index];
 	if (fixture->sends_single_bytes) {
 		connection->script = script;
@@ -235,6 +262,9 @@
 
 	(void)end;
 	connection->fixture->ended_connection_count++;
+	if (connection->endless)
+		connection->fixture->endless_closed_count++;
+	g_clear_pointer(&connection->endless, support_endless_sender_delete);
 }
 
 static const cb_stream_handler_t server_handler = {
@@ -267,6 +297,7 @@
 
 	if (connection->byte_source)
 		g_source_remove(connection->byte_source);
+	support_endless_sender_delete(connection->endless);
 	cb_stream_delete(connection->stream);
 	g_string_free(connection->received, TRUE);
 	g_free(connection);
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -4,6 +4,7 @@
 #include "currantbridge/front.h"
 #include "private/front.h"
 #include "private/stream.h"
+#include "support_endless.h"
 #include "support_world.h"
 
 /* Limits of a test's wait in the main loop, and the number of servers. */
@@ -46,6 +47,17 @@
 	unsigned int script_count;
 	/* Whether the servers send their answers byte by byte. */
 	gboolean sends_single_bytes;
+	/*
+	 * An answer without end, to all requests that have no script, except
+	 * those for OTHER_PATH, which get a complete one; NULL: no answer.
+	 */
+	const char *endless_begin; /* sent before the units */
+	const char *endless_unit;
+	size_t endless_piece_bytes;
+	uint64_t endless_sent_bytes;
+	unsigned int endless_count; /* answers without end that were begun */
+	/* Those whose connection the relay has closed. */
+	unsigned int endless_closed_count;
 	unsigned int ended_connection_count;
 	/* Engine calls: the addresses asked for a report, and the reroutes. */
 	GPtrArray *report_addresses;
@@ -117,6 +129,7 @@
 	       "\r\n"
 #define COMPLETE_ANSWER \
 	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nContent-Length: 2\r\n\r\nok"
+#define OTHER_PATH "/safe/other"
 #define IDEMPOTENT_REQUEST REQUEST("GET", "/safe/a?b=%2f", "")
 #define ONCE_REQUEST REQUEST("POST", "/once/a", "Content-Length: 3\r\n") "abc"
 
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -5,6 +5,7 @@
 
 #include "currantbridge/http1_head.h"
 #include "platform.h"
+#include "support_endless.h"
 
 /* Parts of the JSON documents below. */
 #define SERVICES "\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}]"
@@ -490,8 +491,148 @@
 	g_free(path);
 }
 
+/* What the sender of orders has reported of one call. */
+typedef struct order_record {
+	int done_count;
+	gboolean is_answered;
+} order_record_t;
+
+static void order_end_record_(cb_order_outcome_t outcome, void *user_data)
+{
+	order_record_t *record = user_data;
+
+	record->done_count++;
+	record->is_answered = outcome != CB_ORDER_LOST;
+}
+
+static void report_end_record_(const cb_engine_report_t *report,
+			       void *user_data)
+{
+	order_record_t *record = user_data;
+
+	record->done_count++;
+	record->is_answered = report != NULL;
+}
+
+static void reroute_end_record_(cb_reroute_outcome_t outcome,
+				const char *address, void *user_data)
+{
+	order_record_t *record = user_data;
+
+	(void)address;
+	record->done_count++;
+	record->is_answered = outcome != CB_REROUTE_LOST;
+}
+
+typedef enum order_kind {
+	ORDER_LAYERS,
+	ORDER_REPORT,
+	ORDER_REROUTE,
+	ORDER_KIND_COUNT
+} order_kind_t;
+
+static const char *const order_kind_names[ORDER_KIND_COUNT] = {
+	"order of layers", "report", "reroute"
+};
+
+static void order_call_(cb_engine_orders_t *orders, order_kind_t kind,
+			const char *address, order_record_t *record)
+{
+	const cb_layer_order_t order = { .address = address,
+					 .server_id = "s",
+					 .to = 1 };
+	GArray *hops = g_array_new(FALSE, FALSE, sizeof(cb_relay_hop_t));
+
+	if (kind == ORDER_LAYERS)
+		orders->vtable->place(orders, &order, order_end_record_,
+				      record);
+	else if (kind == ORDER_REPORT)
+		orders->vtable->report(orders, address, report_end_record_,
+				       record);
+	else
+		orders->vtable->reroute(orders, address, "r", hops,
+					reroute_end_record_, record);
+	g_array_unref(hops);
+}
+
+/* Bounds of an engine's answer to a call, beside what sockets hold. */
+#define ORDER_ANSWER_MAX_BYTES (1024 * 1024)
+#define ORDER_READ_MAX_BYTES (ORDER_ANSWER_MAX_BYTES * 3 / 2 + 64 * 1024)
+#define ORDER_HEAP_MAX_BYTES (5 * 1024 * 1024)
+#define ORDER_ENDLESS_BYTES (16 * 1024 * 1024)
+#define ORDER_LIMIT_S 4
+
+/* Returns whether a call ends as lost within the bounds. */
+static gboolean endless_order_play_(order_kind_t kind, const endless_way_t *way)
+{
+	cb_clock_t *clock = cb_clock_new(NULL);
+	cb_http1_client_t *client = cb_http1_client_new(NULL, clock, NULL);
+	cb_engine_orders_t *orders = platform_orders_new(client);
+	int64_t end_us =
+		g_get_monotonic_time() + ORDER_LIMIT_S * G_USEC_PER_SEC;
+	size_t start_bytes = support_endless_heap_bytes();
+	order_record_t record = { 0 };
+	size_t max_bytes = 0;
+	endless_server_t server;
+	gboolean is_as_expected;
+
+	support_endless_server_init(
+		&server,
+		support_endless_begin(way, "HTTP/1.1 200 OK\r\n",
+				      "Content-Type: application/json\r\n"),
+		way->unit, ENDLESS_FLOOD_BYTES);
+	order_call_(orders, kind, server.address, &record);
+	while ((!record.done_count || !server.closed_count) &&
+	       server.sent_bytes < ORDER_ENDLESS_BYTES &&
+	       g_get_monotonic_time() < end_us) {
+		size_t now_bytes;
+
+		g_main_context_iteration(NULL, FALSE);
+		now_bytes = support_endless_heap_bytes();
+		if (now_bytes > start_bytes)
+			max_bytes = MAX(max_bytes, now_bytes - start_bytes);
+	}
+	is_as_expected = record.done_count == 1 && !record.is_answered &&
+			 server.closed_count == 1 &&
+			 server.sent_bytes <= ORDER_READ_MAX_BYTES &&
+			 max_bytes <= ORDER_HEAP_MAX_BYTES;
+	if (!is_as_expected)
+		printf("    %s: %s: ended %d times, %" G_GUINT64_FORMAT
+		       " KiB read, memory +%zu KiB\n",
+		       order_kind_names[kind], way->name, record.done_count,
+		       server.sent_bytes / 1024, max_bytes / 1024);
+	platform_orders_delete(orders);
+	cb_http1_client_delete(client);
+	cb_clock_delete(clock);
+	support_endless_server_clear(&server);
+	return is_as_expected;
+}
+
+/*
+ * An engine whose answer to an order or a report never ends must not fill the
+ * memory, and the call must end by itself.
+ */
+static void endless_order_answer_is_broken_off(void)
+{
+	unsigned int failure_count = 0;
+	int kind;
+	size_t i;
+
+	for (kind = 0; kind < ORDER_KIND_COUNT; kind++)
+		for (i = 0; i < ENDLESS_WAY_COUNT; i++)
+			failure_count +=
+				!endless_order_play_((order_kind_t)kind,
+						     &support_endless_ways[i]);
+	if (failure_count)
+		printf("    wrong: %u of %u plays\n", failure_count,
+		       ORDER_KIND_COUNT * ENDLESS_WAY_COUNT);
+	CU_ASSERT_EQUAL(failure_count, 0);
+}
+
 static CU_TestInfo platform_tests[] = {
 	{ "invalid_documents_are_rejected", invalid_documents_are_rejected },
+	{ "endless_order_answer_is_broken_off",
+	  endless_order_answer_is_broken_off },
 	{ "deeply_nested_documents_are_rejected",
 	  deeply_nested_documents_are_rejected },
 	{ "documents_are_decoded_in_steps", documents_are_decoded_in_steps },
