Bound interim answers like a head

What callers saw: a server that sends interim answers (1xx) without end was read until the deadline: 18 MiB in the test, when it was stopped, then 504. Cause: each interim head was parsed by itself, with a limit of its own. Change: all heads of an answer together may have 32 KiB, and 64 of them may be interim; beyond that the answer is malformed.

--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -12,7 +12,9 @@
 #define IDLE_MAX_MS 10000
 /* How long before the server's own idle timeout a connection is closed. */
 #define IDLE_MARGIN_MS 500
+/* Limits of an answer's head and the interim answers (1xx) before it. */
 #define ANSWER_HEAD_MAX_BYTES 32768
+#define INTERIM_ANSWERS_MAX 64
 
 const char *const cb_http1_result_string[CB_HTTP1_RESULT_COUNT] = {
 	[CB_HTTP1_COMPLETE] = "complete",   [CB_HTTP1_UNSENT] = "unsent",
@@ -39,6 +41,9 @@
 	char *method;
 	GString *request;  /* request to be sent; NULL once it was sent */
 	GByteArray *input; /* bytes received and not parsed yet */
+	/* Interim answers received, and the bytes of their heads. */
+	unsigned int interim_count;
+	size_t interim_bytes;
 	gboolean has_head; /* whether `head` and `body_reader` are set */
 	cb_http1_head_t head;
 	cb_http1_body_t body_reader;
@@ -179,28 +184,46 @@
 	return TRUE;
 }
 
-/* Parses the head; FALSE if it is incomplete or the call has ended. */
-static gboolean head_receive_(cb_http1_call_t *call)
+/*
+ * Parses the next head, be it final or interim, and removes it from the input.
+ * The limit in bytes holds for all heads of the answer together.
+ */
+static cb_http1_parse_result_t head_parse_(cb_http1_call_t *call)
 {
 	size_t used = 0;
+	cb_http1_parse_result_t result = cb_http1_answer_parse(
+		&call->head, call->method, call->input->data, call->input->len,
+		ANSWER_HEAD_MAX_BYTES - call->interim_bytes, &used);
+
+	if (result != CB_HTTP1_PARSE_COMPLETE)
+		return result;
+	g_byte_array_remove_range(call->input, 0, (unsigned int)used);
+	if (call->head.status >= 200)
+		return result;
+	call->interim_bytes += used;
+	cb_http1_head_clear(&call->head);
+	return ++call->interim_count > INTERIM_ANSWERS_MAX ?
+		       CB_HTTP1_PARSE_OVERSIZE :
+		       CB_HTTP1_PARSE_COMPLETE;
+}
 
-	switch (cb_http1_answer_parse(&call->head, call->method,
-				      call->input->data, call->input->len,
-				      ANSWER_HEAD_MAX_BYTES, &used)) {
-	case CB_HTTP1_PARSE_PARTIAL:
+/*
+ * Parses the head after any interim answers, which are skipped; FALSE if it is
+ * incomplete or the call has ended.
+ */
+static gboolean head_receive_(cb_http1_call_t *call)
+{
+	cb_http1_parse_result_t result;
+
+	do {
+		result = head_parse_(call);
+	} while (result == CB_HTTP1_PARSE_COMPLETE && !call->head.status);
+	if (result == CB_HTTP1_PARSE_PARTIAL)
 		return FALSE;
-	case CB_HTTP1_PARSE_COMPLETE:
-		break;
-	default:
+	if (result != CB_HTTP1_PARSE_COMPLETE) {
 		call_end_(call, CB_HTTP1_MALFORMED);
 		return FALSE;
 	}
-	g_byte_array_remove_range(call->input, 0, (unsigned int)used);
-	if (call->head.status < 200) {
-		/* An interim answer (1xx) is skipped: the final one follows. */
-		cb_http1_head_clear(&call->head);
-		return call->input->len && head_receive_(call);
-	}
 	call->has_head = TRUE;
 	cb_http1_body_init(&call->body_reader, &call->head);
 	return head_deliver_(call);
