Bound chunk extensions by the data they come with

What callers saw: a server whose chunks of one byte have extensions of 768 bytes was read until the deadline, with hardly a byte of data: 18 MiB in the test, then 504. Cause: each line of a chunk's length was bounded, but not all of them together. Change: all extensions may be 16 KiB longer than the data so far. An extension of some bytes on each chunk, as signatures are, stays below that at any size.

--- a/src/libcurrantbridge/http1/http1_body.c
+++ b/src/libcurrantbridge/http1/http1_body.c
@@ -6,6 +6,8 @@
 #define CHUNK_LINE_MAX_BYTES 1024
 /* Most hex digits of a chunk size: a chunk is below 256 MiB. */
 #define CHUNK_SIZE_DIGITS_MAX 7
+/* How much longer all chunk extensions may be than the data so far. */
+#define EXTENSIONS_EXCESS_MAX_BYTES 16384
 
 /* What the parser of the chunked encoding expects next. */
 enum chunk_step {
@@ -60,18 +62,25 @@
 	return CB_HTTP1_PARSE_COMPLETE;
 }
 
-/* Parses the line with a chunk's size; chunk extensions are ignored. */
+/*
+ * Parses the line with a chunk's size.  Chunk extensions are ignored, but FALSE
+ * is returned if they make up most of what was received.
+ */
 static gboolean chunk_size_parse_(cb_http1_body_t *body)
 {
 	const char *text = body->line->str;
 	size_t digits = strspn(text, "0123456789abcdefABCDEF");
 
+	body->excess_bytes += body->line->len - digits;
+	if (body->excess_bytes > EXTENSIONS_EXCESS_MAX_BYTES)
+		return FALSE;
 	if (!digits || digits > CHUNK_SIZE_DIGITS_MAX ||
 	    (text[digits] && text[digits] != ';') || strchr(text, '\r'))
 		return FALSE;
 	body->remaining_bytes = g_ascii_strtoull(text, NULL, 16);
 	body->step =
 		body->remaining_bytes ? CHUNK_STEP_DATA : CHUNK_STEP_TRAILER;
+	body->excess_bytes -= MIN(body->remaining_bytes, body->excess_bytes);
 	return TRUE;
 }
 
--- a/src/libcurrantbridge/include/private/http1_body.h
+++ b/src/libcurrantbridge/include/private/http1_body.h
@@ -10,8 +10,10 @@
 	uint64_t remaining_bytes;
 	/* What is parsed next of a chunked body: a chunk_step. */
 	int step;
-	GString *line;	  /* received part of a chunk-size or trailer line */
-	gboolean is_done; /* whether the end of the body was reached */
+	GString *line; /* received part of a chunk-size or trailer line */
+	/* Bytes of chunk extensions that no data has made up for. */
+	uint64_t excess_bytes;
+	gboolean is_done;	/* whether the end of the body was reached */
 } cb_http1_body_t;
 
 /* Called with each piece of the body's data. */
