Bound the trailers of a chunked body

What callers saw: trailer lines without end were read until the deadline, 18 MiB in the test; the product's own calls of a service read them until their timeout. Cause: a trailer line had a limit, but not their number. Change: all trailer lines together may have 16 KiB.

--- a/src/libcurrantbridge/http1/http1_body.c
+++ b/src/libcurrantbridge/http1/http1_body.c
@@ -6,6 +6,8 @@
 #define CHUNK_LINE_MAX_BYTES 1024
 /* Most hex digits of a chunk size: a chunk is below 256 MiB. */
 #define CHUNK_SIZE_DIGITS_MAX 7
+/* Maximum length of all trailer lines together, with their CRLF. */
+#define TRAILERS_MAX_BYTES 16384
 /* How much longer all chunk extensions may be than the data so far. */
 #define EXTENSIONS_EXCESS_MAX_BYTES 16384
 
@@ -84,6 +86,13 @@
 	return TRUE;
 }
 
+/* Counts a trailer line; FALSE if all of them are too long. */
+static gboolean trailer_count_(cb_http1_body_t *body)
+{
+	body->trailer_bytes += body->line->len + strlen("\r\n");
+	return body->trailer_bytes <= TRAILERS_MAX_BYTES;
+}
+
 /* Handles a complete line of the chunked encoding; FALSE if malformed. */
 static gboolean line_handle_(cb_http1_body_t *body)
 {
@@ -94,7 +103,9 @@
 	} else if (body->step == CHUNK_STEP_DATA_END) {
 		is_valid = body->line->len == 0;
 		body->step = CHUNK_STEP_SIZE;
-	} else if (!body->line->len) {
+	} else if (body->line->len) {
+		is_valid = trailer_count_(body);
+	} else {
 		body->is_done = TRUE;
 	}
 	g_string_truncate(body->line, 0);
--- a/src/libcurrantbridge/include/private/http1_body.h
+++ b/src/libcurrantbridge/include/private/http1_body.h
@@ -13,6 +13,7 @@
 	GString *line; /* received part of a chunk-size or trailer line */
 	/* Bytes of chunk extensions that no data has made up for. */
 	uint64_t excess_bytes;
+	uint64_t trailer_bytes; /* length of the trailer lines so far */
 	gboolean is_done;	/* whether the end of the body was reached */
 } cb_http1_body_t;
 
