Break off bodies that the relay does not forward

What callers saw: the body of a rejection, or of a 503 without proof, was read until the deadline, 18 MiB in the test. Where a stream should go on and the next server sent another kind of answer, that was kept as a whole: 16 MiB more memory. Cause: a body that isn't forwarded had no limit; one in place of a resumed stream was buffered, though it is never used. Change: such a body is not kept, and one above 1 MiB ends the attempt as malformed.

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -74,6 +74,8 @@
 	GString *answer_headers;
 	/* Bytes of the answer's body not sent to the caller yet. */
 	GByteArray *buffered_body;
+	/* Received bytes of an answer's body that is not forwarded. */
+	uint64_t unused_body_bytes;
 	cb_event_splitter_t splitter;
 	/* The answer to the caller. */
 	gboolean is_answer_begun;
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -26,6 +26,8 @@
 #define SEND_TIME_LEFT_MIN_MS 5
 /* Answers up to this size are buffered until they are complete. */
 #define BUFFERED_BODY_MAX_BYTES (1024 * 1024)
+/* An answer that isn't forwarded is read up to this size. */
+#define UNUSED_BODY_MAX_BYTES (1024 * 1024)
 
 /*
  * Returns the hop at `address`, or the first one if that is NULL.  Returns NULL
@@ -248,6 +250,7 @@
 
 	relay->status = head->status;
 	relay->framing = head->framing;
+	relay->unused_body_bytes = 0;
 	front->dialect->vtable->read_answer_info(front->dialect, head,
 						 relay->request_info.id,
 						 &answer_info);
@@ -309,17 +312,37 @@
 	cb_http1_exchange_write(relay->exchange, data, size);
 }
 
+/* Breaks off an answer that is too large to be one to the request. */
+static void oversize_answer_break_off_(cb_relay_t *relay)
+{
+	cb_http1_call_cancel(g_steal_pointer(&relay->call));
+	cb_relay_attempt_failed(relay,
+				cb_http1_result_string[CB_HTTP1_MALFORMED],
+				TRUE, NULL);
+}
+
+/* Returns whether an answer's body is not forwarded, whatever it is. */
+static gboolean body_is_unused_(const cb_relay_t *relay)
+{
+	/* A stream can't be resumed from another kind of answer. */
+	return relay->has_not_run || refusal_is_unproved_(relay) ||
+	       relay->is_stream_resumed;
+}
+
 /*
  * Buffers a part of an answer that is forwarded once it is complete.  An answer
  * larger than BUFFERED_BODY_MAX_BYTES is forwarded as it arrives.
  */
 static void body_buffer_(cb_relay_t *relay, const uint8_t *data, size_t size)
 {
-	if (relay->has_not_run || refusal_is_unproved_(relay))
+	if (body_is_unused_(relay)) {
+		relay->unused_body_bytes += size;
+		if (relay->unused_body_bytes > UNUSED_BODY_MAX_BYTES)
+			oversize_answer_break_off_(relay);
 		return;
+	}
 	g_byte_array_append(relay->buffered_body, data, (unsigned int)size);
-	if (relay->buffered_body->len <= BUFFERED_BODY_MAX_BYTES ||
-	    relay->is_stream_resumed)
+	if (relay->buffered_body->len <= BUFFERED_BODY_MAX_BYTES)
 		return;
 	answer_begin_(relay);
 	relay->is_body_streamed = TRUE;
