Break off an event that never ends, and read events once

What callers saw: a stream without an empty line filled the memory, 8 to 16 MiB within the test's 4 s, and kept the loop busy. Cause: a partial event had no limit and was searched from its beginning at each read; each search for a CRLF looked through all that was received, so that many small events in one read cost the square of their number too. Change: an event may have 1 MiB, then the attempt ends as malformed; the search goes on where it ended, and stops at the first line end.

--- a/src/libcurrantbridge/include/private/event_splitter.h
+++ b/src/libcurrantbridge/include/private/event_splitter.h
@@ -6,7 +6,9 @@
 
 /* Splits a stream of server-sent events into complete, unchanged events. */
 typedef struct cb_event_splitter {
-	GString *partial;     /* received bytes of an incomplete event */
+	GString *partial; /* received bytes of an incomplete event */
+	/* Length of the beginning of `partial` that holds no event's end. */
+	size_t scanned_bytes;
 	uint64_t event_count; /* complete events so far */
 } cb_event_splitter_t;
 
--- a/src/libcurrantbridge/relay/event_splitter.c
+++ b/src/libcurrantbridge/relay/event_splitter.c
@@ -2,10 +2,14 @@
 
 #include <string.h>
 
+/* Bytes after a line feed that decide whether an empty line follows. */
+#define LOOKAHEAD_BYTES 2
+
 /* Prepares for a new stream. */
 void cb_event_splitter_init(cb_event_splitter_t *splitter)
 {
 	splitter->partial = g_string_new(NULL);
+	splitter->scanned_bytes = 0;
 	splitter->event_count = 0;
 }
 
@@ -17,15 +21,24 @@
 	splitter->partial = NULL;
 }
 
-/* Returns the size of the first event with its empty line; 0: incomplete. */
-static size_t first_event_measure_(const char *text, size_t size)
+/*
+ * Returns the size of the event at the start of `text`, with its empty line; 0:
+ * it is incomplete.  No line before offset `from` is followed by an empty one.
+ */
+static size_t first_event_measure_(const char *text, size_t size, size_t from)
 {
-	const char *plain = memmem(text, size, "\n\n", 2);
-	const char *crlf = memmem(text, size, "\r\n\r\n", 4);
-
-	if (crlf && (!plain || crlf < plain))
-		return (size_t)(crlf - text) + 4;
-	return plain ? (size_t)(plain - text) + 2 : 0;
+	const char *end = text + size;
+	const char *feed = text + from;
+
+	while ((feed = memchr(feed, '\n', (size_t)(end - feed)))) {
+		if (end - feed >= 2 && feed[1] == '\n')
+			return (size_t)(feed - text) + 2;
+		if (end - feed >= 3 && feed > text && feed[-1] == '\r' &&
+		    feed[1] == '\r' && feed[2] == '\n')
+			return (size_t)(feed - text) + 3;
+		feed++;
+	}
+	return 0;
 }
 
 /* Returns the number in an event's "id:" line, or -1 if there is none. */
@@ -73,21 +86,24 @@
 void cb_event_splitter_add(cb_event_splitter_t *splitter, const uint8_t *data,
 			   size_t size, cb_event_fn_t fn, void *user_data)
 {
+	GString *partial = splitter->partial;
+	size_t from = splitter->scanned_bytes;
 	size_t consumed = 0;
 	size_t length;
 
-	g_string_append_len(splitter->partial, (const char *)data,
-			    (gssize)size);
-	while ((length = first_event_measure_(splitter->partial->str + consumed,
-					      splitter->partial->len -
-						      consumed))) {
-		const char *event = splitter->partial->str + consumed;
+	g_string_append_len(partial, (const char *)data, (gssize)size);
+	while ((length = first_event_measure_(partial->str + consumed,
+					      partial->len - consumed, from))) {
+		const char *event = partial->str + consumed;
 
 		fn(user_data, event_id_parse_(event, length), event, length);
 		consumed += length;
+		from = 0;
 		splitter->event_count++;
 	}
-	g_string_erase(splitter->partial, 0, (gssize)consumed);
+	g_string_erase(partial, 0, (gssize)consumed);
+	splitter->scanned_bytes =
+		partial->len - MIN(partial->len, LOOKAHEAD_BYTES);
 }
 
 /*
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -28,6 +28,7 @@
 #define BUFFERED_BODY_MAX_BYTES (1024 * 1024)
 /* An answer that isn't forwarded is read up to this size. */
 #define UNUSED_BODY_MAX_BYTES (1024 * 1024)
+#define EVENT_MAX_BYTES (1024 * 1024)
 
 /*
  * Returns the hop at `address`, or the first one if that is NULL.  Returns NULL
@@ -356,11 +357,14 @@
 {
 	cb_relay_t *relay = user_data;
 
-	if (relay->is_event_stream)
-		cb_event_splitter_add(&relay->splitter, data, size,
-				      event_forward_, relay);
-	else
+	if (!relay->is_event_stream) {
 		body_buffer_(relay, data, size);
+		return;
+	}
+	cb_event_splitter_add(&relay->splitter, data, size, event_forward_,
+			      relay);
+	if (relay->splitter.partial->len > EVENT_MAX_BYTES)
+		oversize_answer_break_off_(relay);
 }
 
 /*
