Drop sent bytes from the queue of a connection

What operators would see: memory grows by all that is sent to a caller that always lags a little, though less than 1 MiB is ever waiting for it. Cause: sent bytes left the queue only when it was empty. Change: they are removed once they make up half of the queue.

--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -292,6 +292,19 @@
 	cb_stream_delete(stream);
 }
 
+/*
+ * Removes the sent bytes from the queue once they make up half of it, which
+ * moves each byte once at most on average.
+ */
+static void queue_compact_(cb_stream_t *stream)
+{
+	if (stream->queue_start < cb_stream_unsent_bytes(stream))
+		return;
+	g_byte_array_remove_range(stream->queue, 0,
+				  (unsigned int)stream->queue_start);
+	stream->queue_start = 0;
+}
+
 /* Sends bytes at once as far as the socket accepts them; queues the rest. */
 void cb_stream_send(cb_stream_t *stream, const void *data, size_t size)
 {
@@ -305,6 +318,7 @@
 	}
 	if ((size_t)sent == size)
 		return;
+	queue_compact_(stream);
 	g_byte_array_append(stream->queue, (const uint8_t *)data + sent,
 			    (unsigned int)(size - (size_t)sent));
 	if (was_empty)
