Check callers of HTTP/1.0 for reading too slowly

What operators would see: a caller of HTTP/1.0 that does not read fills the memory: 18 MiB more in the test, when it was stopped. Cause: an answer that is not chunked was sent without a look at the bytes not sent yet. Change: both kinds of answer are checked. Its test fails still, as it takes the close for the end of its answer.

--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -637,25 +637,29 @@
 				  "");
 }
 
+static void chunk_send_(cb_stream_t *stream, const void *data, size_t size)
+{
+	GString *chunk = g_string_sized_new(size + 16);
+
+	g_string_append_printf(chunk, "%zx\r\n", size);
+	g_string_append_len(chunk, data, (gssize)size);
+	g_string_append(chunk, "\r\n");
+	cb_stream_send(stream, chunk->str, chunk->len);
+	g_string_free(chunk, TRUE);
+}
+
 /* Sends a piece of the body of an answer that was begun. */
 void cb_http1_exchange_write(cb_http1_exchange_t *exchange, const void *data,
 			     size_t size)
 {
 	cb_stream_t *stream = exchange->connection->stream;
-	GString *chunk;
 
 	if (!size)
 		return;
-	if (!exchange->is_chunked) {
+	if (exchange->is_chunked)
+		chunk_send_(stream, data, size);
+	else
 		cb_stream_send(stream, data, size);
-		return;
-	}
-	chunk = g_string_sized_new(size + 16);
-	g_string_append_printf(chunk, "%zx\r\n", size);
-	g_string_append_len(chunk, data, (gssize)size);
-	g_string_append(chunk, "\r\n");
-	cb_stream_send(stream, chunk->str, chunk->len);
-	g_string_free(chunk, TRUE);
 	/* Disconnects in the main loop: the owner still uses the exchange. */
 	if (cb_stream_unsent_bytes(stream) > UNSENT_MAX_BYTES)
 		cb_timer_start(exchange->connection->timer, 0);
