Reset the connection of a caller that reads too slowly

What callers saw: a caller of HTTP/1.0 that was disconnected for reading too slowly got a part of its answer and a close, which ends an answer without chunks: it took the part for the whole. Cause: the connection was closed, not reset, as it is at a deadline. Change: it is reset.

--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -190,12 +190,16 @@
 	g_free(body);
 }
 
-/* Disconnects a caller that does not read: unsent bytes occupy memory. */
+/*
+ * Disconnects a caller that does not read: unsent bytes occupy memory.  A close
+ * would be the regular end of an answer that is not chunked.
+ */
 static void slow_caller_check_(connection_t *connection)
 {
 	if (cb_stream_unsent_bytes(connection->stream) <= UNSENT_MAX_BYTES)
 		return;
 	refusal_count_(connection->server, "caller_too_slow");
+	cb_stream_set_reset(connection->stream);
 	connection_disconnect_(connection);
 }
 
--- a/src/libcurrantbridge/include/private/stream.h
+++ b/src/libcurrantbridge/include/private/stream.h
@@ -37,6 +37,7 @@
 cb_stream_t *cb_stream_new(cb_poller_t *poller, int fd,
 			   const cb_stream_handler_t *handler, void *user_data);
 void cb_stream_delete(cb_stream_t *stream);
+void cb_stream_set_reset(cb_stream_t *stream);
 void cb_stream_reset(cb_stream_t *stream);
 void cb_stream_send(cb_stream_t *stream, const void *data, size_t size);
 void cb_stream_shutdown_send(cb_stream_t *stream);
--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -282,13 +282,19 @@
 	stream_unref_(stream);
 }
 
-/* Like cb_stream_delete(), but sends the peer a TCP reset. */
-void cb_stream_reset(cb_stream_t *stream)
+/* Makes a later cb_stream_delete() send the peer a TCP reset. */
+void cb_stream_set_reset(cb_stream_t *stream)
 {
 	const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
 
 	(void)setsockopt(stream->fd, SOL_SOCKET, SO_LINGER, &linger,
 			 sizeof(linger));
+}
+
+/* Like cb_stream_delete(), but sends the peer a TCP reset. */
+void cb_stream_reset(cb_stream_t *stream)
+{
+	cb_stream_set_reset(stream);
 	cb_stream_delete(stream);
 }
 
