Bound interim answers of engines

What operators would see: an engine that sends interim answers (1xx) without end is read until the progress timeout, 96 MiB in the test, when it was stopped. Cause: libsoup skips them without a limit. Change: they are counted, and the exchange ends as lost after 64.

--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -12,6 +12,8 @@
 #define MAX_READS_PER_DISPATCH 8
 #define MAX_LINE_BYTES (1024 * 1024)
 #define MAX_ANSWER_BYTES (64 * 1024 * 1024)
+/* Interim answers (1xx) before an answer beyond this many end the exchange. */
+#define MAX_INTERIM_ANSWERS 64
 
 struct cb_http_client {
 	SoupSession *session;
@@ -40,6 +42,7 @@
 	GByteArray *received;
 	/* Length of the beginning of `received` that contains no newline. */
 	size_t scanned_bytes;
+	unsigned int interim_count;
 	/* Whether a callback of the listener may be running. */
 	gboolean is_dispatching;
 	gboolean is_ended;
@@ -372,6 +375,16 @@
 	exchange->is_request_started = TRUE;
 }
 
+/* Counts the interim answers; a server that only sends those is given up. */
+static void interim_answer_count_(SoupMessage *message, void *user_data)
+{
+	cb_exchange_t *exchange = user_data;
+
+	(void)message;
+	if (++exchange->interim_count > MAX_INTERIM_ANSWERS)
+		g_cancellable_cancel(exchange->cancellable);
+}
+
 /* Records the socket of a connection that was opened for this exchange. */
 static void socket_record_(SoupMessage *message, GSocketClientEvent event,
 			   GIOStream *connection, void *user_data)
@@ -424,6 +437,8 @@
 							 request->body);
 	g_signal_connect(exchange->message, "starting",
 			 G_CALLBACK(request_started_record_), exchange);
+	g_signal_connect(exchange->message, "got-informational",
+			 G_CALLBACK(interim_answer_count_), exchange);
 	if (request->connection == CB_HTTP_CONNECTION_NEW)
 		g_signal_connect(exchange->message, "network-event",
 				 G_CALLBACK(socket_record_), exchange);
@@ -470,6 +485,7 @@
 	g_clear_object(&exchange->socket);
 	g_byte_array_set_size(exchange->received, 0);
 	exchange->scanned_bytes = 0;
+	exchange->interim_count = 0;
 	exchange->is_request_started = FALSE;
 	exchange->is_ended = FALSE;
 	exchange->listener = *listener;
