Break off an engine stream of empty lines

What operators would see: empty lines without end are read until the progress timeout, 96 MiB in the test, when it was stopped. Cause: empty lines are skipped, and nothing counted them. Change: more than 4096 in a row end the exchange as a mismatch.

--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -12,6 +12,8 @@
 #define MAX_READS_PER_DISPATCH 8
 #define MAX_LINE_BYTES (1024 * 1024)
 #define MAX_ANSWER_BYTES (64 * 1024 * 1024)
+/* Empty lines of an answer beyond this many in a row end the exchange. */
+#define MAX_EMPTY_LINES 4096
 /* Interim answers (1xx) before an answer beyond this many end the exchange. */
 #define MAX_INTERIM_ANSWERS 64
 
@@ -42,6 +44,7 @@
 	GByteArray *received;
 	/* Length of the beginning of `received` that contains no newline. */
 	size_t scanned_bytes;
+	unsigned int empty_line_count; /* since the last line delivered */
 	unsigned int interim_count;
 	/* Whether a callback of the listener may be running. */
 	gboolean is_dispatching;
@@ -194,8 +197,13 @@
 		*end = '\0';
 		start = next;
 		exchange->scanned_bytes = next;
-		if (size_bytes > 0 &&
-		    !exchange->listener.line(exchange->listener.user_data, line,
+		if (size_bytes == 0) {
+			if (++exchange->empty_line_count > MAX_EMPTY_LINES)
+				return CB_FAILURE_MISMATCH;
+			continue;
+		}
+		exchange->empty_line_count = 0;
+		if (!exchange->listener.line(exchange->listener.user_data, line,
 					     size_bytes))
 			return CB_FAILURE_MISMATCH;
 	}
@@ -485,6 +493,7 @@
 	g_clear_object(&exchange->socket);
 	g_byte_array_set_size(exchange->received, 0);
 	exchange->scanned_bytes = 0;
+	exchange->empty_line_count = 0;
 	exchange->interim_count = 0;
 	exchange->is_request_started = FALSE;
 	exchange->is_ended = FALSE;
