--- a/test/platform/soak/soak_server_main.c
+++ b/test/platform/soak/soak_server_main.c
@@ -557,7 +557,8 @@
 
 int main(int argc, char **argv)
 {
-	server_t server = { 0 };
+	/* Threads of connections use it until the process has ended. */
+	static server_t server;
 
 	if (argc < 3 || !settings_read_(&server, argv[2])) {
 		fprintf(stderr, "usage: cb-soak-server --config FILE\n");
