Attempts that break off are logged with their content, and ends of servers

- The dialect reads the shared parts of a prompt; 506 has the hashes of these and of the whole request (content), and for how long the attempt's answer had been coming (progress_ms).
- When a connection with a request is lost, the relay connects to the server once, whoever else lost a connection to the same process.
If it is refused, the process has ended: event 514, counter cb_relay_servers_ended_total.
A server that was known to stop, or that accepts, has not.

--- a/include/currantbridge/dialect.h
+++ b/include/currantbridge/dialect.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "currantbridge/http1_head.h"
+#include "currantbridge/text_part.h"
 
 /*
  * The HTTP headers by which a deployment's callers and backend servers exchange
@@ -85,6 +86,15 @@
 	void (*read_request_info)(const cb_dialect_t *dialect,
 				  const cb_http1_head_t *head,
 				  cb_relay_request_info_t *request_info);
+	/*
+	 * Writes the IDs of the parts of a request's prompt that other requests
+	 * may share, in order, at most `max_count` of them, which refer to the
+	 * head's strings.  Returns how many were written.
+	 */
+	unsigned int (*read_shared_parts)(const cb_dialect_t *dialect,
+					  const cb_http1_head_t *head,
+					  cb_text_part_t *parts,
+					  unsigned int max_count);
 	/* Returns the complete request to a server; the caller frees it. */
 	GString *(*write_request)(const cb_dialect_t *dialect,
 				  const cb_http1_head_t *head,
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -7,6 +7,7 @@
 #include "private/engine_reports.h"
 #include "private/retry_share.h"
 #include "private/server_book.h"
+#include "private/server_ends.h"
 
 /* A check of whether an engine still accepts connections. */
 typedef struct cb_engine_check {
@@ -44,6 +45,7 @@
 	/* Whether the servers recorded in the view were added to `fleet`. */
 	gboolean has_servers;
 	cb_server_book_t *book;
+	cb_server_ends_t *server_ends;
 	cb_retry_share_t *retries;
 	GRand *random;
 	cb_document_t *document;
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -4,6 +4,7 @@
 #include "private/event_pace.h"
 #include "private/event_splitter.h"
 #include "private/front.h"
+#include "private/relay_content.h"
 
 /* Result of an attempt whose engine or chain did not answer in time. */
 #define CB_RELAY_SILENT "silent"
@@ -27,6 +28,7 @@
 	const char *workspace;
 	const cb_service_profile_t *service;
 	cb_relay_request_info_t request_info;
+	cb_relay_content_t content;
 	int64_t deadline_ms;
 	gboolean is_waiting; /* the request is in the front's queue */
 	/* When the wait in the queue began; 0: this attempt did not wait. */
--- /dev/null
+++ b/src/libcurrantbridge/include/private/relay_content.h
@@ -0,0 +1,30 @@
+#ifndef PRIVATE_RELAY_CONTENT_H
+#define PRIVATE_RELAY_CONTENT_H
+
+#include "private/content.h"
+#include "private/server_ends.h"
+
+struct cb_relay;
+
+/* The content of one relayed request, and how far its attempt has come. */
+typedef struct cb_relay_content {
+	GArray *features; /* elements: cb_content_feature_t */
+	/* When the attempt's last event was received; 0: none was. */
+	int64_t last_event_ms;
+	/* How long the attempt's answer has been flowing. */
+	int64_t progress_ms;
+} cb_relay_content_t;
+
+/* Reads the content of a request that was received whole. */
+void cb_relay_content_init(struct cb_relay *relay);
+void cb_relay_content_clear(struct cb_relay *relay);
+/* The attempt is sent; an event of its answer was received; it has failed. */
+void cb_relay_content_attempt_begun(struct cb_relay *relay);
+void cb_relay_content_event_received(struct cb_relay *relay);
+void cb_relay_content_attempt_failed(struct cb_relay *relay,
+				     const char *result);
+/* Called when a server has ended; `user_data` is the cb_front_t. */
+void cb_relay_content_server_ended(const cb_relay_hop_t *server,
+				   const GPtrArray *losses, void *user_data);
+
+#endif
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -78,6 +78,9 @@
 				       int64_t away_ms);
 void cb_server_book_record_leaving(cb_server_book_t *book,
 				   const cb_relay_hop_t *hop);
+/* Returns whether this process of a server announced its stop in an answer. */
+gboolean cb_server_book_is_leaving(const cb_server_book_t *book,
+				   const cb_fleet_server_t *server);
 /* Records that the process of a hop's server has ended. */
 void cb_server_book_record_end(cb_server_book_t *book,
 			       const cb_relay_hop_t *hop);
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -4,6 +4,7 @@
 
 #include "private/front.h"
 #include "private/relay.h"
+#include "private/relay_content.h"
 
 #define DRAIN_CHECK_INTERVAL_MS 50
 /*
@@ -295,6 +296,7 @@
 	cb_front_t *front = (cb_front_t *)service;
 
 	g_hash_table_unref(front->relays);
+	cb_server_ends_delete(front->server_ends);
 	cb_engine_reports_delete(front->reports);
 	g_hash_table_unref(front->engine_checks);
 	cb_timer_delete(front->drain_timer);
@@ -364,6 +366,9 @@
 	cb_fleet_watch(front->fleet, server_change_log_, front);
 	front->book = cb_server_book_new(front->clock, front->fleet, view,
 					 front->random, options->data_centre);
+	front->server_ends =
+		cb_server_ends_new(cb_kernel_context(kernel), front->clock,
+				   cb_relay_content_server_ended, front);
 	front->retries = cb_retry_share_new(front->clock, &budget);
 	front->relays = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					      cb_relay_delete, NULL);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -105,6 +105,7 @@
 	if (relay->answer_headers)
 		g_string_free(relay->answer_headers, TRUE);
 	cb_document_unref(relay->document);
+	cb_relay_content_clear(relay);
 	g_free(relay->failed_address);
 	g_free(relay);
 }
@@ -405,6 +406,7 @@
 						  cb_http1_exchange_head(
 							  exchange),
 						  &relay->request_info);
+	cb_relay_content_init(relay);
 	relay->last_event = relay->request_info.last_event;
 	relay->first_event_ms = -1;
 	relay->deadline_ms = cb_http1_exchange_arrived_ms(exchange) +
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -136,6 +136,7 @@
 	const cb_relay_hop_t *first =
 		&g_array_index(relay->hops, cb_relay_hop_t, 0);
 	char *hops_text = cb_relay_format_hops(relay);
+	char *content_text = cb_content_features_text(relay->content.features);
 	gboolean is_sent;
 
 	cb_log_event(relay->front->log, CB_EVENT_RELAY_ATTEMPT_FAILED,
@@ -155,9 +156,13 @@
 		     CB_INT("late_ms",
 			    relay->awaited ?
 				    cb_clock_lateness_ms(relay->front->clock) :
-				    0));
+				    0),
+		     CB_INT("progress_ms", relay->content.progress_ms),
+		     CB_STR("content", content_text));
 	relay->awaited = NULL;
 	g_free(hops_text);
+	g_free(content_text);
+	cb_relay_content_attempt_failed(relay, result);
 	cb_relay_count_reason(relay->front, "cb_relay_attempts_failed_total",
 			      result);
 	relay->run_count += has_run != 0;
@@ -298,6 +303,7 @@
 {
 	cb_relay_t *relay = user_data;
 
+	cb_relay_content_event_received(relay);
 	if (id >= 0 && id <= relay->last_event) {
 		cb_relay_start_silence_timer(relay);
 		return;
@@ -512,6 +518,7 @@
 	relay->status = 0;
 	relay->is_event_stream = FALSE;
 	relay->has_not_run = FALSE;
+	cb_relay_content_attempt_begun(relay);
 	cb_server_book_begin_request(front->book, relay->hops,
 				     relay->expected_tokens);
 	cb_relay_start_silence_timer(relay);
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -168,6 +168,17 @@
 		   0);
 }
 
+/* Returns whether this process of a server announced its stop in an answer. */
+gboolean cb_server_book_is_leaving(const cb_server_book_t *book,
+				   const cb_fleet_server_t *server)
+{
+	const server_stats_t *stats =
+		g_hash_table_lookup(book->stats_by_id, server->id);
+
+	return stats && server->start_wall_ms &&
+	       stats->leaving_start_wall_ms == server->start_wall_ms;
+}
+
 /*
  * Returns whether this process of a server announced its stop in an answer, or
  * has ended.
@@ -178,10 +189,10 @@
 	const server_stats_t *stats =
 		g_hash_table_lookup(book->stats_by_id, server->id);
 
-	return stats && server->start_wall_ms &&
-	       (stats->leaving_start_wall_ms == server->start_wall_ms ||
-		(stats->ended_start_wall_ms == server->start_wall_ms &&
-		 stats->ended_until_ms > cb_clock_now_ms(book->clock)));
+	return cb_server_book_is_leaving(book, server) ||
+	       (stats && server->start_wall_ms &&
+		stats->ended_start_wall_ms == server->start_wall_ms &&
+		stats->ended_until_ms > cb_clock_now_ms(book->clock));
 }
 
 /* Returns whether a new request may be sent to a server. */
--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -38,6 +38,25 @@
 	request_info->last_event = -1;
 }
 
+/* Reads the parts of a header "Parts: A,B,LAST" but the last one. */
+static unsigned int shared_parts_read_(const cb_dialect_t *dialect,
+				       const cb_http1_head_t *head,
+				       cb_text_part_t *parts,
+				       unsigned int max_count)
+{
+	const char *text = cb_http1_head_find(head, "Parts");
+	unsigned int count = 0;
+	const char *comma;
+
+	(void)dialect;
+	while (text && count < max_count && (comma = strchr(text, ','))) {
+		parts[count++] =
+			(cb_text_part_t){ text, (size_t)(comma - text) };
+		text = comma + 1;
+	}
+	return count;
+}
+
 static GString *request_write_(const cb_dialect_t *dialect,
 			       const cb_http1_head_t *head,
 			       const GByteArray *body,
@@ -85,6 +104,7 @@
 
 static const cb_dialect_vtable_t dialect_vtable = {
 	.read_request_info = request_info_read_,
+	.read_shared_parts = shared_parts_read_,
 	.write_request = request_write_,
 	.read_answer_info = answer_info_read_,
 };
@@ -176,6 +196,21 @@
 					NULL, 10);
 }
 
+/* Ends a server's process: resets its connections and stops listening. */
+static void server_crash_(relay_fixture_t *fixture, unsigned int server)
+{
+	unsigned int i;
+
+	cb_stream_unlisten(g_steal_pointer(&fixture->listeners[server]));
+	for (i = 0; i < fixture->connections->len; i++) {
+		server_connection_t *connection =
+			fixture->connections->pdata[i];
+
+		if (connection->server == server && connection->stream)
+			cb_stream_reset(g_steal_pointer(&connection->stream));
+	}
+}
+
 /* Ends an answer as its script says. */
 static void script_end_(server_connection_t *connection,
 			const relay_script_t *script)
@@ -184,6 +219,8 @@
 		cb_stream_shutdown_send(connection->stream);
 	else if (script->end == END_RESET)
 		cb_stream_reset(g_steal_pointer(&connection->stream));
+	else if (script->end == END_CRASH)
+		server_crash_(connection->fixture, connection->server);
 }
 
 /* Sends the next byte of an answer, or ends it. */
@@ -316,9 +353,7 @@
 char *support_relay_server_address(const relay_fixture_t *fixture,
 				   unsigned int server)
 {
-	return g_strdup_printf("127.0.0.1:%u",
-			       cb_stream_listener_port(
-				       fixture->listeners[server]));
+	return g_strdup_printf("127.0.0.1:%u", fixture->ports[server]);
 }
 
 void support_relay_engine_announce(relay_fixture_t *fixture,
@@ -469,6 +504,19 @@
 	g_free(heartbeat.address);
 }
 
+void support_relay_server_restart(relay_fixture_t *fixture, unsigned int server,
+				  int64_t start_wall_ms)
+{
+	char *address = support_relay_server_address(fixture, server);
+
+	fixture->listeners[server] =
+		cb_stream_listen(fixture->poller, address, server_accept_,
+				 &accept_contexts[server], NULL);
+	CU_ASSERT_PTR_NOT_NULL(fixture->listeners[server]);
+	support_relay_server_announce(fixture, server, start_wall_ms, 1);
+	g_free(address);
+}
+
 /* Starts the servers and announces them to the control instance. */
 static void servers_start_(relay_fixture_t *fixture)
 {
@@ -480,6 +528,8 @@
 			cb_stream_listen(fixture->poller, "127.0.0.1:0",
 					 server_accept_, &accept_contexts[i],
 					 NULL);
+		fixture->ports[i] =
+			cb_stream_listener_port(fixture->listeners[i]);
 		support_relay_server_announce(fixture, i, 1, 1);
 	}
 }
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -18,6 +18,8 @@
 	END_CLOSE,
 	END_RESET,
 	END_HOLD, /* like END_KEEP, for an answer that is not complete */
+	/* The server's process ends: all its connections are reset. */
+	END_CRASH,
 } relay_script_end_t;
 
 /* A server's reaction to one request. */
@@ -35,7 +37,9 @@
 	cb_poller_t *poller; /* watches sockets of servers and caller */
 	cb_http1_client_t *client;
 	cb_front_t *front;
+	/* NULL while the server's process has ended. */
 	cb_stream_listener_t *listeners[SERVER_COUNT];
+	uint16_t ports[SERVER_COUNT];
 	GPtrArray *connections; /* elements: server_connection_t */
 	/* The received requests as text, and the server index of each. */
 	GPtrArray *requests;
@@ -91,6 +95,12 @@
  */
 void support_relay_engine_announce(relay_fixture_t *fixture,
 				   unsigned int server);
+/*
+ * Starts a server again at its address whose process has ended, and announces
+ * the new process.
+ */
+void support_relay_server_restart(relay_fixture_t *fixture, unsigned int server,
+				  int64_t start_wall_ms);
 /* Returns the address of a server; the caller frees it. */
 char *support_relay_server_address(const relay_fixture_t *fixture,
 				   unsigned int server);
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -300,6 +300,55 @@
 	return head;
 }
 
+/*
+ * Guards against parts of a prompt that are mistaken for others: the last one
+ * is never shared, and the numbers of tokens don't matter.
+ */
+static void shared_parts_of_prompts_are_read(void)
+{
+	static const struct {
+		const char *header;
+		const char *expected; /* the shared parts, joined by spaces */
+	} cases[] = {
+		{ "X-Model: m", "" },
+		{ "X-Prompt-Prefix: ", "" },
+		{ "X-Prompt-Prefix: 5c1e:800", "" },
+		{ "X-Prompt-Prefix: 5c1e:800,91bd:410", "5c1e" },
+		{ "x-prompt-prefix: 5c1e:800, 91bd:410 ,e4:1", "5c1e 91bd" },
+		{ "X-Prompt-Prefix: 5c1e,91bd,e4", "5c1e 91bd" },
+		{ "X-Prompt-Prefix: ,:3,5c1e:800,", "5c1e" },
+		{ "X-Prompt-Prefix: 1:1,2:1,3:1,4:1,5:1,6:1", "1 2 3 4" },
+	};
+	const cb_dialect_t *dialect = platform_dialect();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf(
+			"GET / HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n",
+			cases[i].header);
+		cb_http1_head_t head = request_head_parse_(text);
+		GString *joined = g_string_new(NULL);
+		cb_text_part_t parts[4];
+		unsigned int count =
+			dialect->vtable->read_shared_parts(dialect, &head,
+							   parts,
+							   G_N_ELEMENTS(parts));
+		unsigned int k;
+
+		for (k = 0; k < count; k++) {
+			g_string_append(joined, k ? " " : "");
+			g_string_append_len(joined, parts[k].text,
+					    (gssize)parts[k].size);
+		}
+		CU_ASSERT_STRING_EQUAL(joined->str, cases[i].expected);
+		if (strcmp(joined->str, cases[i].expected) != 0)
+			printf("    %s: %s\n", cases[i].header, joined->str);
+		g_string_free(joined, TRUE);
+		cb_http1_head_clear(&head);
+		g_free(text);
+	}
+}
+
 /*
  * Headers that the relay sets must replace those that the caller sent under the
  * same name; the caller's key must not reach the server.
@@ -638,6 +687,8 @@
 	{ "documents_are_decoded_in_steps", documents_are_decoded_in_steps },
 	{ "document_fields_are_decoded", document_fields_are_decoded },
 	{ "invalid_heartbeats_are_rejected", invalid_heartbeats_are_rejected },
+	{ "shared_parts_of_prompts_are_read",
+	  shared_parts_of_prompts_are_read },
 	{ "relay_headers_replace_caller_headers",
 	  relay_headers_replace_caller_headers },
 	{ "answer_headers_are_read", answer_headers_are_read },
