--- a/src/test_libcurrantbridge/test_relay_content.c
+++ b/src/test_libcurrantbridge/test_relay_content.c
@@ -91,9 +91,135 @@
 	}
 }
 
-static CU_TestInfo content_tests[] = { { "only_ended_processes_count_as_ended",
-					 only_ended_processes_count_as_ended },
-				       CU_TEST_INFO_NULL };
+/* Crashes after which content must be known, and requests sent after them. */
+#define CRASHES_KNOWN 5
+#define LATER_REQUESTS 8
+/* As many of these as may still reach servers, by the users' rule. */
+#define LATER_REQUESTS_MAX 3
+/* Time from the last crash until the content must be known. */
+#define KNOWN_AFTER_MS 3000
+#define SCRIPTS_MAX 64
+/* An answer that is complete as a stream, too. */
+#define EVENT_ANSWER                                             \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 10\r\n\r\n" \
+	"data: ok\n\n"
+
+/* Sends a request with these parts of a prompt; `number` is in its path. */
+static void request_send_(relay_fixture_t *fixture, const char *path,
+			  unsigned int number, const char *parts)
+{
+	char *text = g_strdup_printf(
+		"POST %s%u HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\n"
+		"Left: 2000\r\nParts: %s\r\nContent-Length: 0\r\n\r\n",
+		path, number, parts);
+
+	support_relay_request_send(fixture, text);
+	answer_await_(fixture, REPORT_MS);
+	g_free(text);
+}
+
+/* Starts all servers again that have crashed. */
+static void servers_restart_(relay_fixture_t *fixture)
+{
+	static int64_t start_wall_ms = 100;
+	unsigned int i;
+
+	time_pass_(fixture, REPORT_MS);
+	for (i = 0; i < SERVER_COUNT; i++)
+		if (!fixture->listeners[i])
+			support_relay_server_restart(fixture, i,
+						     ++start_wall_ms);
+	time_pass_(fixture, REPORT_MS);
+}
+
+/* Sets the servers' reaction to all requests from now on. */
+static void scripts_set_(relay_fixture_t *fixture, relay_script_t *scripts,
+			 const char *text, relay_script_end_t end)
+{
+	size_t i;
+
+	for (i = 0; i < SCRIPTS_MAX; i++)
+		scripts[i] = (relay_script_t){ text, end };
+	fixture->scripts = scripts;
+	fixture->script_count = SCRIPTS_MAX;
+}
+
+/*
+ * Sends requests that crash servers until enough of these have ended.  Then
+ * returns how many of the next ones reach a server.
+ */
+static unsigned int later_requests_count_(relay_fixture_t *fixture,
+					  const char *path, const char *parts,
+					  gboolean is_path_same)
+{
+	unsigned int reached;
+	unsigned int i;
+
+	for (i = 0; i < CRASHES_KNOWN; i++) {
+		request_send_(fixture, path, is_path_same ? 0 : i, parts);
+		servers_restart_(fixture);
+	}
+	time_pass_(fixture, KNOWN_AFTER_MS);
+	reached = fixture->requests->len;
+	for (i = 0; i < LATER_REQUESTS; i++) {
+		request_send_(fixture, path,
+			      is_path_same ? 0 : CRASHES_KNOWN + i, parts);
+		servers_restart_(fixture);
+	}
+	return fixture->requests->len - reached;
+}
+
+/* Guards against content that crashes one server after the other. */
+static void content_that_crashes_servers_stops_reaching_them(void)
+{
+	static const struct {
+		const char *description; /* printed if the case fails */
+		const char *path;
+		const char *parts;
+		gboolean is_path_same;
+	} cases[] = {
+		{ "the first part", "/stream/", "bad,other,own", FALSE },
+		{ "a middle part", "/stream/", "shared,bad,other,own", FALSE },
+		{ "the last shared part", "/stream/", "shared,bad,own", FALSE },
+		{ "in requests that run once", "/once/", "shared,bad,own",
+		  FALSE },
+		{ "the whole request", "/safe/", "shared,own", TRUE },
+		{ "a whole request without a prompt", "/once/", "", TRUE },
+	};
+	relay_script_t scripts[SCRIPTS_MAX];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		relay_fixture_t fixture;
+		unsigned int count;
+
+		support_relay_init(&fixture, TRUE);
+		scripts_set_(&fixture, scripts, EVENT_ANSWER, END_KEEP);
+		request_send_(&fixture, "/safe/", 100, "shared,x");
+		request_send_(&fixture, "/safe/", 101, "other,x");
+		CU_ASSERT_EQUAL(fixture.requests->len, 2);
+		scripts_set_(&fixture, scripts, "", END_CRASH);
+		count = later_requests_count_(&fixture, cases[i].path,
+					      cases[i].parts,
+					      cases[i].is_path_same);
+		CU_ASSERT_TRUE(count <= LATER_REQUESTS_MAX);
+		if (count > LATER_REQUESTS_MAX)
+			printf("    %s: %u reached servers\n",
+			       cases[i].description, count);
+		scripts_set_(&fixture, scripts, EVENT_ANSWER, END_KEEP);
+		request_send_(&fixture, cases[i].path, 102, "shared,other,y");
+		CU_ASSERT_PTR_NOT_NULL(strstr(fixture.answer->str, "200 OK"));
+		support_relay_clear(&fixture);
+	}
+}
+
+static CU_TestInfo content_tests[] = {
+	{ "only_ended_processes_count_as_ended",
+	  only_ended_processes_count_as_ended },
+	{ "content_that_crashes_servers_stops_reaching_them",
+	  content_that_crashes_servers_stops_reaching_them },
+	CU_TEST_INFO_NULL
+};
 
 int main(void)
 {
