Content that crashes servers is refused by all entries

Cause: the relay knows nothing of content. A request whose server ends under it is repeated at the next one, and others with the same content are sent as if nothing had happened; request/suspects serves the product's own interface only.

A module of decisions without network, request/content_book, gets which features (shared parts of the prompt, the whole request) ran where a server's process ended without having made progress, and which made progress. Deaths, refusals and clearances are shared through suspect_add, quarantine_add and quarantine_remove, so they reach all entries, outlive restarts and are there before an entry is ready. After two events content is watched: lost attempts are not repeated. After three it is refused for five minutes, 503 with Retry-After, 502 if it may have run; the widest explanation wins, then the narrowest feature. Content that was seen to make progress is never blamed. suspect_add records a server once if details follow its name, so that reports of many entries don't fill a record.

--- a/include/currantbridge/command.h
+++ b/include/currantbridge/command.h
@@ -86,7 +86,12 @@
 	char *digest; /* hex hash of the call's method, path and body */
 	/* The claiming or reporting entry instance, as NAME/INCARNATION. */
 	char *owner;
-	char *server; /* the backend server that will run the call, or NULL */
+	/*
+	 * The backend server that will run the call, or NULL.  In SUSPECT_ADD:
+	 * the server that died, and perhaps details after a space; with details
+	 * a server is recorded once, whoever reports it.
+	 */
+	char *server;
 	/*
 	 * The fencing number of the claim to finish.  In a CLAIM by the
 	 * current holder: the claim moves to another server, because the
--- a/include/currantbridge/view.h
+++ b/include/currantbridge/view.h
@@ -99,6 +99,11 @@
 const cb_document_text_t *cb_view_document(const cb_view_t *view);
 gboolean cb_view_is_stopped(const cb_view_t *view, cb_stop_kind_t kind,
 			    const char *name);
+/*
+ * Returns the records of suspect and quarantined digests (elements of type
+ * struct cb_quarantine), valid until the view's next update.
+ */
+const GPtrArray *cb_view_quarantines(const cb_view_t *view);
 /* Whether a request digest (hex) is in quarantine at `wall_ms`, wall clock. */
 gboolean cb_view_is_quarantined(const cb_view_t *view, const char *digest,
 				int64_t wall_ms);
--- a/src/libcurrantbridge/control/state_config.c
+++ b/src/libcurrantbridge/control/state_config.c
@@ -401,6 +401,25 @@
 	return extended;
 }
 
+/*
+ * Returns whether a death is recorded.  Details may follow the server's name
+ * after a space; then the first report of this server is enough, whoever
+ * reports it and whatever the details.
+ */
+static gboolean death_is_recorded_(const cb_quarantine_t *quarantine,
+				   const char *server, const char *death)
+{
+	const char *details = strchr(server, ' ');
+	char **known;
+
+	for (known = quarantine->deaths; *known; known++)
+		if (details ? !strncmp(*known, server,
+				       (size_t)(details - server) + 1) :
+			      !strcmp(*known, death))
+			return TRUE;
+	return FALSE;
+}
+
 /*
  * Records that backend server `server` died while it ran a request of digest
  * `name`, as reported by instance `owner`.
@@ -420,7 +439,7 @@
 	death = g_strdup_printf("%s %s", command->server, command->owner);
 	if (current &&
 	    (g_strv_length(current->deaths) >= CB_STATE_SUSPECT_MAX_DEATHS ||
-	     g_strv_contains((const char *const *)current->deaths, death))) {
+	     death_is_recorded_(current, command->server, death))) {
 		g_free(death);
 		return revision_answer_new_(CB_ANSWER_OK, current->revision);
 	}
--- a/src/libcurrantbridge/control/view.c
+++ b/src/libcurrantbridge/control/view.c
@@ -396,6 +396,12 @@
 	return sorted_values_get_(view, CB_ITEM_SERVER);
 }
 
+/* Returns the records of digests; valid until the next update. */
+const GPtrArray *cb_view_quarantines(const cb_view_t *view)
+{
+	return sorted_values_get_(view, CB_ITEM_QUARANTINE);
+}
+
 /* Returns the configuration document in force; NULL before the first one. */
 const cb_document_text_t *cb_view_document(const cb_view_t *view)
 {
--- a/src/libcurrantbridge/include/private/content.h
+++ b/src/libcurrantbridge/include/private/content.h
@@ -10,8 +10,6 @@
 #define CB_CONTENT_WHOLE 255
 /* Shared parts of a prompt that are told apart; later ones are ignored. */
 #define CB_CONTENT_PARTS_MAX 32
-/* Size of a feature's name with its terminating null byte. */
-#define CB_CONTENT_NAME_BYTES 32
 
 /*
  * A feature of a request by which the requests that crash servers may be
@@ -35,7 +33,7 @@
 				const cb_text_part_t *parts,
 				unsigned int part_count);
 char *cb_content_features_text(const GArray *features);
-void cb_content_name_write(char *name, uint64_t hash);
+char *cb_content_name_new(uint64_t hash);
 gboolean cb_content_name_read(const char *name, uint64_t *hash);
 
 #endif
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -4,6 +4,7 @@
 #include "currantbridge/front.h"
 #include "currantbridge/http1_client.h"
 #include "currantbridge/http1_server.h"
+#include "private/content_book.h"
 #include "private/engine_reports.h"
 #include "private/retry_share.h"
 #include "private/server_book.h"
@@ -30,6 +31,7 @@
 	cb_histogram_t *first_event_ms;
 	cb_control_client_t *control;
 	cb_view_t *view;
+	char *name; /* name of this instance */
 	char *listen;
 	char *data_centre;
 	const cb_document_codec_t *codec;
@@ -46,6 +48,7 @@
 	gboolean has_servers;
 	cb_server_book_t *book;
 	cb_server_ends_t *server_ends;
+	cb_content_book_t *content_book;
 	cb_retry_share_t *retries;
 	GRand *random;
 	cb_document_t *document;
--- a/src/libcurrantbridge/include/private/relay_content.h
+++ b/src/libcurrantbridge/include/private/relay_content.h
@@ -1,7 +1,7 @@
 #ifndef PRIVATE_RELAY_CONTENT_H
 #define PRIVATE_RELAY_CONTENT_H
 
-#include "private/content.h"
+#include "private/content_book.h"
 #include "private/server_ends.h"
 
 struct cb_relay;
@@ -13,6 +13,8 @@
 	int64_t last_event_ms;
 	/* How long the attempt's answer has been flowing. */
 	int64_t progress_ms;
+	/* Whether the attempt lost its connection without such progress. */
+	gboolean is_suspect;
 } cb_relay_content_t;
 
 /* Reads the content of a request that was received whole. */
@@ -23,6 +25,18 @@
 void cb_relay_content_event_received(struct cb_relay *relay);
 void cb_relay_content_attempt_failed(struct cb_relay *relay,
 				     const char *result);
+/* The request ends, with a whole answer of the server if `is_served`. */
+void cb_relay_content_ended(const struct cb_relay *relay, gboolean is_served);
+/* Ends a request whose content is refused; returns whether it did. */
+gboolean cb_relay_content_refuse(struct cb_relay *relay);
+/* Whether a failed attempt may not be repeated because of its content. */
+gboolean cb_relay_content_bars_retry(const struct cb_relay *relay);
+
+/* The book of an instance, which shares its evidence through control. */
+struct cb_front;
+cb_content_book_t *cb_relay_content_book_new(struct cb_front *front);
+/* Called when the view has changed. */
+void cb_relay_content_view_changed(struct cb_front *front);
 /* Called when a server has ended; `user_data` is the cb_front_t. */
 void cb_relay_content_server_ended(const cb_relay_hop_t *server,
 				   const GPtrArray *losses, void *user_data);
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -138,6 +138,7 @@
 	cb_front_t *front = user_data;
 
 	recorded_servers_add_(front);
+	cb_relay_content_view_changed(front);
 	document_update_(front);
 	cb_retry_share_set_instances(front->retries,
 				     cb_view_instances(front->view)->len);
@@ -297,6 +298,7 @@
 
 	g_hash_table_unref(front->relays);
 	cb_server_ends_delete(front->server_ends);
+	cb_content_book_delete(front->content_book);
 	cb_engine_reports_delete(front->reports);
 	g_hash_table_unref(front->engine_checks);
 	cb_timer_delete(front->drain_timer);
@@ -310,6 +312,7 @@
 	cb_retry_share_delete(front->retries);
 	cb_document_unref(front->document);
 	g_rand_free(front->random);
+	g_free(front->name);
 	g_free(front->listen);
 	g_free(front->data_centre);
 	g_free(front);
@@ -346,6 +349,7 @@
 				      "cb_relay_first_event_ms", NULL, NULL);
 	front->control = control;
 	front->view = view;
+	front->name = g_strdup(options->name);
 	front->listen = g_strdup(options->listen);
 	front->data_centre = g_strdup(options->data_centre);
 	front->codec = options->codec;
@@ -366,6 +370,7 @@
 	cb_fleet_watch(front->fleet, server_change_log_, front);
 	front->book = cb_server_book_new(front->clock, front->fleet, view,
 					 front->random, options->data_centre);
+	front->content_book = cb_relay_content_book_new(front);
 	front->server_ends =
 		cb_server_ends_new(cb_kernel_context(kernel), front->clock,
 				   cb_relay_content_server_ended, front);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -179,6 +179,7 @@
 		cb_relay_count_reason(front, "cb_relay_cut_total", reason);
 	cb_histogram_add(is_served ? front->served_ms : front->failed_ms,
 			 elapsed_ms);
+	cb_relay_content_ended(relay, is_served);
 	g_free(hops_text);
 }
 
@@ -336,6 +337,8 @@
 	int64_t max_wait_ms = relay->is_answer_begun ? RESUME_WAIT_MAX_MS :
 						       CAPACITY_WAIT_MAX_MS;
 
+	if (cb_relay_content_refuse(relay))
+		return;
 	if (cb_relay_now_ms(relay) < relay->next_send_ms) {
 		request_queue_(relay, "no_room", max_wait_ms,
 			       CB_RELAY_RETRY_AFTER_MS);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -119,6 +119,8 @@
 
 	if (run_count && !cb_relay_is_resumable(relay))
 		return FALSE;
+	if (cb_relay_content_bars_retry(relay))
+		return FALSE;
 	if (run_count >= relay->route->max_attempts ||
 	    (sends_are_used_up_(relay) && !relay->has_left_silent))
 		return FALSE;
--- a/src/libcurrantbridge/relay/relay_content.c
+++ b/src/libcurrantbridge/relay/relay_content.c
@@ -2,8 +2,18 @@
 
 #include <string.h>
 
+#include "currantbridge/command.h"
+#include "private/item.h"
 #include "private/relay.h"
 
+/*
+ * An answer that has been coming for this time shows that its content does not
+ * crash servers: those that do crash a server when it begins to write.
+ */
+#define PROGRESS_MIN_MS 300
+/* Longest Retry-After of a refused request. */
+#define RETRY_AFTER_MAX_MS 30000
+#define SHARE_TIMEOUT_MS 5000
 /*
  * A pause between two events counts as progress up to this time: a server that
  * stands still for longer has not run the request meanwhile.
@@ -41,6 +51,7 @@
 {
 	relay->content.last_event_ms = 0;
 	relay->content.progress_ms = 0;
+	relay->content.is_suspect = FALSE;
 }
 
 /* Records an event of the attempt's answer, forwarded or not. */
@@ -48,11 +59,24 @@
 {
 	cb_relay_content_t *content = &relay->content;
 	int64_t now_ms = cb_relay_now_ms(relay);
+	int64_t before_ms = content->progress_ms;
 
 	if (content->last_event_ms)
 		content->progress_ms += MIN(now_ms - content->last_event_ms,
 					    PROGRESS_PAUSE_MAX_MS);
 	content->last_event_ms = now_ms;
+	if (before_ms < PROGRESS_MIN_MS &&
+	    content->progress_ms >= PROGRESS_MIN_MS)
+		cb_content_book_add_progress(relay->front->content_book,
+					     content->features);
+}
+
+/* Records how a request ends, with a whole answer of the server or without. */
+void cb_relay_content_ended(const cb_relay_t *relay, gboolean is_served)
+{
+	if (is_served)
+		cb_content_book_add_progress(relay->front->content_book,
+					     relay->content.features);
 }
 
 /* Returns whether an attempt with this result has lost its connection. */
@@ -82,10 +106,47 @@
 	const cb_relay_hop_t *first =
 		&g_array_index(relay->hops, cb_relay_hop_t, 0);
 
-	if (connection_is_lost_(result) &&
-	    !server_is_stopping_(relay->front, first))
-		cb_server_ends_add_loss(relay->front->server_ends, first,
-					relay->content.features);
+	if (!connection_is_lost_(result) ||
+	    server_is_stopping_(relay->front, first))
+		return;
+	relay->content.is_suspect =
+		relay->content.progress_ms < PROGRESS_MIN_MS;
+	cb_server_ends_add_loss(relay->front->server_ends, first,
+				relay->content.is_suspect ?
+					relay->content.features :
+					NULL);
+}
+
+/* Returns whether a failed attempt may not be repeated. */
+gboolean cb_relay_content_bars_retry(const cb_relay_t *relay)
+{
+	return relay->content.is_suspect &&
+	       cb_content_book_check(relay->front->content_book,
+				     relay->content.features,
+				     NULL) != CB_CONTENT_FREE;
+}
+
+/* Ends a request whose content is refused; returns whether it did. */
+gboolean cb_relay_content_refuse(cb_relay_t *relay)
+{
+	cb_front_t *front = relay->front;
+	int64_t wall_ms = cb_clock_wall_ms(front->clock);
+	cb_content_refusal_t refusal;
+	char *name;
+
+	if (cb_content_book_check(front->content_book, relay->content.features,
+				  &refusal) != CB_CONTENT_REFUSED)
+		return FALSE;
+	name = cb_content_name_new(refusal.hash);
+	cb_log_event(front->log, CB_EVENT_RELAY_CONTENT_REFUSED,
+		     CB_STR("request", relay->request_info.id),
+		     CB_STR("content", name),
+		     CB_INT("attempts", relay->send_count));
+	g_free(name);
+	cb_relay_give_up(relay, "content_refused",
+			 CLAMP(refusal.until_wall_ms - wall_ms,
+			       CB_RELAY_RETRY_AFTER_MS, RETRY_AFTER_MAX_MS));
+	return TRUE;
 }
 
 /* Called when the process of a server has ended under requests. */
@@ -93,13 +154,107 @@
 				   const GPtrArray *losses, void *user_data)
 {
 	cb_front_t *front = user_data;
+	GPtrArray *candidates = g_ptr_array_new();
+	char *process = g_strdup_printf("%s/%" G_GINT64_FORMAT, server->id,
+					server->start_wall_ms);
+	unsigned int i;
 
+	for (i = 0; i < losses->len; i++)
+		if (losses->pdata[i])
+			g_ptr_array_add(candidates, losses->pdata[i]);
 	cb_log_event(front->log, CB_EVENT_RELAY_SERVER_ENDED,
 		     CB_STR("server", server->id),
 		     CB_STR("address", server->address),
-		     CB_INT("attempts", losses->len));
+		     CB_INT("attempts", losses->len),
+		     CB_INT("candidates", candidates->len));
+	cb_content_book_add_death(front->content_book, process, candidates);
+	g_ptr_array_unref(candidates);
+	g_free(process);
 	cb_counter_add(cb_counters_counter(front->counters,
 					   "cb_relay_servers_ended_total", NULL,
 					   NULL),
 		       1);
 }
+
+static void share_ended_(cb_control_outcome_t outcome,
+			 const cb_answer_t *answer, void *user_data)
+{
+	(void)answer;
+	if (outcome != CB_CONTROL_ANSWERED)
+		cb_log_event(user_data, CB_EVENT_QUARANTINE_NOT_SHARED);
+}
+
+/* Submits a command about a feature; takes ownership of `command`. */
+static void command_share_(cb_front_t *front, cb_command_t *command,
+			   const char *name)
+{
+	command->change_id = g_strdup_printf("%s-%s-%08x%08x", front->name,
+					     name, g_rand_int(front->random),
+					     g_rand_int(front->random));
+	command->name = g_strdup(name);
+	cb_control_client_submit(front->control, command, SHARE_TIMEOUT_MS,
+				 share_ended_, front->log);
+}
+
+static void death_share_(void *user_data, const char *name, const char *death)
+{
+	cb_front_t *front = user_data;
+	cb_command_t *command = cb_command_new(CB_COMMAND_SUSPECT_ADD);
+
+	command->server = g_strdup(death);
+	command->owner = g_strdup(front->name);
+	command_share_(front, command, name);
+}
+
+static void refusal_share_(void *user_data, const char *name,
+			   int64_t until_wall_ms)
+{
+	cb_command_t *command = cb_command_new(CB_COMMAND_QUARANTINE_ADD);
+
+	command->until_wall_ms = until_wall_ms;
+	command_share_(user_data, command, name);
+}
+
+static void clearance_share_(void *user_data, const char *name)
+{
+	command_share_(user_data, cb_command_new(CB_COMMAND_QUARANTINE_REMOVE),
+		       name);
+}
+
+/* Creates the book of an instance, which shares its evidence through control. */
+cb_content_book_t *cb_relay_content_book_new(cb_front_t *front)
+{
+	const cb_content_book_parts_t parts = {
+		.clock = front->clock,
+		.log = front->log,
+		.counters = front->counters,
+		.user_data = front,
+		.report = death_share_,
+		.refuse = refusal_share_,
+		.clear = clearance_share_,
+	};
+
+	return cb_content_book_new(&parts);
+}
+
+/* Passes the shared records on to the book. */
+void cb_relay_content_view_changed(cb_front_t *front)
+{
+	const GPtrArray *quarantines = cb_view_quarantines(front->view);
+	cb_content_record_t *records =
+		g_new0(cb_content_record_t, quarantines->len + 1);
+	unsigned int i;
+
+	for (i = 0; i < quarantines->len; i++) {
+		const cb_quarantine_t *quarantine = quarantines->pdata[i];
+
+		records[i] = (cb_content_record_t){
+			.name = quarantine->digest,
+			.deaths = (const char *const *)quarantine->deaths,
+			.until_wall_ms = quarantine->until_wall_ms,
+			.revision = quarantine->revision,
+		};
+	}
+	cb_content_book_update(front->content_book, records, quarantines->len);
+	g_free(records);
+}
--- a/src/libcurrantbridge/relay/server_ends.c
+++ b/src/libcurrantbridge/relay/server_ends.c
@@ -38,6 +38,12 @@
 	GHashTable *checks; /* "ID/START" to check_t */
 };
 
+static void loss_unref_(void *loss)
+{
+	if (loss)
+		g_array_unref(loss);
+}
+
 static void check_delete_(void *data)
 {
 	check_t *check = data;
@@ -146,7 +152,7 @@
 	check_t *check = g_hash_table_lookup(ends->checks, name);
 
 	if (check) {
-		g_ptr_array_add(check->losses, g_array_ref(loss));
+		g_ptr_array_add(check->losses, loss ? g_array_ref(loss) : NULL);
 		g_free(name);
 		return;
 	}
@@ -157,9 +163,8 @@
 	check->server.id = g_strdup(server->id);
 	check->server.address = g_strdup(server->address);
 	check->since_ms = cb_clock_now_ms(ends->clock);
-	check->losses =
-		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
-	g_ptr_array_add(check->losses, g_array_ref(loss));
+	check->losses = g_ptr_array_new_with_free_func(loss_unref_);
+	g_ptr_array_add(check->losses, loss ? g_array_ref(loss) : NULL);
 	check->timer = cb_timer_new(ends->clock, check_timer_fired_, check);
 	g_hash_table_insert(ends->checks, check->name, check);
 	check_start_(check);
--- a/src/libcurrantbridge/request/content.c
+++ b/src/libcurrantbridge/request/content.c
@@ -94,14 +94,10 @@
 	return g_string_free(text, FALSE);
 }
 
-/*
- * Writes the name under which a feature is shared, of CB_CONTENT_NAME_BYTES at
- * most.
- */
-void cb_content_name_write(char *name, uint64_t hash)
+/* Returns the name under which a feature is shared; the caller frees it. */
+char *cb_content_name_new(uint64_t hash)
 {
-	g_snprintf(name, CB_CONTENT_NAME_BYTES,
-		   NAME_PREFIX "%016" G_GINT64_MODIFIER "x", hash);
+	return g_strdup_printf(NAME_PREFIX "%016" G_GINT64_MODIFIER "x", hash);
 }
 
 /* Reads the hash from a feature's name; FALSE: it is no name of a feature. */
--- /dev/null
+++ b/src/libcurrantbridge/request/content_book.c
@@ -0,0 +1,572 @@
+#include "private/content_book.h"
+
+#include <string.h>
+
+#include "private/aged_set.h"
+#include "private/content_suspect.h"
+
+#define MS_PER_S 1000
+/* How long a feature is refused. */
+#define REFUSAL_MS (5 * 60 * MS_PER_S)
+/* How long the end of a server counts. */
+#define DEATH_VALID_MS (10 * 60 * MS_PER_S)
+/* A feature is watched after this many separate events, and refused. */
+#define WATCH_EVENTS 2
+#define REFUSE_EVENTS 3
+/*
+ * Content is refused this time after its last death: other instances share
+ * meanwhile what else ran there, or clear what made progress.
+ */
+#define DECISION_DELAY_MS 150
+/* A refused feature explains at least this part of the ends of its time. */
+#define EXPLAINED_DIVISOR 3
+/* How long progress proves that a feature is innocent. */
+#define PROGRESS_KEPT_MS (60 * MS_PER_S)
+#define PROGRESS_MAX_COUNT 16384
+/* Features that one instance shares of one death, the likeliest first. */
+#define REPORTS_MAX 16
+/* Time between two requests to clear the same feature. */
+#define CLEAR_INTERVAL_MS 1000
+/*
+ * More suspects than instances share: only without control can there be so many,
+ * and they are forgotten.
+ */
+#define SUSPECTS_MAX 4096
+
+struct cb_content_book {
+	cb_content_book_parts_t parts;
+	GHashTable *suspects; /* hash to cb_content_suspect_t */
+	cb_aged_set_t *proved_parts;
+	cb_aged_set_t *proved_requests;
+	/* Whether any suspect is watched or has been refused. */
+	gboolean has_verdicts;
+	cb_timer_t *decision_timer;
+};
+
+static int64_t now_ms_(const cb_content_book_t *book)
+{
+	return cb_clock_now_ms(book->parts.clock);
+}
+
+static int64_t wall_ms_(const cb_content_book_t *book)
+{
+	return cb_clock_wall_ms(book->parts.clock);
+}
+
+static void *hash_key_(uint64_t hash)
+{
+	return GSIZE_TO_POINTER((gsize)hash);
+}
+
+static cb_content_suspect_t *suspect_find_(const cb_content_book_t *book,
+					   uint64_t hash)
+{
+	return g_hash_table_lookup(book->suspects, hash_key_(hash));
+}
+
+static cb_content_suspect_t *suspect_get_(cb_content_book_t *book,
+					  uint64_t hash)
+{
+	cb_content_suspect_t *suspect = suspect_find_(book, hash);
+
+	if (suspect)
+		return suspect;
+	suspect = cb_content_suspect_new(hash);
+	g_hash_table_insert(book->suspects, hash_key_(hash), suspect);
+	return suspect;
+}
+
+static void verdicts_decide_(void *user_data);
+
+/* Creates a book without evidence. */
+cb_content_book_t *cb_content_book_new(const cb_content_book_parts_t *parts)
+{
+	cb_content_book_t *book = g_new0(cb_content_book_t, 1);
+
+	book->parts = *parts;
+	book->suspects = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					       NULL, cb_content_suspect_delete);
+	book->proved_parts =
+		cb_aged_set_new(PROGRESS_KEPT_MS, PROGRESS_MAX_COUNT);
+	book->proved_requests =
+		cb_aged_set_new(PROGRESS_KEPT_MS, PROGRESS_MAX_COUNT);
+	book->decision_timer =
+		cb_timer_new(parts->clock, verdicts_decide_, book);
+	return book;
+}
+
+/* Deletes a book; NULL is allowed. */
+void cb_content_book_delete(cb_content_book_t *book)
+{
+	if (!book)
+		return;
+	g_hash_table_unref(book->suspects);
+	cb_aged_set_delete(book->proved_parts);
+	cb_aged_set_delete(book->proved_requests);
+	cb_timer_delete(book->decision_timer);
+	g_free(book);
+}
+
+static cb_aged_set_t *proved_set_(const cb_content_book_t *book, uint32_t depth)
+{
+	return depth == CB_CONTENT_WHOLE ? book->proved_requests :
+					   book->proved_parts;
+}
+
+static gboolean feature_is_proved_(const cb_content_book_t *book, uint64_t hash,
+				   uint32_t depth)
+{
+	return cb_aged_set_contains(proved_set_(book, depth), hash,
+				    now_ms_(book));
+}
+
+/* Logs and counts a change of a feature's verdict. */
+static void verdict_log_(const cb_content_book_t *book, cb_event_t event,
+			 const char *counter,
+			 const cb_content_suspect_t *suspect)
+{
+	char *name = cb_content_name_new(suspect->hash);
+	int64_t first_wall_ms = INT64_MAX;
+	unsigned int i;
+
+	for (i = 0; i < suspect->deaths->len; i++)
+		first_wall_ms =
+			MIN(first_wall_ms, g_array_index(suspect->deaths,
+							 cb_content_death_t, i)
+						   .wall_ms);
+	cb_log_event(book->parts.log, event, CB_STR("content", name),
+		     CB_INT("depth", suspect->depth),
+		     CB_INT("servers", suspect->deaths->len),
+		     CB_INT("first_death_ms_ago",
+			    suspect->deaths->len ?
+				    wall_ms_(book) - first_wall_ms :
+				    0),
+		     CB_INT("until_wall_ms", suspect->until_wall_ms));
+	cb_counter_add(cb_counters_counter(book->parts.counters, counter, NULL,
+					   NULL),
+		       1);
+	g_free(name);
+}
+
+/* Requests that a suspect's record is removed, at intervals until it is. */
+static void suspect_clear_(cb_content_book_t *book,
+			   cb_content_suspect_t *suspect)
+{
+	int64_t now_ms = now_ms_(book);
+	char *name;
+
+	if (suspect->clear_sent_ms &&
+	    now_ms - suspect->clear_sent_ms < CLEAR_INTERVAL_MS)
+		return;
+	suspect->clear_sent_ms = now_ms;
+	verdict_log_(book, CB_EVENT_CONTENT_CLEARED, "cb_content_cleared_total",
+		     suspect);
+	name = cb_content_name_new(suspect->hash);
+	book->parts.clear(book->parts.user_data, name);
+	g_free(name);
+}
+
+static gboolean weight_suffices_(const cb_content_weight_t *weight)
+{
+	return weight->events >= REFUSE_EVENTS && weight->unexplained &&
+	       weight->ends * EXPLAINED_DIVISOR >=
+		       weight->ends + weight->other_ends;
+}
+
+/* Returns whether a suspect is a likelier cause than the best one so far. */
+static gboolean suspect_is_likelier_(const cb_content_suspect_t *suspect,
+				     const cb_content_weight_t *weight,
+				     const cb_content_suspect_t *best,
+				     const cb_content_weight_t *best_weight)
+{
+	if (!best || weight->events != best_weight->events)
+		return !best || weight->events > best_weight->events;
+	if (weight->ends != best_weight->ends)
+		return weight->ends > best_weight->ends;
+	if (suspect->depth != best->depth)
+		return suspect->depth > best->depth;
+	return suspect->hash < best->hash;
+}
+
+/*
+ * Returns whether a suspect may be refused by now; after a recent death that is
+ * decided later.
+ */
+static gboolean suspect_is_ripe_(cb_content_book_t *book,
+				 const cb_content_suspect_t *suspect)
+{
+	int64_t age_ms =
+		now_ms_(book) - cb_content_suspect_last_death_ms(suspect);
+
+	if (suspect->until_wall_ms || !suspect->is_watched)
+		return FALSE;
+	if (age_ms < DECISION_DELAY_MS)
+		cb_timer_start_sooner(book->decision_timer,
+				      DECISION_DELAY_MS - age_ms);
+	return age_ms >= DECISION_DELAY_MS;
+}
+
+/* Returns the likeliest cause of unexplained ends, or NULL. */
+static cb_content_suspect_t *cause_find_(cb_content_book_t *book,
+					 const cb_content_evidence_t *evidence)
+{
+	cb_content_weight_t best_weight = { 0 };
+	cb_content_suspect_t *best = NULL;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, book->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_content_weight_t weight;
+
+		if (!suspect_is_ripe_(book, value))
+			continue;
+		weight = cb_content_evidence_weigh(evidence, value);
+		if (!weight_suffices_(&weight) ||
+		    !suspect_is_likelier_(value, &weight, best, &best_weight))
+			continue;
+		best = value;
+		best_weight = weight;
+	}
+	return best;
+}
+
+/* Refuses a feature, and shares that if this instance reported it. */
+static void suspect_refuse_(cb_content_book_t *book,
+			    cb_content_suspect_t *suspect)
+{
+	char *name;
+
+	suspect->until_wall_ms = wall_ms_(book) + REFUSAL_MS;
+	verdict_log_(book, CB_EVENT_CONTENT_REFUSED, "cb_content_refused_total",
+		     suspect);
+	if (!suspect->is_reporter)
+		return;
+	name = cb_content_name_new(suspect->hash);
+	book->parts.refuse(book->parts.user_data, name, suspect->until_wall_ms);
+	g_free(name);
+}
+
+/*
+ * Clears the refused features that others replace, which explain all their ends
+ * and more.
+ */
+static void replaced_clear_(cb_content_book_t *book,
+			    const cb_content_evidence_t *evidence)
+{
+	const GPtrArray *refused = cb_content_evidence_refused(evidence);
+	unsigned int i;
+	unsigned int k;
+
+	for (i = 0; i < refused->len; i++) {
+		const cb_content_suspect_t *wide = refused->pdata[i];
+
+		for (k = 0; k < refused->len && wide->is_reporter; k++) {
+			cb_content_suspect_t *narrow = refused->pdata[k];
+
+			if (narrow->deaths->len < wide->deaths->len &&
+			    cb_content_suspect_covers(wide, narrow))
+				suspect_clear_(book, narrow);
+		}
+	}
+}
+
+/*
+ * Returns whether a server has ended under a feature after its refusal was
+ * over: nothing has changed, so it is refused again.
+ */
+static gboolean suspect_is_back_(const cb_content_book_t *book,
+				 const cb_content_suspect_t *suspect)
+{
+	unsigned int i;
+
+	if (!suspect->until_wall_ms || suspect->until_wall_ms > wall_ms_(book))
+		return FALSE;
+	for (i = 0; i < suspect->deaths->len; i++)
+		if (g_array_index(suspect->deaths, cb_content_death_t, i)
+			    .wall_ms > suspect->until_wall_ms)
+			return TRUE;
+	return FALSE;
+}
+
+/* Watches a suspect from its second event on, or clears it if it is proved. */
+static void suspect_watch_(cb_content_book_t *book,
+			   cb_content_suspect_t *suspect,
+			   const cb_content_evidence_t *evidence)
+{
+	gboolean was_watched = suspect->is_watched;
+
+	suspect->is_watched = FALSE;
+	if (suspect->deaths->len < WATCH_EVENTS && !suspect->until_wall_ms)
+		return;
+	if (feature_is_proved_(book, suspect->hash, suspect->depth)) {
+		suspect_clear_(book, suspect);
+		return;
+	}
+	suspect->is_watched =
+		cb_content_evidence_weigh(evidence, suspect).events >=
+		WATCH_EVENTS;
+	if (suspect->is_watched && !was_watched && !suspect->until_wall_ms)
+		verdict_log_(book, CB_EVENT_CONTENT_WATCHED,
+			     "cb_content_watched_total", suspect);
+}
+
+/* Decides which suspects are watched. */
+static void suspects_watch_(cb_content_book_t *book,
+			    const cb_content_evidence_t *evidence)
+{
+	GHashTableIter iter;
+	void *value;
+
+	book->has_verdicts = cb_content_evidence_refused(evidence)->len > 0;
+	g_hash_table_iter_init(&iter, book->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		suspect_watch_(book, value, evidence);
+		book->has_verdicts |=
+			((cb_content_suspect_t *)value)->is_watched;
+	}
+}
+
+/* Decides on all suspects by the evidence of this moment. */
+static void verdicts_decide_(void *user_data)
+{
+	cb_content_book_t *book = user_data;
+	cb_content_evidence_t *evidence =
+		cb_content_evidence_new(book->suspects,
+					wall_ms_(book) - DEATH_VALID_MS);
+	cb_content_suspect_t *cause;
+	GHashTableIter iter;
+	void *value;
+
+	cb_timer_stop(book->decision_timer);
+	g_hash_table_iter_init(&iter, book->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (suspect_is_back_(book, value))
+			suspect_refuse_(book, value);
+		if (((cb_content_suspect_t *)value)->until_wall_ms)
+			cb_content_evidence_add_refused(evidence, value);
+	}
+	suspects_watch_(book, evidence);
+	while ((cause = cause_find_(book, evidence))) {
+		suspect_refuse_(book, cause);
+		cb_content_evidence_add_refused(evidence, cause);
+		suspects_watch_(book, evidence);
+	}
+	replaced_clear_(book, evidence);
+	cb_content_evidence_delete(evidence);
+}
+
+void cb_content_book_add_progress(cb_content_book_t *book,
+				  const GArray *features)
+{
+	unsigned int i;
+
+	for (i = 0; i < features->len; i++) {
+		const cb_content_feature_t *feature =
+			&g_array_index(features, cb_content_feature_t, i);
+		cb_content_suspect_t *suspect =
+			suspect_find_(book, feature->hash);
+
+		cb_aged_set_add(proved_set_(book, feature->depth),
+				feature->hash, now_ms_(book));
+		if (suspect && (suspect->deaths->len >= WATCH_EVENTS ||
+				suspect->until_wall_ms))
+			suspect_clear_(book, suspect);
+	}
+}
+
+/* Orders features by the chance that they are the cause of a death. */
+static int features_compare_(const void *a, const void *b, void *user_data)
+{
+	const cb_content_book_t *book = user_data;
+	const cb_content_feature_t *left = a;
+	const cb_content_feature_t *right = b;
+	gboolean is_left_known = suspect_find_(book, left->hash) != NULL;
+	gboolean is_right_known = suspect_find_(book, right->hash) != NULL;
+
+	if (is_left_known != is_right_known)
+		return is_left_known ? -1 : 1;
+	if (left->depth != right->depth)
+		return left->depth < right->depth ? -1 : 1;
+	return left->hash < right->hash ? -1 : left->hash > right->hash;
+}
+
+/* Returns the features of the requests that are not proved, without doubles. */
+static GArray *candidates_collect_(cb_content_book_t *book,
+				   const GPtrArray *requests)
+{
+	GArray *candidates =
+		g_array_new(FALSE, FALSE, sizeof(cb_content_feature_t));
+	GHashTable *known = g_hash_table_new(g_direct_hash, g_direct_equal);
+	unsigned int i;
+	unsigned int k;
+
+	for (i = 0; i < requests->len; i++) {
+		const GArray *features = requests->pdata[i];
+
+		for (k = 0; k < features->len; k++) {
+			const cb_content_feature_t *feature =
+				&g_array_index(features, cb_content_feature_t,
+					       k);
+
+			if (!feature_is_proved_(book, feature->hash,
+						feature->depth) &&
+			    g_hash_table_add(known, hash_key_(feature->hash)))
+				g_array_append_vals(candidates, feature, 1);
+		}
+	}
+	g_hash_table_unref(known);
+	g_array_sort_with_data(candidates, features_compare_, book);
+	g_array_set_size(candidates, MIN(candidates->len, REPORTS_MAX));
+	return candidates;
+}
+
+/* Records a death under a feature, and shares it if that is not done yet. */
+static void death_report_(cb_content_book_t *book,
+			  const cb_content_feature_t *feature,
+			  const char *server)
+{
+	cb_content_suspect_t *suspect = suspect_get_(book, feature->hash);
+	char *name;
+	char *death;
+
+	suspect->depth = feature->depth;
+	if (cb_content_suspect_find_death(suspect, server))
+		return;
+	suspect->is_reporter = TRUE;
+	cb_content_suspect_add_death(suspect, server, wall_ms_(book),
+				     now_ms_(book));
+	name = cb_content_name_new(feature->hash);
+	death = g_strdup_printf("%s %u %" G_GINT64_FORMAT, server,
+				feature->depth, wall_ms_(book));
+	book->parts.report(book->parts.user_data, name, death);
+	g_free(death);
+	g_free(name);
+}
+
+void cb_content_book_add_death(cb_content_book_t *book, const char *server,
+			       const GPtrArray *requests)
+{
+	GArray *candidates = candidates_collect_(book, requests);
+	unsigned int i;
+
+	if (g_hash_table_size(book->suspects) >= SUSPECTS_MAX)
+		g_hash_table_remove_all(book->suspects);
+	for (i = 0; i < candidates->len; i++)
+		death_report_(book,
+			      &g_array_index(candidates, cb_content_feature_t,
+					     i),
+			      server);
+	if (candidates->len)
+		verdicts_decide_(book);
+	g_array_unref(candidates);
+}
+
+/* Takes over the end of a refusal, if it is later than the known one. */
+static void refusal_read_(cb_content_book_t *book,
+			  cb_content_suspect_t *suspect, int64_t until_wall_ms)
+{
+	gboolean was_refused = suspect->until_wall_ms > wall_ms_(book);
+
+	if (until_wall_ms <= suspect->until_wall_ms)
+		return;
+	suspect->until_wall_ms = until_wall_ms;
+	if (!was_refused && until_wall_ms > wall_ms_(book))
+		verdict_log_(book, CB_EVENT_CONTENT_REFUSED,
+			     "cb_content_refused_total", suspect);
+}
+
+/* Takes over a record; returns whether it has changed. */
+static gboolean record_read_(cb_content_book_t *book,
+			     const cb_content_record_t *record)
+{
+	cb_content_suspect_t *suspect;
+	uint64_t hash;
+
+	if (!cb_content_name_read(record->name, &hash))
+		return FALSE;
+	suspect = suspect_get_(book, hash);
+	suspect->is_shared = TRUE;
+	if (suspect->revision == record->revision)
+		return FALSE;
+	suspect->revision = record->revision;
+	cb_content_suspect_read_deaths(suspect, record->deaths, now_ms_(book));
+	refusal_read_(book, suspect, record->until_wall_ms);
+	return TRUE;
+}
+
+/*
+ * Drops what is no longer shared; returns whether there was any.  Of a suspect
+ * that was cleared, a death that this instance has just reported is left.
+ */
+static gboolean unshared_drop_(cb_content_book_t *book)
+{
+	gboolean has_changed = FALSE;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, book->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_content_suspect_t *suspect = value;
+
+		if (suspect->is_shared)
+			continue;
+		if (suspect->revision) {
+			has_changed = TRUE;
+			suspect->until_wall_ms = 0;
+		}
+		suspect->revision = 0;
+		cb_content_suspect_read_deaths(suspect, NULL, now_ms_(book));
+		if (!suspect->deaths->len)
+			g_hash_table_iter_remove(&iter);
+	}
+	return has_changed;
+}
+
+void cb_content_book_update(cb_content_book_t *book,
+			    const cb_content_record_t *records,
+			    unsigned int record_count)
+{
+	gboolean has_changed = FALSE;
+	GHashTableIter iter;
+	unsigned int i;
+	void *value;
+
+	g_hash_table_iter_init(&iter, book->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((cb_content_suspect_t *)value)->is_shared = FALSE;
+	for (i = 0; i < record_count; i++)
+		has_changed |= record_read_(book, &records[i]);
+	has_changed |= unshared_drop_(book);
+	if (has_changed)
+		verdicts_decide_(book);
+}
+
+cb_content_verdict_t cb_content_book_check(const cb_content_book_t *book,
+					   const GArray *features,
+					   cb_content_refusal_t *refusal)
+{
+	cb_content_verdict_t verdict = CB_CONTENT_FREE;
+	unsigned int i;
+
+	if (!book->has_verdicts)
+		return CB_CONTENT_FREE;
+	for (i = 0; i < features->len; i++) {
+		const cb_content_suspect_t *suspect = suspect_find_(
+			book,
+			g_array_index(features, cb_content_feature_t, i).hash);
+
+		if (!suspect)
+			continue;
+		if (suspect->until_wall_ms > wall_ms_(book)) {
+			if (refusal)
+				*refusal = (cb_content_refusal_t){
+					suspect->hash, suspect->until_wall_ms
+				};
+			return CB_CONTENT_REFUSED;
+		}
+		if (suspect->is_watched)
+			verdict = CB_CONTENT_WATCHED;
+	}
+	return verdict;
+}
--- a/src/test_libcurrantbridge/test_state.c
+++ b/src/test_libcurrantbridge/test_state.c
@@ -379,6 +379,42 @@
 	support_state_delete(self);
 }
 
+/*
+ * A server that died under a digest is recorded once for each instance that
+ * reports it; if details follow its name, only once, with the first details.
+ */
+static void deaths_of_one_server_are_recorded_once(void)
+{
+	static const struct {
+		const char *server;
+		const char *owner;
+		unsigned int expected_count;
+	} cases[] = {
+		{ "s/1", "a/1", 1 },	  { "s/1", "a/1", 1 },
+		{ "s/1", "b/1", 2 },	  { "t/1 2 900", "a", 3 },
+		{ "t/1 2 905", "b", 3 },  { "t/1 3 900", "a", 3 },
+		{ "t/12 2 900", "a", 4 }, { "t/2 2 990", "a", 5 },
+	};
+	support_state_t *self = support_state_new();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_command_t *command = cb_command_new(CB_COMMAND_SUSPECT_ADD);
+		const char *const *deaths;
+
+		command->name = g_strdup("d");
+		command->server = g_strdup(cases[i].server);
+		command->owner = g_strdup(cases[i].owner);
+		CU_ASSERT_EQUAL(support_apply_kind(self, command),
+				CB_ANSWER_OK);
+		deaths = cb_view_deaths(cb_state_view(self->state), "d",
+					self->wall_ms);
+		CU_ASSERT_EQUAL(g_strv_length((char **)deaths),
+				cases[i].expected_count);
+	}
+	support_state_delete(self);
+}
+
 #define NAME_COUNT 6
 
 /*
@@ -619,6 +655,8 @@
 	{ "instance_state_depends_on_the_incarnation",
 	  instance_state_depends_on_the_incarnation },
 	{ "quarantine_expires", quarantine_expires },
+	{ "deaths_of_one_server_are_recorded_once",
+	  deaths_of_one_server_are_recorded_once },
 	{ "random_changes_match_a_reference_model",
 	  random_changes_match_a_reference_model },
 	{ "damaged_snapshots_are_rejected", damaged_snapshots_are_rejected },
