Soak: the end of a server is always seen in a stream without a length

All end between two events: the soak kills its servers, and the kernel closes their connections cleanly. In such an answer nothing tells this from the end of the stream (docs/REQUESTS.md, Where an answer ends); the check asked for what no reader can know.

The check stays as it is.

--- a/test/platform/soak/soak_server_main.c
+++ b/test/platform/soak/soak_server_main.c
@@ -276,25 +276,40 @@
 }
 
 /*
- * Sends one event of a stream, or only a part of it if `size` is less than its
- * length.
+ * Sends one event of a stream as a chunk, or only a part of it if `size` is less
+ * than its length.
  */
-static gboolean event_send_(int fd, const char *event, size_t size,
-			    conduct_t conduct)
+static gboolean event_send_(int fd, const char *event, size_t size)
 {
 	GString *text = g_string_new(NULL);
 	gboolean is_sent;
 
-	if (conduct != CONDUCT_UNFRAMED)
-		g_string_append_printf(text, "%zx\r\n", strlen(event));
+	g_string_append_printf(text, "%zx\r\n", strlen(event));
 	g_string_append_len(text, event, (gssize)size);
-	if (conduct != CONDUCT_UNFRAMED && size == strlen(event))
+	if (size == strlen(event))
 		g_string_append(text, "\r\n");
 	is_sent = support_socket_send(fd, text->str, text->len);
 	g_string_free(text, TRUE);
 	return is_sent;
 }
 
+/*
+ * Sends one event of a stream with neither length nor chunks.  The line end that
+ * completes an event comes with the next one, so that the end of the process is
+ * always inside an event: nothing would tell it from the end of the stream
+ * otherwise.
+ */
+static gboolean unframed_event_send_(int fd, const char *event,
+				     gboolean is_first, gboolean is_last)
+{
+	char *text = g_strconcat(is_first ? "" : "\n", event, NULL);
+	gboolean is_sent = support_socket_send(
+		fd, text, strlen(text) - (is_last ? 0 : strlen("\n")));
+
+	g_free(text);
+	return is_sent;
+}
+
 /* Waits as long as the next event of a stream takes. */
 static void event_await_(server_t *server, conduct_t conduct)
 {
@@ -310,6 +325,7 @@
 			     unsigned int id, conduct_t conduct)
 {
 	unsigned int count = soak_stream_event_count(key);
+	unsigned int first_id = id;
 	unsigned int broken_id = count;
 	gboolean is_sent = TRUE;
 
@@ -321,10 +337,17 @@
 		size_t size = strlen(event);
 
 		event_await_(server, conduct);
+		if (conduct == CONDUCT_UNFRAMED) {
+			is_sent =
+				unframed_event_send_(fd, event, id == first_id,
+						     id + 1 == count);
+			g_free(event);
+			continue;
+		}
 		if (id == broken_id && conduct == CONDUCT_CUT)
 			size = (size_t)chance_draw_(server, 1, (int)size);
 		is_sent = (id != broken_id || conduct == CONDUCT_CUT) &&
-			  event_send_(fd, event, size, conduct);
+			  event_send_(fd, event, size);
 		is_sent &= id != broken_id;
 		g_free(event);
 	}
