--- a/src/libcurrantbridge/request/content_book.c
+++ b/src/libcurrantbridge/request/content_book.c
@@ -23,8 +23,8 @@
 /* How long progress proves that a feature is innocent. */
 #define PROGRESS_KEPT_MS (60 * MS_PER_S)
 #define PROGRESS_MAX_COUNT 16384
-/* Features that one instance shares of one death, the likeliest first. */
-#define REPORTS_MAX 16
+/* Features that one instance shares of one death. */
+#define REPORTS_MAX 32
 /* Time between two requests to clear the same feature. */
 #define CLEAR_INTERVAL_MS 1000
 /*
@@ -375,7 +375,10 @@
 	}
 }
 
-/* Orders features by the chance that they are the cause of a death. */
+/*
+ * Orders the features of a death for its reports: first those that servers ended
+ * under before, then parts, then whole requests.
+ */
 static int features_compare_(const void *a, const void *b, void *user_data)
 {
 	const cb_content_book_t *book = user_data;
@@ -386,8 +389,9 @@
 
 	if (is_left_known != is_right_known)
 		return is_left_known ? -1 : 1;
-	if (left->depth != right->depth)
-		return left->depth < right->depth ? -1 : 1;
+	if ((left->depth == CB_CONTENT_WHOLE) !=
+	    (right->depth == CB_CONTENT_WHOLE))
+		return left->depth == CB_CONTENT_WHOLE ? 1 : -1;
 	return left->hash < right->hash ? -1 : left->hash > right->hash;
 }
 
