A check that leaves a stream where it is looks for no other server

Each check of a silent engine stream looked for a chain that could take over, before its first report was asked for, and a report that shows nothing lost was handled beside the decision. The search is left out where the decision doesn't need it, and the sign "working" passes through the decision like the others.

--- a/src/libcurrantbridge/include/private/silence.h
+++ b/src/libcurrantbridge/include/private/silence.h
@@ -8,8 +8,9 @@
  * Decides what follows when the server of a stream says nothing.  Silence is not
  * loss: a sound server may pause and go on, and its connection tells if it ends.
  * An attempt is therefore left only for another one that can take over, and is
- * otherwise kept until its server goes on or breaks it off, an engine that it needs
- * is shown to have ended, or the request's time is over.  These decisions do no I/O and keep no state.
+ * otherwise kept until its server goes on or breaks it off, an engine that it
+ * needs is shown to have ended, or the request's time is over.  These decisions
+ * do no I/O and keep no state.
  */
 
 /* What is known of the silent server. */
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -14,7 +14,7 @@
 #define CHECK_INTERVAL_MIN_MS 20
 /* How long an engine may take to carry out a reroute. */
 #define REROUTE_TIMEOUT_MS 300
-/* Reroutes of one request, after which a bad server fails the attempt. */
+/* Reroutes without an event in between, after which no other is requested. */
 #define REROUTES_MAX 4
 
 /* Returns how long a stream has been without an event, in ms. */
@@ -163,7 +163,9 @@
 /* Keeps a silent attempt, and looks again later. */
 static void attempt_keep_(cb_relay_t *relay, const cb_silence_t *silence)
 {
-	if (!relay->pace.check_count) {
+	gboolean is_working = silence->sign == CB_SILENCE_WORKING;
+
+	if (!relay->pace.check_count && !is_working) {
 		silence_record_(relay, silence);
 		cb_log_event(relay->front->log, CB_EVENT_RELAY_KEPT,
 			     CB_STR("request", relay->request_info.id),
@@ -176,8 +178,9 @@
 				    cb_clock_lateness_ms(relay->front->clock)));
 	}
 	if (!relay->pace.current_cause)
-		cb_event_pace_set_cause(&relay->pace, CB_RELAY_SILENT);
-	cb_event_pace_count_check(&relay->pace, FALSE);
+		cb_event_pace_set_cause(&relay->pace,
+					is_working ? "slow" : CB_RELAY_SILENT);
+	cb_event_pace_count_check(&relay->pace, is_working);
 	cb_relay_start_silence_timer(relay);
 }
 
@@ -191,11 +194,18 @@
 static void silence_handle_(cb_relay_t *relay, cb_silence_sign_t sign,
 			    const char *lost_address)
 {
+	gboolean gives_reports = relay->service->engine != NULL;
+	/* A stream that is only checked costs no search for another server. */
+	gboolean may_be_left =
+		sign != CB_SILENCE_WORKING && sign != CB_SILENCE_STALLED &&
+		(sign != CB_SILENCE_EVENT_OVERDUE || !gives_reports);
 	const cb_silence_t silence = {
 		.sign = sign,
-		.gives_reports = relay->service->engine != NULL,
-		.peers = peers_find_(relay),
-		.may_restart = restart_is_possible_(relay, lost_address),
+		.gives_reports = gives_reports,
+		.peers = may_be_left ? peers_find_(relay) :
+				       CB_SILENCE_PEERS_UNKNOWN,
+		.may_restart = may_be_left &&
+			       restart_is_possible_(relay, lost_address),
 		.has_ended = lost_address &&
 			     cb_engine_reports_has_ended(relay->front->reports,
 							 lost_address),
@@ -419,14 +429,8 @@
 	if (address && cb_relay_find_hop(relay, address)) {
 		cb_relay_move_streams(front, address);
 	} else {
-		/*
-		 * The stream is only slow; another server would start the
-		 * answer over.
-		 */
-		if (!relay->pace.current_cause)
-			cb_event_pace_set_cause(&relay->pace, "slow");
-		cb_event_pace_count_check(&relay->pace, TRUE);
-		cb_relay_start_silence_timer(relay);
+		/* Another server would start the answer over. */
+		silence_handle_(relay, CB_SILENCE_WORKING, NULL);
 	}
 	g_free(address);
 }
