Logs: lost connections whose server's end is not shown, and ends under proved content

Event 515 has `proved` now, and event 520 is written where a check shows no end, with what it showed. No decision changes.

--- a/src/libcurrantbridge/include/private/content_book.h
+++ b/src/libcurrantbridge/include/private/content_book.h
@@ -65,6 +65,12 @@
  */
 void cb_content_book_add_death(cb_content_book_t *book, const char *server,
 			       const GPtrArray *requests);
+/*
+ * Returns how many of the requests, each given by its features, have only
+ * features that this instance saw make progress.
+ */
+unsigned int cb_content_book_count_proved(const cb_content_book_t *book,
+					  const GPtrArray *requests);
 /* Replaces what the instances have shared. */
 void cb_content_book_update(cb_content_book_t *book,
 			    const cb_content_record_t *records,
--- a/src/libcurrantbridge/include/private/relay_content.h
+++ b/src/libcurrantbridge/include/private/relay_content.h
@@ -37,8 +37,9 @@
 cb_content_book_t *cb_relay_content_book_new(struct cb_front *front);
 /* Called when the view has changed. */
 void cb_relay_content_view_changed(struct cb_front *front);
-/* Called when a server has ended; `user_data` is the cb_front_t. */
-void cb_relay_content_server_ended(const cb_relay_hop_t *server,
-				   const GPtrArray *losses, void *user_data);
+/* Called when a server was checked; `user_data` is the cb_front_t. */
+void cb_relay_content_server_checked(const cb_relay_hop_t *server,
+				     cb_server_check_t check,
+				     const GPtrArray *losses, void *user_data);
 
 #endif
--- a/src/libcurrantbridge/include/private/server_ends.h
+++ b/src/libcurrantbridge/include/private/server_ends.h
@@ -10,16 +10,28 @@
  */
 typedef struct cb_server_ends cb_server_ends_t;
 
+/* What a new connection to a server has shown. */
+typedef enum cb_server_check {
+	CB_SERVER_CHECK_REFUSED, /* its process has ended */
+	CB_SERVER_CHECK_CONNECTED,
+	CB_SERVER_CHECK_UNANSWERED,
+	CB_SERVER_CHECK_COUNT
+} cb_server_check_t;
+
+extern const char *const cb_server_check_string[CB_SERVER_CHECK_COUNT];
+
 /*
- * Called once for a server process that has ended.  `losses` holds the data
- * that was given with each lost connection (elements of type GArray *, or
- * NULL).
+ * Called once for each checked server process.  `losses` holds the data that
+ * was given with each lost connection (elements of type GArray *, or NULL).
  */
-typedef void (*cb_server_ended_fn_t)(const cb_relay_hop_t *server,
-				     const GPtrArray *losses, void *user_data);
+typedef void (*cb_server_checked_fn_t)(const cb_relay_hop_t *server,
+				       cb_server_check_t check,
+				       const GPtrArray *losses,
+				       void *user_data);
 
 cb_server_ends_t *cb_server_ends_new(GMainContext *context, cb_clock_t *clock,
-				     cb_server_ended_fn_t fn, void *user_data);
+				     cb_server_checked_fn_t fn,
+				     void *user_data);
 void cb_server_ends_delete(cb_server_ends_t *ends);
 /* Takes note of a lost connection; keeps a reference to `loss`, if any. */
 void cb_server_ends_add_loss(cb_server_ends_t *ends,
--- a/src/libcurrantbridge/relay/relay_content.c
+++ b/src/libcurrantbridge/relay/relay_content.c
@@ -149,11 +149,10 @@
 	return TRUE;
 }
 
-/* Called when the process of a server has ended under requests. */
-void cb_relay_content_server_ended(const cb_relay_hop_t *server,
-				   const GPtrArray *losses, void *user_data)
+/* Records that the process of a server has ended under requests. */
+static void server_end_record_(cb_front_t *front, const cb_relay_hop_t *server,
+			       const GPtrArray *losses)
 {
-	cb_front_t *front = user_data;
 	GPtrArray *candidates = g_ptr_array_new();
 	char *process = g_strdup_printf("%s/%" G_GINT64_FORMAT, server->id,
 					server->start_wall_ms);
@@ -166,7 +165,10 @@
 		     CB_STR("server", server->id),
 		     CB_STR("address", server->address),
 		     CB_INT("attempts", losses->len),
-		     CB_INT("candidates", candidates->len));
+		     CB_INT("candidates", candidates->len),
+		     CB_INT("proved",
+			    cb_content_book_count_proved(front->content_book,
+							 candidates)));
 	cb_content_book_add_death(front->content_book, process, candidates);
 	g_ptr_array_unref(candidates);
 	g_free(process);
@@ -176,6 +178,23 @@
 		       1);
 }
 
+void cb_relay_content_server_checked(const cb_relay_hop_t *server,
+				     cb_server_check_t check,
+				     const GPtrArray *losses, void *user_data)
+{
+	cb_front_t *front = user_data;
+
+	if (check == CB_SERVER_CHECK_REFUSED) {
+		server_end_record_(front, server, losses);
+		return;
+	}
+	cb_log_event(front->log, CB_EVENT_RELAY_END_UNPROVED,
+		     CB_STR("server", server->id),
+		     CB_STR("address", server->address),
+		     CB_STR("check", cb_server_check_string[check]),
+		     CB_INT("attempts", losses->len));
+}
+
 static void share_ended_(cb_control_outcome_t outcome,
 			 const cb_answer_t *answer, void *user_data)
 {
--- a/src/libcurrantbridge/relay/server_ends.c
+++ b/src/libcurrantbridge/relay/server_ends.c
@@ -12,11 +12,11 @@
 /* A connection that is neither made nor refused by then proves nothing. */
 #define CHECK_TIMEOUT_MS 200
 
-typedef enum check_state {
-	CHECK_PENDING,
-	CHECK_REFUSED,
-	CHECK_CONNECTED,
-} check_state_t;
+const char *const cb_server_check_string[CB_SERVER_CHECK_COUNT] = {
+	[CB_SERVER_CHECK_REFUSED] = "refused",
+	[CB_SERVER_CHECK_CONNECTED] = "connected",
+	[CB_SERVER_CHECK_UNANSWERED] = "unanswered",
+};
 
 /* The check of one server process. */
 typedef struct check {
@@ -25,7 +25,7 @@
 	cb_relay_hop_t server;
 	GPtrArray *losses; /* elements: GArray */
 	cb_stream_t *stream;
-	check_state_t state;
+	cb_server_check_t state;
 	int64_t since_ms;
 	cb_timer_t *timer;
 } check_t;
@@ -33,7 +33,7 @@
 struct cb_server_ends {
 	cb_clock_t *clock;
 	cb_poller_t *poller;
-	cb_server_ended_fn_t fn;
+	cb_server_checked_fn_t fn;
 	void *user_data;
 	GHashTable *checks; /* "ID/START" to check_t */
 };
@@ -62,7 +62,7 @@
  * them.
  */
 cb_server_ends_t *cb_server_ends_new(GMainContext *context, cb_clock_t *clock,
-				     cb_server_ended_fn_t fn, void *user_data)
+				     cb_server_checked_fn_t fn, void *user_data)
 {
 	cb_server_ends_t *ends = g_new0(cb_server_ends_t, 1);
 
@@ -87,7 +87,7 @@
 
 static void check_opened_(void *user_data)
 {
-	((check_t *)user_data)->state = CHECK_CONNECTED;
+	((check_t *)user_data)->state = CB_SERVER_CHECK_CONNECTED;
 }
 
 static void check_received_(void *user_data, const uint8_t *data, size_t size)
@@ -101,24 +101,25 @@
 {
 	check_t *check = user_data;
 
-	if (check->state == CHECK_PENDING && end == CB_STREAM_END_REFUSED)
-		check->state = CHECK_REFUSED;
+	if (check->state == CB_SERVER_CHECK_UNANSWERED &&
+	    end == CB_STREAM_END_REFUSED)
+		check->state = CB_SERVER_CHECK_REFUSED;
 }
 
-/* Reports the end of the process, or drops the check. */
+/* Reports what the check has shown, unless it may take longer. */
 static void check_timer_fired_(void *user_data)
 {
 	check_t *check = user_data;
 	cb_server_ends_t *ends = check->ends;
 	int64_t age_ms = cb_clock_now_ms(ends->clock) - check->since_ms;
 
-	if (check->state == CHECK_PENDING && age_ms < CHECK_TIMEOUT_MS) {
+	if (check->state == CB_SERVER_CHECK_UNANSWERED &&
+	    age_ms < CHECK_TIMEOUT_MS) {
 		cb_timer_start(check->timer, CHECK_TIMEOUT_MS - age_ms);
 		return;
 	}
 	g_hash_table_steal(ends->checks, check->name);
-	if (check->state == CHECK_REFUSED)
-		ends->fn(&check->server, check->losses, ends->user_data);
+	ends->fn(&check->server, check->state, check->losses, ends->user_data);
 	check_delete_(check);
 }
 
@@ -135,8 +136,9 @@
 		cb_stream_connect(check->ends->poller, check->server.address,
 				  &handler, check);
 	if (!check->stream)
-		check->state =
-			errno == ECONNREFUSED ? CHECK_REFUSED : CHECK_CONNECTED;
+		check->state = errno == ECONNREFUSED ?
+				       CB_SERVER_CHECK_REFUSED :
+				       CB_SERVER_CHECK_CONNECTED;
 	cb_timer_start(check->timer, COLLECT_MS);
 }
 
@@ -163,6 +165,7 @@
 	check->server.id = g_strdup(server->id);
 	check->server.address = g_strdup(server->address);
 	check->since_ms = cb_clock_now_ms(ends->clock);
+	check->state = CB_SERVER_CHECK_UNANSWERED;
 	check->losses = g_ptr_array_new_with_free_func(loss_unref_);
 	g_ptr_array_add(check->losses, loss ? g_array_ref(loss) : NULL);
 	check->timer = cb_timer_new(ends->clock, check_timer_fired_, check);
--- a/src/libcurrantbridge/request/content_book.c
+++ b/src/libcurrantbridge/request/content_book.c
@@ -425,6 +425,32 @@
 	return candidates;
 }
 
+static gboolean request_is_proved_(const cb_content_book_t *book,
+				   const GArray *features)
+{
+	unsigned int i;
+
+	for (i = 0; i < features->len; i++) {
+		const cb_content_feature_t *feature =
+			&g_array_index(features, cb_content_feature_t, i);
+
+		if (!feature_is_proved_(book, feature->hash, feature->depth))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+unsigned int cb_content_book_count_proved(const cb_content_book_t *book,
+					  const GPtrArray *requests)
+{
+	unsigned int count = 0;
+	unsigned int i;
+
+	for (i = 0; i < requests->len; i++)
+		count += request_is_proved_(book, requests->pdata[i]);
+	return count;
+}
+
 /* Records a death under a feature, and shares it if that is not done yet. */
 static void death_report_(cb_content_book_t *book,
 			  const cb_content_feature_t *feature,
