--- a/src/test_libcurrantbridge/test_content_days.c
+++ b/src/test_libcurrantbridge/test_content_days.c
@@ -56,31 +56,46 @@
 	unsigned int racks;   /* racks that are lost, of 4 servers each */
 	/* Whether half of the instances start again at the time of the crashes. */
 	gboolean restarts_entries;
+	/* Whether the bad content is served well at first. */
+	gboolean turns_bad;
 } day_case_t;
 
 static const day_case_t day_cases[] = {
-	{ "first part", BAD_FIRST_PART, 12, 27, 3, 0, 0, FALSE },
-	{ "middle part", BAD_MIDDLE_PART, 12, 27, 3, 0, 0, FALSE },
-	{ "last part", BAD_LAST_PART, 12, 27, 3, 0, 0, FALSE },
-	{ "first part, entries restart", BAD_FIRST_PART, 12, 27, 3, 0, 0,
-	  TRUE },
-	{ "whole request", BAD_REQUEST, 12, 27, 3, 0, 0, FALSE },
-	{ "two parts", BAD_TWO_PARTS, 12, 27, 3, 0, 0, FALSE },
-	{ "first part, 30 servers", BAD_FIRST_PART, 30, 90, 3, 0, 0, FALSE },
-	{ "first part, 200 servers", BAD_FIRST_PART, 200, 400, 3, 0, 0, FALSE },
-	{ "first part, other crashes", BAD_FIRST_PART, 30, 90, 3, 0.3, 1,
+	{ "first part", BAD_FIRST_PART, 12, 27, 3, 0, 0, FALSE, FALSE },
+	{ "middle part", BAD_MIDDLE_PART, 12, 27, 3, 0, 0, FALSE, FALSE },
+	{ "last part", BAD_LAST_PART, 12, 27, 3, 0, 0, FALSE, FALSE },
+	{ "first part, entries restart", BAD_FIRST_PART, 12, 27, 3, 0, 0, TRUE,
+	  FALSE },
+	{ "whole request", BAD_REQUEST, 12, 27, 3, 0, 0, FALSE, FALSE },
+	{ "two parts", BAD_TWO_PARTS, 12, 27, 3, 0, 0, FALSE, FALSE },
+	{ "first part, 30 servers", BAD_FIRST_PART, 30, 90, 3, 0, 0, FALSE,
+	  FALSE },
+	{ "first part, 200 servers", BAD_FIRST_PART, 200, 400, 3, 0, 0, FALSE,
 	  FALSE },
-	{ "no bad content, crashes", BAD_NONE, 30, 90, 0, 1, 0, FALSE },
+	{ "first part, other crashes", BAD_FIRST_PART, 30, 90, 3, 0.3, 1, FALSE,
+	  FALSE },
+	{ "no bad content, crashes", BAD_NONE, 30, 90, 0, 1, 0, FALSE, FALSE },
 	{ "no bad content, many crashes, entries restart", BAD_NONE, 30, 90, 0,
-	  3, 0, TRUE },
-	{ "no bad content, racks", BAD_NONE, 30, 90, 0, 0, 5, FALSE },
+	  3, 0, TRUE, FALSE },
+	{ "no bad content, racks", BAD_NONE, 30, 90, 0, 0, 5, FALSE, FALSE },
 	{ "no bad content, crashes, racks and restarts", BAD_NONE, 12, 27, 0, 1,
-	  3, TRUE },
+	  3, TRUE, FALSE },
+	{ "whole request, 3 servers", BAD_REQUEST, 3, 27, 3, 0, 0, FALSE,
+	  FALSE },
+	{ "whole request turns bad", BAD_REQUEST, 12, 27, 3, 0, 0, FALSE,
+	  TRUE },
+	{ "whole request turns bad, 3 servers", BAD_REQUEST, 3, 27, 3, 0, 0,
+	  FALSE, TRUE },
+	{ "first part turns bad", BAD_FIRST_PART, 12, 27, 3, 0, 0, FALSE,
+	  TRUE },
+	{ "middle part turns bad, other crashes", BAD_MIDDLE_PART, 30, 90, 3,
+	  0.3, 1, FALSE, TRUE },
 };
 
 typedef struct request {
 	GArray *features;
 	gboolean is_bad;
+	gboolean crashes_server;
 	unsigned int entry;
 	unsigned int server;
 	unsigned int attempts;
@@ -134,7 +149,8 @@
 	GPtrArray *changes; /* change_t */
 	GPtrArray *records; /* record_t */
 	uint64_t revision;
-	unsigned int serial; /* number of the last request */
+	unsigned int serial;  /* number of the last request */
+	gboolean is_bad_time; /* bad content crashes servers from now on */
 	/* What the day showed. */
 	unsigned int bad_crashes;
 	int64_t known_ms; /* time from which content must be known; 0: not yet */
@@ -429,6 +445,7 @@
 
 	request->features = request_features_(day, is_bad);
 	request->is_bad = is_bad;
+	request->crashes_server = is_bad && day->is_bad_time;
 	request->entry = g_rand_int(day->random) % ENTRIES;
 	day->sound_count += !is_bad;
 	request_send_(day, request);
@@ -520,7 +537,8 @@
 		request_t *request = day->running->pdata[i++];
 		cb_content_book_t *book = day->entries[request->entry].book;
 
-		if (request->is_bad && now_ms >= request->begin_ms + CRASH_MS) {
+		if (request->is_bad && request->crashes_server &&
+		    now_ms >= request->begin_ms + CRASH_MS) {
 			bad_request_crash_(day, request);
 			i = 0;
 			continue;
@@ -560,10 +578,11 @@
 	requests_run_(day);
 	notices_read_(day);
 	changes_apply_(day);
-	if (at_ms < WARM_UP_MS)
-		return;
-	if (happens_(day, c->bad_per_s))
+	day->is_bad_time = at_ms >= WARM_UP_MS;
+	if ((day->is_bad_time || c->turns_bad) && happens_(day, c->bad_per_s))
 		request_arrive_(day, TRUE);
+	if (!day->is_bad_time)
+		return;
 	if (happens_(day, c->crashes_per_s))
 		server_end_(day, g_rand_int(day->random) % c->servers);
 	if (c->racks &&
