A request that was served and then ends servers is refused

Callers saw: a request that ends each server which runs it came again and again, and each time ended up to two servers; of a service with three servers nothing was left at times.

Cause: a whole answer 2xx proved all features of a request for 60 s and more, and ends under proved features were not even reported. A GET without a body is the same request whenever the same caller asks for the same path, so one that turns bad was proved by its own past. Class: evidence that does not age against newer evidence.

Change: an end under a proved whole request counts unless the same request makes progress within 500 ms after it, and only progress after the last end proves it again. A whole request is also refused after two events with four ends: all servers of a small service may end at once.

--- a/src/libcurrantbridge/include/private/aged_set.h
+++ b/src/libcurrantbridge/include/private/aged_set.h
@@ -16,5 +16,7 @@
 void cb_aged_set_add(cb_aged_set_t *set, uint64_t hash, int64_t now_ms);
 gboolean cb_aged_set_contains(cb_aged_set_t *set, uint64_t hash,
 			      int64_t now_ms);
+/* Returns when a hash was last added; -1: it is not in the set. */
+int64_t cb_aged_set_added_ms(cb_aged_set_t *set, uint64_t hash, int64_t now_ms);
 
 #endif
--- a/src/libcurrantbridge/request/aged_set.c
+++ b/src/libcurrantbridge/request/aged_set.c
@@ -7,6 +7,7 @@
 struct cb_aged_set {
 	int64_t keep_ms;
 	unsigned int max_count;
+	/* Maps hashes to the times at which they were last added. */
 	GHashTable *young;
 	GHashTable *old;
 	int64_t turned_ms; /* when the young generation was begun */
@@ -65,12 +66,24 @@
 	generations_age_(set, now_ms);
 	if (g_hash_table_size(set->young) >= set->max_count)
 		generation_turn_(set, now_ms);
-	g_hash_table_add(set->young, hash_key_(hash));
+	g_hash_table_insert(set->young, hash_key_(hash),
+			    GSIZE_TO_POINTER((gsize)now_ms));
 }
 
-gboolean cb_aged_set_contains(cb_aged_set_t *set, uint64_t hash, int64_t now_ms)
+int64_t cb_aged_set_added_ms(cb_aged_set_t *set, uint64_t hash, int64_t now_ms)
 {
+	void *added_ms;
+
 	generations_age_(set, now_ms);
-	return g_hash_table_contains(set->young, hash_key_(hash)) ||
-	       g_hash_table_contains(set->old, hash_key_(hash));
+	if (!g_hash_table_lookup_extended(set->young, hash_key_(hash), NULL,
+					  &added_ms) &&
+	    !g_hash_table_lookup_extended(set->old, hash_key_(hash), NULL,
+					  &added_ms))
+		return -1;
+	return (int64_t)GPOINTER_TO_SIZE(added_ms);
+}
+
+gboolean cb_aged_set_contains(cb_aged_set_t *set, uint64_t hash, int64_t now_ms)
+{
+	return cb_aged_set_added_ms(set, hash, now_ms) >= 0;
 }
--- a/src/libcurrantbridge/request/content_book.c
+++ b/src/libcurrantbridge/request/content_book.c
@@ -20,10 +20,16 @@
 #define DECISION_DELAY_MS 150
 /* A refused feature explains at least this part of the ends of its time. */
 #define EXPLAINED_DIVISOR 3
+/*
+ * A server that ends under a proved request counts unless the same request makes
+ * progress again within this time.  Parts stay proved: sound requests that have
+ * them may be lost with their servers and make no progress either.
+ */
+#define DOUBT_MS 500
 /* How long progress proves that a feature is innocent. */
 #define PROGRESS_KEPT_MS (60 * MS_PER_S)
 #define PROGRESS_MAX_COUNT 16384
-/* Features that one instance shares of one death. */
+/* Features that one instance shares of one death, proved ones apart. */
 #define REPORTS_MAX 32
 /* Time between two requests to clear the same feature. */
 #define CLEAR_INTERVAL_MS 1000
@@ -33,6 +39,14 @@
  */
 #define SUSPECTS_MAX 4096
 
+/* A death under a whole request that was proved before. */
+typedef struct doubt {
+	cb_content_feature_t feature;
+	char *server;
+	int64_t wall_ms; /* time of the death */
+	int64_t since_ms;
+} doubt_t;
+
 struct cb_content_book {
 	cb_content_book_parts_t parts;
 	GHashTable *suspects; /* hash to cb_content_suspect_t */
@@ -41,6 +55,8 @@
 	/* Whether any suspect is watched or has been refused. */
 	gboolean has_verdicts;
 	cb_timer_t *decision_timer;
+	GQueue doubts; /* doubt_t, the oldest first */
+	cb_timer_t *doubt_timer;
 };
 
 static int64_t now_ms_(const cb_content_book_t *book)
@@ -77,6 +93,13 @@
 }
 
 static void verdicts_decide_(void *user_data);
+static void doubts_settle_(void *user_data);
+
+static void doubt_delete_(void *data)
+{
+	g_free(((doubt_t *)data)->server);
+	g_free(data);
+}
 
 /* Creates a book without evidence. */
 cb_content_book_t *cb_content_book_new(const cb_content_book_parts_t *parts)
@@ -92,6 +115,8 @@
 		cb_aged_set_new(PROGRESS_KEPT_MS, PROGRESS_MAX_COUNT);
 	book->decision_timer =
 		cb_timer_new(parts->clock, verdicts_decide_, book);
+	g_queue_init(&book->doubts);
+	book->doubt_timer = cb_timer_new(parts->clock, doubts_settle_, book);
 	return book;
 }
 
@@ -104,6 +129,8 @@
 	cb_aged_set_delete(book->proved_parts);
 	cb_aged_set_delete(book->proved_requests);
 	cb_timer_delete(book->decision_timer);
+	cb_timer_delete(book->doubt_timer);
+	g_queue_clear_full(&book->doubts, doubt_delete_);
 	g_free(book);
 }
 
@@ -113,11 +140,27 @@
 					   book->proved_parts;
 }
 
+/* Returns when a feature last made progress here; -1: that is not known. */
+static int64_t progress_ms_(const cb_content_book_t *book, uint64_t hash,
+			    uint32_t depth)
+{
+	return cb_aged_set_added_ms(proved_set_(book, depth), hash,
+				    now_ms_(book));
+}
+
+/*
+ * Returns whether progress proves that a feature is innocent.  That of a whole
+ * request must have been made since the last server ended under it.
+ */
 static gboolean feature_is_proved_(const cb_content_book_t *book, uint64_t hash,
 				   uint32_t depth)
 {
-	return cb_aged_set_contains(proved_set_(book, depth), hash,
-				    now_ms_(book));
+	const cb_content_suspect_t *suspect = suspect_find_(book, hash);
+	int64_t progress_ms = progress_ms_(book, hash, depth);
+
+	return progress_ms >= 0 &&
+	       (!suspect || depth != CB_CONTENT_WHOLE ||
+		progress_ms >= cb_content_suspect_last_death_ms(suspect));
 }
 
 /* Logs and counts a change of a feature's verdict. */
@@ -166,9 +209,20 @@
 	g_free(name);
 }
 
-static gboolean weight_suffices_(const cb_content_weight_t *weight)
+/*
+ * Returns whether the ends under a feature suffice to refuse it.  Two events are
+ * enough for one and the same request with more ends than that: a rack that is
+ * lost is one event, and seldom runs a request several times.
+ */
+static gboolean weight_suffices_(const cb_content_weight_t *weight,
+				 uint32_t depth)
 {
-	return weight->events >= REFUSE_EVENTS && weight->unexplained &&
+	gboolean has_events =
+		weight->events >= REFUSE_EVENTS ||
+		(depth == CB_CONTENT_WHOLE && weight->events >= WATCH_EVENTS &&
+		 weight->ends > REFUSE_EVENTS);
+
+	return has_events && weight->unexplained &&
 	       weight->ends * EXPLAINED_DIVISOR >=
 		       weight->ends + weight->other_ends;
 }
@@ -217,15 +271,16 @@
 
 	g_hash_table_iter_init(&iter, book->suspects);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_content_suspect_t *suspect = value;
 		cb_content_weight_t weight;
 
-		if (!suspect_is_ripe_(book, value))
+		if (!suspect_is_ripe_(book, suspect))
 			continue;
-		weight = cb_content_evidence_weigh(evidence, value);
-		if (!weight_suffices_(&weight) ||
-		    !suspect_is_likelier_(value, &weight, best, &best_weight))
+		weight = cb_content_evidence_weigh(evidence, suspect);
+		if (!weight_suffices_(&weight, suspect->depth) ||
+		    !suspect_is_likelier_(suspect, &weight, best, &best_weight))
 			continue;
-		best = value;
+		best = suspect;
 		best_weight = weight;
 	}
 	return best;
@@ -356,6 +411,15 @@
 	cb_content_evidence_delete(evidence);
 }
 
+/*
+ * Returns how many deaths under a feature progress clears.  Those of parts are
+ * not worth it before the part is watched.
+ */
+static unsigned int clearing_deaths_(const cb_content_feature_t *feature)
+{
+	return feature->depth == CB_CONTENT_WHOLE ? 1 : WATCH_EVENTS;
+}
+
 void cb_content_book_add_progress(cb_content_book_t *book,
 				  const GArray *features)
 {
@@ -369,9 +433,12 @@
 
 		cb_aged_set_add(proved_set_(book, feature->depth),
 				feature->hash, now_ms_(book));
-		if (suspect && (suspect->deaths->len >= WATCH_EVENTS ||
-				suspect->until_wall_ms))
-			suspect_clear_(book, suspect);
+		if (!suspect ||
+		    (suspect->deaths->len < clearing_deaths_(feature) &&
+		     !suspect->until_wall_ms))
+			continue;
+		suspect->is_watched = FALSE;
+		suspect_clear_(book, suspect);
 	}
 }
 
@@ -395,9 +462,13 @@
 	return left->hash < right->hash ? -1 : left->hash > right->hash;
 }
 
-/* Returns the features of the requests that are not proved, without doubles. */
+/*
+ * Returns the features of the requests, those that are proved or those that are
+ * not, without doubles.
+ */
 static GArray *candidates_collect_(cb_content_book_t *book,
-				   const GPtrArray *requests)
+				   const GPtrArray *requests,
+				   gboolean is_proved)
 {
 	GArray *candidates =
 		g_array_new(FALSE, FALSE, sizeof(cb_content_feature_t));
@@ -413,8 +484,8 @@
 				&g_array_index(features, cb_content_feature_t,
 					       k);
 
-			if (!feature_is_proved_(book, feature->hash,
-						feature->depth) &&
+			if (feature_is_proved_(book, feature->hash,
+					       feature->depth) == is_proved &&
 			    g_hash_table_add(known, hash_key_(feature->hash)))
 				g_array_append_vals(candidates, feature, 1);
 		}
@@ -454,7 +525,7 @@
 /* Records a death under a feature, and shares it if that is not done yet. */
 static void death_report_(cb_content_book_t *book,
 			  const cb_content_feature_t *feature,
-			  const char *server)
+			  const char *server, int64_t wall_ms)
 {
 	cb_content_suspect_t *suspect = suspect_get_(book, feature->hash);
 	char *name;
@@ -464,32 +535,83 @@
 	if (cb_content_suspect_find_death(suspect, server))
 		return;
 	suspect->is_reporter = TRUE;
-	cb_content_suspect_add_death(suspect, server, wall_ms_(book),
-				     now_ms_(book));
+	cb_content_suspect_add_death(suspect, server, wall_ms, now_ms_(book));
 	name = cb_content_name_new(feature->hash);
 	death = g_strdup_printf("%s %u %" G_GINT64_FORMAT, server,
-				feature->depth, wall_ms_(book));
+				feature->depth, wall_ms);
 	book->parts.report(book->parts.user_data, name, death);
 	g_free(death);
 	g_free(name);
 }
 
+/* Reports the deaths under proved requests that made no progress since. */
+static void doubts_settle_(void *user_data)
+{
+	cb_content_book_t *book = user_data;
+	gboolean has_reported = FALSE;
+	doubt_t *doubt;
+
+	while ((doubt = g_queue_peek_head(&book->doubts))) {
+		int64_t age_ms = now_ms_(book) - doubt->since_ms;
+
+		if (age_ms < DOUBT_MS) {
+			cb_timer_start(book->doubt_timer, DOUBT_MS - age_ms);
+			break;
+		}
+		g_queue_pop_head(&book->doubts);
+		if (progress_ms_(book, doubt->feature.hash,
+				 doubt->feature.depth) <= doubt->since_ms) {
+			death_report_(book, &doubt->feature, doubt->server,
+				      doubt->wall_ms);
+			has_reported = TRUE;
+		}
+		doubt_delete_(doubt);
+	}
+	if (has_reported)
+		verdicts_decide_(book);
+}
+
+/*
+ * Takes note of a death under a proved request, which may prove itself again.
+ */
+static void doubt_add_(cb_content_book_t *book,
+		       const cb_content_feature_t *feature, const char *server)
+{
+	doubt_t *doubt;
+
+	if (feature->depth != CB_CONTENT_WHOLE)
+		return;
+	doubt = g_new0(doubt_t, 1);
+	doubt->feature = *feature;
+	doubt->server = g_strdup(server);
+	doubt->wall_ms = wall_ms_(book);
+	doubt->since_ms = now_ms_(book);
+	g_queue_push_tail(&book->doubts, doubt);
+	cb_timer_start_sooner(book->doubt_timer, DOUBT_MS);
+}
+
 void cb_content_book_add_death(cb_content_book_t *book, const char *server,
 			       const GPtrArray *requests)
 {
-	GArray *candidates = candidates_collect_(book, requests);
+	GArray *doubted = candidates_collect_(book, requests, TRUE);
+	GArray *candidates = candidates_collect_(book, requests, FALSE);
 	unsigned int i;
 
 	if (g_hash_table_size(book->suspects) >= SUSPECTS_MAX)
 		g_hash_table_remove_all(book->suspects);
+	for (i = 0; i < doubted->len; i++)
+		doubt_add_(book,
+			   &g_array_index(doubted, cb_content_feature_t, i),
+			   server);
 	for (i = 0; i < candidates->len; i++)
 		death_report_(book,
 			      &g_array_index(candidates, cb_content_feature_t,
 					     i),
-			      server);
+			      server, wall_ms_(book));
 	if (candidates->len)
 		verdicts_decide_(book);
 	g_array_unref(candidates);
+	g_array_unref(doubted);
 }
 
 /* Takes over the end of a refusal, if it is later than the known one. */
--- a/src/test_libcurrantbridge/test_content_days.c
+++ b/src/test_libcurrantbridge/test_content_days.c
@@ -80,12 +80,18 @@
 	{ "no bad content, racks", BAD_NONE, 30, 90, 0, 0, 5, FALSE, FALSE },
 	{ "no bad content, crashes, racks and restarts", BAD_NONE, 12, 27, 0, 1,
 	  3, TRUE, FALSE },
-	{ "whole request, 3 servers", BAD_REQUEST, 3, 27, 3, 0, 0, FALSE,
-	  FALSE },
 	{ "whole request turns bad", BAD_REQUEST, 12, 27, 3, 0, 0, FALSE,
 	  TRUE },
+};
+
+static const day_case_t small_service_cases[] = {
+	{ "whole request, 3 servers", BAD_REQUEST, 3, 27, 3, 0, 0, FALSE,
+	  FALSE },
 	{ "whole request turns bad, 3 servers", BAD_REQUEST, 3, 27, 3, 0, 0,
 	  FALSE, TRUE },
+};
+
+static const day_case_t turning_part_cases[] = {
 	{ "first part turns bad", BAD_FIRST_PART, 12, 27, 3, 0, 0, FALSE,
 	  TRUE },
 	{ "middle part turns bad, other crashes", BAD_MIDDLE_PART, 30, 90, 3,
@@ -626,18 +632,15 @@
 	g_rand_free(day->random);
 }
 
-/*
- * Guards against content that goes on crashing servers, and against sound
- * requests that are refused for it or for ends of servers with other causes.
- */
-static void days_refuse_bad_content_only(void)
+/* Plays days of each case, as many as CB_SEEDS says. */
+static void days_check_(const day_case_t *cases, size_t case_count)
 {
 	const char *seeds_text = g_getenv("CB_SEEDS");
 	uint32_t seed_count = seeds_text ? (uint32_t)atoi(seeds_text) : 10;
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(day_cases); i++) {
-		const day_case_t *c = &day_cases[i];
+	for (i = 0; i < case_count; i++) {
+		const day_case_t *c = &cases[i];
 		unsigned int most_crashes = 0;
 		unsigned int all_crashes = 0;
 		unsigned int bad_days = 0;
@@ -667,8 +670,32 @@
 	}
 }
 
+/*
+ * Guards against content that goes on crashing servers, and against sound
+ * requests that are refused for it or for ends of servers with other causes.
+ */
+static void days_refuse_bad_content_only(void)
+{
+	days_check_(day_cases, G_N_ELEMENTS(day_cases));
+}
+
+/* Guards against content that crashes a service with few servers. */
+static void days_refuse_bad_content_of_few_servers(void)
+{
+	days_check_(small_service_cases, G_N_ELEMENTS(small_service_cases));
+}
+
+/* Guards against parts that crash servers though they were served before. */
+static void days_refuse_parts_that_turn_bad(void)
+{
+	days_check_(turning_part_cases, G_N_ELEMENTS(turning_part_cases));
+}
+
 static CU_TestInfo day_tests[] = {
 	{ "days_refuse_bad_content_only", days_refuse_bad_content_only },
+	{ "days_refuse_bad_content_of_few_servers",
+	  days_refuse_bad_content_of_few_servers },
+	{ "days_refuse_parts_that_turn_bad", days_refuse_parts_that_turn_bad },
 	CU_TEST_INFO_NULL,
 };
 
--- a/src/test_libcurrantbridge/test_content_oracle.c
+++ b/src/test_libcurrantbridge/test_content_oracle.c
@@ -59,12 +59,17 @@
 
 /* Random evidence: which features a server ended under, and when. */
 #define ORACLE_FEATURES 6
+/* The feature that stands for a whole request; the others are parts. */
+#define ORACLE_WHOLE (ORACLE_FEATURES - 1)
 #define ORACLE_DEATHS 14
 
 typedef struct history {
 	int64_t at_ms[ORACLE_DEATHS]; /* in ascending order */
 	gboolean is_under[ORACLE_DEATHS][ORACLE_FEATURES];
+	/* Whether it makes progress before the deaths, and after each of them. */
 	gboolean is_proved[ORACLE_FEATURES];
+	/* Whether it makes progress before the deaths only; a whole request. */
+	gboolean was_proved[ORACLE_FEATURES];
 } history_t;
 
 static void history_fill_(history_t *history, GRand *random, int gap_min_ms,
@@ -76,8 +81,11 @@
 	unsigned int d;
 	unsigned int f;
 
-	for (f = 0; f < ORACLE_FEATURES; f++)
+	for (f = 0; f < ORACLE_FEATURES; f++) {
 		history->is_proved[f] = g_rand_int_range(random, 0, 4) == 0;
+		history->was_proved[f] =
+			f == ORACLE_WHOLE && g_rand_boolean(random);
+	}
 	for (d = 0; d < ORACLE_DEATHS; d++) {
 		at_ms += g_rand_int_range(random, gap_min_ms, gap_max_ms);
 		history->at_ms[d] = at_ms;
@@ -171,7 +179,9 @@
 		*events += event != last_event;
 		last_event = event;
 	}
-	return *events >= 3 && has_unexplained && *ends * 3 >= total;
+	return (*events >= 3 ||
+		(feature == ORACLE_WHOLE && *events == 2 && *ends >= 4)) &&
+	       has_unexplained && *ends * 3 >= total;
 }
 
 /* Refuses features as the rules say, after `count` deaths. */
@@ -208,7 +218,12 @@
 	} while (best < ORACLE_FEATURES);
 }
 
-/* Returns a request with the chosen features; feature f has the depth f + 1. */
+static uint32_t oracle_depth_(unsigned int feature)
+{
+	return feature == ORACLE_WHOLE ? CB_CONTENT_WHOLE : feature + 1;
+}
+
+/* Returns a request with the chosen features. */
 static GArray *oracle_request_(const gboolean *is_under)
 {
 	GArray *features =
@@ -216,7 +231,7 @@
 	unsigned int f;
 
 	for (f = 0; f < ORACLE_FEATURES; f++) {
-		cb_content_feature_t feature = { 1000 + f, f + 1 };
+		cb_content_feature_t feature = { 1000 + f, oracle_depth_(f) };
 
 		if (is_under[f])
 			g_array_append_val(features, feature);
@@ -224,18 +239,23 @@
 	return features;
 }
 
-/* Adds one death of a history to a book. */
+/* Adds one death of a history to a book, and the progress after it. */
 static void history_step_(book_fixture_t *fixture, const history_t *history,
 			  unsigned int d)
 {
+	GArray *proved = oracle_request_(history->is_proved);
 	GArray *request = oracle_request_(history->is_under[d]);
 	GPtrArray *requests = g_ptr_array_new();
 	char *server = g_strdup_printf("s%02u/1", d);
 
 	g_ptr_array_add(requests, request);
 	cb_clock_advance(fixture->clock,
-			 history->at_ms[d] - (d ? history->at_ms[d - 1] : 0));
+			 history->at_ms[d] -
+				 (d ? history->at_ms[d - 1] + 1 : 0));
 	cb_content_book_add_death(fixture->book, server, requests);
+	cb_clock_advance(fixture->clock, 1);
+	cb_content_book_add_progress(fixture->book, proved);
+	g_array_unref(proved);
 	g_ptr_array_unref(requests);
 	g_array_unref(request);
 	g_free(server);
@@ -254,7 +274,7 @@
 				deaths,
 				g_strdup_printf("s%02u/1 %u %" G_GINT64_FORMAT
 						" e",
-						d, feature + 1,
+						d, oracle_depth_(feature),
 						wall_ms + history->at_ms[d]));
 	g_ptr_array_add(deaths, NULL);
 	return (char **)g_ptr_array_free(deaths, FALSE);
@@ -297,6 +317,7 @@
 {
 	gboolean refused[ORACLE_FEATURES] = { FALSE };
 	GArray *proved = oracle_request_(history->is_proved);
+	GArray *formerly_proved = oracle_request_(history->was_proved);
 	unsigned int difference_count = 0;
 	book_fixture_t fixture;
 	unsigned int d;
@@ -305,6 +326,7 @@
 	fixture_init_(&fixture);
 	cb_content_book_add_progress(fixture.book, proved);
 	if (is_shared_at_once) {
+		cb_content_book_add_progress(fixture.book, formerly_proved);
 		history_share_(&fixture, history);
 		oracle_decide_(history, ORACLE_DEATHS, refused);
 	}
@@ -324,6 +346,7 @@
 			 CB_CONTENT_REFUSED) != refused[f];
 		g_array_unref(features);
 	}
+	g_array_unref(formerly_proved);
 	g_array_unref(proved);
 	fixture_clear_(&fixture);
 	return difference_count;
--- a/test/platform/crashes/crashes_server_main.c
+++ b/test/platform/crashes/crashes_server_main.c
@@ -33,7 +33,8 @@
 	char *address;
 	char *id;
 	char *control_address;
-	char **bad; /* descriptions of the content that crashes it */
+	char **bad;	 /* descriptions of the content that crashes it */
+	char *mark_path; /* it does so once this file exists */
 	int records_fd;
 	int64_t born_wall_ms;
 	GRand *random; /* guarded by `lock` */
@@ -227,6 +228,8 @@
 {
 	char **bad;
 
+	if (access(server->mark_path, F_OK) != 0)
+		return FALSE;
 	for (bad = server->bad; *bad; bad++)
 		if (**bad && crashes_content_matches(&request->content, *bad))
 			return TRUE;
@@ -364,6 +367,8 @@
 		g_strdup(json_object_get_string_member(object, "control"));
 	server->bad = g_strsplit(json_object_get_string_member(object, "bad"),
 				 ",", 0);
+	server->mark_path =
+		g_strdup(json_object_get_string_member(object, "mark"));
 	server->records_fd =
 		open(json_object_get_string_member(object, "records"),
 		     O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
--- a/test/platform/crashes/test_crashes.c
+++ b/test/platform/crashes/test_crashes.c
@@ -54,6 +54,7 @@
 	gboolean is_short;     /* played without CB_ROWS too */
 	crashes_place_t place;
 	gboolean spares_every_other; /* only every other server crashes */
+	gboolean serves_first; /* the bad content is served well at first */
 	gboolean restarts_entry;
 	gboolean kills_servers; /* one after the other */
 	gboolean kills_rack;	/* a third of the servers at once */
@@ -74,6 +75,11 @@
 	{ .name = "whole",
 	  .test_name = "servers_are_spared_a_repeated_bad_request",
 	  .place = CRASHES_WHOLE_REQUEST },
+	{ .name = "turned",
+	  .test_name = "servers_are_spared_a_request_that_was_served_before",
+	  .is_short = TRUE,
+	  .place = CRASHES_WHOLE_REQUEST,
+	  .serves_first = TRUE },
 	{ .name = "two",
 	  .test_name = "servers_are_spared_two_bad_parts",
 	  .place = CRASHES_EITHER_PART },
@@ -105,6 +111,7 @@
 	char *ready_addresses[ENTRY_COUNT];
 	char *control_address;
 	char *records_path;
+	char *mark_path; /* bad content crashes servers once this file exists */
 	int records_fd;
 	server_t *servers;
 	unsigned int server_count;
@@ -115,6 +122,7 @@
 	int64_t next_bad_us;
 	int64_t next_kill_ms;
 	int64_t next_ready_check_ms;
+	gboolean is_bad_time; /* bad content crashes servers from now on */
 	gboolean has_rack_failed;
 	gboolean has_entry_stopped;
 	gboolean is_entry_back;
@@ -188,10 +196,10 @@
 
 	g_string_printf(settings,
 			"{\"address\":\"127.0.0.%u:%d\",\"control\":\"%s\","
-			"\"records\":\"%s\",\"bad\":\"%s,%s\"",
+			"\"records\":\"%s\",\"mark\":\"%s\",\"bad\":\"%s,%s\"",
 			i + 40, (int)support_free_port(),
 			fixture->control_address, fixture->records_path,
-			bad[0] && !is_spared ? bad[0] : "",
+			fixture->mark_path, bad[0] && !is_spared ? bad[0] : "",
 			bad[0] && bad[1] && !is_spared ? bad[1] : "");
 	fixture->servers[i].daemon =
 		support_program_start(fixture->group, "cb-crashes-server", name,
@@ -278,6 +286,8 @@
 	fixture->servers = g_new0(server_t, fixture->server_count);
 	fixture->records_path =
 		g_build_filename(fixture->group->folder, "records", NULL);
+	fixture->mark_path =
+		g_build_filename(fixture->group->folder, "crashes", NULL);
 	fixture->records_fd =
 		open(fixture->records_path,
 		     O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
@@ -309,6 +319,7 @@
 	}
 	g_free(fixture->control_address);
 	g_free(fixture->records_path);
+	g_free(fixture->mark_path);
 	g_free(fixture->servers);
 	g_rand_free(fixture->random);
 }
@@ -393,6 +404,9 @@
 		server_restore_(&fixture->servers[i]);
 	if (now_ms < fixture->plan.begin_ms)
 		return;
+	if (!fixture->is_bad_time)
+		fixture->is_bad_time =
+			g_file_set_contents(fixture->mark_path, "", 0, NULL);
 	if (row->kills_rack && !fixture->has_rack_failed) {
 		fixture->has_rack_failed = TRUE;
 		for (i = 0; i < fixture->server_count / 3; i++)
@@ -428,19 +442,20 @@
 		now_us / 1000 + (is_long ? SOUND_ONLY_LONG_MS : SOUND_ONLY_MS);
 	plan->end_ms = plan->begin_ms + bad_s * 1000;
 	fixture->next_sound_us = now_us;
-	fixture->next_bad_us = plan->begin_ms * 1000;
+	fixture->next_bad_us =
+		fixture->row->serves_first ? now_us : plan->begin_ms * 1000;
 	while (now_us < plan->end_ms * 1000) {
 		for (; fixture->next_sound_us <= now_us;
 		     fixture->next_sound_us =
 			     next_time_us_(fixture, fixture->next_sound_us,
 					   SOUND_PER_S))
 			crashes_callers_send(fixture->callers, FALSE);
+		row_step_(fixture);
 		for (; plan->bad[0] && fixture->next_bad_us <= now_us;
 		     fixture->next_bad_us =
 			     next_time_us_(fixture, fixture->next_bad_us,
 					   BAD_PER_S))
 			crashes_callers_send(fixture->callers, TRUE);
-		row_step_(fixture);
 		g_usleep(STEP_MS * 1000);
 		now_us = g_get_monotonic_time();
 	}
