Servers that name a limit of their rate get no more than that from all instances

What the rule asks: a server in need names in its answers how many requests a second it takes from all machines together. Class: a server's own word on its load that is not heard, and a bound that only all instances together can keep.

Change: platform/ decodes the header; relay/rate_limits, without network, divides a rate among a few instances of each server, which a hash chooses, each with a token bucket; the instances tell each other with the usage that they share already. No server is chosen whose bucket is empty; where none takes a request in time, it is refused at once with the time after which to come back.

--- a/include/currantbridge/dialect.h
+++ b/include/currantbridge/dialect.h
@@ -77,6 +77,11 @@
 	 * of this instance; 0: not given.
 	 */
 	int64_t retry_after_ms;
+	/*
+	 * Requests a second that the server takes from all instances together;
+	 * negative: it names no limit.
+	 */
+	double limit_per_s;
 } cb_relay_answer_info_t;
 
 typedef struct cb_dialect_vtable {
--- a/src/libcurrantbridge/backend/usage.c
+++ b/src/libcurrantbridge/backend/usage.c
@@ -2,7 +2,7 @@
 
 #include "private/pack.h"
 
-#define LOAD_FIELD_COUNT 4
+#define LOAD_FIELD_COUNT 7
 #define SENDS_FIELD_COUNT 3
 
 /* Creates an empty usage. */
@@ -42,6 +42,13 @@
 	sum->running += load->running;
 	sum->token_layers += load->token_layers;
 	sum->suspecting_instances += load->suspecting_instances;
+	if (load->limiting_instances)
+		sum->limit_per_ks =
+			sum->limiting_instances ?
+				MIN(sum->limit_per_ks, load->limit_per_ks) :
+				load->limit_per_ks;
+	sum->limiting_instances += load->limiting_instances;
+	sum->limit_ended_instances += load->limit_ended_instances;
 }
 
 /* Adds requests and retries sent to a service. */
@@ -113,6 +120,9 @@
 		cb_pack_uint(&pack, load->running);
 		cb_pack_uint(&pack, (uint64_t)MAX(load->token_layers, 0));
 		cb_pack_uint(&pack, load->suspecting_instances);
+		cb_pack_uint(&pack, load->limiting_instances);
+		cb_pack_uint(&pack, load->limit_per_ks);
+		cb_pack_uint(&pack, load->limit_ended_instances);
 	}
 	cb_pack_array(&pack, g_hash_table_size(usage->by_service));
 	g_hash_table_iter_init(&iter, usage->by_service);
@@ -138,6 +148,9 @@
 	load.running = (uint32_t)cb_fields_uint(&fields);
 	load.token_layers = (double)cb_fields_uint(&fields);
 	load.suspecting_instances = (uint32_t)cb_fields_uint(&fields);
+	load.limiting_instances = (uint32_t)cb_fields_uint(&fields);
+	load.limit_per_ks = (uint32_t)cb_fields_uint(&fields);
+	load.limit_ended_instances = (uint32_t)cb_fields_uint(&fields);
 	if (cb_fields_are_complete(&fields))
 		cb_usage_add_load(usage, server_id, &load);
 	g_free(server_id);
--- a/src/libcurrantbridge/control/node_usage.c
+++ b/src/libcurrantbridge/control/node_usage.c
@@ -107,11 +107,11 @@
 }
 
 /*
- * Returns whether `usage` tells of more instances that suspect some server than
- * the previous report of its sender, which may be NULL.
+ * Returns whether `usage` tells of more instances that suspect some server, or of
+ * another limit of one, than the previous report of its sender, which may be NULL.
  */
-static gboolean has_new_suspicion_(const cb_usage_t *usage,
-				   const cb_usage_t *previous)
+static gboolean has_urgent_news_(const cb_usage_t *usage,
+				 const cb_usage_t *previous)
 {
 	GHashTableIter iter;
 	void *value;
@@ -119,21 +119,24 @@
 
 	g_hash_table_iter_init(&iter, usage->by_server);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
-		unsigned int known = previous ? cb_usage_find_load(previous, id)
-							.suspecting_instances :
-						0;
-
-		if (((cb_usage_load_t *)value)->suspecting_instances > known)
+		const cb_usage_load_t *load = value;
+		cb_usage_load_t known = { 0 };
+
+		if (previous)
+			known = cb_usage_find_load(previous, id);
+		if (load->suspecting_instances > known.suspecting_instances ||
+		    load->limit_per_ks != known.limit_per_ks ||
+		    load->limiting_instances > known.limiting_instances)
 			return TRUE;
 	}
 	return FALSE;
 }
 
 /*
- * Sends the sums soon, since a report tells of a server that may be lost: the
- * other instances are to stop using it.
+ * Sends the sums soon, since a report tells of a server that may be lost or takes
+ * fewer requests: the other instances are to know.
  */
-static void suspicion_share_soon_(cb_node_t *node)
+static void sum_share_soon_(cb_node_t *node)
 {
 	int64_t age_ms = cb_clock_now_ms(node->clock) - node->usage_sent_ms;
 
@@ -159,8 +162,8 @@
 	peer->usage = usage;
 	peer->received_ms = cb_clock_now_ms(node->clock);
 	previous = g_hash_table_lookup(node->peer_usages, control);
-	if (has_new_suspicion_(usage, previous ? previous->usage : NULL))
-		suspicion_share_soon_(node);
+	if (has_urgent_news_(usage, previous ? previous->usage : NULL))
+		sum_share_soon_(node);
 	g_hash_table_replace(node->peer_usages, g_strdup(control), peer);
 }
 
@@ -175,8 +178,8 @@
 		cb_link_goodbye(inbound->link, CB_CLOSE_MALFORMED);
 		return;
 	}
-	if (has_new_suspicion_(usage, inbound->session->usage))
-		suspicion_share_soon_(inbound->node);
+	if (has_urgent_news_(usage, inbound->session->usage))
+		sum_share_soon_(inbound->node);
 	cb_usage_delete(inbound->session->usage);
 	inbound->session->usage = usage;
 }
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -46,6 +46,7 @@
 	cb_fleet_t *fleet;
 	/* Whether the servers recorded in the view were added to `fleet`. */
 	gboolean has_servers;
+	cb_rate_limits_t *limits;
 	cb_server_book_t *book;
 	cb_server_ends_t *server_ends;
 	cb_content_book_t *content_book;
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -7,6 +7,7 @@
 #include "currantbridge/document.h"
 #include "currantbridge/fleet.h"
 #include "currantbridge/view.h"
+#include "private/rate_limits.h"
 #include "private/usage.h"
 
 /*
@@ -41,6 +42,7 @@
 
 cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
 				     const cb_view_t *view, GRand *random,
+				     cb_rate_limits_t *limits,
 				     const char *data_centre);
 void cb_server_book_delete(cb_server_book_t *book);
 
@@ -84,12 +86,16 @@
 /* Records that the process of a hop's server has ended. */
 void cb_server_book_record_end(cb_server_book_t *book,
 			       const cb_relay_hop_t *hop);
-/*
- * Returns the shortest time until a server of the service takes requests of
- * this instance again, in ms; 0: one does now, or none turned it away.
- */
-int64_t cb_server_book_turned_away_ms(const cb_server_book_t *book,
-				      const cb_service_profile_t *service);
+/* Why, and for how long, no server of a service takes a request. */
+typedef struct cb_book_wait {
+	/* Shortest time until one does, in ms; 0: one does now, or none exists. */
+	int64_t wait_ms;
+	/* Whether a server's limit is the reason, not that it turned us away. */
+	gboolean is_limited;
+} cb_book_wait_t;
+
+cb_book_wait_t cb_server_book_find_wait(const cb_server_book_t *book,
+					const cb_service_profile_t *service);
 void cb_server_book_record_load(cb_server_book_t *book, const char *id,
 				int64_t running, int64_t waiting);
 /*
--- a/src/libcurrantbridge/include/private/usage.h
+++ b/src/libcurrantbridge/include/private/usage.h
@@ -32,8 +32,19 @@
 	 * within a second.
 	 */
 	uint32_t suspecting_instances;
+	/*
+	 * Number of entry instances to which the server named a limit of its
+	 * rate of requests, and the lowest of them, in requests per 1,000 s.
+	 */
+	uint32_t limiting_instances;
+	uint32_t limit_per_ks;
+	/* Number of those to which it named none any more. */
+	uint32_t limit_ended_instances;
 } cb_usage_load_t;
 
+/* Seconds of the unit of `limit_per_ks`. */
+#define CB_USAGE_KS 1000
+
 /*
  * With this many suspecting instances the server counts as faulty; a single
  * instance may have lost its own network connection.
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -142,6 +142,8 @@
 	document_update_(front);
 	cb_retry_share_set_instances(front->retries,
 				     cb_view_instances(front->view)->len);
+	cb_rate_limits_set_instances(front->limits,
+				     cb_view_instances(front->view));
 }
 
 /* Called with the sum of all instances' usage. */
@@ -163,6 +165,7 @@
 	if (suspects)
 		g_ptr_array_unref(suspects);
 	cb_retry_share_update(front->retries, sum);
+	cb_rate_limits_update(front->limits, sum);
 	cb_usage_delete(sum);
 }
 
@@ -177,6 +180,7 @@
 	cb_timer_start(front->usage_timer, USAGE_REPORT_INTERVAL_MS);
 	front->usage_reported_ms = cb_clock_now_ms(front->clock);
 	cb_retry_share_add_usage(front->retries, usage);
+	cb_rate_limits_add_usage(front->limits, usage);
 	is_empty = !g_hash_table_size(usage->by_server) &&
 		   !g_hash_table_size(usage->by_service);
 	if (!is_empty || !front->was_usage_empty) {
@@ -189,8 +193,8 @@
 }
 
 /*
- * Reports the usage soon, since it tells of a server that may be lost: the
- * other instances are to stop using it.
+ * Reports the usage soon, since it tells of a server that may be lost or takes
+ * fewer requests: the other instances are to know.
  */
 void cb_front_report_usage_soon(cb_front_t *front)
 {
@@ -308,6 +312,7 @@
 	cb_timer_delete(front->wait_timer);
 	cb_http1_server_delete(front->server);
 	cb_server_book_delete(front->book);
+	cb_rate_limits_delete(front->limits);
 	cb_fleet_delete(front->fleet);
 	cb_retry_share_delete(front->retries);
 	cb_document_unref(front->document);
@@ -368,8 +373,12 @@
 	front->random = g_rand_new();
 	front->fleet = cb_fleet_new();
 	cb_fleet_watch(front->fleet, server_change_log_, front);
+	front->limits =
+		cb_rate_limits_new(front->clock, front->random, options->name,
+				   options->retry_window_ms);
 	front->book = cb_server_book_new(front->clock, front->fleet, view,
-					 front->random, options->data_centre);
+					 front->random, front->limits,
+					 options->data_centre);
 	front->content_book = cb_relay_content_book_new(front);
 	front->server_ends =
 		cb_server_ends_new(cb_kernel_context(kernel), front->clock,
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -5,6 +5,8 @@
 /* Retry-After of requests refused for lack of a server or during a stop. */
 #define NO_SERVER_RETRY_AFTER_MS 1000
 #define STOPPING_RETRY_AFTER_MS 100
+/* Longest time after which callers come back for servers that limit their rates. */
+#define LIMITED_RETRY_AFTER_MAX_MS 2000
 /*
  * No stream is started later than this after the start of a drain: streams
  * take 3 to 5 s, and a drain may last 8 s.
@@ -317,17 +319,35 @@
 }
 
 /*
- * Gives up a request whose servers all turn this instance away for longer than
- * it may wait; its caller gets the time after which one takes it.
+ * Returns the time after which the caller of a request that no server takes may
+ * come back: to this or another instance, if servers limit their rates.  Then the
+ * times are spread, as the callers of many requests may wait for the same server.
+ */
+static int64_t comeback_compute_ms_(const cb_front_t *front,
+				    const cb_book_wait_t *wait)
+{
+	int64_t base_ms;
+
+	if (!wait->is_limited)
+		return wait->wait_ms;
+	base_ms = MIN(wait->wait_ms, LIMITED_RETRY_AFTER_MAX_MS);
+	return base_ms / 2 +
+	       g_rand_int_range(front->random, 0, (int32_t)base_ms + 1);
+}
+
+/*
+ * Gives up a request that no server takes for longer than it may wait; its caller
+ * gets the time after which one may.
  */
 static gboolean turned_away_give_up_(cb_relay_t *relay, int64_t max_wait_ms)
 {
-	int64_t away_ms = cb_server_book_turned_away_ms(relay->front->book,
-							relay->service);
+	cb_book_wait_t wait =
+		cb_server_book_find_wait(relay->front->book, relay->service);
 
-	if (away_ms <= wait_limit_compute_(relay, max_wait_ms))
+	if (wait.wait_ms <= wait_limit_compute_(relay, max_wait_ms))
 		return FALSE;
-	cb_relay_give_up(relay, "turned_away", away_ms);
+	cb_relay_give_up(relay, wait.is_limited ? "limited" : "turned_away",
+			 comeback_compute_ms_(relay->front, &wait));
 	return TRUE;
 }
 
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -246,6 +246,37 @@
 	       cb_http1_call_is_first(relay->call);
 }
 
+/*
+ * Records the limit of its rate that a server names in an answer, or names no
+ * more; news are logged, and shared at once.
+ */
+static void limit_hear_(cb_relay_t *relay, const cb_relay_hop_t *server,
+			double limit_per_s)
+{
+	cb_front_t *front = relay->front;
+	cb_rate_limit_t limit = { 0 };
+	gboolean is_limited;
+
+	if (!cb_rate_limits_hear(front->limits, server->id,
+				 server->start_wall_ms, limit_per_s))
+		return;
+	is_limited =
+		cb_rate_limits_find(front->limits, relay->service->name,
+				    server->id, server->start_wall_ms, &limit);
+	cb_log_event(front->log, CB_EVENT_RELAY_SERVER_LIMIT,
+		     CB_STR("server", server->id),
+		     CB_STR("address", server->address),
+		     CB_INT("is_limited", is_limited),
+		     CB_INT("limit_per_ks",
+			    (int64_t)(limit.rate_per_s * CB_USAGE_KS)),
+		     CB_INT("share_per_ks",
+			    (int64_t)(limit.share_per_s * CB_USAGE_KS)),
+		     CB_INT("instances", limit.instances));
+	cb_relay_count_reason(front, "cb_relay_server_limits_total",
+			      is_limited ? "named" : "ended");
+	cb_front_report_usage_soon(front);
+}
+
 /* Handles an answer's head; FALSE: the answer may be to another request. */
 static gboolean answer_head_receive_(void *user_data,
 				     const cb_http1_head_t *head)
@@ -254,7 +285,8 @@
 	cb_front_t *front = relay->front;
 	const cb_relay_hop_t *first =
 		&g_array_index(relay->hops, cb_relay_hop_t, 0);
-	cb_relay_answer_info_t answer_info = { .running = -1 };
+	cb_relay_answer_info_t answer_info = { .running = -1,
+					       .limit_per_s = -1 };
 
 	relay->status = head->status;
 	relay->framing = head->framing;
@@ -273,6 +305,7 @@
 	if (answer_info.retry_after_ms)
 		cb_server_book_record_turned_away(front->book, first,
 						  answer_info.retry_after_ms);
+	limit_hear_(relay, first, answer_info.limit_per_s);
 	relay->has_not_run = answer_info.has_not_run;
 	g_free(relay->failed_address);
 	relay->failed_address = g_strdup(answer_info.failed_address);
@@ -515,6 +548,8 @@
 		front->dialect, head, cb_http1_exchange_body(relay->exchange),
 		&attempt_info);
 
+	cb_rate_limits_count_send(front->limits, relay->service->name,
+				  first->id, first->start_wall_ms);
 	relay->send_count++;
 	relay->sent_ms = cb_relay_now_ms(relay);
 	relay->status = 0;
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -80,6 +80,7 @@
 	const cb_fleet_t *fleet;
 	const cb_view_t *view;
 	GRand *random;
+	cb_rate_limits_t *limits;
 	char *data_centre;
 	GHashTable *stats_by_id; /* map: server ID to server_stats_t */
 	/* When the other instances' usage was last received; 0: never. */
@@ -92,6 +93,7 @@
  */
 cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
 				     const cb_view_t *view, GRand *random,
+				     cb_rate_limits_t *limits,
 				     const char *data_centre)
 {
 	cb_server_book_t *book = g_new0(cb_server_book_t, 1);
@@ -100,6 +102,7 @@
 	book->fleet = fleet;
 	book->view = view;
 	book->random = random;
+	book->limits = limits;
 	book->data_centre = g_strdup(data_centre);
 	book->stats_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -168,6 +171,22 @@
 		   0);
 }
 
+/*
+ * Returns after how many ms this process of a server takes a request of this
+ * instance; 0: now.
+ */
+static cb_book_wait_t server_wait_find_(const cb_server_book_t *book,
+					const cb_fleet_server_t *server)
+{
+	int64_t away_ms = turned_away_ms_(book, server);
+	int64_t limited_ms =
+		cb_rate_limits_wait_ms(book->limits, server->service,
+				       server->id, server->start_wall_ms);
+
+	return (cb_book_wait_t){ MAX(away_ms, limited_ms),
+				 limited_ms > away_ms };
+}
+
 /* Returns whether this process of a server announced its stop in an answer. */
 gboolean cb_server_book_is_leaving(const cb_server_book_t *book,
 				   const cb_fleet_server_t *server)
@@ -205,7 +224,8 @@
 	     server->state != CB_FLEET_SILENT) ||
 	    g_hash_table_contains(criteria->excluded_servers, server->id) ||
 	    server_is_leaving_(book, server) ||
-	    (!criteria->service->engine && turned_away_ms_(book, server)))
+	    (!criteria->service->engine &&
+	     server_wait_find_(book, server).wait_ms))
 		return FALSE;
 	return !cb_fleet_is_stopped(server, book->view);
 }
@@ -351,7 +371,7 @@
 		cb_placement_token_capacity(engine, kind->memory_mb, layers) -
 		usage.token_layers / layers;
 	input.is_silent = server->state == CB_FLEET_SILENT;
-	input.is_first_barred = turned_away_ms_(book, server) > 0;
+	input.is_first_barred = server_wait_find_(book, server).wait_ms > 0;
 	/* A server without a free slot still runs what it has begun. */
 	input.is_avoided = stats->lost_until_ms > now_ms ||
 			   (stats->full_until_ms > now_ms && !kept_hop);
@@ -637,27 +657,34 @@
 }
 
 /*
- * Returns the shortest time until a server of the service takes requests of
- * this instance again, in ms; 0: one does now, or none turned it away.
+ * Returns for how long no server of a service takes requests of this instance, and
+ * why.  Of a service with layers, only engines that hold the first one count.
  */
-int64_t cb_server_book_turned_away_ms(const cb_server_book_t *book,
-				      const cb_service_profile_t *service)
+cb_book_wait_t cb_server_book_find_wait(const cb_server_book_t *book,
+					const cb_service_profile_t *service)
 {
 	const GPtrArray *all = cb_fleet_servers(book->fleet);
-	int64_t shortest_ms = INT64_MAX;
+	cb_book_wait_t shortest = { INT64_MAX, FALSE };
+	gboolean is_found = FALSE;
 	unsigned int i;
 
 	for (i = 0; i < all->len; i++) {
 		const cb_fleet_server_t *server = all->pdata[i];
+		cb_book_wait_t wait;
 
 		if (strcmp(server->service, service->name) != 0 ||
 		    server->state != CB_FLEET_READY ||
+		    (service->engine &&
+		     (server->layer_from || !server->layer_to)) ||
 		    server_is_leaving_(book, server) ||
 		    cb_fleet_is_stopped(server, book->view))
 			continue;
-		shortest_ms = MIN(shortest_ms, turned_away_ms_(book, server));
+		wait = server_wait_find_(book, server);
+		if (!is_found || wait.wait_ms < shortest.wait_ms)
+			shortest = wait;
+		is_found = TRUE;
 	}
-	return shortest_ms == INT64_MAX ? 0 : shortest_ms;
+	return is_found ? shortest : (cb_book_wait_t){ 0, FALSE };
 }
 
 /* Records the numbers of requests that a server reported in an answer. */
--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -88,6 +88,7 @@
 			      cb_relay_answer_info_t *answer_info)
 {
 	const char *away = cb_http1_head_find(answer, "Away-Ms");
+	const char *limit = cb_http1_head_find(answer, "Limit");
 
 	(void)dialect;
 	*answer_info = (cb_relay_answer_info_t){
@@ -99,6 +100,7 @@
 		.failed_address = cb_http1_head_find(answer, "Fault"),
 		.is_leaving = cb_http1_head_find(answer, "Leaving") != NULL,
 		.retry_after_ms = away ? g_ascii_strtoll(away, NULL, 10) : 0,
+		.limit_per_s = limit ? g_ascii_strtod(limit, NULL) : -1,
 	};
 }
 
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -507,6 +507,40 @@
 	support_relay_clear(&fixture);
 }
 
+#define LIMITED_ANSWER                                                          \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nLimit: 0.2\r\nContent-Length: " \
+	"2\r\n\r\nok"
+
+/*
+ * Guards against requests that wait for a place which they can't get: where all
+ * servers limit their rates, the caller is told at once when to come back.
+ */
+static void requests_are_refused_while_all_servers_are_limited(void)
+{
+	relay_script_t scripts[SCRIPTS_MAX];
+	relay_fixture_t fixture;
+	gboolean is_refused = FALSE;
+	size_t i;
+
+	for (i = 0; i < SCRIPTS_MAX; i++)
+		scripts[i] = (relay_script_t){ LIMITED_ANSWER, END_KEEP };
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = SCRIPTS_MAX;
+	for (i = 0; i < SCRIPTS_MAX && !is_refused; i++) {
+		support_relay_request_send(&fixture, IDEMPOTENT_REQUEST);
+		CU_ASSERT_TRUE(
+			support_relay_run_until(&fixture, 0, "HTTP/1.1 "));
+		is_refused = strstr(fixture.answer->str, " 503 ") != NULL;
+	}
+	CU_ASSERT_TRUE(is_refused);
+	CU_ASSERT_TRUE(support_relay_run_until(&fixture, 0, "\"limited\""));
+	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.answer->str, "Retry-After: "));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(fixture.answer->str, "\"executed\":\"no\""));
+	support_relay_clear(&fixture);
+}
+
 #define LARGE_BODY_BYTES 1500000
 #define LARGE_BODY_SENT_BYTES 1200000
 
@@ -805,6 +839,8 @@
 	  server_that_turns_away_is_left_alone },
 	{ "requests_are_refused_while_all_servers_turn_away",
 	  requests_are_refused_while_all_servers_turn_away },
+	{ "requests_are_refused_while_all_servers_are_limited",
+	  requests_are_refused_while_all_servers_are_limited },
 	{ "large_answer_is_not_joined_with_another",
 	  large_answer_is_not_joined_with_another },
 	{ "suspicions_in_quick_succession_are_reported",
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -509,6 +509,52 @@
 	}
 }
 
+/* Guards against limits of servers that are missed, or made of nonsense. */
+static void server_limits_are_read(void)
+{
+	static const struct {
+		const char *headers;
+		uint32_t status;
+		double limit_per_s; /* negative: none */
+	} cases[] = {
+		{ "", 200, -1 },
+		{ "Server-Limit: 15.4\r\n", 200, 15.4 },
+		{ "server-limit: 3\r\n", 503, 3 },
+		{ "Server-Limit: 0\r\n", 200, 0 },
+		{ "Server-Limit: 0.25\r\nX-Not-Executed: 1\r\n", 503, 0.25 },
+		{ "Server-Limit: -1\r\n", 200, -1 },
+		{ "Server-Limit: \r\n", 200, -1 },
+		{ "Server-Limit: few\r\n", 200, -1 },
+		{ "Server-Limit: 2/s\r\n", 200, -1 },
+		{ "Server-Limit: nan\r\n", 200, -1 },
+		{ "Server-Limit: 1e300\r\n", 200, -1 },
+		{ "Server-Limit: 4\r\nServer-Limit: 2.5\r\n", 200, 2.5 },
+		{ "Server-Limit: x\r\nServer-Limit: 2.5\r\n", 200, 2.5 },
+	};
+	const cb_dialect_t *dialect = platform_dialect();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf("HTTP/1.1 %u X\r\n%s\r\n",
+					     cases[i].status, cases[i].headers);
+		cb_relay_answer_info_t answer_info;
+		cb_http1_head_t head;
+		size_t used;
+
+		cb_http1_answer_parse(&head, "GET", (const uint8_t *)text,
+				      strlen(text), 4096, &used);
+		dialect->vtable->read_answer_info(dialect, &head, "9",
+						  &answer_info);
+		CU_ASSERT_DOUBLE_EQUAL(answer_info.limit_per_s,
+				       cases[i].limit_per_s, 1e-9);
+		if (answer_info.limit_per_s != cases[i].limit_per_s)
+			printf("    %s: %g a second\n", cases[i].headers,
+			       answer_info.limit_per_s);
+		cb_http1_head_clear(&head);
+		g_free(text);
+	}
+}
+
 /* Control addresses must be the seeds' hosts with the internal port. */
 static void settings_are_loaded(void)
 {
@@ -694,6 +740,7 @@
 	{ "answer_headers_are_read", answer_headers_are_read },
 	{ "leaving_and_retry_after_are_read",
 	  leaving_and_retry_after_are_read },
+	{ "server_limits_are_read", server_limits_are_read },
 	{ "settings_are_loaded", settings_are_loaded },
 	CU_TEST_INFO_NULL
 };
