--- a/src/test_libcurrantbridge/test_rate_limits.c
+++ b/src/test_libcurrantbridge/test_rate_limits.c
@@ -182,8 +182,10 @@
 	for (at_ms = 0; at_ms < DAY_MS; at_ms += STEP_MS) {
 		due += g_rand_double(play->random) * 2 * c->requests_per_s *
 		       STEP_MS / 1000;
-		for (; due >= 1; due--)
+		while (due >= 1) {
 			request_send_(play, at_ms);
+			due -= 1;
+		}
 		if (at_ms % SHARE_INTERVAL_MS == 0 &&
 		    (!c->cut_from_ms || at_ms < c->cut_from_ms))
 			usage_share_(play);
