Logs: a request without a server says which servers this instance distrusts

RELAY_ENDED with no_server looked the same whether the servers of a service were gone or this instance alone had lost its way to them: it said nothing of what control knows, nor of what this instance itself holds. The line has now ready_servers and distrusted_servers, so the two can be told apart by the lines of two instances. No decision changes.

--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -94,6 +94,15 @@
 	gboolean is_limited;
 } cb_book_wait_t;
 
+/* How this instance sees the servers of a service. */
+typedef struct cb_book_count {
+	unsigned int ready; /* control takes them for ready */
+	/* Of these, the ones that this instance takes for ended or lost. */
+	unsigned int distrusted;
+} cb_book_count_t;
+
+cb_book_count_t cb_server_book_count(const cb_server_book_t *book,
+				     const cb_service_profile_t *service);
 cb_book_wait_t cb_server_book_find_wait(const cb_server_book_t *book,
 					const cb_service_profile_t *service);
 void cb_server_book_record_load(cb_server_book_t *book, const char *id,
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -155,7 +155,10 @@
 	int64_t elapsed_ms = cb_relay_elapsed_ms(relay);
 	gboolean is_cut = status >= 500 && relay->is_answer_begun;
 	char *hops_text = cb_relay_format_hops(relay);
+	cb_book_count_t servers = { 0 };
 
+	if (relay->service && !is_served)
+		servers = cb_server_book_count(front->book, relay->service);
 	cb_log_event(front->log,
 		     is_served ? CB_EVENT_RELAY_SERVED : CB_EVENT_RELAY_ENDED,
 		     CB_STR("request", relay->request_info.id),
@@ -175,7 +178,9 @@
 		     CB_INT("first_event_ms", relay->first_event_ms),
 		     CB_INT("longest_gap_ms", relay->pace.longest_gap_ms),
 		     CB_STR("gap_cause", relay->pace.longest_gap_cause),
-		     CB_INT("is_cut", is_cut));
+		     CB_INT("is_cut", is_cut),
+		     CB_INT("ready_servers", servers.ready),
+		     CB_INT("distrusted_servers", servers.distrusted));
 	cb_relay_count_reason(front, "cb_relay_ended_total", reason);
 	if (is_cut)
 		cb_relay_count_reason(front, "cb_relay_cut_total", reason);
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -243,6 +243,35 @@
 	return usable;
 }
 
+/*
+ * Counts the servers of a service that control takes for ready, and those of
+ * them that this instance itself takes for ended, lost or doubtful.
+ */
+cb_book_count_t cb_server_book_count(const cb_server_book_t *book,
+				     const cb_service_profile_t *service)
+{
+	const GPtrArray *all = cb_fleet_servers(book->fleet);
+	int64_t now_ms = cb_clock_now_ms(book->clock);
+	cb_book_count_t count = { 0 };
+	unsigned int i;
+
+	for (i = 0; i < all->len; i++) {
+		const cb_fleet_server_t *server = all->pdata[i];
+		const server_stats_t *stats =
+			g_hash_table_lookup(book->stats_by_id, server->id);
+
+		if (server->state != CB_FLEET_READY ||
+		    strcmp(server->service, service->name) != 0)
+			continue;
+		count.ready++;
+		count.distrusted +=
+			stats && (MAX(stats->avoid_until_ms,
+				      stats->lost_until_ms) > now_ms ||
+				  server_is_leaving_(book, server));
+	}
+	return count;
+}
+
 static gboolean server_is_avoided_(cb_server_book_t *book,
 				   const cb_fleet_server_t *server)
 {
