Test of limited servers: a request may wait for a place that is about to come

Cause: the limit's tokens are drawn at random, and a request for which one comes within 250 ms waits for it; the test's clock stood still, so it waited for good and each of 64 tries ran into the time limit.

--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -511,6 +511,10 @@
 	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nLimit: 0.2\r\nContent-Length: " \
 	"2\r\n\r\nok"
 
+/* A request may wait for so long for a place that is about to be free. */
+#define SHORT_WAIT_MAX_MS 300
+#define SHORT_WAIT_STEP_MS 10
+
 /*
  * Guards against requests that wait for a place which they can't get: where all
  * servers limit their rates, the caller is told at once when to come back.
@@ -520,6 +524,7 @@
 	relay_script_t scripts[SCRIPTS_MAX];
 	relay_fixture_t fixture;
 	gboolean is_refused = FALSE;
+	int64_t waited_ms;
 	size_t i;
 
 	for (i = 0; i < SCRIPTS_MAX; i++)
@@ -529,7 +534,11 @@
 	fixture.script_count = SCRIPTS_MAX;
 	for (i = 0; i < SCRIPTS_MAX && !is_refused; i++) {
 		support_relay_request_send(&fixture, IDEMPOTENT_REQUEST);
-		CU_ASSERT_TRUE(
+		for (waited_ms = 0; waited_ms < SHORT_WAIT_MAX_MS &&
+				    !strstr(fixture.answer->str, "HTTP/1.1 ");
+		     waited_ms += SHORT_WAIT_STEP_MS)
+			support_relay_pass_time(&fixture, SHORT_WAIT_STEP_MS);
+		CU_ASSERT_TRUE_FATAL(
 			support_relay_run_until(&fixture, 0, "HTTP/1.1 "));
 		is_refused = strstr(fixture.answer->str, " 503 ") != NULL;
 	}
