--- a/include/currantbridge/dialect.h
+++ b/include/currantbridge/dialect.h
@@ -84,6 +84,14 @@
 	double limit_per_s;
 } cb_relay_answer_info_t;
 
+/* What the relay writes into a request that it forwards to an instance. */
+typedef struct cb_relay_forward_info {
+	int64_t budget_ms; /* time left until the deadline */
+	/* ID of the event to resume the stream after; -1: from the start. */
+	int64_t last_event;
+	const char *header_lines; /* further header lines, each with its CRLF */
+} cb_relay_forward_info_t;
+
 typedef struct cb_dialect_vtable {
 	/*
 	 * Reads a request's head; `request_info` refers to the head's strings.
@@ -105,6 +113,14 @@
 				  const cb_http1_head_t *head,
 				  const GByteArray *body,
 				  const cb_relay_attempt_info_t *attempt_info);
+	/*
+	 * Returns the caller's complete request as it is forwarded to another
+	 * instance; the caller frees it.
+	 */
+	GString *(*write_forward)(const cb_dialect_t *dialect,
+				  const cb_http1_head_t *head,
+				  const GByteArray *body,
+				  const cb_relay_forward_info_t *forward_info);
 	/* Reads the head of a server's answer to the request `id`. */
 	void (*read_answer_info)(const cb_dialect_t *dialect,
 				 const cb_http1_head_t *answer, const char *id,
--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -92,6 +92,8 @@
 typedef struct cb_service_profile {
 	char *name;
 	uint32_t max_connections;
+	/* path that a server answers if it is reached; NULL: not given */
+	char *health_path;
 	/*
 	 * profile of the service's engines; NULL for a service without engines
 	 */
--- a/include/currantbridge/front.h
+++ b/include/currantbridge/front.h
@@ -19,6 +19,13 @@
 typedef struct cb_front_options {
 	const char *name;
 	const char *listen; /* "IP:PORT", also the address given to callers */
+	/*
+	 * "IP:PORT" for requests that other instances forward, and the port at
+	 * which they all listen for them, on the IP of their address for
+	 * callers; NULL and 0: requests are not forwarded.
+	 */
+	const char *listen_peers;
+	uint16_t peer_port;
 	const char *data_centre;
 	const cb_document_codec_t *codec;
 	const cb_dialect_t *dialect;
--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -40,6 +40,9 @@
 	void (*done)(void *user_data, cb_http1_result_t result);
 } cb_http1_call_handler_t;
 
+/* As `max_idle_ms` of a call: it opens a connection of its own. */
+#define CB_HTTP1_NEW_CONNECTION (-1)
+
 cb_http1_client_t *cb_http1_client_new(GMainContext *context, cb_clock_t *clock,
 				       cb_counters_t *counters);
 void cb_http1_client_delete(cb_http1_client_t *client);
@@ -61,5 +64,16 @@
  * May be called until done() is called.
  */
 gboolean cb_http1_call_is_first(const cb_http1_call_t *call);
+/*
+ * Returns whether the call's connection is open, so that its request was sent.
+ * May be called until done() is called.
+ */
+gboolean cb_http1_call_is_sent(const cb_http1_call_t *call);
+/*
+ * Returns whether a connection to an address is in the pool that was idle for at
+ * most `max_idle_ms`.
+ */
+gboolean cb_http1_client_has_idle(const cb_http1_client_t *client,
+				  const char *address, int64_t max_idle_ms);
 
 #endif
--- a/src/libcurrantbridge/contract/document.c
+++ b/src/libcurrantbridge/contract/document.c
@@ -62,6 +62,7 @@
 {
 	cb_service_profile_t *self = service;
 
+	g_free(self->health_path);
 	if (self->engine) {
 		g_ptr_array_unref(self->engine->kinds);
 		g_free(self->engine);
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -364,6 +364,20 @@
 	g_free(client);
 }
 
+/* Returns whether a connection to an address can be taken out of the pool. */
+gboolean cb_http1_client_has_idle(const cb_http1_client_t *client,
+				  const char *address, int64_t max_idle_ms)
+{
+	GQueue *queue = g_hash_table_lookup(client->idle_connections, address);
+	const connection_t *connection =
+		queue ? g_queue_peek_head(queue) : NULL;
+
+	/* The queue's first connection has been idle for the shortest time. */
+	return connection &&
+	       cb_clock_now_ms(client->clock) - connection->idle_since_ms <=
+		       max_idle_ms;
+}
+
 /*
  * Takes a connection out of the pool that was idle for at most `max_idle_ms`.
  * Returns NULL if there is none.
@@ -372,15 +386,12 @@
 					   const char *address,
 					   int64_t max_idle_ms)
 {
-	GQueue *queue = g_hash_table_lookup(client->idle_connections, address);
-	connection_t *connection = queue ? g_queue_peek_head(queue) : NULL;
+	connection_t *connection;
 
-	/* The queue's first connection has been idle for the shortest time. */
-	if (!connection ||
-	    cb_clock_now_ms(client->clock) - connection->idle_since_ms >
-		    max_idle_ms)
+	if (!cb_http1_client_has_idle(client, address, max_idle_ms))
 		return NULL;
-	g_queue_pop_head(queue);
+	connection = g_queue_pop_head(
+		g_hash_table_lookup(client->idle_connections, address));
 	cb_timer_stop(connection->timer);
 	return connection;
 }
@@ -446,3 +457,9 @@
 {
 	return call->is_first;
 }
+
+/* Returns whether the call's connection was established. */
+gboolean cb_http1_call_is_sent(const cb_http1_call_t *call)
+{
+	return call->connection->is_open;
+}
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -6,6 +6,8 @@
 #include "currantbridge/http1_server.h"
 #include "private/content_book.h"
 #include "private/engine_reports.h"
+#include "private/relay_forward.h"
+#include "private/relay_reach.h"
 #include "private/retry_share.h"
 #include "private/server_book.h"
 #include "private/server_ends.h"
@@ -39,9 +41,22 @@
 	int64_t linger_ms;
 	int64_t grace_ms;
 	cb_http1_server_t *server;
+	/* Receives what other instances forward; listens if that is set. */
+	cb_http1_server_t *peer_server;
+	char *listen_peers;
+	uint16_t peer_port;
+	GHashTable *peers;	      /* name to record of another instance */
+	unsigned int forwarded_count; /* requests of others in progress */
 	cb_http1_client_t *client;
 	cb_engine_orders_t *orders;
 	cb_engine_reports_t *reports;
+	cb_reach_t *reach;
+	GHashTable *way_checks; /* set of checks in progress */
+	cb_timer_t *way_timer;	/* checks servers while a way is lost */
+	/* When the first sign of the present loss came. */
+	int64_t way_suspect_ms;
+	/* When a request may next be tried at a server that seems unreachable. */
+	int64_t way_trial_ms;
 	GHashTable *engine_checks; /* set of cb_engine_check_t in progress */
 	cb_fleet_t *fleet;
 	/* Whether the servers recorded in the view were added to `fleet`. */
@@ -71,8 +86,12 @@
 	gboolean has_drained;
 };
 
-/* Starts to relay one request; defined in relay.c. */
-void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange);
+/*
+ * Starts to relay one request, which another instance may have forwarded; defined
+ * in relay.c.
+ */
+void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange,
+		    gboolean is_forwarded);
 /* Reports the usage of servers to control soon, not at the next interval. */
 void cb_front_report_usage_soon(cb_front_t *front);
 /* Retries the waiting requests; `user_data` is the cb_front_t. */
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -10,6 +10,11 @@
 #define CB_RELAY_SILENT "silent"
 /* Result of an attempt that a server refused without saying that it did not run. */
 #define CB_RELAY_UNPROVED "unproved_refusal"
+/*
+ * Result of an attempt of which nothing was heard since this instance lost its way
+ * to the servers.
+ */
+#define CB_RELAY_CUT_OFF "cut_off"
 /* The usual Retry-After of a request that did not run. */
 #define CB_RELAY_RETRY_AFTER_MS 500
 
@@ -43,6 +48,23 @@
 	/* IDs of the servers where the request failed. */
 	GHashTable *tried_servers;
 	unsigned int send_count;
+	/* The group of the attempt's first server, and when it last said something. */
+	cb_reach_group_t *way_group;
+	int64_t heard_ms;
+	/*
+	 * The instance that the attempt in flight was forwarded to, or NULL; what
+	 * it says of it, and how often the request was forwarded.
+	 */
+	char *forwarded_to;
+	cb_forward_outcome_t forward_outcome;
+	unsigned int forward_count;
+	/*
+	 * The instance that has forwarded the request here, NULL: a caller sent
+	 * it; and the version of the document by which that routed it.
+	 */
+	char *forwarded_from;
+	int64_t forwarded_version;
+	gboolean is_counted_as_forwarded; /* in the front's forwarded_count */
 	/* When the next attempt may be sent; 0: at once. */
 	int64_t next_send_ms;
 	/* Whether an attempt was sent to a server, which may have received it. */
@@ -128,7 +150,23 @@
 void cb_relay_give_up(cb_relay_t *relay, const char *reason,
 		      int64_t retry_after_ms);
 
+/*
+ * Queues a request that can't be sent yet for up to `max_wait_ms`, and gives it up
+ * for `reason` after that.
+ */
+void cb_relay_queue(cb_relay_t *relay, const char *reason, int64_t max_wait_ms,
+		    int64_t retry_after_ms);
+
 /* Functions for attempts at servers, in relay_attempt.c and relay.c. */
+/* Resets what is known of the last attempt, as the next one is sent. */
+void cb_relay_attempt_reset(cb_relay_t *relay);
+/* Begins the handling of an answer that will be forwarded, by its head. */
+void cb_relay_answer_begin_store(cb_relay_t *relay,
+				 const cb_http1_head_t *head);
+/* Callbacks of the call in flight. */
+void cb_relay_answer_data_receive(void *user_data, const uint8_t *data,
+				  size_t size);
+void cb_relay_call_end_handle(void *user_data, cb_http1_result_t result);
 void cb_relay_attempt_start(cb_relay_t *relay);
 void cb_relay_attempt_send(cb_relay_t *relay);
 void cb_relay_attempt_failed(cb_relay_t *relay, const char *result,
@@ -140,6 +178,8 @@
 gboolean cb_relay_may_retry(const cb_relay_t *relay, unsigned int more_runs,
 			    int64_t min_time_ms);
 double cb_relay_estimate_tokens(const cb_relay_t *relay);
+/* Returns for how long a pooled connection may have been idle to be used. */
+int64_t cb_relay_connection_idle_max_ms(const cb_relay_t *relay);
 
 /* Functions for streams without events for too long, in relay_stall.c. */
 /* Drops the chain that a pending reroute leaves, once it is not needed. */
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -8,6 +8,7 @@
 #include "currantbridge/fleet.h"
 #include "currantbridge/view.h"
 #include "private/rate_limits.h"
+#include "private/reach.h"
 #include "private/usage.h"
 
 /*
@@ -43,6 +44,7 @@
 cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
 				     const cb_view_t *view, GRand *random,
 				     cb_rate_limits_t *limits,
+				     const cb_reach_t *reach,
 				     const char *data_centre);
 void cb_server_book_delete(cb_server_book_t *book);
 
@@ -115,6 +117,12 @@
 				       const char *address, GHashTable *tried);
 void cb_server_book_record_failure(cb_server_book_t *book, const char *id,
 				   gboolean may_be_lost);
+/*
+ * Forgets that servers of a data centre failed or ended: this instance had lost
+ * its way to them.
+ */
+void cb_server_book_forget_losses(cb_server_book_t *book,
+				  const char *data_centre);
 void cb_server_book_record_success(cb_server_book_t *book, const GArray *hops);
 
 #endif
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -19,6 +19,8 @@
 #define SUSPICION_REPORT_DELAY_MS 5
 /* Shortest interval of such reports. */
 #define SUSPICION_REPORT_INTERVAL_MS 50
+/* Bytes that an instance adds to the head of a request that it forwards. */
+#define FORWARD_HEADER_MAX_BYTES 1024
 /*
  * A caller whose data centre has fewer addresses gets those of all data
  * centres.
@@ -35,9 +37,13 @@
 		.idle_timeout_ms = document->limits.idle_timeout_ms,
 	};
 
+	cb_http1_limits_t peer_limits = limits;
+
 	cb_document_unref(front->document);
 	front->document = document;
 	cb_http1_server_set_limits(front->server, &limits);
+	peer_limits.max_header_bytes += FORWARD_HEADER_MAX_BYTES;
+	cb_http1_server_set_limits(front->peer_server, &peer_limits);
 	cb_log_event(front->log, CB_EVENT_DOCUMENT_IN_FORCE,
 		     CB_INT("version", document->version),
 		     CB_INT("routes", document->routes->len));
@@ -223,18 +229,36 @@
 	cb_front_t *front = user_data;
 
 	if (!front->has_drained) {
-		cb_relay_start(front, exchange);
+		cb_relay_start(front, exchange, FALSE);
 		return;
 	}
 	cb_relay_count_reason(front, "cb_relay_refused_total", "stopping");
 	cb_http1_exchange_reply(exchange, 503, headers, body, strlen(body));
 }
 
+/* Starts to relay a request that another instance has forwarded. */
+static void forwarded_receive_(cb_http1_exchange_t *exchange, void *user_data)
+{
+	cb_front_t *front = user_data;
+
+	if (!front->has_drained)
+		cb_relay_start(front, exchange, TRUE);
+	else
+		cb_http1_exchange_reply(exchange, 503,
+					cb_relay_forward_outcome_line(
+						CB_FORWARD_ELSEWHERE),
+					NULL, 0);
+}
+
 static gboolean caller_listener_start_(cb_service_t *service, GError **error)
 {
 	cb_front_t *front = (cb_front_t *)service;
 
 	cb_timer_start(front->usage_timer, USAGE_REPORT_INTERVAL_MS);
+	if (front->listen_peers &&
+	    !cb_http1_server_listen(front->peer_server, front->listen_peers,
+				    error))
+		return FALSE;
 	return cb_http1_server_listen(front->server, front->listen, error);
 }
 
@@ -261,6 +285,13 @@
 	g_list_free(relays);
 }
 
+/* Returns the requests in progress, of callers and of other instances. */
+static unsigned int open_requests_count_(const cb_front_t *front)
+{
+	return cb_http1_server_count_requests(front->server) +
+	       cb_http1_server_count_requests(front->peer_server);
+}
+
 /*
  * Ends the drain once no request is open and callers have had linger_ms to
  * learn other addresses, after grace_ms at the latest.
@@ -270,7 +301,7 @@
 	cb_front_t *front = user_data;
 	int64_t draining_ms =
 		cb_clock_now_ms(front->clock) - front->drain_since_ms;
-	gboolean is_idle = !cb_http1_server_count_requests(front->server);
+	gboolean is_idle = !open_requests_count_(front);
 
 	if ((is_idle && draining_ms >= front->linger_ms) ||
 	    draining_ms >= front->grace_ms) {
@@ -289,10 +320,10 @@
 
 	front->drain_since_ms = cb_clock_now_ms(front->clock);
 	cb_log_event(front->log, CB_EVENT_ENTRY_DRAINING,
-		     CB_INT("open",
-			    cb_http1_server_count_requests(front->server)));
+		     CB_INT("open", open_requests_count_(front)));
 	cb_control_client_leave(front->control);
 	cb_http1_server_drain(front->server);
+	cb_http1_server_drain(front->peer_server);
 	cb_timer_start(front->drain_timer, DRAIN_CHECK_INTERVAL_MS);
 }
 
@@ -301,6 +332,8 @@
 	cb_front_t *front = (cb_front_t *)service;
 
 	g_hash_table_unref(front->relays);
+	cb_relay_reach_clear(front);
+	cb_relay_forward_clear(front);
 	cb_server_ends_delete(front->server_ends);
 	cb_content_book_delete(front->content_book);
 	cb_engine_reports_delete(front->reports);
@@ -311,6 +344,7 @@
 	cb_timer_delete(front->usage_timer);
 	cb_timer_delete(front->wait_timer);
 	cb_http1_server_delete(front->server);
+	cb_http1_server_delete(front->peer_server);
 	cb_server_book_delete(front->book);
 	cb_rate_limits_delete(front->limits);
 	cb_fleet_delete(front->fleet);
@@ -319,6 +353,7 @@
 	g_rand_free(front->random);
 	g_free(front->name);
 	g_free(front->listen);
+	g_free(front->listen_peers);
 	g_free(front->data_centre);
 	g_free(front);
 }
@@ -356,6 +391,8 @@
 	front->view = view;
 	front->name = g_strdup(options->name);
 	front->listen = g_strdup(options->listen);
+	front->listen_peers = g_strdup(options->listen_peers);
+	front->peer_port = options->peer_port;
 	front->data_centre = g_strdup(options->data_centre);
 	front->codec = options->codec;
 	front->dialect = options->dialect;
@@ -364,6 +401,9 @@
 	front->server =
 		cb_http1_server_new(cb_kernel_context(kernel), front->clock,
 				    front->counters, request_receive_, front);
+	front->peer_server =
+		cb_http1_server_new(cb_kernel_context(kernel), front->clock,
+				    front->counters, forwarded_receive_, front);
 	front->client = options->client;
 	front->orders = options->orders;
 	front->reports = cb_engine_reports_new(front->clock, options->orders);
@@ -376,9 +416,11 @@
 	front->limits =
 		cb_rate_limits_new(front->clock, front->random, options->name,
 				   options->retry_window_ms);
+	cb_relay_reach_init(front);
+	cb_relay_forward_init(front);
 	front->book = cb_server_book_new(front->clock, front->fleet, view,
 					 front->random, front->limits,
-					 options->data_centre);
+					 front->reach, options->data_centre);
 	front->content_book = cb_relay_content_book_new(front);
 	front->server_ends =
 		cb_server_ends_new(cb_kernel_context(kernel), front->clock,
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "private/relay_reach.h"
+
 /* Retry-After of requests refused for lack of a server or during a stop. */
 #define NO_SERVER_RETRY_AFTER_MS 1000
 #define STOPPING_RETRY_AFTER_MS 100
@@ -24,6 +26,8 @@
 #define WAIT_RETRY_INTERVAL_MS 10
 /* A request waits at most its total time divided by this number. */
 #define WAIT_TIME_DIVISOR 4
+/* Requests of other instances that are in progress at the same time. */
+#define FORWARDED_MAX 256
 /* Total time of a request whose caller sets none. */
 #define DEFAULT_BUDGET_MS 30000
 
@@ -81,6 +85,7 @@
 	relay->is_reroute_pending = FALSE;
 	if (relay->call)
 		cb_http1_call_cancel(g_steal_pointer(&relay->call));
+	cb_relay_forward_end(relay);
 	if (relay->hops->len) {
 		cb_server_book_end_request(relay->front->book, relay->hops,
 					   relay->expected_tokens);
@@ -99,6 +104,8 @@
 	cb_relay_cancel_attempt(relay);
 	if (relay->is_waiting)
 		g_queue_remove(&relay->front->waiting, relay);
+	if (relay->is_counted_as_forwarded)
+		relay->front->forwarded_count--;
 	cb_timer_delete(relay->deadline_timer);
 	cb_timer_delete(relay->silence_timer);
 	g_array_unref(relay->hops);
@@ -109,6 +116,7 @@
 	cb_document_unref(relay->document);
 	cb_relay_content_clear(relay);
 	g_free(relay->failed_address);
+	g_free(relay->forwarded_from);
 	g_free(relay);
 }
 
@@ -196,39 +204,54 @@
 	g_hash_table_remove(relay->front->relays, relay);
 }
 
-/* Answers with an error of this instance; `retry_after_ms` 0: no header. */
-static void error_reply_send_(cb_http1_exchange_t *exchange, uint32_t status,
-			      const char *reason, const char *executed,
+/*
+ * Answers with an error of this instance; `retry_after_ms` 0: no header.  Another
+ * instance that has forwarded the request is told what that means.
+ */
+static void error_reply_send_(const cb_relay_t *relay, uint32_t status,
+			      const char *reason, gboolean has_run,
 			      int64_t retry_after_ms)
 {
+	cb_http1_exchange_t *exchange = relay->exchange;
 	char *body = g_strdup_printf(
 		"{\"error\":{\"reason\":\"%s\",\"executed\":\"%s\"}}", reason,
-		executed);
+		has_run ? "unknown" : "no");
 	GString *headers = g_string_new("Content-Type: application/json\r\n");
 
 	if (retry_after_ms)
 		g_string_append_printf(headers, "Retry-After: %d.%03d\r\n",
 				       (int)(retry_after_ms / 1000),
 				       (int)(retry_after_ms % 1000));
+	if (relay->forwarded_from)
+		g_string_append(headers,
+				cb_relay_forward_outcome_line(
+					has_run ? CB_FORWARD_UNKNOWN :
+						  cb_relay_forward_refusal(
+							  reason)));
 	cb_http1_exchange_reply(exchange, status, headers->str, body,
 				strlen(body));
 	g_string_free(headers, TRUE);
 	g_free(body);
 }
 
-/* Refuses a request before any attempt. */
-static void request_refuse_(cb_front_t *front, cb_http1_exchange_t *exchange,
-			    const char *id, uint32_t status, const char *reason,
-			    int64_t retry_after_ms)
+/* Refuses a request before any attempt, and frees it. */
+static void request_refuse_(cb_relay_t *relay, uint32_t status,
+			    const char *reason, int64_t retry_after_ms)
 {
-	cb_log_event(front->log, CB_EVENT_RELAY_REFUSED, CB_STR("request", id),
-		     CB_STR("target", cb_http1_exchange_head(exchange)->target),
+	cb_front_t *front = relay->front;
+
+	cb_log_event(front->log, CB_EVENT_RELAY_REFUSED,
+		     CB_STR("request", relay->request_info.id),
+		     CB_STR("target",
+			    cb_http1_exchange_head(relay->exchange)->target),
 		     CB_INT("status", status), CB_STR("reason", reason),
 		     CB_INT("retry_after_ms", retry_after_ms),
 		     CB_INT("version",
 			    front->document ? front->document->version : 0));
 	cb_relay_count_reason(front, "cb_relay_refused_total", reason);
-	error_reply_send_(exchange, status, reason, "no", retry_after_ms);
+	error_reply_send_(relay, status, reason, relay->run_count > 0,
+			  retry_after_ms);
+	cb_relay_free(relay);
 }
 
 /*
@@ -239,7 +262,6 @@
 void cb_relay_give_up(cb_relay_t *relay, const char *reason,
 		      int64_t retry_after_ms)
 {
-	cb_http1_exchange_t *exchange = relay->exchange;
 	gboolean has_run = relay->run_count > 0;
 	uint32_t status = has_run ? 502 : 503;
 
@@ -248,10 +270,9 @@
 		status = 504;
 	cb_relay_record_end(relay, status, reason);
 	if (relay->is_answer_begun)
-		cb_http1_exchange_abort(exchange);
+		cb_http1_exchange_abort(relay->exchange);
 	else
-		error_reply_send_(exchange, status, reason,
-				  has_run ? "unknown" : "no",
+		error_reply_send_(relay, status, reason, has_run,
 				  has_run ? 0 : retry_after_ms);
 	cb_relay_free(relay);
 }
@@ -284,8 +305,8 @@
  * Queues a request that can't be sent yet.  Once it has waited too long it is
  * given up, so that its caller has time left to retry.
  */
-static void request_queue_(cb_relay_t *relay, const char *reason,
-			   int64_t max_wait_ms, int64_t retry_after_ms)
+void cb_relay_queue(cb_relay_t *relay, const char *reason, int64_t max_wait_ms,
+		    int64_t retry_after_ms)
 {
 	cb_front_t *front = relay->front;
 	int64_t now_ms = cb_relay_now_ms(relay);
@@ -356,33 +377,93 @@
 	return TRUE;
 }
 
+/*
+ * Does what follows if this instance's way to all servers of the service is lost:
+ * the request is forwarded or refused, or waits while that is being checked and an
+ * attempt has failed already.  Returns FALSE if it is to be sent to a server.
+ */
+static gboolean lost_way_handle_(cb_relay_t *relay)
+{
+	cb_reach_state_t way =
+		cb_relay_reach_find(relay->front, relay->service);
+
+	switch (way) {
+	case CB_REACH_SILENT:
+	case CB_REACH_LOST:
+		return cb_relay_forward_send(relay, way);
+	case CB_REACH_CHECKING:
+		if (!relay->send_count)
+			return FALSE;
+		cb_relay_queue(relay, "no_server", SERVER_WAIT_MAX_MS,
+			       NO_SERVER_RETRY_AFTER_MS);
+		return TRUE;
+	default:
+		return FALSE;
+	}
+}
+
+/*
+ * Forwards a request, or refuses it, that needs a new connection to its server
+ * while these fail.  Returns FALSE if it is to be sent to the server.
+ */
+static gboolean lost_connections_handle_(cb_relay_t *relay)
+{
+	cb_front_t *front = relay->front;
+
+	if (cb_relay_reach_find(front, relay->service) != CB_REACH_NEW_LOST ||
+	    cb_http1_client_has_idle(
+		    front->client,
+		    g_array_index(relay->hops, cb_relay_hop_t, 0).address,
+		    cb_relay_connection_idle_max_ms(relay)))
+		return FALSE;
+	g_array_set_size(relay->hops, 0);
+	return cb_relay_forward_send(relay, CB_REACH_NEW_LOST) ||
+	       servers_choose_(relay) != CB_BOOK_FOUND;
+}
+
+/*
+ * Forwards a request that no server takes, if this instance alone may hold servers
+ * for lost.  Returns FALSE if it is to wait here.
+ */
+static gboolean lost_servers_handle_(cb_relay_t *relay)
+{
+	cb_front_t *front = relay->front;
+
+	return cb_reach_is_impaired(front->reach) &&
+	       cb_server_book_count(front->book, relay->service).distrusted &&
+	       cb_relay_forward_send(relay, CB_REACH_OPEN);
+}
+
 /* Chooses servers and sends the request, queues it or gives it up. */
 void cb_relay_attempt_start(cb_relay_t *relay)
 {
 	int64_t max_wait_ms = relay->is_answer_begun ? RESUME_WAIT_MAX_MS :
 						       CAPACITY_WAIT_MAX_MS;
 
-	if (cb_relay_content_refuse(relay))
+	if (cb_relay_content_refuse(relay) || lost_way_handle_(relay))
 		return;
 	if (cb_relay_now_ms(relay) < relay->next_send_ms) {
-		request_queue_(relay, "no_room", max_wait_ms,
+		cb_relay_queue(relay, "no_room", max_wait_ms,
 			       CB_RELAY_RETRY_AFTER_MS);
 		return;
 	}
 	switch (servers_choose_(relay)) {
 	case CB_BOOK_FOUND:
+		if (lost_connections_handle_(relay))
+			return;
 		break;
 	case CB_BOOK_NO_SERVER:
-		if (turned_away_give_up_(relay, max_wait_ms))
+		if (turned_away_give_up_(relay, max_wait_ms) ||
+		    lost_servers_handle_(relay))
 			return;
-		request_queue_(relay, "no_server",
+		cb_relay_queue(relay, "no_server",
 			       MAX(max_wait_ms, SERVER_WAIT_MAX_MS),
 			       NO_SERVER_RETRY_AFTER_MS);
 		return;
 	case CB_BOOK_NO_ROOM:
 		if (turned_away_give_up_(relay, max_wait_ms))
 			return;
-		request_queue_(relay, "no_room", max_wait_ms,
+		cb_relay_queue(relay, "no_room", max_wait_ms,
 			       CB_RELAY_RETRY_AFTER_MS);
 		return;
 	}
@@ -390,7 +471,7 @@
 	    !cb_retry_share_take_retry(relay->front->retries,
 				       relay->service->name)) {
 		g_array_set_size(relay->hops, 0);
-		request_queue_(relay, "no_retry_left", max_wait_ms,
+		cb_relay_queue(relay, "no_retry_left", max_wait_ms,
 			       CB_RELAY_RETRY_AFTER_MS);
 		return;
 	}
@@ -488,10 +569,12 @@
 		reason = "stopping";
 		retry_after_ms = STOPPING_RETRY_AFTER_MS;
 	}
+	if (relay->forwarded_version > front->document->version) {
+		status = 503;
+		reason = "older_document";
+	}
 	if (status) {
-		request_refuse_(front, exchange, relay->request_info.id, status,
-				reason, retry_after_ms);
-		cb_relay_free(relay);
+		request_refuse_(relay, status, reason, retry_after_ms);
 		return FALSE;
 	}
 	relay->document = cb_document_ref(front->document);
@@ -508,7 +591,10 @@
 		MIN(relay->deadline_ms,
 		    cb_http1_exchange_arrived_ms(exchange) + route->timeout_ms);
 	relay->expected_tokens = cb_relay_estimate_tokens(relay);
-	cb_retry_share_count_request(front->retries, relay->service->name);
+	/* The instance that forwarded a request has counted it. */
+	if (!relay->forwarded_from)
+		cb_retry_share_count_request(front->retries,
+					     relay->service->name);
 	cb_timer_start(relay->deadline_timer,
 		       MAX(relay->deadline_ms - cb_relay_now_ms(relay), 0));
 	return TRUE;
@@ -519,12 +605,18 @@
 {
 	cb_front_t *front = relay->front;
 
-	if (!relay->route && (!front->document ||
-			      !cb_control_client_is_confirmed(front->control)))
-		request_queue_(relay, "not_configured", SERVER_WAIT_MAX_MS,
-			       NO_SERVER_RETRY_AFTER_MS);
-	else if (relay->route || request_route_(relay))
+	if (!relay->route &&
+	    (!front->document ||
+	     !cb_control_client_is_confirmed(front->control))) {
+		if (relay->forwarded_from)
+			request_refuse_(relay, 503, "not_configured", 0);
+		else
+			cb_relay_queue(relay, "not_configured",
+				       SERVER_WAIT_MAX_MS,
+				       NO_SERVER_RETRY_AFTER_MS);
+	} else if (relay->route || request_route_(relay)) {
 		cb_relay_attempt_start(relay);
+	}
 }
 
 /* Orders requests by priority, the most urgent first, then by deadline. */
@@ -558,13 +650,42 @@
 	}
 }
 
-/* Starts to relay a caller's request, or refuses it. */
-void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange)
+/*
+ * Takes a request that another instance has forwarded; FALSE: it was refused, and
+ * freed.
+ */
+static gboolean forwarded_accept_(cb_relay_t *relay)
+{
+	cb_front_t *front = relay->front;
+
+	if (!cb_relay_forward_read(relay)) {
+		cb_http1_exchange_reply(relay->exchange, 400, NULL, NULL, 0);
+		cb_relay_free(relay);
+		return FALSE;
+	}
+	if (front->forwarded_count >= FORWARDED_MAX) {
+		request_refuse_(relay, 503, "too_many_forwarded", 0);
+		return FALSE;
+	}
+	relay->is_counted_as_forwarded = TRUE;
+	front->forwarded_count++;
+	cb_log_event(front->log, CB_EVENT_RELAY_FORWARD_TAKEN,
+		     CB_STR("request", relay->request_info.id),
+		     CB_STR("from", relay->forwarded_from),
+		     CB_INT("runs", relay->run_count));
+	cb_relay_count_reason(front, "cb_relay_forwarded_total", "taken");
+	return TRUE;
+}
+
+/* Starts to relay a request, or refuses it. */
+void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange,
+		    gboolean is_forwarded)
 {
 	cb_relay_t *relay = relay_new_(front, exchange);
 
 	g_hash_table_add(front->relays, relay);
 	cb_http1_exchange_set_disconnect_fn(exchange, caller_disconnect_handle_,
 					    relay);
-	request_advance_(relay);
+	if (!is_forwarded || forwarded_accept_(relay))
+		request_advance_(relay);
 }
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "private/relay_reach.h"
+
 /*
  * A pooled connection that was idle for longer is not used, since the server
  * may be closing it as the request is sent.  The limit is shorter for requests
@@ -127,6 +129,17 @@
 	return relay->deadline_ms - cb_relay_now_ms(relay) >= min_time_ms;
 }
 
+/* Records a failure by which this instance's way to the server may be lost. */
+static void loss_sign_record_(cb_relay_t *relay, const char *result)
+{
+	if (!strcmp(result, CB_RELAY_SILENT))
+		cb_relay_reach_suspect(relay, CB_REACH_SIGN_OVERDUE);
+	else if (!strcmp(result, cb_http1_result_string[CB_HTTP1_UNSENT]) ||
+		 !strcmp(result, cb_http1_result_string[CB_HTTP1_LOST]) ||
+		 !strcmp(result, cb_http1_result_string[CB_HTTP1_TRUNCATED]))
+		cb_relay_reach_suspect(relay, CB_REACH_SIGN_FAILED);
+}
+
 /*
  * Records that an attempt failed, and starts the next one or gives up.
  * `has_run` is whether the attempt ran or may have run; `failed_address` is the
@@ -135,16 +148,17 @@
 void cb_relay_attempt_failed(cb_relay_t *relay, const char *result,
 			     gboolean has_run, const char *failed_address)
 {
-	const cb_relay_hop_t *first =
-		&g_array_index(relay->hops, cb_relay_hop_t, 0);
+	const cb_relay_hop_t *first = cb_relay_find_hop(relay, NULL);
 	char *hops_text = cb_relay_format_hops(relay);
 	char *content_text = cb_content_features_text(relay->content.features);
 	gboolean is_sent;
 
 	cb_log_event(relay->front->log, CB_EVENT_RELAY_ATTEMPT_FAILED,
 		     CB_STR("request", relay->request_info.id),
-		     CB_STR("result", result), CB_STR("server", first->id),
-		     CB_STR("address", first->address),
+		     CB_STR("result", result),
+		     CB_STR("server", first ? first->id : NULL),
+		     CB_STR("address", first ? first->address : NULL),
+		     CB_STR("forwarded_to", relay->forwarded_to),
 		     CB_STR("fault", failed_address),
 		     CB_INT("status", relay->status),
 		     CB_INT("has_run", has_run), CB_STR("way", hops_text),
@@ -164,17 +178,24 @@
 	relay->awaited = NULL;
 	g_free(hops_text);
 	g_free(content_text);
-	cb_relay_content_attempt_failed(relay, result);
 	cb_relay_count_reason(relay->front, "cb_relay_attempts_failed_total",
 			      result);
 	relay->run_count += has_run != 0;
 	is_sent = strcmp(result, cb_http1_result_string[CB_HTTP1_UNSENT]) != 0;
-	relay->has_arrived |= is_sent;
-	if (!is_sent)
-		unsent_attempt_record_(relay);
-	else if (has_run || !relay->has_not_run)
-		server_failure_record_(relay, failed_address,
-				       !strcmp(result, CB_RELAY_SILENT));
+	relay->has_arrived |= is_sent && !relay->forwarded_to;
+	if (relay->forwarded_to) {
+		relay->has_arrived |= has_run;
+		cb_relay_forward_failed(relay);
+	} else {
+		loss_sign_record_(relay, result);
+		cb_relay_content_attempt_failed(relay, result);
+		if (!is_sent)
+			unsent_attempt_record_(relay);
+		else if (has_run || !relay->has_not_run)
+			server_failure_record_(relay, failed_address,
+					       !strcmp(result,
+						       CB_RELAY_SILENT));
+	}
 	cb_relay_cancel_attempt(relay);
 	if (!cb_relay_may_retry(relay, 0, SEND_TIME_LEFT_MIN_MS)) {
 		cb_relay_give_up(relay, result, CB_RELAY_RETRY_AFTER_MS);
@@ -208,11 +229,16 @@
 		const cb_http1_header_t *header =
 			&g_array_index(head->headers, cb_http1_header_t, i);
 
-		if (cb_http1_head_is_forwarded(head, header->name))
+		if (cb_http1_head_is_forwarded(head, header->name) &&
+		    !cb_relay_forward_is_own_header(header->name))
 			g_string_append_printf(relay->answer_headers,
 					       "%s: %s\r\n", header->name,
 					       header->value);
 	}
+	if (relay->forwarded_from)
+		g_string_append(relay->answer_headers,
+				cb_relay_forward_outcome_line(
+					CB_FORWARD_ANSWERED));
 }
 
 /*
@@ -221,6 +247,9 @@
  */
 static gboolean refusal_is_unproved_(const cb_relay_t *relay)
 {
+	/* Another instance says itself what its answer means. */
+	if (relay->forwarded_to)
+		return FALSE;
 	switch (relay->status) {
 	case 408:
 	case 421:
@@ -277,6 +306,25 @@
 	cb_front_report_usage_soon(front);
 }
 
+/* Records that data of the attempt's server has arrived. */
+static void way_hear_(cb_relay_t *relay)
+{
+	relay->heard_ms = cb_relay_now_ms(relay);
+	if (relay->way_group)
+		cb_reach_group_hear(relay->way_group);
+}
+
+/* Begins the handling of an answer that will be forwarded, by its head. */
+void cb_relay_answer_begin_store(cb_relay_t *relay, const cb_http1_head_t *head)
+{
+	relay->is_event_stream =
+		relay->route->kind == CB_ROUTE_STREAM && head->status == 200;
+	if (relay->is_event_stream)
+		cb_event_splitter_init(&relay->splitter);
+	if (!relay->is_answer_begun)
+		answer_headers_store_(relay, head);
+}
+
 /* Handles an answer's head; FALSE: the answer may be to another request. */
 static gboolean answer_head_receive_(void *user_data,
 				     const cb_http1_head_t *head)
@@ -288,6 +336,7 @@
 	cb_relay_answer_info_t answer_info = { .running = -1,
 					       .limit_per_s = -1 };
 
+	way_hear_(relay);
 	relay->status = head->status;
 	relay->framing = head->framing;
 	relay->unused_body_bytes = 0;
@@ -296,6 +345,7 @@
 						 &answer_info);
 	if (!answer_is_to_request_(relay, &answer_info))
 		return FALSE;
+	cb_relay_reach_hear_answer(relay);
 	if (answer_info.running >= 0)
 		cb_server_book_record_load(front->book, first->id,
 					   answer_info.running,
@@ -311,12 +361,7 @@
 	relay->failed_address = g_strdup(answer_info.failed_address);
 	if (answer_info.has_not_run)
 		return TRUE;
-	relay->is_event_stream =
-		relay->route->kind == CB_ROUTE_STREAM && head->status == 200;
-	if (relay->is_event_stream)
-		cb_event_splitter_init(&relay->splitter);
-	if (!relay->is_answer_begun)
-		answer_headers_store_(relay, head);
+	cb_relay_answer_begin_store(relay, head);
 	return TRUE;
 }
 
@@ -393,11 +438,13 @@
 	g_byte_array_set_size(relay->buffered_body, 0);
 }
 
-static void answer_data_receive_(void *user_data, const uint8_t *data,
-				 size_t size)
+/* Handles a part of an answer's body. */
+void cb_relay_answer_data_receive(void *user_data, const uint8_t *data,
+				  size_t size)
 {
 	cb_relay_t *relay = user_data;
 
+	way_hear_(relay);
 	if (!relay->is_event_stream) {
 		body_buffer_(relay, data, size);
 		return;
@@ -444,6 +491,17 @@
 	cb_relay_free(relay);
 }
 
+/* Returns how a request ends whose answer is forwarded. */
+static const char *end_reason_find_(const cb_relay_t *relay)
+{
+	if (!relay->forwarded_to ||
+	    relay->forward_outcome == CB_FORWARD_ANSWERED)
+		return "complete";
+	return relay->forward_outcome == CB_FORWARD_NOT_RUN ?
+		       "refused_elsewhere" :
+		       "failed_elsewhere";
+}
+
 /* Forwards a complete answer, or starts another attempt. */
 static void answer_complete_(cb_relay_t *relay)
 {
@@ -451,7 +509,8 @@
 	uint32_t status = relay->status;
 
 	if (relay->has_not_run) {
-		rejection_record_(relay);
+		if (!relay->forwarded_to)
+			rejection_record_(relay);
 		cb_relay_attempt_failed(relay, "not_run", FALSE,
 					relay->failed_address);
 		return;
@@ -460,7 +519,8 @@
 		cb_relay_attempt_failed(relay, CB_RELAY_UNPROVED, TRUE, NULL);
 		return;
 	}
-	if (status >= 500 && cb_relay_is_repeatable(relay) &&
+	if (status >= 500 && !relay->forwarded_to &&
+	    cb_relay_is_repeatable(relay) &&
 	    relay->run_count + 1 < relay->route->max_attempts) {
 		cb_relay_attempt_failed(relay, "server_error", TRUE, NULL);
 		return;
@@ -480,15 +540,15 @@
 	}
 	if (status < 500)
 		cb_server_book_record_success(relay->front->book, relay->hops);
-	cb_relay_record_end(relay, status, "complete");
+	cb_relay_record_end(relay, status, end_reason_find_(relay));
 	cb_http1_exchange_reply(exchange, status, relay->answer_headers->str,
 				relay->buffered_body->data,
 				relay->buffered_body->len);
 	cb_relay_free(relay);
 }
 
-/* Called when the call to the server has ended. */
-static void call_end_handle_(void *user_data, cb_http1_result_t result)
+/* Called when the call to the server, or another instance, has ended. */
+void cb_relay_call_end_handle(void *user_data, cb_http1_result_t result)
 {
 	cb_relay_t *relay = user_data;
 
@@ -504,8 +564,8 @@
 
 static const cb_http1_call_handler_t call_handler = {
 	.head = answer_head_receive_,
-	.data = answer_data_receive_,
-	.done = call_end_handle_,
+	.data = cb_relay_answer_data_receive,
+	.done = cb_relay_call_end_handle,
 };
 
 /*
@@ -530,6 +590,25 @@
 	       answer;
 }
 
+/* Returns for how long a pooled connection may have been idle to be used. */
+int64_t cb_relay_connection_idle_max_ms(const cb_relay_t *relay)
+{
+	return cb_relay_is_repeatable(relay) ? CONNECTION_IDLE_MAX_MS :
+					       ONCE_CONNECTION_IDLE_MAX_MS;
+}
+
+/* Resets what is known of the last attempt. */
+void cb_relay_attempt_reset(cb_relay_t *relay)
+{
+	relay->sent_ms = cb_relay_now_ms(relay);
+	relay->heard_ms = 0;
+	relay->way_group = NULL;
+	relay->status = 0;
+	relay->is_event_stream = FALSE;
+	relay->has_not_run = FALSE;
+	cb_relay_content_attempt_begun(relay);
+}
+
 /* Sends the request to the chosen servers. */
 void cb_relay_attempt_send(cb_relay_t *relay)
 {
@@ -551,18 +630,14 @@
 	cb_rate_limits_count_send(front->limits, relay->service->name,
 				  first->id, first->start_wall_ms);
 	relay->send_count++;
-	relay->sent_ms = cb_relay_now_ms(relay);
-	relay->status = 0;
-	relay->is_event_stream = FALSE;
-	relay->has_not_run = FALSE;
-	cb_relay_content_attempt_begun(relay);
+	cb_relay_attempt_reset(relay);
+	relay->way_group = cb_relay_reach_find_group(front, first);
 	cb_server_book_begin_request(front->book, relay->hops,
 				     relay->expected_tokens);
 	cb_relay_start_silence_timer(relay);
-	relay->call = cb_http1_client_call(front->client, first->address,
-					   head->method, request,
-					   cb_relay_is_repeatable(relay) ?
-						   CONNECTION_IDLE_MAX_MS :
-						   ONCE_CONNECTION_IDLE_MAX_MS,
-					   &call_handler, relay);
+	relay->call =
+		cb_http1_client_call(front->client, first->address,
+				     head->method, request,
+				     cb_relay_connection_idle_max_ms(relay),
+				     &call_handler, relay);
 }
--- a/src/libcurrantbridge/relay/relay_content.c
+++ b/src/libcurrantbridge/relay/relay_content.c
@@ -178,13 +178,28 @@
 		       1);
 }
 
+/*
+ * Returns whether this instance's own way to a server is in doubt, so that what it
+ * sees there is no sign of the server's end.
+ */
+static gboolean way_is_doubtful_(const cb_front_t *front,
+				 const cb_relay_hop_t *hop)
+{
+	const cb_fleet_server_t *server = cb_fleet_find(front->fleet, hop->id);
+
+	return server &&
+	       cb_reach_is_doubtful(front->reach, server->data_centre);
+}
+
 void cb_relay_content_server_checked(const cb_relay_hop_t *server,
 				     cb_server_check_t check,
 				     const GPtrArray *losses, void *user_data)
 {
 	cb_front_t *front = user_data;
 
-	if (check == CB_SERVER_CHECK_REFUSED) {
+	gboolean is_doubtful = way_is_doubtful_(front, server);
+
+	if (check == CB_SERVER_CHECK_REFUSED && !is_doubtful) {
 		server_end_record_(front, server, losses);
 		return;
 	}
@@ -192,6 +207,7 @@
 		     CB_STR("server", server->id),
 		     CB_STR("address", server->address),
 		     CB_STR("check", cb_server_check_string[check]),
+		     CB_INT("is_way_lost", is_doubtful),
 		     CB_INT("attempts", losses->len));
 }
 
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "private/relay_reach.h"
 #include "private/silence.h"
 
 /*
@@ -12,6 +13,11 @@
 #define DEFAULT_SILENCE_MS 1500
 /* Shortest time between two checks of a stream. */
 #define CHECK_INTERVAL_MIN_MS 20
+/*
+ * An answer that is not a stream that may be resumed is checked this often: it may
+ * be late since the way to its server is lost.
+ */
+#define ANSWER_CHECK_INTERVAL_MS 150
 /* How long an engine may take to carry out a reroute. */
 #define REROUTE_TIMEOUT_MS 300
 /* Reroutes without an event in between, after which no other is requested. */
@@ -64,13 +70,21 @@
 }
 
 /*
- * Restarts the silence timer of a stream that may be resumed elsewhere, after
- * an event or a check.
+ * Restarts the silence timer after an event or a check.  A stream that may be
+ * resumed elsewhere is watched closely; any other request only for signs that the
+ * way to its server is lost.
  */
 void cb_relay_start_silence_timer(cb_relay_t *relay)
 {
-	if (relay->is_reroute_pending || !stream_is_watched_(relay))
+	if (relay->is_reroute_pending)
 		return;
+	if (relay->forwarded_to || !stream_is_watched_(relay)) {
+		cb_timer_start(relay->silence_timer,
+			       relay->forwarded_to ?
+				       cb_relay_forward_silence_ms(relay) :
+				       ANSWER_CHECK_INTERVAL_MS);
+		return;
+	}
 	if (relay->is_report_pending)
 		cb_engine_reports_cancel(relay->front->reports, relay);
 	relay->is_report_pending = FALSE;
@@ -94,7 +108,8 @@
 	while (g_hash_table_iter_next(&iter, &value, NULL)) {
 		const cb_relay_t *peer = value;
 
-		if (!peer->call || peer->route->kind != CB_ROUTE_STREAM ||
+		if (!peer->call || !peer->hops->len ||
+		    peer->route->kind != CB_ROUTE_STREAM ||
 		    strcmp(peer->service->name, relay->service->name) != 0 ||
 		    !strcmp(g_array_index(peer->hops, cb_relay_hop_t, 0).id,
 			    server_id))
@@ -367,8 +382,8 @@
 	while (g_hash_table_iter_next(&iter, &value, NULL)) {
 		cb_relay_t *relay = value;
 
-		if (relay->call && relay->route && stream_is_watched_(relay) &&
-		    !relay->is_reroute_pending &&
+		if (relay->call && relay->hops->len &&
+		    stream_is_watched_(relay) && !relay->is_reroute_pending &&
 		    cb_relay_find_hop(relay, address))
 			g_ptr_array_add(streams, relay);
 	}
@@ -469,10 +484,17 @@
 {
 	cb_relay_t *relay = user_data;
 
-	if (relay->is_reroute_pending)
+	if (relay->is_reroute_pending) {
 		reroute_time_out_(relay);
-	else
+	} else if (relay->forwarded_to) {
+		cb_relay_forward_silent(relay);
+	} else if (!stream_is_watched_(relay)) {
+		cb_relay_reach_suspect(relay, CB_REACH_SIGN_OVERDUE);
+		cb_relay_start_silence_timer(relay);
+	} else {
+		cb_relay_reach_suspect(relay, CB_REACH_SIGN_OVERDUE);
 		silence_handle_(relay, CB_SILENCE_EVENT_OVERDUE, NULL);
+	}
 }
 
 /* Called with the report of an engine that may be lost. */
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -81,6 +81,7 @@
 	const cb_view_t *view;
 	GRand *random;
 	cb_rate_limits_t *limits;
+	const cb_reach_t *reach;
 	char *data_centre;
 	GHashTable *stats_by_id; /* map: server ID to server_stats_t */
 	/* When the other instances' usage was last received; 0: never. */
@@ -94,6 +95,7 @@
 cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
 				     const cb_view_t *view, GRand *random,
 				     cb_rate_limits_t *limits,
+				     const cb_reach_t *reach,
 				     const char *data_centre)
 {
 	cb_server_book_t *book = g_new0(cb_server_book_t, 1);
@@ -103,6 +105,7 @@
 	book->view = view;
 	book->random = random;
 	book->limits = limits;
+	book->reach = reach;
 	book->data_centre = g_strdup(data_centre);
 	book->stats_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -278,6 +281,7 @@
 	const server_stats_t *stats = stats_get_(book, server->id);
 
 	return server->state == CB_FLEET_SILENT ||
+	       cb_reach_is_lost(book->reach, server->data_centre) ||
 	       MAX(MAX(stats->avoid_until_ms, stats->lost_until_ms),
 		   stats->full_until_ms) > cb_clock_now_ms(book->clock);
 }
@@ -404,9 +408,11 @@
 	/* A server without a free slot still runs what it has begun. */
 	input.is_avoided = stats->lost_until_ms > now_ms ||
 			   (stats->full_until_ms > now_ms && !kept_hop);
-	input.is_doubtful = stats->avoid_until_ms > now_ms ||
-			    stats->others_usage.suspecting_instances >=
-				    CB_USAGE_SUSPECTING_MIN;
+	input.is_doubtful =
+		stats->avoid_until_ms > now_ms ||
+		cb_reach_is_lost(book->reach, server->data_centre) ||
+		stats->others_usage.suspecting_instances >=
+			CB_USAGE_SUSPECTING_MIN;
 	return input;
 }
 
@@ -536,10 +542,28 @@
 	usage_add_(book, hops, tokens, -1);
 }
 
+/*
+ * Returns whether a server is to be reported as one that may be lost.  What this
+ * instance sees while its own way to the server is in doubt is no reason.
+ */
+static gboolean server_is_suspected_(const cb_server_book_t *book,
+				     const char *id,
+				     const server_stats_t *stats)
+{
+	const cb_fleet_server_t *server;
+
+	if (!stats->suspected_ms ||
+	    cb_clock_now_ms(book->clock) - stats->suspected_ms >=
+		    SUSPECT_REPORT_MS)
+		return FALSE;
+	server = cb_fleet_find(book->fleet, id);
+	return !server ||
+	       !cb_reach_is_doubtful(book->reach, server->data_centre);
+}
+
 /* Returns what this instance reports on the servers; the caller deletes it. */
 cb_usage_t *cb_server_book_collect_usage(cb_server_book_t *book)
 {
-	int64_t now_ms = cb_clock_now_ms(book->clock);
 	cb_usage_t *usage = cb_usage_new();
 	GHashTableIter iter;
 	void *value;
@@ -552,9 +576,8 @@
 		stats->reported_usage = (cb_usage_load_t){
 			.running = stats->running,
 			.token_layers = stats->token_layers,
-			.suspecting_instances = stats->suspected_ms &&
-						now_ms - stats->suspected_ms <
-							SUSPECT_REPORT_MS,
+			.suspecting_instances =
+				server_is_suspected_(book, id, stats),
 		};
 		if (stats->running ||
 		    stats->reported_usage.suspecting_instances)
@@ -772,6 +795,28 @@
 	return is_found;
 }
 
+/* Forgets what made this instance avoid the servers of a data centre. */
+void cb_server_book_forget_losses(cb_server_book_t *book,
+				  const char *data_centre)
+{
+	const GPtrArray *all = cb_fleet_servers(book->fleet);
+	unsigned int i;
+
+	for (i = 0; i < all->len; i++) {
+		const cb_fleet_server_t *server = all->pdata[i];
+		server_stats_t *stats;
+
+		if (g_strcmp0(server->data_centre, data_centre) != 0)
+			continue;
+		stats = stats_get_(book, server->id);
+		stats->avoid_until_ms = 0;
+		stats->lost_until_ms = 0;
+		stats->ended_until_ms = 0;
+		stats->suspected_ms = 0;
+		stats->failures_in_row = 0;
+	}
+}
+
 /* Records that the servers of a chain have served a request. */
 void cb_server_book_record_success(cb_server_book_t *book, const GArray *hops)
 {
--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -11,13 +11,17 @@
 /* Steps of a test's clock, after each of which sockets have time to be read. */
 #define PASS_TIME_STEP_MS 10
 #define PASS_TIME_ITERATIONS 4
+/* The servers' answer to a check, which is not recorded as a request. */
+#define HEALTH_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 /* A connection of the relay to a server. */
 typedef struct server_connection {
 	relay_fixture_t *fixture;
-	unsigned int server; /* index of the server in the fixture */
-	cb_stream_t *stream; /* NULL once the connection was reset */
-	GString *received;   /* received bytes of the current request */
+	unsigned int server;	    /* index of the server in the fixture */
+	cb_stream_t *stream;	    /* NULL once the connection was reset */
+	GString *received;	    /* received bytes of the current request */
+	unsigned int message_count; /* requests and checks that came */
+	gboolean has_request;	    /* a request came that is no check */
 	/* The answer that is sent byte by byte, and its sent bytes. */
 	const relay_script_t *script;
 	size_t sent_bytes;
@@ -274,6 +278,15 @@
 			    (gssize)size);
 	if (!request_is_complete_(connection->received))
 		return;
+	connection->message_count++;
+	if (g_str_has_prefix(connection->received->str, "GET / ")) {
+		g_string_truncate(connection->received, 0);
+		cb_stream_send(connection->stream, HEALTH_ANSWER,
+			       strlen(HEALTH_ANSWER));
+		return;
+	}
+	connection->has_request = TRUE;
+	fixture->is_request_first = connection->message_count == 1;
 	g_ptr_array_add(fixture->requests, g_strdup(connection->received->str));
 	g_array_append_val(fixture->server_indexes, connection->server);
 	g_ptr_array_add(fixture->request_connections, connection);
@@ -300,7 +313,7 @@
 	server_connection_t *connection = user_data;
 
 	(void)end;
-	connection->fixture->ended_connection_count++;
+	connection->fixture->ended_connection_count += connection->has_request;
 	if (connection->endless)
 		connection->fixture->endless_closed_count++;
 	g_clear_pointer(&connection->endless, support_endless_sender_delete);
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -62,7 +62,10 @@
 	unsigned int endless_count; /* answers without end that were begun */
 	/* Those whose connection the relay has closed. */
 	unsigned int endless_closed_count;
+	/* Connections that carried requests and that the relay has closed. */
 	unsigned int ended_connection_count;
+	/* Whether the last request was the first on its connection. */
+	gboolean is_request_first;
 	/* Engine calls: the addresses asked for a report, and the reroutes. */
 	GPtrArray *report_addresses;
 	GPtrArray *reroutes; /* request ID and servers of each new chain */
--- a/test/platform/crashes/crashes_server_main.c
+++ b/test/platform/crashes/crashes_server_main.c
@@ -293,9 +293,13 @@
 /* Handles one request; FALSE: the connection ends. */
 static gboolean request_handle_(server_t *server, int fd, const char *message)
 {
+	static const char health[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 	request_t request = { 0 };
 	gboolean stays_open = FALSE;
 
+	if (g_str_has_prefix(message, "GET /health "))
+		return support_socket_send(fd, health, strlen(health));
 	if (!request_read_(&request, message))
 		goto out;
 	if (g_strcmp0(request.expected_server, server->id) != 0) {
--- a/test/platform/soak/soak_server_main.c
+++ b/test/platform/soak/soak_server_main.c
@@ -405,6 +405,9 @@
 	return answer_send_(server, fd, request, conduct);
 }
 
+static const char health_answer[] =
+	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 /* Handles one request; FALSE: the connection ends. */
 static gboolean request_handle_(server_t *server, int fd, const char *message)
 {
@@ -416,6 +419,9 @@
 	conduct_t conduct = conduct_draw_(server);
 	gboolean stays_open = FALSE;
 
+	if (g_str_has_prefix(message, "GET /health "))
+		stays_open = support_socket_send(fd, health_answer,
+						 strlen(health_answer));
 	if (!request || g_strv_length(words) < 3)
 		goto out;
 	if (g_strcmp0(expected, server->id) != 0) {
