--- a/src/libcurrantbridge/include/private/reach.h
+++ b/src/libcurrantbridge/include/private/reach.h
@@ -59,7 +59,7 @@
 const GPtrArray *cb_reach_groups(const cb_reach_t *reach);
 const char *cb_reach_group_data_centre(const cb_reach_group_t *group);
 cb_reach_state_t cb_reach_group_state(const cb_reach_group_t *group);
-/* Records that data of a server of the group has arrived. */
+/* Records that data of a server of the group has arrived, not of a check. */
 void cb_reach_group_hear(cb_reach_group_t *group);
 /*
  * Records that a server of the group has answered a request over a new connection:
--- a/src/libcurrantbridge/relay/reach.c
+++ b/src/libcurrantbridge/relay/reach.c
@@ -232,7 +232,6 @@
  */
 static gboolean answer_add_(cb_reach_group_t *group)
 {
-	cb_reach_group_hear(group);
 	group->reach->has_answered = TRUE;
 	if (group->state == CB_REACH_OPEN)
 		return FALSE;
--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -560,6 +560,7 @@
 	cb_front_options_t options = {
 		.name = "entry1",
 		.listen = "127.0.0.1:0",
+		.listen_peers = "127.0.0.1:0",
 		.data_centre = "dc1",
 		.codec = &codec,
 		.dialect = &dialect,
@@ -648,10 +649,11 @@
 	.ended = caller_ended_,
 };
 
-void support_relay_request_send(relay_fixture_t *fixture, const char *text)
+/* Sends a request on a new connection to a port of the relay. */
+static void request_send_to_(relay_fixture_t *fixture, uint16_t port,
+			     const char *text)
 {
-	char *address =
-		g_strdup_printf("127.0.0.1:%u", cb_front_port(fixture->front));
+	char *address = g_strdup_printf("127.0.0.1:%u", port);
 
 	cb_stream_delete(fixture->caller);
 	g_string_truncate(fixture->answer, 0);
@@ -662,6 +664,18 @@
 	g_free(address);
 }
 
+void support_relay_request_send(relay_fixture_t *fixture, const char *text)
+{
+	request_send_to_(fixture, cb_front_port(fixture->front), text);
+}
+
+void support_relay_forwarded_send(relay_fixture_t *fixture, const char *text)
+{
+	request_send_to_(fixture,
+			 cb_http1_server_port(fixture->front->peer_server),
+			 text);
+}
+
 void support_relay_answer_continue(relay_fixture_t *fixture,
 				   unsigned int request, const char *text)
 {
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -109,6 +109,8 @@
 				   unsigned int server);
 /* Sends a request on a new connection of the caller. */
 void support_relay_request_send(relay_fixture_t *fixture, const char *text);
+/* Sends a request on a new connection of another instance, which forwards it. */
+void support_relay_forwarded_send(relay_fixture_t *fixture, const char *text);
 /*
  * Sends more of a server's answer to a request, which is given by its index in
  * `requests`.
