Test: an instance whose connections are refused reports no ends of servers

Servers that refuse connections at an instance without a way look ended to it. The new row has new connections refused inside the instance, by the library that the test preloads. All rows check both.

--- a/test/platform/cuts/cuts.h
+++ b/test/platform/cuts/cuts.h
@@ -12,6 +12,8 @@
 #define CUTS_SERVER_COUNT 12
 /* The source address of entry instance `i` is 127.0.0.(CUTS_ENTRY_IP + i). */
 #define CUTS_ENTRY_IP 20
+/* The address of server `i` is 127.0.0.(CUTS_SERVER_IP + i). */
+#define CUTS_SERVER_IP 60
 #define CUTS_STREAM_EVENTS 10
 
 /* What happens to an entry instance's connections to servers. */
@@ -20,6 +22,8 @@
 	CUTS_HANG,	/* nothing passes; new ones are accepted and silent */
 	CUTS_RESET,	/* they are reset, new ones too */
 	CUTS_RESET_NEW, /* open ones live on, new ones are reset */
+	/* They are reset; the test has new ones refused. */
+	CUTS_REFUSE,
 	CUTS_MODE_COUNT
 } cuts_mode_t;
 
--- a/test/platform/cuts/cuts_servers.c
+++ b/test/platform/cuts/cuts_servers.c
@@ -61,6 +61,7 @@
 {
 	switch (mode_find_(connection)) {
 	case CUTS_RESET:
+	case CUTS_REFUSE:
 		return TRUE;
 	case CUTS_RESET_NEW:
 		return connection->cut_count !=
@@ -336,8 +337,9 @@
 	for (i = 0; i < CUTS_SERVER_COUNT; i++) {
 		acceptor_t *acceptor = g_new0(acceptor_t, 1);
 
-		servers->addresses[i] = g_strdup_printf("127.0.0.%u:%u", i + 60,
-							support_free_port());
+		servers->addresses[i] =
+			g_strdup_printf("127.0.0.%u:%u", i + CUTS_SERVER_IP,
+					support_free_port());
 		servers->listeners[i] =
 			support_socket_listen(servers->addresses[i]);
 		g_assert(servers->listeners[i] >= 0);
--- a/test/platform/cuts/test_cuts.c
+++ b/test/platform/cuts/test_cuts.c
@@ -24,6 +24,9 @@
 #define RETURN_MS 3000
 /* A refusal of what can't be served comes within this time. */
 #define REFUSAL_MAX_MS 1000
+/* Numbers of events in docs/EVENTS.md. */
+#define SERVER_ENDED_EVENT 515
+#define CONTENT_WATCHED_EVENT 516
 /* Served at the cut instances, in percent of the others' share. */
 #define CUT_SHARE_MIN_PERCENT 95
 /* Served by the others, and by all afterwards, in percent of before. */
@@ -74,6 +77,12 @@
 	  .mode = CUTS_RESET,
 	  .cut_entries = 2,
 	  .cut_ms = 4000 },
+	{ .name = "refuse",
+	  .test_name = "instances_whose_connections_are_refused_report_nothing",
+	  .is_short = TRUE,
+	  .mode = CUTS_REFUSE,
+	  .cut_entries = 2,
+	  .cut_ms = 4000 },
 	{ .name = "reset_new",
 	  .test_name = "instances_without_new_connections_serve_callers",
 	  .is_short = TRUE,
@@ -175,11 +184,23 @@
 	g_free(seeds);
 }
 
+/* Returns the path of the file by which an instance's connections are refused. */
+static char *refuse_mark_new_(const fixture_t *fixture, unsigned int entry)
+{
+	return g_strdup_printf("%s/refuse-e%u", fixture->group->folder, entry);
+}
+
 /* Sets the environment that gives an entry instance its source address. */
-static void source_address_set_(unsigned int entry)
+static void source_address_set_(const fixture_t *fixture, unsigned int entry)
 {
 	char *ip = g_strdup_printf("127.0.0.%u", CUTS_ENTRY_IP + entry);
+	char *mark = refuse_mark_new_(fixture, entry);
+	char *from = g_strdup_printf("%d", CUTS_SERVER_IP);
 
+	g_setenv("CB_REFUSE_MARK", mark, TRUE);
+	g_setenv("CB_REFUSE_FROM", from, TRUE);
+	g_free(from);
+	g_free(mark);
 	g_setenv("CB_SOURCE_IP", ip, TRUE);
 	g_setenv("LD_PRELOAD", CB_PROGRAM_DIR "/libcuts-source-address.so",
 		 TRUE);
@@ -190,6 +211,8 @@
 
 static void source_address_clear_(void)
 {
+	g_unsetenv("CB_REFUSE_MARK");
+	g_unsetenv("CB_REFUSE_FROM");
 	g_unsetenv("CB_SOURCE_IP");
 	g_unsetenv("LD_PRELOAD");
 	g_unsetenv("ASAN_OPTIONS");
@@ -215,7 +238,7 @@
 			       fixture->entry_addresses[i],
 			       fixture->ready_addresses[i], ip,
 			       (int)support_free_port());
-	source_address_set_(i);
+	source_address_set_(fixture, i);
 	fixture->entries[i] =
 		support_program_start(fixture->group, "cb-platform-entry", name,
 				      settings);
@@ -301,8 +324,17 @@
 {
 	unsigned int i;
 
-	for (i = first; i < first + fixture->row->cut_entries; i++)
+	for (i = first; i < first + fixture->row->cut_entries; i++) {
+		char *mark = refuse_mark_new_(fixture, i);
+
+		if (mode == CUTS_REFUSE) {
+			CU_ASSERT_TRUE(g_file_set_contents(mark, "", 0, NULL));
+		} else {
+			(void)remove(mark);
+		}
 		cuts_servers_set_mode(fixture->servers, i, mode);
+		g_free(mark);
+	}
 }
 
 /* Stops the last entry instance, and starts it again once it has ended. */
@@ -315,7 +347,7 @@
 		support_daemon_signal(entry, SIGTERM);
 	} else if (entry->process && !support_daemon_runs(entry)) {
 		(void)support_daemon_wait(entry);
-		source_address_set_(CUTS_ENTRY_COUNT - 1);
+		source_address_set_(fixture, CUTS_ENTRY_COUNT - 1);
 		support_daemon_start(entry);
 		source_address_clear_();
 	}
@@ -518,6 +550,46 @@
 		       percent_(before) * OTHERS_SHARE_MIN_PERCENT);
 }
 
+/* Returns how often an event is in an entry instance's log. */
+static unsigned int events_count_(const fixture_t *fixture, unsigned int entry,
+				  int event)
+{
+	char *path =
+		g_strdup_printf("%s/e%u.log", fixture->group->folder, entry);
+	char *pattern = g_strdup_printf("\"event\":%d,", event);
+	const char *found;
+	unsigned int count = 0;
+	char *text = NULL;
+
+	CU_ASSERT_TRUE(g_file_get_contents(path, &text, NULL, NULL));
+	for (found = text; found && (found = strstr(found, pattern)); found++)
+		count++;
+	g_free(text);
+	g_free(pattern);
+	g_free(path);
+	return count;
+}
+
+/*
+ * Checks that no instance says of the servers, none of which has ended, what is due
+ * to its own way: ends of servers, and suspect content.
+ */
+static void reports_check_(const fixture_t *fixture)
+{
+	unsigned int ends = 0;
+	unsigned int suspects = 0;
+	unsigned int i;
+
+	for (i = 0; i < CUTS_ENTRY_COUNT; i++) {
+		ends += events_count_(fixture, i, SERVER_ENDED_EVENT);
+		suspects += events_count_(fixture, i, CONTENT_WATCHED_EVENT);
+	}
+	printf("    false ends of servers %u, records of suspect content %u\n",
+	       ends, suspects);
+	CU_ASSERT_EQUAL(ends, 0);
+	CU_ASSERT_EQUAL(suspects, 0);
+}
+
 /* Checks that no entry instance has ended without a signal of the test. */
 static void processes_check_(fixture_t *fixture)
 {
@@ -539,6 +611,7 @@
 	shares_check_(&fixture, requests);
 	cut_answers_print_(&fixture, requests);
 	truth_check_(&fixture, requests);
+	reports_check_(&fixture);
 	if (row->cut_entries == CUTS_ENTRY_COUNT && row->mode == CUTS_RESET)
 		refusals_check_(&fixture, requests);
 	cuts_servers_stop(fixture.servers);
