--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -15,7 +15,10 @@
 #define LISTEN_BACKLOG 512
 /* A connection is reset when sent bytes stay unacknowledged this long. */
 #define USER_TIMEOUT_MS 3000
-/* An idle connection whose peer is unreachable is reset after about 6 s. */
+/*
+ * An idle connection whose peer is unreachable is reset after about 4 s: the user
+ * timeout also ends the probes.
+ */
 #define KEEPALIVE_IDLE_S 3
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
