Requests are forwarded for lost servers only if most checked ones fail

Cause: a request that no server takes was forwarded as soon as one of three checked servers had failed lately.

Change: an instance counts as impaired only if most of the servers of a check did not answer. A few ended servers don't do that; a way that is lost in part does.

--- a/src/libcurrantbridge/include/private/reach.h
+++ b/src/libcurrantbridge/include/private/reach.h
@@ -104,8 +104,8 @@
 /* Returns whether the way to a data centre's servers is lost, also in part. */
 gboolean cb_reach_is_lost(const cb_reach_t *reach, const char *data_centre);
 /*
- * Returns whether a server could not be reached lately, so that those which this
- * instance takes for lost may be sound.
+ * Returns whether most of the servers that were checked could not be reached lately,
+ * so that those which this instance takes for lost may be sound.
  */
 gboolean cb_reach_is_impaired(const cb_reach_t *reach);
 /*
--- a/src/libcurrantbridge/relay/reach.c
+++ b/src/libcurrantbridge/relay/reach.c
@@ -14,7 +14,9 @@
 #define LIVES_ON_MS 100
 /* Open connections have gone silent if they pass no data for this long. */
 #define LIVES_ON_SILENCE_MS 400
-/* After a check that failed, losses of servers may be this instance's own. */
+/*
+ * After a check that most servers failed, losses may be this instance's own.
+ */
 #define IMPAIRED_MS 2000
 
 const char *const cb_reach_state_string[CB_REACH_STATE_COUNT] = {
@@ -36,6 +38,8 @@
 	gboolean may_be_back;
 	/* Whether one server alone was checked: its failure may be its own. */
 	gboolean is_single;
+	unsigned int
+		checked_count; /* servers of the last check of an open way */
 	unsigned int results[CB_REACH_RESULT_COUNT];
 };
 
@@ -43,8 +47,9 @@
 	cb_clock_t *clock;
 	GPtrArray *groups;
 	unsigned int doubt_count; /* groups whose way is not open */
-	int64_t failed_ms;	  /* last check that failed; 0: none */
-	gboolean has_answered;	  /* a check was answered */
+	/* When most of the checked servers failed last; 0: never. */
+	int64_t failed_ms;
+	gboolean has_answered; /* a check was answered */
 };
 
 static void group_free_(void *data)
@@ -203,6 +208,7 @@
 	for (i = 0; i < CB_REACH_RESULT_COUNT; i++)
 		group->results[i] = 0;
 	group->is_single = count == 1;
+	group->checked_count = count;
 	state_set_(group, CB_REACH_CHECKING);
 }
 
@@ -246,6 +252,19 @@
 	return state_set_(group, CB_REACH_OPEN);
 }
 
+/*
+ * Returns whether most of the checked servers did not answer: that is more than
+ * a few servers that have ended.
+ */
+static gboolean most_have_failed_(const cb_reach_group_t *group)
+{
+	unsigned int failed = group->results[CB_REACH_REFUSED] +
+			      group->results[CB_REACH_UNANSWERED] +
+			      group->results[CB_REACH_MUTE];
+
+	return failed * 2 > group->checked_count;
+}
+
 /* Adds the result of a check; returns whether the state has changed. */
 gboolean cb_reach_group_add(cb_reach_group_t *group, cb_reach_result_t result)
 {
@@ -253,7 +272,8 @@
 	group->pending -= MIN(group->pending, 1);
 	if (result == CB_REACH_ANSWERED)
 		return answer_add_(group);
-	group->reach->failed_ms = cb_clock_now_ms(group->reach->clock);
+	if (most_have_failed_(group))
+		group->reach->failed_ms = cb_clock_now_ms(group->reach->clock);
 	group->is_returning = FALSE;
 	if (group->state == CB_REACH_OPEN ||
 	    (group->state == CB_REACH_CHECKING && group->pending))
@@ -273,7 +293,7 @@
 	return reach->has_answered;
 }
 
-/* Returns whether a check has failed lately. */
+/* Returns whether most of the checked servers have failed lately. */
 gboolean cb_reach_is_impaired(const cb_reach_t *reach)
 {
 	return reach->failed_ms &&
--- a/src/test_libcurrantbridge/test_reach.c
+++ b/src/test_libcurrantbridge/test_reach.c
@@ -284,6 +284,8 @@
 	CU_ASSERT_FALSE(cb_reach_has_answered(reach));
 	(void)cb_reach_group_add(group, CB_REACH_ANSWERED);
 	CU_ASSERT_TRUE(cb_reach_has_answered(reach));
+	CU_ASSERT_FALSE(cb_reach_is_impaired(reach));
+	(void)cb_reach_group_add(group, CB_REACH_REFUSED);
 	CU_ASSERT_TRUE(cb_reach_is_impaired(reach));
 	CU_ASSERT_FALSE(cb_reach_has_doubts(reach));
 	cb_clock_advance(clock, 2500);
