--- a/test/platform/cuts/test_cuts.c
+++ b/test/platform/cuts/test_cuts.c
@@ -17,6 +17,7 @@
 #define HEARTBEAT_MS 300
 #define STEP_MS 2
 #define REQUESTS_PER_S 60
+#define PAUSE_MS 300
 #define BEFORE_MS 3000
 #define AFTER_MS 6000
 /* After the beginning of a cut, and after its end, what is served counts. */
@@ -27,6 +28,7 @@
 /* Numbers of events in docs/EVENTS.md. */
 #define SERVER_ENDED_EVENT 515
 #define CONTENT_WATCHED_EVENT 516
+#define WAY_LOST_EVENT 522
 /* Served at the cut instances, in percent of the others' share. */
 #define CUT_SHARE_MIN_PERCENT 95
 /* Served by the others, and by all afterwards, in percent of before. */
@@ -62,6 +64,8 @@
 	gboolean changes_document;
 	/* Instead of a cut all servers stand still for this time. */
 	int64_t stall_ms;
+	/* Instead of a cut the first instance is paused again and again. */
+	int64_t pauses_ms;
 } row_t;
 
 static const row_t rows[] = {
@@ -133,6 +137,9 @@
 	  .cut_ms = 6000,
 	  .restarts_entry = TRUE,
 	  .changes_document = TRUE },
+	{ .name = "pauses",
+	  .test_name = "paused_instance_does_not_lose_its_way",
+	  .pauses_ms = 8000 },
 	{ .name = "stall",
 	  .test_name = "stall_of_all_servers_is_no_lost_way",
 	  .stall_ms = 1000 },
@@ -151,6 +158,7 @@
 	int64_t cut_end_ms;
 	gboolean is_cut;
 	gboolean is_second_cut;
+	gboolean is_paused;
 	gboolean has_changed;
 	gboolean has_stopped; /* the entry instance that is restarted */
 } fixture_t;
@@ -353,6 +361,15 @@
 	}
 }
 
+/* Pauses the first entry instance, or lets it go on. */
+static void entry_pause_(fixture_t *fixture, gboolean is_paused)
+{
+	if (fixture->is_paused != is_paused)
+		support_daemon_signal(fixture->entries[0],
+				      is_paused ? SIGSTOP : SIGCONT);
+	fixture->is_paused = is_paused;
+}
+
 /* Begins and ends the cuts, and what else the row plays. */
 static void row_step_(fixture_t *fixture)
 {
@@ -361,7 +378,9 @@
 	gboolean is_time =
 		now_ms >= fixture->cut_begin_ms && now_ms < fixture->cut_end_ms;
 
-	if (row->stall_ms)
+	if (row->pauses_ms)
+		entry_pause_(fixture, is_time && now_ms / PAUSE_MS % 2);
+	else if (row->stall_ms)
 		cuts_servers_set_stalled(fixture->servers, is_time);
 	else if (is_time != fixture->is_cut)
 		entries_cut_(fixture, 0, is_time ? row->mode : CUTS_NONE);
@@ -390,8 +409,9 @@
 	int64_t end_ms;
 
 	fixture->cut_begin_ms = begin_us / 1000 + BEFORE_MS;
-	fixture->cut_end_ms = fixture->cut_begin_ms +
-			      (row->stall_ms ? row->stall_ms : row->cut_ms);
+	fixture->cut_end_ms =
+		fixture->cut_begin_ms +
+		MAX(MAX(row->stall_ms, row->pauses_ms), row->cut_ms);
 	end_ms = fixture->cut_end_ms + AFTER_MS +
 		 (row->has_second_cut ? row->cut_ms : 0);
 	while (now_ms_() < end_ms) {
@@ -540,7 +560,7 @@
 	       row->name, before.served, before.sent, SETTLE_MS, begin.served,
 	       begin.sent, cut.served, cut.sent, uncut.served, uncut.sent,
 	       after.served, after.sent);
-	if (others < last) {
+	if (others < last && !row->pauses_ms) {
 		CU_ASSERT_TRUE(percent_(cut) * 100 >=
 			       percent_(uncut) * CUT_SHARE_MIN_PERCENT);
 		CU_ASSERT_TRUE(percent_(uncut) * 100 >=
@@ -584,6 +604,12 @@
 		ends += events_count_(fixture, i, SERVER_ENDED_EVENT);
 		suspects += events_count_(fixture, i, CONTENT_WATCHED_EVENT);
 	}
+	if (fixture->row->pauses_ms) {
+		unsigned int lost = events_count_(fixture, 0, WAY_LOST_EVENT);
+
+		printf("    lost ways %u\n", lost);
+		CU_ASSERT_EQUAL(lost, 0);
+	}
 	printf("    false ends of servers %u, records of suspect content %u\n",
 	       ends, suspects);
 	CU_ASSERT_EQUAL(ends, 0);
