A request that can't be forwarded keeps the servers chosen for it

Found by reading: where only new connections fail and no instance is there to forward to, the servers were chosen a second time; had none been found then, the request would have been neither sent nor queued, and held until its deadline. The first choice is kept now. No run has shown the fault: the second choice finds what the first one did unless it was the last one left.

--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -409,16 +409,22 @@
 static gboolean lost_connections_handle_(cb_relay_t *relay)
 {
 	cb_front_t *front = relay->front;
+	GArray *hops = relay->hops;
 
 	if (cb_relay_reach_find(front, relay->service) != CB_REACH_NEW_LOST ||
 	    cb_http1_client_has_idle(
 		    front->client,
-		    g_array_index(relay->hops, cb_relay_hop_t, 0).address,
+		    g_array_index(hops, cb_relay_hop_t, 0).address,
 		    cb_relay_connection_idle_max_ms(relay)))
 		return FALSE;
-	g_array_set_size(relay->hops, 0);
-	return cb_relay_forward_send(relay, CB_REACH_NEW_LOST) ||
-	       servers_choose_(relay) != CB_BOOK_FOUND;
+	relay->hops = cb_relay_hops_new();
+	if (cb_relay_forward_send(relay, CB_REACH_NEW_LOST)) {
+		g_array_unref(hops);
+		return TRUE;
+	}
+	g_array_unref(relay->hops);
+	relay->hops = hops;
+	return FALSE;
 }
 
 /*
