--- a/test/platform/cuts/cuts.h
+++ b/test/platform/cuts/cuts.h
@@ -37,8 +37,8 @@
 void cuts_servers_set_stalled(cuts_servers_t *servers, gboolean is_stalled);
 /* Returns how often a request has run. */
 unsigned int cuts_servers_run_count(cuts_servers_t *servers, const char *id);
-/* Ends the servers' threads as far as they need it. */
-void cuts_servers_stop(cuts_servers_t *servers);
+/* Ends the servers' threads, and frees the servers. */
+void cuts_servers_delete(cuts_servers_t *servers);
 
 typedef enum cuts_kind {
 	CUTS_STREAM, /* resumable */
--- a/test/platform/cuts/cuts_servers.c
+++ b/test/platform/cuts/cuts_servers.c
@@ -32,6 +32,9 @@
 	GMutex lock;
 	GHashTable *run_counts; /* request ID to its runs; guarded by `lock` */
 	GThread *heartbeats;
+	GThread *acceptors[CUTS_SERVER_COUNT];
+	unsigned int connection_count; /* threads; guarded by `lock` */
+	GCond connection_ended;
 };
 
 typedef struct connection {
@@ -242,6 +245,10 @@
 		(void)setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &linger,
 				 sizeof(linger));
 	close(connection->fd);
+	g_mutex_lock(&connection->servers->lock);
+	connection->servers->connection_count--;
+	g_cond_signal(&connection->servers->connection_ended);
+	g_mutex_unlock(&connection->servers->lock);
 	g_string_free(connection->input, TRUE);
 	g_free(connection);
 	return NULL;
@@ -282,6 +289,9 @@
 		if (connection->entry >= 0)
 			connection->cut_count = g_atomic_int_get(
 				&servers->cut_count[connection->entry]);
+		g_mutex_lock(&servers->lock);
+		servers->connection_count++;
+		g_mutex_unlock(&servers->lock);
 		g_thread_unref(
 			g_thread_new("serve", connection_serve_, connection));
 		size = sizeof(peer);
@@ -332,6 +342,7 @@
 
 	servers->control_address = g_strdup(control_address);
 	g_mutex_init(&servers->lock);
+	g_cond_init(&servers->connection_ended);
 	servers->run_counts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (i = 0; i < CUTS_SERVER_COUNT; i++) {
@@ -344,8 +355,8 @@
 			support_socket_listen(servers->addresses[i]);
 		g_assert(servers->listeners[i] >= 0);
 		*acceptor = (acceptor_t){ servers, i };
-		g_thread_unref(
-			g_thread_new("accept", connections_accept_, acceptor));
+		servers->acceptors[i] =
+			g_thread_new("accept", connections_accept_, acceptor);
 	}
 	servers->heartbeats =
 		g_thread_new("heartbeats", heartbeats_send_, servers);
@@ -365,16 +376,27 @@
 	g_atomic_int_set(&servers->is_stalled, is_stalled);
 }
 
-/*
- * Ends the heartbeats and stops accepting.  What connections' threads use lives
- * until the end of the process, since they are not waited for.
- */
-void cuts_servers_stop(cuts_servers_t *servers)
+/* Ends the heartbeats, the listeners and the connections, and frees all. */
+void cuts_servers_delete(cuts_servers_t *servers)
 {
 	unsigned int i;
 
 	g_atomic_int_set(&servers->is_stopped, TRUE);
-	for (i = 0; i < CUTS_SERVER_COUNT; i++)
-		(void)shutdown(servers->listeners[i], SHUT_RDWR);
 	g_thread_join(servers->heartbeats);
+	for (i = 0; i < CUTS_SERVER_COUNT; i++) {
+		(void)shutdown(servers->listeners[i], SHUT_RDWR);
+		g_thread_join(servers->acceptors[i]);
+		close(servers->listeners[i]);
+	}
+	g_mutex_lock(&servers->lock);
+	while (servers->connection_count)
+		g_cond_wait(&servers->connection_ended, &servers->lock);
+	g_mutex_unlock(&servers->lock);
+	for (i = 0; i < CUTS_SERVER_COUNT; i++)
+		g_free(servers->addresses[i]);
+	g_hash_table_unref(servers->run_counts);
+	g_mutex_clear(&servers->lock);
+	g_cond_clear(&servers->connection_ended);
+	g_free(servers->control_address);
+	g_free(servers);
 }
--- a/test/platform/cuts/test_cuts.c
+++ b/test/platform/cuts/test_cuts.c
@@ -640,7 +640,7 @@
 	reports_check_(&fixture);
 	if (row->cut_entries == CUTS_ENTRY_COUNT && row->mode == CUTS_RESET)
 		refusals_check_(&fixture, requests);
-	cuts_servers_stop(fixture.servers);
+	cuts_servers_delete(fixture.servers);
 	fixture_clear_(&fixture);
 	g_ptr_array_unref(requests);
 }
