--- a/src/libcurrantbridge/include/private/reach.h
+++ b/src/libcurrantbridge/include/private/reach.h
@@ -73,7 +73,10 @@
 int64_t cb_reach_group_silent_ms(const cb_reach_group_t *group);
 /* Returns when the state began, by the clock. */
 int64_t cb_reach_group_since_ms(const cb_reach_group_t *group);
-/* Returns the results of the checks since the last state began, by kind. */
+/*
+ * Returns how many checks ended in each way, by cb_reach_result_t, since the last
+ * check of an open way began.
+ */
 const unsigned int *cb_reach_group_results(const cb_reach_group_t *group);
 
 /* Returns whether a sign of loss is to be checked now. */
--- a/src/libcurrantbridge/include/private/relay_reach.h
+++ b/src/libcurrantbridge/include/private/relay_reach.h
@@ -27,7 +27,10 @@
  */
 cb_reach_state_t cb_relay_reach_find(const struct cb_front *front,
 				     const cb_service_profile_t *service);
-/* Records that another instance has an answer of these servers meanwhile. */
+/*
+ * Records that another instance has an answer of a server: if this one hears nothing,
+ * its way is lost, and its silent requests are forwarded too.
+ */
 void cb_relay_reach_confirm(struct cb_front *front);
 /* Records that the server of a request has answered it. */
 void cb_relay_reach_hear_answer(struct cb_relay *relay);
