Chains cross data centres only within a share of the links

Cause: when engines of a data centre have no room, the choice of a chain takes engines of two or more. Each such stream sends 16 to 25 MB of activations for its prompt; above some 40 of them a second the links between data centres are full, and every one of these streams pauses 1 to 2 s, holds its memory four times as long, and pushes the next request over the links as well.

Change: the rate of the links and the bytes of a token are read from the document. Each instance has its share of 0.6 of the links, as a token bucket; without a share left a chain stays in one data centre, and the request waits or is refused if none has room. A document without a rate sets no limit.

--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -86,6 +86,10 @@
 	uint32_t loads_at_once;
 	uint32_t usual_prompt_tokens;
 	uint32_t usual_answer_tokens;
+	/* Bytes that one engine sends to the next one for each token. */
+	double activation_bytes;
+	/* Rate of the links between data centres; 0: not given. */
+	double pipe_mbps;
 	GPtrArray *kinds; /* of cb_engine_kind_t */
 } cb_engine_profile_t;
 
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -39,6 +39,8 @@
 	const GArray *running_hops;
 	/* Whether the chain must not pass from one data centre to another. */
 	gboolean forbids_crossing;
+	/* Whether it is only asked if there are such servers, to use none. */
+	gboolean is_only_asked;
 } cb_book_criteria_t;
 
 cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -153,7 +153,8 @@
 					      .service = relay->service,
 					      .tokens = relay->expected_tokens,
 					      .excluded_servers =
-						      excluded_servers },
+						      excluded_servers,
+					      .is_only_asked = TRUE },
 				      hops) == CB_BOOK_FOUND;
 	g_array_unref(hops);
 	g_hash_table_unref(excluded_servers);
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "currantbridge/placement.h"
+#include "private/pipe_share.h"
 
 /* How long a failed server is avoided, doubled with each failure. */
 #define AVOID_INITIAL_MS 500
@@ -82,6 +83,7 @@
 	GRand *random;
 	cb_rate_limits_t *limits;
 	const cb_reach_t *reach;
+	cb_pipe_share_t *pipes;
 	char *data_centre;
 	GHashTable *stats_by_id; /* map: server ID to server_stats_t */
 	/* When the other instances' usage was last received; 0: never. */
@@ -106,6 +108,7 @@
 	book->random = random;
 	book->limits = limits;
 	book->reach = reach;
+	book->pipes = cb_pipe_share_new(clock);
 	book->data_centre = g_strdup(data_centre);
 	book->stats_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -118,6 +121,7 @@
 	if (!book)
 		return;
 	g_hash_table_unref(book->stats_by_id);
+	cb_pipe_share_delete(book->pipes);
 	g_free(book->data_centre);
 	g_free(book);
 }
@@ -449,6 +453,31 @@
 	return !first;
 }
 
+/* Records what a chosen chain sends between data centres. */
+static void crossings_record_(cb_server_book_t *book,
+			      const cb_book_criteria_t *criteria,
+			      const cb_chain_server_t *inputs,
+			      const GArray *parts)
+{
+	const cb_service_profile_t *service = criteria->service;
+	unsigned int crossings = 0;
+	unsigned int i;
+
+	if (criteria->is_only_asked)
+		return;
+	for (i = 1; i < parts->len; i++) {
+		const cb_chain_part_t *part =
+			&g_array_index(parts, cb_chain_part_t, i);
+
+		crossings += strcmp(inputs[part[-1].server].data_centre,
+				    inputs[part->server].data_centre) != 0;
+	}
+	if (crossings)
+		cb_pipe_share_take(book->pipes, service->name,
+				   crossings * criteria->tokens *
+					   service->engine->activation_bytes);
+}
+
 static cb_book_outcome_t chain_choose_(cb_server_book_t *book,
 				       const cb_book_criteria_t *criteria,
 				       GArray *hops)
@@ -458,7 +487,6 @@
 		.data_centre = book->data_centre,
 		.tokens = criteria->tokens,
 		.reads_again = criteria->running_hops != NULL,
-		.forbids_crossing = criteria->forbids_crossing
 	};
 	GArray *parts = g_array_new(FALSE, FALSE, sizeof(cb_chain_part_t));
 	GPtrArray *usable = usable_servers_collect_(book, criteria);
@@ -467,6 +495,10 @@
 	cb_chain_outcome_t outcome;
 	unsigned int i;
 
+	chain_criteria.forbids_crossing =
+		criteria->forbids_crossing ||
+		!cb_pipe_share_has_room(book->pipes, criteria->service->name,
+					engine->pipe_mbps, instance_count);
 	for (i = 0; i < usable->len; i++) {
 		const cb_fleet_server_t *server = usable->pdata[i];
 
@@ -481,6 +513,7 @@
 	else
 		outcome = cb_chain_choose(engine, inputs, usable->len,
 					  &chain_criteria, book->random, parts);
+	crossings_record_(book, criteria, inputs, parts);
 	for (i = 0; i < parts->len; i++) {
 		const cb_chain_part_t *part =
 			&g_array_index(parts, cb_chain_part_t, i);
