Requests begin by the room of the whole service, the urgent first

Cause: each instance let every request begin for which it saw memory, by sums 0.2 to 0.4 s old. Under a flood of the least urgent kind all ranks fared alike, and requests waited 250 ms before a refusal that was known at once.

Change: usage reports tell what each rank (while room is scarce, each workspace) asked for in the last second, and how many pauses of streams were too long. request/room computes from the sums which part of each rank's and workspace's requests may begin: ranks in order, max-min shares within one. The rest is refused at once, with a Retry-After by that part. Ranks are the workspace's priority, then the route's; engines get them as a priority.

--- a/include/currantbridge/dialect.h
+++ b/include/currantbridge/dialect.h
@@ -52,6 +52,8 @@
 	/* Name of the workspace; NULL if the route is public. */
 	const char *workspace;
 	int64_t budget_ms; /* time left until the deadline */
+	/* Rank of the request, 0 is the most urgent; -1: there are no ranks. */
+	int32_t rank;
 	/* ID of the event to resume the stream after; -1: from the start. */
 	int64_t last_event;
 	/*
--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -118,6 +118,11 @@
 	GHashTable *routes_by_digest; /* cb_text_digest_t to cb_route_t */
 	GHashTable *services;	      /* service name to cb_service_profile_t */
 	GHashTable *keys;	      /* bearer key to name of its workspace */
+	/* workspace name to priority, 0 is the most urgent */
+	GHashTable *workspace_priorities;
+	/* the different priorities of workspaces and of routes, ascending */
+	GArray *workspace_levels;
+	GArray *route_levels;
 	/* host name in lower case to the host's routes, longest prefix first */
 	GHashTable *hosts;
 	gboolean has_workspaces;
@@ -208,6 +213,9 @@
 			     cb_service_profile_t *service);
 gboolean cb_document_add_key(cb_document_t *document, const char *workspace,
 			     const char *key, GError **error);
+/* Sets a workspace's priority, which goes before that of its routes. */
+void cb_document_set_priority(cb_document_t *document, const char *workspace,
+			      uint32_t priority);
 /*
  * Checks the routes and their references to services, and builds the route
  * look-up.  Must be called once, after everything was added.
@@ -216,6 +224,13 @@
 
 const cb_route_t *cb_document_route(const cb_document_t *document,
 				    const char *host, const char *target);
+/*
+ * Returns the rank of a workspace's (NULL: none) requests on a route, from 0, the
+ * most urgent, to cb_document_rank_count() - 1.
+ */
+uint32_t cb_document_rank(const cb_document_t *document,
+			  const cb_route_t *route, const char *workspace);
+uint32_t cb_document_rank_count(const cb_document_t *document);
 const char *cb_document_workspace(const cb_document_t *document,
 				  const char *key);
 const cb_service_profile_t *cb_document_service(const cb_document_t *document,
--- a/src/libcurrantbridge/backend/usage.c
+++ b/src/libcurrantbridge/backend/usage.c
@@ -3,7 +3,17 @@
 #include "private/pack.h"
 
 #define LOAD_FIELD_COUNT 7
-#define SENDS_FIELD_COUNT 3
+#define SENDS_FIELD_COUNT 5
+#define FLOW_FIELD_COUNT 4
+
+static void flow_delete_(void *data)
+{
+	cb_usage_flow_t *flow = data;
+
+	g_free(flow->service);
+	g_free(flow->workspace);
+	g_free(flow);
+}
 
 /* Creates an empty usage. */
 cb_usage_t *cb_usage_new(void)
@@ -14,6 +24,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	usage->by_service =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	usage->by_flow = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       flow_delete_);
 	return usage;
 }
 
@@ -26,6 +38,7 @@
 		return;
 	g_hash_table_unref(self->by_server);
 	g_hash_table_unref(self->by_service);
+	g_hash_table_unref(self->by_flow);
 	g_free(self);
 }
 
@@ -63,6 +76,33 @@
 	}
 	sum->requests += sends->requests;
 	sum->retries += sends->retries;
+	sum->pauses += sends->pauses;
+	sum->long_pauses += sends->long_pauses;
+}
+
+char *cb_usage_flow_key(const char *service, uint32_t rank,
+			const char *workspace)
+{
+	return g_strdup_printf("%s\n%u\n%s", service, rank, workspace);
+}
+
+/* Adds tokens that one workspace's requests of a rank asked for. */
+void cb_usage_add_flow(cb_usage_t *usage, const char *service, uint32_t rank,
+		       const char *workspace, double tokens)
+{
+	char *key = cb_usage_flow_key(service, rank, workspace);
+	cb_usage_flow_t *sum = g_hash_table_lookup(usage->by_flow, key);
+
+	if (sum) {
+		g_free(key);
+	} else {
+		sum = g_new0(cb_usage_flow_t, 1);
+		sum->service = g_strdup(service);
+		sum->rank = rank;
+		sum->workspace = g_strdup(workspace);
+		g_hash_table_insert(usage->by_flow, key, sum);
+	}
+	sum->tokens += tokens;
 }
 
 /* Returns the counts of a service; 0 without a record. */
@@ -88,6 +128,13 @@
 	g_hash_table_iter_init(&iter, other->by_service);
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		cb_usage_add_sends(usage, key, value);
+	g_hash_table_iter_init(&iter, other->by_flow);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cb_usage_flow_t *flow = value;
+
+		cb_usage_add_flow(usage, flow->service, flow->rank,
+				  flow->workspace, flow->tokens);
+	}
 }
 
 /* Returns the requests in flight at a server; 0 without a record. */
@@ -109,7 +156,7 @@
 	void *value;
 
 	cb_pack_init(&pack);
-	cb_pack_array(&pack, 2);
+	cb_pack_array(&pack, 3);
 	cb_pack_array(&pack, g_hash_table_size(usage->by_server));
 	g_hash_table_iter_init(&iter, usage->by_server);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
@@ -133,6 +180,19 @@
 		cb_pack_string(&pack, key);
 		cb_pack_uint(&pack, sends->requests);
 		cb_pack_uint(&pack, sends->retries);
+		cb_pack_uint(&pack, sends->pauses);
+		cb_pack_uint(&pack, sends->long_pauses);
+	}
+	cb_pack_array(&pack, g_hash_table_size(usage->by_flow));
+	g_hash_table_iter_init(&iter, usage->by_flow);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cb_usage_flow_t *flow = value;
+
+		cb_pack_array(&pack, FLOW_FIELD_COUNT);
+		cb_pack_string(&pack, flow->service);
+		cb_pack_uint(&pack, flow->rank);
+		cb_pack_string(&pack, flow->workspace);
+		cb_pack_uint(&pack, (uint64_t)MAX(flow->tokens, 0));
 	}
 	return cb_pack_finish(&pack);
 }
@@ -167,12 +227,35 @@
 	service = cb_fields_required_string(&fields);
 	sends.requests = (uint32_t)cb_fields_uint(&fields);
 	sends.retries = (uint32_t)cb_fields_uint(&fields);
+	sends.pauses = (uint32_t)cb_fields_uint(&fields);
+	sends.long_pauses = (uint32_t)cb_fields_uint(&fields);
 	if (cb_fields_are_complete(&fields))
 		cb_usage_add_sends(usage, service, &sends);
 	g_free(service);
 	return cb_fields_are_complete(&fields);
 }
 
+static gboolean flow_decode_(cb_usage_t *usage, const msgpack_object *object)
+{
+	cb_fields_t fields;
+	char *service;
+	char *workspace;
+	uint32_t rank;
+	double tokens;
+
+	cb_fields_open(&fields, object);
+	service = cb_fields_required_string(&fields);
+	rank = (uint32_t)cb_fields_uint(&fields);
+	workspace = cb_fields_string(&fields);
+	tokens = (double)cb_fields_uint(&fields);
+	if (cb_fields_are_complete(&fields))
+		cb_usage_add_flow(usage, service, rank,
+				  workspace ? workspace : "", tokens);
+	g_free(service);
+	g_free(workspace);
+	return cb_fields_are_complete(&fields);
+}
+
 /* Reads each element of an array; FALSE if one is malformed. */
 static gboolean list_decode_(cb_usage_t *usage, const msgpack_object *object,
 			     gboolean (*decode)(cb_usage_t *,
@@ -200,6 +283,7 @@
 	cb_fields_open(&fields, &unpack.unpacked.data);
 	if (!list_decode_(usage, cb_fields_object(&fields), load_decode_) ||
 	    !list_decode_(usage, cb_fields_object(&fields), sends_decode_) ||
+	    !list_decode_(usage, cb_fields_object(&fields), flow_decode_) ||
 	    !cb_fields_are_complete(&fields))
 		g_clear_pointer(&usage, cb_usage_delete);
 	cb_unpack_clear(&unpack);
--- a/src/libcurrantbridge/contract/document.c
+++ b/src/libcurrantbridge/contract/document.c
@@ -98,6 +98,11 @@
 	document->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				      service_profile_delete_);
+	document->workspace_priorities =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	document->workspace_levels =
+		g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	document->route_levels = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	document->keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	document->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -119,6 +124,9 @@
 		return;
 	g_hash_table_unref(document->hosts);
 	g_hash_table_unref(document->keys);
+	g_hash_table_unref(document->workspace_priorities);
+	g_array_unref(document->workspace_levels);
+	g_array_unref(document->route_levels);
 	g_hash_table_unref(document->services);
 	g_hash_table_unref(document->routes_by_digest);
 	g_ptr_array_unref(document->routes);
@@ -165,6 +173,72 @@
 	return TRUE;
 }
 
+/* Sets a workspace's priority. */
+void cb_document_set_priority(cb_document_t *document, const char *workspace,
+			      uint32_t priority)
+{
+	g_hash_table_replace(document->workspace_priorities,
+			     g_strdup(workspace), GUINT_TO_POINTER(priority));
+}
+
+/* Returns the number of levels that are lower than `priority`. */
+static uint32_t level_find_(const GArray *levels, uint32_t priority)
+{
+	uint32_t i;
+
+	for (i = 0; i < levels->len; i++)
+		if (g_array_index(levels, uint32_t, i) >= priority)
+			break;
+	return i;
+}
+
+/* Adds a priority to the levels, which stay in ascending order. */
+static void level_add_(GArray *levels, uint32_t priority)
+{
+	uint32_t i = level_find_(levels, priority);
+
+	if (i == levels->len || g_array_index(levels, uint32_t, i) != priority)
+		g_array_insert_val(levels, i, priority);
+}
+
+/* Returns the rank of a workspace's requests on a route. */
+uint32_t cb_document_rank(const cb_document_t *document,
+			  const cb_route_t *route, const char *workspace)
+{
+	uint32_t rank = 0;
+
+	if (workspace)
+		rank = level_find_(document->workspace_levels,
+				   GPOINTER_TO_UINT(g_hash_table_lookup(
+					   document->workspace_priorities,
+					   workspace)));
+	return rank * document->route_levels->len +
+	       level_find_(document->route_levels, route->priority);
+}
+
+/* Returns how many ranks there are, 1 at least. */
+uint32_t cb_document_rank_count(const cb_document_t *document)
+{
+	return MAX(document->workspace_levels->len, 1) *
+	       MAX(document->route_levels->len, 1);
+}
+
+/* Collects the different priorities, once all were added. */
+static void levels_collect_(cb_document_t *document)
+{
+	GHashTableIter iter;
+	unsigned int i;
+	void *value;
+
+	g_hash_table_iter_init(&iter, document->workspace_priorities);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		level_add_(document->workspace_levels, GPOINTER_TO_UINT(value));
+	for (i = 0; i < document->routes->len; i++)
+		level_add_(
+			document->route_levels,
+			((cb_route_t *)document->routes->pdata[i])->priority);
+}
+
 static gboolean route_check_splits_(const cb_document_t *document,
 				    const cb_route_t *route, GError **error)
 {
@@ -269,6 +343,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &routes))
 		if (!host_sort_routes_(routes, error))
 			return FALSE;
+	levels_collect_(document);
 	return TRUE;
 }
 
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -6,9 +6,11 @@
 #include "currantbridge/http1_server.h"
 #include "private/content_book.h"
 #include "private/engine_reports.h"
+#include "private/offered.h"
 #include "private/relay_forward.h"
 #include "private/relay_reach.h"
 #include "private/retry_share.h"
+#include "private/room.h"
 #include "private/server_book.h"
 #include "private/server_ends.h"
 
@@ -66,6 +68,12 @@
 	cb_server_ends_t *server_ends;
 	cb_content_book_t *content_book;
 	cb_retry_share_t *retries;
+	cb_room_t *room;
+	cb_offered_t *offered;
+	GHashTable *room_services; /* service name to record, in relay_room.c */
+	/* Last sum of all instances' usage, NULL: none, and when it came. */
+	cb_usage_t *usage_sum;
+	int64_t usage_sum_ms;
 	GRand *random;
 	cb_document_t *document;
 	uint64_t document_revision; /* revision of the last document read */
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -32,6 +32,9 @@
 	/* Workspace of the access key; NULL if the key has none. */
 	const char *workspace;
 	const cb_service_profile_t *service;
+	uint32_t rank; /* of the workspace and route; 0 is the most urgent */
+	/* Whether it was decided that the service has room for the request. */
+	gboolean is_admitted;
 	cb_relay_request_info_t request_info;
 	cb_relay_content_t content;
 	int64_t deadline_ms;
@@ -139,7 +142,7 @@
 /* Cancels the attempt in flight, if any, also at its server. */
 void cb_relay_cancel_attempt(cb_relay_t *relay);
 /* Logs and counts how the request ends, while its exchange still exists. */
-void cb_relay_record_end(const cb_relay_t *relay, uint32_t status,
+void cb_relay_record_end(cb_relay_t *relay, uint32_t status,
 			 const char *reason);
 /* Frees the request once its answer has ended. */
 void cb_relay_free(cb_relay_t *relay);
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -105,6 +105,16 @@
 	unsigned int distrusted;
 } cb_book_count_t;
 
+/* The room of a service with layers, in tokens at all of its layers. */
+typedef struct cb_book_room {
+	double capacity_tokens; /* 0: not all layers are held */
+	double used_tokens;	/* of the requests of all instances */
+	double own_tokens;	/* of those of this instance */
+	unsigned int instances; /* ready entry instances, 1 at least */
+} cb_book_room_t;
+
+cb_book_room_t cb_server_book_find_room(cb_server_book_t *book,
+					const cb_service_profile_t *service);
 cb_book_count_t cb_server_book_count(const cb_server_book_t *book,
 				     const cb_service_profile_t *service);
 cb_book_wait_t cb_server_book_find_wait(const cb_server_book_t *book,
--- a/src/libcurrantbridge/include/private/usage.h
+++ b/src/libcurrantbridge/include/private/usage.h
@@ -12,12 +12,27 @@
 typedef struct cb_usage {
 	GHashTable *by_server;	/* server ID to cb_usage_load_t */
 	GHashTable *by_service; /* service name to cb_usage_sends_t */
+	GHashTable *by_flow;	/* cb_usage_flow_key() to cb_usage_flow_t */
 } cb_usage_t;
 
+/* Tokens that requests of the last second asked for. */
+typedef struct cb_usage_flow {
+	char *service;
+	uint32_t rank;
+	char *workspace; /* "": all workspaces of the rank */
+	double tokens;
+} cb_usage_flow_t;
+
 /* Attempts sent to a service within the last window of the retry budget. */
 typedef struct cb_usage_sends {
 	uint32_t requests;
 	uint32_t retries;
+	/*
+	 * Pauses between events of streams within the last second, and those of
+	 * them that were longer than their routes allow.
+	 */
+	uint32_t pauses;
+	uint32_t long_pauses;
 } cb_usage_sends_t;
 
 typedef struct cb_usage_load {
@@ -58,6 +73,11 @@
 void cb_usage_merge(cb_usage_t *usage, const cb_usage_t *other);
 void cb_usage_add_sends(cb_usage_t *usage, const char *service,
 			const cb_usage_sends_t *sends);
+/* Returns the key of a flow in `by_flow`; the caller frees it. */
+char *cb_usage_flow_key(const char *service, uint32_t rank,
+			const char *workspace);
+void cb_usage_add_flow(cb_usage_t *usage, const char *service, uint32_t rank,
+		       const char *workspace, double tokens);
 cb_usage_sends_t cb_usage_find_sends(const cb_usage_t *usage,
 				     const char *service);
 cb_usage_load_t cb_usage_find_load(const cb_usage_t *usage,
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -5,6 +5,7 @@
 #include "private/front.h"
 #include "private/relay.h"
 #include "private/relay_content.h"
+#include "private/relay_room.h"
 
 #define DRAIN_CHECK_INTERVAL_MS 50
 /*
@@ -172,7 +173,7 @@
 		g_ptr_array_unref(suspects);
 	cb_retry_share_update(front->retries, sum);
 	cb_rate_limits_update(front->limits, sum);
-	cb_usage_delete(sum);
+	cb_relay_room_receive(front, sum);
 }
 
 /* Reports this instance's usage; of empty reports in a row, only the first. */
@@ -187,8 +188,11 @@
 	front->usage_reported_ms = cb_clock_now_ms(front->clock);
 	cb_retry_share_add_usage(front->retries, usage);
 	cb_rate_limits_add_usage(front->limits, usage);
+	cb_relay_room_add_usage(front, usage);
+	cb_relay_room_update(front);
 	is_empty = !g_hash_table_size(usage->by_server) &&
-		   !g_hash_table_size(usage->by_service);
+		   !g_hash_table_size(usage->by_service) &&
+		   !g_hash_table_size(usage->by_flow);
 	if (!is_empty || !front->was_usage_empty) {
 		bytes = cb_usage_encode(usage);
 		cb_control_client_report_usage(front->control, bytes);
@@ -332,6 +336,7 @@
 	cb_front_t *front = (cb_front_t *)service;
 
 	g_hash_table_unref(front->relays);
+	cb_relay_room_clear(front);
 	cb_relay_reach_clear(front);
 	cb_relay_forward_clear(front);
 	cb_server_ends_delete(front->server_ends);
@@ -418,6 +423,7 @@
 				   options->retry_window_ms);
 	cb_relay_reach_init(front);
 	cb_relay_forward_init(front);
+	cb_relay_room_init(front);
 	front->book = cb_server_book_new(front->clock, front->fleet, view,
 					 front->random, front->limits,
 					 front->reach, options->data_centre);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "private/relay_reach.h"
+#include "private/relay_room.h"
 
 /* Retry-After of requests refused for lack of a server or during a stop. */
 #define NO_SERVER_RETRY_AFTER_MS 1000
@@ -155,8 +156,7 @@
 }
 
 /* Logs and counts how a request ends, while its exchange still exists. */
-void cb_relay_record_end(const cb_relay_t *relay, uint32_t status,
-			 const char *reason)
+void cb_relay_record_end(cb_relay_t *relay, uint32_t status, const char *reason)
 {
 	cb_front_t *front = relay->front;
 	gboolean is_served = status >= 200 && status < 300;
@@ -195,6 +195,7 @@
 	cb_histogram_add(is_served ? front->served_ms : front->failed_ms,
 			 elapsed_ms);
 	cb_relay_content_ended(relay, is_served);
+	cb_relay_room_ended(relay);
 	g_free(hops_text);
 }
 
@@ -446,7 +447,8 @@
 	int64_t max_wait_ms = relay->is_answer_begun ? RESUME_WAIT_MAX_MS :
 						       CAPACITY_WAIT_MAX_MS;
 
-	if (cb_relay_content_refuse(relay) || lost_way_handle_(relay))
+	if (cb_relay_content_refuse(relay) || lost_way_handle_(relay) ||
+	    cb_relay_room_refuse(relay))
 		return;
 	if (cb_relay_now_ms(relay) < relay->next_send_ms) {
 		cb_relay_queue(relay, "no_room", max_wait_ms,
@@ -589,6 +591,8 @@
 		relay->workspace =
 			cb_document_workspace(front->document,
 					      relay->request_info.key);
+	relay->rank =
+		cb_document_rank(front->document, route, relay->workspace);
 	relay->service =
 		cb_document_service(front->document,
 				    cb_route_pick(route,
@@ -630,12 +634,10 @@
 {
 	const cb_relay_t *left = a;
 	const cb_relay_t *right = b;
-	uint32_t left_rank = left->route ? left->route->priority : 0;
-	uint32_t right_rank = right->route ? right->route->priority : 0;
 
 	(void)user_data;
-	if (left_rank != right_rank)
-		return left_rank < right_rank ? -1 : 1;
+	if (left->rank != right->rank)
+		return left->rank < right->rank ? -1 : 1;
 	return left->deadline_ms < right->deadline_ms ?
 		       -1 :
 		       left->deadline_ms > right->deadline_ms;
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -382,6 +382,7 @@
 			   size_t size)
 {
 	cb_relay_t *relay = user_data;
+	int64_t now_ms = cb_relay_now_ms(relay);
 
 	cb_relay_content_event_received(relay);
 	if (id >= 0 && id <= relay->last_event) {
@@ -394,7 +395,12 @@
 		relay->last_event = id;
 	else
 		relay->has_unnumbered_event |= cb_event_has_data(data, size);
-	cb_event_pace_add(&relay->pace, cb_relay_now_ms(relay));
+	if (relay->pace.last_ms && relay->route->target_gap_ms)
+		cb_offered_count_pause(relay->front->offered,
+				       relay->service->name,
+				       now_ms - relay->pace.last_ms >
+					       relay->route->target_gap_ms);
+	cb_event_pace_add(&relay->pace, now_ms);
 	cb_relay_start_silence_timer(relay);
 	cb_http1_exchange_write(relay->exchange, data, size);
 }
@@ -620,6 +626,9 @@
 		.server_id = first->id,
 		.workspace = relay->workspace,
 		.budget_ms = relay->deadline_ms - cb_relay_now_ms(relay),
+		.rank = cb_document_rank_count(relay->document) > 1 ?
+				(int32_t)relay->rank :
+				-1,
 		.last_event = relay->last_event,
 		.hops = relay->service->engine ? relay->hops : NULL,
 	};
--- a/src/libcurrantbridge/relay/retry_share.c
+++ b/src/libcurrantbridge/relay/retry_share.c
@@ -174,8 +174,10 @@
 	while (g_hash_table_iter_next(&iter, &service, NULL)) {
 		const service_counts_t *counts =
 			service_counts_get_(share, service);
-		const cb_usage_sends_t sends = { slots_sum_(counts->requests),
-						 slots_sum_(counts->retries) };
+		const cb_usage_sends_t sends = {
+			.requests = slots_sum_(counts->requests),
+			.retries = slots_sum_(counts->retries),
+		};
 
 		cb_usage_add_sends(usage, service, &sends);
 	}
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -544,6 +544,107 @@
 		       server_without_layers_choose_(book, criteria, hops);
 }
 
+/* Some engines together, as holders of the layers. */
+typedef struct holders {
+	double *layer_tokens; /* for each layer: KV cache of its holders */
+	double first_slots;   /* slots of the holders of the first layer */
+} holders_t;
+
+/* Adds what a server can hold to the sums of its layers. */
+static void holder_add_(holders_t *holders, const cb_engine_profile_t *engine,
+			const cb_fleet_server_t *server)
+{
+	const cb_engine_kind_t *kind =
+		cb_engine_profile_kind(engine, server->kind);
+	double tokens;
+	uint32_t i;
+
+	if (!kind)
+		return;
+	tokens = cb_placement_token_capacity(engine, kind->memory_mb,
+					     server->layer_to -
+						     server->layer_from);
+	for (i = server->layer_from; i < MIN(server->layer_to, engine->layers);
+	     i++)
+		holders->layer_tokens[i] += tokens;
+	if (!server->layer_from)
+		holders->first_slots += server->slots;
+}
+
+/*
+ * Returns the tokens that the engines of a data centre (NULL: of all) hold at the
+ * same time: as many as fit on each layer, in no more requests than first engines
+ * have slots.
+ */
+static double capacity_compute_(const cb_server_book_t *book,
+				const GPtrArray *usable,
+				const cb_engine_profile_t *engine,
+				const char *data_centre)
+{
+	holders_t holders = { 0 };
+	double usual_tokens =
+		engine->usual_prompt_tokens + engine->usual_answer_tokens;
+	int64_t now_ms = cb_clock_now_ms(book->clock);
+	double capacity = INFINITY;
+	unsigned int i;
+
+	holders.layer_tokens = g_new0(double, engine->layers + 1);
+	for (i = 0; i < usable->len; i++) {
+		const cb_fleet_server_t *server = usable->pdata[i];
+		const server_stats_t *stats =
+			g_hash_table_lookup(book->stats_by_id, server->id);
+
+		if (server->state == CB_FLEET_READY && !server->is_moving &&
+		    !(stats && stats->lost_until_ms > now_ms) &&
+		    (!data_centre || !strcmp(server->data_centre, data_centre)))
+			holder_add_(&holders, engine, server);
+	}
+	for (i = 0; i < engine->layers; i++)
+		capacity = MIN(capacity, holders.layer_tokens[i]);
+	if (usual_tokens > 0 && holders.first_slots > 0)
+		capacity = MIN(capacity, holders.first_slots * usual_tokens);
+	g_free(holders.layer_tokens);
+	return isinf(capacity) ? 0 : capacity;
+}
+
+/*
+ * Returns the room of a service: the sum over data centres that hold all layers,
+ * or else that of all engines together.
+ */
+cb_book_room_t cb_server_book_find_room(cb_server_book_t *book,
+					const cb_service_profile_t *service)
+{
+	const cb_engine_profile_t *engine = service->engine;
+	GHashTable *none = g_hash_table_new(g_str_hash, g_str_equal);
+	const cb_book_criteria_t criteria = { .service = service,
+					      .excluded_servers = none };
+	GPtrArray *usable = usable_servers_collect_(book, &criteria);
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	cb_book_room_t room = { .instances = ready_instances_count_(book) };
+	unsigned int i;
+
+	for (i = 0; i < usable->len; i++) {
+		const cb_fleet_server_t *server = usable->pdata[i];
+		const server_stats_t *stats = stats_get_(book, server->id);
+
+		room.used_tokens += usage_estimate_(book, stats, room.instances)
+					    .token_layers /
+				    engine->layers;
+		room.own_tokens += stats->token_layers / engine->layers;
+		if (g_hash_table_add(seen, server->data_centre))
+			room.capacity_tokens +=
+				capacity_compute_(book, usable, engine,
+						  server->data_centre);
+	}
+	if (room.capacity_tokens <= 0)
+		room.capacity_tokens =
+			capacity_compute_(book, usable, engine, NULL);
+	g_hash_table_unref(seen);
+	g_hash_table_unref(none);
+	g_ptr_array_unref(usable);
+	return room;
+}
+
 /* Adds a request to the records of its servers; `sign` -1 removes it. */
 static void usage_add_(cb_server_book_t *book, const GArray *hops,
 		       double tokens, int sign)
--- /dev/null
+++ b/src/libcurrantbridge/request/room.c
@@ -0,0 +1,433 @@
+#include "private/room.h"
+
+#include <math.h>
+#include <string.h>
+
+#define MS_PER_S 1000.0
+/*
+ * The part of the capacity that is used.  Engines run unevenly full, and what
+ * other instances have begun since the last sum is not known.
+ */
+#define USED_TARGET 0.92
+/* What is free of that is given out over this time: sums are 0.2 to 0.4 s old. */
+#define HORIZON_MS 800.0
+/* Sums of usage that are older are not used. */
+#define SUM_VALID_MS 1500
+/* From this part of the capacity on, a service counts as scarce. */
+#define SCARCE_RATIO 0.75
+/*
+ * While more than this part of the pauses is too long, the engines bear less than
+ * their memory holds: the used part is lowered by a factor a second, and raised
+ * again in steps.
+ */
+#define SLOW_RATIO_MAX 0.1
+#define SLOW_FACTOR_PER_S 0.8
+#define CORRECTION_STEP_PER_S 0.05
+#define CORRECTION_MIN 0.3
+/*
+ * Without sums, requests that are less urgent than others use only this part of
+ * the instance's own share.
+ */
+#define LESS_URGENT_SHARE 0.8
+/*
+ * Callers come back after half to three halves of a time between these: longer
+ * the fewer of them may begin.
+ */
+#define COMEBACK_MIN_MS 500.0
+#define COMEBACK_MAX_MS 3000.0
+/* Callers wait at most this part of their time, and come back sooner otherwise. */
+#define COMEBACK_TIME_DIVISOR 3
+
+/* One rank's, or one workspace's, part of what may begin. */
+typedef struct flow {
+	uint32_t rank;
+	char *workspace;
+	double offered_tokens_per_s;
+	double ratio;
+	/* Sum of the ratios of past requests, less 1 for each one admitted. */
+	double credit;
+	/* Whether the last update knew the flow. */
+	gboolean is_known;
+} flow_t;
+
+typedef struct service_room {
+	cb_room_state_t state; /* without flows */
+	GHashTable *flows;     /* "RANK WORKSPACE" to flow_t */
+	double correction;     /* factor by what streams show; 1 at most */
+	int64_t updated_ms;
+	/* The ratio of flows that no instance has reported, by rank. */
+	GArray *rank_ratios; /* of rank_ratio_t, ascending */
+	gboolean is_scarce;
+} service_room_t;
+
+typedef struct rank_ratio {
+	uint32_t rank;
+	double ratio;	     /* over the whole rank */
+	double unseen_ratio; /* of a workspace that asked for nothing before */
+} rank_ratio_t;
+
+struct cb_room {
+	cb_clock_t *clock;
+	GRand *random;
+	GHashTable *services; /* service name to service_room_t */
+};
+
+static void flow_delete_(void *data)
+{
+	flow_t *flow = data;
+
+	g_free(flow->workspace);
+	g_free(flow);
+}
+
+static void service_room_delete_(void *data)
+{
+	service_room_t *service = data;
+
+	g_hash_table_unref(service->flows);
+	g_array_unref(service->rank_ratios);
+	g_free(service);
+}
+
+/* Creates a room that knows no service; `random` spreads admissions. */
+cb_room_t *cb_room_new(cb_clock_t *clock, GRand *random)
+{
+	cb_room_t *room = g_new0(cb_room_t, 1);
+
+	room->clock = clock;
+	room->random = random;
+	room->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       service_room_delete_);
+	return room;
+}
+
+/* Frees a room; NULL is allowed. */
+void cb_room_delete(cb_room_t *room)
+{
+	if (!room)
+		return;
+	g_hash_table_unref(room->services);
+	g_free(room);
+}
+
+static service_room_t *service_get_(cb_room_t *room, const char *name)
+{
+	service_room_t *service = g_hash_table_lookup(room->services, name);
+
+	if (service)
+		return service;
+	service = g_new0(service_room_t, 1);
+	service->flows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       flow_delete_);
+	service->rank_ratios = g_array_new(FALSE, FALSE, sizeof(rank_ratio_t));
+	service->correction = 1;
+	g_hash_table_insert(room->services, g_strdup(name), service);
+	return service;
+}
+
+/* Returns a flow, creating it if there is none. */
+static flow_t *flow_get_(cb_room_t *room, service_room_t *service,
+			 uint32_t rank, const char *workspace)
+{
+	char *key = g_strdup_printf("%u %s", rank, workspace);
+	flow_t *flow = g_hash_table_lookup(service->flows, key);
+
+	if (flow) {
+		g_free(key);
+		return flow;
+	}
+	flow = g_new0(flow_t, 1);
+	flow->rank = rank;
+	flow->workspace = g_strdup(workspace);
+	flow->ratio = 1;
+	/* Instances with few requests would all admit at the same moment. */
+	flow->credit = g_rand_double(room->random);
+	g_hash_table_insert(service->flows, key, flow);
+	return flow;
+}
+
+/* Replaces what was asked for; flows that are not reported any more are dropped. */
+static void flows_update_(cb_room_t *room, service_room_t *service,
+			  const cb_room_state_t *state)
+{
+	GHashTableIter iter;
+	unsigned int i;
+	void *value;
+
+	g_hash_table_iter_init(&iter, service->flows);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((flow_t *)value)->is_known = FALSE;
+	for (i = 0; i < state->flow_count; i++) {
+		const cb_room_flow_t *reported = &state->flows[i];
+		flow_t *flow = flow_get_(room, service, reported->rank,
+					 reported->workspace);
+
+		if (!flow->is_known)
+			flow->offered_tokens_per_s = 0;
+		flow->offered_tokens_per_s += reported->offered_tokens_per_s;
+		flow->is_known = TRUE;
+	}
+	g_hash_table_iter_init(&iter, service->flows);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!((flow_t *)value)->is_known)
+			g_hash_table_iter_remove(&iter);
+}
+
+/* Corrects the capacity by what streams under way show. */
+static void correction_update_(service_room_t *service, int64_t now_ms)
+{
+	double passed_s =
+		MIN((double)(now_ms - service->updated_ms) / MS_PER_S, 1);
+
+	if (!service->updated_ms)
+		return;
+	if (service->state.slow_ratio > SLOW_RATIO_MAX)
+		service->correction *= pow(SLOW_FACTOR_PER_S, passed_s);
+	else
+		service->correction += CORRECTION_STEP_PER_S * passed_s;
+	service->correction = CLAMP(service->correction, CORRECTION_MIN, 1);
+}
+
+/* Returns how many tokens a second may begin. */
+static double budget_compute_(const service_room_t *service)
+{
+	const cb_room_state_t *state = &service->state;
+	double free_tokens =
+		state->capacity_tokens * USED_TARGET * service->correction -
+		state->used_tokens;
+	double ended_per_s =
+		state->residence_ms > 0 ?
+			state->used_tokens * MS_PER_S / state->residence_ms :
+			0;
+
+	return MAX(ended_per_s + free_tokens * MS_PER_S / HORIZON_MS, 0);
+}
+
+static int flows_compare_(const void *a, const void *b)
+{
+	const flow_t *left = *(flow_t *const *)a;
+	const flow_t *right = *(flow_t *const *)b;
+
+	if (left->rank != right->rank)
+		return left->rank < right->rank ? -1 : 1;
+	/* The sum over workspaces first, then the smallest. */
+	if (!*left->workspace != !*right->workspace)
+		return *left->workspace ? 1 : -1;
+	return left->offered_tokens_per_s < right->offered_tokens_per_s ?
+		       -1 :
+		       left->offered_tokens_per_s > right->offered_tokens_per_s;
+}
+
+/* Returns the flows by rank, then by what they ask for; the caller frees them. */
+static GPtrArray *flows_sort_(const service_room_t *service)
+{
+	GPtrArray *flows = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, service->flows);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(flows, value);
+	g_ptr_array_sort(flows, flows_compare_);
+	return flows;
+}
+
+/*
+ * Divides `budget` among the flows of one rank, `flows` from `first` to `last`,
+ * exclusive: what is known of the whole rank only gets its part, and the
+ * workspaces share the rest max-min fairly.  Returns what is left.
+ */
+static double rank_divide_(const GPtrArray *flows, unsigned int first,
+			   unsigned int last, double budget,
+			   rank_ratio_t *rank_ratio)
+{
+	double offered = 0;
+	double left = budget;
+	double level = INFINITY;
+	unsigned int i;
+
+	for (i = first; i < last; i++)
+		offered += ((flow_t *)flows->pdata[i])->offered_tokens_per_s;
+	rank_ratio->ratio = offered > budget ? budget / offered : 1;
+	for (i = first; i < last; i++) {
+		flow_t *flow = flows->pdata[i];
+		double asked = flow->offered_tokens_per_s;
+		double granted = *flow->workspace ?
+					 MIN(asked, left / (last - i)) :
+					 asked * rank_ratio->ratio;
+
+		flow->ratio = asked > 0 ? granted / asked : rank_ratio->ratio;
+		if (*flow->workspace && granted < asked)
+			level = MIN(level, granted);
+		left -= granted;
+	}
+	/* A workspace that begins to ask is within its share, if there is one. */
+	rank_ratio->unseen_ratio = isinf(level) ? rank_ratio->ratio :
+				   level > 0	? 1 :
+						  0;
+	return MAX(left, 0);
+}
+
+/* Divides what may begin among ranks, the most urgent first. */
+static void budget_divide_(service_room_t *service)
+{
+	GPtrArray *flows = flows_sort_(service);
+	double budget = budget_compute_(service);
+	unsigned int first = 0;
+	unsigned int last;
+
+	service->is_scarce = service->state.used_tokens >
+			     service->state.capacity_tokens * SCARCE_RATIO;
+	g_array_set_size(service->rank_ratios, 0);
+	while (first < flows->len) {
+		rank_ratio_t rank_ratio = {
+			.rank = ((flow_t *)flows->pdata[first])->rank
+		};
+
+		for (last = first; last < flows->len; last++)
+			if (((flow_t *)flows->pdata[last])->rank !=
+			    rank_ratio.rank)
+				break;
+		budget = rank_divide_(flows, first, last, budget, &rank_ratio);
+		service->is_scarce |= rank_ratio.ratio < 1;
+		g_array_append_val(service->rank_ratios, rank_ratio);
+		first = last;
+	}
+	g_ptr_array_unref(flows);
+}
+
+/* Sets what is known of a service's engines, their use and what is asked for. */
+void cb_room_update(cb_room_t *room, const char *name,
+		    const cb_room_state_t *state)
+{
+	service_room_t *service = service_get_(room, name);
+	int64_t now_ms = cb_clock_now_ms(room->clock);
+
+	service->state = *state;
+	service->state.flows = NULL;
+	service->state.instances = MAX(state->instances, 1);
+	flows_update_(room, service, state);
+	correction_update_(service, now_ms);
+	service->updated_ms = now_ms;
+	budget_divide_(service);
+}
+
+/* Returns the ratio of a flow that was not reported. */
+static double unseen_ratio_find_(const service_room_t *service, uint32_t rank,
+				 const char *workspace)
+{
+	double ratio = 1;
+	unsigned int i;
+
+	for (i = 0; i < service->rank_ratios->len; i++) {
+		const rank_ratio_t *known =
+			&g_array_index(service->rank_ratios, rank_ratio_t, i);
+
+		if (known->rank > rank)
+			break;
+		if (known->rank == rank)
+			return *workspace ? known->unseen_ratio : known->ratio;
+		/* What more urgent ranks do not get, this one does not either. */
+		ratio = known->ratio < 1 ? 0 : 1;
+	}
+	return ratio;
+}
+
+/* Decides by this instance's own share, while the sums are too old. */
+static gboolean own_share_has_room_(const service_room_t *service,
+				    const cb_room_request_t *request)
+{
+	const cb_room_state_t *state = &service->state;
+	double share = state->capacity_tokens * USED_TARGET / state->instances;
+
+	if (request->rank)
+		share *= LESS_URGENT_SHARE;
+	/* A share that is smaller than one request still bears one. */
+	return state->own_tokens <= 0 ||
+	       state->own_tokens + request->tokens <= share;
+}
+
+/* Returns when a refused caller may come back, spread over a time by `ratio`. */
+static int64_t comeback_compute_ms_(cb_room_t *room, double ratio,
+				    int64_t time_left_ms)
+{
+	double mean_ms = COMEBACK_MIN_MS +
+			 (COMEBACK_MAX_MS - COMEBACK_MIN_MS) * (1 - ratio);
+	double spread_ms = mean_ms * (0.5 + g_rand_double(room->random));
+
+	return (int64_t)MIN(spread_ms,
+			    (double)time_left_ms / COMEBACK_TIME_DIVISOR);
+}
+
+/*
+ * Returns whether a request of a flow may begin, by its ratio.  One whose caller
+ * has been refused before gets two chances.
+ */
+static gboolean flow_admit_(flow_t *flow, gboolean is_return)
+{
+	double ratio = flow->ratio;
+
+	if (is_return)
+		ratio = 1 - (1 - ratio) * (1 - ratio);
+	flow->credit += ratio;
+	if (flow->credit < 1)
+		return FALSE;
+	flow->credit -= 1;
+	return TRUE;
+}
+
+cb_room_decision_t cb_room_decide(cb_room_t *room, const char *name,
+				  const cb_room_request_t *request)
+{
+	service_room_t *service = g_hash_table_lookup(room->services, name);
+	cb_room_decision_t decision = { .is_admitted = TRUE,
+					.admitted_ratio = 1 };
+	const cb_room_state_t *state;
+	flow_t *flow;
+
+	if (!service || service->state.capacity_tokens <= 0)
+		return decision;
+	state = &service->state;
+	decision.age_ms = cb_clock_now_ms(room->clock) - state->sum_received_ms;
+	decision.used_ratio = state->used_tokens / state->capacity_tokens;
+	if (!state->sum_received_ms || decision.age_ms > SUM_VALID_MS) {
+		decision.is_admitted = own_share_has_room_(service, request);
+		decision.admitted_ratio = decision.is_admitted;
+	} else {
+		char *key = g_strdup_printf("%u %s", request->rank,
+					    request->workspace);
+		char *rank_key = g_strdup_printf("%u ", request->rank);
+
+		flow = g_hash_table_lookup(service->flows, key);
+		/* Workspaces are reported only while the room is scarce. */
+		if (!flow && !service->is_scarce)
+			flow = g_hash_table_lookup(service->flows, rank_key);
+		if (!flow) {
+			double ratio =
+				unseen_ratio_find_(service, request->rank,
+						   request->workspace);
+
+			flow = flow_get_(room, service, request->rank,
+					 request->workspace);
+			flow->ratio = ratio;
+		}
+		g_free(key);
+		g_free(rank_key);
+		decision.admitted_ratio = flow->ratio;
+		decision.is_admitted = flow_admit_(flow, request->is_return);
+	}
+	if (!decision.is_admitted)
+		decision.retry_after_ms =
+			comeback_compute_ms_(room, decision.admitted_ratio,
+					     request->time_left_ms);
+	return decision;
+}
+
+/* Returns whether what each workspace asks for is to be reported. */
+gboolean cb_room_is_scarce(const cb_room_t *room, const char *name)
+{
+	const service_room_t *service =
+		g_hash_table_lookup(room->services, name);
+
+	return service && service->is_scarce;
+}
--- a/src/test_libcurrantbridge/test_retry_share.c
+++ b/src/test_libcurrantbridge/test_retry_share.c
@@ -140,16 +140,20 @@
 {
 	static const cb_usage_load_t one = { 2, 1500, 1, 2, 3500, 0 };
 	static const cb_usage_load_t other = { 1, 500, 0, 1, 1200, 1 };
-	static const cb_usage_sends_t sends = { 10, 3 };
+	static const cb_usage_sends_t sends = { 10, 3, 40, 7 };
 	cb_usage_t *sum = cb_usage_new();
 	cb_usage_t *usage = cb_usage_new();
 	cb_usage_t *decoded;
 	GBytes *bytes;
 	GBytes *truncated;
+	char *key = cb_usage_flow_key("s", 1, "w");
+	const cb_usage_flow_t *flow;
 
 	cb_usage_add_load(usage, "a", &one);
 	cb_usage_add_load(usage, "b", &other);
 	cb_usage_add_sends(usage, "s", &sends);
+	cb_usage_add_flow(usage, "s", 1, "w", 700);
+	cb_usage_add_flow(usage, "s", 1, "", 50);
 	bytes = cb_usage_encode(usage);
 	truncated =
 		g_bytes_new_from_bytes(bytes, 0, g_bytes_get_size(bytes) - 1);
@@ -162,6 +166,12 @@
 	CU_ASSERT_EQUAL(cb_usage_find_load(sum, "b").token_layers, 1000);
 	CU_ASSERT_EQUAL(cb_usage_find_load(sum, "c").running, 0);
 	CU_ASSERT_EQUAL(cb_usage_find_sends(sum, "s").retries, 6);
+	CU_ASSERT_EQUAL(cb_usage_find_sends(sum, "s").long_pauses, 14);
+	CU_ASSERT_EQUAL(g_hash_table_size(sum->by_flow), 2);
+	flow = g_hash_table_lookup(sum->by_flow, key);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(flow);
+	CU_ASSERT_EQUAL(flow->tokens, 1400);
+	g_free(key);
 	g_bytes_unref(bytes);
 	g_bytes_unref(truncated);
 	cb_usage_delete(decoded);
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -370,6 +370,7 @@
 	cb_relay_attempt_info_t attempt_info = { .server_id = "i-1",
 						 .workspace = "w",
 						 .budget_ms = 1500,
+						 .rank = 2,
 						 .last_event = 12,
 						 .hops = hop_array };
 	GByteArray *body = g_byte_array_new();
@@ -394,7 +395,8 @@
 		"POST /a%2F?b HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9\r\n"
 		"X-Model: m\r\nX-Token-Count: 760,193\r\nX-Length-Hint: 40\r\n"
 		"X-Time-Budget: 1500\r\nX-Expect-Instance: i-1\r\n"
-		"X-Tenant: w\r\nLast-Event-Id: 12\r\n"
+		"X-Tenant: w\r\nX-Request-Priority: 2\r\n"
+		"Last-Event-Id: 12\r\n"
 		"X-Hop-Count: 10.0.0.1:80=0-20,10.0.0.2:80=20-80\r\n"
 		"Content-Length: 3\r\n\r\nabc");
 	g_string_free(request, TRUE);
