Chains are chosen with a drawn part of the load that is not seen yet

Cause: sums of usage are 0.2 to 0.4 s old; until the next one all instances take the same cheapest engines.

Change: each choice adds to each engine's load a drawn part of what the others were asked for since the sum (exponentially distributed): on the whole as many requests find room at an engine as it has.

--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -6,6 +6,7 @@
 #include "currantbridge/placement.h"
 #include "private/pipe_share.h"
 
+#define MS_PER_S 1000.0
 /* How long a failed server is avoided, doubled with each failure. */
 #define AVOID_INITIAL_MS 500
 #define AVOID_MAX_MS 4000
@@ -20,6 +21,11 @@
 #define LOAD_VALID_MS 1000
 /* How long other instances' usage is valid; it arrives a few times a second. */
 #define USAGE_VALID_MS 1500
+/*
+ * What the other instances have begun is known this much later than the sum of
+ * their usage arrives: reports and sums are sent every 200 ms.
+ */
+#define USAGE_DELAY_MS 200
 /* How long a server without a free slot is avoided, at first. */
 #define FULL_AVOID_INITIAL_MS 250
 /*
@@ -88,6 +94,8 @@
 	GHashTable *stats_by_id; /* map: server ID to server_stats_t */
 	/* When the other instances' usage was last received; 0: never. */
 	int64_t usage_received_ms;
+	/* service name to tokens (double) that all were asked for in a second */
+	GHashTable *offered_tokens;
 };
 
 /*
@@ -112,6 +120,8 @@
 	book->data_centre = g_strdup(data_centre);
 	book->stats_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	book->offered_tokens =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return book;
 }
 
@@ -121,6 +131,7 @@
 	if (!book)
 		return;
 	g_hash_table_unref(book->stats_by_id);
+	g_hash_table_unref(book->offered_tokens);
 	cb_pipe_share_delete(book->pipes);
 	g_free(book->data_centre);
 	g_free(book);
@@ -373,6 +384,59 @@
 	return sum;
 }
 
+/* Returns how many different data centres servers are in, 1 at least. */
+static unsigned int centres_count_(const GPtrArray *servers)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	unsigned int count;
+	unsigned int i;
+
+	for (i = 0; i < servers->len; i++)
+		g_hash_table_add(seen, ((cb_fleet_server_t *)servers->pdata[i])
+					       ->data_centre);
+	count = g_hash_table_size(seen);
+	g_hash_table_unref(seen);
+	return MAX(count, 1);
+}
+
+/*
+ * Returns the tokens that the other instances have most likely begun in each data
+ * centre since the sum of usage was made; 0 without a recent sum.
+ */
+static double unseen_tokens_compute_(const cb_server_book_t *book,
+				     const cb_service_profile_t *service,
+				     const GPtrArray *usable,
+				     unsigned int instance_count)
+{
+	const double *offered =
+		g_hash_table_lookup(book->offered_tokens, service->name);
+	int64_t age_ms = cb_clock_now_ms(book->clock) - book->usage_received_ms;
+
+	if (!offered || age_ms > USAGE_VALID_MS)
+		return 0;
+	return *offered * (double)(age_ms + USAGE_DELAY_MS) / MS_PER_S *
+	       (instance_count - 1) / instance_count / centres_count_(usable);
+}
+
+/*
+ * Adds what other instances may have begun at an engine to its load.  Each
+ * request draws how much of it: otherwise all instances would take the same
+ * engine until the next sum, and most would be rejected.  On the whole, as many
+ * requests find room at the engine as it has.
+ */
+static void unseen_load_add_(const cb_server_book_t *book,
+			     const cb_engine_profile_t *engine,
+			     double unseen_tokens, cb_chain_server_t *input)
+{
+	double usual_tokens =
+		MAX(engine->usual_prompt_tokens + engine->usual_answer_tokens,
+		    1);
+	double drawn = -log(1 - g_rand_double(book->random)) * unseen_tokens;
+
+	input->free_tokens -= drawn;
+	input->running += drawn / usual_tokens;
+}
+
 /* Describes an engine as input of cb_chain_choose(). */
 static cb_chain_server_t chain_input_make_(cb_server_book_t *book,
 					   const cb_engine_profile_t *engine,
@@ -492,6 +556,8 @@
 	GPtrArray *usable = usable_servers_collect_(book, criteria);
 	cb_chain_server_t *inputs = g_new0(cb_chain_server_t, usable->len + 1);
 	unsigned int instance_count = ready_instances_count_(book);
+	double unseen_tokens = unseen_tokens_compute_(book, criteria->service,
+						      usable, instance_count);
 	cb_chain_outcome_t outcome;
 	unsigned int i;
 
@@ -501,11 +567,14 @@
 					engine->pipe_mbps, instance_count);
 	for (i = 0; i < usable->len; i++) {
 		const cb_fleet_server_t *server = usable->pdata[i];
+		const cb_relay_hop_t *kept_hop =
+			hop_find_(criteria->running_hops, server->id);
 
-		inputs[i] = chain_input_make_(book, engine, server,
-					      hop_find_(criteria->running_hops,
-							server->id),
+		inputs[i] = chain_input_make_(book, engine, server, kept_hop,
 					      instance_count);
+		if (!kept_hop)
+			unseen_load_add_(book, engine, unseen_tokens,
+					 &inputs[i]);
 	}
 	if (!first_server_find_(usable, criteria->running_hops,
 				&chain_criteria))
@@ -734,6 +803,28 @@
 	return suspects;
 }
 
+/* Adds up what all instances were asked for, by service. */
+static void offered_update_(cb_server_book_t *book, const cb_usage_t *sum)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_remove_all(book->offered_tokens);
+	g_hash_table_iter_init(&iter, sum->by_flow);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cb_usage_flow_t *flow = value;
+		double *tokens = g_hash_table_lookup(book->offered_tokens,
+						     flow->service);
+
+		if (!tokens) {
+			tokens = g_new0(double, 1);
+			g_hash_table_insert(book->offered_tokens,
+					    g_strdup(flow->service), tokens);
+		}
+		*tokens += flow->tokens;
+	}
+}
+
 /*
  * Sets the other instances' usage: the sum less this instance's last report.
  * Returns the addresses of the servers that another instance has begun to
@@ -748,6 +839,7 @@
 	void *id;
 
 	book->usage_received_ms = cb_clock_now_ms(book->clock);
+	offered_update_(book, sum);
 	g_hash_table_iter_init(&iter, sum->by_server);
 	while (g_hash_table_iter_next(&iter, &id, &value))
 		(void)stats_get_(book, id);
