Workspaces without a priority come after those with one; the soak's ranks change

A workspace whose document gives no priority was taken for the most urgent. Ranks are tested by a table; the soak's routes and workspaces have priorities that change with each version of the document.

--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -226,11 +226,12 @@
 				    const char *host, const char *target);
 /*
  * Returns the rank of a workspace's (NULL: none) requests on a route, from 0, the
- * most urgent, to cb_document_rank_count() - 1.
+ * most urgent: by the priority of the workspace, then by that of the route.
  */
 uint32_t cb_document_rank(const cb_document_t *document,
 			  const cb_route_t *route, const char *workspace);
-uint32_t cb_document_rank_count(const cb_document_t *document);
+/* Returns whether workspaces or routes have different priorities. */
+gboolean cb_document_has_ranks(const cb_document_t *document);
 const char *cb_document_workspace(const cb_document_t *document,
 				  const char *key);
 const cb_service_profile_t *cb_document_service(const cb_document_t *document,
--- a/src/libcurrantbridge/contract/document.c
+++ b/src/libcurrantbridge/contract/document.c
@@ -201,26 +201,30 @@
 		g_array_insert_val(levels, i, priority);
 }
 
-/* Returns the rank of a workspace's requests on a route. */
+/*
+ * Returns the rank of a workspace's requests on a route.  Without a priority a
+ * workspace comes after those that have one.
+ */
 uint32_t cb_document_rank(const cb_document_t *document,
 			  const cb_route_t *route, const char *workspace)
 {
-	uint32_t rank = 0;
+	uint32_t level = document->workspace_levels->len;
+	void *priority;
 
-	if (workspace)
-		rank = level_find_(document->workspace_levels,
-				   GPOINTER_TO_UINT(g_hash_table_lookup(
-					   document->workspace_priorities,
-					   workspace)));
-	return rank * document->route_levels->len +
+	if (workspace &&
+	    g_hash_table_lookup_extended(document->workspace_priorities,
+					 workspace, NULL, &priority))
+		level = level_find_(document->workspace_levels,
+				    GPOINTER_TO_UINT(priority));
+	return level * document->route_levels->len +
 	       level_find_(document->route_levels, route->priority);
 }
 
-/* Returns how many ranks there are, 1 at least. */
-uint32_t cb_document_rank_count(const cb_document_t *document)
+/* Returns whether requests differ in their ranks. */
+gboolean cb_document_has_ranks(const cb_document_t *document)
 {
-	return MAX(document->workspace_levels->len, 1) *
-	       MAX(document->route_levels->len, 1);
+	return document->workspace_levels->len > 1 ||
+	       document->route_levels->len > 1;
 }
 
 /* Collects the different priorities, once all were added. */
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -626,7 +626,7 @@
 		.server_id = first->id,
 		.workspace = relay->workspace,
 		.budget_ms = relay->deadline_ms - cb_relay_now_ms(relay),
-		.rank = cb_document_rank_count(relay->document) > 1 ?
+		.rank = cb_document_has_ranks(relay->document) ?
 				(int32_t)relay->rank :
 				-1,
 		.last_event = relay->last_event,
--- a/src/test_libcurrantbridge/test_document.c
+++ b/src/test_libcurrantbridge/test_document.c
@@ -329,7 +329,62 @@
 	g_free(text);
 }
 
+/*
+ * A workspace's priority goes before its routes'; one without a priority comes
+ * last, and so do requests without a workspace.
+ */
+static void ranks_follow_workspace_then_route(void)
+{
+	static const struct {
+		const char *workspace;
+		unsigned int route; /* index; priorities 2, 0, 1 */
+		uint32_t rank;
+	} cases[] = {
+		{ "urgent", 1, 0 },  { "urgent", 2, 1 }, { "urgent", 0, 2 },
+		{ "usual", 1, 3 },   { "usual", 0, 5 },	 { "other", 1, 6 },
+		{ "unknown", 2, 7 }, { NULL, 0, 8 },
+	};
+	static const uint32_t route_priorities[] = { 2, 0, 1 };
+	cb_document_t *document = document_make_();
+	GError *error = NULL;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(route_priorities); i++)
+		((cb_route_t *)document->routes->pdata[i])->priority =
+			route_priorities[i];
+	cb_document_set_priority(document, "usual", 4);
+	cb_document_set_priority(document, "urgent", 1);
+	CU_ASSERT_TRUE(cb_document_add_key(document, "other", "k", &error));
+	CU_ASSERT_TRUE(cb_document_finish(document, &error));
+	CU_ASSERT_TRUE(cb_document_has_ranks(document));
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		CU_ASSERT_EQUAL(cb_document_rank(
+					document,
+					document->routes->pdata[cases[i].route],
+					cases[i].workspace),
+				cases[i].rank);
+	cb_document_unref(document);
+}
+
+/* With one priority for all, there is nothing to tell the engines. */
+static void equal_priorities_are_no_ranks(void)
+{
+	cb_document_t *document = document_make_();
+	GError *error = NULL;
+
+	cb_document_set_priority(document, "w", 1);
+	CU_ASSERT_TRUE(cb_document_finish(document, &error));
+	CU_ASSERT_FALSE(cb_document_has_ranks(document));
+	CU_ASSERT_EQUAL(cb_document_rank(document, document->routes->pdata[0],
+					 "w"),
+			0);
+	cb_document_unref(document);
+}
+
 static CU_TestInfo document_tests[] = {
+	{ "ranks_follow_workspace_then_route",
+	  ranks_follow_workspace_then_route },
+	{ "equal_priorities_are_no_ranks", equal_priorities_are_no_ranks },
 	{ "longest_prefix_of_host_is_routed",
 	  longest_prefix_of_host_is_routed },
 	{ "invalid_route_is_rejected_with_reason",
--- a/test/platform/soak/soak_platform.c
+++ b/test/platform/soak/soak_platform.c
@@ -6,6 +6,8 @@
 #define START_TIMEOUT_MS 20000
 #define RESTART_DELAY_MAX_MS 800
 #define MAX_CONNECTIONS 60
+/* Priorities of the routes, which change with each version. */
+#define RANKS 3
 
 static int64_t now_ms_(void)
 {
@@ -107,12 +109,12 @@
 			"\"%s\",\"kind\":\"%s\",\"timeoutMs\":%d,"
 			"\"targetLatencyMs\":%d,\"targetGapMs\":%d,"
 			"\"service\":\"%s\",\"maxAttempts\":2,"
-			"\"resumable\":%s}",
+			"\"priority\":%d,\"resumable\":%s}",
 			kind ? "," : "", route->prefix, route->prefix,
 			route->document_kind, setup->timeout_ms[pair],
 			setup->target_latency_ms[pair],
 			route->is_stream ? setup->target_gap_ms : 0,
-			route->service,
+			route->service, (kind + soak->version) % RANKS,
 			route->is_stream && route->may_run_again ? "true" :
 								   "false");
 	}
@@ -123,8 +125,10 @@
 		"\"/health\",\"maxConnections\":%d}],\"limits\":{"
 		"\"maxHeaderBytes\":4096,\"maxBodyBytes\":64,"
 		"\"headerTimeoutMs\":300,\"idleTimeoutMs\":2000},"
-		"\"tenants\":[{\"name\":\"w\",\"apiKeys\":[\"key\"]}]}",
-		MAX_CONNECTIONS, MAX_CONNECTIONS);
+		"\"tenants\":[{\"name\":\"w\",\"apiKeys\":[\"key\"],"
+		"\"priority\":%d},{\"name\":\"x\",\"apiKeys\":[\"x\"],"
+		"\"priority\":1}]}",
+		MAX_CONNECTIONS, MAX_CONNECTIONS, pair * 2);
 	return g_string_free(text, FALSE);
 }
 
