The room counts silent engines; without sums the others' load is spread evenly

Cause: with control away for 12 s, heartbeats don't reach the instances and all engines are silent; the room left them out, so requests were refused though engines served. In the first moments after a restart of all there are no sums of usage either, and each instance took its own load for that of all others at the same engines.

--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -362,25 +362,28 @@
 	return MAX(count, 1);
 }
 
+/* Returns whether the other instances' usage is known, from a recent sum. */
+static gboolean usage_is_known_(const cb_server_book_t *book)
+{
+	return book->usage_received_ms &&
+	       cb_clock_now_ms(book->clock) - book->usage_received_ms <=
+		       USAGE_VALID_MS;
+}
+
 /*
- * Returns what all instances have in flight at a server.  While the others'
- * usage is not known, each is assumed to have as much as this one.
+ * Returns what all instances have in flight at a server, as far as it is known:
+ * only this instance's own without a recent sum.
  */
-static cb_usage_load_t usage_estimate_(const cb_server_book_t *book,
-				       const server_stats_t *stats,
-				       unsigned int instance_count)
+static cb_usage_load_t usage_known_sum_(const cb_server_book_t *book,
+					const server_stats_t *stats)
 {
 	cb_usage_load_t sum = { .running = stats->running,
 				.token_layers = stats->token_layers };
-	int64_t age_ms = cb_clock_now_ms(book->clock) - book->usage_received_ms;
 
-	if (!book->usage_received_ms || age_ms > USAGE_VALID_MS) {
-		sum.running *= instance_count;
-		sum.token_layers *= instance_count;
-		return sum;
+	if (usage_is_known_(book)) {
+		sum.running += stats->others_usage.running;
+		sum.token_layers += stats->others_usage.token_layers;
 	}
-	sum.running += stats->others_usage.running;
-	sum.token_layers += stats->others_usage.token_layers;
 	return sum;
 }
 
@@ -399,23 +402,72 @@
 	return MAX(count, 1);
 }
 
+/* What the other instances have most likely begun and no sum tells of. */
+typedef struct unseen_load {
+	/* tokens since the last sum, in each data centre */
+	double begun_tokens;
+	/* Tokens on each engine while there is no recent sum at all; else 0. */
+	double spread_tokens;
+} unseen_load_t;
+
+/* Returns the tokens that an engine has for each request on the whole, 1 at least. */
+static double usual_tokens_(const cb_engine_profile_t *engine)
+{
+	return MAX(engine->usual_prompt_tokens + engine->usual_answer_tokens,
+		   1);
+}
+
 /*
- * Returns the tokens that the other instances have most likely begun in each data
- * centre since the sum of usage was made; 0 without a recent sum.
+ * Returns what the others have in flight on each engine, spread evenly: as much as
+ * the last sum told, or else as much as this instance, one request at least.
  */
-static double unseen_tokens_compute_(const cb_server_book_t *book,
-				     const cb_service_profile_t *service,
+static double spread_tokens_compute_(cb_server_book_t *book,
+				     const cb_engine_profile_t *engine,
 				     const GPtrArray *usable,
 				     unsigned int instance_count)
+{
+	double own = 0;
+	double others = 0;
+	double held_layers = 0;
+	unsigned int i;
+
+	for (i = 0; i < usable->len; i++) {
+		const cb_fleet_server_t *server = usable->pdata[i];
+		const server_stats_t *stats = stats_get_(book, server->id);
+
+		own += stats->token_layers;
+		others += stats->others_usage.token_layers;
+		held_layers += server->layer_to - server->layer_from;
+	}
+	if (!held_layers)
+		return 0;
+	if (!book->usage_received_ms)
+		others = MAX(own, usual_tokens_(engine) * engine->layers) *
+			 (instance_count - 1);
+	return others / held_layers;
+}
+
+/* Estimates what the other instances have begun and no sum tells of. */
+static unseen_load_t unseen_load_compute_(cb_server_book_t *book,
+					  const cb_service_profile_t *service,
+					  const GPtrArray *usable,
+					  unsigned int instance_count)
 {
 	const double *offered =
 		g_hash_table_lookup(book->offered_tokens, service->name);
 	int64_t age_ms = cb_clock_now_ms(book->clock) - book->usage_received_ms;
-
-	if (!offered || age_ms > USAGE_VALID_MS)
-		return 0;
-	return *offered * (double)(age_ms + USAGE_DELAY_MS) / MS_PER_S *
-	       (instance_count - 1) / instance_count / centres_count_(usable);
+	unseen_load_t unseen = { 0 };
+
+	if (!usage_is_known_(book))
+		unseen.spread_tokens =
+			spread_tokens_compute_(book, service->engine, usable,
+					       instance_count);
+	else if (offered)
+		unseen.begun_tokens = *offered *
+				      (double)(age_ms + USAGE_DELAY_MS) /
+				      MS_PER_S * (instance_count - 1) /
+				      instance_count / centres_count_(usable);
+	return unseen;
 }
 
 /*
@@ -426,30 +478,30 @@
  */
 static void unseen_load_add_(const cb_server_book_t *book,
 			     const cb_engine_profile_t *engine,
-			     double unseen_tokens, cb_chain_server_t *input)
+			     const unseen_load_t *unseen,
+			     cb_chain_server_t *input)
 {
-	double usual_tokens =
-		MAX(engine->usual_prompt_tokens + engine->usual_answer_tokens,
-		    1);
-	double drawn = -log(1 - g_rand_double(book->random)) * unseen_tokens;
+	double drawn =
+		-log(1 - g_rand_double(book->random)) * unseen->begun_tokens +
+		g_rand_double_range(book->random, 0.5, 1.5) *
+			unseen->spread_tokens;
 
 	input->free_tokens -= drawn;
-	input->running += drawn / usual_tokens;
+	input->running += drawn / usual_tokens_(engine);
 }
 
 /* Describes an engine as input of cb_chain_choose(). */
 static cb_chain_server_t chain_input_make_(cb_server_book_t *book,
 					   const cb_engine_profile_t *engine,
 					   const cb_fleet_server_t *server,
-					   const cb_relay_hop_t *kept_hop,
-					   unsigned int instance_count)
+					   const cb_relay_hop_t *kept_hop)
 {
 	int64_t now_ms = cb_clock_now_ms(book->clock);
 	const cb_engine_kind_t *kind =
 		cb_engine_profile_kind(engine, server->kind);
 	const server_stats_t *stats = stats_get_(book, server->id);
 	uint32_t layers = server->layer_to - server->layer_from;
-	cb_usage_load_t usage = usage_estimate_(book, stats, instance_count);
+	cb_usage_load_t usage = usage_known_sum_(book, stats);
 	cb_chain_server_t input = { .data_centre = server->data_centre,
 				    .from = server->layer_from,
 				    .to = server->layer_to };
@@ -556,8 +608,9 @@
 	GPtrArray *usable = usable_servers_collect_(book, criteria);
 	cb_chain_server_t *inputs = g_new0(cb_chain_server_t, usable->len + 1);
 	unsigned int instance_count = ready_instances_count_(book);
-	double unseen_tokens = unseen_tokens_compute_(book, criteria->service,
-						      usable, instance_count);
+	const unseen_load_t unseen =
+		unseen_load_compute_(book, criteria->service, usable,
+				     instance_count);
 	cb_chain_outcome_t outcome;
 	unsigned int i;
 
@@ -570,11 +623,9 @@
 		const cb_relay_hop_t *kept_hop =
 			hop_find_(criteria->running_hops, server->id);
 
-		inputs[i] = chain_input_make_(book, engine, server, kept_hop,
-					      instance_count);
+		inputs[i] = chain_input_make_(book, engine, server, kept_hop);
 		if (!kept_hop)
-			unseen_load_add_(book, engine, unseen_tokens,
-					 &inputs[i]);
+			unseen_load_add_(book, engine, &unseen, &inputs[i]);
 	}
 	if (!first_server_find_(usable, criteria->running_hops,
 				&chain_criteria))
@@ -651,8 +702,6 @@
 				const char *data_centre)
 {
 	holders_t holders = { 0 };
-	double usual_tokens =
-		engine->usual_prompt_tokens + engine->usual_answer_tokens;
 	int64_t now_ms = cb_clock_now_ms(book->clock);
 	double capacity = INFINITY;
 	unsigned int i;
@@ -663,22 +712,24 @@
 		const server_stats_t *stats =
 			g_hash_table_lookup(book->stats_by_id, server->id);
 
-		if (server->state == CB_FLEET_READY && !server->is_moving &&
+		if (!server->is_moving &&
 		    !(stats && stats->lost_until_ms > now_ms) &&
 		    (!data_centre || !strcmp(server->data_centre, data_centre)))
 			holder_add_(&holders, engine, server);
 	}
 	for (i = 0; i < engine->layers; i++)
 		capacity = MIN(capacity, holders.layer_tokens[i]);
-	if (usual_tokens > 0 && holders.first_slots > 0)
-		capacity = MIN(capacity, holders.first_slots * usual_tokens);
+	if (holders.first_slots > 0)
+		capacity = MIN(capacity,
+			       holders.first_slots * usual_tokens_(engine));
 	g_free(holders.layer_tokens);
 	return isinf(capacity) ? 0 : capacity;
 }
 
 /*
  * Returns the room of a service: the sum over data centres that hold all layers,
- * or else that of all engines together.
+ * or that of all engines together if it is more.  Silent engines count: requests
+ * pass through them, and while control is away all are silent.
  */
 cb_book_room_t cb_server_book_find_room(cb_server_book_t *book,
 					const cb_service_profile_t *service)
@@ -696,8 +747,7 @@
 		const cb_fleet_server_t *server = usable->pdata[i];
 		const server_stats_t *stats = stats_get_(book, server->id);
 
-		room.used_tokens += usage_estimate_(book, stats, room.instances)
-					    .token_layers /
+		room.used_tokens += usage_known_sum_(book, stats).token_layers /
 				    engine->layers;
 		room.own_tokens += stats->token_layers / engine->layers;
 		if (g_hash_table_add(seen, server->data_centre))
@@ -705,9 +755,9 @@
 				capacity_compute_(book, usable, engine,
 						  server->data_centre);
 	}
-	if (room.capacity_tokens <= 0)
-		room.capacity_tokens =
-			capacity_compute_(book, usable, engine, NULL);
+	room.capacity_tokens =
+		MAX(room.capacity_tokens,
+		    capacity_compute_(book, usable, engine, NULL));
 	g_hash_table_unref(seen);
 	g_hash_table_unref(none);
 	g_ptr_array_unref(usable);
