The room: capacity renewed twice a second, impossible requests refused at once

From a review: a request that fits no chain counted as demand of its rank; a caller could pass the room by asking to go on after an event; a request that had failed on another instance was asked for the first time after its answer had begun; attempts that engines reject within ms shortened the time in flight; the share of the links was taken by requests that were then not sent; a negative Retry-After was written. The capacity is computed twice a second, not with each sum of usage twice.

--- a/src/libcurrantbridge/include/private/relay_room.h
+++ b/src/libcurrantbridge/include/private/relay_room.h
@@ -11,8 +11,6 @@
 void cb_relay_room_clear(cb_front_t *front);
 /* Takes the sum of all instances' usage; it becomes the front's. */
 void cb_relay_room_receive(cb_front_t *front, cb_usage_t *sum);
-/* Renews what is known of the use of the engines. */
-void cb_relay_room_update(cb_front_t *front);
 /* Adds what was asked for here to the usage that is reported. */
 void cb_relay_room_add_usage(cb_front_t *front, cb_usage_t *usage);
 /*
@@ -20,7 +18,7 @@
  * freed.
  */
 gboolean cb_relay_room_refuse(struct cb_relay *relay);
-/* Records for how long a request was in flight. */
+/* Records for how long a request that was served was in flight. */
 void cb_relay_room_ended(struct cb_relay *relay);
 
 #endif
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -39,8 +39,6 @@
 	const GArray *running_hops;
 	/* Whether the chain must not pass from one data centre to another. */
 	gboolean forbids_crossing;
-	/* Whether it is only asked if there are such servers, to use none. */
-	gboolean is_only_asked;
 } cb_book_criteria_t;
 
 cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
@@ -56,6 +54,10 @@
 					GArray *hops);
 GArray *cb_relay_hops_new(void);
 
+/* Records what a request sends between data centres, as it is sent. */
+void cb_server_book_record_crossings(cb_server_book_t *book,
+				     const cb_service_profile_t *service,
+				     const GArray *hops, double tokens);
 void cb_server_book_begin_request(cb_server_book_t *book, const GArray *hops,
 				  double tokens);
 void cb_server_book_end_request(cb_server_book_t *book, const GArray *hops,
@@ -105,16 +107,23 @@
 	unsigned int distrusted;
 } cb_book_count_t;
 
-/* The room of a service with layers, in tokens at all of its layers. */
-typedef struct cb_book_room {
-	double capacity_tokens; /* 0: not all layers are held */
-	double used_tokens;	/* of the requests of all instances */
+/* What the engines of a service hold, in tokens at all of its layers. */
+typedef struct cb_book_capacity {
+	double tokens; /* at the same time; 0: not all layers are held */
+	double largest_tokens; /* of one request */
+} cb_book_capacity_t;
+
+/* How much of it is used. */
+typedef struct cb_book_use {
+	double tokens;		/* of the requests of all instances */
 	double own_tokens;	/* of those of this instance */
 	unsigned int instances; /* ready entry instances, 1 at least */
-} cb_book_room_t;
+} cb_book_use_t;
 
-cb_book_room_t cb_server_book_find_room(cb_server_book_t *book,
-					const cb_service_profile_t *service);
+cb_book_capacity_t cb_server_book_find_capacity(
+	cb_server_book_t *book, const cb_service_profile_t *service);
+cb_book_use_t cb_server_book_find_use(const cb_server_book_t *book,
+				      const cb_service_profile_t *service);
 cb_book_count_t cb_server_book_count(const cb_server_book_t *book,
 				     const cb_service_profile_t *service);
 cb_book_wait_t cb_server_book_find_wait(const cb_server_book_t *book,
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -189,7 +189,6 @@
 	cb_retry_share_add_usage(front->retries, usage);
 	cb_rate_limits_add_usage(front->limits, usage);
 	cb_relay_room_add_usage(front, usage);
-	cb_relay_room_update(front);
 	is_empty = !g_hash_table_size(usage->by_server) &&
 		   !g_hash_table_size(usage->by_service) &&
 		   !g_hash_table_size(usage->by_flow);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -195,7 +195,8 @@
 	cb_histogram_add(is_served ? front->served_ms : front->failed_ms,
 			 elapsed_ms);
 	cb_relay_content_ended(relay, is_served);
-	cb_relay_room_ended(relay);
+	if (is_served)
+		cb_relay_room_ended(relay);
 	g_free(hops_text);
 }
 
@@ -219,7 +220,7 @@
 		has_run ? "unknown" : "no");
 	GString *headers = g_string_new("Content-Type: application/json\r\n");
 
-	if (retry_after_ms)
+	if (retry_after_ms > 0)
 		g_string_append_printf(headers, "Retry-After: %d.%03d\r\n",
 				       (int)(retry_after_ms / 1000),
 				       (int)(retry_after_ms % 1000));
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -643,6 +643,8 @@
 	relay->way_group = cb_relay_reach_find_group(front, first);
 	cb_server_book_begin_request(front->book, relay->hops,
 				     relay->expected_tokens);
+	cb_server_book_record_crossings(front->book, relay->service,
+					relay->hops, relay->expected_tokens);
 	cb_relay_start_silence_timer(relay);
 	relay->call =
 		cb_http1_client_call(front->client, first->address,
--- a/src/libcurrantbridge/relay/relay_room.c
+++ b/src/libcurrantbridge/relay/relay_room.c
@@ -6,14 +6,21 @@
 /* Weight of a request that has ended in the smoothed time in flight. */
 #define RESIDENCE_WEIGHT 0.05
 /*
- * A request with less than this percentage of its route's time left has been
- * refused before: its caller came back.
+ * A request with less than this percentage of its route's time left, or one that
+ * goes on after an event, was refused or broken off before: its caller came back.
  */
 #define RETURN_TIME_PERCENT 97
 
+/* How long the computed capacity of a service is used. */
+#define CAPACITY_VALID_MS 500
+/* A sum that is older is late: what is known is renewed without one. */
+#define SUM_LATE_MS 600
+
 /* A service with layers, as this instance sees it. */
 typedef struct service_record {
 	double residence_ms; /* smoothed time in flight; 0: not known */
+	cb_book_capacity_t capacity;
+	int64_t capacity_ms; /* when `capacity` was computed; 0: never */
 	gboolean is_overloaded;
 	cb_counter_t *capacity_gauge;
 	cb_counter_t *used_gauge;
@@ -75,19 +82,36 @@
 	}
 }
 
+/* Returns what a service's engines hold, as of up to CAPACITY_VALID_MS ago. */
+static const cb_book_capacity_t *capacity_find_(
+	cb_front_t *front, const cb_service_profile_t *service)
+{
+	service_record_t *record = record_get_(front, service->name);
+	int64_t now_ms = cb_clock_now_ms(front->clock);
+
+	if (!record->capacity_ms ||
+	    now_ms - record->capacity_ms >= CAPACITY_VALID_MS) {
+		record->capacity =
+			cb_server_book_find_capacity(front->book, service);
+		record->capacity_ms = now_ms;
+	}
+	return &record->capacity;
+}
+
 /* Renews what is known of one service. */
 static void service_update_(cb_front_t *front,
 			    const cb_service_profile_t *service)
 {
 	service_record_t *record = record_get_(front, service->name);
 	GArray *flows = g_array_new(FALSE, FALSE, sizeof(cb_room_flow_t));
-	cb_book_room_t held = cb_server_book_find_room(front->book, service);
+	double capacity_tokens = capacity_find_(front, service)->tokens;
+	cb_book_use_t use = cb_server_book_find_use(front->book, service);
 	cb_usage_sends_t sends = { 0 };
 	cb_room_state_t state = {
-		.capacity_tokens = held.capacity_tokens,
-		.used_tokens = held.used_tokens,
-		.own_tokens = held.own_tokens,
-		.instances = held.instances,
+		.capacity_tokens = capacity_tokens,
+		.used_tokens = use.tokens,
+		.own_tokens = use.own_tokens,
+		.instances = use.instances,
 		.sum_received_ms = front->usage_sum_ms,
 		.residence_ms = record->residence_ms,
 	};
@@ -100,14 +124,16 @@
 	state.flows = (const cb_room_flow_t *)flows->data;
 	state.flow_count = flows->len;
 	cb_room_update(front->room, service->name, &state);
-	cb_counter_set(record->capacity_gauge,
-		       (uint64_t)MAX(held.capacity_tokens, 0));
-	cb_counter_set(record->used_gauge, (uint64_t)MAX(held.used_tokens, 0));
+	cb_counter_set(record->capacity_gauge, (int64_t)capacity_tokens);
+	cb_counter_set(record->used_gauge, (int64_t)use.tokens);
 	g_array_unref(flows);
 }
 
-/* Renews what is known of the use of the engines of all services. */
-void cb_relay_room_update(cb_front_t *front)
+/*
+ * Renews what is known of the use of the engines of all services: with each sum of
+ * usage, and at times while there is none.
+ */
+static void services_update_(cb_front_t *front)
 {
 	GHashTableIter iter;
 	void *value;
@@ -126,7 +152,7 @@
 	cb_usage_delete(front->usage_sum);
 	front->usage_sum = sum;
 	front->usage_sum_ms = cb_clock_now_ms(front->clock);
-	cb_relay_room_update(front);
+	services_update_(front);
 }
 
 static gboolean is_by_workspace_(const char *service, void *user_data)
@@ -139,6 +165,8 @@
 /* Adds what was asked for here to the usage that is reported. */
 void cb_relay_room_add_usage(cb_front_t *front, cb_usage_t *usage)
 {
+	if (cb_clock_now_ms(front->clock) - front->usage_sum_ms >= SUM_LATE_MS)
+		services_update_(front);
 	cb_offered_add_usage(front->offered, usage, is_by_workspace_, front);
 }
 
@@ -172,17 +200,23 @@
 		.workspace = workspace,
 		.tokens = relay->expected_tokens,
 		.time_left_ms = left_ms,
-		.is_return = left_ms * 100 <
-			     relay->route->timeout_ms * RETURN_TIME_PERCENT,
+		.is_return = relay->last_event >= 0 ||
+			     left_ms * 100 < relay->route->timeout_ms *
+						     RETURN_TIME_PERCENT,
 	};
 	cb_room_decision_t decision;
+	double largest_tokens;
 
 	if (relay->is_admitted || !relay->service->engine)
 		return FALSE;
 	relay->is_admitted = TRUE;
-	/* A stream that was broken off elsewhere goes on before others begin. */
-	if (relay->forwarded_from || relay->last_event >= 0)
+	if (relay->forwarded_from || relay->run_count || relay->is_answer_begun)
 		return FALSE;
+	largest_tokens = capacity_find_(front, relay->service)->largest_tokens;
+	if (largest_tokens > 0 && relay->expected_tokens > largest_tokens) {
+		cb_relay_give_up(relay, "too_large", 0);
+		return TRUE;
+	}
 	cb_offered_count_request(front->offered, relay->service->name,
 				 relay->rank, workspace,
 				 relay->expected_tokens);
@@ -205,7 +239,7 @@
 	return TRUE;
 }
 
-/* Records for how long a request was in flight. */
+/* Records for how long a request that was served was in flight. */
 void cb_relay_room_ended(cb_relay_t *relay)
 {
 	service_record_t *record;
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -153,8 +153,7 @@
 					      .service = relay->service,
 					      .tokens = relay->expected_tokens,
 					      .excluded_servers =
-						      excluded_servers,
-					      .is_only_asked = TRUE },
+						      excluded_servers },
 				      hops) == CB_BOOK_FOUND;
 	g_array_unref(hops);
 	g_hash_table_unref(excluded_servers);
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -569,31 +569,6 @@
 	return !first;
 }
 
-/* Records what a chosen chain sends between data centres. */
-static void crossings_record_(cb_server_book_t *book,
-			      const cb_book_criteria_t *criteria,
-			      const cb_chain_server_t *inputs,
-			      const GArray *parts)
-{
-	const cb_service_profile_t *service = criteria->service;
-	unsigned int crossings = 0;
-	unsigned int i;
-
-	if (criteria->is_only_asked)
-		return;
-	for (i = 1; i < parts->len; i++) {
-		const cb_chain_part_t *part =
-			&g_array_index(parts, cb_chain_part_t, i);
-
-		crossings += strcmp(inputs[part[-1].server].data_centre,
-				    inputs[part->server].data_centre) != 0;
-	}
-	if (crossings)
-		cb_pipe_share_take(book->pipes, service->name,
-				   crossings * criteria->tokens *
-					   service->engine->activation_bytes);
-}
-
 static cb_book_outcome_t chain_choose_(cb_server_book_t *book,
 				       const cb_book_criteria_t *criteria,
 				       GArray *hops)
@@ -633,7 +608,6 @@
 	else
 		outcome = cb_chain_choose(engine, inputs, usable->len,
 					  &chain_criteria, book->random, parts);
-	crossings_record_(book, criteria, inputs, parts);
 	for (i = 0; i < parts->len; i++) {
 		const cb_chain_part_t *part =
 			&g_array_index(parts, cb_chain_part_t, i);
@@ -666,8 +640,10 @@
 
 /* Some engines together, as holders of the layers. */
 typedef struct holders {
-	double *layer_tokens; /* for each layer: KV cache of its holders */
-	double first_slots;   /* slots of the holders of the first layer */
+	/* For each layer: KV cache of its holders, and of the largest of them. */
+	double *layer_tokens;
+	double *largest_tokens;
+	double first_slots; /* slots of the holders of the first layer */
 } holders_t;
 
 /* Adds what a server can hold to the sums of its layers. */
@@ -685,28 +661,32 @@
 					     server->layer_to -
 						     server->layer_from);
 	for (i = server->layer_from; i < MIN(server->layer_to, engine->layers);
-	     i++)
+	     i++) {
 		holders->layer_tokens[i] += tokens;
+		holders->largest_tokens[i] =
+			MAX(holders->largest_tokens[i], tokens);
+	}
 	if (!server->layer_from)
 		holders->first_slots += server->slots;
 }
 
 /*
- * Returns the tokens that the engines of a data centre (NULL: of all) hold at the
- * same time: as many as fit on each layer, in no more requests than first engines
- * have slots.
+ * Returns what the engines of a data centre (NULL: of all) hold at the same time:
+ * as many tokens as fit on each layer, in no more requests than first engines have
+ * slots.  Silent engines count: requests pass through them, and while control is
+ * away all are silent.
  */
-static double capacity_compute_(const cb_server_book_t *book,
-				const GPtrArray *usable,
-				const cb_engine_profile_t *engine,
-				const char *data_centre)
+static cb_book_capacity_t centre_capacity_compute_(
+	const cb_server_book_t *book, const GPtrArray *usable,
+	const cb_engine_profile_t *engine, const char *data_centre)
 {
 	holders_t holders = { 0 };
 	int64_t now_ms = cb_clock_now_ms(book->clock);
-	double capacity = INFINITY;
+	cb_book_capacity_t capacity = { INFINITY, INFINITY };
 	unsigned int i;
 
 	holders.layer_tokens = g_new0(double, engine->layers + 1);
+	holders.largest_tokens = g_new0(double, engine->layers + 1);
 	for (i = 0; i < usable->len; i++) {
 		const cb_fleet_server_t *server = usable->pdata[i];
 		const server_stats_t *stats =
@@ -717,22 +697,26 @@
 		    (!data_centre || !strcmp(server->data_centre, data_centre)))
 			holder_add_(&holders, engine, server);
 	}
-	for (i = 0; i < engine->layers; i++)
-		capacity = MIN(capacity, holders.layer_tokens[i]);
+	for (i = 0; i < engine->layers; i++) {
+		capacity.tokens = MIN(capacity.tokens, holders.layer_tokens[i]);
+		capacity.largest_tokens =
+			MIN(capacity.largest_tokens, holders.largest_tokens[i]);
+	}
 	if (holders.first_slots > 0)
-		capacity = MIN(capacity,
-			       holders.first_slots * usual_tokens_(engine));
+		capacity.tokens =
+			MIN(capacity.tokens,
+			    holders.first_slots * usual_tokens_(engine));
 	g_free(holders.layer_tokens);
-	return isinf(capacity) ? 0 : capacity;
+	g_free(holders.largest_tokens);
+	return capacity;
 }
 
 /*
- * Returns the room of a service: the sum over data centres that hold all layers,
- * or that of all engines together if it is more.  Silent engines count: requests
- * pass through them, and while control is away all are silent.
+ * Returns the capacity of a service: the sum over data centres that hold all
+ * layers, or that of all engines together if it is more.
  */
-cb_book_room_t cb_server_book_find_room(cb_server_book_t *book,
-					const cb_service_profile_t *service)
+cb_book_capacity_t cb_server_book_find_capacity(
+	cb_server_book_t *book, const cb_service_profile_t *service)
 {
 	const cb_engine_profile_t *engine = service->engine;
 	GHashTable *none = g_hash_table_new(g_str_hash, g_str_equal);
@@ -740,28 +724,47 @@
 					      .excluded_servers = none };
 	GPtrArray *usable = usable_servers_collect_(book, &criteria);
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
-	cb_book_room_t room = { .instances = ready_instances_count_(book) };
+	cb_book_capacity_t all =
+		centre_capacity_compute_(book, usable, engine, NULL);
+	double sum = 0;
 	unsigned int i;
 
 	for (i = 0; i < usable->len; i++) {
 		const cb_fleet_server_t *server = usable->pdata[i];
-		const server_stats_t *stats = stats_get_(book, server->id);
 
-		room.used_tokens += usage_known_sum_(book, stats).token_layers /
-				    engine->layers;
-		room.own_tokens += stats->token_layers / engine->layers;
 		if (g_hash_table_add(seen, server->data_centre))
-			room.capacity_tokens +=
-				capacity_compute_(book, usable, engine,
-						  server->data_centre);
+			sum += centre_capacity_compute_(book, usable, engine,
+							server->data_centre)
+				       .tokens;
 	}
-	room.capacity_tokens =
-		MAX(room.capacity_tokens,
-		    capacity_compute_(book, usable, engine, NULL));
+	all.tokens = MAX(all.tokens, sum);
 	g_hash_table_unref(seen);
 	g_hash_table_unref(none);
 	g_ptr_array_unref(usable);
-	return room;
+	return all;
+}
+
+/* Returns the use of a service with layers, as far as it is known. */
+cb_book_use_t cb_server_book_find_use(const cb_server_book_t *book,
+				      const cb_service_profile_t *service)
+{
+	const GPtrArray *all = cb_fleet_servers(book->fleet);
+	cb_book_use_t use = { .instances = ready_instances_count_(book) };
+	unsigned int i;
+
+	for (i = 0; i < all->len; i++) {
+		const cb_fleet_server_t *server = all->pdata[i];
+		const server_stats_t *stats =
+			g_hash_table_lookup(book->stats_by_id, server->id);
+
+		if (!stats || strcmp(server->service, service->name) != 0)
+			continue;
+		use.tokens += usage_known_sum_(book, stats).token_layers;
+		use.own_tokens += stats->token_layers;
+	}
+	use.tokens /= service->engine->layers;
+	use.own_tokens /= service->engine->layers;
+	return use;
 }
 
 /* Adds a request to the records of its servers; `sign` -1 removes it. */
@@ -781,6 +784,33 @@
 	}
 }
 
+/*
+ * Records what a request sends between data centres on its way through a chain.
+ */
+void cb_server_book_record_crossings(cb_server_book_t *book,
+				     const cb_service_profile_t *service,
+				     const GArray *hops, double tokens)
+{
+	const char *previous = NULL;
+	unsigned int crossings = 0;
+	unsigned int i;
+
+	for (i = 0; service->engine && i < hops->len; i++) {
+		const cb_fleet_server_t *server = cb_fleet_find(
+			book->fleet, g_array_index(hops, cb_relay_hop_t, i).id);
+
+		if (!server)
+			continue;
+		crossings +=
+			previous && strcmp(previous, server->data_centre) != 0;
+		previous = server->data_centre;
+	}
+	if (crossings)
+		cb_pipe_share_take(book->pipes, service->name,
+				   crossings * tokens *
+					   service->engine->activation_bytes);
+}
+
 /* Counts a request as in flight at its servers. */
 void cb_server_book_begin_request(cb_server_book_t *book, const GArray *hops,
 				  double tokens)
