A document is checked before it is sent, and compared with the one in force

Cause: an operator learned of an error only from control's refusal, which names one, and of entries that no request can match or of limits that defeat each other not at all.

Change: contract/document_check lists errors (by the decoding that control uses, one for each route), and warnings; document_compare lists differences between two documents by name of route, service and workspace. Keys are never printed, also not out of a text that isn't JSON.

Tests: a case for each finding, values at their limits, each kind of difference, texts as the codec reads them, the JSON form. Deliberate faults caught: a limit compared with >=, services of weight 0 taken for used, the parser's own message passed on, a version that equals the one in force accepted, and a second route of one name lost.

Conclusion: whole, except for attempts over the number of servers, which no document knows.

--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -726,7 +726,121 @@
 	CU_ASSERT_EQUAL(failure_count, 0);
 }
 
+/* A route of the text below, with these further members. */
+#define CHECK_ROUTE(name, rest)                                         \
+	"{\"name\":\"" name "\",\"host\":\"h\",\"pathPrefix\":\"/" name \
+	"/\",\"kind\":\"unsafe\",\"timeoutMs\":10," rest "}"
+
+/*
+ * A text is checked as control reads it: an error of each route, or the warnings
+ * under the document's own names; a key never appears.
+ */
+static void document_texts_are_checked(void)
+{
+	static const struct {
+		const char *text;
+		const char *output;
+		platform_check_exit_t exit_code;
+	} cases[] = {
+		{ "{\"version\":7,\"routes\":[" CHECK_ROUTE(
+			  "r", "\"service\":\"s\"") "]," SERVICES "}",
+		  "warning: service t: no route leads to it\n",
+		  PLATFORM_CHECK_WARNINGS },
+		{ "{\"version\":7,\"routes\":[" CHECK_ROUTE(
+			  "r",
+			  "\"service\":\"s\",\"maxAttempts\":2,"
+			  "\"public\":true") "," CHECK_ROUTE("q",
+							     "\"service\":"
+							     "\"t\"") "]," SERVICES
+								      ",\"tenants\":[{\"name\":\"w\",\"apiKeys\":[]}]}",
+		  "warning: route r: maxAttempts: allows 2 runs of a request "
+		  "that may run only once\n"
+		  "warning: route q: public: needs a key, and no workspace has "
+		  "one\n"
+		  "warning: workspace w: apiKeys: has no key\n",
+		  PLATFORM_CHECK_WARNINGS },
+		{ "{\"version\":7,\"routes\":[" CHECK_ROUTE("r", "\"service\":\"u\"") ",{\"name\":7}," CHECK_ROUTE(
+			  "q",
+			  "\"service\":\"s\"") "," CHECK_ROUTE("p",
+							       "\"service\":\"s\",\"maxAttempts\":0") "]," SERVICES
+												      "}",
+		  "error: route r: names an unknown service\n"
+		  "error: route #2: name: must be a non-empty string\n"
+		  "error: route p: must allow at least one attempt\n",
+		  PLATFORM_CHECK_ERRORS },
+		{ "{\"version\":7,\"tenants\":[{\"name\":\"w\",\"apiKeys\":["
+		  "secret]}]}",
+		  "error: document: is not valid JSON at line 1, position 53\n",
+		  PLATFORM_CHECK_ERRORS },
+		{ "{\"version\":7,\"tenants\":[{\"name\":\"w\",\"apiKeys\":["
+		  "\"secret\"]},{\"name\":\"v\\n\",\"apiKeys\":[\"secret\"]}]}",
+		  "error: workspace v?: holds a key of another workspace\n",
+		  PLATFORM_CHECK_ERRORS },
+		{ "{\"version\":7}", "", PLATFORM_CHECK_NO_FINDINGS },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GPtrArray *findings = cb_findings_new();
+		GString *output = g_string_new(NULL);
+		platform_check_t check = { .findings = findings };
+
+		cb_document_unref(cb_document_check_text(
+			platform_document_codec(), cases[i].text,
+			strlen(cases[i].text), findings));
+		platform_check_write(&check, FALSE, output);
+		CU_ASSERT_STRING_EQUAL(output->str, cases[i].output);
+		CU_ASSERT_EQUAL(platform_check_exit_code(&check),
+				cases[i].exit_code);
+		g_string_free(output, TRUE);
+		g_ptr_array_unref(findings);
+	}
+}
+
+/* The JSON form has the differences too, under the document's names. */
+static void check_is_written_as_json(void)
+{
+	const char *before_text = "{\"version\":6,\"routes\":[" CHECK_ROUTE(
+		"r", "\"service\":\"s\"") "]," SERVICES "}";
+	const char *text = "{\"version\":7,\"routes\":[" CHECK_ROUTE(
+		"r", "\"service\":\"t\"") "],\"services\":[{\"name\":\"t\"}]}";
+	const cb_document_codec_t *codec = platform_document_codec();
+	GPtrArray *findings = cb_findings_new();
+	cb_document_t *before =
+		cb_document_decode_text(codec, before_text, strlen(before_text),
+					NULL, NULL);
+	cb_document_t *document =
+		cb_document_check_text(codec, text, strlen(text), findings);
+	GPtrArray *changes = cb_document_compare(before, document);
+	GString *output = g_string_new(NULL);
+	platform_check_t check = { .version = 7,
+				   .findings = findings,
+				   .changes = changes,
+				   .version_in_force = 6 };
+
+	platform_check_write(&check, TRUE, output);
+	CU_ASSERT_STRING_EQUAL(
+		output->str,
+		"{\"version\":7,\"version_in_force\":6,\"findings\":[],"
+		"\"differences\":[{\"change\":\"changed\",\"entry\":\"route\","
+		"\"name\":\"r\",\"fields\":[{\"field\":\"trafficSplit\","
+		"\"before\":\"s 1\",\"after\":\"t 1\"}]},{\"change\":"
+		"\"removed\",\"entry\":\"service\",\"name\":\"s\","
+		"\"fields\":[]}]}\n");
+	g_string_truncate(output, 0);
+	check.unread_reason = "no answer";
+	CU_ASSERT_EQUAL(platform_check_exit_code(&check),
+			PLATFORM_CHECK_UNREAD);
+	g_string_free(output, TRUE);
+	g_ptr_array_unref(changes);
+	g_ptr_array_unref(findings);
+	cb_document_unref(before);
+	cb_document_unref(document);
+}
+
 static CU_TestInfo platform_tests[] = {
+	{ "document_texts_are_checked", document_texts_are_checked },
+	{ "check_is_written_as_json", check_is_written_as_json },
 	{ "invalid_documents_are_rejected", invalid_documents_are_rejected },
 	{ "endless_order_answer_is_broken_off",
 	  endless_order_answer_is_broken_off },
