A document knows its workspaces without keys

Cause: a workspace without keys and without a priority leaves no trace in a decoded document, so the check can't warn of it, nor the comparison name it.

In a comparison a workspace without a priority has "none".

--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -118,6 +118,7 @@
 	GHashTable *routes_by_digest; /* cb_text_digest_t to cb_route_t */
 	GHashTable *services;	      /* service name to cb_service_profile_t */
 	GHashTable *keys;	      /* bearer key to name of its workspace */
+	GHashTable *workspaces; /* set of names, also of those without keys */
 	/* workspace name to priority, 0 is the most urgent */
 	GHashTable *workspace_priorities;
 	/* the different priorities of workspaces and of routes, ascending */
@@ -211,6 +212,8 @@
 void cb_document_add_route(cb_document_t *document, cb_route_t *route);
 void cb_document_add_service(cb_document_t *document,
 			     cb_service_profile_t *service);
+/* Adds a workspace, perhaps without a key; one that is known is kept. */
+void cb_document_add_workspace(cb_document_t *document, const char *workspace);
 gboolean cb_document_add_key(cb_document_t *document, const char *workspace,
 			     const char *key, GError **error);
 /* Sets a workspace's priority, which goes before that of its routes. */
--- a/src/libcurrantbridge/contract/document.c
+++ b/src/libcurrantbridge/contract/document.c
@@ -103,6 +103,8 @@
 	document->workspace_levels =
 		g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	document->route_levels = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	document->workspaces =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	document->keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	document->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -124,6 +126,7 @@
 		return;
 	g_hash_table_unref(document->hosts);
 	g_hash_table_unref(document->keys);
+	g_hash_table_unref(document->workspaces);
 	g_hash_table_unref(document->workspace_priorities);
 	g_array_unref(document->workspace_levels);
 	g_array_unref(document->route_levels);
@@ -158,13 +161,20 @@
 	return FALSE;
 }
 
+void cb_document_add_workspace(cb_document_t *document, const char *workspace)
+{
+	document->has_workspaces = TRUE;
+	if (!g_hash_table_contains(document->workspaces, workspace))
+		g_hash_table_add(document->workspaces, g_strdup(workspace));
+}
+
 /* Adds a key of a workspace; fails if another workspace has the key. */
 gboolean cb_document_add_key(cb_document_t *document, const char *workspace,
 			     const char *key, GError **error)
 {
 	const char *owner = g_hash_table_lookup(document->keys, key);
 
-	document->has_workspaces = TRUE;
+	cb_document_add_workspace(document, workspace);
 	if (owner && strcmp(owner, workspace) != 0)
 		return document_error_set_(error, "workspace", workspace,
 					   "holds a key of another workspace");
--- a/src/libcurrantbridge/contract/document_check.c
+++ b/src/libcurrantbridge/contract/document_check.c
@@ -415,21 +415,14 @@
 	const cb_document_t *document = check->document;
 	gboolean are_asked_for = keys_are_asked_for_(document);
 	GHashTable *owners = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTable *all = g_hash_table_new(g_str_hash, g_str_equal);
+	GList *names = names_sort_(document->workspaces);
 	GHashTableIter iter;
-	GList *names;
 	GList *name;
 	void *value;
 
 	g_hash_table_iter_init(&iter, document->keys);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_hash_table_add(owners, value);
-		g_hash_table_add(all, value);
-	}
-	g_hash_table_iter_init(&iter, document->workspace_priorities);
-	while (g_hash_table_iter_next(&iter, &value, NULL))
-		g_hash_table_add(all, value);
-	names = names_sort_(all);
 	check->part = CB_PART_WORKSPACE;
 	for (name = names; name; name = name->next) {
 		check->name = name->data;
@@ -441,7 +434,6 @@
 			      "no route asks for a key");
 	}
 	g_list_free(names);
-	g_hash_table_unref(all);
 	g_hash_table_unref(owners);
 }
 
--- a/src/libcurrantbridge/contract/document_compare.c
+++ b/src/libcurrantbridge/contract/document_compare.c
@@ -350,7 +350,7 @@
 	void *key;
 	void *name;
 
-	g_hash_table_iter_init(&iter, document->workspace_priorities);
+	g_hash_table_iter_init(&iter, document->workspaces);
 	while (g_hash_table_iter_next(&iter, &name, NULL)) {
 		counts = counts_get_(workspaces, name);
 		counts->is_after |= is_after;
@@ -359,19 +359,21 @@
 	g_hash_table_iter_init(&iter, document->keys);
 	while (g_hash_table_iter_next(&iter, &key, &name)) {
 		counts = counts_get_(workspaces, name);
-		counts->is_after |= is_after;
-		counts->is_before |= !is_after;
 		*(is_after ? &counts->after : &counts->before) += 1;
 		if (g_strcmp0(cb_document_workspace(other, key), name) != 0)
 			*(is_after ? &counts->added : &counts->removed) += 1;
 	}
 }
 
+/* Returns a workspace's priority, to be freed; "none" if it has none. */
 static char *priority_write_(const cb_document_t *document, const char *name)
 {
-	return g_strdup_printf("%u",
-			       GPOINTER_TO_UINT(g_hash_table_lookup(
-				       document->workspace_priorities, name)));
+	void *priority;
+
+	if (!g_hash_table_lookup_extended(document->workspace_priorities, name,
+					  NULL, &priority))
+		return g_strdup("none");
+	return g_strdup_printf("%u", GPOINTER_TO_UINT(priority));
 }
 
 /* Returns a sorted list of a table's names; the caller frees it. */
--- a/src/test_libcurrantbridge/test_document_check.c
+++ b/src/test_libcurrantbridge/test_document_check.c
@@ -147,7 +147,7 @@
 static void other_spoil_(cb_document_t *document, int way)
 {
 	if (way == 0)
-		cb_document_set_priority(document, "v", 0);
+		cb_document_add_workspace(document, "v");
 	else if (way == 1)
 		keyed_(document)->is_public = TRUE;
 	else if (way == 2)
@@ -310,7 +310,7 @@
 	g_hash_table_remove(document->keys, "secret-1");
 	cb_document_add_key(document, "w", "secret-2", NULL);
 	cb_document_add_key(document, "w", "secret-3", NULL);
-	cb_document_set_priority(document, "w", 0);
+	g_hash_table_remove(document->workspace_priorities, "w");
 	cb_document_add_key(document, "x", "secret-4", NULL);
 	document->limits.max_body_bytes = 5;
 }
@@ -367,7 +367,7 @@
 		"|kinds:small 250 MB step 0 read 0"
 		">small 500 MB step 0 read 0\n"
 		"changed workspace w|keys:1>2 (2 added, 1 removed)"
-		"|priority:1>0\n"
+		"|priority:1>none\n"
 		"added workspace x|keys:0>1 (1 added, 0 removed)\n"
 		"changed limits |max_body_bytes:1048576>5\n");
 	g_free(text);
