--- a/src/libcurrantbridge/contract/document.c
+++ b/src/libcurrantbridge/contract/document.c
@@ -161,6 +161,7 @@
 	return FALSE;
 }
 
+/* Adds a workspace, which may be there already. */
 void cb_document_add_workspace(cb_document_t *document, const char *workspace)
 {
 	document->has_workspaces = TRUE;
@@ -187,6 +188,7 @@
 void cb_document_set_priority(cb_document_t *document, const char *workspace,
 			      uint32_t priority)
 {
+	cb_document_add_workspace(document, workspace);
 	g_hash_table_replace(document->workspace_priorities,
 			     g_strdup(workspace), GUINT_TO_POINTER(priority));
 }
@@ -233,8 +235,12 @@
 /* Returns whether requests differ in their ranks. */
 gboolean cb_document_has_ranks(const cb_document_t *document)
 {
-	return document->workspace_levels->len > 1 ||
-	       document->route_levels->len > 1;
+	gboolean has_workspace_without =
+		g_hash_table_size(document->workspace_priorities) <
+		g_hash_table_size(document->workspaces);
+
+	return document->route_levels->len > 1 ||
+	       document->workspace_levels->len + has_workspace_without > 1;
 }
 
 /* Collects the different priorities, once all were added. */
--- a/src/libcurrantbridge/include/private/link_message.h
+++ b/src/libcurrantbridge/include/private/link_message.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 /* The version of the messages between the system's own processes. */
-#define CB_PROTOCOL_VERSION 2
+#define CB_PROTOCOL_VERSION 3
 
 typedef enum cb_link_message_kind {
 	CB_LINK_MESSAGE_HELLO,
--- a/src/libcurrantbridge/relay/relay_room.c
+++ b/src/libcurrantbridge/relay/relay_room.c
@@ -11,6 +11,13 @@
  */
 #define RETURN_TIME_PERCENT 97
 
+/*
+ * Documents with more workspaces get no shares by workspace: the sums that all
+ * instances receive would be too large.
+ */
+#define SHARING_WORKSPACES_MAX 64
+/* Requests without a workspace share as if they were of one. */
+#define NO_WORKSPACE "-"
 /* How long the computed capacity of a service is used. */
 #define CAPACITY_VALID_MS 500
 /* A sum that is older is late: what is known is renewed without one. */
@@ -159,7 +166,9 @@
 {
 	const cb_front_t *front = user_data;
 
-	return cb_room_is_scarce(front->room, service);
+	return cb_room_is_scarce(front->room, service) && front->document &&
+	       g_hash_table_size(front->document->workspaces) <=
+		       SHARING_WORKSPACES_MAX;
 }
 
 /* Adds what was asked for here to the usage that is reported. */
@@ -193,7 +202,8 @@
 gboolean cb_relay_room_refuse(cb_relay_t *relay)
 {
 	cb_front_t *front = relay->front;
-	const char *workspace = relay->workspace ? relay->workspace : "";
+	const char *workspace =
+		relay->workspace ? relay->workspace : NO_WORKSPACE;
 	int64_t left_ms = relay->deadline_ms - cb_relay_now_ms(relay);
 	cb_room_request_t request = {
 		.rank = relay->rank,
--- a/src/test_libcurrantbridge/test_document.c
+++ b/src/test_libcurrantbridge/test_document.c
@@ -378,6 +378,9 @@
 	CU_ASSERT_EQUAL(cb_document_rank(document, document->routes->pdata[0],
 					 "w"),
 			0);
+	/* One workspace without a priority comes after the other. */
+	CU_ASSERT_TRUE(cb_document_add_key(document, "other", "k", &error));
+	CU_ASSERT_TRUE(cb_document_has_ranks(document));
 	cb_document_unref(document);
 }
 
