The room keeps its ranks and shares between sums and without them

Change: the correction is lowered only while no more is in use than there should be. Between sums an instance counts what it has begun and compares what it is asked for with what the sum knew, beyond chance. Without sums, the last one's ranks and workspaces hold for 10 s, changed by the instance's own requests and streams. The time in flight is smoothed over 5 s, not 20 requests. What was asked for is extrapolated from less than a second. 0.955 of the capacity is used, not 0.92. cb_room_decide() is split.

--- a/src/libcurrantbridge/relay/relay_room.c
+++ b/src/libcurrantbridge/relay/relay_room.c
@@ -3,8 +3,12 @@
 #include "private/relay.h"
 #include "private/room.h"
 
-/* Weight of a request that has ended in the smoothed time in flight. */
-#define RESIDENCE_WEIGHT 0.05
+/*
+ * The time in flight is smoothed over this time, and over some requests where few
+ * end: this is the most that one of them weighs.
+ */
+#define RESIDENCE_SMOOTHED_MS 5000.0
+#define RESIDENCE_WEIGHT_MAX 0.05
 /*
  * A request with less than this percentage of its route's time left has been
  * refused before: its caller came back.
@@ -14,6 +18,7 @@
 /* A service with layers, as this instance sees it. */
 typedef struct service_record {
 	double residence_ms; /* smoothed time in flight; 0: not known */
+	int64_t ended_ms;    /* last end of a request */
 	gboolean is_overloaded;
 	cb_counter_t *capacity_gauge;
 	cb_counter_t *used_gauge;
@@ -209,13 +214,18 @@
 void cb_relay_room_ended(cb_relay_t *relay)
 {
 	service_record_t *record;
+	int64_t now_ms = cb_relay_now_ms(relay);
 	double held_ms;
+	double weight;
 
 	if (!relay->service || !relay->service->engine || !relay->sent_ms)
 		return;
 	record = record_get_(relay->front, relay->service->name);
-	held_ms = (double)(cb_relay_now_ms(relay) - relay->sent_ms);
-	record->residence_ms +=
-		(record->residence_ms > 0 ? RESIDENCE_WEIGHT : 1) *
-		(held_ms - record->residence_ms);
+	held_ms = (double)(now_ms - relay->sent_ms);
+	weight =
+		MIN((double)(now_ms - record->ended_ms) / RESIDENCE_SMOOTHED_MS,
+		    RESIDENCE_WEIGHT_MAX);
+	record->residence_ms += (record->residence_ms > 0 ? weight : 1) *
+				(held_ms - record->residence_ms);
+	record->ended_ms = now_ms;
 }
--- a/src/libcurrantbridge/request/offered.c
+++ b/src/libcurrantbridge/request/offered.c
@@ -4,6 +4,11 @@
 #define SLOT_MS 200
 #define WINDOW_SLOTS 5
 #define SLOT_COUNT (WINDOW_SLOTS + 1)
+/*
+ * An instance that has just got its first request takes at least this time for the
+ * one that it has counted over.
+ */
+#define COUNTED_MIN_MS 400.0
 
 typedef struct window {
 	double slots[SLOT_COUNT];
@@ -24,6 +29,7 @@
 
 struct cb_offered {
 	cb_clock_t *clock;
+	int64_t first_ms;   /* first request; 0: none yet */
 	GHashTable *flows;  /* cb_usage_flow_key() to flow_t */
 	GHashTable *pauses; /* service name to pauses_t */
 };
@@ -78,11 +84,19 @@
 	window->slots[window->slot % SLOT_COUNT] += amount;
 }
 
-/* Returns the sum over the last second; the newest slot is not complete. */
+/*
+ * Returns the sum over the last second; the newest slot is not complete.  From less
+ * time it is extrapolated: otherwise all instances together would seem to be asked
+ * for little after they have been restarted.
+ */
 static double window_sum_(const cb_offered_t *offered, window_t *window)
 {
-	double passed_ms = WINDOW_SLOTS * SLOT_MS +
-			   (double)(cb_clock_now_ms(offered->clock) % SLOT_MS);
+	int64_t now_ms = cb_clock_now_ms(offered->clock);
+	double counted_ms =
+		MAX((double)(now_ms - offered->first_ms), COUNTED_MIN_MS);
+	double passed_ms =
+		MIN(WINDOW_SLOTS * SLOT_MS + (double)(now_ms % SLOT_MS),
+		    counted_ms);
 	double sum = 0;
 	unsigned int i;
 
@@ -99,6 +113,8 @@
 	char *key = cb_usage_flow_key(service, rank, workspace);
 	flow_t *flow = g_hash_table_lookup(offered->flows, key);
 
+	if (!offered->first_ms)
+		offered->first_ms = cb_clock_now_ms(offered->clock);
 	if (flow) {
 		g_free(key);
 	} else {
--- a/src/libcurrantbridge/request/room.c
+++ b/src/libcurrantbridge/request/room.c
@@ -8,17 +8,45 @@
  * The part of the capacity that is used.  Engines run unevenly full, and what
  * other instances have begun since the last sum is not known.
  */
-#define USED_TARGET 0.92
+#define USED_TARGET 0.955
 /* What is free of that is given out over this time: sums are 0.2 to 0.4 s old. */
 #define HORIZON_MS 800.0
-/* Sums of usage that are older are not used. */
+/* Streams slow down while more is in use than there is; it goes back in this time. */
+#define EXCESS_HORIZON_MS 1600.0
+/* Sums of usage that are older do not tell what is in use. */
 #define SUM_VALID_MS 1500
+/*
+ * Sums that are older do not tell what is asked for either.  Control is away for
+ * a few seconds at a change of its leader.
+ */
+#define DEMAND_VALID_MS 10000
+/*
+ * What this instance is asked for is smoothed over three times: as long as sums
+ * are old, over the time that they cover, and so long that some requests arrive
+ * even where few do.
+ */
+#define RECENT_MS 400.0
+#define SUMMED_MS 1000.0
+#define USUAL_MS 3000.0
+/*
+ * Requests arrive at random: what is asked for here tells of a change as far as
+ * it differs by more than so many standard deviations.
+ */
+#define RANDOM_DEVIATIONS 1.0
+/* What an instance holds is smoothed over this time. */
+#define HELD_MS 1000.0
+/* What it holds tells half of what all hold if its share is so many requests. */
+#define UNSURE_REQUESTS 4.0
+#define PRESSURE_MIN 0.5
+#define PRESSURE_MAX 4.0
+/* Ratios are computed anew after this time at most while requests arrive. */
+#define DIVIDE_INTERVAL_MS 50
 /* From this part of the capacity on, a service counts as scarce. */
 #define SCARCE_RATIO 0.75
 /*
- * While more than this part of the pauses is too long, the engines bear less than
- * their memory holds: the used part is lowered by a factor a second, and raised
- * again in steps.
+ * While more than this part of the pauses is too long though no more is in use than
+ * there should be, the engines bear less than their memory holds: the used part is
+ * lowered by a factor a second, and raised again in steps.
  */
 #define SLOW_RATIO_MAX 0.1
 #define SLOW_FACTOR_PER_S 0.8
@@ -29,6 +57,11 @@
  * the instance's own share.
  */
 #define LESS_URGENT_SHARE 0.8
+/*
+ * Of requests that arrive at random, this many standard deviations more than the
+ * mean are rarely in flight at one instance.
+ */
+#define SHARE_DEVIATIONS 3.0
 /*
  * Callers come back after half to three halves of a time between these: longer
  * the fewer of them may begin.
@@ -50,10 +83,29 @@
 	gboolean is_known;
 } flow_t;
 
+/* What this instance is asked for, by exponentially smoothed rates. */
+typedef struct own_demand {
+	/* Tokens a second, over RECENT_MS, SUMMED_MS and USUAL_MS. */
+	double recent;
+	double summed;
+	double usual;
+	/* The latter two, as of what the last sum says. */
+	double summed_then;
+	double usual_then;
+	double summed_next;    /* of what the next sum will say */
+	double request_tokens; /* mean of a request */
+	int64_t counted_ms;
+} own_demand_t;
+
 typedef struct service_room {
 	cb_room_state_t state; /* without flows */
-	GHashTable *flows;     /* "RANK WORKSPACE" to flow_t */
-	double correction;     /* factor by what streams show; 1 at most */
+	own_demand_t own;
+	double begun_tokens; /* begun here since the last update */
+	double held_tokens;  /* what this instance has in flight, smoothed */
+	int64_t known_ms;    /* first update */
+	int64_t divided_ms;
+	GHashTable *flows; /* "RANK WORKSPACE" to flow_t */
+	double correction; /* factor by what streams show; 1 at most */
 	int64_t updated_ms;
 	/* The ratio of flows that no instance has reported, by rank. */
 	GArray *rank_ratios; /* of rank_ratio_t, ascending */
@@ -173,34 +225,134 @@
 			g_hash_table_iter_remove(&iter);
 }
 
+/* Lets smoothed rates fade by the time that has passed. */
+static void own_demand_fade_(own_demand_t *own, int64_t now_ms)
+{
+	double passed_ms = (double)(now_ms - own->counted_ms);
+
+	own->recent *= exp(-passed_ms / RECENT_MS);
+	own->summed *= exp(-passed_ms / SUMMED_MS);
+	own->usual *= exp(-passed_ms / USUAL_MS);
+	own->counted_ms = now_ms;
+}
+
+/* Counts what a request asks for. */
+static void own_demand_count_(own_demand_t *own, double tokens, int64_t now_ms)
+{
+	own_demand_fade_(own, now_ms);
+	own->recent += tokens * MS_PER_S / RECENT_MS;
+	own->summed += tokens * MS_PER_S / SUMMED_MS;
+	own->usual += tokens * MS_PER_S / USUAL_MS;
+	own->request_tokens += (own->request_tokens > 0 ? 0.1 : 1) *
+			       (tokens - own->request_tokens);
+}
+
+/* Returns whether the sums are too old to tell what is in use. */
+static gboolean sums_are_old_(const service_room_t *service, int64_t now_ms)
+{
+	return !service->state.sum_received_ms ||
+	       now_ms - service->state.sum_received_ms > SUM_VALID_MS;
+}
+
+/*
+ * Returns by which factor a rate differs from an expected one, both in tokens a
+ * second, smoothed over a time: only as far as it isn't by chance.
+ */
+static double change_compute_(const own_demand_t *own, double now,
+			      double expected, double smoothed_ms)
+{
+	double requests_per_rate = smoothed_ms / MS_PER_S / own->request_tokens;
+	double expected_requests = expected * requests_per_rate;
+	double excess = now * requests_per_rate - expected_requests;
+	double random = RANDOM_DEVIATIONS * sqrt(expected_requests + 1);
+
+	excess = excess > 0 ? MAX(excess - random, 0) : MIN(excess + random, 0);
+	return 1 + excess / (expected_requests + 1);
+}
+
+/*
+ * Returns by which factor more is asked for than the last sum says, as far as
+ * this instance's own requests tell: sums are late, and may be missing.
+ */
+static double pressure_compute_(service_room_t *service, int64_t now_ms)
+{
+	own_demand_t *own = &service->own;
+	double expected = own->summed_then;
+	double recent;
+	double usual;
+
+	/* What is usual here is not known yet. */
+	if (now_ms - service->known_ms < USUAL_MS || own->request_tokens <= 0)
+		return 1;
+	own_demand_fade_(own, now_ms);
+	if (!sums_are_old_(service, now_ms))
+		return CLAMP(change_compute_(own, own->recent, expected,
+					     RECENT_MS),
+			     PRESSURE_MIN, PRESSURE_MAX);
+	/* Few requests tell only over a longer time, and many at once. */
+	expected = MAX(expected, own->usual_then);
+	recent = change_compute_(own, own->recent, expected, RECENT_MS);
+	usual = change_compute_(own, own->usual, expected, USUAL_MS);
+	return CLAMP(fabs(recent - 1) > fabs(usual - 1) ? recent : usual,
+		     PRESSURE_MIN, PRESSURE_MAX);
+}
+
 /* Corrects the capacity by what streams under way show. */
 static void correction_update_(service_room_t *service, int64_t now_ms)
 {
+	const cb_room_state_t *state = &service->state;
 	double passed_s =
 		MIN((double)(now_ms - service->updated_ms) / MS_PER_S, 1);
 
 	if (!service->updated_ms)
 		return;
-	if (service->state.slow_ratio > SLOW_RATIO_MAX)
-		service->correction *= pow(SLOW_FACTOR_PER_S, passed_s);
-	else
+	if (state->slow_ratio <= SLOW_RATIO_MAX)
 		service->correction += CORRECTION_STEP_PER_S * passed_s;
+	else if (state->used_tokens <=
+		 state->capacity_tokens * service->correction)
+		service->correction *= pow(SLOW_FACTOR_PER_S, passed_s);
 	service->correction = CLAMP(service->correction, CORRECTION_MIN, 1);
 }
 
+/*
+ * Returns what all instances most likely hold while no sum tells: the room is
+ * taken for full, as far as what this instance holds tells nothing else.  The
+ * fewer requests it holds, the less it tells.
+ */
+static double unknown_use_guess_(const service_room_t *service,
+				 double target_tokens)
+{
+	unsigned int instances = service->state.instances;
+	double share_tokens = target_tokens / instances;
+	double unsure_tokens = UNSURE_REQUESTS * service->own.request_tokens;
+	double certainty = share_tokens / (share_tokens + unsure_tokens);
+
+	return target_tokens +
+	       (service->held_tokens * instances - target_tokens) * certainty;
+}
+
 /* Returns how many tokens a second may begin. */
-static double budget_compute_(const service_room_t *service)
+static double budget_compute_(const service_room_t *service, int64_t now_ms)
 {
 	const cb_room_state_t *state = &service->state;
-	double free_tokens =
-		state->capacity_tokens * USED_TARGET * service->correction -
-		state->used_tokens;
-	double ended_per_s =
-		state->residence_ms > 0 ?
-			state->used_tokens * MS_PER_S / state->residence_ms :
-			0;
-
-	return MAX(ended_per_s + free_tokens * MS_PER_S / HORIZON_MS, 0);
+	double passed_ms = (double)(now_ms - service->updated_ms);
+	double target_tokens =
+		state->capacity_tokens * USED_TARGET * service->correction;
+	double per_ms = state->residence_ms > 0 ? 1 / state->residence_ms : 0;
+	double used_tokens = state->used_tokens + service->begun_tokens -
+			     state->own_tokens * MIN(passed_ms * per_ms, 1);
+	double excess_tokens;
+
+	if (sums_are_old_(service, now_ms))
+		used_tokens = unknown_use_guess_(service, target_tokens);
+	excess_tokens =
+		MAX(used_tokens - state->capacity_tokens * service->correction,
+		    0);
+	return MAX(MIN(used_tokens, target_tokens) * per_ms +
+			   (target_tokens - used_tokens) / HORIZON_MS -
+			   excess_tokens / EXCESS_HORIZON_MS,
+		   0) *
+	       MS_PER_S;
 }
 
 static int flows_compare_(const void *a, const void *b)
@@ -234,11 +386,12 @@
 
 /*
  * Divides `budget` among the flows of one rank, `flows` from `first` to `last`,
- * exclusive: what is known of the whole rank only gets its part, and the
- * workspaces share the rest max-min fairly.  Returns what is left.
+ * exclusive, who ask for `pressure` times what the sums say: what is known of the
+ * whole rank only gets its part, and the workspaces share the rest max-min fairly.
+ * Returns what is left.
  */
 static double rank_divide_(const GPtrArray *flows, unsigned int first,
-			   unsigned int last, double budget,
+			   unsigned int last, double budget, double pressure,
 			   rank_ratio_t *rank_ratio)
 {
 	double offered = 0;
@@ -247,11 +400,12 @@
 	unsigned int i;
 
 	for (i = first; i < last; i++)
-		offered += ((flow_t *)flows->pdata[i])->offered_tokens_per_s;
+		offered += ((flow_t *)flows->pdata[i])->offered_tokens_per_s *
+			   pressure;
 	rank_ratio->ratio = offered > budget ? budget / offered : 1;
 	for (i = first; i < last; i++) {
 		flow_t *flow = flows->pdata[i];
-		double asked = flow->offered_tokens_per_s;
+		double asked = flow->offered_tokens_per_s * pressure;
 		double granted = *flow->workspace ?
 					 MIN(asked, left / (last - i)) :
 					 asked * rank_ratio->ratio;
@@ -269,13 +423,15 @@
 }
 
 /* Divides what may begin among ranks, the most urgent first. */
-static void budget_divide_(service_room_t *service)
+static void budget_divide_(service_room_t *service, int64_t now_ms)
 {
 	GPtrArray *flows = flows_sort_(service);
-	double budget = budget_compute_(service);
+	double budget = budget_compute_(service, now_ms);
+	double pressure = pressure_compute_(service, now_ms);
 	unsigned int first = 0;
 	unsigned int last;
 
+	service->divided_ms = now_ms;
 	service->is_scarce = service->state.used_tokens >
 			     service->state.capacity_tokens * SCARCE_RATIO;
 	g_array_set_size(service->rank_ratios, 0);
@@ -288,7 +444,8 @@
 			if (((flow_t *)flows->pdata[last])->rank !=
 			    rank_ratio.rank)
 				break;
-		budget = rank_divide_(flows, first, last, budget, &rank_ratio);
+		budget = rank_divide_(flows, first, last, budget, pressure,
+				      &rank_ratio);
 		service->is_scarce |= rank_ratio.ratio < 1;
 		g_array_append_val(service->rank_ratios, rank_ratio);
 		first = last;
@@ -303,13 +460,26 @@
 	service_room_t *service = service_get_(room, name);
 	int64_t now_ms = cb_clock_now_ms(room->clock);
 
+	if (!service->known_ms)
+		service->known_ms = now_ms;
+	if (state->sum_received_ms != service->state.sum_received_ms) {
+		own_demand_fade_(&service->own, now_ms);
+		/* What a sum says is as old as the last one but one. */
+		service->own.summed_then = service->own.summed_next;
+		service->own.summed_next = service->own.summed;
+		service->own.usual_then = service->own.usual;
+	}
 	service->state = *state;
 	service->state.flows = NULL;
+	service->begun_tokens = 0;
 	service->state.instances = MAX(state->instances, 1);
 	flows_update_(room, service, state);
 	correction_update_(service, now_ms);
+	service->held_tokens +=
+		(1 - exp((double)(service->updated_ms - now_ms) / HELD_MS)) *
+		(state->own_tokens - service->held_tokens);
 	service->updated_ms = now_ms;
-	budget_divide_(service);
+	budget_divide_(service, now_ms);
 }
 
 /* Returns the ratio of a flow that was not reported. */
@@ -333,18 +503,26 @@
 	return ratio;
 }
 
-/* Decides by this instance's own share, while the sums are too old. */
+/*
+ * Returns whether this instance's own share has room.  At random, some instances
+ * get more requests than others: the most urgent may use what is rarely exceeded.
+ */
 static gboolean own_share_has_room_(const service_room_t *service,
-				    const cb_room_request_t *request)
+				    const cb_room_request_t *request,
+				    gboolean is_demand_known)
 {
 	const cb_room_state_t *state = &service->state;
+	double own_tokens = state->own_tokens + service->begun_tokens;
 	double share = state->capacity_tokens * USED_TARGET / state->instances;
 
-	if (request->rank)
+	if (!request->rank)
+		share += SHARE_DEVIATIONS * sqrt(share * request->tokens);
+	else if (is_demand_known)
+		share += sqrt(share * request->tokens);
+	else
 		share *= LESS_URGENT_SHARE;
 	/* A share that is smaller than one request still bears one. */
-	return state->own_tokens <= 0 ||
-	       state->own_tokens + request->tokens <= share;
+	return own_tokens <= 0 || own_tokens + request->tokens <= share;
 }
 
 /* Returns when a refused caller may come back, spread over a time by `ratio`. */
@@ -376,6 +554,55 @@
 	return TRUE;
 }
 
+/* Returns the flow that a request belongs to. */
+static flow_t *request_flow_find_(cb_room_t *room, service_room_t *service,
+				  const cb_room_request_t *request)
+{
+	char *key = g_strdup_printf("%u %s", request->rank, request->workspace);
+	char *rank_key = g_strdup_printf("%u ", request->rank);
+	flow_t *flow = g_hash_table_lookup(service->flows, key);
+
+	/* Workspaces are reported only while the room is scarce. */
+	if (!flow && !service->is_scarce)
+		flow = g_hash_table_lookup(service->flows, rank_key);
+	if (!flow) {
+		double ratio = unseen_ratio_find_(service, request->rank,
+						  request->workspace);
+
+		flow = flow_get_(room, service, request->rank,
+				 request->workspace);
+		flow->ratio = ratio;
+	}
+	g_free(key);
+	g_free(rank_key);
+	return flow;
+}
+
+/* Decides by the ratio of the request's flow, or by this instance's own share. */
+static void request_decide_(cb_room_t *room, service_room_t *service,
+			    const cb_room_request_t *request,
+			    cb_room_decision_t *decision)
+{
+	int64_t now_ms = cb_clock_now_ms(room->clock);
+	gboolean is_demand_known = service->state.sum_received_ms &&
+				   decision->age_ms <= DEMAND_VALID_MS;
+	flow_t *flow;
+
+	if (is_demand_known) {
+		if (now_ms - service->divided_ms >= DIVIDE_INTERVAL_MS)
+			budget_divide_(service, now_ms);
+		flow = request_flow_find_(room, service, request);
+		decision->admitted_ratio = flow->ratio;
+		decision->is_admitted = flow_admit_(flow, request->is_return);
+	}
+	if (decision->is_admitted && sums_are_old_(service, now_ms) &&
+	    !own_share_has_room_(service, request, is_demand_known)) {
+		decision->is_admitted = FALSE;
+		decision->admitted_ratio = 0;
+	}
+}
+
+/* Decides whether a request may begin, and counts it if it may. */
 cb_room_decision_t cb_room_decide(cb_room_t *room, const char *name,
 				  const cb_room_request_t *request)
 {
@@ -383,40 +610,19 @@
 	cb_room_decision_t decision = { .is_admitted = TRUE,
 					.admitted_ratio = 1 };
 	const cb_room_state_t *state;
-	flow_t *flow;
+	int64_t now_ms = cb_clock_now_ms(room->clock);
 
 	if (!service || service->state.capacity_tokens <= 0)
 		return decision;
 	state = &service->state;
-	decision.age_ms = cb_clock_now_ms(room->clock) - state->sum_received_ms;
-	decision.used_ratio = state->used_tokens / state->capacity_tokens;
-	if (!state->sum_received_ms || decision.age_ms > SUM_VALID_MS) {
-		decision.is_admitted = own_share_has_room_(service, request);
-		decision.admitted_ratio = decision.is_admitted;
-	} else {
-		char *key = g_strdup_printf("%u %s", request->rank,
-					    request->workspace);
-		char *rank_key = g_strdup_printf("%u ", request->rank);
-
-		flow = g_hash_table_lookup(service->flows, key);
-		/* Workspaces are reported only while the room is scarce. */
-		if (!flow && !service->is_scarce)
-			flow = g_hash_table_lookup(service->flows, rank_key);
-		if (!flow) {
-			double ratio =
-				unseen_ratio_find_(service, request->rank,
-						   request->workspace);
-
-			flow = flow_get_(room, service, request->rank,
-					 request->workspace);
-			flow->ratio = ratio;
-		}
-		g_free(key);
-		g_free(rank_key);
-		decision.admitted_ratio = flow->ratio;
-		decision.is_admitted = flow_admit_(flow, request->is_return);
-	}
-	if (!decision.is_admitted)
+	decision.age_ms = now_ms - state->sum_received_ms;
+	decision.used_ratio = (state->used_tokens + service->begun_tokens) /
+			      state->capacity_tokens;
+	own_demand_count_(&service->own, request->tokens, now_ms);
+	request_decide_(room, service, request, &decision);
+	if (decision.is_admitted)
+		service->begun_tokens += request->tokens;
+	else
 		decision.retry_after_ms =
 			comeback_compute_ms_(room, decision.admitted_ratio,
 					     request->time_left_ms);
