The room: old sums count once, and demand that can't begin is no one's loss

Change: the correction follows new sums only. What may begin goes to the ranks in two rounds, in the first up to 1.5 times what engines can begin in the long run.

--- a/src/libcurrantbridge/request/room.c
+++ b/src/libcurrantbridge/request/room.c
@@ -39,6 +39,11 @@
 #define UNSURE_REQUESTS 4.0
 #define PRESSURE_MIN 0.5
 #define PRESSURE_MAX 4.0
+/*
+ * A rank asks in vain for more than this multiple of what all engines can begin in
+ * the long run, for instance for requests that find no room.
+ */
+#define RANK_LIMIT 1.5
 /* Ratios are computed anew after this time at most while requests arrive. */
 #define DIVIDE_INTERVAL_MS 50
 /* From this part of the capacity on, a service counts as scarce. */
@@ -114,6 +119,10 @@
 
 typedef struct rank_ratio {
 	uint32_t rank;
+	unsigned int first;  /* its flows among all, in the order of ranks */
+	unsigned int last;   /* exclusive */
+	double offered;	     /* tokens a second that it asks for */
+	double granted;	     /* of these, what may begin */
 	double ratio;	     /* over the whole rank */
 	double unseen_ratio; /* of a workspace that asked for nothing before */
 } rank_ratio_t;
@@ -298,14 +307,16 @@
 }
 
 /* Corrects the capacity by what streams under way show. */
-static void correction_update_(service_room_t *service, int64_t now_ms)
+static void correction_update_(service_room_t *service,
+			       const cb_room_state_t *state)
 {
-	const cb_room_state_t *state = &service->state;
-	double passed_s =
-		MIN((double)(now_ms - service->updated_ms) / MS_PER_S, 1);
+	double passed_s = (double)(state->sum_received_ms -
+				   service->state.sum_received_ms) /
+			  MS_PER_S;
 
-	if (!service->updated_ms)
+	if (!service->state.sum_received_ms)
 		return;
+	passed_s = MIN(passed_s, 1);
 	if (state->slow_ratio <= SLOW_RATIO_MAX)
 		service->correction += CORRECTION_STEP_PER_S * passed_s;
 	else if (state->used_tokens <=
@@ -385,70 +396,109 @@
 }
 
 /*
- * Divides `budget` among the flows of one rank, `flows` from `first` to `last`,
- * exclusive, who ask for `pressure` times what the sums say: what is known of the
- * whole rank only gets its part, and the workspaces share the rest max-min fairly.
- * Returns what is left.
+ * Divides what one rank is granted among its flows, who ask for `pressure` times
+ * what the sums say: what is known of the whole rank only gets its part, and the
+ * workspaces share the rest max-min fairly.
  */
-static double rank_divide_(const GPtrArray *flows, unsigned int first,
-			   unsigned int last, double budget, double pressure,
-			   rank_ratio_t *rank_ratio)
+static void rank_divide_(const GPtrArray *flows, rank_ratio_t *rank,
+			 double pressure)
 {
-	double offered = 0;
-	double left = budget;
+	double left = rank->granted;
 	double level = INFINITY;
 	unsigned int i;
 
-	for (i = first; i < last; i++)
-		offered += ((flow_t *)flows->pdata[i])->offered_tokens_per_s *
-			   pressure;
-	rank_ratio->ratio = offered > budget ? budget / offered : 1;
-	for (i = first; i < last; i++) {
+	rank->ratio = rank->offered > rank->granted ?
+			      rank->granted / rank->offered :
+			      1;
+	for (i = rank->first; i < rank->last; i++) {
 		flow_t *flow = flows->pdata[i];
 		double asked = flow->offered_tokens_per_s * pressure;
 		double granted = *flow->workspace ?
-					 MIN(asked, left / (last - i)) :
-					 asked * rank_ratio->ratio;
+					 MIN(asked, left / (rank->last - i)) :
+					 asked * rank->ratio;
 
-		flow->ratio = asked > 0 ? granted / asked : rank_ratio->ratio;
+		flow->ratio = asked > 0 ? granted / asked : rank->ratio;
 		if (*flow->workspace && granted < asked)
 			level = MIN(level, granted);
 		left -= granted;
 	}
 	/* A workspace that begins to ask is within its share, if there is one. */
-	rank_ratio->unseen_ratio = isinf(level) ? rank_ratio->ratio :
-				   level > 0	? 1 :
-						  0;
-	return MAX(left, 0);
+	rank->unseen_ratio = isinf(level) ? rank->ratio : level > 0;
 }
 
-/* Divides what may begin among ranks, the most urgent first. */
+/* Collects the ranks of the flows, which are in the order of ranks. */
+static void ranks_collect_(GArray *ranks, const GPtrArray *flows,
+			   double pressure)
+{
+	unsigned int i;
+
+	g_array_set_size(ranks, 0);
+	for (i = 0; i < flows->len; i++) {
+		const flow_t *flow = flows->pdata[i];
+		rank_ratio_t *last = ranks->len ?
+					     &g_array_index(ranks, rank_ratio_t,
+							    ranks->len - 1) :
+					     NULL;
+
+		if (!last || last->rank != flow->rank) {
+			rank_ratio_t rank = { .rank = flow->rank, .first = i };
+
+			g_array_append_val(ranks, rank);
+			last = &g_array_index(ranks, rank_ratio_t,
+					      ranks->len - 1);
+		}
+		last->last = i + 1;
+		last->offered += flow->offered_tokens_per_s * pressure;
+	}
+}
+
+/*
+ * Grants what may begin to the ranks, the most urgent first, to each `limit` at
+ * most in the first round: what a rank asks for in vain would be missing to the
+ * others.
+ */
+static void ranks_grant_(GArray *ranks, double budget, double limit)
+{
+	unsigned int round;
+	unsigned int i;
+
+	for (round = 0; round < 2; round++)
+		for (i = 0; i < ranks->len; i++) {
+			rank_ratio_t *rank =
+				&g_array_index(ranks, rank_ratio_t, i);
+			double wanted = round ? rank->offered :
+						MIN(rank->offered, limit);
+			double added = CLAMP(wanted - rank->granted, 0, budget);
+
+			rank->granted += added;
+			budget -= added;
+		}
+}
+
+/* Divides what may begin among ranks and their flows. */
 static void budget_divide_(service_room_t *service, int64_t now_ms)
 {
+	const cb_room_state_t *state = &service->state;
 	GPtrArray *flows = flows_sort_(service);
-	double budget = budget_compute_(service, now_ms);
 	double pressure = pressure_compute_(service, now_ms);
-	unsigned int first = 0;
-	unsigned int last;
+	double limit = state->residence_ms > 0 ?
+			       RANK_LIMIT * state->capacity_tokens * MS_PER_S /
+				       state->residence_ms :
+			       INFINITY;
+	unsigned int i;
 
 	service->divided_ms = now_ms;
-	service->is_scarce = service->state.used_tokens >
-			     service->state.capacity_tokens * SCARCE_RATIO;
-	g_array_set_size(service->rank_ratios, 0);
-	while (first < flows->len) {
-		rank_ratio_t rank_ratio = {
-			.rank = ((flow_t *)flows->pdata[first])->rank
-		};
-
-		for (last = first; last < flows->len; last++)
-			if (((flow_t *)flows->pdata[last])->rank !=
-			    rank_ratio.rank)
-				break;
-		budget = rank_divide_(flows, first, last, budget, pressure,
-				      &rank_ratio);
-		service->is_scarce |= rank_ratio.ratio < 1;
-		g_array_append_val(service->rank_ratios, rank_ratio);
-		first = last;
+	service->is_scarce =
+		state->used_tokens > state->capacity_tokens * SCARCE_RATIO;
+	ranks_collect_(service->rank_ratios, flows, pressure);
+	ranks_grant_(service->rank_ratios, budget_compute_(service, now_ms),
+		     limit);
+	for (i = 0; i < service->rank_ratios->len; i++) {
+		rank_ratio_t *rank =
+			&g_array_index(service->rank_ratios, rank_ratio_t, i);
+
+		rank_divide_(flows, rank, pressure);
+		service->is_scarce |= rank->ratio < 1;
 	}
 	g_ptr_array_unref(flows);
 }
@@ -468,13 +518,13 @@
 		service->own.summed_then = service->own.summed_next;
 		service->own.summed_next = service->own.summed;
 		service->own.usual_then = service->own.usual;
+		correction_update_(service, state);
 	}
 	service->state = *state;
 	service->state.flows = NULL;
 	service->begun_tokens = 0;
 	service->state.instances = MAX(state->instances, 1);
 	flows_update_(room, service, state);
-	correction_update_(service, now_ms);
 	service->held_tokens +=
 		(1 - exp((double)(service->updated_ms - now_ms) / HELD_MS)) *
 		(state->own_tokens - service->held_tokens);
@@ -533,8 +583,8 @@
 			 (COMEBACK_MAX_MS - COMEBACK_MIN_MS) * (1 - ratio);
 	double spread_ms = mean_ms * (0.5 + g_rand_double(room->random));
 
-	return (int64_t)MIN(spread_ms,
-			    (double)time_left_ms / COMEBACK_TIME_DIVISOR);
+	return (int64_t)CLAMP((double)time_left_ms / COMEBACK_TIME_DIVISOR, 0,
+			      spread_ms);
 }
 
 /*
