A refusal for lack of room names its cause

Cause: event 526 told a request's rank and ratio, not whether its workspace, its rank or missing sums were to blame; explain knew no `overloaded`; refusals were counted without rank.

Change: cb_room_decision_t has a reason (rank, workspace, own_share), logged as `because`, counted in cb_relay_room_refused_total by service, rank (9 and more together) and reason, explained by `currantbridge explain`. A gauge of the age of the sums.

--- a/src/libcurrantbridge/explain/explain.c
+++ b/src/libcurrantbridge/explain/explain.c
@@ -388,6 +388,8 @@
 	{ "no_room",
 	  "the servers were full, according to the usage of all instances",
 	  FALSE },
+	{ "overloaded",
+	  "its service was asked for more than its engines can hold", FALSE },
 	{ "no_retry_left",
 	  "it failed, and the retry budget of its service was used up", TRUE },
 	{ "deadline", "its deadline passed", TRUE },
@@ -404,6 +406,45 @@
 	{ "complete", "the server's own answer was a failure", TRUE },
 };
 
+/* Appends why there was no room for the request, if a line says so. */
+static void cause_append_room_(GString *cause, const cb_explain_t *explain)
+{
+	const log_entry_t *refused =
+		entries_find_last_(explain->request_entries,
+				   "RELAY_ROOM_REFUSED");
+	const char *because;
+
+	if (!refused)
+		return;
+	because = entry_get_text_(refused, "because");
+	g_string_append_printf(
+		cause,
+		": %" G_GINT64_FORMAT "%% of the room in use, %" G_GINT64_FORMAT
+		"%% of the requests of workspace %s at rank %" G_GINT64_FORMAT
+		" could begin",
+		entry_get_int_(refused, "used_percent"),
+		entry_get_int_(refused, "admitted_percent"),
+		entry_get_text_(refused, "workspace"),
+		entry_get_int_(refused, "rank"));
+	if (!strcmp(because, "workspace"))
+		g_string_append(cause, "; the workspace asked for more than "
+				       "its share");
+	else if (!strcmp(because, "rank"))
+		g_string_append(cause, "; more urgent requests left too "
+				       "little for its rank");
+	else
+		g_string_append_printf(
+			cause,
+			"; what all instances use was last known "
+			"%" G_GINT64_FORMAT " ms before, and this instance's "
+			"own part was full",
+			entry_get_int_(refused, "age_ms"));
+	g_string_append_printf(cause,
+			       "; the caller was told to come back after "
+			       "%" G_GINT64_FORMAT " ms",
+			       entry_get_int_(refused, "retry_after_ms"));
+}
+
 /* Appends the explanation of the reason that the request ended with. */
 static void cause_append_reason_(GString *cause, const cb_explain_t *explain,
 				 const log_entry_t *end)
@@ -425,6 +466,8 @@
 				       " (document version %" G_GINT64_FORMAT
 				       ")",
 				       entry_get_int_(end, "version"));
+	if (!strcmp(reason, "overloaded"))
+		cause_append_room_(cause, explain);
 	if (!causes[i].may_be_server_failure || !*failed_server)
 		return;
 	g_string_append_printf(cause, "; server at fault: %s", failed_server);
--- a/src/libcurrantbridge/include/private/room.h
+++ b/src/libcurrantbridge/include/private/room.h
@@ -67,9 +67,18 @@
 	gboolean is_return;
 } cb_room_request_t;
 
+/* What a refused request lacks. */
+typedef enum cb_room_reason {
+	CB_ROOM_ADMITTED,
+	CB_ROOM_RANK,	   /* more urgent ranks leave too little */
+	CB_ROOM_WORKSPACE, /* its workspace asks for more than its share */
+	CB_ROOM_OWN_SHARE, /* no recent sum, and this instance's part is full */
+} cb_room_reason_t;
+
 /* Why a request may begin or not; the fields are logged and explained. */
 typedef struct cb_room_decision {
 	gboolean is_admitted;
+	cb_room_reason_t reason;
 	/* part of the requests of its rank and workspace that may begin */
 	double admitted_ratio;
 	double used_ratio; /* used tokens / capacity at the decision */
@@ -90,6 +99,8 @@
 /* Decides whether a request may begin, and counts it if it may. */
 cb_room_decision_t cb_room_decide(cb_room_t *room, const char *service,
 				  const cb_room_request_t *request);
+/* Returns a reason's name, as it is logged and counted. */
+const char *cb_room_reason_name(cb_room_reason_t reason);
 /*
  * Returns whether a service is so near its limit that instances are to report
  * what each workspace asks for, not only each rank.
--- a/src/libcurrantbridge/relay/relay_room.c
+++ b/src/libcurrantbridge/relay/relay_room.c
@@ -14,6 +14,8 @@
  * refused before: its caller came back.
  */
 #define RETURN_TIME_PERCENT 97
+/* Ranks from this one on are counted together. */
+#define RANK_LABEL_MAX 9u
 
 /* A service with layers, as this instance sees it. */
 typedef struct service_record {
@@ -22,6 +24,7 @@
 	gboolean is_overloaded;
 	cb_counter_t *capacity_gauge;
 	cb_counter_t *used_gauge;
+	cb_counter_t *age_gauge;
 } service_record_t;
 
 /* Creates the room and the counts that it needs. */
@@ -56,6 +59,9 @@
 	record->used_gauge =
 		cb_counters_gauge(front->counters, "cb_relay_room_used_tokens",
 				  "service", service);
+	record->age_gauge =
+		cb_counters_gauge(front->counters, "cb_relay_room_age_ms",
+				  "service", service);
 	g_hash_table_insert(front->room_services, g_strdup(service), record);
 	return record;
 }
@@ -108,6 +114,10 @@
 	cb_counter_set(record->capacity_gauge,
 		       (uint64_t)MAX(held.capacity_tokens, 0));
 	cb_counter_set(record->used_gauge, (uint64_t)MAX(held.used_tokens, 0));
+	if (front->usage_sum_ms)
+		cb_counter_set(record->age_gauge,
+			       cb_clock_now_ms(front->clock) -
+				       front->usage_sum_ms);
 	g_array_unref(flows);
 }
 
@@ -167,6 +177,33 @@
 		     CB_INT("age_ms", decision->age_ms));
 }
 
+/* Counts and logs that a request was refused. */
+static void refusal_record_(cb_relay_t *relay,
+			    const cb_room_decision_t *decision)
+{
+	cb_front_t *front = relay->front;
+	const char *because = cb_room_reason_name(decision->reason);
+	char *of = g_strdup_printf("%s/%u/%s", relay->service->name,
+				   MIN(relay->rank, RANK_LABEL_MAX), because);
+
+	cb_counter_add(cb_counters_counter(front->counters,
+					   "cb_relay_room_refused_total", "of",
+					   of),
+		       1);
+	g_free(of);
+	cb_log_event(front->log, CB_EVENT_RELAY_ROOM_REFUSED,
+		     CB_STR("request", relay->request_info.id),
+		     CB_STR("service", relay->service->name),
+		     CB_STR("workspace", relay->workspace),
+		     CB_INT("rank", relay->rank), CB_STR("because", because),
+		     CB_INT("admitted_percent",
+			    (int64_t)(decision->admitted_ratio * 100)),
+		     CB_INT("used_percent",
+			    (int64_t)(decision->used_ratio * 100)),
+		     CB_INT("age_ms", decision->age_ms),
+		     CB_INT("retry_after_ms", decision->retry_after_ms));
+}
+
 gboolean cb_relay_room_refuse(cb_relay_t *relay)
 {
 	cb_front_t *front = relay->front;
@@ -195,17 +232,7 @@
 	overload_record_(front, relay->service->name, &decision);
 	if (decision.is_admitted)
 		return FALSE;
-	cb_log_event(front->log, CB_EVENT_RELAY_ROOM_REFUSED,
-		     CB_STR("request", relay->request_info.id),
-		     CB_STR("service", relay->service->name),
-		     CB_STR("workspace", relay->workspace),
-		     CB_INT("rank", relay->rank),
-		     CB_INT("admitted_percent",
-			    (int64_t)(decision.admitted_ratio * 100)),
-		     CB_INT("used_percent",
-			    (int64_t)(decision.used_ratio * 100)),
-		     CB_INT("age_ms", decision.age_ms),
-		     CB_INT("retry_after_ms", decision.retry_after_ms));
+	refusal_record_(relay, &decision);
 	cb_relay_give_up(relay, "overloaded", decision.retry_after_ms);
 	return TRUE;
 }
--- a/src/libcurrantbridge/request/room.c
+++ b/src/libcurrantbridge/request/room.c
@@ -594,10 +594,15 @@
 		flow = request_flow_find_(room, service, request);
 		decision->admitted_ratio = flow->ratio;
 		decision->is_admitted = flow_admit_(flow, request->is_return);
+		if (!decision->is_admitted)
+			decision->reason = *flow->workspace && flow->ratio > 0 ?
+						   CB_ROOM_WORKSPACE :
+						   CB_ROOM_RANK;
 	}
 	if (decision->is_admitted && sums_are_old_(service, now_ms) &&
 	    !own_share_has_room_(service, request, is_demand_known)) {
 		decision->is_admitted = FALSE;
+		decision->reason = CB_ROOM_OWN_SHARE;
 		decision->admitted_ratio = 0;
 	}
 }
@@ -629,6 +634,15 @@
 	return decision;
 }
 
+/* Returns a reason's name, as it is logged and counted. */
+const char *cb_room_reason_name(cb_room_reason_t reason)
+{
+	static const char *const names[] = { "", "rank", "workspace",
+					     "own_share" };
+
+	return names[reason];
+}
+
 /* Returns whether what each workspace asks for is to be reported. */
 gboolean cb_room_is_scarce(const cb_room_t *room, const char *name)
 {
--- a/src/test_libcurrantbridge/test_explain.c
+++ b/src/test_libcurrantbridge/test_explain.c
@@ -105,6 +105,21 @@
 	{ { "{\"time\":\"broken", "not a line of r1", "" },
 	  "no line names the request",
 	  NULL },
+	{ { RELAY_ENDED_LINE "\"status\":503,\"reason\":\"overloaded\"}",
+	    LINE_AT("03.999") EVENT_OF("RELAY_ROOM_REFUSED", "e1") REQUEST_FIELD
+	    "\"workspace\":\"w4\",\"rank\":2,\"because\":\"workspace\","
+	    "\"admitted_percent\":38,\"used_percent\":95,\"age_ms\":214,"
+	    "\"retry_after_ms\":2210}" },
+	  "its service was asked for more than its engines can hold: 95% of "
+	  "the room in use, 38% of the requests of workspace w4 at rank 2 could "
+	  "begin; the workspace asked for more than its share; the caller was "
+	  "told to come back after 2210 ms",
+	  NULL },
+	{ { RELAY_ENDED_LINE "\"status\":503,\"reason\":\"overloaded\"}",
+	    LINE_AT("03.999") EVENT_OF("RELAY_ROOM_REFUSED", "e1") REQUEST_FIELD
+	    "\"because\":\"own_share\",\"age_ms\":2950}" },
+	  "what all instances use was last known 2950 ms before",
+	  NULL },
 };
 
 static cb_explain_t *explain_make_(const explain_case_t *c)
