--- a/src/test_libcurrantbridge/test_room.c
+++ b/src/test_libcurrantbridge/test_room.c
@@ -702,6 +702,54 @@
 	check_faults_(FAULT_ALL_STARTED, FAULT_ALL_STARTED);
 }
 
+/*
+ * Guards against a room that stands empty since pauses were too long while more was
+ * in use than there was; engines that pause at an ordinary use do bear less.
+ */
+static void pauses_lower_the_room_of_slow_engines_only(void)
+{
+	static const struct {
+		double used_ratio;
+		gboolean is_lowered;
+	} cases[] = { { 1.2, FALSE }, { 0.6, TRUE } };
+	unsigned int i;
+	unsigned int k;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_clock_t *clock = cb_clock_new_paused(1000);
+		GRand *random = g_rand_new_with_seed(1);
+		cb_room_t *room = cb_room_new(clock, random);
+		/* As much as three quarters in use free. */
+		const cb_room_flow_t flow = { 0, "", CAPACITY_TOKENS / 4 };
+		const cb_room_request_t request = { .workspace = "w",
+						    .tokens = 1000 };
+		cb_room_state_t state = { .capacity_tokens = CAPACITY_TOKENS,
+					  .instances = 1,
+					  .residence_ms = RESIDENCE_MS,
+					  .flows = &flow,
+					  .flow_count = 1 };
+		cb_room_decision_t decision;
+
+		for (k = 0; k <= 20; k++) {
+			gboolean is_slow = k < 20;
+
+			cb_clock_advance(clock, SHARE_INTERVAL_MS);
+			state.sum_received_ms = cb_clock_now_ms(clock);
+			state.slow_ratio = is_slow ? 0.5 : 0;
+			state.used_tokens =
+				(is_slow ? cases[i].used_ratio : 0.75) *
+				CAPACITY_TOKENS;
+			cb_room_update(room, "s", &state);
+		}
+		decision = cb_room_decide(room, "s", &request);
+		CU_ASSERT_EQUAL(decision.admitted_ratio < 1,
+				cases[i].is_lowered);
+		cb_room_delete(room);
+		g_rand_free(random);
+		cb_clock_delete(clock);
+	}
+}
+
 static CU_TestInfo room_tests[] = {
 	{ "throughput_holds_under_load", throughput_holds_under_load },
 	{ "room_goes_to_the_urgent", room_goes_to_the_urgent },
@@ -715,6 +763,8 @@
 	  urgent_are_served_when_some_start_or_freeze },
 	{ "urgent_are_served_when_all_start",
 	  urgent_are_served_when_all_start },
+	{ "pauses_lower_the_room_of_slow_engines_only",
+	  pauses_lower_the_room_of_slow_engines_only },
 	CU_TEST_INFO_NULL
 };
 
