--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -75,6 +75,9 @@
  */
 GPtrArray *cb_server_book_update_usage(cb_server_book_t *book,
 				       const cb_usage_t *sum);
+/* Sets how many tokens a second all instances begin in a service's requests. */
+void cb_server_book_set_begun(cb_server_book_t *book, const char *service,
+			      double tokens_per_s);
 /* Records that the server at an address had no free slot, to avoid it. */
 void cb_server_book_mark_full(cb_server_book_t *book, const char *address);
 /*
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -26,6 +26,8 @@
  * their usage arrives: reports and sums are sent every 200 ms.
  */
 #define USAGE_DELAY_MS 200
+/* Chains can fill this part of the memory: engines fill up unevenly. */
+#define FILLED_FRACTION 0.95
 /* How long a server without a free slot is avoided, at first. */
 #define FULL_AVOID_INITIAL_MS 250
 /*
@@ -94,8 +96,8 @@
 	GHashTable *stats_by_id; /* map: server ID to server_stats_t */
 	/* When the other instances' usage was last received; 0: never. */
 	int64_t usage_received_ms;
-	/* service name to tokens (double) that all were asked for in a second */
-	GHashTable *offered_tokens;
+	/* service name to tokens (double) that all instances begin in a second */
+	GHashTable *begun_tokens;
 };
 
 /*
@@ -120,7 +122,7 @@
 	book->data_centre = g_strdup(data_centre);
 	book->stats_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	book->offered_tokens =
+	book->begun_tokens =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return book;
 }
@@ -131,7 +133,7 @@
 	if (!book)
 		return;
 	g_hash_table_unref(book->stats_by_id);
-	g_hash_table_unref(book->offered_tokens);
+	g_hash_table_unref(book->begun_tokens);
 	cb_pipe_share_delete(book->pipes);
 	g_free(book->data_centre);
 	g_free(book);
@@ -453,8 +455,8 @@
 					  const GPtrArray *usable,
 					  unsigned int instance_count)
 {
-	const double *offered =
-		g_hash_table_lookup(book->offered_tokens, service->name);
+	const double *begun =
+		g_hash_table_lookup(book->begun_tokens, service->name);
 	int64_t age_ms = cb_clock_now_ms(book->clock) - book->usage_received_ms;
 	unseen_load_t unseen = { 0 };
 
@@ -462,7 +464,7 @@
 		unseen.spread_tokens =
 			spread_tokens_compute_(book, service->engine, usable,
 					       instance_count);
-	else if (offered)
+	else if (begun)
 		unseen.begun_tokens = *offered *
 				      (double)(age_ms + USAGE_DELAY_MS) /
 				      MS_PER_S * (instance_count - 1) /
@@ -737,7 +739,7 @@
 							server->data_centre)
 				       .tokens;
 	}
-	all.tokens = MAX(all.tokens, sum);
+	all.tokens = MAX(all.tokens, sum) * FILLED_FRACTION;
 	g_hash_table_unref(seen);
 	g_hash_table_unref(none);
 	g_ptr_array_unref(usable);
@@ -883,26 +885,21 @@
 	return suspects;
 }
 
-/* Adds up what all instances were asked for, by service. */
-static void offered_update_(cb_server_book_t *book, const cb_usage_t *sum)
+/*
+ * Sets how many tokens a second all instances together begin in a service's
+ * requests, as far as it is known.
+ */
+void cb_server_book_set_begun(cb_server_book_t *book, const char *service,
+			      double tokens_per_s)
 {
-	GHashTableIter iter;
-	void *value;
+	double *begun = g_hash_table_lookup(book->begun_tokens, service);
 
-	g_hash_table_remove_all(book->offered_tokens);
-	g_hash_table_iter_init(&iter, sum->by_flow);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const cb_usage_flow_t *flow = value;
-		double *tokens = g_hash_table_lookup(book->offered_tokens,
-						     flow->service);
-
-		if (!tokens) {
-			tokens = g_new0(double, 1);
-			g_hash_table_insert(book->offered_tokens,
-					    g_strdup(flow->service), tokens);
-		}
-		*tokens += flow->tokens;
+	if (!begun) {
+		begun = g_new0(double, 1);
+		g_hash_table_insert(book->begun_tokens, g_strdup(service),
+				    begun);
 	}
+	*begun = tokens_per_s;
 }
 
 /*
@@ -919,7 +916,6 @@
 	void *id;
 
 	book->usage_received_ms = cb_clock_now_ms(book->clock);
-	offered_update_(book, sum);
 	g_hash_table_iter_init(&iter, sum->by_server);
 	while (g_hash_table_iter_next(&iter, &id, &value))
 		(void)stats_get_(book, id);
