Load that is not seen yet is what begins, not what is asked for

In a flood of twice the room, engines looked full by as much again; requests that the room let begin then found no chain (finding of a review).

--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -465,7 +465,7 @@
 			spread_tokens_compute_(book, service->engine, usable,
 					       instance_count);
 	else if (begun)
-		unseen.begun_tokens = *offered *
+		unseen.begun_tokens = *begun *
 				      (double)(age_ms + USAGE_DELAY_MS) /
 				      MS_PER_S * (instance_count - 1) /
 				      instance_count / centres_count_(usable);
