Control pushes no records of servers and paces changes of the fleet

With 3,000 servers, each record of one in the replicated state was a change of the configuration: it was pushed to every session, which answered with the revision in force, and that was reported to the leader. A new leader submitted all records again. Each change of a server was also sent after 5 ms to every session and every other control instance, up to 200 times a second while a whole fleet announces itself.

Updates of views leave out records of servers, and a view needs an update only for other changes (cb_state_entry_revision()); an entry instance is sent the servers as they are when its session is confirmed. A new leader submits only records that differ from the state's, 128 at a time. Changes of the fleet are sent at intervals of 1 ms for each 10 servers, 250 ms at most.

test_fleet plays 2,000 servers that announce themselves within 1.2 s: the records cause no update, and each of the later changes reaches every entry in at most one message each 200 ms. After a restart of all nodes an entry that starts is sent all servers.

--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -122,6 +122,7 @@
 void cb_fleet_set_recorded(cb_fleet_t *fleet, const char *id,
 			   gboolean is_recorded);
 const cb_fleet_server_t *cb_fleet_find(const cb_fleet_t *fleet, const char *id);
+unsigned int cb_fleet_count(const cb_fleet_t *fleet);
 /* Returns all servers, sorted by ID; valid until the next change. */
 const GPtrArray *cb_fleet_servers(const cb_fleet_t *fleet);
 /* Logs the record of a server as the event FLEET_SERVER. */
@@ -143,6 +144,8 @@
  * as the time of the last heartbeat.
  */
 GBytes *cb_fleet_encode_server(const cb_fleet_server_t *server);
+gboolean cb_fleet_record_matches(const cb_fleet_server_t *server,
+				 GBytes *bytes);
 /*
  * Returns FALSE if the bytes are malformed.  Servers before the first
  * malformed one are merged.
--- a/include/currantbridge/state.h
+++ b/include/currantbridge/state.h
@@ -58,6 +58,7 @@
 cb_machine_t *cb_state_machine(cb_state_t *state);
 
 uint64_t cb_state_revision(const cb_state_t *state);
+uint64_t cb_state_entry_revision(const cb_state_t *state);
 GBytes *cb_state_encode_update(const cb_state_t *state, uint64_t since);
 /*
  * The view stays valid until a snapshot is restored, so don't keep the pointer.
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -324,6 +324,12 @@
 	return g_hash_table_lookup(fleet->by_id, id);
 }
 
+/* Returns the number of servers, those that are gone included. */
+unsigned int cb_fleet_count(const cb_fleet_t *fleet)
+{
+	return g_hash_table_size(fleet->by_id);
+}
+
 static int ids_compare_(const void *a, const void *b)
 {
 	const cb_fleet_server_t *left = *(const cb_fleet_server_t *const *)a;
@@ -526,6 +532,28 @@
 		known->is_unsent_to_control = FALSE;
 }
 
+/*
+ * Returns whether what cb_fleet_encode_server() wrote tells the same of the
+ * server, but for its later heartbeats.
+ */
+gboolean cb_fleet_record_matches(const cb_fleet_server_t *server, GBytes *bytes)
+{
+	cb_fleet_server_t recorded = { 0 };
+	gboolean is_same = FALSE;
+	cb_unpack_t unpack;
+	cb_fields_t fields;
+
+	if (!cb_unpack_init(&unpack, bytes))
+		return FALSE;
+	cb_fields_open(&fields, &unpack.unpacked.data);
+	if (server_decode_(cb_fields_object(&fields), &recorded) >= 0)
+		is_same = !servers_differ_(&recorded, server) &&
+			  recorded.slow_percent == server->slow_percent;
+	server_clear_(&recorded);
+	cb_unpack_clear(&unpack);
+	return is_same;
+}
+
 /* Merges what cb_fleet_encode() wrote in another process. */
 gboolean cb_fleet_merge(cb_fleet_t *fleet, GBytes *bytes, int64_t now_ms)
 {
--- a/src/libcurrantbridge/control/history.c
+++ b/src/libcurrantbridge/control/history.c
@@ -14,7 +14,10 @@
 	GQueue order;	     /* all entries by revision, the lowest first */
 	GQueue tombstones;   /* removed entries by revision, the lowest first */
 	unsigned int max_tombstones;
-	uint64_t floor; /* every change after this revision is recorded */
+	/* Every change after this revision that entry instances need is recorded. */
+	uint64_t floor;
+	/* Revision of the last change that is not of a server's record. */
+	uint64_t entry_revision;
 };
 
 static guint entry_hash_(const void *data)
@@ -88,7 +91,8 @@
 
 	while (history->tombstones.length > history->max_tombstones) {
 		oldest = history->tombstones.head->data;
-		history->floor = oldest->revision;
+		if (oldest->kind != CB_ITEM_SERVER)
+			history->floor = oldest->revision;
 		g_queue_unlink(&history->tombstones, &oldest->tombstone_link);
 		g_queue_unlink(&history->order, &oldest->order_link);
 		g_hash_table_remove(history->entries, oldest);
@@ -104,6 +108,8 @@
 {
 	entry_t *entry = entry_get_or_add_(history, change->kind, change->name);
 
+	if (change->kind != CB_ITEM_SERVER)
+		history->entry_revision = change->revision;
 	g_queue_unlink(&history->order, &entry->order_link);
 	if (entry->is_removed)
 		g_queue_unlink(&history->tombstones, &entry->tombstone_link);
@@ -116,28 +122,42 @@
 	tombstones_trim_(history);
 }
 
-/* Returns the lowest revision after which all changes are recorded. */
+/* Returns the revision after which all changes that entries need are recorded. */
 uint64_t cb_change_history_floor(const cb_change_history_t *history)
 {
 	return history->floor;
 }
 
-/* Sets the lowest revision after which all changes are recorded. */
+/* Sets the revision after which all changes that entries need are recorded. */
 void cb_change_history_set_floor(cb_change_history_t *history, uint64_t floor)
 {
 	history->floor = floor;
 }
 
+/*
+ * Returns the revision of the last change that entry instances need.  A change
+ * that is no longer recorded may have been one of them.
+ */
+uint64_t cb_change_history_entry_revision(const cb_change_history_t *history)
+{
+	return MAX(history->entry_revision, history->floor);
+}
+
+static gboolean entry_is_selected_(const entry_t *entry, unsigned int filter)
+{
+	return (!entry->is_removed || filter & CB_CHANGES_REMOVED) &&
+	       (entry->kind != CB_ITEM_SERVER || filter & CB_CHANGES_SERVERS);
+}
+
 /*
  * Packs an array of the items that changed after revision `since`, in order
- * of revision, each with its value in `view`; removed items only if
- * `with_removed` is set.  Returns the number of items.  The cost is
- * proportional to the number of changes.
+ * of revision, each with its value in `view`; `filter` (cb_change_filter_t)
+ * names the kinds of change that are packed too.  Returns the number of items.
+ * The cost is proportional to the number of changes.
  */
 unsigned int cb_change_history_pack_since(const cb_change_history_t *history,
 					  uint64_t since, const cb_view_t *view,
-					  gboolean with_removed,
-					  cb_pack_t *pack)
+					  unsigned int filter, cb_pack_t *pack)
 {
 	const GList *link = history->order.tail;
 	const GList *first = NULL;
@@ -146,7 +166,7 @@
 	for (; link && ((entry_t *)link->data)->revision > since;
 	     link = link->prev) {
 		first = link;
-		count += with_removed || !((entry_t *)link->data)->is_removed;
+		count += entry_is_selected_(link->data, filter);
 	}
 	cb_pack_array(pack, count);
 	for (link = first; link; link = link->next) {
@@ -157,7 +177,7 @@
 						  entry->name)
 		};
 
-		if (with_removed || !entry->is_removed)
+		if (entry_is_selected_(entry, filter))
 			cb_item_pack(pack, &item);
 	}
 	return count;
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -1,4 +1,5 @@
 #include "currantbridge/document.h"
+#include "private/item.h"
 #include "private/node.h"
 
 /* Received heartbeats are sent to the other control instances this often. */
@@ -8,6 +9,16 @@
  * changes.
  */
 #define CHANGE_SHARE_DELAY_MS 5
+/*
+ * Shortest interval of such messages, for this many servers a millisecond: after
+ * a start every server changes, and each message goes to every session.
+ */
+#define CHANGE_SHARE_SERVERS_PER_MS 10
+/*
+ * Records of servers that are submitted at a time: other changes must not wait
+ * behind those of a whole fleet.
+ */
+#define RECORDS_IN_FLIGHT_MAX 128
 /* Interval of the checks for silent servers. */
 #define EXPIRY_CHECK_INTERVAL_MS 500
 /*
@@ -49,12 +60,31 @@
 	}
 }
 
-/* Sends all servers to an entry instance whose session was confirmed. */
+/* Merges the servers of the replicated state, once after the start. */
+static void server_records_load_(cb_node_t *node)
+{
+	const GPtrArray *records = cb_view_servers(cb_state_view(node->state));
+	unsigned int i;
+
+	if (node->has_merged_servers || !cb_replica_is_current(node->replica))
+		return;
+	node->has_merged_servers = TRUE;
+	for (i = 0; i < records->len; i++)
+		cb_node_fleet_merge(
+			node,
+			((cb_stored_server_t *)records->pdata[i])->record);
+}
+
+/*
+ * Sends all servers to an entry instance whose session was confirmed, recorded
+ * ones included: the entry instance's view has no records of servers.
+ */
 void cb_node_fleet_send(cb_inbound_t *inbound)
 {
 	cb_node_t *node = inbound->node;
 	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_FLEET };
 
+	server_records_load_(node);
 	message.body = cb_fleet_encode(node->fleet, CB_FLEET_ALL,
 				       cb_clock_now_ms(node->clock));
 	if (!message.body)
@@ -121,28 +151,14 @@
 	cb_fleet_expire(node->fleet, now_ms, silence_ms, GONE_SERVER_KEEP_MS);
 }
 
-/* Merges the servers of the replicated state, once after the start. */
-static void server_records_load_(cb_node_t *node)
-{
-	const GPtrArray *records = cb_view_servers(cb_state_view(node->state));
-	unsigned int i;
-
-	if (node->has_merged_servers || !cb_replica_is_current(node->replica))
-		return;
-	node->has_merged_servers = TRUE;
-	for (i = 0; i < records->len; i++)
-		cb_node_fleet_merge(
-			node,
-			((cb_stored_server_t *)records->pdata[i])->record);
-}
-
 static void server_record_done_(cb_submit_outcome_t outcome,
 				const cb_answer_t *answer, void *user_data)
 {
 	cb_node_t *node = user_data;
 
 	(void)answer;
-	/* If a record was not committed, all servers are submitted again. */
+	node->server_records_in_flight--;
+	/* If a record was not committed, all are compared with the state again. */
 	if (outcome != CB_SUBMIT_ANSWERED)
 		node->was_recording_servers = FALSE;
 }
@@ -163,29 +179,55 @@
 		command->text = cb_fleet_start_name(server);
 	else
 		command->payload = cb_fleet_encode_server(server);
+	node->server_records_in_flight++;
 	cb_node_submit(node, command, server_record_done_, node);
 }
 
+/* Compares each server with its record in the replicated state. */
+static void recorded_servers_find_(cb_node_t *node, const GPtrArray *servers)
+{
+	const cb_view_t *view = cb_state_view(node->state);
+	unsigned int i;
+
+	for (i = 0; i < servers->len; i++) {
+		const cb_fleet_server_t *server = servers->pdata[i];
+		const cb_stored_server_t *stored =
+			cb_view_find_item(view, CB_ITEM_SERVER, server->id);
+
+		cb_fleet_set_recorded(
+			node->fleet, server->id,
+			stored && cb_fleet_record_matches(server,
+							  stored->record));
+	}
+}
+
 /*
- * On the leader, submits the servers whose record in the replicated state is
- * missing or outdated; a new leader submits all.
+ * On the leader, submits servers whose record in the replicated state is missing
+ * or outdated, a limited number at a time.
  */
 static void changed_servers_submit_(cb_node_t *node)
 {
-	const GPtrArray *servers = cb_fleet_servers(node->fleet);
-	gboolean may_record =
-		cb_node_is_leader(node) && node->has_merged_servers;
+	const GPtrArray *servers;
 	unsigned int i;
 
-	for (i = 0; may_record && i < servers->len; i++) {
+	if (!cb_node_is_leader(node) || !node->has_merged_servers) {
+		node->was_recording_servers = FALSE;
+		return;
+	}
+	servers = cb_fleet_servers(node->fleet);
+	if (!node->was_recording_servers)
+		recorded_servers_find_(node, servers);
+	node->was_recording_servers = TRUE;
+	for (i = 0; i < servers->len; i++) {
 		const cb_fleet_server_t *server = servers->pdata[i];
 
-		if (server->is_recorded && node->was_recording_servers)
+		if (server->is_recorded)
 			continue;
+		if (node->server_records_in_flight >= RECORDS_IN_FLIGHT_MAX)
+			return;
 		cb_fleet_set_recorded(node->fleet, server->id, TRUE);
 		server_record_submit_(node, server);
 	}
-	node->was_recording_servers = may_record;
 }
 
 static void fleet_timer_fired_(void *user_data)
@@ -193,6 +235,8 @@
 	cb_node_t *node = user_data;
 	int64_t now_ms = cb_clock_now_ms(node->clock);
 
+	if (node->is_fleet_share_pending)
+		node->fleet_changes_sent_ms = now_ms;
 	node->is_fleet_share_pending = FALSE;
 	if (now_ms - node->last_expiry_check_ms >= EXPIRY_CHECK_INTERVAL_MS)
 		silent_servers_expire_(node, now_ms);
@@ -205,12 +249,18 @@
 static void server_changed_(const cb_fleet_server_t *server, void *user_data)
 {
 	cb_node_t *node = user_data;
+	int64_t age_ms =
+		cb_clock_now_ms(node->clock) - node->fleet_changes_sent_ms;
+	int64_t interval_ms =
+		MIN(cb_fleet_count(node->fleet) / CHANGE_SHARE_SERVERS_PER_MS,
+		    SHARE_INTERVAL_MS);
 
 	cb_fleet_log(node->log, server);
 	if (node->is_fleet_share_pending)
 		return;
 	node->is_fleet_share_pending = TRUE;
-	cb_timer_start(node->fleet_timer, CHANGE_SHARE_DELAY_MS);
+	cb_timer_start_sooner(node->fleet_timer,
+			      MAX(CHANGE_SHARE_DELAY_MS, interval_ms - age_ms));
 }
 
 /* Creates the node's fleet and the timer that shares it. */
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -98,12 +98,13 @@
 }
 
 /*
- * Sends each session an update to the current revision. A session has at most
- * one update in flight; later changes follow once that update is in force.
+ * Sends an update to the current revision to each session that lacks a change
+ * that entry instances need.  A session has at most one update in flight; later
+ * changes follow once that update is in force.
  */
 void cb_sessions_push(cb_node_t *node)
 {
-	uint64_t revision = cb_state_revision(node->state);
+	uint64_t revision = cb_state_entry_revision(node->state);
 	push_round_t round = { 0 };
 	GHashTableIter iter;
 	void *value;
@@ -153,13 +154,12 @@
 				void *user_data)
 {
 	cb_node_t *node = user_data;
-	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_CONFIRMED,
-				      .number =
-					      cb_state_revision(node->state) };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_CONFIRMED };
 	GHashTableIter iter;
 	void *value;
 
 	(void)index;
+	message.number = cb_state_entry_revision(node->state);
 	node->is_confirming_sessions = FALSE;
 	g_hash_table_iter_init(&iter, node->inbounds);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -225,7 +225,7 @@
 	if (!cb_timer_is_armed(node->report_timer))
 		cb_timer_start(node->report_timer, 0);
 	if (session->needs_full_update ||
-	    session->in_force_revision < cb_state_revision(node->state))
+	    session->in_force_revision < cb_state_entry_revision(node->state))
 		cb_sessions_push(node);
 }
 
--- a/src/libcurrantbridge/control/state.c
+++ b/src/libcurrantbridge/control/state.c
@@ -247,10 +247,20 @@
 	return cb_view_revision(state->view);
 }
 
+/*
+ * Returns the revision from which a view needs no update: that of the last
+ * change but those of servers' records, which updates do not contain.
+ */
+uint64_t cb_state_entry_revision(const cb_state_t *state)
+{
+	return cb_change_history_entry_revision(state->history);
+}
+
 /*
  * Encodes the changes after revision `since` for cb_view_apply(), or the whole
- * configuration when `since` is 0 or older than the recorded changes.  At the
- * current revision the update is empty, and a view rejects it as stale.  The
+ * configuration when `since` is 0 or older than the recorded changes.  Records
+ * of servers are left out: entry instances receive servers as they are now
+ * (CB_LINK_MESSAGE_FLEET), not as they were recorded.  At the current revision the update is empty, and a view rejects it as stale.  The
  * caller unrefs the bytes.
  */
 GBytes *cb_state_encode_update(const cb_state_t *state, uint64_t since)
@@ -264,7 +274,7 @@
 	cb_pack_uint(&pack, since);
 	cb_pack_uint(&pack, cb_state_revision(state));
 	cb_change_history_pack_since(state->history, since, state->view,
-				     since > 0, &pack);
+				     since > 0 ? CB_CHANGES_REMOVED : 0, &pack);
 	return cb_update_add_hash(cb_pack_finish(&pack));
 }
 
--- a/src/libcurrantbridge/control/state_snapshot.c
+++ b/src/libcurrantbridge/control/state_snapshot.c
@@ -32,7 +32,8 @@
 	cb_pack_int(&pack, state->wall_ms);
 	cb_pack_int(&pack, state->elapsed_ms);
 	cb_pack_uint(&pack, cb_change_history_floor(state->history));
-	cb_change_history_pack_since(state->history, 0, state->view, TRUE,
+	cb_change_history_pack_since(state->history, 0, state->view,
+				     CB_CHANGES_REMOVED | CB_CHANGES_SERVERS,
 				     &pack);
 	cb_change_answers_pack(state->change_answers, &pack);
 	cb_claims_pack(state->claims, &pack);
--- a/src/libcurrantbridge/http/operator_read.c
+++ b/src/libcurrantbridge/http/operator_read.c
@@ -295,7 +295,7 @@
 	put_uint_(builder, "claims", cb_state_claim_count(state));
 	put_members_(builder, node);
 	put_instances_(builder, task);
-	task->revision = cb_state_revision(state);
+	task->revision = cb_state_entry_revision(state);
 	cb_operator_put_in_force(builder, task);
 	json_builder_end_object(builder);
 	cb_operator_reply_json(task, SOUP_STATUS_OK, builder);
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -62,7 +62,6 @@
 	GHashTable *engine_checks; /* set of cb_engine_check_t in progress */
 	cb_fleet_t *fleet;
 	/* Whether the servers recorded in the view were added to `fleet`. */
-	gboolean has_servers;
 	cb_rate_limits_t *limits;
 	cb_server_book_t *book;
 	cb_server_ends_t *server_ends;
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -127,6 +127,8 @@
 	 * check.
 	 */
 	gboolean was_recording_servers;
+	/* Submitted records of servers that are not answered yet. */
+	unsigned int server_records_in_flight;
 	/* Last time that a link to a peer was down or the process stalled. */
 	int64_t all_linked_since_ms;
 	GHashTable *peer_usages; /* peer_usage_t by control instance */
@@ -136,6 +138,7 @@
 	cb_timer_t *usage_timer;
 	/* Whether changes of `fleet` are to be sent soon. */
 	gboolean is_fleet_share_pending;
+	int64_t fleet_changes_sent_ms; /* time when changes were last sent */
 	uint64_t next_id;
 	GHashTable *inbounds;	     /* cb_inbound_t by id */
 	GHashTable *requests;	     /* cb_node_request_t by id */
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -121,30 +121,10 @@
 		cb_log_event(front->log, CB_EVENT_FLEET_MALFORMED);
 }
 
-/*
- * Adds the servers recorded in the view to the fleet, once after the start:
- * control sends changes as they occur, but if it has just started itself it may
- * not have a record of any server yet.
- */
-static void recorded_servers_add_(cb_front_t *front)
-{
-	const GPtrArray *records = cb_view_servers(front->view);
-	unsigned int i;
-
-	if (front->has_servers)
-		return;
-	front->has_servers = TRUE;
-	for (i = 0; i < records->len; i++)
-		fleet_update_receive_(
-			((cb_stored_server_t *)records->pdata[i])->record,
-			front);
-}
-
 static void view_change_handle_(void *user_data)
 {
 	cb_front_t *front = user_data;
 
-	recorded_servers_add_(front);
 	cb_relay_content_view_changed(front);
 	document_update_(front);
 	cb_retry_share_set_instances(front->retries,
--- a/src/test_libcurrantbridge/test_fleet.c
+++ b/src/test_libcurrantbridge/test_fleet.c
@@ -313,6 +313,139 @@
 	world_delete(world);
 }
 
+#define MANY_SERVERS 2000
+/* All servers announce themselves within this time, as after a start. */
+#define MANY_ANNOUNCED_MS 1200
+/* Control shares what it received at least this often. */
+#define SHARE_INTERVAL_MS 250
+/* Messages to an entry in that time: one each 200 ms with so many servers. */
+#define MANY_MESSAGES_MAX \
+	((MANY_ANNOUNCED_MS + 2 * SHARE_INTERVAL_MS) / 200 + 1)
+
+/* An entry instance that counts the messages about servers that it receives. */
+typedef struct counting_entry {
+	entry_t entry;
+	unsigned int message_count;
+} counting_entry_t;
+
+static void fleet_update_count_(GBytes *bytes, void *user_data)
+{
+	counting_entry_t *self = user_data;
+
+	self->message_count++;
+	fleet_update_merge_(bytes, &self->entry);
+}
+
+/*
+ * All servers announce themselves, with other layers than before, spread evenly
+ * over the nodes and the time.
+ */
+static void many_servers_announce_(world_t *world, uint64_t sequence)
+{
+	cb_submit_outcome_t outcome;
+	unsigned int i;
+
+	for (i = 0; i < MANY_SERVERS; i++) {
+		char *id = g_strdup_printf("server%u", i);
+		char *address =
+			g_strdup_printf("10.1.%u.%u:1", i / 250, i % 250);
+		const cb_fleet_server_t server = {
+			.id = id,
+			.service = (char *)"s",
+			.address = address,
+			.data_centre = (char *)"dc1",
+			.start_wall_ms = 10,
+			.sequence = sequence,
+			.layer_to = (uint32_t)sequence,
+		};
+
+		cb_node_server_announce(
+			world->nodes[i % world->node_count].node, &server,
+			outcome_store_, &outcome);
+		if (i % 5 == 4)
+			cb_clock_advance(world->clock,
+					 MANY_ANNOUNCED_MS * 5 / MANY_SERVERS);
+		g_free(id);
+		g_free(address);
+	}
+}
+
+/* Returns the number of updates that all nodes have pushed to their sessions. */
+static int64_t pushes_sum_(const world_t *world)
+{
+	int64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < world->node_count; i++)
+		sum += cb_counter_get(cb_counters_counter(
+			cb_kernel_counters(world->nodes[i].kernel),
+			"cb_pushes_total", NULL, NULL));
+	return sum;
+}
+
+static gboolean many_servers_are_recorded_(world_t *world)
+{
+	const world_node_t *leader = &world->nodes[world_leader(world)];
+
+	return cb_view_servers(cb_state_view(cb_node_state(leader->node)))
+		       ->len == MANY_SERVERS;
+}
+
+/*
+ * When a whole fleet announces itself, each entry must know every server soon,
+ * and when all its servers change, from few messages; and the records of servers must cause no update of
+ * views.  The records outlive a restart of all nodes: an entry that starts then
+ * must be sent all servers, though none has announced itself again.
+ */
+static void many_servers_are_shared_in_few_messages(void)
+{
+	world_t *world = world_new_with_servers(3, 6, 23, 60000);
+	counting_entry_t entries[6];
+	int64_t pushes;
+	size_t i;
+
+	for (i = 0; i < 6; i++) {
+		entries[i] = (counting_entry_t){ { world, cb_fleet_new() }, 0 };
+		cb_control_client_on_fleet(world->clients[i].client,
+					   fleet_update_count_, &entries[i]);
+	}
+	CU_ASSERT_TRUE(
+		world_run_until(world, world_is_converged, START_LIMIT_MS));
+	pushes = pushes_sum_(world);
+	many_servers_announce_(world, 1);
+	world_run_until(world, NULL, 2 * SHARE_INTERVAL_MS);
+	for (i = 0; i < 6; i++) {
+		CU_ASSERT_EQUAL(cb_fleet_count(entries[i].entry.fleet),
+				MANY_SERVERS);
+		entries[i].message_count = 0;
+	}
+	many_servers_announce_(world, 2);
+	world_run_until(world, NULL, 2 * SHARE_INTERVAL_MS);
+	for (i = 0; i < 6; i++) {
+		CU_ASSERT_TRUE(entries[i].message_count <= MANY_MESSAGES_MAX);
+		if (entries[i].message_count > MANY_MESSAGES_MAX)
+			printf("    %u messages\n", entries[i].message_count);
+	}
+	CU_ASSERT_TRUE(world_run_until(world, many_servers_are_recorded_,
+				       START_LIMIT_MS));
+	CU_ASSERT_EQUAL(pushes_sum_(world), pushes);
+	for (i = 0; i < 3; i++)
+		world_node_stop(world, i);
+	for (i = 0; i < 3; i++)
+		world_node_start(world, i);
+	world_client_stop(world, 0);
+	world_client_start(world, 0);
+	cb_fleet_delete(entries[0].entry.fleet);
+	entries[0] = (counting_entry_t){ { world, cb_fleet_new() }, 0 };
+	cb_control_client_on_fleet(world->clients[0].client,
+				   fleet_update_count_, &entries[0]);
+	world_run_until(world, NULL, START_LIMIT_MS);
+	CU_ASSERT_EQUAL(cb_fleet_count(entries[0].entry.fleet), MANY_SERVERS);
+	for (i = 0; i < 6; i++)
+		cb_fleet_delete(entries[i].entry.fleet);
+	world_delete(world);
+}
+
 static CU_TestInfo fleet_tests[] = {
 	{ "newest_report_wins", newest_report_wins },
 	{ "reused_address_goes_to_latest_start",
@@ -326,6 +459,8 @@
 	{ "heartbeats_reach_every_entry", heartbeats_reach_every_entry },
 	{ "silence_during_partition_takes_longer",
 	  silence_during_partition_takes_longer },
+	{ "many_servers_are_shared_in_few_messages",
+	  many_servers_are_shared_in_few_messages },
 	CU_TEST_INFO_NULL
 };
 
--- a/src/test_libcurrantbridge/test_view.c
+++ b/src/test_libcurrantbridge/test_view.c
@@ -127,6 +127,62 @@
 	support_state_delete(self);
 }
 
+/* Adds the record of a server, or removes it. */
+static void server_note_(support_state_t *self, const char *name,
+			 gboolean is_gone)
+{
+	cb_command_t *command = cb_command_new(
+		is_gone ? CB_COMMAND_SERVER_FORGET : CB_COMMAND_SERVER_NOTE);
+
+	command->name = g_strdup(name);
+	if (!is_gone)
+		command->payload = g_bytes_new("record", 6);
+	CU_ASSERT_EQUAL(support_apply_kind(self, command), CB_ANSWER_OK);
+}
+
+/*
+ * Entry instances need no records of servers: updates leave them out, and no
+ * number of them makes a view need an update.  Snapshots keep them, and a state
+ * restored from one must not take a view that lacks a change for a current one.
+ */
+static void records_of_servers_are_not_in_updates(void)
+{
+	support_state_t *self = support_state_new();
+	cb_view_t *view = cb_view_new();
+	GBytes *snapshot;
+	int i;
+
+	support_apply_kind(self, support_contract_put_command("a", "a", 1));
+	server_note_(self, "kept", FALSE);
+	CU_ASSERT_EQUAL(cb_state_entry_revision(self->state), 1);
+	CU_ASSERT_EQUAL(cb_state_revision(self->state), 2);
+	update_apply_since_(view, self->state, 0);
+	CU_ASSERT_EQUAL(cb_view_revision(view), 2);
+	CU_ASSERT_EQUAL(cb_view_servers(view)->len, 0);
+	for (i = 0; i < CB_STATE_TOMBSTONE_MAX_COUNT + 1; i++) {
+		char *name = g_strdup_printf("%d", i);
+
+		server_note_(self, name, FALSE);
+		server_note_(self, name, TRUE);
+		g_free(name);
+	}
+	CU_ASSERT_EQUAL(cb_state_entry_revision(self->state), 1);
+	support_apply_kind(self, support_stop(CB_COMMAND_STOP_ANNOUNCE, "x"));
+	CU_ASSERT_EQUAL(cb_state_entry_revision(self->state), self->index);
+	snapshot = cb_state_encode_update(self->state, cb_view_revision(view));
+	CU_ASSERT_TRUE(g_bytes_get_size(snapshot) < 64);
+	CU_ASSERT_EQUAL(cb_view_apply(view, snapshot), CB_VIEW_APPLIED);
+	g_bytes_unref(snapshot);
+	CU_ASSERT_TRUE(cb_view_is_stopped(view, CB_STOP_SERVER, "x"));
+	snapshot = support_snapshot(self);
+	CU_ASSERT_TRUE(support_restore(self, snapshot));
+	g_bytes_unref(snapshot);
+	CU_ASSERT_EQUAL(cb_view_servers(cb_state_view(self->state))->len, 1);
+	CU_ASSERT_EQUAL(cb_state_entry_revision(self->state), self->index);
+	cb_view_delete(view);
+	support_state_delete(self);
+}
+
 static void calls_increment_(void *user_data)
 {
 	++*(int *)user_data;
@@ -272,6 +328,8 @@
 	  key_moves_between_contracts_in_one_update },
 	{ "view_older_than_tombstones_gets_full_update",
 	  view_older_than_tombstones_gets_full_update },
+	{ "records_of_servers_are_not_in_updates",
+	  records_of_servers_are_not_in_updates },
 	{ "shuffled_updates_never_revert_view",
 	  shuffled_updates_never_revert_view },
 	{ "damaged_updates_are_rejected", damaged_updates_are_rejected },
