Links share one epoll, and short answers leave in one write

Each link had a source of its own in the main loop, which checks all sources at each wake-up, and each message on an idle link created and deleted a second source to be written. An HTTP answer left in two writes, head and body.

All sockets of links are watched by one poller (epoll), as those of HTTP are, a frame is written at once as far as the socket takes it, and a body of up to 16 KiB leaves with its head.

--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -19,6 +19,8 @@
 #define LINGER_MS 1000
 /* A caller that reads nothing of its answer for so long is disconnected. */
 #define UNREAD_MAX_MS 5000
+/* A body of up to this size is copied behind its head and sent with it. */
+#define JOINED_BODY_MAX_BYTES 16384
 /* A caller with more unsent bytes than this is disconnected as too slow. */
 #define UNSENT_MAX_BYTES (1024 * 1024)
 
@@ -558,9 +560,13 @@
 	exchange->user_data = user_data;
 }
 
-/* Sends the status line and the headers, with Connection: close if needed. */
-static void answer_head_send_(cb_http1_exchange_t *exchange, uint32_t status,
-			      const char *headers, const char *framing)
+/*
+ * Returns the status line and the headers, with Connection: close if needed; to
+ * be freed.
+ */
+static GString *answer_head_create_(cb_http1_exchange_t *exchange,
+				    uint32_t status, const char *headers,
+				    const char *framing)
 {
 	GString *text = g_string_new(NULL);
 
@@ -572,8 +578,7 @@
 			       exchange->closes_connection ?
 				       "Connection: close\r\n" :
 				       "");
-	cb_stream_send(exchange->connection->stream, text->str, text->len);
-	g_string_free(text, TRUE);
+	return text;
 }
 
 /*
@@ -609,13 +614,22 @@
 			     const char *headers, const void *body, size_t size)
 {
 	gboolean is_head_request = !strcmp(exchange->head.method, "HEAD");
+	gboolean is_joined = size <= JOINED_BODY_MAX_BYTES;
+	cb_stream_t *stream = exchange->connection->stream;
 	char framing[64];
+	GString *text;
 
 	(void)snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n",
 		       size);
-	answer_head_send_(exchange, status, headers, framing);
-	if (!is_head_request && size)
-		cb_stream_send(exchange->connection->stream, body, size);
+	text = answer_head_create_(exchange, status, headers, framing);
+	if (is_head_request)
+		size = 0;
+	if (is_joined)
+		g_string_append_len(text, body, (gssize)size);
+	cb_stream_send(stream, text->str, text->len);
+	if (!is_joined && size)
+		cb_stream_send(stream, body, size);
+	g_string_free(text, TRUE);
 	exchange_finish_(exchange);
 }
 
@@ -632,13 +646,17 @@
 void cb_http1_exchange_begin(cb_http1_exchange_t *exchange, uint32_t status,
 			     const char *headers)
 {
+	GString *text;
+
 	exchange->is_chunked = exchange->head.minor_version >= 1;
 	if (!exchange->is_chunked)
 		exchange->closes_connection = TRUE;
-	answer_head_send_(exchange, status, headers,
-			  exchange->is_chunked ?
-				  "Transfer-Encoding: chunked\r\n" :
-				  "");
+	text = answer_head_create_(exchange, status, headers,
+				   exchange->is_chunked ?
+					   "Transfer-Encoding: chunked\r\n" :
+					   "");
+	cb_stream_send(exchange->connection->stream, text->str, text->len);
+	g_string_free(text, TRUE);
 }
 
 static void chunk_send_(cb_stream_t *stream, const void *data, size_t size)
--- a/src/libcurrantbridge/wire/tcp_network.c
+++ b/src/libcurrantbridge/wire/tcp_network.c
@@ -1,10 +1,13 @@
+#include <errno.h>
 #include <gio/gio.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "currantbridge/network.h"
 #include "private/frame.h"
+#include "private/poller.h"
 
 #define READ_BUFFER_BYTES (64 * 1024)
 /* Limits the reads of one connection per dispatch, for fairness to others. */
@@ -14,19 +17,16 @@
 typedef struct tcp_network {
 	cb_network_t network;
 	GMainContext *context;
+	/* Watches all sockets: a source for each would be checked at each wake-up. */
+	cb_poller_t *poller;
 	size_t max_queue_bytes;
 } tcp_network_t;
 
 typedef struct tcp_connection {
 	cb_connection_t connection;
 	grefcount reference_count;
-	GMainContext *context;
 	GSocket *socket; /* NULL once the connection is closed */
-	GSource *input_source;
-	/*
-	 * Reports that the socket is writable; NULL while no frame is queued.
-	 */
-	GSource *output_source;
+	cb_watch_t *watch;
 	GSource *connect_error_source; /* reports that connecting failed */
 	size_t max_queue_bytes;
 	gboolean is_connecting; /* `opened` has not been called yet */
@@ -40,7 +40,7 @@
 struct cb_listener {
 	tcp_network_t *network;
 	GSocket *socket;
-	GSource *source;
+	cb_watch_t *watch;
 	cb_accept_fn_t accept;
 	void *user_data;
 };
@@ -55,8 +55,7 @@
 
 static void tcp_socket_close_(tcp_connection_t *tcp)
 {
-	source_clear_(&tcp->input_source);
-	source_clear_(&tcp->output_source);
+	g_clear_pointer(&tcp->watch, cb_watch_delete);
 	source_clear_(&tcp->connect_error_source);
 	if (tcp->socket)
 		g_socket_close(tcp->socket, NULL);
@@ -70,7 +69,6 @@
 	tcp_socket_close_(tcp);
 	cb_frame_reader_clear(&tcp->reader);
 	g_byte_array_unref(tcp->queue);
-	g_main_context_unref(tcp->context);
 	g_free(tcp);
 }
 
@@ -116,61 +114,31 @@
 static gboolean tcp_socket_read_(tcp_connection_t *tcp)
 {
 	uint8_t data[READ_BUFFER_BYTES];
-	GError *error = NULL;
-	gboolean would_block;
-	gssize size;
+	ssize_t size =
+		recv(g_socket_get_fd(tcp->socket), data, sizeof(data), 0);
 
-	size = g_socket_receive(tcp->socket, (char *)data, sizeof(data), NULL,
-				&error);
 	if (size > 0) {
 		cb_frame_reader_add(&tcp->reader, data, (size_t)size);
 		return frames_deliver_(tcp) && size == READ_BUFFER_BYTES;
 	}
-	would_block =
-		g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
-	g_clear_error(&error);
-	if (!would_block)
+	if (size == 0 || (errno != EAGAIN && errno != EINTR))
 		tcp_connection_fail_(tcp, CB_CLOSE_REMOTE);
 	return FALSE;
 }
 
-static gboolean input_ready_(GSocket *socket, GIOCondition condition,
-			     void *user_data)
-{
-	tcp_connection_t *tcp = user_data;
-	int reads;
-
-	(void)socket;
-	(void)condition;
-	g_ref_count_inc(&tcp->reference_count);
-	for (reads = 0; reads < MAX_READS_PER_DISPATCH; reads++)
-		if (!tcp_socket_read_(tcp))
-			break;
-	tcp_connection_unref_(tcp);
-	return G_SOURCE_CONTINUE;
-}
-
 /*
  * Writes the queued bytes that the socket accepts.  FALSE: connection failed.
  */
 static gboolean queue_write_(tcp_connection_t *tcp)
 {
-	GError *error = NULL;
-	gboolean would_block;
-	gssize size;
-
 	while (tcp->queue_start < tcp->queue->len) {
-		size = g_socket_send(tcp->socket,
-				     (const char *)tcp->queue->data +
-					     tcp->queue_start,
-				     tcp->queue->len - tcp->queue_start, NULL,
-				     &error);
-		if (size < 0) {
-			would_block = g_error_matches(error, G_IO_ERROR,
-						      G_IO_ERROR_WOULD_BLOCK);
-			g_clear_error(&error);
-			return would_block;
-		}
+		ssize_t size =
+			send(g_socket_get_fd(tcp->socket),
+			     tcp->queue->data + tcp->queue_start,
+			     tcp->queue->len - tcp->queue_start, MSG_NOSIGNAL);
+
+		if (size < 0)
+			return errno == EAGAIN || errno == EINTR;
 		tcp->queue_start += (size_t)size;
 	}
 	g_byte_array_set_size(tcp->queue, 0);
@@ -178,7 +146,16 @@
 	return TRUE;
 }
 
-static void output_watch_(tcp_connection_t *tcp);
+static void watch_events_update_(tcp_connection_t *tcp)
+{
+	unsigned int events =
+		tcp->is_connecting ? CB_WATCH_WRITABLE : CB_WATCH_READABLE;
+
+	if (tcp->queue->len)
+		events |= CB_WATCH_WRITABLE;
+	if (tcp->watch)
+		cb_watch_set_events(tcp->watch, events);
+}
 
 static void connect_finish_(tcp_connection_t *tcp)
 {
@@ -187,41 +164,32 @@
 		return;
 	}
 	tcp->is_connecting = FALSE;
-	tcp->input_source = g_socket_create_source(tcp->socket, G_IO_IN, NULL);
-	g_source_set_callback(tcp->input_source, G_SOURCE_FUNC(input_ready_),
-			      tcp, NULL);
-	g_source_attach(tcp->input_source, tcp->context);
 	if (tcp->handler)
 		tcp->handler->opened(tcp->user_data);
 }
 
-static gboolean output_ready_(GSocket *socket, GIOCondition condition,
-			      void *user_data)
+static void socket_ready_(unsigned int events, void *user_data)
 {
 	tcp_connection_t *tcp = user_data;
+	int reads = 0;
 
-	(void)socket;
-	(void)condition;
 	g_ref_count_inc(&tcp->reference_count);
 	if (tcp->is_connecting)
 		connect_finish_(tcp);
+	else if (events & (CB_WATCH_READABLE | CB_WATCH_CLOSED))
+		while (tcp->socket && reads++ < MAX_READS_PER_DISPATCH &&
+		       tcp_socket_read_(tcp))
+			;
 	if (tcp->socket && !queue_write_(tcp))
 		tcp_connection_fail_(tcp, CB_CLOSE_REMOTE);
-	if (tcp->socket && !tcp->queue->len)
-		source_clear_(&tcp->output_source);
+	watch_events_update_(tcp);
 	tcp_connection_unref_(tcp);
-	return G_SOURCE_CONTINUE;
 }
 
-static void output_watch_(tcp_connection_t *tcp)
+static void socket_watch_(tcp_connection_t *tcp, tcp_network_t *network)
 {
-	if (tcp->output_source)
-		return;
-	tcp->output_source =
-		g_socket_create_source(tcp->socket, G_IO_OUT, NULL);
-	g_source_set_callback(tcp->output_source, G_SOURCE_FUNC(output_ready_),
-			      tcp, NULL);
-	g_source_attach(tcp->output_source, tcp->context);
+	tcp->watch = cb_watch_new(network->poller, g_socket_get_fd(tcp->socket),
+				  CB_WATCH_WRITABLE, socket_ready_, tcp);
 }
 
 static gboolean connect_error_report_(void *user_data)
@@ -245,8 +213,8 @@
 }
 
 /*
- * Queues a frame.  Returns FALSE if the queue would exceed its limit or the
- * connection is closed.
+ * Sends a frame, and queues what the socket does not accept.  Returns FALSE if
+ * the queue would exceed its limit or the connection is closed.
  */
 static gboolean tcp_frame_send_(cb_connection_t *connection,
 				const uint8_t *data, size_t size)
@@ -264,7 +232,10 @@
 		tcp->queue_start = 0;
 	}
 	cb_frame_append(tcp->queue, data, size);
-	output_watch_(tcp);
+	/* A failure is reported from the main loop, where the write is repeated. */
+	if (!queued_bytes && !tcp->is_connecting)
+		(void)queue_write_(tcp);
+	watch_events_update_(tcp);
 	return TRUE;
 }
 
@@ -293,7 +264,6 @@
 
 	tcp->connection.vtable = &tcp_connection_vtable;
 	g_ref_count_init(&tcp->reference_count);
-	tcp->context = g_main_context_ref(network->context);
 	tcp->max_queue_bytes = network->max_queue_bytes;
 	tcp->socket = socket;
 	tcp->is_connecting = TRUE;
@@ -343,7 +313,7 @@
 	if (socket &&
 	    (g_socket_connect(socket, address, NULL, &error) ||
 	     g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING))) {
-		output_watch_(tcp);
+		socket_watch_(tcp, self);
 	} else {
 		tcp->connect_error_source = g_idle_source_new();
 		g_source_set_callback(tcp->connect_error_source,
@@ -355,20 +325,18 @@
 	return &tcp->connection;
 }
 
-static gboolean accept_ready_(GSocket *socket, GIOCondition condition,
-			      void *user_data)
+static void accept_ready_(unsigned int events, void *user_data)
 {
 	cb_listener_t *listener = user_data;
-	GSocket *accepted = g_socket_accept(socket, NULL, NULL);
+	GSocket *accepted = g_socket_accept(listener->socket, NULL, NULL);
 	tcp_connection_t *tcp;
 
-	(void)condition;
+	(void)events;
 	if (!accepted)
-		return G_SOURCE_CONTINUE;
+		return;
 	tcp = tcp_connection_new_(listener->network, accepted);
-	output_watch_(tcp);
+	socket_watch_(tcp, listener->network);
 	listener->accept(&tcp->connection, listener->user_data);
-	return G_SOURCE_CONTINUE;
 }
 
 static cb_listener_t *tcp_listener_open_(cb_network_t *network,
@@ -397,10 +365,9 @@
 	listener->socket = socket;
 	listener->accept = accept;
 	listener->user_data = user_data;
-	listener->source = g_socket_create_source(socket, G_IO_IN, NULL);
-	g_source_set_callback(listener->source, G_SOURCE_FUNC(accept_ready_),
-			      listener, NULL);
-	g_source_attach(listener->source, listener->network->context);
+	listener->watch =
+		cb_watch_new(listener->network->poller, g_socket_get_fd(socket),
+			     CB_WATCH_READABLE, accept_ready_, listener);
 out:
 	g_object_unref(address);
 	return listener;
@@ -409,7 +376,7 @@
 static void tcp_listener_close_(cb_network_t *network, cb_listener_t *listener)
 {
 	(void)network;
-	source_clear_(&listener->source);
+	cb_watch_delete(listener->watch);
 	g_socket_close(listener->socket, NULL);
 	g_object_unref(listener->socket);
 	g_free(listener);
@@ -419,6 +386,7 @@
 {
 	tcp_network_t *self = (tcp_network_t *)network;
 
+	cb_poller_delete(self->poller);
 	g_main_context_unref(self->context);
 	g_free(self);
 }
@@ -440,6 +408,7 @@
 
 	self->network.vtable = &tcp_network_vtable;
 	self->context = g_main_context_ref(context);
+	self->poller = cb_poller_new(context);
 	self->max_queue_bytes = max_queue_bytes;
 	return &self->network;
 }
