Heartbeats that differ in their number only are not parsed again

A control instance received each heartbeat as JSON and built an object tree of it: 60% of its processor time at 300 heartbeats a second was in json-glib, glib and the allocator (perf). A server's heartbeats differ in their number only until its state changes, so the last one is remembered, at most 4,096 servers, and a later one is compared with it. Anything else, and text in which another member or a string could be taken for the number, is parsed as before.

test_platform reads 20,000 drawn heartbeats in both ways and compares them.

--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -289,6 +289,90 @@
 	}
 }
 
+/* Returns whether two readings of one heartbeat are equal; both may be NULL. */
+static gboolean servers_are_equal_(const cb_fleet_server_t *a,
+				   const cb_fleet_server_t *b)
+{
+	if (!a || !b)
+		return !a && !b;
+	return !strcmp(a->id, b->id) && !strcmp(a->service, b->service) &&
+	       !strcmp(a->address, b->address) &&
+	       !strcmp(a->data_centre, b->data_centre) &&
+	       !g_strcmp0(a->kind, b->kind) && a->state == b->state &&
+	       a->sequence == b->sequence && a->slots == b->slots &&
+	       a->start_wall_ms == b->start_wall_ms &&
+	       a->cold_remaining_ms == b->cold_remaining_ms &&
+	       a->layer_from == b->layer_from && a->layer_to == b->layer_to;
+}
+
+/*
+ * A heartbeat that is compared with the one before must be read as one that is
+ * parsed, whatever differs between them.
+ */
+static void repeated_heartbeats_are_read_as_parsed(void)
+{
+	static const char *const numbers[] = { "4",
+					       "5",
+					       "5",
+					       "10",
+					       "04",
+					       "1.5",
+					       "1e3",
+					       "-1",
+					       "\"6\"",
+					       "null",
+					       "",
+					       "4 ",
+					       " 7",
+					       "123456789012345678",
+					       "1234567890123456789",
+					       "99999999999999999999" };
+	static const char *const rests[] = {
+		"",
+		",\"slots\":7",
+		",\"layers\":{\"from\":1,\"to\":4}",
+		",\"x\":{\"sequence\":3}",
+		",\"sequence\":3",
+		",\"kind\":\"\\\"sequence\\\":3\"",
+		",\"\\u0073equence\":9",
+	};
+	static const char *const states[] = { "ready", "ready", "draining" };
+	platform_heartbeats_t *heartbeats = platform_heartbeats_new();
+	GRand *random = g_rand_new_with_seed(5);
+	gboolean is_equal = TRUE;
+	int i;
+
+	for (i = 0; i < 20000 && is_equal; i++) {
+		char *text = g_strdup_printf(
+			HEARTBEAT_START "\"state\":\"%s\",\"sequence\":%s%s}",
+			states[g_rand_int_range(random, 0,
+						G_N_ELEMENTS(states))],
+			numbers[g_rand_int_range(random, 0,
+						 G_N_ELEMENTS(numbers))],
+			rests[g_rand_int_range(random, 0,
+					       G_N_ELEMENTS(rests))]);
+		size_t size =
+			strlen(text) - (g_rand_int_range(random, 0, 20) == 0);
+		const char *id = g_rand_boolean(random) ? "i-1" : "i-2";
+		cb_fleet_server_t parsed;
+		gboolean is_valid =
+			platform_heartbeat_read(id, text, size, &parsed, NULL);
+
+		is_equal =
+			servers_are_equal_(platform_heartbeats_read(heartbeats,
+								    id, text,
+								    size, NULL),
+					   is_valid ? &parsed : NULL);
+		if (!is_equal)
+			printf("    %s\n", text);
+		platform_heartbeat_clear(&parsed);
+		g_free(text);
+	}
+	CU_ASSERT_TRUE(is_equal);
+	g_rand_free(random);
+	platform_heartbeats_delete(heartbeats);
+}
+
 static cb_http1_head_t request_head_parse_(const char *text)
 {
 	cb_http1_head_t head;
@@ -735,6 +819,8 @@
 	{ "documents_are_decoded_in_steps", documents_are_decoded_in_steps },
 	{ "document_fields_are_decoded", document_fields_are_decoded },
 	{ "invalid_heartbeats_are_rejected", invalid_heartbeats_are_rejected },
+	{ "repeated_heartbeats_are_read_as_parsed",
+	  repeated_heartbeats_are_read_as_parsed },
 	{ "shared_parts_of_prompts_are_read",
 	  shared_parts_of_prompts_are_read },
 	{ "relay_headers_replace_caller_headers",
