Updates are pushed at intervals by the number of sessions

Each entry instance that starts is a change of the configuration for all the others: with 300 of them, a start of all made 300 changes, each pushed 2 ms after it was committed to 300 sessions, answered by each and reported to the leader. Control instances also submitted every instance that was not recorded yet again at each session that opened.

Updates are now pushed to all sessions at most each 3 ms a session of the instance, 100 ms at most; the first after a pause, and the first of a session, at once as before. An instance is submitted again after 500 ms only.

--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -102,8 +102,8 @@
 	cb_node_t *node = user_data;
 
 	(void)index;
-	if (!node->is_destroyed && !cb_timer_is_armed(node->push_timer))
-		cb_timer_start(node->push_timer, PUSH_DELAY_MS);
+	if (!node->is_destroyed)
+		cb_timer_start_sooner(node->push_timer, PUSH_DELAY_MS);
 }
 
 static void replica_failed_(void *user_data, const GError *error)
@@ -122,7 +122,7 @@
 	cb_node_t *node = user_data;
 
 	cb_node_confirm_applied(node);
-	cb_sessions_push(node);
+	cb_sessions_push_paced(node);
 }
 
 static void report_timer_fired_(void *user_data)
--- a/src/libcurrantbridge/control/node_instance.c
+++ b/src/libcurrantbridge/control/node_instance.c
@@ -4,6 +4,11 @@
 #define ROSTER_KEEP_MS (10 * 60 * 1000)
 /* Number of heartbeats between two reports of all sessions. */
 #define FULL_REPORT_INTERVAL_TICKS 2
+/*
+ * An entry instance that is not recorded as up is submitted again after this:
+ * until then the first submission may still be on its way.
+ */
+#define UP_RETRY_MS 500
 
 /* Returns a table of the state's entry instances by name. */
 static GHashTable *instances_index_by_name_(const cb_node_t *node)
@@ -47,19 +52,24 @@
 /*
  * Submits that a session's instance is up, unless the state records it as up.
  */
-static void instance_up_submit_(cb_node_t *node, const cb_session_t *session,
+static void instance_up_submit_(cb_node_t *node, cb_session_t *session,
 				const cb_instance_t *known)
 {
 	const cb_hello_t *hello = &session->hello;
+	int64_t now_ms = cb_clock_now_ms(node->clock);
 	cb_command_t *command;
 
-	if (session->is_leaving)
+	if (session->is_leaving || !cb_replica_leader(node->replica))
 		return;
 	if (known && known->incarnation >= hello->incarnation &&
 	    known->state != CB_INSTANCE_SILENT)
 		return;
 	if (known && known->incarnation > hello->incarnation)
 		return;
+	if (session->up_submitted_ms &&
+	    now_ms - session->up_submitted_ms < UP_RETRY_MS)
+		return;
+	session->up_submitted_ms = now_ms;
 	command = cb_command_new(CB_COMMAND_INSTANCE_UP);
 	command->name = g_strdup(hello->name);
 	command->address = g_strdup(hello->address);
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -2,6 +2,12 @@
 
 /* Delay before sessions that missed a round of confirmation get the next. */
 #define CONFIRM_RETRY_MS 20
+/*
+ * Shortest interval of pushes for each session, and the longest in all: when all
+ * entry instances start, each of them is a change for all the others.
+ */
+#define PUSH_INTERVAL_PER_SESSION_MS 3
+#define PUSH_INTERVAL_MAX_MS 100
 
 /* Deletes a session; NULL is allowed. */
 void cb_session_delete(cb_session_t *session)
@@ -97,14 +103,23 @@
 		       (int64_t)g_bytes_get_size(round->update));
 }
 
+static gboolean session_needs_update_(const cb_node_t *node,
+				      const cb_session_t *session)
+{
+	return session->sent_revision <= session->in_force_revision &&
+	       (session->needs_full_update ||
+		session->in_force_revision <
+			cb_state_entry_revision(node->state));
+}
+
 /*
  * Sends an update to the current revision to each session that lacks a change
- * that entry instances need.  A session has at most one update in flight; later
+ * that entry instances need; with `first_only`, only to those that were sent
+ * none yet.  A session has at most one update in flight; later
  * changes follow once that update is in force.
  */
-void cb_sessions_push(cb_node_t *node)
+static void updates_push_(cb_node_t *node, gboolean first_only)
 {
-	uint64_t revision = cb_state_entry_revision(node->state);
 	push_round_t round = { 0 };
 	GHashTableIter iter;
 	void *value;
@@ -112,18 +127,35 @@
 	g_hash_table_iter_init(&iter, node->inbounds);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		cb_inbound_t *inbound = value;
-		cb_session_t *session = inbound->session;
+		const cb_session_t *session = inbound->session;
 
-		if (!session ||
-		    session->sent_revision > session->in_force_revision)
-			continue;
-		if (session->in_force_revision < revision ||
-		    session->needs_full_update)
+		if (session && session_needs_update_(node, session) &&
+		    !(first_only && session->last_update_sent_ms))
 			session_update_push_(inbound, &round);
 	}
 	g_clear_pointer(&round.update, g_bytes_unref);
 }
 
+/*
+ * Pushes updates to the sessions that need one, or arms the timer that does so,
+ * if updates were pushed a short while ago.
+ */
+void cb_sessions_push_paced(cb_node_t *node)
+{
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+	int64_t interval_ms = MIN(cb_counter_get(node->session_gauge) *
+					  PUSH_INTERVAL_PER_SESSION_MS,
+				  PUSH_INTERVAL_MAX_MS);
+	int64_t wait_ms = node->pushed_ms + interval_ms - now_ms;
+
+	if (wait_ms > 0) {
+		cb_timer_start_sooner(node->push_timer, wait_ms);
+		return;
+	}
+	node->pushed_ms = now_ms;
+	updates_push_(node, FALSE);
+}
+
 /*
  * Closes the sessions that have not reported the last update to be in force
  * within the silence timeout, although their links send heartbeats.
@@ -179,7 +211,8 @@
 	/* A leader answered, so new instances can be submitted. */
 	if (outcome == CB_SUBMIT_ANSWERED)
 		cb_node_instances_announce(node);
-	cb_sessions_push(node);
+	updates_push_(node, TRUE);
+	cb_sessions_push_paced(node);
 	cb_timer_start(node->confirm_timer, CONFIRM_RETRY_MS);
 }
 
@@ -224,9 +257,8 @@
 	session->is_unreported = TRUE;
 	if (!cb_timer_is_armed(node->report_timer))
 		cb_timer_start(node->report_timer, 0);
-	if (session->needs_full_update ||
-	    session->in_force_revision < cb_state_entry_revision(node->state))
-		cb_sessions_push(node);
+	if (session_needs_update_(node, session))
+		cb_sessions_push_paced(node);
 }
 
 static void command_receive_(cb_inbound_t *inbound,
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -28,6 +28,8 @@
 	/* Whether the session waits for the round of confirmation. */
 	gboolean is_confirming;
 	gboolean is_leaving;
+	/* When the entry instance was last submitted as up; 0: never. */
+	int64_t up_submitted_ms;
 	/*
 	 * Whether the session changed since it was last reported to the leader.
 	 */
@@ -157,6 +159,7 @@
 	int64_t confirm_deadline_ms;
 	cb_timer_t *tick_timer;
 	cb_timer_t *push_timer;
+	int64_t pushed_ms; /* time of the last push to all sessions */
 	cb_timer_t *role_timer;
 	cb_timer_t *report_timer;
 	cb_timer_t *confirm_timer;
@@ -217,7 +220,7 @@
 void cb_session_delete(cb_session_t *session);
 void cb_session_receive(cb_inbound_t *inbound,
 			const cb_link_message_t *message);
-void cb_sessions_push(cb_node_t *node);
+void cb_sessions_push_paced(cb_node_t *node);
 void cb_sessions_confirm(cb_node_t *node);
 void cb_sessions_close_unresponsive(cb_node_t *node);
 
--- a/src/test_libcurrantbridge/test_sessions.c
+++ b/src/test_libcurrantbridge/test_sessions.c
@@ -680,6 +680,56 @@
 	world_delete(world);
 }
 
+/* Returns the number of updates that all nodes have pushed to sessions. */
+static int64_t pushes_sum_(const world_t *world)
+{
+	int64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < world->node_count; i++)
+		sum += cb_counter_get(cb_counters_counter(
+			cb_kernel_counters(world->nodes[i].kernel),
+			"cb_pushes_total", NULL, NULL));
+	return sum;
+}
+
+#define RESTART_INTERVAL_MS 10
+/* Each session is sent an update when it opens, and one before and one after. */
+#define PUSHES_PER_RESTART 3
+
+/*
+ * Each entry instance that starts is a change for all the others.  When all of
+ * them start, a node must push no more often than its sessions allow: one push a
+ * session each 3 ms for each of its sessions, 1 each 3 ms from each node.
+ */
+static void restart_of_all_entries_pushes_few_updates(void)
+{
+	world_t *world = world_new(3, WORLD_CLIENTS_MAX, 31);
+	int64_t pushes;
+	int64_t start_ms;
+	int64_t pushes_max;
+	size_t i;
+
+	CU_ASSERT_TRUE(
+		world_run_until(world, world_is_converged, START_LIMIT_MS));
+	pushes = pushes_sum_(world);
+	start_ms = cb_clock_now_ms(world->clock);
+	for (i = 0; i < world->client_count; i++) {
+		world_client_stop(world, i);
+		world_client_start(world, i);
+		world_run_until(world, NULL, RESTART_INTERVAL_MS);
+	}
+	CU_ASSERT_TRUE(world_run_until(world, world_is_converged,
+				       IN_FORCE_NO_FAULT_LIMIT_MS));
+	pushes = pushes_sum_(world) - pushes;
+	pushes_max = cb_clock_now_ms(world->clock) - start_ms +
+		     PUSHES_PER_RESTART * WORLD_CLIENTS_MAX;
+	CU_ASSERT_TRUE(pushes <= pushes_max);
+	if (pushes > pushes_max)
+		printf("    %d pushes of %d\n", (int)pushes, (int)pushes_max);
+	world_delete(world);
+}
+
 static CU_TestInfo session_tests[] = {
 	{ "changes_reach_every_session", changes_reach_every_session },
 	{ "sessions_older_than_first_leader_are_recorded",
@@ -703,6 +753,8 @@
 	  entry_rejoins_after_clock_is_set_back },
 	{ "restarted_group_elects_leader_in_time",
 	  restarted_group_elects_leader_in_time },
+	{ "restart_of_all_entries_pushes_few_updates",
+	  restart_of_all_entries_pushes_few_updates },
 	{ "suspicions_in_quick_succession_are_shared",
 	  suspicions_in_quick_succession_are_shared },
 	CU_TEST_INFO_NULL
