A flood of heartbeats leaves turns to the control group

One turn of the poller served up to 256 sockets of servers before links, timers of the election and the disk had a turn: at 60 us a heartbeat and 0.075 of a core that is up to 0.2 s, half of an election timeout.

test_loop: of 100 ready sockets a limited poller calls 8 an iteration, and the socket of another poller in the first; none is forgotten.

--- a/include/currantbridge/http1_server.h
+++ b/include/currantbridge/http1_server.h
@@ -49,6 +49,7 @@
 uint16_t cb_http1_server_port(const cb_http1_server_t *server);
 void cb_http1_server_set_limits(cb_http1_server_t *server,
 				const cb_http1_limits_t *limits);
+void cb_http1_server_limit_batch(cb_http1_server_t *server, int max_sockets);
 void cb_http1_server_drain(cb_http1_server_t *server);
 unsigned int cb_http1_server_count_requests(const cb_http1_server_t *server);
 
--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -506,6 +506,15 @@
 	server->limits = *limits;
 }
 
+/*
+ * Limits how many sockets are served before other work of the process gets a
+ * turn.
+ */
+void cb_http1_server_limit_batch(cb_http1_server_t *server, int max_sockets)
+{
+	cb_poller_limit_batch(server->poller, max_sockets);
+}
+
 /* Makes every answer that starts from now on close its connection. */
 void cb_http1_server_drain(cb_http1_server_t *server)
 {
--- a/src/libcurrantbridge/include/private/poller.h
+++ b/src/libcurrantbridge/include/private/poller.h
@@ -22,6 +22,7 @@
 typedef void (*cb_watch_fn_t)(unsigned int events, void *user_data);
 
 cb_poller_t *cb_poller_new(GMainContext *context);
+void cb_poller_limit_batch(cb_poller_t *poller, int max_events);
 void cb_poller_delete(cb_poller_t *poller);
 cb_watch_t *cb_watch_new(cb_poller_t *poller, int fd, unsigned int events,
 			 cb_watch_fn_t fn, void *user_data);
--- a/src/libcurrantbridge/kernel/poller.c
+++ b/src/libcurrantbridge/kernel/poller.c
@@ -11,6 +11,7 @@
 	GPtrArray *scheduled; /* watches to call even if not ready, not owned */
 	GPtrArray *deleted;   /* watches to free when the dispatch ends */
 	gboolean is_dispatching;
+	int max_events; /* most ready watches that one dispatch calls */
 };
 
 struct cb_watch {
@@ -67,7 +68,7 @@
 {
 	cb_poller_t *poller = ((poller_source_t *)source)->poller;
 	struct epoll_event events[MAX_EVENTS_PER_DISPATCH];
-	int count = epoll_wait(poller->fd, events, MAX_EVENTS_PER_DISPATCH, 0);
+	int count = epoll_wait(poller->fd, events, poller->max_events, 0);
 	int i;
 
 	(void)fn;
@@ -91,6 +92,7 @@
 
 	poller->fd = epoll_create1(EPOLL_CLOEXEC);
 	g_assert(poller->fd >= 0);
+	poller->max_events = MAX_EVENTS_PER_DISPATCH;
 	poller->scheduled = g_ptr_array_new();
 	poller->deleted = g_ptr_array_new_with_free_func(g_free);
 	poller->source = g_source_new(&poller_funcs, sizeof(poller_source_t));
@@ -100,6 +102,15 @@
 	return poller;
 }
 
+/*
+ * Limits how many ready watches are called before other sources of the main loop
+ * and the clock get a turn; the rest are called in the next iterations.
+ */
+void cb_poller_limit_batch(cb_poller_t *poller, int max_events)
+{
+	poller->max_events = CLAMP(max_events, 1, MAX_EVENTS_PER_DISPATCH);
+}
+
 /*
  * Deletes a poller.  All its watches must have been deleted before.  Must not
  * be called by a watch.  NULL is allowed.
--- a/src/test_libcurrantbridge/test_loop.c
+++ b/src/test_libcurrantbridge/test_loop.c
@@ -122,10 +122,87 @@
 	fixture_clear_(&fixture);
 }
 
+#define FLOOD_SOCKETS 100
+#define FLOOD_BATCH 8
+
+/* A socket with one byte to read, and how often its watch was called. */
+typedef struct ready_socket {
+	cb_watch_t *watch;
+	int fds[2];
+	unsigned int call_count;
+} ready_socket_t;
+
+static void ready_socket_read_(unsigned int events, void *user_data)
+{
+	ready_socket_t *self = user_data;
+	char byte;
+
+	(void)events;
+	self->call_count++;
+	CU_ASSERT_EQUAL(read(self->fds[0], &byte, 1), 1);
+}
+
+static void ready_socket_init_(ready_socket_t *self, cb_poller_t *poller)
+{
+	*self = (ready_socket_t){ 0 };
+	CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK,
+					 0, self->fds),
+			      0);
+	self->watch = cb_watch_new(poller, self->fds[0], CB_WATCH_READABLE,
+				   ready_socket_read_, self);
+	CU_ASSERT_EQUAL(write(self->fds[1], "x", 1), 1);
+}
+
+static void ready_socket_clear_(ready_socket_t *self)
+{
+	cb_watch_delete(self->watch);
+	close(self->fds[0]);
+	close(self->fds[1]);
+}
+
+/*
+ * Of many sockets that are ready at once, a limited poller calls a few in each
+ * iteration, so that the sockets of another poller are called in the first one;
+ * none of them is forgotten.
+ */
+static void limited_flood_leaves_turns_to_others(void)
+{
+	cb_poller_t *flooded = cb_poller_new(NULL);
+	cb_poller_t *other = cb_poller_new(NULL);
+	ready_socket_t sockets[FLOOD_SOCKETS];
+	ready_socket_t single;
+	unsigned int called = 0;
+	unsigned int turn;
+	int i;
+
+	cb_poller_limit_batch(flooded, FLOOD_BATCH);
+	for (i = 0; i < FLOOD_SOCKETS; i++)
+		ready_socket_init_(&sockets[i], flooded);
+	ready_socket_init_(&single, other);
+	for (turn = 1; turn <= FLOOD_SOCKETS && called < FLOOD_SOCKETS;
+	     turn++) {
+		g_main_context_iteration(NULL, FALSE);
+		called = 0;
+		for (i = 0; i < FLOOD_SOCKETS; i++)
+			called += sockets[i].call_count;
+		CU_ASSERT_TRUE(called <= turn * FLOOD_BATCH);
+		CU_ASSERT_EQUAL(single.call_count, 1);
+	}
+	for (i = 0; i < FLOOD_SOCKETS; i++) {
+		CU_ASSERT_EQUAL(sockets[i].call_count, 1);
+		ready_socket_clear_(&sockets[i]);
+	}
+	ready_socket_clear_(&single);
+	cb_poller_delete(flooded);
+	cb_poller_delete(other);
+}
+
 static CU_TestInfo loop_tests[] = { { "overdue_timer_fires_after_arrived_bytes",
 				      overdue_timer_fires_after_arrived_bytes },
 				    { "ready_sockets_do_not_stop_timers",
 				      ready_sockets_do_not_stop_timers },
+				    { "limited_flood_leaves_turns_to_others",
+				      limited_flood_leaves_turns_to_others },
 				    CU_TEST_INFO_NULL };
 
 int main(void)
