--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -34,20 +34,24 @@
 void cb_node_peers_broadcast(cb_node_t *node, const cb_link_message_t *message)
 {
 	const GPtrArray *members = cb_replica_members(node->replica);
+	GBytes *encoded = cb_link_message_encode(message);
 	unsigned int i;
 
 	for (i = 0; i < members->len; i++) {
 		const cb_replica_member_t *member = members->pdata[i];
 
 		if (!g_str_equal(member->name, node->name))
-			cb_peers_send(node->peers, member->name, message);
+			cb_peers_send_encoded(node->peers, member->name,
+					      encoded);
 	}
+	g_bytes_unref(encoded);
 }
 
 /* Sends a message to every entry instance with a confirmed session. */
 void cb_node_sessions_broadcast(cb_node_t *node,
 				const cb_link_message_t *message)
 {
+	GBytes *encoded = cb_link_message_encode(message);
 	GHashTableIter iter;
 	void *value;
 
@@ -56,8 +60,9 @@
 		cb_inbound_t *inbound = value;
 
 		if (inbound->session && inbound->session->is_confirmed)
-			cb_link_send(inbound->link, message);
+			cb_link_send_encoded(inbound->link, encoded);
 	}
+	g_bytes_unref(encoded);
 }
 
 /* Merges the servers of the replicated state, once after the start. */
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -76,10 +76,17 @@
 
 /* The update that was encoded last in one round of pushes. */
 typedef struct push_round {
-	uint64_t since; /* the revision that `update` starts from */
-	GBytes *update; /* NULL: no update was encoded yet */
+	uint64_t since;	 /* the revision that `update` starts from */
+	GBytes *update;	 /* NULL: no update was encoded yet */
+	GBytes *message; /* the encoded message that contains `update` */
 } push_round_t;
 
+static void push_round_clear_(push_round_t *round)
+{
+	g_clear_pointer(&round->update, g_bytes_unref);
+	g_clear_pointer(&round->message, g_bytes_unref);
+}
+
 static void session_update_push_(cb_inbound_t *inbound, push_round_t *round)
 {
 	cb_session_t *session = inbound->session;
@@ -89,15 +96,16 @@
 	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_UPDATE };
 
 	if (!round->update || round->since != since) {
-		g_clear_pointer(&round->update, g_bytes_unref);
+		push_round_clear_(round);
 		round->update = cb_state_encode_update(node->state, since);
 		round->since = since;
+		message.body = round->update;
+		round->message = cb_link_message_encode(&message);
 	}
-	message.body = round->update;
 	session->needs_full_update = FALSE;
 	session->sent_revision = cb_state_revision(node->state);
 	session->last_update_sent_ms = cb_clock_now_ms(node->clock);
-	cb_link_send(inbound->link, &message);
+	cb_link_send_encoded(inbound->link, round->message);
 	cb_counter_add(node->push_counter, 1);
 	cb_counter_add(node->push_bytes_counter,
 		       (int64_t)g_bytes_get_size(round->update));
@@ -133,7 +141,7 @@
 		    !(first_only && session->last_update_sent_ms))
 			session_update_push_(inbound, &round);
 	}
-	g_clear_pointer(&round.update, g_bytes_unref);
+	push_round_clear_(&round);
 }
 
 /*
--- a/src/libcurrantbridge/control/peers.c
+++ b/src/libcurrantbridge/control/peers.c
@@ -186,6 +186,18 @@
 	return TRUE;
 }
 
+/* Like cb_peers_send(), for a message that is encoded once for several links. */
+gboolean cb_peers_send_encoded(cb_peers_t *peers, const char *name,
+			       GBytes *message)
+{
+	peer_t *peer = g_hash_table_lookup(peers->peers_by_name, name);
+
+	if (!peer || !peer->link || !cb_link_is_ready(peer->link))
+		return FALSE;
+	cb_link_send_encoded(peer->link, message);
+	return TRUE;
+}
+
 /* Returns whether there is a ready link to a control instance. */
 gboolean cb_peers_is_ready(const cb_peers_t *peers, const char *name)
 {
--- a/src/libcurrantbridge/include/private/link.h
+++ b/src/libcurrantbridge/include/private/link.h
@@ -44,6 +44,7 @@
 		       const cb_link_handler_t *handler, void *user_data);
 void cb_link_delete(cb_link_t *link);
 void cb_link_send(cb_link_t *link, const cb_link_message_t *message);
+void cb_link_send_encoded(cb_link_t *link, GBytes *message);
 void cb_link_goodbye(cb_link_t *link, cb_close_reason_t reason);
 gboolean cb_link_is_ready(const cb_link_t *link);
 const cb_hello_t *cb_link_remote_hello(const cb_link_t *link);
--- a/src/libcurrantbridge/include/private/peers.h
+++ b/src/libcurrantbridge/include/private/peers.h
@@ -30,6 +30,8 @@
 			     const char *address);
 gboolean cb_peers_send(cb_peers_t *peers, const char *name,
 		       const cb_link_message_t *message);
+gboolean cb_peers_send_encoded(cb_peers_t *peers, const char *name,
+			       GBytes *message);
 void cb_peers_reconnect_soon(cb_peers_t *peers, const char *name);
 gboolean cb_peers_is_ready(const cb_peers_t *peers, const char *name);
 void cb_peers_goodbye(cb_peers_t *peers, cb_close_reason_t reason);
--- a/src/libcurrantbridge/wire/link.c
+++ b/src/libcurrantbridge/wire/link.c
@@ -143,18 +143,30 @@
 void cb_link_send(cb_link_t *link, const cb_link_message_t *message)
 {
 	GBytes *bytes;
+
+	if (!link->connection || !link->is_open)
+		return;
+	bytes = cb_link_message_encode(message);
+	cb_link_send_encoded(link, bytes);
+	g_bytes_unref(bytes);
+}
+
+/*
+ * Like cb_link_send(), for a message that goes to several links and is encoded
+ * once (cb_link_message_encode()).
+ */
+void cb_link_send_encoded(cb_link_t *link, GBytes *message)
+{
 	const uint8_t *data;
 	gsize size;
 
 	if (!link->connection || !link->is_open)
 		return;
-	bytes = cb_link_message_encode(message);
-	data = g_bytes_get_data(bytes, &size);
+	data = g_bytes_get_data(message, &size);
 	if (size <= CB_LINK_MESSAGE_MAX_BYTES)
 		message_bytes_send_(link, data, size);
 	else
 		link_close_later_(link, CB_CLOSE_OVERSIZE);
-	g_bytes_unref(bytes);
 }
 
 /* Sends the peer the reason, then closes the link from the main loop. */
