Sessions spread over the control instances

At a first start all entry instances know the same three control instances, and after a restart of all of control they meet whichever is back first. Sessions stayed where they were opened: of 300, 100 at each of three instances and none at the other six.

A control instance with one and a half times its share of the ready entry instances, and four more, closes a new link with the reason "crowded" and the addresses of the others; it tells each entry instance so once in 10 s at most, and then accepts it, as the others may be down. While it has links to all others, it also has one session move at each heartbeat until it is within that limit. An entry instance then tries any other address, not the next.

test_sessions: 24 entry instances that know one of five nodes end with at most 11 sessions on a node (24 before); with two nodes down all are accepted, and after their return sessions move to them.

--- a/include/currantbridge/network.h
+++ b/include/currantbridge/network.h
@@ -31,6 +31,7 @@
 	CB_CLOSE_NOT_CURRENT, /* the control instance has no quorum */
 	CB_CLOSE_STOPPING,    /* graceful stop of one side */
 	CB_CLOSE_REPLACED,    /* superseded by a newer link or incarnation */
+	CB_CLOSE_CROWDED,     /* others have fewer sessions */
 	CB_CLOSE_REASON_COUNT
 } cb_close_reason_t;
 
--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -39,6 +39,22 @@
 			cb_link_last_received_ms(client->link);
 }
 
+/*
+ * Selects the address to try next: the one that follows, or any other if the
+ * present control instance has too many sessions.
+ */
+static void next_address_select_(cb_control_client_t *client,
+				 cb_close_reason_t reason)
+{
+	size_t step = 1;
+
+	if (reason == CB_CLOSE_CROWDED && client->address_count > 2)
+		step = (size_t)g_rand_int_range(client->random, 1,
+						(int)client->address_count);
+	client->address_index =
+		(client->address_index + step) % client->address_count;
+}
+
 /* Ends the session and schedules a connection to the next control instance. */
 static void session_end_(cb_control_client_t *client, cb_close_reason_t reason)
 {
@@ -57,8 +73,7 @@
 	cb_timer_stop(client->confirm_timer);
 	client->is_session_confirmed = FALSE;
 	client->consecutive_failures++;
-	client->address_index =
-		(client->address_index + 1) % client->address_count;
+	next_address_select_(client, reason);
 	cb_client_submits_mark_unsent(client);
 	connect_schedule_(client);
 }
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -206,6 +206,8 @@
 	cb_node_confirm_applied(node);
 	cb_sessions_confirm(node);
 	cb_sessions_close_unresponsive(node);
+	if (cb_node_has_all_peers(node))
+		cb_inbound_relieve(node);
 	cb_node_instances_tick(node);
 }
 
@@ -307,6 +309,7 @@
 	g_hash_table_unref(node->requests);
 	g_hash_table_unref(node->pending_replies);
 	g_hash_table_unref(node->inbounds);
+	g_hash_table_unref(node->turned_away);
 	cb_peers_delete(node->peers);
 	timers_delete_(node);
 	if (node->owns_storage)
@@ -482,6 +485,8 @@
 	node->roster = cb_roster_new();
 	node->inbounds = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, cb_inbound_delete);
+	node->turned_away =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, cb_node_request_delete);
 	node->pending_replies =
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -122,7 +122,7 @@
 }
 
 /* Returns whether this instance has links to all other members. */
-static gboolean all_peers_are_linked_(const cb_node_t *node)
+gboolean cb_node_has_all_peers(const cb_node_t *node)
 {
 	const GPtrArray *members = cb_replica_members(node->replica);
 	unsigned int i;
@@ -148,7 +148,7 @@
 			       3 * EXPIRY_CHECK_INTERVAL_MS;
 
 	/* While this process was stalled it could not receive heartbeats. */
-	if (!all_peers_are_linked_(node) || was_stalled)
+	if (!cb_node_has_all_peers(node) || was_stalled)
 		node->all_linked_since_ms = now_ms;
 	node->last_expiry_check_ms = now_ms;
 	if (now_ms - node->all_linked_since_ms < silence_ms)
--- a/src/libcurrantbridge/control/node_inbound.c
+++ b/src/libcurrantbridge/control/node_inbound.c
@@ -1,5 +1,12 @@
 #include "private/node.h"
 
+/* Sessions beyond one and a half times its share that an instance accepts. */
+#define SESSIONS_TOLERATED 4
+/* An entry instance that comes back within this time is accepted. */
+#define TURN_AWAY_INTERVAL_MS 10000
+/* Beyond this many, all that were turned away are forgotten. */
+#define TURNED_AWAY_MAX 4096
+
 /* Returns the incoming link with this ID, or NULL if it is closed. */
 cb_inbound_t *cb_inbound_find(cb_node_t *node, uint64_t id)
 {
@@ -26,6 +33,69 @@
 	g_free(self);
 }
 
+/*
+ * Returns how many sessions this instance accepts: one and a half times its share
+ * of the entry instances that are ready, and some more.
+ */
+static int64_t sessions_limit_(const cb_node_t *node)
+{
+	const GPtrArray *members = cb_replica_members(node->replica);
+	const GPtrArray *instances =
+		cb_view_instances(cb_state_view(node->state));
+	int64_t ready_count = 0;
+	unsigned int i;
+
+	if (members->len < 2)
+		return G_MAXINT64;
+	for (i = 0; i < instances->len; i++)
+		ready_count += ((cb_instance_t *)instances->pdata[i])->state ==
+			       CB_INSTANCE_READY;
+	return ready_count * 3 / (2 * (int64_t)members->len) +
+	       SESSIONS_TOLERATED;
+}
+
+/*
+ * Returns whether an entry instance may be told to look for another control
+ * instance, and remembers that it was: the others may be down, so it is told
+ * once in a while only.
+ */
+static gboolean turning_away_begin_(cb_node_t *node, const char *name)
+{
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+	const int64_t *last_ms = g_hash_table_lookup(node->turned_away, name);
+
+	if (last_ms && now_ms - *last_ms < TURN_AWAY_INTERVAL_MS)
+		return FALSE;
+	if (g_hash_table_size(node->turned_away) >= TURNED_AWAY_MAX)
+		g_hash_table_remove_all(node->turned_away);
+	g_hash_table_replace(node->turned_away, g_strdup(name),
+			     g_memdup2(&now_ms, sizeof(now_ms)));
+	return TRUE;
+}
+
+/*
+ * Has one session move to another control instance if there are too many here,
+ * as after a start, when all entry instances know the same few.
+ */
+void cb_inbound_relieve(cb_node_t *node)
+{
+	GHashTableIter iter;
+	void *value;
+
+	if (cb_counter_get(node->session_gauge) <= sessions_limit_(node))
+		return;
+	g_hash_table_iter_init(&iter, node->inbounds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		cb_inbound_t *inbound = value;
+
+		if (!inbound->session || !inbound->session->is_confirmed ||
+		    !turning_away_begin_(node, inbound->session->hello.name))
+			continue;
+		cb_link_goodbye(inbound->link, CB_CLOSE_CROWDED);
+		return;
+	}
+}
+
 static void inbound_ready_(void *user_data, const cb_hello_t *remote)
 {
 	cb_inbound_t *inbound = user_data;
@@ -43,6 +113,13 @@
 		cb_link_goodbye(inbound->link, CB_CLOSE_NOT_CURRENT);
 		return;
 	}
+	if (cb_counter_get(node->session_gauge) >= sessions_limit_(node) &&
+	    !cb_session_exists(node, remote->name) &&
+	    turning_away_begin_(node, remote->name)) {
+		cb_node_control_addresses_send(inbound);
+		cb_link_goodbye(inbound->link, CB_CLOSE_CROWDED);
+		return;
+	}
 	if (!cb_session_open(inbound, remote))
 		cb_link_goodbye(inbound->link, CB_CLOSE_REPLACED);
 }
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -39,6 +39,12 @@
 	return NULL;
 }
 
+/* Returns whether the entry instance of this name has a session here. */
+gboolean cb_session_exists(cb_node_t *node, const char *name)
+{
+	return session_link_find_(node, name) != NULL;
+}
+
 /*
  * Opens the session of an entry instance on its link and closes the link of an
  * earlier session.  Returns FALSE, with nothing changed, if the earlier session
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -142,7 +142,10 @@
 	gboolean is_fleet_share_pending;
 	int64_t fleet_changes_sent_ms; /* time when changes were last sent */
 	uint64_t next_id;
-	GHashTable *inbounds;	     /* cb_inbound_t by id */
+	GHashTable *inbounds; /* cb_inbound_t by id */
+	/* Entry instances by name, with the time (int64_t) when they were told to
+	 * look for another control instance. */
+	GHashTable *turned_away;
 	GHashTable *requests;	     /* cb_node_request_t by id */
 	GHashTable *pending_replies; /* set of cb_reply_t not sent yet */
 	/*
@@ -198,6 +201,7 @@
 cb_inbound_t *cb_inbound_find(cb_node_t *node, uint64_t id);
 void cb_inbound_reply(cb_node_t *node, uint64_t id,
 		      const cb_link_message_t *message);
+void cb_inbound_relieve(cb_node_t *node);
 void cb_inbound_goodbye_all(cb_node_t *node, gboolean sessions_only,
 			    cb_close_reason_t reason);
 
@@ -217,6 +221,7 @@
 
 /* Sessions of entry instances: node_session.c. */
 gboolean cb_session_open(cb_inbound_t *inbound, const cb_hello_t *hello);
+gboolean cb_session_exists(cb_node_t *node, const char *name);
 void cb_session_delete(cb_session_t *session);
 void cb_session_receive(cb_inbound_t *inbound,
 			const cb_link_message_t *message);
@@ -232,6 +237,7 @@
 void cb_node_grant_receive(cb_node_t *node, const cb_link_message_t *grant);
 
 /* Backend servers: node_fleet.c. */
+gboolean cb_node_has_all_peers(const cb_node_t *node);
 void cb_node_peers_broadcast(cb_node_t *node, const cb_link_message_t *message);
 void cb_node_sessions_broadcast(cb_node_t *node,
 				const cb_link_message_t *message);
--- a/src/libcurrantbridge/wire/link.c
+++ b/src/libcurrantbridge/wire/link.c
@@ -50,6 +50,7 @@
 	[CB_CLOSE_NOT_CURRENT] = "not_current",
 	[CB_CLOSE_STOPPING] = "stopping",
 	[CB_CLOSE_REPLACED] = "replaced",
+	[CB_CLOSE_CROWDED] = "crowded",
 };
 
 static void link_unref_(cb_link_t *link)
--- a/src/test_libcurrantbridge/support_world.c
+++ b/src/test_libcurrantbridge/support_world.c
@@ -88,7 +88,9 @@
 	};
 	size_t k;
 
-	for (k = 0; k < world->node_count; k++)
+	for (k = 0; k < (world->known_node_count ? world->known_node_count :
+						   world->node_count);
+	     k++)
 		addresses[k] = world->nodes[k].address;
 	self->highest_revision = 0;
 	self->view = cb_view_new();
--- a/src/test_libcurrantbridge/support_world.h
+++ b/src/test_libcurrantbridge/support_world.h
@@ -45,6 +45,8 @@
 	support_hub_t *hub;
 	int64_t server_silence_ms; /* 0: the nodes handle no backend servers */
 	size_t node_count;
+	/* Nodes that clients know when they start; 0: all. */
+	size_t known_node_count;
 	size_t client_count;
 	world_node_t nodes[WORLD_NODES_MAX];
 	world_client_t clients[WORLD_CLIENTS_MAX];
--- a/src/test_libcurrantbridge/test_sessions.c
+++ b/src/test_libcurrantbridge/test_sessions.c
@@ -730,6 +730,71 @@
 	world_delete(world);
 }
 
+/* Restarts all clients, which know one node until they learn of the others. */
+static void clients_restart_(world_t *world)
+{
+	size_t i;
+
+	world->known_node_count = 1;
+	for (i = 0; i < world->client_count; i++) {
+		world_client_stop(world, i);
+		world_client_start(world, i);
+	}
+}
+
+/* Returns the most sessions of a node. */
+static int64_t most_sessions_find_(const world_t *world)
+{
+	int64_t most = 0;
+	size_t i;
+
+	for (i = 0; i < world->node_count; i++) {
+		cb_counters_t *counters;
+
+		if (!world->nodes[i].kernel)
+			continue;
+		counters = cb_kernel_counters(world->nodes[i].kernel);
+		most = MAX(most, cb_counter_get(cb_counters_gauge(counters,
+								  "cb_sessions",
+								  NULL, NULL)));
+	}
+	return most;
+}
+
+/* An entry instance is told to move once in this time at most. */
+#define TURN_AWAY_INTERVAL_MS 10000
+/* 1.5 times the share of one of 5 nodes, and 4 more. */
+#define SESSIONS_LIMIT (WORLD_CLIENTS_MAX * 3 / 10 + 4)
+
+/*
+ * Sessions must spread over the nodes though all entry instances know the same
+ * one when they start.  With two nodes down the others must accept all of them;
+ * once these are back, sessions must move to them.
+ */
+static void sessions_spread_over_nodes(void)
+{
+	world_t *world = world_new(5, WORLD_CLIENTS_MAX, 32);
+
+	CU_ASSERT_TRUE(
+		world_run_until(world, world_is_converged, START_LIMIT_MS));
+	clients_restart_(world);
+	CU_ASSERT_TRUE(
+		world_run_until(world, world_is_converged, START_LIMIT_MS));
+	CU_ASSERT_TRUE(most_sessions_find_(world) <= SESSIONS_LIMIT);
+	world_node_stop(world, 3);
+	world_node_stop(world, 4);
+	clients_restart_(world);
+	CU_ASSERT_TRUE(
+		world_run_until(world, world_is_converged, START_LIMIT_MS));
+	world_node_start(world, 3);
+	world_node_start(world, 4);
+	world_run_until(world, NULL, START_LIMIT_MS + TURN_AWAY_INTERVAL_MS);
+	CU_ASSERT_TRUE(most_sessions_find_(world) <= SESSIONS_LIMIT);
+	CU_ASSERT_TRUE(world_is_converged(world));
+	views_not_reverted_check_(world);
+	world_delete(world);
+}
+
 static CU_TestInfo session_tests[] = {
 	{ "changes_reach_every_session", changes_reach_every_session },
 	{ "sessions_older_than_first_leader_are_recorded",
@@ -753,6 +818,7 @@
 	  entry_rejoins_after_clock_is_set_back },
 	{ "restarted_group_elects_leader_in_time",
 	  restarted_group_elects_leader_in_time },
+	{ "sessions_spread_over_nodes", sessions_spread_over_nodes },
 	{ "restart_of_all_entries_pushes_few_updates",
 	  restart_of_all_entries_pushes_few_updates },
 	{ "suspicions_in_quick_succession_are_shared",
