--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -81,21 +81,23 @@
 }
 
 /*
- * Sends all servers to an entry instance whose session was confirmed, recorded
- * ones included: the entry instance's view has no records of servers.
+ * Returns the encoded message that tells an entry instance whose session was
+ * confirmed of all servers, or NULL if there are none.  Recorded servers are
+ * included: the entry instance's view has no records of servers.
  */
-void cb_node_fleet_send(cb_inbound_t *inbound)
+GBytes *cb_node_fleet_encode(cb_node_t *node)
 {
-	cb_node_t *node = inbound->node;
 	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_FLEET };
+	GBytes *encoded;
 
 	server_records_load_(node);
 	message.body = cb_fleet_encode(node->fleet, CB_FLEET_ALL,
 				       cb_clock_now_ms(node->clock));
 	if (!message.body)
-		return;
-	cb_link_send(inbound->link, &message);
+		return NULL;
+	encoded = cb_link_message_encode(&message);
 	g_bytes_unref(message.body);
+	return encoded;
 }
 
 /*
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -201,6 +201,8 @@
 {
 	cb_node_t *node = user_data;
 	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_CONFIRMED };
+	gboolean is_fleet_encoded = FALSE;
+	GBytes *fleet = NULL;
 	GHashTableIter iter;
 	void *value;
 
@@ -220,8 +222,13 @@
 		session->is_confirmed = TRUE;
 		cb_link_send(inbound->link, &message);
 		cb_node_control_addresses_send(inbound);
-		cb_node_fleet_send(inbound);
+		if (!is_fleet_encoded)
+			fleet = cb_node_fleet_encode(node);
+		is_fleet_encoded = TRUE;
+		if (fleet)
+			cb_link_send_encoded(inbound->link, fleet);
 	}
+	g_clear_pointer(&fleet, g_bytes_unref);
 	/* A leader answered, so new instances can be submitted. */
 	if (outcome == CB_SUBMIT_ANSWERED)
 		cb_node_instances_announce(node);
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -243,7 +243,7 @@
 				const cb_link_message_t *message);
 void cb_node_fleet_init(cb_node_t *node, int64_t server_silence_ms);
 void cb_node_fleet_merge(cb_node_t *node, GBytes *record);
-void cb_node_fleet_send(cb_inbound_t *inbound);
+GBytes *cb_node_fleet_encode(cb_node_t *node);
 void cb_node_fleet_receive(cb_node_t *node, const cb_link_message_t *message);
 
 /* Requests that entry instances have in flight: node_usage.c. */
