Servers that start or recover get work at a pace that their answers show

Cause: a plain server that had just started got every instance's requests until their sums told of its load, or few of them if it called itself cold; one that came and went lost requests at each turn, and one that failed at once was the least loaded and got most. Above some load all instances took the server that was least loaded in sums 0.2 to 0.4 s old. A new process was avoided for up to 4 s for how the one before had ended.

Change: relay/server_pace gives each server a weight, the part of its fair share that it gets now: 0.25 at first, up by 1 in 1.5 s, down to what mean times and failures of the last second show, by all instances' answers (four numbers a server in the usage reports, of the latest process only). A server that returns again within 10 s gets nothing for 2 s, then 4 s. Each instance draws by the weight, so that it holds for any number of them. Requests that may run only once are left to proven servers where these can serve them. Engines beyond their pace cost more in a chain, less than a change of data centre does; a full engine's rejections are not held against it. Loads that the others change sooner than they are known are left out: two servers are drawn and compared.

--- a/src/libcurrantbridge/backend/usage.c
+++ b/src/libcurrantbridge/backend/usage.c
@@ -2,7 +2,7 @@
 
 #include "private/pack.h"
 
-#define LOAD_FIELD_COUNT 7
+#define LOAD_FIELD_COUNT 11
 #define SENDS_FIELD_COUNT 5
 #define FLOW_FIELD_COUNT 4
 
@@ -42,6 +42,20 @@
 	g_free(self);
 }
 
+/* Adds what answers show, if it is of the latest process of the server. */
+static void answers_add_(cb_usage_load_t *sum, const cb_usage_load_t *load)
+{
+	if (load->answered_start_wall_ms < sum->answered_start_wall_ms ||
+	    (!load->answers && !load->failures))
+		return;
+	if (load->answered_start_wall_ms > sum->answered_start_wall_ms)
+		sum->answers = sum->answer_percent = sum->failures = 0;
+	sum->answered_start_wall_ms = load->answered_start_wall_ms;
+	sum->answers += load->answers;
+	sum->answer_percent += load->answer_percent;
+	sum->failures += load->failures;
+}
+
 /* Adds requests in flight at a server. */
 void cb_usage_add_load(cb_usage_t *usage, const char *server_id,
 		       const cb_usage_load_t *load)
@@ -62,6 +76,7 @@
 				load->limit_per_ks;
 	sum->limiting_instances += load->limiting_instances;
 	sum->limit_ended_instances += load->limit_ended_instances;
+	answers_add_(sum, load);
 }
 
 /* Adds requests and retries sent to a service. */
@@ -170,6 +185,10 @@
 		cb_pack_uint(&pack, load->limiting_instances);
 		cb_pack_uint(&pack, load->limit_per_ks);
 		cb_pack_uint(&pack, load->limit_ended_instances);
+		cb_pack_uint(&pack, load->answers);
+		cb_pack_uint(&pack, load->answer_percent);
+		cb_pack_uint(&pack, load->failures);
+		cb_pack_uint(&pack, load->answered_start_wall_ms);
 	}
 	cb_pack_array(&pack, g_hash_table_size(usage->by_service));
 	g_hash_table_iter_init(&iter, usage->by_service);
@@ -211,6 +230,10 @@
 	load.limiting_instances = (uint32_t)cb_fields_uint(&fields);
 	load.limit_per_ks = (uint32_t)cb_fields_uint(&fields);
 	load.limit_ended_instances = (uint32_t)cb_fields_uint(&fields);
+	load.answers = (uint32_t)cb_fields_uint(&fields);
+	load.answer_percent = (uint32_t)cb_fields_uint(&fields);
+	load.failures = (uint32_t)cb_fields_uint(&fields);
+	load.answered_start_wall_ms = cb_fields_uint(&fields);
 	if (cb_fields_are_complete(&fields))
 		cb_usage_add_load(usage, server_id, &load);
 	g_free(server_id);
--- a/src/libcurrantbridge/include/private/server_book.h
+++ b/src/libcurrantbridge/include/private/server_book.h
@@ -9,6 +9,7 @@
 #include "currantbridge/view.h"
 #include "private/rate_limits.h"
 #include "private/reach.h"
+#include "private/server_pace.h"
 #include "private/usage.h"
 
 /*
@@ -41,6 +42,11 @@
 	gboolean forbids_crossing;
 	/* Whether it is only asked if there are such servers, to use none. */
 	gboolean is_only_asked;
+	/*
+	 * Whether the request may run once at most: servers that have not shown
+	 * yet that they serve are left to other requests.
+	 */
+	gboolean runs_once;
 } cb_book_criteria_t;
 
 cb_server_book_t *cb_server_book_new(cb_clock_t *clock, const cb_fleet_t *fleet,
@@ -136,5 +142,14 @@
 void cb_server_book_forget_losses(cb_server_book_t *book,
 				  const char *data_centre);
 void cb_server_book_record_success(cb_server_book_t *book, const GArray *hops);
+/*
+ * Records after which time the servers of a chain sent a whole answer, or the
+ * first event of a stream, for a kind of request.
+ */
+void cb_server_book_record_time(cb_server_book_t *book, const GArray *hops,
+				const char *service, const char *kind,
+				int64_t time_ms);
+/* Returns the paces of the servers, which live as long as the records. */
+cb_server_pace_t *cb_server_book_pace(cb_server_book_t *book);
 
 #endif
--- a/src/libcurrantbridge/include/private/usage.h
+++ b/src/libcurrantbridge/include/private/usage.h
@@ -55,6 +55,18 @@
 	uint32_t limit_per_ks;
 	/* Number of those to which it named none any more. */
 	uint32_t limit_ended_instances;
+	/*
+	 * Answers of the server within the last second, the sum of their times
+	 * in percent of the usual one, and requests that failed there.
+	 */
+	uint32_t answers;
+	uint32_t answer_percent;
+	uint32_t failures;
+	/*
+	 * Start of the server process that these are of: in a sum, the latest
+	 * process that an instance knows; 0: no answers.
+	 */
+	uint64_t answered_start_wall_ms;
 } cb_usage_load_t;
 
 /* Seconds of the unit of `limit_per_ks`. */
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -190,6 +190,9 @@
 	cb_rate_limits_add_usage(front->limits, usage);
 	cb_relay_room_add_usage(front, usage);
 	cb_relay_room_update(front);
+	cb_counter_set(cb_counters_gauge(front->counters,
+					 "cb_relay_servers_paced", NULL, NULL),
+		       cb_server_pace_count(cb_server_book_pace(front->book)));
 	is_empty = !g_hash_table_size(usage->by_server) &&
 		   !g_hash_table_size(usage->by_service) &&
 		   !g_hash_table_size(usage->by_flow);
@@ -223,6 +226,23 @@
 	cb_fleet_log(front->log, server);
 }
 
+/* Logs and counts a change of a server's pace, with its reason. */
+static void pace_change_log_(const cb_pace_change_t *change, void *user_data)
+{
+	cb_front_t *front = user_data;
+	const char *reason = cb_pace_reason_string[change->reason];
+
+	cb_log_event(front->log, CB_EVENT_SERVER_PACE,
+		     CB_STR("server", change->id), CB_STR("reason", reason),
+		     CB_INT("weight_percent", change->weight_percent),
+		     CB_INT("answers", change->answers),
+		     CB_INT("failures", change->failures),
+		     CB_INT("time_percent", change->time_percent),
+		     CB_INT("hold_ms", change->hold_ms),
+		     CB_INT("age_ms", change->sum_age_ms));
+	cb_relay_count_reason(front, "cb_relay_server_paces_total", reason);
+}
+
 /* Starts to relay a request; an instance that is about to end refuses it. */
 static void request_receive_(cb_http1_exchange_t *exchange, void *user_data)
 {
@@ -427,6 +447,8 @@
 	front->book = cb_server_book_new(front->clock, front->fleet, view,
 					 front->random, front->limits,
 					 front->reach, options->data_centre);
+	cb_server_pace_watch(cb_server_book_pace(front->book), pace_change_log_,
+			     front);
 	front->content_book = cb_relay_content_book_new(front);
 	front->server_ends =
 		cb_server_ends_new(cb_kernel_context(kernel), front->clock,
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -329,10 +329,12 @@
 static cb_book_outcome_t servers_choose_(cb_relay_t *relay)
 {
 	cb_server_book_t *book = relay->front->book;
-	const cb_book_criteria_t criteria = { .service = relay->service,
-					      .tokens = relay->expected_tokens,
-					      .excluded_servers =
-						      relay->tried_servers };
+	const cb_book_criteria_t criteria = {
+		.service = relay->service,
+		.tokens = relay->expected_tokens,
+		.excluded_servers = relay->tried_servers,
+		.runs_once = !cb_relay_is_repeatable(relay)
+	};
 	cb_book_outcome_t outcome =
 		cb_server_book_choose(book, &criteria, relay->hops);
 
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -377,6 +377,17 @@
 				relay->answer_headers->str);
 }
 
+/* Records after which time the attempt's servers have answered. */
+static void server_time_record_(const cb_relay_t *relay)
+{
+	if (!relay->forwarded_to)
+		cb_server_book_record_time(relay->front->book, relay->hops,
+					   relay->service->name,
+					   relay->route->name,
+					   cb_relay_now_ms(relay) -
+						   relay->sent_ms);
+}
+
 /* Forwards one event, unless the caller has received it already. */
 static void event_forward_(void *user_data, int64_t id, const char *data,
 			   size_t size)
@@ -384,6 +395,9 @@
 	cb_relay_t *relay = user_data;
 	int64_t now_ms = cb_relay_now_ms(relay);
 
+	/* The time to the first event of a resumed stream is another one. */
+	if (relay->last_event < 0 && !relay->is_answer_begun)
+		server_time_record_(relay);
 	cb_relay_content_event_received(relay);
 	if (id >= 0 && id <= relay->last_event) {
 		cb_relay_start_silence_timer(relay);
@@ -544,8 +558,14 @@
 		cb_relay_attempt_failed(relay, "server_error", TRUE, NULL);
 		return;
 	}
-	if (status < 500)
+	if (status < 500) {
+		server_time_record_(relay);
 		cb_server_book_record_success(relay->front->book, relay->hops);
+	} else if (cb_relay_find_hop(relay, NULL)) {
+		cb_server_pace_record_failure(
+			cb_server_book_pace(relay->front->book),
+			cb_relay_find_hop(relay, NULL)->id);
+	}
 	cb_relay_record_end(relay, status, end_reason_find_(relay));
 	cb_http1_exchange_reply(exchange, status, relay->answer_headers->str,
 				relay->buffered_body->data,
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -33,11 +33,26 @@
  * server that rejects all requests is likely down.
  */
 #define FULL_AVOID_DOUBLINGS_MAX 3
+/*
+ * Servers that are not paced get this much more than their fair share, if they are
+ * nearly all of a service, while others are paced: the fewer they are, the less.
+ */
+#define PROVEN_EXTRA_LOAD 0.5
+/* Load by slots from which a paced server first has to work off its queue. */
+#define BUSY_LOAD 2
+/* Lowest weight of a server where no better one is left. */
+#define PACED_WEIGHT_MIN 0.01
+/* Cost of an avoided server: more than any load makes of another one's. */
+#define AVOIDED_COST 1000
+/* So many servers are drawn and compared where loads are outdated. */
+#define DRAWN_SERVERS 2
 
 /* This instance's record of one server. */
 typedef struct server_stats {
 	/* This instance's requests in flight at the server. */
 	unsigned int running;
+	/* Start of the server process that the following is of; 0: not known. */
+	int64_t start_wall_ms;
 	/*
 	 * Sum over the `running` requests: tokens at the end times layers on
 	 * the server.
@@ -90,6 +105,7 @@
 	cb_rate_limits_t *limits;
 	const cb_reach_t *reach;
 	cb_pipe_share_t *pipes;
+	cb_server_pace_t *pace;
 	char *data_centre;
 	GHashTable *stats_by_id; /* map: server ID to server_stats_t */
 	/* When the other instances' usage was last received; 0: never. */
@@ -117,6 +133,7 @@
 	book->limits = limits;
 	book->reach = reach;
 	book->pipes = cb_pipe_share_new(clock);
+	book->pace = cb_server_pace_new(clock);
 	book->data_centre = g_strdup(data_centre);
 	book->stats_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -133,6 +150,7 @@
 	g_hash_table_unref(book->stats_by_id);
 	g_hash_table_unref(book->offered_tokens);
 	cb_pipe_share_delete(book->pipes);
+	cb_server_pace_delete(book->pace);
 	g_free(book->data_centre);
 	g_free(book);
 }
@@ -248,7 +266,25 @@
 	return !cb_fleet_is_stopped(server, book->view);
 }
 
-static GPtrArray *usable_servers_collect_(const cb_server_book_t *book,
+/* Forgets how an earlier process of a server ended, once another one runs. */
+static void process_renew_(cb_server_book_t *book,
+			   const cb_fleet_server_t *server)
+{
+	server_stats_t *stats = stats_get_(book, server->id);
+
+	if (stats->start_wall_ms == server->start_wall_ms)
+		return;
+	if (stats->start_wall_ms) {
+		stats->avoid_until_ms = 0;
+		stats->lost_until_ms = 0;
+		stats->full_until_ms = 0;
+		stats->failures_in_row = 0;
+		stats->load_reported_ms = 0;
+	}
+	stats->start_wall_ms = server->start_wall_ms;
+}
+
+static GPtrArray *usable_servers_collect_(cb_server_book_t *book,
 					  const cb_book_criteria_t *criteria)
 {
 	const GPtrArray *all = cb_fleet_servers(book->fleet);
@@ -256,8 +292,10 @@
 	unsigned int i;
 
 	for (i = 0; i < all->len; i++)
-		if (server_is_usable_(book, criteria, all->pdata[i]))
+		if (server_is_usable_(book, criteria, all->pdata[i])) {
+			process_renew_(book, all->pdata[i]);
 			g_ptr_array_add(usable, all->pdata[i]);
+		}
 	return usable;
 }
 
@@ -290,76 +328,279 @@
 	return count;
 }
 
-static gboolean server_is_avoided_(cb_server_book_t *book,
-				   const cb_fleet_server_t *server)
+/* Returns whether a server is silent, lost or doubtful. */
+static gboolean server_is_distrusted_(cb_server_book_t *book,
+				      const cb_fleet_server_t *server)
 {
 	const server_stats_t *stats = stats_get_(book, server->id);
 
 	return server->state == CB_FLEET_SILENT ||
 	       cb_reach_is_lost(book->reach, server->data_centre) ||
-	       MAX(MAX(stats->avoid_until_ms, stats->lost_until_ms),
-		   stats->full_until_ms) > cb_clock_now_ms(book->clock);
+	       MAX(stats->avoid_until_ms, stats->lost_until_ms) >
+		       cb_clock_now_ms(book->clock);
 }
 
-/*
- * Returns the cost of a server without layers: its load divided by its slots,
- * plus a small random number to choose between equals.  The server of the
- * lowest cost is chosen.
- */
-static double plain_server_cost_compute_(cb_server_book_t *book,
-					 const cb_fleet_server_t *server)
+/* Returns whether a server gets no requests for now, if another one takes them. */
+static gboolean server_is_avoided_(cb_server_book_t *book,
+				   const cb_fleet_server_t *server)
 {
-	const server_stats_t *stats = stats_get_(book, server->id);
-	int64_t age_ms = cb_clock_now_ms(book->clock) - stats->load_reported_ms;
-	double load = stats->running + stats->others_usage.running;
-	double slots = MAX(server->slots, 1);
-
-	if (stats->load_reported_ms && age_ms < LOAD_VALID_MS)
-		load = MAX(load, (double)stats->reported_load);
-	if (server->cold_remaining_ms > 0)
-		load = load * 2 + 1;
-	if (server_is_avoided_(book, server))
-		load += 1000 * slots;
-	return load / slots + 0.01 * g_rand_double(book->random);
+	return server_is_distrusted_(book, server) ||
+	       stats_get_(book, server->id)->full_until_ms >
+		       cb_clock_now_ms(book->clock);
 }
 
-static cb_book_outcome_t server_without_layers_choose_(
-	cb_server_book_t *book, const cb_book_criteria_t *criteria,
-	GArray *hops)
+/* Returns how many entry instances are ready, 1 at least. */
+static unsigned int ready_instances_count_(const cb_server_book_t *book)
+{
+	const GPtrArray *instances = cb_view_instances(book->view);
+	unsigned int count = 0;
+	unsigned int i;
+
+	for (i = 0; i < instances->len; i++) {
+		const cb_instance_t *instance = instances->pdata[i];
+
+		count += instance->state == CB_INSTANCE_READY;
+	}
+	return MAX(count, 1);
+}
+
+/* A server without layers that a request may be sent to. */
+typedef struct candidate {
+	const cb_fleet_server_t *server;
+	double slots;
+	double load;	   /* requests there, as far as that is not outdated */
+	double known_load; /* requests there, as they were reported */
+	gboolean is_avoided;
+	cb_pace_t pace;
+} candidate_t;
+
+/* Describes the usable servers of a service without layers. */
+static GArray *candidates_collect_(cb_server_book_t *book,
+				   const cb_book_criteria_t *criteria)
 {
 	GPtrArray *usable = usable_servers_collect_(book, criteria);
-	const cb_fleet_server_t *best = NULL;
-	double best_cost = INFINITY;
+	GArray *candidates = g_array_new(FALSE, TRUE, sizeof(candidate_t));
 	unsigned int i;
 
 	for (i = 0; i < usable->len; i++) {
-		double cost =
-			plain_server_cost_compute_(book, usable->pdata[i]);
+		const cb_fleet_server_t *server = usable->pdata[i];
+		candidate_t candidate = {
+			.server = server,
+			.slots = MAX(server->slots, 1),
+			.is_avoided = server_is_avoided_(book, server),
+			.pace = cb_server_pace_find(
+				book->pace, server,
+				server_is_distrusted_(book, server)),
+		};
 
-		if (cost < best_cost) {
-			best_cost = cost;
-			best = usable->pdata[i];
-		}
+		g_array_append_val(candidates, candidate);
 	}
-	if (best)
-		hop_add_(hops, best, 0, 0);
 	g_ptr_array_unref(usable);
-	return best ? CB_BOOK_FOUND : CB_BOOK_NO_SERVER;
+	return candidates;
 }
 
-/* Returns how many entry instances are ready, 1 at least. */
-static unsigned int ready_instances_count_(const cb_server_book_t *book)
+/*
+ * Sets the load of each server, as far as known.  Returns whether that is outdated:
+ * the other instances send so much until they know of it that the least loaded
+ * server would get too much, if all took it.  Then their part is left out.
+ */
+static gboolean loads_set_(cb_server_book_t *book, const char *service,
+			   GArray *candidates)
 {
-	const GPtrArray *instances = cb_view_instances(book->view);
-	unsigned int count = 0;
+	int64_t now_ms = cb_clock_now_ms(book->clock);
+	int64_t age_ms = now_ms - book->usage_received_ms + USAGE_DELAY_MS;
+	double residence_ms =
+		MAX(cb_server_pace_usual_ms(book->pace, service), 1);
+	double slots_min = INFINITY;
+	double others = 0;
+	gboolean is_outdated;
 	unsigned int i;
 
-	for (i = 0; i < instances->len; i++) {
-		const cb_instance_t *instance = instances->pdata[i];
+	for (i = 0; i < candidates->len; i++) {
+		const candidate_t *candidate =
+			&g_array_index(candidates, candidate_t, i);
 
-		count += instance->state == CB_INSTANCE_READY;
+		slots_min = MIN(slots_min, candidate->slots);
+		others += stats_get_(book, candidate->server->id)
+				  ->others_usage.running;
 	}
-	return MAX(count, 1);
+	is_outdated = others * (double)age_ms / residence_ms > slots_min;
+	for (i = 0; i < candidates->len; i++) {
+		candidate_t *candidate =
+			&g_array_index(candidates, candidate_t, i);
+		const server_stats_t *stats =
+			stats_get_(book, candidate->server->id);
+
+		candidate->load = stats->running;
+		candidate->known_load =
+			stats->running + stats->others_usage.running;
+		if (!is_outdated)
+			candidate->load = candidate->known_load;
+		if (stats->load_reported_ms &&
+		    now_ms - stats->load_reported_ms < LOAD_VALID_MS)
+			candidate->load = MAX(candidate->load,
+					      (double)stats->reported_load);
+	}
+	return is_outdated;
+}
+
+/* How the requests of a service are divided between its servers. */
+typedef struct division {
+	double slots; /* of all servers that are not avoided */
+	/*
+	 * The weights of paced servers are raised by this factor, so that the
+	 * others get little more than their fair share.
+	 */
+	double factor;
+	/* Whether the others can serve all requests that may run only once. */
+	gboolean serves_once;
+} division_t;
+
+static division_t division_compute_(const GArray *candidates)
+{
+	division_t division = { .factor = 1 };
+	double fraction;
+	double proven = 0;
+	double paced = 0;
+	unsigned int i;
+
+	for (i = 0; i < candidates->len; i++) {
+		const candidate_t *candidate =
+			&g_array_index(candidates, candidate_t, i);
+
+		if (candidate->is_avoided)
+			continue;
+		division.slots += candidate->slots;
+		if (candidate->pace.weight >= 1)
+			proven += candidate->slots;
+		else
+			paced += candidate->slots * candidate->pace.weight;
+	}
+	fraction = proven / MAX(division.slots, 1);
+	if (paced > 0)
+		division.factor =
+			MAX((division.slots -
+			     proven * (1 +
+				       PROVEN_EXTRA_LOAD * pow(fraction, 2))) /
+				    paced,
+			    1);
+	division.serves_once =
+		proven * (1 + PROVEN_EXTRA_LOAD) >= division.slots;
+	return division;
+}
+
+/*
+ * Draws a paced server, each with the part of its fair share that its pace allows.
+ * Returns NULL if the request goes to one of the others.
+ */
+static const candidate_t *paced_draw_(cb_server_book_t *book,
+				      const cb_book_criteria_t *criteria,
+				      const GArray *candidates,
+				      const division_t *division)
+{
+	double drawn = g_rand_double(book->random) * division->slots;
+	unsigned int i;
+
+	for (i = 0; i < candidates->len; i++) {
+		const candidate_t *candidate =
+			&g_array_index(candidates, candidate_t, i);
+		double weight =
+			MIN(candidate->pace.weight * division->factor, 1);
+
+		if (candidate->pace.weight >= 1 || candidate->is_avoided ||
+		    candidate->known_load >= BUSY_LOAD * candidate->slots ||
+		    (criteria->runs_once && !candidate->pace.is_shown &&
+		     division->serves_once))
+			continue;
+		if (drawn < candidate->slots * weight)
+			return candidate;
+		drawn -= candidate->slots * weight;
+	}
+	return NULL;
+}
+
+/*
+ * Returns the cost of a server: its load divided by its slots, plus a small
+ * random number to choose between equals.
+ */
+static double cost_compute_(cb_server_book_t *book,
+			    const candidate_t *candidate, double factor)
+{
+	double weight = candidate->pace.weight;
+	double cost = candidate->load / candidate->slots;
+
+	if (weight < 1)
+		cost = (candidate->load + 1) / candidate->slots /
+		       MIN(MAX(weight * factor, PACED_WEIGHT_MIN), 1);
+	if (candidate->is_avoided)
+		cost += AVOIDED_COST;
+	return cost + 0.01 * g_rand_double(book->random);
+}
+
+/*
+ * Returns the server of the lowest cost, or only that of a few which are drawn.
+ * `is_proven`: of those that are neither paced nor full.
+ */
+static const candidate_t *cheapest_find_(cb_server_book_t *book,
+					 const GArray *candidates,
+					 double factor, gboolean is_proven,
+					 gboolean is_drawn)
+{
+	GPtrArray *choice = g_ptr_array_new();
+	const candidate_t *best = NULL;
+	double best_cost = INFINITY;
+	unsigned int i;
+
+	for (i = 0; i < candidates->len; i++) {
+		candidate_t *candidate =
+			&g_array_index(candidates, candidate_t, i);
+
+		if (!is_proven ||
+		    (candidate->pace.weight >= 1 && !candidate->is_avoided &&
+		     candidate->load < candidate->slots))
+			g_ptr_array_add(choice, candidate);
+	}
+	for (i = 0; i < (is_drawn && choice->len ? DRAWN_SERVERS : choice->len);
+	     i++) {
+		unsigned int k = is_drawn ? (unsigned int)g_rand_int_range(
+						    book->random, 0,
+						    (int32_t)choice->len) :
+					    i;
+		double cost = cost_compute_(book, choice->pdata[k], factor);
+
+		if (cost < best_cost) {
+			best_cost = cost;
+			best = choice->pdata[k];
+		}
+	}
+	g_ptr_array_unref(choice);
+	return best;
+}
+
+/*
+ * Chooses a server without layers: a paced one within its pace, or else one that
+ * is not paced and has a free slot, or else any.
+ */
+static cb_book_outcome_t server_without_layers_choose_(
+	cb_server_book_t *book, const cb_book_criteria_t *criteria,
+	GArray *hops)
+{
+	GArray *candidates = candidates_collect_(book, criteria);
+	division_t division = division_compute_(candidates);
+	gboolean is_outdated =
+		loads_set_(book, criteria->service->name, candidates);
+	const candidate_t *best =
+		paced_draw_(book, criteria, candidates, &division);
+
+	if (!best)
+		best = cheapest_find_(book, candidates, 1, TRUE, is_outdated);
+	if (!best)
+		best = cheapest_find_(book, candidates, division.factor, FALSE,
+				      FALSE);
+	if (best)
+		hop_add_(hops, best->server, 0, 0);
+	g_array_unref(candidates);
+	return best ? CB_BOOK_FOUND : CB_BOOK_NO_SERVER;
 }
 
 /*
@@ -533,8 +774,8 @@
 		const cb_chain_part_t *part =
 			&g_array_index(parts, cb_chain_part_t, i);
 
-		crossings += strcmp(inputs[part[-1].server].data_centre,
-				    inputs[part->server].data_centre) != 0;
+		crossings += g_strcmp0(inputs[part[-1].server].data_centre,
+				       inputs[part->server].data_centre) != 0;
 	}
 	if (crossings)
 		cb_pipe_share_take(book->pipes, service->name,
@@ -542,6 +783,20 @@
 					   service->engine->activation_bytes);
 }
 
+/* Returns whether a request may use an engine within its pace. */
+static gboolean engine_is_drawn_(cb_server_book_t *book,
+				 const cb_book_criteria_t *criteria,
+				 const cb_fleet_server_t *server)
+{
+	cb_pace_t pace =
+		cb_server_pace_find(book->pace, server,
+				    server_is_distrusted_(book, server));
+
+	if (criteria->runs_once && !pace.is_shown)
+		return FALSE;
+	return pace.weight >= 1 || g_rand_double(book->random) < pace.weight;
+}
+
 static cb_book_outcome_t chain_choose_(cb_server_book_t *book,
 				       const cb_book_criteria_t *criteria,
 				       GArray *hops)
@@ -575,6 +830,8 @@
 		if (!kept_hop)
 			unseen_load_add_(book, engine, unseen_tokens,
 					 &inputs[i]);
+		inputs[i].is_paced =
+			!kept_hop && !engine_is_drawn_(book, criteria, server);
 	}
 	if (!first_server_find_(usable, criteria->running_hops,
 				&chain_criteria))
@@ -786,6 +1043,7 @@
 		    stats->reported_usage.suspecting_instances)
 			cb_usage_add_load(usage, id, &stats->reported_usage);
 	}
+	cb_server_pace_add_usage(book->pace, usage);
 	return usage;
 }
 
@@ -840,6 +1098,7 @@
 
 	book->usage_received_ms = cb_clock_now_ms(book->clock);
 	offered_update_(book, sum);
+	cb_server_pace_update(book->pace, sum);
 	g_hash_table_iter_init(&iter, sum->by_server);
 	while (g_hash_table_iter_next(&iter, &id, &value))
 		(void)stats_get_(book, id);
@@ -886,6 +1145,9 @@
 		 */
 		if (stats->full_until_ms > now_ms)
 			continue;
+		/* That an engine has no memory left says nothing about it. */
+		if (!server->layer_to)
+			cb_server_pace_record_failure(book->pace, server->id);
 		stats->full_until_ms =
 			now_ms + (FULL_AVOID_INITIAL_MS
 				  << MIN(stats->failures_in_row,
@@ -922,6 +1184,7 @@
 {
 	server_stats_t *stats = stats_get_(book, hop->id);
 
+	cb_server_pace_record_failure(book->pace, hop->id);
 	stats->ended_start_wall_ms = hop->start_wall_ms;
 	stats->ended_until_ms = cb_clock_now_ms(book->clock) + ENDED_AVOID_MS;
 	stats->suspected_ms = cb_clock_now_ms(book->clock);
@@ -986,6 +1249,7 @@
 	int64_t now_ms = cb_clock_now_ms(book->clock);
 	int64_t avoid_ms = AVOID_INITIAL_MS << MIN(stats->failures_in_row, 4);
 
+	cb_server_pace_record_failure(book->pace, id);
 	stats->failures_in_row++;
 	stats->avoid_until_ms = now_ms + MIN(avoid_ms, AVOID_MAX_MS);
 	if (may_be_lost)
@@ -1040,6 +1304,7 @@
 		stats->ended_until_ms = 0;
 		stats->suspected_ms = 0;
 		stats->failures_in_row = 0;
+		cb_server_pace_forget(book->pace, server->id);
 	}
 }
 
@@ -1052,3 +1317,20 @@
 		stats_get_(book, g_array_index(hops, cb_relay_hop_t, i).id)
 			->failures_in_row = 0;
 }
+
+void cb_server_book_record_time(cb_server_book_t *book, const GArray *hops,
+				const char *service, const char *kind,
+				int64_t time_ms)
+{
+	unsigned int i;
+
+	for (i = 0; i < hops->len; i++)
+		cb_server_pace_record_time(
+			book->pace, g_array_index(hops, cb_relay_hop_t, i).id,
+			service, kind, time_ms);
+}
+
+cb_server_pace_t *cb_server_book_pace(cb_server_book_t *book)
+{
+	return book->pace;
+}
--- a/src/test_libcurrantbridge/test_retry_share.c
+++ b/src/test_libcurrantbridge/test_retry_share.c
@@ -138,8 +138,10 @@
 /* Usage must add up after encoding; a truncated encoding must be rejected. */
 static void encoded_usage_is_decoded_and_summed(void)
 {
-	static const cb_usage_load_t one = { 2, 1500, 1, 2, 3500, 0 };
-	static const cb_usage_load_t other = { 1, 500, 0, 1, 1200, 1 };
+	static const cb_usage_load_t one = { 2, 1500, 1,   2, 3500,
+					     0, 5,    600, 1, 70 };
+	static const cb_usage_load_t other = { 1, 500, 0,  1, 1200,
+					       1, 1,   90, 0, 70 };
 	static const cb_usage_sends_t sends = { 10, 3, 40, 7 };
 	cb_usage_t *sum = cb_usage_new();
 	cb_usage_t *usage = cb_usage_new();
