Placement: layouts in whole copies tried and left out; a test of losses

Cause: on a fleet of 93 engines of three sizes some layers are held twice and others three times, so that the service holds what two copies hold while memory is spent on nearly three. And nothing showed that a data centre with 25 to 37 engines keeps a whole copy when any one is lost.

Conclusion: the layout stays.

--- a/src/test_libcurrantbridge/test_placement.c
+++ b/src/test_libcurrantbridge/test_placement.c
@@ -432,6 +432,69 @@
 	engine_delete_(engine);
 }
 
+/* A data centre with servers of four sizes. */
+typedef struct loss_case {
+	double kv_token_bytes;
+	unsigned int counts[4]; /* servers by size, as in loss_memory_mb */
+} loss_case_t;
+
+static const double loss_memory_mb[] = { 72000, 36000, 21600, 14400 };
+
+static const loss_case_t loss_cases[] = {
+	{ 492000, { 4, 0, 11, 10 } }, { 492000, { 3, 0, 16, 14 } },
+	{ 492000, { 2, 0, 9, 24 } },  { 459000, { 0, 4, 9, 14 } },
+	{ 459000, { 0, 2, 13, 22 } }, { 459000, { 0, 1, 22, 12 } },
+	{ 360000, { 4, 0, 11, 10 } }, { 360000, { 0, 1, 22, 12 } },
+};
+
+static GArray *loss_servers_new_(const loss_case_t *c)
+{
+	GArray *servers =
+		g_array_new(FALSE, FALSE, sizeof(cb_placement_server_t));
+	size_t k;
+	unsigned int n;
+
+	for (k = 0; k < G_N_ELEMENTS(c->counts); k++)
+		for (n = 0; n < c->counts[k]; n++)
+			server_add_(servers, "a", loss_memory_mb[k]);
+	return servers;
+}
+
+/*
+ * Where memory suffices for two copies and requests, the loss of any one server
+ * must leave a whole copy before anything is moved; one that comes back empty
+ * must cost one move and make no other server move.
+ */
+static void large_fleets_bear_the_loss_of_any_server(void)
+{
+	size_t i;
+	unsigned int k;
+
+	for (i = 0; i < G_N_ELEMENTS(loss_cases); i++) {
+		cb_engine_profile_t *engine = engine_new_();
+		GArray *servers = loss_servers_new_(&loss_cases[i]);
+
+		engine->kv_token_bytes = loss_cases[i].kv_token_bytes;
+		moves_carry_out_(engine, servers);
+		CU_ASSERT_EQUAL(moves_carry_out_(engine, servers), 0);
+		for (k = 0; k < servers->len; k++) {
+			cb_placement_server_t *server = server_at_(servers, k);
+			cb_placement_server_t before = *server;
+
+			server->from = 0;
+			server->to = 0;
+			CU_ASSERT_EQUAL(missing_layers_count_(servers, "a"), 0);
+			if (missing_layers_count_(servers, "a"))
+				printf("    case %zu without server %u\n", i,
+				       k);
+			CU_ASSERT_EQUAL(moves_carry_out_(engine, servers), 1);
+			*server = before;
+		}
+		g_array_unref(servers);
+		engine_delete_(engine);
+	}
+}
+
 /* Generates engines with random layers, KV cache and failures. */
 static unsigned int engines_generate_(GRand *random, cb_chain_server_t *servers)
 {
@@ -772,6 +835,8 @@
 	  servers_with_an_order_get_no_other },
 	{ "small_data_centres_share_one_copy",
 	  small_data_centres_share_one_copy },
+	{ "large_fleets_bear_the_loss_of_any_server",
+	  large_fleets_bear_the_loss_of_any_server },
 	{ "chains_run_each_layer_once", chains_run_each_layer_once },
 	{ "chosen_chains_match_the_cases", chosen_chains_match_the_cases },
 	{ "moved_streams_are_spread_over_engines",
