--- a/src/libcurrantbridge/contract/document.c
+++ b/src/libcurrantbridge/contract/document.c
@@ -103,6 +103,8 @@
 	document->workspace_levels =
 		g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	document->route_levels = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	document->workspaces =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	document->keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	document->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -124,6 +126,7 @@
 		return;
 	g_hash_table_unref(document->hosts);
 	g_hash_table_unref(document->keys);
+	g_hash_table_unref(document->workspaces);
 	g_hash_table_unref(document->workspace_priorities);
 	g_array_unref(document->workspace_levels);
 	g_array_unref(document->route_levels);
@@ -158,13 +161,21 @@
 	return FALSE;
 }
 
+/* Adds a workspace, which may be there already. */
+void cb_document_add_workspace(cb_document_t *document, const char *workspace)
+{
+	document->has_workspaces = TRUE;
+	if (!g_hash_table_contains(document->workspaces, workspace))
+		g_hash_table_add(document->workspaces, g_strdup(workspace));
+}
+
 /* Adds a key of a workspace; fails if another workspace has the key. */
 gboolean cb_document_add_key(cb_document_t *document, const char *workspace,
 			     const char *key, GError **error)
 {
 	const char *owner = g_hash_table_lookup(document->keys, key);
 
-	document->has_workspaces = TRUE;
+	cb_document_add_workspace(document, workspace);
 	if (owner && strcmp(owner, workspace) != 0)
 		return document_error_set_(error, "workspace", workspace,
 					   "holds a key of another workspace");
@@ -177,6 +188,7 @@
 void cb_document_set_priority(cb_document_t *document, const char *workspace,
 			      uint32_t priority)
 {
+	cb_document_add_workspace(document, workspace);
 	g_hash_table_replace(document->workspace_priorities,
 			     g_strdup(workspace), GUINT_TO_POINTER(priority));
 }
@@ -201,26 +213,34 @@
 		g_array_insert_val(levels, i, priority);
 }
 
-/* Returns the rank of a workspace's requests on a route. */
+/*
+ * Returns the rank of a workspace's requests on a route.  Without a priority a
+ * workspace comes after those that have one.
+ */
 uint32_t cb_document_rank(const cb_document_t *document,
 			  const cb_route_t *route, const char *workspace)
 {
-	uint32_t rank = 0;
+	uint32_t level = document->workspace_levels->len;
+	void *priority;
 
-	if (workspace)
-		rank = level_find_(document->workspace_levels,
-				   GPOINTER_TO_UINT(g_hash_table_lookup(
-					   document->workspace_priorities,
-					   workspace)));
-	return rank * document->route_levels->len +
+	if (workspace &&
+	    g_hash_table_lookup_extended(document->workspace_priorities,
+					 workspace, NULL, &priority))
+		level = level_find_(document->workspace_levels,
+				    GPOINTER_TO_UINT(priority));
+	return level * document->route_levels->len +
 	       level_find_(document->route_levels, route->priority);
 }
 
-/* Returns how many ranks there are, 1 at least. */
-uint32_t cb_document_rank_count(const cb_document_t *document)
+/* Returns whether requests differ in their ranks. */
+gboolean cb_document_has_ranks(const cb_document_t *document)
 {
-	return MAX(document->workspace_levels->len, 1) *
-	       MAX(document->route_levels->len, 1);
+	gboolean has_workspace_without =
+		g_hash_table_size(document->workspace_priorities) <
+		g_hash_table_size(document->workspaces);
+
+	return document->route_levels->len > 1 ||
+	       document->workspace_levels->len + has_workspace_without > 1;
 }
 
 /* Collects the different priorities, once all were added. */
--- a/src/libcurrantbridge/relay/relay_room.c
+++ b/src/libcurrantbridge/relay/relay_room.c
@@ -3,20 +3,42 @@
 #include "private/relay.h"
 #include "private/room.h"
 
-/* Weight of a request that has ended in the smoothed time in flight. */
-#define RESIDENCE_WEIGHT 0.05
 /*
- * A request with less than this percentage of its route's time left has been
- * refused before: its caller came back.
+ * The time in flight is smoothed over this time, and over some requests where few
+ * end: this is the most that one of them weighs.
+ */
+#define RESIDENCE_SMOOTHED_MS 5000.0
+#define RESIDENCE_WEIGHT_MAX 0.05
+/*
+ * A request with less than this percentage of its route's time left, or one that
+ * goes on after an event, was refused or broken off before: its caller came back.
  */
 #define RETURN_TIME_PERCENT 97
+/* Ranks from this one on are counted together. */
+#define RANK_LABEL_MAX 9u
+
+/*
+ * Documents with more workspaces get no shares by workspace: the sums that all
+ * instances receive would be too large.
+ */
+#define SHARING_WORKSPACES_MAX 64
+/* Requests without a workspace share as if they were of one. */
+#define NO_WORKSPACE "-"
+/* How long the computed capacity of a service is used. */
+#define CAPACITY_VALID_MS 500
+/* A sum that is older is late: what is known is renewed without one. */
+#define SUM_LATE_MS 600
 
 /* A service with layers, as this instance sees it. */
 typedef struct service_record {
 	double residence_ms; /* smoothed time in flight; 0: not known */
+	cb_book_capacity_t capacity;
+	int64_t capacity_ms; /* when `capacity` was computed; 0: never */
+	int64_t ended_ms;    /* last end of a request */
 	gboolean is_overloaded;
 	cb_counter_t *capacity_gauge;
 	cb_counter_t *used_gauge;
+	cb_counter_t *age_gauge;
 } service_record_t;
 
 /* Creates the room and the counts that it needs. */
@@ -51,6 +73,9 @@
 	record->used_gauge =
 		cb_counters_gauge(front->counters, "cb_relay_room_used_tokens",
 				  "service", service);
+	record->age_gauge =
+		cb_counters_gauge(front->counters, "cb_relay_room_age_ms",
+				  "service", service);
 	g_hash_table_insert(front->room_services, g_strdup(service), record);
 	return record;
 }
@@ -75,19 +100,36 @@
 	}
 }
 
+/* Returns what a service's engines hold, as of up to CAPACITY_VALID_MS ago. */
+static const cb_book_capacity_t *capacity_find_(
+	cb_front_t *front, const cb_service_profile_t *service)
+{
+	service_record_t *record = record_get_(front, service->name);
+	int64_t now_ms = cb_clock_now_ms(front->clock);
+
+	if (!record->capacity_ms ||
+	    now_ms - record->capacity_ms >= CAPACITY_VALID_MS) {
+		record->capacity =
+			cb_server_book_find_capacity(front->book, service);
+		record->capacity_ms = now_ms;
+	}
+	return &record->capacity;
+}
+
 /* Renews what is known of one service. */
 static void service_update_(cb_front_t *front,
 			    const cb_service_profile_t *service)
 {
 	service_record_t *record = record_get_(front, service->name);
 	GArray *flows = g_array_new(FALSE, FALSE, sizeof(cb_room_flow_t));
-	cb_book_room_t held = cb_server_book_find_room(front->book, service);
+	double capacity_tokens = capacity_find_(front, service)->tokens;
+	cb_book_use_t use = cb_server_book_find_use(front->book, service);
 	cb_usage_sends_t sends = { 0 };
 	cb_room_state_t state = {
-		.capacity_tokens = held.capacity_tokens,
-		.used_tokens = held.used_tokens,
-		.own_tokens = held.own_tokens,
-		.instances = held.instances,
+		.capacity_tokens = capacity_tokens,
+		.used_tokens = use.tokens,
+		.own_tokens = use.own_tokens,
+		.instances = use.instances,
 		.sum_received_ms = front->usage_sum_ms,
 		.residence_ms = record->residence_ms,
 	};
@@ -100,14 +142,23 @@
 	state.flows = (const cb_room_flow_t *)flows->data;
 	state.flow_count = flows->len;
 	cb_room_update(front->room, service->name, &state);
-	cb_counter_set(record->capacity_gauge,
-		       (uint64_t)MAX(held.capacity_tokens, 0));
-	cb_counter_set(record->used_gauge, (uint64_t)MAX(held.used_tokens, 0));
+	cb_server_book_set_begun(front->book, service->name,
+				 cb_room_begun_tokens_per_s(front->room,
+							    service->name));
+	cb_counter_set(record->capacity_gauge, (int64_t)capacity_tokens);
+	cb_counter_set(record->used_gauge, (int64_t)use.tokens);
+	if (front->usage_sum_ms)
+		cb_counter_set(record->age_gauge,
+			       cb_clock_now_ms(front->clock) -
+				       front->usage_sum_ms);
 	g_array_unref(flows);
 }
 
-/* Renews what is known of the use of the engines of all services. */
-void cb_relay_room_update(cb_front_t *front)
+/*
+ * Renews what is known of the use of the engines of all services: with each sum of
+ * usage, and at times while there is none.
+ */
+static void services_update_(cb_front_t *front)
 {
 	GHashTableIter iter;
 	void *value;
@@ -126,19 +177,23 @@
 	cb_usage_delete(front->usage_sum);
 	front->usage_sum = sum;
 	front->usage_sum_ms = cb_clock_now_ms(front->clock);
-	cb_relay_room_update(front);
+	services_update_(front);
 }
 
 static gboolean is_by_workspace_(const char *service, void *user_data)
 {
 	const cb_front_t *front = user_data;
 
-	return cb_room_is_scarce(front->room, service);
+	return cb_room_is_scarce(front->room, service) && front->document &&
+	       g_hash_table_size(front->document->workspaces) <=
+		       SHARING_WORKSPACES_MAX;
 }
 
 /* Adds what was asked for here to the usage that is reported. */
 void cb_relay_room_add_usage(cb_front_t *front, cb_usage_t *usage)
 {
+	if (cb_clock_now_ms(front->clock) - front->usage_sum_ms >= SUM_LATE_MS)
+		services_update_(front);
 	cb_offered_add_usage(front->offered, usage, is_by_workspace_, front);
 }
 
@@ -162,27 +217,61 @@
 		     CB_INT("age_ms", decision->age_ms));
 }
 
+/* Counts and logs that a request was refused. */
+static void refusal_record_(cb_relay_t *relay,
+			    const cb_room_decision_t *decision)
+{
+	cb_front_t *front = relay->front;
+	const char *because = cb_room_reason_name(decision->reason);
+	char *of = g_strdup_printf("%s/%u/%s", relay->service->name,
+				   MIN(relay->rank, RANK_LABEL_MAX), because);
+
+	cb_counter_add(cb_counters_counter(front->counters,
+					   "cb_relay_room_refused_total", "of",
+					   of),
+		       1);
+	g_free(of);
+	cb_log_event(front->log, CB_EVENT_RELAY_ROOM_REFUSED,
+		     CB_STR("request", relay->request_info.id),
+		     CB_STR("service", relay->service->name),
+		     CB_STR("workspace", relay->workspace),
+		     CB_INT("rank", relay->rank), CB_STR("because", because),
+		     CB_INT("admitted_percent",
+			    (int64_t)(decision->admitted_ratio * 100)),
+		     CB_INT("used_percent",
+			    (int64_t)(decision->used_ratio * 100)),
+		     CB_INT("age_ms", decision->age_ms),
+		     CB_INT("retry_after_ms", decision->retry_after_ms));
+}
+
 gboolean cb_relay_room_refuse(cb_relay_t *relay)
 {
 	cb_front_t *front = relay->front;
-	const char *workspace = relay->workspace ? relay->workspace : "";
+	const char *workspace =
+		relay->workspace ? relay->workspace : NO_WORKSPACE;
 	int64_t left_ms = relay->deadline_ms - cb_relay_now_ms(relay);
 	cb_room_request_t request = {
 		.rank = relay->rank,
 		.workspace = workspace,
 		.tokens = relay->expected_tokens,
 		.time_left_ms = left_ms,
-		.is_return = left_ms * 100 <
-			     relay->route->timeout_ms * RETURN_TIME_PERCENT,
+		.is_return = relay->last_event >= 0 ||
+			     left_ms * 100 < relay->route->timeout_ms *
+						     RETURN_TIME_PERCENT,
 	};
 	cb_room_decision_t decision;
+	double largest_tokens;
 
 	if (relay->is_admitted || !relay->service->engine)
 		return FALSE;
 	relay->is_admitted = TRUE;
-	/* A stream that was broken off elsewhere goes on before others begin. */
-	if (relay->forwarded_from || relay->last_event >= 0)
+	if (relay->forwarded_from || relay->run_count || relay->is_answer_begun)
 		return FALSE;
+	largest_tokens = capacity_find_(front, relay->service)->largest_tokens;
+	if (largest_tokens > 0 && relay->expected_tokens > largest_tokens) {
+		cb_relay_give_up(relay, "too_large", 0);
+		return TRUE;
+	}
 	cb_offered_count_request(front->offered, relay->service->name,
 				 relay->rank, workspace,
 				 relay->expected_tokens);
@@ -190,32 +279,27 @@
 	overload_record_(front, relay->service->name, &decision);
 	if (decision.is_admitted)
 		return FALSE;
-	cb_log_event(front->log, CB_EVENT_RELAY_ROOM_REFUSED,
-		     CB_STR("request", relay->request_info.id),
-		     CB_STR("service", relay->service->name),
-		     CB_STR("workspace", relay->workspace),
-		     CB_INT("rank", relay->rank),
-		     CB_INT("admitted_percent",
-			    (int64_t)(decision.admitted_ratio * 100)),
-		     CB_INT("used_percent",
-			    (int64_t)(decision.used_ratio * 100)),
-		     CB_INT("age_ms", decision.age_ms),
-		     CB_INT("retry_after_ms", decision.retry_after_ms));
+	refusal_record_(relay, &decision);
 	cb_relay_give_up(relay, "overloaded", decision.retry_after_ms);
 	return TRUE;
 }
 
-/* Records for how long a request was in flight. */
+/* Records for how long a request that was served was in flight. */
 void cb_relay_room_ended(cb_relay_t *relay)
 {
 	service_record_t *record;
+	int64_t now_ms = cb_relay_now_ms(relay);
 	double held_ms;
+	double weight;
 
 	if (!relay->service || !relay->service->engine || !relay->sent_ms)
 		return;
 	record = record_get_(relay->front, relay->service->name);
-	held_ms = (double)(cb_relay_now_ms(relay) - relay->sent_ms);
-	record->residence_ms +=
-		(record->residence_ms > 0 ? RESIDENCE_WEIGHT : 1) *
-		(held_ms - record->residence_ms);
+	held_ms = (double)(now_ms - relay->sent_ms);
+	weight =
+		MIN((double)(now_ms - record->ended_ms) / RESIDENCE_SMOOTHED_MS,
+		    RESIDENCE_WEIGHT_MAX);
+	record->residence_ms += (record->residence_ms > 0 ? weight : 1) *
+				(held_ms - record->residence_ms);
+	record->ended_ms = now_ms;
 }
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -289,6 +289,90 @@
 	}
 }
 
+/* Returns whether two readings of one heartbeat are equal; both may be NULL. */
+static gboolean servers_are_equal_(const cb_fleet_server_t *a,
+				   const cb_fleet_server_t *b)
+{
+	if (!a || !b)
+		return !a && !b;
+	return !strcmp(a->id, b->id) && !strcmp(a->service, b->service) &&
+	       !strcmp(a->address, b->address) &&
+	       !strcmp(a->data_centre, b->data_centre) &&
+	       !g_strcmp0(a->kind, b->kind) && a->state == b->state &&
+	       a->sequence == b->sequence && a->slots == b->slots &&
+	       a->start_wall_ms == b->start_wall_ms &&
+	       a->cold_remaining_ms == b->cold_remaining_ms &&
+	       a->layer_from == b->layer_from && a->layer_to == b->layer_to;
+}
+
+/*
+ * A heartbeat that is compared with the one before must be read as one that is
+ * parsed, whatever differs between them.
+ */
+static void repeated_heartbeats_are_read_as_parsed(void)
+{
+	static const char *const numbers[] = { "4",
+					       "5",
+					       "5",
+					       "10",
+					       "04",
+					       "1.5",
+					       "1e3",
+					       "-1",
+					       "\"6\"",
+					       "null",
+					       "",
+					       "4 ",
+					       " 7",
+					       "123456789012345678",
+					       "1234567890123456789",
+					       "99999999999999999999" };
+	static const char *const rests[] = {
+		"",
+		",\"slots\":7",
+		",\"layers\":{\"from\":1,\"to\":4}",
+		",\"x\":{\"sequence\":3}",
+		",\"sequence\":3",
+		",\"kind\":\"\\\"sequence\\\":3\"",
+		",\"\\u0073equence\":9",
+	};
+	static const char *const states[] = { "ready", "ready", "draining" };
+	platform_heartbeats_t *heartbeats = platform_heartbeats_new();
+	GRand *random = g_rand_new_with_seed(5);
+	gboolean is_equal = TRUE;
+	int i;
+
+	for (i = 0; i < 20000 && is_equal; i++) {
+		char *text = g_strdup_printf(
+			HEARTBEAT_START "\"state\":\"%s\",\"sequence\":%s%s}",
+			states[g_rand_int_range(random, 0,
+						G_N_ELEMENTS(states))],
+			numbers[g_rand_int_range(random, 0,
+						 G_N_ELEMENTS(numbers))],
+			rests[g_rand_int_range(random, 0,
+					       G_N_ELEMENTS(rests))]);
+		size_t size =
+			strlen(text) - (g_rand_int_range(random, 0, 20) == 0);
+		const char *id = g_rand_boolean(random) ? "i-1" : "i-2";
+		cb_fleet_server_t parsed;
+		gboolean is_valid =
+			platform_heartbeat_read(id, text, size, &parsed, NULL);
+
+		is_equal =
+			servers_are_equal_(platform_heartbeats_read(heartbeats,
+								    id, text,
+								    size, NULL),
+					   is_valid ? &parsed : NULL);
+		if (!is_equal)
+			printf("    %s\n", text);
+		platform_heartbeat_clear(&parsed);
+		g_free(text);
+	}
+	CU_ASSERT_TRUE(is_equal);
+	g_rand_free(random);
+	platform_heartbeats_delete(heartbeats);
+}
+
 static cb_http1_head_t request_head_parse_(const char *text)
 {
 	cb_http1_head_t head;
@@ -726,7 +810,121 @@
 	CU_ASSERT_EQUAL(failure_count, 0);
 }
 
+/* A route of the text below, with these further members. */
+#define CHECK_ROUTE(name, rest)                                         \
+	"{\"name\":\"" name "\",\"host\":\"h\",\"pathPrefix\":\"/" name \
+	"/\",\"kind\":\"unsafe\",\"timeoutMs\":10," rest "}"
+
+/*
+ * A text is checked as control reads it: an error of each route, or the warnings
+ * under the document's own names; a key never appears.
+ */
+static void document_texts_are_checked(void)
+{
+	static const struct {
+		const char *text;
+		const char *output;
+		platform_check_exit_t exit_code;
+	} cases[] = {
+		{ "{\"version\":7,\"routes\":[" CHECK_ROUTE(
+			  "r", "\"service\":\"s\"") "]," SERVICES "}",
+		  "warning: service t: no route leads to it\n",
+		  PLATFORM_CHECK_WARNINGS },
+		{ "{\"version\":7,\"routes\":[" CHECK_ROUTE(
+			  "r",
+			  "\"service\":\"s\",\"maxAttempts\":2,"
+			  "\"public\":true") "," CHECK_ROUTE("q",
+							     "\"service\":"
+							     "\"t\"") "]," SERVICES
+								      ",\"tenants\":[{\"name\":\"w\",\"apiKeys\":[]}]}",
+		  "warning: route r: maxAttempts: allows 2 runs of a request "
+		  "that may run only once\n"
+		  "warning: route q: public: needs a key, and no workspace has "
+		  "one\n"
+		  "warning: workspace w: apiKeys: has no key\n",
+		  PLATFORM_CHECK_WARNINGS },
+		{ "{\"version\":7,\"routes\":[" CHECK_ROUTE("r", "\"service\":\"u\"") ",{\"name\":7}," CHECK_ROUTE(
+			  "q",
+			  "\"service\":\"s\"") "," CHECK_ROUTE("p",
+							       "\"service\":\"s\",\"maxAttempts\":0") "]," SERVICES
+												      "}",
+		  "error: route r: names an unknown service\n"
+		  "error: route #2: name: must be a non-empty string\n"
+		  "error: route p: must allow at least one attempt\n",
+		  PLATFORM_CHECK_ERRORS },
+		{ "{\"version\":7,\"tenants\":[{\"name\":\"w\",\"apiKeys\":["
+		  "secret]}]}",
+		  "error: document: is not valid JSON at line 1, position 53\n",
+		  PLATFORM_CHECK_ERRORS },
+		{ "{\"version\":7,\"tenants\":[{\"name\":\"w\",\"apiKeys\":["
+		  "\"secret\"]},{\"name\":\"v\\n\",\"apiKeys\":[\"secret\"]}]}",
+		  "error: workspace v?: holds a key of another workspace\n",
+		  PLATFORM_CHECK_ERRORS },
+		{ "{\"version\":7}", "", PLATFORM_CHECK_NO_FINDINGS },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GPtrArray *findings = cb_findings_new();
+		GString *output = g_string_new(NULL);
+		platform_check_t check = { .findings = findings };
+
+		cb_document_unref(cb_document_check_text(
+			platform_document_codec(), cases[i].text,
+			strlen(cases[i].text), findings));
+		platform_check_write(&check, FALSE, output);
+		CU_ASSERT_STRING_EQUAL(output->str, cases[i].output);
+		CU_ASSERT_EQUAL(platform_check_exit_code(&check),
+				cases[i].exit_code);
+		g_string_free(output, TRUE);
+		g_ptr_array_unref(findings);
+	}
+}
+
+/* The JSON form has the differences too, under the document's names. */
+static void check_is_written_as_json(void)
+{
+	const char *before_text = "{\"version\":6,\"routes\":[" CHECK_ROUTE(
+		"r", "\"service\":\"s\"") "]," SERVICES "}";
+	const char *text = "{\"version\":7,\"routes\":[" CHECK_ROUTE(
+		"r", "\"service\":\"t\"") "],\"services\":[{\"name\":\"t\"}]}";
+	const cb_document_codec_t *codec = platform_document_codec();
+	GPtrArray *findings = cb_findings_new();
+	cb_document_t *before =
+		cb_document_decode_text(codec, before_text, strlen(before_text),
+					NULL, NULL);
+	cb_document_t *document =
+		cb_document_check_text(codec, text, strlen(text), findings);
+	GPtrArray *changes = cb_document_compare(before, document);
+	GString *output = g_string_new(NULL);
+	platform_check_t check = { .version = 7,
+				   .findings = findings,
+				   .changes = changes,
+				   .version_in_force = 6 };
+
+	platform_check_write(&check, TRUE, output);
+	CU_ASSERT_STRING_EQUAL(
+		output->str,
+		"{\"version\":7,\"version_in_force\":6,\"findings\":[],"
+		"\"differences\":[{\"change\":\"changed\",\"entry\":\"route\","
+		"\"name\":\"r\",\"fields\":[{\"field\":\"trafficSplit\","
+		"\"before\":\"s 1\",\"after\":\"t 1\"}]},{\"change\":"
+		"\"removed\",\"entry\":\"service\",\"name\":\"s\","
+		"\"fields\":[]}]}\n");
+	g_string_truncate(output, 0);
+	check.unread_reason = "no answer";
+	CU_ASSERT_EQUAL(platform_check_exit_code(&check),
+			PLATFORM_CHECK_UNREAD);
+	g_string_free(output, TRUE);
+	g_ptr_array_unref(changes);
+	g_ptr_array_unref(findings);
+	cb_document_unref(before);
+	cb_document_unref(document);
+}
+
 static CU_TestInfo platform_tests[] = {
+	{ "document_texts_are_checked", document_texts_are_checked },
+	{ "check_is_written_as_json", check_is_written_as_json },
 	{ "invalid_documents_are_rejected", invalid_documents_are_rejected },
 	{ "endless_order_answer_is_broken_off",
 	  endless_order_answer_is_broken_off },
@@ -735,6 +933,8 @@
 	{ "documents_are_decoded_in_steps", documents_are_decoded_in_steps },
 	{ "document_fields_are_decoded", document_fields_are_decoded },
 	{ "invalid_heartbeats_are_rejected", invalid_heartbeats_are_rejected },
+	{ "repeated_heartbeats_are_read_as_parsed",
+	  repeated_heartbeats_are_read_as_parsed },
 	{ "shared_parts_of_prompts_are_read",
 	  shared_parts_of_prompts_are_read },
 	{ "relay_headers_replace_caller_headers",
