--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -2,6 +2,12 @@
 
 /* Delay before sessions that missed a round of confirmation get the next. */
 #define CONFIRM_RETRY_MS 20
+/*
+ * Shortest interval of pushes for each session, and the longest in all: when all
+ * entry instances start, each of them is a change for all the others.
+ */
+#define PUSH_INTERVAL_PER_SESSION_MS 3
+#define PUSH_INTERVAL_MAX_MS 100
 
 /* Deletes a session; NULL is allowed. */
 void cb_session_delete(cb_session_t *session)
@@ -33,6 +39,12 @@
 	return NULL;
 }
 
+/* Returns whether the entry instance of this name has a session here. */
+gboolean cb_session_exists(cb_node_t *node, const char *name)
+{
+	return session_link_find_(node, name) != NULL;
+}
+
 /*
  * Opens the session of an entry instance on its link and closes the link of an
  * earlier session.  Returns FALSE, with nothing changed, if the earlier session
@@ -70,10 +82,17 @@
 
 /* The update that was encoded last in one round of pushes. */
 typedef struct push_round {
-	uint64_t since; /* the revision that `update` starts from */
-	GBytes *update; /* NULL: no update was encoded yet */
+	uint64_t since;	 /* the revision that `update` starts from */
+	GBytes *update;	 /* NULL: no update was encoded yet */
+	GBytes *message; /* the encoded message that contains `update` */
 } push_round_t;
 
+static void push_round_clear_(push_round_t *round)
+{
+	g_clear_pointer(&round->update, g_bytes_unref);
+	g_clear_pointer(&round->message, g_bytes_unref);
+}
+
 static void session_update_push_(cb_inbound_t *inbound, push_round_t *round)
 {
 	cb_session_t *session = inbound->session;
@@ -83,27 +102,38 @@
 	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_UPDATE };
 
 	if (!round->update || round->since != since) {
-		g_clear_pointer(&round->update, g_bytes_unref);
+		push_round_clear_(round);
 		round->update = cb_state_encode_update(node->state, since);
 		round->since = since;
+		message.body = round->update;
+		round->message = cb_link_message_encode(&message);
 	}
-	message.body = round->update;
 	session->needs_full_update = FALSE;
 	session->sent_revision = cb_state_revision(node->state);
 	session->last_update_sent_ms = cb_clock_now_ms(node->clock);
-	cb_link_send(inbound->link, &message);
+	cb_link_send_encoded(inbound->link, round->message);
 	cb_counter_add(node->push_counter, 1);
 	cb_counter_add(node->push_bytes_counter,
 		       (int64_t)g_bytes_get_size(round->update));
 }
 
+static gboolean session_needs_update_(const cb_node_t *node,
+				      const cb_session_t *session)
+{
+	return session->sent_revision <= session->in_force_revision &&
+	       (session->needs_full_update ||
+		session->in_force_revision <
+			cb_state_entry_revision(node->state));
+}
+
 /*
- * Sends each session an update to the current revision. A session has at most
- * one update in flight; later changes follow once that update is in force.
+ * Sends an update to the current revision to each session that lacks a change
+ * that entry instances need; with `first_only`, only to those that were sent
+ * none yet.  A session has at most one update in flight; later
+ * changes follow once that update is in force.
  */
-void cb_sessions_push(cb_node_t *node)
+static void updates_push_(cb_node_t *node, gboolean first_only)
 {
-	uint64_t revision = cb_state_revision(node->state);
 	push_round_t round = { 0 };
 	GHashTableIter iter;
 	void *value;
@@ -111,16 +141,33 @@
 	g_hash_table_iter_init(&iter, node->inbounds);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		cb_inbound_t *inbound = value;
-		cb_session_t *session = inbound->session;
+		const cb_session_t *session = inbound->session;
 
-		if (!session ||
-		    session->sent_revision > session->in_force_revision)
-			continue;
-		if (session->in_force_revision < revision ||
-		    session->needs_full_update)
+		if (session && session_needs_update_(node, session) &&
+		    !(first_only && session->last_update_sent_ms))
 			session_update_push_(inbound, &round);
 	}
-	g_clear_pointer(&round.update, g_bytes_unref);
+	push_round_clear_(&round);
+}
+
+/*
+ * Pushes updates to the sessions that need one, or arms the timer that does so,
+ * if updates were pushed a short while ago.
+ */
+void cb_sessions_push_paced(cb_node_t *node)
+{
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+	int64_t interval_ms = MIN(cb_counter_get(node->session_gauge) *
+					  PUSH_INTERVAL_PER_SESSION_MS,
+				  PUSH_INTERVAL_MAX_MS);
+	int64_t wait_ms = node->pushed_ms + interval_ms - now_ms;
+
+	if (wait_ms > 0) {
+		cb_timer_start_sooner(node->push_timer, wait_ms);
+		return;
+	}
+	node->pushed_ms = now_ms;
+	updates_push_(node, FALSE);
 }
 
 /*
@@ -153,13 +200,14 @@
 				void *user_data)
 {
 	cb_node_t *node = user_data;
-	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_CONFIRMED,
-				      .number =
-					      cb_state_revision(node->state) };
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_CONFIRMED };
+	gboolean is_fleet_encoded = FALSE;
+	GBytes *fleet = NULL;
 	GHashTableIter iter;
 	void *value;
 
 	(void)index;
+	message.number = cb_state_entry_revision(node->state);
 	node->is_confirming_sessions = FALSE;
 	g_hash_table_iter_init(&iter, node->inbounds);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -174,12 +222,18 @@
 		session->is_confirmed = TRUE;
 		cb_link_send(inbound->link, &message);
 		cb_node_control_addresses_send(inbound);
-		cb_node_fleet_send(inbound);
+		if (!is_fleet_encoded)
+			fleet = cb_node_fleet_encode(node);
+		is_fleet_encoded = TRUE;
+		if (fleet)
+			cb_link_send_encoded(inbound->link, fleet);
 	}
+	g_clear_pointer(&fleet, g_bytes_unref);
 	/* A leader answered, so new instances can be submitted. */
 	if (outcome == CB_SUBMIT_ANSWERED)
 		cb_node_instances_announce(node);
-	cb_sessions_push(node);
+	updates_push_(node, TRUE);
+	cb_sessions_push_paced(node);
 	cb_timer_start(node->confirm_timer, CONFIRM_RETRY_MS);
 }
 
@@ -224,9 +278,8 @@
 	session->is_unreported = TRUE;
 	if (!cb_timer_is_armed(node->report_timer))
 		cb_timer_start(node->report_timer, 0);
-	if (session->needs_full_update ||
-	    session->in_force_revision < cb_state_revision(node->state))
-		cb_sessions_push(node);
+	if (session_needs_update_(node, session))
+		cb_sessions_push_paced(node);
 }
 
 static void command_receive_(cb_inbound_t *inbound,
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -28,6 +28,8 @@
 	/* Whether the session waits for the round of confirmation. */
 	gboolean is_confirming;
 	gboolean is_leaving;
+	/* When the entry instance was last submitted as up; 0: never. */
+	int64_t up_submitted_ms;
 	/*
 	 * Whether the session changed since it was last reported to the leader.
 	 */
@@ -127,6 +129,8 @@
 	 * check.
 	 */
 	gboolean was_recording_servers;
+	/* Submitted records of servers that are not answered yet. */
+	unsigned int server_records_in_flight;
 	/* Last time that a link to a peer was down or the process stalled. */
 	int64_t all_linked_since_ms;
 	GHashTable *peer_usages; /* peer_usage_t by control instance */
@@ -136,8 +140,12 @@
 	cb_timer_t *usage_timer;
 	/* Whether changes of `fleet` are to be sent soon. */
 	gboolean is_fleet_share_pending;
+	int64_t fleet_changes_sent_ms; /* time when changes were last sent */
 	uint64_t next_id;
-	GHashTable *inbounds;	     /* cb_inbound_t by id */
+	GHashTable *inbounds; /* cb_inbound_t by id */
+	/* Entry instances by name, with the time (int64_t) when they were told to
+	 * look for another control instance. */
+	GHashTable *turned_away;
 	GHashTable *requests;	     /* cb_node_request_t by id */
 	GHashTable *pending_replies; /* set of cb_reply_t not sent yet */
 	/*
@@ -154,6 +162,7 @@
 	int64_t confirm_deadline_ms;
 	cb_timer_t *tick_timer;
 	cb_timer_t *push_timer;
+	int64_t pushed_ms; /* time of the last push to all sessions */
 	cb_timer_t *role_timer;
 	cb_timer_t *report_timer;
 	cb_timer_t *confirm_timer;
@@ -192,6 +201,7 @@
 cb_inbound_t *cb_inbound_find(cb_node_t *node, uint64_t id);
 void cb_inbound_reply(cb_node_t *node, uint64_t id,
 		      const cb_link_message_t *message);
+void cb_inbound_relieve(cb_node_t *node);
 void cb_inbound_goodbye_all(cb_node_t *node, gboolean sessions_only,
 			    cb_close_reason_t reason);
 
@@ -211,10 +221,11 @@
 
 /* Sessions of entry instances: node_session.c. */
 gboolean cb_session_open(cb_inbound_t *inbound, const cb_hello_t *hello);
+gboolean cb_session_exists(cb_node_t *node, const char *name);
 void cb_session_delete(cb_session_t *session);
 void cb_session_receive(cb_inbound_t *inbound,
 			const cb_link_message_t *message);
-void cb_sessions_push(cb_node_t *node);
+void cb_sessions_push_paced(cb_node_t *node);
 void cb_sessions_confirm(cb_node_t *node);
 void cb_sessions_close_unresponsive(cb_node_t *node);
 
@@ -226,12 +237,13 @@
 void cb_node_grant_receive(cb_node_t *node, const cb_link_message_t *grant);
 
 /* Backend servers: node_fleet.c. */
+gboolean cb_node_has_all_peers(const cb_node_t *node);
 void cb_node_peers_broadcast(cb_node_t *node, const cb_link_message_t *message);
 void cb_node_sessions_broadcast(cb_node_t *node,
 				const cb_link_message_t *message);
 void cb_node_fleet_init(cb_node_t *node, int64_t server_silence_ms);
 void cb_node_fleet_merge(cb_node_t *node, GBytes *record);
-void cb_node_fleet_send(cb_inbound_t *inbound);
+GBytes *cb_node_fleet_encode(cb_node_t *node);
 void cb_node_fleet_receive(cb_node_t *node, const cb_link_message_t *message);
 
 /* Requests that entry instances have in flight: node_usage.c. */
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -646,7 +646,7 @@
 		.server_id = first->id,
 		.workspace = relay->workspace,
 		.budget_ms = relay->deadline_ms - cb_relay_now_ms(relay),
-		.rank = cb_document_rank_count(relay->document) > 1 ?
+		.rank = cb_document_has_ranks(relay->document) ?
 				(int32_t)relay->rank :
 				-1,
 		.last_event = relay->last_event,
@@ -663,6 +663,8 @@
 	relay->way_group = cb_relay_reach_find_group(front, first);
 	cb_server_book_begin_request(front->book, relay->hops,
 				     relay->expected_tokens);
+	cb_server_book_record_crossings(front->book, relay->service,
+					relay->hops, relay->expected_tokens);
 	cb_relay_start_silence_timer(relay);
 	relay->call =
 		cb_http1_client_call(front->client, first->address,
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -26,6 +26,8 @@
  * their usage arrives: reports and sums are sent every 200 ms.
  */
 #define USAGE_DELAY_MS 200
+/* Chains can fill this part of the memory: engines fill up unevenly. */
+#define FILLED_FRACTION 0.95
 /* How long a server without a free slot is avoided, at first. */
 #define FULL_AVOID_INITIAL_MS 250
 /*
@@ -110,8 +112,8 @@
 	GHashTable *stats_by_id; /* map: server ID to server_stats_t */
 	/* When the other instances' usage was last received; 0: never. */
 	int64_t usage_received_ms;
-	/* service name to tokens (double) that all were asked for in a second */
-	GHashTable *offered_tokens;
+	/* service name to tokens (double) that all instances begin in a second */
+	GHashTable *begun_tokens;
 };
 
 /*
@@ -137,7 +139,7 @@
 	book->data_centre = g_strdup(data_centre);
 	book->stats_by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	book->offered_tokens =
+	book->begun_tokens =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return book;
 }
@@ -148,7 +150,7 @@
 	if (!book)
 		return;
 	g_hash_table_unref(book->stats_by_id);
-	g_hash_table_unref(book->offered_tokens);
+	g_hash_table_unref(book->begun_tokens);
 	cb_pipe_share_delete(book->pipes);
 	cb_server_pace_delete(book->pace);
 	g_free(book->data_centre);
@@ -603,25 +605,28 @@
 	return best ? CB_BOOK_FOUND : CB_BOOK_NO_SERVER;
 }
 
+/* Returns whether the other instances' usage is known, from a recent sum. */
+static gboolean usage_is_known_(const cb_server_book_t *book)
+{
+	return book->usage_received_ms &&
+	       cb_clock_now_ms(book->clock) - book->usage_received_ms <=
+		       USAGE_VALID_MS;
+}
+
 /*
- * Returns what all instances have in flight at a server.  While the others'
- * usage is not known, each is assumed to have as much as this one.
+ * Returns what all instances have in flight at a server, as far as it is known:
+ * only this instance's own without a recent sum.
  */
-static cb_usage_load_t usage_estimate_(const cb_server_book_t *book,
-				       const server_stats_t *stats,
-				       unsigned int instance_count)
+static cb_usage_load_t usage_known_sum_(const cb_server_book_t *book,
+					const server_stats_t *stats)
 {
 	cb_usage_load_t sum = { .running = stats->running,
 				.token_layers = stats->token_layers };
-	int64_t age_ms = cb_clock_now_ms(book->clock) - book->usage_received_ms;
 
-	if (!book->usage_received_ms || age_ms > USAGE_VALID_MS) {
-		sum.running *= instance_count;
-		sum.token_layers *= instance_count;
-		return sum;
+	if (usage_is_known_(book)) {
+		sum.running += stats->others_usage.running;
+		sum.token_layers += stats->others_usage.token_layers;
 	}
-	sum.running += stats->others_usage.running;
-	sum.token_layers += stats->others_usage.token_layers;
 	return sum;
 }
 
@@ -640,23 +645,72 @@
 	return MAX(count, 1);
 }
 
+/* What the other instances have most likely begun and no sum tells of. */
+typedef struct unseen_load {
+	/* tokens since the last sum, in each data centre */
+	double begun_tokens;
+	/* Tokens on each engine while there is no recent sum at all; else 0. */
+	double spread_tokens;
+} unseen_load_t;
+
+/* Returns the tokens that an engine has for each request on the whole, 1 at least. */
+static double usual_tokens_(const cb_engine_profile_t *engine)
+{
+	return MAX(engine->usual_prompt_tokens + engine->usual_answer_tokens,
+		   1);
+}
+
 /*
- * Returns the tokens that the other instances have most likely begun in each data
- * centre since the sum of usage was made; 0 without a recent sum.
+ * Returns what the others have in flight on each engine, spread evenly: as much as
+ * the last sum told, or else as much as this instance, one request at least.
  */
-static double unseen_tokens_compute_(const cb_server_book_t *book,
-				     const cb_service_profile_t *service,
+static double spread_tokens_compute_(cb_server_book_t *book,
+				     const cb_engine_profile_t *engine,
 				     const GPtrArray *usable,
 				     unsigned int instance_count)
 {
-	const double *offered =
-		g_hash_table_lookup(book->offered_tokens, service->name);
-	int64_t age_ms = cb_clock_now_ms(book->clock) - book->usage_received_ms;
+	double own = 0;
+	double others = 0;
+	double held_layers = 0;
+	unsigned int i;
 
-	if (!offered || age_ms > USAGE_VALID_MS)
+	for (i = 0; i < usable->len; i++) {
+		const cb_fleet_server_t *server = usable->pdata[i];
+		const server_stats_t *stats = stats_get_(book, server->id);
+
+		own += stats->token_layers;
+		others += stats->others_usage.token_layers;
+		held_layers += server->layer_to - server->layer_from;
+	}
+	if (!held_layers)
 		return 0;
-	return *offered * (double)(age_ms + USAGE_DELAY_MS) / MS_PER_S *
-	       (instance_count - 1) / instance_count / centres_count_(usable);
+	if (!book->usage_received_ms)
+		others = MAX(own, usual_tokens_(engine) * engine->layers) *
+			 (instance_count - 1);
+	return others / held_layers;
+}
+
+/* Estimates what the other instances have begun and no sum tells of. */
+static unseen_load_t unseen_load_compute_(cb_server_book_t *book,
+					  const cb_service_profile_t *service,
+					  const GPtrArray *usable,
+					  unsigned int instance_count)
+{
+	const double *begun =
+		g_hash_table_lookup(book->begun_tokens, service->name);
+	int64_t age_ms = cb_clock_now_ms(book->clock) - book->usage_received_ms;
+	unseen_load_t unseen = { 0 };
+
+	if (!usage_is_known_(book))
+		unseen.spread_tokens =
+			spread_tokens_compute_(book, service->engine, usable,
+					       instance_count);
+	else if (begun)
+		unseen.begun_tokens = *begun *
+				      (double)(age_ms + USAGE_DELAY_MS) /
+				      MS_PER_S * (instance_count - 1) /
+				      instance_count / centres_count_(usable);
+	return unseen;
 }
 
 /*
@@ -667,30 +721,30 @@
  */
 static void unseen_load_add_(const cb_server_book_t *book,
 			     const cb_engine_profile_t *engine,
-			     double unseen_tokens, cb_chain_server_t *input)
+			     const unseen_load_t *unseen,
+			     cb_chain_server_t *input)
 {
-	double usual_tokens =
-		MAX(engine->usual_prompt_tokens + engine->usual_answer_tokens,
-		    1);
-	double drawn = -log(1 - g_rand_double(book->random)) * unseen_tokens;
+	double drawn =
+		-log(1 - g_rand_double(book->random)) * unseen->begun_tokens +
+		g_rand_double_range(book->random, 0.5, 1.5) *
+			unseen->spread_tokens;
 
 	input->free_tokens -= drawn;
-	input->running += drawn / usual_tokens;
+	input->running += drawn / usual_tokens_(engine);
 }
 
 /* Describes an engine as input of cb_chain_choose(). */
 static cb_chain_server_t chain_input_make_(cb_server_book_t *book,
 					   const cb_engine_profile_t *engine,
 					   const cb_fleet_server_t *server,
-					   const cb_relay_hop_t *kept_hop,
-					   unsigned int instance_count)
+					   const cb_relay_hop_t *kept_hop)
 {
 	int64_t now_ms = cb_clock_now_ms(book->clock);
 	const cb_engine_kind_t *kind =
 		cb_engine_profile_kind(engine, server->kind);
 	const server_stats_t *stats = stats_get_(book, server->id);
 	uint32_t layers = server->layer_to - server->layer_from;
-	cb_usage_load_t usage = usage_estimate_(book, stats, instance_count);
+	cb_usage_load_t usage = usage_known_sum_(book, stats);
 	cb_chain_server_t input = { .data_centre = server->data_centre,
 				    .from = server->layer_from,
 				    .to = server->layer_to };
@@ -758,31 +812,6 @@
 	return !first;
 }
 
-/* Records what a chosen chain sends between data centres. */
-static void crossings_record_(cb_server_book_t *book,
-			      const cb_book_criteria_t *criteria,
-			      const cb_chain_server_t *inputs,
-			      const GArray *parts)
-{
-	const cb_service_profile_t *service = criteria->service;
-	unsigned int crossings = 0;
-	unsigned int i;
-
-	if (criteria->is_only_asked)
-		return;
-	for (i = 1; i < parts->len; i++) {
-		const cb_chain_part_t *part =
-			&g_array_index(parts, cb_chain_part_t, i);
-
-		crossings += g_strcmp0(inputs[part[-1].server].data_centre,
-				       inputs[part->server].data_centre) != 0;
-	}
-	if (crossings)
-		cb_pipe_share_take(book->pipes, service->name,
-				   crossings * criteria->tokens *
-					   service->engine->activation_bytes);
-}
-
 /* Returns whether a request may use an engine within its pace. */
 static gboolean engine_is_drawn_(cb_server_book_t *book,
 				 const cb_book_criteria_t *criteria,
@@ -811,8 +840,9 @@
 	GPtrArray *usable = usable_servers_collect_(book, criteria);
 	cb_chain_server_t *inputs = g_new0(cb_chain_server_t, usable->len + 1);
 	unsigned int instance_count = ready_instances_count_(book);
-	double unseen_tokens = unseen_tokens_compute_(book, criteria->service,
-						      usable, instance_count);
+	const unseen_load_t unseen =
+		unseen_load_compute_(book, criteria->service, usable,
+				     instance_count);
 	cb_chain_outcome_t outcome;
 	unsigned int i;
 
@@ -825,11 +855,9 @@
 		const cb_relay_hop_t *kept_hop =
 			hop_find_(criteria->running_hops, server->id);
 
-		inputs[i] = chain_input_make_(book, engine, server, kept_hop,
-					      instance_count);
+		inputs[i] = chain_input_make_(book, engine, server, kept_hop);
 		if (!kept_hop)
-			unseen_load_add_(book, engine, unseen_tokens,
-					 &inputs[i]);
+			unseen_load_add_(book, engine, &unseen, &inputs[i]);
 		inputs[i].is_paced =
 			!kept_hop && !engine_is_drawn_(book, criteria, server);
 	}
@@ -839,7 +867,6 @@
 	else
 		outcome = cb_chain_choose(engine, inputs, usable->len,
 					  &chain_criteria, book->random, parts);
-	crossings_record_(book, criteria, inputs, parts);
 	for (i = 0; i < parts->len; i++) {
 		const cb_chain_part_t *part =
 			&g_array_index(parts, cb_chain_part_t, i);
@@ -872,8 +899,10 @@
 
 /* Some engines together, as holders of the layers. */
 typedef struct holders {
-	double *layer_tokens; /* for each layer: KV cache of its holders */
-	double first_slots;   /* slots of the holders of the first layer */
+	/* For each layer: KV cache of its holders, and of the largest of them. */
+	double *layer_tokens;
+	double *largest_tokens;
+	double first_slots; /* slots of the holders of the first layer */
 } holders_t;
 
 /* Adds what a server can hold to the sums of its layers. */
@@ -891,54 +920,62 @@
 					     server->layer_to -
 						     server->layer_from);
 	for (i = server->layer_from; i < MIN(server->layer_to, engine->layers);
-	     i++)
+	     i++) {
 		holders->layer_tokens[i] += tokens;
+		holders->largest_tokens[i] =
+			MAX(holders->largest_tokens[i], tokens);
+	}
 	if (!server->layer_from)
 		holders->first_slots += server->slots;
 }
 
 /*
- * Returns the tokens that the engines of a data centre (NULL: of all) hold at the
- * same time: as many as fit on each layer, in no more requests than first engines
- * have slots.
+ * Returns what the engines of a data centre (NULL: of all) hold at the same time:
+ * as many tokens as fit on each layer, in no more requests than first engines have
+ * slots.  Silent engines count: requests pass through them, and while control is
+ * away all are silent.
  */
-static double capacity_compute_(const cb_server_book_t *book,
-				const GPtrArray *usable,
-				const cb_engine_profile_t *engine,
-				const char *data_centre)
+static cb_book_capacity_t centre_capacity_compute_(
+	const cb_server_book_t *book, const GPtrArray *usable,
+	const cb_engine_profile_t *engine, const char *data_centre)
 {
 	holders_t holders = { 0 };
-	double usual_tokens =
-		engine->usual_prompt_tokens + engine->usual_answer_tokens;
 	int64_t now_ms = cb_clock_now_ms(book->clock);
-	double capacity = INFINITY;
+	cb_book_capacity_t capacity = { INFINITY, INFINITY };
 	unsigned int i;
 
 	holders.layer_tokens = g_new0(double, engine->layers + 1);
+	holders.largest_tokens = g_new0(double, engine->layers + 1);
 	for (i = 0; i < usable->len; i++) {
 		const cb_fleet_server_t *server = usable->pdata[i];
 		const server_stats_t *stats =
 			g_hash_table_lookup(book->stats_by_id, server->id);
 
-		if (server->state == CB_FLEET_READY && !server->is_moving &&
+		if (!server->is_moving &&
 		    !(stats && stats->lost_until_ms > now_ms) &&
 		    (!data_centre || !strcmp(server->data_centre, data_centre)))
 			holder_add_(&holders, engine, server);
 	}
-	for (i = 0; i < engine->layers; i++)
-		capacity = MIN(capacity, holders.layer_tokens[i]);
-	if (usual_tokens > 0 && holders.first_slots > 0)
-		capacity = MIN(capacity, holders.first_slots * usual_tokens);
+	for (i = 0; i < engine->layers; i++) {
+		capacity.tokens = MIN(capacity.tokens, holders.layer_tokens[i]);
+		capacity.largest_tokens =
+			MIN(capacity.largest_tokens, holders.largest_tokens[i]);
+	}
+	if (holders.first_slots > 0)
+		capacity.tokens =
+			MIN(capacity.tokens,
+			    holders.first_slots * usual_tokens_(engine));
 	g_free(holders.layer_tokens);
-	return isinf(capacity) ? 0 : capacity;
+	g_free(holders.largest_tokens);
+	return capacity;
 }
 
 /*
- * Returns the room of a service: the sum over data centres that hold all layers,
- * or else that of all engines together.
+ * Returns the capacity of a service: the sum over data centres that hold all
+ * layers, or that of all engines together if it is more.
  */
-cb_book_room_t cb_server_book_find_room(cb_server_book_t *book,
-					const cb_service_profile_t *service)
+cb_book_capacity_t cb_server_book_find_capacity(
+	cb_server_book_t *book, const cb_service_profile_t *service)
 {
 	const cb_engine_profile_t *engine = service->engine;
 	GHashTable *none = g_hash_table_new(g_str_hash, g_str_equal);
@@ -946,29 +983,47 @@
 					      .excluded_servers = none };
 	GPtrArray *usable = usable_servers_collect_(book, &criteria);
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
-	cb_book_room_t room = { .instances = ready_instances_count_(book) };
+	cb_book_capacity_t all =
+		centre_capacity_compute_(book, usable, engine, NULL);
+	double sum = 0;
 	unsigned int i;
 
 	for (i = 0; i < usable->len; i++) {
 		const cb_fleet_server_t *server = usable->pdata[i];
-		const server_stats_t *stats = stats_get_(book, server->id);
 
-		room.used_tokens += usage_estimate_(book, stats, room.instances)
-					    .token_layers /
-				    engine->layers;
-		room.own_tokens += stats->token_layers / engine->layers;
 		if (g_hash_table_add(seen, server->data_centre))
-			room.capacity_tokens +=
-				capacity_compute_(book, usable, engine,
-						  server->data_centre);
+			sum += centre_capacity_compute_(book, usable, engine,
+							server->data_centre)
+				       .tokens;
 	}
-	if (room.capacity_tokens <= 0)
-		room.capacity_tokens =
-			capacity_compute_(book, usable, engine, NULL);
+	all.tokens = MAX(all.tokens, sum) * FILLED_FRACTION;
 	g_hash_table_unref(seen);
 	g_hash_table_unref(none);
 	g_ptr_array_unref(usable);
-	return room;
+	return all;
+}
+
+/* Returns the use of a service with layers, as far as it is known. */
+cb_book_use_t cb_server_book_find_use(const cb_server_book_t *book,
+				      const cb_service_profile_t *service)
+{
+	const GPtrArray *all = cb_fleet_servers(book->fleet);
+	cb_book_use_t use = { .instances = ready_instances_count_(book) };
+	unsigned int i;
+
+	for (i = 0; i < all->len; i++) {
+		const cb_fleet_server_t *server = all->pdata[i];
+		const server_stats_t *stats =
+			g_hash_table_lookup(book->stats_by_id, server->id);
+
+		if (!stats || strcmp(server->service, service->name) != 0)
+			continue;
+		use.tokens += usage_known_sum_(book, stats).token_layers;
+		use.own_tokens += stats->token_layers;
+	}
+	use.tokens /= service->engine->layers;
+	use.own_tokens /= service->engine->layers;
+	return use;
 }
 
 /* Adds a request to the records of its servers; `sign` -1 removes it. */
@@ -988,6 +1043,33 @@
 	}
 }
 
+/*
+ * Records what a request sends between data centres on its way through a chain.
+ */
+void cb_server_book_record_crossings(cb_server_book_t *book,
+				     const cb_service_profile_t *service,
+				     const GArray *hops, double tokens)
+{
+	const char *previous = NULL;
+	unsigned int crossings = 0;
+	unsigned int i;
+
+	for (i = 0; service->engine && i < hops->len; i++) {
+		const cb_fleet_server_t *server = cb_fleet_find(
+			book->fleet, g_array_index(hops, cb_relay_hop_t, i).id);
+
+		if (!server)
+			continue;
+		crossings +=
+			previous && strcmp(previous, server->data_centre) != 0;
+		previous = server->data_centre;
+	}
+	if (crossings)
+		cb_pipe_share_take(book->pipes, service->name,
+				   crossings * tokens *
+					   service->engine->activation_bytes);
+}
+
 /* Counts a request as in flight at its servers. */
 void cb_server_book_begin_request(cb_server_book_t *book, const GArray *hops,
 				  double tokens)
@@ -1061,26 +1143,21 @@
 	return suspects;
 }
 
-/* Adds up what all instances were asked for, by service. */
-static void offered_update_(cb_server_book_t *book, const cb_usage_t *sum)
+/*
+ * Sets how many tokens a second all instances together begin in a service's
+ * requests, as far as it is known.
+ */
+void cb_server_book_set_begun(cb_server_book_t *book, const char *service,
+			      double tokens_per_s)
 {
-	GHashTableIter iter;
-	void *value;
+	double *begun = g_hash_table_lookup(book->begun_tokens, service);
 
-	g_hash_table_remove_all(book->offered_tokens);
-	g_hash_table_iter_init(&iter, sum->by_flow);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const cb_usage_flow_t *flow = value;
-		double *tokens = g_hash_table_lookup(book->offered_tokens,
-						     flow->service);
-
-		if (!tokens) {
-			tokens = g_new0(double, 1);
-			g_hash_table_insert(book->offered_tokens,
-					    g_strdup(flow->service), tokens);
-		}
-		*tokens += flow->tokens;
+	if (!begun) {
+		begun = g_new0(double, 1);
+		g_hash_table_insert(book->begun_tokens, g_strdup(service),
+				    begun);
 	}
+	*begun = tokens_per_s;
 }
 
 /*
@@ -1097,7 +1174,6 @@
 	void *id;
 
 	book->usage_received_ms = cb_clock_now_ms(book->clock);
-	offered_update_(book, sum);
 	cb_server_pace_update(book->pace, sum);
 	g_hash_table_iter_init(&iter, sum->by_server);
 	while (g_hash_table_iter_next(&iter, &id, &value))
