Engines without failures are not looked at for trouble at each choice

Cause: each choice of a chain computed the evidence of all engines, though only failures can begin the pace of one that is not paced.

Change: without failures in the last second the look ends there.

--- a/src/libcurrantbridge/relay/server_pace.c
+++ b/src/libcurrantbridge/relay/server_pace.c
@@ -397,7 +397,9 @@
 	server_record_t *record = record_get_(pace, server, &is_new);
 
 	server_look_(pace, record, server, is_new, is_avoided);
-	if (record->weight >= 1 && record->reason == CB_PACE_PROVEN)
+	if (record->weight >= 1 && record->reason == CB_PACE_PROVEN &&
+	    (record->is_plain || record->spans[0].failures ||
+	     record->spans[1].failures || record->others.failures))
 		trouble_find_(pace, server->id, record);
 	if (record->reason == CB_PACE_PROVEN)
 		return (cb_pace_t){ 1, TRUE };
