--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -65,21 +65,27 @@
 	g_bytes_unref(encoded);
 }
 
-/* Merges the servers of the replicated state, once after the start. */
-static void server_records_load_(cb_node_t *node)
+/* Merges the servers of the replicated state. */
+static void server_records_merge_(cb_node_t *node)
 {
 	const GPtrArray *records = cb_view_servers(cb_state_view(node->state));
 	unsigned int i;
 
-	if (node->has_merged_servers || !cb_replica_is_current(node->replica))
-		return;
-	node->has_merged_servers = TRUE;
 	for (i = 0; i < records->len; i++)
 		cb_node_fleet_merge(
 			node,
 			((cb_stored_server_t *)records->pdata[i])->record);
 }
 
+/* Merges the servers of the replicated state, once after the start. */
+static void server_records_load_(cb_node_t *node)
+{
+	if (node->has_merged_servers || !cb_replica_is_current(node->replica))
+		return;
+	node->has_merged_servers = TRUE;
+	server_records_merge_(node);
+}
+
 /*
  * Returns the encoded message that tells an entry instance whose session was
  * confirmed of all servers, or NULL if there are none.  Recorded servers are
@@ -90,7 +96,8 @@
 	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_FLEET };
 	GBytes *encoded;
 
-	server_records_load_(node);
+	if (!node->has_merged_servers)
+		server_records_merge_(node);
 	message.body = cb_fleet_encode(node->fleet, CB_FLEET_ALL,
 				       cb_clock_now_ms(node->clock));
 	if (!message.body)
