--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -27,6 +27,8 @@
  * links have been up for one timeout.
  */
 #define UNLINKED_SILENCE_FACTOR 4
+/* For how long after the start servers are taken from the replicated state. */
+#define RECORDS_MERGE_MS 10000
 /* The record of a server that left is kept this long for late heartbeats. */
 #define GONE_SERVER_KEEP_MS 60000
 
@@ -65,27 +67,33 @@
 	g_bytes_unref(encoded);
 }
 
-/* Merges the servers of the replicated state. */
-static void server_records_merge_(cb_node_t *node)
+/*
+ * Merges the servers of the replicated state if it has changed, until some time
+ * after the start: a node that has contact to its leader may still have to catch up
+ * with it.  Later records tell what the node has heard of anyway.
+ */
+static void server_records_load_(cb_node_t *node)
 {
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+	uint64_t revision = cb_state_revision(node->state);
 	const GPtrArray *records = cb_view_servers(cb_state_view(node->state));
 	unsigned int i;
 
+	if (!node->has_merged_servers && cb_replica_is_current(node->replica)) {
+		node->has_merged_servers = TRUE;
+		node->records_merged_until_ms = now_ms + RECORDS_MERGE_MS;
+	}
+	if (revision == node->records_merged_revision ||
+	    (node->has_merged_servers &&
+	     now_ms > node->records_merged_until_ms))
+		return;
+	node->records_merged_revision = revision;
 	for (i = 0; i < records->len; i++)
 		cb_node_fleet_merge(
 			node,
 			((cb_stored_server_t *)records->pdata[i])->record);
 }
 
-/* Merges the servers of the replicated state, once after the start. */
-static void server_records_load_(cb_node_t *node)
-{
-	if (node->has_merged_servers || !cb_replica_is_current(node->replica))
-		return;
-	node->has_merged_servers = TRUE;
-	server_records_merge_(node);
-}
-
 /*
  * Returns the encoded message that tells an entry instance whose session was
  * confirmed of all servers, or NULL if there are none.  Recorded servers are
@@ -96,8 +104,7 @@
 	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_FLEET };
 	GBytes *encoded;
 
-	if (!node->has_merged_servers)
-		server_records_merge_(node);
+	server_records_load_(node);
 	message.body = cb_fleet_encode(node->fleet, CB_FLEET_ALL,
 				       cb_clock_now_ms(node->clock));
 	if (!message.body)
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -124,6 +124,9 @@
 	int64_t last_expiry_check_ms;
 	/* Whether servers of the replicated state were merged into `fleet`. */
 	gboolean has_merged_servers;
+	/* Revision of the state whose servers were merged last; 0: none. */
+	uint64_t records_merged_revision;
+	int64_t records_merged_until_ms; /* with has_merged_servers */
 	/*
 	 * Whether this instance recorded servers as the leader at the last
 	 * check.
