--- a/src/libcurrantbridge/control/state.c
+++ b/src/libcurrantbridge/control/state.c
@@ -260,7 +260,8 @@
  * Encodes the changes after revision `since` for cb_view_apply(), or the whole
  * configuration when `since` is 0 or older than the recorded changes.  Records
  * of servers are left out: entry instances receive servers as they are now
- * (CB_LINK_MESSAGE_FLEET), not as they were recorded.  At the current revision the update is empty, and a view rejects it as stale.  The
+ * (CB_LINK_MESSAGE_FLEET), not as they were recorded.  At the current revision
+ * the update is empty, and a view rejects it as stale.  The
  * caller unrefs the bytes.
  */
 GBytes *cb_state_encode_update(const cb_state_t *state, uint64_t since)
