--- a/include/currantbridge/chain.h
+++ b/include/currantbridge/chain.h
@@ -47,11 +47,6 @@
 	 * not known: it is used only where no other chain exists.
 	 */
 	gboolean is_doubtful;
-	/*
-	 * Whether the engine has recovered lately, and this request is beyond
-	 * what it is to get now: others in its data centre are preferred.
-	 */
-	gboolean is_paced;
 } cb_chain_server_t;
 
 /* The layers that one engine of a chain runs. */
--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -24,8 +24,6 @@
  * data centre.
  */
 #define DOUBTFUL_SERVER_COST_MS 1000.0
-/* Cost of an engine beyond its pace: less than a change of data centre. */
-#define PACED_SERVER_COST_MS 200.0
 /*
  * Cost of a first engine whose slots are all in use, where requests queue; with
  * fewer in use it is proportionally less.
@@ -177,8 +175,6 @@
 		cost_ms += DOUBTFUL_SERVER_COST_MS;
 	if (server->is_silent)
 		cost_ms += SILENT_SERVER_COST_MS;
-	if (server->is_paced)
-		cost_ms += PACED_SERVER_COST_MS;
 	return cost_ms;
 }
 
--- a/src/libcurrantbridge/relay/server_book.c
+++ b/src/libcurrantbridge/relay/server_book.c
@@ -812,20 +812,6 @@
 	return !first;
 }
 
-/* Returns whether a request may use an engine within its pace. */
-static gboolean engine_is_drawn_(cb_server_book_t *book,
-				 const cb_book_criteria_t *criteria,
-				 const cb_fleet_server_t *server)
-{
-	cb_pace_t pace =
-		cb_server_pace_find(book->pace, server,
-				    server_is_distrusted_(book, server));
-
-	if (criteria->runs_once && !pace.is_shown)
-		return FALSE;
-	return pace.weight >= 1 || g_rand_double(book->random) < pace.weight;
-}
-
 static cb_book_outcome_t chain_choose_(cb_server_book_t *book,
 				       const cb_book_criteria_t *criteria,
 				       GArray *hops)
@@ -858,8 +844,6 @@
 		inputs[i] = chain_input_make_(book, engine, server, kept_hop);
 		if (!kept_hop)
 			unseen_load_add_(book, engine, &unseen, &inputs[i]);
-		inputs[i].is_paced =
-			!kept_hop && !engine_is_drawn_(book, criteria, server);
 	}
 	if (!first_server_find_(usable, criteria->running_hops,
 				&chain_criteria))
