--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -28,7 +28,7 @@
  */
 #define UNLINKED_SILENCE_FACTOR 4
 /* For how long after the start servers are taken from the replicated state. */
-#define RECORDS_MERGE_MS 10000
+#define RECORDS_MERGE_MS 2000
 /* The record of a server that left is kept this long for late heartbeats. */
 #define GONE_SERVER_KEEP_MS 60000
 
@@ -88,10 +88,13 @@
 	     now_ms > node->records_merged_until_ms))
 		return;
 	node->records_merged_revision = revision;
-	for (i = 0; i < records->len; i++)
-		cb_node_fleet_merge(
-			node,
-			((cb_stored_server_t *)records->pdata[i])->record);
+	for (i = 0; i < records->len; i++) {
+		const cb_stored_server_t *stored = records->pdata[i];
+
+		/* What the node has heard of since its start is newer. */
+		if (!cb_fleet_find(node->fleet, stored->id))
+			cb_node_fleet_merge(node, stored->record);
+	}
 }
 
 /*
