One key of flows, one count of pushes; engines' times are not recorded in vain

Cause: read over, the change wrote the key of a flow in two places, the tests' count of pushed updates in two files, and the reasons of refusals as a function where the project has tables of names. Since engines are not paced any more, the time of each stream's first event was still recorded for every engine of its chain, where nothing reads it; the design note said that it is logged.

No decision changes, and all assertions stay.

Seen and left: sliding windows stand in request/offered and relay/retry_share; relay/server_book is long, its choice of plain servers should be a file of its own; data centres are counted anew at each choice of a chain.

--- a/src/libcurrantbridge/include/private/room.h
+++ b/src/libcurrantbridge/include/private/room.h
@@ -73,8 +73,12 @@
 	CB_ROOM_RANK,	   /* more urgent ranks leave too little */
 	CB_ROOM_WORKSPACE, /* its workspace asks for more than its share */
 	CB_ROOM_OWN_SHARE, /* no recent sum, and this instance's part is full */
+	CB_ROOM_REASON_COUNT
 } cb_room_reason_t;
 
+/* Names of the reasons, as they are logged and counted. */
+extern const char *const cb_room_reason_string[CB_ROOM_REASON_COUNT];
+
 /* Why a request may begin or not; the fields are logged and explained. */
 typedef struct cb_room_decision {
 	gboolean is_admitted;
@@ -91,16 +95,14 @@
 cb_room_t *cb_room_new(cb_clock_t *clock, GRand *random);
 void cb_room_delete(cb_room_t *room);
 /*
- * Sets what is known of a service: when a sum of usage arrives, and at least
- * every 200 ms while requests arrive.  Strings are copied.
+ * Sets what is known of a service: when a sum of usage arrives, and at times while
+ * none does.  Strings are copied.
  */
 void cb_room_update(cb_room_t *room, const char *service,
 		    const cb_room_state_t *state);
 /* Decides whether a request may begin, and counts it if it may. */
 cb_room_decision_t cb_room_decide(cb_room_t *room, const char *service,
 				  const cb_room_request_t *request);
-/* Returns a reason's name, as it is logged and counted. */
-const char *cb_room_reason_name(cb_room_reason_t reason);
 /*
  * Returns how many tokens a second all instances together may begin, of what they
  * are asked for; 0: not known.
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -377,10 +377,10 @@
 				relay->answer_headers->str);
 }
 
-/* Records after which time the attempt's servers have answered. */
+/* Records after which time the attempt's server, which has no layers, answered. */
 static void server_time_record_(const cb_relay_t *relay)
 {
-	if (!relay->forwarded_to)
+	if (!relay->forwarded_to && !relay->service->engine)
 		cb_server_book_record_time(relay->front->book, relay->hops,
 					   relay->service->name,
 					   relay->route->name,
--- a/src/libcurrantbridge/relay/relay_room.c
+++ b/src/libcurrantbridge/relay/relay_room.c
@@ -222,7 +222,7 @@
 			    const cb_room_decision_t *decision)
 {
 	cb_front_t *front = relay->front;
-	const char *because = cb_room_reason_name(decision->reason);
+	const char *because = cb_room_reason_string[decision->reason];
 	char *of = g_strdup_printf("%s/%u/%s", relay->service->name,
 				   MIN(relay->rank, RANK_LABEL_MAX), because);
 
--- a/src/libcurrantbridge/request/room.c
+++ b/src/libcurrantbridge/request/room.c
@@ -76,6 +76,13 @@
 /* Callers wait at most this part of their time, and come back sooner otherwise. */
 #define COMEBACK_TIME_DIVISOR 3
 
+const char *const cb_room_reason_string[CB_ROOM_REASON_COUNT] = {
+	[CB_ROOM_ADMITTED] = "",
+	[CB_ROOM_RANK] = "rank",
+	[CB_ROOM_WORKSPACE] = "workspace",
+	[CB_ROOM_OWN_SHARE] = "own_share",
+};
+
 /* One rank's, or one workspace's, part of what may begin. */
 typedef struct flow {
 	uint32_t rank;
@@ -186,24 +193,38 @@
 	return service;
 }
 
+/* Returns the key of a flow; the caller frees it. */
+static char *flow_key_(uint32_t rank, const char *workspace)
+{
+	return g_strdup_printf("%u %s", rank, workspace);
+}
+
+/* Returns a flow, or NULL. */
+static flow_t *flow_find_(const service_room_t *service, uint32_t rank,
+			  const char *workspace)
+{
+	char *key = flow_key_(rank, workspace);
+	flow_t *flow = g_hash_table_lookup(service->flows, key);
+
+	g_free(key);
+	return flow;
+}
+
 /* Returns a flow, creating it if there is none. */
 static flow_t *flow_get_(cb_room_t *room, service_room_t *service,
 			 uint32_t rank, const char *workspace)
 {
-	char *key = g_strdup_printf("%u %s", rank, workspace);
-	flow_t *flow = g_hash_table_lookup(service->flows, key);
+	flow_t *flow = flow_find_(service, rank, workspace);
 
-	if (flow) {
-		g_free(key);
+	if (flow)
 		return flow;
-	}
 	flow = g_new0(flow_t, 1);
 	flow->rank = rank;
 	flow->workspace = g_strdup(workspace);
 	flow->ratio = 1;
 	/* Instances with few requests would all admit at the same moment. */
 	flow->credit = g_rand_double(room->random);
-	g_hash_table_insert(service->flows, key, flow);
+	g_hash_table_insert(service->flows, flow_key_(rank, workspace), flow);
 	return flow;
 }
 
@@ -608,13 +629,11 @@
 static flow_t *request_flow_find_(cb_room_t *room, service_room_t *service,
 				  const cb_room_request_t *request)
 {
-	char *key = g_strdup_printf("%u %s", request->rank, request->workspace);
-	char *rank_key = g_strdup_printf("%u ", request->rank);
-	flow_t *flow = g_hash_table_lookup(service->flows, key);
+	flow_t *flow = flow_find_(service, request->rank, request->workspace);
 
 	/* Workspaces are reported only while the room is scarce. */
 	if (!flow && !service->is_scarce)
-		flow = g_hash_table_lookup(service->flows, rank_key);
+		flow = flow_find_(service, request->rank, "");
 	if (!flow) {
 		double ratio = unseen_ratio_find_(service, request->rank,
 						  request->workspace);
@@ -623,8 +642,6 @@
 				 request->workspace);
 		flow->ratio = ratio;
 	}
-	g_free(key);
-	g_free(rank_key);
 	return flow;
 }
 
@@ -684,15 +701,6 @@
 	return decision;
 }
 
-/* Returns a reason's name, as it is logged and counted. */
-const char *cb_room_reason_name(cb_room_reason_t reason)
-{
-	static const char *const names[] = { "", "rank", "workspace",
-					     "own_share" };
-
-	return names[reason];
-}
-
 /* Returns whether what each workspace asks for is to be reported. */
 gboolean cb_room_is_scarce(const cb_room_t *room, const char *name)
 {
--- a/src/test_libcurrantbridge/support_world.c
+++ b/src/test_libcurrantbridge/support_world.c
@@ -296,3 +296,16 @@
 	}
 	return NULL;
 }
+
+/* Returns the number of updates that all nodes have pushed to sessions. */
+int64_t world_pushes_sum(const world_t *world)
+{
+	int64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < world->node_count; i++)
+		sum += cb_counter_get(cb_counters_counter(
+			cb_kernel_counters(world->nodes[i].kernel),
+			"cb_pushes_total", NULL, NULL));
+	return sum;
+}
--- a/src/test_libcurrantbridge/support_world.h
+++ b/src/test_libcurrantbridge/support_world.h
@@ -81,4 +81,7 @@
 			   world_result_t *result);
 const cb_instance_t *world_instance(const cb_view_t *view, const char *name);
 
+/* Returns the number of updates that all nodes have pushed to their sessions. */
+int64_t world_pushes_sum(const world_t *world);
+
 #endif
--- a/src/test_libcurrantbridge/test_fleet.c
+++ b/src/test_libcurrantbridge/test_fleet.c
@@ -370,19 +370,6 @@
 	}
 }
 
-/* Returns the number of updates that all nodes have pushed to their sessions. */
-static int64_t pushes_sum_(const world_t *world)
-{
-	int64_t sum = 0;
-	size_t i;
-
-	for (i = 0; i < world->node_count; i++)
-		sum += cb_counter_get(cb_counters_counter(
-			cb_kernel_counters(world->nodes[i].kernel),
-			"cb_pushes_total", NULL, NULL));
-	return sum;
-}
-
 static gboolean many_servers_are_recorded_(world_t *world)
 {
 	const world_node_t *leader = &world->nodes[world_leader(world)];
@@ -411,7 +398,7 @@
 	}
 	CU_ASSERT_TRUE(
 		world_run_until(world, world_is_converged, START_LIMIT_MS));
-	pushes = pushes_sum_(world);
+	pushes = world_pushes_sum(world);
 	many_servers_announce_(world, 1);
 	world_run_until(world, NULL, 2 * SHARE_INTERVAL_MS);
 	for (i = 0; i < 6; i++) {
@@ -428,7 +415,7 @@
 	}
 	CU_ASSERT_TRUE(world_run_until(world, many_servers_are_recorded_,
 				       START_LIMIT_MS));
-	CU_ASSERT_EQUAL(pushes_sum_(world), pushes);
+	CU_ASSERT_EQUAL(world_pushes_sum(world), pushes);
 	for (i = 0; i < 3; i++)
 		world_node_stop(world, i);
 	for (i = 0; i < 3; i++)
--- a/src/test_libcurrantbridge/test_room.c
+++ b/src/test_libcurrantbridge/test_room.c
@@ -103,7 +103,7 @@
 	const play_case_t *c;
 	cb_clock_t *clock;
 	GRand *random;	/* of the load */
-	GRand *decider; /* of the instances */
+	GRand *decider; /* random numbers by which instances admit requests */
 	int64_t now_ms;
 	node_t nodes[INSTANCES_MAX];
 	cb_usage_t *sum;      /* on its way to the instances */
--- a/src/test_libcurrantbridge/test_sessions.c
+++ b/src/test_libcurrantbridge/test_sessions.c
@@ -680,19 +680,6 @@
 	world_delete(world);
 }
 
-/* Returns the number of updates that all nodes have pushed to sessions. */
-static int64_t pushes_sum_(const world_t *world)
-{
-	int64_t sum = 0;
-	size_t i;
-
-	for (i = 0; i < world->node_count; i++)
-		sum += cb_counter_get(cb_counters_counter(
-			cb_kernel_counters(world->nodes[i].kernel),
-			"cb_pushes_total", NULL, NULL));
-	return sum;
-}
-
 #define RESTART_INTERVAL_MS 10
 /* Each session is sent an update when it opens, and one before and one after. */
 #define PUSHES_PER_RESTART 3
@@ -712,7 +699,7 @@
 
 	CU_ASSERT_TRUE(
 		world_run_until(world, world_is_converged, START_LIMIT_MS));
-	pushes = pushes_sum_(world);
+	pushes = world_pushes_sum(world);
 	start_ms = cb_clock_now_ms(world->clock);
 	for (i = 0; i < world->client_count; i++) {
 		world_client_stop(world, i);
@@ -721,7 +708,7 @@
 	}
 	CU_ASSERT_TRUE(world_run_until(world, world_is_converged,
 				       IN_FORCE_NO_FAULT_LIMIT_MS));
-	pushes = pushes_sum_(world) - pushes;
+	pushes = world_pushes_sum(world) - pushes;
 	pushes_max = cb_clock_now_ms(world->clock) - start_ms +
 		     PUSHES_PER_RESTART * WORLD_CLIENTS_MAX;
 	CU_ASSERT_TRUE(pushes <= pushes_max);
