Logs: how long an entry instance was without control, and how long it decoded

A document in force late on one entry instance could have arrived late, since the instance had no session or its control instance was behind, or could have been decoded late: no line told which. 315 CONTROL_CONFIRMED names the connections tried and the time without a confirmed session, 509 the time of decoding.

--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -108,6 +108,15 @@
 				 const cb_link_message_t *message)
 {
 	cb_timer_stop(client->confirm_timer);
+	cb_log_event(client->log, CB_EVENT_CONTROL_CONFIRMED,
+		     CB_STR("control",
+			    cb_link_remote_hello(client->link)->name),
+		     CB_INT("revision", message->number),
+		     CB_INT("own_revision", cb_view_revision(client->view)),
+		     CB_INT("attempts", client->attempt_count),
+		     CB_INT("without_ms",
+			    cb_control_client_silence_ms(client)));
+	client->attempt_count = 0;
 	client->is_session_confirmed = TRUE;
 	client->consecutive_failures = 0;
 	cb_backoff_reset(&client->backoff);
@@ -286,6 +295,7 @@
 	cb_link_options_set_counters(&options,
 				     cb_kernel_counters(client->kernel));
 	client->hello.revision = cb_view_revision(client->view);
+	client->attempt_count++;
 	client->link = cb_link_new(client->clock, connection, &options,
 				   &link_handler, client);
 	cb_timer_start(client->confirm_timer,
--- a/src/libcurrantbridge/include/private/control_client.h
+++ b/src/libcurrantbridge/include/private/control_client.h
@@ -32,6 +32,8 @@
 	/* Index in `addresses` of the present or next control instance. */
 	size_t address_index;
 	size_t consecutive_failures;
+	/* Connections tried since the last confirmed session. */
+	uint32_t attempt_count;
 	cb_hello_t hello; /* message sent at the start of each session */
 	gboolean renews_incarnation;
 	int64_t heartbeat_ms;
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -76,6 +76,7 @@
 	GRand *random;
 	cb_document_t *document;
 	uint64_t document_revision; /* revision of the last document read */
+	int64_t decode_start_ms;    /* when the last decoding began */
 	int64_t decoded_version;    /* version of that document */
 	/* Decoding of that document in progress, or NULL. */
 	cb_document_decoding_t *decoding;
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -47,7 +47,9 @@
 	cb_http1_server_set_limits(front->peer_server, &peer_limits);
 	cb_log_event(front->log, CB_EVENT_DOCUMENT_IN_FORCE,
 		     CB_INT("version", document->version),
-		     CB_INT("routes", document->routes->len));
+		     CB_INT("routes", document->routes->len),
+		     CB_INT("decode_ms", cb_clock_now_ms(front->clock) -
+						 front->decode_start_ms));
 }
 
 static void document_unreadable_log_(cb_front_t *front, const char *reason)
@@ -72,6 +74,7 @@
 	if (!text || text->revision == front->document_revision)
 		return FALSE;
 	front->document_revision = text->revision;
+	front->decode_start_ms = cb_clock_now_ms(front->clock);
 	front->decoded_version = text->version;
 	unpacked = cb_document_unpack(text->packed, &size);
 	if (unpacked)
--- a/src/test_libcurrantbridge/support_world.c
+++ b/src/test_libcurrantbridge/support_world.c
@@ -15,9 +15,9 @@
 		.listen = self->address,
 		.initial_members = members,
 		.initial_member_count = world->node_count,
-		.heartbeat_ms = WORLD_HEARTBEAT_MS,
-		.election_timeout_ms = WORLD_ELECTION_MS,
-		.silence_ms = WORLD_SILENCE_MS,
+		.heartbeat_ms = world->timing.heartbeat_ms,
+		.election_timeout_ms = world->timing.election_ms,
+		.silence_ms = world->timing.silence_ms,
 		.snapshot_every_bytes = 1 << 20,
 		.server_silence_ms = world->server_silence_ms,
 		.network = support_hub_network(world->hub, self->name),
@@ -81,8 +81,8 @@
 		.data_centre = "dc1",
 		.incarnation = ++self->incarnation,
 		.renews_incarnation = TRUE,
-		.heartbeat_ms = WORLD_SILENCE_MS / 4,
-		.silence_ms = WORLD_SILENCE_MS,
+		.heartbeat_ms = world->timing.client_heartbeat_ms,
+		.silence_ms = world->timing.silence_ms,
 		.network = support_hub_network(world->hub, self->name),
 		.random = random,
 	};
@@ -116,19 +116,24 @@
 	self->client = NULL;
 }
 
-/* Creates nodes and clients and starts them all. */
-world_t *world_new(size_t node_count, size_t client_count, uint32_t seed)
-{
-	return world_new_with_servers(node_count, client_count, seed, 0);
-}
+static const world_timing_t default_timing = {
+	.heartbeat_ms = WORLD_HEARTBEAT_MS,
+	.election_ms = WORLD_ELECTION_MS,
+	.silence_ms = WORLD_SILENCE_MS,
+	.client_heartbeat_ms = WORLD_SILENCE_MS / 4,
+};
 
-/* Like world_new(), with nodes that handle reports of backend servers. */
-world_t *world_new_with_servers(size_t node_count, size_t client_count,
-				uint32_t seed, int64_t server_silence_ms)
+/* Creates nodes and clients and starts them all. */
+static world_t *world_create_(size_t node_count, size_t client_count,
+			      uint32_t seed, const world_timing_t *timing,
+			      int64_t server_silence_ms)
 {
 	world_t *world = g_new0(world_t, 1);
 	size_t i;
 
+	g_assert(node_count <= WORLD_NODES_MAX &&
+		 client_count <= WORLD_CLIENTS_MAX);
+	world->timing = *timing;
 	world->server_silence_ms = server_silence_ms;
 	world->clock = cb_clock_new_paused(1000);
 	world->random = g_rand_new_with_seed(seed);
@@ -150,6 +155,25 @@
 	return world;
 }
 
+world_t *world_new(size_t node_count, size_t client_count, uint32_t seed)
+{
+	return world_create_(node_count, client_count, seed, &default_timing,
+			     0);
+}
+
+world_t *world_new_with_servers(size_t node_count, size_t client_count,
+				uint32_t seed, int64_t server_silence_ms)
+{
+	return world_create_(node_count, client_count, seed, &default_timing,
+			     server_silence_ms);
+}
+
+world_t *world_new_with_timing(size_t node_count, size_t client_count,
+			       uint32_t seed, const world_timing_t *timing)
+{
+	return world_create_(node_count, client_count, seed, timing, 0);
+}
+
 /* Stops all nodes and clients and deletes the simulation. */
 void world_delete(world_t *world)
 {
--- a/src/test_libcurrantbridge/support_world.h
+++ b/src/test_libcurrantbridge/support_world.h
@@ -11,12 +11,20 @@
  * instances in one test program, each with its own kernel, on one paused clock
  * and one in-memory network.
  */
-#define WORLD_NODES_MAX 5
-#define WORLD_CLIENTS_MAX 24
+#define WORLD_NODES_MAX 9
+#define WORLD_CLIENTS_MAX 26
 #define WORLD_HEARTBEAT_MS 100
 #define WORLD_ELECTION_MS 500
 #define WORLD_SILENCE_MS 2000
 
+/* The timeouts of all nodes and clients. */
+typedef struct world_timing {
+	int64_t heartbeat_ms; /* of nodes to each other */
+	int64_t election_ms;
+	int64_t silence_ms;
+	int64_t client_heartbeat_ms;
+} world_timing_t;
+
 /* A control node; `kernel` and `node` are NULL while it is stopped. */
 typedef struct world_node {
 	char *name;
@@ -43,6 +51,7 @@
 	cb_clock_t *clock;
 	GRand *random;
 	support_hub_t *hub;
+	world_timing_t timing;	   /* of processes that start from now on */
 	int64_t server_silence_ms; /* 0: the nodes handle no backend servers */
 	size_t node_count;
 	/* Nodes that clients know when they start; 0: all. */
@@ -66,6 +75,9 @@
 /* Like world_new(), with nodes that handle reports of backend servers. */
 world_t *world_new_with_servers(size_t node_count, size_t client_count,
 				uint32_t seed, int64_t server_silence_ms);
+/* Like world_new(), with other timeouts. */
+world_t *world_new_with_timing(size_t node_count, size_t client_count,
+			       uint32_t seed, const world_timing_t *timing);
 void world_delete(world_t *world);
 void world_node_start(world_t *world, size_t i);
 void world_node_stop(world_t *world, size_t i);
