Entries find a control instance that runs before a change is overdue

What callers saw: an entry instance answered 404 for a route three seconds after the configuration that has it was acknowledged (CONFIG).

Cause: after a failure of control an entry tried addresses in turn without memory of them. Each end of an attempt counted as a failure and raised the delay before the next to 1 s, also when a control instance that runs turned the entry away as crowded, and addresses that hang were tried again at 0.3 s each. All of that adds up while some instances stay lost and the others are asked by all entries at once; meanwhile the entry serves by its old document.

Change: addresses remember for 3 s how they ended. Untried ones come first, then those that were crowded, which accept the next attempt, both without a delay; a delay of up to 500 ms follows only once all have failed, and silent addresses come last. A control instance turns no entry away that serves by an older configuration, and asks none to move before it has the present one.

--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -12,12 +12,12 @@
 #define LINK_QUEUE_MAX_BYTES (16 * 1024 * 1024)
 #define NEXT_DELAY_MAX_MS 20
 #define RETRY_FIRST_MS 50
-#define RETRY_MAX_MS 1000
+#define RETRY_MAX_MS 500
 #define DRAIN_FLUSH_MS 50
 
 /*
- * Schedules the next connection after a short random delay, to which a backoff
- * is added once all control instances have failed.
+ * Schedules a connection to the next control instance after a short random
+ * delay, to which a backoff is added once all of them have failed.
  */
 static void connect_schedule_(cb_control_client_t *client)
 {
@@ -26,7 +26,7 @@
 
 	if (client->is_draining)
 		return;
-	if (client->consecutive_failures >= client->address_count)
+	if (!cb_control_addresses_advance(client->addresses))
 		delay_ms += cb_backoff_next_ms(&client->backoff);
 	cb_timer_start(client->connect_timer, delay_ms);
 }
@@ -40,25 +40,31 @@
 }
 
 /*
- * Selects the address to try next: the one that follows, or any other if the
- * present control instance has too many sessions.
+ * Returns the outcome of an attempt, or of its session, that ended for `reason`.
  */
-static void next_address_select_(cb_control_client_t *client,
-				 cb_close_reason_t reason)
+static cb_address_outcome_t outcome_classify_(const cb_control_client_t *client,
+					      cb_close_reason_t reason)
 {
-	size_t step = 1;
-
-	if (reason == CB_CLOSE_CROWDED && client->address_count > 2)
-		step = (size_t)g_rand_int_range(client->random, 1,
-						(int)client->address_count);
-	client->address_index =
-		(client->address_index + step) % client->address_count;
+	switch (reason) {
+	case CB_CLOSE_CROWDED:
+		return CB_ADDRESS_CROWDED;
+	case CB_CLOSE_REFUSED:
+	case CB_CLOSE_REMOTE:
+		return CB_ADDRESS_FAILED;
+	case CB_CLOSE_SILENT:
+		return CB_ADDRESS_SILENT;
+	default:
+		return cb_link_remote_hello(client->link)->name ?
+			       CB_ADDRESS_FAILED :
+			       CB_ADDRESS_SILENT;
+	}
 }
 
 /* Ends the session and schedules a connection to the next control instance. */
 static void session_end_(cb_control_client_t *client, cb_close_reason_t reason)
 {
 	cb_counters_t *counters = cb_kernel_counters(client->kernel);
+	cb_address_outcome_t outcome = outcome_classify_(client, reason);
 
 	last_current_update_(client);
 	cb_counter_add(cb_counters_counter(counters, "cb_control_lost_total",
@@ -67,13 +73,12 @@
 		       1);
 	cb_log_event(client->log, CB_EVENT_CONTROL_LOST,
 		     CB_STR("address",
-			    client->addresses[client->address_index]),
+			    cb_control_addresses_current(client->addresses)),
 		     CB_STR("reason", cb_close_reason_string[reason]));
 	g_clear_pointer(&client->link, cb_link_delete);
 	cb_timer_stop(client->confirm_timer);
 	client->is_session_confirmed = FALSE;
-	client->consecutive_failures++;
-	next_address_select_(client, reason);
+	cb_control_addresses_record(client->addresses, outcome);
 	cb_client_submits_mark_unsent(client);
 	connect_schedule_(client);
 }
@@ -118,7 +123,7 @@
 			    cb_control_client_silence_ms(client)));
 	client->attempt_count = 0;
 	client->is_session_confirmed = TRUE;
-	client->consecutive_failures = 0;
+	cb_control_addresses_record(client->addresses, CB_ADDRESS_CONFIRMED);
 	cb_backoff_reset(&client->backoff);
 	if (!client->has_confirm_revision)
 		client->confirm_revision = message->number;
@@ -179,59 +184,22 @@
 	incarnation_check_(client);
 }
 
-/*
- * Builds the list of addresses from those announced by control followed by
- * those of the settings; the present address stays selected if it is listed.
- */
-static void addresses_merge_(cb_control_client_t *client)
-{
-	char *present = g_strdup(client->addresses[client->address_index]);
-	GStrvBuilder *builder = g_strv_builder_new();
-	char **address;
-	size_t i;
-
-	g_strv_builder_addv(builder,
-			    (const char **)client->announced_addresses);
-	for (address = client->configured_addresses; *address; address++)
-		if (!g_strv_contains((const char *const *)
-					     client->announced_addresses,
-				     *address))
-			g_strv_builder_add(builder, *address);
-	g_strfreev(client->addresses);
-	client->addresses = g_strv_builder_end(builder);
-	client->address_count = g_strv_length(client->addresses);
-	client->address_index = 0;
-	for (i = 0; i < client->address_count; i++)
-		if (g_str_equal(client->addresses[i], present))
-			client->address_index = i;
-	g_strv_builder_unref(builder);
-	g_free(present);
-}
-
-/*
- * Stores the addresses of the present control instances: those of the settings
- * may all have been replaced by the time this session ends.
- */
+/* Stores the addresses of the present control instances. */
 static void control_addresses_handle_(cb_control_client_t *client,
 				      const cb_link_message_t *message)
 {
 	char **addresses =
 		message->body ? cb_addresses_decode(message->body) : NULL;
 
-	if (!addresses)
-		return;
-	g_strfreev(client->announced_addresses);
-	client->announced_addresses = addresses;
-	addresses_merge_(client);
+	if (addresses)
+		cb_control_addresses_announce(client->addresses, addresses);
 }
 
 /* Replaces the configured addresses of control instances. */
 void cb_control_client_configure(cb_control_client_t *client,
 				 const char *const *control_addresses)
 {
-	g_strfreev(client->configured_addresses);
-	client->configured_addresses = g_strdupv((char **)control_addresses);
-	addresses_merge_(client);
+	cb_control_addresses_configure(client->addresses, control_addresses);
 }
 
 static void link_received_(void *user_data, const cb_link_message_t *message)
@@ -289,8 +257,10 @@
 	cb_link_options_t options = { .hello = &client->hello,
 				      .heartbeat_ms = client->heartbeat_ms,
 				      .silence_ms = client->silence_ms };
-	cb_connection_t *connection = client->network->vtable->connect(
-		client->network, client->addresses[client->address_index]);
+	cb_connection_t *connection =
+		client->network->vtable->connect(client->network,
+						 cb_control_addresses_current(
+							 client->addresses));
 
 	cb_link_options_set_counters(&options,
 				     cb_kernel_counters(client->kernel));
@@ -353,11 +323,9 @@
 	g_hash_table_unref(client->submits);
 	if (client->owns_network)
 		client->network->vtable->destroy(client->network);
+	cb_control_addresses_delete(client->addresses);
 	g_rand_free(client->random);
 	cb_hello_clear(&client->hello);
-	g_strfreev(client->addresses);
-	g_strfreev(client->configured_addresses);
-	g_strfreev(client->announced_addresses);
 	g_free(client);
 }
 
@@ -383,11 +351,6 @@
 	client->clock = cb_kernel_clock(kernel);
 	client->log = cb_kernel_log(kernel);
 	client->view = view;
-	client->configured_addresses =
-		g_strdupv((char **)options->control_addresses);
-	client->announced_addresses = g_new0(char *, 1);
-	client->addresses = g_strdupv(client->configured_addresses);
-	client->address_count = g_strv_length(client->addresses);
 	client->hello.role = CB_ROLE_ENTRY;
 	client->hello.name = g_strdup(options->name);
 	client->hello.address = g_strdup(options->address);
@@ -404,9 +367,9 @@
 	if (!client->network)
 		client->network = cb_tcp_network_new(cb_kernel_context(kernel),
 						     LINK_QUEUE_MAX_BYTES);
-	client->address_index =
-		(size_t)g_rand_int_range(client->random, 0,
-					 (int)client->address_count);
+	client->addresses =
+		cb_control_addresses_new(client->clock, client->random,
+					 options->control_addresses);
 	client->connect_timer =
 		cb_timer_new(client->clock, connect_timer_fired_, client);
 	client->confirm_timer =
--- a/src/libcurrantbridge/control/node_inbound.c
+++ b/src/libcurrantbridge/control/node_inbound.c
@@ -73,6 +73,15 @@
 	return TRUE;
 }
 
+/*
+ * Returns whether an entry instance serves by a configuration older than the
+ * state's, so that it needs an update before anything else.
+ */
+static gboolean revision_is_outdated_(const cb_node_t *node, uint64_t revision)
+{
+	return revision > 0 && revision < cb_state_entry_revision(node->state);
+}
+
 /*
  * Has one session move to another control instance if there are too many here,
  * as after a start, when all entry instances know the same few.
@@ -89,6 +98,8 @@
 		cb_inbound_t *inbound = value;
 
 		if (!inbound->session || !inbound->session->is_confirmed ||
+		    revision_is_outdated_(
+			    node, inbound->session->in_force_revision) ||
 		    !turning_away_begin_(node, inbound->session->hello.name))
 			continue;
 		cb_link_goodbye(inbound->link, CB_CLOSE_CROWDED);
@@ -115,6 +126,7 @@
 	}
 	if (cb_counter_get(node->session_gauge) >= sessions_limit_(node) &&
 	    !cb_session_exists(node, remote->name) &&
+	    !revision_is_outdated_(node, remote->revision) &&
 	    turning_away_begin_(node, remote->name)) {
 		cb_node_control_addresses_send(inbound);
 		cb_link_goodbye(inbound->link, CB_CLOSE_CROWDED);
--- a/src/libcurrantbridge/include/private/control_client.h
+++ b/src/libcurrantbridge/include/private/control_client.h
@@ -2,6 +2,7 @@
 #define PRIVATE_CONTROL_CLIENT_H
 
 #include "currantbridge/control_client.h"
+#include "private/control_addresses.h"
 #include "private/link.h"
 
 /* A submitted command without a final answer. */
@@ -24,14 +25,7 @@
 	cb_clock_t *clock;
 	cb_log_t *log;
 	cb_view_t *view;
-	char **configured_addresses; /* addresses from the settings */
-	char **announced_addresses;  /* addresses announced by control */
-	/* Announced addresses, then the other configured ones. */
-	char **addresses;
-	size_t address_count;
-	/* Index in `addresses` of the present or next control instance. */
-	size_t address_index;
-	size_t consecutive_failures;
+	cb_control_addresses_t *addresses;
 	/* Connections tried since the last confirmed session. */
 	uint32_t attempt_count;
 	cb_hello_t hello; /* message sent at the start of each session */
