Retries of ended entry instances count until the budget's window is over

Cause: the sums by which all entry instances share the budget hold the counts of open sessions only. With the session of a killed instance its retries of the last 10 s left the sums, and the others sent them once more.

Change: a control instance keeps the last requests and retries of a session that has closed for one window. No message changes.

--- a/include/currantbridge/node.h
+++ b/include/currantbridge/node.h
@@ -35,6 +35,11 @@
 	 * only where no backend server announces itself.
 	 */
 	int64_t server_silence_ms;
+	/*
+	 * How long retries count against the budget of all entry instances; 0
+	 * only where no entry instance retries.
+	 */
+	int64_t retry_window_ms;
 	/*
 	 * Control instances that a blank one requests its addition from, each
 	 * an address that is also the name, NULL-terminated; NULL: no instance
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -324,6 +324,7 @@
 	cb_lease_book_delete(node->lease_book);
 	cb_fleet_delete(node->fleet);
 	g_hash_table_unref(node->peer_usages);
+	cb_departed_delete(node->departed);
 	cb_usage_delete(node->total_usage);
 	g_strfreev(node->join_addresses);
 	g_rand_free(node->random);
@@ -497,7 +498,7 @@
 	node->join_addresses = g_strdupv((char **)options->join_addresses);
 	timers_create_(node);
 	cb_node_fleet_init(node, options->server_silence_ms);
-	cb_node_usage_init(node);
+	cb_node_usage_init(node, options->retry_window_ms);
 	counters_create_(node);
 	peers_create_(node);
 	replica_create_(node, options);
--- a/src/libcurrantbridge/control/node_inbound.c
+++ b/src/libcurrantbridge/control/node_inbound.c
@@ -183,7 +183,7 @@
 		cb_log_event(node->log, CB_EVENT_LINK_REFUSED,
 			     CB_STR("reason", cb_close_reason_string[reason]));
 	if (inbound->session)
-		cb_counter_add(node->session_gauge, -1);
+		cb_session_closed(inbound);
 	g_hash_table_remove(node->inbounds, &inbound->id);
 }
 
--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -80,6 +80,18 @@
 	return TRUE;
 }
 
+/* Keeps the counts of a session that has closed. */
+void cb_session_closed(cb_inbound_t *inbound)
+{
+	const cb_session_t *session = inbound->session;
+	cb_node_t *node = inbound->node;
+
+	cb_counter_add(node->session_gauge, -1);
+	if (session->usage)
+		cb_departed_add(node->departed, session->hello.name,
+				session->hello.incarnation, session->usage);
+}
+
 /* The update that was encoded last in one round of pushes. */
 typedef struct push_round {
 	uint64_t since;	 /* the revision that `update` starts from */
--- a/src/libcurrantbridge/control/node_usage.c
+++ b/src/libcurrantbridge/control/node_usage.c
@@ -12,6 +12,12 @@
 /* The last usage report of another control instance counts for this long. */
 #define PEER_USAGE_MAX_AGE_MS 1000
 
+/*
+ * Silence timeouts after which the state tells that an entry instance has ended:
+ * those that it may be silent for, and one until that is recorded.
+ */
+#define INSTANCE_ENDED_SILENCES (CB_NODE_INSTANCE_SILENCE_FACTOR + 1)
+
 /* Requests in flight at the entry instances of one other control instance. */
 typedef struct peer_usage {
 	cb_usage_t *usage;
@@ -26,7 +32,10 @@
 	g_free(peer);
 }
 
-/* Returns the sum of usage over the sessions of this instance. */
+/*
+ * Returns the sum of usage over the sessions of this instance, and of what
+ * sessions that ended a short while ago have sent.
+ */
 static cb_usage_t *own_usage_sum_(cb_node_t *node)
 {
 	cb_usage_t *sum = cb_usage_new();
@@ -40,6 +49,7 @@
 		if (session && session->usage)
 			cb_usage_merge(sum, session->usage);
 	}
+	cb_departed_add_sends(node->departed, cb_state_view(node->state), sum);
 	return sum;
 }
 
@@ -87,8 +97,11 @@
 }
 
 /* Creates the sums of usage and the timer that sends them. */
-void cb_node_usage_init(cb_node_t *node)
+void cb_node_usage_init(cb_node_t *node, int64_t retry_window_ms)
 {
+	node->departed =
+		cb_departed_new(node->clock, retry_window_ms,
+				INSTANCE_ENDED_SILENCES * node->silence_ms);
 	node->peer_usages = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, peer_usage_delete_);
 	node->total_usage = cb_usage_new();
@@ -180,6 +193,10 @@
 	}
 	if (has_urgent_news_(usage, inbound->session->usage))
 		sum_share_soon_(inbound->node);
+	if (!inbound->session->usage)
+		cb_departed_remove(inbound->node->departed,
+				   inbound->session->hello.name,
+				   inbound->session->hello.incarnation);
 	cb_usage_delete(inbound->session->usage);
 	inbound->session->usage = usage;
 }
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -4,6 +4,7 @@
 #include "currantbridge/allocation.h"
 #include "currantbridge/fleet.h"
 #include "currantbridge/node.h"
+#include "private/departed.h"
 #include "private/link.h"
 #include "private/peers.h"
 #include "private/roster.h"
@@ -137,6 +138,7 @@
 	/* Last time that a link to a peer was down or the process stalled. */
 	int64_t all_linked_since_ms;
 	GHashTable *peer_usages; /* peer_usage_t by control instance */
+	cb_departed_t *departed;
 	/* Usage summed over all entry instances, as last sent to them. */
 	cb_usage_t *total_usage;
 	int64_t usage_sent_ms; /* time of the last sums of usage */
@@ -224,6 +226,7 @@
 
 /* Sessions of entry instances: node_session.c. */
 gboolean cb_session_open(cb_inbound_t *inbound, const cb_hello_t *hello);
+void cb_session_closed(cb_inbound_t *inbound);
 gboolean cb_session_exists(cb_node_t *node, const char *name);
 void cb_session_delete(cb_session_t *session);
 void cb_session_receive(cb_inbound_t *inbound,
@@ -250,7 +253,7 @@
 void cb_node_fleet_receive(cb_node_t *node, const cb_link_message_t *message);
 
 /* Requests that entry instances have in flight: node_usage.c. */
-void cb_node_usage_init(cb_node_t *node);
+void cb_node_usage_init(cb_node_t *node, int64_t retry_window_ms);
 void cb_node_usage_receive_peer(cb_node_t *node, const char *control,
 				const cb_link_message_t *message);
 void cb_node_usage_receive_session(cb_inbound_t *inbound,
--- a/src/test_libcurrantbridge/support_world.c
+++ b/src/test_libcurrantbridge/support_world.c
@@ -20,6 +20,7 @@
 		.silence_ms = world->timing.silence_ms,
 		.snapshot_every_bytes = 1 << 20,
 		.server_silence_ms = world->server_silence_ms,
+		.retry_window_ms = WORLD_RETRY_WINDOW_MS,
 		.network = support_hub_network(world->hub, self->name),
 		.storage = disk_storage(self->disk),
 		.random = random,
--- a/src/test_libcurrantbridge/support_world.h
+++ b/src/test_libcurrantbridge/support_world.h
@@ -16,6 +16,7 @@
 #define WORLD_HEARTBEAT_MS 100
 #define WORLD_ELECTION_MS 500
 #define WORLD_SILENCE_MS 2000
+#define WORLD_RETRY_WINDOW_MS 10000
 
 /* The timeouts of all nodes and clients. */
 typedef struct world_timing {
