Sums that lack most entry instances allow no retries

What callers saw: as before, more repeats than the budget allows are possible. A control instance that has just started, or lost the others, sends sums that look fresh but lack most instances; each entry was allowed what the others had already spent (20 retries a second at one of 20 instances, with 700 of 787 spent).

Change: a sum counts if it has seven tenths of the requests in the last one; an instance that has no former sum waits for 3 s of sums. Until then its share without sums applies.

--- a/src/libcurrantbridge/relay/retry_share.c
+++ b/src/libcurrantbridge/relay/retry_share.c
@@ -15,6 +15,16 @@
  * together within the budget when the sums arrive that late.
  */
 #define REPORT_DELAY_ROUNDS 4
+/*
+ * A sum with a smaller part of the requests in the last one lacks instances: a
+ * control instance sends it before the others' reports have reached it.
+ */
+#define COMPLETE_FRACTION 0.7
+/*
+ * Within this time all instances have found another control instance, so that
+ * sums are complete again; an instance that has no former sum waits for it.
+ */
+#define SETTLE_MS 3000
 /* A window is divided into slots; one more slot is in progress. */
 #define WINDOW_SLOTS 10
 #define SLOT_COUNT (WINDOW_SLOTS + 1)
@@ -28,8 +38,12 @@
 	 * Retries allowed until the next sum of all instances' usage arrives.
 	 */
 	double allowance;
-	/* When the last sum of all instances' usage arrived; 0: never. */
+	/* When the last complete sum of all instances' usage arrived; 0: never. */
 	int64_t sum_received_ms;
+	uint32_t sum_requests; /* the requests in that sum */
+	/* Since when sums, complete or not, have arrived without a pause. */
+	int64_t sums_since_ms;
+	int64_t any_sum_ms; /* when the last of them arrived; 0: never */
 } service_counts_t;
 
 struct cb_retry_share {
@@ -183,6 +197,27 @@
 	}
 }
 
+/*
+ * Returns whether a sum that arrives now tells of nearly all instances: by the
+ * requests in it, or since control had time to hear of all.
+ */
+static gboolean sum_is_complete_(const cb_retry_share_t *share,
+				 service_counts_t *counts,
+				 const cb_usage_sends_t *sends)
+{
+	int64_t now_ms = cb_clock_now_ms(share->clock);
+	gboolean has_former = counts->sum_received_ms &&
+			      now_ms - counts->sum_received_ms < SETTLE_MS;
+
+	if (!counts->any_sum_ms || now_ms - counts->any_sum_ms > SUM_VALID_MS)
+		counts->sums_since_ms = now_ms;
+	counts->any_sum_ms = now_ms;
+	if (has_former)
+		return sends->requests >=
+		       COMPLETE_FRACTION * counts->sum_requests;
+	return now_ms - counts->sums_since_ms >= SETTLE_MS;
+}
+
 /* Sets the retry allowance of each service from all instances' summed usage. */
 void cb_retry_share_update(cb_retry_share_t *share, const cb_usage_t *sum)
 {
@@ -194,12 +229,14 @@
 		service_counts_t *counts = service_counts_get_(share, service);
 		cb_usage_sends_t sends = cb_usage_find_sends(sum, service);
 		double allowance;
-		double remaining =
-			COORDINATED_FRACTION *
-				(share->budget.extra +
-				 share->budget.ratio * sends.requests) -
-			sends.retries;
+		double remaining;
 
+		if (!sum_is_complete_(share, counts, &sends))
+			continue;
+		remaining = COORDINATED_FRACTION *
+				    (share->budget.extra +
+				     share->budget.ratio * sends.requests) -
+			    sends.retries;
 		allowance = MAX(remaining, 0) /
 			    (REPORT_DELAY_ROUNDS * share->instances);
 		/*
@@ -214,5 +251,6 @@
 				MIN(allowance + MIN(counts->allowance, 1), 1);
 		counts->allowance = allowance;
 		counts->sum_received_ms = cb_clock_now_ms(share->clock);
+		counts->sum_requests = sends.requests;
 	}
 }
--- a/src/test_libcurrantbridge/test_retry_share.c
+++ b/src/test_libcurrantbridge/test_retry_share.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+
 #include "support_main.h"
 
 #include "private/retry_share.h"
@@ -135,6 +137,70 @@
 	}
 }
 
+/* Requests and retries in sums that an instance receives, every 200 ms. */
+typedef struct sum_case {
+	const char *label;
+	uint32_t requests[2]; /* in the sums before and after the change */
+	uint32_t retries[2];
+	/* Sums before the change. */
+	unsigned int rounds_before;
+	/* Retries taken in the second after the change, with 20 instances. */
+	unsigned int min_retries;
+	unsigned int max_retries;
+} sum_case_t;
+
+/* The share of an instance without sums is 0.25 * 450 / 20: 5 retries. */
+static const sum_case_t sum_cases[] = {
+	{ "complete sums", { 3000, 3000 }, { 300, 300 }, 30, 15, 60 },
+	{ "control has restarted", { 3000, 300 }, { 700, 0 }, 30, 0, 5 },
+	{ "most are back", { 3000, 2500 }, { 300, 250 }, 30, 15, 60 },
+	{ "the instance has started", { 0, 300 }, { 0, 0 }, 0, 5, 5 },
+	{ "less is asked", { 3000, 2200 }, { 300, 250 }, 30, 15, 60 },
+};
+
+/*
+ * A control instance that has started or lost the others sends sums that lack
+ * most instances: each entry instance would be allowed what the others have
+ * spent.
+ */
+static void sums_without_most_instances_allow_no_retries(void)
+{
+	size_t n;
+
+	for (n = 0; n < G_N_ELEMENTS(sum_cases); n++) {
+		const sum_case_t *c = &sum_cases[n];
+		cb_clock_t *clock = cb_clock_new_paused(1000);
+		cb_retry_share_t *share = cb_retry_share_new(clock, &budget);
+		unsigned int retries = 0;
+		unsigned int round;
+
+		cb_retry_share_set_instances(share, 20);
+		cb_retry_share_count_request(share, "s");
+		for (round = 0; round < c->rounds_before + 5; round++) {
+			size_t is_after = round >= c->rounds_before;
+			const cb_usage_sends_t sends = {
+				.requests = c->requests[is_after],
+				.retries = c->retries[is_after],
+			};
+			cb_usage_t *sum = cb_usage_new();
+
+			cb_usage_add_sends(sum, "s", &sends);
+			cb_retry_share_update(share, sum);
+			cb_usage_delete(sum);
+			while (is_after &&
+			       cb_retry_share_take_retry(share, "s"))
+				retries++;
+			cb_clock_advance(clock, REPORT_INTERVAL_MS);
+		}
+		CU_ASSERT_TRUE(retries >= c->min_retries);
+		CU_ASSERT_TRUE(retries <= c->max_retries);
+		if (retries < c->min_retries || retries > c->max_retries)
+			printf("    %s: %u retries\n", c->label, retries);
+		cb_retry_share_delete(share);
+		cb_clock_delete(clock);
+	}
+}
+
 /* Usage must add up after encoding; a truncated encoding must be rejected. */
 static void encoded_usage_is_decoded_and_summed(void)
 {
@@ -183,6 +249,8 @@
 static CU_TestInfo retry_share_tests[] = {
 	{ "retries_of_all_instances_stay_within_budget",
 	  retries_of_all_instances_stay_within_budget },
+	{ "sums_without_most_instances_allow_no_retries",
+	  sums_without_most_instances_allow_no_retries },
 	{ "encoded_usage_is_decoded_and_summed",
 	  encoded_usage_is_decoded_and_summed },
 	CU_TEST_INFO_NULL
