An absent body of a heartbeat is rejected and ends no control instance

What operators saw: one heartbeat with an empty body ended the control instance that got it by SIGSEGV, three of them the whole group.

Cause: an absent body is a NULL text. The JSON parser refuses it without setting an error, and the error was then read. The reports of engines and the answers to reroutes are read by the same function.

--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "currantbridge/http1_head.h"
+#include "json_read.h"
 #include "platform.h"
 #include "support_endless.h"
 
@@ -289,6 +290,43 @@
 	}
 }
 
+/* An absent body is not an empty text: it has no text at all. */
+static void absent_bodies_are_rejected(void)
+{
+	static const struct {
+		const char *text;
+		size_t size;
+		const char *error;
+	} cases[] = {
+		{ NULL, 0, "body: is empty" },
+		{ "", 0, "body: is empty" },
+		{ " ", 1, "" },
+		{ "", 1, "" }, /* one zero byte */
+		{ "null", 4, "body: must be an object" },
+		{ "[]", 2, "body: must be an object" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_fleet_server_t server;
+		JsonObject *object = NULL;
+		GError *error = NULL;
+
+		CU_ASSERT_PTR_NULL(json_read_object(cases[i].text,
+						    cases[i].size, &object,
+						    &error));
+		CU_ASSERT_PTR_NOT_NULL_FATAL(error);
+		CU_ASSERT_TRUE(error && strstr(error->message, cases[i].error));
+		g_clear_error(&error);
+		CU_ASSERT_FALSE(platform_heartbeat_read("i-1", cases[i].text,
+							cases[i].size, &server,
+							&error));
+		CU_ASSERT_PTR_NOT_NULL(error);
+		platform_heartbeat_clear(&server);
+		g_clear_error(&error);
+	}
+}
+
 /* Returns whether two readings of one heartbeat are equal; both may be NULL. */
 static gboolean servers_are_equal_(const cb_fleet_server_t *a,
 				   const cb_fleet_server_t *b)
@@ -933,6 +971,7 @@
 	{ "documents_are_decoded_in_steps", documents_are_decoded_in_steps },
 	{ "document_fields_are_decoded", document_fields_are_decoded },
 	{ "invalid_heartbeats_are_rejected", invalid_heartbeats_are_rejected },
+	{ "absent_bodies_are_rejected", absent_bodies_are_rejected },
 	{ "repeated_heartbeats_are_read_as_parsed",
 	  repeated_heartbeats_are_read_as_parsed },
 	{ "shared_parts_of_prompts_are_read",
