Records of servers and layers of a former model are checked against their ranges

Cause: nothing compared a reported range with the model's. The plan of layers and the choice of a chain wrote behind arrays that have the model's size. Numbers of a heartbeat were cut to 32 bits without a check.

Evidence: test_placement with the former chain.c and placement.c under the address sanitizer ends by a heap-buffer-overflow; odd_records_change_nothing and new rows of invalid_heartbeats_are_rejected fail before.

Change: one check of a server's record, which each way into the fleet uses: heartbeats, other processes and the replicated state, so that a start on data of an older build leaves odd records out. Plans and chains clip ranges to the model in force. A heartbeat without version, slots or the cold time, or with another type there, names no server; the test's texts now have them.

--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -68,6 +68,9 @@
 	double read_time_factor;
 } cb_engine_kind_t;
 
+/* More layers than a model has; the layers that servers report end below. */
+#define CB_ENGINE_LAYERS_MAX 4096
+
 /* The engines of a service whose model is split into layers. */
 typedef struct cb_engine_profile {
 	uint32_t layers;
@@ -240,6 +243,13 @@
 const cb_service_profile_t *cb_document_service(const cb_document_t *document,
 						const char *name);
 const char *cb_route_pick(const cb_route_t *route, uint32_t random);
+/*
+ * Limits a range of layers to those of the model; both are equal if it has none
+ * of them.  Servers hold the layers of a former model until they are ordered to
+ * hold others.
+ */
+void cb_engine_profile_clip(const cb_engine_profile_t *engine, uint32_t *from,
+			    uint32_t *to);
 const cb_engine_kind_t *cb_engine_profile_kind(
 	const cb_engine_profile_t *engine, const char *name);
 
--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "currantbridge/document.h"
 #include "currantbridge/log.h"
 #include "currantbridge/view.h"
 
@@ -77,6 +78,7 @@
 	CB_FLEET_SAME,
 	/* ignored: the report is outdated, or its address was reassigned */
 	CB_FLEET_STALE,
+	CB_FLEET_INVALID, /* ignored: see cb_fleet_server_fault() */
 	CB_FLEET_OUTCOME_COUNT
 } cb_fleet_outcome_t;
 
@@ -96,6 +98,12 @@
 typedef void (*cb_fleet_changed_fn_t)(const cb_fleet_server_t *server,
 				      void *user_data);
 
+/*
+ * Returns what is wrong with a server's record, "FIELD: REASON", or NULL.  All
+ * records are checked, of servers, other processes and the replicated state.
+ */
+const char *cb_fleet_server_fault(const cb_fleet_server_t *server);
+
 cb_fleet_t *cb_fleet_new(void);
 void cb_fleet_delete(cb_fleet_t *fleet);
 /* Sets the one function that is called after each change of a server. */
--- a/src/libcurrantbridge/backend/chain.c
+++ b/src/libcurrantbridge/backend/chain.c
@@ -204,11 +204,12 @@
 		partial_chain_at_(search, layer, centre);
 	double hop_cost_ms =
 		hop_cost_compute_(search, before->last_server, index);
+	uint32_t end = MIN(server->to, search->layers);
 	uint32_t to;
 
 	if (partial_chain_has_server_(search, layer, centre, (int)index))
 		return;
-	for (to = layer + 1; to <= server->to; to++) {
+	for (to = layer + 1; to <= end; to++) {
 		gboolean is_kept =
 			layer == server->kept_from && to == server->kept_to;
 		double layer_cost_ms =
@@ -336,6 +337,9 @@
 	gboolean is_found;
 	uint32_t layer;
 
+	/* A chain of a former model with more layers can't be continued. */
+	if (criteria->first_to > engine->layers)
+		return CB_CHAIN_NO_HOLDER;
 	if (!count || !layers_are_held_(servers, count, engine->layers))
 		return CB_CHAIN_NO_HOLDER;
 	search.step_costs_ms =
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -7,6 +7,8 @@
 #define SERVER_FIELD_COUNT 15
 /* Smaller changes of the reported processing time are not recorded. */
 #define SLOW_CHANGE_MIN_PERCENT 20
+/* Older heartbeats count as this old: their servers are long gone. */
+#define HEARTBEAT_AGE_MAX_MS (24 * 60 * 60 * 1000)
 
 struct cb_fleet {
 	GHashTable *by_id;
@@ -28,10 +30,9 @@
 };
 
 const char *const cb_fleet_outcome_string[CB_FLEET_OUTCOME_COUNT] = {
-	[CB_FLEET_NEW] = "new",
-	[CB_FLEET_CHANGED] = "changed",
-	[CB_FLEET_SAME] = "same",
-	[CB_FLEET_STALE] = "stale",
+	[CB_FLEET_NEW] = "new",		[CB_FLEET_CHANGED] = "changed",
+	[CB_FLEET_SAME] = "same",	[CB_FLEET_STALE] = "stale",
+	[CB_FLEET_INVALID] = "invalid",
 };
 
 static void server_clear_(cb_fleet_server_t *server)
@@ -206,6 +207,8 @@
 	cb_fleet_server_t next;
 	gboolean is_changed = TRUE;
 
+	if (cb_fleet_server_fault(report))
+		return CB_FLEET_INVALID;
 	if (known && !report_is_newer_(report, known))
 		return CB_FLEET_STALE;
 	if (report->state != CB_FLEET_GONE && !address_assign_(fleet, report))
@@ -463,6 +466,16 @@
 	return cb_pack_finish(&pack);
 }
 
+/* Reads a number; one out of range marks the record as malformed. */
+static uint32_t uint32_read_(cb_fields_t *fields)
+{
+	uint64_t value = cb_fields_uint(fields);
+
+	if (value > UINT32_MAX)
+		fields->is_malformed = TRUE;
+	return (uint32_t)value;
+}
+
 /* Decodes one server.  Returns the age of its last heartbeat in ms, or -1. */
 static int64_t server_decode_(const msgpack_object *object,
 			      cb_fleet_server_t *server)
@@ -479,14 +492,16 @@
 	server->start_wall_ms = cb_fields_int(&fields);
 	server->sequence = cb_fields_uint(&fields);
 	server->state = cb_fields_enum(&fields, CB_FLEET_STATE_COUNT);
-	server->slots = (uint32_t)cb_fields_uint(&fields);
+	server->slots = uint32_read_(&fields);
 	server->cold_remaining_ms = cb_fields_int(&fields);
-	server->layer_from = (uint32_t)cb_fields_uint(&fields);
-	server->layer_to = (uint32_t)cb_fields_uint(&fields);
+	server->layer_from = uint32_read_(&fields);
+	server->layer_to = uint32_read_(&fields);
 	server->is_moving = cb_fields_bool(&fields);
-	server->slow_percent = (uint32_t)cb_fields_uint(&fields);
+	server->slow_percent = uint32_read_(&fields);
 	age_ms = cb_fields_int(&fields);
-	return cb_fields_are_complete(&fields) && age_ms >= 0 ? age_ms : -1;
+	return cb_fields_are_complete(&fields) && age_ms >= 0 ?
+		       MIN(age_ms, HEARTBEAT_AGE_MAX_MS) :
+		       -1;
 }
 
 /*
--- a/src/libcurrantbridge/backend/placement.c
+++ b/src/libcurrantbridge/backend/placement.c
@@ -562,6 +562,9 @@
 	unsigned int i;
 
 	area.servers = g_memdup2(servers, count * sizeof(*servers));
+	for (i = 0; i < count; i++)
+		cb_engine_profile_clip(engine, &area.servers[i].from,
+				       &area.servers[i].to);
 	for (i = 0; i < count; i++) {
 		area.data_centre = servers[i].data_centre;
 		if (g_hash_table_add(seen, (void *)area.data_centre))
--- a/src/libcurrantbridge/contract/document.c
+++ b/src/libcurrantbridge/contract/document.c
@@ -432,6 +432,13 @@
 	g_assert_not_reached();
 }
 
+void cb_engine_profile_clip(const cb_engine_profile_t *engine, uint32_t *from,
+			    uint32_t *to)
+{
+	*to = MIN(*to, engine->layers);
+	*from = MIN(*from, *to);
+}
+
 /* Returns a kind of accelerator by name, or NULL. */
 const cb_engine_kind_t *cb_engine_profile_kind(
 	const cb_engine_profile_t *engine, const char *name)
--- a/src/test_libcurrantbridge/test_fleet.c
+++ b/src/test_libcurrantbridge/test_fleet.c
@@ -1,5 +1,6 @@
 #include "support_main.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "currantbridge/fleet.h"
@@ -433,6 +434,66 @@
 	world_delete(world);
 }
 
+/*
+ * A record that no server can have must not be taken over, from whomever it
+ * comes; the others of the same list must be.
+ */
+static void odd_records_change_nothing(void)
+{
+	static const struct {
+		const char *label;
+		const char *id;
+		uint32_t layer_from;
+		uint32_t layer_to;
+		uint32_t slots;
+		int64_t start_ms;
+		uint64_t sequence;
+		gboolean is_valid;
+	} cases[] = {
+		{ "sound", "a", 0, 80, 192, 10, 1, TRUE },
+		{ "last layer", "a", 4000, 4096, 192, 10, 1, TRUE },
+		{ "too many layers", "a", 0, 20000, 192, 10, 1, FALSE },
+		{ "layers that end at 2^32 - 1", "a", 0, UINT32_MAX, 192, 10, 1,
+		  FALSE },
+		{ "reversed layers", "a", 9, 3, 192, 10, 1, FALSE },
+		{ "too many slots", "a", 0, 80, UINT32_MAX, 10, 1, FALSE },
+		{ "start before 1970", "a", 0, 80, 192, -1, 1, FALSE },
+		{ "start near 2^63", "a", 0, 80, 192, INT64_MAX, 1, FALSE },
+		{ "sequence of 2^63", "a", 0, 80, 192, 10, UINT64_C(1) << 63,
+		  FALSE },
+		{ "empty ID", "", 0, 80, 192, 10, 1, FALSE },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const cb_fleet_server_t record = {
+			.id = (char *)cases[i].id,
+			.service = (char *)"s",
+			.address = (char *)"10.0.0.9:80",
+			.data_centre = (char *)"dc1",
+			.start_wall_ms = cases[i].start_ms,
+			.sequence = cases[i].sequence,
+			.slots = cases[i].slots,
+			.layer_from = cases[i].layer_from,
+			.layer_to = cases[i].layer_to,
+		};
+		cb_fleet_t *fleet = cb_fleet_new();
+		GBytes *bytes = cb_fleet_encode_server(&record);
+		gboolean is_taken;
+
+		cb_fleet_merge(fleet, bytes, 1000);
+		is_taken = cb_fleet_count(fleet) == 1;
+		CU_ASSERT_EQUAL(is_taken, cases[i].is_valid);
+		if (is_taken != cases[i].is_valid)
+			printf("    %s\n", cases[i].label);
+		CU_ASSERT_EQUAL(cb_fleet_update(fleet, &record, 1000) ==
+					CB_FLEET_INVALID,
+				!cases[i].is_valid);
+		g_bytes_unref(bytes);
+		cb_fleet_delete(fleet);
+	}
+}
+
 static CU_TestInfo fleet_tests[] = {
 	{ "newest_report_wins", newest_report_wins },
 	{ "reused_address_goes_to_latest_start",
@@ -448,6 +509,7 @@
 	  silence_during_partition_takes_longer },
 	{ "many_servers_are_shared_in_few_messages",
 	  many_servers_are_shared_in_few_messages },
+	{ "odd_records_change_nothing", odd_records_change_nothing },
 	CU_TEST_INFO_NULL
 };
 
--- a/src/test_libcurrantbridge/test_placement.c
+++ b/src/test_libcurrantbridge/test_placement.c
@@ -816,11 +816,78 @@
 	engine_delete_(engine);
 }
 
+/*
+ * A model is replaced by one with fewer layers while the servers still report
+ * those that they hold: plans and chains must keep to the layers of the new one.
+ */
+static void layers_of_a_former_model_are_clipped(void)
+{
+	static const struct {
+		uint32_t layers;   /* of the new model */
+		uint32_t first_to; /* of the chain that is continued; 0: none */
+		cb_chain_outcome_t outcome;
+	} cases[] = {
+		{ LAYERS, 0, CB_CHAIN_FOUND },	{ 32, 0, CB_CHAIN_FOUND },
+		{ 1, 0, CB_CHAIN_FOUND },	{ 32, 20, CB_CHAIN_FOUND },
+		{ 32, 60, CB_CHAIN_NO_HOLDER },
+	};
+	static const uint32_t ends[] = { 0, 20, 40, 60, LAYERS, 4096 };
+	size_t i;
+	unsigned int k;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_engine_profile_t *engine = engine_new_();
+		GRand *random = g_rand_new_with_seed(1);
+		GArray *parts =
+			g_array_new(FALSE, FALSE, sizeof(cb_chain_part_t));
+		cb_chain_server_t chain_servers[5] = { 0 };
+		cb_placement_server_t servers[5] = { 0 };
+		const cb_chain_criteria_t criteria = {
+			.data_centre = "a",
+			.tokens = 100,
+			.first_to = cases[i].first_to,
+		};
+		GArray *moves;
+
+		engine->layers = cases[i].layers;
+		for (k = 0; k < 5; k++) {
+			servers[k].data_centre = "a";
+			servers[k].memory_mb = 36000;
+			servers[k].accepts_orders = TRUE;
+			servers[k].from = ends[k];
+			servers[k].to = ends[k + 1];
+			chain_servers[k].data_centre = "a";
+			chain_servers[k].from = ends[k];
+			chain_servers[k].to = ends[k + 1];
+			chain_servers[k].pace = chain_servers[k].read_pace = 1;
+			chain_servers[k].free_tokens = 10000;
+		}
+		CU_ASSERT_EQUAL(cb_chain_choose(engine, chain_servers, 5,
+						&criteria, random, parts),
+				cases[i].outcome);
+		for (k = 0; k < parts->len; k++)
+			CU_ASSERT_TRUE(
+				g_array_index(parts, cb_chain_part_t, k).to <=
+				engine->layers);
+		moves = cb_placement_plan(engine, servers, 5);
+		for (k = 0; k < moves->len; k++)
+			CU_ASSERT_TRUE(
+				g_array_index(moves, cb_placement_move_t, k)
+					.to <= engine->layers);
+		g_array_unref(moves);
+		g_array_unref(parts);
+		g_rand_free(random);
+		engine_delete_(engine);
+	}
+}
+
 static CU_TestInfo placement_tests[] = {
 	{ "empty_fleet_holds_a_copy_in_each_data_centre",
 	  empty_fleet_holds_a_copy_in_each_data_centre },
 	{ "loss_of_any_server_leaves_every_layer_held",
 	  loss_of_any_server_leaves_every_layer_held },
+	{ "layers_of_a_former_model_are_clipped",
+	  layers_of_a_former_model_are_clipped },
 	{ "degraded_servers_keep_their_layers",
 	  degraded_servers_keep_their_layers },
 	{ "gaps_without_spare_servers_are_filled",
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -231,8 +231,11 @@
 	cb_document_unref(document);
 }
 
-#define HEARTBEAT_START \
-	"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+#define HEARTBEAT_FIELDS                                        \
+	"{\"service\":\"s\",\"zone\":\"z\",\"version\":\"v1\"," \
+	"\"slots\":192,\"coldRemainingMs\":0,"
+#define HEARTBEAT_START HEARTBEAT_FIELDS "\"address\":\"10.0.0.9:80\","
+#define HEARTBEAT_READY HEARTBEAT_START "\"state\":\"ready\","
 
 static void invalid_heartbeats_are_rejected(void)
 {
@@ -261,9 +264,50 @@
 		{ HEARTBEAT_START "\"state\":\"ready\",\"sequence\":4,"
 				  "\"layers\":{\"from\":9,\"to\":3}}",
 		  "to: ", 0, 0 },
-		{ "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
-		  "\"state\":\"ready\",\"sequence\":4}",
+		{ HEARTBEAT_FIELDS "\"address\":\"nowhere\","
+				   "\"state\":\"ready\",\"sequence\":4}",
+		  "address: must be IP:PORT", 0, 0 },
+		{ HEARTBEAT_FIELDS "\"address\":\"10.0.0.9:65536\","
+				   "\"state\":\"ready\",\"sequence\":4}",
+		  "address: must be IP:PORT", 0, 0 },
+		{ HEARTBEAT_FIELDS "\"address\":\"10.0.0.9:4294967376\","
+				   "\"state\":\"ready\",\"sequence\":4}",
 		  "address: must be IP:PORT", 0, 0 },
+		{ HEARTBEAT_FIELDS "\"address\":\"10.0.0.9:0\","
+				   "\"state\":\"ready\",\"sequence\":4}",
+		  "address: must be IP:PORT", 0, 0 },
+		{ HEARTBEAT_READY "\"sequence\":4,\"kind\":null}", NULL,
+		  CB_FLEET_READY, 0 },
+		{ HEARTBEAT_READY "\"sequence\":4,\"kind\":7}", "kind: ", 0,
+		  0 },
+		{ HEARTBEAT_READY "\"sequence\":4,\"layers\":[0,80]}",
+		  "layers: ", 0, 0 },
+		{ HEARTBEAT_READY
+		  "\"sequence\":4,\"layers\":{\"from\":0,\"to\":4097}}",
+		  "to: ", 0, 0 },
+		{ HEARTBEAT_READY "\"sequence\":4,\"layers\":{\"from\":0,"
+				  "\"to\":4294967297}}",
+		  "to: ", 0, 0 },
+		{ HEARTBEAT_READY "\"sequence\":9223372036854775808}", "", 0,
+		  0 },
+		{ HEARTBEAT_READY "\"sequence\":1e400}", "sequence: ", 0, 0 },
+		{ HEARTBEAT_READY
+		  "\"sequence\":4,\"born\":9223372036854775807}",
+		  "start: ", 0, 0 },
+		{ "{\"service\":\"s\",\"zone\":\"z\",\"version\":\"v1\","
+		  "\"address\":\"10.0.0.9:80\",\"coldRemainingMs\":0,"
+		  "\"state\":\"ready\",\"sequence\":4,"
+		  "\"slots\":4294967298}",
+		  "slots: ", 0, 0 },
+		{ "{\"service\":\"s\",\"zone\":\"z\",\"version\":\"v1\","
+		  "\"address\":\"10.0.0.9:80\",\"slots\":8,"
+		  "\"state\":\"ready\",\"sequence\":4,"
+		  "\"coldRemainingMs\":9223372036854775807}",
+		  "cold time: ", 0, 0 },
+		{ "{\"service\":\"s\",\"zone\":\"z\",\"slots\":8,"
+		  "\"address\":\"10.0.0.9:80\",\"coldRemainingMs\":0,"
+		  "\"state\":\"ready\",\"sequence\":4}",
+		  "version: ", 0, 0 },
 		{ "{\"address\":\"10.0.0.9:80\"}", "service: ", 0, 0 },
 		{ "\xff\xfe", "", 0, 0 },
 	};
