A request that is sent again uses a connection that has not carried it

Cause: the copy has the request's ID, so that nothing tells the two sends of one request on one connection apart.

Evidence: test_relay:resent_request_uses_another_connection fails before, 2 to 6 sends on a connection of an earlier one in each of four cases.

--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -49,15 +49,19 @@
 
 /*
  * Sends a request over a pooled connection that was idle for at most
- * `max_idle_ms`, or else over a new one.  `method` is the method in the first
- * line of `request`.  Takes ownership of `request`.  `handler` must outlive the
- * call.
+ * `max_idle_ms`, or else over a new one.  `avoided` (NULL: none) has the IDs
+ * (uint64_t) of connections that it doesn't use.  `method` is the method in the
+ * first line of `request`.  Takes ownership of `request`.  `handler` must outlive
+ * the call.
  */
 cb_http1_call_t *cb_http1_client_call(cb_http1_client_t *client,
 				      const char *address, const char *method,
 				      GString *request, int64_t max_idle_ms,
+				      const GArray *avoided,
 				      const cb_http1_call_handler_t *handler,
 				      void *user_data);
+/* Returns the ID of the call's connection, which no other one of the client has. */
+uint64_t cb_http1_call_connection_id(const cb_http1_call_t *call);
 void cb_http1_call_cancel(cb_http1_call_t *call);
 /*
  * Returns whether the call's connection carried no request before this one.
--- a/src/libcurrantbridge/http/http_service_client.c
+++ b/src/libcurrantbridge/http/http_service_client.c
@@ -200,7 +200,7 @@
 	g_hash_table_add(client->open_exchanges, exchange);
 	exchange->call = cb_http1_client_call(client->http, address, method,
 					      request, NO_IDLE_CONNECTION_MS,
-					      &call_handler, exchange);
+					      NULL, &call_handler, exchange);
 	return exchange;
 }
 
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -25,6 +25,7 @@
 /* A connection to a server: idle in the pool, or in use by a call. */
 typedef struct connection {
 	cb_http1_client_t *client;
+	uint64_t id;
 	char *address;
 	cb_stream_t *stream;
 	cb_timer_t *timer; /* connect timeout, later idle timeout */
@@ -62,6 +63,7 @@
 	/* Address to GQueue of connection_t, the latest released one first. */
 	GHashTable *idle_connections;
 	GHashTable *connections; /* set of all connections */
+	uint64_t next_connection_id;
 };
 
 /* Removes a connection from the pool, closes it and frees it. */
@@ -378,22 +380,43 @@
 		       max_idle_ms;
 }
 
+static gboolean connection_is_avoided_(const connection_t *connection,
+				       const GArray *avoided)
+{
+	unsigned int i;
+
+	for (i = 0; avoided && i < avoided->len; i++)
+		if (g_array_index(avoided, uint64_t, i) == connection->id)
+			return TRUE;
+	return FALSE;
+}
+
 /*
- * Takes a connection out of the pool that was idle for at most `max_idle_ms`.
- * Returns NULL if there is none.
+ * Takes a connection out of the pool that was idle for at most `max_idle_ms` and
+ * is not avoided.  Returns NULL if there is none.
  */
 static connection_t *idle_connection_take_(cb_http1_client_t *client,
 					   const char *address,
-					   int64_t max_idle_ms)
+					   int64_t max_idle_ms,
+					   const GArray *avoided)
 {
-	connection_t *connection;
-
-	if (!cb_http1_client_has_idle(client, address, max_idle_ms))
-		return NULL;
-	connection = g_queue_pop_head(
-		g_hash_table_lookup(client->idle_connections, address));
-	cb_timer_stop(connection->timer);
-	return connection;
+	GQueue *queue = g_hash_table_lookup(client->idle_connections, address);
+	int64_t now_ms = cb_clock_now_ms(client->clock);
+	GList *link;
+
+	for (link = queue ? queue->head : NULL; link; link = link->next) {
+		connection_t *connection = link->data;
+
+		/* Those that follow have been idle for longer. */
+		if (now_ms - connection->idle_since_ms > max_idle_ms)
+			return NULL;
+		if (connection_is_avoided_(connection, avoided))
+			continue;
+		g_queue_delete_link(queue, link);
+		cb_timer_stop(connection->timer);
+		return connection;
+	}
+	return NULL;
 }
 
 /* Starts to connect to a server. */
@@ -403,6 +426,7 @@
 	connection_t *connection = g_new0(connection_t, 1);
 
 	connection->client = client;
+	connection->id = ++client->next_connection_id;
 	connection->address = g_strdup(address);
 	connection->timer = cb_timer_new(client->clock, connection_timer_fired_,
 					 connection);
@@ -420,12 +444,13 @@
 cb_http1_call_t *cb_http1_client_call(cb_http1_client_t *client,
 				      const char *address, const char *method,
 				      GString *request, int64_t max_idle_ms,
+				      const GArray *avoided,
 				      const cb_http1_call_handler_t *handler,
 				      void *user_data)
 {
 	cb_http1_call_t *call = g_new0(cb_http1_call_t, 1);
 	connection_t *connection =
-		idle_connection_take_(client, address, max_idle_ms);
+		idle_connection_take_(client, address, max_idle_ms, avoided);
 
 	call->method = g_strdup(method);
 	call->request = request;
@@ -441,6 +466,11 @@
 	return call;
 }
 
+uint64_t cb_http1_call_connection_id(const cb_http1_call_t *call)
+{
+	return call->connection->id;
+}
+
 /* Ends a call without calling done(), and closes its connection. */
 void cb_http1_call_cancel(cb_http1_call_t *call)
 {
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -50,6 +50,8 @@
 	double expected_tokens;
 	/* IDs of the servers where the request failed. */
 	GHashTable *tried_servers;
+	/* IDs (uint64_t) of the connections that carried the request. */
+	GArray *used_connections;
 	unsigned int send_count;
 	/* The group of the attempt's first server, and when it last said something. */
 	cb_reach_group_t *way_group;
@@ -163,6 +165,7 @@
 /* Functions for attempts at servers, in relay_attempt.c and relay.c. */
 /* Resets what is known of the last attempt, as the next one is sent. */
 void cb_relay_attempt_reset(cb_relay_t *relay);
+void cb_relay_record_connection(cb_relay_t *relay);
 /* Begins the handling of an answer that will be forwarded, by its head. */
 void cb_relay_answer_begin_store(cb_relay_t *relay,
 				 const cb_http1_head_t *head);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -111,6 +111,7 @@
 	cb_timer_delete(relay->silence_timer);
 	g_array_unref(relay->hops);
 	g_hash_table_unref(relay->tried_servers);
+	g_array_unref(relay->used_connections);
 	g_byte_array_unref(relay->buffered_body);
 	if (relay->answer_headers)
 		g_string_free(relay->answer_headers, TRUE);
@@ -541,6 +542,7 @@
 	relay->buffered_body = g_byte_array_new();
 	relay->tried_servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	relay->used_connections = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	return relay;
 }
 
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -623,6 +623,18 @@
 					       ONCE_CONNECTION_IDLE_MAX_MS;
 }
 
+/*
+ * Records the connection that carries the request: a later send of it uses
+ * another one.  A server may write its answer once more, and the copy has the
+ * request's ID, so that only the connection tells which send it answers.
+ */
+void cb_relay_record_connection(cb_relay_t *relay)
+{
+	uint64_t id = cb_http1_call_connection_id(relay->call);
+
+	g_array_append_val(relay->used_connections, id);
+}
+
 /* Resets what is known of the last attempt. */
 void cb_relay_attempt_reset(cb_relay_t *relay)
 {
@@ -670,5 +682,7 @@
 		cb_http1_client_call(front->client, first->address,
 				     head->method, request,
 				     cb_relay_connection_idle_max_ms(relay),
-				     &call_handler, relay);
+				     relay->used_connections, &call_handler,
+				     relay);
+	cb_relay_record_connection(relay);
 }
--- a/src/libcurrantbridge/relay/relay_forward.c
+++ b/src/libcurrantbridge/relay/relay_forward.c
@@ -284,7 +284,9 @@
 		cb_http1_client_call(front->client, address, head->method,
 				     request,
 				     cb_relay_connection_idle_max_ms(relay),
-				     &call_handler, relay);
+				     relay->used_connections, &call_handler,
+				     relay);
+	cb_relay_record_connection(relay);
 	g_free(lines);
 	g_free(address);
 }
--- a/src/libcurrantbridge/relay/relay_reach.c
+++ b/src/libcurrantbridge/relay/relay_reach.c
@@ -217,7 +217,7 @@
 	cb_timer_start(check->timer, CHECK_TIMEOUT_MS);
 	check->call =
 		cb_http1_client_call(front->client, server->address, "GET",
-				     request, CB_HTTP1_NEW_CONNECTION,
+				     request, CB_HTTP1_NEW_CONNECTION, NULL,
 				     &check_handler, check);
 }
 
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -1,5 +1,6 @@
 #include "support_main.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "support_relay.h"
@@ -291,6 +292,58 @@
 	support_relay_clear(&fixture);
 }
 
+#define FULL_ANSWER \
+	"HTTP/1.1 503 Full\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+/*
+ * A server may write a rejection once more, late.  On the connection of a first
+ * send the copy would be taken for the answer to the second, which then runs
+ * though its caller is told otherwise, or runs at another server too.
+ */
+static void resent_request_uses_another_connection(void)
+{
+	static const relay_script_t scripts[] = {
+		{ FULL_ANSWER, END_KEEP },     { FULL_ANSWER, END_KEEP },
+		{ FULL_ANSWER, END_KEEP },     { FULL_ANSWER, END_KEEP },
+		{ COMPLETE_ANSWER, END_KEEP },
+	};
+	static const struct {
+		const char *request;
+		unsigned int servers; /* the others don't listen */
+	} cases[] = { { ONCE_REQUEST, 3 },
+		      { ONCE_REQUEST, 1 },
+		      { IDEMPOTENT_REQUEST, 3 },
+		      { IDEMPOTENT_REQUEST, 1 } };
+	size_t c;
+	unsigned int i;
+	unsigned int k;
+
+	for (c = 0; c < G_N_ELEMENTS(cases); c++) {
+		unsigned int same = 0;
+		relay_fixture_t fixture;
+
+		support_relay_init(&fixture, TRUE);
+		for (i = cases[c].servers; i < SERVER_COUNT; i++)
+			cb_stream_unlisten(
+				g_steal_pointer(&fixture.listeners[i]));
+		fixture.scripts = scripts;
+		fixture.script_count = G_N_ELEMENTS(scripts);
+		support_relay_request_send(&fixture, cases[c].request);
+		support_relay_pass_time(&fixture, 1500);
+		CU_ASSERT_TRUE(fixture.requests->len >= cases[c].servers);
+		for (i = 0; i < fixture.request_connections->len; i++)
+			for (k = 0; k < i; k++)
+				same += fixture.request_connections->pdata[i] ==
+					fixture.request_connections->pdata[k];
+		CU_ASSERT_EQUAL(same, 0);
+		if (same)
+			printf("    case %zu: %u sends, %u on a connection of "
+			       "an earlier one\n",
+			       c, fixture.requests->len, same);
+		support_relay_clear(&fixture);
+	}
+}
+
 /*
  * An attempt in flight at the deadline may have run: the answer must not state
  * that it did not, and the attempt must be cancelled at the server.
@@ -838,6 +891,8 @@
 	  requests_are_forwarded_unchanged },
 	{ "rejection_without_id_on_used_connection_is_unknown",
 	  rejection_without_id_on_used_connection_is_unknown },
+	{ "resent_request_uses_another_connection",
+	  resent_request_uses_another_connection },
 	{ "deadline_during_attempt_is_unknown_outcome",
 	  deadline_during_attempt_is_unknown_outcome },
 	{ "disconnected_caller_cancels_at_server",
