A document is checked by a strict JSON parser before it is decoded

Cause: the JSON parser of the decoding is lenient, and routes are cut out of the text by counting brackets, where two objects in a row look like one value.

Evidence: 13 rows of test_platform:invalid_documents_are_rejected fail before: missing and doubled commas, a comma before the end, a second value behind the first, 07, 7., comments, other quotes, no quotes, NaN, bytes that are no UTF-8.

The check of a document names the first byte of the fault; one expected position in test_platform was the end of the word before (53, now 48).

--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -137,6 +137,14 @@
 typedef struct cb_document_codec cb_document_codec_t;
 
 typedef struct cb_document_codec_vtable {
+	/*
+	 * Checks that a text that an operator sends is complete and in the
+	 * format, before it is decoded.  Texts from the replicated state are not
+	 * checked again: an older build may have accepted them.  NULL: texts are
+	 * decoded unchecked.
+	 */
+	gboolean (*check_text)(const cb_document_codec_t *codec,
+			       const char *text, size_t size, GError **error);
 	/*
 	 * Decodes a document except for the routes whose texts it appends to
 	 * `route_texts` (cb_text_part_t), in their order.  Returns NULL and an
--- a/include/currantbridge/json_fields.h
+++ b/include/currantbridge/json_fields.h
@@ -12,6 +12,8 @@
 
 /* Returns FALSE if parsing `size_bytes` of text could exhaust the stack. */
 gboolean cb_json_depth_is_bounded(const char *text, size_t size_bytes);
+gboolean cb_json_check_strict(const char *text, size_t size_bytes,
+			      GError **error);
 JsonObject *cb_json_parse_object(JsonParser *parser, const char *text,
 				 int64_t size_bytes, GError **error);
 gboolean cb_field_set_error(GError **error, const char *field,
--- a/src/libcurrantbridge/contract/document_decoding.c
+++ b/src/libcurrantbridge/contract/document_decoding.c
@@ -136,8 +136,12 @@
 				       const char *text, size_t size,
 				       cb_document_t *previous, GError **error)
 {
-	char *copy = g_malloc(size + 1);
+	char *copy;
 
+	if (codec->vtable->check_text &&
+	    !codec->vtable->check_text(codec, text, size, error))
+		return NULL;
+	copy = g_malloc(size + 1);
 	memcpy(copy, text, size);
 	copy[size] = '\0';
 	return owned_text_decode_(codec, copy, size, previous, error);
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -12,6 +12,10 @@
 #define SERVICES "\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}]"
 #define ROUTE_END "\"kind\":\"safe\",\"maxAttempts\":2"
 
+#define ROUTE(path)                                                     \
+	"{\"name\":\"" path "\",\"host\":\"h\",\"pathPrefix\":\"/" path \
+	"/\",\"service\":\"s\",\"timeoutMs\":10," ROUTE_END "}"
+
 /* As many levels of JSON arrays as a body of the maximum size can contain. */
 #define NESTING_LEVELS (4 * 1024 * 1024)
 
@@ -62,6 +66,29 @@
 	  "\"pathPrefix\":\"/\",\"service\":\"s\",\"timeoutMs\":9,"
 	  "\"kind\":\"odd\"}]," SERVICES "}",
 	  "kind: is not a kind of request" },
+	{ "{\"version\":7,\"routes\":[" ROUTE("a") ROUTE("b") "]," SERVICES "}",
+	  "is not valid JSON at line 1, position " },
+	{ "{\"version\":7,\"routes\":[" ROUTE("a") ",," ROUTE("b") "]," SERVICES
+								   "}",
+	  "is not valid JSON" },
+	{ "{\"version\":7,\"routes\":[" ROUTE("a") ",]," SERVICES "}",
+	  "is not valid JSON" },
+	{ "{\"version\":7,\"routes\":[" ROUTE("a") "]," SERVICES "}{}",
+	  "is not valid JSON" },
+	{ "{\"version\":7,\"routes\":[" ROUTE("a") "]," SERVICES "}[1]",
+	  "is not valid JSON" },
+	{ "{\"version\":07," SERVICES "}", "is not valid JSON" },
+	{ "{\"version\":7.," SERVICES "}", "is not valid JSON" },
+	{ "{\"version\":7,/* */" SERVICES "}", "is not valid JSON" },
+	{ "{'version':7," SERVICES "}", "is not valid JSON" },
+	{ "{version:7," SERVICES "}", "is not valid JSON" },
+	{ "{\"version\":7," SERVICES ",\"unknown\":NaN}", "is not valid JSON" },
+	{ "{\"version\":7," SERVICES ",\"unknown\":\"\xff\"}",
+	  "is not valid JSON" },
+	{ "{\"version\":7," SERVICES "} \r\n\t", NULL },
+	{ "", "body: is empty" },
+	{ "]", "is not valid JSON at line 1, position 1" },
+	{ "\xff", "is not valid JSON at line 1, position 1" },
 	{ "{\"version\":7," SERVICES ",\"tenants\":[{\"name\":\"a\","
 	  "\"apiKeys\":[\"k\"]},{\"name\":\"b\",\"apiKeys\":[\"k\"]}]}",
 	  "workspace: b: holds a key of another workspace" },
@@ -936,7 +963,7 @@
 		  PLATFORM_CHECK_ERRORS },
 		{ "{\"version\":7,\"tenants\":[{\"name\":\"w\",\"apiKeys\":["
 		  "secret]}]}",
-		  "error: document: is not valid JSON at line 1, position 53\n",
+		  "error: document: is not valid JSON at line 1, position 48\n",
 		  PLATFORM_CHECK_ERRORS },
 		{ "{\"version\":7,\"tenants\":[{\"name\":\"w\",\"apiKeys\":["
 		  "\"secret\"]},{\"name\":\"v\\n\",\"apiKeys\":[\"secret\"]}]}",
