--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -141,6 +141,38 @@
 	}
 }
 
+/* Whether callers need a key is told by the list alone, not by its length. */
+static void empty_list_of_workspaces_admits_nobody(void)
+{
+	static const struct {
+		const char *text;
+		gboolean has_workspaces;
+	} cases[] = {
+		{ "{\"version\":7," SERVICES "}", FALSE },
+		{ "{\"version\":7," SERVICES ",\"tenants\":[]}", TRUE },
+		{ "{\"version\":7," SERVICES ",\"tenants\":[{\"name\":\"a\","
+		  "\"apiKeys\":[]}]}",
+		  TRUE },
+		{ "{\"version\":7," SERVICES ",\"tenants\":[{\"name\":\"a\","
+		  "\"apiKeys\":[\"k\"]}]}",
+		  TRUE },
+	};
+	const cb_document_codec_t *codec = platform_document_codec();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_document_t *document =
+			cb_document_decode_text(codec, cases[i].text,
+						strlen(cases[i].text), NULL,
+						NULL);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(document);
+		CU_ASSERT_EQUAL(document->has_workspaces,
+				cases[i].has_workspaces);
+		cb_document_unref(document);
+	}
+}
+
 #define MANY_ROUTES 40
 #define STEP_ROUTES 16
 
@@ -1042,6 +1074,8 @@
 	{ "documents_are_decoded_in_steps", documents_are_decoded_in_steps },
 	{ "document_fields_are_decoded", document_fields_are_decoded },
 	{ "invalid_heartbeats_are_rejected", invalid_heartbeats_are_rejected },
+	{ "empty_list_of_workspaces_admits_nobody",
+	  empty_list_of_workspaces_admits_nobody },
 	{ "absent_bodies_are_rejected", absent_bodies_are_rejected },
 	{ "repeated_heartbeats_are_read_as_parsed",
 	  repeated_heartbeats_are_read_as_parsed },
