An answer of another type is no part of a resumed stream

Cause: each answer with status 200 counted as the rest of the stream. Answers with another status, whatever their framing, did not get into it before either.

Evidence: test_relay_streams:error_of_next_server_stays_out_of_stream, nine kinds of answer; the row "200 with a page of another type" fails before.

Change: the answer that goes on with a stream must have the Content-Type of the one that the caller is getting, else the attempt has failed.

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -50,6 +50,8 @@
 	double expected_tokens;
 	/* IDs of the servers where the request failed. */
 	GHashTable *tried_servers;
+	/* Content-Type of the answer that the caller gets; NULL: it has none. */
+	char *stream_type;
 	/* IDs (uint64_t) of the connections that carried the request. */
 	GArray *used_connections;
 	unsigned int send_count;
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -112,6 +112,7 @@
 	g_array_unref(relay->hops);
 	g_hash_table_unref(relay->tried_servers);
 	g_array_unref(relay->used_connections);
+	g_free(relay->stream_type);
 	g_byte_array_unref(relay->buffered_body);
 	if (relay->answer_headers)
 		g_string_free(relay->answer_headers, TRUE);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -314,11 +314,28 @@
 		cb_reach_group_hear(relay->way_group);
 }
 
+/*
+ * Returns whether an answer has the type of the stream that it goes on with: a
+ * page of an error that comes with status 200 is no part of it.
+ */
+static gboolean stream_type_matches_(cb_relay_t *relay,
+				     const cb_http1_head_t *head)
+{
+	const char *type = cb_http1_head_find(head, "Content-Type");
+
+	if (relay->is_answer_begun)
+		return !g_strcmp0(relay->stream_type, type);
+	g_free(relay->stream_type);
+	relay->stream_type = g_strdup(type);
+	return TRUE;
+}
+
 /* Begins the handling of an answer that will be forwarded, by its head. */
 void cb_relay_answer_begin_store(cb_relay_t *relay, const cb_http1_head_t *head)
 {
-	relay->is_event_stream =
-		relay->route->kind == CB_ROUTE_STREAM && head->status == 200;
+	relay->is_event_stream = relay->route->kind == CB_ROUTE_STREAM &&
+				 head->status == 200 &&
+				 stream_type_matches_(relay, head);
 	if (relay->is_event_stream)
 		cb_event_splitter_init(&relay->splitter);
 	if (!relay->is_answer_begun)
--- a/src/test_libcurrantbridge/test_relay_streams.c
+++ b/src/test_libcurrantbridge/test_relay_streams.c
@@ -216,6 +216,99 @@
 	return is_as_expected;
 }
 
+/* The first event of a stream that is reset then, and the answer that follows. */
+#define BEGUN_STREAM                                          \
+	{                                                     \
+		STREAM_HEAD "f\r\n" EVENT_1 "\r\n", END_RESET \
+	}
+#define ERROR_TEXT "data: the engine failed\n\n"
+
+static const stream_end_case_t resume_error_cases[] = {
+	{ "resumed: 500 with a length",
+	  STREAM_REQUEST,
+	  { BEGUN_STREAM,
+	    { "HTTP/1.1 500 X\r\nId: 7\r\nContent-Length: 25\r\n\r\n" ERROR_TEXT,
+	      END_KEEP },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+	{ "resumed: 500 in chunks",
+	  STREAM_REQUEST,
+	  { BEGUN_STREAM,
+	    { "HTTP/1.1 500 X\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+	      "19\r\n" ERROR_TEXT "\r\n0\r\n\r\n",
+	      END_KEEP },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+	{ "resumed: 404 until the close",
+	  STREAM_REQUEST,
+	  { BEGUN_STREAM,
+	    { "HTTP/1.1 404 X\r\nId: 7\r\n\r\n" ERROR_TEXT, END_CLOSE },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+	{ "resumed: 503 without proof that it did not run",
+	  STREAM_REQUEST,
+	  { BEGUN_STREAM,
+	    { "HTTP/1.1 503 X\r\nId: 7\r\nContent-Length: 25\r\n\r\n" ERROR_TEXT,
+	      END_KEEP },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+	{ "resumed: 503 with that proof, then the rest",
+	  STREAM_REQUEST,
+	  { BEGUN_STREAM,
+	    { "HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\n"
+	      "Content-Length: 25\r\n\r\n" ERROR_TEXT,
+	      END_KEEP },
+	    { REST_OF_STREAM, END_KEEP } },
+	  3,
+	  ANSWER_COMPLETE,
+	  EVENT_1 EVENT_2 },
+	{ "resumed: 206",
+	  STREAM_REQUEST,
+	  { BEGUN_STREAM,
+	    { "HTTP/1.1 206 X\r\nId: 7\r\nContent-Length: 25\r\n\r\n" ERROR_TEXT,
+	      END_KEEP },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+	{ "resumed: 200 with a page of another type",
+	  STREAM_REQUEST,
+	  { BEGUN_STREAM,
+	    { "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Type: text/html\r\n"
+	      "Content-Length: 25\r\n\r\n" ERROR_TEXT,
+	      END_KEEP },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+	{ "resumed: 200 with JSON",
+	  STREAM_REQUEST,
+	  { BEGUN_STREAM,
+	    { "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Type: application/json\r\n"
+	      "Content-Length: 15\r\n\r\n{\"error\":\"bad\"}",
+	      END_KEEP },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+	{ "resumed: bytes that are no answer",
+	  STREAM_REQUEST,
+	  { BEGUN_STREAM,
+	    { ERROR_TEXT, END_CLOSE },
+	    { REST_OF_STREAM, END_KEEP } },
+	  2,
+	  ANSWER_BROKEN_OFF,
+	  EVENT_1 },
+};
+
 #define FIRST_PIECE "one"
 #define SECOND_PIECE "other"
 
@@ -346,6 +439,18 @@
 		CU_ASSERT_TRUE(stream_end_case_run_(&stream_end_cases[i]));
 }
 
+/*
+ * Where a stream breaks off and the next server answers with an error, nothing
+ * of that answer may get into the stream, nor may the stream end as complete.
+ */
+static void error_of_next_server_stays_out_of_stream(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(resume_error_cases); i++)
+		CU_ASSERT_TRUE(stream_end_case_run_(&resume_error_cases[i]));
+}
+
 #define SCRIPTS_MAX 256
 #define FIRST_EVENT STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"
 #define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
@@ -552,6 +657,8 @@
 	  cut_answer_is_not_forwarded_as_whole },
 	{ "stream_without_ids_is_not_joined_with_another",
 	  stream_without_ids_is_not_joined_with_another },
+	{ "error_of_next_server_stays_out_of_stream",
+	  error_of_next_server_stays_out_of_stream },
 	{ "broken_off_stream_does_not_end_as_complete",
 	  broken_off_stream_does_not_end_as_complete },
 	{ "stalled_stream_is_moved", stalled_stream_is_moved },
