Numbers of a document and of requests are checked against their ranges

What operators saw: nothing yet. The review saw an overflow of signed integers by values near 2^63; a config with "layers": ended each process that planned with it, and a weight of 2^32 counted as 0.

Cause: numbers were cut to the type that stores them, or added to times.

Evidence: ten rows of test_platform:invalid_documents_are_rejected fail before.

The texts of test_programs:invalid_calls_change_nothing have the fields that a heartbeat must have, so that they show the fault they name.

--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -16,6 +16,9 @@
 	"{\"name\":\"" path "\",\"host\":\"h\",\"pathPrefix\":\"/" path \
 	"/\",\"service\":\"s\",\"timeoutMs\":10," ROUTE_END "}"
 
+#define ENGINE(members) \
+	"\"services\":[{\"name\":\"s\",\"engine\":{" members "}}]"
+
 /* As many levels of JSON arrays as a body of the maximum size can contain. */
 #define NESTING_LEVELS (4 * 1024 * 1024)
 
@@ -89,6 +92,29 @@
 	{ "", "body: is empty" },
 	{ "]", "is not valid JSON at line 1, position 1" },
 	{ "\xff", "is not valid JSON at line 1, position 1" },
+	{ "{\"version\":7," ENGINE("\"layers\":4096,\"layerMb\":1.5") "}",
+	  NULL },
+	{ "{\"version\":7," ENGINE("\"layers\":4097") "}", "layers: " },
+	{ "{\"version\":7," ENGINE("\"layers\":4294967295") "}", "layers: " },
+	{ "{\"version\":7," ENGINE("\"layers\":\"80\"") "}", "layers: " },
+	{ "{\"version\":7," ENGINE("\"layers\":80,\"layerMb\":0") "}",
+	  "layerMb: " },
+	{ "{\"version\":7," ENGINE("\"layers\":80,\"kinds\":[7]") "}",
+	  "kinds: must hold objects" },
+	{ "{\"version\":7," ENGINE("\"layers\":80,\"slots\":1e18") "}",
+	  "slots: " },
+	{ "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+	  "\"pathPrefix\":\"/\",\"timeoutMs\":10,\"trafficSplit\":[{"
+	  "\"service\":\"s\",\"weight\":4294967296}]," ROUTE_END "}]," SERVICES
+	  "}",
+	  "weight: " },
+	{ "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+	  "\"pathPrefix\":\"/\",\"service\":\"s\","
+	  "\"timeoutMs\":9223372036854775807," ROUTE_END "}]," SERVICES "}",
+	  "timeoutMs: " },
+	{ "{\"version\":7," SERVICES
+	  ",\"limits\":{\"idleTimeoutMs\":9223372036854775807}}",
+	  "idleTimeoutMs: " },
 	{ "{\"version\":7," SERVICES ",\"tenants\":[{\"name\":\"a\","
 	  "\"apiKeys\":[\"k\"]},{\"name\":\"b\",\"apiKeys\":[\"k\"]}]}",
 	  "workspace: b: holds a key of another workspace" },
--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -409,10 +409,12 @@
 	{ HEARTBEAT_PATH, "\xff\xfe", 400, "" },
 	{ HEARTBEAT_PATH,
 	  "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+	  "\"version\":\"v1\",\"slots\":1,\"coldRemainingMs\":0,"
 	  "\"state\":\"odd\",\"sequence\":1}",
 	  400, "is not a state of a server" },
 	{ HEARTBEAT_PATH,
 	  "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+	  "\"version\":\"v1\",\"slots\":1,\"coldRemainingMs\":0,"
 	  "\"state\":\"ready\",\"sequence\":\"1\"}",
 	  400, "sequence" },
 	{ "/v1/instances//heartbeat", "{}", 404, "no such call" },
