A model without the size of its layers makes no number that is none

What operators saw: nothing; found by the fuzzer of documents.

Cause: a document that names layers but not their size, with a kind that has no memory, made the plan divide 0 by 0 and convert the result to a whole number, which is undefined.

Change: without a size, all layers fit.

--- a/src/libcurrantbridge/backend/placement.c
+++ b/src/libcurrantbridge/backend/placement.c
@@ -53,6 +53,18 @@
 	return engine->kv_token_bytes / engine->layers / BYTES_PER_MB;
 }
 
+/*
+ * Returns how many layers of this size fit into a memory, at most `max_layers`;
+ * all of them if a document gives no size.
+ */
+static uint32_t layers_divide_(double memory_mb, double layer_mb,
+			       uint32_t max_layers)
+{
+	if (!(layer_mb > 0))
+		return max_layers;
+	return (uint32_t)CLAMP(floor(memory_mb / layer_mb), 0, max_layers);
+}
+
 /*
  * Returns how many layers fit beside a reserve for requests: at least 1 if the
  * memory holds any.
@@ -60,21 +72,21 @@
 static uint32_t fitting_layers_count_(const cb_engine_profile_t *engine,
 				      double memory_mb, double reserve_tokens)
 {
-	double layers =
-		floor(memory_mb / (engine->layer_mb +
-				   reserve_tokens * token_layer_mb_(engine)));
 	uint32_t max_layers = cb_placement_max_layers(engine, memory_mb);
+	uint32_t layers =
+		layers_divide_(memory_mb,
+			       engine->layer_mb +
+				       reserve_tokens * token_layer_mb_(engine),
+			       max_layers);
 
-	return (uint32_t)CLAMP(layers, MIN(1, max_layers), max_layers);
+	return MAX(layers, MIN(1, max_layers));
 }
 
 /* Returns the largest number of layers that fit into a server's memory. */
 uint32_t cb_placement_max_layers(const cb_engine_profile_t *engine,
 				 double memory_mb)
 {
-	double max_layers = floor(memory_mb / engine->layer_mb);
-
-	return (uint32_t)CLAMP(max_layers, 0, engine->layers);
+	return layers_divide_(memory_mb, engine->layer_mb, engine->layers);
 }
 
 /*
