A late notice of leaving stops the process that it is about

What callers saw: a notice of leaving that comes late, after the server has started again under its ID, took the new process out of service.

Cause: the call ignored the time of the start in its body and meant whichever process was known.

Evidence: the case of an earlier start in test_fleet:late_notice_of_leaving_stops_no_later_process; the former function had no way to say which process is meant.

Change: the stop is that of the process which the notice names.

--- a/include/currantbridge/node.h
+++ b/include/currantbridge/node.h
@@ -115,9 +115,14 @@
  */
 void cb_node_server_announce(cb_node_t *node, const cb_fleet_server_t *report,
 			     cb_submit_fn_t done, void *user_data);
-/* As cb_node_server_announce(), for a server that reports only its stop. */
+/*
+ * As cb_node_server_announce(), for a server that reports only its stop.
+ * `start_wall_ms`: when the process that leaves started; -1: not given, it is the
+ * one that is known.
+ */
 void cb_node_server_leave(cb_node_t *node, const char *server_id,
-			  cb_submit_fn_t done, void *user_data);
+			  int64_t start_wall_ms, cb_submit_fn_t done,
+			  void *user_data);
 /* Submits a validated document; `done` is called as in cb_node_submit(). */
 void cb_node_put_document(cb_node_t *node, int64_t version, const char *text,
 			  size_t size, cb_submit_fn_t done, void *user_data);
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -359,14 +359,21 @@
 }
 
 void cb_node_server_leave(cb_node_t *node, const char *server_id,
-			  cb_submit_fn_t done, void *user_data)
+			  int64_t start_wall_ms, cb_submit_fn_t done,
+			  void *user_data)
 {
 	const cb_fleet_server_t *known = cb_fleet_find(node->fleet, server_id);
+	cb_fleet_server_t leaving;
 
-	if (known)
-		server_stop_submit_(node, known, done, user_data);
-	else
+	if (!known) {
 		done(CB_SUBMIT_NO_LEADER, NULL, user_data);
+		return;
+	}
+	/* A notice that comes late is about an earlier process of the ID. */
+	leaving = *known;
+	if (start_wall_ms >= 0)
+		leaving.start_wall_ms = start_wall_ms;
+	server_stop_submit_(node, &leaving, done, user_data);
 }
 
 void cb_node_put_document(cb_node_t *node, int64_t version, const char *text,
--- a/src/test_libcurrantbridge/test_fleet.c
+++ b/src/test_libcurrantbridge/test_fleet.c
@@ -289,6 +289,34 @@
 	world_delete(world);
 }
 
+/* A notice of leaving stops the process that it is about, not a later one. */
+static void late_notice_of_leaving_stops_no_later_process(void)
+{
+	static const struct {
+		int64_t start_ms;    /* in the notice; -1: none */
+		gboolean is_stopped; /* the process that started at 10 */
+	} cases[] = { { -1, TRUE }, { 10, TRUE }, { 5, FALSE } };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		world_t *world = world_new_with_servers(3, 1, 23, SILENCE_MS);
+		cb_submit_outcome_t outcome;
+
+		CU_ASSERT_TRUE(world_run_until(world, world_is_converged,
+					       START_LIMIT_MS));
+		heartbeat_send_(world, 0, 1, CB_FLEET_READY, &outcome);
+		cb_node_server_leave(world->nodes[0].node, "a",
+				     cases[i].start_ms, outcome_store_,
+				     &outcome);
+		world_run_until(world, NULL, PROPAGATION_LIMIT_MS);
+		CU_ASSERT_EQUAL(outcome, CB_SUBMIT_ANSWERED);
+		CU_ASSERT_EQUAL(cb_view_is_stopped(world->clients[0].view,
+						   CB_STOP_SERVER, "a/10"),
+				cases[i].is_stopped);
+		world_delete(world);
+	}
+}
+
 /*
  * While a control node is unreachable, servers may be sending their heartbeats
  * to it.  The other nodes must not declare such a server silent before a
@@ -509,6 +537,8 @@
 	  silence_during_partition_takes_longer },
 	{ "many_servers_are_shared_in_few_messages",
 	  many_servers_are_shared_in_few_messages },
+	{ "late_notice_of_leaving_stops_no_later_process",
+	  late_notice_of_leaving_stops_no_later_process },
 	{ "odd_records_change_nothing", odd_records_change_nothing },
 	CU_TEST_INFO_NULL
 };
