Review of the diff: absent and null numbers, replaced sessions

Reading: a number that is null in a document counts as absent, as it did, and the cold time of a heartbeat may have a fraction; a session that another one of the same process replaced leaves no counts behind.

--- a/src/libcurrantbridge/control/node_session.c
+++ b/src/libcurrantbridge/control/node_session.c
@@ -80,14 +80,21 @@
 	return TRUE;
 }
 
-/* Keeps the counts of a session that has closed. */
+/*
+ * Keeps the counts of a session that has closed, unless another session of the
+ * same process has replaced it.
+ */
 void cb_session_closed(cb_inbound_t *inbound)
 {
 	const cb_session_t *session = inbound->session;
 	cb_node_t *node = inbound->node;
+	const cb_inbound_t *other =
+		session_link_find_(node, session->hello.name);
+	gboolean is_replaced = other && other->session->hello.incarnation ==
+						session->hello.incarnation;
 
 	cb_counter_add(node->session_gauge, -1);
-	if (session->usage)
+	if (session->usage && !is_replaced)
 		cb_departed_add(node->departed, session->hello.name,
 				session->hello.incarnation, session->usage);
 }
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -94,6 +94,8 @@
 	{ "\xff", "is not valid JSON at line 1, position 1" },
 	{ "{\"version\":7," ENGINE("\"layers\":4096,\"layerMb\":1.5") "}",
 	  NULL },
+	{ "{\"version\":7," ENGINE("\"layers\":null,\"layerMb\":null") "}",
+	  NULL },
 	{ "{\"version\":7," ENGINE("\"layers\":4097") "}", "layers: " },
 	{ "{\"version\":7," ENGINE("\"layers\":4294967295") "}", "layers: " },
 	{ "{\"version\":7," ENGINE("\"layers\":\"80\"") "}", "layers: " },
@@ -364,6 +366,15 @@
 		  "address: must be IP:PORT", 0, 0 },
 		{ HEARTBEAT_READY "\"sequence\":4,\"kind\":null}", NULL,
 		  CB_FLEET_READY, 0 },
+		{ "{\"service\":\"s\",\"zone\":\"z\",\"version\":\"v1\","
+		  "\"address\":\"10.0.0.9:80\",\"slots\":8,"
+		  "\"state\":\"ready\",\"sequence\":4,"
+		  "\"coldRemainingMs\":12.5}",
+		  NULL, CB_FLEET_READY, 0 },
+		{ "{\"service\":\"s\",\"zone\":\"z\",\"version\":\"v1\","
+		  "\"address\":\"10.0.0.9:80\",\"slots\":8,"
+		  "\"state\":\"ready\",\"sequence\":4}",
+		  "coldRemainingMs: ", 0, 0 },
 		{ HEARTBEAT_READY "\"sequence\":4,\"kind\":7}", "kind: ", 0,
 		  0 },
 		{ HEARTBEAT_READY "\"sequence\":4,\"layers\":[0,80]}",
@@ -389,7 +400,7 @@
 		  "\"address\":\"10.0.0.9:80\",\"slots\":8,"
 		  "\"state\":\"ready\",\"sequence\":4,"
 		  "\"coldRemainingMs\":9223372036854775807}",
-		  "cold time: ", 0, 0 },
+		  "coldRemainingMs: ", 0, 0 },
 		{ "{\"service\":\"s\",\"zone\":\"z\",\"slots\":8,"
 		  "\"address\":\"10.0.0.9:80\",\"coldRemainingMs\":0,"
 		  "\"state\":\"ready\",\"sequence\":4}",
