Review of the diff: each rule of the new code stands once

Found in reading the change once more; behaviour stays as it is.

- The age of idle connections was compared in has_idle and once more in the loop that takes one: both use one search now.
- The check of a sound document parsed the text by the strict parser twice.
- A comment of retry_share didn't say what it is about.

--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -98,6 +98,9 @@
 typedef void (*cb_fleet_changed_fn_t)(const cb_fleet_server_t *server,
 				      void *user_data);
 
+/* Longest warm-up after its start that a server may report. */
+#define CB_FLEET_COLD_MAX_MS (24 * 60 * 60 * 1000)
+
 /*
  * Returns what is wrong with a server's record, "FIELD: REASON", or NULL.  All
  * records are checked, of servers, other processes and the replicated state.
--- a/src/libcurrantbridge/backend/server_check.c
+++ b/src/libcurrantbridge/backend/server_check.c
@@ -6,8 +6,6 @@
 #define ID_MAX_BYTES 200
 #define NAME_MAX_BYTES 256
 #define SLOTS_MAX 1000000
-/* A server is warm long before this time. */
-#define COLD_MAX_MS (24 * 60 * 60 * 1000)
 /* The year 2100; later start times are not those of a server. */
 #define START_WALL_MAX_MS INT64_C(4102444800000)
 
@@ -36,7 +34,7 @@
 	if (server->slots > SLOTS_MAX)
 		return "slots: must be at most 1000000";
 	if (server->cold_remaining_ms < 0 ||
-	    server->cold_remaining_ms > COLD_MAX_MS)
+	    server->cold_remaining_ms > CB_FLEET_COLD_MAX_MS)
 		return "cold time: must be from 0 to one day";
 	if (server->layer_from > server->layer_to ||
 	    server->layer_to > CB_ENGINE_LAYERS_MAX)
--- a/src/libcurrantbridge/contract/document_check.c
+++ b/src/libcurrantbridge/contract/document_check.c
@@ -221,21 +221,17 @@
 	const cb_text_part_t whole = { text, size };
 	unsigned int count = findings->len;
 	GError *error = NULL;
-	cb_document_t *document;
+	cb_document_t *document =
+		cb_document_decode_text(codec, text, size, NULL, &error);
 
-	if (codec->vtable->check_text &&
-	    !codec->vtable->check_text(codec, text, size, &error)) {
-		decode_error_add_(findings, error, CB_PART_DOCUMENT, "",
-				  &whole);
-		g_error_free(error);
-		return NULL;
-	}
-	document = cb_document_decode_text(codec, text, size, NULL, &error);
 	if (document) {
 		cb_document_check(document, findings);
 		return document;
 	}
-	routes_text_check_(codec, text, size, findings);
+	/* The routes of a text that is no document can't be told apart. */
+	if (!codec->vtable->check_text ||
+	    codec->vtable->check_text(codec, text, size, NULL))
+		routes_text_check_(codec, text, size, findings);
 	if (findings->len == count)
 		decode_error_add_(findings, error, CB_PART_DOCUMENT, "",
 				  &whole);
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -366,20 +366,6 @@
 	g_free(client);
 }
 
-/* Returns whether a connection to an address can be taken out of the pool. */
-gboolean cb_http1_client_has_idle(const cb_http1_client_t *client,
-				  const char *address, int64_t max_idle_ms)
-{
-	GQueue *queue = g_hash_table_lookup(client->idle_connections, address);
-	const connection_t *connection =
-		queue ? g_queue_peek_head(queue) : NULL;
-
-	/* The queue's first connection has been idle for the shortest time. */
-	return connection &&
-	       cb_clock_now_ms(client->clock) - connection->idle_since_ms <=
-		       max_idle_ms;
-}
-
 static gboolean connection_is_avoided_(const connection_t *connection,
 				       const GArray *avoided)
 {
@@ -392,10 +378,10 @@
 }
 
 /*
- * Takes a connection out of the pool that was idle for at most `max_idle_ms` and
- * is not avoided.  Returns NULL if there is none.
+ * Returns the connection in the pool that was idle for the shortest time, for at
+ * most `max_idle_ms`, and is not avoided; NULL if there is none.
  */
-static connection_t *idle_connection_take_(cb_http1_client_t *client,
+static connection_t *idle_connection_find_(const cb_http1_client_t *client,
 					   const char *address,
 					   int64_t max_idle_ms,
 					   const GArray *avoided)
@@ -410,15 +396,37 @@
 		/* Those that follow have been idle for longer. */
 		if (now_ms - connection->idle_since_ms > max_idle_ms)
 			return NULL;
-		if (connection_is_avoided_(connection, avoided))
-			continue;
-		g_queue_delete_link(queue, link);
-		cb_timer_stop(connection->timer);
-		return connection;
+		if (!connection_is_avoided_(connection, avoided))
+			return connection;
 	}
 	return NULL;
 }
 
+/* Returns whether a connection to an address can be taken out of the pool. */
+gboolean cb_http1_client_has_idle(const cb_http1_client_t *client,
+				  const char *address, int64_t max_idle_ms)
+{
+	return idle_connection_find_(client, address, max_idle_ms, NULL) !=
+	       NULL;
+}
+
+/* Takes a connection that idle_connection_find_() finds out of the pool. */
+static connection_t *idle_connection_take_(cb_http1_client_t *client,
+					   const char *address,
+					   int64_t max_idle_ms,
+					   const GArray *avoided)
+{
+	connection_t *connection =
+		idle_connection_find_(client, address, max_idle_ms, avoided);
+
+	if (!connection)
+		return NULL;
+	g_queue_remove(g_hash_table_lookup(client->idle_connections, address),
+		       connection);
+	cb_timer_stop(connection->timer);
+	return connection;
+}
+
 /* Starts to connect to a server. */
 static connection_t *connection_open_(cb_http1_client_t *client,
 				      const char *address)
--- a/src/libcurrantbridge/relay/retry_share.c
+++ b/src/libcurrantbridge/relay/retry_share.c
@@ -43,7 +43,8 @@
 	uint32_t sum_requests; /* the requests in that sum */
 	/* Since when sums, complete or not, have arrived without a pause. */
 	int64_t sums_since_ms;
-	int64_t any_sum_ms; /* when the last of them arrived; 0: never */
+	/* When the last sum, complete or not, arrived; 0: never. */
+	int64_t any_sum_ms;
 } service_counts_t;
 
 struct cb_retry_share {
