--- a/src/test_libcurrantbridge/support_world.h
+++ b/src/test_libcurrantbridge/support_world.h
@@ -52,7 +52,8 @@
 	cb_clock_t *clock;
 	GRand *random;
 	support_hub_t *hub;
-	world_timing_t timing;	   /* of processes that start from now on */
+	world_timing_t
+		timing; /* timeouts of processes that start from now on */
 	int64_t server_silence_ms; /* 0: the nodes handle no backend servers */
 	size_t node_count;
 	/* Nodes that clients know when they start; 0: all. */
--- a/src/test_libcurrantbridge/test_departed_usage.c
+++ b/src/test_libcurrantbridge/test_departed_usage.c
@@ -19,7 +19,7 @@
 typedef struct departure_case {
 	const char *label;
 	departure_t departure;
-	/* From when to when the sums must tell of at least RETRIES. */
+	/* Period in which every sum must count at least RETRIES retries. */
 	int64_t told_from_ms;
 	int64_t told_until_ms;
 	/* From when on they must tell of this many, exactly. */
