Links agree on a protocol version that both builds know

What callers saw: while builds are replaced one after the other, a replaced entry instance answered 503 not_configured until a control instance was replaced too, and with control first, entry instances of the older build answered 404 for routes that had been acknowledged more than 2.5 s before (CONFIG).

Cause: both sides of a link sent their version at once and refused any other, so that versions 2 and 3 had no links, though they differ in one message only.

Change: the accepting side waits for the hello and answers with its version, or with the nearest that it knows; the connecting side connects once more with a lower version that the peer asks for. The usage of instances is written in the form of its link's version, and both forms are read. The version number, the messages of version 3 and the stored formats are unchanged. Builds of before work beside this one in both directions: they send their hello at once when they connect, and send theirs first when they accept.

The heartbeat of an accepted link is armed with its hello; without that test_link:idle_link_stays_open_and_transfers_messages failed during the work.

Not built: the feature level for stored formats (docs/design/upgrades.md).

--- a/include/currantbridge/control_client.h
+++ b/include/currantbridge/control_client.h
@@ -108,6 +108,11 @@
 /* `fn` is called with the entry instances' usage, for cb_usage_decode(). */
 void cb_control_client_on_usage(cb_control_client_t *client,
 				cb_control_bytes_fn_t fn, void *user_data);
+/*
+ * Returns the protocol version of the link to control, by which bodies of its
+ * messages are encoded; 0 without one.
+ */
+uint64_t cb_control_client_protocol(const cb_control_client_t *client);
 /* Sends this instance's encoded usage if there is a confirmed session. */
 void cb_control_client_report_usage(cb_control_client_t *client, GBytes *usage);
 /* Announces that this instance leaves: address answers stop naming it. */
--- a/src/libcurrantbridge/backend/usage.c
+++ b/src/libcurrantbridge/backend/usage.c
@@ -2,8 +2,13 @@
 
 #include "private/pack.h"
 
+/* Of protocol version 2, and of the later ones. */
+#define LOAD_FIELD_COUNT_2 7
 #define LOAD_FIELD_COUNT 11
+#define SENDS_FIELD_COUNT_2 3
 #define SENDS_FIELD_COUNT 5
+#define LIST_COUNT_2 2
+#define LIST_COUNT 3
 #define FLOW_FIELD_COUNT 4
 
 static void flow_delete_(void *data)
@@ -162,57 +167,79 @@
 	return load ? *load : (cb_usage_load_t){ 0 };
 }
 
-/* Encodes a usage; the caller unrefs the bytes. */
-GBytes *cb_usage_encode(const cb_usage_t *usage)
+static void load_pack_(cb_pack_t *pack, const char *server_id,
+		       const cb_usage_load_t *load, gboolean is_version_2)
 {
+	cb_pack_array(pack,
+		      is_version_2 ? LOAD_FIELD_COUNT_2 : LOAD_FIELD_COUNT);
+	cb_pack_string(pack, server_id);
+	cb_pack_uint(pack, load->running);
+	cb_pack_uint(pack, (uint64_t)MAX(load->token_layers, 0));
+	cb_pack_uint(pack, load->suspecting_instances);
+	cb_pack_uint(pack, load->limiting_instances);
+	cb_pack_uint(pack, load->limit_per_ks);
+	cb_pack_uint(pack, load->limit_ended_instances);
+	if (is_version_2)
+		return;
+	cb_pack_uint(pack, load->answers);
+	cb_pack_uint(pack, load->answer_percent);
+	cb_pack_uint(pack, load->failures);
+	cb_pack_uint(pack, load->answered_start_wall_ms);
+}
+
+static void sends_pack_(cb_pack_t *pack, const char *service,
+			const cb_usage_sends_t *sends, gboolean is_version_2)
+{
+	cb_pack_array(pack,
+		      is_version_2 ? SENDS_FIELD_COUNT_2 : SENDS_FIELD_COUNT);
+	cb_pack_string(pack, service);
+	cb_pack_uint(pack, sends->requests);
+	cb_pack_uint(pack, sends->retries);
+	if (is_version_2)
+		return;
+	cb_pack_uint(pack, sends->pauses);
+	cb_pack_uint(pack, sends->long_pauses);
+}
+
+static void flows_pack_(cb_pack_t *pack, const cb_usage_t *usage)
+{
+	GHashTableIter iter;
+	void *value;
+
+	cb_pack_array(pack, g_hash_table_size(usage->by_flow));
+	g_hash_table_iter_init(&iter, usage->by_flow);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cb_usage_flow_t *flow = value;
+
+		cb_pack_array(pack, FLOW_FIELD_COUNT);
+		cb_pack_string(pack, flow->service);
+		cb_pack_uint(pack, flow->rank);
+		cb_pack_string(pack, flow->workspace);
+		cb_pack_uint(pack, (uint64_t)MAX(flow->tokens, 0));
+	}
+}
+
+/* Encodes a usage for a protocol version; the caller unrefs the bytes. */
+GBytes *cb_usage_encode(const cb_usage_t *usage, uint64_t protocol)
+{
+	gboolean is_version_2 = protocol <= 2;
 	GHashTableIter iter;
 	void *key;
 	cb_pack_t pack;
 	void *value;
 
 	cb_pack_init(&pack);
-	cb_pack_array(&pack, 3);
+	cb_pack_array(&pack, is_version_2 ? LIST_COUNT_2 : LIST_COUNT);
 	cb_pack_array(&pack, g_hash_table_size(usage->by_server));
 	g_hash_table_iter_init(&iter, usage->by_server);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const cb_usage_load_t *load = value;
-
-		cb_pack_array(&pack, LOAD_FIELD_COUNT);
-		cb_pack_string(&pack, key);
-		cb_pack_uint(&pack, load->running);
-		cb_pack_uint(&pack, (uint64_t)MAX(load->token_layers, 0));
-		cb_pack_uint(&pack, load->suspecting_instances);
-		cb_pack_uint(&pack, load->limiting_instances);
-		cb_pack_uint(&pack, load->limit_per_ks);
-		cb_pack_uint(&pack, load->limit_ended_instances);
-		cb_pack_uint(&pack, load->answers);
-		cb_pack_uint(&pack, load->answer_percent);
-		cb_pack_uint(&pack, load->failures);
-		cb_pack_uint(&pack, load->answered_start_wall_ms);
-	}
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		load_pack_(&pack, key, value, is_version_2);
 	cb_pack_array(&pack, g_hash_table_size(usage->by_service));
 	g_hash_table_iter_init(&iter, usage->by_service);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const cb_usage_sends_t *sends = value;
-
-		cb_pack_array(&pack, SENDS_FIELD_COUNT);
-		cb_pack_string(&pack, key);
-		cb_pack_uint(&pack, sends->requests);
-		cb_pack_uint(&pack, sends->retries);
-		cb_pack_uint(&pack, sends->pauses);
-		cb_pack_uint(&pack, sends->long_pauses);
-	}
-	cb_pack_array(&pack, g_hash_table_size(usage->by_flow));
-	g_hash_table_iter_init(&iter, usage->by_flow);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const cb_usage_flow_t *flow = value;
-
-		cb_pack_array(&pack, FLOW_FIELD_COUNT);
-		cb_pack_string(&pack, flow->service);
-		cb_pack_uint(&pack, flow->rank);
-		cb_pack_string(&pack, flow->workspace);
-		cb_pack_uint(&pack, (uint64_t)MAX(flow->tokens, 0));
-	}
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		sends_pack_(&pack, key, value, is_version_2);
+	if (!is_version_2)
+		flows_pack_(&pack, usage);
 	return cb_pack_finish(&pack);
 }
 
@@ -230,10 +257,12 @@
 	load.limiting_instances = (uint32_t)cb_fields_uint(&fields);
 	load.limit_per_ks = (uint32_t)cb_fields_uint(&fields);
 	load.limit_ended_instances = (uint32_t)cb_fields_uint(&fields);
-	load.answers = (uint32_t)cb_fields_uint(&fields);
-	load.answer_percent = (uint32_t)cb_fields_uint(&fields);
-	load.failures = (uint32_t)cb_fields_uint(&fields);
-	load.answered_start_wall_ms = cb_fields_uint(&fields);
+	if (fields.unread_count) {
+		load.answers = (uint32_t)cb_fields_uint(&fields);
+		load.answer_percent = (uint32_t)cb_fields_uint(&fields);
+		load.failures = (uint32_t)cb_fields_uint(&fields);
+		load.answered_start_wall_ms = cb_fields_uint(&fields);
+	}
 	if (cb_fields_are_complete(&fields))
 		cb_usage_add_load(usage, server_id, &load);
 	g_free(server_id);
@@ -250,8 +279,10 @@
 	service = cb_fields_required_string(&fields);
 	sends.requests = (uint32_t)cb_fields_uint(&fields);
 	sends.retries = (uint32_t)cb_fields_uint(&fields);
-	sends.pauses = (uint32_t)cb_fields_uint(&fields);
-	sends.long_pauses = (uint32_t)cb_fields_uint(&fields);
+	if (fields.unread_count) {
+		sends.pauses = (uint32_t)cb_fields_uint(&fields);
+		sends.long_pauses = (uint32_t)cb_fields_uint(&fields);
+	}
 	if (cb_fields_are_complete(&fields))
 		cb_usage_add_sends(usage, service, &sends);
 	g_free(service);
@@ -306,7 +337,8 @@
 	cb_fields_open(&fields, &unpack.unpacked.data);
 	if (!list_decode_(usage, cb_fields_object(&fields), load_decode_) ||
 	    !list_decode_(usage, cb_fields_object(&fields), sends_decode_) ||
-	    !list_decode_(usage, cb_fields_object(&fields), flow_decode_) ||
+	    (fields.unread_count &&
+	     !list_decode_(usage, cb_fields_object(&fields), flow_decode_)) ||
 	    !cb_fields_are_complete(&fields))
 		g_clear_pointer(&usage, cb_usage_delete);
 	cb_unpack_clear(&unpack);
--- a/src/libcurrantbridge/control/control_client.c
+++ b/src/libcurrantbridge/control/control_client.c
@@ -50,6 +50,7 @@
 		return CB_ADDRESS_CROWDED;
 	case CB_CLOSE_REFUSED:
 	case CB_CLOSE_REMOTE:
+	case CB_CLOSE_STOPPING:
 		return CB_ADDRESS_FAILED;
 	case CB_CLOSE_SILENT:
 		return CB_ADDRESS_SILENT;
@@ -60,6 +61,22 @@
 	}
 }
 
+/*
+ * Ends an attempt whose control instance speaks a lower protocol version only, and
+ * connects to it again with that one.
+ */
+static void protocol_lower_(cb_control_client_t *client, uint64_t protocol)
+{
+	cb_log_event(client->log, CB_EVENT_PROTOCOL_LOWERED,
+		     CB_STR("peer", cb_link_remote_hello(client->link)->name),
+		     CB_INT("protocol", protocol));
+	g_clear_pointer(&client->link, cb_link_delete);
+	cb_timer_stop(client->confirm_timer);
+	client->protocol = protocol;
+	if (!client->is_draining)
+		cb_timer_start(client->connect_timer, 0);
+}
+
 /* Ends the session and schedules a connection to the next control instance. */
 static void session_end_(cb_control_client_t *client, cb_close_reason_t reason)
 {
@@ -242,7 +259,13 @@
 
 static void link_closed_(void *user_data, cb_close_reason_t reason)
 {
-	session_end_(user_data, reason);
+	cb_control_client_t *client = user_data;
+	uint64_t protocol = cb_link_lower_protocol(client->link);
+
+	if (protocol)
+		protocol_lower_(client, protocol);
+	else
+		session_end_(client, reason);
 }
 
 static const cb_link_handler_t link_handler = {
@@ -256,7 +279,8 @@
 	cb_control_client_t *client = user_data;
 	cb_link_options_t options = { .hello = &client->hello,
 				      .heartbeat_ms = client->heartbeat_ms,
-				      .silence_ms = client->silence_ms };
+				      .silence_ms = client->silence_ms,
+				      .protocol = client->protocol };
 	cb_connection_t *connection =
 		client->network->vtable->connect(client->network,
 						 cb_control_addresses_current(
@@ -266,6 +290,7 @@
 				     cb_kernel_counters(client->kernel));
 	client->hello.revision = cb_view_revision(client->view);
 	client->attempt_count++;
+	client->protocol = 0;
 	client->link = cb_link_new(client->clock, connection, &options,
 				   &link_handler, client);
 	cb_timer_start(client->confirm_timer,
@@ -413,6 +438,13 @@
 	client->usage_data = user_data;
 }
 
+uint64_t cb_control_client_protocol(const cb_control_client_t *client)
+{
+	return client->link && cb_link_is_ready(client->link) ?
+		       cb_link_protocol(client->link) :
+		       0;
+}
+
 /* Sends this instance's usage if there is a confirmed session. */
 void cb_control_client_report_usage(cb_control_client_t *client, GBytes *usage)
 {
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -32,28 +32,52 @@
 /* The record of a server that left is kept this long for late heartbeats. */
 #define GONE_SERVER_KEEP_MS 60000
 
+/* Returns the encoded message for a link of a protocol version. */
+static GBytes *broadcast_encoded_(cb_broadcast_t *broadcast, uint64_t protocol)
+{
+	GBytes **encoded =
+		&broadcast->encoded[protocol - CB_PROTOCOL_VERSION_MIN];
+	cb_link_message_t message = { .kind = broadcast->kind };
+
+	if (!*encoded) {
+		message.body =
+			broadcast->encode_body(broadcast->content, protocol);
+		*encoded = cb_link_message_encode(&message);
+		g_clear_pointer(&message.body, g_bytes_unref);
+	}
+	return *encoded;
+}
+
+/* Frees the encoded messages. */
+void cb_broadcast_clear(cb_broadcast_t *broadcast)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(broadcast->encoded); i++)
+		g_clear_pointer(&broadcast->encoded[i], g_bytes_unref);
+}
+
 /* Sends a message to every other control instance. */
-void cb_node_peers_broadcast(cb_node_t *node, const cb_link_message_t *message)
+void cb_broadcast_to_peers(cb_node_t *node, cb_broadcast_t *broadcast)
 {
 	const GPtrArray *members = cb_replica_members(node->replica);
-	GBytes *encoded = cb_link_message_encode(message);
 	unsigned int i;
 
 	for (i = 0; i < members->len; i++) {
 		const cb_replica_member_t *member = members->pdata[i];
+		uint64_t protocol =
+			cb_peers_protocol(node->peers, member->name);
 
-		if (!g_str_equal(member->name, node->name))
+		if (protocol)
 			cb_peers_send_encoded(node->peers, member->name,
-					      encoded);
+					      broadcast_encoded_(broadcast,
+								 protocol));
 	}
-	g_bytes_unref(encoded);
 }
 
 /* Sends a message to every entry instance with a confirmed session. */
-void cb_node_sessions_broadcast(cb_node_t *node,
-				const cb_link_message_t *message)
+void cb_broadcast_to_sessions(cb_node_t *node, cb_broadcast_t *broadcast)
 {
-	GBytes *encoded = cb_link_message_encode(message);
 	GHashTableIter iter;
 	void *value;
 
@@ -62,9 +86,44 @@
 		cb_inbound_t *inbound = value;
 
 		if (inbound->session && inbound->session->is_confirmed)
-			cb_link_send_encoded(inbound->link, encoded);
+			cb_link_send_encoded(
+				inbound->link,
+				broadcast_encoded_(broadcast,
+						   cb_link_protocol(
+							   inbound->link)));
 	}
-	g_bytes_unref(encoded);
+}
+
+/* The body of a message that has the same form in each version. */
+static GBytes *message_body_ref_(const void *content, uint64_t protocol)
+{
+	const cb_link_message_t *message = content;
+
+	(void)protocol;
+	return message->body ? g_bytes_ref(message->body) : NULL;
+}
+
+/* Sends a message with nothing but a body to every other control instance. */
+void cb_node_peers_broadcast(cb_node_t *node, const cb_link_message_t *message)
+{
+	cb_broadcast_t broadcast = { .encode_body = message_body_ref_,
+				     .content = message,
+				     .kind = message->kind };
+
+	cb_broadcast_to_peers(node, &broadcast);
+	cb_broadcast_clear(&broadcast);
+}
+
+/* The same, to every entry instance with a confirmed session. */
+void cb_node_sessions_broadcast(cb_node_t *node,
+				const cb_link_message_t *message)
+{
+	cb_broadcast_t broadcast = { .encode_body = message_body_ref_,
+				     .content = message,
+				     .kind = message->kind };
+
+	cb_broadcast_to_sessions(node, &broadcast);
+	cb_broadcast_clear(&broadcast);
 }
 
 /*
--- a/src/libcurrantbridge/control/node_inbound.c
+++ b/src/libcurrantbridge/control/node_inbound.c
@@ -107,11 +107,25 @@
 	}
 }
 
+/* Counts a ready link by its protocol version. */
+static void protocol_count_(cb_inbound_t *inbound)
+{
+	char *version = g_strdup_printf("%" G_GUINT64_FORMAT,
+					cb_link_protocol(inbound->link));
+
+	inbound->protocol_gauge =
+		cb_counters_gauge(cb_kernel_counters(inbound->node->kernel),
+				  "cb_links_accepted", "protocol", version);
+	cb_counter_add(inbound->protocol_gauge, 1);
+	g_free(version);
+}
+
 static void inbound_ready_(void *user_data, const cb_hello_t *remote)
 {
 	cb_inbound_t *inbound = user_data;
 	cb_node_t *node = inbound->node;
 
+	protocol_count_(inbound);
 	if (node->is_draining) {
 		cb_link_goodbye(inbound->link, CB_CLOSE_STOPPING);
 		return;
@@ -175,13 +189,18 @@
 	const cb_hello_t *remote = cb_link_remote_hello(inbound->link);
 
 	cb_node_count_close(node, reason);
+	if (inbound->protocol_gauge)
+		cb_counter_add(inbound->protocol_gauge, -1);
 	if (inbound->session)
 		cb_log_event(node->log, CB_EVENT_SESSION_CLOSED,
 			     CB_STR("name", remote->name),
 			     CB_STR("reason", cb_close_reason_string[reason]));
 	else if (!remote->name || reason == CB_CLOSE_VERSION)
 		cb_log_event(node->log, CB_EVENT_LINK_REFUSED,
-			     CB_STR("reason", cb_close_reason_string[reason]));
+			     CB_STR("reason", cb_close_reason_string[reason]),
+			     CB_INT("offered", remote->protocol),
+			     CB_INT("lowest", CB_PROTOCOL_VERSION_MIN),
+			     CB_INT("highest", CB_PROTOCOL_VERSION));
 	if (inbound->session)
 		cb_session_closed(inbound);
 	g_hash_table_remove(node->inbounds, &inbound->id);
@@ -202,6 +221,7 @@
 	cb_link_options_t options = cb_node_link_options(node, &hello);
 
 	hello.revision = cb_state_revision(node->state);
+	options.is_accepted = TRUE;
 	inbound->node = node;
 	inbound->id = ++node->next_id;
 	inbound->link = cb_link_new(node->clock, connection, &options,
--- a/src/libcurrantbridge/control/node_usage.c
+++ b/src/libcurrantbridge/control/node_usage.c
@@ -71,15 +71,20 @@
 	}
 }
 
+static GBytes *usage_encode_(const void *usage, uint64_t protocol)
+{
+	return cb_usage_encode(usage, protocol);
+}
+
 static void usage_send_(cb_node_t *node, const cb_usage_t *usage,
-			void (*broadcast)(cb_node_t *,
-					  const cb_link_message_t *))
+			void (*send)(cb_node_t *, cb_broadcast_t *))
 {
-	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_USAGE,
-				      .body = cb_usage_encode(usage) };
+	cb_broadcast_t broadcast = { .encode_body = usage_encode_,
+				     .content = usage,
+				     .kind = CB_LINK_MESSAGE_USAGE };
 
-	broadcast(node, &message);
-	g_bytes_unref(message.body);
+	send(node, &broadcast);
+	cb_broadcast_clear(&broadcast);
 }
 
 static void usage_timer_fired_(void *user_data)
@@ -89,9 +94,9 @@
 
 	cb_timer_start(node->usage_timer, SHARE_INTERVAL_MS);
 	node->usage_sent_ms = cb_clock_now_ms(node->clock);
-	usage_send_(node, sum, cb_node_peers_broadcast);
+	usage_send_(node, sum, cb_broadcast_to_peers);
 	peer_usages_add_(node, sum);
-	usage_send_(node, sum, cb_node_sessions_broadcast);
+	usage_send_(node, sum, cb_broadcast_to_sessions);
 	cb_usage_delete(node->total_usage);
 	node->total_usage = sum;
 }
--- a/src/libcurrantbridge/control/peers.c
+++ b/src/libcurrantbridge/control/peers.c
@@ -13,6 +13,7 @@
 	cb_timer_t *retry_timer;
 	cb_backoff_t backoff;
 	int64_t connect_start_ms; /* start of the last attempt to connect */
+	uint64_t protocol;	  /* offered next; 0: CB_PROTOCOL_VERSION */
 } peer_t;
 
 struct cb_peers {
@@ -65,14 +66,21 @@
 	cb_peers_t *peers = peer->peers;
 	gboolean was_ready = cb_link_remote_hello(peer->link)->name != NULL;
 
+	peer->protocol = cb_link_lower_protocol(peer->link);
 	g_clear_pointer(&peer->link, cb_link_delete);
-	if (was_ready)
+	if (peer->protocol)
+		cb_log_event(peers->options.log, CB_EVENT_PROTOCOL_LOWERED,
+			     CB_STR("peer", peer->name),
+			     CB_INT("protocol", peer->protocol));
+	else if (was_ready)
 		cb_log_event(peers->options.log, CB_EVENT_PEER_LOST,
 			     CB_STR("peer", peer->name),
 			     CB_STR("reason", cb_close_reason_string[reason]));
 	if (!peers->is_stopping)
 		cb_timer_start(peer->retry_timer,
-			       cb_backoff_next_ms(&peer->backoff));
+			       peer->protocol ?
+				       0 :
+				       cb_backoff_next_ms(&peer->backoff));
 	peers->handler->closed(peers->user_data, peer->name);
 }
 
@@ -87,13 +95,15 @@
 {
 	peer_t *peer = user_data;
 	cb_peers_options_t *options = &peer->peers->options;
+	cb_link_options_t link_options = options->link;
 	cb_connection_t *connection =
 		options->network->vtable->connect(options->network,
 						  peer->address);
 
 	g_clear_pointer(&peer->link, cb_link_delete);
 	peer->connect_start_ms = cb_clock_now_ms(options->clock);
-	peer->link = cb_link_new(options->clock, connection, &options->link,
+	link_options.protocol = peer->protocol;
+	peer->link = cb_link_new(options->clock, connection, &link_options,
 				 &peer_link_handler, peer);
 }
 
@@ -206,6 +216,15 @@
 	return peer && peer->link && cb_link_is_ready(peer->link);
 }
 
+uint64_t cb_peers_protocol(const cb_peers_t *peers, const char *name)
+{
+	const peer_t *peer = g_hash_table_lookup(peers->peers_by_name, name);
+
+	return peer && peer->link && cb_link_is_ready(peer->link) ?
+		       cb_link_protocol(peer->link) :
+		       0;
+}
+
 /* Closes every link with a reason; no link is opened afterwards. */
 void cb_peers_goodbye(cb_peers_t *peers, cb_close_reason_t reason)
 {
--- a/src/libcurrantbridge/include/private/control_client.h
+++ b/src/libcurrantbridge/include/private/control_client.h
@@ -28,6 +28,8 @@
 	cb_control_addresses_t *addresses;
 	/* Connections tried since the last confirmed session. */
 	uint32_t attempt_count;
+	/* Version that the next connection offers; 0: CB_PROTOCOL_VERSION. */
+	uint64_t protocol;
 	cb_hello_t hello; /* message sent at the start of each session */
 	gboolean renews_incarnation;
 	int64_t heartbeat_ms;
--- a/src/libcurrantbridge/include/private/link.h
+++ b/src/libcurrantbridge/include/private/link.h
@@ -10,6 +10,11 @@
  * side first sends a hello, then heartbeats; a link on which nothing is
  * received for `silence_ms` is closed.  A message that is too large for one
  * frame is sent in several.
+ *
+ * The side that connects offers a protocol version.  The side that accepts
+ * waits for it and answers with the same version, or, if it does not speak that
+ * one, with the nearest that it speaks, and closes the link.  The connecting side
+ * can then offer cb_link_lower_protocol() on a new connection.
  */
 typedef struct cb_link cb_link_t;
 
@@ -29,6 +34,10 @@
 typedef struct cb_link_options {
 	/* Hello that is sent to the peer; the link copies it. */
 	const cb_hello_t *hello;
+	/* The peer opened the connection. */
+	gboolean is_accepted;
+	/* Version that a connecting side offers; 0: CB_PROTOCOL_VERSION. */
+	uint64_t protocol;
 	int64_t heartbeat_ms; /* heartbeat interval when nothing is sent */
 	/* Receive timeout of the link, also for connecting. */
 	int64_t silence_ms;
@@ -49,6 +58,8 @@
 gboolean cb_link_is_ready(const cb_link_t *link);
 const cb_hello_t *cb_link_remote_hello(const cb_link_t *link);
 int64_t cb_link_last_received_ms(const cb_link_t *link);
+uint64_t cb_link_protocol(const cb_link_t *link);
+uint64_t cb_link_lower_protocol(const cb_link_t *link);
 
 /* Exponential backoff with jitter: the delay doubles up to a maximum. */
 typedef struct cb_backoff {
--- a/src/libcurrantbridge/include/private/link_message.h
+++ b/src/libcurrantbridge/include/private/link_message.h
@@ -4,8 +4,13 @@
 #include <glib.h>
 #include <stdint.h>
 
-/* The version of the messages between the system's own processes. */
+/*
+ * The versions of the messages between the system's own processes that this
+ * build speaks: the one that links between equal builds use, and the lowest.
+ * Version 2 lacks fields of CB_LINK_MESSAGE_USAGE (cb_usage_encode()).
+ */
 #define CB_PROTOCOL_VERSION 3
+#define CB_PROTOCOL_VERSION_MIN 2
 
 typedef enum cb_link_message_kind {
 	CB_LINK_MESSAGE_HELLO,
@@ -84,7 +89,8 @@
 
 /* The first message of each side on a new link. */
 typedef struct cb_hello {
-	uint64_t protocol; /* CB_PROTOCOL_VERSION of the sender */
+	/* The version that the sender offers, or that it accepts. */
+	uint64_t protocol;
 	cb_role_t role;
 	char *name;
 	char *address;	      /* may be NULL */
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -48,6 +48,8 @@
 	cb_link_t *link;
 	/* NULL: the link is not from an entry instance. */
 	cb_session_t *session;
+	/* Counts the ready links of its protocol version; NULL: not ready. */
+	cb_counter_t *protocol_gauge;
 } cb_inbound_t;
 
 /* A call of the node's owner that waits for the replica or the leader. */
@@ -244,6 +246,19 @@
 
 /* Backend servers: node_fleet.c. */
 gboolean cb_node_has_all_peers(const cb_node_t *node);
+/* A message to many links; each form of it is encoded once. */
+typedef struct cb_broadcast {
+	/* Returns the body in the form of a protocol version. */
+	GBytes *(*encode_body)(const void *content, uint64_t protocol);
+	const void *content;
+	cb_link_message_kind_t kind;
+	/* Encoded messages by version; NULL: not needed so far. */
+	GBytes *encoded[CB_PROTOCOL_VERSION - CB_PROTOCOL_VERSION_MIN + 1];
+} cb_broadcast_t;
+
+void cb_broadcast_to_peers(cb_node_t *node, cb_broadcast_t *broadcast);
+void cb_broadcast_to_sessions(cb_node_t *node, cb_broadcast_t *broadcast);
+void cb_broadcast_clear(cb_broadcast_t *broadcast);
 void cb_node_peers_broadcast(cb_node_t *node, const cb_link_message_t *message);
 void cb_node_sessions_broadcast(cb_node_t *node,
 				const cb_link_message_t *message);
--- a/src/libcurrantbridge/include/private/peers.h
+++ b/src/libcurrantbridge/include/private/peers.h
@@ -33,6 +33,8 @@
 gboolean cb_peers_send_encoded(cb_peers_t *peers, const char *name,
 			       GBytes *message);
 void cb_peers_reconnect_soon(cb_peers_t *peers, const char *name);
+/* Returns the protocol version of the ready link to an instance; 0: none. */
+uint64_t cb_peers_protocol(const cb_peers_t *peers, const char *name);
 gboolean cb_peers_is_ready(const cb_peers_t *peers, const char *name);
 void cb_peers_goodbye(cb_peers_t *peers, cb_close_reason_t reason);
 
--- a/src/libcurrantbridge/include/private/usage.h
+++ b/src/libcurrantbridge/include/private/usage.h
@@ -95,8 +95,12 @@
 cb_usage_load_t cb_usage_find_load(const cb_usage_t *usage,
 				   const char *server_id);
 
-GBytes *cb_usage_encode(const cb_usage_t *usage);
-/* Returns NULL if the bytes are malformed. */
+/*
+ * Encodes a usage for a link of a protocol version.  Version 2 has neither flows,
+ * nor pauses, nor what answers show; they are left out and count as 0.
+ */
+GBytes *cb_usage_encode(const cb_usage_t *usage, uint64_t protocol);
+/* Reads the form of each version; returns NULL if the bytes are malformed. */
 cb_usage_t *cb_usage_decode(GBytes *bytes);
 
 #endif
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -179,7 +179,8 @@
 		   !g_hash_table_size(usage->by_service) &&
 		   !g_hash_table_size(usage->by_flow);
 	if (!is_empty || !front->was_usage_empty) {
-		bytes = cb_usage_encode(usage);
+		bytes = cb_usage_encode(usage, cb_control_client_protocol(
+						       front->control));
 		cb_control_client_report_usage(front->control, bytes);
 		g_bytes_unref(bytes);
 	}
--- a/src/libcurrantbridge/wire/link.c
+++ b/src/libcurrantbridge/wire/link.c
@@ -30,7 +30,9 @@
 	cb_counter_t *received_counter;
 	cb_hello_t local;
 	cb_hello_t remote;
-	gboolean is_open;  /* the connection is established */
+	gboolean is_open;     /* the connection is established */
+	gboolean is_accepted; /* the peer opened the connection */
+	gboolean is_hello_sent;
 	gboolean is_ready; /* the peer's hello has been received */
 	GByteArray *parts; /* received parts of an incomplete message */
 	cb_timer_t *keepalive_timer;	/* next heartbeat or receive timeout */
@@ -180,15 +182,6 @@
 	link_close_later_(link, reason);
 }
 
-static void hello_send_(cb_link_t *link)
-{
-	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_HELLO };
-
-	message.body = cb_hello_encode(&link->local);
-	cb_link_send(link, &message);
-	g_bytes_unref(message.body);
-}
-
 /* Arms the timer for the next heartbeat or the receive timeout. */
 static void keepalive_timer_start_(cb_link_t *link)
 {
@@ -198,19 +191,32 @@
 	int64_t heartbeat_in_ms =
 		link->last_sent_ms + link->heartbeat_ms - now_ms;
 
-	if (!link->is_open)
+	if (!link->is_hello_sent)
 		heartbeat_in_ms = timeout_in_ms;
 	cb_timer_start(link->keepalive_timer,
 		       MAX(MIN(timeout_in_ms, heartbeat_in_ms), 1));
 }
 
+static void hello_send_(cb_link_t *link)
+{
+	cb_link_message_t message = { .kind = CB_LINK_MESSAGE_HELLO };
+
+	message.body = cb_hello_encode(&link->local);
+	link->is_hello_sent = TRUE;
+	cb_link_send(link, &message);
+	g_bytes_unref(message.body);
+	keepalive_timer_start_(link);
+}
+
 static void connection_opened_(void *user_data)
 {
 	cb_link_t *link = user_data;
 
 	link->is_open = TRUE;
-	hello_send_(link);
-	keepalive_timer_start_(link);
+	if (link->is_accepted)
+		keepalive_timer_start_(link);
+	else
+		hello_send_(link);
 }
 
 /* Handles the peer's first message, which must be a hello. */
@@ -221,6 +227,12 @@
 		link_close_(link, CB_CLOSE_MALFORMED);
 		return;
 	}
+	if (link->is_accepted) {
+		link->local.protocol =
+			CLAMP(link->remote.protocol, CB_PROTOCOL_VERSION_MIN,
+			      CB_PROTOCOL_VERSION);
+		hello_send_(link);
+	}
 	if (link->remote.protocol != link->local.protocol) {
 		cb_link_goodbye(link, CB_CLOSE_VERSION);
 		return;
@@ -323,7 +335,8 @@
 		link_unref_(link);
 		return;
 	}
-	if (link->is_open && now_ms - link->last_sent_ms >= link->heartbeat_ms)
+	if (link->is_hello_sent &&
+	    now_ms - link->last_sent_ms >= link->heartbeat_ms)
 		cb_link_send(link, &heartbeat);
 	keepalive_timer_start_(link);
 }
@@ -363,7 +376,9 @@
 	link->last_received_ms = cb_clock_now_ms(clock);
 	link->last_sent_ms = link->last_received_ms;
 	cb_hello_copy(&link->local, options->hello);
-	link->local.protocol = CB_PROTOCOL_VERSION;
+	link->is_accepted = options->is_accepted;
+	link->local.protocol =
+		options->protocol ? options->protocol : CB_PROTOCOL_VERSION;
 	link->parts = g_byte_array_new();
 	link->keepalive_timer =
 		cb_timer_new(clock, keepalive_timer_fired_, link);
@@ -400,3 +415,23 @@
 {
 	return link->last_received_ms;
 }
+
+/* Returns the protocol version of a ready link. */
+uint64_t cb_link_protocol(const cb_link_t *link)
+{
+	return link->local.protocol;
+}
+
+/*
+ * Returns the lower protocol version that a peer asked for, to be offered on the
+ * next connection to it, or 0 if it asked for none that this build speaks.
+ */
+uint64_t cb_link_lower_protocol(const cb_link_t *link)
+{
+	uint64_t wanted = link->remote.protocol;
+
+	return wanted >= CB_PROTOCOL_VERSION_MIN &&
+			       wanted < link->local.protocol ?
+		       wanted :
+		       0;
+}
--- a/src/test_libcurrantbridge/test_departed_usage.c
+++ b/src/test_libcurrantbridge/test_departed_usage.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 
+#include "private/link_message.h"
 #include "private/usage.h"
 #include "support_main.h"
 #include "support_world.h"
@@ -42,7 +43,7 @@
 	GBytes *bytes;
 
 	cb_usage_add_sends(usage, "s", &sends);
-	bytes = cb_usage_encode(usage);
+	bytes = cb_usage_encode(usage, CB_PROTOCOL_VERSION);
 	cb_control_client_report_usage(world->clients[client].client, bytes);
 	g_bytes_unref(bytes);
 	cb_usage_delete(usage);
--- a/src/test_libcurrantbridge/test_link.c
+++ b/src/test_libcurrantbridge/test_link.c
@@ -21,6 +21,7 @@
 	size_t received_bytes;
 	int closed_count;
 	cb_close_reason_t reason; /* reason of the last close */
+	uint64_t offered;	  /* protocol version; 0: the highest */
 } endpoint_t;
 
 /* A TCP listener, its end of the accepted link, and a paused clock. */
@@ -69,7 +70,10 @@
 	cb_hello_t hello = { .role = CB_ROLE_CONTROL, .name = (char *)"x" };
 	cb_link_options_t options = { .hello = &hello,
 				      .heartbeat_ms = HEARTBEAT_MS,
-				      .silence_ms = SILENCE_MS };
+				      .silence_ms = SILENCE_MS,
+				      .is_accepted =
+					      endpoint == &fixture->accepted,
+				      .protocol = endpoint->offered };
 
 	endpoint->link = cb_link_new(fixture->clock, connection, &options,
 				     &endpoint_handler, endpoint);
@@ -153,6 +157,37 @@
 	return socket;
 }
 
+/* Returns a listening socket that speaks no protocol by itself. */
+static GSocket *raw_socket_listen_(void)
+{
+	GSocket *socket =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			     G_SOCKET_PROTOCOL_TCP, NULL);
+	GSocketAddress *address =
+		g_inet_socket_address_new_from_string("127.0.0.1", 0);
+
+	g_assert(g_socket_bind(socket, address, TRUE, NULL));
+	g_assert(g_socket_listen(socket, NULL));
+	g_object_unref(address);
+	return socket;
+}
+
+/* Opens a connection of the fixture's network to a raw listening socket. */
+static cb_connection_t *raw_listener_connect_(fixture_t *fixture,
+					      GSocket *listener)
+{
+	GSocketAddress *local = g_socket_get_local_address(listener, NULL);
+	char *address = g_strdup_printf("127.0.0.1:%u",
+					g_inet_socket_address_get_port(
+						G_INET_SOCKET_ADDRESS(local)));
+	cb_connection_t *connection =
+		fixture->network->vtable->connect(fixture->network, address);
+
+	g_free(address);
+	g_object_unref(local);
+	return connection;
+}
+
 /* Returns a frame with one hello of the given protocol version and role. */
 static GBytes *hello_frame_new_(uint64_t protocol, uint64_t role)
 {
@@ -275,6 +310,139 @@
 	}
 }
 
+/* Returns the protocol version of the hello that a raw socket receives. */
+static uint64_t raw_hello_read_(GSocket *raw)
+{
+	/* The length of the frame, and the byte that tells of further parts. */
+	const gssize before_message = 4 + 1;
+	char buffer[256];
+	gssize size = g_socket_receive(raw, buffer, sizeof(buffer), NULL, NULL);
+	uint32_t frame_bytes;
+	cb_link_message_t *message;
+	cb_hello_t hello = { 0 };
+	uint64_t protocol;
+
+	if (size <= before_message)
+		return 0;
+	memcpy(&frame_bytes, buffer, sizeof(frame_bytes));
+	message =
+		cb_link_message_decode((const uint8_t *)buffer + before_message,
+				       MIN(g_ntohl(frame_bytes) - 1,
+					   (size_t)(size - before_message)));
+	if (!message)
+		return 0;
+	CU_ASSERT_EQUAL(message->kind, CB_LINK_MESSAGE_HELLO);
+	if (!message->body || !cb_hello_decode(message->body, &hello))
+		hello.protocol = 0;
+	protocol = hello.protocol;
+	cb_hello_clear(&hello);
+	cb_link_message_delete(message);
+	return protocol;
+}
+
+/* Guards against links that older and newer builds can't open to this one. */
+static void accepting_side_answers_with_a_version_that_it_speaks(void)
+{
+	static const struct {
+		uint64_t offered;
+		uint64_t answered;
+		gboolean is_ready;
+	} cases[] = {
+		{ 0, CB_PROTOCOL_VERSION_MIN, FALSE },
+		{ CB_PROTOCOL_VERSION_MIN - 1, CB_PROTOCOL_VERSION_MIN, FALSE },
+		{ CB_PROTOCOL_VERSION_MIN, CB_PROTOCOL_VERSION_MIN, TRUE },
+		{ CB_PROTOCOL_VERSION, CB_PROTOCOL_VERSION, TRUE },
+		{ CB_PROTOCOL_VERSION + 1, CB_PROTOCOL_VERSION, FALSE },
+		{ UINT64_MAX, CB_PROTOCOL_VERSION, FALSE },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GBytes *frame =
+			hello_frame_new_(cases[i].offered, CB_ROLE_ENTRY);
+		fixture_t fixture;
+		GSocket *raw;
+
+		fixture_init_(&fixture);
+		raw = raw_socket_connect_(&fixture);
+		loop_run_pending_(&fixture);
+		cb_clock_advance(fixture.clock, HEARTBEAT_MS);
+		loop_run_pending_(&fixture);
+		CU_ASSERT_FALSE(g_socket_condition_check(raw, G_IO_IN));
+		g_socket_send(raw, g_bytes_get_data(frame, NULL),
+			      g_bytes_get_size(frame), NULL, NULL);
+		loop_run_pending_(&fixture);
+		cb_clock_advance(fixture.clock, 0);
+		CU_ASSERT_EQUAL(raw_hello_read_(raw), cases[i].answered);
+		CU_ASSERT_EQUAL(fixture.accepted.ready_count,
+				cases[i].is_ready);
+		CU_ASSERT_EQUAL(fixture.accepted.closed_count,
+				!cases[i].is_ready);
+		if (cases[i].is_ready)
+			CU_ASSERT_EQUAL(cb_link_protocol(fixture.accepted.link),
+					cases[i].offered);
+		if (!cases[i].is_ready)
+			CU_ASSERT_EQUAL(fixture.accepted.reason,
+					CB_CLOSE_VERSION);
+		g_object_unref(raw);
+		g_bytes_unref(frame);
+		fixture_clear_(&fixture);
+	}
+}
+
+/* Guards against links that this build can't open to older ones. */
+static void connecting_side_learns_what_an_older_peer_speaks(void)
+{
+	static const struct {
+		uint64_t offered; /* 0: the highest version */
+		uint64_t answered;
+		gboolean is_ready;
+		uint64_t lower;
+	} cases[] = {
+		{ 0, CB_PROTOCOL_VERSION, TRUE, 0 },
+		{ 0, CB_PROTOCOL_VERSION_MIN, FALSE, CB_PROTOCOL_VERSION_MIN },
+		{ 0, CB_PROTOCOL_VERSION_MIN - 1, FALSE, 0 },
+		{ 0, CB_PROTOCOL_VERSION + 1, FALSE, 0 },
+		{ CB_PROTOCOL_VERSION_MIN, CB_PROTOCOL_VERSION_MIN, TRUE, 0 },
+		{ CB_PROTOCOL_VERSION_MIN, CB_PROTOCOL_VERSION, FALSE, 0 },
+		{ CB_PROTOCOL_VERSION_MIN, CB_PROTOCOL_VERSION_MIN - 1, FALSE,
+		  0 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GBytes *frame =
+			hello_frame_new_(cases[i].answered, CB_ROLE_CONTROL);
+		endpoint_t connecting = { .offered = cases[i].offered };
+		fixture_t fixture;
+		GSocket *raw;
+		GSocket *peer;
+
+		fixture_init_(&fixture);
+		raw = raw_socket_listen_();
+		endpoint_open_(&fixture, &connecting,
+			       raw_listener_connect_(&fixture, raw));
+		peer = g_socket_accept(raw, NULL, NULL);
+		loop_run_pending_(&fixture);
+		CU_ASSERT_EQUAL(raw_hello_read_(peer),
+				cases[i].offered ? cases[i].offered :
+						   CB_PROTOCOL_VERSION);
+		g_socket_send(peer, g_bytes_get_data(frame, NULL),
+			      g_bytes_get_size(frame), NULL, NULL);
+		loop_run_pending_(&fixture);
+		cb_clock_advance(fixture.clock, 0);
+		CU_ASSERT_EQUAL(connecting.ready_count, cases[i].is_ready);
+		CU_ASSERT_EQUAL(connecting.closed_count, !cases[i].is_ready);
+		CU_ASSERT_EQUAL(cb_link_lower_protocol(connecting.link),
+				cases[i].lower);
+		cb_link_delete(connecting.link);
+		g_object_unref(peer);
+		g_object_unref(raw);
+		g_bytes_unref(frame);
+		fixture_clear_(&fixture);
+	}
+}
+
 /*
  * Guards against half-open connections: a peer that sends a hello and no
  * heartbeats is disconnected exactly when the receive timeout expires.
@@ -423,6 +591,10 @@
 static CU_TestInfo link_tests[] = {
 	{ "invalid_input_closes_link_with_reason",
 	  invalid_input_closes_link_with_reason },
+	{ "accepting_side_answers_with_a_version_that_it_speaks",
+	  accepting_side_answers_with_a_version_that_it_speaks },
+	{ "connecting_side_learns_what_an_older_peer_speaks",
+	  connecting_side_learns_what_an_older_peer_speaks },
 	{ "hello_version_and_role_are_checked",
 	  hello_version_and_role_are_checked },
 	{ "link_without_heartbeats_is_closed",
--- a/src/test_libcurrantbridge/test_placer.c
+++ b/src/test_libcurrantbridge/test_placer.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "currantbridge/placer.h"
+#include "private/link_message.h"
 #include "private/usage.h"
 #include "support_world.h"
 
@@ -350,7 +351,7 @@
 	GBytes *bytes;
 
 	cb_usage_add_load(usage, id, &entry);
-	bytes = cb_usage_encode(usage);
+	bytes = cb_usage_encode(usage, CB_PROTOCOL_VERSION);
 	cb_control_client_report_usage(fixture->world->clients[0].client,
 				       bytes);
 	g_bytes_unref(bytes);
--- a/src/test_libcurrantbridge/test_retry_share.c
+++ b/src/test_libcurrantbridge/test_retry_share.c
@@ -2,6 +2,7 @@
 
 #include "support_main.h"
 
+#include "private/link_message.h"
 #include "private/retry_share.h"
 
 #define WINDOW_MS 10000
@@ -222,7 +223,7 @@
 	cb_usage_add_sends(usage, "s", &sends);
 	cb_usage_add_flow(usage, "s", 1, "w", 700);
 	cb_usage_add_flow(usage, "s", 1, "", 50);
-	bytes = cb_usage_encode(usage);
+	bytes = cb_usage_encode(usage, CB_PROTOCOL_VERSION);
 	truncated =
 		g_bytes_new_from_bytes(bytes, 0, g_bytes_get_size(bytes) - 1);
 	CU_ASSERT_PTR_NULL(cb_usage_decode(truncated));
--- a/src/test_libcurrantbridge/test_sessions.c
+++ b/src/test_libcurrantbridge/test_sessions.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "private/link_message.h"
 #include "private/usage.h"
 #include "support_main.h"
 #include "support_world.h"
@@ -667,7 +668,7 @@
 		GBytes *bytes;
 
 		cb_usage_add_load(usage, server, &load);
-		bytes = cb_usage_encode(usage);
+		bytes = cb_usage_encode(usage, CB_PROTOCOL_VERSION);
 		cb_control_client_report_usage(client, bytes);
 		g_bytes_unref(bytes);
 		g_free(server);
--- a/test/platform/soak/soak_platform.c
+++ b/test/platform/soak/soak_platform.c
@@ -35,9 +35,10 @@
 			       "\"data_folder\":\"%s/%s\"",
 			       soak->control_addresses[i], soak->group->folder,
 			       name);
-	process_add_(soak,
-		     support_program_start(soak->group, "cb-platform-control",
-					   name, settings));
+	process_add_(soak, support_program_start_from(soak->group,
+						      soak->setup->programs,
+						      "cb-platform-control",
+						      name, settings));
 	g_free(name);
 	g_free(ip);
 }
@@ -61,9 +62,10 @@
 			       soak->setup->grace_s, soak->entry_addresses[i],
 			       ip, (int)support_free_port(), ip,
 			       (int)support_free_port());
-	process_add_(soak,
-		     support_program_start(soak->group, "cb-platform-entry",
-					   name, settings));
+	process_add_(soak, support_program_start_from(soak->group,
+						      soak->setup->programs,
+						      "cb-platform-entry", name,
+						      settings));
 	g_free(name);
 	g_free(ip);
 }
@@ -91,6 +93,21 @@
 	g_free(name);
 }
 
+/* Appends the routes "/version-1/" to that of the document's version. */
+static void version_routes_append_(const soak_t *soak, GString *text)
+{
+	int version;
+
+	for (version = 1; version <= soak->version; version++)
+		g_string_append_printf(
+			text,
+			",{\"name\":\"version-%d\",\"host\":\"h\","
+			"\"pathPrefix\":\"/version-%d/\",\"kind\":\"safe\","
+			"\"timeoutMs\":2000,\"targetLatencyMs\":500,"
+			"\"service\":\"s\",\"maxAttempts\":2,\"priority\":0}",
+			version, version);
+}
+
 /* Returns the text of the document's next version, to be freed. */
 static char *document_write_(const soak_t *soak)
 {
@@ -118,6 +135,8 @@
 			route->is_stream && route->may_run_again ? "true" :
 								   "false");
 	}
+	if (setup->has_version_routes)
+		version_routes_append_(soak, text);
 	g_string_append_printf(
 		text,
 		"],\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\","
@@ -319,6 +338,11 @@
 	if (process->daemon->process)
 		process_end_handle_(soak, process);
 	if (now_ms >= process->restart_ms) {
+		if (soak->setup->draws_build && process < soak_servers(soak))
+			support_program_set_folder(
+				process->daemon, g_rand_boolean(soak->random) ?
+							 CB_PROGRAM_DIR :
+							 soak->setup->programs);
 		process->resume_ms = 0;
 		process->exit = (soak_exit_t){ 0 };
 		support_daemon_start(process->daemon);
--- a/test/platform/soak/soak_platform.h
+++ b/test/platform/soak/soak_platform.h
@@ -20,10 +20,19 @@
 	unsigned int server_count;
 	gboolean has_other_service; /* every third server is of service "t" */
 	gboolean is_sound;	    /* servers don't misbehave */
-	int slots;		    /* of each server */
-	int heartbeat_ms;	    /* that control expects of servers */
-	int server_heartbeat_ms;    /* that servers keep to */
-	int grace_s;		    /* of the entries */
+	/* Each version N of the document adds a route "/version-N/". */
+	gboolean has_version_routes;
+	/*
+	 * Folder of an earlier build, whose programs of the platform are started
+	 * first; NULL: only this build's run.
+	 */
+	const char *programs;
+	/* Each start after the first draws one of the two builds. */
+	gboolean draws_build;
+	int slots;		 /* of each server */
+	int heartbeat_ms;	 /* that control expects of servers */
+	int server_heartbeat_ms; /* that servers keep to */
+	int grace_s;		 /* of the entries */
 	/* The document's times; versions alternate between the pairs. */
 	int timeout_ms[2];
 	int target_latency_ms[2];
--- a/test/platform/soak/test_soak.c
+++ b/test/platform/soak/test_soak.c
@@ -21,6 +21,10 @@
 #define FAULT_GAP_MAX_MS 400
 #define PAUSE_MAX_MS 3000
 
+/* Every so many seeds processes of an earlier build run beside this one's. */
+#define UPGRADE_SEEDS 5
+#define UPGRADE_COMMIT "4b09592"
+
 #define SILENCE_SECONDS 12
 #define SILENT_COUNT 4
 #define SILENCE_MIN_MS 600
@@ -269,8 +273,14 @@
 	unsigned int broken_count;
 	unsigned int served_count;
 	int64_t calm_ms;
-
-	CU_ASSERT_TRUE_FATAL(soak_init(&soak, &failure_setup, seed));
+	soak_setup_t setup = failure_setup;
+	char *earlier = NULL;
+
+	if (seed % UPGRADE_SEEDS == 0)
+		earlier = support_earlier_build(UPGRADE_COMMIT);
+	setup.programs = earlier;
+	setup.draws_build = earlier != NULL;
+	CU_ASSERT_TRUE_FATAL(soak_init(&soak, &setup, seed));
 	callers = callers_start_(&soak, seed);
 	editor_start_(&editor, &soak);
 	failures_play_(&soak, seconds * 1000);
@@ -283,12 +293,14 @@
 	CU_ASSERT_EQUAL(broken_count, 0);
 	CU_ASSERT_TRUE(served_count > 0);
 	CU_ASSERT_EQUAL(soak.unexpected_exit_count, 0);
-	printf("    seed %u: %u requests, %u served, %u at the end, %u faults, "
+	printf("    seed %u%s: %u requests, %u served, %u at the end, %u faults, "
 	       "%u rules broken, %u processes ended by themselves\n",
-	       seed, requests->len, served_count_(requests, 0), served_count,
-	       soak.fault_count, broken_count, soak.unexpected_exit_count);
+	       seed, earlier ? ", two builds" : "", requests->len,
+	       served_count_(requests, 0), served_count, soak.fault_count,
+	       broken_count, soak.unexpected_exit_count);
 	g_ptr_array_unref(requests);
 	soak_clear(&soak);
+	g_free(earlier);
 }
 
 /* Prints what became of the requests of each kind. */
--- a/test/platform/support_programs.c
+++ b/test/platform/support_programs.c
@@ -2,12 +2,17 @@
 
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include <CUnit/CUnit.h>
+
 #include "support_sockets.h"
 
 #define ANSWER_TIMEOUT_MS 5000
 #define READ_BUFFER_BYTES 65536
+/* Exit code of build-earlier if the history lacks the commit. */
+#define COMMIT_ABSENT 77
 
 void support_receive_timeout_set(int fd, int64_t timeout_ms)
 {
@@ -124,15 +129,65 @@
 	return settings;
 }
 
+char *support_earlier_build(const char *commit)
+{
+	char *folder =
+		g_strdup_printf("%s/build-earlier/%s", CB_SOURCE_DIR, commit);
+	char *command =
+		g_strdup_printf("%s/test/platform/upgrades/build-earlier %s %s",
+				CB_SOURCE_DIR, commit, folder);
+	char *programs = g_build_filename(folder, "build", NULL);
+	char *output = NULL;
+	int status = 0;
+
+	CU_ASSERT_TRUE(g_spawn_command_line_sync(command, &output, NULL,
+						 &status, NULL));
+	if (!g_spawn_check_wait_status(status, NULL)) {
+		gboolean is_absent = WIFEXITED(status) &&
+				     WEXITSTATUS(status) == COMMIT_ABSENT;
+
+		printf("    %s: %s\n", commit,
+		       is_absent ?
+			       "skipped, the repository's history lacks it" :
+			       "can't be built");
+		CU_ASSERT_TRUE(is_absent);
+		g_clear_pointer(&programs, g_free);
+	}
+	g_free(output);
+	g_free(command);
+	g_free(folder);
+	return programs;
+}
+
+void support_program_set_folder(support_daemon_t *daemon, const char *folder)
+{
+	char *program = g_path_get_basename(daemon->program);
+
+	g_free(daemon->program);
+	daemon->program = g_build_filename(folder, program, NULL);
+	g_free(program);
+}
+
 support_daemon_t *support_program_start(support_group_t *group,
 					const char *program, const char *name,
 					GString *settings)
+{
+	return support_program_start_from(group, NULL, program, name, settings);
+}
+
+support_daemon_t *support_program_start_from(support_group_t *group,
+					     const char *folder,
+					     const char *program,
+					     const char *name,
+					     GString *settings)
 {
 	support_daemon_t *daemon;
 
 	g_string_append_c(settings, '}');
 	daemon = support_group_add(group, program, name, NULL, settings->str);
 	g_string_free(settings, TRUE);
+	if (folder)
+		support_program_set_folder(daemon, folder);
 	daemon->config_variable = "CURRANTBRIDGE_NODE_FILE";
 	support_daemon_start(daemon);
 	return daemon;
--- a/test/platform/support_programs.h
+++ b/test/platform/support_programs.h
@@ -33,5 +33,19 @@
 support_daemon_t *support_program_start(support_group_t *group,
 					const char *program, const char *name,
 					GString *settings);
+/* The same, from the folder of another build; NULL: of this one. */
+support_daemon_t *support_program_start_from(support_group_t *group,
+					     const char *folder,
+					     const char *program,
+					     const char *name,
+					     GString *settings);
+/*
+ * Builds a commit of this repository, unless that was done before, and returns the
+ * folder with its programs, to be freed.  Without the commit in the history it
+ * prints that the test is skipped and returns NULL.
+ */
+char *support_earlier_build(const char *commit);
+/* Has a process run the program of another build from its next start on. */
+void support_program_set_folder(support_daemon_t *daemon, const char *folder);
 
 #endif
