--- a/src/test_libcurrantbridge/test_protocol_versions.c
+++ b/src/test_libcurrantbridge/test_protocol_versions.c
@@ -58,7 +58,7 @@
 					       cases[i].hello_bytes);
 		cb_hello_t hello = { 0 };
 
-		CU_ASSERT_PTR_NOT_NULL_FATAL(message);
+		g_assert(message);
 		CU_ASSERT_EQUAL(message->kind, CB_LINK_MESSAGE_HELLO);
 		CU_ASSERT_TRUE(cb_hello_decode(message->body, &hello));
 		CU_ASSERT_EQUAL(hello.protocol, cases[i].protocol);
@@ -109,7 +109,7 @@
 		cb_usage_load_t load;
 		cb_usage_sends_t sends;
 
-		CU_ASSERT_PTR_NOT_NULL_FATAL(usage);
+		g_assert(usage);
 		load = cb_usage_find_load(usage, "a");
 		sends = cb_usage_find_sends(usage, "s");
 		flow = g_hash_table_lookup(usage->by_flow, key);
