A request that has used all pooled connections is forwarded

Reading: while new connections to the servers fail, a request is forwarded unless the pool has a connection for it. Connections that carried an earlier send of it, which the next send doesn't use, counted as one, so that the send opened a new connection, which fails, instead of being forwarded.

Change: the question to the pool leaves out the same connections as the call. test_relay:used_connections_count_as_none_in_pool holds it; the call had no such argument before.

--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -74,10 +74,12 @@
  */
 gboolean cb_http1_call_is_sent(const cb_http1_call_t *call);
 /*
- * Returns whether a connection to an address is in the pool that was idle for at
- * most `max_idle_ms`.
+ * Returns whether a call with these arguments would use a connection of the pool:
+ * one that was idle for at most `max_idle_ms` and whose ID is not in `avoided`
+ * (uint64_t; may be NULL).
  */
 gboolean cb_http1_client_has_idle(const cb_http1_client_t *client,
-				  const char *address, int64_t max_idle_ms);
+				  const char *address, int64_t max_idle_ms,
+				  const GArray *avoided);
 
 #endif
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -404,9 +404,10 @@
 
 /* Returns whether a connection to an address can be taken out of the pool. */
 gboolean cb_http1_client_has_idle(const cb_http1_client_t *client,
-				  const char *address, int64_t max_idle_ms)
+				  const char *address, int64_t max_idle_ms,
+				  const GArray *avoided)
 {
-	return idle_connection_find_(client, address, max_idle_ms, NULL) !=
+	return idle_connection_find_(client, address, max_idle_ms, avoided) !=
 	       NULL;
 }
 
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -421,7 +421,8 @@
 	    cb_http1_client_has_idle(
 		    front->client,
 		    g_array_index(hops, cb_relay_hop_t, 0).address,
-		    cb_relay_connection_idle_max_ms(relay)))
+		    cb_relay_connection_idle_max_ms(relay),
+		    relay->used_connections))
 		return FALSE;
 	relay->hops = cb_relay_hops_new();
 	if (cb_relay_forward_send(relay, CB_REACH_NEW_LOST)) {
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -344,6 +344,38 @@
 	}
 }
 
+/*
+ * While new connections fail, a request for which the pool has only connections
+ * that have carried it must count as one without any.
+ */
+static void used_connections_count_as_none_in_pool(void)
+{
+	static const relay_script_t script = { COMPLETE_ANSWER, END_KEEP };
+	/* Connections have consecutive IDs from 1 on. */
+	static const uint64_t ids[] = { 1, 2, 3, 4, 5, 6, 7, 8 };
+	GArray *used = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	relay_fixture_t fixture;
+	char *address;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = &script;
+	fixture.script_count = 1;
+	support_relay_request_send(&fixture, ONCE_REQUEST);
+	CU_ASSERT_TRUE(support_relay_run_until(&fixture, 0, "ok"));
+	address = support_relay_server_address(
+		&fixture, g_array_index(fixture.server_indexes, int, 0));
+	CU_ASSERT_TRUE(cb_http1_client_has_idle(fixture.client, address,
+						INT64_MAX, NULL));
+	CU_ASSERT_TRUE(cb_http1_client_has_idle(fixture.client, address,
+						INT64_MAX, used));
+	g_array_append_vals(used, ids, G_N_ELEMENTS(ids));
+	CU_ASSERT_FALSE(cb_http1_client_has_idle(fixture.client, address,
+						 INT64_MAX, used));
+	g_free(address);
+	g_array_unref(used);
+	support_relay_clear(&fixture);
+}
+
 /*
  * An attempt in flight at the deadline may have run: the answer must not state
  * that it did not, and the attempt must be cancelled at the server.
@@ -891,6 +923,8 @@
 	  requests_are_forwarded_unchanged },
 	{ "rejection_without_id_on_used_connection_is_unknown",
 	  rejection_without_id_on_used_connection_is_unknown },
+	{ "used_connections_count_as_none_in_pool",
+	  used_connections_count_as_none_in_pool },
 	{ "resent_request_uses_another_connection",
 	  resent_request_uses_another_connection },
 	{ "deadline_during_attempt_is_unknown_outcome",
