A lost way becomes silent by several mute checks in a row, not by one

What callers saw: with all instances cut off from the servers, now and then a request was sent into the cut a second or later after it had been recognised, and got 502 instead of a refusal that says that it did not run.

Cause: while the way is lost one server is checked five times a second. One check that was answered later than 150 ms by its reset made the state 'silent', in which servers may only stand still and requests are sent; one check of one server outweighed the three that had shown the loss.

Change: a lost way becomes silent by three mute checks in a row.

--- a/src/libcurrantbridge/relay/reach.c
+++ b/src/libcurrantbridge/relay/reach.c
@@ -14,6 +14,11 @@
 #define LIVES_ON_MS 100
 /* Open connections have gone silent if they pass no data for this long. */
 #define LIVES_ON_SILENCE_MS 400
+/*
+ * A lost way has become silent after this many mute checks in a row: one of them
+ * may only be late.
+ */
+#define MUTE_CHECKS_MIN 3
 /*
  * After a check that most servers failed, losses may be this instance's own.
  */
@@ -41,6 +46,7 @@
 	unsigned int
 		checked_count; /* servers of the last check of an open way */
 	unsigned int results[CB_REACH_RESULT_COUNT];
+	unsigned int mute_count; /* the last checks in a row that were mute */
 };
 
 struct cb_reach {
@@ -228,7 +234,12 @@
 	if (group->state == CB_REACH_CHECKING)
 		return group->results[CB_REACH_MUTE] ? CB_REACH_SILENT :
 						       CB_REACH_LOST;
-	return last_result == CB_REACH_MUTE ? CB_REACH_SILENT : CB_REACH_LOST;
+	if (last_result != CB_REACH_MUTE)
+		return CB_REACH_LOST;
+	return group->state == CB_REACH_SILENT ||
+			       group->mute_count >= MUTE_CHECKS_MIN ?
+		       CB_REACH_SILENT :
+		       CB_REACH_LOST;
 }
 
 /*
@@ -269,6 +280,7 @@
 gboolean cb_reach_group_add(cb_reach_group_t *group, cb_reach_result_t result)
 {
 	group->results[result]++;
+	group->mute_count = result == CB_REACH_MUTE ? group->mute_count + 1 : 0;
 	group->pending -= MIN(group->pending, 1);
 	if (result == CB_REACH_ANSWERED)
 		return answer_add_(group);
