A document that was accepted before stays readable

What callers would see after an upgrade: a document that the older build had accepted with a number that this one rejects (a time over 7 days, 4,097 layers, a number as text) was unreadable at its entry instances (510), which after a start serve nothing.

Evidence: test_platform:accepted_documents_stay_readable fails before, 9 of 9 texts unreadable.

The fuzzer reads each text both ways.

--- a/test/platform/fuzz/fuzz_readers.c
+++ b/test/platform/fuzz/fuzz_readers.c
@@ -81,17 +81,12 @@
 	g_array_unref(servers);
 }
 
-static void document_read_(const uint8_t *data, size_t size)
+/* Uses a document; NULL is allowed. */
+static void document_use_(cb_document_t *document)
 {
-	GError *error = NULL;
-	cb_document_t *document =
-		cb_document_decode_text(platform_document_codec(),
-					(const char *)data, size, NULL, &error);
 	GHashTableIter iter;
 	void *value;
 
-	g_assert(document || error);
-	g_clear_error(&error);
 	if (!document)
 		return;
 	g_hash_table_iter_init(&iter, document->services);
@@ -104,6 +99,26 @@
 	cb_document_unref(document);
 }
 
+/* Reads a document as an operator sends it, and as one that was accepted. */
+static void document_read_(const uint8_t *data, size_t size)
+{
+	GBytes *packed = cb_document_pack((const char *)data, size);
+	GError *error = NULL;
+	cb_document_t *document =
+		cb_document_decode_text(platform_document_codec(),
+					(const char *)data, size, NULL, &error);
+	cb_document_t *accepted =
+		cb_document_decode(platform_accepted_document_codec(), packed,
+				   NULL, NULL);
+
+	g_assert(document || error);
+	g_assert(accepted || !document);
+	g_clear_error(&error);
+	g_bytes_unref(packed);
+	document_use_(document);
+	document_use_(accepted);
+}
+
 static void body_ignore_(void *user_data, const uint8_t *data, size_t size)
 {
 	(void)user_data;
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -169,6 +169,62 @@
 	}
 }
 
+/*
+ * An older build may have accepted numbers that this one rejects: what is in force
+ * must stay readable.
+ */
+static void accepted_documents_stay_readable(void)
+{
+	static const char *const texts[] = {
+		"{\"version\":7," ENGINE("\"layers\":4097") "}",
+		"{\"version\":7," ENGINE("\"layers\":4294967295") "}",
+		"{\"version\":7," ENGINE("\"layers\":\"80\"") "}",
+		"{\"version\":7," ENGINE("\"layers\":80,\"layerMb\":0") "}",
+		"{\"version\":7," ENGINE("\"layers\":80,\"slots\":1e18") "}",
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"pathPrefix\":\"/\",\"timeoutMs\":10,\"trafficSplit\":[{"
+		"\"service\":\"s\",\"weight\":4294967296}]," ROUTE_END
+		"}]," SERVICES "}",
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"pathPrefix\":\"/\",\"service\":\"s\","
+		"\"timeoutMs\":9223372036854775807," ROUTE_END "}]," SERVICES
+		"}",
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"pathPrefix\":\"/\",\"service\":\"s\",\"timeoutMs\":9,"
+		"\"priority\":-1,\"targetLatencyMs\":\"9\"," ROUTE_END
+		"}]," SERVICES "}",
+		"{\"version\":7," SERVICES
+		",\"limits\":{\"idleTimeoutMs\":9223372036854775807}}",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		GBytes *packed = cb_document_pack(texts[i], strlen(texts[i]));
+		cb_document_t *proposed =
+			cb_document_decode_text(platform_document_codec(),
+						texts[i], strlen(texts[i]),
+						NULL, NULL);
+		cb_document_t *accepted =
+			cb_document_decode(platform_accepted_document_codec(),
+					   packed, NULL, NULL);
+
+		CU_ASSERT_PTR_NULL(proposed);
+		CU_ASSERT_PTR_NOT_NULL(accepted);
+		if (!accepted)
+			printf("    %s\n", texts[i]);
+		if (accepted && accepted->routes->len) {
+			const cb_route_t *route = accepted->routes->pdata[0];
+
+			CU_ASSERT_TRUE(route->timeout_ms <=
+				       INT64_C(7) * 24 * 60 * 60 * 1000);
+			CU_ASSERT_EQUAL(route->priority, 0);
+		}
+		cb_document_unref(accepted);
+		cb_document_unref(proposed);
+		g_bytes_unref(packed);
+	}
+}
+
 /* Whether callers need a key is told by the list alone, not by its length. */
 static void empty_list_of_workspaces_admits_nobody(void)
 {
@@ -1112,6 +1168,8 @@
 	{ "documents_are_decoded_in_steps", documents_are_decoded_in_steps },
 	{ "document_fields_are_decoded", document_fields_are_decoded },
 	{ "invalid_heartbeats_are_rejected", invalid_heartbeats_are_rejected },
+	{ "accepted_documents_stay_readable",
+	  accepted_documents_stay_readable },
 	{ "empty_list_of_workspaces_admits_nobody",
 	  empty_list_of_workspaces_admits_nobody },
 	{ "absent_bodies_are_rejected", absent_bodies_are_rejected },
