--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -225,6 +225,40 @@
 	}
 }
 
+/* A document that both codecs read has the same numbers by both. */
+static void accepted_documents_are_read_as_proposed_ones(void)
+{
+	static const char text[] = "{\"version\":7," ENGINE(
+		"\"layers\":80,\"layerMb\":null,\"slots\":3,"
+		"\"step_ms\":2.5") "}";
+	GBytes *packed = cb_document_pack(text, strlen(text));
+	cb_document_t *documents[] = {
+		cb_document_decode_text(platform_document_codec(), text,
+					strlen(text), NULL, NULL),
+		cb_document_decode(platform_accepted_document_codec(), packed,
+				   NULL, NULL),
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(documents); i++) {
+		GHashTableIter iter;
+		void *value = NULL;
+		const cb_engine_profile_t *engine;
+
+		g_assert(documents[i]);
+		g_hash_table_iter_init(&iter, documents[i]->services);
+		g_assert(g_hash_table_iter_next(&iter, NULL, &value));
+		engine = ((cb_service_profile_t *)value)->engine;
+		g_assert(engine);
+		CU_ASSERT_EQUAL(engine->layers, 80);
+		CU_ASSERT_EQUAL(engine->layer_mb, 0);
+		CU_ASSERT_EQUAL(engine->slots, 3);
+		CU_ASSERT_EQUAL(engine->step_ms, 2.5);
+		cb_document_unref(documents[i]);
+	}
+	g_bytes_unref(packed);
+}
+
 /* Whether callers need a key is told by the list alone, not by its length. */
 static void empty_list_of_workspaces_admits_nobody(void)
 {
@@ -1170,6 +1204,8 @@
 	{ "invalid_heartbeats_are_rejected", invalid_heartbeats_are_rejected },
 	{ "accepted_documents_stay_readable",
 	  accepted_documents_stay_readable },
+	{ "accepted_documents_are_read_as_proposed_ones",
+	  accepted_documents_are_read_as_proposed_ones },
 	{ "empty_list_of_workspaces_admits_nobody",
 	  empty_list_of_workspaces_admits_nobody },
 	{ "absent_bodies_are_rejected", absent_bodies_are_rejected },
