--- a/test/platform/support_programs.c
+++ b/test/platform/support_programs.c
@@ -14,6 +14,21 @@
 /* Exit code of build-earlier if the history lacks the commit. */
 #define COMMIT_ABSENT 77
 
+gboolean support_row_is_chosen(const char *name, gboolean is_short)
+{
+	const char *names = g_getenv("CB_ROWS");
+	char **list;
+	gboolean is_chosen;
+
+	if (!names)
+		return is_short;
+	list = g_strsplit(names, ",", 0);
+	is_chosen = g_str_equal(names, "all") ||
+		    g_strv_contains((const char *const *)list, name);
+	g_strfreev(list);
+	return is_chosen;
+}
+
 void support_receive_timeout_set(int fd, int64_t timeout_ms)
 {
 	const struct timeval timeout = {
--- a/test/platform/support_programs.h
+++ b/test/platform/support_programs.h
@@ -5,6 +5,11 @@
 
 /* Helpers for tests that run the platform's programs as real processes. */
 
+/*
+ * Returns whether a row of a test's table is to be played: CB_ROWS names rows,
+ * separated by commas, or is "all"; without it, short rows are played.
+ */
+gboolean support_row_is_chosen(const char *name, gboolean is_short);
 /* Sets the timeout of reads from a socket. */
 void support_receive_timeout_set(int fd, int64_t timeout_ms);
 /* Returns a connected socket with a timeout of its reads, or -1. */
--- a/test/platform/upgrades/test_upgrades.c
+++ b/test/platform/upgrades/test_upgrades.c
@@ -547,21 +547,6 @@
 			row_test_(&rows[i]);
 }
 
-static gboolean is_row_chosen_(const row_t *row)
-{
-	const char *names = g_getenv("CB_ROWS");
-	char **list;
-	gboolean is_chosen;
-
-	if (!names)
-		return row->is_short;
-	list = g_strsplit(names, ",", 0);
-	is_chosen = g_str_equal(names, "all") ||
-		    g_strv_contains((const char *const *)list, row->name);
-	g_strfreev(list);
-	return is_chosen;
-}
-
 int main(void)
 {
 	CU_TestInfo tests[G_N_ELEMENTS(rows) + 1] = { { NULL, NULL } };
@@ -571,7 +556,7 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(rows); i++)
-		if (is_row_chosen_(&rows[i]))
+		if (support_row_is_chosen(rows[i].name, rows[i].is_short))
 			tests[count++] = (CU_TestInfo){ rows[i].test_name,
 							next_row_test_ };
 	return support_run(suites);
