A stopping entry instance starts only requests that end before it does

What callers saw: during a planned stop of one instance (grace 8 s, work 3 s, requests that may run only once, callers on open connections), 12 of 12 requests sent later than 4.9 s after the signal were passed on to servers and got 502 at 7.73 s, run or not unknown.

Cause: during a drain only streams were refused once it was late. Any other request was sent to a server, whatever time it might take, and was given up at the end of the drain.

Change: from 2.5 s after the start of a drain on, a request that no server has got is started only if its time limit comes before the end of the drain; otherwise it is refused at once as not run, with the same Retry-After as a late stream. The check stands before each first send, so that it also holds for requests that have waited.

--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -11,10 +11,10 @@
 /* Longest time after which callers come back for servers that limit their rates. */
 #define LIMITED_RETRY_AFTER_MAX_MS 2000
 /*
- * No stream is started later than this after the start of a drain: streams
- * take 3 to 5 s, and a drain may last 8 s.
+ * From this time after the start of a drain on, only requests are started that
+ * surely end before it does: callers know other addresses by then.
  */
-#define DRAIN_STREAM_START_MAX_MS 2500
+#define DRAIN_START_MAX_MS 2500
 /*
  * How long a request waits for what may soon be available: the first document
  * or server after a start, layers that are being loaded, token capacity that
@@ -240,7 +240,7 @@
 
 /* Refuses a request before any attempt, and frees it. */
 static void request_refuse_(cb_relay_t *relay, uint32_t status,
-			    const char *reason, int64_t retry_after_ms)
+			    const char *reason)
 {
 	cb_front_t *front = relay->front;
 
@@ -249,12 +249,11 @@
 		     CB_STR("target",
 			    cb_http1_exchange_head(relay->exchange)->target),
 		     CB_INT("status", status), CB_STR("reason", reason),
-		     CB_INT("retry_after_ms", retry_after_ms),
+		     CB_INT("retry_after_ms", 0),
 		     CB_INT("version",
 			    front->document ? front->document->version : 0));
 	cb_relay_count_reason(front, "cb_relay_refused_total", reason);
-	error_reply_send_(relay, status, reason, relay->run_count > 0,
-			  retry_after_ms);
+	error_reply_send_(relay, status, reason, relay->run_count > 0, 0);
 	cb_relay_free(relay);
 }
 
@@ -447,12 +446,34 @@
 	       cb_relay_forward_send(relay, CB_REACH_OPEN);
 }
 
+/*
+ * Returns whether this instance may stop before the request has ended, which has
+ * not been started at any server.  Its caller loses less time by using another
+ * instance, and learns that it has not run.  Streams take longer than the rest of
+ * a drain, whatever time their callers allow.
+ */
+static gboolean start_is_too_late_(const cb_relay_t *relay)
+{
+	const cb_front_t *front = relay->front;
+
+	if (!front->drain_since_ms || relay->run_count ||
+	    relay->is_answer_begun ||
+	    cb_relay_now_ms(relay) - front->drain_since_ms < DRAIN_START_MAX_MS)
+		return FALSE;
+	return relay->route->kind == CB_ROUTE_STREAM ||
+	       relay->deadline_ms >= front->drain_since_ms + front->grace_ms;
+}
+
 /* Chooses servers and sends the request, queues it or gives it up. */
 void cb_relay_attempt_start(cb_relay_t *relay)
 {
 	int64_t max_wait_ms = relay->is_answer_begun ? RESUME_WAIT_MAX_MS :
 						       CAPACITY_WAIT_MAX_MS;
 
+	if (start_is_too_late_(relay)) {
+		cb_relay_give_up(relay, "stopping", STOPPING_RETRY_AFTER_MS);
+		return;
+	}
 	if (cb_relay_content_refuse(relay) || lost_way_handle_(relay) ||
 	    cb_relay_room_refuse(relay))
 		return;
@@ -548,19 +569,6 @@
 	return relay;
 }
 
-/*
- * Returns whether the request is a stream that would most likely not end
- * before this draining instance stops.  Its caller knows other addresses by
- * then and loses less time by using one of them.
- */
-static gboolean stream_is_too_late_(const cb_front_t *front,
-				    const cb_route_t *route)
-{
-	return front->drain_since_ms && route->kind == CB_ROUTE_STREAM &&
-	       cb_clock_now_ms(front->clock) - front->drain_since_ms >=
-		       DRAIN_STREAM_START_MAX_MS;
-}
-
 /*
  * Sets the request's route, workspace, service and deadline.  Returns FALSE if
  * the request was refused, and freed.
@@ -577,19 +585,13 @@
 	const char *reason = NULL;
 	uint32_t status =
 		refusal_find_(front, route, &relay->request_info, &reason);
-	int64_t retry_after_ms = 0;
 
-	if (!status && stream_is_too_late_(front, route)) {
-		status = 503;
-		reason = "stopping";
-		retry_after_ms = STOPPING_RETRY_AFTER_MS;
-	}
 	if (relay->forwarded_version > front->document->version) {
 		status = 503;
 		reason = "older_document";
 	}
 	if (status) {
-		request_refuse_(relay, status, reason, retry_after_ms);
+		request_refuse_(relay, status, reason);
 		return FALSE;
 	}
 	relay->document = cb_document_ref(front->document);
@@ -626,7 +628,7 @@
 	    (!front->document ||
 	     !cb_control_client_is_confirmed(front->control))) {
 		if (relay->forwarded_from)
-			request_refuse_(relay, 503, "not_configured", 0);
+			request_refuse_(relay, 503, "not_configured");
 		else
 			cb_relay_queue(relay, "not_configured",
 				       SERVER_WAIT_MAX_MS,
@@ -679,7 +681,7 @@
 		return FALSE;
 	}
 	if (front->forwarded_count >= FORWARDED_MAX) {
-		request_refuse_(relay, 503, "too_many_forwarded", 0);
+		request_refuse_(relay, 503, "too_many_forwarded");
 		return FALSE;
 	}
 	relay->is_counted_as_forwarded = TRUE;
