--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -88,6 +88,27 @@
 	{ "{\"version\":7," SERVICES ",\"unknown\":NaN}", "is not valid JSON" },
 	{ "{\"version\":7," SERVICES ",\"unknown\":\"\xff\"}",
 	  "is not valid JSON" },
+	{ "{\"version\":7,\"routes\":[" ROUTE("a") "],\"routes\":[" ROUTE(
+		  "b") "]," SERVICES "}",
+	  "has a member twice in one object at line 1, position " },
+	{ "{\"version\":7,\"routes\":[" ROUTE(
+		  "a") "],\"rout\\u0065s\":[]," SERVICES "}",
+	  "has a member twice" },
+	{ "{\"version\":7,\"version\":8," SERVICES "}", "has a member twice" },
+	{ "{\"version\":7,\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"]}],"
+	  "\"tenants\":[]," SERVICES "}",
+	  "has a member twice" },
+	{ "{\"version\":7,\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],"
+	  "\"apiKeys\":[]}]," SERVICES "}",
+	  "has a member twice" },
+	{ "{\"version\":7,\"tenants\":[{\"name\":\"a\",\"apiKeys\":["
+	  "\"k\\u0000l\"]}]," SERVICES "}",
+	  "has a NUL character in a string" },
+	{ "{\"version\":7,\"rou\\u0000tes\":[]," SERVICES "}",
+	  "has a NUL character in a string" },
+	{ "{\"version\":9223372036854775808," SERVICES "}", "version: " },
+	{ "{\"version\":18446744073709551623," SERVICES "}", "version: " },
+	{ "{\"version\":7," SERVICES ",\"unknown\":{\"version\":7}}", NULL },
 	{ "{\"version\":7," SERVICES "} \r\n\t", NULL },
 	{ "", "body: is empty" },
 	{ "]", "is not valid JSON at line 1, position 1" },
