Heartbeats, reports and callers' bodies are read by the strict JSON check too

What operators saw: a heartbeat with a second value behind the first, with a number such as 04, with a member twice or with a NUL in a string was accepted and recorded as whatever the parser kept of it; of a prompt with \u0000 in it a model got the part before, and of two prompts the second, as if that were the request.

Only an operator's document was checked strictly; all other bodies went to json-glib alone.

--- a/src/libcurrantbridge/http/json_fields.c
+++ b/src/libcurrantbridge/http/json_fields.c
@@ -45,7 +45,9 @@
 			    "the body is nested too deep");
 		return NULL;
 	}
-	if (!json_parser_load_from_data(parser, text, size_bytes, NULL)) {
+	if ((size_bytes &&
+	     !cb_json_check_strict(text, (size_t)size_bytes, NULL)) ||
+	    !json_parser_load_from_data(parser, text, size_bytes, NULL)) {
 		g_set_error(error, CB_FIELD_ERROR, 0,
 			    "the body is not valid JSON");
 		return NULL;
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -518,6 +518,16 @@
 		  "version: ", 0, 0 },
 		{ "{\"address\":\"10.0.0.9:80\"}", "service: ", 0, 0 },
 		{ "\xff\xfe", "", 0, 0 },
+		{ HEARTBEAT_READY "\"sequence\":4 \"kind\":null}",
+		  "is not valid JSON", 0, 0 },
+		{ HEARTBEAT_READY "\"sequence\":4}{}", "is not valid JSON", 0,
+		  0 },
+		{ HEARTBEAT_READY "\"sequence\":04}", "is not valid JSON", 0,
+		  0 },
+		{ HEARTBEAT_READY "\"sequence\":4,\"sequence\":9}",
+		  "has a member twice", 0, 0 },
+		{ HEARTBEAT_READY "\"sequence\":4,\"kind\":\"l4\\u0000x\"}",
+		  "has a NUL character", 0, 0 },
 	};
 	size_t i;
 
