Test: streams under way while a document has less than the one before

support_relay_answer_await() looks at an answer at least once, also if the caller's connection has ended; its status was not set then.

--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -160,15 +160,38 @@
 	cb_document_add_service(document, service);
 }
 
+/* Makes less of a document, as its text says; see support_relay_document_put(). */
+static void document_reduce_(cb_document_t *document, const char *text)
+{
+	cb_engine_profile_t *engine =
+		((cb_service_profile_t *)cb_document_service(document, "e"))
+			->engine;
+
+	if (strstr(text, "one layer"))
+		engine->layers = 1;
+	if (strstr(text, "no kinds"))
+		g_ptr_array_set_size(engine->kinds, 0);
+	if (strstr(text, "no model"))
+		cb_document_add_service(document, cb_service_profile_new("e"));
+	if (strstr(text, "no engine route"))
+		g_ptr_array_set_size(document->routes,
+				     (int)document->routes->len - 1);
+	if (strstr(text, "no service"))
+		g_hash_table_remove(document->services, "e");
+	if (strstr(text, "no routes"))
+		g_ptr_array_set_size(document->routes, 0);
+	if (strstr(text, "small limits"))
+		document->limits = (cb_document_limits_t){ 8, 0, 0, 0 };
+}
+
 static cb_document_t *document_make_(const cb_document_codec_t *codec,
 				     const char *text, size_t size,
 				     GArray *route_texts, GError **error)
 {
 	cb_document_t *document = cb_document_new();
+	char *words = g_strndup(text, size);
 
 	(void)codec;
-	(void)text;
-	(void)size;
 	(void)route_texts;
 	document->version = 1;
 	document->limits = (cb_document_limits_t){ 4096, 1024, 3000, 15000 };
@@ -179,7 +202,11 @@
 	route_add_(document, "/stream-once/", CB_ROUTE_STREAM);
 	engine_service_add_(document);
 	route_add_(document, "/engine/", CB_ROUTE_STREAM);
-	CU_ASSERT_TRUE(cb_document_add_key(document, "w", "k", error));
+	document->has_workspaces = TRUE;
+	if (!strstr(words, "no workspaces"))
+		CU_ASSERT_TRUE(cb_document_add_key(document, "w", "k", error));
+	document_reduce_(document, words);
+	g_free(words);
 	return document;
 }
 
@@ -373,15 +400,23 @@
 
 void support_relay_engine_announce(relay_fixture_t *fixture,
 				   unsigned int server)
+{
+	support_relay_layers_announce(fixture, server, 1, server > 0,
+				      (server > 0) + 1);
+}
+
+void support_relay_layers_announce(relay_fixture_t *fixture,
+				   unsigned int server, uint64_t sequence,
+				   uint32_t layer_from, uint32_t layer_to)
 {
 	cb_fleet_server_t heartbeat = { .service = (char *)"e",
 					.data_centre = (char *)"dc1",
 					.kind = (char *)"k",
 					.start_wall_ms = 2,
-					.sequence = 1,
+					.sequence = sequence,
 					.slots = 4,
-					.layer_from = server > 0,
-					.layer_to = (server > 0) + 1 };
+					.layer_from = layer_from,
+					.layer_to = layer_to };
 
 	heartbeat.id = g_strdup_printf("engine%u", server);
 	heartbeat.address = support_relay_server_address(fixture, server);
@@ -606,6 +641,14 @@
 	world_run_until(fixture->world, NULL, 1000);
 }
 
+void support_relay_document_put(relay_fixture_t *fixture, int64_t version,
+				const char *text)
+{
+	cb_node_put_document(fixture->world->nodes[0].node, version, text,
+			     strlen(text), support_relay_accepted_check, NULL);
+	support_relay_pass_time(fixture, 200);
+}
+
 void support_relay_clear(relay_fixture_t *fixture)
 {
 	unsigned int i;
@@ -754,13 +797,15 @@
 				    GString *body)
 {
 	gboolean is_complete = FALSE;
+	gboolean has_ended = FALSE;
 	int iteration;
 
-	for (iteration = 0; iteration < LOOP_ITERATIONS_MAX && !is_complete &&
-			    !fixture->caller_ended;
+	for (iteration = 0;
+	     iteration < LOOP_ITERATIONS_MAX && !is_complete && !has_ended;
 	     iteration++) {
 		while (g_main_context_iteration(NULL, FALSE))
 			;
+		has_ended = fixture->caller_ended;
 		g_string_truncate(body, 0);
 		is_complete = answer_read_(fixture, status, body);
 		g_usleep(LOOP_SLEEP_US);
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -98,6 +98,18 @@
  */
 void support_relay_engine_announce(relay_fixture_t *fixture,
 				   unsigned int server);
+/* Announces an engine that holds a range of layers. */
+void support_relay_layers_announce(relay_fixture_t *fixture,
+				   unsigned int server, uint64_t sequence,
+				   uint32_t layer_from, uint32_t layer_to);
+/*
+ * Puts another document in force, which lacks what words of its text name: "one
+ * layer" (of two), "no kinds" (of accelerators), "no model" (service "e" is a
+ * plain one), "no engine route", "no service" ("e"), "no routes", "no workspaces",
+ * "small limits".
+ */
+void support_relay_document_put(relay_fixture_t *fixture, int64_t version,
+				const char *text);
 /*
  * Starts a server again at its address whose process has ended, and announces
  * the new process.
