Test: an answer that breaks off in its head is no success

Other operators report a 200 with an empty or short body where a server broke off in the head of its answer and closed. It does not happen here: ten broken heads, closed and reset, with requests that may run once (502, not sent again) and that may be repeated (the whole answer of the next server, or 502); and each part of each head that the parser knows is incomplete.

--- a/src/test_libcurrantbridge/test_http1_parse.c
+++ b/src/test_libcurrantbridge/test_http1_parse.c
@@ -177,6 +177,28 @@
 	}
 }
 
+/* Guards against an answer without the rest of its head that counts as whole. */
+static void parts_of_answer_heads_are_incomplete(void)
+{
+	size_t i;
+	size_t size;
+
+	for (i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
+		const answer_case_t *c = &answer_cases[i];
+		cb_http1_head_t head;
+		size_t used = 0;
+
+		if (c->result != CB_HTTP1_PARSE_COMPLETE)
+			continue;
+		for (size = 0; size < strlen(c->text); size++)
+			CU_ASSERT_EQUAL(cb_http1_answer_parse(
+						&head, c->method,
+						(const uint8_t *)c->text, size,
+						HEAD_MAX_BYTES, &used),
+					CB_HTTP1_PARSE_PARTIAL);
+	}
+}
+
 typedef struct body_case {
 	cb_http1_framing_t framing;
 	uint64_t length_bytes;
@@ -369,6 +391,8 @@
 	  request_heads_are_parsed_strictly },
 	{ "zero_byte_and_oversize_heads_are_rejected",
 	  zero_byte_and_oversize_heads_are_rejected },
+	{ "parts_of_answer_heads_are_incomplete",
+	  parts_of_answer_heads_are_incomplete },
 	{ "answer_heads_are_parsed_strictly",
 	  answer_heads_are_parsed_strictly },
 	{ "body_end_is_found_for_any_piece_size",
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -222,6 +222,60 @@
 	outcome_cases_play_(outcome_cases, G_N_ELEMENTS(outcome_cases));
 }
 
+/* Heads of which a part is the whole of what a server sends. */
+static const char *const broken_heads[] = {
+	"HTT",
+	"HTTP/1.1 2",
+	"HTTP/1.1 200 O",
+	"HTTP/1.1 200 OK\r\n",
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\n",
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nContent-Len",
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nContent-Length: 1",
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nContent-Length: 12\r\n",
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nContent-Length: 12\r\n\r",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\n",
+};
+
+/*
+ * A head that breaks off must not reach a caller as an answer with an empty or
+ * short body: the request may have run, and is repeated where that is allowed.
+ */
+static void answer_broken_off_in_its_head_is_no_success(void)
+{
+	static const relay_script_end_t ends[] = { END_CLOSE, END_RESET };
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < G_N_ELEMENTS(broken_heads); i++) {
+		for (k = 0; k < G_N_ELEMENTS(ends); k++) {
+			const relay_script_t broken = { broken_heads[i],
+							ends[k] };
+			const outcome_case_t cases[] = {
+				{ broken_heads[i],
+				  ONCE_REQUEST,
+				  { broken, { COMPLETE_ANSWER, END_KEEP } },
+				  1,
+				  "HTTP/1.1 502 ",
+				  "\"executed\":\"unknown\"" },
+				{ broken_heads[i],
+				  IDEMPOTENT_REQUEST,
+				  { broken, { COMPLETE_ANSWER, END_KEEP } },
+				  2,
+				  "HTTP/1.1 200 ",
+				  "Content-Length: 2\r\n\r\nok" },
+				{ broken_heads[i],
+				  IDEMPOTENT_REQUEST,
+				  { broken, broken },
+				  2,
+				  "HTTP/1.1 502 ",
+				  "\"executed\":\"unknown\"" },
+			};
+
+			outcome_cases_play_(cases, G_N_ELEMENTS(cases));
+		}
+	}
+}
+
 /*
  * A status that tells callers that the request did not run must not be passed
  * on from a server that does not say so itself: it may have run the request.
@@ -999,6 +1053,8 @@
 
 static CU_TestInfo relay_tests[] = {
 	{ "answers_report_what_servers_did", answers_report_what_servers_did },
+	{ "answer_broken_off_in_its_head_is_no_success",
+	  answer_broken_off_in_its_head_is_no_success },
 	{ "refusal_without_proof_is_no_promise",
 	  refusal_without_proof_is_no_promise },
 	{ "requests_are_forwarded_unchanged",
