--- a/src/libcurrantbridge/control/file_folder.c
+++ b/src/libcurrantbridge/control/file_folder.c
@@ -106,7 +106,9 @@
 
 		if (written < 0 && errno == EINTR)
 			continue;
-		if (written < 0)
+		if (!written)
+			errno = ENOSPC;
+		if (written <= 0)
 			return io_error_set_(error, path, "writing");
 		unwritten += written;
 		size -= written;
@@ -153,8 +155,11 @@
 	is_written = file_write_all_(folder, fd, new_path, data, size, error) &&
 		     file_sync_(folder, fd, new_path, error);
 	close(fd);
-	if (!is_written)
+	if (!is_written) {
+		/* A part of the file would keep a full disk full. */
+		g_unlink(new_path);
 		return FALSE;
+	}
 	if (rename(new_path, path) < 0)
 		return io_error_set_(error, path, "renaming");
 	return folder_sync_(folder, error);
--- a/src/test_libcurrantbridge/test_file_storage.c
+++ b/src/test_libcurrantbridge/test_file_storage.c
@@ -473,7 +473,66 @@
 	}
 }
 
+#define FULL_SNAPSHOT_BYTES 10000
+#define FULL_US 450000
+
+/* Whether nothing more can be written, and how often that was tried. */
+static int is_disk_full;
+static int refused_writes;
+
+/* Writes nothing to a full disk, without an error. */
+static ssize_t idle_write_(int fd, const void *data, size_t size)
+{
+	if (!g_atomic_int_get(&is_disk_full))
+		return write(fd, data, size);
+	/* A snapshot is begun, so that a part of it is there. */
+	if (size > FULL_SNAPSHOT_BYTES / 2)
+		return write(fd, data, size / 2);
+	g_atomic_int_inc(&refused_writes);
+	return 0;
+}
+
+/*
+ * A write that writes nothing was tried again without a pause, and a snapshot that
+ * could not be written took the room that was left.
+ */
+static void full_disk_is_left_alone_between_attempts(void)
+{
+	static const cb_file_calls_t idle_calls = { idle_write_, fdatasync };
+	char *state = g_strnfill(FULL_SNAPSHOT_BYTES, 's');
+	fixture_t fixture;
+	char *new_path;
+
+	fixture_begin_(&fixture);
+	new_path = g_build_filename(fixture.folder, "snapshot.new", NULL);
+	fixture.storage =
+		cb_file_storage_new_with_calls(fixture.folder, &idle_calls);
+	CU_ASSERT_TRUE(fixture.storage->vtable->load(fixture.storage,
+						     &fixture.content, NULL));
+	vote_save_(&fixture, 3, "disk");
+	record_append_(&fixture, 1, 3, "before the disk was full");
+	completions_wait_(&fixture, 2);
+	g_atomic_int_set(&is_disk_full, TRUE);
+	snapshot_save_(&fixture, 1, 3, state);
+	g_usleep(FULL_US);
+	CU_ASSERT_TRUE(g_atomic_int_get(&refused_writes) > 1);
+	CU_ASSERT_TRUE(g_atomic_int_get(&refused_writes) < 10);
+	CU_ASSERT_FALSE(g_file_test(new_path, G_FILE_TEST_EXISTS));
+	g_atomic_int_set(&is_disk_full, FALSE);
+	record_append_(&fixture, 2, 3, "after the snapshot");
+	completions_wait_(&fixture, 4);
+	CU_ASSERT_EQUAL(fixture.failed_count, 0);
+	CU_ASSERT_TRUE(storage_open_(&fixture));
+	CU_ASSERT_EQUAL(fixture.content.snapshot.index, 1);
+	CU_ASSERT_EQUAL(fixture.content.records->len, 1);
+	fixture_end_(&fixture);
+	g_free(new_path);
+	g_free(state);
+}
+
 static CU_TestInfo tests[] = {
+	{ "full_disk_is_left_alone_between_attempts",
+	  full_disk_is_left_alone_between_attempts },
 	{ "writes_refused_by_full_disk_are_retried",
 	  writes_refused_by_full_disk_are_retried },
 	{ "reopened_folder_returns_stored_data",
--- a/src/test_libcurrantbridge/test_replica_files.c
+++ b/src/test_libcurrantbridge/test_replica_files.c
@@ -1,8 +1,11 @@
+#include <errno.h>
 #include <glib/gstdio.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "private/file_folder.h"
 #include "private/replica.h"
 #include "support_main.h"
 
@@ -41,6 +44,56 @@
 	uint32_t failed_count;
 };
 
+/*
+ * Bytes that the disk of each member still takes, by the number in its folder's
+ * name; the worker threads of the storages write.
+ */
+static struct {
+	char *folder;
+	int64_t room_bytes;
+} disks[MEMBER_COUNT];
+static GMutex disks_lock;
+
+/* Returns the disk that a file is on, or -1. */
+static int disk_find_(int fd)
+{
+	char *link = g_strdup_printf("/proc/self/fd/%d", fd);
+	char *path = g_file_read_link(link, NULL);
+	int i;
+
+	for (i = MEMBER_COUNT - 1; i >= 0; i--)
+		if (path && g_str_has_prefix(path, disks[i].folder))
+			break;
+	g_free(path);
+	g_free(link);
+	return i;
+}
+
+/* Writes what the disk has room for; fails if it has none. */
+static ssize_t disk_write_(int fd, const void *data, size_t size)
+{
+	int i = disk_find_(fd);
+	ssize_t written = -1;
+
+	g_mutex_lock(&disks_lock);
+	size = MIN(size, (size_t)disks[i].room_bytes);
+	if (size)
+		written = write(fd, data, size);
+	if (written > 0)
+		disks[i].room_bytes -= written;
+	g_mutex_unlock(&disks_lock);
+	if (!size)
+		errno = ENOSPC;
+	return written;
+}
+
+static void disk_set_room_(uint32_t member, int64_t room_bytes)
+{
+	g_mutex_lock(&disks_lock);
+	disks[member].room_bytes = room_bytes;
+	g_mutex_unlock(&disks_lock);
+}
+
 typedef struct delivery {
 	member_t *from;
 	member_t *to;
@@ -120,6 +173,7 @@
 
 static void member_start_(member_t *member)
 {
+	static const cb_file_calls_t calls = { disk_write_, fdatasync };
 	cb_replica_member_t initial[MEMBER_COUNT];
 	cb_replica_options_t options = { .name = member->name,
 					 .address = member->address,
@@ -133,7 +187,8 @@
 		initial[i].address = member->fixture->members[i].address;
 	}
 	memset(member->values, 0, sizeof(member->values));
-	member->storage = cb_file_storage_new(member->folder);
+	member->storage =
+		cb_file_storage_new_with_calls(member->folder, &calls);
 	member->replica =
 		cb_replica_new(&options, member->fixture->clock,
 			       member->fixture->random, member->storage,
@@ -247,6 +302,8 @@
 		g_snprintf(member->name, sizeof(member->name), "m%u", i);
 		g_snprintf(member->address, sizeof(member->address), "%u", i);
 		member->folder = g_dir_make_tmp("cb-replica-XXXXXX", NULL);
+		disks[i].folder = member->folder;
+		disk_set_room_(i, INT64_MAX);
 	}
 	for (i = 0; i < MEMBER_COUNT; i++)
 		member_start_(&fixture->members[i]);
@@ -353,7 +410,124 @@
 	fixture_end_(fixture);
 }
 
+/*
+ * Proposes changes for a time.  Returns the longest time in ms without one that
+ * was committed.
+ */
+static int64_t changes_commit_for_(fixture_t *fixture, int64_t duration_ms)
+{
+	int64_t start_ms = g_get_monotonic_time() / 1000;
+	int64_t committed_ms = start_ms;
+	int64_t longest_ms = 0;
+	uint32_t committed = fixture->committed_count;
+	int64_t now_ms;
+
+	do {
+		if (fixture->proposed_count - fixture->committed_count -
+			    fixture->failed_count <
+		    MAX_IN_FLIGHT)
+			change_propose_(fixture);
+		if (!g_main_context_iteration(NULL, FALSE))
+			g_usleep(200);
+		now_ms = g_get_monotonic_time() / 1000;
+		if (fixture->committed_count != committed)
+			committed_ms = now_ms;
+		committed = fixture->committed_count;
+		longest_ms = MAX(longest_ms, now_ms - committed_ms);
+	} while (now_ms - start_ms < duration_ms);
+	return longest_ms;
+}
+
+/* Returns whether all members have applied all that is committed. */
+static gboolean members_are_equal_(const fixture_t *fixture)
+{
+	uint32_t i;
+
+	for (i = 1; i < MEMBER_COUNT; i++)
+		if (fixture->members[i].applied_index !=
+		    fixture->members[0].applied_index)
+			return FALSE;
+	return !memcmp(fixture->members[1].values, fixture->members[0].values,
+		       sizeof(fixture->members[0].values)) &&
+	       !memcmp(fixture->members[2].values, fixture->members[0].values,
+		       sizeof(fixture->members[0].values));
+}
+
+/* Lets the disk of a member be full for a time, in the middle of a write. */
+static int64_t disk_full_play_(fixture_t *fixture, uint32_t member,
+			       int64_t duration_ms)
+{
+	int64_t longest_ms;
+
+	/* Some fill up in a record, and some in a snapshot. */
+	disk_set_room_(member,
+		       g_rand_boolean(fixture->random) ?
+			       g_rand_int_range(fixture->random, 0, 1000) :
+			       g_rand_int_range(fixture->random, 0, 200000));
+	longest_ms = changes_commit_for_(fixture, duration_ms);
+	disk_set_room_(member, INT64_MAX);
+	return longest_ms;
+}
+
+#define FULL_ROUNDS 12
+#define FULL_MS 600
+/* Changes must be acknowledged within this time. */
+#define COMMIT_LIMIT_MS 4000
+
+/*
+ * Where the disks of members had been full one after the other, changes were
+ * refused or stayed unanswered long after the last had room again.
+ */
+static void disks_full_in_turn_hold_up_no_change(void)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	int64_t deadline_us;
+	int64_t longest_ms = 0;
+	member_t *leader;
+	uint32_t i;
+
+	fixture_begin_(fixture);
+	CU_ASSERT_PTR_NOT_NULL(leader_wait_(fixture));
+	for (i = 0; i < FULL_ROUNDS; i++) {
+		leader = leader_find_(fixture);
+		/* The leader's, as long as there is one, and all in turn. */
+		longest_ms =
+			MAX(longest_ms,
+			    disk_full_play_(fixture,
+					    leader && i % 2 ?
+						    (uint32_t)atoi(
+							    leader->address) :
+						    i / 2 % MEMBER_COUNT,
+					    FULL_MS));
+	}
+	longest_ms = MAX(longest_ms, changes_commit_for_(fixture, FULL_MS));
+	printf("    %u changes committed, %u not, longest time without %d ms\n",
+	       fixture->committed_count, fixture->failed_count,
+	       (int)longest_ms);
+	CU_ASSERT_TRUE(longest_ms <= COMMIT_LIMIT_MS);
+	deadline_us = g_get_monotonic_time() + TIMEOUT_US;
+	while (!members_are_equal_(fixture) &&
+	       g_get_monotonic_time() < deadline_us)
+		g_main_context_iteration(NULL, TRUE);
+	CU_ASSERT_TRUE(members_are_equal_(fixture));
+	/* All of it is on the disks. */
+	for (i = 0; i < MEMBER_COUNT; i++)
+		member_stop_(&fixture->members[i]);
+	for (i = 0; i < MEMBER_COUNT; i++)
+		member_start_(&fixture->members[i]);
+	leader = leader_wait_(fixture);
+	CU_ASSERT_PTR_NOT_NULL(leader);
+	deadline_us = g_get_monotonic_time() + TIMEOUT_US;
+	while (!members_are_equal_(fixture) &&
+	       g_get_monotonic_time() < deadline_us)
+		g_main_context_iteration(NULL, TRUE);
+	CU_ASSERT_TRUE(members_are_equal_(fixture));
+	fixture_end_(fixture);
+}
+
 static CU_TestInfo tests[] = {
+	{ "disks_full_in_turn_hold_up_no_change",
+	  disks_full_in_turn_hold_up_no_change },
 	{ "data_folders_stay_small_and_restore_all_values",
 	  data_folders_stay_small_and_restore_all_values },
 	CU_TEST_INFO_NULL,
