A ready instance names its own address, whatever the view has of it

Cause: address answers were made of the view alone. An instance is ready when control has confirmed its view, which may be before its own record is in it.

Evidence: test_relay:ready_instance_names_its_own_address fails before.

Change: the instance adds its own address while it is ready, and never takes it from the view.

--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -464,21 +464,26 @@
 	       cb_control_client_is_confirmed(front->control);
 }
 
-/* Adds the ready instances' addresses, of one data centre or (NULL) of all. */
+/*
+ * Adds the ready instances' addresses, of one data centre or (NULL) of all.  This
+ * instance knows its own state better than the view, which may not have its record
+ * yet, or still.
+ */
 static void addresses_add_(const cb_front_t *front, const char *data_centre,
 			   GPtrArray *addresses)
 {
 	const GPtrArray *instances = cb_view_instances(front->view);
 	unsigned int i;
 
+	if (cb_front_is_ready(front) &&
+	    (!data_centre || !g_strcmp0(front->data_centre, data_centre)))
+		g_ptr_array_add(addresses, g_strdup(front->listen));
 	for (i = 0; i < instances->len; i++) {
 		const cb_instance_t *instance = instances->pdata[i];
 
 		if (instance->state != CB_INSTANCE_READY ||
 		    (data_centre &&
-		     strcmp(instance->data_centre, data_centre) != 0))
-			continue;
-		if (front->drain_since_ms &&
+		     strcmp(instance->data_centre, data_centre) != 0) ||
 		    !strcmp(instance->address, front->listen))
 			continue;
 		g_ptr_array_add(addresses, g_strdup(instance->address));
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -922,6 +922,44 @@
 	support_relay_clear(&fixture);
 }
 
+/* Returns whether an answer to callers in a data centre names an address. */
+static gboolean address_is_named_(const cb_front_t *front,
+				  const char *data_centre, const char *address)
+{
+	GPtrArray *addresses = cb_front_addresses(front, data_centre);
+	gboolean is_named = g_ptr_array_find_with_equal_func(addresses, address,
+							     g_str_equal, NULL);
+
+	g_ptr_array_unref(addresses);
+	return is_named;
+}
+
+/*
+ * A ready instance whose own record had not reached it yet named no address to
+ * callers, or not its own.
+ */
+static void ready_instance_names_its_own_address(void)
+{
+	relay_fixture_t fixture;
+	const cb_instance_t *other;
+	cb_service_t *service;
+
+	support_relay_init(&fixture, TRUE);
+	service = (cb_service_t *)fixture.front;
+	/* The record in the view has another address: it is not its own. */
+	other = cb_view_instances(fixture.front->view)->pdata[0];
+	CU_ASSERT_STRING_NOT_EQUAL(other->address, fixture.front->listen);
+	CU_ASSERT_TRUE(address_is_named_(fixture.front, NULL, other->address));
+	CU_ASSERT_TRUE(
+		address_is_named_(fixture.front, NULL, fixture.front->listen));
+	CU_ASSERT_TRUE(
+		address_is_named_(fixture.front, "dc1", fixture.front->listen));
+	service->vtable->drain(service);
+	CU_ASSERT_FALSE(
+		address_is_named_(fixture.front, NULL, fixture.front->listen));
+	support_relay_clear(&fixture);
+}
+
 typedef struct stop_case {
 	const char *description; /* printed if the case fails */
 	const char *request;
@@ -1083,6 +1121,8 @@
 	  suspicions_in_quick_succession_are_reported },
 	{ "requests_wait_briefly_for_document",
 	  requests_wait_briefly_for_document },
+	{ "ready_instance_names_its_own_address",
+	  ready_instance_names_its_own_address },
 	{ "drain_starts_only_what_ends_in_time",
 	  drain_starts_only_what_ends_in_time },
 	{ "waiting_request_is_not_started_late_in_drain",
