A short drain starts requests for a third of its time at most

Evidence: the row of a late stream and that of a late request of a short drain in test_relay:drain_starts_only_what_ends_in_time fail before.

--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -12,9 +12,11 @@
 #define LIMITED_RETRY_AFTER_MAX_MS 2000
 /*
  * From this time after the start of a drain on, only requests are started that
- * surely end before it does: callers know other addresses by then.
+ * surely end before it does: callers know other addresses by then.  It is less for
+ * a short drain, of which it may take one part in DRAIN_START_DIVISOR.
  */
 #define DRAIN_START_MAX_MS 2500
+#define DRAIN_START_DIVISOR 3
 /*
  * How long a request waits for what may soon be available: the first document
  * or server after a start, layers that are being loaded, token capacity that
@@ -455,10 +457,12 @@
 static gboolean start_is_too_late_(const cb_relay_t *relay)
 {
 	const cb_front_t *front = relay->front;
+	int64_t draining_ms = cb_relay_now_ms(relay) - front->drain_since_ms;
 
 	if (!front->drain_since_ms || relay->run_count ||
 	    relay->is_answer_begun ||
-	    cb_relay_now_ms(relay) - front->drain_since_ms < DRAIN_START_MAX_MS)
+	    draining_ms < MIN(DRAIN_START_MAX_MS,
+			      front->grace_ms / DRAIN_START_DIVISOR))
 		return FALSE;
 	return relay->route->kind == CB_ROUTE_STREAM ||
 	       relay->deadline_ms >= front->drain_since_ms + front->grace_ms;
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -819,29 +819,39 @@
 
 typedef struct drain_case {
 	const char *description; /* printed if the case fails */
-	int64_t arrival_ms;	 /* after the start of the drain of 8 s */
+	int64_t grace_ms;	 /* the time for the drain */
+	int64_t arrival_ms;	 /* after its start */
 	const char *request;
 	gboolean is_started;
 } drain_case_t;
 
 static const drain_case_t drain_cases[] = {
-	{ "a stream at first", 2400, LIMITED_REQUEST("/stream/", "2000"),
+	{ "a stream at first", 8000, 2400, LIMITED_REQUEST("/stream/", "2000"),
 	  TRUE },
-	{ "a late stream", 2600, LIMITED_REQUEST("/stream/", "2000"), FALSE },
-	{ "a request with time left", 3000, LIMITED_REQUEST("/once/a", "2000"),
-	  TRUE },
-	{ "one that ends just in time", 5900,
-	  LIMITED_REQUEST("/once/a", "2000"), TRUE },
-	{ "one that may end too late", 6100, LIMITED_REQUEST("/once/a", "2000"),
-	  FALSE },
-	{ "one with little time", 5950, LIMITED_REQUEST("/once/a", "900"),
-	  TRUE },
-	{ "one limited by its route", 4100, LIMITED_REQUEST("/once/a", "20000"),
+	{ "a late stream", 8000, 2600, LIMITED_REQUEST("/stream/", "2000"),
 	  FALSE },
-	{ "the same just in time", 3900, LIMITED_REQUEST("/once/a", "20000"),
+	{ "a request with time left", 8000, 3000,
+	  LIMITED_REQUEST("/once/a", "2000"), TRUE },
+	{ "one that ends just in time", 8000, 5900,
+	  LIMITED_REQUEST("/once/a", "2000"), TRUE },
+	{ "one that may end too late", 8000, 6100,
+	  LIMITED_REQUEST("/once/a", "2000"), FALSE },
+	{ "one with little time", 8000, 5950, LIMITED_REQUEST("/once/a", "900"),
 	  TRUE },
-	{ "one that may be repeated", 6100, LIMITED_REQUEST("/safe/a", "2000"),
-	  FALSE },
+	{ "one limited by its route", 8000, 4100,
+	  LIMITED_REQUEST("/once/a", "20000"), FALSE },
+	{ "the same just in time", 8000, 3900,
+	  LIMITED_REQUEST("/once/a", "20000"), TRUE },
+	{ "one that may be repeated", 8000, 6100,
+	  LIMITED_REQUEST("/safe/a", "2000"), FALSE },
+	{ "a stream of a short drain", 2700, 800,
+	  LIMITED_REQUEST("/stream/", "2000"), TRUE },
+	{ "a late stream of a short drain", 2700, 1000,
+	  LIMITED_REQUEST("/stream/", "2000"), FALSE },
+	{ "a request of a short drain", 2700, 1000,
+	  LIMITED_REQUEST("/once/a", "1500"), TRUE },
+	{ "a late one of a short drain", 2700, 1000,
+	  LIMITED_REQUEST("/once/a", "1800"), FALSE },
 };
 
 /*
@@ -869,6 +879,7 @@
 		fixture.scripts =
 			&scripts[strstr(c->request, "/stream/") != NULL];
 		fixture.script_count = 1;
+		fixture.front->grace_ms = c->grace_ms;
 		service = (cb_service_t *)fixture.front;
 		CU_ASSERT_TRUE(cb_front_is_ready(fixture.front));
 		service->vtable->drain(service);
@@ -912,7 +923,7 @@
 	fixture.front->grace_ms = 4000;
 	service = (cb_service_t *)fixture.front;
 	service->vtable->drain(service);
-	world_run_until(fixture.world, NULL, 2400);
+	world_run_until(fixture.world, NULL, 1200);
 	support_relay_request_send(&fixture,
 				   LIMITED_REQUEST("/engine/", "4000"));
 	CU_ASSERT_FALSE(support_relay_run_until(&fixture, 0, "HTTP/1.1"));
@@ -989,11 +1000,11 @@
 	"POST /once/b HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 4000\r\n" \
 	"Content-Length: 0\r\n\r\n"
 /* When that one and the case's one arrive, and the time until the end. */
-#define OPEN_ARRIVAL_MS 500
-#define LATE_ARRIVAL_MS 1900
-#define STOP_MS 300
+#define OPEN_ARRIVAL_MS 50
+#define LATE_ARRIVAL_MS 100
+#define STOP_MS 500
 /* Ends while requests are under way that were still started. */
-#define SHORT_GRACE_MS 2600
+#define SHORT_GRACE_MS 600
 
 /*
  * Stops the instance while a case's request is under way, and sends one more
