A lost way to one data centre has the others checked

What callers saw: at an instance whose new connections are reset, each data centre cost requests before its way was known to be lost; unsafe ones got 502.

Cause: a sign of loss has only the servers of its own data centre checked. What cut off one of them has mostly cut off the instance, but the others' ways counted as open until a request was lost on each.

Change: when a check finds a way lost, the data centres whose ways seem open are checked as after a lost connection. Requests go on meanwhile: a check that is answered ends within a round trip.

--- a/src/libcurrantbridge/relay/relay_reach.c
+++ b/src/libcurrantbridge/relay/relay_reach.c
@@ -112,6 +112,23 @@
 						       (int32_t)base_ms + 1));
 }
 
+static void group_check_(cb_front_t *front, cb_reach_group_t *group);
+
+/*
+ * Checks the groups whose way seems open: what has cut off one of them may have cut
+ * off this instance, and a request would be lost on each way before that shows.
+ */
+static void open_groups_check_(cb_front_t *front)
+{
+	const GPtrArray *groups = cb_reach_groups(front->reach);
+	unsigned int i;
+
+	for (i = 0; i < groups->len; i++)
+		if (cb_reach_group_suspects(groups->pdata[i],
+					    CB_REACH_SIGN_FAILED))
+			group_check_(front, groups->pdata[i]);
+}
+
 /* Handles that the state of a group has changed. */
 static void state_change_handle_(cb_front_t *front, cb_reach_group_t *group,
 				 cb_reach_state_t before, int64_t since_ms)
@@ -124,7 +141,9 @@
 	if (state == CB_REACH_OPEN)
 		cb_server_book_forget_losses(front->book,
 					     cb_reach_group_data_centre(group));
-	else if (state == CB_REACH_LOST)
+	else if (before == CB_REACH_CHECKING)
+		open_groups_check_(front);
+	if (state == CB_REACH_LOST)
 		requests_move_(front);
 }
 
