--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -144,21 +144,40 @@
 	return count;
 }
 
-/* Counts the requests from index `from` on that are not the system's own checks. */
-static unsigned int callers_requests_count_(fake_server_t *server,
-					    unsigned int from)
+/*
+ * Counts the requests from index `from` on that are not the system's own checks,
+ * and finds the one that has `skipped` of them before it; NULL: there is none.
+ */
+static unsigned int callers_requests_find_(fake_server_t *server,
+					   unsigned int from,
+					   unsigned int skipped,
+					   const char **found)
 {
 	unsigned int count = 0;
 	unsigned int i;
 
+	*found = NULL;
 	g_mutex_lock(&server->lock);
-	for (i = from; i < server->requests->len; i++)
-		count += !g_str_has_prefix(server->requests->pdata[i],
-					   "GET /health HTTP/1.1\r\n");
+	for (i = from; i < server->requests->len; i++) {
+		const char *request = server->requests->pdata[i];
+
+		if (g_str_has_prefix(request, "GET /health HTTP/1.1\r\n"))
+			continue;
+		if (count++ == skipped)
+			*found = request;
+	}
 	g_mutex_unlock(&server->lock);
 	return count;
 }
 
+static unsigned int callers_requests_count_(fake_server_t *server,
+					    unsigned int from)
+{
+	const char *first;
+
+	return callers_requests_find_(server, from, 0, &first);
+}
+
 /* Starts the programs; the control instances are the seeds of all of them. */
 static void fixture_init_(fixture_t *fixture)
 {
@@ -348,9 +367,11 @@
 		CU_ASSERT_TRUE(
 			g_str_has_suffix(answer, "\r\n\r\n" SERVER_BODY));
 		g_free(answer);
-		CU_ASSERT_EQUAL_FATAL(server_requests_count_(&fixture.server),
-				      before + (unsigned int)i + 1);
-		relayed = fixture.server.requests->pdata[before + (unsigned)i];
+		CU_ASSERT_EQUAL_FATAL(callers_requests_find_(&fixture.server,
+							     before,
+							     (unsigned int)i,
+							     &relayed),
+				      (unsigned int)i + 1);
 		CU_ASSERT_TRUE(g_str_has_prefix(relayed,
 						"POST /a/x?q=1 HTTP/1.1\r\n"));
 		CU_ASSERT_TRUE(g_str_has_suffix(relayed, "\r\n\r\nbody"));
