Idle callers make room for new ones when descriptors run out

Cause: a failed accept leaves the listener readable, and nothing was done about it.

Evidence: test_http1_server:idle_callers_make_room_for_new_ones and callers_wait_while_descriptors_are_in_use did not end before (stopped after 10 s).

Change: the 16 connections that have been idle for the longest time are closed, as the idle timeout would close them; they are more than one, so that connections to servers find a descriptor too. If none is idle, accepting pauses for 50 ms.

--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -23,6 +23,13 @@
 #define JOINED_BODY_MAX_BYTES 16384
 /* A caller with more unsent bytes than this is disconnected as too slow. */
 #define UNSENT_MAX_BYTES (1024 * 1024)
+/*
+ * Idle connections that are closed when the process is out of descriptors: more
+ * than one, so that connections to servers find some too.
+ */
+#define EVICTED_CONNECTIONS 16
+/* Without an idle connection, accepting is tried again after this time. */
+#define EXHAUSTED_PAUSE_MS 50
 
 typedef enum connection_state {
 	/* No complete request head was received yet. */
@@ -40,6 +47,7 @@
 	connection_state_t state;
 	GByteArray *input;	     /* bytes received and not parsed yet */
 	gboolean has_unparsed_input; /* the timer parses `input` */
+	int64_t idle_since_ms;	     /* since the accept or the last answer */
 	/* The unsent bytes of a whole answer at the last check, and since when. */
 	size_t unsent_bytes;
 	int64_t unsent_since_ms;
@@ -69,6 +77,7 @@
 	void *user_data; /* passed to `request_handler` */
 	cb_http1_limits_t limits;
 	GPtrArray *listeners;	    /* of cb_stream_listener_t */
+	cb_timer_t *accept_timer;   /* resumes accepting */
 	GHashTable *connections;    /* set of all connections */
 	unsigned int open_requests; /* requests being received or answered */
 	gboolean is_draining;
@@ -429,10 +438,75 @@
 					 connection);
 	connection->stream =
 		cb_stream_new(server->poller, fd, &stream_handler, connection);
+	connection->idle_since_ms = cb_clock_now_ms(server->clock);
 	g_hash_table_add(server->connections, connection);
 	cb_timer_start(connection->timer, server->limits.idle_timeout_ms);
 }
 
+/* Returns whether nothing of a request or an answer is under way. */
+static gboolean connection_is_idle_(const connection_t *connection)
+{
+	return connection->state == CONNECTION_RECEIVING_HEAD &&
+	       !connection->input->len &&
+	       !cb_stream_unsent_bytes(connection->stream);
+}
+
+/* Orders connections by the time that they have been idle, longest first. */
+static int idle_compare_(const void *a, const void *b)
+{
+	const connection_t *left = *(connection_t *const *)a;
+	const connection_t *right = *(connection_t *const *)b;
+
+	if (left->idle_since_ms == right->idle_since_ms)
+		return 0;
+	return left->idle_since_ms < right->idle_since_ms ? -1 : 1;
+}
+
+static void listeners_set_paused_(const cb_http1_server_t *server,
+				  gboolean is_paused)
+{
+	unsigned int i;
+
+	for (i = 0; i < server->listeners->len; i++)
+		cb_stream_listener_set_paused(server->listeners->pdata[i],
+					      is_paused);
+}
+
+static void accept_timer_fired_(void *user_data)
+{
+	listeners_set_paused_(user_data, FALSE);
+}
+
+/*
+ * Makes room when no connection can be accepted: closes those that have been idle
+ * for the longest time, as the idle timeout would; if none is idle, new callers
+ * wait a little.
+ */
+static void exhausted_handle_(void *user_data)
+{
+	cb_http1_server_t *server = user_data;
+	GPtrArray *idle = g_ptr_array_new();
+	GHashTableIter iter;
+	unsigned int i;
+	void *value;
+
+	g_hash_table_iter_init(&iter, server->connections);
+	while (g_hash_table_iter_next(&iter, &value, NULL))
+		if (connection_is_idle_(value))
+			g_ptr_array_add(idle, value);
+	g_ptr_array_sort(idle, idle_compare_);
+	for (i = 0; i < MIN(idle->len, EVICTED_CONNECTIONS); i++) {
+		refusal_count_(server, "evicted");
+		connection_remove_(idle->pdata[i]);
+	}
+	if (!idle->len) {
+		refusal_count_(server, "out_of_descriptors");
+		listeners_set_paused_(server, TRUE);
+		cb_timer_start(server->accept_timer, EXHAUSTED_PAUSE_MS);
+	}
+	g_ptr_array_unref(idle);
+}
+
 /*
  * Creates a server that calls `request` with each complete request.
  * `counters` may be NULL.
@@ -451,6 +525,7 @@
 	server->user_data = user_data;
 	server->limits = default_limits;
 	server->listeners = g_ptr_array_new();
+	server->accept_timer = cb_timer_new(clock, accept_timer_fired_, server);
 	server->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
 	return server;
 }
@@ -467,6 +542,7 @@
 	for (i = 0; i < server->listeners->len; i++)
 		cb_stream_unlisten(server->listeners->pdata[i]);
 	g_ptr_array_unref(server->listeners);
+	cb_timer_delete(server->accept_timer);
 	g_hash_table_iter_init(&iter, server->connections);
 	while (g_hash_table_iter_next(&iter, &connection, NULL)) {
 		g_hash_table_iter_steal(&iter);
@@ -487,6 +563,7 @@
 
 	if (!listener)
 		return FALSE;
+	cb_stream_listener_on_exhausted(listener, exhausted_handle_);
 	g_ptr_array_add(server->listeners, listener);
 	return TRUE;
 }
@@ -609,6 +686,7 @@
 		return;
 	}
 	connection->state = CONNECTION_RECEIVING_HEAD;
+	connection->idle_since_ms = cb_clock_now_ms(connection->server->clock);
 	cb_timer_start(connection->timer,
 		       connection->server->limits.idle_timeout_ms);
 	if (!connection->input->len)
--- a/src/libcurrantbridge/include/private/stream.h
+++ b/src/libcurrantbridge/include/private/stream.h
@@ -30,6 +30,8 @@
 
 /* Receives ownership of `fd`, the socket of an accepted connection. */
 typedef void (*cb_stream_accept_fn_t)(int fd, void *user_data);
+/* Called when a connection could not be accepted for lack of resources. */
+typedef void (*cb_stream_exhausted_fn_t)(void *user_data);
 
 cb_stream_t *cb_stream_connect(cb_poller_t *poller, const char *address,
 			       const cb_stream_handler_t *handler,
@@ -47,6 +49,10 @@
 cb_stream_listener_t *cb_stream_listen(cb_poller_t *poller, const char *address,
 				       cb_stream_accept_fn_t accept,
 				       void *user_data, GError **error);
+void cb_stream_listener_on_exhausted(cb_stream_listener_t *listener,
+				     cb_stream_exhausted_fn_t exhausted);
+void cb_stream_listener_set_paused(cb_stream_listener_t *listener,
+				   gboolean is_paused);
 void cb_stream_unlisten(cb_stream_listener_t *listener);
 uint16_t cb_stream_listener_port(const cb_stream_listener_t *listener);
 
--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -44,6 +44,7 @@
 	cb_watch_t *watch;
 	int fd;
 	cb_stream_accept_fn_t accept;
+	cb_stream_exhausted_fn_t exhausted; /* may be NULL */
 	void *user_data;
 };
 
@@ -369,6 +370,10 @@
 	(void)events;
 	if (fd >= 0)
 		listener->accept(fd, listener->user_data);
+	else if ((errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+		  errno == ENOMEM) &&
+		 listener->exhausted)
+		listener->exhausted(listener->user_data);
 }
 
 static gboolean listen_error_set_(GError **error, const char *address, int fd)
@@ -414,6 +419,23 @@
 	return listener;
 }
 
+/*
+ * Sets what is called when a connection can't be accepted for lack of descriptors
+ * or memory: the listener stays readable, and tries again at once.
+ */
+void cb_stream_listener_on_exhausted(cb_stream_listener_t *listener,
+				     cb_stream_exhausted_fn_t exhausted)
+{
+	listener->exhausted = exhausted;
+}
+
+/* Pauses or resumes accepting; meanwhile connections wait in the backlog. */
+void cb_stream_listener_set_paused(cb_stream_listener_t *listener,
+				   gboolean is_paused)
+{
+	cb_watch_set_events(listener->watch, is_paused ? 0 : CB_WATCH_READABLE);
+}
+
 /* Stops accepting and frees the listener; NULL is allowed. */
 void cb_stream_unlisten(cb_stream_listener_t *listener)
 {
--- a/src/test_libcurrantbridge/test_http1_server.c
+++ b/src/test_libcurrantbridge/test_http1_server.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,6 +28,7 @@
 /* A server and one caller, whose socket is read by hand. */
 typedef struct server_fixture {
 	cb_clock_t *clock;
+	cb_counters_t *counters;
 	cb_http1_server_t *server;
 	int caller_fd;
 	size_t answer_bytes;  /* length of each answer's body */
@@ -68,33 +70,42 @@
 					    fixture);
 }
 
-static void fixture_init_(server_fixture_t *fixture)
+/* Returns a caller's connected socket. */
+static int caller_connect_(const server_fixture_t *fixture)
 {
 	const int buffer_bytes = RECEIVE_BUFFER_BYTES;
 	struct sockaddr_in address = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	*fixture = (server_fixture_t){ .answer_bytes = 2 };
-	fixture->clock = cb_clock_new_paused(START_MS);
-	fixture->server = cb_http1_server_new(NULL, fixture->clock, NULL,
-					      request_receive_, fixture);
-	CU_ASSERT_TRUE_FATAL(
-		cb_http1_server_listen(fixture->server, "127.0.0.1:0", NULL));
-	fixture->caller_fd = socket(AF_INET, SOCK_STREAM, 0);
-	CU_ASSERT_TRUE_FATAL(fixture->caller_fd >= 0);
-	(void)setsockopt(fixture->caller_fd, SOL_SOCKET, SO_RCVBUF,
-			 &buffer_bytes, sizeof(buffer_bytes));
+	CU_ASSERT_TRUE_FATAL(fd >= 0);
+	(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+			 sizeof(buffer_bytes));
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	address.sin_port = htons(cb_http1_server_port(fixture->server));
-	CU_ASSERT_EQUAL_FATAL(connect(fixture->caller_fd,
-				      (struct sockaddr *)&address,
+	CU_ASSERT_EQUAL_FATAL(connect(fd, (struct sockaddr *)&address,
 				      sizeof(address)),
 			      0);
+	return fd;
+}
+
+static void fixture_init_(server_fixture_t *fixture)
+{
+	*fixture = (server_fixture_t){ .answer_bytes = 2 };
+	fixture->clock = cb_clock_new_paused(START_MS);
+	fixture->counters = cb_counters_new();
+	fixture->server =
+		cb_http1_server_new(NULL, fixture->clock, fixture->counters,
+				    request_receive_, fixture);
+	CU_ASSERT_TRUE_FATAL(
+		cb_http1_server_listen(fixture->server, "127.0.0.1:0", NULL));
+	fixture->caller_fd = caller_connect_(fixture);
 }
 
 static void fixture_clear_(server_fixture_t *fixture)
 {
 	close(fixture->caller_fd);
 	cb_http1_server_delete(fixture->server);
+	cb_counters_delete(fixture->counters);
 	cb_clock_delete(fixture->clock);
 }
 
@@ -284,7 +295,110 @@
 	g_free(body);
 }
 
+#define REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+#define IDLE_CALLERS 20
+
+/*
+ * Lets the process open one more descriptor only, which a caller's socket takes, and
+ * returns that socket.
+ */
+static int last_caller_connect_(const server_fixture_t *fixture,
+				struct rlimit *before)
+{
+	struct rlimit limit;
+	int unused = dup(0);
+
+	CU_ASSERT_EQUAL_FATAL(getrlimit(RLIMIT_NOFILE, before), 0);
+	limit = *before;
+	limit.rlim_cur = (rlim_t)unused + 1;
+	close(unused);
+	CU_ASSERT_EQUAL_FATAL(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	return caller_connect_(fixture);
+}
+
+/* Sends a request; returns whether it is answered with 200. */
+static gboolean is_served_(const server_fixture_t *fixture, int fd)
+{
+	char answer[256] = "";
+
+	(void)send(fd, REQUEST, strlen(REQUEST), MSG_NOSIGNAL);
+	loop_run_(fixture);
+	(void)recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT);
+	return g_str_has_prefix(answer, "HTTP/1.1 200 ");
+}
+
+static int64_t refusals_(const server_fixture_t *fixture, const char *reason)
+{
+	return cb_counter_get(cb_counters_counter(fixture->counters,
+						  "cb_http1_refused_total",
+						  "reason", reason));
+}
+
+/*
+ * Out of descriptors, the server spun without accepting anybody until idle callers
+ * had gone by themselves: those that are idle longest must make room.
+ */
+static void idle_callers_make_room_for_new_ones(void)
+{
+	server_fixture_t fixture;
+	int idle[IDLE_CALLERS];
+	struct rlimit before;
+	unsigned int i;
+	char byte;
+	int fd;
+
+	fixture_init_(&fixture);
+	for (i = 0; i < IDLE_CALLERS; i++) {
+		time_pass_(&fixture, STEP_MS);
+		idle[i] = caller_connect_(&fixture);
+		loop_run_(&fixture);
+	}
+	/* It has been idle for the longest time, and no longer is. */
+	CU_ASSERT_TRUE(is_served_(&fixture, fixture.caller_fd));
+	fd = last_caller_connect_(&fixture, &before);
+	CU_ASSERT_TRUE(is_served_(&fixture, fd));
+	CU_ASSERT_EQUAL(refusals_(&fixture, "evicted"), 16);
+	CU_ASSERT_EQUAL(recv(idle[0], &byte, 1, MSG_DONTWAIT), 0);
+	CU_ASSERT_TRUE(is_served_(&fixture, idle[IDLE_CALLERS - 1]));
+	CU_ASSERT_TRUE(is_served_(&fixture, fixture.caller_fd));
+	setrlimit(RLIMIT_NOFILE, &before);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		close(idle[i]);
+	close(fd);
+	fixture_clear_(&fixture);
+}
+
+/* With all callers being served, new ones wait, and are not tried without a pause. */
+static void callers_wait_while_descriptors_are_in_use(void)
+{
+	server_fixture_t fixture;
+	struct rlimit before;
+	int fd;
+
+	fixture_init_(&fixture);
+	fixture.holds_first = TRUE;
+	CU_ASSERT_FALSE(is_served_(&fixture, fixture.caller_fd));
+	fd = last_caller_connect_(&fixture, &before);
+	CU_ASSERT_FALSE(is_served_(&fixture, fd));
+	loop_run_(&fixture);
+	CU_ASSERT_EQUAL(refusals_(&fixture, "out_of_descriptors"), 1);
+	time_pass_(&fixture, STEP_MS);
+	CU_ASSERT_EQUAL(refusals_(&fixture, "out_of_descriptors"), 2);
+	CU_ASSERT_EQUAL(fixture.disconnect_count, 0);
+	answer_send_(&fixture, fixture.held);
+	loop_run_(&fixture);
+	time_pass_(&fixture, STEP_MS);
+	CU_ASSERT_TRUE(is_served_(&fixture, fd));
+	setrlimit(RLIMIT_NOFILE, &before);
+	close(fd);
+	fixture_clear_(&fixture);
+}
+
 static CU_TestInfo http1_server_tests[] = {
+	{ "idle_callers_make_room_for_new_ones",
+	  idle_callers_make_room_for_new_ones },
+	{ "callers_wait_while_descriptors_are_in_use",
+	  callers_wait_while_descriptors_are_in_use },
 	{ "unread_answer_is_not_cut", unread_answer_is_not_cut },
 	{ "pipelined_body_does_not_cut_answer",
 	  pipelined_body_does_not_cut_answer },
