--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -372,6 +372,8 @@
 							     (unsigned int)i,
 							     &relayed),
 				      (unsigned int)i + 1);
+		if (!relayed)
+			break;
 		CU_ASSERT_TRUE(g_str_has_prefix(relayed,
 						"POST /a/x?q=1 HTTP/1.1\r\n"));
 		CU_ASSERT_TRUE(g_str_has_suffix(relayed, "\r\n\r\nbody"));
