--- a/test/platform/soak/soak_platform.c
+++ b/test/platform/soak/soak_platform.c
@@ -83,7 +83,7 @@
 			"\"control\":\"%s\",\"effects\":\"%s\",\"slots\":%d,"
 			"\"heartbeat_ms\":%d,\"event_gap_max_ms\":%d,"
 			"\"is_sound\":%s",
-			i + 40, (int)support_free_port(), is_other ? "t" : "s",
+			i + 100, (int)support_free_port(), is_other ? "t" : "s",
 			controls, soak->effects_path, setup->slots,
 			setup->server_heartbeat_ms, setup->event_gap_max_ms,
 			setup->is_sound ? "true" : "false");
--- a/test/platform/soak/soak_platform.h
+++ b/test/platform/soak/soak_platform.h
@@ -8,9 +8,9 @@
  * The processes of a soak: the platform's programs and backend servers on
  * loopback, and what its plan does to them.
  */
-#define SOAK_CONTROL_MAX 3
-#define SOAK_ENTRY_MAX 4
-#define SOAK_SERVER_MAX 12
+#define SOAK_CONTROL_MAX 9
+#define SOAK_ENTRY_MAX 60
+#define SOAK_SERVER_MAX 90
 #define SOAK_PROCESS_MAX (SOAK_CONTROL_MAX + SOAK_ENTRY_MAX + SOAK_SERVER_MAX)
 
 /* What a soak starts, and the load that it plays. */
--- a/test/platform/soak/test_soak.c
+++ b/test/platform/soak/test_soak.c
@@ -11,8 +11,10 @@
  * loopback, with callers that keep their connections, and does something to the
  * processes by a seeded plan while the configuration changes.  CB_SEED,
  * CB_SEEDS and CB_SECONDS set the first seed, the number of runs and the time
- * of each; CB_KEEP keeps logs and the file of effects.
+ * of each, CB_SCALE (1 to 15) multiplies processes, callers and failures; CB_KEEP
+ * keeps logs and the file of effects.
  */
+#define SCALE_MAX 15
 #define DEFAULT_SECONDS 20
 #define STEP_MS 5
 /* Calm at the end, in which requests must be served again. */
@@ -124,15 +126,18 @@
 	soak_process_signal(soak, process, number, pause_ms);
 }
 
-/* Pauses, kills, stops and reloads processes for a time. */
-static void failures_play_(soak_t *soak, int64_t duration_ms)
+/*
+ * Pauses, kills, stops and reloads processes for a time, the more often the more
+ * processes there are.
+ */
+static void failures_play_(soak_t *soak, int64_t duration_ms, int scale)
 {
 	int64_t end_ms = now_ms_() + duration_ms;
 	int64_t next_fault_ms = 0;
 
 	while (now_ms_() < end_ms) {
 		soak_processes_restore(soak);
-		if (is_due_(soak, &next_fault_ms, 0, FAULT_GAP_MAX_MS))
+		if (is_due_(soak, &next_fault_ms, 0, FAULT_GAP_MAX_MS / scale))
 			fault_inject_(soak);
 		g_usleep(STEP_MS * 1000);
 	}
@@ -263,6 +268,21 @@
 				  &soak->setup->load, seed);
 }
 
+/* Returns the setup of failures with `scale` times the processes and callers. */
+static soak_setup_t failure_setup_scale_(int scale)
+{
+	soak_setup_t setup = failure_setup;
+	unsigned int factor = (unsigned int)scale;
+
+	setup.entry_count *= factor;
+	setup.server_count *= factor;
+	setup.load.caller_count *= factor;
+	/* Control grows by pairs: its instances all have the same state. */
+	setup.control_count =
+		MIN(setup.control_count + 2 * (factor - 1), SOAK_CONTROL_MAX);
+	return setup;
+}
+
 /* Plays one run in which processes fail. */
 static void failure_run_play_(uint32_t seed, int64_t seconds)
 {
@@ -273,7 +293,9 @@
 	unsigned int broken_count;
 	unsigned int served_count;
 	int64_t calm_ms;
-	soak_setup_t setup = failure_setup;
+	int scale = (int)CLAMP(number_from_environment_("CB_SCALE", 1), 1,
+			       SCALE_MAX);
+	soak_setup_t setup = failure_setup_scale_(scale);
 	char *earlier = NULL;
 
 	if (seed % UPGRADE_SEEDS == 0)
@@ -283,7 +305,7 @@
 	CU_ASSERT_TRUE_FATAL(soak_init(&soak, &setup, seed));
 	callers = callers_start_(&soak, seed);
 	editor_start_(&editor, &soak);
-	failures_play_(&soak, seconds * 1000);
+	failures_play_(&soak, seconds * 1000, scale);
 	calm_play_(&soak, CALM_MS);
 	calm_ms = now_ms_() - CALM_SERVED_MS;
 	requests = soak_callers_stop(callers);
