--- a/src/libcurrantbridge/control/file_folder.c
+++ b/src/libcurrantbridge/control/file_folder.c
@@ -106,6 +106,7 @@
 
 		if (written < 0 && errno == EINTR)
 			continue;
+		/* Some full disks refuse a write without an error. */
 		if (!written)
 			errno = ENOSPC;
 		if (written <= 0)
