--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -26,6 +26,13 @@
 /* The log lines of these requests far exceed the pipe and the log's buffer. */
 #define UNREAD_REQUESTS 3000
 
+/* The server answers requests for such a path so much later. */
+#define SLOW_PREFIX "/slow/"
+#define SLOW_ANSWER_MS 3500
+/* The grace time of an entry instance; a third of it is 2 s. */
+#define GRACE_S 6
+#define LATE_MS 2500
+
 #define SERVER_ID "i-1"
 #define SERVER_BODY "the answer of the server"
 
@@ -76,6 +83,8 @@
 	char *request;
 
 	while ((request = support_message_read(fd))) {
+		if (strstr(request, " " SLOW_PREFIX))
+			g_usleep(SLOW_ANSWER_MS * G_TIME_SPAN_MILLISECOND);
 		g_mutex_lock(&server->lock);
 		g_ptr_array_add(server->requests, request);
 		g_mutex_unlock(&server->lock);
@@ -225,10 +234,10 @@
 					    seeds->str, HEARTBEAT_MS);
 	g_string_append_printf(
 		settings,
-		",\"grace_s\":2,\"address_ttl_s\":1,"
+		",\"grace_s\":%d,\"address_ttl_s\":1,"
 		"\"listen_front\":\"%s\",\"listen_ready\":\"%s\","
 		"\"listen_addresses\":\"%s\"",
-		fixture->front_address, fixture->ready_address,
+		GRACE_S, fixture->front_address, fixture->ready_address,
 		fixture->resolve_address);
 	fixture->entry_daemon =
 		support_program_start(fixture->group, "cb-platform-entry", "e",
@@ -633,6 +642,84 @@
 	fixture_clear_(&fixture);
 }
 
+/* Sends one request on a kept connection, with `budget_ms` for its answer. */
+static void kept_request_send_(int fd, const char *path, int budget_ms)
+{
+	char *request = g_strdup_printf(
+		"POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9\r\n"
+		"X-Time-Budget: %d\r\n" KEY_HEADER "Content-Length: 0\r\n\r\n",
+		path, budget_ms);
+
+	support_socket_send(fd, request, strlen(request));
+	g_free(request);
+}
+
+/* Reads an answer; returns its status, and the answer in `answer` if not NULL. */
+static unsigned int kept_answer_read_(int fd, char **answer)
+{
+	char *text = support_answer_read(fd);
+	unsigned int status = support_answer_status(text);
+
+	if (answer)
+		*answer = text;
+	else
+		g_free(text);
+	return status;
+}
+
+#define ONCE_ROUTES                                                        \
+	",{\"name\":\"once\",\"host\":\"h\",\"pathPrefix\":\"/once/\","    \
+	"\"kind\":\"unsafe\",\"timeoutMs\":20000,\"targetLatencyMs\":200," \
+	"\"service\":\"s\",\"maxAttempts\":1},"                            \
+	"{\"name\":\"slow\",\"host\":\"h\",\"pathPrefix\":\"" SLOW_PREFIX  \
+	"\","                                                              \
+	"\"kind\":\"unsafe\",\"timeoutMs\":20000,\"targetLatencyMs\":200," \
+	"\"service\":\"s\",\"maxAttempts\":1}"
+
+/*
+ * Requests that came on kept connections late in a planned stop were passed on and
+ * got 502 at its end: one that may end too late must be refused as not run, while
+ * one with little time, and one that was begun before, are served.
+ */
+static void late_requests_of_stopping_entry_are_not_run(void)
+{
+	fixture_t fixture;
+	unsigned int before;
+	char *refusal;
+	int fds[3];
+	int i;
+
+	fixture_init_(&fixture);
+	CU_ASSERT_EQUAL_FATAL(document_put_(&fixture, 5, ONCE_ROUTES), 200);
+	CU_ASSERT_EQUAL(heartbeat_send_(&fixture, 0, 1, "ready"), 200);
+	CU_ASSERT_TRUE_FATAL(support_wait_until(is_request_served_, &fixture,
+						START_TIMEOUT_MS));
+	for (i = 0; i < 3; i++) {
+		fds[i] = support_address_connect(fixture.front_address);
+		kept_request_send_(fds[i], "/once/a", 2000);
+		CU_ASSERT_EQUAL(kept_answer_read_(fds[i], NULL), 200);
+	}
+	kept_request_send_(fds[0], SLOW_PREFIX, 10000);
+	g_usleep(100 * G_TIME_SPAN_MILLISECOND);
+	support_daemon_signal(fixture.entry_daemon, SIGTERM);
+	g_usleep(LATE_MS * G_TIME_SPAN_MILLISECOND);
+	before = server_requests_count_(&fixture.server);
+	kept_request_send_(fds[1], "/once/late", 10000);
+	CU_ASSERT_EQUAL(kept_answer_read_(fds[1], &refusal), 503);
+	CU_ASSERT_PTR_NOT_NULL(strstr(refusal, "\"reason\":\"stopping\""));
+	CU_ASSERT_PTR_NOT_NULL(strstr(refusal, "\r\nRetry-After: 0.1"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(refusal, "\r\nConnection: close\r\n"));
+	g_free(refusal);
+	kept_request_send_(fds[2], "/once/brief", 1000);
+	CU_ASSERT_EQUAL(kept_answer_read_(fds[2], NULL), 200);
+	CU_ASSERT_EQUAL(kept_answer_read_(fds[0], NULL), 200);
+	/* The slow one and the brief one. */
+	CU_ASSERT_EQUAL(callers_requests_count_(&fixture.server, before), 2);
+	for (i = 0; i < 3; i++)
+		close(fds[i]);
+	fixture_clear_(&fixture);
+}
+
 /*
  * After SIGTERM an entry instance must report not ready, still serve requests,
  * close the connection and exit in time with code 0.
@@ -759,6 +846,8 @@
 	  draining_servers_get_no_requests },
 	{ "acknowledged_documents_survive_restarts",
 	  acknowledged_documents_survive_restarts },
+	{ "late_requests_of_stopping_entry_are_not_run",
+	  late_requests_of_stopping_entry_are_not_run },
 	{ "entries_stop_gracefully", entries_stop_gracefully },
 	{ "unread_logs_delay_no_request", unread_logs_delay_no_request },
 	CU_TEST_INFO_NULL
