Review of the diff: shared pieces of tests, comments that stand alone

Stricter in two places: requests_are_relayed checks that its counter exists, and the disk of an open file must be one of the members'.

--- a/src/libcurrantbridge/http/json_strict.c
+++ b/src/libcurrantbridge/http/json_strict.c
@@ -5,7 +5,7 @@
 
 #define SYNTAX_REASON "is not valid JSON"
 
-/* What is known while a text is checked. */
+/* The state of one check. */
 typedef struct strict_check {
 	/* The member names of each open object (GHashTable, a set). */
 	GPtrArray *open_objects;
@@ -67,11 +67,6 @@
 	.yajl_end_map = object_end_,
 };
 
-static void names_delete_(void *names)
-{
-	g_hash_table_unref(names);
-}
-
 /* Sets the error that names the byte at `offset`, by line and place from 1 on. */
 static void text_error_set_(const char *text, size_t offset, const char *reason,
 			    GError **error)
@@ -109,7 +104,8 @@
 		return cb_field_set_error(error, "body", "is empty");
 	if (!cb_json_depth_is_bounded(text, size_bytes))
 		return cb_field_set_error(error, "body", "is nested too deep");
-	check.open_objects = g_ptr_array_new_with_free_func(names_delete_);
+	check.open_objects = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)g_hash_table_unref);
 	parser = yajl_alloc(&callbacks, NULL, &check);
 	is_valid = yajl_parse(parser, (const unsigned char *)text,
 			      size_bytes) == yajl_status_ok &&
--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -427,6 +427,15 @@
 	.ended = stream_end_handle_,
 };
 
+/* Waits for the next request; the connection is closed if none comes in time. */
+static void connection_wait_idle_(connection_t *connection)
+{
+	const cb_http1_server_t *server = connection->server;
+
+	connection->idle_since_ms = cb_clock_now_ms(server->clock);
+	cb_timer_start(connection->timer, server->limits.idle_timeout_ms);
+}
+
 static void connection_accept_(int fd, void *user_data)
 {
 	cb_http1_server_t *server = user_data;
@@ -438,12 +447,11 @@
 					 connection);
 	connection->stream =
 		cb_stream_new(server->poller, fd, &stream_handler, connection);
-	connection->idle_since_ms = cb_clock_now_ms(server->clock);
 	g_hash_table_add(server->connections, connection);
-	cb_timer_start(connection->timer, server->limits.idle_timeout_ms);
+	connection_wait_idle_(connection);
 }
 
-/* Returns whether nothing of a request or an answer is under way. */
+/* Returns whether no request is being received or answered. */
 static gboolean connection_is_idle_(const connection_t *connection)
 {
 	return connection->state == CONNECTION_RECEIVING_HEAD &&
@@ -686,9 +694,7 @@
 		return;
 	}
 	connection->state = CONNECTION_RECEIVING_HEAD;
-	connection->idle_since_ms = cb_clock_now_ms(connection->server->clock);
-	cb_timer_start(connection->timer,
-		       connection->server->limits.idle_timeout_ms);
+	connection_wait_idle_(connection);
 	if (!connection->input->len)
 		return;
 	/* Parsing it here would nest the calls of all pipelined requests. */
--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -361,6 +361,13 @@
 	return stream->queue->len - stream->queue_start;
 }
 
+/* Returns whether a system call failed for lack of descriptors or memory. */
+static gboolean is_exhaustion_(int code)
+{
+	return code == EMFILE || code == ENFILE || code == ENOBUFS ||
+	       code == ENOMEM;
+}
+
 static void accept_ready_(unsigned int events, void *user_data)
 {
 	cb_stream_listener_t *listener = user_data;
@@ -370,9 +377,7 @@
 	(void)events;
 	if (fd >= 0)
 		listener->accept(fd, listener->user_data);
-	else if ((errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
-		  errno == ENOMEM) &&
-		 listener->exhausted)
+	else if (is_exhaustion_(errno) && listener->exhausted)
 		listener->exhausted(listener->user_data);
 }
 
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -157,6 +157,14 @@
 #define COMPLETE_ANSWER \
 	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nContent-Length: 2\r\n\r\nok"
 #define OTHER_PATH "/safe/other"
+/* A stream of two events, for a request with ID 7, and its parts. */
+#define STREAM_HEAD \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define EVENT_1 "id: 1\ndata: a\n\n"
+#define EVENT_2 "id: 2\ndata: b\n\n"
+#define FIRST_EVENT STREAM_HEAD "f\r\n" EVENT_1 "\r\n"
+#define LAST_EVENT "f\r\n" EVENT_2 "\r\n0\r\n\r\n"
+#define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
 #define IDEMPOTENT_REQUEST REQUEST("GET", "/safe/a?b=%2f", "")
 #define ONCE_REQUEST REQUEST("POST", "/once/a", "Content-Length: 3\r\n") "abc"
 
--- a/src/test_libcurrantbridge/test_document_changes.c
+++ b/src/test_libcurrantbridge/test_document_changes.c
@@ -9,14 +9,7 @@
  * Tests streams that are under way while a document comes into force that has less
  * than the one by which they were begun, over real sockets and with a paused clock.
  */
-#define STREAM_HEAD \
-	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-#define EVENT_1 "id: 1\ndata: a\n\n"
-#define EVENT_2 "id: 2\ndata: b\n\n"
-#define FIRST_EVENT STREAM_HEAD "f\r\n" EVENT_1 "\r\n"
-#define LAST_EVENT "f\r\n" EVENT_2 "\r\n0\r\n\r\n"
 #define BROKEN_CHUNK "no chunk\r\n"
-#define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
 #define SETTLE_MS 1500
 
 /* What becomes of the stream under way after the change. */
@@ -57,7 +50,7 @@
 	gboolean is_as_expected;
 	uint32_t status;
 
-	/* An engine that still holds the layers of a much larger model. */
+	/* This engine still reports the layers of a former, larger model. */
 	support_relay_layers_announce(fixture, 1, 3, 0, 4000);
 	support_relay_pass_time(fixture, 200);
 	support_relay_request_send(fixture, ENGINE_REQUEST);
--- a/src/test_libcurrantbridge/test_endless_answers.c
+++ b/src/test_libcurrantbridge/test_endless_answers.c
@@ -471,7 +471,6 @@
 #define ANSWER(status, headers) \
 	"HTTP/1.1 " status " X\r\nSeal: x\r\n" headers "\r\n"
 #define STREAM_BEGIN ANSWER("200", "Id: 7\r\n")
-#define EVENT_1 "id: 1\ndata: a\n\n"
 
 typedef struct relay_content_case {
 	const char *description;
--- a/src/test_libcurrantbridge/test_file_storage.c
+++ b/src/test_libcurrantbridge/test_file_storage.c
@@ -45,16 +45,26 @@
 	g_clear_error(&fixture->error);
 }
 
-/* Closes the storage, then opens and loads the folder again. */
-static gboolean storage_open_(fixture_t *fixture)
+/*
+ * Closes the storage, then opens and loads the folder again; `calls` NULL: with the
+ * system's calls.
+ */
+static gboolean storage_open_with_calls_(fixture_t *fixture,
+					 const cb_file_calls_t *calls)
 {
 	storage_close_(fixture);
-	fixture->storage = cb_file_storage_new(fixture->folder);
+	fixture->storage =
+		cb_file_storage_new_with_calls(fixture->folder, calls);
 	return fixture->storage->vtable->load(fixture->storage,
 					      &fixture->content,
 					      &fixture->error);
 }
 
+static gboolean storage_open_(fixture_t *fixture)
+{
+	return storage_open_with_calls_(fixture, NULL);
+}
+
 static void fixture_end_(fixture_t *fixture)
 {
 	static const char *const names[] = { "log", "snapshot", "lock",
@@ -433,6 +443,16 @@
 	return -1;
 }
 
+/* Checks that no call has failed, and what the reopened folder contains. */
+static void stored_content_check_(fixture_t *fixture, uint64_t snapshot_index,
+				  uint32_t record_count)
+{
+	CU_ASSERT_EQUAL(fixture->failed_count, 0);
+	CU_ASSERT_TRUE(storage_open_(fixture));
+	CU_ASSERT_EQUAL(fixture->content.snapshot.index, snapshot_index);
+	CU_ASSERT_EQUAL(fixture->content.records->len, record_count);
+}
+
 /*
  * Writes that fail on a full disk are retried until they are durable: no call
  * fails and no part of a failed write stays.  Snapshots are retried as a whole.
@@ -448,12 +468,8 @@
 	for (i = 0; i < G_N_ELEMENTS(limited_write_counts); i++) {
 		fixture_begin_(&fixture);
 		limited_writes_left = 0;
-		fixture.storage =
-			cb_file_storage_new_with_calls(fixture.folder,
-						       &limited_calls);
-		CU_ASSERT_TRUE(fixture.storage->vtable->load(fixture.storage,
-							     &fixture.content,
-							     NULL));
+		CU_ASSERT_TRUE(
+			storage_open_with_calls_(&fixture, &limited_calls));
 		vote_save_(&fixture, 3, "disk");
 		record_append_(&fixture, 1, 3, "before the disk was full");
 		completions_wait_(&fixture, 2);
@@ -465,10 +481,7 @@
 		snapshot_save_(&fixture, 2, 3, "state");
 		record_append_(&fixture, 4, 3, "after the snapshot");
 		completions_wait_(&fixture, 6);
-		CU_ASSERT_EQUAL(fixture.failed_count, 0);
-		CU_ASSERT_TRUE(storage_open_(&fixture));
-		CU_ASSERT_EQUAL(fixture.content.snapshot.index, 2);
-		CU_ASSERT_EQUAL(fixture.content.records->len, 2);
+		stored_content_check_(&fixture, 2, 2);
 		fixture_end_(&fixture);
 	}
 }
@@ -505,10 +518,7 @@
 
 	fixture_begin_(&fixture);
 	new_path = g_build_filename(fixture.folder, "snapshot.new", NULL);
-	fixture.storage =
-		cb_file_storage_new_with_calls(fixture.folder, &idle_calls);
-	CU_ASSERT_TRUE(fixture.storage->vtable->load(fixture.storage,
-						     &fixture.content, NULL));
+	CU_ASSERT_TRUE(storage_open_with_calls_(&fixture, &idle_calls));
 	vote_save_(&fixture, 3, "disk");
 	record_append_(&fixture, 1, 3, "before the disk was full");
 	completions_wait_(&fixture, 2);
@@ -521,10 +531,7 @@
 	g_atomic_int_set(&is_disk_full, FALSE);
 	record_append_(&fixture, 2, 3, "after the snapshot");
 	completions_wait_(&fixture, 4);
-	CU_ASSERT_EQUAL(fixture.failed_count, 0);
-	CU_ASSERT_TRUE(storage_open_(&fixture));
-	CU_ASSERT_EQUAL(fixture.content.snapshot.index, 1);
-	CU_ASSERT_EQUAL(fixture.content.records->len, 1);
+	stored_content_check_(&fixture, 1, 1);
 	fixture_end_(&fixture);
 	g_free(new_path);
 	g_free(state);
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -222,7 +222,7 @@
 	outcome_cases_play_(outcome_cases, G_N_ELEMENTS(outcome_cases));
 }
 
-/* Heads of which a part is the whole of what a server sends. */
+/* Answers that end before their head does. */
 static const char *const broken_heads[] = {
 	"HTT",
 	"HTTP/1.1 2",
@@ -819,7 +819,7 @@
 
 typedef struct drain_case {
 	const char *description; /* printed if the case fails */
-	int64_t grace_ms;	 /* the time for the drain */
+	int64_t grace_ms;	 /* time allowed for the drain */
 	int64_t arrival_ms;	 /* after its start */
 	const char *request;
 	gboolean is_started;
@@ -862,10 +862,7 @@
 {
 	static const relay_script_t scripts[] = {
 		{ COMPLETE_ANSWER, END_KEEP },
-		{ "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\n"
-		  "Transfer-Encoding: chunked\r\n\r\n"
-		  "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
-		  END_KEEP },
+		{ FIRST_EVENT LAST_EVENT, END_KEEP },
 	};
 	size_t i;
 
@@ -906,6 +903,17 @@
 	}
 }
 
+/*
+ * Makes requests for the engines, of which there are none, wait for one during a
+ * drain; a stream would be refused at once.
+ */
+static void engine_route_make_idempotent_(relay_fixture_t *fixture)
+{
+	((cb_route_t *)cb_document_route(cb_front_document(fixture->front), "h",
+					 "/engine/"))
+		->kind = CB_ROUTE_IDEMPOTENT;
+}
+
 /*
  * A request that waits for a server while it becomes too late to start it must be
  * refused as not run, not sent when a server appears.
@@ -916,10 +924,7 @@
 	cb_service_t *service;
 
 	support_relay_init(&fixture, TRUE);
-	/* There is no engine. */
-	((cb_route_t *)cb_document_route(cb_front_document(fixture.front), "h",
-					 "/engine/"))
-		->kind = CB_ROUTE_IDEMPOTENT;
+	engine_route_make_idempotent_(&fixture);
 	fixture.front->grace_ms = 4000;
 	service = (cb_service_t *)fixture.front;
 	service->vtable->drain(service);
@@ -957,7 +962,7 @@
 
 	support_relay_init(&fixture, TRUE);
 	service = (cb_service_t *)fixture.front;
-	/* The record in the view has another address: it is not its own. */
+	/* The only instance in the view has another address than this one. */
 	other = cb_view_instances(fixture.front->view)->pdata[0];
 	CU_ASSERT_STRING_NOT_EQUAL(other->address, fixture.front->listen);
 	CU_ASSERT_TRUE(address_is_named_(fixture.front, NULL, other->address));
@@ -1019,10 +1024,7 @@
 	gboolean is_answered;
 
 	support_relay_init(&fixture, TRUE);
-	/* There is no engine, and a stream would be refused at once. */
-	((cb_route_t *)cb_document_route(cb_front_document(fixture.front), "h",
-					 "/engine/"))
-		->kind = CB_ROUTE_IDEMPOTENT;
+	engine_route_make_idempotent_(&fixture);
 	fixture.scripts = scripts;
 	fixture.script_count = sends;
 	fixture.front->grace_ms = SHORT_GRACE_MS;
--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -8,15 +8,8 @@
  * Tests streams whose server says nothing for a while and then goes on, over
  * real sockets and with a paused clock.
  */
-#define STREAM_HEAD \
-	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-#define EVENT_1 "id: 1\ndata: a\n\n"
-#define EVENT_2 "id: 2\ndata: b\n\n"
-#define FIRST_EVENT STREAM_HEAD "f\r\n" EVENT_1 "\r\n"
-#define LAST_EVENT "f\r\n" EVENT_2 "\r\n0\r\n\r\n"
 #define WHOLE_BODY EVENT_1 EVENT_2
 #define STREAM_REQUEST REQUEST("POST", "/stream/", "Content-Length: 0\r\n")
-#define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
 /* The same with 600 ms for the whole answer. */
 #define SHORT_STREAM_REQUEST                                                    \
 	"POST /stream/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 600\r\n" \
--- a/src/test_libcurrantbridge/test_relay_streams.c
+++ b/src/test_libcurrantbridge/test_relay_streams.c
@@ -8,8 +8,6 @@
 /*
  * Tests how relayed answers end, and streams that are resumed or moved.
  */
-#define STREAM_HEAD \
-	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 /*
  * A stream that is reset in the middle of an event must resume at another
@@ -52,11 +50,9 @@
 #define UNFRAMED_HEAD "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\n\r\n"
 #define LENGTH_HEAD \
 	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\nContent-Length: 27\r\n\r\n"
-#define EVENT_1 "id: 1\ndata: a\n\n"
-#define EVENT_2 "id: 2\ndata: b\n\n"
 #define CUT_EVENT_2 "id: 2\ndata: "
 /* The rest of the stream after EVENT_1, as another server sends it. */
-#define REST_OF_STREAM STREAM_HEAD "f\r\n" EVENT_2 "\r\n0\r\n\r\n"
+#define REST_OF_STREAM STREAM_HEAD LAST_EVENT
 
 /* What the caller gets at the end of its answer. */
 typedef enum answer_end {
@@ -452,8 +448,6 @@
 }
 
 #define SCRIPTS_MAX 256
-#define FIRST_EVENT STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"
-#define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
 /* 60% of the route's target for the time between two events. */
 #define FIRST_CHECK_MS 120
 #define RECHECK_MS 60
--- a/src/test_libcurrantbridge/test_replica_files.c
+++ b/src/test_libcurrantbridge/test_replica_files.c
@@ -45,8 +45,8 @@
 };
 
 /*
- * Bytes that the disk of each member still takes, by the number in its folder's
- * name; the worker threads of the storages write.
+ * The disk of each member: its folder, and the bytes that it still takes.  The
+ * worker threads of the storages use them.
  */
 static struct {
 	char *folder;
@@ -54,7 +54,7 @@
 } disks[MEMBER_COUNT];
 static GMutex disks_lock;
 
-/* Returns the disk that a file is on, or -1. */
+/* Returns the index of the disk that an open file is on. */
 static int disk_find_(int fd)
 {
 	char *link = g_strdup_printf("/proc/self/fd/%d", fd);
@@ -66,6 +66,7 @@
 			break;
 	g_free(path);
 	g_free(link);
+	g_assert(i >= 0);
 	return i;
 }
 
@@ -438,19 +439,32 @@
 	return longest_ms;
 }
 
-/* Returns whether all members have applied all that is committed. */
+/* Returns whether all members have applied the same changes. */
 static gboolean members_are_equal_(const fixture_t *fixture)
 {
+	const member_t *first = &fixture->members[0];
 	uint32_t i;
 
-	for (i = 1; i < MEMBER_COUNT; i++)
-		if (fixture->members[i].applied_index !=
-		    fixture->members[0].applied_index)
+	for (i = 1; i < MEMBER_COUNT; i++) {
+		const member_t *member = &fixture->members[i];
+
+		if (member->applied_index != first->applied_index ||
+		    memcmp(member->values, first->values,
+			   sizeof(first->values)) != 0)
 			return FALSE;
-	return !memcmp(fixture->members[1].values, fixture->members[0].values,
-		       sizeof(fixture->members[0].values)) &&
-	       !memcmp(fixture->members[2].values, fixture->members[0].values,
-		       sizeof(fixture->members[0].values));
+	}
+	return TRUE;
+}
+
+/* Waits until all members are equal; FALSE: they are not in time. */
+static gboolean members_equal_wait_(const fixture_t *fixture)
+{
+	int64_t deadline_us = g_get_monotonic_time() + TIMEOUT_US;
+
+	while (!members_are_equal_(fixture) &&
+	       g_get_monotonic_time() < deadline_us)
+		g_main_context_iteration(NULL, TRUE);
+	return members_are_equal_(fixture);
 }
 
 /* Lets the disk of a member be full for a time, in the middle of a write. */
@@ -481,7 +495,6 @@
 static void disks_full_in_turn_hold_up_no_change(void)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
-	int64_t deadline_us;
 	int64_t longest_ms = 0;
 	member_t *leader;
 	uint32_t i;
@@ -489,27 +502,22 @@
 	fixture_begin_(fixture);
 	CU_ASSERT_PTR_NOT_NULL(leader_wait_(fixture));
 	for (i = 0; i < FULL_ROUNDS; i++) {
+		uint32_t member = i / 2 % MEMBER_COUNT;
+		int64_t gap_ms;
+
+		/* Every second time it is the leader's, if there is one. */
 		leader = leader_find_(fixture);
-		/* The leader's, as long as there is one, and all in turn. */
-		longest_ms =
-			MAX(longest_ms,
-			    disk_full_play_(fixture,
-					    leader && i % 2 ?
-						    (uint32_t)atoi(
-							    leader->address) :
-						    i / 2 % MEMBER_COUNT,
-					    FULL_MS));
+		if (leader && i % 2)
+			member = (uint32_t)atoi(leader->address);
+		gap_ms = disk_full_play_(fixture, member, FULL_MS);
+		longest_ms = MAX(longest_ms, gap_ms);
 	}
 	longest_ms = MAX(longest_ms, changes_commit_for_(fixture, FULL_MS));
 	printf("    %u changes committed, %u not, longest time without %d ms\n",
 	       fixture->committed_count, fixture->failed_count,
 	       (int)longest_ms);
 	CU_ASSERT_TRUE(longest_ms <= COMMIT_LIMIT_MS);
-	deadline_us = g_get_monotonic_time() + TIMEOUT_US;
-	while (!members_are_equal_(fixture) &&
-	       g_get_monotonic_time() < deadline_us)
-		g_main_context_iteration(NULL, TRUE);
-	CU_ASSERT_TRUE(members_are_equal_(fixture));
+	CU_ASSERT_TRUE(members_equal_wait_(fixture));
 	/* All of it is on the disks. */
 	for (i = 0; i < MEMBER_COUNT; i++)
 		member_stop_(&fixture->members[i]);
@@ -517,11 +525,7 @@
 		member_start_(&fixture->members[i]);
 	leader = leader_wait_(fixture);
 	CU_ASSERT_PTR_NOT_NULL(leader);
-	deadline_us = g_get_monotonic_time() + TIMEOUT_US;
-	while (!members_are_equal_(fixture) &&
-	       g_get_monotonic_time() < deadline_us)
-		g_main_context_iteration(NULL, TRUE);
-	CU_ASSERT_TRUE(members_are_equal_(fixture));
+	CU_ASSERT_TRUE(members_equal_wait_(fixture));
 	fixture_end_(fixture);
 }
 
--- a/test/platform/soak/soak_platform.c
+++ b/test/platform/soak/soak_platform.c
@@ -171,7 +171,7 @@
 	return soak_document_put(user_data);
 }
 
-/* Returns whether a request at an entry instance is served. */
+/* Sends a request to an entry instance; returns whether it is served. */
 static gboolean is_entry_serving_(const soak_t *soak, unsigned int entry)
 {
 	char *answer = support_request_exchange(
--- a/test/platform/soak/test_soak.c
+++ b/test/platform/soak/test_soak.c
@@ -268,7 +268,7 @@
 				  &soak->setup->load, seed);
 }
 
-/* Returns the setup of failures with `scale` times the processes and callers. */
+/* Returns the failure setup with `scale` times the entries, servers and callers. */
 static soak_setup_t failure_setup_scale_(int scale)
 {
 	soak_setup_t setup = failure_setup;
@@ -277,7 +277,7 @@
 	setup.entry_count *= factor;
 	setup.server_count *= factor;
 	setup.load.caller_count *= factor;
-	/* Control grows by pairs: its instances all have the same state. */
+	/* By pairs, so that the number of control instances stays odd. */
 	setup.control_count =
 		MIN(setup.control_count + 2 * (factor - 1), SOAK_CONTROL_MAX);
 	return setup;
--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -26,7 +26,7 @@
 /* The log lines of these requests far exceed the pipe and the log's buffer. */
 #define UNREAD_REQUESTS 3000
 
-/* The server answers requests for such a path so much later. */
+/* The server delays its answers under this path. */
 #define SLOW_PREFIX "/slow/"
 #define SLOW_ANSWER_MS 3500
 /* The grace time of an entry instance; a third of it is 2 s. */
@@ -314,16 +314,22 @@
 	return front_answers_status_(user_data, 200);
 }
 
-/* Starts all programs and waits until a request is served. */
-static void fixture_init_serving_(fixture_t *fixture)
+/* Starts all programs, with more routes, and waits until a request is served. */
+static void fixture_init_with_routes_(fixture_t *fixture,
+				      const char *more_routes)
 {
 	fixture_init_(fixture);
-	CU_ASSERT_EQUAL_FATAL(document_put_(fixture, 5, ""), 200);
+	CU_ASSERT_EQUAL_FATAL(document_put_(fixture, 5, more_routes), 200);
 	CU_ASSERT_EQUAL(heartbeat_send_(fixture, 0, 1, "ready"), 200);
 	CU_ASSERT_TRUE_FATAL(support_wait_until(is_request_served_, fixture,
 						START_TIMEOUT_MS));
 }
 
+static void fixture_init_serving_(fixture_t *fixture)
+{
+	fixture_init_with_routes_(fixture, "");
+}
+
 /* Returns the sum of a counter over all control instances. */
 static int64_t counter_sum_(fixture_t *fixture, const char *series)
 {
@@ -381,6 +387,7 @@
 							     (unsigned int)i,
 							     &relayed),
 				      (unsigned int)i + 1);
+		CU_ASSERT_PTR_NOT_NULL(relayed);
 		if (!relayed)
 			break;
 		CU_ASSERT_TRUE(g_str_has_prefix(relayed,
@@ -689,11 +696,7 @@
 	int fds[3];
 	int i;
 
-	fixture_init_(&fixture);
-	CU_ASSERT_EQUAL_FATAL(document_put_(&fixture, 5, ONCE_ROUTES), 200);
-	CU_ASSERT_EQUAL(heartbeat_send_(&fixture, 0, 1, "ready"), 200);
-	CU_ASSERT_TRUE_FATAL(support_wait_until(is_request_served_, &fixture,
-						START_TIMEOUT_MS));
+	fixture_init_with_routes_(&fixture, ONCE_ROUTES);
 	for (i = 0; i < 3; i++) {
 		fds[i] = support_address_connect(fixture.front_address);
 		kept_request_send_(fds[i], "/once/a", 2000);
