Failed new connections no longer end attempts whose own connection is sound

Cause: a conclusion from new connections ended work on open ones. Once the checks of the way to the servers had failed, every resumable attempt without data in the few ms since then was left (cut_off), forwarded to an instance that had no way either, and broken off with no_way. Likewise one refused call for an engine's report restarted all streams of that engine.

In-process, stream_with_events_outlives_refused_report_calls: 2 sends of a stream that has an event every 50 ms, instead of 1.

Change: an attempt is left only if its own next event is overdue by the stream's pace. A stream is not restarted while the way is being checked, nor when it is lost and no instance can take over; a begun answer without a way waits for 1.2 s, as for a server.

--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -57,6 +57,8 @@
 	cb_timer_t *way_timer;	/* checks servers while a way is lost */
 	/* When the first sign of the present loss came. */
 	int64_t way_suspect_ms;
+	/* When another instance last had an answer of the servers. */
+	int64_t way_confirmed_ms;
 	/* When a request may next be tried at a server that seems unreachable. */
 	int64_t way_trial_ms;
 	GHashTable *engine_checks; /* set of cb_engine_check_t in progress */
--- a/src/libcurrantbridge/include/private/reach.h
+++ b/src/libcurrantbridge/include/private/reach.h
@@ -71,6 +71,8 @@
  * has.
  */
 int64_t cb_reach_group_silent_ms(const cb_reach_group_t *group);
+/* Returns whether open connections to the group's servers have passed data lately. */
+gboolean cb_reach_group_is_heard(const cb_reach_group_t *group);
 /* Returns when the state began, by the clock. */
 int64_t cb_reach_group_since_ms(const cb_reach_group_t *group);
 /*
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -17,6 +17,8 @@
 #define CB_RELAY_CUT_OFF "cut_off"
 /* The usual Retry-After of a request that did not run. */
 #define CB_RELAY_RETRY_AFTER_MS 500
+/* How long an answer that has begun waits for a server that goes on with it. */
+#define CB_RELAY_RESUME_WAIT_MAX_MS 1200
 
 /*
  * One relayed request, from its arrival to the end of its answer.  See
@@ -193,6 +195,12 @@
 /* Drops the chain that a pending reroute leaves, once it is not needed. */
 void cb_relay_clear_former_hops(cb_relay_t *relay);
 void cb_relay_start_silence_timer(cb_relay_t *relay);
+/*
+ * Returns whether the next part of the answer to the attempt in flight is overdue,
+ * by the stream's own pace; only then may the attempt be left for what other
+ * connections show.
+ */
+gboolean cb_relay_is_overdue(const cb_relay_t *relay);
 void cb_relay_silence_timer_fired(void *user_data);
 /* Moves all streams away from the engine at `address`, which is lost. */
 void cb_relay_move_streams(cb_front_t *front, const char *address);
--- a/src/libcurrantbridge/include/private/relay_reach.h
+++ b/src/libcurrantbridge/include/private/relay_reach.h
@@ -32,6 +32,21 @@
  * its way is lost, and its silent requests are forwarded too.
  */
 void cb_relay_reach_confirm(struct cb_front *front);
+/*
+ * Returns whether all servers of a request's service are silent to this instance, and
+ * may only stand still.
+ */
+gboolean cb_relay_reach_may_stall(const struct cb_relay *relay);
+/*
+ * Leaves an attempt that is cut off from its server, by its own open connection too,
+ * if another instance can serve the request.  Returns FALSE if it goes on.
+ */
+gboolean cb_relay_reach_move(struct cb_relay *relay);
+/*
+ * Returns whether another attempt at a request has a way to a server, of this
+ * instance or of another one.
+ */
+gboolean cb_relay_reach_allows_restart(const struct cb_relay *relay);
 /* Records that the server of a request has answered it. */
 void cb_relay_reach_hear_answer(struct cb_relay *relay);
 /* Cancels the checks and frees them with the state. */
--- a/src/libcurrantbridge/include/private/silence.h
+++ b/src/libcurrantbridge/include/private/silence.h
@@ -9,8 +9,9 @@
  * loss: a sound server may pause and go on, and its connection tells if it ends.
  * An attempt is therefore left only for another one that can take over, and is
  * otherwise kept until its server goes on or breaks it off, an engine that it
- * needs is shown to have ended, or the request's time is over.  These decisions
- * do no I/O and keep no state.
+ * needs is shown to have ended, or the request's time is over.  What other
+ * connections show ends no attempt whose next event is not due yet.  These
+ * decisions do no I/O and keep no state.
  */
 
 /* What is known of the silent server. */
@@ -52,6 +53,8 @@
 	/* The engine that the server waits for is shown to have ended. */
 	gboolean has_ended;
 	int64_t silent_ms; /* since the last event, or since the request */
+	/* The next event is not due yet: the attempt's own connection shows nothing. */
+	gboolean is_in_progress;
 } cb_silence_t;
 
 /*
--- a/src/libcurrantbridge/relay/reach.c
+++ b/src/libcurrantbridge/relay/reach.c
@@ -159,6 +159,14 @@
 		       -1;
 }
 
+/* Returns whether open connections to the group's servers have passed data lately. */
+gboolean cb_reach_group_is_heard(const cb_reach_group_t *group)
+{
+	return group->heard_ms &&
+	       cb_clock_now_ms(group->reach->clock) - group->heard_ms <
+		       QUIET_MS;
+}
+
 /* Returns when the group's state began. */
 int64_t cb_reach_group_since_ms(const cb_reach_group_t *group)
 {
@@ -196,8 +204,7 @@
 	    (group->checked_ms &&
 	     now_ms - group->checked_ms < CHECK_INTERVAL_MS))
 		return FALSE;
-	return sign == CB_REACH_SIGN_FAILED ||
-	       now_ms - group->heard_ms >= QUIET_MS;
+	return sign == CB_REACH_SIGN_FAILED || !cb_reach_group_is_heard(group);
 }
 
 /* Begins the check of `count` servers. */
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -25,7 +25,6 @@
  */
 #define SERVER_WAIT_MAX_MS 1000
 #define CAPACITY_WAIT_MAX_MS 250
-#define RESUME_WAIT_MAX_MS 1200
 #define WAIT_RETRY_INTERVAL_MS 10
 /* A request waits at most its total time divided by this number. */
 #define WAIT_TIME_DIVISOR 4
@@ -471,8 +470,9 @@
 /* Chooses servers and sends the request, queues it or gives it up. */
 void cb_relay_attempt_start(cb_relay_t *relay)
 {
-	int64_t max_wait_ms = relay->is_answer_begun ? RESUME_WAIT_MAX_MS :
-						       CAPACITY_WAIT_MAX_MS;
+	int64_t max_wait_ms = relay->is_answer_begun ?
+				      CB_RELAY_RESUME_WAIT_MAX_MS :
+				      CAPACITY_WAIT_MAX_MS;
 
 	if (start_is_too_late_(relay)) {
 		cb_relay_give_up(relay, "stopping", STOPPING_RETRY_AFTER_MS);
--- a/src/libcurrantbridge/relay/relay_forward.c
+++ b/src/libcurrantbridge/relay/relay_forward.c
@@ -291,13 +291,21 @@
 	g_free(address);
 }
 
-/* Refuses a request that no instance can serve now. */
-static void no_way_give_up_(cb_relay_t *relay)
+/*
+ * Refuses a request that no instance can serve now.  An answer that has begun waits
+ * first: a way may soon be back, and its caller would lose what it has.
+ */
+static void no_way_handle_(cb_relay_t *relay)
 {
-	cb_relay_give_up(relay, "no_way",
-			 COMEBACK_MS / 2 +
-				 g_rand_int_range(relay->front->random, 0,
-						  COMEBACK_MS + 1));
+	int64_t retry_after_ms =
+		COMEBACK_MS / 2 +
+		g_rand_int_range(relay->front->random, 0, COMEBACK_MS + 1);
+
+	if (relay->is_answer_begun && !relay->forwarded_from)
+		cb_relay_queue(relay, "no_way", CB_RELAY_RESUME_WAIT_MAX_MS,
+			       retry_after_ms);
+	else
+		cb_relay_give_up(relay, "no_way", retry_after_ms);
 }
 
 /*
@@ -328,7 +336,7 @@
 	const cb_instance_t *instance;
 
 	if (relay->forwarded_from) {
-		no_way_give_up_(relay);
+		no_way_handle_(relay);
 		return TRUE;
 	}
 	instance = relay->forward_count < FORWARDS_MAX ? peer_choose_(front) :
@@ -337,7 +345,7 @@
 		if (way != CB_REACH_LOST || !has_peers_(front) ||
 		    trial_take_(relay))
 			return FALSE;
-		no_way_give_up_(relay);
+		no_way_handle_(relay);
 		return TRUE;
 	}
 	if (relay->is_next_send_retry &&
--- a/src/libcurrantbridge/relay/relay_reach.c
+++ b/src/libcurrantbridge/relay/relay_reach.c
@@ -58,8 +58,8 @@
 			      cb_reach_state_string[state]);
 }
 
-/* Returns a list of the requests whose servers another instance may reach. */
-static GPtrArray *movable_relays_collect_(const cb_front_t *front)
+/* Returns a list of the requests with an attempt in flight at a server. */
+static GPtrArray *running_relays_collect_(const cb_front_t *front)
 {
 	GPtrArray *relays = g_ptr_array_new();
 	GHashTableIter iter;
@@ -69,37 +69,69 @@
 	while (g_hash_table_iter_next(&iter, &value, NULL)) {
 		const cb_relay_t *relay = value;
 
-		if (relay->call && !relay->forwarded_to &&
-		    cb_relay_is_resumable(relay) &&
-		    relay->heard_ms < front->way_suspect_ms)
+		if (relay->call && !relay->forwarded_to)
 			g_ptr_array_add(relays, value);
 	}
 	return relays;
 }
 
 /*
- * Gives up the attempts of which nothing was heard since the way to their servers
- * was lost: other instances can serve the requests now.
+ * Returns whether all servers of a request's service are silent, and may only stand
+ * still: no other instance has had an answer of them since.
  */
+gboolean cb_relay_reach_may_stall(const cb_relay_t *relay)
+{
+	const cb_front_t *front = relay->front;
+
+	return front->way_confirmed_ms < front->way_suspect_ms &&
+	       cb_relay_reach_find(front, relay->service) == CB_REACH_SILENT;
+}
+
+/*
+ * Returns whether the way to an attempt's servers is lost on open connections too:
+ * nothing was heard over any of them since the loss was suspected, and the attempt's
+ * own answer is overdue.  That new connections fail says nothing about open ones.
+ */
+static gboolean attempt_is_cut_off_(const cb_relay_t *relay)
+{
+	const cb_front_t *front = relay->front;
+	cb_reach_state_t state;
+
+	if (!relay->way_group || relay->heard_ms >= front->way_suspect_ms ||
+	    cb_reach_group_is_heard(relay->way_group) ||
+	    !cb_relay_is_overdue(relay))
+		return FALSE;
+	state = cb_relay_reach_find(front, relay->service);
+	return state == CB_REACH_LOST ||
+	       (state == CB_REACH_SILENT && !cb_relay_reach_may_stall(relay));
+}
+
+/*
+ * Leaves an attempt that is cut off from its server, if another instance can serve
+ * the request.  Returns FALSE if the attempt goes on.
+ */
+gboolean cb_relay_reach_move(cb_relay_t *relay)
+{
+	if (!attempt_is_cut_off_(relay) || !cb_relay_is_resumable(relay) ||
+	    !cb_relay_may_retry(relay, 1, 0) ||
+	    !cb_relay_forward_is_possible(relay))
+		return FALSE;
+	cb_relay_attempt_failed(relay, CB_RELAY_CUT_OFF, TRUE, NULL);
+	return TRUE;
+}
+
+/* Leaves the attempts that are cut off; those that are not overdue, later. */
 static void requests_move_(cb_front_t *front)
 {
-	GPtrArray *relays = movable_relays_collect_(front);
+	GPtrArray *relays = running_relays_collect_(front);
 	unsigned int i;
 
 	for (i = 0; i < relays->len; i++) {
 		cb_relay_t *relay = relays->pdata[i];
-		cb_reach_state_t state;
 
 		/* Ending one request may have ended others. */
-		if (!g_hash_table_contains(front->relays, relay) ||
-		    !relay->call)
-			continue;
-		state = cb_relay_reach_find(front, relay->service);
-		if ((state == CB_REACH_LOST || state == CB_REACH_SILENT) &&
-		    cb_relay_may_retry(relay, 1, 0) &&
-		    cb_relay_forward_is_possible(relay))
-			cb_relay_attempt_failed(relay, CB_RELAY_CUT_OFF, TRUE,
-						NULL);
+		if (g_hash_table_contains(front->relays, relay) && relay->call)
+			(void)cb_relay_reach_move(relay);
 	}
 	g_ptr_array_unref(relays);
 }
@@ -369,13 +401,32 @@
 	return best == CB_REACH_STATE_COUNT ? CB_REACH_OPEN : best;
 }
 
+/*
+ * Returns whether another attempt at a request has a way to a server, of this
+ * instance or of another one; not while it is checked whether new connections fail.
+ */
+gboolean cb_relay_reach_allows_restart(const cb_relay_t *relay)
+{
+	switch (cb_relay_reach_find(relay->front, relay->service)) {
+	case CB_REACH_CHECKING:
+		return FALSE;
+	case CB_REACH_NEW_LOST:
+	case CB_REACH_LOST:
+		return cb_relay_forward_is_possible(relay);
+	default:
+		return TRUE;
+	}
+}
+
 /*
  * Records that another instance has an answer of the servers: that this one hears
  * nothing is due to its way, not to servers that stand still.
  */
 void cb_relay_reach_confirm(cb_front_t *front)
 {
-	requests_move_(front);
+	front->way_confirmed_ms = cb_clock_now_ms(front->clock);
+	if (cb_reach_has_doubts(front->reach))
+		requests_move_(front);
 }
 
 /*
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -91,9 +91,25 @@
 	cb_timer_start(relay->silence_timer, silence_limit_compute_(relay));
 }
 
+/* Returns in how many ms more data of the attempt is due; 0: it is overdue. */
+static int64_t due_time_left_(const cb_relay_t *relay)
+{
+	int64_t due_ms =
+		MAX(relay->heard_ms, relay->sent_ms) + ANSWER_CHECK_INTERVAL_MS;
+
+	if (stream_is_watched_(relay))
+		due_ms = event_due_compute_(relay);
+	return MAX(due_ms - cb_relay_now_ms(relay), 0);
+}
+
+gboolean cb_relay_is_overdue(const cb_relay_t *relay)
+{
+	return !due_time_left_(relay);
+}
+
 /*
- * Returns what the streams at other servers of the service show since this one's
- * next event was due.
+ * Returns what the streams at other servers of the service, and the checks of some,
+ * show since this one's next event was due.
  */
 static cb_silence_peers_t peers_find_(const cb_relay_t *relay)
 {
@@ -104,6 +120,8 @@
 	GHashTableIter iter;
 	void *value;
 
+	if (cb_relay_reach_may_stall(relay))
+		return CB_SILENCE_PEERS_SILENT;
 	g_hash_table_iter_init(&iter, relay->front->relays);
 	while (g_hash_table_iter_next(&iter, &value, NULL)) {
 		const cb_relay_t *peer = value;
@@ -124,7 +142,7 @@
 /*
  * Returns whether another attempt can take over a stream from the server at
  * `lost_address` (NULL: the first hop): it is allowed, has time to send an event
- * within the route's target, a retry is left, and there is a server for it.
+ * within the route's target, a retry is left, and a server for it is in reach.
  */
 static gboolean restart_is_possible_(const cb_relay_t *relay,
 				     const char *lost_address)
@@ -138,7 +156,8 @@
 	void *id;
 
 	if (!cb_relay_may_retry(relay, 1, relay->route->target_latency_ms) ||
-	    !cb_retry_share_has_retry(front->retries, relay->service->name))
+	    !cb_retry_share_has_retry(front->retries, relay->service->name) ||
+	    !cb_relay_reach_allows_restart(relay))
 		return FALSE;
 	excluded_servers = g_hash_table_new(g_str_hash, g_str_equal);
 	g_hash_table_iter_init(&iter, relay->tried_servers);
@@ -225,6 +244,7 @@
 			     cb_engine_reports_has_ended(relay->front->reports,
 							 lost_address),
 		.silent_ms = silence_compute_ms_(relay),
+		.is_in_progress = !cb_relay_is_overdue(relay),
 	};
 
 	switch (cb_silence_decide(&silence)) {
@@ -242,7 +262,11 @@
 					lost_address);
 		break;
 	case CB_SILENCE_WAIT:
-		attempt_keep_(relay, &silence);
+		if (silence.is_in_progress)
+			cb_timer_start(relay->silence_timer,
+				       due_time_left_(relay));
+		else
+			attempt_keep_(relay, &silence);
 		if (lost_address &&
 		    cb_engine_reports_is_check_due(relay->front->reports,
 						   lost_address))
@@ -479,6 +503,17 @@
 	silence_handle_(relay, CB_SILENCE_NO_REROUTE, NULL);
 }
 
+/*
+ * Returns whether a stream whose server gives no reports stays until it is known
+ * whether a restart has a way to another server.
+ */
+static gboolean way_check_is_awaited_(const cb_relay_t *relay)
+{
+	return !relay->service->engine &&
+	       cb_relay_reach_find(relay->front, relay->service) ==
+		       CB_REACH_CHECKING;
+}
+
 /* Called when an event of a stream, or the answer to a reroute, is overdue. */
 void cb_relay_silence_timer_fired(void *user_data)
 {
@@ -488,12 +523,17 @@
 		reroute_time_out_(relay);
 	} else if (relay->forwarded_to) {
 		cb_relay_forward_silent(relay);
-	} else if (!stream_is_watched_(relay)) {
-		cb_relay_reach_suspect(relay, CB_REACH_SIGN_OVERDUE);
-		cb_relay_start_silence_timer(relay);
 	} else {
 		cb_relay_reach_suspect(relay, CB_REACH_SIGN_OVERDUE);
-		silence_handle_(relay, CB_SILENCE_EVENT_OVERDUE, NULL);
+		if (cb_relay_reach_move(relay))
+			return;
+		if (!stream_is_watched_(relay))
+			cb_relay_start_silence_timer(relay);
+		else if (way_check_is_awaited_(relay))
+			cb_timer_start(relay->silence_timer,
+				       CHECK_INTERVAL_MIN_MS);
+		else
+			silence_handle_(relay, CB_SILENCE_EVENT_OVERDUE, NULL);
 	}
 }
 
--- a/src/libcurrantbridge/relay/silence.c
+++ b/src/libcurrantbridge/relay/silence.c
@@ -23,7 +23,8 @@
 	return CB_SILENCE_RESTART;
 }
 
-cb_silence_action_t cb_silence_decide(const cb_silence_t *silence)
+/* Decides on a stream whose next event is overdue. */
+static cb_silence_action_t overdue_decide_(const cb_silence_t *silence)
 {
 	switch (silence->sign) {
 	case CB_SILENCE_EVENT_OVERDUE:
@@ -45,3 +46,13 @@
 		return CB_SILENCE_WAIT;
 	}
 }
+
+cb_silence_action_t cb_silence_decide(const cb_silence_t *silence)
+{
+	cb_silence_action_t action = overdue_decide_(silence);
+
+	if (silence->is_in_progress &&
+	    (action == CB_SILENCE_RESTART || action == CB_SILENCE_FAIL))
+		return CB_SILENCE_WAIT;
+	return action;
+}
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -165,6 +165,10 @@
 #define FIRST_EVENT STREAM_HEAD "f\r\n" EVENT_1 "\r\n"
 #define LAST_EVENT "f\r\n" EVENT_2 "\r\n0\r\n\r\n"
 #define ENGINE_REQUEST REQUEST("POST", "/engine/", "Content-Length: 0\r\n")
+/* The same of another caller, with another ID. */
+#define OTHER_ENGINE_REQUEST                                                     \
+	"POST /engine/ HTTP/1.1\r\nHost: h\r\nId: 8\r\nKey: k\r\nLeft: 2000\r\n" \
+	"Content-Length: 0\r\n\r\n"
 #define IDEMPOTENT_REQUEST REQUEST("GET", "/safe/a?b=%2f", "")
 #define ONCE_REQUEST REQUEST("POST", "/once/a", "Content-Length: 3\r\n") "abc"
 
--- a/src/test_libcurrantbridge/test_relay_streams.c
+++ b/src/test_libcurrantbridge/test_relay_streams.c
@@ -644,7 +644,107 @@
 	g_free(rejection);
 	g_free(address);
 }
+
+typedef struct refused_report_case {
+	const char *description;
+	int refused_engine; /* refuses calls for its report */
+	/* Layers of the third engine, which can take over from the refusing one. */
+	uint32_t spare_from;
+	uint32_t spare_to;
+	unsigned int event_interval_ms;
+	unsigned int expected_sends; /* of the stream */
+} refused_report_case_t;
+
+static const refused_report_case_t refused_report_cases[] = {
+	{ "first engine, steady stream", 0, 0, 1, 50, 1 },
+	{ "first engine, stream as slow as allowed", 0, 0, 1, 110, 1 },
+};
+
+/* Sends the stream's events `first` to `last`, one in each interval. */
+static void paced_events_send_(relay_fixture_t *fixture, unsigned int first,
+			       unsigned int last, unsigned int interval_ms)
+{
+	unsigned int id;
+
+	for (id = first; id <= last; id++) {
+		char *text =
+			g_strdup_printf("f\r\nid: %u\ndata: a\n\n\r\n", id);
+
+		support_relay_pass_time(fixture, interval_ms);
+		support_relay_answer_continue(fixture, 0, text);
+		g_free(text);
+	}
+}
+
+/* Returns how many requests have the ID of the stream. */
+static unsigned int stream_sends_count_(const relay_fixture_t *fixture)
+{
+	unsigned int count = 0;
+	unsigned int i;
+
+	for (i = 0; i < fixture->requests->len; i++)
+		count += strstr(fixture->requests->pdata[i], "Id: 7\r\n") !=
+			 NULL;
+	return count;
+}
+
+static gboolean refused_report_case_run_(const refused_report_case_t *c)
+{
+	relay_script_t scripts[] = { { FIRST_EVENT, END_HOLD },
+				     { NULL, END_KEEP } };
+	relay_fixture_t fixture;
+	gboolean is_as_expected;
+	char *rejection;
+	char *address;
+
+	support_relay_init(&fixture, TRUE);
+	support_relay_engine_announce(&fixture, 0);
+	support_relay_engine_announce(&fixture, 1);
+	world_run_until(fixture.world, NULL, 1000);
+	address = support_relay_server_address(&fixture,
+					       (unsigned int)c->refused_engine);
+	rejection = g_strdup_printf("HTTP/1.1 503 X\r\nId: 8\r\nNot-Run: 1\r\n"
+				    "Fault: %s\r\nContent-Length: 0\r\n\r\n",
+				    address);
+	scripts[1].text = rejection;
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, ENGINE_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 0, EVENT_1));
+	support_relay_layers_announce(&fixture, 2, 1, c->spare_from,
+				      c->spare_to);
+	paced_events_send_(&fixture, 2, 5, c->event_interval_ms);
+	fixture.lost_server = c->refused_engine;
+	g_ptr_array_add(fixture.other_callers, fixture.caller);
+	fixture.caller = NULL;
+	support_relay_request_send(&fixture, OTHER_ENGINE_REQUEST);
+	CU_ASSERT_TRUE(calls_wait_(fixture.report_addresses, 1));
+	paced_events_send_(&fixture, 6, 9, c->event_interval_ms);
+	is_as_expected = fixture.report_addresses->len &&
+			 stream_sends_count_(&fixture) == c->expected_sends;
+	if (!is_as_expected)
+		printf("    %s: %u report calls, %u sends\n", c->description,
+		       fixture.report_addresses->len,
+		       stream_sends_count_(&fixture));
+	support_relay_clear(&fixture);
+	g_free(rejection);
+	g_free(address);
+	return is_as_expected;
+}
+
+/* Guards against a sound stream that is cut since another connection failed. */
+static void stream_with_events_outlives_refused_report_calls(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(refused_report_cases); i++)
+		CU_ASSERT_TRUE(
+			refused_report_case_run_(&refused_report_cases[i]));
+}
+
 static CU_TestInfo relay_streams_tests[] = {
+	{ "stream_with_events_outlives_refused_report_calls",
+	  stream_with_events_outlives_refused_report_calls },
 	{ "reset_stream_resumes_at_another_server",
 	  reset_stream_resumes_at_another_server },
 	{ "cut_answer_is_not_forwarded_as_whole",
