A forwarded request that has not run elsewhere doesn't end its answer

What callers saw: begun streams reset with "server_error", though no server had failed (LOST).

Cause: an instance that refuses a forwarded request says "unknown" as soon as the request has runs, and it counted those of the instance that forwards. So a stream that had run once, and was then refused elsewhere for no_way, counted as run there too: max_attempts was reached and the answer was broken off. A refusal that is passed on (not_run) counted as a run within a begun stream.

Evidence: the new row of forwarded_request_is_answered_truthfully got "Currantbridge-Outcome: unknown" from an instance that had run nothing.

Change: only runs made here count for the outcome. The header lines are the same; an instance of an earlier build says "unknown" as before.

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -69,10 +69,12 @@
 	unsigned int forward_count;
 	/*
 	 * The instance that has forwarded the request here, NULL: a caller sent
-	 * it; and the version of the document by which that routed it.
+	 * it; the version of the document by which that routed it, and the runs
+	 * that it has made of it, which `run_count` includes.
 	 */
 	char *forwarded_from;
 	int64_t forwarded_version;
+	unsigned int forwarded_runs;
 	gboolean is_counted_as_forwarded; /* in the front's forwarded_count */
 	/* When the next attempt may be sent; 0: at once. */
 	int64_t next_send_ms;
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -209,6 +209,18 @@
 	g_hash_table_remove(relay->front->relays, relay);
 }
 
+/*
+ * Returns what an error tells the instance that has forwarded the request.  That
+ * instance knows of its own runs: only those made here count.
+ */
+static cb_forward_outcome_t error_outcome_find_(const cb_relay_t *relay,
+						const char *reason)
+{
+	return relay->run_count > relay->forwarded_runs ?
+		       CB_FORWARD_UNKNOWN :
+		       cb_relay_forward_refusal(reason);
+}
+
 /*
  * Answers with an error of this instance; `retry_after_ms` 0: no header.  Another
  * instance that has forwarded the request is told what that means.
@@ -230,9 +242,7 @@
 	if (relay->forwarded_from)
 		g_string_append(headers,
 				cb_relay_forward_outcome_line(
-					has_run ? CB_FORWARD_UNKNOWN :
-						  cb_relay_forward_refusal(
-							  reason)));
+					error_outcome_find_(relay, reason)));
 	cb_http1_exchange_reply(exchange, status, headers->str, body,
 				strlen(body));
 	g_string_free(headers, TRUE);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -572,7 +572,11 @@
 	}
 	if (relay->is_answer_begun) {
 		/* A stream can't be resumed from another kind of answer. */
-		cb_relay_attempt_failed(relay, "server_error", TRUE, NULL);
+		cb_relay_attempt_failed(relay, "server_error",
+					!relay->forwarded_to ||
+						relay->forward_outcome !=
+							CB_FORWARD_NOT_RUN,
+					NULL);
 		return;
 	}
 	if (status < 500) {
--- a/src/libcurrantbridge/relay/relay_forward.c
+++ b/src/libcurrantbridge/relay/relay_forward.c
@@ -119,7 +119,8 @@
 	if (is_valid) {
 		relay->forwarded_from = g_strdup(words[0]);
 		relay->forwarded_version = (int64_t)version;
-		relay->run_count = (unsigned int)runs;
+		relay->forwarded_runs = (unsigned int)runs;
+		relay->run_count = relay->forwarded_runs;
 	}
 	g_strfreev(words);
 	return is_valid;
--- a/src/test_libcurrantbridge/test_relay_forward.c
+++ b/src/test_libcurrantbridge/test_relay_forward.c
@@ -57,6 +57,12 @@
 	  1,
 	  "HTTP/1.1 502 ",
 	  "Currantbridge-Outcome: unknown\r\n" },
+	/* The one run was made at the other instance, none here. */
+	{ FORWARDED("entry2 2 1"),
+	  { COMPLETE_ANSWER, END_KEEP },
+	  0,
+	  "HTTP/1.1 503 ",
+	  "Currantbridge-Outcome: elsewhere\r\n" },
 	{ "POST /once/a HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\n"
 	  "Left: 2000\r\nCurrantbridge-Forwarded: entry2 1 0\r\n"
 	  "Content-Length: 0\r\n\r\n",
