Lack of descriptors in this process says nothing about servers

Cause: a connection that could not be made for lack of descriptors counted as refused by the server. The server was taken for ended, and the checks of the way failed alike, so that the way was lost too.

Evidence: lack_of_descriptors_is_held_against_no_server (in-process, one free descriptor) failed before: the way was in doubt, servers were distrusted, and the request was not served once descriptors were free again.

Change: HTTP calls end with a result of their own, no_resources. An idle connection of the pool gives way first, then idle callers. The request is tried again every 50 ms within the time that it may wait; servers, the way and other instances are not blamed, and a check that could not be made doesn't count. A call for an engine's report that could not be made is left to its timeout.

--- a/include/currantbridge/engine_orders.h
+++ b/include/currantbridge/engine_orders.h
@@ -85,7 +85,11 @@
 	/* Sends an order to a server. */
 	void (*place)(cb_engine_orders_t *orders, const cb_layer_order_t *order,
 		      cb_order_done_fn_t done, void *user_data);
-	/* Requests a report from the server at `address`. */
+	/*
+	 * Requests a report from the server at `address`.  Without resources in
+	 * this process for the call, `done` is not called: that shows nothing of
+	 * the server, and the time that the caller allows passes.
+	 */
 	void (*report)(cb_engine_orders_t *orders, const char *address,
 		       cb_report_done_fn_t done, void *user_data);
 	/*
--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -24,6 +24,11 @@
 	CB_HTTP1_LOST, /* no complete answer head: the request may have run */
 	CB_HTTP1_TRUNCATED, /* the connection ended within the body */
 	CB_HTTP1_MALFORMED, /* not a valid answer, or rejected by head() */
+	/*
+	 * This process has no descriptor, port or memory for a connection: says
+	 * nothing about the server.  No byte of the request was sent.
+	 */
+	CB_HTTP1_NO_RESOURCES,
 	CB_HTTP1_RESULT_COUNT
 } cb_http1_result_t;
 
@@ -46,6 +51,14 @@
 cb_http1_client_t *cb_http1_client_new(GMainContext *context, cb_clock_t *clock,
 				       cb_counters_t *counters);
 void cb_http1_client_delete(cb_http1_client_t *client);
+/*
+ * Sets a function that is called when the process lacks the resources for another
+ * connection, though no idle one is left to be closed; it returns whether it has
+ * freed some.
+ */
+void cb_http1_client_on_exhausted(cb_http1_client_t *client,
+				  gboolean (*make_room)(void *user_data),
+				  void *user_data);
 
 /*
  * Sends a request over a pooled connection that was idle for at most
--- a/include/currantbridge/http1_server.h
+++ b/include/currantbridge/http1_server.h
@@ -51,6 +51,7 @@
 				const cb_http1_limits_t *limits);
 void cb_http1_server_limit_batch(cb_http1_server_t *server, int max_sockets);
 void cb_http1_server_drain(cb_http1_server_t *server);
+gboolean cb_http1_server_evict_idle(cb_http1_server_t *server);
 unsigned int cb_http1_server_count_requests(const cb_http1_server_t *server);
 
 const struct cb_http1_head *cb_http1_exchange_head(
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -1,5 +1,6 @@
 #include "currantbridge/http1_client.h"
 
+#include <errno.h>
 #include <string.h>
 
 #include "private/http1_body.h"
@@ -17,9 +18,12 @@
 #define INTERIM_ANSWERS_MAX 64
 
 const char *const cb_http1_result_string[CB_HTTP1_RESULT_COUNT] = {
-	[CB_HTTP1_COMPLETE] = "complete",   [CB_HTTP1_UNSENT] = "unsent",
-	[CB_HTTP1_LOST] = "lost",	    [CB_HTTP1_TRUNCATED] = "truncated",
+	[CB_HTTP1_COMPLETE] = "complete",
+	[CB_HTTP1_UNSENT] = "unsent",
+	[CB_HTTP1_LOST] = "lost",
+	[CB_HTTP1_TRUNCATED] = "truncated",
 	[CB_HTTP1_MALFORMED] = "malformed",
+	[CB_HTTP1_NO_RESOURCES] = "no_resources",
 };
 
 /* A connection to a server: idle in the pool, or in use by a call. */
@@ -34,6 +38,8 @@
 	int64_t idle_since_ms;
 	int64_t idle_max_ms;
 	gboolean is_open; /* whether the connection was established */
+	gboolean
+		lacks_resources; /* it could not be made for lack of resources */
 } connection_t;
 
 struct cb_http1_call {
@@ -64,6 +70,9 @@
 	GHashTable *idle_connections;
 	GHashTable *connections; /* set of all connections */
 	uint64_t next_connection_id;
+	/* Frees resources for another connection; may be NULL. */
+	gboolean (*make_room)(void *user_data);
+	void *make_room_data;
 };
 
 /* Removes a connection from the pool, closes it and frees it. */
@@ -318,7 +327,9 @@
 	connection_t *connection = user_data;
 
 	if (connection->call)
-		call_end_(connection->call, CB_HTTP1_UNSENT);
+		call_end_(connection->call, connection->lacks_resources ?
+						    CB_HTTP1_NO_RESOURCES :
+						    CB_HTTP1_UNSENT);
 	else
 		connection_delete_(connection);
 }
@@ -428,6 +439,58 @@
 	return connection;
 }
 
+/* Sets what frees resources for another connection. */
+void cb_http1_client_on_exhausted(cb_http1_client_t *client,
+				  gboolean (*make_room)(void *user_data),
+				  void *user_data)
+{
+	client->make_room = make_room;
+	client->make_room_data = user_data;
+}
+
+/* Closes the connection that has been idle for the longest time, if there is one. */
+static gboolean idle_connection_evict_(cb_http1_client_t *client)
+{
+	connection_t *oldest = NULL;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, client->idle_connections);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		connection_t *connection = g_queue_peek_tail(value);
+
+		if (connection && (!oldest || connection->idle_since_ms <
+						      oldest->idle_since_ms))
+			oldest = connection;
+	}
+	if (!oldest)
+		return FALSE;
+	connection_delete_(oldest);
+	return TRUE;
+}
+
+/*
+ * Starts a connection's socket.  If the process lacks resources, an idle connection
+ * gives way, or what make_room() finds.
+ */
+static void connection_start_(connection_t *connection)
+{
+	cb_http1_client_t *client = connection->client;
+	gboolean has_room = TRUE;
+
+	while (!connection->stream && has_room) {
+		connection->stream =
+			cb_stream_connect(client->poller, connection->address,
+					  &stream_handler, connection);
+		if (connection->stream || !cb_stream_is_exhaustion(errno))
+			return;
+		has_room = idle_connection_evict_(client) ||
+			   (client->make_room &&
+			    client->make_room(client->make_room_data));
+	}
+	connection->lacks_resources = !connection->stream;
+}
+
 /* Starts to connect to a server. */
 static connection_t *connection_open_(cb_http1_client_t *client,
 				      const char *address)
@@ -439,8 +502,7 @@
 	connection->address = g_strdup(address);
 	connection->timer = cb_timer_new(client->clock, connection_timer_fired_,
 					 connection);
-	connection->stream = cb_stream_connect(client->poller, address,
-					       &stream_handler, connection);
+	connection_start_(connection);
 	g_hash_table_add(client->connections, connection);
 	/* An immediate failure is also reported from the main loop. */
 	cb_timer_start(connection->timer,
--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -486,15 +486,14 @@
 }
 
 /*
- * Makes room when no connection can be accepted: closes those that have been idle
- * for the longest time, as the idle timeout would; if none is idle, new callers
- * wait a little.
+ * Closes the connections that have been idle for the longest time, as the idle
+ * timeout would.  Returns whether there were any.
  */
-static void exhausted_handle_(void *user_data)
+gboolean cb_http1_server_evict_idle(cb_http1_server_t *server)
 {
-	cb_http1_server_t *server = user_data;
 	GPtrArray *idle = g_ptr_array_new();
 	GHashTableIter iter;
+	gboolean has_idle;
 	unsigned int i;
 	void *value;
 
@@ -507,12 +506,21 @@
 		refusal_count_(server, "evicted");
 		connection_remove_(idle->pdata[i]);
 	}
-	if (!idle->len) {
-		refusal_count_(server, "out_of_descriptors");
-		listeners_set_paused_(server, TRUE);
-		cb_timer_start(server->accept_timer, EXHAUSTED_PAUSE_MS);
-	}
+	has_idle = idle->len > 0;
 	g_ptr_array_unref(idle);
+	return has_idle;
+}
+
+/* Makes room for a connection to be accepted; without any, new callers wait a little. */
+static void exhausted_handle_(void *user_data)
+{
+	cb_http1_server_t *server = user_data;
+
+	if (cb_http1_server_evict_idle(server))
+		return;
+	refusal_count_(server, "out_of_descriptors");
+	listeners_set_paused_(server, TRUE);
+	cb_timer_start(server->accept_timer, EXHAUSTED_PAUSE_MS);
 }
 
 /*
--- a/src/libcurrantbridge/include/private/reach.h
+++ b/src/libcurrantbridge/include/private/reach.h
@@ -46,6 +46,8 @@
 	CB_REACH_REFUSED,    /* the connection was refused, or reset */
 	CB_REACH_UNANSWERED, /* no connection was made in time */
 	CB_REACH_MUTE, /* a connection was made, and nothing was answered */
+	/* This process lacked the resources for a connection: shows nothing. */
+	CB_REACH_UNMADE,
 	CB_REACH_RESULT_COUNT
 } cb_reach_result_t;
 
--- a/src/libcurrantbridge/include/private/stream.h
+++ b/src/libcurrantbridge/include/private/stream.h
@@ -33,6 +33,11 @@
 /* Called when a connection could not be accepted for lack of resources. */
 typedef void (*cb_stream_exhausted_fn_t)(void *user_data);
 
+/*
+ * Returns whether an errno of cb_stream_connect() tells that this process or machine
+ * lacks descriptors, ports or memory.
+ */
+gboolean cb_stream_is_exhaustion(int code);
 cb_stream_t *cb_stream_connect(cb_poller_t *poller, const char *address,
 			       const cb_stream_handler_t *handler,
 			       void *user_data);
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -257,6 +257,14 @@
 					NULL, 0);
 }
 
+/* Makes room for a connection to a server: callers without a request give way. */
+static gboolean idle_callers_evict_(void *user_data)
+{
+	cb_front_t *front = user_data;
+
+	return cb_http1_server_evict_idle(front->server);
+}
+
 static gboolean caller_listener_start_(cb_service_t *service, GError **error)
 {
 	cb_front_t *front = (cb_front_t *)service;
@@ -351,6 +359,7 @@
 	cb_document_decoding_delete(front->decoding);
 	cb_timer_delete(front->usage_timer);
 	cb_timer_delete(front->wait_timer);
+	cb_http1_client_on_exhausted(front->client, NULL, NULL);
 	cb_http1_server_delete(front->server);
 	cb_http1_server_delete(front->peer_server);
 	cb_server_book_delete(front->book);
@@ -448,6 +457,7 @@
 		cb_timer_new(front->clock, cb_relay_retry_waiting, front);
 	front->usage_timer =
 		cb_timer_new(front->clock, usage_timer_fired_, front);
+	cb_http1_client_on_exhausted(front->client, idle_callers_evict_, front);
 	cb_control_client_on_usage(control, usage_sum_receive_, front);
 	cb_view_watch(view, view_change_handle_, front);
 	cb_control_client_on_fleet(control, fleet_update_receive_, front);
--- a/src/libcurrantbridge/relay/reach.c
+++ b/src/libcurrantbridge/relay/reach.c
@@ -283,9 +283,29 @@
 	return failed * 2 > group->checked_count;
 }
 
+/*
+ * Adds a check that could not be made: the others decide, and without others the way
+ * is as open as before.
+ */
+static gboolean unmade_add_(cb_reach_group_t *group)
+{
+	group->pending -= MIN(group->pending, 1);
+	group->checked_count -= MIN(group->checked_count, 1);
+	group->is_returning = FALSE;
+	if (group->state != CB_REACH_CHECKING || group->pending)
+		return FALSE;
+	if (group->checked_count)
+		return state_set_(group,
+				  lost_state_find_(group, CB_REACH_UNMADE));
+	group->checked_ms = cb_clock_now_ms(group->reach->clock);
+	return state_set_(group, CB_REACH_OPEN);
+}
+
 /* Adds the result of a check; returns whether the state has changed. */
 gboolean cb_reach_group_add(cb_reach_group_t *group, cb_reach_result_t result)
 {
+	if (result == CB_REACH_UNMADE)
+		return unmade_add_(group);
 	group->results[result]++;
 	group->mute_count = result == CB_REACH_MUTE ? group->mute_count + 1 : 0;
 	group->pending -= MIN(group->pending, 1);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -13,6 +13,8 @@
 #define CONNECTION_IDLE_MAX_MS 4000
 /* Sends allowed beyond max_attempts, after attempts that did not run. */
 #define NOT_RUN_SENDS_MAX 4
+/* Time after which a request is sent again that this process could not send. */
+#define RESOURCES_RETRY_INTERVAL_MS 50
 /* Interval of further sends of a request that is not given up for rejections. */
 #define LATER_SEND_INTERVAL_MS 250
 /*
@@ -140,6 +142,44 @@
 		cb_relay_reach_suspect(relay, CB_REACH_SIGN_FAILED);
 }
 
+/* Returns whether an attempt with this result failed before its request was sent. */
+static gboolean is_unsent_(const char *result)
+{
+	return !strcmp(result, cb_http1_result_string[CB_HTTP1_UNSENT]) ||
+	       !strcmp(result, cb_http1_result_string[CB_HTTP1_NO_RESOURCES]);
+}
+
+/*
+ * Records what a failed attempt shows of the server that it was sent to: nothing,
+ * if this process lacked the resources to send it.
+ */
+static void server_result_record_(cb_relay_t *relay, const char *result,
+				  gboolean has_run, const char *failed_address)
+{
+	if (!strcmp(result, cb_http1_result_string[CB_HTTP1_NO_RESOURCES]))
+		return;
+	loss_sign_record_(relay, result);
+	cb_relay_content_attempt_failed(relay, result);
+	if (is_unsent_(result))
+		unsent_attempt_record_(relay);
+	else if (has_run || !relay->has_not_run)
+		server_failure_record_(relay, failed_address,
+				       !strcmp(result, CB_RELAY_SILENT));
+}
+
+/*
+ * Returns when the next attempt may be sent, by the result of the last one; 0: at
+ * once.
+ */
+static int64_t next_send_find_ms_(const cb_relay_t *relay, const char *result)
+{
+	if (!strcmp(result, cb_http1_result_string[CB_HTTP1_NO_RESOURCES]))
+		return cb_relay_now_ms(relay) + RESOURCES_RETRY_INTERVAL_MS;
+	return sends_are_used_up_(relay) ?
+		       cb_relay_now_ms(relay) + LATER_SEND_INTERVAL_MS :
+		       relay->next_send_ms;
+}
+
 /*
  * Records that an attempt failed, and starts the next one or gives up.
  * `has_run` is whether the attempt ran or may have run; `failed_address` is the
@@ -151,7 +191,6 @@
 	const cb_relay_hop_t *first = cb_relay_find_hop(relay, NULL);
 	char *hops_text = cb_relay_format_hops(relay);
 	char *content_text = cb_content_features_text(relay->content.features);
-	gboolean is_sent;
 
 	cb_log_event(relay->front->log, CB_EVENT_RELAY_ATTEMPT_FAILED,
 		     CB_STR("request", relay->request_info.id),
@@ -181,29 +220,19 @@
 	cb_relay_count_reason(relay->front, "cb_relay_attempts_failed_total",
 			      result);
 	relay->run_count += has_run != 0;
-	is_sent = strcmp(result, cb_http1_result_string[CB_HTTP1_UNSENT]) != 0;
-	relay->has_arrived |= is_sent && !relay->forwarded_to;
+	relay->has_arrived |= !is_unsent_(result) && !relay->forwarded_to;
 	if (relay->forwarded_to) {
 		relay->has_arrived |= has_run;
 		cb_relay_forward_failed(relay);
 	} else {
-		loss_sign_record_(relay, result);
-		cb_relay_content_attempt_failed(relay, result);
-		if (!is_sent)
-			unsent_attempt_record_(relay);
-		else if (has_run || !relay->has_not_run)
-			server_failure_record_(relay, failed_address,
-					       !strcmp(result,
-						       CB_RELAY_SILENT));
+		server_result_record_(relay, result, has_run, failed_address);
 	}
 	cb_relay_cancel_attempt(relay);
 	if (!cb_relay_may_retry(relay, 0, SEND_TIME_LEFT_MIN_MS)) {
 		cb_relay_give_up(relay, result, CB_RELAY_RETRY_AFTER_MS);
 		return;
 	}
-	if (sends_are_used_up_(relay))
-		relay->next_send_ms =
-			cb_relay_now_ms(relay) + LATER_SEND_INTERVAL_MS;
+	relay->next_send_ms = next_send_find_ms_(relay, result);
 	/* A request that reached no server yet is not repeated. */
 	relay->is_next_send_retry = relay->has_arrived;
 	cb_event_pace_set_cause(&relay->pace, result);
@@ -602,7 +631,9 @@
 	relay->call = NULL;
 	if (result != CB_HTTP1_COMPLETE)
 		cb_relay_attempt_failed(relay, cb_http1_result_string[result],
-					result != CB_HTTP1_UNSENT, NULL);
+					!is_unsent_(
+						cb_http1_result_string[result]),
+					NULL);
 	else if (relay->is_event_stream)
 		stream_end_handle_(relay);
 	else
--- a/src/libcurrantbridge/relay/relay_reach.c
+++ b/src/libcurrantbridge/relay/relay_reach.c
@@ -226,6 +226,9 @@
 	case CB_HTTP1_LOST:
 		check_end_(check, CB_REACH_REFUSED);
 		break;
+	case CB_HTTP1_NO_RESOURCES:
+		check_end_(check, CB_REACH_UNMADE);
+		break;
 	default:
 		check_end_(check, CB_REACH_ANSWERED);
 	}
--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -249,17 +249,35 @@
 	return stream_new_(poller, fd, FALSE, handler, user_data);
 }
 
+/* Returns whether a system call failed for lack of descriptors, ports or memory. */
+gboolean cb_stream_is_exhaustion(int code)
+{
+	switch (code) {
+	case EMFILE:
+	case ENFILE:
+	case ENOBUFS:
+	case ENOMEM:
+	case EADDRNOTAVAIL:
+		return TRUE;
+	default:
+		return FALSE;
+	}
+}
+
 /*
  * Starts connecting to "IP:PORT".  Returns NULL, without a call of the
- * handler, if that fails immediately; later failures are reported to `ended`.
+ * handler, and with errno set, if that fails immediately; later failures are
+ * reported to `ended`.
  */
 cb_stream_t *cb_stream_connect(cb_poller_t *poller, const char *address,
 			       const cb_stream_handler_t *handler,
 			       void *user_data)
 {
 	struct sockaddr_in remote;
+	int code;
 	int fd;
 
+	errno = EINVAL;
 	if (!address_parse_(address, &remote))
 		return NULL;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -268,7 +286,9 @@
 	socket_options_set_(fd);
 	if (connect(fd, (struct sockaddr *)&remote, sizeof(remote)) &&
 	    errno != EINPROGRESS) {
+		code = errno;
 		close(fd);
+		errno = code;
 		return NULL;
 	}
 	return stream_new_(poller, fd, TRUE, handler, user_data);
@@ -361,13 +381,6 @@
 	return stream->queue->len - stream->queue_start;
 }
 
-/* Returns whether a system call failed for lack of descriptors or memory. */
-static gboolean is_exhaustion_(int code)
-{
-	return code == EMFILE || code == ENFILE || code == ENOBUFS ||
-	       code == ENOMEM;
-}
-
 static void accept_ready_(unsigned int events, void *user_data)
 {
 	cb_stream_listener_t *listener = user_data;
@@ -377,7 +390,7 @@
 	(void)events;
 	if (fd >= 0)
 		listener->accept(fd, listener->user_data);
-	else if (is_exhaustion_(errno) && listener->exhausted)
+	else if (cb_stream_is_exhaustion(errno) && listener->exhausted)
 		listener->exhausted(listener->user_data);
 }
 
--- a/src/test_libcurrantbridge/test_reach.c
+++ b/src/test_libcurrantbridge/test_reach.c
@@ -52,6 +52,10 @@
 	{                                  \
 		STEP_RESULT, CB_REACH_MUTE \
 	}
+#define UNMADE                               \
+	{                                    \
+		STEP_RESULT, CB_REACH_UNMADE \
+	}
 #define BEGIN(count)              \
 	{                         \
 		STEP_BEGIN, count \
@@ -72,6 +76,19 @@
 	    STATE(CB_REACH_OPEN) },
 	  FALSE,
 	  FALSE },
+	{ "no check can be made, for lack of descriptors",
+	  { BEGIN(3), UNMADE, UNMADE, STATE(CB_REACH_CHECKING), UNMADE,
+	    STATE(CB_REACH_OPEN) },
+	  FALSE,
+	  FALSE },
+	{ "the checks that can be made are refused",
+	  { BEGIN(3), REFUSED, UNMADE, REFUSED, STATE(CB_REACH_LOST) },
+	  TRUE,
+	  TRUE },
+	{ "no check of a lost way can be made",
+	  { LOSE, UNMADE, STATE(CB_REACH_LOST) },
+	  TRUE,
+	  TRUE },
 	{ "a check is in progress",
 	  { BEGIN(3), REFUSED, REFUSED, STATE(CB_REACH_CHECKING) },
 	  FALSE,
--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -2,6 +2,8 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include "support_relay.h"
 
@@ -1102,6 +1104,55 @@
 	g_string_free(text, TRUE);
 }
 
+/* Leaves this process `count` descriptors that are free; returns the limit before. */
+static struct rlimit descriptors_limit_(unsigned int count)
+{
+	int lowest_free = dup(STDIN_FILENO);
+	struct rlimit before;
+	struct rlimit limit;
+
+	CU_ASSERT_TRUE_FATAL(lowest_free >= 0);
+	close(lowest_free);
+	CU_ASSERT_EQUAL_FATAL(getrlimit(RLIMIT_NOFILE, &before), 0);
+	limit = before;
+	limit.rlim_cur = (rlim_t)lowest_free + count;
+	CU_ASSERT_EQUAL_FATAL(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	return before;
+}
+
+/*
+ * Guards against sound servers taken for ended, and their streams cut, since this
+ * process has no descriptor for a connection to them.
+ */
+static void lack_of_descriptors_is_held_against_no_server(void)
+{
+	static const relay_script_t scripts[] = {
+		{ COMPLETE_ANSWER, END_KEEP },
+	};
+	relay_fixture_t fixture;
+	struct rlimit before;
+	cb_book_count_t servers;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, IDEMPOTENT_REQUEST);
+	/* The accepted connection of the caller takes the only one. */
+	before = descriptors_limit_(1);
+	support_relay_pass_time(&fixture, 100);
+	CU_ASSERT_EQUAL(fixture.requests->len, 0);
+	CU_ASSERT_FALSE(cb_reach_has_doubts(fixture.front->reach));
+	servers = cb_server_book_count(
+		fixture.front->book,
+		cb_document_service(cb_front_document(fixture.front), "s"));
+	CU_ASSERT_EQUAL(servers.ready, SERVER_COUNT);
+	CU_ASSERT_EQUAL(servers.distrusted, 0);
+	CU_ASSERT_EQUAL(setrlimit(RLIMIT_NOFILE, &before), 0);
+	support_relay_pass_time(&fixture, 100);
+	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.answer->str, "HTTP/1.1 200 "));
+	support_relay_clear(&fixture);
+}
+
 static CU_TestInfo relay_tests[] = {
 	{ "answers_report_what_servers_did", answers_report_what_servers_did },
 	{ "answer_broken_off_in_its_head_is_no_success",
@@ -1144,6 +1195,8 @@
 	  stop_leaves_no_request_without_answer },
 	{ "pipelined_requests_do_not_exhaust_stack",
 	  pipelined_requests_do_not_exhaust_stack },
+	{ "lack_of_descriptors_is_held_against_no_server",
+	  lack_of_descriptors_is_held_against_no_server },
 	CU_TEST_INFO_NULL
 };
 
