Test: stalls of servers cut running streams; what progress is

The logs show why: for 0.3 s all servers were late. An entry leaves a stream as silent while one data centre still seems open; by the next attempt all ways are silent, so the request is forwarded; the other instance has lost its way too and answers 502 (no_way); the stream is reset (server_error).

Rows stalled (all at once), long_stall and frozen (all entries paused) are played by hand. How late the stand-in itself was is printed.

The check of runs that an instance ended while they made progress took 500 ms without a reason. It takes 60% of the shortest pause that a document of a row allows (200 ms), from which on a silent stream may be moved (docs/REQUESTS.md, when a server says nothing). Runs that are closed within 500 ms are still printed.

--- a/test/platform/incident/incident.h
+++ b/test/platform/incident/incident.h
@@ -11,6 +11,7 @@
 #define INCIDENT_SERVER_MAX 128
 /* The address of server `i` is 127.0.1.(i + 1). */
 #define INCIDENT_DATA_CENTRES 3
+#define INCIDENT_LATE_MS 50
 /* Layers of the model that engines run. */
 #define INCIDENT_LAYERS 80
 #define INCIDENT_LAYER_MB 1750
@@ -64,6 +65,19 @@
 /* Leaves new connections in the queues of the listening sockets. */
 void incident_servers_set_accepting(incident_servers_t *servers,
 				    gboolean is_accepting);
+/*
+ * Has the servers of a data centre stand still, as if they were starved, or go on;
+ * connections to them are still made.
+ */
+void incident_servers_set_stalled(incident_servers_t *servers,
+				  unsigned int data_centre,
+				  gboolean is_stalled);
+/* How late the servers were, beside stalls: the worst, and how often. */
+typedef struct incident_lag {
+	int64_t worst_ms;
+	unsigned int count; /* of delays over INCIDENT_LATE_MS */
+} incident_lag_t;
+incident_lag_t incident_servers_lag(const incident_servers_t *servers);
 /* Stops the threads and returns the runs: incident_run_t. */
 GPtrArray *incident_servers_end(incident_servers_t *servers);
 /* Connections that were reset since the server had its limit of them. */
