Test: begun streams that another instance does not run

An instance that forwards a stream which it has sent before gets "unknown" from one that has no way or an older document, since that one counts the earlier run as its own. And where the other instance says "not_run", the one that forwarded a begun stream counts a run. Both use up the route's attempts, and the caller's answer is reset though a further instance could go on with it.

The fixture can now start with other instances.

--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -87,6 +87,25 @@
 	return text;
 }
 
+static GString *forward_write_(const cb_dialect_t *dialect,
+			       const cb_http1_head_t *head,
+			       const GByteArray *body,
+			       const cb_relay_forward_info_t *forward_info)
+{
+	GString *text = g_string_new(NULL);
+
+	(void)dialect;
+	g_string_append_printf(
+		text,
+		"%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nAfter: %d\r\n%s"
+		"Content-Length: %u\r\n\r\n",
+		head->method, head->target, cb_http1_head_find(head, "Id"),
+		(int)forward_info->last_event, forward_info->header_lines,
+		body->len);
+	g_string_append_len(text, (const char *)body->data, body->len);
+	return text;
+}
+
 static void answer_info_read_(const cb_dialect_t *dialect,
 			      const cb_http1_head_t *answer, const char *id,
 			      cb_relay_answer_info_t *answer_info)
@@ -112,6 +131,7 @@
 	.read_request_info = request_info_read_,
 	.read_shared_parts = shared_parts_read_,
 	.write_request = request_write_,
+	.write_forward = forward_write_,
 	.read_answer_info = answer_info_read_,
 };
 static const cb_dialect_t dialect = { &dialect_vtable };
@@ -590,12 +610,15 @@
 	       cb_control_client_is_confirmed(world->clients[0].client);
 }
 
-void support_relay_init(relay_fixture_t *fixture, gboolean has_document)
+/* Starts everything, with `peer_count` other instances at `peer_port`. */
+static void fixture_init_(relay_fixture_t *fixture, gboolean has_document,
+			  unsigned int peer_count, uint16_t peer_port)
 {
 	cb_front_options_t options = {
 		.name = "entry1",
 		.listen = "127.0.0.1:0",
 		.listen_peers = "127.0.0.1:0",
+		.peer_port = peer_port,
 		.data_centre = "dc1",
 		.codec = &codec,
 		.dialect = &dialect,
@@ -607,8 +630,9 @@
 	};
 	world_client_t *entry;
 
-	*fixture = (relay_fixture_t){ .world = world_new_with_servers(1, 1, 31,
-								      60000) };
+	*fixture = (relay_fixture_t){
+		.world = world_new_with_servers(1, 1 + peer_count, 31, 60000)
+	};
 	entry = &fixture->world->clients[0];
 	fixture->connections =
 		g_ptr_array_new_with_free_func(server_connection_free_);
@@ -641,6 +665,17 @@
 	world_run_until(fixture->world, NULL, 1000);
 }
 
+void support_relay_init(relay_fixture_t *fixture, gboolean has_document)
+{
+	fixture_init_(fixture, has_document, 0, 0);
+}
+
+void support_relay_init_with_peers(relay_fixture_t *fixture,
+				   unsigned int peer_count, uint16_t peer_port)
+{
+	fixture_init_(fixture, TRUE, peer_count, peer_port);
+}
+
 void support_relay_document_put(relay_fixture_t *fixture, int64_t version,
 				const char *text)
 {
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -86,6 +86,12 @@
 
 /* Starts everything; `has_document`: with a document in force. */
 void support_relay_init(relay_fixture_t *fixture, gboolean has_document);
+/*
+ * Starts everything, with a document and with other instances that take forwarded
+ * requests at a port of 127.0.0.1.
+ */
+void support_relay_init_with_peers(relay_fixture_t *fixture,
+				   unsigned int peer_count, uint16_t peer_port);
 /* Stops everything and frees what the fixture holds. */
 void support_relay_clear(relay_fixture_t *fixture);
 /* Announces a server's process to the control instance. */
--- a/src/test_libcurrantbridge/test_relay_forward.c
+++ b/src/test_libcurrantbridge/test_relay_forward.c
@@ -127,12 +127,190 @@
 	support_relay_clear(&fixture);
 }
 
+typedef struct earlier_run_case {
+	const char *request;
+	gboolean has_way; /* the instance that takes the request */
+} earlier_run_case_t;
+
+/* The instance that forwards these has sent them to a server before. */
+static const earlier_run_case_t earlier_run_cases[] = {
+	{ FORWARDED("entry2 2 1"), TRUE },
+	{ FORWARDED("entry2 1 1"), FALSE },
+	/* The same without an earlier run. */
+	{ FORWARDED("entry2 2 0"), TRUE },
+	{ FORWARDED("entry2 1 0"), FALSE },
+};
+
+static gboolean earlier_run_case_play_(const earlier_run_case_t *c)
+{
+	relay_fixture_t fixture;
+	gboolean is_as_expected;
+	unsigned int i;
+
+	support_relay_init(&fixture, TRUE);
+	for (i = 0; !c->has_way && i < SERVER_COUNT; i++)
+		cb_stream_unlisten(g_steal_pointer(&fixture.listeners[i]));
+	support_relay_forwarded_send(&fixture, c->request);
+	for (i = 0; i < 200 && !strstr(fixture.answer->str, "\r\n\r\n"); i++)
+		support_relay_pass_time(&fixture, 10);
+	is_as_expected = !fixture.requests->len &&
+			 strstr(fixture.answer->str,
+				"Currantbridge-Outcome: elsewhere\r\n") != NULL;
+	if (!is_as_expected)
+		printf("    has_way %d: %u requests: %s\n", c->has_way,
+		       fixture.requests->len, fixture.answer->str);
+	support_relay_clear(&fixture);
+	return is_as_expected;
+}
+
+/* Guards against a begun stream that is cut by an instance that can't run it. */
+static void instance_that_runs_nothing_says_so_of_a_repeat(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(earlier_run_cases); i++)
+		CU_ASSERT_TRUE(earlier_run_case_play_(&earlier_run_cases[i]));
+}
+
+/* What the other instances answer, one text after the other. */
+typedef struct peers {
+	cb_poller_t *poller;
+	cb_stream_listener_t *listener;
+	GPtrArray *streams; /* elements: cb_stream_t */
+	const char *const *answers;
+	unsigned int answer_count;
+	unsigned int taken_count;
+} peers_t;
+
+/* A connection to the other instances. */
+typedef struct peer_connection {
+	peers_t *peers;
+	cb_stream_t *stream;
+} peer_connection_t;
+
+static void peer_received_(void *user_data, const uint8_t *data, size_t size)
+{
+	peer_connection_t *connection = user_data;
+	peers_t *peers = connection->peers;
+	const char *answer;
+
+	(void)data;
+	(void)size;
+	if (peers->taken_count >= peers->answer_count)
+		return;
+	answer = peers->answers[peers->taken_count++];
+	cb_stream_send(connection->stream, answer, strlen(answer));
+}
+
+static void peer_ended_(void *user_data, cb_stream_end_t end)
+{
+	(void)user_data;
+	(void)end;
+}
+
+static const cb_stream_handler_t peer_handler = {
+	.received = peer_received_,
+	.ended = peer_ended_,
+};
+
+static void peer_connection_free_(void *data)
+{
+	peer_connection_t *connection = data;
+
+	cb_stream_delete(connection->stream);
+	g_free(connection);
+}
+
+static void peer_accept_(int fd, void *user_data)
+{
+	peers_t *peers = user_data;
+	peer_connection_t *connection = g_new0(peer_connection_t, 1);
+
+	connection->peers = peers;
+	connection->stream =
+		cb_stream_new(peers->poller, fd, &peer_handler, connection);
+	g_ptr_array_add(peers->streams, connection);
+}
+
+#define PEER_REFUSAL(status, outcome)                                     \
+	"HTTP/1.1 " status " X\r\nCurrantbridge-Outcome: " outcome "\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define PEER_REST                                                           \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\n"                           \
+	"Currantbridge-Outcome: answered\r\nTransfer-Encoding: chunked\r\n" \
+	"\r\n" LAST_EVENT
+
+typedef struct unserved_case {
+	const char *description;
+	const char *answers[2];
+} unserved_case_t;
+
+static const unserved_case_t unserved_cases[] = {
+	{ "has no way", { PEER_REFUSAL("503", "elsewhere"), PEER_REST } },
+	{ "has no room", { PEER_REFUSAL("503", "not_run"), PEER_REST } },
+};
+
+static gboolean unserved_case_play_(const unserved_case_t *c)
+{
+	static const relay_script_t scripts[] = { { FIRST_EVENT, END_HOLD } };
+	peers_t peers = { .answers = c->answers,
+			  .answer_count = G_N_ELEMENTS(c->answers) };
+	relay_fixture_t fixture;
+	gboolean is_whole;
+	unsigned int i;
+
+	peers.poller = cb_poller_new(NULL);
+	peers.streams = g_ptr_array_new_with_free_func(peer_connection_free_);
+	peers.listener = cb_stream_listen(peers.poller, "127.0.0.1:0",
+					  peer_accept_, &peers, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(peers.listener);
+	support_relay_init_with_peers(&fixture, 2,
+				      cb_stream_listener_port(peers.listener));
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, REQUEST("POST", "/stream/",
+						     "Content-Length: 0\r\n"));
+	CU_ASSERT_TRUE(support_relay_run_until(&fixture, 0, EVENT_1));
+	for (i = 0; i < SERVER_COUNT; i++)
+		cb_stream_unlisten(g_steal_pointer(&fixture.listeners[i]));
+	/* The server breaks its answer off within an event. */
+	support_relay_answer_continue(&fixture, 0, "4\r\nid: \r\n0\r\n\r\n");
+	for (i = 0; i < 150 && !fixture.caller_ended &&
+		    !strstr(fixture.answer->str, EVENT_2);
+	     i++)
+		support_relay_pass_time(&fixture, 10);
+	is_whole = strstr(fixture.answer->str, EVENT_1) &&
+		   strstr(fixture.answer->str, EVENT_2);
+	if (!is_whole)
+		printf("    %s: %u taken, ended %d: %s\n", c->description,
+		       peers.taken_count, fixture.caller_ended,
+		       fixture.answer->str);
+	support_relay_clear(&fixture);
+	cb_stream_unlisten(peers.listener);
+	g_ptr_array_unref(peers.streams);
+	cb_poller_delete(peers.poller);
+	return is_whole;
+}
+
+/* Guards against a begun stream that is cut by an instance that did not run it. */
+static void begun_stream_goes_on_after_an_instance_that_does_not_run_it(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(unserved_cases); i++)
+		CU_ASSERT_TRUE(unserved_case_play_(&unserved_cases[i]));
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
 		{ "forwarded_request_is_answered_truthfully",
 		  forwarded_request_is_answered_truthfully },
 		{ "caller_can_not_forward", caller_can_not_forward },
+		{ "instance_that_runs_nothing_says_so_of_a_repeat",
+		  instance_that_runs_nothing_says_so_of_a_repeat },
+		{ "begun_stream_goes_on_after_an_instance_that_does_not_run_it",
+		  begun_stream_goes_on_after_an_instance_that_does_not_run_it },
 		CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = { { .pName = "relay_forward", .pTests = tests },
