Test: a begun answer waits as long for a retry to be forwarded

An answer that has begun waits for 1.2 s for a server or a retry, but only for 250 ms where it is to be forwarded: then it is cut with no_retry_left. The time that it has waited for a way before counts too, so that it may be cut at once.

--- a/src/test_libcurrantbridge/test_relay_forward.c
+++ b/src/test_libcurrantbridge/test_relay_forward.c
@@ -301,6 +301,31 @@
 		CU_ASSERT_TRUE(unserved_case_play_(&unserved_cases[i]));
 }
 
+/* Guards against a begun stream that is cut sooner than it waits for a server. */
+static void begun_stream_waits_for_a_retry_to_be_forwarded(void)
+{
+	static const relay_script_t scripts[] = { { FIRST_EVENT, END_HOLD } };
+	relay_fixture_t fixture;
+	unsigned int i;
+
+	support_relay_init_with_peers(&fixture, 2, 1);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(
+		&fixture,
+		"POST /stream/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\n"
+		"Left: 4000\r\nContent-Length: 0\r\n\r\n");
+	CU_ASSERT_TRUE(support_relay_run_until(&fixture, 0, EVENT_1));
+	for (i = 0; i < SERVER_COUNT; i++)
+		cb_stream_unlisten(g_steal_pointer(&fixture.listeners[i]));
+	while (cb_retry_share_take_retry(fixture.front->retries, "s"))
+		;
+	support_relay_answer_continue(&fixture, 0, "4\r\nid: \r\n0\r\n\r\n");
+	support_relay_pass_time(&fixture, 800);
+	CU_ASSERT_FALSE(fixture.caller_ended);
+	support_relay_clear(&fixture);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -311,6 +336,8 @@
 		  instance_that_runs_nothing_says_so_of_a_repeat },
 		{ "begun_stream_goes_on_after_an_instance_that_does_not_run_it",
 		  begun_stream_goes_on_after_an_instance_that_does_not_run_it },
+		{ "begun_stream_waits_for_a_retry_to_be_forwarded",
+		  begun_stream_waits_for_a_retry_to_be_forwarded },
 		CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = { { .pName = "relay_forward", .pTests = tests },
