A begun answer waits as long for a retry to be forwarded as for a server

What callers saw: a begun stream whose way is lost was reset 0.25 s after its server was gone, or at once, while no retry was left (no_retry_left).

Cause: the wait before a forward took the limit of requests that have not begun, and counted from a wait for a way before it.

Evidence: begun_stream_waits_for_a_retry_to_be_forwarded, found by review, failed before (ended after 260 ms) and passes.

--- a/src/libcurrantbridge/relay/relay_forward.c
+++ b/src/libcurrantbridge/relay/relay_forward.c
@@ -351,7 +351,10 @@
 	}
 	if (relay->is_next_send_retry &&
 	    !cb_retry_share_take_retry(front->retries, relay->service->name)) {
-		cb_relay_queue(relay, "no_retry_left", COMEBACK_MS / 4,
+		cb_relay_queue(relay, "no_retry_left",
+			       relay->is_answer_begun ?
+				       CB_RELAY_RESUME_WAIT_MAX_MS :
+				       COMEBACK_MS / 4,
 			       CB_RELAY_RETRY_AFTER_MS);
 		return TRUE;
 	}
