An engine counts as ended only while new connections are made

Found by review, by reading: where this instance's way is lost, refused calls for an engine's report show nothing of it, but an overdue stream without another chain was ended as if the engine were gone.

--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -218,6 +218,16 @@
 	cb_relay_start_silence_timer(relay);
 }
 
+/*
+ * Returns whether new connections to the attempt's servers are made, so that refused
+ * ones show that an engine has ended.
+ */
+static gboolean way_is_open_(const cb_relay_t *relay)
+{
+	return !relay->way_group ||
+	       cb_reach_group_state(relay->way_group) == CB_REACH_OPEN;
+}
+
 static void report_request_(cb_relay_t *relay);
 static void reroute_request_(cb_relay_t *relay, const char *lost_address);
 
@@ -240,7 +250,7 @@
 				       CB_SILENCE_PEERS_UNKNOWN,
 		.may_restart = may_be_left &&
 			       restart_is_possible_(relay, lost_address),
-		.has_ended = lost_address &&
+		.has_ended = lost_address && way_is_open_(relay) &&
 			     cb_engine_reports_has_ended(relay->front->reports,
 							 lost_address),
 		.silent_ms = silence_compute_ms_(relay),
