Kernel: late timers are counted and logged; gauges of the process

Cause: a timer's lateness was known for the last timer only and shown nowhere; the process said nothing of its descriptors and its memory.

The kernel watches the clock: histogram cb_loop_late_ms, gauge cb_loop_worst_late_ms, and event 111 LOOP_LATE over 100 ms, at most once a second, with the worst delay in between. There is no new timer and no wake-up.

cb_clock_stall() moves a paused clock on without firing timers, for tests.

--- a/include/currantbridge/counters.h
+++ b/include/currantbridge/counters.h
@@ -10,6 +10,9 @@
 /* A histogram of durations in ms, with bucket bounds 2 to 2.5 times apart. */
 typedef struct cb_histogram cb_histogram_t;
 
+/* Sets gauges before a rendering. */
+typedef void (*cb_counters_update_fn_t)(void *user_data);
+
 cb_counters_t *cb_counters_new(void);
 void cb_counters_delete(cb_counters_t *counters);
 
@@ -19,6 +22,8 @@
 				const char *label, const char *value);
 cb_histogram_t *cb_counters_histogram(cb_counters_t *counters, const char *name,
 				      const char *label, const char *value);
+void cb_counters_on_render(cb_counters_t *counters, cb_counters_update_fn_t fn,
+			   void *user_data);
 char *cb_counters_render(const cb_counters_t *counters);
 
 void cb_counter_add(cb_counter_t *counter, int64_t amount);
--- a/src/libcurrantbridge/kernel/clock.c
+++ b/src/libcurrantbridge/kernel/clock.c
@@ -3,6 +3,9 @@
 #define US_PER_MS 1000
 /* From this lateness on, sockets are read before an overdue timer fires. */
 #define OVERDUE_US (10 * US_PER_MS)
+/* The worst lateness is known for the current part of a second and 10 before. */
+#define LATE_SLOT_US (100 * US_PER_MS)
+#define LATE_SLOTS 11
 
 typedef struct cb_clock_vtable {
 	int64_t (*now_us)(const cb_clock_t *clock);
@@ -11,12 +14,22 @@
 	void (*deadline_changed)(cb_clock_t *clock);
 } cb_clock_vtable_t;
 
+/* The worst lateness of the timers that fired in one part of a second. */
+typedef struct late_slot {
+	int64_t number; /* the time divided by LATE_SLOT_US */
+	int64_t worst_us;
+} late_slot_t;
+
 struct cb_clock {
 	const cb_clock_vtable_t *vtable;
 	GSequence *armed_timers; /* sorted by timer_compare_() */
 	uint64_t next_start_number;
 	int64_t paused_now_us; /* the time of a paused clock */
 	int64_t lateness_us;   /* how late the last timer fired */
+	late_slot_t late_slots[LATE_SLOTS];
+	/* Called with the lateness of each timer; NULL: nobody watches. */
+	cb_clock_lateness_fn_t lateness_fn;
+	void *lateness_user_data;
 	/* Main loop source that fires the timers; NULL in a paused clock. */
 	GSource *source;
 	/* Time at which the source is next dispatched; -1: never. */
@@ -65,6 +78,21 @@
 	return g_sequence_get(first);
 }
 
+/* Records how late the timer is that is about to fire at `now_us`. */
+static void lateness_record_(cb_clock_t *clock, int64_t late_us, int64_t now_us)
+{
+	int64_t number = now_us / LATE_SLOT_US;
+	late_slot_t *slot = &clock->late_slots[number % LATE_SLOTS];
+
+	clock->lateness_us = late_us;
+	if (slot->number != number)
+		*slot = (late_slot_t){ .number = number };
+	slot->worst_us = MAX(slot->worst_us, late_us);
+	if (clock->lateness_fn)
+		clock->lateness_fn(late_us / US_PER_MS,
+				   clock->lateness_user_data);
+}
+
 /*
  * Fires the next timer if its deadline is at or before `limit_us`.  Returns
  * whether one fired.
@@ -77,7 +105,7 @@
 		return 0;
 	g_sequence_remove(timer->position);
 	timer->position = NULL;
-	clock->lateness_us = limit_us - timer->deadline_us;
+	lateness_record_(clock, limit_us - timer->deadline_us, limit_us);
 	timer->fn(timer->user_data);
 	return 1;
 }
@@ -261,6 +289,53 @@
 	return clock->lateness_us / US_PER_MS;
 }
 
+/*
+ * Returns the worst lateness in milliseconds of the timers that fired in the last
+ * second, or that are overdue now: for how long this process was busy or stopped.
+ */
+int64_t cb_clock_worst_lateness_ms(const cb_clock_t *clock)
+{
+	const cb_timer_t *timer = earliest_timer_find_(clock);
+	int64_t now_us = cb_clock_now_us(clock);
+	int64_t oldest = now_us / LATE_SLOT_US - LATE_SLOTS + 1;
+	int64_t worst_us = timer ? MAX(now_us - timer->deadline_us, 0) : 0;
+	int i;
+
+	for (i = 0; i < LATE_SLOTS; i++)
+		if (clock->late_slots[i].number >= oldest)
+			worst_us = MAX(worst_us, clock->late_slots[i].worst_us);
+	return worst_us / US_PER_MS;
+}
+
+/*
+ * Calls `fn` before each timer fires, with how late it is in milliseconds.  A
+ * clock has one watcher; the last one replaces those before.
+ */
+void cb_clock_watch_lateness(cb_clock_t *clock, cb_clock_lateness_fn_t fn,
+			     void *user_data)
+{
+	clock->lateness_fn = fn;
+	clock->lateness_user_data = user_data;
+}
+
+/* Ends the calls for `user_data`; has no effect if another one watches now. */
+void cb_clock_unwatch_lateness(cb_clock_t *clock, const void *user_data)
+{
+	if (clock->lateness_user_data == user_data)
+		cb_clock_watch_lateness(clock, NULL, NULL);
+}
+
+/*
+ * Moves a paused clock on by `delta_ms` (0 or more) and fires no timer, like a
+ * process that is stopped or busy.  Timers that became due fire late, in the
+ * next cb_clock_advance().
+ */
+void cb_clock_stall(cb_clock_t *clock, int64_t delta_ms)
+{
+	g_assert(clock->vtable == &paused_vtable && delta_ms >= 0);
+	clock->paused_now_us += delta_ms * US_PER_MS;
+}
+
 /*
  * Advances a paused clock by `delta_ms` (0 or more).  Timers that become due
  * fire in order, each with the clock at its deadline.
--- a/src/libcurrantbridge/kernel/counters.c
+++ b/src/libcurrantbridge/kernel/counters.c
@@ -27,10 +27,17 @@
 	int64_t sum_ms;
 };
 
+/* A function that sets gauges before each rendering. */
+typedef struct gauge_source {
+	cb_counters_update_fn_t fn;
+	void *user_data;
+} gauge_source_t;
+
 struct cb_counters {
 	/* Both trees are keyed by series: `name` or `name{label="value"}`. */
 	GTree *counters; /* values: cb_counter_t, including gauges */
 	GTree *histograms;
+	GArray *gauge_sources; /* gauge_source_t, called in this order */
 };
 
 static void counter_delete_(void *data)
@@ -67,6 +74,8 @@
 		g_tree_new_full(series_compare_, NULL, g_free, counter_delete_);
 	counters->histograms = g_tree_new_full(series_compare_, NULL, g_free,
 					       histogram_delete_);
+	counters->gauge_sources =
+		g_array_new(FALSE, FALSE, sizeof(gauge_source_t));
 	return counters;
 }
 
@@ -77,6 +86,7 @@
 		return;
 	g_tree_unref(counters->counters);
 	g_tree_unref(counters->histograms);
+	g_array_unref(counters->gauge_sources);
 	g_free(counters);
 }
 
@@ -200,6 +210,18 @@
 	return FALSE;
 }
 
+/*
+ * Calls `fn` before each rendering, to set gauges that cost too much to be kept
+ * up to date.  `user_data` must live as long as the set is rendered.
+ */
+void cb_counters_on_render(cb_counters_t *counters, cb_counters_update_fn_t fn,
+			   void *user_data)
+{
+	const gauge_source_t source = { fn, user_data };
+
+	g_array_append_val(counters->gauge_sources, source);
+}
+
 /*
  * Returns all series in the Prometheus text format: counters and gauges by
  * name, then histograms by name.  Free the text with g_free().
@@ -207,7 +229,15 @@
 char *cb_counters_render(const cb_counters_t *counters)
 {
 	render_state_t state = { .text = g_string_new(NULL) };
+	unsigned int i;
 
+	for (i = 0; i < counters->gauge_sources->len; i++) {
+		const gauge_source_t *source =
+			&g_array_index(counters->gauge_sources, gauge_source_t,
+				       i);
+
+		source->fn(source->user_data);
+	}
 	g_tree_foreach(counters->counters, series_render_, &state);
 	g_tree_foreach(counters->histograms, histogram_render_, &state);
 	return g_string_free(state.text, FALSE);
--- a/src/libcurrantbridge/kernel/kernel.c
+++ b/src/libcurrantbridge/kernel/kernel.c
@@ -6,6 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "private/process.h"
+
+/* A timer that fires later than this is logged, at most once in the interval. */
+#define LATE_LOG_MIN_MS 100
+#define LATE_LOG_INTERVAL_MS 1000
+
 /* A registered service. */
 typedef struct registration {
 	char *name;
@@ -22,8 +28,57 @@
 	cb_counters_t *counters;
 	GPtrArray *registrations; /* registration_t, in order of registration */
 	gboolean is_draining;
+	cb_histogram_t *late_ms; /* how late each timer fired */
+	int64_t worst_late_ms;	 /* worst lateness since the start */
+	int64_t late_logged_ms;	 /* time of the last LOOP_LATE */
+	/* Worst lateness since then that had no line of its own. */
+	int64_t late_unlogged_ms;
 };
 
+/*
+ * Logs that a timer is late, unless the last line is about the same delay of the
+ * loop or was written a short time ago.
+ */
+static void late_timer_log_(cb_kernel_t *kernel, int64_t late_ms)
+{
+	int64_t now_ms = cb_clock_now_ms(kernel->clock);
+
+	if (now_ms - late_ms <= kernel->late_logged_ms)
+		return;
+	if (now_ms - kernel->late_logged_ms < LATE_LOG_INTERVAL_MS) {
+		kernel->late_unlogged_ms =
+			MAX(kernel->late_unlogged_ms, late_ms);
+		return;
+	}
+	cb_log_event(kernel->log, CB_EVENT_LOOP_LATE,
+		     CB_INT("late_ms", late_ms),
+		     CB_INT("unlogged_ms", kernel->late_unlogged_ms));
+	kernel->late_logged_ms = now_ms;
+	kernel->late_unlogged_ms = 0;
+}
+
+/* Called before each timer fires, with how late it is. */
+static void lateness_handle_(int64_t late_ms, void *user_data)
+{
+	cb_kernel_t *kernel = user_data;
+
+	cb_histogram_add(kernel->late_ms, late_ms);
+	kernel->worst_late_ms = MAX(kernel->worst_late_ms, late_ms);
+	if (late_ms > LATE_LOG_MIN_MS)
+		late_timer_log_(kernel, late_ms);
+}
+
+/* Sets the gauges of the process before the counters are rendered. */
+static void gauges_update_(void *user_data)
+{
+	cb_kernel_t *kernel = user_data;
+
+	cb_counter_set(cb_counters_gauge(kernel->counters,
+					 "cb_loop_worst_late_ms", NULL, NULL),
+		       kernel->worst_late_ms);
+	cb_process_update_gauges(kernel->counters);
+}
+
 /*
  * Creates a kernel on `context` (NULL: the default one).  The clock and the log
  * stay the caller's and must outlive the kernel.  The log may be NULL.
@@ -40,6 +95,11 @@
 	kernel->log = log;
 	kernel->counters = cb_counters_new();
 	cb_log_set_counters(log, kernel->counters);
+	cb_counters_on_render(kernel->counters, gauges_update_, kernel);
+	kernel->late_ms = cb_counters_histogram(kernel->counters,
+						"cb_loop_late_ms", NULL, NULL);
+	kernel->late_logged_ms = cb_clock_now_ms(clock) - LATE_LOG_INTERVAL_MS;
+	cb_clock_watch_lateness(clock, lateness_handle_, kernel);
 	kernel->registrations = g_ptr_array_new();
 	return kernel;
 }
@@ -60,6 +120,7 @@
 		g_free(registration);
 	}
 	g_ptr_array_unref(kernel->registrations);
+	cb_clock_unwatch_lateness(kernel->clock, kernel);
 	cb_log_set_counters(kernel->log, NULL);
 	cb_counters_delete(kernel->counters);
 	g_main_loop_unref(kernel->loop);
