Entry: connections at /metrics, lack of descriptors and circumstances in the log

Event 531 ENTRY_OUT_OF_DESCRIPTORS, at most once a second. As /metrics is read: connections of callers and other instances, connections to servers in use and connecting, requests sent and waiting, the document's age. Idle connections to servers are not counted yet.

--- a/include/currantbridge/http1_server.h
+++ b/include/currantbridge/http1_server.h
@@ -39,6 +39,12 @@
  */
 typedef void (*cb_http1_disconnect_fn_t)(void *user_data);
 
+/*
+ * Called when there was no descriptor for an arriving connection, after the
+ * server has closed `evicted` idle connections for it.
+ */
+typedef void (*cb_http1_exhausted_fn_t)(unsigned int evicted, void *user_data);
+
 cb_http1_server_t *cb_http1_server_new(GMainContext *context, cb_clock_t *clock,
 				       cb_counters_t *counters,
 				       cb_http1_request_fn_t request,
@@ -51,8 +57,11 @@
 				const cb_http1_limits_t *limits);
 void cb_http1_server_limit_batch(cb_http1_server_t *server, int max_sockets);
 void cb_http1_server_drain(cb_http1_server_t *server);
-gboolean cb_http1_server_evict_idle(cb_http1_server_t *server);
+unsigned int cb_http1_server_evict_idle(cb_http1_server_t *server);
 unsigned int cb_http1_server_count_requests(const cb_http1_server_t *server);
+void cb_http1_server_on_exhausted(cb_http1_server_t *server,
+				  cb_http1_exhausted_fn_t exhausted);
+unsigned int cb_http1_server_count_connections(const cb_http1_server_t *server);
 
 const struct cb_http1_head *cb_http1_exchange_head(
 	const cb_http1_exchange_t *exchange);
--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -74,7 +74,9 @@
 	cb_clock_t *clock;
 	cb_counters_t *counters;
 	cb_http1_request_fn_t request_handler;
-	void *user_data; /* passed to `request_handler` */
+	/* Called when there is no descriptor for a connection; may be NULL. */
+	cb_http1_exhausted_fn_t exhausted_handler;
+	void *user_data; /* passed to both handlers */
 	cb_http1_limits_t limits;
 	GPtrArray *listeners;	    /* of cb_stream_listener_t */
 	cb_timer_t *accept_timer;   /* resumes accepting */
@@ -487,13 +489,13 @@
 
 /*
  * Closes the connections that have been idle for the longest time, as the idle
- * timeout would.  Returns whether there were any.
+ * timeout would.  Returns how many these are.
  */
-gboolean cb_http1_server_evict_idle(cb_http1_server_t *server)
+unsigned int cb_http1_server_evict_idle(cb_http1_server_t *server)
 {
 	GPtrArray *idle = g_ptr_array_new();
 	GHashTableIter iter;
-	gboolean has_idle;
+	unsigned int evicted;
 	unsigned int i;
 	void *value;
 
@@ -506,17 +508,20 @@
 		refusal_count_(server, "evicted");
 		connection_remove_(idle->pdata[i]);
 	}
-	has_idle = idle->len > 0;
+	evicted = MIN(idle->len, EVICTED_CONNECTIONS);
 	g_ptr_array_unref(idle);
-	return has_idle;
+	return evicted;
 }
 
 /* Makes room for a connection to be accepted; without any, new callers wait a little. */
 static void exhausted_handle_(void *user_data)
 {
 	cb_http1_server_t *server = user_data;
+	unsigned int evicted = cb_http1_server_evict_idle(server);
 
-	if (cb_http1_server_evict_idle(server))
+	if (server->exhausted_handler)
+		server->exhausted_handler(evicted, server->user_data);
+	if (evicted)
 		return;
 	refusal_count_(server, "out_of_descriptors");
 	listeners_set_paused_(server, TRUE);
@@ -634,6 +639,22 @@
 	return count;
 }
 
+/*
+ * Calls `exhausted` with the server's user_data each time that the process has no
+ * descriptor for an arriving connection.
+ */
+void cb_http1_server_on_exhausted(cb_http1_server_t *server,
+				  cb_http1_exhausted_fn_t exhausted)
+{
+	server->exhausted_handler = exhausted;
+}
+
+/* Returns the number of open connections, those without a request included. */
+unsigned int cb_http1_server_count_connections(const cb_http1_server_t *server)
+{
+	return g_hash_table_size(server->connections);
+}
+
 /* Returns the request's head. */
 const cb_http1_head_t *cb_http1_exchange_head(
 	const cb_http1_exchange_t *exchange)
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -77,6 +77,7 @@
 	int64_t usage_sum_ms;
 	GRand *random;
 	cb_document_t *document;
+	int64_t document_since_ms;  /* when `document` was put in force */
 	uint64_t document_revision; /* revision of the last document read */
 	int64_t decode_start_ms;    /* when the last decoding began */
 	int64_t decoded_version;    /* version of that document */
@@ -92,6 +93,8 @@
 	gboolean was_usage_empty;  /* the last usage report was empty */
 	cb_timer_t *drain_timer;
 	int64_t drain_since_ms; /* start of the drain; 0: not draining */
+	/* When the lack of descriptors was last logged; 0: never. */
+	int64_t exhausted_logged_ms;
 	/* The drain has ended: no request is started. */
 	gboolean has_drained;
 };
@@ -102,6 +105,8 @@
  */
 void cb_relay_start(cb_front_t *front, cb_http1_exchange_t *exchange,
 		    gboolean is_forwarded);
+/* Returns how long ago the document in force came, in ms; -1 without one. */
+int64_t cb_front_document_age_ms(const cb_front_t *front);
 /* Reports the usage of servers to control soon, not at the next interval. */
 void cb_front_report_usage_soon(cb_front_t *front);
 /* Retries the waiting requests; `user_data` is the cb_front_t. */
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -20,6 +20,7 @@
 #define SUSPICION_REPORT_DELAY_MS 5
 /* Shortest interval of such reports. */
 #define SUSPICION_REPORT_INTERVAL_MS 50
+#define EXHAUSTED_LOG_INTERVAL_MS 1000
 /* Bytes that an instance adds to the head of a request that it forwards. */
 #define FORWARD_HEADER_MAX_BYTES 1024
 /*
@@ -42,6 +43,7 @@
 
 	cb_document_unref(front->document);
 	front->document = document;
+	front->document_since_ms = cb_clock_now_ms(front->clock);
 	cb_http1_server_set_limits(front->server, &limits);
 	peer_limits.max_header_bytes += FORWARD_HEADER_MAX_BYTES;
 	cb_http1_server_set_limits(front->peer_server, &peer_limits);
@@ -52,6 +54,14 @@
 						 front->decode_start_ms));
 }
 
+/* Returns how long ago the document in force came, in ms; -1 without one. */
+int64_t cb_front_document_age_ms(const cb_front_t *front)
+{
+	return front->document ? cb_clock_now_ms(front->clock) -
+					 front->document_since_ms :
+				 -1;
+}
+
 static void document_unreadable_log_(cb_front_t *front, const char *reason)
 {
 	cb_log_event(front->log, CB_EVENT_DOCUMENT_UNREADABLE,
@@ -262,7 +272,27 @@
 {
 	cb_front_t *front = user_data;
 
-	return cb_http1_server_evict_idle(front->server);
+	return cb_http1_server_evict_idle(front->server) > 0;
+}
+
+/*
+ * Logs that the process had no descriptor for an arriving connection, at most
+ * once in EXHAUSTED_LOG_INTERVAL_MS.
+ */
+static void exhausted_log_(unsigned int evicted, void *user_data)
+{
+	cb_front_t *front = user_data;
+	int64_t now_ms = cb_clock_now_ms(front->clock);
+
+	if (front->exhausted_logged_ms &&
+	    now_ms - front->exhausted_logged_ms < EXHAUSTED_LOG_INTERVAL_MS)
+		return;
+	front->exhausted_logged_ms = now_ms;
+	cb_log_event(front->log, CB_EVENT_ENTRY_OUT_OF_DESCRIPTORS,
+		     CB_INT("evicted", evicted),
+		     CB_INT("callers",
+			    cb_http1_server_count_connections(front->server)),
+		     CB_INT("requests", g_hash_table_size(front->relays)));
 }
 
 static gboolean caller_listener_start_(cb_service_t *service, GError **error)
@@ -375,6 +405,52 @@
 	g_free(front);
 }
 
+static void gauge_set_(cb_front_t *front, const char *name, const char *label,
+		       const char *value, int64_t amount)
+{
+	cb_counter_set(cb_counters_gauge(front->counters, name, label, value),
+		       amount);
+}
+
+/*
+ * Sets the gauges of connections and requests before the counters are rendered.
+ * A request that is being sent to a server has a connection to it, or waits for
+ * one.
+ */
+static void gauges_update_(void *user_data)
+{
+	cb_front_t *front = user_data;
+	unsigned int in_use = 0;
+	unsigned int connecting = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, front->relays);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		const cb_relay_t *relay = value;
+
+		if (!relay->call)
+			continue;
+		if (cb_http1_call_is_sent(relay->call))
+			in_use++;
+		else
+			connecting++;
+	}
+	gauge_set_(front, "cb_server_connections", "state", "in_use", in_use);
+	gauge_set_(front, "cb_server_connections", "state", "connecting",
+		   connecting);
+	gauge_set_(front, "cb_caller_connections", "from", "callers",
+		   cb_http1_server_count_connections(front->server));
+	gauge_set_(front, "cb_caller_connections", "from", "instances",
+		   cb_http1_server_count_connections(front->peer_server));
+	gauge_set_(front, "cb_relay_requests", "state", "waiting",
+		   front->waiting.length);
+	gauge_set_(front, "cb_relay_requests", "state", "sent",
+		   in_use + connecting);
+	gauge_set_(front, "cb_document_age_ms", NULL, NULL,
+		   cb_front_document_age_ms(front));
+}
+
 static const cb_service_vtable_t front_vtable = {
 	.start = caller_listener_start_,
 	.drain = front_drain_,
@@ -421,6 +497,8 @@
 	front->peer_server =
 		cb_http1_server_new(cb_kernel_context(kernel), front->clock,
 				    front->counters, forwarded_receive_, front);
+	cb_http1_server_on_exhausted(front->server, exhausted_log_);
+	cb_http1_server_on_exhausted(front->peer_server, exhausted_log_);
 	front->client = options->client;
 	front->orders = options->orders;
 	front->reports = cb_engine_reports_new(front->clock, options->orders);
@@ -461,6 +539,7 @@
 	cb_control_client_on_usage(control, usage_sum_receive_, front);
 	cb_view_watch(view, view_change_handle_, front);
 	cb_control_client_on_fleet(control, fleet_update_receive_, front);
+	cb_counters_on_render(front->counters, gauges_update_, front);
 	return front;
 }
 
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -191,7 +191,12 @@
 		     CB_STR("gap_cause", relay->pace.longest_gap_cause),
 		     CB_INT("is_cut", is_cut),
 		     CB_INT("ready_servers", servers.ready),
-		     CB_INT("distrusted_servers", servers.distrusted));
+		     CB_INT("distrusted_servers", servers.distrusted),
+		     /* Without a name, the list ends here. */
+		     CB_INT(is_served ? NULL : "loop_late_ms",
+			    cb_clock_worst_lateness_ms(front->clock)),
+		     CB_INT("document_age_ms",
+			    cb_front_document_age_ms(front)));
 	cb_relay_count_reason(front, "cb_relay_ended_total", reason);
 	if (is_cut)
 		cb_relay_count_reason(front, "cb_relay_cut_total", reason);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -212,6 +212,10 @@
 			    relay->awaited ?
 				    cb_clock_lateness_ms(relay->front->clock) :
 				    0),
+		     CB_INT("loop_late_ms",
+			    cb_clock_worst_lateness_ms(relay->front->clock)),
+		     CB_INT("document_age_ms",
+			    cb_front_document_age_ms(relay->front)),
 		     CB_INT("progress_ms", relay->content.progress_ms),
 		     CB_STR("content", content_text));
 	relay->awaited = NULL;
--- a/src/test_libcurrantbridge/test_http1_server.c
+++ b/src/test_libcurrantbridge/test_http1_server.c
@@ -36,6 +36,9 @@
 	cb_http1_exchange_t *held;
 	unsigned int request_count;
 	unsigned int disconnect_count;
+	/* Calls for lack of a descriptor, and the connections evicted for it. */
+	unsigned int exhausted_count;
+	unsigned int evicted_count;
 } server_fixture_t;
 
 static void answer_send_(const server_fixture_t *fixture,
@@ -70,6 +73,14 @@
 					    fixture);
 }
 
+static void exhausted_(unsigned int evicted, void *user_data)
+{
+	server_fixture_t *fixture = user_data;
+
+	fixture->exhausted_count++;
+	fixture->evicted_count += evicted;
+}
+
 /* Returns a caller's connected socket. */
 static int caller_connect_(const server_fixture_t *fixture)
 {
@@ -96,6 +107,7 @@
 	fixture->server =
 		cb_http1_server_new(NULL, fixture->clock, fixture->counters,
 				    request_receive_, fixture);
+	cb_http1_server_on_exhausted(fixture->server, exhausted_);
 	CU_ASSERT_TRUE_FATAL(
 		cb_http1_server_listen(fixture->server, "127.0.0.1:0", NULL));
 	fixture->caller_fd = caller_connect_(fixture);
@@ -358,6 +370,11 @@
 	fd = last_caller_connect_(&fixture, &before);
 	CU_ASSERT_TRUE(is_served_(&fixture, fd));
 	CU_ASSERT_EQUAL(refusals_(&fixture, "evicted"), 16);
+	CU_ASSERT_EQUAL(fixture.exhausted_count, 1);
+	CU_ASSERT_EQUAL(fixture.evicted_count, 16);
+	/* The first caller and the new one stay, and those not evicted. */
+	CU_ASSERT_EQUAL(cb_http1_server_count_connections(fixture.server),
+			IDLE_CALLERS + 2 - 16);
 	CU_ASSERT_EQUAL(recv(idle[0], &byte, 1, MSG_DONTWAIT), 0);
 	CU_ASSERT_TRUE(is_served_(&fixture, idle[IDLE_CALLERS - 1]));
 	CU_ASSERT_TRUE(is_served_(&fixture, fixture.caller_fd));
@@ -384,6 +401,8 @@
 	CU_ASSERT_EQUAL(refusals_(&fixture, "out_of_descriptors"), 1);
 	time_pass_(&fixture, STEP_MS);
 	CU_ASSERT_EQUAL(refusals_(&fixture, "out_of_descriptors"), 2);
+	CU_ASSERT_EQUAL(fixture.exhausted_count, 2);
+	CU_ASSERT_EQUAL(fixture.evicted_count, 0);
 	CU_ASSERT_EQUAL(fixture.disconnect_count, 0);
 	answer_send_(&fixture, fixture.held);
 	loop_run_(&fixture);
