--- a/src/libcurrantbridge/explain/explain.c
+++ b/src/libcurrantbridge/explain/explain.c
@@ -10,6 +10,10 @@
 #define CONTEXT_BEFORE_MS 5000
 #define CONTEXT_AFTER_MS 1000
 #define US_PER_MS 1000
+/* A loop that was later than this may have missed what had arrived. */
+#define LOOP_LATE_MIN_MS 100
+/* A document that is older than this is not named as a circumstance. */
+#define DOCUMENT_NEW_MAX_MS 5000
 
 /* One parsed log line. */
 typedef struct log_entry {
@@ -289,6 +293,14 @@
 	const log_entry_t *found = NULL;
 	size_t i;
 
+	for (i = 0; i < explain->request_entries->len; i++) {
+		const log_entry_t *entry = explain->request_entries->pdata[i];
+
+		/* Of a forwarded request, the caller's instance has the cut. */
+		if (!strcmp(entry->name, "RELAY_ENDED") &&
+		    entry_get_int_(entry, "is_cut"))
+			found = entry;
+	}
 	for (i = 0; !found && i < G_N_ELEMENTS(names); i++)
 		found = entries_find_last_(explain->request_entries, names[i]);
 	return found;
@@ -404,6 +416,18 @@
 	{ "server_error", "the server answered with an error", TRUE },
 	{ "silent", "the stream sent no data within its time limit", TRUE },
 	{ "complete", "the server's own answer was a failure", TRUE },
+	{ "cut_off",
+	  "the instance had lost its way to the servers and gave up an attempt "
+	  "in progress",
+	  FALSE },
+	{ "no_way",
+	  "neither the instance nor any to which it was forwarded reached a "
+	  "server of the service",
+	  FALSE },
+	{ "refused_elsewhere",
+	  "the instance to which it was forwarded refused it", FALSE },
+	{ "failed_elsewhere",
+	  "it failed at the instance to which it was forwarded", FALSE },
 };
 
 /* Appends why there was no room for the request, if a line says so. */
@@ -445,6 +469,109 @@
 			       entry_get_int_(refused, "retry_after_ms"));
 }
 
+/* Returns the last context entry `name` that `instance` logged, or NULL. */
+static const log_entry_t *context_find_last_(const cb_explain_t *explain,
+					     const char *name,
+					     const char *instance)
+{
+	const log_entry_t *found = NULL;
+	unsigned int i;
+
+	for (i = 0; i < explain->context_entries->len; i++) {
+		const log_entry_t *entry = explain->context_entries->pdata[i];
+
+		if (!strcmp(entry->name, name) &&
+		    !strcmp(entry->instance, instance) &&
+		    entry->wall_ms <= explain->last_ms)
+			found = entry;
+	}
+	return found;
+}
+
+/* Appends that an instance had lost its way to servers, if it logged that. */
+static void cause_append_lost_way_(GString *cause, const cb_explain_t *explain,
+				   const char *instance)
+{
+	const log_entry_t *lost =
+		context_find_last_(explain, "RELAY_WAY_LOST", instance);
+
+	if (!lost)
+		return;
+	g_string_append_printf(
+		cause,
+		"; %s had lost its way to the servers of %s at %s "
+		"(%s: of its checks over new connections %" G_GINT64_FORMAT
+		" were refused, %" G_GINT64_FORMAT
+		" not answered in time, %" G_GINT64_FORMAT
+		" connected without an answer)",
+		instance, entry_get_text_(lost, "data_centre"), lost->time,
+		entry_get_text_(lost, "state"), entry_get_int_(lost, "refused"),
+		entry_get_int_(lost, "unanswered"),
+		entry_get_int_(lost, "mute"));
+}
+
+/*
+ * Appends what else was the matter with the instance that logged `entry`: its
+ * loop was late, it had no descriptors, or a document had just come.
+ */
+static void cause_append_circumstances_(GString *cause,
+					const cb_explain_t *explain,
+					const log_entry_t *entry)
+{
+	const log_entry_t *full =
+		context_find_last_(explain, "ENTRY_OUT_OF_DESCRIPTORS",
+				   entry->instance);
+	int64_t late_ms = entry_get_int_(entry, "loop_late_ms");
+	int64_t age_ms =
+		json_object_get_int_member_with_default(entry->fields,
+							"document_age_ms", -1);
+
+	if (late_ms > LOOP_LATE_MIN_MS)
+		g_string_append_printf(cause,
+				       "; the loop of %s was %" G_GINT64_FORMAT
+				       " ms late in the second before, so its "
+				       "time limits may have passed by its own "
+				       "delay",
+				       entry->instance, late_ms);
+	if (full)
+		g_string_append_printf(cause,
+				       "; %s had no free descriptor for an "
+				       "arriving connection at %s",
+				       entry->instance, full->time);
+	if (age_ms >= 0 && age_ms <= DOCUMENT_NEW_MAX_MS)
+		g_string_append_printf(cause,
+				       "; a document had come into force "
+				       "%" G_GINT64_FORMAT " ms before",
+				       age_ms);
+}
+
+/*
+ * Appends why an answer that had begun was cut: how its last attempt failed, and
+ * what was the matter with the instance at that time.  `end` is the line of the
+ * request's end.
+ */
+static void cause_append_cut_(GString *cause, const cb_explain_t *explain,
+			      const log_entry_t *end)
+{
+	const log_entry_t *failed = entries_find_last_(explain->request_entries,
+						       "RELAY_ATTEMPT_FAILED");
+
+	if (entry_get_int_(end, "is_cut"))
+		g_string_append_printf(cause,
+				       "; its answer was cut after event "
+				       "%" G_GINT64_FORMAT,
+				       entry_get_int_(end, "last_event"));
+	if (failed)
+		g_string_append_printf(cause,
+				       "; its last attempt at %s failed (%s) "
+				       "at %s",
+				       entry_get_text_(failed, "address"),
+				       entry_get_text_(failed, "result"),
+				       failed->time);
+	cause_append_lost_way_(cause, explain, end->instance);
+	cause_append_circumstances_(cause, explain, failed ? failed : end);
+}
+
 /* Appends the explanation of the reason that the request ended with. */
 static void cause_append_reason_(GString *cause, const cb_explain_t *explain,
 				 const log_entry_t *end)
@@ -468,10 +595,14 @@
 				       entry_get_int_(end, "version"));
 	if (!strcmp(reason, "overloaded"))
 		cause_append_room_(cause, explain);
-	if (!causes[i].may_be_server_failure || !*failed_server)
-		return;
-	g_string_append_printf(cause, "; server at fault: %s", failed_server);
-	cause_append_server_problem_(cause, explain, failed_server);
+	if (causes[i].may_be_server_failure && *failed_server) {
+		g_string_append_printf(cause, "; server at fault: %s",
+				       failed_server);
+		cause_append_server_problem_(cause, explain, failed_server);
+	}
+	if (entry_get_int_(end, "is_cut") || !strcmp(reason, "no_way") ||
+	    !strcmp(reason, "cut_off"))
+		cause_append_cut_(cause, explain, end);
 }
 
 /* Returns a sentence on the likely cause of the request's end; free it. */
--- a/src/test_libcurrantbridge/test_explain.c
+++ b/src/test_libcurrantbridge/test_explain.c
@@ -12,6 +12,12 @@
 #define RELAY_ENDED_LINE \
 	LINE_AT("04.000") EVENT_OF("RELAY_ENDED", "e1") REQUEST_FIELD
 
+/* Fields of a cut answer's end, and of a way on which each check was refused. */
+#define CUT_FIELDS "\"status\":502,\"is_cut\":1,\"last_event\":2,"
+#define WAY_LOST_FIELDS                               \
+	"\"data_centre\":\"dc1\",\"state\":\"lost\"," \
+	"\"refused\":3,\"unanswered\":0,\"mute\":0}"
+
 /* Log lines, in any order, and the explanation that they must give. */
 typedef struct explain_case {
 	const char *lines[6];
@@ -120,6 +126,46 @@
 	    "\"because\":\"own_share\",\"age_ms\":2950}" },
 	  "what all instances use was last known 2950 ms before",
 	  NULL },
+	/* A cut answer: the way, the loop, descriptors and the document. */
+	{ { LINE_AT("03.900") EVENT_OF("RELAY_WAY_LOST", "e1") WAY_LOST_FIELDS,
+	    LINE_AT("03.800")
+		    EVENT_OF("RELAY_WAY_LOST", "e2") "\"data_centre\":\"dc9\"}",
+	    LINE_AT("03.950") EVENT_OF("RELAY_ATTEMPT_FAILED", "e1")
+		    REQUEST_FIELD
+	    "\"result\":\"cut_off\",\"address\":\"10.0.0.1:1\","
+	    "\"loop_late_ms\":3,\"document_age_ms\":700}",
+	    LINE_AT("03.960") EVENT_OF("RELAY_FORWARDED", "e1") REQUEST_FIELD
+	    "\"to\":\"e2\"}",
+	    RELAY_ENDED_LINE CUT_FIELDS "\"reason\":\"no_way\"}",
+	    LINE_AT("04.001") EVENT_OF("RELAY_ENDED", "e2") REQUEST_FIELD
+	    "\"status\":503,\"reason\":\"no_way\",\"is_cut\":0}" },
+	  "neither the instance nor any to which it was forwarded reached a "
+	  "server of the service; its answer was cut after event 2; its last "
+	  "attempt at 10.0.0.1:1 failed (cut_off) at 2026-12-04T10:00:03.950Z; "
+	  "e1 had lost its way to the servers of dc1 at "
+	  "2026-12-04T10:00:03.900Z (lost: of its checks over new connections 3 "
+	  "were refused, 0 not answered in time, 0 connected without an answer); "
+	  "a document had come into force 700 ms before",
+	  "RELAY_WAY_LOST" },
+	{ { LINE_AT("03.900") EVENT_OF("LOOP_LATE", "e1") "\"late_ms\":640}",
+	    LINE_AT("03.950") EVENT_OF("RELAY_ATTEMPT_FAILED", "e1")
+		    REQUEST_FIELD
+	    "\"result\":\"silent\",\"address\":\"10.0.0.1:1\","
+	    "\"loop_late_ms\":640,\"document_age_ms\":5001}",
+	    RELAY_ENDED_LINE CUT_FIELDS "\"reason\":\"silent\"}" },
+	  "no problem of this server was logged; its answer was cut after event "
+	  "2; its last attempt at 10.0.0.1:1 failed (silent) at "
+	  "2026-12-04T10:00:03.950Z; the loop of e1 was 640 ms late in the "
+	  "second before, so its time limits may have passed by its own delay",
+	  "LOOP_LATE" },
+	{ { RELAY_ENDED_LINE CUT_FIELDS
+	    "\"reason\":\"deadline\",\"loop_late_ms\":100,"
+	    "\"document_age_ms\":-1}",
+	    LINE_AT("03.000") EVENT_OF("ENTRY_OUT_OF_DESCRIPTORS",
+				       "e1") "\"evicted\":0}" },
+	  "its deadline passed; its answer was cut after event 2; e1 had no free "
+	  "descriptor for an arriving connection at 2026-12-04T10:00:03.000Z",
+	  "ENTRY_OUT_OF_DESCRIPTORS" },
 };
 
 static cb_explain_t *explain_make_(const explain_case_t *c)
