SIGHUP is held back from the begin of main() and until the exit

Seen: a soak's control instance "ended by itself: exit code 0, signal 1". Until GLib's handler was set, and again after its source was destroyed at a graceful stop, SIGHUP had its default action. The time after a stop was not known before: SIGHUPs each 100 us after SIGTERM ended three of four programs.

Daemons block SIGHUP in the first line of main(), and the kernel reads it from a signalfd. It is never unblocked, so threads that are created later don't take it either (a mask that was restored at the end still lost control instances, through the thread of their storage). One that arrives before the settings are read stays pending and reloads them once more. A disposition "ignored" that was inherited is set back, so that no reload is lost.

Programs that don't reload (currantbridge, cb-platform-check, cb-load) keep the default action: they end when their terminal does.

--- a/include/currantbridge/program.h
+++ b/include/currantbridge/program.h
@@ -14,6 +14,7 @@
 	CB_EXIT_UNAVAILABLE = 4, /* no answer, or HTTP status 503 */
 } cb_exit_t;
 
+void cb_program_hold_reloads(void);
 void cb_program_init(void);
 gboolean cb_program_parse(int *argc, char ***argv, const char *arguments,
 			  const char *summary, const GOptionEntry *entries,
--- a/src/cb-control/main.c
+++ b/src/cb-control/main.c
@@ -92,6 +92,7 @@
 	GError *error = NULL;
 	int exit_code;
 
+	cb_program_hold_reloads();
 	cb_program_init();
 	if (!cb_program_parse(&argc, &argv, NULL,
 			      "Runs a control instance of currantbridge.",
--- a/src/cb-entry/main.c
+++ b/src/cb-entry/main.c
@@ -79,6 +79,7 @@
 	GError *error = NULL;
 	int exit_code;
 
+	cb_program_hold_reloads();
 	cb_program_init();
 	if (!cb_program_parse(&argc, &argv, NULL,
 			      "The entry daemon of currantbridge: serves "
--- a/src/cb-fake-backend/main.c
+++ b/src/cb-fake-backend/main.c
@@ -136,6 +136,7 @@
 	FILE *effect_log = NULL;
 	int exit_code;
 
+	cb_program_hold_reloads();
 	cb_program_init();
 	if (!cb_program_parse(&argc, &argv, NULL,
 			      "A stand-in for a model engine or plain service.",
--- a/src/libcurrantbridge/kernel/kernel.c
+++ b/src/libcurrantbridge/kernel/kernel.c
@@ -5,6 +5,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "currantbridge/program.h"
 
 #include "private/process.h"
 
@@ -295,12 +299,43 @@
 	}
 }
 
-static gboolean reload_signal_handle_(void *user_data)
+static gboolean reload_signal_handle_(int fd, GIOCondition condition,
+				      void *user_data)
 {
-	cb_kernel_reload(user_data);
+	struct signalfd_siginfo info;
+
+	(void)condition;
+	if (read(fd, &info, sizeof(info)) == (ssize_t)sizeof(info))
+		cb_kernel_reload(user_data);
 	return G_SOURCE_CONTINUE;
 }
 
+/*
+ * Creates a source that reads SIGHUP from `fd`, a signalfd.  The signal stays
+ * blocked, so that it never has its default action, as it would before a handler
+ * is set and after it is removed.
+ */
+static GSource *reload_source_new_(cb_kernel_t *kernel, int fd)
+{
+	GSource *source = g_unix_fd_source_new(fd, G_IO_IN);
+
+	g_source_set_callback(source, G_SOURCE_FUNC(reload_signal_handle_),
+			      kernel, NULL);
+	g_source_attach(source, kernel->context);
+	return source;
+}
+
+/* Returns a file descriptor from which SIGHUP is read; -1 on an error. */
+static int reload_signal_open_(void)
+{
+	sigset_t signals;
+
+	cb_program_hold_reloads();
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGHUP);
+	return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
+}
+
 static GSource *signal_source_new_(cb_kernel_t *kernel, int signal_number,
 				   GSourceFunc callback)
 {
@@ -313,8 +348,9 @@
 
 /*
  * Starts the services and runs the loop until SIGTERM or SIGINT arrives and the
- * graceful stop is complete.  SIGHUP reloads the settings.  Returns the exit
- * code of the process.
+ * graceful stop is complete.  SIGHUP reloads the settings, also one
+ * that arrived since cb_program_hold_reloads(); it stays blocked afterwards.
+ * Returns the exit code of the process.
  */
 int cb_kernel_run(cb_kernel_t *kernel)
 {
@@ -322,12 +358,17 @@
 		signal_source_new_(kernel, SIGTERM, stop_signal_handle_);
 	GSource *interrupt =
 		signal_source_new_(kernel, SIGINT, stop_signal_handle_);
-	GSource *hang_up =
-		signal_source_new_(kernel, SIGHUP, reload_signal_handle_);
+	int hang_up_fd = reload_signal_open_();
+	GSource *hang_up = reload_source_new_(kernel, hang_up_fd);
 	GError *error = NULL;
 	int exit_code = EXIT_SUCCESS;
 
 	signal(SIGPIPE, SIG_IGN);
+	if (hang_up_fd < 0) {
+		perror("signalfd");
+		exit_code = EXIT_FAILURE;
+		goto out;
+	}
 	if (!cb_kernel_start(kernel, &error)) {
 		fprintf(stderr, "%s\n", error->message);
 		g_error_free(error);
@@ -345,5 +386,7 @@
 	g_source_unref(terminate);
 	g_source_unref(interrupt);
 	g_source_unref(hang_up);
+	if (hang_up_fd >= 0)
+		close(hang_up_fd);
 	return exit_code;
 }
--- a/src/libcurrantbridge/kernel/program.c
+++ b/src/libcurrantbridge/kernel/program.c
@@ -1,7 +1,23 @@
 #include "currantbridge/program.h"
 
+#include <signal.h>
 #include <stdio.h>
 
+/*
+ * Blocks SIGHUP, which ends a process by default, until cb_kernel_run() reads
+ * it, also where the process that started this one ignores it.  A daemon calls
+ * this first in main(), so that its threads inherit the block.
+ */
+void cb_program_hold_reloads(void)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	signal(SIGHUP, SIG_DFL);
+}
+
 /*
  * Stops GIO from loading desktop modules, using a settings daemon or a proxy
  * resolver, or starting a helper process.  Must be called before any use of
