Orders to engines go through http1, not through libsoup

Cause: on a reused connection the client waited for libsoup's stream, which says that it is readable while a part of a line is in its buffer, so the loop spins and reads nothing; and it gives one chunk a read, one read an iteration.

Change: http_exchange keeps its interface and uses cb_http1_client_call(), as the client of plain services does, with the bounds of http1 for heads, interim answers, chunk lines and trailers. A new optional callback of http1's calls, data_end, tells that all pieces of one read were passed, so that the lines of a read are still delivered between one pair of hooks. The engines' client gets the entry's context and clock. The tests of the client change in the arguments of its constructor only.

--- a/bench/relay_client.c
+++ b/bench/relay_client.c
@@ -118,6 +118,7 @@
 					     g_strv_length(client->addresses)],
 		.path = client->path,
 		.content_type = "application/json",
+		.authorization = "Bearer key-handicap",
 		.connection = CB_HTTP_CONNECTION_NEW,
 	};
 	cb_http_listener_t listener = {
@@ -127,11 +128,7 @@
 	};
 
 	http_request.body = g_bytes_new_static(text, strlen(text));
-	soup_message_headers_replace(
-		cb_http_exchange_headers(cb_http_exchange_start(client->http,
-								&http_request,
-								&listener)),
-		"Authorization", "Bearer key-handicap");
+	cb_http_exchange_start(client->http, &http_request, &listener);
 	g_bytes_unref(http_request.body);
 }
 
@@ -160,7 +157,7 @@
 		return exit_code;
 	relay_process_init(&client.process);
 	client.delays_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	client.http = cb_http_client_new(NULL);
+	client.http = cb_http_client_new(NULL, client.process.clock, NULL);
 	client.timer =
 		cb_timer_new(client.process.clock, phase_handle_end_, &client);
 	for (i = 0; i < client.stream_count; i++)
--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -41,6 +41,8 @@
 	gboolean (*head)(void *user_data, const struct cb_http1_head *head);
 	/* A piece of the answer's body was received. */
 	void (*data)(void *user_data, const uint8_t *data, size_t size);
+	/* All pieces of one read from the socket were passed; may be NULL. */
+	void (*data_end)(void *user_data);
 	/* Called once before the call is freed, unless it was cancelled. */
 	void (*done)(void *user_data, cb_http1_result_t result);
 } cb_http1_call_handler_t;
--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -372,7 +372,9 @@
 	admission_parts.shares = cb_share_keeper_table(entry->share_keeper);
 	entry->admission = cb_admission_new(&admission_parts);
 	cb_share_keeper_set_admission(entry->share_keeper, entry->admission);
-	entry->engine_client = cb_http_engine_client_new(&read_hooks);
+	entry->engine_client =
+		cb_http_engine_client_new(cb_kernel_context(entry->kernel),
+					  clock, &read_hooks);
 	entry->service_client =
 		cb_http_service_client_new(cb_kernel_context(entry->kernel),
 					   clock);
--- a/src/libcurrantbridge/http/http_engine_client.c
+++ b/src/libcurrantbridge/http/http_engine_client.c
@@ -6,7 +6,8 @@
 #include "currantbridge/json_fields.h"
 
 /* A drop request that is not answered within this time is abandoned. */
-#define DROP_TIMEOUT_S 5
+#define DROP_TIMEOUT_MS 5000
+#define STATUS_OK 200
 
 typedef struct engine_client {
 	cb_engine_client_t base;
@@ -121,7 +122,7 @@
 				       const cb_http_listener_t *listener)
 {
 	cb_http_request_t http_request = {
-		.method = SOUP_METHOD_POST,
+		.method = "POST",
 		.address = address,
 		.path = path,
 		.content_type = "application/json",
@@ -154,7 +155,7 @@
 	size_t size_bytes;
 	const char *text = g_bytes_get_data(answer->body, &size_bytes);
 
-	if (answer->status == SOUP_STATUS_OK)
+	if (answer->status == STATUS_OK)
 		return CB_FAILURE_NONE;
 	object = cb_json_parse_object(client->parser, text ? text : "",
 				      (int64_t)size_bytes, NULL);
@@ -382,7 +383,7 @@
 	size_t size_bytes;
 	GBytes *body;
 	cb_http_request_t http_request = {
-		.method = SOUP_METHOD_POST,
+		.method = "POST",
 		.address = exchange->target_address,
 		.path = "/engine/import",
 		.content_type = "application/json",
@@ -448,7 +449,7 @@
 {
 	engine_exchange_t *exchange = user_data;
 
-	if (failure == CB_FAILURE_NONE && answer->status != SOUP_STATUS_OK)
+	if (failure == CB_FAILURE_NONE && answer->status != STATUS_OK)
 		failure = CB_FAILURE_REFUSED;
 	exchange->listener.done(exchange->listener.user_data, failure);
 }
@@ -460,7 +461,7 @@
 	engine_exchange_t *exchange =
 		engine_exchange_new_(client, "", 0, listener);
 	cb_http_request_t http_request = {
-		.method = SOUP_METHOD_GET,
+		.method = "GET",
 		.address = server->address,
 		.path = "/engine/health",
 		.connection = CB_HTTP_CONNECTION_NEW,
@@ -489,7 +490,7 @@
 	cb_http_listener_t ignored_listener = { .done = answer_ignore_ };
 	GBytes *body = json_request_end_(json_request_begin_(request, epoch));
 	cb_http_request_t http_request = {
-		.method = SOUP_METHOD_POST,
+		.method = "POST",
 		.address = server->address,
 		.path = "/engine/cancel",
 		.content_type = "application/json",
@@ -513,10 +514,11 @@
 }
 
 /*
- * Creates a client that sends orders to engines over HTTP.  `read_hooks`
- * may be NULL.
+ * Creates a client that sends orders to engines over HTTP, in the main loop of
+ * `context`; NULL means the default context.  `read_hooks` may be NULL.
  */
 cb_engine_client_t *cb_http_engine_client_new(
+	GMainContext *context, cb_clock_t *clock,
 	const cb_http_read_hooks_t *read_hooks)
 {
 	static const cb_engine_client_vtable_t vtable = {
@@ -531,9 +533,9 @@
 	engine_client_t *client = g_new0(engine_client_t, 1);
 
 	client->base.vtable = &vtable;
-	client->http = cb_http_client_new(read_hooks);
-	client->drop_http = cb_http_client_new(NULL);
-	cb_http_client_set_io_timeout(client->drop_http, DROP_TIMEOUT_S);
+	client->http = cb_http_client_new(context, clock, read_hooks);
+	client->drop_http = cb_http_client_new(context, clock, NULL);
+	cb_http_client_set_io_timeout(client->drop_http, DROP_TIMEOUT_MS);
 	client->parser = json_parser_new_immutable();
 	return &client->base;
 }
--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -2,110 +2,94 @@
 
 #include <string.h>
 
-#include "private/poller.h"
-
-#define MAX_CONNECTIONS 65536
-/* Well below the idle timeouts of firewalls and NAT devices. */
-#define CONNECTION_IDLE_TIMEOUT_S 20
-#define READ_BYTES 16384
-/* Maximum number of reads of one answer in one main loop iteration. */
-#define MAX_READS_PER_DISPATCH 8
+#include "currantbridge/http1_client.h"
+#include "currantbridge/http1_head.h"
+
 #define MAX_LINE_BYTES (1024 * 1024)
 #define MAX_ANSWER_BYTES (64 * 1024 * 1024)
 /* Empty lines of an answer beyond this many in a row end the exchange. */
 #define MAX_EMPTY_LINES 4096
-/* Interim answers (1xx) before an answer beyond this many end the exchange. */
-#define MAX_INTERIM_ANSWERS 64
+/* The pool of connections has its own limit of the time that they are idle. */
+#define ANY_IDLE_MS INT64_MAX
+#define STATUS_OK 200
 
 struct cb_http_client {
-	SoupSession *session;
+	cb_http1_client_t *http;
+	cb_clock_t *clock;
 	/* Set of the cb_exchange_t in progress, not owned. */
 	GHashTable *open_exchanges;
 	cb_http_read_hooks_t read_hooks;
-	cb_poller_t *poller;
-	uint8_t read_buffer[READ_BYTES];
+	int64_t io_timeout_ms; /* 0: no timeout */
 };
 
 struct cb_exchange {
 	cb_http_client_t *client;
-	SoupMessage *message;
-	GCancellable *cancellable;
+	cb_http1_call_t *call; /* NULL once it has ended */
+	cb_timer_t *timer;     /* NULL without a timeout of the client */
 	cb_http_listener_t listener;
 	void *user_data;
-	/* Whether bytes of the request may have been sent. */
-	gboolean is_request_started;
-	/* Whether send_finish_() has not been called yet. */
-	gboolean is_sending;
-	GInputStream *stream; /* body of the answer, NULL before its headers */
-	GSocket *socket; /* socket of a new connection; NULL on a reused one */
-	cb_watch_t *socket_watch; /* watches `socket`; unused if that is NULL */
-	GSource *readable_source; /* watches `stream` if `socket` is NULL */
+	uint32_t status;    /* of the answer; 0 before its head */
+	char *content_type; /* of the answer; NULL if it has none */
 	/* Bytes of the answer received but not delivered as lines. */
 	GByteArray *received;
 	/* Length of the beginning of `received` that contains no newline. */
 	size_t scanned_bytes;
 	unsigned int empty_line_count; /* since the last line delivered */
-	unsigned int interim_count;
 	/* Whether a callback of the listener may be running. */
 	gboolean is_dispatching;
 	gboolean is_ended;
 };
 
 /*
- * Creates a client that uses no proxy.  Its exchanges have no timeout, so
- * whoever starts one has to cancel it.  `read_hooks` may be NULL.
+ * Creates a client for the main loop of `context`; NULL means the default
+ * context.  Its exchanges have no timeout, so whoever starts one has to cancel
+ * it.  `read_hooks` may be NULL.
  */
-cb_http_client_t *cb_http_client_new(const cb_http_read_hooks_t *read_hooks)
+cb_http_client_t *cb_http_client_new(GMainContext *context, cb_clock_t *clock,
+				     const cb_http_read_hooks_t *read_hooks)
 {
 	cb_http_client_t *client = g_new0(cb_http_client_t, 1);
 
 	if (read_hooks)
 		client->read_hooks = *read_hooks;
-	client->poller = cb_poller_new(g_main_context_get_thread_default());
-	client->session = soup_session_new_with_options(
-		"max-conns", MAX_CONNECTIONS, "max-conns-per-host",
-		MAX_CONNECTIONS, "timeout", 0, "idle-timeout",
-		CONNECTION_IDLE_TIMEOUT_S, "proxy-resolver", NULL, NULL);
+	client->http = cb_http1_client_new(context, clock, NULL);
+	client->clock = clock;
 	client->open_exchanges = g_hash_table_new(NULL, NULL);
 	return client;
 }
 
-/* An exchange without input or output for `timeout_s` fails.  0: no timeout. */
-void cb_http_client_set_io_timeout(cb_http_client_t *client,
-				   unsigned int timeout_s)
+/* An exchange that receives nothing for `timeout_ms` fails.  0: no timeout. */
+void cb_http_client_set_io_timeout(cb_http_client_t *client, int64_t timeout_ms)
+{
+	client->io_timeout_ms = timeout_ms;
+}
+
+/* Ends the call if it has not ended, and closes its connection. */
+static void exchange_call_cancel_(cb_exchange_t *exchange)
 {
-	soup_session_set_timeout(client->session, timeout_s);
+	cb_http1_call_t *call = g_steal_pointer(&exchange->call);
+
+	if (call)
+		cb_http1_call_cancel(call);
 }
 
 /* Frees everything that is not needed after the end of the exchange. */
 static void exchange_release_(cb_exchange_t *exchange)
 {
-	if (exchange->readable_source) {
-		g_source_destroy(exchange->readable_source);
-		g_source_unref(exchange->readable_source);
-		exchange->readable_source = NULL;
-	}
-	g_clear_pointer(&exchange->socket_watch, cb_watch_delete);
-	g_clear_object(&exchange->stream);
-	g_clear_object(&exchange->socket);
+	g_clear_pointer(&exchange->timer, cb_timer_delete);
 	if (exchange->listener.user_data_free)
 		exchange->listener.user_data_free(exchange->listener.user_data);
 	memset(&exchange->listener, 0, sizeof(exchange->listener));
 }
 
-/* Frees an ended exchange unless libsoup or a calling function uses it. */
+/* Frees an ended exchange unless a calling function uses it. */
 static void exchange_free_if_unused_(cb_exchange_t *exchange)
 {
-	if (!exchange->is_ended || exchange->is_sending ||
-	    exchange->is_dispatching)
+	if (!exchange->is_ended || exchange->is_dispatching)
 		return;
 	if (exchange->client)
 		g_hash_table_remove(exchange->client->open_exchanges, exchange);
-	if (exchange->message)
-		g_signal_handlers_disconnect_by_data(exchange->message,
-						     exchange);
-	g_clear_object(&exchange->message);
-	g_object_unref(exchange->cancellable);
+	g_free(exchange->content_type);
 	g_byte_array_unref(exchange->received);
 	g_free(exchange);
 }
@@ -119,7 +103,7 @@
 	if (exchange->is_ended)
 		return;
 	exchange->is_ended = TRUE;
-	g_cancellable_cancel(exchange->cancellable);
+	exchange_call_cancel_(exchange);
 	exchange_release_(exchange);
 	exchange_free_if_unused_(exchange);
 }
@@ -144,12 +128,11 @@
 	}
 	g_list_free(open);
 	g_hash_table_unref(client->open_exchanges);
-	soup_session_abort(client->session);
-	g_object_unref(client->session);
-	cb_poller_delete(client->poller);
+	cb_http1_client_delete(client->http);
 	g_free(client);
 }
 
+/* Reports the end of an exchange; a call that goes on is cancelled. */
 static void exchange_end_(cb_exchange_t *exchange, cb_failure_t failure)
 {
 	cb_http_listener_t listener = exchange->listener;
@@ -160,19 +143,20 @@
 	exchange->is_ended = TRUE;
 	exchange->is_dispatching = TRUE;
 	exchange->listener.user_data_free = NULL;
+	exchange_call_cancel_(exchange);
 	exchange_release_(exchange);
 	if (failure != CB_FAILURE_NONE) {
-		g_cancellable_cancel(exchange->cancellable);
 		listener.done(listener.user_data, failure, NULL);
 	} else {
-		answer.status = soup_message_get_status(exchange->message);
-		answer.content_type = soup_message_headers_get_one(
-			soup_message_get_response_headers(exchange->message),
-			"Content-Type");
+		char *content_type = g_steal_pointer(&exchange->content_type);
+
+		answer.status = exchange->status;
+		answer.content_type = content_type;
 		answer.body = g_bytes_new(exchange->received->data,
 					  exchange->received->len);
 		listener.done(listener.user_data, failure, &answer);
 		g_bytes_unref(answer.body);
+		g_free(content_type);
 	}
 	exchange->is_dispatching = FALSE;
 	if (exchange->is_ended && listener.user_data_free)
@@ -229,238 +213,132 @@
 	return failure;
 }
 
-typedef enum read_outcome {
-	READ_MORE,  /* bytes were read; there may be more */
-	READ_BLOCK, /* no bytes are available now */
-	READ_END,   /* end of the answer, or a failure */
-} read_outcome_t;
-
-/* Reads once without blocking; sets `failure` on failure. */
-static read_outcome_t answer_read_once_(cb_exchange_t *exchange,
-					cb_failure_t *failure)
+/* Starts the client's timeout anew; a client without one needs no timer. */
+static void timeout_restart_(cb_exchange_t *exchange)
 {
-	GByteArray *received = exchange->received;
-	uint8_t *read_buffer = exchange->client->read_buffer;
-	GError *error = NULL;
-	read_outcome_t outcome = READ_END;
-	gssize count;
-
-	count = g_pollable_input_stream_read_nonblocking(
-		G_POLLABLE_INPUT_STREAM(exchange->stream), read_buffer,
-		READ_BYTES, NULL, &error);
-	if (count > 0) {
-		g_byte_array_append(received, read_buffer, (unsigned int)count);
-		if (received->len <= MAX_ANSWER_BYTES)
-			return READ_MORE;
-		*failure = CB_FAILURE_MISMATCH;
-	} else if (count < 0 &&
-		   g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-		outcome = READ_BLOCK;
-	} else if (count < 0) {
-		*failure = CB_FAILURE_LOST;
-	}
-	g_clear_error(&error);
-	return outcome;
+	if (exchange->timer)
+		cb_timer_start(exchange->timer,
+			       exchange->client->io_timeout_ms);
 }
 
-/*
- * Reads the available bytes, up to a limit.  Bytes that libsoup has already
- * buffered do not make the socket readable, so the rest is read in the next
- * iteration of the main loop without waiting for the socket.
- */
-static read_outcome_t answer_read_(cb_exchange_t *exchange,
-				   cb_failure_t *failure)
+static void timeout_handle_(void *user_data)
 {
-	read_outcome_t outcome = READ_MORE;
-	int reads;
-
-	if (!exchange->socket)
-		return answer_read_once_(exchange, failure);
-	for (reads = 0; reads < MAX_READS_PER_DISPATCH && outcome == READ_MORE;
-	     reads++)
-		outcome = answer_read_once_(exchange, failure);
-	if (outcome == READ_MORE)
-		cb_watch_schedule_call(exchange->socket_watch);
-	return outcome;
+	exchange_end_(user_data, CB_FAILURE_LOST);
 }
 
-/* Reads and delivers the available bytes; FALSE if the exchange has ended. */
-static gboolean answer_process_(cb_exchange_t *exchange)
+/* Stores what the head tells; FALSE: the body is encoded and can't be read. */
+static gboolean head_receive_(void *user_data, const cb_http1_head_t *head)
 {
-	cb_failure_t failure = CB_FAILURE_NONE;
-	gboolean is_by_lines =
-		exchange->listener.line &&
-		soup_message_get_status(exchange->message) == SOUP_STATUS_OK;
-	read_outcome_t outcome;
-	cb_failure_t lines_failure;
+	cb_exchange_t *exchange = user_data;
+	const char *encoding = cb_http1_head_find(head, "Content-Encoding");
 
-	exchange->is_dispatching = TRUE;
-	outcome = answer_read_(exchange, &failure);
-	/* Lines received before the connection was lost are still valid. */
-	if (is_by_lines && failure != CB_FAILURE_MISMATCH) {
-		lines_failure = lines_deliver_with_hooks_(exchange);
-		failure = lines_failure == CB_FAILURE_NONE ? failure :
-							     lines_failure;
-	}
-	exchange->is_dispatching = FALSE;
-	if (exchange->is_ended) {
-		exchange_free_if_unused_(exchange);
+	if (encoding && g_ascii_strcasecmp(encoding, "identity") != 0)
 		return FALSE;
-	}
-	if (outcome != READ_END && failure == CB_FAILURE_NONE)
-		return TRUE;
-	exchange_end_(exchange, failure);
-	return FALSE;
-}
-
-static gboolean stream_readable_handle_(GObject *stream, void *user_data)
-{
-	(void)stream;
-	return answer_process_(user_data);
-}
-
-static void socket_readable_handle_(unsigned int events, void *user_data)
-{
-	(void)events;
-	answer_process_(user_data);
-}
-
-/*
- * Waits for the answer's body.  Watching the socket itself costs a fraction
- * of the source that libsoup's stream creates, which contains a further
- * source for each layer of streams.
- */
-static void answer_watch_(cb_exchange_t *exchange)
-{
-	if (exchange->socket) {
-		exchange->socket_watch =
-			cb_watch_new(exchange->client->poller,
-				     g_socket_get_fd(exchange->socket),
-				     CB_WATCH_READABLE, socket_readable_handle_,
-				     exchange);
-		cb_watch_schedule_call(exchange->socket_watch);
-		return;
-	}
-	exchange->readable_source = g_pollable_input_stream_create_source(
-		G_POLLABLE_INPUT_STREAM(exchange->stream), NULL);
-	g_source_set_callback(exchange->readable_source,
-			      G_SOURCE_FUNC(stream_readable_handle_), exchange,
-			      NULL);
-	g_source_attach(exchange->readable_source,
-			g_main_context_get_thread_default());
+	timeout_restart_(exchange);
+	exchange->status = head->status;
+	exchange->content_type =
+		g_strdup(cb_http1_head_find(head, "Content-Type"));
+	return TRUE;
 }
 
-static void send_finish_(GObject *session, GAsyncResult *result,
-			 void *user_data)
-{
-	cb_exchange_t *exchange = user_data;
-	GError *error = NULL;
-
-	exchange->is_sending = FALSE;
-	exchange->stream =
-		soup_session_send_finish(SOUP_SESSION(session), result, &error);
-	if (exchange->is_ended) {
-		g_clear_object(&exchange->stream);
-		g_clear_error(&error);
-		exchange_free_if_unused_(exchange);
-		return;
-	}
-	if (!exchange->stream) {
-		g_error_free(error);
-		exchange_end_(exchange, exchange->is_request_started ?
-						CB_FAILURE_LOST :
-						CB_FAILURE_CONNECT);
-		return;
-	}
-	answer_watch_(exchange);
-}
-
-static void request_started_record_(SoupMessage *message, void *user_data)
+static void data_receive_(void *user_data, const uint8_t *data, size_t size)
 {
 	cb_exchange_t *exchange = user_data;
 
-	(void)message;
-	exchange->is_request_started = TRUE;
+	if (exchange->received->len + size > MAX_ANSWER_BYTES)
+		exchange_end_(exchange, CB_FAILURE_MISMATCH);
+	else
+		g_byte_array_append(exchange->received, data,
+				    (unsigned int)size);
 }
 
-/* Counts the interim answers; a server that only sends those is given up. */
-static void interim_answer_count_(SoupMessage *message, void *user_data)
+/* Delivers the lines that are complete after one read from the socket. */
+static void data_end_handle_(void *user_data)
 {
 	cb_exchange_t *exchange = user_data;
+	cb_failure_t failure;
 
-	(void)message;
-	if (++exchange->interim_count > MAX_INTERIM_ANSWERS)
-		g_cancellable_cancel(exchange->cancellable);
+	timeout_restart_(exchange);
+	if (!exchange->listener.line || exchange->status != STATUS_OK)
+		return;
+	exchange->is_dispatching = TRUE;
+	failure = lines_deliver_with_hooks_(exchange);
+	exchange->is_dispatching = FALSE;
+	if (exchange->is_ended)
+		exchange_free_if_unused_(exchange);
+	else if (failure != CB_FAILURE_NONE)
+		exchange_end_(exchange, failure);
 }
 
-/* Records the socket of a connection that was opened for this exchange. */
-static void socket_record_(SoupMessage *message, GSocketClientEvent event,
-			   GIOStream *connection, void *user_data)
+static void call_end_handle_(void *user_data, cb_http1_result_t result)
 {
+	static const cb_failure_t failures[CB_HTTP1_RESULT_COUNT] = {
+		[CB_HTTP1_COMPLETE] = CB_FAILURE_NONE,
+		[CB_HTTP1_UNSENT] = CB_FAILURE_CONNECT,
+		[CB_HTTP1_LOST] = CB_FAILURE_LOST,
+		[CB_HTTP1_TRUNCATED] = CB_FAILURE_LOST,
+		[CB_HTTP1_MALFORMED] = CB_FAILURE_MISMATCH,
+	};
 	cb_exchange_t *exchange = user_data;
 
-	(void)message;
-	if (event != G_SOCKET_CLIENT_CONNECTED ||
-	    !G_IS_SOCKET_CONNECTION(connection))
-		return;
-	g_set_object(&exchange->socket,
-		     g_socket_connection_get_socket(
-			     G_SOCKET_CONNECTION(connection)));
+	exchange->call = NULL;
+	exchange_end_(exchange, failures[result]);
 }
 
-/* Ends an exchange whose address and path do not form a valid URI. */
-static gboolean unsendable_exchange_end_(void *user_data)
+static const cb_http1_call_handler_t call_handler = {
+	.head = head_receive_,
+	.data = data_receive_,
+	.data_end = data_end_handle_,
+	.done = call_end_handle_,
+};
+
+/* Returns the bytes of a request. */
+static GString *request_format_(const cb_http_request_t *request)
 {
-	exchange_end_(user_data, CB_FAILURE_CONNECT);
-	return G_SOURCE_REMOVE;
+	size_t size = 0;
+	const char *data =
+		request->body ? g_bytes_get_data(request->body, &size) : NULL;
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
+			       request->method, request->path,
+			       request->address);
+	if (request->authorization)
+		g_string_append_printf(text, "Authorization: %s\r\n",
+				       request->authorization);
+	if (request->body)
+		g_string_append_printf(text,
+				       "Content-Type: %s\r\n"
+				       "Content-Length: %zu\r\n",
+				       request->content_type, size);
+	g_string_append(text, "\r\n");
+	g_string_append_len(text, data ? data : "", (gssize)size);
+	return text;
 }
 
 static void exchange_send_(cb_exchange_t *exchange,
 			   const cb_http_request_t *request)
 {
-	char *uri =
-		g_strdup_printf("http://%s%s", request->address, request->path);
-	SoupMessageFlags flags = SOUP_MESSAGE_NO_REDIRECT;
-
-	exchange->message = soup_message_new(request->method, uri);
-	g_free(uri);
-	if (!exchange->message) {
-		exchange->readable_source = g_idle_source_new();
-		g_source_set_priority(exchange->readable_source,
-				      G_PRIORITY_DEFAULT);
-		g_source_set_callback(exchange->readable_source,
-				      unsendable_exchange_end_, exchange, NULL);
-		g_source_attach(exchange->readable_source,
-				g_main_context_get_thread_default());
-		return;
-	}
-	if (request->connection == CB_HTTP_CONNECTION_NEW)
-		flags |= SOUP_MESSAGE_NEW_CONNECTION;
-	else
-		flags |= SOUP_MESSAGE_IDEMPOTENT;
-	soup_message_set_flags(exchange->message, flags);
-	if (request->body)
-		soup_message_set_request_body_from_bytes(exchange->message,
-							 request->content_type,
-							 request->body);
-	g_signal_connect(exchange->message, "starting",
-			 G_CALLBACK(request_started_record_), exchange);
-	g_signal_connect(exchange->message, "got-informational",
-			 G_CALLBACK(interim_answer_count_), exchange);
-	if (request->connection == CB_HTTP_CONNECTION_NEW)
-		g_signal_connect(exchange->message, "network-event",
-				 G_CALLBACK(socket_record_), exchange);
-	exchange->is_sending = TRUE;
-	soup_session_send_async(exchange->client->session, exchange->message,
-				G_PRIORITY_DEFAULT, exchange->cancellable,
-				send_finish_, exchange);
+	cb_http_client_t *client = exchange->client;
+	int64_t max_idle_ms = request->connection == CB_HTTP_CONNECTION_NEW ?
+				      CB_HTTP1_NEW_CONNECTION :
+				      ANY_IDLE_MS;
+
+	if (client->io_timeout_ms)
+		exchange->timer =
+			cb_timer_new(client->clock, timeout_handle_, exchange);
+	timeout_restart_(exchange);
+	exchange->call =
+		cb_http1_client_call(client->http, request->address,
+				     request->method, request_format_(request),
+				     max_idle_ms, NULL, &call_handler,
+				     exchange);
 }
 
 /*
- * Starts an exchange.  Its `done` is never called before this returns.
- * libsoup resends a request that failed on a reused connection if its method
- * is idempotent, such as GET or PUT: a request that must not be sent twice
- * needs a new connection.
+ * Starts an exchange.  Its `done` is never called before this returns.  The
+ * request is sent once at most: on a used connection that the server has closed
+ * it is lost.
  */
 cb_exchange_t *cb_http_exchange_start(cb_http_client_t *client,
 				      const cb_http_request_t *request,
@@ -471,7 +349,6 @@
 	exchange->client = client;
 	exchange->listener = *listener;
 	exchange->user_data = listener->user_data;
-	exchange->cancellable = g_cancellable_new();
 	exchange->received = g_byte_array_new();
 	g_hash_table_add(client->open_exchanges, exchange);
 	exchange_send_(exchange, request);
@@ -488,14 +365,10 @@
 			       const cb_http_listener_t *listener)
 {
 	g_assert(exchange->is_ended && exchange->is_dispatching);
-	g_signal_handlers_disconnect_by_data(exchange->message, exchange);
-	g_clear_object(&exchange->message);
-	g_clear_object(&exchange->socket);
 	g_byte_array_set_size(exchange->received, 0);
 	exchange->scanned_bytes = 0;
 	exchange->empty_line_count = 0;
-	exchange->interim_count = 0;
-	exchange->is_request_started = FALSE;
+	exchange->status = 0;
 	exchange->is_ended = FALSE;
 	exchange->listener = *listener;
 	exchange_send_(exchange, request);
@@ -507,17 +380,6 @@
 	return exchange->user_data;
 }
 
-/*
- * Returns the request's headers, to which the caller may add right after the
- * start; NULL if the request's address and path form no valid URI.
- */
-SoupMessageHeaders *cb_http_exchange_headers(cb_exchange_t *exchange)
-{
-	return exchange->message ?
-		       soup_message_get_request_headers(exchange->message) :
-		       NULL;
-}
-
 /* Ends an exchange without a call of `done` and closes its connection. */
 void cb_http_exchange_cancel(cb_exchange_t *exchange)
 {
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -250,6 +250,8 @@
 	result = cb_http1_body_read(&call->body_reader, call->input->data,
 				    call->input->len, &used, body_data_deliver_,
 				    call);
+	if (!call->is_cancelled && call->handler->data_end)
+		call->handler->data_end(call->user_data);
 	call->is_in_callback = FALSE;
 	if (call->is_cancelled) {
 		call_end_(call, CB_HTTP1_LOST);
--- a/src/libcurrantbridge/include/private/http_exchange.h
+++ b/src/libcurrantbridge/include/private/http_exchange.h
@@ -1,8 +1,9 @@
 #ifndef PRIVATE_HTTP_EXCHANGE_H
 #define PRIVATE_HTTP_EXCHANGE_H
 
-#include <libsoup/soup.h>
+#include <glib.h>
 
+#include "currantbridge/clock.h"
 #include "currantbridge/engine_client.h"
 
 /*
@@ -22,8 +23,9 @@
 	const char *method;
 	const char *address; /* "IP:PORT" of the backend server */
 	const char *path;
-	const char *content_type; /* media type of `body` */
-	GBytes *body;		  /* body of the request; NULL: no body */
+	const char *content_type;  /* media type of `body` */
+	GBytes *body;		   /* body of the request; NULL: no body */
+	const char *authorization; /* value of Authorization; NULL: none */
 	cb_http_connection_t connection;
 } cb_http_request_t;
 
@@ -56,16 +58,16 @@
 	void *user_data;
 } cb_http_read_hooks_t;
 
-cb_http_client_t *cb_http_client_new(const cb_http_read_hooks_t *read_hooks);
-/* An exchange without input or output for `timeout_s` fails.  0: no timeout. */
+cb_http_client_t *cb_http_client_new(GMainContext *context, cb_clock_t *clock,
+				     const cb_http_read_hooks_t *read_hooks);
+/* An exchange that receives nothing for `timeout_ms` fails.  0: no timeout. */
 void cb_http_client_set_io_timeout(cb_http_client_t *client,
-				   unsigned int timeout_s);
+				   int64_t timeout_ms);
 void cb_http_client_delete(cb_http_client_t *client);
 
 cb_exchange_t *cb_http_exchange_start(cb_http_client_t *client,
 				      const cb_http_request_t *request,
 				      const cb_http_listener_t *listener);
-SoupMessageHeaders *cb_http_exchange_headers(cb_exchange_t *exchange);
 void cb_http_exchange_continue(cb_exchange_t *exchange,
 			       const cb_http_request_t *request,
 			       const cb_http_listener_t *listener);
--- a/src/test_libcurrantbridge/test_endless_answers.c
+++ b/src/test_libcurrantbridge/test_endless_answers.c
@@ -722,7 +722,9 @@
 static void engine_stream_play_(endless_server_t *server,
 				client_record_t *record, size_t *heap_bytes)
 {
-	cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+	cb_clock_t *clock = cb_clock_new(NULL);
+	cb_engine_client_t *client =
+		cb_http_engine_client_new(NULL, clock, NULL);
 	cb_server_t target = { .address = server->address };
 	cb_engine_order_t order = { .request = "r",
 				    .epoch = 2,
@@ -735,12 +737,15 @@
 	client->vtable->stream(client, &target, &order, &listener);
 	client_run_(server, record, heap_bytes);
 	cb_http_engine_client_delete(client);
+	cb_clock_delete(clock);
 }
 
 static void engine_step_play_(endless_server_t *server, client_record_t *record,
 			      size_t *heap_bytes)
 {
-	cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+	cb_clock_t *clock = cb_clock_new(NULL);
+	cb_engine_client_t *client =
+		cb_http_engine_client_new(NULL, clock, NULL);
 	cb_server_t target = { .address = server->address };
 	cb_engine_step_t step = { .request = "r", .epoch = 2, .token = 3 };
 	cb_engine_listener_t listener = { token_ignore_, engine_end_record_,
@@ -749,6 +754,7 @@
 	client->vtable->step(client, &target, &step, &listener);
 	client_run_(server, record, heap_bytes);
 	cb_http_engine_client_delete(client);
+	cb_clock_delete(clock);
 }
 
 /* Memory of an array that is doubled when it grows, and is copied then. */
--- a/src/test_libcurrantbridge/test_http_clients.c
+++ b/src/test_libcurrantbridge/test_http_clients.c
@@ -410,7 +410,8 @@
 	static const cb_failure_t failures[] = { CB_FAILURE_NONE,
 						 CB_FAILURE_LOST,
 						 CB_FAILURE_NONE };
-	cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+	cb_engine_client_t *client =
+		cb_http_engine_client_new(NULL, test_clock, NULL);
 	cb_engine_step_t step = { .request = "r", .epoch = 2, .token = 3 };
 	scripted_server_t server;
 	int i;
@@ -476,7 +477,8 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+		cb_engine_client_t *client =
+			cb_http_engine_client_new(NULL, test_clock, NULL);
 		cb_engine_order_t order = {
 			.request = "r",
 			.epoch = 2,
@@ -638,7 +640,8 @@
 static void engine_stream_play_(const answer_end_row_t *row, void *user_data)
 {
 	reader_play_t *play = user_data;
-	cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+	cb_engine_client_t *client =
+		cb_http_engine_client_new(NULL, test_clock, NULL);
 	result_record_t record = { .token_texts = g_string_new(NULL) };
 	cb_engine_order_t order = { .request = "r",
 				    .epoch = 2,
@@ -663,7 +666,8 @@
 static void engine_step_play_(const answer_end_row_t *row, void *user_data)
 {
 	reader_play_t *play = user_data;
-	cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+	cb_engine_client_t *client =
+		cb_http_engine_client_new(NULL, test_clock, NULL);
 	result_record_t record = { .token_texts = g_string_new(NULL) };
 	cb_engine_step_t step = { .request = "r", .epoch = 2, .token = 3 };
 	cb_engine_listener_t listener = { token_record_, engine_end_record_,
@@ -726,7 +730,8 @@
  */
 static void cancelled_exchange_closes_its_connection(void)
 {
-	cb_engine_client_t *client = cb_http_engine_client_new(NULL);
+	cb_engine_client_t *client =
+		cb_http_engine_client_new(NULL, test_clock, NULL);
 	cb_engine_order_t order = { .request = "r",
 				    .epoch = 2,
 				    .model = "m",
