Bound what an entry instance keeps for others by its memory

What callers saw: faulty servers sent answers without end, and callers that did not read kept up to 1 MiB each; nothing bounded the sum, so the process outgrew its machine and was killed with all requests on it.

Cause: each request has its own bounds (1 MiB of a kept answer, of an event, of unsent bytes; 4 MiB of a body, copied when it is sent), and nothing adds them up. The settings did not say how much memory there is.

An attempt that is broken off is not held against its server. The body of an error that another attempt follows is not kept. A large chunk is sent without another copy. Buffers of idle connections are freed.

--- a/include/currantbridge/front.h
+++ b/include/currantbridge/front.h
@@ -32,6 +32,8 @@
 	/* Not owned; `client` and `orders` must outlive the relay. */
 	cb_http1_client_t *client;
 	cb_engine_orders_t *orders;
+	/* The bound on what is kept for others, which outlives the relay; or NULL. */
+	cb_memory_bound_t *memory;
 	/*
 	 * The retry budget of all instances together, for each service: retries
 	 * per request, and retries per window beyond that.
--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -7,6 +7,7 @@
 
 #include "currantbridge/clock.h"
 #include "currantbridge/counters.h"
+#include "currantbridge/memory_bound.h"
 
 /*
  * An HTTP/1.1 client that keeps idle connections for reuse.  It never retries a
@@ -61,6 +62,9 @@
 void cb_http1_client_on_exhausted(cb_http1_client_t *client,
 				  gboolean (*make_room)(void *user_data),
 				  void *user_data);
+/* Counts what later calls keep in a bound, which must outlive the client. */
+void cb_http1_client_set_bound(cb_http1_client_t *client,
+			       cb_memory_bound_t *bound);
 
 /*
  * Sends a request over a pooled connection that was idle for at most
@@ -78,6 +82,13 @@
 /* Returns the ID of the call's connection, which no other one of the client has. */
 uint64_t cb_http1_call_connection_id(const cb_http1_call_t *call);
 void cb_http1_call_cancel(cb_http1_call_t *call);
+/*
+ * Pauses or resumes reading the answer; a paused call still ends when its server
+ * closes the connection.
+ */
+void cb_http1_call_set_paused(cb_http1_call_t *call, gboolean is_paused);
+/* Returns the bytes that the call keeps, as its client's bound counts them. */
+size_t cb_http1_call_kept_bytes(const cb_http1_call_t *call);
 /*
  * Returns whether the call's connection carried no request before this one.
  * May be called until done() is called.
--- a/include/currantbridge/http1_server.h
+++ b/include/currantbridge/http1_server.h
@@ -7,6 +7,7 @@
 
 #include "currantbridge/clock.h"
 #include "currantbridge/counters.h"
+#include "currantbridge/memory_bound.h"
 
 /*
  * An HTTP/1.1 server that leaves the contents of requests and answers
@@ -44,6 +45,17 @@
  * server has closed `evicted` idle connections for it.
  */
 typedef void (*cb_http1_exhausted_fn_t)(unsigned int evicted, void *user_data);
+/* What the server asks of the owner of an exchange, for its bound on memory. */
+typedef struct cb_http1_keeper {
+	/* Called when the caller has read all of the answer so far. */
+	void (*emptied)(void *user_data);
+	/* Stops reading what the caller does not take, if that is much. */
+	void (*stop_reading)(void *user_data);
+	/* Returns the bytes that the owner keeps for the exchange. */
+	size_t (*kept_bytes)(void *user_data);
+	/* Breaks off the answer or its attempt, and frees what was kept. */
+	void (*give_way)(void *user_data);
+} cb_http1_keeper_t;
 
 cb_http1_server_t *cb_http1_server_new(GMainContext *context, cb_clock_t *clock,
 				       cb_counters_t *counters,
@@ -58,6 +70,12 @@
 void cb_http1_server_limit_batch(cb_http1_server_t *server, int max_sockets);
 void cb_http1_server_drain(cb_http1_server_t *server);
 unsigned int cb_http1_server_evict_idle(cb_http1_server_t *server);
+/*
+ * Counts what the server keeps in a bound, which must outlive it, and has it give
+ * way; called before it listens.
+ */
+void cb_http1_server_set_bound(cb_http1_server_t *server,
+			       cb_memory_bound_t *bound);
 unsigned int cb_http1_server_count_requests(const cb_http1_server_t *server);
 void cb_http1_server_on_exhausted(cb_http1_server_t *server,
 				  cb_http1_exhausted_fn_t exhausted);
@@ -70,6 +88,11 @@
 void cb_http1_exchange_set_disconnect_fn(cb_http1_exchange_t *exchange,
 					 cb_http1_disconnect_fn_t disconnected,
 					 void *user_data);
+/* Sets the keeper, which must outlive the exchange and gets the same `user_data`. */
+void cb_http1_exchange_set_keeper(cb_http1_exchange_t *exchange,
+				  const cb_http1_keeper_t *keeper);
+/* Returns the bytes of the answer that the caller's connection has not taken. */
+size_t cb_http1_exchange_unsent_bytes(const cb_http1_exchange_t *exchange);
 
 /*
  * `headers` consists of complete header lines, each with its CRLF, without the
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -48,6 +48,8 @@
 	char *method;
 	GString *request;  /* request to be sent; NULL once it was sent */
 	GByteArray *input; /* bytes received and not parsed yet */
+	cb_memory_account_t request_account;
+	cb_memory_account_t input_account;
 	/* Interim answers received, and the bytes of their heads. */
 	unsigned int interim_count;
 	size_t interim_bytes;
@@ -73,6 +75,7 @@
 	/* Frees resources for another connection; may be NULL. */
 	gboolean (*make_room)(void *user_data);
 	void *make_room_data;
+	cb_memory_bound_t *bound; /* of what calls keep; may be NULL */
 };
 
 /* Removes a connection from the pool, closes it and frees it. */
@@ -99,6 +102,8 @@
 	}
 	if (call->request)
 		g_string_free(call->request, TRUE);
+	cb_memory_account_set(&call->request_account, 0);
+	cb_memory_account_set(&call->input_account, 0);
 	g_byte_array_unref(call->input);
 	g_free(call->method);
 	g_free(call);
@@ -146,6 +151,7 @@
 
 	connection->call = NULL;
 	call->connection = NULL;
+	cb_stream_set_paused(connection->stream, FALSE);
 	connection->idle_max_ms = idle_limit_parse_(&call->head);
 	if (!call->head.keeps_alive || call->input->len ||
 	    !connection->idle_max_ms ||
@@ -275,6 +281,7 @@
 		return;
 	}
 	g_byte_array_append(call->input, data, (unsigned int)size);
+	cb_memory_account_grow(&call->input_account, call->input->len);
 	if (call->has_head || head_receive_(call))
 		body_receive_(call);
 }
@@ -306,6 +313,7 @@
 
 	cb_stream_send(call->connection->stream, request->str, request->len);
 	g_string_free(request, TRUE);
+	cb_memory_account_set(&call->request_account, 0);
 }
 
 static void connect_handle_(void *user_data)
@@ -361,6 +369,13 @@
 	return client;
 }
 
+/* Counts what later calls keep in a bound. */
+void cb_http1_client_set_bound(cb_http1_client_t *client,
+			       cb_memory_bound_t *bound)
+{
+	client->bound = bound;
+}
+
 /* Closes all connections; calls in flight must have been cancelled before. */
 void cb_http1_client_delete(cb_http1_client_t *client)
 {
@@ -505,6 +520,9 @@
 	connection->timer = cb_timer_new(client->clock, connection_timer_fired_,
 					 connection);
 	connection_start_(connection);
+	if (connection->stream)
+		cb_stream_set_bound(connection->stream, client->bound,
+				    CB_MEMORY_REQUESTS);
 	g_hash_table_add(client->connections, connection);
 	/* An immediate failure is also reported from the main loop. */
 	cb_timer_start(connection->timer,
@@ -528,6 +546,11 @@
 	call->method = g_strdup(method);
 	call->request = request;
 	call->input = g_byte_array_new();
+	cb_memory_account_init(&call->request_account, client->bound,
+			       CB_MEMORY_REQUESTS);
+	cb_memory_account_grow(&call->request_account, request->len);
+	cb_memory_account_init(&call->input_account, client->bound,
+			       CB_MEMORY_RECEIVED);
 	call->handler = handler;
 	call->user_data = user_data;
 	call->is_first = !connection;
@@ -544,6 +567,23 @@
 	return call->connection->id;
 }
 
+/* Pauses or resumes reading the answer of a call that was sent. */
+void cb_http1_call_set_paused(cb_http1_call_t *call, gboolean is_paused)
+{
+	if (call->connection && call->connection->stream)
+		cb_stream_set_paused(call->connection->stream, is_paused);
+}
+
+/* Returns the bytes of the request and the answer that are counted. */
+size_t cb_http1_call_kept_bytes(const cb_http1_call_t *call)
+{
+	size_t bytes = call->request_account.bytes + call->input_account.bytes;
+
+	if (call->connection && call->connection->stream)
+		bytes += cb_stream_kept_bytes(call->connection->stream);
+	return bytes;
+}
+
 /* Ends a call without calling done(), and closes its connection. */
 void cb_http1_call_cancel(cb_http1_call_t *call)
 {
--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -30,6 +30,14 @@
 #define EVICTED_CONNECTIONS 16
 /* Without an idle connection, accepting is tried again after this time. */
 #define EXHAUSTED_PAUSE_MS 50
+/* What a connection and its request occupy beside their buffers. */
+#define CONNECTION_BYTES 4096
+/* A body of up to this size is received as long as the bound is not reached. */
+#define SMALL_BODY_BYTES 16384
+/* A request is kept for retries, and copied when it is sent to a server. */
+#define BODY_COPIES 2
+/* When the caller of a request that was refused for lack of memory comes back. */
+#define RETRY_AFTER_LINE "Retry-After: 0.500\r\n"
 
 typedef enum connection_state {
 	/* No complete request head was received yet. */
@@ -45,9 +53,10 @@
 	cb_stream_t *stream;
 	cb_timer_t *timer; /* timeout; while serving, the slow-caller check */
 	connection_state_t state;
-	GByteArray *input;	     /* bytes received and not parsed yet */
-	gboolean has_unparsed_input; /* the timer parses `input` */
-	int64_t idle_since_ms;	     /* since the accept or the last answer */
+	GByteArray *input; /* bytes received and not parsed yet */
+	cb_memory_account_t input_account; /* and of the connection itself */
+	gboolean has_unparsed_input;	   /* the timer parses `input` */
+	int64_t idle_since_ms; /* since the accept or the last answer */
 	/* The unsent bytes of a whole answer at the last check, and since when. */
 	size_t unsent_bytes;
 	int64_t unsent_since_ms;
@@ -59,17 +68,22 @@
 	connection_t *connection;
 	cb_http1_head_t head;
 	cb_http1_body_t body_reader;
-	GByteArray *body;	    /* the request's body received so far */
+	GByteArray *body; /* the request's body received so far */
+	cb_memory_account_t body_account;
+	uint64_t reserved_bytes;    /* in the bound, for the rest of the body */
 	int64_t arrived_ms;	    /* clock time when the head was complete */
 	gboolean is_chunked;	    /* whether the answer's body is chunked */
 	gboolean closes_connection; /* the answer ends the connection */
 	gboolean is_body_too_large; /* whether the body is over the limit */
 	/* Called when the caller disconnects; may be NULL. */
 	cb_http1_disconnect_fn_t disconnected;
-	void *user_data; /* passed to `disconnected` */
+	const cb_http1_keeper_t *keeper; /* may be NULL */
+	void *user_data; /* passed to `disconnected` and the keeper */
 };
 
 struct cb_http1_server {
+	cb_memory_holder_t holder;
+	cb_memory_bound_t *bound; /* may be NULL */
 	cb_poller_t *poller;
 	cb_clock_t *clock;
 	cb_counters_t *counters;
@@ -133,6 +147,9 @@
 	cb_http1_head_clear(&exchange->head);
 	cb_http1_body_clear(&exchange->body_reader);
 	g_byte_array_unref(exchange->body);
+	cb_memory_account_set(&exchange->body_account, 0);
+	cb_memory_bound_release(exchange->connection->server->bound,
+				exchange->reserved_bytes);
 	g_free(exchange);
 }
 
@@ -144,6 +161,7 @@
 	cb_stream_delete(connection->stream);
 	cb_timer_delete(connection->timer);
 	g_byte_array_unref(connection->input);
+	cb_memory_account_set(&connection->input_account, 0);
 	g_free(connection);
 }
 
@@ -182,12 +200,14 @@
 static void request_refuse_(connection_t *connection, uint32_t status,
 			    const char *reason)
 {
+	const char *retry_after = status == 503 ? RETRY_AFTER_LINE : "";
 	char *body = g_strdup_printf(
 		"{\"error\":{\"reason\":\"%s\",\"executed\":\"no\"}}", reason);
 	char *text = g_strdup_printf(
-		"HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+		"HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n%s"
 		"Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-		status, cb_http1_status_text(status), strlen(body), body);
+		status, cb_http1_status_text(status), retry_after, strlen(body),
+		body);
 
 	refusal_count_(connection->server, reason);
 	if (connection->exchange) {
@@ -267,12 +287,18 @@
 static void body_data_store_(void *user_data, const uint8_t *data, size_t size)
 {
 	cb_http1_exchange_t *exchange = user_data;
+	uint64_t arrived_bytes;
 
 	if (exchange->body->len + size >
 	    exchange->connection->server->limits.max_body_bytes)
 		exchange->is_body_too_large = TRUE;
 	else
 		g_byte_array_append(exchange->body, data, (unsigned int)size);
+	cb_memory_account_grow(&exchange->body_account, exchange->body->len);
+	arrived_bytes = MIN(exchange->reserved_bytes, (uint64_t)size);
+	exchange->reserved_bytes -= arrived_bytes;
+	cb_memory_bound_release(exchange->connection->server->bound,
+				arrived_bytes);
 }
 
 /* Passes a complete request to the server's request handler. */
@@ -282,6 +308,9 @@
 
 	connection->state = CONNECTION_SERVING;
 	cb_timer_stop(connection->timer);
+	cb_memory_bound_release(server->bound,
+				connection->exchange->reserved_bytes);
+	connection->exchange->reserved_bytes = 0;
 	server->request_handler(connection->exchange, server->user_data);
 }
 
@@ -314,6 +343,24 @@
 	return TRUE;
 }
 
+/*
+ * Returns whether the body that follows the head can be kept; sets room aside for a
+ * large one.
+ */
+static gboolean body_reserve_(cb_http1_exchange_t *exchange)
+{
+	uint64_t bytes = exchange->head.length_bytes * BODY_COPIES;
+
+	if (exchange->head.framing != CB_HTTP1_FRAMING_LENGTH ||
+	    exchange->head.length_bytes <= SMALL_BODY_BYTES)
+		return TRUE;
+	if (!cb_memory_bound_reserve(exchange->connection->server->bound,
+				     bytes))
+		return FALSE;
+	exchange->reserved_bytes = bytes;
+	return TRUE;
+}
+
 /*
  * Creates the exchange of a request whose head was parsed, taking ownership of
  * the head's memory.  Refuses the request and returns FALSE if its
@@ -330,6 +377,8 @@
 	exchange->connection = connection;
 	exchange->head = *head;
 	exchange->body = g_byte_array_new();
+	cb_memory_account_init(&exchange->body_account,
+			       connection->server->bound, CB_MEMORY_REQUESTS);
 	exchange->arrived_ms = cb_clock_now_ms(connection->server->clock);
 	exchange->closes_connection = !head->keeps_alive;
 	cb_http1_body_init(&exchange->body_reader, head);
@@ -340,6 +389,11 @@
 		request_refuse_(connection, 413, "body_too_large");
 		return FALSE;
 	}
+	if (!body_reserve_(exchange)) {
+		cb_memory_bound_count(connection->server->bound, "request");
+		request_refuse_(connection, 503, "memory");
+		return FALSE;
+	}
 	if (expect && !g_ascii_strcasecmp(expect, "100-continue") &&
 	    head->framing != CB_HTTP1_FRAMING_NONE && !connection->input->len)
 		cb_stream_send(connection->stream, continue_answer,
@@ -406,6 +460,8 @@
 	if (connection->state == CONNECTION_LINGERING)
 		return;
 	g_byte_array_append(connection->input, data, (unsigned int)size);
+	cb_memory_account_grow(&connection->input_account,
+			       connection->input->len + CONNECTION_BYTES);
 	if (connection->state != CONNECTION_SERVING)
 		input_parse_(connection, input_was_empty);
 	else if (connection->input->len > PIPELINED_MAX_BYTES)
@@ -424,9 +480,21 @@
 	connection_disconnect_(connection);
 }
 
+/* Tells the owner of an answer that the caller has read all of it so far. */
+static void stream_emptied_handle_(void *user_data)
+{
+	connection_t *connection = user_data;
+	cb_http1_exchange_t *exchange = connection->exchange;
+
+	if (exchange && exchange->keeper &&
+	    connection->state == CONNECTION_SERVING)
+		exchange->keeper->emptied(exchange->user_data);
+}
+
 static const cb_stream_handler_t stream_handler = {
 	.received = input_receive_,
 	.ended = stream_end_handle_,
+	.emptied = stream_emptied_handle_,
 };
 
 /* Waits for the next request; the connection is closed if none comes in time. */
@@ -449,6 +517,11 @@
 					 connection);
 	connection->stream =
 		cb_stream_new(server->poller, fd, &stream_handler, connection);
+	cb_stream_set_bound(connection->stream, server->bound,
+			    CB_MEMORY_UNSENT);
+	cb_memory_account_init(&connection->input_account, server->bound,
+			       CB_MEMORY_REQUESTS);
+	cb_memory_account_set(&connection->input_account, CONNECTION_BYTES);
 	g_hash_table_add(server->connections, connection);
 	connection_wait_idle_(connection);
 }
@@ -560,6 +633,7 @@
 
 	if (!server)
 		return;
+	cb_memory_bound_remove_holder(server->bound, &server->holder);
 	for (i = 0; i < server->listeners->len; i++)
 		cb_stream_unlisten(server->listeners->pdata[i]);
 	g_ptr_array_unref(server->listeners);
@@ -574,6 +648,101 @@
 	g_free(server);
 }
 
+/* Returns the owner of a request being served that keeps bytes for it, or NULL. */
+static const cb_http1_keeper_t *keeper_find_(const connection_t *connection)
+{
+	return connection->exchange && connection->state == CONNECTION_SERVING ?
+		       connection->exchange->keeper :
+		       NULL;
+}
+
+/* Stops reading the answers that callers don't take. */
+static void reading_stop_(cb_memory_holder_t *holder)
+{
+	const cb_http1_server_t *server = (cb_http1_server_t *)holder;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, server->connections);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		const connection_t *connection = value;
+		const cb_http1_keeper_t *keeper = keeper_find_(connection);
+
+		if (keeper)
+			keeper->stop_reading(connection->exchange->user_data);
+	}
+}
+
+/* Adds each connection, with all that is kept for its request. */
+static void claims_list_(cb_memory_holder_t *holder, GArray *claims)
+{
+	const cb_http1_server_t *server = (cb_http1_server_t *)holder;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, server->connections);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		const connection_t *connection = value;
+		const cb_http1_keeper_t *keeper = keeper_find_(connection);
+		cb_memory_claim_t claim = { .holder = holder, .item = value };
+
+		claim.rank = connection->state == CONNECTION_RECEIVING_BODY ||
+					     connection->state ==
+						     CONNECTION_RECEIVING_HEAD ?
+				     CB_MEMORY_RANK_ARRIVING :
+				     CB_MEMORY_RANK_ACTIVE;
+		claim.bytes = connection->input_account.bytes +
+			      cb_stream_kept_bytes(connection->stream);
+		if (connection->exchange)
+			claim.bytes += connection->exchange->body_account.bytes;
+		if (keeper)
+			claim.bytes += keeper->kept_bytes(
+				connection->exchange->user_data);
+		g_array_append_val(claims, claim);
+	}
+}
+
+/*
+ * Refuses a request that is arriving, has the owner of an answer break it off, or
+ * resets the connection to a caller that does not read the rest of its answer.
+ */
+static const char *connection_give_way_(cb_memory_holder_t *holder, void *item)
+{
+	cb_http1_server_t *server = (cb_http1_server_t *)holder;
+	connection_t *connection = item;
+	const cb_http1_keeper_t *keeper;
+
+	if (!g_hash_table_contains(server->connections, connection))
+		return NULL;
+	if (connection->state == CONNECTION_RECEIVING_BODY) {
+		request_refuse_(connection, 503, "memory");
+		return "request";
+	}
+	keeper = keeper_find_(connection);
+	if (keeper) {
+		keeper->give_way(connection->exchange->user_data);
+		return "answer";
+	}
+	cb_stream_set_reset(connection->stream);
+	connection_disconnect_(connection);
+	return "unread_answer";
+}
+
+static const cb_memory_holder_vtable_t holder_vtable = {
+	.stop_reading = reading_stop_,
+	.list_claims = claims_list_,
+	.give_way = connection_give_way_,
+};
+
+/* Counts what the server keeps, and has it give way. */
+void cb_http1_server_set_bound(cb_http1_server_t *server,
+			       cb_memory_bound_t *bound)
+{
+	server->bound = bound;
+	server->holder.vtable = &holder_vtable;
+	cb_memory_bound_add_holder(bound, &server->holder);
+}
+
 /* Adds "IP:PORT" to the addresses that the server listens on. */
 gboolean cb_http1_server_listen(cb_http1_server_t *server, const char *address,
 				GError **error)
@@ -683,6 +852,19 @@
 	exchange->user_data = user_data;
 }
 
+/* Sets who is asked about what is kept for the exchange. */
+void cb_http1_exchange_set_keeper(cb_http1_exchange_t *exchange,
+				  const cb_http1_keeper_t *keeper)
+{
+	exchange->keeper = keeper;
+}
+
+/* Returns the bytes that wait for the caller to read. */
+size_t cb_http1_exchange_unsent_bytes(const cb_http1_exchange_t *exchange)
+{
+	return cb_stream_unsent_bytes(exchange->connection->stream);
+}
+
 /*
  * Returns the status line and the headers, with Connection: close if needed; to
  * be freed.
@@ -704,6 +886,17 @@
 	return text;
 }
 
+/* Frees the memory of a large request that the connection does not need now. */
+static void connection_input_shrink_(connection_t *connection)
+{
+	if (connection->input->len ||
+	    connection->input_account.bytes <= JOINED_BODY_MAX_BYTES)
+		return;
+	g_byte_array_unref(connection->input);
+	connection->input = g_byte_array_new();
+	cb_memory_account_set(&connection->input_account, CONNECTION_BYTES);
+}
+
 /*
  * Frees an exchange, then closes its connection or has the next request parsed
  * from the main loop.
@@ -715,6 +908,7 @@
 
 	exchange_delete_(exchange);
 	connection->exchange = NULL;
+	connection_input_shrink_(connection);
 	cb_stream_set_paused(connection->stream, FALSE);
 	if (closes_connection) {
 		connection->state = CONNECTION_LINGERING;
@@ -792,6 +986,18 @@
 	g_string_free(chunk, TRUE);
 }
 
+/* Sends a chunk without another copy of its data. */
+static void large_chunk_send_(cb_stream_t *stream, const void *data,
+			      size_t size)
+{
+	char line[32];
+
+	(void)snprintf(line, sizeof(line), "%zx\r\n", size);
+	cb_stream_send(stream, line, strlen(line));
+	cb_stream_send(stream, data, size);
+	cb_stream_send(stream, "\r\n", 2);
+}
+
 /* Sends a piece of the body of an answer that was begun. */
 void cb_http1_exchange_write(cb_http1_exchange_t *exchange, const void *data,
 			     size_t size)
@@ -800,7 +1006,9 @@
 
 	if (!size)
 		return;
-	if (exchange->is_chunked)
+	if (exchange->is_chunked && size > JOINED_BODY_MAX_BYTES)
+		large_chunk_send_(stream, data, size);
+	else if (exchange->is_chunked)
 		chunk_send_(stream, data, size);
 	else
 		cb_stream_send(stream, data, size);
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -26,6 +26,7 @@
 	cb_clock_t *clock;
 	cb_log_t *log;
 	cb_counters_t *counters;
+	cb_memory_bound_t *memory; /* may be NULL */
 	/*
 	 * Metric series of `counters`; cached because each request adds to
 	 * them.
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -109,6 +109,12 @@
 	GString *answer_headers;
 	/* Bytes of the answer's body not sent to the caller yet. */
 	GByteArray *buffered_body;
+	/* What is kept of the answer, of an event, and for the request itself. */
+	cb_memory_account_t answer_account;
+	cb_memory_account_t event_account;
+	cb_memory_account_t own_account;
+	/* The answer is not read until the caller has read what was sent. */
+	gboolean is_call_paused;
 	/* Received bytes of an answer's body that is not forwarded. */
 	uint64_t unused_body_bytes;
 	cb_event_splitter_t splitter;
--- a/src/libcurrantbridge/include/private/stream.h
+++ b/src/libcurrantbridge/include/private/stream.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "currantbridge/memory_bound.h"
 #include "private/poller.h"
 
 /* A TCP connection that carries plain bytes, and a listening TCP port. */
@@ -50,6 +51,11 @@
 void cb_stream_shutdown_send(cb_stream_t *stream);
 void cb_stream_set_paused(cb_stream_t *stream, gboolean is_paused);
 size_t cb_stream_unsent_bytes(const cb_stream_t *stream);
+/* Counts the send queue, and the socket while it is paused; `bound` may be NULL. */
+void cb_stream_set_bound(cb_stream_t *stream, cb_memory_bound_t *bound,
+			 cb_memory_kind_t kind);
+/* Returns the bytes that the stream keeps, as its bound counts them. */
+size_t cb_stream_kept_bytes(const cb_stream_t *stream);
 
 cb_stream_listener_t *cb_stream_listen(cb_poller_t *poller, const char *address,
 				       cb_stream_accept_fn_t accept,
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -236,21 +236,38 @@
 	cb_relay_count_reason(front, "cb_relay_server_paces_total", reason);
 }
 
-/* Starts to relay a request; an instance that is about to end refuses it. */
+/* Refuses a request that this instance takes no more, or not now. */
+static void request_refuse_(cb_front_t *front, cb_http1_exchange_t *exchange,
+			    const char *reason, const char *retry_after_s)
+{
+	char *headers = g_strdup_printf("Content-Type: application/json\r\n"
+					"Retry-After: %s\r\n",
+					retry_after_s);
+	char *body = g_strdup_printf(
+		"{\"error\":{\"reason\":\"%s\",\"executed\":\"no\"}}", reason);
+
+	cb_relay_count_reason(front, "cb_relay_refused_total", reason);
+	cb_http1_exchange_reply(exchange, 503, headers, body, strlen(body));
+	g_free(headers);
+	g_free(body);
+}
+
+/*
+ * Starts to relay a request; an instance that is about to end, or that keeps too
+ * much for others, refuses it.
+ */
 static void request_receive_(cb_http1_exchange_t *exchange, void *user_data)
 {
-	static const char headers[] = "Content-Type: application/json\r\n"
-				      "Retry-After: 0.100\r\n";
-	static const char body[] = "{\"error\":{\"reason\":\"stopping\","
-				   "\"executed\":\"no\"}}";
 	cb_front_t *front = user_data;
 
-	if (!front->has_drained) {
+	if (front->has_drained) {
+		request_refuse_(front, exchange, "stopping", "0.100");
+	} else if (cb_memory_bound_is_full(front->memory)) {
+		cb_memory_bound_count(front->memory, "request");
+		request_refuse_(front, exchange, "memory", "0.500");
+	} else {
 		cb_relay_start(front, exchange, FALSE);
-		return;
 	}
-	cb_relay_count_reason(front, "cb_relay_refused_total", "stopping");
-	cb_http1_exchange_reply(exchange, 503, headers, body, strlen(body));
 }
 
 /* Starts to relay a request that another instance has forwarded. */
@@ -258,7 +275,7 @@
 {
 	cb_front_t *front = user_data;
 
-	if (!front->has_drained)
+	if (!front->has_drained && !cb_memory_bound_is_full(front->memory))
 		cb_relay_start(front, exchange, TRUE);
 	else
 		cb_http1_exchange_reply(exchange, 503,
@@ -392,6 +409,7 @@
 	cb_http1_client_on_exhausted(front->client, NULL, NULL);
 	cb_http1_server_delete(front->server);
 	cb_http1_server_delete(front->peer_server);
+	cb_memory_bound_stop(front->memory);
 	cb_server_book_delete(front->book);
 	cb_rate_limits_delete(front->limits);
 	cb_fleet_delete(front->fleet);
@@ -480,6 +498,7 @@
 	front->first_event_ms =
 		cb_counters_histogram(front->counters,
 				      "cb_relay_first_event_ms", NULL, NULL);
+	front->memory = options->memory;
 	front->control = control;
 	front->view = view;
 	front->name = g_strdup(options->name);
@@ -499,6 +518,8 @@
 				    front->counters, forwarded_receive_, front);
 	cb_http1_server_on_exhausted(front->server, exhausted_log_);
 	cb_http1_server_on_exhausted(front->peer_server, exhausted_log_);
+	cb_http1_server_set_bound(front->server, front->memory);
+	cb_http1_server_set_bound(front->peer_server, front->memory);
 	front->client = options->client;
 	front->orders = options->orders;
 	front->reports = cb_engine_reports_new(front->clock, options->orders);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "private/relay_memory.h"
 #include "private/relay_reach.h"
 #include "private/relay_room.h"
 
@@ -96,6 +97,8 @@
 	cb_relay_clear_former_hops(relay);
 	cb_event_splitter_clear(&relay->splitter);
 	g_byte_array_set_size(relay->buffered_body, 0);
+	relay->is_call_paused = FALSE;
+	cb_relay_memory_update(relay);
 }
 
 /* Cancels any attempt in flight and frees the request; sends no answer. */
@@ -108,6 +111,7 @@
 		g_queue_remove(&relay->front->waiting, relay);
 	if (relay->is_counted_as_forwarded)
 		relay->front->forwarded_count--;
+	cb_relay_memory_clear(relay);
 	cb_timer_delete(relay->deadline_timer);
 	cb_timer_delete(relay->silence_timer);
 	g_array_unref(relay->hops);
@@ -719,6 +723,7 @@
 {
 	cb_relay_t *relay = relay_new_(front, exchange);
 
+	cb_relay_memory_init(relay);
 	g_hash_table_add(front->relays, relay);
 	cb_http1_exchange_set_disconnect_fn(exchange, caller_disconnect_handle_,
 					    relay);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "private/relay_memory.h"
 #include "private/relay_reach.h"
 
 /*
@@ -65,6 +66,15 @@
 	cb_server_book_record_failure(relay->front->book, hop->id, may_be_lost);
 }
 
+/* Has later attempts use other servers, without a failure of this one. */
+static void server_exclude_(cb_relay_t *relay)
+{
+	const cb_relay_hop_t *first = cb_relay_find_hop(relay, NULL);
+
+	if (first)
+		g_hash_table_add(relay->tried_servers, g_strdup(first->id));
+}
+
 /*
  * Records the rejection of a request.  A server that rejected it at once has no
  * free slot and is avoided for a short time.  A late rejection means that
@@ -162,6 +172,8 @@
 	cb_relay_content_attempt_failed(relay, result);
 	if (is_unsent_(result))
 		unsent_attempt_record_(relay);
+	else if (!strcmp(result, CB_RELAY_MEMORY))
+		server_exclude_(relay);
 	else if (has_run || !relay->has_not_run)
 		server_failure_record_(relay, failed_address,
 				       !strcmp(result, CB_RELAY_SILENT));
@@ -478,12 +490,20 @@
 				TRUE, NULL);
 }
 
+/* Returns whether a server's error is followed by another attempt. */
+static gboolean error_is_retried_(const cb_relay_t *relay)
+{
+	return relay->status >= 500 && !relay->forwarded_to &&
+	       cb_relay_is_repeatable(relay) &&
+	       relay->run_count + 1 < relay->route->max_attempts;
+}
+
 /* Returns whether an answer's body is not forwarded, whatever it is. */
 static gboolean body_is_unused_(const cb_relay_t *relay)
 {
 	/* A stream can't be resumed from another kind of answer. */
 	return relay->has_not_run || refusal_is_unproved_(relay) ||
-	       relay->is_stream_resumed;
+	       relay->is_stream_resumed || error_is_retried_(relay);
 }
 
 /*
@@ -499,13 +519,17 @@
 		return;
 	}
 	g_byte_array_append(relay->buffered_body, data, (unsigned int)size);
-	if (relay->buffered_body->len <= BUFFERED_BODY_MAX_BYTES)
+	cb_relay_memory_update(relay);
+	if (relay->buffered_body->len <=
+	    cb_relay_memory_buffered_max(relay, BUFFERED_BODY_MAX_BYTES))
 		return;
 	answer_begin_(relay);
 	relay->is_body_streamed = TRUE;
 	cb_http1_exchange_write(relay->exchange, relay->buffered_body->data,
 				relay->buffered_body->len);
 	g_byte_array_set_size(relay->buffered_body, 0);
+	cb_relay_memory_update(relay);
+	cb_relay_memory_check_caller(relay);
 }
 
 /* Handles a part of an answer's body. */
@@ -521,6 +545,8 @@
 	}
 	cb_event_splitter_add(&relay->splitter, data, size, event_forward_,
 			      relay);
+	cb_relay_memory_update(relay);
+	cb_relay_memory_check_caller(relay);
 	if (relay->splitter.partial->len > EVENT_MAX_BYTES)
 		oversize_answer_break_off_(relay);
 }
@@ -589,9 +615,7 @@
 		cb_relay_attempt_failed(relay, CB_RELAY_UNPROVED, TRUE, NULL);
 		return;
 	}
-	if (status >= 500 && !relay->forwarded_to &&
-	    cb_relay_is_repeatable(relay) &&
-	    relay->run_count + 1 < relay->route->max_attempts) {
+	if (error_is_retried_(relay)) {
 		cb_relay_attempt_failed(relay, "server_error", TRUE, NULL);
 		return;
 	}
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -524,13 +524,19 @@
 		       CB_REACH_CHECKING;
 }
 
-/* Called when an event of a stream, or the answer to a reroute, is overdue. */
+/*
+ * Called when an event of a stream, or the answer to a reroute, is overdue.  An
+ * answer that is not read, since its caller reads nothing, shows nothing of its
+ * server.
+ */
 void cb_relay_silence_timer_fired(void *user_data)
 {
 	cb_relay_t *relay = user_data;
 
 	if (relay->is_reroute_pending) {
 		reroute_time_out_(relay);
+	} else if (relay->is_call_paused) {
+		cb_relay_start_silence_timer(relay);
 	} else if (relay->forwarded_to) {
 		cb_relay_forward_silent(relay);
 	} else {
--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -22,6 +22,8 @@
 #define KEEPALIVE_IDLE_S 3
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
+/* What the socket of a paused stream is taken to hold. */
+#define PAUSED_SOCKET_BYTES 65536
 
 struct cb_stream {
 	/* Watch of the socket; NULL once the connection failed. */
@@ -36,6 +38,8 @@
 	gboolean is_finishing; /* shut down sending once the queue is empty */
 	GByteArray *queue;     /* bytes to be sent to the peer */
 	size_t queue_start;    /* offset in `queue` of the first unsent byte */
+	cb_memory_account_t queue_account;
+	cb_memory_account_t socket_account;
 	const cb_stream_handler_t *handler;
 	void *user_data;
 };
@@ -90,6 +94,8 @@
 {
 	if (--stream->reference_count)
 		return;
+	cb_memory_account_set(&stream->queue_account, 0);
+	cb_memory_account_set(&stream->socket_account, 0);
 	g_byte_array_unref(stream->queue);
 	g_free(stream);
 }
@@ -139,6 +145,7 @@
 	if (stream->queue_start == stream->queue->len) {
 		g_byte_array_set_size(stream->queue, 0);
 		stream->queue_start = 0;
+		cb_memory_account_array(&stream->queue_account, &stream->queue);
 		if (stream->is_finishing)
 			(void)shutdown(stream->fd, SHUT_WR);
 	}
@@ -351,6 +358,7 @@
 	queue_compact_(stream);
 	g_byte_array_append(stream->queue, (const uint8_t *)data + sent,
 			    (unsigned int)(size - (size_t)sent));
+	cb_memory_account_array(&stream->queue_account, &stream->queue);
 	if (was_empty)
 		watch_events_update_(stream);
 }
@@ -372,9 +380,26 @@
 	if (stream->is_paused == is_paused)
 		return;
 	stream->is_paused = is_paused;
+	cb_memory_account_set(&stream->socket_account,
+			      is_paused ? PAUSED_SOCKET_BYTES : 0);
 	watch_events_update_(stream);
 }
 
+/* Counts what the stream keeps from now on in a bound. */
+void cb_stream_set_bound(cb_stream_t *stream, cb_memory_bound_t *bound,
+			 cb_memory_kind_t kind)
+{
+	cb_memory_account_init(&stream->queue_account, bound, kind);
+	cb_memory_account_init(&stream->socket_account, bound,
+			       CB_MEMORY_SOCKETS);
+}
+
+/* Returns the bytes that are counted in the bound. */
+size_t cb_stream_kept_bytes(const cb_stream_t *stream)
+{
+	return stream->queue_account.bytes + stream->socket_account.bytes;
+}
+
 /* Returns the number of bytes in the send queue. */
 size_t cb_stream_unsent_bytes(const cb_stream_t *stream)
 {
--- a/src/test_libcurrantbridge/test_http1_server.c
+++ b/src/test_libcurrantbridge/test_http1_server.c
@@ -113,14 +113,24 @@
 	fixture->caller_fd = caller_connect_(fixture);
 }
 
-static void fixture_clear_(server_fixture_t *fixture)
+/* Frees the fixture, and the bound of its server, which may be NULL. */
+static void fixture_clear_keeping_(server_fixture_t *fixture,
+				   cb_memory_bound_t *bound)
 {
 	close(fixture->caller_fd);
 	cb_http1_server_delete(fixture->server);
+	if (bound)
+		CU_ASSERT_EQUAL(cb_memory_bound_kept_bytes(bound), 0);
+	cb_memory_bound_delete(bound);
 	cb_counters_delete(fixture->counters);
 	cb_clock_delete(fixture->clock);
 }
 
+static void fixture_clear_(server_fixture_t *fixture)
+{
+	fixture_clear_keeping_(fixture, NULL);
+}
+
 static void loop_run_(const server_fixture_t *fixture)
 {
 	int i;
@@ -413,7 +423,72 @@
 	fixture_clear_(&fixture);
 }
 
+/* Memory of the process in the next test, which keeps 2 MB of it for others. */
+#define MEMORY_BYTES (8 * 1000 * 1000)
+
+/*
+ * A request with a body that can't be kept is refused before its body is read, as
+ * one that has not run; others are served.
+ */
+static void body_that_can_not_be_kept_is_refused(void)
+{
+	static const struct {
+		unsigned int body_bytes;
+		size_t kept_bytes; /* by others */
+		const char *status;
+	} cases[] = {
+		{ 10000, 0, "HTTP/1.1 200 OK\r\n" },
+		{ 10000, 1900000, "HTTP/1.1 200 OK\r\n" },
+		{ 700000, 0, "HTTP/1.1 200 OK\r\n" },
+		{ 700000, 200000, "HTTP/1.1 503 Service Unavailable\r\n" },
+		{ 800000, 0, "HTTP/1.1 503 Service Unavailable\r\n" },
+		{ 16385, 1500000, "HTTP/1.1 503 Service Unavailable\r\n" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_memory_account_t others;
+		cb_memory_bound_t *bound;
+		server_fixture_t fixture;
+		char answer[512] = "";
+		char *head;
+		char *body;
+
+		fixture_init_(&fixture);
+		bound = cb_memory_bound_new(fixture.clock, NULL,
+					    fixture.counters, MEMORY_BYTES);
+		cb_memory_account_init(&others, bound, CB_MEMORY_ANSWERS);
+		cb_memory_account_set(&others, cases[i].kept_bytes);
+		cb_http1_server_set_bound(fixture.server, bound);
+		head = g_strdup_printf("POST / HTTP/1.1\r\nHost: h\r\n"
+				       "Content-Length: %u\r\n\r\n",
+				       cases[i].body_bytes);
+		(void)bytes_send_(&fixture, head, strlen(head));
+		if (strstr(cases[i].status, "200")) {
+			body = g_malloc0(cases[i].body_bytes);
+			CU_ASSERT_EQUAL(bytes_send_(&fixture, body,
+						    cases[i].body_bytes),
+					cases[i].body_bytes);
+			g_free(body);
+		} else {
+			CU_ASSERT_EQUAL(refusals_(&fixture, "memory"), 1);
+		}
+		CU_ASSERT_TRUE(recv(fixture.caller_fd, answer,
+				    sizeof(answer) - 1, MSG_DONTWAIT) > 0);
+		CU_ASSERT_TRUE(g_str_has_prefix(answer, cases[i].status));
+		CU_ASSERT_EQUAL(strstr(answer, "Retry-After: ") != NULL,
+				strstr(answer, " 503 ") != NULL);
+		CU_ASSERT_EQUAL(strstr(answer, "\"executed\":\"no\"") != NULL,
+				strstr(answer, " 503 ") != NULL);
+		g_free(head);
+		cb_memory_account_set(&others, 0);
+		fixture_clear_keeping_(&fixture, bound);
+	}
+}
+
 static CU_TestInfo http1_server_tests[] = {
+	{ "body_that_can_not_be_kept_is_refused",
+	  body_that_can_not_be_kept_is_refused },
 	{ "idle_callers_make_room_for_new_ones",
 	  idle_callers_make_room_for_new_ones },
 	{ "callers_wait_while_descriptors_are_in_use",
