Keep less of the memory for others; check the setting in a test

Half of what the program leaves is kept, not 5 in 8: with 112 MB and one endless event for each of 1,200 callers the resident set reached 90 MB while the document of the test is small; bytes that wait in sockets count on some machines too.

An attempt that is broken off before its connection was open has not run, and an instance that a request was forwarded to is not avoided for it.

--- a/src/libcurrantbridge/kernel/memory_bound.c
+++ b/src/libcurrantbridge/kernel/memory_bound.c
@@ -9,9 +9,11 @@
  */
 #define PROGRAM_BYTES (24 * 1000 * 1000)
 #define KEPT_MIN_DIVISOR 4
-/* Of the rest, 5 in 8 are kept; the allocator and copies need the others. */
-#define KEPT_PART_NUMERATOR 5
-#define KEPT_PART_DENOMINATOR 8
+/*
+ * One part in this many of the rest is kept; the allocator, copies and bytes in
+ * sockets that are about to be read need the others.
+ */
+#define KEPT_DIVISOR 2
 /* From this part of the bound on, as little as possible is kept. */
 #define TIGHT_DIVISOR 2
 /* Things give way until this part of the bound is kept, in eighths. */
@@ -63,8 +65,7 @@
 	uint64_t rest_bytes =
 		memory_bytes > PROGRAM_BYTES ? memory_bytes - PROGRAM_BYTES : 0;
 
-	return MAX(rest_bytes * KEPT_PART_NUMERATOR / KEPT_PART_DENOMINATOR,
-		   memory_bytes / KEPT_MIN_DIVISOR);
+	return MAX(rest_bytes / KEPT_DIVISOR, memory_bytes / KEPT_MIN_DIVISOR);
 }
 
 /* Orders claims by rank, within a rank the largest first. */
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -239,7 +239,8 @@
 	relay->has_arrived |= !is_unsent_(result) && !relay->forwarded_to;
 	if (relay->forwarded_to) {
 		relay->has_arrived |= has_run;
-		cb_relay_forward_failed(relay);
+		if (strcmp(result, CB_RELAY_MEMORY) != 0)
+			cb_relay_forward_failed(relay);
 	} else {
 		server_result_record_(relay, result, has_run, failed_address);
 	}
--- a/src/libcurrantbridge/relay/relay_memory.c
+++ b/src/libcurrantbridge/relay/relay_memory.c
@@ -54,14 +54,15 @@
 static void attempt_give_way_(void *user_data)
 {
 	cb_relay_t *relay = user_data;
+	gboolean may_have_run =
+		relay->call && cb_http1_call_is_sent(relay->call);
 
 	if (relay->call && !relay->is_answer_begun) {
-		cb_relay_attempt_failed(relay, CB_RELAY_MEMORY, TRUE, NULL);
+		cb_relay_attempt_failed(relay, CB_RELAY_MEMORY, may_have_run,
+					NULL);
 		return;
 	}
-	/* The attempt in flight may have run at its server. */
-	if (relay->call)
-		relay->run_count++;
+	relay->run_count += may_have_run;
 	cb_relay_give_up(relay, CB_RELAY_MEMORY, CB_RELAY_RETRY_AFTER_MS);
 }
 
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -972,6 +972,60 @@
 	g_free(path);
 }
 
+/* The memory of the machine may have a fraction; a value out of range is named. */
+static void memory_setting_is_checked(void)
+{
+	static const struct {
+		const char *field;
+		double memory_mb; /* if `reason` is NULL */
+		const char *reason;
+	} cases[] = {
+		{ "", 512, NULL },
+		{ ",\"memory_mb\":112", 112, NULL },
+		{ ",\"memory_mb\":111.75", 111.75, NULL },
+		{ ",\"memory_mb\":8", 8, NULL },
+		{ ",\"memory_mb\":7.9", 0,
+		  "settings: memory_mb: must be from 8 to 1048576" },
+		{ ",\"memory_mb\":-1", 0,
+		  "settings: memory_mb: must be from 8 to 1048576" },
+		{ ",\"memory_mb\":2000000", 0,
+		  "settings: memory_mb: must be from 8 to 1048576" },
+		{ ",\"memory_mb\":\"112\"", 0,
+		  "settings: memory_mb: must be a number" },
+	};
+	char *path = NULL;
+	int fd = g_file_open_tmp("cb-platform-XXXXXX", &path, NULL);
+	size_t i;
+
+	g_close(fd, NULL);
+	g_setenv("CURRANTBRIDGE_NODE_FILE", path, TRUE);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		platform_settings_t settings = { 0 };
+		GError *error = NULL;
+		char *text = g_strdup_printf(
+			"{\"name\":\"n\",\"data_centre\":\"z\","
+			"\"ip\":\"10.0.0.1\",\"seeds\":[\"10.0.0.1:8229\"],"
+			"\"internal_port\":7340%s}",
+			cases[i].field);
+
+		g_file_set_contents(path, text, -1, NULL);
+		CU_ASSERT_EQUAL(platform_settings_load(&settings, &error),
+				!cases[i].reason);
+		if (cases[i].reason) {
+			CU_ASSERT_STRING_EQUAL(error ? error->message : "",
+					       cases[i].reason);
+		} else {
+			CU_ASSERT_DOUBLE_EQUAL(settings.memory_mb,
+					       cases[i].memory_mb, 1e-9);
+		}
+		g_clear_error(&error);
+		platform_settings_clear(&settings);
+		g_free(text);
+	}
+	g_unlink(path);
+	g_free(path);
+}
+
 /* What the sender of orders has reported of one call. */
 typedef struct order_record {
 	int done_count;
@@ -1251,6 +1305,7 @@
 	  leaving_and_retry_after_are_read },
 	{ "server_limits_are_read", server_limits_are_read },
 	{ "settings_are_loaded", settings_are_loaded },
+	{ "memory_setting_is_checked", memory_setting_is_checked },
 	CU_TEST_INFO_NULL
 };
 
