Test: callers that have sent a request don't make room for others

Out of descriptors, a server closes up to 16 idle callers. A caller whose request is in the socket and not read yet counts as idle, too, and so does one that was accepted a moment ago: it is reset and gets no answer, though its request was sent.

--- a/src/test_libcurrantbridge/test_http1_server.c
+++ b/src/test_libcurrantbridge/test_http1_server.c
@@ -486,9 +486,46 @@
 	}
 }
 
+/* Guards against callers that are reset while their request is on its way. */
+static void caller_that_has_sent_a_request_does_not_make_room(void)
+{
+	server_fixture_t fixture;
+	unsigned int served = 0;
+	int callers[IDLE_CALLERS];
+	struct rlimit before;
+	char answer[256];
+	unsigned int i;
+	int fd;
+
+	fixture_init_(&fixture);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		callers[i] = caller_connect_(&fixture);
+	loop_run_(&fixture);
+	fd = last_caller_connect_(&fixture, &before);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		CU_ASSERT_EQUAL(send(callers[i], REQUEST, strlen(REQUEST),
+				     MSG_NOSIGNAL),
+				(ssize_t)strlen(REQUEST));
+	loop_run_(&fixture);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		served += recv(callers[i], answer, sizeof(answer),
+			       MSG_DONTWAIT) > 0;
+	CU_ASSERT_EQUAL(served, IDLE_CALLERS);
+	if (served != IDLE_CALLERS)
+		printf("    %u of %u served, %d evicted\n", served,
+		       IDLE_CALLERS, (int)refusals_(&fixture, "evicted"));
+	setrlimit(RLIMIT_NOFILE, &before);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		close(callers[i]);
+	close(fd);
+	fixture_clear_(&fixture);
+}
+
 static CU_TestInfo http1_server_tests[] = {
 	{ "body_that_can_not_be_kept_is_refused",
 	  body_that_can_not_be_kept_is_refused },
+	{ "caller_that_has_sent_a_request_does_not_make_room",
+	  caller_that_has_sent_a_request_does_not_make_room },
 	{ "idle_callers_make_room_for_new_ones",
 	  idle_callers_make_room_for_new_ones },
 	{ "callers_wait_while_descriptors_are_in_use",
