Explain: a cut names the attempt at the server beside the forwarded one

Change: both attempts of the caller's own instance are named, with the instance that the request was forwarded to.

--- a/src/libcurrantbridge/explain/explain.c
+++ b/src/libcurrantbridge/explain/explain.c
@@ -546,15 +546,37 @@
 }
 
 /*
- * Appends why an answer that had begun was cut: how its last attempt failed, and
+ * Returns the last failure of an attempt that the instance of `end` made at a
+ * server (`is_forwarded` FALSE) or through another instance (TRUE), or NULL.
+ */
+static const log_entry_t *failure_find_(const cb_explain_t *explain,
+					const log_entry_t *end,
+					gboolean is_forwarded)
+{
+	const log_entry_t *found = NULL;
+	unsigned int i;
+
+	for (i = 0; i < explain->request_entries->len; i++) {
+		const log_entry_t *entry = explain->request_entries->pdata[i];
+
+		if (!strcmp(entry->name, "RELAY_ATTEMPT_FAILED") &&
+		    !strcmp(entry->instance, end->instance) &&
+		    !*entry_get_text_(entry, "forwarded_to") == !is_forwarded)
+			found = entry;
+	}
+	return found;
+}
+
+/*
+ * Appends why an answer that had begun was cut: how its last attempts failed, and
  * what was the matter with the instance at that time.  `end` is the line of the
  * request's end.
  */
 static void cause_append_cut_(GString *cause, const cb_explain_t *explain,
 			      const log_entry_t *end)
 {
-	const log_entry_t *failed = entries_find_last_(explain->request_entries,
-						       "RELAY_ATTEMPT_FAILED");
+	const log_entry_t *failed = failure_find_(explain, end, FALSE);
+	const log_entry_t *forwarded = failure_find_(explain, end, TRUE);
 
 	if (entry_get_int_(end, "is_cut"))
 		g_string_append_printf(cause,
@@ -568,6 +590,11 @@
 				       entry_get_text_(failed, "address"),
 				       entry_get_text_(failed, "result"),
 				       failed->time);
+	if (forwarded)
+		g_string_append_printf(
+			cause, "; forwarded to %s it failed (%s) at %s",
+			entry_get_text_(forwarded, "forwarded_to"),
+			entry_get_text_(forwarded, "result"), forwarded->time);
 	cause_append_lost_way_(cause, explain, end->instance);
 	cause_append_circumstances_(cause, explain, failed ? failed : end);
 }
--- a/src/test_libcurrantbridge/test_explain.c
+++ b/src/test_libcurrantbridge/test_explain.c
@@ -158,6 +158,24 @@
 	  "2026-12-04T10:00:03.950Z; the loop of e1 was 640 ms late in the "
 	  "second before, so its time limits may have passed by its own delay",
 	  "LOOP_LATE" },
+	/* The instance to which it was forwarded has failed attempts as well. */
+	{ { LINE_AT("03.950") EVENT_OF("RELAY_ATTEMPT_FAILED", "e1")
+		    REQUEST_FIELD
+	    "\"result\":\"cut_off\",\"address\":\"10.0.0.1:1\","
+	    "\"forwarded_to\":\"\",\"document_age_ms\":9000}",
+	    LINE_AT("03.960") EVENT_OF("RELAY_ATTEMPT_FAILED", "e2")
+		    REQUEST_FIELD
+	    "\"result\":\"unsent\",\"address\":\"10.0.0.2:1\","
+	    "\"forwarded_to\":\"\",\"document_age_ms\":9000}",
+	    LINE_AT("03.970") EVENT_OF("RELAY_ATTEMPT_FAILED", "e1")
+		    REQUEST_FIELD
+	    "\"result\":\"server_error\",\"address\":\"\","
+	    "\"forwarded_to\":\"e2\",\"document_age_ms\":9020}",
+	    RELAY_ENDED_LINE CUT_FIELDS "\"reason\":\"server_error\"}" },
+	  "its answer was cut after event 2; its last attempt at 10.0.0.1:1 "
+	  "failed (cut_off) at 2026-12-04T10:00:03.950Z; forwarded to e2 it "
+	  "failed (server_error) at 2026-12-04T10:00:03.970Z",
+	  NULL },
 	{ { RELAY_ENDED_LINE CUT_FIELDS
 	    "\"reason\":\"deadline\",\"loop_late_ms\":100,"
 	    "\"document_age_ms\":-1}",
