Tests of programs run copies of them and keep the logs of a failed start

Seen: a soak's programs, and once those of test_programs, did not serve within 20 s of their start; the logs weren't kept, and a build beside the soak had replaced the entry's program. Not traced: this makes the next one traceable.

The first start of a program in a test copies it to a folder of the test's own, which is deleted at the end; later starts use the copy. A start that fails prints which processes run and the last five lines of each log, and keeps the group's files. test_soak then ends its processes before it fails. The conditions and times of the tests stay.

The entry's program replaced by one that ends at once: test_soak prints "e0 does not run, 0 lines of log" and so on, and fails.

--- a/test/platform/soak/soak_platform.c
+++ b/test/platform/soak/soak_platform.c
@@ -219,6 +219,7 @@
 {
 	int internal_port = (int)support_free_port();
 	GString *seeds;
+	gboolean is_serving;
 	unsigned int i;
 
 	*soak = (soak_t){ .setup = setup,
@@ -238,8 +239,18 @@
 	for (i = 0; i < setup->server_count; i++)
 		server_start_(soak, i);
 	g_string_free(seeds, TRUE);
-	return support_wait_until(is_document_put_, soak, START_TIMEOUT_MS) &&
-	       support_wait_until(have_entries_served_, soak, START_TIMEOUT_MS);
+	is_serving =
+		support_wait_until(is_document_put_, soak, START_TIMEOUT_MS) &&
+		support_wait_until(have_entries_served_, soak,
+				   START_TIMEOUT_MS);
+	if (!is_serving) {
+		printf("    %u versions of the document are accepted, %u of %u "
+		       "entries have served\n",
+		       (unsigned int)soak->version - 1, soak->serving_count,
+		       setup->entry_count);
+		support_group_report(soak->group);
+	}
+	return is_serving;
 }
 
 void soak_clear(soak_t *soak)
@@ -347,9 +358,10 @@
 	if (now_ms >= process->restart_ms) {
 		if (soak->setup->draws_build && process < soak_servers(soak))
 			support_program_set_folder(
-				process->daemon, g_rand_boolean(soak->random) ?
-							 CB_PROGRAM_DIR :
-							 soak->setup->programs);
+				process->daemon,
+				g_rand_boolean(soak->random) ?
+					support_programs_folder() :
+					soak->setup->programs);
 		process->resume_ms = 0;
 		process->exit = (soak_exit_t){ 0 };
 		support_daemon_start(process->daemon);
--- a/test/platform/soak/soak_platform.h
+++ b/test/platform/soak/soak_platform.h
@@ -72,8 +72,8 @@
 } soak_t;
 
 /*
- * Starts all processes.  Returns FALSE if they don't serve requests in time;
- * soak_clear() must be called in any case.
+ * Starts all processes.  Returns FALSE if they don't serve requests in time, whose
+ * logs are then kept; soak_clear() must be called in any case.
  */
 gboolean soak_init(soak_t *soak, const soak_setup_t *setup, uint32_t seed);
 void soak_clear(soak_t *soak);
--- a/test/platform/soak/test_soak.c
+++ b/test/platform/soak/test_soak.c
@@ -297,12 +297,16 @@
 			       SCALE_MAX);
 	soak_setup_t setup = failure_setup_scale_(scale);
 	char *earlier = NULL;
+	gboolean is_serving;
 
 	if (seed % UPGRADE_SEEDS == 0)
 		earlier = support_earlier_build(UPGRADE_COMMIT);
 	setup.programs = earlier;
 	setup.draws_build = earlier != NULL;
-	CU_ASSERT_TRUE_FATAL(soak_init(&soak, &setup, seed));
+	is_serving = soak_init(&soak, &setup, seed);
+	if (!is_serving)
+		soak_clear(&soak);
+	CU_ASSERT_TRUE_FATAL(is_serving);
 	callers = callers_start_(&soak, seed);
 	editor_start_(&editor, &soak);
 	failures_play_(&soak, seconds * 1000, scale);
@@ -356,8 +360,12 @@
 	GPtrArray *requests;
 	unsigned int broken_count;
 	unsigned int fault_count;
+	gboolean is_serving;
 
-	CU_ASSERT_TRUE_FATAL(soak_init(&soak, &silence_setup, seed));
+	is_serving = soak_init(&soak, &silence_setup, seed);
+	if (!is_serving)
+		soak_clear(&soak);
+	CU_ASSERT_TRUE_FATAL(is_serving);
 	callers = callers_start_(&soak, seed);
 	if (has_documents)
 		editor_start_(&editor, &soak);
--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -318,11 +318,22 @@
 static void fixture_init_with_routes_(fixture_t *fixture,
 				      const char *more_routes)
 {
+	unsigned int put_status;
+	unsigned int heartbeat_status = 0;
+	gboolean is_served = FALSE;
+
 	fixture_init_(fixture);
-	CU_ASSERT_EQUAL_FATAL(document_put_(fixture, 5, more_routes), 200);
-	CU_ASSERT_EQUAL(heartbeat_send_(fixture, 0, 1, "ready"), 200);
-	CU_ASSERT_TRUE_FATAL(support_wait_until(is_request_served_, fixture,
-						START_TIMEOUT_MS));
+	put_status = document_put_(fixture, 5, more_routes);
+	if (put_status == 200) {
+		heartbeat_status = heartbeat_send_(fixture, 0, 1, "ready");
+		is_served = support_wait_until(is_request_served_, fixture,
+					       START_TIMEOUT_MS);
+	}
+	if (!is_served)
+		support_group_report(fixture->group);
+	CU_ASSERT_EQUAL_FATAL(put_status, 200);
+	CU_ASSERT_EQUAL(heartbeat_status, 200);
+	CU_ASSERT_TRUE_FATAL(is_served);
 }
 
 static void fixture_init_serving_(fixture_t *fixture)
--- a/test/platform/upgrades/test_upgrades.c
+++ b/test/platform/upgrades/test_upgrades.c
@@ -394,7 +394,7 @@
 		support_program_set_folder(process->daemon,
 					   step->action == ACTION_OLD ?
 						   fixture->earlier_folder :
-						   CB_PROGRAM_DIR);
+						   support_programs_folder());
 	soak_process_signal(&fixture->soak, process,
 			    is_kill ? SIGKILL : SIGTERM, 0);
 	while (support_daemon_runs(process->daemon))
--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -5,6 +5,7 @@
 #include <libsoup/soup.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
 #include <unistd.h>
@@ -18,6 +19,9 @@
 #define PORT_OFFSET_PER_PROCESS 61
 /* Two pages: small enough that a daemon's first log lines fill the pipe. */
 #define UNREAD_PIPE_BYTES 8192
+/* What support_group_report() prints of each log. */
+#define REPORTED_LINES 5
+#define REPORTED_LINE_CHARACTERS 300
 
 static gboolean port_is_free_(uint16_t port)
 {
@@ -90,6 +94,51 @@
 	g_free(daemon);
 }
 
+static char *programs_folder;
+static pid_t programs_folder_owner;
+
+/* Deletes the folder of programs, but not for a child of the test program. */
+static void programs_folder_delete_(void)
+{
+	if (getpid() == programs_folder_owner)
+		path_delete_(programs_folder);
+}
+
+/*
+ * Returns the folder with the test program's own copies of the programs that it
+ * has started, which a build beside the test does not replace.
+ */
+const char *support_programs_folder(void)
+{
+	if (!programs_folder) {
+		programs_folder =
+			g_dir_make_tmp("currantbridge-programs-XXXXXX", NULL);
+		g_assert(programs_folder);
+		programs_folder_owner = getpid();
+		atexit(programs_folder_delete_);
+	}
+	return programs_folder;
+}
+
+/* Returns the path of the copy of a program, to be freed; copies it once. */
+char *support_program_copy(const char *program)
+{
+	char *original = g_build_filename(CB_PROGRAM_DIR, program, NULL);
+	char *copy = g_build_filename(support_programs_folder(), program, NULL);
+	GFile *source = g_file_new_for_path(original);
+	GFile *target = g_file_new_for_path(copy);
+	GError *error = NULL;
+
+	if (!g_file_test(copy, G_FILE_TEST_EXISTS) &&
+	    !g_file_copy(source, target, G_FILE_COPY_NONE, NULL, NULL, NULL,
+			 &error))
+		g_error("%s: %s", original, error->message);
+	g_object_unref(target);
+	g_object_unref(source);
+	g_free(original);
+	return copy;
+}
+
 static support_daemon_t *daemon_new_(support_group_t *group,
 				     const char *program, const char *name,
 				     const char *http, const char *settings)
@@ -97,7 +146,7 @@
 	support_daemon_t *daemon = g_new0(support_daemon_t, 1);
 	char *file = g_strdup_printf("%s.json", name);
 
-	daemon->program = g_build_filename(CB_PROGRAM_DIR, program, NULL);
+	daemon->program = support_program_copy(program);
 	daemon->name = g_strdup(name);
 	daemon->folder = g_build_filename(group->folder, name, NULL);
 	daemon->config = g_build_filename(group->folder, file, NULL);
@@ -185,9 +234,48 @@
 	return group;
 }
 
+/* Prints whether a daemon runs, and the last lines of its log. */
+static void daemon_report_(const support_daemon_t *daemon)
+{
+	char *path = g_strdup_printf("%s.log", daemon->folder);
+	char *text = NULL;
+	char **lines;
+	unsigned int count;
+	unsigned int i;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		text = g_strdup("");
+	lines = g_strsplit(g_strchomp(text), "\n", -1);
+	count = g_strv_length(lines);
+	printf("    %s %s, %u lines of log\n", daemon->name,
+	       support_daemon_runs(daemon) ? "runs" : "does not run", count);
+	i = count > REPORTED_LINES ? count - REPORTED_LINES : 0;
+	for (; i < count; i++)
+		printf("        %.*s\n", REPORTED_LINE_CHARACTERS, lines[i]);
+	g_strfreev(lines);
+	g_free(text);
+	g_free(path);
+}
+
+/*
+ * Prints the state of all daemons, for a test whose start failed, and has their
+ * files kept when the group is deleted.
+ */
+void support_group_report(support_group_t *group)
+{
+	size_t i;
+
+	group->is_kept = TRUE;
+	for (i = 0; i < group->control_count; i++)
+		daemon_report_(group->control[i]);
+	for (i = 0; i < group->others->len; i++)
+		daemon_report_(g_ptr_array_index(group->others, i));
+	printf("    their files are in %s\n", group->folder);
+}
+
 /*
  * Kills the daemons that still run, frees the group and deletes its folder,
- * unless CB_KEEP is set in the environment.
+ * unless CB_KEEP is set in the environment or support_group_report() was called.
  */
 void support_group_delete(support_group_t *group)
 {
@@ -196,7 +284,7 @@
 	g_ptr_array_unref(group->others);
 	for (i = 0; i < group->control_count; i++)
 		daemon_delete_(group->control[i]);
-	if (g_getenv("CB_KEEP"))
+	if (g_getenv("CB_KEEP") || group->is_kept)
 		printf("    files kept in %s\n", group->folder);
 	else
 		path_delete_(group->folder);
--- a/test/support_daemons.h
+++ b/test/support_daemons.h
@@ -25,7 +25,8 @@
 
 /* A group of control instances, and the other daemons of a test. */
 typedef struct support_group {
-	char *folder; /* temporary folder of all daemons' files */
+	char *folder;	  /* temporary folder of all daemons' files */
+	gboolean is_kept; /* whether the files are kept, see below */
 	support_daemon_t **control;
 	size_t control_count;
 	/* Daemons other than control instances: support_daemon_t *. */
@@ -42,10 +43,13 @@
 typedef gboolean (*support_condition_fn_t)(void *user_data);
 
 uint16_t support_free_port(void);
+const char *support_programs_folder(void);
+char *support_program_copy(const char *program);
 
 support_group_t *support_group_new(size_t control_count,
 				   const support_timeouts_t *timeouts);
 void support_group_delete(support_group_t *group);
+void support_group_report(support_group_t *group);
 support_daemon_t *support_group_add(support_group_t *group, const char *program,
 				    const char *name, const char *http,
 				    const char *settings);
--- a/test/support_entry.c
+++ b/test/support_entry.c
@@ -136,8 +136,7 @@
 	support_backend_t *backend = g_new0(support_backend_t, 1);
 	GPtrArray *argv = g_ptr_array_new();
 	char **extra = g_strsplit(arguments, " ", -1);
-	char *program =
-		g_build_filename(CB_PROGRAM_DIR, "cb-fake-backend", NULL);
+	char *program = support_program_copy("cb-fake-backend");
 	GError *error = NULL;
 	size_t i;
 
