Don't move an incomplete event in memory with each piece of it

g_string_erase() of nothing at the start moves all bytes onto themselves: an event of 1 MiB that arrives in pieces of 2 KB was moved 512 times.

--- a/src/libcurrantbridge/relay/event_splitter.c
+++ b/src/libcurrantbridge/relay/event_splitter.c
@@ -101,7 +101,9 @@
 		from = 0;
 		splitter->event_count++;
 	}
-	g_string_erase(partial, 0, (gssize)consumed);
+	/* Erasing nothing would still move all bytes of an incomplete event. */
+	if (consumed)
+		g_string_erase(partial, 0, (gssize)consumed);
 	splitter->scanned_bytes =
 		partial->len - MIN(partial->len, LOOKAHEAD_BYTES);
 }
