Callers whose request has arrived don't make room for others

Cause: a connection counted as idle until its request was read from the socket; a burst of callers that were just accepted was evicted with their requests unread, and the close reset them.

Evidence: caller_that_has_sent_a_request_does_not_make_room: 5 of 20 served, now 20.

Change: a connection with bytes in its socket isn't idle. The look costs a system call for each caller without a request, and only when descriptors run out.

--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -526,12 +526,16 @@
 	connection_wait_idle_(connection);
 }
 
-/* Returns whether no request is being received or answered. */
+/*
+ * Returns whether no request is being received or answered, nor has arrived at the
+ * socket.
+ */
 static gboolean connection_is_idle_(const connection_t *connection)
 {
 	return connection->state == CONNECTION_RECEIVING_HEAD &&
 	       !connection->input->len &&
-	       !cb_stream_unsent_bytes(connection->stream);
+	       !cb_stream_unsent_bytes(connection->stream) &&
+	       !cb_stream_has_input(connection->stream);
 }
 
 /* Orders connections by the time that they have been idle, longest first. */
--- a/src/libcurrantbridge/include/private/stream.h
+++ b/src/libcurrantbridge/include/private/stream.h
@@ -51,6 +51,8 @@
 void cb_stream_shutdown_send(cb_stream_t *stream);
 void cb_stream_set_paused(cb_stream_t *stream, gboolean is_paused);
 size_t cb_stream_unsent_bytes(const cb_stream_t *stream);
+/* Returns whether bytes or an end have arrived that were not received yet. */
+gboolean cb_stream_has_input(const cb_stream_t *stream);
 /* Counts the send queue, and the socket while it is paused; `bound` may be NULL. */
 void cb_stream_set_bound(cb_stream_t *stream, cb_memory_bound_t *bound,
 			 cb_memory_kind_t kind);
--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -256,6 +256,15 @@
 	return stream_new_(poller, fd, FALSE, handler, user_data);
 }
 
+/* Returns whether bytes or an end have arrived that were not received yet. */
+gboolean cb_stream_has_input(const cb_stream_t *stream)
+{
+	uint8_t byte;
+
+	return recv(stream->fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >=
+	       0;
+}
+
 /* Returns whether a system call failed for lack of descriptors, ports or memory. */
 gboolean cb_stream_is_exhaustion(int code)
 {
