What is known of lost ways is kept by data centre

Found by review, by reading: the time of the first doubt was one for all data centres. A doubt that lasted at one of them (its only server down) kept requests of others from being handed over, and an old answer of another instance let streams of servers that only stood still be left at once.

--- a/src/libcurrantbridge/relay/relay_reach.c
+++ b/src/libcurrantbridge/relay/relay_reach.c
@@ -83,25 +83,25 @@
 {
 	const cb_front_t *front = relay->front;
 
-	return front->way_confirmed_ms < front->way_suspect_ms &&
+	return relay->way_group &&
+	       front->way_confirmed_ms <
+		       cb_reach_group_since_ms(relay->way_group) &&
 	       cb_relay_reach_find(front, relay->service) == CB_REACH_SILENT;
 }
 
 /*
  * Returns whether the way to an attempt's servers is lost on open connections too:
- * nothing was heard over any of them since the loss was suspected, and the attempt's
- * own answer is overdue.  That new connections fail says nothing about open ones.
+ * nothing has been heard over any of them for a while, and the attempt's own answer
+ * is overdue.  That new connections fail says nothing about open ones.
  */
 static gboolean attempt_is_cut_off_(const cb_relay_t *relay)
 {
-	const cb_front_t *front = relay->front;
 	cb_reach_state_t state;
 
-	if (!relay->way_group || relay->heard_ms >= front->way_suspect_ms ||
-	    cb_reach_group_is_heard(relay->way_group) ||
+	if (!relay->way_group || cb_reach_group_is_heard(relay->way_group) ||
 	    !cb_relay_is_overdue(relay))
 		return FALSE;
-	state = cb_relay_reach_find(front, relay->service);
+	state = cb_relay_reach_find(relay->front, relay->service);
 	return state == CB_REACH_LOST ||
 	       (state == CB_REACH_SILENT && !cb_relay_reach_may_stall(relay));
 }
