A forward that ran nothing leaves the retry that it took

Found by review, by reading: each send after an instance that answered "elsewhere" drew another retry from the budget, though nothing had reached a server, so that handing over many streams emptied the share and cut those that came last. A retry is drawn once for each send that may arrive.

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -78,8 +78,6 @@
 	gboolean is_counted_as_forwarded; /* in the front's forwarded_count */
 	/* When the next attempt may be sent; 0: at once. */
 	int64_t next_send_ms;
-	/* Whether an attempt was sent to a server, which may have received it. */
-	gboolean has_arrived;
 	int64_t sent_ms;	     /* when the last attempt was sent */
 	unsigned int reroute_count;  /* reroutes since the last event */
 	gboolean is_report_pending;  /* waits for the first server's report */
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -203,6 +203,7 @@
 	const cb_relay_hop_t *first = cb_relay_find_hop(relay, NULL);
 	char *hops_text = cb_relay_format_hops(relay);
 	char *content_text = cb_content_features_text(relay->content.features);
+	gboolean has_arrived;
 
 	cb_log_event(relay->front->log, CB_EVENT_RELAY_ATTEMPT_FAILED,
 		     CB_STR("request", relay->request_info.id),
@@ -236,9 +237,8 @@
 	cb_relay_count_reason(relay->front, "cb_relay_attempts_failed_total",
 			      result);
 	relay->run_count += has_run != 0;
-	relay->has_arrived |= !is_unsent_(result) && !relay->forwarded_to;
+	has_arrived = relay->forwarded_to ? has_run : !is_unsent_(result);
 	if (relay->forwarded_to) {
-		relay->has_arrived |= has_run;
 		if (strcmp(result, CB_RELAY_MEMORY) != 0)
 			cb_relay_forward_failed(relay);
 	} else {
@@ -250,8 +250,8 @@
 		return;
 	}
 	relay->next_send_ms = next_send_find_ms_(relay, result);
-	/* A request that reached no server yet is not repeated. */
-	relay->is_next_send_retry = relay->has_arrived;
+	/* A send that reached no server leaves the retry that it took. */
+	relay->is_next_send_retry = has_arrived;
 	cb_event_pace_set_cause(&relay->pace, result);
 	if (relay->is_answer_begun) {
 		relay->is_stream_resumed = TRUE;
