--- a/test/platform/incident/incident.h
+++ b/test/platform/incident/incident.h
@@ -35,7 +35,6 @@
 	unsigned int max_connections; /* of each server; beyond: reset */
 	int backlog;		      /* of each listening socket */
 	unsigned int event_count;     /* of each stream */
-	int first_event_ms;
 	int event_ms;
 	gboolean are_engines; /* those of service "s" hold layers */
 	int heartbeat_ms;
@@ -66,8 +65,8 @@
 void incident_servers_set_accepting(incident_servers_t *servers,
 				    gboolean is_accepting);
 /*
- * Has the servers of a data centre stand still, as if they were starved, or go on;
- * connections to them are still made.
+ * Has the servers of a data centre stand still, as if they were starved, or go
+ * on; connections to them are still made.
  */
 void incident_servers_set_stalled(incident_servers_t *servers,
 				  unsigned int data_centre,
--- a/test/platform/incident/incident_callers.c
+++ b/test/platform/incident/incident_callers.c
@@ -61,6 +61,9 @@
 {
 	exchange_t *exchange = data;
 
+	/* A process that is being started may hold the descriptor for a while. */
+	(void)epoll_ctl(exchange->callers->epoll, EPOLL_CTL_DEL, exchange->fd,
+			NULL);
 	close(exchange->fd);
 	g_string_free(exchange->input, TRUE);
 	g_string_free(exchange->output, TRUE);
--- a/test/platform/incident/incident_servers.c
+++ b/test/platform/incident/incident_servers.c
@@ -18,6 +18,8 @@
 #define EPOLL_EVENTS 256
 #define READ_BUFFER_BYTES 16384
 #define CALL_MS 20
+#define FIRST_EVENT_MS 50
+#define ENGINE_FIRST_EVENT_MS 150
 #define HEARTBEAT_THREADS 4
 #define HEARTBEAT_TIMEOUT_MS 1000
 
@@ -327,6 +329,14 @@
 	connection->run = NULL;
 }
 
+/* Returns the time of a stream until its first event; engines read a prompt. */
+static int first_event_ms_(const server_t *server)
+{
+	return server->servers->setup.are_engines && !server->is_other ?
+		       ENGINE_FIRST_EVENT_MS :
+		       FIRST_EVENT_MS;
+}
+
 /* Begins the run of a request. */
 static void run_begin_(connection_t *connection, const char *request,
 		       const char *id)
@@ -348,9 +358,8 @@
 		is_stream ?
 			(last_event ? (unsigned int)atoi(last_event) + 1 : 1) :
 			0;
-	connection->due_ms =
-		run->arrived_ms +
-		(is_stream ? servers->setup.first_event_ms : CALL_MS);
+	connection->due_ms = run->arrived_ms +
+			     (is_stream ? first_event_ms_(server) : CALL_MS);
 	g_free(last_event);
 	if (servers->setup.are_engines && !server->is_other &&
 	    chain_reject_(connection, request)) {
@@ -398,6 +407,9 @@
 {
 	connection_t *connection = data;
 
+	/* A process that is being started may hold the descriptor for a while. */
+	(void)epoll_ctl(connection->server->servers->epoll, EPOLL_CTL_DEL,
+			connection->fd, NULL);
 	close(connection->fd);
 	connection->server->connection_count--;
 	g_string_free(connection->input, TRUE);
