A look at a socket's input takes no error off it

recv() with MSG_PEEK would have taken a pending reset off the socket of an idle caller; poll() leaves it to be read. Found by reading; the look is made only when descriptors run out.

--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -5,6 +5,7 @@
 #include <gio/gio.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -259,10 +260,10 @@
 /* Returns whether bytes or an end have arrived that were not received yet. */
 gboolean cb_stream_has_input(const cb_stream_t *stream)
 {
-	uint8_t byte;
+	/* recv() would take an error off the socket that is still to be seen. */
+	struct pollfd socket = { .fd = stream->fd, .events = POLLIN };
 
-	return recv(stream->fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >=
-	       0;
+	return poll(&socket, 1, 0) > 0;
 }
 
 /* Returns whether a system call failed for lack of descriptors, ports or memory. */
