An answer that isn't read, since its caller lags, is not overdue

Found by reading the bound on memory and the lost ways together: a paused attempt is not heard, and so counted as cut off where new connections fail.

--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -104,7 +104,7 @@
 
 gboolean cb_relay_is_overdue(const cb_relay_t *relay)
 {
-	return !due_time_left_(relay);
+	return !relay->is_call_paused && !due_time_left_(relay);
 }
 
 /*
@@ -274,7 +274,8 @@
 	case CB_SILENCE_WAIT:
 		if (silence.is_in_progress)
 			cb_timer_start(relay->silence_timer,
-				       due_time_left_(relay));
+				       MAX(due_time_left_(relay),
+					   CHECK_INTERVAL_MIN_MS));
 		else
 			attempt_keep_(relay, &silence);
 		if (lost_address &&
