--- a/src/libcurrantbridge/http/http_exchange.c
+++ b/src/libcurrantbridge/http/http_exchange.c
@@ -270,7 +270,7 @@
 		exchange_end_(exchange, failure);
 }
 
-static void call_end_handle_(void *user_data, cb_http1_result_t result)
+cb_failure_t cb_http_failure(cb_http1_result_t result)
 {
 	static const cb_failure_t failures[CB_HTTP1_RESULT_COUNT] = {
 		[CB_HTTP1_COMPLETE] = CB_FAILURE_NONE,
@@ -280,10 +280,16 @@
 		[CB_HTTP1_TRUNCATED] = CB_FAILURE_LOST,
 		[CB_HTTP1_MALFORMED] = CB_FAILURE_MISMATCH,
 	};
+
+	return failures[result];
+}
+
+static void call_end_handle_(void *user_data, cb_http1_result_t result)
+{
 	cb_exchange_t *exchange = user_data;
 
 	exchange->call = NULL;
-	exchange_end_(exchange, failures[result]);
+	exchange_end_(exchange, cb_http_failure(result));
 }
 
 static const cb_http1_call_handler_t call_handler = {
--- a/src/libcurrantbridge/http/http_service_client.c
+++ b/src/libcurrantbridge/http/http_service_client.c
@@ -128,16 +128,7 @@
 
 static void call_end_handle_(void *user_data, cb_http1_result_t result)
 {
-	static const cb_failure_t failures[CB_HTTP1_RESULT_COUNT] = {
-		[CB_HTTP1_COMPLETE] = CB_FAILURE_NONE,
-		[CB_HTTP1_UNSENT] = CB_FAILURE_CONNECT,
-		[CB_HTTP1_NO_RESOURCES] = CB_FAILURE_CONNECT,
-		[CB_HTTP1_LOST] = CB_FAILURE_LOST,
-		[CB_HTTP1_TRUNCATED] = CB_FAILURE_LOST,
-		[CB_HTTP1_MALFORMED] = CB_FAILURE_MISMATCH,
-	};
-
-	exchange_end_(user_data, failures[result]);
+	exchange_end_(user_data, cb_http_failure(result));
 }
 
 static const cb_http1_call_handler_t call_handler = {
--- a/src/libcurrantbridge/include/private/http_exchange.h
+++ b/src/libcurrantbridge/include/private/http_exchange.h
@@ -5,6 +5,7 @@
 
 #include "currantbridge/clock.h"
 #include "currantbridge/engine_client.h"
+#include "currantbridge/http1_client.h"
 
 /*
  * Client for HTTP requests to backend servers.  An exchange is one request
@@ -58,6 +59,9 @@
 	void *user_data;
 } cb_http_read_hooks_t;
 
+/* Returns the failure of a call that has ended with a result. */
+cb_failure_t cb_http_failure(cb_http1_result_t result);
+
 cb_http_client_t *cb_http_client_new(GMainContext *context, cb_clock_t *clock,
 				     const cb_http_read_hooks_t *read_hooks);
 /* An exchange that receives nothing for `timeout_ms` fails.  0: no timeout. */
