Events 506 and 514 tell a late process from a silent server

Whoever read the log of a stream that was left as silent could not see whether its answer had begun, how long the silence was, or whether the server's next event lay unread in the socket, so that "the server was silent" and "this process was late" looked alike.

506 gets is_begun, silent_ms and unread, 514 gets unread, and cb_relay_begun_attempts_failed_total counts the failed attempts of answers that had begun. The input is looked for once for each attempt that fails or is kept, not for each event. No decision changes.

--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -89,6 +89,8 @@
 void cb_http1_call_set_paused(cb_http1_call_t *call, gboolean is_paused);
 /* Returns the bytes that the call keeps, as its client's bound counts them. */
 size_t cb_http1_call_kept_bytes(const cb_http1_call_t *call);
+/* Returns whether something of the answer, or its end, has arrived unread. */
+gboolean cb_http1_call_has_input(const cb_http1_call_t *call);
 /*
  * Returns whether the call's connection carried no request before this one.
  * May be called until done() is called.
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -584,6 +584,13 @@
 	return bytes;
 }
 
+/* Returns whether the socket holds bytes, or an end, that were not read yet. */
+gboolean cb_http1_call_has_input(const cb_http1_call_t *call)
+{
+	return call->connection && call->connection->stream &&
+	       cb_stream_has_input(call->connection->stream);
+}
+
 /* Ends a call without calling done(), and closes its connection. */
 void cb_http1_call_cancel(cb_http1_call_t *call)
 {
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -151,6 +151,10 @@
 const char *cb_relay_framing_text(const cb_relay_t *relay);
 /* Returns the bytes received of an event that is not complete yet. */
 size_t cb_relay_unfinished_bytes(const cb_relay_t *relay);
+/* Returns the time in ms since the last event, or since the attempt was sent. */
+int64_t cb_relay_silent_ms(const cb_relay_t *relay);
+/* Returns whether the attempt in flight has input that was not read yet. */
+gboolean cb_relay_has_input(const cb_relay_t *relay);
 /* Cancels the attempt in flight, if any, also at its server. */
 void cb_relay_cancel_attempt(cb_relay_t *relay);
 /* Logs and counts how the request ends, while its exchange still exists. */
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -162,6 +162,19 @@
 	return relay->splitter.partial ? relay->splitter.partial->len : 0;
 }
 
+/* Returns how long a stream has been without an event, in ms. */
+int64_t cb_relay_silent_ms(const cb_relay_t *relay)
+{
+	return cb_relay_now_ms(relay) -
+	       MAX(relay->pace.last_ms, relay->sent_ms);
+}
+
+/* Returns whether data of the server lies unread in the socket. */
+gboolean cb_relay_has_input(const cb_relay_t *relay)
+{
+	return relay->call && cb_http1_call_has_input(relay->call);
+}
+
 /* Logs and counts how a request ends, while its exchange still exists. */
 void cb_relay_record_end(cb_relay_t *relay, uint32_t status, const char *reason)
 {
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -220,6 +220,9 @@
 			    (int64_t)cb_relay_unfinished_bytes(relay)),
 		     CB_INT("sent_before_ms",
 			    cb_relay_now_ms(relay) - relay->sent_ms),
+		     CB_INT("is_begun", relay->is_answer_begun),
+		     CB_INT("silent_ms", cb_relay_silent_ms(relay)),
+		     CB_INT("unread", cb_relay_has_input(relay)),
 		     CB_STR("awaited", relay->awaited),
 		     CB_INT("late_ms",
 			    relay->awaited ?
@@ -236,6 +239,10 @@
 	g_free(content_text);
 	cb_relay_count_reason(relay->front, "cb_relay_attempts_failed_total",
 			      result);
+	if (relay->is_answer_begun)
+		cb_relay_count_reason(relay->front,
+				      "cb_relay_begun_attempts_failed_total",
+				      result);
 	relay->run_count += has_run != 0;
 	has_arrived = relay->forwarded_to ? has_run : !is_unsent_(result);
 	if (relay->forwarded_to) {
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -23,13 +23,6 @@
 /* Reroutes without an event in between, after which no other is requested. */
 #define REROUTES_MAX 4
 
-/* Returns how long a stream has been without an event, in ms. */
-static int64_t silence_compute_ms_(const cb_relay_t *relay)
-{
-	return cb_relay_now_ms(relay) -
-	       MAX(relay->pace.last_ms, relay->sent_ms);
-}
-
 /* Returns how long a stream may be without an event, in ms. */
 static int64_t silence_limit_compute_(const cb_relay_t *relay)
 {
@@ -208,6 +201,7 @@
 			     CB_INT("may_restart", silence->may_restart),
 			     CB_INT("last_event", relay->last_event),
 			     CB_INT("silent_ms", silence->silent_ms),
+			     CB_INT("unread", cb_relay_has_input(relay)),
 			     CB_INT("late_ms",
 				    cb_clock_lateness_ms(relay->front->clock)));
 	}
@@ -253,7 +247,7 @@
 		.has_ended = lost_address && way_is_open_(relay) &&
 			     cb_engine_reports_has_ended(relay->front->reports,
 							 lost_address),
-		.silent_ms = silence_compute_ms_(relay),
+		.silent_ms = cb_relay_silent_ms(relay),
 		.is_in_progress = !cb_relay_is_overdue(relay),
 	};
 
@@ -327,7 +321,7 @@
 		     CB_STR("request", relay->request_info.id),
 		     CB_STR("way", hops_text),
 		     CB_INT("last_event", relay->last_event),
-		     CB_INT("silent_ms", silence_compute_ms_(relay)));
+		     CB_INT("silent_ms", cb_relay_silent_ms(relay)));
 	g_free(hops_text);
 	cb_event_pace_set_cause(&relay->pace, "rerouted");
 	cb_relay_start_silence_timer(relay);
@@ -391,7 +385,7 @@
 			     CB_STR("request", relay->request_info.id),
 			     CB_STR("address", address),
 			     CB_INT("last_event", relay->last_event),
-			     CB_INT("silent_ms", silence_compute_ms_(relay)));
+			     CB_INT("silent_ms", cb_relay_silent_ms(relay)));
 	cb_front_report_usage_soon(relay->front);
 	if (!strcmp(address, first->address) ||
 	    !cb_server_book_record_loss_at(relay->front->book, address,
--- a/src/test_libcurrantbridge/test_log_circumstances.c
+++ b/src/test_libcurrantbridge/test_log_circumstances.c
@@ -89,6 +89,9 @@
 
 #define LATE_FIELD "\"loop_late_ms\":"
 #define AGE_FIELD "\"document_age_ms\":"
+#define BEGUN_FIELD "\"is_begun\":"
+#define SILENT_FIELD "\"silent_ms\":"
+#define UNREAD_FIELD "\"unread\":"
 #define STALL_MS 300
 
 /* The lines of a failed stream have the loop's lateness and the document's age. */
@@ -136,6 +139,11 @@
 							   body),
 				!cases[i].is_cut);
 		age_ms = cb_front_document_age_ms(fixture.front);
+		CU_ASSERT_EQUAL(support_series_read(
+					fixture.front->counters,
+					"cb_relay_begun_attempts_failed_total"
+					"{reason=\"truncated\"}"),
+				cases[i].is_cut ? 1 : -1);
 		fixture.front->log = NULL;
 		support_log_end(&log);
 		CU_ASSERT_EQUAL(line_field_read_(log.text, cases[i].end,
@@ -147,7 +155,18 @@
 			int64_t line_age_ms =
 				line_field_read_(log.text, events[k],
 						 AGE_FIELD);
-
+			gboolean is_attempt = is_failed && !k;
+
+			/* Only an attempt's line has these. */
+			CU_ASSERT_EQUAL(line_field_read_(log.text, events[k],
+							 BEGUN_FIELD),
+					is_attempt ? cases[i].is_cut : -1);
+			CU_ASSERT_EQUAL(line_field_read_(log.text, events[k],
+							 SILENT_FIELD) >= 0,
+					is_attempt);
+			CU_ASSERT_EQUAL(line_field_read_(log.text, events[k],
+							 UNREAD_FIELD),
+					is_attempt ? 0 : -1);
 			if (!is_failed) {
 				CU_ASSERT_EQUAL(late_ms, -1);
 				CU_ASSERT_EQUAL(line_age_ms, -1);
--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "support_log.h"
 #include "support_relay.h"
 
 /*
@@ -449,7 +450,44 @@
 	g_string_free(body, TRUE);
 }
 
+/* A silence that only this process sees, since it is late, can be told apart. */
+static void kept_attempts_log_unread_input(void)
+{
+	static const relay_script_t script = { FIRST_EVENT, END_HOLD };
+	static const struct {
+		gboolean has_input;
+		const char *field;
+	} cases[] = { { FALSE, "\"unread\":0" }, { TRUE, "\"unread\":1" } };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		relay_fixture_t fixture;
+		support_log_t log;
+
+		support_relay_init(&fixture, TRUE);
+		retries_forbid_(&fixture);
+		fixture.scripts = &script;
+		fixture.script_count = 1;
+		support_relay_request_send(&fixture, STREAM_REQUEST);
+		CU_ASSERT_TRUE_FATAL(
+			support_relay_run_until(&fixture, 0, EVENT_1));
+		support_log_begin(&log, fixture.world->clock);
+		fixture.front->log = log.log;
+		if (cases[i].has_input)
+			support_relay_answer_continue(&fixture, 0,
+						      "f\r\n" EVENT_2 "\r\n");
+		/* The timers fire, and no socket is read. */
+		cb_clock_advance(fixture.world->clock, 4 * FIRST_CHECK_MS);
+		fixture.front->log = NULL;
+		support_log_end(&log);
+		CU_ASSERT_PTR_NOT_NULL(strstr(log.text, "\"RELAY_KEPT\""));
+		CU_ASSERT_PTR_NOT_NULL(strstr(log.text, cases[i].field));
+		support_relay_clear(&fixture);
+	}
+}
+
 static CU_TestInfo relay_silence_tests[] = {
+	{ "kept_attempts_log_unread_input", kept_attempts_log_unread_input },
 	{ "silent_server_does_not_end_answer",
 	  silent_server_does_not_end_answer },
 	{ "ended_engine_ends_answer_at_once",
