test_incident keeps records of its requests and runs

With CB_KEEP, records.tsv beside the logs has each request and each run at a server, with the wall-clock times of the logs: when a run arrived, sent its last events and ended, and when its next part was due. So a run that was closed can be matched with what the instance logged of it.

--- a/test/platform/incident/incident.h
+++ b/test/platform/incident/incident.h
@@ -40,6 +40,9 @@
 	int heartbeat_ms;
 } incident_servers_setup_t;
 
+/* Last events of a run whose times are kept. */
+#define INCIDENT_EVENT_TIMES 4
+
 /* One run of a request at a server, from its arrival on. */
 typedef struct incident_run {
 	char *request_id;
@@ -52,6 +55,11 @@
 	int64_t arrived_ms;
 	int64_t progress_ms; /* when the last event was sent */
 	int64_t ended_ms;
+	unsigned int server;
+	unsigned int events; /* that were sent */
+	/* When event `n` was sent, at n % INCIDENT_EVENT_TIMES. */
+	int64_t event_ms[INCIDENT_EVENT_TIMES];
+	int64_t due_ms; /* when the next part of the answer was due at the end */
 } incident_run_t;
 
 typedef struct incident_servers incident_servers_t;
--- a/test/platform/incident/incident_servers.c
+++ b/test/platform/incident/incident_servers.c
@@ -326,6 +326,7 @@
 static void run_end_(connection_t *connection)
 {
 	connection->run->ended_ms = now_ms_();
+	connection->run->due_ms = connection->due_ms;
 	connection->run = NULL;
 }
 
@@ -351,6 +352,7 @@
 	run->request_id = g_strdup(id);
 	run->is_stream = is_resumable;
 	run->is_other = server->is_other;
+	run->server = server->index;
 	run->arrived_ms = run->progress_ms = now_ms_();
 	g_ptr_array_add(servers->runs, run);
 	connection->run = run;
@@ -494,6 +496,7 @@
 	if (connection->next_event <= setup->event_count)
 		chunk_append_(connection->output, event);
 	run->progress_ms = now_ms_();
+	run->event_ms[run->events++ % INCIDENT_EVENT_TIMES] = run->progress_ms;
 	connection->due_ms += setup->event_ms;
 	if (connection->next_event++ >= setup->event_count) {
 		g_string_append(connection->output, "0\r\n\r\n");
--- a/test/platform/incident/test_incident.c
+++ b/test/platform/incident/test_incident.c
@@ -14,7 +14,7 @@
  * whatever happens to new connections, the document, and control and entry
  * instances beside.  CB_ROWS names the rows to play ("all", or some, separated
  * by commas), CB_SEED sets the seed, CB_SECONDS the time of each row; CB_KEEP
- * keeps the logs.
+ * keeps the logs, and records of all requests and of their runs.
  */
 #define START_TIMEOUT_MS 40000
 #define HEARTBEAT_MS 1000
@@ -1205,6 +1205,63 @@
 		CU_ASSERT_EQUAL(abandoned, 0);
 }
 
+/*
+ * Writes all runs and requests into the folder of the logs, with the wall-clock
+ * times of these, so that both can be compared line by line.
+ */
+static void records_write_(const fixture_t *fixture, const GPtrArray *requests,
+			   const GPtrArray *runs)
+{
+	int64_t wall_ms = g_get_real_time() / 1000 - now_ms_();
+	GString *text = g_string_new(
+		"record\tid\tkind\tserver\tbegun\tend\tbegin_ms\tend_ms\t"
+		"due_ms\tevents\tlast_event_times_ms\n");
+	char *path = g_strdup_printf("%s/records.tsv", fixture->group->folder);
+	unsigned int i;
+
+	for (i = 0; i < requests->len; i++) {
+		const incident_request_t *request = requests->pdata[i];
+
+		g_string_append_printf(
+			text,
+			"request\t%s\t%d\t\t%d\t%d\t%" G_GINT64_FORMAT
+			"\t%" G_GINT64_FORMAT "\t\t\t\n",
+			request->id, (int)request->kind, request->has_begun,
+			(int)request->end, wall_ms + request->sent_ms,
+			wall_ms + request->ended_ms);
+	}
+	for (i = 0; i < runs->len; i++) {
+		const incident_run_t *run = runs->pdata[i];
+		unsigned int event;
+
+		g_string_append_printf(
+			text,
+			"run\t%s\t%d\t127.0.1.%u\t%d\t%s\t%" G_GINT64_FORMAT
+			"\t%" G_GINT64_FORMAT "\t%" G_GINT64_FORMAT "\t%u\t",
+			run->request_id, run->is_stream, run->server + 1,
+			run->has_begun,
+			run->was_closed	 ? "closed" :
+			run->is_rejected ? "rejected" :
+			run->is_whole	 ? "whole" :
+					   "open",
+			wall_ms + run->arrived_ms, wall_ms + run->ended_ms,
+			wall_ms + run->due_ms, run->events);
+		for (event = run->events > INCIDENT_EVENT_TIMES ?
+				     run->events - INCIDENT_EVENT_TIMES :
+				     0;
+		     event < run->events; event++)
+			g_string_append_printf(
+				text, "%" G_GINT64_FORMAT " ",
+				wall_ms + run->event_ms[event %
+							INCIDENT_EVENT_TIMES]);
+		g_string_append_c(text, '\n');
+	}
+	CU_ASSERT_TRUE(
+		g_file_set_contents(path, text->str, (gssize)text->len, NULL));
+	g_free(path);
+	g_string_free(text, TRUE);
+}
+
 /* Checks that no process has ended without a signal of the test. */
 static void processes_check_(fixture_t *fixture)
 {
@@ -1238,6 +1295,8 @@
 	runs_check_(&fixture, runs);
 	repeats_check_(&fixture, requests, runs);
 	logs_print_(&fixture);
+	if (g_getenv("CB_KEEP"))
+		records_write_(&fixture, requests, runs);
 	incident_servers_delete(fixture.servers);
 	g_ptr_array_unref(requests);
 	fixture_clear_(&fixture);
