test_incident: a late test takes nothing for progress, or for a gap

An event that is sent into a connection that is closed already is no progress now. Runs whose event was sent while the connection was open are counted as before.

A caller left its stream after a gap of 2 s though data of it lay unread in the socket, since one round reads 256 sockets at most. It now looks there first. A gap of the answer itself ends the request as before.

--- a/test/platform/incident/incident_callers.c
+++ b/test/platform/incident/incident_callers.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -313,6 +314,14 @@
 	output_flush_(exchange);
 }
 
+/* Returns whether something lies unread in an exchange's socket. */
+static gboolean has_input_(const exchange_t *exchange)
+{
+	struct pollfd socket = { .fd = exchange->fd, .events = POLLIN };
+
+	return poll(&socket, 1, 0) > 0;
+}
+
 /* Sends what is left, and has callers leave after a long gap. */
 static void exchanges_update_(incident_callers_t *callers)
 {
@@ -326,8 +335,10 @@
 
 		if (exchange->output->len)
 			output_flush_(exchange);
+		/* A late loop has not read all: that is no gap of the answer. */
 		if (!exchange->request || callers->setup.has_long_gaps ||
-		    now_ms - exchange->heard_ms < GAP_MAX_MS)
+		    now_ms - exchange->heard_ms < GAP_MAX_MS ||
+		    has_input_(exchange))
 			continue;
 		request_end_(exchange, INCIDENT_LEFT);
 		g_hash_table_iter_remove(&iter);
--- a/test/platform/incident/incident_servers.c
+++ b/test/platform/incident/incident_servers.c
@@ -4,6 +4,7 @@
 #include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -527,6 +528,18 @@
 	requests_handle_(connection);
 }
 
+/* Returns whether the instance has closed a connection; it may still be unread. */
+static gboolean is_closed_(const connection_t *connection)
+{
+	struct pollfd socket = { .fd = connection->fd, .events = POLLRDHUP };
+
+	return poll(&socket, 1, 0) > 0;
+}
+
+/*
+ * Sends what is due.  An event that a late server sends into a closed connection
+ * is no progress of its run.
+ */
 static void runs_continue_(incident_servers_t *servers)
 {
 	int64_t now_ms = now_ms_();
@@ -541,7 +554,8 @@
 			continue;
 		if (connection->output->len)
 			output_flush_(connection);
-		if (connection->run && now_ms >= connection->due_ms)
+		if (connection->run && now_ms >= connection->due_ms &&
+		    !is_closed_(connection))
 			run_continue_(connection);
 	}
 }
