test_incident: no instance gives up a begun answer's run without another

Callers saw streams that had begun stop for a second and more, or end, though the server that ran them went on: for a silence of 150 to 250 ms an instance closes its running attempt, and only then looks for a retry, a server and a way.

runs_check_() asked whether a run was closed within 120 ms after an event of its own. Such a run may be closed now if another run of the request had brought an event by then and went on; this is asked as well of every run of an answer that had begun while its caller waited, however long the run had been silent. The end of a run at a stalled server is seen when it happens, not when that server goes on.

--- a/test/platform/incident/incident.h
+++ b/test/platform/incident/incident.h
@@ -38,6 +38,12 @@
 	int event_ms;
 	gboolean are_engines; /* those of service "s" hold layers */
 	int heartbeat_ms;
+	/*
+	 * Mean time between two pauses of a server, of random length, in which it
+	 * reads requests but sends nothing; 0: there are none.
+	 */
+	int64_t pause_interval_ms;
+	uint32_t seed;
 } incident_servers_setup_t;
 
 /* Last events of a run whose times are kept. */
@@ -57,6 +63,7 @@
 	int64_t ended_ms;
 	unsigned int server;
 	unsigned int events; /* that were sent */
+	int64_t first_event_ms;
 	/* When event `n` was sent, at n % INCIDENT_EVENT_TIMES. */
 	int64_t event_ms[INCIDENT_EVENT_TIMES];
 	int64_t due_ms; /* when the next part of the answer was due at the end */
@@ -72,6 +79,8 @@
 /* Leaves new connections in the queues of the listening sockets. */
 void incident_servers_set_accepting(incident_servers_t *servers,
 				    gboolean is_accepting);
+/* Has the servers of service "s" turn new requests away, or take them. */
+void incident_servers_set_full(incident_servers_t *servers, gboolean is_full);
 /*
  * Has the servers of a data centre stand still, as if they were starved, or go
  * on; connections to them are still made.
@@ -122,6 +131,7 @@
 	unsigned int status; /* 0: no head of an answer came */
 	gboolean has_begun;  /* an event of it came */
 	int64_t sent_ms;
+	int64_t begun_ms; /* when that event came */
 	int64_t ended_ms;
 } incident_request_t;
 
--- a/test/platform/incident/incident_callers.c
+++ b/test/platform/incident/incident_callers.c
@@ -202,9 +202,11 @@
 	if (strstr(exchange->input->str, "\r\n\r\n"))
 		exchange->request->status =
 			support_answer_status(exchange->input->str);
-	if (!exchange->request->has_begun)
-		exchange->request->has_begun =
-			strstr(exchange->input->str, "data: ") != NULL;
+	if (!exchange->request->has_begun &&
+	    strstr(exchange->input->str, "data: ")) {
+		exchange->request->has_begun = TRUE;
+		exchange->request->begun_ms = exchange->heard_ms;
+	}
 	if (answer_has_ended_(exchange->input))
 		answer_end_(exchange);
 }
--- a/test/platform/incident/incident_servers.c
+++ b/test/platform/incident/incident_servers.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <glib-unix.h>
+#include <math.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -21,6 +22,10 @@
 #define CALL_MS 20
 #define FIRST_EVENT_MS 50
 #define ENGINE_FIRST_EVENT_MS 150
+/* Lengths of random pauses: a Pareto distribution, up to a limit. */
+#define PAUSE_MIN_MS 150
+#define PAUSE_MAX_MS 1200
+#define PAUSE_EXPONENT 1.5
 #define HEARTBEAT_THREADS 4
 #define HEARTBEAT_TIMEOUT_MS 1000
 
@@ -47,6 +52,9 @@
 	int64_t loaded_ms; /* when it holds those; 0: no order in progress */
 	uint64_t accepted_orders;
 	uint64_t fence;
+	/* The random pause in progress, or the next one. */
+	int64_t pause_begin_ms;
+	int64_t pause_end_ms;
 } server_t;
 
 /* A connection of an entry or control instance, and what runs on it. */
@@ -58,6 +66,8 @@
 	incident_run_t *run; /* NULL: idle */
 	unsigned int next_event;
 	int64_t due_ms; /* when the next part of the answer is sent */
+	/* When the instance's end was seen, though not read; 0: it was not. */
+	int64_t closed_ms;
 };
 
 struct incident_servers {
@@ -70,6 +80,8 @@
 	gboolean has_served; /* loads take their whole time */
 	int is_listening;    /* atomic */
 	int is_accepting;    /* atomic */
+	int is_full;	     /* atomic */
+	GRand *random;	     /* for the loop's thread only */
 	/* By data centre; atomic. */
 	int is_stalled[INCIDENT_DATA_CENTRES];
 	int is_stopped; /* atomic */
@@ -324,9 +336,21 @@
 	return lacking != NULL;
 }
 
+/* Turns a request away that a full server has not run. */
+static void full_reject_(connection_t *connection)
+{
+	char *headers =
+		g_strdup_printf("X-Request-Id: %s\r\nX-Not-Executed: 1\r\n",
+				connection->run->request_id);
+
+	answer_send_(connection, "503 Service Unavailable", headers, "");
+	g_free(headers);
+}
+
 static void run_end_(connection_t *connection)
 {
-	connection->run->ended_ms = now_ms_();
+	connection->run->ended_ms =
+		connection->closed_ms ? connection->closed_ms : now_ms_();
 	connection->run->due_ms = connection->due_ms;
 	connection->run = NULL;
 }
@@ -368,6 +392,10 @@
 	    chain_reject_(connection, request)) {
 		run->is_rejected = TRUE;
 		run_end_(connection);
+	} else if (!server->is_other && g_atomic_int_get(&servers->is_full)) {
+		full_reject_(connection);
+		run->is_rejected = TRUE;
+		run_end_(connection);
 	}
 	servers->has_served |= !strstr(id, "start");
 }
@@ -497,6 +525,8 @@
 	if (connection->next_event <= setup->event_count)
 		chunk_append_(connection->output, event);
 	run->progress_ms = now_ms_();
+	if (!run->events)
+		run->first_event_ms = run->progress_ms;
 	run->event_ms[run->events++ % INCIDENT_EVENT_TIMES] = run->progress_ms;
 	connection->due_ms += setup->event_ms;
 	if (connection->next_event++ >= setup->event_count) {
@@ -528,12 +558,47 @@
 	requests_handle_(connection);
 }
 
-/* Returns whether the instance has closed a connection; it may still be unread. */
-static gboolean is_closed_(const connection_t *connection)
+/* Draws the next pause of a server; most are short, a few long. */
+static void pause_draw_(server_t *server, int64_t now_ms)
+{
+	incident_servers_t *servers = server->servers;
+	double wait = -log(1 - g_rand_double(servers->random));
+	double length =
+		pow(1 - g_rand_double(servers->random), -1 / PAUSE_EXPONENT);
+
+	server->pause_begin_ms =
+		now_ms +
+		(int64_t)(wait * (double)servers->setup.pause_interval_ms);
+	server->pause_end_ms =
+		server->pause_begin_ms +
+		(int64_t)MIN(length * PAUSE_MIN_MS, (double)PAUSE_MAX_MS);
+}
+
+static void pauses_update_(incident_servers_t *servers)
+{
+	int64_t now_ms = now_ms_();
+	unsigned int i;
+
+	for (i = 0;
+	     servers->setup.pause_interval_ms && i < servers->setup.count; i++)
+		if (now_ms >= servers->list[i].pause_end_ms)
+			pause_draw_(&servers->list[i], now_ms);
+}
+
+static gboolean is_pausing_(const server_t *server, int64_t now_ms)
+{
+	return now_ms >= server->pause_begin_ms &&
+	       now_ms < server->pause_end_ms;
+}
+
+/* Returns whether the instance has closed a connection; its end may be unread. */
+static gboolean is_closed_(connection_t *connection, int64_t now_ms)
 {
 	struct pollfd socket = { .fd = connection->fd, .events = POLLRDHUP };
 
-	return poll(&socket, 1, 0) > 0;
+	if (!connection->closed_ms && poll(&socket, 1, 0) > 0)
+		connection->closed_ms = now_ms;
+	return connection->closed_ms != 0;
 }
 
 /*
@@ -549,13 +614,18 @@
 	g_hash_table_iter_init(&iter, servers->connections);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		connection_t *connection = key;
+		gboolean is_due =
+			connection->run && now_ms >= connection->due_ms;
 
-		if (is_stalled_(connection->server))
+		/* The end of a run at a stalled server is seen in time too. */
+		if (is_due && is_closed_(connection, now_ms))
+			continue;
+		if (is_stalled_(connection->server) ||
+		    is_pausing_(connection->server, now_ms))
 			continue;
 		if (connection->output->len)
 			output_flush_(connection);
-		if (connection->run && now_ms >= connection->due_ms &&
-		    !is_closed_(connection))
+		if (is_due)
 			run_continue_(connection);
 	}
 }
@@ -668,6 +738,7 @@
 		g_mutex_lock(&servers->lock);
 		for (i = 0; i < count; i++)
 			connection_read_(events[i].data.ptr);
+		pauses_update_(servers);
 		runs_continue_(servers);
 		listeners_update_(servers);
 		g_mutex_unlock(&servers->lock);
@@ -797,6 +868,7 @@
 	servers->setup = *setup;
 	servers->control_addresses = g_strdupv((char **)control_addresses);
 	servers->is_listening = servers->is_accepting = TRUE;
+	servers->random = g_rand_new_with_seed(setup->seed);
 	servers->epoll = epoll_create1(EPOLL_CLOEXEC);
 	servers->connections =
 		g_hash_table_new_full(g_direct_hash, g_direct_equal,
@@ -828,6 +900,11 @@
 	g_atomic_int_set(&servers->is_accepting, is_accepting);
 }
 
+void incident_servers_set_full(incident_servers_t *servers, gboolean is_full)
+{
+	g_atomic_int_set(&servers->is_full, is_full);
+}
+
 void incident_servers_set_stalled(incident_servers_t *servers,
 				  unsigned int data_centre, gboolean is_stalled)
 {
@@ -878,6 +955,7 @@
 	}
 	close(servers->epoll);
 	g_ptr_array_unref(servers->runs);
+	g_rand_free(servers->random);
 	g_strfreev(servers->control_addresses);
 	g_mutex_clear(&servers->lock);
 	g_free(servers);
--- a/test/platform/incident/test_incident.c
+++ b/test/platform/incident/test_incident.c
@@ -80,6 +80,10 @@
 	int64_t stalled_ms;
 	/* Each data centre's servers begin to so much later than the last's. */
 	int64_t stagger_ms;
+	/* Servers of service "s" turn requests away for this time in a period. */
+	int64_t full_ms;
+	/* Mean time between two pauses of a server, of random length. */
+	int64_t pause_interval_ms;
 	/* All entry instances are paused at once for this time in a period. */
 	int64_t frozen_ms;
 	int64_t period_ms;
@@ -133,6 +137,30 @@
 	  .stalled_ms = 450,
 	  .stagger_ms = 120,
 	  .period_ms = 2500 },
+	{ .name = "uneven",
+	  .test_name = "uneven_pauses_of_servers_end_no_running_attempt",
+	  .is_short = TRUE,
+	  .control_count = 1,
+	  .entry_count = 6,
+	  .server_count = 24,
+	  .rate_per_s = 80,
+	  .event_count = 71,
+	  .event_ms = 45,
+	  .duration_ms = 7000,
+	  .pause_interval_ms = 1500 },
+	{ .name = "full",
+	  .test_name = "streams_go_on_at_uneven_servers_while_all_are_full",
+	  .is_short = TRUE,
+	  .control_count = 1,
+	  .entry_count = 6,
+	  .server_count = 24,
+	  .rate_per_s = 80,
+	  .event_count = 71,
+	  .event_ms = 45,
+	  .duration_ms = 7500,
+	  .full_ms = 4000,
+	  .pause_interval_ms = 1500,
+	  .period_ms = 6000 },
 	{ .name = "stalled",
 	  .test_name = "brief_stall_of_all_servers_cuts_no_stream",
 	  .control_count = 1,
@@ -186,6 +214,23 @@
 	  .duration_ms = 40000,
 	  .document_ms = 700,
 	  .changes = CHANGE_ALL & ~CHANGE_ENGINES },
+	{ .name = "uneven_documents",
+	  .test_name =
+		  "late_servers_and_entries_at_the_deployments_size_end_no_"
+		  "running_attempt",
+	  .control_count = 9,
+	  .entry_count = 26,
+	  .server_count = 102,
+	  .rate_per_s = 190,
+	  .event_count = 71,
+	  .event_ms = 45,
+	  .duration_ms = 30000,
+	  .pause_interval_ms = 3000,
+	  .document_ms = 700,
+	  .changes = CHANGE_ALL & ~CHANGE_ENGINES,
+	  .entry_loss = LOSS_PAUSE,
+	  .loss_ms = 100,
+	  .pause_ms = 250 },
 	{ .name = "dropped",
 	  .test_name = "dropped_routes_cut_no_running_stream",
 	  .control_count = 3,
@@ -712,6 +757,8 @@
 		.event_ms = row->event_ms,
 		.are_engines = row->are_engines,
 		.heartbeat_ms = HEARTBEAT_MS,
+		.pause_interval_ms = row->pause_interval_ms,
+		.seed = seed_(),
 	};
 
 	fixture->servers =
@@ -867,6 +914,9 @@
 	if (row->unaccepted_ms)
 		incident_servers_set_accepting(fixture->servers,
 					       phase_ms >= row->unaccepted_ms);
+	if (row->full_ms)
+		incident_servers_set_full(fixture->servers,
+					  phase_ms < row->full_ms);
 	for (i = 0; row->stalled_ms && i < INCIDENT_DATA_CENTRES; i++) {
 		int64_t begin_ms = i * row->stagger_ms;
 
@@ -929,6 +979,7 @@
 	}
 	incident_servers_set_listening(fixture->servers, TRUE);
 	incident_servers_set_accepting(fixture->servers, TRUE);
+	incident_servers_set_full(fixture->servers, FALSE);
 	for (i = 0; i < INCIDENT_DATA_CENTRES; i++)
 		incident_servers_set_stalled(fixture->servers, i, FALSE);
 	entries_freeze_(fixture, FALSE);
@@ -1171,10 +1222,88 @@
 	g_hash_table_unref(seen);
 }
 
-/* Checks that no instance has ended a run that made progress. */
-static void runs_check_(const fixture_t *fixture, const GPtrArray *runs)
+/* Returns the runs of each request, as arrays of incident_run_t by its ID. */
+static GHashTable *runs_group_(const GPtrArray *runs)
 {
+	GHashTable *groups =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				      (GDestroyNotify)g_ptr_array_unref);
+	unsigned int i;
+
+	for (i = 0; i < runs->len; i++) {
+		incident_run_t *run = runs->pdata[i];
+		GPtrArray *group = g_hash_table_lookup(groups, run->request_id);
+
+		if (!group) {
+			group = g_ptr_array_new();
+			g_hash_table_insert(groups, run->request_id, group);
+		}
+		g_ptr_array_add(group, run);
+	}
+	return groups;
+}
+
+/*
+ * Returns whether another run of the request had brought an event as this one
+ * ended, and went on with the answer.
+ */
+static gboolean is_taken_over_(const incident_run_t *run,
+			       const GPtrArray *group)
+{
+	unsigned int i;
+
+	for (i = 0; i < group->len; i++) {
+		const incident_run_t *other = group->pdata[i];
+
+		if (other == run || !other->events ||
+		    other->first_event_ms > run->ended_ms)
+			continue;
+		if (other->is_whole || !other->was_closed ||
+		    other->ended_ms > run->ended_ms)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Returns the requests by their IDs. */
+static GHashTable *requests_index_(const GPtrArray *requests)
+{
+	GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
+	unsigned int i;
+
+	for (i = 0; i < requests->len; i++) {
+		incident_request_t *request = requests->pdata[i];
+
+		g_hash_table_insert(index, request->id, request);
+	}
+	return index;
+}
+
+/*
+ * Returns whether the caller had an event of the answer, and still waited for the
+ * next, as a run was closed.  The test learns of both ends by its own polls.
+ */
+static gboolean is_awaited_(const incident_request_t *request,
+			    const incident_run_t *run)
+{
+	return request && request->has_begun &&
+	       request->begun_ms <= run->ended_ms &&
+	       (request->end == INCIDENT_PENDING ||
+		request->ended_ms > run->ended_ms + INCIDENT_LATE_MS);
+}
+
+/*
+ * Checks that instances end no run that makes progress, and none of an answer that
+ * has begun, unless another run goes on with it.
+ */
+static void runs_check_(const fixture_t *fixture, const GPtrArray *requests,
+			const GPtrArray *runs)
+{
+	GHashTable *groups = runs_group_(runs);
+	GHashTable *index = requests_index_(requests);
+	unsigned int taken_over = 0;
 	unsigned int abandoned = 0;
+	unsigned int given_up = 0;
 	unsigned int brief = 0;
 	unsigned int unbegun = 0;
 	unsigned int rejected = 0;
@@ -1182,27 +1311,41 @@
 
 	for (i = 0; i < runs->len; i++) {
 		const incident_run_t *run = runs->pdata[i];
-		gboolean is_recent =
-			run->ended_ms - run->progress_ms <= PROGRESS_MAX_MS;
+		int64_t silent_ms = run->ended_ms - run->progress_ms;
 
 		rejected += run->is_rejected;
 		if (!run->was_closed || !strcmp(run->request_id, "start"))
 			continue;
-		abandoned += run->has_begun && is_recent;
-		brief += run->has_begun &&
-			 run->ended_ms - run->progress_ms <= BRIEF_MAX_MS;
 		unbegun += !run->has_begun;
+		if (!run->has_begun)
+			continue;
+		if (is_taken_over_(run, g_hash_table_lookup(groups,
+							    run->request_id))) {
+			taken_over++;
+			continue;
+		}
+		abandoned += silent_ms <= PROGRESS_MAX_MS;
+		brief += silent_ms <= BRIEF_MAX_MS;
+		given_up +=
+			is_awaited_(g_hash_table_lookup(index, run->request_id),
+				    run);
 	}
 	printf("    %u arrivals, %u rejected; closed by an instance: %u within "
 	       "%d ms after an event, %u within %d ms, %u before their first "
-	       "event; connections "
-	       "reset by servers %u; orders to engines %u, reroutes %u\n",
+	       "event, %u taken over by another run, %u of a caller who still "
+	       "waited; connections reset by servers %u; orders to engines %u, "
+	       "reroutes %u\n",
 	       runs->len, rejected, abandoned, PROGRESS_MAX_MS, brief,
-	       BRIEF_MAX_MS, unbegun, incident_servers_excess(fixture->servers),
+	       BRIEF_MAX_MS, unbegun, taken_over, given_up,
+	       incident_servers_excess(fixture->servers),
 	       incident_servers_orders(fixture->servers),
 	       incident_servers_reroutes(fixture->servers));
-	if (fixture->row->entry_loss != LOSS_KILL)
-		CU_ASSERT_EQUAL(abandoned, 0);
+	g_hash_table_unref(index);
+	g_hash_table_unref(groups);
+	if (fixture->row->entry_loss == LOSS_KILL)
+		return;
+	CU_ASSERT_EQUAL(abandoned, 0);
+	CU_ASSERT_EQUAL(given_up, 0);
 }
 
 /*
@@ -1292,7 +1435,7 @@
 	       (int)lag.worst_ms);
 	processes_check_(&fixture);
 	answers_check_(&fixture, requests);
-	runs_check_(&fixture, runs);
+	runs_check_(&fixture, requests, runs);
 	repeats_check_(&fixture, requests, runs);
 	logs_print_(&fixture);
 	if (g_getenv("CB_KEEP"))
