--- a/test/platform/incident/incident_servers.c
+++ b/test/platform/incident/incident_servers.c
@@ -592,12 +592,12 @@
 }
 
 /* Returns whether the instance has closed a connection; its end may be unread. */
-static gboolean is_closed_(connection_t *connection, int64_t now_ms)
+static gboolean is_closed_(connection_t *connection)
 {
 	struct pollfd socket = { .fd = connection->fd, .events = POLLRDHUP };
 
 	if (!connection->closed_ms && poll(&socket, 1, 0) > 0)
-		connection->closed_ms = now_ms;
+		connection->closed_ms = now_ms_();
 	return connection->closed_ms != 0;
 }
 
@@ -618,7 +618,7 @@
 			connection->run && now_ms >= connection->due_ms;
 
 		/* The end of a run at a stalled server is seen in time too. */
-		if (is_due && is_closed_(connection, now_ms))
+		if (is_due && is_closed_(connection))
 			continue;
 		if (is_stalled_(connection->server) ||
 		    is_pausing_(connection->server, now_ms))
--- a/test/platform/incident/test_incident.c
+++ b/test/platform/incident/test_incident.c
@@ -1358,7 +1358,7 @@
 	int64_t wall_ms = g_get_real_time() / 1000 - now_ms_();
 	GString *text = g_string_new(
 		"record\tid\tkind\tserver\tbegun\tend\tbegin_ms\tend_ms\t"
-		"due_ms\tevents\tlast_event_times_ms\n");
+		"due_ms\tevents\tfirst_event_ms\tlast_event_times_ms\n");
 	char *path = g_strdup_printf("%s/records.tsv", fixture->group->folder);
 	unsigned int i;
 
@@ -1368,7 +1368,7 @@
 		g_string_append_printf(
 			text,
 			"request\t%s\t%d\t\t%d\t%d\t%" G_GINT64_FORMAT
-			"\t%" G_GINT64_FORMAT "\t\t\t\n",
+			"\t%" G_GINT64_FORMAT "\t\t\t\t\n",
 			request->id, (int)request->kind, request->has_begun,
 			(int)request->end, wall_ms + request->sent_ms,
 			wall_ms + request->ended_ms);
@@ -1380,7 +1380,8 @@
 		g_string_append_printf(
 			text,
 			"run\t%s\t%d\t127.0.1.%u\t%d\t%s\t%" G_GINT64_FORMAT
-			"\t%" G_GINT64_FORMAT "\t%" G_GINT64_FORMAT "\t%u\t",
+			"\t%" G_GINT64_FORMAT "\t%" G_GINT64_FORMAT
+			"\t%u\t%" G_GINT64_FORMAT "\t",
 			run->request_id, run->is_stream, run->server + 1,
 			run->has_begun,
 			run->was_closed	 ? "closed" :
@@ -1388,7 +1389,8 @@
 			run->is_whole	 ? "whole" :
 					   "open",
 			wall_ms + run->arrived_ms, wall_ms + run->ended_ms,
-			wall_ms + run->due_ms, run->events);
+			wall_ms + run->due_ms, run->events,
+			run->events ? wall_ms + run->first_event_ms : 0);
 		for (event = run->events > INCIDENT_EVENT_TIMES ?
 				     run->events - INCIDENT_EVENT_TIMES :
 				     0;
