A silent attempt stays open until another one has brought an event

Callers of a begun stream got a reset though its server would have gone on: a silence of 60 to 100 percent of the allowed pause closed the connection of the running attempt, and only then was a server sought, a retry drawn, and a connection made. Where any of that failed, or the second server was late as well, nothing was left.

Cause: leaving an attempt ended it.

Change: an attempt that is left stays open as a standby one. Whichever of the attempts brings the next event becomes the only one; the others are cancelled then, as before. If no other attempt can be made, or the last one has failed, the stream goes back to the one that was left, until its time is over. The runs that a request may use, and the retries, count as before. An engine that is shown to have ended is left at once, as before.

--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -82,6 +82,10 @@
 /* Returns the ID of the call's connection, which no other one of the client has. */
 uint64_t cb_http1_call_connection_id(const cb_http1_call_t *call);
 void cb_http1_call_cancel(cb_http1_call_t *call);
+/* Has later callbacks go to another handler, which must outlive the call. */
+void cb_http1_call_set_handler(cb_http1_call_t *call,
+			       const cb_http1_call_handler_t *handler,
+			       void *user_data);
 /*
  * Pauses or resumes reading the answer; a paused call still ends when its server
  * closes the connection.
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -567,6 +567,15 @@
 	return call->connection->id;
 }
 
+/* Replaces the handler and its data; may be called by one of its callbacks. */
+void cb_http1_call_set_handler(cb_http1_call_t *call,
+			       const cb_http1_call_handler_t *handler,
+			       void *user_data)
+{
+	call->handler = handler;
+	call->user_data = user_data;
+}
+
 /* Pauses or resumes reading the answer of a call that was sent. */
 void cb_http1_call_set_paused(cb_http1_call_t *call, gboolean is_paused)
 {
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -45,9 +45,15 @@
 	int64_t wait_since_ms;
 	cb_timer_t *deadline_timer;
 	cb_timer_t *silence_timer; /* limits the wait for an event or answer */
-	/* The attempts, of which one may be in flight. */
+	/*
+	 * The attempts: one may be in flight, and others that were left may go on
+	 * (private/relay_standby.h).
+	 */
 	cb_http1_call_t *call; /* the call in flight, or NULL */
-	GArray *hops;	       /* chain of the attempt: cb_relay_hop_t */
+	GPtrArray *standbys;   /* NULL: no attempt was left */
+	/* The standby attempt that is handled in place of the one in flight. */
+	struct cb_relay_standby *standby_in_use;
+	GArray *hops; /* chain of the attempt: cb_relay_hop_t */
 	/* Tokens that the request will use, from cb_relay_estimate_tokens(). */
 	double expected_tokens;
 	/* IDs of the servers where the request failed. */
@@ -155,6 +161,8 @@
 int64_t cb_relay_silent_ms(const cb_relay_t *relay);
 /* Returns whether the attempt in flight has input that was not read yet. */
 gboolean cb_relay_has_input(const cb_relay_t *relay);
+/* Stops the timer and the calls that watch over the attempt in flight. */
+void cb_relay_stop_watching(cb_relay_t *relay);
 /* Cancels the attempt in flight, if any, also at its server. */
 void cb_relay_cancel_attempt(cb_relay_t *relay);
 /* Logs and counts how the request ends, while its exchange still exists. */
@@ -166,6 +174,12 @@
  * Ends the request with an error that reports whether it ran, or aborts the
  * answer if that has begun, and frees the request.
  */
+void cb_relay_break_off(cb_relay_t *relay, const char *reason,
+			int64_t retry_after_ms);
+/*
+ * Makes no other attempt, for `reason`: goes back to one that was left and may go
+ * on, or breaks the request off.
+ */
 void cb_relay_give_up(cb_relay_t *relay, const char *reason,
 		      int64_t retry_after_ms);
 
@@ -183,6 +197,18 @@
 /* Begins the handling of an answer that will be forwarded, by its head. */
 void cb_relay_answer_begin_store(cb_relay_t *relay,
 				 const cb_http1_head_t *head);
+/* Handlers of calls to a server, and to another instance; with the relay. */
+extern const cb_http1_call_handler_t cb_relay_server_handler;
+extern const cb_http1_call_handler_t cb_relay_forward_handler;
+/* Forwards the complete events of a part of a stream to the caller. */
+void cb_relay_events_receive(cb_relay_t *relay, const uint8_t *data,
+			     size_t size);
+/* Whether a stream that has ended by its HTTP framing is whole. */
+gboolean cb_relay_stream_is_whole(const cb_relay_t *relay);
+/* Records what a failed attempt shows of the server that it was sent to. */
+void cb_relay_server_result_record(cb_relay_t *relay, const char *result,
+				   gboolean has_run,
+				   const char *failed_address);
 /* Callbacks of the call in flight. */
 void cb_relay_answer_data_receive(void *user_data, const uint8_t *data,
 				  size_t size);
@@ -191,6 +217,13 @@
 void cb_relay_attempt_send(cb_relay_t *relay);
 void cb_relay_attempt_failed(cb_relay_t *relay, const char *result,
 			     gboolean has_run, const char *failed_address);
+/*
+ * Starts another attempt since the one in flight is silent, which may be due to the
+ * server at `silent_address` (NULL: the first hop).  A stream's attempt stays open
+ * until another one has brought an event.
+ */
+void cb_relay_attempt_leave(cb_relay_t *relay, const char *result,
+			    const char *silent_address);
 /*
  * Whether another attempt may follow, after `more_runs` further runs and with
  * at least `min_time_ms` left.
--- a/src/libcurrantbridge/include/private/relay_forward.h
+++ b/src/libcurrantbridge/include/private/relay_forward.h
@@ -51,8 +51,11 @@
  * is no instance for it.
  */
 gboolean cb_relay_forward_send(struct cb_relay *relay, cb_reach_state_t way);
-/* Ends the attempt at another instance, if one is in flight. */
-void cb_relay_forward_end(struct cb_relay *relay);
+/*
+ * Ends the attempt at the instance named in `forwarded_to`, which is freed; there is
+ * none if that is NULL.
+ */
+void cb_relay_forward_end(const struct cb_front *front, char **forwarded_to);
 /* Records that the attempt at another instance has failed. */
 void cb_relay_forward_failed(struct cb_relay *relay);
 /* Handles that nothing came from the other instance for too long. */
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -342,7 +342,7 @@
 		/* The attempt in flight may have run at its server. */
 		if (relay->call)
 			relay->run_count++;
-		cb_relay_give_up(relay, "stopping", CB_RELAY_RETRY_AFTER_MS);
+		cb_relay_break_off(relay, "stopping", CB_RELAY_RETRY_AFTER_MS);
 	}
 	g_list_free(relays);
 }
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -5,6 +5,7 @@
 #include "private/relay_memory.h"
 #include "private/relay_reach.h"
 #include "private/relay_room.h"
+#include "private/relay_standby.h"
 
 /* Retry-After of requests refused for lack of a server or during a stop. */
 #define NO_SERVER_RETRY_AFTER_MS 1000
@@ -75,8 +76,8 @@
 		       1);
 }
 
-/* Cancels the attempt in flight, if any, also at its server. */
-void cb_relay_cancel_attempt(cb_relay_t *relay)
+/* Stops the silence timer, and cancels a pending report call and reroute. */
+void cb_relay_stop_watching(cb_relay_t *relay)
 {
 	cb_timer_stop(relay->silence_timer);
 	if (relay->is_report_pending)
@@ -86,26 +87,33 @@
 						     relay);
 	relay->is_report_pending = FALSE;
 	relay->is_reroute_pending = FALSE;
+	cb_relay_clear_former_hops(relay);
+}
+
+/* Cancels the attempt in flight, if any, also at its server. */
+void cb_relay_cancel_attempt(cb_relay_t *relay)
+{
+	cb_relay_stop_watching(relay);
 	if (relay->call)
 		cb_http1_call_cancel(g_steal_pointer(&relay->call));
-	cb_relay_forward_end(relay);
+	cb_relay_forward_end(relay->front, &relay->forwarded_to);
 	if (relay->hops->len) {
 		cb_server_book_end_request(relay->front->book, relay->hops,
 					   relay->expected_tokens);
 		g_array_set_size(relay->hops, 0);
 	}
-	cb_relay_clear_former_hops(relay);
 	cb_event_splitter_clear(&relay->splitter);
 	g_byte_array_set_size(relay->buffered_body, 0);
 	relay->is_call_paused = FALSE;
 	cb_relay_memory_update(relay);
 }
 
-/* Cancels any attempt in flight and frees the request; sends no answer. */
+/* Cancels all attempts and frees the request; sends no answer. */
 void cb_relay_delete(void *data)
 {
 	cb_relay_t *relay = data;
 
+	cb_relay_standby_clear(relay);
 	cb_relay_cancel_attempt(relay);
 	if (relay->is_waiting)
 		g_queue_remove(&relay->front->waiting, relay);
@@ -295,8 +303,8 @@
  * answer has a Retry-After only if the request did not run; an answer that has
  * begun is aborted.
  */
-void cb_relay_give_up(cb_relay_t *relay, const char *reason,
-		      int64_t retry_after_ms)
+void cb_relay_break_off(cb_relay_t *relay, const char *reason,
+			int64_t retry_after_ms)
 {
 	gboolean has_run = relay->run_count > 0;
 	uint32_t status = has_run ? 502 : 503;
@@ -313,6 +321,14 @@
 	cb_relay_free(relay);
 }
 
+void cb_relay_give_up(cb_relay_t *relay, const char *reason,
+		      int64_t retry_after_ms)
+{
+	if (cb_relay_now_ms(relay) >= relay->deadline_ms ||
+	    !cb_relay_standby_resume(relay, reason))
+		cb_relay_break_off(relay, reason, retry_after_ms);
+}
+
 static void deadline_timer_fired_(void *user_data)
 {
 	cb_relay_t *relay = user_data;
@@ -320,7 +336,7 @@
 	/* The attempt in flight may have run at its server. */
 	if (relay->call)
 		relay->run_count++;
-	cb_relay_give_up(relay, "deadline", CB_RELAY_RETRY_AFTER_MS);
+	cb_relay_break_off(relay, "deadline", CB_RELAY_RETRY_AFTER_MS);
 }
 
 /*
@@ -377,6 +393,7 @@
 	    g_hash_table_size(relay->tried_servers)) {
 		/* If no other server is left, those that failed are retried. */
 		g_hash_table_remove_all(relay->tried_servers);
+		cb_relay_standby_add_servers(relay, relay->tried_servers);
 		outcome = cb_server_book_choose(book, &criteria, relay->hops);
 	}
 	return outcome;
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -4,6 +4,7 @@
 
 #include "private/relay_memory.h"
 #include "private/relay_reach.h"
+#include "private/relay_standby.h"
 
 /*
  * A pooled connection that was idle for longer is not used, since the server
@@ -163,8 +164,8 @@
  * Records what a failed attempt shows of the server that it was sent to: nothing,
  * if this process lacked the resources to send it.
  */
-static void server_result_record_(cb_relay_t *relay, const char *result,
-				  gboolean has_run, const char *failed_address)
+void cb_relay_server_result_record(cb_relay_t *relay, const char *result,
+				   gboolean has_run, const char *failed_address)
 {
 	if (!strcmp(result, cb_http1_result_string[CB_HTTP1_NO_RESOURCES]))
 		return;
@@ -193,12 +194,14 @@
 }
 
 /*
- * Records that an attempt failed, and starts the next one or gives up.
+ * Records that an attempt failed or is left, and starts the next one or gives up.
  * `has_run` is whether the attempt ran or may have run; `failed_address` is the
- * server that caused the failure, NULL: the first hop.
+ * server that caused the failure, NULL: the first hop.  `stays_open`: the attempt
+ * may still go on.
  */
-void cb_relay_attempt_failed(cb_relay_t *relay, const char *result,
-			     gboolean has_run, const char *failed_address)
+static void next_attempt_start_(cb_relay_t *relay, const char *result,
+				gboolean has_run, const char *failed_address,
+				gboolean stays_open)
 {
 	const cb_relay_hop_t *first = cb_relay_find_hop(relay, NULL);
 	char *hops_text = cb_relay_format_hops(relay);
@@ -249,9 +252,13 @@
 		if (strcmp(result, CB_RELAY_MEMORY) != 0)
 			cb_relay_forward_failed(relay);
 	} else {
-		server_result_record_(relay, result, has_run, failed_address);
+		cb_relay_server_result_record(relay, result, has_run,
+					      failed_address);
 	}
-	cb_relay_cancel_attempt(relay);
+	if (stays_open)
+		cb_relay_standby_add(relay);
+	else
+		cb_relay_cancel_attempt(relay);
 	if (!cb_relay_may_retry(relay, 0, SEND_TIME_LEFT_MIN_MS)) {
 		cb_relay_give_up(relay, result, CB_RELAY_RETRY_AFTER_MS);
 		return;
@@ -269,6 +276,19 @@
 	cb_relay_attempt_start(relay);
 }
 
+void cb_relay_attempt_failed(cb_relay_t *relay, const char *result,
+			     gboolean has_run, const char *failed_address)
+{
+	next_attempt_start_(relay, result, has_run, failed_address, FALSE);
+}
+
+void cb_relay_attempt_leave(cb_relay_t *relay, const char *result,
+			    const char *silent_address)
+{
+	next_attempt_start_(relay, result, TRUE, silent_address,
+			    relay->route->kind == CB_ROUTE_STREAM);
+}
+
 /* Stores the headers of a server's answer that are sent to the caller. */
 static void answer_headers_store_(cb_relay_t *relay,
 				  const cb_http1_head_t *head)
@@ -473,6 +493,7 @@
 		cb_relay_start_silence_timer(relay);
 		return;
 	}
+	cb_relay_standby_settle(relay);
 	answer_begin_(relay);
 	relay->reroute_count = 0;
 	if (id >= 0)
@@ -489,6 +510,15 @@
 	cb_http1_exchange_write(relay->exchange, data, size);
 }
 
+void cb_relay_events_receive(cb_relay_t *relay, const uint8_t *data,
+			     size_t size)
+{
+	way_hear_(relay);
+	cb_event_splitter_add(&relay->splitter, data, size, event_forward_,
+			      relay);
+	cb_relay_memory_update(relay);
+}
+
 /* Breaks off an answer that is too large to be one to the request. */
 static void oversize_answer_break_off_(cb_relay_t *relay)
 {
@@ -498,12 +528,16 @@
 				TRUE, NULL);
 }
 
-/* Returns whether a server's error is followed by another attempt. */
+/*
+ * Returns whether a server's error doesn't end the request: another attempt may
+ * follow, or one that was left may go on.
+ */
 static gboolean error_is_retried_(const cb_relay_t *relay)
 {
 	return relay->status >= 500 && !relay->forwarded_to &&
 	       cb_relay_is_repeatable(relay) &&
-	       relay->run_count + 1 < relay->route->max_attempts;
+	       (relay->run_count + 1 < relay->route->max_attempts ||
+		cb_relay_standby_exists(relay));
 }
 
 /* Returns whether an answer's body is not forwarded, whatever it is. */
@@ -546,14 +580,12 @@
 {
 	cb_relay_t *relay = user_data;
 
-	way_hear_(relay);
 	if (!relay->is_event_stream) {
+		way_hear_(relay);
 		body_buffer_(relay, data, size);
 		return;
 	}
-	cb_event_splitter_add(&relay->splitter, data, size, event_forward_,
-			      relay);
-	cb_relay_memory_update(relay);
+	cb_relay_events_receive(relay, data, size);
 	cb_relay_memory_check_caller(relay);
 	if (relay->splitter.partial->len > EVENT_MAX_BYTES)
 		oversize_answer_break_off_(relay);
@@ -564,7 +596,7 @@
  * that ends inside an event was broken off, and so was one without an event
  * whose end is only that of its connection.
  */
-static gboolean stream_is_whole_(const cb_relay_t *relay)
+gboolean cb_relay_stream_is_whole(const cb_relay_t *relay)
 {
 	if (cb_event_splitter_is_inside_event(&relay->splitter))
 		return FALSE;
@@ -581,7 +613,7 @@
 	cb_http1_exchange_t *exchange = relay->exchange;
 	const GString *partial = relay->splitter.partial;
 
-	if (!stream_is_whole_(relay)) {
+	if (!cb_relay_stream_is_whole(relay)) {
 		cb_relay_attempt_failed(
 			relay, cb_http1_result_string[CB_HTTP1_TRUNCATED], TRUE,
 			NULL);
@@ -676,7 +708,7 @@
 		answer_complete_(relay);
 }
 
-static const cb_http1_call_handler_t call_handler = {
+const cb_http1_call_handler_t cb_relay_server_handler = {
 	.head = answer_head_receive_,
 	.data = cb_relay_answer_data_receive,
 	.done = cb_relay_call_end_handle,
@@ -770,7 +802,7 @@
 		cb_http1_client_call(front->client, first->address,
 				     head->method, request,
 				     cb_relay_connection_idle_max_ms(relay),
-				     relay->used_connections, &call_handler,
-				     relay);
+				     relay->used_connections,
+				     &cb_relay_server_handler, relay);
 	cb_relay_record_connection(relay);
 }
--- a/src/libcurrantbridge/relay/relay_forward.c
+++ b/src/libcurrantbridge/relay/relay_forward.c
@@ -241,7 +241,7 @@
 	return TRUE;
 }
 
-static const cb_http1_call_handler_t call_handler = {
+const cb_http1_call_handler_t cb_relay_forward_handler = {
 	.head = answer_head_receive_,
 	.data = cb_relay_answer_data_receive,
 	.done = cb_relay_call_end_handle,
@@ -285,8 +285,8 @@
 		cb_http1_client_call(front->client, address, head->method,
 				     request,
 				     cb_relay_connection_idle_max_ms(relay),
-				     relay->used_connections, &call_handler,
-				     relay);
+				     relay->used_connections,
+				     &cb_relay_forward_handler, relay);
 	cb_relay_record_connection(relay);
 	g_free(lines);
 	g_free(address);
@@ -362,13 +362,13 @@
 	return TRUE;
 }
 
-/* Takes the request off the other instance's record. */
-void cb_relay_forward_end(cb_relay_t *relay)
+/* Takes a request off the record of the instance in `forwarded_to`, unless NULL. */
+void cb_relay_forward_end(const cb_front_t *front, char **forwarded_to)
 {
-	if (!relay->forwarded_to)
+	if (!*forwarded_to)
 		return;
-	peer_get_(relay->front, relay->forwarded_to)->running--;
-	g_clear_pointer(&relay->forwarded_to, g_free);
+	peer_get_(front, *forwarded_to)->running--;
+	g_clear_pointer(forwarded_to, g_free);
 }
 
 /* Leaves out an instance for a while that has failed, or has no way itself. */
@@ -391,7 +391,7 @@
 {
 	if (cb_relay_is_resumable(relay) && cb_relay_may_retry(relay, 1, 0) &&
 	    cb_relay_forward_is_possible(relay))
-		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE, NULL);
+		cb_relay_attempt_leave(relay, CB_RELAY_SILENT, NULL);
 	else
 		cb_relay_start_silence_timer(relay);
 }
--- a/src/libcurrantbridge/relay/relay_memory.c
+++ b/src/libcurrantbridge/relay/relay_memory.c
@@ -1,5 +1,7 @@
 #include "private/relay_memory.h"
 
+#include "private/relay_standby.h"
+
 /* What a request occupies beside its buffers. */
 #define REQUEST_BYTES 4096
 /* While memory is tight, at most this much is kept until an answer is complete. */
@@ -42,7 +44,7 @@
 	const cb_relay_t *relay = user_data;
 
 	return relay->own_account.bytes + relay->answer_account.bytes +
-	       relay->event_account.bytes +
+	       relay->event_account.bytes + cb_relay_standby_call_bytes(relay) +
 	       (relay->call ? cb_http1_call_kept_bytes(relay->call) : 0);
 }
 
@@ -63,7 +65,7 @@
 		return;
 	}
 	relay->run_count += may_have_run;
-	cb_relay_give_up(relay, CB_RELAY_MEMORY, CB_RELAY_RETRY_AFTER_MS);
+	cb_relay_break_off(relay, CB_RELAY_MEMORY, CB_RELAY_RETRY_AFTER_MS);
 }
 
 static const cb_http1_keeper_t keeper = {
@@ -88,13 +90,16 @@
 	cb_memory_account_set(&relay->event_account, 0);
 }
 
-/* Counts what is kept of the answer: its body, or an event that is incomplete. */
+/* Counts what is kept of the answer: its body, and incomplete events. */
 void cb_relay_memory_update(cb_relay_t *relay)
 {
+	size_t event_bytes = cb_relay_standby_event_bytes(relay);
+
 	cb_memory_account_array(&relay->answer_account, &relay->buffered_body);
 	if (relay->splitter.partial)
-		cb_memory_account_grow(&relay->event_account,
-				       relay->splitter.partial->len);
+		event_bytes += relay->splitter.partial->len;
+	if (event_bytes)
+		cb_memory_account_grow(&relay->event_account, event_bytes);
 	else
 		cb_memory_account_set(&relay->event_account, 0);
 }
--- a/src/libcurrantbridge/relay/relay_reach.c
+++ b/src/libcurrantbridge/relay/relay_reach.c
@@ -116,7 +116,7 @@
 	    !cb_relay_may_retry(relay, 1, 0) ||
 	    !cb_relay_forward_is_possible(relay))
 		return FALSE;
-	cb_relay_attempt_failed(relay, CB_RELAY_CUT_OFF, TRUE, NULL);
+	cb_relay_attempt_leave(relay, CB_RELAY_CUT_OFF, NULL);
 	return TRUE;
 }
 
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -262,8 +262,12 @@
 	case CB_SILENCE_FAIL:
 		relay->awaited = cb_silence_sign_string[sign];
 		relay->has_left_silent |= !silence.has_ended;
-		cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE,
-					lost_address);
+		if (silence.has_ended)
+			cb_relay_attempt_failed(relay, CB_RELAY_SILENT, TRUE,
+						lost_address);
+		else
+			cb_relay_attempt_leave(relay, CB_RELAY_SILENT,
+					       lost_address);
 		break;
 	case CB_SILENCE_WAIT:
 		if (silence.is_in_progress)
--- /dev/null
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -0,0 +1,250 @@
+#include "support_main.h"
+
+#include <string.h>
+
+#include "support_relay.h"
+
+/*
+ * Tests streams that are resumed at another server while the first one may still
+ * go on, over real sockets and with a paused clock.
+ */
+#define PATIENT_STREAM_REQUEST                                                   \
+	"POST /stream/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 6000\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define PATIENT_ENGINE_REQUEST                                                   \
+	"POST /engine/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\nLeft: 6000\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define OTHER_HEAD                                \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: y\r\n" \
+	"Transfer-Encoding: chunked\r\n\r\n"
+#define REJECTION                                   \
+	"HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define SERVER_ERROR \
+	"HTTP/1.1 500 X\r\nId: 7\r\nSeal: y\r\nContent-Length: 0\r\n\r\n"
+/* A silent stream is resumed elsewhere within this time. */
+#define LEAVE_MS 400
+/* The first server goes on after this time; callers wait for 2 s. */
+#define SILENCE_MS 1700
+/* Enough for all sends of a request. */
+#define SCRIPTS 24
+
+typedef enum winner {
+	WINNER_FIRST,
+	WINNER_SECOND,
+	WINNER_NONE,
+} winner_t;
+
+typedef struct standby_case {
+	const char *description; /* printed if the case fails */
+	const char *request;
+	gboolean are_engines;
+	gboolean
+		has_first_event; /* the caller has it as the server falls silent */
+	relay_script_t second; /* of all sends after the first one */
+	winner_t winner;
+	/* What the first server sends at last; NULL: its connection is reset. */
+	const char *first_rest;
+	const char *expected_body; /* NULL: the answer is broken off */
+	const char *expected_seal;
+} standby_case_t;
+
+#define WHOLE_BODY EVENT_1 EVENT_2
+#define FIRST_REST "f\r\n" EVENT_1 "\r\n" LAST_EVENT
+#define FIRST_ANSWER STREAM_HEAD FIRST_REST
+
+static const standby_case_t standby_cases[] = {
+	{ "second server says nothing",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  TRUE,
+	  { "", END_HOLD },
+	  WINNER_FIRST,
+	  LAST_EVENT,
+	  WHOLE_BODY,
+	  "x" },
+	{ "second server says nothing, before any event",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  FALSE,
+	  { "", END_HOLD },
+	  WINNER_FIRST,
+	  FIRST_ANSWER,
+	  WHOLE_BODY,
+	  "x" },
+	{ "second server has only a head, before any event",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  FALSE,
+	  { OTHER_HEAD, END_HOLD },
+	  WINNER_FIRST,
+	  FIRST_ANSWER,
+	  WHOLE_BODY,
+	  "x" },
+	{ "second server has a part of an event",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  TRUE,
+	  { OTHER_HEAD "6\r\nid: 2\n\r\n", END_HOLD },
+	  WINNER_FIRST,
+	  LAST_EVENT,
+	  WHOLE_BODY,
+	  "x" },
+	{ "other servers reset",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  TRUE,
+	  { "", END_RESET },
+	  WINNER_FIRST,
+	  LAST_EVENT,
+	  WHOLE_BODY,
+	  "x" },
+	{ "other servers close",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  TRUE,
+	  { "", END_CLOSE },
+	  WINNER_FIRST,
+	  LAST_EVENT,
+	  WHOLE_BODY,
+	  "x" },
+	{ "other servers fail",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  TRUE,
+	  { SERVER_ERROR, END_KEEP },
+	  WINNER_FIRST,
+	  LAST_EVENT,
+	  WHOLE_BODY,
+	  "x" },
+	{ "other servers fail, before any event",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  FALSE,
+	  { SERVER_ERROR, END_KEEP },
+	  WINNER_FIRST,
+	  FIRST_ANSWER,
+	  WHOLE_BODY,
+	  "x" },
+	{ "other servers reject",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  TRUE,
+	  { REJECTION, END_KEEP },
+	  WINNER_FIRST,
+	  LAST_EVENT,
+	  WHOLE_BODY,
+	  "x" },
+	{ "first stream ends without another event",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  TRUE,
+	  { "", END_HOLD },
+	  WINNER_FIRST,
+	  "0\r\n\r\n",
+	  EVENT_1,
+	  "x" },
+	{ "second server goes on",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  TRUE,
+	  { OTHER_HEAD LAST_EVENT, END_KEEP },
+	  WINNER_SECOND,
+	  LAST_EVENT,
+	  WHOLE_BODY,
+	  "x" },
+	{ "second server goes on, before any event",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  FALSE,
+	  { OTHER_HEAD FIRST_REST, END_KEEP },
+	  WINNER_SECOND,
+	  FIRST_ANSWER,
+	  WHOLE_BODY,
+	  "y" },
+	{ "first server resets, others fail",
+	  PATIENT_STREAM_REQUEST,
+	  FALSE,
+	  TRUE,
+	  { SERVER_ERROR, END_KEEP },
+	  WINNER_NONE,
+	  NULL,
+	  NULL,
+	  NULL },
+};
+
+/* Plays a case; FALSE: it did not go as expected. */
+static gboolean standby_case_run_(const standby_case_t *c)
+{
+	relay_script_t scripts[SCRIPTS] = {
+		{ c->has_first_event ? FIRST_EVENT : "", END_HOLD },
+	};
+	GString *body = g_string_new(NULL);
+	char *seal = g_strdup_printf("Seal: %s", c->expected_seal);
+	relay_fixture_t fixture;
+	gboolean is_as_expected;
+	gboolean is_complete;
+	gboolean was_open = TRUE;
+	uint32_t status = 0;
+	size_t i;
+
+	for (i = 1; i < G_N_ELEMENTS(scripts); i++)
+		scripts[i] = c->second;
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, c->request);
+	CU_ASSERT_TRUE_FATAL(
+		support_relay_run_until(&fixture, 1,
+					c->has_first_event ? EVENT_1 : NULL));
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	if (c->winner != WINNER_SECOND) {
+		support_relay_pass_time(&fixture, SILENCE_MS - LEAVE_MS);
+		was_open = !fixture.caller_ended;
+		if (!c->first_rest)
+			support_relay_server_reset(&fixture, 0);
+		else if (was_open)
+			support_relay_answer_continue(&fixture, 0,
+						      c->first_rest);
+	}
+	is_complete = support_relay_answer_await(&fixture, &status, body);
+	is_as_expected =
+		was_open && fixture.requests->len > 1 &&
+		is_complete == (c->expected_body != NULL) &&
+		(!is_complete ||
+		 (status == 200 && !strcmp(body->str, c->expected_body) &&
+		  strstr(fixture.answer->str, seal)));
+	if (!is_as_expected)
+		printf("    %s: %u sends, first %s, status %u, %s, %s\n",
+		       c->description, fixture.requests->len,
+		       was_open ? "kept" : "left", status,
+		       is_complete ? "complete" : "not complete", body->str);
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+	g_free(seal);
+	return is_as_expected;
+}
+
+/* A run that may go on is given up only for one that has brought an event. */
+static void running_stream_is_not_given_up_before_another_goes_on(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(standby_cases); i++)
+		CU_ASSERT_TRUE(standby_case_run_(&standby_cases[i]));
+}
+
+static CU_TestInfo relay_standby_tests[] = {
+	{ "running_stream_is_not_given_up_before_another_goes_on",
+	  running_stream_is_not_given_up_before_another_goes_on },
+	CU_TEST_INFO_NULL
+};
+
+int main(void)
+{
+	CU_SuiteInfo suites[] = { { .pName = "relay_standby",
+				    .pTests = relay_standby_tests },
+				  CU_SUITE_INFO_NULL };
+
+	return support_run(suites);
+}
