Late checks beside open connections that pass data lose no way

Cause: three checks over new connections that are not answered within 150 ms made a way silent, though the connections were made and open ones to the same data centre passed data. Servers that are late were taken for a lost way.

Change: after such a check the way stays open, if data has come 100 ms or more after the check began; what came before may have been under way.

Three new rows of test_reach; two of them failed before. All rows of test_cuts pass.

--- a/src/libcurrantbridge/relay/reach.c
+++ b/src/libcurrantbridge/relay/reach.c
@@ -231,10 +231,14 @@
 {
 	int64_t now_ms = cb_clock_now_ms(group->reach->clock);
 
-	if (group->state != CB_REACH_CHECKING &&
-	    group->heard_ms - group->since_ms >= LIVES_ON_MS &&
-	    now_ms - group->heard_ms < LIVES_ON_SILENCE_MS)
-		return CB_REACH_NEW_LOST;
+	if (group->heard_ms - group->since_ms >= LIVES_ON_MS &&
+	    now_ms - group->heard_ms < LIVES_ON_SILENCE_MS) {
+		if (group->state != CB_REACH_CHECKING)
+			return CB_REACH_NEW_LOST;
+		/* Connections are made and open ones live: servers are late. */
+		if (group->results[CB_REACH_MUTE])
+			return CB_REACH_OPEN;
+	}
 	if (group->state == CB_REACH_NEW_LOST &&
 	    now_ms - group->heard_ms < LIVES_ON_SILENCE_MS)
 		return CB_REACH_NEW_LOST;
@@ -294,10 +298,10 @@
 	group->is_returning = FALSE;
 	if (group->state != CB_REACH_CHECKING || group->pending)
 		return FALSE;
+	group->checked_ms = cb_clock_now_ms(group->reach->clock);
 	if (group->checked_count)
 		return state_set_(group,
 				  lost_state_find_(group, CB_REACH_UNMADE));
-	group->checked_ms = cb_clock_now_ms(group->reach->clock);
 	return state_set_(group, CB_REACH_OPEN);
 }
 
@@ -317,6 +321,8 @@
 	if (group->state == CB_REACH_OPEN ||
 	    (group->state == CB_REACH_CHECKING && group->pending))
 		return FALSE;
+	if (group->state == CB_REACH_CHECKING)
+		group->checked_ms = cb_clock_now_ms(group->reach->clock);
 	return state_set_(group, lost_state_find_(group, result));
 }
 
