Callers take turns while descriptors are short

What callers saw: with 90 descriptors for each entry instance and 120 callers that send one request after the other, some got no answer at all within their route's limit, while others were served on.

Cause: when accept() finds no descriptor and no caller is idle, accepting pauses and is tried again after 50 ms. A kept connection whose caller sends its next request at once is never idle at that moment, so it is preferred for as long as it goes on, and nothing bounds the wait in the queue of the listening socket. Idle connections to servers did not give way either. Nor was anything left to connections to servers: accepted callers could take all descriptors, and then wait for one another until their deadlines.

Now - an answer that begins within 1 s of a lack of descriptors ends its connection, so that its caller queues behind those that wait; - a connection that lingers after its answer gives way as idle ones do, and without idle callers an idle connection to a server does; - after a connection to a server found no descriptor, none is accepted for 100 ms: descriptors that come free are for the requests accepted before. Meanwhile requests beyond those of half of the descriptors are refused; - connections that have waited for 200 ms, counted by the length of the queue, are accepted in place of one of two spare descriptors and refused with 503 and Retry-After, not run.

The three tests fail before: with the two new functions as stubs in the old server, kept callers never give way in 20 turns, callers that wait are not refused, and callers take all descriptors.

--- a/include/currantbridge/http1_client.h
+++ b/include/currantbridge/http1_client.h
@@ -54,6 +54,8 @@
 cb_http1_client_t *cb_http1_client_new(GMainContext *context, cb_clock_t *clock,
 				       cb_counters_t *counters);
 void cb_http1_client_delete(cb_http1_client_t *client);
+/* Closes the connection that was idle for the longest time; FALSE: none is. */
+gboolean cb_http1_client_evict_idle(cb_http1_client_t *client);
 /*
  * Sets a function that is called when the process lacks the resources for another
  * connection, though no idle one is left to be closed; it returns whether it has
--- a/include/currantbridge/http1_server.h
+++ b/include/currantbridge/http1_server.h
@@ -42,9 +42,11 @@
 
 /*
  * Called when there was no descriptor for an arriving connection, after the
- * server has closed `evicted` idle connections for it.
+ * server has closed `evicted` idle connections for it.  Returns whether it has
+ * made room itself.
  */
-typedef void (*cb_http1_exhausted_fn_t)(unsigned int evicted, void *user_data);
+typedef gboolean (*cb_http1_exhausted_fn_t)(unsigned int evicted,
+					    void *user_data);
 /* What the server asks of the owner of an exchange, for its bound on memory. */
 typedef struct cb_http1_keeper {
 	/* Called when the caller has read all of the answer so far. */
@@ -69,7 +71,10 @@
 				const cb_http1_limits_t *limits);
 void cb_http1_server_limit_batch(cb_http1_server_t *server, int max_sockets);
 void cb_http1_server_drain(cb_http1_server_t *server);
-unsigned int cb_http1_server_evict_idle(cb_http1_server_t *server);
+/* Called when the process lacks resources for a connection to a server. */
+gboolean cb_http1_server_make_room(cb_http1_server_t *server);
+/* Refuses callers for whom there is no descriptor; called before it listens. */
+void cb_http1_server_refuse_queued(cb_http1_server_t *server);
 /*
  * Counts what the server keeps in a bound, which must outlive it, and has it give
  * way; called before it listens.
--- a/src/libcurrantbridge/http1/http1_client.c
+++ b/src/libcurrantbridge/http1/http1_client.c
@@ -465,8 +465,7 @@
 	client->make_room_data = user_data;
 }
 
-/* Closes the connection that has been idle for the longest time, if there is one. */
-static gboolean idle_connection_evict_(cb_http1_client_t *client)
+gboolean cb_http1_client_evict_idle(cb_http1_client_t *client)
 {
 	connection_t *oldest = NULL;
 	GHashTableIter iter;
@@ -501,7 +500,7 @@
 					  &stream_handler, connection);
 		if (connection->stream || !cb_stream_is_exhaustion(errno))
 			return;
-		has_room = idle_connection_evict_(client) ||
+		has_room = cb_http1_client_evict_idle(client) ||
 			   (client->make_room &&
 			    client->make_room(client->make_room_data));
 	}
--- a/src/libcurrantbridge/http1/http1_server.c
+++ b/src/libcurrantbridge/http1/http1_server.c
@@ -1,7 +1,10 @@
 #include "currantbridge/http1_server.h"
 
+#include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include "private/http1_body.h"
 #include "currantbridge/http1_head.h"
@@ -30,6 +33,32 @@
 #define EVICTED_CONNECTIONS 16
 /* Without an idle connection, accepting is tried again after this time. */
 #define EXHAUSTED_PAUSE_MS 50
+/*
+ * After a connection to a server has found no descriptor, those that come free are
+ * for the requests already accepted.  They try again within a shorter time.
+ */
+#define SERVERS_FIRST_MS 100
+/*
+ * For so long after the last lack of descriptors, an answer that begins ends its
+ * connection, so that callers with kept connections take turns with new ones.
+ */
+#define TURNS_MS 1000
+/*
+ * Connections that still wait to be accepted after this time, counted at its
+ * beginning, are refused: callers learn that within half a second.
+ */
+#define QUEUED_MAX_MS 200
+/* Descriptors that are kept open to be given up for connections to refuse. */
+#define SPARE_DESCRIPTORS 2
+/*
+ * While requests wait for connections to servers, those of more callers than this
+ * part of the descriptors are refused: the rest is for such connections.
+ */
+#define CALLERS_PART 2
+/* How long connections linger at least that give way for lack of descriptors. */
+#define SHORT_LINGER_MS 50
+/* A caller that is to be refused sends the head of its request within this time. */
+#define SPARE_TIMEOUT_MS 200
 /* What a connection and its request occupy beside their buffers. */
 #define CONNECTION_BYTES 4096
 /* A body of up to this size is received as long as the bound is not reached. */
@@ -56,7 +85,9 @@
 	GByteArray *input; /* bytes received and not parsed yet */
 	cb_memory_account_t input_account; /* and of the connection itself */
 	gboolean has_unparsed_input;	   /* the timer parses `input` */
-	int64_t idle_since_ms; /* since the accept or the last answer */
+	gboolean is_on_spare; /* accepted in place of a spare descriptor */
+	/* Since the accept, the last answer or the end of sending. */
+	int64_t idle_since_ms;
 	/* The unsent bytes of a whole answer at the last check, and since when. */
 	size_t unsent_bytes;
 	int64_t unsent_since_ms;
@@ -88,12 +119,21 @@
 	cb_clock_t *clock;
 	cb_counters_t *counters;
 	cb_http1_request_fn_t request_handler;
-	/* Called when there is no descriptor for a connection; may be NULL. */
+	/* Makes room for a connection without a descriptor; may be NULL. */
 	cb_http1_exhausted_fn_t exhausted_handler;
 	void *user_data; /* passed to both handlers */
 	cb_http1_limits_t limits;
-	GPtrArray *listeners;	    /* of cb_stream_listener_t */
-	cb_timer_t *accept_timer;   /* resumes accepting */
+	GPtrArray *listeners;	  /* of cb_stream_listener_t */
+	cb_timer_t *accept_timer; /* resumes accepting */
+	gboolean refuses_queued;  /* for lack of descriptors */
+	gboolean is_refusing;	  /* connections are accepted to be refused */
+	int spares[SPARE_DESCRIPTORS]; /* -1: given up */
+	/* Until these times what was said at SERVERS_FIRST_MS and TURNS_MS holds. */
+	int64_t servers_first_until_ms;
+	int64_t turns_until_ms;
+	/* Connections that waited at a time and were not accepted since. */
+	unsigned int queued;
+	int64_t queued_since_ms;
 	GHashTable *connections;    /* set of all connections */
 	unsigned int open_requests; /* requests being received or answered */
 	gboolean is_draining;
@@ -153,12 +193,51 @@
 	g_free(exchange);
 }
 
+/*
+ * Opens the spare descriptors that were given up, as far as there are free ones.
+ * Returns whether none is missing.
+ */
+static gboolean spares_open_(cb_http1_server_t *server)
+{
+	unsigned int i;
+
+	if (!server->refuses_queued)
+		return TRUE;
+	for (i = 0; i < SPARE_DESCRIPTORS; i++) {
+		if (server->spares[i] < 0)
+			server->spares[i] =
+				open("/dev/null", O_RDONLY | O_CLOEXEC);
+		if (server->spares[i] < 0)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+/* Closes one spare descriptor; FALSE if all were given up before. */
+static gboolean spare_give_up_(cb_http1_server_t *server)
+{
+	unsigned int i;
+
+	for (i = 0; i < SPARE_DESCRIPTORS; i++) {
+		if (server->spares[i] < 0)
+			continue;
+		close(server->spares[i]);
+		server->spares[i] = -1;
+		return TRUE;
+	}
+	return FALSE;
+}
+
 /* Closes and frees a connection without notifying the exchange's owner. */
 static void connection_free_(connection_t *connection)
 {
 	if (connection->exchange)
 		exchange_delete_(connection->exchange);
 	cb_stream_delete(connection->stream);
+	/* A connection that waits can be accepted, or one more be refused. */
+	if (spares_open_(connection->server) &&
+	    cb_timer_is_armed(connection->server->accept_timer))
+		cb_timer_start_sooner(connection->server->accept_timer, 0);
 	cb_timer_delete(connection->timer);
 	g_byte_array_unref(connection->input);
 	cb_memory_account_set(&connection->input_account, 0);
@@ -193,6 +272,16 @@
 			       1);
 }
 
+/* Ends sending; the connection stays open so that the caller can read on. */
+static void connection_linger_(connection_t *connection)
+{
+	connection->state = CONNECTION_LINGERING;
+	connection->idle_since_ms = cb_clock_now_ms(connection->server->clock);
+	g_byte_array_set_size(connection->input, 0);
+	cb_stream_shutdown_send(connection->stream);
+	cb_timer_start(connection->timer, LINGER_MS);
+}
+
 /*
  * Answers a request that cannot be served, and keeps the connection open for a
  * while so that the caller can read the answer.
@@ -214,11 +303,8 @@
 		exchange_delete_(connection->exchange);
 		connection->exchange = NULL;
 	}
-	connection->state = CONNECTION_LINGERING;
-	g_byte_array_set_size(connection->input, 0);
 	cb_stream_send(connection->stream, text, strlen(text));
-	cb_stream_shutdown_send(connection->stream);
-	cb_timer_start(connection->timer, LINGER_MS);
+	connection_linger_(connection);
 	g_free(text);
 	g_free(body);
 }
@@ -361,6 +447,38 @@
 	return TRUE;
 }
 
+/* Returns whether a request whose head was parsed was received, and nothing more. */
+static gboolean is_whole_(const connection_t *connection)
+{
+	const cb_http1_head_t *head = &connection->exchange->head;
+
+	if (cb_stream_has_input(connection->stream))
+		return FALSE;
+	return head->framing == CB_HTTP1_FRAMING_NONE ||
+	       (head->framing == CB_HTTP1_FRAMING_LENGTH &&
+		connection->input->len >= head->length_bytes);
+}
+
+/*
+ * Returns whether a request must be refused for lack of descriptors: its connection
+ * was accepted for that, or the callers of requests that wait for connections to
+ * servers leave too few descriptors for these.
+ */
+static gboolean lacks_descriptors_(connection_t *connection)
+{
+	cb_http1_server_t *server = connection->server;
+	struct rlimit limit;
+
+	connection->is_on_spare &= !spares_open_(server);
+	if (connection->is_on_spare)
+		return TRUE;
+	if (!server->refuses_queued ||
+	    cb_clock_now_ms(server->clock) >= server->servers_first_until_ms ||
+	    getrlimit(RLIMIT_NOFILE, &limit))
+		return FALSE;
+	return server->open_requests > limit.rlim_cur / CALLERS_PART;
+}
+
 /*
  * Creates the exchange of a request whose head was parsed, taking ownership of
  * the head's memory.  Refuses the request and returns FALSE if its
@@ -389,6 +507,15 @@
 		request_refuse_(connection, 413, "body_too_large");
 		return FALSE;
 	}
+	if (lacks_descriptors_(connection)) {
+		gboolean is_whole = is_whole_(connection);
+
+		request_refuse_(connection, 503, "no_descriptors");
+		if (connection->is_on_spare)
+			cb_timer_start(connection->timer,
+				       is_whole ? 0 : SHORT_LINGER_MS);
+		return FALSE;
+	}
 	if (!body_reserve_(exchange)) {
 		cb_memory_bound_count(connection->server->bound, "request");
 		request_refuse_(connection, 503, "memory");
@@ -427,7 +554,9 @@
 	case CB_HTTP1_PARSE_PARTIAL:
 		if (input_was_empty)
 			cb_timer_start(connection->timer,
-				       limits->header_timeout_ms);
+				       connection->is_on_spare ?
+					       SPARE_TIMEOUT_MS :
+					       limits->header_timeout_ms);
 		return FALSE;
 	case CB_HTTP1_PARSE_OVERSIZE:
 		request_refuse_(connection, 431, "header_too_large");
@@ -511,7 +640,9 @@
 	cb_http1_server_t *server = user_data;
 	connection_t *connection = g_new0(connection_t, 1);
 
+	server->queued -= MIN(server->queued, 1);
 	connection->server = server;
+	connection->is_on_spare = server->is_refusing;
 	connection->input = g_byte_array_new();
 	connection->timer = cb_timer_new(server->clock, connection_timer_fired_,
 					 connection);
@@ -524,16 +655,23 @@
 	cb_memory_account_set(&connection->input_account, CONNECTION_BYTES);
 	g_hash_table_add(server->connections, connection);
 	connection_wait_idle_(connection);
+	if (connection->is_on_spare)
+		cb_timer_start(connection->timer, SPARE_TIMEOUT_MS);
 }
 
 /*
  * Returns whether no request is being received or answered, nor has arrived at the
- * socket.
+ * socket.  An answer that ends its connection was then read, or is on the way.
  */
 static gboolean connection_is_idle_(const connection_t *connection)
 {
-	return connection->state == CONNECTION_RECEIVING_HEAD &&
-	       !connection->input->len &&
+	int64_t idle_ms = cb_clock_now_ms(connection->server->clock) -
+			  connection->idle_since_ms;
+	gboolean can_end = connection->state == CONNECTION_RECEIVING_HEAD ||
+			   (connection->state == CONNECTION_LINGERING &&
+			    idle_ms >= SHORT_LINGER_MS);
+
+	return can_end && !connection->input->len &&
 	       !cb_stream_unsent_bytes(connection->stream) &&
 	       !cb_stream_has_input(connection->stream);
 }
@@ -559,16 +697,11 @@
 					      is_paused);
 }
 
-static void accept_timer_fired_(void *user_data)
-{
-	listeners_set_paused_(user_data, FALSE);
-}
-
 /*
  * Closes the connections that have been idle for the longest time, as the idle
  * timeout would.  Returns how many these are.
  */
-unsigned int cb_http1_server_evict_idle(cb_http1_server_t *server)
+static unsigned int idle_evict_(cb_http1_server_t *server)
 {
 	GPtrArray *idle = g_ptr_array_new();
 	GHashTableIter iter;
@@ -590,19 +723,115 @@
 	return evicted;
 }
 
+/* Accepts none for a while, in which descriptors may come free. */
+static void accepting_pause_(cb_http1_server_t *server)
+{
+	listeners_set_paused_(server, TRUE);
+	if (!cb_timer_is_armed(server->accept_timer))
+		cb_timer_start(server->accept_timer, EXHAUSTED_PAUSE_MS);
+}
+
+/* Returns how many connections wait to be accepted. */
+static unsigned int queued_count_(const cb_http1_server_t *server)
+{
+	unsigned int count = 0;
+	unsigned int i;
+
+	for (i = 0; i < server->listeners->len; i++)
+		count += cb_stream_listener_queued(server->listeners->pdata[i]);
+	return count;
+}
+
+/*
+ * Accepts the connections that have waited for too long in place of the spare
+ * descriptors; as these are opened again, more follow.
+ */
+static void queued_refuse_(cb_http1_server_t *server)
+{
+	int64_t now_ms = cb_clock_now_ms(server->clock);
+	unsigned int i;
+
+	if (!server->queued) {
+		server->queued = queued_count_(server);
+		server->queued_since_ms = now_ms;
+	}
+	if (now_ms - server->queued_since_ms < QUEUED_MAX_MS)
+		return;
+	server->is_refusing = TRUE;
+	for (i = 0; i < server->listeners->len; i++)
+		while (server->queued && spare_give_up_(server) &&
+		       cb_stream_listener_accept(server->listeners->pdata[i]))
+			;
+	server->is_refusing = FALSE;
+	spares_open_(server);
+}
+
+/*
+ * Accepts again, unless requests that were accepted wait for connections to servers.
+ */
+static void accept_timer_fired_(void *user_data)
+{
+	cb_http1_server_t *server = user_data;
+
+	if (server->refuses_queued)
+		queued_refuse_(server);
+	if (cb_clock_now_ms(server->clock) < server->servers_first_until_ms)
+		accepting_pause_(server);
+	else
+		listeners_set_paused_(server, FALSE);
+}
+
+/* Has connections end with their answers while descriptors are short. */
+static void turns_begin_(cb_http1_server_t *server)
+{
+	server->turns_until_ms = cb_clock_now_ms(server->clock) + TURNS_MS;
+}
+
 /* Makes room for a connection to be accepted; without any, new callers wait a little. */
 static void exhausted_handle_(void *user_data)
 {
 	cb_http1_server_t *server = user_data;
-	unsigned int evicted = cb_http1_server_evict_idle(server);
+	unsigned int evicted = idle_evict_(server);
+	gboolean has_room = evicted > 0;
 
+	turns_begin_(server);
 	if (server->exhausted_handler)
-		server->exhausted_handler(evicted, server->user_data);
-	if (evicted)
+		has_room |=
+			server->exhausted_handler(evicted, server->user_data);
+	if (has_room)
 		return;
 	refusal_count_(server, "out_of_descriptors");
-	listeners_set_paused_(server, TRUE);
-	cb_timer_start(server->accept_timer, EXHAUSTED_PAUSE_MS);
+	accepting_pause_(server);
+}
+
+/* Returns whether a descriptor is free, so that something else is lacking. */
+static gboolean has_descriptor_(void)
+{
+	int fd = open("/dev/null", O_RDONLY | O_CLOEXEC);
+
+	if (fd >= 0)
+		close(fd);
+	return fd >= 0;
+}
+
+/*
+ * Closes idle connections to make room for one to a server; FALSE if there are none.
+ * Descriptors that come free are then for such connections first.
+ */
+gboolean cb_http1_server_make_room(cb_http1_server_t *server)
+{
+	gboolean lacks_descriptor = !has_descriptor_();
+
+	if (lacks_descriptor)
+		turns_begin_(server);
+	if (idle_evict_(server))
+		return TRUE;
+	if (!lacks_descriptor)
+		return FALSE;
+	server->servers_first_until_ms =
+		cb_clock_now_ms(server->clock) + SERVERS_FIRST_MS;
+	accepting_pause_(server);
+	return FALSE;
 }
 
 /*
@@ -615,6 +844,7 @@
 				       void *user_data)
 {
 	cb_http1_server_t *server = g_new0(cb_http1_server_t, 1);
+	unsigned int i;
 
 	server->poller = cb_poller_new(context);
 	server->clock = clock;
@@ -622,6 +852,8 @@
 	server->request_handler = request;
 	server->user_data = user_data;
 	server->limits = default_limits;
+	for (i = 0; i < SPARE_DESCRIPTORS; i++)
+		server->spares[i] = -1;
 	server->listeners = g_ptr_array_new();
 	server->accept_timer = cb_timer_new(clock, accept_timer_fired_, server);
 	server->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -641,13 +873,16 @@
 	for (i = 0; i < server->listeners->len; i++)
 		cb_stream_unlisten(server->listeners->pdata[i]);
 	g_ptr_array_unref(server->listeners);
-	cb_timer_delete(server->accept_timer);
+	server->refuses_queued = FALSE;
+	while (spare_give_up_(server))
+		;
 	g_hash_table_iter_init(&iter, server->connections);
 	while (g_hash_table_iter_next(&iter, &connection, NULL)) {
 		g_hash_table_iter_steal(&iter);
 		connection_free_(connection);
 	}
 	g_hash_table_unref(server->connections);
+	cb_timer_delete(server->accept_timer);
 	cb_poller_delete(server->poller);
 	g_free(server);
 }
@@ -822,6 +1057,16 @@
 	server->exhausted_handler = exhausted;
 }
 
+/*
+ * Keeps some descriptors for connections that find no other one in time: they are
+ * accepted, and refused with 503.
+ */
+void cb_http1_server_refuse_queued(cb_http1_server_t *server)
+{
+	server->refuses_queued = TRUE;
+	spares_open_(server);
+}
+
 /* Returns the number of open connections, those without a request included. */
 unsigned int cb_http1_server_count_connections(const cb_http1_server_t *server)
 {
@@ -877,9 +1122,11 @@
 				    uint32_t status, const char *headers,
 				    const char *framing)
 {
+	const cb_http1_server_t *server = exchange->connection->server;
 	GString *text = g_string_new(NULL);
 
-	if (exchange->connection->server->is_draining)
+	if (server->is_draining ||
+	    cb_clock_now_ms(server->clock) < server->turns_until_ms)
 		exchange->closes_connection = TRUE;
 	g_string_append_printf(text, "HTTP/1.1 %u %s\r\n%s%s%s\r\n", status,
 			       cb_http1_status_text(status),
@@ -915,9 +1162,7 @@
 	connection_input_shrink_(connection);
 	cb_stream_set_paused(connection->stream, FALSE);
 	if (closes_connection) {
-		connection->state = CONNECTION_LINGERING;
-		cb_stream_shutdown_send(connection->stream);
-		cb_timer_start(connection->timer, LINGER_MS);
+		connection_linger_(connection);
 		return;
 	}
 	connection->state = CONNECTION_RECEIVING_HEAD;
--- a/src/libcurrantbridge/include/private/stream.h
+++ b/src/libcurrantbridge/include/private/stream.h
@@ -66,6 +66,10 @@
 				     cb_stream_exhausted_fn_t exhausted);
 void cb_stream_listener_set_paused(cb_stream_listener_t *listener,
 				   gboolean is_paused);
+/* Accepts one connection at once; FALSE if that is not possible. */
+gboolean cb_stream_listener_accept(cb_stream_listener_t *listener);
+/* Returns how many connections wait to be accepted; 0 if that is unknown. */
+unsigned int cb_stream_listener_queued(const cb_stream_listener_t *listener);
 void cb_stream_unlisten(cb_stream_listener_t *listener);
 uint16_t cb_stream_listener_port(const cb_stream_listener_t *listener);
 
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -289,16 +289,15 @@
 {
 	cb_front_t *front = user_data;
 
-	return cb_http1_server_evict_idle(front->server) > 0;
+	return cb_http1_server_make_room(front->server);
 }
 
 /*
  * Logs that the process had no descriptor for an arriving connection, at most
  * once in EXHAUSTED_LOG_INTERVAL_MS.
  */
-static void exhausted_log_(unsigned int evicted, void *user_data)
+static void exhausted_log_(cb_front_t *front, unsigned int evicted)
 {
-	cb_front_t *front = user_data;
 	int64_t now_ms = cb_clock_now_ms(front->clock);
 
 	if (front->exhausted_logged_ms &&
@@ -312,6 +311,15 @@
 		     CB_INT("requests", g_hash_table_size(front->relays)));
 }
 
+/* Makes room for a caller: without an idle one, an idle server connection gives way. */
+static gboolean exhausted_handle_(unsigned int evicted, void *user_data)
+{
+	cb_front_t *front = user_data;
+
+	exhausted_log_(front, evicted);
+	return !evicted && cb_http1_client_evict_idle(front->client);
+}
+
 static gboolean caller_listener_start_(cb_service_t *service, GError **error)
 {
 	cb_front_t *front = (cb_front_t *)service;
@@ -516,8 +524,9 @@
 	front->peer_server =
 		cb_http1_server_new(cb_kernel_context(kernel), front->clock,
 				    front->counters, forwarded_receive_, front);
-	cb_http1_server_on_exhausted(front->server, exhausted_log_);
-	cb_http1_server_on_exhausted(front->peer_server, exhausted_log_);
+	cb_http1_server_refuse_queued(front->server);
+	cb_http1_server_on_exhausted(front->server, exhausted_handle_);
+	cb_http1_server_on_exhausted(front->peer_server, exhausted_handle_);
 	cb_http1_server_set_bound(front->server, front->memory);
 	cb_http1_server_set_bound(front->peer_server, front->memory);
 	front->client = options->client;
--- a/src/libcurrantbridge/wire/stream.c
+++ b/src/libcurrantbridge/wire/stream.c
@@ -416,16 +416,23 @@
 	return stream->queue->len - stream->queue_start;
 }
 
-static void accept_ready_(unsigned int events, void *user_data)
+gboolean cb_stream_listener_accept(cb_stream_listener_t *listener)
 {
-	cb_stream_listener_t *listener = user_data;
 	int fd =
 		accept4(listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-	(void)events;
 	if (fd >= 0)
 		listener->accept(fd, listener->user_data);
-	else if (cb_stream_is_exhaustion(errno) && listener->exhausted)
+	return fd >= 0;
+}
+
+static void accept_ready_(unsigned int events, void *user_data)
+{
+	cb_stream_listener_t *listener = user_data;
+
+	(void)events;
+	if (!cb_stream_listener_accept(listener) &&
+	    cb_stream_is_exhaustion(errno) && listener->exhausted)
 		listener->exhausted(listener->user_data);
 }
 
@@ -489,6 +496,17 @@
 	cb_watch_set_events(listener->watch, is_paused ? 0 : CB_WATCH_READABLE);
 }
 
+unsigned int cb_stream_listener_queued(const cb_stream_listener_t *listener)
+{
+	struct tcp_info info = { 0 };
+	socklen_t size = sizeof(info);
+
+	if (getsockopt(listener->fd, IPPROTO_TCP, TCP_INFO, &info, &size))
+		return 0;
+	/* Of a listening socket this is the length of its queue. */
+	return info.tcpi_unacked;
+}
+
 /* Stops accepting and frees the listener; NULL is allowed. */
 void cb_stream_unlisten(cb_stream_listener_t *listener)
 {
--- a/src/test_libcurrantbridge/test_http1_server.c
+++ b/src/test_libcurrantbridge/test_http1_server.c
@@ -33,6 +33,7 @@
 	int caller_fd;
 	size_t answer_bytes;  /* length of each answer's body */
 	gboolean holds_first; /* the first request is answered later */
+	gboolean holds_all;   /* no request is answered by the handler */
 	cb_http1_exchange_t *held;
 	unsigned int request_count;
 	unsigned int disconnect_count;
@@ -64,7 +65,8 @@
 	server_fixture_t *fixture = user_data;
 
 	fixture->request_count++;
-	if (!fixture->holds_first || fixture->request_count > 1) {
+	if (!fixture->holds_all &&
+	    (!fixture->holds_first || fixture->request_count > 1)) {
 		answer_send_(fixture, exchange);
 		return;
 	}
@@ -73,12 +75,13 @@
 					    fixture);
 }
 
-static void exhausted_(unsigned int evicted, void *user_data)
+static gboolean exhausted_(unsigned int evicted, void *user_data)
 {
 	server_fixture_t *fixture = user_data;
 
 	fixture->exhausted_count++;
 	fixture->evicted_count += evicted;
+	return FALSE;
 }
 
 /* Returns a caller's connected socket. */
@@ -423,6 +426,154 @@
 	fixture_clear_(&fixture);
 }
 
+#define TURNS 20
+#define REFUSAL_MAX_MS 500
+
+/*
+ * A caller that sends its next request at once was served on, for as long as it went
+ * on, while a new one waited.
+ */
+static void kept_callers_take_turns_with_new_ones(void)
+{
+	server_fixture_t fixture;
+	char answer[256] = "";
+	struct rlimit before;
+	unsigned int i;
+	int fd;
+
+	fixture_init_(&fixture);
+	fixture.holds_all = TRUE;
+	CU_ASSERT_FALSE(is_served_(&fixture, fixture.caller_fd));
+	fd = last_caller_connect_(&fixture, &before);
+	CU_ASSERT_FALSE(is_served_(&fixture, fd));
+	for (i = 0; i < TURNS && !strstr(answer, "Connection: close"); i++) {
+		time_pass_(&fixture, STEP_MS);
+		answer_send_(&fixture, g_steal_pointer(&fixture.held));
+		CU_ASSERT_TRUE_FATAL(recv(fixture.caller_fd, answer,
+					  sizeof(answer) - 1, 0) > 0);
+		CU_ASSERT_TRUE(g_str_has_prefix(answer, "HTTP/1.1 200 "));
+		if (!strstr(answer, "Connection: close"))
+			CU_ASSERT_FALSE(
+				is_served_(&fixture, fixture.caller_fd));
+	}
+	CU_ASSERT_TRUE(i < TURNS);
+	shutdown(fixture.caller_fd, SHUT_WR);
+	time_pass_(&fixture, STEP_MS);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.held);
+	answer_send_(&fixture, fixture.held);
+	CU_ASSERT_TRUE(is_served_(&fixture, fd));
+	CU_ASSERT_EQUAL(fixture.disconnect_count, 0);
+	setrlimit(RLIMIT_NOFILE, &before);
+	close(fd);
+	fixture_clear_(&fixture);
+}
+
+/* Sends a request without waiting for its answer. */
+static void request_send_(int fd)
+{
+	CU_ASSERT_EQUAL(send(fd, REQUEST, strlen(REQUEST), MSG_NOSIGNAL),
+			(ssize_t)strlen(REQUEST));
+}
+
+/* Returns whether an answer has arrived that tells when to come back. */
+static gboolean is_refused_(int fd)
+{
+	char answer[512] = "";
+
+	return recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT) > 0 &&
+	       g_str_has_prefix(answer, "HTTP/1.1 503 ") &&
+	       strstr(answer, "\r\nRetry-After: ") &&
+	       strstr(answer, "\r\nConnection: close\r\n") &&
+	       strstr(answer, "\"executed\":\"no\"");
+}
+
+/*
+ * Callers for whom no descriptor came free waited in the queue of the listening socket
+ * for as long as the others were served: each must hear of it in time, and one that
+ * has sent nothing must not stand in the way.
+ */
+static void queued_callers_are_refused_in_bounded_time(void)
+{
+	server_fixture_t fixture;
+	struct rlimit before;
+	struct rlimit limit;
+	int callers[IDLE_CALLERS];
+	unsigned int refused = 0;
+	unsigned int i;
+
+	fixture_init_(&fixture);
+	fixture.holds_all = TRUE;
+	cb_http1_server_refuse_queued(fixture.server);
+	CU_ASSERT_FALSE(is_served_(&fixture, fixture.caller_fd));
+	for (i = 0; i < IDLE_CALLERS; i++) {
+		callers[i] = caller_connect_(&fixture);
+		if (i)
+			request_send_(callers[i]);
+	}
+	CU_ASSERT_EQUAL_FATAL(getrlimit(RLIMIT_NOFILE, &before), 0);
+	limit = before;
+	limit.rlim_cur = (rlim_t)callers[IDLE_CALLERS - 1] + 1;
+	CU_ASSERT_EQUAL_FATAL(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	for (i = 0; i < REFUSAL_MAX_MS / STEP_MS; i++) {
+		time_pass_(&fixture, STEP_MS);
+		loop_run_(&fixture);
+	}
+	for (i = 1; i < IDLE_CALLERS; i++)
+		refused += is_refused_(callers[i]);
+	CU_ASSERT_EQUAL(refused, IDLE_CALLERS - 1);
+	CU_ASSERT_EQUAL(fixture.request_count, 1);
+	CU_ASSERT_EQUAL(fixture.disconnect_count, 0);
+	setrlimit(RLIMIT_NOFILE, &before);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		close(callers[i]);
+	/* With descriptors, callers are served as before. */
+	time_pass_(&fixture, REFUSAL_MAX_MS);
+	fixture.holds_all = FALSE;
+	callers[0] = caller_connect_(&fixture);
+	CU_ASSERT_TRUE(is_served_(&fixture, callers[0]));
+	close(callers[0]);
+	fixture_clear_(&fixture);
+}
+
+/*
+ * Guards against callers whose requests take all descriptors, so that none is left for
+ * connections to servers and all of them wait in vain.
+ */
+static void callers_leave_descriptors_to_servers(void)
+{
+	server_fixture_t fixture;
+	struct rlimit before;
+	struct rlimit limit;
+	int callers[IDLE_CALLERS];
+	unsigned int refused = 0;
+	unsigned int i;
+
+	fixture_init_(&fixture);
+	fixture.holds_all = TRUE;
+	cb_http1_server_refuse_queued(fixture.server);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		callers[i] = caller_connect_(&fixture);
+	request_send_(fixture.caller_fd);
+	loop_run_(&fixture);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		request_send_(callers[i]);
+	CU_ASSERT_EQUAL_FATAL(getrlimit(RLIMIT_NOFILE, &before), 0);
+	limit = before;
+	limit.rlim_cur = IDLE_CALLERS;
+	CU_ASSERT_EQUAL_FATAL(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	CU_ASSERT_FALSE(cb_http1_server_make_room(fixture.server));
+	loop_run_(&fixture);
+	CU_ASSERT_EQUAL(setrlimit(RLIMIT_NOFILE, &before), 0);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		refused += is_refused_(callers[i]);
+	CU_ASSERT_EQUAL(fixture.request_count, IDLE_CALLERS / 2);
+	CU_ASSERT_EQUAL(refused, IDLE_CALLERS + 1 - IDLE_CALLERS / 2);
+	CU_ASSERT_EQUAL(fixture.disconnect_count, 0);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		close(callers[i]);
+	fixture_clear_(&fixture);
+}
+
 /* Memory of the process in the next test, which keeps 2 MB of it for others. */
 #define MEMORY_BYTES (8 * 1000 * 1000)
 
@@ -530,6 +681,12 @@
 	  idle_callers_make_room_for_new_ones },
 	{ "callers_wait_while_descriptors_are_in_use",
 	  callers_wait_while_descriptors_are_in_use },
+	{ "kept_callers_take_turns_with_new_ones",
+	  kept_callers_take_turns_with_new_ones },
+	{ "queued_callers_are_refused_in_bounded_time",
+	  queued_callers_are_refused_in_bounded_time },
+	{ "callers_leave_descriptors_to_servers",
+	  callers_leave_descriptors_to_servers },
 	{ "unread_answer_is_not_cut", unread_answer_is_not_cut },
 	{ "pipelined_body_does_not_cut_answer",
 	  pipelined_body_does_not_cut_answer },
