Test: callers that send one request after the other, without descriptors

Two rows of test_incident: 120 and 240 callers of three entry instances with 90 descriptors each, where each caller sends its next request over the kept connection, and comes back 0.5 s after one that was not served. Checked is that each hears something within 2 s, which is 0.5 s more than calls have.

--- a/test/platform/incident/incident.h
+++ b/test/platform/incident/incident.h
@@ -119,6 +119,11 @@
 
 typedef struct incident_callers_setup {
 	unsigned int rate_per_s;
+	/*
+	 * Not 0: so many callers send each next request after the last answer, over
+	 * the same connection if it is kept.
+	 */
+	unsigned int caller_count;
 	unsigned int event_count; /* of each stream */
 	int time_budget_ms;
 	gboolean has_long_gaps; /* the caller never leaves for a gap */
--- a/test/platform/incident/incident_callers.c
+++ b/test/platform/incident/incident_callers.c
@@ -19,9 +19,17 @@
 #define GAP_MAX_MS 2000
 /* Idle connections that are older are not used again. */
 #define IDLE_MAX_MS 1500
+/* After this time a caller comes back whose request was not served. */
+#define RETURN_MS 500
 /* Longest wait for the answers to the last requests. */
 #define END_TIMEOUT_MS 25000
 
+/* A caller without a request, of those that send one after the other. */
+typedef struct caller {
+	unsigned int entry;
+	int64_t return_ms; /* when it sends the next one */
+} caller_t;
+
 typedef struct exchange {
 	incident_callers_t *callers;
 	unsigned int entry;
@@ -40,6 +48,7 @@
 	GPtrArray *requests; /* incident_request_t */
 	GHashTable *open;    /* set of exchange_t */
 	GQueue *idle;	     /* an array of queues of exchange_t, by entry */
+	GArray *waiting;     /* of caller_t */
 	int epoll;
 	int is_ending; /* atomic */
 	GThread *loop;
@@ -150,11 +159,22 @@
 	return end;
 }
 
+static void caller_wait_(incident_callers_t *callers, unsigned int entry,
+			 incident_end_t end)
+{
+	caller_t caller = { .entry = entry, .return_ms = now_ms_() };
+
+	if (end != INCIDENT_WHOLE)
+		caller.return_ms += RETURN_MS;
+	g_array_append_val(callers->waiting, caller);
+}
+
 static void request_end_(exchange_t *exchange, incident_end_t end)
 {
 	exchange->request->end = end;
 	exchange->request->ended_ms = now_ms_();
 	exchange->request = NULL;
+	caller_wait_(exchange->callers, exchange->entry, end);
 }
 
 /* Closes a connection, after its request has ended. */
@@ -283,8 +303,8 @@
 				      "4\r\nbody\r\n0\r\n\r\n");
 }
 
-/* Sends a request; most are resumable streams. */
-static void request_send_(incident_callers_t *callers)
+/* Sends a request to an entry instance; most are resumable streams. */
+static void request_send_(incident_callers_t *callers, unsigned int entry)
 {
 	incident_request_t *request = g_new0(incident_request_t, 1);
 	int draw = g_rand_int_range(callers->random, 0, 20);
@@ -298,12 +318,11 @@
 				    INCIDENT_STREAM;
 	request->sent_ms = now_ms_();
 	g_ptr_array_add(callers->requests, request);
-	exchange = exchange_take_(callers, (unsigned int)g_rand_int_range(
-						   callers->random, 0,
-						   (int)callers->entry_count));
+	exchange = exchange_take_(callers, entry);
 	if (!exchange) {
 		request->end = INCIDENT_CLOSED;
 		request->ended_ms = request->sent_ms;
+		caller_wait_(callers, entry, INCIDENT_CLOSED);
 		return;
 	}
 	exchange->request = request;
@@ -313,6 +332,27 @@
 	output_flush_(exchange);
 }
 
+/* Sends the requests that are due, at the rate or of the callers that wait. */
+static void requests_send_(incident_callers_t *callers, int64_t elapsed_ms)
+{
+	const incident_callers_setup_t *setup = &callers->setup;
+	unsigned int i = callers->waiting->len;
+
+	while (setup->caller_count && i--) {
+		caller_t caller = g_array_index(callers->waiting, caller_t, i);
+
+		if (now_ms_() < caller.return_ms)
+			continue;
+		g_array_remove_index(callers->waiting, i);
+		request_send_(callers, caller.entry);
+	}
+	while (!setup->caller_count &&
+	       callers->requests->len * 1000 / setup->rate_per_s < elapsed_ms)
+		request_send_(callers, (unsigned int)g_rand_int_range(
+					       callers->random, 0,
+					       (int)callers->entry_count));
+}
+
 /* Sends what is left, and has callers leave after a long gap. */
 static void exchanges_update_(incident_callers_t *callers)
 {
@@ -363,10 +403,8 @@
 		exchanges_update_(callers);
 		if (!end_ms && g_atomic_int_get(&callers->is_ending))
 			end_ms = now_ms_() + END_TIMEOUT_MS;
-		while (!end_ms && callers->requests->len * 1000 /
-						  callers->setup.rate_per_s <
-					  now_ms_() - begin_ms)
-			request_send_(callers);
+		if (!end_ms)
+			requests_send_(callers, now_ms_() - begin_ms);
 	}
 	return NULL;
 }
@@ -387,6 +425,9 @@
 	callers->idle = g_new0(GQueue, callers->entry_count);
 	for (i = 0; i < callers->entry_count; i++)
 		g_queue_init(&callers->idle[i]);
+	callers->waiting = g_array_new(FALSE, FALSE, sizeof(caller_t));
+	for (i = 0; i < setup->caller_count; i++)
+		caller_wait_(callers, i % callers->entry_count, INCIDENT_WHOLE);
 	callers->epoll = epoll_create1(EPOLL_CLOEXEC);
 	callers->loop = g_thread_new("callers", loop_run_, callers);
 	return callers;
@@ -402,6 +443,7 @@
 	for (i = 0; i < callers->entry_count; i++)
 		g_queue_clear(&callers->idle[i]);
 	g_hash_table_unref(callers->open);
+	g_array_unref(callers->waiting);
 	close(callers->epoll);
 	g_free(callers->idle);
 	g_rand_free(callers->random);
--- a/test/platform/incident/test_incident.c
+++ b/test/platform/incident/test_incident.c
@@ -68,6 +68,7 @@
 	unsigned int entry_count;
 	unsigned int server_count;
 	unsigned int rate_per_s;
+	unsigned int caller_count; /* in place of the rate, see incident.h */
 	unsigned int event_count;
 	int event_ms;
 	int64_t duration_ms;
@@ -120,6 +121,31 @@
 	  .event_ms = 50,
 	  .duration_ms = 6000,
 	  .descriptors = 90 },
+	{ .name = "kept_callers",
+	  .test_name = "new_callers_are_answered_beside_kept_ones_without_"
+		       "descriptors",
+	  .is_short = TRUE,
+	  .control_count = 1,
+	  .entry_count = 3,
+	  .server_count = 9,
+	  .rate_per_s = 70,
+	  .caller_count = 120,
+	  .event_count = 30,
+	  .event_ms = 50,
+	  .duration_ms = 8000,
+	  .descriptors = 90 },
+	{ .name = "many_callers",
+	  .test_name = "callers_without_a_descriptor_are_answered_in_time",
+	  .is_short = TRUE,
+	  .control_count = 1,
+	  .entry_count = 3,
+	  .server_count = 9,
+	  .rate_per_s = 70,
+	  .caller_count = 240,
+	  .event_count = 71,
+	  .event_ms = 45,
+	  .duration_ms = 8000,
+	  .descriptors = 90 },
 	{ .name = "staggered",
 	  .test_name = "staggered_stalls_of_data_centres_cut_no_stream",
 	  .is_short = TRUE,
@@ -722,6 +748,7 @@
 {
 	const incident_callers_setup_t callers = {
 		.rate_per_s = row->rate_per_s,
+		.caller_count = row->caller_count,
 		.event_count = row->event_count,
 		.time_budget_ms = TIME_BUDGET_MS,
 		.seed = seed_(),
@@ -1064,6 +1091,10 @@
 		       counts[kind][INCIDENT_PENDING]);
 		CU_ASSERT_EQUAL(counts[kind][INCIDENT_BROKEN], 0);
 		CU_ASSERT_EQUAL(counts[kind][INCIDENT_PENDING], 0);
+		/* Callers leave later than calls are answered or refused. */
+		if (fixture->row->caller_count)
+			CU_ASSERT_EQUAL(counts[kind][INCIDENT_LEFT],
+					begun[kind][INCIDENT_LEFT]);
 		if (kind == INCIDENT_STREAM || kind == INCIDENT_STREAM_ONCE)
 			cut += begun[kind][INCIDENT_RESET] +
 			       begun[kind][INCIDENT_CLOSED] +
