A left attempt's repeated event starts no timer

An instance could read freed memory, and record a failure of an unknown server, for a stream that waits without an attempt.

Cause: an event that the caller has already restarts the silence timer, also if a standby attempt brings it. The stream may have no attempt in flight then, so that the check reads the first hop of an empty chain; if it has one, its pending report was cancelled and its check put off.

Evidence: the new test, built with sanitizers, ended with a heap-use-after-free in silence_record_() in the second of its four cases.

Change: the timer is restarted only for the attempt that it watches over. All four cases pass.

--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -490,7 +490,9 @@
 		server_time_record_(relay);
 	cb_relay_content_event_received(relay);
 	if (id >= 0 && id <= relay->last_event) {
-		cb_relay_start_silence_timer(relay);
+		/* The timer watches over the attempt in flight only. */
+		if (!relay->standby_in_use)
+			cb_relay_start_silence_timer(relay);
 		return;
 	}
 	cb_relay_standby_settle(relay);
--- a/src/test_libcurrantbridge/test_relay_standby.c
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -26,6 +26,7 @@
 #define LEAVE_MS 400
 /* The first server goes on after this time; callers wait for 2 s. */
 #define SILENCE_MS 1700
+#define STEP_MS 50
 /* Enough for all sends of a request. */
 #define SCRIPTS 24
 
@@ -234,7 +235,76 @@
 		CU_ASSERT_TRUE(standby_case_run_(&standby_cases[i]));
 }
 
+/* An event that the caller has shows nothing of the attempt in flight, if any. */
+static void repeated_event_of_left_attempt_is_ignored(void)
+{
+	static const cb_retry_share_budget_t no_retry = { .window_ms = 10000 };
+	static const relay_script_t scripts[] = {
+		{ FIRST_EVENT, END_HOLD },
+		{ "", END_HOLD },
+	};
+	/* Without a retry, the stream waits for one, and has no attempt. */
+	static const struct {
+		const char *request;
+		gboolean are_engines;
+		gboolean is_waiting;
+	} cases[] = {
+		{ PATIENT_STREAM_REQUEST, FALSE, FALSE },
+		{ PATIENT_STREAM_REQUEST, FALSE, TRUE },
+		{ PATIENT_ENGINE_REQUEST, TRUE, FALSE },
+		{ PATIENT_ENGINE_REQUEST, TRUE, TRUE },
+	};
+	GString *body = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		relay_fixture_t fixture;
+		uint32_t status = 0;
+		unsigned int reports;
+		unsigned int k;
+
+		support_relay_init(&fixture, TRUE);
+		for (k = 0; cases[i].are_engines && k < SERVER_COUNT; k++)
+			support_relay_layers_announce(&fixture, k, 1, 0, 2);
+		world_run_until(fixture.world, NULL, 1000);
+		fixture.withholds_reports = TRUE;
+		fixture.scripts = scripts;
+		fixture.script_count = G_N_ELEMENTS(scripts);
+		support_relay_request_send(&fixture, cases[i].request);
+		CU_ASSERT_TRUE_FATAL(
+			support_relay_run_until(&fixture, 1, EVENT_1));
+		for (k = 0; k < SILENCE_MS && fixture.requests->len < 2;
+		     k += STEP_MS)
+			support_relay_pass_time(&fixture, STEP_MS);
+		CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+		if (cases[i].is_waiting) {
+			cb_retry_share_delete(fixture.front->retries);
+			fixture.front->retries =
+				cb_retry_share_new(fixture.front->clock,
+						   &no_retry);
+			support_relay_answer_continue(&fixture, 1, REJECTION);
+			support_relay_pass_time(&fixture, STEP_MS);
+			CU_ASSERT_EQUAL(fixture.front->waiting.length, 1);
+		}
+		reports = fixture.report_addresses->len;
+		support_relay_answer_continue(&fixture, 0,
+					      "f\r\n" EVENT_1 "\r\n");
+		support_relay_pass_time(&fixture, LEAVE_MS);
+		CU_ASSERT_FALSE(fixture.caller_ended);
+		if (cases[i].is_waiting)
+			CU_ASSERT_EQUAL(fixture.report_addresses->len, reports);
+		support_relay_answer_continue(&fixture, 0, LAST_EVENT);
+		CU_ASSERT_TRUE(
+			support_relay_answer_await(&fixture, &status, body));
+		CU_ASSERT_STRING_EQUAL(body->str, WHOLE_BODY);
+		support_relay_clear(&fixture);
+	}
+	g_string_free(body, TRUE);
+}
+
 static CU_TestInfo relay_standby_tests[] = {
+	{ "repeated_event_of_left_attempt_is_ignored",
+	  repeated_event_of_left_attempt_is_ignored },
 	{ "running_stream_is_not_given_up_before_another_goes_on",
 	  running_stream_is_not_given_up_before_another_goes_on },
 	CU_TEST_INFO_NULL
