A large answer supersedes the attempts that were left

Callers could get the event of a left stream inside the body of another answer.

Cause: an answer that is no stream and exceeds what is buffered (1 MiB, 64 KiB while memory is tight) begins the caller's answer without cancelling the standby attempts. The next event of one of these was written into that body, and the rest of the body was lost.

Evidence: in the new test, a 404 of 1.5 MiB was followed by event 1 of the left attempt; it failed before.

Change: such an answer settles the request, as an event does.

--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -567,6 +567,7 @@
 	if (relay->buffered_body->len <=
 	    cb_relay_memory_buffered_max(relay, BUFFERED_BODY_MAX_BYTES))
 		return;
+	cb_relay_standby_settle(relay);
 	answer_begin_(relay);
 	relay->is_body_streamed = TRUE;
 	cb_http1_exchange_write(relay->exchange, relay->buffered_body->data,
--- a/src/test_libcurrantbridge/test_relay_standby.c
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -302,7 +302,47 @@
 	g_string_free(body, TRUE);
 }
 
+/* An answer that has begun belongs to one attempt, whatever it is. */
+static void large_answer_of_another_kind_is_not_mixed_with_left_stream(void)
+{
+	const size_t body_bytes = 1536 * 1024;
+	char *filler = g_strnfill(body_bytes, 'z');
+	char *text = g_strdup_printf(
+		"HTTP/1.1 404 X\r\nId: 7\r\nSeal: y\r\nContent-Length: "
+		"%zu\r\n\r\n%s",
+		body_bytes + 2, filler);
+	const relay_script_t scripts[] = {
+		{ STREAM_HEAD, END_HOLD },
+		{ text, END_HOLD },
+	};
+	GString *body = g_string_new(NULL);
+	relay_fixture_t fixture;
+	uint32_t status = 0;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 2, "404"));
+	support_relay_answer_continue(&fixture, 0, FIRST_REST);
+	support_relay_pass_time(&fixture, 50);
+	support_relay_answer_continue(&fixture, 1, "ok");
+	CU_ASSERT_TRUE(support_relay_answer_await(&fixture, &status, body));
+	CU_ASSERT_EQUAL(status, 404);
+	CU_ASSERT_EQUAL(body->len, body_bytes + 2);
+	CU_ASSERT_PTR_NULL(strstr(body->str, EVENT_1));
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+	g_free(text);
+	g_free(filler);
+}
+
 static CU_TestInfo relay_standby_tests[] = {
+	{ "large_answer_of_another_kind_is_not_mixed_with_left_stream",
+	  large_answer_of_another_kind_is_not_mixed_with_left_stream },
 	{ "repeated_event_of_left_attempt_is_ignored",
 	  repeated_event_of_left_attempt_is_ignored },
 	{ "running_stream_is_not_given_up_before_another_goes_on",
