An error's body is kept while an attempt that was left may fail

Callers got a server's 500 with a part of its body missing.

Cause: whether the body of an error is dropped was decided for each part of it, by whether a standby attempt exists. If that one failed between two parts, the rest was forwarded as the whole body.

Evidence: in the new test the caller got "cd" of "abcd"; it failed before.

Change: the body is dropped only for reasons that last; an error that is too large for the buffer fails its attempt while a standby one may go on, as before. What is buffered is freed as a standby attempt takes over.

--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -530,24 +530,38 @@
 				TRUE, NULL);
 }
 
+/* Returns whether the answer is a server's error that need not be the last word. */
+static gboolean is_retriable_error_(const cb_relay_t *relay)
+{
+	return relay->status >= 500 && !relay->forwarded_to &&
+	       cb_relay_is_repeatable(relay);
+}
+
+static gboolean error_allows_run_(const cb_relay_t *relay)
+{
+	return is_retriable_error_(relay) &&
+	       relay->run_count + 1 < relay->route->max_attempts;
+}
+
 /*
  * Returns whether a server's error doesn't end the request: another attempt may
  * follow, or one that was left may go on.
  */
 static gboolean error_is_retried_(const cb_relay_t *relay)
 {
-	return relay->status >= 500 && !relay->forwarded_to &&
-	       cb_relay_is_repeatable(relay) &&
-	       (relay->run_count + 1 < relay->route->max_attempts ||
-		cb_relay_standby_exists(relay));
+	return error_allows_run_(relay) ||
+	       (is_retriable_error_(relay) && cb_relay_standby_exists(relay));
 }
 
 /* Returns whether an answer's body is not forwarded, whatever it is. */
 static gboolean body_is_unused_(const cb_relay_t *relay)
 {
-	/* A stream can't be resumed from another kind of answer. */
+	/*
+	 * A stream can't be resumed from another kind of answer.  An attempt that
+	 * was left may fail before this error is complete.
+	 */
 	return relay->has_not_run || refusal_is_unproved_(relay) ||
-	       relay->is_stream_resumed || error_is_retried_(relay);
+	       relay->is_stream_resumed || error_allows_run_(relay);
 }
 
 /*
@@ -567,6 +581,10 @@
 	if (relay->buffered_body->len <=
 	    cb_relay_memory_buffered_max(relay, BUFFERED_BODY_MAX_BYTES))
 		return;
+	if (error_is_retried_(relay)) {
+		oversize_answer_break_off_(relay);
+		return;
+	}
 	cb_relay_standby_settle(relay);
 	answer_begin_(relay);
 	relay->is_body_streamed = TRUE;
--- a/src/libcurrantbridge/relay/relay_standby.c
+++ b/src/libcurrantbridge/relay/relay_standby.c
@@ -286,6 +286,7 @@
 		return;
 	if (standby) {
 		cb_relay_stop_watching(relay);
+		g_byte_array_set_size(relay->buffered_body, 0);
 		/* The attempt that it supersedes may have run. */
 		if (standby->attempt.call &&
 		    cb_http1_call_is_sent(standby->attempt.call))
--- a/src/test_libcurrantbridge/test_relay_standby.c
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -340,9 +340,41 @@
 	g_free(filler);
 }
 
+/* A server's error is forwarded with its whole body, or not at all. */
+static void error_keeps_its_body_as_left_attempt_fails(void)
+{
+	static const relay_script_t scripts[] = {
+		{ "", END_HOLD },
+		{ "HTTP/1.1 500 X\r\nId: 7\r\nSeal: y\r\n"
+		  "Content-Length: 4\r\n\r\nab",
+		  END_HOLD },
+	};
+	GString *body = g_string_new(NULL);
+	relay_fixture_t fixture;
+	uint32_t status = 0;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	support_relay_server_reset(&fixture, 0);
+	support_relay_pass_time(&fixture, 50);
+	support_relay_answer_continue(&fixture, 1, "cd");
+	CU_ASSERT_TRUE(support_relay_answer_await(&fixture, &status, body));
+	CU_ASSERT_EQUAL(status, 500);
+	CU_ASSERT_STRING_EQUAL(body->str, "abcd");
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+}
+
 static CU_TestInfo relay_standby_tests[] = {
 	{ "large_answer_of_another_kind_is_not_mixed_with_left_stream",
 	  large_answer_of_another_kind_is_not_mixed_with_left_stream },
+	{ "error_keeps_its_body_as_left_attempt_fails",
+	  error_keeps_its_body_as_left_attempt_fails },
 	{ "repeated_event_of_left_attempt_is_ignored",
 	  repeated_event_of_left_attempt_is_ignored },
 	{ "running_stream_is_not_given_up_before_another_goes_on",
