An attempt's progress goes with it as it is left

The loss of a stream that had been coming for long counted as a sign that its content crashes servers, and barred its retry.

Cause: the progress of an attempt is kept in the request and reset by the next attempt; a standby attempt that was lost was judged by that one's progress.

Evidence: in the new test, a server crashes after 500 ms of events, while its stream is a standby one: RELAY_SERVER_ENDED had 1 candidate; it failed before.

Change: times and progress are exchanged with the attempt: no candidate.

--- a/src/libcurrantbridge/relay/relay_standby.c
+++ b/src/libcurrantbridge/relay/relay_standby.c
@@ -21,6 +21,8 @@
 	gboolean is_call_paused;
 	char *failed_address;
 	cb_event_splitter_t splitter;
+	int64_t last_event_ms; /* of relay->content, with `progress_ms` */
+	int64_t progress_ms;
 	/* Of the answer, while the caller's answer has not begun. */
 	GString *answer_headers;
 	char *stream_type;
@@ -50,6 +52,8 @@
 		.is_call_paused = relay->is_call_paused,
 		.failed_address = relay->failed_address,
 		.splitter = relay->splitter,
+		.last_event_ms = relay->content.last_event_ms,
+		.progress_ms = relay->content.progress_ms,
 		.answer_headers = relay->answer_headers,
 		.stream_type = relay->stream_type,
 	};
@@ -68,6 +72,8 @@
 	relay->is_call_paused = other->is_call_paused;
 	relay->failed_address = other->failed_address;
 	relay->splitter = other->splitter;
+	relay->content.last_event_ms = other->last_event_ms;
+	relay->content.progress_ms = other->progress_ms;
 	/* An answer that has begun keeps the head that its caller has. */
 	if (!relay->is_answer_begun) {
 		relay->answer_headers = other->answer_headers;
--- a/src/test_libcurrantbridge/test_relay_standby.c
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "support_log.h"
 #include "support_relay.h"
 
 /*
@@ -370,7 +371,49 @@
 	g_string_free(body, TRUE);
 }
 
+/* A crash after long progress is no sign against the content of the request. */
+static void content_of_left_attempt_with_progress_is_not_suspect(void)
+{
+	static const relay_script_t scripts[] = {
+		{ FIRST_EVENT, END_HOLD },
+		{ "", END_HOLD },
+	};
+	relay_fixture_t fixture;
+	support_log_t log;
+	unsigned int server;
+	unsigned int id;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, EVENT_1));
+	for (id = 2; id < 12; id++) {
+		char *event =
+			g_strdup_printf("10\r\nid: %02u\ndata: b\n\n\r\n", id);
+
+		support_relay_pass_time(&fixture, STEP_MS);
+		support_relay_answer_continue(&fixture, 0, event);
+		g_free(event);
+	}
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	support_log_begin(&log, fixture.world->clock);
+	fixture.front->log = log.log;
+	server = g_array_index(fixture.server_indexes, unsigned int, 0);
+	cb_stream_unlisten(g_steal_pointer(&fixture.listeners[server]));
+	support_relay_server_reset(&fixture, 0);
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	fixture.front->log = NULL;
+	support_log_end(&log);
+	CU_ASSERT_PTR_NOT_NULL(strstr(log.text, "\"RELAY_SERVER_ENDED\""));
+	CU_ASSERT_PTR_NOT_NULL(strstr(log.text, "\"candidates\":0"));
+	support_relay_clear(&fixture);
+}
+
 static CU_TestInfo relay_standby_tests[] = {
+	{ "content_of_left_attempt_with_progress_is_not_suspect",
+	  content_of_left_attempt_with_progress_is_not_suspect },
 	{ "large_answer_of_another_kind_is_not_mixed_with_left_stream",
 	  large_answer_of_another_kind_is_not_mixed_with_left_stream },
 	{ "error_keeps_its_body_as_left_attempt_fails",
