A request doesn't go back to an answer that was partly dropped

Callers could get a server's error with a part of its body missing.

Cause: the body of a standby attempt's answer that is no stream is dropped; if the attempt in flight failed before that answer was complete, the request went back to it and forwarded the rest as the whole body.

Evidence: in the new test the caller got a 404 that lacked its first half; it failed before.

Change: a request goes back only to an attempt that has no answer yet, or a stream.

--- a/src/libcurrantbridge/relay/relay_standby.c
+++ b/src/libcurrantbridge/relay/relay_standby.c
@@ -279,16 +279,34 @@
 	return_log_(relay, reason);
 }
 
+/*
+ * Returns the attempt that was left last and may go on; NULL: there is none.  One
+ * whose answer is no stream brings no event, and its body is dropped.
+ */
+static standby_t *resumable_find_(const cb_relay_t *relay)
+{
+	unsigned int i = relay->standbys ? relay->standbys->len : 0;
+
+	while (i--) {
+		standby_t *standby = relay->standbys->pdata[i];
+
+		if (!standby->attempt.status ||
+		    standby->attempt.is_event_stream)
+			return standby;
+	}
+	return NULL;
+}
+
 gboolean cb_relay_standby_exists(const cb_relay_t *relay)
 {
-	return relay->standbys && relay->standbys->len;
+	return resumable_find_(relay) != NULL;
 }
 
 void cb_relay_standby_settle(cb_relay_t *relay)
 {
 	const standby_t *standby = relay->standby_in_use;
 
-	if (!cb_relay_standby_exists(relay))
+	if (!relay->standbys || !relay->standbys->len)
 		return;
 	if (standby) {
 		cb_relay_stop_watching(relay);
@@ -305,12 +323,11 @@
 
 gboolean cb_relay_standby_resume(cb_relay_t *relay, const char *reason)
 {
-	standby_t *standby;
+	standby_t *standby = resumable_find_(relay);
 
-	if (!cb_relay_standby_exists(relay))
+	if (!standby)
 		return FALSE;
 	cb_relay_cancel_attempt(relay);
-	standby = g_ptr_array_index(relay->standbys, relay->standbys->len - 1);
 	attempt_swap_(relay, &standby->attempt);
 	g_ptr_array_remove(relay->standbys, standby);
 	standby_take_(relay, reason);
--- a/src/test_libcurrantbridge/test_relay_standby.c
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -411,7 +411,41 @@
 	support_relay_clear(&fixture);
 }
 
+/* An attempt whose answer is no stream has lost parts of it as it was left. */
+static void request_does_not_go_back_to_partly_dropped_answer(void)
+{
+	static const relay_script_t scripts[] = {
+		{ "", END_HOLD },
+		{ "", END_HOLD },
+	};
+	GString *body = g_string_new(NULL);
+	relay_fixture_t fixture;
+	uint32_t status = 0;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	support_relay_answer_continue(&fixture, 0,
+				      "HTTP/1.1 404 X\r\nId: 7\r\nSeal: x\r\n"
+				      "Content-Length: 4\r\n\r\nab");
+	support_relay_pass_time(&fixture, STEP_MS);
+	support_relay_server_reset(&fixture, 1);
+	support_relay_pass_time(&fixture, STEP_MS);
+	if (!fixture.caller_ended)
+		support_relay_answer_continue(&fixture, 0, "cd");
+	CU_ASSERT_TRUE(support_relay_answer_await(&fixture, &status, body));
+	CU_ASSERT_EQUAL(status, 502);
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+}
+
 static CU_TestInfo relay_standby_tests[] = {
+	{ "request_does_not_go_back_to_partly_dropped_answer",
+	  request_does_not_go_back_to_partly_dropped_answer },
 	{ "content_of_left_attempt_with_progress_is_not_suspect",
 	  content_of_left_attempt_with_progress_is_not_suspect },
 	{ "large_answer_of_another_kind_is_not_mixed_with_left_stream",
