A way check's answer that lies unread is an answer

An instance could hold its way to a data centre for silent or lost, leave its streams and forward its new requests, though the servers had answered.

Cause: a check ends as mute 150 ms after its begin, also if its answer has arrived and this process is too late to read it.

Change: while the answer, or an end, lies unread, the check goes on for 10 ms. Connections that are made late are not covered.

--- a/src/libcurrantbridge/relay/relay_reach.c
+++ b/src/libcurrantbridge/relay/relay_reach.c
@@ -8,6 +8,8 @@
 #define CHECKED_SERVERS 3
 /* A server in the region that is reached answers within this time. */
 #define CHECK_TIMEOUT_MS 150
+/* An answer that has arrived unread is read within this time. */
+#define CHECK_READ_INTERVAL_MS 10
 /* A connection that fails sooner was refused or reset. */
 #define REFUSED_CONNECTION_MAX_MS 100
 /*
@@ -238,6 +240,11 @@
 {
 	check_t *check = user_data;
 
+	/* This process is late, not the server. */
+	if (cb_http1_call_has_input(check->call)) {
+		cb_timer_start(check->timer, CHECK_READ_INTERVAL_MS);
+		return;
+	}
 	check_end_(check, cb_http1_call_is_sent(check->call) ?
 				  CB_REACH_MUTE :
 				  CB_REACH_UNANSWERED);
--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -1,6 +1,9 @@
 #include "support_main.h"
 
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "support_log.h"
 #include "support_relay.h"
@@ -486,7 +489,81 @@
 	}
 }
 
+/* Listens at a server's port in place of the fixture, which reads nothing there. */
+static int server_replace_(relay_fixture_t *fixture, unsigned int server)
+{
+	const struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(fixture->ports[server]),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int is_reused = 1;
+
+	cb_stream_unlisten(g_steal_pointer(&fixture->listeners[server]));
+	CU_ASSERT_TRUE_FATAL(fd >= 0);
+	CU_ASSERT_FALSE(setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &is_reused,
+				   sizeof(is_reused)));
+	CU_ASSERT_FALSE_FATAL(
+		bind(fd, (const struct sockaddr *)&address, sizeof(address)));
+	CU_ASSERT_FALSE_FATAL(listen(fd, 4));
+	return fd;
+}
+
+/* Answers the request on the next connection to a listening socket. */
+static int check_answer_(int listener)
+{
+	static const char answer[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	char request[512];
+	int fd = accept(listener, NULL, NULL);
+
+	CU_ASSERT_TRUE_FATAL(fd >= 0);
+	CU_ASSERT_TRUE(recv(fd, request, sizeof(request), 0) > 0);
+	CU_ASSERT_TRUE(send(fd, answer, strlen(answer), 0) > 0);
+	return fd;
+}
+
+/* An answer to a check that this process is too late to read is one. */
+static void late_process_does_not_lose_its_way(void)
+{
+	static const relay_script_t script = { FIRST_EVENT, END_HOLD };
+	int listeners[SERVER_COUNT];
+	int connections[SERVER_COUNT];
+	const cb_reach_group_t *group;
+	relay_fixture_t fixture;
+	unsigned int i;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = &script;
+	fixture.script_count = 1;
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 0, EVENT_1));
+	support_relay_pass_time(&fixture, 10);
+	group = cb_reach_get_group(fixture.front->reach, "dc1");
+	for (i = 0; i < SERVER_COUNT; i++)
+		listeners[i] = server_replace_(&fixture, i);
+	cb_clock_advance(fixture.world->clock, FIRST_CHECK_MS);
+	CU_ASSERT_EQUAL_FATAL(cb_reach_group_state(group), CB_REACH_CHECKING);
+	(void)support_relay_run_until(&fixture, 0, EVENT_2);
+	for (i = 0; i < SERVER_COUNT; i++)
+		connections[i] = check_answer_(listeners[i]);
+	/* The timers fire, and no socket is read. */
+	cb_clock_advance(fixture.world->clock, 300);
+	CU_ASSERT_EQUAL(cb_reach_group_results(group)[CB_REACH_MUTE], 0);
+	CU_ASSERT_EQUAL(cb_reach_group_state(group), CB_REACH_CHECKING);
+	(void)support_relay_run_until(&fixture, 0, EVENT_2);
+	CU_ASSERT_EQUAL(cb_reach_group_state(group), CB_REACH_OPEN);
+	for (i = 0; i < SERVER_COUNT; i++) {
+		close(connections[i]);
+		close(listeners[i]);
+	}
+	support_relay_clear(&fixture);
+}
+
 static CU_TestInfo relay_silence_tests[] = {
+	{ "late_process_does_not_lose_its_way",
+	  late_process_does_not_lose_its_way },
 	{ "kept_attempts_log_unread_input", kept_attempts_log_unread_input },
 	{ "silent_server_does_not_end_answer",
 	  silent_server_does_not_end_answer },
