--- a/src/libcurrantbridge/relay/relay_standby.c
+++ b/src/libcurrantbridge/relay/relay_standby.c
@@ -21,6 +21,8 @@
 	gboolean is_call_paused;
 	char *failed_address;
 	cb_event_splitter_t splitter;
+	int64_t last_event_ms; /* of relay->content, with `progress_ms` */
+	int64_t progress_ms;
 	/* Of the answer, while the caller's answer has not begun. */
 	GString *answer_headers;
 	char *stream_type;
@@ -50,6 +52,8 @@
 		.is_call_paused = relay->is_call_paused,
 		.failed_address = relay->failed_address,
 		.splitter = relay->splitter,
+		.last_event_ms = relay->content.last_event_ms,
+		.progress_ms = relay->content.progress_ms,
 		.answer_headers = relay->answer_headers,
 		.stream_type = relay->stream_type,
 	};
@@ -68,6 +72,8 @@
 	relay->is_call_paused = other->is_call_paused;
 	relay->failed_address = other->failed_address;
 	relay->splitter = other->splitter;
+	relay->content.last_event_ms = other->last_event_ms;
+	relay->content.progress_ms = other->progress_ms;
 	/* An answer that has begun keeps the head that its caller has. */
 	if (!relay->is_answer_begun) {
 		relay->answer_headers = other->answer_headers;
@@ -273,19 +279,38 @@
 	return_log_(relay, reason);
 }
 
+/*
+ * Returns the attempt that was left last and may go on; NULL: there is none.  One
+ * whose answer is no stream brings no event, and its body is dropped.
+ */
+static standby_t *resumable_find_(const cb_relay_t *relay)
+{
+	unsigned int i = relay->standbys ? relay->standbys->len : 0;
+
+	while (i--) {
+		standby_t *standby = relay->standbys->pdata[i];
+
+		if (!standby->attempt.status ||
+		    standby->attempt.is_event_stream)
+			return standby;
+	}
+	return NULL;
+}
+
 gboolean cb_relay_standby_exists(const cb_relay_t *relay)
 {
-	return relay->standbys && relay->standbys->len;
+	return resumable_find_(relay) != NULL;
 }
 
 void cb_relay_standby_settle(cb_relay_t *relay)
 {
 	const standby_t *standby = relay->standby_in_use;
 
-	if (!cb_relay_standby_exists(relay))
+	if (!relay->standbys || !relay->standbys->len)
 		return;
 	if (standby) {
 		cb_relay_stop_watching(relay);
+		g_byte_array_set_size(relay->buffered_body, 0);
 		/* The attempt that it supersedes may have run. */
 		if (standby->attempt.call &&
 		    cb_http1_call_is_sent(standby->attempt.call))
@@ -298,12 +323,11 @@
 
 gboolean cb_relay_standby_resume(cb_relay_t *relay, const char *reason)
 {
-	standby_t *standby;
+	standby_t *standby = resumable_find_(relay);
 
-	if (!cb_relay_standby_exists(relay))
+	if (!standby)
 		return FALSE;
 	cb_relay_cancel_attempt(relay);
-	standby = g_ptr_array_index(relay->standbys, relay->standbys->len - 1);
 	attempt_swap_(relay, &standby->attempt);
 	g_ptr_array_remove(relay->standbys, standby);
 	standby_take_(relay, reason);
--- a/src/test_libcurrantbridge/test_relay_standby.c
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "support_log.h"
 #include "support_relay.h"
 
 /*
@@ -26,6 +27,7 @@
 #define LEAVE_MS 400
 /* The first server goes on after this time; callers wait for 2 s. */
 #define SILENCE_MS 1700
+#define STEP_MS 50
 /* Enough for all sends of a request. */
 #define SCRIPTS 24
 
@@ -234,7 +236,224 @@
 		CU_ASSERT_TRUE(standby_case_run_(&standby_cases[i]));
 }
 
+/* An event that the caller has shows nothing of the attempt in flight, if any. */
+static void repeated_event_of_left_attempt_is_ignored(void)
+{
+	static const cb_retry_share_budget_t no_retry = { .window_ms = 10000 };
+	static const relay_script_t scripts[] = {
+		{ FIRST_EVENT, END_HOLD },
+		{ "", END_HOLD },
+	};
+	/* Without a retry, the stream waits for one, and has no attempt. */
+	static const struct {
+		const char *request;
+		gboolean are_engines;
+		gboolean is_waiting;
+	} cases[] = {
+		{ PATIENT_STREAM_REQUEST, FALSE, FALSE },
+		{ PATIENT_STREAM_REQUEST, FALSE, TRUE },
+		{ PATIENT_ENGINE_REQUEST, TRUE, FALSE },
+		{ PATIENT_ENGINE_REQUEST, TRUE, TRUE },
+	};
+	GString *body = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		relay_fixture_t fixture;
+		uint32_t status = 0;
+		unsigned int reports;
+		unsigned int k;
+
+		support_relay_init(&fixture, TRUE);
+		for (k = 0; cases[i].are_engines && k < SERVER_COUNT; k++)
+			support_relay_layers_announce(&fixture, k, 1, 0, 2);
+		world_run_until(fixture.world, NULL, 1000);
+		fixture.withholds_reports = TRUE;
+		fixture.scripts = scripts;
+		fixture.script_count = G_N_ELEMENTS(scripts);
+		support_relay_request_send(&fixture, cases[i].request);
+		CU_ASSERT_TRUE_FATAL(
+			support_relay_run_until(&fixture, 1, EVENT_1));
+		for (k = 0; k < SILENCE_MS && fixture.requests->len < 2;
+		     k += STEP_MS)
+			support_relay_pass_time(&fixture, STEP_MS);
+		CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+		if (cases[i].is_waiting) {
+			cb_retry_share_delete(fixture.front->retries);
+			fixture.front->retries =
+				cb_retry_share_new(fixture.front->clock,
+						   &no_retry);
+			support_relay_answer_continue(&fixture, 1, REJECTION);
+			support_relay_pass_time(&fixture, STEP_MS);
+			CU_ASSERT_EQUAL(fixture.front->waiting.length, 1);
+		}
+		reports = fixture.report_addresses->len;
+		support_relay_answer_continue(&fixture, 0,
+					      "f\r\n" EVENT_1 "\r\n");
+		support_relay_pass_time(&fixture, LEAVE_MS);
+		CU_ASSERT_FALSE(fixture.caller_ended);
+		if (cases[i].is_waiting)
+			CU_ASSERT_EQUAL(fixture.report_addresses->len, reports);
+		support_relay_answer_continue(&fixture, 0, LAST_EVENT);
+		CU_ASSERT_TRUE(
+			support_relay_answer_await(&fixture, &status, body));
+		CU_ASSERT_STRING_EQUAL(body->str, WHOLE_BODY);
+		support_relay_clear(&fixture);
+	}
+	g_string_free(body, TRUE);
+}
+
+/* An answer that has begun belongs to one attempt, whatever it is. */
+static void large_answer_of_another_kind_is_not_mixed_with_left_stream(void)
+{
+	const size_t body_bytes = 1536 * 1024;
+	char *filler = g_strnfill(body_bytes, 'z');
+	char *text = g_strdup_printf(
+		"HTTP/1.1 404 X\r\nId: 7\r\nSeal: y\r\nContent-Length: "
+		"%zu\r\n\r\n%s",
+		body_bytes + 2, filler);
+	const relay_script_t scripts[] = {
+		{ STREAM_HEAD, END_HOLD },
+		{ text, END_HOLD },
+	};
+	GString *body = g_string_new(NULL);
+	relay_fixture_t fixture;
+	uint32_t status = 0;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 2, "404"));
+	support_relay_answer_continue(&fixture, 0, FIRST_REST);
+	support_relay_pass_time(&fixture, 50);
+	support_relay_answer_continue(&fixture, 1, "ok");
+	CU_ASSERT_TRUE(support_relay_answer_await(&fixture, &status, body));
+	CU_ASSERT_EQUAL(status, 404);
+	CU_ASSERT_EQUAL(body->len, body_bytes + 2);
+	CU_ASSERT_PTR_NULL(strstr(body->str, EVENT_1));
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+	g_free(text);
+	g_free(filler);
+}
+
+/* A server's error is forwarded with its whole body, or not at all. */
+static void error_keeps_its_body_as_left_attempt_fails(void)
+{
+	static const relay_script_t scripts[] = {
+		{ "", END_HOLD },
+		{ "HTTP/1.1 500 X\r\nId: 7\r\nSeal: y\r\n"
+		  "Content-Length: 4\r\n\r\nab",
+		  END_HOLD },
+	};
+	GString *body = g_string_new(NULL);
+	relay_fixture_t fixture;
+	uint32_t status = 0;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	support_relay_server_reset(&fixture, 0);
+	support_relay_pass_time(&fixture, 50);
+	support_relay_answer_continue(&fixture, 1, "cd");
+	CU_ASSERT_TRUE(support_relay_answer_await(&fixture, &status, body));
+	CU_ASSERT_EQUAL(status, 500);
+	CU_ASSERT_STRING_EQUAL(body->str, "abcd");
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+}
+
+/* A crash after long progress is no sign against the content of the request. */
+static void content_of_left_attempt_with_progress_is_not_suspect(void)
+{
+	static const relay_script_t scripts[] = {
+		{ FIRST_EVENT, END_HOLD },
+		{ "", END_HOLD },
+	};
+	relay_fixture_t fixture;
+	support_log_t log;
+	unsigned int server;
+	unsigned int id;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, EVENT_1));
+	for (id = 2; id < 12; id++) {
+		char *event =
+			g_strdup_printf("10\r\nid: %02u\ndata: b\n\n\r\n", id);
+
+		support_relay_pass_time(&fixture, STEP_MS);
+		support_relay_answer_continue(&fixture, 0, event);
+		g_free(event);
+	}
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	support_log_begin(&log, fixture.world->clock);
+	fixture.front->log = log.log;
+	server = g_array_index(fixture.server_indexes, unsigned int, 0);
+	cb_stream_unlisten(g_steal_pointer(&fixture.listeners[server]));
+	support_relay_server_reset(&fixture, 0);
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	fixture.front->log = NULL;
+	support_log_end(&log);
+	CU_ASSERT_PTR_NOT_NULL(strstr(log.text, "\"RELAY_SERVER_ENDED\""));
+	CU_ASSERT_PTR_NOT_NULL(strstr(log.text, "\"candidates\":0"));
+	support_relay_clear(&fixture);
+}
+
+/* An attempt whose answer is no stream has lost parts of it as it was left. */
+static void request_does_not_go_back_to_partly_dropped_answer(void)
+{
+	static const relay_script_t scripts[] = {
+		{ "", END_HOLD },
+		{ "", END_HOLD },
+	};
+	GString *body = g_string_new(NULL);
+	relay_fixture_t fixture;
+	uint32_t status = 0;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	support_relay_answer_continue(&fixture, 0,
+				      "HTTP/1.1 404 X\r\nId: 7\r\nSeal: x\r\n"
+				      "Content-Length: 4\r\n\r\nab");
+	support_relay_pass_time(&fixture, STEP_MS);
+	support_relay_server_reset(&fixture, 1);
+	support_relay_pass_time(&fixture, STEP_MS);
+	if (!fixture.caller_ended)
+		support_relay_answer_continue(&fixture, 0, "cd");
+	CU_ASSERT_TRUE(support_relay_answer_await(&fixture, &status, body));
+	CU_ASSERT_EQUAL(status, 502);
+	support_relay_clear(&fixture);
+	g_string_free(body, TRUE);
+}
+
 static CU_TestInfo relay_standby_tests[] = {
+	{ "request_does_not_go_back_to_partly_dropped_answer",
+	  request_does_not_go_back_to_partly_dropped_answer },
+	{ "content_of_left_attempt_with_progress_is_not_suspect",
+	  content_of_left_attempt_with_progress_is_not_suspect },
+	{ "large_answer_of_another_kind_is_not_mixed_with_left_stream",
+	  large_answer_of_another_kind_is_not_mixed_with_left_stream },
+	{ "error_keeps_its_body_as_left_attempt_fails",
+	  error_keeps_its_body_as_left_attempt_fails },
+	{ "repeated_event_of_left_attempt_is_ignored",
+	  repeated_event_of_left_attempt_is_ignored },
 	{ "running_stream_is_not_given_up_before_another_goes_on",
 	  running_stream_is_not_given_up_before_another_goes_on },
 	CU_TEST_INFO_NULL
