A leaving instance keeps its floors while it serves

What callers saw: a stream sent just after the SIGTERM of an instance whose control had only now elected its leader waited for 2 s and was refused with 429 (rate_limit or concurrency_limit), far below its contract's limits, though a leaving instance serves for address_ttl_ms.

Cause: an instance's floor was computed from the view, in which a leaving one isn't picked: from then on it was 0, and the instance had only what control leased it. A new leader leases nothing for 2 s, the time that a request waits, and without control there are no leases. The log of a failed run: leader at 50.699, SIGTERM at 50.985, stream refused at 52.985 or so.

Change: as long as it serves, a leaving instance computes its floors as if it were still ready. The others divide the floors without it meanwhile, so that it may use one floor more: docs/ADMISSION.md allows the same to an instance with an older view, for the same reason.

--- a/src/libcurrantbridge/http/entry.c
+++ b/src/libcurrantbridge/http/entry.c
@@ -155,6 +155,7 @@
 	cb_log_event(cb_kernel_log(entry->kernel), CB_EVENT_ENTRY_DRAINING,
 		     CB_INT("open", entry->open_requests),
 		     CB_INT("ttl_ms", entry->options.address_ttl_ms));
+	cb_share_keeper_set_leaving(entry->share_keeper);
 	cb_control_client_leave(entry->control);
 	cb_timer_start(entry->drain_timer, entry->options.address_ttl_ms);
 }
--- a/src/libcurrantbridge/include/private/share_keeper.h
+++ b/src/libcurrantbridge/include/private/share_keeper.h
@@ -23,6 +23,11 @@
 /* Updates a workspace's floor from the current view; call it before use. */
 void cb_share_keeper_update_floor(cb_share_keeper_t *keeper,
 				  const cb_contract_t *contract);
+/*
+ * Keeps the floors of an instance that leaves, and serves on: leases may be had
+ * too late for its requests, or not at all.
+ */
+void cb_share_keeper_set_leaving(cb_share_keeper_t *keeper);
 /* Reports the demand within milliseconds instead of at the next interval. */
 void cb_share_keeper_report_soon(cb_share_keeper_t *keeper);
 
--- a/src/libcurrantbridge/request/share_keeper.c
+++ b/src/libcurrantbridge/request/share_keeper.c
@@ -15,6 +15,7 @@
 	char *instance; /* name of this entry instance */
 	/* Maximum number of instances in an address answer. */
 	uint32_t address_count;
+	gboolean is_leaving; /* the instance drains and still serves */
 	cb_share_table_t *table;
 	cb_admission_t *admission;
 	cb_clock_t *clock;
@@ -30,6 +31,32 @@
 	cb_counter_t *grant_counter;
 };
 
+/*
+ * Returns the view's instances among which a workspace's are picked.  While this
+ * one leaves, `own` becomes its record as if it were ready: callers keep its address
+ * for a time, and use it.
+ */
+static GPtrArray *candidates_find_(const cb_share_keeper_t *keeper,
+				   cb_instance_t *own)
+{
+	const GPtrArray *instances = cb_view_instances(keeper->view);
+	GPtrArray *candidates = g_ptr_array_sized_new(instances->len);
+	unsigned int i;
+
+	for (i = 0; i < instances->len; i++) {
+		cb_instance_t *instance = g_ptr_array_index(instances, i);
+
+		if (keeper->is_leaving &&
+		    !strcmp(instance->name, keeper->instance)) {
+			*own = *instance;
+			own->state = CB_INSTANCE_READY;
+			instance = own;
+		}
+		g_ptr_array_add(candidates, instance);
+	}
+	return candidates;
+}
+
 /*
  * Returns whether this instance is picked for a workspace's address answer;
  * sets `count` to the number of instances in the answer.
@@ -37,9 +64,10 @@
 static gboolean own_instance_is_picked_(cb_share_keeper_t *keeper,
 					const char *workspace, uint32_t *count)
 {
-	GPtrArray *picked =
-		cb_rendezvous_pick(cb_view_instances(keeper->view), workspace,
-				   keeper->address_count);
+	cb_instance_t own;
+	GPtrArray *candidates = candidates_find_(keeper, &own);
+	GPtrArray *picked = cb_rendezvous_pick(candidates, workspace,
+					       keeper->address_count);
 	gboolean is_picked = FALSE;
 	unsigned int i;
 
@@ -51,6 +79,7 @@
 	}
 	*count = picked->len;
 	g_ptr_array_unref(picked);
+	g_ptr_array_unref(candidates);
 	return is_picked;
 }
 
@@ -128,6 +157,12 @@
 	cb_timer_start(keeper->report_timer, CB_DEMAND_INTERVAL_MS);
 }
 
+/* Keeps the floors although the view names this instance no more. */
+void cb_share_keeper_set_leaving(cb_share_keeper_t *keeper)
+{
+	keeper->is_leaving = TRUE;
+}
+
 /* Schedules a report of the demand within MIN_REPORT_INTERVAL_MS. */
 void cb_share_keeper_report_soon(cb_share_keeper_t *keeper)
 {
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -16,6 +16,10 @@
 #define STREAM_TOKENS 40
 /* Shortens drains, which last at least as long as the address TTL. */
 #define SHORT_TTL_SETTINGS "\"address_ttl_ms\":1000,\"max_body_bytes\":10000"
+/* For drains in which much is done before the address TTL is over. */
+#define LONG_TTL_MS 4000
+#define LONG_TTL_SETTINGS "\"address_ttl_ms\":4000"
+#define LATE_STREAM_COUNT 10
 #define ENGINE_ARGUMENTS "--model ruling --layers 4 --capacity 200 --token-ms "
 /* Arguments of an engine that takes 20 ms per token. */
 #define DEFAULT_ENGINE ENGINE_ARGUMENTS "20"
@@ -259,6 +263,45 @@
 	fixture_clear_(&fixture);
 }
 
+/* Returns whether address answers name the instance no more. */
+static gboolean entry_has_left_(void *user_data)
+{
+	support_daemon_t *entry = user_data;
+	char *answer = NULL;
+	gboolean has_left =
+		support_http_request("GET", entry->http,
+				     "/v1/addresses?workspace=handicap", NULL,
+				     &answer) == 200 &&
+		!strstr(answer, entry->http);
+
+	g_free(answer);
+	return has_left;
+}
+
+/*
+ * A leaving instance to which control granted no lease, as a leader that was just
+ * elected does, let new requests wait for 2 s and refused them with 429.
+ */
+static void leaving_instance_serves_without_leases(void)
+{
+	support_stream_t *streams[LATE_STREAM_COUNT];
+	fixture_t fixture;
+
+	fixture_init_(&fixture, LONG_TTL_SETTINGS, DEFAULT_ENGINE, 2);
+	streams_start_(&fixture, streams, 1, "first");
+	CU_ASSERT_EQUAL(streams_finish_(streams, 1), 1);
+	support_daemon_signal(fixture.entry, SIGTERM);
+	CU_ASSERT_TRUE(support_wait_until(entry_has_left_, fixture.entry,
+					  LONG_TTL_MS / 2));
+	support_daemon_signal(fixture.group->control[0], SIGSTOP);
+	streams_start_(&fixture, streams, LATE_STREAM_COUNT, "late");
+	CU_ASSERT_EQUAL(streams_finish_(streams, LATE_STREAM_COUNT),
+			LATE_STREAM_COUNT);
+	support_daemon_signal(fixture.group->control[0], SIGCONT);
+	CU_ASSERT_EQUAL(support_daemon_wait(fixture.entry), 0);
+	fixture_clear_(&fixture);
+}
+
 static gboolean entry_refuses_as_leaving_(void *user_data)
 {
 	support_daemon_t *entry = user_data;
@@ -492,6 +535,8 @@
 	{ "bad_requests_are_refused_and_counted",
 	  bad_requests_are_refused_and_counted },
 	{ "sigterm_ends_no_running_stream", sigterm_ends_no_running_stream },
+	{ "leaving_instance_serves_without_leases",
+	  leaving_instance_serves_without_leases },
 	{ "drained_instance_refuses_new_requests",
 	  drained_instance_refuses_new_requests },
 	{ "announced_stop_drains_instance", announced_stop_drains_instance },
