A stop with a short grace time ends in its last sixth, not before

What callers saw: with grace_s 1 an entry instance broke off its running answers 0.70 s after the SIGTERM, though it might run until 1 s, and the platform's rules count an answer as lost that a stop ends before the last sixth of the grace time while its server is at work.

Cause: a graceful stop ended 0.3 s before the grace time, whatever that was; below 1.8 s this is more than a sixth.

Change: it ends at most a sixth of the grace time before, and at most 0.3 s. From 1.8 s on nothing differs.

--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -972,6 +972,30 @@
 	g_free(path);
 }
 
+/* A stop with a short grace time cut answers before the last sixth of that. */
+static void drain_lasts_into_last_sixth_of_grace_time(void)
+{
+	static const struct {
+		double grace_s;
+		int64_t drain_ms;
+	} cases[] = {
+		{ 1, 834 },  { 1.5, 1250 }, { 2, 1700 },
+		{ 8, 7700 }, { 7.5, 7200 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const platform_settings_t settings = {
+			.grace_s = cases[i].grace_s
+		};
+
+		CU_ASSERT_EQUAL(platform_settings_drain_ms(&settings),
+				cases[i].drain_ms);
+		CU_ASSERT_TRUE(platform_settings_drain_ms(&settings) * 6 >=
+			       settings.grace_s * 5000);
+	}
+}
+
 /* The memory of the machine may have a fraction; a value out of range is named. */
 static void memory_setting_is_checked(void)
 {
@@ -1305,6 +1329,8 @@
 	  leaving_and_retry_after_are_read },
 	{ "server_limits_are_read", server_limits_are_read },
 	{ "settings_are_loaded", settings_are_loaded },
+	{ "drain_lasts_into_last_sixth_of_grace_time",
+	  drain_lasts_into_last_sixth_of_grace_time },
 	{ "memory_setting_is_checked", memory_setting_is_checked },
 	CU_TEST_INFO_NULL
 };
