A drain starts only requests that usually end in it

What callers saw: an entry instance with grace_s 2 started streams up to 0.57 s after its SIGTERM, whatever they took, and broke off at 1.7 s those that take 1.5 s: everything that began later than 0.2 s. Callers that use their open connections until the process is gone kept sending such streams.

Cause: a request was started in the first third of the drain (2.5 s at most) without a look at the time that requests like it take.

Change: relay/route_times keeps, for each route, how long its served requests took and the mean deviation, averaged over the last 64 or so. A request is started in a drain if that time and twice the deviation (a quarter more at least; 5 s for a route without served requests), or the request's time limit, is over before the drain is; any other one is refused at once with 503, "stopping", Retry-After 0.100 and Connection: close, so that its caller uses another instance. The rule of a third is gone: short requests are started for longer. As before, streams are refused from 2.5 s on, and then other requests if their time limit is later than the end.

--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -11,6 +11,7 @@
 #include "private/relay_reach.h"
 #include "private/retry_share.h"
 #include "private/room.h"
+#include "private/route_times.h"
 #include "private/server_book.h"
 #include "private/server_ends.h"
 
@@ -69,6 +70,7 @@
 	cb_server_book_t *book;
 	cb_server_ends_t *server_ends;
 	cb_content_book_t *content_book;
+	cb_route_times_t *route_times;
 	cb_retry_share_t *retries;
 	cb_room_t *room;
 	cb_offered_t *offered;
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -44,6 +44,7 @@
 	cb_document_unref(front->document);
 	front->document = document;
 	front->document_since_ms = cb_clock_now_ms(front->clock);
+	cb_route_times_prune(front->route_times, document->routes);
 	cb_http1_server_set_limits(front->server, &limits);
 	peer_limits.max_header_bytes += FORWARD_HEADER_MAX_BYTES;
 	cb_http1_server_set_limits(front->peer_server, &peer_limits);
@@ -407,6 +408,7 @@
 	cb_relay_forward_clear(front);
 	cb_server_ends_delete(front->server_ends);
 	cb_content_book_delete(front->content_book);
+	cb_route_times_delete(front->route_times);
 	cb_engine_reports_delete(front->reports);
 	g_hash_table_unref(front->engine_checks);
 	cb_timer_delete(front->drain_timer);
@@ -550,6 +552,7 @@
 	cb_server_pace_watch(cb_server_book_pace(front->book), pace_change_log_,
 			     front);
 	front->content_book = cb_relay_content_book_new(front);
+	front->route_times = cb_route_times_new();
 	front->server_ends =
 		cb_server_ends_new(cb_kernel_context(kernel), front->clock,
 				   cb_relay_content_server_checked, front);
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -14,11 +14,9 @@
 #define LIMITED_RETRY_AFTER_MAX_MS 2000
 /*
  * From this time after the start of a drain on, only requests are started that
- * surely end before it does: callers know other addresses by then.  It is less for
- * a short drain, of which it may take one part in DRAIN_START_DIVISOR.
+ * surely end before it does: callers know other addresses by then.
  */
 #define DRAIN_START_MAX_MS 2500
-#define DRAIN_START_DIVISOR 3
 /*
  * How long a request waits for what may soon be available: the first document
  * or server after a start, layers that are being loaded, token capacity that
@@ -228,6 +226,9 @@
 	cb_histogram_add(is_served ? front->served_ms : front->failed_ms,
 			 elapsed_ms);
 	cb_relay_content_ended(relay, is_served);
+	if (is_served && relay->route)
+		cb_route_times_add(front->route_times, relay->route->name,
+				   elapsed_ms);
 	if (is_served)
 		cb_relay_room_ended(relay);
 	g_free(hops_text);
@@ -499,21 +500,26 @@
 /*
  * Returns whether this instance may stop before the request has ended, which has
  * not been started at any server.  Its caller loses less time by using another
- * instance, and learns that it has not run.  Streams take longer than the rest of
- * a drain, whatever time their callers allow.
+ * instance, and learns that it has not run.  At first a request is started if
+ * others of its route end in the time left; later it must be limited to that time,
+ * and streams take longer than the rest of a drain, whatever their callers allow.
  */
 static gboolean start_is_too_late_(const cb_relay_t *relay)
 {
 	const cb_front_t *front = relay->front;
-	int64_t draining_ms = cb_relay_now_ms(relay) - front->drain_since_ms;
+	int64_t now_ms = cb_relay_now_ms(relay);
+	int64_t end_ms = relay->deadline_ms;
 
 	if (!front->drain_since_ms || relay->run_count ||
-	    relay->is_answer_begun ||
-	    draining_ms < MIN(DRAIN_START_MAX_MS,
-			      front->grace_ms / DRAIN_START_DIVISOR))
+	    relay->is_answer_begun)
 		return FALSE;
-	return relay->route->kind == CB_ROUTE_STREAM ||
-	       relay->deadline_ms >= front->drain_since_ms + front->grace_ms;
+	if (now_ms - front->drain_since_ms < DRAIN_START_MAX_MS)
+		end_ms = MIN(end_ms, now_ms + cb_route_times_expect_ms(
+						      front->route_times,
+						      relay->route->name));
+	else if (relay->route->kind == CB_ROUTE_STREAM)
+		return TRUE;
+	return end_ms >= front->drain_since_ms + front->grace_ms;
 }
 
 /* Chooses servers and sends the request, queues it or gives it up. */
