A request in time is not left for refused report calls

Callers of engines whose listening sockets are closed for a while had their requests run twice.

A request without an event is checked after a quarter of the time in which its route wants the first one. If the engine refused that call, its report call on a new connection, the attempt counted as lost. But a refused connection tells of the listening socket alone: if the process has ended, the attempt's own connection is reset as well.

The refusal is now a sign of its own, "refused", while the attempt's connection is open and its first event is not late by the route's target. The attempt is kept and checked again, each quarter of that time; a report that comes then tells more. After the target, and for a stream that is overdue by its own pace, a refused call counts as before.

The new test fails before, at "first event in time" (2 sends, not 1).

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -208,7 +208,5 @@
  */
 gboolean cb_relay_is_overdue(const cb_relay_t *relay);
 void cb_relay_silence_timer_fired(void *user_data);
-/* Moves all streams away from the engine at `address`, which is lost. */
-void cb_relay_move_streams(cb_front_t *front, const char *address);
 
 #endif
--- a/src/libcurrantbridge/include/private/silence.h
+++ b/src/libcurrantbridge/include/private/silence.h
@@ -18,6 +18,11 @@
 typedef enum cb_silence_sign {
 	CB_SILENCE_EVENT_OVERDUE, /* no event came within the usual time */
 	CB_SILENCE_NO_REPORT,	  /* nor an answer to a call for its report */
+	/*
+	 * It refuses calls for its report, but holds the attempt's connection open,
+	 * and its first event is in time.
+	 */
+	CB_SILENCE_REFUSED,
 	/* It refuses calls for its report, or another engine waits for it. */
 	CB_SILENCE_LOST,
 	CB_SILENCE_STALLED,    /* it reports that it waits for another engine */
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -378,10 +378,26 @@
 }
 
 /*
- * Moves a stream away from an engine that does not answer.  If that is its
- * first one, the stream is resumed by another.
+ * Returns what it shows of a stream that its first server refuses other calls.  The
+ * open connection to a process that has ended is reset: until the first event is late
+ * by the route's target, a server that refuses new connections may be preparing it.
  */
-static void stream_move_(cb_relay_t *relay, const char *address)
+static cb_silence_sign_t first_refusal_judge_(const cb_relay_t *relay)
+{
+	gboolean is_in_time =
+		!relay->is_answer_begun && cb_http1_call_is_sent(relay->call) &&
+		silence_compute_ms_(relay) < relay->route->target_latency_ms;
+
+	return is_in_time ? CB_SILENCE_REFUSED : CB_SILENCE_LOST;
+}
+
+/*
+ * Moves a stream away from an engine that does not answer, since it refuses calls
+ * or another engine waits for it.  If that is its first one, the stream is resumed
+ * by another.
+ */
+static void stream_move_(cb_relay_t *relay, const char *address,
+			 gboolean is_refused)
 {
 	const cb_relay_hop_t *first =
 		&g_array_index(relay->hops, cb_relay_hop_t, 0);
@@ -393,9 +409,11 @@
 			     CB_INT("last_event", relay->last_event),
 			     CB_INT("silent_ms", silence_compute_ms_(relay)));
 	cb_front_report_usage_soon(relay->front);
-	if (!strcmp(address, first->address) ||
-	    !cb_server_book_record_loss_at(relay->front->book, address,
-					   relay->tried_servers))
+	if (is_refused && !strcmp(address, first->address))
+		silence_handle_(relay, first_refusal_judge_(relay), address);
+	else if (!strcmp(address, first->address) ||
+		 !cb_server_book_record_loss_at(relay->front->book, address,
+						relay->tried_servers))
 		silence_handle_(relay, CB_SILENCE_LOST, address);
 	else
 		silence_handle_(relay, CB_SILENCE_STALLED, address);
@@ -406,7 +424,8 @@
  * only the one that waits for it: the others will wait for it with their next
  * token.
  */
-void cb_relay_move_streams(cb_front_t *front, const char *address)
+static void streams_move_(cb_front_t *front, const char *address,
+			  gboolean is_refused)
 {
 	GPtrArray *streams = g_ptr_array_new();
 	GHashTableIter iter;
@@ -432,7 +451,7 @@
 		if (relay->is_report_pending)
 			cb_engine_reports_cancel(front->reports, relay);
 		relay->is_report_pending = FALSE;
-		stream_move_(relay, address);
+		stream_move_(relay, address, is_refused);
 	}
 	g_ptr_array_unref(streams);
 }
@@ -470,14 +489,14 @@
 	if (result == CB_REPORT_FAILED) {
 		address = g_strdup(
 			g_array_index(relay->hops, cb_relay_hop_t, 0).address);
-		cb_relay_move_streams(front, address);
+		streams_move_(front, address, TRUE);
 		g_free(address);
 		return;
 	}
 	address = g_strdup(stalled_address_find_(relay, report));
 	/* The report may be older than the last reroute. */
 	if (address && cb_relay_find_hop(relay, address)) {
-		cb_relay_move_streams(front, address);
+		streams_move_(front, address, FALSE);
 	} else {
 		/* Another server would start the answer over. */
 		silence_handle_(relay, CB_SILENCE_WORKING, NULL);
@@ -568,7 +587,7 @@
 	if (result == CB_REPORT_FAILED) {
 		cb_server_book_record_loss_at(front->book, address, NULL);
 		cb_front_report_usage_soon(front);
-		cb_relay_move_streams(front, address);
+		streams_move_(front, address, TRUE);
 	}
 	g_free(address);
 }
--- a/src/libcurrantbridge/relay/silence.c
+++ b/src/libcurrantbridge/relay/silence.c
@@ -7,9 +7,13 @@
 #define SERVICE_STALL_MS 800
 
 const char *const cb_silence_sign_string[CB_SILENCE_SIGN_COUNT] = {
-	[CB_SILENCE_EVENT_OVERDUE] = "event", [CB_SILENCE_NO_REPORT] = "report",
-	[CB_SILENCE_LOST] = "lost",	      [CB_SILENCE_STALLED] = "stalled",
-	[CB_SILENCE_NO_REROUTE] = "reroute",  [CB_SILENCE_WORKING] = "working",
+	[CB_SILENCE_EVENT_OVERDUE] = "event",
+	[CB_SILENCE_NO_REPORT] = "report",
+	[CB_SILENCE_REFUSED] = "refused",
+	[CB_SILENCE_LOST] = "lost",
+	[CB_SILENCE_STALLED] = "stalled",
+	[CB_SILENCE_NO_REROUTE] = "reroute",
+	[CB_SILENCE_WORKING] = "working",
 };
 
 /* Decides on a server of which nothing shows whether it is lost. */
--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -449,7 +449,68 @@
 	g_string_free(body, TRUE);
 }
 
+typedef struct refused_report_case {
+	const char *description; /* printed if the case fails */
+	gboolean has_event;	 /* the stream has its first event */
+	int64_t silence_ms;	 /* then its first engine goes on */
+	unsigned int expected_sends;
+} refused_report_case_t;
+
+/* The first event is wanted within 500 ms, and checked for after 125 ms. */
+static const refused_report_case_t refused_report_cases[] = {
+	{ "before the first check", FALSE, 100, 1 },
+	{ "first event in time", FALSE, 450, 1 },
+	{ "first event late", FALSE, 700, 2 },
+	{ "silent after an event", TRUE, FIRST_CHECK_MS + RECHECK_MS, 2 },
+};
+
+/*
+ * Plays a case: the first engine refuses calls for its report, and another could
+ * take over.  Returns whether the request is sent as often as expected.
+ */
+static gboolean refused_report_case_run_(const refused_report_case_t *c)
+{
+	const relay_script_t scripts[] = {
+		{ c->has_event ? FIRST_EVENT : "", END_HOLD },
+		{ "", END_HOLD },
+	};
+	gboolean is_as_expected;
+	relay_fixture_t fixture;
+
+	support_relay_init(&fixture, TRUE);
+	support_relay_engine_announce(&fixture, 0);
+	support_relay_engine_announce(&fixture, 1);
+	world_run_until(fixture.world, NULL, 1000);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, ENGINE_REQUEST);
+	CU_ASSERT_TRUE_FATAL(
+		support_relay_run_until(&fixture, 1,
+					c->has_event ? EVENT_1 : NULL));
+	support_relay_layers_announce(&fixture, 2, 1, 0, 1);
+	fixture.lost_server = 0;
+	support_relay_pass_time(&fixture, c->silence_ms);
+	is_as_expected = fixture.requests->len == c->expected_sends;
+	if (!is_as_expected)
+		printf("    %s: %u sends\n", c->description,
+		       fixture.requests->len);
+	support_relay_clear(&fixture);
+	return is_as_expected;
+}
+
+/* Guards against a sound attempt that is left since other connections failed. */
+static void request_is_not_left_for_refused_report_calls(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(refused_report_cases); i++)
+		CU_ASSERT_TRUE(
+			refused_report_case_run_(&refused_report_cases[i]));
+}
+
 static CU_TestInfo relay_silence_tests[] = {
+	{ "request_is_not_left_for_refused_report_calls",
+	  request_is_not_left_for_refused_report_calls },
 	{ "silent_server_does_not_end_answer",
 	  silent_server_does_not_end_answer },
 	{ "ended_engine_ends_answer_at_once",
--- a/src/test_libcurrantbridge/test_silence.c
+++ b/src/test_libcurrantbridge/test_silence.c
@@ -40,6 +40,13 @@
 	{ { CB_SILENCE_NO_REPORT, TRUE, CB_SILENCE_PEERS_SILENT, TRUE, FALSE,
 	    SHORT_MS, FALSE },
 	  CB_SILENCE_WAIT },
+	/* The server refuses new connections, and its first event is in time. */
+	{ { CB_SILENCE_REFUSED, TRUE, CB_SILENCE_PEERS_HEARD, TRUE, FALSE,
+	    SHORT_MS, FALSE },
+	  CB_SILENCE_WAIT },
+	{ { CB_SILENCE_REFUSED, TRUE, CB_SILENCE_PEERS_HEARD, TRUE, TRUE,
+	    SHORT_MS, FALSE },
+	  CB_SILENCE_WAIT },
 	/* The server, or one that it waits for, is shown to be lost. */
 	{ { CB_SILENCE_LOST, TRUE, CB_SILENCE_PEERS_SILENT, TRUE, FALSE,
 	    SHORT_MS, FALSE },
