A report call that can't be made shows nothing of the engine

A call for a report that the process lacked the resources for was never ended; its time passed as if the engine were silent. Streams share one call of an engine, so those that joined such a call near its end were left after a few ms in which nobody had asked the engine anything.

The call now ends at once, as CB_REPORT_UNMADE. A stream that waits for it is kept and checked again, and is left only after the 800 ms that also hold while all servers are silent. Such calls neither add to nor end a series of refused ones. For the placer nothing changes.

Without the change in relay_stall.c the new test of relay_silence fails, with 2 sends before and after an event; the new result does not exist before, nor is the call ended (test_platform).

--- a/include/currantbridge/engine_orders.h
+++ b/include/currantbridge/engine_orders.h
@@ -73,8 +73,19 @@
 				     const char *address, void *user_data);
 
 typedef void (*cb_order_done_fn_t)(cb_order_outcome_t outcome, void *user_data);
-/* `report` is NULL when there was no answer. */
-typedef void (*cb_report_done_fn_t)(const cb_engine_report_t *report,
+
+/* How a call for a report has ended. */
+typedef enum cb_report_result {
+	CB_REPORT_ANSWERED,
+	CB_REPORT_FAILED,  /* connection refused or reset, or no valid answer */
+	CB_REPORT_TIMEOUT, /* no answer in the time that the caller allows */
+	/* This process lacked the resources for a call: shows nothing. */
+	CB_REPORT_UNMADE,
+} cb_report_result_t;
+
+/* `report` is NULL unless `result` is CB_REPORT_ANSWERED. */
+typedef void (*cb_report_done_fn_t)(cb_report_result_t result,
+				    const cb_engine_report_t *report,
 				    void *user_data);
 
 /*
@@ -86,9 +97,8 @@
 	void (*place)(cb_engine_orders_t *orders, const cb_layer_order_t *order,
 		      cb_order_done_fn_t done, void *user_data);
 	/*
-	 * Requests a report from the server at `address`.  Without resources in
-	 * this process for the call, `done` is not called: that shows nothing of
-	 * the server, and the time that the caller allows passes.
+	 * Requests a report from the server at `address`.  The caller limits the
+	 * time: the result is never CB_REPORT_TIMEOUT.
 	 */
 	void (*report)(cb_engine_orders_t *orders, const char *address,
 		       cb_report_done_fn_t done, void *user_data);
--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -245,12 +245,18 @@
 	g_free(id);
 }
 
-/* Called with a server's report, or with NULL if there was no answer. */
-static void report_receive_(const cb_engine_report_t *report, void *user_data)
+/*
+ * Called with a server's report, NULL if there was no answer.  A call that this
+ * process could not make shows nothing: it stays in flight until its time is over.
+ */
+static void report_receive_(cb_report_result_t result,
+			    const cb_engine_report_t *report, void *user_data)
 {
 	engine_state_t *state = user_data;
 	cb_placer_t *placer = state->placer;
 
+	if (result == CB_REPORT_UNMADE && !state->is_removed)
+		return;
 	state->is_call_in_flight = FALSE;
 	if (state->is_removed) {
 		engine_state_free_(state);
--- a/src/libcurrantbridge/include/private/engine_reports.h
+++ b/src/libcurrantbridge/include/private/engine_reports.h
@@ -11,17 +11,6 @@
  */
 typedef struct cb_engine_reports cb_engine_reports_t;
 
-typedef enum cb_report_result {
-	CB_REPORT_ANSWERED,
-	CB_REPORT_FAILED,  /* connection refused or reset, or no valid answer */
-	CB_REPORT_TIMEOUT, /* no answer in time */
-} cb_report_result_t;
-
-/* `report` is NULL unless `result` is CB_REPORT_ANSWERED. */
-typedef void (*cb_report_result_fn_t)(cb_report_result_t result,
-				      const cb_engine_report_t *report,
-				      void *user_data);
-
 cb_engine_reports_t *cb_engine_reports_new(cb_clock_t *clock,
 					   cb_engine_orders_t *orders);
 void cb_engine_reports_delete(cb_engine_reports_t *reports);
@@ -30,7 +19,7 @@
  * this function has returned, unless cb_engine_reports_cancel() is called.
  */
 void cb_engine_reports_request(cb_engine_reports_t *reports,
-			       const char *address, cb_report_result_fn_t fn,
+			       const char *address, cb_report_done_fn_t fn,
 			       void *user_data);
 /*
  * Whether all calls of the engine at `address` were refused, of which there were
--- a/src/libcurrantbridge/include/private/silence.h
+++ b/src/libcurrantbridge/include/private/silence.h
@@ -18,6 +18,8 @@
 typedef enum cb_silence_sign {
 	CB_SILENCE_EVENT_OVERDUE, /* no event came within the usual time */
 	CB_SILENCE_NO_REPORT,	  /* nor an answer to a call for its report */
+	/* This process lacks the resources for a call for its report. */
+	CB_SILENCE_UNASKED,
 	/*
 	 * It refuses calls for its report, but holds the attempt's connection open,
 	 * and its first event is in time.
--- a/src/libcurrantbridge/relay/engine_reports.c
+++ b/src/libcurrantbridge/relay/engine_reports.c
@@ -14,7 +14,7 @@
 #define REFUSAL_VALID_MS 1000
 
 typedef struct waiter {
-	cb_report_result_fn_t fn;
+	cb_report_done_fn_t fn;
 	void *user_data;
 } waiter_t;
 
@@ -135,7 +135,9 @@
 	cb_engine_reports_t *reports = call->reports;
 
 	g_hash_table_remove(reports->calls, call->address);
-	refusal_record_(reports, call->address, result == CB_REPORT_FAILED);
+	if (result != CB_REPORT_UNMADE)
+		refusal_record_(reports, call->address,
+				result == CB_REPORT_FAILED);
 	reports->ending_call = call;
 	/* Each function may cancel other waiters, which removes them. */
 	while (call->waiters->len) {
@@ -148,11 +150,10 @@
 	report_call_delete_(call);
 }
 
-static void report_receive_(const cb_engine_report_t *report, void *user_data)
+static void report_receive_(cb_report_result_t result,
+			    const cb_engine_report_t *report, void *user_data)
 {
-	report_call_end_(user_data,
-			 report ? CB_REPORT_ANSWERED : CB_REPORT_FAILED,
-			 report);
+	report_call_end_(user_data, result, report);
 }
 
 static void report_timer_fired_(void *user_data)
@@ -164,7 +165,7 @@
 }
 
 void cb_engine_reports_request(cb_engine_reports_t *reports,
-			       const char *address, cb_report_result_fn_t fn,
+			       const char *address, cb_report_done_fn_t fn,
 			       void *user_data)
 {
 	report_call_t *call = g_hash_table_lookup(reports->calls, address);
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -486,6 +486,10 @@
 		silence_handle_(relay, CB_SILENCE_NO_REPORT, NULL);
 		return;
 	}
+	if (result == CB_REPORT_UNMADE) {
+		silence_handle_(relay, CB_SILENCE_UNASKED, NULL);
+		return;
+	}
 	if (result == CB_REPORT_FAILED) {
 		address = g_strdup(
 			g_array_index(relay->hops, cb_relay_hop_t, 0).address);
--- a/src/libcurrantbridge/relay/silence.c
+++ b/src/libcurrantbridge/relay/silence.c
@@ -1,19 +1,16 @@
 #include "private/silence.h"
 
 /*
- * While all servers of a service are silent, streams stay where they are for
- * this long.  Callers leave a stream that is silent for 2 s.
+ * While all servers of a service are silent, or can't be asked, streams stay where
+ * they are for this long.  Callers leave a stream that is silent for 2 s.
  */
 #define SERVICE_STALL_MS 800
 
 const char *const cb_silence_sign_string[CB_SILENCE_SIGN_COUNT] = {
-	[CB_SILENCE_EVENT_OVERDUE] = "event",
-	[CB_SILENCE_NO_REPORT] = "report",
-	[CB_SILENCE_REFUSED] = "refused",
-	[CB_SILENCE_LOST] = "lost",
-	[CB_SILENCE_STALLED] = "stalled",
-	[CB_SILENCE_NO_REROUTE] = "reroute",
-	[CB_SILENCE_WORKING] = "working",
+	[CB_SILENCE_EVENT_OVERDUE] = "event", [CB_SILENCE_NO_REPORT] = "report",
+	[CB_SILENCE_UNASKED] = "unasked",     [CB_SILENCE_REFUSED] = "refused",
+	[CB_SILENCE_LOST] = "lost",	      [CB_SILENCE_STALLED] = "stalled",
+	[CB_SILENCE_NO_REROUTE] = "reroute",  [CB_SILENCE_WORKING] = "working",
 };
 
 /* Decides on a server of which nothing shows whether it is lost. */
@@ -36,6 +33,12 @@
 						unproved_loss_decide_(silence);
 	case CB_SILENCE_NO_REPORT:
 		return unproved_loss_decide_(silence);
+	case CB_SILENCE_UNASKED:
+		/* Nothing shows that this one alone is silent. */
+		return silence->may_restart &&
+				       silence->silent_ms >= SERVICE_STALL_MS ?
+			       CB_SILENCE_RESTART :
+			       CB_SILENCE_WAIT;
 	case CB_SILENCE_LOST:
 		/* If the server has ended, its connection is reset as well. */
 		return silence->may_restart ? CB_SILENCE_RESTART :
--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -482,11 +482,12 @@
 		g_array_append_val(stalls, stall);
 	if (call->reroute_done)
 		call->reroute_done(CB_REROUTE_DONE, NULL, call->user_data);
+	else if (call->fixture->lacks_resources)
+		call->report_done(CB_REPORT_UNMADE, NULL, call->user_data);
+	else if (!g_strcmp0(call->address, lost_address))
+		call->report_done(CB_REPORT_FAILED, NULL, call->user_data);
 	else
-		call->report_done(g_strcmp0(call->address, lost_address) ?
-					  &report :
-					  NULL,
-				  call->user_data);
+		call->report_done(CB_REPORT_ANSWERED, &report, call->user_data);
 	g_array_unref(stalls);
 	g_free(lost_address);
 	g_free(call->address);
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -73,6 +73,8 @@
 	int lost_server;
 	/* Whether it leaves its own report calls unanswered, or refuses them. */
 	gboolean lost_server_is_silent;
+	/* Whether the instance lacks the resources for calls for reports. */
+	gboolean lacks_resources;
 	/* Whether the engines leave calls for reports and reroutes unanswered. */
 	gboolean withholds_reports;
 	gboolean withholds_reroutes;
--- a/src/test_libcurrantbridge/test_engine_reports.c
+++ b/src/test_libcurrantbridge/test_engine_reports.c
@@ -74,8 +74,22 @@
 	END_ANSWER,
 	END_FAILURE,
 	END_SILENCE,
+	END_UNMADE, /* this process lacks the resources for the call */
 } call_end_t;
 
+/* Ends the call in flight in another way than by silence. */
+static void call_finish_(const fake_orders_t *orders, call_end_t end)
+{
+	static const cb_engine_report_t report = { .slow_percent = 100 };
+
+	if (end == END_ANSWER)
+		orders->done(CB_REPORT_ANSWERED, &report, orders->user_data);
+	else
+		orders->done(end == END_UNMADE ? CB_REPORT_UNMADE :
+						 CB_REPORT_FAILED,
+			     NULL, orders->user_data);
+}
+
 typedef struct share_case {
 	const char *description; /* printed if the case fails */
 	call_end_t end;
@@ -114,6 +128,14 @@
 	  CB_REPORT_TIMEOUT,
 	  { 1, 1, 1 },
 	  1 },
+	{ "all waiters learn at once of a call that was not made",
+	  END_UNMADE,
+	  -1,
+	  -1,
+	  FALSE,
+	  CB_REPORT_UNMADE,
+	  { 1, 1, 1 },
+	  1 },
 	{ "a waiter that another cancels is not called",
 	  END_ANSWER,
 	  0,
@@ -140,7 +162,6 @@
 
 	for (i = 0; i < G_N_ELEMENTS(share_cases); i++) {
 		const share_case_t *c = &share_cases[i];
-		const cb_engine_report_t report = { .slow_percent = 100 };
 		fake_orders_t orders = { .base = { &orders_vtable } };
 		cb_clock_t *clock = cb_clock_new_paused(START_WALL_MS);
 		cb_engine_reports_t *reports =
@@ -159,8 +180,7 @@
 		if (c->end == END_SILENCE)
 			cb_clock_advance(clock, REPORT_TIMEOUT_MS);
 		else
-			orders.done(c->end == END_ANSWER ? &report : NULL,
-				    orders.user_data);
+			call_finish_(&orders, c->end);
 		is_expected = orders.request_count == c->expected_requests &&
 			      waiters[0].result == c->expected_result &&
 			      orders.cancel_count == (c->end == END_SILENCE);
@@ -219,6 +239,16 @@
 	  3,
 	  0,
 	  FALSE },
+	{ "calls not made beside a refusal",
+	  { { 0, END_UNMADE }, { 60, END_FAILURE }, { 60, END_UNMADE } },
+	  3,
+	  0,
+	  FALSE },
+	{ "a call not made between refusals",
+	  { { 0, END_FAILURE }, { 30, END_UNMADE }, { 30, END_FAILURE } },
+	  3,
+	  0,
+	  TRUE },
 	{ "silent after refusals",
 	  { { 0, END_FAILURE }, { 60, END_FAILURE }, { 0, END_SILENCE } },
 	  3,
@@ -229,7 +259,6 @@
 /* A sound engine that refuses some calls must not be taken for ended. */
 static void engine_has_ended_if_it_refuses_all_calls(void)
 {
-	const cb_engine_report_t report = { .slow_percent = 100 };
 	size_t i;
 	unsigned int k;
 
@@ -249,10 +278,7 @@
 			if (c->steps[k].end == END_SILENCE)
 				cb_clock_advance(clock, REPORT_TIMEOUT_MS);
 			else
-				orders.done(c->steps[k].end == END_ANSWER ?
-						    &report :
-						    NULL,
-					    orders.user_data);
+				call_finish_(&orders, c->steps[k].end);
 		}
 		cb_clock_advance(clock, c->later_ms);
 		has_ended = cb_engine_reports_has_ended(reports, "e");
--- a/src/test_libcurrantbridge/test_placer.c
+++ b/src/test_libcurrantbridge/test_placer.c
@@ -94,7 +94,10 @@
 	};
 
 	fixture->report_count++;
-	done(fixture->engines[engine].is_dead ? NULL : &report, user_data);
+	if (fixture->engines[engine].is_dead)
+		done(CB_REPORT_FAILED, NULL, user_data);
+	else
+		done(CB_REPORT_ANSWERED, &report, user_data);
 }
 
 static const cb_engine_orders_vtable_t orders_vtable = {
--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -508,7 +508,69 @@
 			refused_report_case_run_(&refused_report_cases[i]));
 }
 
+typedef struct unmade_report_case {
+	const char *description; /* printed if the case fails */
+	gboolean has_event;	 /* the stream has its first event */
+	int64_t silence_ms;
+	unsigned int expected_sends;
+} unmade_report_case_t;
+
+static const unmade_report_case_t unmade_report_cases[] = {
+	{ "before an event", FALSE, SERVICE_STALL_MS - 100, 1 },
+	{ "before an event, for long", FALSE,
+	  SERVICE_STALL_MS + LATEST_CHECK_MS, 2 },
+	{ "after an event", TRUE, SERVICE_STALL_MS - 100, 1 },
+	{ "after an event, for long", TRUE, SERVICE_STALL_MS + LATEST_CHECK_MS,
+	  2 },
+};
+
+/*
+ * Plays a case: the instance can't ask the first engine, and another one could
+ * take over.  Returns whether the request is sent as often as expected.
+ */
+static gboolean unmade_report_case_run_(const unmade_report_case_t *c)
+{
+	const relay_script_t scripts[] = {
+		{ c->has_event ? FIRST_EVENT : "", END_HOLD },
+		{ "", END_HOLD },
+	};
+	gboolean is_as_expected;
+	relay_fixture_t fixture;
+
+	support_relay_init(&fixture, TRUE);
+	support_relay_engine_announce(&fixture, 0);
+	support_relay_engine_announce(&fixture, 1);
+	world_run_until(fixture.world, NULL, 1000);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, ENGINE_REQUEST);
+	CU_ASSERT_TRUE_FATAL(
+		support_relay_run_until(&fixture, 1,
+					c->has_event ? EVENT_1 : NULL));
+	support_relay_layers_announce(&fixture, 2, 1, 0, 1);
+	fixture.lacks_resources = TRUE;
+	support_relay_pass_time(&fixture, c->silence_ms);
+	is_as_expected = fixture.requests->len == c->expected_sends;
+	if (!is_as_expected)
+		printf("    %s: %u sends\n", c->description,
+		       fixture.requests->len);
+	support_relay_clear(&fixture);
+	return is_as_expected;
+}
+
+/* Guards against a sound stream that is left for a lack of this process. */
+static void stream_is_not_left_for_report_calls_that_were_not_made(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(unmade_report_cases); i++)
+		CU_ASSERT_TRUE(
+			unmade_report_case_run_(&unmade_report_cases[i]));
+}
+
 static CU_TestInfo relay_silence_tests[] = {
+	{ "stream_is_not_left_for_report_calls_that_were_not_made",
+	  stream_is_not_left_for_report_calls_that_were_not_made },
 	{ "request_is_not_left_for_refused_report_calls",
 	  request_is_not_left_for_refused_report_calls },
 	{ "silent_server_does_not_end_answer",
--- a/src/test_libcurrantbridge/test_silence.c
+++ b/src/test_libcurrantbridge/test_silence.c
@@ -40,6 +40,16 @@
 	{ { CB_SILENCE_NO_REPORT, TRUE, CB_SILENCE_PEERS_SILENT, TRUE, FALSE,
 	    SHORT_MS, FALSE },
 	  CB_SILENCE_WAIT },
+	/* This process can't ask the server, which may be sound. */
+	{ { CB_SILENCE_UNASKED, TRUE, CB_SILENCE_PEERS_HEARD, TRUE, FALSE,
+	    SHORT_MS, FALSE },
+	  CB_SILENCE_WAIT },
+	{ { CB_SILENCE_UNASKED, TRUE, CB_SILENCE_PEERS_HEARD, FALSE, FALSE,
+	    LONG_MS, FALSE },
+	  CB_SILENCE_WAIT },
+	{ { CB_SILENCE_UNASKED, TRUE, CB_SILENCE_PEERS_HEARD, TRUE, FALSE,
+	    LONG_MS, FALSE },
+	  CB_SILENCE_RESTART },
 	/* The server refuses new connections, and its first event is in time. */
 	{ { CB_SILENCE_REFUSED, TRUE, CB_SILENCE_PEERS_HEARD, TRUE, FALSE,
 	    SHORT_MS, FALSE },
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -2,6 +2,7 @@
 
 #include <glib/gstdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "currantbridge/http1_head.h"
 #include "json_read.h"
@@ -1030,6 +1031,7 @@
 typedef struct order_record {
 	int done_count;
 	gboolean is_answered;
+	cb_report_result_t report_result;
 } order_record_t;
 
 static void order_end_record_(cb_order_outcome_t outcome, void *user_data)
@@ -1040,13 +1042,15 @@
 	record->is_answered = outcome != CB_ORDER_LOST;
 }
 
-static void report_end_record_(const cb_engine_report_t *report,
+static void report_end_record_(cb_report_result_t result,
+			       const cb_engine_report_t *report,
 			       void *user_data)
 {
 	order_record_t *record = user_data;
 
 	record->done_count++;
 	record->is_answered = report != NULL;
+	record->report_result = result;
 }
 
 static void reroute_end_record_(cb_reroute_outcome_t outcome,
@@ -1164,6 +1168,36 @@
 	CU_ASSERT_EQUAL(failure_count, 0);
 }
 
+/*
+ * A call for a report that this process can't make shows nothing of the engine: it
+ * must be told from one that the engine refuses or leaves unanswered.
+ */
+static void report_call_without_descriptors_is_no_refusal(void)
+{
+	cb_clock_t *clock = cb_clock_new(NULL);
+	cb_http1_client_t *client = cb_http1_client_new(NULL, clock, NULL);
+	cb_engine_orders_t *orders = platform_orders_new(client);
+	int64_t end_us =
+		g_get_monotonic_time() + ORDER_LIMIT_S * G_USEC_PER_SEC;
+	order_record_t record = { 0 };
+	struct rlimit before;
+	struct rlimit limit;
+
+	CU_ASSERT_EQUAL_FATAL(getrlimit(RLIMIT_NOFILE, &before), 0);
+	limit = before;
+	limit.rlim_cur = 0;
+	CU_ASSERT_EQUAL_FATAL(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	order_call_(orders, ORDER_REPORT, "127.0.0.1:9", &record);
+	CU_ASSERT_EQUAL(setrlimit(RLIMIT_NOFILE, &before), 0);
+	while (!record.done_count && g_get_monotonic_time() < end_us)
+		g_main_context_iteration(NULL, FALSE);
+	CU_ASSERT_EQUAL(record.done_count, 1);
+	CU_ASSERT_EQUAL(record.report_result, CB_REPORT_UNMADE);
+	platform_orders_delete(orders);
+	cb_http1_client_delete(client);
+	cb_clock_delete(clock);
+}
+
 /* A route of the text below, with these further members. */
 #define CHECK_ROUTE(name, rest)                                         \
 	"{\"name\":\"" name "\",\"host\":\"h\",\"pathPrefix\":\"/" name \
@@ -1280,6 +1314,8 @@
 	{ "document_texts_are_checked", document_texts_are_checked },
 	{ "check_is_written_as_json", check_is_written_as_json },
 	{ "invalid_documents_are_rejected", invalid_documents_are_rejected },
+	{ "report_call_without_descriptors_is_no_refusal",
+	  report_call_without_descriptors_is_no_refusal },
 	{ "endless_order_answer_is_broken_off",
 	  endless_order_answer_is_broken_off },
 	{ "deeply_nested_documents_are_rejected",
