One refused report call moves no stream that makes progress

An engine that refused one call for its report, since its listening socket was closed or it had too many connections, had all streams rerouted of whose chain it is a later part, whatever events came through it.

A refused call tells of the engine's listening socket. That the engine has ended follows only if it refuses calls for a while and nothing is heard of it: each event of a stream comes through all engines of its chain. An event therefore ends the series of refusals of these engines (cb_engine_reports_hear()). A refused call now moves the streams that are overdue by their own pace. A second one after 50 ms shows whether the engine has ended, and then moves also those whose next event is due by their usual gap, which still is before they count as silent.

rejection_moves_streams_of_lost_engine wanted the reroute at the first refused call, without any time for an event, so it asked for this fault. It now wants it after a second refusal 50 ms later, before the stream itself has asked for a report, and checks both calls.

stream_with_events_outlives_refused_report_calls has two more cases, which fail before with 1 reroute each.

--- a/src/libcurrantbridge/include/private/engine_reports.h
+++ b/src/libcurrantbridge/include/private/engine_reports.h
@@ -21,9 +21,20 @@
 void cb_engine_reports_request(cb_engine_reports_t *reports,
 			       const char *address, cb_report_done_fn_t fn,
 			       void *user_data);
+/*
+ * How long an engine that has ended refuses calls before that is proved: one with too
+ * many connections refuses some of them only.
+ */
+#define CB_REFUSAL_PROOF_MS 50
+/*
+ * Records that an event has come through the engine at `address`: it runs, whatever
+ * calls it refuses.
+ */
+void cb_engine_reports_hear(cb_engine_reports_t *reports, const char *address);
 /*
  * Whether all calls of the engine at `address` were refused, of which there were
- * some in the last second over 50 ms or longer: its process has ended.
+ * some in the last second over CB_REFUSAL_PROOF_MS or longer, and nothing was heard
+ * of it meanwhile: its process has ended.
  */
 gboolean cb_engine_reports_has_ended(const cb_engine_reports_t *reports,
 				     const char *address);
--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -18,6 +18,8 @@
 typedef struct cb_engine_check {
 	cb_front_t *front;
 	char *address; /* the engine's address */
+	/* Begins the second call; NULL: the first one is under way. */
+	cb_timer_t *timer;
 } cb_engine_check_t;
 
 struct cb_front {
@@ -116,7 +118,7 @@
 void cb_relay_delete(void *relay);
 /* Returns whether a stream under way passes through the engine at `address`. */
 gboolean cb_relay_uses_engine(const cb_front_t *front, const char *address);
-/* Moves the streams of the engine at `address` if it refuses connections. */
+/* Moves the streams of the engine at `address` if it is shown to have ended. */
 void cb_relay_check_engine(cb_front_t *front, const char *address);
 /* Frees a check of an engine; its report must not be pending. */
 void cb_engine_check_delete(void *check);
--- a/src/libcurrantbridge/relay/engine_reports.c
+++ b/src/libcurrantbridge/relay/engine_reports.c
@@ -5,11 +5,6 @@
  * answers in a few ms, unless a packet is lost and sent again.
  */
 #define REPORT_TIMEOUT_MS 200
-/*
- * An engine that refuses calls for this long has ended: one with too many
- * connections refuses some of them only.
- */
-#define REFUSAL_PROOF_MS 50
 /* How long after the last refusal an engine is taken for ended. */
 #define REFUSAL_VALID_MS 1000
 
@@ -105,6 +100,12 @@
 	refusals->last_ms = now_ms;
 }
 
+void cb_engine_reports_hear(cb_engine_reports_t *reports, const char *address)
+{
+	if (g_hash_table_size(reports->refusals))
+		g_hash_table_remove(reports->refusals, address);
+}
+
 gboolean cb_engine_reports_has_ended(const cb_engine_reports_t *reports,
 				     const char *address)
 {
@@ -112,7 +113,7 @@
 		g_hash_table_lookup(reports->refusals, address);
 
 	return refusals &&
-	       refusals->last_ms - refusals->first_ms >= REFUSAL_PROOF_MS &&
+	       refusals->last_ms - refusals->first_ms >= CB_REFUSAL_PROOF_MS &&
 	       cb_clock_now_ms(reports->clock) - refusals->last_ms <=
 		       REFUSAL_VALID_MS;
 }
@@ -125,7 +126,7 @@
 
 	return !refusals ||
 	       cb_clock_now_ms(reports->clock) - refusals->last_ms >=
-		       REFUSAL_PROOF_MS;
+		       CB_REFUSAL_PROOF_MS;
 }
 
 /* Calls the functions of a call's waiters and deletes the call. */
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -451,6 +451,17 @@
 						   relay->sent_ms);
 }
 
+/* Records that an event has come, which passes through all engines of the chain. */
+static void chain_hear_(const cb_relay_t *relay)
+{
+	unsigned int i;
+
+	for (i = 0; relay->service->engine && i < relay->hops->len; i++)
+		cb_engine_reports_hear(
+			relay->front->reports,
+			g_array_index(relay->hops, cb_relay_hop_t, i).address);
+}
+
 /* Forwards one event, unless the caller has received it already. */
 static void event_forward_(void *user_data, int64_t id, const char *data,
 			   size_t size)
@@ -461,6 +472,7 @@
 	/* The time to the first event of a resumed stream is another one. */
 	if (relay->last_event < 0 && !relay->is_answer_begun)
 		server_time_record_(relay);
+	chain_hear_(relay);
 	cb_relay_content_event_received(relay);
 	if (id >= 0 && id <= relay->last_event) {
 		cb_relay_start_silence_timer(relay);
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -420,9 +420,22 @@
 }
 
 /*
- * Moves all streams that pass through an engine which is shown to be lost, not
+ * Returns whether a stream may wait for an engine of its chain that refuses calls:
+ * its next event is overdue, or due by its usual gap if the engine has ended.
+ */
+static gboolean stream_may_wait_(const cb_relay_t *relay, const char *address)
+{
+	if (cb_relay_is_overdue(relay))
+		return TRUE;
+	return relay->pace.last_ms &&
+	       silence_compute_ms_(relay) >= (int64_t)relay->pace.gap_ms &&
+	       cb_engine_reports_has_ended(relay->front->reports, address);
+}
+
+/*
+ * Moves the streams that pass through an engine which is shown to be lost, not
  * only the one that waits for it: the others will wait for it with their next
- * token.
+ * token.  If the engine only refuses calls, those that make progress stay.
  */
 static void streams_move_(cb_front_t *front, const char *address,
 			  gboolean is_refused)
@@ -438,7 +451,8 @@
 
 		if (relay->call && relay->hops->len &&
 		    stream_is_watched_(relay) && !relay->is_reroute_pending &&
-		    cb_relay_find_hop(relay, address))
+		    cb_relay_find_hop(relay, address) &&
+		    (!is_refused || stream_may_wait_(relay, address)))
 			g_ptr_array_add(streams, relay);
 	}
 	for (i = 0; i < streams->len; i++) {
@@ -577,17 +591,28 @@
 	}
 }
 
-/* Called with the report of an engine that may be lost. */
+static void second_check_start_(void *user_data);
+
+/*
+ * Called with the report of an engine that may be lost.  One refused call moves only
+ * the streams that are overdue; a second one shows whether the engine has ended.
+ */
 static void suspect_report_receive_(cb_report_result_t result,
 				    const cb_engine_report_t *report,
 				    void *user_data)
 {
 	cb_engine_check_t *check = user_data;
 	cb_front_t *front = check->front;
-	char *address = g_steal_pointer(&check->address);
+	char *address = g_strdup(check->address);
 
 	(void)report;
-	g_hash_table_remove(front->engine_checks, check);
+	if (result == CB_REPORT_FAILED && !check->timer) {
+		check->timer =
+			cb_timer_new(front->clock, second_check_start_, check);
+		cb_timer_start(check->timer, CB_REFUSAL_PROOF_MS);
+	} else {
+		g_hash_table_remove(front->engine_checks, check);
+	}
 	if (result == CB_REPORT_FAILED) {
 		cb_server_book_record_loss_at(front->book, address, NULL);
 		cb_front_report_usage_soon(front);
@@ -596,6 +621,15 @@
 	g_free(address);
 }
 
+/* Calls an engine again that has refused a call. */
+static void second_check_start_(void *user_data)
+{
+	cb_engine_check_t *check = user_data;
+
+	cb_engine_reports_request(check->front->reports, check->address,
+				  suspect_report_receive_, check);
+}
+
 gboolean cb_relay_uses_engine(const cb_front_t *front, const char *address)
 {
 	GHashTableIter iter;
@@ -611,9 +645,8 @@
 
 /*
  * Checks an engine that another one named as the reason why it rejected a
- * request: the engine may have stopped, or be short of memory.  If it refuses
- * connections, the streams that pass through it are moved before they fall
- * silent for long.
+ * request: the engine may have stopped, or be short of memory.  If it has ended,
+ * the streams that pass through it are moved before they fall silent for long.
  */
 void cb_relay_check_engine(cb_front_t *front, const char *address)
 {
@@ -638,6 +671,7 @@
 {
 	cb_engine_check_t *check = data;
 
+	cb_timer_delete(check->timer);
 	g_free(check->address);
 	g_free(check);
 }
--- a/src/test_libcurrantbridge/test_engine_reports.c
+++ b/src/test_libcurrantbridge/test_engine_reports.c
@@ -75,6 +75,7 @@
 	END_FAILURE,
 	END_SILENCE,
 	END_UNMADE, /* this process lacks the resources for the call */
+	END_HEARD,  /* no call: an event comes through the engine */
 } call_end_t;
 
 /* Ends the call in flight in another way than by silence. */
@@ -239,6 +240,21 @@
 	  3,
 	  0,
 	  FALSE },
+	{ "heard between refusals",
+	  { { 0, END_FAILURE }, { 30, END_HEARD }, { 30, END_FAILURE } },
+	  3,
+	  0,
+	  FALSE },
+	{ "heard after refusals",
+	  { { 0, END_FAILURE }, { 60, END_FAILURE }, { 0, END_HEARD } },
+	  3,
+	  0,
+	  FALSE },
+	{ "heard before refusals",
+	  { { 0, END_HEARD }, { 0, END_FAILURE }, { 60, END_FAILURE } },
+	  3,
+	  0,
+	  TRUE },
 	{ "calls not made beside a refusal",
 	  { { 0, END_UNMADE }, { 60, END_FAILURE }, { 60, END_UNMADE } },
 	  3,
@@ -273,6 +289,10 @@
 
 		for (k = 0; k < c->step_count; k++) {
 			cb_clock_advance(clock, c->steps[k].after_ms);
+			if (c->steps[k].end == END_HEARD) {
+				cb_engine_reports_hear(reports, "e");
+				continue;
+			}
 			cb_engine_reports_request(reports, "e", result_receive_,
 						  &waiter);
 			if (c->steps[k].end == END_SILENCE)
--- a/src/test_libcurrantbridge/test_relay_streams.c
+++ b/src/test_libcurrantbridge/test_relay_streams.c
@@ -451,6 +451,8 @@
 /* 60% of the route's target for the time between two events. */
 #define FIRST_CHECK_MS 120
 #define RECHECK_MS 60
+/* An engine that refuses calls for so long, and is not heard, has ended. */
+#define REFUSAL_PROOF_MS 50
 
 /* Returns the index of the engine that runs the last layer of a request. */
 static int second_engine_find_(const relay_fixture_t *fixture)
@@ -613,8 +615,9 @@
 }
 
 /*
- * An engine that a rejection names and that refuses connections is lost: the
- * streams that pass through it must be moved before they fall silent.
+ * An engine that a rejection names, that refuses connections for a while and of which
+ * nothing is heard is lost: the streams that pass through it must be moved before they
+ * fall silent.
  */
 static void rejection_moves_streams_of_lost_engine(void)
 {
@@ -638,8 +641,13 @@
 	g_ptr_array_add(fixture.other_callers,
 			g_steal_pointer(&fixture.caller));
 	support_relay_request_send(&fixture, ENGINE_REQUEST);
-	reroute_check_(&fixture);
+	CU_ASSERT_TRUE(calls_wait_(fixture.report_addresses, 1));
 	CU_ASSERT_STRING_EQUAL(fixture.report_addresses->pdata[0], address);
+	support_relay_pass_time(&fixture, REFUSAL_PROOF_MS);
+	reroute_check_(&fixture);
+	/* The stream itself has not asked for a report. */
+	CU_ASSERT_EQUAL(fixture.report_addresses->len, 2);
+	CU_ASSERT_STRING_EQUAL(fixture.report_addresses->pdata[1], address);
 	support_relay_clear(&fixture);
 	g_free(rejection);
 	g_free(address);
@@ -658,6 +666,8 @@
 static const refused_report_case_t refused_report_cases[] = {
 	{ "first engine, steady stream", 0, 0, 1, 50, 1 },
 	{ "first engine, stream as slow as allowed", 0, 0, 1, 110, 1 },
+	{ "second engine, steady stream", 1, 1, 2, 50, 1 },
+	{ "second engine, stream as slow as allowed", 1, 1, 2, 110, 1 },
 };
 
 /* Sends the stream's events `first` to `last`, one in each interval. */
@@ -721,18 +731,19 @@
 	CU_ASSERT_TRUE(calls_wait_(fixture.report_addresses, 1));
 	paced_events_send_(&fixture, 6, 9, c->event_interval_ms);
 	is_as_expected = fixture.report_addresses->len &&
+			 !fixture.reroutes->len &&
 			 stream_sends_count_(&fixture) == c->expected_sends;
 	if (!is_as_expected)
-		printf("    %s: %u report calls, %u sends\n", c->description,
-		       fixture.report_addresses->len,
-		       stream_sends_count_(&fixture));
+		printf("    %s: %u report calls, %u reroutes, %u sends\n",
+		       c->description, fixture.report_addresses->len,
+		       fixture.reroutes->len, stream_sends_count_(&fixture));
 	support_relay_clear(&fixture);
 	g_free(rejection);
 	g_free(address);
 	return is_as_expected;
 }
 
-/* Guards against a sound stream that is cut since another connection failed. */
+/* Guards against a sound stream that is cut or moved since other calls failed. */
 static void stream_with_events_outlives_refused_report_calls(void)
 {
 	size_t i;
