A resumed stream's type is compared by its meaning

A caller's stream was cut as its server was lost and the next one wrote its Content-Type in another way: with a charset, in other letters, or with spaces. The relay compared the whole header as text, took the rest of the stream for a page of an error, and gave the attempt up.

It now compares the media type alone, without regard to its case, spaces and parameters. An answer of another type, or with a type where the stream had none, is still no part of it.

The new test plays 14 pairs of types; before, the 5 of them that name the same type in two ways ended broken off after the first event.

--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -360,6 +360,20 @@
 		cb_reach_group_hear(relay->way_group);
 }
 
+/*
+ * Returns whether two values of Content-Type, NULL if there is none, name the same
+ * media type, whatever their case, spaces and parameters (RFC 9110).
+ */
+static gboolean media_types_match_(const char *a, const char *b)
+{
+	size_t size;
+
+	if (!a || !b)
+		return a == b;
+	size = strcspn(a, "; \t");
+	return strcspn(b, "; \t") == size && !g_ascii_strncasecmp(a, b, size);
+}
+
 /*
  * Returns whether an answer has the type of the stream that it goes on with: a
  * page of an error that comes with status 200 is no part of it.
@@ -370,7 +384,7 @@
 	const char *type = cb_http1_head_find(head, "Content-Type");
 
 	if (relay->is_answer_begun)
-		return !g_strcmp0(relay->stream_type, type);
+		return media_types_match_(relay->stream_type, type);
 	g_free(relay->stream_type);
 	relay->stream_type = g_strdup(type);
 	return TRUE;
--- a/src/test_libcurrantbridge/test_relay_streams.c
+++ b/src/test_libcurrantbridge/test_relay_streams.c
@@ -447,6 +447,72 @@
 		CU_ASSERT_TRUE(stream_end_case_run_(&resume_error_cases[i]));
 }
 
+/* The Content-Type of a stream, and of the answer that is to resume it. */
+typedef struct stream_type_case {
+	const char *first;  /* NULL: no such header */
+	const char *second; /* the same */
+	gboolean is_resumed;
+} stream_type_case_t;
+
+static const stream_type_case_t stream_type_cases[] = {
+	{ "text/event-stream", "text/event-stream", TRUE },
+	{ "text/event-stream", "text/event-stream; charset=utf-8", TRUE },
+	{ "text/event-stream;charset=UTF-8", "text/event-stream", TRUE },
+	{ "text/event-stream", "Text/Event-Stream", TRUE },
+	{ "text/event-stream", "text/event-stream\t ;q=1", TRUE },
+	{ "text/event-stream", "text/event-stream;", TRUE },
+	{ NULL, NULL, TRUE },
+	{ "text/event-stream", "text/html; charset=utf-8", FALSE },
+	{ "text/event-stream", "text/event-stream2", FALSE },
+	{ "text/event-stream", "text/event", FALSE },
+	{ "text/event-stream", "", FALSE },
+	{ "text/event-stream", "text/plain; text/event-stream", FALSE },
+	{ "text/event-stream", NULL, FALSE },
+	{ NULL, "text/event-stream", FALSE },
+};
+
+/* Returns a stream's head and first or last event; the caller frees it. */
+static char *typed_stream_format_(const char *type, const char *events)
+{
+	return g_strdup_printf("HTTP/1.1 200 OK\r\nId: 7\r\n%s%s%s"
+			       "Transfer-Encoding: chunked\r\n\r\n%s",
+			       type ? "Content-Type: " : "", type ? type : "",
+			       type ? "\r\n" : "", events);
+}
+
+/* Returns whether a stream is resumed if the types allow it, and only then. */
+static gboolean stream_type_case_run_(const stream_type_case_t *c)
+{
+	char *first = typed_stream_format_(c->first, "f\r\n" EVENT_1 "\r\n");
+	char *second = typed_stream_format_(c->second, LAST_EVENT);
+	char *description = g_strdup_printf("resumed: type %s, then %s",
+					    c->first ? c->first : "none",
+					    c->second ? c->second : "none");
+	const stream_end_case_t play = {
+		description,
+		STREAM_REQUEST,
+		{ { first, END_RESET }, { second, END_KEEP } },
+		2,
+		c->is_resumed ? ANSWER_COMPLETE : ANSWER_BROKEN_OFF,
+		c->is_resumed ? EVENT_1 EVENT_2 : EVENT_1
+	};
+	gboolean is_as_expected = stream_end_case_run_(&play);
+
+	g_free(description);
+	g_free(first);
+	g_free(second);
+	return is_as_expected;
+}
+
+/* Guards against a stream that is cut since servers write its type in two ways. */
+static void stream_is_resumed_whatever_way_its_type_is_written(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(stream_type_cases); i++)
+		CU_ASSERT_TRUE(stream_type_case_run_(&stream_type_cases[i]));
+}
+
 #define SCRIPTS_MAX 256
 /* 60% of the route's target for the time between two events. */
 #define FIRST_CHECK_MS 120
@@ -754,6 +820,8 @@
 }
 
 static CU_TestInfo relay_streams_tests[] = {
+	{ "stream_is_resumed_whatever_way_its_type_is_written",
+	  stream_is_resumed_whatever_way_its_type_is_written },
 	{ "stream_with_events_outlives_refused_report_calls",
 	  stream_with_events_outlives_refused_report_calls },
 	{ "reset_stream_resumes_at_another_server",
