A lack of descriptors ends no generation

An entry instance of the product's own interface that ran out of descriptors took each connection that it could not make for one that the server had refused: servers became suspect for all its requests, requests without a token were refused as no_server, and answers under way were broken off as retries_exhausted after 12 such attempts, some 2 s.

It is now a failure of its own, CB_FAILURE_NO_RESOURCES: the request has not run, and nothing shows of the server. A generation is tried again after 25 to 50 ms, which is no failed attempt, for 2 s before its first token and for 30 s after that, and is then refused as overloaded. It draws on the retry budget only if another engine of its chain may have accepted the order. A probe that can't be made does not count against its server.

The test of the clients asks for the new failure over real sockets.

--- a/include/currantbridge/engine_client.h
+++ b/include/currantbridge/engine_client.h
@@ -18,6 +18,11 @@
 	CB_FAILURE_NONE,
 	/* no connection was established: the request was not run */
 	CB_FAILURE_CONNECT,
+	/*
+	 * This process lacked a descriptor, port or memory for a connection: the
+	 * request was not run, and nothing shows of the server.
+	 */
+	CB_FAILURE_NO_RESOURCES,
 	/* the server answered that it did not run the request */
 	CB_FAILURE_REFUSED,
 	CB_FAILURE_FENCED, /* the server has seen a newer fencing number */
--- a/src/libcurrantbridge/request/attempt.c
+++ b/src/libcurrantbridge/request/attempt.c
@@ -153,7 +153,10 @@
 	return &attempt->stages[0];
 }
 
-/* The probed server is alive, though the connection to it may be dead. */
+/*
+ * The probed server is alive, though the connection to it may be dead, or it could
+ * not be probed.
+ */
 static void probe_answered_(cb_attempt_t *attempt)
 {
 	stage_t *stage = attempt->probed_stage;
@@ -233,8 +236,9 @@
 
 	if (cb_failure_is_unknown(failure))
 		attempt->may_be_accepted = TRUE;
-	if (!stage->is_open &&
-	    (failure == CB_FAILURE_CONNECT || failure == CB_FAILURE_REFUSED))
+	if (!stage->is_open && (failure == CB_FAILURE_CONNECT ||
+				failure == CB_FAILURE_NO_RESOURCES ||
+				failure == CB_FAILURE_REFUSED))
 		stage->has_no_session = TRUE;
 	if (index == attempt->parts.move_stage && !stage->is_open)
 		failure_report_(attempt, stage, failure, FALSE);
--- a/src/libcurrantbridge/request/call.c
+++ b/src/libcurrantbridge/request/call.c
@@ -296,7 +296,8 @@
 	if (failure == CB_FAILURE_CONNECT)
 		cb_server_record_failure(call->env->parts.registry,
 					 call->server);
-	g_hash_table_add(call->excluded, g_strdup(call->server->name));
+	if (failure != CB_FAILURE_NO_RESOURCES)
+		g_hash_table_add(call->excluded, g_strdup(call->server->name));
 }
 
 /*
--- a/src/libcurrantbridge/request/call_claim.c
+++ b/src/libcurrantbridge/request/call_claim.c
@@ -99,7 +99,9 @@
 	}
 	if (failure == CB_FAILURE_CONNECT)
 		cb_server_record_failure(call->env->parts.registry, server);
-	if (failure == CB_FAILURE_CONNECT || failure == CB_FAILURE_REFUSED) {
+	if (failure == CB_FAILURE_CONNECT ||
+	    failure == CB_FAILURE_NO_RESOURCES ||
+	    failure == CB_FAILURE_REFUSED) {
 		call_retry_on_other_server_(call, cb_failure_string[failure]);
 		return;
 	}
--- a/src/libcurrantbridge/request/failure.c
+++ b/src/libcurrantbridge/request/failure.c
@@ -3,6 +3,7 @@
 const char *const cb_failure_string[CB_FAILURE_COUNT] = {
 	[CB_FAILURE_NONE] = "none",
 	[CB_FAILURE_CONNECT] = "connect",
+	[CB_FAILURE_NO_RESOURCES] = "no_resources",
 	[CB_FAILURE_REFUSED] = "refused",
 	[CB_FAILURE_FENCED] = "fenced",
 	[CB_FAILURE_NO_CONTEXT] = "no_context",
--- a/src/libcurrantbridge/request/generation.c
+++ b/src/libcurrantbridge/request/generation.c
@@ -26,6 +26,8 @@
  * have one.
  */
 #define NO_FREE_SLOT_RETRY_MS 100
+/* Maximum delay after an attempt that this process lacked the resources for. */
+#define RESOURCES_RETRY_MS 50
 /* How often a waiting request checks whether it can continue. */
 #define WAIT_POLL_MS 25
 /* How long a request with delivered tokens waits for an available chain. */
@@ -79,6 +81,8 @@
 	int64_t no_chain_since_ms;
 	/* When first refused for lack of a free slot; -1: never. */
 	int64_t no_slot_since_ms;
+	/* Since when this process has lacked resources for it; -1: it has not. */
+	int64_t no_resources_since_ms;
 	/* whether the next attempt draws a retry from the budget */
 	gboolean needs_retry_budget;
 	gboolean is_started;
@@ -570,6 +574,7 @@
 	g_ptr_array_add(generation->delivered_texts, copy);
 	generation->may_have_run = TRUE;
 	generation->attempts_without_token = 0;
+	generation->no_resources_since_ms = -1;
 	g_hash_table_remove_all(generation->excluded_servers);
 	cb_suspects_progress_record(generation->env->suspects,
 				    generation->digest,
@@ -633,6 +638,28 @@
 				(int32_t)max_delay_ms + 1);
 }
 
+/*
+ * Schedules a retry after an attempt for which this process lacked the resources.
+ * That shows nothing of the servers, and is no failed attempt of the request.
+ */
+static void no_resources_retry_schedule_(cb_generation_t *generation)
+{
+	int64_t now_ms = now_ms_(generation);
+	int64_t max_ms = generation->delivered_texts->len ? MAX_NO_CHAIN_MS :
+							    MAX_NO_SLOT_MS;
+
+	if (generation->no_resources_since_ms < 0)
+		generation->no_resources_since_ms = now_ms;
+	if (now_ms - generation->no_resources_since_ms >= max_ms) {
+		generation_end_(generation, CB_REFUSAL_OVERLOADED);
+		return;
+	}
+	cb_timer_start(generation->attempt_timer,
+		       g_rand_int_range(generation->env->parts.random,
+					RESOURCES_RETRY_MS / 2,
+					RESOURCES_RETRY_MS + 1));
+}
+
 /*
  * Called when an attempt has failed.  Schedules the next, which continues
  * after the last delivered token.
@@ -641,11 +668,19 @@
 				    const cb_attempt_failure_t *failure)
 {
 	cb_generation_t *generation = user_data;
+	gboolean may_be_accepted =
+		cb_attempt_may_be_accepted(generation->attempt);
 
 	failure_record_(generation, failure);
-	if (cb_attempt_may_be_accepted(generation->attempt))
+	if (may_be_accepted)
 		generation->may_have_run = TRUE;
 	attempt_delete_(generation);
+	if (failure->failure == CB_FAILURE_NO_RESOURCES) {
+		generation->needs_retry_budget |= may_be_accepted;
+		no_resources_retry_schedule_(generation);
+		return;
+	}
+	generation->no_resources_since_ms = -1;
 	if (generation->had_no_slot) {
 		no_slot_retry_schedule_(generation);
 		return;
@@ -693,6 +728,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	generation->no_chain_since_ms = -1;
 	generation->no_slot_since_ms = -1;
+	generation->no_resources_since_ms = -1;
 	generation->deadline_timer =
 		cb_timer_new(env->parts.clock, deadline_passed_, generation);
 	generation->attempt_timer =
--- a/src/test_libcurrantbridge/support_engines.c
+++ b/src/test_libcurrantbridge/support_engines.c
@@ -360,6 +360,10 @@
 	exchange_t *exchange = user_data;
 	support_engine_t *engine = exchange->engine;
 
+	if (exchange->engines->lacks_resources) {
+		exchange_end_(exchange, CB_FAILURE_NO_RESOURCES);
+		return;
+	}
 	if (exchange->is_closed || exchange->is_request_lost ||
 	    engine->is_silent)
 		return;
--- a/src/test_libcurrantbridge/support_engines.h
+++ b/src/test_libcurrantbridge/support_engines.h
@@ -57,6 +57,8 @@
 	cb_clock_t *clock;
 	GRand *random;
 	support_faults_t faults;
+	/* Whether the entries lack the resources for connections to engines. */
+	gboolean lacks_resources;
 	GPtrArray *engines;	 /* of support_engine_t */
 	GPtrArray *entries;	 /* of support_entry_t */
 	GPtrArray *exchanges;	 /* of exchange_t, ended ones included */
--- a/src/test_libcurrantbridge/test_generation.c
+++ b/src/test_libcurrantbridge/test_generation.c
@@ -625,7 +625,69 @@
 	       (last - first + 1) * 10);
 }
 
+typedef struct resources_case {
+	const char *description; /* printed if the case fails */
+	uint64_t token_count;	 /* that are delivered before */
+	int64_t lack_ms;
+	int64_t end_ms; /* by then the generation has ended */
+	cb_refusal_t expected;
+} resources_case_t;
+
+static const resources_case_t resources_cases[] = {
+	{ "before a token, briefly", 0, 1200, ANSWER_WAIT_MS, CB_REFUSAL_NONE },
+	{ "before a token, for long", 0, 10000, 2500, CB_REFUSAL_OVERLOADED },
+	{ "after some tokens", 3, 8000, ANSWER_WAIT_MS, CB_REFUSAL_NONE },
+};
+
+/* Returns whether a generation ends as expected, without a word on servers. */
+static gboolean resources_case_run_(const resources_case_t *c)
+{
+	support_caller_t *caller;
+	gboolean is_as_expected;
+	unsigned int ready_count = 0;
+	unsigned int i;
+
+	set_up_(2);
+	if (!c->token_count)
+		engines->lacks_resources = TRUE;
+	caller = support_caller_new(entry, "p", ANSWER_TOKENS, DEADLINE_MS);
+	token_wait_(caller, c->token_count);
+	engines->lacks_resources = TRUE;
+	cb_clock_advance(engines->clock, MIN(c->lack_ms, c->end_ms));
+	for (i = 0; i < engines->engines->len; i++)
+		ready_count +=
+			cb_server_find(entry->registry, engine_get_(i)->name)
+				->state == CB_SERVER_READY;
+	if (c->lack_ms < c->end_ms) {
+		engines->lacks_resources = FALSE;
+		cb_clock_advance(engines->clock, c->end_ms - c->lack_ms);
+	}
+	is_as_expected = caller->is_ended && ready_count == 2 * CHAIN_STAGES &&
+			 caller->end.refusal == c->expected &&
+			 (c->expected != CB_REFUSAL_NONE ||
+			  support_caller_has_full_answer(caller));
+	if (!is_as_expected)
+		printf("    %s: %s, %s, %u tokens, %u servers ready\n",
+		       c->description, caller->is_ended ? "ended" : "not ended",
+		       cb_refusal_string[caller->end.refusal],
+		       (unsigned int)caller->token_count, ready_count);
+	support_caller_delete(caller);
+	tear_down_();
+	return is_as_expected;
+}
+
+/* Guards against a lack of descriptors that is taken for servers that ended. */
+static void lack_of_resources_ends_no_answer(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(resources_cases); i++)
+		CU_ASSERT_TRUE(resources_case_run_(&resources_cases[i]));
+}
+
 static CU_TestInfo generation_tests[] = {
+	{ "lack_of_resources_ends_no_answer",
+	  lack_of_resources_ends_no_answer },
 	{ "stream_and_chain_deliver_complete_answer",
 	  stream_and_chain_deliver_complete_answer },
 	{ "answer_resumes_after_killed_stage",
--- a/src/test_libcurrantbridge/test_http_clients.c
+++ b/src/test_libcurrantbridge/test_http_clients.c
@@ -2,6 +2,7 @@
 
 #include <gio/gio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include "currantbridge/program.h"
@@ -534,6 +535,46 @@
 	scripted_server_clear_(&server);
 }
 
+/* A call for which there is no descriptor shows nothing of its server. */
+static void lack_of_descriptors_is_no_refused_connection(void)
+{
+	cb_service_client_t *services =
+		cb_http_service_client_new(NULL, test_clock);
+	cb_engine_client_t *probes =
+		cb_http_engine_client_new(NULL, test_clock, NULL);
+	cb_service_request_t request = { .request = "r",
+					 .method = "POST",
+					 .path = "/x" };
+	result_record_t sent = { 0 };
+	result_record_t probed = { 0 };
+	cb_service_listener_t send_listener = { service_end_record_, &sent };
+	cb_engine_listener_t probe_listener = { .done = engine_end_record_,
+						.user_data = &probed };
+	scripted_server_t server;
+	struct rlimit before;
+	struct rlimit limit;
+
+	scripted_server_init_(&server, OK LENGTH("2", "ok"), FALSE);
+	CU_ASSERT_EQUAL_FATAL(getrlimit(RLIMIT_NOFILE, &before), 0);
+	limit = before;
+	limit.rlim_cur = 0;
+	CU_ASSERT_EQUAL_FATAL(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	services->vtable->send(services, &server.target, &request,
+			       &send_listener);
+	probes->vtable->probe(probes, &server.target, &probe_listener);
+	CU_ASSERT_EQUAL(setrlimit(RLIMIT_NOFILE, &before), 0);
+	loop_run_until_one_(&sent.done_count);
+	loop_run_until_one_(&probed.done_count);
+	CU_ASSERT_EQUAL(sent.done_count, 1);
+	CU_ASSERT_EQUAL(sent.failure, CB_FAILURE_NO_RESOURCES);
+	CU_ASSERT_EQUAL(probed.done_count, 1);
+	CU_ASSERT_EQUAL(probed.failure, CB_FAILURE_NO_RESOURCES);
+	CU_ASSERT_EQUAL(server.connection_count, 0);
+	cb_http_engine_client_delete(probes);
+	cb_http_service_client_delete(services);
+	scripted_server_clear_(&server);
+}
+
 /* The readers that a table of answers is played against. */
 typedef struct reader_play {
 	unsigned int play_count;
@@ -775,6 +816,8 @@
 	{ "step_lost_on_used_connection_is_not_repeated",
 	  step_lost_on_used_connection_is_not_repeated },
 	{ "stream_answers_are_classified", stream_answers_are_classified },
+	{ "lack_of_descriptors_is_no_refused_connection",
+	  lack_of_descriptors_is_no_refused_connection },
 	{ "refused_connection_is_classified",
 	  refused_connection_is_classified },
 	{ "cut_service_answer_is_not_whole", cut_service_answer_is_not_whole },
