--- a/src/libcurrantbridge/relay/engine_reports.c
+++ b/src/libcurrantbridge/relay/engine_reports.c
@@ -5,16 +5,11 @@
  * answers in a few ms, unless a packet is lost and sent again.
  */
 #define REPORT_TIMEOUT_MS 200
-/*
- * An engine that refuses calls for this long has ended: one with too many
- * connections refuses some of them only.
- */
-#define REFUSAL_PROOF_MS 50
 /* How long after the last refusal an engine is taken for ended. */
 #define REFUSAL_VALID_MS 1000
 
 typedef struct waiter {
-	cb_report_result_fn_t fn;
+	cb_report_done_fn_t fn;
 	void *user_data;
 } waiter_t;
 
@@ -105,6 +100,12 @@
 	refusals->last_ms = now_ms;
 }
 
+void cb_engine_reports_hear(cb_engine_reports_t *reports, const char *address)
+{
+	if (g_hash_table_size(reports->refusals))
+		g_hash_table_remove(reports->refusals, address);
+}
+
 gboolean cb_engine_reports_has_ended(const cb_engine_reports_t *reports,
 				     const char *address)
 {
@@ -112,7 +113,7 @@
 		g_hash_table_lookup(reports->refusals, address);
 
 	return refusals &&
-	       refusals->last_ms - refusals->first_ms >= REFUSAL_PROOF_MS &&
+	       refusals->last_ms - refusals->first_ms >= CB_REFUSAL_PROOF_MS &&
 	       cb_clock_now_ms(reports->clock) - refusals->last_ms <=
 		       REFUSAL_VALID_MS;
 }
@@ -125,7 +126,7 @@
 
 	return !refusals ||
 	       cb_clock_now_ms(reports->clock) - refusals->last_ms >=
-		       REFUSAL_PROOF_MS;
+		       CB_REFUSAL_PROOF_MS;
 }
 
 /* Calls the functions of a call's waiters and deletes the call. */
@@ -135,7 +136,9 @@
 	cb_engine_reports_t *reports = call->reports;
 
 	g_hash_table_remove(reports->calls, call->address);
-	refusal_record_(reports, call->address, result == CB_REPORT_FAILED);
+	if (result != CB_REPORT_UNMADE)
+		refusal_record_(reports, call->address,
+				result == CB_REPORT_FAILED);
 	reports->ending_call = call;
 	/* Each function may cancel other waiters, which removes them. */
 	while (call->waiters->len) {
@@ -148,11 +151,10 @@
 	report_call_delete_(call);
 }
 
-static void report_receive_(const cb_engine_report_t *report, void *user_data)
+static void report_receive_(cb_report_result_t result,
+			    const cb_engine_report_t *report, void *user_data)
 {
-	report_call_end_(user_data,
-			 report ? CB_REPORT_ANSWERED : CB_REPORT_FAILED,
-			 report);
+	report_call_end_(user_data, result, report);
 }
 
 static void report_timer_fired_(void *user_data)
@@ -164,7 +166,7 @@
 }
 
 void cb_engine_reports_request(cb_engine_reports_t *reports,
-			       const char *address, cb_report_result_fn_t fn,
+			       const char *address, cb_report_done_fn_t fn,
 			       void *user_data)
 {
 	report_call_t *call = g_hash_table_lookup(reports->calls, address);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -387,6 +387,20 @@
 		cb_reach_group_hear(relay->way_group);
 }
 
+/*
+ * Returns whether two values of Content-Type, NULL if there is none, name the same
+ * media type, whatever their case, spaces and parameters (RFC 9110).
+ */
+static gboolean media_types_match_(const char *a, const char *b)
+{
+	size_t size;
+
+	if (!a || !b)
+		return a == b;
+	size = strcspn(a, "; \t");
+	return strcspn(b, "; \t") == size && !g_ascii_strncasecmp(a, b, size);
+}
+
 /*
  * Returns whether an answer has the type of the stream that it goes on with: a
  * page of an error that comes with status 200 is no part of it.
@@ -397,7 +411,7 @@
 	const char *type = cb_http1_head_find(head, "Content-Type");
 
 	if (relay->is_answer_begun)
-		return !g_strcmp0(relay->stream_type, type);
+		return media_types_match_(relay->stream_type, type);
 	g_free(relay->stream_type);
 	relay->stream_type = g_strdup(type);
 	return TRUE;
@@ -478,6 +492,17 @@
 						   relay->sent_ms);
 }
 
+/* Records that an event has come, which passes through all engines of the chain. */
+static void chain_hear_(const cb_relay_t *relay)
+{
+	unsigned int i;
+
+	for (i = 0; relay->service->engine && i < relay->hops->len; i++)
+		cb_engine_reports_hear(
+			relay->front->reports,
+			g_array_index(relay->hops, cb_relay_hop_t, i).address);
+}
+
 /* Forwards one event, unless the caller has received it already. */
 static void event_forward_(void *user_data, int64_t id, const char *data,
 			   size_t size)
@@ -488,6 +513,7 @@
 	/* The time to the first event of a resumed stream is another one. */
 	if (relay->last_event < 0 && !relay->is_answer_begun)
 		server_time_record_(relay);
+	chain_hear_(relay);
 	cb_relay_content_event_received(relay);
 	if (id >= 0 && id <= relay->last_event) {
 		/* The timer watches over the attempt in flight only. */
--- a/src/libcurrantbridge/relay/relay_stall.c
+++ b/src/libcurrantbridge/relay/relay_stall.c
@@ -376,10 +376,26 @@
 }
 
 /*
- * Moves a stream away from an engine that does not answer.  If that is its
- * first one, the stream is resumed by another.
+ * Returns what it shows of a stream that its first server refuses other calls.  The
+ * open connection to a process that has ended is reset: until the first event is late
+ * by the route's target, a server that refuses new connections may be preparing it.
  */
-static void stream_move_(cb_relay_t *relay, const char *address)
+static cb_silence_sign_t first_refusal_judge_(const cb_relay_t *relay)
+{
+	gboolean is_in_time =
+		!relay->is_answer_begun && cb_http1_call_is_sent(relay->call) &&
+		cb_relay_silent_ms(relay) < relay->route->target_latency_ms;
+
+	return is_in_time ? CB_SILENCE_REFUSED : CB_SILENCE_LOST;
+}
+
+/*
+ * Moves a stream away from an engine that does not answer, since it refuses calls
+ * or another engine waits for it.  If that is its first one, the stream is resumed
+ * by another.
+ */
+static void stream_move_(cb_relay_t *relay, const char *address,
+			 gboolean is_refused)
 {
 	const cb_relay_hop_t *first =
 		&g_array_index(relay->hops, cb_relay_hop_t, 0);
@@ -391,20 +407,36 @@
 			     CB_INT("last_event", relay->last_event),
 			     CB_INT("silent_ms", cb_relay_silent_ms(relay)));
 	cb_front_report_usage_soon(relay->front);
-	if (!strcmp(address, first->address) ||
-	    !cb_server_book_record_loss_at(relay->front->book, address,
-					   relay->tried_servers))
+	if (is_refused && !strcmp(address, first->address))
+		silence_handle_(relay, first_refusal_judge_(relay), address);
+	else if (!strcmp(address, first->address) ||
+		 !cb_server_book_record_loss_at(relay->front->book, address,
+						relay->tried_servers))
 		silence_handle_(relay, CB_SILENCE_LOST, address);
 	else
 		silence_handle_(relay, CB_SILENCE_STALLED, address);
 }
 
 /*
- * Moves all streams that pass through an engine which is shown to be lost, not
+ * Returns whether a stream may wait for an engine of its chain that refuses calls:
+ * its next event is overdue, or due by its usual gap if the engine has ended.
+ */
+static gboolean stream_may_wait_(const cb_relay_t *relay, const char *address)
+{
+	if (cb_relay_is_overdue(relay))
+		return TRUE;
+	return relay->pace.last_ms &&
+	       cb_relay_silent_ms(relay) >= (int64_t)relay->pace.gap_ms &&
+	       cb_engine_reports_has_ended(relay->front->reports, address);
+}
+
+/*
+ * Moves the streams that pass through an engine which is shown to be lost, not
  * only the one that waits for it: the others will wait for it with their next
- * token.
+ * token.  If the engine only refuses calls, those that make progress stay.
  */
-void cb_relay_move_streams(cb_front_t *front, const char *address)
+static void streams_move_(cb_front_t *front, const char *address,
+			  gboolean is_refused)
 {
 	GPtrArray *streams = g_ptr_array_new();
 	GHashTableIter iter;
@@ -417,7 +449,8 @@
 
 		if (relay->call && relay->hops->len &&
 		    stream_is_watched_(relay) && !relay->is_reroute_pending &&
-		    cb_relay_find_hop(relay, address))
+		    cb_relay_find_hop(relay, address) &&
+		    (!is_refused || stream_may_wait_(relay, address)))
 			g_ptr_array_add(streams, relay);
 	}
 	for (i = 0; i < streams->len; i++) {
@@ -430,7 +463,7 @@
 		if (relay->is_report_pending)
 			cb_engine_reports_cancel(front->reports, relay);
 		relay->is_report_pending = FALSE;
-		stream_move_(relay, address);
+		stream_move_(relay, address, is_refused);
 	}
 	g_ptr_array_unref(streams);
 }
@@ -465,17 +498,21 @@
 		silence_handle_(relay, CB_SILENCE_NO_REPORT, NULL);
 		return;
 	}
+	if (result == CB_REPORT_UNMADE) {
+		silence_handle_(relay, CB_SILENCE_UNASKED, NULL);
+		return;
+	}
 	if (result == CB_REPORT_FAILED) {
 		address = g_strdup(
 			g_array_index(relay->hops, cb_relay_hop_t, 0).address);
-		cb_relay_move_streams(front, address);
+		streams_move_(front, address, TRUE);
 		g_free(address);
 		return;
 	}
 	address = g_strdup(stalled_address_find_(relay, report));
 	/* The report may be older than the last reroute. */
 	if (address && cb_relay_find_hop(relay, address)) {
-		cb_relay_move_streams(front, address);
+		streams_move_(front, address, FALSE);
 	} else {
 		/* Another server would start the answer over. */
 		silence_handle_(relay, CB_SILENCE_WORKING, NULL);
@@ -552,25 +589,45 @@
 	}
 }
 
-/* Called with the report of an engine that may be lost. */
+static void second_check_start_(void *user_data);
+
+/*
+ * Called with the report of an engine that may be lost.  One refused call moves only
+ * the streams that are overdue; a second one shows whether the engine has ended.
+ */
 static void suspect_report_receive_(cb_report_result_t result,
 				    const cb_engine_report_t *report,
 				    void *user_data)
 {
 	cb_engine_check_t *check = user_data;
 	cb_front_t *front = check->front;
-	char *address = g_steal_pointer(&check->address);
+	char *address = g_strdup(check->address);
 
 	(void)report;
-	g_hash_table_remove(front->engine_checks, check);
+	if (result == CB_REPORT_FAILED && !check->timer) {
+		check->timer =
+			cb_timer_new(front->clock, second_check_start_, check);
+		cb_timer_start(check->timer, CB_REFUSAL_PROOF_MS);
+	} else {
+		g_hash_table_remove(front->engine_checks, check);
+	}
 	if (result == CB_REPORT_FAILED) {
 		cb_server_book_record_loss_at(front->book, address, NULL);
 		cb_front_report_usage_soon(front);
-		cb_relay_move_streams(front, address);
+		streams_move_(front, address, TRUE);
 	}
 	g_free(address);
 }
 
+/* Calls an engine again that has refused a call. */
+static void second_check_start_(void *user_data)
+{
+	cb_engine_check_t *check = user_data;
+
+	cb_engine_reports_request(check->front->reports, check->address,
+				  suspect_report_receive_, check);
+}
+
 gboolean cb_relay_uses_engine(const cb_front_t *front, const char *address)
 {
 	GHashTableIter iter;
@@ -586,9 +643,8 @@
 
 /*
  * Checks an engine that another one named as the reason why it rejected a
- * request: the engine may have stopped, or be short of memory.  If it refuses
- * connections, the streams that pass through it are moved before they fall
- * silent for long.
+ * request: the engine may have stopped, or be short of memory.  If it has ended,
+ * the streams that pass through it are moved before they fall silent for long.
  */
 void cb_relay_check_engine(cb_front_t *front, const char *address)
 {
@@ -613,6 +669,7 @@
 {
 	cb_engine_check_t *check = data;
 
+	cb_timer_delete(check->timer);
 	g_free(check->address);
 	g_free(check);
 }
--- a/test/platform/incident/test_incident.c
+++ b/test/platform/incident/test_incident.c
@@ -1323,6 +1323,14 @@
 		request->ended_ms > run->ended_ms + INCIDENT_LATE_MS);
 }
 
+/* Returns whether a run was closed after the caller of its request had left. */
+static gboolean is_unwanted_(const incident_request_t *request,
+			     const incident_run_t *run)
+{
+	return request && request->end == INCIDENT_LEFT &&
+	       run->ended_ms >= request->ended_ms;
+}
+
 /*
  * Checks that instances end no run that makes progress, and none of an answer that
  * has begun, unless another run goes on with it.
@@ -1333,6 +1341,7 @@
 	GHashTable *groups = runs_group_(runs);
 	GHashTable *index = requests_index_(requests);
 	unsigned int taken_over = 0;
+	unsigned int unwanted = 0;
 	unsigned int abandoned = 0;
 	unsigned int given_up = 0;
 	unsigned int brief = 0;
@@ -1342,11 +1351,17 @@
 
 	for (i = 0; i < runs->len; i++) {
 		const incident_run_t *run = runs->pdata[i];
+		const incident_request_t *request =
+			g_hash_table_lookup(index, run->request_id);
 		int64_t silent_ms = run->ended_ms - run->progress_ms;
 
 		rejected += run->is_rejected;
 		if (!run->was_closed || !strcmp(run->request_id, "start"))
 			continue;
+		if (is_unwanted_(request, run)) {
+			unwanted++;
+			continue;
+		}
 		unbegun += !run->has_begun;
 		if (!run->has_begun)
 			continue;
@@ -1357,17 +1372,15 @@
 		}
 		abandoned += silent_ms <= PROGRESS_MAX_MS;
 		brief += silent_ms <= BRIEF_MAX_MS;
-		given_up +=
-			is_awaited_(g_hash_table_lookup(index, run->request_id),
-				    run);
+		given_up += is_awaited_(request, run);
 	}
 	printf("    %u arrivals, %u rejected; closed by an instance: %u within "
 	       "%d ms after an event, %u within %d ms, %u before their first "
-	       "event, %u taken over by another run, %u of a caller who still "
-	       "waited; connections reset by servers %u; orders to engines %u, "
-	       "reroutes %u\n",
+	       "event, %u taken over by another run, %u whose caller had left, "
+	       "%u of a caller who still waited; connections reset by servers "
+	       "%u; orders to engines %u, reroutes %u\n",
 	       runs->len, rejected, abandoned, PROGRESS_MAX_MS, brief,
-	       BRIEF_MAX_MS, unbegun, taken_over, given_up,
+	       BRIEF_MAX_MS, unbegun, taken_over, unwanted, given_up,
 	       incident_servers_excess(fixture->servers),
 	       incident_servers_orders(fixture->servers),
 	       incident_servers_reroutes(fixture->servers));
