Divide what is left of the retry budget by time, not by sums

Each sum of usage that arrived gave every instance a quarter of its part of what was left, since a sum may lack what was taken in the last four rounds of 200 ms. Two things weaken this:

- Where the part was below one retry, each instance added up its fractions to a whole one, as long as anything was left.
All of them could spend it at the same moment, whatever was left by then.
- Sums come each 50 ms while servers are suspected, and so did a new part, though other reports in them still came each 200 ms.

Now an instance may take its whole part of what is left, less the retries that it has taken within the last second, which the sum may lack; the interval of sums no longer matters. A part below one retry is the chance to take one within a second, so that the instances together take about what is left, and save up nothing.

repeats_at_the_same_moment_stay_within_every_window plays entry and control instances with timers, delays, standstills and lost reports of their own, and counts each sliding window as the rule does.

--- a/src/libcurrantbridge/include/private/retry_share.h
+++ b/src/libcurrantbridge/include/private/retry_share.h
@@ -23,7 +23,8 @@
 	int64_t window_ms;
 } cb_retry_share_budget_t;
 
-cb_retry_share_t *cb_retry_share_new(cb_clock_t *clock,
+/* Creates a share; `random` must outlive it. */
+cb_retry_share_t *cb_retry_share_new(cb_clock_t *clock, GRand *random,
 				     const cb_retry_share_budget_t *budget);
 void cb_retry_share_delete(cb_retry_share_t *share);
 void cb_retry_share_set_instances(cb_retry_share_t *share,
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -544,7 +544,8 @@
 	front->server_ends =
 		cb_server_ends_new(cb_kernel_context(kernel), front->clock,
 				   cb_relay_content_server_checked, front);
-	front->retries = cb_retry_share_new(front->clock, &budget);
+	front->retries =
+		cb_retry_share_new(front->clock, front->random, &budget);
 	front->relays = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					      cb_relay_delete, NULL);
 	front->decode_timer =
--- a/src/libcurrantbridge/relay/retry_share.c
+++ b/src/libcurrantbridge/relay/retry_share.c
@@ -9,12 +9,15 @@
 /* How long the summed counts of the other instances are used. */
 #define SUM_VALID_MS 1000
 /*
- * A report takes some rounds to reach all instances: from an entry to its
- * control instance, to the other control instances, and to their entries.
- * Dividing the remaining retries by this many rounds keeps all instances
- * together within the budget when the sums arrive that late.
+ * A sum may lack retries that were taken within this time: each report waits
+ * for the next sum of its control instance, and that for those of the others.
+ * What is left is allowed once in this time, however often sums arrive: while
+ * servers are suspected, they come sooner, but know no more.
  */
-#define REPORT_DELAY_ROUNDS 4
+#define REPORT_DELAY_MS 1000
+/* Retries within REPORT_DELAY_MS are counted in slots; one is in progress. */
+#define RECENT_SLOT_MS 100
+#define RECENT_SLOT_COUNT (REPORT_DELAY_MS / RECENT_SLOT_MS + 1)
 /*
  * A sum with a smaller part of the requests in the last one lacks instances: a
  * control instance sends it before the others' reports have reached it.
@@ -34,10 +37,19 @@
 	uint32_t requests[SLOT_COUNT];
 	uint32_t retries[SLOT_COUNT];
 	int64_t slot; /* newest slot, counted from the clock's start */
+	uint32_t recent_retries[RECENT_SLOT_COUNT];
+	int64_t recent_slot;
 	/*
-	 * Retries allowed until the next sum of all instances' usage arrives.
+	 * Retries that all instances together had left, by the last complete
+	 * sum, divided by the instances.
 	 */
 	double allowance;
+	/*
+	 * An allowance below one retry lets one through if it is above this
+	 * random number, which is drawn again after REPORT_DELAY_MS.
+	 */
+	double turn;
+	int64_t turn_since_ms; /* 0: none was drawn */
 	/* When the last complete sum of all instances' usage arrived; 0: never. */
 	int64_t sum_received_ms;
 	uint32_t sum_requests; /* the requests in that sum */
@@ -49,18 +61,20 @@
 
 struct cb_retry_share {
 	cb_clock_t *clock;
+	GRand *random;
 	cb_retry_share_budget_t budget;
 	unsigned int instances;
 	GHashTable *by_service; /* map: service name to service_counts_t */
 };
 
 /* Creates a share; its instance counts as the only one at first. */
-cb_retry_share_t *cb_retry_share_new(cb_clock_t *clock,
+cb_retry_share_t *cb_retry_share_new(cb_clock_t *clock, GRand *random,
 				     const cb_retry_share_budget_t *budget)
 {
 	cb_retry_share_t *share = g_new0(cb_retry_share_t, 1);
 
 	share->clock = clock;
+	share->random = random;
 	share->budget = *budget;
 	share->instances = 1;
 	share->by_service =
@@ -87,20 +101,27 @@
 	share->instances = MAX(share->instances, instances);
 }
 
-/* Advances to the current slot and clears the slots since the last call. */
+/* Advances to the current slots and clears the slots since the last call. */
 static void slots_advance_(const cb_retry_share_t *share,
 			   service_counts_t *counts)
 {
-	int64_t slot = cb_clock_now_ms(share->clock) * WINDOW_SLOTS /
-		       share->budget.window_ms;
+	int64_t now_ms = cb_clock_now_ms(share->clock);
+	int64_t slot = now_ms * WINDOW_SLOTS / share->budget.window_ms;
+	int64_t recent_slot = now_ms / RECENT_SLOT_MS;
 
-	if (slot - counts->slot >= SLOT_COUNT)
-		counts->slot = slot - SLOT_COUNT;
+	counts->slot = MAX(counts->slot, slot - SLOT_COUNT);
 	while (counts->slot < slot) {
 		counts->slot++;
 		counts->requests[counts->slot % SLOT_COUNT] = 0;
 		counts->retries[counts->slot % SLOT_COUNT] = 0;
 	}
+	counts->recent_slot =
+		MAX(counts->recent_slot, recent_slot - RECENT_SLOT_COUNT);
+	while (counts->recent_slot < recent_slot) {
+		counts->recent_slot++;
+		counts->recent_retries[counts->recent_slot %
+				       RECENT_SLOT_COUNT] = 0;
+	}
 }
 
 /* Returns the counts of a service up to now, creating them if needed. */
@@ -119,12 +140,12 @@
 	return counts;
 }
 
-static uint32_t slots_sum_(const uint32_t *slots)
+static uint32_t slots_sum_(const uint32_t *slots, unsigned int count)
 {
 	uint32_t sum = 0;
 	unsigned int i;
 
-	for (i = 0; i < SLOT_COUNT; i++)
+	for (i = 0; i < count; i++)
 		sum += slots[i];
 	return sum;
 }
@@ -144,7 +165,7 @@
 	double limit =
 		UNCOORDINATED_FRACTION * share->budget.extra / share->instances;
 
-	return slots_sum_(counts->retries) + 1 <= limit;
+	return slots_sum_(counts->retries, SLOT_COUNT) + 1 <= limit;
 }
 
 /* Returns whether the sum of all instances' counts is recent. */
@@ -156,13 +177,34 @@
 		       SUM_VALID_MS;
 }
 
+/*
+ * Returns whether the allowance has room for a retry beside those that the sum
+ * may lack.  Below one retry, only some of the instances take one: if each saved
+ * up its fractions, all could spend them at the same moment.
+ */
+static gboolean allowance_is_left_(const cb_retry_share_t *share,
+				   service_counts_t *counts)
+{
+	int64_t now_ms = cb_clock_now_ms(share->clock);
+	uint32_t recent = slots_sum_(counts->recent_retries, RECENT_SLOT_COUNT);
+
+	if (counts->allowance >= 1)
+		return recent + 1 <= counts->allowance;
+	if (!counts->turn_since_ms ||
+	    now_ms - counts->turn_since_ms >= REPORT_DELAY_MS) {
+		counts->turn = g_rand_double(share->random);
+		counts->turn_since_ms = now_ms;
+	}
+	return !recent && counts->turn < counts->allowance;
+}
+
 /* Returns whether a retry is left, without counting one. */
 gboolean cb_retry_share_has_retry(cb_retry_share_t *share, const char *service)
 {
-	const service_counts_t *counts = service_counts_get_(share, service);
+	service_counts_t *counts = service_counts_get_(share, service);
 
 	return sum_is_valid_(share, counts) ?
-		       counts->allowance >= 1 :
+		       allowance_is_left_(share, counts) :
 		       local_retry_is_allowed_(share, counts);
 }
 
@@ -173,9 +215,8 @@
 
 	if (!cb_retry_share_has_retry(share, service))
 		return FALSE;
-	if (sum_is_valid_(share, counts))
-		counts->allowance -= 1;
 	counts->retries[counts->slot % SLOT_COUNT]++;
+	counts->recent_retries[counts->recent_slot % RECENT_SLOT_COUNT]++;
 	return TRUE;
 }
 
@@ -190,8 +231,8 @@
 		const service_counts_t *counts =
 			service_counts_get_(share, service);
 		const cb_usage_sends_t sends = {
-			.requests = slots_sum_(counts->requests),
-			.retries = slots_sum_(counts->retries),
+			.requests = slots_sum_(counts->requests, SLOT_COUNT),
+			.retries = slots_sum_(counts->retries, SLOT_COUNT),
 		};
 
 		cb_usage_add_sends(usage, service, &sends);
@@ -229,7 +270,6 @@
 	while (g_hash_table_iter_next(&iter, &service, NULL)) {
 		service_counts_t *counts = service_counts_get_(share, service);
 		cb_usage_sends_t sends = cb_usage_find_sends(sum, service);
-		double allowance;
 		double remaining;
 
 		if (!sum_is_complete_(share, counts, &sends))
@@ -238,19 +278,7 @@
 				    (share->budget.extra +
 				     share->budget.ratio * sends.requests) -
 			    sends.retries;
-		allowance = MAX(remaining, 0) /
-			    (REPORT_DELAY_ROUNDS * share->instances);
-		/*
-		 * With many instances, each new sum may allow an instance less
-		 * than one retry.  An instance adds up these fractions over
-		 * several sums, to at most one retry.  If the instances exceed
-		 * COORDINATED_FRACTION of the budget that way, the reserve of
-		 * UNCOORDINATED_FRACTION covers the excess.
-		 */
-		if (allowance < 1)
-			allowance =
-				MIN(allowance + MIN(counts->allowance, 1), 1);
-		counts->allowance = allowance;
+		counts->allowance = MAX(remaining, 0) / share->instances;
 		counts->sum_received_ms = cb_clock_now_ms(share->clock);
 		counts->sum_requests = sends.requests;
 	}
--- a/src/test_libcurrantbridge/test_relay_silence.c
+++ b/src/test_libcurrantbridge/test_relay_silence.c
@@ -78,7 +78,7 @@
 	cb_front_t *front = fixture->front;
 
 	cb_retry_share_delete(front->retries);
-	front->retries = cb_retry_share_new(front->clock, &none);
+	front->retries = cb_retry_share_new(front->clock, front->random, &none);
 }
 
 /* Sets which engine of the chain in use is reported as lost. */
--- a/src/test_libcurrantbridge/test_retry_share.c
+++ b/src/test_libcurrantbridge/test_retry_share.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdio.h>
 
 #include "support_main.h"
@@ -117,10 +118,11 @@
 	for (n = 0; n < G_N_ELEMENTS(cluster_cases); n++) {
 		const cluster_case_t *c = &cluster_cases[n];
 		cluster_t cluster = { .clock = cb_clock_new_paused(1000) };
+		GRand *random = g_rand_new_with_seed(1);
 
 		for (i = 0; i < c->instances; i++) {
-			cluster.shares[i] =
-				cb_retry_share_new(cluster.clock, &budget);
+			cluster.shares[i] = cb_retry_share_new(cluster.clock,
+							       random, &budget);
 			cb_retry_share_set_instances(cluster.shares[i],
 						     c->instances);
 		}
@@ -135,6 +137,7 @@
 		for (i = 0; i < 4; i++)
 			cb_usage_delete(cluster.sums[i]);
 		cb_clock_delete(cluster.clock);
+		g_rand_free(random);
 	}
 }
 
@@ -171,7 +174,9 @@
 	for (n = 0; n < G_N_ELEMENTS(sum_cases); n++) {
 		const sum_case_t *c = &sum_cases[n];
 		cb_clock_t *clock = cb_clock_new_paused(1000);
-		cb_retry_share_t *share = cb_retry_share_new(clock, &budget);
+		GRand *random = g_rand_new_with_seed(1);
+		cb_retry_share_t *share =
+			cb_retry_share_new(clock, random, &budget);
 		unsigned int retries = 0;
 		unsigned int round;
 
@@ -198,10 +203,403 @@
 		if (retries < c->min_retries || retries > c->max_retries)
 			printf("    %s: %u retries\n", c->label, retries);
 		cb_retry_share_delete(share);
+		g_rand_free(random);
 		cb_clock_delete(clock);
 	}
 }
 
+/*
+ * Instances that report and hear at different times, all of which want more
+ * repeats at the same moments than the budget has.
+ */
+typedef struct storm_case {
+	const char *label;
+	unsigned int instances;
+	unsigned int controls;
+	double extra;
+	unsigned int requests_per_s; /* of each instance */
+	unsigned int load_ms; /* requests come in one half of it; 0: all */
+	unsigned int drawing_percent; /* of the instances, the first ones */
+	unsigned int late_max_ms;     /* a process stands still for so long */
+	unsigned int lost_max_ms;     /* a control instance hears no other */
+	unsigned int arrival_max_ms;  /* from a draw to the server */
+	/* Percent of the budget that the fullest window is to use. */
+	unsigned int min_percent;
+} storm_case_t;
+
+static const storm_case_t storm_cases[] = {
+	{ "all at once", 9, 3, 50, 14, 0, 100, 0, 0, 50, 60 },
+	{ "late processes", 9, 3, 50, 14, 0, 100, 600, 0, 50, 60 },
+	{ "very late processes", 9, 3, 50, 14, 0, 100, 1500, 0, 50, 50 },
+	{ "late servers", 9, 3, 20, 3, 0, 100, 0, 0, 900, 60 },
+	{ "late servers and processes", 9, 3, 20, 3, 0, 100, 600, 0, 900, 60 },
+	{ "requests in bursts", 3, 3, 0, 12, 21000, 100, 300, 0, 50, 60 },
+	{ "longer bursts", 9, 3, 10, 14, 30000, 100, 300, 0, 900, 60 },
+	{ "shorter bursts", 9, 3, 10, 14, 5000, 100, 300, 0, 50, 60 },
+	{ "one data centre", 9, 3, 50, 14, 0, 34, 300, 0, 50, 50 },
+	{ "one control instance", 6, 1, 132, 14, 0, 100, 300, 0, 50, 60 },
+	{ "few retries", 20, 3, 10, 1, 0, 100, 300, 0, 50, 60 },
+	{ "control cut off", 20, 4, 50, 3, 0, 100, 300, 2500, 50, 50 },
+	{ "control cut off longer", 20, 5, 50, 3, 0, 100, 300, 6000, 50, 50 },
+	{ "26 instances", 26, 9, 314, 8, 0, 100, 600, 0, 50, 60 },
+	{ "few retries of many", 117, 9, 50, 1, 0, 100, 600, 0, 500, 60 },
+};
+
+/* CB_SEEDS sets another number; those of large clusters take longer. */
+#define STORM_SEEDS 40
+#define STORM_LARGE 26
+#define STORM_LARGE_SEEDS 8
+#define STORM_MS 45000
+#define STORM_STEP_MS 10
+#define STORM_STEPS (STORM_MS / STORM_STEP_MS)
+#define STORM_CONTROLS_MAX 9
+#define STORM_BEGIN_MS 6000
+#define STORM_PERIOD_MS 2500
+#define STORM_STALL_MS 700
+#define STORM_NETWORK_MAX_MS 30
+#define STORM_LATE_INTERVAL_MS 3000
+#define STORM_LOST_INTERVAL_MS 8000
+/* Suspicions make reports and sums come sooner, as in front.c, node_usage.c. */
+#define STORM_SOON_MS 50
+#define STORM_PEER_AGE_MAX_MS 1000
+
+/* Counts on the way from one process to another. */
+typedef struct storm_message {
+	int64_t due_ms;
+	unsigned int from;
+	gboolean is_from_control;
+	cb_usage_sends_t sends;
+} storm_message_t;
+
+/* An entry or control instance. */
+typedef struct storm_process {
+	cb_retry_share_t *share; /* NULL: control */
+	unsigned int control;
+	unsigned int wanted; /* repeats */
+	int64_t next_ms;     /* report or sum */
+	int64_t late_until_ms;
+	int64_t lost_until_ms;
+	GQueue inbox; /* storm_message_t */
+	cb_usage_sends_t by_session[INSTANCES_MAX];
+	cb_usage_sends_t by_peer[STORM_CONTROLS_MAX];
+	int64_t peer_ms[STORM_CONTROLS_MAX];
+} storm_process_t;
+
+typedef struct storm {
+	const storm_case_t *c;
+	cb_clock_t *clock;
+	GRand *random;
+	storm_process_t *entries;
+	storm_process_t *controls;
+	unsigned int requests[STORM_STEPS];
+	unsigned int repeats[STORM_STEPS];
+	int64_t now_ms; /* since the start */
+} storm_t;
+
+static int64_t storm_random_(storm_t *storm, unsigned int max)
+{
+	return g_rand_int_range(storm->random, 0, (int)max + 1);
+}
+
+static void storm_send_(storm_t *storm, storm_process_t *to, unsigned int from,
+			gboolean is_from_control, const cb_usage_sends_t *sends)
+{
+	const storm_message_t *last = g_queue_peek_tail(&to->inbox);
+	storm_message_t *message = g_new0(storm_message_t, 1);
+
+	message->due_ms =
+		storm->now_ms + 1 + storm_random_(storm, STORM_NETWORK_MAX_MS);
+	if (last)
+		message->due_ms = MAX(message->due_ms, last->due_ms);
+	message->from = from;
+	message->is_from_control = is_from_control;
+	message->sends = *sends;
+	g_queue_push_tail(&to->inbox, message);
+}
+
+/* Returns whether a process runs now, and lets it stand still at times. */
+static gboolean storm_runs_(storm_t *storm, storm_process_t *process)
+{
+	if (storm->now_ms < process->late_until_ms)
+		return FALSE;
+	if (storm->c->late_max_ms &&
+	    !storm_random_(storm, STORM_LATE_INTERVAL_MS / STORM_STEP_MS))
+		process->late_until_ms =
+			storm->now_ms +
+			storm_random_(storm, storm->c->late_max_ms);
+	return TRUE;
+}
+
+static gboolean storm_is_stalled_(const storm_t *storm)
+{
+	return storm->now_ms > STORM_BEGIN_MS &&
+	       storm->now_ms % STORM_PERIOD_MS < STORM_STALL_MS;
+}
+
+/* Starts the time until the next report or sum, soon if a server may be lost. */
+static void storm_timer_start_(storm_t *storm, storm_process_t *process)
+{
+	process->next_ms = storm->now_ms + REPORT_INTERVAL_MS;
+	if (storm_is_stalled_(storm))
+		process->next_ms = storm->now_ms + STORM_SOON_MS +
+				   storm_random_(storm, STORM_SOON_MS);
+}
+
+static void storm_control_step_(storm_t *storm, unsigned int index)
+{
+	storm_process_t *control = &storm->controls[index];
+	const storm_message_t *next;
+	cb_usage_sends_t sum = { 0 };
+	unsigned int i;
+
+	if (!storm_runs_(storm, control))
+		return;
+	if (storm->c->lost_max_ms &&
+	    !storm_random_(storm, STORM_LOST_INTERVAL_MS / STORM_STEP_MS))
+		control->lost_until_ms =
+			storm->now_ms +
+			storm_random_(storm, storm->c->lost_max_ms);
+	while ((next = g_queue_peek_head(&control->inbox)) &&
+	       next->due_ms <= storm->now_ms) {
+		storm_message_t *message = g_queue_pop_head(&control->inbox);
+
+		if (!message->is_from_control) {
+			control->by_session[message->from] = message->sends;
+		} else if (storm->now_ms >= control->lost_until_ms) {
+			control->by_peer[message->from] = message->sends;
+			control->peer_ms[message->from] = storm->now_ms;
+		}
+		g_free(message);
+	}
+	if (storm->now_ms < control->next_ms)
+		return;
+	storm_timer_start_(storm, control);
+	for (i = 0; i < storm->c->instances; i++) {
+		sum.requests += control->by_session[i].requests;
+		sum.retries += control->by_session[i].retries;
+	}
+	for (i = 0; i < storm->c->controls; i++)
+		if (i != index)
+			storm_send_(storm, &storm->controls[i], index, TRUE,
+				    &sum);
+	for (i = 0; i < storm->c->controls; i++) {
+		if (!control->peer_ms[i] ||
+		    storm->now_ms - control->peer_ms[i] > STORM_PEER_AGE_MAX_MS)
+			continue;
+		sum.requests += control->by_peer[i].requests;
+		sum.retries += control->by_peer[i].retries;
+	}
+	for (i = 0; i < storm->c->instances; i++)
+		if (storm->entries[i].control == index)
+			storm_send_(storm, &storm->entries[i], index, TRUE,
+				    &sum);
+}
+
+static void storm_repeats_draw_(storm_t *storm, unsigned int index)
+{
+	storm_process_t *entry = &storm->entries[index];
+	gboolean draws =
+		index * 100 < storm->c->instances * storm->c->drawing_percent;
+
+	if (!draws || !storm_is_stalled_(storm)) {
+		entry->wanted = 0;
+		return;
+	}
+	if (storm->now_ms % STORM_PERIOD_MS == 0 || !storm_random_(storm, 20))
+		entry->wanted += 30;
+	while (entry->wanted && cb_retry_share_take_retry(entry->share, "s")) {
+		int64_t step =
+			(storm->now_ms +
+			 storm_random_(storm, storm->c->arrival_max_ms)) /
+			STORM_STEP_MS;
+
+		entry->wanted--;
+		if (step < STORM_STEPS)
+			storm->repeats[step]++;
+	}
+}
+
+static void storm_entry_step_(storm_t *storm, unsigned int index)
+{
+	storm_process_t *entry = &storm->entries[index];
+	unsigned int per_s = storm->c->requests_per_s;
+	const storm_message_t *next;
+
+	if (!storm_runs_(storm, entry))
+		return;
+	while ((next = g_queue_peek_head(&entry->inbox)) &&
+	       next->due_ms <= storm->now_ms) {
+		storm_message_t *message = g_queue_pop_head(&entry->inbox);
+		cb_usage_t *sum = cb_usage_new();
+
+		cb_usage_add_sends(sum, "s", &message->sends);
+		cb_retry_share_update(entry->share, sum);
+		cb_usage_delete(sum);
+		g_free(message);
+		storm_repeats_draw_(storm, index);
+	}
+	if (storm->c->load_ms)
+		per_s = storm->now_ms % storm->c->load_ms <
+					storm->c->load_ms / 2 ?
+				2 * per_s :
+				0;
+	if (storm_random_(storm, 1000 / STORM_STEP_MS - 1) < per_s) {
+		cb_retry_share_count_request(entry->share, "s");
+		storm->requests[storm->now_ms / STORM_STEP_MS]++;
+	}
+	storm_repeats_draw_(storm, index);
+	if (storm->now_ms >= entry->next_ms) {
+		cb_usage_t *usage = cb_usage_new();
+		cb_usage_sends_t sends;
+
+		storm_timer_start_(storm, entry);
+		cb_retry_share_add_usage(entry->share, usage);
+		sends = cb_usage_find_sends(usage, "s");
+		storm_send_(storm, &storm->controls[entry->control], index,
+			    FALSE, &sends);
+		cb_usage_delete(usage);
+	}
+}
+
+static void storm_init_(storm_t *storm, const storm_case_t *c,
+			unsigned int seed)
+{
+	const cb_retry_share_budget_t storm_budget = { budget.ratio, c->extra,
+						       WINDOW_MS };
+	unsigned int i;
+
+	storm->c = c;
+	storm->clock = cb_clock_new_paused(1000);
+	storm->random = g_rand_new_with_seed(seed);
+	storm->entries = g_new0(storm_process_t, c->instances);
+	storm->controls = g_new0(storm_process_t, c->controls);
+	for (i = 0; i < c->controls; i++)
+		storm->controls[i].next_ms =
+			storm_random_(storm, REPORT_INTERVAL_MS);
+	for (i = 0; i < c->instances; i++) {
+		storm_process_t *entry = &storm->entries[i];
+
+		entry->control = i % c->controls;
+		entry->next_ms = storm_random_(storm, REPORT_INTERVAL_MS);
+		entry->share = cb_retry_share_new(storm->clock, storm->random,
+						  &storm_budget);
+		cb_retry_share_set_instances(entry->share, c->instances);
+	}
+}
+
+static void storm_clear_(storm_t *storm)
+{
+	unsigned int i;
+
+	for (i = 0; i < storm->c->instances; i++) {
+		cb_retry_share_delete(storm->entries[i].share);
+		g_queue_clear_full(&storm->entries[i].inbox, g_free);
+	}
+	for (i = 0; i < storm->c->controls; i++)
+		g_queue_clear_full(&storm->controls[i].inbox, g_free);
+	g_free(storm->entries);
+	g_free(storm->controls);
+	g_rand_free(storm->random);
+	cb_clock_delete(storm->clock);
+}
+
+/* Returns the sum of a window's counts, from those summed up to each step. */
+static double storm_window_(const double *sums, int from)
+{
+	int to = from + WINDOW_MS / STORM_STEP_MS;
+
+	return sums[MAX(to, 0)] - sums[MAX(from, 0)];
+}
+
+/* Returns the percent of the budget that the fullest window uses. */
+static double storm_find_fullest_(const storm_t *storm)
+{
+	int window = WINDOW_MS / STORM_STEP_MS;
+	double *requests = g_new0(double, STORM_STEPS + 1);
+	double *repeats = g_new0(double, STORM_STEPS + 1);
+	double fullest = 0;
+	int from;
+
+	for (from = 0; from < STORM_STEPS; from++) {
+		requests[from + 1] = requests[from] + storm->requests[from];
+		repeats[from + 1] = repeats[from] + storm->repeats[from];
+	}
+	for (from = 0; from + window <= STORM_STEPS; from++) {
+		double now = storm_window_(requests, from);
+		double half = storm_window_(requests, from - window / 2);
+		double before = storm_window_(requests, from - window);
+		double allowed = budget.ratio * MAX(now, MAX(half, before)) +
+				 storm->c->extra;
+
+		if (allowed > 0)
+			fullest = MAX(fullest,
+				      100 * storm_window_(repeats, from) /
+					      allowed);
+	}
+	g_free(requests);
+	g_free(repeats);
+	return fullest;
+}
+
+/* Returns the percent of the budget that one play's fullest window uses. */
+static double storm_play_(const storm_case_t *c, unsigned int seed)
+{
+	storm_t *storm = g_new0(storm_t, 1);
+	double percent;
+	unsigned int i;
+
+	storm_init_(storm, c, seed);
+	while (storm->now_ms < STORM_MS) {
+		for (i = 0; i < c->controls; i++)
+			storm_control_step_(storm, i);
+		for (i = 0; i < c->instances; i++)
+			storm_entry_step_(storm, i);
+		storm->now_ms += STORM_STEP_MS;
+		cb_clock_advance(storm->clock, STORM_STEP_MS);
+	}
+	percent = storm_find_fullest_(storm);
+	storm_clear_(storm);
+	g_free(storm);
+	return percent;
+}
+
+static unsigned int storm_seeds_(const storm_case_t *c)
+{
+	const char *seeds = g_getenv("CB_SEEDS");
+
+	if (seeds)
+		return (unsigned int)g_ascii_strtoull(seeds, NULL, 10);
+	return c->instances < STORM_LARGE ? STORM_SEEDS : STORM_LARGE_SEEDS;
+}
+
+/* Fractions of a retry that all save up, and sums that lack some, add up. */
+static void repeats_at_the_same_moment_stay_within_every_window(void)
+{
+	size_t n;
+
+	for (n = 0; n < G_N_ELEMENTS(storm_cases); n++) {
+		const storm_case_t *c = &storm_cases[n];
+		unsigned int seeds = storm_seeds_(c);
+		double least = INFINITY;
+		double most = 0;
+		unsigned int over = 0;
+		unsigned int seed;
+
+		for (seed = 1; seed <= seeds; seed++) {
+			double percent = storm_play_(c, seed);
+
+			over += percent > 100;
+			most = MAX(most, percent);
+			least = MIN(least, percent);
+		}
+		CU_ASSERT_EQUAL(over, 0);
+		CU_ASSERT_TRUE(least >= c->min_percent);
+		printf("    %s: fullest windows %.0f to %.0f%%, %u of %u seeds "
+		       "over\n",
+		       c->label, least, most, over, seeds);
+	}
+}
+
 /* Usage must add up after encoding; a truncated encoding must be rejected. */
 static void encoded_usage_is_decoded_and_summed(void)
 {
@@ -252,6 +650,8 @@
 	  retries_of_all_instances_stay_within_budget },
 	{ "sums_without_most_instances_allow_no_retries",
 	  sums_without_most_instances_allow_no_retries },
+	{ "repeats_at_the_same_moment_stay_within_every_window",
+	  repeats_at_the_same_moment_stay_within_every_window },
 	{ "encoded_usage_is_decoded_and_summed",
 	  encoded_usage_is_decoded_and_summed },
 	CU_TEST_INFO_NULL
