Count requests for a window at most, and repeats for longer

The budget is a ratio of the requests in a window. The counts of requests and of repeats both covered eleven tenths of it and no less than ten: with bursts of requests a little more than a window apart, both counted, though no window has both. Repeats count where they reach their server; one that stands still takes them later than they were sent, when the place of repeats that it took earlier had been given away again.

Requests now count for nine to ten tenths of a window, repeats for eleven to twelve. A steady state has about a tenth less room for repeats.

--- a/src/libcurrantbridge/relay/retry_share.c
+++ b/src/libcurrantbridge/relay/retry_share.c
@@ -28,9 +28,13 @@
  * sums are complete again; an instance that has no former sum waits for it.
  */
 #define SETTLE_MS 3000
-/* A window is divided into slots; one more slot is in progress. */
+/*
+ * A window is divided into slots.  Requests count for no longer than a window,
+ * the slot in progress included.  Retries count for a slot longer than a window
+ * at least: a server that stands still takes them later than they were sent.
+ */
 #define WINDOW_SLOTS 10
-#define SLOT_COUNT (WINDOW_SLOTS + 1)
+#define SLOT_COUNT (WINDOW_SLOTS + 2)
 
 /* The counts of one service within the last window. */
 typedef struct service_counts {
@@ -150,6 +154,17 @@
 	return sum;
 }
 
+/* Returns the requests of the last window. */
+static uint32_t requests_count_(const service_counts_t *counts)
+{
+	uint32_t sum = 0;
+	int64_t i;
+
+	for (i = 0; i < MIN(WINDOW_SLOTS, counts->slot + 1); i++)
+		sum += counts->requests[(counts->slot - i) % SLOT_COUNT];
+	return sum;
+}
+
 /* Counts a request for a service. */
 void cb_retry_share_count_request(cb_retry_share_t *share, const char *service)
 {
@@ -231,7 +246,7 @@
 		const service_counts_t *counts =
 			service_counts_get_(share, service);
 		const cb_usage_sends_t sends = {
-			.requests = slots_sum_(counts->requests, SLOT_COUNT),
+			.requests = requests_count_(counts),
 			.retries = slots_sum_(counts->retries, SLOT_COUNT),
 		};
 
--- a/src/test_libcurrantbridge/test_retry_share.c
+++ b/src/test_libcurrantbridge/test_retry_share.c
@@ -600,6 +600,45 @@
 	}
 }
 
+/* Returns what a share reports of its service. */
+static cb_usage_sends_t sends_report_(cb_retry_share_t *share)
+{
+	cb_usage_t *usage = cb_usage_new();
+	cb_usage_sends_t sends;
+
+	cb_retry_share_add_usage(share, usage);
+	sends = cb_usage_find_sends(usage, "s");
+	cb_usage_delete(usage);
+	return sends;
+}
+
+/* A window with two bursts of requests allows too much; one with late repeats too. */
+static void requests_count_no_longer_than_a_window_and_repeats_longer(void)
+{
+	unsigned int phase_ms;
+
+	for (phase_ms = 0; phase_ms < WINDOW_MS / 10; phase_ms += 50) {
+		cb_clock_t *clock = cb_clock_new_paused(1000 + phase_ms);
+		GRand *random = g_rand_new_with_seed(1);
+		cb_retry_share_t *share =
+			cb_retry_share_new(clock, random, &budget);
+
+		cb_retry_share_count_request(share, "s");
+		CU_ASSERT_TRUE(cb_retry_share_take_retry(share, "s"));
+		cb_clock_advance(clock, WINDOW_MS * 8 / 10);
+		CU_ASSERT_EQUAL(sends_report_(share).requests, 1);
+		cb_clock_advance(clock, WINDOW_MS * 2 / 10);
+		CU_ASSERT_EQUAL(sends_report_(share).requests, 0);
+		cb_clock_advance(clock, WINDOW_MS / 10 - 50);
+		CU_ASSERT_EQUAL(sends_report_(share).retries, 1);
+		cb_clock_advance(clock, WINDOW_MS / 10 + 50);
+		CU_ASSERT_EQUAL(sends_report_(share).retries, 0);
+		cb_retry_share_delete(share);
+		g_rand_free(random);
+		cb_clock_delete(clock);
+	}
+}
+
 /* Usage must add up after encoding; a truncated encoding must be rejected. */
 static void encoded_usage_is_decoded_and_summed(void)
 {
@@ -652,6 +691,8 @@
 	  sums_without_most_instances_allow_no_retries },
 	{ "repeats_at_the_same_moment_stay_within_every_window",
 	  repeats_at_the_same_moment_stay_within_every_window },
+	{ "requests_count_no_longer_than_a_window_and_repeats_longer",
+	  requests_count_no_longer_than_a_window_and_repeats_longer },
 	{ "encoded_usage_is_decoded_and_summed",
 	  encoded_usage_is_decoded_and_summed },
 	CU_TEST_INFO_NULL
