Budget repeats by the least that any window around them may have

A repeat was allowed by the requests of the last window. It counts in each window that it lies in, though, and one that begins at another time may have far fewer requests, with bursts each 6 s four seconds of them instead of six. What was allowed at the fullest moment broke the rule for the others.

Each instance now derives all instances' requests in the slots of the last two windows from the sums that it gets, and allows repeats by the least that any window around now has by the rule: in it, the one before or half a window before, whichever has most.

--- a/src/libcurrantbridge/relay/retry_share.c
+++ b/src/libcurrantbridge/relay/retry_share.c
@@ -35,6 +35,8 @@
  */
 #define WINDOW_SLOTS 10
 #define SLOT_COUNT (WINDOW_SLOTS + 2)
+/* All instances' requests are known for this window and the one before it. */
+#define HISTORY_SLOTS (2 * WINDOW_SLOTS)
 
 /* The counts of one service within the last window. */
 typedef struct service_counts {
@@ -57,6 +59,9 @@
 	/* When the last complete sum of all instances' usage arrived; 0: never. */
 	int64_t sum_received_ms;
 	uint32_t sum_requests; /* the requests in that sum */
+	/* All instances' requests in each slot, as far as sums show them. */
+	uint32_t history[HISTORY_SLOTS];
+	int64_t history_slot;
 	/* Since when sums, complete or not, have arrived without a pause. */
 	int64_t sums_since_ms;
 	/* When the last sum, complete or not, arrived; 0: never. */
@@ -275,6 +280,60 @@
 	return now_ms - counts->sums_since_ms >= SETTLE_MS;
 }
 
+/* Returns the requests from `first` to before `end` slots ago. */
+static uint32_t history_sum_(const service_counts_t *counts, int64_t first,
+			     int64_t end)
+{
+	uint32_t sum = 0;
+	int64_t i;
+
+	for (i = MAX(first, 0); i < MIN(end, counts->history_slot + 1); i++)
+		sum += counts->history[(counts->history_slot - i) %
+				       HISTORY_SLOTS];
+	return sum;
+}
+
+/* Records as the current slot's what the former slots of a window lack. */
+static void history_record_(service_counts_t *counts, uint32_t requests)
+{
+	uint32_t known;
+
+	counts->history_slot =
+		MAX(counts->history_slot, counts->slot - HISTORY_SLOTS);
+	while (counts->history_slot < counts->slot) {
+		counts->history_slot++;
+		counts->history[counts->history_slot % HISTORY_SLOTS] = 0;
+	}
+	known = history_sum_(counts, 1, WINDOW_SLOTS);
+	counts->history[counts->history_slot % HISTORY_SLOTS] =
+		requests - MIN(known, requests);
+}
+
+/*
+ * Returns the requests that any window with a retry sent now has at least: in it,
+ * the one before, or half a window before, whichever has most.  Where requests come
+ * and go, a window that begins at another time has far fewer than the last one.
+ */
+static uint32_t history_find_least_(const service_counts_t *counts)
+{
+	uint32_t least = UINT32_MAX;
+	int64_t i;
+
+	/*
+	 * The window begins in the slot `i` slots ago; slots that may be cut by
+	 * the ends of half a window before don't count.
+	 */
+	for (i = 0; i <= WINDOW_SLOTS; i++) {
+		uint32_t within = history_sum_(counts, 0, i);
+		uint32_t half = history_sum_(counts, i - WINDOW_SLOTS / 2 + 1,
+					     i + WINDOW_SLOTS / 2);
+		uint32_t before = history_sum_(counts, i, i + WINDOW_SLOTS);
+
+		least = MIN(least, MAX(within, MAX(half, before)));
+	}
+	return least;
+}
+
 /* Sets the retry allowance of each service from all instances' summed usage. */
 void cb_retry_share_update(cb_retry_share_t *share, const cb_usage_t *sum)
 {
@@ -285,13 +344,16 @@
 	while (g_hash_table_iter_next(&iter, &service, NULL)) {
 		service_counts_t *counts = service_counts_get_(share, service);
 		cb_usage_sends_t sends = cb_usage_find_sends(sum, service);
+		uint32_t requests;
 		double remaining;
 
 		if (!sum_is_complete_(share, counts, &sends))
 			continue;
+		history_record_(counts, sends.requests);
+		requests = MIN(sends.requests, history_find_least_(counts));
 		remaining = COORDINATED_FRACTION *
 				    (share->budget.extra +
-				     share->budget.ratio * sends.requests) -
+				     share->budget.ratio * requests) -
 			    sends.retries;
 		counts->allowance = MAX(remaining, 0) / share->instances;
 		counts->sum_received_ms = cb_clock_now_ms(share->clock);
