--- a/src/test_libcurrantbridge/test_relay_standby.c
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -282,6 +282,7 @@
 			cb_retry_share_delete(fixture.front->retries);
 			fixture.front->retries =
 				cb_retry_share_new(fixture.front->clock,
+						   fixture.front->random,
 						   &no_retry);
 			support_relay_answer_continue(&fixture, 1, REJECTION);
 			support_relay_pass_time(&fixture, STEP_MS);
