An endless answer of an attempt that was left is broken off

A server that was left as silent, and then answered with something that is no stream, could send its body without end: it was read and dropped as long as the request lasted, with the processor time of other callers. Found by reading in review. It ends after 1 MiB now, as other unused bodies do; the new test failed before. Two members of the table of cases that were the same in all rows are gone.

--- a/src/libcurrantbridge/relay/relay_standby.c
+++ b/src/libcurrantbridge/relay/relay_standby.c
@@ -4,6 +4,8 @@
 #include "private/relay_memory.h"
 
 #define EVENT_MAX_BYTES (1024 * 1024)
+/* An answer that is not forwarded is read up to this size. */
+#define UNUSED_BODY_MAX_BYTES (1024 * 1024)
 
 /* The parts of a relay's state that belong to one attempt. */
 typedef struct attempt {
@@ -32,6 +34,7 @@
 typedef struct cb_relay_standby {
 	cb_relay_t *relay;
 	attempt_t attempt;
+	uint64_t unused_bytes; /* of an answer that is no stream */
 } standby_t;
 
 /* Exchanges a relay's attempt for another one. */
@@ -152,8 +155,12 @@
 	cb_relay_t *relay = standby->relay;
 	cb_front_t *front = relay->front;
 
-	if (!standby->attempt.is_event_stream)
+	if (!standby->attempt.is_event_stream) {
+		standby->unused_bytes += size;
+		if (standby->unused_bytes > UNUSED_BODY_MAX_BYTES)
+			g_ptr_array_remove(relay->standbys, standby);
 		return;
+	}
 	standby_enter_(standby);
 	cb_relay_events_receive(relay, data, size);
 	if (!g_hash_table_contains(front->relays, relay))
--- a/src/test_libcurrantbridge/test_relay_standby.c
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -39,8 +39,6 @@
 
 typedef struct standby_case {
 	const char *description; /* printed if the case fails */
-	const char *request;
-	gboolean are_engines;
 	gboolean
 		has_first_event; /* the caller has it as the server falls silent */
 	relay_script_t second; /* of all sends after the first one */
@@ -57,8 +55,6 @@
 
 static const standby_case_t standby_cases[] = {
 	{ "second server says nothing",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  TRUE,
 	  { "", END_HOLD },
 	  WINNER_FIRST,
@@ -66,8 +62,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "second server says nothing, before any event",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  FALSE,
 	  { "", END_HOLD },
 	  WINNER_FIRST,
@@ -75,8 +69,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "second server has only a head, before any event",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  FALSE,
 	  { OTHER_HEAD, END_HOLD },
 	  WINNER_FIRST,
@@ -84,8 +76,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "second server has a part of an event",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  TRUE,
 	  { OTHER_HEAD "6\r\nid: 2\n\r\n", END_HOLD },
 	  WINNER_FIRST,
@@ -93,8 +83,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "other servers reset",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  TRUE,
 	  { "", END_RESET },
 	  WINNER_FIRST,
@@ -102,8 +90,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "other servers close",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  TRUE,
 	  { "", END_CLOSE },
 	  WINNER_FIRST,
@@ -111,8 +97,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "other servers fail",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  TRUE,
 	  { SERVER_ERROR, END_KEEP },
 	  WINNER_FIRST,
@@ -120,8 +104,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "other servers fail, before any event",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  FALSE,
 	  { SERVER_ERROR, END_KEEP },
 	  WINNER_FIRST,
@@ -129,8 +111,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "other servers reject",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  TRUE,
 	  { REJECTION, END_KEEP },
 	  WINNER_FIRST,
@@ -138,8 +118,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "first stream ends without another event",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  TRUE,
 	  { "", END_HOLD },
 	  WINNER_FIRST,
@@ -147,8 +125,6 @@
 	  EVENT_1,
 	  "x" },
 	{ "second server goes on",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  TRUE,
 	  { OTHER_HEAD LAST_EVENT, END_KEEP },
 	  WINNER_SECOND,
@@ -156,8 +132,6 @@
 	  WHOLE_BODY,
 	  "x" },
 	{ "second server goes on, before any event",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  FALSE,
 	  { OTHER_HEAD FIRST_REST, END_KEEP },
 	  WINNER_SECOND,
@@ -165,8 +139,6 @@
 	  WHOLE_BODY,
 	  "y" },
 	{ "first server resets, others fail",
-	  PATIENT_STREAM_REQUEST,
-	  FALSE,
 	  TRUE,
 	  { SERVER_ERROR, END_KEEP },
 	  WINNER_NONE,
@@ -195,7 +167,7 @@
 	support_relay_init(&fixture, TRUE);
 	fixture.scripts = scripts;
 	fixture.script_count = G_N_ELEMENTS(scripts);
-	support_relay_request_send(&fixture, c->request);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
 	CU_ASSERT_TRUE_FATAL(
 		support_relay_run_until(&fixture, 1,
 					c->has_first_event ? EVENT_1 : NULL));
@@ -444,7 +416,41 @@
 	g_string_free(body, TRUE);
 }
 
+/* The body of an answer that is no stream can't be used, and may have no end. */
+static void endless_answer_of_left_attempt_is_broken_off(void)
+{
+	static const relay_script_t scripts[] = {
+		{ "", END_HOLD },
+		{ "", END_HOLD },
+	};
+	const size_t part_bytes = 512 * 1024;
+	char *part = g_strnfill(part_bytes, 'z');
+	relay_fixture_t fixture;
+	unsigned int i;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
+	support_relay_pass_time(&fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	support_relay_answer_continue(&fixture, 0,
+				      "HTTP/1.1 404 X\r\nId: 7\r\nSeal: x\r\n"
+				      "Content-Length: 99999999\r\n\r\n");
+	for (i = 0; i < 6 && !fixture.ended_connection_count; i++) {
+		support_relay_answer_continue(&fixture, 0, part);
+		support_relay_pass_time(&fixture, 20);
+	}
+	CU_ASSERT_EQUAL(fixture.ended_connection_count, 1);
+	CU_ASSERT_FALSE(fixture.caller_ended);
+	support_relay_clear(&fixture);
+	g_free(part);
+}
+
 static CU_TestInfo relay_standby_tests[] = {
+	{ "endless_answer_of_left_attempt_is_broken_off",
+	  endless_answer_of_left_attempt_is_broken_off },
 	{ "request_does_not_go_back_to_partly_dropped_answer",
 	  request_does_not_go_back_to_partly_dropped_answer },
 	{ "content_of_left_attempt_with_progress_is_not_suspect",
