A standby attempt's unused bytes and limits are those of any attempt

A standby attempt counted the body that it drops in a member of its own, and had two limits and the list of unsent results a second time. The relay's unused_body_bytes was not exchanged with the attempt, so that the head of a standby attempt's answer set the count of the attempt in flight to 0. The member belongs to the attempt now, and limits and results stand once. The bounds are the same.

Read, not seen to fail. test_relay_standby, test_relay*, test_memory_bound and test_endless_answers pass in the plain build.

--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -17,6 +17,9 @@
 #define CB_RELAY_CUT_OFF "cut_off"
 /* The usual Retry-After of a request that did not run. */
 #define CB_RELAY_RETRY_AFTER_MS 500
+/* An answer that isn't forwarded is read up to this size. */
+#define CB_RELAY_UNUSED_BODY_MAX_BYTES (1024 * 1024)
+#define CB_RELAY_EVENT_MAX_BYTES (1024 * 1024)
 /* How long an answer that has begun waits for a server that goes on with it. */
 #define CB_RELAY_RESUME_WAIT_MAX_MS 1200
 
@@ -50,7 +53,7 @@
 	 * (private/relay_standby.h).
 	 */
 	cb_http1_call_t *call; /* the call in flight, or NULL */
-	GPtrArray *standbys;   /* NULL: no attempt was left */
+	GPtrArray *standbys;   /* attempts that were left; or NULL */
 	/* The standby attempt that is handled in place of the one in flight. */
 	struct cb_relay_standby *standby_in_use;
 	GArray *hops; /* chain of the attempt: cb_relay_hop_t */
@@ -205,6 +208,8 @@
 			     size_t size);
 /* Whether a stream that has ended by its HTTP framing is whole. */
 gboolean cb_relay_stream_is_whole(const cb_relay_t *relay);
+/* Whether an attempt with this result failed before its request was sent. */
+gboolean cb_relay_is_unsent(const char *result);
 /* Records what a failed attempt shows of the server that it was sent to. */
 void cb_relay_server_result_record(cb_relay_t *relay, const char *result,
 				   gboolean has_run,
--- a/src/libcurrantbridge/include/private/relay_standby.h
+++ b/src/libcurrantbridge/include/private/relay_standby.h
@@ -30,8 +30,9 @@
 /* Adds the first servers of the standby attempts to a set of server IDs. */
 void cb_relay_standby_add_servers(const cb_relay_t *relay,
 				  GHashTable *server_ids);
-/* Return what the standby attempts keep: of incomplete events, and in their calls. */
+/* Returns the bytes of incomplete events that the standby attempts keep. */
 size_t cb_relay_standby_event_bytes(const cb_relay_t *relay);
+/* Returns the bytes that the calls of the standby attempts keep. */
 size_t cb_relay_standby_call_bytes(const cb_relay_t *relay);
 /* Cancels all standby attempts. */
 void cb_relay_standby_clear(cb_relay_t *relay);
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -32,9 +32,6 @@
 #define SEND_TIME_LEFT_MIN_MS 5
 /* Answers up to this size are buffered until they are complete. */
 #define BUFFERED_BODY_MAX_BYTES (1024 * 1024)
-/* An answer that isn't forwarded is read up to this size. */
-#define UNUSED_BODY_MAX_BYTES (1024 * 1024)
-#define EVENT_MAX_BYTES (1024 * 1024)
 
 /*
  * Returns the hop at `address`, or the first one if that is NULL.  Returns NULL
@@ -154,7 +151,7 @@
 }
 
 /* Returns whether an attempt with this result failed before its request was sent. */
-static gboolean is_unsent_(const char *result)
+gboolean cb_relay_is_unsent(const char *result)
 {
 	return !strcmp(result, cb_http1_result_string[CB_HTTP1_UNSENT]) ||
 	       !strcmp(result, cb_http1_result_string[CB_HTTP1_NO_RESOURCES]);
@@ -171,7 +168,7 @@
 		return;
 	loss_sign_record_(relay, result);
 	cb_relay_content_attempt_failed(relay, result);
-	if (is_unsent_(result))
+	if (cb_relay_is_unsent(result))
 		unsent_attempt_record_(relay);
 	else if (!strcmp(result, CB_RELAY_MEMORY))
 		server_exclude_(relay);
@@ -247,7 +244,8 @@
 				      "cb_relay_begun_attempts_failed_total",
 				      result);
 	relay->run_count += has_run != 0;
-	has_arrived = relay->forwarded_to ? has_run : !is_unsent_(result);
+	has_arrived =
+		relay->forwarded_to ? has_run : !cb_relay_is_unsent(result);
 	if (relay->forwarded_to) {
 		if (strcmp(result, CB_RELAY_MEMORY) != 0)
 			cb_relay_forward_failed(relay);
@@ -598,7 +596,7 @@
 {
 	if (body_is_unused_(relay)) {
 		relay->unused_body_bytes += size;
-		if (relay->unused_body_bytes > UNUSED_BODY_MAX_BYTES)
+		if (relay->unused_body_bytes > CB_RELAY_UNUSED_BODY_MAX_BYTES)
 			oversize_answer_break_off_(relay);
 		return;
 	}
@@ -634,7 +632,7 @@
 	}
 	cb_relay_events_receive(relay, data, size);
 	cb_relay_memory_check_caller(relay);
-	if (relay->splitter.partial->len > EVENT_MAX_BYTES)
+	if (relay->splitter.partial->len > CB_RELAY_EVENT_MAX_BYTES)
 		oversize_answer_break_off_(relay);
 }
 
@@ -746,7 +744,7 @@
 	relay->call = NULL;
 	if (result != CB_HTTP1_COMPLETE)
 		cb_relay_attempt_failed(relay, cb_http1_result_string[result],
-					!is_unsent_(
+					!cb_relay_is_unsent(
 						cb_http1_result_string[result]),
 					NULL);
 	else if (relay->is_event_stream)
--- a/src/libcurrantbridge/relay/relay_standby.c
+++ b/src/libcurrantbridge/relay/relay_standby.c
@@ -3,10 +3,6 @@
 #include "private/relay_forward.h"
 #include "private/relay_memory.h"
 
-#define EVENT_MAX_BYTES (1024 * 1024)
-/* An answer that is not forwarded is read up to this size. */
-#define UNUSED_BODY_MAX_BYTES (1024 * 1024)
-
 /* The parts of a relay's state that belong to one attempt. */
 typedef struct attempt {
 	cb_http1_call_t *call;
@@ -22,6 +18,7 @@
 	gboolean has_not_run;
 	gboolean is_call_paused;
 	char *failed_address;
+	uint64_t unused_body_bytes;
 	cb_event_splitter_t splitter;
 	int64_t last_event_ms; /* of relay->content, with `progress_ms` */
 	int64_t progress_ms;
@@ -34,7 +31,6 @@
 typedef struct cb_relay_standby {
 	cb_relay_t *relay;
 	attempt_t attempt;
-	uint64_t unused_bytes; /* of an answer that is no stream */
 } standby_t;
 
 /* Exchanges a relay's attempt for another one. */
@@ -54,6 +50,7 @@
 		.has_not_run = relay->has_not_run,
 		.is_call_paused = relay->is_call_paused,
 		.failed_address = relay->failed_address,
+		.unused_body_bytes = relay->unused_body_bytes,
 		.splitter = relay->splitter,
 		.last_event_ms = relay->content.last_event_ms,
 		.progress_ms = relay->content.progress_ms,
@@ -74,6 +71,7 @@
 	relay->has_not_run = other->has_not_run;
 	relay->is_call_paused = other->is_call_paused;
 	relay->failed_address = other->failed_address;
+	relay->unused_body_bytes = other->unused_body_bytes;
 	relay->splitter = other->splitter;
 	relay->content.last_event_ms = other->last_event_ms;
 	relay->content.progress_ms = other->progress_ms;
@@ -156,8 +154,9 @@
 	cb_front_t *front = relay->front;
 
 	if (!standby->attempt.is_event_stream) {
-		standby->unused_bytes += size;
-		if (standby->unused_bytes > UNUSED_BODY_MAX_BYTES)
+		standby->attempt.unused_body_bytes += size;
+		if (standby->attempt.unused_body_bytes >
+		    CB_RELAY_UNUSED_BODY_MAX_BYTES)
 			g_ptr_array_remove(relay->standbys, standby);
 		return;
 	}
@@ -171,7 +170,7 @@
 	}
 	standby_leave_(standby);
 	cb_relay_memory_update(relay);
-	if (standby->attempt.splitter.partial->len > EVENT_MAX_BYTES)
+	if (standby->attempt.splitter.partial->len > CB_RELAY_EVENT_MAX_BYTES)
 		g_ptr_array_remove(relay->standbys, standby);
 }
 
@@ -179,9 +178,9 @@
 static void failure_record_(cb_relay_t *relay, cb_http1_result_t result)
 {
 	const cb_relay_hop_t *first = cb_relay_find_hop(relay, NULL);
-	gboolean has_not_run = relay->has_not_run ||
-			       result == CB_HTTP1_UNSENT ||
-			       result == CB_HTTP1_NO_RESOURCES;
+	gboolean has_not_run =
+		relay->has_not_run ||
+		cb_relay_is_unsent(cb_http1_result_string[result]);
 
 	cb_log_event(relay->front->log, CB_EVENT_RELAY_STANDBY_FAILED,
 		     CB_STR("request", relay->request_info.id),
