test_relay_standby starts its silent requests in one place; plainer comments

Four tests repeated the same seven lines, which are a function now; their assertions are the same and pass. Comments that could not be read alone say what they mean.

--- a/src/libcurrantbridge/request/generation.c
+++ b/src/libcurrantbridge/request/generation.c
@@ -26,7 +26,7 @@
  * have one.
  */
 #define NO_FREE_SLOT_RETRY_MS 100
-/* Maximum delay after an attempt that this process lacked the resources for. */
+/* Longest delay of the retry after this process lacked a descriptor, port or memory. */
 #define RESOURCES_RETRY_MS 50
 /* How often a waiting request checks whether it can continue. */
 #define WAIT_POLL_MS 25
--- a/src/test_libcurrantbridge/test_generation.c
+++ b/src/test_libcurrantbridge/test_generation.c
@@ -627,7 +627,7 @@
 
 typedef struct resources_case {
 	const char *description; /* printed if the case fails */
-	uint64_t token_count;	 /* that are delivered before */
+	uint64_t token_count;	 /* tokens delivered before the failure */
 	int64_t lack_ms;
 	int64_t end_ms; /* by then the generation has ended */
 	cb_refusal_t expected;
--- a/src/test_libcurrantbridge/test_relay_drain.c
+++ b/src/test_libcurrantbridge/test_relay_drain.c
@@ -46,7 +46,7 @@
 	const char *description; /* printed if the case fails */
 	int64_t grace_ms;	 /* time allowed for the drain */
 	int64_t arrival_ms;	 /* after its start */
-	int64_t duration_ms;	 /* of each stream */
+	int64_t duration_ms;	 /* time that each stream takes */
 	gboolean has_served;	 /* whether streams were served before */
 	gboolean is_started;
 } drain_case_t;
--- a/src/test_libcurrantbridge/test_relay_standby.c
+++ b/src/test_libcurrantbridge/test_relay_standby.c
@@ -276,6 +276,22 @@
 	g_string_free(body, TRUE);
 }
 
+/*
+ * Starts the fixture with a request whose first server is silent, so that it is at
+ * two servers, which follow the two `scripts`.
+ */
+static void silent_request_start_(relay_fixture_t *fixture,
+				  const relay_script_t *scripts)
+{
+	support_relay_init(fixture, TRUE);
+	fixture->scripts = scripts;
+	fixture->script_count = 2;
+	support_relay_request_send(fixture, PATIENT_STREAM_REQUEST);
+	CU_ASSERT_TRUE_FATAL(support_relay_run_until(fixture, 1, NULL));
+	support_relay_pass_time(fixture, LEAVE_MS);
+	CU_ASSERT_EQUAL_FATAL(fixture->requests->len, 2);
+}
+
 /* An answer that has begun belongs to one attempt, whatever it is. */
 static void large_answer_of_another_kind_is_not_mixed_with_left_stream(void)
 {
@@ -293,13 +309,7 @@
 	relay_fixture_t fixture;
 	uint32_t status = 0;
 
-	support_relay_init(&fixture, TRUE);
-	fixture.scripts = scripts;
-	fixture.script_count = G_N_ELEMENTS(scripts);
-	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
-	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
-	support_relay_pass_time(&fixture, LEAVE_MS);
-	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	silent_request_start_(&fixture, scripts);
 	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 2, "404"));
 	support_relay_answer_continue(&fixture, 0, FIRST_REST);
 	support_relay_pass_time(&fixture, 50);
@@ -327,13 +337,7 @@
 	relay_fixture_t fixture;
 	uint32_t status = 0;
 
-	support_relay_init(&fixture, TRUE);
-	fixture.scripts = scripts;
-	fixture.script_count = G_N_ELEMENTS(scripts);
-	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
-	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
-	support_relay_pass_time(&fixture, LEAVE_MS);
-	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	silent_request_start_(&fixture, scripts);
 	support_relay_server_reset(&fixture, 0);
 	support_relay_pass_time(&fixture, 50);
 	support_relay_answer_continue(&fixture, 1, "cd");
@@ -395,13 +399,7 @@
 	relay_fixture_t fixture;
 	uint32_t status = 0;
 
-	support_relay_init(&fixture, TRUE);
-	fixture.scripts = scripts;
-	fixture.script_count = G_N_ELEMENTS(scripts);
-	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
-	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
-	support_relay_pass_time(&fixture, LEAVE_MS);
-	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	silent_request_start_(&fixture, scripts);
 	support_relay_answer_continue(&fixture, 0,
 				      "HTTP/1.1 404 X\r\nId: 7\r\nSeal: x\r\n"
 				      "Content-Length: 4\r\n\r\nab");
@@ -428,13 +426,7 @@
 	relay_fixture_t fixture;
 	unsigned int i;
 
-	support_relay_init(&fixture, TRUE);
-	fixture.scripts = scripts;
-	fixture.script_count = G_N_ELEMENTS(scripts);
-	support_relay_request_send(&fixture, PATIENT_STREAM_REQUEST);
-	CU_ASSERT_TRUE_FATAL(support_relay_run_until(&fixture, 1, NULL));
-	support_relay_pass_time(&fixture, LEAVE_MS);
-	CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 2);
+	silent_request_start_(&fixture, scripts);
 	support_relay_answer_continue(&fixture, 0,
 				      "HTTP/1.1 404 X\r\nId: 7\r\nSeal: x\r\n"
 				      "Content-Length: 99999999\r\n\r\n");
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -263,7 +263,7 @@
 	fixture_clear_(&fixture);
 }
 
-/* Returns whether address answers name the instance no more. */
+/* Returns whether the instance is missing from the answer to an address request. */
 static gboolean entry_has_left_(void *user_data)
 {
 	support_daemon_t *entry = user_data;
