Review case 9: a request whose servers go dark is never refused

Cause: a server counts as ended under a request only if its port refuses a new connection. Change: the program of case 8 can have the server's machine go dark instead.

--- a/review/rig-2/rig_2.c
+++ b/review/rig-2/rig_2.c
@@ -733,6 +733,16 @@
 	return true;
 }
 
+static bool server_is_dark_(const rig_server_t *server)
+{
+	bool is_dark;
+
+	pthread_mutex_lock(&rig_lock);
+	is_dark = server->is_dark;
+	pthread_mutex_unlock(&rig_lock);
+	return is_dark;
+}
+
 static void *connection_run_(void *data)
 {
 	rig_connection_t *connection = data;
@@ -746,6 +756,8 @@
 			  connection->server->serve(connection, &request);
 		rig_message_clear(&request);
 	}
+	while (server_is_dark_(connection->server))
+		rig_sleep_ms(POLL_MS);
 	/* The connections of a process that has ended are reset, and cut ones. */
 	if (!rig_connection_is_current(connection) ||
 	    connection_is_cut_(connection))
@@ -776,7 +788,7 @@
 		int fd;
 
 		pthread_mutex_lock(&rig_lock);
-		listener = server->listener;
+		listener = server->is_up ? server->listener : -1;
 		pthread_mutex_unlock(&rig_lock);
 		fd = listener < 0 ? -1 : accept(listener, NULL, NULL);
 		if (fd < 0) {
@@ -894,7 +906,54 @@
 	close(listener);
 }
 
+/* Connects to an address without waiting for that. */
+static int connect_begin_(const char *address)
+{
+	struct sockaddr_in parsed;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	if (fd >= 0 && address_parse_(address, &parsed))
+		(void)connect(fd, (struct sockaddr *)&parsed, sizeof(parsed));
+	return fd;
+}
+
+void rig_server_vanish(rig_server_t *server)
+{
+	int listener;
+	int i;
+
+	pthread_mutex_lock(&rig_lock);
+	server->is_up = false;
+	server->is_dark = true;
+	listener = server->listener;
+	pthread_mutex_unlock(&rig_lock);
+	rig_record("server %s vanishes", server->name);
+	/* The thread that accepts takes one more, and no other after that. */
+	listen(listener, 0);
+	for (i = 0; i < RIG_FILLERS; i++)
+		server->fillers[i] = connect_begin_(server->address);
+}
+
+/* Closes the listener of a dark server; its connections are reset then. */
+static void darkness_end_(rig_server_t *server)
+{
+	int listener;
+	int i;
+
+	pthread_mutex_lock(&rig_lock);
+	listener = server->is_dark ? server->listener : -1;
+	server->is_dark = false;
+	pthread_mutex_unlock(&rig_lock);
+	if (listener < 0)
+		return;
+	for (i = 0; i < RIG_FILLERS; i++)
+		close(server->fillers[i]);
+	shutdown(listener, SHUT_RDWR);
+	close(listener);
+}
+
 void rig_server_restart(rig_server_t *server)
 {
+	darkness_end_(server);
 	server_life_begin_(server);
 }
--- a/review/rig-2/rig_2.h
+++ b/review/rig-2/rig_2.h
@@ -15,6 +15,7 @@
 #define RIG_ENTRIES_MAX 8
 #define RIG_HEAD_MAX 16384
 #define RIG_ADDRESS_MAX 32
+#define RIG_FILLERS 4
 
 /* One HTTP message: its head as text, and its body. */
 typedef struct rig_message {
@@ -49,7 +50,9 @@
 	/* What follows is guarded by rig_lock. */
 	unsigned int life; /* counts its starts; the ID ends with it */
 	bool is_up;
+	bool is_dark;
 	int listener;
+	int fillers[RIG_FILLERS]; /* that fill the queue of a dark listener */
 	int64_t born_ms;
 	int64_t sequence;
 	int layer_from;
@@ -97,6 +100,11 @@
 void rig_server_start(rig_server_t *server, unsigned int number);
 /* The server's process ends: its port refuses, its connections are reset. */
 void rig_server_crash(rig_server_t *server);
+/*
+ * The server's machine is dark: its connections say nothing until it starts again,
+ * and new ones are neither taken nor refused.
+ */
+void rig_server_vanish(rig_server_t *server);
 /* It starts again, empty and under another ID. */
 void rig_server_restart(rig_server_t *server);
 /* Writes the ID of the server's present process. */
