--- a/review/7/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/bash
-exec "$(dirname "$0")/../run-case-2.sh" 7 lost_order
