--- a/include/currantbridge/document.h
+++ b/include/currantbridge/document.h
@@ -197,6 +197,13 @@
 				  GBytes *packed, cb_document_t *previous,
 				  GError **error);
 
+/*
+ * Decompresses and decodes a document from the replicated state but for its routes;
+ * NULL with an error.  The result is not for cb_document_route().
+ */
+cb_document_t *cb_document_decode_services(const cb_document_codec_t *codec,
+					   GBytes *packed, GError **error);
+
 #define CB_DOCUMENT_ERROR (cb_document_error_quark())
 GQuark cb_document_error_quark(void);
 
--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -79,6 +79,8 @@
 	/* ignored: the report is outdated, or its address was reassigned */
 	CB_FLEET_STALE,
 	CB_FLEET_INVALID, /* ignored: see cb_fleet_server_fault() */
+	/* kept apart: the configuration lacks the service */
+	CB_FLEET_UNCONFIGURED,
 	CB_FLEET_OUTCOME_COUNT
 } cb_fleet_outcome_t;
 
@@ -98,6 +100,9 @@
 typedef void (*cb_fleet_changed_fn_t)(const cb_fleet_server_t *server,
 				      void *user_data);
 
+/* Returns whether the configuration in force has a service. */
+typedef gboolean (*cb_fleet_service_fn_t)(const char *service, void *user_data);
+
 /* Longest warm-up after its start that a server may report. */
 #define CB_FLEET_COLD_MAX_MS (24 * 60 * 60 * 1000)
 
@@ -113,6 +118,24 @@
 void cb_fleet_watch(cb_fleet_t *fleet, cb_fleet_changed_fn_t fn,
 		    void *user_data);
 
+/*
+ * Sets the one function that tells which services are configured.  Without it all
+ * are.  Reports on servers of other services are kept apart and change nothing in
+ * the fleet, unless they are by a process that the fleet has.
+ */
+void cb_fleet_set_service_check(cb_fleet_t *fleet, cb_fleet_service_fn_t fn,
+				void *user_data);
+/* Applies the reports kept apart whose services are configured now. */
+void cb_fleet_admit_configured(cb_fleet_t *fleet);
+/* Returns the number of servers whose reports are kept apart. */
+unsigned int cb_fleet_unconfigured_count(const cb_fleet_t *fleet);
+/*
+ * Marks the servers kept apart under an ID as draining: those that started at
+ * `start_wall_ms`, or (-1) all.  Returns whether there are any.
+ */
+gboolean cb_fleet_drain_unconfigured(cb_fleet_t *fleet, const char *id,
+				     int64_t start_wall_ms);
+
 cb_fleet_outcome_t cb_fleet_update(cb_fleet_t *fleet,
 				   const cb_fleet_server_t *report,
 				   int64_t now_ms);
--- a/include/currantbridge/node.h
+++ b/include/currantbridge/node.h
@@ -35,6 +35,11 @@
 	 * only where no backend server announces itself.
 	 */
 	int64_t server_silence_ms;
+	/*
+	 * Decodes the documents whose services backend servers must have to be
+	 * used; NULL: servers of any service are.
+	 */
+	const cb_document_codec_t *codec;
 	/*
 	 * How long retries count against the budget of all entry instances; 0
 	 * only where no entry instance retries.
@@ -111,7 +116,8 @@
 /*
  * Records a backend server's report about itself.  `done` is called once,
  * with CB_SUBMIT_ANSWERED when the report has taken effect: that of a
- * draining server only after its stop is committed.
+ * draining server only after its stop is committed or, if the configuration lacks
+ * its service, after a majority has confirmed that.
  */
 void cb_node_server_announce(cb_node_t *node, const cb_fleet_server_t *report,
 			     cb_submit_fn_t done, void *user_data);
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -2,7 +2,9 @@
 
 #include <string.h>
 
+#include "private/fleet_server.h"
 #include "private/pack.h"
+#include "private/unconfigured.h"
 
 #define SERVER_FIELD_COUNT 15
 /* Smaller changes of the reported processing time are not recorded. */
@@ -18,8 +20,12 @@
 	 */
 	GHashTable *id_by_address;
 	GPtrArray *sorted; /* cache of cb_fleet_servers(), or NULL */
+	cb_unconfigured_t *unconfigured;
 	cb_fleet_changed_fn_t change_fn;
 	void *user_data;
+	cb_fleet_service_fn_t
+		service_fn; /* NULL: all services are configured */
+	void *service_user_data;
 };
 
 const char *const cb_fleet_state_string[CB_FLEET_STATE_COUNT] = {
@@ -30,37 +36,14 @@
 };
 
 const char *const cb_fleet_outcome_string[CB_FLEET_OUTCOME_COUNT] = {
-	[CB_FLEET_NEW] = "new",		[CB_FLEET_CHANGED] = "changed",
-	[CB_FLEET_SAME] = "same",	[CB_FLEET_STALE] = "stale",
+	[CB_FLEET_NEW] = "new",
+	[CB_FLEET_CHANGED] = "changed",
+	[CB_FLEET_SAME] = "same",
+	[CB_FLEET_STALE] = "stale",
 	[CB_FLEET_INVALID] = "invalid",
+	[CB_FLEET_UNCONFIGURED] = "unconfigured",
 };
 
-static void server_clear_(cb_fleet_server_t *server)
-{
-	g_free(server->id);
-	g_free(server->service);
-	g_free(server->address);
-	g_free(server->data_centre);
-	g_free(server->kind);
-}
-
-static void server_delete_(void *server)
-{
-	server_clear_(server);
-	g_free(server);
-}
-
-/* Copies a server with its strings. */
-static void server_copy_(cb_fleet_server_t *to, const cb_fleet_server_t *from)
-{
-	*to = *from;
-	to->id = g_strdup(from->id);
-	to->service = g_strdup(from->service);
-	to->address = g_strdup(from->address);
-	to->data_centre = g_strdup(from->data_centre);
-	to->kind = g_strdup(from->kind);
-}
-
 /* Creates an empty fleet. */
 cb_fleet_t *cb_fleet_new(void)
 {
@@ -69,7 +52,8 @@
 	fleet->id_by_address =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					     server_delete_);
+					     cb_fleet_server_delete);
+	fleet->unconfigured = cb_unconfigured_new();
 	return fleet;
 }
 
@@ -81,6 +65,7 @@
 	g_clear_pointer(&fleet->sorted, g_ptr_array_unref);
 	g_hash_table_unref(fleet->by_id);
 	g_hash_table_unref(fleet->id_by_address);
+	cb_unconfigured_delete(fleet->unconfigured);
 	g_free(fleet);
 }
 
@@ -92,6 +77,20 @@
 	fleet->user_data = user_data;
 }
 
+void cb_fleet_set_service_check(cb_fleet_t *fleet, cb_fleet_service_fn_t fn,
+				void *user_data)
+{
+	fleet->service_fn = fn;
+	fleet->service_user_data = user_data;
+}
+
+static gboolean service_is_configured_(const cb_fleet_t *fleet,
+				       const char *service)
+{
+	return !fleet->service_fn ||
+	       fleet->service_fn(service, fleet->service_user_data);
+}
+
 static void change_notify_(cb_fleet_t *fleet, cb_fleet_server_t *server)
 {
 	server->is_unsent_to_entries = TRUE;
@@ -100,15 +99,6 @@
 		fleet->change_fn(server, fleet->user_data);
 }
 
-/* Returns whether a report is newer than the record of the same ID. */
-static gboolean report_is_newer_(const cb_fleet_server_t *report,
-				 const cb_fleet_server_t *known)
-{
-	if (report->start_wall_ms != known->start_wall_ms)
-		return report->start_wall_ms > known->start_wall_ms;
-	return report->sequence > known->sequence;
-}
-
 /*
  * Returns whether the difference of two records of a server must be sent to
  * other processes at once.
@@ -141,8 +131,38 @@
 }
 
 /*
- * Assigns the reported address to its server and marks the previous holder as
- * gone.  Returns FALSE if the current holder started later.
+ * Returns whether a report may change the fleet: its service is configured, or it
+ * is by the process that the fleet has at this address under this ID already, as
+ * when the configuration no longer has its service.  All other reports are kept
+ * apart; see docs/FLEET.md.
+ */
+static gboolean report_is_admitted_(const cb_fleet_t *fleet,
+				    const cb_fleet_server_t *known,
+				    const cb_fleet_server_t *report)
+{
+	if (known && cb_fleet_process_is_same(known, report) &&
+	    address_holder_find_(fleet, report->address) == known)
+		return TRUE;
+	return service_is_configured_(fleet, report->service);
+}
+
+/*
+ * Returns whether an admitted report replaces what is known of its ID: it is newer,
+ * or the known process has another service, which is not configured.
+ */
+static gboolean known_is_replaced_(const cb_fleet_t *fleet,
+				   const cb_fleet_server_t *known,
+				   const cb_fleet_server_t *report)
+{
+	return cb_fleet_report_is_newer(report, known) ||
+	       (strcmp(known->service, report->service) != 0 &&
+		!service_is_configured_(fleet, known->service));
+}
+
+/*
+ * Assigns the address of an admitted report to its server and marks the previous
+ * holder as gone.  Returns FALSE if the current holder started later and its service
+ * is configured.
  */
 static gboolean address_assign_(cb_fleet_t *fleet,
 				const cb_fleet_server_t *report)
@@ -152,7 +172,8 @@
 
 	if (holder && !strcmp(holder->id, report->id))
 		return TRUE;
-	if (holder && holder->start_wall_ms > report->start_wall_ms)
+	if (holder && holder->start_wall_ms > report->start_wall_ms &&
+	    service_is_configured_(fleet, holder->service))
 		return FALSE;
 	if (holder) {
 		holder->state = CB_FLEET_GONE;
@@ -163,23 +184,6 @@
 	return TRUE;
 }
 
-/*
- * Returns the state after a report: within one start, a server that drains or
- * is gone does not become ready again.
- */
-static cb_fleet_state_t state_merge_(const cb_fleet_server_t *known,
-				     const cb_fleet_server_t *report)
-{
-	if (known->start_wall_ms != report->start_wall_ms)
-		return report->state;
-	if (known->state == CB_FLEET_GONE)
-		return CB_FLEET_GONE;
-	if (known->state == CB_FLEET_DRAINING &&
-	    report->state == CB_FLEET_READY)
-		return CB_FLEET_DRAINING;
-	return report->state;
-}
-
 /*
  * Returns whether the server, once `report` is applied, counts as ordered to
  * load other layers (`is_moving`).  The server's own heartbeats don't report
@@ -189,59 +193,127 @@
 			      const cb_fleet_server_t *report)
 {
 	return (report->is_moving || known->is_moving) &&
-	       known->start_wall_ms == report->start_wall_ms &&
+	       cb_fleet_process_is_same(known, report) &&
 	       known->layer_from == report->layer_from &&
 	       known->layer_to == report->layer_to;
 }
 
 /*
- * Applies a heartbeat, or a report by another process.  `now_ms` is when the
- * server's last heartbeat was received.
+ * Replaces the record of a server by a report on it.  Returns whether other
+ * processes must be told at once.
  */
-cb_fleet_outcome_t cb_fleet_update(cb_fleet_t *fleet,
-				   const cb_fleet_server_t *report,
-				   int64_t now_ms)
+static gboolean known_update_(cb_fleet_server_t *known,
+			      const cb_fleet_server_t *report, int64_t now_ms)
+{
+	cb_fleet_server_t next;
+	gboolean is_changed;
+
+	cb_fleet_server_copy(&next, report);
+	next.last_heartbeat_ms = now_ms;
+	next.state = cb_fleet_state_merge(known, report);
+	next.is_moving = moving_merge_(known, report);
+	if (cb_fleet_process_is_same(known, report) && !report->slow_percent)
+		next.slow_percent = known->slow_percent;
+	is_changed = servers_differ_(known, &next);
+	next.is_unsent_to_entries = known->is_unsent_to_entries;
+	next.is_recorded = known->is_recorded;
+	/* The hash table's key is the existing ID string. */
+	g_free(next.id);
+	next.id = g_steal_pointer(&known->id);
+	cb_fleet_server_clear(known);
+	*known = next;
+	return is_changed;
+}
+
+/* Adds the record of a server whose ID is not known. */
+static cb_fleet_server_t *server_add_(cb_fleet_t *fleet,
+				      const cb_fleet_server_t *report,
+				      int64_t now_ms)
+{
+	cb_fleet_server_t *server = g_new0(cb_fleet_server_t, 1);
+
+	cb_fleet_server_copy(server, report);
+	server->last_heartbeat_ms = now_ms;
+	g_hash_table_insert(fleet->by_id, server->id, server);
+	g_clear_pointer(&fleet->sorted, g_ptr_array_unref);
+	return server;
+}
+
+/*
+ * Applies a report, or keeps it apart.  `is_unsent_to_control`: whether the other
+ * control instances don't have it.
+ */
+static cb_fleet_outcome_t report_apply_(cb_fleet_t *fleet,
+					const cb_fleet_server_t *report,
+					int64_t now_ms,
+					gboolean is_unsent_to_control)
 {
 	cb_fleet_server_t *known =
 		g_hash_table_lookup(fleet->by_id, report->id);
-	cb_fleet_server_t next;
 	gboolean is_changed = TRUE;
 
 	if (cb_fleet_server_fault(report))
 		return CB_FLEET_INVALID;
-	if (known && !report_is_newer_(report, known))
+	if (!report_is_admitted_(fleet, known, report)) {
+		cb_unconfigured_put(fleet->unconfigured, report, now_ms,
+				    is_unsent_to_control);
+		return CB_FLEET_UNCONFIGURED;
+	}
+	if (known && !known_is_replaced_(fleet, known, report))
 		return CB_FLEET_STALE;
 	if (report->state != CB_FLEET_GONE && !address_assign_(fleet, report))
 		return CB_FLEET_STALE;
-	server_copy_(&next, report);
-	next.last_heartbeat_ms = now_ms;
-	if (known) {
-		next.state = state_merge_(known, report);
-		next.is_moving = moving_merge_(known, report);
-		if (known->start_wall_ms == report->start_wall_ms &&
-		    !report->slow_percent)
-			next.slow_percent = known->slow_percent;
-		is_changed = servers_differ_(known, &next);
-		next.is_unsent_to_entries = known->is_unsent_to_entries;
-		next.is_recorded = known->is_recorded;
-		/* The hash table's key is the existing ID string. */
-		g_free(next.id);
-		next.id = g_steal_pointer(&known->id);
-		server_clear_(known);
-		*known = next;
-	} else {
-		known = g_new0(cb_fleet_server_t, 1);
-		*known = next;
-		g_hash_table_insert(fleet->by_id, known->id, known);
-		g_clear_pointer(&fleet->sorted, g_ptr_array_unref);
-	}
-	known->is_unsent_to_control = TRUE;
+	if (known)
+		is_changed = known_update_(known, report, now_ms);
+	else
+		known = server_add_(fleet, report, now_ms);
+	known->is_unsent_to_control = is_unsent_to_control;
 	if (!is_changed)
 		return CB_FLEET_SAME;
 	change_notify_(fleet, known);
 	return CB_FLEET_CHANGED;
 }
 
+/*
+ * Applies a heartbeat, or a report by another process.  `now_ms` is when the
+ * server's last heartbeat was received.
+ */
+cb_fleet_outcome_t cb_fleet_update(cb_fleet_t *fleet,
+				   const cb_fleet_server_t *report,
+				   int64_t now_ms)
+{
+	return report_apply_(fleet, report, now_ms, TRUE);
+}
+
+unsigned int cb_fleet_unconfigured_count(const cb_fleet_t *fleet)
+{
+	return cb_unconfigured_count(fleet->unconfigured);
+}
+
+void cb_fleet_admit_configured(cb_fleet_t *fleet)
+{
+	GPtrArray *admitted;
+	unsigned int i;
+
+	if (!fleet->service_fn || !cb_fleet_unconfigured_count(fleet))
+		return;
+	admitted = cb_unconfigured_take(fleet->unconfigured, fleet->service_fn,
+					fleet->service_user_data);
+	for (i = 0; i < admitted->len; i++) {
+		const cb_fleet_server_t *server = admitted->pdata[i];
+
+		(void)report_apply_(fleet, server, server->last_heartbeat_ms,
+				    server->is_unsent_to_control);
+	}
+	g_ptr_array_unref(admitted);
+}
+
+gboolean cb_fleet_drain_unconfigured(cb_fleet_t *fleet, const char *id,
+				     int64_t start_wall_ms)
+{
+	return cb_unconfigured_drain(fleet->unconfigured, id, start_wall_ms);
+}
+
 void cb_fleet_set_slow_percent(cb_fleet_t *fleet, const char *id,
 			       uint32_t slow_percent)
 {
@@ -293,7 +365,8 @@
 
 /*
  * Marks servers as silent after `silence_ms` without a heartbeat, and as gone
- * after `forget_ms`.  Removes them after twice `forget_ms`.
+ * after `forget_ms`.  Removes them after twice `forget_ms`, and those of
+ * unconfigured services after `silence_ms`.
  */
 void cb_fleet_expire(cb_fleet_t *fleet, int64_t now_ms, int64_t silence_ms,
 		     int64_t forget_ms)
@@ -301,6 +374,7 @@
 	GHashTableIter iter;
 	void *value;
 
+	cb_unconfigured_expire(fleet->unconfigured, now_ms, silence_ms);
 	g_hash_table_iter_init(&iter, fleet->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		cb_fleet_server_t *server = value;
@@ -536,10 +610,13 @@
 {
 	cb_fleet_server_t *known =
 		g_hash_table_lookup(fleet->by_id, report->id);
+	cb_fleet_outcome_t outcome =
+		report_apply_(fleet, report, last_heartbeat_ms, FALSE);
 
-	if (cb_fleet_update(fleet, report, last_heartbeat_ms) ==
-		    CB_FLEET_STALE &&
-	    known && known->start_wall_ms == report->start_wall_ms &&
+	if (outcome == CB_FLEET_UNCONFIGURED)
+		return;
+	if (outcome == CB_FLEET_STALE && known &&
+	    cb_fleet_process_is_same(known, report) &&
 	    known->sequence == report->sequence)
 		observation_merge_(fleet, known, report);
 	known = g_hash_table_lookup(fleet->by_id, report->id);
@@ -564,7 +641,7 @@
 	if (server_decode_(cb_fields_object(&fields), &recorded) >= 0)
 		is_same = !servers_differ_(&recorded, server) &&
 			  recorded.slow_percent == server->slow_percent;
-	server_clear_(&recorded);
+	cb_fleet_server_clear(&recorded);
 	cb_unpack_clear(&unpack);
 	return is_same;
 }
@@ -588,7 +665,7 @@
 			server_merge_(fleet, &report, now_ms - age_ms);
 		else
 			fields.is_malformed = TRUE;
-		server_clear_(&report);
+		cb_fleet_server_clear(&report);
 	}
 	is_valid = !fields.is_malformed;
 	cb_unpack_clear(&unpack);
--- a/src/libcurrantbridge/contract/document_decoding.c
+++ b/src/libcurrantbridge/contract/document_decoding.c
@@ -147,18 +147,41 @@
 	return owned_text_decode_(codec, copy, size, previous, error);
 }
 
+/* Decompresses a document's text, to be freed; returns NULL with an error. */
+static char *text_unpack_(GBytes *packed, size_t *size, GError **error)
+{
+	char *text = cb_document_unpack(packed, size);
+
+	if (!text)
+		g_set_error(error, CB_DOCUMENT_ERROR, CB_DOCUMENT_ERROR_INVALID,
+			    "document: is damaged");
+	return text;
+}
+
 /* Decompresses and decodes a document; returns NULL with an error. */
 cb_document_t *cb_document_decode(const cb_document_codec_t *codec,
 				  GBytes *packed, cb_document_t *previous,
 				  GError **error)
 {
 	size_t size;
-	char *text = cb_document_unpack(packed, &size);
+	char *text = text_unpack_(packed, &size, error);
 
-	if (!text) {
-		g_set_error(error, CB_DOCUMENT_ERROR, CB_DOCUMENT_ERROR_INVALID,
-			    "document: is damaged");
-		return NULL;
-	}
-	return owned_text_decode_(codec, text, size, previous, error);
+	return text ? owned_text_decode_(codec, text, size, previous, error) :
+		      NULL;
+}
+
+cb_document_t *cb_document_decode_services(const cb_document_codec_t *codec,
+					   GBytes *packed, GError **error)
+{
+	GArray *route_texts = g_array_new(FALSE, FALSE, sizeof(cb_text_part_t));
+	cb_document_t *document = NULL;
+	size_t size;
+	char *text = text_unpack_(packed, &size, error);
+
+	if (text)
+		document = codec->vtable->open(codec, text, size, route_texts,
+					       error);
+	g_array_unref(route_texts);
+	g_free(text);
+	return document;
 }
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -122,6 +122,7 @@
 	cb_node_t *node = user_data;
 
 	cb_node_confirm_applied(node);
+	cb_node_services_review(node);
 	cb_sessions_push_paced(node);
 }
 
@@ -323,6 +324,8 @@
 		node->network->vtable->destroy(node->network);
 	cb_lease_book_delete(node->lease_book);
 	cb_fleet_delete(node->fleet);
+	cb_document_unref(node->services);
+	g_hash_table_unref(node->pending_stops);
 	g_hash_table_unref(node->peer_usages);
 	cb_departed_delete(node->departed);
 	cb_usage_delete(node->total_usage);
@@ -498,6 +501,7 @@
 	node->join_addresses = g_strdupv((char **)options->join_addresses);
 	timers_create_(node);
 	cb_node_fleet_init(node, options->server_silence_ms);
+	cb_node_services_init(node, options->codec);
 	cb_node_usage_init(node, options->retry_window_ms);
 	counters_create_(node);
 	peers_create_(node);
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -1,4 +1,5 @@
 #include "currantbridge/document.h"
+#include "private/fleet_server.h"
 #include "private/item.h"
 #include "private/node.h"
 
@@ -167,6 +168,7 @@
 	GBytes *encoded;
 
 	server_records_load_(node);
+	cb_node_services_review(node);
 	message.body = cb_fleet_encode(node->fleet, CB_FLEET_ALL,
 				       cb_clock_now_ms(node->clock));
 	if (!message.body)
@@ -246,6 +248,14 @@
 		node->was_recording_servers = FALSE;
 }
 
+/* Submits a change of a server's record in the replicated state. */
+static void server_record_command_submit_(cb_node_t *node,
+					  cb_command_t *command)
+{
+	node->server_records_in_flight++;
+	cb_node_submit(node, command, server_record_done_, node);
+}
+
 /*
  * Submits a server's record for the replicated state, or the removal of a
  * server that left.
@@ -262,8 +272,36 @@
 		command->text = cb_fleet_start_name(server);
 	else
 		command->payload = cb_fleet_encode_server(server);
-	node->server_records_in_flight++;
-	cb_node_submit(node, command, server_record_done_, node);
+	server_record_command_submit_(node, command);
+}
+
+/*
+ * On the leader, removes the records of servers that the fleet has lacked since it
+ * became the leader or longer.  Records are taken into the fleet, where they expire,
+ * but for those of services that the configuration no longer has.
+ */
+static void unknown_records_remove_(cb_node_t *node, int64_t now_ms)
+{
+	const GPtrArray *records = cb_view_servers(cb_state_view(node->state));
+	unsigned int i;
+
+	if (!cb_node_is_leader(node) || !node->has_merged_servers ||
+	    now_ms - node->leader_since_ms < GONE_SERVER_KEEP_MS ||
+	    now_ms - node->records_checked_ms < GONE_SERVER_KEEP_MS)
+		return;
+	node->records_checked_ms = now_ms;
+	for (i = 0; i < records->len; i++) {
+		const cb_stored_server_t *stored = records->pdata[i];
+		cb_command_t *command;
+
+		if (cb_fleet_find(node->fleet, stored->id))
+			continue;
+		if (node->server_records_in_flight >= RECORDS_IN_FLIGHT_MAX)
+			return;
+		command = cb_command_new(CB_COMMAND_SERVER_FORGET);
+		command->name = g_strdup(stored->id);
+		server_record_command_submit_(node, command);
+	}
 }
 
 /* Compares each server with its record in the replicated state. */
@@ -318,6 +356,7 @@
 	cb_node_t *node = user_data;
 	int64_t now_ms = cb_clock_now_ms(node->clock);
 
+	cb_node_services_review(node);
 	if (node->is_fleet_share_pending)
 		node->fleet_changes_sent_ms = now_ms;
 	node->is_fleet_share_pending = FALSE;
@@ -325,6 +364,7 @@
 		silent_servers_expire_(node, now_ms);
 	server_records_load_(node);
 	changed_servers_submit_(node);
+	unknown_records_remove_(node, now_ms);
 	fleet_updates_send_(node);
 	cb_timer_start(node->fleet_timer, SHARE_INTERVAL_MS);
 }
@@ -346,12 +386,32 @@
 			      MAX(CHANGE_SHARE_DELAY_MS, interval_ms - age_ms));
 }
 
+/* The stop of an unconfigured service's server, which waits for the newest state. */
+typedef struct pending_stop {
+	cb_node_t *node;
+	/* What the server reported; without a service: only its ID and start. */
+	cb_fleet_server_t report;
+	cb_submit_fn_t done;
+	void *user_data;
+} pending_stop_t;
+
+static void pending_stop_free_(void *data)
+{
+	pending_stop_t *stop = data;
+
+	cb_fleet_server_clear(&stop->report);
+	g_free(stop);
+}
+
 /* Creates the node's fleet and the timer that shares it. */
 void cb_node_fleet_init(cb_node_t *node, int64_t server_silence_ms)
 {
 	node->server_silence_ms = server_silence_ms;
 	node->fleet = cb_fleet_new();
 	cb_fleet_watch(node->fleet, server_changed_, node);
+	node->pending_stops =
+		g_hash_table_new_full(g_direct_hash, g_direct_equal,
+				      pending_stop_free_, NULL);
 	node->fleet_timer = cb_timer_new(node->clock, fleet_timer_fired_, node);
 }
 
@@ -375,6 +435,15 @@
 	return node->fleet;
 }
 
+/* Answers a server's report that has taken effect. */
+static void report_accept_(cb_submit_fn_t done, void *user_data)
+{
+	cb_answer_t *answer = cb_answer_new(CB_ANSWER_OK);
+
+	done(CB_SUBMIT_ANSWERED, answer, user_data);
+	cb_answer_delete(answer);
+}
+
 /*
  * Submits a planned stop, after which this process of the server gets no new
  * requests.
@@ -385,15 +454,12 @@
 {
 	char *start = cb_fleet_start_name(server);
 	cb_command_t *command;
-	cb_answer_t *answer;
 
 	if (cb_view_is_stopped(cb_state_view(node->state), CB_STOP_SERVER,
 			       start)) {
 		/* A stop that this instance has applied is committed. */
 		g_free(start);
-		answer = cb_answer_new(CB_ANSWER_OK);
-		done(CB_SUBMIT_ANSWERED, answer, user_data);
-		cb_answer_delete(answer);
+		report_accept_(done, user_data);
 		return;
 	}
 	command = cb_command_new(CB_COMMAND_STOP_ANNOUNCE);
@@ -402,19 +468,84 @@
 	cb_node_submit(node, command, done, user_data);
 }
 
+/*
+ * Returns whether the server of a stop is one of the fleet, now that this instance
+ * has the newest document.  The record of one that is not says that it drains.
+ */
+static gboolean pending_stop_is_needed_(pending_stop_t *stop)
+{
+	cb_fleet_t *fleet = stop->node->fleet;
+	int64_t now_ms = cb_clock_now_ms(stop->node->clock);
+	const cb_fleet_server_t *known;
+
+	if (stop->report.service)
+		return cb_fleet_update(fleet, &stop->report, now_ms) !=
+		       CB_FLEET_UNCONFIGURED;
+	known = cb_fleet_find(fleet, stop->report.id);
+	if (known && stop->report.start_wall_ms < 0)
+		stop->report.start_wall_ms = known->start_wall_ms;
+	return known != NULL;
+}
+
+/* Called once this instance's state is current, or that can't be confirmed. */
+static void pending_stop_confirmed_(cb_submit_outcome_t outcome, uint64_t index,
+				    void *user_data)
+{
+	pending_stop_t *stop = user_data;
+	cb_node_t *node = stop->node;
+
+	(void)index;
+	cb_node_services_review(node);
+	if (outcome != CB_SUBMIT_ANSWERED)
+		stop->done(outcome, NULL, stop->user_data);
+	else if (pending_stop_is_needed_(stop))
+		server_stop_submit_(node, &stop->report, stop->done,
+				    stop->user_data);
+	else
+		report_accept_(stop->done, stop->user_data);
+	g_hash_table_remove(node->pending_stops, stop);
+}
+
+/*
+ * Handles the stop of a server whose service the document of this instance lacks.
+ * A newer document may have the service, and the server may be in use by it: then
+ * the stop is committed.  Otherwise it is only noted in the server's record, since
+ * its ID and start may be those that another program gives for a server of a
+ * configured service.
+ */
+static void unconfigured_stop_(cb_node_t *node, const cb_fleet_server_t *report,
+			       cb_submit_fn_t done, void *user_data)
+{
+	pending_stop_t *stop = g_new0(pending_stop_t, 1);
+
+	stop->node = node;
+	cb_fleet_server_copy(&stop->report, report);
+	stop->done = done;
+	stop->user_data = user_data;
+	g_hash_table_add(node->pending_stops, stop);
+	cb_node_confirm(node, pending_stop_confirmed_, stop);
+}
+
 void cb_node_server_announce(cb_node_t *node, const cb_fleet_server_t *report,
 			     cb_submit_fn_t done, void *user_data)
 {
-	cb_answer_t *answer;
-
-	cb_fleet_update(node->fleet, report, cb_clock_now_ms(node->clock));
-	if (report->state != CB_FLEET_READY) {
+	unsigned int count = cb_fleet_unconfigured_count(node->fleet);
+	cb_fleet_outcome_t outcome =
+		cb_fleet_update(node->fleet, report,
+				cb_clock_now_ms(node->clock));
+
+	if (cb_fleet_unconfigured_count(node->fleet) > count)
+		cb_log_event(node->log, CB_EVENT_SERVER_UNCONFIGURED,
+			     CB_STR("id", report->id),
+			     CB_STR("address", report->address),
+			     CB_STR("service", report->service),
+			     CB_INT("born_wall_ms", report->start_wall_ms));
+	if (report->state == CB_FLEET_READY)
+		report_accept_(done, user_data);
+	else if (outcome == CB_FLEET_UNCONFIGURED)
+		unconfigured_stop_(node, report, done, user_data);
+	else
 		server_stop_submit_(node, report, done, user_data);
-		return;
-	}
-	answer = cb_answer_new(CB_ANSWER_OK);
-	done(CB_SUBMIT_ANSWERED, answer, user_data);
-	cb_answer_delete(answer);
 }
 
 void cb_node_server_leave(cb_node_t *node, const char *server_id,
@@ -422,12 +553,21 @@
 			  void *user_data)
 {
 	const cb_fleet_server_t *known = cb_fleet_find(node->fleet, server_id);
+	const cb_fleet_server_t notice = { .id = (char *)server_id,
+					   .start_wall_ms = start_wall_ms };
+	gboolean is_unconfigured =
+		cb_fleet_drain_unconfigured(node->fleet, server_id,
+					    start_wall_ms);
 	cb_fleet_server_t leaving;
 
-	if (!known) {
+	if (!known && !is_unconfigured) {
 		done(CB_SUBMIT_NO_LEADER, NULL, user_data);
 		return;
 	}
+	if (!known) {
+		unconfigured_stop_(node, &notice, done, user_data);
+		return;
+	}
 	/* A notice that comes late is about an earlier process of the ID. */
 	leaving = *known;
 	if (start_wall_ms >= 0)
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -122,6 +122,14 @@
 	/* Value of leader_since_ms when `lease_book` was created. */
 	int64_t lease_book_leader_since_ms;
 	cb_fleet_t *fleet;
+	/* Reads documents' services; NULL: all servers are admitted. */
+	const cb_document_codec_t *codec;
+	/* The services of the document in force; NULL: none was read yet. */
+	cb_document_t *services;
+	uint64_t services_revision; /* of the document last read; 0: none */
+	/* Revision of the document that servers were last admitted by; 0: none. */
+	uint64_t reviewed_revision;
+	GHashTable *pending_stops; /* set of pending_stop_t, see node_fleet.c */
 	cb_timer_t *fleet_timer;
 	int64_t server_silence_ms;
 	int64_t last_expiry_check_ms;
@@ -135,6 +143,8 @@
 	 * check.
 	 */
 	gboolean was_recording_servers;
+	/* When the leader last looked for records of unknown servers. */
+	int64_t records_checked_ms;
 	/* Submitted records of servers that are not answered yet. */
 	unsigned int server_records_in_flight;
 	/* Last time that a link to a peer was down or the process stalled. */
@@ -192,6 +202,7 @@
 	gboolean is_destroyed;
 	cb_counter_t *leader_gauge;
 	cb_counter_t *session_gauge;
+	cb_counter_t *unconfigured_gauge;
 	cb_counter_t *push_counter;
 	cb_counter_t *push_bytes_counter;
 };
@@ -267,6 +278,10 @@
 GBytes *cb_node_fleet_encode(cb_node_t *node);
 void cb_node_fleet_receive(cb_node_t *node, const cb_link_message_t *message);
 
+/* Services of the document in force: node_services.c. */
+void cb_node_services_init(cb_node_t *node, const cb_document_codec_t *codec);
+void cb_node_services_review(cb_node_t *node);
+
 /* Requests that entry instances have in flight: node_usage.c. */
 void cb_node_usage_init(cb_node_t *node, int64_t retry_window_ms);
 void cb_node_usage_receive_peer(cb_node_t *node, const char *control,
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -43,6 +43,7 @@
 
 	cb_document_unref(front->document);
 	front->document = document;
+	cb_fleet_admit_configured(front->fleet);
 	front->document_since_ms = cb_clock_now_ms(front->clock);
 	cb_route_times_prune(front->route_times, document->routes);
 	cb_http1_server_set_limits(front->server, &limits);
@@ -213,6 +214,14 @@
 				  SUSPICION_REPORT_INTERVAL_MS - age_ms));
 }
 
+/* Returns whether the document in force has a service. */
+static gboolean service_is_configured_(const char *service, void *user_data)
+{
+	const cb_front_t *front = user_data;
+
+	return front->document && cb_document_service(front->document, service);
+}
+
 static void server_change_log_(const cb_fleet_server_t *server, void *user_data)
 {
 	cb_front_t *front = user_data;
@@ -540,6 +549,7 @@
 	front->random = g_rand_new();
 	front->fleet = cb_fleet_new();
 	cb_fleet_watch(front->fleet, server_change_log_, front);
+	cb_fleet_set_service_check(front->fleet, service_is_configured_, front);
 	front->limits =
 		cb_rate_limits_new(front->clock, front->random, options->name,
 				   options->retry_window_ms);
--- a/src/test_libcurrantbridge/support_world.c
+++ b/src/test_libcurrantbridge/support_world.c
@@ -20,6 +20,7 @@
 		.silence_ms = world->timing.silence_ms,
 		.snapshot_every_bytes = 1 << 20,
 		.server_silence_ms = world->server_silence_ms,
+		.codec = world->codec,
 		.retry_window_ms = WORLD_RETRY_WINDOW_MS,
 		.network = support_hub_network(world->hub, self->name),
 		.storage = disk_storage(self->disk),
@@ -127,7 +128,8 @@
 /* Creates nodes and clients and starts them all. */
 static world_t *world_create_(size_t node_count, size_t client_count,
 			      uint32_t seed, const world_timing_t *timing,
-			      int64_t server_silence_ms)
+			      int64_t server_silence_ms,
+			      const cb_document_codec_t *codec)
 {
 	world_t *world = g_new0(world_t, 1);
 	size_t i;
@@ -136,6 +138,7 @@
 		 client_count <= WORLD_CLIENTS_MAX);
 	world->timing = *timing;
 	world->server_silence_ms = server_silence_ms;
+	world->codec = codec;
 	world->clock = cb_clock_new_paused(1000);
 	world->random = g_rand_new_with_seed(seed);
 	world->hub = support_hub_new(world->clock);
@@ -158,21 +161,29 @@
 
 world_t *world_new(size_t node_count, size_t client_count, uint32_t seed)
 {
-	return world_create_(node_count, client_count, seed, &default_timing,
-			     0);
+	return world_create_(node_count, client_count, seed, &default_timing, 0,
+			     NULL);
 }
 
 world_t *world_new_with_servers(size_t node_count, size_t client_count,
 				uint32_t seed, int64_t server_silence_ms)
 {
 	return world_create_(node_count, client_count, seed, &default_timing,
-			     server_silence_ms);
+			     server_silence_ms, NULL);
+}
+
+world_t *world_new_with_codec(size_t node_count, size_t client_count,
+			      uint32_t seed, int64_t server_silence_ms,
+			      const cb_document_codec_t *codec)
+{
+	return world_create_(node_count, client_count, seed, &default_timing,
+			     server_silence_ms, codec);
 }
 
 world_t *world_new_with_timing(size_t node_count, size_t client_count,
 			       uint32_t seed, const world_timing_t *timing)
 {
-	return world_create_(node_count, client_count, seed, timing, 0);
+	return world_create_(node_count, client_count, seed, timing, 0, NULL);
 }
 
 /* Stops all nodes and clients and deletes the simulation. */
--- a/src/test_libcurrantbridge/support_world.h
+++ b/src/test_libcurrantbridge/support_world.h
@@ -55,6 +55,8 @@
 	world_timing_t
 		timing; /* timeouts of processes that start from now on */
 	int64_t server_silence_ms; /* 0: the nodes handle no backend servers */
+	/* By which nodes admit backend servers; NULL: they admit all. */
+	const cb_document_codec_t *codec;
 	size_t node_count;
 	/* Nodes that clients know when they start; 0: all. */
 	size_t known_node_count;
@@ -77,6 +79,10 @@
 /* Like world_new(), with nodes that handle reports of backend servers. */
 world_t *world_new_with_servers(size_t node_count, size_t client_count,
 				uint32_t seed, int64_t server_silence_ms);
+/* Like world_new_with_servers(); the nodes read documents with `codec`. */
+world_t *world_new_with_codec(size_t node_count, size_t client_count,
+			      uint32_t seed, int64_t server_silence_ms,
+			      const cb_document_codec_t *codec);
 /* Like world_new(), with other timeouts. */
 world_t *world_new_with_timing(size_t node_count, size_t client_count,
 			       uint32_t seed, const world_timing_t *timing);
