--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -130,10 +130,11 @@
 /* Returns the number of servers whose reports are kept apart. */
 unsigned int cb_fleet_unconfigured_count(const cb_fleet_t *fleet);
 /*
- * Marks the servers kept apart under an ID as draining: those that started at
- * `start_wall_ms`, or (-1) all.  Returns whether there are any.
+ * Marks the servers kept apart under an ID as draining: those of `service`, or (NULL)
+ * all, that started at `start_wall_ms`, or (-1) all.  Returns whether there are any.
  */
 gboolean cb_fleet_drain_unconfigured(cb_fleet_t *fleet, const char *id,
+				     const char *service,
 				     int64_t start_wall_ms);
 
 cb_fleet_outcome_t cb_fleet_update(cb_fleet_t *fleet,
--- a/include/currantbridge/node.h
+++ b/include/currantbridge/node.h
@@ -123,12 +123,13 @@
 			     cb_submit_fn_t done, void *user_data);
 /*
  * As cb_node_server_announce(), for a server that reports only its stop.
- * `start_wall_ms`: when the process that leaves started; -1: not given, it is the
- * one that is known.
+ * `service`: its service; NULL: not given.  `start_wall_ms`: when the process that
+ * leaves started; -1: not given, it is the one that is known.  A server of another
+ * service under the ID is not stopped.
  */
 void cb_node_server_leave(cb_node_t *node, const char *server_id,
-			  int64_t start_wall_ms, cb_submit_fn_t done,
-			  void *user_data);
+			  const char *service, int64_t start_wall_ms,
+			  cb_submit_fn_t done, void *user_data);
 /* Submits a validated document; `done` is called as in cb_node_submit(). */
 void cb_node_put_document(cb_node_t *node, int64_t version, const char *text,
 			  size_t size, cb_submit_fn_t done, void *user_data);
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -309,9 +309,10 @@
 }
 
 gboolean cb_fleet_drain_unconfigured(cb_fleet_t *fleet, const char *id,
-				     int64_t start_wall_ms)
+				     const char *service, int64_t start_wall_ms)
 {
-	return cb_unconfigured_drain(fleet->unconfigured, id, start_wall_ms);
+	return cb_unconfigured_drain(fleet->unconfigured, id, service,
+				     start_wall_ms);
 }
 
 void cb_fleet_set_slow_percent(cb_fleet_t *fleet, const char *id,
--- a/src/libcurrantbridge/backend/unconfigured.c
+++ b/src/libcurrantbridge/backend/unconfigured.c
@@ -83,11 +83,11 @@
 }
 
 /*
- * Marks the servers with an ID as draining, those of one start or (-1) of any.
- * Returns whether there are any.
+ * Marks the servers with an ID as draining, those of one service or (NULL) of any, and
+ * of one start or (-1) of any.  Returns whether there are any.
  */
 gboolean cb_unconfigured_drain(cb_unconfigured_t *reports, const char *id,
-			       int64_t start_wall_ms)
+			       const char *service, int64_t start_wall_ms)
 {
 	gboolean is_found = FALSE;
 	GHashTableIter iter;
@@ -98,6 +98,7 @@
 		cb_fleet_server_t *server = key;
 
 		if (strcmp(server->id, id) != 0 ||
+		    (service && strcmp(server->service, service) != 0) ||
 		    (start_wall_ms >= 0 &&
 		     server->start_wall_ms != start_wall_ms))
 			continue;
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -389,8 +389,9 @@
 /* The stop of an unconfigured service's server, which waits for the newest state. */
 typedef struct pending_stop {
 	cb_node_t *node;
-	/* What the server reported; without a service: only its ID and start. */
 	cb_fleet_server_t report;
+	/* Whether the report is a notice of leaving; see cb_node_server_leave(). */
+	gboolean is_notice;
 	cb_submit_fn_t done;
 	void *user_data;
 } pending_stop_t;
@@ -468,23 +469,58 @@
 	cb_node_submit(node, command, done, user_data);
 }
 
+/* Returns the server of the fleet that a notice of leaving is about, or NULL. */
+static const cb_fleet_server_t *leaving_server_find_(
+	const cb_node_t *node, const cb_fleet_server_t *notice)
+{
+	const cb_fleet_server_t *known = cb_fleet_find(node->fleet, notice->id);
+
+	return known && (!notice->service ||
+			 !strcmp(known->service, notice->service)) ?
+		       known :
+		       NULL;
+}
+
+/*
+ * Submits the planned stop that a notice of leaving announces.  One that comes late
+ * is about an earlier process of the ID.
+ */
+static void leaving_server_stop_(cb_node_t *node,
+				 const cb_fleet_server_t *known,
+				 const cb_fleet_server_t *notice,
+				 cb_submit_fn_t done, void *user_data)
+{
+	cb_fleet_server_t leaving = *known;
+
+	if (notice->start_wall_ms >= 0)
+		leaving.start_wall_ms = notice->start_wall_ms;
+	server_stop_submit_(node, &leaving, done, user_data);
+}
+
 /*
- * Returns whether the server of a stop is one of the fleet, now that this instance
+ * Submits a pending stop if its server is one of the fleet, now that this instance
  * has the newest document.  The record of one that is not says that it drains.
  */
-static gboolean pending_stop_is_needed_(pending_stop_t *stop)
+static void pending_stop_submit_(const pending_stop_t *stop)
 {
-	cb_fleet_t *fleet = stop->node->fleet;
-	int64_t now_ms = cb_clock_now_ms(stop->node->clock);
+	cb_node_t *node = stop->node;
 	const cb_fleet_server_t *known;
 
-	if (stop->report.service)
-		return cb_fleet_update(fleet, &stop->report, now_ms) !=
-		       CB_FLEET_UNCONFIGURED;
-	known = cb_fleet_find(fleet, stop->report.id);
-	if (known && stop->report.start_wall_ms < 0)
-		stop->report.start_wall_ms = known->start_wall_ms;
-	return known != NULL;
+	if (stop->is_notice) {
+		known = leaving_server_find_(node, &stop->report);
+		if (known)
+			leaving_server_stop_(node, known, &stop->report,
+					     stop->done, stop->user_data);
+		else
+			report_accept_(stop->done, stop->user_data);
+	} else if (cb_fleet_update(node->fleet, &stop->report,
+				   cb_clock_now_ms(node->clock)) ==
+		   CB_FLEET_UNCONFIGURED) {
+		report_accept_(stop->done, stop->user_data);
+	} else {
+		server_stop_submit_(node, &stop->report, stop->done,
+				    stop->user_data);
+	}
 }
 
 /* Called once this instance's state is current, or that can't be confirmed. */
@@ -496,13 +532,10 @@
 
 	(void)index;
 	cb_node_services_review(node);
-	if (outcome != CB_SUBMIT_ANSWERED)
-		stop->done(outcome, NULL, stop->user_data);
-	else if (pending_stop_is_needed_(stop))
-		server_stop_submit_(node, &stop->report, stop->done,
-				    stop->user_data);
+	if (outcome == CB_SUBMIT_ANSWERED)
+		pending_stop_submit_(stop);
 	else
-		report_accept_(stop->done, stop->user_data);
+		stop->done(outcome, NULL, stop->user_data);
 	g_hash_table_remove(node->pending_stops, stop);
 }
 
@@ -514,12 +547,14 @@
  * configured service.
  */
 static void unconfigured_stop_(cb_node_t *node, const cb_fleet_server_t *report,
-			       cb_submit_fn_t done, void *user_data)
+			       gboolean is_notice, cb_submit_fn_t done,
+			       void *user_data)
 {
 	pending_stop_t *stop = g_new0(pending_stop_t, 1);
 
 	stop->node = node;
 	cb_fleet_server_copy(&stop->report, report);
+	stop->is_notice = is_notice;
 	stop->done = done;
 	stop->user_data = user_data;
 	g_hash_table_add(node->pending_stops, stop);
@@ -543,36 +578,29 @@
 	if (report->state == CB_FLEET_READY)
 		report_accept_(done, user_data);
 	else if (outcome == CB_FLEET_UNCONFIGURED)
-		unconfigured_stop_(node, report, done, user_data);
+		unconfigured_stop_(node, report, FALSE, done, user_data);
 	else
 		server_stop_submit_(node, report, done, user_data);
 }
 
 void cb_node_server_leave(cb_node_t *node, const char *server_id,
-			  int64_t start_wall_ms, cb_submit_fn_t done,
-			  void *user_data)
+			  const char *service, int64_t start_wall_ms,
+			  cb_submit_fn_t done, void *user_data)
 {
-	const cb_fleet_server_t *known = cb_fleet_find(node->fleet, server_id);
 	const cb_fleet_server_t notice = { .id = (char *)server_id,
+					   .service = (char *)service,
 					   .start_wall_ms = start_wall_ms };
+	const cb_fleet_server_t *known = leaving_server_find_(node, &notice);
 	gboolean is_unconfigured =
-		cb_fleet_drain_unconfigured(node->fleet, server_id,
+		cb_fleet_drain_unconfigured(node->fleet, server_id, service,
 					    start_wall_ms);
-	cb_fleet_server_t leaving;
 
-	if (!known && !is_unconfigured) {
+	if (known)
+		leaving_server_stop_(node, known, &notice, done, user_data);
+	else if (is_unconfigured)
+		unconfigured_stop_(node, &notice, TRUE, done, user_data);
+	else
 		done(CB_SUBMIT_NO_LEADER, NULL, user_data);
-		return;
-	}
-	if (!known) {
-		unconfigured_stop_(node, &notice, done, user_data);
-		return;
-	}
-	/* A notice that comes late is about an earlier process of the ID. */
-	leaving = *known;
-	if (start_wall_ms >= 0)
-		leaving.start_wall_ms = start_wall_ms;
-	server_stop_submit_(node, &leaving, done, user_data);
 }
 
 void cb_node_put_document(cb_node_t *node, int64_t version, const char *text,
--- a/src/libcurrantbridge/include/private/unconfigured.h
+++ b/src/libcurrantbridge/include/private/unconfigured.h
@@ -17,7 +17,7 @@
 			 const cb_fleet_server_t *report, int64_t now_ms,
 			 gboolean is_unsent_to_control);
 gboolean cb_unconfigured_drain(cb_unconfigured_t *reports, const char *id,
-			       int64_t start_wall_ms);
+			       const char *service, int64_t start_wall_ms);
 void cb_unconfigured_expire(cb_unconfigured_t *reports, int64_t now_ms,
 			    int64_t keep_ms);
 GPtrArray *cb_unconfigured_take(cb_unconfigured_t *reports,
--- a/src/test_libcurrantbridge/test_fleet.c
+++ b/src/test_libcurrantbridge/test_fleet.c
@@ -305,7 +305,7 @@
 		CU_ASSERT_TRUE(world_run_until(world, world_is_converged,
 					       START_LIMIT_MS));
 		heartbeat_send_(world, 0, 1, CB_FLEET_READY, &outcome);
-		cb_node_server_leave(world->nodes[0].node, "a",
+		cb_node_server_leave(world->nodes[0].node, "a", NULL,
 				     cases[i].start_ms, outcome_store_,
 				     &outcome);
 		world_run_until(world, NULL, PROPAGATION_LIMIT_MS);
--- a/src/test_libcurrantbridge/test_fleet_services.c
+++ b/src/test_libcurrantbridge/test_fleet_services.c
@@ -416,12 +416,14 @@
 	return outcome;
 }
 
+/* Sends a notice of leaving to a node; returns the outcome some time later. */
 static cb_submit_outcome_t leave_send_(world_t *world, size_t node,
-				       const char *id, int64_t start_ms)
+				       const char *id, const char *service,
+				       int64_t start_ms)
 {
 	cb_submit_outcome_t outcome = CB_SUBMIT_OUTCOME_COUNT;
 
-	cb_node_server_leave(world->nodes[node].node, id, start_ms,
+	cb_node_server_leave(world->nodes[node].node, id, service, start_ms,
 			     outcome_store_, &outcome);
 	world_run_until(world, NULL, PROPAGATION_MS);
 	return outcome;
@@ -472,6 +474,53 @@
 	world_delete(world);
 }
 
+/*
+ * A notice of leaving with another service than that of the server with its ID
+ * stopped that server.
+ */
+static void notices_stop_servers_of_their_service(void)
+{
+	static const step_t sound = SOUND;
+	static const step_t apart = { STEP_REPORT, "other", "a",   "x:2",
+				      30,	   1,	    READY, APART };
+	static const struct {
+		gboolean
+			has_apart; /* whether "other" has reported under the ID */
+		const char *service;
+		int64_t start_ms;
+		gboolean is_accepted;
+		gboolean is_stopped;
+	} cases[] = {
+		{ FALSE, NULL, -1, TRUE, TRUE },
+		{ FALSE, NULL, 10, TRUE, TRUE },
+		{ FALSE, "desk", -1, TRUE, TRUE },
+		{ FALSE, "other", -1, FALSE, FALSE },
+		{ FALSE, "other", 10, FALSE, FALSE },
+		{ TRUE, "other", -1, TRUE, FALSE },
+		{ TRUE, "other", 30, TRUE, FALSE },
+		{ TRUE, "other", 10, FALSE, FALSE },
+		{ TRUE, NULL, 30, TRUE, FALSE },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		world_t *world = world_make_();
+
+		services_put_(world, 1, "desk");
+		report_send_(world, 0, &sound);
+		if (cases[i].has_apart)
+			report_send_(world, 0, &apart);
+		CU_ASSERT_EQUAL(leave_send_(world, 0, "a", cases[i].service,
+					    cases[i].start_ms) ==
+					CB_SUBMIT_ANSWERED,
+				cases[i].is_accepted);
+		CU_ASSERT_EQUAL(cb_view_is_stopped(world->clients[0].view,
+						   CB_STOP_SERVER, "a/10"),
+				cases[i].is_stopped);
+		world_delete(world);
+	}
+}
+
 /*
  * A server that reports its stop to a node which lacks the newest document is in use
  * elsewhere: its stop is acknowledged once it is committed, or not at all.
@@ -500,7 +549,7 @@
 		CU_ASSERT_EQUAL(report_send_(world, (size_t)leader, &fresh),
 				CB_SUBMIT_ANSWERED);
 		outcome = is_notice[i] ?
-				  leave_send_(world, outdated, "b", -1) :
+				  leave_send_(world, outdated, "b", NULL, -1) :
 				  report_send_(world, outdated, &draining);
 		CU_ASSERT_NOT_EQUAL(outcome, CB_SUBMIT_ANSWERED);
 		world_isolate(world, world->nodes[outdated].name, FALSE);
@@ -531,7 +580,7 @@
 		CU_ASSERT_EQUAL(report_send_(world, 0, &fresh),
 				CB_SUBMIT_ANSWERED);
 		CU_ASSERT_EQUAL(is_notice[i] ?
-					leave_send_(world, 0, "b", -1) :
+					leave_send_(world, 0, "b", NULL, -1) :
 					report_send_(world, 0, &draining),
 				CB_SUBMIT_ANSWERED);
 		services_put_(world, 2, "desk fresh");
@@ -581,6 +630,8 @@
 	  reports_change_the_fleet_by_their_service },
 	{ "stops_of_unknown_programs_are_not_committed",
 	  stops_of_unknown_programs_are_not_committed },
+	{ "notices_stop_servers_of_their_service",
+	  notices_stop_servers_of_their_service },
 	{ "stops_wait_for_the_newest_document",
 	  stops_wait_for_the_newest_document },
 	{ "stopped_servers_of_later_services_stay_stopped",
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -553,6 +553,53 @@
 	}
 }
 
+/* The body of a notice of leaving may be empty; one that is odd is refused. */
+static void invalid_notices_of_leaving_are_rejected(void)
+{
+	static const struct {
+		const char *text;
+		const char *error; /* part of the error; NULL: it is valid */
+		int64_t start_wall_ms;
+		const char *service;
+	} cases[] = {
+		{ "", NULL, -1, NULL },
+		{ "{}", NULL, -1, NULL },
+		{ "{\"born\":5}", NULL, 5, NULL },
+		{ "{\"service\":\"s\",\"born\":5,\"x\":1}", NULL, 5, "s" },
+		{ "\xff\xfe", "", 0, NULL },
+		{ "[]", "", 0, NULL },
+		{ "{\"born\":5", "", 0, NULL },
+		{ "{\"born\":\"5\"}", "born: ", 0, NULL },
+		{ "{\"born\":1.5}", "born: ", 0, NULL },
+		{ "{\"born\":-1}", "born: ", 0, NULL },
+		{ "{\"born\":null}", "born: ", 0, NULL },
+		{ "{\"service\":7}", "service: ", 0, NULL },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		platform_leave_t leave;
+		GError *error = NULL;
+		gboolean is_valid = platform_leave_read(cases[i].text,
+							strlen(cases[i].text),
+							&leave, &error);
+
+		CU_ASSERT_EQUAL(is_valid, cases[i].error == NULL);
+		if (error && cases[i].error)
+			CU_ASSERT_PTR_NOT_NULL(
+				strstr(error->message, cases[i].error));
+		if (is_valid) {
+			CU_ASSERT_EQUAL(leave.start_wall_ms,
+					cases[i].start_wall_ms);
+			CU_ASSERT_EQUAL(g_strcmp0(leave.service,
+						  cases[i].service),
+					0);
+		}
+		platform_leave_clear(&leave);
+		g_clear_error(&error);
+	}
+}
+
 /* An absent body is not an empty text: it has no text at all. */
 static void absent_bodies_are_rejected(void)
 {
@@ -1347,6 +1394,8 @@
 	{ "documents_are_decoded_in_steps", documents_are_decoded_in_steps },
 	{ "document_fields_are_decoded", document_fields_are_decoded },
 	{ "invalid_heartbeats_are_rejected", invalid_heartbeats_are_rejected },
+	{ "invalid_notices_of_leaving_are_rejected",
+	  invalid_notices_of_leaving_are_rejected },
 	{ "accepted_documents_stay_readable",
 	  accepted_documents_stay_readable },
 	{ "accepted_documents_are_read_as_proposed_ones",
--- a/test/platform/test_unknown_programs.c
+++ b/test/platform/test_unknown_programs.c
@@ -14,7 +14,7 @@
  * all rows are played at once.
  */
 #define CONTROL_COUNT 3
-#define SERVERS_MAX 16
+#define SERVERS_MAX 24
 #define START_TIMEOUT_MS 20000
 #define ANSWER_TIMEOUT_MS 5000
 #define HEARTBEAT_MS 400
@@ -176,6 +176,21 @@
 			   ping->state, born_wall_ms, ping->sequence);
 }
 
+/* Sends a notice that a server leaves to all control instances. */
+static void foreign_notice_send_(fixture_t *fixture, const server_t *server,
+				 const char *body)
+{
+	char *path = g_strdup_printf("/v1/instances/%s/leave", server->id);
+	size_t i;
+
+	for (i = 0; i < CONTROL_COUNT; i++)
+		CU_ASSERT_NOT_EQUAL(
+			support_api_call_status(fixture->control_addresses[i],
+						"POST", path, body),
+			200);
+	g_free(path);
+}
+
 /* Sends the heartbeats of all servers until the end. */
 static void *heartbeats_run_(void *data)
 {
@@ -458,43 +473,68 @@
 	const char *name;
 	foreign_ping_t ping;
 	ping_time_t time;
+	const char *notice; /* sent in place of a heartbeat; or NULL */
 } rows[] = {
 	{ "none",
 	  { "agent", "127.0.0.1:1", "ready", 0, 1 },
-	  PING_AFTER_CONFIG },
-	{ "address", { "agent-a", NULL, "ready", 5000, 1 }, PING_AFTER_CONFIG },
+	  PING_AFTER_CONFIG,
+	  NULL },
+	{ "address",
+	  { "agent-a", NULL, "ready", 5000, 1 },
+	  PING_AFTER_CONFIG,
+	  NULL },
 	{ "address-again",
 	  { "agent-b", NULL, "ready", 5000, 1 },
-	  PING_REPEATED },
+	  PING_REPEATED,
+	  NULL },
 	{ "address-early",
 	  { "agent-c", NULL, "ready", 60000, 1 },
-	  PING_BEFORE_CONFIG },
+	  PING_BEFORE_CONFIG,
+	  NULL },
 	{ "address-drains",
 	  { "agent-d", NULL, "draining", 5000, 1 },
-	  PING_AFTER_CONFIG },
+	  PING_AFTER_CONFIG,
+	  NULL },
 	{ "address-no-born",
 	  { "agent-e", NULL, "ready", BORN_ABSENT, 1 },
-	  PING_AFTER_CONFIG },
+	  PING_AFTER_CONFIG,
+	  NULL },
 	{ "id-sequence",
 	  { NULL, NULL, "ready", 0, HIGH_SEQUENCE },
-	  PING_AFTER_CONFIG },
-	{ "id-born", { NULL, NULL, "ready", 5000, 1 }, PING_AFTER_CONFIG },
-	{ "id-again", { NULL, NULL, "ready", 5000, 1 }, PING_REPEATED },
+	  PING_AFTER_CONFIG,
+	  NULL },
+	{ "id-born",
+	  { NULL, NULL, "ready", 5000, 1 },
+	  PING_AFTER_CONFIG,
+	  NULL },
+	{ "id-again", { NULL, NULL, "ready", 5000, 1 }, PING_REPEATED, NULL },
 	{ "id-early",
 	  { NULL, NULL, "ready", 60000, HIGH_SEQUENCE },
-	  PING_BEFORE_CONFIG },
+	  PING_BEFORE_CONFIG,
+	  NULL },
 	{ "id-address",
 	  { NULL, "127.0.0.1:1", "ready", 5000, 1 },
-	  PING_AFTER_CONFIG },
+	  PING_AFTER_CONFIG,
+	  NULL },
 	{ "id-no-born",
 	  { NULL, NULL, "ready", BORN_ABSENT, HIGH_SEQUENCE },
-	  PING_AFTER_CONFIG },
+	  PING_AFTER_CONFIG,
+	  NULL },
 	{ "id-drains",
 	  { NULL, NULL, "draining", 0, HIGH_SEQUENCE },
-	  PING_AFTER_CONFIG },
+	  PING_AFTER_CONFIG,
+	  NULL },
 	{ "id-drains-early",
 	  { NULL, NULL, "draining", 0, HIGH_SEQUENCE },
-	  PING_BEFORE_CONFIG },
+	  PING_BEFORE_CONFIG,
+	  NULL },
+	{ "notice-bytes", { 0 }, PING_AFTER_CONFIG, "\xff\xfe" },
+	{ "notice-array", { 0 }, PING_AFTER_CONFIG, "[]" },
+	{ "notice-born", { 0 }, PING_AFTER_CONFIG, "{\"born\":\"1\"}" },
+	{ "notice-service",
+	  { 0 },
+	  PING_AFTER_CONFIG,
+	  "{\"service\":\"unknown\"}" },
 };
 
 /*
@@ -523,7 +563,10 @@
 					  START_TIMEOUT_MS));
 	g_usleep(USABLE_MS * G_TIME_SPAN_MILLISECOND);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
-		if (rows[i].time == PING_AFTER_CONFIG)
+		if (rows[i].notice)
+			foreign_notice_send_(&fixture, &fixture.servers[i],
+					     rows[i].notice);
+		else if (rows[i].time == PING_AFTER_CONFIG)
 			foreign_ping_send_(&fixture, &fixture.servers[i],
 					   &rows[i].ping);
 		g_mutex_lock(&fixture.lock);
