--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -48,6 +48,8 @@
 	 */
 	uint32_t layer_from;
 	uint32_t layer_to;
+	/* The report doesn't tell which layers the server holds. */
+	gboolean lacks_layers;
 	/*
 	 * The server was ordered to load other layers and gets no new requests.
 	 */
@@ -78,8 +80,12 @@
 	CB_FLEET_SAME,
 	/* ignored: the report is outdated, or its address was reassigned */
 	CB_FLEET_STALE,
-	CB_FLEET_INVALID, /* ignored: see cb_fleet_server_fault() */
-	/* kept apart: the configuration lacks the service */
+	/*
+	 * ignored: see cb_fleet_server_fault(), or the report lacks what its process
+	 * has reported
+	 */
+	CB_FLEET_INVALID,
+	/* kept apart: the configuration can't use the server */
 	CB_FLEET_UNCONFIGURED,
 	CB_FLEET_OUTCOME_COUNT
 } cb_fleet_outcome_t;
@@ -100,8 +106,9 @@
 typedef void (*cb_fleet_changed_fn_t)(const cb_fleet_server_t *server,
 				      void *user_data);
 
-/* Returns whether the configuration in force has a service. */
-typedef gboolean (*cb_fleet_service_fn_t)(const char *service, void *user_data);
+/* Returns whether the configuration in force can use the server of a report. */
+typedef gboolean (*cb_fleet_check_fn_t)(const cb_fleet_server_t *report,
+					void *user_data);
 
 /* Longest warm-up after its start that a server may report. */
 #define CB_FLEET_COLD_MAX_MS (24 * 60 * 60 * 1000)
@@ -119,13 +126,20 @@
 		    void *user_data);
 
 /*
- * Sets the one function that tells which services are configured.  Without it all
- * are.  Reports on servers of other services are kept apart and change nothing in
- * the fleet, unless they are by a process that the fleet has.
+ * Sets the one function that tells which servers the configuration can use.  Without
+ * it these are all.  Reports on others are kept apart and change nothing in the fleet,
+ * unless they are by a process that the fleet has.
+ */
+void cb_fleet_set_check(cb_fleet_t *fleet, cb_fleet_check_fn_t fn,
+			void *user_data);
+/*
+ * Returns whether a document (NULL: none) can use the server of a report: it has the
+ * service and, if that is one of engines with layers, lists the engine's kind, and
+ * the report tells the layers.
  */
-void cb_fleet_set_service_check(cb_fleet_t *fleet, cb_fleet_service_fn_t fn,
-				void *user_data);
-/* Applies the reports kept apart whose services are configured now. */
+gboolean cb_fleet_document_can_use(const cb_document_t *document,
+				   const cb_fleet_server_t *report);
+/* Applies the reports kept apart whose servers the configuration can use now. */
 void cb_fleet_admit_configured(cb_fleet_t *fleet);
 /* Returns the number of servers whose reports are kept apart. */
 unsigned int cb_fleet_unconfigured_count(const cb_fleet_t *fleet);
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -23,9 +23,8 @@
 	cb_unconfigured_t *unconfigured;
 	cb_fleet_changed_fn_t change_fn;
 	void *user_data;
-	cb_fleet_service_fn_t
-		service_fn; /* NULL: all services are configured */
-	void *service_user_data;
+	cb_fleet_check_fn_t check_fn; /* NULL: all servers can be used */
+	void *check_user_data;
 };
 
 const char *const cb_fleet_state_string[CB_FLEET_STATE_COUNT] = {
@@ -77,18 +76,18 @@
 	fleet->user_data = user_data;
 }
 
-void cb_fleet_set_service_check(cb_fleet_t *fleet, cb_fleet_service_fn_t fn,
-				void *user_data)
+void cb_fleet_set_check(cb_fleet_t *fleet, cb_fleet_check_fn_t fn,
+			void *user_data)
 {
-	fleet->service_fn = fn;
-	fleet->service_user_data = user_data;
+	fleet->check_fn = fn;
+	fleet->check_user_data = user_data;
 }
 
-static gboolean service_is_configured_(const cb_fleet_t *fleet,
-				       const char *service)
+static gboolean server_is_configured_(const cb_fleet_t *fleet,
+				      const cb_fleet_server_t *server)
 {
-	return !fleet->service_fn ||
-	       fleet->service_fn(service, fleet->service_user_data);
+	return !fleet->check_fn ||
+	       fleet->check_fn(server, fleet->check_user_data);
 }
 
 static void change_notify_(cb_fleet_t *fleet, cb_fleet_server_t *server)
@@ -131,10 +130,22 @@
 }
 
 /*
- * Returns whether a report may change the fleet: its service is configured, or it
- * is by the process that the fleet has at this address under this ID already, as
- * when the configuration no longer has its service.  All other reports are kept
- * apart; see docs/FLEET.md.
+ * Returns whether a report lacks what the process with its ID and start has reported,
+ * as that of another program may: an engine tells its kind and layers in each report.
+ */
+static gboolean report_lacks_fields_(const cb_fleet_server_t *known,
+				     const cb_fleet_server_t *report)
+{
+	return known->kind && known->start_wall_ms == report->start_wall_ms &&
+	       !strcmp(known->service, report->service) &&
+	       (!report->kind || report->lacks_layers);
+}
+
+/*
+ * Returns whether a report may change the fleet: the configuration can use its
+ * server, or it is by the process that the fleet has at this address under this ID
+ * already, as when the configuration no longer has its service.  All other reports
+ * are kept apart; see docs/FLEET.md.
  */
 static gboolean report_is_admitted_(const cb_fleet_t *fleet,
 				    const cb_fleet_server_t *known,
@@ -143,12 +154,12 @@
 	if (known && cb_fleet_process_is_same(known, report) &&
 	    address_holder_find_(fleet, report->address) == known)
 		return TRUE;
-	return service_is_configured_(fleet, report->service);
+	return server_is_configured_(fleet, report);
 }
 
 /*
  * Returns whether an admitted report replaces what is known of its ID: it is newer,
- * or the known process has another service, which is not configured.
+ * or the known process is another one that the configuration can't use.
  */
 static gboolean known_is_replaced_(const cb_fleet_t *fleet,
 				   const cb_fleet_server_t *known,
@@ -156,13 +167,13 @@
 {
 	return cb_fleet_report_is_newer(report, known) ||
 	       (strcmp(known->service, report->service) != 0 &&
-		!service_is_configured_(fleet, known->service));
+		!server_is_configured_(fleet, known));
 }
 
 /*
  * Assigns the address of an admitted report to its server and marks the previous
- * holder as gone.  Returns FALSE if the current holder started later and its service
- * is configured.
+ * holder as gone.  Returns FALSE if the current holder started later and the
+ * configuration can use it.
  */
 static gboolean address_assign_(cb_fleet_t *fleet,
 				const cb_fleet_server_t *report)
@@ -173,7 +184,7 @@
 	if (holder && !strcmp(holder->id, report->id))
 		return TRUE;
 	if (holder && holder->start_wall_ms > report->start_wall_ms &&
-	    service_is_configured_(fleet, holder->service))
+	    server_is_configured_(fleet, holder))
 		return FALSE;
 	if (holder) {
 		holder->state = CB_FLEET_GONE;
@@ -254,6 +265,8 @@
 
 	if (cb_fleet_server_fault(report))
 		return CB_FLEET_INVALID;
+	if (known && report_lacks_fields_(known, report))
+		return CB_FLEET_INVALID;
 	if (!report_is_admitted_(fleet, known, report)) {
 		cb_unconfigured_put(fleet->unconfigured, report, now_ms,
 				    is_unsent_to_control);
@@ -295,10 +308,10 @@
 	GPtrArray *admitted;
 	unsigned int i;
 
-	if (!fleet->service_fn || !cb_fleet_unconfigured_count(fleet))
+	if (!fleet->check_fn || !cb_fleet_unconfigured_count(fleet))
 		return;
-	admitted = cb_unconfigured_take(fleet->unconfigured, fleet->service_fn,
-					fleet->service_user_data);
+	admitted = cb_unconfigured_take(fleet->unconfigured, fleet->check_fn,
+					fleet->check_user_data);
 	for (i = 0; i < admitted->len; i++) {
 		const cb_fleet_server_t *server = admitted->pdata[i];
 
--- a/src/libcurrantbridge/backend/fleet_server.c
+++ b/src/libcurrantbridge/backend/fleet_server.c
@@ -41,15 +41,32 @@
 
 /*
  * Returns whether two records of one ID are of the same process.  A process has
- * one service from its start to its end.
+ * one service from its start to its end, and tells a kind of accelerator always or
+ * never.
  */
 gboolean cb_fleet_process_is_same(const cb_fleet_server_t *a,
 				  const cb_fleet_server_t *b)
 {
-	return a->start_wall_ms == b->start_wall_ms &&
+	return a->start_wall_ms == b->start_wall_ms && !a->kind == !b->kind &&
 	       !strcmp(a->service, b->service);
 }
 
+gboolean cb_fleet_document_can_use(const cb_document_t *document,
+				   const cb_fleet_server_t *report)
+{
+	const cb_service_profile_t *service =
+		document ? cb_document_service(document, report->service) :
+			   NULL;
+
+	if (!service)
+		return FALSE;
+	if (!service->engine || !service->engine->layers ||
+	    !service->engine->kinds->len)
+		return TRUE;
+	return !report->lacks_layers &&
+	       cb_engine_profile_kind(service->engine, report->kind) != NULL;
+}
+
 /*
  * Returns the state after a report: a process that drains or is gone does not
  * become ready again.
--- a/src/libcurrantbridge/backend/unconfigured.c
+++ b/src/libcurrantbridge/backend/unconfigured.c
@@ -125,11 +125,11 @@
 }
 
 /*
- * Removes the servers whose service is configured now and returns them; the
+ * Removes the servers that the configuration can use now and returns them; the
  * caller unrefs the array, which frees them.
  */
 GPtrArray *cb_unconfigured_take(cb_unconfigured_t *reports,
-				cb_fleet_service_fn_t is_configured,
+				cb_fleet_check_fn_t is_configured,
 				void *user_data)
 {
 	GPtrArray *taken =
@@ -141,7 +141,7 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		cb_fleet_server_t *server = key;
 
-		if (!is_configured(server->service, user_data))
+		if (!is_configured(server, user_data))
 			continue;
 		g_hash_table_iter_steal(&iter);
 		g_ptr_array_add(taken, server);
--- a/src/libcurrantbridge/control/node_fleet.c
+++ b/src/libcurrantbridge/control/node_fleet.c
@@ -561,6 +561,26 @@
 	cb_node_confirm(node, pending_stop_confirmed_, stop);
 }
 
+/* Logs a report that is kept apart for the first time, or is not valid. */
+static void odd_report_log_(const cb_node_t *node,
+			    const cb_fleet_server_t *report,
+			    cb_fleet_outcome_t outcome, gboolean is_first_apart)
+{
+	if (is_first_apart)
+		cb_log_event(node->log, CB_EVENT_SERVER_UNCONFIGURED,
+			     CB_STR("id", report->id),
+			     CB_STR("address", report->address),
+			     CB_STR("service", report->service),
+			     CB_STR("kind", report->kind),
+			     CB_INT("born_wall_ms", report->start_wall_ms));
+	else if (outcome == CB_FLEET_INVALID)
+		cb_log_event(
+			node->log, CB_EVENT_HEARTBEAT_REFUSED,
+			CB_STR("subject", report->id),
+			CB_STR("reason",
+			       "kind, layers: this process has told them"));
+}
+
 void cb_node_server_announce(cb_node_t *node, const cb_fleet_server_t *report,
 			     cb_submit_fn_t done, void *user_data)
 {
@@ -569,14 +589,12 @@
 		cb_fleet_update(node->fleet, report,
 				cb_clock_now_ms(node->clock));
 
-	if (cb_fleet_unconfigured_count(node->fleet) > count)
-		cb_log_event(node->log, CB_EVENT_SERVER_UNCONFIGURED,
-			     CB_STR("id", report->id),
-			     CB_STR("address", report->address),
-			     CB_STR("service", report->service),
-			     CB_INT("born_wall_ms", report->start_wall_ms));
+	odd_report_log_(node, report, outcome,
+			cb_fleet_unconfigured_count(node->fleet) > count);
 	if (report->state == CB_FLEET_READY)
 		report_accept_(done, user_data);
+	else if (outcome == CB_FLEET_INVALID)
+		done(CB_SUBMIT_NO_LEADER, NULL, user_data);
 	else if (outcome == CB_FLEET_UNCONFIGURED)
 		unconfigured_stop_(node, report, FALSE, done, user_data);
 	else
--- a/src/libcurrantbridge/control/node_services.c
+++ b/src/libcurrantbridge/control/node_services.c
@@ -33,16 +33,14 @@
 	node->services = document;
 }
 
-/*
- * Returns whether the newest document that this instance has applied has a
- * service; without a document there is none.
- */
-static gboolean service_is_configured_(const char *service, void *user_data)
+/* Returns whether the newest document that this instance has applied can use it. */
+static gboolean server_is_configured_(const cb_fleet_server_t *report,
+				      void *user_data)
 {
 	cb_node_t *node = user_data;
 
 	services_update_(node);
-	return node->services && cb_document_service(node->services, service);
+	return cb_fleet_document_can_use(node->services, report);
 }
 
 /*
@@ -56,8 +54,7 @@
 		cb_counters_gauge(cb_kernel_counters(node->kernel),
 				  "cb_servers_unconfigured", NULL, NULL);
 	if (codec)
-		cb_fleet_set_service_check(node->fleet, service_is_configured_,
-					   node);
+		cb_fleet_set_check(node->fleet, server_is_configured_, node);
 }
 
 /* Admits the servers whose services a new document has. */
--- a/src/libcurrantbridge/include/private/unconfigured.h
+++ b/src/libcurrantbridge/include/private/unconfigured.h
@@ -4,9 +4,9 @@
 #include "currantbridge/fleet.h"
 
 /*
- * Reports on servers of services that the configuration lacks, one for each ID
- * and service.  They are kept apart from the fleet, so that they change nothing
- * in it, until the configuration has their service.
+ * Reports on servers that the configuration can't use, as it lacks their services, one
+ * for each ID and service.  They are kept apart from the fleet, so that they change
+ * nothing in it, until the configuration can use the server.
  */
 typedef struct cb_unconfigured cb_unconfigured_t;
 
@@ -21,7 +21,7 @@
 void cb_unconfigured_expire(cb_unconfigured_t *reports, int64_t now_ms,
 			    int64_t keep_ms);
 GPtrArray *cb_unconfigured_take(cb_unconfigured_t *reports,
-				cb_fleet_service_fn_t is_configured,
+				cb_fleet_check_fn_t is_configured,
 				void *user_data);
 
 #endif
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -214,12 +214,13 @@
 				  SUSPICION_REPORT_INTERVAL_MS - age_ms));
 }
 
-/* Returns whether the document in force has a service. */
-static gboolean service_is_configured_(const char *service, void *user_data)
+/* Returns whether the document in force can use the server of a report. */
+static gboolean server_is_configured_(const cb_fleet_server_t *report,
+				      void *user_data)
 {
 	const cb_front_t *front = user_data;
 
-	return front->document && cb_document_service(front->document, service);
+	return cb_fleet_document_can_use(front->document, report);
 }
 
 static void server_change_log_(const cb_fleet_server_t *server, void *user_data)
@@ -549,7 +550,7 @@
 	front->random = g_rand_new();
 	front->fleet = cb_fleet_new();
 	cb_fleet_watch(front->fleet, server_change_log_, front);
-	cb_fleet_set_service_check(front->fleet, service_is_configured_, front);
+	cb_fleet_set_check(front->fleet, server_is_configured_, front);
 	front->limits =
 		cb_rate_limits_new(front->clock, front->random, options->name,
 				   options->retry_window_ms);
--- a/src/test_libcurrantbridge/test_fleet_services.c
+++ b/src/test_libcurrantbridge/test_fleet_services.c
@@ -35,6 +35,10 @@
 	uint64_t sequence;
 	cb_fleet_state_t state;
 	cb_fleet_outcome_t outcome;
+	/* Of an engine's report; NULL: it tells no kind. */
+	const char *engine_kind;
+	uint32_t layer_to;
+	gboolean lacks_layers;
 } step_t;
 
 #define CONFIGURE(services)                                 \
@@ -45,16 +49,24 @@
 	{                           \
 		.kind = STEP_EXPIRE \
 	}
-/* The first report of the sound server. */
-#define SOUND                                                          \
-	{                                                              \
-		STEP_REPORT, "desk", "a", "x:1", 10, 1, READY, CHANGED \
+#define REPORT(service_, id_, address_, start, sequence_, state_, outcome_)    \
+	{                                                                      \
+		.kind = STEP_REPORT, .service = service_, .id = id_,           \
+		.address = address_, .start_ms = start, .sequence = sequence_, \
+		.state = state_, .outcome = outcome_                           \
 	}
-/* One that the fleet must take as an ordinary heartbeat. */
-#define SOUND_AGAIN                                                 \
-	{                                                           \
-		STEP_REPORT, "desk", "a", "x:1", 10, 2, READY, SAME \
+/* A report of the engine "e" of one start, or of another program under its ID. */
+#define ENGINE(sequence_, state_, outcome_, engine, to, lacks)               \
+	{                                                                    \
+		.kind = STEP_REPORT, .service = "model", .id = "e",          \
+		.address = "x:1", .start_ms = 10, .sequence = sequence_,     \
+		.state = state_, .outcome = outcome_, .engine_kind = engine, \
+		.layer_to = to, .lacks_layers = lacks                        \
 	}
+/* The first report of the sound server. */
+#define SOUND REPORT("desk", "a", "x:1", 10, 1, READY, CHANGED)
+/* One that the fleet must take as an ordinary heartbeat. */
+#define SOUND_AGAIN REPORT("desk", "a", "x:1", 10, 2, READY, SAME)
 #define READY CB_FLEET_READY
 #define DRAINING CB_FLEET_DRAINING
 #define GONE CB_FLEET_GONE
@@ -62,6 +74,7 @@
 #define SAME CB_FLEET_SAME
 #define STALE CB_FLEET_STALE
 #define APART CB_FLEET_UNCONFIGURED
+#define INVALID CB_FLEET_INVALID
 
 typedef struct rule_case {
 	const char *name;
@@ -73,178 +86,212 @@
 
 static const rule_case_t rule_cases[] = {
 	{ "address, later start",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    { STEP_REPORT, "other", "b", "x:1", 20, 1, READY, APART },
-	    SOUND_AGAIN },
+	  { CONFIGURE("desk"), SOUND,
+	    REPORT("other", "b", "x:1", 20, 1, READY, APART), SOUND_AGAIN },
 	  "a desk ready;",
 	  1 },
 	{ "address, later start, drains",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    { STEP_REPORT, "other", "b", "x:1", 20, 1, DRAINING, APART },
-	    SOUND_AGAIN },
+	  { CONFIGURE("desk"), SOUND,
+	    REPORT("other", "b", "x:1", 20, 1, DRAINING, APART), SOUND_AGAIN },
 	  "a desk ready;",
 	  1 },
 	{ "ID, high sequence",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    { STEP_REPORT, "other", "a", "x:1", 10, 99, READY, APART },
-	    SOUND_AGAIN },
+	  { CONFIGURE("desk"), SOUND,
+	    REPORT("other", "a", "x:1", 10, 99, READY, APART), SOUND_AGAIN },
 	  "a desk ready;",
 	  1 },
 	{ "ID, later start, other address",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    { STEP_REPORT, "other", "a", "x:2", 20, 1, READY, APART },
-	    SOUND_AGAIN },
+	  { CONFIGURE("desk"), SOUND,
+	    REPORT("other", "a", "x:2", 20, 1, READY, APART), SOUND_AGAIN },
 	  "a desk ready;",
 	  1 },
 	{ "ID, drains",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    { STEP_REPORT, "other", "a", "x:1", 10, 99, DRAINING, APART },
-	    SOUND_AGAIN },
+	  { CONFIGURE("desk"), SOUND,
+	    REPORT("other", "a", "x:1", 10, 99, DRAINING, APART), SOUND_AGAIN },
 	  "a desk ready;",
 	  1 },
 	{ "ID, gone",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    { STEP_REPORT, "other", "a", "x:1", 10, 99, GONE, APART },
-	    SOUND_AGAIN },
+	  { CONFIGURE("desk"), SOUND,
+	    REPORT("other", "a", "x:1", 10, 99, GONE, APART), SOUND_AGAIN },
 	  "a desk ready;",
 	  0 },
 	{ "ID and address before the server's first report",
 	  { CONFIGURE("desk"),
-	    { STEP_REPORT, "other", "a", "x:1", 20, 99, READY, APART },
-	    { STEP_REPORT, "other", "b", "x:1", 20, 1, READY, APART },
-	    SOUND,
+	    REPORT("other", "a", "x:1", 20, 99, READY, APART),
+	    REPORT("other", "b", "x:1", 20, 1, READY, APART), SOUND,
 	    SOUND_AGAIN },
 	  "a desk ready;",
 	  2 },
 	{ "ID and address before any configuration",
-	  { { STEP_REPORT, "other", "a", "x:1", 20, 99, READY, APART },
-	    { STEP_REPORT, "desk", "a", "x:1", 10, 1, READY, APART },
-	    { STEP_REPORT, "other", "b", "x:1", 20, 1, READY, APART },
-	    CONFIGURE("desk"),
+	  { REPORT("other", "a", "x:1", 20, 99, READY, APART),
+	    REPORT("desk", "a", "x:1", 10, 1, READY, APART),
+	    REPORT("other", "b", "x:1", 20, 1, READY, APART), CONFIGURE("desk"),
 	    SOUND_AGAIN },
 	  "a desk ready;",
 	  2 },
 	{ "a server without heartbeats isn't kept up",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    EXPIRE,
-	    { STEP_REPORT, "other", "a", "x:1", 10, 99, READY, APART } },
+	  { CONFIGURE("desk"), SOUND, EXPIRE,
+	    REPORT("other", "a", "x:1", 10, 99, READY, APART) },
 	  "a desk silent;",
 	  1 },
 	{ "kept apart until it is silent",
-	  { CONFIGURE("desk"),
-	    { STEP_REPORT, "fresh", "b", "x:2", 20, 1, READY, APART },
-	    EXPIRE,
-	    CONFIGURE("desk fresh") },
+	  { CONFIGURE("desk"), REPORT("fresh", "b", "x:2", 20, 1, READY, APART),
+	    EXPIRE, CONFIGURE("desk fresh") },
 	  "",
 	  0 },
 	{ "later configuration",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    { STEP_REPORT, "fresh", "b", "x:2", 20, 1, READY, APART },
+	  { CONFIGURE("desk"), SOUND,
+	    REPORT("fresh", "b", "x:2", 20, 1, READY, APART),
 	    CONFIGURE("desk fresh"),
-	    { STEP_REPORT, "fresh", "b", "x:2", 20, 2, READY, SAME } },
+	    REPORT("fresh", "b", "x:2", 20, 2, READY, SAME) },
 	  "a desk ready;b fresh ready;",
 	  0 },
 	{ "later configuration, address of an earlier start",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    { STEP_REPORT, "fresh", "b", "x:1", 20, 1, READY, APART },
+	  { CONFIGURE("desk"), SOUND,
+	    REPORT("fresh", "b", "x:1", 20, 1, READY, APART),
 	    CONFIGURE("desk fresh") },
 	  "a desk gone;b fresh ready;",
 	  0 },
 	{ "later configuration, address of a later start",
-	  { CONFIGURE("desk"),
-	    { STEP_REPORT, "fresh", "b", "x:1", 5, 1, READY, APART },
-	    SOUND,
-	    CONFIGURE("desk fresh"),
-	    { STEP_REPORT, "fresh", "b", "x:1", 5, 2, READY, STALE } },
+	  { CONFIGURE("desk"), REPORT("fresh", "b", "x:1", 5, 1, READY, APART),
+	    SOUND, CONFIGURE("desk fresh"),
+	    REPORT("fresh", "b", "x:1", 5, 2, READY, STALE) },
 	  "a desk ready;",
 	  0 },
 	{ "later configuration, ID of an earlier start",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    { STEP_REPORT, "fresh", "a", "x:1", 20, 1, READY, APART },
+	  { CONFIGURE("desk"), SOUND,
+	    REPORT("fresh", "a", "x:1", 20, 1, READY, APART),
 	    CONFIGURE("desk fresh") },
 	  "a fresh ready;",
 	  0 },
 	{ "later configuration, drained before it",
 	  { CONFIGURE("desk"),
-	    { STEP_REPORT, "fresh", "b", "x:2", 20, 2, DRAINING, APART },
-	    { STEP_REPORT, "fresh", "b", "x:2", 20, 1, READY, APART },
-	    { STEP_REPORT, "fresh", "b", "x:2", 20, 3, READY, APART },
+	    REPORT("fresh", "b", "x:2", 20, 2, DRAINING, APART),
+	    REPORT("fresh", "b", "x:2", 20, 1, READY, APART),
+	    REPORT("fresh", "b", "x:2", 20, 3, READY, APART),
 	    CONFIGURE("desk fresh") },
 	  "b fresh draining;",
 	  0 },
 	{ "later configuration, restarted before it",
 	  { CONFIGURE("desk"),
-	    { STEP_REPORT, "fresh", "b", "x:2", 20, 2, DRAINING, APART },
-	    { STEP_REPORT, "fresh", "b", "x:2", 21, 1, READY, APART },
+	    REPORT("fresh", "b", "x:2", 20, 2, DRAINING, APART),
+	    REPORT("fresh", "b", "x:2", 21, 1, READY, APART),
 	    CONFIGURE("desk fresh") },
 	  "b fresh ready;",
 	  0 },
 	{ "real start at an address",
-	  { CONFIGURE("desk fresh"),
-	    SOUND,
-	    { STEP_REPORT, "fresh", "b", "x:1", 20, 1, READY, CHANGED },
-	    { STEP_REPORT, "desk", "a", "x:1", 10, 2, READY, STALE } },
+	  { CONFIGURE("desk fresh"), SOUND,
+	    REPORT("fresh", "b", "x:1", 20, 1, READY, CHANGED),
+	    REPORT("desk", "a", "x:1", 10, 2, READY, STALE) },
 	  "a desk gone;b fresh ready;",
 	  0 },
 	{ "real start under an ID",
-	  { CONFIGURE("desk fresh"),
-	    SOUND,
-	    { STEP_REPORT, "fresh", "a", "x:1", 20, 1, READY, CHANGED } },
+	  { CONFIGURE("desk fresh"), SOUND,
+	    REPORT("fresh", "a", "x:1", 20, 1, READY, CHANGED) },
 	  "a fresh ready;",
 	  0 },
 	{ "service leaves the configuration, the process goes on",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    CONFIGURE("fresh"),
-	    SOUND_AGAIN,
-	    { STEP_REPORT, "desk", "a", "x:1", 10, 3, DRAINING, CHANGED } },
+	  { CONFIGURE("desk"), SOUND, CONFIGURE("fresh"), SOUND_AGAIN,
+	    REPORT("desk", "a", "x:1", 10, 3, DRAINING, CHANGED) },
 	  "a desk draining;",
 	  0 },
 	{ "service leaves the configuration, another start at the address",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    CONFIGURE("fresh"),
-	    { STEP_REPORT, "fresh", "b", "x:1", 5, 1, READY, CHANGED },
-	    { STEP_REPORT, "desk", "a", "x:1", 10, 2, READY, APART } },
+	  { CONFIGURE("desk"), SOUND, CONFIGURE("fresh"),
+	    REPORT("fresh", "b", "x:1", 5, 1, READY, CHANGED),
+	    REPORT("desk", "a", "x:1", 10, 2, READY, APART) },
 	  "a desk gone;b fresh ready;",
 	  1 },
 	{ "service leaves the configuration, another service under the ID",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    CONFIGURE("fresh"),
-	    { STEP_REPORT, "fresh", "a", "x:2", 5, 1, READY, CHANGED } },
+	  { CONFIGURE("desk"), SOUND, CONFIGURE("fresh"),
+	    REPORT("fresh", "a", "x:2", 5, 1, READY, CHANGED) },
 	  "a fresh ready;",
 	  0 },
+	{ "an engine's process without kind and layers",
+	  { CONFIGURE("model"), ENGINE(1, READY, CHANGED, "k", 8, FALSE),
+	    ENGINE(99, READY, INVALID, NULL, 0, TRUE),
+	    ENGINE(99, DRAINING, INVALID, NULL, 0, TRUE),
+	    ENGINE(2, READY, SAME, "k", 8, FALSE) },
+	  "e model k 8 ready;",
+	  0 },
+	{ "an engine's process without layers",
+	  { CONFIGURE("model"), ENGINE(1, READY, CHANGED, "k", 8, FALSE),
+	    ENGINE(99, READY, INVALID, "k", 0, TRUE),
+	    ENGINE(2, READY, SAME, "k", 8, FALSE) },
+	  "e model k 8 ready;",
+	  0 },
+	{ "an engine's process without kind",
+	  { CONFIGURE("model"), ENGINE(1, READY, CHANGED, "k", 8, FALSE),
+	    ENGINE(99, READY, INVALID, NULL, 8, FALSE),
+	    ENGINE(2, READY, SAME, "k", 8, FALSE) },
+	  "e model k 8 ready;",
+	  0 },
+	{ "an engine's process after a report without kind",
+	  { CONFIGURE("model"), ENGINE(99, READY, APART, NULL, 0, TRUE),
+	    ENGINE(1, READY, CHANGED, "k", 8, FALSE),
+	    ENGINE(2, READY, SAME, "k", 8, FALSE) },
+	  "e model k 8 ready;",
+	  1 },
+	{ "an engine gives up its layers and takes others",
+	  { CONFIGURE("model"), ENGINE(1, READY, CHANGED, "k", 8, FALSE),
+	    ENGINE(2, READY, CHANGED, "k", 0, FALSE),
+	    ENGINE(3, READY, CHANGED, "k", 4, FALSE) },
+	  "e model k 4 ready;",
+	  0 },
+	{ "an engine's later start without kind and layers",
+	  { CONFIGURE("model"), ENGINE(1, READY, CHANGED, "k", 8, FALSE),
+	    REPORT("model", "e", "x:1", 20, 1, READY, APART),
+	    ENGINE(2, READY, SAME, "k", 8, FALSE) },
+	  "e model k 8 ready;",
+	  1 },
+	{ "a later start without kind at an engine's address",
+	  { CONFIGURE("model"), ENGINE(1, READY, CHANGED, "k", 8, FALSE),
+	    REPORT("model", "f", "x:1", 20, 1, READY, APART),
+	    ENGINE(2, READY, SAME, "k", 8, FALSE) },
+	  "e model k 8 ready;",
+	  1 },
+	{ "an engine of a kind that a later configuration has",
+	  { CONFIGURE("desk"), ENGINE(1, READY, APART, "other kind", 8, FALSE),
+	    CONFIGURE("model") },
+	  "",
+	  1 },
 	{ "service leaves the configuration, a process starts",
-	  { CONFIGURE("desk"),
-	    SOUND,
-	    CONFIGURE("fresh"),
-	    { STEP_REPORT, "desk", "a", "x:1", 20, 1, READY, APART },
+	  { CONFIGURE("desk"), SOUND, CONFIGURE("fresh"),
+	    REPORT("desk", "a", "x:1", 20, 1, READY, APART),
 	    CONFIGURE("desk fresh"),
-	    { STEP_REPORT, "desk", "a", "x:1", 20, 2, READY, SAME } },
+	    REPORT("desk", "a", "x:1", 20, 2, READY, SAME) },
 	  "a desk ready;",
 	  0 },
 };
 
-/* Returns whether the space-separated list `user_data` points to has a service. */
-static gboolean service_is_listed_(const char *service, void *user_data)
+/* Makes a document of a space-separated list of services; "model" is of engines. */
+static cb_document_t *document_make_(const char *services)
 {
-	char **list = g_strsplit(*(const char **)user_data, " ", -1);
-	gboolean is_listed =
-		g_strv_contains((const char *const *)list, service);
+	cb_document_t *document = cb_document_new();
+	char **list = g_strsplit(services, " ", -1);
+	char **name;
+
+	for (name = list; *name; name++) {
+		cb_service_profile_t *service = cb_service_profile_new(*name);
+		cb_engine_kind_t *kind;
 
+		if (!strcmp(*name, "model")) {
+			kind = g_new0(cb_engine_kind_t, 1);
+			kind->name = g_strdup("k");
+			service->engine = cb_engine_profile_new();
+			service->engine->layers = 8;
+			g_ptr_array_add(service->engine->kinds, kind);
+		}
+		cb_document_add_service(document, service);
+	}
 	g_strfreev(list);
-	return is_listed;
+	return document;
+}
+
+/* Returns whether the document that `user_data` points to can use a server. */
+static gboolean report_is_usable_(const cb_fleet_server_t *report,
+				  void *user_data)
+{
+	return cb_fleet_document_can_use(*(cb_document_t **)user_data, report);
 }
 
 static cb_fleet_server_t report_make_(const step_t *step)
@@ -257,10 +304,13 @@
 		.start_wall_ms = step->start_ms,
 		.sequence = step->sequence,
 		.state = step->state,
+		.kind = (char *)step->engine_kind,
+		.layer_to = step->layer_to,
+		.lacks_layers = step->lacks_layers,
 	};
 }
 
-/* Returns "ID SERVICE STATE;" of each server. */
+/* Returns "ID SERVICE STATE;" of each server, "ID SERVICE KIND LAYERS STATE;" of engines. */
 static char *fleet_describe_(const cb_fleet_t *fleet)
 {
 	const GPtrArray *servers = cb_fleet_servers(fleet);
@@ -270,8 +320,12 @@
 	for (i = 0; i < servers->len; i++) {
 		const cb_fleet_server_t *server = servers->pdata[i];
 
-		g_string_append_printf(text, "%s %s %s;", server->id,
-				       server->service,
+		g_string_append_printf(text, "%s %s ", server->id,
+				       server->service);
+		if (server->kind)
+			g_string_append_printf(text, "%s %u ", server->kind,
+					       server->layer_to);
+		g_string_append_printf(text, "%s;",
 				       cb_fleet_state_string[server->state]);
 	}
 	return g_string_free(text, FALSE);
@@ -295,19 +349,20 @@
 static void rule_case_play_(const rule_case_t *rule_case, gboolean is_merged)
 {
 	cb_fleet_t *fleet = cb_fleet_new();
-	const char *configured = "";
+	cb_document_t *configured = NULL;
 	int64_t now_ms = 0;
 	char *described;
 	size_t i;
 
-	cb_fleet_set_service_check(fleet, service_is_listed_, &configured);
+	cb_fleet_set_check(fleet, report_is_usable_, &configured);
 	for (i = 0; i < STEPS_MAX; i++) {
 		const step_t *step = &rule_case->steps[i];
 		cb_fleet_server_t report = report_make_(step);
 
 		switch (step->kind) {
 		case STEP_CONFIGURE:
-			configured = step->service;
+			cb_document_unref(configured);
+			configured = document_make_(step->service);
 			cb_fleet_admit_configured(fleet);
 			break;
 		case STEP_EXPIRE:
@@ -316,9 +371,11 @@
 					10 * SILENCE_MS);
 			break;
 		case STEP_REPORT:
-			if (is_merged)
+			/* Records always tell layers, so that none lacks only these. */
+			if (is_merged &&
+			    !(step->lacks_layers && step->engine_kind))
 				report_merge_(fleet, step, now_ms);
-			else
+			else if (!is_merged)
 				CU_ASSERT_EQUAL(cb_fleet_update(fleet, &report,
 								now_ms),
 						step->outcome);
@@ -334,6 +391,7 @@
 	CU_ASSERT_EQUAL(cb_fleet_unconfigured_count(fleet), rule_case->apart);
 	g_free(described);
 	cb_fleet_delete(fleet);
+	cb_document_unref(configured);
 }
 
 /*
@@ -351,28 +409,22 @@
 }
 
 /* Reads a document whose text is a list of services. */
-static cb_document_t *document_make_(const cb_document_codec_t *codec,
+static cb_document_t *document_open_(const cb_document_codec_t *codec,
 				     const char *text, size_t size,
 				     GArray *route_texts, GError **error)
 {
-	cb_document_t *document = cb_document_new();
-	char *words = g_strndup(text, size);
-	char **list = g_strsplit(words, " ", -1);
-	char **name;
+	char *services = g_strndup(text, size);
+	cb_document_t *document = document_make_(services);
 
 	(void)codec;
 	(void)route_texts;
 	(void)error;
-	for (name = list; *name; name++)
-		cb_document_add_service(document,
-					cb_service_profile_new(*name));
-	g_strfreev(list);
-	g_free(words);
+	g_free(services);
 	return document;
 }
 
 static const cb_document_codec_vtable_t codec_vtable = {
-	.open = document_make_
+	.open = document_open_
 };
 static const cb_document_codec_t codec = { &codec_vtable };
 
@@ -455,8 +507,8 @@
 static void stops_of_unknown_programs_are_not_committed(void)
 {
 	static const step_t sound = SOUND;
-	static const step_t foreign = { STEP_REPORT, "other", "a",	"x:1",
-					10,	     99,      DRAINING, APART };
+	static const step_t foreign =
+		REPORT("other", "a", "x:1", 10, 99, DRAINING, APART);
 	world_t *world = world_make_();
 	size_t i;
 
@@ -474,6 +526,32 @@
 	world_delete(world);
 }
 
+/*
+ * A draining heartbeat with the ID and start of an engine, but without its kind and
+ * layers, ended the engine's use.
+ */
+static void incomplete_stops_of_engines_are_refused(void)
+{
+	static const step_t engine = ENGINE(1, READY, CHANGED, "k", 8, FALSE);
+	static const step_t incomplete =
+		ENGINE(99, DRAINING, INVALID, NULL, 0, TRUE);
+	static const step_t draining =
+		ENGINE(2, DRAINING, CHANGED, "k", 8, FALSE);
+	world_t *world = world_make_();
+
+	services_put_(world, 1, "model");
+	CU_ASSERT_EQUAL(report_send_(world, 0, &engine), CB_SUBMIT_ANSWERED);
+	CU_ASSERT_NOT_EQUAL(report_send_(world, 0, &incomplete),
+			    CB_SUBMIT_ANSWERED);
+	fleets_check_(world, "e model k 8 ready;");
+	CU_ASSERT_FALSE(cb_view_is_stopped(world->clients[0].view,
+					   CB_STOP_SERVER, "e/10"));
+	CU_ASSERT_EQUAL(report_send_(world, 0, &draining), CB_SUBMIT_ANSWERED);
+	CU_ASSERT_TRUE(cb_view_is_stopped(world->clients[0].view,
+					  CB_STOP_SERVER, "e/10"));
+	world_delete(world);
+}
+
 /*
  * A notice of leaving with another service than that of the server with its ID
  * stopped that server.
@@ -481,8 +559,8 @@
 static void notices_stop_servers_of_their_service(void)
 {
 	static const step_t sound = SOUND;
-	static const step_t apart = { STEP_REPORT, "other", "a",   "x:2",
-				      30,	   1,	    READY, APART };
+	static const step_t apart =
+		REPORT("other", "a", "x:2", 30, 1, READY, APART);
 	static const struct {
 		gboolean
 			has_apart; /* whether "other" has reported under the ID */
@@ -527,11 +605,10 @@
  */
 static void stops_wait_for_the_newest_document(void)
 {
-	static const step_t fresh = { STEP_REPORT, "fresh", "b",   "x:2",
-				      20,	   1,	    READY, APART };
-	static const step_t draining = {
-		STEP_REPORT, "fresh", "b", "x:2", 20, 2, DRAINING, APART
-	};
+	static const step_t fresh =
+		REPORT("fresh", "b", "x:2", 20, 1, READY, APART);
+	static const step_t draining =
+		REPORT("fresh", "b", "x:2", 20, 2, DRAINING, APART);
 	static const gboolean is_notice[] = { FALSE, TRUE };
 	size_t i;
 
@@ -565,11 +642,10 @@
 /* A stop of a server whose service is not configured holds when it becomes so. */
 static void stopped_servers_of_later_services_stay_stopped(void)
 {
-	static const step_t fresh = { STEP_REPORT, "fresh", "b",   "x:2",
-				      20,	   1,	    READY, APART };
-	static const step_t draining = {
-		STEP_REPORT, "fresh", "b", "x:2", 20, 2, DRAINING, APART
-	};
+	static const step_t fresh =
+		REPORT("fresh", "b", "x:2", 20, 1, READY, APART);
+	static const step_t draining =
+		REPORT("fresh", "b", "x:2", 20, 2, DRAINING, APART);
 	static const gboolean is_notice[] = { FALSE, TRUE };
 	size_t i;
 
@@ -603,8 +679,8 @@
  */
 static void records_of_unconfigured_services_are_removed(void)
 {
-	static const step_t fresh = { STEP_REPORT, "fresh", "b",   "x:2",
-				      20,	   1,	    READY, CHANGED };
+	static const step_t fresh =
+		REPORT("fresh", "b", "x:2", 20, 1, READY, CHANGED);
 	world_t *world = world_make_();
 	size_t i;
 
@@ -630,6 +706,8 @@
 	  reports_change_the_fleet_by_their_service },
 	{ "stops_of_unknown_programs_are_not_committed",
 	  stops_of_unknown_programs_are_not_committed },
+	{ "incomplete_stops_of_engines_are_refused",
+	  incomplete_stops_of_engines_are_refused },
 	{ "notices_stop_servers_of_their_service",
 	  notices_stop_servers_of_their_service },
 	{ "stops_wait_for_the_newest_document",
--- a/test/platform/test_platform.c
+++ b/test/platform/test_platform.c
@@ -553,6 +553,32 @@
 	}
 }
 
+/* A heartbeat without layers differs from one that tells that none are loaded. */
+static void heartbeats_without_layers_are_told_apart(void)
+{
+	static const struct {
+		const char *text;
+		gboolean lacks_layers;
+	} cases[] = {
+		{ HEARTBEAT_READY "\"sequence\":4}", TRUE },
+		{ HEARTBEAT_READY "\"sequence\":4,\"layers\":null}", FALSE },
+		{ HEARTBEAT_READY
+		  "\"sequence\":4,\"layers\":{\"from\":0,\"to\":9}}",
+		  FALSE },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cb_fleet_server_t server;
+
+		CU_ASSERT_TRUE(platform_heartbeat_read("i-1", cases[i].text,
+						       strlen(cases[i].text),
+						       &server, NULL));
+		CU_ASSERT_EQUAL(server.lacks_layers, cases[i].lacks_layers);
+		platform_heartbeat_clear(&server);
+	}
+}
+
 /* The body of a notice of leaving may be empty; one that is odd is refused. */
 static void invalid_notices_of_leaving_are_rejected(void)
 {
@@ -1394,6 +1420,8 @@
 	{ "documents_are_decoded_in_steps", documents_are_decoded_in_steps },
 	{ "document_fields_are_decoded", document_fields_are_decoded },
 	{ "invalid_heartbeats_are_rejected", invalid_heartbeats_are_rejected },
+	{ "heartbeats_without_layers_are_told_apart",
+	  heartbeats_without_layers_are_told_apart },
 	{ "invalid_notices_of_leaving_are_rejected",
 	  invalid_notices_of_leaving_are_rejected },
 	{ "accepted_documents_stay_readable",
