--- a/src/test_libcurrantbridge/test_relay.c
+++ b/src/test_libcurrantbridge/test_relay.c
@@ -1165,6 +1165,59 @@
 	support_relay_clear(&fixture);
 }
 
+/*
+ * A control instance of an earlier build sends entry instances the records of other
+ * programs, whose service no document has.  They take neither the address nor the ID
+ * of a server.
+ */
+static void records_of_unconfigured_services_take_no_server(void)
+{
+	static const relay_script_t script = { COMPLETE_ANSWER, END_KEEP };
+	static const gboolean has_server_id[] = { FALSE, TRUE };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(has_server_id); i++) {
+		cb_fleet_t *sender = cb_fleet_new();
+		relay_fixture_t fixture;
+		unsigned int server;
+		GBytes *records;
+
+		support_relay_init(&fixture, TRUE);
+		for (server = 0; server < SERVER_COUNT; server++) {
+			char *id =
+				g_strdup_printf(has_server_id[i] ? "server%u" :
+								   "agent%u",
+						server);
+			char *address =
+				support_relay_server_address(&fixture, server);
+			const cb_fleet_server_t foreign = {
+				.id = id,
+				.service = (char *)"other",
+				.address = address,
+				.data_centre = (char *)"dc1",
+				.start_wall_ms = 1000000,
+				.sequence = 1000,
+				.slots = 1,
+			};
+
+			cb_fleet_update(sender, &foreign, 0);
+			g_free(address);
+			g_free(id);
+		}
+		records = cb_fleet_encode(sender, CB_FLEET_ALL, 0);
+		CU_ASSERT_TRUE(
+			cb_fleet_merge(fixture.front->fleet, records,
+				       cb_clock_now_ms(fixture.world->clock)));
+		fixture.scripts = &script;
+		fixture.script_count = 1;
+		support_relay_request_send(&fixture, ONCE_REQUEST);
+		CU_ASSERT_TRUE(support_relay_run_until(&fixture, 0, "ok"));
+		g_bytes_unref(records);
+		cb_fleet_delete(sender);
+		support_relay_clear(&fixture);
+	}
+}
+
 static CU_TestInfo relay_tests[] = {
 	{ "answers_report_what_servers_did", answers_report_what_servers_did },
 	{ "answer_broken_off_in_its_head_is_no_success",
@@ -1207,6 +1260,8 @@
 	  stop_leaves_no_request_without_answer },
 	{ "pipelined_requests_do_not_exhaust_stack",
 	  pipelined_requests_do_not_exhaust_stack },
+	{ "records_of_unconfigured_services_take_no_server",
+	  records_of_unconfigured_services_take_no_server },
 	{ "lack_of_descriptors_is_held_against_no_server",
 	  lack_of_descriptors_is_held_against_no_server },
 	CU_TEST_INFO_NULL
