--- a/src/libcurrantbridge/backend/placer.c
+++ b/src/libcurrantbridge/backend/placer.c
@@ -45,6 +45,11 @@
  * timeout after which it counts as lost: stalled streams wait for its layers.
  */
 #define SUSPECT_REPORT_TIMEOUT_MS 300
+/*
+ * An order or a report request without an answer ends after this time: engines
+ * answer at once, also if they carry an order out for long.
+ */
+#define CALL_TIMEOUT_MS 2000
 /* Delay before the next call to a server that refused or did not answer. */
 #define CALL_RETRY_DELAY_MS 500
 
@@ -64,6 +69,9 @@
 	gboolean is_order_pending;
 	/* Whether an order or a report request waits for its answer. */
 	gboolean is_call_in_flight;
+	int64_t called_ms;	 /* time of the last order or report request */
+	gboolean is_call_order;	 /* whether the call in flight is an order */
+	gboolean is_call_unmade; /* whether it is one with CB_REPORT_UNMADE */
 	gboolean is_order_count_known; /* whether `accepted_orders` is known */
 	/*
 	 * Whether the state was removed from `engine_states` while a call was
@@ -245,6 +253,15 @@
 	g_free(id);
 }
 
+/* Records that an order or a report request was sent. */
+static void call_begin_(engine_state_t *state, gboolean is_order)
+{
+	state->is_call_in_flight = TRUE;
+	state->is_call_order = is_order;
+	state->is_call_unmade = FALSE;
+	state->called_ms = cb_clock_now_ms(state->placer->clock);
+}
+
 /*
  * Called with a server's report, NULL if there was no answer.  A call that this
  * process could not make shows nothing: it stays in flight until its time is over.
@@ -255,8 +272,10 @@
 	engine_state_t *state = user_data;
 	cb_placer_t *placer = state->placer;
 
-	if (result == CB_REPORT_UNMADE && !state->is_removed)
+	if (result == CB_REPORT_UNMADE && !state->is_removed) {
+		state->is_call_unmade = TRUE;
 		return;
+	}
 	state->is_call_in_flight = FALSE;
 	if (state->is_removed) {
 		engine_state_free_(state);
@@ -324,12 +343,47 @@
 	state->is_order_count_known = FALSE;
 }
 
+/*
+ * Ends a call that has got no answer in time.  An order may still be carried out:
+ * the number of orders that it expects lets the server accept it only once.
+ */
+static void late_call_end_(engine_state_t *state)
+{
+	cb_engine_orders_t *orders = state->placer->orders;
+
+	if (!state->is_call_in_flight ||
+	    cb_clock_now_ms(state->placer->clock) - state->called_ms <
+		    CALL_TIMEOUT_MS)
+		return;
+	if (state->is_call_unmade) {
+		state->is_call_in_flight = FALSE;
+		state->is_routine_report = FALSE;
+		return;
+	}
+	orders->vtable->cancel(orders, state);
+	if (state->is_call_order)
+		order_answer_receive_(CB_ORDER_LOST, state);
+	else
+		report_receive_(CB_REPORT_TIMEOUT, NULL, state);
+}
+
+/* Ends the calls to all engines that have got no answer in time. */
+static void late_calls_end_(cb_placer_t *placer)
+{
+	GHashTableIter iter;
+	void *state;
+
+	g_hash_table_iter_init(&iter, placer->engine_states);
+	while (g_hash_table_iter_next(&iter, NULL, &state))
+		late_call_end_(state);
+}
+
 /* Requests a report from a server. */
 static void report_request_(cb_placer_t *placer, engine_state_t *state,
 			    const char *address)
 {
-	state->is_call_in_flight = TRUE;
-	state->report_requested_ms = cb_clock_now_ms(placer->clock);
+	call_begin_(state, FALSE);
+	state->report_requested_ms = state->called_ms;
 	placer->orders->vtable->report(placer->orders, address, report_receive_,
 				       state);
 }
@@ -351,8 +405,8 @@
 	state->ordered_from = move->from;
 	state->ordered_to = move->to;
 	state->is_order_pending = TRUE;
-	state->is_call_in_flight = TRUE;
-	state->ordered_ms = cb_clock_now_ms(placer->clock);
+	call_begin_(state, TRUE);
+	state->ordered_ms = state->called_ms;
 	cb_log_event(placer->log, CB_EVENT_LAYERS_ORDERED,
 		     CB_STR("server", state->start),
 		     CB_STR("address", server->address),
@@ -688,6 +742,7 @@
 		return;
 	}
 	term_update_(placer);
+	late_calls_end_(placer);
 	document_update_(placer);
 	if (!placer->document)
 		return;
--- a/src/test_libcurrantbridge/test_placer.c
+++ b/src/test_libcurrantbridge/test_placer.c
@@ -39,6 +39,12 @@
 	unsigned int outcome_count;
 	/* Whether an order with outcome LOST is carried out nevertheless. */
 	gboolean executes_lost_orders;
+	/* The first orders, and the next reports, that are never answered. */
+	unsigned int unanswered_orders;
+	unsigned int unanswered_reports;
+	/* Reports that the process can't ask for, see CB_REPORT_UNMADE. */
+	unsigned int unmade_reports;
+	unsigned int cancelled_calls;
 } fixture_t;
 
 /* An order to hold layers, as an engine received it. */
@@ -78,7 +84,8 @@
 		fixture->engines[engine].to = order->to;
 		fixture->engines[engine].accepted_orders++;
 	}
-	done(outcome, user_data);
+	if (fixture->received_orders->len > fixture->unanswered_orders)
+		done(outcome, user_data);
 }
 
 static void report_send_(cb_engine_orders_t *orders, const char *address,
@@ -94,15 +101,27 @@
 	};
 
 	fixture->report_count++;
-	if (fixture->engines[engine].is_dead)
+	if (fixture->unanswered_reports) {
+		fixture->unanswered_reports--;
+	} else if (fixture->unmade_reports) {
+		fixture->unmade_reports--;
+		done(CB_REPORT_UNMADE, NULL, user_data);
+	} else if (fixture->engines[engine].is_dead)
 		done(CB_REPORT_FAILED, NULL, user_data);
 	else
 		done(CB_REPORT_ANSWERED, &report, user_data);
 }
 
+static void call_cancel_(cb_engine_orders_t *orders, const void *user_data)
+{
+	(void)user_data;
+	((fixture_t *)orders)->cancelled_calls++;
+}
+
 static const cb_engine_orders_vtable_t orders_vtable = {
 	.place = order_receive_,
 	.report = report_send_,
+	.cancel = call_cancel_,
 };
 
 /* Returns one fixed document, with service "s" and its engine profile. */
@@ -322,6 +341,57 @@
 	}
 }
 
+/*
+ * An engine that left an order or a report without an answer got no order any more.
+ * Calls without an answer end after some time, and the engine is called again.
+ */
+static void unanswered_calls_are_repeated(void)
+{
+	static const struct {
+		unsigned int unanswered_orders;
+		gboolean executes_lost_orders;
+		unsigned int unanswered_reports;
+		unsigned int unmade_reports;
+		/* calls that are dropped, at least */
+		unsigned int min_cancelled;
+	} cases[] = {
+		{ 1, FALSE, 0, 0, 1 },	     { 1, TRUE, 0, 0, 1 },
+		{ ENGINES, FALSE, 0, 0, 1 }, { ENGINES, TRUE, 0, 0, 1 },
+		{ 0, FALSE, 1, 0, 1 },	     { 0, FALSE, ENGINES, 0, ENGINES },
+		{ 0, FALSE, 0, 1, 0 },	     { 0, FALSE, 0, ENGINES, 0 },
+		{ 1, FALSE, ENGINES, 0, 2 },
+	};
+	static const cb_order_outcome_t lost[ENGINES] = {
+		CB_ORDER_LOST, CB_ORDER_LOST, CB_ORDER_LOST, CB_ORDER_LOST
+	};
+	size_t n;
+	unsigned int i;
+
+	for (n = 0; n < G_N_ELEMENTS(cases); n++) {
+		fixture_t fixture;
+
+		fixture_init_(&fixture, TRUE);
+		fixture.outcomes = lost;
+		fixture.outcome_count = cases[n].unanswered_orders;
+		fixture.executes_lost_orders = cases[n].executes_lost_orders;
+		fixture.unanswered_orders = cases[n].unanswered_orders;
+		seconds_run_(&fixture, 15);
+		CU_ASSERT_TRUE(all_layers_are_held_(&fixture));
+		for (i = 0; i < ENGINES; i++)
+			CU_ASSERT_EQUAL(fixture.engines[i].accepted_orders, 1);
+		/* Reports are asked for; then a dead engine's layers move. */
+		fixture.unanswered_reports = cases[n].unanswered_reports;
+		fixture.unmade_reports = cases[n].unmade_reports;
+		seconds_run_(&fixture, 3);
+		fixture.engines[1].is_dead = TRUE;
+		seconds_run_(&fixture, 10);
+		CU_ASSERT_TRUE(all_layers_are_held_(&fixture));
+		CU_ASSERT_TRUE(fixture.cancelled_calls >=
+			       cases[n].min_cancelled);
+		fixture_clear_(&fixture);
+	}
+}
+
 /* Guards against layers that only a very slow engine holds. */
 static void slow_engines_are_replaced(void)
 {
@@ -450,6 +520,7 @@
 	{ "nothing_is_ordered_without_a_document",
 	  nothing_is_ordered_without_a_document },
 	{ "failed_orders_are_retried", failed_orders_are_retried },
+	{ "unanswered_calls_are_repeated", unanswered_calls_are_repeated },
 	{ "slow_engines_are_replaced", slow_engines_are_replaced },
 	{ "gauge_shows_missing_layers", gauge_shows_missing_layers },
 	{ "dead_suspected_engines_are_replaced_early",
