--- a/src/libcurrantbridge/include/private/front.h
+++ b/src/libcurrantbridge/include/private/front.h
@@ -53,6 +53,8 @@
 	uint16_t peer_port;
 	GHashTable *peers;	      /* name to record of another instance */
 	unsigned int forwarded_count; /* requests of others in progress */
+	/* Newest document by which another instance handled a forwarded request. */
+	int64_t newest_version_seen;
 	cb_http1_client_t *client;
 	cb_engine_orders_t *orders;
 	cb_engine_reports_t *reports;
@@ -112,6 +114,7 @@
 		    gboolean is_forwarded);
 /* Returns how long ago the document in force came, in ms; -1 without one. */
 int64_t cb_front_document_age_ms(const cb_front_t *front);
+gboolean cb_front_has_current_document(const cb_front_t *front);
 /* Reports the usage of servers to control soon, not at the next interval. */
 void cb_front_report_usage_soon(cb_front_t *front);
 /* Retries the waiting requests; `user_data` is the cb_front_t. */
--- a/src/libcurrantbridge/include/private/relay.h
+++ b/src/libcurrantbridge/include/private/relay.h
@@ -84,6 +84,8 @@
 	char *forwarded_from;
 	int64_t forwarded_version;
 	unsigned int forwarded_runs;
+	/* The forwarding instance reads the version by which it is handled here. */
+	gboolean is_version_wanted;
 	gboolean is_counted_as_forwarded; /* in the front's forwarded_count */
 	/* When the next attempt may be sent; 0: at once. */
 	int64_t next_send_ms;
--- a/src/libcurrantbridge/include/private/relay_forward.h
+++ b/src/libcurrantbridge/include/private/relay_forward.h
@@ -29,9 +29,16 @@
 
 /* The header lines of an answer to another instance, with their ends. */
 const char *cb_relay_forward_outcome_line(cb_forward_outcome_t outcome);
+/*
+ * Appends the header lines of the answer to a forwarded request: the outcome, and the
+ * version of the document by which it was handled if the other instance reads that.
+ */
+void cb_relay_forward_append_lines(const struct cb_relay *relay,
+				   cb_forward_outcome_t outcome,
+				   GString *headers);
 /* Reads the outcome from an answer's head. */
 cb_forward_outcome_t cb_relay_forward_read_outcome(const cb_http1_head_t *head);
-/* Returns whether a header carries the outcome, and is no server's. */
+/* Returns whether a header is one between instances, and no server's. */
 gboolean cb_relay_forward_is_own_header(const char *name);
 /*
  * Returns the outcome of a forwarded request that this instance refuses for
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -56,6 +56,18 @@
 						 front->decode_start_ms));
 }
 
+/*
+ * Returns whether new requests may be handled by the document in force: a quorum has
+ * confirmed the view, and no request that this instance forwarded was handled by a
+ * newer document.
+ */
+gboolean cb_front_has_current_document(const cb_front_t *front)
+{
+	return front->document &&
+	       front->document->version >= front->newest_version_seen &&
+	       cb_control_client_is_confirmed(front->control);
+}
+
 /* Returns how long ago the document in force came, in ms; -1 without one. */
 int64_t cb_front_document_age_ms(const cb_front_t *front)
 {
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -271,9 +271,8 @@
 				       (int)(retry_after_ms / 1000),
 				       (int)(retry_after_ms % 1000));
 	if (relay->forwarded_from)
-		g_string_append(headers,
-				cb_relay_forward_outcome_line(
-					error_outcome_find_(relay, reason)));
+		cb_relay_forward_append_lines(
+			relay, error_outcome_find_(relay, reason), headers);
 	cb_http1_exchange_reply(exchange, status, headers->str, body,
 				strlen(body));
 	g_string_free(headers, TRUE);
@@ -683,9 +682,7 @@
 {
 	cb_front_t *front = relay->front;
 
-	if (!relay->route &&
-	    (!front->document ||
-	     !cb_control_client_is_confirmed(front->control))) {
+	if (!relay->route && !cb_front_has_current_document(front)) {
 		if (relay->forwarded_from)
 			request_refuse_(relay, 503, "not_configured");
 		else
--- a/src/libcurrantbridge/relay/relay_attempt.c
+++ b/src/libcurrantbridge/relay/relay_attempt.c
@@ -307,9 +307,8 @@
 					       header->value);
 	}
 	if (relay->forwarded_from)
-		g_string_append(relay->answer_headers,
-				cb_relay_forward_outcome_line(
-					CB_FORWARD_ANSWERED));
+		cb_relay_forward_append_lines(relay, CB_FORWARD_ANSWERED,
+					      relay->answer_headers);
 }
 
 /*
--- a/src/libcurrantbridge/relay/relay_forward.c
+++ b/src/libcurrantbridge/relay/relay_forward.c
@@ -8,6 +8,11 @@
 /* Header of a forwarded request: "INSTANCE VERSION RUNS". */
 #define FORWARD_HEADER "Currantbridge-Forwarded"
 #define OUTCOME_HEADER "Currantbridge-Outcome"
+/*
+ * In a forwarded request: its answer may say the version of the document by which
+ * it was handled; in that answer: the version.
+ */
+#define VERSION_HEADER "Currantbridge-Version"
 /* How long an instance that could not serve a request is not chosen again. */
 #define AVOID_MS 1000
 /* A request is sent to so many other instances at most. */
@@ -68,10 +73,38 @@
 	return CB_FORWARD_MALFORMED;
 }
 
+void cb_relay_forward_append_lines(const cb_relay_t *relay,
+				   cb_forward_outcome_t outcome,
+				   GString *headers)
+{
+	g_string_append(headers, outcome_line[outcome]);
+	if (relay->is_version_wanted && relay->document)
+		g_string_append_printf(headers,
+				       VERSION_HEADER ": %" G_GINT64_FORMAT
+						      "\r\n",
+				       relay->document->version);
+}
+
+/*
+ * Reads the version of the document by which another instance has handled a request:
+ * this instance must not handle later ones by an older document.
+ */
+static void answer_version_read_(cb_front_t *front, const cb_http1_head_t *head)
+{
+	const char *text = cb_http1_head_find(head, VERSION_HEADER);
+	guint64 version;
+
+	if (text &&
+	    g_ascii_string_to_unsigned(text, 10, 0, G_MAXINT64, &version, NULL))
+		front->newest_version_seen =
+			MAX(front->newest_version_seen, (int64_t)version);
+}
+
 /* Returns whether a header is one of those between instances. */
 gboolean cb_relay_forward_is_own_header(const char *name)
 {
-	return !g_ascii_strcasecmp(name, OUTCOME_HEADER);
+	return !g_ascii_strcasecmp(name, OUTCOME_HEADER) ||
+	       !g_ascii_strcasecmp(name, VERSION_HEADER);
 }
 
 /* Returns whether another instance may run what is refused for a reason. */
@@ -116,6 +149,8 @@
 					      &version, NULL) &&
 		   g_ascii_string_to_unsigned(words[2], 10, 0, G_MAXUINT16,
 					      &runs, NULL);
+	relay->is_version_wanted =
+		cb_http1_head_find(head, VERSION_HEADER) != NULL;
 	if (is_valid) {
 		relay->forwarded_from = g_strdup(words[0]);
 		relay->forwarded_version = (int64_t)version;
@@ -223,6 +258,7 @@
 	relay->forward_outcome = cb_relay_forward_read_outcome(head);
 	if (relay->forward_outcome == CB_FORWARD_MALFORMED)
 		return FALSE;
+	answer_version_read_(front, head);
 	relay->status = head->status;
 	relay->framing = head->framing;
 	relay->unused_body_bytes = 0;
@@ -254,8 +290,9 @@
 	const cb_http1_head_t *head = cb_http1_exchange_head(relay->exchange);
 	char *address = peer_address_new_(front, instance);
 	char *lines = g_strdup_printf("Connection: " FORWARD_HEADER
-				      "\r\n" FORWARD_HEADER
-				      ": %s %" G_GINT64_FORMAT " %u\r\n",
+				      ", " VERSION_HEADER "\r\n" FORWARD_HEADER
+				      ": %s %" G_GINT64_FORMAT
+				      " %u\r\n" VERSION_HEADER ": wanted\r\n",
 				      front->name, relay->document->version,
 				      relay->run_count);
 	const cb_relay_forward_info_t info = {
--- a/src/test_libcurrantbridge/test_relay_forward.c
+++ b/src/test_libcurrantbridge/test_relay_forward.c
@@ -109,6 +109,46 @@
 		case_play_(&forward_cases[i]);
 }
 
+/*
+ * An answer to another instance says the version of the document only if that one
+ * reads it, and no server gets the request for it.
+ */
+static void answer_says_its_version_if_it_is_wanted(void)
+{
+	static const struct {
+		const char *request;
+		gboolean has_version;
+	} cases[] = {
+		{ FORWARDED("entry2 1 0"), FALSE },
+		{ "GET /safe/a HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: k\r\n"
+		  "Left: 2000\r\n"
+		  "Connection: Currantbridge-Forwarded, Currantbridge-Version\r\n"
+		  "Currantbridge-Forwarded: entry2 1 0\r\n"
+		  "Currantbridge-Version: wanted\r\n\r\n",
+		  TRUE },
+	};
+	static const relay_script_t script = { COMPLETE_ANSWER, END_KEEP };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		relay_fixture_t fixture;
+
+		support_relay_init(&fixture, TRUE);
+		fixture.scripts = &script;
+		fixture.script_count = 1;
+		support_relay_forwarded_send(&fixture, cases[i].request);
+		CU_ASSERT_TRUE(support_relay_run_until(&fixture, 0, "ok"));
+		CU_ASSERT_EQUAL(strstr(fixture.answer->str,
+				       "\r\nCurrantbridge-Version: 1\r\n") !=
+					NULL,
+				cases[i].has_version);
+		CU_ASSERT_EQUAL_FATAL(fixture.requests->len, 1);
+		CU_ASSERT_PTR_NULL(
+			strstr(fixture.requests->pdata[0], "Currantbridge"));
+		support_relay_clear(&fixture);
+	}
+}
+
 /* Guards against callers that reach what is meant for instances only. */
 static void caller_can_not_forward(void)
 {
@@ -250,45 +290,66 @@
 	{ "has no room", { PEER_REFUSAL("503", "not_run"), PEER_REST } },
 };
 
-static gboolean unserved_case_play_(const unserved_case_t *c)
+/* Starts the other instances and a fixture that may forward to them. */
+static void peers_start_(peers_t *peers, relay_fixture_t *fixture)
+{
+	peers->poller = cb_poller_new(NULL);
+	peers->streams = g_ptr_array_new_with_free_func(peer_connection_free_);
+	peers->listener = cb_stream_listen(peers->poller, "127.0.0.1:0",
+					   peer_accept_, peers, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(peers->listener);
+	support_relay_init_with_peers(fixture, 2,
+				      cb_stream_listener_port(peers->listener));
+}
+
+/* Stops both. */
+static void peers_stop_(peers_t *peers, relay_fixture_t *fixture)
+{
+	support_relay_clear(fixture);
+	cb_stream_unlisten(peers->listener);
+	g_ptr_array_unref(peers->streams);
+	cb_poller_delete(peers->poller);
+}
+
+/*
+ * Begins a stream whose server ends and breaks off within an event; the stream is
+ * forwarded then.  Runs until its second event or its end.
+ */
+static void begun_stream_forward_(relay_fixture_t *fixture)
 {
 	static const relay_script_t scripts[] = { { FIRST_EVENT, END_HOLD } };
+	unsigned int i;
+
+	fixture->scripts = scripts;
+	fixture->script_count = G_N_ELEMENTS(scripts);
+	support_relay_request_send(fixture, REQUEST("POST", "/stream/",
+						    "Content-Length: 0\r\n"));
+	CU_ASSERT_TRUE(support_relay_run_until(fixture, 0, EVENT_1));
+	for (i = 0; i < SERVER_COUNT; i++)
+		cb_stream_unlisten(g_steal_pointer(&fixture->listeners[i]));
+	support_relay_answer_continue(fixture, 0, "4\r\nid: \r\n0\r\n\r\n");
+	for (i = 0; i < 150 && !fixture->caller_ended &&
+		    !strstr(fixture->answer->str, EVENT_2);
+	     i++)
+		support_relay_pass_time(fixture, 10);
+}
+
+static gboolean unserved_case_play_(const unserved_case_t *c)
+{
 	peers_t peers = { .answers = c->answers,
 			  .answer_count = G_N_ELEMENTS(c->answers) };
 	relay_fixture_t fixture;
 	gboolean is_whole;
-	unsigned int i;
 
-	peers.poller = cb_poller_new(NULL);
-	peers.streams = g_ptr_array_new_with_free_func(peer_connection_free_);
-	peers.listener = cb_stream_listen(peers.poller, "127.0.0.1:0",
-					  peer_accept_, &peers, NULL);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(peers.listener);
-	support_relay_init_with_peers(&fixture, 2,
-				      cb_stream_listener_port(peers.listener));
-	fixture.scripts = scripts;
-	fixture.script_count = G_N_ELEMENTS(scripts);
-	support_relay_request_send(&fixture, REQUEST("POST", "/stream/",
-						     "Content-Length: 0\r\n"));
-	CU_ASSERT_TRUE(support_relay_run_until(&fixture, 0, EVENT_1));
-	for (i = 0; i < SERVER_COUNT; i++)
-		cb_stream_unlisten(g_steal_pointer(&fixture.listeners[i]));
-	/* The server breaks its answer off within an event. */
-	support_relay_answer_continue(&fixture, 0, "4\r\nid: \r\n0\r\n\r\n");
-	for (i = 0; i < 150 && !fixture.caller_ended &&
-		    !strstr(fixture.answer->str, EVENT_2);
-	     i++)
-		support_relay_pass_time(&fixture, 10);
+	peers_start_(&peers, &fixture);
+	begun_stream_forward_(&fixture);
 	is_whole = strstr(fixture.answer->str, EVENT_1) &&
 		   strstr(fixture.answer->str, EVENT_2);
 	if (!is_whole)
 		printf("    %s: %u taken, ended %d: %s\n", c->description,
 		       peers.taken_count, fixture.caller_ended,
 		       fixture.answer->str);
-	support_relay_clear(&fixture);
-	cb_stream_unlisten(peers.listener);
-	g_ptr_array_unref(peers.streams);
-	cb_poller_delete(peers.poller);
+	peers_stop_(&peers, &fixture);
 	return is_whole;
 }
 
@@ -301,6 +362,49 @@
 		CU_ASSERT_TRUE(unserved_case_play_(&unserved_cases[i]));
 }
 
+#define PEER_ANSWER_OF(version)                                              \
+	"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: x\r\n"                            \
+	"Currantbridge-Outcome: answered\r\nCurrantbridge-Version: " version \
+	"\r\nTransfer-Encoding: chunked\r\n\r\n" LAST_EVENT
+
+/*
+ * An instance forwarded requests by turns to instances with a newer and an older
+ * document.  Once one was handled by a newer document than its own, it handles none
+ * until it has that one.
+ */
+static void no_request_is_handled_by_an_older_document(void)
+{
+	static const struct {
+		const char *answer;
+		gboolean is_outdated;
+	} cases[] = {
+		{ PEER_ANSWER_OF("2"), TRUE },	{ PEER_ANSWER_OF("1"), FALSE },
+		{ PEER_ANSWER_OF("0"), FALSE }, { PEER_ANSWER_OF("x"), FALSE },
+		{ PEER_REST, FALSE },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *const answers[] = { cases[i].answer };
+		peers_t peers = { .answers = answers, .answer_count = 1 };
+		relay_fixture_t fixture;
+
+		peers_start_(&peers, &fixture);
+		begun_stream_forward_(&fixture);
+		CU_ASSERT_PTR_NOT_NULL(strstr(fixture.answer->str, EVENT_2));
+		CU_ASSERT_PTR_NULL(
+			strstr(fixture.answer->str, "Currantbridge"));
+		CU_ASSERT_EQUAL(!cb_front_has_current_document(fixture.front),
+				cases[i].is_outdated);
+		support_relay_request_send(&fixture, ONCE_REQUEST);
+		support_relay_pass_time(&fixture, 1500);
+		CU_ASSERT_EQUAL(strstr(fixture.answer->str,
+				       "\"reason\":\"not_configured\"") != NULL,
+				cases[i].is_outdated);
+		peers_stop_(&peers, &fixture);
+	}
+}
+
 /* Guards against a begun stream that is cut sooner than it waits for a server. */
 static void begun_stream_waits_for_a_retry_to_be_forwarded(void)
 {
@@ -336,6 +440,10 @@
 		  instance_that_runs_nothing_says_so_of_a_repeat },
 		{ "begun_stream_goes_on_after_an_instance_that_does_not_run_it",
 		  begun_stream_goes_on_after_an_instance_that_does_not_run_it },
+		{ "answer_says_its_version_if_it_is_wanted",
+		  answer_says_its_version_if_it_is_wanted },
+		{ "no_request_is_handled_by_an_older_document",
+		  no_request_is_handled_by_an_older_document },
 		{ "begun_stream_waits_for_a_retry_to_be_forwarded",
 		  begun_stream_waits_for_a_retry_to_be_forwarded },
 		CU_TEST_INFO_NULL,
