--- a/test/platform/support_programs.c
+++ b/test/platform/support_programs.c
@@ -207,3 +207,36 @@
 	support_daemon_start(daemon);
 	return daemon;
 }
+
+char *support_controls_start(support_group_t *group, int count,
+			     int internal_port, int64_t heartbeat_ms,
+			     support_daemon_t **daemons, char **addresses)
+{
+	GString *seeds = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < count; i++) {
+		addresses[i] = g_strdup_printf("127.0.0.%d:%d", i + 2,
+					       (int)support_free_port());
+		g_string_append_printf(seeds, "%s\"%s\"", i ? "," : "",
+				       addresses[i]);
+	}
+	for (i = 0; i < count; i++) {
+		char *name = g_strdup_printf("c%d", i);
+		char *ip = g_strdup_printf("127.0.0.%d", i + 2);
+		GString *settings =
+			support_program_settings(name, ip, internal_port,
+						 seeds->str, heartbeat_ms);
+
+		g_string_append_printf(settings,
+				       ",\"first_start\":true,"
+				       "\"listen_control\":\"%s\","
+				       "\"data_folder\":\"%s/%s\"",
+				       addresses[i], group->folder, name);
+		daemons[i] = support_program_start(group, "cb-platform-control",
+						   name, settings);
+		g_free(name);
+		g_free(ip);
+	}
+	return g_string_free(seeds, FALSE);
+}
--- a/test/platform/support_programs.h
+++ b/test/platform/support_programs.h
@@ -44,6 +44,14 @@
 					     const char *program,
 					     const char *name,
 					     GString *settings);
+/*
+ * Starts `count` control instances, "c0" at 127.0.0.2 and so on, as the seeds of a new
+ * group.  Sets the daemons and the addresses of their APIs, to be freed.  Returns the
+ * list of seeds for the settings of other programs, to be freed.
+ */
+char *support_controls_start(support_group_t *group, int count,
+			     int internal_port, int64_t heartbeat_ms,
+			     support_daemon_t **daemons, char **addresses);
 /*
  * Builds a commit of this repository, unless that was done before, and returns the
  * folder with its programs, to be freed.  Without the commit in the history it
--- a/test/platform/test_programs.c
+++ b/test/platform/test_programs.c
@@ -190,40 +190,17 @@
 /* Starts the programs; the control instances are the seeds of all of them. */
 static void fixture_init_(fixture_t *fixture)
 {
-	GString *seeds = g_string_new(NULL);
 	uint16_t internal_port = support_free_port();
+	char *seeds;
 	GString *settings;
-	int i;
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->group = support_group_new(0, NULL);
 	server_start_(&fixture->server);
-	for (i = 0; i < CONTROL_COUNT; i++) {
-		fixture->control_addresses[i] =
-			g_strdup_printf("127.0.0.%d:%d", i + 2,
-					(int)support_free_port());
-		g_string_append_printf(seeds, "%s\"%s\"", i ? "," : "",
-				       fixture->control_addresses[i]);
-	}
-	for (i = 0; i < CONTROL_COUNT; i++) {
-		char *name = g_strdup_printf("c%d", i);
-		char *ip = g_strdup_printf("127.0.0.%d", i + 2);
-
-		settings = support_program_settings(name, ip, internal_port,
-						    seeds->str, HEARTBEAT_MS);
-		g_string_append_printf(settings,
-				       ",\"first_start\":true,"
-				       "\"listen_control\":\"%s\","
-				       "\"data_folder\":\"%s/%s\"",
-				       fixture->control_addresses[i],
-				       fixture->group->folder, name);
-		fixture->control_daemons[i] =
-			support_program_start(fixture->group,
-					      "cb-platform-control", name,
-					      settings);
-		g_free(name);
-		g_free(ip);
-	}
+	seeds = support_controls_start(fixture->group, CONTROL_COUNT,
+				       internal_port, HEARTBEAT_MS,
+				       fixture->control_daemons,
+				       fixture->control_addresses);
 	fixture->front_address =
 		g_strdup_printf("127.0.0.9:%d", (int)support_free_port());
 	fixture->ready_address =
@@ -231,7 +208,7 @@
 	fixture->resolve_address =
 		g_strdup_printf("127.0.0.9:%d", (int)support_free_port());
 	settings = support_program_settings("e", "127.0.0.9", internal_port,
-					    seeds->str, HEARTBEAT_MS);
+					    seeds, HEARTBEAT_MS);
 	g_string_append_printf(
 		settings,
 		",\"grace_s\":%d,\"address_ttl_s\":1,"
@@ -242,7 +219,7 @@
 	fixture->entry_daemon =
 		support_program_start(fixture->group, "cb-platform-entry", "e",
 				      settings);
-	g_string_free(seeds, TRUE);
+	g_free(seeds);
 }
 
 static void fixture_clear_(fixture_t *fixture)
