--- a/test/platform/soak/soak_platform.c
+++ b/test/platform/soak/soak_platform.c
@@ -16,8 +16,10 @@
 
 static void process_add_(soak_t *soak, support_daemon_t *daemon)
 {
-	soak->processes[soak->process_count++] =
-		(soak_process_t){ .daemon = daemon };
+	soak->processes[soak->process_count++] = (soak_process_t){
+		.daemon = daemon,
+		.started_ms = now_ms_(),
+	};
 }
 
 static void control_start_(soak_t *soak, unsigned int i, int internal_port,
@@ -310,11 +312,29 @@
 		entry_stop_note_(soak, process, FALSE);
 	process->exit.was_stopped |= signal_number == SIGTERM;
 	process->exit.was_killed |= signal_number == SIGKILL;
+	if (signal_number == SIGHUP)
+		process->hung_up_ms = now_ms_();
 	support_daemon_signal(process->daemon, signal_number);
 	if (signal_number == SIGSTOP)
 		process->resume_ms = now_ms_() + pause_ms;
 }
 
+/* Prints how a process ended, and when before that it got SIGHUP. */
+static void unexpected_exit_print_(const soak_process_t *process)
+{
+	int64_t now_ms = now_ms_();
+
+	printf("    %s ended by itself: exit code %d, signal %d, %d ms after its "
+	       "start",
+	       process->daemon->name, process->exit.exit_code,
+	       process->exit.signal_number,
+	       (int)(now_ms - process->started_ms));
+	if (process->hung_up_ms)
+		printf(", SIGHUP %d ms after it",
+		       (int)(process->hung_up_ms - process->started_ms));
+	putchar('\n');
+}
+
 /* Handles the end of a process; counts it if the test did not cause it. */
 static void process_end_handle_(soak_t *soak, soak_process_t *process)
 {
@@ -329,9 +349,7 @@
 			g_subprocess_get_exit_status(subprocess);
 	if (!soak_exit_is_expected(&process->exit)) {
 		soak->unexpected_exit_count++;
-		printf("    %s ended by itself: exit code %d, signal %d\n",
-		       process->daemon->name, process->exit.exit_code,
-		       process->exit.signal_number);
+		unexpected_exit_print_(process);
 	}
 	(void)support_daemon_wait(process->daemon);
 	entry_stop_note_(soak, process, TRUE);
@@ -340,6 +358,30 @@
 		g_rand_int_range(soak->random, 0, RESTART_DELAY_MAX_MS);
 }
 
+/*
+ * Starts a process again that has ended, perhaps with another build.  This build's
+ * programs read a SIGHUP that is held for them; the earlier build's would not.
+ */
+static void process_start_again_(soak_t *soak, soak_process_t *process)
+{
+	const soak_setup_t *setup = soak->setup;
+	gboolean draws_build =
+		setup->draws_build && process < soak_servers(soak);
+	gboolean is_earlier = draws_build && !g_rand_boolean(soak->random);
+
+	if (draws_build)
+		support_program_set_folder(process->daemon,
+					   is_earlier ?
+						   setup->programs :
+						   support_programs_folder());
+	process->resume_ms = 0;
+	process->exit = (soak_exit_t){ 0 };
+	process->hung_up_ms = 0;
+	process->daemon->holds_reloads = !is_earlier;
+	support_daemon_start(process->daemon);
+	process->started_ms = now_ms_();
+}
+
 /* Ends a pause that is over, and starts a process again that has ended. */
 static void process_restore_(soak_t *soak, soak_process_t *process)
 {
@@ -355,17 +397,8 @@
 		return;
 	if (process->daemon->process)
 		process_end_handle_(soak, process);
-	if (now_ms >= process->restart_ms) {
-		if (soak->setup->draws_build && process < soak_servers(soak))
-			support_program_set_folder(
-				process->daemon,
-				g_rand_boolean(soak->random) ?
-					support_programs_folder() :
-					soak->setup->programs);
-		process->resume_ms = 0;
-		process->exit = (soak_exit_t){ 0 };
-		support_daemon_start(process->daemon);
-	}
+	if (now_ms >= process->restart_ms)
+		process_start_again_(soak, process);
 }
 
 void soak_processes_restore(soak_t *soak)
--- a/test/platform/soak/soak_platform.h
+++ b/test/platform/soak/soak_platform.h
@@ -50,6 +50,8 @@
 	int64_t resume_ms;  /* when a pause ends; 0: it is not paused */
 	int64_t resumed_ms; /* when the last pause ended; 0: there was none */
 	int64_t restart_ms; /* when it is started again; 0: not yet known */
+	int64_t started_ms;
+	int64_t hung_up_ms; /* when it last got SIGHUP; 0: not since its start */
 	soak_exit_t exit;   /* the signals since its start */
 } soak_process_t;
 
--- a/test/support_daemons.c
+++ b/test/support_daemons.c
@@ -293,11 +293,21 @@
 	g_free(group);
 }
 
-/* Runs in the child: the daemon is killed when the test program ends. */
-static void parent_death_signal_set_(void *unused)
+/*
+ * Runs in the child, before the program does: the daemon is killed when the test
+ * program ends.
+ */
+static void daemon_signals_set_(void *user_data)
 {
-	(void)unused;
+	const support_daemon_t *daemon = user_data;
+	sigset_t signals;
+
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (!daemon->holds_reloads)
+		return;
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGHUP);
+	sigprocmask(SIG_BLOCK, &signals, NULL);
 }
 
 /*
@@ -316,9 +326,8 @@
 	g_subprocess_launcher_take_stdout_fd(launcher,
 					     out_fd >= 0 ? out_fd : dup(fd));
 	g_subprocess_launcher_take_stderr_fd(launcher, fd);
-	g_subprocess_launcher_set_child_setup(launcher,
-					      parent_death_signal_set_, NULL,
-					      NULL);
+	g_subprocess_launcher_set_child_setup(launcher, daemon_signals_set_,
+					      daemon, NULL);
 	if (daemon->config_variable)
 		g_subprocess_launcher_setenv(launcher, daemon->config_variable,
 					     daemon->config, TRUE);
--- a/test/support_daemons.h
+++ b/test/support_daemons.h
@@ -19,6 +19,11 @@
 	char *peers;  /* "127.0.0.1:PORT" for links; NULL unless cb-control */
 	/* Environment variable that tells the daemon `config`; may be NULL. */
 	const char *config_variable;
+	/*
+	 * Whether it starts with SIGHUP blocked, which otherwise ends it while
+	 * the system loads its libraries.
+	 */
+	gboolean holds_reloads;
 	/* Process of the daemon; NULL while not started. */
 	GSubprocess *process;
 } support_daemon_t;
