--- a/src/libcurrantbridge/include/private/content_book.h
+++ b/src/libcurrantbridge/include/private/content_book.h
@@ -29,6 +29,32 @@
 	int64_t until_wall_ms;
 } cb_content_refusal_t;
 
+/*
+ * How long an answer must have been coming before it shows that its content does
+ * not crash servers: most of what does crash a server does so as it begins to
+ * write.
+ */
+#define CB_CONTENT_PROGRESS_MS 300
+/* The progress of an answer that came whole. */
+#define CB_CONTENT_PROGRESS_WHOLE INT64_MAX
+
+/* How far the answer to an attempt has come. */
+typedef struct cb_content_progress {
+	int64_t begun_ms; /* when the attempt was sent, by the book's clock */
+	/*
+	 * How long the answer has been coming: CB_CONTENT_PROGRESS_MS, a multiple
+	 * of it, or CB_CONTENT_PROGRESS_WHOLE.
+	 */
+	int64_t progress_ms;
+} cb_content_progress_t;
+
+/* An attempt to serve a request that a server's end broke off. */
+typedef struct cb_content_attempt {
+	GArray *features;    /* elements: cb_content_feature_t */
+	int64_t progress_ms; /* how long its answer had been coming */
+	int64_t lost_ms;     /* when it was broken off, by the book's clock */
+} cb_content_attempt_t;
+
 /* What the instances have shared about one feature. */
 typedef struct cb_content_record {
 	const char *name; /* name of the feature */
@@ -56,21 +82,27 @@
 
 cb_content_book_t *cb_content_book_new(const cb_content_book_parts_t *parts);
 void cb_content_book_delete(cb_content_book_t *book);
+/* Creates an attempt, with a reference to its features. */
+cb_content_attempt_t *cb_content_attempt_new(GArray *features,
+					     int64_t progress_ms,
+					     int64_t lost_ms);
+void cb_content_attempt_delete(void *attempt);
 /* Takes note that the answer to a request with these features goes on. */
 void cb_content_book_add_progress(cb_content_book_t *book,
-				  const GArray *features);
+				  const GArray *features,
+				  const cb_content_progress_t *progress);
 /*
- * Takes note that a server process, "ID/START", ended under requests of which
- * none had made progress there; `requests` holds the features of each.
+ * Takes note that a server process, "ID/START", ended under attempts, elements of
+ * type cb_content_attempt_t.
  */
 void cb_content_book_add_death(cb_content_book_t *book, const char *server,
-			       const GPtrArray *requests);
+			       const GPtrArray *attempts);
 /*
- * Returns how many of the requests, each given by its features, have only
- * features that this instance saw make progress.
+ * Returns how many of the attempts have only features that this instance saw make
+ * progress.
  */
 unsigned int cb_content_book_count_proved(const cb_content_book_t *book,
-					  const GPtrArray *requests);
+					  const GPtrArray *attempts);
 /* Replaces what the instances have shared. */
 void cb_content_book_update(cb_content_book_t *book,
 			    const cb_content_record_t *records,
--- a/src/libcurrantbridge/include/private/content_suspect.h
+++ b/src/libcurrantbridge/include/private/content_suspect.h
@@ -1,13 +1,19 @@
 #ifndef PRIVATE_CONTENT_SUSPECT_H
 #define PRIVATE_CONTENT_SUSPECT_H
 
-#include "private/content.h"
+#include "private/content_book.h"
 
 /* The end of a server process under a feature. */
 typedef struct cb_content_death {
 	char *server; /* "ID/START" */
 	int64_t wall_ms;
 	int64_t known_ms; /* when this instance learned of it */
+	/*
+	 * When an attempt of this instance was broken off by it, and how long its
+	 * answer had been coming; -1: only another instance knows.
+	 */
+	int64_t lost_ms;
+	int64_t progress_ms;
 	/* FALSE: this instance has reported it and waits for its record. */
 	gboolean is_shared;
 } cb_content_death_t;
@@ -33,10 +39,9 @@
 /* Returns the death of a server, or NULL. */
 const cb_content_death_t *cb_content_suspect_find_death(
 	const cb_content_suspect_t *suspect, const char *server);
-/* Adds a death that is to be shared. */
+/* Adds a copy of a death that is to be shared. */
 void cb_content_suspect_add_death(cb_content_suspect_t *suspect,
-				  const char *server, int64_t wall_ms,
-				  int64_t now_ms);
+				  const cb_content_death_t *death);
 /*
  * Replaces the shared deaths, each given as "SERVER DEPTH WALL_MS REPORTER";
  * NULL: by none.  Malformed ones are skipped.
@@ -45,6 +50,16 @@
 				    const char *const *deaths, int64_t now_ms);
 /* Returns when the last death became known; 0: there is none. */
 int64_t cb_content_suspect_last_death_ms(const cb_content_suspect_t *suspect);
+/*
+ * Returns whether an answer to a whole request that was sent after the end of a
+ * server under it, a death or a doubt with these members, has got so much further
+ * that the request is innocent.
+ */
+gboolean cb_content_end_is_outlived(int64_t lost_ms, int64_t lost_progress_ms,
+				    const cb_content_progress_t *progress);
+/* Returns whether that is so for each end of a server under a suspect. */
+gboolean cb_content_suspect_is_outlived(const cb_content_suspect_t *suspect,
+					const cb_content_progress_t *progress);
 /* Returns whether each death of `narrow` is one of `wide`, too. */
 gboolean cb_content_suspect_covers(const cb_content_suspect_t *wide,
 				   const cb_content_suspect_t *narrow);
--- a/src/libcurrantbridge/include/private/server_ends.h
+++ b/src/libcurrantbridge/include/private/server_ends.h
@@ -3,6 +3,7 @@
 
 #include "currantbridge/clock.h"
 #include "currantbridge/dialect.h"
+#include "private/content_book.h"
 
 /*
  * Finds out whether the process of a server has ended whose connections were
@@ -22,7 +23,7 @@
 
 /*
  * Called once for each checked server process.  `losses` holds the data that
- * was given with each lost connection (elements of type GArray *, or NULL).
+ * was given with each lost connection: cb_content_attempt_t.
  */
 typedef void (*cb_server_checked_fn_t)(const cb_relay_hop_t *server,
 				       cb_server_check_t check,
@@ -33,8 +34,12 @@
 				     cb_server_checked_fn_t fn,
 				     void *user_data);
 void cb_server_ends_delete(cb_server_ends_t *ends);
-/* Takes note of a lost connection; keeps a reference to `loss`, if any. */
+/*
+ * Takes note of a lost connection and the attempt that used it, whose ownership is
+ * taken.
+ */
 void cb_server_ends_add_loss(cb_server_ends_t *ends,
-			     const cb_relay_hop_t *server, GArray *loss);
+			     const cb_relay_hop_t *server,
+			     cb_content_attempt_t *loss);
 
 #endif
--- a/src/libcurrantbridge/relay/relay_content.c
+++ b/src/libcurrantbridge/relay/relay_content.c
@@ -6,11 +6,6 @@
 #include "private/item.h"
 #include "private/relay.h"
 
-/*
- * An answer that has been coming for this time shows that its content does not
- * crash servers: those that do crash a server when it begins to write.
- */
-#define PROGRESS_MIN_MS 300
 /* Longest Retry-After of a refused request. */
 #define RETRY_AFTER_MAX_MS 30000
 #define SHARE_TIMEOUT_MS 5000
@@ -60,23 +55,31 @@
 	cb_relay_content_t *content = &relay->content;
 	int64_t now_ms = cb_relay_now_ms(relay);
 	int64_t before_ms = content->progress_ms;
+	cb_content_progress_t progress = { .begun_ms = relay->sent_ms };
 
 	if (content->last_event_ms)
 		content->progress_ms += MIN(now_ms - content->last_event_ms,
 					    PROGRESS_PAUSE_MAX_MS);
 	content->last_event_ms = now_ms;
-	if (before_ms < PROGRESS_MIN_MS &&
-	    content->progress_ms >= PROGRESS_MIN_MS)
+	progress.progress_ms = content->progress_ms -
+			       content->progress_ms % CB_CONTENT_PROGRESS_MS;
+	if (before_ms < progress.progress_ms)
 		cb_content_book_add_progress(relay->front->content_book,
-					     content->features);
+					     content->features, &progress);
 }
 
 /* Records how a request ends, with a whole answer of the server or without. */
 void cb_relay_content_ended(const cb_relay_t *relay, gboolean is_served)
 {
+	const cb_content_progress_t progress = {
+		.begun_ms = relay->sent_ms,
+		.progress_ms = CB_CONTENT_PROGRESS_WHOLE,
+	};
+
 	if (is_served)
 		cb_content_book_add_progress(relay->front->content_book,
-					     relay->content.features);
+					     relay->content.features,
+					     &progress);
 }
 
 /* Returns whether an attempt with this result has lost its connection. */
@@ -110,11 +113,12 @@
 	    server_is_stopping_(relay->front, first))
 		return;
 	relay->content.is_suspect =
-		relay->content.progress_ms < PROGRESS_MIN_MS;
-	cb_server_ends_add_loss(relay->front->server_ends, first,
-				relay->content.is_suspect ?
-					relay->content.features :
-					NULL);
+		relay->content.progress_ms < CB_CONTENT_PROGRESS_MS;
+	cb_server_ends_add_loss(
+		relay->front->server_ends, first,
+		cb_content_attempt_new(relay->content.features,
+				       relay->content.progress_ms,
+				       cb_relay_now_ms(relay)));
 }
 
 /* Returns whether a failed attempt may not be repeated. */
@@ -149,28 +153,39 @@
 	return TRUE;
 }
 
-/* Records that the process of a server has ended under requests. */
+/* Returns those of the attempts that had made no progress. */
+static GPtrArray *early_attempts_(const GPtrArray *attempts)
+{
+	GPtrArray *early = g_ptr_array_new();
+	unsigned int i;
+
+	for (i = 0; i < attempts->len; i++) {
+		cb_content_attempt_t *attempt = attempts->pdata[i];
+
+		if (attempt->progress_ms < CB_CONTENT_PROGRESS_MS)
+			g_ptr_array_add(early, attempt);
+	}
+	return early;
+}
+
+/* Records that the process of a server has ended under attempts. */
 static void server_end_record_(cb_front_t *front, const cb_relay_hop_t *server,
-			       const GPtrArray *losses)
+			       const GPtrArray *attempts)
 {
-	GPtrArray *candidates = g_ptr_array_new();
+	GPtrArray *early = early_attempts_(attempts);
 	char *process = g_strdup_printf("%s/%" G_GINT64_FORMAT, server->id,
 					server->start_wall_ms);
-	unsigned int i;
 
-	for (i = 0; i < losses->len; i++)
-		if (losses->pdata[i])
-			g_ptr_array_add(candidates, losses->pdata[i]);
 	cb_log_event(front->log, CB_EVENT_RELAY_SERVER_ENDED,
 		     CB_STR("server", server->id),
 		     CB_STR("address", server->address),
-		     CB_INT("attempts", losses->len),
-		     CB_INT("candidates", candidates->len),
+		     CB_INT("attempts", attempts->len),
+		     CB_INT("candidates", early->len),
 		     CB_INT("proved",
 			    cb_content_book_count_proved(front->content_book,
-							 candidates)));
-	cb_content_book_add_death(front->content_book, process, candidates);
-	g_ptr_array_unref(candidates);
+							 early)));
+	cb_content_book_add_death(front->content_book, process, attempts);
+	g_ptr_array_unref(early);
 	g_free(process);
 	cb_counter_add(cb_counters_counter(front->counters,
 					   "cb_relay_servers_ended_total", NULL,
--- a/src/libcurrantbridge/relay/server_ends.c
+++ b/src/libcurrantbridge/relay/server_ends.c
@@ -23,7 +23,7 @@
 	cb_server_ends_t *ends;
 	char *name; /* key in cb_server_ends.checks */
 	cb_relay_hop_t server;
-	GPtrArray *losses; /* elements: GArray */
+	GPtrArray *losses; /* elements: cb_content_attempt_t */
 	cb_stream_t *stream;
 	cb_server_check_t state;
 	int64_t since_ms;
@@ -38,12 +38,6 @@
 	GHashTable *checks; /* "ID/START" to check_t */
 };
 
-static void loss_unref_(void *loss)
-{
-	if (loss)
-		g_array_unref(loss);
-}
-
 static void check_delete_(void *data)
 {
 	check_t *check = data;
@@ -147,14 +141,15 @@
  * that used it.  The first loss of a process starts its check.
  */
 void cb_server_ends_add_loss(cb_server_ends_t *ends,
-			     const cb_relay_hop_t *server, GArray *loss)
+			     const cb_relay_hop_t *server,
+			     cb_content_attempt_t *loss)
 {
 	char *name = g_strdup_printf("%s/%" G_GINT64_FORMAT, server->id,
 				     server->start_wall_ms);
 	check_t *check = g_hash_table_lookup(ends->checks, name);
 
 	if (check) {
-		g_ptr_array_add(check->losses, loss ? g_array_ref(loss) : NULL);
+		g_ptr_array_add(check->losses, loss);
 		g_free(name);
 		return;
 	}
@@ -166,8 +161,9 @@
 	check->server.address = g_strdup(server->address);
 	check->since_ms = cb_clock_now_ms(ends->clock);
 	check->state = CB_SERVER_CHECK_UNANSWERED;
-	check->losses = g_ptr_array_new_with_free_func(loss_unref_);
-	g_ptr_array_add(check->losses, loss ? g_array_ref(loss) : NULL);
+	check->losses =
+		g_ptr_array_new_with_free_func(cb_content_attempt_delete);
+	g_ptr_array_add(check->losses, loss);
 	check->timer = cb_timer_new(ends->clock, check_timer_fired_, check);
 	g_hash_table_insert(ends->checks, check->name, check);
 	check_start_(check);
--- a/src/libcurrantbridge/request/content_book.c
+++ b/src/libcurrantbridge/request/content_book.c
@@ -45,6 +45,9 @@
 	char *server;
 	int64_t wall_ms; /* time of the death */
 	int64_t since_ms;
+	/* Of the attempt that the death broke off. */
+	int64_t lost_ms;
+	int64_t progress_ms;
 } doubt_t;
 
 struct cb_content_book {
@@ -101,6 +104,27 @@
 	g_free(data);
 }
 
+cb_content_attempt_t *cb_content_attempt_new(GArray *features,
+					     int64_t progress_ms,
+					     int64_t lost_ms)
+{
+	cb_content_attempt_t *attempt = g_new0(cb_content_attempt_t, 1);
+
+	attempt->features = g_array_ref(features);
+	attempt->progress_ms = progress_ms;
+	attempt->lost_ms = lost_ms;
+	return attempt;
+}
+
+/* Deletes an attempt; NULL is allowed. */
+void cb_content_attempt_delete(void *attempt)
+{
+	if (!attempt)
+		return;
+	g_array_unref(((cb_content_attempt_t *)attempt)->features);
+	g_free(attempt);
+}
+
 /* Creates a book without evidence. */
 cb_content_book_t *cb_content_book_new(const cb_content_book_parts_t *parts)
 {
@@ -420,17 +444,58 @@
 	return feature->depth == CB_CONTENT_WHOLE ? 1 : WATCH_EVENTS;
 }
 
+/*
+ * Returns whether an answer to a whole request has come further than where servers
+ * ended under it.
+ */
+static gboolean request_is_outlived_(const cb_content_book_t *book,
+				     uint64_t hash,
+				     const cb_content_progress_t *progress)
+{
+	const cb_content_suspect_t *suspect = suspect_find_(book, hash);
+	const GList *link;
+
+	if (suspect && !cb_content_suspect_is_outlived(suspect, progress))
+		return FALSE;
+	for (link = book->doubts.head; link; link = link->next) {
+		const doubt_t *doubt = link->data;
+
+		if (doubt->feature.hash == hash &&
+		    !cb_content_end_is_outlived(doubt->lost_ms,
+						doubt->progress_ms, progress))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+/*
+ * Returns whether progress proves a feature.  The first progress proves parts, and
+ * so does a whole answer.
+ */
+static gboolean progress_proves_(const cb_content_book_t *book,
+				 const cb_content_feature_t *feature,
+				 const cb_content_progress_t *progress)
+{
+	if (feature->depth != CB_CONTENT_WHOLE)
+		return progress->progress_ms == CB_CONTENT_PROGRESS_MS ||
+		       progress->progress_ms == CB_CONTENT_PROGRESS_WHOLE;
+	return request_is_outlived_(book, feature->hash, progress);
+}
+
 void cb_content_book_add_progress(cb_content_book_t *book,
-				  const GArray *features)
+				  const GArray *features,
+				  const cb_content_progress_t *progress)
 {
 	unsigned int i;
 
 	for (i = 0; i < features->len; i++) {
 		const cb_content_feature_t *feature =
 			&g_array_index(features, cb_content_feature_t, i);
-		cb_content_suspect_t *suspect =
-			suspect_find_(book, feature->hash);
+		cb_content_suspect_t *suspect;
 
+		if (!progress_proves_(book, feature, progress))
+			continue;
+		suspect = suspect_find_(book, feature->hash);
 		cb_aged_set_add(proved_set_(book, feature->depth),
 				feature->hash, now_ms_(book));
 		if (!suspect ||
@@ -442,15 +507,23 @@
 	}
 }
 
+/* A feature of attempts that the end of a server broke off. */
+typedef struct candidate {
+	cb_content_feature_t feature;
+	/* Of the attempt that came furthest, and of the last one. */
+	int64_t progress_ms;
+	int64_t lost_ms;
+} candidate_t;
+
 /*
  * Orders the features of a death for its reports: first those that servers ended
  * under before, then parts, then whole requests.
  */
-static int features_compare_(const void *a, const void *b, void *user_data)
+static int candidates_compare_(const void *a, const void *b, void *user_data)
 {
 	const cb_content_book_t *book = user_data;
-	const cb_content_feature_t *left = a;
-	const cb_content_feature_t *right = b;
+	const cb_content_feature_t *left = &((const candidate_t *)a)->feature;
+	const cb_content_feature_t *right = &((const candidate_t *)b)->feature;
 	gboolean is_left_known = suspect_find_(book, left->hash) != NULL;
 	gboolean is_right_known = suspect_find_(book, right->hash) != NULL;
 
@@ -463,35 +536,64 @@
 }
 
 /*
- * Returns the features of the requests, those that are proved or those that are
- * not, without doubles.
+ * Adds the features of an attempt, those that are proved or those that are not;
+ * `indexes` maps hashes to indexes of candidates.  An attempt with progress shows
+ * that its parts are innocent, however long ago that was.
  */
-static GArray *candidates_collect_(cb_content_book_t *book,
-				   const GPtrArray *requests,
-				   gboolean is_proved)
+static void candidates_add_(const cb_content_book_t *book, GArray *candidates,
+			    GHashTable *indexes,
+			    const cb_content_attempt_t *attempt,
+			    gboolean is_proved)
 {
-	GArray *candidates =
-		g_array_new(FALSE, FALSE, sizeof(cb_content_feature_t));
-	GHashTable *known = g_hash_table_new(g_direct_hash, g_direct_equal);
+	gboolean has_progress = attempt->progress_ms >= CB_CONTENT_PROGRESS_MS;
 	unsigned int i;
-	unsigned int k;
-
-	for (i = 0; i < requests->len; i++) {
-		const GArray *features = requests->pdata[i];
-
-		for (k = 0; k < features->len; k++) {
-			const cb_content_feature_t *feature =
-				&g_array_index(features, cb_content_feature_t,
-					       k);
 
-			if (feature_is_proved_(book, feature->hash,
-					       feature->depth) == is_proved &&
-			    g_hash_table_add(known, hash_key_(feature->hash)))
-				g_array_append_vals(candidates, feature, 1);
+	for (i = 0; i < attempt->features->len; i++) {
+		candidate_t candidate = { g_array_index(attempt->features,
+							cb_content_feature_t,
+							i),
+					  attempt->progress_ms,
+					  attempt->lost_ms };
+		const cb_content_feature_t *feature = &candidate.feature;
+		candidate_t *known;
+		void *index;
+
+		if (feature_is_proved_(book, feature->hash, feature->depth) !=
+			    is_proved ||
+		    (has_progress && feature->depth != CB_CONTENT_WHOLE))
+			continue;
+		if (g_hash_table_lookup_extended(indexes,
+						 hash_key_(feature->hash), NULL,
+						 &index)) {
+			known = &g_array_index(candidates, candidate_t,
+					       GPOINTER_TO_UINT(index));
+			known->progress_ms =
+				MAX(known->progress_ms, candidate.progress_ms);
+			continue;
 		}
+		g_hash_table_insert(indexes, hash_key_(feature->hash),
+				    GUINT_TO_POINTER(candidates->len));
+		g_array_append_val(candidates, candidate);
 	}
-	g_hash_table_unref(known);
-	g_array_sort_with_data(candidates, features_compare_, book);
+}
+
+/*
+ * Returns the features of the attempts, those that are proved or those that are
+ * not, without doubles: candidate_t.
+ */
+static GArray *candidates_collect_(cb_content_book_t *book,
+				   const GPtrArray *attempts,
+				   gboolean is_proved)
+{
+	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	GHashTable *indexes = g_hash_table_new(g_direct_hash, g_direct_equal);
+	unsigned int i;
+
+	for (i = 0; i < attempts->len; i++)
+		candidates_add_(book, candidates, indexes, attempts->pdata[i],
+				is_proved);
+	g_hash_table_unref(indexes);
+	g_array_sort_with_data(candidates, candidates_compare_, book);
 	g_array_set_size(candidates, MIN(candidates->len, REPORTS_MAX));
 	return candidates;
 }
@@ -512,35 +614,45 @@
 }
 
 unsigned int cb_content_book_count_proved(const cb_content_book_t *book,
-					  const GPtrArray *requests)
+					  const GPtrArray *attempts)
 {
 	unsigned int count = 0;
 	unsigned int i;
 
-	for (i = 0; i < requests->len; i++)
-		count += request_is_proved_(book, requests->pdata[i]);
+	for (i = 0; i < attempts->len; i++) {
+		const cb_content_attempt_t *attempt = attempts->pdata[i];
+
+		count += request_is_proved_(book, attempt->features);
+	}
 	return count;
 }
 
 /* Records a death under a feature, and shares it if that is not done yet. */
-static void death_report_(cb_content_book_t *book,
-			  const cb_content_feature_t *feature,
+static void death_report_(cb_content_book_t *book, const candidate_t *candidate,
 			  const char *server, int64_t wall_ms)
 {
+	const cb_content_feature_t *feature = &candidate->feature;
 	cb_content_suspect_t *suspect = suspect_get_(book, feature->hash);
+	const cb_content_death_t death = {
+		.server = (char *)server,
+		.wall_ms = wall_ms,
+		.known_ms = now_ms_(book),
+		.lost_ms = candidate->lost_ms,
+		.progress_ms = candidate->progress_ms,
+	};
 	char *name;
-	char *death;
+	char *text;
 
 	suspect->depth = feature->depth;
 	if (cb_content_suspect_find_death(suspect, server))
 		return;
 	suspect->is_reporter = TRUE;
-	cb_content_suspect_add_death(suspect, server, wall_ms, now_ms_(book));
+	cb_content_suspect_add_death(suspect, &death);
 	name = cb_content_name_new(feature->hash);
-	death = g_strdup_printf("%s %u %" G_GINT64_FORMAT, server,
-				feature->depth, wall_ms);
-	book->parts.report(book->parts.user_data, name, death);
-	g_free(death);
+	text = g_strdup_printf("%s %u %" G_GINT64_FORMAT, server,
+			       feature->depth, wall_ms);
+	book->parts.report(book->parts.user_data, name, text);
+	g_free(text);
 	g_free(name);
 }
 
@@ -561,7 +673,11 @@
 		g_queue_pop_head(&book->doubts);
 		if (progress_ms_(book, doubt->feature.hash,
 				 doubt->feature.depth) <= doubt->since_ms) {
-			death_report_(book, &doubt->feature, doubt->server,
+			const candidate_t candidate = { doubt->feature,
+							doubt->progress_ms,
+							doubt->lost_ms };
+
+			death_report_(book, &candidate, doubt->server,
 				      doubt->wall_ms);
 			has_reported = TRUE;
 		}
@@ -574,15 +690,17 @@
 /*
  * Takes note of a death under a proved request, which may prove itself again.
  */
-static void doubt_add_(cb_content_book_t *book,
-		       const cb_content_feature_t *feature, const char *server)
+static void doubt_add_(cb_content_book_t *book, const candidate_t *candidate,
+		       const char *server)
 {
 	doubt_t *doubt;
 
-	if (feature->depth != CB_CONTENT_WHOLE)
+	if (candidate->feature.depth != CB_CONTENT_WHOLE)
 		return;
 	doubt = g_new0(doubt_t, 1);
-	doubt->feature = *feature;
+	doubt->feature = candidate->feature;
+	doubt->progress_ms = candidate->progress_ms;
+	doubt->lost_ms = candidate->lost_ms;
 	doubt->server = g_strdup(server);
 	doubt->wall_ms = wall_ms_(book);
 	doubt->since_ms = now_ms_(book);
@@ -591,22 +709,19 @@
 }
 
 void cb_content_book_add_death(cb_content_book_t *book, const char *server,
-			       const GPtrArray *requests)
+			       const GPtrArray *attempts)
 {
-	GArray *doubted = candidates_collect_(book, requests, TRUE);
-	GArray *candidates = candidates_collect_(book, requests, FALSE);
+	GArray *doubted = candidates_collect_(book, attempts, TRUE);
+	GArray *candidates = candidates_collect_(book, attempts, FALSE);
 	unsigned int i;
 
 	if (g_hash_table_size(book->suspects) >= SUSPECTS_MAX)
 		g_hash_table_remove_all(book->suspects);
 	for (i = 0; i < doubted->len; i++)
-		doubt_add_(book,
-			   &g_array_index(doubted, cb_content_feature_t, i),
+		doubt_add_(book, &g_array_index(doubted, candidate_t, i),
 			   server);
 	for (i = 0; i < candidates->len; i++)
-		death_report_(book,
-			      &g_array_index(candidates, cb_content_feature_t,
-					     i),
+		death_report_(book, &g_array_index(candidates, candidate_t, i),
 			      server, wall_ms_(book));
 	if (candidates->len)
 		verdicts_decide_(book);
--- a/src/libcurrantbridge/request/content_suspect.c
+++ b/src/libcurrantbridge/request/content_suspect.c
@@ -5,6 +5,11 @@
 #define DEATH_FIELDS 4
 /* How long a death that this instance reported counts before it is shared. */
 #define UNSHARED_VALID_MS 5000
+/*
+ * A request that ends servers need not end each of them as early as the last: its
+ * answer proves it only once it has come for so many times as long.
+ */
+#define PROOF_FACTOR 2
 
 static void death_clear_(void *data)
 {
@@ -72,21 +77,23 @@
 }
 
 void cb_content_suspect_add_death(cb_content_suspect_t *suspect,
-				  const char *server, int64_t wall_ms,
-				  int64_t now_ms)
+				  const cb_content_death_t *death)
 {
-	const cb_content_death_t death = { (char *)server, wall_ms, now_ms,
-					   FALSE };
-
-	death_add_(suspect->deaths, &death);
+	death_add_(suspect->deaths, death);
 }
 
-/* Adds a shared death to `deaths`; one that is known keeps its `known_ms`. */
+/*
+ * Adds a shared death to `deaths`; what is known of one
+ * is kept.
+ */
 static void shared_death_add_(cb_content_suspect_t *suspect, GArray *deaths,
 			      const char *text, int64_t now_ms)
 {
 	char **fields = g_strsplit(text, " ", DEATH_FIELDS);
-	cb_content_death_t death = { .known_ms = now_ms, .is_shared = TRUE };
+	cb_content_death_t death = { .known_ms = now_ms,
+				     .lost_ms = now_ms,
+				     .progress_ms = -1,
+				     .is_shared = TRUE };
 	const cb_content_death_t *known;
 	guint64 wall_ms;
 	guint64 depth;
@@ -100,8 +107,11 @@
 		death.server = fields[0];
 		death.wall_ms = (int64_t)wall_ms;
 		known = death_find_(suspect->deaths, death.server);
-		if (known)
+		if (known) {
 			death.known_ms = known->known_ms;
+			death.lost_ms = known->lost_ms;
+			death.progress_ms = known->progress_ms;
+		}
 		death_add_(deaths, &death);
 	}
 	g_strfreev(fields);
@@ -139,6 +149,34 @@
 	return last_ms;
 }
 
+gboolean cb_content_end_is_outlived(int64_t lost_ms, int64_t lost_progress_ms,
+				    const cb_content_progress_t *progress)
+{
+	int64_t proof_ms = lost_progress_ms < 0 ?
+				   CB_CONTENT_PROGRESS_WHOLE :
+				   PROOF_FACTOR * lost_progress_ms +
+					   CB_CONTENT_PROGRESS_MS;
+
+	return progress->begun_ms >= lost_ms &&
+	       progress->progress_ms >= proof_ms;
+}
+
+gboolean cb_content_suspect_is_outlived(const cb_content_suspect_t *suspect,
+					const cb_content_progress_t *progress)
+{
+	unsigned int i;
+
+	for (i = 0; i < suspect->deaths->len; i++) {
+		const cb_content_death_t *death =
+			&g_array_index(suspect->deaths, cb_content_death_t, i);
+
+		if (!cb_content_end_is_outlived(death->lost_ms,
+						death->progress_ms, progress))
+			return FALSE;
+	}
+	return TRUE;
+}
+
 gboolean cb_content_suspect_covers(const cb_content_suspect_t *wide,
 				   const cb_content_suspect_t *narrow)
 {
--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -764,6 +764,12 @@
 	cb_stream_send(connection->stream, text, strlen(text));
 }
 
+void support_relay_server_crash(relay_fixture_t *fixture, unsigned int request)
+{
+	server_crash_(fixture, g_array_index(fixture->server_indexes,
+					     unsigned int, request));
+}
+
 void support_relay_server_reset(relay_fixture_t *fixture, unsigned int request)
 {
 	server_connection_t *connection =
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -137,6 +137,8 @@
  */
 void support_relay_answer_continue(relay_fixture_t *fixture,
 				   unsigned int request, const char *text);
+/* Ends the process of the server that received a request, by its index. */
+void support_relay_server_crash(relay_fixture_t *fixture, unsigned int request);
 /* Resets the server's connection of a request, by its index in `requests`. */
 void support_relay_server_reset(relay_fixture_t *fixture, unsigned int request);
 /*
--- a/src/test_libcurrantbridge/test_content_book.c
+++ b/src/test_libcurrantbridge/test_content_book.c
@@ -102,27 +102,45 @@
 	return verdict;
 }
 
-static void progress_add_(fixture_t *fixture, const char *request)
+static void progress_add_(fixture_t *fixture, const char *request,
+			  int64_t progress_ms)
 {
 	GArray *features = features_parse_(request);
+	int64_t now_ms = cb_clock_now_ms(fixture->clock);
+	const cb_content_progress_t progress = {
+		.begun_ms = progress_ms == CB_CONTENT_PROGRESS_WHOLE ?
+				    now_ms :
+				    now_ms - progress_ms,
+		.progress_ms = progress_ms,
+	};
 
-	cb_content_book_add_progress(fixture->book, features);
+	cb_content_book_add_progress(fixture->book, features, &progress);
 	g_array_unref(features);
 }
 
-/* Adds the end of a server under requests that are separated by "; ". */
+/*
+ * Adds the end of a server under requests that are separated by "; ", whose answers
+ * had been coming for a time.
+ */
 static void death_add_(fixture_t *fixture, const char *server,
-		       const char *requests)
+		       const char *requests, int64_t progress_ms)
 {
 	char **texts = g_strsplit(requests, "; ", -1);
-	GPtrArray *all =
-		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	GPtrArray *attempts =
+		g_ptr_array_new_with_free_func(cb_content_attempt_delete);
 	unsigned int i;
 
-	for (i = 0; texts[i]; i++)
-		g_ptr_array_add(all, features_parse_(texts[i]));
-	cb_content_book_add_death(fixture->book, server, all);
-	g_ptr_array_unref(all);
+	for (i = 0; texts[i]; i++) {
+		GArray *features = features_parse_(texts[i]);
+
+		g_ptr_array_add(attempts,
+				cb_content_attempt_new(
+					features, progress_ms,
+					cb_clock_now_ms(fixture->clock)));
+		g_array_unref(features);
+	}
+	cb_content_book_add_death(fixture->book, server, attempts);
+	g_ptr_array_unref(attempts);
 	g_strfreev(texts);
 }
 
@@ -130,6 +148,10 @@
 typedef struct step {
 	int64_t after_ms;   /* time since the step before */
 	const char *server; /* the server that ends; NULL: progress */
+	/*
+	 * After a time for which their answers have come, if it isn't the first
+	 * time that counts as progress, or 0 for a server's end.
+	 */
 	const char *requests;
 } step_t;
 
@@ -212,6 +234,59 @@
 	    { 1500, "s3", "/0 a" },
 	    { 1500, NULL, "/1 a" } },
 	  { { "/0 a", CB_CONTENT_REFUSED }, { "/2 a", CB_CONTENT_FREE } } },
+	{ "a request whose answers begin and then end servers is refused",
+	  { { 0, NULL, "/1 a" },
+	    { 200, "s1", "500 /1 a" },
+	    { 400, NULL, "/1 a" },
+	    { 200, "s2", "500 /1 a" },
+	    { 400, NULL, "/1 a" },
+	    { 200, "s3", "500 /1 a" },
+	    { 500, NULL, "/2 a" } },
+	  { { "/1 a", CB_CONTENT_REFUSED }, { "/2 a", CB_CONTENT_FREE } } },
+	{ "the times of the ends may differ twofold",
+	  { { 0, NULL, "/1" },
+	    { 200, "s1", "400 /1" },
+	    { 800, NULL, "600 /1" },
+	    { 200, "s2", "800 /1" },
+	    { 800, NULL, "900 /1" },
+	    { 200, "s3", "1000 /1" } },
+	  { { "/1", CB_CONTENT_REFUSED } } },
+	{ "a whole answer proves a request that servers ended under",
+	  { { 0, NULL, "/1" },
+	    { 200, "s1", "500 /1" },
+	    { 600, "s2", "500 /1" },
+	    { 600, NULL, "whole /1" },
+	    { 600, "s3", "500 /1" } },
+	  { { "/1", CB_CONTENT_FREE } } },
+	{ "so does an answer that gets much further than those that ended",
+	  { { 0, NULL, "/1" },
+	    { 200, "s1", "500 /1" },
+	    { 600, "s2", "500 /1" },
+	    { 1500, NULL, "1500 /1" },
+	    { 600, "s3", "2000 /1" } },
+	  { { "/1", CB_CONTENT_FREE } } },
+	{ "an answer that was under way as the server ended proves nothing",
+	  { { 0, NULL, "/1" },
+	    { 200, "s1", "500 /1" },
+	    { 1400, NULL, "1500 /1" },
+	    { 0, "s2", "500 /1" },
+	    { 1400, NULL, "1500 /1" },
+	    { 0, "s3", "500 /1" },
+	    { 500, NULL, "/2" } },
+	  { { "/1", CB_CONTENT_REFUSED }, { "/2", CB_CONTENT_FREE } } },
+	{ "the parts of answers with progress are innocent, also long after it",
+	  { { 0, NULL, "/0 a" },
+	    { 130000, "s1", "140000 /1 a" },
+	    { 500, "s2", "300 /2 a" },
+	    { 500, "s3", "300 /3 a" } },
+	  { { "/4 a", CB_CONTENT_FREE } } },
+	{ "later progress does not prove parts anew",
+	  { { 0, NULL, "/1 bad" },
+	    { 60000, NULL, "60000 /1 bad" },
+	    { 70000, "s1", "/2 bad" },
+	    { 500, "s2", "/3 bad" },
+	    { 500, "s3", "/4 bad" } },
+	  { { "/5 bad", CB_CONTENT_REFUSED } } },
 	{ "a part that sound requests bear after each end stays proved",
 	  { { 0, NULL, "/0 a" },
 	    { 1500, "s1", "/1 a" },
@@ -291,6 +366,22 @@
 	  { { "/5 bad", CB_CONTENT_WATCHED } } },
 };
 
+static void step_play_(fixture_t *fixture, const step_t *step)
+{
+	const char *requests = strchr(step->requests, '/');
+	int64_t progress_ms = g_ascii_strtoll(step->requests, NULL, 10);
+
+	if (g_str_has_prefix(step->requests, "whole "))
+		progress_ms = CB_CONTENT_PROGRESS_WHOLE;
+	cb_clock_advance(fixture->clock, step->after_ms);
+	if (step->server)
+		death_add_(fixture, step->server, requests, progress_ms);
+	else
+		progress_add_(fixture, requests,
+			      progress_ms ? progress_ms :
+					    CB_CONTENT_PROGRESS_MS);
+}
+
 /* Guards against wrong verdicts on simple evidence. */
 static void verdicts_follow_evidence(void)
 {
@@ -303,12 +394,7 @@
 
 		fixture_init_(&fixture);
 		for (k = 0; k < STEPS_MAX && c->steps[k].requests; k++) {
-			cb_clock_advance(fixture.clock, c->steps[k].after_ms);
-			if (c->steps[k].server)
-				death_add_(&fixture, c->steps[k].server,
-					   c->steps[k].requests);
-			else
-				progress_add_(&fixture, c->steps[k].requests);
+			step_play_(&fixture, &c->steps[k]);
 		}
 		cb_clock_advance(fixture.clock, DECISION_MS);
 		for (k = 0; k < CHECKS_MAX && c->checks[k].request; k++) {
@@ -401,8 +487,8 @@
 	char *deaths;
 
 	fixture_init_(&fixture);
-	progress_add_(&fixture, "/0 good");
-	death_add_(&fixture, "s9/1", "/0 good");
+	progress_add_(&fixture, "/0 good", CB_CONTENT_PROGRESS_MS);
+	death_add_(&fixture, "s9/1", "/0 good", 0);
 	CU_ASSERT_EQUAL(fixture.report_count, 0);
 	deaths = g_strdup_printf("s1/1 2 %" G_GINT64_FORMAT
 				 " e1; s2/1 1 %" G_GINT64_FORMAT " e2",
@@ -415,7 +501,67 @@
 	fixture_init_(&fixture);
 	record_share_(&fixture, name, deaths, 0);
 	CU_ASSERT_EQUAL(fixture.cleared->len, 0);
-	progress_add_(&fixture, "/0 good");
+	progress_add_(&fixture, "/0 good", CB_CONTENT_PROGRESS_MS);
+	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.cleared->str, name));
+	fixture_clear_(&fixture);
+	g_free(deaths);
+	g_free(name);
+}
+
+/* Returns the name of a whole request without parts. */
+static char *request_name_(const char *target)
+{
+	GArray *features = features_parse_(target);
+	char *name = cb_content_name_new(
+		g_array_index(features, cb_content_feature_t, 0).hash);
+
+	g_array_unref(features);
+	return name;
+}
+
+/*
+ * Guards against an instance that frees a request whose answers begin: only the
+ * one that saw a server's end knows how far its answer had come.
+ */
+static void ends_elsewhere_need_a_whole_answer(void)
+{
+	char *name = request_name_("/1");
+	fixture_t fixture;
+	char *deaths;
+
+	fixture_init_(&fixture);
+	cb_clock_advance(fixture.clock, 2000);
+	deaths = g_strdup_printf("s1/1 255 %" G_GINT64_FORMAT
+				 " e1; s2/1 255 %" G_GINT64_FORMAT " e2",
+				 WALL_NOW - 900, WALL_NOW - 500);
+	record_share_(&fixture, name, deaths, 0);
+	progress_add_(&fixture, "/1", CB_CONTENT_PROGRESS_MS);
+	progress_add_(&fixture, "/1", 60000);
+	CU_ASSERT_EQUAL(fixture.cleared->len, 0);
+	CU_ASSERT_EQUAL(verdict_get_(&fixture, "/1"), CB_CONTENT_WATCHED);
+	progress_add_(&fixture, "/1", CB_CONTENT_PROGRESS_WHOLE);
+	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.cleared->str, name));
+	CU_ASSERT_EQUAL(verdict_get_(&fixture, "/1"), CB_CONTENT_FREE);
+	fixture_clear_(&fixture);
+	g_free(deaths);
+	g_free(name);
+}
+
+/* Guards against a death that loses what this instance knows as it is shared. */
+static void shared_death_keeps_its_progress(void)
+{
+	char *name = request_name_("/1");
+	fixture_t fixture;
+	char *deaths;
+
+	fixture_init_(&fixture);
+	death_add_(&fixture, "s1/1", "/1", 500);
+	deaths = g_strdup_printf("s1/1 255 %" G_GINT64_FORMAT " e1", WALL_NOW);
+	record_share_(&fixture, name, deaths, 0);
+	cb_clock_advance(fixture.clock, 2000);
+	progress_add_(&fixture, "/1", 1200);
+	CU_ASSERT_EQUAL(fixture.cleared->len, 0);
+	progress_add_(&fixture, "/1", 1500);
 	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.cleared->str, name));
 	fixture_clear_(&fixture);
 	g_free(deaths);
@@ -438,7 +584,7 @@
 	for (i = 1; i <= 4; i++) {
 		char *server = g_strdup_printf("s%d/1", i);
 
-		death_add_(&fixture, server, i < 4 ? "/1 bad" : "/2 bad");
+		death_add_(&fixture, server, i < 4 ? "/1 bad" : "/2 bad", 0);
 		cb_clock_advance(fixture.clock, 500);
 		CU_ASSERT_EQUAL(strstr(fixture.refused->str, name) != NULL,
 				i >= 3);
@@ -461,12 +607,12 @@
 	for (i = 1; i < 1000; i++)
 		g_string_append_printf(requests, "; /%d p%d q%d", i, i, i);
 	fixture_init_(&fixture);
-	death_add_(&fixture, "s1/1", requests->str);
+	death_add_(&fixture, "s1/1", requests->str, 0);
 	CU_ASSERT_EQUAL(fixture.report_count, 32);
 	for (i = 0; i < 100; i++) {
 		char *server = g_strdup_printf("s%d/1", i);
 
-		death_add_(&fixture, server, requests->str);
+		death_add_(&fixture, server, requests->str, 0);
 		g_free(server);
 	}
 	CU_ASSERT_TRUE(fixture.report_count <= 32 * 101);
@@ -501,6 +647,9 @@
 	{ "verdicts_follow_evidence", verdicts_follow_evidence },
 	{ "shared_evidence_counts", shared_evidence_counts },
 	{ "innocent_content_is_cleared", innocent_content_is_cleared },
+	{ "ends_elsewhere_need_a_whole_answer",
+	  ends_elsewhere_need_a_whole_answer },
+	{ "shared_death_keeps_its_progress", shared_death_keeps_its_progress },
 	{ "narrower_content_is_cleared_for_its_cause",
 	  narrower_content_is_cleared_for_its_cause },
 	{ "reports_of_one_death_are_limited",
--- a/src/test_libcurrantbridge/test_content_days.c
+++ b/src/test_libcurrantbridge/test_content_days.c
@@ -20,9 +20,9 @@
 #define SLOTS 12
 /* A server that has crashed is back after this time. */
 #define DOWN_MS 4000
-/* Times in a request's run: a crash, enough progress, its end. */
+/* Times in a request's run: a crash, a late one, its end. */
 #define CRASH_MS 100
-#define PROGRESS_MS 300
+#define LATE_CRASH_MS 500
 #define RUN_MIN_MS 400
 #define RUN_MAX_MS 3000
 #define QUEUE_MAX_MS 150
@@ -44,7 +44,8 @@
 	BAD_FIRST_PART,
 	BAD_MIDDLE_PART,
 	BAD_LAST_PART,
-	BAD_REQUEST, /* the same whole request again and again */
+	BAD_REQUEST,	  /* the same whole request again and again */
+	BAD_LATE_REQUEST, /* the same, with an answer that begins */
 	BAD_TWO_PARTS,
 } bad_content_t;
 
@@ -84,6 +85,10 @@
 	  3, TRUE, FALSE },
 	{ "whole request turns bad", BAD_REQUEST, 12, 27, 3, 0, 0, FALSE,
 	  TRUE },
+	{ "whole request, ends servers late", BAD_LATE_REQUEST, 12, 27, 3, 0, 0,
+	  FALSE, FALSE },
+	{ "whole request, ends servers late, other crashes", BAD_LATE_REQUEST,
+	  30, 90, 3, 0.3, 1, FALSE, FALSE },
 };
 
 static const day_case_t small_service_cases[] = {
@@ -107,9 +112,10 @@
 	unsigned int entry;
 	unsigned int server;
 	unsigned int attempts;
+	int64_t sent_ms;
 	int64_t begin_ms; /* when the server begins to write */
 	int64_t end_ms;
-	gboolean has_progress;
+	int64_t progress_ms; /* the last that the book was told */
 } request_t;
 
 /* The end of a server that one instance has not noticed yet. */
@@ -117,7 +123,7 @@
 	int64_t due_ms;
 	unsigned int entry;
 	char *server;
-	GPtrArray *candidates; /* elements: GArray of features */
+	GPtrArray *attempts; /* elements: cb_content_attempt_t */
 } notice_t;
 
 /* A change that is not shared yet. */
@@ -179,7 +185,7 @@
 {
 	notice_t *notice = data;
 
-	g_ptr_array_unref(notice->candidates);
+	g_ptr_array_unref(notice->attempts);
 	g_free(notice->server);
 	g_free(notice);
 }
@@ -358,6 +364,12 @@
 	return cb_content_features_new(&request, parts, count);
 }
 
+/* Returns whether bad content is one whole request. */
+static gboolean is_whole_(bad_content_t bad)
+{
+	return bad == BAD_REQUEST || bad == BAD_LATE_REQUEST;
+}
+
 /*
  * Returns the features of the next request: a part of its workspace, one of its
  * subject and at times one of its session, and with them the bad one.
@@ -372,11 +384,11 @@
 	GArray *features;
 
 	g_snprintf(target, sizeof(target), "/%u",
-		   bad == BAD_REQUEST ? 0 : ++day->serial);
+		   is_whole_(bad) ? 0 : ++day->serial);
 	if (bad == BAD_FIRST_PART)
 		names[count++] = g_strdup("bad");
 	names[count++] =
-		g_strdup_printf("w%u", bad == BAD_REQUEST ?
+		g_strdup_printf("w%u", is_whole_(bad) ?
 					       0 :
 					       g_rand_int(day->random) % 5);
 	if (bad == BAD_MIDDLE_PART || bad == BAD_TWO_PARTS)
@@ -386,7 +398,7 @@
 						g_rand_int(day->random) % 2 :
 						0);
 	names[count++] =
-		g_strdup_printf("s%d", bad == BAD_REQUEST ?
+		g_strdup_printf("s%d", is_whole_(bad) ?
 					       0 :
 					       (int)(subject * subject * 60));
 	if (bad == BAD_LAST_PART)
@@ -437,7 +449,8 @@
 		return;
 	}
 	request->attempts++;
-	request->has_progress = FALSE;
+	request->progress_ms = 0;
+	request->sent_ms = now_ms_(day);
 	request->begin_ms =
 		now_ms_(day) + g_rand_int_range(day->random, 0, QUEUE_MAX_MS);
 	request->end_ms = request->begin_ms +
@@ -492,14 +505,17 @@
 			notice->entry = request->entry;
 			notice->server = g_strdup_printf("s%u/%u", server,
 							 day->starts[server]);
-			notice->candidates = g_ptr_array_new_with_free_func(
-				(GDestroyNotify)g_array_unref);
+			notice->attempts = g_ptr_array_new_with_free_func(
+				cb_content_attempt_delete);
 			notices[request->entry] = notice;
 			g_ptr_array_add(day->notices, notice);
 		}
-		if (!request->has_progress)
-			g_ptr_array_add(notice->candidates,
-					g_array_ref(request->features));
+		g_ptr_array_add(notice->attempts,
+				cb_content_attempt_new(
+					request->features,
+					MAX(now_ms_(day) - request->begin_ms,
+					    0),
+					now_ms_(day)));
 		request_send_(day, request);
 	}
 	g_ptr_array_unref(lost);
@@ -517,7 +533,7 @@
 			continue;
 		}
 		cb_content_book_add_death(day->entries[notice->entry].book,
-					  notice->server, notice->candidates);
+					  notice->server, notice->attempts);
 		g_ptr_array_remove_index(day->notices, i);
 	}
 }
@@ -525,7 +541,7 @@
 /* Lets a bad request crash its server. */
 static void bad_request_crash_(day_t *day, const request_t *request)
 {
-	unsigned int crashes_to_know = day->c->bad == BAD_REQUEST ? 3 : 5;
+	unsigned int crashes_to_know = is_whole_(day->c->bad) ? 3 : 5;
 
 	day->bad_crashes++;
 	/* Of two parts, each has its own number of crashes. */
@@ -536,26 +552,43 @@
 	server_end_(day, request->server);
 }
 
+/* Tells the book of a request's entry how far its answer has come, by steps. */
+static void progress_tell_(day_t *day, request_t *request)
+{
+	cb_content_book_t *book = day->entries[request->entry].book;
+	int64_t coming_ms = now_ms_(day) - request->begin_ms;
+	cb_content_progress_t progress = {
+		.begun_ms = request->sent_ms,
+		.progress_ms = coming_ms - coming_ms % CB_CONTENT_PROGRESS_MS,
+	};
+
+	if (progress.progress_ms > request->progress_ms)
+		cb_content_book_add_progress(book, request->features,
+					     &progress);
+	request->progress_ms = progress.progress_ms;
+	progress.progress_ms = CB_CONTENT_PROGRESS_WHOLE;
+	if (now_ms_(day) >= request->end_ms)
+		cb_content_book_add_progress(book, request->features,
+					     &progress);
+}
+
 static void requests_run_(day_t *day)
 {
+	int64_t crash_after_ms =
+		day->c->bad == BAD_LATE_REQUEST ? LATE_CRASH_MS : CRASH_MS;
 	int64_t now_ms = now_ms_(day);
 	unsigned int i = 0;
 
 	while (i < day->running->len) {
 		request_t *request = day->running->pdata[i++];
-		cb_content_book_t *book = day->entries[request->entry].book;
 
 		if (request->is_bad && request->crashes_server &&
-		    now_ms >= request->begin_ms + CRASH_MS) {
+		    now_ms >= request->begin_ms + crash_after_ms) {
 			bad_request_crash_(day, request);
 			i = 0;
 			continue;
 		}
-		if (!request->has_progress &&
-		    now_ms >= request->begin_ms + PROGRESS_MS) {
-			request->has_progress = TRUE;
-			cb_content_book_add_progress(book, request->features);
-		}
+		progress_tell_(day, request);
 		if (now_ms >= request->end_ms)
 			g_ptr_array_remove_index(day->running, --i);
 	}
--- a/src/test_libcurrantbridge/test_content_oracle.c
+++ b/src/test_libcurrantbridge/test_content_oracle.c
@@ -239,24 +239,38 @@
 	return features;
 }
 
+/* Tells a book of the first progress of an attempt that was sent just now. */
+static void first_progress_add_(book_fixture_t *fixture, const GArray *features)
+{
+	const cb_content_progress_t progress = {
+		.begun_ms = cb_clock_now_ms(fixture->clock),
+		.progress_ms = CB_CONTENT_PROGRESS_MS,
+	};
+
+	cb_content_book_add_progress(fixture->book, features, &progress);
+}
+
 /* Adds one death of a history to a book, and the progress after it. */
 static void history_step_(book_fixture_t *fixture, const history_t *history,
 			  unsigned int d)
 {
 	GArray *proved = oracle_request_(history->is_proved);
 	GArray *request = oracle_request_(history->is_under[d]);
-	GPtrArray *requests = g_ptr_array_new();
+	GPtrArray *attempts =
+		g_ptr_array_new_with_free_func(cb_content_attempt_delete);
 	char *server = g_strdup_printf("s%02u/1", d);
 
-	g_ptr_array_add(requests, request);
+	g_ptr_array_add(attempts,
+			cb_content_attempt_new(
+				request, 0, cb_clock_now_ms(fixture->clock)));
 	cb_clock_advance(fixture->clock,
 			 history->at_ms[d] -
 				 (d ? history->at_ms[d - 1] + 1 : 0));
-	cb_content_book_add_death(fixture->book, server, requests);
+	cb_content_book_add_death(fixture->book, server, attempts);
 	cb_clock_advance(fixture->clock, 1);
-	cb_content_book_add_progress(fixture->book, proved);
+	first_progress_add_(fixture, proved);
 	g_array_unref(proved);
-	g_ptr_array_unref(requests);
+	g_ptr_array_unref(attempts);
 	g_array_unref(request);
 	g_free(server);
 }
@@ -324,9 +338,9 @@
 	unsigned int f;
 
 	fixture_init_(&fixture);
-	cb_content_book_add_progress(fixture.book, proved);
+	first_progress_add_(&fixture, proved);
 	if (is_shared_at_once) {
-		cb_content_book_add_progress(fixture.book, formerly_proved);
+		first_progress_add_(&fixture, formerly_proved);
 		history_share_(&fixture, history);
 		oracle_decide_(history, ORACLE_DEATHS, refused);
 	}
--- a/src/test_libcurrantbridge/test_relay_content.c
+++ b/src/test_libcurrantbridge/test_relay_content.c
@@ -213,11 +213,81 @@
 	}
 }
 
+/* The events that a server sends before it ends, and the time between them. */
+#define LATE_EVENTS 9
+#define LATE_EVENT_MS 60
+#define LATE_CRASHES 3
+
+/* Sends the later events of the answer to a request, then ends its server. */
+static void late_crash_play_(relay_fixture_t *fixture, unsigned int request)
+{
+	unsigned int id;
+
+	for (id = 2; id <= LATE_EVENTS; id++) {
+		char *event =
+			g_strdup_printf("f\r\nid: %u\ndata: a\n\n\r\n", id);
+
+		time_pass_(fixture, LATE_EVENT_MS);
+		support_relay_answer_continue(fixture, request, event);
+		g_free(event);
+	}
+	time_pass_(fixture, STEP_MS);
+	support_relay_server_crash(fixture, request);
+	time_pass_(fixture, REPORT_MS);
+}
+
+/*
+ * Sends a stream that ends each server in the middle of its answer.  Returns how many
+ * servers it has reached.
+ */
+static unsigned int late_stream_send_(relay_fixture_t *fixture)
+{
+	unsigned int first = fixture->requests->len;
+	unsigned int request;
+
+	request_send_(fixture, "/stream/", 0, "shared,own");
+	for (request = first; request < fixture->requests->len; request++)
+		late_crash_play_(fixture, request);
+	servers_restart_(fixture);
+	return fixture->requests->len - first;
+}
+
+/*
+ * Guards against a request whose answers make progress before they end servers, and
+ * which is taken for innocent each time.
+ */
+static void requests_that_end_servers_late_stop_reaching_them(void)
+{
+	relay_script_t scripts[SCRIPTS_MAX];
+	relay_fixture_t fixture;
+	unsigned int crashes = 0;
+	unsigned int later = 0;
+	unsigned int i;
+
+	support_relay_init(&fixture, TRUE);
+	scripts_set_(&fixture, scripts, FIRST_EVENT, END_HOLD);
+	while (crashes < LATE_CRASHES)
+		crashes += late_stream_send_(&fixture);
+	time_pass_(&fixture, KNOWN_AFTER_MS);
+	for (i = 0; i < LATER_REQUESTS; i++)
+		later += late_stream_send_(&fixture);
+	CU_ASSERT_TRUE(later <= LATER_REQUESTS_MAX);
+	if (later > LATER_REQUESTS_MAX)
+		printf("    %u reached servers\n", later);
+	/* Another request with the same parts is served. */
+	scripts_set_(&fixture, scripts, EVENT_ANSWER, END_KEEP);
+	request_send_(&fixture, "/stream/", 1, "shared,own");
+	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.answer->str, "200 OK"));
+	support_relay_clear(&fixture);
+}
+
 static CU_TestInfo content_tests[] = {
 	{ "only_ended_processes_count_as_ended",
 	  only_ended_processes_count_as_ended },
 	{ "content_that_crashes_servers_stops_reaching_them",
 	  content_that_crashes_servers_stops_reaching_them },
+	{ "requests_that_end_servers_late_stop_reaching_them",
+	  requests_that_end_servers_late_stop_reaching_them },
 	CU_TEST_INFO_NULL
 };
 
