--- a/include/currantbridge/fleet.h
+++ b/include/currantbridge/fleet.h
@@ -171,6 +171,9 @@
 void cb_fleet_set_recorded(cb_fleet_t *fleet, const char *id,
 			   gboolean is_recorded);
 const cb_fleet_server_t *cb_fleet_find(const cb_fleet_t *fleet, const char *id);
+/* Returns the server that has an address ("IP:PORT"), or NULL. */
+const cb_fleet_server_t *cb_fleet_find_at(const cb_fleet_t *fleet,
+					  const char *address);
 unsigned int cb_fleet_count(const cb_fleet_t *fleet);
 /* Returns all servers, sorted by ID; valid until the next change. */
 const GPtrArray *cb_fleet_servers(const cb_fleet_t *fleet);
--- a/src/libcurrantbridge/backend/fleet.c
+++ b/src/libcurrantbridge/backend/fleet.c
@@ -298,6 +298,12 @@
 	return report_apply_(fleet, report, now_ms, TRUE);
 }
 
+const cb_fleet_server_t *cb_fleet_find_at(const cb_fleet_t *fleet,
+					  const char *address)
+{
+	return address_holder_find_(fleet, address);
+}
+
 unsigned int cb_fleet_unconfigured_count(const cb_fleet_t *fleet)
 {
 	return cb_unconfigured_count(fleet->unconfigured);
--- a/src/libcurrantbridge/include/private/content_book.h
+++ b/src/libcurrantbridge/include/private/content_book.h
@@ -52,7 +52,10 @@
 typedef struct cb_content_attempt {
 	GArray *features;    /* elements: cb_content_feature_t */
 	int64_t progress_ms; /* how long its answer had been coming */
-	int64_t lost_ms;     /* when it was broken off, by the book's clock */
+	/* When it was broken off, or left as silent, by the book's clock. */
+	int64_t lost_ms;
+	/* When a silent one was last heard of; 0: its connection was lost. */
+	int64_t silent_since_ms;
 } cb_content_attempt_t;
 
 /* What the instances have shared about one feature. */
--- a/src/libcurrantbridge/include/private/relay_content.h
+++ b/src/libcurrantbridge/include/private/relay_content.h
@@ -2,6 +2,7 @@
 #define PRIVATE_RELAY_CONTENT_H
 
 #include "private/content_book.h"
+#include "currantbridge/fleet.h"
 #include "private/server_ends.h"
 
 struct cb_relay;
@@ -37,6 +38,9 @@
 cb_content_book_t *cb_relay_content_book_new(struct cb_front *front);
 /* Called when the view has changed. */
 void cb_relay_content_view_changed(struct cb_front *front);
+/* Called when the record of a server has changed. */
+void cb_relay_content_server_changed(struct cb_front *front,
+				     const cb_fleet_server_t *server);
 /* Called when a server was checked; `user_data` is the cb_front_t. */
 void cb_relay_content_server_checked(const cb_relay_hop_t *server,
 				     cb_server_check_t check,
--- a/src/libcurrantbridge/relay/front.c
+++ b/src/libcurrantbridge/relay/front.c
@@ -235,11 +235,13 @@
 	return cb_fleet_document_can_use(front->document, report);
 }
 
-static void server_change_log_(const cb_fleet_server_t *server, void *user_data)
+static void server_change_handle_(const cb_fleet_server_t *server,
+				  void *user_data)
 {
 	cb_front_t *front = user_data;
 
 	cb_fleet_log(front->log, server);
+	cb_relay_content_server_changed(front, server);
 }
 
 /* Logs and counts a change of a server's pace, with its reason. */
@@ -561,7 +563,7 @@
 				      cb_engine_check_delete, NULL);
 	front->random = g_rand_new();
 	front->fleet = cb_fleet_new();
-	cb_fleet_watch(front->fleet, server_change_log_, front);
+	cb_fleet_watch(front->fleet, server_change_handle_, front);
 	cb_fleet_set_check(front->fleet, server_is_configured_, front);
 	front->limits =
 		cb_rate_limits_new(front->clock, front->random, options->name,
--- a/src/libcurrantbridge/relay/relay_content.c
+++ b/src/libcurrantbridge/relay/relay_content.c
@@ -14,6 +14,8 @@
  * stands still for longer has not run the request meanwhile.
  */
 #define PROGRESS_PAUSE_MAX_MS 100
+/* A connection that is lost after so long a silence was reset by another process. */
+#define SILENCE_MIN_MS 500
 
 /* Reads the content of a request that was received whole. */
 void cb_relay_content_init(cb_relay_t *relay)
@@ -103,12 +105,71 @@
 	       cb_fleet_is_stopped(server, front->view);
 }
 
+/* Returns whether a planned stop of a server's process is committed. */
+static gboolean stop_is_planned_(const cb_front_t *front,
+				 const cb_relay_hop_t *server)
+{
+	const cb_fleet_server_t process = {
+		.id = server->id,
+		.start_wall_ms = server->start_wall_ms,
+	};
+
+	return cb_fleet_is_stopped(&process, front->view);
+}
+
+/* Returns the later process that has the address of a server, or NULL. */
+static const cb_fleet_server_t *successor_find_(const cb_front_t *front,
+						const cb_relay_hop_t *hop)
+{
+	const cb_fleet_server_t *holder =
+		cb_fleet_find_at(front->fleet, hop->address);
+
+	return holder && holder->start_wall_ms > hop->start_wall_ms ? holder :
+								      NULL;
+}
+
+/*
+ * Records that an answer which had begun is silent: its server may have gone dark,
+ * and ends then without a sign but its successor at the same address.
+ */
+static void silence_record_(cb_relay_t *relay, const cb_relay_hop_t *server)
+{
+	cb_front_t *front = relay->front;
+	const cb_fleet_server_t *successor = successor_find_(front, server);
+	cb_content_attempt_t *attempt;
+
+	if (!successor && server_is_stopping_(front, server))
+		return;
+	attempt = cb_content_attempt_new(relay->content.features,
+					 relay->content.progress_ms,
+					 cb_relay_now_ms(relay));
+	attempt->silent_since_ms = MAX(relay->heard_ms, relay->sent_ms);
+	cb_server_ends_add_silence(front->server_ends, server, attempt);
+	if (successor)
+		cb_server_ends_hear_process(front->server_ends, server->address,
+					    successor->start_wall_ms);
+}
+
+/* Returns whether a failed attempt's answer had begun and then fallen silent. */
+static gboolean answer_is_silent_(const cb_relay_t *relay, const char *result)
+{
+	int64_t heard_ms = MAX(relay->heard_ms, relay->sent_ms);
+
+	if (!relay->status)
+		return FALSE;
+	return !strcmp(result, CB_RELAY_SILENT) ||
+	       (connection_is_lost_(result) &&
+		cb_relay_now_ms(relay) - heard_ms >= SILENCE_MIN_MS);
+}
+
 /* Records that an attempt has failed, before its chain is released. */
 void cb_relay_content_attempt_failed(cb_relay_t *relay, const char *result)
 {
 	const cb_relay_hop_t *first =
 		&g_array_index(relay->hops, cb_relay_hop_t, 0);
 
+	if (answer_is_silent_(relay, result))
+		silence_record_(relay, first);
 	if (!connection_is_lost_(result) ||
 	    server_is_stopping_(relay->front, first))
 		return;
@@ -170,6 +231,7 @@
 
 /* Records that the process of a server has ended under attempts. */
 static void server_end_record_(cb_front_t *front, const cb_relay_hop_t *server,
+			       cb_server_check_t check,
 			       const GPtrArray *attempts)
 {
 	GPtrArray *early = early_attempts_(attempts);
@@ -179,6 +241,7 @@
 	cb_log_event(front->log, CB_EVENT_RELAY_SERVER_ENDED,
 		     CB_STR("server", server->id),
 		     CB_STR("address", server->address),
+		     CB_STR("check", cb_server_check_string[check]),
 		     CB_INT("attempts", attempts->len),
 		     CB_INT("candidates", early->len),
 		     CB_INT("proved",
@@ -206,6 +269,21 @@
 	       cb_reach_is_doubtful(front->reach, server->data_centre);
 }
 
+/*
+ * Tells what a changed record of a server shows of processes that are silent: one that
+ * is told to stop does not crash, and one whose address a later process has, has ended.
+ */
+void cb_relay_content_server_changed(cb_front_t *front,
+				     const cb_fleet_server_t *server)
+{
+	if (server->state == CB_FLEET_DRAINING)
+		cb_server_ends_forget_silence(front->server_ends, server->id,
+					      server->start_wall_ms);
+	else if (server->state != CB_FLEET_GONE)
+		cb_server_ends_hear_process(front->server_ends, server->address,
+					    server->start_wall_ms);
+}
+
 void cb_relay_content_server_checked(const cb_relay_hop_t *server,
 				     cb_server_check_t check,
 				     const GPtrArray *losses, void *user_data)
@@ -214,8 +292,13 @@
 
 	gboolean is_doubtful = way_is_doubtful_(front, server);
 
+	if (check == CB_SERVER_CHECK_REPLACED) {
+		if (!stop_is_planned_(front, server))
+			server_end_record_(front, server, check, losses);
+		return;
+	}
 	if (check == CB_SERVER_CHECK_REFUSED && !is_doubtful) {
-		server_end_record_(front, server, losses);
+		server_end_record_(front, server, check, losses);
 		return;
 	}
 	cb_log_event(front->log, CB_EVENT_RELAY_END_UNPROVED,
--- a/src/libcurrantbridge/request/content_book.c
+++ b/src/libcurrantbridge/request/content_book.c
@@ -39,15 +39,20 @@
  */
 #define SUSPECTS_MAX 4096
 
+/* A feature of attempts that the end of a server broke off. */
+typedef struct candidate {
+	cb_content_feature_t feature;
+	/* Of the attempt that came furthest, and of the last one. */
+	int64_t progress_ms;
+	int64_t lost_ms;
+	int64_t wall_ms; /* time of the death */
+} candidate_t;
+
 /* A death under a whole request that was proved before. */
 typedef struct doubt {
-	cb_content_feature_t feature;
+	candidate_t candidate;
 	char *server;
-	int64_t wall_ms; /* time of the death */
 	int64_t since_ms;
-	/* Of the attempt that the death broke off. */
-	int64_t lost_ms;
-	int64_t progress_ms;
 } doubt_t;
 
 struct cb_content_book {
@@ -458,11 +463,12 @@
 	if (suspect && !cb_content_suspect_is_outlived(suspect, progress))
 		return FALSE;
 	for (link = book->doubts.head; link; link = link->next) {
-		const doubt_t *doubt = link->data;
+		const candidate_t *doubted =
+			&((doubt_t *)link->data)->candidate;
 
-		if (doubt->feature.hash == hash &&
-		    !cb_content_end_is_outlived(doubt->lost_ms,
-						doubt->progress_ms, progress))
+		if (doubted->feature.hash == hash &&
+		    !cb_content_end_is_outlived(doubted->lost_ms,
+						doubted->progress_ms, progress))
 			return FALSE;
 	}
 	return TRUE;
@@ -507,14 +513,6 @@
 	}
 }
 
-/* A feature of attempts that the end of a server broke off. */
-typedef struct candidate {
-	cb_content_feature_t feature;
-	/* Of the attempt that came furthest, and of the last one. */
-	int64_t progress_ms;
-	int64_t lost_ms;
-} candidate_t;
-
 /*
  * Orders the features of a death for its reports: first those that servers ended
  * under before, then parts, then whole requests.
@@ -535,32 +533,64 @@
 	return left->hash < right->hash ? -1 : left->hash > right->hash;
 }
 
+/*
+ * Returns whether a request that was left as silent at once has made progress since:
+ * that its server has ended is learned late.
+ */
+static gboolean silence_is_outlived_(const cb_content_book_t *book,
+				     const cb_content_attempt_t *attempt,
+				     const cb_content_feature_t *feature)
+{
+	return attempt->silent_since_ms &&
+	       attempt->progress_ms < CB_CONTENT_PROGRESS_MS &&
+	       progress_ms_(book, feature->hash, feature->depth) >
+		       attempt->lost_ms;
+}
+
+/* Returns when the server of an attempt ended, by the wall clock. */
+static int64_t end_wall_ms_(const cb_content_book_t *book,
+			    const cb_content_attempt_t *attempt)
+{
+	int64_t ago_ms = attempt->silent_since_ms ?
+				 now_ms_(book) - attempt->silent_since_ms :
+				 0;
+
+	return wall_ms_(book) - ago_ms;
+}
+
 /*
  * Adds the features of an attempt, those that are proved or those that are not;
  * `indexes` maps hashes to indexes of candidates.  An attempt with progress shows
- * that its parts are innocent, however long ago that was.
+ * that its parts are innocent, however long ago that was.  Of one that was left as
+ * silent only the whole request counts: parts run on many servers of those that go
+ * dark together.
  */
 static void candidates_add_(const cb_content_book_t *book, GArray *candidates,
 			    GHashTable *indexes,
 			    const cb_content_attempt_t *attempt,
 			    gboolean is_proved)
 {
-	gboolean has_progress = attempt->progress_ms >= CB_CONTENT_PROGRESS_MS;
+	gboolean spares_parts =
+		attempt->progress_ms >= CB_CONTENT_PROGRESS_MS ||
+		attempt->silent_since_ms;
 	unsigned int i;
 
 	for (i = 0; i < attempt->features->len; i++) {
-		candidate_t candidate = { g_array_index(attempt->features,
-							cb_content_feature_t,
-							i),
-					  attempt->progress_ms,
-					  attempt->lost_ms };
+		candidate_t candidate = {
+			.feature = g_array_index(attempt->features,
+						 cb_content_feature_t, i),
+			.progress_ms = attempt->progress_ms,
+			.lost_ms = attempt->lost_ms,
+			.wall_ms = end_wall_ms_(book, attempt),
+		};
 		const cb_content_feature_t *feature = &candidate.feature;
 		candidate_t *known;
 		void *index;
 
 		if (feature_is_proved_(book, feature->hash, feature->depth) !=
 			    is_proved ||
-		    (has_progress && feature->depth != CB_CONTENT_WHOLE))
+		    (spares_parts && feature->depth != CB_CONTENT_WHOLE) ||
+		    silence_is_outlived_(book, attempt, feature))
 			continue;
 		if (g_hash_table_lookup_extended(indexes,
 						 hash_key_(feature->hash), NULL,
@@ -629,13 +659,13 @@
 
 /* Records a death under a feature, and shares it if that is not done yet. */
 static void death_report_(cb_content_book_t *book, const candidate_t *candidate,
-			  const char *server, int64_t wall_ms)
+			  const char *server)
 {
 	const cb_content_feature_t *feature = &candidate->feature;
 	cb_content_suspect_t *suspect = suspect_get_(book, feature->hash);
 	const cb_content_death_t death = {
 		.server = (char *)server,
-		.wall_ms = wall_ms,
+		.wall_ms = candidate->wall_ms,
 		.known_ms = now_ms_(book),
 		.lost_ms = candidate->lost_ms,
 		.progress_ms = candidate->progress_ms,
@@ -650,7 +680,7 @@
 	cb_content_suspect_add_death(suspect, &death);
 	name = cb_content_name_new(feature->hash);
 	text = g_strdup_printf("%s %u %" G_GINT64_FORMAT, server,
-			       feature->depth, wall_ms);
+			       feature->depth, candidate->wall_ms);
 	book->parts.report(book->parts.user_data, name, text);
 	g_free(text);
 	g_free(name);
@@ -671,14 +701,9 @@
 			break;
 		}
 		g_queue_pop_head(&book->doubts);
-		if (progress_ms_(book, doubt->feature.hash,
-				 doubt->feature.depth) <= doubt->since_ms) {
-			const candidate_t candidate = { doubt->feature,
-							doubt->progress_ms,
-							doubt->lost_ms };
-
-			death_report_(book, &candidate, doubt->server,
-				      doubt->wall_ms);
+		if (progress_ms_(book, doubt->candidate.feature.hash,
+				 CB_CONTENT_WHOLE) <= doubt->since_ms) {
+			death_report_(book, &doubt->candidate, doubt->server);
 			has_reported = TRUE;
 		}
 		doubt_delete_(doubt);
@@ -698,11 +723,8 @@
 	if (candidate->feature.depth != CB_CONTENT_WHOLE)
 		return;
 	doubt = g_new0(doubt_t, 1);
-	doubt->feature = candidate->feature;
-	doubt->progress_ms = candidate->progress_ms;
-	doubt->lost_ms = candidate->lost_ms;
+	doubt->candidate = *candidate;
 	doubt->server = g_strdup(server);
-	doubt->wall_ms = wall_ms_(book);
 	doubt->since_ms = now_ms_(book);
 	g_queue_push_tail(&book->doubts, doubt);
 	cb_timer_start_sooner(book->doubt_timer, DOUBT_MS);
@@ -722,7 +744,7 @@
 			   server);
 	for (i = 0; i < candidates->len; i++)
 		death_report_(book, &g_array_index(candidates, candidate_t, i),
-			      server, wall_ms_(book));
+			      server);
 	if (candidates->len)
 		verdicts_decide_(book);
 	g_array_unref(candidates);
--- a/src/test_libcurrantbridge/test_content_book.c
+++ b/src/test_libcurrantbridge/test_content_book.c
@@ -118,25 +118,31 @@
 	g_array_unref(features);
 }
 
-/*
- * Adds the end of a server under requests that are separated by "; ", whose answers
- * had been coming for a time.
- */
+/* How far the answers to the requests of a lost server had come. */
+typedef struct loss {
+	int64_t progress_ms;
+	/* For how long they had been silent as the end became known; 0: not. */
+	int64_t silent_ms;
+} loss_t;
+
+/* Adds the end of a server under requests that are separated by "; ". */
 static void death_add_(fixture_t *fixture, const char *server,
-		       const char *requests, int64_t progress_ms)
+		       const char *requests, loss_t loss)
 {
 	char **texts = g_strsplit(requests, "; ", -1);
 	GPtrArray *attempts =
 		g_ptr_array_new_with_free_func(cb_content_attempt_delete);
+	int64_t lost_ms = cb_clock_now_ms(fixture->clock) - loss.silent_ms;
 	unsigned int i;
 
 	for (i = 0; texts[i]; i++) {
 		GArray *features = features_parse_(texts[i]);
+		cb_content_attempt_t *attempt =
+			cb_content_attempt_new(features, loss.progress_ms,
+					       lost_ms);
 
-		g_ptr_array_add(attempts,
-				cb_content_attempt_new(
-					features, progress_ms,
-					cb_clock_now_ms(fixture->clock)));
+		attempt->silent_since_ms = loss.silent_ms ? lost_ms : 0;
+		g_ptr_array_add(attempts, attempt);
 		g_array_unref(features);
 	}
 	cb_content_book_add_death(fixture->book, server, attempts);
@@ -150,7 +156,8 @@
 	const char *server; /* the server that ends; NULL: progress */
 	/*
 	 * After a time for which their answers have come, if it isn't the first
-	 * time that counts as progress, or 0 for a server's end.
+	 * time that counts as progress, or 0 for a server's end; or after "silent"
+	 * and the time for which they had been silent as its end became known.
 	 */
 	const char *requests;
 } step_t;
@@ -287,6 +294,25 @@
 	    { 500, "s2", "/3 bad" },
 	    { 500, "s3", "/4 bad" } },
 	  { { "/5 bad", CB_CONTENT_REFUSED } } },
+	{ "a request that leaves servers dark is refused, and no part of it",
+	  { { 0, "s1", "silent 3000 /1 a" },
+	    { 700, "s2", "silent 3000 /1 a" },
+	    { 700, "s3", "silent 3000 /1 a" } },
+	  { { "/1 a", CB_CONTENT_REFUSED }, { "/2 a", CB_CONTENT_FREE } } },
+	{ "servers that go dark together are one event, whenever they return",
+	  { { 0, "s1", "silent 3000 /1" },
+	    { 700, "s2", "silent 3700 /1" },
+	    { 700, "s3", "silent 4400 /1" } },
+	  { { "/1", CB_CONTENT_FREE } } },
+	{ "progress after the silence and before its end is known counts",
+	  { { 0, NULL, "/1" },
+	    { 1000, "s1", "silent 3000 /1" },
+	    { 2000, NULL, "/1" },
+	    { 1000, "s2", "silent 2000 /1" },
+	    { 2000, NULL, "/1" },
+	    { 1000, "s3", "silent 2000 /1" },
+	    { 600, NULL, "/2" } },
+	  { { "/1", CB_CONTENT_FREE } } },
 	{ "a part that sound requests bear after each end stays proved",
 	  { { 0, NULL, "/0 a" },
 	    { 1500, "s1", "/1 a" },
@@ -370,12 +396,17 @@
 {
 	const char *requests = strchr(step->requests, '/');
 	int64_t progress_ms = g_ascii_strtoll(step->requests, NULL, 10);
+	loss_t loss = { .progress_ms = progress_ms };
 
 	if (g_str_has_prefix(step->requests, "whole "))
 		progress_ms = CB_CONTENT_PROGRESS_WHOLE;
+	if (g_str_has_prefix(step->requests, "silent "))
+		loss.silent_ms =
+			g_ascii_strtoll(step->requests + strlen("silent "),
+					NULL, 10);
 	cb_clock_advance(fixture->clock, step->after_ms);
 	if (step->server)
-		death_add_(fixture, step->server, requests, progress_ms);
+		death_add_(fixture, step->server, requests, loss);
 	else
 		progress_add_(fixture, requests,
 			      progress_ms ? progress_ms :
@@ -488,7 +519,7 @@
 
 	fixture_init_(&fixture);
 	progress_add_(&fixture, "/0 good", CB_CONTENT_PROGRESS_MS);
-	death_add_(&fixture, "s9/1", "/0 good", 0);
+	death_add_(&fixture, "s9/1", "/0 good", (loss_t){ 0 });
 	CU_ASSERT_EQUAL(fixture.report_count, 0);
 	deaths = g_strdup_printf("s1/1 2 %" G_GINT64_FORMAT
 				 " e1; s2/1 1 %" G_GINT64_FORMAT " e2",
@@ -555,7 +586,7 @@
 	char *deaths;
 
 	fixture_init_(&fixture);
-	death_add_(&fixture, "s1/1", "/1", 500);
+	death_add_(&fixture, "s1/1", "/1", (loss_t){ 500, 0 });
 	deaths = g_strdup_printf("s1/1 255 %" G_GINT64_FORMAT " e1", WALL_NOW);
 	record_share_(&fixture, name, deaths, 0);
 	cb_clock_advance(fixture.clock, 2000);
@@ -584,7 +615,8 @@
 	for (i = 1; i <= 4; i++) {
 		char *server = g_strdup_printf("s%d/1", i);
 
-		death_add_(&fixture, server, i < 4 ? "/1 bad" : "/2 bad", 0);
+		death_add_(&fixture, server, i < 4 ? "/1 bad" : "/2 bad",
+			   (loss_t){ 0 });
 		cb_clock_advance(fixture.clock, 500);
 		CU_ASSERT_EQUAL(strstr(fixture.refused->str, name) != NULL,
 				i >= 3);
@@ -607,12 +639,12 @@
 	for (i = 1; i < 1000; i++)
 		g_string_append_printf(requests, "; /%d p%d q%d", i, i, i);
 	fixture_init_(&fixture);
-	death_add_(&fixture, "s1/1", requests->str, 0);
+	death_add_(&fixture, "s1/1", requests->str, (loss_t){ 0 });
 	CU_ASSERT_EQUAL(fixture.report_count, 32);
 	for (i = 0; i < 100; i++) {
 		char *server = g_strdup_printf("s%d/1", i);
 
-		death_add_(&fixture, server, requests->str, 0);
+		death_add_(&fixture, server, requests->str, (loss_t){ 0 });
 		g_free(server);
 	}
 	CU_ASSERT_TRUE(fixture.report_count <= 32 * 101);
--- a/src/test_libcurrantbridge/test_relay_content.c
+++ b/src/test_libcurrantbridge/test_relay_content.c
@@ -281,6 +281,155 @@
 	support_relay_clear(&fixture);
 }
 
+/* The time after which a stream leaves a silent server, and then some. */
+#define SILENT_MS 1000
+/* Longer than the silence of a server counts. */
+#define LONG_AFTER_MS 20000
+#define SUCCESSOR_START_WALL_MS 50
+
+/* What happens to a server that has fallen silent. */
+typedef enum silence_end {
+	SILENCE_GOES_ON,
+	SILENCE_REPLACED, /* a later process has its address */
+	SILENCE_REPLACED_LATE,
+	SILENCE_REPLACED_AFTER_STOP, /* it was told to stop before */
+	SILENCE_RESET,		     /* its connection is reset, no more */
+} silence_end_t;
+
+/* Announces that a server is told to stop. */
+static void server_drain_(relay_fixture_t *fixture, unsigned int server)
+{
+	cb_fleet_server_t heartbeat = { .service = (char *)"s",
+					.data_centre = (char *)"dc1",
+					.start_wall_ms = 1,
+					.sequence = 2,
+					.state = CB_FLEET_DRAINING,
+					.slots = 4 };
+
+	heartbeat.id = g_strdup_printf("server%u", server);
+	heartbeat.address = support_relay_server_address(fixture, server);
+	cb_node_server_announce(fixture->world->nodes[0].node, &heartbeat,
+				support_relay_accepted_check, NULL);
+	time_pass_(fixture, REPORT_MS);
+	g_free(heartbeat.id);
+	g_free(heartbeat.address);
+}
+
+static void silence_end_play_(relay_fixture_t *fixture, unsigned int server,
+			      silence_end_t end)
+{
+	if (end == SILENCE_RESET)
+		support_relay_server_reset(fixture, 0);
+	if (end == SILENCE_REPLACED_LATE)
+		time_pass_(fixture, LONG_AFTER_MS);
+	if (end == SILENCE_REPLACED_AFTER_STOP)
+		server_drain_(fixture, server);
+	if (end != SILENCE_GOES_ON && end != SILENCE_RESET)
+		support_relay_server_announce(fixture, server,
+					      SUCCESSOR_START_WALL_MS, 1);
+	time_pass_(fixture, REPORT_MS);
+}
+
+/*
+ * Guards against servers that go dark and are never known to have ended, and against
+ * pauses, stops and old silences that are taken for that.
+ */
+static void silent_servers_count_as_ended_once_replaced(void)
+{
+	static const struct {
+		const char *description; /* printed if the case fails */
+		const char *begin;	 /* of the answer that falls silent */
+		silence_end_t end;
+		int64_t expected_count;
+	} cases[] = {
+		{ "replaced", FIRST_EVENT, SILENCE_REPLACED, 1 },
+		{ "not replaced", FIRST_EVENT, SILENCE_GOES_ON, 0 },
+		{ "only reset", FIRST_EVENT, SILENCE_RESET, 0 },
+		{ "silent from the start", "", SILENCE_REPLACED, 0 },
+		{ "replaced much later", FIRST_EVENT, SILENCE_REPLACED_LATE,
+		  0 },
+		{ "told to stop", FIRST_EVENT, SILENCE_REPLACED_AFTER_STOP, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const relay_script_t scripts[] = {
+			{ cases[i].begin, END_HOLD },
+			{ EVENT_ANSWER, END_KEEP },
+		};
+		relay_fixture_t fixture;
+		int64_t count;
+
+		support_relay_init(&fixture, TRUE);
+		fixture.scripts = scripts;
+		fixture.script_count = G_N_ELEMENTS(scripts);
+		request_send_(&fixture, "/stream/", 0, "shared,own");
+		time_pass_(&fixture, SILENT_MS);
+		CU_ASSERT_EQUAL(fixture.requests->len, 2);
+		silence_end_play_(&fixture,
+				  g_array_index(fixture.server_indexes,
+						unsigned int, 0),
+				  cases[i].end);
+		count = ended_servers_count_(&fixture);
+		CU_ASSERT_EQUAL(count, cases[i].expected_count);
+		if (count != cases[i].expected_count)
+			printf("    %s: %d ended\n", cases[i].description,
+			       (int)count);
+		support_relay_clear(&fixture);
+	}
+}
+
+/* The time that a request has, and in which dark servers return. */
+#define REQUEST_MS 2000
+#define DARK_SERVERS 3
+
+/*
+ * Sends a stream under which each server goes dark after its first event, and has the
+ * servers return.  Returns how many servers it has reached.
+ */
+static unsigned int dark_stream_send_(relay_fixture_t *fixture)
+{
+	static int64_t start_wall_ms = 100;
+	unsigned int first = fixture->requests->len;
+	unsigned int i;
+
+	request_send_(fixture, "/stream/", 0, "shared,own");
+	time_pass_(fixture, REQUEST_MS);
+	for (i = first; i < fixture->requests->len; i++)
+		support_relay_server_announce(
+			fixture,
+			g_array_index(fixture->server_indexes, unsigned int, i),
+			++start_wall_ms, 1);
+	time_pass_(fixture, REPORT_MS);
+	return fixture->requests->len - first;
+}
+
+/* Guards against a request that leaves one server after the other dark. */
+static void requests_that_leave_servers_dark_stop_reaching_them(void)
+{
+	relay_script_t scripts[SCRIPTS_MAX];
+	relay_fixture_t fixture;
+	unsigned int dark = 0;
+	unsigned int later = 0;
+	unsigned int i;
+
+	support_relay_init(&fixture, TRUE);
+	scripts_set_(&fixture, scripts, FIRST_EVENT, END_HOLD);
+	while (dark < DARK_SERVERS)
+		dark += dark_stream_send_(&fixture);
+	time_pass_(&fixture, KNOWN_AFTER_MS);
+	for (i = 0; i < LATER_REQUESTS; i++)
+		later += dark_stream_send_(&fixture);
+	CU_ASSERT_TRUE(later <= LATER_REQUESTS_MAX);
+	if (later > LATER_REQUESTS_MAX)
+		printf("    %u reached servers\n", later);
+	/* Another request with the same parts is served. */
+	scripts_set_(&fixture, scripts, EVENT_ANSWER, END_KEEP);
+	request_send_(&fixture, "/stream/", 1, "shared,own");
+	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.answer->str, "200 OK"));
+	support_relay_clear(&fixture);
+}
+
 static CU_TestInfo content_tests[] = {
 	{ "only_ended_processes_count_as_ended",
 	  only_ended_processes_count_as_ended },
@@ -288,6 +437,10 @@
 	  content_that_crashes_servers_stops_reaching_them },
 	{ "requests_that_end_servers_late_stop_reaching_them",
 	  requests_that_end_servers_late_stop_reaching_them },
+	{ "silent_servers_count_as_ended_once_replaced",
+	  silent_servers_count_as_ended_once_replaced },
+	{ "requests_that_leave_servers_dark_stop_reaching_them",
+	  requests_that_leave_servers_dark_stop_reaching_them },
 	CU_TEST_INFO_NULL
 };
 
