--- a/src/libcurrantbridge/include/private/content_suspect.h
+++ b/src/libcurrantbridge/include/private/content_suspect.h
@@ -51,13 +51,13 @@
 /* Returns when the last death became known; 0: there is none. */
 int64_t cb_content_suspect_last_death_ms(const cb_content_suspect_t *suspect);
 /*
- * Returns whether an answer to a whole request that was sent after the end of a
- * server under it, a death or a doubt with these members, has got so much further
- * that the request is innocent.
+ * Returns whether an answer to a whole request shows it to be innocent of the end of
+ * a server: the attempt was sent after the one that the end broke off at `lost_ms`,
+ * and has got much further than that one (`lost_progress_ms`; -1: not known).
  */
 gboolean cb_content_end_is_outlived(int64_t lost_ms, int64_t lost_progress_ms,
 				    const cb_content_progress_t *progress);
-/* Returns whether that is so for each end of a server under a suspect. */
+/* Returns whether that is so for each death of a suspect. */
 gboolean cb_content_suspect_is_outlived(const cb_content_suspect_t *suspect,
 					const cb_content_progress_t *progress);
 /* Returns whether each death of `narrow` is one of `wide`, too. */
--- a/src/libcurrantbridge/relay/server_ends.c
+++ b/src/libcurrantbridge/relay/server_ends.c
@@ -40,8 +40,7 @@
 typedef struct silence {
 	char *name; /* key in cb_server_ends.silences */
 	cb_relay_hop_t server;
-	GPtrArray *attempts; /* elements: cb_content_attempt_t */
-	int64_t since_ms;
+	GPtrArray *attempts; /* the oldest first: cb_content_attempt_t */
 } silence_t;
 
 struct cb_server_ends {
@@ -214,7 +213,20 @@
 	check_start_(check);
 }
 
-/* Forgets silences that are too long ago. */
+/* Forgets the attempts that were left too long ago; returns whether any is left. */
+static gboolean silence_expire_(silence_t *silence, int64_t now_ms)
+{
+	while (silence->attempts->len) {
+		const cb_content_attempt_t *oldest =
+			silence->attempts->pdata[0];
+
+		if (now_ms - oldest->lost_ms <= SILENCE_VALID_MS)
+			return TRUE;
+		g_ptr_array_remove_index(silence->attempts, 0);
+	}
+	return FALSE;
+}
+
 static void silences_expire_(cb_server_ends_t *ends)
 {
 	int64_t now_ms = cb_clock_now_ms(ends->clock);
@@ -223,7 +235,7 @@
 
 	g_hash_table_iter_init(&iter, ends->silences);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (now_ms - ((silence_t *)value)->since_ms > SILENCE_VALID_MS)
+		if (!silence_expire_(value, now_ms))
 			g_hash_table_iter_remove(&iter);
 }
 
@@ -252,7 +264,6 @@
 	silence->attempts =
 		g_ptr_array_new_with_free_func(cb_content_attempt_delete);
 	g_ptr_array_add(silence->attempts, attempt);
-	silence->since_ms = cb_clock_now_ms(ends->clock);
 	g_hash_table_insert(ends->silences, silence->name, silence);
 }
 
