--- a/src/libcurrantbridge/include/private/content_book.h
+++ b/src/libcurrantbridge/include/private/content_book.h
@@ -40,7 +40,7 @@
 
 /* How far the answer to an attempt has come. */
 typedef struct cb_content_progress {
-	int64_t begun_ms; /* when the attempt was sent, by the book's clock */
+	int64_t sent_ms; /* when the attempt was sent, by the book's clock */
 	/*
 	 * How long the answer has been coming: CB_CONTENT_PROGRESS_MS, a multiple
 	 * of it, or CB_CONTENT_PROGRESS_WHOLE.
--- a/src/libcurrantbridge/relay/relay_content.c
+++ b/src/libcurrantbridge/relay/relay_content.c
@@ -57,7 +57,7 @@
 	cb_relay_content_t *content = &relay->content;
 	int64_t now_ms = cb_relay_now_ms(relay);
 	int64_t before_ms = content->progress_ms;
-	cb_content_progress_t progress = { .begun_ms = relay->sent_ms };
+	cb_content_progress_t progress = { .sent_ms = relay->sent_ms };
 
 	if (content->last_event_ms)
 		content->progress_ms += MIN(now_ms - content->last_event_ms,
@@ -74,7 +74,7 @@
 void cb_relay_content_ended(const cb_relay_t *relay, gboolean is_served)
 {
 	const cb_content_progress_t progress = {
-		.begun_ms = relay->sent_ms,
+		.sent_ms = relay->sent_ms,
 		.progress_ms = CB_CONTENT_PROGRESS_WHOLE,
 	};
 
@@ -215,7 +215,7 @@
 }
 
 /* Returns those of the attempts that had made no progress. */
-static GPtrArray *early_attempts_(const GPtrArray *attempts)
+static GPtrArray *early_attempts_collect_(const GPtrArray *attempts)
 {
 	GPtrArray *early = g_ptr_array_new();
 	unsigned int i;
@@ -234,7 +234,7 @@
 			       cb_server_check_t check,
 			       const GPtrArray *attempts)
 {
-	GPtrArray *early = early_attempts_(attempts);
+	GPtrArray *early = early_attempts_collect_(attempts);
 	char *process = g_strdup_printf("%s/%" G_GINT64_FORMAT, server->id,
 					server->start_wall_ms);
 
--- a/src/libcurrantbridge/request/content_book.c
+++ b/src/libcurrantbridge/request/content_book.c
@@ -42,10 +42,9 @@
 /* A feature of attempts that the end of a server broke off. */
 typedef struct candidate {
 	cb_content_feature_t feature;
-	/* Of the attempt that came furthest, and of the last one. */
-	int64_t progress_ms;
-	int64_t lost_ms;
-	int64_t wall_ms; /* time of the death */
+	int64_t progress_ms; /* of the attempt that came furthest */
+	int64_t lost_ms;     /* of the one that was lost last */
+	int64_t wall_ms;     /* time of the death */
 } candidate_t;
 
 /* A death under a whole request that was proved before. */
@@ -599,6 +598,8 @@
 					       GPOINTER_TO_UINT(index));
 			known->progress_ms =
 				MAX(known->progress_ms, candidate.progress_ms);
+			known->lost_ms = MAX(known->lost_ms, candidate.lost_ms);
+			known->wall_ms = MIN(known->wall_ms, candidate.wall_ms);
 			continue;
 		}
 		g_hash_table_insert(indexes, hash_key_(feature->hash),
--- a/src/libcurrantbridge/request/content_suspect.c
+++ b/src/libcurrantbridge/request/content_suspect.c
@@ -157,7 +157,7 @@
 				   PROOF_FACTOR * lost_progress_ms +
 					   CB_CONTENT_PROGRESS_MS;
 
-	return progress->begun_ms >= lost_ms &&
+	return progress->sent_ms >= lost_ms &&
 	       progress->progress_ms >= proof_ms;
 }
 
--- a/src/test_libcurrantbridge/test_content_book.c
+++ b/src/test_libcurrantbridge/test_content_book.c
@@ -108,9 +108,9 @@
 	GArray *features = features_parse_(request);
 	int64_t now_ms = cb_clock_now_ms(fixture->clock);
 	const cb_content_progress_t progress = {
-		.begun_ms = progress_ms == CB_CONTENT_PROGRESS_WHOLE ?
-				    now_ms :
-				    now_ms - progress_ms,
+		.sent_ms = progress_ms == CB_CONTENT_PROGRESS_WHOLE ?
+				   now_ms :
+				   now_ms - progress_ms,
 		.progress_ms = progress_ms,
 	};
 
@@ -294,6 +294,14 @@
 	    { 500, "s2", "/3 bad" },
 	    { 500, "s3", "/4 bad" } },
 	  { { "/5 bad", CB_CONTENT_REFUSED } } },
+	{ "of copies that run together, the one that came furthest counts",
+	  { { 0, NULL, "/1" },
+	    { 200, "s1", "500 /1; /1" },
+	    { 1200, NULL, "1200 /1" },
+	    { 600, "s2", "500 /1; /1" },
+	    { 1200, NULL, "1200 /1" },
+	    { 600, "s3", "500 /1; /1" } },
+	  { { "/1", CB_CONTENT_REFUSED } } },
 	{ "a request that leaves servers dark is refused, and no part of it",
 	  { { 0, "s1", "silent 3000 /1 a" },
 	    { 700, "s2", "silent 3000 /1 a" },
--- a/src/test_libcurrantbridge/test_content_days.c
+++ b/src/test_libcurrantbridge/test_content_days.c
@@ -558,7 +558,7 @@
 	cb_content_book_t *book = day->entries[request->entry].book;
 	int64_t coming_ms = now_ms_(day) - request->begin_ms;
 	cb_content_progress_t progress = {
-		.begun_ms = request->sent_ms,
+		.sent_ms = request->sent_ms,
 		.progress_ms = coming_ms - coming_ms % CB_CONTENT_PROGRESS_MS,
 	};
 
--- a/src/test_libcurrantbridge/test_content_oracle.c
+++ b/src/test_libcurrantbridge/test_content_oracle.c
@@ -243,7 +243,7 @@
 static void first_progress_add_(book_fixture_t *fixture, const GArray *features)
 {
 	const cb_content_progress_t progress = {
-		.begun_ms = cb_clock_now_ms(fixture->clock),
+		.sent_ms = cb_clock_now_ms(fixture->clock),
 		.progress_ms = CB_CONTENT_PROGRESS_MS,
 	};
 
