--- a/src/libcurrantbridge/include/private/relay_content.h
+++ b/src/libcurrantbridge/include/private/relay_content.h
@@ -26,6 +26,11 @@
 void cb_relay_content_event_received(struct cb_relay *relay);
 void cb_relay_content_attempt_failed(struct cb_relay *relay,
 				     const char *result);
+/*
+ * The attempt in flight, if there is one, is left as its request ends: its time is
+ * over, or its caller is gone.
+ */
+void cb_relay_content_left(struct cb_relay *relay);
 /* The request ends, with a whole answer of the server if `is_served`. */
 void cb_relay_content_ended(const struct cb_relay *relay, gboolean is_served);
 /* Ends a request whose content is refused; returns whether it did. */
--- a/src/libcurrantbridge/relay/relay.c
+++ b/src/libcurrantbridge/relay/relay.c
@@ -309,6 +309,7 @@
 	gboolean has_run = relay->run_count > 0;
 	uint32_t status = has_run ? 502 : 503;
 
+	cb_relay_content_left(relay);
 	cb_relay_cancel_attempt(relay);
 	if (has_run && cb_relay_now_ms(relay) >= relay->deadline_ms)
 		status = 504;
@@ -576,6 +577,7 @@
 /* Called when the caller has disconnected: cancels the request. */
 static void caller_disconnect_handle_(void *user_data)
 {
+	cb_relay_content_left(user_data);
 	cb_relay_record_end(user_data, 0, "caller_gone");
 	cb_relay_free(user_data);
 }
--- a/src/libcurrantbridge/relay/relay_content.c
+++ b/src/libcurrantbridge/relay/relay_content.c
@@ -14,7 +14,7 @@
  * stands still for longer has not run the request meanwhile.
  */
 #define PROGRESS_PAUSE_MAX_MS 100
-/* A connection that is lost after so long a silence was reset by another process. */
+/* An answer that ends after so long a silence may be that of a server gone dark. */
 #define SILENCE_MIN_MS 500
 
 /* Reads the content of a request that was received whole. */
@@ -70,20 +70,6 @@
 					     content->features, &progress);
 }
 
-/* Records how a request ends, with a whole answer of the server or without. */
-void cb_relay_content_ended(const cb_relay_t *relay, gboolean is_served)
-{
-	const cb_content_progress_t progress = {
-		.sent_ms = relay->sent_ms,
-		.progress_ms = CB_CONTENT_PROGRESS_WHOLE,
-	};
-
-	if (is_served)
-		cb_content_book_add_progress(relay->front->content_book,
-					     relay->content.features,
-					     &progress);
-}
-
 /* Returns whether an attempt with this result has lost its connection. */
 static gboolean connection_is_lost_(const char *result)
 {
@@ -150,16 +136,20 @@
 					    successor->start_wall_ms);
 }
 
+/* Returns for how long the server of the attempt in flight has said nothing. */
+static int64_t silent_ms_(const cb_relay_t *relay)
+{
+	return cb_relay_now_ms(relay) - MAX(relay->heard_ms, relay->sent_ms);
+}
+
 /* Returns whether a failed attempt's answer had begun and then fallen silent. */
 static gboolean answer_is_silent_(const cb_relay_t *relay, const char *result)
 {
-	int64_t heard_ms = MAX(relay->heard_ms, relay->sent_ms);
-
 	if (!relay->status)
 		return FALSE;
 	return !strcmp(result, CB_RELAY_SILENT) ||
 	       (connection_is_lost_(result) &&
-		cb_relay_now_ms(relay) - heard_ms >= SILENCE_MIN_MS);
+		silent_ms_(relay) >= SILENCE_MIN_MS);
 }
 
 /* Records that an attempt has failed, before its chain is released. */
@@ -182,6 +172,34 @@
 				       cb_relay_now_ms(relay)));
 }
 
+/* Returns whether an attempt is in flight whose answer has begun and is silent. */
+static gboolean is_silent_(const cb_relay_t *relay)
+{
+	return relay->call && !relay->forwarded_to && relay->hops->len &&
+	       relay->status && silent_ms_(relay) >= SILENCE_MIN_MS;
+}
+
+void cb_relay_content_left(cb_relay_t *relay)
+{
+	if (is_silent_(relay))
+		silence_record_(relay,
+				&g_array_index(relay->hops, cb_relay_hop_t, 0));
+}
+
+/* Records how a request ends, with a whole answer of the server or without. */
+void cb_relay_content_ended(const cb_relay_t *relay, gboolean is_served)
+{
+	const cb_content_progress_t progress = {
+		.sent_ms = relay->sent_ms,
+		.progress_ms = CB_CONTENT_PROGRESS_WHOLE,
+	};
+
+	if (is_served)
+		cb_content_book_add_progress(relay->front->content_book,
+					     relay->content.features,
+					     &progress);
+}
+
 /* Returns whether a failed attempt may not be repeated. */
 gboolean cb_relay_content_bars_retry(const cb_relay_t *relay)
 {
--- a/src/test_libcurrantbridge/test_relay_content.c
+++ b/src/test_libcurrantbridge/test_relay_content.c
@@ -379,8 +379,39 @@
 	}
 }
 
-/* The time that a request has, and in which dark servers return. */
+/* The time that a request has. */
 #define REQUEST_MS 2000
+
+/*
+ * Guards against a server that goes dark under an attempt which nothing but the end of
+ * its request's time ends.
+ */
+static void servers_that_are_silent_to_the_end_count(void)
+{
+	const relay_script_t scripts[] = {
+		{ FIRST_EVENT, END_HOLD },
+		{ FIRST_EVENT, END_HOLD },
+	};
+	relay_fixture_t fixture;
+	unsigned int i;
+
+	support_relay_init(&fixture, TRUE);
+	fixture.scripts = scripts;
+	fixture.script_count = G_N_ELEMENTS(scripts);
+	request_send_(&fixture, "/stream/", 0, "shared,own");
+	time_pass_(&fixture, REQUEST_MS + REPORT_MS);
+	CU_ASSERT_EQUAL(fixture.requests->len, 2);
+	CU_ASSERT_TRUE(fixture.caller_ended);
+	CU_ASSERT_EQUAL(ended_servers_count_(&fixture), 0);
+	for (i = 0; i < fixture.requests->len; i++)
+		silence_end_play_(&fixture,
+				  g_array_index(fixture.server_indexes,
+						unsigned int, i),
+				  SILENCE_REPLACED);
+	CU_ASSERT_EQUAL(ended_servers_count_(&fixture), 2);
+	support_relay_clear(&fixture);
+}
+
 #define DARK_SERVERS 3
 
 /*
@@ -439,6 +470,8 @@
 	  requests_that_end_servers_late_stop_reaching_them },
 	{ "silent_servers_count_as_ended_once_replaced",
 	  silent_servers_count_as_ended_once_replaced },
+	{ "servers_that_are_silent_to_the_end_count",
+	  servers_that_are_silent_to_the_end_count },
 	{ "requests_that_leave_servers_dark_stop_reaching_them",
 	  requests_that_leave_servers_dark_stop_reaching_them },
 	CU_TEST_INFO_NULL
