--- a/src/test_libcurrantbridge/support_relay.c
+++ b/src/test_libcurrantbridge/support_relay.c
@@ -557,16 +557,10 @@
 };
 static fake_orders_t fake_orders = { .base = { &orders_vtable } };
 
-void support_relay_server_announce(relay_fixture_t *fixture,
-				   unsigned int server, int64_t start_wall_ms,
-				   uint64_t sequence)
+/* Sends a heartbeat, which lacks ID and address of its server, to control. */
+static void heartbeat_send_(relay_fixture_t *fixture, unsigned int server,
+			    cb_fleet_server_t heartbeat)
 {
-	cb_fleet_server_t heartbeat = { .service = (char *)"s",
-					.data_centre = (char *)"dc1",
-					.start_wall_ms = start_wall_ms,
-					.sequence = sequence,
-					.slots = 4 };
-
 	heartbeat.id = g_strdup_printf("server%u", server);
 	heartbeat.address = support_relay_server_address(fixture, server);
 	cb_node_server_announce(fixture->world->nodes[0].node, &heartbeat,
@@ -575,6 +569,35 @@
 	g_free(heartbeat.address);
 }
 
+void support_relay_server_announce(relay_fixture_t *fixture,
+				   unsigned int server, int64_t start_wall_ms,
+				   uint64_t sequence)
+{
+	const cb_fleet_server_t heartbeat = {
+		.service = (char *)"s",
+		.data_centre = (char *)"dc1",
+		.start_wall_ms = start_wall_ms,
+		.sequence = sequence,
+		.slots = 4,
+	};
+
+	heartbeat_send_(fixture, server, heartbeat);
+}
+
+void support_relay_server_drain(relay_fixture_t *fixture, unsigned int server)
+{
+	const cb_fleet_server_t heartbeat = {
+		.service = (char *)"s",
+		.data_centre = (char *)"dc1",
+		.start_wall_ms = 1,
+		.sequence = 2,
+		.state = CB_FLEET_DRAINING,
+		.slots = 4,
+	};
+
+	heartbeat_send_(fixture, server, heartbeat);
+}
+
 void support_relay_server_restart(relay_fixture_t *fixture, unsigned int server,
 				  int64_t start_wall_ms)
 {
--- a/src/test_libcurrantbridge/support_relay.h
+++ b/src/test_libcurrantbridge/support_relay.h
@@ -100,6 +100,8 @@
 void support_relay_server_announce(relay_fixture_t *fixture,
 				   unsigned int server, int64_t start_wall_ms,
 				   uint64_t sequence);
+/* Announces that the first process of a server is told to stop. */
+void support_relay_server_drain(relay_fixture_t *fixture, unsigned int server);
 /*
  * Announces a server as an engine: server 0 holds the first layer, the others
  * the second one.
--- a/src/test_libcurrantbridge/test_content_oracle.c
+++ b/src/test_libcurrantbridge/test_content_oracle.c
@@ -260,12 +260,12 @@
 		g_ptr_array_new_with_free_func(cb_content_attempt_delete);
 	char *server = g_strdup_printf("s%02u/1", d);
 
-	g_ptr_array_add(attempts,
-			cb_content_attempt_new(
-				request, 0, cb_clock_now_ms(fixture->clock)));
 	cb_clock_advance(fixture->clock,
 			 history->at_ms[d] -
 				 (d ? history->at_ms[d - 1] + 1 : 0));
+	g_ptr_array_add(attempts,
+			cb_content_attempt_new(
+				request, 0, cb_clock_now_ms(fixture->clock)));
 	cb_content_book_add_death(fixture->book, server, attempts);
 	cb_clock_advance(fixture->clock, 1);
 	first_progress_add_(fixture, proved);
--- a/src/test_libcurrantbridge/test_relay_content.c
+++ b/src/test_libcurrantbridge/test_relay_content.c
@@ -213,10 +213,46 @@
 	}
 }
 
+/* Servers whose loss must make a request known. */
+#define LOST_SERVERS 3
+
+/*
+ * Sends a stream under which each server is lost after it has begun to answer, and has
+ * the servers return.  Returns how many servers it has reached.
+ */
+typedef unsigned int (*stream_send_fn_t)(relay_fixture_t *fixture);
+
+/*
+ * Checks that a stream stops reaching servers once enough of them are lost, and that
+ * another one with the same parts is served.
+ */
+static void stream_stops_check_(stream_send_fn_t send)
+{
+	relay_script_t scripts[SCRIPTS_MAX];
+	relay_fixture_t fixture;
+	unsigned int lost = 0;
+	unsigned int later = 0;
+	unsigned int i;
+
+	support_relay_init(&fixture, TRUE);
+	scripts_set_(&fixture, scripts, FIRST_EVENT, END_HOLD);
+	while (lost < LOST_SERVERS)
+		lost += send(&fixture);
+	time_pass_(&fixture, KNOWN_AFTER_MS);
+	for (i = 0; i < LATER_REQUESTS; i++)
+		later += send(&fixture);
+	CU_ASSERT_TRUE(later <= LATER_REQUESTS_MAX);
+	if (later > LATER_REQUESTS_MAX)
+		printf("    %u reached servers\n", later);
+	scripts_set_(&fixture, scripts, EVENT_ANSWER, END_KEEP);
+	request_send_(&fixture, "/stream/", 1, "shared,own");
+	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.answer->str, "200 OK"));
+	support_relay_clear(&fixture);
+}
+
 /* The events that a server sends before it ends, and the time between them. */
 #define LATE_EVENTS 9
 #define LATE_EVENT_MS 60
-#define LATE_CRASHES 3
 
 /* Sends the later events of the answer to a request, then ends its server. */
 static void late_crash_play_(relay_fixture_t *fixture, unsigned int request)
@@ -258,27 +294,7 @@
  */
 static void requests_that_end_servers_late_stop_reaching_them(void)
 {
-	relay_script_t scripts[SCRIPTS_MAX];
-	relay_fixture_t fixture;
-	unsigned int crashes = 0;
-	unsigned int later = 0;
-	unsigned int i;
-
-	support_relay_init(&fixture, TRUE);
-	scripts_set_(&fixture, scripts, FIRST_EVENT, END_HOLD);
-	while (crashes < LATE_CRASHES)
-		crashes += late_stream_send_(&fixture);
-	time_pass_(&fixture, KNOWN_AFTER_MS);
-	for (i = 0; i < LATER_REQUESTS; i++)
-		later += late_stream_send_(&fixture);
-	CU_ASSERT_TRUE(later <= LATER_REQUESTS_MAX);
-	if (later > LATER_REQUESTS_MAX)
-		printf("    %u reached servers\n", later);
-	/* Another request with the same parts is served. */
-	scripts_set_(&fixture, scripts, EVENT_ANSWER, END_KEEP);
-	request_send_(&fixture, "/stream/", 1, "shared,own");
-	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.answer->str, "200 OK"));
-	support_relay_clear(&fixture);
+	stream_stops_check_(late_stream_send_);
 }
 
 /* The time after which a stream leaves a silent server, and then some. */
@@ -296,25 +312,6 @@
 	SILENCE_RESET,		     /* its connection is reset, no more */
 } silence_end_t;
 
-/* Announces that a server is told to stop. */
-static void server_drain_(relay_fixture_t *fixture, unsigned int server)
-{
-	cb_fleet_server_t heartbeat = { .service = (char *)"s",
-					.data_centre = (char *)"dc1",
-					.start_wall_ms = 1,
-					.sequence = 2,
-					.state = CB_FLEET_DRAINING,
-					.slots = 4 };
-
-	heartbeat.id = g_strdup_printf("server%u", server);
-	heartbeat.address = support_relay_server_address(fixture, server);
-	cb_node_server_announce(fixture->world->nodes[0].node, &heartbeat,
-				support_relay_accepted_check, NULL);
-	time_pass_(fixture, REPORT_MS);
-	g_free(heartbeat.id);
-	g_free(heartbeat.address);
-}
-
 static void silence_end_play_(relay_fixture_t *fixture, unsigned int server,
 			      silence_end_t end)
 {
@@ -322,8 +319,10 @@
 		support_relay_server_reset(fixture, 0);
 	if (end == SILENCE_REPLACED_LATE)
 		time_pass_(fixture, LONG_AFTER_MS);
-	if (end == SILENCE_REPLACED_AFTER_STOP)
-		server_drain_(fixture, server);
+	if (end == SILENCE_REPLACED_AFTER_STOP) {
+		support_relay_server_drain(fixture, server);
+		time_pass_(fixture, REPORT_MS);
+	}
 	if (end != SILENCE_GOES_ON && end != SILENCE_RESET)
 		support_relay_server_announce(fixture, server,
 					      SUCCESSOR_START_WALL_MS, 1);
@@ -412,8 +411,6 @@
 	support_relay_clear(&fixture);
 }
 
-#define DARK_SERVERS 3
-
 /*
  * Sends a stream under which each server goes dark after its first event, and has the
  * servers return.  Returns how many servers it has reached.
@@ -438,27 +435,7 @@
 /* Guards against a request that leaves one server after the other dark. */
 static void requests_that_leave_servers_dark_stop_reaching_them(void)
 {
-	relay_script_t scripts[SCRIPTS_MAX];
-	relay_fixture_t fixture;
-	unsigned int dark = 0;
-	unsigned int later = 0;
-	unsigned int i;
-
-	support_relay_init(&fixture, TRUE);
-	scripts_set_(&fixture, scripts, FIRST_EVENT, END_HOLD);
-	while (dark < DARK_SERVERS)
-		dark += dark_stream_send_(&fixture);
-	time_pass_(&fixture, KNOWN_AFTER_MS);
-	for (i = 0; i < LATER_REQUESTS; i++)
-		later += dark_stream_send_(&fixture);
-	CU_ASSERT_TRUE(later <= LATER_REQUESTS_MAX);
-	if (later > LATER_REQUESTS_MAX)
-		printf("    %u reached servers\n", later);
-	/* Another request with the same parts is served. */
-	scripts_set_(&fixture, scripts, EVENT_ANSWER, END_KEEP);
-	request_send_(&fixture, "/stream/", 1, "shared,own");
-	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.answer->str, "200 OK"));
-	support_relay_clear(&fixture);
+	stream_stops_check_(dark_stream_send_);
 }
 
 static CU_TestInfo content_tests[] = {
