Events and gauges that tell why a control group has no leader

After machines of control were replaced in series, no document was accepted any more, and the logs couldn't tell three causes apart: voters that are gone but stay in the group, new instances that don't find it, or votes refused by voters that answer.

213 MEMBERS_CHANGED has the number of voters and learners, 204 MAJORITY_LOST how many voters there are and how many sent anything, 212 ELECTION_FAILED how the voters replied to a candidate, 214 JOIN_UNANSWERED that an instance waits for its addition and whether it reached the one that it asked. The gauges cb_control_voters and cb_control_silent_voters tell the first at any time.

--- a/src/libcurrantbridge/control/election.c
+++ b/src/libcurrantbridge/control/election.c
@@ -110,6 +110,7 @@
 		cb_peer_t *peer = replica->peers->pdata[i];
 
 		peer->is_vote_granted = FALSE;
+		peer->is_vote_refused = FALSE;
 		if (peer->is_voter)
 			vote_request_send_(replica, peer, is_pre_vote,
 					   is_hand_over);
@@ -152,6 +153,32 @@
 	return count > cb_members_voter_count(replica->members) / 2;
 }
 
+/*
+ * Logs how the voters replied in an election that no majority has decided.
+ * Repeated elections with the same result are logged once.
+ */
+static void election_failure_log_(cb_replica_t *replica)
+{
+	uint32_t voters = cb_members_voter_count(replica->members);
+	cb_election_result_t result = { .voters = voters, .granted = 1 };
+	uint32_t i;
+
+	for (i = 0; i < replica->peers->len; i++) {
+		const cb_peer_t *peer = replica->peers->pdata[i];
+
+		result.granted += peer->is_voter && peer->is_vote_granted;
+		result.refused += peer->is_voter && peer->is_vote_refused;
+	}
+	if (!memcmp(&result, &replica->failed_election, sizeof(result)))
+		return;
+	replica->failed_election = result;
+	cb_log_event(replica->event_log, CB_EVENT_ELECTION_FAILED,
+		     CB_STR("role", cb_replica_role_string[replica->role]),
+		     CB_INT("term", replica->term), CB_INT("voters", voters),
+		     CB_INT("granted", result.granted),
+		     CB_INT("refused", result.refused));
+}
+
 /* Enters the next term, votes for itself and requests the other votes. */
 static void election_begin_(cb_replica_t *replica, gboolean is_hand_over)
 {
@@ -172,6 +199,9 @@
 {
 	if (!cb_replica_is_voter(replica) || cb_replica_leads(replica))
 		return;
+	if (replica->role == CB_REPLICA_ROLE_PRE_CANDIDATE ||
+	    replica->role == CB_REPLICA_ROLE_CANDIDATE)
+		election_failure_log_(replica);
 	cb_replica_set_leader(replica, NULL);
 	cb_replica_count(replica, CB_REPLICA_COUNT_PRE_VOTE);
 	cb_replica_set_role(replica, CB_REPLICA_ROLE_PRE_CANDIDATE);
@@ -304,8 +334,10 @@
 		cb_election_step_down(replica, message->term);
 		return;
 	}
-	if (!reply->is_granted)
+	if (!reply->is_granted) {
+		peer->is_vote_refused = TRUE;
 		return;
+	}
 	if (reply->is_pre_vote) {
 		if (replica->role != CB_REPLICA_ROLE_PRE_CANDIDATE ||
 		    reply->request_term != replica->term + 1)
@@ -334,10 +366,10 @@
 }
 
 /*
- * Whether messages arrived from a majority of voters, this member included,
- * within the election timeout.
+ * Returns the number of voters, this member included, that a message arrived
+ * from within the election timeout.
  */
-gboolean cb_election_has_majority_contact(const cb_replica_t *replica)
+static uint32_t voters_in_contact_count_(const cb_replica_t *replica)
 {
 	int64_t since_ms =
 		cb_replica_now_ms(replica) - replica->election_timeout_ms;
@@ -350,7 +382,17 @@
 		if (peer->is_voter && peer->last_received_ms >= since_ms)
 			count++;
 	}
-	return count > cb_members_voter_count(replica->members) / 2;
+	return count;
+}
+
+/*
+ * Whether messages arrived from a majority of voters, this member included,
+ * within the election timeout.
+ */
+gboolean cb_election_has_majority_contact(const cb_replica_t *replica)
+{
+	return voters_in_contact_count_(replica) >
+	       cb_members_voter_count(replica->members) / 2;
 }
 
 /*
@@ -394,7 +436,9 @@
 
 	cb_replica_count(replica, CB_REPLICA_COUNT_NO_MAJORITY);
 	cb_log_event(replica->event_log, CB_EVENT_MAJORITY_LOST,
-		     CB_INT("term", replica->term));
+		     CB_INT("term", replica->term),
+		     CB_INT("voters", cb_members_voter_count(replica->members)),
+		     CB_INT("in_contact", voters_in_contact_count_(replica)));
 	if (peer)
 		take_over_request_send_(replica, peer);
 	cb_election_step_down(replica, replica->term);
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -448,6 +448,11 @@
 
 	node->leader_gauge =
 		cb_counters_gauge(counters, "cb_control_leader", NULL, NULL);
+	node->voter_gauge =
+		cb_counters_gauge(counters, "cb_control_voters", NULL, NULL);
+	node->silent_voter_gauge =
+		cb_counters_gauge(counters, "cb_control_silent_voters", NULL,
+				  NULL);
 	node->session_gauge =
 		cb_counters_gauge(counters, "cb_sessions", NULL, NULL);
 	node->push_counter =
--- a/src/libcurrantbridge/control/node_join.c
+++ b/src/libcurrantbridge/control/node_join.c
@@ -12,6 +12,24 @@
  * even.  A restart or a short network failure takes less time.
  */
 #define REMOVE_VOTER_AFTER_MS 10000
+/* Interval of log lines about join requests that had no effect. */
+#define JOIN_LOG_INTERVAL_MS 3000
+
+/* Logs at intervals that this instance's join requests had no effect. */
+static void join_wait_log_(cb_node_t *node, const char *to)
+{
+	int64_t now_ms = cb_clock_now_ms(node->clock);
+
+	if (!node->join_since_ms)
+		node->join_since_ms = node->join_logged_ms = now_ms;
+	if (now_ms - node->join_logged_ms < JOIN_LOG_INTERVAL_MS)
+		return;
+	node->join_logged_ms = now_ms;
+	cb_log_event(node->log, CB_EVENT_JOIN_UNANSWERED,
+		     CB_INT("waited_ms", now_ms - node->join_since_ms),
+		     CB_STR("asked", to),
+		     CB_INT("is_linked", cb_peers_is_ready(node->peers, to)));
+}
 
 /* Requests the addition of this instance from the next join address. */
 static void join_request_send_(cb_node_t *node)
@@ -25,6 +43,7 @@
 	if (g_str_equal(to, node->name))
 		return;
 	cb_peers_keep_connected(node->peers, to, to);
+	join_wait_log_(node, to);
 	/*
 	 * Without a ready link, the request is sent when this address is next.
 	 */
@@ -51,9 +70,13 @@
 {
 	int64_t now_ms = cb_clock_now_ms(node->clock);
 
-	if (!node->join_addresses || !*node->join_addresses ||
-	    !node_needs_join_(node) ||
-	    now_ms - node->last_join_request_ms < JOIN_REQUEST_INTERVAL_MS)
+	if (!node->join_addresses || !*node->join_addresses)
+		return;
+	if (!node_needs_join_(node)) {
+		node->join_since_ms = 0;
+		return;
+	}
+	if (now_ms - node->last_join_request_ms < JOIN_REQUEST_INTERVAL_MS)
 		return;
 	node->last_join_request_ms = now_ms;
 	join_request_send_(node);
@@ -166,22 +189,47 @@
 			      NULL);
 }
 
+/* Updates the gauges of voters, and of those that the leader hears nothing of. */
+static void voter_gauges_update_(cb_node_t *node)
+{
+	const GPtrArray *members = cb_replica_members(node->replica);
+	int silent = 0;
+	unsigned int i;
+
+	for (i = 0; i < members->len; i++) {
+		const cb_replica_member_t *member = members->pdata[i];
+
+		if (member->is_voter &&
+		    cb_replica_silence_ms(node->replica, member->name) >=
+			    node->election_timeout_ms)
+			silent++;
+	}
+	cb_counter_set(node->voter_gauge, cb_members_voter_count(members));
+	cb_counter_set(node->silent_voter_gauge, silent);
+}
+
 /*
  * Removes silent voters and sends changed lists of control instances to entry
  * instances.  Called at each heartbeat.
  */
 void cb_node_membership_tick(cb_node_t *node)
 {
-	uint64_t digest = cb_members_digest(cb_replica_members(node->replica));
+	const GPtrArray *members = cb_replica_members(node->replica);
+	uint32_t voters = cb_members_voter_count(members);
+	uint64_t digest = cb_members_digest(members);
 	cb_link_message_t message = {
 		.kind = CB_LINK_MESSAGE_CONTROL_ADDRESSES
 	};
 
+	voter_gauges_update_(node);
 	if (node->join_addresses)
 		silent_voter_remove_(node);
 	if (digest == node->sent_members_digest)
 		return;
 	node->sent_members_digest = digest;
+	cb_log_event(node->log, CB_EVENT_MEMBERS_CHANGED,
+		     CB_INT("voters", voters),
+		     CB_INT("learners", members->len - voters));
 	message.body = control_addresses_encode_(node);
 	cb_node_sessions_broadcast(node, &message);
 	g_bytes_unref(message.body);
--- a/src/libcurrantbridge/control/replica.c
+++ b/src/libcurrantbridge/control/replica.c
@@ -65,6 +65,8 @@
 		return;
 	replica->leader = g_strdup(name);
 	g_free(former);
+	if (name)
+		replica->failed_election = (cb_election_result_t){ 0 };
 	if (replica->listener.role_changed)
 		replica->listener.role_changed(replica->listener.user_data);
 }
--- a/src/libcurrantbridge/include/private/node.h
+++ b/src/libcurrantbridge/include/private/node.h
@@ -102,6 +102,9 @@
 	char **join_addresses;
 	unsigned int next_join_index;
 	int64_t last_join_request_ms;
+	/* Time of the first join request without effect; 0: none is needed. */
+	int64_t join_since_ms;
+	int64_t join_logged_ms; /* last log line about these requests */
 	/*
 	 * Digest of the list of control instances last sent to entry instances.
 	 */
@@ -201,6 +204,9 @@
 	gboolean is_draining;
 	gboolean is_destroyed;
 	cb_counter_t *leader_gauge;
+	cb_counter_t *voter_gauge;
+	/* Voters that the leader gets no messages from; 0 on the others. */
+	cb_counter_t *silent_voter_gauge;
 	cb_counter_t *session_gauge;
 	cb_counter_t *unconfigured_gauge;
 	cb_counter_t *push_counter;
--- a/src/libcurrantbridge/include/private/replica.h
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -76,6 +76,8 @@
 	gboolean is_probe_sent;
 	/* Whether the peer granted its vote or pre-vote in this election. */
 	gboolean is_vote_granted;
+	/* Whether the peer refused its vote or pre-vote in this election. */
+	gboolean is_vote_refused;
 	/* The snapshot being sent, or NULL. */
 	cb_snapshot_t *snapshot;
 	uint64_t snapshot_offset; /* offset in bytes of the chunk being sent */
@@ -132,6 +134,13 @@
 	uint64_t last_index;
 } cb_pre_vote_grant_t;
 
+/* The replies of the voters to one election. */
+typedef struct cb_election_result {
+	uint32_t voters;
+	uint32_t granted; /* with this member's own vote */
+	uint32_t refused;
+} cb_election_result_t;
+
 struct cb_replica {
 	char *name;		    /* name of this member */
 	char *address;		    /* "IP:PORT" of this member */
@@ -161,6 +170,8 @@
 	/* Time of the last message from the leader. */
 	int64_t leader_last_received_ms;
 	cb_pre_vote_grant_t pre_vote_grant;
+	/* Last failed election that was logged since a leader was known. */
+	cb_election_result_t failed_election;
 	cb_timer_t *election_timer;
 	cb_timer_t *heartbeat_timer;
 	/* Armed until the newest committed index is sent to the peers. */
