Failing test: machines of control replaced in series leave no leader

The test plays whole series of losses and replacements: leaders, followers, seeds, the oldest, the newest or any, of 3, 5 and 9 machines, two at once of 5 and 9, with successors that come at once, after 1.6 s or 12 s, or first (planned). The next machines are lost once the last successors have run for 4 s.

--- /dev/null
+++ b/src/test_libcurrantbridge/test_replacements.c
@@ -0,0 +1,311 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "private/replica.h"
+#include "support_control.h"
+#include "support_main.h"
+
+/*
+ * Series of machines that are gone for good and replaced by empty ones at other
+ * addresses.  The next machines are lost as soon as the last successors have
+ * run for CATCH_UP_MS.  CB_FIRST_SEED and CB_SEEDS set the seeds of each row.
+ */
+#define CATCH_UP_MS 4000
+#define DEFAULT_SEED_COUNT 5
+#define FORM_TIMEOUT_MS 20000
+#define LEADER_TIMEOUT_MS 3000
+/* New machines know the members as they were this long before. */
+#define SEED_LAG_MS 3000
+#define GAP_JITTER_MS 5000
+
+/* Which machine is lost next. */
+typedef enum target {
+	TARGET_LEADER,
+	TARGET_FOLLOWER,
+	TARGET_SEED, /* one of the seeds of the newest machine */
+	TARGET_OLDEST,
+	TARGET_NEWEST,
+	TARGET_ANY,
+	TARGET_MIXED, /* any of the above, by chance */
+} target_t;
+
+/* How a machine is replaced. */
+typedef enum manner {
+	MANNER_LOST,	/* it is lost, then its successor starts */
+	MANNER_PLANNED, /* its successor starts first */
+	MANNER_MIXED,
+} manner_t;
+
+typedef struct series {
+	const char *name;
+	size_t size;	     /* machines at a time */
+	size_t lost_at_once; /* machines that may be lost at the same time */
+	target_t target;
+	manner_t manner;
+	int64_t successor_ms; /* from a loss to the start of the successor */
+	size_t losses;
+} series_t;
+
+typedef struct play {
+	const series_t *series;
+	control_group_t *group;
+	size_t started; /* machines started so far */
+	GArray *alive;	/* size_t: machines, the oldest first */
+	/* Machines that a new one gets as its seeds, as of SEED_LAG_MS ago. */
+	size_t seeds[CONTROL_SEED_COUNT];
+	int64_t seeds_ms;
+} play_t;
+
+static int64_t env_integer_get_(const char *name, int64_t default_value)
+{
+	const char *text = g_getenv(name);
+
+	return text ? g_ascii_strtoll(text, NULL, 10) : default_value;
+}
+
+static size_t alive_at_(const play_t *play, size_t i)
+{
+	return g_array_index(play->alive, size_t, i);
+}
+
+static int64_t now_ms_(const play_t *play)
+{
+	return cb_clock_now_ms(play->group->clock);
+}
+
+/* Notes three members that run as the seeds of machines that start later. */
+static void seeds_update_(play_t *play)
+{
+	size_t i;
+
+	if (now_ms_(play) - play->seeds_ms < SEED_LAG_MS)
+		return;
+	play->seeds_ms = now_ms_(play);
+	for (i = 0; i < CONTROL_SEED_COUNT; i++)
+		play->seeds[i] = alive_at_(play, i);
+}
+
+static void run_(play_t *play, int64_t duration_ms)
+{
+	int64_t end_ms = now_ms_(play) + duration_ms;
+
+	while (now_ms_(play) < end_ms) {
+		seeds_update_(play);
+		cb_clock_advance(play->group->clock, CONTROL_STEP_MS);
+	}
+}
+
+static void machine_start_(play_t *play, gboolean is_new_group)
+{
+	size_t i = play->started++;
+
+	memcpy(play->group->members[i].seeds, play->seeds, sizeof(play->seeds));
+	control_group_start(play->group, i, is_new_group);
+	g_array_append_val(play->alive, i);
+}
+
+/* Whether a leader has committed a record of its term and has a majority. */
+static gboolean has_working_leader_(const play_t *play)
+{
+	size_t leader = control_group_leader(play->group);
+	const cb_replica_t *replica;
+
+	if (leader == play->group->count)
+		return FALSE;
+	replica = cb_node_replica(play->group->members[leader].node);
+	return replica->committed >= replica->term_start &&
+	       cb_replica_is_current(replica);
+}
+
+static gboolean working_leader_wait_(play_t *play)
+{
+	int64_t end_ms = now_ms_(play) + LEADER_TIMEOUT_MS;
+
+	while (!has_working_leader_(play) && now_ms_(play) < end_ms)
+		run_(play, CONTROL_STEP_MS);
+	return has_working_leader_(play);
+}
+
+static play_t *play_new_(const series_t *series, uint32_t seed)
+{
+	play_t *play = g_new0(play_t, 1);
+	uint32_t voters = (1U << series->size) - 1;
+	size_t i;
+
+	play->series = series;
+	play->group = control_group_new(
+		series->size + series->losses * series->lost_at_once, seed);
+	play->alive = g_array_new(FALSE, FALSE, sizeof(size_t));
+	for (i = 0; i < CONTROL_SEED_COUNT; i++)
+		play->seeds[i] = i;
+	for (i = 0; i < series->size; i++)
+		machine_start_(play, TRUE);
+	CU_ASSERT_TRUE(control_group_run_until_voters(play->group, voters,
+						      FORM_TIMEOUT_MS));
+	run_(play, CATCH_UP_MS);
+	return play;
+}
+
+static void play_delete_(play_t *play)
+{
+	g_array_unref(play->alive);
+	control_group_delete(play->group);
+	g_free(play);
+}
+
+/* Returns the index in `alive` of the machine that is lost next. */
+static guint target_find_(const play_t *play, target_t target)
+{
+	GRand *random = play->group->random;
+	guint any = (guint)g_rand_int_range(random, 0, (int)play->alive->len);
+	size_t leader = control_group_leader(play->group);
+	guint i;
+
+	if (target == TARGET_MIXED)
+		target = (target_t)g_rand_int_range(random, 0, TARGET_MIXED);
+	if (target == TARGET_OLDEST)
+		return 0;
+	if (target == TARGET_NEWEST)
+		return play->alive->len - 1;
+	for (i = 0; i < play->alive->len; i++) {
+		size_t machine = alive_at_(play, i);
+
+		if (target == TARGET_LEADER && machine == leader)
+			return i;
+		if (target == TARGET_FOLLOWER && machine != leader)
+			return i;
+		if (target == TARGET_SEED && machine == play->seeds[any % 3])
+			return i;
+	}
+	return any;
+}
+
+static void machines_lose_(play_t *play, size_t count)
+{
+	for (; count; count--) {
+		guint i = target_find_(play, play->series->target);
+
+		control_group_kill(play->group, alive_at_(play, i));
+		g_array_remove_index(play->alive, i);
+	}
+}
+
+static void machines_replace_(play_t *play)
+{
+	const series_t *series = play->series;
+	GRand *random = play->group->random;
+	gboolean is_planned =
+		series->manner == MANNER_PLANNED ||
+		(series->manner == MANNER_MIXED && g_rand_boolean(random));
+	size_t count = series->lost_at_once;
+	size_t i;
+
+	if (!is_planned) {
+		machines_lose_(play, count);
+		run_(play, series->successor_ms);
+	}
+	for (i = 0; i < count; i++)
+		machine_start_(play, FALSE);
+	run_(play, CATCH_UP_MS);
+	if (is_planned)
+		machines_lose_(play, count);
+}
+
+static uint32_t alive_bits_(const play_t *play)
+{
+	uint32_t bits = 0;
+	guint i;
+
+	for (i = 0; i < play->alive->len; i++)
+		bits |= 1U << alive_at_(play, i);
+	return bits;
+}
+
+/* Plays one series; returns the number of the loss that ended it, or 0. */
+static size_t series_play_(const series_t *series, uint32_t seed)
+{
+	play_t *play = play_new_(series, seed);
+	size_t failed_loss = 0;
+	size_t loss;
+
+	for (loss = 1; loss <= series->losses && !failed_loss; loss++) {
+		machines_replace_(play);
+		if (!working_leader_wait_(play))
+			failed_loss = loss;
+		run_(play,
+		     g_rand_int_range(play->group->random, 0, GAP_JITTER_MS));
+	}
+	if (!failed_loss)
+		CU_ASSERT_TRUE(control_group_run_until_voters(play->group,
+							      alive_bits_(play),
+							      FORM_TIMEOUT_MS));
+	play_delete_(play);
+	return failed_loss;
+}
+
+static const series_t series_table[] = {
+	{ "leaders", 5, 1, TARGET_LEADER, MANNER_LOST, 1600, 8 },
+	{ "followers", 5, 1, TARGET_FOLLOWER, MANNER_LOST, 1600, 8 },
+	{ "seeds", 5, 1, TARGET_SEED, MANNER_LOST, 1600, 8 },
+	{ "oldest", 5, 1, TARGET_OLDEST, MANNER_LOST, 1600, 8 },
+	{ "newest", 5, 1, TARGET_NEWEST, MANNER_LOST, 1600, 8 },
+	{ "any", 5, 1, TARGET_MIXED, MANNER_LOST, 1600, 12 },
+	{ "any, replaced at once", 5, 1, TARGET_MIXED, MANNER_LOST, 100, 12 },
+	{ "any, replaced late", 5, 1, TARGET_MIXED, MANNER_LOST, 12000, 12 },
+	{ "planned", 5, 1, TARGET_MIXED, MANNER_PLANNED, 0, 12 },
+	{ "planned and lost", 5, 1, TARGET_MIXED, MANNER_MIXED, 1600, 12 },
+	{ "planned of three", 3, 1, TARGET_MIXED, MANNER_PLANNED, 0, 12 },
+	{ "any of three", 3, 1, TARGET_MIXED, MANNER_LOST, 1600, 12 },
+	{ "one of nine", 9, 1, TARGET_MIXED, MANNER_LOST, 1600, 12 },
+	{ "two of nine", 9, 2, TARGET_MIXED, MANNER_LOST, 1600, 8 },
+	{ "two of nine, planned and lost", 9, 2, TARGET_MIXED, MANNER_MIXED,
+	  1600, 8 },
+	{ "two of five", 5, 2, TARGET_MIXED, MANNER_LOST, 1600, 8 },
+};
+
+/*
+ * Each loss leaves no more machines lost than a group of this size tolerates,
+ * so that a leader must be elected, and the voters be those that run.
+ */
+static void replacements_in_series_leave_a_leader(void)
+{
+	uint32_t first = (uint32_t)env_integer_get_("CB_FIRST_SEED", 1);
+	uint32_t count =
+		(uint32_t)env_integer_get_("CB_SEEDS", DEFAULT_SEED_COUNT);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(series_table); i++) {
+		const series_t *series = &series_table[i];
+		uint32_t failed = 0;
+		uint32_t seed;
+
+		for (seed = first; seed < first + count; seed++) {
+			size_t loss = series_play_(series, seed);
+
+			if (!loss)
+				continue;
+			failed++;
+			printf("    %s, seed %u: no leader after loss %zu\n",
+			       series->name, seed, loss);
+		}
+		if (failed)
+			printf("    %s: %u of %u series\n", series->name,
+			       failed, count);
+		CU_ASSERT_EQUAL(failed, 0);
+	}
+}
+
+static CU_TestInfo tests[] = {
+	{ "replacements_in_series_leave_a_leader",
+	  replacements_in_series_leave_a_leader },
+	CU_TEST_INFO_NULL,
+};
+
+int main(void)
+{
+	CU_SuiteInfo suites[] = { { .pName = "replacements", .pTests = tests },
+				  CU_SUITE_INFO_NULL };
+
+	return support_run(suites);
+}
