Join requests go to any instance with a link, former members included

A control instance that the group had removed while it was cut off asked only the seeds of its settings to be added again. Once these had all been replaced, it asked instances that are gone, for ever; and a new instance of whose seeds two were gone lost 0.3 s at each of them, and another round since a link is opened when its seed is asked for the first time.

It connects to all seeds at once and asks the next one with a ready link; members that it knows from its log count like seeds.

removed_member_finds_group_without_its_seeds failed before (not a voter 30 s after its cut healed) and passes.

--- a/src/libcurrantbridge/control/node_join.c
+++ b/src/libcurrantbridge/control/node_join.c
@@ -1,7 +1,7 @@
 #include "private/members.h"
 #include "private/node.h"
 
-/* A blank instance sends a join request this often, to one instance each. */
+/* An instance sends a join request this often, to one instance each. */
 #define JOIN_REQUEST_INTERVAL_MS 300
 /*
  * An instance without contact to a leader for this long may have been removed.
@@ -16,7 +16,7 @@
 #define JOIN_LOG_INTERVAL_MS 3000
 
 /* Logs at intervals that this instance's join requests had no effect. */
-static void join_wait_log_(cb_node_t *node, const char *to)
+static void join_wait_log_(cb_node_t *node, const GPtrArray *linked)
 {
 	int64_t now_ms = cb_clock_now_ms(node->clock);
 
@@ -27,27 +27,57 @@
 	node->join_logged_ms = now_ms;
 	cb_log_event(node->log, CB_EVENT_JOIN_UNANSWERED,
 		     CB_INT("waited_ms", now_ms - node->join_since_ms),
-		     CB_STR("asked", to),
-		     CB_INT("is_linked", cb_peers_is_ready(node->peers, to)));
+		     CB_INT("linked", linked->len));
 }
 
-/* Requests the addition of this instance from the next join address. */
+/*
+ * Connects to all seeds and returns the names of the instances that a request
+ * can be sent to: seeds, and former fellow members, since none of the seeds may
+ * be left by the time a removed member returns.
+ */
+static GPtrArray *join_targets_find_(cb_node_t *node)
+{
+	const GPtrArray *members = cb_replica_members(node->replica);
+	GPtrArray *targets = g_ptr_array_new();
+	char **seed;
+	unsigned int i;
+
+	for (seed = node->join_addresses; *seed; seed++) {
+		if (g_str_equal(*seed, node->name))
+			continue;
+		cb_peers_keep_connected(node->peers, *seed, *seed);
+		if (cb_peers_is_ready(node->peers, *seed))
+			g_ptr_array_add(targets, *seed);
+	}
+	for (i = 0; i < members->len; i++) {
+		const cb_replica_member_t *member = members->pdata[i];
+
+		if (!g_strv_contains((const char *const *)node->join_addresses,
+				     member->name) &&
+		    cb_peers_is_ready(node->peers, member->name))
+			g_ptr_array_add(targets, member->name);
+	}
+	return targets;
+}
+
+/* Requests the addition of this instance from the next one with a link. */
 static void join_request_send_(cb_node_t *node)
 {
-	unsigned int count = g_strv_length(node->join_addresses);
-	const char *to = node->join_addresses[node->next_join_index++ % count];
+	GPtrArray *targets = join_targets_find_(node);
 	const cb_link_message_t message = { .kind = CB_LINK_MESSAGE_JOIN,
 					    .name = node->name,
 					    .address = node->listen };
 
-	if (g_str_equal(to, node->name))
-		return;
-	cb_peers_keep_connected(node->peers, to, to);
-	join_wait_log_(node, to);
-	/*
-	 * Without a ready link, the request is sent when this address is next.
-	 */
-	(void)cb_peers_send(node->peers, to, &message);
+	join_wait_log_(node, targets);
+	if (targets->len) {
+		const char *to =
+			g_ptr_array_index(targets, node->next_join_index++ %
+							   targets->len);
+
+		node->last_join_request_ms = cb_clock_now_ms(node->clock);
+		(void)cb_peers_send(node->peers, to, &message);
+	}
+	g_ptr_array_unref(targets);
 }
 
 /* Returns whether this instance seems not to be a member of any group. */
@@ -78,7 +108,6 @@
 	}
 	if (now_ms - node->last_join_request_ms < JOIN_REQUEST_INTERVAL_MS)
 		return;
-	node->last_join_request_ms = now_ms;
 	join_request_send_(node);
 }
 
--- a/src/test_libcurrantbridge/test_join.c
+++ b/src/test_libcurrantbridge/test_join.c
@@ -6,7 +6,7 @@
 #include "support_control.h"
 
 /* Control instances that join a group and replace failed members. */
-#define MEMBER_COUNT 7
+#define MEMBER_COUNT 9
 #define FORM_TIMEOUT_MS 20000
 #define REPLACE_TIMEOUT_MS 30000
 
@@ -70,6 +70,32 @@
 	control_group_delete(group);
 }
 
+/* The seeds of a removed member may all be gone by the time it returns. */
+static void removed_member_finds_group_without_its_seeds(void)
+{
+	control_group_t *group = group_of_five_form_(15);
+	uint32_t voters = 0x2f;
+	size_t i;
+
+	control_group_isolate(group, 4, TRUE);
+	control_group_start(group, 5, FALSE);
+	CU_ASSERT_TRUE(control_group_run_until_voters(group, voters,
+						      REPLACE_TIMEOUT_MS));
+	for (i = 0; i < CONTROL_SEED_COUNT; i++) {
+		control_group_kill(group, i);
+		group->members[6 + i].seeds[0] = 3;
+		control_group_start(group, 6 + i, FALSE);
+		voters = (voters & ~(1U << i)) | 1U << (6 + i);
+		CU_ASSERT_TRUE(
+			control_group_run_until_voters(group, voters,
+						       REPLACE_TIMEOUT_MS));
+	}
+	control_group_isolate(group, 4, FALSE);
+	CU_ASSERT_TRUE(control_group_run_until_voters(group, voters | 1U << 4,
+						      REPLACE_TIMEOUT_MS));
+	control_group_delete(group);
+}
+
 /*
  * In a group of six that is split in halves, neither half may remove a member,
  * and there must be no leader as long as the split lasts.
@@ -146,6 +172,8 @@
 	  seeds_form_group_and_others_join },
 	{ "failed_voters_are_replaced", failed_voters_are_replaced },
 	{ "removed_member_joins_again", removed_member_joins_again },
+	{ "removed_member_finds_group_without_its_seeds",
+	  removed_member_finds_group_without_its_seeds },
 	{ "half_of_group_removes_no_member", half_of_group_removes_no_member },
 	{ "entry_learns_other_control_instances",
 	  entry_learns_other_control_instances },
