A silent voter is replaced by the learner that has caught up

Cause: a new instance was made a voter whatever the number of voters that answer, and one that is gone was removed only while their number was even, 10 s after the present leader had last heard it, counted anew at each leader. With a loss each 9 s the gone ones add up: 4 of 8 voters answered after the sixth, and no leader can be elected any more.

Change: the choice of the next change of members is one place in membership.c. A learner that has caught up replaces the voter that has been silent for four election timeouts: that one is removed, then the learner promoted; while a voter has no contact the learner waits for that. So the number of voters doesn't grow by those that are gone, and at no step do fewer losses of those that answer end the majority than before. At an even number a silent voter is removed after four timeouts, too; two of an odd number after 20 if three voters remain; silent learners after 20. Silence is the number of heartbeats without an answer, so that a leader that was suspended removes nobody. Each change is committed like before, one at a time; groups with fixed members are as before.

--- a/include/currantbridge/replica.h
+++ b/include/currantbridge/replica.h
@@ -107,6 +107,11 @@
 	uint64_t snapshot_every_bytes;
 	/* The maximum number of waiting proposals, and of waiting reads. */
 	size_t max_waiting_proposals;
+	/*
+	 * Members that fall silent are removed, if at least so many voters
+	 * remain or the group loses nothing by it; 0: none is removed.
+	 */
+	uint32_t min_voters;
 	cb_log_t *log; /* log that events are written to; may be NULL */
 	cb_counters_t *counters; /* counters of events; may be NULL */
 } cb_replica_options_t;
@@ -173,8 +178,8 @@
 gboolean cb_replica_is_current(const cb_replica_t *replica);
 const GPtrArray *cb_replica_members(const cb_replica_t *replica);
 /*
- * On the leader: milliseconds since the last message from a member; 0 on any
- * other member.
+ * On the leader: for how many milliseconds a member has answered no heartbeat;
+ * 0 on any other member.
  */
 int64_t cb_replica_silence_ms(const cb_replica_t *replica, const char *name);
 
--- a/src/libcurrantbridge/control/election.c
+++ b/src/libcurrantbridge/control/election.c
@@ -371,15 +371,13 @@
  */
 static uint32_t voters_in_contact_count_(const cb_replica_t *replica)
 {
-	int64_t since_ms =
-		cb_replica_now_ms(replica) - replica->election_timeout_ms;
 	uint32_t count = cb_replica_is_voter(replica) ? 1 : 0;
 	uint32_t i;
 
 	for (i = 0; i < replica->peers->len; i++) {
 		const cb_peer_t *peer = replica->peers->pdata[i];
 
-		if (peer->is_voter && peer->last_received_ms >= since_ms)
+		if (peer->is_voter && cb_peer_is_in_contact(replica, peer))
 			count++;
 	}
 	return count;
--- a/src/libcurrantbridge/control/membership.c
+++ b/src/libcurrantbridge/control/membership.c
@@ -11,6 +11,16 @@
  * replaced.
  */
 #define REPLACE_AFTER_ELECTION_TIMEOUTS 2
+/*
+ * A voter that is silent for this many election timeouts is removed where the
+ * group loses nothing by it; it joins again if it comes back.
+ */
+#define REMOVE_AFTER_ELECTION_TIMEOUTS 4
+/*
+ * After this many, silent voters that nothing replaces are removed in pairs, and
+ * silent learners, which may be installing a snapshot.
+ */
+#define ABANDON_AFTER_ELECTION_TIMEOUTS 20
 
 /* Decodes members; a malformed list counts as empty, so that nobody votes. */
 static GPtrArray *members_decode_(GBytes *bytes, char **group_id)
@@ -100,31 +110,125 @@
 	return members_propose_(replica, members);
 }
 
-/* Proposes to make one learner that has caught up a voter, if there is one. */
-static void learner_promote_(cb_replica_t *replica)
+/* Returns a learner that has caught up and sends messages, or NULL. */
+static const cb_peer_t *ready_learner_find_(const cb_replica_t *replica)
+{
+	uint32_t i;
+
+	for (i = 0; i < replica->peers->len; i++) {
+		const cb_peer_t *peer = replica->peers->pdata[i];
+
+		if (!peer->is_voter && cb_peer_is_in_contact(replica, peer) &&
+		    peer->match && !peer->snapshot &&
+		    peer->match + CAUGHT_UP_LAG_RECORDS >=
+			    cb_replica_log_last_index(replica->log) &&
+		    peer->match >= replica->members_index)
+			return peer;
+	}
+	return NULL;
+}
+
+/* The voters or learners that don't answer this leader. */
+typedef struct silent_members {
+	const cb_peer_t *longest; /* silent for the longest time, or NULL */
+	int64_t longest_ms;
+	uint32_t abandoned; /* number silent for the longer of the two limits */
+	gboolean has_doubtful; /* one had no contact for an election timeout */
+} silent_members_t;
+
+static silent_members_t silent_members_find_(const cb_replica_t *replica,
+					     gboolean are_voters)
 {
-	int64_t since_ms =
-		cb_replica_now_ms(replica) - replica->election_timeout_ms;
+	int64_t abandon_ms =
+		ABANDON_AFTER_ELECTION_TIMEOUTS * replica->election_timeout_ms;
+	silent_members_t silent = { 0 };
 	uint32_t i;
 
 	for (i = 0; i < replica->peers->len; i++) {
 		const cb_peer_t *peer = replica->peers->pdata[i];
-		GPtrArray *members;
+		int64_t silence_ms = cb_peer_silence_ms(replica, peer);
 
-		if (peer->is_voter || peer->last_received_ms < since_ms ||
-		    !peer->match || peer->snapshot ||
-		    peer->match + CAUGHT_UP_LAG_RECORDS <
-			    cb_replica_log_last_index(replica->log) ||
-		    peer->match < replica->members_index)
+		if (peer->is_voter != are_voters)
 			continue;
-		members = cb_members_copy(replica->members);
-		cb_members_find(members, peer->name)->is_voter = TRUE;
-		cb_replica_count(replica, CB_REPLICA_COUNT_PROMOTED);
-		cb_log_event(replica->event_log, CB_EVENT_LEARNER_PROMOTED,
-			     CB_STR("member", peer->name));
-		members_propose_(replica, members);
-		return;
+		if (!cb_peer_is_in_contact(replica, peer))
+			silent.has_doubtful = TRUE;
+		if (silence_ms >= abandon_ms)
+			silent.abandoned++;
+		if (silence_ms <= silent.longest_ms)
+			continue;
+		silent.longest = peer;
+		silent.longest_ms = silence_ms;
 	}
+	return silent;
+}
+
+/*
+ * Returns the member that is to be removed, or NULL.  A silent voter is removed
+ * if `learner` can take its place, or if the number of voters is even, so that
+ * the others tolerate as many losses without it.  Two silent voters of an odd
+ * number are removed if enough voters remain.
+ */
+static const cb_peer_t *removable_member_find_(const cb_replica_t *replica,
+					       const silent_members_t *voters,
+					       const cb_peer_t *learner)
+{
+	uint32_t voter_count = cb_members_voter_count(replica->members);
+	silent_members_t learners;
+
+	if (!replica->min_voters)
+		return NULL;
+	if (voters->longest_ms >= REMOVE_AFTER_ELECTION_TIMEOUTS *
+					  replica->election_timeout_ms &&
+	    (learner || voter_count % 2 == 0))
+		return voters->longest;
+	if (voters->abandoned >= 2 && voter_count >= replica->min_voters + 2)
+		return voters->longest;
+	learners = silent_members_find_(replica, FALSE);
+	return learners.abandoned ? learners.longest : NULL;
+}
+
+static void silent_member_remove_(cb_replica_t *replica, const cb_peer_t *peer)
+{
+	GPtrArray *members = cb_members_copy(replica->members);
+
+	cb_replica_count(replica, CB_REPLICA_COUNT_PRUNED);
+	cb_log_event(replica->event_log, CB_EVENT_MEMBER_PRUNED,
+		     CB_STR("member", peer->name),
+		     CB_STR("role", peer->is_voter ? "voter" : "learner"),
+		     CB_INT("silent_ms", cb_peer_silence_ms(replica, peer)),
+		     CB_INT("voters", cb_members_voter_count(members)));
+	cb_members_remove(members, peer->name);
+	members_propose_(replica, members);
+}
+
+static void learner_promote_(cb_replica_t *replica, const cb_peer_t *learner)
+{
+	GPtrArray *members = cb_members_copy(replica->members);
+
+	cb_members_find(members, learner->name)->is_voter = TRUE;
+	cb_replica_count(replica, CB_REPLICA_COUNT_PROMOTED);
+	cb_log_event(replica->event_log, CB_EVENT_LEARNER_PROMOTED,
+		     CB_STR("member", learner->name));
+	members_propose_(replica, members);
+}
+
+/*
+ * Proposes the next change of members that is due: the removal of a silent one
+ * or the promotion of a learner that has caught up.  The learner waits while
+ * a voter may be gone, to replace it rather than to join it: voters that are
+ * gone would add up until no majority is left.
+ */
+static void due_change_propose_(cb_replica_t *replica)
+{
+	const cb_peer_t *learner = ready_learner_find_(replica);
+	silent_members_t voters = silent_members_find_(replica, TRUE);
+	const cb_peer_t *removed =
+		removable_member_find_(replica, &voters, learner);
+
+	if (removed)
+		silent_member_remove_(replica, removed);
+	else if (learner && !(replica->min_voters && voters.has_doubtful))
+		learner_promote_(replica, learner);
 }
 
 /* Requests from a member a report of its disk, whichever disk that is. */
@@ -215,7 +319,7 @@
 
 /*
  * Called at each heartbeat interval: forms the group, probes a member that is
- * being added and promotes learners.
+ * being added, removes silent members and promotes learners.
  */
 void cb_membership_tick(cb_replica_t *replica)
 {
@@ -234,7 +338,7 @@
 		probe_send_(replica, addition->name, addition->address);
 	}
 	if (may_change_members_(replica))
-		learner_promote_(replica);
+		due_change_propose_(replica);
 }
 
 /* Completes the pending addition of a member, if any, with `outcome`. */
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -9,6 +9,8 @@
 
 #define LINK_QUEUE_MAX_BYTES (16 * 1024 * 1024)
 #define MAX_WAITING_PROPOSALS 4096
+/* Fewer voters than this tolerate no loss. */
+#define MIN_VOTERS 3
 /* Configuration changes within this time are pushed to sessions together. */
 #define PUSH_DELAY_MS 2
 /* Time to send the last messages before the process ends. */
@@ -412,6 +414,7 @@
 		.election_timeout_ms = options->election_timeout_ms,
 		.snapshot_every_bytes = options->snapshot_every_bytes,
 		.max_waiting_proposals = MAX_WAITING_PROPOSALS,
+		.min_voters = options->join_addresses ? MIN_VOTERS : 0,
 		.log = node->log,
 		.counters = cb_kernel_counters(node->kernel),
 	};
--- a/src/libcurrantbridge/control/node_join.c
+++ b/src/libcurrantbridge/control/node_join.c
@@ -7,11 +7,6 @@
  * An instance without contact to a leader for this long may have been removed.
  */
 #define REJOIN_AFTER_MS 3000
-/*
- * A voter that is silent for this long is removed if the number of voters is
- * even.  A restart or a short network failure takes less time.
- */
-#define REMOVE_VOTER_AFTER_MS 10000
 /* Interval of log lines about join requests that had no effect. */
 #define JOIN_LOG_INTERVAL_MS 3000
 
@@ -174,50 +169,6 @@
 	g_bytes_unref(message.body);
 }
 
-static void voter_removal_done_(cb_submit_outcome_t outcome,
-				const cb_answer_t *answer, void *user_data)
-{
-	(void)answer;
-	(void)user_data;
-	/* A failed removal is retried at the next heartbeat. */
-	(void)outcome;
-}
-
-/*
- * On the leader, removes the voter that has been silent longest, if the number
- * of voters is even: the remaining ones tolerate as many failures.  This is
- * the case once a machine that failed for good has been replaced.  The removal
- * is a committed change, so a minority cannot make it.
- */
-static void silent_voter_remove_(cb_node_t *node)
-{
-	const GPtrArray *members = cb_replica_members(node->replica);
-	const cb_replica_member_t *most_silent = NULL;
-	int64_t max_silent_ms = REMOVE_VOTER_AFTER_MS;
-	unsigned int i;
-
-	if (!cb_node_is_leader(node) || cb_members_voter_count(members) % 2)
-		return;
-	for (i = 0; i < members->len; i++) {
-		const cb_replica_member_t *member = members->pdata[i];
-		int64_t silent_ms =
-			cb_replica_silence_ms(node->replica, member->name);
-
-		if (!member->is_voter || silent_ms < max_silent_ms)
-			continue;
-		max_silent_ms = silent_ms;
-		most_silent = member;
-	}
-	if (!most_silent)
-		return;
-	cb_log_event(node->log, CB_EVENT_MEMBER_PRUNED,
-		     CB_STR("member", most_silent->name),
-		     CB_INT("silent_ms", max_silent_ms),
-		     CB_INT("voters", cb_members_voter_count(members)));
-	cb_node_remove_member(node, most_silent->name, voter_removal_done_,
-			      NULL);
-}
-
 /* Updates the gauges of voters, and of those that the leader hears nothing of. */
 static void voter_gauges_update_(cb_node_t *node)
 {
@@ -238,8 +189,8 @@
 }
 
 /*
- * Removes silent voters and sends changed lists of control instances to entry
- * instances.  Called at each heartbeat.
+ * Updates the metrics of the group and sends changed lists of control instances
+ * to entry instances.  Called at each heartbeat.
  */
 void cb_node_membership_tick(cb_node_t *node)
 {
@@ -251,8 +202,6 @@
 	};
 
 	voter_gauges_update_(node);
-	if (node->join_addresses)
-		silent_voter_remove_(node);
 	if (digest == node->sent_members_digest)
 		return;
 	node->sent_members_digest = digest;
--- a/src/libcurrantbridge/control/replica.c
+++ b/src/libcurrantbridge/control/replica.c
@@ -225,6 +225,7 @@
 		options->max_waiting_proposals ?
 			options->max_waiting_proposals :
 			DEFAULT_MAX_WAITING_PROPOSALS;
+	replica->min_voters = options->min_voters;
 	for (i = 0; i < options->initial_member_count; i++)
 		cb_members_add(replica->initial_members,
 			       options->initial_members[i].name,
@@ -411,6 +412,7 @@
 	if (!cb_replica_leads(replica) || message->term < replica->term)
 		return;
 	peer->last_received_ms = cb_replica_now_ms(replica);
+	peer->unanswered_heartbeats = 0;
 	if (message->kind == CB_MESSAGE_APPEND_REPLY)
 		cb_replication_append_reply(replica, peer, message);
 	else
@@ -539,12 +541,10 @@
 int64_t cb_replica_silence_ms(const cb_replica_t *replica, const char *name)
 {
 	const cb_peer_t *peer = cb_peer_find(replica, name);
-	int64_t leader_since_ms = replica->leader_since_ms;
 
 	if (!peer || !cb_replica_leads(replica))
 		return 0;
-	return cb_replica_now_ms(replica) -
-	       MAX(leader_since_ms, peer->last_received_ms);
+	return cb_peer_silence_ms(replica, peer);
 }
 
 /* Returns the present members (cb_replica_member_t), sorted by name. */
--- a/src/libcurrantbridge/control/replication.c
+++ b/src/libcurrantbridge/control/replication.c
@@ -32,11 +32,29 @@
 	return NULL;
 }
 
+/* Whether a message arrived from the peer within the election timeout. */
+gboolean cb_peer_is_in_contact(const cb_replica_t *replica,
+			       const cb_peer_t *peer)
+{
+	return peer->last_received_ms >=
+	       cb_replica_now_ms(replica) - replica->election_timeout_ms;
+}
+
+/*
+ * Returns for how long this leader has sent heartbeats to the peer without an
+ * answer.  Time in which this process did not run does not count.
+ */
+int64_t cb_peer_silence_ms(const cb_replica_t *replica, const cb_peer_t *peer)
+{
+	return peer->unanswered_heartbeats * replica->heartbeat_ms;
+}
+
 /* Resets the leader's record of a peer's progress. */
 static void peer_progress_reset_(cb_replica_t *replica, cb_peer_t *peer)
 {
 	cb_snapshot_send_end(peer);
 	peer->last_received_ms = -1;
+	peer->unanswered_heartbeats = 0;
 	peer->progress_ms = cb_replica_now_ms(replica);
 	peer->match = 0;
 	peer->next = cb_replica_log_last_index(replica->log) + 1;
@@ -112,7 +130,6 @@
 			peer->last_received_ms = cb_replica_now_ms(replica);
 	}
 	replica->round = 0;
-	replica->leader_since_ms = cb_replica_now_ms(replica);
 	cb_replica_set_role(replica, CB_REPLICA_ROLE_LEADER);
 	cb_replica_set_leader(replica, replica->name);
 	replica->term_start = cb_proposal_append(replica, CB_RECORD_NOOP, NULL);
@@ -263,8 +280,12 @@
 		return;
 	}
 	cb_replication_heartbeat(replica);
-	for (i = 0; i < replica->peers->len; i++)
-		records_resend_(replica, replica->peers->pdata[i]);
+	for (i = 0; i < replica->peers->len; i++) {
+		cb_peer_t *peer = replica->peers->pdata[i];
+
+		peer->unanswered_heartbeats++;
+		records_resend_(replica, peer);
+	}
 	cb_election_hand_over_step(replica);
 }
 
--- a/src/libcurrantbridge/include/private/replica.h
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -53,6 +53,7 @@
 	CB_REPLICA_COUNT_SNAPSHOT_INSTALLED,
 	CB_REPLICA_COUNT_DISK_REPLACED,
 	CB_REPLICA_COUNT_PROMOTED,
+	CB_REPLICA_COUNT_PRUNED,
 	CB_REPLICA_COUNTS
 } cb_replica_count_t;
 
@@ -64,6 +65,8 @@
 	gboolean is_voter;
 	/* Time of the last message; -1: none since becoming the leader. */
 	int64_t last_received_ms;
+	/* Heartbeats sent since the last message. */
+	int64_t unanswered_heartbeats;
 	/* Time when `match` last grew or a send began. */
 	int64_t progress_ms;
 	uint64_t match; /* highest index known to be durable at the peer */
@@ -149,6 +152,7 @@
 	int64_t election_timeout_ms;
 	uint64_t snapshot_every_bytes;
 	size_t max_waiting_proposals;
+	uint32_t min_voters;
 	cb_clock_t *clock;
 	GRand *random;
 	cb_storage_t *storage;
@@ -192,7 +196,6 @@
 
 	cb_replica_log_t *log;
 	uint64_t submitted_index; /* last index passed to the storage */
-	int64_t leader_since_ms;  /* when this member last became the leader */
 	uint64_t durable;	  /* last index that the storage made durable */
 	uint64_t verified;   /* follower: last index equal to the leader's */
 	uint64_t committed;  /* last index known to be committed */
@@ -262,6 +265,9 @@
 
 /* replication.c: the leader's side */
 cb_peer_t *cb_peer_find(const cb_replica_t *replica, const char *name);
+gboolean cb_peer_is_in_contact(const cb_replica_t *replica,
+			       const cb_peer_t *peer);
+int64_t cb_peer_silence_ms(const cb_replica_t *replica, const cb_peer_t *peer);
 void cb_replica_sync_peers(cb_replica_t *replica);
 void cb_replication_become_leader(cb_replica_t *replica);
 void cb_replication_send(cb_replica_t *replica, cb_peer_t *peer);
--- a/src/test_libcurrantbridge/test_replacements.c
+++ b/src/test_libcurrantbridge/test_replacements.c
@@ -74,13 +74,21 @@
 	return cb_clock_now_ms(play->group->clock);
 }
 
+static gboolean has_running_seed_(const play_t *play)
+{
+	size_t i;
+
+	for (i = 0; i < CONTROL_SEED_COUNT; i++)
+		if (play->group->members[play->seeds[i]].node)
+			return TRUE;
+	return FALSE;
+}
+
 /* Notes three members that run as the seeds of machines that start later. */
 static void seeds_update_(play_t *play)
 {
 	size_t i;
 
-	if (now_ms_(play) - play->seeds_ms < SEED_LAG_MS)
-		return;
 	play->seeds_ms = now_ms_(play);
 	for (i = 0; i < CONTROL_SEED_COUNT; i++)
 		play->seeds[i] = alive_at_(play, i);
@@ -91,7 +99,8 @@
 	int64_t end_ms = now_ms_(play) + duration_ms;
 
 	while (now_ms_(play) < end_ms) {
-		seeds_update_(play);
+		if (now_ms_(play) - play->seeds_ms >= SEED_LAG_MS)
+			seeds_update_(play);
 		cb_clock_advance(play->group->clock, CONTROL_STEP_MS);
 	}
 }
@@ -100,6 +109,9 @@
 {
 	size_t i = play->started++;
 
+	/* Without a seed that runs, no machine could find the group. */
+	if (!is_new_group && !has_running_seed_(play))
+		seeds_update_(play);
 	memcpy(play->group->members[i].seeds, play->seeds, sizeof(play->seeds));
 	control_group_start(play->group, i, is_new_group);
 	g_array_append_val(play->alive, i);
@@ -236,10 +248,14 @@
 		run_(play,
 		     g_rand_int_range(play->group->random, 0, GAP_JITTER_MS));
 	}
-	if (!failed_loss)
-		CU_ASSERT_TRUE(control_group_run_until_voters(play->group,
-							      alive_bits_(play),
-							      FORM_TIMEOUT_MS));
+	if (!failed_loss &&
+	    !control_group_run_until_voters(play->group, alive_bits_(play),
+					    FORM_TIMEOUT_MS)) {
+		printf("    %s, seed %u: voters %x, machines that run %x\n",
+		       series->name, seed, control_group_voters(play->group),
+		       alive_bits_(play));
+		CU_FAIL("other voters than the machines that run");
+	}
 	play_delete_(play);
 	return failed_loss;
 }
