Replacement series: lost successors, cuts and restarts between losses

The series of test_replacements had losses and planned replacements only. Rows with all events now mix in successors that are lost while they catch up, machines that are cut off or restart for up to 12 s, and groups of three.

--- a/src/test_libcurrantbridge/support_control.c
+++ b/src/test_libcurrantbridge/support_control.c
@@ -119,11 +119,11 @@
 	return leader;
 }
 
-uint32_t control_group_voters(const control_group_t *group)
+uint64_t control_group_voters(const control_group_t *group)
 {
 	size_t leader = control_group_leader(group);
 	const GPtrArray *members;
-	uint32_t voters = 0;
+	uint64_t voters = 0;
 	uint32_t k;
 	size_t i;
 
@@ -137,12 +137,12 @@
 		for (i = 0; i < group->count; i++)
 			if (member->is_voter &&
 			    !strcmp(member->name, group->members[i].address))
-				voters |= 1U << i;
+				voters |= UINT64_C(1) << i;
 	}
 	return voters;
 }
 
-gboolean control_group_run_until_voters(control_group_t *group, uint32_t voters,
+gboolean control_group_run_until_voters(control_group_t *group, uint64_t voters,
 					int64_t timeout_ms)
 {
 	int64_t elapsed_ms;
--- a/src/test_libcurrantbridge/support_control.h
+++ b/src/test_libcurrantbridge/support_control.h
@@ -11,7 +11,7 @@
  * are their addresses, as in a deployment that configures only the addresses of
  * seeds.
  */
-#define CONTROL_MEMBERS_MAX 32
+#define CONTROL_MEMBERS_MAX 64
 #define CONTROL_SEED_COUNT 3
 #define CONTROL_STEP_MS 10
 
@@ -46,9 +46,9 @@
 /* Returns the index of the leader of the highest term; `count`: none. */
 size_t control_group_leader(const control_group_t *group);
 /* Returns the voters in the leader's list, one bit each; 0: no leader. */
-uint32_t control_group_voters(const control_group_t *group);
+uint64_t control_group_voters(const control_group_t *group);
 /* Runs until exactly the given members are voters; FALSE: not in time. */
-gboolean control_group_run_until_voters(control_group_t *group, uint32_t voters,
+gboolean control_group_run_until_voters(control_group_t *group, uint64_t voters,
 					int64_t timeout_ms);
 
 #endif
--- a/src/test_libcurrantbridge/test_replacements.c
+++ b/src/test_libcurrantbridge/test_replacements.c
@@ -18,6 +18,8 @@
 /* New machines know the members as they were this long before. */
 #define SEED_LAG_MS 3000
 #define GAP_JITTER_MS 5000
+#define AWAY_MAX_MS 12000
+#define LOST_AT_ONCE_MAX 2
 
 /* Which machine is lost next. */
 typedef enum target {
@@ -30,21 +32,29 @@
 	TARGET_MIXED, /* any of the above, by chance */
 } target_t;
 
-/* How a machine is replaced. */
-typedef enum manner {
-	MANNER_LOST,	/* it is lost, then its successor starts */
-	MANNER_PLANNED, /* its successor starts first */
-	MANNER_MIXED,
-} manner_t;
+/* What happens to machines; a series has a set of these, one bit each. */
+typedef enum event {
+	EVENT_LOST = 1 << 0,	/* they are lost, then successors start */
+	EVENT_PLANNED = 1 << 1, /* successors start first */
+	/* Like EVENT_LOST; the first successor is lost while it catches up. */
+	EVENT_LOST_AGAIN = 1 << 2,
+	EVENT_CUT_OFF = 1 << 3,	  /* nobody reaches them for a while */
+	EVENT_RESTARTED = 1 << 4, /* they end and come back with their disks */
+	EVENT_COUNT = 5,
+} event_t;
+
+#define EVENTS_REPLACED (EVENT_LOST | EVENT_PLANNED)
+#define EVENTS_ALL \
+	(EVENTS_REPLACED | EVENT_LOST_AGAIN | EVENT_CUT_OFF | EVENT_RESTARTED)
 
 typedef struct series {
 	const char *name;
 	size_t size;	     /* machines at a time */
 	size_t lost_at_once; /* machines that may be lost at the same time */
 	target_t target;
-	manner_t manner;
+	int events;
 	int64_t successor_ms; /* from a loss to the start of the successor */
-	size_t losses;
+	size_t steps;
 } series_t;
 
 typedef struct play {
@@ -142,12 +152,13 @@
 static play_t *play_new_(const series_t *series, uint32_t seed)
 {
 	play_t *play = g_new0(play_t, 1);
-	uint32_t voters = (1U << series->size) - 1;
+	uint64_t voters = (UINT64_C(1) << series->size) - 1;
 	size_t i;
 
 	play->series = series;
 	play->group = control_group_new(
-		series->size + series->losses * series->lost_at_once, seed);
+		series->size + series->steps * (series->lost_at_once + 1),
+		seed);
 	play->alive = g_array_new(FALSE, FALSE, sizeof(size_t));
 	for (i = 0; i < CONTROL_SEED_COUNT; i++)
 		play->seeds[i] = i;
@@ -193,91 +204,170 @@
 	return any;
 }
 
-static void machines_lose_(play_t *play, size_t count)
+/* Chooses the machines of the next event and moves them to `chosen`. */
+static void machines_choose_(play_t *play, size_t *chosen)
 {
-	for (; count; count--) {
-		guint i = target_find_(play, play->series->target);
+	size_t i;
+
+	for (i = 0; i < play->series->lost_at_once; i++) {
+		guint k = target_find_(play, play->series->target);
 
-		control_group_kill(play->group, alive_at_(play, i));
-		g_array_remove_index(play->alive, i);
+		chosen[i] = alive_at_(play, k);
+		g_array_remove_index(play->alive, k);
 	}
 }
 
-static void machines_replace_(play_t *play)
+static void machines_lose_(play_t *play)
 {
-	const series_t *series = play->series;
-	GRand *random = play->group->random;
-	gboolean is_planned =
-		series->manner == MANNER_PLANNED ||
-		(series->manner == MANNER_MIXED && g_rand_boolean(random));
-	size_t count = series->lost_at_once;
+	size_t chosen[LOST_AT_ONCE_MAX];
 	size_t i;
 
-	if (!is_planned) {
-		machines_lose_(play, count);
-		run_(play, series->successor_ms);
-	}
-	for (i = 0; i < count; i++)
+	machines_choose_(play, chosen);
+	for (i = 0; i < play->series->lost_at_once; i++)
+		control_group_kill(play->group, chosen[i]);
+}
+
+static void successors_start_(play_t *play)
+{
+	size_t i;
+
+	for (i = 0; i < play->series->lost_at_once; i++)
 		machine_start_(play, FALSE);
-	run_(play, CATCH_UP_MS);
-	if (is_planned)
-		machines_lose_(play, count);
 }
 
-static uint32_t alive_bits_(const play_t *play)
+/* Ends the newest machine before it has caught up, and starts another one. */
+static void successor_replace_(play_t *play)
+{
+	size_t newest = alive_at_(play, play->alive->len - 1);
+
+	run_(play, g_rand_int_range(play->group->random, 0, (int)CATCH_UP_MS));
+	control_group_kill(play->group, newest);
+	g_array_set_size(play->alive, play->alive->len - 1);
+	run_(play, play->series->successor_ms);
+	machine_start_(play, FALSE);
+}
+
+/* Cuts machines off, or ends them, for a while; they come back as the newest. */
+static void machines_leave_(play_t *play, gboolean is_cut_off)
+{
+	size_t count = play->series->lost_at_once;
+	size_t chosen[LOST_AT_ONCE_MAX];
+	size_t i;
+
+	machines_choose_(play, chosen);
+	for (i = 0; i < count; i++) {
+		if (is_cut_off)
+			control_group_isolate(play->group, chosen[i], TRUE);
+		else
+			control_group_kill(play->group, chosen[i]);
+	}
+	run_(play, g_rand_int_range(play->group->random, 0, AWAY_MAX_MS));
+	for (i = 0; i < count; i++) {
+		if (is_cut_off)
+			control_group_isolate(play->group, chosen[i], FALSE);
+		else
+			control_group_start(play->group, chosen[i], FALSE);
+		g_array_append_val(play->alive, chosen[i]);
+	}
+}
+
+static event_t event_choose_(const play_t *play)
+{
+	event_t event;
+
+	do
+		event = 1 << g_rand_int_range(play->group->random, 0,
+					      EVENT_COUNT);
+	while (!(play->series->events & event));
+	return event;
+}
+
+/* Plays one event, until all machines count as running again. */
+static void step_play_(play_t *play)
+{
+	event_t event = event_choose_(play);
+
+	switch (event) {
+	case EVENT_LOST:
+	case EVENT_LOST_AGAIN:
+		machines_lose_(play);
+		run_(play, play->series->successor_ms);
+		successors_start_(play);
+		if (event == EVENT_LOST_AGAIN)
+			successor_replace_(play);
+		run_(play, CATCH_UP_MS);
+		break;
+	case EVENT_PLANNED:
+		successors_start_(play);
+		run_(play, CATCH_UP_MS);
+		machines_lose_(play);
+		break;
+	default:
+		machines_leave_(play, event == EVENT_CUT_OFF);
+		run_(play, CATCH_UP_MS);
+		break;
+	}
+}
+
+static uint64_t alive_bits_(const play_t *play)
 {
-	uint32_t bits = 0;
+	uint64_t bits = 0;
 	guint i;
 
 	for (i = 0; i < play->alive->len; i++)
-		bits |= 1U << alive_at_(play, i);
+		bits |= UINT64_C(1) << alive_at_(play, i);
 	return bits;
 }
 
-/* Plays one series; returns the number of the loss that ended it, or 0. */
+/* Plays one series; returns the number of the step that ended it, or 0. */
 static size_t series_play_(const series_t *series, uint32_t seed)
 {
 	play_t *play = play_new_(series, seed);
-	size_t failed_loss = 0;
-	size_t loss;
+	size_t failed_step = 0;
+	size_t step;
 
-	for (loss = 1; loss <= series->losses && !failed_loss; loss++) {
-		machines_replace_(play);
+	for (step = 1; step <= series->steps && !failed_step; step++) {
+		step_play_(play);
 		if (!working_leader_wait_(play))
-			failed_loss = loss;
+			failed_step = step;
 		run_(play,
 		     g_rand_int_range(play->group->random, 0, GAP_JITTER_MS));
 	}
-	if (!failed_loss &&
+	if (!failed_step &&
 	    !control_group_run_until_voters(play->group, alive_bits_(play),
 					    FORM_TIMEOUT_MS)) {
-		printf("    %s, seed %u: voters %x, machines that run %x\n",
+		printf("    %s, seed %u: voters %" G_GINT64_MODIFIER
+		       "x, machines that run %" G_GINT64_MODIFIER "x\n",
 		       series->name, seed, control_group_voters(play->group),
 		       alive_bits_(play));
 		CU_FAIL("other voters than the machines that run");
 	}
 	play_delete_(play);
-	return failed_loss;
+	return failed_step;
 }
 
 static const series_t series_table[] = {
-	{ "leaders", 5, 1, TARGET_LEADER, MANNER_LOST, 1600, 8 },
-	{ "followers", 5, 1, TARGET_FOLLOWER, MANNER_LOST, 1600, 8 },
-	{ "seeds", 5, 1, TARGET_SEED, MANNER_LOST, 1600, 8 },
-	{ "oldest", 5, 1, TARGET_OLDEST, MANNER_LOST, 1600, 8 },
-	{ "newest", 5, 1, TARGET_NEWEST, MANNER_LOST, 1600, 8 },
-	{ "any", 5, 1, TARGET_MIXED, MANNER_LOST, 1600, 12 },
-	{ "any, replaced at once", 5, 1, TARGET_MIXED, MANNER_LOST, 100, 12 },
-	{ "any, replaced late", 5, 1, TARGET_MIXED, MANNER_LOST, 12000, 12 },
-	{ "planned", 5, 1, TARGET_MIXED, MANNER_PLANNED, 0, 12 },
-	{ "planned and lost", 5, 1, TARGET_MIXED, MANNER_MIXED, 1600, 12 },
-	{ "planned of three", 3, 1, TARGET_MIXED, MANNER_PLANNED, 0, 12 },
-	{ "any of three", 3, 1, TARGET_MIXED, MANNER_LOST, 1600, 12 },
-	{ "one of nine", 9, 1, TARGET_MIXED, MANNER_LOST, 1600, 12 },
-	{ "two of nine", 9, 2, TARGET_MIXED, MANNER_LOST, 1600, 8 },
-	{ "two of nine, planned and lost", 9, 2, TARGET_MIXED, MANNER_MIXED,
-	  1600, 8 },
-	{ "two of five", 5, 2, TARGET_MIXED, MANNER_LOST, 1600, 8 },
+	{ "leaders", 5, 1, TARGET_LEADER, EVENT_LOST, 1600, 8 },
+	{ "followers", 5, 1, TARGET_FOLLOWER, EVENT_LOST, 1600, 8 },
+	{ "seeds", 5, 1, TARGET_SEED, EVENT_LOST, 1600, 8 },
+	{ "oldest", 5, 1, TARGET_OLDEST, EVENT_LOST, 1600, 8 },
+	{ "newest", 5, 1, TARGET_NEWEST, EVENT_LOST, 1600, 8 },
+	{ "any", 5, 1, TARGET_MIXED, EVENT_LOST, 1600, 12 },
+	{ "any, replaced at once", 5, 1, TARGET_MIXED, EVENT_LOST, 100, 12 },
+	{ "any, replaced late", 5, 1, TARGET_MIXED, EVENT_LOST, 12000, 12 },
+	{ "planned", 5, 1, TARGET_MIXED, EVENT_PLANNED, 0, 12 },
+	{ "planned and lost", 5, 1, TARGET_MIXED, EVENTS_REPLACED, 1600, 12 },
+	{ "successors lost", 5, 1, TARGET_MIXED, EVENT_LOST_AGAIN, 300, 12 },
+	{ "all events", 5, 1, TARGET_MIXED, EVENTS_ALL, 1600, 12 },
+	{ "planned of three", 3, 1, TARGET_MIXED, EVENT_PLANNED, 0, 12 },
+	{ "any of three", 3, 1, TARGET_MIXED, EVENT_LOST, 1600, 12 },
+	{ "all events of three but planned", 3, 1, TARGET_MIXED,
+	  EVENTS_ALL & ~EVENT_PLANNED, 1600, 12 },
+	{ "one of nine", 9, 1, TARGET_MIXED, EVENT_LOST, 1600, 12 },
+	{ "two of nine", 9, 2, TARGET_MIXED, EVENT_LOST, 1600, 8 },
+	{ "all events of two of nine", 9, 2, TARGET_MIXED, EVENTS_ALL, 1600,
+	  8 },
+	{ "two of five", 5, 2, TARGET_MIXED, EVENT_LOST, 1600, 8 },
 };
 
 /*
@@ -297,13 +387,13 @@
 		uint32_t seed;
 
 		for (seed = first; seed < first + count; seed++) {
-			size_t loss = series_play_(series, seed);
+			size_t step = series_play_(series, seed);
 
-			if (!loss)
+			if (!step)
 				continue;
 			failed++;
-			printf("    %s, seed %u: no leader after loss %zu\n",
-			       series->name, seed, loss);
+			printf("    %s, seed %u: no leader after step %zu\n",
+			       series->name, seed, step);
 		}
 		if (failed)
 			printf("    %s: %u of %u series\n", series->name,
