A new member that is lost before it answers keeps no other out

The leader adds one member at a time, and waited ten election timeouts (4.5 s on the platform) for the report of a new one's disk. When a replacement was lost just after it had asked, its own replacement was refused as busy for that long, while the machine that both stand for counts as replaced after 4 s.

Another new member may take the place of one that has not answered for two election timeouts; the first one's call completes as busy.

silent_new_member_gives_way_to_another failed before (not a voter after 1 s) and passes; test_replica_group, test_replica_seeds and test_join pass.

--- a/src/libcurrantbridge/control/membership.c
+++ b/src/libcurrantbridge/control/membership.c
@@ -4,6 +4,8 @@
 
 /* A new member must report its disk within this many election timeouts. */
 #define ADDITION_ELECTION_TIMEOUTS 10
+/* After this many, another new member may take its place. */
+#define ADDITION_YIELD_ELECTION_TIMEOUTS 2
 /* A learner that lags by no more records than this has caught up. */
 #define CAUGHT_UP_LAG_RECORDS 64
 /*
@@ -471,6 +473,18 @@
 		blank_disk_propose_(replica, from, message->from_disk);
 }
 
+/* Whether the addition in progress keeps out that of the member `name`. */
+static gboolean addition_is_exclusive_(const cb_replica_t *replica,
+				       const char *name)
+{
+	const cb_member_addition_t *addition = replica->addition;
+
+	return addition && (!strcmp(addition->name, name) ||
+			    cb_replica_now_ms(replica) - addition->begun_ms <
+				    ADDITION_YIELD_ELECTION_TIMEOUTS *
+					    replica->election_timeout_ms);
+}
+
 /*
  * Adds a member as a learner; the leader promotes it to a voter once it has
  * caught up.  With the outcome CB_REPLICA_BUSY nothing was changed: another
@@ -489,17 +503,20 @@
 				   user_data);
 		return;
 	}
-	if (replica->addition || !strcmp(name, replica->name)) {
+	if (addition_is_exclusive_(replica, name) ||
+	    !strcmp(name, replica->name)) {
 		cb_proposal_reject(replica, CB_REPLICA_BUSY,
 				   CB_REPLICA_COUNT_MEMBERSHIP_CHANGE_PENDING,
 				   done, user_data);
 		return;
 	}
+	cb_membership_end_addition(replica, CB_REPLICA_BUSY);
 	addition = g_new0(cb_member_addition_t, 1);
 	addition->name = g_strdup(name);
 	addition->address = g_strdup(address);
+	addition->begun_ms = cb_replica_now_ms(replica);
 	addition->deadline_ms =
-		cb_replica_now_ms(replica) +
+		addition->begun_ms +
 		ADDITION_ELECTION_TIMEOUTS * replica->election_timeout_ms;
 	addition->done = done;
 	addition->user_data = user_data;
--- a/src/libcurrantbridge/include/private/replica.h
+++ b/src/libcurrantbridge/include/private/replica.h
@@ -123,6 +123,7 @@
 typedef struct cb_member_addition {
 	char *name;
 	char *address;
+	int64_t begun_ms;
 	int64_t deadline_ms;
 	cb_replica_done_fn_t done;
 	void *user_data;
--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -291,6 +291,35 @@
 	group_check_and_delete_(group);
 }
 
+/* A new member that is lost before it answers must not keep others out. */
+static void silent_new_member_gives_way_to_another(void)
+{
+	group_t *group = group_form_(1, 3);
+	group_member_t *lost = group_add(group);
+	group_member_t *added = group_add(group);
+	GArray *outcomes =
+		g_array_new(FALSE, FALSE, sizeof(cb_replica_outcome_t));
+	group_member_t *leader = group_leader(group);
+
+	cb_replica_add_member(leader->replica, lost->name, lost->address,
+			      outcome_record_, outcomes);
+	group_start(added);
+	cb_replica_add_member(leader->replica, added->name, added->address,
+			      NULL, NULL);
+	CU_ASSERT_PTR_NULL(
+		cb_members_find(leader->replica->members, added->name));
+	group_run(group, 1100);
+	CU_ASSERT_EQUAL(outcomes->len, 0);
+	cb_replica_add_member(leader->replica, added->name, added->address,
+			      NULL, NULL);
+	CU_ASSERT_TRUE(voter_wait_(group, added, 1000));
+	CU_ASSERT_EQUAL_FATAL(outcomes->len, 1);
+	CU_ASSERT_EQUAL(g_array_index(outcomes, cb_replica_outcome_t, 0),
+			CB_REPLICA_BUSY);
+	group_check_and_delete_(group);
+	g_array_unref(outcomes);
+}
+
 static void one_membership_change_at_a_time(void)
 {
 	group_t *group = group_form_(1, 5);
@@ -726,6 +755,8 @@
 	{ "changes_survive_restart_of_all_members",
 	  changes_survive_restart_of_all_members },
 	{ "member_is_added_and_removed", member_is_added_and_removed },
+	{ "silent_new_member_gives_way_to_another",
+	  silent_new_member_gives_way_to_another },
 	{ "one_membership_change_at_a_time", one_membership_change_at_a_time },
 	{ "hand_over_elects_another_leader", hand_over_elects_another_leader },
 	{ "member_with_full_disk_takes_no_part",
