Links to former members of the control group are given up

Each control instance went on connecting to every instance that had ever been a member, or a seed that it had asked, twice a second for ever: with each replaced machine there was one more address that nobody answers at.

Once the list of members has changed, links that aren't ready and lead to no member are given up. A removed member that comes back opens links of its own.

links_to_removed_member_are_given_up failed before (connected to again in the 10 s after the removal) and passes; test_join, test_replacements and test_sessions pass.

--- a/src/libcurrantbridge/control/node_join.c
+++ b/src/libcurrantbridge/control/node_join.c
@@ -169,6 +169,24 @@
 	g_bytes_unref(message.body);
 }
 
+/* Gives up the links to former members, and to seeds that have not joined. */
+static void lost_links_forget_(cb_node_t *node)
+{
+	const GPtrArray *members = cb_replica_members(node->replica);
+	GPtrArray *names = g_ptr_array_new();
+	unsigned int i;
+
+	for (i = 0; i < members->len; i++)
+		g_ptr_array_add(
+			names,
+			((cb_replica_member_t *)members->pdata[i])->name);
+	g_ptr_array_add(names, NULL);
+	if (members->len)
+		cb_peers_forget_lost(node->peers,
+				     (const char *const *)names->pdata);
+	g_ptr_array_unref(names);
+}
+
 /* Updates the gauges of voters, and of those that the leader hears nothing of. */
 static void voter_gauges_update_(cb_node_t *node)
 {
@@ -189,8 +207,8 @@
 }
 
 /*
- * Updates the metrics of the group and sends changed lists of control instances
- * to entry instances.  Called at each heartbeat.
+ * Updates the metrics of the group.  Once its members have changed, gives up the
+ * links to former ones and sends the new list to entry instances.  Called at each heartbeat.
  */
 void cb_node_membership_tick(cb_node_t *node)
 {
@@ -208,6 +226,7 @@
 	cb_log_event(node->log, CB_EVENT_MEMBERS_CHANGED,
 		     CB_INT("voters", voters),
 		     CB_INT("learners", members->len - voters));
+	lost_links_forget_(node);
 	message.body = control_addresses_encode_(node);
 	cb_node_sessions_broadcast(node, &message);
 	g_bytes_unref(message.body);
--- a/src/libcurrantbridge/control/peers.c
+++ b/src/libcurrantbridge/control/peers.c
@@ -161,6 +161,25 @@
 	cb_timer_start(peer->retry_timer, 0);
 }
 
+/*
+ * Stops reopening the links that aren't ready, except those to the instances
+ * named in `kept`, a NULL-terminated array.
+ */
+void cb_peers_forget_lost(cb_peers_t *peers, const char *const *kept)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, peers->peers_by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_t *peer = value;
+
+		if (!(peer->link && cb_link_is_ready(peer->link)) &&
+		    !g_strv_contains(kept, peer->name))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
 /*
  * Reconnects soon to a control instance that is known to be up because it has
  * opened a link to this one.  Without this, the link would wait for the retry
--- a/src/libcurrantbridge/include/private/peers.h
+++ b/src/libcurrantbridge/include/private/peers.h
@@ -28,6 +28,7 @@
 void cb_peers_delete(cb_peers_t *peers);
 void cb_peers_keep_connected(cb_peers_t *peers, const char *name,
 			     const char *address);
+void cb_peers_forget_lost(cb_peers_t *peers, const char *const *kept);
 gboolean cb_peers_send(cb_peers_t *peers, const char *name,
 		       const cb_link_message_t *message);
 gboolean cb_peers_send_encoded(cb_peers_t *peers, const char *name,
--- a/src/test_libcurrantbridge/support_network.c
+++ b/src/test_libcurrantbridge/support_network.c
@@ -56,6 +56,7 @@
 	GHashTable *process_by_address;
 	GHashTable *blocked_pairs; /* set of "FROM>TO" */
 	uint64_t sent_bytes;
+	GHashTable *connects; /* address to the number of attempts to connect */
 };
 
 static fake_connection_t *fake_connection_ref_(fake_connection_t *fake)
@@ -271,6 +272,9 @@
 	fake_connection_t *fake =
 		fake_connection_new_(self->hub, self->process);
 
+	g_hash_table_replace(
+		self->hub->connects, g_strdup(address),
+		GUINT_TO_POINTER(support_hub_connects(self->hub, address) + 1));
 	event_schedule_(self->hub, FAKE_CONNECT, fake, NULL, CB_CLOSE_REMOTE,
 			address);
 	return &fake->connection;
@@ -341,6 +345,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	hub->blocked_pairs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	hub->connects =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return hub;
 }
 
@@ -353,6 +359,7 @@
 	g_hash_table_unref(hub->listeners);
 	g_hash_table_unref(hub->process_by_address);
 	g_hash_table_unref(hub->blocked_pairs);
+	g_hash_table_unref(hub->connects);
 	g_free(hub);
 }
 
@@ -386,6 +393,11 @@
 	g_free(pair);
 }
 
+unsigned int support_hub_connects(const support_hub_t *hub, const char *address)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(hub->connects, address));
+}
+
 /* Returns the number of bytes in all frames sent so far, also lost ones. */
 uint64_t support_hub_bytes(const support_hub_t *hub)
 {
--- a/src/test_libcurrantbridge/support_network.h
+++ b/src/test_libcurrantbridge/support_network.h
@@ -20,6 +20,9 @@
  */
 void support_hub_block(support_hub_t *hub, const char *from, const char *to,
 		       gboolean is_blocked);
+/* Returns the number of attempts to connect to an address so far. */
+unsigned int support_hub_connects(const support_hub_t *hub,
+				  const char *address);
 /* Returns the number of bytes sent so far, including lost ones. */
 uint64_t support_hub_bytes(const support_hub_t *hub);
 
--- a/src/test_libcurrantbridge/test_join.c
+++ b/src/test_libcurrantbridge/test_join.c
@@ -70,6 +70,25 @@
 	control_group_delete(group);
 }
 
+/* Nobody goes on connecting to a machine that is gone and was replaced. */
+static void links_to_removed_member_are_given_up(void)
+{
+	control_group_t *group = group_of_five_form_(16);
+	const char *address = group->members[0].address;
+	unsigned int connects;
+
+	control_group_kill(group, 0);
+	control_group_start(group, 5, FALSE);
+	CU_ASSERT_TRUE(control_group_run_until_voters(group, 0x3e,
+						      REPLACE_TIMEOUT_MS));
+	cb_clock_advance(group->clock, 1000);
+	connects = support_hub_connects(group->hub, address);
+	cb_clock_advance(group->clock, 10000);
+	CU_ASSERT_TRUE(connects > 0);
+	CU_ASSERT_EQUAL(support_hub_connects(group->hub, address), connects);
+	control_group_delete(group);
+}
+
 /* The seeds of a removed member may all be gone by the time it returns. */
 static void removed_member_finds_group_without_its_seeds(void)
 {
@@ -172,6 +191,8 @@
 	  seeds_form_group_and_others_join },
 	{ "failed_voters_are_replaced", failed_voters_are_replaced },
 	{ "removed_member_joins_again", removed_member_joins_again },
+	{ "links_to_removed_member_are_given_up",
+	  links_to_removed_member_are_given_up },
 	{ "removed_member_finds_group_without_its_seeds",
 	  removed_member_finds_group_without_its_seeds },
 	{ "half_of_group_removes_no_member", half_of_group_removes_no_member },
