Former senders use up no room for reply addresses

A member remembers the addresses of up to 64 senders that aren't members, and then no more of them for as long as it runs. After as many replaced machines, it could not reply to a new one that it doesn't know from its log yet, such as a candidate. Found by reading, while members that are gone were traced.

Once there are 64, all are forgotten; who is still there is recorded again with its next message.

many_former_senders_keep_no_reply_back failed before and passes.

--- a/src/libcurrantbridge/control/replica.c
+++ b/src/libcurrantbridge/control/replica.c
@@ -115,15 +115,19 @@
 	return g_hash_table_lookup(replica->addresses, name);
 }
 
-/* Records the address of a sender that is not a member, for replies to it. */
+/*
+ * Records the address of a sender that is not a member, for replies to it.  Once
+ * there are too many, all earlier ones are forgotten.
+ */
 static void sender_address_record_(cb_replica_t *replica, const char *from,
 				   const cb_message_t *message)
 {
 	if (!*message->from_address || member_address_find_(replica, from))
 		return;
-	if (g_hash_table_size(replica->addresses) < MAX_SENDER_ADDRESSES)
-		g_hash_table_insert(replica->addresses, g_strdup(from),
-				    g_strdup(message->from_address));
+	if (g_hash_table_size(replica->addresses) >= MAX_SENDER_ADDRESSES)
+		g_hash_table_remove_all(replica->addresses);
+	g_hash_table_insert(replica->addresses, g_strdup(from),
+			    g_strdup(message->from_address));
 }
 
 /*
--- a/src/test_libcurrantbridge/test_replica_group.c
+++ b/src/test_libcurrantbridge/test_replica_group.c
@@ -320,6 +320,32 @@
 	g_array_unref(outcomes);
 }
 
+/* However many strangers have sent something, the next one gets a reply. */
+static void many_former_senders_keep_no_reply_back(void)
+{
+	group_t *group = group_form_(1, 3);
+	cb_replica_t *replica = group_leader(group)->replica;
+	uint32_t i;
+
+	for (i = 0; i < 100; i++) {
+		cb_message_t *message = cb_message_new(CB_MESSAGE_PROBE);
+		char *name = g_strdup_printf("stranger-%u", i);
+		GBytes *bytes;
+
+		message->from_disk = g_strdup("another");
+		message->from_address = g_strdup_printf("127.0.1.1:%u", i + 1);
+		bytes = cb_message_encode(message);
+		cb_replica_receive(replica, name, bytes);
+		CU_ASSERT_FALSE(
+			g_strcmp0(g_hash_table_lookup(replica->addresses, name),
+				  message->from_address));
+		g_bytes_unref(bytes);
+		cb_message_delete(message);
+		g_free(name);
+	}
+	group_check_and_delete_(group);
+}
+
 static void one_membership_change_at_a_time(void)
 {
 	group_t *group = group_form_(1, 5);
@@ -757,6 +783,8 @@
 	{ "member_is_added_and_removed", member_is_added_and_removed },
 	{ "silent_new_member_gives_way_to_another",
 	  silent_new_member_gives_way_to_another },
+	{ "many_former_senders_keep_no_reply_back",
+	  many_former_senders_keep_no_reply_back },
 	{ "one_membership_change_at_a_time", one_membership_change_at_a_time },
 	{ "hand_over_elects_another_leader", hand_over_elects_another_leader },
 	{ "member_with_full_disk_takes_no_part",
