Seeded runs of the replica lose machines for good

Half of the seeded runs now remove silent members, lose machines for good and start empty ones in their place, while members crash, are cut off, have full or slow disks or lose a disk; members that aren't in the group ask to be added. The other half plays as before, with other random numbers.

--- a/src/test_libcurrantbridge/support_group.c
+++ b/src/test_libcurrantbridge/support_group.c
@@ -389,6 +389,7 @@
 		.election_timeout_ms = 500,
 		.snapshot_every_bytes = group->snapshot_every_bytes,
 		.max_waiting_proposals = 1000,
+		.min_voters = group->min_voters,
 		.counters = group->counters,
 	};
 	cb_replica_listener_t listener = { .role_changed = role_changed_,
@@ -397,7 +398,7 @@
 	GError *error = NULL;
 	uint32_t i;
 
-	if (member->is_up)
+	if (member->is_up || member->is_gone)
 		return;
 	for (i = 0; i < group->initial_size; i++) {
 		initial[i].name = group->members[i].name;
@@ -444,6 +445,12 @@
 	disk_erase(member->disk);
 }
 
+void group_lose(group_member_t *member)
+{
+	group_crash(member);
+	member->is_gone = TRUE;
+}
+
 void group_heal(group_t *group)
 {
 	memset(group->is_blocked, 0, sizeof(group->is_blocked));
@@ -694,7 +701,8 @@
 	for (i = 0; leader && i < group->size; i++) {
 		group_member_t *member = &group->members[i];
 
-		if (cb_members_find(leader->replica->members, member->name) &&
+		if (!member->is_gone &&
+		    cb_members_find(leader->replica->members, member->name) &&
 		    !g_hash_table_contains(member_node_(member)->changes,
 					   change->id))
 			group_violation(group, "%s has lost %s", member->name,
--- a/src/test_libcurrantbridge/support_group.h
+++ b/src/test_libcurrantbridge/support_group.h
@@ -10,7 +10,7 @@
  * in a crash.  The group records each violation of what a replicated log
  * guarantees.  All random numbers come from one seed.
  */
-#define GROUP_MAX_MEMBERS 10
+#define GROUP_MAX_MEMBERS 20
 
 typedef struct group group_t;
 typedef struct group_member group_member_t;
@@ -27,6 +27,7 @@
 	char name[8];
 	char address[32];
 	gboolean is_up;
+	gboolean is_gone;    /* the machine is lost for good */
 	gboolean has_failed; /* the replica reported a failure of its storage */
 	disk_t *disk;	     /* disk of the member, which outlives crashes */
 	cb_replica_t *replica; /* NULL while the member is down */
@@ -46,6 +47,8 @@
 	int32_t repeat_per_mille; /* probability that a message is sent twice */
 	int32_t max_delay_ms;	  /* message delay: random from 0 to this */
 	uint64_t snapshot_every_bytes;
+	uint32_t
+		min_voters; /* of members started from now on; 0: none removed */
 	uint32_t snapshot_padding_bytes; /* added to each snapshot */
 	/* The highest index acknowledged to a client. */
 	uint64_t acknowledged_index;
@@ -75,6 +78,8 @@
 void group_crash(group_member_t *member);
 /* Crashes a member and replaces its disk by a blank one. */
 void group_replace_disk(group_member_t *member);
+/* Crashes a member for good. */
+void group_lose(group_member_t *member);
 /* Lets all blocked messages pass again. */
 void group_heal(group_t *group);
 /* Blocks all messages to a member (`in`) and from it (`out`). */
@@ -98,7 +103,10 @@
 int64_t group_event_count(const group_t *group, const char *event);
 /* Waits until all running members have applied the leader's whole log. */
 gboolean group_wait_equal(group_t *group, int64_t timeout_ms);
-/* Checks the answer to a change, and that every member has applied it. */
+/*
+ * Checks the answer to a change, and that every member whose machine isn't gone
+ * has applied it.
+ */
 void group_check_change(group_t *group, const group_change_t *change);
 /* Checks that the logs of all running members agree. */
 void group_check_logs(group_t *group);
--- a/src/test_libcurrantbridge/test_replica_seeds.c
+++ b/src/test_libcurrantbridge/test_replica_seeds.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "private/replica.h"
 #include "support_group.h"
 #include "support_main.h"
 
@@ -15,6 +16,9 @@
 #define LONG_PARTITION_MS 60000
 #define RECOVERY_LIMIT_MS 10000
 #define CLIENT_TIMEOUT_MS 1000
+/* Members that aren't in the group ask for their addition this often. */
+#define JOIN_INTERVAL_MS 300
+#define MIN_VOTERS 3
 
 typedef struct run run_t;
 
@@ -39,7 +43,14 @@
 	restart_t restarts[GROUP_MAX_MEMBERS];
 	cb_timer_t *fault_timer;
 	cb_timer_t *heal_partition_timer;
-	/* Member whose replaced disk does not vote yet. */
+	cb_timer_t *join_timer;
+	/*
+	 * Whether machines are lost for good and replaced by others, and silent
+	 * members removed.
+	 */
+	gboolean replaces_machines;
+	uint32_t replaced_machine_count;
+	/* Member whose replaced disk, or new machine, does not vote yet. */
 	group_member_t *blank_member;
 	/* Whether another fault follows the disk replacement. */
 	gboolean has_next_fault;
@@ -216,6 +227,55 @@
 	member_restart_schedule_(run, member, random_in_range_(run, 0, 3000));
 }
 
+static void member_join_(void *user_data)
+{
+	run_t *run = user_data;
+	group_member_t *leader = group_leader(run->group);
+	uint32_t i;
+
+	cb_timer_start(run->join_timer, JOIN_INTERVAL_MS);
+	for (i = 0; leader && i < run->group->size; i++) {
+		group_member_t *member = &run->group->members[i];
+
+		if (member->is_up &&
+		    !cb_members_find(leader->replica->members, member->name))
+			cb_replica_add_member(leader->replica, member->name,
+					      member->address, NULL, NULL);
+	}
+}
+
+static void restart_prepare_(run_t *run, group_member_t *member)
+{
+	restart_t *restart = &run->restarts[member - run->group->members];
+
+	restart->member = member;
+	restart->timer =
+		cb_timer_new(run->group->clock, member_restart_, restart);
+}
+
+/*
+ * Loses one voter's machine for good, while all others that run are voters; an
+ * empty machine comes soon.
+ */
+static void fault_replace_machine_(run_t *run)
+{
+	group_member_t *member = fault_target_choose_(run);
+	group_member_t *successor;
+
+	if (!run->replaces_machines || run->blank_member || !member ||
+	    run->group->size == GROUP_MAX_MEMBERS || voters_count_(run) < 3 ||
+	    !group_is_voter(run->group, member))
+		return;
+	group_lose(member);
+	successor = group_add(run->group);
+	restart_prepare_(run, successor);
+	run->replaced_machine_count++;
+	run->blank_member = successor;
+	run->has_next_fault = random_true_(run, 50);
+	member_restart_schedule_(run, successor,
+				 random_in_range_(run, 0, 3000));
+}
+
 static void fault_fill_disk_(run_t *run)
 {
 	group_member_t *member = fault_target_choose_(run);
@@ -270,7 +330,9 @@
 	run->replaced_disk_count++;
 	if (!run->has_next_fault)
 		return;
-	if (random_true_(run, 50))
+	if (run->replaces_machines && random_true_(run, 50))
+		fault_replace_machine_(run);
+	else if (random_true_(run, 50))
 		fault_replace_disk_(run);
 	else
 		fault_crash_member_(run);
@@ -279,13 +341,14 @@
 static void fault_inject_(void *user_data)
 {
 	static void (*const faults[])(run_t *) = {
-		fault_crash_member_,   fault_crash_member_,
-		fault_crash_all_,      fault_isolate_member_,
-		fault_isolate_member_, fault_isolate_member_,
-		fault_replace_disk_,   fault_replace_disk_,
-		fault_fill_disk_,      fault_change_disk_speed_,
-		fault_change_members_, fault_change_members_,
-		fault_hand_over_,
+		fault_crash_member_,	fault_crash_member_,
+		fault_crash_all_,	fault_isolate_member_,
+		fault_isolate_member_,	fault_isolate_member_,
+		fault_replace_disk_,	fault_replace_disk_,
+		fault_fill_disk_,	fault_change_disk_speed_,
+		fault_change_members_,	fault_change_members_,
+		fault_hand_over_,	fault_replace_machine_,
+		fault_replace_machine_,
 	};
 	run_t *run = user_data;
 
@@ -306,13 +369,14 @@
 	run->fault_timer = cb_timer_new(run->group->clock, fault_inject_, run);
 	run->heal_partition_timer =
 		cb_timer_new(run->group->clock, partition_heal_, run);
-	for (i = 0; i < run->group->size; i++) {
-		restart_t *restart = &run->restarts[i];
-
-		restart->member = &run->group->members[i];
-		restart->timer = cb_timer_new(run->group->clock,
-					      member_restart_, restart);
+	run->join_timer = cb_timer_new(run->group->clock, member_join_, run);
+	run->replaces_machines = random_true_(run, 50);
+	if (run->replaces_machines) {
+		run->group->min_voters = MIN_VOTERS;
+		cb_timer_start(run->join_timer, JOIN_INTERVAL_MS);
 	}
+	for (i = 0; i < run->group->size; i++)
+		restart_prepare_(run, &run->group->members[i]);
 	for (i = 0; i < CLIENT_COUNT; i++) {
 		client_t *client = &run->clients[i];
 
@@ -361,7 +425,8 @@
 	for (i = 0; i < group->size; i++) {
 		cb_timer_stop(run->restarts[i].timer);
 		disk_set_sync_ms(group->members[i].disk, 5);
-		if (!group->members[i].is_up || group->members[i].has_failed)
+		if (!group->members[i].is_gone &&
+		    (!group->members[i].is_up || group->members[i].has_failed))
 			member_restart_(&run->restarts[i]);
 		disk_set_full(group->members[i].disk, FALSE);
 	}
@@ -396,6 +461,7 @@
 		cb_timer_delete(run->restarts[i].timer);
 	cb_timer_delete(run->fault_timer);
 	cb_timer_delete(run->heal_partition_timer);
+	cb_timer_delete(run->join_timer);
 }
 
 static void run_free_(run_t *run)
@@ -418,6 +484,7 @@
 	int64_t run_count = env_integer_get_("CB_SEEDS", DEFAULT_RUN_COUNT);
 	uint64_t changes = 0;
 	uint64_t replaced_disk_count = 0;
+	uint64_t replaced_machine_count = 0;
 	uint64_t reads = 0;
 	int64_t installs = 0;
 	int64_t elections = 0;
@@ -436,6 +503,7 @@
 		changes += run.group->acknowledged_count;
 		reads += run.group->read_count;
 		replaced_disk_count += run.replaced_disk_count;
+		replaced_machine_count += run.replaced_machine_count;
 		installs += group_event_count(run.group, "snapshot_installed");
 		elections += group_event_count(run.group, "election_begun");
 		CU_ASSERT_TRUE(run.group->max_message_bytes < 1024 * 1024);
@@ -444,17 +512,20 @@
 	printf("    %" G_GINT64_FORMAT " runs from seed %" G_GINT64_FORMAT
 	       ": %" G_GINT64_FORMAT " failed; %" G_GUINT64_FORMAT
 	       " answers, %" G_GUINT64_FORMAT
-	       " confirmed reads, %" G_GUINT64_FORMAT " replaced disks\n",
+	       " confirmed reads, %" G_GUINT64_FORMAT
+	       " replaced disks or machines, %" G_GUINT64_FORMAT
+	       " machines lost\n",
 	       run_count, first_seed, failed_run_count, changes, reads,
-	       replaced_disk_count);
+	       replaced_disk_count, replaced_machine_count);
 	printf("    %" G_GINT64_FORMAT " elections, %" G_GINT64_FORMAT
 	       " snapshots installed\n",
 	       elections, installs);
 	CU_ASSERT_EQUAL(failed_run_count, 0);
 	/* The runs are valid as a check only with events of every kind. */
 	CU_ASSERT_TRUE(changes > 0 && reads > 0 && elections > 0);
-	CU_ASSERT_TRUE(run_count < DEFAULT_RUN_COUNT ||
-		       (replaced_disk_count && installs));
+	CU_ASSERT_TRUE(
+		run_count < DEFAULT_RUN_COUNT ||
+		(replaced_disk_count && replaced_machine_count && installs));
 }
 
 static CU_TestInfo tests[] = {
