--- a/src/libcurrantbridge/control/node_join.c
+++ b/src/libcurrantbridge/control/node_join.c
@@ -187,7 +187,7 @@
 	g_ptr_array_unref(names);
 }
 
-/* Updates the gauges of voters, and of those that the leader hears nothing of. */
+/* Updates the gauges of all voters and of those that don't answer the leader. */
 static void voter_gauges_update_(cb_node_t *node)
 {
 	const GPtrArray *members = cb_replica_members(node->replica);
@@ -208,7 +208,8 @@
 
 /*
  * Updates the metrics of the group.  Once its members have changed, gives up the
- * links to former ones and sends the new list to entry instances.  Called at each heartbeat.
+ * links to former ones and sends the new list to entry instances.  Called at
+ * each heartbeat.
  */
 void cb_node_membership_tick(cb_node_t *node)
 {
@@ -223,9 +224,10 @@
 	if (digest == node->sent_members_digest)
 		return;
 	node->sent_members_digest = digest;
-	cb_log_event(node->log, CB_EVENT_MEMBERS_CHANGED,
-		     CB_INT("voters", voters),
-		     CB_INT("learners", members->len - voters));
+	if (members->len)
+		cb_log_event(node->log, CB_EVENT_MEMBERS_CHANGED,
+			     CB_INT("voters", voters),
+			     CB_INT("learners", members->len - voters));
 	lost_links_forget_(node);
 	message.body = control_addresses_encode_(node);
 	cb_node_sessions_broadcast(node, &message);
