--- a/src/test_libcurrantbridge/test_replacements.c
+++ b/src/test_libcurrantbridge/test_replacements.c
@@ -219,7 +219,7 @@
 
 static void machines_lose_(play_t *play)
 {
-	size_t chosen[LOST_AT_ONCE_MAX];
+	size_t chosen[LOST_AT_ONCE_MAX] = { 0 };
 	size_t i;
 
 	machines_choose_(play, chosen);
@@ -251,7 +251,7 @@
 static void machines_leave_(play_t *play, gboolean is_cut_off)
 {
 	size_t count = play->series->lost_at_once;
-	size_t chosen[LOST_AT_ONCE_MAX];
+	size_t chosen[LOST_AT_ONCE_MAX] = { 0 };
 	size_t i;
 
 	machines_choose_(play, chosen);
