Soak: control instances are replaced in series under load

replaced_controls_keep_changes_accepted kills control instances for good, 6 or 7 a run, starts an empty one at another address 0.5 to 1.6 s later, and pauses or restarts one between losses. A change of the document must be acknowledged within 4 s; at the end each control instance reads the newest and each entry serves its route.

Servers of the soak read the control instances from a file, as callers of control choose from the platform's list, and a change that was not acknowledged is sent to the next instance, which the other tests of the soak do now too.

--- a/test/platform/soak/soak_platform.c
+++ b/test/platform/soak/soak_platform.c
@@ -2,10 +2,17 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "support_sockets.h"
 
 #define START_TIMEOUT_MS 20000
 #define RESTART_DELAY_MAX_MS 800
 #define MAX_CONNECTIONS 60
+/* Seeds that a successor of a lost control instance is given. */
+#define SUCCESSOR_SEEDS 3
 /* Priorities of the routes, which change with each version. */
 #define RANKS 3
 
@@ -22,27 +29,53 @@
 	};
 }
 
-static void control_start_(soak_t *soak, unsigned int i, int internal_port,
-			   const char *seeds)
+/* Starts the control instance with a number, which is that of its address. */
+static support_daemon_t *control_start_(soak_t *soak, unsigned int control,
+					unsigned int number, const char *seeds,
+					gboolean is_first_start)
 {
-	char *name = g_strdup_printf("c%u", i);
-	char *ip = g_strdup_printf("127.0.0.%u", i + 2);
+	char *name = g_strdup_printf("c%u", number);
+	char *ip = g_strdup_printf("127.0.0.%u", number + 2);
 	GString *settings =
-		support_program_settings(name, ip, internal_port, seeds,
+		support_program_settings(name, ip, soak->internal_port, seeds,
 					 soak->setup->heartbeat_ms);
+	const char *port = strstr(settings->str, "\"metrics_port\":") +
+			   strlen("\"metrics_port\":");
+	support_daemon_t *daemon;
 
+	g_free(soak->control_metrics[control]);
+	soak->control_metrics[control] =
+		g_strdup_printf("%s:%d", ip, atoi(port));
 	g_string_append_printf(settings,
-			       ",\"first_start\":true,"
+			       ",\"first_start\":%s,"
 			       "\"listen_control\":\"%s\","
 			       "\"data_folder\":\"%s/%s\"",
-			       soak->control_addresses[i], soak->group->folder,
-			       name);
-	process_add_(soak, support_program_start_from(soak->group,
-						      soak->setup->programs,
-						      "cb-platform-control",
-						      name, settings));
+			       is_first_start ? "true" : "false",
+			       soak->control_addresses[control],
+			       soak->group->folder, name);
+	soak->control_start_count++;
+	daemon = support_program_start_from(soak->group, soak->setup->programs,
+					    "cb-platform-control", name,
+					    settings);
 	g_free(name);
 	g_free(ip);
+	return daemon;
+}
+
+/* Writes the addresses of the control instances that are not gone to a file. */
+static void control_list_write_(soak_t *soak)
+{
+	GString *list = g_string_new(NULL);
+	unsigned int i;
+
+	for (i = 0; i < soak->setup->control_count; i++)
+		if (!soak->is_control_gone[i])
+			g_string_append_printf(list, "%s%s",
+					       list->len ? "," : "",
+					       soak->control_addresses[i]);
+	g_assert(g_file_set_contents(soak->control_list_path, list->str, -1,
+				     NULL));
+	g_string_free(list, TRUE);
 }
 
 static void entry_start_(soak_t *soak, unsigned int i, int internal_port,
@@ -76,22 +109,21 @@
 {
 	const soak_setup_t *setup = soak->setup;
 	char *name = g_strdup_printf("server%u", i);
-	char *controls = g_strjoinv(",", soak->control_addresses);
 	gboolean is_other = setup->has_other_service && i % 3 == 0;
 	GString *settings = g_string_new(NULL);
 
-	g_string_printf(settings,
-			"{\"address\":\"127.0.0.%u:%d\",\"service\":\"%s\","
-			"\"control\":\"%s\",\"effects\":\"%s\",\"slots\":%d,"
-			"\"heartbeat_ms\":%d,\"event_gap_max_ms\":%d,"
-			"\"is_sound\":%s",
-			i + 100, (int)support_free_port(), is_other ? "t" : "s",
-			controls, soak->effects_path, setup->slots,
-			setup->server_heartbeat_ms, setup->event_gap_max_ms,
-			setup->is_sound ? "true" : "false");
+	g_string_printf(
+		settings,
+		"{\"address\":\"127.0.0.%u:%d\",\"service\":\"%s\","
+		"\"control_list\":\"%s\",\"effects\":\"%s\",\"slots\":%d,"
+		"\"heartbeat_ms\":%d,\"event_gap_max_ms\":%d,"
+		"\"is_sound\":%s",
+		i + 100, (int)support_free_port(), is_other ? "t" : "s",
+		soak->control_list_path, soak->effects_path, setup->slots,
+		setup->server_heartbeat_ms, setup->event_gap_max_ms,
+		setup->is_sound ? "true" : "false");
 	process_add_(soak, support_program_start(soak->group, "cb-soak-server",
 						 name, settings));
-	g_free(controls);
 	g_free(name);
 }
 
@@ -153,15 +185,50 @@
 	return g_string_free(text, FALSE);
 }
 
+/* Sends a change of the document; returns the status, 0 if there is none. */
+static unsigned int document_send_(const soak_t *soak, const char *address,
+				   const char *body)
+{
+	int fd = support_address_connect(address);
+	unsigned int status;
+	char *answer;
+	char *text;
+
+	if (fd < 0)
+		return 0;
+	if (soak->setup->document_wait_ms)
+		support_receive_timeout_set(fd, soak->setup->document_wait_ms);
+	text = g_strdup_printf("POST /v1/config/put HTTP/1.1\r\nHost: c\r\n"
+			       "Content-Length: %zu\r\n\r\n%s",
+			       strlen(body), body);
+	support_socket_send(fd, text, strlen(text));
+	answer = support_answer_read(fd);
+	status = support_answer_status(answer);
+	close(fd);
+	g_free(answer);
+	g_free(text);
+	return status;
+}
+
 gboolean soak_document_put(soak_t *soak)
 {
+	int count = (int)soak->setup->control_count;
+	int control = g_rand_int_range(soak->document_random, 0, count);
 	char *body = document_write_(soak);
-	int control = g_rand_int_range(soak->document_random, 0,
-				       (int)soak->setup->control_count);
-	unsigned int status =
-		support_api_call_status(soak->control_addresses[control],
-					"POST", "/v1/config/put", body);
-
+	unsigned int status;
+	char *address;
+
+	if (soak->is_put_to_repeat)
+		control = (soak->put_control + 1) % count;
+	g_mutex_lock(&soak->controls_lock);
+	while (soak->is_control_gone[control])
+		control = (control + 1) % count;
+	address = g_strdup(soak->control_addresses[control]);
+	g_mutex_unlock(&soak->controls_lock);
+	status = document_send_(soak, address, body);
+	soak->put_control = control;
+	soak->is_put_to_repeat = status != 200;
+	g_free(address);
 	g_free(body);
 	if (status == 200)
 		soak->version++;
@@ -211,6 +278,8 @@
 		soak->control_addresses[i] =
 			g_strdup_printf("127.0.0.%u:%d", i + 2,
 					(int)support_free_port());
+		if (soak->setup->seed_count && i >= soak->setup->seed_count)
+			continue;
 		g_string_append_printf(seeds, "%s\"%s\"", i ? "," : "",
 				       soak->control_addresses[i]);
 	}
@@ -219,7 +288,6 @@
 
 gboolean soak_init(soak_t *soak, const soak_setup_t *setup, uint32_t seed)
 {
-	int internal_port = (int)support_free_port();
 	GString *seeds;
 	gboolean is_serving;
 	unsigned int i;
@@ -233,11 +301,17 @@
 			  .group = support_group_new(0, NULL) };
 	soak->effects_path =
 		g_build_filename(soak->group->folder, "effects", NULL);
+	soak->control_list_path =
+		g_build_filename(soak->group->folder, "controls", NULL);
+	soak->internal_port = (int)support_free_port();
+	g_mutex_init(&soak->controls_lock);
 	seeds = control_addresses_draw_(soak);
+	control_list_write_(soak);
 	for (i = 0; i < setup->control_count; i++)
-		control_start_(soak, i, internal_port, seeds->str);
+		process_add_(soak,
+			     control_start_(soak, i, i, seeds->str, TRUE));
 	for (i = 0; i < setup->entry_count; i++)
-		entry_start_(soak, i, internal_port, seeds->str);
+		entry_start_(soak, i, soak->internal_port, seeds->str);
 	for (i = 0; i < setup->server_count; i++)
 		server_start_(soak, i);
 	g_string_free(seeds, TRUE);
@@ -260,8 +334,12 @@
 	unsigned int i;
 
 	support_group_delete(soak->group);
-	for (i = 0; i < SOAK_CONTROL_MAX; i++)
+	for (i = 0; i < SOAK_CONTROL_MAX; i++) {
 		g_free(soak->control_addresses[i]);
+		g_free(soak->control_metrics[i]);
+	}
+	g_mutex_clear(&soak->controls_lock);
+	g_free(soak->control_list_path);
 	for (i = 0; i < SOAK_ENTRY_MAX; i++)
 		g_free(soak->entry_addresses[i]);
 	g_free(soak->effects_path);
@@ -280,6 +358,102 @@
 	return soak_entries(soak) + soak->setup->entry_count;
 }
 
+void soak_control_lose(soak_t *soak, unsigned int control)
+{
+	soak_process_t *process = &soak->processes[control];
+
+	soak->fault_count++;
+	g_mutex_lock(&soak->controls_lock);
+	soak->is_control_gone[control] = TRUE;
+	g_mutex_unlock(&soak->controls_lock);
+	support_daemon_kill(process->daemon);
+	process->restart_ms = INT64_MAX;
+	control_list_write_(soak);
+}
+
+void soak_control_replace(soak_t *soak, unsigned int control)
+{
+	unsigned int count = soak->setup->control_count;
+	unsigned int first =
+		(unsigned int)g_rand_int_range(soak->random, 0, (int)count);
+	unsigned int number = soak->control_start_count;
+	unsigned int seed_count = 0;
+	GString *seeds = g_string_new(NULL);
+	unsigned int i;
+
+	for (i = 0; i < count && seed_count < SUCCESSOR_SEEDS; i++) {
+		unsigned int seed = (first + i) % count;
+
+		if (!soak->is_control_gone[seed])
+			g_string_append_printf(seeds, "%s\"%s\"",
+					       seed_count++ ? "," : "",
+					       soak->control_addresses[seed]);
+	}
+	g_mutex_lock(&soak->controls_lock);
+	g_free(soak->control_addresses[control]);
+	soak->control_addresses[control] =
+		g_strdup_printf("127.0.0.%u:%d", number + 2,
+				(int)support_free_port());
+	soak->processes[control] = (soak_process_t){
+		.daemon = control_start_(soak, control, number, seeds->str,
+					 FALSE),
+		.started_ms = now_ms_(),
+	};
+	soak->is_control_gone[control] = FALSE;
+	g_mutex_unlock(&soak->controls_lock);
+	control_list_write_(soak);
+	g_string_free(seeds, TRUE);
+}
+
+int soak_control_leader(soak_t *soak)
+{
+	int leader = -1;
+	unsigned int i;
+
+	for (i = 0; i < soak->setup->control_count && leader < 0; i++) {
+		char *text;
+
+		if (soak->is_control_gone[i])
+			continue;
+		text = support_api_call(soak->control_metrics[i], "GET",
+					"/metrics", "");
+		if (strstr(text, "\ncb_control_leader 1\n"))
+			leader = (int)i;
+		g_free(text);
+	}
+	return leader;
+}
+
+int soak_control_version(soak_t *soak, unsigned int control)
+{
+	char *answer = support_api_call(soak->control_addresses[control], "GET",
+					"/v1/config/get", "");
+	const char *field = strstr(answer, "\"version\":");
+	int version = 0;
+
+	if (support_answer_status(answer) == 200 && field)
+		version = atoi(field + strlen("\"version\":"));
+	g_free(answer);
+	return version;
+}
+
+gboolean soak_entry_has_version(const soak_t *soak, unsigned int entry,
+				int version)
+{
+	char *text = g_strdup_printf("GET /version-%d/end HTTP/1.1\r\n"
+				     "Host: h\r\nX-Request-Id: end\r\n"
+				     "X-Time-Budget: 1000\r\n"
+				     "Authorization: Bearer key\r\n\r\n",
+				     version);
+	char *answer =
+		support_request_exchange(soak->entry_addresses[entry], text);
+	gboolean is_served = support_answer_status(answer) == 200;
+
+	g_free(answer);
+	g_free(text);
+	return is_served;
+}
+
 /* Notes that an entry was told to stop, or that it has ended. */
 static void entry_stop_note_(soak_t *soak, const soak_process_t *process,
 			     gboolean has_ended)
--- a/test/platform/soak/soak_platform.h
+++ b/test/platform/soak/soak_platform.h
@@ -16,6 +16,7 @@
 /* What a soak starts, and the load that it plays. */
 typedef struct soak_setup {
 	unsigned int control_count;
+	unsigned int seed_count; /* the first control instances; 0: all */
 	unsigned int entry_count;
 	unsigned int server_count;
 	gboolean has_other_service; /* every third server is of service "t" */
@@ -41,6 +42,8 @@
 	/* Between changes of the document; maximum 0: none. */
 	int document_gap_min_ms;
 	int document_gap_max_ms;
+	/* How long a change waits for an answer; 0: as other calls do. */
+	int document_wait_ms;
 	soak_load_t load;
 } soak_setup_t;
 
@@ -61,14 +64,24 @@
 	/* Control instances, then entries, then servers. */
 	soak_process_t processes[SOAK_PROCESS_MAX];
 	unsigned int process_count;
+	/* Of the control instances, with what belongs to each of them. */
 	char *control_addresses[SOAK_CONTROL_MAX + 1];
+	char *control_metrics[SOAK_CONTROL_MAX];
+	gboolean is_control_gone[SOAK_CONTROL_MAX]; /* ended for good */
+	/* Guards the three, which another thread than the plan's reads. */
+	GMutex controls_lock;
+	unsigned int control_start_count; /* with the successors */
+	int internal_port;
+	char *control_list_path; /* file with the addresses of those not gone */
 	char *entry_addresses[SOAK_ENTRY_MAX + 1];
 	char *effects_path;
 	unsigned int serving_count; /* entries that have served a request */
 	GRand *random;		    /* of the plan */
 	GRand *document_random;	    /* of the changes of the document */
 	int version;
-	GArray *stops; /* soak_stop_t */
+	int put_control;	   /* that the last change was sent to */
+	gboolean is_put_to_repeat; /* the last change was not acknowledged */
+	GArray *stops;		   /* soak_stop_t */
 	unsigned int fault_count;
 	unsigned int unexpected_exit_count;
 } soak_t;
@@ -82,8 +95,28 @@
 /* Returns the first process of the entries and of the servers. */
 soak_process_t *soak_entries(soak_t *soak);
 soak_process_t *soak_servers(soak_t *soak);
-/* Sends the next version of the document to one control instance. */
+/*
+ * Sends the next version of the document to a control instance that is not gone: to
+ * any, or to the next one if the last time brought no acknowledgement.
+ */
 gboolean soak_document_put(soak_t *soak);
+/* Ends a control instance for good. */
+void soak_control_lose(soak_t *soak, unsigned int control);
+/*
+ * Starts an empty control instance in place of one that was lost, at an address of
+ * its own, whose seeds are others that run.
+ */
+void soak_control_replace(soak_t *soak, unsigned int control);
+/* Returns the control instance that says that it is the leader; -1: none does. */
+int soak_control_leader(soak_t *soak);
+/*
+ * Returns the version of the document that a control instance reads; 0: it doesn't
+ * know the newest.
+ */
+int soak_control_version(soak_t *soak, unsigned int control);
+/* Returns whether an entry serves a route that a version of the document adds. */
+gboolean soak_entry_has_version(const soak_t *soak, unsigned int entry,
+				int version);
 /* Sends a signal; SIGSTOP lasts for `pause_ms`. */
 void soak_process_signal(soak_t *soak, soak_process_t *process,
 			 int signal_number, int pause_ms);
--- a/test/platform/soak/soak_server_main.c
+++ b/test/platform/soak/soak_server_main.c
@@ -66,7 +66,7 @@
 	char *address;
 	char *service;
 	char *id;
-	char **control_addresses;
+	char *control_list; /* file with the addresses of control instances */
 	int effects_fd;
 	int slots;
 	int heartbeat_ms;
@@ -511,19 +511,29 @@
 	return NULL;
 }
 
-/* Sends a call about this server to one control instance after the other. */
+/*
+ * Sends a call about this server to one control instance after the other of those
+ * that the platform lists.
+ */
 static void control_call_(server_t *server, const char *call, const char *body)
 {
 	char *path = g_strdup_printf("/v1/instances/%s/%s", server->id, call);
-	unsigned int count = g_strv_length(server->control_addresses);
-	unsigned int first = (unsigned int)chance_draw_(server, 0, (int)count);
+	char **addresses;
+	char *list = NULL;
+	unsigned int count;
+	unsigned int first;
 	unsigned int i;
 
+	g_assert(g_file_get_contents(server->control_list, &list, NULL, NULL));
+	addresses = g_strsplit(list, ",", 0);
+	count = g_strv_length(addresses);
+	first = (unsigned int)chance_draw_(server, 0, (int)count);
 	for (i = 0; i < count; i++)
-		if (support_api_call_status(
-			    server->control_addresses[(first + i) % count],
-			    "POST", path, body) == 200)
+		if (support_api_call_status(addresses[(first + i) % count],
+					    "POST", path, body) == 200)
 			break;
+	g_strfreev(addresses);
+	g_free(list);
 	g_free(path);
 }
 
@@ -568,9 +578,8 @@
 		g_strdup(json_object_get_string_member(object, "address"));
 	server->service =
 		g_strdup(json_object_get_string_member(object, "service"));
-	server->control_addresses =
-		g_strsplit(json_object_get_string_member(object, "control"),
-			   ",", 0);
+	server->control_list =
+		g_strdup(json_object_get_string_member(object, "control_list"));
 	server->slots = (int)json_object_get_int_member(object, "slots");
 	server->heartbeat_ms =
 		(int)json_object_get_int_member(object, "heartbeat_ms");
--- a/test/platform/soak/test_soak.c
+++ b/test/platform/soak/test_soak.c
@@ -84,6 +84,63 @@
 		  .answer_margin_ms = 2000 },
 };
 
+/* Losses of control instances, and the other events between them. */
+#define LOSS_MIN 6
+#define LOSS_MAX 7
+#define EVENT_COUNT 8
+#define REPLACE_MIN_MS 500
+#define REPLACE_MAX_MS 1600
+/* How long all processes run after an event before the next one. */
+#define EVENT_GAP_MS 4000
+#define DOCUMENT_REPEAT_MS 50
+/* The time in which a change of the document is acknowledged. */
+#define DOCUMENT_LIMIT_MS 4000
+/* The time in which instances know the newest document once all is calm. */
+#define DOCUMENT_READ_MS 4000
+
+static const soak_setup_t replacement_setup = {
+	.control_count = 5,
+	.seed_count = 3,
+	.entry_count = 2,
+	.server_count = 3,
+	.is_sound = TRUE,
+	.has_version_routes = TRUE,
+	.slots = 12,
+	.heartbeat_ms = 1500,
+	.server_heartbeat_ms = 500,
+	.grace_s = 3,
+	.timeout_ms = { 2000, 2500 },
+	.target_latency_ms = { 300, 320 },
+	.target_gap_ms = 300,
+	.event_gap_max_ms = 20,
+	.document_gap_min_ms = 300,
+	.document_gap_max_ms = 1000,
+	.document_wait_ms = 800,
+	.load = { .caller_count = 12,
+		  .kind_count = SOAK_ONCE_OTHER,
+		  .budget_ms = 3000,
+		  .answer_margin_ms = 1000 },
+};
+
+/* Which control instance is lost. */
+typedef enum victim {
+	VICTIM_ANY,
+	VICTIM_LEADER,
+	VICTIM_OLDEST, /* the seeds first */
+} victim_t;
+
+typedef struct replacement_row {
+	const char *name;
+	gboolean is_short;
+	victim_t victim;
+} replacement_row_t;
+
+static const replacement_row_t replacement_rows[] = {
+	{ .name = "any", .victim = VICTIM_ANY },
+	{ .name = "leaders", .is_short = TRUE, .victim = VICTIM_LEADER },
+	{ .name = "oldest", .victim = VICTIM_OLDEST },
+};
+
 static int64_t now_ms_(void)
 {
 	return g_get_monotonic_time() / 1000;
@@ -390,6 +447,247 @@
 	soak_clear(&soak);
 }
 
+/* The thread that repeats each change of the document until it is acknowledged. */
+typedef struct persistent_editor {
+	soak_t *soak;
+	int is_stopping; /* atomic */
+	GThread *thread;
+	int64_t start_ms;
+	int64_t slowest_ms; /* the longest time that a change took */
+	unsigned int late_count;
+} persistent_editor_t;
+
+/*
+ * Sends the next change until it is acknowledged, or until its time is over and the
+ * editor is told to stop.
+ */
+static void document_put_persistently_(persistent_editor_t *editor)
+{
+	int version = editor->soak->version;
+	int64_t begun_ms = now_ms_();
+	gboolean is_put;
+	int64_t took_ms;
+
+	for (;;) {
+		is_put = soak_document_put(editor->soak);
+		took_ms = now_ms_() - begun_ms;
+		if (is_put || (took_ms > DOCUMENT_LIMIT_MS &&
+			       g_atomic_int_get(&editor->is_stopping)))
+			break;
+		g_usleep(DOCUMENT_REPEAT_MS * 1000);
+	}
+	editor->slowest_ms = MAX(editor->slowest_ms, took_ms);
+	if (is_put && took_ms <= DOCUMENT_LIMIT_MS)
+		return;
+	editor->late_count++;
+	printf("    version %d, sent %d ms after the start: %s after %d ms\n",
+	       version, (int)(begun_ms - editor->start_ms),
+	       is_put ? "acknowledged" : "not acknowledged", (int)took_ms);
+}
+
+static void *documents_put_persistently_(void *data)
+{
+	persistent_editor_t *editor = data;
+	const soak_setup_t *setup = editor->soak->setup;
+
+	while (!g_atomic_int_get(&editor->is_stopping)) {
+		document_put_persistently_(editor);
+		g_usleep((unsigned long)
+				 g_rand_int_range(editor->soak->document_random,
+						  setup->document_gap_min_ms,
+						  setup->document_gap_max_ms) *
+			 1000);
+	}
+	return NULL;
+}
+
+/* Returns the control instance that is to be lost. */
+static unsigned int victim_draw_(soak_t *soak, victim_t victim)
+{
+	unsigned int drawn =
+		(unsigned int)g_rand_int_range(soak->random, 0,
+					       (int)soak->setup->control_count);
+	unsigned int oldest = 0;
+	unsigned int i;
+	int leader;
+
+	switch (victim) {
+	case VICTIM_LEADER:
+		leader = soak_control_leader(soak);
+		return leader >= 0 ? (unsigned int)leader : drawn;
+	case VICTIM_OLDEST:
+		for (i = 1; i < soak->setup->control_count; i++)
+			if (soak->processes[i].started_ms <
+			    soak->processes[oldest].started_ms)
+				oldest = i;
+		return oldest;
+	case VICTIM_ANY:
+		break;
+	}
+	return drawn;
+}
+
+/* Ends a control instance for good, and starts an empty one in its place. */
+static void loss_play_(soak_t *soak, victim_t victim, int64_t start_ms)
+{
+	unsigned int control = victim_draw_(soak, victim);
+	int gap_ms =
+		g_rand_int_range(soak->random, REPLACE_MIN_MS, REPLACE_MAX_MS);
+
+	printf("    %d ms: %s is lost\n", (int)(now_ms_() - start_ms),
+	       soak->processes[control].daemon->name);
+	soak_control_lose(soak, control);
+	calm_play_(soak, gap_ms);
+	soak_control_replace(soak, control);
+	calm_play_(soak, EVENT_GAP_MS);
+}
+
+/* Pauses a control instance, or ends it and has it started with its data. */
+static void interruption_play_(soak_t *soak, int64_t start_ms)
+{
+	soak_process_t *process = &soak->processes[g_rand_int_range(
+		soak->random, 0, (int)soak->setup->control_count)];
+	gboolean is_pause = g_rand_boolean(soak->random);
+
+	printf("    %d ms: %s is %s\n", (int)(now_ms_() - start_ms),
+	       process->daemon->name, is_pause ? "paused" : "restarted");
+	soak_process_signal(soak, process, is_pause ? SIGSTOP : SIGKILL,
+			    g_rand_int_range(soak->random, 20, PAUSE_MAX_MS));
+	do
+		calm_play_(soak, STEP_MS);
+	while (process->resume_ms || !support_daemon_runs(process->daemon));
+	calm_play_(soak, EVENT_GAP_MS);
+}
+
+/* Plays the losses, the first and the last event, with interruptions between. */
+static unsigned int replacements_play_(soak_t *soak, victim_t victim,
+				       int64_t start_ms)
+{
+	unsigned int loss_count =
+		(unsigned int)g_rand_int_range(soak->random, LOSS_MIN,
+					       LOSS_MAX + 1);
+	unsigned int interruptions_left = EVENT_COUNT - loss_count;
+	unsigned int i;
+
+	calm_play_(soak, EVENT_GAP_MS);
+	for (i = 0; i < loss_count; i++) {
+		int places_left = (int)(loss_count - i);
+
+		if (i && g_rand_int_range(soak->random, 0, places_left) <
+				 (int)interruptions_left) {
+			interruption_play_(soak, start_ms);
+			interruptions_left--;
+		}
+		loss_play_(soak, victim, start_ms);
+	}
+	return loss_count;
+}
+
+/* What is to be known by all at the end of a run. */
+typedef struct newest {
+	soak_t *soak;
+	unsigned int index; /* of a control instance or an entry */
+	int version;	    /* that was acknowledged last */
+	int read;	    /* by the control instance */
+} newest_t;
+
+static gboolean is_newest_read_(void *user_data)
+{
+	newest_t *newest = user_data;
+
+	newest->read = soak_control_version(newest->soak, newest->index);
+	/* The next one may be stored although its sender was not told. */
+	return newest->read == newest->version ||
+	       newest->read == newest->version + 1;
+}
+
+static gboolean is_newest_served_(void *user_data)
+{
+	const newest_t *newest = user_data;
+
+	return soak_entry_has_version(newest->soak, newest->index,
+				      newest->version);
+}
+
+/* Returns how many control instances and entries lack the newest document. */
+static unsigned int newest_check_(soak_t *soak)
+{
+	newest_t newest = { .soak = soak, .version = soak->version - 1 };
+	unsigned int lacking_count = 0;
+	unsigned int i;
+
+	for (i = 0; i < soak->setup->control_count; i++) {
+		newest.index = i;
+		if (support_wait_until(is_newest_read_, &newest,
+				       DOCUMENT_READ_MS))
+			continue;
+		lacking_count++;
+		printf("    %s reads version %d, acknowledged is %d\n",
+		       soak->processes[i].daemon->name, newest.read,
+		       newest.version);
+	}
+	for (i = 0; i < soak->setup->entry_count; i++) {
+		newest.index = i;
+		if (support_wait_until(is_newest_served_, &newest,
+				       DOCUMENT_READ_MS))
+			continue;
+		lacking_count++;
+		printf("    %s doesn't serve version %d\n",
+		       soak_entries(soak)[i].daemon->name, newest.version);
+	}
+	return lacking_count;
+}
+
+/* Plays one run in which control instances are replaced in series. */
+static void replacement_run_play_(const replacement_row_t *row, uint32_t seed)
+{
+	persistent_editor_t editor = { 0 };
+	soak_t soak;
+	soak_callers_t *callers;
+	GPtrArray *requests;
+	unsigned int loss_count;
+	unsigned int broken_count;
+	unsigned int served_count;
+	unsigned int lacking_count;
+	int64_t calm_ms;
+	gboolean is_serving = soak_init(&soak, &replacement_setup, seed);
+
+	if (!is_serving)
+		soak_clear(&soak);
+	CU_ASSERT_TRUE_FATAL(is_serving);
+	callers = callers_start_(&soak, seed);
+	editor.soak = &soak;
+	editor.start_ms = now_ms_();
+	editor.thread =
+		g_thread_new("editor", documents_put_persistently_, &editor);
+	loss_count = replacements_play_(&soak, row->victim, editor.start_ms);
+	calm_ms = now_ms_() - CALM_SERVED_MS;
+	g_atomic_int_set(&editor.is_stopping, 1);
+	g_thread_join(editor.thread);
+	requests = soak_callers_stop(callers);
+	lacking_count = newest_check_(&soak);
+	soak_processes_restore(&soak);
+	broken_count = soak_check(requests, soak.effects_path, TRUE);
+	served_count = served_count_(requests, calm_ms);
+	CU_ASSERT_EQUAL(editor.late_count, 0);
+	CU_ASSERT_EQUAL(lacking_count, 0);
+	CU_ASSERT_EQUAL(broken_count, 0);
+	CU_ASSERT_TRUE(served_count > 0);
+	CU_ASSERT_EQUAL(soak.unexpected_exit_count, 0);
+	printf("    %s, seed %u: %u losses, %d versions acknowledged, %u late, the "
+	       "slowest after %d ms, %u instances lack the newest, %u requests, "
+	       "%u served, %u at the end, %u rules broken, %u processes ended "
+	       "by themselves\n",
+	       row->name, seed, loss_count, soak.version - 1, editor.late_count,
+	       (int)editor.slowest_ms, lacking_count, requests->len,
+	       served_count_(requests, 0), served_count, broken_count,
+	       soak.unexpected_exit_count);
+	if (editor.late_count || lacking_count)
+		soak.group->is_kept = TRUE;
+	g_ptr_array_unref(requests);
+	soak_clear(&soak);
+}
+
 /* A record of requests that breaks one rule, or none. */
 typedef struct check_case {
 	const char *description; /* printed if the check fails */
@@ -815,12 +1113,36 @@
 				  has_stops);
 }
 
+/*
+ * While control instances end for good one after the other and empty ones come at
+ * other addresses, changes of the document are acknowledged, none that was is lost,
+ * and servers and entries find the instances that run.  CB_ROWS chooses rows.
+ */
+static void replaced_controls_keep_changes_accepted(void)
+{
+	int64_t seed = number_from_environment_("CB_SEED", 1);
+	int64_t seeds = number_from_environment_("CB_SEEDS", 1);
+	size_t row;
+	int64_t i;
+
+	for (row = 0; row < G_N_ELEMENTS(replacement_rows); row++) {
+		const replacement_row_t *r = &replacement_rows[row];
+
+		if (!support_row_is_chosen(r->name, r->is_short))
+			continue;
+		for (i = 0; i < seeds; i++)
+			replacement_run_play_(r, (uint32_t)(seed + i));
+	}
+}
+
 static CU_TestInfo soak_tests[] = { { "checks_find_each_broken_rule",
 				      checks_find_each_broken_rule },
 				    { "promises_hold_while_processes_fail",
 				      promises_hold_while_processes_fail },
 				    { "silent_servers_do_not_cut_answers",
 				      silent_servers_do_not_cut_answers },
+				    { "replaced_controls_keep_changes_accepted",
+				      replaced_controls_keep_changes_accepted },
 				    CU_TEST_INFO_NULL };
 
 int main(void)
