A silent voter becomes a learner, one for each learner that replaces it

- Nine voters could shrink to three in cuts of 10 s and more of four, then two machines: a record was acknowledged on two disks, and was lost with these two, which a group of nine may lose.
- A learner that had caught up made the leader remove all silent voters, one after the other (9 to 5 in a split of 2.3 s), since it wasn't promoted before each of them had gone.
- A machine with an empty disk whose seeds are gone never came back if it had been removed meanwhile, as nobody sent to it any more.

A silent voter now loses its vote but stays a learner until it has been silent for 20 election timeouts: the leader goes on sending to it, it votes again once it answers, and an empty disk is found. At an even number of voters a learner that has caught up is promoted at once, so that it takes one vote only. Without a learner no votes are taken that leave fewer voters than twice the tolerated losses and one, so that a record is always on more disks than may be lost; the setting tolerated_losses has their number, and 9 voters are kept without it.

--- a/include/currantbridge/node.h
+++ b/include/currantbridge/node.h
@@ -51,6 +51,12 @@
 	 * is asked.
 	 */
 	const char *const *join_addresses;
+	/*
+	 * How many members may be lost at the same time, with their disks; 0:
+	 * not known.  Silent voters lose their votes without a successor only
+	 * as long as twice as many and one remain (9 if it is not known).
+	 */
+	uint32_t tolerated_losses;
 	/*
 	 * Owned by the caller.  Defaults for NULL: TCP, files in the data
 	 * folder and a new random number generator.
--- a/include/currantbridge/replica.h
+++ b/include/currantbridge/replica.h
@@ -108,8 +108,9 @@
 	/* The maximum number of waiting proposals, and of waiting reads. */
 	size_t max_waiting_proposals;
 	/*
-	 * Members that fall silent are removed, if at least so many voters
-	 * remain or the group loses nothing by it; 0: none is removed.
+	 * Voters that fall silent lose their votes to learners, or without a
+	 * successor if at least so many voters remain; silent learners are
+	 * removed.  0: none of these.
 	 */
 	uint32_t min_voters;
 	cb_log_t *log; /* log that events are written to; may be NULL */
--- a/src/libcurrantbridge/control/membership.c
+++ b/src/libcurrantbridge/control/membership.c
@@ -14,13 +14,13 @@
  */
 #define REPLACE_AFTER_ELECTION_TIMEOUTS 2
 /*
- * A voter that is silent for this many election timeouts is removed where the
- * group loses nothing by it; it joins again if it comes back.
+ * A voter that is silent for this many election timeouts may lose its vote; it
+ * gets it back once it answers.
  */
-#define REMOVE_AFTER_ELECTION_TIMEOUTS 4
+#define DEMOTE_AFTER_ELECTION_TIMEOUTS 4
 /*
- * After this many, silent voters that nothing replaces are removed in pairs, and
- * silent learners, which may be installing a snapshot.
+ * After this many, two voters of an odd number may lose their votes at once, and
+ * silent learners are removed, which join again if they come back.
  */
 #define ABANDON_AFTER_ELECTION_TIMEOUTS 20
 
@@ -164,39 +164,50 @@
 	return silent;
 }
 
+/* Returns a silent learner that is to be removed, or NULL. */
+static const cb_peer_t *removable_learner_find_(const cb_replica_t *replica)
+{
+	silent_members_t learners = silent_members_find_(replica, FALSE);
+
+	return learners.abandoned ? learners.longest : NULL;
+}
+
 /*
- * Returns the member that is to be removed, or NULL.  A silent voter is removed
- * if `learner` can take its place, or if the number of voters is even, so that
- * the others tolerate as many losses without it.  Two silent voters of an odd
- * number are removed if enough voters remain.
+ * Whether voters that answer no longer may lose their votes though nothing
+ * replaces them: at least `min_voters` remain, which store each record on enough
+ * disks, and tolerate as many losses as before.
  */
-static const cb_peer_t *removable_member_find_(const cb_replica_t *replica,
-					       const silent_members_t *voters,
-					       const cb_peer_t *learner)
+static gboolean may_shrink_(const cb_replica_t *replica,
+			    const silent_members_t *silent)
 {
-	uint32_t voter_count = cb_members_voter_count(replica->members);
-	silent_members_t learners;
-
-	if (!replica->min_voters)
-		return NULL;
-	if (voters->longest_ms >= REMOVE_AFTER_ELECTION_TIMEOUTS *
-					  replica->election_timeout_ms &&
-	    (learner || voter_count % 2 == 0))
-		return voters->longest;
-	if (voters->abandoned >= 2 && voter_count >= replica->min_voters + 2)
-		return voters->longest;
-	learners = silent_members_find_(replica, FALSE);
-	return learners.abandoned ? learners.longest : NULL;
+	uint32_t voters = cb_members_voter_count(replica->members);
+
+	if (voters % 2 == 0)
+		return voters > replica->min_voters;
+	return silent->abandoned >= 2 && voters >= replica->min_voters + 2;
 }
 
-static void silent_member_remove_(cb_replica_t *replica, const cb_peer_t *peer)
+/* Proposes that a silent voter be a learner until it answers again. */
+static void voter_demote_(cb_replica_t *replica, const cb_peer_t *peer)
+{
+	GPtrArray *members = cb_members_copy(replica->members);
+
+	cb_replica_count(replica, CB_REPLICA_COUNT_DEMOTED);
+	cb_log_event(replica->event_log, CB_EVENT_VOTER_DEMOTED,
+		     CB_STR("member", peer->name),
+		     CB_INT("silent_ms", cb_peer_silence_ms(replica, peer)),
+		     CB_INT("voters", cb_members_voter_count(members)));
+	cb_members_find(members, peer->name)->is_voter = FALSE;
+	members_propose_(replica, members);
+}
+
+static void learner_remove_(cb_replica_t *replica, const cb_peer_t *peer)
 {
 	GPtrArray *members = cb_members_copy(replica->members);
 
 	cb_replica_count(replica, CB_REPLICA_COUNT_PRUNED);
 	cb_log_event(replica->event_log, CB_EVENT_MEMBER_PRUNED,
 		     CB_STR("member", peer->name),
-		     CB_STR("role", peer->is_voter ? "voter" : "learner"),
 		     CB_INT("silent_ms", cb_peer_silence_ms(replica, peer)),
 		     CB_INT("voters", cb_members_voter_count(members)));
 	cb_members_remove(members, peer->name);
@@ -215,22 +226,33 @@
 }
 
 /*
- * Proposes the next change of members that is due: the removal of a silent one
- * or the promotion of a learner that has caught up.  The learner waits while
- * a voter may be gone, to replace it rather than to join it: voters that are
- * gone would add up until no majority is left.
+ * Proposes the next change of members that is due.  A learner that has caught up
+ * is made a voter; if their number is odd, a silent voter is demoted first, which
+ * the learner then replaces, since voters that are gone would add up until no
+ * majority is left.  While a voter may be gone, the learner waits.
  */
 static void due_change_propose_(cb_replica_t *replica)
 {
 	const cb_peer_t *learner = ready_learner_find_(replica);
-	silent_members_t voters = silent_members_find_(replica, TRUE);
-	const cb_peer_t *removed =
-		removable_member_find_(replica, &voters, learner);
-
-	if (removed)
-		silent_member_remove_(replica, removed);
-	else if (learner && !(replica->min_voters && voters.has_doubtful))
+	silent_members_t silent = silent_members_find_(replica, TRUE);
+	gboolean is_odd = cb_members_voter_count(replica->members) % 2;
+	gboolean is_gone =
+		silent.longest_ms >=
+		DEMOTE_AFTER_ELECTION_TIMEOUTS * replica->election_timeout_ms;
+	const cb_peer_t *lost_learner;
+
+	if (!replica->min_voters) {
+		if (learner)
+			learner_promote_(replica, learner);
+		return;
+	}
+	lost_learner = removable_learner_find_(replica);
+	if (is_gone && (learner ? is_odd : may_shrink_(replica, &silent)))
+		voter_demote_(replica, silent.longest);
+	else if (learner && !(is_odd && silent.has_doubtful))
 		learner_promote_(replica, learner);
+	else if (lost_learner)
+		learner_remove_(replica, lost_learner);
 }
 
 /* Requests from a member a report of its disk, whichever disk that is. */
@@ -321,7 +343,7 @@
 
 /*
  * Called at each heartbeat interval: forms the group, probes a member that is
- * being added, removes silent members and promotes learners.
+ * being added, demotes or removes silent members and promotes learners.
  */
 void cb_membership_tick(cb_replica_t *replica)
 {
--- a/src/libcurrantbridge/control/node.c
+++ b/src/libcurrantbridge/control/node.c
@@ -9,8 +9,8 @@
 
 #define LINK_QUEUE_MAX_BYTES (16 * 1024 * 1024)
 #define MAX_WAITING_PROPOSALS 4096
-/* Fewer voters than this tolerate no loss. */
-#define MIN_VOTERS 3
+/* Voters that a group keeps if it isn't known how many losses it has to tolerate. */
+#define DEFAULT_MIN_VOTERS 9
 /* Configuration changes within this time are pushed to sessions together. */
 #define PUSH_DELAY_MS 2
 /* Time to send the last messages before the process ends. */
@@ -403,6 +403,15 @@
 	return options->listen;
 }
 
+/* Returns how few voters a group with changing members may have; 0: fixed. */
+static uint32_t min_voters_find_(const cb_node_options_t *options)
+{
+	if (!options->join_addresses)
+		return 0;
+	return options->tolerated_losses ? 2 * options->tolerated_losses + 1 :
+					   DEFAULT_MIN_VOTERS;
+}
+
 static void replica_create_(cb_node_t *node, const cb_node_options_t *options)
 {
 	cb_replica_options_t replica_options = {
@@ -414,7 +423,7 @@
 		.election_timeout_ms = options->election_timeout_ms,
 		.snapshot_every_bytes = options->snapshot_every_bytes,
 		.max_waiting_proposals = MAX_WAITING_PROPOSALS,
-		.min_voters = options->join_addresses ? MIN_VOTERS : 0,
+		.min_voters = min_voters_find_(options),
 		.log = node->log,
 		.counters = cb_kernel_counters(node->kernel),
 	};
--- a/src/libcurrantbridge/control/replica_count.c
+++ b/src/libcurrantbridge/control/replica_count.c
@@ -39,6 +39,7 @@
 	[CB_REPLICA_COUNT_SNAPSHOT_INSTALLED] = EVENT("snapshot_installed"),
 	[CB_REPLICA_COUNT_DISK_REPLACED] = EVENT("disk_replaced"),
 	[CB_REPLICA_COUNT_PROMOTED] = EVENT("learner_promoted"),
+	[CB_REPLICA_COUNT_DEMOTED] = EVENT("voter_demoted"),
 	[CB_REPLICA_COUNT_PRUNED] = EVENT("member_pruned"),
 };
 
--- a/src/test_libcurrantbridge/support_control.c
+++ b/src/test_libcurrantbridge/support_control.c
@@ -15,6 +15,7 @@
 	group->random = g_rand_new_with_seed(seed);
 	group->hub = support_hub_new(group->clock);
 	group->count = count;
+	group->tolerated_losses = 1;
 	for (i = 0; i < count; i++) {
 		control_member_t *member = &group->members[i];
 
@@ -41,6 +42,7 @@
 		.snapshot_every_bytes = 1 << 20,
 		.server_silence_ms = 3600,
 		.join_addresses = seeds,
+		.tolerated_losses = group->tolerated_losses,
 		.network = support_hub_network(group->hub, self->address),
 		.storage = disk_storage(self->disk),
 		.random = group->random,
--- a/src/test_libcurrantbridge/support_control.h
+++ b/src/test_libcurrantbridge/support_control.h
@@ -29,6 +29,8 @@
 	GRand *random;
 	support_hub_t *hub;
 	size_t count;
+	/* Of members started from now on: how many may be lost at once. */
+	uint32_t tolerated_losses;
 	control_member_t members[CONTROL_MEMBERS_MAX];
 } control_group_t;
 
--- a/src/test_libcurrantbridge/test_join.c
+++ b/src/test_libcurrantbridge/test_join.c
@@ -9,6 +9,8 @@
 #define MEMBER_COUNT 9
 #define FORM_TIMEOUT_MS 20000
 #define REPLACE_TIMEOUT_MS 30000
+/* A silent voter is a learner until then. */
+#define LEARNER_REMOVED_MS 12000
 
 static control_group_t *group_of_five_form_(uint32_t seed)
 {
@@ -81,7 +83,7 @@
 	control_group_start(group, 5, FALSE);
 	CU_ASSERT_TRUE(control_group_run_until_voters(group, 0x3e,
 						      REPLACE_TIMEOUT_MS));
-	cb_clock_advance(group->clock, 1000);
+	cb_clock_advance(group->clock, LEARNER_REMOVED_MS);
 	connects = support_hub_connects(group->hub, address);
 	cb_clock_advance(group->clock, 10000);
 	CU_ASSERT_TRUE(connects > 0);
--- a/src/test_libcurrantbridge/test_replacements.c
+++ b/src/test_libcurrantbridge/test_replacements.c
@@ -19,6 +19,10 @@
 #define SEED_LAG_MS 3000
 #define GAP_JITTER_MS 5000
 #define AWAY_MAX_MS 12000
+#define BLANK_AWAY_MAX_MS 4000
+#define FLAP_COUNT 8
+#define FLAP_CUT_MAX_MS 2400
+#define FLAP_GAP_MAX_MS 600
 #define LOST_AT_ONCE_MAX 2
 
 /* Which machine is lost next. */
@@ -40,12 +44,14 @@
 	EVENT_LOST_AGAIN = 1 << 2,
 	EVENT_CUT_OFF = 1 << 3,	  /* nobody reaches them for a while */
 	EVENT_RESTARTED = 1 << 4, /* they end and come back with their disks */
-	EVENT_COUNT = 5,
+	EVENT_BLANK = 1 << 5,	  /* they come back with empty disks */
+	EVENT_ONE_WAY = 1 << 6,	  /* one direction of their links is cut */
+	EVENT_FLAPPING = 1 << 7,  /* they are cut off again and again */
+	EVENT_COUNT = 8,
 } event_t;
 
 #define EVENTS_REPLACED (EVENT_LOST | EVENT_PLANNED)
-#define EVENTS_ALL \
-	(EVENTS_REPLACED | EVENT_LOST_AGAIN | EVENT_CUT_OFF | EVENT_RESTARTED)
+#define EVENTS_ALL ((1 << EVENT_COUNT) - 1)
 
 typedef struct series {
 	const char *name;
@@ -157,8 +163,9 @@
 
 	play->series = series;
 	play->group = control_group_new(
-		series->size + series->steps * (series->lost_at_once + 1),
+		series->size + series->steps * (series->lost_at_once + 1) + 4,
 		seed);
+	play->group->tolerated_losses = (uint32_t)series->lost_at_once;
 	play->alive = g_array_new(FALSE, FALSE, sizeof(size_t));
 	for (i = 0; i < CONTROL_SEED_COUNT; i++)
 		play->seeds[i] = i;
@@ -247,30 +254,75 @@
 	machine_start_(play, FALSE);
 }
 
-/* Cuts machines off, or ends them, for a while; they come back as the newest. */
-static void machines_leave_(play_t *play, gboolean is_cut_off)
+/* Cuts off or reconnects machines: both directions, or one of them. */
+static void machines_isolate_(play_t *play, const size_t *machines,
+			      event_t event, gboolean is_outward,
+			      gboolean is_cut)
 {
-	size_t count = play->series->lost_at_once;
-	size_t chosen[LOST_AT_ONCE_MAX] = { 0 };
+	support_hub_t *hub = play->group->hub;
 	size_t i;
 
-	machines_choose_(play, chosen);
-	for (i = 0; i < count; i++) {
-		if (is_cut_off)
-			control_group_isolate(play->group, chosen[i], TRUE);
+	for (i = 0; i < play->series->lost_at_once; i++) {
+		const char *name = play->group->members[machines[i]].address;
+
+		if (event != EVENT_ONE_WAY)
+			control_group_isolate(play->group, machines[i], is_cut);
+		else if (is_outward)
+			support_hub_block(hub, name, NULL, is_cut);
 		else
-			control_group_kill(play->group, chosen[i]);
+			support_hub_block(hub, NULL, name, is_cut);
 	}
-	run_(play, g_rand_int_range(play->group->random, 0, AWAY_MAX_MS));
-	for (i = 0; i < count; i++) {
-		if (is_cut_off)
-			control_group_isolate(play->group, chosen[i], FALSE);
-		else
-			control_group_start(play->group, chosen[i], FALSE);
-		g_array_append_val(play->alive, chosen[i]);
+}
+
+/* Cuts machines off for a while, once or, when they flap, several times. */
+static void machines_cut_off_(play_t *play, const size_t *machines,
+			      event_t event)
+{
+	GRand *random = play->group->random;
+	gboolean is_outward = g_rand_boolean(random);
+	int cuts = event == EVENT_FLAPPING ? FLAP_COUNT : 1;
+	int max_ms = event == EVENT_FLAPPING ? FLAP_CUT_MAX_MS : AWAY_MAX_MS;
+
+	for (; cuts; cuts--) {
+		machines_isolate_(play, machines, event, is_outward, TRUE);
+		run_(play, g_rand_int_range(random, 0, max_ms));
+		machines_isolate_(play, machines, event, is_outward, FALSE);
+		run_(play, g_rand_int_range(random, 0, FLAP_GAP_MAX_MS));
 	}
 }
 
+/* Ends machines, and starts them again with or without their data. */
+static void machines_restart_(play_t *play, const size_t *machines,
+			      event_t event)
+{
+	control_group_t *group = play->group;
+	int max_ms = event == EVENT_BLANK ? BLANK_AWAY_MAX_MS : AWAY_MAX_MS;
+	size_t i;
+
+	for (i = 0; i < play->series->lost_at_once; i++) {
+		control_group_kill(group, machines[i]);
+		if (event == EVENT_BLANK)
+			disk_erase(group->members[machines[i]].disk);
+	}
+	run_(play, g_rand_int_range(group->random, 0, max_ms));
+	for (i = 0; i < play->series->lost_at_once; i++)
+		control_group_start(group, machines[i], FALSE);
+}
+
+/* Takes machines out of service for a while; they come back as the newest. */
+static void machines_leave_(play_t *play, event_t event)
+{
+	size_t chosen[LOST_AT_ONCE_MAX] = { 0 };
+
+	machines_choose_(play, chosen);
+	if (event == EVENT_RESTARTED || event == EVENT_BLANK)
+		machines_restart_(play, chosen, event);
+	else
+		machines_cut_off_(play, chosen, event);
+	g_array_append_vals(play->alive, chosen,
+			    (guint)play->series->lost_at_once);
+}
+
 static event_t event_choose_(const play_t *play)
 {
 	event_t event;
@@ -303,7 +355,7 @@
 		machines_lose_(play);
 		break;
 	default:
-		machines_leave_(play, event == EVENT_CUT_OFF);
+		machines_leave_(play, event);
 		run_(play, CATCH_UP_MS);
 		break;
 	}
@@ -363,6 +415,10 @@
 	{ "any of three", 3, 1, TARGET_MIXED, EVENT_LOST, 1600, 12 },
 	{ "all events of three but planned", 3, 1, TARGET_MIXED,
 	  EVENTS_ALL & ~EVENT_PLANNED, 1600, 12 },
+	{ "lost disks", 5, 1, TARGET_MIXED, EVENT_LOST | EVENT_BLANK, 1600,
+	  12 },
+	{ "lost disks of three", 3, 1, TARGET_MIXED, EVENT_LOST | EVENT_BLANK,
+	  1600, 12 },
 	{ "one of nine", 9, 1, TARGET_MIXED, EVENT_LOST, 1600, 12 },
 	{ "two of nine", 9, 2, TARGET_MIXED, EVENT_LOST, 1600, 8 },
 	{ "all events of two of nine", 9, 2, TARGET_MIXED, EVENTS_ALL, 1600,
@@ -402,9 +458,122 @@
 	}
 }
 
+/* Cuts off `count` more machines of the first ones, none of them the leader. */
+static void machines_partition_(play_t *play, size_t count, uint64_t *cut)
+{
+	size_t leader = control_group_leader(play->group);
+	size_t i;
+
+	for (i = 0; count && i < play->series->size; i++) {
+		if (i == leader || (*cut >> i & 1))
+			continue;
+		control_group_isolate(play->group, i, TRUE);
+		*cut |= UINT64_C(1) << i;
+		count--;
+	}
+}
+
+static const series_t partition_table[] = {
+	{ "five", 5, 1, TARGET_ANY, EVENT_LOST, 0, 1 },
+	{ "nine", 9, 2, TARGET_ANY, EVENT_LOST, 0, 1 },
+};
+
+/* The smaller half is cut off while a new machine joins. */
+static void learner_takes_the_vote_of_one_silent_voter(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(partition_table); i++) {
+		const series_t *series = &partition_table[i];
+		play_t *play = play_new_(series, 1);
+		uint64_t cut = 0;
+		uint64_t voters = 0;
+		int least = (int)series->size;
+		int k;
+
+		machines_partition_(play, (series->size - 1) / 2, &cut);
+		machine_start_(play, FALSE);
+		for (k = 0; k < 50; k++) {
+			run_(play, 100);
+			voters = control_group_voters(play->group);
+			if (voters)
+				least = MIN(least,
+					    __builtin_popcountll(voters));
+		}
+		CU_ASSERT_EQUAL(least, (int)series->size - 1);
+		CU_ASSERT_EQUAL(__builtin_popcountll(voters),
+				(int)series->size);
+		CU_ASSERT_TRUE(voters >> series->size & 1);
+		play_delete_(play);
+	}
+}
+
+/*
+ * Most of nine machines are cut off, in two steps that are long enough for those
+ * to lose their votes: a record that is acknowledged then would be lost with two
+ * disks if it were on two only.
+ */
+static void long_partitions_leave_enough_disks_for_two_losses(void)
+{
+	static const int64_t cut_table_ms[] = { 3000, 11000, 30000 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cut_table_ms); i++) {
+		play_t *play = play_new_(&partition_table[1], 1);
+		uint64_t cut = 0;
+		uint64_t voters;
+
+		machines_partition_(play, 4, &cut);
+		run_(play, cut_table_ms[i]);
+		voters = control_group_voters(play->group);
+		CU_ASSERT_TRUE(__builtin_popcountll(voters) >= 5);
+		machines_partition_(play, 2, &cut);
+		run_(play, cut_table_ms[i]);
+		voters = control_group_voters(play->group);
+		CU_ASSERT_TRUE(!voters || __builtin_popcountll(voters) >= 5);
+		play_delete_(play);
+	}
+}
+
+/*
+ * A machine with an empty disk and the seeds of its first start, which are gone,
+ * comes back to a group of six, in which a silent voter loses its vote.
+ */
+static void empty_disk_is_found_by_its_group(void)
+{
+	play_t *play = play_new_(&partition_table[0], 1);
+	control_group_t *group = play->group;
+	size_t i;
+
+	for (i = 0; i < CONTROL_SEED_COUNT; i++) {
+		control_group_kill(group, i);
+		g_array_remove_index(play->alive, 0);
+		seeds_update_(play);
+		machine_start_(play, FALSE);
+		run_(play, FORM_TIMEOUT_MS);
+	}
+	machine_start_(play, FALSE);
+	run_(play, CATCH_UP_MS);
+	CU_ASSERT_EQUAL(control_group_voters(group), 0x1f8);
+	control_group_kill(group, 3);
+	disk_erase(group->members[3].disk);
+	run_(play, 3000);
+	CU_ASSERT_EQUAL(control_group_voters(group), 0x1f0);
+	control_group_start(group, 3, FALSE);
+	CU_ASSERT_TRUE(
+		control_group_run_until_voters(group, 0x1f8, FORM_TIMEOUT_MS));
+	play_delete_(play);
+}
+
 static CU_TestInfo tests[] = {
 	{ "replacements_in_series_leave_a_leader",
 	  replacements_in_series_leave_a_leader },
+	{ "learner_takes_the_vote_of_one_silent_voter",
+	  learner_takes_the_vote_of_one_silent_voter },
+	{ "long_partitions_leave_enough_disks_for_two_losses",
+	  long_partitions_leave_enough_disks_for_two_losses },
+	{ "empty_disk_is_found_by_its_group",
+	  empty_disk_is_found_by_its_group },
 	CU_TEST_INFO_NULL,
 };
 
--- a/test/model/replica.pml
+++ b/test/model/replica.pml
@@ -10,9 +10,10 @@
  * modelled as steps that are not taken or are taken later.  A leader keeps what
  * it knows of a disk after that disk was lost.
  *
- * With -DNEWCOMER, no disk is lost.  A leader may remove the first voter when the number of voters is even,
- * or when a learner has caught up that can take its place.  That voter isn't
- * gone: it goes on with the log that it has, and may be added again.
+ * With -DNEWCOMER, no disk is lost.  A leader may make the first voter a learner
+ * when the number of voters is even, or when a learner has caught up that can
+ * take its place.  That voter isn't gone: it goes on with the log that it has,
+ * and may get its vote back.
  *
  * A log record is a term and a list of members (0 for any other record).  A
  * list of members has four bits for each: three for the number of its disk (0:
@@ -67,7 +68,7 @@
 /* Fails when the newcomer has replaced a voter, to show that it can. */
 #ifdef REACH_REPLACEMENT
 #define REPLACEMENT_IS_UNREACHED(members) \
-	(!IS_VOTER(members, 3) || IS_MEMBER(members, 0))
+	(!IS_VOTER(members, 3) || IS_VOTER(members, 0))
 #else
 #define REPLACEMENT_IS_UNREACHED(members) true
 #endif
@@ -395,8 +396,8 @@
 }
 
 #ifdef NEWCOMER
-/* Sets result to whether a voter may be removed: one step of a replacement. */
-inline check_may_remove(i)
+/* Sets result to whether a voter may lose its vote: one step of a replacement. */
+inline check_may_demote(i)
 {
 	result = 0;
 	voter_count = 0;
@@ -420,17 +421,17 @@
 	voter_count = 0
 }
 
-/* Removes the voter j, which may be gone or not. */
-inline remove_voter(i, j)
+/* Makes the voter j a learner, whether it is gone or not. */
+inline demote_voter(i, j)
 {
 	find_members(i);
 	if
 	:: role[i] == LEADER && i != j && log_length[i] < MAX_LOG &&
 	   MAY_CHANGE_MEMBERS(i) && j == 0 && IS_VOTER(members, j) ->
-		check_may_remove(i);
+		check_may_demote(i);
 		if
 		:: result ->
-			members = members & ~(15 << (4 * j));
+			members = members & ~(8 << (4 * j));
 #ifdef BREAK_REPLACEMENT
 			members = members | (IS_MEMBER(members, 3) -> 8 << 12 : 0);
 #endif
@@ -517,7 +518,7 @@
 	:: d_step { advance_commit(i) }
 	:: d_step { change_members(i, j) }
 #ifdef NEWCOMER
-	:: d_step { remove_voter(i, j) }
+	:: d_step { demote_voter(i, j) }
 #endif
 	:: d_step { lose_disk(i) }
 	:: d_step { role[i] = FOLLOWER; votes[i] = 0 }
