--- a/src/libcurrantbridge/control/membership.c
+++ b/src/libcurrantbridge/control/membership.c
@@ -236,9 +236,10 @@
 	const cb_peer_t *learner = ready_learner_find_(replica);
 	silent_members_t silent = silent_members_find_(replica, TRUE);
 	gboolean is_odd = cb_members_voter_count(replica->members) % 2;
-	gboolean is_gone =
-		silent.longest_ms >=
+	int64_t limit_ms =
 		DEMOTE_AFTER_ELECTION_TIMEOUTS * replica->election_timeout_ms;
+	const cb_peer_t *gone =
+		silent.longest_ms >= limit_ms ? silent.longest : NULL;
 	const cb_peer_t *lost_learner;
 
 	if (!replica->min_voters) {
@@ -247,8 +248,8 @@
 		return;
 	}
 	lost_learner = removable_learner_find_(replica);
-	if (is_gone && (learner ? is_odd : may_shrink_(replica, &silent)))
-		voter_demote_(replica, silent.longest);
+	if (gone && (learner ? is_odd : may_shrink_(replica, &silent)))
+		voter_demote_(replica, gone);
 	else if (learner && !(is_odd && silent.has_doubtful))
 		learner_promote_(replica, learner);
 	else if (lost_learner)
