--- a/src/test_libcurrantbridge/test_replacements.c
+++ b/src/test_libcurrantbridge/test_replacements.c
@@ -12,7 +12,7 @@
  * run for CATCH_UP_MS.  CB_FIRST_SEED and CB_SEEDS set the seeds of each row.
  */
 #define CATCH_UP_MS 4000
-#define DEFAULT_SEED_COUNT 5
+#define DEFAULT_SEED_COUNT 2
 #define FORM_TIMEOUT_MS 20000
 #define LEADER_TIMEOUT_MS 3000
 /* New machines know the members as they were this long before. */
