membership: one proposal of votes, one log line of silent members

Found while the change was read again: promoting and demoting a member copied the list of members in the same way, and so did the two log lines of silent members; three functions had no prose above them. The number of voters was counted at each heartbeat, and is needed only when the list has changed.

No behaviour changes. test_join, test_replacements, test_replica_group, test_replica_seeds, test_replica_recovery and test_sessions pass.

--- a/src/libcurrantbridge/control/membership.c
+++ b/src/libcurrantbridge/control/membership.c
@@ -138,6 +138,7 @@
 	gboolean has_doubtful; /* one had no contact for an election timeout */
 } silent_members_t;
 
+/* Returns what this leader knows of the voters, or learners, that are silent. */
 static silent_members_t silent_members_find_(const cb_replica_t *replica,
 					     gboolean are_voters)
 {
@@ -187,42 +188,52 @@
 	return silent->abandoned >= 2 && voters >= replica->min_voters + 2;
 }
 
-/* Proposes that a silent voter be a learner until it answers again. */
-static void voter_demote_(cb_replica_t *replica, const cb_peer_t *peer)
+/* Proposes that a member be a voter or a learner. */
+static void vote_propose_(cb_replica_t *replica, const char *name,
+			  gboolean is_voter)
 {
 	GPtrArray *members = cb_members_copy(replica->members);
 
-	cb_replica_count(replica, CB_REPLICA_COUNT_DEMOTED);
-	cb_log_event(replica->event_log, CB_EVENT_VOTER_DEMOTED,
-		     CB_STR("member", peer->name),
-		     CB_INT("silent_ms", cb_peer_silence_ms(replica, peer)),
-		     CB_INT("voters", cb_members_voter_count(members)));
-	cb_members_find(members, peer->name)->is_voter = FALSE;
+	cb_members_find(members, name)->is_voter = is_voter;
 	members_propose_(replica, members);
 }
 
+/* Logs what becomes of a silent member, with the voters before the change. */
+static void silent_member_log_(const cb_replica_t *replica, cb_event_t event,
+			       const cb_peer_t *peer)
+{
+	cb_log_event(replica->event_log, event, CB_STR("member", peer->name),
+		     CB_INT("silent_ms", cb_peer_silence_ms(replica, peer)),
+		     CB_INT("voters",
+			    cb_members_voter_count(replica->members)));
+}
+
+/* Proposes that a silent voter be a learner until it answers again. */
+static void voter_demote_(cb_replica_t *replica, const cb_peer_t *peer)
+{
+	cb_replica_count(replica, CB_REPLICA_COUNT_DEMOTED);
+	silent_member_log_(replica, CB_EVENT_VOTER_DEMOTED, peer);
+	vote_propose_(replica, peer->name, FALSE);
+}
+
+/* Proposes the removal of a learner that has been silent for long. */
 static void learner_remove_(cb_replica_t *replica, const cb_peer_t *peer)
 {
 	GPtrArray *members = cb_members_copy(replica->members);
 
 	cb_replica_count(replica, CB_REPLICA_COUNT_PRUNED);
-	cb_log_event(replica->event_log, CB_EVENT_MEMBER_PRUNED,
-		     CB_STR("member", peer->name),
-		     CB_INT("silent_ms", cb_peer_silence_ms(replica, peer)),
-		     CB_INT("voters", cb_members_voter_count(members)));
+	silent_member_log_(replica, CB_EVENT_MEMBER_PRUNED, peer);
 	cb_members_remove(members, peer->name);
 	members_propose_(replica, members);
 }
 
+/* Proposes that a learner that has caught up be a voter. */
 static void learner_promote_(cb_replica_t *replica, const cb_peer_t *learner)
 {
-	GPtrArray *members = cb_members_copy(replica->members);
-
-	cb_members_find(members, learner->name)->is_voter = TRUE;
 	cb_replica_count(replica, CB_REPLICA_COUNT_PROMOTED);
 	cb_log_event(replica->event_log, CB_EVENT_LEARNER_PROMOTED,
 		     CB_STR("member", learner->name));
-	members_propose_(replica, members);
+	vote_propose_(replica, learner->name, TRUE);
 }
 
 /*
--- a/src/libcurrantbridge/control/node_join.c
+++ b/src/libcurrantbridge/control/node_join.c
@@ -181,9 +181,7 @@
 			names,
 			((cb_replica_member_t *)members->pdata[i])->name);
 	g_ptr_array_add(names, NULL);
-	if (members->len)
-		cb_peers_forget_lost(node->peers,
-				     (const char *const *)names->pdata);
+	cb_peers_forget_lost(node->peers, (const char *const *)names->pdata);
 	g_ptr_array_unref(names);
 }
 
@@ -214,7 +212,6 @@
 void cb_node_membership_tick(cb_node_t *node)
 {
 	const GPtrArray *members = cb_replica_members(node->replica);
-	uint32_t voters = cb_members_voter_count(members);
 	uint64_t digest = cb_members_digest(members);
 	cb_link_message_t message = {
 		.kind = CB_LINK_MESSAGE_CONTROL_ADDRESSES
@@ -224,11 +221,14 @@
 	if (digest == node->sent_members_digest)
 		return;
 	node->sent_members_digest = digest;
-	if (members->len)
+	if (members->len) {
+		uint32_t voters = cb_members_voter_count(members);
+
 		cb_log_event(node->log, CB_EVENT_MEMBERS_CHANGED,
 			     CB_INT("voters", voters),
 			     CB_INT("learners", members->len - voters));
-	lost_links_forget_(node);
+		lost_links_forget_(node);
+	}
 	message.body = control_addresses_encode_(node);
 	cb_node_sessions_broadcast(node, &message);
 	g_bytes_unref(message.body);
