Tests read numbers from the environment by one function

test_replacements copied a reader that three other tests had in the same words already: support_environment_number() replaces all four. Two literals in test_replacements have names.

Seeds, cases, bounds and assertions are the same. test_replacements, test_replica_seeds (the same figures as before), test_soak and test_crashes pass; formatter and linter pass on the changed files.

--- a/src/test_libcurrantbridge/support_main.c
+++ b/src/test_libcurrantbridge/support_main.c
@@ -6,6 +6,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+int64_t support_environment_number(const char *name, int64_t fallback)
+{
+	const char *text = g_getenv(name);
+
+	return text ? g_ascii_strtoll(text, NULL, 10) : fallback;
+}
+
 /* Prints one line for each test; ./run-tests counts these lines. */
 static void test_report_(const CU_pTest test, const CU_pSuite suite,
 			 const CU_pFailureRecord failure)
--- a/src/test_libcurrantbridge/test_replacements.c
+++ b/src/test_libcurrantbridge/test_replacements.c
@@ -24,6 +24,8 @@
 #define FLAP_CUT_MAX_MS 2400
 #define FLAP_GAP_MAX_MS 600
 #define LOST_AT_ONCE_MAX 2
+/* Machines that a test starts besides the successors of a series. */
+#define EXTRA_MACHINES 4
 
 /* Which machine is lost next. */
 typedef enum target {
@@ -73,13 +75,6 @@
 	int64_t seeds_ms;
 } play_t;
 
-static int64_t env_integer_get_(const char *name, int64_t default_value)
-{
-	const char *text = g_getenv(name);
-
-	return text ? g_ascii_strtoll(text, NULL, 10) : default_value;
-}
-
 static size_t alive_at_(const play_t *play, size_t i)
 {
 	return g_array_index(play->alive, size_t, i);
@@ -163,7 +158,8 @@
 
 	play->series = series;
 	play->group = control_group_new(
-		series->size + series->steps * (series->lost_at_once + 1) + 4,
+		series->size + series->steps * (series->lost_at_once + 1) +
+			EXTRA_MACHINES,
 		seed);
 	play->group->tolerated_losses = (uint32_t)series->lost_at_once;
 	play->alive = g_array_new(FALSE, FALSE, sizeof(size_t));
@@ -205,7 +201,8 @@
 			return i;
 		if (target == TARGET_FOLLOWER && machine != leader)
 			return i;
-		if (target == TARGET_SEED && machine == play->seeds[any % 3])
+		if (target == TARGET_SEED &&
+		    machine == play->seeds[any % CONTROL_SEED_COUNT])
 			return i;
 	}
 	return any;
@@ -432,9 +429,11 @@
  */
 static void replacements_in_series_leave_a_leader(void)
 {
-	uint32_t first = (uint32_t)env_integer_get_("CB_FIRST_SEED", 1);
+	uint32_t first =
+		(uint32_t)support_environment_number("CB_FIRST_SEED", 1);
 	uint32_t count =
-		(uint32_t)env_integer_get_("CB_SEEDS", DEFAULT_SEED_COUNT);
+		(uint32_t)support_environment_number("CB_SEEDS",
+						     DEFAULT_SEED_COUNT);
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(series_table); i++) {
--- a/src/test_libcurrantbridge/test_replica_seeds.c
+++ b/src/test_libcurrantbridge/test_replica_seeds.c
@@ -57,13 +57,6 @@
 	uint32_t replaced_disk_count;
 };
 
-static int64_t env_integer_get_(const char *name, int64_t default_value)
-{
-	const char *text = g_getenv(name);
-
-	return text ? g_ascii_strtoll(text, NULL, 10) : default_value;
-}
-
 /* Returns TRUE with a probability of `percent` %. */
 static gboolean random_true_(run_t *run, int32_t percent)
 {
@@ -480,8 +473,9 @@
  */
 static void random_faults_break_no_guarantee(void)
 {
-	int64_t first_seed = env_integer_get_("CB_FIRST_SEED", 1);
-	int64_t run_count = env_integer_get_("CB_SEEDS", DEFAULT_RUN_COUNT);
+	int64_t first_seed = support_environment_number("CB_FIRST_SEED", 1);
+	int64_t run_count =
+		support_environment_number("CB_SEEDS", DEFAULT_RUN_COUNT);
 	uint64_t changes = 0;
 	uint64_t replaced_disk_count = 0;
 	uint64_t replaced_machine_count = 0;
--- a/test/platform/crashes/test_crashes.c
+++ b/test/platform/crashes/test_crashes.c
@@ -143,14 +143,6 @@
 	gboolean is_entry_back;
 } fixture_t;
 
-/* Returns a number from the environment, or a default. */
-static int64_t number_from_environment_(const char *name, int64_t fallback)
-{
-	const char *text = g_getenv(name);
-
-	return text ? g_ascii_strtoll(text, NULL, 10) : fallback;
-}
-
 static int64_t now_ms_(void)
 {
 	return g_get_monotonic_time() / 1000;
@@ -291,7 +283,7 @@
 
 static void fixture_init_(fixture_t *fixture, const row_t *row)
 {
-	uint32_t seed = (uint32_t)number_from_environment_("CB_SEED", 1);
+	uint32_t seed = (uint32_t)support_environment_number("CB_SEED", 1);
 	int internal_port = (int)support_free_port();
 	unsigned int i;
 
@@ -300,8 +292,8 @@
 				.random = g_rand_new_with_seed(seed) };
 	plan_init_(row, &fixture->plan);
 	fixture->server_count =
-		(unsigned int)CLAMP(number_from_environment_("CB_SERVERS",
-							     DEFAULT_SERVERS),
+		(unsigned int)CLAMP(support_environment_number("CB_SERVERS",
+							       DEFAULT_SERVERS),
 				    3, SERVERS_MAX);
 	fixture->servers = g_new0(server_t, fixture->server_count);
 	fixture->records_path =
@@ -452,9 +444,10 @@
 static void row_play_(fixture_t *fixture)
 {
 	gboolean is_long = g_getenv("CB_ROWS") != NULL;
-	int64_t bad_s = number_from_environment_("CB_SECONDS",
-						 is_long ? BAD_LONG_DEFAULT_S :
-							   BAD_DEFAULT_S);
+	int64_t bad_s =
+		support_environment_number("CB_SECONDS",
+					   is_long ? BAD_LONG_DEFAULT_S :
+						     BAD_DEFAULT_S);
 	crashes_plan_t *plan = &fixture->plan;
 	int64_t now_us = g_get_monotonic_time();
 
--- a/test/platform/soak/test_soak.c
+++ b/test/platform/soak/test_soak.c
@@ -146,14 +146,6 @@
 	return g_get_monotonic_time() / 1000;
 }
 
-/* Returns a number from the environment, or a default. */
-static int64_t number_from_environment_(const char *name, int64_t fallback)
-{
-	const char *text = g_getenv(name);
-
-	return text ? g_ascii_strtoll(text, NULL, 10) : fallback;
-}
-
 /* Returns whether a time of the plan has come, and then draws the next one. */
 static gboolean is_due_(soak_t *soak, int64_t *next_ms, int gap_min_ms,
 			int gap_max_ms)
@@ -350,7 +342,7 @@
 	unsigned int broken_count;
 	unsigned int served_count;
 	int64_t calm_ms;
-	int scale = (int)CLAMP(number_from_environment_("CB_SCALE", 1), 1,
+	int scale = (int)CLAMP(support_environment_number("CB_SCALE", 1), 1,
 			       SCALE_MAX);
 	soak_setup_t setup = failure_setup_scale_(scale);
 	char *earlier = NULL;
@@ -1083,10 +1075,10 @@
  */
 static void promises_hold_while_processes_fail(void)
 {
-	int64_t seed = number_from_environment_("CB_SEED", 1);
-	int64_t seeds = number_from_environment_("CB_SEEDS", 1);
+	int64_t seed = support_environment_number("CB_SEED", 1);
+	int64_t seeds = support_environment_number("CB_SEEDS", 1);
 	int64_t seconds =
-		number_from_environment_("CB_SECONDS", DEFAULT_SECONDS);
+		support_environment_number("CB_SECONDS", DEFAULT_SECONDS);
 	int64_t i;
 
 	for (i = 0; i < seeds; i++)
@@ -1100,12 +1092,12 @@
  */
 static void silent_servers_do_not_cut_answers(void)
 {
-	int64_t seed = number_from_environment_("CB_SEED", 1);
-	int64_t seeds = number_from_environment_("CB_SEEDS", 1);
+	int64_t seed = support_environment_number("CB_SEED", 1);
+	int64_t seeds = support_environment_number("CB_SEEDS", 1);
 	int64_t seconds =
-		number_from_environment_("CB_SECONDS", SILENCE_SECONDS);
-	gboolean has_documents = number_from_environment_("CB_DOCUMENTS", 1);
-	gboolean has_stops = number_from_environment_("CB_STOPS", 0);
+		support_environment_number("CB_SECONDS", SILENCE_SECONDS);
+	gboolean has_documents = support_environment_number("CB_DOCUMENTS", 1);
+	gboolean has_stops = support_environment_number("CB_STOPS", 0);
 	int64_t i;
 
 	for (i = 0; i < seeds; i++)
@@ -1120,8 +1112,8 @@
  */
 static void replaced_controls_keep_changes_accepted(void)
 {
-	int64_t seed = number_from_environment_("CB_SEED", 1);
-	int64_t seeds = number_from_environment_("CB_SEEDS", 1);
+	int64_t seed = support_environment_number("CB_SEED", 1);
+	int64_t seeds = support_environment_number("CB_SEEDS", 1);
 	size_t row;
 	int64_t i;
 
